Lay out the workspace and the vocabulary shared by all parts

Cause: parts are to grow side by side, so the identifiers, outcomes, engine and platform vocabulary, bundle content and peer messages must be agreed before any of them starts. Ruled out: letting each part define its own messages and joining them later. Conclusion: decisions live in core without sockets or clocks; adapters stay behind traits.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! `shelfjunction`: the gateway, the controller and the operator's commands.
+
+fn main() {}
--- /dev/null
+++ b/crates/controller/src/lib.rs
@@ -0,0 +1,1 @@
+//! The controller: membership, engine monitoring, bundle distribution, and the zone's lease holder.
--- /dev/null
+++ b/crates/core/src/bundle/mod.rs
@@ -0,0 +1,3 @@
+//! Bundles: the versioned content that operators sign and roll out.
+
+pub mod content;
--- /dev/null
+++ b/crates/core/src/drain/mod.rs
@@ -0,0 +1,1 @@
+//! How an engine or a node is emptied without cutting off a request.
--- /dev/null
+++ b/crates/core/src/ledger/mod.rs
@@ -0,0 +1,1 @@
+//! Claims that keep a request with an idempotency key from running twice.
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,26 @@
+//! Decisions of the serving system: no socket, file, thread, clock or global randomness.
+//!
+//! Time and seeds come in as arguments, so the same code runs in the real processes, the fuzzers and the
+//! simulator. Each module holds one kind of decision; effects are returned as values for a caller to carry out.
+
+pub mod admission;
+pub mod bundle;
+pub mod demand;
+pub mod drain;
+pub mod engine;
+pub mod identity;
+pub mod lease;
+pub mod ledger;
+pub mod machine;
+pub mod membership;
+pub mod orders;
+pub mod outcome;
+pub mod request;
+pub mod residency;
+pub mod retry;
+pub mod roles;
+pub mod routing;
+pub mod service_class;
+pub mod table;
+pub mod tenancy;
+pub mod time;
--- /dev/null
+++ b/crates/core/src/membership/mod.rs
@@ -0,0 +1,3 @@
+//! Who and what is alive, joined from heartbeats and the platform's list.
+
+pub mod record;
--- /dev/null
+++ b/crates/core/src/orders/mod.rs
@@ -0,0 +1,1 @@
+//! Committing, sending and settling fenced orders to engines.
--- /dev/null
+++ b/crates/core/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! The course of one request from admission to its final outcome.
--- /dev/null
+++ b/crates/core/src/residency/mod.rs
@@ -0,0 +1,1 @@
+//! Which zones may hold a tenant's data.
--- /dev/null
+++ b/crates/core/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retry budgets and circuits.
--- /dev/null
+++ b/crates/core/src/roles/mod.rs
@@ -0,0 +1,1 @@
+//! The planner that gives engines their roles.
--- /dev/null
+++ b/crates/core/src/routing/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of the engine for a request.
--- /dev/null
+++ b/crates/core/src/tenancy/mod.rs
@@ -0,0 +1,1 @@
+//! Who a caller is and what keeps tenants apart.
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,1 @@
+//! The gateway: callers' API, administration API, admission, routing and streaming.
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins, load and experiment tools.
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,3 @@
+//! `shelfjunction-lab`: stand-ins, load and experiment tools.
+
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,6 @@
+//! Traits for the systems outside, and one HTTP adapter for each.
+//!
+//! Wire formats of the platform and the engines are not published; each lives in one adapter module behind its trait.
+
+pub mod engine;
+pub mod services;
--- /dev/null
+++ b/crates/protocol/src/caller.rs
@@ -0,0 +1,1 @@
+//! JSON bodies of the callers' API.
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,5 @@
+//! Typed messages: JSON bodies for callers and operators, bincode for the system's own processes.
+
+pub mod caller;
+pub mod operator;
+pub mod peer;
--- /dev/null
+++ b/crates/protocol/src/operator.rs
@@ -0,0 +1,1 @@
+//! JSON bodies of the administration API.
--- /dev/null
+++ b/crates/protocol/src/peer.rs
@@ -0,0 +1,51 @@
+//! Messages between the system's own processes, encoded with bincode.
+
+use serde::{Deserialize, Serialize};
+use shelfjunction_core::identity::Generation;
+use shelfjunction_core::membership::record::Record;
+
+/// Longest frame that is read from a peer over TCP, in bytes.
+pub const MAXIMUM_FRAME_BYTES: usize = 4 * 1024 * 1024;
+
+/// Longest datagram that is sent to a peer over UDP, in bytes; stays below one Ethernet MTU.
+pub const MAXIMUM_DATAGRAM_BYTES: usize = 1_400;
+
+/// SHA-256 of canonical bytes.
+pub type ContentDigest = [u8; 32];
+
+/// Request over a TCP connection to a controller; one length-prefixed frame each.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// Stream every record now, then each change, as [`PeerResponse::Records`] frames until the connection closes.
+    WatchFleet,
+    /// The bundle in force at the peer, answered by [`PeerResponse::Head`].
+    BundleHead,
+    /// Contents by digest, answered by [`PeerResponse::Parts`].
+    FetchParts(Vec<ContentDigest>),
+    /// A head that the sender accepted; the receiver checks it for itself. Answered by [`PeerResponse::Head`].
+    AnnounceHead(BundleHead),
+}
+
+/// Answer of a controller; one length-prefixed frame each.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerResponse {
+    /// Records, each with its age at sending.
+    Records(Vec<Record>),
+    /// The head in force; absent before the first bundle.
+    Head(Option<BundleHead>),
+    /// The contents that the peer holds, in no stated order.
+    Parts(Vec<Vec<u8>>),
+    /// The request could not be served.
+    Refused(String),
+}
+
+/// Which bundle is in force and how long ago that was last confirmed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BundleHead {
+    /// Position in the history.
+    pub generation: Generation,
+    /// Digest of the signed manifest.
+    pub manifest: ContentDigest,
+    /// Time since the store, or a peer of another zone, confirmed that this is current, in milliseconds.
+    pub confirmed_millis_ago: u64,
+}
--- /dev/null
+++ b/tests/lib.rs
@@ -0,0 +1,1 @@
+//! Support shared by the proofs: fuzzing, replay and process runs.
