Add the monotonic clock's edge and the report of a wrong setting

Cause: both programs need them before their settings are written. Conclusion: clocks are read at the edges only; wrong settings carry field, value and what is allowed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod roles;
 pub mod routing;
 pub mod service_class;
+pub mod setting;
 pub mod table;
 pub mod tenancy;
 pub mod time;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,5 +2,6 @@
 //!
 //! Wire formats of the platform and the engines are not published; each lives in one adapter module behind its trait.
 
+pub mod clock;
 pub mod engine;
 pub mod services;
