Decide the course of a request and its claim without I/O

Cause: at most once, truthful outcomes and whole answers have to be the same code in the gateway and in the proofs. Ruled out: letting another gateway send again after an engine said that it never saw a claimed request. A frozen engine may still read the first send from a closed connection, so the answer proves nothing; the caller is told that the outcome is unknown instead. Conclusion: events in, actions out; claims are grouped into transactions whose repeats are idempotent.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -56,6 +56,8 @@
     Stopping,
     /// Every engine that was asked refused before running.
     EnginesRefused,
+    /// The caller cancelled before any engine was asked.
+    Cancelled,
 }
 
 /// Why a request that may have run has no whole answer.
@@ -74,4 +76,6 @@
     Cancelled,
     /// The claim could not be settled.
     ClaimUnsettled,
+    /// The request ran to its end before; its answer is no longer held.
+    AnswerExpired,
 }
--- /dev/null
+++ b/crates/core/src/request/claiming.rs
@@ -0,0 +1,91 @@
+//! The claim of a request that may not be repeated: asked for before the send, met, moved or in doubt.
+
+use super::event::{Action, Event};
+use super::machine::{HeldClaim, RequestMachine};
+use super::specification::Placement;
+use crate::ledger::row::{ClaimRow, StoredClaim};
+use crate::outcome::{Failure, Outcome, Refusal, RefusalReason};
+use crate::table::PlatformError;
+use crate::time::MonotonicTime;
+use std::time::Duration;
+
+/// When to come back after the table could not be used.
+const LEDGER_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl RequestMachine {
+    pub(super) fn on_claiming(
+        &mut self,
+        event: Event,
+        placement: Placement,
+        asked: MonotonicTime,
+        now: MonotonicTime,
+    ) -> Vec<Action> {
+        match event {
+            Event::ClaimCommitted { version } => {
+                let row = self.claim_row(&placement);
+                self.claim = Some(HeldClaim {
+                    version,
+                    row,
+                    own: true,
+                });
+                let window_end = asked + self.limits.dispatch_window;
+                self.dispatch_not_after = window_end.min(self.specification.deadline);
+                self.start(placement, now)
+            }
+            Event::ClaimExists(stored) => self.on_claim_exists(stored, now),
+            Event::ClaimFailed(error) => {
+                self.claim_in_doubt = !is_definite(&error);
+                let refusal = Refusal {
+                    reason: RefusalReason::LedgerUnavailable,
+                    retry_after: Some(ledger_retry_after(&error)),
+                };
+                self.give_up(refusal, Failure::ClaimUnsettled)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn on_claim_exists(&mut self, stored: StoredClaim, now: MonotonicTime) -> Vec<Action> {
+        let Some(row) = stored.row else {
+            return self.finish(Outcome::Unknown(Failure::ClaimUnsettled));
+        };
+        if row.body_digest != self.body_digest() {
+            return self.finish(Outcome::NotRun(Refusal {
+                reason: RefusalReason::KeyConflict,
+                retry_after: None,
+            }));
+        }
+        self.join(row, stored.version, now)
+    }
+
+    pub(super) fn claim_row(&self, placement: &Placement) -> ClaimRow {
+        let target = placement.answering();
+        ClaimRow {
+            tenant: self.specification.tenant.clone(),
+            body_digest: self.body_digest(),
+            request: self.specification.request.clone(),
+            attempt: self.attempt(),
+            engine: target.engine.clone(),
+            incarnation: target.incarnation,
+            claimed_unix_seconds: self.specification.admitted_unix_seconds,
+            settlement: None,
+        }
+    }
+}
+
+/// Whether the table certainly did nothing.
+fn is_definite(error: &PlatformError) -> bool {
+    matches!(
+        error,
+        PlatformError::Unavailable | PlatformError::Throttled { .. }
+    )
+}
+
+fn ledger_retry_after(error: &PlatformError) -> Duration {
+    match error {
+        PlatformError::Throttled { retry_after_millis } => {
+            Duration::from_millis(*retry_after_millis).max(LEDGER_RETRY_AFTER)
+        }
+        _ => LEDGER_RETRY_AFTER,
+    }
+}
--- /dev/null
+++ b/crates/core/src/request/event.rs
@@ -0,0 +1,177 @@
+//! What happens to a request, and what its machine asks for.
+
+use super::specification::{Placement, Target};
+use crate::engine::{AnswerPart, EngineCall, EngineRefusal, RunState};
+use crate::identity::{AttemptId, EngineId, RequestId};
+use crate::ledger::row::{ClaimRow, StoredClaim};
+use crate::outcome::{Outcome, Refusal};
+use crate::table::{PlatformError, RowKey, RowVersion};
+use crate::time::MonotonicTime;
+
+/// Something that happened to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The request was admitted and is to begin.
+    Admitted,
+    /// Answer to [`Action::Choose`]: an engine, or two, that may serve the request.
+    Placed(Placement),
+    /// Answer to [`Action::Choose`]: no engine may serve the request now.
+    Nowhere(Refusal),
+    /// Answer to [`Action::Claim`]: the row is written.
+    ClaimCommitted {
+        /// Version of the row.
+        version: RowVersion,
+    },
+    /// Answer to [`Action::Claim`]: another claim holds the key.
+    ClaimExists(StoredClaim),
+    /// Answer to [`Action::Claim`]: the claim could not be written, or nobody can tell whether it was.
+    ClaimFailed(PlatformError),
+    /// Answer to [`Action::Dispatch`]: the send was not begun because its time had passed.
+    DispatchTooLate {
+        /// The dispatch.
+        attempt: AttemptId,
+    },
+    /// Answer to [`Action::Dispatch`] or [`Action::Resume`]: the engine took it and parts follow.
+    Opened {
+        /// The dispatch.
+        attempt: AttemptId,
+    },
+    /// Answer to [`Action::Dispatch`] or [`Action::Resume`]: the engine refused before running anything.
+    Refused {
+        /// The dispatch.
+        attempt: AttemptId,
+        /// The engine's words.
+        refusal: EngineRefusal,
+    },
+    /// Answer to [`Action::Dispatch`] or [`Action::Resume`]: no byte of the call left.
+    NotSent {
+        /// The dispatch.
+        attempt: AttemptId,
+    },
+    /// Answer to [`Action::Dispatch`] or [`Action::Resume`]: sent, and no answer came.
+    Ambiguous {
+        /// The dispatch.
+        attempt: AttemptId,
+    },
+    /// A part of an open stream.
+    Part {
+        /// The dispatch whose stream carried it.
+        attempt: AttemptId,
+        /// The part.
+        part: AnswerPart,
+    },
+    /// An open stream ended, in order or not, or held something that could not be understood.
+    Disconnected {
+        /// The dispatch whose stream it was.
+        attempt: AttemptId,
+    },
+    /// Answer to [`Action::AskRunState`].
+    RunStateKnown {
+        /// The engine that was asked.
+        engine: EngineId,
+        /// What it knows.
+        state: RunState,
+    },
+    /// Answer to [`Action::AskRunState`]: the engine could not be asked.
+    RunStateUnavailable {
+        /// The engine that was to be asked.
+        engine: EngineId,
+    },
+    /// Answer to [`Action::AskRetry`].
+    RetryGranted {
+        /// Earliest instant of the next try.
+        not_before: MonotonicTime,
+    },
+    /// Answer to [`Action::AskRetry`]: the retry budget is spent.
+    RetryDenied,
+    /// The deadline has come.
+    DeadlineReached,
+    /// The caller asked to cancel.
+    CallerCancelled,
+    /// The caller's connection is gone.
+    CallerGone,
+}
+
+/// Something that the driver is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Choose engines, not before the given instant.
+    Choose {
+        /// Earliest instant.
+        not_before: MonotonicTime,
+        /// Engines that failed this request before.
+        excluded: Vec<EngineId>,
+        /// Whether only a placement on one engine will do.
+        whole_only: bool,
+    },
+    /// Write a claim in one transaction that checks the row's version.
+    Claim {
+        /// The row.
+        key: RowKey,
+        /// Its content.
+        row: Box<ClaimRow>,
+        /// Version it must have; absent: it must not exist.
+        expected: Option<RowVersion>,
+    },
+    /// Hand the request to an engine, once, unless the instant has passed on the monotonic clock that is read
+    /// right before the send.
+    Dispatch {
+        /// The engine.
+        target: Target,
+        /// The call.
+        call: Box<EngineCall>,
+        /// Latest instant of the send.
+        not_after: MonotonicTime,
+    },
+    /// Read an answer that the engine was asked for before.
+    Resume {
+        /// The engine.
+        engine: EngineId,
+        /// Name for this reading.
+        attempt: AttemptId,
+        /// First output token wanted.
+        offset: u32,
+    },
+    /// Ask an engine what became of the request.
+    AskRunState {
+        /// The engine.
+        engine: EngineId,
+        /// Earliest instant.
+        not_before: MonotonicTime,
+    },
+    /// Ask the retry budget for one more try.
+    AskRetry {
+        /// How many placements were tried so far.
+        tried: u32,
+    },
+    /// Hand a verified part to the caller.
+    Emit(AnswerPart),
+    /// Ask an engine to stop working for this request; best effort.
+    Cancel {
+        /// The engine.
+        engine: EngineId,
+    },
+    /// Delete the claim of this request, under which nothing ran and nothing will be sent; best effort, may be
+    /// late. Without a known version the row is read first and deleted only if it names this request.
+    Release {
+        /// The row.
+        key: RowKey,
+        /// The request that the row must name.
+        request: RequestId,
+        /// Version that the row has, if its last write was answered.
+        expected: Option<RowVersion>,
+    },
+    /// Record in the claim how the request ended; best effort, may be late.
+    Settle {
+        /// The row.
+        key: RowKey,
+        /// The new content.
+        row: Box<ClaimRow>,
+        /// Version it must have.
+        expected: RowVersion,
+    },
+    /// Tell the caller the final outcome; the course is over.
+    Finish(Outcome),
+    /// The caller is gone and the engine goes on; the answer can be fetched later. The course is over.
+    Detach,
+}
