Add the stand-in platform and its HTTP adapter

Cause: gateways and controllers need a table with transactions, objects, a lagging machine list and a weight store to run against, with outages and lost answers that can be switched while they run. Ruled out: pooled connections, since a stale one makes an action that was never sent look as if its answer had been lost; taking a 503 without the platform's own body as proof that nothing was done.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,2 @@
 //! Stand-ins, load and experiment tools.
+pub mod platform;
