Identify cached prefixes by salted chains of block hashes

Cause: routing, engines and the simulator need one identity for cached prefixes, and none may let a tenant hit or recognise another's. Ruled out: a fast keyed hash of 64 bits (its keys aren't built to resist a tenant who chooses prompts).

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -1,1 +1,3 @@
 //! Choice of the engine for a request.
+
+pub mod prefix;
