--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -259,6 +259,8 @@
     QueueFull,
     /// The KV cache named for import is gone.
     TransferGone,
+    /// The engine does not know the request whose answer was to be read again.
+    UnknownRequest,
     /// The call is malformed.
     Malformed,
 }
@@ -272,7 +274,8 @@
             EngineRefusalReason::Draining
             | EngineRefusalReason::Changing
             | EngineRefusalReason::WrongRole
-            | EngineRefusalReason::TransferGone => RefusalReason::EnginesRefused,
+            | EngineRefusalReason::TransferGone
+            | EngineRefusalReason::UnknownRequest => RefusalReason::EnginesRefused,
         }
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod clock;
 pub mod engine;
+pub mod http_engine;
 pub mod services;
