--- a/crates/lab/tests/platform.rs
+++ b/crates/lab/tests/platform.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used)]
 
+use shelfjunction_core::identity::{ModelId, RegionId, WeightVersion, ZoneId};
+use shelfjunction_core::machine::{Machine, MachineService, MachineState};
 use shelfjunction_core::table::{Check, PlatformError, RowKey, Transaction, TransactionOutcome, Write};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_lab::platform::config::{PlatformLimits, RateLimit};
@@ -59,10 +61,7 @@
     assert_eq!(client.get("00ff").unwrap(), Some(vec![0, 159, 146, 150]));
     assert!(matches!(client.get("../x"), Err(PlatformError::Malformed(_))));
     assert_eq!(client.machines().unwrap(), vec![]);
-    let queue = client.queue_millis(
-        &shelfjunction_core::identity::ModelId::new("renewal"),
-        &shelfjunction_core::identity::WeightVersion::new("1"),
-    );
+    let queue = client.queue_millis(&ModelId::new("renewal"), &WeightVersion::new("1"));
     assert_eq!(queue, Ok(0));
 }
 
@@ -154,11 +153,14 @@
         weight_bytes_per_second: 1_000,
         ..PlatformLimits::default()
     };
-    let machine = |name: &str| -> shelfjunction_core::machine::Machine {
-        serde_json::from_str(&format!(
-            r#"{{"name":"{name}","zone":"z","region":"r","service":{{"kind":"model_engine","address":"127.0.0.1:1"}},"state":"live"}}"#
-        ))
-        .unwrap()
+    let machine = |name: &str| Machine {
+        name: name.to_owned(),
+        zone: ZoneId::new("z"),
+        region: RegionId::new("r"),
+        service: MachineService::ModelEngine {
+            address: "127.0.0.1:1".parse().unwrap(),
+        },
+        state: MachineState::Live,
     };
     let mut state = PlatformState::new(&limits, vec![machine("first")]);
     state.set_machines(vec![machine("second")], MonotonicTime::from_millis(100));
@@ -173,8 +175,8 @@
     assert_eq!(names_at(600), "second");
     let mut load = |millis| {
         let call = PlatformCall::LoadWeights {
-            model: shelfjunction_core::identity::ModelId::new("m"),
-            version: shelfjunction_core::identity::WeightVersion::new("1"),
+            model: ModelId::new("m"),
+            version: WeightVersion::new("1"),
             bytes: 2_000,
         };
         state.handle(call, MonotonicTime::from_millis(millis)).result
--- a/crates/platform/src/http_platform/agent.rs
+++ b/crates/platform/src/http_platform/agent.rs
@@ -2,12 +2,13 @@
 
 use super::PlatformTimeouts;
 use super::wire::ErrorBody;
+use crate::http_engine::connector::{TrackedConnector, never_connected};
 use serde::de::DeserializeOwned;
 use shelfjunction_core::table::PlatformError;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use ureq::http::{Response, StatusCode};
-use ureq::{Agent, Body, Error, Timeout};
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::{Agent, Body, Error};
 
 /// Longest answer that is read, in bytes.
 const MAXIMUM_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
@@ -49,7 +50,7 @@
             .build();
         Self {
             base: format!("http://{address}"),
-            agent: Agent::new_with_config(config),
+            agent: Agent::with_parts(config, TrackedConnector::default(), DefaultResolver::default()),
         }
     }
 
@@ -115,13 +116,7 @@
 
 /// An error counts as "nothing was done" only where it shows that no byte of the call was sent.
 fn classify(error: &Error) -> PlatformError {
-    let nothing_sent = match error {
-        Error::Io(cause) => cause.kind() == ErrorKind::ConnectionRefused,
-        Error::Timeout(phase) => matches!(phase, Timeout::Resolve | Timeout::Connect),
-        Error::ConnectionFailed | Error::HostNotFound | Error::BadUri(_) => true,
-        _ => false,
-    };
-    if nothing_sent {
+    if never_connected(error) {
         PlatformError::Unavailable
     } else {
         PlatformError::AnswerLost
