Name a machine's service by an outer key and add the peer frames

Cause: the body of a machine's service carried its kind as an inner tag, which serde reads only from self-describing formats; records with a service could be written with bincode and never read back. Ruled out: a second type for the wire, which would repeat every field. Conclusion: types that travel between processes use outer keys.

--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -19,9 +19,9 @@
     pub state: MachineState,
 }
 
-/// What a machine runs.
+/// What a machine runs. The variant's name is the outer key, since bincode can't read tags inside the body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "kind", rename_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
 pub enum MachineService {
     /// A gateway and a controller.
     Node {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,5 +1,6 @@
 //! Typed messages: JSON bodies for callers and operators, bincode for the system's own processes.
 
 pub mod caller;
+pub mod frame;
 pub mod operator;
 pub mod peer;
