Start the controller: fleet records, engine polling and the peer service

Cause: gateways need one place per machine that tells what engines and nodes exist and in which state. Ruled out: a suspicion by one watcher's failed read alone; a record must also be old, so that one bad link does not take an engine out while another watcher still sees it. Conclusion: one table of versioned records, filled by pollers and read by streams.

--- /dev/null
+++ b/crates/controller/src/config.rs
@@ -0,0 +1,239 @@
+//! Settings of a controller, and what is allowed in them.
+
+use serde::{Deserialize, Serialize};
+use shelfjunction_core::identity::{NodeId, RegionId, ZoneId};
+use shelfjunction_core::setting::FieldError;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Where a controller runs and whom it speaks to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControllerConfig {
+    /// This machine.
+    pub node: NodeId,
+    /// Zone that holds the machine.
+    pub zone: ZoneId,
+    /// Region that holds the zone.
+    pub region: RegionId,
+    /// Address of the peer protocol, the same port over TCP and UDP; port 0 picks a free one.
+    pub listen: SocketAddr,
+    /// Address of health and metrics over HTTP; port 0 picks a free one.
+    pub http_listen: SocketAddr,
+    /// Address of the gateway on the same machine, told to others.
+    pub gateway_address: SocketAddr,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Controllers to speak to before the platform's list was read.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Intervals and limits of time.
+    #[serde(default)]
+    pub timings: Timings,
+    /// Limits of size and number.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+/// Intervals and limits of time, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Timings {
+    /// Between two reads of the platform's machine list.
+    pub machine_list_millis: u64,
+    /// Longest wait between reads of the platform after failures.
+    pub platform_backoff_millis: u64,
+    /// Longest wait for an answer of the platform.
+    pub platform_timeout_millis: u64,
+    /// Between two reads of one engine's status.
+    pub engine_poll_millis: u64,
+    /// Longest wait for an engine's status or reply to an order.
+    pub engine_timeout_millis: u64,
+    /// An engine that no watcher has seen for this long is suspect.
+    pub engine_suspect_millis: u64,
+    /// An engine that no watcher has seen for this long is dead.
+    pub engine_dead_millis: u64,
+    /// Longest wait for a peer to accept a connection or to answer.
+    pub peer_timeout_millis: u64,
+    /// A peer connection without a request for this long is closed.
+    pub peer_idle_millis: u64,
+    /// Longest silence on a stream of records.
+    pub watch_keepalive_millis: u64,
+    /// Between two reads of the row that names the bundle in force, by the zone's poller.
+    pub bundle_poll_millis: u64,
+    /// Between two exchanges of heads with a peer of another zone.
+    pub vouch_millis: u64,
+    /// How long a lease holds after it was last renewed.
+    pub lease_millis: u64,
+    /// Between two renewals of the lease.
+    pub lease_renew_millis: u64,
+    /// The holder stops ordering this long before its lease ends.
+    pub lease_margin_millis: u64,
+    /// Between two steps of the zone's commander.
+    pub command_step_millis: u64,
+    /// Between two runs of the role planner.
+    pub plan_millis: u64,
+    /// A change whose engine is not empty this long after its drain is given up.
+    pub drain_limit_millis: u64,
+    /// A gateway's report of demand counts for this long.
+    pub demand_retention_millis: u64,
+}
+
+/// Limits of size and number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Threads that read engines' statuses.
+    pub engine_workers: u32,
+    /// Most peer connections at once; further ones are closed at once.
+    pub peer_connections: u32,
+    /// Gossip's budget over all peers, in bytes per second.
+    pub gossip_bytes_per_second: u32,
+}
+
+impl Default for Timings {
+    fn default() -> Self {
+        Self {
+            machine_list_millis: 2_000,
+            platform_backoff_millis: 15_000,
+            platform_timeout_millis: 2_000,
+            engine_poll_millis: 500,
+            engine_timeout_millis: 1_000,
+            engine_suspect_millis: 2_000,
+            engine_dead_millis: 10_000,
+            peer_timeout_millis: 1_000,
+            peer_idle_millis: 60_000,
+            watch_keepalive_millis: 1_000,
+            bundle_poll_millis: 1_000,
+            vouch_millis: 2_000,
+            lease_millis: 6_000,
+            lease_renew_millis: 1_500,
+            lease_margin_millis: 1_500,
+            command_step_millis: 100,
+            plan_millis: 2_000,
+            drain_limit_millis: 60_000,
+            demand_retention_millis: 10_000,
+        }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            engine_workers: 4,
+            peer_connections: 256,
+            gossip_bytes_per_second: 4_096,
+        }
+    }
+}
+
+impl ControllerConfig {
+    /// Every wrong setting; empty when the controller may start.
+    pub fn validate(&self) -> Vec<FieldError> {
+        let mut errors = self.timings.validate();
+        errors.extend(self.limits.validate());
+        for (field, value) in [
+            ("controller.node", self.node.as_str()),
+            ("controller.zone", self.zone.as_str()),
+            ("controller.region", self.region.as_str()),
+        ] {
+            if value.is_empty() || value.contains('/') {
+                errors.push(field_error(field, value, "a name without '/'"));
+            }
+        }
+        errors
+    }
+}
+
+impl Timings {
+    fn validate(&self) -> Vec<FieldError> {
+        let mut errors = Vec::new();
+        for (field, value) in self.fields() {
+            if value == 0 {
+                errors.push(field_error(
+                    &format!("controller.timings.{field}"),
+                    value,
+                    "1 or more",
+                ));
+            }
+        }
+        if self.lease_renew_millis + self.lease_margin_millis >= self.lease_millis {
+            errors.push(field_error(
+                "controller.timings.lease_millis",
+                self.lease_millis,
+                "more than lease_renew_millis and lease_margin_millis together",
+            ));
+        }
+        if self.engine_suspect_millis <= self.engine_poll_millis {
+            errors.push(field_error(
+                "controller.timings.engine_suspect_millis",
+                self.engine_suspect_millis,
+                "more than engine_poll_millis",
+            ));
+        }
+        if self.engine_dead_millis <= self.engine_suspect_millis {
+            errors.push(field_error(
+                "controller.timings.engine_dead_millis",
+                self.engine_dead_millis,
+                "more than engine_suspect_millis",
+            ));
+        }
+        errors
+    }
+
+    fn fields(&self) -> [(&'static str, u64); 19] {
+        [
+            ("machine_list_millis", self.machine_list_millis),
+            ("platform_backoff_millis", self.platform_backoff_millis),
+            ("platform_timeout_millis", self.platform_timeout_millis),
+            ("engine_poll_millis", self.engine_poll_millis),
+            ("engine_timeout_millis", self.engine_timeout_millis),
+            ("engine_suspect_millis", self.engine_suspect_millis),
+            ("engine_dead_millis", self.engine_dead_millis),
+            ("peer_timeout_millis", self.peer_timeout_millis),
+            ("peer_idle_millis", self.peer_idle_millis),
+            ("watch_keepalive_millis", self.watch_keepalive_millis),
+            ("bundle_poll_millis", self.bundle_poll_millis),
+            ("vouch_millis", self.vouch_millis),
+            ("lease_millis", self.lease_millis),
+            ("lease_renew_millis", self.lease_renew_millis),
+            ("lease_margin_millis", self.lease_margin_millis),
+            ("command_step_millis", self.command_step_millis),
+            ("plan_millis", self.plan_millis),
+            ("drain_limit_millis", self.drain_limit_millis),
+            ("demand_retention_millis", self.demand_retention_millis),
+        ]
+    }
+}
+
+impl Limits {
+    fn validate(&self) -> Vec<FieldError> {
+        let mut errors = Vec::new();
+        for (field, value) in [
+            ("controller.limits.engine_workers", self.engine_workers),
+            ("controller.limits.peer_connections", self.peer_connections),
+            (
+                "controller.limits.gossip_bytes_per_second",
+                self.gossip_bytes_per_second,
+            ),
+        ] {
+            if value == 0 {
+                errors.push(field_error(field, value, "1 or more"));
+            }
+        }
+        errors
+    }
+}
+
+fn field_error(field: &str, value: impl ToString, allowed: &str) -> FieldError {
+    FieldError {
+        field: field.to_owned(),
+        value: value.to_string(),
+        allowed: allowed.to_owned(),
+    }
+}
+
+/// A setting in milliseconds as a duration.
+pub(crate) const fn millis(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,1 +1,22 @@
-//! The controller: membership, engine monitoring, bundle distribution, and the zone's lease holder.
+//! The controller: watches the fleet, distributes bundles and, in one process per zone, orders engines.
+//!
+//! Threads here only carry out; every decision is taken by `shelfjunction-core`, with time handed in.
+
+pub mod backoff;
+pub mod config;
+pub mod context;
+mod engine_watch;
+pub mod errors;
+pub mod fleet;
+mod handle;
+mod http;
+mod machine_watch;
+pub mod metrics;
+mod net;
+pub mod peer;
+pub mod stop;
+
+pub use config::ControllerConfig;
+pub use context::Services;
+pub use errors::StartError;
+pub use handle::{Controller, ControllerHandle};
