--- /dev/null
+++ b/crates/core/src/lease/keeper.rs
@@ -0,0 +1,375 @@
+//! Taking, renewing, releasing and losing the lease, without I/O.
+
+use super::config::LeaseTimings;
+use super::event::{LeaseEffect, LeaseEvent};
+use super::record::{AttemptName, Authority, EpochRow, LeaseRow, epoch_key, lease_key};
+use super::table_call::{CallId, TableAnswer, TableCall};
+use crate::identity::{FencingToken, NodeId, ZoneId};
+use crate::table::{Check, PlatformError, Row, RowKey, RowVersion, Transaction, TransactionOutcome, Write};
+use crate::time::MonotonicTime;
+use std::time::Duration;
+
+/// Most writes whose effect is unknown that are remembered.
+const MAXIMUM_UNSETTLED: usize = 16;
+
+/// One attempt whose effect is not yet known.
+#[derive(Clone, Debug)]
+struct Attempt {
+    row: LeaseRow,
+    sent_at: MonotonicTime,
+}
+
+/// The row as last read or written.
+#[derive(Clone, Debug)]
+struct Observed {
+    version: RowVersion,
+    row: LeaseRow,
+    /// First instant at which this version was seen.
+    since: MonotonicTime,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    token: FencingToken,
+    epoch_version: RowVersion,
+    /// When the last confirmed write of the row was sent.
+    counted_from: MonotonicTime,
+}
+
+/// Keeps one controller's part in the lease of its zone.
+#[derive(Clone, Debug)]
+pub struct LeaseKeeper {
+    timings: LeaseTimings,
+    node: NodeId,
+    zone: ZoneId,
+    process: u64,
+    attempts: u64,
+    calls: u64,
+    observed: Option<Observed>,
+    held: Option<Held>,
+    /// Writes that may yet take effect, oldest first.
+    unsettled: Vec<Attempt>,
+    /// Whether the row must be read before it is written again.
+    read_first: bool,
+    outstanding: Option<CallId>,
+    next_call_at: MonotonicTime,
+    stopping: bool,
+    released: bool,
+}
+
+impl LeaseKeeper {
+    /// A keeper that holds nothing. `process` tells this start of the process from every other and is random.
+    pub fn new(timings: LeaseTimings, node: NodeId, zone: ZoneId, process: u64) -> Self {
+        Self {
+            timings,
+            node,
+            zone,
+            process,
+            attempts: 0,
+            calls: 0,
+            observed: None,
+            held: None,
+            unsettled: Vec::new(),
+            read_first: true,
+            outstanding: None,
+            next_call_at: MonotonicTime::default(),
+            stopping: false,
+            released: false,
+        }
+    }
+
+    /// The right to order at `now`; absent without a lease or within the margin before its end.
+    pub fn authority(&self, now: MonotonicTime) -> Option<Authority> {
+        let held = self.held.as_ref()?;
+        let not_after = held.counted_from + self.timings.usable();
+        (now < not_after).then_some(Authority {
+            token: held.token,
+            epoch_version: held.epoch_version,
+            not_after,
+        })
+    }
+
+    /// The holder that the row last named and its token; stale by at most the time between two reads.
+    pub fn last_seen_holder(&self) -> Option<(&NodeId, FencingToken)> {
+        let observed = self.observed.as_ref()?;
+        Some((&observed.row.holder, observed.row.token))
+    }
+
+    /// Whether a release has been settled, or there was nothing to release.
+    pub fn is_released(&self) -> bool {
+        self.released
+    }
+
+    /// Takes one event in and gives the effects, in order.
+    pub fn handle(&mut self, event: LeaseEvent, now: MonotonicTime) -> Vec<LeaseEffect> {
+        let mut effects = Vec::new();
+        self.notice_lapse(now, &mut effects);
+        match event {
+            LeaseEvent::Tick => {}
+            LeaseEvent::Verify => self.next_call_at = now,
+            LeaseEvent::Release => self.begin_release(now, &mut effects),
+            LeaseEvent::Answer { call, answer } => {
+                if self.outstanding == Some(call) {
+                    self.outstanding = None;
+                    self.take_answer(answer, now, &mut effects);
+                }
+            }
+        }
+        self.make_due_call(now, &mut effects);
+        effects
+    }
+
+    fn notice_lapse(&mut self, now: MonotonicTime, effects: &mut Vec<LeaseEffect>) {
+        if self.held.is_some() && self.authority(now).is_none() {
+            self.lose(effects);
+        }
+    }
+
+    fn lose(&mut self, effects: &mut Vec<LeaseEffect>) {
+        if let Some(held) = self.held.take() {
+            effects.push(LeaseEffect::Lost(held.token));
+        }
+    }
+
+    fn begin_release(&mut self, now: MonotonicTime, effects: &mut Vec<LeaseEffect>) {
+        if self.stopping {
+            return;
+        }
+        self.stopping = true;
+        self.next_call_at = now;
+        // Orders stop before the row says so: a successor may act as soon as the release is committed.
+        self.lose(effects);
+    }
+
+    fn take_answer(&mut self, answer: TableAnswer, now: MonotonicTime, effects: &mut Vec<LeaseEffect>) {
+        match answer {
+            TableAnswer::Row(row) => self.observe(row, now, effects),
+            TableAnswer::Transacted(TransactionOutcome::Committed { version }) => {
+                if let Some(Attempt { row, sent_at }) = self.unsettled.last().cloned() {
+                    self.confirm(
+                        sent_at,
+                        Observed {
+                            version,
+                            row,
+                            since: now,
+                        },
+                        now,
+                        effects,
+                    );
+                }
+            }
+            TableAnswer::Transacted(TransactionOutcome::Conflict { found, .. }) => {
+                self.observe(found, now, effects);
+            }
+            TableAnswer::Rows(_) => self.next_call_at = now + self.timings.retry_after(),
+            TableAnswer::Failed(error) => self.take_failure(&error, now),
+        }
+    }
+
+    fn take_failure(&mut self, error: &PlatformError, now: MonotonicTime) {
+        let mut pause = self.timings.retry_after();
+        match error {
+            // A write that was refused is forgotten by the read as well; that costs nothing but the read.
+            PlatformError::Unavailable => {}
+            PlatformError::Throttled { retry_after_millis } => {
+                pause = pause.max(Duration::from_millis(*retry_after_millis));
+            }
+            PlatformError::AnswerLost | PlatformError::Malformed(_) => self.read_first = true,
+        }
+        self.next_call_at = now + pause;
+    }
+
+    /// Takes in the row as it stands: it settles attempts, shows a loss, or starts a challenger's clock.
+    fn observe(&mut self, row: Option<Row>, now: MonotonicTime, effects: &mut Vec<LeaseEffect>) {
+        self.read_first = false;
+        let Some(row) = row else {
+            self.forget_row(now, effects);
+            return;
+        };
+        let Some(observed) = parse(&row, now) else {
+            // Nobody can tell whose lease this is: leave it alone and look again later.
+            self.lose(effects);
+            self.read_first = true;
+            self.next_call_at = now + self.timings.read_every();
+            return;
+        };
+        if self.observed.as_ref().map(|known| known.version) == Some(observed.version) {
+            // No attempt has been applied so far; one that still comes would fail the check of a later one.
+            self.schedule_next(now);
+            return;
+        }
+        let settled = self
+            .unsettled
+            .iter()
+            .find(|attempt| attempt.row.attempt == observed.row.attempt);
+        match settled.map(|attempt| attempt.sent_at) {
+            Some(sent_at) => self.confirm(sent_at, observed, now, effects),
+            None => {
+                self.lose(effects);
+                self.unsettled.clear();
+                self.observed = Some(observed);
+                self.schedule_next(now);
+            }
+        }
+    }
+
+    fn forget_row(&mut self, now: MonotonicTime, effects: &mut Vec<LeaseEffect>) {
+        if self.observed.take().is_some() {
+            self.lose(effects);
+        }
+        self.schedule_next(now);
+    }
+
+    /// The write sent at `sent_at` is what the row holds.
+    fn confirm(
+        &mut self,
+        sent_at: MonotonicTime,
+        observed: Observed,
+        now: MonotonicTime,
+        effects: &mut Vec<LeaseEffect>,
+    ) {
+        let token = observed.row.token;
+        let version = observed.version;
+        let taken = self
+            .observed
+            .as_ref()
+            .is_none_or(|previous| previous.row.token < token);
+        self.released = observed.row.released;
+        self.unsettled.clear();
+        self.observed = Some(observed);
+        if let Some(held) = &mut self.held {
+            held.counted_from = sent_at;
+        } else if taken && !self.stopping {
+            self.held = Some(Held {
+                token,
+                epoch_version: version,
+                counted_from: sent_at,
+            });
+            match self.authority(now) {
+                Some(authority) => effects.push(LeaseEffect::Gained(authority)),
+                // The answer came too late to order under this taking.
+                None => self.held = None,
+            }
+        }
+        self.schedule_next(now);
+    }
+
+    fn schedule_next(&mut self, now: MonotonicTime) {
+        self.next_call_at = match &self.held {
+            Some(held) if self.unsettled.is_empty() => held.counted_from + self.timings.renew_every(),
+            None if !self.stopping && !self.may_take(now) => now + self.timings.read_every(),
+            _ => now,
+        };
+    }
+
+    /// Whether nobody's promise is broken by taking the lease at `now`.
+    fn may_take(&self, now: MonotonicTime) -> bool {
+        let Some(observed) = &self.observed else {
+            return true;
+        };
+        let waited = now.since(observed.since) >= Duration::from_millis(observed.row.duration_millis);
+        observed.row.released || self.is_own_row() || waited
+    }
+
+    fn make_due_call(&mut self, now: MonotonicTime, effects: &mut Vec<LeaseEffect>) {
+        if self.outstanding.is_some() || now < self.next_call_at || self.released {
+            return;
+        }
+        let request = self.next_request(now);
+        let Some(request) = request else {
+            return;
+        };
+        self.calls += 1;
+        let call = CallId(self.calls);
+        self.outstanding = Some(call);
+        effects.push(LeaseEffect::Call { call, request });
+    }
+
+    fn next_request(&mut self, now: MonotonicTime) -> Option<TableCall> {
+        if self.read_first {
+            return Some(self.read());
+        }
+        if self.stopping && !self.is_own_row() {
+            self.released = true;
+            return None;
+        }
+        if self.stopping || self.held.is_some() || self.may_take(now) {
+            return Some(self.write(now));
+        }
+        Some(self.read())
+    }
+
+    fn is_own_row(&self) -> bool {
+        self.observed
+            .as_ref()
+            .is_some_and(|observed| observed.row.attempt.process == self.process)
+    }
+
+    fn read(&self) -> TableCall {
+        TableCall::Read(lease_key(&self.zone))
+    }
+
+    fn write(&mut self, now: MonotonicTime) -> TableCall {
+        self.attempts += 1;
+        let row = self.next_row(AttemptName {
+            process: self.process,
+            number: self.attempts,
+        });
+        let mut writes = vec![encode(lease_key(&self.zone), &row)];
+        if self
+            .observed
+            .as_ref()
+            .is_none_or(|observed| observed.row.token < row.token)
+        {
+            writes.push(encode(epoch_key(&self.zone), &EpochRow { token: row.token }));
+        }
+        if self.unsettled.len() == MAXIMUM_UNSETTLED {
+            // Should it take effect after all, the row is not recognised and is taken anew with a higher token.
+            self.unsettled.remove(0);
+        }
+        self.unsettled.push(Attempt { row, sent_at: now });
+        TableCall::Transact(Transaction {
+            checks: vec![Check {
+                key: lease_key(&self.zone),
+                expected: self.observed.as_ref().map(|observed| observed.version),
+            }],
+            writes,
+        })
+    }
+
+    /// The row that the next write leaves.
+    fn next_row(&self, attempt: AttemptName) -> LeaseRow {
+        let last_token = self
+            .observed
+            .as_ref()
+            .map_or(FencingToken(0), |observed| observed.row.token);
+        let keeps_token = self.held.is_some() || self.stopping;
+        LeaseRow {
+            holder: self.node.clone(),
+            token: if keeps_token {
+                last_token
+            } else {
+                FencingToken(last_token.0 + 1)
+            },
+            attempt,
+            duration_millis: self.timings.duration_millis,
+            released: self.stopping,
+        }
+    }
+}
+
+fn parse(row: &Row, now: MonotonicTime) -> Option<Observed> {
+    let lease = serde_json::from_str(&row.value).ok()?;
+    Some(Observed {
+        version: row.version,
+        row: lease,
+        since: now,
+    })
+}
+
+fn encode<T: serde::Serialize>(key: RowKey, value: &T) -> Write {
+    Write {
+        key,
+        value: Some(serde_json::json!(value).to_string()),
+    }
+}
