Choose engines by prefix, queues, place and observed health

Cause: nothing decided yet which engine serves a request. Ruled out: a plain least-loaded choice, since a report that lags sends a burst to one engine; the cost adds what was sent since the report and draws stale reports to the mean of comparable engines. Conclusion: the interface is meant to stay; the weights are first guesses.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -1,1 +1,16 @@
 //! Choice of the engine for a request.
+//!
+//! [`router::KvRouter`] keeps one view per engine, fed by records, cache events and the fate of its own
+//! dispatches, and compares candidates by the cost that [`cost`] documents.
+
+pub mod cache;
+pub mod cost;
+pub mod health;
+pub mod query;
+pub mod router;
+pub mod view;
+pub mod weights;
+
+pub use query::{DispatchTicket, FinishedWork, Route, RouteEstimate, RouteQuery, RouteTarget};
+pub use router::KvRouter;
+pub use weights::RoutingWeights;
--- /dev/null
+++ b/crates/core/src/routing/router.rs
@@ -0,0 +1,350 @@
+//! The router: engine views in, one choice out.
+
+use super::cost::{Candidate, compare_with_peers};
+use super::query::{DispatchTicket, FinishedWork, Route, RouteEstimate, RouteQuery, RouteTarget};
+use super::view::{EngineView, SentWork};
+use super::weights::RoutingWeights;
+use crate::engine::{EngineRefusalReason, KvEvent, Role};
+use crate::identity::EngineId;
+use crate::membership::record::EngineRecord;
+use crate::outcome::RefusalReason;
+use crate::service_class::ServiceClass;
+use crate::time::MonotonicTime;
+use rand::{Rng, RngCore};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Random members of a large candidate set that are compared.
+const RANDOM_CANDIDATES: usize = 2;
+
+/// Chooses engines for requests; holds no socket, thread or clock.
+#[derive(Clone, Debug)]
+pub struct KvRouter {
+    weights: RoutingWeights,
+    engines: BTreeMap<EngineId, EngineView>,
+    dispatches: u64,
+}
+
+impl KvRouter {
+    /// A router that knows no engine yet.
+    pub fn new(weights: RoutingWeights) -> Self {
+        Self {
+            weights,
+            engines: BTreeMap::new(),
+            dispatches: 0,
+        }
+    }
+
+    /// Takes a record of an engine that was observed `age` ago.
+    pub fn on_engine_record(
+        &mut self,
+        engine: &EngineId,
+        record: &EngineRecord,
+        age: Duration,
+        now: MonotonicTime,
+    ) {
+        let observed_at = now - age;
+        let lag = Duration::from_secs_f64(self.weights.report_lag_seconds);
+        match self.engines.get_mut(engine) {
+            Some(view) => view.update(record.clone(), observed_at, lag),
+            None => {
+                let view = EngineView::new(record.clone(), observed_at);
+                self.engines.insert(engine.clone(), view);
+            }
+        }
+    }
+
+    /// Forgets an engine.
+    pub fn on_engine_removed(&mut self, engine: &EngineId) {
+        self.engines.remove(engine);
+    }
+
+    /// Takes cache events of one start of an engine; events of an unknown engine are dropped.
+    pub fn on_kv_events(&mut self, engine: &EngineId, incarnation: u64, events: &[KvEvent]) {
+        if let Some(view) = self.engines.get_mut(engine) {
+            view.cache.apply(incarnation, events);
+        }
+    }
+
+    /// Notes that a request is sent to an engine; for a split route call it once for each of the two engines.
+    pub fn on_dispatched(
+        &mut self,
+        engine: &EngineId,
+        query: &RouteQuery,
+        now: MonotonicTime,
+    ) -> DispatchTicket {
+        self.dispatches += 1;
+        let number = self.dispatches;
+        let mut expected_first_token = Duration::ZERO;
+        if let Some((engine, view)) = self.engines.get_key_value(engine) {
+            let work = sent_work(engine, view, query, &self.weights, now);
+            expected_first_token = work.expected_first_token;
+            if let Some(view) = self.engines.get_mut(&engine.clone()) {
+                view.sent(number, work);
+            }
+        }
+        DispatchTicket {
+            number,
+            sent_at: now,
+            expected_first_token,
+        }
+    }
+
+    /// Notes the first part of an answer (a token, or the end of prefill).
+    pub fn on_first_part(&mut self, engine: &EngineId, ticket: &DispatchTicket, now: MonotonicTime) {
+        let Some(view) = self.engines.get_mut(engine) else {
+            return;
+        };
+        let Some(work) = view.started(ticket.number) else {
+            return;
+        };
+        if work.class != ServiceClass::Batch {
+            let observed = now.since(work.sent_at);
+            view.health.observe(observed, work.expected_first_token, now);
+        }
+    }
+
+    /// Notes that an answer ended whole.
+    pub fn on_finished(
+        &mut self,
+        engine: &EngineId,
+        ticket: &DispatchTicket,
+        work: &FinishedWork,
+        now: MonotonicTime,
+    ) {
+        if let Some(first_token) = work.first_token {
+            self.on_first_part(engine, ticket, ticket.sent_at + first_token);
+        }
+        if let Some(view) = self.engines.get_mut(engine) {
+            view.ended(ticket.number);
+            view.health.succeeded();
+        }
+        debug_assert!(ticket.sent_at <= now, "a dispatch ended before it was sent");
+    }
+
+    /// Notes that a dispatch was cancelled by its caller or ended for a cause that is not the engine's.
+    pub fn on_abandoned(&mut self, engine: &EngineId, ticket: &DispatchTicket) {
+        if let Some(view) = self.engines.get_mut(engine) {
+            view.ended(ticket.number);
+        }
+    }
+
+    /// Notes that an engine refused a dispatch before running it.
+    pub fn on_refused(
+        &mut self,
+        engine: &EngineId,
+        ticket: &DispatchTicket,
+        reason: EngineRefusalReason,
+        now: MonotonicTime,
+    ) {
+        if let Some(view) = self.engines.get_mut(engine) {
+            view.ended(ticket.number);
+            view.health.refused(reason, now);
+        }
+    }
+
+    /// Notes that the connection to an engine broke or could not be made.
+    pub fn on_broken(&mut self, engine: &EngineId, ticket: &DispatchTicket, now: MonotonicTime) {
+        if let Some(view) = self.engines.get_mut(engine) {
+            view.ended(ticket.number);
+            view.health.broke(now);
+        }
+    }
+
+    /// Chooses where a request goes. Nothing outside the allowed zones, and nothing that leaves, is drained, changes
+    /// or is not alive, is ever chosen.
+    pub fn choose(&self, query: &RouteQuery, now: MonotonicTime, random: &mut dyn RngCore) -> Route {
+        let mut candidates = self.candidates(query, now);
+        if candidates.is_empty() {
+            return Route::Nowhere(self.refusal_reason(query));
+        }
+        compare_with_peers(&mut candidates, &self.weights, now);
+        let sampled = self.sample(candidates, random);
+        self.cheapest(&sampled, query)
+            .unwrap_or(Route::Nowhere(RefusalReason::EnginesRefused))
+    }
+
+    /// Delays that a request would meet on the best of all engines now; absent when none can take it.
+    pub fn estimate(&self, query: &RouteQuery, now: MonotonicTime) -> Option<RouteEstimate> {
+        let mut candidates = self.candidates(query, now);
+        compare_with_peers(&mut candidates, &self.weights, now);
+        let wait = least(candidates.iter().filter(|one| one.runs_prompts()), |one| {
+            one.wait() + one.compute()
+        })?;
+        let decode = least(candidates.iter().filter(|one| one.runs_outputs()), |one| {
+            let sequences = one.queues.sequences + 1.0;
+            f64::from(query.expected_output_tokens) * sequences / one.decode_speed
+        })?;
+        Some(RouteEstimate {
+            first_token: Duration::from_secs_f64(wait),
+            total: Duration::from_secs_f64(wait + decode),
+        })
+    }
+
+    /// The router's view of an engine.
+    pub fn engine(&self, engine: &EngineId) -> Option<&EngineView> {
+        self.engines.get(engine)
+    }
+
+    /// All engines known, by identifier.
+    pub fn engines(&self) -> impl Iterator<Item = (&EngineId, &EngineView)> {
+        self.engines.iter()
+    }
+
+    fn candidates<'a>(&'a self, query: &RouteQuery, now: MonotonicTime) -> Vec<Candidate<'a>> {
+        self.engines
+            .iter()
+            .filter(|(engine, view)| self.may_take(engine, view, query, now))
+            .map(|(engine, view)| Candidate::new(engine, view, query, &self.weights, now))
+            .collect()
+    }
+
+    fn may_take(&self, engine: &EngineId, view: &EngineView, query: &RouteQuery, now: MonotonicTime) -> bool {
+        query.allowed_zones.contains(&view.record.zone)
+            && view.takes_new_work()
+            && view.serves(query)
+            && view.address().is_some()
+            && !view.health.is_paused(now)
+            && !query.excluded.contains(engine)
+    }
+
+    fn sample<'a>(&self, mut candidates: Vec<Candidate<'a>>, random: &mut dyn RngCore) -> Vec<Candidate<'a>> {
+        if candidates.len() <= self.weights.compare_all_up_to {
+            return candidates;
+        }
+        let mut sampled = Vec::new();
+        for role in [Role::Prefill, Role::Decode, Role::Mixed] {
+            let (mut same, rest): (Vec<_>, Vec<_>) =
+                candidates.into_iter().partition(|one| one.view.role() == role);
+            candidates = rest;
+            sample_role(&mut same, &mut sampled, random);
+        }
+        sampled
+    }
+
+    fn cheapest(&self, candidates: &[Candidate<'_>], query: &RouteQuery) -> Option<Route> {
+        let whole = candidates
+            .iter()
+            .filter(|one| one.view.role() == Role::Mixed)
+            .map(|one| (one.whole_cost(query, &self.weights), one))
+            .min_by(|left, right| left.0.total_cmp(&right.0));
+        let split = self.cheapest_split(candidates, query);
+        match (whole, split) {
+            (Some((whole_cost, one)), Some((split_cost, _, _))) if whole_cost <= split_cost => {
+                whole_route(one)
+            }
+            (_, Some((_, prefill, decode))) => Some(Route::Split {
+                prefill: target(prefill)?,
+                decode: target(decode)?,
+            }),
+            (Some((_, one)), None) => whole_route(one),
+            (None, None) => None,
+        }
+    }
+
+    fn cheapest_split<'c, 'a>(
+        &self,
+        candidates: &'c [Candidate<'a>],
+        query: &RouteQuery,
+    ) -> Option<(f64, &'c Candidate<'a>, &'c Candidate<'a>)> {
+        let mut best: Option<(f64, &Candidate<'_>, &Candidate<'_>)> = None;
+        for prefill in candidates.iter().filter(|one| one.runs_prompts()) {
+            let prompt_cost = prefill.prompt_cost(query, &self.weights);
+            for decode in candidates.iter().filter(|one| one.runs_outputs()) {
+                if prefill.view.role() == Role::Mixed && decode.view.role() == Role::Mixed {
+                    continue;
+                }
+                let cost = prompt_cost + decode.decode_cost(prefill, query, &self.weights);
+                if best.is_none_or(|(lowest, _, _)| cost < lowest) {
+                    best = Some((cost, prefill, decode));
+                }
+            }
+        }
+        best
+    }
+
+    fn refusal_reason(&self, query: &RouteQuery) -> RefusalReason {
+        let mut serving = self.engines.values().filter(|view| view.serves(query)).peekable();
+        if serving.peek().is_none() {
+            return RefusalReason::ModelUnavailable;
+        }
+        if serving.any(|view| query.allowed_zones.contains(&view.record.zone)) {
+            return RefusalReason::EnginesRefused;
+        }
+        RefusalReason::NoEngineInPlace
+    }
+}
+
+/// Moves the two random members and the best prefix holder of one role into the sample.
+fn sample_role<'a>(
+    candidates: &mut Vec<Candidate<'a>>,
+    sampled: &mut Vec<Candidate<'a>>,
+    random: &mut dyn RngCore,
+) {
+    let holder = candidates
+        .iter()
+        .enumerate()
+        .min_by(|left, right| left.1.uncached_tokens.total_cmp(&right.1.uncached_tokens))
+        .map(|(index, _)| index);
+    if let Some(index) = holder {
+        sampled.push(candidates.swap_remove(index));
+    }
+    for _ in 0..RANDOM_CANDIDATES {
+        if candidates.is_empty() {
+            return;
+        }
+        let index = random.random_range(0..candidates.len());
+        sampled.push(candidates.swap_remove(index));
+    }
+}
+
+fn sent_work(
+    engine: &EngineId,
+    view: &EngineView,
+    query: &RouteQuery,
+    weights: &RoutingWeights,
+    now: MonotonicTime,
+) -> SentWork {
+    let candidate = Candidate::new(engine, view, query, weights, now);
+    let prefill_tokens = if candidate.runs_prompts() {
+        candidate.uncached_tokens
+    } else {
+        0.0
+    };
+    let decode_tokens = if candidate.runs_outputs() {
+        f64::from(query.expected_output_tokens)
+    } else {
+        0.0
+    };
+    let expected = candidate.wait() + prefill_tokens / candidate.prefill_speed;
+    SentWork {
+        sent_at: now,
+        prefill_tokens,
+        decode_tokens,
+        expected_first_token: Duration::from_secs_f64(expected),
+        started: false,
+        class: query.class,
+        reported: false,
+    }
+}
+
+fn whole_route(candidate: &Candidate<'_>) -> Option<Route> {
+    Some(Route::Whole {
+        engine: candidate.engine.clone(),
+        address: candidate.view.address()?,
+    })
+}
+
+fn target(candidate: &Candidate<'_>) -> Option<RouteTarget> {
+    Some(RouteTarget {
+        engine: candidate.engine.clone(),
+        address: candidate.view.address()?,
+    })
+}
+
+fn least<'c, 'a: 'c>(
+    candidates: impl Iterator<Item = &'c Candidate<'a>>,
+    seconds: impl Fn(&Candidate<'a>) -> f64,
+) -> Option<f64> {
+    candidates.map(seconds).min_by(f64::total_cmp)
+}
--- /dev/null
+++ b/crates/core/src/routing/view.rs
@@ -0,0 +1,240 @@
+//! What the router believes of one engine.
+
+use super::cache::CacheBelief;
+use super::health::{Health, delay_factor};
+use super::query::RouteQuery;
+use super::weights::RoutingWeights;
+use crate::bundle::content::ModelKind;
+use crate::engine::{EngineStatus, LoadReport, LoadedWeights, Role};
+use crate::machine::{MachineService, MachineState};
+use crate::membership::record::{EngineRecord, Liveness};
+use crate::service_class::ServiceClass;
+use crate::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A request counts as overdue once it has waited this many times longer than expected.
+const OVERDUE_FACTOR: u32 = 3;
+/// Waiting below this is never overdue; covers the lag of reports and the turns of other classes.
+const OVERDUE_FLOOR: Duration = Duration::from_secs(2);
+
+/// Work handed to an engine by this router that has not ended.
+#[derive(Clone, Debug)]
+pub struct SentWork {
+    /// When it was sent.
+    pub sent_at: MonotonicTime,
+    /// Prompt tokens that must be computed; zero once the first part came.
+    pub prefill_tokens: f64,
+    /// Output tokens expected.
+    pub decode_tokens: f64,
+    /// Delay to the first part that was expected.
+    pub expected_first_token: Duration,
+    /// Whether the first part came.
+    pub started: bool,
+    /// Class.
+    pub class: ServiceClass,
+    /// Whether a load report may include it already.
+    pub reported: bool,
+}
+
+/// Queues of one engine in tokens, estimated for now.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QueueEstimate {
+    /// Prompt tokens that wait.
+    pub prefill_tokens: f64,
+    /// Output tokens still to come.
+    pub decode_tokens: f64,
+    /// Sequences that decode.
+    pub sequences: f64,
+}
+
+/// One engine as the router sees it.
+#[derive(Clone, Debug)]
+pub struct EngineView {
+    /// Last record.
+    pub record: EngineRecord,
+    /// When the state in the record was observed.
+    pub observed_at: MonotonicTime,
+    /// Prefixes it is believed to hold.
+    pub cache: CacheBelief,
+    /// How it keeps what it reports.
+    pub health: Health,
+    sent: BTreeMap<u64, SentWork>,
+    unreported_prefill: f64,
+    unreported_decode: f64,
+    unreported_sequences: f64,
+}
+
+impl EngineView {
+    /// A view that starts with the given record.
+    pub fn new(record: EngineRecord, observed_at: MonotonicTime) -> Self {
+        Self {
+            record,
+            observed_at,
+            cache: CacheBelief::default(),
+            health: Health::default(),
+            sent: BTreeMap::new(),
+            unreported_prefill: 0.0,
+            unreported_decode: 0.0,
+            unreported_sequences: 0.0,
+        }
+    }
+
+    /// Takes a newer record; a new start of the engine forgets what its last one held and owed.
+    pub fn update(&mut self, record: EngineRecord, observed_at: MonotonicTime, lag: Duration) {
+        let before = self.incarnation();
+        self.record = record;
+        self.observed_at = observed_at;
+        let after = self.incarnation();
+        if after > before {
+            self.cache.restart_at(after);
+            self.health.restarted();
+            self.sent.clear();
+        }
+        self.recount_unreported(observed_at - lag);
+    }
+
+    /// Last status, once there is one.
+    pub fn status(&self) -> Option<&EngineStatus> {
+        self.record.status.as_ref()
+    }
+
+    /// Where the engine listens; absent for a record that describes no engine.
+    pub fn address(&self) -> Option<SocketAddr> {
+        match self.record.service {
+            MachineService::ModelEngine { address } | MachineService::ApplicationEngine { address } => {
+                Some(address)
+            }
+            MachineService::Node { .. } => None,
+        }
+    }
+
+    /// Present role; mixed before the first status.
+    pub fn role(&self) -> Role {
+        self.status().map_or(Role::Mixed, |status| status.role)
+    }
+
+    /// Load of the last report.
+    pub fn load(&self) -> LoadReport {
+        self.status().map(|status| status.load).unwrap_or_default()
+    }
+
+    /// Whether the engine holds the weights that a query needs and is of the right kind.
+    pub fn serves(&self, query: &RouteQuery) -> bool {
+        let right_kind = match self.record.service {
+            MachineService::ModelEngine { .. } => query.kind == ModelKind::Model,
+            MachineService::ApplicationEngine { .. } => query.kind == ModelKind::Application,
+            MachineService::Node { .. } => false,
+        };
+        right_kind
+            && self
+                .status()
+                .is_some_and(|status| status.weights.iter().any(|weights| holds(weights, query)))
+    }
+
+    /// Whether new work may go there at all: it answers, stays, and is neither drained nor in a change.
+    pub fn takes_new_work(&self) -> bool {
+        self.record.liveness == Liveness::Alive
+            && self.record.machine_state == MachineState::Live
+            && self
+                .status()
+                .is_some_and(|status| !status.draining && !status.changing)
+    }
+
+    /// Notes work that was just sent.
+    pub fn sent(&mut self, number: u64, work: SentWork) {
+        self.unreported_prefill += work.prefill_tokens;
+        self.unreported_decode += work.decode_tokens;
+        self.unreported_sequences += 1.0;
+        self.sent.insert(number, work);
+    }
+
+    /// Notes the first part of an answer; gives the work as it was when that is news.
+    pub fn started(&mut self, number: u64) -> Option<SentWork> {
+        let work = self.sent.get_mut(&number)?;
+        if work.started {
+            return None;
+        }
+        let before = work.clone();
+        work.started = true;
+        work.prefill_tokens = 0.0;
+        if !before.reported {
+            self.unreported_prefill = (self.unreported_prefill - before.prefill_tokens).max(0.0);
+        }
+        Some(before)
+    }
+
+    /// Notes the end of a dispatch.
+    pub fn ended(&mut self, number: u64) -> Option<SentWork> {
+        let work = self.sent.remove(&number)?;
+        if !work.reported {
+            self.unreported_prefill = (self.unreported_prefill - work.prefill_tokens).max(0.0);
+            self.unreported_decode = (self.unreported_decode - work.decode_tokens).max(0.0);
+            self.unreported_sequences = (self.unreported_sequences - 1.0).max(0.0);
+        }
+        Some(work)
+    }
+
+    /// Queues now: the last report, less what was worked off since, plus what was sent since.
+    pub fn queues(&self, weights: &RoutingWeights, now: MonotonicTime) -> QueueEstimate {
+        let load = self.load();
+        let age = now.since(self.observed_at).as_secs_f64() + weights.report_lag_seconds;
+        let prefill_done = age * load.prefill_tokens_per_second as f64;
+        let decode_done = age * load.decode_tokens_per_second as f64;
+        let mut queues = QueueEstimate {
+            prefill_tokens: (load.queued_prefill_tokens as f64 - prefill_done).max(0.0),
+            decode_tokens: (load.queued_decode_tokens as f64 - decode_done).max(0.0),
+            sequences: f64::from(load.active_sequences),
+        };
+        if weights.count_sent_work {
+            queues.prefill_tokens += self.unreported_prefill;
+            queues.decode_tokens += self.unreported_decode;
+            queues.sequences += self.unreported_sequences;
+        }
+        queues
+    }
+
+    /// Factor by which the engine is slower than it reports, with requests that are overdue counted already.
+    pub fn slowness(&self, now: MonotonicTime) -> f64 {
+        let observed = self.health.slowness(now);
+        let Some(oldest) = self.sent.values().find(|work| !work.started) else {
+            return observed;
+        };
+        let waited = now.since(oldest.sent_at);
+        let limit = oldest
+            .expected_first_token
+            .saturating_mul(OVERDUE_FACTOR)
+            .max(OVERDUE_FLOOR);
+        if waited <= limit || oldest.class == ServiceClass::Batch {
+            return observed;
+        }
+        observed.max(delay_factor(waited, oldest.expected_first_token))
+    }
+
+    fn incarnation(&self) -> u64 {
+        self.status().map_or(0, |status| status.incarnation)
+    }
+
+    fn recount_unreported(&mut self, cutoff: MonotonicTime) {
+        self.unreported_prefill = 0.0;
+        self.unreported_decode = 0.0;
+        self.unreported_sequences = 0.0;
+        for work in self.sent.values_mut() {
+            work.reported = work.reported || work.sent_at <= cutoff;
+            if !work.reported {
+                self.unreported_prefill += work.prefill_tokens;
+                self.unreported_decode += work.decode_tokens;
+                self.unreported_sequences += 1.0;
+            }
+        }
+    }
+}
+
+fn holds(weights: &LoadedWeights, query: &RouteQuery) -> bool {
+    weights.model == query.model
+        && query
+            .adapter
+            .as_ref()
+            .is_none_or(|adapter| weights.adapters.contains(adapter))
+}
