--- /dev/null
+++ b/crates/core/src/admission/bucket.rs
@@ -0,0 +1,45 @@
+//! Limit on a rate, with a bounded burst.
+
+use crate::time::MonotonicTime;
+use std::time::Duration;
+
+/// Token bucket of one tenant; classes below interactive leave a reserve in it.
+#[derive(Clone, Debug)]
+pub struct RateBucket {
+    level: f64,
+    filled_at: MonotonicTime,
+}
+
+impl RateBucket {
+    /// A full bucket.
+    pub fn full(capacity: f64, now: MonotonicTime) -> Self {
+        Self {
+            level: capacity,
+            filled_at: now,
+        }
+    }
+
+    /// Takes one request, or tells when there would be one; `reserve` stays untouched.
+    pub fn take(
+        &mut self,
+        rate: f64,
+        capacity: f64,
+        reserve: f64,
+        now: MonotonicTime,
+    ) -> Result<(), Duration> {
+        let passed = now.since(self.filled_at).as_secs_f64();
+        self.level = (self.level + passed * rate).min(capacity);
+        self.filled_at = self.filled_at.max(now);
+        let missing = 1.0 + reserve - self.level;
+        if missing <= 0.0 {
+            self.level -= 1.0;
+            return Ok(());
+        }
+        Err(Duration::from_secs_f64(missing / rate))
+    }
+
+    /// Gives a request back that was refused for another cause.
+    pub fn give_back(&mut self, capacity: f64) {
+        self.level = (self.level + 1.0).min(capacity);
+    }
+}
--- a/crates/core/src/service_class.rs
+++ b/crates/core/src/service_class.rs
@@ -15,6 +15,24 @@
     Batch,
 }
 
+impl ServiceClass {
+    /// Every class, the most urgent first.
+    pub const ALL: [ServiceClass; 3] = [
+        ServiceClass::Interactive,
+        ServiceClass::Standard,
+        ServiceClass::Batch,
+    ];
+
+    /// Position in [`Self::ALL`].
+    pub const fn index(self) -> usize {
+        match self {
+            ServiceClass::Interactive => 0,
+            ServiceClass::Standard => 1,
+            ServiceClass::Batch => 2,
+        }
+    }
+}
+
 /// Limits within which a finished request of one class counts as goodput.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
