Say unknown where a request that is never sent again was seen running

Cause: a claimed request whose engine was seen running and then fell silent was reported as failed, which a caller may read as leave to order again under a new key. Ruled out: a circuit of its own in the retry module; the router's view of engine health holds one already. Conclusion: failed is said only on the engine's word or where the request may be repeated.

--- a/crates/core/src/request/outcome.rs
+++ b/crates/core/src/request/outcome.rs
@@ -36,7 +36,8 @@
 impl RequestMachine {
     /// Ends the course with the strongest statement that the evidence allows.
     pub(super) fn give_up(&mut self, refusal: Refusal, failure: Failure) -> Vec<Action> {
-        if self.evidence.has_run() {
+        // A request that is never sent again may still run to its end where it was seen running.
+        if self.evidence.has_run() && self.may_run_again() {
             return self.finish(Outcome::Failed(failure));
         }
         if self.evidence.was_handed_over() {
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -1,5 +1,4 @@
-//! Retry budgets and circuits.
+//! Retry budgets and pauses; engines that fail are left alone by [`crate::routing::health`].
 
 pub mod backoff;
 pub mod budget;
-pub mod circuit;
--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -64,7 +64,9 @@
             | EngineRefusalReason::Changing
             | EngineRefusalReason::NotLoaded
             | EngineRefusalReason::WrongRole => self.paused_until = now + STATE_PAUSE,
-            EngineRefusalReason::TransferGone | EngineRefusalReason::Malformed => {}
+            EngineRefusalReason::TransferGone
+            | EngineRefusalReason::UnknownRequest
+            | EngineRefusalReason::Malformed => {}
         }
     }
 
