Serve HTTP with every head, body, wait and connection bounded

Cause: tiny_http ends the whole process on one unauthenticated request. It also bounds neither heads nor connections. Ruled out: a relay in front of tiny_http, which needs the same parsing and two more threads per connection.

--- /dev/null
+++ b/crates/http/src/connection.rs
@@ -0,0 +1,71 @@
+//! One connection: requests in, answers out, one after the other.
+
+use crate::limits::HttpLimits;
+use crate::reader::{ReadError, RequestReader};
+use crate::response::Responder;
+use crate::server::Handler;
+use std::io::Read;
+use std::net::{Shutdown, TcpStream};
+use std::time::{Duration, Instant};
+
+/// Longest time and most bytes read from a caller that was refused while it still sends, so that it can read why.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 256 * 1024;
+
+/// Serves a connection until it closes, breaks a limit or the server stops.
+pub(crate) fn serve(
+    mut stream: TcpStream,
+    limits: HttpLimits,
+    handler: &dyn Handler,
+    stopping: &dyn Fn() -> bool,
+) {
+    if stream.set_nodelay(true).is_err() || stream.set_write_timeout(Some(limits.write_time())).is_err() {
+        return;
+    }
+    let mut reader = RequestReader::new(limits);
+    loop {
+        match reader.next(&mut stream, stopping) {
+            Ok(request) => {
+                let keep_alive = request.keep_alive && !stopping();
+                let without_body = request.method == "HEAD";
+                let responder = Responder::new(&mut stream, keep_alive, request.is_http_1_1, without_body);
+                if !handler.handle(request, responder).reusable {
+                    return;
+                }
+            }
+            Err(error) => {
+                refuse(&mut stream, handler, error);
+                return;
+            }
+        }
+    }
+}
+
+/// Tells the caller why its connection is closed.
+pub(crate) fn refuse(stream: &mut TcpStream, handler: &dyn Handler, error: ReadError) {
+    let Some(answer) = handler.refusal(error) else {
+        return;
+    };
+    Responder::new(stream, false, true, false).answer(&answer);
+    linger(stream);
+}
+
+/// Closing a socket that holds unread bytes resets it, and the answer with it; so some are read first.
+fn linger(stream: &mut TcpStream) {
+    let until = Instant::now() + LINGER_TIME;
+    let mut bytes = [0; 4_096];
+    let mut total = 0;
+    if stream.shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    while total < LINGER_BYTES {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() || stream.set_read_timeout(Some(left)).is_err() {
+            return;
+        }
+        match stream.read(&mut bytes) {
+            Ok(read) if read > 0 => total += read,
+            _ => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/reader.rs
@@ -0,0 +1,244 @@
+//! Reads requests from a socket within the limits.
+
+use crate::limits::{HttpLimits, MAXIMUM_HEADERS};
+use crate::request::{HttpHeader, HttpRequest};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+/// Bytes asked of the socket at once.
+const READ_BYTES: usize = 8 * 1024;
+
+/// Longest sleep of an idle connection before it looks whether the server stops.
+const IDLE_STEP: Duration = Duration::from_millis(500);
+
+const CONTINUE_LINE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Why no request could be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadError {
+    /// The caller closed, was silent too long between requests, or the server stops.
+    Closed,
+    /// The head is no HTTP/1.x, or says two things at once.
+    Malformed,
+    /// The head is longer, or has more headers, than allowed.
+    HeadTooLarge,
+    /// The head or the body took too long.
+    TooSlow,
+    /// The body has no `Content-Length`; bodies in chunks are not read.
+    LengthRequired,
+    /// The body is longer than allowed.
+    BodyTooLarge,
+    /// Every connection is taken.
+    TooManyConnections,
+}
+
+impl ReadError {
+    /// Status that tells the caller; absent where nobody listens.
+    pub fn status(self) -> Option<u16> {
+        match self {
+            ReadError::Closed => None,
+            ReadError::Malformed => Some(400),
+            ReadError::HeadTooLarge => Some(431),
+            ReadError::TooSlow => Some(408),
+            ReadError::LengthRequired => Some(411),
+            ReadError::BodyTooLarge => Some(413),
+            ReadError::TooManyConnections => Some(503),
+        }
+    }
+}
+
+/// Reads one connection; keeps what came beyond the present request.
+pub(crate) struct RequestReader {
+    buffer: Vec<u8>,
+    limits: HttpLimits,
+}
+
+struct Head {
+    request: HttpRequest,
+    length: usize,
+    body_length: usize,
+    expects_continue: bool,
+}
+
+impl RequestReader {
+    pub(crate) fn new(limits: HttpLimits) -> Self {
+        Self {
+            buffer: Vec::new(),
+            limits,
+        }
+    }
+
+    /// Reads the next request; `stopping` is asked while the connection is idle.
+    pub(crate) fn next(
+        &mut self,
+        stream: &mut TcpStream,
+        stopping: &dyn Fn() -> bool,
+    ) -> Result<HttpRequest, ReadError> {
+        if self.buffer.is_empty() {
+            self.wait_for_first_byte(stream, stopping)?;
+        }
+        let head = self.read_head(stream)?;
+        if head.body_length > self.limits.body_bytes {
+            return Err(ReadError::BodyTooLarge);
+        }
+        self.buffer.drain(..head.length);
+        if head.expects_continue && self.buffer.len() < head.body_length {
+            stream.write_all(CONTINUE_LINE).map_err(|_| ReadError::Closed)?;
+        }
+        let body = self.read_body(stream, head.body_length)?;
+        Ok(HttpRequest { body, ..head.request })
+    }
+
+    fn wait_for_first_byte(
+        &mut self,
+        stream: &mut TcpStream,
+        stopping: &dyn Fn() -> bool,
+    ) -> Result<(), ReadError> {
+        let until = Instant::now() + self.limits.idle_time();
+        loop {
+            if stopping() {
+                return Err(ReadError::Closed);
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(ReadError::Closed);
+            }
+            match self.fill(stream, left.min(IDLE_STEP)) {
+                Ok(0) => return Err(ReadError::Closed),
+                Ok(_) => return Ok(()),
+                Err(error) if timed_out(&error) => {}
+                Err(_) => return Err(ReadError::Closed),
+            }
+        }
+    }
+
+    fn read_head(&mut self, stream: &mut TcpStream) -> Result<Head, ReadError> {
+        let until = Instant::now() + self.limits.head_time();
+        loop {
+            if let Some(head) = parse_head(&self.buffer, &self.limits)? {
+                return Ok(head);
+            }
+            if self.buffer.len() > self.limits.head_bytes {
+                return Err(ReadError::HeadTooLarge);
+            }
+            self.fill_until(stream, until)?;
+        }
+    }
+
+    fn read_body(&mut self, stream: &mut TcpStream, length: usize) -> Result<Vec<u8>, ReadError> {
+        let until = Instant::now() + self.limits.body_time();
+        while self.buffer.len() < length {
+            self.fill_until(stream, until)?;
+        }
+        let rest = self.buffer.split_off(length);
+        Ok(std::mem::replace(&mut self.buffer, rest))
+    }
+
+    fn fill_until(&mut self, stream: &mut TcpStream, until: Instant) -> Result<(), ReadError> {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(ReadError::TooSlow);
+        }
+        match self.fill(stream, left) {
+            Ok(0) => Err(ReadError::Closed),
+            Ok(_) => Ok(()),
+            Err(error) if timed_out(&error) => Err(ReadError::TooSlow),
+            Err(_) => Err(ReadError::Closed),
+        }
+    }
+
+    fn fill(&mut self, stream: &mut TcpStream, wait: Duration) -> io::Result<usize> {
+        stream.set_read_timeout(Some(wait))?;
+        let mut bytes = [0; READ_BYTES];
+        let read = stream.read(&mut bytes)?;
+        self.buffer.extend_from_slice(&bytes[..read]);
+        Ok(read)
+    }
+}
+
+fn timed_out(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted
+    )
+}
+
+fn parse_head(bytes: &[u8], limits: &HttpLimits) -> Result<Option<Head>, ReadError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAXIMUM_HEADERS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    let length = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(ReadError::HeadTooLarge),
+        Err(_) => return Err(ReadError::Malformed),
+    };
+    if length > limits.head_bytes {
+        return Err(ReadError::HeadTooLarge);
+    }
+    let (Some(method), Some(target), Some(version)) = (parsed.method, parsed.path, parsed.version) else {
+        return Err(ReadError::Malformed);
+    };
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    let is_http_1_1 = version == 1;
+    let mut request = HttpRequest {
+        method: method.to_owned(),
+        path: path.to_owned(),
+        query: query.to_owned(),
+        headers: parsed.headers.iter().map(owned_header).collect(),
+        body: Vec::new(),
+        keep_alive: false,
+        is_http_1_1,
+    };
+    request.keep_alive = keeps_alive(&request);
+    Ok(Some(Head {
+        body_length: body_length(&request)?,
+        expects_continue: is_http_1_1 && expects_continue(&request),
+        request,
+        length,
+    }))
+}
+
+fn owned_header(header: &httparse::Header<'_>) -> HttpHeader {
+    HttpHeader {
+        name: header.name.to_owned(),
+        value: header.value.to_vec(),
+    }
+}
+
+/// A length that is stated twice, or beside a transfer encoding, lets two readers see different requests.
+fn body_length(request: &HttpRequest) -> Result<usize, ReadError> {
+    if request.header_count("Transfer-Encoding") > 0 {
+        return Err(ReadError::LengthRequired);
+    }
+    match request.header_count("Content-Length") {
+        0 => Ok(0),
+        1 => {
+            let text = request.header("Content-Length").unwrap_or_default();
+            let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+            if !digits {
+                return Err(ReadError::Malformed);
+            }
+            text.parse().map_err(|_| ReadError::BodyTooLarge)
+        }
+        _ => Err(ReadError::Malformed),
+    }
+}
+
+fn keeps_alive(request: &HttpRequest) -> bool {
+    let wishes = request
+        .header("Connection")
+        .unwrap_or_default()
+        .to_ascii_lowercase();
+    if request.is_http_1_1 {
+        !wishes.contains("close")
+    } else {
+        wishes.contains("keep-alive")
+    }
+}
+
+fn expects_continue(request: &HttpRequest) -> bool {
+    request
+        .header("Expect")
+        .is_some_and(|value| value.eq_ignore_ascii_case("100-continue"))
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,167 @@
+//! Accepts connections and runs each on a thread of its own, up to the limit.
+
+use crate::connection;
+use crate::limits::HttpLimits;
+use crate::reader::ReadError;
+use crate::request::HttpRequest;
+use crate::response::{Answer, Answered, Responder};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+/// Pause after an accept that failed, as when no descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest wait of the connection that wakes a blocked accept.
+const WAKE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Connections beyond the limit that may be told so at once; any more are closed without a word.
+const REFUSING_THREADS: usize = 16;
+
+/// Answers requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(&self, request: HttpRequest, responder: Responder<'_>) -> Answered;
+
+    /// What a caller is told whose request could not be read; absent: nothing.
+    fn refusal(&self, error: ReadError) -> Option<Answer>;
+}
+
+#[derive(Default)]
+struct Shared {
+    stopping: AtomicBool,
+    open: Mutex<usize>,
+    closed: Condvar,
+}
+
+/// A running server.
+pub struct HttpServer {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    accepting: Option<JoinHandle<()>>,
+}
+
+impl HttpServer {
+    /// Binds the address, where port 0 picks a free port, and begins to accept.
+    pub fn start(address: SocketAddr, limits: HttpLimits, handler: Arc<dyn Handler>) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared::default());
+        let shared_of_thread = Arc::clone(&shared);
+        let accepting = thread::Builder::new()
+            .name("http-accept".to_owned())
+            .spawn(move || accept(&listener, limits, &handler, &shared_of_thread))?;
+        Ok(Self {
+            address,
+            shared,
+            accepting: Some(accepting),
+        })
+    }
+
+    /// The bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Connections that are open.
+    pub fn connections(&self) -> usize {
+        *lock(&self.shared.open)
+    }
+
+    /// Accepts nothing more, lets every request under way end, and waits until all connections are closed.
+    pub fn stop(&mut self) {
+        self.shared.stopping.store(true, Ordering::SeqCst);
+        // When nobody accepts any more there is no thread to wake.
+        let _ = TcpStream::connect_timeout(&reachable(self.address), WAKE_TIMEOUT);
+        if let Some(accepting) = self.accepting.take() {
+            // The accept thread returns nothing; a panic there has been printed.
+            let _ = accepting.join();
+        }
+        let mut open = lock(&self.shared.open);
+        while *open > 0 {
+            open = self
+                .shared
+                .closed
+                .wait(open)
+                .unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+}
+
+/// Counts one open connection as long as it lives.
+struct OpenConnection(Arc<Shared>);
+
+impl OpenConnection {
+    fn new(shared: &Arc<Shared>) -> Self {
+        *lock(&shared.open) += 1;
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        *lock(&self.0.open) -= 1;
+        self.0.closed.notify_all();
+    }
+}
+
+fn accept(listener: &TcpListener, limits: HttpLimits, handler: &Arc<dyn Handler>, shared: &Arc<Shared>) {
+    while !shared.stopping.load(Ordering::SeqCst) {
+        match listener.accept() {
+            Ok((stream, _)) => begin(stream, limits, handler, shared),
+            Err(error) => {
+                log::warn!(error:% = error; "accept_failed");
+                thread::sleep(ACCEPT_PAUSE);
+            }
+        }
+    }
+}
+
+fn begin(stream: TcpStream, limits: HttpLimits, handler: &Arc<dyn Handler>, shared: &Arc<Shared>) {
+    let open = *lock(&shared.open);
+    if open >= limits.connections + REFUSING_THREADS {
+        return;
+    }
+    let full = open >= limits.connections;
+    let connection = OpenConnection::new(shared);
+    let handler = Arc::clone(handler);
+    let started = thread::Builder::new()
+        .name("http-connection".to_owned())
+        .spawn(move || run(stream, limits, &*handler, &connection, full));
+    if let Err(error) = started {
+        log::warn!(error:% = error; "connection_thread_failed");
+    }
+}
+
+fn run(
+    mut stream: TcpStream,
+    limits: HttpLimits,
+    handler: &dyn Handler,
+    connection: &OpenConnection,
+    full: bool,
+) {
+    if full {
+        if stream.set_write_timeout(Some(limits.write_time())).is_ok() {
+            connection::refuse(&mut stream, handler, ReadError::TooManyConnections);
+        }
+        return;
+    }
+    let stopping = || connection.0.stopping.load(Ordering::SeqCst);
+    connection::serve(stream, limits, handler, &stopping);
+}
+
+/// An address that listens on every interface is reached over loopback.
+fn reachable(address: SocketAddr) -> SocketAddr {
+    match address.ip() {
+        ip if !ip.is_unspecified() => address,
+        IpAddr::V4(_) => SocketAddr::new(Ipv4Addr::LOCALHOST.into(), address.port()),
+        IpAddr::V6(_) => SocketAddr::new(Ipv6Addr::LOCALHOST.into(), address.port()),
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
