Decide planned changes: begin within floors, watch, give up what can't run empty

Cause: a role change or a version roll takes an engine out of service; nothing yet bounded how many at once or how long an engine may be kept drained by a long stream. Ruled out: cancelling what is in flight when the limit passes, since no planned change may cut a request. Conclusion: the coordinator only sets goals; orders stay with the commander.

--- /dev/null
+++ b/crates/controller/src/bundle/exchange.rs
@@ -0,0 +1,87 @@
+//! Exchanges heads with peers: asks them now and then, tells them at once of a bundle that came into force.
+
+use super::state::head_of;
+use super::{fetch, peers};
+use crate::backoff::spread;
+use crate::config::millis;
+use crate::context::Context;
+use crate::peer::client;
+use shelfjunction_core::bundle::{Head, HeadSource};
+use shelfjunction_core::identity::ZoneId;
+use shelfjunction_protocol::peer::{BundleHead, PeerRequest, PeerResponse};
+use std::time::Duration;
+
+/// Peers of each zone that are told of a new bundle; each tells as many, until all know.
+const ANNOUNCED_PER_ZONE: usize = 2;
+
+/// Peers of each zone that are asked for their head at a time.
+const ASKED_PER_ZONE: usize = 1;
+
+/// Time between asks while this controller holds no bundle.
+const ASK_WITHOUT_BUNDLE: Duration = Duration::from_millis(200);
+
+/// Exchanges heads until the controller stops.
+pub fn run(context: &Context) {
+    let mut ask_at = context.now();
+    loop {
+        let wait = ask_at.since(context.now());
+        let work = context.bundle.wait_for_work(wait);
+        if work.stop {
+            return;
+        }
+        if work.announce {
+            announce(context);
+        }
+        if context.now() >= ask_at {
+            ask(context);
+            ask_at = context.now() + next_ask(context);
+        }
+        fetch::fetch_wanted(context);
+    }
+}
+
+fn next_ask(context: &Context) -> Duration {
+    let interval = millis(context.config.timings.vouch_millis);
+    if context.bundle.in_force().is_none() {
+        return spread(ASK_WITHOUT_BUNDLE.min(interval));
+    }
+    spread(interval)
+}
+
+/// Asks one peer of each zone which bundle is current; peers of other zones vouch for it.
+fn ask(context: &Context) {
+    for peer in peers::some_of_each_zone(context, ASKED_PER_ZONE) {
+        let zone = peer.zone.unwrap_or_else(|| context.config.zone.clone());
+        exchange(context, peer.address, &PeerRequest::BundleHead, zone);
+    }
+}
+
+fn announce(context: &Context) {
+    let Some(head) = context.bundle.head(context.now()) else {
+        return;
+    };
+    for peer in peers::some_of_each_zone(context, ANNOUNCED_PER_ZONE) {
+        let zone = peer.zone.unwrap_or_else(|| context.config.zone.clone());
+        exchange(context, peer.address, &PeerRequest::AnnounceHead(head.clone()), zone);
+    }
+}
+
+fn exchange(context: &Context, address: std::net::SocketAddr, request: &PeerRequest, zone: ZoneId) {
+    let timeout = millis(context.config.timings.peer_timeout_millis);
+    match client::ask(address, request, timeout) {
+        Ok(PeerResponse::Head(head)) => learn(context, head.as_ref(), zone),
+        Ok(_) => log::debug!(peer:% = address; "peer_answered_something_else"),
+        Err(error) => log::debug!(peer:% = address, error:% = error; "peer_unreached"),
+    }
+}
+
+/// Takes in a head that a process of `zone` named.
+pub fn learn(context: &Context, named: Option<&BundleHead>, zone: ZoneId) {
+    let head: Option<Head> = named.map(head_of);
+    let age = named.map_or(u64::MAX, |named| named.confirmed_millis_ago);
+    let source = HeadSource::Peer {
+        zone,
+        confirmed_ago: millis(age),
+    };
+    context.bundle.on_head(head, &source, context.now());
+}
--- /dev/null
+++ b/crates/core/src/drain/coordinator.rs
@@ -0,0 +1,274 @@
+//! Begins, watches, completes and gives up planned changes, a bounded number at once.
+
+use super::floors::{BlockedByFloor, may_leave_service};
+use super::view::{ChangeLimits, ChangeRequest, EngineView};
+use crate::bundle::content::ModelRule;
+use crate::engine::EngineStatus;
+use crate::identity::EngineId;
+use crate::orders::EngineGoal;
+use crate::time::MonotonicTime;
+use std::collections::BTreeMap;
+
+/// How a planned change ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangeOutcome {
+    /// The engine is what was asked for and serves.
+    Completed,
+    /// The engine did not run empty in time, or stopped answering; it is put back into service.
+    GivenUp,
+    /// The engine's machine is leaving.
+    Overtaken,
+}
+
+/// What is decided in one step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChangeDecision {
+    /// The engine is wanted to be this from now on.
+    SetGoal {
+        /// The engine.
+        engine: EngineId,
+        /// The goal.
+        goal: EngineGoal,
+    },
+    /// A change began.
+    Began {
+        /// The engine.
+        engine: EngineId,
+        /// What it is to become.
+        goal: EngineGoal,
+    },
+    /// A change ended.
+    Ended {
+        /// The engine.
+        engine: EngineId,
+        /// How.
+        outcome: ChangeOutcome,
+    },
+    /// A change may not begin now.
+    Blocked(BlockedByFloor),
+}
+
+#[derive(Clone, Debug)]
+struct Change {
+    goal: EngineGoal,
+    since: MonotonicTime,
+    /// Whether the engine served something that the change takes away for a while.
+    takes_from_service: bool,
+}
+
+/// Decides what each engine of a zone is wanted to be; kept by the holder of the lease for as long as it holds it.
+#[derive(Clone, Debug)]
+pub struct ChangeCoordinator {
+    limits: ChangeLimits,
+    changes: BTreeMap<EngineId, Change>,
+    paused_until: BTreeMap<EngineId, MonotonicTime>,
+}
+
+impl ChangeCoordinator {
+    /// A coordinator that knows of no change.
+    pub fn new(limits: ChangeLimits) -> Self {
+        Self {
+            limits,
+            changes: BTreeMap::new(),
+            paused_until: BTreeMap::new(),
+        }
+    }
+
+    /// Replaces the limits, as when a new bundle comes into force.
+    pub fn set_limits(&mut self, limits: ChangeLimits) {
+        self.limits = limits;
+    }
+
+    /// Engines whose change has begun and not ended.
+    pub fn changing(&self) -> impl Iterator<Item = &EngineId> {
+        self.changes.keys()
+    }
+
+    /// Looks at every engine of the zone once and decides.
+    pub fn step(
+        &mut self,
+        views: &[EngineView],
+        requests: &[ChangeRequest],
+        models: &[ModelRule],
+        now: MonotonicTime,
+    ) -> Vec<ChangeDecision> {
+        let mut decisions = Vec::new();
+        self.forget_missing(views);
+        for view in views {
+            self.watch(view, now, &mut decisions);
+        }
+        for request in merged(requests) {
+            self.begin_when_allowed(&request, views, models, now, &mut decisions);
+        }
+        for view in views {
+            self.set_goal(view, &mut decisions);
+        }
+        decisions
+    }
+
+    fn forget_missing(&mut self, views: &[EngineView]) {
+        let listed = |engine: &EngineId| views.iter().any(|view| view.engine == *engine);
+        self.changes.retain(|engine, _| listed(engine));
+        self.paused_until.retain(|engine, _| listed(engine));
+    }
+
+    /// Ends a change that is over, and takes over one that an earlier holder began.
+    fn watch(&mut self, view: &EngineView, now: MonotonicTime, decisions: &mut Vec<ChangeDecision>) {
+        let Some(change) = self.changes.get(&view.engine) else {
+            self.adopt(view, now);
+            return;
+        };
+        let late = now.since(change.since) >= self.limits.empty_within;
+        let outcome = match &view.status {
+            _ if view.leaving => ChangeOutcome::Overtaken,
+            Some(status) if reached(status, &change.goal) => ChangeOutcome::Completed,
+            Some(status) if late && is_still_busy(status) => ChangeOutcome::GivenUp,
+            None if late => ChangeOutcome::GivenUp,
+            _ => return,
+        };
+        self.changes.remove(&view.engine);
+        if outcome == ChangeOutcome::GivenUp {
+            let until = now + self.limits.pause_after_give_up;
+            self.paused_until.insert(view.engine.clone(), until);
+        }
+        decisions.push(ChangeDecision::Ended {
+            engine: view.engine.clone(),
+            outcome,
+        });
+    }
+
+    fn adopt(&mut self, view: &EngineView, now: MonotonicTime) {
+        let (Some(status), Some(goal)) = (&view.status, &view.goal) else {
+            return;
+        };
+        let paused = self
+            .paused_until
+            .get(&view.engine)
+            .is_some_and(|until| now < *until);
+        if view.leaving || paused || goal.draining || holds(status, goal) {
+            return;
+        }
+        self.changes.insert(
+            view.engine.clone(),
+            Change {
+                goal: goal.clone(),
+                since: now,
+                takes_from_service: !status.weights.is_empty(),
+            },
+        );
+    }
+
+    fn begin_when_allowed(
+        &mut self,
+        request: &ChangeRequest,
+        views: &[EngineView],
+        models: &[ModelRule],
+        now: MonotonicTime,
+        decisions: &mut Vec<ChangeDecision>,
+    ) {
+        let Some(view) = views.iter().find(|view| view.engine == request.engine) else {
+            return;
+        };
+        let (Some(goal), Some(status)) = (request.goal(view), &view.status) else {
+            return;
+        };
+        if view.leaving || holds(status, &goal) || !self.is_free(view, now) {
+            return;
+        }
+        let in_service = |view: &EngineView| view.serves() && !self.changes.contains_key(&view.engine);
+        if let Err(blocked) = may_leave_service(view, views, models, in_service) {
+            decisions.push(ChangeDecision::Blocked(blocked));
+            return;
+        }
+        decisions.push(ChangeDecision::Began {
+            engine: view.engine.clone(),
+            goal: goal.clone(),
+        });
+        self.changes
+            .insert(view.engine.clone(), Change { goal, since: now });
+    }
+
+    fn is_free(&self, view: &EngineView, now: MonotonicTime) -> bool {
+        let paused = self
+            .paused_until
+            .get(&view.engine)
+            .is_some_and(|until| now < *until);
+        let changing = self.changes.contains_key(&view.engine);
+        let costly = self.changes.values().filter(|change| change.takes_from_service).count();
+        let empty = view.status.as_ref().is_some_and(|status| status.weights.is_empty());
+        !paused && !changing && (empty || costly < self.limits.concurrent)
+    }
+
+    fn set_goal(&self, view: &EngineView, decisions: &mut Vec<ChangeDecision>) {
+        let Some(goal) = self.wanted(view) else {
+            return;
+        };
+        if view.goal.as_ref() != Some(&goal) {
+            decisions.push(ChangeDecision::SetGoal {
+                engine: view.engine.clone(),
+                goal,
+            });
+        }
+    }
+
+    /// What an engine is wanted to be; absent while nothing is known of it.
+    fn wanted(&self, view: &EngineView) -> Option<EngineGoal> {
+        if view.leaving {
+            return leaving_goal(view);
+        }
+        if let Some(change) = self.changes.get(&view.engine) {
+            return Some(change.goal.clone());
+        }
+        let restarted_empty = view
+            .status
+            .as_ref()
+            .is_some_and(|status| status.weights.is_empty());
+        match &view.goal {
+            // An engine that restarted keeps its goal and is led back to it.
+            Some(goal) if restarted_empty && !goal.draining => Some(goal.clone()),
+            _ => view.present_goal(),
+        }
+    }
+}
+
+/// A leaving engine is drained as it is: loading or changing roles there would be waste.
+fn leaving_goal(view: &EngineView) -> Option<EngineGoal> {
+    let mut goal = view.present_goal().or_else(|| view.goal.clone())?;
+    goal.draining = true;
+    goal.weights.clear();
+    Some(goal)
+}
+
+fn holds(status: &EngineStatus, goal: &EngineGoal) -> bool {
+    let loaded = goal
+        .weights
+        .iter()
+        .all(|weights| status.weights.contains(weights));
+    status.role == goal.role && loaded
+}
+
+fn reached(status: &EngineStatus, goal: &EngineGoal) -> bool {
+    holds(status, goal) && !status.changing && !status.draining
+}
+
+/// Whether work in flight still keeps the change from beginning; one that has begun is never given up.
+fn is_still_busy(status: &EngineStatus) -> bool {
+    !status.changing && status.load.requests_in_flight > 0
+}
+
+/// One request per engine, so that a new role and new weights cost one drain.
+fn merged(requests: &[ChangeRequest]) -> Vec<ChangeRequest> {
+    let mut merged: Vec<ChangeRequest> = Vec::new();
+    for request in requests {
+        match merged.iter_mut().find(|known| known.engine == request.engine) {
+            Some(known) => {
+                known.role = known.role.or(request.role);
+                if known.weights.is_none() {
+                    known.weights.clone_from(&request.weights);
+                }
+            }
+            None => merged.push(request.clone()),
+        }
+    }
+    merged
+}
