Judge engines by the time between tokens too

Cause: a decode engine that crawls showed nothing in the time to its first part. Ruled out: dividing queued output tokens by the reported speed, which depends on the batch at the time of measuring. Conclusion: the halves of a split request are noted apart, so that neither engine is blamed for the other's delay.

--- a/crates/core/src/routing/cache.rs
+++ b/crates/core/src/routing/cache.rs
@@ -32,10 +32,13 @@
         }
     }
 
-    /// Number of leading blocks of a prompt that are held. Block hashes are chained, and engines drop the tails
-    /// of prefixes first, so the boundary is found by bisection.
+    /// Number of leading blocks of a prompt that are held. Engines drop blocks of a prefix from one of its ends, so
+    /// once the first block is held the boundary is found by bisection.
     pub fn overlap(&self, prompt_blocks: &[u64]) -> usize {
-        if self.blocks.is_empty() {
+        let first_held = prompt_blocks
+            .first()
+            .is_some_and(|block| self.blocks.contains(block));
+        if !first_held {
             return 0;
         }
         prompt_blocks.partition_point(|block| self.blocks.contains(block))
--- a/crates/core/src/routing/cost.rs
+++ b/crates/core/src/routing/cost.rs
@@ -5,7 +5,9 @@
 //! ```text
 //! wait     = queued prompt tokens / prefill speed
 //! compute  = (prompt tokens - w.prefix_overlap * cached tokens) / prefill speed
-//! decode   = (queued output tokens + expected output tokens) / decode speed
+//! token    = mean sequences / decode speed * (1 + w.sequence_slowdown * (sequences now - mean sequences))
+//! decode   = expected output tokens * token
+//!          + waiting sequences / reported sequences * mean output's time   (a full batch makes others wait)
 //! stall    = compute * decoding sequences           (mixed engines only: prefill delays their tokens)
 //! zone     = w.other_zone_seconds when the engine is not in the gateway's zone
 //! prompt   = waiting(class) * (w.prefill_wait * wait + w.prefill_compute * compute)
@@ -26,6 +28,12 @@
 use crate::identity::EngineId;
 use crate::time::MonotonicTime;
 
+/// Bound on a time between tokens told from a report, in seconds.
+const LONGEST_TOKEN_SECONDS: f64 = 1.0;
+
+/// Least factor by which a smaller batch than the measured one shortens a step.
+const LEAST_CHANGE: f64 = 0.5;
+
 /// One engine that may take a request, with what its cost depends on.
 #[derive(Clone, Debug)]
 pub struct Candidate<'a> {
@@ -82,15 +90,38 @@
         self.uncached_tokens / self.prefill_speed
     }
 
-    /// Seconds of decode work before and with the request.
-    pub fn decode(&self, query: &RouteQuery) -> f64 {
-        (self.queues.decode_tokens + f64::from(query.expected_output_tokens)) / self.decode_speed
+    /// Seconds between two tokens of a sequence when one more joins.
+    pub fn token_seconds(&self, weights: &RoutingWeights) -> f64 {
+        let measured = self.view.mean_sequences();
+        let beyond = self.queues.sequences + 1.0 - measured;
+        let change = (1.0 + weights.sequence_slowdown * beyond).max(LEAST_CHANGE);
+        (measured / self.decode_speed).min(LONGEST_TOKEN_SECONDS) * change
+    }
+
+    /// Seconds that the output takes, with the wait for a place in the batch.
+    pub fn decode(&self, query: &RouteQuery, weights: &RoutingWeights) -> f64 {
+        let own = f64::from(query.expected_output_tokens) * self.token_seconds(weights);
+        own + self.batch_wait(weights)
+    }
+
+    /// Seconds until the batch has a place; zero unless the last report shows sequences that wait for one.
+    fn batch_wait(&self, weights: &RoutingWeights) -> f64 {
+        let load = self.view.load();
+        if self.view.role() != Role::Decode || load.requests_in_flight <= load.active_sequences {
+            return 0.0;
+        }
+        let waiting = f64::from(load.requests_in_flight - load.active_sequences);
+        let active = f64::from(load.active_sequences).max(1.0);
+        let mean_left = self.queues.decode_tokens / (waiting + active);
+        waiting / active * mean_left * self.token_seconds(weights)
     }
 
     /// Cost of running prompt and output here.
     pub fn whole_cost(&self, query: &RouteQuery, weights: &RoutingWeights) -> f64 {
         let stall = self.compute() * self.queues.sequences;
-        self.prompt_cost(query, weights) + weights.decode_queue * self.decode(query) + weights.stall * stall
+        self.prompt_cost(query, weights)
+            + weights.decode_queue * self.decode(query, weights)
+            + weights.stall * stall
     }
 
     /// Cost of running the prompt here.
@@ -101,7 +132,8 @@
 
     /// Cost of running the output here after the prompt ran at `source`.
     pub fn decode_cost(&self, source: &Candidate<'_>, query: &RouteQuery, weights: &RoutingWeights) -> f64 {
-        weights.transfer * self.transfer(source, query, weights) + weights.decode_queue * self.decode(query)
+        weights.transfer * self.transfer(source, query, weights)
+            + weights.decode_queue * self.decode(query, weights)
     }
 
     /// Seconds that moving the KV cache here takes.
--- a/crates/core/src/routing/query.rs
+++ b/crates/core/src/routing/query.rs
@@ -33,6 +33,26 @@
     pub excluded: Vec<EngineId>,
 }
 
+impl RouteQuery {
+    /// The part of a split request that its prefill engine runs; note that engine's dispatch with it.
+    pub fn prefill_half(&self) -> Self {
+        Self {
+            expected_output_tokens: 0,
+            ..self.clone()
+        }
+    }
+
+    /// The part of a split request that its decode engine runs; note that engine's dispatch with it, when the KV
+    /// cache is handed over.
+    pub fn decode_half(&self) -> Self {
+        Self {
+            prompt_tokens: 0,
+            prompt_blocks: Vec::new(),
+            ..self.clone()
+        }
+    }
+}
+
 /// One engine that was chosen.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RouteTarget {
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -4,8 +4,9 @@
 use super::query::{DispatchTicket, FinishedWork, Route, RouteEstimate, RouteQuery, RouteTarget};
 use super::view::{EngineView, SentWork};
 use super::weights::RoutingWeights;
+use crate::admission::ModelCapacity;
 use crate::engine::{EngineRefusalReason, KvEvent, Role};
-use crate::identity::EngineId;
+use crate::identity::{EngineId, ModelId};
 use crate::membership::record::EngineRecord;
 use crate::outcome::RefusalReason;
 use crate::service_class::ServiceClass;
@@ -17,6 +18,9 @@
 /// Random members of a large candidate set that are compared.
 const RANDOM_CANDIDATES: usize = 2;
 
+/// Fewest output tokens from which the time between tokens is judged.
+const FEWEST_OBSERVED_TOKENS: u32 = 8;
+
 /// Chooses engines for requests; holds no socket, thread or clock.
 #[derive(Clone, Debug)]
 pub struct KvRouter {
@@ -98,7 +102,7 @@
         let Some(work) = view.started(ticket.number) else {
             return;
         };
-        if work.class != ServiceClass::Batch {
+        if work.class != ServiceClass::Batch && work.prefill_tokens > 0.0 {
             let observed = now.since(work.sent_at);
             view.health.observe(observed, work.expected_first_token, now);
         }
@@ -116,7 +120,9 @@
             self.on_first_part(engine, ticket, ticket.sent_at + first_token);
         }
         if let Some(view) = self.engines.get_mut(engine) {
-            view.ended(ticket.number);
+            if let Some(sent) = view.ended(ticket.number) {
+                observe_tokens(view, &sent, work, now);
+            }
             view.health.succeeded();
         }
         debug_assert!(ticket.sent_at <= now, "a dispatch ended before it was sent");
@@ -172,8 +178,7 @@
             one.wait() + one.compute()
         })?;
         let decode = least(candidates.iter().filter(|one| one.runs_outputs()), |one| {
-            let sequences = one.queues.sequences + 1.0;
-            f64::from(query.expected_output_tokens) * sequences / one.decode_speed
+            f64::from(query.expected_output_tokens) * one.token_seconds(&self.weights)
         })?;
         Some(RouteEstimate {
             first_token: Duration::from_secs_f64(wait),
@@ -181,6 +186,34 @@
         })
     }
 
+    /// What the engines that hold a model can do, for the admission of one gateway among several.
+    pub fn capacity(&self, model: &ModelId, gateways: u32, now: MonotonicTime) -> ModelCapacity {
+        let mut capacity = ModelCapacity {
+            prefill_tokens_per_second: 0.0,
+            decode_tokens_per_second: 0.0,
+            backlog_seconds: 0.0,
+            gateways,
+        };
+        let mut queued = 0.0;
+        for view in self.engines.values() {
+            if !view.takes_new_work() || !view.holds_model(model) {
+                continue;
+            }
+            let load = view.load();
+            if view.role() != Role::Decode {
+                capacity.prefill_tokens_per_second += load.prefill_tokens_per_second as f64;
+                queued += view.queues(&self.weights, now).prefill_tokens;
+            }
+            if view.role() != Role::Prefill {
+                capacity.decode_tokens_per_second += load.decode_tokens_per_second as f64;
+            }
+        }
+        if capacity.prefill_tokens_per_second > 0.0 {
+            capacity.backlog_seconds = queued / capacity.prefill_tokens_per_second;
+        }
+        capacity
+    }
+
     /// The router's view of an engine.
     pub fn engine(&self, engine: &EngineId) -> Option<&EngineView> {
         self.engines.get(engine)
@@ -311,8 +344,9 @@
     } else {
         0.0
     };
+    let expected_output = f64::from(query.expected_output_tokens);
     let decode_tokens = if candidate.runs_outputs() {
-        f64::from(query.expected_output_tokens)
+        expected_output
     } else {
         0.0
     };
@@ -322,12 +356,26 @@
         prefill_tokens,
         decode_tokens,
         expected_first_token: Duration::from_secs_f64(expected),
+        expected_token: Duration::from_secs_f64(candidate.token_seconds(weights)),
         started: false,
         class: query.class,
         reported: false,
     }
 }
 
+/// Compares the time between tokens with what the engine's report promised; too few tokens say too little.
+fn observe_tokens(view: &mut EngineView, sent: &SentWork, work: &FinishedWork, now: MonotonicTime) {
+    let Some(first_token) = work.first_token else {
+        return;
+    };
+    if work.output_tokens < FEWEST_OBSERVED_TOKENS {
+        return;
+    }
+    let gaps = work.output_tokens - 1;
+    let observed = work.total.saturating_sub(first_token);
+    view.health.observe(observed, sent.expected_token * gaps, now);
+}
+
 fn whole_route(candidate: &Candidate<'_>) -> Option<Route> {
     Some(Route::Whole {
         engine: candidate.engine.clone(),
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -6,6 +6,7 @@
 use super::weights::RoutingWeights;
 use crate::bundle::content::ModelKind;
 use crate::engine::{EngineStatus, LoadReport, LoadedWeights, Role};
+use crate::identity::ModelId;
 use crate::machine::{MachineService, MachineState};
 use crate::membership::record::{EngineRecord, Liveness};
 use crate::service_class::ServiceClass;
@@ -19,6 +20,11 @@
 /// Waiting below this is never overdue; covers the lag of reports and the turns of other classes.
 const OVERDUE_FLOOR: Duration = Duration::from_secs(2);
 
+/// Share of a report in the mean number of decoding sequences, about the window over which engines measure speed.
+const SEQUENCES_SHARE: f64 = 0.2;
+/// Sequences assumed behind a decode speed that was reported before any decoding was seen.
+const ASSUMED_SEQUENCES: f64 = 12.0;
+
 /// Work handed to an engine by this router that has not ended.
 #[derive(Clone, Debug)]
 pub struct SentWork {
@@ -30,6 +36,8 @@
     pub decode_tokens: f64,
     /// Delay to the first part that was expected.
     pub expected_first_token: Duration,
+    /// Time between tokens that was expected.
+    pub expected_token: Duration,
     /// Whether the first part came.
     pub started: bool,
     /// Class.
@@ -60,6 +68,7 @@
     pub cache: CacheBelief,
     /// How it keeps what it reports.
     pub health: Health,
+    mean_sequences: f64,
     sent: BTreeMap<u64, SentWork>,
     unreported_prefill: f64,
     unreported_decode: f64,
@@ -74,6 +83,7 @@
             observed_at,
             cache: CacheBelief::default(),
             health: Health::default(),
+            mean_sequences: ASSUMED_SEQUENCES,
             sent: BTreeMap::new(),
             unreported_prefill: 0.0,
             unreported_decode: 0.0,
@@ -93,6 +103,15 @@
             self.sent.clear();
         }
         self.recount_unreported(observed_at - lag);
+        let sequences = f64::from(self.load().active_sequences);
+        if sequences > 0.0 {
+            self.mean_sequences += (sequences - self.mean_sequences) * SEQUENCES_SHARE;
+        }
+    }
+
+    /// Sequences that decoded together, on average, while the reported decode speed was measured.
+    pub fn mean_sequences(&self) -> f64 {
+        self.mean_sequences
     }
 
     /// Last status, once there is one.
@@ -133,6 +152,12 @@
                 .is_some_and(|status| status.weights.iter().any(|weights| holds(weights, query)))
     }
 
+    /// Whether the engine holds any weights of a model.
+    pub fn holds_model(&self, model: &ModelId) -> bool {
+        self.status()
+            .is_some_and(|status| status.weights.iter().any(|weights| weights.model == *model))
+    }
+
     /// Whether new work may go there at all: it answers, stays, and is neither drained nor in a change.
     pub fn takes_new_work(&self) -> bool {
         self.record.liveness == Liveness::Alive
--- a/crates/core/src/routing/weights.rs
+++ b/crates/core/src/routing/weights.rs
@@ -36,6 +36,8 @@
     pub correct_speeds: bool,
     /// Candidate sets up to this size are compared whole; larger ones by two random members and prefix holders.
     pub compare_all_up_to: usize,
+    /// Part by which each further sequence lengthens a decode step.
+    pub sequence_slowdown: f64,
     /// Setup of one KV transfer, in seconds.
     pub transfer_setup_seconds: f64,
     /// Tokens of KV cache moved per second between engines.
@@ -63,6 +65,7 @@
             count_sent_work: true,
             correct_speeds: true,
             compare_all_up_to: 16,
+            sequence_slowdown: 0.03,
             transfer_setup_seconds: 0.005,
             transfer_tokens_per_second: 200_000.0,
             assumed_prefill_tokens_per_second: 8_000.0,
@@ -104,7 +107,7 @@
         }
     }
 
-    fn weights(&self) -> [(&'static str, f64); 11] {
+    fn weights(&self) -> [(&'static str, f64); 12] {
         [
             ("routing.prefill_wait", self.prefill_wait),
             ("routing.prefill_compute", self.prefill_compute),
@@ -116,6 +119,7 @@
             ("routing.batch_waiting", self.batch_waiting),
             ("routing.standard_waiting", self.standard_waiting),
             ("routing.report_lag_seconds", self.report_lag_seconds),
+            ("routing.sequence_slowdown", self.sequence_slowdown),
             ("routing.transfer_setup_seconds", self.transfer_setup_seconds),
         ]
     }
