--- /dev/null
+++ b/crates/lab/src/cluster/mod.rs
@@ -0,0 +1,3 @@
+//! A whole small deployment as threads of one process.
+
+pub mod addresses;
