Describe both deployments and publish their first signed bundle

Cause: the demo, the soak and the process proofs need the same small deployment with tenants, operators and a signed bundle.

--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -1,3 +1,6 @@
 //! A whole small deployment as threads of one process.
 
 pub mod addresses;
+pub mod deployment;
+pub mod publish;
+mod tenants;
