--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod addresses;
 pub mod deployment;
+pub mod layout;
 pub mod publish;
 mod tenants;
--- a/crates/lab/src/platform/server.rs
+++ b/crates/lab/src/platform/server.rs
@@ -8,6 +8,7 @@
 use shelfjunction_core::machine::Machine;
 use shelfjunction_core::setting::FieldError;
 use shelfjunction_platform::clock::MonotonicClock;
+use std::fmt;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -25,6 +26,19 @@
     Thread(std::io::Error),
 }
 
+impl fmt::Display for PlatformStartError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Settings(errors) => {
+                write!(formatter, "{} settings are wrong", errors.len())?;
+                errors.iter().try_for_each(|error| write!(formatter, "; {error}"))
+            }
+            Self::Bind(error) => write!(formatter, "can't listen: {error}"),
+            Self::Thread(error) => write!(formatter, "can't start a thread: {error}"),
+        }
+    }
+}
+
 /// Starts stand-in platforms.
 #[derive(Debug)]
 pub struct PlatformServer;
@@ -44,8 +58,8 @@
     body_limit: u64,
 }
 
-impl std::fmt::Debug for ServerShared {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Debug for ServerShared {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.debug_struct("ServerShared").finish_non_exhaustive()
     }
 }
