--- a/crates/core/src/drain/coordinator.rs
+++ b/crates/core/src/drain/coordinator.rs
@@ -194,8 +194,15 @@
             .get(&view.engine)
             .is_some_and(|until| now < *until);
         let changing = self.changes.contains_key(&view.engine);
-        let costly = self.changes.values().filter(|change| change.takes_from_service).count();
-        let empty = view.status.as_ref().is_some_and(|status| status.weights.is_empty());
+        let costly = self
+            .changes
+            .values()
+            .filter(|change| change.takes_from_service)
+            .count();
+        let empty = view
+            .status
+            .as_ref()
+            .is_some_and(|status| status.weights.is_empty());
         !paused && !changing && (empty || costly < self.limits.concurrent)
     }
 
--- a/crates/core/src/request/claiming.rs
+++ b/crates/core/src/request/claiming.rs
@@ -74,7 +74,7 @@
 }
 
 /// Whether the table certainly did nothing.
-fn is_definite(error: &PlatformError) -> bool {
+pub(super) fn is_definite(error: &PlatformError) -> bool {
     matches!(
         error,
         PlatformError::Unavailable | PlatformError::Throttled { .. }
--- a/crates/core/src/request/event.rs
+++ b/crates/core/src/request/event.rs
@@ -101,7 +101,7 @@
         not_before: MonotonicTime,
         /// Engines that failed this request before.
         excluded: Vec<EngineId>,
-        /// Whether only a placement on one engine will do.
+        /// Whether only a placement on one engine will do; after `Nowhere` any placement is asked for.
         whole_only: bool,
     },
     /// Write a claim in one transaction that checks the row's version.
--- a/crates/core/src/request/machine.rs
+++ b/crates/core/src/request/machine.rs
@@ -78,6 +78,8 @@
     pub(super) claim: Option<HeldClaim>,
     /// The last write of the claim was not answered; the row may name this request.
     pub(super) claim_in_doubt: bool,
+    /// The course ended before the claim was answered.
+    pub(super) claim_awaited: bool,
     pub(super) excluded: Vec<EngineId>,
     pub(super) whole_only: bool,
     pub(super) placements: u32,
@@ -93,7 +95,7 @@
     /// A request that has just been admitted.
     pub fn new(specification: RequestSpecification, limits: CourseLimits) -> Self {
         let check = StreamCheck::new(specification.request.clone(), 0);
-        // A claim names one engine: the whole request runs there, so that "nothing ran" stays easy to know.
+        // A claim names one engine; where the whole request runs there, "nothing ran" stays easy to know.
         let whole_only = specification.key.is_some();
         Self {
             dispatch_not_after: specification.deadline,
@@ -104,6 +106,7 @@
             check,
             claim: None,
             claim_in_doubt: false,
+            claim_awaited: false,
             excluded: Vec::new(),
             whole_only,
             placements: 0,
@@ -142,6 +145,11 @@
         self.state == State::Over
     }
 
+    /// Whether the course ended before its claim was answered; the answer is then still to be handed in.
+    pub fn awaits_claim(&self) -> bool {
+        self.is_over() && self.claim_awaited
+    }
+
     /// Whether any engine was handed the request without having refused it.
     pub fn handed_over(&self) -> bool {
         self.evidence.was_handed_over()
@@ -158,7 +166,7 @@
     /// Takes an event at `now` and returns what is to be done, in order.
     pub fn handle(&mut self, event: Event, now: MonotonicTime) -> Vec<Action> {
         if self.is_over() {
-            return Vec::new();
+            return self.on_late_claim(&event);
         }
         match event {
             Event::DeadlineReached => return self.on_deadline(),
@@ -204,6 +212,10 @@
 
     fn on_choosing(&mut self, event: Event, now: MonotonicTime) -> Vec<Action> {
         match event {
+            Event::Nowhere(_) if self.whole_only => {
+                self.whole_only = false;
+                self.choose(now)
+            }
             Event::Nowhere(refusal) => {
                 let refusal = self.last_refusal.take().unwrap_or(refusal);
                 self.give_up(refusal, Failure::EngineError)
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -9,7 +9,9 @@
 //!    `AskRunState`, `AskRetry`) are answered by exactly one event, except that an opened stream goes on with
 //!    `Part` events until `Disconnected`. `Emit`, `Cancel`, `Release` and `Settle` are not answered.
 //! 3. Events of an attempt that the machine has left are ignored, so late ones do no harm.
-//! 4. Stop after `Finish` or `Detach`; whatever is handed in later has no effect.
+//! 4. Stop after `Finish` or `Detach`; whatever is handed in later has no effect, but for one thing: while
+//!    [`machine::RequestMachine::awaits_claim`] says so, the claim's answer is still handed in, and its `Release`
+//!    carried out.
 
 mod claiming;
 pub mod event;
--- a/crates/core/src/request/outcome.rs
+++ b/crates/core/src/request/outcome.rs
@@ -1,50 +1,80 @@
 //! How a request ends: what may truthfully be said, and what happens to its claim.
 
-use super::event::Action;
+use super::claiming::is_definite;
+use super::event::{Action, Event};
 use super::machine::{RequestMachine, State};
 use crate::ledger::row::{ClaimRow, Settlement, claim_key};
 use crate::outcome::{Failure, Outcome, Refusal, RefusalReason};
 
 /// What is known about whether engines ran the request.
+///
+/// Running only the prompt has no effect outside and is kept apart: it forbids "not run" but no later dispatch.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Evidence {
-    handed_over: bool,
-    ran: bool,
+    prompt: Progress,
+    output: Progress,
+}
+
+/// How far a phase has come, as far as anybody can tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+enum Progress {
+    /// No engine was handed it without refusing it.
+    #[default]
+    Untouched,
+    /// An engine was handed it and may run it.
+    HandedOver,
+    /// An engine showed that it runs it.
+    Running,
 }
 
 impl Evidence {
     /// An engine was handed the request and did not refuse it.
     pub(super) fn handed_over(&mut self) {
-        self.handed_over = true;
+        self.output = self.output.max(Progress::HandedOver);
     }
 
     /// An engine showed that it runs the request.
     pub(super) fn ran(&mut self) {
-        self.handed_over = true;
-        self.ran = true;
+        self.output = Progress::Running;
+    }
+
+    /// An engine was handed the prompt alone and did not refuse it.
+    pub(super) fn prompt_handed_over(&mut self) {
+        self.prompt = self.prompt.max(Progress::HandedOver);
+    }
+
+    /// An engine showed that it runs the prompt alone.
+    pub(super) fn prompt_ran(&mut self) {
+        self.prompt = Progress::Running;
     }
 
+    /// Whether the output may have been begun.
     pub(super) fn was_handed_over(self) -> bool {
-        self.handed_over
+        self.output != Progress::Untouched
     }
 
-    pub(super) fn has_run(self) -> bool {
-        self.ran
+    fn furthest(self) -> Progress {
+        self.prompt.max(self.output)
     }
 }
 
 impl RequestMachine {
     /// Ends the course with the strongest statement that the evidence allows.
     pub(super) fn give_up(&mut self, refusal: Refusal, failure: Failure) -> Vec<Action> {
-        // A request that is never sent again may still run to its end where it was seen running.
-        if self.evidence.has_run() && self.may_run_again() {
-            return self.finish(Outcome::Failed(failure));
-        }
-        if self.evidence.was_handed_over() {
-            return self.finish(Outcome::Unknown(failure));
+        let outcome = match self.evidence.furthest() {
+            Progress::Untouched => Outcome::NotRun(refusal),
+            Progress::HandedOver => Outcome::Unknown(failure),
+            // A request that is never sent again may still run to its end where it was seen running.
+            Progress::Running if self.evidence.was_handed_over() && !self.may_run_again() => {
+                Outcome::Unknown(failure)
+            }
+            Progress::Running => Outcome::Failed(failure),
+        };
+        let mut actions = Vec::new();
+        if !self.evidence.was_handed_over() {
+            actions.extend(self.release());
         }
-        let mut actions = self.release();
-        actions.extend(self.finish(Outcome::NotRun(refusal)));
+        actions.extend(self.finish(outcome));
         actions
     }
 
@@ -53,7 +83,7 @@
         vec![Action::Finish(outcome)]
     }
 
-    /// Frees the key after a course in which nothing ran and nothing will be sent any more.
+    /// Frees the key after a course in which no output was begun and nothing will be sent any more.
     fn release(&mut self) -> Vec<Action> {
         let Some(key) = &self.specification.key else {
             return Vec::new();
@@ -126,10 +156,37 @@
         self.give_up(refusal, Failure::Cancelled)
     }
 
-    /// A call that was not answered yet may be running.
+    /// The answer to a claim that came after the course was over: nothing was sent under it, so it goes.
+    pub(super) fn on_late_claim(&mut self, event: &Event) -> Vec<Action> {
+        if !std::mem::take(&mut self.claim_awaited) {
+            return Vec::new();
+        }
+        let expected = match event {
+            Event::ClaimCommitted { version } => Some(*version),
+            Event::ClaimFailed(error) if !is_definite(error) => None,
+            Event::ClaimFailed(_) | Event::ClaimExists(_) => return Vec::new(),
+            _ => {
+                self.claim_awaited = true;
+                return Vec::new();
+            }
+        };
+        let Some(key) = &self.specification.key else {
+            return Vec::new();
+        };
+        vec![Action::Release {
+            key: claim_key(&self.specification.tenant, key),
+            request: self.specification.request.clone(),
+            expected,
+        }]
+    }
+
+    /// A call that was not answered yet may be running, and a claim that was asked for may be written.
     fn note_call_on_its_way(&mut self) {
-        if matches!(self.state, State::Reading { .. } | State::Prefilling { .. }) {
-            self.evidence.handed_over();
+        match self.state {
+            State::Reading { .. } => self.evidence.handed_over(),
+            State::Prefilling { .. } => self.evidence.prompt_handed_over(),
+            State::Claiming { .. } => self.claim_awaited = true,
+            _ => {}
         }
     }
 
--- a/crates/core/src/request/reading.rs
+++ b/crates/core/src/request/reading.rs
@@ -62,7 +62,7 @@
     ) -> Vec<Action> {
         match event {
             Event::Part { attempt, part } if &attempt == current => {
-                self.evidence.ran();
+                self.evidence.prompt_ran();
                 match self.check.judge(&part) {
                     Verdict::Prefilled { handle } => {
                         self.attempts += 1;
@@ -76,7 +76,7 @@
                 }
             }
             Event::Opened { attempt } if &attempt == current => {
-                self.evidence.handed_over();
+                self.evidence.prompt_handed_over();
                 Vec::new()
             }
             Event::Refused { attempt, refusal } if &attempt == current => {
@@ -85,7 +85,7 @@
             Event::NotSent { attempt } if &attempt == current => self.prefill_failed(prefill.engine),
             Event::DispatchTooLate { attempt } if &attempt == current => self.on_too_late(),
             Event::Ambiguous { attempt } | Event::Disconnected { attempt } if &attempt == current => {
-                self.evidence.handed_over();
+                self.evidence.prompt_handed_over();
                 let mut actions = vec![Action::Cancel {
                     engine: prefill.engine.clone(),
                 }];
--- /dev/null
+++ b/crates/gateway/src/claims.rs
@@ -0,0 +1,209 @@
+//! Carries writes to claim rows to the table service, many in one transaction.
+
+use crate::context::Context;
+use crate::stop::lock;
+use shelfjunction_core::identity::RequestId;
+use shelfjunction_core::ledger::batcher::{
+    Batch, BatchSettings, ClaimBatcher, ClaimWrite, Ticket, WriteAnswer,
+};
+use shelfjunction_core::ledger::row::StoredClaim;
+use shelfjunction_core::table::{PlatformError, RowKey, RowVersion, Transaction, TransactionOutcome};
+use shelfjunction_core::time::MonotonicTime;
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Condvar, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Threads that carry transactions out; as many as the batcher lets be on their way.
+pub(crate) const CLAIM_WORKERS: usize = 2;
+
+/// Longest sleep of a worker with nothing to do.
+const IDLE_STEP: Duration = Duration::from_millis(200);
+
+/// Most releases that wait; more are dropped and their keys stay taken until the retention ends.
+const RELEASES_KEPT: usize = 4_096;
+
+/// Pause between two tries to release a claim while the table is down.
+const RELEASE_PAUSE: Duration = Duration::from_millis(500);
+
+type Reply = Box<dyn FnOnce(WriteAnswer) + Send>;
+
+/// A claim to delete.
+#[derive(Clone, Debug)]
+pub(crate) struct Release {
+    /// The row.
+    pub(crate) key: RowKey,
+    /// The request that it must name.
+    pub(crate) request: RequestId,
+    /// Version that it has, if known.
+    pub(crate) expected: Option<RowVersion>,
+}
+
+struct Inner {
+    batcher: ClaimBatcher,
+    replies: HashMap<Ticket, Reply>,
+    releases: VecDeque<Release>,
+}
+
+/// Writes that wait, and the threads' meeting point.
+pub(crate) struct ClaimLedger {
+    inner: Mutex<Inner>,
+    changed: Condvar,
+}
+
+impl Default for ClaimLedger {
+    fn default() -> Self {
+        let settings = BatchSettings {
+            in_flight: CLAIM_WORKERS,
+            ..BatchSettings::default()
+        };
+        Self {
+            inner: Mutex::new(Inner {
+                batcher: ClaimBatcher::new(settings),
+                replies: HashMap::new(),
+                releases: VecDeque::new(),
+            }),
+            changed: Condvar::new(),
+        }
+    }
+}
+
+impl ClaimLedger {
+    /// Hands in a write; `reply` is called once with what became of it.
+    pub(crate) fn write(
+        &self,
+        write: ClaimWrite,
+        now: MonotonicTime,
+        reply: impl FnOnce(WriteAnswer) + Send + 'static,
+    ) {
+        let mut inner = lock(&self.inner);
+        let Some(ticket) = inner.batcher.submit(write, now) else {
+            drop(inner);
+            return reply(WriteAnswer::Failed(PlatformError::Unavailable));
+        };
+        inner.replies.insert(ticket, Box::new(reply));
+        self.changed.notify_all();
+    }
+
+    /// Hands in a write whose fate nobody waits for.
+    pub(crate) fn write_later(&self, write: ClaimWrite, now: MonotonicTime) {
+        self.write(write, now, |answer| {
+            if let WriteAnswer::Failed(error) = answer {
+                log::debug!(error:? = error; "claim_not_recorded");
+            }
+        });
+    }
+
+    /// Hands in a claim to delete.
+    pub(crate) fn release(&self, release: Release) {
+        let mut inner = lock(&self.inner);
+        if inner.releases.len() >= RELEASES_KEPT {
+            log::warn!(key = release.key.0.as_str(); "claim_release_dropped");
+            return;
+        }
+        inner.releases.push_back(release);
+    }
+
+    /// Whether nothing waits any more.
+    pub(crate) fn is_idle(&self) -> bool {
+        let inner = lock(&self.inner);
+        inner.batcher.is_idle() && inner.releases.is_empty()
+    }
+
+    fn next_batch(&self, context: &Context) -> Option<Batch> {
+        let mut inner = lock(&self.inner);
+        let now = context.now();
+        if let Some(batch) = inner.batcher.poll(now) {
+            return Some(batch);
+        }
+        let wait = inner
+            .batcher
+            .due()
+            .map_or(IDLE_STEP, |due| due.since(now).min(IDLE_STEP));
+        drop(
+            self.changed
+                .wait_timeout(inner, wait)
+                .unwrap_or_else(PoisonError::into_inner),
+        );
+        None
+    }
+
+    fn settle(&self, batch: &Batch, outcome: Result<TransactionOutcome, PlatformError>, now: MonotonicTime) {
+        let mut answered = Vec::new();
+        let mut inner = lock(&self.inner);
+        for (ticket, answer) in inner.batcher.on_outcome(batch.batch, outcome, now) {
+            if let Some(reply) = inner.replies.remove(&ticket) {
+                answered.push((reply, answer));
+            }
+        }
+        drop(inner);
+        self.changed.notify_all();
+        for (reply, answer) in answered {
+            reply(answer);
+        }
+    }
+}
+
+/// Carries transactions out until the gateway ends.
+pub(crate) fn run_worker(context: &Context) {
+    while !(context.stop.is_set() && context.claims.is_idle()) {
+        let Some(batch) = context.claims.next_batch(context) else {
+            continue;
+        };
+        let outcome = context.backends.table.transact(&batch.transaction);
+        if let Err(error) = &outcome {
+            context.metrics.platform_errors.inc();
+            log::debug!(error:? = error; "claims_not_written");
+        }
+        context.claims.settle(&batch, outcome, context.now());
+    }
+}
+
+/// Deletes claims under which nothing ran, again and again until the table answers or the gateway ends.
+pub(crate) fn run_releases(context: &Context) {
+    loop {
+        let next = lock(&context.claims.inner).releases.pop_front();
+        match next {
+            Some(release) => {
+                if carry_out(context, &release).is_err() {
+                    context.metrics.platform_errors.inc();
+                    if context.stop.wait(RELEASE_PAUSE) {
+                        log::warn!(key = release.key.0.as_str(); "claim_left_behind");
+                        return;
+                    }
+                    context.claims.release(release);
+                }
+            }
+            None if context.stop.wait(Duration::from_millis(20)) => return,
+            None => {}
+        }
+    }
+}
+
+/// A claim that changed in between belongs to somebody else and is left alone.
+fn carry_out(context: &Context, release: &Release) -> Result<(), PlatformError> {
+    let table = &context.backends.table;
+    let expected = match release.expected {
+        Some(version) => version,
+        None => match table.read(&release.key)? {
+            Some(row) => {
+                let claim = StoredClaim::read(&row);
+                if claim.row.is_none_or(|row| row.request != release.request) {
+                    return Ok(());
+                }
+                claim.version
+            }
+            None => return Ok(()),
+        },
+    };
+    let transaction = Transaction {
+        checks: vec![shelfjunction_core::table::Check {
+            key: release.key.clone(),
+            expected: Some(expected),
+        }],
+        writes: vec![shelfjunction_core::table::Write {
+            key: release.key.clone(),
+            value: None,
+        }],
+    };
+    table.transact(&transaction).map(|_| ())
+}
--- /dev/null
+++ b/crates/gateway/src/context.rs
@@ -0,0 +1,93 @@
+//! What every thread of a gateway shares.
+
+use crate::admission_gate::AdmissionGate;
+use crate::claims::ClaimLedger;
+use crate::config::GatewayConfig;
+use crate::metrics::Metrics;
+use crate::registry::Registry;
+use crate::stop::{StopSignal, lock};
+use crate::usage::UsageTable;
+use crate::watch::bundles::BundleView;
+use crate::watch::fleet_view::FleetView;
+use rand::{RngCore, SeedableRng};
+use rand_chacha::ChaCha20Rng;
+use shelfjunction_core::demand::estimator::DemandEstimator;
+use shelfjunction_core::retry::backoff::Backoff;
+use shelfjunction_core::retry::budget::{RetryBudget, RetryBudgetSettings};
+use shelfjunction_core::tenancy::CacheSecret;
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_platform::clock::MonotonicClock;
+use shelfjunction_platform::engine::EngineClient;
+use shelfjunction_platform::services::{ObjectStore, TableService};
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
+
+/// The systems outside.
+#[derive(Clone)]
+pub struct Backends {
+    /// The transactional table service.
+    pub table: Arc<dyn TableService>,
+    /// The object store.
+    pub objects: Arc<dyn ObjectStore>,
+    /// How engines are spoken to.
+    pub engines: Arc<dyn EngineClient>,
+}
+
+/// State shared by the threads of one gateway.
+pub(crate) struct Context {
+    pub(crate) config: GatewayConfig,
+    pub(crate) clock: MonotonicClock,
+    pub(crate) backends: Backends,
+    pub(crate) secret: CacheSecret,
+    pub(crate) bundles: BundleView,
+    pub(crate) fleet: Mutex<FleetView>,
+    pub(crate) admission: AdmissionGate,
+    pub(crate) demand: Mutex<DemandEstimator>,
+    pub(crate) retry_budget: Mutex<RetryBudget>,
+    pub(crate) backoff: Backoff,
+    pub(crate) claims: ClaimLedger,
+    pub(crate) registry: Registry,
+    pub(crate) usage: UsageTable,
+    pub(crate) metrics: Metrics,
+    /// Set when a planned stop begins: nothing new is taken.
+    pub(crate) stopping: AtomicBool,
+    /// Set when every request has ended: background threads end.
+    pub(crate) stop: StopSignal,
+    random: Mutex<ChaCha20Rng>,
+}
+
+impl Context {
+    /// Fresh state for a gateway that starts now.
+    pub(crate) fn new(config: GatewayConfig, secret: CacheSecret, backends: Backends) -> Self {
+        let clock = MonotonicClock::start();
+        Self {
+            clock,
+            secret,
+            bundles: BundleView::new(config.roots.clone(), config.zone.clone()),
+            fleet: Mutex::new(FleetView::new(config.routing.clone())),
+            admission: AdmissionGate::new(config.admission.clone()),
+            demand: Mutex::new(DemandEstimator::new(clock.now())),
+            retry_budget: Mutex::new(RetryBudget::new(RetryBudgetSettings::default())),
+            backoff: Backoff::default(),
+            claims: ClaimLedger::default(),
+            registry: Registry::new(config.requests.streams),
+            usage: UsageTable::default(),
+            metrics: Metrics::new(),
+            stopping: AtomicBool::new(false),
+            stop: StopSignal::default(),
+            random: Mutex::new(ChaCha20Rng::from_os_rng()),
+            backends,
+            config,
+        }
+    }
+
+    /// The present instant.
+    pub(crate) fn now(&self) -> MonotonicTime {
+        self.clock.now()
+    }
+
+    /// Lends the process's random numbers.
+    pub(crate) fn with_random<T>(&self, use_random: impl FnOnce(&mut dyn RngCore) -> T) -> T {
+        use_random(&mut *lock(&self.random))
+    }
+}
