Number the kinds of service inside records, so that bincode can read them

Cause: the type names its kind inside the object, which bincode writes but cannot read back; every datagram with a record and every frame of records to a gateway was undecodable. Ruled out: changing the platform's JSON form. Figures: the model test of membership failed at its first delivered datagram before, and no more after. Conclusion: only the two record fields changed; the JSON form of machines stays.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -20,6 +20,7 @@
 pub mod quantity;
 pub mod record;
 pub mod rendezvous;
+mod service_format;
 pub mod spread;
 pub mod store;
 pub mod subject;
--- a/crates/core/src/membership/record.rs
+++ b/crates/core/src/membership/record.rs
@@ -51,6 +51,7 @@
     /// Its zone.
     pub zone: ZoneId,
     /// Where it listens.
+    #[serde(with = "super::service_format")]
     pub service: MachineService,
     /// Whether it is thought to live.
     pub liveness: Liveness,
@@ -64,6 +65,7 @@
     /// Its zone.
     pub zone: ZoneId,
     /// Where it listens and what it runs.
+    #[serde(with = "super::service_format")]
     pub service: MachineService,
     /// Whether the platform takes it away.
     pub machine_state: MachineState,
