--- /dev/null
+++ b/crates/lab/src/cluster/mod.rs
@@ -0,0 +1,7 @@
+//! A whole small deployment as threads of one process.
+
+pub mod addresses;
+pub mod deployment;
+pub mod layout;
+pub mod publish;
+mod tenants;
