Note at every beginning of a change whether it takes an engine from service

Cause: a change could be begun without saying so, and the crate did not compile. Conclusion: engines that hold no weights no longer use up the bound on changes at once.

--- a/crates/core/src/drain/coordinator.rs
+++ b/crates/core/src/drain/coordinator.rs
@@ -184,8 +184,12 @@
             engine: view.engine.clone(),
             goal: goal.clone(),
         });
-        self.changes
-            .insert(view.engine.clone(), Change { goal, since: now });
+        let change = Change {
+            goal,
+            since: now,
+            takes_from_service: !status.weights.is_empty(),
+        };
+        self.changes.insert(view.engine.clone(), change);
     }
 
     fn is_free(&self, view: &EngineView, now: MonotonicTime) -> bool {
@@ -194,8 +198,15 @@
             .get(&view.engine)
             .is_some_and(|until| now < *until);
         let changing = self.changes.contains_key(&view.engine);
-        let costly = self.changes.values().filter(|change| change.takes_from_service).count();
-        let empty = view.status.as_ref().is_some_and(|status| status.weights.is_empty());
+        let costly = self
+            .changes
+            .values()
+            .filter(|change| change.takes_from_service)
+            .count();
+        let empty = view
+            .status
+            .as_ref()
+            .is_some_and(|status| status.weights.is_empty());
         !paused && !changing && (empty || costly < self.limits.concurrent)
     }
 
