Size the zones of a deployment and wait until it serves

Cause: process proofs need fewer engines than the users have. Conclusion: readiness is a real call that gave a whole answer.

--- a/crates/lab/src/cluster/deployment.rs
+++ b/crates/lab/src/cluster/deployment.rs
@@ -14,12 +14,6 @@
 };
 use shelfjunction_core::service_class::{ClassTarget, ServiceClass};
 
-/// Model engines in each zone.
-pub const MODEL_ENGINES_PER_ZONE: usize = 3;
-
-/// Application engines in each zone.
-pub const APPLICATION_ENGINES_PER_ZONE: usize = 1;
-
 /// Size of a model's weights, in bytes; small, so that a stand-in loads them at once.
 const WEIGHT_BYTES: u64 = 1_000_000;
 
--- a/crates/lab/src/cluster/layout.rs
+++ b/crates/lab/src/cluster/layout.rs
@@ -1,12 +1,32 @@
 //! Where every part of a small deployment runs, decided before anything starts.
 
 use super::addresses::unused_address;
-use super::deployment::{APPLICATION_ENGINES_PER_ZONE, Deployment, MODEL_ENGINES_PER_ZONE};
+use super::deployment::Deployment;
 use shelfjunction_core::bundle::content::ModelKind;
 use shelfjunction_core::identity::{EngineId, NodeId, ZoneId};
 use shelfjunction_core::machine::{Machine, MachineService, MachineState};
 use std::net::SocketAddr;
 
+/// Parts in each zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ZoneSize {
+    /// Nodes, each a gateway and a controller.
+    pub nodes: usize,
+    /// Engines that run the model.
+    pub model_engines: usize,
+    /// Engines that run the application.
+    pub application_engines: usize,
+}
+
+impl ZoneSize {
+    /// As the first users have it today.
+    pub const TODAY: Self = Self {
+        nodes: 1,
+        model_engines: 3,
+        application_engines: 1,
+    };
+}
+
 /// Addresses of a whole deployment on loopback.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ClusterLayout {
@@ -49,18 +69,18 @@
 }
 
 impl ClusterLayout {
-    /// Gives every part of the deployment an address; each zone gets so many nodes.
-    pub fn new(deployment: Deployment, nodes_per_zone: usize) -> std::io::Result<Self> {
+    /// Gives every part of the deployment an address.
+    pub fn new(deployment: Deployment, size: ZoneSize) -> std::io::Result<Self> {
         let mut nodes = Vec::new();
         let mut engines = Vec::new();
         for zone in &deployment.zones {
-            for index in 1..=nodes_per_zone {
+            for index in 1..=size.nodes {
                 nodes.push(NodeLayout::new(zone, index)?);
             }
-            for index in 1..=MODEL_ENGINES_PER_ZONE {
+            for index in 1..=size.model_engines {
                 engines.push(EngineLayout::new(zone, ModelKind::Model, index)?);
             }
-            for index in 1..=APPLICATION_ENGINES_PER_ZONE {
+            for index in 1..=size.application_engines {
                 engines.push(EngineLayout::new(zone, ModelKind::Application, index)?);
             }
         }
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -4,4 +4,5 @@
 pub mod deployment;
 pub mod layout;
 pub mod publish;
+pub mod readiness;
 mod tenants;
