--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine_watch;
 pub mod errors;
 pub mod fleet;
+pub mod gossip;
 mod handle;
 mod http;
 mod machine_watch;
