--- a/crates/core/src/drain/coordinator.rs
+++ b/crates/core/src/drain/coordinator.rs
@@ -184,8 +184,12 @@
             engine: view.engine.clone(),
             goal: goal.clone(),
         });
-        self.changes
-            .insert(view.engine.clone(), Change { goal, since: now });
+        let change = Change {
+            goal,
+            since: now,
+            takes_from_service: !status.weights.is_empty(),
+        };
+        self.changes.insert(view.engine.clone(), change);
     }
 
     fn is_free(&self, view: &EngineView, now: MonotonicTime) -> bool {
