Serve callers: admission, routing, claims, streams, fetch, cancel and metrics

Cause: the gateway's callers' API, driven by the request machine of core. Ruled out: one thread that both waits for an engine and for its caller; a deadline or a cancel would be seen only when the engine's next part comes. Each dispatch reads on a thread of its own with a bounded channel.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -181,7 +181,11 @@
     fn check_numbers(&self, errors: &mut Vec<FieldError>) {
         let (requests, timings) = (&self.requests, &self.timings);
         let numbers = [
-            ("requests.streams", requests.streams as u64, MAXIMUM_STREAMS as u64),
+            (
+                "requests.streams",
+                requests.streams as u64,
+                MAXIMUM_STREAMS as u64,
+            ),
             (
                 "requests.default_max_tokens",
                 requests.default_max_tokens.into(),
@@ -202,13 +206,21 @@
                 requests.maximum_deadline_millis,
                 MAXIMUM_MILLIS,
             ),
-            ("requests.answer_bytes", requests.answer_bytes as u64, u32::MAX.into()),
+            (
+                "requests.answer_bytes",
+                requests.answer_bytes as u64,
+                u32::MAX.into(),
+            ),
             (
                 "requests.key_retention_millis",
                 requests.key_retention_millis,
                 365 * MAXIMUM_MILLIS,
             ),
-            ("timings.bundle_poll_millis", timings.bundle_poll_millis, MAXIMUM_MILLIS),
+            (
+                "timings.bundle_poll_millis",
+                timings.bundle_poll_millis,
+                MAXIMUM_MILLIS,
+            ),
             (
                 "timings.cache_events_millis",
                 timings.cache_events_millis,
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -19,7 +19,6 @@
 use shelfjunction_platform::clock::MonotonicClock;
 use shelfjunction_platform::engine::EngineClient;
 use shelfjunction_platform::services::{ObjectStore, TableService};
-use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 
 /// The systems outside.
@@ -50,7 +49,7 @@
     pub(crate) usage: UsageTable,
     pub(crate) metrics: Metrics,
     /// Set when a planned stop begins: nothing new is taken.
-    pub(crate) stopping: AtomicBool,
+    pub(crate) stopping: StopSignal,
     /// Set when every request has ended: background threads end.
     pub(crate) stop: StopSignal,
     random: Mutex<ChaCha20Rng>,
@@ -73,7 +72,7 @@
             registry: Registry::new(config.requests.streams),
             usage: UsageTable::default(),
             metrics: Metrics::new(),
-            stopping: AtomicBool::new(false),
+            stopping: StopSignal::default(),
             stop: StopSignal::default(),
             random: Mutex::new(ChaCha20Rng::from_os_rng()),
             backends,
--- /dev/null
+++ b/crates/gateway/src/course/driver.rs
@@ -0,0 +1,513 @@
+//! The loop that drives one request's machine.
+
+use super::engine_calls;
+use super::sink::{AnswerSink, Delivery, SinkClosed};
+use crate::claims::Release;
+use crate::context::Context;
+use crate::metrics::{cause_name, outcome_name};
+use crate::stop::lock;
+use shelfjunction_core::admission::AdmissionTicket;
+use shelfjunction_core::engine::{AnswerPart, Role};
+use shelfjunction_core::identity::{AttemptId, EngineId, RequestId};
+use shelfjunction_core::ledger::batcher::{ClaimWrite, WriteAnswer};
+use shelfjunction_core::outcome::{Outcome, Refusal};
+use shelfjunction_core::request::event::{Action, Event};
+use shelfjunction_core::request::machine::RequestMachine;
+use shelfjunction_core::request::specification::{Placement, Target};
+use shelfjunction_core::routing::{DispatchTicket, FinishedWork, Route, RouteQuery};
+use shelfjunction_core::table::PlatformError;
+use shelfjunction_core::time::MonotonicTime;
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Longest wait before it is looked whether the caller is still there.
+const CALLER_CHECK: Duration = Duration::from_millis(500);
+
+/// When to come back after no engine could be chosen.
+const NOWHERE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// One request that is ready to run.
+pub(crate) struct Course<'a> {
+    pub(crate) context: &'a Arc<Context>,
+    pub(crate) machine: RequestMachine,
+    pub(crate) query: RouteQuery,
+    pub(crate) admission: Option<&'a AdmissionTicket>,
+    pub(crate) arrived: MonotonicTime,
+    pub(crate) events: (SyncSender<Event>, Receiver<Event>),
+    pub(crate) delivered: Arc<AtomicU32>,
+}
+
+/// How a course ended.
+#[derive(Clone, Debug)]
+pub(crate) struct CourseEnd {
+    /// Absent: the caller went away and the engine goes on.
+    pub(crate) outcome: Option<Outcome>,
+    /// The request, as engines know it; another one's where its claim was joined.
+    pub(crate) request: RequestId,
+    /// The engine that was asked last.
+    pub(crate) engine: Option<EngineId>,
+    /// Output tokens handed to the caller.
+    pub(crate) tokens: u32,
+}
+
+/// A dispatch that the router counts.
+struct Dispatched {
+    engine: EngineId,
+    attempt: AttemptId,
+    ticket: DispatchTicket,
+    first_part: Option<Duration>,
+    tokens: u32,
+}
+
+struct Driver<'a, 's> {
+    course: Course<'a>,
+    sink: &'s mut dyn AnswerSink,
+    pending: VecDeque<Action>,
+    deferred: Option<(MonotonicTime, Action)>,
+    dispatched: Option<Dispatched>,
+    engine: Option<EngineId>,
+    late_claim: LateClaim,
+    tokens: u32,
+    caller_gone: bool,
+}
+
+/// Holds the machine of a course that ended before its claim was answered.
+type LateClaim = Arc<Mutex<Option<RequestMachine>>>;
+
+/// Runs a course to its end, beginning with the given actions.
+pub(crate) fn drive(course: Course<'_>, first: Vec<Action>, sink: &mut dyn AnswerSink) -> CourseEnd {
+    let mut driver = Driver {
+        course,
+        sink,
+        pending: first.into(),
+        deferred: None,
+        dispatched: None,
+        engine: None,
+        late_claim: LateClaim::default(),
+        tokens: 0,
+        caller_gone: false,
+    };
+    loop {
+        if let Some(outcome) = driver.carry_out_pending() {
+            return driver.end(outcome);
+        }
+        if let Some(event) = driver.next_event() {
+            driver.take(event);
+        }
+    }
+}
+
+impl Driver<'_, '_> {
+    /// Carries out what is pending; present when the course is over.
+    fn carry_out_pending(&mut self) -> Option<Option<Outcome>> {
+        while let Some(action) = self.pending.pop_front() {
+            match action {
+                Action::Finish(outcome) => return Some(Some(outcome)),
+                Action::Detach => return Some(None),
+                action => self.carry_out(action),
+            }
+        }
+        None
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.course.context.now();
+        self.observe(&event, now);
+        let actions = self.course.machine.handle(event, now);
+        self.pending.extend(actions);
+    }
+
+    /// Waits for the next event; absent when a deferred action has come due instead.
+    fn next_event(&mut self) -> Option<Event> {
+        let now = self.course.context.now();
+        let deadline = self.course.machine.specification().deadline;
+        if now >= deadline {
+            return Some(Event::DeadlineReached);
+        }
+        if self.caller_gone {
+            return Some(Event::CallerGone);
+        }
+        if self.deferred.as_ref().is_some_and(|(due, _)| *due <= now) {
+            let action = self.deferred.take().map(|(_, action)| action);
+            self.pending.extend(action);
+            return None;
+        }
+        let due = self.deferred.as_ref().map_or(deadline, |(due, _)| *due);
+        let wait = due.min(deadline).since(now).min(CALLER_CHECK);
+        match self.course.events.1.recv_timeout(wait) {
+            Ok(event) => Some(event),
+            Err(RecvTimeoutError::Timeout) => {
+                self.caller_gone = self.sink.caller_is_gone();
+                None
+            }
+            Err(RecvTimeoutError::Disconnected) => Some(Event::DeadlineReached),
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        let now = self.course.context.now();
+        let sender = &self.course.events.0.clone();
+        match action {
+            Action::Choose { not_before, .. } | Action::AskRunState { not_before, .. }
+                if not_before > now =>
+            {
+                self.deferred = Some((not_before, action));
+            }
+            Action::Choose {
+                excluded, whole_only, ..
+            } => self.choose(excluded, whole_only, now),
+            Action::Claim { key, row, expected } => self.claim(
+                ClaimWrite {
+                    key,
+                    expected,
+                    value: Some(row.text()),
+                },
+                now,
+            ),
+            Action::Dispatch {
+                target,
+                call,
+                not_after,
+            } => {
+                self.count_dispatch(&target, call.attempt.clone(), now);
+                engine_calls::dispatch(self.course.context, sender, target, call, not_after);
+            }
+            Action::Resume {
+                engine,
+                attempt,
+                offset,
+            } => {
+                self.engine = Some(engine.clone());
+                let request = self.course.machine.specification().request.clone();
+                engine_calls::resume(self.course.context, sender, &engine, request, attempt, offset);
+            }
+            Action::AskRunState { engine, .. } => {
+                self.engine = Some(engine.clone());
+                let request = self.course.machine.specification().request.clone();
+                engine_calls::ask_run_state(self.course.context, sender, engine, request);
+            }
+            Action::AskRetry { tried } => self.ask_retry(tried, now),
+            Action::Emit(part) => self.emit(&part, now),
+            Action::Cancel { engine } => {
+                let request = self.course.machine.specification().request.clone();
+                engine_calls::cancel(self.course.context, &engine, request);
+            }
+            action => carry_out_aside(self.course.context, action, now),
+        }
+    }
+
+    fn choose(&mut self, excluded: Vec<EngineId>, whole_only: bool, now: MonotonicTime) {
+        let context = self.course.context;
+        let mut query = self.course.query.clone();
+        query.excluded = excluded;
+        let fleet = lock(&context.fleet);
+        if whole_only {
+            let one_phase = fleet
+                .router
+                .engines()
+                .filter(|(_, view)| view.role() != Role::Mixed);
+            query.excluded.extend(one_phase.map(|(engine, _)| engine.clone()));
+        }
+        let route = context.with_random(|random| fleet.router.choose(&query, now, random));
+        let target = |engine: EngineId, address| Target {
+            incarnation: fleet.incarnation(&engine),
+            engine,
+            address,
+        };
+        let event = match route {
+            Route::Whole { engine, address } => Event::Placed(Placement::Whole(target(engine, address))),
+            Route::Split { prefill, decode } => Event::Placed(Placement::Split {
+                prefill: target(prefill.engine, prefill.address),
+                decode: target(decode.engine, decode.address),
+            }),
+            Route::Nowhere(reason) => Event::Nowhere(Refusal {
+                reason,
+                retry_after: Some(NOWHERE_RETRY_AFTER),
+            }),
+        };
+        drop(fleet);
+        self.take(event);
+    }
+
+    fn claim(&mut self, write: ClaimWrite, now: MonotonicTime) {
+        let context = Arc::clone(self.course.context);
+        let sender = self.course.events.0.clone();
+        let late_claim = Arc::clone(&self.late_claim);
+        context.metrics.claims.inc();
+        let reply_context = Arc::clone(&context);
+        context.claims.write(write, now, move |answer| {
+            let event = claim_event(answer);
+            if matches!(event, Event::ClaimExists(_)) {
+                reply_context.metrics.claims_met.inc();
+            }
+            let mut late = lock(&late_claim);
+            match late.as_mut() {
+                None => engine_calls::send_aside(&sender, event),
+                Some(machine) => {
+                    let now = reply_context.now();
+                    for action in machine.handle(event, now) {
+                        carry_out_aside(&reply_context, action, now);
+                    }
+                }
+            }
+        });
+    }
+
+    fn ask_retry(&mut self, tried: u32, now: MonotonicTime) {
+        let context = self.course.context;
+        let event = if lock(&context.retry_budget).withdraw() {
+            context.metrics.retries.inc();
+            let pause = context.with_random(|random| context.backoff.pause(tried, random));
+            Event::RetryGranted {
+                not_before: now + pause,
+            }
+        } else {
+            context.metrics.retries_denied.inc();
+            Event::RetryDenied
+        };
+        self.take(event);
+    }
+
+    fn emit(&mut self, part: &AnswerPart, now: MonotonicTime) {
+        let delivery = Delivery {
+            request: &self.course.machine.specification().request,
+            engine: self.engine.as_ref(),
+        };
+        let delivered = match part {
+            AnswerPart::Token { offset, text, .. } => self.sink.token(delivery, *offset, text),
+            AnswerPart::Finished {
+                tokens,
+                cached_prompt_tokens,
+                ..
+            } => self.sink.finished(delivery, *tokens, *cached_prompt_tokens),
+            _ => Ok(()),
+        };
+        match part {
+            AnswerPart::Token { .. } if delivered.is_ok() => self.count_token(now),
+            AnswerPart::Finished {
+                tokens,
+                cached_prompt_tokens,
+                ..
+            } => self.learn_lengths(*tokens, *cached_prompt_tokens, now),
+            _ => {}
+        }
+        if delivered == Err(SinkClosed) {
+            self.caller_gone = true;
+        }
+    }
+
+    fn count_token(&mut self, now: MonotonicTime) {
+        let context = self.course.context;
+        if self.tokens == 0 {
+            context.metrics.first_token(now.since(self.course.arrived));
+            if let Some(ticket) = self.course.admission {
+                context.admission.on_first_part(ticket, now);
+            }
+        }
+        self.tokens += 1;
+        self.course.delivered.fetch_add(1, Ordering::Relaxed);
+        context.metrics.tokens.inc();
+    }
+
+    fn learn_lengths(&mut self, tokens: u32, cached: u32, now: MonotonicTime) {
+        let context = self.course.context;
+        context.metrics.whole_answer(now.since(self.course.arrived));
+        let query = &self.course.query;
+        lock(&context.demand).on_finished(&query.model, query.class, query.prompt_tokens, cached, tokens);
+    }
+
+    fn count_dispatch(&mut self, target: &Target, attempt: AttemptId, now: MonotonicTime) {
+        let context = self.course.context;
+        let mut fleet = lock(&context.fleet);
+        self.abandon_dispatch(&mut fleet.router);
+        let ticket = fleet
+            .router
+            .on_dispatched(&target.engine, &self.course.query, now);
+        let zone = fleet.zone(&target.engine);
+        drop(fleet);
+        let request = &self.course.machine.specification().request;
+        context.registry.placed(request, &target.engine, zone);
+        self.engine = Some(target.engine.clone());
+        self.dispatched = Some(Dispatched {
+            engine: target.engine.clone(),
+            attempt,
+            ticket,
+            first_part: None,
+            tokens: 0,
+        });
+    }
+
+    fn abandon_dispatch(&mut self, router: &mut shelfjunction_core::routing::KvRouter) {
+        if let Some(dispatched) = self.dispatched.take() {
+            router.on_abandoned(&dispatched.engine, &dispatched.ticket);
+        }
+    }
+
+    /// Tells the router what became of its dispatch.
+    fn observe(&mut self, event: &Event, now: MonotonicTime) {
+        let Some(dispatched) = self.dispatched.as_mut() else {
+            return;
+        };
+        if event_attempt(event) != Some(&dispatched.attempt) {
+            return;
+        }
+        let context = self.course.context;
+        match event {
+            Event::Part { part, .. } => {
+                if dispatched.first_part.is_none() {
+                    dispatched.first_part = Some(now.since(dispatched.ticket.sent_at));
+                    lock(&context.fleet)
+                        .router
+                        .on_first_part(&dispatched.engine, &dispatched.ticket, now);
+                }
+                match part {
+                    AnswerPart::Token { .. } => dispatched.tokens += 1,
+                    AnswerPart::Prefilled { .. } | AnswerPart::Finished { .. } => {
+                        finish_dispatch(context, self.dispatched.take(), now);
+                    }
+                    AnswerPart::Failed { .. } => self.abandon_dispatch(&mut lock(&context.fleet).router),
+                }
+            }
+            Event::Refused { refusal, .. } => {
+                lock(&context.fleet).router.on_refused(
+                    &dispatched.engine,
+                    &dispatched.ticket,
+                    refusal.reason,
+                    now,
+                );
+                self.dispatched = None;
+            }
+            Event::NotSent { .. } | Event::Ambiguous { .. } | Event::Disconnected { .. } => {
+                lock(&context.fleet)
+                    .router
+                    .on_broken(&dispatched.engine, &dispatched.ticket, now);
+                self.dispatched = None;
+            }
+            Event::DispatchTooLate { .. } => self.abandon_dispatch(&mut lock(&context.fleet).router),
+            _ => {}
+        }
+    }
+
+    fn end(mut self, outcome: Option<Outcome>) -> CourseEnd {
+        let context = self.course.context;
+        self.abandon_dispatch(&mut lock(&context.fleet).router);
+        self.settle_late_claim();
+        let specification = self.course.machine.specification();
+        let engine = self.engine.clone();
+        log_end(
+            context,
+            &self.course,
+            outcome.as_ref(),
+            engine.as_ref(),
+            self.tokens,
+        );
+        CourseEnd {
+            request: specification.request.clone(),
+            outcome,
+            engine,
+            tokens: self.tokens,
+        }
+    }
+
+    /// Leaves the machine for a claim's answer that is still to come, and hands in one that came just now.
+    fn settle_late_claim(&mut self) {
+        if !self.course.machine.awaits_claim() {
+            return;
+        }
+        let context = self.course.context;
+        let mut late = lock(&self.late_claim);
+        let now = context.now();
+        while let Ok(event) = self.course.events.1.try_recv() {
+            for action in self.course.machine.handle(event, now) {
+                carry_out_aside(context, action, now);
+            }
+        }
+        *late = Some(self.course.machine.clone());
+    }
+}
+
+/// Carries out what nobody waits for.
+fn carry_out_aside(context: &Context, action: Action, now: MonotonicTime) {
+    match action {
+        Action::Release {
+            key,
+            request,
+            expected,
+        } => context.claims.release(Release {
+            key,
+            request,
+            expected,
+        }),
+        Action::Settle { key, row, expected } => {
+            let write = ClaimWrite {
+                key,
+                expected: Some(expected),
+                value: Some(row.text()),
+            };
+            context.claims.write_later(write, now);
+        }
+        _ => {}
+    }
+}
+
+fn finish_dispatch(context: &Context, dispatched: Option<Dispatched>, now: MonotonicTime) {
+    let Some(dispatched) = dispatched else {
+        return;
+    };
+    let work = FinishedWork {
+        output_tokens: dispatched.tokens,
+        first_token: dispatched.first_part,
+        total: now.since(dispatched.ticket.sent_at),
+    };
+    lock(&context.fleet)
+        .router
+        .on_finished(&dispatched.engine, &dispatched.ticket, &work, now);
+}
+
+fn claim_event(answer: WriteAnswer) -> Event {
+    match answer {
+        WriteAnswer::Committed { version } => Event::ClaimCommitted { version },
+        WriteAnswer::Exists(claim) => Event::ClaimExists(claim),
+        WriteAnswer::Gone => Event::ClaimFailed(PlatformError::Malformed("the claim is gone".to_owned())),
+        WriteAnswer::Failed(error) => Event::ClaimFailed(error),
+    }
+}
+
+fn event_attempt(event: &Event) -> Option<&AttemptId> {
+    match event {
+        Event::Part { attempt, .. }
+        | Event::Refused { attempt, .. }
+        | Event::NotSent { attempt }
+        | Event::Ambiguous { attempt }
+        | Event::Disconnected { attempt }
+        | Event::DispatchTooLate { attempt } => Some(attempt),
+        _ => None,
+    }
+}
+
+fn log_end(
+    context: &Context,
+    course: &Course<'_>,
+    outcome: Option<&Outcome>,
+    engine: Option<&EngineId>,
+    tokens: u32,
+) {
+    let specification = course.machine.specification();
+    let generation = context.bundles.served();
+    log::info!(
+        request:% = specification.request,
+        tenant:% = specification.tenant,
+        zone:% = context.config.zone,
+        generation = generation.map_or(0, |served| served.bundle.generation().0),
+        model:% = specification.model,
+        outcome = outcome_name(outcome),
+        cause = cause_name(outcome).as_str(),
+        engine = engine.map_or("", |engine| engine.as_str()),
+        tokens = tokens,
+        millis = context.now().since(course.arrived).as_millis() as u64;
+        "request_ended"
+    );
+}
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -5,8 +5,8 @@
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::time::MonotonicTime;
 use std::collections::HashMap;
-use std::sync::mpsc::SyncSender;
 use std::sync::atomic::AtomicU32;
+use std::sync::mpsc::SyncSender;
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 
 /// One request in flight.
@@ -69,10 +69,7 @@
     pub(crate) fn wait_until_empty(&self) {
         let mut places = lock(&self.places);
         while *places > 0 {
-            places = self
-                .emptied
-                .wait(places)
-                .unwrap_or_else(PoisonError::into_inner);
+            places = self.emptied.wait(places).unwrap_or_else(PoisonError::into_inner);
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/serve/access.rs
@@ -0,0 +1,58 @@
+//! What every call of the callers' API passes first: a running gateway, a current bundle, a known caller.
+
+use super::refusal::{CallerError, refusal_sentence};
+use crate::context::Context;
+use crate::watch::bundles::ServedBundle;
+use shelfjunction_core::bundle::content::TenantRule;
+use shelfjunction_core::identity::ZoneId;
+use shelfjunction_core::outcome::{Refusal, RefusalReason};
+use shelfjunction_core::residency;
+use shelfjunction_http::HttpRequest;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// When to come back to a node that stops or is cut off: another one will do at once.
+const OTHER_NODE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A caller who may call.
+pub(super) struct Caller {
+    pub(super) served: Arc<ServedBundle>,
+    pub(super) tenant: TenantRule,
+    /// Secret salt of the tenant.
+    pub(super) salt: String,
+    /// Zones that may serve the tenant.
+    pub(super) zones: Vec<ZoneId>,
+}
+
+/// Lets a caller in, or says why not.
+pub(super) fn authenticate(context: &Context, request: &HttpRequest) -> Result<Caller, CallerError> {
+    if context.stopping.is_set() {
+        return Err(refused(RefusalReason::Stopping));
+    }
+    let served = context.bundles.served();
+    let isolated = context.bundles.is_isolated(context.now());
+    let Some(served) = served.filter(|_| !isolated) else {
+        return Err(refused(RefusalReason::Isolated));
+    };
+    let token = request.bearer_token().unwrap_or_default();
+    let Some(tenant) = served.tenants.authenticate(token).cloned() else {
+        context.metrics.bad_input("unauthenticated");
+        let reason = RefusalReason::Unauthenticated;
+        return Err(CallerError::not_run(reason, refusal_sentence(reason)));
+    };
+    let zones = residency::allowed_zones(&tenant, &served.bundle.zones);
+    Ok(Caller {
+        salt: context.secret.salt(&tenant.tenant),
+        zones,
+        tenant,
+        served,
+    })
+}
+
+fn refused(reason: RefusalReason) -> CallerError {
+    let refusal = Refusal {
+        reason,
+        retry_after: Some(OTHER_NODE_RETRY_AFTER),
+    };
+    CallerError::refused(&refusal, refusal_sentence(reason))
+}
--- /dev/null
+++ b/crates/gateway/src/serve/completion.rs
@@ -0,0 +1,271 @@
+//! Completion calls: admission, then the request's course.
+
+use super::access::{self, Caller};
+use super::answers::AnswerFrame;
+use super::call::{self, Call, CallShape};
+use super::refusal::{CallerError, refusal_sentence};
+use super::sinks::{EventSink, WholeSink};
+use crate::admission_gate::Waited;
+use crate::context::Context;
+use crate::course::{Course, CourseEnd, drive};
+use crate::identifiers::{engine_request, new_nonce, public_id};
+use crate::registry::RunningRequest;
+use crate::stop::lock;
+use crate::watch::retention::unix_seconds;
+use shelfjunction_core::admission::{AdmissionQuery, AdmissionTicket, TenantLimits};
+use shelfjunction_core::identity::RequestId;
+use shelfjunction_core::outcome::{Outcome, Refusal, RefusalReason};
+use shelfjunction_core::request::event::Event;
+use shelfjunction_core::request::machine::RequestMachine;
+use shelfjunction_core::request::specification::{CourseLimits, RequestSpecification};
+use shelfjunction_core::routing::RouteQuery;
+use shelfjunction_core::routing::prefix::{PrefixScope, hash_prompt};
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_http::{Answered, HttpRequest, Responder};
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::mpsc::sync_channel;
+use std::time::Duration;
+
+/// Events that wait for a course; beyond them the engine's stream is held back.
+pub(super) const EVENTS_KEPT: usize = 64;
+
+/// Longest wait for admission before it is looked whether the caller is still there.
+const ADMISSION_STEP: Duration = Duration::from_millis(500);
+
+/// When to come back after every place for requests was taken.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Serves one completion call.
+pub(super) fn serve(
+    context: &Arc<Context>,
+    shape: CallShape,
+    request: &HttpRequest,
+    responder: Responder<'_>,
+) -> Answered {
+    let arrived = context.now();
+    let nonce = context.with_random(new_nonce);
+    let early_id = format!("req-{nonce}");
+    let caller = match access::authenticate(context, request) {
+        Ok(caller) => caller,
+        Err(error) => return responder.answer(&error.answer(Some(&early_id))),
+    };
+    let call = match call::read(shape, request, &caller, &context.config.requests) {
+        Ok(call) => call,
+        Err(error) => {
+            context.metrics.bad_input("invalid_call");
+            return responder.answer(&error.answer(Some(&early_id)));
+        }
+    };
+    let Some(_place) = context.registry.take_place() else {
+        let refusal = Refusal {
+            reason: RefusalReason::Overloaded,
+            retry_after: Some(FULL_RETRY_AFTER),
+        };
+        let error = CallerError::refused(&refusal, refusal_sentence(refusal.reason));
+        return responder.answer(&error.answer(Some(&early_id)));
+    };
+    let request = engine_request(&nonce, &caller.salt);
+    let admitted = Admitted::new(context, &caller, &call, request, arrived);
+    context.usage.begin(&caller.tenant.tenant);
+    context.metrics.in_flight.inc();
+    let (answered, outcome, tokens) = admitted.run(responder);
+    context.metrics.in_flight.dec();
+    context.metrics.ended(outcome.as_ref(), call.class);
+    let prompt_tokens = admitted.query.prompt_tokens;
+    context
+        .usage
+        .end(&caller.tenant.tenant, outcome.as_ref(), prompt_tokens, tokens);
+    answered
+}
+
+/// One call with everything that its course needs.
+struct Admitted<'a> {
+    context: &'a Arc<Context>,
+    caller: &'a Caller,
+    call: &'a Call,
+    request: RequestId,
+    query: RouteQuery,
+    arrived: MonotonicTime,
+    deadline: MonotonicTime,
+}
+
+impl<'a> Admitted<'a> {
+    fn new(
+        context: &'a Arc<Context>,
+        caller: &'a Caller,
+        call: &'a Call,
+        request: RequestId,
+        arrived: MonotonicTime,
+    ) -> Self {
+        let scope = PrefixScope {
+            salt: &caller.salt,
+            model: &call.model,
+            adapter: call.adapter.as_ref(),
+        };
+        let blocks = hash_prompt(&scope, &call.prompt);
+        let mut demand = lock(&context.demand);
+        demand.on_arrival(&call.model, call.class, blocks.tokens, arrived);
+        let expected = demand.expected_output_tokens(&call.model, call.class, call.max_tokens);
+        drop(demand);
+        let query = RouteQuery {
+            model: call.model.clone(),
+            adapter: call.adapter.clone(),
+            kind: call.kind,
+            prompt_blocks: blocks.hashes,
+            prompt_tokens: blocks.tokens,
+            expected_output_tokens: expected,
+            class: call.class,
+            allowed_zones: caller.zones.clone(),
+            home_zone: context.config.zone.clone(),
+            excluded: Vec::new(),
+        };
+        Self {
+            context,
+            caller,
+            call,
+            request,
+            query,
+            arrived,
+            deadline: arrived + call.deadline,
+        }
+    }
+
+    /// Runs the call; the outcome is absent where the caller went away while it ran.
+    fn run(&self, responder: Responder<'_>) -> (Answered, Option<Outcome>, u32) {
+        let ticket = match self.admit(&responder) {
+            Ok(ticket) => ticket,
+            Err(refusal) => {
+                let error = CallerError::refused(&refusal, refusal_sentence(refusal.reason));
+                let id = public_id(&self.request, None);
+                let answered = responder.answer(&error.answer(Some(&id)));
+                return (answered, Some(Outcome::NotRun(refusal)), 0);
+            }
+        };
+        lock(&self.context.retry_budget).deposit();
+        let frame = AnswerFrame {
+            shape: self.call.shape,
+            model: self.call.name.clone(),
+            prompt_tokens: self.query.prompt_tokens,
+            max_tokens: self.call.max_tokens,
+        };
+        let (answered, end) = if self.call.stream {
+            let mut sink = EventSink::new(frame, responder);
+            let end = self.drive(&ticket, &mut sink);
+            (sink.end(&end_id(&end), self.error(&end).as_ref()), end)
+        } else {
+            let limit = self.context.config.requests.answer_bytes;
+            let mut sink = WholeSink::new(frame, responder, limit);
+            let end = self.drive(&ticket, &mut sink);
+            (sink.end(&end_id(&end), self.error(&end).as_ref()), end)
+        };
+        self.context
+            .admission
+            .release(ticket, end.tokens, self.context.now());
+        (answered, end.outcome, end.tokens)
+    }
+
+    fn admit(&self, responder: &Responder<'_>) -> Result<AdmissionTicket, Refusal> {
+        let context = self.context;
+        let now = context.now();
+        let rule = &self.caller.tenant;
+        let estimate = lock(&context.fleet).router.estimate(&self.query, now);
+        let query = AdmissionQuery {
+            tenant: rule.tenant.clone(),
+            limits: TenantLimits {
+                requests_per_second: rule.requests_per_second,
+                tokens_in_flight: rule.tokens_in_flight,
+                share: rule.share,
+            },
+            class: self.call.class,
+            model: self.call.model.clone(),
+            prompt_tokens: self.query.prompt_tokens,
+            expected_output_tokens: self.query.expected_output_tokens,
+            deadline: self.deadline.since(now),
+            estimate,
+        };
+        let ticket = context.with_random(|random| context.admission.admit(&query, now, random))?;
+        loop {
+            let refusal = match context.admission.wait(&ticket, ADMISSION_STEP) {
+                Waited::Started => return Ok(ticket),
+                Waited::Refused(refusal) => refusal,
+                Waited::Queued if context.now() >= self.deadline => Refusal {
+                    reason: RefusalReason::DeadlineUnreachable,
+                    retry_after: None,
+                },
+                Waited::Queued if responder.caller_is_gone() => Refusal {
+                    reason: RefusalReason::Cancelled,
+                    retry_after: None,
+                },
+                Waited::Queued => continue,
+            };
+            context.admission.release(ticket, 0, context.now());
+            return Err(refusal);
+        }
+    }
+
+    fn drive(&self, ticket: &AdmissionTicket, sink: &mut dyn crate::course::AnswerSink) -> CourseEnd {
+        let context = self.context;
+        let mut machine = RequestMachine::new(self.specification(), CourseLimits::default());
+        let (sender, receiver) = sync_channel(EVENTS_KEPT);
+        let delivered = Arc::new(AtomicU32::new(0));
+        context.registry.add(
+            self.request.clone(),
+            RunningRequest {
+                tenant: self.caller.tenant.tenant.clone(),
+                model: self.call.name.clone(),
+                since: self.arrived,
+                engine: None,
+                zone: None,
+                output_tokens: Arc::clone(&delivered),
+                events: sender.clone(),
+            },
+        );
+        let first = machine.handle(Event::Admitted, context.now());
+        let course = Course {
+            context,
+            machine,
+            query: self.query.clone(),
+            admission: Some(ticket),
+            arrived: self.arrived,
+            events: (sender, receiver),
+            delivered,
+        };
+        let end = drive(course, first, sink);
+        context.registry.remove(&self.request);
+        end
+    }
+
+    fn specification(&self) -> RequestSpecification {
+        let call = self.call;
+        RequestSpecification {
+            request: self.request.clone(),
+            tenant: self.caller.tenant.tenant.clone(),
+            model: call.model.clone(),
+            adapter: call.adapter.clone(),
+            kind: call.kind,
+            class: call.class,
+            prompt: call.prompt.clone(),
+            max_tokens: call.max_tokens,
+            cache_salt: self.caller.salt.clone(),
+            key: call.key.clone(),
+            deadline: self.deadline,
+            admitted_unix_seconds: unix_seconds(),
+        }
+    }
+
+    fn error(&self, end: &CourseEnd) -> Option<CallerError> {
+        end_error(end, self.call.key.is_some())
+    }
+}
+
+/// Identifier of the request as the caller may ask for it later.
+pub(super) fn end_id(end: &CourseEnd) -> String {
+    public_id(&end.request, end.engine.as_ref())
+}
+
+/// What a caller is told who gets no whole answer; one that detached is told that it ran on.
+pub(super) fn end_error(end: &CourseEnd, keyed: bool) -> Option<CallerError> {
+    let detached = Outcome::Unknown(shelfjunction_core::outcome::Failure::ConnectionLost);
+    CallerError::of_outcome(end.outcome.as_ref().unwrap_or(&detached), keyed)
+}
--- a/crates/gateway/src/watch/fleet_view.rs
+++ b/crates/gateway/src/watch/fleet_view.rs
@@ -5,10 +5,10 @@
 use shelfjunction_core::bundle::content::ModelKind;
 use shelfjunction_core::engine::Role;
 use shelfjunction_core::identity::{EngineId, ModelId, NodeId, ZoneId};
+use shelfjunction_core::machine::MachineService;
 use shelfjunction_core::membership::record::{
     EngineRecord, Liveness, NodeRecord, Record, RecordBody, RecordKey, RecordVersion,
 };
-use shelfjunction_core::machine::MachineService;
 use shelfjunction_core::routing::{KvRouter, RoutingWeights};
 use shelfjunction_core::time::MonotonicTime;
 use std::collections::{BTreeMap, HashMap};
--- a/crates/gateway/src/watch/peer.rs
+++ b/crates/gateway/src/watch/peer.rs
@@ -15,10 +15,7 @@
 }
 
 /// Sends one request and reads its answer; absent when the controller closed without one.
-pub(crate) fn ask(
-    stream: &mut TcpStream,
-    request: &PeerRequest,
-) -> Result<Option<PeerResponse>, FrameError> {
+pub(crate) fn ask(stream: &mut TcpStream, request: &PeerRequest) -> Result<Option<PeerResponse>, FrameError> {
     write_frame(stream, request)?;
     read_frame(stream)
 }
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -55,6 +55,13 @@
     pub(crate) reusable: bool,
 }
 
+impl Answered {
+    /// The connection broke before the request could be answered.
+    pub fn broken() -> Self {
+        Self { reusable: false }
+    }
+}
+
 /// The one way to answer a request.
 pub struct Responder<'a> {
     stream: &'a mut TcpStream,
