--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -25,6 +25,9 @@
 /// Pause between two tries to release a claim while the table is down.
 const RELEASE_PAUSE: Duration = Duration::from_millis(500);
 
+/// Longest time that a release waits for its thread.
+const RELEASE_STEP: Duration = Duration::from_millis(20);
+
 type Reply = Box<dyn FnOnce(WriteAnswer) + Send>;
 
 /// A claim to delete.
@@ -162,20 +165,21 @@
 pub(crate) fn run_releases(context: &Context) {
     loop {
         let next = lock(&context.claims.inner).releases.pop_front();
-        match next {
-            Some(release) => {
-                if carry_out(context, &release).is_err() {
-                    context.metrics.platform_errors.inc();
-                    if context.stop.wait(RELEASE_PAUSE) {
-                        log::warn!(key = release.key.0.as_str(); "claim_left_behind");
-                        return;
-                    }
-                    context.claims.release(release);
-                }
+        let Some(release) = next else {
+            if context.stop.wait(RELEASE_STEP) {
+                return;
             }
-            None if context.stop.wait(Duration::from_millis(20)) => return,
-            None => {}
+            continue;
+        };
+        if carry_out(context, &release).is_ok() {
+            continue;
+        }
+        context.metrics.platform_errors.inc();
+        if context.stop.wait(RELEASE_PAUSE) {
+            log::warn!(key = release.key.0.as_str(); "claim_left_behind");
+            return;
         }
+        context.claims.release(release);
     }
 }
 
--- a/crates/gateway/src/course/driver.rs
+++ b/crates/gateway/src/course/driver.rs
@@ -1,26 +1,26 @@
 //! The loop that drives one request's machine.
 
+use super::claim_calls::{self, ClaimCalls};
+use super::dispatch_account::DispatchAccount;
 use super::engine_calls;
 use super::sink::{AnswerSink, Delivery, SinkClosed};
-use crate::claims::Release;
 use crate::context::Context;
 use crate::metrics::{cause_name, outcome_name};
 use crate::stop::lock;
 use shelfjunction_core::admission::AdmissionTicket;
 use shelfjunction_core::engine::{AnswerPart, Role};
 use shelfjunction_core::identity::{AttemptId, EngineId, RequestId};
-use shelfjunction_core::ledger::batcher::{ClaimWrite, WriteAnswer};
+use shelfjunction_core::ledger::batcher::ClaimWrite;
 use shelfjunction_core::outcome::{Outcome, Refusal};
 use shelfjunction_core::request::event::{Action, Event};
 use shelfjunction_core::request::machine::RequestMachine;
 use shelfjunction_core::request::specification::{Placement, Target};
-use shelfjunction_core::routing::{DispatchTicket, FinishedWork, Route, RouteQuery};
-use shelfjunction_core::table::PlatformError;
+use shelfjunction_core::routing::{Route, RouteQuery};
 use shelfjunction_core::time::MonotonicTime;
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Longest wait before it is looked whether the caller is still there.
@@ -53,30 +53,18 @@
     pub(crate) tokens: u32,
 }
 
-/// A dispatch that the router counts.
-struct Dispatched {
-    engine: EngineId,
-    attempt: AttemptId,
-    ticket: DispatchTicket,
-    first_part: Option<Duration>,
-    tokens: u32,
-}
-
 struct Driver<'a, 's> {
     course: Course<'a>,
     sink: &'s mut dyn AnswerSink,
     pending: VecDeque<Action>,
     deferred: Option<(MonotonicTime, Action)>,
-    dispatched: Option<Dispatched>,
+    dispatch: DispatchAccount,
     engine: Option<EngineId>,
-    late_claim: LateClaim,
+    claim_calls: ClaimCalls,
     tokens: u32,
     caller_gone: bool,
 }
 
-/// Holds the machine of a course that ended before its claim was answered.
-type LateClaim = Arc<Mutex<Option<RequestMachine>>>;
-
 /// Runs a course to its end, beginning with the given actions.
 pub(crate) fn drive(course: Course<'_>, first: Vec<Action>, sink: &mut dyn AnswerSink) -> CourseEnd {
     let mut driver = Driver {
@@ -84,9 +72,9 @@
         sink,
         pending: first.into(),
         deferred: None,
-        dispatched: None,
+        dispatch: DispatchAccount::default(),
         engine: None,
-        late_claim: LateClaim::default(),
+        claim_calls: ClaimCalls::default(),
         tokens: 0,
         caller_gone: false,
     };
@@ -115,7 +103,7 @@
 
     fn take(&mut self, event: Event) {
         let now = self.course.context.now();
-        self.observe(&event, now);
+        self.dispatch.observe(self.course.context, &event, now);
         let actions = self.course.machine.handle(event, now);
         self.pending.extend(actions);
     }
@@ -159,14 +147,14 @@
             Action::Choose {
                 excluded, whole_only, ..
             } => self.choose(excluded, whole_only, now),
-            Action::Claim { key, row, expected } => self.claim(
-                ClaimWrite {
+            Action::Claim { key, row, expected } => {
+                let write = ClaimWrite {
                     key,
                     expected,
                     value: Some(row.text()),
-                },
-                now,
-            ),
+                };
+                self.claim_calls.claim(self.course.context, sender, write, now);
+            }
             Action::Dispatch {
                 target,
                 call,
@@ -195,7 +183,7 @@
                 let request = self.course.machine.specification().request.clone();
                 engine_calls::cancel(self.course.context, &engine, request);
             }
-            action => carry_out_aside(self.course.context, action, now),
+            action => claim_calls::carry_out_aside(self.course.context, action, now),
         }
     }
 
@@ -232,30 +220,6 @@
         self.take(event);
     }
 
-    fn claim(&mut self, write: ClaimWrite, now: MonotonicTime) {
-        let context = Arc::clone(self.course.context);
-        let sender = self.course.events.0.clone();
-        let late_claim = Arc::clone(&self.late_claim);
-        context.metrics.claims.inc();
-        let reply_context = Arc::clone(&context);
-        context.claims.write(write, now, move |answer| {
-            let event = claim_event(answer);
-            if matches!(event, Event::ClaimExists(_)) {
-                reply_context.metrics.claims_met.inc();
-            }
-            let mut late = lock(&late_claim);
-            match late.as_mut() {
-                None => engine_calls::send_aside(&sender, event),
-                Some(machine) => {
-                    let now = reply_context.now();
-                    for action in machine.handle(event, now) {
-                        carry_out_aside(&reply_context, action, now);
-                    }
-                }
-            }
-        });
-    }
-
     fn ask_retry(&mut self, tried: u32, now: MonotonicTime) {
         let context = self.course.context;
         let event = if lock(&context.retry_budget).withdraw() {
@@ -321,80 +285,19 @@
 
     fn count_dispatch(&mut self, target: &Target, attempt: AttemptId, now: MonotonicTime) {
         let context = self.course.context;
-        let mut fleet = lock(&context.fleet);
-        self.abandon_dispatch(&mut fleet.router);
-        let ticket = fleet
-            .router
-            .on_dispatched(&target.engine, &self.course.query, now);
-        let zone = fleet.zone(&target.engine);
-        drop(fleet);
+        self.dispatch
+            .begin(context, target, attempt, &self.course.query, now);
+        let zone = lock(&context.fleet).zone(&target.engine);
         let request = &self.course.machine.specification().request;
         context.registry.placed(request, &target.engine, zone);
         self.engine = Some(target.engine.clone());
-        self.dispatched = Some(Dispatched {
-            engine: target.engine.clone(),
-            attempt,
-            ticket,
-            first_part: None,
-            tokens: 0,
-        });
-    }
-
-    fn abandon_dispatch(&mut self, router: &mut shelfjunction_core::routing::KvRouter) {
-        if let Some(dispatched) = self.dispatched.take() {
-            router.on_abandoned(&dispatched.engine, &dispatched.ticket);
-        }
-    }
-
-    /// Tells the router what became of its dispatch.
-    fn observe(&mut self, event: &Event, now: MonotonicTime) {
-        let Some(dispatched) = self.dispatched.as_mut() else {
-            return;
-        };
-        if event_attempt(event) != Some(&dispatched.attempt) {
-            return;
-        }
-        let context = self.course.context;
-        match event {
-            Event::Part { part, .. } => {
-                if dispatched.first_part.is_none() {
-                    dispatched.first_part = Some(now.since(dispatched.ticket.sent_at));
-                    lock(&context.fleet)
-                        .router
-                        .on_first_part(&dispatched.engine, &dispatched.ticket, now);
-                }
-                match part {
-                    AnswerPart::Token { .. } => dispatched.tokens += 1,
-                    AnswerPart::Prefilled { .. } | AnswerPart::Finished { .. } => {
-                        finish_dispatch(context, self.dispatched.take(), now);
-                    }
-                    AnswerPart::Failed { .. } => self.abandon_dispatch(&mut lock(&context.fleet).router),
-                }
-            }
-            Event::Refused { refusal, .. } => {
-                lock(&context.fleet).router.on_refused(
-                    &dispatched.engine,
-                    &dispatched.ticket,
-                    refusal.reason,
-                    now,
-                );
-                self.dispatched = None;
-            }
-            Event::NotSent { .. } | Event::Ambiguous { .. } | Event::Disconnected { .. } => {
-                lock(&context.fleet)
-                    .router
-                    .on_broken(&dispatched.engine, &dispatched.ticket, now);
-                self.dispatched = None;
-            }
-            Event::DispatchTooLate { .. } => self.abandon_dispatch(&mut lock(&context.fleet).router),
-            _ => {}
-        }
     }
 
     fn end(mut self, outcome: Option<Outcome>) -> CourseEnd {
         let context = self.course.context;
-        self.abandon_dispatch(&mut lock(&context.fleet).router);
-        self.settle_late_claim();
+        self.dispatch.abandon(context);
+        let (machine, events) = (&mut self.course.machine, &self.course.events.1);
+        self.claim_calls.leave(context, machine, events);
         let specification = self.course.machine.specification();
         let engine = self.engine.clone();
         log_end(
@@ -411,81 +314,6 @@
             tokens: self.tokens,
         }
     }
-
-    /// Leaves the machine for a claim's answer that is still to come, and hands in one that came just now.
-    fn settle_late_claim(&mut self) {
-        if !self.course.machine.awaits_claim() {
-            return;
-        }
-        let context = self.course.context;
-        let mut late = lock(&self.late_claim);
-        let now = context.now();
-        while let Ok(event) = self.course.events.1.try_recv() {
-            for action in self.course.machine.handle(event, now) {
-                carry_out_aside(context, action, now);
-            }
-        }
-        *late = Some(self.course.machine.clone());
-    }
-}
-
-/// Carries out what nobody waits for.
-fn carry_out_aside(context: &Context, action: Action, now: MonotonicTime) {
-    match action {
-        Action::Release {
-            key,
-            request,
-            expected,
-        } => context.claims.release(Release {
-            key,
-            request,
-            expected,
-        }),
-        Action::Settle { key, row, expected } => {
-            let write = ClaimWrite {
-                key,
-                expected: Some(expected),
-                value: Some(row.text()),
-            };
-            context.claims.write_later(write, now);
-        }
-        _ => {}
-    }
-}
-
-fn finish_dispatch(context: &Context, dispatched: Option<Dispatched>, now: MonotonicTime) {
-    let Some(dispatched) = dispatched else {
-        return;
-    };
-    let work = FinishedWork {
-        output_tokens: dispatched.tokens,
-        first_token: dispatched.first_part,
-        total: now.since(dispatched.ticket.sent_at),
-    };
-    lock(&context.fleet)
-        .router
-        .on_finished(&dispatched.engine, &dispatched.ticket, &work, now);
-}
-
-fn claim_event(answer: WriteAnswer) -> Event {
-    match answer {
-        WriteAnswer::Committed { version } => Event::ClaimCommitted { version },
-        WriteAnswer::Exists(claim) => Event::ClaimExists(claim),
-        WriteAnswer::Gone => Event::ClaimFailed(PlatformError::Malformed("the claim is gone".to_owned())),
-        WriteAnswer::Failed(error) => Event::ClaimFailed(error),
-    }
-}
-
-fn event_attempt(event: &Event) -> Option<&AttemptId> {
-    match event {
-        Event::Part { attempt, .. }
-        | Event::Refused { attempt, .. }
-        | Event::NotSent { attempt }
-        | Event::Ambiguous { attempt }
-        | Event::Disconnected { attempt }
-        | Event::DispatchTooLate { attempt } => Some(attempt),
-        _ => None,
-    }
 }
 
 fn log_end(
--- a/crates/gateway/src/course/mod.rs
+++ b/crates/gateway/src/course/mod.rs
@@ -1,5 +1,7 @@
 //! Carries out the course of one request: the machine's actions, its events, and the caller's answer.
 
+mod claim_calls;
+mod dispatch_account;
 mod driver;
 mod engine_calls;
 mod sink;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,9 @@
 /// Longest wait between two looks for the stop signal, which also wakes the waiter itself.
 const STOP_WAIT: Duration = Duration::from_secs(3_600);
 
+/// What one background thread does until the gateway ends.
+type Work = fn(&Context);
+
 /// One gateway process's work, run by threads of the calling process.
 #[derive(Debug)]
 pub struct Gateway;
@@ -105,7 +108,7 @@
 }
 
 fn start_threads(context: &Arc<Context>) -> Result<Vec<JoinHandle<()>>, StartError> {
-    let mut works: Vec<(&str, fn(&Context))> = vec![
+    let mut works: Vec<(&str, Work)> = vec![
         ("fleet-watch", fleet::run),
         ("bundle-watch", bundles::run),
         ("cache-events", cache_events::run),
@@ -113,7 +116,7 @@
         ("claim-retention", retention::run),
         ("claim-releases", claims::run_releases),
     ];
-    works.extend([("claims", claims::run_worker as fn(&Context)); CLAIM_WORKERS]);
+    works.extend([("claims", claims::run_worker as Work); CLAIM_WORKERS]);
     let mut threads = Vec::new();
     for (name, work) in works {
         let context_of_thread = Arc::clone(context);
