Prove the request's course against engines that run whatever they are handed

Cause: at most once, truthful 'not run' and whole answers needed an oracle that reads what engines ran. Ruled out: checking the machine's actions one by one, which repeats the machine.

--- /dev/null
+++ b/crates/core/tests/request_world/oracle.rs
@@ -0,0 +1,59 @@
+//! What must hold, read from what engines ran and what callers were given.
+
+use super::engines::{RunLog, TOKENS, text};
+use super::{Course, World};
+use shelfjunction_core::engine::Phase;
+use shelfjunction_core::outcome::Outcome;
+use std::collections::BTreeMap;
+
+impl World {
+    /// Holds at every moment, and for calls that arrive after their course is over.
+    pub fn check(&self) {
+        self.check_at_most_once();
+        for course in &self.courses {
+            check_answer(course);
+            if let Some(Outcome::NotRun(refusal)) = &course.outcome {
+                let ran = self.engines.log.iter().any(|run| run.request == course.request);
+                assert!(!ran, "said not run ({:?}) of a request that ran", refusal.reason);
+            }
+        }
+    }
+
+    /// Holds once nothing can happen any more.
+    pub fn check_ended(&self) {
+        for course in &self.courses {
+            assert!(course.machine.is_over(), "a course has no end");
+            assert!(
+                course.outcome.is_some() || course.detached,
+                "a caller was told nothing"
+            );
+        }
+    }
+
+    fn check_at_most_once(&self) {
+        let mut runs: BTreeMap<u8, Vec<&RunLog>> = BTreeMap::new();
+        for run in self.engines.log.iter().filter(|run| run.phase == Phase::Whole) {
+            let course = self.courses.iter().find(|course| course.request == run.request);
+            if let Some(key) = course.unwrap().key {
+                runs.entry(key).or_default().push(run);
+            }
+        }
+        for (key, runs) in runs {
+            assert!(runs.len() <= 1, "key {key} ran {} times: {runs:?}", runs.len());
+        }
+    }
+}
+
+fn check_answer(course: &Course) {
+    for (offset, received) in course.received.iter().enumerate() {
+        let expected = text(course.body, u32::try_from(offset).unwrap());
+        assert_eq!(received, &expected, "a part of another answer, or out of order");
+    }
+    if course.outcome == Some(Outcome::Completed) {
+        assert_eq!(
+            course.received.len(),
+            TOKENS as usize,
+            "a completed answer is not whole"
+        );
+    }
+}
