Let the course's oracle see an answer to another body

Cause: the world wrote the asker's body into every answer, so a gateway that ignored the body's digest passed. Ruled out: a check of the conflict's outcome alone.

--- a/crates/core/tests/request_world/engines.rs
+++ b/crates/core/tests/request_world/engines.rs
@@ -26,6 +26,7 @@
 pub struct Run {
     pub done: u32,
     pub failed: bool,
+    pub body: u8,
 }
 
 #[derive(Debug, Default)]
@@ -74,6 +75,7 @@
             let run = Run {
                 done: call.offset,
                 failed: false,
+                body: call.prompt.parse().unwrap(),
             };
             self.engine(engine).runs.insert(call.request.clone(), run);
         }
--- a/crates/core/tests/request_world/streams.rs
+++ b/crates/core/tests/request_world/streams.rs
@@ -75,7 +75,6 @@
         fate: u8,
     ) {
         let request = self.courses[index].machine.specification().request.clone();
-        let body = self.courses[index].body;
         let Some(run) = self.engines.run(&engine, &request) else {
             return self.hand_in(index, Event::Disconnected { attempt });
         };
@@ -86,6 +85,7 @@
             };
             return self.hand_in(index, Event::Part { attempt, part });
         }
+        let body = run.body;
         run.done = run.done.max((next + 1).min(TOKENS));
         let token = |request: RequestId, offset, body| AnswerPart::Token {
             request,
