--- /dev/null
+++ b/crates/cli/src/node/mod.rs
@@ -0,0 +1,71 @@
+//! The two programs of a machine: gateway and controller.
+
+mod controller;
+mod signals;
+
+use crate::exit::CommandError;
+use crate::options::{CommandLine, Parsed, Values};
+use crate::settings::{self, NodeSettings, Override, ProgramSettings};
+use crate::usage;
+use shelfjunction_logging as logging;
+
+/// Runs `shelfjunction controller`.
+pub fn run_controller(arguments: &[String]) -> Result<(), CommandError> {
+    match prepare(usage::CONTROLLER, arguments)? {
+        Some(settings) => controller::run(settings),
+        None => Ok(()),
+    }
+}
+
+/// Reads the command line and the settings; absent when there is nothing to run.
+fn prepare<T: ProgramSettings>(
+    brief: &'static str,
+    arguments: &[String],
+) -> Result<Option<NodeSettings<T>>, CommandError> {
+    let line = CommandLine::new(brief)
+        .value("settings", "settings file (TOML)", "FILE")
+        .value("node", "name of this machine", "NAME")
+        .value("zone", "zone of this machine", "NAME")
+        .value("region", "region of this machine", "NAME")
+        .value("listen", "address to listen on", "IP:PORT")
+        .value("platform", "address of the platform", "IP:PORT")
+        .value("log-level", logging::LEVELS, "LEVEL")
+        .values("set", "any other setting, as in gateway.node=n1", "PATH=VALUE")
+        .flag("check", "check the settings and exit");
+    let values = match line.parse(arguments)? {
+        Parsed::HelpShown => return Ok(None),
+        Parsed::Values(values) => values,
+    };
+    values.no_arguments()?;
+    let overrides = overrides::<T>(&values)?;
+    let loaded = settings::load::<T>(&values.require_path("settings")?, &overrides)?;
+    if values.has("check") {
+        println!("settings are in order");
+        return Ok(None);
+    }
+    // Tests run several programs in one process; the first one's logger serves all.
+    let _ = logging::install(loaded.log_level);
+    Ok(Some(loaded))
+}
+
+fn overrides<T: ProgramSettings>(values: &Values) -> Result<Vec<Override>, CommandError> {
+    let mut overrides = Vec::new();
+    for name in ["node", "zone", "region", "listen", "platform"] {
+        if let Some(value) = values.get(name) {
+            overrides.push(Override::text(&format!("{}.{name}", T::TABLE), &value));
+        }
+    }
+    if let Some(level) = values.get("log-level") {
+        overrides.push(Override::text("log_level", &level));
+    }
+    for text in values.all("set") {
+        let change = Override::parse(&text)
+            .ok_or_else(|| values.usage(&format!("--set {text}: allowed is PATH=VALUE")))?;
+        overrides.push(change);
+    }
+    Ok(overrides)
+}
+
+fn start_error(program: &str, cause: impl std::fmt::Debug) -> CommandError {
+    CommandError::Failed(format!("the {program} could not start: {cause:?}"))
+}
--- /dev/null
+++ b/crates/cli/src/operator/mod.rs
@@ -0,0 +1,13 @@
+//! The operator's commands.
+
+mod bundle;
+mod client;
+mod files;
+mod keygen;
+mod print;
+mod rollout;
+mod table;
+mod views;
+
+pub use bundle::run as run_bundle;
+pub use views::{run_engines, run_requests, run_status, run_usage};
--- /dev/null
+++ b/crates/cli/src/operator/print.rs
@@ -0,0 +1,257 @@
+//! Prints answers as tables or as JSON.
+
+use super::table;
+use crate::exit::CommandError;
+use serde::Serialize;
+use shelfjunction_core::bundle::acceptance::{HistoryRow, ProposalRow};
+use shelfjunction_protocol::operator::{
+    EngineView, HistoryReply, NodeView, ProposalReply, ProposalsReply, RequestView, RolloutReply,
+    StatusReply, UsageReply,
+};
+
+/// Stands where there is no value.
+const NONE: &str = "-";
+
+/// Hexadecimal digits of a digest that a table shows.
+const SHORT_DIGEST: usize = 12;
+
+/// Prints JSON when asked to, else the text.
+pub fn print<T: Serialize>(
+    value: &T,
+    as_json: bool,
+    text: impl FnOnce(&T) -> String,
+) -> Result<(), CommandError> {
+    if as_json {
+        let json = serde_json::to_string_pretty(value)
+            .map_err(|cause| CommandError::Failed(format!("the answer can't be written: {cause}")))?;
+        println!("{json}");
+    } else {
+        print!("{}", text(value));
+    }
+    Ok(())
+}
+
+/// A proposal and what it needs.
+pub fn proposal(reply: &ProposalReply) -> String {
+    let row = &reply.proposal;
+    let signed = operators(row);
+    format!(
+        "proposal    {}\ngeneration  {}\nlabel       {}\nmanifest    {}\nsignatures  {} of {} {}\n",
+        row.statement.proposal,
+        row.statement.generation,
+        row.label,
+        row.statement.manifest,
+        row.signatures.len(),
+        reply.authority.required_signatures,
+        signed
+    )
+}
+
+/// An accepted bundle.
+pub fn rollout(reply: &RolloutReply) -> String {
+    let accepted = &reply.accepted;
+    format!(
+        "generation {} accepted: bundle {}, proposal {}, by {}\n",
+        accepted.generation, accepted.signed, accepted.proposal, accepted.operator
+    )
+}
+
+/// The history.
+pub fn history(reply: &HistoryReply) -> String {
+    let rows: Vec<Vec<String>> = reply.entries.iter().map(history_line).collect();
+    table::render(
+        &[
+            "GENERATION",
+            "LABEL",
+            "BUNDLE",
+            "PROPOSED BY",
+            "SIGNED BY",
+            "ROLLED OUT BY",
+            "REPEATS",
+        ],
+        &rows,
+    )
+}
+
+fn history_line(entry: &HistoryRow) -> Vec<String> {
+    let signers: Vec<&str> = entry.signed_by.iter().map(|operator| operator.as_str()).collect();
+    vec![
+        entry.accepted.generation.to_string(),
+        entry.label.clone(),
+        short(&entry.accepted.signed.to_hex()),
+        entry.proposed_by.to_string(),
+        signers.join(","),
+        entry.accepted.operator.to_string(),
+        or_none(entry.rollback_of),
+    ]
+}
+
+/// Proposals that wait.
+pub fn proposals(reply: &ProposalsReply) -> String {
+    let rows: Vec<Vec<String>> = reply
+        .proposals
+        .iter()
+        .map(|row| {
+            vec![
+                row.statement.proposal.to_string(),
+                row.label.clone(),
+                row.proposed_by.to_string(),
+                operators(row),
+                or_none(row.rollback_of),
+            ]
+        })
+        .collect();
+    table::render(
+        &["PROPOSAL", "LABEL", "PROPOSED BY", "SIGNED BY", "REPEATS"],
+        &rows,
+    )
+}
+
+fn operators(row: &ProposalRow) -> String {
+    let names: Vec<&str> = row.signatures.iter().map(|one| one.operator.as_str()).collect();
+    if names.is_empty() {
+        NONE.to_owned()
+    } else {
+        names.join(",")
+    }
+}
+
+/// A gateway's standing and the nodes it knows.
+pub fn status(reply: &StatusReply) -> String {
+    let mut text = format!(
+        "node        {}\nzone        {}\ngeneration  {}\nlabel       {}\nbundle      {}\nconfirmed   {}\nisolated    {}\n\n",
+        reply.node,
+        reply.zone,
+        or_none(reply.generation),
+        or_none(reply.label.as_ref()),
+        or_none(reply.digest),
+        reply
+            .confirmed_millis_ago
+            .map_or("never".to_owned(), |millis| format!("{millis} ms ago")),
+        if reply.isolated { "yes" } else { "no" },
+    );
+    let rows: Vec<Vec<String>> = reply.nodes.iter().map(node_line).collect();
+    text.push_str(&table::render(
+        &["NODE", "ZONE", "STATE", "GENERATION", "AGE MS"],
+        &rows,
+    ));
+    text
+}
+
+fn node_line(view: &NodeView) -> Vec<String> {
+    vec![
+        view.node.to_string(),
+        view.record.zone.to_string(),
+        name(&view.record.liveness),
+        view.record.generation.to_string(),
+        view.age_millis.to_string(),
+    ]
+}
+
+/// Engines.
+pub fn engines(engines: &[EngineView]) -> String {
+    let rows: Vec<Vec<String>> = engines.iter().map(engine_line).collect();
+    table::render(
+        &[
+            "ENGINE", "ZONE", "STATE", "ROLE", "ORDERS", "FENCE", "WEIGHTS", "LOAD", "AGE MS",
+        ],
+        &rows,
+    )
+}
+
+fn engine_line(view: &EngineView) -> Vec<String> {
+    let record = &view.record;
+    let mut line = vec![
+        view.engine.to_string(),
+        record.zone.to_string(),
+        name(&record.liveness),
+    ];
+    match &record.status {
+        None => line.extend([NONE; 5].map(str::to_owned)),
+        Some(status) => {
+            let weights: Vec<String> = status
+                .weights
+                .iter()
+                .map(|weights| format!("{}@{}", weights.model, weights.version))
+                .collect();
+            let state = match (status.changing, status.draining) {
+                (true, _) => "changing",
+                (false, true) => "draining",
+                (false, false) => "serving",
+            };
+            line.extend([
+                name(&status.role),
+                state.to_owned(),
+                status.fence.to_string(),
+                weights.join(","),
+                load(&status.load),
+            ]);
+        }
+    }
+    line.push(view.age_millis.to_string());
+    line
+}
+
+fn load(report: &shelfjunction_core::engine::LoadReport) -> String {
+    serde_json::to_string(report).unwrap_or_default()
+}
+
+/// Use by tenant.
+pub fn usage(reply: &UsageReply) -> String {
+    let rows: Vec<Vec<String>> = reply
+        .tenants
+        .iter()
+        .map(|usage| {
+            vec![
+                usage.tenant.to_string(),
+                usage.requests.to_string(),
+                usage.not_run.to_string(),
+                usage.prompt_tokens.to_string(),
+                usage.output_tokens.to_string(),
+                usage.in_flight.to_string(),
+            ]
+        })
+        .collect();
+    table::render(
+        &[
+            "TENANT",
+            "REQUESTS",
+            "NOT RUN",
+            "PROMPT TOKENS",
+            "OUTPUT TOKENS",
+            "IN FLIGHT",
+        ],
+        &rows,
+    )
+}
+
+/// One request.
+pub fn request(view: &RequestView) -> String {
+    format!(
+        "request  {}\ntenant   {}\nmodel    {}\nstate    {}\nzone     {}\nengine   {}\ntokens   {}\nage      {} ms\n",
+        view.request,
+        view.tenant,
+        view.model,
+        view.state,
+        or_none(view.zone.as_ref()),
+        or_none(view.engine.as_ref()),
+        view.output_tokens,
+        view.age_millis
+    )
+}
+
+fn or_none(value: Option<impl ToString>) -> String {
+    value.map_or(NONE.to_owned(), |value| value.to_string())
+}
+
+fn short(text: &str) -> String {
+    text.chars().take(SHORT_DIGEST).collect()
+}
+
+/// The name that a value has in JSON.
+fn name<T: Serialize>(value: &T) -> String {
+    match serde_json::to_value(value) {
+        Ok(serde_json::Value::String(text)) => text,
+        _ => NONE.to_owned(),
+    }
+}
--- a/crates/core/src/bundle/signature.rs
+++ b/crates/core/src/bundle/signature.rs
@@ -7,6 +7,7 @@
 use ed25519_dalek::{Signature, Signer, SigningKey, VerifyingKey};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
+use std::fmt;
 
 /// First bytes of every signed message, so that a signature made for anything else never fits.
 const SIGNING_CONTEXT: &[u8] = b"shelfjunction signed bundle 1\n";
@@ -14,11 +15,36 @@
 /// Bytes of an Ed25519 key, secret or public.
 pub const KEY_BYTES: usize = 32;
 
-/// Identifier of one proposal, chosen by the gateway that took it in.
+/// Identifier of one proposal: the generation it is for, a hyphen, and an unguessable part.
+///
+/// With the generation in it, a proposal that was accepted can be found in the history by its identifier alone.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ProposalId(pub String);
 
+impl ProposalId {
+    /// The identifier for a generation and an unguessable text.
+    pub fn new(generation: Generation, unguessable: &str) -> Self {
+        Self(format!("{generation}-{unguessable}"))
+    }
+
+    /// The generation that the proposal is for; absent when the text is no such identifier.
+    pub fn generation(&self) -> Option<Generation> {
+        let (generation, unguessable) = self.0.split_once('-')?;
+        let is_plain = unguessable.bytes().all(|byte| byte.is_ascii_alphanumeric());
+        if unguessable.is_empty() || !is_plain {
+            return None;
+        }
+        generation.parse().ok().map(Generation)
+    }
+}
+
+impl fmt::Display for ProposalId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
 /// What operators sign.
 ///
 /// The generation is part of it: a signature brings a bundle in at one place in the history and at no other, so an
--- a/crates/gateway/src/admin/acceptance.rs
+++ b/crates/gateway/src/admin/acceptance.rs
@@ -26,9 +26,10 @@
     request: &RolloutRequest,
 ) -> Result<RolloutReply, AdminError> {
     access.require(OperatorAction::Rollout)?;
+    let generation = request.proposal.generation().ok_or_else(unknown_proposal)?;
     let current = storage::read_current(context)?;
     let held = current.as_ref().map(|current| &current.value);
-    match settle(context, &request.proposal, request.generation, held)? {
+    match settle(context, &request.proposal, generation, held)? {
         Verdict::Accepted(accepted) => return Ok(accept(context, accepted)),
         Verdict::Superseded { winner } => return Err(errors::conflict(winner)),
         Verdict::Open => {}
@@ -64,6 +65,9 @@
     for signature in &request.signatures {
         row.add_signature(signature.clone());
     }
+    if request.proposal.generation() != Some(FIRST_GENERATION) {
+        return Err(unknown_proposal());
+    }
     // Nobody is authenticated before this line; nothing is read or written for a stranger.
     require_signatures(context.roots(), &row)?;
     let faults = validate::validate(&request.bundle);
@@ -81,6 +85,13 @@
     commit(context, &acceptance::plan(&row, &operator, None))
 }
 
+fn unknown_proposal() -> AdminError {
+    errors::error(
+        AdminErrorCode::InvalidRequest,
+        "a proposal's identifier is its generation, a hyphen, and letters and digits",
+    )
+}
+
 fn require_signatures(signers: &SigningAuthority, row: &ProposalRow) -> Result<(), AdminError> {
     signers.verify(&row.signed()).map_err(|cause| {
         errors::error(
--- a/crates/gateway/src/admin/proposals.rs
+++ b/crates/gateway/src/admin/proposals.rs
@@ -161,11 +161,12 @@
     label: String,
     rollback_of: Option<Generation>,
 ) -> ProposalRow {
+    let generation = Generation(access.bundle.generation().0 + 1);
     ProposalRow {
         statement: Statement {
-            generation: Generation(access.bundle.generation().0 + 1),
+            generation,
             manifest,
-            proposal: ProposalId(context.new_identifier()),
+            proposal: ProposalId::new(generation, &context.new_identifier()),
             authority: access.bundle.next.authority,
         },
         label,
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -48,8 +48,6 @@
 pub struct RolloutRequest {
     /// The proposal.
     pub proposal: ProposalId,
-    /// The generation it was made for; with it a lost answer can be asked for again.
-    pub generation: Generation,
 }
 
 /// An accepted bundle.
