Let gateways report demand to their controller

Cause: the planner needs the demand on all gateways, which only they see. Ruled out: gossip, since demand changes each second and only one process per zone reads it. Conclusion: a gateway reports to its own machine's controller; controllers pass it on towards the planner.

--- a/crates/controller/src/peer/connection.rs
+++ b/crates/controller/src/peer/connection.rs
@@ -42,6 +42,7 @@
         PeerRequest::WatchFleet => PeerResponse::Refused("a stream answers this".to_owned()),
         PeerRequest::BundleHead | PeerRequest::AnnounceHead(_) => PeerResponse::Head(None),
         PeerRequest::FetchParts(_) => PeerResponse::Parts(Vec::new()),
+        PeerRequest::ReportDemand(_) | PeerRequest::ForwardDemand(_) => PeerResponse::Noted,
     }
 }
 
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -1,7 +1,8 @@
 //! Messages between the system's own processes, encoded with bincode.
 
 use serde::{Deserialize, Serialize};
-use shelfjunction_core::identity::Generation;
+use shelfjunction_core::demand::DemandReport;
+use shelfjunction_core::identity::{Generation, NodeId, ZoneId};
 use shelfjunction_core::membership::record::Record;
 
 /// Longest frame that is read from a peer over TCP, in bytes.
@@ -24,6 +25,30 @@
     FetchParts(Vec<ContentDigest>),
     /// A head that the sender accepted; the receiver checks it for itself. Answered by [`PeerResponse::Head`].
     AnnounceHead(BundleHead),
+    /// Demand that the gateway on the same machine sees now. Answered by [`PeerResponse::Noted`].
+    ReportDemand(DemandReport),
+    /// Demand that another controller passes on towards the planner. Answered by [`PeerResponse::Noted`].
+    ForwardDemand(ForwardedDemand),
+}
+
+/// Where a demand was seen.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum DemandSource {
+    /// At one machine's gateway.
+    Node(NodeId),
+    /// At all gateways of a zone.
+    Zone(ZoneId),
+}
+
+/// Demand on its way to the controller that plans a zone's roles.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ForwardedDemand {
+    /// Where it was seen.
+    pub source: DemandSource,
+    /// What was seen there.
+    pub report: DemandReport,
+    /// How often it may still be passed on, so that stale knowledge of who plans makes no circle.
+    pub hops_left: u8,
 }
 
 /// Answer of a controller; one length-prefixed frame each.
@@ -35,6 +60,8 @@
     Head(Option<BundleHead>),
     /// The contents that the peer holds, in no stated order.
     Parts(Vec<Vec<u8>>),
+    /// The report was taken in.
+    Noted,
     /// The request could not be served.
     Refused(String),
 }
