Distribute bundles, drive the zone's commander and plan changes in the controller

Cause: leases, orders, bundles and membership were decided in core with no process that carries them out. Conclusion: one thread owns the commander, bounded threads carry out, a planned stop releases the lease first.

--- a/crates/controller/src/bundle/exchange.rs
+++ b/crates/controller/src/bundle/exchange.rs
@@ -62,21 +62,26 @@
     };
     for peer in peers::some_of_each_zone(context, ANNOUNCED_PER_ZONE) {
         let zone = peer.zone.unwrap_or_else(|| context.config.zone.clone());
-        exchange(context, peer.address, &PeerRequest::AnnounceHead(head.clone()), zone);
+        exchange(
+            context,
+            peer.address,
+            &PeerRequest::AnnounceHead(head.clone()),
+            zone,
+        );
     }
 }
 
 fn exchange(context: &Context, address: std::net::SocketAddr, request: &PeerRequest, zone: ZoneId) {
     let timeout = millis(context.config.timings.peer_timeout_millis);
     match client::ask(address, request, timeout) {
-        Ok(PeerResponse::Head(head)) => learn(context, head.as_ref(), zone),
+        Ok(PeerResponse::Head(head)) => learn_from_zone(context, head.as_ref(), zone),
         Ok(_) => log::debug!(peer:% = address; "peer_answered_something_else"),
         Err(error) => log::debug!(peer:% = address, error:% = error; "peer_unreached"),
     }
 }
 
 /// Takes in a head that a process of `zone` named.
-pub fn learn(context: &Context, named: Option<&BundleHead>, zone: ZoneId) {
+pub fn learn_from_zone(context: &Context, named: Option<&BundleHead>, zone: ZoneId) {
     let head: Option<Head> = named.map(head_of);
     let age = named.map_or(u64::MAX, |named| named.confirmed_millis_ago);
     let source = HeadSource::Peer {
--- a/crates/controller/src/bundle/fetch.rs
+++ b/crates/controller/src/bundle/fetch.rs
@@ -68,7 +68,9 @@
 
 /// Hands contents to the keeper; true when something that was missing arrived.
 fn took(context: &Context, wanted: &[Digest], contents: Vec<Vec<u8>>) -> bool {
-    let useful = contents.iter().any(|content| wanted.contains(&Digest::of(content)));
+    let useful = contents
+        .iter()
+        .any(|content| wanted.contains(&Digest::of(content)));
     context.bundle.on_contents(contents);
     useful
 }
--- a/crates/controller/src/bundle/peers.rs
+++ b/crates/controller/src/bundle/peers.rs
@@ -1,10 +1,10 @@
 //! Which controllers this one speaks to over TCP.
 
 use crate::context::Context;
+use crate::fleet;
 use rand::seq::SliceRandom;
 use shelfjunction_core::identity::ZoneId;
-use shelfjunction_core::membership::record::{Liveness, RecordBody};
-use shelfjunction_core::machine::MachineService;
+use shelfjunction_core::membership::record::Liveness;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -17,21 +17,15 @@
     pub address: SocketAddr,
 }
 
-/// Every other controller known from the platform's list, the records and the settings, in random order.
+/// Every other controller known from the records and the settings, in random order.
 pub fn all(context: &Context) -> Vec<Peer> {
     let mut known: BTreeMap<SocketAddr, Option<ZoneId>> = BTreeMap::new();
     for seed in &context.config.seeds {
         known.insert(*seed, None);
     }
-    for (zone, address) in context.machines.controllers() {
-        known.insert(address, Some(zone));
-    }
     let mut unusable = BTreeSet::new();
-    for record in context.fleet.all(context.now()) {
-        let RecordBody::Node(node) = record.body else {
-            continue;
-        };
-        let MachineService::Node { controller, .. } = node.service else {
+    for (_, node) in fleet::nodes(context) {
+        let Some(controller) = fleet::controller_address(node.service) else {
             continue;
         };
         if node.liveness == Liveness::Dead {
@@ -41,7 +35,10 @@
     }
     known.remove(&context.peer_address);
     known.retain(|address, _| !unusable.contains(address));
-    let mut peers: Vec<Peer> = known.into_iter().map(|(address, zone)| Peer { zone, address }).collect();
+    let mut peers: Vec<Peer> = known
+        .into_iter()
+        .map(|(address, zone)| Peer { zone, address })
+        .collect();
     peers.shuffle(&mut rand::rng());
     peers
 }
--- a/crates/controller/src/bundle/store_poll.rs
+++ b/crates/controller/src/bundle/store_poll.rs
@@ -29,7 +29,7 @@
 
 fn poll_when_chosen(context: &Context) -> Result<(), PlatformError> {
     // A controller without a bundle reads for itself: it can't wait until the chosen one passes it on.
-    if !context.is_zone_poller() && context.bundle.in_force().is_some() {
+    if !context.gossip.is_zone_poller() && context.bundle.in_force().is_some() {
         return Ok(());
     }
     let asked_at = context.now();
@@ -43,6 +43,9 @@
         None => None,
     };
     context.bundle.on_head(head, &HeadSource::Store, asked_at);
+    if head.is_some() && head.map(|head| head.generation) == Some(context.bundle.generation()) {
+        context.gossip.confirm_head();
+    }
     Ok(())
 }
 
--- /dev/null
+++ b/crates/controller/src/command/planner_input.rs
@@ -0,0 +1,80 @@
+//! Gathers what the role planner decides from.
+
+use crate::context::Context;
+use crate::demand;
+use crate::fleet::{self, KnownEngine};
+use shelfjunction_core::bundle::BundleInForce;
+use shelfjunction_core::bundle::content::ModelKind;
+use shelfjunction_core::engine::{EngineStatus, LoadReport};
+use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::roles::{EngineProfile, EngineState, PlannerInput};
+use shelfjunction_core::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Everything known now, for one decision.
+pub fn build(
+    context: &Context,
+    bundle: &BundleInForce,
+    profile: EngineProfile,
+    changing: &[EngineId],
+    changed_at: &BTreeMap<EngineId, MonotonicTime>,
+    now: MonotonicTime,
+) -> PlannerInput {
+    let known = fleet::engines(context);
+    let in_zone = known
+        .iter()
+        .filter(|known| known.record.zone == context.config.zone);
+    let view_age = in_zone
+        .filter(|known| known.live_status().is_some())
+        .map(|known| known.age)
+        .max();
+    let engines = known
+        .iter()
+        .filter(|known| known.kind() == ModelKind::Model)
+        .filter_map(|known| state(known, changing, changed_at))
+        .collect();
+    PlannerInput {
+        zone: context.config.zone.clone(),
+        engines,
+        demand: demand::total(context),
+        profile,
+        policy: bundle.fleet.roles.clone(),
+        classes: bundle.fleet.classes.clone(),
+        models: bundle.models.to_vec(),
+        view_age: view_age.unwrap_or(Duration::MAX),
+        // The lease is held, so the store has just taken a renewal down.
+        store_available: true,
+        now,
+    }
+}
+
+fn state(
+    known: &KnownEngine,
+    changing: &[EngineId],
+    changed_at: &BTreeMap<EngineId, MonotonicTime>,
+) -> Option<EngineState> {
+    let status = known.record.status.as_ref()?;
+    let model = status.weights.first()?.model.clone();
+    Some(EngineState {
+        engine: known.engine.clone(),
+        zone: known.record.zone.clone(),
+        model,
+        role: status.role,
+        usable: known.live_status().is_some() && !known.is_leaving(),
+        changing: is_changing(status) || changing.contains(&known.engine),
+        changed_at: changed_at.get(&known.engine).copied(),
+        drain_seconds: drain_seconds(&status.load),
+    })
+}
+
+fn is_changing(status: &EngineStatus) -> bool {
+    status.changing || status.draining
+}
+
+/// Time that the engine needs for the work it holds, in seconds.
+fn drain_seconds(load: &LoadReport) -> f64 {
+    let prefill = load.queued_prefill_tokens as f64 / (load.prefill_tokens_per_second as f64).max(1.0);
+    let decode = load.queued_decode_tokens as f64 / (load.decode_tokens_per_second as f64).max(1.0);
+    prefill + decode
+}
--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -1,7 +1,11 @@
 //! Settings of a controller, and what is allowed in them.
 
 use serde::{Deserialize, Serialize};
+use shelfjunction_core::bundle::signature::SigningAuthority;
 use shelfjunction_core::identity::{NodeId, RegionId, ZoneId};
+use shelfjunction_core::lease::LeaseTimings;
+use shelfjunction_core::membership::config::MembershipConfig;
+use shelfjunction_core::orders::OrderTimings;
 use shelfjunction_core::setting::FieldError;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,6 +31,17 @@
     /// Controllers to speak to before the platform's list was read.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Keys that sign the first bundle.
+    pub roots: SigningAuthority,
+    /// Times of the lease.
+    #[serde(default)]
+    pub lease: LeaseTimings,
+    /// Times of orders.
+    #[serde(default)]
+    pub orders: OrderTimings,
+    /// Timings and budgets of membership.
+    #[serde(default)]
+    pub membership: MembershipConfig,
     /// Intervals and limits of time.
     #[serde(default)]
     pub timings: Timings,
@@ -49,10 +64,6 @@
     pub engine_poll_millis: u64,
     /// Longest wait for an engine's status or reply to an order.
     pub engine_timeout_millis: u64,
-    /// An engine that no watcher has seen for this long is suspect.
-    pub engine_suspect_millis: u64,
-    /// An engine that no watcher has seen for this long is dead.
-    pub engine_dead_millis: u64,
     /// Longest wait for a peer to accept a connection or to answer.
     pub peer_timeout_millis: u64,
     /// A peer connection without a request for this long is closed.
@@ -63,20 +74,22 @@
     pub bundle_poll_millis: u64,
     /// Between two exchanges of heads with a peer of another zone.
     pub vouch_millis: u64,
-    /// How long a lease holds after it was last renewed.
-    pub lease_millis: u64,
-    /// Between two renewals of the lease.
-    pub lease_renew_millis: u64,
-    /// The holder stops ordering this long before its lease ends.
-    pub lease_margin_millis: u64,
     /// Between two steps of the zone's commander.
     pub command_step_millis: u64,
     /// Between two runs of the role planner.
     pub plan_millis: u64,
     /// A change whose engine is not empty this long after its drain is given up.
     pub drain_limit_millis: u64,
-    /// A gateway's report of demand counts for this long.
+    /// An engine whose change was given up is left alone this long.
+    pub give_up_pause_millis: u64,
+    /// A load of weights begins only while the weight store's queue is at most this long.
+    pub weight_queue_millis: u64,
+    /// Between two reports of demand towards the planner.
+    pub demand_millis: u64,
+    /// A report of demand counts for this long.
     pub demand_retention_millis: u64,
+    /// Longest wait of a planned stop for the release of the lease.
+    pub release_wait_millis: u64,
 }
 
 /// Limits of size and number.
@@ -87,8 +100,10 @@
     pub engine_workers: u32,
     /// Most peer connections at once; further ones are closed at once.
     pub peer_connections: u32,
-    /// Gossip's budget over all peers, in bytes per second.
-    pub gossip_bytes_per_second: u32,
+    /// Threads that send orders to engines.
+    pub order_workers: u32,
+    /// Threads that commit orders to the table service; the lease has one of its own.
+    pub table_workers: u32,
 }
 
 impl Default for Timings {
@@ -97,22 +112,21 @@
             machine_list_millis: 2_000,
             platform_backoff_millis: 15_000,
             platform_timeout_millis: 2_000,
-            engine_poll_millis: 500,
+            engine_poll_millis: 1_000,
             engine_timeout_millis: 1_000,
-            engine_suspect_millis: 2_000,
-            engine_dead_millis: 10_000,
             peer_timeout_millis: 1_000,
             peer_idle_millis: 60_000,
             watch_keepalive_millis: 1_000,
             bundle_poll_millis: 1_000,
-            vouch_millis: 2_000,
-            lease_millis: 6_000,
-            lease_renew_millis: 1_500,
-            lease_margin_millis: 1_500,
-            command_step_millis: 100,
+            vouch_millis: 5_000,
+            command_step_millis: 50,
             plan_millis: 2_000,
             drain_limit_millis: 60_000,
+            give_up_pause_millis: 30_000,
+            weight_queue_millis: 2_000,
+            demand_millis: 2_000,
             demand_retention_millis: 10_000,
+            release_wait_millis: 3_000,
         }
     }
 }
@@ -122,7 +136,8 @@
         Self {
             engine_workers: 4,
             peer_connections: 256,
-            gossip_bytes_per_second: 4_096,
+            order_workers: 8,
+            table_workers: 4,
         }
     }
 }
@@ -132,6 +147,13 @@
     pub fn validate(&self) -> Vec<FieldError> {
         let mut errors = self.timings.validate();
         errors.extend(self.limits.validate());
+        errors.extend(self.lease.validate());
+        errors.extend(self.orders.validate());
+        errors.extend(self.membership.validate());
+        if self.listen.ip().is_unspecified() {
+            let allowed = "an address that other machines reach, since they are told it";
+            errors.push(field_error("controller.listen", self.listen, allowed));
+        }
         for (field, value) in [
             ("controller.node", self.node.as_str()),
             ("controller.zone", self.zone.as_str()),
@@ -157,51 +179,29 @@
                 ));
             }
         }
-        if self.lease_renew_millis + self.lease_margin_millis >= self.lease_millis {
-            errors.push(field_error(
-                "controller.timings.lease_millis",
-                self.lease_millis,
-                "more than lease_renew_millis and lease_margin_millis together",
-            ));
-        }
-        if self.engine_suspect_millis <= self.engine_poll_millis {
-            errors.push(field_error(
-                "controller.timings.engine_suspect_millis",
-                self.engine_suspect_millis,
-                "more than engine_poll_millis",
-            ));
-        }
-        if self.engine_dead_millis <= self.engine_suspect_millis {
-            errors.push(field_error(
-                "controller.timings.engine_dead_millis",
-                self.engine_dead_millis,
-                "more than engine_suspect_millis",
-            ));
-        }
         errors
     }
 
-    fn fields(&self) -> [(&'static str, u64); 19] {
+    fn fields(&self) -> [(&'static str, u64); 18] {
         [
             ("machine_list_millis", self.machine_list_millis),
             ("platform_backoff_millis", self.platform_backoff_millis),
             ("platform_timeout_millis", self.platform_timeout_millis),
             ("engine_poll_millis", self.engine_poll_millis),
             ("engine_timeout_millis", self.engine_timeout_millis),
-            ("engine_suspect_millis", self.engine_suspect_millis),
-            ("engine_dead_millis", self.engine_dead_millis),
             ("peer_timeout_millis", self.peer_timeout_millis),
             ("peer_idle_millis", self.peer_idle_millis),
             ("watch_keepalive_millis", self.watch_keepalive_millis),
             ("bundle_poll_millis", self.bundle_poll_millis),
             ("vouch_millis", self.vouch_millis),
-            ("lease_millis", self.lease_millis),
-            ("lease_renew_millis", self.lease_renew_millis),
-            ("lease_margin_millis", self.lease_margin_millis),
             ("command_step_millis", self.command_step_millis),
             ("plan_millis", self.plan_millis),
             ("drain_limit_millis", self.drain_limit_millis),
+            ("give_up_pause_millis", self.give_up_pause_millis),
+            ("weight_queue_millis", self.weight_queue_millis),
+            ("demand_millis", self.demand_millis),
             ("demand_retention_millis", self.demand_retention_millis),
+            ("release_wait_millis", self.release_wait_millis),
         ]
     }
 }
@@ -212,10 +212,8 @@
         for (field, value) in [
             ("controller.limits.engine_workers", self.engine_workers),
             ("controller.limits.peer_connections", self.peer_connections),
-            (
-                "controller.limits.gossip_bytes_per_second",
-                self.gossip_bytes_per_second,
-            ),
+            ("controller.limits.order_workers", self.order_workers),
+            ("controller.limits.table_workers", self.table_workers),
         ] {
             if value == 0 {
                 errors.push(field_error(field, value, "1 or more"));
--- a/crates/controller/src/context.rs
+++ b/crates/controller/src/context.rs
@@ -1,15 +1,18 @@
 //! What every thread of a controller shares.
 
+use crate::bundle::BundleState;
+use crate::command::CommandLink;
 use crate::config::ControllerConfig;
-use crate::fleet::FleetTable;
-use crate::machine_watch::MachineView;
+use crate::demand::DemandBoard;
+use crate::gossip::Gossip;
 use crate::metrics::Metrics;
+use crate::peer::server::{self, OpenConnections};
 use crate::stop::StopSignal;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::clock::MonotonicClock;
 use shelfjunction_platform::engine::EngineClient;
 use shelfjunction_platform::services::{MachineList, ObjectStore, TableService, WeightStore};
-use std::net::UdpSocket;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// The systems outside.
@@ -35,35 +38,37 @@
     pub clock: MonotonicClock,
     /// The systems outside.
     pub services: Services,
-    /// What is known of nodes and engines.
-    pub fleet: FleetTable,
-    /// Gossip's socket, on the same port as the peer protocol over TCP.
-    pub datagrams: UdpSocket,
-    /// The platform's list as last read.
-    pub machines: MachineView,
+    /// Membership: the records of nodes and engines.
+    pub gossip: Gossip,
+    /// The bundle in force.
+    pub bundle: BundleState,
+    /// Demand as gateways and other controllers reported it.
+    pub demand: DemandBoard,
+    /// The way to the thread that commands the zone, and what it last said.
+    pub command: CommandLink,
     /// Counts and gauges.
     pub metrics: Metrics,
-    /// Set when the controller ends.
+    /// Open peer connections.
+    pub open: OpenConnections,
+    /// Address of the peer protocol.
+    pub peer_address: SocketAddr,
+    /// Set when a planned stop begins: authority is given up, everything else goes on.
+    pub leaving: StopSignal,
+    /// Set when every thread is to end.
     pub stop: StopSignal,
 }
 
 impl Context {
-    /// Fresh state for a controller that starts now.
-    pub fn new(config: ControllerConfig, services: Services, datagrams: UdpSocket) -> Self {
-        Self {
-            config,
-            clock: MonotonicClock::start(),
-            services,
-            fleet: FleetTable::default(),
-            datagrams,
-            machines: MachineView::default(),
-            metrics: Metrics::default(),
-            stop: StopSignal::default(),
-        }
-    }
-
     /// The present instant.
     pub fn now(&self) -> MonotonicTime {
         self.clock.now()
     }
+
+    /// Ends every thread.
+    pub fn end(&self) {
+        self.stop.set();
+        self.bundle.stop();
+        self.open.close_all();
+        server::wake(self.peer_address);
+    }
 }
--- a/crates/controller/src/engine_watch.rs
+++ b/crates/controller/src/engine_watch.rs
@@ -1,13 +1,16 @@
-//! Reads the status of the zone's engines with a bounded number of threads.
+//! Reads the status of engines with a bounded number of threads.
+//!
+//! Membership names the engines that this controller watches for everybody. The holder of the zone's lease reads
+//! every engine of the zone besides: it orders by what it has seen itself.
 
 use crate::backoff::spread;
 use crate::config::millis;
 use crate::context::Context;
+use crate::fleet;
 use crate::stop::lock;
-use shelfjunction_core::engine::EngineStatus;
 use shelfjunction_core::identity::EngineId;
-use shelfjunction_core::machine::{MachineService, MachineState};
-use shelfjunction_core::membership::record::{EngineRecord, Liveness, RecordKey};
+use shelfjunction_core::membership::observation::Observation;
+use shelfjunction_core::orders::CommanderEvent;
 use shelfjunction_core::time::MonotonicTime;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -17,174 +20,144 @@
 /// Longest time a worker waits before it looks again for work.
 const IDLE_WAIT: Duration = Duration::from_millis(50);
 
-/// Dead subjects are forgotten after this many times the limit that makes them dead.
-const DEAD_RETENTION_FACTOR: u64 = 6;
+/// Time between two looks at which engines are to be read.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 
-/// An engine that this controller watches.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct WatchedEngine {
+struct Target {
     engine: EngineId,
-    service: MachineService,
     address: SocketAddr,
-    state: MachineState,
+    interval: Duration,
 }
 
 #[derive(Debug)]
 struct Slot {
-    target: WatchedEngine,
+    target: Target,
     due: MonotonicTime,
     busy: bool,
 }
 
-/// Which engines are watched and when each is due.
+/// Which engines are read and when each is due.
 #[derive(Debug, Default)]
 pub struct EngineSchedule {
     slots: Mutex<BTreeMap<EngineId, Slot>>,
 }
 
 impl EngineSchedule {
-    fn replace(&self, targets: Vec<WatchedEngine>, now: MonotonicTime) {
+    fn replace(&self, targets: BTreeMap<EngineId, Target>, now: MonotonicTime) {
         let mut slots = lock(&self.slots);
-        slots.retain(|engine, _| targets.iter().any(|target| target.engine == *engine));
-        for target in targets {
-            slots
-                .entry(target.engine.clone())
-                .and_modify(|slot| slot.target = target.clone())
-                .or_insert(Slot {
-                    target,
-                    due: now,
-                    busy: false,
-                });
+        slots.retain(|engine, _| targets.contains_key(engine));
+        for (engine, target) in targets {
+            let slot = slots.entry(engine).or_insert(Slot {
+                target: target.clone(),
+                due: now,
+                busy: false,
+            });
+            // An engine that is now read more often is due sooner than was planned.
+            slot.due = slot.due.min(now + target.interval);
+            slot.target = target;
         }
     }
 
-    fn take_due(&self, now: MonotonicTime) -> Option<WatchedEngine> {
+    fn take_due(&self, now: MonotonicTime) -> Option<Target> {
         let mut slots = lock(&self.slots);
-        let slot = slots
-            .values_mut()
-            .filter(|slot| !slot.busy && slot.due <= now)
-            .min_by_key(|slot| slot.due)?;
+        let due = slots.values_mut().filter(|slot| !slot.busy && slot.due <= now);
+        let slot = due.min_by_key(|slot| slot.due)?;
         slot.busy = true;
         Some(slot.target.clone())
     }
 
-    fn put_back(&self, engine: &EngineId, due: MonotonicTime) {
-        if let Some(slot) = lock(&self.slots).get_mut(engine) {
+    fn put_back(&self, target: &Target, now: MonotonicTime) {
+        if let Some(slot) = lock(&self.slots).get_mut(&target.engine) {
             slot.busy = false;
-            slot.due = due;
+            slot.due = now + spread(slot.target.interval);
         }
     }
 }
 
-/// Keeps the schedule in step with the platform's list and the fleet's records until the controller stops.
+/// Keeps the schedule in step with membership until the controller stops.
 pub fn run_schedule(context: &Context, schedule: &EngineSchedule) {
-    let timings = &context.config.timings;
-    let retention = millis(timings.engine_dead_millis * DEAD_RETENTION_FACTOR);
-    loop {
-        let now = context.now();
-        schedule.replace(engines_to_watch(context), now);
-        context.fleet.forget_dead(retention, now);
-        context.metrics.fleet_records.set(context.fleet.len() as i64);
-        if context.stop.wait(millis(timings.engine_poll_millis)) {
-            return;
-        }
+    while !context
+        .stop
+        .wait(REFRESH_INTERVAL.min(millis(context.config.timings.engine_poll_millis)))
+    {
+        schedule.replace(targets(context), context.now());
+        let records = context.gossip.records().len();
+        context
+            .metrics
+            .fleet_records
+            .set(i64::try_from(records).unwrap_or(i64::MAX));
     }
 }
 
 /// Reads due engines, one at a time, until the controller stops.
 pub fn run_worker(context: &Context, schedule: &EngineSchedule) {
-    let interval = millis(context.config.timings.engine_poll_millis);
     while !context.stop.is_set() {
-        let Some(target) = schedule.take_due(context.now()) else {
-            if context.stop.wait(IDLE_WAIT.min(interval)) {
-                return;
+        match schedule.take_due(context.now()) {
+            Some(target) => {
+                read(context, &target);
+                schedule.put_back(&target, context.now());
             }
-            continue;
-        };
-        poll(context, &target);
-        schedule.put_back(&target.engine, context.now() + spread(interval));
+            None => {
+                context.stop.wait(IDLE_WAIT);
+            }
+        }
     }
 }
 
-fn poll(context: &Context, target: &WatchedEngine) {
+fn read(context: &Context, target: &Target) {
+    // The status can't be older than this instant, whatever the delay of the answer.
+    let observed_at = context.now();
     match context.services.engines.status(target.address) {
         Ok(status) if status.engine == target.engine => {
             context.metrics.engine_polls.inc();
-            observe(context, target, Some(status), Liveness::Alive);
+            context.command.send(CommanderEvent::Status {
+                observed_at,
+                status: Box::new(status.clone()),
+            });
+            context
+                .gossip
+                .observe_engine(&target.engine, Observation::Answered(status));
         }
         Ok(status) => {
             log::warn!(engine:% = target.engine, found:% = status.engine; "engine_has_other_name");
-            observe_missing(context, target);
+            context.gossip.observe_engine(&target.engine, Observation::Missed);
         }
         Err(error) => {
             context.metrics.engine_poll_failures.inc();
             log::debug!(engine:% = target.engine, error:? = error; "engine_unread");
-            observe_missing(context, target);
+            context.gossip.observe_engine(&target.engine, Observation::Missed);
         }
     }
 }
 
-/// An engine is suspected only when no watcher has seen it lately: its record is old as well as unread here.
-fn observe_missing(context: &Context, target: &WatchedEngine) {
-    let timings = &context.config.timings;
-    let key = RecordKey::Engine(target.engine.clone());
-    let Some(known) = context.fleet.get(&key, context.now()) else {
-        observe(context, target, None, Liveness::Suspect);
-        return;
-    };
-    let shelfjunction_core::membership::record::RecordBody::Engine(body) = known.body else {
-        return;
-    };
-    let age = u64::from(known.age_millis);
-    let found = match body.liveness {
-        Liveness::Alive | Liveness::Leaving if age >= timings.engine_suspect_millis => Liveness::Suspect,
-        Liveness::Suspect if age >= timings.engine_dead_millis - timings.engine_suspect_millis => {
-            Liveness::Dead
-        }
-        _ => return,
-    };
-    log::warn!(engine:% = target.engine, liveness:? = found; "engine_missed");
-    observe(context, target, body.status, found);
-}
-
-fn observe(context: &Context, target: &WatchedEngine, status: Option<EngineStatus>, liveness: Liveness) {
-    let body = EngineRecord {
-        zone: context.config.zone.clone(),
-        service: target.service,
-        machine_state: target.state,
-        liveness,
-        status,
-    };
-    context.fleet.observe_engine(&target.engine, body, context.now());
-}
-
-/// Engines of this zone: the platform's list, or what peers know while it has not been read yet.
-fn engines_to_watch(context: &Context) -> Vec<WatchedEngine> {
-    match context.machines.list() {
-        Some(list) => list
-            .into_iter()
-            .filter(|machine| machine.zone == context.config.zone)
-            .filter_map(|machine| watched(EngineId::new(machine.name), machine.service, machine.state))
-            .collect(),
-        None => context
-            .fleet
-            .engines(context.now())
-            .into_iter()
-            .filter(|known| known.record.zone == context.config.zone)
-            .filter_map(|known| watched(known.engine, known.record.service, known.record.machine_state))
-            .collect(),
+fn targets(context: &Context) -> BTreeMap<EngineId, Target> {
+    let mut targets = BTreeMap::new();
+    for watched in context.gossip.watched_engines() {
+        let target = Target {
+            engine: watched.engine.clone(),
+            address: watched.address,
+            interval: watched.interval,
+        };
+        targets.insert(watched.engine, target);
+    }
+    if context.command.status().authority.is_some() {
+        add_zone(context, &mut targets);
     }
+    targets
 }
 
-fn watched(engine: EngineId, service: MachineService, state: MachineState) -> Option<WatchedEngine> {
-    let address = match service {
-        MachineService::ModelEngine { address } | MachineService::ApplicationEngine { address } => address,
-        MachineService::Node { .. } => return None,
-    };
-    Some(WatchedEngine {
-        engine,
-        service,
-        address,
-        state,
-    })
+fn add_zone(context: &Context, targets: &mut BTreeMap<EngineId, Target>) {
+    let interval = millis(context.config.timings.engine_poll_millis);
+    for known in fleet::zone_engines(context) {
+        let Some(address) = known.address() else {
+            continue;
+        };
+        let target = targets.entry(known.engine.clone()).or_insert(Target {
+            engine: known.engine,
+            address,
+            interval,
+        });
+        target.interval = target.interval.min(interval);
+    }
 }
--- a/crates/controller/src/errors.rs
+++ b/crates/controller/src/errors.rs
@@ -1,5 +1,6 @@
 //! Why a controller could not start.
 
+use crate::gossip::GossipError;
 use shelfjunction_core::setting::FieldError;
 use std::fmt;
 use std::io;
@@ -17,10 +18,18 @@
         /// What the system said.
         error: String,
     },
-    /// A thread could not be started.
+    /// The system gave no thread, or no option of a socket.
     Thread(io::Error),
 }
 
+impl From<GossipError> for StartError {
+    fn from(error: GossipError) -> Self {
+        match error {
+            GossipError::Socket(error) | GossipError::Thread(error) => Self::Thread(error),
+        }
+    }
+}
+
 impl fmt::Display for StartError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -29,7 +38,7 @@
                 errors.iter().try_for_each(|error| write!(formatter, "; {error}"))
             }
             Self::Bind { address, error } => write!(formatter, "can't listen on {address}: {error}"),
-            Self::Thread(error) => write!(formatter, "can't start a thread: {error}"),
+            Self::Thread(error) => write!(formatter, "the system gives no thread or socket option: {error}"),
         }
     }
 }
--- a/crates/controller/src/handle.rs
+++ b/crates/controller/src/handle.rs
@@ -1,14 +1,29 @@
 //! Starts a controller's threads and ends them.
 
-use crate::config::ControllerConfig;
+use crate::bundle::{self, BundleState};
+use crate::command::{self, CommandLink, Executor};
+use crate::config::{ControllerConfig, millis};
 use crate::context::{Context, Services};
+use crate::demand::{self, DemandBoard};
 use crate::engine_watch::{self, EngineSchedule};
 use crate::errors::StartError;
+use crate::gossip::{Gossip, GossipConfig};
+use crate::metrics::Metrics;
 use crate::peer::server::{self, OpenConnections};
-use crate::{http, machine_watch, net};
+use crate::stop::StopSignal;
+use crate::{http, machine_watch, membership_watch, net};
+use shelfjunction_core::identity::{FencingToken, Generation};
+use shelfjunction_core::machine::MachineService;
+use shelfjunction_core::membership::events::OwnNode;
+use shelfjunction_core::orders::CommanderEvent;
+use shelfjunction_platform::clock::MonotonicClock;
+use shelfjunction_platform::http_engine::{EngineTimeouts, HttpEngineClient};
+use shelfjunction_platform::http_platform::{HttpPlatform, PlatformTimeouts};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::mpsc::Receiver;
 use std::thread::{Builder, JoinHandle};
+use std::time::{SystemTime, UNIX_EPOCH};
 use tiny_http::Server;
 
 /// One controller process's work, run by threads of the calling process.
@@ -18,13 +33,17 @@
 /// A running controller.
 pub struct ControllerHandle {
     context: Arc<Context>,
-    open: Arc<OpenConnections>,
-    peer_address: SocketAddr,
     http_address: SocketAddr,
     threads: Vec<JoinHandle<()>>,
 }
 
 impl Controller {
+    /// Starts against the platform and the engines over HTTP.
+    pub fn start(config: ControllerConfig) -> Result<ControllerHandle, StartError> {
+        let services = http_services(&config);
+        Self::start_with(config, services)
+    }
+
     /// Starts against the given services; every address is bound when this returns.
     pub fn start_with(config: ControllerConfig, services: Services) -> Result<ControllerHandle, StartError> {
         let errors = config.validate();
@@ -34,20 +53,35 @@
         let sockets = net::bind(config.listen)?;
         let http_server = bind_http(config.http_listen)?;
         let http_address = http_server.server_addr().to_ip().unwrap_or(config.http_listen);
-        let mut handle = ControllerHandle {
-            context: Arc::new(Context::new(config, services, sockets.datagrams)),
-            open: Arc::default(),
+        let clock = MonotonicClock::start();
+        let gossip = Gossip::start(gossip_config(&config, sockets.address), sockets.datagrams, clock)?;
+        let (command, events) = CommandLink::new(config.timings.weight_queue_millis);
+        let metrics = Metrics::default();
+        let context = Arc::new(Context {
+            bundle: BundleState::new(config.roots.clone(), config.zone.clone(), metrics.clone()),
+            config,
+            clock,
+            services,
+            gossip,
+            demand: DemandBoard::default(),
+            command,
+            metrics,
+            open: OpenConnections::default(),
             peer_address: sockets.address,
+            leaving: StopSignal::default(),
+            stop: StopSignal::default(),
+        });
+        let mut handle = ControllerHandle {
+            context: Arc::clone(&context),
             http_address,
             threads: Vec::new(),
         };
-        let (context, open) = (Arc::clone(&handle.context), Arc::clone(&handle.open));
-        handle.spawn("peer-server", move || {
-            server::run(&context, &sockets.listener, &open)
-        })?;
-        let context = Arc::clone(&handle.context);
-        handle.spawn("http", move || http::run(&context, &http_server))?;
+        let listener = sockets.listener;
+        handle.spawn("peer-server", move |context| server::run(context, &listener))?;
+        handle.spawn("http", move |context| http::run(context, &http_server))?;
         handle.start_watching()?;
+        handle.start_bundle()?;
+        handle.start_command(events)?;
         Ok(handle)
     }
 }
@@ -55,7 +89,7 @@
 impl ControllerHandle {
     /// Address of the peer protocol, over TCP and UDP.
     pub fn peer_address(&self) -> SocketAddr {
-        self.peer_address
+        self.context.peer_address
     }
 
     /// Address of health and metrics.
@@ -63,11 +97,20 @@
         self.http_address
     }
 
-    /// Begins a planned stop.
+    /// Token under which this controller may order engines now; absent without the lease.
+    pub fn fencing_token(&self) -> Option<FencingToken> {
+        let authority = self.context.command.status().authority?;
+        (self.context.now() < authority.not_after).then_some(authority.token)
+    }
+
+    /// Generation of the bundle in force; zero without one.
+    pub fn generation(&self) -> Generation {
+        self.context.bundle.generation()
+    }
+
+    /// Begins a planned stop: gives up the lease, tells the others, then ends every thread.
     pub fn stop(&self) {
-        self.context.stop.set();
-        self.open.close_all();
-        server::wake(self.peer_address);
+        self.context.leaving.set();
     }
 
     /// Waits until every thread has ended; call [`ControllerHandle::stop`] first.
@@ -76,40 +119,112 @@
             // A thread that panicked has been reported by the panic hook.
             let _ = thread.join();
         }
-        self.open.close_all();
+        self.context.gossip.stop();
+        self.context.open.close_all();
     }
 
     fn start_watching(&mut self) -> Result<(), StartError> {
-        let context = Arc::clone(&self.context);
-        self.spawn("machine-list", move || machine_watch::run(&context))?;
+        self.spawn("machine-list", |context| machine_watch::run(context))?;
+        self.spawn("membership", |context| membership_watch::run(context))?;
+        self.spawn("demand", |context| demand::run(context))?;
         let schedule = Arc::new(EngineSchedule::default());
-        let (context, schedule_of_thread) = (Arc::clone(&self.context), Arc::clone(&schedule));
-        self.spawn("engine-schedule", move || {
-            engine_watch::run_schedule(&context, &schedule_of_thread)
+        let shared = Arc::clone(&schedule);
+        self.spawn("engine-schedule", move |context| {
+            engine_watch::run_schedule(context, &shared)
         })?;
         for _ in 0..self.context.config.limits.engine_workers {
-            let (context, schedule) = (Arc::clone(&self.context), Arc::clone(&schedule));
-            self.spawn("engine-watch", move || {
-                engine_watch::run_worker(&context, &schedule)
+            let schedule = Arc::clone(&schedule);
+            self.spawn("engine-watch", move |context| {
+                engine_watch::run_worker(context, &schedule)
             })?;
         }
         Ok(())
     }
 
-    fn spawn(&mut self, name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), StartError> {
-        match Builder::new().name(name.to_owned()).spawn(work) {
+    fn start_bundle(&mut self) -> Result<(), StartError> {
+        self.spawn("bundle-store", |context| bundle::run_store_poll(context))?;
+        self.spawn("bundle-peers", |context| bundle::run_exchange(context))
+    }
+
+    fn start_command(&mut self, events: Receiver<CommanderEvent>) -> Result<(), StartError> {
+        let executor = Arc::new(Executor::new(self.context.config.zone.clone()));
+        let limits = self.context.config.limits;
+        let shared = Arc::clone(&executor);
+        self.spawn("lease", move |context| shared.run_lease_calls(context))?;
+        for _ in 0..limits.table_workers {
+            let shared = Arc::clone(&executor);
+            self.spawn("table", move |context| shared.run_table_calls(context))?;
+        }
+        for _ in 0..limits.order_workers {
+            let shared = Arc::clone(&executor);
+            self.spawn("orders", move |context| shared.run_orders(context))?;
+        }
+        self.spawn("weights", |context| command::run_weight_watch(context))?;
+        self.spawn("command", move |context| {
+            command::run(context, &executor, &events)
+        })
+    }
+
+    fn spawn(
+        &mut self,
+        name: &str,
+        work: impl FnOnce(&Arc<Context>) + Send + 'static,
+    ) -> Result<(), StartError> {
+        let context = Arc::clone(&self.context);
+        match Builder::new().name(name.to_owned()).spawn(move || work(&context)) {
             Ok(thread) => {
                 self.threads.push(thread);
                 Ok(())
             }
             Err(error) => {
-                self.stop();
+                self.context.end();
+                self.context.gossip.stop();
                 Err(StartError::Thread(error))
             }
         }
     }
 }
 
+fn http_services(config: &ControllerConfig) -> Services {
+    let call = millis(config.timings.platform_timeout_millis);
+    let timeouts = PlatformTimeouts {
+        connect: PlatformTimeouts::default().connect.min(call),
+        call,
+    };
+    let platform = Arc::new(HttpPlatform::new(config.platform, timeouts));
+    let engines = HttpEngineClient::new(EngineTimeouts {
+        control_millis: config.timings.engine_timeout_millis,
+        ..EngineTimeouts::default()
+    });
+    Services {
+        table: platform.clone(),
+        objects: platform.clone(),
+        machines: platform.clone(),
+        weights: platform,
+        engines: Arc::new(engines),
+    }
+}
+
+fn gossip_config(config: &ControllerConfig, address: SocketAddr) -> GossipConfig {
+    // The wall clock only makes incarnations rise from start to start; nothing else is read from it.
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    GossipConfig {
+        membership: config.membership.clone(),
+        identity: OwnNode {
+            node: config.node.clone(),
+            zone: config.zone.clone(),
+            region: config.region.clone(),
+            service: MachineService::Node {
+                gateway: config.gateway_address,
+                controller: address,
+            },
+            incarnation: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
+        },
+        seeds: config.seeds.clone(),
+        random_seed: rand::random(),
+    }
+}
+
 fn bind_http(address: SocketAddr) -> Result<Server, StartError> {
     Server::http(address).map_err(|error| StartError::Bind {
         address,
--- a/crates/controller/src/http.rs
+++ b/crates/controller/src/http.rs
@@ -1,6 +1,7 @@
 //! Health and metrics over HTTP.
 
 use crate::context::Context;
+use crate::fleet;
 use std::time::Duration;
 use tiny_http::{Header, Method, Request, Response, Server, StatusCode};
 
@@ -41,7 +42,7 @@
     match (request.method(), request.url()) {
         (Method::Get, "/healthz") => text(OK, "ok"),
         (Method::Get, "/readyz") if is_ready(context) => text(OK, "ready"),
-        (Method::Get, "/readyz") => text(NOT_READY, "no engine or node is known yet"),
+        (Method::Get, "/readyz") => text(NOT_READY, "no engine is known yet"),
         (Method::Get, "/metrics") => match context.metrics.render() {
             Ok(body) => Page { status: OK, body },
             Err(_) => text(SERVER_ERROR, "metrics can't be rendered"),
@@ -52,7 +53,7 @@
 
 /// Ready when there is something to tell a gateway.
 fn is_ready(context: &Context) -> bool {
-    !context.fleet.is_empty()
+    !fleet::engines(context).is_empty()
 }
 
 fn text(status: u16, body: &str) -> Page {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -3,8 +3,11 @@
 //! Threads here only carry out; every decision is taken by `shelfjunction-core`, with time handed in.
 
 pub mod backoff;
+pub mod bundle;
+pub mod command;
 pub mod config;
 pub mod context;
+pub mod demand;
 mod engine_watch;
 pub mod errors;
 pub mod fleet;
@@ -12,6 +15,7 @@
 mod handle;
 mod http;
 mod machine_watch;
+mod membership_watch;
 pub mod metrics;
 mod net;
 pub mod peer;
--- a/crates/controller/src/machine_watch.rs
+++ b/crates/controller/src/machine_watch.rs
@@ -1,51 +1,10 @@
-//! Reads the platform's lagging list of machines.
+//! Reads the platform's lagging list of machines, in one controller of each zone.
 
 use crate::backoff::Backoff;
 use crate::config::millis;
 use crate::context::Context;
-use crate::stop::lock;
-use shelfjunction_core::identity::ZoneId;
-use shelfjunction_core::machine::{Machine, MachineService, MachineState};
-use std::net::SocketAddr;
-use std::sync::Mutex;
-
-/// The list as last read; absent until the first read succeeds.
-#[derive(Debug, Default)]
-pub struct MachineView {
-    list: Mutex<Option<Vec<Machine>>>,
-}
-
-impl MachineView {
-    /// The list as last read.
-    pub fn list(&self) -> Option<Vec<Machine>> {
-        lock(&self.list).clone()
-    }
-
-    /// The entry with this name.
-    pub fn find(&self, name: &str) -> Option<Machine> {
-        let list = lock(&self.list);
-        list.as_ref()?
-            .iter()
-            .find(|machine| machine.name == name)
-            .cloned()
-    }
-
-    /// Controllers on machines that stay, with their zones.
-    pub fn controllers(&self) -> Vec<(ZoneId, SocketAddr)> {
-        let list = self.list().unwrap_or_default();
-        list.into_iter()
-            .filter(|machine| machine.state == MachineState::Live)
-            .filter_map(|machine| match machine.service {
-                MachineService::Node { controller, .. } => Some((machine.zone, controller)),
-                _ => None,
-            })
-            .collect()
-    }
-
-    fn replace(&self, machines: Vec<Machine>) {
-        *lock(&self.list) = Some(machines);
-    }
-}
+use crate::fleet;
+use shelfjunction_core::table::PlatformError;
 
 /// Reads the list until the controller stops.
 pub fn run(context: &Context) {
@@ -53,11 +12,8 @@
     let interval = millis(timings.machine_list_millis);
     let mut backoff = Backoff::new(interval, millis(timings.platform_backoff_millis));
     loop {
-        let wait = match context.services.machines.machines() {
-            Ok(machines) => {
-                context.machines.replace(machines);
-                backoff.succeeded()
-            }
+        let wait = match read_when_chosen(context) {
+            Ok(()) => backoff.succeeded(),
             Err(error) => {
                 context.metrics.platform_errors.inc();
                 log::warn!(error:? = error; "machine_list_unread");
@@ -69,3 +25,12 @@
         }
     }
 }
+
+/// A controller that knows of no engine in its zone reads for itself; otherwise the chosen one passes changes on.
+fn read_when_chosen(context: &Context) -> Result<(), PlatformError> {
+    if context.gossip.is_zone_poller() || fleet::zone_engines(context).is_empty() {
+        let machines = context.services.machines.machines()?;
+        context.gossip.join_machines(&machines);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/controller/src/membership_watch.rs
@@ -0,0 +1,70 @@
+//! Carries on what membership finds out: newer bundles elsewhere, confirmations, and a machine that leaves.
+
+use crate::bundle::{BundleState, learn_from_zone};
+use crate::context::Context;
+use shelfjunction_core::bundle::HeadSource;
+use shelfjunction_core::membership::events::GossipEvent;
+use shelfjunction_core::membership::wire::Head as GossipHead;
+use shelfjunction_core::orders::CommanderEvent;
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_protocol::peer::BundleHead;
+use std::time::Duration;
+
+/// Longest wait for an event before confirmations are carried over.
+const EVENT_WAIT: Duration = Duration::from_millis(250);
+
+/// Follows membership until the controller stops.
+pub fn run(context: &Context) {
+    while !context.stop.is_set() {
+        for event in context.gossip.wait_events(EVENT_WAIT) {
+            take(context, event);
+        }
+        carry_confirmations(context);
+    }
+}
+
+fn take(context: &Context, event: GossipEvent) {
+    match event {
+        GossipEvent::HeadHeard { head, .. } => {
+            let named = BundleHead {
+                generation: head.generation,
+                manifest: head.manifest,
+                confirmed_millis_ago: u64::MAX,
+            };
+            learn_from_zone(context, Some(&named), context.config.zone.clone());
+        }
+        GossipEvent::OwnMachineLeaving => {
+            log::info!(node:% = context.config.node; "own_machine_leaves");
+            context.command.send(CommanderEvent::Release);
+        }
+    }
+}
+
+/// Membership passes on the age of the last confirmation with every datagram; the keeper learns it from there.
+fn carry_confirmations(context: &Context) {
+    let now = context.now();
+    let Some(head) = context.bundle.head(now) else {
+        return;
+    };
+    context.gossip.set_head(GossipHead {
+        generation: head.generation,
+        manifest: head.manifest,
+    });
+    if let Some(confirmed_ago) = context.gossip.head_confirmed_age() {
+        note(&context.bundle, &head, confirmed_ago, context, now);
+    }
+}
+
+fn note(
+    bundle: &BundleState,
+    head: &BundleHead,
+    confirmed_ago: Duration,
+    context: &Context,
+    now: MonotonicTime,
+) {
+    let source = HeadSource::Peer {
+        zone: context.config.zone.clone(),
+        confirmed_ago,
+    };
+    bundle.on_head(Some(crate::bundle::head_of(head)), &source, now);
+}
--- a/crates/controller/src/peer/connection.rs
+++ b/crates/controller/src/peer/connection.rs
@@ -1,10 +1,11 @@
 //! One peer connection: requests and answers, or a stream of records.
 
+use crate::bundle::learn_from_zone;
 use crate::config::millis;
 use crate::context::Context;
-use crate::fleet::ChangeNumber;
+use crate::demand;
 use shelfjunction_protocol::frame::{FrameError, read_frame, write_frame};
-use shelfjunction_protocol::peer::{PeerRequest, PeerResponse};
+use shelfjunction_protocol::peer::{DemandSource, PeerRequest, PeerResponse};
 use std::net::{SocketAddr, TcpStream};
 
 /// Most records in one frame; far below the frame's limit in bytes.
@@ -37,26 +38,41 @@
     Ok(())
 }
 
-fn answer(_context: &Context, request: PeerRequest) -> PeerResponse {
+fn answer(context: &Context, request: PeerRequest) -> PeerResponse {
+    let now = context.now();
     match request {
         PeerRequest::WatchFleet => PeerResponse::Refused("a stream answers this".to_owned()),
-        PeerRequest::BundleHead | PeerRequest::AnnounceHead(_) => PeerResponse::Head(None),
-        PeerRequest::FetchParts(_) => PeerResponse::Parts(Vec::new()),
-        PeerRequest::ReportDemand(_) | PeerRequest::ForwardDemand(_) => PeerResponse::Noted,
+        PeerRequest::BundleHead => PeerResponse::Head(context.bundle.head(now)),
+        PeerRequest::AnnounceHead(head) => {
+            // Who announces is not known here, so it counts as no more than a process of this zone.
+            learn_from_zone(context, Some(&head), context.config.zone.clone());
+            PeerResponse::Head(context.bundle.head(now))
+        }
+        PeerRequest::FetchParts(digests) => PeerResponse::Parts(context.bundle.contents(&digests)),
+        PeerRequest::ReportDemand(report) => {
+            let source = DemandSource::Node(context.config.node.clone());
+            context.demand.note(source, report, now);
+            PeerResponse::Noted
+        }
+        PeerRequest::ForwardDemand(forwarded) => {
+            demand::take_forwarded(context, forwarded);
+            PeerResponse::Noted
+        }
     }
 }
 
 /// Sends everything known, then each change; an empty frame tells a silent watcher that this controller lives.
 fn stream_records(context: &Context, stream: &mut TcpStream) -> Result<(), FrameError> {
     let keepalive = millis(context.config.timings.watch_keepalive_millis);
-    let mut position = ChangeNumber::default();
+    let mut changes = context.gossip.changes_since(0);
     while !context.stop.is_set() {
-        let changes = context
-            .fleet
-            .changes_after(position, RECORDS_PER_FRAME, context.now());
-        position = changes.upto;
-        write_frame(stream, &PeerResponse::Records(changes.records))?;
-        context.fleet.wait_for_change(position, keepalive);
+        if changes.records.is_empty() {
+            write_frame(stream, &PeerResponse::Records(Vec::new()))?;
+        }
+        for records in changes.records.chunks(RECORDS_PER_FRAME) {
+            write_frame(stream, &PeerResponse::Records(records.to_vec()))?;
+        }
+        changes = context.gossip.wait_changes(changes.position, keepalive);
     }
     Ok(())
 }
--- a/crates/controller/src/peer/server.rs
+++ b/crates/controller/src/peer/server.rs
@@ -45,7 +45,7 @@
 }
 
 /// Accepts connections until the controller stops.
-pub fn run(context: &Arc<Context>, listener: &TcpListener, open: &Arc<OpenConnections>) {
+pub fn run(context: &Arc<Context>, listener: &TcpListener) {
     let limit = context.config.limits.peer_connections as usize;
     for number in 0.. {
         let accepted = listener.accept();
@@ -53,9 +53,9 @@
             return;
         }
         match accepted {
-            Ok(_) if open.len() >= limit => context.metrics.peer_connections_refused.inc(),
+            Ok(_) if context.open.len() >= limit => context.metrics.peer_connections_refused.inc(),
             Ok((stream, peer)) => {
-                start(context, open, number, stream, peer);
+                start(context, number, stream, peer);
                 continue;
             }
             Err(error) => {
@@ -73,30 +73,25 @@
     let _ = TcpStream::connect_timeout(&address, WAKE_TIMEOUT);
 }
 
-fn start(
-    context: &Arc<Context>,
-    open: &Arc<OpenConnections>,
-    number: u64,
-    stream: TcpStream,
-    peer: SocketAddr,
-) {
+fn start(context: &Arc<Context>, number: u64, stream: TcpStream, peer: SocketAddr) {
     let Ok(copy) = stream.try_clone() else {
         return;
     };
-    context
-        .metrics
-        .peer_connections
-        .set(open.add(number, copy) as i64);
-    let (context_of_thread, open_of_thread) = (Arc::clone(context), Arc::clone(open));
-    let started = thread::Builder::new()
-        .name("peer-connection".to_owned())
-        .spawn(move || {
-            connection::serve(&context_of_thread, stream, peer);
-            let left = open_of_thread.remove(number);
-            context_of_thread.metrics.peer_connections.set(left as i64);
-        });
+    let connections = &context.metrics.peer_connections;
+    connections.set(gauge(context.open.add(number, copy)));
+    let context_of_thread = Arc::clone(context);
+    let thread = thread::Builder::new().name("peer-connection".to_owned());
+    let started = thread.spawn(move || {
+        connection::serve(&context_of_thread, stream, peer);
+        let left = context_of_thread.open.remove(number);
+        context_of_thread.metrics.peer_connections.set(gauge(left));
+    });
     if let Err(error) = started {
         log::warn!(error:% = error; "peer_thread_failed");
-        open.remove(number);
+        context.open.remove(number);
     }
 }
+
+fn gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -3,11 +3,15 @@
 
 use shelfjunction_controller::Services;
 use shelfjunction_controller::config::{ControllerConfig, Limits, Timings};
+use shelfjunction_core::bundle::signature::SigningAuthority;
 use shelfjunction_core::engine::{EngineCall, EngineStatus, LoadReport, Order, OrderReply, Role, RunState};
 use shelfjunction_core::identity::{
     EngineId, FencingToken, ModelId, NodeId, RegionId, RequestId, WeightVersion, ZoneId,
 };
+use shelfjunction_core::lease::LeaseTimings;
 use shelfjunction_core::machine::{Machine, MachineService, MachineState};
+use shelfjunction_core::membership::config::MembershipConfig;
+use shelfjunction_core::orders::OrderTimings;
 use shelfjunction_core::table::{PlatformError, Row, RowKey, Transaction, TransactionOutcome};
 use shelfjunction_platform::engine::{AnswerStream, CallError, ControlError, EngineClient, KvEventBatch};
 use shelfjunction_platform::services::{MachineList, ObjectStore, TableService, WeightStore};
@@ -29,6 +33,10 @@
         gateway_address: any,
         platform: any,
         seeds: Vec::new(),
+        roots: SigningAuthority::default(),
+        lease: LeaseTimings::default(),
+        orders: OrderTimings::default(),
+        membership: MembershipConfig::default(),
         timings: Timings {
             engine_poll_millis: 20,
             machine_list_millis: 20,
