Count a confirmation from before the start of a process as none

Cause: the instant of a confirmation that a process of the own zone passed on was cut off at the start of the receiver's clock, so a process that had just started in a zone that was cut off took hour-old or absent confirmations for ones as young as itself and served on for up to the isolation limit. Ruled out: an offset on the clocks, which only moves the point at which this happens. Conclusion: an instant that can't be held is absent, in bundles and in membership alike.

--- a/crates/core/src/bundle/confirmation.rs
+++ b/crates/core/src/bundle/confirmation.rs
@@ -26,11 +26,14 @@
 
 impl Confirmation {
     /// The instant that an answer vouches for: now, or earlier for what a process of the own zone passes on.
-    pub fn vouched(source: &HeadSource, own_zone: &ZoneId, now: MonotonicTime) -> MonotonicTime {
+    ///
+    /// Absent for an instant before the start of this process's clock, which nothing here can hold: moving it up to
+    /// the start would make an old confirmation look fresh in a young process.
+    pub fn vouched(source: &HeadSource, own_zone: &ZoneId, now: MonotonicTime) -> Option<MonotonicTime> {
         match source {
-            HeadSource::Store => now,
-            HeadSource::Peer { zone, .. } if zone != own_zone => now,
-            HeadSource::Peer { confirmed_ago, .. } => now - *confirmed_ago,
+            HeadSource::Store => Some(now),
+            HeadSource::Peer { zone, .. } if zone != own_zone => Some(now),
+            HeadSource::Peer { confirmed_ago, .. } => now.earlier(*confirmed_ago),
         }
     }
 
@@ -52,9 +55,9 @@
         }
     }
 
-    /// Notes a confirmation; an older one than known changes nothing.
-    pub fn note(&mut self, at: MonotonicTime) {
-        self.last = Some(self.last.map_or(at, |last| last.max(at)));
+    /// Notes a confirmation; an older one than known changes nothing, nor does none.
+    pub fn note(&mut self, at: Option<MonotonicTime>) {
+        self.last = self.last.max(at);
     }
 
     /// Time since the last confirmation; absent before the first.
--- a/crates/core/src/bundle/keeper.rs
+++ b/crates/core/src/bundle/keeper.rs
@@ -49,7 +49,7 @@
 struct Candidate {
     head: Head,
     from_store: bool,
-    vouched: MonotonicTime,
+    vouched: Option<MonotonicTime>,
 }
 
 /// Keeps one process's bundle.
--- a/crates/core/src/membership/merging.rs
+++ b/crates/core/src/membership/merging.rs
@@ -137,7 +137,7 @@
             self.confirmed_at = Some(now);
         } else if sender.confirmed_tenths < u16::MAX {
             let age = Duration::from_millis(u64::from(sender.confirmed_tenths) * 100);
-            self.confirmed_at = self.confirmed_at.max(Some(now - age));
+            self.confirmed_at = self.confirmed_at.max(now.earlier(age));
         }
     }
 }
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -19,6 +19,12 @@
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// The instant that long before this one; absent when it lies before the clock's start.
+    pub fn earlier(self, duration: Duration) -> Option<Self> {
+        let micros = u64::try_from(duration.as_micros()).ok()?;
+        self.0.checked_sub(micros).map(Self)
+    }
 }
 
 impl Add<Duration> for MonotonicTime {
