--- a/crates/core/src/demand/estimator.rs
+++ b/crates/core/src/demand/estimator.rs
@@ -34,18 +34,25 @@
 }
 
 /// Learns rates from arrivals and lengths from finished requests.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct DemandEstimator {
     streams: BTreeMap<(ModelId, ServiceClass), StreamDemand>,
     bin_started: MonotonicTime,
+    detects_shifts: bool,
 }
 
 impl DemandEstimator {
     /// An estimator whose first bin begins now.
     pub fn new(now: MonotonicTime) -> Self {
+        Self::with_shift_detection(now, true)
+    }
+
+    /// An estimator that may follow calm means alone, for comparison.
+    pub fn with_shift_detection(now: MonotonicTime, detects_shifts: bool) -> Self {
         Self {
             streams: BTreeMap::new(),
             bin_started: now,
+            detects_shifts,
         }
     }
 
@@ -102,7 +109,9 @@
     }
 
     fn stream(&mut self, model: &ModelId, class: ServiceClass) -> &mut StreamDemand {
-        self.streams.entry((model.clone(), class)).or_default()
+        let detects_shifts = self.detects_shifts;
+        let key = (model.clone(), class);
+        self.streams.entry(key).or_insert_with(|| StreamDemand::new(detects_shifts))
     }
 
     fn close_bins(&mut self, now: MonotonicTime) {
@@ -117,6 +126,17 @@
 }
 
 impl StreamDemand {
+    fn new(detects_shifts: bool) -> Self {
+        if detects_shifts {
+            return Self::default();
+        }
+        Self {
+            requests: RateEstimate::without_shift_detection(),
+            prompt_tokens: RateEstimate::without_shift_detection(),
+            ..Self::default()
+        }
+    }
+
     fn close_bin(&mut self) {
         self.requests.add_bin(std::mem::take(&mut self.bin_requests));
         self.prompt_tokens
--- a/crates/core/src/demand/rate.rs
+++ b/crates/core/src/demand/rate.rs
@@ -26,9 +26,18 @@
     above: f64,
     below: f64,
     shifts: u64,
+    ignores_shifts: bool,
 }
 
 impl RateEstimate {
+    /// An estimate that follows the calm mean alone; for comparison with the default, which detects shifts.
+    pub fn without_shift_detection() -> Self {
+        Self {
+            ignores_shifts: true,
+            ..Self::default()
+        }
+    }
+
     /// Takes the amount of one more bin.
     pub fn add_bin(&mut self, amount: f64) {
         if self.bins == 0.0 {
@@ -44,7 +53,8 @@
         let share = 1.0 / self.bins.min(CALM_BINS);
         self.calm += deviation * share;
         self.variance += (deviation * deviation - self.variance) * share.min(0.1);
-        if self.above > SHIFT_THRESHOLD || self.below > SHIFT_THRESHOLD {
+        let shifted = self.above > SHIFT_THRESHOLD || self.below > SHIFT_THRESHOLD;
+        if shifted && !self.ignores_shifts {
             self.shifts += 1;
             self.restart(self.fast);
         }
