--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -6,6 +6,7 @@
 pub mod cache;
 pub mod cost;
 pub mod health;
+pub mod prefix;
 pub mod query;
 pub mod router;
 pub mod view;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,4 +4,6 @@
 
 pub mod clock;
 pub mod engine;
+pub mod http_engine;
+pub mod http_platform;
 pub mod services;
