--- a/crates/cli/src/node/controller.rs
+++ b/crates/cli/src/node/controller.rs
@@ -4,12 +4,9 @@
 use super::start_error;
 use crate::exit::CommandError;
 use crate::settings::{NodeSettings, ProgramSettings};
-use shelfjunction_controller::{Controller, ControllerConfig, Services};
+use shelfjunction_controller::{Controller, ControllerConfig};
 use shelfjunction_core::setting::FieldError;
-use shelfjunction_platform::http_engine::{EngineTimeouts, HttpEngineClient};
-use shelfjunction_platform::http_platform::{HttpPlatform, PlatformTimeouts};
-use std::sync::Arc;
-use std::time::Duration;
+use std::path::Path;
 
 impl ProgramSettings for ControllerConfig {
     const TABLE: &'static str = "controller";
@@ -22,8 +19,14 @@
 http_listen = '127.0.0.1:7001'
 gateway_address = '127.0.0.1:8080'
 platform = '127.0.0.1:9000'
+
+[roots]
+required_signatures = 1
+operators = []
 ";
 
+    fn resolve_paths(&mut self, _directory: &Path) {}
+
     fn range_errors(&self) -> Vec<FieldError> {
         self.validate()
     }
@@ -34,9 +37,7 @@
     let mut signals = StopSignals::register()?;
     let node = settings.program.node.clone();
     let zone = settings.program.zone.clone();
-    let services = services(&settings.program);
-    let handle = Controller::start_with(settings.program, services)
-        .map_err(|cause| start_error("controller", cause))?;
+    let handle = Controller::start(settings.program).map_err(|cause| start_error("controller", cause))?;
     log::info!(
         address:% = handle.peer_address(),
         http_address:% = handle.http_address(),
@@ -52,19 +53,3 @@
     log::info!(node = node.as_str(), program = "controller"; "stopped");
     Ok(())
 }
-
-fn services(config: &ControllerConfig) -> Services {
-    let call = Duration::from_millis(config.timings.platform_timeout_millis);
-    let timeouts = PlatformTimeouts {
-        call,
-        ..PlatformTimeouts::default()
-    };
-    let platform = Arc::new(HttpPlatform::new(config.platform, timeouts));
-    Services {
-        table: platform.clone(),
-        objects: platform.clone(),
-        machines: platform.clone(),
-        weights: platform,
-        engines: Arc::new(HttpEngineClient::new(EngineTimeouts::default())),
-    }
-}
--- a/crates/cli/src/settings/mod.rs
+++ b/crates/cli/src/settings/mod.rs
@@ -6,4 +6,4 @@
 
 pub use document::{Override, check_document};
 pub use node::{NodeSettings, ProgramSettings, load};
-pub use secrets::{read_cache_secret, read_root_keys, read_secret_text};
+pub use secrets::{read_root_keys, read_secret_text};
--- a/crates/cli/src/settings/secrets.rs
+++ b/crates/cli/src/settings/secrets.rs
@@ -1,18 +1,15 @@
 //! Secrets and keys, read from files and never from flags; their values are never part of a message.
 
-use serde::Deserialize;
 use shelfjunction_core::bundle::signature::{self, SigningAuthority};
 use shelfjunction_core::setting::FieldError;
-use shelfjunction_core::tenancy::CacheSecret;
 use std::fs;
 use std::path::Path;
 
 /// Reads the public root keys that sign the first bundle: a TOML file with `required_signatures` and `[[operators]]`.
 pub fn read_root_keys(field: &str, path: &Path) -> Result<SigningAuthority, Vec<FieldError>> {
     let text = read_file(field, path)?;
-    let authority = toml::from_str::<RootKeys>(&text)
-        .map_err(|cause| fault(field, path, cause.message()))?
-        .into_authority();
+    let authority: SigningAuthority =
+        toml::from_str(&text).map_err(|cause| fault(field, path, cause.message()))?;
     let count = authority.operators.len();
     let required = authority.required_signatures as usize;
     if required == 0 || required > count {
@@ -35,12 +32,6 @@
     }
 }
 
-/// Reads the secret that all nodes share: 64 hexadecimal digits.
-pub fn read_cache_secret(field: &str, path: &Path) -> Result<CacheSecret, Vec<FieldError>> {
-    let text = read_file(field, path)?;
-    CacheSecret::from_hex(&text).ok_or_else(|| fault(field, path, "a file with 64 hexadecimal digits"))
-}
-
 /// Reads a secret text such as a bearer token: the file's only line.
 pub fn read_secret_text(field: &str, path: &Path) -> Result<String, Vec<FieldError>> {
     let text = read_file(field, path)?.trim().to_owned();
@@ -50,22 +41,6 @@
     Ok(text)
 }
 
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct RootKeys {
-    required_signatures: u32,
-    operators: Vec<signature::SigningOperator>,
-}
-
-impl RootKeys {
-    fn into_authority(self) -> SigningAuthority {
-        SigningAuthority {
-            required_signatures: self.required_signatures,
-            operators: self.operators,
-        }
-    }
-}
-
 fn read_file(field: &str, path: &Path) -> Result<String, Vec<FieldError>> {
     fs::read_to_string(path)
         .map_err(|cause| fault(field, path, &format!("a file that can be read ({cause})")))
--- a/crates/cli/src/usage.rs
+++ b/crates/cli/src/usage.rs
@@ -40,7 +40,7 @@
 Watches the fleet, distributes bundles and orders the zone's engines while it holds the lease, until SIGTERM or SIGINT.
 
 Example:
-  shelfjunction controller --settings examples/pharmacy/pharmacy-sthlm-a-controller.toml --check";
+  shelfjunction controller --settings examples/pharmacy/sthlm-a-controller.toml --check";
 
 /// `bundle`.
 pub const BUNDLE: &str = "\
