--- a/crates/lab/src/caller/answer.rs
+++ b/crates/lab/src/caller/answer.rs
@@ -2,7 +2,7 @@
 
 use super::server_sent_events::{DONE, next_data};
 use super::wire::{CompletionChunk, StatedError};
-use crate::load::observation::CallResult;
+use crate::caller::CallResult;
 use std::io::BufReader;
 use ureq::http::Response;
 use ureq::{Body, BodyReader};
@@ -28,10 +28,8 @@
 
 impl AnswerReader {
     pub(super) fn new(response: Response<Body>) -> Self {
-        let header = response.headers().get(REQUEST_ID);
-        let request = header.and_then(|value| value.to_str().ok()).map(str::to_owned);
         Self {
-            request,
+            request: request_id(&response),
             reader: BufReader::new(response.into_body().into_reader()),
             line: String::new(),
         }
@@ -70,6 +68,12 @@
     }
 }
 
+/// The request's identifier, as the gateway gave it.
+pub(super) fn request_id(response: &Response<Body>) -> Option<String> {
+    let header = response.headers().get(REQUEST_ID)?;
+    header.to_str().ok().map(str::to_owned)
+}
+
 /// The event that some data stands for; absent for data without text, such as the last one's token count.
 fn event_of(data: &str) -> Option<AnswerEvent> {
     let chunk: CompletionChunk = match serde_json::from_str(data) {
--- a/crates/lab/src/caller/client.rs
+++ b/crates/lab/src/caller/client.rs
@@ -1,8 +1,8 @@
 //! Sends calls to gateways, each once, and sorts refusals.
 
-use super::answer::AnswerReader;
+use super::answer::{AnswerReader, request_id};
+use super::result::{CallResult, Refused};
 use super::wire::{CompletionBody, ErrorBody};
-use crate::load::observation::CallResult;
 use shelfjunction_core::service_class::ServiceClass;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -67,7 +67,7 @@
         gateway: SocketAddr,
         token: &str,
         call: &CompletionCall,
-    ) -> Result<AnswerReader, CallResult> {
+    ) -> Result<AnswerReader, Refused> {
         let body = CompletionBody {
             model: &call.model,
             prompt: &call.prompt,
@@ -91,7 +91,7 @@
         token: &str,
         request: &str,
         offset: u32,
-    ) -> Result<AnswerReader, CallResult> {
+    ) -> Result<AnswerReader, Refused> {
         let url = format!("http://{gateway}/v1/requests/{request}?offset={offset}&stream=true");
         open(with_token(self.agent.get(url), token).call())
     }
@@ -103,12 +103,14 @@
         .header("Connection", "close")
 }
 
-fn open(result: Result<Response<Body>, Error>) -> Result<AnswerReader, CallResult> {
+fn open(result: Result<Response<Body>, Error>) -> Result<AnswerReader, Refused> {
     let response = result.map_err(|error| transport_result(&error))?;
     if response.status().as_u16() == 200 {
         return Ok(AnswerReader::new(response));
     }
-    Err(refusal(response))
+    let request = request_id(&response);
+    let result = refusal(response);
+    Err(Refused { result, request })
 }
 
 fn transport_result(error: &Error) -> CallResult {
--- a/crates/lab/src/caller/mod.rs
+++ b/crates/lab/src/caller/mod.rs
@@ -2,9 +2,10 @@
 
 mod answer;
 mod client;
+mod result;
 pub mod server_sent_events;
 mod wire;
 
 pub use answer::{AnswerEvent, AnswerReader};
 pub use client::{CallerClient, CompletionCall};
-pub use wire::StatedError;
+pub use result::{CallResult, Refused};
--- a/crates/lab/src/cluster/readiness.rs
+++ b/crates/lab/src/cluster/readiness.rs
@@ -2,8 +2,8 @@
 
 use super::deployment::Deployment;
 use super::layout::ClusterLayout;
+use crate::caller::CallResult;
 use crate::caller::{CallerClient, CompletionCall};
-use crate::load::observation::CallResult;
 use shelfjunction_core::identity::{ModelId, TenantId};
 use std::net::SocketAddr;
 use std::thread;
@@ -49,7 +49,7 @@
     for number in 0.. {
         let last = match client.complete(gateway, &token, &trial(gateway, model, number)) {
             Ok(answer) => answer.read_to_end().1,
-            Err(result) => result,
+            Err(refused) => refused.result,
         };
         if last == CallResult::Completed {
             break;
--- a/crates/lab/src/load/collect.rs
+++ b/crates/lab/src/load/collect.rs
@@ -1,8 +1,9 @@
 //! Gathers observations into histograms and a series over time.
 
-use super::observation::{CallResult, Observation};
+use super::observation::Observation;
 use super::plan::LoadPlan;
 use super::summary::{LatencySummary, LoadSummary, MixSummary, ResultCount, SeriesPoint};
+use crate::caller::CallResult;
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/lab/src/load/direct_call.rs
+++ b/crates/lab/src/load/direct_call.rs
@@ -1,8 +1,9 @@
 //! One call to an engine without a gateway, for comparison.
 
-use super::observation::{CallResult, Observation};
+use super::observation::Observation;
 use super::plan::LoadPlan;
 use super::schedule::{self, PlannedCall};
+use crate::caller::CallResult;
 use shelfjunction_core::engine::{AnswerPart, EngineCall, Phase};
 use shelfjunction_core::identity::{AdapterId, AttemptId, ModelId, RequestId};
 use shelfjunction_platform::engine::{AnswerStream, CallError, EngineClient};
--- a/crates/lab/src/load/gateway_call.rs
+++ b/crates/lab/src/load/gateway_call.rs
@@ -1,9 +1,10 @@
 //! One streamed call through a gateway.
 
-use super::observation::{CallResult, Observation};
+use super::observation::Observation;
 use super::plan::{LoadPlan, Mix};
 use super::schedule::{self, PlannedCall};
 use super::token_watch::TokenWatch;
+use crate::caller::CallResult;
 use crate::caller::{AnswerEvent, AnswerReader, CallerClient, CompletionCall};
 use std::time::Instant;
 
@@ -18,7 +19,7 @@
     let gateway = plan.gateways[call.index % plan.gateways.len()];
     let mut watch = TokenWatch::start(intended);
     match client.complete(gateway, &mix.token, &completion_call(mix, call)) {
-        Err(result) => watch.finish(call, result, None),
+        Err(refused) => watch.finish(call, refused.result, refused.request),
         Ok(mut answer) => {
             let result = read(&mut answer, &mut watch);
             watch.finish(call, result, answer.request().map(str::to_owned))
--- a/crates/lab/src/load/observation.rs
+++ b/crates/lab/src/load/observation.rs
@@ -1,6 +1,6 @@
 //! What one call gave, as its caller saw it.
 
-use serde::{Deserialize, Serialize};
+use crate::caller::CallResult;
 use std::time::Duration;
 
 /// One finished call.
@@ -25,37 +25,3 @@
     /// Text of the answer.
     pub text: String,
 }
-
-/// What a caller was told of its call.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum CallResult {
-    /// The whole answer.
-    Completed,
-    /// A refusal that says the request was not run.
-    NotRun {
-        /// The stated cause.
-        code: String,
-        /// Whether the refusal said when to come back.
-        retry_after: bool,
-    },
-    /// The request ran and has no whole answer.
-    Failed {
-        /// The stated cause.
-        code: String,
-    },
-    /// Nobody can tell whether it ran.
-    Unknown {
-        /// The stated cause.
-        code: String,
-    },
-    /// The gateway could not be connected; nothing was sent.
-    NotConnected,
-    /// The connection broke with no stated outcome.
-    Broken,
-    /// An answer that follows no agreed shape.
-    Malformed {
-        /// What is wrong with it.
-        reason: String,
-    },
-}
--- a/crates/lab/src/load/summary.rs
+++ b/crates/lab/src/load/summary.rs
@@ -1,6 +1,6 @@
 //! Figures of a run of load, as JSON and as text.
 
-use super::observation::CallResult;
+use crate::caller::CallResult;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
--- a/crates/lab/src/load/token_watch.rs
+++ b/crates/lab/src/load/token_watch.rs
@@ -1,7 +1,8 @@
 //! Takes the times of one call's tokens.
 
-use super::observation::{CallResult, Observation};
+use super::observation::Observation;
 use super::schedule::PlannedCall;
+use crate::caller::CallResult;
 use std::time::{Duration, Instant};
 
 /// Times of one call, measured from its intended start.
--- a/crates/lab/tests/load.rs
+++ b/crates/lab/tests/load.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use shelfjunction_lab::load::observation::CallResult;
+use shelfjunction_lab::caller::CallResult;
 use shelfjunction_lab::load::plan::{LengthDistribution, LoadPlan, Mix};
 use shelfjunction_lab::load::{self, schedule};
 use std::io::{BufRead, BufReader, Read, Write};
