--- a/crates/lab/src/load/collect.rs
+++ b/crates/lab/src/load/collect.rs
@@ -2,7 +2,7 @@
 
 use super::observation::Observation;
 use super::plan::LoadPlan;
-use super::summary::{LatencySummary, LoadSummary, MixSummary, ResultCount, SeriesPoint};
+use super::summary::{LatencySummary, LoadSummary, MixSummary, QuantilePoint, ResultCount, SeriesPoint};
 use crate::caller::CallResult;
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
@@ -59,6 +59,19 @@
         self.histogram.saturating_record(micros.clamp(1, LONGEST_MICROS));
     }
 
+    /// The latency at every whole per cent.
+    pub fn curve(&self) -> Vec<QuantilePoint> {
+        let point = |per_cent: u32| {
+            let per_cent = f64::from(per_cent);
+            let micros = self.histogram.value_at_percentile(per_cent);
+            QuantilePoint {
+                per_cent,
+                millis: micros as f64 / 1_000.0,
+            }
+        };
+        (0..=100).map(point).collect()
+    }
+
     /// Quantiles in milliseconds.
     pub fn summary(&self) -> LatencySummary {
         let quantile = |at: f64| self.histogram.value_at_quantile(at) as f64 / 1_000.0;
@@ -199,6 +212,7 @@
             results: self.results.iter().map(count).collect(),
             output_tokens: self.tokens,
             first_token: self.first_token.summary(),
+            first_token_curve: self.first_token.curve(),
             between_tokens: self.between_tokens.summary(),
             total: self.total.summary(),
         }
--- a/crates/lab/src/load/gateway_call.rs
+++ b/crates/lab/src/load/gateway_call.rs
@@ -27,7 +27,8 @@
     }
 }
 
-fn completion_call(mix: &Mix, call: &PlannedCall) -> CompletionCall {
+/// The call as a caller sends it; the same again for the same planned call.
+pub fn completion_call(mix: &Mix, call: &PlannedCall) -> CompletionCall {
     CompletionCall {
         model: mix.model.clone(),
         prompt: schedule::prompt(call),
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -15,4 +15,5 @@
 pub mod summary;
 mod token_watch;
 
+pub use gateway_call::completion_call;
 pub use runner::{Progress, run};
--- a/crates/lab/src/load/observation.rs
+++ b/crates/lab/src/load/observation.rs
@@ -6,6 +6,8 @@
 /// One finished call.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Observation {
+    /// Position in the schedule.
+    pub index: usize,
     /// Position of the mix in the plan.
     pub mix: usize,
     /// Whether the call went to an engine without a gateway.
--- a/crates/lab/src/load/summary.rs
+++ b/crates/lab/src/load/summary.rs
@@ -36,6 +36,8 @@
     pub output_tokens: u64,
     /// From the intended start to the first token.
     pub first_token: LatencySummary,
+    /// The same over all quantiles.
+    pub first_token_curve: Vec<QuantilePoint>,
     /// Between tokens.
     pub between_tokens: LatencySummary,
     /// From the intended start to the end.
@@ -68,6 +70,15 @@
     pub maximum_millis: f64,
 }
 
+/// One quantile of a latency.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct QuantilePoint {
+    /// Part of the measurements at or below, in per cent.
+    pub per_cent: f64,
+    /// The latency, in milliseconds.
+    pub millis: f64,
+}
+
 /// One second of a run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SeriesPoint {
--- a/crates/lab/src/load/token_watch.rs
+++ b/crates/lab/src/load/token_watch.rs
@@ -45,6 +45,7 @@
         request: Option<String>,
     ) -> Observation {
         Observation {
+            index: call.index,
             mix: call.mix,
             direct: call.direct,
             at: call.at,
