--- a/crates/core/src/membership/gossiper.rs
+++ b/crates/core/src/membership/gossiper.rs
@@ -91,7 +91,7 @@
             store: RecordStore::new(),
             peers: PeerTable::default(),
             regions,
-            seeds,
+            seeds: Vec::new(),
             facts: SpreadQueue::default(),
             loads: SpreadQueue::default(),
             beats: SpreadQueue::default(),
@@ -117,6 +117,7 @@
             config,
             identity,
         };
+        gossiper.add_seeds(seeds);
         gossiper.publish_own(now);
         gossiper
     }
@@ -258,11 +259,15 @@
 
     /// Writes a fact and passes it on.
     pub(super) fn write(&mut self, record: Record, now: MonotonicTime) {
+        self.write_as(record, self.own, now);
+    }
+
+    /// Writes a fact that leaves the judgement of life with the node that made it.
+    ///
+    /// A suspicion that changed its witness with an unrelated change could be confirmed by the one who raised it.
+    pub(super) fn write_as(&mut self, record: Record, observer: SubjectHandle, now: MonotonicTime) {
         let handle = SubjectHandle::of(&record.key);
-        let fact = Fact {
-            record,
-            observer: self.own,
-        };
+        let fact = Fact { record, observer };
         if self.store.merge(fact, now) == Merged::Newer {
             self.facts.push(handle, self.config.fact_sends, Reach::Everywhere);
         }
--- a/crates/core/src/membership/machine_list.rs
+++ b/crates/core/src/membership/machine_list.rs
@@ -156,14 +156,13 @@
     }
 
     fn write_if_changed(&mut self, mut record: Record, handle: SubjectHandle, now: MonotonicTime) {
-        if self
-            .store
-            .held(handle)
-            .is_some_and(|fact| fact.record.body == record.body)
-        {
+        let Some(held) = self.store.held(handle) else {
             return;
+        };
+        if held.record.body != record.body {
+            let observer = held.observer;
+            record.version.sequence += 1;
+            self.write_as(record, observer, now);
         }
-        record.version.sequence += 1;
-        self.write(record, now);
     }
 }
--- a/crates/core/src/membership/merging.rs
+++ b/crates/core/src/membership/merging.rs
@@ -45,7 +45,8 @@
         let Some(held) = self.store.held(self.own) else {
             return;
         };
-        if fact.record.version < held.record.version || fact.record == held.record {
+        let echo = fact.record.version == held.record.version && fact.record.body == held.record.body;
+        if echo || fact.record.version < held.record.version {
             return;
         }
         if fact.record.version.incarnation > self.identity.incarnation {
--- a/crates/core/src/membership/peers.rs
+++ b/crates/core/src/membership/peers.rs
@@ -112,12 +112,6 @@
         &self.zone
     }
 
-    /// Nodes of the own zone, without this one, dead ones too.
-    pub fn zone_and_dead(&self) -> Vec<Peer> {
-        let dead = self.dead.iter().filter(|peer| peer.distance == Reach::Zone);
-        self.zone.iter().chain(dead).copied().collect()
-    }
-
     /// Every other node, dead ones too.
     pub fn all(&self) -> Vec<Peer> {
         let all = self
--- a/crates/core/src/membership/probing.rs
+++ b/crates/core/src/membership/probing.rs
@@ -6,11 +6,12 @@
 use super::events::Outgoing;
 use super::gossiper::Gossiper;
 use super::peers::Peer;
-use super::record::Liveness;
+use super::record::{Liveness, RecordBody};
 use super::rendezvous::{WATCHERS_PER_NODE, rank};
 use super::subject::{SubjectHandle, mix};
 use super::view::{liveness, set_liveness};
 use super::wire::{Datagram, FORMAT, Part, Sender, encode};
+use crate::identity::ZoneId;
 use crate::time::MonotonicTime;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -40,37 +41,32 @@
         }
     }
 
-    /// Nodes near enough to watch and to be watched by: the own zone, or all of them while it has too few.
-    fn watch_circle(&self) -> Vec<Peer> {
-        if self.peers.zone_peers().len() >= WATCHERS_PER_NODE {
-            return self.peers.zone_and_dead();
-        }
-        self.peers.all()
-    }
-
     fn choose_watched_nodes(&mut self, now: MonotonicTime) {
-        let circle = self.watch_circle();
-        let mut watchers: Vec<SubjectHandle> = circle
-            .iter()
-            .filter(|peer| self.is_living(peer.handle))
-            .map(|peer| peer.handle)
-            .collect();
-        watchers.push(self.own);
+        let (zones, everyone) = self.living_by_zone();
         let mut watches = BTreeMap::new();
-        for peer in circle {
-            let others: Vec<SubjectHandle> = watchers
+        for peer in self.peers.all() {
+            let Some((zone, incarnation)) = self.zone_and_incarnation(peer.handle) else {
+                continue;
+            };
+            let near = zones.get(&zone).map(Vec::as_slice).unwrap_or_default();
+            let near: Vec<SubjectHandle> = near
                 .iter()
                 .copied()
-                .filter(|watcher| *watcher != peer.handle)
+                .filter(|other| *other != peer.handle)
+                .collect();
+            let enough = near.len() >= WATCHERS_PER_NODE;
+            if enough && zone != self.identity.zone {
+                continue;
+            }
+            // A zone with too few nodes is watched by the others too, or nobody could confirm a death there.
+            let watchers = if enough { near } else { everyone.clone() };
+            let watchers: Vec<SubjectHandle> = watchers
+                .into_iter()
+                .filter(|other| *other != peer.handle)
                 .collect();
-            if rank(peer.handle, self.own, &others, WATCHERS_PER_NODE).is_none() {
+            if rank(peer.handle, self.own, &watchers, WATCHERS_PER_NODE).is_none() {
                 continue;
             }
-            let incarnation = self
-                .store
-                .held(peer.handle)
-                .map(|fact| fact.record.version.incarnation);
-            let incarnation = incarnation.unwrap_or_default();
             let kept = self.node_watches.remove(&peer.handle);
             let kept = kept.filter(|kept| kept.incarnation == incarnation && kept.address == peer.address);
             let watch = kept.unwrap_or_else(|| self.begin_node_watch(peer, incarnation, now));
@@ -79,6 +75,31 @@
         self.node_watches = watches;
     }
 
+    /// Nodes that can watch, this one included, by zone and all together.
+    ///
+    /// A suspect is not among them: of several nodes that die together, those left watch each other's dead.
+    fn living_by_zone(&self) -> (BTreeMap<ZoneId, Vec<SubjectHandle>>, Vec<SubjectHandle>) {
+        let mut zones: BTreeMap<ZoneId, Vec<SubjectHandle>> = BTreeMap::new();
+        let mut everyone = Vec::new();
+        for (handle, fact) in self.store.facts() {
+            if let RecordBody::Node(node) = &fact.record.body
+                && matches!(node.liveness, Liveness::Alive | Liveness::Leaving)
+            {
+                zones.entry(node.zone.clone()).or_default().push(handle);
+                everyone.push(handle);
+            }
+        }
+        (zones, everyone)
+    }
+
+    fn zone_and_incarnation(&self, handle: SubjectHandle) -> Option<(ZoneId, u64)> {
+        let fact = self.store.held(handle)?;
+        match &fact.record.body {
+            RecordBody::Node(node) => Some((node.zone.clone(), fact.record.version.incarnation)),
+            RecordBody::Engine(_) => None,
+        }
+    }
+
     fn begin_node_watch(&self, peer: Peer, incarnation: u64, now: MonotonicTime) -> NodeWatch {
         // Watches that begin together must not probe together.
         let spread = mix(peer.handle.number() ^ self.own.number()) % self.config.probe_interval_millis;
