Show that a spent membership budget holds datagrams back

Cause: the model test's world is too small to spend its budget; with the token bucket switched off it still passed. Conclusion: the budget is now proved by a world that spends it.

--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -298,6 +298,25 @@
     }
 }
 
+#[test]
+fn a_spent_budget_holds_datagrams_back() {
+    let config = MembershipConfig {
+        spread_bytes_per_second: 200,
+        spread_burst_bytes: 4_096,
+        load_bytes_per_second: 100,
+        ..MembershipConfig::default()
+    };
+    assert_eq!(config.validate(), Vec::new());
+    let mut world = World::with_config(9, config);
+    for round in 0..30 {
+        world.start_node(round % NODES);
+        world.restart_engine(round % ENGINES);
+        world.advance(2_000);
+    }
+    let counters = |node: &membership_world::SimulatedNode| node.gossiper.as_ref().unwrap().counters();
+    assert!(world.nodes.iter().any(|node| counters(node).held_back > 0));
+}
+
 #[test]
 fn a_cut_zone_with_enough_nodes_is_not_declared_dead() {
     let mut world = World::new(3);
--- a/crates/core/tests/membership_world/mod.rs
+++ b/crates/core/tests/membership_world/mod.rs
@@ -114,11 +114,15 @@
 
 impl World {
     pub fn new(seed: u64) -> Self {
+        Self::with_config(seed, MembershipConfig::default())
+    }
+
+    pub fn with_config(seed: u64, config: MembershipConfig) -> Self {
         let mut world = Self {
             nodes: Vec::new(),
             engines: Vec::new(),
             faults: Faults::default(),
-            config: MembershipConfig::default(),
+            config,
             now: 1_000,
             accusations: BTreeMap::new(),
             flights: BinaryHeap::new(),
