Let experiments stand between gossip and its socket

Cause: a scale run must cut zones off without touching the machine's network. Conclusion: the transport is a trait; the socket stays the default.

--- a/crates/controller/src/gossip/mod.rs
+++ b/crates/controller/src/gossip/mod.rs
@@ -1,16 +1,20 @@
 //! Membership over UDP: one thread feeds the state machine of `core` with datagrams and ticks.
 
 mod runner;
+mod transport;
+
+pub use transport::DatagramTransport;
 
 use runner::Runner;
-use shelfjunction_core::identity::{EngineId, ZoneId};
+use shelfjunction_core::identity::{EngineId, Generation, ZoneId};
 use shelfjunction_core::machine::Machine;
 use shelfjunction_core::membership::config::MembershipConfig;
 use shelfjunction_core::membership::events::{GossipCounters, GossipEvent, OwnNode};
 use shelfjunction_core::membership::gossiper::Gossiper;
 use shelfjunction_core::membership::observation::{Observation, WatchedEngine};
-use shelfjunction_core::membership::record::Record;
+use shelfjunction_core::membership::record::{Record, RecordKey};
 use shelfjunction_core::membership::store::Changes;
+use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::membership::wire::Head;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::clock::MonotonicClock;
@@ -68,6 +72,15 @@
         config: GossipConfig,
         socket: UdpSocket,
         clock: MonotonicClock,
+    ) -> Result<Self, GossipError> {
+        Self::start_with(config, Box::new(socket), clock)
+    }
+
+    /// Takes part over anything that carries datagrams.
+    pub fn start_with(
+        config: GossipConfig,
+        transport: Box<dyn DatagramTransport>,
+        clock: MonotonicClock,
     ) -> Result<Self, GossipError> {
         let tick = Duration::from_millis(config.membership.tick_millis);
         let gossiper = Gossiper::new(config.membership, config.identity, config.seeds, clock.now());
@@ -81,7 +94,7 @@
             changed: Condvar::new(),
             clock,
         });
-        let runner = Runner::new(Arc::clone(&shared), socket, tick, config.random_seed)
+        let runner = Runner::new(Arc::clone(&shared), transport, tick, config.random_seed)
             .map_err(GossipError::Socket)?;
         let thread = std::thread::Builder::new()
             .name("gossip".to_owned())
@@ -99,6 +112,27 @@
         self.lock().gossiper.store().records(now)
     }
 
+    /// The record on one subject, with its present age.
+    pub fn record(&self, key: &RecordKey) -> Option<Record> {
+        let now = self.now();
+        self.lock().gossiper.store().record(SubjectHandle::of(key), now)
+    }
+
+    /// Hashes of the facts by group; equal at two nodes that hold the same facts.
+    pub fn facts_digest(&self) -> Vec<[u8; 4]> {
+        self.lock().gossiper.store().digest()
+    }
+
+    /// Generation of the bundle in force here, as told to others.
+    pub fn generation(&self) -> Generation {
+        self.lock().gossiper.generation()
+    }
+
+    /// Time between two load beats of an engine of this zone.
+    pub fn load_interval(&self) -> Duration {
+        self.lock().gossiper.load_interval()
+    }
+
     /// Records that changed after a position, now.
     pub fn changes_since(&self, position: u64) -> Changes {
         let now = self.now();
--- a/crates/controller/src/gossip/runner.rs
+++ b/crates/controller/src/gossip/runner.rs
@@ -1,13 +1,12 @@
 //! The thread between the socket and the state machine.
 
-use super::Shared;
+use super::{DatagramTransport, Shared};
 use log::debug;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use shelfjunction_core::membership::events::Outgoing;
 use shelfjunction_core::membership::wire::MAXIMUM_DATAGRAM_BYTES;
 use shelfjunction_core::time::MonotonicTime;
-use std::net::UdpSocket;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
@@ -17,7 +16,7 @@
 /// Feeds the state machine until it is told to stop.
 pub(super) struct Runner {
     shared: Arc<Shared>,
-    socket: UdpSocket,
+    transport: Box<dyn DatagramTransport>,
     tick: Duration,
     random: ChaCha8Rng,
     next_tick: MonotonicTime,
@@ -26,15 +25,15 @@
 impl Runner {
     pub(super) fn new(
         shared: Arc<Shared>,
-        socket: UdpSocket,
+        transport: Box<dyn DatagramTransport>,
         tick: Duration,
         random_seed: u64,
     ) -> std::io::Result<Self> {
-        socket.set_read_timeout(Some(tick))?;
+        transport.set_wait(tick)?;
         let next_tick = shared.clock.now();
         Ok(Self {
             shared,
-            socket,
+            transport,
             tick,
             random: ChaCha8Rng::seed_from_u64(random_seed),
             next_tick,
@@ -47,11 +46,11 @@
         while !self.is_stopping() {
             self.tick_when_due();
             let wait = self.next_tick.since(self.shared.clock.now()).max(SHORTEST_WAIT);
-            if self.socket.set_read_timeout(Some(wait)).is_err() {
+            if self.transport.set_wait(wait).is_err() {
                 return;
             }
             // Errors other than the timeout, such as a refused earlier send, concern one peer and pass.
-            if let Ok((length, from)) = self.socket.recv_from(&mut buffer) {
+            if let Ok((length, from)) = self.transport.receive_from(&mut buffer) {
                 self.take_datagram(from, &buffer[..length]);
             }
         }
@@ -101,7 +100,7 @@
     fn send(&self, outgoing: Vec<Outgoing>) {
         for datagram in outgoing {
             // A datagram that can't be sent is a lost one; gossip makes up for losses.
-            let _ = self.socket.send_to(&datagram.bytes, datagram.to);
+            let _ = self.transport.send_to(&datagram.bytes, datagram.to);
         }
     }
 }
