--- a/crates/controller/src/bundle/state.rs
+++ b/crates/controller/src/bundle/state.rs
@@ -30,6 +30,7 @@
     keeper: Mutex<BundleKeeper>,
     pending: Mutex<PendingWork>,
     wake: Condvar,
+    in_force_changed: Condvar,
     metrics: Metrics,
 }
 
@@ -40,6 +41,7 @@
             keeper: Mutex::new(BundleKeeper::new(roots, zone)),
             pending: Mutex::default(),
             wake: Condvar::new(),
+            in_force_changed: Condvar::new(),
             metrics,
         }
     }
@@ -119,6 +121,16 @@
         taken
     }
 
+    /// Waits until a generation at least this high is in force, or the time has passed; true when it is.
+    pub fn wait_generation(&self, generation: Generation, timeout: Duration) -> bool {
+        let keeper = lock(&self.keeper);
+        let (keeper, _) = self
+            .in_force_changed
+            .wait_timeout_while(keeper, timeout, |keeper| keeper.generation() < generation)
+            .unwrap_or_else(PoisonError::into_inner);
+        keeper.generation() >= generation
+    }
+
     /// Ends the wait for work for good.
     pub fn stop(&self) {
         lock(&self.pending).stop = true;
@@ -144,6 +156,9 @@
                 }
             }
         }
+        if in_force {
+            self.in_force_changed.notify_all();
+        }
         if in_force || incomplete {
             let mut pending = lock(&self.pending);
             pending.announce |= in_force;
--- a/crates/controller/src/command/driver.rs
+++ b/crates/controller/src/command/driver.rs
@@ -67,6 +67,9 @@
 
     /// Gives the lease up by a transaction, so that a successor need not wait for its end.
     fn release(&mut self, events: &Receiver<CommanderEvent>) {
+        if self.commander.authority(self.context.now()).is_none() {
+            return;
+        }
         let deadline = self.context.now() + millis(self.context.config.timings.release_wait_millis);
         self.handle(CommanderEvent::Release);
         while !self.commander.keeper().is_released() && self.context.now() < deadline {
--- a/crates/controller/src/command/link.rs
+++ b/crates/controller/src/command/link.rs
@@ -5,8 +5,9 @@
 use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::lease::Authority;
 use shelfjunction_core::orders::{CommanderEvent, CommanderPhase};
-use std::sync::Mutex;
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Condvar, Mutex, PoisonError};
+use std::time::Duration;
 
 /// What the commanding thread last said.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,6 +25,7 @@
 pub struct CommandLink {
     sender: Sender<CommanderEvent>,
     status: Mutex<CommandStatus>,
+    status_told: Condvar,
     weight_queues: Mutex<WeightQueues>,
 }
 
@@ -38,6 +40,7 @@
                 authority: None,
                 holder: None,
             }),
+            status_told: Condvar::new(),
             weight_queues: Mutex::new(WeightQueues::new(weight_queue_millis)),
         };
         (link, receiver)
@@ -59,6 +62,20 @@
         lock(&self.status).authority.is_some()
     }
 
+    /// Waits until the status satisfies the condition or the time has passed; the status as it then stands.
+    pub fn wait_status(
+        &self,
+        condition: impl Fn(&CommandStatus) -> bool,
+        timeout: Duration,
+    ) -> CommandStatus {
+        let status = lock(&self.status);
+        let (status, _) = self
+            .status_told
+            .wait_timeout_while(status, timeout, |status| !condition(status))
+            .unwrap_or_else(PoisonError::into_inner);
+        status.clone()
+    }
+
     /// What the weight store last said of its queues.
     pub fn weight_queues(&self) -> WeightQueues {
         lock(&self.weight_queues).clone()
@@ -66,6 +83,7 @@
 
     pub(super) fn publish(&self, status: CommandStatus) {
         *lock(&self.status) = status;
+        self.status_told.notify_all();
     }
 
     pub(super) fn replace_weight_queues(&self, queues: WeightQueues) {
--- a/crates/controller/src/handle.rs
+++ b/crates/controller/src/handle.rs
@@ -1,7 +1,7 @@
 //! Starts a controller's threads and ends them.
 
 use crate::bundle::{self, BundleState};
-use crate::command::{self, CommandLink, Executor};
+use crate::command::{self, CommandLink, CommandStatus, Executor};
 use crate::config::{ControllerConfig, millis};
 use crate::context::{Context, Services};
 use crate::demand::{self, DemandBoard};
@@ -15,7 +15,7 @@
 use shelfjunction_core::identity::{FencingToken, Generation};
 use shelfjunction_core::machine::MachineService;
 use shelfjunction_core::membership::events::OwnNode;
-use shelfjunction_core::orders::CommanderEvent;
+use shelfjunction_core::orders::{CommanderEvent, CommanderPhase};
 use shelfjunction_platform::clock::MonotonicClock;
 use shelfjunction_platform::http_engine::{EngineTimeouts, HttpEngineClient};
 use shelfjunction_platform::http_platform::{HttpPlatform, PlatformTimeouts};
@@ -23,7 +23,7 @@
 use std::sync::Arc;
 use std::sync::mpsc::Receiver;
 use std::thread::{Builder, JoinHandle};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tiny_http::Server;
 
 /// One controller process's work, run by threads of the calling process.
@@ -108,6 +108,22 @@
         self.context.bundle.generation()
     }
 
+    /// Waits until a generation at least this high is in force, or the time has passed; true when it is.
+    pub fn wait_generation(&self, generation: Generation, timeout: Duration) -> bool {
+        self.context.bundle.wait_generation(generation, timeout)
+    }
+
+    /// Waits until this controller orders the zone's engines, or the time has passed; its token when it does.
+    pub fn wait_commanding(&self, timeout: Duration) -> Option<FencingToken> {
+        let commands =
+            |status: &CommandStatus| status.phase == CommanderPhase::Commanding && status.authority.is_some();
+        let status = self.context.command.wait_status(commands, timeout);
+        status
+            .authority
+            .filter(|_| commands(&status))
+            .map(|authority| authority.token)
+    }
+
     /// Begins a planned stop: gives up the lease, tells the others, then ends every thread.
     pub fn stop(&self) {
         self.context.leaving.set();
