--- a/crates/core/src/membership/merging.rs
+++ b/crates/core/src/membership/merging.rs
@@ -45,7 +45,8 @@
         let Some(held) = self.store.held(self.own) else {
             return;
         };
-        if fact.record.version < held.record.version || fact.record == held.record {
+        let echo = fact.record.version == held.record.version && fact.record.body == held.record.body;
+        if echo || fact.record.version < held.record.version {
             return;
         }
         if fact.record.version.incarnation > self.identity.incarnation {
@@ -137,7 +138,7 @@
             self.confirmed_at = Some(now);
         } else if sender.confirmed_tenths < u16::MAX {
             let age = Duration::from_millis(u64::from(sender.confirmed_tenths) * 100);
-            self.confirmed_at = self.confirmed_at.max(Some(now - age));
+            self.confirmed_at = self.confirmed_at.max(now.earlier(age));
         }
     }
 }
