--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -19,6 +19,7 @@
 use shelfjunction_platform::clock::MonotonicClock;
 use shelfjunction_platform::engine::EngineClient;
 use shelfjunction_platform::services::{ObjectStore, TableService};
+use std::net::{Shutdown, TcpStream};
 use std::sync::{Arc, Mutex};
 
 /// The systems outside.
@@ -50,6 +51,8 @@
     pub(crate) metrics: Metrics,
     /// Set when a planned stop begins: nothing new is taken.
     pub(crate) stopping: StopSignal,
+    /// The open stream of records, so that a stop can end the thread that reads it.
+    pub(crate) fleet_stream: Mutex<Option<TcpStream>>,
     /// Set when every request has ended: background threads end.
     pub(crate) stop: StopSignal,
     random: Mutex<ChaCha20Rng>,
@@ -73,6 +76,7 @@
             usage: UsageTable::default(),
             metrics: Metrics::new(),
             stopping: StopSignal::default(),
+            fleet_stream: Mutex::new(None),
             stop: StopSignal::default(),
             random: Mutex::new(ChaCha20Rng::from_os_rng()),
             backends,
@@ -85,6 +89,16 @@
         self.clock.now()
     }
 
+    /// Ends every background thread; those that wait are woken.
+    pub(crate) fn end_threads(&self) {
+        self.stop.set();
+        self.bundles.wake();
+        if let Some(stream) = lock(&self.fleet_stream).as_ref() {
+            // A stream that broke already has woken its reader.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Lends the process's random numbers.
     pub(crate) fn with_random<T>(&self, use_random: impl FnOnce(&mut dyn RngCore) -> T) -> T {
         use_random(&mut *lock(&self.random))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -63,7 +63,7 @@
             context: Arc::clone(&context),
         });
         let server = HttpServer::start(listen, limits, handler);
-        let server = server.inspect_err(|_| context.stop.set())?;
+        let server = server.inspect_err(|_| context.end_threads())?;
         log::info!(
             node:% = context.config.node,
             zone:% = context.config.zone,
@@ -98,7 +98,7 @@
         while !self.context.stopping.wait(STOP_WAIT) {}
         self.context.registry.wait_until_empty();
         self.server.stop();
-        self.context.stop.set();
+        self.context.end_threads();
         for thread in self.threads {
             // A thread that panicked has been reported by the panic hook.
             let _ = thread.join();
@@ -126,7 +126,7 @@
         match started {
             Ok(thread) => threads.push(thread),
             Err(error) => {
-                context.stop.set();
+                context.end_threads();
                 return Err(error.into());
             }
         }
--- a/crates/gateway/src/watch/bundles.rs
+++ b/crates/gateway/src/watch/bundles.rs
@@ -77,6 +77,11 @@
     /// Takes in a head that was accepted here and has its contents fetched at once.
     pub(crate) fn accepted(&self, head: Head, now: MonotonicTime) {
         self.take(|keeper| keeper.on_head(Some(head), &HeadSource::Store, now));
+        self.wake();
+    }
+
+    /// Has the next poll done at once.
+    pub(crate) fn wake(&self) {
         *lock(&self.asked) = true;
         self.asked_changed.notify_all();
     }
--- a/crates/gateway/src/watch/fleet.rs
+++ b/crates/gateway/src/watch/fleet.rs
@@ -41,6 +41,10 @@
     let mut stream = peer::connect(controller, millis(timings.controller_timeout_millis))?;
     write_frame(&mut stream, &PeerRequest::WatchFleet)?;
     stream.set_read_timeout(Some(millis(timings.fleet_silence_millis)))?;
+    *lock(&context.fleet_stream) = Some(stream.try_clone()?);
+    if context.stop.is_set() {
+        return Ok(0);
+    }
     let began = context.now();
     let mut taken = 0;
     while let Some(response) = read_frame::<PeerResponse>(&mut stream)? {
--- /dev/null
+++ b/crates/gateway/tests/answers.rs
@@ -0,0 +1,103 @@
+//! Whole answers, streams that leave word by word, fetches through another gateway, and planned stops.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::io::{BufRead, BufReader};
+use support::{Fleet, header, json, model_call};
+use ureq::http::Response;
+use ureq::{Body, BodyReader};
+
+/// Reads the data of server-sent events one by one.
+struct Events(BufReader<BodyReader<'static>>);
+
+impl Events {
+    fn new(response: Response<Body>) -> Self {
+        Self(BufReader::new(response.into_body().into_reader()))
+    }
+
+    fn next(&mut self) -> String {
+        loop {
+            let mut line = String::new();
+            assert!(self.0.read_line(&mut line).unwrap() > 0, "the stream ended early");
+            if let Some(data) = line.strip_prefix("data: ") {
+                return data.trim_end().to_owned();
+            }
+        }
+    }
+
+    fn next_text(&mut self) -> String {
+        let event: serde_json::Value = serde_json::from_str(&self.next()).unwrap();
+        event["choices"][0]["text"].as_str().unwrap().to_owned()
+    }
+}
+
+#[test]
+fn an_answer_comes_whole_and_can_be_fetched_through_another_gateway() {
+    let fleet = Fleet::start();
+    let (first, second) = (fleet.gateway(), fleet.gateway());
+    let answer = fleet.post(&first, "norrapotek", None, &model_call("renew", false));
+    assert_eq!(answer.status(), 200);
+    let id = header(&answer, "X-Request-Id");
+    let body = json(answer);
+    assert_eq!(body["choices"][0]["text"], "one two three four");
+    assert_eq!(body["usage"]["completion_tokens"], 4);
+    let rest = fleet.get(
+        &second,
+        "norrapotek",
+        &format!("/v1/requests/{id}?offset=2&stream=false"),
+    );
+    assert_eq!(json(rest)["choices"][0]["text"], "three four");
+    assert_eq!(fleet.engines.calls().len(), 1);
+}
+
+#[test]
+fn each_word_leaves_before_the_engine_gives_the_next() {
+    let fleet = Fleet::start();
+    let gateway = fleet.gateway();
+    fleet.engines.open_gate(1);
+    let answer = fleet.post(&gateway, "norrapotek", None, &model_call("renew", true));
+    let mut events = Events::new(answer);
+    for (index, word) in support::engines::WORDS.into_iter().enumerate() {
+        assert_eq!(events.next_text(), word);
+        fleet.engines.open_gate(index + 2);
+    }
+    assert_eq!(events.next_text(), "");
+    assert_eq!(events.next(), "[DONE]");
+}
+
+#[test]
+fn a_broken_stream_goes_on_at_its_offset() {
+    let fleet = Fleet::start();
+    let gateway = fleet.gateway();
+    fleet.engines.break_after(2);
+    let answer = fleet.post(&gateway, "norrapotek", None, &model_call("renew", false));
+    assert_eq!(json(answer)["choices"][0]["text"], "one two three four");
+    assert_eq!(fleet.engines.calls().len(), 1);
+}
+
+#[test]
+fn a_planned_stop_cuts_off_no_stream_and_takes_nothing_new() {
+    let fleet = Fleet::start();
+    let gateway = fleet.gateway();
+    fleet.engines.open_gate(1);
+    let mut events = Events::new(fleet.post(&gateway, "norrapotek", None, &model_call("renew", true)));
+    assert_eq!(events.next_text(), "one ");
+    gateway.stop();
+    let refused = fleet.post(&gateway, "norrapotek", None, &model_call("renew", true));
+    assert_eq!(refused.status(), 503);
+    assert_eq!(header(&refused, "Retry-After"), "1");
+    let error = &json(refused)["error"];
+    assert_eq!(
+        (&error["code"], &error["outcome"]),
+        (&"stopping".into(), &"not_run".into())
+    );
+    fleet.engines.open_gate(usize::MAX);
+    for word in ["two ", "three ", "four", ""] {
+        assert_eq!(events.next_text(), word);
+    }
+    assert_eq!(events.next(), "[DONE]");
+    gateway.wait();
+    assert_eq!(fleet.engines.calls().len(), 1);
+}
