Prove a takeover: fences before changes, late orders without effect

Cause: nothing showed the lease, the fences and the orders together in running controllers. Ruled out: a test that reads the platform in a loop for the committed order; the held-back call itself tells it.

--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -1,10 +1,14 @@
 //! Stand-ins for the systems outside, for tests of the controller alone.
 #![allow(clippy::unwrap_used, dead_code)]
 
+pub mod gate;
+
 use shelfjunction_controller::Services;
 use shelfjunction_controller::config::{ControllerConfig, Limits, Timings};
 use shelfjunction_core::bundle::signature::SigningAuthority;
-use shelfjunction_core::engine::{EngineCall, EngineStatus, LoadReport, Order, OrderReply, Role, RunState};
+use shelfjunction_core::engine::{
+    EngineCall, EngineStatus, LoadReport, Order, OrderAction, OrderProgress, OrderReply, Role, RunState,
+};
 use shelfjunction_core::identity::{
     EngineId, FencingToken, ModelId, NodeId, RegionId, RequestId, WeightVersion, ZoneId,
 };
@@ -16,7 +20,8 @@
 use shelfjunction_platform::engine::{AnswerStream, CallError, ControlError, EngineClient, KvEventBatch};
 use shelfjunction_platform::services::{MachineList, ObjectStore, TableService, WeightStore};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
 
 /// Any free loopback port.
 pub const ANY_PORT: &str = "127.0.0.1:0";
@@ -85,10 +90,66 @@
     }
 }
 
-/// Engines that answer their status and nothing else; the port tells them apart.
+/// One order as an engine met it.
+#[derive(Clone, Debug)]
+pub struct ToldOrder {
+    pub order: Order,
+    pub reply: OrderReply,
+}
+
+/// Engines that keep a fence, carry orders out at once and record what they were told; the port tells them apart.
 #[derive(Default)]
 pub struct Engines {
     pub statuses: Mutex<Vec<(SocketAddr, EngineStatus)>>,
+    pub told: Mutex<Vec<ToldOrder>>,
+    pub told_more: Condvar,
+}
+
+impl Engines {
+    /// Waits until what the engines were told satisfies the condition.
+    pub fn wait_told(&self, condition: impl Fn(&[ToldOrder]) -> bool, limit: Duration) -> Vec<ToldOrder> {
+        let told = self.told.lock().unwrap();
+        let (told, waited) = self
+            .told_more
+            .wait_timeout_while(told, limit, |told| !condition(told))
+            .unwrap();
+        assert!(!waited.timed_out(), "the engines were told only {told:#?}");
+        told.clone()
+    }
+}
+
+fn carry_out(status: &mut EngineStatus, order: &Order) -> OrderReply {
+    let last = status
+        .last_order
+        .as_ref()
+        .map(|last| last.sequence)
+        .unwrap_or_default();
+    let repeated = status
+        .last_order
+        .as_ref()
+        .is_some_and(|last| last.order == order.order);
+    if repeated {
+        return OrderReply::Done;
+    }
+    if order.token < status.fence || (order.token == status.fence && order.sequence <= last) {
+        return OrderReply::Fenced {
+            highest: status.fence,
+        };
+    }
+    status.fence = order.token;
+    status.last_order = Some(OrderProgress {
+        order: order.order.clone(),
+        sequence: order.sequence,
+        done: true,
+    });
+    match &order.action {
+        OrderAction::RaiseFence => {}
+        OrderAction::Drain => status.draining = true,
+        OrderAction::Undrain => status.draining = false,
+        OrderAction::ChangeRole { role } => status.role = *role,
+        OrderAction::LoadWeights { weights } => status.weights.push(weights.clone()),
+    }
+    OrderReply::Done
 }
 
 impl EngineClient for Engines {
@@ -104,8 +165,17 @@
     fn cancel(&self, _: SocketAddr, _: &RequestId) -> Result<(), ControlError> {
         Err(ControlError::Unreachable)
     }
-    fn order(&self, _: SocketAddr, _: &Order) -> Result<OrderReply, ControlError> {
-        Err(ControlError::Unreachable)
+    fn order(&self, address: SocketAddr, order: &Order) -> Result<OrderReply, ControlError> {
+        let mut statuses = self.statuses.lock().unwrap();
+        let found = statuses.iter_mut().find(|(known, _)| *known == address);
+        let (_, status) = found.ok_or(ControlError::Unreachable)?;
+        let reply = carry_out(status, order);
+        self.told.lock().unwrap().push(ToldOrder {
+            order: order.clone(),
+            reply: reply.clone(),
+        });
+        self.told_more.notify_all();
+        Ok(reply)
     }
     fn status(&self, address: SocketAddr) -> Result<EngineStatus, ControlError> {
         let statuses = self.statuses.lock().unwrap();
