--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -147,7 +147,10 @@
         OrderAction::Drain => status.draining = true,
         OrderAction::Undrain => status.draining = false,
         OrderAction::ChangeRole { role } => status.role = *role,
-        OrderAction::LoadWeights { weights } => status.weights.push(weights.clone()),
+        OrderAction::LoadWeights { weights } => {
+            status.weights.retain(|held| held.model != weights.model);
+            status.weights.push(weights.clone());
+        }
     }
     OrderReply::Done
 }
