Prove that a sick store costs the lease in time and nothing else

Cause: the process's behaviour in an outage had no test, and the commanding thread read the records at every event. Ruled out: a shorter interval of the driver; it only hides that the cost grows with events. Conclusion: the stream of records goes on, nothing is ordered, and the token is higher afterwards.

--- a/crates/controller/src/command/driver.rs
+++ b/crates/controller/src/command/driver.rs
@@ -24,6 +24,7 @@
     commander: ZoneCommander,
     planning: Planning,
     engines: Vec<EngineId>,
+    look_at: MonotonicTime,
 }
 
 /// Commands the zone until a planned stop has been carried out.
@@ -42,6 +43,7 @@
         commander,
         planning: Planning::new(context),
         engines: Vec::new(),
+        look_at: context.now(),
     };
     while !context.leaving.is_set() && !context.stop.is_set() {
         driver.step(events);
@@ -60,8 +62,13 @@
         for event in events.try_iter().take(EVENTS_PER_STEP) {
             self.handle(event);
         }
-        self.tell_engines();
-        self.plan();
+        let now = self.context.now();
+        if now >= self.look_at {
+            // Reading the records costs with the size of the fleet; events must not make it happen more often.
+            self.look_at = now + wait;
+            self.tell_engines();
+            self.plan();
+        }
         self.publish();
     }
 
@@ -115,6 +122,9 @@
     }
 
     fn tell_engines(&mut self) {
+        if self.commander.authority(self.context.now()).is_none() {
+            return;
+        }
         let mut engines: Vec<EngineId> = fleet::zone_engines(self.context)
             .into_iter()
             .map(|known| known.engine)
--- a/crates/controller/src/handle.rs
+++ b/crates/controller/src/handle.rs
@@ -124,6 +124,12 @@
             .map(|authority| authority.token)
     }
 
+    /// Waits until this controller may order nothing, or the time has passed; true when it may order nothing.
+    pub fn wait_lease_lost(&self, timeout: Duration) -> bool {
+        let none = |status: &CommandStatus| status.authority.is_none();
+        none(&self.context.command.wait_status(none, timeout))
+    }
+
     /// Begins a planned stop: gives up the lease, tells the others, then ends every thread.
     pub fn stop(&self) {
         self.context.leaving.set();
--- a/crates/controller/tests/takeover.rs
+++ b/crates/controller/tests/takeover.rs
@@ -9,10 +9,13 @@
 use shelfjunction_core::identity::{EngineId, FencingToken};
 use shelfjunction_core::lease::LeaseTimings;
 use shelfjunction_core::machine::{Machine, MachineState};
+use shelfjunction_lab::platform::faults::PlatformFaults;
 use shelfjunction_lab::platform::{PlatformConfig, PlatformHandle, PlatformServer};
 use shelfjunction_platform::http_platform::{HttpPlatform, PlatformTimeouts};
+use shelfjunction_protocol::frame::{read_frame, write_frame};
+use shelfjunction_protocol::peer::{PeerRequest, PeerResponse};
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::gate::{Gate, GatedEngines, GatedTable};
@@ -171,3 +174,41 @@
     zone.platform.stop();
     zone.platform.wait();
 }
+
+#[test]
+fn a_sick_store_costs_the_lease_in_time_and_nothing_else() {
+    let zone = Zone::new();
+    let open = Arc::new(Gate::default());
+    let holder = zone.start("node-1", Vec::new(), &open, &open);
+    assert_eq!(holder.wait_commanding(STUCK), Some(FencingToken(1)));
+    let mut watcher = TcpStream::connect(holder.peer_address()).unwrap();
+    watcher.set_read_timeout(Some(STUCK)).unwrap();
+    write_frame(&mut watcher, &PeerRequest::WatchFleet).unwrap();
+
+    zone.platform.set_faults(PlatformFaults::outage());
+    assert!(holder.wait_lease_lost(STUCK));
+    let orders_before = zone.engines.told.lock().unwrap().len();
+    zone.engines.statuses.lock().unwrap()[0].1.incarnation = 2;
+    loop {
+        let Some(PeerResponse::Records(records)) = read_frame(&mut watcher).unwrap() else {
+            panic!("the stream of records ended in the outage");
+        };
+        if records.iter().any(|record| record.version.incarnation == 2) {
+            break;
+        }
+    }
+    // The restarted engine has lost its fence, and nobody may raise it again without the lease.
+    assert_eq!(zone.engines.told.lock().unwrap().len(), orders_before);
+
+    zone.platform.set_faults(PlatformFaults::default());
+    let token = holder.wait_commanding(STUCK).unwrap();
+    assert!(token > FencingToken(1));
+    let told = zone
+        .engines
+        .wait_told(|told| told.len() >= orders_before + ENGINES.len(), STUCK);
+    assert!(told[orders_before..].iter().all(|told| told.order.token == token));
+    holder.stop();
+    holder.wait();
+    zone.platform.stop();
+    zone.platform.wait();
+}
