--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 use crate::context::{Backends, Context};
 use crate::errors::StartError;
 use crate::serve::CallerApi;
-use crate::watch::{bundles, cache_events, capacity, fleet, retention};
+use crate::watch::{bundles, cache_events, capacity, demand, fleet, retention};
 use shelfjunction_http::HttpServer;
 use shelfjunction_platform::http_engine::HttpEngineClient;
 use shelfjunction_platform::http_platform::{HttpPlatform, PlatformTimeouts};
@@ -113,6 +113,7 @@
         ("bundle-watch", bundles::run),
         ("cache-events", cache_events::run),
         ("capacity", capacity::run),
+        ("demand", demand::run),
         ("claim-retention", retention::run),
         ("claim-releases", claims::run_releases),
     ];
