Keep metrics from callers elsewhere, log refusals, tell of answers that are too long

Cause: totals over all tenants on the callers' port let one chain infer another's traffic; a call refused before its course left no log line; an answer over the limit ended as a lost connection. Ruled out: a second port for metrics, one more address to configure on each machine. Conclusion: metrics are read from the own machine, or with the token of an operator who may view.

--- a/crates/gateway/src/serve/access.rs
+++ b/crates/gateway/src/serve/access.rs
@@ -3,10 +3,11 @@
 use super::refusal::{CallerError, refusal_sentence};
 use crate::context::Context;
 use crate::watch::bundles::ServedBundle;
-use shelfjunction_core::bundle::content::TenantRule;
+use shelfjunction_core::bundle::content::{OperatorAction, TenantRule};
 use shelfjunction_core::identity::ZoneId;
 use shelfjunction_core::outcome::{Refusal, RefusalReason};
 use shelfjunction_core::residency;
+use shelfjunction_core::tenancy::{OperatorDirectory, may};
 use shelfjunction_http::HttpRequest;
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,6 +50,16 @@
     })
 }
 
+/// Whether the bearer token is that of an operator who may look.
+pub(super) fn is_viewing_operator(context: &Context, request: &HttpRequest) -> bool {
+    let Some(served) = context.bundles.served() else {
+        return false;
+    };
+    let operators = OperatorDirectory::new(&served.bundle);
+    let operator = operators.authenticate(request.bearer_token().unwrap_or_default());
+    operator.is_some_and(|rule| may(rule, OperatorAction::View))
+}
+
 fn refused(reason: RefusalReason) -> CallerError {
     let refusal = Refusal {
         reason,
--- a/crates/gateway/src/serve/completion.rs
+++ b/crates/gateway/src/serve/completion.rs
@@ -48,13 +48,14 @@
     let early_id = format!("req-{nonce}");
     let caller = match access::authenticate(context, request) {
         Ok(caller) => caller,
-        Err(error) => return responder.answer(&error.answer(Some(&early_id))),
+        Err(error) => return refuse(responder, &error, &early_id, ""),
     };
+    let tenant = caller.tenant.tenant.as_str();
     let call = match call::read(shape, request, &caller, &context.config.requests) {
         Ok(call) => call,
         Err(error) => {
             context.metrics.bad_input("invalid_call");
-            return responder.answer(&error.answer(Some(&early_id)));
+            return refuse(responder, &error, &early_id, tenant);
         }
     };
     let Some(_place) = context.registry.take_place() else {
@@ -63,7 +64,7 @@
             retry_after: Some(FULL_RETRY_AFTER),
         };
         let error = CallerError::refused(&refusal, refusal_sentence(refusal.reason));
-        return responder.answer(&error.answer(Some(&early_id)));
+        return refuse(responder, &error, &early_id, tenant);
     };
     let request = engine_request(&nonce, &caller.salt);
     let admitted = Admitted::new(context, &caller, &call, request, arrived);
@@ -79,6 +80,18 @@
     answered
 }
 
+/// Refuses a call before its course began.
+fn refuse(responder: Responder<'_>, error: &CallerError, id: &str, tenant: &str) -> Answered {
+    log::info!(
+        request = id,
+        tenant = tenant,
+        outcome = "not_run",
+        cause = error.code.as_str();
+        "request_refused"
+    );
+    responder.answer(&error.answer(Some(id)))
+}
+
 /// One call with everything that its course needs.
 struct Admitted<'a> {
     context: &'a Arc<Context>,
@@ -138,7 +151,7 @@
             Err(refusal) => {
                 let error = CallerError::refused(&refusal, refusal_sentence(refusal.reason));
                 let id = public_id(&self.request, None);
-                let answered = responder.answer(&error.answer(Some(&id)));
+                let answered = refuse(responder, &error, &id, self.caller.tenant.tenant.as_str());
                 return (answered, Some(Outcome::NotRun(refusal)), 0);
             }
         };
--- a/crates/gateway/src/serve/handler.rs
+++ b/crates/gateway/src/serve/handler.rs
@@ -75,10 +75,7 @@
         match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/healthz") => Answer::new(200, TEXT, "ok\n"),
             ("GET", "/readyz") => readiness(context),
-            ("GET", "/metrics") => match context.metrics.render() {
-                Ok(body) => Answer::new(200, OPEN_METRICS, body),
-                Err(_) => Answer::new(500, TEXT, "the metrics can't be written\n"),
-            },
+            ("GET", "/metrics") => measure(context, request),
             ("GET", "/v1/models") => match access::authenticate(context, request) {
                 Ok(caller) => models::answer(&caller),
                 Err(error) => error.answer(None),
@@ -116,6 +113,22 @@
     error.answer(None)
 }
 
+/// Totals over all tenants would tell one tenant about the others, so callers elsewhere need an operator's token.
+fn measure(context: &Context, request: &HttpRequest) -> Answer {
+    if !is_local(request) && !access::is_viewing_operator(context, request) {
+        let reason = RefusalReason::Unauthenticated;
+        return CallerError::not_run(reason, "Metrics need an operator's bearer token.").answer(None);
+    }
+    match context.metrics.render() {
+        Ok(body) => Answer::new(200, OPEN_METRICS, body),
+        Err(_) => Answer::new(500, TEXT, "the metrics can't be written\n"),
+    }
+}
+
+fn is_local(request: &HttpRequest) -> bool {
+    request.peer.is_some_and(|peer| peer.is_loopback())
+}
+
 /// Ready when a caller sent here would be served.
 fn readiness(context: &Context) -> Answer {
     let missing = if context.stopping.is_set() {
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -56,6 +56,19 @@
         }
     }
 
+    /// An answer that is longer than what is collected for a caller; the engine goes on with it.
+    pub(super) fn answer_too_long() -> Self {
+        Self {
+            status: 502,
+            code: "answer_too_long".to_owned(),
+            outcome: StatedOutcome::Unknown,
+            message:
+                "The answer is too long to be sent whole; fetch it as a stream by this request's identifier."
+                    .to_owned(),
+            retry_after: None,
+        }
+    }
+
     /// An outcome other than a whole answer; `keyed`: coming back with the same key asks again and runs nothing.
     pub(super) fn of_outcome(outcome: &Outcome, keyed: bool) -> Option<Self> {
         match outcome {
--- a/crates/gateway/src/serve/sinks.rs
+++ b/crates/gateway/src/serve/sinks.rs
@@ -117,6 +117,7 @@
     responder: Responder<'a>,
     text: String,
     limit: usize,
+    too_long: bool,
     tokens: u32,
     cached: u32,
 }
@@ -128,6 +129,7 @@
             responder,
             text: String::new(),
             limit,
+            too_long: false,
             tokens: 0,
             cached: 0,
         }
@@ -135,7 +137,8 @@
 
     /// Writes the answer or the error.
     pub(super) fn end(self, id: &str, error: Option<&CallerError>) -> Answered {
-        if let Some(error) = error {
+        let too_long = self.too_long.then(CallerError::answer_too_long);
+        if let Some(error) = too_long.as_ref().or(error) {
             return self.responder.answer(&error.answer(Some(id)));
         }
         let body = self.frame.whole(id, self.text, self.tokens, self.cached);
@@ -148,6 +151,7 @@
     fn token(&mut self, _: Delivery<'_>, _: u32, text: &str) -> Result<(), SinkClosed> {
         // A longer answer stays at its engine, where the caller can fetch it as a stream.
         if self.text.len() + text.len() > self.limit {
+            self.too_long = true;
             return Err(SinkClosed);
         }
         self.text.push_str(text);
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -187,6 +187,7 @@
         query: query.to_owned(),
         headers: parsed.headers.iter().map(owned_header).collect(),
         body: Vec::new(),
+        peer: None,
         keep_alive: false,
         is_http_1_1,
     };
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -1,5 +1,7 @@
 //! One request as the handler sees it.
 
+use std::net::IpAddr;
+
 /// A whole request, within the limits.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HttpRequest {
@@ -13,6 +15,8 @@
     pub headers: Vec<HttpHeader>,
     /// Body.
     pub body: Vec<u8>,
+    /// Address of the caller's end of the connection; absent where the system does not tell.
+    pub peer: Option<IpAddr>,
     /// Whether the connection may carry another request.
     pub keep_alive: bool,
     /// Whether the caller speaks HTTP/1.1 and so understands chunks.
