--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod clock;
 pub mod engine;
 pub mod http_engine;
+pub mod listener;
 pub mod services;
