--- a/crates/platform/src/http_engine/mod.rs
+++ b/crates/platform/src/http_engine/mod.rs
@@ -4,7 +4,7 @@
 //! the environment: each of these could run a request a second time. Control calls are idempotent and may share
 //! idle connections.
 
-mod connector;
+pub(crate) mod connector;
 mod stream;
 mod timeouts;
 
