--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,9 @@
 //! Stand-ins, load and experiment tools.
+
 pub mod caller;
 pub mod cluster;
+pub mod command;
+pub mod engine;
 pub mod load;
 pub mod platform;
 pub mod relay;
