--- a/crates/lab/src/load/token_watch.rs
+++ b/crates/lab/src/load/token_watch.rs
@@ -1,7 +1,8 @@
 //! Takes the times of one call's tokens.
 
-use super::observation::{CallResult, Observation};
+use super::observation::Observation;
 use super::schedule::PlannedCall;
+use crate::caller::CallResult;
 use std::time::{Duration, Instant};
 
 /// Times of one call, measured from its intended start.
@@ -44,6 +45,7 @@
         request: Option<String>,
     ) -> Observation {
         Observation {
+            index: call.index,
             mix: call.mix,
             direct: call.direct,
             at: call.at,
