Start the gateway from the program

Cause: the gateway's crate is there; both programs of a machine now start from a settings file and stop on a signal. Ruled out: nothing.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -30,6 +30,7 @@
         return Err(CommandError::Usage(usage::PROGRAM.to_owned()));
     };
     match command.as_str() {
+        "gateway" => node::run_gateway(rest),
         "controller" => node::run_controller(rest),
         "bundle" => operator::run_bundle(rest),
         "status" => operator::run_status(rest),
--- a/crates/cli/src/node/mod.rs
+++ b/crates/cli/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The two programs of a machine: gateway and controller.
 
 mod controller;
+mod gateway;
 mod signals;
 
 use crate::exit::CommandError;
@@ -9,6 +10,14 @@
 use crate::usage;
 use shelfjunction_logging as logging;
 
+/// Runs `shelfjunction gateway`.
+pub fn run_gateway(arguments: &[String]) -> Result<(), CommandError> {
+    match prepare(usage::GATEWAY, arguments)? {
+        Some(settings) => gateway::run(settings),
+        None => Ok(()),
+    }
+}
+
 /// Runs `shelfjunction controller`.
 pub fn run_controller(arguments: &[String]) -> Result<(), CommandError> {
     match prepare(usage::CONTROLLER, arguments)? {
--- a/crates/cli/src/usage.rs
+++ b/crates/cli/src/usage.rs
@@ -33,6 +33,15 @@
   shelfjunction bundle validate examples/pharmacy/bundle.toml
 ";
 
+/// `gateway`.
+pub const GATEWAY: &str = "\
+Usage: shelfjunction gateway --settings FILE [OPTIONS]
+
+Serves callers and operators over HTTP until SIGTERM or SIGINT, then finishes every stream and ends.
+
+Example:
+  shelfjunction gateway --settings examples/pharmacy/sthlm-a-gateway.toml --check";
+
 /// `controller`.
 pub const CONTROLLER: &str = "\
 Usage: shelfjunction controller --settings FILE [OPTIONS]
