--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -33,6 +33,8 @@
     Usage(String),
     /// Settings or the fields of a file are wrong; all of them.
     Settings(Vec<FieldError>),
+    /// A bundle breaks the rules; every fault.
+    InvalidBundle(Vec<FieldError>),
     /// The gateway refused or failed.
     Refused(Box<AdminError>),
     /// The work failed.
@@ -44,7 +46,7 @@
     pub fn exit(&self) -> Exit {
         match self {
             Self::Usage(_) | Self::Settings(_) => Exit::Usage,
-            Self::Refused(_) | Self::Failed(_) => Exit::Refused,
+            Self::InvalidBundle(_) | Self::Refused(_) | Self::Failed(_) => Exit::Refused,
         }
     }
 }
@@ -53,7 +55,9 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Usage(text) => writeln!(formatter, "{}", text.trim_end()),
-            Self::Settings(errors) => errors.iter().try_for_each(|error| writeln!(formatter, "{error}")),
+            Self::Settings(errors) | Self::InvalidBundle(errors) => {
+                errors.iter().try_for_each(|error| writeln!(formatter, "{error}"))
+            }
             Self::Refused(error) => write_refusal(formatter, error),
             Self::Failed(text) => writeln!(formatter, "{}", text.trim_end()),
         }
--- a/crates/cli/src/operator/files.rs
+++ b/crates/cli/src/operator/files.rs
@@ -58,7 +58,7 @@
     if faults.is_empty() {
         Ok(bundle)
     } else {
-        Err(CommandError::Settings(faults))
+        Err(CommandError::InvalidBundle(faults))
     }
 }
 
--- /dev/null
+++ b/crates/cli/tests/command_line.rs
@@ -0,0 +1,210 @@
+//! Exit codes and messages of the program, and the examples that it must accept.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::fs;
+use std::os::unix::fs::PermissionsExt;
+use support::{directory, examples, run_in};
+
+const COMMANDS: [&[&str]; 15] = [
+    &["gateway"],
+    &["controller"],
+    &["bundle", "validate"],
+    &["bundle", "keygen"],
+    &["bundle", "propose"],
+    &["bundle", "sign"],
+    &["bundle", "rollout"],
+    &["bundle", "rollback"],
+    &["bundle", "history"],
+    &["bundle", "show"],
+    &["status"],
+    &["engines"],
+    &["usage"],
+    &["requests", "show"],
+    &["requests", "cancel"],
+];
+
+#[test]
+fn every_command_has_help_with_an_example() {
+    let place = examples();
+    for command in COMMANDS {
+        let help = run_in(&place, &[command, &["--help"]].concat());
+        assert_eq!(help.code, 0, "{command:?}");
+        assert!(
+            help.out.contains(&format!("Usage: shelfjunction {}", command[0])),
+            "{command:?}"
+        );
+        assert!(help.out.contains("\nExample:\n  shelfjunction "), "{command:?}");
+        let misused = run_in(&place, &[command, &["--no-such-option"]].concat());
+        assert_eq!(misused.code, 2, "{command:?}");
+    }
+    let version = run_in(&place, &["--version"]);
+    assert_eq!((version.code, version.out.trim()), (0, "shelfjunction 0.1.0"));
+    assert_eq!(run_in(&place, &[]).code, 2);
+    assert_eq!(run_in(&place, &["no-such-command"]).code, 2);
+    assert_eq!(run_in(&place, &["bundle", "no-such-command"]).code, 2);
+}
+
+#[test]
+fn every_example_is_in_order() {
+    let mut checked = 0;
+    for deployment in ["pharmacy", "kadriks"] {
+        let place = examples().join(deployment);
+        assert_eq!(run_in(&place, &["bundle", "validate", "bundle.toml"]).code, 0);
+        for entry in fs::read_dir(&place).unwrap() {
+            let name = entry.unwrap().file_name().into_string().unwrap();
+            for program in ["gateway", "controller"] {
+                if name.ends_with(&format!("-{program}.toml")) {
+                    let ran = run_in(&place, &[program, "--settings", &name, "--check"]);
+                    assert_eq!(ran.text(), "exit 0\nsettings are in order\n", "{name}");
+                    checked += 1;
+                }
+            }
+        }
+    }
+    assert_eq!(checked, 12);
+}
+
+#[test]
+fn every_wrong_setting_is_reported_at_once() {
+    let place = directory("wrong-settings");
+    let settings = "\
+log_level = \"loud\"
+colour = 3
+root_keys_file = \"nowhere.toml\"
+
+[gateway]
+node = 5
+zone = \"zone-a\"
+listen = \"localhost:80\"
+controllers = [\"127.0.0.1:7000\"]
+platform = \"127.0.0.1:9000\"
+cache_secret_file = \"nowhere\"
+
+[gateway.requests]
+streams = 0
+default_max_tokens = \"many\"
+";
+    fs::write(place.join("gateway.toml"), settings).unwrap();
+    let ran = run_in(&place, &["gateway", "--settings", "gateway.toml", "--check"]);
+    insta::assert_snapshot!(ran.text(), @r#"
+    exit 2
+    colour = 3: allowed is a known field: `log_level` or `root_keys_file`, `gateway`
+    log_level = "loud": allowed is off, error, warn, info, debug or trace
+    root_keys_file = nowhere.toml: allowed is a file that can be read (No such file or directory (os error 2))
+    gateway.listen = "localhost:80": allowed is a numeric address with a port, as in 127.0.0.1:8080
+    gateway.node = 5: allowed is text in quotes
+    gateway.requests.default_max_tokens = "many": allowed is a whole number, 0 or more
+    gateway.region = (missing): allowed is a value such as "region"
+    gateway.requests.streams = 0: allowed is 1 to 65536
+    gateway.cache_secret_file = nowhere (No such file or directory (os error 2)): allowed is a readable file
+    "#);
+}
+
+#[test]
+fn flags_go_before_the_file_and_a_secret_is_never_shown() {
+    let place = directory("flags");
+    let example = examples().join("pharmacy/sthlm-a-gateway.toml");
+    let example = example.to_str().unwrap();
+    let ran = run_in(
+        &place,
+        &[
+            "gateway",
+            "--settings",
+            example,
+            "--check",
+            "--listen",
+            "nowhere",
+            "--set",
+            "gateway.requests.streams=0",
+        ],
+    );
+    insta::assert_snapshot!(ran.text(), @r#"
+    exit 2
+    gateway.listen = "nowhere": allowed is a numeric address with a port, as in 127.0.0.1:8080
+    gateway.requests.streams = 0: allowed is 1 to 65536
+    "#);
+
+    fs::write(place.join("secret"), "not hexadecimal: hunter2").unwrap();
+    let path = format!("gateway.cache_secret_file={}", place.join("secret").display());
+    let ran = run_in(
+        &place,
+        &["gateway", "--settings", example, "--check", "--set", &path],
+    );
+    assert_eq!(ran.code, 2);
+    assert!(!ran.text().contains("hunter2"));
+    let ran = run_in(&place, &["gateway", "--settings", "nowhere.toml"]);
+    insta::assert_snapshot!(ran.text(), @r#"
+    exit 2
+    --settings = nowhere.toml: allowed is a file that can be read (No such file or directory (os error 2))
+    "#);
+    fs::write(place.join("broken.toml"), "[gateway\n").unwrap();
+    assert_eq!(
+        run_in(&place, &["controller", "--settings", "broken.toml"]).code,
+        2
+    );
+}
+
+#[test]
+fn keys_are_written_once_and_for_their_owner_alone() {
+    let place = directory("keys");
+    let arguments = [
+        "bundle",
+        "keygen",
+        "--kind",
+        "operator",
+        "--operator",
+        "alice",
+        "--out",
+        "alice.key",
+    ];
+    let made = run_in(&place, &arguments);
+    assert_eq!(made.code, 0);
+    let secret = fs::read_to_string(place.join("alice.key")).unwrap();
+    let hidden = secret.lines().last().unwrap();
+    assert!(!made.text().contains(hidden.trim_start_matches("secret_key = ")));
+    let mode = fs::metadata(place.join("alice.key"))
+        .unwrap()
+        .permissions()
+        .mode();
+    assert_eq!(mode & 0o777, 0o600);
+    // A key that exists is never written over.
+    assert_eq!(run_in(&place, &arguments).code, 1);
+    assert_eq!(fs::read_to_string(place.join("alice.key")).unwrap(), secret);
+    assert_eq!(
+        run_in(&place, &["bundle", "keygen", "--kind", "x", "--out", "y"]).code,
+        2
+    );
+}
+
+#[test]
+fn a_faulty_bundle_is_reported_whole_and_a_silent_gateway_is_a_failure() {
+    let place = directory("bundles");
+    let mut text = fs::read_to_string(examples().join("pharmacy/bundle.toml")).unwrap();
+    text = text.replace("required_signatures = 1", "required_signatures = 3");
+    text = text.replace("zones = [\"sthlm-a\"]", "zones = [\"nowhere\"]");
+    text = text.replacen("share = 1", "share = 0", 1);
+    fs::write(place.join("bundle.toml"), text).unwrap();
+    let ran = run_in(&place, &["bundle", "validate", "bundle.toml"]);
+    insta::assert_snapshot!(ran.text(), @r#"
+    exit 1
+    fleet.required_signatures = 3: allowed is 1 to the number of operators with the action sign (2)
+    tenants.norrapotek.share = 0: allowed is above 0; leave a tenant out to refuse all its calls
+    tenants.sthlmapotek.zones = nowhere: allowed is a zone of this bundle
+    "#);
+
+    fs::write(place.join("token"), "token\n").unwrap();
+    // Port 1 of loopback refuses connections.
+    let unreachable = ["status", "--gateway", "127.0.0.1:1", "--token-file", "token"];
+    assert_eq!(run_in(&place, &unreachable).code, 1);
+    let ran = run_in(
+        &place,
+        &["status", "--gateway", "localhost:1", "--token-file", "nowhere"],
+    );
+    insta::assert_snapshot!(ran.text(), @r#"
+    exit 2
+    --gateway = localhost:1: allowed is a numeric address with a port, as in 127.0.0.1:8080
+    --token-file = nowhere: allowed is a file that can be read (No such file or directory (os error 2))
+    "#);
+}
