--- a/crates/core/tests/prefix.rs
+++ b/crates/core/tests/prefix.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used)]
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use shelfjunction_core::identity::{AdapterId, ModelId};
 use shelfjunction_core::routing::prefix::{BLOCK_TOKENS, PrefixScope, hash_prompt, matching_blocks};
 
@@ -10,6 +11,13 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     #[test]
     fn blocks_agree_exactly_as_far_as_the_words_do(first in words(), second in words(), shared in 0_usize..80) {
         let shared = shared.min(first.len());
