Leave applications out of version rolls and give up what an engine rejects

Cause: an application rejects loads; a bundle with a new version of an application drained its engine, the load was rejected, and as nothing was in flight the change was never given up: the application stayed out of service. Ruled out: giving up only while work is in flight; a change that has not begun in time is given up whatever the cause. Conclusion: a rejected order ends its change at once; the limit holds for every change that has not begun.

--- a/crates/controller/src/command/driver.rs
+++ b/crates/controller/src/command/driver.rs
@@ -117,6 +117,7 @@
                 reason,
             } => {
                 log::warn!(engine:% = engine, order:% = order, reason:% = reason; "order_rejected");
+                self.planning.on_rejected(&engine);
             }
         }
     }
--- a/crates/controller/src/command/planning.rs
+++ b/crates/controller/src/command/planning.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Takes in that an engine can't carry an order out.
+    pub fn on_rejected(&mut self, engine: &EngineId) {
+        self.coordinator.on_rejected(engine);
+    }
+
     /// Decides once and gives what the commander is to be told.
     pub fn step(
         &mut self,
--- a/crates/controller/tests/version_roll.rs
+++ b/crates/controller/tests/version_roll.rs
@@ -133,9 +133,7 @@
 
     let mut second = deployment.bundle.clone();
     for rule in &mut second.models {
-        if rule.model == deployment.model {
-            rule.version = WeightVersion::new("rolled");
-        }
+        rule.version = WeightVersion::new("rolled");
     }
     publish(&*client, &second, &deployment.operators()[0]).unwrap();
     let accepted = Instant::now();
--- a/crates/core/src/drain/coordinator.rs
+++ b/crates/core/src/drain/coordinator.rs
@@ -7,14 +7,14 @@
 use crate::identity::EngineId;
 use crate::orders::EngineGoal;
 use crate::time::MonotonicTime;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How a planned change ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChangeOutcome {
     /// The engine is what was asked for and serves.
     Completed,
-    /// The engine did not run empty in time, or stopped answering; it is put back into service.
+    /// The engine did not run empty in time, stopped answering or rejected an order; it is put back into service.
     GivenUp,
     /// The engine's machine is leaving.
     Overtaken,
@@ -62,6 +62,8 @@
     limits: ChangeLimits,
     changes: BTreeMap<EngineId, Change>,
     paused_until: BTreeMap<EngineId, MonotonicTime>,
+    /// Engines that said they can't carry an order of their change out.
+    rejected: BTreeSet<EngineId>,
 }
 
 impl ChangeCoordinator {
@@ -71,6 +73,7 @@
             limits,
             changes: BTreeMap::new(),
             paused_until: BTreeMap::new(),
+            rejected: BTreeSet::new(),
         }
     }
 
@@ -84,6 +87,13 @@
         self.changes.keys()
     }
 
+    /// Takes in that an engine can't carry an order out: its change, if one is under way, is given up.
+    pub fn on_rejected(&mut self, engine: &EngineId) {
+        if self.changes.contains_key(engine) {
+            self.rejected.insert(engine.clone());
+        }
+    }
+
     /// Looks at every engine of the zone once and decides.
     pub fn step(
         &mut self,
@@ -110,6 +120,7 @@
         let listed = |engine: &EngineId| views.iter().any(|view| view.engine == *engine);
         self.changes.retain(|engine, _| listed(engine));
         self.paused_until.retain(|engine, _| listed(engine));
+        self.rejected.retain(listed);
     }
 
     /// Ends a change that is over, and takes over one that an earlier holder began.
@@ -122,10 +133,11 @@
         let outcome = match &view.status {
             _ if view.leaving => ChangeOutcome::Overtaken,
             Some(status) if reached(status, &change.goal) => ChangeOutcome::Completed,
-            Some(status) if late && is_still_busy(status) => ChangeOutcome::GivenUp,
-            None if late => ChangeOutcome::GivenUp,
+            Some(status) if status.changing => return,
+            _ if late || self.rejected.contains(&view.engine) => ChangeOutcome::GivenUp,
             _ => return,
         };
+        self.rejected.remove(&view.engine);
         self.changes.remove(&view.engine);
         if outcome == ChangeOutcome::GivenUp {
             let until = now + self.limits.pause_after_give_up;
@@ -262,11 +274,6 @@
     holds(status, goal) && !status.changing && !status.draining
 }
 
-/// Whether work in flight still keeps the change from beginning; one that has begun is never given up.
-fn is_still_busy(status: &EngineStatus) -> bool {
-    !status.changing && status.load.requests_in_flight > 0
-}
-
 /// One request per engine, so that a new role and new weights cost one drain.
 fn merged(requests: &[ChangeRequest]) -> Vec<ChangeRequest> {
     let mut merged: Vec<ChangeRequest> = Vec::new();
--- a/crates/core/src/drain/rollout.rs
+++ b/crates/core/src/drain/rollout.rs
@@ -1,7 +1,7 @@
 //! What the bundle in force asks of the weights on each engine.
 
 use super::view::{ChangeRequest, EngineView};
-use crate::bundle::content::ModelRule;
+use crate::bundle::content::{ModelKind, ModelRule};
 use crate::engine::LoadedWeights;
 use crate::identity::{ModelId, WeightVersion};
 use std::collections::BTreeMap;
@@ -44,7 +44,8 @@
 
 /// The requests that bring the engines' weights to the bundle's, for weights whose queue allows a load.
 ///
-/// An engine with no weights is given the model of its kind that fewest engines hold; an engine that holds
+/// An application is what it is: it takes no weights, and an order to load some would only drain it for nothing.
+/// An engine with no weights is given the model that fewest engines hold; an engine that holds
 /// weights keeps its models and is brought to the bundle's versions and adapters.
 pub fn roll_requests(
     views: &[EngineView],
@@ -53,7 +54,8 @@
 ) -> Vec<ChangeRequest> {
     let mut holders = count_holders(views, models);
     let mut requests = Vec::new();
-    for view in views.iter().filter(|view| !view.leaving) {
+    let takes_weights = |view: &&EngineView| view.kind == ModelKind::Model && !view.leaving;
+    for view in views.iter().filter(takes_weights) {
         let Some(status) = &view.status else {
             continue;
         };
@@ -105,7 +107,7 @@
     }
     let fewest = models
         .iter()
-        .filter(|rule| rule.kind == view.kind)
+        .filter(|rule| rule.kind == ModelKind::Model)
         .min_by_key(|rule| holders.get(&rule.model).copied().unwrap_or_default());
     let Some(rule) = fewest else {
         return Vec::new();
--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -8,7 +8,8 @@
 use proptest::prelude::*;
 use shelfjunction_core::bundle::content::{ModelKind, ModelRule, RoleFloor};
 use shelfjunction_core::drain::{
-    ChangeCoordinator, ChangeDecision, ChangeLimits, ChangeOutcome, ChangeRequest, EngineView,
+    ChangeCoordinator, ChangeDecision, ChangeLimits, ChangeOutcome, ChangeRequest, EngineView, WeightQueues,
+    roll_requests,
 };
 use shelfjunction_core::engine::{EngineStatus, LoadReport, LoadedWeights, OrderAction, Role};
 use shelfjunction_core::identity::{EngineId, FencingToken, ModelId, WeightVersion};
@@ -346,3 +347,42 @@
     assert!(!zone.engines[0].draining);
     assert_eq!(zone.engines[0].streams.len(), 1);
 }
+
+#[test]
+fn a_change_that_the_engine_rejects_is_given_up_at_once() {
+    let mut zone = Zone::new();
+    zone.take(&Event::Offer {
+        engine: 0,
+        wanted: 20,
+    });
+    zone.take(&Event::Role {
+        engine: 0,
+        role: Role::Prefill,
+    });
+    zone.step();
+    let engine = zone.engines[0].name.clone();
+    zone.coordinator.on_rejected(&engine);
+    for _ in 0..3 {
+        zone.step();
+    }
+    assert_eq!(
+        (zone.begun, zone.ended.as_slice()),
+        (1, [ChangeOutcome::GivenUp].as_slice())
+    );
+    assert!(!zone.engines[0].draining);
+}
+
+#[test]
+fn a_new_version_is_asked_of_model_engines_only() {
+    let mut models = models();
+    models[0].version = WeightVersion::new("2");
+    let mut queues = WeightQueues::new(0);
+    queues.note(ModelId::new("model"), WeightVersion::new("2"), 0);
+    let mut views = vec![Engine::new(0).view(), Engine::new(1).view()];
+    views[0].kind = ModelKind::Application;
+    let asked: Vec<EngineId> = roll_requests(&views, &models, &queues)
+        .into_iter()
+        .map(|request| request.engine)
+        .collect();
+    assert_eq!(asked, [views[1].engine.clone()]);
+}
