Rest goals on statuses read by the holder itself and ask until a bundle is confirmed

Cause: a slow watcher can publish an older status after a newer one, and a goal taken from it could send a change back; and a controller whose bundle came from a peer of its own zone waited up to 5 s for another zone to vouch. Ruled out: comparing ages of records, which add up on the way. Conclusion: an engine that restarts empty is fenced again and led back to its weights, which the roll's test shows.

--- a/crates/controller/src/bundle/exchange.rs
+++ b/crates/controller/src/bundle/exchange.rs
@@ -17,8 +17,9 @@
 /// Peers of each zone that are asked for their head at a time.
 const ASKED_PER_ZONE: usize = 1;
 
-/// Time between asks while this controller holds no bundle.
-const ASK_WITHOUT_BUNDLE: Duration = Duration::from_millis(200);
+/// Time between asks while this controller holds no bundle, or one that nobody has confirmed yet: its gateway takes
+/// nothing in so long.
+const ASK_UNCONFIRMED: Duration = Duration::from_millis(200);
 
 /// Exchanges heads until the controller stops.
 pub fn run(context: &Context) {
@@ -42,8 +43,8 @@
 
 fn next_ask(context: &Context) -> Duration {
     let interval = millis(context.config.timings.vouch_millis);
-    if context.bundle.in_force().is_none() {
-        return spread(ASK_WITHOUT_BUNDLE.min(interval));
+    if !context.bundle.is_confirmed(context.now()) {
+        return spread(ASK_UNCONFIRMED.min(interval));
     }
     spread(interval)
 }
--- a/crates/controller/src/bundle/state.rs
+++ b/crates/controller/src/bundle/state.rs
@@ -30,7 +30,7 @@
     keeper: Mutex<BundleKeeper>,
     pending: Mutex<PendingWork>,
     wake: Condvar,
-    in_force_changed: Condvar,
+    keeper_changed: Condvar,
     metrics: Metrics,
 }
 
@@ -41,7 +41,7 @@
             keeper: Mutex::new(BundleKeeper::new(roots, zone)),
             pending: Mutex::default(),
             wake: Condvar::new(),
-            in_force_changed: Condvar::new(),
+            keeper_changed: Condvar::new(),
             metrics,
         }
     }
@@ -52,6 +52,7 @@
         let events = keeper.on_head(head, source, now);
         let incomplete = !keeper.wanted().is_empty();
         drop(keeper);
+        self.keeper_changed.notify_all();
         self.follow(&events, incomplete);
     }
 
@@ -125,12 +126,27 @@
     pub fn wait_generation(&self, generation: Generation, timeout: Duration) -> bool {
         let keeper = lock(&self.keeper);
         let (keeper, _) = self
-            .in_force_changed
+            .keeper_changed
             .wait_timeout_while(keeper, timeout, |keeper| keeper.generation() < generation)
             .unwrap_or_else(PoisonError::into_inner);
         keeper.generation() >= generation
     }
 
+    /// Whether a bundle is in force that the store or another zone has confirmed since this controller's start.
+    pub fn is_confirmed(&self, now: MonotonicTime) -> bool {
+        is_confirmed(&lock(&self.keeper), now)
+    }
+
+    /// Waits until a bundle is in force and confirmed, or the time has passed; true when it is.
+    pub fn wait_confirmed(&self, now: impl Fn() -> MonotonicTime, timeout: Duration) -> bool {
+        let keeper = lock(&self.keeper);
+        let (keeper, _) = self
+            .keeper_changed
+            .wait_timeout_while(keeper, timeout, |keeper| !is_confirmed(keeper, now()))
+            .unwrap_or_else(PoisonError::into_inner);
+        is_confirmed(&keeper, now())
+    }
+
     /// Ends the wait for work for good.
     pub fn stop(&self) {
         lock(&self.pending).stop = true;
@@ -157,7 +173,7 @@
             }
         }
         if in_force {
-            self.in_force_changed.notify_all();
+            self.keeper_changed.notify_all();
         }
         if in_force || incomplete {
             let mut pending = lock(&self.pending);
@@ -168,6 +184,10 @@
     }
 }
 
+fn is_confirmed(keeper: &BundleKeeper, now: MonotonicTime) -> bool {
+    keeper.in_force().is_some() && keeper.confirmed_ago(now).is_some()
+}
+
 /// A head as peers name it, as the keeper names it.
 pub fn head_of(named: &BundleHead) -> Head {
     Head {
--- a/crates/controller/src/command/driver.rs
+++ b/crates/controller/src/command/driver.rs
@@ -3,6 +3,7 @@
 use super::executor::Executor;
 use super::link::CommandStatus;
 use super::planning::Planning;
+use super::status_board::StatusBoard;
 use crate::config::millis;
 use crate::context::Context;
 use crate::fleet;
@@ -24,6 +25,7 @@
     commander: ZoneCommander,
     planning: Planning,
     engines: Vec<EngineId>,
+    statuses: StatusBoard,
     look_at: MonotonicTime,
 }
 
@@ -43,6 +45,7 @@
         commander,
         planning: Planning::new(context),
         engines: Vec::new(),
+        statuses: StatusBoard::default(),
         look_at: context.now(),
     };
     while !context.leaving.is_set() && !context.stop.is_set() {
@@ -89,6 +92,9 @@
     }
 
     fn handle(&mut self, event: CommanderEvent) {
+        if let CommanderEvent::Status { observed_at, status } = &event {
+            self.statuses.note(status, *observed_at);
+        }
         let effects = self.commander.handle(event, self.context.now());
         for effect in effects {
             self.carry_out(effect);
@@ -134,6 +140,7 @@
         // Nothing known yet is not the same as an empty zone.
         if engines != self.engines && !engines.is_empty() {
             self.engines.clone_from(&engines);
+            self.statuses.retain(|engine| engines.contains(engine));
             self.handle(CommanderEvent::Engines(engines));
         }
     }
@@ -143,7 +150,10 @@
         if *self.commander.phase() != CommanderPhase::Commanding || self.commander.authority(now).is_none() {
             return;
         }
-        for event in self.planning.step(self.context, &self.commander, now) {
+        for event in self
+            .planning
+            .step(self.context, &self.commander, &self.statuses, now)
+        {
             self.handle(event);
         }
     }
--- a/crates/controller/src/command/mod.rs
+++ b/crates/controller/src/command/mod.rs
@@ -8,6 +8,7 @@
 mod link;
 mod planner_input;
 mod planning;
+mod status_board;
 mod weight_watch;
 
 pub use driver::run;
--- a/crates/controller/src/command/planning.rs
+++ b/crates/controller/src/command/planning.rs
@@ -1,6 +1,7 @@
 //! What each engine of the zone is wanted to be, decided while the lease is held.
 
 use super::planner_input;
+use super::status_board::StatusBoard;
 use crate::config::millis;
 use crate::context::Context;
 use crate::fleet::{self, KnownEngine};
@@ -8,6 +9,7 @@
 use shelfjunction_core::drain::{
     ChangeCoordinator, ChangeDecision, ChangeLimits, ChangeOutcome, ChangeRequest, EngineView, roll_requests,
 };
+use shelfjunction_core::engine::EngineStatus;
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::orders::{CommanderEvent, ZoneCommander};
 use shelfjunction_core::roles::{EngineProfile, Planner};
@@ -48,11 +50,15 @@
         &mut self,
         context: &Context,
         commander: &ZoneCommander,
+        statuses: &StatusBoard,
         now: MonotonicTime,
     ) -> Vec<CommanderEvent> {
         let bundle = context.bundle.in_force();
         let known = fleet::zone_engines(context);
-        let views: Vec<EngineView> = known.iter().map(|known| view(known, commander)).collect();
+        let views: Vec<EngineView> = known
+            .iter()
+            .map(|known| view(known, commander, statuses.get(&known.engine, now)))
+            .collect();
         let models = bundle
             .as_ref()
             .map(|bundle| bundle.models.as_slice())
@@ -135,12 +141,12 @@
     }
 }
 
-fn view(known: &KnownEngine, commander: &ZoneCommander) -> EngineView {
+fn view(known: &KnownEngine, commander: &ZoneCommander, status: Option<&EngineStatus>) -> EngineView {
     EngineView {
         engine: known.engine.clone(),
         kind: known.kind(),
         leaving: known.is_leaving(),
-        status: known.live_status().cloned(),
+        status: status.cloned(),
         goal: commander.goal(&known.engine).cloned(),
     }
 }
--- a/crates/controller/src/handle.rs
+++ b/crates/controller/src/handle.rs
@@ -113,6 +113,11 @@
         self.context.bundle.wait_generation(generation, timeout)
     }
 
+    /// Waits until the bundle in force has been confirmed by the store or another zone, or the time has passed.
+    pub fn wait_confirmed(&self, timeout: Duration) -> bool {
+        self.context.bundle.wait_confirmed(|| self.context.now(), timeout)
+    }
+
     /// Waits until this controller orders the zone's engines, or the time has passed; its token when it does.
     pub fn wait_commanding(&self, timeout: Duration) -> Option<FencingToken> {
         let commands =
--- a/crates/controller/tests/bundle_distribution.rs
+++ b/crates/controller/tests/bundle_distribution.rs
@@ -1,4 +1,4 @@
-//! A bundle reaches every zone, a roll-back moves on to a higher generation, and a controller that starts while the
+//! A bundle reaches every zone, so does the one after it, and a controller that starts while the
 //! platform is down takes the bundle from its peers and is vouched for by another zone.
 #![allow(clippy::unwrap_used)]
 
@@ -82,6 +82,10 @@
     platform.set_faults(PlatformFaults::outage());
     let late = fleet.start("node-late", &zones[0]);
     assert!(late.wait_generation(Generation(2), STUCK));
+    assert!(
+        late.wait_confirmed(STUCK),
+        "no process of another zone vouched for the bundle"
+    );
     let named = head(late.peer_address()).unwrap();
     assert_eq!(named.generation, Generation(2));
     assert!(named.confirmed_millis_ago < u64::MAX);
--- a/crates/controller/tests/version_roll.rs
+++ b/crates/controller/tests/version_roll.rs
@@ -1,5 +1,6 @@
 //! A bundle with a new version of the weights is rolled out engine by engine: each is drained, loaded and put back
-//! before the next, an application is left alone, and a leaving engine is drained and nothing else.
+//! before the next, an application is left alone, and a leaving engine is drained and nothing else. An engine that
+//! restarts empty is fenced again and led back to the same weights.
 #![allow(clippy::unwrap_used)]
 
 mod support;
@@ -91,6 +92,16 @@
     most
 }
 
+/// The engine's process ends and starts again: it holds nothing and remembers no order.
+fn restart_empty(engines: &Engines, name: &str) {
+    let mut statuses = engines.statuses.lock().unwrap();
+    let (_, status) = statuses
+        .iter_mut()
+        .find(|(_, status)| status.engine.as_str() == name)
+        .unwrap();
+    *status = engine_status(name, status.incarnation + 1);
+}
+
 #[test]
 fn a_new_version_is_rolled_out_one_engine_at_a_time() {
     let deployment = Deployment::pharmacy();
@@ -160,6 +171,26 @@
     assert_eq!(most_drained_at_once(&told), 1);
     assert_eq!(actions_of(&told, APPLICATION), []);
     assert_eq!(actions_of(&told, LEAVING), [OrderAction::Drain]);
+
+    restart_empty(&engines, "engine-1");
+    let reloaded = |told: &[ToldOrder]| {
+        actions_of(told, "engine-1").last() == Some(&OrderAction::Undrain)
+            && actions_of(told, "engine-1").len() > 3
+    };
+    let again = engines.wait_told(reloaded, STUCK);
+    let since_restart: Vec<OrderAction> = again[told.len()..]
+        .iter()
+        .filter(|told| told.order.engine == EngineId::new("engine-1"))
+        .map(|told| told.order.action.clone())
+        .collect();
+    assert!(
+        matches!(
+            since_restart.as_slice(),
+            [OrderAction::RaiseFence, OrderAction::Drain, OrderAction::LoadWeights { weights }, OrderAction::Undrain]
+                if weights.version == WeightVersion::new("rolled")
+        ),
+        "{since_restart:?}"
+    );
     controller.stop();
     controller.wait();
     platform.stop();
