--- a/crates/core/src/demand/estimator.rs
+++ b/crates/core/src/demand/estimator.rs
@@ -111,7 +111,9 @@
     fn stream(&mut self, model: &ModelId, class: ServiceClass) -> &mut StreamDemand {
         let detects_shifts = self.detects_shifts;
         let key = (model.clone(), class);
-        self.streams.entry(key).or_insert_with(|| StreamDemand::new(detects_shifts))
+        self.streams
+            .entry(key)
+            .or_insert_with(|| StreamDemand::new(detects_shifts))
     }
 
     fn close_bins(&mut self, now: MonotonicTime) {
--- a/crates/core/src/demand/mod.rs
+++ b/crates/core/src/demand/mod.rs
@@ -4,9 +4,11 @@
 //! them up for the planner.
 
 pub mod estimator;
+pub mod outlook;
 pub mod rate;
 pub mod report;
 
 pub use estimator::DemandEstimator;
+pub use outlook::{DemandHistory, DemandOutlook, DemandScenario};
 pub use rate::RateEstimate;
 pub use report::{DemandEntry, DemandReport};
--- /dev/null
+++ b/crates/core/src/demand/outlook.rs
@@ -0,0 +1,123 @@
+//! What demand is likely over a planning horizon: the present level for as long as levels last, then what was seen
+//! before.
+
+use super::report::DemandReport;
+use crate::time::MonotonicTime;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Time between two samples of the past.
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(5);
+/// Samples kept; a quarter of an hour.
+const MOST_SAMPLES: usize = 180;
+/// Samples below which the past says too little.
+const FEWEST_SAMPLES: usize = 12;
+/// Groups of alike samples that stand for the past.
+const PAST_GROUPS: usize = 4;
+/// Time for which a level lasts where the past shows no change.
+const LONGEST_PERSISTENCE: Duration = Duration::from_secs(900);
+
+/// One level of demand with its part of the horizon.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DemandScenario {
+    /// Part of the horizon, from zero to one.
+    pub part: f64,
+    /// The demand.
+    pub demand: DemandReport,
+}
+
+/// Demand over a horizon; the parts add up to one.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DemandOutlook {
+    /// Levels, the present one first.
+    pub scenarios: Vec<DemandScenario>,
+}
+
+impl DemandOutlook {
+    /// Demand that stays as it is.
+    pub fn steady(demand: DemandReport) -> Self {
+        Self {
+            scenarios: vec![DemandScenario { part: 1.0, demand }],
+        }
+    }
+
+    /// The present demand.
+    pub fn present(&self) -> Option<&DemandReport> {
+        self.scenarios.first().map(|scenario| &scenario.demand)
+    }
+}
+
+/// Demand of the recent past, kept by whoever plans.
+#[derive(Clone, Debug, Default)]
+pub struct DemandHistory {
+    samples: VecDeque<DemandReport>,
+    sampled_at: Option<MonotonicTime>,
+}
+
+impl DemandHistory {
+    /// Keeps the demand if a sample is due.
+    pub fn record(&mut self, demand: &DemandReport, now: MonotonicTime) {
+        let due = self.sampled_at.is_none_or(|at| now.since(at) >= SAMPLE_INTERVAL);
+        if !due {
+            return;
+        }
+        self.sampled_at = Some(now);
+        if self.samples.len() == MOST_SAMPLES {
+            self.samples.pop_front();
+        }
+        self.samples.push_back(demand.clone());
+    }
+
+    /// Outlook over a horizon that starts at the present demand.
+    pub fn outlook(&self, present: &DemandReport, horizon: Duration) -> DemandOutlook {
+        if self.samples.len() < FEWEST_SAMPLES {
+            return DemandOutlook::steady(present.clone());
+        }
+        let present_part = present_part(self.persistence(), horizon);
+        let mut scenarios = vec![DemandScenario {
+            part: present_part,
+            demand: present.clone(),
+        }];
+        let mut samples: Vec<&DemandReport> = self.samples.iter().collect();
+        samples.sort_by(|left, right| left.prompt_share().total_cmp(&right.prompt_share()));
+        for group in samples.chunks(samples.len().div_ceil(PAST_GROUPS)) {
+            scenarios.push(DemandScenario {
+                part: (1.0 - present_part) * group.len() as f64 / samples.len() as f64,
+                demand: mean(group),
+            });
+        }
+        DemandOutlook { scenarios }
+    }
+
+    /// How long the mix has stayed on one side of its median, on average.
+    pub fn persistence(&self) -> Duration {
+        let shares: Vec<f64> = self.samples.iter().map(DemandReport::prompt_share).collect();
+        let mut sorted = shares.clone();
+        sorted.sort_by(f64::total_cmp);
+        let Some(median) = sorted.get(sorted.len() / 2) else {
+            return LONGEST_PERSISTENCE;
+        };
+        let sides: Vec<bool> = shares.iter().map(|share| share > median).collect();
+        let turns = sides.windows(2).filter(|pair| pair[0] != pair[1]).count();
+        let seconds = SAMPLE_INTERVAL.as_secs_f64() * shares.len() as f64 / (turns + 1) as f64;
+        Duration::from_secs_f64(seconds).min(LONGEST_PERSISTENCE)
+    }
+}
+
+/// Mean part of a horizon that passes before the present level ends, when levels end at random.
+fn present_part(persistence: Duration, horizon: Duration) -> f64 {
+    let ratio = horizon.as_secs_f64() / persistence.as_secs_f64().max(f64::MIN_POSITIVE);
+    if ratio <= 0.0 {
+        return 1.0;
+    }
+    (1.0 - (-ratio).exp()) / ratio
+}
+
+fn mean(group: &[&DemandReport]) -> DemandReport {
+    let mut sum = DemandReport::default();
+    for report in group {
+        sum.add(report);
+    }
+    sum.scale(1.0 / group.len().max(1) as f64);
+    sum
+}
--- a/crates/core/src/demand/report.rs
+++ b/crates/core/src/demand/report.rs
@@ -42,6 +42,28 @@
         }
     }
 
+    /// Multiplies every rate.
+    pub fn scale(&mut self, factor: f64) {
+        for entry in &mut self.entries {
+            entry.requests *= factor;
+            entry.prompt_tokens *= factor;
+            entry.uncached_prompt_tokens *= factor;
+            entry.output_tokens *= factor;
+        }
+    }
+
+    /// Part of all tokens that are prompt tokens to compute; one half where there is no demand.
+    pub fn prompt_share(&self) -> f64 {
+        let prompt: f64 = self
+            .entries
+            .iter()
+            .map(|entry| entry.uncached_prompt_tokens)
+            .sum();
+        let output: f64 = self.entries.iter().map(|entry| entry.output_tokens).sum();
+        let all = prompt + output;
+        if all > 0.0 { prompt / all } else { 0.5 }
+    }
+
     /// Entries of one model.
     pub fn of_model<'a>(&'a self, model: &'a ModelId) -> impl Iterator<Item = &'a DemandEntry> {
         self.entries.iter().filter(move |entry| entry.model == *model)
--- a/crates/core/src/roles/goodput.rs
+++ b/crates/core/src/roles/goodput.rs
@@ -1,11 +1,12 @@
 //! Predicted goodput of a split of engines into roles.
 //!
-//! Engines form two paths: prefill engines that hand over to decode engines, and mixed engines. With `b` and `s` the
-//! fixed and growing part of a decode step, `x` output tokens a second per engine and `u` the part of a mixed
-//! engine's time that prompts take, a batch settles at `n = x b / (1 - u - x s)` sequences and a token takes
-//! `(b + s n) / (1 - u)`. Prompts queue by class; the chance to start in time follows the exponential tail of a
-//! queue at the load of the class and those above it. The part of the traffic on each path is the one that serves
-//! most, as the router's cost steers it.
+//! Prompts run on prefill and mixed engines, outputs on decode and mixed ones; the parts that go to the mixed ones
+//! are those that serve most, as the router's cost steers them. With `b` and `s` the fixed and growing part of a
+//! decode step, `x` output tokens a second per engine and `u` the part of a mixed engine's time that prompts take, a
+//! batch settles at `n = x b / (1 - u - x s)` sequences. A token takes `b + s n` while no prompt is computed and a
+//! whole chunk longer while one is; a class is in time when the mean over its output stays below its limit. Prompts
+//! queue by class; the chance to start in time follows the exponential tail of a queue at the load of the class
+//! and those above it.
 
 use super::input::RoleCounts;
 use super::profile::EngineProfile;
@@ -13,8 +14,8 @@
 use crate::demand::DemandEntry;
 use crate::service_class::{ClassTarget, ServiceClass};
 
-/// Parts of the traffic on the split path that are tried.
-const SPLIT_PARTS: [f64; 9] = [0.0, 0.125, 0.25, 0.375, 0.5, 0.625, 0.75, 0.875, 1.0];
+/// Steps in which the parts that go to mixed engines are tried.
+const PART_STEPS: u32 = 6;
 /// Highest load at which a queue's tail is evaluated; beyond it, what does not fit is refused early.
 const HIGHEST_LOAD: f64 = 0.97;
 /// Prompts arrive in clumps; a queue behaves as if each prompt were this many times longer.
@@ -22,6 +23,12 @@
 /// Relative width of the transition around a limit on time between tokens.
 const TOKEN_TIME_SPREAD: f64 = 0.08;
 
+/// Standard deviations of a normal distribution per unit of the logistic curve that stands for it.
+const LOGISTIC_WIDTH: f64 = 1.7;
+
+/// Spread of the sequences at an engine, relative to that of a Poisson count; routing evens them out.
+const PLACES_SPREAD: f64 = 0.6;
+
 /// Demand of one class on one model, per second, with the limits that make a request count.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ClassDemand {
@@ -56,52 +63,156 @@
 
 /// Requests within their limits per second when the engines are split so; `demand` is sorted by class.
 pub fn predicted_goodput(counts: RoleCounts, demand: &[ClassDemand], profile: &EngineProfile) -> f64 {
-    let can_split = counts.prefill > 0 && counts.decode > 0;
-    let can_mix = counts.mixed > 0;
-    SPLIT_PARTS
-        .into_iter()
-        .filter(|part| (can_split || *part == 0.0) && (can_mix || *part == 1.0))
-        .map(|part| {
-            split_path(part, counts, demand, profile) + mixed_path(1.0 - part, counts.mixed, demand, profile)
-        })
-        .fold(0.0, f64::max)
+    if !counts.serves_whole_requests() {
+        return 0.0;
+    }
+    let model = Model {
+        counts,
+        demand,
+        profile,
+    };
+    let prompt_parts = parts(counts.prefill, counts.mixed);
+    let output_parts = parts(counts.decode, counts.mixed);
+    let mut best = Placement {
+        prompts_on_mixed: middle(&prompt_parts),
+        outputs_on_mixed: middle(&output_parts),
+    };
+    let mut highest = model.goodput(best);
+    let searches = [
+        (&prompt_parts, true),
+        (&output_parts, false),
+        (&prompt_parts, true),
+    ];
+    for (parts, is_prompts) in searches {
+        for part in parts {
+            let mut tried = best;
+            *tried.part(is_prompts) = *part;
+            let goodput = model.goodput(tried);
+            if goodput > highest {
+                highest = goodput;
+                best = tried;
+            }
+        }
+    }
+    highest
 }
 
-fn split_path(part: f64, counts: RoleCounts, demand: &[ClassDemand], profile: &EngineProfile) -> f64 {
-    if part == 0.0 {
-        return 0.0;
+/// Parts of a phase that may go to mixed engines, given how many engines serve it alone and mixed.
+fn parts(alone: u32, mixed: u32) -> Vec<f64> {
+    match (alone, mixed) {
+        (_, 0) => vec![0.0],
+        (0, _) => vec![1.0],
+        _ => (0..=PART_STEPS)
+            .map(|step| f64::from(step) / f64::from(PART_STEPS))
+            .collect(),
     }
-    let decode = DecodeState::settle(part, counts.decode, 0.0, demand, profile);
-    let speed = profile.prefill_tokens_per_second;
-    let starts = start_chances(part, f64::from(counts.prefill), speed, demand);
-    let served = demand.iter().zip(starts).map(|(class, start)| {
-        let in_time = below_limit(decode.token_seconds, token_limit(class));
-        part * class.requests * start.min(decode.served) * in_time
-    });
-    served.sum()
-}
-
-fn mixed_path(part: f64, engines: u32, demand: &[ClassDemand], profile: &EngineProfile) -> f64 {
-    if part == 0.0 || engines == 0 {
-        return 0.0;
+}
+
+fn middle(parts: &[f64]) -> f64 {
+    parts.get(parts.len() / 2).copied().unwrap_or(0.0)
+}
+
+/// Parts of prompts and outputs that mixed engines serve.
+#[derive(Clone, Copy, Debug)]
+struct Placement {
+    prompts_on_mixed: f64,
+    outputs_on_mixed: f64,
+}
+
+impl Placement {
+    fn part(&mut self, is_prompts: bool) -> &mut f64 {
+        if is_prompts {
+            &mut self.prompts_on_mixed
+        } else {
+            &mut self.outputs_on_mixed
+        }
     }
-    let token_seconds = profile.prefill_token_seconds();
-    let prompt_tokens: f64 = demand.iter().map(|class| class.prefill_tokens).sum();
-    let per_engine = part * prompt_tokens / f64::from(engines);
-    let prompt_time = (per_engine * token_seconds).min(HIGHEST_LOAD);
-    let decode = DecodeState::settle(part, engines, prompt_time, demand, profile);
-    let busy_step = profile.decode_step(decode.sequences) + profile.prefill_chunk_tokens * token_seconds;
-    let speed = profile.prefill_chunk_tokens / busy_step;
-    let busy = (per_engine / speed).min(1.0);
-    let starts = start_chances(part, f64::from(engines), speed, demand);
-    let served = demand.iter().zip(starts).map(|(class, start)| {
-        let limit = token_limit(class);
-        let while_busy = below_limit(busy_step, limit);
-        let while_idle = below_limit(profile.decode_step(decode.sequences), limit);
-        let in_time = busy * while_busy + (1.0 - busy) * while_idle;
-        part * class.requests * start.min(decode.served) * in_time
-    });
-    served.sum()
+}
+
+struct Model<'a> {
+    counts: RoleCounts,
+    demand: &'a [ClassDemand],
+    profile: &'a EngineProfile,
+}
+
+impl Model<'_> {
+    fn goodput(&self, placement: Placement) -> f64 {
+        let profile = self.profile;
+        let mixed = f64::from(self.counts.mixed);
+        let prompt_tokens: f64 = self.demand.iter().map(|class| class.prefill_tokens).sum();
+        let on_mixed = per_engine(placement.prompts_on_mixed * prompt_tokens, mixed);
+        let prompt_time = (on_mixed * profile.prefill_token_seconds()).min(HIGHEST_LOAD);
+        let shared = DecodeState::settle(
+            placement.outputs_on_mixed,
+            mixed,
+            prompt_time,
+            self.demand,
+            profile,
+        );
+        let alone_part = 1.0 - placement.outputs_on_mixed;
+        let alone = DecodeState::settle(
+            alone_part,
+            f64::from(self.counts.decode),
+            0.0,
+            self.demand,
+            profile,
+        );
+        let idle_step = profile.decode_step(shared.sequences);
+        let busy_step = idle_step + profile.prefill_chunk_tokens * profile.prefill_token_seconds();
+        let shared_speed = profile.prefill_chunk_tokens / busy_step;
+        let busy = (on_mixed / shared_speed).min(1.0);
+        let starts = self.starts(placement.prompts_on_mixed, shared_speed);
+        let run_steps = mean_prompt_steps(self.demand, profile);
+        let served = self.demand.iter().zip(starts).map(|(class, start)| {
+            let limit = token_limit(class);
+            let steps = class.output_tokens / class.requests;
+            let on_shared = mean_below_limit(idle_step, busy_step, busy, steps / run_steps, limit);
+            let on_alone = below_limit(alone.token_seconds, limit);
+            let in_time = placement.outputs_on_mixed * shared.served.min(start) * on_shared
+                + alone_part * alone.served.min(start) * on_alone;
+            class.requests * in_time
+        });
+        served.sum()
+    }
+
+    /// For each class, the chance that its prompts are computed in time on either kind of engine.
+    fn starts(&self, part_on_mixed: f64, shared_speed: f64) -> Vec<f64> {
+        let mixed = f64::from(self.counts.mixed);
+        let on_mixed = start_chances(part_on_mixed, mixed, shared_speed, self.demand);
+        let prefill = f64::from(self.counts.prefill);
+        let speed = self.profile.prefill_tokens_per_second;
+        let on_prefill = start_chances(1.0 - part_on_mixed, prefill, speed, self.demand);
+        let both = on_mixed.into_iter().zip(on_prefill);
+        both.map(|(mixed, prefill)| part_on_mixed * mixed + (1.0 - part_on_mixed) * prefill)
+            .collect()
+    }
+}
+
+fn per_engine(amount: f64, engines: f64) -> f64 {
+    if engines > 0.0 { amount / engines } else { 0.0 }
+}
+
+/// Steps that computing one prompt takes, seen from an output token: long prompts take more of the time.
+fn mean_prompt_steps(demand: &[ClassDemand], profile: &EngineProfile) -> f64 {
+    let (mut weighted, mut tokens) = (0.0, 0.0);
+    for class in demand {
+        weighted += class.prefill_tokens * class.prefill_tokens / class.requests;
+        tokens += class.prefill_tokens;
+    }
+    if tokens > 0.0 {
+        (weighted / tokens / profile.prefill_chunk_tokens).max(1.0)
+    } else {
+        1.0
+    }
+}
+
+/// Chance that the mean over some independent stretches, each busy or idle, stays below the limit.
+fn mean_below_limit(idle_step: f64, busy_step: f64, busy: f64, stretches: f64, limit: f64) -> f64 {
+    let mean = idle_step + busy * (busy_step - idle_step);
+    let variance = busy * (1.0 - busy) * (busy_step - idle_step).powi(2) / stretches.max(1.0);
+    let least = limit * TOKEN_TIME_SPREAD;
+    let width = variance.sqrt().max(least) / LOGISTIC_WIDTH;
+    1.0 / (1.0 + ((mean - limit) / width).exp())
 }
 
 struct DecodeState {
@@ -111,16 +222,17 @@
 }
 
 impl DecodeState {
-    /// Where the batches of some engines settle when prompts take the given part of their time.
+    /// Where the batches of some engines settle when they get a part of the outputs and prompts take the given part
+    /// of their time.
     fn settle(
         part: f64,
-        engines: u32,
+        engines: f64,
         prompt_time: f64,
         demand: &[ClassDemand],
         profile: &EngineProfile,
     ) -> Self {
         let output_tokens: f64 = demand.iter().map(|class| class.output_tokens).sum();
-        let per_engine = part * output_tokens / f64::from(engines.max(1));
+        let per_engine = per_engine(part * output_tokens, engines);
         let left = 1.0 - prompt_time;
         let slack = left - per_engine * profile.step_sequence_seconds;
         let wanted = if slack > 0.0 {
@@ -131,11 +243,14 @@
         let sequences = wanted.min(profile.batch_sequences);
         let token_seconds = profile.decode_step(sequences) / left;
         let most = sequences / token_seconds;
-        let served = if per_engine > 0.0 {
+        let fits = if per_engine > 0.0 {
             (most / per_engine).min(1.0)
         } else {
             1.0
         };
+        let spread = PLACES_SPREAD * sequences.sqrt().max(1.0) / LOGISTIC_WIDTH;
+        let place = 1.0 / (1.0 + ((sequences - profile.batch_sequences) / spread).exp());
+        let served = fits * place;
         Self {
             sequences,
             token_seconds,
@@ -146,6 +261,9 @@
 
 /// For each class, the chance that its prompts are computed in time, what is refused early included.
 fn start_chances(part: f64, engines: f64, speed: f64, demand: &[ClassDemand]) -> Vec<f64> {
+    if engines == 0.0 {
+        return vec![0.0; demand.len()];
+    }
     let capacity = engines * speed;
     let mut load = 0.0_f64;
     let mut chances = Vec::with_capacity(demand.len());
--- a/crates/core/src/roles/input.rs
+++ b/crates/core/src/roles/input.rs
@@ -2,7 +2,7 @@
 
 use super::profile::EngineProfile;
 use crate::bundle::content::{ClassRule, ModelRule, RolePolicy};
-use crate::demand::DemandReport;
+use crate::demand::DemandOutlook;
 use crate::engine::Role;
 use crate::identity::{EngineId, ModelId, ZoneId};
 use crate::time::MonotonicTime;
@@ -36,8 +36,8 @@
     pub zone: ZoneId,
     /// All engines that share the demand, of this zone and of others.
     pub engines: Vec<EngineState>,
-    /// Demand on all of them.
-    pub demand: DemandReport,
+    /// Demand on all of them over the policy's horizon.
+    pub demand: DemandOutlook,
     /// What an engine can do.
     pub profile: EngineProfile,
     /// Weights and bounds.
@@ -77,7 +77,7 @@
 }
 
 /// Engines of each role.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RoleCounts {
     /// Prefill engines.
     pub prefill: u32,
--- a/crates/core/src/roles/planner.rs
+++ b/crates/core/src/roles/planner.rs
@@ -2,8 +2,11 @@
 
 use super::goodput::{ClassDemand, predicted_goodput};
 use super::input::{EngineState, PlannerHold, PlannerInput, RoleChange, RoleCounts};
+use crate::bundle::content::ClassRule;
+use crate::demand::DemandReport;
 use crate::engine::Role;
 use crate::identity::{EngineId, ModelId, ZoneId};
+use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -45,8 +48,15 @@
 struct ModelPlan<'a> {
     input: &'a PlannerInput,
     engines: Vec<&'a EngineState>,
-    demand: Vec<ClassDemand>,
+    scenarios: Vec<Scenario>,
     cached_share: f64,
+    /// Predictions made so far in this plan.
+    known: RefCell<BTreeMap<RoleCounts, f64>>,
+}
+
+struct Scenario {
+    part: f64,
+    demand: Vec<ClassDemand>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -61,23 +71,22 @@
             .engines
             .iter()
             .filter(|engine| engine.model == *model && engine.usable);
-        let mut demand: Vec<ClassDemand> = input
-            .demand
-            .of_model(model)
-            .filter_map(|entry| ClassDemand::from_entry(entry, &input.classes))
-            .collect();
-        demand.sort_by_key(|class| class.class);
+        let scenarios = input.demand.scenarios.iter().map(|scenario| Scenario {
+            part: scenario.part,
+            demand: class_demand(&scenario.demand, model, &input.classes),
+        });
         Self {
             input,
             engines: engines.collect(),
-            demand,
+            scenarios: scenarios.filter(|scenario| !scenario.demand.is_empty()).collect(),
             cached_share: cached_share(input, model),
+            known: RefCell::new(BTreeMap::new()),
         }
     }
 
     /// The best sequence of up to two moves decides; of it, as much as the cap allows begins now.
     fn best_changes(&self, room: usize) -> Vec<RoleChange> {
-        if room == 0 || self.demand.is_empty() {
+        if room == 0 || self.scenarios.is_empty() {
             return Vec::new();
         }
         let counts = self.counts();
@@ -121,13 +130,31 @@
         let away = self.away_seconds(moves).min(horizon);
         let now = self.goodput(counts);
         let gained = (self.goodput(after) - now) * (horizon - away);
-        let lost = (now - self.goodput(during)) * away + self.cold_cache_loss(now, moves);
+        let lost = (self.present_goodput(counts) - self.present_goodput(during)).max(0.0) * away
+            + self.cold_cache_loss(now, moves);
         let price = policy.change_price * moves.len() as f64;
         Some(policy.goodput_weight * (gained - lost) - price)
     }
 
     fn goodput(&self, counts: RoleCounts) -> f64 {
-        predicted_goodput(counts, &self.demand, &self.input.profile)
+        if let Some(known) = self.known.borrow().get(&counts) {
+            return *known;
+        }
+        let parts = self
+            .scenarios
+            .iter()
+            .map(|scenario| scenario.part * predicted_goodput(counts, &scenario.demand, &self.input.profile));
+        let goodput = parts.sum();
+        self.known.borrow_mut().insert(counts, goodput);
+        goodput
+    }
+
+    /// Goodput while engines are away, which is soon and so meets the present demand.
+    fn present_goodput(&self, counts: RoleCounts) -> f64 {
+        let present = self.scenarios.first();
+        present.map_or(0.0, |scenario| {
+            predicted_goodput(counts, &scenario.demand, &self.input.profile)
+        })
     }
 
     /// Seconds that the slowest of the engines that would change is out of service.
@@ -263,9 +290,19 @@
     (input.policy.concurrent_changes_per_zone as usize).saturating_sub(changing)
 }
 
+fn class_demand(report: &DemandReport, model: &ModelId, classes: &[ClassRule]) -> Vec<ClassDemand> {
+    let entries = report.of_model(model);
+    let mut demand: Vec<ClassDemand> = entries
+        .filter_map(|entry| ClassDemand::from_entry(entry, classes))
+        .collect();
+    demand.sort_by_key(|class| class.class);
+    demand
+}
+
 fn cached_share(input: &PlannerInput, model: &ModelId) -> f64 {
     let (mut prompt, mut uncached) = (0.0, 0.0);
-    for entry in input.demand.of_model(model) {
+    let present = input.demand.present();
+    for entry in present.into_iter().flat_map(|report| report.of_model(model)) {
         prompt += entry.prompt_tokens;
         uncached += entry.uncached_prompt_tokens;
     }
--- a/crates/core/src/routing/cost.rs
+++ b/crates/core/src/routing/cost.rs
@@ -3,11 +3,13 @@
 //! With `w` the [`RoutingWeights`], and all speeds divided by the engine's slowness beyond its peers' median:
 //!
 //! ```text
-//! wait     = queued prompt tokens / prefill speed
+//! wait     = queued prompt tokens that go before this class / prefill speed
 //! compute  = (prompt tokens - w.prefix_overlap * cached tokens) / prefill speed
 //! token    = mean sequences / decode speed * (1 + w.sequence_slowdown * (sequences now - mean sequences))
-//! decode   = expected output tokens * token
-//!          + waiting sequences / reported sequences * mean output's time   (a full batch makes others wait)
+//! missing  = requests there beyond w.batch_places, smoothed by the spread of that estimate
+//! place    = missing / w.batch_places * mean output left * token
+//! own      = min(queued prompt tokens / prefill speed, expected output tokens * token)  (mixed engines only)
+//! decode   = expected output tokens * token + place + w.own_stall * own
 //! stall    = compute * decoding sequences           (mixed engines only: prefill delays their tokens)
 //! zone     = w.other_zone_seconds when the engine is not in the gateway's zone
 //! prompt   = waiting(class) * (w.prefill_wait * wait + w.prefill_compute * compute)
@@ -34,6 +36,11 @@
 /// Least factor by which a smaller batch than the measured one shortens a step.
 const LEAST_CHANGE: f64 = 0.5;
 
+/// Spread of the estimated number of requests at an engine.
+const REQUESTS_SPREAD: f64 = 4.0;
+/// Bound on an exponent, so that it stays finite.
+const LARGEST_EXPONENT: f64 = 50.0;
+
 /// One engine that may take a request, with what its cost depends on.
 #[derive(Clone, Debug)]
 pub struct Candidate<'a> {
@@ -67,7 +74,7 @@
             engine,
             view,
             uncached_tokens: uncached_tokens(view, query, weights),
-            queues: view.queues(weights, now),
+            queues: view.queues(query.class, weights, now),
             prefill_speed: speed(
                 load.prefill_tokens_per_second,
                 weights.assumed_prefill_tokens_per_second,
@@ -82,7 +89,7 @@
 
     /// Seconds until the prompt's computation begins.
     pub fn wait(&self) -> f64 {
-        self.queues.prefill_tokens / self.prefill_speed
+        self.queues.prefill_tokens_ahead / self.prefill_speed
     }
 
     /// Seconds that computing the prompt takes.
@@ -98,22 +105,28 @@
         (measured / self.decode_speed).min(LONGEST_TOKEN_SECONDS) * change
     }
 
-    /// Seconds that the output takes, with the wait for a place in the batch.
+    /// Seconds that the output takes, with the wait for a place in the batch and the delays by prompts beside it.
     pub fn decode(&self, query: &RouteQuery, weights: &RoutingWeights) -> f64 {
         let own = f64::from(query.expected_output_tokens) * self.token_seconds(weights);
-        own + self.batch_wait(weights)
+        own + self.place_wait(weights) + weights.own_stall * self.own_stall(own)
     }
 
-    /// Seconds until the batch has a place; zero unless the last report shows sequences that wait for one.
-    fn batch_wait(&self, weights: &RoutingWeights) -> f64 {
-        let load = self.view.load();
-        if self.view.role() != Role::Decode || load.requests_in_flight <= load.active_sequences {
+    /// Seconds for which prompts of others slow the request's own tokens.
+    fn own_stall(&self, output_seconds: f64) -> f64 {
+        if self.view.role() != Role::Mixed {
             return 0.0;
         }
-        let waiting = f64::from(load.requests_in_flight - load.active_sequences);
-        let active = f64::from(load.active_sequences).max(1.0);
-        let mean_left = self.queues.decode_tokens / (waiting + active);
-        waiting / active * mean_left * self.token_seconds(weights)
+        let backlog = self.queues.prefill_tokens / self.prefill_speed;
+        backlog.min(output_seconds)
+    }
+
+    /// Seconds until the batch has a place. The estimate of the requests there is off by several, so the wait grows
+    /// smoothly as they come near the places.
+    fn place_wait(&self, weights: &RoutingWeights) -> f64 {
+        let beyond = (self.queues.requests + 1.0 - weights.batch_places) / REQUESTS_SPREAD;
+        let missing = REQUESTS_SPREAD * beyond.min(LARGEST_EXPONENT).exp().ln_1p().max(beyond);
+        let mean_left = self.queues.decode_tokens / self.queues.requests.max(1.0);
+        missing / weights.batch_places * mean_left * self.token_seconds(weights)
     }
 
     /// Cost of running prompt and output here.
@@ -201,13 +214,17 @@
         counts[index] += 1.0;
         sums[index].prefill_tokens += candidate.queues.prefill_tokens;
         sums[index].decode_tokens += candidate.queues.decode_tokens;
+        sums[index].prefill_tokens_ahead += candidate.queues.prefill_tokens_ahead;
         sums[index].sequences += candidate.queues.sequences;
+        sums[index].requests += candidate.queues.requests;
     }
     for (sum, count) in sums.iter_mut().zip(counts) {
         let divisor = count.max(1.0);
         sum.prefill_tokens /= divisor;
         sum.decode_tokens /= divisor;
+        sum.prefill_tokens_ahead /= divisor;
         sum.sequences /= divisor;
+        sum.requests /= divisor;
     }
     sums
 }
@@ -216,7 +233,9 @@
     QueueEstimate {
         prefill_tokens: say * own.prefill_tokens + (1.0 - say) * mean.prefill_tokens,
         decode_tokens: say * own.decode_tokens + (1.0 - say) * mean.decode_tokens,
+        prefill_tokens_ahead: say * own.prefill_tokens_ahead + (1.0 - say) * mean.prefill_tokens_ahead,
         sequences: say * own.sequences + (1.0 - say) * mean.sequences,
+        requests: say * own.requests + (1.0 - say) * mean.requests,
     }
 }
 
--- a/crates/core/src/routing/query.rs
+++ b/crates/core/src/routing/query.rs
@@ -92,6 +92,8 @@
     pub sent_at: MonotonicTime,
     /// Time to the first token that was expected at dispatch.
     pub expected_first_token: Duration,
+    /// Prompt tokens that the engine was believed to hold; prefill engines do not tell how many they found.
+    pub expected_cached_tokens: u32,
 }
 
 /// What one dispatch came to, as its gateway saw it.
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -80,9 +80,12 @@
         self.dispatches += 1;
         let number = self.dispatches;
         let mut expected_first_token = Duration::ZERO;
+        let mut expected_cached_tokens = 0;
         if let Some((engine, view)) = self.engines.get_key_value(engine) {
             let work = sent_work(engine, view, query, &self.weights, now);
             expected_first_token = work.expected_first_token;
+            let computed = work.prefill_tokens.min(f64::from(query.prompt_tokens)) as u32;
+            expected_cached_tokens = query.prompt_tokens - computed;
             if let Some(view) = self.engines.get_mut(&engine.clone()) {
                 view.sent(number, work);
             }
@@ -91,6 +94,7 @@
             number,
             sent_at: now,
             expected_first_token,
+            expected_cached_tokens,
         }
     }
 
@@ -202,7 +206,9 @@
             let load = view.load();
             if view.role() != Role::Decode {
                 capacity.prefill_tokens_per_second += load.prefill_tokens_per_second as f64;
-                queued += view.queues(&self.weights, now).prefill_tokens;
+                queued += view
+                    .queues(ServiceClass::Batch, &self.weights, now)
+                    .prefill_tokens;
             }
             if view.role() != Role::Prefill {
                 capacity.decode_tokens_per_second += load.decode_tokens_per_second as f64;
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -53,8 +53,12 @@
     pub prefill_tokens: f64,
     /// Output tokens still to come.
     pub decode_tokens: f64,
+    /// Part of those prompt tokens that goes before a request of the class that is asked for.
+    pub prefill_tokens_ahead: f64,
     /// Sequences that decode.
     pub sequences: f64,
+    /// Requests that run or wait.
+    pub requests: f64,
 }
 
 /// One engine as the router sees it.
@@ -70,9 +74,35 @@
     pub health: Health,
     mean_sequences: f64,
     sent: BTreeMap<u64, SentWork>,
-    unreported_prefill: f64,
-    unreported_decode: f64,
-    unreported_sequences: f64,
+    unreported: Unreported,
+}
+
+/// Sums over the work sent that no load report may include yet.
+#[derive(Clone, Copy, Debug, Default)]
+struct Unreported {
+    /// Prompt tokens by class.
+    prefill: [f64; 3],
+    decode: f64,
+    requests: f64,
+}
+
+impl Unreported {
+    fn add(&mut self, work: &SentWork) {
+        self.prefill[work.class.index()] += work.prefill_tokens;
+        self.decode += work.decode_tokens;
+        self.requests += 1.0;
+    }
+
+    fn remove(&mut self, work: &SentWork) {
+        self.remove_prefill(work);
+        self.decode = (self.decode - work.decode_tokens).max(0.0);
+        self.requests = (self.requests - 1.0).max(0.0);
+    }
+
+    fn remove_prefill(&mut self, work: &SentWork) {
+        let prefill = &mut self.prefill[work.class.index()];
+        *prefill = (*prefill - work.prefill_tokens).max(0.0);
+    }
 }
 
 impl EngineView {
@@ -85,9 +115,7 @@
             health: Health::default(),
             mean_sequences: ASSUMED_SEQUENCES,
             sent: BTreeMap::new(),
-            unreported_prefill: 0.0,
-            unreported_decode: 0.0,
-            unreported_sequences: 0.0,
+            unreported: Unreported::default(),
         }
     }
 
@@ -169,9 +197,7 @@
 
     /// Notes work that was just sent.
     pub fn sent(&mut self, number: u64, work: SentWork) {
-        self.unreported_prefill += work.prefill_tokens;
-        self.unreported_decode += work.decode_tokens;
-        self.unreported_sequences += 1.0;
+        self.unreported.add(&work);
         self.sent.insert(number, work);
     }
 
@@ -185,7 +211,7 @@
         work.started = true;
         work.prefill_tokens = 0.0;
         if !before.reported {
-            self.unreported_prefill = (self.unreported_prefill - before.prefill_tokens).max(0.0);
+            self.unreported.remove_prefill(&before);
         }
         Some(before)
     }
@@ -194,32 +220,45 @@
     pub fn ended(&mut self, number: u64) -> Option<SentWork> {
         let work = self.sent.remove(&number)?;
         if !work.reported {
-            self.unreported_prefill = (self.unreported_prefill - work.prefill_tokens).max(0.0);
-            self.unreported_decode = (self.unreported_decode - work.decode_tokens).max(0.0);
-            self.unreported_sequences = (self.unreported_sequences - 1.0).max(0.0);
+            self.unreported.remove(&work);
         }
         Some(work)
     }
 
-    /// Queues now: the last report, less what was worked off since, plus what was sent since.
-    pub fn queues(&self, weights: &RoutingWeights, now: MonotonicTime) -> QueueEstimate {
+    /// Queues now as a request of a class meets them: the last report, less what was worked off since, plus what
+    /// was sent since. Other gateways see the same reports and choose alike, so each piece of own work that is not
+    /// reported yet stands for `weights.senders` pieces.
+    pub fn queues(&self, class: ServiceClass, weights: &RoutingWeights, now: MonotonicTime) -> QueueEstimate {
         let load = self.load();
         let age = now.since(self.observed_at).as_secs_f64() + weights.report_lag_seconds;
         let prefill_done = age * load.prefill_tokens_per_second as f64;
         let decode_done = age * load.decode_tokens_per_second as f64;
+        let prefill = (load.queued_prefill_tokens as f64 - prefill_done).max(0.0);
+        let decode = (load.queued_decode_tokens as f64 - decode_done).max(0.0);
+        let decode_left = decode / (load.queued_decode_tokens as f64).max(1.0);
         let mut queues = QueueEstimate {
-            prefill_tokens: (load.queued_prefill_tokens as f64 - prefill_done).max(0.0),
-            decode_tokens: (load.queued_decode_tokens as f64 - decode_done).max(0.0),
+            prefill_tokens: prefill,
+            prefill_tokens_ahead: prefill * weights.queue_ahead(class),
+            decode_tokens: decode,
             sequences: f64::from(load.active_sequences),
+            requests: f64::from(load.requests_in_flight) * decode_left,
         };
         if weights.count_sent_work {
-            queues.prefill_tokens += self.unreported_prefill;
-            queues.decode_tokens += self.unreported_decode;
-            queues.sequences += self.unreported_sequences;
+            self.add_unreported(class, weights.senders, &mut queues);
         }
         queues
     }
 
+    fn add_unreported(&self, class: ServiceClass, senders: f64, queues: &mut QueueEstimate) {
+        let unreported = &self.unreported;
+        let ahead: f64 = unreported.prefill[..=class.index()].iter().sum();
+        queues.prefill_tokens += senders * unreported.prefill.iter().sum::<f64>();
+        queues.prefill_tokens_ahead += senders * ahead;
+        queues.decode_tokens += senders * unreported.decode;
+        queues.sequences += senders * unreported.requests;
+        queues.requests += senders * unreported.requests;
+    }
+
     /// Factor by which the engine is slower than it reports, with requests that are overdue counted already.
     pub fn slowness(&self, now: MonotonicTime) -> f64 {
         let observed = self.health.slowness(now);
@@ -242,15 +281,11 @@
     }
 
     fn recount_unreported(&mut self, cutoff: MonotonicTime) {
-        self.unreported_prefill = 0.0;
-        self.unreported_decode = 0.0;
-        self.unreported_sequences = 0.0;
+        self.unreported = Unreported::default();
         for work in self.sent.values_mut() {
             work.reported = work.reported || work.sent_at <= cutoff;
             if !work.reported {
-                self.unreported_prefill += work.prefill_tokens;
-                self.unreported_decode += work.decode_tokens;
-                self.unreported_sequences += 1.0;
+                self.unreported.add(work);
             }
         }
     }
--- a/crates/core/src/routing/weights.rs
+++ b/crates/core/src/routing/weights.rs
@@ -36,6 +36,16 @@
     pub correct_speeds: bool,
     /// Candidate sets up to this size are compared whole; larger ones by two random members and prefix holders.
     pub compare_all_up_to: usize,
+    /// Part of a reported prefill queue that goes before an interactive request.
+    pub interactive_queue_ahead: f64,
+    /// Part of a reported prefill queue that goes before a standard request.
+    pub standard_queue_ahead: f64,
+    /// Gateways that see the same reports and choose alike; work sent since a report counts this many times.
+    pub senders: f64,
+    /// Worth of a second by which prompts slow the request's own tokens on a mixed engine.
+    pub own_stall: f64,
+    /// Sequences that fit into an engine's batch.
+    pub batch_places: f64,
     /// Part by which each further sequence lengthens a decode step.
     pub sequence_slowdown: f64,
     /// Setup of one KV transfer, in seconds.
@@ -65,6 +75,11 @@
             count_sent_work: true,
             correct_speeds: true,
             compare_all_up_to: 16,
+            interactive_queue_ahead: 0.2,
+            standard_queue_ahead: 0.4,
+            senders: 3.0,
+            own_stall: 0.5,
+            batch_places: 32.0,
             sequence_slowdown: 0.03,
             transfer_setup_seconds: 0.005,
             transfer_tokens_per_second: 200_000.0,
@@ -107,7 +122,16 @@
         }
     }
 
-    fn weights(&self) -> [(&'static str, f64); 12] {
+    /// Part of a reported prefill queue that goes before a request of a class; reports do not tell it by class.
+    pub fn queue_ahead(&self, class: ServiceClass) -> f64 {
+        match class {
+            ServiceClass::Interactive => self.interactive_queue_ahead,
+            ServiceClass::Standard => self.standard_queue_ahead,
+            ServiceClass::Batch => 1.0,
+        }
+    }
+
+    fn weights(&self) -> [(&'static str, f64); 15] {
         [
             ("routing.prefill_wait", self.prefill_wait),
             ("routing.prefill_compute", self.prefill_compute),
@@ -119,13 +143,18 @@
             ("routing.batch_waiting", self.batch_waiting),
             ("routing.standard_waiting", self.standard_waiting),
             ("routing.report_lag_seconds", self.report_lag_seconds),
+            ("routing.interactive_queue_ahead", self.interactive_queue_ahead),
+            ("routing.standard_queue_ahead", self.standard_queue_ahead),
+            ("routing.own_stall", self.own_stall),
             ("routing.sequence_slowdown", self.sequence_slowdown),
             ("routing.transfer_setup_seconds", self.transfer_setup_seconds),
         ]
     }
 
-    fn positive_settings(&self) -> [(&'static str, f64); 4] {
+    fn positive_settings(&self) -> [(&'static str, f64); 6] {
         [
+            ("routing.senders", self.senders),
+            ("routing.batch_places", self.batch_places),
             ("routing.report_half_life_seconds", self.report_half_life_seconds),
             (
                 "routing.transfer_tokens_per_second",
--- a/crates/lab/src/simulate/deployment.rs
+++ b/crates/lab/src/simulate/deployment.rs
@@ -118,7 +118,12 @@
     }
 }
 
-fn rule(class: ServiceClass, first_token_millis: u64, between_tokens_millis: u64, deadline_millis: u64) -> ClassRule {
+fn rule(
+    class: ServiceClass,
+    first_token_millis: u64,
+    between_tokens_millis: u64,
+    deadline_millis: u64,
+) -> ClassRule {
     ClassRule {
         class,
         target: ClassTarget {
--- a/crates/lab/src/simulate/engines.rs
+++ b/crates/lab/src/simulate/engines.rs
@@ -100,7 +100,8 @@
         let before = engine.state.incarnation();
         let mut events = Vec::new();
         engine.state.advance(self.now, &mut events);
-        self.happened.extend(events.into_iter().map(|event| (index, event)));
+        self.happened
+            .extend(events.into_iter().map(|event| (index, event)));
         if self.engines[index].state.incarnation() != before {
             self.on_engine_restarted(index);
         }
@@ -156,15 +157,22 @@
             events,
             observed_at: self.now,
         };
-        self.schedule(self.now + self.report_delay, Event::Deliver(index, Box::new(delivery)));
+        self.schedule(
+            self.now + self.report_delay,
+            Event::Deliver(index, Box::new(delivery)),
+        );
     }
 
     pub(super) fn on_delivery(&mut self, index: usize, delivery: &Delivery) {
         let age = self.now.since(delivery.observed_at);
         let id = self.engines[index].id.clone();
         for gateway in &mut self.gateways {
-            gateway.router.on_engine_record(&id, &delivery.record, age, self.now);
-            gateway.router.on_kv_events(&id, delivery.incarnation, &delivery.events);
+            gateway
+                .router
+                .on_engine_record(&id, &delivery.record, age, self.now);
+            gateway
+                .router
+                .on_kv_events(&id, delivery.incarnation, &delivery.events);
         }
         if let Some(status) = &delivery.record.status {
             self.profile.learn(status.role, &status.load);
@@ -213,7 +221,9 @@
         record.liveness = Liveness::Dead;
         let id = engine.id.clone();
         for gateway in &mut self.gateways {
-            gateway.router.on_engine_record(&id, &record, Duration::ZERO, self.now);
+            gateway
+                .router
+                .on_engine_record(&id, &record, Duration::ZERO, self.now);
         }
         self.view[index] = Some((record, self.now));
     }
--- a/crates/lab/src/simulate/mod.rs
+++ b/crates/lab/src/simulate/mod.rs
@@ -9,6 +9,7 @@
 pub mod deployment;
 pub mod policy;
 pub mod statistics;
+pub mod table;
 pub mod trace;
 pub mod workload;
 pub mod world;
--- a/crates/lab/src/simulate/workload.rs
+++ b/crates/lab/src/simulate/workload.rs
@@ -116,7 +116,11 @@
             for second in 0..length.max(1) {
                 let burst = (second as f64) < self.swing.burst_seconds;
                 let high = if burst { self.swing.burst } else { self.swing.high };
-                let level = if prompts_favoured { (high, self.swing.low) } else { (self.swing.low, high) };
+                let level = if prompts_favoured {
+                    (high, self.swing.low)
+                } else {
+                    (self.swing.low, high)
+                };
                 levels.push(level);
             }
             prompts_favoured = !prompts_favoured;
