Plan from an outlook of demand at the lease holder

Cause: the planner now asks for demand over its horizon; the holder still handed it the present level and did not build.

--- a/crates/controller/src/command/planner_input.rs
+++ b/crates/controller/src/command/planner_input.rs
@@ -1,10 +1,10 @@
 //! Gathers what the role planner decides from.
 
 use crate::context::Context;
-use crate::demand;
 use crate::fleet::{self, KnownEngine};
 use shelfjunction_core::bundle::BundleInForce;
 use shelfjunction_core::bundle::content::ModelKind;
+use shelfjunction_core::demand::DemandOutlook;
 use shelfjunction_core::engine::{EngineStatus, LoadReport};
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::roles::{EngineProfile, EngineState, PlannerInput};
@@ -12,13 +12,23 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// What the holder of the lease has learned since it took it.
+pub struct PlanningFacts<'a> {
+    /// Speeds measured on the zone's engines.
+    pub profile: EngineProfile,
+    /// Demand over the planner's horizon.
+    pub demand: DemandOutlook,
+    /// Engines in the middle of a planned change.
+    pub changing: &'a [EngineId],
+    /// When each engine last changed its role.
+    pub changed_at: &'a BTreeMap<EngineId, MonotonicTime>,
+}
+
 /// Everything known now, for one decision.
 pub fn build(
     context: &Context,
     bundle: &BundleInForce,
-    profile: EngineProfile,
-    changing: &[EngineId],
-    changed_at: &BTreeMap<EngineId, MonotonicTime>,
+    facts: PlanningFacts<'_>,
     now: MonotonicTime,
 ) -> PlannerInput {
     let known = fleet::engines(context);
@@ -32,13 +42,13 @@
     let engines = known
         .iter()
         .filter(|known| known.kind() == ModelKind::Model)
-        .filter_map(|known| state(known, changing, changed_at))
+        .filter_map(|known| state(known, &facts))
         .collect();
     PlannerInput {
         zone: context.config.zone.clone(),
         engines,
-        demand: demand::total(context),
-        profile,
+        demand: facts.demand,
+        profile: facts.profile,
         policy: bundle.fleet.roles.clone(),
         classes: bundle.fleet.classes.clone(),
         models: bundle.models.to_vec(),
@@ -49,11 +59,7 @@
     }
 }
 
-fn state(
-    known: &KnownEngine,
-    changing: &[EngineId],
-    changed_at: &BTreeMap<EngineId, MonotonicTime>,
-) -> Option<EngineState> {
+fn state(known: &KnownEngine, facts: &PlanningFacts<'_>) -> Option<EngineState> {
     let status = known.record.status.as_ref()?;
     let model = status.weights.first()?.model.clone();
     Some(EngineState {
@@ -62,8 +68,8 @@
         model,
         role: status.role,
         usable: known.live_status().is_some() && !known.is_leaving(),
-        changing: is_changing(status) || changing.contains(&known.engine),
-        changed_at: changed_at.get(&known.engine).copied(),
+        changing: is_changing(status) || facts.changing.contains(&known.engine),
+        changed_at: facts.changed_at.get(&known.engine).copied(),
         drain_seconds: drain_seconds(&status.load),
     })
 }
--- a/crates/controller/src/command/planning.rs
+++ b/crates/controller/src/command/planning.rs
@@ -1,11 +1,13 @@
 //! What each engine of the zone is wanted to be, decided while the lease is held.
 
-use super::planner_input;
+use super::planner_input::{self, PlanningFacts};
 use super::status_board::StatusBoard;
 use crate::config::millis;
 use crate::context::Context;
+use crate::demand;
 use crate::fleet::{self, KnownEngine};
 use shelfjunction_core::bundle::BundleInForce;
+use shelfjunction_core::demand::{DemandHistory, DemandOutlook};
 use shelfjunction_core::drain::{
     ChangeCoordinator, ChangeDecision, ChangeLimits, ChangeOutcome, ChangeRequest, EngineView, roll_requests,
 };
@@ -25,6 +27,7 @@
     role_requests: Vec<ChangeRequest>,
     changed_at: BTreeMap<EngineId, MonotonicTime>,
     profile: EngineProfile,
+    demand_history: DemandHistory,
     plan_at: MonotonicTime,
 }
 
@@ -36,6 +39,7 @@
             role_requests: Vec::new(),
             changed_at: BTreeMap::new(),
             profile: EngineProfile::default(),
+            demand_history: DemandHistory::default(),
             plan_at: context.now(),
         }
     }
@@ -76,6 +80,14 @@
             .collect()
     }
 
+    /// Demand over the planner's horizon, from the present reports and what this holder has seen before.
+    fn outlook(&mut self, context: &Context, bundle: &BundleInForce, now: MonotonicTime) -> DemandOutlook {
+        let present = demand::total(context);
+        self.demand_history.record(&present, now);
+        let horizon = millis(bundle.fleet.roles.horizon_millis);
+        self.demand_history.outlook(&present, horizon)
+    }
+
     fn plan_when_due(
         &mut self,
         context: &Context,
@@ -91,7 +103,14 @@
             self.profile.learn(status.role, &status.load);
         }
         let changing: Vec<EngineId> = self.coordinator.changing().cloned().collect();
-        let input = planner_input::build(context, bundle, self.profile, &changing, &self.changed_at, now);
+        let demand = self.outlook(context, bundle, now);
+        let facts = PlanningFacts {
+            profile: self.profile,
+            demand,
+            changing: &changing,
+            changed_at: &self.changed_at,
+        };
+        let input = planner_input::build(context, bundle, facts, now);
         let changes = Planner::plan(&input);
         for change in &changes {
             log::info!(
