Serve health and metrics through the bounded HTTP server

Cause: the library's own server limits neither idle readers nor connections. Ruled out: the same limits written again here.

--- a/crates/controller/src/handle.rs
+++ b/crates/controller/src/handle.rs
@@ -8,14 +8,16 @@
 use crate::engine_watch::{self, EngineSchedule};
 use crate::errors::StartError;
 use crate::gossip::{Gossip, GossipConfig};
+use crate::http::{self, HealthPages};
 use crate::metrics::Metrics;
 use crate::peer::server::{self, OpenConnections};
 use crate::stop::StopSignal;
-use crate::{http, machine_watch, membership_watch, net};
+use crate::{machine_watch, membership_watch, net};
 use shelfjunction_core::identity::{FencingToken, Generation};
 use shelfjunction_core::machine::MachineService;
 use shelfjunction_core::membership::events::OwnNode;
 use shelfjunction_core::orders::{CommanderEvent, CommanderPhase};
+use shelfjunction_http::HttpServer;
 use shelfjunction_platform::clock::MonotonicClock;
 use shelfjunction_platform::http_engine::{EngineTimeouts, HttpEngineClient};
 use shelfjunction_platform::http_platform::{HttpPlatform, PlatformTimeouts};
@@ -24,7 +26,6 @@
 use std::sync::mpsc::Receiver;
 use std::thread::{Builder, JoinHandle};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tiny_http::Server;
 
 /// One controller process's work, run by threads of the calling process.
 #[derive(Debug)]
@@ -33,7 +34,7 @@
 /// A running controller.
 pub struct ControllerHandle {
     context: Arc<Context>,
-    http_address: SocketAddr,
+    http: HttpServer,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -51,8 +52,6 @@
             return Err(StartError::Settings(errors));
         }
         let sockets = net::bind(config.listen)?;
-        let http_server = bind_http(config.http_listen)?;
-        let http_address = http_server.server_addr().to_ip().unwrap_or(config.http_listen);
         let clock = MonotonicClock::start();
         let gossip = Gossip::start(gossip_config(&config, sockets.address), sockets.datagrams, clock)?;
         let (command, events) = CommandLink::new(config.timings.weight_queue_millis);
@@ -72,13 +71,12 @@
             stop: StopSignal::default(),
         });
         let mut handle = ControllerHandle {
-            context: Arc::clone(&context),
-            http_address,
+            http: start_http(&context)?,
+            context,
             threads: Vec::new(),
         };
         let listener = sockets.listener;
         handle.spawn("peer-server", move |context| server::run(context, &listener))?;
-        handle.spawn("http", move |context| http::run(context, &http_server))?;
         handle.start_watching()?;
         handle.start_bundle()?;
         handle.start_command(events)?;
@@ -94,7 +92,7 @@
 
     /// Address of health and metrics.
     pub fn http_address(&self) -> SocketAddr {
-        self.http_address
+        self.http.address()
     }
 
     /// Token under which this controller may order engines now; absent without the lease.
@@ -141,11 +139,12 @@
     }
 
     /// Waits until every thread has ended; call [`ControllerHandle::stop`] first.
-    pub fn wait(self) {
+    pub fn wait(mut self) {
         for thread in self.threads {
             // A thread that panicked has been reported by the panic hook.
             let _ = thread.join();
         }
+        self.http.stop();
         self.context.gossip.stop();
         self.context.open.close_all();
     }
@@ -252,9 +251,14 @@
     }
 }
 
-fn bind_http(address: SocketAddr) -> Result<Server, StartError> {
-    Server::http(address).map_err(|error| StartError::Bind {
-        address,
-        error: error.to_string(),
+fn start_http(context: &Arc<Context>) -> Result<HttpServer, StartError> {
+    let address = context.config.http_listen;
+    let pages = Arc::new(HealthPages::new(Arc::clone(context)));
+    HttpServer::start(address, http::limits(), pages).map_err(|error| {
+        context.gossip.stop();
+        StartError::Bind {
+            address,
+            error: error.to_string(),
+        }
     })
 }
--- a/crates/controller/src/http.rs
+++ b/crates/controller/src/http.rs
@@ -2,52 +2,70 @@
 
 use crate::context::Context;
 use crate::fleet;
-use std::time::Duration;
-use tiny_http::{Header, Method, Request, Response, Server, StatusCode};
-
-/// Longest wait for a request before the stop signal is looked at.
-const ACCEPT_WAIT: Duration = Duration::from_millis(200);
+use shelfjunction_http::{Answer, Answered, Handler, HttpLimits, HttpRequest, ReadError, Responder};
+use std::sync::Arc;
 
 const OK: u16 = 200;
 const NOT_FOUND: u16 = 404;
+const METHOD_NOT_ALLOWED: u16 = 405;
 const SERVER_ERROR: u16 = 500;
 const NOT_READY: u16 = 503;
 
-struct Page {
-    status: u16,
-    body: String,
-}
+/// Type of every page, as Prometheus scrapers expect it.
+const CONTENT_TYPE: &str = "text/plain; version=0.0.4";
 
-/// Serves requests until the controller stops.
-pub fn run(context: &Context, server: &Server) {
-    while !context.stop.is_set() {
-        if let Ok(Some(request)) = server.recv_timeout(ACCEPT_WAIT) {
-            answer(context, request);
-        }
+/// Connections at once; health checks and scrapers need few.
+const CONNECTIONS: usize = 16;
+
+/// Longest body of a request, in bytes; no page takes one.
+const BODY_BYTES: usize = 1_024;
+
+/// Limits of the server.
+pub fn limits() -> HttpLimits {
+    HttpLimits {
+        connections: CONNECTIONS,
+        body_bytes: BODY_BYTES,
+        ..HttpLimits::default()
     }
 }
 
-fn answer(context: &Context, request: Request) {
-    let page = page(context, &request);
-    let mut response = Response::from_string(page.body).with_status_code(StatusCode(page.status));
-    if let Ok(header) = Header::from_bytes("Content-Type", "text/plain; version=0.0.4") {
-        response.add_header(header);
+/// Answers health checks and scrapers.
+pub struct HealthPages {
+    context: Arc<Context>,
+}
+
+impl HealthPages {
+    /// Pages about one controller.
+    pub fn new(context: Arc<Context>) -> Self {
+        Self { context }
     }
-    if let Err(error) = request.respond(response) {
-        log::debug!(error:% = error; "http_answer_unsent");
+
+    fn page(&self, request: &HttpRequest) -> Answer {
+        if request.method != "GET" && request.method != "HEAD" {
+            return text(METHOD_NOT_ALLOWED, "only GET is served").with_header("Allow", "GET, HEAD");
+        }
+        match request.path.as_str() {
+            "/healthz" => text(OK, "ok"),
+            "/readyz" if is_ready(&self.context) => text(OK, "ready"),
+            "/readyz" => text(NOT_READY, "no engine is known yet"),
+            "/metrics" => match self.context.metrics.render() {
+                Ok(rendered) => text(OK, &rendered),
+                Err(_) => text(SERVER_ERROR, "metrics can't be rendered"),
+            },
+            _ => text(NOT_FOUND, "not found"),
+        }
     }
 }
 
-fn page(context: &Context, request: &Request) -> Page {
-    match (request.method(), request.url()) {
-        (Method::Get, "/healthz") => text(OK, "ok"),
-        (Method::Get, "/readyz") if is_ready(context) => text(OK, "ready"),
-        (Method::Get, "/readyz") => text(NOT_READY, "no engine is known yet"),
-        (Method::Get, "/metrics") => match context.metrics.render() {
-            Ok(body) => Page { status: OK, body },
-            Err(_) => text(SERVER_ERROR, "metrics can't be rendered"),
-        },
-        _ => text(NOT_FOUND, "not found"),
+impl Handler for HealthPages {
+    fn handle(&self, request: HttpRequest, responder: Responder<'_>) -> Answered {
+        responder.answer(&self.page(&request))
+    }
+
+    fn refusal(&self, error: ReadError) -> Option<Answer> {
+        error
+            .status()
+            .map(|status| text(status, "the request can't be served"))
     }
 }
 
@@ -56,9 +74,6 @@
     !fleet::engines(context).is_empty()
 }
 
-fn text(status: u16, body: &str) -> Page {
-    Page {
-        status,
-        body: body.to_owned(),
-    }
+fn text(status: u16, body: &str) -> Answer {
+    Answer::new(status, CONTENT_TYPE, body)
 }
