Give the planner an outlook over its horizon

Cause: the planner takes the mix of the recent past into account, which its holder has to keep. Conclusion: the holder of the lease samples demand; a new holder starts with the present level alone.

--- a/crates/controller/src/command/planner_input.rs
+++ b/crates/controller/src/command/planner_input.rs
@@ -1,10 +1,10 @@
 //! Gathers what the role planner decides from.
 
 use crate::context::Context;
-use crate::demand;
 use crate::fleet::{self, KnownEngine};
 use shelfjunction_core::bundle::BundleInForce;
 use shelfjunction_core::bundle::content::ModelKind;
+use shelfjunction_core::demand::DemandOutlook;
 use shelfjunction_core::engine::{EngineStatus, LoadReport};
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::roles::{EngineProfile, EngineState, PlannerInput};
@@ -16,6 +16,7 @@
 pub fn build(
     context: &Context,
     bundle: &BundleInForce,
+    demand: DemandOutlook,
     profile: EngineProfile,
     changing: &[EngineId],
     changed_at: &BTreeMap<EngineId, MonotonicTime>,
@@ -37,7 +38,7 @@
     PlannerInput {
         zone: context.config.zone.clone(),
         engines,
-        demand: demand::total(context),
+        demand,
         profile,
         policy: bundle.fleet.roles.clone(),
         classes: bundle.fleet.classes.clone(),
--- a/crates/controller/src/command/planning.rs
+++ b/crates/controller/src/command/planning.rs
@@ -3,8 +3,10 @@
 use super::planner_input;
 use crate::config::millis;
 use crate::context::Context;
+use crate::demand;
 use crate::fleet::{self, KnownEngine};
 use shelfjunction_core::bundle::BundleInForce;
+use shelfjunction_core::demand::DemandHistory;
 use shelfjunction_core::drain::{
     ChangeCoordinator, ChangeDecision, ChangeLimits, ChangeOutcome, ChangeRequest, EngineView, roll_requests,
 };
@@ -23,6 +25,7 @@
     role_requests: Vec<ChangeRequest>,
     changed_at: BTreeMap<EngineId, MonotonicTime>,
     profile: EngineProfile,
+    history: DemandHistory,
     plan_at: MonotonicTime,
 }
 
@@ -34,6 +37,7 @@
             role_requests: Vec::new(),
             changed_at: BTreeMap::new(),
             profile: EngineProfile::default(),
+            history: DemandHistory::default(),
             plan_at: context.now(),
         }
     }
@@ -80,7 +84,20 @@
             self.profile.learn(status.role, &status.load);
         }
         let changing: Vec<EngineId> = self.coordinator.changing().cloned().collect();
-        let input = planner_input::build(context, bundle, self.profile, &changing, &self.changed_at, now);
+        let present = demand::total(context);
+        self.history.record(&present, now);
+        let outlook = self
+            .history
+            .outlook(&present, millis(bundle.fleet.roles.horizon_millis));
+        let input = planner_input::build(
+            context,
+            bundle,
+            outlook,
+            self.profile,
+            &changing,
+            &self.changed_at,
+            now,
+        );
         let changes = Planner::plan(&input);
         for change in &changes {
             log::info!(
--- a/crates/lab/src/command/mod.rs
+++ b/crates/lab/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod options;
+mod simulate;
 
 pub use options::{CommandError, Options};
 
@@ -28,7 +29,7 @@
 }
 
 /// Every subcommand, in the order of the help.
-const COMMANDS: &[&Command] = &[&engine::COMMAND];
+const COMMANDS: &[&Command] = &[&engine::COMMAND, &simulate::COMMAND];
 
 /// Runs the program with the arguments that follow its name.
 pub fn run(arguments: &[String]) -> ExitCode {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,3 +7,5 @@
 pub mod load;
 pub mod platform;
 pub mod relay;
+pub mod report;
+pub mod simulate;
