--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,4 +8,6 @@
 pub mod load;
 pub mod platform;
 pub mod relay;
+pub mod report;
+pub mod simulate;
 pub mod soak;
