--- a/crates/core/src/membership/exchange.rs
+++ b/crates/core/src/membership/exchange.rs
@@ -38,6 +38,12 @@
 /// Time to the next digest after one that found a difference.
 const HURRIED_DIGEST: Duration = Duration::from_millis(1_000);
 
+/// Time after its start in which a node compares facts often, since it missed what was pushed before.
+const JOINING: Duration = Duration::from_secs(15);
+
+/// Time between digests of a node that joins.
+const JOINING_DIGEST_MILLIS: u64 = 1_000;
+
 /// Digests in a hundred that go to a seed or a node that counts as dead, so that a healed cut is noticed.
 const OUTSIDE_PERCENT: u32 = 15;
 
@@ -148,7 +154,13 @@
         if now < self.next_digest {
             return;
         }
-        let interval = self.config.digest_interval_millis;
+        let joining = now.since(self.started) < JOINING;
+        let usual = self.config.digest_interval_millis;
+        let interval = if joining {
+            usual.min(JOINING_DIGEST_MILLIS)
+        } else {
+            usual
+        };
         let jittered = interval / 2 + random.random_range(0..=interval);
         self.next_digest = now + Duration::from_millis(jittered);
         let outside = random.random_range(0..100) < OUTSIDE_PERCENT || self.peers.is_empty();
--- a/crates/core/src/membership/observation.rs
+++ b/crates/core/src/membership/observation.rs
@@ -22,6 +22,12 @@
 /// Load intervals that the second watcher waits before it publishes in place of the first.
 const DEPUTY_INTERVALS: u32 = 3;
 
+/// Times that the second watcher of an engine waits longer between questions than the first.
+const DEPUTY_PATIENCE: u32 = 3;
+
+/// Nodes from which on the budgets hold as they are set.
+const LARGE_FLEET_NODES: u64 = 100;
+
 /// Longer than any silence; stands for "not silent".
 const NEVER: Duration = Duration::from_secs(u32::MAX as u64);
 
@@ -70,7 +76,11 @@
                 engine: watch.engine.clone(),
                 address: watch.address,
                 first: watch.first,
-                interval: if watch.missed > 0 { hurried } else { interval },
+                interval: match (watch.missed, watch.first) {
+                    (0, true) => interval,
+                    (0, false) => interval * DEPUTY_PATIENCE,
+                    _ => hurried,
+                },
             })
             .collect()
     }
@@ -105,15 +115,28 @@
     pub fn load_interval(&self) -> Duration {
         let engines = u64::try_from(self.zone_engine_count()).unwrap_or(u64::MAX);
         let bytes = engines * LOAD_BEAT_BYTES * u64::from(self.config.beat_sends);
-        let millis = bytes * 1_000 / self.config.load_bytes_per_second;
-        Duration::from_millis(millis.max(self.config.load_interval_millis))
+        self.interval_for(bytes, self.config.load_bytes_per_second)
     }
 
-    /// Time between two status questions to one engine; grows with the engines watched, so that the bytes stay the same.
+    /// Time between two status questions to one engine; grows with the engines watched, so that the bytes stay the
+    /// same. The second watcher of an engine asks less often; it is there to confirm a death.
     pub fn poll_interval(&self) -> Duration {
-        let watched = u64::try_from(self.engine_watches.len()).unwrap_or(u64::MAX);
-        let bytes = watched * self.config.poll_bytes;
-        let millis = bytes * 1_000 / self.config.poll_bytes_per_second;
+        let (first, second): (Vec<&EngineWatch>, Vec<&EngineWatch>) =
+            self.engine_watches.values().partition(|watch| watch.first);
+        let asked = first.len() * DEPUTY_PATIENCE as usize + second.len();
+        let bytes = u64::try_from(asked).unwrap_or(u64::MAX) * self.config.poll_bytes;
+        self.interval_for(
+            bytes / u64::from(DEPUTY_PATIENCE),
+            self.config.poll_bytes_per_second,
+        )
+    }
+
+    /// Time over which the bytes keep to a budget. A fleet below the size the budgets are made for may spend more
+    /// on fresh reports, in proportion.
+    fn interval_for(&self, bytes: u64, bytes_per_second: u64) -> Duration {
+        let nodes = u64::try_from(self.peers.len() + 1).unwrap_or(u64::MAX);
+        let budget = bytes_per_second * LARGE_FLEET_NODES.max(nodes) / nodes;
+        let millis = bytes * 1_000 / budget.max(1);
         Duration::from_millis(millis.max(self.config.load_interval_millis))
     }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod load;
 pub mod platform;
 pub mod relay;
+pub mod scale;
