--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod platform;
 pub mod relay;
 pub mod report;
+pub mod scale;
 pub mod simulate;
 pub mod soak;
