Take the scale run's port from its process

Cause: a small run failed with 'address already in use' while another run on the same machine held the one fixed port. Ruled out: a lost race for a free port; the port was a constant. Conclusion: the port follows the process's identifier.

--- a/crates/lab/src/scale/plan.rs
+++ b/crates/lab/src/scale/plan.rs
@@ -21,11 +21,14 @@
 /// Nodes at the size aimed at.
 const NODES_AT_AIM: usize = 410;
 
-/// Port of every hollow controller; addresses differ.
-const CONTROLLER_PORT: u16 = 17_700;
+/// First of the ports from which a run takes the one of its hollow controllers; their addresses differ.
+const FIRST_CONTROLLER_PORT: u16 = 10_000;
+
+/// Ports from which a run takes one, by its process's identifier, so that two runs on one machine don't meet.
+const CONTROLLER_PORTS: u32 = 9_000;
 
 /// Port that stands for the engines; nothing listens there.
-const ENGINE_PORT: u16 = 17_800;
+const ENGINE_PORT: u16 = 19_500;
 
 /// One hollow node.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -142,7 +145,7 @@
     NodePlan {
         node,
         zone,
-        controller: address(zone, number, CONTROLLER_PORT),
+        controller: address(zone, number, controller_port()),
     }
 }
 
@@ -157,6 +160,12 @@
     }
 }
 
+/// Port of every hollow controller of this process.
+fn controller_port() -> u16 {
+    let offset = std::process::id() % CONTROLLER_PORTS;
+    FIRST_CONTROLLER_PORT + u16::try_from(offset).unwrap_or_default()
+}
+
 /// An address of the loopback network whose second number tells the zone.
 fn address(zone: usize, number: usize, port: u16) -> SocketAddr {
     let zone = u8::try_from(zone + 10).unwrap_or(u8::MAX);
