--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,7 +3,12 @@
 pub mod caller;
 pub mod cluster;
 pub mod command;
+pub mod demo;
 pub mod engine;
 pub mod load;
 pub mod platform;
 pub mod relay;
+pub mod report;
+pub mod scale;
+pub mod simulate;
+pub mod soak;
