Count every engine as changed when the lease is taken, and plan with the roles being taken

Cause: a new holder knows nothing of its predecessor's changes, so holders that follow each other quickly could each change the same engine; and the planner counted a changing engine under its old role, against its own input's terms. Ruled out: keeping the times in the engines' rows, one write more for each change. Conclusion: no role change within the dwell time after a takeover.

--- a/crates/controller/src/command/planner_input.rs
+++ b/crates/controller/src/command/planner_input.rs
@@ -5,7 +5,7 @@
 use shelfjunction_core::bundle::BundleInForce;
 use shelfjunction_core::bundle::content::ModelKind;
 use shelfjunction_core::demand::DemandOutlook;
-use shelfjunction_core::engine::{EngineStatus, LoadReport};
+use shelfjunction_core::engine::{EngineStatus, LoadReport, Role};
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::roles::{EngineProfile, EngineState, PlannerInput};
 use shelfjunction_core::time::MonotonicTime;
@@ -18,10 +18,13 @@
     pub profile: EngineProfile,
     /// Demand over the planner's horizon.
     pub demand: DemandOutlook,
-    /// Engines in the middle of a planned change.
-    pub changing: &'a [EngineId],
+    /// Engines in the middle of a planned change, and the roles that they take.
+    pub targets: BTreeMap<EngineId, Role>,
     /// When each engine last changed its role.
     pub changed_at: &'a BTreeMap<EngineId, MonotonicTime>,
+    /// When the lease was taken. What changed before is not known, so every engine counts as changed then: holders
+    /// that follow each other quickly must not each change what the one before has just changed.
+    pub held_since: MonotonicTime,
 }
 
 /// Everything known now, for one decision.
@@ -62,14 +65,16 @@
 fn state(known: &KnownEngine, facts: &PlanningFacts<'_>) -> Option<EngineState> {
     let status = known.record.status.as_ref()?;
     let model = status.weights.first()?.model.clone();
+    let target = facts.targets.get(&known.engine).copied();
+    let changed_at = facts.changed_at.get(&known.engine).copied();
     Some(EngineState {
         engine: known.engine.clone(),
         zone: known.record.zone.clone(),
         model,
-        role: status.role,
+        role: target.unwrap_or(status.role),
         usable: known.live_status().is_some() && !known.is_leaving(),
-        changing: is_changing(status) || facts.changing.contains(&known.engine),
-        changed_at: facts.changed_at.get(&known.engine).copied(),
+        changing: is_changing(status) || target.is_some(),
+        changed_at: Some(changed_at.unwrap_or(facts.held_since)),
         drain_seconds: drain_seconds(&status.load),
     })
 }
--- a/crates/controller/src/command/planning.rs
+++ b/crates/controller/src/command/planning.rs
@@ -29,6 +29,7 @@
     profile: EngineProfile,
     demand_history: DemandHistory,
     plan_at: MonotonicTime,
+    held_since: MonotonicTime,
 }
 
 impl Planning {
@@ -41,6 +42,7 @@
             profile: EngineProfile::default(),
             demand_history: DemandHistory::default(),
             plan_at: context.now(),
+            held_since: context.now(),
         }
     }
 
@@ -107,13 +109,17 @@
         for status in zone_engines.iter().filter_map(KnownEngine::live_status) {
             self.profile.learn(status.role, &status.load);
         }
-        let changing = self.changing();
         let demand = self.outlook(context, bundle, now);
+        let targets = self
+            .coordinator
+            .targets()
+            .map(|(engine, goal)| (engine.clone(), goal.role));
         let facts = PlanningFacts {
             profile: self.profile,
             demand,
-            changing: &changing,
+            targets: targets.collect(),
             changed_at: &self.changed_at,
+            held_since: self.held_since,
         };
         let input = planner_input::build(context, bundle, facts, now);
         let changes = Planner::plan(&input);
--- a/crates/core/src/drain/coordinator.rs
+++ b/crates/core/src/drain/coordinator.rs
@@ -87,6 +87,11 @@
         self.changes.keys()
     }
 
+    /// What each engine whose change is under way is to become.
+    pub fn targets(&self) -> impl Iterator<Item = (&EngineId, &EngineGoal)> {
+        self.changes.iter().map(|(engine, change)| (engine, &change.goal))
+    }
+
     /// Takes in that an engine can't carry an order out: its change, if one is under way, is given up.
     pub fn on_rejected(&mut self, engine: &EngineId) {
         if self.changes.contains_key(engine) {
