Refuse settings under which one send may outlast the lease's margin

Cause: nothing tied the engines' time limit to the margin that pays for it. Ruled out: shortening the limit silently. Conclusion: the pair is checked with the other settings.

--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -153,6 +153,16 @@
         errors.extend(self.lease.validate());
         errors.extend(self.orders.validate());
         errors.extend(self.membership.validate());
+        if self.timings.engine_timeout_millis >= self.lease.margin_millis {
+            // An order on its way must have arrived or been given up before the lease can have ended.
+            let allowed = "less than lease.margin_millis";
+            let value = self.timings.engine_timeout_millis;
+            errors.push(field_error(
+                "controller.timings.engine_timeout_millis",
+                value,
+                allowed,
+            ));
+        }
         if self.listen.ip().is_unspecified() {
             let allowed = "an address that other machines reach, since they are told it";
             errors.push(field_error("controller.listen", self.listen, allowed));
--- a/crates/controller/tests/takeover.rs
+++ b/crates/controller/tests/takeover.rs
@@ -89,11 +89,12 @@
             read_every_millis: 200,
             retry_after_millis: 100,
         };
-        let config = ControllerConfig {
+        let mut config = ControllerConfig {
             lease,
             seeds,
             ..config(node)
         };
+        config.timings.engine_timeout_millis = 400;
         Controller::start_with(config, services).unwrap()
     }
 }
