--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -26,6 +26,7 @@
 pub struct KvRouter {
     weights: RoutingWeights,
     engines: BTreeMap<EngineId, EngineView>,
+    gateways: u32,
     dispatches: u64,
 }
 
@@ -35,10 +36,16 @@
         Self {
             weights,
             engines: BTreeMap::new(),
+            gateways: 1,
             dispatches: 0,
         }
     }
 
+    /// Sets how many gateways, this one included, share the engines.
+    pub fn set_gateways(&mut self, gateways: u32) {
+        self.gateways = gateways.max(1);
+    }
+
     /// Takes a record of an engine that was observed `age` ago.
     pub fn on_engine_record(
         &mut self,
@@ -82,7 +89,7 @@
         let mut expected_first_token = Duration::ZERO;
         let mut expected_cached_tokens = 0;
         if let Some((engine, view)) = self.engines.get_key_value(engine) {
-            let work = sent_work(engine, view, query, &self.weights, now);
+            let work = sent_work(engine, view, query, &self.weights, self.senders(), now);
             expected_first_token = work.expected_first_token;
             let computed = work.prefill_tokens.min(f64::from(query.prompt_tokens)) as u32;
             expected_cached_tokens = query.prompt_tokens - computed;
@@ -191,12 +198,12 @@
     }
 
     /// What the engines that hold a model can do, for the admission of one gateway among several.
-    pub fn capacity(&self, model: &ModelId, gateways: u32, now: MonotonicTime) -> ModelCapacity {
+    pub fn capacity(&self, model: &ModelId, now: MonotonicTime) -> ModelCapacity {
         let mut capacity = ModelCapacity {
             prefill_tokens_per_second: 0.0,
             decode_tokens_per_second: 0.0,
             backlog_seconds: 0.0,
-            gateways,
+            gateways: self.gateways,
         };
         let mut queued = 0.0;
         for view in self.engines.values() {
@@ -207,7 +214,7 @@
             if view.role() != Role::Decode {
                 capacity.prefill_tokens_per_second += load.prefill_tokens_per_second as f64;
                 queued += view
-                    .queues(ServiceClass::Batch, &self.weights, now)
+                    .queues(ServiceClass::Batch, &self.weights, self.senders(), now)
                     .prefill_tokens;
             }
             if view.role() != Role::Prefill {
@@ -230,11 +237,16 @@
         self.engines.iter()
     }
 
+    /// Pieces of work that one piece of own unreported work stands for.
+    fn senders(&self) -> f64 {
+        1.0 + self.weights.alike_choices * f64::from(self.gateways - 1)
+    }
+
     fn candidates<'a>(&'a self, query: &RouteQuery, now: MonotonicTime) -> Vec<Candidate<'a>> {
         self.engines
             .iter()
             .filter(|(engine, view)| self.may_take(engine, view, query, now))
-            .map(|(engine, view)| Candidate::new(engine, view, query, &self.weights, now))
+            .map(|(engine, view)| Candidate::new(engine, view, query, &self.weights, self.senders(), now))
             .collect()
     }
 
@@ -342,9 +354,10 @@
     view: &EngineView,
     query: &RouteQuery,
     weights: &RoutingWeights,
+    senders: f64,
     now: MonotonicTime,
 ) -> SentWork {
-    let candidate = Candidate::new(engine, view, query, weights, now);
+    let candidate = Candidate::new(engine, view, query, weights, senders, now);
     let prefill_tokens = if candidate.runs_prompts() {
         candidate.uncached_tokens
     } else {
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -227,8 +227,14 @@
 
     /// Queues now as a request of a class meets them: the last report, less what was worked off since, plus what
     /// was sent since. Other gateways see the same reports and choose alike, so each piece of own work that is not
-    /// reported yet stands for `weights.senders` pieces.
-    pub fn queues(&self, class: ServiceClass, weights: &RoutingWeights, now: MonotonicTime) -> QueueEstimate {
+    /// reported yet stands for `senders` pieces.
+    pub fn queues(
+        &self,
+        class: ServiceClass,
+        weights: &RoutingWeights,
+        senders: f64,
+        now: MonotonicTime,
+    ) -> QueueEstimate {
         let load = self.load();
         let age = now.since(self.observed_at).as_secs_f64() + weights.report_lag_seconds;
         let prefill_done = age * load.prefill_tokens_per_second as f64;
@@ -244,7 +250,7 @@
             requests: f64::from(load.requests_in_flight) * decode_left,
         };
         if weights.count_sent_work {
-            self.add_unreported(class, weights.senders, &mut queues);
+            self.add_unreported(class, senders, &mut queues);
         }
         queues
     }
--- a/crates/core/src/routing/weights.rs
+++ b/crates/core/src/routing/weights.rs
@@ -40,8 +40,9 @@
     pub interactive_queue_ahead: f64,
     /// Part of a reported prefill queue that goes before a standard request.
     pub standard_queue_ahead: f64,
-    /// Gateways that see the same reports and choose alike; work sent since a report counts this many times.
-    pub senders: f64,
+    /// How alike the choices of gateways are that see the same reports, from zero to one; own work sent since a
+    /// report stands for as much of every other gateway.
+    pub alike_choices: f64,
     /// Worth of a second by which prompts slow the request's own tokens on a mixed engine.
     pub own_stall: f64,
     /// Sequences that fit into an engine's batch.
@@ -77,7 +78,7 @@
             compare_all_up_to: 16,
             interactive_queue_ahead: 0.2,
             standard_queue_ahead: 0.4,
-            senders: 3.0,
+            alike_choices: 1.0,
             own_stall: 0.5,
             batch_places: 32.0,
             sequence_slowdown: 0.03,
@@ -131,7 +132,7 @@
         }
     }
 
-    fn weights(&self) -> [(&'static str, f64); 15] {
+    fn weights(&self) -> [(&'static str, f64); 14] {
         [
             ("routing.prefill_wait", self.prefill_wait),
             ("routing.prefill_compute", self.prefill_compute),
@@ -139,7 +140,6 @@
             ("routing.stall", self.stall),
             ("routing.transfer", self.transfer),
             ("routing.other_zone_seconds", self.other_zone_seconds),
-            ("routing.prefix_overlap", self.prefix_overlap),
             ("routing.batch_waiting", self.batch_waiting),
             ("routing.standard_waiting", self.standard_waiting),
             ("routing.report_lag_seconds", self.report_lag_seconds),
@@ -151,9 +151,8 @@
         ]
     }
 
-    fn positive_settings(&self) -> [(&'static str, f64); 6] {
+    fn positive_settings(&self) -> [(&'static str, f64); 5] {
         [
-            ("routing.senders", self.senders),
             ("routing.batch_places", self.batch_places),
             ("routing.report_half_life_seconds", self.report_half_life_seconds),
             (
--- a/crates/gateway/src/watch/fleet_view.rs
+++ b/crates/gateway/src/watch/fleet_view.rs
@@ -56,6 +56,7 @@
                     observed_at: now - age,
                 };
                 self.nodes.insert(node.clone(), known);
+                self.router.set_gateways(self.live_gateways());
             }
             _ => return,
         }
--- a/crates/lab/src/simulate/gateways.rs
+++ b/crates/lab/src/simulate/gateways.rs
@@ -451,7 +451,8 @@
         let gateways = self.gateways.iter().filter(|gateway| gateway.alive).count() as u32;
         let gateway = &mut self.gateways[index];
         let model = &self.deployment.model;
-        let capacity = gateway.router.capacity(model, gateways, self.now);
+        gateway.router.set_gateways(gateways);
+        let capacity = gateway.router.capacity(model, self.now);
         gateway.admission.set_capacity(model, capacity, self.now);
         gateway.admission.tick(self.now, &mut self.random);
         self.take_updates(index);
--- a/crates/lab/src/simulate/policy.rs
+++ b/crates/lab/src/simulate/policy.rs
@@ -170,6 +170,7 @@
     vec![
         Policy::without("without prefix overlap", |weights| weights.prefix_overlap = 0.0),
         Policy::without("without sent work", |weights| weights.count_sent_work = false),
+        Policy::without("without others' sent work", |weights| weights.alike_choices = 0.0),
         Policy::without("without speed correction", |weights| {
             weights.correct_speeds = false
         }),
