Let the order sends see whether a start is current

Cause: the split of the controllers' events into two files left a method private, so the commit before did not build. Conclusion: builds; the three fuzz tests pass.

--- a/tests/world/commanding.rs
+++ b/tests/world/commanding.rs
@@ -2,13 +2,13 @@
 
 use super::controller::{ControllerProcess, ProcessState, Work};
 use super::fleet::{Fleet, Happening};
-use super::history::{EngineEntry, OrderSend, SendEnd};
+use super::history::SendEnd;
 use super::network::{Fate, Place};
 use rand::Rng;
-use shelfjunction_core::engine::{EngineStatus, Order, OrderReply};
-use shelfjunction_core::identity::{FencingToken, NodeId};
+use shelfjunction_core::engine::{EngineStatus, Order};
+use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::lease::{CallId, TableAnswer, TableCall};
-use shelfjunction_core::orders::{CommanderEffect, CommanderEvent, OrderAnswer};
+use shelfjunction_core::orders::{CommanderEffect, CommanderEvent};
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
 
@@ -192,7 +192,7 @@
         self.later(soon, Commanding::Tick { controller, start });
         self.later(soon, Commanding::Poll { controller, start });
     }
-    fn is_current(&self, controller: usize, start: u64) -> bool {
+    pub(super) fn is_current(&self, controller: usize, start: u64) -> bool {
         let process = &self.controllers[controller];
         process.start == start && process.state != ProcessState::Down
     }
--- a/tests/world/order_sends.rs
+++ b/tests/world/order_sends.rs
@@ -1,15 +1,13 @@
 //! Orders on their way: the look at the clock, the departure, the engine's answer.
 
 use super::commanding::Commanding;
-use super::controller::{ControllerProcess, ProcessState, Work};
-use super::fleet::{Fleet, Happening};
+use super::controller::Work;
+use super::fleet::Fleet;
 use super::history::{EngineEntry, OrderSend, SendEnd};
 use super::network::{Fate, Place};
-use rand::Rng;
-use shelfjunction_core::engine::{EngineStatus, Order, OrderReply};
-use shelfjunction_core::identity::{FencingToken, NodeId};
-use shelfjunction_core::lease::{CallId, TableAnswer, TableCall};
-use shelfjunction_core::orders::{CommanderEffect, CommanderEvent, OrderAnswer};
+use shelfjunction_core::engine::{Order, OrderReply};
+use shelfjunction_core::identity::FencingToken;
+use shelfjunction_core::orders::{CommanderEvent, OrderAnswer};
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
 
