Prove bundles by stateful fuzzing over time, and run every planted fault by one command

Cause: keepers were proved against what they are handed, not against operators, outages and cuts that go on for a while. Failed first: 'an operator is told what became of the rollout' (two rollouts of the world shared a proposal's name) and 'a node that is cut off refuses new work' (the world let an answer arrive that every client has given up, and offered a head across a cut); both were mistakes of the world and were made exact. Noticed: a confirmation counts from when an answer is taken in and not from before the question was sent, so a process that is paused counts an old answer as fresh for one isolation limit more; the world's clients give up after 1 s, which bounds it here.

--- a/tests/fuzz/command.rs
+++ b/tests/fuzz/command.rs
@@ -2,6 +2,7 @@
 
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 use shelfjunction_proofs::fuzzing::authority::AuthorityMachine;
+use shelfjunction_proofs::fuzzing::bundles::BundleMachine;
 use shelfjunction_proofs::fuzzing::runner::{RunReport, run};
 use shelfjunction_proofs::fuzzing::serving::{PlannedMachine, ServingMachine};
 use shelfjunction_proofs::fuzzing::{PLANTED, coverage};
@@ -47,6 +48,7 @@
         report::<AuthorityMachine>("authority", seed, cases),
         report::<ServingMachine>("serving", seed, cases),
         report::<PlannedMachine<false>>("planned changes", seed, cases),
+        report::<BundleMachine>("bundles", seed, cases),
         report::<PlannedMachine<true>>("planned changes, shared keys", seed, cases),
     ];
     match held.iter().all(|held| *held) {
@@ -90,6 +92,9 @@
     for fault in PlantedFault::SERVING {
         found &= find::<ServingMachine>(fault);
     }
+    for fault in PlantedFault::BUNDLES {
+        found &= find::<BundleMachine>(fault);
+    }
     match found {
         true => ExitCode::SUCCESS,
         false => ExitCode::FAILURE,
--- a/tests/fuzzing/mod.rs
+++ b/tests/fuzzing/mod.rs
@@ -1,6 +1,7 @@
 //! State machines of `proptest-state-machine` over the virtual fleet, and how they are run.
 
 pub mod authority;
+pub mod bundles;
 pub mod coverage;
 pub mod runner;
 pub mod serving;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -4,6 +4,7 @@
 
 mod actions;
 mod asking;
+mod bundle_forge;
 mod callers;
 mod claims;
 mod clock;
@@ -26,7 +27,10 @@
 mod watching;
 
 pub mod authority_oracle;
+pub mod bundle_oracle;
+pub mod bundles;
 pub mod caller_oracle;
+pub mod rollout;
 
 pub use callers::{Ask, Caller, CallerEnd, CallerHistory};
 pub use controller::ProcessState;
--- a/tests/world/planted.rs
+++ b/tests/world/planted.rs
@@ -29,6 +29,14 @@
     IgnoreResidency,
     /// Parts reach the caller unchecked.
     PassGaps,
+    /// A node takes in an older bundle than the one in force.
+    AcceptLowerGeneration,
+    /// A node takes in a bundle that no operator signed.
+    AcceptUnsignedBundle,
+    /// A rollout does not check that its place is free.
+    AcceptWithoutCheck,
+    /// An operator is told "accepted" when the answer was lost.
+    AssumeAccepted,
 }
 
 impl PlantedFault {
@@ -52,4 +60,12 @@
         Self::IgnoreResidency,
         Self::PassGaps,
     ];
+
+    /// Every fault that can be planted into the distribution of bundles.
+    pub const BUNDLES: [Self; 4] = [
+        Self::AcceptLowerGeneration,
+        Self::AcceptUnsignedBundle,
+        Self::AcceptWithoutCheck,
+        Self::AssumeAccepted,
+    ];
 }
