Let a young gateway hold confirmations that are older than itself

Cause: a gateway that restarts refused new work as isolated for 0.5 to 1.0 s, though it had the bundle after 10 ms: its clock began at zero, so a confirmation from before its start had no instant and did not count. Ruled out: polling faster, which the controller's own confirmation interval would still undo.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -21,6 +21,11 @@
 use shelfjunction_platform::services::{ObjectStore, TableService};
 use std::net::{Shutdown, TcpStream};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Reading of the clock when the gateway starts, so that what others saw before that has an instant, too: a bundle
+/// that was confirmed a second ago is confirmed for a gateway that is younger than that.
+const CLOCK_HEAD_START: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// The systems outside.
 #[derive(Clone)]
@@ -36,7 +41,7 @@
 /// State shared by the threads of one gateway.
 pub(crate) struct Context {
     pub(crate) config: GatewayConfig,
-    pub(crate) clock: MonotonicClock,
+    clock: MonotonicClock,
     pub(crate) backends: Backends,
     pub(crate) secret: CacheSecret,
     pub(crate) bundles: BundleView,
@@ -68,7 +73,7 @@
             bundles: BundleView::new(config.roots.clone(), config.zone.clone()),
             fleet: Mutex::new(FleetView::new(config.routing.clone())),
             admission: AdmissionGate::new(config.admission.clone()),
-            demand: Mutex::new(DemandEstimator::new(clock.now())),
+            demand: Mutex::new(DemandEstimator::new(clock.now() + CLOCK_HEAD_START)),
             retry_budget: Mutex::new(RetryBudget::new(RetryBudgetSettings::default())),
             backoff: Backoff::default(),
             claims: ClaimLedger::default(),
@@ -86,7 +91,7 @@
 
     /// The present instant.
     pub(crate) fn now(&self) -> MonotonicTime {
-        self.clock.now()
+        self.clock.now() + CLOCK_HEAD_START
     }
 
     /// Ends every background thread; those that wait are woken.
