--- a/crates/lab/src/command/mod.rs
+++ b/crates/lab/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod load;
 mod options;
 mod platform;
+mod simulate;
 mod soak;
 
 pub use options::{CommandError, Options};
@@ -37,6 +38,7 @@
     &engine::COMMAND,
     &load::COMMAND,
     &demo::COMMAND,
+    &simulate::COMMAND,
     &soak::COMMAND,
 ];
 
