Prove the route over a prefill and a decode engine, with a key and without

Cause: a fleet that holds no engine for both phases serves every request in two steps. Ruled out: nothing. Conclusion: the output names the cache that the prompt's engine gave.

--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -4,7 +4,10 @@
 
 mod support;
 
+use shelfjunction_core::engine::{Phase, Role};
+use shelfjunction_lab::cluster::deployment::Deployment;
 use std::io::{BufRead, BufReader};
+use support::engines::{HANDLE, ScriptedEngines};
 use support::{Fleet, header, json, model_call};
 use ureq::http::Response;
 use ureq::{Body, BodyReader};
@@ -101,3 +104,24 @@
     gateway.wait();
     assert_eq!(fleet.engines.calls().len(), 1);
 }
+
+#[test]
+fn a_prompt_and_its_output_run_on_engines_of_those_roles() {
+    let deployment = Deployment::pharmacy();
+    let engines = ScriptedEngines::with_roles(&deployment, &[Role::Prefill, Role::Decode]);
+    let fleet = Fleet::start_with_engines(deployment, engines);
+    let gateway = fleet.gateway();
+    for key in [None, Some("render-7")] {
+        let before = fleet.engines.calls().len();
+        let answer = fleet.post(&gateway, "norrapotek", key, &model_call("renew", false));
+        assert_eq!(json(answer)["choices"][0]["text"], "one two three four");
+        let calls = fleet.engines.calls().split_off(before);
+        let [(_, prompt), (zone, output)] = calls.as_slice() else {
+            panic!("{calls:?}");
+        };
+        assert_eq!((prompt.phase, output.phase), (Phase::PrefillOnly, Phase::Whole));
+        assert_eq!(output.import.as_ref().unwrap().handle, HANDLE);
+        assert_eq!(zone.as_str(), "uppsala-b");
+        assert_ne!(prompt.attempt, output.attempt);
+    }
+}
--- a/crates/gateway/tests/support/engines.rs
+++ b/crates/gateway/tests/support/engines.rs
@@ -3,7 +3,7 @@
 use shelfjunction_core::bundle::content::ModelKind;
 use shelfjunction_core::engine::{
     AnswerPart, EngineCall, EngineRefusal, EngineRefusalReason, EngineStatus, LoadReport, LoadedWeights,
-    Order, OrderReply, Role, RunState,
+    Order, OrderReply, Phase, Role, RunState,
 };
 use shelfjunction_core::identity::{EngineId, FencingToken, RequestId, WeightVersion, ZoneId};
 use shelfjunction_core::machine::{MachineService, MachineState};
@@ -21,6 +21,9 @@
 /// Words of every answer.
 pub const WORDS: [&str; 4] = ["one ", "two ", "three ", "four"];
 
+/// Handle of every KV cache.
+pub const HANDLE: &str = "cache-1";
+
 /// Words that may leave; raised by the test.
 #[derive(Default)]
 struct Gate {
@@ -38,7 +41,13 @@
 }
 
 impl ScriptedEngines {
+    /// Engines of which each serves both phases.
     pub fn new(deployment: &Deployment) -> Self {
+        Self::with_roles(deployment, &[Role::Mixed])
+    }
+
+    /// Engines whose roles are given by zone, in turn.
+    pub fn with_roles(deployment: &Deployment, roles: &[Role]) -> Self {
         let mut records = Vec::new();
         let mut zones = HashMap::new();
         for (index, zone) in deployment.zones.iter().enumerate() {
@@ -47,7 +56,8 @@
                 let port = u16::try_from(1 + kind_offset + index).unwrap();
                 let address = SocketAddr::from(([127, 0, 0, 1], port));
                 zones.insert(address, zone.clone());
-                records.push(record(zone, address, rule));
+                let role = roles[index % roles.len()];
+                records.push(record(zone, address, rule, role));
             }
         }
         let gate = Gate::default();
@@ -140,9 +150,25 @@
     }
 }
 
+/// Answer to a prompt alone.
+struct PromptStream(Option<RequestId>);
+
+impl AnswerStream for PromptStream {
+    fn next_part(&mut self) -> Result<Option<AnswerPart>, StreamError> {
+        let handle = HANDLE.to_owned();
+        Ok(self
+            .0
+            .take()
+            .map(|request| AnswerPart::Prefilled { request, handle }))
+    }
+}
+
 impl EngineClient for ScriptedEngines {
     fn call(&self, address: SocketAddr, call: &EngineCall) -> Result<Box<dyn AnswerStream>, CallError> {
         self.calls.lock().unwrap().push((address, call.clone()));
+        if call.phase == Phase::PrefillOnly {
+            return Ok(Box::new(PromptStream(Some(call.request.clone()))));
+        }
         Ok(self.stream(&call.request, call.offset))
     }
 
@@ -190,6 +216,7 @@
     zone: &ZoneId,
     address: SocketAddr,
     rule: &shelfjunction_core::bundle::content::ModelRule,
+    role: Role,
 ) -> Record {
     let engine = EngineId::new(format!("{}-{zone}", rule.model));
     let service = match rule.kind {
@@ -206,7 +233,7 @@
         incarnation: 1,
         fence: FencingToken(1),
         last_order: None,
-        role: Role::Mixed,
+        role,
         draining: false,
         changing: false,
         weights: vec![weights],
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -38,10 +38,15 @@
     }
 
     pub fn start_with(deployment: Deployment) -> Self {
+        let engines = ScriptedEngines::new(&deployment);
+        Self::start_with_engines(deployment, engines)
+    }
+
+    pub fn start_with_engines(deployment: Deployment, engines: ScriptedEngines) -> Self {
         let platform = PlatformServer::start(PlatformConfig::default()).unwrap();
         let client = HttpPlatform::new(platform.address(), PlatformTimeouts::default());
         publish_first(&client, &deployment).unwrap();
-        let engines = Arc::new(ScriptedEngines::new(&deployment));
+        let engines = Arc::new(engines);
         let controller = controller::start(engines.records());
         let config = Agent::config_builder()
             .http_status_as_error(false)
