Tell the handler who the caller's end is, so that metrics can be read on the machine

Cause: the request's peer address was never filled in, so every reader of metrics without an operator's token was refused, the machine's own included. Ruled out: nothing. Measured: the new test failed before (no metrics in the answer) and passes now. Conclusion: HEAD is answered like GET without a body, too.

--- a/crates/gateway/src/serve/handler.rs
+++ b/crates/gateway/src/serve/handler.rs
@@ -72,7 +72,12 @@
 impl CallerApi {
     fn plain(&self, request: &HttpRequest) -> Answer {
         let context = &self.context;
-        match (request.method.as_str(), request.path.as_str()) {
+        let method = match request.method.as_str() {
+            // The server leaves the body out of an answer to HEAD.
+            "HEAD" => "GET",
+            method => method,
+        };
+        match (method, request.path.as_str()) {
             ("GET", "/healthz") => Answer::new(200, TEXT, "ok\n"),
             ("GET", "/readyz") => readiness(context),
             ("GET", "/metrics") => measure(context, request),
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -125,3 +125,24 @@
         assert_ne!(prompt.attempt, output.attempt);
     }
 }
+
+#[test]
+fn metrics_count_outcomes_and_name_no_tenant() {
+    let fleet = Fleet::start();
+    let gateway = fleet.gateway();
+    fleet.post(&gateway, "norrapotek", None, &model_call("renew", false));
+    let url = format!("http://{}/metrics", gateway.address());
+    let text = fleet
+        .agent
+        .get(url)
+        .call()
+        .unwrap()
+        .body_mut()
+        .read_to_string()
+        .unwrap();
+    let counted =
+        r#"shelfjunction_gateway_requests_total{outcome="completed",cause="",class="interactive"} 1"#;
+    assert!(text.lines().any(|line| line == counted), "{text}");
+    assert!(text.ends_with("# EOF\n"));
+    assert!(!text.contains("norrapotek"));
+}
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -87,7 +87,11 @@
             stream.write_all(CONTINUE_LINE).map_err(|_| ReadError::Closed)?;
         }
         let body = self.read_body(stream, head.body_length)?;
-        Ok(HttpRequest { body, ..head.request })
+        Ok(HttpRequest {
+            peer: stream.peer_addr().ok().map(|address| address.ip()),
+            body,
+            ..head.request
+        })
     }
 
     fn wait_for_first_byte(
