Serve the stand-in engine on the bounded server, and load its weights from the store

Cause: a hostile length ended a process that answers through tiny_http, and loads took no notice of the weight store. Ruled out: a listener with inherited socket options, now removed: the bounded server sets them on each connection. Conclusion: the stand-in holds one thread per connection up to a limit and every wait is bounded.

--- a/crates/engine-model/src/model.rs
+++ b/crates/engine-model/src/model.rs
@@ -10,7 +10,7 @@
     AnswerPart, EngineCall, EngineRefusal, EngineRefusalReason, EngineStatus, KvEvent, Order, OrderReply,
     Phase, RunRecord, RunState,
 };
-use shelfjunction_core::identity::{EngineId, RequestId};
+use shelfjunction_core::identity::{EngineId, OrderId, RequestId};
 use shelfjunction_core::routing::prefix::{PrefixScope, hash_prompt};
 use shelfjunction_core::time::MonotonicTime;
 use std::collections::{HashMap, VecDeque};
@@ -196,6 +196,12 @@
         self.state.order(order, held, queue, now)
     }
 
+    /// Sets when the load begun by an order is done, as soon as the weight store has told its wait.
+    pub fn weights_arrive(&mut self, now: MonotonicTime, order: &OrderId, wait: Duration) {
+        self.advance(now);
+        self.state.weights_arrive(order, wait, now);
+    }
+
     /// What the engine says of itself.
     pub fn status(&mut self, now: MonotonicTime) -> EngineStatus {
         self.advance(now);
--- a/crates/engine-model/src/orders.rs
+++ b/crates/engine-model/src/orders.rs
@@ -104,6 +104,14 @@
         reply
     }
 
+    /// Sets when the load begun by an order is done, as soon as the weight store has told its wait.
+    pub fn weights_arrive(&mut self, order: &OrderId, wait: Duration, now: MonotonicTime) {
+        let duration = wait + Duration::from_millis(self.costs.load_millis);
+        if let Some(change) = self.change.as_mut().filter(|change| change.order == *order) {
+            change.done_at = now + duration;
+        }
+    }
+
     /// Ends a change whose time is over.
     pub fn advance(&mut self, now: MonotonicTime) -> Option<CompletedChange> {
         if self.change.as_ref().is_none_or(|change| change.done_at > now) {
--- a/crates/engine-model/src/state.rs
+++ b/crates/engine-model/src/state.rs
@@ -13,7 +13,7 @@
     EngineRefusal, EngineRefusalReason, EngineStatus, KvEvent, LoadReport, LoadedWeights, Order, OrderReply,
     Phase, Role,
 };
-use shelfjunction_core::identity::{AdapterId, EngineId, ModelId, WeightVersion};
+use shelfjunction_core::identity::{AdapterId, EngineId, ModelId, OrderId, WeightVersion};
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
 
@@ -186,6 +186,16 @@
         self.orders.order(order, in_flight, queue, now)
     }
 
+    /// Sets when the load begun by an order is done, as soon as the weight store has told its wait.
+    pub fn weights_arrive(&mut self, order: &OrderId, wait: Duration, now: MonotonicTime) {
+        self.orders.weights_arrive(order, wait, now);
+    }
+
+    /// Whether a role change or a load goes on.
+    pub fn is_changing(&self) -> bool {
+        self.orders.is_changing()
+    }
+
     /// What the engine says of itself. Advance to `now` first.
     pub fn status(&self, now: MonotonicTime) -> EngineStatus {
         EngineStatus {
--- a/crates/lab/src/engine/answers.rs
+++ b/crates/lab/src/engine/answers.rs
@@ -3,61 +3,78 @@
 use super::faults::EngineServerFaults;
 use super::import;
 use super::log::OrderRecord;
-use super::respond::{BodyError, error, json, malformed, read_json, refuse};
+use super::respond::{error, json, refusal, refuse, unreadable};
 use super::routes::Route;
 use super::shared::EngineShared;
 use super::stream::stream;
-use shelfjunction_core::engine::{EngineCall, EngineRefusal, EngineRefusalReason, Order};
+use super::weights;
+use serde::de::DeserializeOwned;
+use shelfjunction_core::engine::{EngineCall, EngineRefusalReason, Order, OrderAction, OrderReply};
 use shelfjunction_core::identity::RequestId;
+use shelfjunction_http::{Answer, Answered, Handler, HttpRequest, ReadError, Responder};
 use shelfjunction_platform::http_engine::KvEventsBody;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
-use tiny_http::Request;
-
-/// Longest body of a control call, in bytes.
-const MAXIMUM_CONTROL_BYTES: u64 = 1024 * 1024;
-
-/// Serves a request to its end.
-pub fn serve(shared: &EngineShared, request: Request) {
-    match Route::parse(request.method(), request.url()) {
-        Route::Call => serve_call(shared, request),
-        Route::Answer(id, offset) => serve_answer(shared, request, &id, offset),
-        Route::State(id) => {
-            let state = shared.lock().model.run_state(&id);
-            json(request, 200, &state);
-        }
-        Route::Cancel(id) => serve_cancel(shared, request, &id),
-        Route::Order => serve_order(shared, request),
-        Route::Status => serve_status(shared, request),
-        Route::Events(after) => serve_events(shared, request, after),
-        Route::Export(handle) => serve_export(shared, request, &handle),
-        Route::Log => {
-            let log = shared.lock().log(shared.malformed_requests());
-            json(request, 200, &log);
-        }
-        Route::Faults => serve_faults(shared, request),
-        Route::Unknown => {
-            shared.count_malformed();
-            error(request, 404, "no such path");
+
+/// Wait that stands for "until the weight store answers".
+const UNTIL_WEIGHTS_ARRIVE: Duration = Duration::from_secs(24 * 3_600);
+
+/// Answers requests to one engine.
+pub struct EngineHandler(pub Arc<EngineShared>);
+
+impl Handler for EngineHandler {
+    fn handle(&self, request: HttpRequest, responder: Responder<'_>) -> Answered {
+        let shared = &self.0;
+        match Route::parse(&request) {
+            Route::Call => serve_call(shared, &request, responder),
+            Route::Answer(id, offset) => serve_answer(shared, responder, &id, offset),
+            route => responder.answer(&control_answer(shared, route, &request)),
         }
     }
+
+    fn refusal(&self, cause: ReadError) -> Option<Answer> {
+        self.0.count_malformed();
+        unreadable(cause)
+    }
 }
 
-fn serve_call(shared: &EngineShared, mut request: Request) {
-    let call: EngineCall = match read_json(&mut request, shared.config.limits.body_bytes) {
-        Ok(call) => call,
-        Err(_) => {
+/// Answers everything but streams.
+fn control_answer(shared: &Arc<EngineShared>, route: Route, request: &HttpRequest) -> Answer {
+    match route {
+        Route::State(id) => json(200, &shared.lock().model.run_state(&id)),
+        Route::Cancel(id) => cancel(shared, &id),
+        Route::Order => match parse(shared, request) {
+            Ok(order) => take_order(shared, order),
+            Err(answer) => answer,
+        },
+        Route::Status => status(shared),
+        Route::Events(after) => events(shared, after),
+        Route::Export(handle) => export(shared, &handle),
+        Route::Log => json(200, &shared.lock().log(shared.malformed_requests())),
+        Route::Faults => match parse(shared, request) {
+            Ok(faults) => switch_faults(shared, faults),
+            Err(answer) => answer,
+        },
+        Route::Call | Route::Answer(..) | Route::Unknown => {
             shared.count_malformed();
-            return refuse(request, &malformed());
+            error(404, "no such path")
         }
+    }
+}
+
+fn serve_call(shared: &EngineShared, request: &HttpRequest, responder: Responder<'_>) -> Answered {
+    let Ok(call) = serde_json::from_slice::<EngineCall>(&request.body) else {
+        shared.count_malformed();
+        return responder.answer(&refuse(&refusal(EngineRefusalReason::Malformed)));
     };
-    let longest = Duration::from_millis(shared.config.limits.import_millis);
+    let longest = Duration::from_millis(shared.config.import_millis);
     let imported = call
         .import
         .as_ref()
         .map(|transfer| import::fetch(transfer, longest));
     if let Some(None) = imported {
-        return refuse(request, &refusal(EngineRefusalReason::TransferGone));
+        return responder.answer(&refuse(&refusal(EngineRefusalReason::TransferGone)));
     }
     let begun = {
         let mut guarded = shared.lock();
@@ -68,65 +85,70 @@
     match begun {
         Ok(run) => {
             delay_first_byte(shared);
-            stream(shared, request, run, call.offset);
+            stream(shared, responder, run, call.offset)
         }
-        Err(refusal) => refuse(request, &refusal),
+        Err(refusal) => responder.answer(&refuse(&refusal)),
     }
 }
 
-fn serve_answer(shared: &EngineShared, request: Request, id: &RequestId, offset: u32) {
+fn serve_answer(shared: &EngineShared, responder: Responder<'_>, id: &RequestId, offset: u32) -> Answered {
     let run = shared.lock().model.find_run(id);
     match run {
         Some(run) => {
             delay_first_byte(shared);
-            stream(shared, request, run, offset);
+            stream(shared, responder, run, offset)
         }
-        None => refuse(request, &refusal(EngineRefusalReason::UnknownRequest)),
+        None => responder.answer(&refuse(&refusal(EngineRefusalReason::UnknownRequest))),
     }
 }
 
-fn serve_cancel(shared: &EngineShared, request: Request, id: &RequestId) {
+fn cancel(shared: &EngineShared, id: &RequestId) -> Answer {
     let state = {
         let mut guarded = shared.lock();
         let now = guarded.now();
         guarded.model.cancel(now, id)
     };
     shared.notify();
-    json(request, 200, &state);
+    json(200, &state)
 }
 
-fn serve_order(shared: &EngineShared, mut request: Request) {
-    let order: Order = match read_json(&mut request, MAXIMUM_CONTROL_BYTES) {
-        Ok(order) => order,
-        Err(cause) => return refuse_body(shared, request, cause),
-    };
-    let reply = {
+fn take_order(shared: &Arc<EngineShared>, order: Order) -> Answer {
+    let store = shared.config.weight_store;
+    let wait = store.map_or(Duration::ZERO, |_| UNTIL_WEIGHTS_ARRIVE);
+    let (reply, begun) = {
         let mut guarded = shared.lock();
         let now = guarded.now();
-        let reply = guarded.model.order(now, &order, Duration::ZERO);
+        guarded.model.advance(now);
+        let before = guarded.model.state().is_changing();
+        let reply = guarded.model.order(now, &order, wait);
         let incarnation = guarded.model.state().incarnation();
         let record = OrderRecord {
             incarnation,
-            order,
+            order: order.clone(),
             reply: reply.clone(),
         };
         guarded.record_order(record);
-        reply
+        let begun = reply == OrderReply::InProgress && !before;
+        (reply, begun)
     };
     shared.notify();
-    json(request, 200, &reply);
+    if let (OrderAction::LoadWeights { weights }, Some(store), true) = (order.action, store, begun) {
+        let shared = Arc::clone(shared);
+        thread::spawn(move || weights::load(&shared, store, &order.order, &weights));
+    }
+    json(200, &reply)
 }
 
-fn serve_status(shared: &EngineShared, request: Request) {
+fn status(shared: &EngineShared) -> Answer {
     let status = {
         let mut guarded = shared.lock();
         let now = guarded.now();
         guarded.model.status(now)
     };
-    json(request, 200, &status);
+    json(200, &status)
 }
 
-fn serve_events(shared: &EngineShared, request: Request, after: u64) {
+fn events(shared: &EngineShared, after: u64) -> Answer {
     let body = {
         let mut guarded = shared.lock();
         let now = guarded.now();
@@ -135,26 +157,22 @@
             incarnation: guarded.model.state().incarnation(),
         }
     };
-    json(request, 200, &body);
+    json(200, &body)
 }
 
-fn serve_export(shared: &EngineShared, request: Request, handle: &str) {
+fn export(shared: &EngineShared, handle: &str) -> Answer {
     let export = {
         let mut guarded = shared.lock();
         let now = guarded.now();
         guarded.model.fetch_export(now, handle)
     };
     match export {
-        Some(export) => json(request, 200, &export),
-        None => error(request, 404, "no such export"),
+        Some(export) => json(200, &export),
+        None => error(404, "no such export"),
     }
 }
 
-fn serve_faults(shared: &EngineShared, mut request: Request) {
-    let faults: EngineServerFaults = match read_json(&mut request, MAXIMUM_CONTROL_BYTES) {
-        Ok(faults) => faults,
-        Err(cause) => return refuse_body(shared, request, cause),
-    };
+fn switch_faults(shared: &EngineShared, faults: EngineServerFaults) -> Answer {
     {
         let mut guarded = shared.lock();
         guarded.faults = faults;
@@ -167,22 +185,15 @@
         }
     }
     shared.notify();
-    json(request, 200, &faults);
+    json(200, &faults)
 }
 
-fn refuse_body(shared: &EngineShared, request: Request, cause: BodyError) {
-    shared.count_malformed();
-    match cause {
-        BodyError::TooLong => error(request, 413, "the body is too long"),
-        BodyError::Malformed(message) => error(request, 400, &message),
-    }
-}
-
-fn refusal(reason: EngineRefusalReason) -> EngineRefusal {
-    EngineRefusal {
-        reason,
-        retry_after_millis: 0,
-    }
+/// Reads a control body, or says what is wrong with it.
+fn parse<T: DeserializeOwned>(shared: &EngineShared, request: &HttpRequest) -> Result<T, Answer> {
+    serde_json::from_slice(&request.body).map_err(|cause| {
+        shared.count_malformed();
+        error(400, &cause.to_string())
+    })
 }
 
 fn delay_first_byte(shared: &EngineShared) {
--- a/crates/lab/src/engine/config.rs
+++ b/crates/lab/src/engine/config.rs
@@ -4,43 +4,26 @@
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::setting::FieldError;
 use shelfjunction_engine_model::EngineModelConfig;
+use shelfjunction_http::HttpLimits;
 use std::net::{Ipv4Addr, SocketAddr};
 
 /// Largest factor between model time and real time.
 const MAXIMUM_TIME_SCALE: f64 = 1_000.0;
 
-/// Largest body that may be allowed, in bytes.
-const MAXIMUM_BODY_BYTES: u64 = 256 * 1024 * 1024;
-
-/// Most requests that may be allowed at the same time.
-const MAXIMUM_REQUESTS: u32 = 4_096;
+/// Wait for a KV cache to import, in milliseconds, unless set otherwise.
+const DEFAULT_IMPORT_MILLIS: u64 = 2_000;
 
 /// Longest wait that may be set, in milliseconds: ten minutes.
 const MAXIMUM_MILLIS: u64 = 600_000;
 
-/// Limits of the server.
+/// Where the engine loads weights from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct EngineServerLimits {
-    /// Requests served at the same time, each by a thread; more are refused as not run.
-    pub requests: u32,
-    /// Longest body, in bytes.
-    pub body_bytes: u64,
-    /// Longest wait for a reader that does not read, in milliseconds.
-    pub write_millis: u64,
-    /// Longest wait for a KV cache to import, in milliseconds.
-    pub import_millis: u64,
-}
-
-impl Default for EngineServerLimits {
-    fn default() -> Self {
-        Self {
-            requests: 512,
-            body_bytes: 16 * 1024 * 1024,
-            write_millis: 10_000,
-            import_millis: 2_000,
-        }
-    }
+#[serde(deny_unknown_fields)]
+pub struct WeightStoreConfig {
+    /// HTTP address of the platform.
+    pub platform: SocketAddr,
+    /// Size of one set of weights, in bytes.
+    pub weight_bytes: u64,
 }
 
 /// Settings of one stand-in engine.
@@ -58,7 +41,11 @@
     /// Decides which cache events are lost.
     pub seed: u64,
     /// Limits of the server.
-    pub limits: EngineServerLimits,
+    pub http: HttpLimits,
+    /// Longest wait for a KV cache to import, in milliseconds.
+    pub import_millis: u64,
+    /// Where weights come from; absent: they are at hand.
+    pub weight_store: Option<WeightStoreConfig>,
     /// The engine itself.
     pub model: EngineModelConfig,
 }
@@ -71,7 +58,9 @@
             time_scale: 1.0,
             incarnation: None,
             seed: 0,
-            limits: EngineServerLimits::default(),
+            http: HttpLimits::default(),
+            import_millis: DEFAULT_IMPORT_MILLIS,
+            weight_store: None,
             model: EngineModelConfig::default(),
         }
     }
@@ -99,21 +88,11 @@
             let allowed = format!("above 0, up to {MAXIMUM_TIME_SCALE}");
             report("time_scale", self.time_scale.to_string(), allowed);
         }
-        let limits = &self.limits;
-        for (field, value, most) in [
-            (
-                "limits.requests",
-                u64::from(limits.requests),
-                u64::from(MAXIMUM_REQUESTS),
-            ),
-            ("limits.body_bytes", limits.body_bytes, MAXIMUM_BODY_BYTES),
-            ("limits.write_millis", limits.write_millis, MAXIMUM_MILLIS),
-            ("limits.import_millis", limits.import_millis, MAXIMUM_MILLIS),
-        ] {
-            if !(1..=most).contains(&value) {
-                report(field, value.to_string(), format!("1 to {most}"));
-            }
+        if !(1..=MAXIMUM_MILLIS).contains(&self.import_millis) {
+            let allowed = format!("1 to {MAXIMUM_MILLIS}");
+            report("import_millis", self.import_millis.to_string(), allowed);
         }
+        errors.extend(self.http.validate("http"));
         errors
     }
 }
--- a/crates/lab/src/engine/mod.rs
+++ b/crates/lab/src/engine/mod.rs
@@ -11,8 +11,9 @@
 mod server;
 mod shared;
 mod stream;
+mod weights;
 
-pub use config::{EngineConfig, EngineServerLimits};
+pub use config::{EngineConfig, WeightStoreConfig};
 pub use faults::EngineServerFaults;
 pub use log::{EngineLog, OrderRecord};
 pub use server::{EngineHandle, EngineServer, StartError};
--- a/crates/lab/src/engine/routes.rs
+++ b/crates/lab/src/engine/routes.rs
@@ -1,7 +1,7 @@
 //! Which path is served by what.
 
 use shelfjunction_core::identity::RequestId;
-use tiny_http::Method;
+use shelfjunction_http::HttpRequest;
 
 /// What a request asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,31 +31,31 @@
 }
 
 impl Route {
-    /// Reads method and path.
-    pub fn parse(method: &Method, url: &str) -> Self {
-        let (path, query) = url.split_once('?').unwrap_or((url, ""));
-        match (method, path) {
-            (Method::Post, "/v1/calls") => Self::Call,
-            (Method::Post, "/control/orders") => Self::Order,
-            (Method::Get, "/control/status") => Self::Status,
-            (Method::Get, "/control/events") => number(query, "after").map_or(Self::Unknown, Self::Events),
-            (Method::Get, "/log") => Self::Log,
-            (Method::Post, "/faults") => Self::Faults,
-            _ => Self::parse_named(method, path, query),
+    /// Reads method, path and query.
+    pub fn parse(request: &HttpRequest) -> Self {
+        let query = request.query.as_str();
+        match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/v1/calls") => Self::Call,
+            ("POST", "/control/orders") => Self::Order,
+            ("GET", "/control/status") => Self::Status,
+            ("GET", "/control/events") => number(query, "after").map_or(Self::Unknown, Self::Events),
+            ("GET", "/log") => Self::Log,
+            ("POST", "/faults") => Self::Faults,
+            (method, path) => Self::parse_named(method, path, query),
         }
     }
 
-    fn parse_named(method: &Method, path: &str, query: &str) -> Self {
-        if let (Method::Get, Some(handle)) = (method, path.strip_prefix("/v1/kv/")) {
+    fn parse_named(method: &str, path: &str, query: &str) -> Self {
+        if let ("GET", Some(handle)) = (method, path.strip_prefix("/v1/kv/")) {
             return Self::Export(handle.to_owned());
         }
         let Some(rest) = path.strip_prefix("/v1/calls/") else {
             return Self::Unknown;
         };
         match (method, rest.strip_suffix("/state")) {
-            (Method::Get, Some(name)) => request_id(name).map_or(Self::Unknown, Self::State),
-            (Method::Delete, None) => request_id(rest).map_or(Self::Unknown, Self::Cancel),
-            (Method::Get, None) => match (request_id(rest), number(query, "offset")) {
+            ("GET", Some(name)) => request_id(name).map_or(Self::Unknown, Self::State),
+            ("DELETE", None) => request_id(rest).map_or(Self::Unknown, Self::Cancel),
+            ("GET", None) => match (request_id(rest), number(query, "offset")) {
                 (Some(request), Some(offset)) => {
                     Self::Answer(request, u32::try_from(offset).unwrap_or(u32::MAX))
                 }
--- a/crates/lab/src/engine/shared.rs
+++ b/crates/lab/src/engine/shared.rs
@@ -6,7 +6,7 @@
 use super::log::{EngineLog, OrderRecord};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_engine_model::EngineModel;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -60,8 +60,6 @@
     work: Condvar,
     /// Wakes the streams: parts may be there.
     progress: Condvar,
-    /// Requests being served.
-    pub active_requests: AtomicU32,
     malformed_requests: AtomicU64,
     stopping: AtomicBool,
 }
@@ -87,7 +85,6 @@
             guarded: Mutex::new(guarded),
             work: Condvar::new(),
             progress: Condvar::new(),
-            active_requests: AtomicU32::new(0),
             malformed_requests: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,5 +6,4 @@
 pub mod engine;
 pub mod http_engine;
 pub mod http_platform;
-pub mod listener;
 pub mod services;
