Pace the search for contents that nobody has

Cause: a head that names a bundle which does not exist stays a candidate, and each confirmation, four a second, set off another search at peers and the object store. Ruled out: forgetting such a head; it may be real and its contents late. Conclusion: the same missing contents are looked for after pauses that double up to 30 s.

--- a/crates/controller/src/bundle/exchange.rs
+++ b/crates/controller/src/bundle/exchange.rs
@@ -1,7 +1,8 @@
 //! Exchanges heads with peers: asks them now and then, tells them at once of a bundle that came into force.
 
+use super::fetch::Fetcher;
+use super::peers;
 use super::state::head_of;
-use super::{fetch, peers};
 use crate::backoff::spread;
 use crate::config::millis;
 use crate::context::Context;
@@ -24,6 +25,7 @@
 /// Exchanges heads until the controller stops.
 pub fn run(context: &Context) {
     let mut ask_at = context.now();
+    let mut fetcher = Fetcher::default();
     loop {
         let wait = ask_at.since(context.now());
         let work = context.bundle.wait_for_work(wait);
@@ -37,7 +39,7 @@
             ask(context);
             ask_at = context.now() + next_ask(context);
         }
-        fetch::fetch_wanted(context);
+        fetcher.run(context);
     }
 }
 
--- a/crates/controller/src/bundle/fetch.rs
+++ b/crates/controller/src/bundle/fetch.rs
@@ -1,12 +1,15 @@
 //! Fetches the contents that the keeper misses: from peers first, then from the object store.
 
 use super::peers;
+use crate::backoff::Backoff;
 use crate::config::millis;
 use crate::context::Context;
 use crate::peer::client;
 use shelfjunction_core::bundle::Digest;
+use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_protocol::peer::{PeerRequest, PeerResponse};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Most contents asked for at once.
 const CONTENTS_PER_REQUEST: usize = 256;
@@ -17,24 +20,65 @@
 /// Most requests for one bundle; far above what any bundle needs.
 const MAXIMUM_REQUESTS: usize = 1_000;
 
-/// Fetches until nothing is missing, or until neither peers nor the store give anything more.
-pub fn fetch_wanted(context: &Context) {
-    for _ in 0..MAXIMUM_REQUESTS {
-        let mut wanted = context.bundle.wanted();
-        wanted.truncate(CONTENTS_PER_REQUEST);
-        if wanted.is_empty() || context.stop.is_set() {
+/// Longest wait before the same contents are looked for again.
+const LONGEST_PAUSE: Duration = Duration::from_secs(30);
+
+/// Shortest wait before the same contents are looked for again.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Paces the search for contents that nobody has, as when a peer names a bundle that does not exist.
+#[derive(Debug)]
+pub struct Fetcher {
+    missed: Vec<Digest>,
+    backoff: Backoff,
+    retry_at: MonotonicTime,
+}
+
+impl Default for Fetcher {
+    fn default() -> Self {
+        Self {
+            missed: Vec::new(),
+            backoff: Backoff::new(SHORTEST_PAUSE, LONGEST_PAUSE),
+            retry_at: MonotonicTime::default(),
+        }
+    }
+}
+
+impl Fetcher {
+    /// Fetches what is missing, unless the same was looked for in vain a short while ago.
+    pub fn run(&mut self, context: &Context) {
+        let wanted = context.bundle.wanted();
+        if wanted.is_empty() || (wanted == self.missed && context.now() < self.retry_at) {
             return;
         }
+        if wanted != self.missed {
+            self.backoff.succeeded();
+        }
+        self.missed = fetch(context);
+        self.retry_at = context.now() + self.backoff.failed();
+    }
+}
+
+/// Fetches until nothing is missing, or until neither peers nor the store give anything more; gives what is left.
+fn fetch(context: &Context) -> Vec<Digest> {
+    for _ in 0..MAXIMUM_REQUESTS {
+        let missing = context.bundle.wanted();
+        if missing.is_empty() || context.stop.is_set() {
+            return missing;
+        }
+        let mut wanted = missing.clone();
+        wanted.truncate(CONTENTS_PER_REQUEST);
         let candidates = peers::all(context);
         let (first, rest) = candidates.split_at(candidates.len().min(PEERS_BEFORE_STORE));
         let progressed = first.iter().any(|peer| from_peer(context, peer.address, &wanted))
             || from_store(context, &wanted)
             || rest.iter().any(|peer| from_peer(context, peer.address, &wanted));
         if !progressed {
-            log::warn!(contents = wanted.len(); "bundle_contents_unreachable");
-            return;
+            log::warn!(contents = missing.len(); "bundle_contents_unreachable");
+            return missing;
         }
     }
+    context.bundle.wanted()
 }
 
 fn from_peer(context: &Context, address: SocketAddr, wanted: &[Digest]) -> bool {
--- a/crates/controller/tests/bundle_distribution.rs
+++ b/crates/controller/tests/bundle_distribution.rs
@@ -1,5 +1,5 @@
-//! A bundle reaches every zone, so does the one after it, and a controller that starts while the
-//! platform is down takes the bundle from its peers and is vouched for by another zone.
+//! A bundle reaches every zone, so does the one after it, whatever a peer names that nobody has, and a controller
+//! that starts while the platform is down takes the bundle from its peers and is vouched for by another zone.
 #![allow(clippy::unwrap_used)]
 
 mod support;
@@ -49,6 +49,20 @@
     }
 }
 
+/// Names a bundle that nobody has.
+fn announce_missing(address: SocketAddr, generation: Generation) {
+    let head = BundleHead {
+        generation,
+        manifest: [0xab; 32],
+        confirmed_millis_ago: 0,
+    };
+    let answer = client::ask(address, &PeerRequest::AnnounceHead(head), STUCK).unwrap();
+    let PeerResponse::Head(Some(held)) = answer else {
+        panic!("{answer:?}");
+    };
+    assert_eq!(held.generation, Generation(1));
+}
+
 #[test]
 fn an_accepted_bundle_reaches_every_zone_and_outlives_the_platform() {
     let platform = PlatformServer::start(PlatformConfig::default()).unwrap();
@@ -69,6 +83,9 @@
     for controller in &first {
         assert!(controller.wait_generation(Generation(1), STUCK));
     }
+    for generation in 40..45 {
+        announce_missing(first[0].peer_address(), Generation(generation));
+    }
     let operator: OperatorId = fleet.deployment.operators()[0].clone();
     let mut changed = fleet.deployment.bundle.clone();
     changed.label = "second".to_owned();
--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -386,3 +386,18 @@
         .collect();
     assert_eq!(asked, [views[1].engine.clone()]);
 }
+
+#[test]
+fn a_load_waits_for_the_weight_stores_queue() {
+    let mut models = models();
+    models[0].version = WeightVersion::new("2");
+    let views = [Engine::new(0).view()];
+    let asked = |queue: Option<u64>| {
+        let mut queues = WeightQueues::new(500);
+        if let Some(millis) = queue {
+            queues.note(ModelId::new("model"), WeightVersion::new("2"), millis);
+        }
+        roll_requests(&views, &models, &queues).len()
+    };
+    assert_eq!([asked(None), asked(Some(501)), asked(Some(500))], [0, 0, 1]);
+}
