Prove that a change begun by a frozen holder is finished by the next

Cause: nothing showed that the goal in an engine's row outlives its holder. Ruled out: the in-memory demand as a cause; the second holder is told of none.

--- a/crates/controller/tests/support/gate.rs
+++ b/crates/controller/tests/support/gate.rs
@@ -1,7 +1,7 @@
 //! Holds a process's calls back, as when the process is stopped in the middle of one.
 #![allow(clippy::unwrap_used, dead_code)]
 
-use shelfjunction_core::engine::{EngineCall, EngineStatus, Order, OrderReply, RunState};
+use shelfjunction_core::engine::{EngineCall, EngineStatus, Order, OrderAction, OrderReply, RunState};
 use shelfjunction_core::identity::RequestId;
 use shelfjunction_core::table::{PlatformError, Row, RowKey, Transaction, TransactionOutcome};
 use shelfjunction_platform::engine::{AnswerStream, CallError, ControlError, EngineClient, KvEventBatch};
@@ -80,10 +80,11 @@
     }
 }
 
-/// Engines behind a gate for orders.
+/// Engines behind a gate for every order and one for role changes alone.
 pub struct GatedEngines {
     pub inner: Arc<dyn EngineClient>,
     pub orders: Arc<Gate>,
+    pub role_changes: Arc<Gate>,
 }
 
 impl EngineClient for GatedEngines {
@@ -106,6 +107,9 @@
     }
     fn order(&self, address: SocketAddr, order: &Order) -> Result<OrderReply, ControlError> {
         self.orders.pass();
+        if matches!(order.action, OrderAction::ChangeRole { .. }) {
+            self.role_changes.pass();
+        }
         self.inner.order(address, order)
     }
     fn status(&self, address: SocketAddr) -> Result<EngineStatus, ControlError> {
--- a/crates/controller/tests/takeover.rs
+++ b/crates/controller/tests/takeover.rs
@@ -80,6 +80,7 @@
             engines: Arc::new(GatedEngines {
                 inner: self.engines.clone(),
                 orders: Arc::clone(orders),
+                role_changes: Arc::default(),
             }),
         };
         let lease = LeaseTimings {
