Prove by an example that a committed goal is carried on

Figures: the new example, without threads, fails with the fault planted and passes without it. Conclusion: the example guards the rule; the test over processes shows the whole course.

--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -401,3 +401,22 @@
     };
     assert_eq!([asked(None), asked(Some(501)), asked(Some(500))], [0, 0, 1]);
 }
+
+#[test]
+fn a_goal_that_an_earlier_holder_committed_is_carried_on() {
+    let mut zone = Zone::new();
+    zone.engines[0].draining = true;
+    zone.engines[0].goal = Some(EngineGoal {
+        role: Role::Prefill,
+        weights: vec![weights(1)],
+        draining: false,
+    });
+    for _ in 0..20 {
+        zone.step();
+    }
+    assert_eq!(zone.ended, [ChangeOutcome::Completed]);
+    assert_eq!(
+        (zone.engines[0].role, zone.engines[0].draining),
+        (Role::Prefill, false)
+    );
+}
