Hold requests back by places in the batches and leave prefix holders to each gateway

Cause: requests waited at decode engines in order of arrival, past the classes; and work sent for a cached prefix was taken for what other gateways send too.

--- a/crates/core/src/admission/config.rs
+++ b/crates/core/src/admission/config.rs
@@ -18,6 +18,8 @@
     pub window_seconds: f64,
     /// Backlog at the engines below which a gateway may go beyond its part of the window, in seconds.
     pub borrow_below_seconds: f64,
+    /// Requests that may be at the engines before others wait here instead, relative to the places in their batches.
+    pub window_places: f64,
     /// Part of windows and limits that standard requests may fill, from zero to one.
     pub standard_part: f64,
     /// Part of windows and limits that batch requests may fill, from zero to one.
@@ -36,8 +38,9 @@
             burst_seconds: 2.0,
             queued_per_tenant: 256,
             queued_per_model: 2_048,
-            window_seconds: 0.5,
-            borrow_below_seconds: 0.25,
+            window_seconds: 2.0,
+            borrow_below_seconds: 0.5,
+            window_places: 1.0,
             standard_part: 0.9,
             batch_part: 0.7,
             aging_seconds: 10.0,
@@ -81,8 +84,9 @@
         }
     }
 
-    fn positive_settings(&self) -> [(&'static str, f64); 6] {
+    fn positive_settings(&self) -> [(&'static str, f64); 7] {
         [
+            ("admission.window_places", self.window_places),
             ("admission.burst_seconds", self.burst_seconds),
             ("admission.window_seconds", self.window_seconds),
             ("admission.borrow_below_seconds", self.borrow_below_seconds),
--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -15,6 +15,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+/// Part of the engines' places in use below which a gateway may go beyond its part of them.
+const BORROWED_PLACES: f64 = 0.8;
+
 #[derive(Clone, Debug)]
 struct Admitted {
     tenant: TenantId,
@@ -299,16 +302,21 @@
 }
 
 impl ModelGate {
-    /// Whether one more request of the class may go to the engines.
+    /// Whether one more request of the class may go to the engines: within this gateway's part of the windows, or
+    /// beyond it while the engines have little to do.
     fn is_open(&self, class: ServiceClass, config: &AdmissionConfig) -> bool {
         let Some(capacity) = self.capacity else {
             return true;
         };
-        if self.started == 0 || capacity.backlog_seconds < config.borrow_below_seconds * config.part(class) {
-            return true;
-        }
-        let window = config.window_seconds * config.part(class) / f64::from(capacity.gateways.max(1));
-        self.prefill_in_flight < window * capacity.prefill_tokens_per_second
+        let part = config.part(class);
+        let own_part = part / f64::from(capacity.gateways.max(1));
+        let window = config.window_seconds * capacity.prefill_tokens_per_second;
+        let places = config.window_places * capacity.sequence_places;
+        let prefill_open = self.prefill_in_flight < window * own_part
+            || capacity.backlog_seconds < config.borrow_below_seconds * part;
+        let places_open = (self.started as f64) < places * own_part
+            || capacity.requests_at_engines < places * part * BORROWED_PLACES;
+        self.started == 0 || (prefill_open && places_open)
     }
 
     fn enter(&mut self, admitted: &Admitted) {
--- a/crates/core/src/admission/query.rs
+++ b/crates/core/src/admission/query.rs
@@ -47,6 +47,10 @@
     pub decode_tokens_per_second: f64,
     /// Mean time that prompts wait at engines now, in seconds.
     pub backlog_seconds: f64,
+    /// Sequences that can decode at once, over all engines that decode.
+    pub sequence_places: f64,
+    /// Requests that run or wait at those engines now.
+    pub requests_at_engines: f64,
     /// Gateways that share the engines.
     pub gateways: u32,
 }
--- a/crates/core/src/roles/goodput.rs
+++ b/crates/core/src/roles/goodput.rs
@@ -163,13 +163,14 @@
         let busy = (on_mixed / shared_speed).min(1.0);
         let starts = self.starts(placement.prompts_on_mixed, shared_speed);
         let run_steps = mean_prompt_steps(self.demand, profile);
-        let served = self.demand.iter().zip(starts).map(|(class, start)| {
+        let served = self.demand.iter().enumerate().map(|(index, class)| {
+            let start = starts[index];
             let limit = token_limit(class);
             let steps = class.output_tokens / class.requests;
             let on_shared = mean_below_limit(idle_step, busy_step, busy, steps / run_steps, limit);
             let on_alone = below_limit(alone.token_seconds, limit);
-            let in_time = placement.outputs_on_mixed * shared.served.min(start) * on_shared
-                + alone_part * alone.served.min(start) * on_alone;
+            let in_time = placement.outputs_on_mixed * shared.places[index].min(start) * on_shared
+                + alone_part * alone.places[index].min(start) * on_alone;
             class.requests * in_time
         });
         served.sum()
@@ -218,12 +219,13 @@
 struct DecodeState {
     sequences: f64,
     token_seconds: f64,
-    served: f64,
+    /// For each class, the chance of a place in a batch in time.
+    places: Vec<f64>,
 }
 
 impl DecodeState {
     /// Where the batches of some engines settle when they get a part of the outputs and prompts take the given part
-    /// of their time.
+    /// of their time. Places go to the higher classes first.
     fn settle(
         part: f64,
         engines: f64,
@@ -231,34 +233,46 @@
         demand: &[ClassDemand],
         profile: &EngineProfile,
     ) -> Self {
-        let output_tokens: f64 = demand.iter().map(|class| class.output_tokens).sum();
-        let per_engine = per_engine(part * output_tokens, engines);
         let left = 1.0 - prompt_time;
-        let slack = left - per_engine * profile.step_sequence_seconds;
-        let wanted = if slack > 0.0 {
-            per_engine * profile.step_base_seconds / slack
-        } else {
-            f64::INFINITY
-        };
-        let sequences = wanted.min(profile.batch_sequences);
-        let token_seconds = profile.decode_step(sequences) / left;
-        let most = sequences / token_seconds;
-        let fits = if per_engine > 0.0 {
-            (most / per_engine).min(1.0)
-        } else {
-            1.0
-        };
-        let spread = PLACES_SPREAD * sequences.sqrt().max(1.0) / LOGISTIC_WIDTH;
-        let place = 1.0 / (1.0 + ((sequences - profile.batch_sequences) / spread).exp());
-        let served = fits * place;
+        let full = profile.batch_sequences;
+        let most = full * left / profile.decode_step(full);
+        let mut outputs = 0.0;
+        let mut places = Vec::with_capacity(demand.len());
+        for class in demand {
+            let own = per_engine(part * class.output_tokens, engines);
+            let fits = if own > 0.0 {
+                ((most - outputs) / own).clamp(0.0, 1.0)
+            } else {
+                1.0
+            };
+            outputs += own;
+            places.push(fits * place_chance(settled_sequences(outputs, left, profile), full));
+        }
+        let sequences = settled_sequences(outputs, left, profile).min(full);
         Self {
             sequences,
-            token_seconds,
-            served,
+            token_seconds: profile.decode_step(sequences) / left,
+            places,
         }
     }
 }
 
+/// Sequences at which a batch settles under a rate of output tokens; twice what fits when it never does.
+fn settled_sequences(output_tokens: f64, left: f64, profile: &EngineProfile) -> f64 {
+    let most = 2.0 * profile.batch_sequences;
+    let slack = left - output_tokens * profile.step_sequence_seconds;
+    if slack <= 0.0 {
+        return most;
+    }
+    (output_tokens * profile.step_base_seconds / slack).min(most)
+}
+
+/// Chance that fewer sequences are there than places when they vary around their mean.
+fn place_chance(sequences: f64, places: f64) -> f64 {
+    let spread = PLACES_SPREAD * sequences.sqrt().max(1.0) / LOGISTIC_WIDTH;
+    1.0 / (1.0 + ((sequences - places) / spread).exp())
+}
+
 /// For each class, the chance that its prompts are computed in time, what is refused early included.
 fn start_chances(part: f64, engines: f64, speed: f64, demand: &[ClassDemand]) -> Vec<f64> {
     if engines == 0.0 {
--- /dev/null
+++ b/crates/core/src/routing/capacity.rs
@@ -0,0 +1,44 @@
+//! What some engines can do together, as admission needs it.
+
+use super::view::EngineView;
+use super::weights::RoutingWeights;
+use crate::admission::ModelCapacity;
+use crate::engine::Role;
+use crate::service_class::ServiceClass;
+use crate::time::MonotonicTime;
+
+/// Sums over engines; `others` is the work of other gateways that one piece of own unreported work stands for.
+pub(super) fn sum<'a>(
+    engines: impl Iterator<Item = &'a EngineView>,
+    weights: &RoutingWeights,
+    gateways: u32,
+    others: f64,
+    now: MonotonicTime,
+) -> ModelCapacity {
+    let mut capacity = ModelCapacity {
+        prefill_tokens_per_second: 0.0,
+        decode_tokens_per_second: 0.0,
+        backlog_seconds: 0.0,
+        sequence_places: 0.0,
+        requests_at_engines: 0.0,
+        gateways,
+    };
+    let mut queued = 0.0;
+    for view in engines {
+        let load = view.load();
+        let queues = view.queues(ServiceClass::Batch, weights, others, now);
+        if view.role() != Role::Decode {
+            capacity.prefill_tokens_per_second += load.prefill_tokens_per_second as f64;
+            queued += queues.prefill_tokens;
+        }
+        if view.role() != Role::Prefill {
+            capacity.decode_tokens_per_second += load.decode_tokens_per_second as f64;
+            capacity.sequence_places += weights.batch_places;
+            capacity.requests_at_engines += queues.requests;
+        }
+    }
+    if capacity.prefill_tokens_per_second > 0.0 {
+        capacity.backlog_seconds = queued / capacity.prefill_tokens_per_second;
+    }
+    capacity
+}
--- a/crates/core/src/routing/cost.rs
+++ b/crates/core/src/routing/cost.rs
@@ -21,7 +21,7 @@
 //! ```
 //!
 //! Queues come from the last report, less what was worked off since, plus what this gateway sent since, once for
-//! itself and `w.alike_choices` times for each other gateway. A report
+//! itself and `w.alike_choices` times for each other gateway, unless it went there for a cached prefix. A report
 //! loses half of its say every `w.report_half_life_seconds`; the mean of comparable candidates takes the rest.
 
 use super::query::RouteQuery;
@@ -68,7 +68,7 @@
         view: &'a EngineView,
         query: &RouteQuery,
         weights: &RoutingWeights,
-        senders: f64,
+        others: f64,
         now: MonotonicTime,
     ) -> Self {
         let load = view.load();
@@ -76,7 +76,7 @@
             engine,
             view,
             uncached_tokens: uncached_tokens(view, query, weights),
-            queues: view.queues(query.class, weights, senders, now),
+            queues: view.queues(query.class, weights, others, now),
             prefill_speed: speed(
                 load.prefill_tokens_per_second,
                 weights.assumed_prefill_tokens_per_second,
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -12,6 +12,8 @@
 pub mod view;
 pub mod weights;
 
+mod capacity;
+
 pub use query::{DispatchTicket, FinishedWork, Route, RouteEstimate, RouteQuery, RouteTarget};
 pub use router::KvRouter;
 pub use weights::RoutingWeights;
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -89,7 +89,7 @@
         let mut expected_first_token = Duration::ZERO;
         let mut expected_cached_tokens = 0;
         if let Some((engine, view)) = self.engines.get_key_value(engine) {
-            let work = sent_work(engine, view, query, &self.weights, self.senders(), now);
+            let work = sent_work(engine, view, query, &self.weights, self.others(), now);
             expected_first_token = work.expected_first_token;
             let computed = work.prefill_tokens.min(f64::from(query.prompt_tokens)) as u32;
             expected_cached_tokens = query.prompt_tokens - computed;
@@ -197,34 +197,13 @@
         })
     }
 
-    /// What the engines that hold a model can do, for the admission of one gateway among several.
+    /// What the engines that hold a model can do and have to do, for the admission of one gateway among several.
     pub fn capacity(&self, model: &ModelId, now: MonotonicTime) -> ModelCapacity {
-        let mut capacity = ModelCapacity {
-            prefill_tokens_per_second: 0.0,
-            decode_tokens_per_second: 0.0,
-            backlog_seconds: 0.0,
-            gateways: self.gateways,
-        };
-        let mut queued = 0.0;
-        for view in self.engines.values() {
-            if !view.takes_new_work() || !view.holds_model(model) {
-                continue;
-            }
-            let load = view.load();
-            if view.role() != Role::Decode {
-                capacity.prefill_tokens_per_second += load.prefill_tokens_per_second as f64;
-                queued += view
-                    .queues(ServiceClass::Batch, &self.weights, self.senders(), now)
-                    .prefill_tokens;
-            }
-            if view.role() != Role::Prefill {
-                capacity.decode_tokens_per_second += load.decode_tokens_per_second as f64;
-            }
-        }
-        if capacity.prefill_tokens_per_second > 0.0 {
-            capacity.backlog_seconds = queued / capacity.prefill_tokens_per_second;
-        }
-        capacity
+        let serving = self
+            .engines
+            .values()
+            .filter(|view| view.takes_new_work() && view.holds_model(model));
+        super::capacity::sum(serving, &self.weights, self.gateways, self.others(), now)
     }
 
     /// The router's view of an engine.
@@ -237,16 +216,16 @@
         self.engines.iter()
     }
 
-    /// Pieces of work that one piece of own unreported work stands for.
-    fn senders(&self) -> f64 {
-        1.0 + self.weights.alike_choices * f64::from(self.gateways - 1)
+    /// Pieces of other gateways' work that one piece of own unreported work stands for.
+    fn others(&self) -> f64 {
+        self.weights.alike_choices * f64::from(self.gateways - 1)
     }
 
     fn candidates<'a>(&'a self, query: &RouteQuery, now: MonotonicTime) -> Vec<Candidate<'a>> {
         self.engines
             .iter()
             .filter(|(engine, view)| self.may_take(engine, view, query, now))
-            .map(|(engine, view)| Candidate::new(engine, view, query, &self.weights, self.senders(), now))
+            .map(|(engine, view)| Candidate::new(engine, view, query, &self.weights, self.others(), now))
             .collect()
     }
 
@@ -354,10 +333,10 @@
     view: &EngineView,
     query: &RouteQuery,
     weights: &RoutingWeights,
-    senders: f64,
+    others: f64,
     now: MonotonicTime,
 ) -> SentWork {
-    let candidate = Candidate::new(engine, view, query, weights, senders, now);
+    let candidate = Candidate::new(engine, view, query, weights, others, now);
     let prefill_tokens = if candidate.runs_prompts() {
         candidate.uncached_tokens
     } else {
@@ -377,11 +356,19 @@
         expected_first_token: Duration::from_secs_f64(expected),
         expected_token: Duration::from_secs_f64(candidate.token_seconds(weights)),
         started: false,
+        cached_part: cached_part(&candidate, query),
         class: query.class,
         reported: false,
     }
 }
 
+fn cached_part(candidate: &Candidate<'_>, query: &RouteQuery) -> f64 {
+    if query.prompt_tokens == 0 {
+        return 0.0;
+    }
+    1.0 - candidate.uncached_tokens / f64::from(query.prompt_tokens)
+}
+
 /// Compares the time between tokens with what the engine's report promised; too few tokens say too little.
 fn observe_tokens(view: &mut EngineView, sent: &SentWork, work: &FinishedWork, now: MonotonicTime) {
     let Some(first_token) = work.first_token else {
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -40,6 +40,8 @@
     pub expected_token: Duration,
     /// Whether the first part came.
     pub started: bool,
+    /// Part of the prompt that the engine was believed to hold.
+    pub cached_part: f64,
     /// Class.
     pub class: ServiceClass,
     /// Whether a load report may include it already.
@@ -80,6 +82,13 @@
 /// Sums over the work sent that no load report may include yet.
 #[derive(Clone, Copy, Debug, Default)]
 struct Unreported {
+    own: UnreportedSum,
+    /// The part that any gateway would have sent there: not what went there for its cached prefix.
+    alike: UnreportedSum,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct UnreportedSum {
     /// Prompt tokens by class.
     prefill: [f64; 3],
     decode: f64,
@@ -88,20 +97,37 @@
 
 impl Unreported {
     fn add(&mut self, work: &SentWork) {
-        self.prefill[work.class.index()] += work.prefill_tokens;
-        self.decode += work.decode_tokens;
-        self.requests += 1.0;
+        self.own.add(work, 1.0);
+        self.alike.add(work, 1.0 - work.cached_part);
     }
 
     fn remove(&mut self, work: &SentWork) {
         self.remove_prefill(work);
-        self.decode = (self.decode - work.decode_tokens).max(0.0);
-        self.requests = (self.requests - 1.0).max(0.0);
+        self.own.remove(work, 1.0);
+        self.alike.remove(work, 1.0 - work.cached_part);
     }
 
     fn remove_prefill(&mut self, work: &SentWork) {
+        self.own.remove_prefill(work, 1.0);
+        self.alike.remove_prefill(work, 1.0 - work.cached_part);
+    }
+}
+
+impl UnreportedSum {
+    fn add(&mut self, work: &SentWork, part: f64) {
+        self.prefill[work.class.index()] += part * work.prefill_tokens;
+        self.decode += part * work.decode_tokens;
+        self.requests += part;
+    }
+
+    fn remove(&mut self, work: &SentWork, part: f64) {
+        self.decode = (self.decode - part * work.decode_tokens).max(0.0);
+        self.requests = (self.requests - part).max(0.0);
+    }
+
+    fn remove_prefill(&mut self, work: &SentWork, part: f64) {
         let prefill = &mut self.prefill[work.class.index()];
-        *prefill = (*prefill - work.prefill_tokens).max(0.0);
+        *prefill = (*prefill - part * work.prefill_tokens).max(0.0);
     }
 }
 
@@ -227,12 +253,12 @@
 
     /// Queues now as a request of a class meets them: the last report, less what was worked off since, plus what
     /// was sent since. Other gateways see the same reports and choose alike, so each piece of own work that is not
-    /// reported yet stands for `senders` pieces.
+    /// reported yet and did not go there for its cached prefix stands for `others` further pieces.
     pub fn queues(
         &self,
         class: ServiceClass,
         weights: &RoutingWeights,
-        senders: f64,
+        others: f64,
         now: MonotonicTime,
     ) -> QueueEstimate {
         let load = self.load();
@@ -250,19 +276,20 @@
             requests: f64::from(load.requests_in_flight) * decode_left,
         };
         if weights.count_sent_work {
-            self.add_unreported(class, senders, &mut queues);
+            self.add_unreported(class, others, &mut queues);
         }
         queues
     }
 
-    fn add_unreported(&self, class: ServiceClass, senders: f64, queues: &mut QueueEstimate) {
-        let unreported = &self.unreported;
-        let ahead: f64 = unreported.prefill[..=class.index()].iter().sum();
-        queues.prefill_tokens += senders * unreported.prefill.iter().sum::<f64>();
-        queues.prefill_tokens_ahead += senders * ahead;
-        queues.decode_tokens += senders * unreported.decode;
-        queues.sequences += senders * unreported.requests;
-        queues.requests += senders * unreported.requests;
+    fn add_unreported(&self, class: ServiceClass, others: f64, queues: &mut QueueEstimate) {
+        for (sum, times) in [(&self.unreported.own, 1.0), (&self.unreported.alike, others)] {
+            let ahead: f64 = sum.prefill[..=class.index()].iter().sum();
+            queues.prefill_tokens += times * sum.prefill.iter().sum::<f64>();
+            queues.prefill_tokens_ahead += times * ahead;
+            queues.decode_tokens += times * sum.decode;
+            queues.sequences += times * sum.requests;
+            queues.requests += times * sum.requests;
+        }
     }
 
     /// Factor by which the engine is slower than it reports, with requests that are overdue counted already.
--- a/crates/core/src/routing/weights.rs
+++ b/crates/core/src/routing/weights.rs
@@ -71,7 +71,7 @@
             prefix_overlap: 1.0,
             batch_waiting: 0.5,
             standard_waiting: 0.75,
-            report_half_life_seconds: 2.0,
+            report_half_life_seconds: 6.0,
             report_lag_seconds: 0.2,
             count_sent_work: true,
             correct_speeds: true,
--- a/crates/gateway/src/watch/capacity.rs
+++ b/crates/gateway/src/watch/capacity.rs
@@ -28,7 +28,7 @@
         return;
     };
     for rule in served.bundle.models.iter() {
-        let capacity = lock(&context.fleet).capacity(&rule.model, rule.kind);
+        let capacity = lock(&context.fleet).capacity(&rule.model, rule.kind, now);
         if let Some(capacity) = capacity {
             context.admission.set_capacity(&rule.model, capacity, now);
         }
--- a/crates/gateway/src/watch/fleet_view.rs
+++ b/crates/gateway/src/watch/fleet_view.rs
@@ -3,7 +3,6 @@
 use crate::identifiers::engine_tag;
 use shelfjunction_core::admission::ModelCapacity;
 use shelfjunction_core::bundle::content::ModelKind;
-use shelfjunction_core::engine::Role;
 use shelfjunction_core::identity::{EngineId, ModelId, NodeId, ZoneId};
 use shelfjunction_core::machine::MachineService;
 use shelfjunction_core::membership::record::{
@@ -106,35 +105,15 @@
     }
 
     /// What the live engines of a model can do, over every zone.
-    pub(crate) fn capacity(&self, model: &ModelId, kind: ModelKind) -> Option<ModelCapacity> {
-        let mut capacity = ModelCapacity {
-            prefill_tokens_per_second: 0.0,
-            decode_tokens_per_second: 0.0,
-            backlog_seconds: 0.0,
-            gateways: self.live_gateways(),
-        };
-        let mut queued = 0.0;
-        for (_, view) in self.router.engines() {
-            let Some(status) = view.status().filter(|_| view.takes_new_work()) else {
-                continue;
-            };
-            let holds = status.weights.iter().any(|weights| weights.model == *model);
-            if !holds || kind != ModelKind::Model || !is_alive_model_engine(&view.record) {
-                continue;
-            }
-            if status.role != Role::Decode {
-                capacity.prefill_tokens_per_second += status.load.prefill_tokens_per_second as f64;
-                queued += status.load.queued_prefill_tokens as f64;
-            }
-            if status.role != Role::Prefill {
-                capacity.decode_tokens_per_second += status.load.decode_tokens_per_second as f64;
-            }
-        }
-        if capacity.prefill_tokens_per_second <= 0.0 {
-            return None;
-        }
-        capacity.backlog_seconds = queued / capacity.prefill_tokens_per_second;
-        Some(capacity)
+    pub(crate) fn capacity(
+        &self,
+        model: &ModelId,
+        kind: ModelKind,
+        now: MonotonicTime,
+    ) -> Option<ModelCapacity> {
+        let capacity = self.router.capacity(model, now);
+        let serves = kind == ModelKind::Model && capacity.prefill_tokens_per_second > 0.0;
+        serves.then_some(capacity)
     }
 
     fn live_gateways(&self) -> u32 {
