--- a/crates/core/src/bundle/manifest.rs
+++ b/crates/core/src/bundle/manifest.rs
@@ -119,8 +119,13 @@
 
 /// Splits a bundle into its canonical parts and their manifest.
 pub fn pack(bundle: &Bundle) -> PackedBundle {
+    pack_into(bundle, bucket_count(bundle.tenants.len()))
+}
+
+/// Splits a bundle as [`pack`] does, with a given number of tenant buckets; for measuring other sizes.
+pub fn pack_into(bundle: &Bundle, bucket_count: usize) -> PackedBundle {
     let bundle = canonical::sorted(bundle.clone());
-    let buckets = split_tenants(bundle.tenants);
+    let buckets = split_tenants(bundle.tenants, bucket_count.max(1));
     let mut contents = Vec::new();
     let mut add = |part: Part| push_content(&mut contents, canonical::to_bytes(&part));
     let fleet = add(Part::Fleet(bundle.fleet));
@@ -144,8 +149,7 @@
     PackedBundle { manifest, contents }
 }
 
-fn split_tenants(tenants: Vec<TenantRule>) -> Vec<Vec<TenantRule>> {
-    let count = bucket_count(tenants.len());
+fn split_tenants(tenants: Vec<TenantRule>, count: usize) -> Vec<Vec<TenantRule>> {
     let mut buckets = vec![Vec::new(); count];
     for rule in tenants {
         buckets[tenant_bucket(&rule.tenant, count)].push(rule);
