--- a/crates/controller/src/command/planning.rs
+++ b/crates/controller/src/command/planning.rs
@@ -1,13 +1,17 @@
 //! What each engine of the zone is wanted to be, decided while the lease is held.
 
-use super::planner_input;
+use super::planner_input::{self, PlanningFacts};
+use super::status_board::StatusBoard;
 use crate::config::millis;
 use crate::context::Context;
+use crate::demand;
 use crate::fleet::{self, KnownEngine};
 use shelfjunction_core::bundle::BundleInForce;
+use shelfjunction_core::demand::{DemandHistory, DemandOutlook};
 use shelfjunction_core::drain::{
     ChangeCoordinator, ChangeDecision, ChangeLimits, ChangeOutcome, ChangeRequest, EngineView, roll_requests,
 };
+use shelfjunction_core::engine::EngineStatus;
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::orders::{CommanderEvent, ZoneCommander};
 use shelfjunction_core::roles::{EngineProfile, Planner};
@@ -23,7 +27,9 @@
     role_requests: Vec<ChangeRequest>,
     changed_at: BTreeMap<EngineId, MonotonicTime>,
     profile: EngineProfile,
+    demand_history: DemandHistory,
     plan_at: MonotonicTime,
+    held_since: MonotonicTime,
 }
 
 impl Planning {
@@ -34,20 +40,36 @@
             role_requests: Vec::new(),
             changed_at: BTreeMap::new(),
             profile: EngineProfile::default(),
+            demand_history: DemandHistory::default(),
             plan_at: context.now(),
+            held_since: context.now(),
         }
     }
 
+    /// Engines whose change is under way.
+    pub fn changing(&self) -> Vec<EngineId> {
+        self.coordinator.changing().cloned().collect()
+    }
+
+    /// Takes in that an engine can't carry an order out.
+    pub fn on_rejected(&mut self, engine: &EngineId) {
+        self.coordinator.on_rejected(engine);
+    }
+
     /// Decides once and gives what the commander is to be told.
     pub fn step(
         &mut self,
         context: &Context,
         commander: &ZoneCommander,
+        statuses: &StatusBoard,
         now: MonotonicTime,
     ) -> Vec<CommanderEvent> {
         let bundle = context.bundle.in_force();
         let known = fleet::zone_engines(context);
-        let views: Vec<EngineView> = known.iter().map(|known| view(known, commander)).collect();
+        let views: Vec<EngineView> = known
+            .iter()
+            .map(|known| view(known, commander, statuses.get(&known.engine, now)))
+            .collect();
         let models = bundle
             .as_ref()
             .map(|bundle| bundle.models.as_slice())
@@ -65,6 +87,14 @@
             .collect()
     }
 
+    /// Demand over the planner's horizon, from the present reports and what this holder has seen before.
+    fn outlook(&mut self, context: &Context, bundle: &BundleInForce, now: MonotonicTime) -> DemandOutlook {
+        let present = demand::total(context);
+        self.demand_history.record(&present, now);
+        let horizon = millis(bundle.fleet.roles.horizon_millis);
+        self.demand_history.outlook(&present, horizon)
+    }
+
     fn plan_when_due(
         &mut self,
         context: &Context,
@@ -79,8 +109,19 @@
         for status in zone_engines.iter().filter_map(KnownEngine::live_status) {
             self.profile.learn(status.role, &status.load);
         }
-        let changing: Vec<EngineId> = self.coordinator.changing().cloned().collect();
-        let input = planner_input::build(context, bundle, self.profile, &changing, &self.changed_at, now);
+        let demand = self.outlook(context, bundle, now);
+        let targets = self
+            .coordinator
+            .targets()
+            .map(|(engine, goal)| (engine.clone(), goal.role));
+        let facts = PlanningFacts {
+            profile: self.profile,
+            demand,
+            targets: targets.collect(),
+            changed_at: &self.changed_at,
+            held_since: self.held_since,
+        };
+        let input = planner_input::build(context, bundle, facts, now);
         let changes = Planner::plan(&input);
         for change in &changes {
             log::info!(
@@ -130,12 +171,12 @@
     }
 }
 
-fn view(known: &KnownEngine, commander: &ZoneCommander) -> EngineView {
+fn view(known: &KnownEngine, commander: &ZoneCommander, status: Option<&EngineStatus>) -> EngineView {
     EngineView {
         engine: known.engine.clone(),
         kind: known.kind(),
         leaving: known.is_leaving(),
-        status: known.live_status().cloned(),
+        status: status.cloned(),
         goal: commander.goal(&known.engine).cloned(),
     }
 }
