--- a/crates/cli/src/operator/client.rs
+++ b/crates/cli/src/operator/client.rs
@@ -6,9 +6,10 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use shelfjunction_core::setting::FieldError;
-use shelfjunction_protocol::operator::AdminError;
+use shelfjunction_protocol::operator::{AdminError, AdminErrorCode};
 use std::net::SocketAddr;
 use std::path::Path;
+use std::thread;
 use std::time::Duration;
 use ureq::http::{Request, Response};
 use ureq::{Agent, Body};
@@ -19,6 +20,12 @@
 /// Longest wait for a whole answer; a proposal of a large bundle stores many parts first.
 const CALL_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Times a call is sent again to a gateway that has not caught up with the bundle in force.
+const ATTEMPTS_WHILE_BEHIND: u32 = 40;
+
+/// Pause before each of them; together they take as long as a bundle needs at most to be in force.
+const PAUSE_WHILE_BEHIND: Duration = Duration::from_millis(250);
+
 /// Longest answer that is read, in bytes.
 const MAXIMUM_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
 
@@ -95,7 +102,25 @@
         self.send("POST", path, body)
     }
 
+    /// Sends a call, again while the gateway says that it is behind: it has then changed nothing.
     fn send<R: DeserializeOwned>(&self, method: &str, path: &str, body: Vec<u8>) -> Result<R, CommandError> {
+        for _ in 0..ATTEMPTS_WHILE_BEHIND {
+            match self.send_once(method, path, body.clone()) {
+                Err(CommandError::Refused(error)) if error.code == AdminErrorCode::Behind => {
+                    thread::sleep(PAUSE_WHILE_BEHIND);
+                }
+                answered => return answered,
+            }
+        }
+        self.send_once(method, path, body)
+    }
+
+    fn send_once<R: DeserializeOwned>(
+        &self,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<R, CommandError> {
         let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{}/admin/{path}", self.gateway));
--- a/crates/cli/src/operator/print.rs
+++ b/crates/cli/src/operator/print.rs
@@ -4,6 +4,7 @@
 use crate::exit::CommandError;
 use serde::Serialize;
 use shelfjunction_core::bundle::acceptance::{HistoryRow, ProposalRow};
+use shelfjunction_core::engine::{LoadReport, LoadedWeights, OrderProgress};
 use shelfjunction_protocol::operator::{
     EngineView, HistoryReply, NodeView, ProposalReply, ProposalsReply, RequestView, RolloutReply,
     StatusReply, UsageReply,
@@ -153,7 +154,16 @@
     let rows: Vec<Vec<String>> = engines.iter().map(engine_line).collect();
     table::render(
         &[
-            "ENGINE", "ZONE", "STATE", "ROLE", "ORDERS", "FENCE", "WEIGHTS", "LOAD", "AGE MS",
+            "ENGINE",
+            "ZONE",
+            "STATE",
+            "ROLE",
+            "SERVICE",
+            "FENCE",
+            "ORDER",
+            "WEIGHTS",
+            "IN FLIGHT / PREFILL / DECODE",
+            "AGE MS",
         ],
         &rows,
     )
@@ -167,13 +177,9 @@
         name(&record.liveness),
     ];
     match &record.status {
-        None => line.extend([NONE; 5].map(str::to_owned)),
+        None => line.extend([NONE; 6].map(str::to_owned)),
         Some(status) => {
-            let weights: Vec<String> = status
-                .weights
-                .iter()
-                .map(|weights| format!("{}@{}", weights.model, weights.version))
-                .collect();
+            let weights: Vec<String> = status.weights.iter().map(weights).collect();
             let state = match (status.changing, status.draining) {
                 (true, _) => "changing",
                 (false, true) => "draining",
@@ -183,6 +189,7 @@
                 name(&status.role),
                 state.to_owned(),
                 status.fence.to_string(),
+                last_order(status.last_order.as_ref()),
                 weights.join(","),
                 load(&status.load),
             ]);
@@ -192,8 +199,29 @@
     line
 }
 
-fn load(report: &shelfjunction_core::engine::LoadReport) -> String {
-    serde_json::to_string(report).unwrap_or_default()
+/// Requests in flight, and the tokens that wait for prefill and for decode.
+fn load(report: &LoadReport) -> String {
+    format!(
+        "{} / {} / {}",
+        report.requests_in_flight, report.queued_prefill_tokens, report.queued_decode_tokens
+    )
+}
+
+/// Position of the last order under its fencing token, and whether it is carried out.
+fn last_order(progress: Option<&OrderProgress>) -> String {
+    progress.map_or(NONE.to_owned(), |progress| {
+        let state = if progress.done { "done" } else { "under way" };
+        format!("{} {state}", progress.sequence.0)
+    })
+}
+
+fn weights(loaded: &LoadedWeights) -> String {
+    let adapters: String = loaded
+        .adapters
+        .iter()
+        .map(|adapter| format!("+{adapter}"))
+        .collect();
+    format!("{}@{}{adapters}", loaded.model, loaded.version)
 }
 
 /// Use by tenant.
--- a/crates/gateway/src/admin/proposals.rs
+++ b/crates/gateway/src/admin/proposals.rs
@@ -24,6 +24,7 @@
     request: &ProposeRequest,
 ) -> Result<ProposalReply, AdminError> {
     access.require(OperatorAction::Propose)?;
+    require_current(context, access)?;
     let in_force = access.bundle.generation();
     if let Some(base) = request.base
         && base != in_force
@@ -54,6 +55,7 @@
     request: &RollbackRequest,
 ) -> Result<ProposalReply, AdminError> {
     access.require(OperatorAction::Rollout)?;
+    require_current(context, access)?;
     let earlier = storage::read_history(context, request.to)?.ok_or_else(|| {
         errors::error(
             AdminErrorCode::NotFound,
@@ -106,6 +108,21 @@
     ))
 }
 
+/// Refuses while the bundle in force here is not the current one: a proposal on top of it could only lose.
+fn require_current(context: &dyn AdminContext, access: &Access) -> Result<(), AdminError> {
+    let in_force = access.bundle.generation();
+    match storage::read_current(context)? {
+        Some(current) if current.value.generation > in_force => Err(errors::error(
+            AdminErrorCode::Behind,
+            format!(
+                "generation {} is current and generation {in_force} is in force here; try again in a moment",
+                current.value.generation
+            ),
+        )),
+        _ => Ok(()),
+    }
+}
+
 /// Reads a proposal.
 pub fn show(
     context: &dyn AdminContext,
--- a/crates/gateway/tests/admin.rs
+++ b/crates/gateway/tests/admin.rs
@@ -493,6 +493,27 @@
     assert_eq!(history[2].manifest, history[0].manifest);
 }
 
+#[test]
+fn a_gateway_that_is_behind_makes_no_proposal() {
+    let (_, gateway, _) = started();
+    let second = gateway.propose_and_sign("alice", "second").unwrap();
+    gateway
+        .roll_out("alice", &second.proposal.statement.proposal)
+        .unwrap();
+    // The gateway has accepted generation 2 and does not hold it yet.
+    let rollback: Result<ProposalReply, AdminError> = gateway.post(
+        "/admin/rollback",
+        Some(&token("alice")),
+        &RollbackRequest { to: Generation(1) },
+    );
+    assert_eq!(rollback.unwrap_err().code, AdminErrorCode::Behind);
+    let proposed = gateway.propose_and_sign("alice", "third").unwrap_err();
+    assert_eq!(proposed.code, AdminErrorCode::Behind);
+    gateway.catch_up();
+    let third = gateway.propose_and_sign("alice", "third").unwrap();
+    assert_eq!(third.proposal.statement.generation, Generation(3));
+}
+
 /// How two operators meet.
 #[derive(Clone, Copy, Debug)]
 enum Course {
