Let the root keys sign the first bundle and nothing after it

Cause: a process without a bundle took any later generation that a root key had signed; and two processes whose root key files differed named different authorities for the next bundle where the first bundle's signers were the root keys themselves, so that one would refuse what the other accepts. Ruled out: comparing key sets. An authority of none now fits generation 1 alone, and the first bundle always begins a new authority.

--- a/crates/cli/src/operator/rollout.rs
+++ b/crates/cli/src/operator/rollout.rs
@@ -10,16 +10,13 @@
 use rand::TryRngCore;
 use rand::rngs::OsRng;
 use shelfjunction_core::bundle::manifest;
-use shelfjunction_core::bundle::signature::{ProposalId, Statement};
+use shelfjunction_core::bundle::signature::{FIRST_GENERATION, ProposalId, Statement};
 use shelfjunction_core::identity::Generation;
 use shelfjunction_protocol::operator::{
     BootstrapRequest, ProposalReply, RollbackRequest, RolloutReply, RolloutRequest,
 };
 use std::path::Path;
 
-/// Generation of the first bundle.
-const FIRST_GENERATION: Generation = Generation(1);
-
 /// Bytes of the unguessable part of a proposal's identifier.
 const IDENTIFIER_BYTES: usize = 16;
 
--- a/crates/core/src/bundle/chain.rs
+++ b/crates/core/src/bundle/chain.rs
@@ -9,7 +9,7 @@
 use super::error::BundleError;
 use super::in_force::{AuthorityLink, BundleInForce, Head, NextAuthority};
 use super::manifest::{MANIFEST_FORMAT, MAXIMUM_TENANT_BUCKETS, Manifest, Part};
-use super::signature::{SignedBundle, SigningAuthority};
+use super::signature::{FIRST_GENERATION, SignedBundle, SigningAuthority};
 
 /// A candidate with everything at hand that proves its signatures.
 pub struct Lineage {
@@ -65,6 +65,7 @@
             signed: signed.statement.generation,
         });
     }
+    require_root_for_first(&signed)?;
     let mut missing = Vec::new();
     let links = trace_links(&signed, anchor, contents, &mut missing)?;
     let manifest = read_manifest(signed.statement.manifest, contents, &mut missing)?;
@@ -99,6 +100,7 @@
         // Falling generations end the walk; one at or below the bundle in force that is not the anchor means that the
         // signers were replaced since.
         let floor = anchor.in_force.map(BundleInForce::generation).unwrap_or_default();
+        require_root_for_first(&link)?;
         let generation = link.statement.generation;
         if generation >= below || generation <= floor {
             return Err(BundleError::WrongAuthority);
@@ -121,6 +123,16 @@
     Ok(links)
 }
 
+/// The root keys sign the first bundle and nothing after it.
+fn require_root_for_first(signed: &SignedBundle) -> Result<(), BundleError> {
+    let is_first = signed.statement.generation == FIRST_GENERATION;
+    if is_first == signed.statement.authority.is_none() {
+        Ok(())
+    } else {
+        Err(BundleError::WrongAuthority)
+    }
+}
+
 fn read_manifest(
     digest: Digest,
     contents: &ContentStore,
@@ -166,7 +178,8 @@
     contents: &ContentStore,
 ) -> Result<NextAuthority, BundleError> {
     let own = authority_of(lineage.manifest.fleet, lineage.manifest.operators, contents)?;
-    if own == signed_by.signers {
+    // The first bundle ends the root keys' authority also where it names the same keys: nodes may hold different files.
+    if own == signed_by.signers && signed_by.authority.is_some() {
         return Ok(signed_by);
     }
     let mut chain = signed_by.chain;
--- a/crates/core/src/bundle/signature.rs
+++ b/crates/core/src/bundle/signature.rs
@@ -15,6 +15,9 @@
 /// Bytes of an Ed25519 key, secret or public.
 pub const KEY_BYTES: usize = 32;
 
+/// Generation of the first bundle, which the root keys sign.
+pub const FIRST_GENERATION: Generation = Generation(1);
+
 /// Identifier of one proposal: the generation it is for, a hyphen, and an unguessable part.
 ///
 /// With the generation in it, a proposal that was accepted can be found in the history by its identifier alone.
--- a/crates/core/tests/bundle_keeper.rs
+++ b/crates/core/tests/bundle_keeper.rs
@@ -10,7 +10,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
-use shelfjunction_core::bundle::signature::ProposalId;
+use shelfjunction_core::bundle::signature::{self, ProposalId, SigningOperator};
 use shelfjunction_core::bundle::{
     BundleError, BundleKeeper, Head, HeadSource, KeeperEvent, canonical, keeper::MAXIMUM_CANDIDATES,
 };
@@ -30,6 +30,8 @@
     TooFewSignatures,
     /// A bundle of the history under a higher generation than was signed.
     Replayed,
+    /// Signed with the root keys, which sign nothing after the first bundle.
+    RootKey,
     /// Signed by the operators of an earlier authority. Shown only to keepers that know of the change: one that has
     /// not heard of it cannot tell (docs/decisions/bundles.md).
     ReplacedSigners,
@@ -97,6 +99,7 @@
             Just(Forgery::StrangeKey),
             Just(Forgery::TooFewSignatures),
             Just(Forgery::Replayed),
+            Just(Forgery::RootKey),
             Just(Forgery::ReplacedSigners),
             Just(Forgery::InvalidContent),
             Just(Forgery::Missing),
@@ -182,6 +185,7 @@
                     |head| head.digest,
                 ),
             },
+            Forgery::RootKey => self.platform.sign(&forged, generation + 1, None, &[0]),
             Forgery::ReplacedSigners => {
                 // Under an authority other than the one in force: the root keys, or one that does not exist.
                 let other = match authority {
@@ -520,3 +524,23 @@
     keeper.on_contents(platform.contents.values());
     assert_eq!(keeper.head(), Some(second));
 }
+
+#[test]
+fn processes_with_other_root_keys_agree_on_who_signs_next() {
+    let mut platform = Platform::default();
+    platform.accept(bundle("first", 2, &[0], 1), vec![0], 1);
+    platform.accept(bundle("second", 2, &[0], 1), vec![0], 1);
+    let mut more_roots = roots();
+    more_roots.operators.push(SigningOperator {
+        operator: bundle_support::operator_name(7),
+        public_key: signature::public_key(&bundle_support::secret(7)),
+    });
+    let mut other = BundleKeeper::new(more_roots, ZoneId::new(ZONES[0]));
+    other.on_head(platform.head(), &HeadSource::Store, MonotonicTime::default());
+    while !other.wanted().is_empty() {
+        other.on_contents(platform.contents.values());
+    }
+    let authority = |keeper: &BundleKeeper| keeper.in_force().unwrap().next.authority;
+    assert_eq!(authority(&other), authority(&keeper_with(&platform)));
+    assert!(authority(&other).is_some());
+}
--- a/crates/core/tests/bundle_support/mod.rs
+++ b/crates/core/tests/bundle_support/mod.rs
@@ -158,11 +158,11 @@
         let (signing, authority) = self.next_signers();
         let generation = self.history.len() as u64 + 1;
         let head = self.sign(&bundle, generation, authority, &signing);
-        let (old_signers, old_required) = match self.history.last() {
-            Some(last) => (last.signers.clone(), last.required),
-            None => (vec![0], 1),
-        };
-        let changed = (&old_signers, old_required) != (&signers, required);
+        // The first bundle ends the root keys' authority, also where it names the same keys.
+        let changed = self
+            .history
+            .last()
+            .is_none_or(|last| (&last.signers, last.required) != (&signers, required));
         self.history.push(Accepted {
             head,
             bundle,
--- a/crates/gateway/src/admin/acceptance.rs
+++ b/crates/gateway/src/admin/acceptance.rs
@@ -5,7 +5,7 @@
 use super::{errors, proposals, storage};
 use shelfjunction_core::bundle::acceptance::{self, Acceptance, CurrentRow, ProposalRow, Verdict};
 use shelfjunction_core::bundle::content::OperatorAction;
-use shelfjunction_core::bundle::signature::{ProposalId, SigningAuthority, Statement};
+use shelfjunction_core::bundle::signature::{FIRST_GENERATION, ProposalId, SigningAuthority, Statement};
 use shelfjunction_core::bundle::{manifest, validate};
 use shelfjunction_core::identity::{Generation, OperatorId};
 use shelfjunction_core::table::PlatformError;
@@ -13,9 +13,6 @@
     AdminError, AdminErrorCode, BootstrapRequest, RolloutReply, RolloutRequest,
 };
 
-/// Generation of the first bundle.
-const FIRST_GENERATION: Generation = Generation(1);
-
 /// Times the rows are read again after a lost answer.
 const SETTLE_ATTEMPTS: u32 = 3;
 
