Compare gateways with direct calls in one command and report load as a page

Cause: what the gateway adds to a first token has to be measured in one run, as ratios, and looked at as a picture. Ruled out: two runs one after the other, which would compare two states of the machine.

--- a/crates/lab/src/cluster/deployment.rs
+++ b/crates/lab/src/cluster/deployment.rs
@@ -52,6 +52,15 @@
 }
 
 impl Deployment {
+    /// The deployment of that name, if there is one.
+    pub fn by_name(name: &str) -> Option<Self> {
+        match name {
+            "pharmacy" => Some(Self::pharmacy()),
+            "kadriks" => Some(Self::kadriks()),
+            _ => None,
+        }
+    }
+
     /// The joint prescription renewal platform of pharmacy chains.
     pub fn pharmacy() -> Self {
         Self::new(&DeploymentPlan {
--- a/crates/lab/src/command/demo.rs
+++ b/crates/lab/src/command/demo.rs
@@ -18,13 +18,10 @@
 }
 
 fn run(options: &Options) -> Result<(), CommandError> {
-    let deployment = match options.text("deployment").as_deref() {
-        None | Some("pharmacy") => Deployment::pharmacy(),
-        Some("kadriks") => Deployment::kadriks(),
-        Some(other) => {
-            let message = format!("--deployment {other}: allowed is pharmacy or kadriks");
-            return Err(CommandError::Usage(message));
-        }
-    };
+    let name = options
+        .text("deployment")
+        .unwrap_or_else(|| "pharmacy".to_owned());
+    let deployment = Deployment::by_name(&name)
+        .ok_or_else(|| CommandError::Usage(format!("--deployment {name}: allowed is pharmacy or kadriks")))?;
     demo::run(deployment).map_err(|error| CommandError::failed("demo", error))
 }
--- a/crates/lab/src/command/load.rs
+++ b/crates/lab/src/command/load.rs
@@ -1,8 +1,11 @@
 //! `shelfjunction-lab load`: open-loop load on a running deployment.
 
 use super::{Command, CommandError, Options};
+use crate::cluster::deployment::Deployment;
 use crate::load::config::{LoadConfig, MixConfig};
 use crate::load::plan::{LengthDistribution, LoadPlan};
+use crate::load::schedule::ScheduleError;
+use crate::load::summary::LoadSummary;
 use crate::load::{self, Progress};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -52,13 +55,21 @@
     options.optopt("", "seconds", "how long calls are started", "SECONDS");
     options.optopt("", "senders", "most calls in flight", "NUMBER");
     options.optopt("", "seed", "seed of arrivals and lengths", "NUMBER");
+    options.optopt(
+        "",
+        "embedded",
+        "run this deployment (pharmacy or kadriks) in this process and compare gateways with direct calls",
+        "NAME",
+    );
     options.optflag("", "json", "print the figures as JSON");
+    options.optopt("", "report", "write an HTML page with plots", "FILE");
 }
 
 fn run(options: &Options) -> Result<(), CommandError> {
-    let plan = plan(options)?;
-    let summary = load::run(&plan, |_| {}, print_progress)
-        .map_err(|error| CommandError::Usage(format!("{error:?}")))?;
+    let summary = match options.text("embedded") {
+        Some(name) => run_embedded(options, &name)?,
+        None => load::run(&plan(options)?, |_| {}, print_progress).map_err(schedule_error)?,
+    };
     if options.flag("json") {
         let text =
             serde_json::to_string_pretty(&summary).map_err(|error| CommandError::failed("figures", error))?;
@@ -66,7 +77,28 @@
     } else {
         print!("{summary}");
     }
-    Ok(())
+    match options.text("report") {
+        Some(path) => write_report(&path, &summary),
+        None => Ok(()),
+    }
+}
+
+fn run_embedded(options: &Options, name: &str) -> Result<LoadSummary, CommandError> {
+    let deployment = Deployment::by_name(name)
+        .ok_or_else(|| CommandError::Usage(format!("--embedded {name}: allowed is pharmacy or kadriks")))?;
+    let mut config = config_of_flags(options, name.to_owned(), PathBuf::new())?;
+    apply_flags(options, &mut config)?;
+    load::embedded::run_embedded(deployment, &config, print_progress)
+        .map_err(|error| CommandError::failed("load", error))
+}
+
+fn schedule_error(error: ScheduleError) -> CommandError {
+    CommandError::Usage(format!("no schedule: {error:?}"))
+}
+
+fn write_report(path: &str, summary: &LoadSummary) -> Result<(), CommandError> {
+    let page = load::report::page(summary).map_err(|error| CommandError::failed("report", error))?;
+    std::fs::write(path, page).map_err(|error| CommandError::failed(path, error))
 }
 
 fn print_progress(progress: Progress) {
@@ -82,7 +114,11 @@
 fn plan(options: &Options) -> Result<LoadPlan, CommandError> {
     let (mut config, directory) = match options.text("settings") {
         Some(path) => read_settings(&path)?,
-        None => (config_of_flags(options)?, PathBuf::new()),
+        None => {
+            let model = options.required("model")?;
+            let token_file = options.required("token-file")?;
+            (config_of_flags(options, model, token_file)?, PathBuf::new())
+        }
     };
     apply_flags(options, &mut config)?;
     config.into_plan(&directory).map_err(|errors| {
@@ -100,11 +136,14 @@
     Ok((config, directory.to_owned()))
 }
 
-fn config_of_flags(options: &Options) -> Result<LoadConfig, CommandError> {
-    let model: String = options.required("model")?;
+fn config_of_flags(
+    options: &Options,
+    model: String,
+    token_file: PathBuf,
+) -> Result<LoadConfig, CommandError> {
     let mix = MixConfig {
         name: model.clone(),
-        token_file: options.required("token-file")?,
+        token_file,
         model,
         share: 1.0,
         prompt_tokens: LengthDistribution::fixed(options.value_or("prompt-tokens", DEFAULT_PROMPT_TOKENS)?),
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -7,9 +7,11 @@
 pub mod collect;
 pub mod config;
 mod direct_call;
+pub mod embedded;
 mod gateway_call;
 pub mod observation;
 pub mod plan;
+pub mod report;
 mod runner;
 pub mod schedule;
 pub mod summary;
