Fetch facts in bulk where many differ, and keep the queue of hot facts short

Cause: when a whole fleet starts, every first fact was to be pushed five times by every node within 1.4 KB/s. Ruled out: a larger budget, since the need grows with the square of the fleet. Conclusion: a node that is far behind fetches over TCP from a peer; small differences stay with datagrams.

--- a/crates/core/src/membership/gossiper.rs
+++ b/crates/core/src/membership/gossiper.rs
@@ -32,6 +32,12 @@
 /// Part of the load budget that node beats may take.
 const NODE_BEAT_SHARE: u64 = 8;
 
+/// Most facts that wait to be passed on.
+const MOST_HOT_FACTS: usize = 48;
+
+/// Longest time to the next digest after a difference was found or a fact was given up.
+pub(super) const HURRIED_DIGEST: Duration = Duration::from_millis(1_000);
+
 /// Shortest time between two node beats of this node.
 const NODE_BEAT_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -62,6 +68,7 @@
     pub(super) engines_built_at: Option<(u64, usize)>,
     pub(super) next_digest: MonotonicTime,
     pub(super) next_beat: MonotonicTime,
+    pub(super) next_bulk: MonotonicTime,
     pub(super) next_forget: MonotonicTime,
     pub(super) started: MonotonicTime,
     pub(super) last_tick: MonotonicTime,
@@ -107,6 +114,7 @@
             engines_built_at: None,
             next_digest: now,
             next_beat: now,
+            next_bulk: now,
             next_forget: now + FORGET_INTERVAL,
             started: now,
             last_tick: now,
@@ -185,6 +193,7 @@
                 Part::Head(head) => self.hear_head(head, from),
                 Part::Digest(digest) => self.answer_digest(&digest, from, now, random, &mut outgoing),
                 Part::Summary(summary) => self.answer_summary(&summary, from, now, &mut outgoing),
+                Part::FarApart => self.ask_for_bulk(from, now),
                 Part::Want(handles) => self.answer_want(&handles, from, now, &mut outgoing),
             }
         }
@@ -269,7 +278,15 @@
         let handle = SubjectHandle::of(&record.key);
         let fact = Fact { record, observer };
         if self.store.merge(fact, now) == Merged::Newer {
-            self.facts.push(handle, self.config.fact_sends, Reach::Everywhere);
+            self.push_fact(handle, self.config.fact_sends, now);
+        }
+    }
+
+    /// Passes a fact on. Where too many wait already, the oldest is left to comparison by digest, which then hurries.
+    pub(super) fn push_fact(&mut self, handle: SubjectHandle, sends: u8, now: MonotonicTime) {
+        self.facts.push(handle, sends, Reach::Everywhere);
+        if self.facts.drop_oldest_beyond(MOST_HOT_FACTS) {
+            self.next_digest = self.next_digest.min(now + HURRIED_DIGEST);
         }
     }
 
--- a/crates/core/src/membership/merging.rs
+++ b/crates/core/src/membership/merging.rs
@@ -15,7 +15,32 @@
 /// Silence of a zone after which the next datagram from it starts a comparison of facts.
 const ZONE_SILENCE: Duration = Duration::from_secs(5);
 
+/// Time between two bulk transfers to one node.
+const BULK_INTERVAL: Duration = Duration::from_secs(2);
+
 impl Gossiper {
+    /// Every fact with its present age, for a peer that fetches in bulk.
+    pub fn bulk(&self, now: MonotonicTime) -> Vec<Fact> {
+        let handles: Vec<SubjectHandle> = self.store.facts().map(|(handle, _)| handle).collect();
+        handles
+            .into_iter()
+            .filter_map(|handle| self.store.fact(handle, now))
+            .collect()
+    }
+
+    /// Takes in what was fetched in bulk. Others fetch for themselves, so nothing of it is passed on.
+    pub fn merge_bulk(&mut self, facts: Vec<Fact>, now: MonotonicTime) {
+        self.merge_facts(facts, 0, now);
+    }
+
+    /// Asks for a bulk transfer, unless one was asked for just now.
+    pub(super) fn ask_for_bulk(&mut self, from: SocketAddr, now: MonotonicTime) {
+        if now >= self.next_bulk {
+            self.next_bulk = now + BULK_INTERVAL;
+            self.events.push(GossipEvent::FactsDiffer { from });
+        }
+    }
+
     pub(super) fn merge_facts(&mut self, facts: Vec<Fact>, sends: u8, now: MonotonicTime) {
         for fact in facts {
             let handle = SubjectHandle::of(&fact.record.key);
@@ -27,7 +52,7 @@
                 Merged::Newer => {
                     self.counters.facts_new += 1;
                     if sends > 0 {
-                        self.facts.push(handle, sends, Reach::Everywhere);
+                        self.push_fact(handle, sends, now);
                     }
                 }
                 Merged::Known => self.counters.facts_known += 1,
@@ -138,7 +163,7 @@
             self.confirmed_at = Some(now);
         } else if sender.confirmed_tenths < u16::MAX {
             let age = Duration::from_millis(u64::from(sender.confirmed_tenths) * 100);
-            self.confirmed_at = self.confirmed_at.max(Some(now - age));
+            self.confirmed_at = self.confirmed_at.max(now.earlier(age));
         }
     }
 }
--- a/crates/core/src/membership/wire.rs
+++ b/crates/core/src/membership/wire.rs
@@ -65,6 +65,8 @@
     Summary(Summary),
     /// Facts that the sender lacks.
     Want(Vec<SubjectHandle>),
+    /// So much differs that the receiver should fetch the sender's facts in bulk.
+    FarApart,
 }
 
 /// State of one subject and who observed it.
--- a/crates/core/tests/membership_world/mod.rs
+++ b/crates/core/tests/membership_world/mod.rs
@@ -368,13 +368,39 @@
         let Some(gossiper) = &mut self.nodes[node].gossiper else {
             return;
         };
-        for event in gossiper.take_events() {
+        let events = gossiper.take_events();
+        for event in &events {
             if let GossipEvent::HeadHeard { head, .. } = event {
                 let before = gossiper.generation();
-                gossiper.set_head(head);
+                gossiper.set_head(*head);
                 assert!(gossiper.generation() >= before, "the generation went back");
             }
         }
+        for event in events {
+            if let GossipEvent::FactsDiffer { from } = event {
+                self.fetch_in_bulk(node, from);
+            }
+        }
+    }
+
+    /// A transfer over TCP: whole, unless the link is cut or the peer is down or stands still.
+    fn fetch_in_bulk(&mut self, node: usize, from: SocketAddr) {
+        let now = self.instant();
+        let peer = (0..self.nodes.len())
+            .find(|other| node_address(*other) == from)
+            .unwrap();
+        let zones = ordered(self.nodes[node].zone, self.nodes[peer].zone);
+        let cut =
+            self.faults.cut_zones.contains(&zones) || self.faults.cut_nodes.contains(&ordered(node, peer));
+        if cut || self.nodes[peer].paused {
+            return;
+        }
+        let Some(facts) = self.nodes[peer].gossiper.as_ref().map(|peer| peer.bulk(now)) else {
+            return;
+        };
+        if let Some(gossiper) = &mut self.nodes[node].gossiper {
+            gossiper.merge_bulk(facts, now);
+        }
     }
 
     fn check_versions(&mut self, node: usize) {
--- a/crates/lab/src/scale/scenario.rs
+++ b/crates/lab/src/scale/scenario.rs
@@ -135,7 +135,7 @@
     fleet.surroundings.links.heal();
     result.agreed_after_cut = known::wait_for_agreement(fleet, options.patience);
     let elapsed = begin.elapsed().as_secs_f64().max(1.0);
-    result.heal_bytes = rates(&before, &spent(fleet), elapsed, |spent| spent.bytes);
+    result.heal_bytes = rates(&before, &spent(fleet), elapsed, |spent| spent.bytes + spent.peer);
 }
 
 fn measure_restarts(
@@ -157,7 +157,7 @@
     let all: Option<Vec<Duration>> = times.into_iter().collect();
     result.restart_known = all.and_then(|times| times.into_iter().max());
     let elapsed = begin.elapsed().as_secs_f64();
-    result.restart_bytes = rates(&before, &spent(fleet), elapsed, |spent| spent.bytes);
+    result.restart_bytes = rates(&before, &spent(fleet), elapsed, |spent| spent.bytes + spent.peer);
     Ok(())
 }
 
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -1,8 +1,10 @@
 //! Messages between the system's own processes, encoded with bincode.
 
 use serde::{Deserialize, Serialize};
-use shelfjunction_core::identity::Generation;
+use shelfjunction_core::demand::DemandReport;
+use shelfjunction_core::identity::{Generation, NodeId, ZoneId};
 use shelfjunction_core::membership::record::Record;
+use shelfjunction_core::membership::wire::Fact;
 
 /// Longest frame that is read from a peer over TCP, in bytes.
 pub const MAXIMUM_FRAME_BYTES: usize = 4 * 1024 * 1024;
@@ -22,8 +24,34 @@
     BundleHead,
     /// Contents by digest, answered by [`PeerResponse::Parts`].
     FetchParts(Vec<ContentDigest>),
+    /// Every fact of membership, answered by [`PeerResponse::Facts`].
+    FetchFacts,
     /// A head that the sender accepted; the receiver checks it for itself. Answered by [`PeerResponse::Head`].
     AnnounceHead(BundleHead),
+    /// Demand that the gateway on the same machine sees now. Answered by [`PeerResponse::Noted`].
+    ReportDemand(DemandReport),
+    /// Demand that another controller passes on towards the planner. Answered by [`PeerResponse::Noted`].
+    ForwardDemand(ForwardedDemand),
+}
+
+/// Where a demand was seen.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum DemandSource {
+    /// At one machine's gateway.
+    Node(NodeId),
+    /// At all gateways of a zone.
+    Zone(ZoneId),
+}
+
+/// Demand on its way to the controller that plans a zone's roles.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ForwardedDemand {
+    /// Where it was seen.
+    pub source: DemandSource,
+    /// What was seen there.
+    pub report: DemandReport,
+    /// How often it may still be passed on, so that stale knowledge of who plans makes no circle.
+    pub hops_left: u8,
 }
 
 /// Answer of a controller; one length-prefixed frame each.
@@ -35,6 +63,10 @@
     Head(Option<BundleHead>),
     /// The contents that the peer holds, in no stated order.
     Parts(Vec<Vec<u8>>),
+    /// The report was taken in.
+    Noted,
+    /// Every fact of membership that the peer holds, each with its age at sending.
+    Facts(Vec<Fact>),
     /// The request could not be served.
     Refused(String),
 }
