--- a/crates/core/src/membership/events.rs
+++ b/crates/core/src/membership/events.rs
@@ -39,6 +39,12 @@
         /// Controller of the peer.
         from: SocketAddr,
     },
+    /// A peer holds many facts that differ; they are fetched in bulk over TCP and handed to
+    /// [`super::gossiper::Gossiper::merge_bulk`].
+    FactsDiffer {
+        /// Controller of the peer.
+        from: SocketAddr,
+    },
     /// The platform is about to take this node's machine away.
     OwnMachineLeaving,
 }
--- a/crates/core/src/membership/peers.rs
+++ b/crates/core/src/membership/peers.rs
@@ -16,6 +16,9 @@
 /// Sends in a hundred that go to another region.
 const FAR_PERCENT: u32 = 7;
 
+/// Neighbours from which on a node prefers its own zone.
+const SMALL_ZONE: usize = 8;
+
 /// One node that can be sent to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -86,6 +89,18 @@
 
     /// A peer by chance; nearer ones are likelier.
     pub fn choose(&self, random: &mut dyn RngCore) -> Option<Peer> {
+        let living = self.zone.len() + self.region.len() + self.far.len();
+        if self.zone.len() < SMALL_ZONE && living > 0 {
+            // Too few neighbours to pass anything on for this node: every node is as good as another.
+            let position = random.random_range(0..living);
+            return self
+                .zone
+                .iter()
+                .chain(&self.region)
+                .chain(&self.far)
+                .nth(position)
+                .copied();
+        }
         let percent = random.random_range(0..100);
         let lists = if percent < FAR_PERCENT {
             [&self.far, &self.region, &self.zone]
