--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -386,3 +386,37 @@
         .collect();
     assert_eq!(asked, [views[1].engine.clone()]);
 }
+
+#[test]
+fn a_load_waits_for_the_weight_stores_queue() {
+    let mut models = models();
+    models[0].version = WeightVersion::new("2");
+    let views = [Engine::new(0).view()];
+    let asked = |queue: Option<u64>| {
+        let mut queues = WeightQueues::new(500);
+        if let Some(millis) = queue {
+            queues.note(ModelId::new("model"), WeightVersion::new("2"), millis);
+        }
+        roll_requests(&views, &models, &queues).len()
+    };
+    assert_eq!([asked(None), asked(Some(501)), asked(Some(500))], [0, 0, 1]);
+}
+
+#[test]
+fn a_goal_that_an_earlier_holder_committed_is_carried_on() {
+    let mut zone = Zone::new();
+    zone.engines[0].draining = true;
+    zone.engines[0].goal = Some(EngineGoal {
+        role: Role::Prefill,
+        weights: vec![weights(1)],
+        draining: false,
+    });
+    for _ in 0..20 {
+        zone.step();
+    }
+    assert_eq!(zone.ended, [ChangeOutcome::Completed]);
+    assert_eq!(
+        (zone.engines[0].role, zone.engines[0].draining),
+        (Role::Prefill, false)
+    );
+}
--- a/crates/lab/src/command/mod.rs
+++ b/crates/lab/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod load;
 mod options;
 mod platform;
+mod scale;
 mod simulate;
 mod soak;
 
@@ -40,6 +41,7 @@
     &demo::COMMAND,
     &simulate::COMMAND,
     &soak::COMMAND,
+    &scale::COMMAND,
 ];
 
 /// Runs the program with the arguments that follow its name.
--- a/crates/lab/src/scale/hollow_node.rs
+++ b/crates/lab/src/scale/hollow_node.rs
@@ -103,8 +103,6 @@
         let keeper = BundleKeeper::new(surroundings.roots.clone(), zone_id(plan.zone));
         let keeper = Arc::new(Mutex::new(keeper));
         let peer_bytes = PeerBytes::default();
-        let port = PeerPort::start(plan.controller, Arc::clone(&keeper), peer_bytes.clone());
-        let port = port.map_err(HollowError::Bind)?;
         let socket = UdpSocket::bind(plan.controller).map_err(HollowError::Bind)?;
         let transport = CutSocket {
             socket,
@@ -126,6 +124,14 @@
         let random = ChaCha8Rng::seed_from_u64(config.random_seed);
         let now = surroundings.clock.now();
         let gossip = Gossip::start_with(config, Box::new(transport), surroundings.clock);
+        let gossip = gossip.map_err(HollowError::Gossip)?;
+        let port = PeerPort::start(
+            plan.controller,
+            Arc::clone(&keeper),
+            gossip.clone(),
+            peer_bytes.clone(),
+        );
+        let port = port.map_err(HollowError::Bind)?;
         let schedule = Schedule {
             watched: Vec::new(),
             watched_at: None,
@@ -136,7 +142,7 @@
             random,
         };
         Ok(Self {
-            gossip: gossip.map_err(HollowError::Gossip)?,
+            gossip,
             peer_bytes,
             keeper,
             port,
@@ -153,8 +159,10 @@
         let mut schedule = self.schedule.lock().unwrap_or_else(PoisonError::into_inner);
         self.ask_engines(&mut schedule, now);
         for event in self.gossip.wait_events(Duration::ZERO) {
-            if let GossipEvent::HeadHeard { head, from } = event {
-                self.follow_peer(head, from, now);
+            match event {
+                GossipEvent::HeadHeard { head, from } => self.follow_peer(head, from, now),
+                GossipEvent::FactsDiffer { from } => self.fetch_facts(from),
+                GossipEvent::OwnMachineLeaving => {}
             }
         }
         if now >= schedule.next_store {
@@ -208,6 +216,13 @@
         }
     }
 
+    fn fetch_facts(&self, from: SocketAddr) {
+        if self.surroundings.links.pass(self.plan.zone, from) {
+            self.gossip
+                .merge_bulk(peer_port::fetch_facts(from, &self.peer_bytes));
+        }
+    }
+
     fn follow_peer(&self, head: GossipHead, from: SocketAddr, now: MonotonicTime) {
         let source = HeadSource::Peer {
             zone: zone_id(self.plan.zone),
--- a/crates/lab/src/scale/peer_port.rs
+++ b/crates/lab/src/scale/peer_port.rs
@@ -1,6 +1,8 @@
 //! The TCP side of a hollow node: heads and contents of bundles in the peer protocol's frames.
 
+use shelfjunction_controller::gossip::Gossip;
 use shelfjunction_core::bundle::{BundleKeeper, Digest};
+use shelfjunction_core::membership::wire::Fact;
 use shelfjunction_protocol::frame::{self, FrameError, read_frame, write_frame};
 use shelfjunction_protocol::peer::{PeerRequest, PeerResponse};
 use std::io;
@@ -50,6 +52,7 @@
     pub fn start(
         address: SocketAddr,
         keeper: Arc<Mutex<BundleKeeper>>,
+        gossip: Gossip,
         bytes: PeerBytes,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
@@ -63,7 +66,7 @@
                         return;
                     }
                     // A connection that breaks concerns its peer, which asks another.
-                    let _ = serve(stream, &keeper, &bytes);
+                    let _ = serve(stream, &keeper, &gossip, &bytes);
                 }
             })?;
         Ok(Self {
@@ -85,7 +88,12 @@
     }
 }
 
-fn serve(mut stream: TcpStream, keeper: &Mutex<BundleKeeper>, bytes: &PeerBytes) -> Result<(), FrameError> {
+fn serve(
+    mut stream: TcpStream,
+    keeper: &Mutex<BundleKeeper>,
+    gossip: &Gossip,
+    bytes: &PeerBytes,
+) -> Result<(), FrameError> {
     stream.set_read_timeout(Some(TIMEOUT))?;
     stream.set_write_timeout(Some(TIMEOUT))?;
     let Some(request) = read_frame::<PeerRequest>(&mut stream)? else {
@@ -99,7 +107,8 @@
                 .filter_map(|digest| keeper.content(Digest(*digest)));
             PeerResponse::Parts(held.map(|content| content.to_vec()).collect())
         }
-        _ => PeerResponse::Refused("a hollow node serves contents only".to_owned()),
+        PeerRequest::FetchFacts => PeerResponse::Facts(gossip.bulk()),
+        _ => PeerResponse::Refused("a hollow node serves contents and facts only".to_owned()),
     };
     bytes.add(frame::encode(&request)?.len() + frame::encode(&response)?.len() + 2 * LENGTH_BYTES);
     bytes.total.fetch_add(CONNECTION_BYTES, Ordering::Relaxed);
@@ -108,25 +117,37 @@
 
 /// Fetches contents from a peer; empty when it has none or can't be reached.
 pub fn fetch(from: SocketAddr, wanted: &[Digest], bytes: &PeerBytes) -> Vec<Vec<u8>> {
-    match ask(from, wanted, bytes) {
+    let request = PeerRequest::FetchParts(wanted.iter().map(|digest| digest.0).collect());
+    match ask(from, &request, bytes) {
         Ok(Some(PeerResponse::Parts(parts))) => parts,
         _ => Vec::new(),
     }
 }
 
-fn ask(from: SocketAddr, wanted: &[Digest], bytes: &PeerBytes) -> Result<Option<PeerResponse>, FrameError> {
+/// Fetches every fact from a peer; empty when it can't be reached.
+pub fn fetch_facts(from: SocketAddr, bytes: &PeerBytes) -> Vec<Fact> {
+    match ask(from, &PeerRequest::FetchFacts, bytes) {
+        Ok(Some(PeerResponse::Facts(facts))) => facts,
+        _ => Vec::new(),
+    }
+}
+
+fn ask(
+    from: SocketAddr,
+    request: &PeerRequest,
+    bytes: &PeerBytes,
+) -> Result<Option<PeerResponse>, FrameError> {
     let mut stream = TcpStream::connect_timeout(&from, TIMEOUT)?;
     stream.set_read_timeout(Some(TIMEOUT))?;
     stream.set_write_timeout(Some(TIMEOUT))?;
-    let request = PeerRequest::FetchParts(wanted.iter().map(|digest| digest.0).collect());
-    write_frame(&mut stream, &request)?;
+    write_frame(&mut stream, request)?;
     let response: Option<PeerResponse> = read_frame(&mut stream)?;
     let answered = response
         .as_ref()
         .map(frame::encode)
         .transpose()?
         .map_or(0, |encoded| encoded.len());
-    bytes.add(frame::encode(&request)?.len() + answered + 2 * LENGTH_BYTES);
+    bytes.add(frame::encode(request)?.len() + answered + 2 * LENGTH_BYTES);
     bytes.total.fetch_add(CONNECTION_BYTES, Ordering::Relaxed);
     Ok(response)
 }
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -4,6 +4,7 @@
 use shelfjunction_core::demand::DemandReport;
 use shelfjunction_core::identity::{Generation, NodeId, ZoneId};
 use shelfjunction_core::membership::record::Record;
+use shelfjunction_core::membership::wire::Fact;
 
 /// Longest frame that is read from a peer over TCP, in bytes.
 pub const MAXIMUM_FRAME_BYTES: usize = 4 * 1024 * 1024;
@@ -23,6 +24,8 @@
     BundleHead,
     /// Contents by digest, answered by [`PeerResponse::Parts`].
     FetchParts(Vec<ContentDigest>),
+    /// Every fact of membership, answered by [`PeerResponse::Facts`].
+    FetchFacts,
     /// A head that the sender accepted; the receiver checks it for itself. Answered by [`PeerResponse::Head`].
     AnnounceHead(BundleHead),
     /// Demand that the gateway on the same machine sees now. Answered by [`PeerResponse::Noted`].
@@ -62,6 +65,8 @@
     Parts(Vec<Vec<u8>>),
     /// The report was taken in.
     Noted,
+    /// Every fact of membership that the peer holds, each with its age at sending.
+    Facts(Vec<Fact>),
     /// The request could not be served.
     Refused(String),
 }
