Sign each later bundle under the authority that the current one leaves

Cause: the first bundle now changes who may sign, so a second one signed under the root keys alone is refused by every node; the demo and the frozen-holder proof failed by it. Ruled out: taking the authority from the last rollout's memory; another operator may have rolled out since. Conclusion: the publisher follows the chain as every node does.

--- a/crates/lab/src/cluster/publish.rs
+++ b/crates/lab/src/cluster/publish.rs
@@ -5,8 +5,10 @@
 use shelfjunction_core::bundle::content::Bundle;
 use shelfjunction_core::bundle::manifest::{Content, pack};
 use shelfjunction_core::bundle::signature::{ProposalId, Statement, sign};
-use shelfjunction_core::identity::{Generation, OperatorId};
+use shelfjunction_core::bundle::{BundleKeeper, Digest, HeadSource};
+use shelfjunction_core::identity::{Generation, OperatorId, ZoneId};
 use shelfjunction_core::table::{PlatformError, RowKey};
+use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::services::{ObjectStore, TableService};
 
 /// Why a bundle did not come into force.
@@ -16,6 +18,10 @@
     Platform(PlatformError),
     /// A row is not what the acceptance of bundles writes.
     UnreadableRow(RowKey),
+    /// The object store lacks a content of the current bundle.
+    MissingContent(Digest),
+    /// The current bundle does not follow from the root keys.
+    CurrentRefused,
     /// Another bundle took the place.
     Superseded(CurrentRow),
 }
@@ -35,11 +41,16 @@
     let operator = operator
         .map(|rule| rule.operator.clone())
         .unwrap_or_else(|| OperatorId::new("nobody"));
-    publish(platform, &deployment.bundle, &operator)
+    publish(platform, deployment, &deployment.bundle, &operator)
 }
 
 /// Signs a bundle by one operator and makes it current in the next place.
-pub fn publish<P>(platform: &P, bundle: &Bundle, operator: &OperatorId) -> Result<CurrentRow, PublishError>
+pub fn publish<P>(
+    platform: &P,
+    deployment: &Deployment,
+    bundle: &Bundle,
+    operator: &OperatorId,
+) -> Result<CurrentRow, PublishError>
 where
     P: TableService + ObjectStore,
 {
@@ -52,9 +63,17 @@
             Some(current.ok_or(PublishError::UnreadableRow(current_key))?)
         }
     };
-    let generation = Generation(current.map_or(0, |row| row.generation.0) + 1);
     let packed = pack(bundle);
-    let proposal = signed_proposal(bundle, packed.manifest_digest(), generation, operator);
+    let statement = Statement {
+        generation: Generation(current.as_ref().map_or(0, |row| row.generation.0) + 1),
+        manifest: packed.manifest_digest(),
+        proposal: ProposalId(format!("proposal-of-{operator}")),
+        authority: match &current {
+            Some(current) => authority_after(platform, deployment, current)?,
+            None => None,
+        },
+    };
+    let proposal = signed_proposal(bundle, statement, operator);
     let acceptance = acceptance::plan(&proposal, operator, row.map(|row| row.version));
     for content in &packed.contents {
         store(platform, content)?;
@@ -68,18 +87,39 @@
     }
 }
 
-fn signed_proposal(
-    bundle: &Bundle,
-    manifest: shelfjunction_core::bundle::Digest,
-    generation: Generation,
-    operator: &OperatorId,
-) -> ProposalRow {
-    let statement = Statement {
-        generation,
-        manifest,
-        proposal: ProposalId(format!("proposal-{generation}-{operator}")),
-        authority: None,
-    };
+/// The signed bundle that decides who may sign after the current one.
+fn authority_after<P>(
+    platform: &P,
+    deployment: &Deployment,
+    current: &CurrentRow,
+) -> Result<Option<Digest>, PublishError>
+where
+    P: TableService + ObjectStore,
+{
+    let zone = deployment
+        .zones
+        .first()
+        .cloned()
+        .unwrap_or_else(|| ZoneId::new("none"));
+    let mut keeper = BundleKeeper::new(deployment.roots(), zone);
+    keeper.on_head(Some(current.head()), &HeadSource::Store, MonotonicTime::default());
+    loop {
+        let wanted = keeper.wanted();
+        if wanted.is_empty() {
+            break;
+        }
+        let mut contents = Vec::new();
+        for digest in wanted {
+            let content = platform.get(&digest.to_hex())?;
+            contents.push(content.ok_or(PublishError::MissingContent(digest))?);
+        }
+        keeper.on_contents(contents);
+    }
+    let in_force = keeper.in_force().ok_or(PublishError::CurrentRefused)?;
+    Ok(in_force.next.authority)
+}
+
+fn signed_proposal(bundle: &Bundle, statement: Statement, operator: &OperatorId) -> ProposalRow {
     let signature = sign(&Deployment::signing_key(operator), operator.clone(), &statement);
     ProposalRow {
         statement,
--- a/tests/process/frozen_holder.rs
+++ b/tests/process/frozen_holder.rs
@@ -33,9 +33,10 @@
     // The holder is frozen in the middle of a change of versions.
     let before = running.controllers[other].position();
     let asleep_from = running.controllers[holder].position();
-    let mut bundle = running.layout.deployment.bundle.clone();
+    let deployment = &running.layout.deployment;
+    let mut bundle = deployment.bundle.clone();
     bundle.models[0].version = WeightVersion::new("2");
-    publish(&platform, &bundle, &running.layout.deployment.operators()[0]).unwrap();
+    publish(&platform, deployment, &bundle, &deployment.operators()[0]).unwrap();
     running.controllers[holder].wait_for_line(asleep_from, &["order_sent"]);
     running.controllers[holder].signal(Signal::STOP);
 
--- a/tests/process/harness/program.rs
+++ b/tests/process/harness/program.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -26,6 +26,13 @@
     changed: Condvar,
 }
 
+impl Lines {
+    /// A test that failed while it held the lines leaves them as they are.
+    fn state(&self) -> MutexGuard<'_, LineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 #[derive(Default)]
 struct LineState {
     lines: Vec<String>,
@@ -48,7 +55,7 @@
             .spawn()
             .unwrap_or_else(|error| panic!("{}: {error}; build the workspace first", path.display()));
         let lines = Arc::new(Lines::default());
-        lines.state.lock().unwrap().open_streams = 2;
+        lines.state().open_streams = 2;
         follow(child.stdout.take().unwrap(), &lines);
         follow(child.stderr.take().unwrap(), &lines);
         Self {
@@ -60,13 +67,13 @@
 
     /// Where the program's lines end now.
     pub fn position(&self) -> LinePosition {
-        LinePosition(self.lines.state.lock().unwrap().lines.len())
+        LinePosition(self.lines.state().lines.len())
     }
 
     /// Waits for a line after `from` that holds every one of `parts`.
     pub fn wait_for_line(&self, from: LinePosition, parts: &[&str]) -> String {
         let end = Instant::now() + LINE_LIMIT;
-        let mut state = self.lines.state.lock().unwrap();
+        let mut state = self.lines.state();
         loop {
             let found = state.lines[from.0.min(state.lines.len())..]
                 .iter()
@@ -100,7 +107,7 @@
 
     /// Everything the program has printed, on either stream.
     pub fn output(&self) -> String {
-        self.lines.state.lock().unwrap().lines.join("\n")
+        self.lines.state().lines.join("\n")
     }
 
     /// Sends a signal.
@@ -118,7 +125,7 @@
     /// Waits for the program to end by itself.
     pub fn wait_for_exit(&mut self) -> ExitStatus {
         let end = Instant::now() + LINE_LIMIT;
-        let mut state = self.lines.state.lock().unwrap();
+        let mut state = self.lines.state();
         while state.open_streams > 0 {
             let left = end.saturating_duration_since(Instant::now());
             assert!(
@@ -144,11 +151,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         if thread::panicking() {
-            let state = self
-                .lines
-                .state
-                .lock()
-                .unwrap_or_else(|poisoned| poisoned.into_inner());
+            let state = self.lines.state();
             let start = state.lines.len().saturating_sub(SHOWN_LINES);
             eprintln!(
                 "last lines of {}:\n{}",
@@ -167,10 +170,10 @@
     thread::spawn(move || {
         for line in BufReader::new(stream).lines() {
             let Ok(line) = line else { break };
-            lines.state.lock().unwrap().lines.push(line);
+            lines.state().lines.push(line);
             lines.changed.notify_all();
         }
-        lines.state.lock().unwrap().open_streams -= 1;
+        lines.state().open_streams -= 1;
         lines.changed.notify_all();
     });
 }
