Publish later bundles under the authority that the first one begins

Cause: the lab's way of publishing named no authority for later generations, which the keepers refuse by now: the controllers' distribution test did not reach generation 2. Ruled out: nothing; the refusal is right. Conclusion: the signed bundle of the current row says which authority comes next.

--- a/crates/lab/src/cluster/publish.rs
+++ b/crates/lab/src/cluster/publish.rs
@@ -1,10 +1,11 @@
 //! Puts a signed bundle into force through the platform, as operators at their shells would.
 
 use super::deployment::Deployment;
+use shelfjunction_core::bundle::Digest;
 use shelfjunction_core::bundle::acceptance::{self, CURRENT_KEY, CurrentRow, ProposalRow, Verdict};
 use shelfjunction_core::bundle::content::Bundle;
 use shelfjunction_core::bundle::manifest::{Content, pack};
-use shelfjunction_core::bundle::signature::{ProposalId, Statement, sign};
+use shelfjunction_core::bundle::signature::{ProposalId, SignedBundle, Statement, sign};
 use shelfjunction_core::identity::{Generation, OperatorId};
 use shelfjunction_core::table::{PlatformError, RowKey};
 use shelfjunction_platform::services::{ObjectStore, TableService};
@@ -52,9 +53,13 @@
             Some(current.ok_or(PublishError::UnreadableRow(current_key))?)
         }
     };
-    let generation = Generation(current.map_or(0, |row| row.generation.0) + 1);
+    let generation = Generation(current.as_ref().map_or(0, |row| row.generation.0) + 1);
+    let authority = match &current {
+        None => None,
+        Some(current) => Some(authority_after(platform, current)?),
+    };
     let packed = pack(bundle);
-    let proposal = signed_proposal(bundle, packed.manifest_digest(), generation, operator);
+    let proposal = signed_proposal(bundle, packed.manifest_digest(), generation, authority, operator);
     let acceptance = acceptance::plan(&proposal, operator, row.map(|row| row.version));
     for content in &packed.contents {
         store(platform, content)?;
@@ -68,17 +73,26 @@
     }
 }
 
+/// The authority over the next bundle; every bundle published here is signed by the same operators as the first.
+fn authority_after<P: ObjectStore>(platform: &P, current: &CurrentRow) -> Result<Digest, PublishError> {
+    let bytes = platform.get(&current.signed.to_hex())?;
+    let signed: Option<SignedBundle> = bytes.and_then(|bytes| serde_json::from_slice(&bytes).ok());
+    let signed = signed.ok_or_else(|| PublishError::UnreadableRow(RowKey(CURRENT_KEY.to_owned())))?;
+    Ok(signed.statement.authority.unwrap_or(current.signed))
+}
+
 fn signed_proposal(
     bundle: &Bundle,
-    manifest: shelfjunction_core::bundle::Digest,
+    manifest: Digest,
     generation: Generation,
+    authority: Option<Digest>,
     operator: &OperatorId,
 ) -> ProposalRow {
     let statement = Statement {
         generation,
         manifest,
         proposal: ProposalId(format!("proposal-{generation}-{operator}")),
-        authority: None,
+        authority,
     };
     let signature = sign(&Deployment::signing_key(operator), operator.clone(), &statement);
     ProposalRow {
