--- a/crates/controller/src/membership_watch.rs
+++ b/crates/controller/src/membership_watch.rs
@@ -1,13 +1,16 @@
 //! Carries on what membership finds out: newer bundles elsewhere, confirmations, and a machine that leaves.
 
 use crate::bundle::{BundleState, learn_from_zone};
+use crate::config::millis;
 use crate::context::Context;
+use crate::peer::client;
 use shelfjunction_core::bundle::HeadSource;
 use shelfjunction_core::membership::events::GossipEvent;
 use shelfjunction_core::membership::wire::Head as GossipHead;
 use shelfjunction_core::orders::CommanderEvent;
 use shelfjunction_core::time::MonotonicTime;
-use shelfjunction_protocol::peer::BundleHead;
+use shelfjunction_protocol::peer::{BundleHead, PeerRequest, PeerResponse};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Longest wait for an event before confirmations are carried over.
@@ -33,6 +36,7 @@
             };
             learn_from_zone(context, Some(&named), context.config.zone.clone());
         }
+        GossipEvent::FactsDiffer { from } => fetch_facts(context, from),
         GossipEvent::OwnMachineLeaving => {
             log::info!(node:% = context.config.node; "own_machine_leaves");
             context.command.send(CommanderEvent::Release);
@@ -40,6 +44,16 @@
     }
 }
 
+/// Fetches the facts of a peer in bulk, as after a start or a long cut; another peer serves next time if it fails.
+fn fetch_facts(context: &Context, from: SocketAddr) {
+    let timeout = millis(context.config.timings.peer_timeout_millis);
+    match client::ask(from, &PeerRequest::FetchFacts, timeout) {
+        Ok(PeerResponse::Facts(facts)) => context.gossip.merge_bulk(facts),
+        Ok(_) => log::debug!(peer:% = from; "peer_answered_something_else"),
+        Err(error) => log::debug!(peer:% = from, error:% = error; "facts_unfetched"),
+    }
+}
+
 /// Membership passes on the age of the last confirmation with every datagram; the keeper learns it from there.
 fn carry_confirmations(context: &Context) {
     let now = context.now();
--- a/crates/core/src/membership/exchange.rs
+++ b/crates/core/src/membership/exchange.rs
@@ -3,7 +3,7 @@
 use super::beat::Reach;
 use super::budget::HEADER_BYTES;
 use super::events::Outgoing;
-use super::gossiper::Gossiper;
+use super::gossiper::{Gossiper, HURRIED_DIGEST};
 use super::subject::SubjectHandle;
 use super::wire::{
     DIGEST_GROUPS, Datagram, FORMAT, Fact, MAXIMUM_DATAGRAM_BYTES, Part, Summary, SummaryEntry, encode,
@@ -35,15 +35,15 @@
 /// Most datagrams of facts that answer one digest.
 const COPIES_PER_DIGEST: usize = 6;
 
-/// Time to the next digest after one that found a difference.
-const HURRIED_DIGEST: Duration = Duration::from_millis(1_000);
-
 /// Time after its start in which a node compares facts often, since it missed what was pushed before.
 const JOINING: Duration = Duration::from_secs(15);
 
 /// Time between digests of a node that joins.
 const JOINING_DIGEST_MILLIS: u64 = 1_000;
 
+/// Groups that differ beyond which facts are fetched in bulk rather than by datagrams.
+const MOST_GROUPS_BY_DATAGRAM: usize = 12;
+
 /// Digests in a hundred that go to a seed or a node that counts as dead, so that a healed cut is noticed.
 const OUTSIDE_PERCENT: u32 = 15;
 
@@ -195,6 +195,11 @@
         let mut differing: Vec<usize> = (0..DIGEST_GROUPS)
             .filter(|group| own[*group] != digest[*group])
             .collect();
+        if differing.len() > MOST_GROUPS_BY_DATAGRAM {
+            self.ask_for_bulk(from, now);
+            self.send_spread(from, vec![Part::FarApart], Reach::Zone, now, outgoing);
+            return;
+        }
         differing.shuffle(random);
         let empty_there = |group: &usize| digest[*group] == [0; 4];
         let (lacking, differing): (Vec<usize>, Vec<usize>) = differing.into_iter().partition(empty_there);
