--- a/crates/core/tests/bundle_support/mod.rs
+++ b/crates/core/tests/bundle_support/mod.rs
@@ -1,7 +1,6 @@
 //! Bundles, operators and a platform's history for the tests of bundles.
 #![allow(dead_code)]
 
-use shelfjunction_core::bundle::Head;
 use shelfjunction_core::bundle::content::{
     Bundle, ModelGrant, ModelKind, ModelRule, OperatorAction, OperatorRule, TenantRule, ZoneRule,
 };
@@ -10,10 +9,12 @@
 use shelfjunction_core::bundle::signature::{
     self, ProposalId, SignedBundle, SigningAuthority, SigningOperator, Statement,
 };
+use shelfjunction_core::bundle::{BundleKeeper, Head, HeadSource};
 use shelfjunction_core::identity::{
     Generation, ModelId, OperatorId, RegionId, TenantId, WeightVersion, ZoneId,
 };
 use shelfjunction_core::service_class::ServiceClass;
+use shelfjunction_core::time::MonotonicTime;
 use std::collections::BTreeMap;
 
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -189,3 +190,19 @@
         self.history.last().map(|accepted| accepted.head)
     }
 }
+
+/// A keeper of the first zone that holds what the platform has.
+pub fn keeper_with(platform: &Platform) -> BundleKeeper {
+    let mut keeper = BundleKeeper::new(roots(), ZoneId::new(ZONES[0]));
+    keeper.on_head(platform.head(), &HeadSource::Store, MonotonicTime::default());
+    while !keeper.wanted().is_empty() {
+        let contents: Vec<Vec<u8>> = keeper
+            .wanted()
+            .iter()
+            .map(|digest| platform.contents[digest].clone())
+            .collect();
+        keeper.on_contents(contents);
+    }
+    assert_eq!(keeper.head(), platform.head());
+    keeper
+}
