Keep comparisons affordable while facts are under way

Cause: with facts always under way, nearly every comparison found a difference and hurried the next one, and load reports got no bytes; in a storm, pushes left nothing for comparisons. Conclusion: three groups a comparison, a reserve for comparisons, fewer pushes in a storm.

--- a/crates/core/src/membership/exchange.rs
+++ b/crates/core/src/membership/exchange.rs
@@ -17,8 +17,11 @@
 /// Bytes of a datagram left for its sender and the counts of its parts.
 const FRAME_RESERVE: usize = 60;
 
+/// Bytes of a head, rounded up.
+const HEAD_BYTES: usize = 48;
+
 /// Bytes of facts, beats or summaries in one datagram.
-const PAYLOAD_BYTES: usize = MAXIMUM_DATAGRAM_BYTES - FRAME_RESERVE;
+const PAYLOAD_BYTES: usize = MAXIMUM_DATAGRAM_BYTES - FRAME_RESERVE - HEAD_BYTES;
 
 /// Peers that hot facts are pushed to in one tick.
 const PUSHES_PER_TICK: usize = 2;
@@ -30,7 +33,13 @@
 const BEAT_BYTES: usize = 700;
 
 /// Part of the burst that beats leave untouched, for facts that may come.
-const BURST_RESERVE_DIVISOR: u64 = 2;
+const BURST_RESERVE_DIVISOR: u64 = 4;
+
+/// Most groups whose versions are told at once.
+const GROUPS_PER_SUMMARY: usize = 3;
+
+/// Part of the burst that pushes leave to comparisons, which repair what pushes miss.
+const COMPARISON_RESERVE_DIVISOR: u64 = 8;
 
 /// Most datagrams of facts that answer one digest.
 const COPIES_PER_DIGEST: usize = 6;
@@ -54,25 +63,31 @@
         random: &mut dyn RngCore,
         outgoing: &mut Vec<Outgoing>,
     ) {
-        if !self.facts.is_empty() || self.head_sends > 0 {
-            for _ in 0..PUSHES_PER_TICK {
-                self.push_to_someone(true, now, random, outgoing);
-            }
-        } else if self.ticks.is_multiple_of(TICKS_PER_BEAT_PUSH) {
-            self.push_to_someone(false, now, random, outgoing);
+        if self.spread_bucket.available(now) < self.spread_bucket.burst_bytes() / COMPARISON_RESERVE_DIVISOR {
+            return;
+        }
+        let beats_due = self.ticks.is_multiple_of(TICKS_PER_BEAT_PUSH) && self.may_send_beats(now);
+        let hot = !self.facts.is_empty() || self.head_sends > 0;
+        let pushes = if hot {
+            PUSHES_PER_TICK
+        } else {
+            usize::from(beats_due)
+        };
+        for push in 0..pushes {
+            self.push_to_someone(beats_due && push == 0, now, random, outgoing);
         }
     }
 
     fn push_to_someone(
         &mut self,
-        hot: bool,
+        with_beats: bool,
         now: MonotonicTime,
         random: &mut dyn RngCore,
         outgoing: &mut Vec<Outgoing>,
     ) {
         let (to, distance) = match self.peers.choose(random) {
             Some(peer) => (peer.address, peer.distance),
-            None if hot && !self.seeds.is_empty() => (
+            None if !self.seeds.is_empty() => (
                 self.seeds[random.random_range(0..self.seeds.len())],
                 Reach::Everywhere,
             ),
@@ -84,7 +99,7 @@
         {
             parts.push(Part::Head(head));
         }
-        let facts = self.pending_facts(distance, now);
+        let (facts, used) = self.pending_facts(distance, now);
         let fact_handles: Vec<SubjectHandle> = facts
             .iter()
             .map(|fact| SubjectHandle::of(&fact.record.key))
@@ -92,11 +107,9 @@
         if !facts.is_empty() {
             parts.push(Part::Facts(facts));
         }
-        if parts.is_empty() && !self.may_send_beats(now) {
-            return;
-        }
-        let beats = if parts.is_empty() {
-            self.add_beats(distance, now, &mut parts)
+        let room = BEAT_BYTES.min(PAYLOAD_BYTES - used);
+        let beats = if with_beats {
+            self.add_beats(distance, room, now, &mut parts)
         } else {
             Vec::new()
         };
@@ -114,23 +127,28 @@
         self.spread_bucket.available(now) > reserve
     }
 
-    fn pending_facts(&self, distance: Reach, now: MonotonicTime) -> Vec<Fact> {
+    fn pending_facts(&self, distance: Reach, now: MonotonicTime) -> (Vec<Fact>, usize) {
         let pending = self.facts.pending(distance);
         fill(
             pending.filter_map(|pending| self.store.fact(pending.handle, now)),
             PAYLOAD_BYTES,
         )
-        .0
     }
 
     /// Adds loads and node beats; gives their subjects.
-    fn add_beats(&self, distance: Reach, now: MonotonicTime, parts: &mut Vec<Part>) -> Vec<SubjectHandle> {
+    fn add_beats(
+        &self,
+        distance: Reach,
+        room: usize,
+        now: MonotonicTime,
+        parts: &mut Vec<Part>,
+    ) -> Vec<SubjectHandle> {
         let nodes = self.beats.pending(distance);
         let nodes = nodes.filter_map(|pending| self.store.node_beat(pending.handle, now));
-        let (nodes, used) = fill(nodes, BEAT_BYTES / 3);
+        let (nodes, used) = fill(nodes, room / 3);
         let loads = self.loads.pending(distance);
         let loads = loads.filter_map(|pending| self.store.load_beat(pending.handle, now));
-        let (loads, _) = fill(loads, BEAT_BYTES - used);
+        let (loads, _) = fill(loads, room - used);
         let handles = loads
             .iter()
             .map(|beat| beat.engine)
@@ -195,7 +213,14 @@
         let mut differing: Vec<usize> = (0..DIGEST_GROUPS)
             .filter(|group| own[*group] != digest[*group])
             .collect();
-        if differing.len() > MOST_GROUPS_BY_DATAGRAM {
+        let joining = now.since(self.started) < JOINING;
+        if differing.len()
+            > if joining {
+                GROUPS_PER_SUMMARY
+            } else {
+                MOST_GROUPS_BY_DATAGRAM
+            }
+        {
             self.ask_for_bulk(from, now);
             self.send_spread(from, vec![Part::FarApart], Reach::Zone, now, outgoing);
             return;
@@ -213,7 +238,7 @@
             groups: Vec::new(),
             entries: Vec::new(),
         };
-        for group in differing {
+        for group in differing.into_iter().take(GROUPS_PER_SUMMARY) {
             let group = u8::try_from(group).unwrap_or_default();
             let entries = self.store.summary(group);
             if encode(&summary.entries).len() + encode(&entries).len() > PAYLOAD_BYTES - DIGEST_GROUPS {
@@ -251,7 +276,8 @@
                 missing.filter(|handle| !summary.entries.iter().any(|theirs| theirs.handle == *handle)),
             );
         }
-        if !newer_here.is_empty() || !wanted.is_empty() {
+        // Fewer differences are what is under way anyhow; hurrying for them would cost more than they do.
+        if summary.groups.len() >= GROUPS_PER_SUMMARY {
             self.next_digest = self.next_digest.min(now + HURRIED_DIGEST);
         }
         self.send_copies(&newer_here, from, now, outgoing);
--- a/crates/core/src/membership/gossiper.rs
+++ b/crates/core/src/membership/gossiper.rs
@@ -33,7 +33,13 @@
 const NODE_BEAT_SHARE: u64 = 8;
 
 /// Most facts that wait to be passed on.
-const MOST_HOT_FACTS: usize = 48;
+const MOST_HOT_FACTS: usize = 24;
+
+/// Waiting facts from which on each is passed on fewer times: in a storm comparison by digest costs less.
+const CROWDED_FACTS: usize = 8;
+
+/// Times that a fact is passed on in a storm.
+const SENDS_WHEN_CROWDED: u8 = 2;
 
 /// Longest time to the next digest after a difference was found or a fact was given up.
 pub(super) const HURRIED_DIGEST: Duration = Duration::from_millis(1_000);
@@ -284,6 +290,12 @@
 
     /// Passes a fact on. Where too many wait already, the oldest is left to comparison by digest, which then hurries.
     pub(super) fn push_fact(&mut self, handle: SubjectHandle, sends: u8, now: MonotonicTime) {
+        let crowded = self.facts.len() >= CROWDED_FACTS;
+        let sends = if crowded {
+            sends.min(SENDS_WHEN_CROWDED)
+        } else {
+            sends
+        };
         self.facts.push(handle, sends, Reach::Everywhere);
         if self.facts.drop_oldest_beyond(MOST_HOT_FACTS) {
             self.next_digest = self.next_digest.min(now + HURRIED_DIGEST);
--- a/crates/core/src/membership/observation.rs
+++ b/crates/core/src/membership/observation.rs
@@ -70,17 +70,21 @@
         self.refresh_engine_watches(now);
         let interval = self.poll_interval();
         let hurried = Duration::from_millis(self.config.load_interval_millis);
-        let watches = self.engine_watches.values();
+        let watches = self.engine_watches.iter();
         watches
-            .map(|watch| WatchedEngine {
-                engine: watch.engine.clone(),
-                address: watch.address,
-                first: watch.first,
-                interval: match (watch.missed, watch.first) {
-                    (0, true) => interval,
-                    (0, false) => interval * DEPUTY_PATIENCE,
-                    _ => hurried,
-                },
+            .map(|(handle, watch)| {
+                let accused = self.store.held(*handle).map(|fact| liveness(&fact.record));
+                let in_doubt = watch.missed > 0 || accused == Some(Liveness::Suspect);
+                WatchedEngine {
+                    engine: watch.engine.clone(),
+                    address: watch.address,
+                    first: watch.first,
+                    interval: match (in_doubt, watch.first) {
+                        (true, _) => hurried,
+                        (false, true) => interval,
+                        (false, false) => interval * DEPUTY_PATIENCE,
+                    },
+                }
             })
             .collect()
     }
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -13,7 +13,10 @@
 
 const ROWS: [Row; 24] = [
     ("engines", |result| result.engines.to_string()),
-    ("joined: all known everywhere, s", |result| seconds(result.joined)),
+    (
+        "all nodes and engines known and the bundle in force everywhere after a cold start, s",
+        |result| seconds(result.joined),
+    ),
     ("datagram bytes in and out a second, mean", |result| {
         whole(result.steady.bytes.mean)
     }),
--- a/crates/lab/src/scale/scenario.rs
+++ b/crates/lab/src/scale/scenario.rs
@@ -45,17 +45,27 @@
         ..SizeResult::default()
     };
     let generation = shelfjunction_core::identity::Generation(1);
+    progress(nodes, "joining");
     result.joined = known::wait_for_join(&fleet, generation, options.patience);
+    progress(nodes, "steady");
     std::thread::sleep(options.settle);
     result.steady = measure_steady(&fleet, options);
+    progress(nodes, "changes");
     measure_changes(&mut fleet, options, &mut result)?;
+    progress(nodes, "cut");
     measure_cut(&fleet, options, &mut result);
+    progress(nodes, "restarts");
     measure_restarts(&fleet, options, &mut result)?;
+    progress(nodes, "absent store");
     measure_absent_store(&fleet, options, &mut result);
     fleet.stop();
     Ok(result)
 }
 
+fn progress(nodes: usize, phase: &str) {
+    log::info!(nodes = nodes, phase = phase; "scale");
+}
+
 fn measure_steady(fleet: &Fleet, options: &ScaleOptions) -> Steady {
     let (before, processor_before) = (spent(fleet), processor_time());
     let records_before = last_record(fleet);
@@ -125,7 +135,7 @@
 }
 
 fn measure_cut(fleet: &Fleet, options: &ScaleOptions, result: &mut SizeResult) {
-    known::wait_for_agreement(fleet, options.patience);
+    known::wait_for_agreement(fleet, options.rest);
     let dead_before = dead_subjects(fleet);
     fleet.surroundings.links.cut(CUT_ZONE);
     churn(fleet, options.outage);
