Set overdue requests behind those that can still be in time

Cause: under overload every request waited past its limit on the first token, and aging put old batch work before interactive requests; the planner's model knew neither and split engines where that collapsed. Ruled out: refusing what misses its first token, since a late answer may still be wanted.

--- a/crates/core/src/admission/config.rs
+++ b/crates/core/src/admission/config.rs
@@ -24,7 +24,7 @@
     pub standard_part: f64,
     /// Part of windows and limits that batch requests may fill, from zero to one.
     pub batch_part: f64,
-    /// Waiting that lifts a request by one class, in seconds; what keeps batch from starving.
+    /// Waiting after which a request gets its turn past the classes before it, in seconds.
     pub aging_seconds: f64,
     /// Shortest time to come back after a refusal, in seconds.
     pub shortest_return_seconds: f64,
--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 /// Part of the engines' places in use below which a gateway may go beyond its part of them.
-const BORROWED_PLACES: f64 = 0.8;
+const BORROWED_PLACES: f64 = 0.7;
 
 #[derive(Clone, Debug)]
 struct Admitted {
@@ -237,6 +237,7 @@
                 ticket: number,
                 work: query_tokens(query) as f64,
                 since: now,
+                good_until: now + time_to_start_well(query),
                 start_by: now + query.deadline.saturating_sub(service),
             },
         );
@@ -368,6 +369,15 @@
     }
 }
 
+/// Time within which a request must start for its first token to be in time.
+fn time_to_start_well(query: &AdmissionQuery) -> Duration {
+    let first_token = query.first_token.unwrap_or(query.deadline);
+    let at_engine = query
+        .estimate
+        .map_or(Duration::ZERO, |estimate| estimate.first_token);
+    first_token.saturating_sub(at_engine)
+}
+
 fn query_tokens(query: &AdmissionQuery) -> u64 {
     u64::from(query.prompt_tokens) + u64::from(query.expected_output_tokens)
 }
--- a/crates/core/src/admission/query.rs
+++ b/crates/core/src/admission/query.rs
@@ -32,6 +32,8 @@
     pub prompt_tokens: u32,
     /// Output tokens that similar requests needed.
     pub expected_output_tokens: u32,
+    /// Time left until the first token should be there, where the class has a limit on it.
+    pub first_token: Option<Duration>,
     /// Time left until the answer must be whole.
     pub deadline: Duration,
     /// Delays it would meet at the engines if it were sent now; absent where nothing is known.
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -2,7 +2,9 @@
 //!
 //! Within a class, tenants share by start-time fair queueing: each request gets a start tag of the later of the
 //! class's virtual time and its tenant's last finish tag, and the lowest tag goes first. So a tenant's burst only
-//! delays that tenant. Between classes the higher goes first, until a lower one has waited the aging time per step.
+//! delays that tenant. Between classes the higher goes first. A request that can't begin to answer in time any more
+//! goes behind all that still can, so that a backlog makes some late and not all. Nothing starves: one start in
+//! [`AGED_TURN`] goes to whoever has waited longest, once that is over the aging time.
 
 use super::query::TicketNumber;
 use crate::identity::TenantId;
@@ -11,6 +13,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+/// Every so many starts, the one that has waited longest goes first.
+const AGED_TURN: u64 = 10;
+
 /// One request that begins to wait.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -20,6 +25,8 @@
     pub work: f64,
     /// When it begins to wait.
     pub since: MonotonicTime,
+    /// Latest moment at which its start still gives a first token in time.
+    pub good_until: MonotonicTime,
     /// Latest moment at which its start still makes sense.
     pub start_by: MonotonicTime,
 }
@@ -48,7 +55,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct FairQueue {
     classes: [ClassLine; 3],
+    /// Requests whose first token can't be in time any more.
+    overdue: ClassLine,
     length: usize,
+    starts: u64,
 }
 
 impl FairQueue {
@@ -64,7 +74,7 @@
 
     /// Requests of one tenant that wait, over all classes.
     pub fn tenant_len(&self, tenant: &TenantId) -> usize {
-        let lines = self.classes.iter().filter_map(|class| class.tenants.get(tenant));
+        let lines = self.lines().filter_map(|class| class.tenants.get(tenant));
         lines.map(|line| line.waiting.len()).sum()
     }
 
@@ -86,47 +96,83 @@
 
     /// Appends a request; `share` is the tenant's weight.
     pub fn push(&mut self, tenant: &TenantId, class: ServiceClass, share: f64, arrival: Arrival) {
-        let class_line = &mut self.classes[class.index()];
-        let virtual_time = class_line.virtual_time;
-        let line = class_line.tenants.entry(tenant.clone()).or_default();
-        let start_tag = line.finish_tag.max(virtual_time);
-        line.finish_tag = start_tag + arrival.work / share;
-        line.work += arrival.work;
-        class_line.work += arrival.work;
-        line.waiting.push_back(Waiting { arrival, start_tag });
+        self.classes[class.index()].push(tenant, share, arrival);
         self.length += 1;
     }
 
-    /// Class and ticket that should start next among classes for which `open` says yes.
+    /// The request that should start next among classes for which `open` says yes; overdue ones count as batch.
     pub fn pop_next(
         &mut self,
         aging: Duration,
         now: MonotonicTime,
         open: impl Fn(ServiceClass) -> bool,
     ) -> Option<Arrival> {
-        let mut best: Option<(f64, usize, TenantId)> = None;
-        for (index, class) in ServiceClass::ALL.into_iter().enumerate() {
-            if !open(class) {
-                continue;
-            }
-            let Some((tenant, head)) = self.classes[index].head() else {
-                continue;
-            };
-            let waited = now.since(head.arrival.since).as_secs_f64();
-            let rank = index as f64 * aging.as_secs_f64() - waited;
-            if best.as_ref().is_none_or(|(lowest, _, _)| rank < *lowest) {
-                best = Some((rank, index, tenant.clone()));
+        self.set_overdue_apart(now);
+        let aged = if self.starts % AGED_TURN == AGED_TURN - 1 {
+            self.longest_waiting(aging, now, &open)
+        } else {
+            None
+        };
+        let line = match aged {
+            Some(line) => line,
+            None => self.first_open(&open)?,
+        };
+        let started = self.line_mut(line).pop();
+        if started.is_some() {
+            self.starts += 1;
+            self.length -= 1;
+        }
+        started
+    }
+
+    fn set_overdue_apart(&mut self, now: MonotonicTime) {
+        for class in &mut self.classes {
+            for (tenant, waiting) in class.take_overdue_heads(now) {
+                self.overdue.push(&tenant, 1.0, waiting);
             }
         }
-        let (_, index, tenant) = best?;
-        self.length -= 1;
-        self.classes[index].pop(&tenant)
+    }
+
+    /// Line whose next request has waited longest, and longer than the aging time.
+    fn longest_waiting(
+        &self,
+        aging: Duration,
+        now: MonotonicTime,
+        open: &impl Fn(ServiceClass) -> bool,
+    ) -> Option<usize> {
+        let heads = self
+            .lines()
+            .enumerate()
+            .filter(|(index, _)| open(line_class(*index)));
+        heads
+            .filter_map(|(index, line)| Some((line.head()?.1.arrival.since, index)))
+            .filter(|(since, _)| now.since(*since) > aging)
+            .min()
+            .map(|(_, index)| index)
+    }
+
+    fn first_open(&self, open: &impl Fn(ServiceClass) -> bool) -> Option<usize> {
+        self.lines()
+            .enumerate()
+            .find(|(index, line)| open(line_class(*index)) && line.head().is_some())
+            .map(|(index, _)| index)
+    }
+
+    fn lines(&self) -> impl Iterator<Item = &ClassLine> {
+        self.classes.iter().chain(std::iter::once(&self.overdue))
+    }
+
+    fn line_mut(&mut self, index: usize) -> &mut ClassLine {
+        match self.classes.get_mut(index) {
+            Some(line) => line,
+            None => &mut self.overdue,
+        }
     }
 
     /// Takes out every request whose start has become pointless.
     pub fn take_expired(&mut self, now: MonotonicTime) -> Vec<Arrival> {
         let mut expired = Vec::new();
-        for class in &mut self.classes {
+        for class in self.classes.iter_mut().chain(std::iter::once(&mut self.overdue)) {
             class.take_matching(|waiting| waiting.start_by < now, &mut expired);
         }
         self.length -= expired.len();
@@ -136,7 +182,7 @@
     /// Takes out one request; whether it was there.
     pub fn remove(&mut self, ticket: TicketNumber) -> bool {
         let mut removed = Vec::new();
-        for class in &mut self.classes {
+        for class in self.classes.iter_mut().chain(std::iter::once(&mut self.overdue)) {
             class.take_matching(|waiting| waiting.ticket == ticket, &mut removed);
         }
         self.length -= removed.len();
@@ -152,8 +198,18 @@
             .min_by(|left, right| left.1.start_tag.total_cmp(&right.1.start_tag))
     }
 
-    fn pop(&mut self, tenant: &TenantId) -> Option<Arrival> {
-        let line = self.tenants.get_mut(tenant)?;
+    fn push(&mut self, tenant: &TenantId, share: f64, arrival: Arrival) {
+        let line = self.tenants.entry(tenant.clone()).or_default();
+        let start_tag = line.finish_tag.max(self.virtual_time);
+        line.finish_tag = start_tag + arrival.work / share;
+        line.work += arrival.work;
+        self.work += arrival.work;
+        line.waiting.push_back(Waiting { arrival, start_tag });
+    }
+
+    fn pop(&mut self) -> Option<Arrival> {
+        let tenant = self.head()?.0.clone();
+        let line = self.tenants.get_mut(&tenant)?;
         let waiting = line.waiting.pop_front()?;
         line.work -= waiting.arrival.work;
         self.work -= waiting.arrival.work;
@@ -162,6 +218,26 @@
         Some(waiting.arrival)
     }
 
+    /// Takes the requests at the heads of tenants' lines that can't be in time any more.
+    fn take_overdue_heads(&mut self, now: MonotonicTime) -> Vec<(TenantId, Arrival)> {
+        let mut taken = Vec::new();
+        for (tenant, line) in &mut self.tenants {
+            while line
+                .waiting
+                .front()
+                .is_some_and(|waiting| waiting.arrival.good_until < now)
+            {
+                let Some(waiting) = line.waiting.pop_front() else {
+                    break;
+                };
+                line.work -= waiting.arrival.work;
+                self.work -= waiting.arrival.work;
+                taken.push((tenant.clone(), waiting.arrival));
+            }
+        }
+        taken
+    }
+
     fn take_matching(&mut self, matches: impl Fn(&Arrival) -> bool, taken: &mut Vec<Arrival>) {
         for line in self.tenants.values_mut() {
             let before = taken.len();
@@ -188,3 +264,11 @@
         }
     }
 }
+
+/// Class whose openness decides on a line; the overdue ones stand behind batch.
+fn line_class(index: usize) -> ServiceClass {
+    ServiceClass::ALL
+        .get(index)
+        .copied()
+        .unwrap_or(ServiceClass::Batch)
+}
--- a/crates/core/src/roles/goodput.rs
+++ b/crates/core/src/roles/goodput.rs
@@ -26,8 +26,8 @@
 /// Standard deviations of a normal distribution per unit of the logistic curve that stands for it.
 const LOGISTIC_WIDTH: f64 = 1.7;
 
-/// Spread of the sequences at an engine, relative to that of a Poisson count; routing evens them out.
-const PLACES_SPREAD: f64 = 0.6;
+/// Part of a batch's places that can be in use on average before some wait for one.
+const USABLE_PLACES: f64 = 0.8;
 
 /// Demand of one class on one model, per second, with the limits that make a request count.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -59,6 +59,15 @@
             target: rule.target,
         })
     }
+
+    fn scaled(&self, factor: f64) -> Self {
+        Self {
+            requests: self.requests * factor,
+            prefill_tokens: self.prefill_tokens * factor,
+            output_tokens: self.output_tokens * factor,
+            ..*self
+        }
+    }
 }
 
 /// Requests within their limits per second when the engines are split so; `demand` is sorted by class.
@@ -137,58 +146,109 @@
 
 impl Model<'_> {
     fn goodput(&self, placement: Placement) -> f64 {
+        let served = self.served_demand(placement);
+        let loads = self.loads(placement, &served);
         let profile = self.profile;
-        let mixed = f64::from(self.counts.mixed);
-        let prompt_tokens: f64 = self.demand.iter().map(|class| class.prefill_tokens).sum();
-        let on_mixed = per_engine(placement.prompts_on_mixed * prompt_tokens, mixed);
-        let prompt_time = (on_mixed * profile.prefill_token_seconds()).min(HIGHEST_LOAD);
-        let shared = DecodeState::settle(
-            placement.outputs_on_mixed,
-            mixed,
-            prompt_time,
-            self.demand,
-            profile,
-        );
-        let alone_part = 1.0 - placement.outputs_on_mixed;
-        let alone = DecodeState::settle(
-            alone_part,
-            f64::from(self.counts.decode),
-            0.0,
-            self.demand,
-            profile,
-        );
-        let idle_step = profile.decode_step(shared.sequences);
+        let idle_step = profile.decode_step(loads.shared_sequences);
         let busy_step = idle_step + profile.prefill_chunk_tokens * profile.prefill_token_seconds();
         let shared_speed = profile.prefill_chunk_tokens / busy_step;
-        let busy = (on_mixed / shared_speed).min(1.0);
-        let starts = self.starts(placement.prompts_on_mixed, shared_speed);
-        let run_steps = mean_prompt_steps(self.demand, profile);
-        let served = self.demand.iter().enumerate().map(|(index, class)| {
-            let start = starts[index];
+        let busy = (loads.prompts_per_mixed / shared_speed).min(1.0);
+        let alone_step = profile.decode_step(loads.alone_sequences);
+        let starts = self.starts(placement.prompts_on_mixed, shared_speed, &served);
+        let run_steps = mean_prompt_steps(&served, profile);
+        let good = served.iter().zip(starts).map(|(class, start)| {
             let limit = token_limit(class);
             let steps = class.output_tokens / class.requests;
             let on_shared = mean_below_limit(idle_step, busy_step, busy, steps / run_steps, limit);
-            let on_alone = below_limit(alone.token_seconds, limit);
-            let in_time = placement.outputs_on_mixed * shared.places[index].min(start) * on_shared
-                + alone_part * alone.places[index].min(start) * on_alone;
-            class.requests * in_time
+            let on_alone = below_limit(alone_step, limit);
+            let part = placement.outputs_on_mixed;
+            class.requests * start * (part * on_shared + (1.0 - part) * on_alone)
         });
-        served.sum()
+        good.sum()
+    }
+
+    /// Demand that fits, the higher classes first: what does not fit waits at the gateways and is refused there.
+    fn served_demand(&self, placement: Placement) -> Vec<ClassDemand> {
+        let mut room = [1.0_f64; 3];
+        let mut served = Vec::with_capacity(self.demand.len());
+        for class in self.demand {
+            let uses = self.uses(placement, class);
+            let fits = room.iter().zip(uses).map(|(room, own)| {
+                if own > 0.0 {
+                    (room * HIGHEST_LOAD / own).min(1.0)
+                } else {
+                    1.0
+                }
+            });
+            let fits = fits.fold(1.0, f64::min);
+            for (room, own) in room.iter_mut().zip(uses) {
+                *room = (*room - fits * own).max(0.0);
+            }
+            if fits > 0.0 {
+                served.push(class.scaled(fits));
+            }
+        }
+        served
+    }
+
+    /// Parts of the prefill, decode and mixed engines' time that a class uses.
+    fn uses(&self, placement: Placement, class: &ClassDemand) -> [f64; 3] {
+        let profile = self.profile;
+        let places = profile.batch_sequences * USABLE_PLACES;
+        let output_seconds = profile.decode_step(places) / places;
+        let prompts = (1.0 - placement.prompts_on_mixed) * class.prefill_tokens;
+        let outputs = (1.0 - placement.outputs_on_mixed) * class.output_tokens;
+        let mixed = placement.prompts_on_mixed * class.prefill_tokens * profile.prefill_token_seconds()
+            + placement.outputs_on_mixed * class.output_tokens * output_seconds;
+        [
+            per_engine(
+                prompts / profile.prefill_tokens_per_second,
+                f64::from(self.counts.prefill),
+            ),
+            per_engine(outputs * output_seconds, f64::from(self.counts.decode)),
+            per_engine(mixed, f64::from(self.counts.mixed)),
+        ]
+    }
+
+    fn loads(&self, placement: Placement, served: &[ClassDemand]) -> Loads {
+        let prompt_tokens: f64 = served.iter().map(|class| class.prefill_tokens).sum();
+        let output_tokens: f64 = served.iter().map(|class| class.output_tokens).sum();
+        let mixed = f64::from(self.counts.mixed);
+        let prompts_per_mixed = per_engine(placement.prompts_on_mixed * prompt_tokens, mixed);
+        let prompt_time = prompts_per_mixed * self.profile.prefill_token_seconds();
+        let shared = per_engine(placement.outputs_on_mixed * output_tokens, mixed);
+        let alone_part = 1.0 - placement.outputs_on_mixed;
+        let alone = per_engine(alone_part * output_tokens, f64::from(self.counts.decode));
+        Loads {
+            prompts_per_mixed,
+            shared_sequences: settled_sequences(shared, 1.0 - prompt_time, self.profile),
+            alone_sequences: settled_sequences(alone, 1.0, self.profile),
+        }
     }
 
     /// For each class, the chance that its prompts are computed in time on either kind of engine.
-    fn starts(&self, part_on_mixed: f64, shared_speed: f64) -> Vec<f64> {
+    fn starts(&self, part_on_mixed: f64, shared_speed: f64, served: &[ClassDemand]) -> Vec<f64> {
         let mixed = f64::from(self.counts.mixed);
-        let on_mixed = start_chances(part_on_mixed, mixed, shared_speed, self.demand);
+        let on_mixed = start_chances(part_on_mixed, mixed, shared_speed, served);
         let prefill = f64::from(self.counts.prefill);
         let speed = self.profile.prefill_tokens_per_second;
-        let on_prefill = start_chances(1.0 - part_on_mixed, prefill, speed, self.demand);
+        let on_prefill = start_chances(1.0 - part_on_mixed, prefill, speed, served);
         let both = on_mixed.into_iter().zip(on_prefill);
         both.map(|(mixed, prefill)| part_on_mixed * mixed + (1.0 - part_on_mixed) * prefill)
             .collect()
     }
 }
 
+/// What engines carry.
+struct Loads {
+    /// Prompt tokens a second on each mixed engine.
+    prompts_per_mixed: f64,
+    /// Sequences that decode on each mixed engine.
+    shared_sequences: f64,
+    /// Sequences that decode on each decode engine.
+    alone_sequences: f64,
+}
+
 fn per_engine(amount: f64, engines: f64) -> f64 {
     if engines > 0.0 { amount / engines } else { 0.0 }
 }
@@ -216,50 +276,9 @@
     1.0 / (1.0 + ((mean - limit) / width).exp())
 }
 
-struct DecodeState {
-    sequences: f64,
-    token_seconds: f64,
-    /// For each class, the chance of a place in a batch in time.
-    places: Vec<f64>,
-}
-
-impl DecodeState {
-    /// Where the batches of some engines settle when they get a part of the outputs and prompts take the given part
-    /// of their time. Places go to the higher classes first.
-    fn settle(
-        part: f64,
-        engines: f64,
-        prompt_time: f64,
-        demand: &[ClassDemand],
-        profile: &EngineProfile,
-    ) -> Self {
-        let left = 1.0 - prompt_time;
-        let full = profile.batch_sequences;
-        let most = full * left / profile.decode_step(full);
-        let mut outputs = 0.0;
-        let mut places = Vec::with_capacity(demand.len());
-        for class in demand {
-            let own = per_engine(part * class.output_tokens, engines);
-            let fits = if own > 0.0 {
-                ((most - outputs) / own).clamp(0.0, 1.0)
-            } else {
-                1.0
-            };
-            outputs += own;
-            places.push(fits * place_chance(settled_sequences(outputs, left, profile), full));
-        }
-        let sequences = settled_sequences(outputs, left, profile).min(full);
-        Self {
-            sequences,
-            token_seconds: profile.decode_step(sequences) / left,
-            places,
-        }
-    }
-}
-
-/// Sequences at which a batch settles under a rate of output tokens; twice what fits when it never does.
+/// Sequences at which a batch settles under a rate of output tokens; a full batch when it never does.
 fn settled_sequences(output_tokens: f64, left: f64, profile: &EngineProfile) -> f64 {
-    let most = 2.0 * profile.batch_sequences;
+    let most = profile.batch_sequences;
     let slack = left - output_tokens * profile.step_sequence_seconds;
     if slack <= 0.0 {
         return most;
@@ -267,12 +286,6 @@
     (output_tokens * profile.step_base_seconds / slack).min(most)
 }
 
-/// Chance that fewer sequences are there than places when they vary around their mean.
-fn place_chance(sequences: f64, places: f64) -> f64 {
-    let spread = PLACES_SPREAD * sequences.sqrt().max(1.0) / LOGISTIC_WIDTH;
-    1.0 / (1.0 + ((sequences - places) / spread).exp())
-}
-
 /// For each class, the chance that its prompts are computed in time, what is refused early included.
 fn start_chances(part: f64, engines: f64, speed: f64, demand: &[ClassDemand]) -> Vec<f64> {
     if engines == 0.0 {
--- a/crates/gateway/src/serve/completion.rs
+++ b/crates/gateway/src/serve/completion.rs
@@ -178,6 +178,13 @@
         (answered, end.outcome, end.tokens)
     }
 
+    /// Time to the first token within which the class counts as served well.
+    fn first_token_limit(&self) -> Option<Duration> {
+        let classes = &self.caller.served.bundle.fleet.classes;
+        let rule = classes.iter().find(|rule| rule.class == self.call.class)?;
+        Some(Duration::from_millis(rule.target.first_token_millis))
+    }
+
     fn admit(&self, responder: &Responder<'_>) -> Result<AdmissionTicket, Refusal> {
         let context = self.context;
         let now = context.now();
@@ -194,6 +201,7 @@
             model: self.call.model.clone(),
             prompt_tokens: self.query.prompt_tokens,
             expected_output_tokens: self.query.expected_output_tokens,
+            first_token: self.first_token_limit(),
             deadline: self.deadline.since(now),
             estimate,
         };
--- a/crates/lab/src/simulate/gateways.rs
+++ b/crates/lab/src/simulate/gateways.rs
@@ -136,6 +136,9 @@
             model: query.model.clone(),
             prompt_tokens: arrived.prompt_tokens,
             expected_output_tokens: query.expected_output_tokens,
+            first_token: Some(Duration::from_millis(
+                self.deployment.target(arrived.class).first_token_millis,
+            )),
             deadline,
             estimate,
         };
