Compare the engine model with the stand-in process call by call

Ruled out: comparing percentiles alone, which hides calls that trade places; each call is compared with itself too.

--- a/crates/lab/src/command/engine.rs
+++ b/crates/lab/src/command/engine.rs
@@ -18,6 +18,12 @@
 };
 
 fn declare(options: &mut getopts::Options) {
+    engine_options(options);
+    options.optflag("", "check", "check the settings and exit");
+}
+
+/// Adds the options that settle an engine's settings.
+pub(super) fn engine_options(options: &mut getopts::Options) {
     options.optopt("", "settings", "settings file; flags go before it", "FILE");
     options.optopt(
         "",
@@ -56,14 +62,10 @@
         "number of this start; later ones must be higher",
         "NUMBER",
     );
-    options.optflag("", "check", "check the settings and exit");
 }
 
 fn run(options: &Options) -> Result<(), CommandError> {
-    let config = config(options)?;
-    if let Some(error) = CommandError::wrong_settings(&config.validate()) {
-        return Err(error);
-    }
+    let config = engine_config(options)?;
     if options.flag("check") {
         return Ok(());
     }
@@ -77,7 +79,8 @@
     Ok(())
 }
 
-fn config(options: &Options) -> Result<EngineConfig, CommandError> {
+/// The settings of an engine: the file's, with flags before it.
+pub(super) fn engine_config(options: &Options) -> Result<EngineConfig, CommandError> {
     let mut config = match options.text("settings") {
         Some(path) => read_settings(&path)?,
         None => EngineConfig::default(),
@@ -95,7 +98,10 @@
         config.incarnation = Some(incarnation);
     }
     apply_kind(options, &mut config)?;
-    Ok(config)
+    match CommandError::wrong_settings(&config.validate()) {
+        Some(error) => Err(error),
+        None => Ok(config),
+    }
 }
 
 fn read_settings(path: &str) -> Result<EngineConfig, CommandError> {
--- a/crates/lab/src/command/mod.rs
+++ b/crates/lab/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands of `shelfjunction-lab`; each lives in a module of its own and has one line in [`COMMANDS`].
 
+mod calibrate;
 mod demo;
 mod engine;
 mod load;
@@ -36,6 +37,7 @@
 const COMMANDS: &[&Command] = &[
     &platform::COMMAND,
     &engine::COMMAND,
+    &calibrate::COMMAND,
     &load::COMMAND,
     &demo::COMMAND,
     &simulate::COMMAND,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, load and experiment tools.
 
+pub mod calibrate;
 pub mod caller;
 pub mod cluster;
 pub mod command;
--- a/crates/lab/tests/engine.rs
+++ b/crates/lab/tests/engine.rs
@@ -12,6 +12,7 @@
 use shelfjunction_engine_model::EngineFaults;
 use shelfjunction_engine_model::answer::AnswerSeed;
 use shelfjunction_engine_model::config::EngineKind;
+use shelfjunction_lab::calibrate::{self, Calibration};
 use shelfjunction_lab::engine::{
     EngineConfig, EngineHandle, EngineLog, EngineServer, EngineServerFaults, WeightStoreConfig,
 };
@@ -320,6 +321,25 @@
     platform.wait();
 }
 
+#[test]
+fn a_calibration_compares_every_call() {
+    let engine = start("renewal-1", Role::Mixed);
+    let report = calibrate::run(&Calibration {
+        engine: engine.address(),
+        config: config("renewal-1", Role::Mixed),
+        calls: 20,
+        rates: vec![200.0, 400.0],
+        seed: 1,
+    });
+    let counts: Vec<(usize, usize)> = report
+        .rates
+        .iter()
+        .map(|run| (run.compared, run.left_out))
+        .collect();
+    assert_eq!(counts, [(20, 0), (20, 0)]);
+    end(engine);
+}
+
 #[test]
 fn bad_input_is_answered_or_closed_and_the_engine_serves_on() {
     let engine = start("renewal-1", Role::Mixed);
