--- a/crates/lab/src/cluster/publish.rs
+++ b/crates/lab/src/cluster/publish.rs
@@ -1,14 +1,13 @@
 //! Puts a signed bundle into force through the platform, as operators at their shells would.
 
 use super::deployment::Deployment;
+use shelfjunction_core::bundle::Digest;
 use shelfjunction_core::bundle::acceptance::{self, CURRENT_KEY, CurrentRow, ProposalRow, Verdict};
 use shelfjunction_core::bundle::content::Bundle;
 use shelfjunction_core::bundle::manifest::{Content, pack};
-use shelfjunction_core::bundle::signature::{ProposalId, Statement, sign};
-use shelfjunction_core::bundle::{BundleKeeper, Digest, HeadSource};
-use shelfjunction_core::identity::{Generation, OperatorId, ZoneId};
+use shelfjunction_core::bundle::signature::{ProposalId, SignedBundle, Statement, sign};
+use shelfjunction_core::identity::{Generation, OperatorId};
 use shelfjunction_core::table::{PlatformError, RowKey};
-use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::services::{ObjectStore, TableService};
 
 /// Why a bundle did not come into force.
@@ -18,10 +17,6 @@
     Platform(PlatformError),
     /// A row is not what the acceptance of bundles writes.
     UnreadableRow(RowKey),
-    /// The object store lacks a content of the current bundle.
-    MissingContent(Digest),
-    /// The current bundle does not follow from the root keys.
-    CurrentRefused,
     /// Another bundle took the place.
     Superseded(CurrentRow),
 }
@@ -41,16 +36,11 @@
     let operator = operator
         .map(|rule| rule.operator.clone())
         .unwrap_or_else(|| OperatorId::new("nobody"));
-    publish(platform, deployment, &deployment.bundle, &operator)
+    publish(platform, &deployment.bundle, &operator)
 }
 
 /// Signs a bundle by one operator and makes it current in the next place.
-pub fn publish<P>(
-    platform: &P,
-    deployment: &Deployment,
-    bundle: &Bundle,
-    operator: &OperatorId,
-) -> Result<CurrentRow, PublishError>
+pub fn publish<P>(platform: &P, bundle: &Bundle, operator: &OperatorId) -> Result<CurrentRow, PublishError>
 where
     P: TableService + ObjectStore,
 {
@@ -63,17 +53,13 @@
             Some(current.ok_or(PublishError::UnreadableRow(current_key))?)
         }
     };
-    let packed = pack(bundle);
-    let statement = Statement {
-        generation: Generation(current.as_ref().map_or(0, |row| row.generation.0) + 1),
-        manifest: packed.manifest_digest(),
-        proposal: ProposalId(format!("proposal-of-{operator}")),
-        authority: match &current {
-            Some(current) => authority_after(platform, deployment, current)?,
-            None => None,
-        },
+    let generation = Generation(current.as_ref().map_or(0, |row| row.generation.0) + 1);
+    let authority = match &current {
+        None => None,
+        Some(current) => Some(authority_after(platform, current)?),
     };
-    let proposal = signed_proposal(bundle, statement, operator);
+    let packed = pack(bundle);
+    let proposal = signed_proposal(bundle, packed.manifest_digest(), generation, authority, operator);
     let acceptance = acceptance::plan(&proposal, operator, row.map(|row| row.version));
     for content in &packed.contents {
         store(platform, content)?;
@@ -87,39 +73,27 @@
     }
 }
 
-/// The signed bundle that decides who may sign after the current one.
-fn authority_after<P>(
-    platform: &P,
-    deployment: &Deployment,
-    current: &CurrentRow,
-) -> Result<Option<Digest>, PublishError>
-where
-    P: TableService + ObjectStore,
-{
-    let zone = deployment
-        .zones
-        .first()
-        .cloned()
-        .unwrap_or_else(|| ZoneId::new("none"));
-    let mut keeper = BundleKeeper::new(deployment.roots(), zone);
-    keeper.on_head(Some(current.head()), &HeadSource::Store, MonotonicTime::default());
-    loop {
-        let wanted = keeper.wanted();
-        if wanted.is_empty() {
-            break;
-        }
-        let mut contents = Vec::new();
-        for digest in wanted {
-            let content = platform.get(&digest.to_hex())?;
-            contents.push(content.ok_or(PublishError::MissingContent(digest))?);
-        }
-        keeper.on_contents(contents);
-    }
-    let in_force = keeper.in_force().ok_or(PublishError::CurrentRefused)?;
-    Ok(in_force.next.authority)
+/// The authority over the next bundle; every bundle published here is signed by the same operators as the first.
+fn authority_after<P: ObjectStore>(platform: &P, current: &CurrentRow) -> Result<Digest, PublishError> {
+    let bytes = platform.get(&current.signed.to_hex())?;
+    let signed: Option<SignedBundle> = bytes.and_then(|bytes| serde_json::from_slice(&bytes).ok());
+    let signed = signed.ok_or_else(|| PublishError::UnreadableRow(RowKey(CURRENT_KEY.to_owned())))?;
+    Ok(signed.statement.authority.unwrap_or(current.signed))
 }
 
-fn signed_proposal(bundle: &Bundle, statement: Statement, operator: &OperatorId) -> ProposalRow {
+fn signed_proposal(
+    bundle: &Bundle,
+    manifest: Digest,
+    generation: Generation,
+    authority: Option<Digest>,
+    operator: &OperatorId,
+) -> ProposalRow {
+    let statement = Statement {
+        generation,
+        manifest,
+        proposal: ProposalId(format!("proposal-{generation}-{operator}")),
+        authority,
+    };
     let signature = sign(&Deployment::signing_key(operator), operator.clone(), &statement);
     ProposalRow {
         statement,
--- a/crates/lab/src/demo/scenario.rs
+++ b/crates/lab/src/demo/scenario.rs
@@ -158,12 +158,7 @@
         rule.models.retain(|grant| grant.model != deployment.model);
         let token = Deployment::tenant_token(&rule.tenant);
         let operators = deployment.operators();
-        match publish(
-            &self.cluster.platform_client(),
-            deployment,
-            &bundle,
-            &operators[0],
-        ) {
+        match publish(&self.cluster.platform_client(), &bundle, &operators[0]) {
             Ok(current) => println!(
                 "      generation {} signed by {}",
                 current.generation, operators[0]
--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -115,13 +115,8 @@
         let bundle = changed_bundle(&self.bundle, self.changes);
         self.changes += 1;
         let operators = self.deployment.operators();
-        let row = publish(
-            &self.surroundings.platform,
-            &self.deployment,
-            &bundle,
-            &operators[0],
-        )
-        .map_err(ScaleError::Publish)?;
+        let row =
+            publish(&self.surroundings.platform, &bundle, &operators[0]).map_err(ScaleError::Publish)?;
         self.bundle = bundle;
         Ok(row.generation)
     }
--- a/crates/lab/src/soak/disturbance.rs
+++ b/crates/lab/src/soak/disturbance.rs
@@ -79,7 +79,7 @@
     bundle.label = format!("soak {round}");
     let operators = deployment.operators();
     let operator = &operators[round % operators.len()];
-    match publish(&cluster.platform_client(), deployment, &bundle, operator) {
+    match publish(&cluster.platform_client(), &bundle, operator) {
         Ok(_) => counts.bundles += 1,
         Err(_) => counts.bundles_refused += 1,
     }
--- a/tests/process/frozen_holder.rs
+++ b/tests/process/frozen_holder.rs
@@ -36,7 +36,7 @@
     let deployment = &running.layout.deployment;
     let mut bundle = deployment.bundle.clone();
     bundle.models[0].version = WeightVersion::new("2");
-    publish(&platform, deployment, &bundle, &deployment.operators()[0]).unwrap();
+    publish(&platform, &bundle, &deployment.operators()[0]).unwrap();
     running.controllers[holder].wait_for_line(asleep_from, &["order_sent"]);
     running.controllers[holder].signal(Signal::STOP);
 
