--- a/crates/controller/src/gossip/mod.rs
+++ b/crates/controller/src/gossip/mod.rs
@@ -15,7 +15,7 @@
 use shelfjunction_core::membership::record::{Record, RecordKey};
 use shelfjunction_core::membership::store::Changes;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::membership::wire::Head;
+use shelfjunction_core::membership::wire::{Fact, Head};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::clock::MonotonicClock;
 use std::net::{SocketAddr, UdpSocket};
@@ -123,6 +123,17 @@
         self.lock().gossiper.store().digest()
     }
 
+    /// Every fact with its present age, for a peer that fetches in bulk.
+    pub fn bulk(&self) -> Vec<Fact> {
+        let now = self.now();
+        self.lock().gossiper.bulk(now)
+    }
+
+    /// Takes in what was fetched from a peer in bulk.
+    pub fn merge_bulk(&self, facts: Vec<Fact>) {
+        self.change(|gossiper, now| gossiper.merge_bulk(facts, now));
+    }
+
     /// Generation of the bundle in force here, as told to others.
     pub fn generation(&self) -> Generation {
         self.lock().gossiper.generation()
--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -15,6 +15,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+/// Part of the engines' places in use below which a gateway may go beyond its part of them.
+const BORROWED_PLACES: f64 = 0.7;
+
 #[derive(Clone, Debug)]
 struct Admitted {
     tenant: TenantId,
@@ -234,6 +237,7 @@
                 ticket: number,
                 work: query_tokens(query) as f64,
                 since: now,
+                good_until: now + time_to_start_well(query),
                 start_by: now + query.deadline.saturating_sub(service),
             },
         );
@@ -299,16 +303,21 @@
 }
 
 impl ModelGate {
-    /// Whether one more request of the class may go to the engines.
+    /// Whether one more request of the class may go to the engines: within this gateway's part of the windows, or
+    /// beyond it while the engines have little to do.
     fn is_open(&self, class: ServiceClass, config: &AdmissionConfig) -> bool {
         let Some(capacity) = self.capacity else {
             return true;
         };
-        if self.started == 0 || capacity.backlog_seconds < config.borrow_below_seconds * config.part(class) {
-            return true;
-        }
-        let window = config.window_seconds * config.part(class) / f64::from(capacity.gateways.max(1));
-        self.prefill_in_flight < window * capacity.prefill_tokens_per_second
+        let part = config.part(class);
+        let own_part = part / f64::from(capacity.gateways.max(1));
+        let window = config.window_seconds * capacity.prefill_tokens_per_second;
+        let places = config.window_places * capacity.sequence_places;
+        let prefill_open = self.prefill_in_flight < window * own_part
+            || capacity.backlog_seconds < config.borrow_below_seconds * part;
+        let places_open = (self.started as f64) < places * own_part
+            || capacity.requests_at_engines < places * part * BORROWED_PLACES;
+        self.started == 0 || (prefill_open && places_open)
     }
 
     fn enter(&mut self, admitted: &Admitted) {
@@ -360,6 +369,15 @@
     }
 }
 
+/// Time within which a request must start for its first token to be in time.
+fn time_to_start_well(query: &AdmissionQuery) -> Duration {
+    let first_token = query.first_token.unwrap_or(query.deadline);
+    let at_engine = query
+        .estimate
+        .map_or(Duration::ZERO, |estimate| estimate.first_token);
+    first_token.saturating_sub(at_engine)
+}
+
 fn query_tokens(query: &AdmissionQuery) -> u64 {
     u64::from(query.prompt_tokens) + u64::from(query.expected_output_tokens)
 }
--- a/crates/core/src/admission/query.rs
+++ b/crates/core/src/admission/query.rs
@@ -32,6 +32,8 @@
     pub prompt_tokens: u32,
     /// Output tokens that similar requests needed.
     pub expected_output_tokens: u32,
+    /// Time left until the first token should be there, where the class has a limit on it.
+    pub first_token: Option<Duration>,
     /// Time left until the answer must be whole.
     pub deadline: Duration,
     /// Delays it would meet at the engines if it were sent now; absent where nothing is known.
@@ -47,6 +49,10 @@
     pub decode_tokens_per_second: f64,
     /// Mean time that prompts wait at engines now, in seconds.
     pub backlog_seconds: f64,
+    /// Sequences that can decode at once, over all engines that decode.
+    pub sequence_places: f64,
+    /// Requests that run or wait at those engines now.
+    pub requests_at_engines: f64,
     /// Gateways that share the engines.
     pub gateways: u32,
 }
--- a/crates/core/tests/bundle_support/mod.rs
+++ b/crates/core/tests/bundle_support/mod.rs
@@ -1,7 +1,6 @@
 //! Bundles, operators and a platform's history for the tests of bundles.
 #![allow(dead_code)]
 
-use shelfjunction_core::bundle::Head;
 use shelfjunction_core::bundle::content::{
     Bundle, ModelGrant, ModelKind, ModelRule, OperatorAction, OperatorRule, TenantRule, ZoneRule,
 };
@@ -10,10 +9,12 @@
 use shelfjunction_core::bundle::signature::{
     self, ProposalId, SignedBundle, SigningAuthority, SigningOperator, Statement,
 };
+use shelfjunction_core::bundle::{BundleKeeper, Head, HeadSource};
 use shelfjunction_core::identity::{
     Generation, ModelId, OperatorId, RegionId, TenantId, WeightVersion, ZoneId,
 };
 use shelfjunction_core::service_class::ServiceClass;
+use shelfjunction_core::time::MonotonicTime;
 use std::collections::BTreeMap;
 
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -158,11 +159,11 @@
         let (signing, authority) = self.next_signers();
         let generation = self.history.len() as u64 + 1;
         let head = self.sign(&bundle, generation, authority, &signing);
-        let (old_signers, old_required) = match self.history.last() {
-            Some(last) => (last.signers.clone(), last.required),
-            None => (vec![0], 1),
-        };
-        let changed = (&old_signers, old_required) != (&signers, required);
+        // The first bundle ends the root keys' authority, also where it names the same keys.
+        let changed = self
+            .history
+            .last()
+            .is_none_or(|last| (&last.signers, last.required) != (&signers, required));
         self.history.push(Accepted {
             head,
             bundle,
@@ -189,3 +190,19 @@
         self.history.last().map(|accepted| accepted.head)
     }
 }
+
+/// A keeper of the first zone that holds what the platform has.
+pub fn keeper_with(platform: &Platform) -> BundleKeeper {
+    let mut keeper = BundleKeeper::new(roots(), ZoneId::new(ZONES[0]));
+    keeper.on_head(platform.head(), &HeadSource::Store, MonotonicTime::default());
+    while !keeper.wanted().is_empty() {
+        let contents: Vec<Vec<u8>> = keeper
+            .wanted()
+            .iter()
+            .map(|digest| platform.contents[digest].clone())
+            .collect();
+        keeper.on_contents(contents);
+    }
+    assert_eq!(keeper.head(), platform.head());
+    keeper
+}
--- a/crates/lab/src/command/mod.rs
+++ b/crates/lab/src/command/mod.rs
@@ -1,10 +1,12 @@
 //! The subcommands of `shelfjunction-lab`; each lives in a module of its own and has one line in [`COMMANDS`].
 
+mod calibrate;
 mod demo;
 mod engine;
 mod load;
 mod options;
 mod platform;
+mod scale;
 mod simulate;
 mod soak;
 
@@ -36,10 +38,12 @@
 const COMMANDS: &[&Command] = &[
     &platform::COMMAND,
     &engine::COMMAND,
+    &calibrate::COMMAND,
     &load::COMMAND,
     &demo::COMMAND,
     &simulate::COMMAND,
     &soak::COMMAND,
+    &scale::COMMAND,
 ];
 
 /// Runs the program with the arguments that follow its name.
--- a/crates/lab/src/scale/hollow_node.rs
+++ b/crates/lab/src/scale/hollow_node.rs
@@ -70,7 +70,7 @@
 struct Schedule {
     watched: Vec<WatchedEngine>,
     watched_at: Option<MonotonicTime>,
-    next_polls: BTreeMap<EngineId, MonotonicTime>,
+    asked: BTreeMap<EngineId, MonotonicTime>,
     next_store: MonotonicTime,
     store_reads: u64,
     backoff: Duration,
@@ -103,8 +103,6 @@
         let keeper = BundleKeeper::new(surroundings.roots.clone(), zone_id(plan.zone));
         let keeper = Arc::new(Mutex::new(keeper));
         let peer_bytes = PeerBytes::default();
-        let port = PeerPort::start(plan.controller, Arc::clone(&keeper), peer_bytes.clone());
-        let port = port.map_err(HollowError::Bind)?;
         let socket = UdpSocket::bind(plan.controller).map_err(HollowError::Bind)?;
         let transport = CutSocket {
             socket,
@@ -126,17 +124,25 @@
         let random = ChaCha8Rng::seed_from_u64(config.random_seed);
         let now = surroundings.clock.now();
         let gossip = Gossip::start_with(config, Box::new(transport), surroundings.clock);
+        let gossip = gossip.map_err(HollowError::Gossip)?;
+        let port = PeerPort::start(
+            plan.controller,
+            Arc::clone(&keeper),
+            gossip.clone(),
+            peer_bytes.clone(),
+        );
+        let port = port.map_err(HollowError::Bind)?;
         let schedule = Schedule {
             watched: Vec::new(),
             watched_at: None,
-            next_polls: BTreeMap::new(),
+            asked: BTreeMap::new(),
             next_store: now,
             store_reads: 0,
             backoff: STORE_INTERVAL,
             random,
         };
         Ok(Self {
-            gossip: gossip.map_err(HollowError::Gossip)?,
+            gossip,
             peer_bytes,
             keeper,
             port,
@@ -153,8 +159,10 @@
         let mut schedule = self.schedule.lock().unwrap_or_else(PoisonError::into_inner);
         self.ask_engines(&mut schedule, now);
         for event in self.gossip.wait_events(Duration::ZERO) {
-            if let GossipEvent::HeadHeard { head, from } = event {
-                self.follow_peer(head, from, now);
+            match event {
+                GossipEvent::HeadHeard { head, from } => self.follow_peer(head, from, now),
+                GossipEvent::FactsDiffer { from } => self.fetch_facts(from),
+                GossipEvent::OwnMachineLeaving => {}
             }
         }
         if now >= schedule.next_store {
@@ -194,11 +202,13 @@
             schedule.watched_at = Some(now);
         }
         for watched in &schedule.watched {
-            let next = schedule.next_polls.entry(watched.engine.clone()).or_insert(now);
-            if now < *next {
+            let asked = schedule.asked.insert(watched.engine.clone(), now);
+            if let Some(asked) = asked
+                && now < asked + watched.interval
+            {
+                schedule.asked.insert(watched.engine.clone(), asked);
                 continue;
             }
-            *next = now + watched.interval;
             self.questions.fetch_add(1, Ordering::Relaxed);
             let observation = match self.surroundings.engines.status(watched.address) {
                 Some(status) => Observation::Answered(status),
@@ -208,6 +218,13 @@
         }
     }
 
+    fn fetch_facts(&self, from: SocketAddr) {
+        if self.surroundings.links.pass(self.plan.zone, from) {
+            self.gossip
+                .merge_bulk(peer_port::fetch_facts(from, &self.peer_bytes));
+        }
+    }
+
     fn follow_peer(&self, head: GossipHead, from: SocketAddr, now: MonotonicTime) {
         let source = HeadSource::Peer {
             zone: zone_id(self.plan.zone),
