--- a/tests/fuzzing/serving.rs
+++ b/tests/fuzzing/serving.rs
@@ -7,6 +7,7 @@
 use crate::world::{Ask, CallerEnd, Fleet, FleetPlan, Place, StoreTrouble, Weather, ZonePlan};
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use serde::{Deserialize, Serialize};
 use shelfjunction_core::bundle::content::ModelKind;
 use shelfjunction_core::engine::Role;
 use shelfjunction_core::outcome::Outcome;
@@ -39,7 +40,8 @@
 const SETTLING: Duration = Duration::from_secs(60);
 
 /// One step from outside.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum ServingStep {
     /// Virtual time passes, in milliseconds.
     Run(u64),
@@ -181,16 +183,20 @@
 }
 
 impl Served {
-    /// A fleet whose engines are wanted as they are.
+    /// The fleet of the fuzz runs.
     pub fn new(seed: u64) -> Self {
-        let plan = FleetPlan {
+        Self::with_plan(&FleetPlan {
             zones: ZONES.to_vec(),
             seed,
             planted: PLANTED.get(),
-        };
-        let mut fleet = Fleet::new(&plan);
+        })
+    }
+
+    /// A fleet whose engines are wanted as they are.
+    pub fn with_plan(plan: &FleetPlan) -> Self {
+        let mut fleet = Fleet::new(plan);
         fleet.run_for(Duration::from_millis(1_500));
-        for engine in 0..ENGINES {
+        for engine in 0..fleet.sizes().1 {
             fleet.want(engine, Role::Mixed, false);
         }
         fleet.run_for(Duration::from_millis(500));
@@ -210,6 +216,11 @@
         assert!(open.is_empty(), "every request ends: {open:?}");
     }
 
+    /// Everything that the oracles demand of what happened.
+    pub fn check(&self) -> Result<(), Violation> {
+        caller_oracle::check(&self.fleet)
+    }
+
     fn hold(&self, checked: Result<(), Violation>) {
         if let Err(violation) = checked {
             panic!("{}: {}", violation.property, violation.seen);
--- a/tests/world/bundles.rs
+++ b/tests/world/bundles.rs
@@ -291,12 +291,12 @@
                 node,
                 start,
                 contents,
-            } if self.is_current(node, start) => {
+            } if self.is_current(node, start)
                 // An empty answer is not asked for again at once, but with the next ask.
-                if !contents.is_empty() {
-                    let events = self.nodes[node].keeper.on_contents(contents);
-                    self.note(node, events);
-                }
+                && !contents.is_empty() =>
+            {
+                let events = self.nodes[node].keeper.on_contents(contents);
+                self.note(node, events);
             }
             Event::Rollout { rollout } => self.roll(rollout),
             Event::NodeStarts(node) => {
--- a/tests/world/callers.rs
+++ b/tests/world/callers.rs
@@ -1,5 +1,6 @@
 //! What callers asked for and what they were given.
 
+use serde::{Deserialize, Serialize};
 use shelfjunction_core::bundle::content::ModelKind;
 use shelfjunction_core::engine::EngineCall;
 use shelfjunction_core::identity::RequestId;
@@ -10,7 +11,7 @@
 pub const TENANTS: [&str; 2] = ["chain-a", "chain-b"];
 
 /// What one caller asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Ask {
     /// Index of the tenant.
     pub tenant: usize,
--- a/tests/world/fleet.rs
+++ b/tests/world/fleet.rs
@@ -14,6 +14,7 @@
 use super::streams::Stream;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
 use shelfjunction_core::identity::{EngineId, FencingToken, NodeId, ZoneId};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_lab::platform::state::PlatformState;
@@ -24,7 +25,7 @@
 const RESTART: Duration = Duration::from_millis(1_500);
 
 /// How many processes a zone has.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct ZonePlan {
     /// Controllers.
     pub controllers: usize,
--- a/tests/world/network.rs
+++ b/tests/world/network.rs
@@ -2,13 +2,15 @@
 
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
 use shelfjunction_core::engine::AnswerPart;
 use shelfjunction_core::identity::RequestId;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Where a party stands; cuts are between places.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Place {
     /// A zone.
     Zone(usize),
@@ -28,7 +30,7 @@
 }
 
 /// How messages fare.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Weather {
     /// Messages of a thousand that vanish.
     pub lost_per_mille: u32,
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -1,5 +1,6 @@
 //! The platform in the world: the stand-in's state machine behind the network.
 
+use serde::{Deserialize, Serialize};
 use shelfjunction_core::lease::{TableAnswer, TableCall};
 use shelfjunction_core::table::{PlatformError, TransactionOutcome, Write};
 use shelfjunction_core::time::MonotonicTime;
@@ -10,7 +11,8 @@
 use std::time::Duration;
 
 /// What is wrong with the platform.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum StoreTrouble {
     /// Nothing.
     None,
