Name the signing authority in the bundles that the fuzz world rolls out

Cause: since only the first bundle is signed by the root keys, each later one names the bundle that says who signs; the world's operators still named none, every second bundle was refused, and 'an accepted bundle is in force in every zone' failed as it should. Ruled out: a fault of the keepers; their refusal (wrong authority) is what the new rule asks for. Conclusion: the world follows the rule; the property is unchanged.

--- a/tests/world/bundle_forge.rs
+++ b/tests/world/bundle_forge.rs
@@ -46,10 +46,11 @@
     }
 }
 
-/// What an operator proposes for a place in the history.
-pub fn signed_proposal(rollout: usize, generation: Generation) -> Proposal {
+/// What an operator proposes for a place in the history, under the bundle that last changed who signs.
+pub fn signed_proposal(rollout: usize, generation: Generation, authority: Option<Digest>) -> Proposal {
     let label = format!("{generation} by rollout {rollout}");
-    let (statement, contents) = statement(&label, generation, &format!("rollout{rollout}"));
+    let (mut statement, contents) = statement(&label, generation, &format!("rollout{rollout}"));
+    statement.authority = authority.filter(|_| generation > Generation(1));
     let signature = sign(&OPERATORS_SECRET, OperatorId::new("operator"), &statement);
     Proposal {
         row: ProposalRow {
--- a/tests/world/bundles.rs
+++ b/tests/world/bundles.rs
@@ -531,7 +531,11 @@
             Some((answer, delay)) => (Some(answer), delay),
             None => (None, Duration::from_millis(800)),
         };
-        self.rollouts[number].take(answer, signed_proposal);
+        // The first bundle says who signs the ones after it; none of them changes that.
+        let authority = self.accepted.first().map(|row| row.signed);
+        self.rollouts[number].take(answer, |rollout, generation| {
+            signed_proposal(rollout, generation, authority)
+        });
         if let Some(RolloutEnd::Accepted(row)) = self.rollouts[number].end.clone() {
             // The gateway that accepted a bundle pushes it.
             let first = self.nodes.iter().position(|node| node.zone == zone && node.up);
