--- a/crates/cli/src/operator/mod.rs
+++ b/crates/cli/src/operator/mod.rs
@@ -5,6 +5,7 @@
 mod files;
 mod keygen;
 mod print;
+mod print_fleet;
 mod rollout;
 mod table;
 mod views;
--- a/crates/cli/src/operator/views.rs
+++ b/crates/cli/src/operator/views.rs
@@ -1,7 +1,7 @@
 //! `status`, `engines`, `usage` and `requests`.
 
 use super::client::{self, Client};
-use super::print;
+use super::{print, print_fleet};
 use crate::exit::CommandError;
 use crate::options::{CommandLine, Parsed, Values};
 use crate::usage;
@@ -14,7 +14,7 @@
     };
     values.no_arguments()?;
     let reply: StatusReply = Client::from_options(&values)?.get("status")?;
-    print::print(&reply, values.has("json"), print::status)
+    print::print(&reply, values.has("json"), print_fleet::status)
 }
 
 /// Runs `shelfjunction engines`.
@@ -24,7 +24,9 @@
     };
     values.no_arguments()?;
     let reply: EnginesReply = Client::from_options(&values)?.get("engines")?;
-    print::print(&reply, values.has("json"), |reply| print::engines(&reply.engines))
+    print::print(&reply, values.has("json"), |reply| {
+        print_fleet::engines(&reply.engines)
+    })
 }
 
 /// Runs `shelfjunction usage`.
@@ -34,7 +36,7 @@
     };
     values.no_arguments()?;
     let reply: UsageReply = Client::from_options(&values)?.get("usage")?;
-    print::print(&reply, values.has("json"), print::usage)
+    print::print(&reply, values.has("json"), print_fleet::usage)
 }
 
 /// Runs `shelfjunction requests`.
@@ -66,7 +68,7 @@
     } else {
         client.get(&path)?
     };
-    print::print(&view, values.has("json"), print::request)
+    print::print(&view, values.has("json"), print_fleet::request)
 }
 
 fn parse(brief: &'static str, arguments: &[String]) -> Result<Option<Values>, CommandError> {
--- a/crates/cli/tests/operator_commands.rs
+++ b/crates/cli/tests/operator_commands.rs
@@ -174,6 +174,8 @@
 
     let status = shell.json(operator, 0, &["status"]);
     assert_eq!(status["isolated"], false);
+    let zones = status["zones"].as_array().unwrap();
+    assert_eq!(zones.len(), 3);
     let engines = shell.json(operator, 1, &["engines"]);
     assert_eq!(engines["engines"].as_array().unwrap().len(), 6);
     let table = shell.run(operator, 1, &["engines"]);
--- a/crates/gateway/src/admin/views.rs
+++ b/crates/gateway/src/admin/views.rs
@@ -4,12 +4,13 @@
 use super::context::AdminContext;
 use super::{errors, storage};
 use shelfjunction_core::bundle::acceptance::{HISTORY_PREFIX, HistoryRow, PROPOSAL_PREFIX};
-use shelfjunction_core::bundle::content::OperatorAction;
+use shelfjunction_core::bundle::content::{OperatorAction, ZoneRule};
 use shelfjunction_core::identity::{Generation, RequestId};
+use shelfjunction_core::membership::record::Liveness;
 use shelfjunction_core::tenancy;
 use shelfjunction_protocol::operator::{
-    AdminError, AdminErrorCode, BundleReply, EnginesReply, HistoryReply, ProposalsReply, RequestView,
-    StatusReply, UsageReply,
+    AdminError, AdminErrorCode, BundleReply, EngineView, EnginesReply, HistoryReply, NodeView,
+    ProposalsReply, RequestView, StatusReply, UsageReply, ZoneView,
 };
 
 /// The gateway's own standing and the nodes it knows.
@@ -17,6 +18,9 @@
     access.require(OperatorAction::View)?;
     let bundle = &access.bundle;
     let confirmed = context.confirmed_ago();
+    let nodes = context.nodes();
+    let engines = context.engines();
+    let zones = bundle.zones.iter();
     Ok(StatusReply {
         node: context.node(),
         zone: context.zone(),
@@ -25,10 +29,33 @@
         digest: Some(bundle.head.digest),
         confirmed_millis_ago: confirmed.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
         isolated: context.is_isolated(),
-        nodes: context.nodes(),
+        zones: zones.map(|rule| zone_view(rule, &nodes, &engines)).collect(),
+        nodes,
     })
 }
 
+fn zone_view(rule: &ZoneRule, nodes: &[NodeView], engines: &[EngineView]) -> ZoneView {
+    let nodes = nodes.iter().filter(|view| view.record.zone == rule.zone);
+    let engines: Vec<&EngineView> = engines
+        .iter()
+        .filter(|view| view.record.zone == rule.zone && view.record.liveness == Liveness::Alive)
+        .collect();
+    ZoneView {
+        zone: rule.zone.clone(),
+        region: rule.region.clone(),
+        nodes_alive: nodes
+            .filter(|view| view.record.liveness == Liveness::Alive)
+            .count(),
+        engines_alive: engines.len(),
+        engines_serving: engines.into_iter().filter(|view| takes_work(view)).count(),
+    }
+}
+
+fn takes_work(view: &EngineView) -> bool {
+    let status = view.record.status.as_ref();
+    status.is_some_and(|status| !status.draining && !status.changing && !status.weights.is_empty())
+}
+
 /// The engines the gateway knows.
 pub fn engines(context: &dyn AdminContext, access: &Access) -> Result<EnginesReply, AdminError> {
     access.require(OperatorAction::View)?;
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -5,7 +5,7 @@
 use shelfjunction_core::bundle::content::Bundle;
 use shelfjunction_core::bundle::digest::Digest;
 use shelfjunction_core::bundle::signature::{OperatorSignature, ProposalId, SigningAuthority};
-use shelfjunction_core::identity::{EngineId, Generation, NodeId, RequestId, TenantId, ZoneId};
+use shelfjunction_core::identity::{EngineId, Generation, NodeId, RegionId, RequestId, TenantId, ZoneId};
 use shelfjunction_core::membership::record::{EngineRecord, NodeRecord};
 use shelfjunction_core::setting::FieldError;
 
@@ -107,10 +107,27 @@
     pub confirmed_millis_ago: Option<u64>,
     /// Whether the gateway refuses new work because it cannot know that its bundle is current.
     pub isolated: bool,
+    /// Zones of the bundle in force.
+    pub zones: Vec<ZoneView>,
     /// Nodes that the gateway knows of.
     pub nodes: Vec<NodeView>,
 }
 
+/// One zone as the gateway knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneView {
+    /// The zone.
+    pub zone: ZoneId,
+    /// The region that holds it.
+    pub region: RegionId,
+    /// Nodes that are thought to live.
+    pub nodes_alive: usize,
+    /// Engines that are thought to live.
+    pub engines_alive: usize,
+    /// Engines that take new work: alive, loaded, and neither draining nor changing.
+    pub engines_serving: usize,
+}
+
 /// One node as the gateway knows it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeView {
