Stop hollow nodes together and compare again after a bulk transfer

Cause: stopping 410 nodes one after another took most of a minute; after a bulk transfer the next comparison was up to 15 s away.

--- a/crates/controller/src/gossip/mod.rs
+++ b/crates/controller/src/gossip/mod.rs
@@ -222,10 +222,15 @@
         self.lock().gossiper.counters()
     }
 
-    /// Ends the thread and waits for it.
-    pub fn stop(&self) {
+    /// Tells the thread to end; it does so within a tick.
+    pub fn begin_stop(&self) {
         self.lock().stopping = true;
         self.shared.changed.notify_all();
+    }
+
+    /// Ends the thread and waits for it.
+    pub fn stop(&self) {
+        self.begin_stop();
         let thread = self.thread.lock().unwrap_or_else(PoisonError::into_inner).take();
         if let Some(thread) = thread {
             // A panic of the thread has been printed already; there is nothing left to clean up.
--- a/crates/core/src/membership/merging.rs
+++ b/crates/core/src/membership/merging.rs
@@ -37,6 +37,7 @@
     pub(super) fn ask_for_bulk(&mut self, from: SocketAddr, now: MonotonicTime) {
         if now >= self.next_bulk {
             self.next_bulk = now + BULK_INTERVAL;
+            self.next_digest = self.next_digest.min(now + BULK_INTERVAL);
             self.events.push(GossipEvent::FactsDiffer { from });
         }
     }
--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -159,6 +159,7 @@
             .iter()
             .filter_map(|slot| slot.lock().unwrap_or_else(PoisonError::into_inner).take())
             .collect();
+        nodes.iter().for_each(|node| node.gossip.begin_stop());
         for mut node in nodes {
             node.stop();
         }
--- a/crates/lab/src/scale/options.rs
+++ b/crates/lab/src/scale/options.rs
@@ -14,8 +14,8 @@
     pub tenants: usize,
     /// Longest wait for everyone to know something.
     pub patience: Duration,
-    /// Time that a new fleet rests before it is measured.
-    pub settle: Duration,
+    /// Time that a new fleet rests for each node before it is measured, beside [`ScaleOptions::rest`].
+    pub settle_per_node: Duration,
     /// Time over which the steady state is measured.
     pub steady: Duration,
     /// Time that a zone is cut off, and that the store is away.
@@ -24,7 +24,7 @@
     pub restarts: usize,
     /// Time between two restarts.
     pub restart_interval: Duration,
-    /// Longest rest before a cut, for what is under way to arrive.
+    /// Rest before a measurement, for what is under way to arrive.
     pub rest: Duration,
 }
 
@@ -35,7 +35,7 @@
             sizes: FULL_SIZES.to_vec(),
             tenants: 4_800,
             patience: Duration::from_secs(30),
-            settle: Duration::from_secs(6),
+            settle_per_node: Duration::from_millis(35),
             steady: Duration::from_secs(8),
             outage: Duration::from_secs(4),
             restarts: 3,
@@ -49,9 +49,10 @@
         Self {
             sizes: vec![14],
             tenants: 40,
-            settle: Duration::from_secs(1),
+            settle_per_node: Duration::from_millis(10),
             steady: Duration::from_secs(2),
             outage: Duration::from_secs(2),
+            rest: Duration::from_secs(1),
             restarts: 1,
             ..Self::full()
         }
--- a/crates/lab/src/scale/scenario.rs
+++ b/crates/lab/src/scale/scenario.rs
@@ -48,7 +48,7 @@
     progress(nodes, "joining");
     result.joined = known::wait_for_join(&fleet, generation, options.patience);
     progress(nodes, "steady");
-    std::thread::sleep(options.settle);
+    std::thread::sleep(options.rest + options.settle_per_node * u32::try_from(nodes).unwrap_or(u32::MAX));
     result.steady = measure_steady(&fleet, options);
     progress(nodes, "changes");
     measure_changes(&mut fleet, options, &mut result)?;
