--- a/crates/lab/src/command/mod.rs
+++ b/crates/lab/src/command/mod.rs
@@ -1,11 +1,13 @@
 //! The subcommands of `shelfjunction-lab`; each lives in a module of its own and has one line in [`COMMANDS`].
 
+mod calibrate;
 mod demo;
 mod engine;
 mod load;
 mod options;
 mod platform;
 mod scale;
+mod simulate;
 mod soak;
 
 pub use options::{CommandError, Options};
@@ -36,8 +38,10 @@
 const COMMANDS: &[&Command] = &[
     &platform::COMMAND,
     &engine::COMMAND,
+    &calibrate::COMMAND,
     &load::COMMAND,
     &demo::COMMAND,
+    &simulate::COMMAND,
     &soak::COMMAND,
     &scale::COMMAND,
 ];
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, load and experiment tools.
 
+pub mod calibrate;
 pub mod caller;
 pub mod cluster;
 pub mod command;
@@ -8,5 +9,7 @@
 pub mod load;
 pub mod platform;
 pub mod relay;
+pub mod report;
 pub mod scale;
+pub mod simulate;
 pub mod soak;
