Calibrate a prefill and a decode engine with a moved KV cache too

Cause: the simulator's split roles were not compared with processes yet. Ruled out: interleaving both engines' events in the prediction; the prefill engine knows nothing of the decode engine.

--- a/crates/lab/src/calibrate/mod.rs
+++ b/crates/lab/src/calibrate/mod.rs
@@ -8,18 +8,18 @@
 mod report;
 mod workload;
 
+pub use observe::ObservedEngines;
 pub use report::{CalibrationReport, Comparison, Percentiles};
 
 use crate::engine::EngineConfig;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// What to run.
 #[derive(Clone, Debug)]
 pub struct Calibration {
-    /// The process.
-    pub engine: SocketAddr,
-    /// The settings that the process was started with.
+    /// The processes.
+    pub engines: ObservedEngines,
+    /// The settings that the processes were started with, but for their names and roles.
     pub config: EngineConfig,
     /// Calls in each run.
     pub calls: usize,
@@ -44,8 +44,9 @@
     for (index, rate) in calibration.rates.iter().enumerate() {
         let seed = calibration.seed + index as u64;
         let calls = workload::draw(&calibration.config, calibration.calls, *rate, seed);
-        let predicted = predict::run(&calibration.config, &calls);
-        let observed = observe::run(calibration.engine, &calls);
+        let split = calibration.engines.decode.is_some();
+        let predicted = predict::run(&calibration.config, split, &calls);
+        let observed = observe::run(calibration.engines, &calls);
         report.add(*rate, &predicted, &observed);
     }
     report
--- a/crates/lab/src/command/calibrate.rs
+++ b/crates/lab/src/command/calibrate.rs
@@ -2,7 +2,7 @@
 
 use super::engine::{engine_config, engine_options};
 use super::{Command, CommandError, Options};
-use crate::calibrate::{self, Calibration};
+use crate::calibrate::{self, Calibration, ObservedEngines};
 
 /// The command.
 pub const COMMAND: Command = Command {
@@ -21,6 +21,12 @@
 
 fn declare(options: &mut getopts::Options) {
     options.optopt("", "engine", "address of the process", "ADDRESS");
+    options.optopt(
+        "",
+        "decode",
+        "address of a decode process; the first is a prefill one then",
+        "ADDRESS",
+    );
     options.optopt("", "calls", "calls in each run", "NUMBER");
     options.optmulti("", "rate", "calls per second; may be repeated", "NUMBER");
     options.optopt("", "seed", "decides arrivals and prompts", "NUMBER");
@@ -30,7 +36,10 @@
 
 fn run(options: &Options) -> Result<(), CommandError> {
     let calibration = Calibration {
-        engine: options.required("engine")?,
+        engines: ObservedEngines {
+            engine: options.required("engine")?,
+            decode: options.value("decode")?,
+        },
         config: engine_config(options)?,
         calls: options.value_or("calls", DEFAULT_CALLS)?,
         rates: rates(options)?,
--- a/crates/lab/tests/engine.rs
+++ b/crates/lab/tests/engine.rs
@@ -12,7 +12,7 @@
 use shelfjunction_engine_model::EngineFaults;
 use shelfjunction_engine_model::answer::AnswerSeed;
 use shelfjunction_engine_model::config::EngineKind;
-use shelfjunction_lab::calibrate::{self, Calibration};
+use shelfjunction_lab::calibrate::{self, Calibration, ObservedEngines};
 use shelfjunction_lab::engine::{
     EngineConfig, EngineHandle, EngineLog, EngineServer, EngineServerFaults, WeightStoreConfig,
 };
@@ -323,21 +323,34 @@
 
 #[test]
 fn a_calibration_compares_every_call() {
-    let engine = start("renewal-1", Role::Mixed);
-    let report = calibrate::run(&Calibration {
-        engine: engine.address(),
-        config: config("renewal-1", Role::Mixed),
-        calls: 20,
-        rates: vec![200.0, 400.0],
-        seed: 1,
-    });
-    let counts: Vec<(usize, usize)> = report
-        .rates
-        .iter()
-        .map(|run| (run.compared, run.left_out))
-        .collect();
-    assert_eq!(counts, [(20, 0), (20, 0)]);
-    end(engine);
+    let [mixed, prefill, decode] =
+        [Role::Mixed, Role::Prefill, Role::Decode].map(|role| start("renewal-1", role));
+    let whole = ObservedEngines {
+        engine: mixed.address(),
+        decode: None,
+    };
+    let split = ObservedEngines {
+        engine: prefill.address(),
+        decode: Some(decode.address()),
+    };
+    for engines in [whole, split] {
+        let report = calibrate::run(&Calibration {
+            engines,
+            config: config("renewal-1", Role::Mixed),
+            calls: 20,
+            rates: vec![200.0, 400.0],
+            seed: 1,
+        });
+        let counts: Vec<(usize, usize)> = report
+            .rates
+            .iter()
+            .map(|run| (run.compared, run.left_out))
+            .collect();
+        assert_eq!(counts, [(20, 0), (20, 0)]);
+    }
+    for engine in [mixed, prefill, decode] {
+        end(engine);
+    }
 }
 
 #[test]
