Measure what a question to an engine and an idle real node cost

Cause: hollow nodes ask hollow engines in memory; the wire's share must be measured apart, and real gateways and controllers beside them.

--- a/crates/lab/src/command/scale.rs
+++ b/crates/lab/src/command/scale.rs
@@ -1,7 +1,7 @@
 //! `shelfjunction-lab scale`: what the control plane costs as the fleet grows.
 
 use super::{Command, CommandError, Options};
-use crate::scale::{self, ScaleOptions, plot, report};
+use crate::scale::{self, ScaleOptions, plot, real, report};
 use std::time::Instant;
 
 /// The command.
@@ -25,11 +25,19 @@
         "nodes of a fleet; may be repeated (default: 25, 50, 100, 205, 410)",
         "COUNT",
     );
+    options.optflag(
+        "",
+        "real",
+        "measure real parts instead: a question to an engine, idle gateways and controllers",
+    );
     options.optopt("", "table", "write the table as Markdown", "FILE");
     options.optopt("", "plot", "write the plot as SVG", "FILE");
 }
 
 fn run(options: &Options) -> Result<(), CommandError> {
+    if options.flag("real") {
+        return run_real(options);
+    }
     let scale_options = scale_options(options)?;
     let begun = Instant::now();
     let results = scale::run(&scale_options).map_err(|error| CommandError::failed("scale", error))?;
@@ -40,9 +48,7 @@
         results.len(),
         begun.elapsed().as_secs_f64()
     );
-    if let Some(path) = options.text("table") {
-        std::fs::write(&path, &table).map_err(|error| CommandError::failed(&path, error))?;
-    }
+    write_table(options, &table)?;
     if let Some(path) = options.text("plot") {
         let drawn = plot::svg(&results).map_err(|error| CommandError::failed("plot", error.0))?;
         std::fs::write(&path, drawn).map_err(|error| CommandError::failed(&path, error))?;
@@ -50,6 +56,21 @@
     Ok(())
 }
 
+fn run_real(options: &Options) -> Result<(), CommandError> {
+    let question = real::question_cost().map_err(|error| CommandError::failed("question", error))?;
+    let clusters = real::idle_clusters().map_err(|error| CommandError::failed("clusters", error))?;
+    let table = real::markdown(&question, &clusters);
+    print!("{table}");
+    write_table(options, &table)
+}
+
+fn write_table(options: &Options, table: &str) -> Result<(), CommandError> {
+    match options.text("table") {
+        Some(path) => std::fs::write(&path, table).map_err(|error| CommandError::failed(&path, error)),
+        None => Ok(()),
+    }
+}
+
 fn scale_options(options: &Options) -> Result<ScaleOptions, CommandError> {
     let mut chosen = if options.flag("small") {
         ScaleOptions::small()
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -5,6 +5,7 @@
 //! hollow engines are asked in memory, and what a question costs on the wire is measured apart.
 
 pub mod bundles;
+pub mod counting_link;
 pub mod driver;
 pub mod fit;
 pub mod fleet;
@@ -17,6 +18,7 @@
 pub mod peer_port;
 pub mod plan;
 pub mod plot;
+pub mod real;
 pub mod report;
 pub mod result;
 pub mod scenario;
--- a/crates/lab/src/scale/peer_port.rs
+++ b/crates/lab/src/scale/peer_port.rs
@@ -16,7 +16,7 @@
 const TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Bytes of TCP and IPv4 headers in a short connection, both directions: ten segments, with their options.
-const CONNECTION_BYTES: u64 = 10 * 52;
+pub const CONNECTION_BYTES: u64 = 10 * 52;
 
 /// Bytes of a frame's length.
 const LENGTH_BYTES: usize = 4;
