--- a/crates/controller/src/bundle/exchange.rs
+++ b/crates/controller/src/bundle/exchange.rs
@@ -1,7 +1,8 @@
 //! Exchanges heads with peers: asks them now and then, tells them at once of a bundle that came into force.
 
+use super::fetch::Fetcher;
+use super::peers;
 use super::state::head_of;
-use super::{fetch, peers};
 use crate::backoff::spread;
 use crate::config::millis;
 use crate::context::Context;
@@ -17,12 +18,14 @@
 /// Peers of each zone that are asked for their head at a time.
 const ASKED_PER_ZONE: usize = 1;
 
-/// Time between asks while this controller holds no bundle.
-const ASK_WITHOUT_BUNDLE: Duration = Duration::from_millis(200);
+/// Time between asks while this controller holds no bundle, or one that nobody has confirmed yet: its gateway takes
+/// nothing in so long.
+const ASK_UNCONFIRMED: Duration = Duration::from_millis(200);
 
 /// Exchanges heads until the controller stops.
 pub fn run(context: &Context) {
     let mut ask_at = context.now();
+    let mut fetcher = Fetcher::default();
     loop {
         let wait = ask_at.since(context.now());
         let work = context.bundle.wait_for_work(wait);
@@ -36,14 +39,14 @@
             ask(context);
             ask_at = context.now() + next_ask(context);
         }
-        fetch::fetch_wanted(context);
+        fetcher.run(context);
     }
 }
 
 fn next_ask(context: &Context) -> Duration {
     let interval = millis(context.config.timings.vouch_millis);
-    if context.bundle.in_force().is_none() {
-        return spread(ASK_WITHOUT_BUNDLE.min(interval));
+    if !context.bundle.is_confirmed(context.now()) {
+        return spread(ASK_UNCONFIRMED.min(interval));
     }
     spread(interval)
 }
--- a/crates/controller/src/peer/connection.rs
+++ b/crates/controller/src/peer/connection.rs
@@ -48,6 +48,7 @@
             learn_from_zone(context, Some(&head), context.config.zone.clone());
             PeerResponse::Head(context.bundle.head(now))
         }
+        PeerRequest::FetchFacts => PeerResponse::Facts(context.gossip.bulk()),
         PeerRequest::FetchParts(digests) => PeerResponse::Parts(context.bundle.contents(&digests)),
         PeerRequest::ReportDemand(report) => {
             let source = DemandSource::Node(context.config.node.clone());
--- a/crates/controller/tests/takeover.rs
+++ b/crates/controller/tests/takeover.rs
@@ -80,6 +80,7 @@
             engines: Arc::new(GatedEngines {
                 inner: self.engines.clone(),
                 orders: Arc::clone(orders),
+                role_changes: Arc::default(),
             }),
         };
         let lease = LeaseTimings {
@@ -89,11 +90,12 @@
             read_every_millis: 200,
             retry_after_millis: 100,
         };
-        let config = ControllerConfig {
+        let mut config = ControllerConfig {
             lease,
             seeds,
             ..config(node)
         };
+        config.timings.engine_timeout_millis = 400;
         Controller::start_with(config, services).unwrap()
     }
 }
--- a/crates/core/src/membership/exchange.rs
+++ b/crates/core/src/membership/exchange.rs
@@ -3,7 +3,7 @@
 use super::beat::Reach;
 use super::budget::HEADER_BYTES;
 use super::events::Outgoing;
-use super::gossiper::Gossiper;
+use super::gossiper::{Gossiper, HURRIED_DIGEST};
 use super::subject::SubjectHandle;
 use super::wire::{
     DIGEST_GROUPS, Datagram, FORMAT, Fact, MAXIMUM_DATAGRAM_BYTES, Part, Summary, SummaryEntry, encode,
@@ -17,8 +17,11 @@
 /// Bytes of a datagram left for its sender and the counts of its parts.
 const FRAME_RESERVE: usize = 60;
 
+/// Bytes of a head, rounded up.
+const HEAD_BYTES: usize = 48;
+
 /// Bytes of facts, beats or summaries in one datagram.
-const PAYLOAD_BYTES: usize = MAXIMUM_DATAGRAM_BYTES - FRAME_RESERVE;
+const PAYLOAD_BYTES: usize = MAXIMUM_DATAGRAM_BYTES - FRAME_RESERVE - HEAD_BYTES;
 
 /// Peers that hot facts are pushed to in one tick.
 const PUSHES_PER_TICK: usize = 2;
@@ -30,13 +33,25 @@
 const BEAT_BYTES: usize = 700;
 
 /// Part of the burst that beats leave untouched, for facts that may come.
-const BURST_RESERVE_DIVISOR: u64 = 2;
+const BURST_RESERVE_DIVISOR: u64 = 4;
+
+/// Most groups whose versions are told at once.
+const GROUPS_PER_SUMMARY: usize = 3;
+
+/// Part of the burst that pushes leave to comparisons, which repair what pushes miss.
+const COMPARISON_RESERVE_DIVISOR: u64 = 8;
 
 /// Most datagrams of facts that answer one digest.
 const COPIES_PER_DIGEST: usize = 6;
 
-/// Time to the next digest after one that found a difference.
-const HURRIED_DIGEST: Duration = Duration::from_millis(1_000);
+/// Time after its start in which a node compares facts often, since it missed what was pushed before.
+const JOINING: Duration = Duration::from_secs(15);
+
+/// Time between digests of a node that joins.
+const JOINING_DIGEST_MILLIS: u64 = 1_000;
+
+/// Groups that differ beyond which facts are fetched in bulk rather than by datagrams.
+const MOST_GROUPS_BY_DATAGRAM: usize = 12;
 
 /// Digests in a hundred that go to a seed or a node that counts as dead, so that a healed cut is noticed.
 const OUTSIDE_PERCENT: u32 = 15;
@@ -48,25 +63,31 @@
         random: &mut dyn RngCore,
         outgoing: &mut Vec<Outgoing>,
     ) {
-        if !self.facts.is_empty() || self.head_sends > 0 {
-            for _ in 0..PUSHES_PER_TICK {
-                self.push_to_someone(true, now, random, outgoing);
-            }
-        } else if self.ticks.is_multiple_of(TICKS_PER_BEAT_PUSH) {
-            self.push_to_someone(false, now, random, outgoing);
+        if self.spread_bucket.available(now) < self.spread_bucket.burst_bytes() / COMPARISON_RESERVE_DIVISOR {
+            return;
+        }
+        let beats_due = self.ticks.is_multiple_of(TICKS_PER_BEAT_PUSH) && self.may_send_beats(now);
+        let hot = !self.facts.is_empty() || self.head_sends > 0;
+        let pushes = if hot {
+            PUSHES_PER_TICK
+        } else {
+            usize::from(beats_due)
+        };
+        for push in 0..pushes {
+            self.push_to_someone(beats_due && push == 0, now, random, outgoing);
         }
     }
 
     fn push_to_someone(
         &mut self,
-        hot: bool,
+        with_beats: bool,
         now: MonotonicTime,
         random: &mut dyn RngCore,
         outgoing: &mut Vec<Outgoing>,
     ) {
         let (to, distance) = match self.peers.choose(random) {
             Some(peer) => (peer.address, peer.distance),
-            None if hot && !self.seeds.is_empty() => (
+            None if !self.seeds.is_empty() => (
                 self.seeds[random.random_range(0..self.seeds.len())],
                 Reach::Everywhere,
             ),
@@ -78,7 +99,7 @@
         {
             parts.push(Part::Head(head));
         }
-        let facts = self.pending_facts(distance, now);
+        let (facts, used) = self.pending_facts(distance, now);
         let fact_handles: Vec<SubjectHandle> = facts
             .iter()
             .map(|fact| SubjectHandle::of(&fact.record.key))
@@ -86,11 +107,9 @@
         if !facts.is_empty() {
             parts.push(Part::Facts(facts));
         }
-        if parts.is_empty() && !self.may_send_beats(now) {
-            return;
-        }
-        let beats = if parts.is_empty() {
-            self.add_beats(distance, now, &mut parts)
+        let room = BEAT_BYTES.min(PAYLOAD_BYTES - used);
+        let beats = if with_beats {
+            self.add_beats(distance, room, now, &mut parts)
         } else {
             Vec::new()
         };
@@ -108,23 +127,28 @@
         self.spread_bucket.available(now) > reserve
     }
 
-    fn pending_facts(&self, distance: Reach, now: MonotonicTime) -> Vec<Fact> {
+    fn pending_facts(&self, distance: Reach, now: MonotonicTime) -> (Vec<Fact>, usize) {
         let pending = self.facts.pending(distance);
         fill(
             pending.filter_map(|pending| self.store.fact(pending.handle, now)),
             PAYLOAD_BYTES,
         )
-        .0
     }
 
     /// Adds loads and node beats; gives their subjects.
-    fn add_beats(&self, distance: Reach, now: MonotonicTime, parts: &mut Vec<Part>) -> Vec<SubjectHandle> {
+    fn add_beats(
+        &self,
+        distance: Reach,
+        room: usize,
+        now: MonotonicTime,
+        parts: &mut Vec<Part>,
+    ) -> Vec<SubjectHandle> {
         let nodes = self.beats.pending(distance);
         let nodes = nodes.filter_map(|pending| self.store.node_beat(pending.handle, now));
-        let (nodes, used) = fill(nodes, BEAT_BYTES / 3);
+        let (nodes, used) = fill(nodes, room / 3);
         let loads = self.loads.pending(distance);
         let loads = loads.filter_map(|pending| self.store.load_beat(pending.handle, now));
-        let (loads, _) = fill(loads, BEAT_BYTES - used);
+        let (loads, _) = fill(loads, room - used);
         let handles = loads
             .iter()
             .map(|beat| beat.engine)
@@ -148,7 +172,13 @@
         if now < self.next_digest {
             return;
         }
-        let interval = self.config.digest_interval_millis;
+        let joining = now.since(self.started) < JOINING;
+        let usual = self.config.digest_interval_millis;
+        let interval = if joining {
+            usual.min(JOINING_DIGEST_MILLIS)
+        } else {
+            usual
+        };
         let jittered = interval / 2 + random.random_range(0..=interval);
         self.next_digest = now + Duration::from_millis(jittered);
         let outside = random.random_range(0..100) < OUTSIDE_PERCENT || self.peers.is_empty();
@@ -183,6 +213,18 @@
         let mut differing: Vec<usize> = (0..DIGEST_GROUPS)
             .filter(|group| own[*group] != digest[*group])
             .collect();
+        let joining = now.since(self.started) < JOINING;
+        if differing.len()
+            > if joining {
+                GROUPS_PER_SUMMARY
+            } else {
+                MOST_GROUPS_BY_DATAGRAM
+            }
+        {
+            self.ask_for_bulk(from, now);
+            self.send_spread(from, vec![Part::FarApart], Reach::Zone, now, outgoing);
+            return;
+        }
         differing.shuffle(random);
         let empty_there = |group: &usize| digest[*group] == [0; 4];
         let (lacking, differing): (Vec<usize>, Vec<usize>) = differing.into_iter().partition(empty_there);
@@ -196,7 +238,7 @@
             groups: Vec::new(),
             entries: Vec::new(),
         };
-        for group in differing {
+        for group in differing.into_iter().take(GROUPS_PER_SUMMARY) {
             let group = u8::try_from(group).unwrap_or_default();
             let entries = self.store.summary(group);
             if encode(&summary.entries).len() + encode(&entries).len() > PAYLOAD_BYTES - DIGEST_GROUPS {
@@ -234,7 +276,8 @@
                 missing.filter(|handle| !summary.entries.iter().any(|theirs| theirs.handle == *handle)),
             );
         }
-        if !newer_here.is_empty() || !wanted.is_empty() {
+        // Fewer differences are what is under way anyhow; hurrying for them would cost more than they do.
+        if summary.groups.len() >= GROUPS_PER_SUMMARY {
             self.next_digest = self.next_digest.min(now + HURRIED_DIGEST);
         }
         self.send_copies(&newer_here, from, now, outgoing);
--- a/crates/core/src/membership/spread.rs
+++ b/crates/core/src/membership/spread.rs
@@ -59,6 +59,18 @@
         }
     }
 
+    /// Drops the subjects that waited longest while more than `most` wait. Reports whether any was dropped.
+    pub fn drop_oldest_beyond(&mut self, most: usize) -> bool {
+        let mut dropped = false;
+        while self.order.len() > most {
+            if let Some(handle) = self.order.pop_front() {
+                self.left.remove(&handle);
+                dropped = true;
+            }
+        }
+        dropped
+    }
+
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
         self.order.is_empty()
--- a/crates/lab/src/cluster/deployment.rs
+++ b/crates/lab/src/cluster/deployment.rs
@@ -29,7 +29,7 @@
 const KADRIKS_TENANTS: [TenantPlan; 3] = [
     TenantPlan::new("studio-riga", &["ziepniekkalns", "purvciems", "imanta"]),
     TenantPlan::new("studio-vilnius", &["ziepniekkalns", "purvciems", "imanta"]),
-    TenantPlan::new("ingest-partner", &["purvciems", "imanta"]),
+    TenantPlan::new("ingest-partner", &["imanta"]),
 ];
 
 /// One deployment.
@@ -52,6 +52,15 @@
 }
 
 impl Deployment {
+    /// The deployment of that name, if there is one.
+    pub fn by_name(name: &str) -> Option<Self> {
+        match name {
+            "pharmacy" => Some(Self::pharmacy()),
+            "kadriks" => Some(Self::kadriks()),
+            _ => None,
+        }
+    }
+
     /// The joint prescription renewal platform of pharmacy chains.
     pub fn pharmacy() -> Self {
         Self::new(&DeploymentPlan {
--- a/crates/lab/src/command/mod.rs
+++ b/crates/lab/src/command/mod.rs
@@ -1,8 +1,14 @@
 //! The subcommands of `shelfjunction-lab`; each lives in a module of its own and has one line in [`COMMANDS`].
 
+mod calibrate;
+mod demo;
 mod engine;
+mod load;
 mod options;
+mod platform;
+mod scale;
 mod simulate;
+mod soak;
 
 pub use options::{CommandError, Options};
 
@@ -29,7 +35,16 @@
 }
 
 /// Every subcommand, in the order of the help.
-const COMMANDS: &[&Command] = &[&engine::COMMAND, &simulate::COMMAND];
+const COMMANDS: &[&Command] = &[
+    &platform::COMMAND,
+    &engine::COMMAND,
+    &calibrate::COMMAND,
+    &load::COMMAND,
+    &demo::COMMAND,
+    &simulate::COMMAND,
+    &soak::COMMAND,
+    &scale::COMMAND,
+];
 
 /// Runs the program with the arguments that follow its name.
 pub fn run(arguments: &[String]) -> ExitCode {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,11 +1,15 @@
 //! Stand-ins, load and experiment tools.
 
+pub mod calibrate;
 pub mod caller;
 pub mod cluster;
 pub mod command;
+pub mod demo;
 pub mod engine;
 pub mod load;
 pub mod platform;
 pub mod relay;
 pub mod report;
+pub mod scale;
 pub mod simulate;
+pub mod soak;
