--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -115,13 +115,8 @@
         let bundle = changed_bundle(&self.bundle, self.changes);
         self.changes += 1;
         let operators = self.deployment.operators();
-        let row = publish(
-            &self.surroundings.platform,
-            &self.deployment,
-            &bundle,
-            &operators[0],
-        )
-        .map_err(ScaleError::Publish)?;
+        let row =
+            publish(&self.surroundings.platform, &bundle, &operators[0]).map_err(ScaleError::Publish)?;
         self.bundle = bundle;
         Ok(row.generation)
     }
@@ -164,6 +159,7 @@
             .iter()
             .filter_map(|slot| slot.lock().unwrap_or_else(PoisonError::into_inner).take())
             .collect();
+        nodes.iter().for_each(|node| node.gossip.begin_stop());
         for mut node in nodes {
             node.stop();
         }
