Part the engine model's larger files by their jobs

Ruled out: nothing. Conclusion: exports, faults, starts and the counting of calls have modules of their own; nothing behaves differently.

--- a/crates/engine-model/src/lib.rs
+++ b/crates/engine-model/src/lib.rs
@@ -8,6 +8,9 @@
 pub mod config;
 
 mod batch;
+mod call;
+mod exports;
+mod faults;
 mod kv_log;
 mod load;
 mod model;
@@ -15,11 +18,14 @@
 mod prefix_cache;
 mod runs;
 mod sequence;
+mod start;
 mod state;
 
 pub use config::EngineModelConfig;
-pub use model::{EngineModel, KvExport, NextPart};
+pub use exports::KvExport;
+pub use faults::EngineFaults;
+pub use model::{EngineModel, NextPart};
 pub use orders::{CompletedChange, OrderExecutor};
 pub use runs::RunNumber;
 pub use sequence::{BatchEvent, BatchEventKind, SequenceKey, SequenceWork};
-pub use state::{EngineFaults, EngineState, WorkTarget};
+pub use state::{EngineState, WorkTarget};
--- a/crates/engine-model/src/model.rs
+++ b/crates/engine-model/src/model.rs
@@ -1,32 +1,21 @@
 //! A whole engine with request identities and answer texts.
 
 use crate::answer::{AnswerSeed, receipt_length};
+use crate::call::{export_binding, work_of};
 use crate::config::{EngineKind, EngineModelConfig};
+use crate::exports::{ExportTable, KvExport};
+use crate::faults::EngineFaults;
 use crate::runs::{Run, RunNumber, RunProgress, RunTable};
-use crate::sequence::{BatchEvent, BatchEventKind, SequenceWork};
-use crate::state::{EngineFaults, EngineState, WorkTarget};
-use serde::{Deserialize, Serialize};
+use crate::sequence::{BatchEvent, BatchEventKind};
+use crate::state::{EngineState, WorkTarget};
 use shelfjunction_core::engine::{
-    AnswerPart, EngineCall, EngineRefusal, EngineRefusalReason, EngineStatus, KvEvent, Order, OrderReply,
-    Phase, RunRecord, RunState,
+    AnswerPart, EngineCall, EngineRefusal, EngineStatus, KvEvent, Order, OrderReply, RunRecord, RunState,
 };
 use shelfjunction_core::identity::{EngineId, OrderId, RequestId};
-use shelfjunction_core::routing::prefix::{PrefixScope, hash_prompt};
 use shelfjunction_core::time::MonotonicTime;
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::Duration;
 
-/// A KV cache as another engine fetches it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KvExport {
-    /// Name of the export at the engine that computed it.
-    pub handle: String,
-    /// Fits only a call with the same model, adapter, salt and prompt.
-    pub binding: u64,
-    /// Prompt tokens it covers.
-    pub prompt_tokens: u32,
-}
-
 /// The next part of a run's answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum NextPart {
@@ -38,21 +27,13 @@
     Gone,
 }
 
-/// An export and how long it is kept.
-#[derive(Clone, Debug)]
-struct HeldExport {
-    export: KvExport,
-    expires_at: MonotonicTime,
-    fetched: bool,
-}
-
 /// An engine as callers and controllers see it.
 #[derive(Debug)]
 pub struct EngineModel {
     state: EngineState,
     incarnation: u64,
     runs: RunTable,
-    exports: HashMap<String, HeldExport>,
+    exports: ExportTable,
     next_export: u64,
     log: VecDeque<RunRecord>,
     scratch: Vec<BatchEvent>,
@@ -66,7 +47,7 @@
             state: EngineState::new(engine, incarnation, config, seed),
             incarnation,
             runs: RunTable::new(limits.retained_answers, limits.logged_runs, 1),
-            exports: HashMap::new(),
+            exports: ExportTable::default(),
             next_export: 1,
             log: VecDeque::new(),
             scratch: Vec::new(),
@@ -123,7 +104,7 @@
             self.apply(&event);
         }
         self.scratch = events;
-        self.exports.retain(|_, held| held.expires_at > now);
+        self.exports.expire(now);
     }
 
     /// When the next part may be there.
@@ -183,16 +164,13 @@
     /// The export under a handle, if it is still held.
     pub fn fetch_export(&mut self, now: MonotonicTime, handle: &str) -> Option<KvExport> {
         self.advance(now);
-        let held = self.exports.get_mut(handle)?;
-        held.fetched = true;
-        Some(held.export.clone())
+        self.exports.fetch(handle)
     }
 
     /// Answers an order; `queue` is the weight store's wait.
     pub fn order(&mut self, now: MonotonicTime, order: &Order, queue: Duration) -> OrderReply {
         self.advance(now);
-        let held = self.exports.values().filter(|held| !held.fetched).count();
-        let held = u32::try_from(held).unwrap_or(u32::MAX);
+        let held = self.exports.unfetched();
         self.state.order(order, held, queue, now)
     }
 
@@ -285,16 +263,12 @@
         );
         self.next_export += 1;
         let retention = self.state.config().reports.export_retention_millis;
-        let held = HeldExport {
-            export: KvExport {
-                handle: handle.clone(),
-                binding: run.binding,
-                prompt_tokens: run.prompt_tokens,
-            },
-            expires_at: at + Duration::from_millis(retention),
-            fetched: false,
+        let export = KvExport {
+            handle: handle.clone(),
+            binding: run.binding,
+            prompt_tokens: run.prompt_tokens,
         };
-        self.exports.insert(handle.clone(), held);
+        self.exports.hold(export, at + Duration::from_millis(retention));
         self.runs.end(number, RunProgress::Prefilled { handle });
     }
 
@@ -307,47 +281,6 @@
     }
 }
 
-/// Counts a call in tokens, or says what is wrong with it.
-fn work_of(call: &EngineCall, total: u32, import: Option<&KvExport>) -> Result<SequenceWork, EngineRefusal> {
-    let scope = PrefixScope {
-        salt: &call.cache_salt,
-        model: &call.model,
-        adapter: call.adapter.as_ref(),
-    };
-    let blocks = hash_prompt(&scope, &call.prompt);
-    if blocks.tokens == 0 || call.max_tokens == 0 || (call.import.is_some() && import.is_none()) {
-        return Err(malformed());
-    }
-    if import.is_some_and(|import| import.binding != export_binding(call)) {
-        return Err(malformed());
-    }
-    let output_tokens = match call.phase {
-        Phase::Whole => total.saturating_sub(call.offset),
-        Phase::PrefillOnly => 0,
-    };
-    Ok(SequenceWork {
-        prompt_tokens: blocks.tokens.saturating_add(call.offset),
-        prompt_blocks: blocks.hashes.into(),
-        output_tokens,
-        class: call.class,
-        phase: call.phase,
-        imported: import.is_some(),
-    })
-}
-
-fn malformed() -> EngineRefusal {
-    EngineRefusal {
-        reason: EngineRefusalReason::Malformed,
-        retry_after_millis: 0,
-    }
-}
-
-/// What an exported KV cache fits: the same model, adapter, salt and prompt.
-fn export_binding(call: &EngineCall) -> u64 {
-    let salted = format!("{}\n{}", call.cache_salt, call.prompt);
-    AnswerSeed::new(&call.model, call.adapter.as_ref(), &salted).0
-}
-
 /// The part that ends a run's answer, when it has ended.
 fn last_part(run: &Run) -> NextPart {
     let request = run.request.clone();
--- a/crates/engine-model/src/state.rs
+++ b/crates/engine-model/src/state.rs
@@ -1,53 +1,26 @@
 //! A whole engine counted in tokens: batch, cache, orders, reports and faults.
 
 use crate::batch::Batch;
-use crate::config::{EngineKind, EngineModelConfig};
+use crate::config::EngineModelConfig;
+use crate::faults::EngineFaults;
 use crate::kv_log::KvLog;
 use crate::load::LaggedLoad;
 use crate::orders::{CompletedChange, OrderExecutor};
 use crate::sequence::{BatchEvent, SequenceKey, SequenceWork};
+use crate::start::{executor, first_role_and_weights, restart_role_and_weights};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use serde::{Deserialize, Serialize};
 use shelfjunction_core::engine::{
     EngineRefusal, EngineRefusalReason, EngineStatus, KvEvent, LoadReport, LoadedWeights, Order, OrderReply,
     Phase, Role,
 };
-use shelfjunction_core::identity::{AdapterId, EngineId, ModelId, OrderId, WeightVersion};
+use shelfjunction_core::identity::{AdapterId, EngineId, ModelId, OrderId};
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
 
 /// Time to come back after a refusal that may pass soon, in milliseconds.
 const RETRY_AFTER_MILLIS: u64 = 250;
 
-/// Version that an application gives as its weights.
-const APPLICATION_VERSION: &str = "1";
-
-/// Faults that can be switched on and off while the engine runs.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct EngineFaults {
-    /// Each step takes this many times as long.
-    pub slow_factor: f64,
-    /// The reported queues are this many times the true ones.
-    pub lie_factor: f64,
-    /// Part of all cache events that is lost; absent: as configured.
-    pub event_gap_probability: Option<f64>,
-    /// The engine ends in the middle of its next change.
-    pub crash_in_change: bool,
-}
-
-impl Default for EngineFaults {
-    fn default() -> Self {
-        Self {
-            slow_factor: 1.0,
-            lie_factor: 1.0,
-            event_gap_probability: None,
-            crash_in_change: false,
-        }
-    }
-}
-
 /// What a sequence runs on.
 #[derive(Clone, Copy, Debug)]
 pub struct WorkTarget<'a> {
@@ -313,35 +286,3 @@
         Role::Decode => work.phase == Phase::Whole && work.imported,
     }
 }
-
-fn executor(
-    engine: &EngineId,
-    config: &EngineModelConfig,
-    role: Role,
-    weights: Vec<LoadedWeights>,
-) -> OrderExecutor {
-    let changeable = matches!(config.kind, EngineKind::Model { .. });
-    OrderExecutor::new(engine.clone(), config.changes, changeable, role, weights)
-}
-
-fn first_role_and_weights(kind: &EngineKind) -> (Role, Vec<LoadedWeights>) {
-    match kind {
-        EngineKind::Model { role, weights } => (*role, weights.clone()),
-        EngineKind::Application { .. } => restart_role_and_weights(kind),
-    }
-}
-
-/// A restarted engine holds no weights; an application is always itself.
-fn restart_role_and_weights(kind: &EngineKind) -> (Role, Vec<LoadedWeights>) {
-    match kind {
-        EngineKind::Model { .. } => (Role::Mixed, Vec::new()),
-        EngineKind::Application { application } => {
-            let itself = LoadedWeights {
-                model: application.clone(),
-                version: WeightVersion::new(APPLICATION_VERSION),
-                adapters: Vec::new(),
-            };
-            (Role::Mixed, vec![itself])
-        }
-    }
-}
