Keep goals until a change moves them, and set them before the first change of a new holder

Cause: three faults that one test found. A new holder acted on the goal in an engine's row before it had looked at the leaving list, and changed the role of an engine that was leaving. A goal read off the status at each look was older than an order carried out since, so the role went back and forth: four role changes on one leaving engine. And a drained leaving engine took up the planner's one place for changes, so no role changed in that zone until it was gone. Conclusion: goals are sticky, the first ones are set while fences are raised, and an engine's first status is planned for before it is acted on.

--- a/crates/controller/src/command/driver.rs
+++ b/crates/controller/src/command/driver.rs
@@ -27,6 +27,8 @@
     engines: Vec<EngineId>,
     statuses: StatusBoard,
     look_at: MonotonicTime,
+    /// Whether goals have been set since the lease was taken.
+    goals_set: bool,
 }
 
 /// Commands the zone until a planned stop has been carried out.
@@ -47,6 +49,7 @@
         engines: Vec::new(),
         statuses: StatusBoard::default(),
         look_at: context.now(),
+        goals_set: true,
     };
     while !context.leaving.is_set() && !context.stop.is_set() {
         driver.step(events);
@@ -93,12 +96,28 @@
 
     fn handle(&mut self, event: CommanderEvent) {
         if let CommanderEvent::Status { observed_at, status } = &event {
+            let unknown = self.statuses.get(&status.engine, self.context.now()).is_none();
             self.statuses.note(status, *observed_at);
+            if unknown {
+                // The commander acts on a status at once: what the engine is wanted to be must be right before.
+                self.plan();
+            }
         }
         let effects = self.commander.handle(event, self.context.now());
         for effect in effects {
             self.carry_out(effect);
         }
+        self.set_first_goals();
+    }
+
+    /// Sets goals as soon as the rows are known and before the first change can be ordered: what an earlier holder
+    /// wanted may be out of date, as when an engine has been put on the leaving list since.
+    fn set_first_goals(&mut self) {
+        if self.goals_set || *self.commander.phase() != CommanderPhase::Fencing {
+            return;
+        }
+        self.goals_set = true;
+        self.plan();
     }
 
     fn carry_out(&mut self, effect: CommanderEffect) {
@@ -108,6 +127,10 @@
             CommanderEffect::Gained(authority) => {
                 self.executor.permit(authority.token);
                 self.planning = Planning::new(self.context);
+                self.goals_set = false;
+                // Told again at the next look, which comes at once.
+                self.engines.clear();
+                self.look_at = MonotonicTime::default();
                 log::info!(zone:% = self.context.config.zone, token:% = authority.token; "lease_gained");
             }
             CommanderEffect::Lost(token) => {
@@ -147,7 +170,11 @@
 
     fn plan(&mut self) {
         let now = self.context.now();
-        if *self.commander.phase() != CommanderPhase::Commanding || self.commander.authority(now).is_none() {
+        let rows_known = matches!(
+            self.commander.phase(),
+            CommanderPhase::Fencing | CommanderPhase::Commanding
+        );
+        if !rows_known || self.commander.authority(now).is_none() {
             return;
         }
         for event in self
--- a/crates/controller/src/command/planner_input.rs
+++ b/crates/controller/src/command/planner_input.rs
@@ -72,13 +72,19 @@
         zone: known.record.zone.clone(),
         model,
         role: target.unwrap_or(status.role),
-        usable: known.live_status().is_some() && !known.is_leaving(),
-        changing: is_changing(status) || target.is_some(),
+        usable: may_come_back(known),
+        // An engine that leaves or does not answer is drained for good or unknown; it takes up no place among the
+        // changes that may go on at once.
+        changing: target.is_some() || (is_changing(status) && may_come_back(known)),
         changed_at: Some(changed_at.unwrap_or(facts.held_since)),
         drain_seconds: drain_seconds(&status.load),
     })
 }
 
+fn may_come_back(known: &KnownEngine) -> bool {
+    known.live_status().is_some() && !known.is_leaving()
+}
+
 fn is_changing(status: &EngineStatus) -> bool {
     status.changing || status.draining
 }
--- a/crates/controller/tests/role_change.rs
+++ b/crates/controller/tests/role_change.rs
@@ -9,8 +9,9 @@
 use shelfjunction_core::bundle::content::Bundle;
 use shelfjunction_core::demand::{DemandEntry, DemandReport};
 use shelfjunction_core::engine::{LoadedWeights, OrderAction, OrderReply, Role};
-use shelfjunction_core::identity::FencingToken;
+use shelfjunction_core::identity::{EngineId, FencingToken};
 use shelfjunction_core::lease::LeaseTimings;
+use shelfjunction_core::machine::{Machine, MachineState};
 use shelfjunction_core::service_class::ServiceClass;
 use shelfjunction_lab::cluster::deployment::Deployment;
 use shelfjunction_lab::cluster::publish::publish_first;
@@ -87,6 +88,7 @@
     deployment: Deployment,
     platform: PlatformHandle,
     engines: Arc<Engines>,
+    machines: Vec<Machine>,
 }
 
 impl Zone {
@@ -106,13 +108,14 @@
             machines.push(machine);
         }
         let platform = PlatformServer::start(PlatformConfig {
-            machines,
+            machines: machines.clone(),
             ..PlatformConfig::default()
         });
         let zone = Self {
             deployment,
             platform: platform.unwrap(),
             engines,
+            machines,
         };
         publish_first(&zone.client(), &zone.deployment).unwrap();
         zone
@@ -157,6 +160,17 @@
         Controller::start_with(settings, services).unwrap()
     }
 
+    /// The platform puts the engine's machine on the leaving list.
+    fn leave(&mut self, engine: &EngineId) {
+        let machine = self
+            .machines
+            .iter_mut()
+            .find(|machine| machine.name == engine.as_str())
+            .unwrap();
+        machine.state = MachineState::Leaving;
+        self.platform.set_machines(self.machines.clone());
+    }
+
     fn end(self, controllers: Vec<ControllerHandle>) {
         controllers.iter().for_each(ControllerHandle::stop);
         controllers.into_iter().for_each(ControllerHandle::wait);
@@ -244,3 +258,35 @@
     );
     zone.end(vec![first, second]);
 }
+
+#[test]
+fn an_engine_that_leaves_in_the_middle_of_a_change_stays_drained_under_the_next_holder() {
+    let mut zone = Zone::new();
+    let (table, role_changes) = (Arc::new(Gate::default()), Arc::new(Gate::default()));
+    role_changes.close();
+    let first = zone.start("node-1", &table, &role_changes);
+    first.wait_commanding(STUCK).unwrap();
+    report(&first, demand(&zone.deployment));
+    role_changes.wait_held(STUCK);
+    table.close();
+    let drained = changes(&zone.engines.told.lock().unwrap())[0]
+        .order
+        .engine
+        .clone();
+    zone.leave(&drained);
+
+    let open = Arc::new(Gate::default());
+    let second = zone.start("node-2", &open, &open);
+    assert_eq!(second.wait_commanding(STUCK), Some(FencingToken(2)));
+    report(&second, demand(&zone.deployment));
+    // A change of another engine shows that the second holder has decided about all of them.
+    let told = zone.engines.wait_told(has_undrained, STUCK);
+    let of_drained = changes(&told)
+        .into_iter()
+        .filter(|told| told.order.engine == drained);
+    let actions: Vec<OrderAction> = of_drained.map(|told| told.order.action).collect();
+    assert_eq!(actions, [OrderAction::Drain]);
+    role_changes.open();
+    table.open();
+    zone.end(vec![first, second]);
+}
--- a/crates/core/src/drain/coordinator.rs
+++ b/crates/core/src/drain/coordinator.rs
@@ -51,6 +51,8 @@
 #[derive(Clone, Debug)]
 struct Change {
     goal: EngineGoal,
+    /// What to go back to when the change is given up; absent when an earlier holder began it.
+    before: Option<EngineGoal>,
     since: MonotonicTime,
     /// Whether the engine served something that the change takes away for a while.
     takes_from_service: bool,
@@ -62,6 +64,8 @@
     limits: ChangeLimits,
     changes: BTreeMap<EngineId, Change>,
     paused_until: BTreeMap<EngineId, MonotonicTime>,
+    /// What engines go back to whose change was given up in this step.
+    given_up: BTreeMap<EngineId, EngineGoal>,
     /// Engines that said they can't carry an order of their change out.
     rejected: BTreeSet<EngineId>,
 }
@@ -73,6 +77,7 @@
             limits,
             changes: BTreeMap::new(),
             paused_until: BTreeMap::new(),
+            given_up: BTreeMap::new(),
             rejected: BTreeSet::new(),
         }
     }
@@ -118,6 +123,7 @@
         for view in views {
             self.set_goal(view, &mut decisions);
         }
+        self.given_up.clear();
         decisions
     }
 
@@ -143,11 +149,14 @@
             _ => return,
         };
         self.rejected.remove(&view.engine);
-        self.changes.remove(&view.engine);
         if outcome == ChangeOutcome::GivenUp {
             let until = now + self.limits.pause_after_give_up;
             self.paused_until.insert(view.engine.clone(), until);
+            let before = change.before.clone().or_else(|| view.present_goal());
+            self.given_up
+                .extend(before.map(|goal| (view.engine.clone(), goal)));
         }
+        self.changes.remove(&view.engine);
         decisions.push(ChangeDecision::Ended {
             engine: view.engine.clone(),
             outcome,
@@ -169,6 +178,7 @@
             view.engine.clone(),
             Change {
                 goal: goal.clone(),
+                before: None,
                 since: now,
                 takes_from_service: !status.weights.is_empty(),
             },
@@ -203,6 +213,7 @@
         });
         let change = Change {
             goal,
+            before: view.present_goal(),
             since: now,
             takes_from_service: !status.weights.is_empty(),
         };
@@ -240,31 +251,33 @@
     }
 
     /// What an engine is wanted to be; absent while nothing is known of it.
+    ///
+    /// A goal once set stays until a change is begun or given up. One read off the engine's status each time would be
+    /// as old as that status, and an order that was carried out meanwhile would be undone for it.
     fn wanted(&self, view: &EngineView) -> Option<EngineGoal> {
         if view.leaving {
             return leaving_goal(view);
         }
-        if let Some(change) = self.changes.get(&view.engine) {
-            return Some(change.goal.clone());
-        }
-        let restarted_empty = view
-            .status
-            .as_ref()
-            .is_some_and(|status| status.weights.is_empty());
-        match &view.goal {
-            // An engine that restarted keeps its goal and is led back to it.
-            Some(goal) if restarted_empty && !goal.draining => Some(goal.clone()),
-            _ => view.present_goal(),
+        let change = self.changes.get(&view.engine).map(|change| &change.goal);
+        let chosen = change.or_else(|| self.given_up.get(&view.engine));
+        if let Some(goal) = chosen.or(view.goal.as_ref()).filter(|goal| !goal.draining) {
+            return Some(goal.clone());
         }
+        view.present_goal()
     }
 }
 
 /// A leaving engine is drained as it is: loading or changing roles there would be waste.
 fn leaving_goal(view: &EngineView) -> Option<EngineGoal> {
-    let mut goal = view.present_goal().or_else(|| view.goal.clone())?;
-    goal.draining = true;
-    goal.weights.clear();
-    Some(goal)
+    let drained = view.goal.clone().filter(|goal| goal.draining);
+    drained.or_else(|| {
+        let status = view.status.as_ref()?;
+        Some(EngineGoal {
+            role: status.role,
+            weights: Vec::new(),
+            draining: true,
+        })
+    })
 }
 
 fn holds(status: &EngineStatus, goal: &EngineGoal) -> bool {
