--- a/crates/core/src/drain/coordinator.rs
+++ b/crates/core/src/drain/coordinator.rs
@@ -1,9 +1,9 @@
 //! Begins, watches, completes and gives up planned changes, a bounded number at once.
 
 use super::floors::{BlockedByFloor, may_leave_service};
+use super::goals::{holds, leaving_goal, merged, reached};
 use super::view::{ChangeLimits, ChangeRequest, EngineView};
 use crate::bundle::content::ModelRule;
-use crate::engine::EngineStatus;
 use crate::identity::EngineId;
 use crate::orders::EngineGoal;
 use crate::time::MonotonicTime;
@@ -266,45 +266,3 @@
         view.present_goal()
     }
 }
-
-/// A leaving engine is drained as it is: loading or changing roles there would be waste.
-fn leaving_goal(view: &EngineView) -> Option<EngineGoal> {
-    let drained = view.goal.clone().filter(|goal| goal.draining);
-    drained.or_else(|| {
-        let status = view.status.as_ref()?;
-        Some(EngineGoal {
-            role: status.role,
-            weights: Vec::new(),
-            draining: true,
-        })
-    })
-}
-
-fn holds(status: &EngineStatus, goal: &EngineGoal) -> bool {
-    let loaded = goal
-        .weights
-        .iter()
-        .all(|weights| status.weights.contains(weights));
-    status.role == goal.role && loaded
-}
-
-fn reached(status: &EngineStatus, goal: &EngineGoal) -> bool {
-    holds(status, goal) && !status.changing && !status.draining
-}
-
-/// One request per engine, so that a new role and new weights cost one drain.
-fn merged(requests: &[ChangeRequest]) -> Vec<ChangeRequest> {
-    let mut merged: Vec<ChangeRequest> = Vec::new();
-    for request in requests {
-        match merged.iter_mut().find(|known| known.engine == request.engine) {
-            Some(known) => {
-                known.role = known.role.or(request.role);
-                if known.weights.is_none() {
-                    known.weights.clone_from(&request.weights);
-                }
-            }
-            None => merged.push(request.clone()),
-        }
-    }
-    merged
-}
--- a/crates/core/src/drain/mod.rs
+++ b/crates/core/src/drain/mod.rs
@@ -9,6 +9,7 @@
 
 mod coordinator;
 mod floors;
+mod goals;
 mod rollout;
 mod view;
 
