--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -13,6 +13,7 @@
 pub mod weights;
 
 mod capacity;
+mod selection;
 
 pub use query::{DispatchTicket, FinishedWork, Route, RouteEstimate, RouteQuery, RouteTarget};
 pub use router::KvRouter;
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -1,23 +1,21 @@
 //! The router: engine views in, one choice out.
 
 use super::cost::{Candidate, compare_with_peers};
-use super::query::{DispatchTicket, FinishedWork, Route, RouteEstimate, RouteQuery, RouteTarget};
+use super::query::{DispatchTicket, FinishedWork, Route, RouteEstimate, RouteQuery};
+use super::selection::{cheapest, sample};
 use super::view::{EngineView, SentWork};
 use super::weights::RoutingWeights;
 use crate::admission::ModelCapacity;
-use crate::engine::{EngineRefusalReason, KvEvent, Role};
+use crate::engine::{EngineRefusalReason, KvEvent};
 use crate::identity::{EngineId, ModelId};
 use crate::membership::record::EngineRecord;
 use crate::outcome::RefusalReason;
 use crate::service_class::ServiceClass;
 use crate::time::MonotonicTime;
-use rand::{Rng, RngCore};
+use rand::RngCore;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Random members of a large candidate set that are compared.
-const RANDOM_CANDIDATES: usize = 2;
-
 /// Fewest output tokens from which the time between tokens is judged.
 const FEWEST_OBSERVED_TOKENS: u32 = 8;
 
@@ -176,9 +174,8 @@
             return Route::Nowhere(self.refusal_reason(query));
         }
         compare_with_peers(&mut candidates, &self.weights, now);
-        let sampled = self.sample(candidates, random);
-        self.cheapest(&sampled, query)
-            .unwrap_or(Route::Nowhere(RefusalReason::EnginesRefused))
+        let sampled = sample(candidates, self.weights.compare_all_up_to, random);
+        cheapest(&sampled, query, &self.weights).unwrap_or(Route::Nowhere(RefusalReason::EnginesRefused))
     }
 
     /// Delays that a request would meet on the best of all engines now; absent when none can take it.
@@ -238,61 +235,6 @@
             && !query.excluded.contains(engine)
     }
 
-    fn sample<'a>(&self, mut candidates: Vec<Candidate<'a>>, random: &mut dyn RngCore) -> Vec<Candidate<'a>> {
-        if candidates.len() <= self.weights.compare_all_up_to {
-            return candidates;
-        }
-        let mut sampled = Vec::new();
-        for role in [Role::Prefill, Role::Decode, Role::Mixed] {
-            let (mut same, rest): (Vec<_>, Vec<_>) =
-                candidates.into_iter().partition(|one| one.view.role() == role);
-            candidates = rest;
-            sample_role(&mut same, &mut sampled, random);
-        }
-        sampled
-    }
-
-    fn cheapest(&self, candidates: &[Candidate<'_>], query: &RouteQuery) -> Option<Route> {
-        let whole = candidates
-            .iter()
-            .filter(|one| one.view.role() == Role::Mixed)
-            .map(|one| (one.whole_cost(query, &self.weights), one))
-            .min_by(|left, right| left.0.total_cmp(&right.0));
-        let split = self.cheapest_split(candidates, query);
-        match (whole, split) {
-            (Some((whole_cost, one)), Some((split_cost, _, _))) if whole_cost <= split_cost => {
-                whole_route(one)
-            }
-            (_, Some((_, prefill, decode))) => Some(Route::Split {
-                prefill: target(prefill)?,
-                decode: target(decode)?,
-            }),
-            (Some((_, one)), None) => whole_route(one),
-            (None, None) => None,
-        }
-    }
-
-    fn cheapest_split<'c, 'a>(
-        &self,
-        candidates: &'c [Candidate<'a>],
-        query: &RouteQuery,
-    ) -> Option<(f64, &'c Candidate<'a>, &'c Candidate<'a>)> {
-        let mut best: Option<(f64, &Candidate<'_>, &Candidate<'_>)> = None;
-        for prefill in candidates.iter().filter(|one| one.runs_prompts()) {
-            let prompt_cost = prefill.prompt_cost(query, &self.weights);
-            for decode in candidates.iter().filter(|one| one.runs_outputs()) {
-                if prefill.view.role() == Role::Mixed && decode.view.role() == Role::Mixed {
-                    continue;
-                }
-                let cost = prompt_cost + decode.decode_cost(prefill, query, &self.weights);
-                if best.is_none_or(|(lowest, _, _)| cost < lowest) {
-                    best = Some((cost, prefill, decode));
-                }
-            }
-        }
-        best
-    }
-
     fn refusal_reason(&self, query: &RouteQuery) -> RefusalReason {
         let mut serving = self.engines.values().filter(|view| view.serves(query)).peekable();
         if serving.peek().is_none() {
@@ -305,29 +247,6 @@
     }
 }
 
-/// Moves the two random members and the best prefix holder of one role into the sample.
-fn sample_role<'a>(
-    candidates: &mut Vec<Candidate<'a>>,
-    sampled: &mut Vec<Candidate<'a>>,
-    random: &mut dyn RngCore,
-) {
-    let holder = candidates
-        .iter()
-        .enumerate()
-        .min_by(|left, right| left.1.uncached_tokens.total_cmp(&right.1.uncached_tokens))
-        .map(|(index, _)| index);
-    if let Some(index) = holder {
-        sampled.push(candidates.swap_remove(index));
-    }
-    for _ in 0..RANDOM_CANDIDATES {
-        if candidates.is_empty() {
-            return;
-        }
-        let index = random.random_range(0..candidates.len());
-        sampled.push(candidates.swap_remove(index));
-    }
-}
-
 fn sent_work(
     engine: &EngineId,
     view: &EngineView,
@@ -382,20 +301,6 @@
     view.health.observe(observed, sent.expected_token * gaps, now);
 }
 
-fn whole_route(candidate: &Candidate<'_>) -> Option<Route> {
-    Some(Route::Whole {
-        engine: candidate.engine.clone(),
-        address: candidate.view.address()?,
-    })
-}
-
-fn target(candidate: &Candidate<'_>) -> Option<RouteTarget> {
-    Some(RouteTarget {
-        engine: candidate.engine.clone(),
-        address: candidate.view.address()?,
-    })
-}
-
 fn least<'c, 'a: 'c>(
     candidates: impl Iterator<Item = &'c Candidate<'a>>,
     seconds: impl Fn(&Candidate<'a>) -> f64,
--- a/crates/gateway/src/course/driver.rs
+++ b/crates/gateway/src/course/driver.rs
@@ -8,8 +8,8 @@
 use crate::metrics::{cause_name, outcome_name};
 use crate::stop::lock;
 use shelfjunction_core::admission::AdmissionTicket;
-use shelfjunction_core::engine::{AnswerPart, Role};
-use shelfjunction_core::identity::{AttemptId, EngineId, RequestId};
+use shelfjunction_core::engine::{AnswerPart, EngineCall, Phase, Role};
+use shelfjunction_core::identity::{EngineId, RequestId};
 use shelfjunction_core::ledger::batcher::ClaimWrite;
 use shelfjunction_core::outcome::{Outcome, Refusal};
 use shelfjunction_core::request::event::{Action, Event};
@@ -160,7 +160,7 @@
                 call,
                 not_after,
             } => {
-                self.count_dispatch(&target, call.attempt.clone(), now);
+                self.count_dispatch(&target, &call, now);
                 engine_calls::dispatch(self.course.context, sender, target, call, not_after);
             }
             Action::Resume {
@@ -283,10 +283,16 @@
         lock(&context.demand).on_finished(&query.model, query.class, query.prompt_tokens, cached, tokens);
     }
 
-    fn count_dispatch(&mut self, target: &Target, attempt: AttemptId, now: MonotonicTime) {
+    fn count_dispatch(&mut self, target: &Target, call: &EngineCall, now: MonotonicTime) {
         let context = self.course.context;
-        self.dispatch
-            .begin(context, target, attempt, &self.course.query, now);
+        let query = &self.course.query;
+        let part = match (call.phase, &call.import) {
+            (Phase::PrefillOnly, _) => query.prefill_half(),
+            (Phase::Whole, Some(_)) => query.decode_half(),
+            (Phase::Whole, None) => query.clone(),
+        };
+        let attempt = call.attempt.clone();
+        self.dispatch.begin(context, target, attempt, &part, now);
         let zone = lock(&context.fleet).zone(&target.engine);
         let request = &self.course.machine.specification().request;
         context.registry.placed(request, &target.engine, zone);
--- a/crates/lab/src/simulate/mod.rs
+++ b/crates/lab/src/simulate/mod.rs
@@ -15,6 +15,7 @@
 pub mod world;
 
 mod course;
+mod dispatch;
 mod engines;
 mod gateways;
 mod planning;
