Keep the stop signal and the lock in one crate

Cause: gateway and controller each held the same stop signal, and the HTTP server a third copy of the lock. Ruled out: keeping it in the HTTP crate, which has another concern. Before: three copies in three crates; after: one, and the tests of both users pass. Conclusion: shelfjunction-threads holds what every threaded part shares.

--- a/crates/controller/src/bundle/state.rs
+++ b/crates/controller/src/bundle/state.rs
@@ -1,12 +1,12 @@
 //! The keeper, shared by the threads that learn of heads and those that serve them.
 
 use crate::metrics::Metrics;
-use crate::stop::lock;
 use shelfjunction_core::bundle::signature::SigningAuthority;
 use shelfjunction_core::bundle::{BundleInForce, BundleKeeper, Digest, Head, HeadSource, KeeperEvent};
 use shelfjunction_core::identity::{Generation, ZoneId};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_protocol::peer::{BundleHead, ContentDigest, MAXIMUM_FRAME_BYTES};
+use shelfjunction_threads::lock;
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
--- a/crates/controller/src/command/executor.rs
+++ b/crates/controller/src/command/executor.rs
@@ -4,13 +4,13 @@
 
 use crate::context::Context;
 use crate::fleet;
-use crate::stop::lock;
 use shelfjunction_core::engine::Order;
 use shelfjunction_core::identity::{FencingToken, ZoneId};
 use shelfjunction_core::lease::{CallId, TableAnswer, TableCall, lease_key};
 use shelfjunction_core::orders::{CommanderEvent, OrderAnswer};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::engine::ControlError;
+use shelfjunction_threads::lock;
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Condvar, Mutex, PoisonError};
--- a/crates/controller/src/command/link.rs
+++ b/crates/controller/src/command/link.rs
@@ -1,10 +1,10 @@
 //! The way to the thread that commands the zone, and what it last said of itself.
 
-use crate::stop::lock;
 use shelfjunction_core::drain::WeightQueues;
 use shelfjunction_core::identity::{EngineId, NodeId};
 use shelfjunction_core::lease::Authority;
 use shelfjunction_core::orders::{CommanderEvent, CommanderPhase};
+use shelfjunction_threads::lock;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::Duration;
--- a/crates/controller/src/context.rs
+++ b/crates/controller/src/context.rs
@@ -7,11 +7,11 @@
 use crate::gossip::Gossip;
 use crate::metrics::Metrics;
 use crate::peer::server::{self, OpenConnections};
-use crate::stop::StopSignal;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::clock::MonotonicClock;
 use shelfjunction_platform::engine::EngineClient;
 use shelfjunction_platform::services::{MachineList, ObjectStore, TableService, WeightStore};
+use shelfjunction_threads::StopSignal;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod metrics;
 mod net;
 pub mod peer;
-pub mod stop;
 
 pub use config::ControllerConfig;
 pub use context::Services;
--- a/crates/controller/src/peer/server.rs
+++ b/crates/controller/src/peer/server.rs
@@ -2,7 +2,7 @@
 
 use super::connection;
 use crate::context::Context;
-use crate::stop::lock;
+use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
--- a/crates/controller/tests/planned_changes.rs
+++ b/crates/controller/tests/planned_changes.rs
@@ -4,7 +4,6 @@
 
 mod support;
 
-use shelfjunction_controller::stop::StopSignal;
 use shelfjunction_controller::{Controller, ControllerConfig};
 use shelfjunction_core::engine::{AnswerPart, EngineCall, EngineRefusalReason, LoadedWeights, Phase, Role};
 use shelfjunction_core::identity::{AttemptId, EngineId, RequestId, WeightVersion};
@@ -22,6 +21,7 @@
 use shelfjunction_platform::http_platform::{HttpPlatform, PlatformTimeouts};
 use shelfjunction_protocol::frame::{read_frame, write_frame};
 use shelfjunction_protocol::peer::{PeerRequest, PeerResponse};
+use shelfjunction_threads::StopSignal;
 use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
--- a/crates/gateway/src/admission_gate.rs
+++ b/crates/gateway/src/admission_gate.rs
@@ -1,6 +1,5 @@
 //! Lets threads wait for the admission controller's decisions.
 
-use crate::stop::lock;
 use rand::RngCore;
 use shelfjunction_core::admission::{
     AdmissionConfig, AdmissionController, AdmissionQuery, AdmissionTicket, AdmittedWork, ModelCapacity,
@@ -9,6 +8,7 @@
 use shelfjunction_core::identity::ModelId;
 use shelfjunction_core::outcome::Refusal;
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
 use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -1,7 +1,6 @@
 //! Carries writes to claim rows to the table service, many in one transaction.
 
 use crate::context::Context;
-use crate::stop::lock;
 use shelfjunction_core::identity::RequestId;
 use shelfjunction_core::ledger::batcher::{
     Batch, BatchSettings, ClaimBatcher, ClaimWrite, Ticket, WriteAnswer,
@@ -9,6 +8,7 @@
 use shelfjunction_core::ledger::row::StoredClaim;
 use shelfjunction_core::table::{PlatformError, RowKey, RowVersion, Transaction, TransactionOutcome};
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::Duration;
--- a/crates/gateway/src/course/claim_calls.rs
+++ b/crates/gateway/src/course/claim_calls.rs
@@ -3,12 +3,12 @@
 use super::engine_calls;
 use crate::claims::Release;
 use crate::context::Context;
-use crate::stop::lock;
 use shelfjunction_core::ledger::batcher::{ClaimWrite, WriteAnswer};
 use shelfjunction_core::request::event::{Action, Event};
 use shelfjunction_core::request::machine::RequestMachine;
 use shelfjunction_core::table::PlatformError;
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
 use std::sync::mpsc::{Receiver, SyncSender};
 use std::sync::{Arc, Mutex};
 
--- a/crates/gateway/src/course/dispatch_account.rs
+++ b/crates/gateway/src/course/dispatch_account.rs
@@ -1,13 +1,13 @@
 //! Tells the router what becomes of a course's dispatches.
 
 use crate::context::Context;
-use crate::stop::lock;
 use shelfjunction_core::engine::AnswerPart;
 use shelfjunction_core::identity::{AttemptId, EngineId};
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::request::specification::Target;
 use shelfjunction_core::routing::{DispatchTicket, FinishedWork, RouteQuery};
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
 use std::time::Duration;
 
 /// The dispatch that is open, if any.
--- a/crates/gateway/src/course/engine_calls.rs
+++ b/crates/gateway/src/course/engine_calls.rs
@@ -1,13 +1,13 @@
 //! Speaks with engines on threads of their own, so that a course never waits for one of them alone.
 
 use crate::context::Context;
-use crate::stop::lock;
 use shelfjunction_core::engine::{AnswerPart, EngineCall};
 use shelfjunction_core::identity::{AttemptId, EngineId, RequestId};
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::request::specification::Target;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::engine::{AnswerStream, CallError};
+use shelfjunction_threads::lock;
 use std::sync::Arc;
 use std::sync::mpsc::{SyncSender, TrySendError};
 use std::thread::Builder;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,6 @@
 mod metrics;
 mod registry;
 mod serve;
-mod stop;
 mod usage;
 mod watch;
 
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -1,9 +1,9 @@
 //! Requests in flight here: their number, their state, and the way to cancel them.
 
-use crate::stop::lock;
 use shelfjunction_core::identity::{EngineId, RequestId, TenantId, ZoneId};
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
 use std::collections::HashMap;
 use std::sync::atomic::AtomicU32;
 use std::sync::mpsc::SyncSender;
--- a/crates/gateway/src/serve/handler.rs
+++ b/crates/gateway/src/serve/handler.rs
@@ -6,10 +6,10 @@
 use crate::admin::{self, AdminMethod, AdminRequest};
 use crate::admin_context::AdminAccess;
 use crate::context::Context;
-use crate::stop::lock;
 use shelfjunction_core::outcome::RefusalReason;
 use shelfjunction_http::{Answer, Answered, Handler, HttpRequest, ReadError, Responder};
 use shelfjunction_protocol::caller::StatedOutcome;
+use shelfjunction_threads::lock;
 use std::sync::Arc;
 
 const TEXT: &str = "text/plain; charset=utf-8";
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -1,9 +1,9 @@
 //! What each tenant used of this gateway, for operators only.
 
-use crate::stop::lock;
 use shelfjunction_core::identity::TenantId;
 use shelfjunction_core::outcome::Outcome;
 use shelfjunction_protocol::operator::TenantUsage;
+use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 
--- a/crates/gateway/src/watch/bundles.rs
+++ b/crates/gateway/src/watch/bundles.rs
@@ -3,7 +3,6 @@
 use super::peer;
 use crate::config::millis;
 use crate::context::Context;
-use crate::stop::lock;
 use shelfjunction_core::bundle::acceptance::{CURRENT_KEY, CurrentRow, parse};
 use shelfjunction_core::bundle::signature::SigningAuthority;
 use shelfjunction_core::bundle::{BundleInForce, BundleKeeper, Digest, Head, HeadSource, KeeperEvent};
@@ -13,6 +12,7 @@
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_protocol::frame::FrameError;
 use shelfjunction_protocol::peer::{BundleHead, PeerRequest, PeerResponse};
+use shelfjunction_threads::lock;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
--- a/crates/gateway/src/watch/cache_events.rs
+++ b/crates/gateway/src/watch/cache_events.rs
@@ -2,8 +2,8 @@
 
 use crate::config::millis;
 use crate::context::Context;
-use crate::stop::lock;
 use shelfjunction_core::identity::EngineId;
+use shelfjunction_threads::lock;
 use std::collections::HashMap;
 
 #[derive(Clone, Copy, Default)]
--- a/crates/gateway/src/watch/capacity.rs
+++ b/crates/gateway/src/watch/capacity.rs
@@ -2,8 +2,8 @@
 
 use crate::config::millis;
 use crate::context::Context;
-use crate::stop::lock;
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
 use std::time::Duration;
 
 /// Between two looks at the requests that wait.
--- a/crates/gateway/src/watch/demand.rs
+++ b/crates/gateway/src/watch/demand.rs
@@ -3,9 +3,9 @@
 use super::peer;
 use crate::config::millis;
 use crate::context::Context;
-use crate::stop::lock;
 use shelfjunction_protocol::frame::FrameError;
 use shelfjunction_protocol::peer::PeerRequest;
+use shelfjunction_threads::lock;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
--- a/crates/gateway/src/watch/fleet.rs
+++ b/crates/gateway/src/watch/fleet.rs
@@ -3,9 +3,9 @@
 use super::peer;
 use crate::config::millis;
 use crate::context::Context;
-use crate::stop::lock;
 use shelfjunction_protocol::frame::{FrameError, read_frame, write_frame};
 use shelfjunction_protocol::peer::{PeerRequest, PeerResponse};
+use shelfjunction_threads::lock;
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -5,10 +5,11 @@
 use crate::reader::ReadError;
 use crate::request::HttpRequest;
 use crate::response::{Answer, Answered, Responder};
+use shelfjunction_threads::lock;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -161,7 +162,3 @@
         IpAddr::V6(_) => SocketAddr::new(Ipv6Addr::LOCALHOST.into(), address.port()),
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/controller/src/stop.rs
+++ b/crates/threads/src/stop.rs
@@ -1,6 +1,7 @@
 //! A signal that ends every waiting thread at once.
 
-use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+use crate::lock;
+use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Set once; threads wait on it in place of sleeping.
@@ -40,8 +41,3 @@
         true
     }
 }
-
-/// Locks a mutex; a thread that panicked while holding it leaves values that are whole, so its mark is ignored.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
