--- a/crates/lab/src/command/engine.rs
+++ b/crates/lab/src/command/engine.rs
@@ -81,10 +81,7 @@
 
 /// The settings of an engine: the file's, with flags before it.
 pub(super) fn engine_config(options: &Options) -> Result<EngineConfig, CommandError> {
-    let mut config = match options.text("settings") {
-        Some(path) => read_settings(&path)?,
-        None => EngineConfig::default(),
-    };
+    let mut config: EngineConfig = options.settings()?;
     if let Some(listen) = options.value("listen")? {
         config.listen = listen;
     }
@@ -104,12 +101,6 @@
     }
 }
 
-fn read_settings(path: &str) -> Result<EngineConfig, CommandError> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| CommandError::Usage(format!("--settings {path}: {error}")))?;
-    toml::from_str(&text).map_err(|error| CommandError::Usage(format!("--settings {path}: {error}")))
-}
-
 fn apply_kind(options: &Options, config: &mut EngineConfig) -> Result<(), CommandError> {
     if let Some(application) = options.text("application") {
         config.model.kind = EngineKind::Application {
--- a/crates/lab/src/command/options.rs
+++ b/crates/lab/src/command/options.rs
@@ -2,6 +2,7 @@
 
 use super::Command;
 use getopts::Matches;
+use serde::de::DeserializeOwned;
 use shelfjunction_core::setting::FieldError;
 use std::fmt::Display;
 use std::str::FromStr;
@@ -89,6 +90,19 @@
         }
     }
 
+    /// The settings of the file named by `--settings`, or the defaults where none is named.
+    pub fn settings<T>(&self) -> Result<T, CommandError>
+    where
+        T: DeserializeOwned + Default,
+    {
+        let Some(path) = self.text("settings") else {
+            return Ok(T::default());
+        };
+        let wrong = |error: &dyn Display| CommandError::Usage(format!("--settings {path}: {error}"));
+        let text = std::fs::read_to_string(&path).map_err(|error| wrong(&error))?;
+        toml::from_str(&text).map_err(|error| wrong(&error))
+    }
+
     /// The value of an option, or a default.
     pub fn value_or<T>(&self, name: &str, default: T) -> Result<T, CommandError>
     where
--- a/crates/lab/src/command/platform.rs
+++ b/crates/lab/src/command/platform.rs
@@ -45,22 +45,13 @@
 }
 
 fn config(options: &Options) -> Result<PlatformConfig, CommandError> {
-    let mut config = match options.text("settings") {
-        Some(path) => read_settings(&path)?,
-        None => PlatformConfig::default(),
-    };
+    let mut config: PlatformConfig = options.settings()?;
     if let Some(listen) = options.value("listen")? {
         config.listen = listen;
     }
     Ok(config)
 }
 
-fn read_settings(path: &str) -> Result<PlatformConfig, CommandError> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| CommandError::Usage(format!("--settings {path}: {error}")))?;
-    toml::from_str(&text).map_err(|error| CommandError::Usage(format!("--settings {path}: {error}")))
-}
-
 fn start_error(error: PlatformStartError) -> CommandError {
     CommandError::failed("platform", error)
 }
