Follow joined claims that move, and look at a key's claim before saying "not run"

Cause 1: a call that met another gateway's claim went on asking the engine named when it met the claim. Where that engine refused the owner's dispatch and the owner moved its claim, the second call ended as unknown after four questions, 0.7 s, although nothing had failed. Now each "never seen" reads the row again: moved, deleted or settled.

Cause 2: a keyed call that was refused by a gateway that never looked at the claim was told "not run" although an earlier call with its key had run; whoever hears that may order again under a new key. Now such refusals look the row up first, and say "unknown" with a time to come back where they can't.

Ruled out: a read per refusal, which the rate-limited table would not bear under overload; the look-up is a checked write that changes nothing and travels with the other claims.

--- a/crates/core/src/ledger/batcher.rs
+++ b/crates/core/src/ledger/batcher.rs
@@ -25,6 +25,21 @@
     pub value: Option<String>,
 }
 
+impl ClaimWrite {
+    /// Looks a row up and changes nothing: the row is deleted on condition that there is none.
+    pub fn look_up(key: RowKey) -> Self {
+        Self {
+            key,
+            expected: None,
+            value: None,
+        }
+    }
+
+    fn looks_up(&self) -> bool {
+        self.expected.is_none() && self.value.is_none()
+    }
+}
+
 /// What became of one write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WriteAnswer {
@@ -33,6 +48,8 @@
         /// Version of the row.
         version: RowVersion,
     },
+    /// There is no row; answers a look-up only.
+    Absent,
     /// The row holds something else.
     Exists(StoredClaim),
     /// The row that was to be changed is gone.
@@ -170,7 +187,7 @@
         match outcome {
             Ok(TransactionOutcome::Committed { version }) => pending
                 .into_iter()
-                .map(|pending| (pending.ticket, WriteAnswer::Committed { version }))
+                .map(|pending| (pending.ticket, committed_answer(&pending.write, version)))
                 .collect(),
             Ok(TransactionOutcome::Conflict { key, found }) => self.on_conflict(pending, &key, found, now),
             Err(error @ (PlatformError::AnswerLost | PlatformError::Malformed(_))) => {
@@ -262,6 +279,13 @@
     }
 }
 
+fn committed_answer(write: &ClaimWrite, version: RowVersion) -> WriteAnswer {
+    if write.looks_up() {
+        return WriteAnswer::Absent;
+    }
+    WriteAnswer::Committed { version }
+}
+
 fn conflict_answer(write: &ClaimWrite, found: Option<&Row>) -> WriteAnswer {
     let Some(row) = found else {
         return WriteAnswer::Gone;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -74,6 +74,8 @@
     DeadlinePassed,
     /// The caller cancelled.
     Cancelled,
+    /// The claim could not be read or written, so this call sent nothing; an earlier one with its key may have run.
+    LedgerUnavailable,
     /// The claim could not be settled.
     ClaimUnsettled,
     /// The request ran to its end before; its answer is no longer held.
--- a/crates/core/src/request/claiming.rs
+++ b/crates/core/src/request/claiming.rs
@@ -23,6 +23,7 @@
         match event {
             Event::ClaimCommitted { version } => {
                 let row = self.claim_row(&placement);
+                self.key_was_free = true;
                 self.claim = Some(HeldClaim {
                     version,
                     row,
@@ -39,13 +40,13 @@
                     reason: RefusalReason::LedgerUnavailable,
                     retry_after: Some(ledger_retry_after(&error)),
                 };
-                self.give_up(refusal, Failure::ClaimUnsettled)
+                self.give_up_at_once(refusal, Failure::LedgerUnavailable)
             }
             _ => Vec::new(),
         }
     }
 
-    fn on_claim_exists(&mut self, stored: StoredClaim, now: MonotonicTime) -> Vec<Action> {
+    pub(super) fn on_claim_exists(&mut self, stored: StoredClaim, now: MonotonicTime) -> Vec<Action> {
         let Some(row) = stored.row else {
             return self.finish(Outcome::Unknown(Failure::ClaimUnsettled));
         };
--- a/crates/core/src/request/event.rs
+++ b/crates/core/src/request/event.rs
@@ -13,6 +13,8 @@
 pub enum Event {
     /// The request was admitted and is to begin.
     Admitted,
+    /// The request is refused before it began.
+    NotAdmitted(Refusal),
     /// Answer to [`Action::Choose`]: an engine, or two, that may serve the request.
     Placed(Placement),
     /// Answer to [`Action::Choose`]: no engine may serve the request now.
@@ -22,9 +24,12 @@
         /// Version of the row.
         version: RowVersion,
     },
-    /// Answer to [`Action::Claim`]: another claim holds the key.
+    /// Answer to [`Action::Claim`] or [`Action::LookUpClaim`]: this claim holds the key.
     ClaimExists(StoredClaim),
-    /// Answer to [`Action::Claim`]: the claim could not be written, or nobody can tell whether it was.
+    /// Answer to [`Action::LookUpClaim`]: no claim holds the key.
+    ClaimAbsent,
+    /// Answer to [`Action::Claim`] or [`Action::LookUpClaim`]: the claim could not be written or read, or nobody can
+    /// tell whether it was written.
     ClaimFailed(PlatformError),
     /// Answer to [`Action::Dispatch`]: the send was not begun because its time had passed.
     DispatchTooLate {
@@ -113,6 +118,11 @@
         /// Version it must have; absent: it must not exist.
         expected: Option<RowVersion>,
     },
+    /// Look at the claim of the request's key, as [`ClaimWrite::look_up`](crate::ledger::batcher::ClaimWrite::look_up).
+    LookUpClaim {
+        /// The row.
+        key: RowKey,
+    },
     /// Hand the request to an engine, once, unless the instant has passed on the monotonic clock that is read
     /// right before the send.
     Dispatch {
--- a/crates/core/src/request/machine.rs
+++ b/crates/core/src/request/machine.rs
@@ -4,7 +4,7 @@
 use super::outcome::Evidence;
 use super::specification::{CourseLimits, Placement, RequestSpecification, Target};
 use super::stream_check::StreamCheck;
-use crate::identity::{AttemptId, EngineId};
+use crate::identity::{AttemptId, EngineId, RequestId};
 use crate::ledger::row::{ClaimRow, claim_key};
 use crate::outcome::{Failure, Refusal};
 use crate::table::RowVersion;
@@ -24,6 +24,8 @@
     New,
     /// Waits for engines.
     Choosing,
+    /// Waits for what the claim's row holds.
+    LookingUp(LookUp),
     /// Waits for the claim.
     Claiming {
         placement: Placement,
@@ -58,6 +60,20 @@
     Resume,
 }
 
+/// Why the claim's row is looked at.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum LookUp {
+    /// Before "not run" is said: an earlier call with the key may have run.
+    BeforeRefusal(Refusal),
+    /// The engine that a joined claim names has never seen the request; it may have moved.
+    WhereItStands {
+        /// The engine that was asked.
+        engine: EngineId,
+        /// The engine's start.
+        incarnation: u64,
+    },
+}
+
 /// The claim as this machine holds it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct HeldClaim {
@@ -78,6 +94,8 @@
     pub(super) claim: Option<HeldClaim>,
     /// The last write of the claim was not answered; the row may name this request.
     pub(super) claim_in_doubt: bool,
+    /// The key's claim is this course's own, or this course has just looked and found none.
+    pub(super) key_was_free: bool,
     /// The course ended before the claim was answered.
     pub(super) claim_awaited: bool,
     pub(super) excluded: Vec<EngineId>,
@@ -87,6 +105,9 @@
     pub(super) resumes: u32,
     pub(super) questions: u32,
     pub(super) rejoined: bool,
+    pub(super) moves_met: u32,
+    /// The request as this course named it before it joined another claim.
+    pub(super) own_request: RequestId,
     pub(super) last_refusal: Option<Refusal>,
     pub(super) dispatch_not_after: MonotonicTime,
 }
@@ -99,6 +120,7 @@
         let whole_only = specification.key.is_some();
         Self {
             dispatch_not_after: specification.deadline,
+            own_request: specification.request.clone(),
             specification,
             limits,
             state: State::New,
@@ -106,6 +128,7 @@
             check,
             claim: None,
             claim_in_doubt: false,
+            key_was_free: false,
             claim_awaited: false,
             excluded: Vec::new(),
             whole_only,
@@ -114,6 +137,7 @@
             resumes: 0,
             questions: 0,
             rejoined: false,
+            moves_met: 0,
             last_refusal: None,
         }
     }
@@ -177,6 +201,7 @@
         match self.state.clone() {
             State::New => self.on_new(event, now),
             State::Choosing => self.on_choosing(event, now),
+            State::LookingUp(purpose) => self.on_looked_up(event, purpose, now),
             State::Claiming { placement, asked } => self.on_claiming(event, placement, asked, now),
             State::Prefilling {
                 attempt,
@@ -197,11 +222,12 @@
     fn on_new(&mut self, event: Event, now: MonotonicTime) -> Vec<Action> {
         match event {
             Event::Admitted => self.choose(now),
+            Event::NotAdmitted(refusal) => self.give_up(refusal, Failure::ClaimUnsettled),
             _ => Vec::new(),
         }
     }
 
-    fn choose(&mut self, not_before: MonotonicTime) -> Vec<Action> {
+    pub(super) fn choose(&mut self, not_before: MonotonicTime) -> Vec<Action> {
         self.state = State::Choosing;
         vec![Action::Choose {
             not_before,
--- a/crates/core/src/request/outcome.rs
+++ b/crates/core/src/request/outcome.rs
@@ -2,7 +2,7 @@
 
 use super::claiming::is_definite;
 use super::event::{Action, Event};
-use super::machine::{RequestMachine, State};
+use super::machine::{LookUp, RequestMachine, State};
 use crate::ledger::row::{ClaimRow, Settlement, claim_key};
 use crate::outcome::{Failure, Outcome, Refusal, RefusalReason};
 
@@ -33,6 +33,11 @@
         self.output = self.output.max(Progress::HandedOver);
     }
 
+    /// What was taken for handed over under another's claim turned out never to have been.
+    pub(super) fn handed_over_nowhere(&mut self) {
+        self.output = Progress::Untouched;
+    }
+
     /// An engine showed that it runs the request.
     pub(super) fn ran(&mut self) {
         self.output = Progress::Running;
@@ -53,15 +58,30 @@
         self.output != Progress::Untouched
     }
 
+    /// Whether the output is known to have been begun.
+    pub(super) fn output_ran(self) -> bool {
+        self.output == Progress::Running
+    }
+
     fn furthest(self) -> Progress {
         self.prompt.max(self.output)
     }
 }
 
 impl RequestMachine {
-    /// Ends the course with the strongest statement that the evidence allows.
+    /// Ends the course with the strongest statement that the evidence allows; "not run" is said of a key only after a
+    /// look at its claim.
     pub(super) fn give_up(&mut self, refusal: Refusal, failure: Failure) -> Vec<Action> {
+        if self.evidence.furthest() == Progress::Untouched && !self.key_is_free() {
+            return self.look_up(LookUp::BeforeRefusal(refusal));
+        }
+        self.give_up_at_once(refusal, failure)
+    }
+
+    /// Ends the course like [`Self::give_up`], with no time for a look at the claim.
+    pub(super) fn give_up_at_once(&mut self, refusal: Refusal, failure: Failure) -> Vec<Action> {
         let outcome = match self.evidence.furthest() {
+            Progress::Untouched if !self.key_is_free() => Outcome::Unknown(failure),
             Progress::Untouched => Outcome::NotRun(refusal),
             Progress::HandedOver => Outcome::Unknown(failure),
             // A request that is never sent again may still run to its end where it was seen running.
@@ -78,6 +98,11 @@
         actions
     }
 
+    /// Whether no earlier call with the key can have run.
+    fn key_is_free(&self) -> bool {
+        self.specification.key.is_none() || self.key_was_free
+    }
+
     pub(super) fn finish(&mut self, outcome: Outcome) -> Vec<Action> {
         self.state = State::Over;
         vec![Action::Finish(outcome)]
@@ -127,7 +152,7 @@
             reason: RefusalReason::DeadlineUnreachable,
             retry_after: None,
         };
-        actions.extend(self.give_up(refusal, Failure::DeadlinePassed));
+        actions.extend(self.give_up_at_once(refusal, Failure::DeadlinePassed));
         actions
     }
 
@@ -138,7 +163,7 @@
             reason: RefusalReason::Cancelled,
             retry_after: None,
         };
-        actions.extend(self.give_up(refusal, Failure::Cancelled));
+        actions.extend(self.give_up_at_once(refusal, Failure::Cancelled));
         actions
     }
 
@@ -153,7 +178,7 @@
             reason: RefusalReason::Cancelled,
             retry_after: None,
         };
-        self.give_up(refusal, Failure::Cancelled)
+        self.give_up_at_once(refusal, Failure::Cancelled)
     }
 
     /// The answer to a claim that came after the course was over: nothing was sent under it, so it goes.
@@ -164,7 +189,7 @@
         let expected = match event {
             Event::ClaimCommitted { version } => Some(*version),
             Event::ClaimFailed(error) if !is_definite(error) => None,
-            Event::ClaimFailed(_) | Event::ClaimExists(_) => return Vec::new(),
+            Event::ClaimFailed(_) | Event::ClaimExists(_) | Event::ClaimAbsent => return Vec::new(),
             _ => {
                 self.claim_awaited = true;
                 return Vec::new();
@@ -202,7 +227,9 @@
 
     fn cancel_at_engine(&mut self) -> Vec<Action> {
         match &self.state {
-            State::Reading { engine, .. } | State::Asking { engine } => {
+            State::Reading { engine, .. }
+            | State::Asking { engine }
+            | State::LookingUp(LookUp::WhereItStands { engine, .. }) => {
                 vec![Action::Cancel {
                     engine: engine.clone(),
                 }]
--- a/crates/core/src/request/recovery.rs
+++ b/crates/core/src/request/recovery.rs
@@ -1,7 +1,7 @@
 //! What follows a broken stream, an ambiguous send or a claim that was met.
 
 use super::event::{Action, Event};
-use super::machine::{HeldClaim, ReadingKind, RequestMachine, State};
+use super::machine::{HeldClaim, LookUp, ReadingKind, RequestMachine, State};
 use super::stream_check::StreamCheck;
 use crate::engine::RunState;
 use crate::identity::EngineId;
@@ -124,13 +124,20 @@
                 self.finish(Outcome::Failed(Failure::AnswerExpired))
             }
             Some((Some(Settlement::Failed), _)) => self.finish(Outcome::Failed(Failure::EngineError)),
+            Some((None, _)) if self.claim_is_anothers() => {
+                self.look_up(LookUp::WhereItStands { engine, incarnation })
+            }
             Some((None, claimed)) if claimed != incarnation => self.unsettled(),
             Some((None, _)) => self.ask(engine, now),
             None => self.unsettled(),
         }
     }
 
-    fn unsettled(&mut self) -> Vec<Action> {
+    fn claim_is_anothers(&self) -> bool {
+        self.claim.as_ref().is_some_and(|claim| !claim.own)
+    }
+
+    pub(super) fn unsettled(&mut self) -> Vec<Action> {
         let refusal = Refusal {
             reason: RefusalReason::EnginesRefused,
             retry_after: None,
--- a/crates/core/src/request/specification.rs
+++ b/crates/core/src/request/specification.rs
@@ -88,7 +88,8 @@
     pub placements: u32,
     /// Most times one engine's broken stream is resumed without a new token in between.
     pub resumes: u32,
-    /// Most times an engine is asked what became of a request before the answer is "unknown".
+    /// Most times an engine is asked what became of a request before the answer is "unknown"; counted anew when a
+    /// claim that is joined has moved, as often as placements are tried.
     pub questions: u32,
     /// Pause before the second question; doubled for each further one.
     pub question_pause: Duration,
--- a/crates/core/tests/request_world/mod.rs
+++ b/crates/core/tests/request_world/mod.rs
@@ -44,6 +44,8 @@
     pub received: Vec<String>,
     pub outcome: Option<Outcome>,
     pub detached: bool,
+    /// Runs that engines had begun when it started.
+    pub runs_before: usize,
     gateway: usize,
     questions: VecDeque<Question>,
 }
@@ -153,6 +155,7 @@
             received: Vec::new(),
             outcome: None,
             detached: false,
+            runs_before: self.engines.log.len(),
             gateway,
             questions: VecDeque::new(),
         });
@@ -192,6 +195,11 @@
                 let ticket = self.table.submit(course.gateway, write, self.now);
                 self.tickets.insert((course.gateway, ticket), index);
             }
+            Action::LookUpClaim { key } => {
+                let write = ClaimWrite::look_up(key);
+                let ticket = self.table.submit(course.gateway, write, self.now);
+                self.tickets.insert((course.gateway, ticket), index);
+            }
             Action::Settle { key, row, expected } => {
                 let write = ClaimWrite {
                     key,
@@ -240,6 +248,7 @@
             if let Some(course) = self.tickets.remove(&(gateway, ticket)) {
                 let event = match answer {
                     WriteAnswer::Committed { version } => Event::ClaimCommitted { version },
+                    WriteAnswer::Absent => Event::ClaimAbsent,
                     WriteAnswer::Exists(claim) => Event::ClaimExists(claim),
                     WriteAnswer::Gone => Event::ClaimFailed(PlatformError::Malformed("gone".to_owned())),
                     WriteAnswer::Failed(error) => Event::ClaimFailed(error),
--- a/crates/core/tests/request_world/oracle.rs
+++ b/crates/core/tests/request_world/oracle.rs
@@ -15,6 +15,11 @@
             if let Some(Outcome::NotRun(refusal)) = &course.outcome {
                 let ran = self.engines.log.iter().any(|run| run.request == course.request);
                 assert!(!ran, "said not run ({:?}) of a request that ran", refusal.reason);
+                assert!(
+                    !self.key_ran_before(course),
+                    "said not run ({:?}) of a key whose request had run",
+                    refusal.reason
+                );
             }
         }
     }
@@ -30,6 +35,20 @@
         }
     }
 
+    /// Whether an engine had begun the output of the same key and body when the course started.
+    fn key_ran_before(&self, course: &Course) -> bool {
+        let before = &self.engines.log[..course.runs_before];
+        let is_same = |run: &&RunLog| {
+            let first = self.courses.iter().find(|first| first.request == run.request);
+            first.is_some_and(|first| first.key == course.key && first.body == course.body)
+        };
+        course.key.is_some()
+            && before
+                .iter()
+                .filter(|run| run.phase == Phase::Whole)
+                .any(|run| is_same(&run))
+    }
+
     fn check_at_most_once(&self) {
         let mut runs: BTreeMap<u8, Vec<&RunLog>> = BTreeMap::new();
         for run in self.engines.log.iter().filter(|run| run.phase == Phase::Whole) {
--- a/crates/gateway/src/course/claim_calls.rs
+++ b/crates/gateway/src/course/claim_calls.rs
@@ -7,7 +7,7 @@
 use shelfjunction_core::ledger::batcher::{ClaimWrite, WriteAnswer};
 use shelfjunction_core::request::event::{Action, Event};
 use shelfjunction_core::request::machine::RequestMachine;
-use shelfjunction_core::table::PlatformError;
+use shelfjunction_core::table::{PlatformError, RowKey};
 use shelfjunction_core::time::MonotonicTime;
 use std::sync::mpsc::{Receiver, SyncSender};
 use std::sync::{Arc, Mutex};
@@ -41,6 +41,22 @@
         });
     }
 
+    /// Asks what the row of a claim holds.
+    pub(super) fn look_up(
+        &self,
+        context: &Context,
+        events: &SyncSender<Event>,
+        key: RowKey,
+        now: MonotonicTime,
+    ) {
+        let events = events.clone();
+        context
+            .claims
+            .write(ClaimWrite::look_up(key), now, move |answer| {
+                engine_calls::send_aside(&events, claim_event(answer));
+            });
+    }
+
     /// Leaves the machine for an answer that is still to come, and hands in one that came just now.
     pub(super) fn leave(&self, context: &Context, machine: &mut RequestMachine, events: &Receiver<Event>) {
         if !machine.awaits_claim() {
@@ -88,6 +104,7 @@
 fn claim_event(answer: WriteAnswer) -> Event {
     match answer {
         WriteAnswer::Committed { version } => Event::ClaimCommitted { version },
+        WriteAnswer::Absent => Event::ClaimAbsent,
         WriteAnswer::Exists(claim) => Event::ClaimExists(claim),
         WriteAnswer::Gone => Event::ClaimFailed(PlatformError::Malformed("the claim is gone".to_owned())),
         WriteAnswer::Failed(error) => Event::ClaimFailed(error),
--- a/crates/gateway/src/course/driver.rs
+++ b/crates/gateway/src/course/driver.rs
@@ -155,6 +155,7 @@
                 };
                 self.claim_calls.claim(self.course.context, sender, write, now);
             }
+            Action::LookUpClaim { key } => self.claim_calls.look_up(self.course.context, sender, key, now),
             Action::Dispatch {
                 target,
                 call,
--- a/crates/gateway/src/serve/access.rs
+++ b/crates/gateway/src/serve/access.rs
@@ -9,6 +9,7 @@
 use shelfjunction_core::residency;
 use shelfjunction_core::tenancy::{OperatorDirectory, may};
 use shelfjunction_http::HttpRequest;
+use shelfjunction_protocol::caller::IDEMPOTENCY_KEY;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,13 +28,31 @@
 
 /// Lets a caller in, or says why not.
 pub(super) fn authenticate(context: &Context, request: &HttpRequest) -> Result<Caller, CallerError> {
-    if context.stopping.is_set() {
-        return Err(refused(RefusalReason::Stopping));
+    match stopping(context) {
+        Some(refusal) => Err(CallerError::refused(&refusal, refusal_sentence(refusal.reason))),
+        None => identify(context, request),
     }
+}
+
+/// The refusal of everything new while the node stops.
+pub(super) fn stopping(context: &Context) -> Option<Refusal> {
+    context
+        .stopping
+        .is_set()
+        .then(|| other_node(RefusalReason::Stopping))
+}
+
+/// Lets a caller in, or says why not, at a node that may be stopping. Without current rules nobody can be told apart,
+/// so nothing is said of a key.
+pub(super) fn identify(context: &Context, request: &HttpRequest) -> Result<Caller, CallerError> {
     let served = context.bundles.served();
     let isolated = context.bundles.is_isolated(context.now());
     let Some(served) = served.filter(|_| !isolated) else {
-        return Err(refused(RefusalReason::Isolated));
+        let refusal = other_node(RefusalReason::Isolated);
+        return Err(match request.header_count(IDEMPOTENCY_KEY) {
+            0 => CallerError::refused(&refusal, refusal_sentence(refusal.reason)),
+            _ => CallerError::unlooked(&refusal),
+        });
     };
     let token = request.bearer_token().unwrap_or_default();
     let Some(tenant) = served.tenants.authenticate(token).cloned() else {
@@ -60,10 +79,9 @@
     operator.is_some_and(|rule| may(rule, OperatorAction::View))
 }
 
-fn refused(reason: RefusalReason) -> CallerError {
-    let refusal = Refusal {
+fn other_node(reason: RefusalReason) -> Refusal {
+    Refusal {
         reason,
         retry_after: Some(OTHER_NODE_RETRY_AFTER),
-    };
-    CallerError::refused(&refusal, refusal_sentence(reason))
+    }
 }
--- a/crates/gateway/src/serve/completion.rs
+++ b/crates/gateway/src/serve/completion.rs
@@ -3,6 +3,7 @@
 use super::access::{self, Caller};
 use super::answers::AnswerFrame;
 use super::call::{self, Call, CallShape};
+use super::keyed_refusal;
 use super::refusal::{CallerError, refusal_sentence};
 use super::sinks::{EventSink, WholeSink};
 use crate::admission_gate::Waited;
@@ -22,6 +23,7 @@
 use shelfjunction_core::routing::prefix::{PrefixScope, hash_prompt};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_http::{Answered, HttpRequest, Responder};
+use shelfjunction_protocol::caller::IDEMPOTENCY_KEY;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::mpsc::sync_channel;
@@ -33,8 +35,11 @@
 /// Longest wait for admission before it is looked whether the caller is still there.
 const ADMISSION_STEP: Duration = Duration::from_millis(500);
 
-/// When to come back after every place for requests was taken.
-const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Every place for requests is taken.
+const FULL: Refusal = Refusal {
+    reason: RefusalReason::Overloaded,
+    retry_after: Some(Duration::from_secs(1)),
+};
 
 /// Serves one completion call.
 pub(super) fn serve(
@@ -46,7 +51,13 @@
     let arrived = context.now();
     let nonce = context.with_random(new_nonce);
     let early_id = format!("req-{nonce}");
-    let caller = match access::authenticate(context, request) {
+    let stopping = access::stopping(context);
+    // A node that stops still looks at the claim of a key, so that it says "not run" only where it is so.
+    let caller = match stopping {
+        Some(_) if request.header_count(IDEMPOTENCY_KEY) > 0 => access::identify(context, request),
+        _ => access::authenticate(context, request),
+    };
+    let caller = match caller {
         Ok(caller) => caller,
         Err(error) => return refuse(responder, &error, &early_id, ""),
     };
@@ -58,13 +69,16 @@
             return refuse(responder, &error, &early_id, tenant);
         }
     };
-    let Some(_place) = context.registry.take_place() else {
-        let refusal = Refusal {
-            reason: RefusalReason::Overloaded,
-            retry_after: Some(FULL_RETRY_AFTER),
-        };
-        let error = CallerError::refused(&refusal, refusal_sentence(refusal.reason));
-        return refuse(responder, &error, &early_id, tenant);
+    let place = match stopping {
+        Some(refusal) => Err(refusal),
+        None => context.registry.take_place().ok_or(FULL),
+    };
+    let _place = match place {
+        Ok(place) => place,
+        Err(refusal) => {
+            let error = keyed_refusal::state(context, &caller.tenant.tenant, call.key.as_ref(), &refusal);
+            return refuse(responder, &error, &early_id, tenant);
+        }
     };
     let request = engine_request(&nonce, &caller.salt);
     let admitted = Admitted::new(context, &caller, &call, request, arrived);
@@ -85,7 +99,7 @@
     log::info!(
         request = id,
         tenant = tenant,
-        outcome = "not_run",
+        outcome = error.outcome_name(),
         cause = error.code.as_str();
         "request_refused"
     );
@@ -146,8 +160,13 @@
 
     /// Runs the call; the outcome is absent where the caller went away while it ran.
     fn run(&self, responder: Responder<'_>) -> (Answered, Option<Outcome>, u32) {
-        let ticket = match self.admit(&responder) {
-            Ok(ticket) => ticket,
+        let (ticket, first) = match self.admit(&responder) {
+            Ok(ticket) => {
+                lock(&self.context.retry_budget).deposit();
+                (Some(ticket), Event::Admitted)
+            }
+            // The course looks at the key's claim, and joins it where there is one.
+            Err(refusal) if self.call.key.is_some() => (None, Event::NotAdmitted(refusal)),
             Err(refusal) => {
                 let error = CallerError::refused(&refusal, refusal_sentence(refusal.reason));
                 let id = public_id(&self.request, None);
@@ -155,27 +174,37 @@
                 return (answered, Some(Outcome::NotRun(refusal)), 0);
             }
         };
-        lock(&self.context.retry_budget).deposit();
+        let (answered, end) = self.answer(responder, ticket.as_ref(), first);
+        if let Some(ticket) = ticket {
+            let now = self.context.now();
+            self.context.admission.release(ticket, end.tokens, now);
+        }
+        (answered, end.outcome, end.tokens)
+    }
+
+    /// Drives the course to its end and hands its answer to the caller.
+    fn answer(
+        &self,
+        responder: Responder<'_>,
+        ticket: Option<&AdmissionTicket>,
+        first: Event,
+    ) -> (Answered, CourseEnd) {
         let frame = AnswerFrame {
             shape: self.call.shape,
             model: self.call.name.clone(),
             prompt_tokens: self.query.prompt_tokens,
             max_tokens: self.call.max_tokens,
         };
-        let (answered, end) = if self.call.stream {
+        if self.call.stream {
             let mut sink = EventSink::new(frame, responder);
-            let end = self.drive(&ticket, &mut sink);
+            let end = self.drive(ticket, first, &mut sink);
             (sink.end(&end_id(&end), self.error(&end).as_ref()), end)
         } else {
             let limit = self.context.config.requests.answer_bytes;
             let mut sink = WholeSink::new(frame, responder, limit);
-            let end = self.drive(&ticket, &mut sink);
+            let end = self.drive(ticket, first, &mut sink);
             (sink.end(&end_id(&end), self.error(&end).as_ref()), end)
-        };
-        self.context
-            .admission
-            .release(ticket, end.tokens, self.context.now());
-        (answered, end.outcome, end.tokens)
+        }
     }
 
     /// Time to the first token within which the class counts as served well.
@@ -225,7 +254,12 @@
         }
     }
 
-    fn drive(&self, ticket: &AdmissionTicket, sink: &mut dyn crate::course::AnswerSink) -> CourseEnd {
+    fn drive(
+        &self,
+        ticket: Option<&AdmissionTicket>,
+        first: Event,
+        sink: &mut dyn crate::course::AnswerSink,
+    ) -> CourseEnd {
         let context = self.context;
         let mut machine = RequestMachine::new(self.specification(), CourseLimits::default());
         let (sender, receiver) = sync_channel(EVENTS_KEPT);
@@ -242,12 +276,12 @@
                 events: sender.clone(),
             },
         );
-        let first = machine.handle(Event::Admitted, context.now());
+        let first = machine.handle(first, context.now());
         let course = Course {
             context,
             machine,
             query: self.query.clone(),
-            admission: Some(ticket),
+            admission: ticket,
             arrived: self.arrived,
             events: (sender, receiver),
             delivered,
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -6,6 +6,7 @@
 mod completion;
 mod fetch;
 mod handler;
+mod keyed_refusal;
 mod models;
 mod refusal;
 mod sinks;
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -12,6 +12,9 @@
 /// When a caller with an idempotency key should ask again after its outcome was unknown.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// When to come back after the table that holds claims could not be used.
+const LEDGER_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// An error with everything that its answer says.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct CallerError {
@@ -45,6 +48,18 @@
         }
     }
 
+    /// A refusal of a keyed call whose claim nobody looked at: an earlier call with the key may have run.
+    pub(super) fn unlooked(refusal: &Refusal) -> Self {
+        Self {
+            outcome: StatedOutcome::Unknown,
+            message: format!(
+                "{} This call sent nothing; what became of earlier calls with its key is not known here.",
+                refusal_sentence(refusal.reason)
+            ),
+            ..Self::refused(refusal, "")
+        }
+    }
+
     /// An identifier that no request of this caller has, whether it is another's or nobody's.
     pub(super) fn unknown_request() -> Self {
         Self {
@@ -86,11 +101,20 @@
                 code: cause_name(Some(outcome)),
                 outcome: StatedOutcome::Unknown,
                 message: unknown_sentence(*failure, keyed).to_owned(),
-                retry_after: keyed.then_some(UNKNOWN_RETRY_AFTER),
+                retry_after: keyed.then_some(unknown_retry_after(*failure)),
             }),
         }
     }
 
+    /// The outcome as logs name it.
+    pub(super) fn outcome_name(&self) -> &'static str {
+        match self.outcome {
+            StatedOutcome::NotRun => "not_run",
+            StatedOutcome::Failed => "failed",
+            StatedOutcome::Unknown => "unknown",
+        }
+    }
+
     /// The JSON body.
     pub(super) fn body(&self, request_id: Option<&str>) -> Vec<u8> {
         let detail = ErrorDetail {
@@ -138,11 +162,19 @@
     }
 }
 
+fn unknown_retry_after(failure: Failure) -> Duration {
+    match failure {
+        Failure::LedgerUnavailable => LEDGER_RETRY_AFTER,
+        _ => UNKNOWN_RETRY_AFTER,
+    }
+}
+
 fn failure_status(failure: Failure) -> u16 {
     match failure {
         Failure::DeadlinePassed => 504,
         Failure::Cancelled => 409,
         Failure::AnswerExpired => 410,
+        Failure::LedgerUnavailable => 503,
         Failure::ConnectionLost | Failure::EngineError | Failure::InvalidStream | Failure::ClaimUnsettled => {
             502
         }
@@ -176,12 +208,16 @@
         Failure::InvalidStream => "The engine's answer was out of order.",
         Failure::DeadlinePassed => "The deadline passed while the request ran.",
         Failure::Cancelled => "The request was cancelled while it ran.",
+        Failure::LedgerUnavailable => "The key could not be looked up after a part of the request ran.",
         Failure::ClaimUnsettled => "The request ran and its end could not be learned.",
         Failure::AnswerExpired => "The request ran to its end before; its answer is no longer held.",
     }
 }
 
 fn unknown_sentence(failure: Failure, keyed: bool) -> &'static str {
+    if failure == Failure::LedgerUnavailable {
+        return "The key could not be looked up, so this call sent nothing; an earlier one with it may have run. Ask again with the same key.";
+    }
     if keyed {
         return "Nobody can tell yet whether the request ran; ask again with the same key, which runs nothing twice.";
     }
--- a/crates/lab/src/caller/result.rs
+++ b/crates/lab/src/caller/result.rs
@@ -24,6 +24,8 @@
     Unknown {
         /// The stated cause.
         code: String,
+        /// Whether it was said when to come back.
+        retry_after: bool,
     },
     /// The gateway could not be connected; nothing was sent.
     NotConnected,
--- a/tests/world/actions.rs
+++ b/tests/world/actions.rs
@@ -41,6 +41,9 @@
                 };
                 self.claim(gateway, caller, write);
             }
+            Action::LookUpClaim { key } => {
+                self.submit_write(gateway, Some(caller), ClaimWrite::look_up(key));
+            }
             Action::Dispatch {
                 target,
                 call,
--- a/tests/world/caller_oracle.rs
+++ b/tests/world/caller_oracle.rs
@@ -1,7 +1,7 @@
 //! What must hold of requests, read from what engines ran and what callers were given.
 
 use super::authority_oracle::Violation;
-use super::callers::{Caller, CallerEnd, RunEntry, prompt};
+use super::callers::{Ask, Caller, CallerEnd, RunEntry, prompt};
 use super::fleet::Fleet;
 use shelfjunction_core::bundle::content::ModelKind;
 use shelfjunction_core::engine::Phase;
@@ -55,10 +55,29 @@
         if let Some(run) = fleet.callers.runs.iter().find(|run| run.caller == index) {
             return broken("what is refused as not run is not run", &(caller, run));
         }
+        let earlier = fleet.callers.runs.iter().find(|run| {
+            let first = &callers[run.caller];
+            caller.ask.key.is_some()
+                && run.call.phase == Phase::Whole
+                && run.at < caller.asked_at
+                && is_same_request(&first.ask, &caller.ask)
+        });
+        if let Some(run) = earlier {
+            return broken(
+                "a key whose request ran is not refused as not run",
+                &(caller, run),
+            );
+        }
     }
     Ok(())
 }
 
+/// Whether two asks have the same key and body, whatever their deadlines.
+fn is_same_request(first: &Ask, second: &Ask) -> bool {
+    let body = |ask: &Ask| (ask.tenant, ask.key, ask.body, ask.kind, ask.max_tokens);
+    body(first) == body(second)
+}
+
 /// Callers receive nothing but their own answer, in order and without a gap; a completed one is whole.
 fn answers_are_right(fleet: &Fleet) -> Result<(), Violation> {
     for caller in &fleet.callers.callers {
--- a/tests/world/claims.rs
+++ b/tests/world/claims.rs
@@ -129,6 +129,7 @@
         for (caller, answer) in answered {
             let event = match answer {
                 WriteAnswer::Committed { version } => Event::ClaimCommitted { version },
+                WriteAnswer::Absent => Event::ClaimAbsent,
                 WriteAnswer::Exists(stored) => Event::ClaimExists(stored),
                 WriteAnswer::Gone => {
                     Event::ClaimFailed(PlatformError::Malformed("the claim is gone".to_owned()))
