--- a/crates/core/tests/request_joining.rs
+++ b/crates/core/tests/request_world/joining.rs
@@ -1,12 +1,8 @@
 //! What a second call with a key is told: it follows the claim where it moved, and "not run" is said of it only where
 //! no earlier call ran.
 
-#![allow(clippy::unwrap_used)]
-
-mod request_world;
-
-use request_world::World;
-use request_world::step::Step;
+use super::World;
+use super::step::Step;
 use shelfjunction_core::outcome::Outcome;
 
 /// With this fate every question is answered and nothing goes wrong.
--- a/crates/core/tests/request_world/mod.rs
+++ b/crates/core/tests/request_world/mod.rs
@@ -1,6 +1,7 @@
 //! A world of callers, two gateways, a table and engines, in which anything may be late, lost or doubled.
 
 pub mod engines;
+mod joining;
 mod oracle;
 pub mod step;
 mod streams;
