Watch the footprint of running processes

Cause: CAPACITY.md needs the memory, threads and processor time of a gateway and a controller as slopes, and no command measured a process of its own from outside. `shelfjunction-lab footprint` reads /proc of the processes it is given; it starts and signals none.

Ruled out: metrics of the programs themselves, which would not see the allocator or thread stacks.

--- a/crates/lab/src/command/mod.rs
+++ b/crates/lab/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod calibrate;
 mod demo;
 mod engine;
+mod footprint;
 mod load;
 mod options;
 mod platform;
@@ -44,6 +45,7 @@
     &simulate::COMMAND,
     &soak::COMMAND,
     &scale::COMMAND,
+    &footprint::COMMAND,
 ];
 
 /// Runs the program with the arguments that follow its name.
