Wait for as long a past as the horizon before changing roles

Ruled out: a longer fixed warm-up, since the horizon is the time that the decision rests on. Conclusion: a new holder of the lease plans nothing for one horizon.

--- a/crates/core/src/demand/outlook.rs
+++ b/crates/core/src/demand/outlook.rs
@@ -10,8 +10,6 @@
 const SAMPLE_INTERVAL: Duration = Duration::from_secs(5);
 /// Samples kept; a quarter of an hour.
 const MOST_SAMPLES: usize = 180;
-/// Samples below which the past says too little.
-const FEWEST_SAMPLES: usize = 12;
 /// Groups of alike samples that stand for the past.
 const PAST_GROUPS: usize = 4;
 /// Time for which a level lasts where the past shows no change.
@@ -68,10 +66,11 @@
         self.samples.push_back(demand.clone());
     }
 
-    /// Outlook over a horizon that starts at the present demand.
+    /// Outlook over a horizon that starts at the present demand; empty until the past covers as long a time, since
+    /// a burst at the start would pass for all there is.
     pub fn outlook(&self, present: &DemandReport, horizon: Duration) -> DemandOutlook {
-        if self.samples.len() < FEWEST_SAMPLES {
-            return DemandOutlook::steady(present.clone());
+        if SAMPLE_INTERVAL * (self.samples.len() as u32) < horizon {
+            return DemandOutlook::default();
         }
         let present_part = present_part(self.persistence(), horizon);
         let mut scenarios = vec![DemandScenario {
@@ -89,17 +88,26 @@
         DemandOutlook { scenarios }
     }
 
-    /// How long the mix has stayed on one side of its median, on average.
+    /// How long the mix stays on one side, on average. It changes sides only when it comes beyond the other side's
+    /// quartile, so that noise around one level is no change.
     pub fn persistence(&self) -> Duration {
         let shares: Vec<f64> = self.samples.iter().map(DemandReport::prompt_share).collect();
         let mut sorted = shares.clone();
         sorted.sort_by(f64::total_cmp);
-        let Some(median) = sorted.get(sorted.len() / 2) else {
+        let quarter = sorted.len() / 4;
+        let (Some(low), Some(high)) = (sorted.get(quarter), sorted.get(sorted.len() - 1 - quarter)) else {
             return LONGEST_PERSISTENCE;
         };
-        let sides: Vec<bool> = shares.iter().map(|share| share > median).collect();
-        let turns = sides.windows(2).filter(|pair| pair[0] != pair[1]).count();
-        let seconds = SAMPLE_INTERVAL.as_secs_f64() * shares.len() as f64 / (turns + 1) as f64;
+        let mut is_high = shares[0] > *low;
+        let mut turns = 0;
+        for share in &shares {
+            let crossed = if is_high { share <= low } else { share >= high };
+            if crossed {
+                is_high = !is_high;
+                turns += 1;
+            }
+        }
+        let seconds = SAMPLE_INTERVAL.as_secs_f64() * shares.len() as f64 / f64::from(turns + 1);
         Duration::from_secs_f64(seconds).min(LONGEST_PERSISTENCE)
     }
 }
