Sample the past by the horizon and draw delays by their limits

Cause: a bundle with a short horizon waited two minutes for its past, which the controller's role change test met: both its tests failed with a planner that waits, as they rely on the first reports. Their bundle now names a horizon of six seconds; what they check is as it was. Conclusion: the wait for a past is as long as the horizon that the bundle names.

--- a/crates/controller/src/command/planning.rs
+++ b/crates/controller/src/command/planning.rs
@@ -90,8 +90,8 @@
     /// Demand over the planner's horizon, from the present reports and what this holder has seen before.
     fn outlook(&mut self, context: &Context, bundle: &BundleInForce, now: MonotonicTime) -> DemandOutlook {
         let present = demand::total(context);
-        self.demand_history.record(&present, now);
         let horizon = millis(bundle.fleet.roles.horizon_millis);
+        self.demand_history.record(&present, horizon, now);
         self.demand_history.outlook(&present, horizon)
     }
 
--- a/crates/controller/tests/role_change.rs
+++ b/crates/controller/tests/role_change.rs
@@ -31,11 +31,15 @@
     "engine-1", "engine-2", "engine-3", "engine-4", "engine-5", "engine-6",
 ];
 
+/// Horizon of the planner, which is also the past that it waits for; a change takes four seconds of it.
+const HORIZON_MILLIS: u64 = 6_000;
+
 /// A bundle under which any gain repays a change.
 fn eager(deployment: &Deployment) -> Bundle {
     let mut bundle = deployment.bundle.clone();
     bundle.fleet.roles.minimum_dwell_millis = 0;
     bundle.fleet.roles.change_price = 0.0;
+    bundle.fleet.roles.horizon_millis = HORIZON_MILLIS;
     for rule in &mut bundle.models {
         rule.floors.clear();
     }
--- a/crates/core/src/demand/outlook.rs
+++ b/crates/core/src/demand/outlook.rs
@@ -6,9 +6,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Time between two samples of the past.
-const SAMPLE_INTERVAL: Duration = Duration::from_secs(5);
-/// Samples kept; a quarter of an hour.
+/// Samples of the past in one horizon.
+const SAMPLES_PER_HORIZON: u32 = 24;
+/// Samples kept; a quarter of an hour where the horizon is two minutes.
 const MOST_SAMPLES: usize = 180;
 /// Groups of alike samples that stand for the past.
 const PAST_GROUPS: usize = 4;
@@ -48,28 +48,27 @@
 /// Demand of the recent past, kept by whoever plans.
 #[derive(Clone, Debug, Default)]
 pub struct DemandHistory {
-    samples: VecDeque<DemandReport>,
-    sampled_at: Option<MonotonicTime>,
+    samples: VecDeque<(MonotonicTime, DemandReport)>,
 }
 
 impl DemandHistory {
-    /// Keeps the demand if a sample is due.
-    pub fn record(&mut self, demand: &DemandReport, now: MonotonicTime) {
-        let due = self.sampled_at.is_none_or(|at| now.since(at) >= SAMPLE_INTERVAL);
-        if !due {
+    /// Keeps the demand if a sample is due for planning over that horizon.
+    pub fn record(&mut self, demand: &DemandReport, horizon: Duration, now: MonotonicTime) {
+        let interval = horizon / SAMPLES_PER_HORIZON;
+        let last = self.samples.back();
+        if last.is_some_and(|(at, _)| now.since(*at) < interval) {
             return;
         }
-        self.sampled_at = Some(now);
         if self.samples.len() == MOST_SAMPLES {
             self.samples.pop_front();
         }
-        self.samples.push_back(demand.clone());
+        self.samples.push_back((now, demand.clone()));
     }
 
     /// Outlook over a horizon that starts at the present demand; empty until the past covers as long a time, since
     /// a burst at the start would pass for all there is.
     pub fn outlook(&self, present: &DemandReport, horizon: Duration) -> DemandOutlook {
-        if SAMPLE_INTERVAL * (self.samples.len() as u32) < horizon {
+        if self.covered() + horizon / SAMPLES_PER_HORIZON < horizon {
             return DemandOutlook::default();
         }
         let present_part = present_part(self.persistence(), horizon);
@@ -77,7 +76,7 @@
             part: present_part,
             demand: present.clone(),
         }];
-        let mut samples: Vec<&DemandReport> = self.samples.iter().collect();
+        let mut samples: Vec<&DemandReport> = self.samples.iter().map(|(_, report)| report).collect();
         samples.sort_by(|left, right| left.prompt_share().total_cmp(&right.prompt_share()));
         for group in samples.chunks(samples.len().div_ceil(PAST_GROUPS)) {
             scenarios.push(DemandScenario {
@@ -91,7 +90,8 @@
     /// How long the mix stays on one side, on average. It changes sides only when it comes beyond the other side's
     /// quartile, so that noise around one level is no change.
     pub fn persistence(&self) -> Duration {
-        let shares: Vec<f64> = self.samples.iter().map(DemandReport::prompt_share).collect();
+        let reports = self.samples.iter();
+        let shares: Vec<f64> = reports.map(|(_, report)| report.prompt_share()).collect();
         let mut sorted = shares.clone();
         sorted.sort_by(f64::total_cmp);
         let quarter = sorted.len() / 4;
@@ -107,8 +107,15 @@
                 turns += 1;
             }
         }
-        let seconds = SAMPLE_INTERVAL.as_secs_f64() * shares.len() as f64 / f64::from(turns + 1);
-        Duration::from_secs_f64(seconds).min(LONGEST_PERSISTENCE)
+        (self.covered() / (turns + 1)).min(LONGEST_PERSISTENCE)
+    }
+
+    /// Time from the oldest sample to the newest.
+    fn covered(&self) -> Duration {
+        match (self.samples.front(), self.samples.back()) {
+            (Some((oldest, _)), Some((newest, _))) => newest.since(*oldest),
+            _ => Duration::ZERO,
+        }
     }
 }
 
--- a/crates/lab/src/simulate/comparison.rs
+++ b/crates/lab/src/simulate/comparison.rs
@@ -6,7 +6,7 @@
 use super::workload::Workload;
 use super::world;
 use serde::Serialize;
-use shelfjunction_core::service_class::ServiceClass;
+use shelfjunction_core::service_class::{ClassTarget, ServiceClass};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -72,6 +72,9 @@
     pub offered_per_second: f64,
     /// The policies, in the order they were given.
     pub policies: Vec<PolicySummary>,
+    /// Limits by class, for plots.
+    #[serde(skip)]
+    pub targets: [ClassTarget; 3],
     /// Statistics of the first seed by policy, for plots.
     #[serde(skip)]
     pub first_seed: Vec<(&'static str, RunStatistics)>,
@@ -165,6 +168,7 @@
             workload: workload.name,
             offered_per_second: Interval::of(&rates).mean,
             policies,
+            targets: ServiceClass::ALL.map(|class| workload.deployment.target(class)),
             first_seed,
         }
     }
--- a/crates/lab/src/simulate/planning.rs
+++ b/crates/lab/src/simulate/planning.rs
@@ -105,12 +105,16 @@
 
     pub(super) fn record_demand(&mut self) {
         let total = self.total_demand();
-        self.history.record(&total, self.now);
+        self.history.record(&total, self.horizon(), self.now);
+    }
+
+    fn horizon(&self) -> Duration {
+        Duration::from_millis(self.deployment.policy.horizon_millis)
     }
 
     fn outlook(&self) -> DemandOutlook {
         let present = self.total_demand();
-        let horizon = Duration::from_millis(self.deployment.policy.horizon_millis);
+        let horizon = self.horizon();
         if let RolesPolicy::Clairvoyant(_) = self.policy.roles {
             return future_outlook(self.trace, self.deployment, self.now, horizon, &present);
         }
