--- a/crates/gateway/src/course/driver.rs
+++ b/crates/gateway/src/course/driver.rs
@@ -6,7 +6,6 @@
 use super::sink::{AnswerSink, Delivery, SinkClosed};
 use crate::context::Context;
 use crate::metrics::{cause_name, outcome_name};
-use crate::stop::lock;
 use shelfjunction_core::admission::AdmissionTicket;
 use shelfjunction_core::engine::{AnswerPart, EngineCall, Phase, Role};
 use shelfjunction_core::identity::{EngineId, RequestId};
@@ -17,6 +16,7 @@
 use shelfjunction_core::request::specification::{Placement, Target};
 use shelfjunction_core::routing::{Route, RouteQuery};
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -155,6 +155,7 @@
                 };
                 self.claim_calls.claim(self.course.context, sender, write, now);
             }
+            Action::LookUpClaim { key } => self.claim_calls.look_up(self.course.context, sender, key, now),
             Action::Dispatch {
                 target,
                 call,
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -5,10 +5,11 @@
 use crate::reader::ReadError;
 use crate::request::HttpRequest;
 use crate::response::{Answer, Answered, Responder};
+use shelfjunction_threads::lock;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -118,6 +119,24 @@
             }
         }
     }
+    accept_waiting(listener, limits, handler, shared);
+}
+
+/// Takes the connections that the system has established already; closing the listener would reset them.
+fn accept_waiting(
+    listener: &TcpListener,
+    limits: HttpLimits,
+    handler: &Arc<dyn Handler>,
+    shared: &Arc<Shared>,
+) {
+    if listener.set_nonblocking(true).is_err() {
+        return;
+    }
+    while let Ok((stream, _)) = listener.accept() {
+        if stream.set_nonblocking(false).is_ok() {
+            begin(stream, limits, handler, shared);
+        }
+    }
 }
 
 fn begin(stream: TcpStream, limits: HttpLimits, handler: &Arc<dyn Handler>, shared: &Arc<Shared>) {
@@ -161,7 +180,3 @@
         IpAddr::V6(_) => SocketAddr::new(Ipv6Addr::LOCALHOST.into(), address.port()),
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
