--- a/crates/core/src/demand/outlook.rs
+++ b/crates/core/src/demand/outlook.rs
@@ -6,12 +6,10 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Time between two samples of the past.
-const SAMPLE_INTERVAL: Duration = Duration::from_secs(5);
-/// Samples kept; a quarter of an hour.
+/// Samples of the past in one horizon.
+const SAMPLES_PER_HORIZON: u32 = 24;
+/// Samples kept; a quarter of an hour where the horizon is two minutes.
 const MOST_SAMPLES: usize = 180;
-/// Samples below which the past says too little.
-const FEWEST_SAMPLES: usize = 12;
 /// Groups of alike samples that stand for the past.
 const PAST_GROUPS: usize = 4;
 /// Time for which a level lasts where the past shows no change.
@@ -50,35 +48,35 @@
 /// Demand of the recent past, kept by whoever plans.
 #[derive(Clone, Debug, Default)]
 pub struct DemandHistory {
-    samples: VecDeque<DemandReport>,
-    sampled_at: Option<MonotonicTime>,
+    samples: VecDeque<(MonotonicTime, DemandReport)>,
 }
 
 impl DemandHistory {
-    /// Keeps the demand if a sample is due.
-    pub fn record(&mut self, demand: &DemandReport, now: MonotonicTime) {
-        let due = self.sampled_at.is_none_or(|at| now.since(at) >= SAMPLE_INTERVAL);
-        if !due {
+    /// Keeps the demand if a sample is due for planning over that horizon.
+    pub fn record(&mut self, demand: &DemandReport, horizon: Duration, now: MonotonicTime) {
+        let interval = horizon / SAMPLES_PER_HORIZON;
+        let last = self.samples.back();
+        if last.is_some_and(|(at, _)| now.since(*at) < interval) {
             return;
         }
-        self.sampled_at = Some(now);
         if self.samples.len() == MOST_SAMPLES {
             self.samples.pop_front();
         }
-        self.samples.push_back(demand.clone());
+        self.samples.push_back((now, demand.clone()));
     }
 
-    /// Outlook over a horizon that starts at the present demand.
+    /// Outlook over a horizon that starts at the present demand; empty until the past covers as long a time, since
+    /// a burst at the start would pass for all there is.
     pub fn outlook(&self, present: &DemandReport, horizon: Duration) -> DemandOutlook {
-        if self.samples.len() < FEWEST_SAMPLES {
-            return DemandOutlook::steady(present.clone());
+        if self.covered() + horizon / SAMPLES_PER_HORIZON < horizon {
+            return DemandOutlook::default();
         }
         let present_part = present_part(self.persistence(), horizon);
         let mut scenarios = vec![DemandScenario {
             part: present_part,
             demand: present.clone(),
         }];
-        let mut samples: Vec<&DemandReport> = self.samples.iter().collect();
+        let mut samples: Vec<&DemandReport> = self.samples.iter().map(|(_, report)| report).collect();
         samples.sort_by(|left, right| left.prompt_share().total_cmp(&right.prompt_share()));
         for group in samples.chunks(samples.len().div_ceil(PAST_GROUPS)) {
             scenarios.push(DemandScenario {
@@ -89,18 +87,35 @@
         DemandOutlook { scenarios }
     }
 
-    /// How long the mix has stayed on one side of its median, on average.
+    /// How long the mix stays on one side, on average. It changes sides only when it comes beyond the other side's
+    /// quartile, so that noise around one level is no change.
     pub fn persistence(&self) -> Duration {
-        let shares: Vec<f64> = self.samples.iter().map(DemandReport::prompt_share).collect();
+        let reports = self.samples.iter();
+        let shares: Vec<f64> = reports.map(|(_, report)| report.prompt_share()).collect();
         let mut sorted = shares.clone();
         sorted.sort_by(f64::total_cmp);
-        let Some(median) = sorted.get(sorted.len() / 2) else {
+        let quarter = sorted.len() / 4;
+        let (Some(low), Some(high)) = (sorted.get(quarter), sorted.get(sorted.len() - 1 - quarter)) else {
             return LONGEST_PERSISTENCE;
         };
-        let sides: Vec<bool> = shares.iter().map(|share| share > median).collect();
-        let turns = sides.windows(2).filter(|pair| pair[0] != pair[1]).count();
-        let seconds = SAMPLE_INTERVAL.as_secs_f64() * shares.len() as f64 / (turns + 1) as f64;
-        Duration::from_secs_f64(seconds).min(LONGEST_PERSISTENCE)
+        let mut is_high = shares[0] > *low;
+        let mut turns = 0;
+        for share in &shares {
+            let crossed = if is_high { share <= low } else { share >= high };
+            if crossed {
+                is_high = !is_high;
+                turns += 1;
+            }
+        }
+        (self.covered() / (turns + 1)).min(LONGEST_PERSISTENCE)
+    }
+
+    /// Time from the oldest sample to the newest.
+    fn covered(&self) -> Duration {
+        match (self.samples.front(), self.samples.back()) {
+            (Some((oldest, _)), Some((newest, _))) => newest.since(*oldest),
+            _ => Duration::ZERO,
+        }
     }
 }
 
