--- a/crates/lab/src/scale/peer_port.rs
+++ b/crates/lab/src/scale/peer_port.rs
@@ -15,8 +15,11 @@
 /// Longest wait for a peer.
 const TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Bytes of TCP and IPv4 headers in a short connection, both directions: ten segments, with their options.
-pub const CONNECTION_BYTES: u64 = 10 * 52;
+/// Bytes of the TCP and IPv4 headers of one segment, with its options.
+pub const SEGMENT_HEADER_BYTES: u64 = 52;
+
+/// Bytes of headers in a short connection, both directions: ten segments.
+pub const CONNECTION_BYTES: u64 = 10 * SEGMENT_HEADER_BYTES;
 
 /// Bytes of a frame's length.
 const LENGTH_BYTES: usize = 4;
--- a/crates/lab/src/scale/real.rs
+++ b/crates/lab/src/scale/real.rs
@@ -3,7 +3,7 @@
 use super::counting_link::CountingLink;
 use super::fit::Line;
 use super::measure::{processor_time, resident_bytes};
-use super::peer_port::CONNECTION_BYTES;
+use super::peer_port::{CONNECTION_BYTES, SEGMENT_HEADER_BYTES};
 use crate::cluster::deployment::Deployment;
 use crate::cluster::layout::{ClusterLayout, ZoneSize};
 use crate::cluster::readiness::wait_until_ready;
@@ -17,6 +17,9 @@
 /// Questions that are measured together.
 const QUESTIONS: u32 = 300;
 
+/// Segments of a question and its answer over an open connection: each one with its acknowledgement.
+const SEGMENTS_PER_QUESTION: u64 = 4;
+
 /// Nodes of each zone in the clusters that are compared.
 const NODES_PER_ZONE: [usize; 3] = [1, 2, 4];
 
@@ -89,7 +92,9 @@
     }
     engine.stop();
     engine.wait();
-    let headers = link.connections() * CONNECTION_BYTES;
+    let exchange = SEGMENTS_PER_QUESTION * SEGMENT_HEADER_BYTES;
+    let opening = link.connections() * (CONNECTION_BYTES - exchange);
+    let headers = opening + u64::from(QUESTIONS) * exchange;
     Ok(QuestionCost {
         bytes: (link.bytes() + headers) as f64 / f64::from(QUESTIONS),
         processor,
--- a/crates/lab/src/scale/scenario.rs
+++ b/crates/lab/src/scale/scenario.rs
@@ -23,6 +23,9 @@
 /// Nodes to which [`CHURN_PER_SECOND`] belongs.
 const CHURN_NODES: f64 = 410.0;
 
+/// Engines that change role while a zone is cut off, about one in seven of them in that zone.
+const CHANGES_IN_CUT: usize = 14;
+
 /// Nodes whose load ages are looked at.
 const AGE_SAMPLE: usize = 20;
 
@@ -95,6 +98,10 @@
 fn churn(fleet: &Fleet, time: Duration) {
     let rate = CHURN_PER_SECOND * fleet.plan.nodes.len() as f64 / CHURN_NODES;
     let changes = (rate * time.as_secs_f64()).round().max(1.0) as usize;
+    change_roles(fleet, changes, time);
+}
+
+fn change_roles(fleet: &Fleet, changes: usize, time: Duration) {
     for change in 0..changes {
         let engine = &fleet.plan.engines[change * 31 % fleet.plan.engines.len()];
         fleet.surroundings.engines.change_role(engine.address);
@@ -138,7 +145,7 @@
     known::wait_for_agreement(fleet, options.rest);
     let dead_before = dead_subjects(fleet);
     fleet.surroundings.links.cut(CUT_ZONE);
-    churn(fleet, options.outage);
+    change_roles(fleet, CHANGES_IN_CUT, options.outage);
     result.dead_by_cut = dead_subjects(fleet).saturating_sub(dead_before);
     let before = spent(fleet);
     let begin = Instant::now();
