Count a confirmation from before its question left

Cause: fuzzing found that an answer of the store or of another zone vouched for the instant it was taken in. A process that was stopped, or whose answer was slow, passed for confirmed for up to one more isolation limit; so did datagrams that had waited in its socket, and announcements of unknown age. Ruled out: comparing wall clocks. Now an answer vouches for the instant before its question left, an announcement for nothing, and for a second after a pause of its own a process takes no datagram as a confirmation. Conclusion: what remains is a datagram that the network itself holds back.

--- a/crates/controller/src/bundle/exchange.rs
+++ b/crates/controller/src/bundle/exchange.rs
@@ -9,6 +9,7 @@
 use crate::peer::client;
 use shelfjunction_core::bundle::{Head, HeadSource};
 use shelfjunction_core::identity::ZoneId;
+use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_protocol::peer::{BundleHead, PeerRequest, PeerResponse};
 use std::time::Duration;
 
@@ -76,20 +77,32 @@
 
 fn exchange(context: &Context, address: std::net::SocketAddr, request: &PeerRequest, zone: ZoneId) {
     let timeout = millis(context.config.timings.peer_timeout_millis);
+    let asked_at = context.now();
     match client::ask(address, request, timeout) {
-        Ok(PeerResponse::Head(head)) => learn_from_zone(context, head.as_ref(), zone),
+        Ok(PeerResponse::Head(head)) => learn_from_zone(context, head.as_ref(), zone, asked_at),
         Ok(_) => log::debug!(peer:% = address; "peer_answered_something_else"),
         Err(error) => log::debug!(peer:% = address, error:% = error; "peer_unreached"),
     }
 }
 
-/// Takes in a head that a process of `zone` named.
-pub fn learn_from_zone(context: &Context, named: Option<&BundleHead>, zone: ZoneId) {
+/// Takes in a head that somebody announced unasked; it confirms nothing, since nobody knows how long it was on its way.
+pub fn learn_announced(context: &Context, announced: &BundleHead) {
+    let named = BundleHead {
+        confirmed_millis_ago: u64::MAX,
+        ..announced.clone()
+    };
+    learn_from_zone(context, Some(&named), context.config.zone.clone(), context.now());
+}
+
+/// Takes in a head that a process of `zone` named when it was asked at `asked_at`.
+///
+/// An answer vouches for the instant before its question left: it may have lain unread while this process was stopped.
+fn learn_from_zone(context: &Context, named: Option<&BundleHead>, zone: ZoneId, asked_at: MonotonicTime) {
     let head: Option<Head> = named.map(head_of);
     let age = named.map_or(u64::MAX, |named| named.confirmed_millis_ago);
     let source = HeadSource::Peer {
         zone,
         confirmed_ago: millis(age),
     };
-    context.bundle.on_head(head, &source, context.now());
+    context.bundle.on_head(head, &source, asked_at);
 }
--- a/crates/controller/src/bundle/mod.rs
+++ b/crates/controller/src/bundle/mod.rs
@@ -9,7 +9,7 @@
 mod state;
 mod store_poll;
 
-pub use exchange::{learn_from_zone, run as run_exchange};
+pub use exchange::{learn_announced, run as run_exchange};
 pub use peers::{Peer, some_of_each_zone};
 pub use state::{BundleState, head_of};
 pub use store_poll::run as run_store_poll;
--- a/crates/controller/src/bundle/store_poll.rs
+++ b/crates/controller/src/bundle/store_poll.rs
@@ -44,7 +44,7 @@
     };
     context.bundle.on_head(head, &HeadSource::Store, asked_at);
     if head.is_some() && head.map(|head| head.generation) == Some(context.bundle.generation()) {
-        context.gossip.confirm_head();
+        context.gossip.confirm_head(asked_at);
     }
     Ok(())
 }
--- a/crates/controller/src/gossip/mod.rs
+++ b/crates/controller/src/gossip/mod.rs
@@ -196,8 +196,8 @@
     }
 
     /// Notes that the store confirmed the present head as current.
-    pub fn confirm_head(&self) {
-        self.change(|gossiper, now| gossiper.confirm_head(now));
+    pub fn confirm_head(&self, asked_at: MonotonicTime) {
+        self.change(|gossiper, _| gossiper.confirm_head(asked_at));
     }
 
     /// Time since the store or a node of another zone confirmed the head.
--- a/crates/controller/src/membership_watch.rs
+++ b/crates/controller/src/membership_watch.rs
@@ -1,6 +1,6 @@
 //! Carries on what membership finds out: newer bundles elsewhere, confirmations, and a machine that leaves.
 
-use crate::bundle::{BundleState, learn_from_zone};
+use crate::bundle::{BundleState, learn_announced};
 use crate::config::millis;
 use crate::context::Context;
 use crate::peer::client;
@@ -34,7 +34,7 @@
                 manifest: head.manifest,
                 confirmed_millis_ago: u64::MAX,
             };
-            learn_from_zone(context, Some(&named), context.config.zone.clone());
+            learn_announced(context, &named);
         }
         GossipEvent::FactsDiffer { from } => fetch_facts(context, from),
         GossipEvent::OwnMachineLeaving => {
--- a/crates/controller/src/peer/connection.rs
+++ b/crates/controller/src/peer/connection.rs
@@ -1,6 +1,6 @@
 //! One peer connection: requests and answers, or a stream of records.
 
-use crate::bundle::learn_from_zone;
+use crate::bundle::learn_announced;
 use crate::config::millis;
 use crate::context::Context;
 use crate::demand;
@@ -45,7 +45,7 @@
         PeerRequest::BundleHead => PeerResponse::Head(context.bundle.head(now)),
         PeerRequest::AnnounceHead(head) => {
             // Who announces is not known here, so it counts as no more than a process of this zone.
-            learn_from_zone(context, Some(&head), context.config.zone.clone());
+            learn_announced(context, &head);
             PeerResponse::Head(context.bundle.head(now))
         }
         PeerRequest::FetchFacts => PeerResponse::Facts(context.gossip.bulk()),
--- a/crates/core/src/membership/gossiper.rs
+++ b/crates/core/src/membership/gossiper.rs
@@ -26,6 +26,9 @@
 /// Gap between ticks, beyond the interval, that shows that this process stood still.
 const PAUSE_TOLERANCE: Duration = Duration::from_millis(1_500);
 
+/// Time after a pause of this process in which what lay in its socket is read.
+const PAUSE_DRAIN: Duration = Duration::from_secs(1);
+
 /// Bytes of one node beat on the wire, rounded up.
 const NODE_BEAT_BYTES: u64 = 12;
 
@@ -82,6 +85,7 @@
     pub(super) next_forget: MonotonicTime,
     pub(super) started: MonotonicTime,
     pub(super) last_tick: MonotonicTime,
+    pub(super) confirms_from: MonotonicTime,
     pub(super) ticks: u64,
     pub(super) beat_sequence: u32,
     pub(super) events: Vec<GossipEvent>,
@@ -131,6 +135,7 @@
             next_forget: now + FORGET_INTERVAL,
             started: now,
             last_tick: now,
+            confirms_from: now,
             ticks: 0,
             beat_sequence: 0,
             events: Vec::new(),
@@ -171,6 +176,7 @@
         now: MonotonicTime,
         random: &mut dyn RngCore,
     ) -> Result<Vec<Outgoing>, Rubbish> {
+        self.distrust_after_pause(now);
         self.counters.datagrams_in += 1;
         self.counters.bytes_in +=
             u64::try_from(bytes.len()).unwrap_or(u64::MAX) + super::budget::HEADER_BYTES;
@@ -231,9 +237,9 @@
         }
     }
 
-    /// Notes that the store confirmed the present head as current.
-    pub fn confirm_head(&mut self, now: MonotonicTime) {
-        self.confirmed_at = self.confirmed_at.max(Some(now));
+    /// Notes that the store, asked at `asked_at`, confirmed the present head as current.
+    pub fn confirm_head(&mut self, asked_at: MonotonicTime) {
+        self.confirmed_at = self.confirmed_at.max(Some(asked_at));
     }
 
     /// Time since the store or a node of another zone confirmed the head; absent when none has.
@@ -355,10 +361,23 @@
         if joining { 0 } else { 1 }
     }
 
+    /// Lets datagrams confirm nothing for a while after a pause: they may have lain in the socket since it began.
+    fn distrust_after_pause(&mut self, now: MonotonicTime) {
+        if now.since(self.last_tick) >= self.longest_tick() {
+            self.confirms_from = now + PAUSE_DRAIN;
+        }
+    }
+
+    /// Time between two ticks from which on this process counts as having been paused.
+    fn longest_tick(&self) -> Duration {
+        PAUSE_TOLERANCE + Duration::from_millis(self.config.tick_millis)
+    }
+
     fn forgive_own_pause(&mut self, now: MonotonicTime) {
+        self.distrust_after_pause(now);
         let gap = now.since(self.last_tick);
         self.last_tick = now;
-        if gap < PAUSE_TOLERANCE + Duration::from_millis(self.config.tick_millis) {
+        if gap < self.longest_tick() {
             return;
         }
         for watch in self.node_watches.values_mut() {
--- a/crates/core/src/membership/merging.rs
+++ b/crates/core/src/membership/merging.rs
@@ -157,7 +157,7 @@
 
     /// A node of another zone at the same generation confirms it now; one of this zone passes on what it knows.
     fn note_confirmation(&mut self, sender: Sender, foreign: bool, now: MonotonicTime) {
-        if self.head.is_none() || sender.generation != self.generation() {
+        if now < self.confirms_from || self.head.is_none() || sender.generation != self.generation() {
             return;
         }
         if foreign {
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -22,6 +22,7 @@
 use shelfjunction_core::membership::view::liveness;
 use shelfjunction_core::time::MonotonicTime;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 const NODES: usize = ZONE_SIZES[0] + ZONE_SIZES[1] + ZONE_SIZES[2];
 const ENGINES: usize = ZONE_SIZES.len() * ENGINES_PER_ZONE;
@@ -331,6 +332,29 @@
     }
 }
 
+/// What lay in the socket of a process that was stopped vouches for nothing: its senders may have gone on since.
+#[test]
+fn datagrams_that_waited_out_a_pause_confirm_nothing() {
+    const PAUSE_MILLIS: u64 = 60_000;
+    let mut world = World::new(5);
+    (0..NODES).for_each(|node| world.set_head(node, 1));
+    world.advance(20_000);
+    world.nodes[0].paused = true;
+    world.advance(PAUSE_MILLIS);
+    for other in 1..NODES {
+        world.faults.cut_nodes.insert(ordered(0, other));
+    }
+    world.nodes[0].paused = false;
+    world.advance(3_000);
+    let now = MonotonicTime::from_millis(world.now);
+    let age = world.nodes[0].gossiper.as_ref().unwrap().head_confirmed_age(now);
+    let age = age.expect("confirmed before the pause");
+    assert!(
+        age >= Duration::from_millis(PAUSE_MILLIS),
+        "confirmed {age:?} ago"
+    );
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 256,
--- a/crates/gateway/src/watch/bundles.rs
+++ b/crates/gateway/src/watch/bundles.rs
@@ -189,6 +189,7 @@
 
 fn ask_controller(context: &Context, controller: SocketAddr) -> Result<bool, FrameError> {
     let timeout = millis(context.config.timings.controller_timeout_millis);
+    let asked_at = context.now();
     let mut stream = peer::connect(controller, timeout)?;
     let Some(PeerResponse::Head(Some(head))) = peer::ask(&mut stream, &PeerRequest::BundleHead)? else {
         return Ok(false);
@@ -202,10 +203,9 @@
         generation: head.generation,
         digest: Digest(head.manifest),
     };
-    let now = context.now();
     context
         .bundles
-        .take(|keeper| keeper.on_head(Some(offered), &source, now));
+        .take(|keeper| keeper.on_head(Some(offered), &source, asked_at));
     fetch_from_controller(context, &mut stream)?;
     Ok(true)
 }
--- a/crates/lab/src/scale/hollow_node.rs
+++ b/crates/lab/src/scale/hollow_node.rs
@@ -274,7 +274,7 @@
             objects.filter_map(|object| object.ok().flatten()).collect()
         });
         self.tell_head();
-        self.gossip.confirm_head();
+        self.gossip.confirm_head(now);
         Ok(())
     }
 
