Give engine connections buffers of 16 KiB

Cause: an open stream cost a gateway 341 KiB of resident memory, of which its two thread stacks were 35 KiB. The HTTP client gives each connection two buffers of 128 KiB, zeroed when they are made; once the allocator's threshold has moved up they come from its heaps, where zeroing touches every page. An idle gateway and controller hold them too, for control connections.

Ruled out: thread stacks (480 of them held 8.5 MB in a run with 68 streaming and 400 open).

An answer's head must fit in the buffer; engines' heads are some hundred bytes.

--- a/crates/platform/src/http_engine/mod.rs
+++ b/crates/platform/src/http_engine/mod.rs
@@ -35,6 +35,12 @@
 /// Idle connections kept for control calls to each engine.
 const IDLE_CONTROL_CONNECTIONS: usize = 2;
 
+/// Buffer of a connection in each direction, in bytes; the head of an answer must fit in it.
+///
+/// Every open stream holds two. The client's own 128 KiB are cleared when they come from a reused heap, so that each
+/// stream would keep a quarter of a megabyte resident for parts of some hundred bytes.
+const CONNECTION_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Body of `GET /control/events`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KvEventsBody {
@@ -137,6 +143,8 @@
         .max_redirects(0)
         .max_redirects_will_error(false)
         .http_status_as_error(false)
+        .input_buffer_size(CONNECTION_BUFFER_BYTES)
+        .output_buffer_size(CONNECTION_BUFFER_BYTES)
         .max_idle_connections(0)
         .max_idle_connections_per_host(0)
         .timeout_connect(Some(timeouts.connect()))
@@ -153,6 +161,8 @@
         .max_redirects(0)
         .max_redirects_will_error(false)
         .http_status_as_error(false)
+        .input_buffer_size(CONNECTION_BUFFER_BYTES)
+        .output_buffer_size(CONNECTION_BUFFER_BYTES)
         .max_idle_connections_per_host(IDLE_CONTROL_CONNECTIONS)
         .timeout_connect(Some(timeouts.connect()))
         .timeout_global(Some(timeouts.control()))
