--- a/crates/platform/src/http_engine/mod.rs
+++ b/crates/platform/src/http_engine/mod.rs
@@ -37,8 +37,8 @@
 
 /// Buffer of a connection in each direction, in bytes; the head of an answer must fit in it.
 ///
-/// Every open stream holds two. The client's own 128 KiB are cleared when they come from a reused heap, so that each
-/// stream would keep a quarter of a megabyte resident for parts of some hundred bytes.
+/// Every open stream holds two, and the client zeroes them in whole before use: its own 128 KiB would keep a quarter of
+/// a megabyte resident in each stream, for parts of some hundred bytes.
 const CONNECTION_BUFFER_BYTES: usize = 16 * 1024;
 
 /// Body of `GET /control/events`.
