--- a/crates/core/src/roles/planner.rs
+++ b/crates/core/src/roles/planner.rs
@@ -15,8 +15,8 @@
 /// Age beyond which the view says too little to act on.
 const OLDEST_VIEW: Duration = Duration::from_secs(10);
 
-/// Median relative error of the predicted goodput against simulated fixed splits under steady demand (see
-/// docs/MEASUREMENTS.md); a predicted gain below it says nothing.
+/// About the median relative error of the predicted goodput against simulated fixed splits under steady demand
+/// (docs/MEASUREMENTS.md, round 5); a predicted gain below it says nothing.
 const PREDICTION_ERROR: f64 = 0.02;
 
 /// Decides role changes; holds no state, so that any controller that takes the lease goes on where another ended.
