Leave a released row where a claim is given back

Cause: a release deleted the claim's row, or found none and did nothing. A frozen platform carries out, when it wakes, copies of the claim that its gateway had given up; their check is that there is no row, so the claim came back and its key answered claim_unsettled until the end of the retention, though nothing ran. A second cause with the same end: a write whose first copy was lost and whose second was refused outright counted as certainly not written, so its gateway released nothing. Now a release writes a small row in the claim's place, under a check of the version, or of absence while a copy may be on its way; the next call claims the key over it with a check of its version. Whoever released sends nothing afterwards, so at most one run stands. Another body under a released key is accepted, since nothing ran under it. A claim is sent again for two seconds at most (claim_patience_millis), and what waits behind a silent table is answered by then too, not after four tries of two seconds. Ruled out: deleting after a pause (a process may be frozen for longer). Conclusion: late copies meet a conflict for as long as the key is kept.

--- a/crates/core/src/ledger/batcher.rs
+++ b/crates/core/src/ledger/batcher.rs
@@ -1,6 +1,6 @@
 //! Groups writes to claim rows into few transactions, since the table service is rate-limited.
 
-use super::row::{ClaimRow, StoredClaim};
+use super::row::{ClaimContent, StoredClaim};
 use crate::table::{Check, PlatformError, Row, RowKey, RowVersion, Transaction, TransactionOutcome, Write};
 use crate::time::MonotonicTime;
 use std::collections::{BTreeMap, VecDeque};
@@ -35,6 +35,28 @@
         }
     }
 
+    /// The write alone in a transaction.
+    pub fn transaction(&self) -> Transaction {
+        Transaction {
+            checks: vec![self.check()],
+            writes: vec![self.change()],
+        }
+    }
+
+    fn check(&self) -> Check {
+        Check {
+            key: self.key.clone(),
+            expected: self.expected,
+        }
+    }
+
+    fn change(&self) -> Write {
+        Write {
+            key: self.key.clone(),
+            value: self.value.clone(),
+        }
+    }
+
     fn looks_up(&self) -> bool {
         self.expected.is_none() && self.value.is_none()
     }
@@ -80,6 +102,8 @@
     pub repeats: u32,
     /// Most writes that wait; more are refused at once.
     pub queue: usize,
+    /// A write that is older than this is neither sent nor sent again.
+    pub patience: Duration,
 }
 
 impl Default for BatchSettings {
@@ -90,6 +114,7 @@
             in_flight: 2,
             repeats: 3,
             queue: 4_096,
+            patience: Duration::from_secs(2),
         }
     }
 }
@@ -98,6 +123,7 @@
 struct Pending {
     ticket: Ticket,
     write: ClaimWrite,
+    submitted: MonotonicTime,
     since: MonotonicTime,
     repeats: u32,
 }
@@ -134,6 +160,7 @@
         self.waiting.push_back(Pending {
             ticket,
             write,
+            submitted: now,
             since: now,
             repeats: 0,
         });
@@ -184,6 +211,17 @@
         let Some(pending) = self.in_flight.remove(&batch) else {
             return Vec::new();
         };
+        let mut answers = self.sort_out(pending, outcome, now);
+        answers.extend(self.give_up_old(now));
+        answers
+    }
+
+    fn sort_out(
+        &mut self,
+        pending: Vec<Pending>,
+        outcome: Result<TransactionOutcome, PlatformError>,
+        now: MonotonicTime,
+    ) -> Vec<(Ticket, WriteAnswer)> {
         match outcome {
             Ok(TransactionOutcome::Committed { version }) => pending
                 .into_iter()
@@ -195,11 +233,24 @@
             }
             Err(error) => pending
                 .into_iter()
-                .map(|pending| (pending.ticket, WriteAnswer::Failed(error.clone())))
+                .map(|pending| given_up(&pending, error.clone()))
                 .collect(),
         }
     }
 
+    /// A table that is silent holds up what waits behind it; whoever waits is answered in time all the same.
+    fn give_up_old(&mut self, now: MonotonicTime) -> Vec<(Ticket, WriteAnswer)> {
+        let patience = self.settings.patience;
+        let waiting = std::mem::take(&mut self.waiting);
+        let (old, young): (VecDeque<_>, VecDeque<_>) = waiting
+            .into_iter()
+            .partition(|pending| now.since(pending.submitted) >= patience);
+        self.waiting = young;
+        old.iter()
+            .map(|pending| given_up(pending, PlatformError::Unavailable))
+            .collect()
+    }
+
     fn take_distinct_rows(&mut self) -> Vec<Pending> {
         let mut busy: Vec<RowKey> = self.in_flight.values().flatten().map(row_of).collect();
         let mut chosen = Vec::new();
@@ -248,7 +299,8 @@
     ) -> Vec<(Ticket, WriteAnswer)> {
         let mut answers = Vec::new();
         for mut pending in pending.into_iter().rev() {
-            if pending.repeats >= self.settings.repeats {
+            let is_old = now.since(pending.submitted) >= self.settings.patience;
+            if is_old || pending.repeats >= self.settings.repeats {
                 answers.push((pending.ticket, WriteAnswer::Failed(error.clone())));
                 continue;
             }
@@ -260,22 +312,24 @@
     }
 }
 
+/// Once a copy of a write was lost, an error that speaks of the last copy alone settles nothing.
+fn given_up(pending: &Pending, error: PlatformError) -> (Ticket, WriteAnswer) {
+    let error = if pending.repeats == 0 {
+        error
+    } else {
+        PlatformError::AnswerLost
+    };
+    (pending.ticket, WriteAnswer::Failed(error))
+}
+
 fn row_of(pending: &Pending) -> RowKey {
     pending.write.key.clone()
 }
 
 fn transaction_of(pending: &[Pending]) -> Transaction {
-    let checks = pending.iter().map(|pending| Check {
-        key: pending.write.key.clone(),
-        expected: pending.write.expected,
-    });
-    let writes = pending.iter().map(|pending| Write {
-        key: pending.write.key.clone(),
-        value: pending.write.value.clone(),
-    });
     Transaction {
-        checks: checks.collect(),
-        writes: writes.collect(),
+        checks: pending.iter().map(|pending| pending.write.check()).collect(),
+        writes: pending.iter().map(|pending| pending.write.change()).collect(),
     }
 }
 
@@ -301,6 +355,6 @@
     let Some(value) = &write.value else {
         return false;
     };
-    let wanted: Option<ClaimRow> = serde_json::from_str(value).ok();
-    wanted.is_some() && StoredClaim::read(row).row == wanted
+    let wanted = ClaimContent::read(value);
+    wanted != ClaimContent::Unreadable && ClaimContent::read(&row.value) == wanted
 }
--- a/crates/core/src/ledger/retention.rs
+++ b/crates/core/src/ledger/retention.rs
@@ -66,8 +66,7 @@
     }
 
     fn is_old(&self, row: &Row, unix_seconds: u64) -> bool {
-        StoredClaim::read(row).row.is_some_and(|claim| {
-            unix_seconds.saturating_sub(claim.claimed_unix_seconds) > self.settings.keep.as_secs()
-        })
+        let claimed = StoredClaim::read(row).content.claimed_unix_seconds();
+        claimed.is_some_and(|claimed| unix_seconds.saturating_sub(claimed) > self.settings.keep.as_secs())
     }
 }
--- a/crates/core/src/ledger/row.rs
+++ b/crates/core/src/ledger/row.rs
@@ -43,13 +43,35 @@
     Failed,
 }
 
-/// A claim as found in the table.
+/// A claim that was given back: nothing ran under it and nothing will. The key may be claimed anew, with any body, by
+/// a write that checks this row's version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ReleasedRow {
+    /// The request that gave it back.
+    pub released: RequestId,
+    /// Seconds since the Unix epoch when that request was admitted; bounds retention only.
+    pub claimed_unix_seconds: u64,
+}
+
+/// What a row of the ledger holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimContent {
+    /// A claim.
+    Held(Box<ClaimRow>),
+    /// A claim that was given back.
+    Released(ReleasedRow),
+    /// Something that can't be understood.
+    Unreadable,
+}
+
+/// A row of the ledger as found in the table.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredClaim {
     /// Version of the row.
     pub version: RowVersion,
-    /// Its content; absent when it can't be understood.
-    pub row: Option<ClaimRow>,
+    /// What it holds.
+    pub content: ClaimContent,
 }
 
 impl StoredClaim {
@@ -57,9 +79,40 @@
     pub fn read(row: &Row) -> Self {
         Self {
             version: row.version,
-            row: serde_json::from_str(&row.value).ok(),
+            content: ClaimContent::read(&row.value),
         }
     }
+
+    /// Whether the key may be claimed over this row.
+    pub fn is_released(&self) -> bool {
+        matches!(self.content, ClaimContent::Released(_))
+    }
+}
+
+impl ClaimContent {
+    /// Reads the text of a row.
+    pub fn read(text: &str) -> Self {
+        if let Ok(claim) = serde_json::from_str(text) {
+            return Self::Held(Box::new(claim));
+        }
+        serde_json::from_str(text).map_or(Self::Unreadable, Self::Released)
+    }
+
+    /// When the request of the row was admitted, in seconds since the Unix epoch; absent when that can't be read.
+    pub fn claimed_unix_seconds(&self) -> Option<u64> {
+        match self {
+            Self::Held(claim) => Some(claim.claimed_unix_seconds),
+            Self::Released(released) => Some(released.claimed_unix_seconds),
+            Self::Unreadable => None,
+        }
+    }
+}
+
+impl ReleasedRow {
+    /// JSON text of the row.
+    pub fn text(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
 }
 
 impl ClaimRow {
--- a/crates/core/src/request/claiming.rs
+++ b/crates/core/src/request/claiming.rs
@@ -1,9 +1,9 @@
 //! The claim of a request that may not be repeated: asked for before the send, met, moved or in doubt.
 
 use super::event::{Action, Event};
-use super::machine::{HeldClaim, RequestMachine};
+use super::machine::{HeldClaim, RequestMachine, State};
 use super::specification::Placement;
-use crate::ledger::row::{ClaimRow, StoredClaim};
+use crate::ledger::row::{ClaimContent, ClaimRow, StoredClaim, claim_key};
 use crate::outcome::{Failure, Outcome, Refusal, RefusalReason};
 use crate::table::PlatformError;
 use crate::time::MonotonicTime;
@@ -13,6 +13,26 @@
 const LEDGER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 impl RequestMachine {
+    /// Asks for the claim that the send needs; a request without a key is sent at once.
+    pub(super) fn ask_for_claim(&mut self, placement: Placement, now: MonotonicTime) -> Vec<Action> {
+        let Some(key) = &self.specification.key else {
+            return self.start(placement, now);
+        };
+        let held = self.claim.as_ref().map(|claim| claim.version);
+        let expected = held.or(self.released);
+        let action = Action::Claim {
+            key: claim_key(&self.specification.tenant, key),
+            row: Box::new(self.claim_row(&placement)),
+            expected,
+        };
+        self.claim_checked = expected;
+        self.state = State::Claiming {
+            placement,
+            asked: now,
+        };
+        vec![action]
+    }
+
     pub(super) fn on_claiming(
         &mut self,
         event: Event,
@@ -33,21 +53,38 @@
                 self.dispatch_not_after = window_end.min(self.specification.deadline);
                 self.start(placement, now)
             }
+            Event::ClaimExists(stored) if stored.is_released() => self.claim_over(&stored, placement, now),
             Event::ClaimExists(stored) => self.on_claim_exists(stored, now),
             Event::ClaimFailed(error) => {
                 self.claim_in_doubt = !is_definite(&error);
-                let refusal = Refusal {
-                    reason: RefusalReason::LedgerUnavailable,
-                    retry_after: Some(ledger_retry_after(&error)),
-                };
-                self.give_up_at_once(refusal, Failure::LedgerUnavailable)
+                self.give_up_on_ledger(ledger_retry_after(&error))
             }
             _ => Vec::new(),
         }
     }
 
+    /// Nothing ran under a released row and nothing will, so the key is claimed over it like a fresh one.
+    fn claim_over(&mut self, stored: &StoredClaim, placement: Placement, now: MonotonicTime) -> Vec<Action> {
+        self.claim = None;
+        self.released = Some(stored.version);
+        self.releases_met += 1;
+        if self.releases_met > self.limits.placements {
+            self.key_was_free = true;
+            return self.give_up_on_ledger(LEDGER_RETRY_AFTER);
+        }
+        self.ask_for_claim(placement, now)
+    }
+
+    fn give_up_on_ledger(&mut self, retry_after: Duration) -> Vec<Action> {
+        let refusal = Refusal {
+            reason: RefusalReason::LedgerUnavailable,
+            retry_after: Some(retry_after),
+        };
+        self.give_up_at_once(refusal, Failure::LedgerUnavailable)
+    }
+
     pub(super) fn on_claim_exists(&mut self, stored: StoredClaim, now: MonotonicTime) -> Vec<Action> {
-        let Some(row) = stored.row else {
+        let ClaimContent::Held(row) = stored.content else {
             return self.finish(Outcome::Unknown(Failure::ClaimUnsettled));
         };
         if row.body_digest != self.body_digest() {
@@ -56,7 +93,7 @@
                 retry_after: None,
             }));
         }
-        self.join(row, stored.version, now)
+        self.join(*row, stored.version, now)
     }
 
     pub(super) fn claim_row(&self, placement: &Placement) -> ClaimRow {
--- a/crates/core/src/request/event.rs
+++ b/crates/core/src/request/event.rs
@@ -2,7 +2,8 @@
 
 use super::specification::{Placement, Target};
 use crate::engine::{AnswerPart, EngineCall, EngineRefusal, RunState};
-use crate::identity::{AttemptId, EngineId, RequestId};
+use crate::identity::{AttemptId, EngineId};
+use crate::ledger::release::Release;
 use crate::ledger::row::{ClaimRow, StoredClaim};
 use crate::outcome::{Outcome, Refusal};
 use crate::table::{PlatformError, RowKey, RowVersion};
@@ -24,7 +25,7 @@
         /// Version of the row.
         version: RowVersion,
     },
-    /// Answer to [`Action::Claim`] or [`Action::LookUpClaim`]: this claim holds the key.
+    /// Answer to [`Action::Claim`] or [`Action::LookUpClaim`]: this row is there, which may have been released.
     ClaimExists(StoredClaim),
     /// Answer to [`Action::LookUpClaim`]: no claim holds the key.
     ClaimAbsent,
@@ -161,16 +162,9 @@
         /// The engine.
         engine: EngineId,
     },
-    /// Delete the claim of this request, under which nothing ran and nothing will be sent; best effort, may be
-    /// late. Without a known version the row is read first and deleted only if it names this request.
-    Release {
-        /// The row.
-        key: RowKey,
-        /// The request that the row must name.
-        request: RequestId,
-        /// Version that the row has, if its last write was answered.
-        expected: Option<RowVersion>,
-    },
+    /// Give back the claim of this request, under which nothing ran and nothing will be sent; best effort, may be
+    /// late.
+    Release(Release),
     /// Record in the claim how the request ended; best effort, may be late.
     Settle {
         /// The row.
--- a/crates/core/src/request/looking.rs
+++ b/crates/core/src/request/looking.rs
@@ -6,6 +6,7 @@
 use crate::identity::EngineId;
 use crate::ledger::row::{StoredClaim, claim_key};
 use crate::outcome::{Failure, Outcome, Refusal};
+use crate::table::RowVersion;
 use crate::time::MonotonicTime;
 
 impl RequestMachine {
@@ -34,16 +35,19 @@
         now: MonotonicTime,
     ) -> Vec<Action> {
         match event {
-            Event::ClaimAbsent => {
-                self.key_was_free = true;
-                self.give_up_at_once(refusal, Failure::ClaimUnsettled)
-            }
+            Event::ClaimAbsent => self.refuse_free_key(refusal),
+            Event::ClaimExists(stored) if stored.is_released() => self.refuse_free_key(refusal),
             Event::ClaimExists(stored) => self.on_claim_exists(stored, now),
             Event::ClaimFailed(_) => self.finish(Outcome::Unknown(Failure::LedgerUnavailable)),
             _ => Vec::new(),
         }
     }
 
+    fn refuse_free_key(&mut self, refusal: Refusal) -> Vec<Action> {
+        self.key_was_free = true;
+        self.give_up_at_once(refusal, Failure::ClaimUnsettled)
+    }
+
     fn on_looked_where_it_stands(
         &mut self,
         event: Event,
@@ -52,7 +56,8 @@
         now: MonotonicTime,
     ) -> Vec<Action> {
         match event {
-            Event::ClaimAbsent => self.begin_anew(now),
+            Event::ClaimAbsent => self.begin_anew(None, now),
+            Event::ClaimExists(stored) if stored.is_released() => self.begin_anew(Some(stored.version), now),
             Event::ClaimExists(stored) if self.holds_version(&stored) => {
                 let claimed = self.claim.as_ref().map(|claim| claim.row.incarnation);
                 if claimed == Some(incarnation) {
@@ -86,8 +91,8 @@
     }
 
     /// The claim that was joined was released: nothing ran under it and nothing will be sent, so this course claims the
-    /// key for itself. The claim checks that there is still none.
-    fn begin_anew(&mut self, now: MonotonicTime) -> Vec<Action> {
+    /// key for itself. The claim checks that the row is still as it was found.
+    fn begin_anew(&mut self, released: Option<RowVersion>, now: MonotonicTime) -> Vec<Action> {
         if self.evidence.output_ran() {
             return self.unsettled();
         }
@@ -95,6 +100,7 @@
         self.check = StreamCheck::new(self.own_request.clone(), self.check.next_offset());
         self.evidence.handed_over_nowhere();
         self.claim = None;
+        self.released = released;
         self.rejoined = false;
         self.key_was_free = false;
         self.choose(now)
--- a/crates/core/src/request/machine.rs
+++ b/crates/core/src/request/machine.rs
@@ -5,7 +5,7 @@
 use super::specification::{CourseLimits, Placement, RequestSpecification, Target};
 use super::stream_check::StreamCheck;
 use crate::identity::{AttemptId, EngineId, RequestId};
-use crate::ledger::row::{ClaimRow, claim_key};
+use crate::ledger::row::ClaimRow;
 use crate::outcome::{Failure, Refusal};
 use crate::table::RowVersion;
 use crate::time::MonotonicTime;
@@ -94,6 +94,12 @@
     pub(super) claim: Option<HeldClaim>,
     /// The last write of the claim was not answered; the row may name this request.
     pub(super) claim_in_doubt: bool,
+    /// Version that the last write of the claim checked for.
+    pub(super) claim_checked: Option<RowVersion>,
+    /// Version of the released row that this course has met, over which the key may be claimed.
+    pub(super) released: Option<RowVersion>,
+    /// Released rows met in place of a claim's success.
+    pub(super) releases_met: u32,
     /// The key's claim is this course's own, or this course has just looked and found none.
     pub(super) key_was_free: bool,
     /// The course ended before the claim was answered.
@@ -128,6 +134,9 @@
             check,
             claim: None,
             claim_in_doubt: false,
+            claim_checked: None,
+            released: None,
+            releases_met: 0,
             key_was_free: false,
             claim_awaited: false,
             excluded: Vec::new(),
@@ -257,20 +266,7 @@
         }
         self.placements += 1;
         self.attempts += 1;
-        let Some(key) = self.specification.key.clone() else {
-            return self.start(placement, now);
-        };
-        let row = self.claim_row(&placement);
-        let action = Action::Claim {
-            key: claim_key(&self.specification.tenant, &key),
-            row: Box::new(row),
-            expected: self.claim.as_ref().map(|claim| claim.version),
-        };
-        self.state = State::Claiming {
-            placement,
-            asked: now,
-        };
-        vec![action]
+        self.ask_for_claim(placement, now)
     }
 
     pub(super) fn ask_retry(&mut self) -> Vec<Action> {
--- a/crates/core/src/request/outcome.rs
+++ b/crates/core/src/request/outcome.rs
@@ -3,6 +3,7 @@
 use super::claiming::is_definite;
 use super::event::{Action, Event};
 use super::machine::{LookUp, RequestMachine, State};
+use crate::ledger::release::{ClaimStanding, Release};
 use crate::ledger::row::{ClaimRow, Settlement, claim_key};
 use crate::outcome::{Failure, Outcome, Refusal, RefusalReason};
 
@@ -110,20 +111,29 @@
 
     /// Frees the key after a course in which no output was begun and nothing will be sent any more.
     fn release(&mut self) -> Vec<Action> {
+        let own = self.claim.take().filter(|claim| claim.own);
+        if self.claim_in_doubt {
+            return self.release_from(ClaimStanding::InDoubt {
+                checked: self.claim_checked,
+            });
+        }
+        own.map_or_else(Vec::new, |claim| {
+            self.release_from(ClaimStanding::Written {
+                version: claim.version,
+            })
+        })
+    }
+
+    fn release_from(&self, standing: ClaimStanding) -> Vec<Action> {
         let Some(key) = &self.specification.key else {
             return Vec::new();
         };
-        let claim = self.claim.take();
-        let own = claim.as_ref().is_some_and(|claim| claim.own);
-        if !own && !self.claim_in_doubt {
-            return Vec::new();
-        }
-        let known = claim.filter(|_| !self.claim_in_doubt);
-        vec![Action::Release {
+        vec![Action::Release(Release {
             key: claim_key(&self.specification.tenant, key),
             request: self.specification.request.clone(),
-            expected: known.map(|claim| claim.version),
-        }]
+            claimed_unix_seconds: self.specification.admitted_unix_seconds,
+            standing,
+        })]
     }
 
     /// Records how a claimed request ended.
@@ -186,23 +196,18 @@
         if !std::mem::take(&mut self.claim_awaited) {
             return Vec::new();
         }
-        let expected = match event {
-            Event::ClaimCommitted { version } => Some(*version),
-            Event::ClaimFailed(error) if !is_definite(error) => None,
+        let standing = match event {
+            Event::ClaimCommitted { version } => ClaimStanding::Written { version: *version },
+            Event::ClaimFailed(error) if !is_definite(error) => ClaimStanding::InDoubt {
+                checked: self.claim_checked,
+            },
             Event::ClaimFailed(_) | Event::ClaimExists(_) | Event::ClaimAbsent => return Vec::new(),
             _ => {
                 self.claim_awaited = true;
                 return Vec::new();
             }
         };
-        let Some(key) = &self.specification.key else {
-            return Vec::new();
-        };
-        vec![Action::Release {
-            key: claim_key(&self.specification.tenant, key),
-            request: self.specification.request.clone(),
-            expected,
-        }]
+        self.release_from(standing)
     }
 
     /// A call that was not answered yet may be running, and a claim that was asked for may be written.
--- a/crates/core/tests/request_world/joining.rs
+++ b/crates/core/tests/request_world/joining.rs
@@ -14,10 +14,10 @@
 /// The retry budget is spent.
 const NO_RETRY: u8 = 8;
 /// The owner of the claim, and a call with the same key at the other gateway.
-const OWNER: u8 = 0;
-const SECOND: u8 = 1;
+pub(super) const OWNER: u8 = 0;
+pub(super) const SECOND: u8 = 1;
 
-fn ask(world: &mut World, gateway: u8) {
+pub(super) fn ask(world: &mut World, gateway: u8) {
     world.apply(&Step::Start {
         key: Some(0),
         body: 0,
@@ -25,7 +25,7 @@
     });
 }
 
-fn answer(world: &mut World, course: u8, fate: u8) {
+pub(super) fn answer(world: &mut World, course: u8, fate: u8) {
     world.apply(&Step::Answer { course, fate });
 }
 
@@ -34,12 +34,12 @@
 }
 
 /// Lets a course claim its key, or meet the claim that holds it.
-fn claim(world: &mut World, course: u8) {
+pub(super) fn claim(world: &mut World, course: u8) {
     answer(world, course, WELL);
     answer_table(world);
 }
 
-fn run_well(world: &mut World) {
+pub(super) fn run_well(world: &mut World) {
     for _ in 0..20 {
         answer_table(world);
         for course in 0..world.courses.len() {
--- a/crates/core/tests/request_world/mod.rs
+++ b/crates/core/tests/request_world/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod engines;
 mod joining;
+mod late_claims;
 mod oracle;
 pub mod step;
 mod streams;
@@ -12,13 +13,13 @@
 use shelfjunction_core::engine::{EngineCall, EngineRefusal, EngineRefusalReason};
 use shelfjunction_core::identity::{AttemptId, EngineId, ModelId, RequestId, TenantId};
 use shelfjunction_core::ledger::batcher::{ClaimWrite, Ticket, WriteAnswer};
-use shelfjunction_core::ledger::row::StoredClaim;
+use shelfjunction_core::ledger::release::Release;
 use shelfjunction_core::outcome::{Outcome, Refusal, RefusalReason};
 use shelfjunction_core::request::event::{Action, Event};
 use shelfjunction_core::request::machine::RequestMachine;
 use shelfjunction_core::request::specification::{CourseLimits, Placement, RequestKey, RequestSpecification};
 use shelfjunction_core::service_class::ServiceClass;
-use shelfjunction_core::table::{Check, PlatformError, Transaction, Write};
+use shelfjunction_core::table::PlatformError;
 use shelfjunction_core::time::MonotonicTime;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -120,6 +121,7 @@
             self.now = self.now + Duration::from_millis(10);
             self.step_table(9);
         }
+        self.table.late_writes();
         while !self.late_calls.is_empty() {
             self.late_call(0);
         }
@@ -209,38 +211,17 @@
                 };
                 self.table.submit(course.gateway, write, self.now);
             }
-            Action::Release {
-                key,
-                request,
-                expected,
-            } => self.release(&key, &request, expected),
+            Action::Release(release) => self.release(&release),
             question => course.questions.push_back(Question::Asked(question)),
         }
     }
 
-    fn release(
-        &mut self,
-        key: &shelfjunction_core::table::RowKey,
-        request: &RequestId,
-        expected: Option<shelfjunction_core::table::RowVersion>,
-    ) {
-        let read = || {
-            let claim = StoredClaim::read(self.table.read(key)?);
-            (claim.row?.request == *request).then_some(claim.version)
-        };
-        let Some(version) = expected.or_else(read) else {
-            return;
-        };
-        self.table.transact(&Transaction {
-            checks: vec![Check {
-                key: key.clone(),
-                expected: Some(version),
-            }],
-            writes: vec![Write {
-                key: key.clone(),
-                value: None,
-            }],
-        });
+    fn release(&mut self, release: &Release) {
+        let found = self.table.read(&release.key);
+        let write = release.write_unread().or_else(|| release.write_over(found));
+        if let Some(write) = write {
+            self.table.transact(&write.transaction());
+        }
     }
 
     fn step_table(&mut self, fate: u8) {
--- a/crates/core/tests/request_world/oracle.rs
+++ b/crates/core/tests/request_world/oracle.rs
@@ -3,6 +3,7 @@
 use super::engines::{RunLog, TOKENS, text};
 use super::{Course, World};
 use shelfjunction_core::engine::Phase;
+use shelfjunction_core::ledger::row::{ClaimContent, StoredClaim};
 use shelfjunction_core::outcome::Outcome;
 use std::collections::BTreeMap;
 
@@ -33,6 +34,22 @@
                 "a caller was told nothing"
             );
         }
+        self.check_no_key_is_blocked();
+    }
+
+    /// No claim is left of a request that was handed to no engine and never will be.
+    fn check_no_key_is_blocked(&self) {
+        for row in self.table.rows() {
+            let ClaimContent::Held(claim) = StoredClaim::read(row).content else {
+                continue;
+            };
+            let owner = self.courses.iter().find(|course| course.request == claim.request);
+            assert!(
+                owner.unwrap().machine.handed_over(),
+                "the claim of {} blocks its key and nothing ran",
+                claim.request
+            );
+        }
     }
 
     /// Whether an engine had begun the output of the same key and body when the course started.
--- a/crates/core/tests/request_world/table.rs
+++ b/crates/core/tests/request_world/table.rs
@@ -76,6 +76,17 @@
         }
     }
 
+    /// Everything that was lost takes effect.
+    pub fn late_writes(&mut self) {
+        while !self.lost.is_empty() {
+            self.late_write(0);
+        }
+    }
+
+    pub fn rows(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values()
+    }
+
     pub fn transact(&mut self, transaction: &Transaction) -> TransactionOutcome {
         for check in &transaction.checks {
             let found = self.rows.get(&check.key);
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -1,12 +1,11 @@
 //! Carries writes to claim rows to the table service, many in one transaction.
 
 use crate::context::Context;
-use shelfjunction_core::identity::RequestId;
 use shelfjunction_core::ledger::batcher::{
     Batch, BatchSettings, ClaimBatcher, ClaimWrite, Ticket, WriteAnswer,
 };
-use shelfjunction_core::ledger::row::StoredClaim;
-use shelfjunction_core::table::{PlatformError, RowKey, RowVersion, Transaction, TransactionOutcome};
+use shelfjunction_core::ledger::release::Release;
+use shelfjunction_core::table::{PlatformError, TransactionOutcome};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::collections::{HashMap, VecDeque};
@@ -30,17 +29,6 @@
 
 type Reply = Box<dyn FnOnce(WriteAnswer) + Send>;
 
-/// A claim to delete.
-#[derive(Clone, Debug)]
-pub(crate) struct Release {
-    /// The row.
-    pub(crate) key: RowKey,
-    /// The request that it must name.
-    pub(crate) request: RequestId,
-    /// Version that it has, if known.
-    pub(crate) expected: Option<RowVersion>,
-}
-
 struct Inner {
     batcher: ClaimBatcher,
     replies: HashMap<Ticket, Reply>,
@@ -53,10 +41,12 @@
     changed: Condvar,
 }
 
-impl Default for ClaimLedger {
-    fn default() -> Self {
+impl ClaimLedger {
+    /// No writes yet; each is sent for as long as `patience`.
+    pub(crate) fn new(patience: Duration) -> Self {
         let settings = BatchSettings {
             in_flight: CLAIM_WORKERS,
+            patience,
             ..BatchSettings::default()
         };
         Self {
@@ -68,9 +58,7 @@
             changed: Condvar::new(),
         }
     }
-}
 
-impl ClaimLedger {
     /// Hands in a write; `reply` is called once with what became of it.
     pub(crate) fn write(
         &self,
@@ -96,7 +84,7 @@
         });
     }
 
-    /// Hands in a claim to delete.
+    /// Hands in a claim to give back.
     pub(crate) fn release(&self, release: Release) {
         let mut inner = lock(&self.inner);
         if inner.releases.len() >= RELEASES_KEPT {
@@ -160,7 +148,7 @@
     }
 }
 
-/// Deletes claims under which nothing ran, again and again until the table answers or the gateway ends.
+/// Gives claims back under which nothing ran, again and again until the table answers or the gateway ends.
 pub(crate) fn run_releases(context: &Context) {
     loop {
         let next = lock(&context.claims.inner).releases.pop_front();
@@ -182,31 +170,15 @@
     }
 }
 
-/// A claim that changed in between belongs to somebody else and is left alone.
 fn carry_out(context: &Context, release: &Release) -> Result<(), PlatformError> {
     let table = &context.backends.table;
-    let expected = match release.expected {
-        Some(version) => version,
-        None => match table.read(&release.key)? {
-            Some(row) => {
-                let claim = StoredClaim::read(&row);
-                if claim.row.is_none_or(|row| row.request != release.request) {
-                    return Ok(());
-                }
-                claim.version
-            }
-            None => return Ok(()),
-        },
-    };
-    let transaction = Transaction {
-        checks: vec![shelfjunction_core::table::Check {
-            key: release.key.clone(),
-            expected: Some(expected),
-        }],
-        writes: vec![shelfjunction_core::table::Write {
-            key: release.key.clone(),
-            value: None,
-        }],
-    };
-    table.transact(&transaction).map(|_| ())
+    if let Some(write) = release.write_unread() {
+        return table.transact(&write.transaction()).map(drop);
+    }
+    while let Some(write) = release.write_over(table.read(&release.key)?.as_ref()) {
+        if let TransactionOutcome::Committed { .. } = table.transact(&write.transaction())? {
+            break;
+        }
+    }
+    Ok(())
 }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -99,6 +99,8 @@
     pub fleet_silence_millis: u64,
     /// Longest wait for an answer of the platform.
     pub platform_timeout_millis: u64,
+    /// A claim that is not written by then is sent to the platform no more; a copy on its way is waited for.
+    pub claim_patience_millis: u64,
     /// Between two looks for claims that may be forgotten.
     pub claim_retention_scan_millis: u64,
 }
@@ -126,6 +128,7 @@
             controller_timeout_millis: 1_000,
             fleet_silence_millis: 5_000,
             platform_timeout_millis: 2_000,
+            claim_patience_millis: 2_000,
             claim_retention_scan_millis: 600_000,
         }
     }
@@ -242,6 +245,11 @@
                 timings.platform_timeout_millis,
                 MAXIMUM_MILLIS,
             ),
+            (
+                "timings.claim_patience_millis",
+                timings.claim_patience_millis,
+                MAXIMUM_MILLIS,
+            ),
             (
                 "timings.claim_retention_scan_millis",
                 timings.claim_retention_scan_millis,
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -2,7 +2,7 @@
 
 use crate::admission_gate::AdmissionGate;
 use crate::claims::ClaimLedger;
-use crate::config::GatewayConfig;
+use crate::config::{GatewayConfig, millis};
 use crate::metrics::Metrics;
 use crate::registry::Registry;
 use crate::usage::UsageTable;
@@ -76,7 +76,7 @@
             demand: Mutex::new(DemandEstimator::new(clock.now() + CLOCK_HEAD_START)),
             retry_budget: Mutex::new(RetryBudget::new(RetryBudgetSettings::default())),
             backoff: Backoff::default(),
-            claims: ClaimLedger::default(),
+            claims: ClaimLedger::new(millis(config.timings.claim_patience_millis)),
             registry: Registry::new(config.requests.streams),
             usage: UsageTable::default(),
             metrics: Metrics::new(),
--- a/crates/gateway/src/course/claim_calls.rs
+++ b/crates/gateway/src/course/claim_calls.rs
@@ -1,7 +1,6 @@
 //! A course's writes to claim rows, those included whose answer comes after the course is over.
 
 use super::engine_calls;
-use crate::claims::Release;
 use crate::context::Context;
 use shelfjunction_core::ledger::batcher::{ClaimWrite, WriteAnswer};
 use shelfjunction_core::request::event::{Action, Event};
@@ -73,15 +72,7 @@
 /// Carries out what nobody waits for.
 pub(super) fn carry_out_aside(context: &Context, action: Action, now: MonotonicTime) {
     match action {
-        Action::Release {
-            key,
-            request,
-            expected,
-        } => context.claims.release(Release {
-            key,
-            request,
-            expected,
-        }),
+        Action::Release(release) => context.claims.release(release),
         Action::Settle { key, row, expected } => {
             let write = ClaimWrite {
                 key,
--- a/crates/gateway/src/serve/keyed_refusal.rs
+++ b/crates/gateway/src/serve/keyed_refusal.rs
@@ -4,7 +4,7 @@
 use crate::context::Context;
 use shelfjunction_core::identity::TenantId;
 use shelfjunction_core::ledger::batcher::{ClaimWrite, WriteAnswer};
-use shelfjunction_core::ledger::row::{StoredClaim, claim_key};
+use shelfjunction_core::ledger::row::{ClaimContent, StoredClaim, claim_key};
 use shelfjunction_core::outcome::{Failure, Outcome, Refusal, RefusalReason};
 use shelfjunction_core::request::specification::RequestKey;
 use std::sync::mpsc::sync_channel;
@@ -31,6 +31,7 @@
     });
     let outcome = match receiver.recv_timeout(LOOK_UP_WAIT) {
         Ok(WriteAnswer::Absent) => Outcome::NotRun(refusal.clone()),
+        Ok(WriteAnswer::Exists(stored)) if stored.is_released() => Outcome::NotRun(refusal.clone()),
         Ok(WriteAnswer::Exists(stored)) => of_claim(&stored, key),
         _ => Outcome::Unknown(Failure::LedgerUnavailable),
     };
@@ -38,8 +39,9 @@
 }
 
 fn of_claim(stored: &StoredClaim, key: &RequestKey) -> Outcome {
-    let body_digest = stored.row.as_ref().map(|row| row.body_digest.as_str());
-    if body_digest.is_some_and(|digest| digest != key.body_digest) {
+    let is_other =
+        matches!(&stored.content, ClaimContent::Held(claim) if claim.body_digest != key.body_digest);
+    if is_other {
         return Outcome::NotRun(Refusal {
             reason: RefusalReason::KeyConflict,
             retry_after: None,
--- a/tests/process/platform_outage.rs
+++ b/tests/process/platform_outage.rs
@@ -52,3 +52,28 @@
     assert_eq!(answer.read_to_end(), expected);
     assert_eq!(running.application_runs(), readiness_runs);
 }
+
+/// A frozen platform may still commit, when it wakes, what it was sent before it was given up.
+#[test]
+fn a_claim_that_a_frozen_platform_commits_late_neither_runs_twice_nor_blocks_its_key() {
+    let running = Processes::start(SMALL_ZONES);
+    let readiness_runs = running.gateways.len();
+    running.platform.signal(Signal::STOP);
+    let keyed = running.application_call("dispatch one parcel", "dispatch-1");
+    for gateway in 0..running.gateways.len() {
+        let refused = running.call(gateway, "norrapotek", &keyed).unwrap_err();
+        assert_eq!(refused.result, unread_ledger());
+    }
+    let unkeyed = running.model_call("history of one patient", 12);
+    let answer = running.call(0, "norrapotek", &unkeyed).unwrap();
+    let expected = (running.expected_text(&unkeyed), CallResult::Completed);
+    assert_eq!(answer.read_to_end(), expected);
+    assert_eq!(running.application_runs(), readiness_runs);
+
+    running.platform.signal(Signal::CONT);
+    for gateway in 0..running.gateways.len() {
+        let answer = running.call(gateway, "norrapotek", &keyed).unwrap();
+        assert_eq!(answer.read_to_end().1, CallResult::Completed);
+    }
+    assert_eq!(running.application_runs(), readiness_runs + 1);
+}
--- a/tests/world/actions.rs
+++ b/tests/world/actions.rs
@@ -9,11 +9,12 @@
 use shelfjunction_core::engine::{AnswerPart, EngineCall, Role};
 use shelfjunction_core::identity::{EngineId, RequestId};
 use shelfjunction_core::ledger::batcher::ClaimWrite;
+use shelfjunction_core::ledger::release::Release;
 use shelfjunction_core::outcome::{Outcome, Refusal, RefusalReason};
 use shelfjunction_core::request::event::{Action, Event};
 use shelfjunction_core::request::specification::{Placement, Target};
 use shelfjunction_core::routing::Route;
-use shelfjunction_core::table::{RowKey, RowVersion};
+use shelfjunction_core::table::RowVersion;
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
 
@@ -75,11 +76,7 @@
                 };
                 self.submit_write(gateway, None, write);
             }
-            Action::Release {
-                key,
-                request,
-                expected,
-            } => self.release_claim(gateway, key, request, expected),
+            Action::Release(release) => self.release_claim(gateway, release),
             Action::Finish(outcome) => self.finish(gateway, caller, outcome),
             Action::Detach => self.end_caller(caller, CallerEnd::Left),
         }
@@ -147,22 +144,11 @@
         }
     }
 
-    fn release_claim(
-        &mut self,
-        gateway: usize,
-        key: RowKey,
-        request: RequestId,
-        expected: Option<RowVersion>,
-    ) {
-        let Some(version) = expected else {
-            return self.read_for_release(gateway, key, request);
-        };
-        let write = ClaimWrite {
-            key,
-            expected: Some(version),
-            value: None,
-        };
-        self.submit_write(gateway, None, write);
+    fn release_claim(&mut self, gateway: usize, release: Release) {
+        match release.write_unread() {
+            Some(write) => self.submit_write(gateway, None, write),
+            None => self.read_for_release(gateway, release),
+        }
     }
 
     fn finish(&mut self, gateway: usize, caller: usize, outcome: Outcome) {
--- a/tests/world/claims.rs
+++ b/tests/world/claims.rs
@@ -6,11 +6,11 @@
 use super::network::{Fate, Place};
 use super::serving::Serving;
 use super::store;
-use shelfjunction_core::identity::RequestId;
 use shelfjunction_core::lease::{TableAnswer, TableCall};
 use shelfjunction_core::ledger::batcher::{Batch, BatchId, ClaimWrite, WriteAnswer};
+use shelfjunction_core::ledger::release::Release;
 use shelfjunction_core::request::event::Event;
-use shelfjunction_core::table::{PlatformError, RowKey, Transaction, TransactionOutcome};
+use shelfjunction_core::table::{PlatformError, Transaction, TransactionOutcome};
 use std::time::Duration;
 
 /// How long a gateway waits for the table.
@@ -143,7 +143,7 @@
         }
     }
 
-    pub(super) fn read_for_release(&mut self, gateway: usize, key: RowKey, request: RequestId) {
+    pub(super) fn read_for_release(&mut self, gateway: usize, release: Release) {
         let process = &self.gateways[gateway];
         let start = process.start;
         if let Fate::Arrives(delay) = self.network.request(Place::Zone(process.zone), Place::Platform) {
@@ -153,17 +153,17 @@
                 Serving::ReleaseAtStore {
                     gateway,
                     start,
-                    key,
-                    request: request.0,
+                    release,
                 },
             );
         }
     }
 
-    pub(super) fn release_at_store(&mut self, gateway: usize, start: u64, key: RowKey, request: String) {
-        let answered = store::carry_out(&mut self.platform, TableCall::Read(key), self.now);
+    pub(super) fn release_at_store(&mut self, gateway: usize, start: u64, release: Release) {
+        let call = TableCall::Read(release.key.clone());
+        let answered = store::carry_out(&mut self.platform, call, self.now);
         if let Some((TableAnswer::Row(row), delay)) = answered {
-            let work = GatewayWork::ReleaseRead { request, row };
+            let work = GatewayWork::ReleaseRead { release, row };
             self.later(self.now + delay, Serving::Work { gateway, start, work });
         }
     }
--- a/tests/world/gateway.rs
+++ b/tests/world/gateway.rs
@@ -7,6 +7,7 @@
 use shelfjunction_core::engine::EngineCall;
 use shelfjunction_core::identity::{AttemptId, EngineId};
 use shelfjunction_core::ledger::batcher::{BatchId, BatchSettings, ClaimBatcher, Ticket};
+use shelfjunction_core::ledger::release::Release;
 use shelfjunction_core::machine::MachineState;
 use shelfjunction_core::membership::record::EngineRecord;
 use shelfjunction_core::request::event::{Action, Event};
@@ -38,8 +39,8 @@
     BatchDue,
     /// A transaction has ended.
     BatchEnded(BatchId, Result<TransactionOutcome, PlatformError>),
-    /// A row was read so that a claim can be deleted.
-    ReleaseRead { request: String, row: Option<Row> },
+    /// A row was read so that a claim can be given back.
+    ReleaseRead { release: Release, row: Option<Row> },
     /// An engine's record arrived.
     Record {
         engine: EngineId,
--- a/tests/world/serving.rs
+++ b/tests/world/serving.rs
@@ -7,10 +7,10 @@
 use super::planted::PlantedFault;
 use super::streams::{Asker, EngineQuestion};
 use shelfjunction_core::engine::AnswerPart;
-use shelfjunction_core::ledger::batcher::{BatchId, ClaimWrite};
-use shelfjunction_core::ledger::row::ClaimRow;
+use shelfjunction_core::ledger::batcher::BatchId;
+use shelfjunction_core::ledger::release::Release;
 use shelfjunction_core::request::event::{Action, Event};
-use shelfjunction_core::table::{PlatformError, RowKey, Transaction, TransactionOutcome};
+use shelfjunction_core::table::{PlatformError, Transaction, TransactionOutcome};
 use shelfjunction_core::time::MonotonicTime;
 
 /// Something that happens to one start of a gateway, or to the engines that it asks.
@@ -40,8 +40,7 @@
     ReleaseAtStore {
         gateway: usize,
         start: u64,
-        key: RowKey,
-        request: String,
+        release: Release,
     },
     RecordAsked {
         gateway: usize,
@@ -110,10 +109,9 @@
             Serving::ReleaseAtStore {
                 gateway,
                 start,
-                key,
-                request,
+                release,
             } => {
-                self.release_at_store(gateway, start, key, request);
+                self.release_at_store(gateway, start, release);
             }
             Serving::RecordAsked {
                 gateway,
@@ -168,15 +166,8 @@
             GatewayWork::Depart { caller, target, call } => self.depart_call(gateway, caller, &target, call),
             GatewayWork::BatchDue => self.send_batches(gateway),
             GatewayWork::BatchEnded(batch, outcome) => self.batch_ended(gateway, batch, outcome),
-            GatewayWork::ReleaseRead { request, row } => {
-                let Some(row) = row else { return };
-                let claim: Option<ClaimRow> = serde_json::from_str(&row.value).ok();
-                if claim.is_some_and(|claim| claim.request.0 == request) {
-                    let write = ClaimWrite {
-                        key: row.key,
-                        expected: Some(row.version),
-                        value: None,
-                    };
+            GatewayWork::ReleaseRead { release, row } => {
+                if let Some(write) = release.write_over(row.as_ref()) {
                     self.submit_write(gateway, None, write);
                 }
             }
