--- a/crates/core/tests/request_bounds.rs
+++ b/crates/core/tests/request_bounds.rs
@@ -4,13 +4,25 @@
 
 use proptest::prelude::*;
 use shelfjunction_core::identity::{AttemptId, EngineId, RequestId, TenantId};
+use shelfjunction_core::ledger::batcher::{BatchSettings, ClaimBatcher, ClaimWrite, WriteAnswer};
 use shelfjunction_core::ledger::retention::{RetentionSettings, RetentionWatch};
-use shelfjunction_core::ledger::row::ClaimRow;
+use shelfjunction_core::ledger::row::{ClaimRow, ReleasedRow};
 use shelfjunction_core::retry::budget::{RetryBudget, RetryBudgetSettings};
-use shelfjunction_core::table::{Row, RowKey, RowVersion};
+use shelfjunction_core::table::{PlatformError, Row, RowKey, RowVersion};
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
 
+fn released_row(claimed_unix_seconds: u64, version: u64) -> Row {
+    let released = ReleasedRow {
+        released: RequestId::new("request"),
+        claimed_unix_seconds,
+    };
+    Row {
+        value: released.text(),
+        ..row(claimed_unix_seconds, version)
+    }
+}
+
 fn row(claimed_unix_seconds: u64, version: u64) -> Row {
     let claim = ClaimRow {
         tenant: TenantId::new("tenant"),
@@ -48,7 +60,11 @@
 
     /// The oracle: a row goes only after both its age and the time it was seen unchanged are over.
     #[test]
-    fn a_claim_is_kept_for_its_time(scans in prop::collection::vec((0..400u64, 0..100_000u64, 1..3u64), 1..20)) {
+    fn a_claim_is_kept_for_its_time(
+        scans in prop::collection::vec((0..400u64, 0..100_000u64, 1..3u64), 1..20),
+        released in any::<bool>(),
+    ) {
+        let row_of_kind = if released { released_row } else { row };
         let settings = RetentionSettings::default();
         let mut watch = RetentionWatch::new(settings);
         let mut now = MonotonicTime::default();
@@ -58,7 +74,7 @@
             if seen_since.1 != version {
                 seen_since = (now, version);
             }
-            let due = watch.on_scan(&[row(1_000, version)], now, 1_000 + wall_seconds);
+            let due = watch.on_scan(&[row_of_kind(1_000, version)], now, 1_000 + wall_seconds);
             let old = wall_seconds > settings.keep.as_secs();
             let observed = now.since(seen_since.0) >= settings.observed;
             prop_assert_eq!(!due.is_empty(), old && observed);
@@ -69,3 +85,24 @@
         prop_assert!(watch.on_scan(&[rubbish], now, u64::MAX).is_empty());
     }
 }
+
+/// A silent table: the claim on its way is in doubt, the one behind it was never sent; both are answered in time.
+#[test]
+fn a_claim_waits_no_longer_than_its_patience() {
+    let settings = BatchSettings {
+        in_flight: 1,
+        writes: 1,
+        ..BatchSettings::default()
+    };
+    let mut batcher = ClaimBatcher::new(settings);
+    let start = MonotonicTime::default();
+    let tickets = ["claim/tenant/sent", "claim/tenant/behind"].map(|key| {
+        let write = ClaimWrite::look_up(RowKey(key.to_owned()));
+        batcher.submit(write, start).unwrap()
+    });
+    let batch = batcher.poll(start + settings.wait).unwrap().batch;
+    let answers = batcher.on_outcome(batch, Err(PlatformError::AnswerLost), start + settings.patience);
+    let expected = [PlatformError::AnswerLost, PlatformError::Unavailable].map(WriteAnswer::Failed);
+    assert_eq!(answers, tickets.into_iter().zip(expected).collect::<Vec<_>>());
+    assert!(batcher.is_idle());
+}
