--- a/crates/core/src/membership/gossiper.rs
+++ b/crates/core/src/membership/gossiper.rs
@@ -8,11 +8,11 @@
 use super::observation::EngineWatch;
 use super::peers::{PeerTable, Regions};
 use super::probing::NodeWatch;
-use super::record::{Liveness, NodeRecord, Record, RecordBody, RecordKey, RecordVersion};
+use super::record::{Liveness, RecordKey};
 use super::spread::SpreadQueue;
 use super::store::{Changes, Merged, RecordStore};
 use super::subject::SubjectHandle;
-use super::wire::{Datagram, Fact, Head, Part, Rubbish, Sender, decode};
+use super::wire::{Datagram, Head, Part, Rubbish, Sender, decode};
 use crate::identity::{Generation, ZoneId};
 use crate::time::MonotonicTime;
 use rand::RngCore;
@@ -26,21 +26,15 @@
 /// Gap between ticks, beyond the interval, that shows that this process stood still.
 const PAUSE_TOLERANCE: Duration = Duration::from_millis(1_500);
 
+/// Time after a pause of this process in which what lay in its socket is read.
+const PAUSE_DRAIN: Duration = Duration::from_secs(1);
+
 /// Bytes of one node beat on the wire, rounded up.
 const NODE_BEAT_BYTES: u64 = 12;
 
 /// Part of the load budget that node beats may take.
 const NODE_BEAT_SHARE: u64 = 8;
 
-/// Most facts that wait to be passed on.
-const MOST_HOT_FACTS: usize = 24;
-
-/// Waiting facts from which on each is passed on fewer times: in a storm comparison by digest costs less.
-const CROWDED_FACTS: usize = 8;
-
-/// Times that a fact is passed on in a storm.
-const SENDS_WHEN_CROWDED: u8 = 2;
-
 /// Longest time to the next digest after a difference was found or a fact was given up.
 pub(super) const HURRIED_DIGEST: Duration = Duration::from_millis(1_000);
 
@@ -82,6 +76,7 @@
     pub(super) next_forget: MonotonicTime,
     pub(super) started: MonotonicTime,
     pub(super) last_tick: MonotonicTime,
+    pub(super) confirms_from: MonotonicTime,
     pub(super) ticks: u64,
     pub(super) beat_sequence: u32,
     pub(super) events: Vec<GossipEvent>,
@@ -131,6 +126,7 @@
             next_forget: now + FORGET_INTERVAL,
             started: now,
             last_tick: now,
+            confirms_from: now,
             ticks: 0,
             beat_sequence: 0,
             events: Vec::new(),
@@ -171,6 +167,7 @@
         now: MonotonicTime,
         random: &mut dyn RngCore,
     ) -> Result<Vec<Outgoing>, Rubbish> {
+        self.distrust_after_pause(now);
         self.counters.datagrams_in += 1;
         self.counters.bytes_in +=
             u64::try_from(bytes.len()).unwrap_or(u64::MAX) + super::budget::HEADER_BYTES;
@@ -231,9 +228,9 @@
         }
     }
 
-    /// Notes that the store confirmed the present head as current.
-    pub fn confirm_head(&mut self, now: MonotonicTime) {
-        self.confirmed_at = self.confirmed_at.max(Some(now));
+    /// Notes that the store, asked at `asked_at`, confirmed the present head as current.
+    pub fn confirm_head(&mut self, asked_at: MonotonicTime) {
+        self.confirmed_at = self.confirmed_at.max(Some(asked_at));
     }
 
     /// Time since the store or a node of another zone confirmed the head; absent when none has.
@@ -279,57 +276,6 @@
         self.own
     }
 
-    /// Writes a fact and passes it on.
-    pub(super) fn write(&mut self, record: Record, now: MonotonicTime) {
-        self.write_as(record, self.own, now);
-    }
-
-    /// Writes a fact that leaves the judgement of life with the node that made it.
-    ///
-    /// A suspicion that changed its witness with an unrelated change could be confirmed by the one who raised it.
-    pub(super) fn write_as(&mut self, record: Record, observer: SubjectHandle, now: MonotonicTime) {
-        let handle = SubjectHandle::of(&record.key);
-        let fact = Fact { record, observer };
-        if self.store.merge(fact, now) == Merged::Newer {
-            self.push_fact(handle, self.config.fact_sends, now);
-        }
-    }
-
-    /// Passes a fact on. Where too many wait already, the oldest is left to comparison by digest, which then hurries.
-    pub(super) fn push_fact(&mut self, handle: SubjectHandle, sends: u8, now: MonotonicTime) {
-        let crowded = self.facts.len() >= CROWDED_FACTS;
-        let sends = if crowded {
-            sends.min(SENDS_WHEN_CROWDED)
-        } else {
-            sends
-        };
-        self.facts.push(handle, sends, Reach::Everywhere);
-        if self.facts.drop_oldest_beyond(MOST_HOT_FACTS) {
-            self.next_digest = self.next_digest.min(now + HURRIED_DIGEST);
-        }
-    }
-
-    /// Writes this node's own fact with the next sequence.
-    pub(super) fn publish_own(&mut self, now: MonotonicTime) {
-        self.own_sequence += 1;
-        let body = RecordBody::Node(NodeRecord {
-            zone: self.identity.zone.clone(),
-            service: self.identity.service,
-            liveness: self.own_liveness,
-            generation: self.generation(),
-        });
-        let record = Record {
-            key: RecordKey::Node(self.identity.node.clone()),
-            version: RecordVersion {
-                incarnation: self.identity.incarnation,
-                sequence: self.own_sequence,
-            },
-            age_millis: 0,
-            body,
-        };
-        self.write(record, now);
-    }
-
     pub(super) fn limits(&self) -> DetectorLimits {
         DetectorLimits {
             suspect_after: Duration::from_millis(self.config.suspect_after_millis),
@@ -355,10 +301,23 @@
         if joining { 0 } else { 1 }
     }
 
+    /// Lets datagrams confirm nothing for a while after a pause: they may have lain in the socket since it began.
+    fn distrust_after_pause(&mut self, now: MonotonicTime) {
+        if now.since(self.last_tick) >= self.longest_tick() {
+            self.confirms_from = now + PAUSE_DRAIN;
+        }
+    }
+
+    /// Time between two ticks from which on this process counts as having been paused.
+    fn longest_tick(&self) -> Duration {
+        PAUSE_TOLERANCE + Duration::from_millis(self.config.tick_millis)
+    }
+
     fn forgive_own_pause(&mut self, now: MonotonicTime) {
+        self.distrust_after_pause(now);
         let gap = now.since(self.last_tick);
         self.last_tick = now;
-        if gap < PAUSE_TOLERANCE + Duration::from_millis(self.config.tick_millis) {
+        if gap < self.longest_tick() {
             return;
         }
         for watch in self.node_watches.values_mut() {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -26,3 +26,4 @@
 pub mod subject;
 pub mod view;
 pub mod wire;
+mod writing;
