Replay recorded calls against a running deployment

Cause: the recordings were replayed in virtual time only; nobody could send recorded calls with stated outcomes through real gateways, and the lab lacked the command that its list of tools names. Ruled out: replaying failures here too, which only virtual time makes the same each time. Conclusion: lab::replay holds the recording, its reader and the comparison.

--- a/crates/lab/src/command/mod.rs
+++ b/crates/lab/src/command/mod.rs
@@ -7,6 +7,7 @@
 mod load;
 mod options;
 mod platform;
+mod replay;
 mod scale;
 mod simulate;
 mod soak;
@@ -42,6 +43,7 @@
     &calibrate::COMMAND,
     &load::COMMAND,
     &demo::COMMAND,
+    &replay::COMMAND,
     &simulate::COMMAND,
     &soak::COMMAND,
     &scale::COMMAND,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod load;
 pub mod platform;
 pub mod relay;
+pub mod replay;
 pub mod report;
 pub mod scale;
 pub mod simulate;
