Merge both kinds of beat by one rule

Cause: the record store held the same merge twice, once for loads and once for nodes; a change to one would have missed the other. Ruled out: a macro. What both carry is a trait of two methods. Conclusion: merge_beat decides, the store marks what changed.

--- a/crates/core/src/membership/aged.rs
+++ b/crates/core/src/membership/aged.rs
@@ -28,8 +28,38 @@
     }
 }
 
+/// What every kind of beat carries: its position and its age, by which the newer of two is told.
+pub(super) trait Beat {
+    /// Position among the beats of its subject.
+    fn sequence(&self) -> u32;
+
+    /// Age when it was sent, in tenths of a second.
+    fn age_tenths(&self) -> u16;
+}
+
+/// Puts a beat in the place of the one held, unless that one is as new or newer.
+pub(super) fn merge_beat<B: Beat>(held: &mut Option<Aged<B>>, beat: B, now: MonotonicTime) -> Merged {
+    if let Some(held) = held {
+        let order = beat_order(
+            beat.sequence(),
+            beat.age_tenths(),
+            held.value.sequence(),
+            held.age_tenths(now),
+        );
+        if order != Merged::Newer {
+            return order;
+        }
+    }
+    *held = Some(Aged {
+        age: tenths(beat.age_tenths()),
+        held_since: now,
+        value: beat,
+    });
+    Merged::Newer
+}
+
 /// Orders two beats by position, unless one is much older: a new watcher or process may begin to count anew.
-pub(super) fn beat_order(sequence: u32, age_tenths: u16, held_sequence: u32, held_age_tenths: u16) -> Merged {
+fn beat_order(sequence: u32, age_tenths: u16, held_sequence: u32, held_age_tenths: u16) -> Merged {
     if sequence == held_sequence {
         return Merged::Known;
     }
--- a/crates/core/src/membership/beat.rs
+++ b/crates/core/src/membership/beat.rs
@@ -1,5 +1,6 @@
 //! Beats: small, often replaced reports that age and need not arrive.
 
+use super::aged::Beat;
 use super::quantity::{from_byte, to_byte};
 use super::subject::SubjectHandle;
 use crate::engine::LoadReport;
@@ -110,3 +111,23 @@
     /// The generation.
     pub generation: Generation,
 }
+
+impl Beat for LoadBeat {
+    fn sequence(&self) -> u32 {
+        self.sequence
+    }
+
+    fn age_tenths(&self) -> u16 {
+        self.age_tenths
+    }
+}
+
+impl Beat for NodeBeat {
+    fn sequence(&self) -> u32 {
+        self.sequence
+    }
+
+    fn age_tenths(&self) -> u16 {
+        self.age_tenths
+    }
+}
--- a/crates/core/src/membership/store.rs
+++ b/crates/core/src/membership/store.rs
@@ -1,6 +1,6 @@
 //! Everything that one node knows about nodes and engines, merged by version.
 
-use super::aged::{Aged, beat_order, millis, tenths};
+use super::aged::{Aged, merge_beat, millis};
 use super::beat::{LoadBeat, NodeBeat};
 use super::record::{Liveness, Record, RecordBody, RecordKey, RecordVersion};
 use super::subject::SubjectHandle;
@@ -143,52 +143,29 @@
 
     /// Merges a load beat by its position.
     pub fn merge_load(&mut self, beat: LoadBeat, now: MonotonicTime) -> Merged {
-        let Some(entry) = self.entries.get_mut(&beat.engine) else {
+        let engine = beat.engine;
+        let Some(entry) = self.entries.get_mut(&engine) else {
             return Merged::Refused;
         };
-        if let Some(held) = &entry.load {
-            let order = beat_order(
-                beat.sequence,
-                beat.age_tenths,
-                held.value.sequence,
-                held.age_tenths(now),
-            );
-            if order != Merged::Newer {
-                return order;
-            }
-        }
-        entry.load = Some(Aged {
-            age: tenths(beat.age_tenths),
-            held_since: now,
-            value: beat,
-        });
-        self.mark_changed(beat.engine);
-        Merged::Newer
+        let merged = merge_beat(&mut entry.load, beat, now);
+        self.mark_if_newer(engine, merged)
     }
 
     /// Merges a node beat by its position.
     pub fn merge_node_beat(&mut self, beat: NodeBeat, now: MonotonicTime) -> Merged {
-        let Some(entry) = self.entries.get_mut(&beat.node) else {
+        let node = beat.node;
+        let Some(entry) = self.entries.get_mut(&node) else {
             return Merged::Refused;
         };
-        if let Some(held) = &entry.beat {
-            let order = beat_order(
-                beat.sequence,
-                beat.age_tenths,
-                held.value.sequence,
-                held.age_tenths(now),
-            );
-            if order != Merged::Newer {
-                return order;
-            }
+        let merged = merge_beat(&mut entry.beat, beat, now);
+        self.mark_if_newer(node, merged)
+    }
+
+    fn mark_if_newer(&mut self, subject: SubjectHandle, merged: Merged) -> Merged {
+        if merged == Merged::Newer {
+            self.mark_changed(subject);
         }
-        entry.beat = Some(Aged {
-            age: tenths(beat.age_tenths),
-            held_since: now,
-            value: beat,
-        });
-        self.mark_changed(beat.node);
-        Merged::Newer
+        merged
     }
 
     /// Forgets dead subjects that were written longer ago than `retention`.
