--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -32,6 +32,7 @@
     match command.as_str() {
         "gateway" => node::run_gateway(rest),
         "controller" => node::run_controller(rest),
+        "node" => node::run_node(rest),
         "bundle" => operator::run_bundle(rest),
         "status" => operator::run_status(rest),
         "engines" => operator::run_engines(rest),
--- a/crates/cli/src/node/mod.rs
+++ b/crates/cli/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The two programs of a machine: gateway and controller.
 
 mod controller;
+mod forwarder;
 mod gateway;
 mod signals;
 
@@ -9,6 +10,7 @@
 use crate::settings::{self, NodeSettings, Override, ProgramSettings};
 use crate::usage;
 use shelfjunction_logging as logging;
+use std::path::PathBuf;
 
 /// Runs `shelfjunction gateway`.
 pub fn run_gateway(arguments: &[String]) -> Result<(), CommandError> {
@@ -26,6 +28,25 @@
     }
 }
 
+/// Runs `shelfjunction node`.
+pub fn run_node(arguments: &[String]) -> Result<(), CommandError> {
+    match prepare(usage::NODE, arguments)? {
+        Some(settings) => forwarder::run(settings),
+        None => Ok(()),
+    }
+}
+
+/// Variable that names the settings file where no option does.
+const SETTINGS_VARIABLE: &str = "SHELFJUNCTION_CONFIG";
+
+/// The settings file that the option or the variable names.
+fn settings_path(values: &Values) -> Result<PathBuf, CommandError> {
+    match (values.get("settings"), std::env::var_os(SETTINGS_VARIABLE)) {
+        (None, Some(path)) => Ok(PathBuf::from(path)),
+        _ => values.require_path("settings"),
+    }
+}
+
 /// Reads the command line and the settings; absent when there is nothing to run.
 fn prepare<T: ProgramSettings>(
     brief: &'static str,
@@ -47,7 +68,7 @@
     };
     values.no_arguments()?;
     let overrides = overrides::<T>(&values)?;
-    let loaded = settings::load::<T>(&values.require_path("settings")?, &overrides)?;
+    let loaded = settings::load::<T>(&settings_path(&values)?, &overrides)?;
     if values.has("check") {
         println!("settings are in order");
         return Ok(None);
--- a/crates/cli/src/settings/node.rs
+++ b/crates/cli/src/settings/node.rs
@@ -28,6 +28,9 @@
     /// Name of the program's table in the file.
     const TABLE: &'static str;
 
+    /// Whether the program checks signatures and so needs the root keys.
+    const HAS_ROOT_KEYS: bool = true;
+
     /// A table that is right and as short as possible.
     const TEMPLATE: &'static str;
 
@@ -44,13 +47,16 @@
 struct CommonFields {
     #[serde(default = "default_log_level")]
     log_level: String,
-    root_keys_file: PathBuf,
+    root_keys_file: Option<PathBuf>,
 }
 
 fn default_log_level() -> String {
     "info".to_owned()
 }
 
+/// Name of the field that names the root keys' file.
+const ROOT_KEYS_FIELD: &str = "root_keys_file";
+
 const COMMON_TEMPLATE: &str = "root_keys_file = 'root-keys.toml'\n";
 
 /// Loads a program's settings from a file and flags; every fault is in the error.
@@ -69,7 +75,10 @@
     let mut errors = Vec::new();
     let common = check_common::<T>(&document, &mut errors);
     let log_level = check_level(&common.log_level, &mut errors);
-    let roots = read_roots(&document, &directory.join(&common.root_keys_file), &mut errors);
+    let roots = match &common.root_keys_file {
+        Some(file) => read_roots(&document, &directory.join(file), &mut errors),
+        None => SigningAuthority::default(),
+    };
     let program = check_program::<T>(own, &roots, directory, &mut errors);
     match program {
         Some(program) if errors.is_empty() => Ok(NodeSettings { log_level, program }),
@@ -91,7 +100,8 @@
 }
 
 fn check_common<T: ProgramSettings>(document: &Table, errors: &mut Vec<FieldError>) -> CommonFields {
-    let template = full_template::<CommonFields>(COMMON_TEMPLATE);
+    let template = if T::HAS_ROOT_KEYS { COMMON_TEMPLATE } else { "" };
+    let template = full_template::<CommonFields>(template);
     let (fields, faults) = check_document::<CommonFields>(document, &template);
     errors.extend(faults.into_iter().map(|mut fault| {
         if fault.allowed.starts_with("a known field") {
@@ -99,9 +109,16 @@
         }
         fault
     }));
+    if T::HAS_ROOT_KEYS && !document.contains_key(ROOT_KEYS_FIELD) {
+        errors.push(FieldError {
+            field: ROOT_KEYS_FIELD.to_owned(),
+            value: "(missing)".to_owned(),
+            allowed: "a value such as \"root-keys.toml\"".to_owned(),
+        });
+    }
     fields.unwrap_or_else(|| CommonFields {
         log_level: default_log_level(),
-        root_keys_file: PathBuf::new(),
+        root_keys_file: None,
     })
 }
 
--- a/crates/cli/src/usage.rs
+++ b/crates/cli/src/usage.rs
@@ -7,6 +7,7 @@
 Programs of a machine:
   gateway                  serve callers and operators over HTTP
   controller               watch the fleet, distribute bundles, order engines
+  node                     both in one process, for forwarded requests on the users' platform
 
 Commands of an operator:
   bundle validate FILE     check a bundle before anybody sees it
@@ -51,6 +52,16 @@
 Example:
   shelfjunction controller --settings examples/pharmacy/sthlm-a-controller.toml --check";
 
+/// `node`.
+pub const NODE: &str = "\
+Usage: shelfjunction node [--settings FILE] [OPTIONS]
+
+Forwards callers' requests to engines until SIGTERM or SIGINT, then finishes every request and ends. Without --settings
+the variable SHELFJUNCTION_CONFIG names the file.
+
+Example:
+  shelfjunction node --settings examples/node.toml --check";
+
 /// `bundle`.
 pub const BUNDLE: &str = "\
 Usage: shelfjunction bundle validate|keygen|propose|sign|rollout|rollback|history|show [OPTIONS]
--- /dev/null
+++ b/crates/core/src/forwarding/mod.rs
@@ -0,0 +1,15 @@
+//! Configuration of forwarded requests: routes by host and path, the pools of engines behind them, and limits.
+//!
+//! A forwarded request is opaque: its bytes go to an engine and the engine's bytes come back unchanged. What the
+//! system may do with it (repeat it, resume it, split it between engines) stands in its [`RouteRule`].
+
+mod config;
+mod in_force;
+pub mod patience;
+mod route;
+mod share;
+
+pub use config::{CallerLimits, ForwardingConfig, ModelTraits, PoolConfig, PoolId};
+pub use in_force::{Adoption, ConfigInForce};
+pub use route::{PoolShare, RepeatRule, RouteId, RouteRule};
+pub use share::ShareRotation;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demand;
 pub mod drain;
 pub mod engine;
+pub mod forwarding;
 pub mod identity;
 pub mod lease;
 pub mod ledger;
--- a/crates/core/src/membership/subject.rs
+++ b/crates/core/src/membership/subject.rs
@@ -33,6 +33,13 @@
         Self(handle)
     }
 
+    /// The handle of something that is a well-mixed number already.
+    pub fn of_number(number: u64) -> Self {
+        let mut handle = [0; HANDLE_BYTES];
+        handle.copy_from_slice(&number.to_be_bytes()[..HANDLE_BYTES]);
+        Self(handle)
+    }
+
     /// The handle as a number.
     pub fn number(self) -> u64 {
         self.0
--- a/crates/core/src/request/event.rs
+++ b/crates/core/src/request/event.rs
@@ -1,7 +1,7 @@
 //! What happens to a request, and what its machine asks for.
 
 use super::specification::{Placement, Target};
-use crate::engine::{AnswerPart, EngineCall, EngineRefusal, RunState};
+use crate::engine::{AnswerPart, EngineCall, EngineRefusal, KvTransfer, RunState};
 use crate::identity::{AttemptId, EngineId};
 use crate::ledger::release::Release;
 use crate::ledger::row::{ClaimRow, StoredClaim};
@@ -9,6 +9,38 @@
 use crate::table::{PlatformError, RowKey, RowVersion};
 use crate::time::MonotonicTime;
 
+/// A piece of an opaque answer; its bytes stay with the driver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpaquePart {
+    /// One event of a series.
+    Event {
+        /// Its identifier; identifiers rise within a series.
+        id: u64,
+    },
+    /// The series of events has ended in order.
+    Ended,
+    /// A whole answer that reports success.
+    Whole,
+    /// A whole answer that reports a failure; the engine ran the request.
+    Failure,
+}
+
+/// What only opaque requests ask for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ForwardAction {
+    /// Choose an engine for the output alone, whose KV cache is held at `source`; answered like [`Action::Choose`].
+    ChooseOutput {
+        /// Engine that holds the KV cache.
+        source: EngineId,
+        /// Engines that failed this request before.
+        excluded: Vec<EngineId>,
+    },
+    /// Hand a piece of the answer to the caller.
+    Deliver(OpaquePart),
+    /// Nobody will fetch this KV cache any more; best effort.
+    FreeTransfer(KvTransfer),
+}
+
 /// Something that happened to a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -66,6 +98,13 @@
         /// The part.
         part: AnswerPart,
     },
+    /// A piece of an open opaque answer.
+    Forwarded {
+        /// The dispatch whose answer it belongs to.
+        attempt: AttemptId,
+        /// The piece.
+        part: OpaquePart,
+    },
     /// An open stream ended, in order or not, or held something that could not be understood.
     Disconnected {
         /// The dispatch whose stream it was.
@@ -174,6 +213,8 @@
         /// Version it must have.
         expected: RowVersion,
     },
+    /// Asked for by opaque requests only.
+    Forward(ForwardAction),
     /// Tell the caller the final outcome; the course is over.
     Finish(Outcome),
     /// The caller is gone and the engine goes on; the answer can be fetched later. The course is over.
--- a/crates/core/src/request/machine.rs
+++ b/crates/core/src/request/machine.rs
@@ -1,9 +1,11 @@
 //! The state machine of one request.
 
-use super::event::{Action, Event};
+use super::event::{Action, Event, ForwardAction};
+use super::forwarding::HeldTransfer;
 use super::outcome::Evidence;
 use super::specification::{CourseLimits, Placement, RequestSpecification, Target};
 use super::stream_check::StreamCheck;
+use crate::engine::Phase;
 use crate::identity::{AttemptId, EngineId, RequestId};
 use crate::ledger::row::ClaimRow;
 use crate::outcome::{Failure, Refusal};
@@ -115,6 +117,12 @@
     /// The request as this course named it before it joined another claim.
     pub(super) own_request: RequestId,
     pub(super) last_refusal: Option<Refusal>,
+    /// Engines that ran the request, as far as anybody can tell.
+    pub(super) runs: u32,
+    /// Identifier of the last event of an opaque answer that was delivered.
+    pub(super) last_event: Option<u64>,
+    /// KV cache that an engine holds for an opaque request whose output has not begun.
+    pub(super) transfer: Option<HeldTransfer>,
     pub(super) dispatch_not_after: MonotonicTime,
 }
 
@@ -148,6 +156,9 @@
             rejoined: false,
             moves_met: 0,
             last_refusal: None,
+            runs: 0,
+            last_event: None,
+            transfer: None,
         }
     }
 
@@ -201,6 +212,14 @@
         if self.is_over() {
             return self.on_late_claim(&event);
         }
+        let mut actions = self.advance(event, now);
+        if self.is_over() {
+            self.free_transfer_before_the_end(&mut actions);
+        }
+        actions
+    }
+
+    fn advance(&mut self, event: Event, now: MonotonicTime) -> Vec<Action> {
         match event {
             Event::DeadlineReached => return self.on_deadline(),
             Event::CallerCancelled => return self.on_cancelled(),
@@ -238,6 +257,12 @@
 
     pub(super) fn choose(&mut self, not_before: MonotonicTime) -> Vec<Action> {
         self.state = State::Choosing;
+        if let Some(held) = &self.transfer {
+            return vec![Action::Forward(ForwardAction::ChooseOutput {
+                source: held.source.clone(),
+                excluded: self.excluded.clone(),
+            })];
+        }
         vec![Action::Choose {
             not_before,
             excluded: self.excluded.clone(),
@@ -266,6 +291,10 @@
         }
         self.placements += 1;
         self.attempts += 1;
+        if let (Some(held), Placement::Whole(target)) = (&self.transfer, &placement) {
+            let import = held.transfer.clone();
+            return self.dispatch(target.clone(), Phase::Whole, Some(import));
+        }
         self.ask_for_claim(placement, now)
     }
 
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -16,6 +16,7 @@
 
 mod claiming;
 pub mod event;
+mod forwarding;
 mod looking;
 pub mod machine;
 mod outcome;
--- a/crates/core/src/request/outcome.rs
+++ b/crates/core/src/request/outcome.rs
@@ -73,7 +73,7 @@
     /// Ends the course with the strongest statement that the evidence allows; "not run" is said of a key only after a
     /// look at its claim.
     pub(super) fn give_up(&mut self, refusal: Refusal, failure: Failure) -> Vec<Action> {
-        if self.evidence.furthest() == Progress::Untouched && !self.key_is_free() {
+        if self.progress() == Progress::Untouched && !self.key_is_free() {
             return self.look_up(LookUp::BeforeRefusal(refusal));
         }
         self.give_up_at_once(refusal, failure)
@@ -81,7 +81,7 @@
 
     /// Ends the course like [`Self::give_up`], with no time for a look at the claim.
     pub(super) fn give_up_at_once(&mut self, refusal: Refusal, failure: Failure) -> Vec<Action> {
-        let outcome = match self.evidence.furthest() {
+        let outcome = match self.progress() {
             Progress::Untouched if !self.key_is_free() => Outcome::Unknown(failure),
             Progress::Untouched => Outcome::NotRun(refusal),
             Progress::HandedOver => Outcome::Unknown(failure),
@@ -99,6 +99,15 @@
         actions
     }
 
+    /// How far the request has come; an engine that reads an opaque request's prompt does not run it.
+    fn progress(&self) -> Progress {
+        if self.specification.is_opaque() {
+            self.evidence.output
+        } else {
+            self.evidence.furthest()
+        }
+    }
+
     /// Whether no earlier call with the key can have run.
     fn key_is_free(&self) -> bool {
         self.specification.key.is_none() || self.key_was_free
@@ -180,6 +189,9 @@
     /// The engine goes on, so that the answer can be fetched again; what was not yet sent is not sent.
     pub(super) fn on_caller_gone(&mut self) -> Vec<Action> {
         self.note_call_on_its_way();
+        if self.specification.is_opaque() {
+            return self.abandon_opaque();
+        }
         if self.evidence.was_handed_over() {
             self.state = State::Over;
             return vec![Action::Detach];
@@ -223,14 +235,15 @@
     /// A request that may not be repeated goes on after its deadline: its effect can't be undone by stopping it
     /// halfway, and its answer can be fetched by its key.
     fn cancel_if_useless(&mut self) -> Vec<Action> {
-        if self.specification.repeatable() && !self.rejoined {
+        let useless = self.specification.repeatable() && !self.rejoined;
+        if useless || self.specification.is_opaque() {
             self.cancel_at_engine()
         } else {
             Vec::new()
         }
     }
 
-    fn cancel_at_engine(&mut self) -> Vec<Action> {
+    pub(super) fn cancel_at_engine(&mut self) -> Vec<Action> {
         match &self.state {
             State::Reading { engine, .. }
             | State::Asking { engine }
--- a/crates/core/src/request/reading.rs
+++ b/crates/core/src/request/reading.rs
@@ -33,7 +33,12 @@
         }
     }
 
-    fn dispatch(&mut self, target: Target, phase: Phase, import: Option<KvTransfer>) -> Vec<Action> {
+    pub(super) fn dispatch(
+        &mut self,
+        target: Target,
+        phase: Phase,
+        import: Option<KvTransfer>,
+    ) -> Vec<Action> {
         let attempt = self.attempt();
         let offset = self.check.next_offset();
         let call = self.specification.call(attempt.clone(), phase, import, offset);
@@ -70,6 +75,7 @@
                             source: prefill.address,
                             handle,
                         };
+                        self.hold_transfer(&prefill.engine, &import);
                         self.dispatch(decode, Phase::Whole, Some(import))
                     }
                     _ => self.prefill_failed(prefill.engine),
@@ -99,7 +105,7 @@
     /// Running a prompt has no effect outside, so it may be tried elsewhere.
     fn prefill_failed(&mut self, engine: EngineId) -> Vec<Action> {
         self.excluded.push(engine);
-        self.whole_only = true;
+        self.whole_only = !self.specification.is_opaque();
         self.ask_retry()
     }
 
@@ -114,18 +120,26 @@
         match event {
             Event::Opened { attempt } if &attempt == current => {
                 self.evidence.handed_over();
+                self.transfer = None;
                 Vec::new()
             }
             Event::Part { attempt, part } if &attempt == current => {
                 self.evidence.ran();
                 self.on_part(part, engine, now)
             }
+            Event::Forwarded { attempt, part } if &attempt == current => {
+                self.evidence.ran();
+                self.on_forwarded(part, engine)
+            }
             Event::Disconnected { attempt } if &attempt == current => {
                 self.evidence.handed_over();
                 self.resume(engine, now)
             }
             Event::Refused { attempt, refusal } if &attempt == current => match kind {
-                ReadingKind::Dispatch => self.on_refused_before_running(engine, &refusal),
+                ReadingKind::Dispatch => {
+                    self.note_output_refused();
+                    self.on_refused_before_running(engine, &refusal)
+                }
                 ReadingKind::Resume => self.reading_failed(engine, now),
             },
             Event::NotSent { attempt } if &attempt == current => match kind {
@@ -165,7 +179,8 @@
         }
     }
 
-    fn on_engine_failed(&mut self, reason: &str, engine: EngineId) -> Vec<Action> {
+    pub(super) fn on_engine_failed(&mut self, reason: &str, engine: EngineId) -> Vec<Action> {
+        self.runs += 1;
         if reason == CANCELLED_REASON {
             let mut actions = self.settle(Settlement::Failed);
             actions.extend(self.finish(Outcome::Failed(Failure::Cancelled)));
@@ -194,7 +209,7 @@
         if malformed {
             return self.give_up_as_refused();
         }
-        if refusal.reason == EngineRefusalReason::TransferGone {
+        if refusal.reason == EngineRefusalReason::TransferGone && !self.specification.is_opaque() {
             self.whole_only = true;
         } else {
             self.excluded.push(engine);
--- a/crates/core/src/request/recovery.rs
+++ b/crates/core/src/request/recovery.rs
@@ -16,7 +16,7 @@
 impl RequestMachine {
     /// Whether another engine may be handed the request although one may have run it.
     pub(super) fn may_run_again(&self) -> bool {
-        self.specification.repeatable() && !self.rejoined
+        self.specification.repeatable() && !self.rejoined && self.runs < self.limits.runs
     }
 
     /// Joins the course of another request with the same key and body: its engine is asked, nothing is sent.
@@ -56,6 +56,8 @@
     /// A stream could not be opened or resumed and the engine may have run the request.
     pub(super) fn reading_failed(&mut self, engine: EngineId, now: MonotonicTime) -> Vec<Action> {
         self.evidence.handed_over();
+        self.runs += 1;
+        self.transfer = None;
         if !self.may_run_again() {
             return self.ask(engine, now);
         }
--- a/crates/core/src/request/specification.rs
+++ b/crates/core/src/request/specification.rs
@@ -2,15 +2,28 @@
 
 use crate::bundle::content::ModelKind;
 use crate::engine::{EngineCall, KvTransfer, Phase};
+use crate::forwarding::RepeatRule;
 use crate::identity::{AdapterId, AttemptId, EngineId, ModelId, RequestId, TenantId};
 use crate::service_class::ServiceClass;
 use crate::time::MonotonicTime;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Who understands a request's content.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RequestForm {
+    /// The system: a prompt goes in, tokens come back, an engine can be asked again for an answer it holds.
+    #[default]
+    Text,
+    /// Only caller and engine: bytes go in, bytes or events come back, and an engine keeps nothing of them.
+    Opaque(RepeatRule),
+}
+
 /// One admitted request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestSpecification {
+    /// Who understands the content.
+    pub form: RequestForm,
     /// Identifier that engines know the request by.
     pub request: RequestId,
     /// The caller's organisation.
@@ -86,6 +99,8 @@
 pub struct CourseLimits {
     /// Most placements tried.
     pub placements: u32,
+    /// Most engines that may run the request, refusals not counted.
+    pub runs: u32,
     /// Most times one engine's broken stream is resumed without a new token in between.
     pub resumes: u32,
     /// Most times an engine is asked what became of a request before the answer is "unknown"; counted anew when a
@@ -101,6 +116,7 @@
     fn default() -> Self {
         Self {
             placements: 4,
+            runs: u32::MAX,
             resumes: 3,
             questions: 4,
             question_pause: Duration::from_millis(100),
@@ -112,7 +128,15 @@
 impl RequestSpecification {
     /// Whether running the request twice does no harm.
     pub fn repeatable(&self) -> bool {
-        self.key.is_none() && self.kind == ModelKind::Model
+        match self.form {
+            RequestForm::Text => self.key.is_none() && self.kind == ModelKind::Model,
+            RequestForm::Opaque(rule) => rule != RepeatRule::Never,
+        }
+    }
+
+    /// Whether the content is opaque to the system.
+    pub fn is_opaque(&self) -> bool {
+        matches!(self.form, RequestForm::Opaque(_))
     }
 
     /// The call that hands this request to an engine.
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod backoff;
 pub mod budget;
+pub mod window;
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -6,6 +6,7 @@
 pub mod cache;
 pub mod cost;
 pub mod health;
+pub mod pool;
 pub mod prefix;
 pub mod query;
 pub mod router;
--- /dev/null
+++ b/crates/core/src/routing/pool/choice.rs
@@ -0,0 +1,408 @@
+//! The router: what is known of the engines in, one choice out.
+
+use super::beliefs::{PeerWork, SpeedEstimate};
+use super::cost::{CostContext, shared_prefixes};
+use super::engine::{EngineStage, EngineState, PoolEngine, SentWork, ToldLoad};
+use super::query::{PoolQuery, PrefixBlock};
+use super::weights::PoolWeights;
+use crate::engine::EngineRefusalReason;
+use crate::forwarding::{ForwardingConfig, PoolId};
+use crate::identity::{EngineId, NodeId};
+use crate::membership::rendezvous;
+use crate::membership::subject::SubjectHandle;
+use crate::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Memory assumed of an engine whose pool does not tell, in tokens.
+const ASSUMED_CACHE_TOKENS: u64 = 400_000;
+
+/// Share of an observation in an engine's slowness.
+const SLOWNESS_SHARE: f64 = 0.3;
+
+/// Bounds of an engine's slowness.
+const SLOWNESS_BOUNDS: (f64, f64) = (1.0, 20.0);
+
+/// Chooses engines for forwarded requests; holds no socket, thread or clock.
+#[derive(Clone, Debug)]
+pub struct PoolRouter {
+    weights: PoolWeights,
+    engines: BTreeMap<EngineId, EngineState>,
+    speeds: BTreeMap<PoolId, SpeedEstimate>,
+    cache_tokens: BTreeMap<PoolId, u64>,
+    tickets: u64,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PoolRoute {
+    /// One engine serves all of it.
+    Whole(PoolEngine),
+    /// One engine reads the prompt; another fetches its KV cache and runs the output.
+    Split {
+        /// Reads the prompt.
+        prefill: PoolEngine,
+        /// Runs the output.
+        decode: PoolEngine,
+    },
+    /// No engine can take it now.
+    Nowhere,
+}
+
+/// Receipt of one dispatch, to be handed back when it ends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolTicket {
+    engine: EngineId,
+    number: u64,
+}
+
+impl PoolTicket {
+    /// The engine it was sent to.
+    pub fn engine(&self) -> &EngineId {
+        &self.engine
+    }
+}
+
+impl PoolRouter {
+    /// A router that knows no engine yet.
+    pub fn new(weights: PoolWeights) -> Self {
+        Self {
+            weights,
+            engines: BTreeMap::new(),
+            speeds: BTreeMap::new(),
+            cache_tokens: BTreeMap::new(),
+            tickets: 0,
+        }
+    }
+
+    /// Takes what a configuration tells of the pools.
+    pub fn on_config(&mut self, config: &ForwardingConfig) {
+        for pool in &config.pools {
+            if let Some(model) = &pool.model {
+                self.cache_tokens.insert(pool.id.clone(), model.cache_tokens);
+            }
+        }
+    }
+
+    /// Takes the listing of one engine.
+    pub fn on_engine(&mut self, engine: PoolEngine) {
+        match self.engines.get_mut(&engine.id) {
+            Some(state) => state.update(engine),
+            None => {
+                let tokens = self.cache_tokens.get(&engine.pool);
+                let tokens = tokens.copied().unwrap_or(ASSUMED_CACHE_TOKENS);
+                self.engines
+                    .insert(engine.id.clone(), EngineState::new(engine, tokens));
+            }
+        }
+    }
+
+    /// Forgets an engine.
+    pub fn on_engine_gone(&mut self, engine: &EngineId) {
+        self.engines.remove(engine);
+    }
+
+    /// Takes another node's word of its work at an engine.
+    pub fn on_peer_work(&mut self, peer: &NodeId, engine: &EngineId, work: PeerWork, now: MonotonicTime) {
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.peers.insert(peer.clone(), (work, now));
+        }
+    }
+
+    /// Takes the load that an engine told in an answer.
+    pub fn on_told(&mut self, engine: &EngineId, told: ToldLoad, now: MonotonicTime) {
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.told = Some((told, now));
+        }
+    }
+
+    /// All engines known, by name.
+    pub fn engines(&self) -> impl Iterator<Item = &EngineState> {
+        self.engines.values()
+    }
+
+    /// One engine.
+    pub fn engine(&self, engine: &EngineId) -> Option<&EngineState> {
+        self.engines.get(engine)
+    }
+
+    /// Chooses where a request goes; nothing that leaves, is left alone for a while or lacks the model is chosen.
+    pub fn choose(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> PoolRoute {
+        let context = self.context(query.pool, now);
+        if query.prompt.is_none() {
+            return cheapest(self.candidates(query, EngineStage::Whole, now), |state| {
+                context.output(state, query.zone)
+            })
+            .map_or(PoolRoute::Nowhere, |(_, state)| {
+                PoolRoute::Whole(state.engine.clone())
+            });
+        }
+        let split = self.choose_split(query, &context);
+        let whole = self.choose_reading_decode(query, &context, split.is_none());
+        match (split, whole) {
+            (Some((split_cost, _, _)), Some((cost, state))) if cost < split_cost => {
+                PoolRoute::Whole(state.engine.clone())
+            }
+            (Some((_, prefill, decode)), _) => PoolRoute::Split {
+                prefill: prefill.engine.clone(),
+                decode: decode.engine.clone(),
+            },
+            (None, Some((_, state))) => PoolRoute::Whole(state.engine.clone()),
+            (None, None) => PoolRoute::Nowhere,
+        }
+    }
+
+    /// Chooses the engine that runs the output of a prompt that `source` has read.
+    pub fn choose_output(
+        &self,
+        query: &PoolQuery<'_>,
+        source: &EngineId,
+        now: MonotonicTime,
+    ) -> Option<PoolEngine> {
+        let context = self.context(query.pool, now);
+        let zone = self
+            .engines
+            .get(source)
+            .map_or(query.zone, |state| &state.engine.zone);
+        cheapest(self.candidates(query, EngineStage::Decode, now), |state| {
+            context.output(state, zone)
+        })
+        .map(|(_, state)| state.engine.clone())
+    }
+
+    /// Seconds until a prompt sent now would have been read, at the best engine; absent where none reads prompts.
+    pub fn prompt_delay(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<Duration> {
+        let context = self.context(query.pool, now);
+        let (_, state) = self.choose_prefill(query, &context)?;
+        let tokens = state.work(now).prompt_tokens + context.unheld(state, query);
+        Some(Duration::from_secs_f64(state.slowness * tokens / context.speed))
+    }
+
+    /// Notes that a prompt is sent to an engine that reads it.
+    pub fn on_prompt_sent(
+        &mut self,
+        engine: &EngineId,
+        query: &PoolQuery<'_>,
+        now: MonotonicTime,
+    ) -> PoolTicket {
+        let context = self.context(query.pool, now);
+        let unheld = self
+            .engines
+            .get(engine)
+            .map_or(0.0, |state| context.unheld(state, query));
+        let memory = query.prompt.map_or(0, |prompt| prompt.tokens);
+        self.sent(engine, unheld, f64::from(memory), now)
+    }
+
+    /// Notes that a request is sent to an engine that answers it; `reads` tells whether it reads the prompt too.
+    pub fn on_output_sent(
+        &mut self,
+        engine: &EngineId,
+        query: &PoolQuery<'_>,
+        reads: bool,
+        now: MonotonicTime,
+    ) -> PoolTicket {
+        let context = self.context(query.pool, now);
+        let unheld = match self.engines.get(engine) {
+            Some(state) if reads => context.unheld(state, query),
+            _ => 0.0,
+        };
+        let memory = query
+            .prompt
+            .map_or(0, |prompt| prompt.tokens + prompt.output_tokens);
+        self.sent(engine, unheld, f64::from(memory), now)
+    }
+
+    /// Notes that an engine has read a prompt, whose parts it holds from now on.
+    pub fn on_prompt_read(&mut self, ticket: &PoolTicket, prefixes: &[PrefixBlock], now: MonotonicTime) {
+        let Some(state) = self.engines.get_mut(&ticket.engine) else {
+            return;
+        };
+        state.health.succeeded();
+        state.prefixes.note_read(prefixes, now);
+        if let Some(work) = state.sent.remove(&ticket.number)
+            && work.alone
+        {
+            let took = now.since(work.sent_at);
+            let pool = state.engine.pool.clone();
+            let speed = speed_of(&mut self.speeds, &pool, &self.weights);
+            let expected = work.prompt_tokens / speed.tokens_per_second();
+            observe_slowness(state, took, expected);
+            speed.observe(work.prompt_tokens, took);
+        }
+    }
+
+    /// Notes that parts of a prompt came to be held by an engine that fetched them.
+    pub fn on_prefixes_held(&mut self, engine: &EngineId, prefixes: &[PrefixBlock], now: MonotonicTime) {
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.prefixes.note_read(prefixes, now);
+        }
+    }
+
+    /// Notes that a dispatch ended well.
+    pub fn on_answered(&mut self, ticket: &PoolTicket) {
+        if let Some(state) = self.engines.get_mut(&ticket.engine) {
+            state.sent.remove(&ticket.number);
+            state.health.succeeded();
+        }
+    }
+
+    /// Notes that a dispatch ended for a cause that is not the engine's.
+    pub fn on_abandoned(&mut self, ticket: &PoolTicket) {
+        if let Some(state) = self.engines.get_mut(&ticket.engine) {
+            state.sent.remove(&ticket.number);
+        }
+    }
+
+    /// Notes that an engine refused a dispatch before running it.
+    pub fn on_refused(&mut self, ticket: &PoolTicket, reason: EngineRefusalReason, now: MonotonicTime) {
+        if let Some(state) = self.engines.get_mut(&ticket.engine) {
+            state.sent.remove(&ticket.number);
+            state.health.refused(reason, now);
+        }
+    }
+
+    /// Notes that a connection to an engine broke, stayed silent or could not be made.
+    pub fn on_broken(&mut self, ticket: &PoolTicket, now: MonotonicTime) {
+        if let Some(state) = self.engines.get_mut(&ticket.engine) {
+            state.sent.remove(&ticket.number);
+            state.health.broke(now);
+        }
+    }
+
+    fn sent(
+        &mut self,
+        engine: &EngineId,
+        prompt_tokens: f64,
+        memory_tokens: f64,
+        now: MonotonicTime,
+    ) -> PoolTicket {
+        self.tickets += 1;
+        if let Some(state) = self.engines.get_mut(engine) {
+            let work = SentWork {
+                prompt_tokens,
+                memory_tokens,
+                sent_at: now,
+                alone: state.work(now).requests < 0.5,
+            };
+            state.sent.insert(self.tickets, work);
+        }
+        PoolTicket {
+            engine: engine.clone(),
+            number: self.tickets,
+        }
+    }
+
+    fn context(&self, pool: &PoolId, now: MonotonicTime) -> CostContext<'_> {
+        let assumed = self.weights.assumed_prompt_tokens_per_second;
+        CostContext {
+            weights: &self.weights,
+            speed: self
+                .speeds
+                .get(pool)
+                .map_or(assumed, SpeedEstimate::tokens_per_second),
+            now,
+        }
+    }
+
+    fn candidates<'a>(
+        &'a self,
+        query: &'a PoolQuery<'_>,
+        stage: EngineStage,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = &'a EngineState> {
+        self.engines.values().filter(move |state| {
+            state.engine.pool == *query.pool
+                && state.engine.stage == stage
+                && state.takes_work(now)
+                && !query.excluded.contains(&state.engine.id)
+                && query
+                    .prompt
+                    .is_none_or(|prompt| holds(&state.engine, &prompt.model))
+        })
+    }
+
+    fn choose_split<'a>(
+        &'a self,
+        query: &'a PoolQuery<'_>,
+        context: &CostContext<'_>,
+    ) -> Option<(f64, &'a EngineState, &'a EngineState)> {
+        let (prompt_cost, prefill) = self.choose_prefill(query, context)?;
+        let decodes = self.candidates(query, EngineStage::Decode, context.now);
+        let (cost, decode) = cheapest(decodes, |state| context.output(state, &prefill.engine.zone))?;
+        Some((prompt_cost + cost, prefill, decode))
+    }
+
+    fn choose_prefill<'a>(
+        &'a self,
+        query: &'a PoolQuery<'_>,
+        context: &CostContext<'_>,
+    ) -> Option<(f64, &'a EngineState)> {
+        let home = self.home(query, context.now);
+        cheapest(
+            self.candidates(query, EngineStage::Prefill, context.now),
+            |state| {
+                let is_home = home.as_ref() == Some(&state.engine.id);
+                context.prompt(state, query, is_home)
+            },
+        )
+    }
+
+    /// An engine that runs outputs and reads this prompt itself: any where no engine reads prompts, else only for
+    /// small prompts.
+    fn choose_reading_decode<'a>(
+        &'a self,
+        query: &'a PoolQuery<'_>,
+        context: &CostContext<'_>,
+        any: bool,
+    ) -> Option<(f64, &'a EngineState)> {
+        let most = f64::from(self.weights.decode_reading_tokens);
+        let reading = self
+            .candidates(query, EngineStage::Decode, context.now)
+            .filter(|state| any || context.unheld(state, query) <= most);
+        cheapest(reading, |state| context.both(state, query))
+    }
+
+    /// The engine at which the shared part of a prompt is kept, by rendezvous hashing over those that read prompts.
+    fn home(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<EngineId> {
+        let shared = shared_prefixes(query.prefixes);
+        let last = shared.last().or(query.prefixes.last())?;
+        let task = SubjectHandle::of_number(last.hash);
+        self.candidates(query, EngineStage::Prefill, now)
+            .max_by_key(|state| {
+                let handle = SubjectHandle::of_text("engine", state.engine.id.as_str());
+                (rendezvous::weight(task, handle), &state.engine.id)
+            })
+            .map(|state| state.engine.id.clone())
+    }
+}
+
+fn holds(engine: &PoolEngine, model: &str) -> bool {
+    engine.models.iter().any(|held| held == model)
+}
+
+fn cheapest<'a>(
+    candidates: impl Iterator<Item = &'a EngineState>,
+    cost: impl Fn(&EngineState) -> f64,
+) -> Option<(f64, &'a EngineState)> {
+    candidates
+        .map(|state| (cost(state), state))
+        .min_by(|left, right| left.0.total_cmp(&right.0))
+}
+
+fn speed_of<'a>(
+    speeds: &'a mut BTreeMap<PoolId, SpeedEstimate>,
+    pool: &PoolId,
+    weights: &PoolWeights,
+) -> &'a mut SpeedEstimate {
+    speeds
+        .entry(pool.clone())
+        .or_insert(SpeedEstimate::assumed(weights.assumed_prompt_tokens_per_second))
+}
+
+fn observe_slowness(state: &mut EngineState, took: Duration, expected: f64) {
+    const FLOOR_SECONDS: f64 = 0.1;
+    let factor = (took.as_secs_f64() + FLOOR_SECONDS) / (expected + FLOOR_SECONDS);
+    let (least, most) = SLOWNESS_BOUNDS;
+    state.slowness = (state.slowness + SLOWNESS_SHARE * (factor - state.slowness)).clamp(least, most);
+}
--- /dev/null
+++ b/crates/core/src/routing/pool/engine.rs
@@ -0,0 +1,154 @@
+//! What is known of one engine of a pool.
+
+use super::beliefs::PeerWork;
+use super::prefix::PrefixBelief;
+use crate::forwarding::PoolId;
+use crate::identity::{EngineId, NodeId, ZoneId};
+use crate::routing::health::Health;
+use crate::time::MonotonicTime;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What an engine of a split pool does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EngineStage {
+    /// Serves whole requests; runs no model.
+    Whole,
+    /// Reads prompts.
+    Prefill,
+    /// Runs outputs; may read a prompt itself, slowly.
+    Decode,
+}
+
+/// One engine as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolEngine {
+    /// Name of this start of the engine.
+    pub id: EngineId,
+    /// Pool it serves.
+    pub pool: PoolId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Requests that it runs at once.
+    pub places: u32,
+    /// Whether it is about to leave and takes nothing new.
+    pub leaving: bool,
+    /// What it does.
+    pub stage: EngineStage,
+    /// Models that it holds.
+    pub models: Vec<String>,
+    /// Orders that it has taken since its start, where it tells.
+    pub order_sequence: u64,
+    /// Time for which it is still slow after its start.
+    pub warming: Duration,
+}
+
+/// Load that an engine told in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ToldLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that it can run at once.
+    pub places: u32,
+}
+
+/// Work that this node handed to an engine and that has not ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct SentWork {
+    pub(super) prompt_tokens: f64,
+    pub(super) memory_tokens: f64,
+    pub(super) sent_at: MonotonicTime,
+    /// Whether nothing else was known to wait there when it was sent.
+    pub(super) alone: bool,
+}
+
+/// Work at an engine, from everybody.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WorkAtEngine {
+    /// Prompt tokens to read.
+    pub prompt_tokens: f64,
+    /// Requests.
+    pub requests: f64,
+    /// Tokens of KV cache that the requests hold or will hold.
+    pub memory_tokens: f64,
+}
+
+/// One engine as the router sees it.
+#[derive(Clone, Debug)]
+pub struct EngineState {
+    /// As listed.
+    pub engine: PoolEngine,
+    /// Prompt parts that it is believed to hold.
+    pub prefixes: PrefixBelief,
+    pub(super) health: Health,
+    pub(super) sent: BTreeMap<u64, SentWork>,
+    pub(super) told: Option<(ToldLoad, MonotonicTime)>,
+    pub(super) peers: BTreeMap<NodeId, (PeerWork, MonotonicTime)>,
+    /// Factor by which it answers slower than expected; one when it does not.
+    pub(super) slowness: f64,
+}
+
+/// Age from which another node's word no longer counts.
+const PEER_WORD_LIFETIME: Duration = Duration::from_millis(1_500);
+
+/// Age from which a told load no longer counts.
+const TOLD_LIFETIME: Duration = Duration::from_millis(400);
+
+impl EngineState {
+    pub(super) fn new(engine: PoolEngine, cache_tokens: u64) -> Self {
+        Self {
+            engine,
+            prefixes: PrefixBelief::new(cache_tokens),
+            health: Health::default(),
+            sent: BTreeMap::new(),
+            told: None,
+            peers: BTreeMap::new(),
+            slowness: 1.0,
+        }
+    }
+
+    /// Takes a new listing of the same start of the engine.
+    pub(super) fn update(&mut self, engine: PoolEngine) {
+        self.engine = engine;
+    }
+
+    /// Work of this node alone.
+    pub fn own_work(&self) -> WorkAtEngine {
+        self.sent
+            .values()
+            .fold(WorkAtEngine::default(), |sum, work| WorkAtEngine {
+                prompt_tokens: sum.prompt_tokens + work.prompt_tokens,
+                requests: sum.requests + 1.0,
+                memory_tokens: sum.memory_tokens + work.memory_tokens,
+            })
+    }
+
+    /// Work of every node, as far as it is known.
+    pub fn work(&self, now: MonotonicTime) -> WorkAtEngine {
+        let mut sum = self.own_work();
+        for (work, at) in self.peers.values() {
+            if now.since(*at) < PEER_WORD_LIFETIME {
+                sum.prompt_tokens += f64::from(work.prompt_tokens);
+                sum.requests += f64::from(work.requests);
+                sum.memory_tokens += f64::from(work.memory_tokens);
+            }
+        }
+        if let Some((told, at)) = self.told
+            && now.since(at) < TOLD_LIFETIME
+        {
+            sum.requests = sum.requests.max(f64::from(told.running + told.waiting));
+        }
+        sum
+    }
+
+    /// Whether new work may go there now.
+    pub(super) fn takes_work(&self, now: MonotonicTime) -> bool {
+        !self.engine.leaving && !self.health.is_paused(now)
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/pool/mod.rs
@@ -0,0 +1,23 @@
+//! Choice of engines for forwarded requests.
+//!
+//! Unlike [`super::router::KvRouter`], which compares engines by load reports in tokens, [`PoolRouter`] has to do with
+//! engines whose reports are dear: it counts what this node sent and has not ended, adds what other nodes say of
+//! themselves, and believes that an engine holds the prompt parts that were read there. Where nobody knows who holds
+//! a shared part, rendezvous hashing names its home, so that nodes agree without a message.
+//!
+//! [`cost`] documents the formula.
+
+mod beliefs;
+mod choice;
+pub mod cost;
+mod engine;
+mod prefix;
+mod query;
+mod weights;
+
+pub use beliefs::{PeerWork, SpeedEstimate};
+pub use choice::{PoolRoute, PoolRouter, PoolTicket};
+pub use engine::{EngineStage, EngineState, PoolEngine, ToldLoad, WorkAtEngine};
+pub use prefix::PrefixBelief;
+pub use query::{PoolQuery, PrefixBlock, PromptPart, PromptShape};
+pub use weights::PoolWeights;
--- /dev/null
+++ b/crates/core/src/routing/pool/weights.rs
@@ -0,0 +1,85 @@
+//! Settings of the pool router's cost.
+
+use crate::setting::FieldError;
+use serde::{Deserialize, Serialize};
+
+/// Weights of the cost in [`super::cost`]; dimensionless unless they say otherwise.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PoolWeights {
+    /// Worth of a second until reading the prompt begins.
+    pub wait: f64,
+    /// Worth of a second of reading the part of the prompt that the engine does not hold.
+    pub compute: f64,
+    /// Additional worth of a second of reading a shared part away from its home: it will be read again and again.
+    pub reread: f64,
+    /// Cost of leaving this node's zone, in seconds.
+    pub other_zone_seconds: f64,
+    /// Cost of handing a KV cache to another zone, in seconds.
+    pub transfer_zone_seconds: f64,
+    /// Worth of the part of an engine's places that is taken, in seconds.
+    pub places_seconds: f64,
+    /// Worth of the part of an engine's memory that is taken, in seconds.
+    pub memory_seconds: f64,
+    /// Cost of each request beyond an engine's places, in seconds.
+    pub overflow_seconds: f64,
+    /// Speed of reading prompts that is assumed until one was seen, in tokens per second.
+    pub assumed_prompt_tokens_per_second: f64,
+    /// Pace at which an engine that runs outputs reads a prompt itself, relative to one that reads prompts.
+    pub decode_reading_pace: f64,
+    /// Longest prompt part, in tokens not held, that an engine that runs outputs may read itself.
+    pub decode_reading_tokens: u32,
+    /// Cost of disturbing the outputs beside it, for each second of reading and each request there, in seconds.
+    pub decode_reading_stall: f64,
+}
+
+impl Default for PoolWeights {
+    fn default() -> Self {
+        Self {
+            wait: 1.0,
+            compute: 1.0,
+            reread: 5.0,
+            other_zone_seconds: 0.010,
+            transfer_zone_seconds: 0.010,
+            places_seconds: 0.5,
+            memory_seconds: 0.5,
+            overflow_seconds: 0.2,
+            assumed_prompt_tokens_per_second: 40_000.0,
+            decode_reading_pace: 0.5,
+            decode_reading_tokens: 0,
+            decode_reading_stall: 0.2,
+        }
+    }
+}
+
+impl PoolWeights {
+    /// Every wrong setting, with what is allowed.
+    pub fn validate(&self) -> Vec<FieldError> {
+        let weights = [
+            ("routing.wait", self.wait, 0.0),
+            ("routing.compute", self.compute, 0.0),
+            ("routing.reread", self.reread, 0.0),
+            ("routing.other_zone_seconds", self.other_zone_seconds, 0.0),
+            ("routing.transfer_zone_seconds", self.transfer_zone_seconds, 0.0),
+            ("routing.places_seconds", self.places_seconds, 0.0),
+            ("routing.memory_seconds", self.memory_seconds, 0.0),
+            ("routing.overflow_seconds", self.overflow_seconds, 0.0),
+            (
+                "routing.assumed_prompt_tokens_per_second",
+                self.assumed_prompt_tokens_per_second,
+                1.0,
+            ),
+            ("routing.decode_reading_pace", self.decode_reading_pace, 0.001),
+            ("routing.decode_reading_stall", self.decode_reading_stall, 0.0),
+        ];
+        weights
+            .into_iter()
+            .filter(|(_, value, least)| !(value.is_finite() && value >= least))
+            .map(|(field, value, least)| FieldError {
+                field: field.to_owned(),
+                value: value.to_string(),
+                allowed: format!("a finite number, {least} or more"),
+            })
+            .collect()
+    }
+}
--- a/crates/core/tests/request_world/mod.rs
+++ b/crates/core/tests/request_world/mod.rs
@@ -17,7 +17,9 @@
 use shelfjunction_core::outcome::{Outcome, Refusal, RefusalReason};
 use shelfjunction_core::request::event::{Action, Event};
 use shelfjunction_core::request::machine::RequestMachine;
-use shelfjunction_core::request::specification::{CourseLimits, Placement, RequestKey, RequestSpecification};
+use shelfjunction_core::request::specification::{
+    CourseLimits, Placement, RequestForm, RequestKey, RequestSpecification,
+};
 use shelfjunction_core::service_class::ServiceClass;
 use shelfjunction_core::table::PlatformError;
 use shelfjunction_core::time::MonotonicTime;
@@ -130,6 +132,7 @@
     fn start(&mut self, key: Option<u8>, body: u8, gateway: usize) {
         let request = RequestId::new(format!("request-{}", self.courses.len()));
         let specification = RequestSpecification {
+            form: RequestForm::Text,
             request: request.clone(),
             tenant: TenantId::new("tenant"),
             model: ModelId::new("model"),
--- a/crates/gateway/src/serve/completion.rs
+++ b/crates/gateway/src/serve/completion.rs
@@ -17,7 +17,7 @@
 use shelfjunction_core::outcome::{Outcome, Refusal, RefusalReason};
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::request::machine::RequestMachine;
-use shelfjunction_core::request::specification::{CourseLimits, RequestSpecification};
+use shelfjunction_core::request::specification::{CourseLimits, RequestForm, RequestSpecification};
 use shelfjunction_core::routing::RouteQuery;
 use shelfjunction_core::routing::prefix::{PrefixScope, hash_prompt};
 use shelfjunction_core::time::MonotonicTime;
@@ -294,6 +294,7 @@
     fn specification(&self) -> RequestSpecification {
         let call = self.call;
         RequestSpecification {
+            form: RequestForm::Text,
             request: self.request.clone(),
             tenant: self.caller.tenant.tenant.clone(),
             model: call.model.clone(),
--- a/crates/gateway/src/serve/fetch.rs
+++ b/crates/gateway/src/serve/fetch.rs
@@ -17,7 +17,7 @@
 use shelfjunction_core::outcome::{Failure, Outcome, RefusalReason};
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::request::machine::RequestMachine;
-use shelfjunction_core::request::specification::{CourseLimits, RequestSpecification};
+use shelfjunction_core::request::specification::{CourseLimits, RequestForm, RequestSpecification};
 use shelfjunction_core::routing::RouteQuery;
 use shelfjunction_core::service_class::ServiceClass;
 use shelfjunction_http::{Answer, Answered, HttpRequest, Responder};
@@ -148,6 +148,7 @@
     let now = context.now();
     let model = ModelId::new("");
     let specification = RequestSpecification {
+        form: RequestForm::Text,
         request: held.request,
         tenant: caller.tenant.tenant.clone(),
         model: model.clone(),
--- /dev/null
+++ b/crates/node/src/accepting.rs
@@ -0,0 +1,84 @@
+//! Takes callers' connections, one thread each.
+
+use crate::connections::OpenConnections;
+use crate::context::Context;
+use crate::course;
+use crate::ports::{CallEnd, CallerConnection, CallerProtocol};
+use shelfjunction_core::forwarding::CallerLimits;
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// Stack of a connection's thread, in bytes.
+const STACK_BYTES: usize = 256 * 1024;
+
+/// Pause after accepting failed, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections as long as the process runs.
+pub(crate) fn run(
+    listener: &TcpListener,
+    context: &Arc<Context>,
+    protocol: &Arc<dyn CallerProtocol>,
+    open: &Arc<OpenConnections>,
+) {
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => begin(stream, context, protocol, open),
+            Err(error) => {
+                log::warn!(error:% = error; "accept_failed");
+                context.stop.wait(ACCEPT_PAUSE);
+            }
+        }
+    }
+}
+
+fn begin(
+    stream: TcpStream,
+    context: &Arc<Context>,
+    protocol: &Arc<dyn CallerProtocol>,
+    open: &Arc<OpenConnections>,
+) {
+    let Some(entry) = open.enter(&stream, context.config.connections) else {
+        log::warn!(most = context.config.connections; "connection_refused");
+        return;
+    };
+    let context = Arc::clone(context);
+    let protocol = Arc::clone(protocol);
+    let thread = thread::Builder::new()
+        .name("caller".to_owned())
+        .stack_size(STACK_BYTES)
+        .spawn(move || {
+            if let Ok(mut connection) = protocol.open(stream) {
+                serve(connection.as_mut(), &context, &entry);
+            }
+        });
+    if let Err(error) = thread {
+        log::warn!(error:% = error; "connection_thread_failed");
+    }
+}
+
+fn serve(connection: &mut dyn CallerConnection, context: &Arc<Context>, entry: &crate::connections::Entry) {
+    loop {
+        let limits = context
+            .forwarding()
+            .map_or_else(CallerLimits::default, |config| config.limits);
+        entry.rests(true);
+        let call = match connection.next_call(&limits) {
+            Ok(call) => call,
+            Err(CallEnd::Closed) => return,
+            Err(CallEnd::Refused(cause)) => {
+                log::info!(cause; "call_refused");
+                return;
+            }
+        };
+        entry.rests(false);
+        context.state.request_begins();
+        let keeps = course::run(context, connection, &call);
+        context.state.request_ends();
+        if !keeps {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/config.rs
@@ -0,0 +1,142 @@
+//! Settings of the process.
+
+use serde::{Deserialize, Serialize};
+use shelfjunction_core::identity::{NodeId, ZoneId};
+use shelfjunction_core::retry::window::WindowBudgetSettings;
+use shelfjunction_core::routing::pool::PoolWeights;
+use shelfjunction_core::setting::FieldError;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Settings of the process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeConfig {
+    /// Name of this machine.
+    pub node: NodeId,
+    /// Zone of this machine.
+    pub zone: ZoneId,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address that tells whether this machine takes callers.
+    pub ready_listen: SocketAddr,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Repeats allowed for each request.
+    #[serde(default = "defaults::retry_ratio")]
+    pub retry_ratio: f64,
+    /// Repeats allowed beyond, over all nodes, within a window.
+    #[serde(default = "defaults::retry_slack")]
+    pub retry_slack: f64,
+    /// Length of the window.
+    #[serde(default = "defaults::retry_window")]
+    pub retry_window_seconds: f64,
+    /// Nodes that share the slack.
+    #[serde(default = "defaults::nodes")]
+    pub nodes: u32,
+    /// Time from the signal to stop until the process is ended by force.
+    #[serde(default = "defaults::grace")]
+    pub grace_seconds: f64,
+    /// Longest time that one question for changes waits at the store.
+    #[serde(default = "defaults::watch")]
+    pub watch_millis: u64,
+    /// Most callers' connections at once.
+    #[serde(default = "defaults::connections")]
+    pub connections: usize,
+    /// Weights of the choice of engines.
+    #[serde(default)]
+    pub routing: PoolWeights,
+}
+
+mod defaults {
+    pub fn retry_ratio() -> f64 {
+        0.2
+    }
+
+    pub fn retry_slack() -> f64 {
+        50.0
+    }
+
+    pub fn retry_window() -> f64 {
+        10.0
+    }
+
+    pub fn nodes() -> u32 {
+        8
+    }
+
+    pub fn grace() -> f64 {
+        8.0
+    }
+
+    pub fn watch() -> u64 {
+        4_000
+    }
+
+    pub fn connections() -> usize {
+        1_500
+    }
+}
+
+/// Bounds of the times that are set in seconds.
+const SECONDS: std::ops::RangeInclusive<f64> = 0.1..=3_600.0;
+
+impl NodeConfig {
+    /// Every wrong setting.
+    pub fn validate(&self) -> Vec<FieldError> {
+        let mut errors = self.routing.validate();
+        let fractions = [
+            ("node.retry_ratio", self.retry_ratio),
+            ("node.retry_slack", self.retry_slack),
+        ];
+        for (field, value) in fractions {
+            if !(value.is_finite() && value >= 0.0) {
+                errors.push(fault(field, value.to_string(), "a finite number, 0 or more"));
+            }
+        }
+        let times = [
+            ("node.retry_window_seconds", self.retry_window_seconds),
+            ("node.grace_seconds", self.grace_seconds),
+        ];
+        for (field, value) in times.into_iter().filter(|(_, value)| !SECONDS.contains(value)) {
+            errors.push(fault(field, value.to_string(), "0.1 to 3600 seconds"));
+        }
+        let least = [
+            ("node.nodes", u64::from(self.nodes), 1),
+            ("node.watch_millis", self.watch_millis, 1),
+            ("node.connections", self.connections as u64, 1),
+        ];
+        for (field, value, least) in least {
+            if value < least {
+                errors.push(fault(field, value.to_string(), &format!("{least} or more")));
+            }
+        }
+        errors
+    }
+
+    /// The budget for repeats.
+    pub fn retry_budget(&self) -> WindowBudgetSettings {
+        WindowBudgetSettings {
+            ratio: self.retry_ratio,
+            slack: self.retry_slack,
+            window: Duration::from_secs_f64(self.retry_window_seconds),
+        }
+    }
+
+    /// Time from the signal to stop until the process is ended by force.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_seconds)
+    }
+
+    /// Longest time that one question for changes waits at the store.
+    pub fn watch(&self) -> Duration {
+        Duration::from_millis(self.watch_millis)
+    }
+}
+
+fn fault(field: &str, value: String, allowed: &str) -> FieldError {
+    FieldError {
+        field: field.to_owned(),
+        value,
+        allowed: allowed.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/context.rs
@@ -0,0 +1,149 @@
+//! What the threads of the process share.
+
+use crate::config::NodeConfig;
+use crate::links::Links;
+use crate::ports::EngineProtocol;
+use crate::releasing::Releases;
+use shelfjunction_core::forwarding::{
+    Adoption, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation,
+};
+use shelfjunction_core::retry::window::WindowBudget;
+use shelfjunction_core::routing::pool::PoolRouter;
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_platform::clock::MonotonicClock;
+use shelfjunction_threads::{StopSignal, lock};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// Shared state of one process.
+pub(crate) struct Context {
+    pub(crate) config: NodeConfig,
+    pub(crate) clock: MonotonicClock,
+    pub(crate) router: Mutex<PoolRouter>,
+    pub(crate) links: Links,
+    pub(crate) releases: Releases,
+    pub(crate) state: Arc<NodeState>,
+    pub(crate) stop: Arc<StopSignal>,
+    in_force: Mutex<ConfigInForce>,
+    rotation: Mutex<ShareRotation>,
+    budgets: Mutex<BTreeMap<PoolId, WindowBudget>>,
+}
+
+/// What others may ask about the process.
+#[derive(Debug, Default)]
+pub struct NodeState {
+    stopping: AtomicBool,
+    configured: AtomicBool,
+    listed: AtomicBool,
+    busy: AtomicUsize,
+}
+
+impl NodeState {
+    /// Whether callers should be sent here: it knows what to forward where and is not about to stop.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.configured.load(Ordering::Relaxed) && self.listed.load(Ordering::Relaxed)
+    }
+
+    /// Whether the process is about to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn note_listed(&self) {
+        self.listed.store(true, Ordering::Relaxed);
+    }
+
+    /// Requests under way.
+    pub fn requests_under_way(&self) -> usize {
+        self.busy.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn request_begins(&self) {
+        self.busy.fetch_add(1, Ordering::SeqCst);
+    }
+
+    pub(crate) fn request_ends(&self) {
+        self.busy.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Context {
+    pub(crate) fn new(config: NodeConfig, engines: Arc<dyn EngineProtocol>) -> Self {
+        let router = PoolRouter::new(config.routing.clone());
+        Self {
+            clock: MonotonicClock::start(),
+            router: Mutex::new(router),
+            links: Links::new(engines),
+            releases: Releases::default(),
+            state: Arc::new(NodeState::default()),
+            stop: Arc::new(StopSignal::default()),
+            in_force: Mutex::new(ConfigInForce::default()),
+            rotation: Mutex::new(ShareRotation::default()),
+            budgets: Mutex::new(BTreeMap::new()),
+            config,
+        }
+    }
+
+    pub(crate) fn now(&self) -> MonotonicTime {
+        self.clock.now()
+    }
+
+    /// The configuration in force.
+    pub(crate) fn forwarding(&self) -> Option<Arc<ForwardingConfig>> {
+        lock(&self.in_force).current().cloned()
+    }
+
+    /// Offers a configuration from the store or a peer.
+    pub(crate) fn offer(&self, offered: ForwardingConfig) -> Adoption {
+        let version = offered.version;
+        let adoption = lock(&self.in_force).offer(offered, self.now());
+        match &adoption {
+            Adoption::Adopted { before } => {
+                if let Some(config) = self.forwarding() {
+                    lock(&self.router).on_config(&config);
+                    lock(&self.rotation).retain(&config.routes);
+                }
+                self.state.configured.store(true, Ordering::Relaxed);
+                log::info!(version, before:? = before; "configuration_taken");
+            }
+            Adoption::NotNewer => log::debug!(version; "configuration_not_newer"),
+            Adoption::Refused(faults) => {
+                for fault in faults {
+                    log::warn!(version, fault:% = fault; "configuration_refused");
+                }
+            }
+        }
+        adoption
+    }
+
+    /// The pool that takes the next request of a route.
+    pub(crate) fn next_pool(&self, route: &RouteRule) -> Option<PoolId> {
+        lock(&self.rotation).next(route)
+    }
+
+    /// Counts a request for a pool.
+    pub(crate) fn count_request(&self, pool: &PoolId) {
+        let now = self.now();
+        self.with_budget(pool, |budget| budget.on_request(now));
+    }
+
+    /// Takes one repeat from a pool's budget.
+    pub(crate) fn take_repeat(&self, pool: &PoolId) -> bool {
+        let now = self.now();
+        let nodes = self.config.nodes;
+        self.with_budget(pool, |budget| budget.take(nodes, now))
+    }
+
+    fn with_budget<T>(&self, pool: &PoolId, work: impl FnOnce(&mut WindowBudget) -> T) -> T {
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets
+            .entry(pool.clone())
+            .or_insert_with(|| WindowBudget::new(self.config.retry_budget()));
+        work(budget)
+    }
+}
--- /dev/null
+++ b/crates/node/src/course/answering.rs
@@ -0,0 +1,108 @@
+//! What goes back to the caller.
+
+use super::driver::{Driver, End};
+use crate::ports::{CallerGone, OwnAnswer};
+use shelfjunction_core::outcome::{Failure, Outcome, Refusal};
+use shelfjunction_core::request::event::OpaquePart;
+use std::time::Duration;
+
+/// When to come back where the refusal does not say.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+impl Driver<'_> {
+    /// Hands a piece of the answer to the caller.
+    pub(super) fn deliver(&mut self, part: OpaquePart) {
+        let result = match part {
+            OpaquePart::Event { .. } => self.deliver_event(),
+            OpaquePart::Ended => self.deliver_end(),
+            // A whole answer goes out when the course ends, so that nothing is said twice.
+            OpaquePart::Whole | OpaquePart::Failure => Ok(()),
+        };
+        if result.is_err() {
+            self.caller_gone = true;
+        }
+    }
+
+    fn deliver_event(&mut self) -> Result<(), CallerGone> {
+        if !self.events_open {
+            if let Some(head) = self.current_head().cloned() {
+                self.caller.open_events(&head, self.keep)?;
+            }
+            self.events_open = true;
+        }
+        let now = self.context.now();
+        self.first_event_at.get_or_insert(now);
+        self.events_delivered += 1;
+        self.caller.event(&self.event_bytes)
+    }
+
+    fn deliver_end(&mut self) -> Result<(), CallerGone> {
+        if self.events_open {
+            return self.caller.end_events();
+        }
+        Ok(())
+    }
+
+    /// Ends the course; true where the caller's connection may carry another call.
+    pub(super) fn end(mut self, end: End) -> bool {
+        self.drop_exchange();
+        let reusable = match &end {
+            End::CallerGone => false,
+            End::Finished(outcome) => self.answer(outcome) && !self.caller_gone,
+        };
+        self.log_end(&end);
+        reusable && self.keep
+    }
+
+    fn answer(&mut self, outcome: &Outcome) -> bool {
+        if self.events_open {
+            // A series that ends early must not look complete: its connection is closed.
+            return *outcome == Outcome::Completed;
+        }
+        match outcome {
+            Outcome::Completed | Outcome::Failed(_) | Outcome::Unknown(_) if self.whole.is_some() => {
+                self.relay_whole()
+            }
+            Outcome::Completed => false,
+            Outcome::NotRun(refusal) => self.say(OwnAnswer::NotRun {
+                retry_after: retry_after(refusal),
+            }),
+            Outcome::Failed(Failure::DeadlinePassed) | Outcome::Unknown(Failure::DeadlinePassed) => {
+                self.say(OwnAnswer::TimeOver)
+            }
+            Outcome::Failed(_) | Outcome::Unknown(_) => self.say(OwnAnswer::Unknown),
+        }
+    }
+
+    fn relay_whole(&mut self) -> bool {
+        let Some(whole) = self.whole.take() else {
+            return false;
+        };
+        self.caller.answer(&whole.head, &whole.body, self.keep).is_ok()
+    }
+
+    fn say(&mut self, answer: OwnAnswer) -> bool {
+        self.caller.say(&self.call.request, answer, self.keep).is_ok()
+    }
+
+    fn log_end(&self, end: &End) {
+        let now = self.context.now();
+        let outcome = match end {
+            End::CallerGone => "caller_gone".to_owned(),
+            End::Finished(outcome) => format!("{outcome:?}"),
+        };
+        log::info!(
+            request = self.call.request.as_str(),
+            route:% = self.route.id,
+            outcome = outcome.as_str(),
+            took_millis = now.since(self.arrived).as_millis() as u64,
+            first_event_millis:? = self.first_event_at.map(|at| at.since(self.arrived).as_millis() as u64),
+            events = self.events_delivered;
+            "request_ended"
+        );
+    }
+}
+
+fn retry_after(refusal: &Refusal) -> Duration {
+    refusal.retry_after.unwrap_or(RETRY_AFTER)
+}
--- /dev/null
+++ b/crates/node/src/course/exchange.rs
@@ -0,0 +1,50 @@
+//! One dispatch under way: its connection, and what of its answer has come.
+
+use crate::ports::{AnswerHead, EngineLink};
+use shelfjunction_core::identity::{AttemptId, EngineId};
+use shelfjunction_core::routing::pool::PoolTicket;
+use shelfjunction_core::time::MonotonicTime;
+use std::time::Duration;
+
+/// What a dispatch is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Purpose {
+    /// Read the prompt.
+    Prompt,
+    /// Run the output of a prompt that another engine has read.
+    Output,
+    /// All of the request.
+    Whole,
+}
+
+impl Purpose {
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Prompt => "prompt",
+            Self::Output => "output",
+            Self::Whole => "whole",
+        }
+    }
+}
+
+/// One dispatch under way.
+pub(super) struct Exchange {
+    pub(super) attempt: AttemptId,
+    pub(super) engine: EngineId,
+    pub(super) ticket: PoolTicket,
+    pub(super) purpose: Purpose,
+    pub(super) link: Box<dyn EngineLink>,
+    /// Head of the answer, once it came.
+    pub(super) head: Option<AnswerHead>,
+    pub(super) sent_at: MonotonicTime,
+    /// Instant from which the engine counts as silent; absent: never.
+    pub(super) silent_from: Option<MonotonicTime>,
+    pub(super) all_sent: bool,
+}
+
+impl Exchange {
+    /// Starts the patience anew.
+    pub(super) fn heard(&mut self, now: MonotonicTime, patience: Option<Duration>) {
+        self.silent_from = patience.map(|patience| now + patience);
+    }
+}
--- /dev/null
+++ b/crates/node/src/course/mod.rs
@@ -0,0 +1,62 @@
+//! Serves one call: its route, its request machine, and the thread's waits between caller and engine.
+
+mod answering;
+mod driver;
+mod exchange;
+mod routing;
+
+use crate::context::Context;
+use crate::ports::{Call, CallerConnection, OwnAnswer};
+use driver::Driver;
+use shelfjunction_core::forwarding::{PoolId, RepeatRule, RouteRule};
+use std::time::Duration;
+
+/// When to come back to a node that knows no configuration yet.
+const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Serves a call to its end; true where the caller's connection may carry another.
+pub(crate) fn run(context: &Context, caller: &mut dyn CallerConnection, call: &Call) -> bool {
+    let keep = call.keep_alive && !context.state.is_stopping();
+    let Some(config) = context.forwarding() else {
+        log::info!(request = call.request.as_str(); "refused_unconfigured");
+        let answer = OwnAnswer::NotRun {
+            retry_after: UNCONFIGURED_RETRY_AFTER,
+        };
+        return caller.say(&call.request, answer, keep).is_ok() && keep;
+    };
+    let Some(route) = config.route(&call.host, call.path()) else {
+        log::info!(
+            request = call.request.as_str(),
+            host = call.host.as_str(),
+            path = call.path(),
+            version = config.version;
+            "refused_no_route"
+        );
+        return caller.say(&call.request, OwnAnswer::NoRoute, keep).is_ok() && keep;
+    };
+    let Some(pool) = context.next_pool(route) else {
+        return caller.say(&call.request, OwnAnswer::NoRoute, keep).is_ok() && keep;
+    };
+    context.count_request(&pool);
+    log::debug!(
+        request = call.request.as_str(),
+        route:% = route.id,
+        pool:% = pool,
+        version = config.version;
+        "request_routed"
+    );
+    Driver::new(context, caller, call, route, &pool, keep).run()
+}
+
+/// Whether a route's requests name prompts for the pool's engines.
+pub(crate) fn runs_model(context: &Context, pool: &PoolId, call: &Call) -> bool {
+    let has_model = context
+        .forwarding()
+        .and_then(|config| config.pool(pool).map(|pool| pool.model.is_some()));
+    has_model.unwrap_or(false) && call.prompt.is_some()
+}
+
+/// A resume by the caller itself makes sense only on routes that allow it.
+pub(crate) fn caller_position(route: &RouteRule, call: &Call) -> Option<u64> {
+    call.last_event.filter(|_| route.repeat == RepeatRule::Resumable)
+}
--- /dev/null
+++ b/crates/node/src/handle.rs
@@ -0,0 +1,115 @@
+//! Starts the threads of the process and stops them in order.
+
+use crate::accepting;
+use crate::config::NodeConfig;
+use crate::connections::OpenConnections;
+use crate::context::{Context, NodeState};
+use crate::ports::{CallerProtocol, EngineProtocol, FleetStore};
+use crate::releasing;
+use crate::watch;
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// What speaks to callers, engines and the store.
+pub struct Adapters {
+    /// Callers.
+    pub callers: Arc<dyn CallerProtocol>,
+    /// Engines.
+    pub engines: Arc<dyn EngineProtocol>,
+    /// The platform's store.
+    pub store: Arc<dyn FleetStore>,
+}
+
+/// Why the process could not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// The address for callers can't be listened on.
+    Listen(io::Error),
+    /// A thread can't be started.
+    Thread(io::Error),
+}
+
+/// A running process.
+pub struct NodeHandle {
+    context: Arc<Context>,
+    open: Arc<OpenConnections>,
+}
+
+/// Time after the signal to stop for which resting connections stay open: whoever sends callers here has noticed by
+/// then, and callers that hold a connection have had an answer that closes it.
+const RESTING_STAYS: Duration = Duration::from_millis(3_500);
+
+/// Time before the end by force at which the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time between two looks at whether everything has ended.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+impl NodeHandle {
+    /// Starts the process.
+    pub fn start(config: NodeConfig, adapters: Adapters) -> Result<Self, StartError> {
+        let listener = TcpListener::bind(config.listen).map_err(StartError::Listen)?;
+        let context = Arc::new(Context::new(config, adapters.engines));
+        let open = Arc::new(OpenConnections::default());
+        let store = adapters.store;
+        spawn("watch-configuration", {
+            let (context, store) = (Arc::clone(&context), Arc::clone(&store));
+            move || watch::configuration(&context, store.as_ref())
+        })?;
+        spawn("watch-engines", {
+            let context = Arc::clone(&context);
+            move || watch::engines(&context, store.as_ref())
+        })?;
+        spawn("release", {
+            let context = Arc::clone(&context);
+            move || releasing::run(&context)
+        })?;
+        spawn("accept", {
+            let (context, open) = (Arc::clone(&context), Arc::clone(&open));
+            let callers = adapters.callers;
+            move || accepting::run(&listener, &context, &callers, &open)
+        })?;
+        Ok(Self { context, open })
+    }
+
+    /// What others may ask about the process.
+    pub fn state(&self) -> Arc<NodeState> {
+        Arc::clone(&self.context.state)
+    }
+
+    /// Takes no new callers and returns when every request has ended, or just before the end by force.
+    pub fn stop(&self) {
+        let begun = self.context.now();
+        self.context.state.begin_stop();
+        let grace = self.context.config.grace();
+        let end = begun + grace.saturating_sub(END_MARGIN);
+        let resting_until = begun + RESTING_STAYS.min(grace / 2);
+        let mut closed = false;
+        loop {
+            let now = self.context.now();
+            if now >= end {
+                return;
+            }
+            if now >= resting_until {
+                if !closed {
+                    self.open.close_resting();
+                    closed = true;
+                } else if self.open.count() == 0 {
+                    return;
+                }
+            }
+            self.context.stop.wait(LOOK_EVERY);
+        }
+    }
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), StartError> {
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(work)
+        .map(|_| ())
+        .map_err(StartError::Thread)
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,22 @@
+//! One machine's process for forwarded requests: callers on one side, engines on the other, the platform's store above.
+//!
+//! Decisions are `shelfjunction_core`'s; how callers, engines and the store are spoken to stands behind the traits of
+//! [`ports`]. Here are the threads between the two: one for each caller's connection, which polls the caller and the
+//! engine at once, one for each watched table, and one that frees KV caches nobody fetches.
+
+#![forbid(unsafe_code)]
+
+mod accepting;
+mod config;
+mod connections;
+mod context;
+mod course;
+mod handle;
+mod links;
+pub mod ports;
+mod releasing;
+mod watch;
+
+pub use config::NodeConfig;
+pub use context::NodeState;
+pub use handle::{Adapters, NodeHandle, StartError};
--- /dev/null
+++ b/crates/node/src/ports.rs
@@ -0,0 +1,291 @@
+//! What the process needs from an adapter that speaks to callers, engines and the platform's store.
+
+use shelfjunction_core::engine::{EngineRefusal, KvTransfer};
+use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig};
+use shelfjunction_core::identity::{EngineId, RequestId};
+use shelfjunction_core::routing::pool::{PoolEngine, PromptShape, ToldLoad};
+use shelfjunction_core::table::PlatformError;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::BorrowedFd;
+use std::time::Duration;
+
+/// One header that is passed on as it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeaderLine {
+    /// Name as it was written.
+    pub name: String,
+    /// Value.
+    pub value: Vec<u8>,
+}
+
+/// One request of a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// The caller's name for it.
+    pub request: RequestId,
+    /// Method.
+    pub method: String,
+    /// Path with its query, as the caller wrote it.
+    pub target: String,
+    /// Host that the caller names.
+    pub host: String,
+    /// Headers that are passed on; none that belongs to a connection or is the system's to set.
+    pub headers: Vec<HeaderLine>,
+    /// Body, whole.
+    pub body: Vec<u8>,
+    /// Time that the caller will wait, counted from its arrival.
+    pub time_left: Option<Duration>,
+    /// Declared prompt.
+    pub prompt: Option<PromptShape>,
+    /// Last event that the caller has of an earlier answer.
+    pub last_event: Option<u64>,
+    /// Whether the caller keeps the connection.
+    pub keep_alive: bool,
+}
+
+impl Call {
+    /// The path without its query.
+    pub fn path(&self) -> &str {
+        self.target.split(['?', '#']).next().unwrap_or_default()
+    }
+}
+
+/// Why no call could be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    /// The caller closed, or rested too long between two calls.
+    Closed,
+    /// The caller broke a limit or the protocol; the adapter has told it so.
+    Refused(&'static str),
+}
+
+/// The caller can't be written to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerGone;
+
+/// Head of an engine's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// Status.
+    pub status: u16,
+    /// Headers that are passed on.
+    pub headers: Vec<HeaderLine>,
+    /// Load that the engine told.
+    pub told: Option<ToldLoad>,
+}
+
+/// What the system says of a request in its own words.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnAnswer {
+    /// It has not run and never will; come back after the given time.
+    NotRun {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// No route takes it.
+    NoRoute,
+    /// It is malformed.
+    Malformed,
+    /// It may have run and there is no whole answer.
+    Unknown,
+    /// Like [`Self::Unknown`], because its time is over.
+    TimeOver,
+}
+
+/// One caller's connection.
+pub trait CallerConnection: Send {
+    /// Waits for the next call and reads it.
+    fn next_call(&mut self, limits: &CallerLimits) -> Result<Call, CallEnd>;
+
+    /// Descriptor that becomes readable when the caller closes or sends more.
+    fn descriptor(&self) -> BorrowedFd<'_>;
+
+    /// Whether the caller has closed; asked when the descriptor is readable.
+    fn is_gone(&mut self) -> bool;
+
+    /// Hands over an engine's whole answer.
+    fn answer(&mut self, head: &AnswerHead, body: &[u8], keep: bool) -> Result<(), CallerGone>;
+
+    /// Says something in the system's own words.
+    fn say(&mut self, request: &RequestId, answer: OwnAnswer, keep: bool) -> Result<(), CallerGone>;
+
+    /// Begins a series of events with the head of its first engine.
+    fn open_events(&mut self, head: &AnswerHead, keep: bool) -> Result<(), CallerGone>;
+
+    /// Hands over one event.
+    fn event(&mut self, bytes: &[u8]) -> Result<(), CallerGone>;
+
+    /// Ends a series of events in order.
+    fn end_events(&mut self) -> Result<(), CallerGone>;
+}
+
+/// Makes callers' connections out of accepted sockets.
+pub trait CallerProtocol: Send + Sync {
+    /// Takes over a socket.
+    fn open(&self, stream: TcpStream) -> io::Result<Box<dyn CallerConnection>>;
+}
+
+/// Which part of a request an engine is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallStage {
+    /// All of it.
+    Whole,
+    /// Read the prompt and keep its KV cache for another engine.
+    Prompt,
+    /// Run the output on a KV cache that another engine holds.
+    Output(KvTransfer),
+}
+
+/// One request as it goes to an engine.
+#[derive(Clone, Debug)]
+pub struct EngineCall<'a> {
+    /// The caller's request.
+    pub call: &'a Call,
+    /// The engine that is meant.
+    pub engine: &'a EngineId,
+    /// Part to do.
+    pub stage: CallStage,
+    /// Time left.
+    pub time_left: Duration,
+    /// Rank among the engine's requests; zero goes first.
+    pub urgency: u8,
+    /// Event behind which the answer goes on.
+    pub last_event: Option<u64>,
+    /// Whether a series of events is expected.
+    pub events: bool,
+}
+
+/// What an engine's connection has to say.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EngineReading {
+    /// More bytes are needed.
+    Pending,
+    /// The engine took the request; an answer follows.
+    Opened(AnswerHead),
+    /// One event, whole.
+    Event {
+        /// Its identifier.
+        id: u64,
+        /// Its bytes.
+        bytes: Vec<u8>,
+    },
+    /// The series of events ended in order.
+    Ended,
+    /// The whole answer; `success` tells whether it reports one.
+    Whole {
+        /// Body.
+        body: Vec<u8>,
+        /// Whether it reports success.
+        success: bool,
+    },
+    /// The prompt was read.
+    PromptRead {
+        /// Name of the KV cache at that engine.
+        handle: String,
+    },
+    /// The engine refused before running anything.
+    Refused {
+        /// Its words.
+        refusal: EngineRefusal,
+        /// Load that it told.
+        told: Option<ToldLoad>,
+    },
+    /// The connection or the answer broke.
+    Broken(&'static str),
+}
+
+/// One connection to an engine; carries one request at a time.
+pub trait EngineLink: Send {
+    /// Descriptor to wait on.
+    fn descriptor(&self) -> BorrowedFd<'_>;
+
+    /// Begins a request; bytes leave with [`Self::push`].
+    fn begin(&mut self, call: &EngineCall<'_>);
+
+    /// Begins to free a KV cache.
+    fn begin_release(&mut self, handle: &str);
+
+    /// Writes what the socket takes; true when everything has left.
+    fn push(&mut self) -> io::Result<bool>;
+
+    /// Reads what there is, without waiting.
+    fn read(&mut self) -> EngineReading;
+
+    /// Time for which the connection may rest before the next request; absent where it can't be used again.
+    fn rest(&self) -> Option<Duration>;
+
+    /// Whether the resting connection is open and nothing came on it.
+    fn is_quiet(&mut self) -> bool;
+}
+
+/// Makes connections to engines.
+pub trait EngineProtocol: Send + Sync {
+    /// Connects; waits no longer than the given time.
+    fn connect(&self, address: SocketAddr, wait: Duration) -> io::Result<Box<dyn EngineLink>>;
+}
+
+/// Something that could not be read in the store; what was known before stays.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableRow {
+    /// The row.
+    pub row: String,
+    /// Field and value at fault.
+    pub fault: String,
+}
+
+/// One change of the list of engines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EngineChange {
+    /// An engine is listed so.
+    Listed(PoolEngine),
+    /// An engine is listed no longer.
+    Gone(EngineId),
+    /// A row can't be read.
+    Unreadable(UnreadableRow),
+}
+
+/// Version of the store up to which changes were seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StoreVersion(pub u64);
+
+/// Changes since a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Changes<T> {
+    /// In order.
+    pub changes: Vec<T>,
+    /// Version up to which they reach.
+    pub version: StoreVersion,
+}
+
+/// Why changes could not be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WatchError {
+    /// The changes since that version are gone; everything must be read anew.
+    HistoryGone,
+    /// The store gave no answer that can be relied on.
+    Failed(PlatformError),
+}
+
+/// A configuration as the store holds it.
+pub type OfferedConfig = Result<ForwardingConfig, UnreadableRow>;
+
+/// The platform's store, as far as it says what is to be forwarded where.
+pub trait FleetStore: Send + Sync {
+    /// The newest configuration; empty where there is none yet.
+    fn configuration(&self) -> Result<Changes<OfferedConfig>, PlatformError>;
+
+    /// Waits for a newer configuration than at `after`, at most so long.
+    fn watch_configuration(
+        &self,
+        after: StoreVersion,
+        wait: Duration,
+    ) -> Result<Changes<OfferedConfig>, WatchError>;
+
+    /// Every engine that is listed.
+    fn engines(&self) -> Result<Changes<EngineChange>, PlatformError>;
+
+    /// Waits for changes of the list since `after`, at most so long.
+    fn watch_engines(&self, after: StoreVersion, wait: Duration)
+    -> Result<Changes<EngineChange>, WatchError>;
+}
--- a/tests/world/actions.rs
+++ b/tests/world/actions.rs
@@ -77,6 +77,7 @@
                 self.submit_write(gateway, None, write);
             }
             Action::Release(release) => self.release_claim(gateway, release),
+            Action::Forward(action) => panic!("a text request asked for {action:?}"),
             Action::Finish(outcome) => self.finish(gateway, caller, outcome),
             Action::Detach => self.end_caller(caller, CallerEnd::Left),
         }
--- a/tests/world/asking.rs
+++ b/tests/world/asking.rs
@@ -12,7 +12,9 @@
 use shelfjunction_core::identity::{ModelId, RequestId, TenantId};
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::request::machine::RequestMachine;
-use shelfjunction_core::request::specification::{CourseLimits, RequestKey, RequestSpecification};
+use shelfjunction_core::request::specification::{
+    CourseLimits, RequestForm, RequestKey, RequestSpecification,
+};
 use shelfjunction_core::routing::RouteQuery;
 use shelfjunction_core::routing::prefix::{PrefixScope, hash_prompt};
 use shelfjunction_core::service_class::ServiceClass;
@@ -145,6 +147,7 @@
         };
         let digest = |text: String| hex::encode(Sha256::digest(text.as_bytes()));
         RequestSpecification {
+            form: RequestForm::Text,
             request,
             tenant: TenantId::new(TENANTS[ask.tenant]),
             model: model(ask.kind),
