--- a/crates/cli/src/node/forwarder.rs
+++ b/crates/cli/src/node/forwarder.rs
@@ -1,6 +1,6 @@
 //! Runs the one process of a machine on the users' platform until a signal.
 
-use super::signals::StopSignals;
+use super::signals::{NodeSignal, NodeSignals};
 use super::start_error;
 use crate::exit::CommandError;
 use crate::settings::{NodeSettings, ProgramSettings};
@@ -20,6 +20,7 @@
 zone = 'zone-a'
 listen = '127.0.0.1:8080'
 ready_listen = '127.0.0.1:8081'
+peer_listen = '127.0.0.1:8082'
 store = '127.0.0.1:9000'
 ";
 
@@ -31,13 +32,19 @@
 }
 
 /// Runs the process until SIGTERM or SIGINT, then until its last request has ended.
-pub fn run(settings: NodeSettings<NodeConfig>) -> Result<(), CommandError> {
-    let mut signals = StopSignals::register()?;
+pub fn run(
+    settings: NodeSettings<NodeConfig>,
+    reload: impl Fn() -> Result<NodeSettings<NodeConfig>, CommandError>,
+) -> Result<(), CommandError> {
+    let mut signals = NodeSignals::register()?;
     let config = settings.program;
+    let running = config.clone();
+    let store = Arc::new(PlatformStore::new(config.store));
     let adapters = Adapters {
         callers: Arc::new(PlatformCallers),
         engines: Arc::new(PlatformEngines),
-        store: Arc::new(PlatformStore::new(config.store)),
+        store: store.clone(),
+        directory: store,
     };
     let (node, zone, listen, ready_listen) = (
         config.node.clone(),
@@ -57,9 +64,25 @@
         version = env!("CARGO_PKG_VERSION");
         "started"
     );
-    let signal = signals.wait();
+    let signal = loop {
+        match signals.wait() {
+            NodeSignal::Stop(signal) => break signal,
+            NodeSignal::Reload => take_settings(reload(), &running),
+        }
+    };
     log::info!(signal = signal, node = node.as_str(), requests = handle.state().requests_under_way(); "stopping");
     handle.stop();
     log::info!(node = node.as_str(), requests = handle.state().requests_under_way(); "stopped");
     Ok(())
 }
+
+/// Takes the log level of new settings; what else has changed takes a restart. Faulty settings change nothing.
+fn take_settings(loaded: Result<NodeSettings<NodeConfig>, CommandError>, running: &NodeConfig) {
+    match loaded {
+        Ok(settings) => {
+            shelfjunction_logging::set_level(settings.log_level);
+            log::info!(needs_restart = settings.program != *running; "settings_reloaded");
+        }
+        Err(error) => log::warn!(fault:% = error.to_string().trim_end(); "settings_refused"),
+    }
+}
--- a/crates/cli/src/node/mod.rs
+++ b/crates/cli/src/node/mod.rs
@@ -31,7 +31,7 @@
 /// Runs `shelfjunction node`.
 pub fn run_node(arguments: &[String]) -> Result<(), CommandError> {
     match prepare(usage::NODE, arguments)? {
-        Some(settings) => forwarder::run(settings),
+        Some(settings) => forwarder::run(settings, || load(usage::NODE, arguments)),
         None => Ok(()),
     }
 }
@@ -52,23 +52,12 @@
     brief: &'static str,
     arguments: &[String],
 ) -> Result<Option<NodeSettings<T>>, CommandError> {
-    let line = CommandLine::new(brief)
-        .value("settings", "settings file (TOML)", "FILE")
-        .value("node", "name of this machine", "NAME")
-        .value("zone", "zone of this machine", "NAME")
-        .value("region", "region of this machine", "NAME")
-        .value("listen", "address to listen on", "IP:PORT")
-        .value("platform", "address of the platform", "IP:PORT")
-        .value("log-level", logging::LEVELS, "LEVEL")
-        .values("set", "any other setting, as in gateway.node=n1", "PATH=VALUE")
-        .flag("check", "check the settings and exit");
+    let line = command_line(brief);
     let values = match line.parse(arguments)? {
         Parsed::HelpShown => return Ok(None),
         Parsed::Values(values) => values,
     };
-    values.no_arguments()?;
-    let overrides = overrides::<T>(&values)?;
-    let loaded = settings::load::<T>(&settings_path(&values)?, &overrides)?;
+    let loaded = load_from(&values)?;
     if values.has("check") {
         println!("settings are in order");
         return Ok(None);
@@ -78,6 +67,36 @@
     Ok(Some(loaded))
 }
 
+/// Reads the settings anew, as the command line says.
+fn load<T: ProgramSettings>(
+    brief: &'static str,
+    arguments: &[String],
+) -> Result<NodeSettings<T>, CommandError> {
+    match command_line(brief).parse(arguments)? {
+        Parsed::Values(values) => load_from(&values),
+        Parsed::HelpShown => Err(CommandError::Usage(brief.to_owned())),
+    }
+}
+
+fn load_from<T: ProgramSettings>(values: &Values) -> Result<NodeSettings<T>, CommandError> {
+    values.no_arguments()?;
+    let overrides = overrides::<T>(values)?;
+    settings::load::<T>(&settings_path(values)?, &overrides)
+}
+
+fn command_line(brief: &'static str) -> CommandLine {
+    CommandLine::new(brief)
+        .value("settings", "settings file (TOML)", "FILE")
+        .value("node", "name of this machine", "NAME")
+        .value("zone", "zone of this machine", "NAME")
+        .value("region", "region of this machine", "NAME")
+        .value("listen", "address to listen on", "IP:PORT")
+        .value("platform", "address of the platform", "IP:PORT")
+        .value("log-level", logging::LEVELS, "LEVEL")
+        .values("set", "any other setting, as in gateway.node=n1", "PATH=VALUE")
+        .flag("check", "check the settings and exit")
+}
+
 fn overrides<T: ProgramSettings>(values: &Values) -> Result<Vec<Override>, CommandError> {
     let mut overrides = Vec::new();
     for name in ["node", "zone", "region", "listen", "platform"] {
--- a/crates/core/src/routing/pool/beliefs.rs
+++ b/crates/core/src/routing/pool/beliefs.rs
@@ -3,11 +3,19 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
+/// Ranks that are told apart in the work at an engine; all lesser ones count as the last.
+pub const RANKS: usize = 4;
+
+/// The rank under which a request's work is counted; zero goes first.
+pub fn rank_of(priority: u8) -> usize {
+    usize::from(priority).min(RANKS - 1)
+}
+
 /// Work of another node at one engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerWork {
-    /// Prompt tokens to read.
-    pub prompt_tokens: u32,
+    /// Prompt tokens to read, by rank.
+    pub prompt_tokens: [u32; RANKS],
     /// Requests.
     pub requests: u32,
     /// Tokens of KV cache that the requests hold or will hold.
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -102,13 +102,31 @@
         self.engines.remove(engine);
     }
 
-    /// Takes another node's word of its work at an engine.
-    pub fn on_peer_work(&mut self, peer: &NodeId, engine: &EngineId, work: PeerWork, now: MonotonicTime) {
-        if let Some(state) = self.engines.get_mut(engine) {
-            state.peers.insert(peer.clone(), (work, now));
+    /// Takes another node's word of its work at engines.
+    ///
+    /// `works` replaces everything that the node said before.
+    pub fn on_peer_work(&mut self, peer: &NodeId, works: &[(SubjectHandle, PeerWork)], now: MonotonicTime) {
+        for state in self.engines.values_mut() {
+            match works.iter().find(|(handle, _)| *handle == state.handle) {
+                Some((_, work)) => {
+                    state.peers.insert(peer.clone(), (*work, now));
+                }
+                None => {
+                    state.peers.remove(peer);
+                }
+            }
         }
     }
 
+    /// This node's own work, as it is told to other nodes; engines without any are left out.
+    pub fn own_work(&self) -> Vec<(SubjectHandle, PeerWork)> {
+        self.engines
+            .values()
+            .filter(|state| !state.sent.is_empty())
+            .map(|state| (state.handle, state.own_work().told_to_peers()))
+            .collect()
+    }
+
     /// Takes the load that an engine told in an answer.
     pub fn on_told(&mut self, engine: &EngineId, told: ToldLoad, now: MonotonicTime) {
         if let Some(state) = self.engines.get_mut(engine) {
@@ -174,7 +192,7 @@
     pub fn prompt_delay(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<Duration> {
         let context = self.context(query.pool, now);
         let (_, state) = self.choose_prefill(query, &context)?;
-        let tokens = state.work(now).prompt_tokens + context.unheld(state, query);
+        let tokens = state.work(now).prompt_tokens_ahead(query.rank) + context.unheld(state, query);
         Some(Duration::from_secs_f64(state.slowness * tokens / context.speed))
     }
 
@@ -191,7 +209,7 @@
             .get(engine)
             .map_or(0.0, |state| context.unheld(state, query));
         let memory = query.prompt.map_or(0, |prompt| prompt.tokens);
-        self.sent(engine, unheld, f64::from(memory), now)
+        self.sent(engine, query.rank, unheld, f64::from(memory), now)
     }
 
     /// Notes that a request is sent to an engine that answers it; `reads` tells whether it reads the prompt too.
@@ -210,7 +228,7 @@
         let memory = query
             .prompt
             .map_or(0, |prompt| prompt.tokens + prompt.output_tokens);
-        self.sent(engine, unheld, f64::from(memory), now)
+        self.sent(engine, query.rank, unheld, f64::from(memory), now)
     }
 
     /// Notes that an engine has read a prompt, whose parts it holds from now on.
@@ -273,6 +291,7 @@
     fn sent(
         &mut self,
         engine: &EngineId,
+        rank: usize,
         prompt_tokens: f64,
         memory_tokens: f64,
         now: MonotonicTime,
@@ -280,6 +299,7 @@
         self.tickets += 1;
         if let Some(state) = self.engines.get_mut(engine) {
             let work = SentWork {
+                rank,
                 prompt_tokens,
                 memory_tokens,
                 sent_at: now,
@@ -338,7 +358,7 @@
         query: &'a PoolQuery<'_>,
         context: &CostContext<'_>,
     ) -> Option<(f64, &'a EngineState)> {
-        let home = self.home(query, context.now);
+        let home = self.home(query);
         cheapest(
             self.candidates(query, EngineStage::Prefill, context.now),
             |state| {
@@ -364,15 +384,19 @@
     }
 
     /// The engine at which the shared part of a prompt is kept, by rendezvous hashing over those that read prompts.
-    fn home(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<EngineId> {
+    fn home(&self, query: &PoolQuery<'_>) -> Option<EngineId> {
         let shared = shared_prefixes(query.prefixes);
         let last = shared.last().or(query.prefixes.last())?;
         let task = SubjectHandle::of_number(last.hash);
-        self.candidates(query, EngineStage::Prefill, now)
-            .max_by_key(|state| {
-                let handle = SubjectHandle::of_text("engine", state.engine.id.as_str());
-                (rendezvous::weight(task, handle), &state.engine.id)
-            })
+        // An engine that is left alone for a moment stays the home: moving its parts costs more than the moment.
+        let homes = self.engines.values().filter(|state| {
+            state.engine.pool == *query.pool
+                && state.engine.stage == EngineStage::Prefill
+                && !state.engine.leaving
+                && !query.excluded.contains(&state.engine.id)
+        });
+        homes
+            .max_by_key(|state| (rendezvous::weight(task, state.handle), &state.engine.id))
             .map(|state| state.engine.id.clone())
     }
 }
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -4,7 +4,7 @@
 //! this node and every other that told of its own:
 //!
 //! ```text
-//! prompt at e  = slowness * (w.wait * prompt tokens at e / speed + w.compute * tokens not held at e / speed)
+//! prompt at e  = slowness * (w.wait * prompt tokens ahead at e / speed + w.compute * tokens not held at e / speed)
 //!              + w.reread * shared tokens not held at e / speed       (unless e is the home of the shared part)
 //!              + w.other_zone_seconds                                 (where e is not in this node's zone)
 //!
@@ -37,7 +37,7 @@
     /// Cost of reading the prompt at an engine.
     pub fn prompt(&self, state: &EngineState, query: &PoolQuery<'_>, is_home: bool) -> f64 {
         let work = state.work(self.now);
-        let wait = work.prompt_tokens / self.speed;
+        let wait = work.prompt_tokens_ahead(query.rank) / self.speed;
         let compute = self.unheld(state, query) / self.speed;
         let delay = state.slowness * (self.weights.wait * wait + self.weights.compute * compute);
         delay + self.reread(state, query, is_home) + self.apart(&state.engine.zone, query.zone)
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -1,9 +1,10 @@
 //! What is known of one engine of a pool.
 
-use super::beliefs::PeerWork;
+use super::beliefs::{PeerWork, RANKS};
 use super::prefix::PrefixBelief;
 use crate::forwarding::PoolId;
 use crate::identity::{EngineId, NodeId, ZoneId};
+use crate::membership::subject::SubjectHandle;
 use crate::routing::health::Health;
 use crate::time::MonotonicTime;
 use serde::{Deserialize, Serialize};
@@ -61,6 +62,7 @@
 /// Work that this node handed to an engine and that has not ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct SentWork {
+    pub(super) rank: usize,
     pub(super) prompt_tokens: f64,
     pub(super) memory_tokens: f64,
     pub(super) sent_at: MonotonicTime,
@@ -71,19 +73,56 @@
 /// Work at an engine, from everybody.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct WorkAtEngine {
-    /// Prompt tokens to read.
-    pub prompt_tokens: f64,
+    /// Prompt tokens to read, by rank.
+    pub prompt_tokens: [f64; RANKS],
     /// Requests.
     pub requests: f64,
     /// Tokens of KV cache that the requests hold or will hold.
     pub memory_tokens: f64,
 }
 
+impl WorkAtEngine {
+    /// Prompt tokens that are read before those of a request of a rank that comes now.
+    pub fn prompt_tokens_ahead(&self, rank: usize) -> f64 {
+        self.prompt_tokens[..=rank.min(RANKS - 1)].iter().sum()
+    }
+
+    /// Prompt tokens of every rank.
+    pub fn all_prompt_tokens(&self) -> f64 {
+        self.prompt_tokens.iter().sum()
+    }
+
+    fn add_peer(&mut self, work: &PeerWork) {
+        for (sum, tokens) in self.prompt_tokens.iter_mut().zip(work.prompt_tokens) {
+            *sum += f64::from(tokens);
+        }
+        self.requests += f64::from(work.requests);
+        self.memory_tokens += f64::from(work.memory_tokens);
+    }
+
+    fn add_sent(&mut self, work: &SentWork) {
+        self.prompt_tokens[work.rank] += work.prompt_tokens;
+        self.requests += 1.0;
+        self.memory_tokens += work.memory_tokens;
+    }
+
+    /// As it is told to other nodes.
+    pub fn told_to_peers(&self) -> PeerWork {
+        PeerWork {
+            prompt_tokens: self.prompt_tokens.map(|tokens| tokens as u32),
+            requests: self.requests as u32,
+            memory_tokens: self.memory_tokens as u32,
+        }
+    }
+}
+
 /// One engine as the router sees it.
 #[derive(Clone, Debug)]
 pub struct EngineState {
     /// As listed.
     pub engine: PoolEngine,
+    /// Short name of this start of the engine, the same at every node.
+    pub handle: SubjectHandle,
     /// Prompt parts that it is believed to hold.
     pub prefixes: PrefixBelief,
     pub(super) health: Health,
@@ -103,6 +142,7 @@
 impl EngineState {
     pub(super) fn new(engine: PoolEngine, cache_tokens: u64) -> Self {
         Self {
+            handle: SubjectHandle::of_text("engine", engine.id.as_str()),
             engine,
             prefixes: PrefixBelief::new(cache_tokens),
             health: Health::default(),
@@ -120,13 +160,9 @@
 
     /// Work of this node alone.
     pub fn own_work(&self) -> WorkAtEngine {
-        self.sent
-            .values()
-            .fold(WorkAtEngine::default(), |sum, work| WorkAtEngine {
-                prompt_tokens: sum.prompt_tokens + work.prompt_tokens,
-                requests: sum.requests + 1.0,
-                memory_tokens: sum.memory_tokens + work.memory_tokens,
-            })
+        let mut sum = WorkAtEngine::default();
+        self.sent.values().for_each(|work| sum.add_sent(work));
+        sum
     }
 
     /// Work of every node, as far as it is known.
@@ -134,9 +170,7 @@
         let mut sum = self.own_work();
         for (work, at) in self.peers.values() {
             if now.since(*at) < PEER_WORD_LIFETIME {
-                sum.prompt_tokens += f64::from(work.prompt_tokens);
-                sum.requests += f64::from(work.requests);
-                sum.memory_tokens += f64::from(work.memory_tokens);
+                sum.add_peer(work);
             }
         }
         if let Some((told, at)) = self.told
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -69,6 +69,8 @@
     pub zone: &'a ZoneId,
     /// Engines that failed this request before.
     pub excluded: &'a [EngineId],
+    /// Rank among requests, from [`super::rank_of`].
+    pub rank: usize,
     /// Time left.
     pub remaining: Duration,
 }
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -93,6 +93,11 @@
     }
 }
 
+/// Changes the least severe level that is written, at most down to the level at the start.
+pub fn set_level(level: LogLevel) {
+    log::set_max_level(level.log_filter());
+}
+
 /// Writes events to standard error from now on; call once for each process.
 pub fn install(level: LogLevel) -> Result<(), AlreadyInstalled> {
     install_to(level, Stderr::default().with_layout(EventLayout))
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -19,6 +19,8 @@
     pub listen: SocketAddr,
     /// Address that tells whether this machine takes callers.
     pub ready_listen: SocketAddr,
+    /// Address for the words of other nodes.
+    pub peer_listen: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Repeats allowed for each request.
@@ -30,7 +32,7 @@
     /// Length of the window.
     #[serde(default = "defaults::retry_window")]
     pub retry_window_seconds: f64,
-    /// Nodes that share the slack.
+    /// Nodes that share the slack, until the store's list of nodes was read.
     #[serde(default = "defaults::nodes")]
     pub nodes: u32,
     /// Time from the signal to stop until the process is ended by force.
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -2,6 +2,7 @@
 
 use crate::config::NodeConfig;
 use crate::links::Links;
+use crate::peers::Peers;
 use crate::ports::EngineProtocol;
 use crate::releasing::Releases;
 use shelfjunction_core::forwarding::{
@@ -23,6 +24,7 @@
     pub(crate) router: Mutex<PoolRouter>,
     pub(crate) links: Links,
     pub(crate) releases: Releases,
+    pub(crate) peers: Peers,
     pub(crate) state: Arc<NodeState>,
     pub(crate) stop: Arc<StopSignal>,
     in_force: Mutex<ConfigInForce>,
@@ -34,6 +36,7 @@
 #[derive(Debug, Default)]
 pub struct NodeState {
     stopping: AtomicBool,
+    closing: AtomicBool,
     configured: AtomicBool,
     listed: AtomicBool,
     busy: AtomicUsize,
@@ -54,6 +57,15 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Resting connections are being closed from this side, so one that looks closed tells nothing of its caller.
+    pub(crate) fn begin_closing(&self) {
+        self.closing.store(true, Ordering::SeqCst);
+    }
+
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::SeqCst)
+    }
+
     pub(crate) fn note_listed(&self) {
         self.listed.store(true, Ordering::Relaxed);
     }
@@ -80,6 +92,7 @@
             router: Mutex::new(router),
             links: Links::new(engines),
             releases: Releases::default(),
+            peers: Peers::default(),
             state: Arc::new(NodeState::default()),
             stop: Arc::new(StopSignal::default()),
             in_force: Mutex::new(ConfigInForce::default()),
@@ -135,7 +148,7 @@
     /// Takes one repeat from a pool's budget.
     pub(crate) fn take_repeat(&self, pool: &PoolId) -> bool {
         let now = self.now();
-        let nodes = self.config.nodes;
+        let nodes = self.peers.nodes().unwrap_or(self.config.nodes);
         self.with_budget(pool, |budget| budget.take(nodes, now))
     }
 
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -12,7 +12,7 @@
 use shelfjunction_core::request::event::{Action, Event, ForwardAction, OpaquePart};
 use shelfjunction_core::request::machine::RequestMachine;
 use shelfjunction_core::request::specification::{Placement, Target};
-use shelfjunction_core::routing::pool::{PoolQuery, PoolTicket, PrefixBlock, PromptShape};
+use shelfjunction_core::routing::pool::{PoolQuery, PoolTicket, PrefixBlock, PromptShape, rank_of};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::collections::VecDeque;
@@ -178,6 +178,7 @@
             prefixes: &self.prefixes,
             zone: &self.context.config.zone,
             excluded,
+            rank: rank_of(self.route.priority),
             remaining: routing::left(self.deadline, now),
         }
     }
@@ -228,6 +229,7 @@
             silent_from: patience.map(|patience| now + patience),
             all_sent: false,
         };
+        self.context.peers.note_change();
         exchange.link.begin(&EngineCall {
             call: self.call,
             engine: &target.engine,
@@ -333,11 +335,12 @@
             waits.get(1).is_some_and(|wait| !wait.revents().is_empty())
         };
         if caller_readable {
-            if self.caller.is_gone() {
+            if !self.context.state.is_closing() && self.caller.is_gone() {
                 self.caller_gone = true;
                 return Some(Event::CallerGone);
             }
-            // The caller has sent its next call already; only writing to it will show that it left.
+            // The caller has sent its next call already, or this side has stopped reading: only writing will show
+            // whether it left.
             self.watch_caller = false;
         }
         let now = self.context.now();
@@ -415,6 +418,7 @@
         };
         let mut router = lock(&self.context.router);
         router.on_answered(&exchange.ticket);
+        self.context.peers.note_change();
         if exchange.purpose != Purpose::Prompt && part != OpaquePart::Failure {
             router.on_prefixes_held(&exchange.engine, &self.prefixes, now);
         }
@@ -429,6 +433,7 @@
     fn prompt_read(&mut self, handle: String, now: MonotonicTime) -> Option<Event> {
         let exchange = self.exchange.take()?;
         lock(&self.context.router).on_prompt_read(&exchange.ticket, &self.prefixes, now);
+        self.context.peers.note_change();
         log::debug!(
             request = self.call.request.as_str(),
             engine = exchange.engine.as_str(),
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -4,11 +4,12 @@
 use crate::config::NodeConfig;
 use crate::connections::OpenConnections;
 use crate::context::{Context, NodeState};
-use crate::ports::{CallerProtocol, EngineProtocol, FleetStore};
+use crate::peers;
+use crate::ports::{CallerProtocol, EngineProtocol, FleetStore, NodeDirectory};
 use crate::releasing;
 use crate::watch;
 use std::io;
-use std::net::TcpListener;
+use std::net::{TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -21,12 +22,14 @@
     pub engines: Arc<dyn EngineProtocol>,
     /// The platform's store.
     pub store: Arc<dyn FleetStore>,
+    /// The nodes that the store lists.
+    pub directory: Arc<dyn NodeDirectory>,
 }
 
 /// Why the process could not start.
 #[derive(Debug)]
 pub enum StartError {
-    /// The address for callers can't be listened on.
+    /// An address can't be listened on.
     Listen(io::Error),
     /// A thread can't be started.
     Thread(io::Error),
@@ -52,6 +55,8 @@
     /// Starts the process.
     pub fn start(config: NodeConfig, adapters: Adapters) -> Result<Self, StartError> {
         let listener = TcpListener::bind(config.listen).map_err(StartError::Listen)?;
+        let socket = UdpSocket::bind(config.peer_listen).map_err(StartError::Listen)?;
+        let socket = Arc::new(socket);
         let context = Arc::new(Context::new(config, adapters.engines));
         let open = Arc::new(OpenConnections::default());
         let store = adapters.store;
@@ -63,6 +68,19 @@
             let context = Arc::clone(&context);
             move || watch::engines(&context, store.as_ref())
         })?;
+        spawn("peers-list", {
+            let context = Arc::clone(&context);
+            let directory = adapters.directory;
+            move || peers::follow_directory(&context, directory.as_ref())
+        })?;
+        spawn("peers-hear", {
+            let (context, socket) = (Arc::clone(&context), Arc::clone(&socket));
+            move || peers::hear(&context, &socket)
+        })?;
+        spawn("peers-tell", {
+            let context = Arc::clone(&context);
+            move || peers::tell(&context, &socket)
+        })?;
         spawn("release", {
             let context = Arc::clone(&context);
             move || releasing::run(&context)
@@ -95,6 +113,7 @@
             }
             if now >= resting_until {
                 if !closed {
+                    self.context.state.begin_closing();
                     self.open.close_resting();
                     closed = true;
                 } else if self.open.count() == 0 {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod course;
 mod handle;
 mod links;
+mod peers;
 pub mod ports;
 mod releasing;
 mod watch;
--- /dev/null
+++ b/crates/node/src/peers/mod.rs
@@ -0,0 +1,70 @@
+//! Nodes tell each other of their work at engines, by datagrams that are never answered and may be lost.
+//!
+//! Each message says everything that its sender has under way, so a lost one is made good by the next. The store's
+//! list of nodes only says whom to tell first; whoever is heard is told too.
+
+mod directory;
+mod hearing;
+mod message;
+mod telling;
+
+pub(crate) use directory::follow as follow_directory;
+pub(crate) use hearing::hear;
+pub(crate) use telling::tell;
+
+use shelfjunction_core::identity::NodeId;
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Condvar, Mutex};
+use std::time::Duration;
+
+/// Time after which a node that is neither listed nor heard is forgotten.
+const SILENT_PEER_LIFETIME: Duration = Duration::from_secs(20);
+
+/// What is known of one other node.
+#[derive(Clone, Debug)]
+struct Peer {
+    address: SocketAddr,
+    /// When it was last listed or heard.
+    known_at: MonotonicTime,
+    /// Start and number of the last message heard.
+    last_message: Option<(u64, u64)>,
+}
+
+/// The other nodes.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    known: Mutex<Known>,
+    changed: Mutex<bool>,
+    change: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    peers: BTreeMap<NodeId, Peer>,
+    listed: bool,
+}
+
+impl Peers {
+    /// Nodes in all, this one included; absent until the list was read.
+    pub(crate) fn nodes(&self) -> Option<u32> {
+        let known = lock(&self.known);
+        known.listed.then(|| known.peers.len() as u32 + 1)
+    }
+
+    /// Notes that this node's work has changed.
+    pub(crate) fn note_change(&self) {
+        *lock(&self.changed) = true;
+        self.change.notify_one();
+    }
+
+    fn addresses(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+        let mut known = lock(&self.known);
+        known
+            .peers
+            .retain(|_, peer| now.since(peer.known_at) < SILENT_PEER_LIFETIME);
+        known.peers.values().map(|peer| peer.address).collect()
+    }
+}
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -2,7 +2,7 @@
 
 use shelfjunction_core::engine::{EngineRefusal, KvTransfer};
 use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig};
-use shelfjunction_core::identity::{EngineId, RequestId};
+use shelfjunction_core::identity::{EngineId, NodeId, RequestId};
 use shelfjunction_core::routing::pool::{PoolEngine, PromptShape, ToldLoad};
 use shelfjunction_core::table::PlatformError;
 use std::io;
@@ -289,3 +289,21 @@
     fn watch_engines(&self, after: StoreVersion, wait: Duration)
     -> Result<Changes<EngineChange>, WatchError>;
 }
+
+/// One node as it enters itself into the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeEntry {
+    /// The node.
+    pub node: NodeId,
+    /// Where it hears other nodes.
+    pub address: SocketAddr,
+}
+
+/// The platform's store, as far as it tells nodes of each other.
+pub trait NodeDirectory: Send + Sync {
+    /// Enters a node, in place of what it entered before.
+    fn enter(&self, entry: &NodeEntry) -> Result<(), PlatformError>;
+
+    /// Every node that has entered itself and not left.
+    fn nodes(&self) -> Result<Vec<NodeEntry>, PlatformError>;
+}
