--- a/crates/core/src/request/forwarding.rs
+++ b/crates/core/src/request/forwarding.rs
@@ -5,6 +5,7 @@
 use crate::engine::KvTransfer;
 use crate::identity::EngineId;
 use crate::outcome::Outcome;
+use crate::time::MonotonicTime;
 
 /// Engines that may refuse the output of one KV cache before the prompt is read anew: a refusal does not tell whether
 /// the engine was full or the cache was gone.
@@ -52,15 +53,15 @@
         }
     }
 
-    /// Keeps a KV cache, so that a refusal of the output does not cost the prompt.
-    pub(super) fn hold_transfer(&mut self, source: &EngineId, transfer: &KvTransfer) {
-        if self.specification.is_opaque() {
-            self.transfer = Some(HeldTransfer {
-                source: source.clone(),
-                transfer: transfer.clone(),
-                refusals: 0,
-            });
-        }
+    /// Asks for the engine of the output now that the prompt was read: reading takes long enough for the one that
+    /// was chosen beforehand to fill up or to leave. The KV cache is kept, so that a refusal does not cost the prompt.
+    pub(super) fn choose_output(&mut self, source: EngineId, transfer: KvTransfer) -> Vec<Action> {
+        self.transfer = Some(HeldTransfer {
+            source,
+            transfer,
+            refusals: 0,
+        });
+        self.choose(MonotonicTime::default())
     }
 
     /// Counts a refusal of the output; after the last one the prompt is read anew.
--- a/crates/core/src/request/reading.rs
+++ b/crates/core/src/request/reading.rs
@@ -75,7 +75,9 @@
                             source: prefill.address,
                             handle,
                         };
-                        self.hold_transfer(&prefill.engine, &import);
+                        if self.specification.is_opaque() {
+                            return self.choose_output(prefill.engine, import);
+                        }
                         self.dispatch(decode, Phase::Whole, Some(import))
                     }
                     _ => self.prefill_failed(prefill.engine),
--- /dev/null
+++ b/crates/core/tests/opaque_requests.rs
@@ -0,0 +1,243 @@
+//! Courses of opaque requests: when each may be sent again, and what may truthfully be said of it.
+
+use shelfjunction_core::bundle::content::ModelKind;
+use shelfjunction_core::engine::{AnswerPart, EngineRefusal, EngineRefusalReason, KvTransfer, Phase};
+use shelfjunction_core::forwarding::RepeatRule;
+use shelfjunction_core::identity::{AttemptId, EngineId, ModelId, RequestId, TenantId};
+use shelfjunction_core::outcome::{Failure, Outcome};
+use shelfjunction_core::request::event::{Action, Event, ForwardAction, OpaquePart};
+use shelfjunction_core::request::machine::RequestMachine;
+use shelfjunction_core::request::specification::{
+    CourseLimits, Placement, RequestForm, RequestSpecification, Target,
+};
+use shelfjunction_core::service_class::ServiceClass;
+use shelfjunction_core::time::MonotonicTime;
+
+const NOW: MonotonicTime = MonotonicTime::from_millis(1_000);
+
+fn machine(rule: RepeatRule, runs: u32) -> RequestMachine {
+    let specification = RequestSpecification {
+        form: RequestForm::Opaque(rule),
+        request: RequestId::new("request"),
+        tenant: TenantId::new(""),
+        model: ModelId::new("pool"),
+        adapter: None,
+        kind: ModelKind::Model,
+        class: ServiceClass::Interactive,
+        prompt: String::new(),
+        max_tokens: 10,
+        cache_salt: String::new(),
+        key: None,
+        deadline: MonotonicTime::from_millis(5_000),
+        admitted_unix_seconds: 0,
+    };
+    let limits = CourseLimits {
+        placements: 8,
+        runs,
+        resumes: 0,
+        questions: 0,
+        ..CourseLimits::default()
+    };
+    RequestMachine::new(specification, limits)
+}
+
+fn target(name: &str, port: u16) -> Target {
+    Target {
+        engine: EngineId::new(name),
+        address: ([127, 0, 0, 1], port).into(),
+        incarnation: 0,
+    }
+}
+
+fn split() -> Placement {
+    Placement::Split {
+        prefill: target("prefill", 1),
+        decode: target("decode", 2),
+    }
+}
+
+/// The attempt of the one dispatch among the actions.
+fn dispatched(actions: &[Action]) -> (AttemptId, EngineId, Phase, Option<KvTransfer>) {
+    let found = actions.iter().find_map(|action| match action {
+        Action::Dispatch { target, call, .. } => Some((
+            call.attempt.clone(),
+            target.engine.clone(),
+            call.phase,
+            call.import.clone(),
+        )),
+        _ => None,
+    });
+    found.unwrap_or_else(|| panic!("no dispatch in {actions:?}"))
+}
+
+fn finished(actions: &[Action]) -> Outcome {
+    match actions.last() {
+        Some(Action::Finish(outcome)) => outcome.clone(),
+        _ => panic!("not finished by {actions:?}"),
+    }
+}
+
+fn frees_transfer(actions: &[Action]) -> bool {
+    actions
+        .iter()
+        .any(|action| matches!(action, Action::Forward(ForwardAction::FreeTransfer(_))))
+}
+
+/// Begins a split request and reads its prompt; returns what the machine asks for then.
+fn read_prompt(machine: &mut RequestMachine) -> Vec<Action> {
+    machine.handle(Event::Admitted, NOW);
+    let (attempt, engine, phase, _) = dispatched(&machine.handle(Event::Placed(split()), NOW));
+    assert_eq!((engine.as_str(), phase), ("prefill", Phase::PrefillOnly));
+    let part = AnswerPart::Prefilled {
+        request: RequestId::new("request"),
+        handle: "handle".to_owned(),
+    };
+    machine.handle(Event::Part { attempt, part }, NOW)
+}
+
+fn refusal(reason: EngineRefusalReason) -> EngineRefusal {
+    EngineRefusal {
+        reason,
+        retry_after_millis: 0,
+    }
+}
+
+/// Found on a loaded day: the engine chosen beforehand had told that it leaves while a long prompt was read.
+#[test]
+fn the_output_engine_is_chosen_when_the_prompt_has_been_read() {
+    let mut machine = machine(RepeatRule::Never, 1);
+    let actions = read_prompt(&mut machine);
+    assert_eq!(
+        actions,
+        vec![Action::Forward(ForwardAction::ChooseOutput {
+            source: EngineId::new("prefill"),
+            excluded: Vec::new(),
+        })]
+    );
+    let placed = Event::Placed(Placement::Whole(target("other", 3)));
+    let (_, engine, phase, import) = dispatched(&machine.handle(placed, NOW));
+    assert_eq!((engine.as_str(), phase), ("other", Phase::Whole));
+    assert_eq!(import.map(|import| import.handle), Some("handle".to_owned()));
+}
+
+#[test]
+fn a_refused_output_does_not_cost_the_prompt() {
+    let mut machine = machine(RepeatRule::Never, 1);
+    read_prompt(&mut machine);
+    let placed = Event::Placed(Placement::Whole(target("decode", 2)));
+    let (attempt, ..) = dispatched(&machine.handle(placed, NOW));
+    let refused = Event::Refused {
+        attempt,
+        refusal: refusal(EngineRefusalReason::TransferGone),
+    };
+    assert!(matches!(
+        machine.handle(refused, NOW)[..],
+        [Action::AskRetry { .. }]
+    ));
+    let actions = machine.handle(Event::RetryGranted { not_before: NOW }, NOW);
+    assert_eq!(
+        actions,
+        vec![Action::Forward(ForwardAction::ChooseOutput {
+            source: EngineId::new("prefill"),
+            excluded: vec![EngineId::new("decode")],
+        })]
+    );
+}
+
+#[test]
+fn a_prompt_that_was_only_read_has_not_run_and_its_cache_is_freed() {
+    let mut machine = machine(RepeatRule::Never, 1);
+    read_prompt(&mut machine);
+    let actions = machine.handle(Event::DeadlineReached, NOW);
+    assert!(frees_transfer(&actions));
+    assert!(matches!(finished(&actions), Outcome::NotRun(_)));
+}
+
+#[test]
+fn a_request_that_may_not_be_repeated_is_not_sent_again_after_an_ambiguous_end() {
+    let mut machine = machine(RepeatRule::Never, 3);
+    machine.handle(Event::Admitted, NOW);
+    let placed = Event::Placed(Placement::Whole(target("engine", 1)));
+    let (attempt, ..) = dispatched(&machine.handle(placed, NOW));
+    let actions = machine.handle(Event::Ambiguous { attempt }, NOW);
+    assert_eq!(finished(&actions), Outcome::Unknown(Failure::ClaimUnsettled));
+}
+
+#[test]
+fn a_request_that_may_not_be_repeated_goes_elsewhere_after_a_refusal() {
+    let mut machine = machine(RepeatRule::Never, 1);
+    machine.handle(Event::Admitted, NOW);
+    let placed = Event::Placed(Placement::Whole(target("engine", 1)));
+    let (attempt, ..) = dispatched(&machine.handle(placed, NOW));
+    let refused = Event::Refused {
+        attempt,
+        refusal: refusal(EngineRefusalReason::QueueFull),
+    };
+    assert!(matches!(
+        machine.handle(refused, NOW)[..],
+        [Action::AskRetry { .. }]
+    ));
+}
+
+#[test]
+fn a_broken_series_goes_on_behind_the_last_event() {
+    let mut machine = machine(RepeatRule::Resumable, 2);
+    machine.handle(Event::Admitted, NOW);
+    let placed = Event::Placed(Placement::Whole(target("first", 1)));
+    let (attempt, ..) = dispatched(&machine.handle(placed, NOW));
+    for id in [1, 3] {
+        let event = Event::Forwarded {
+            attempt: attempt.clone(),
+            part: OpaquePart::Event { id },
+        };
+        assert_eq!(machine.handle(event, NOW).len(), 1);
+    }
+    let actions = machine.handle(Event::Disconnected { attempt }, NOW);
+    assert!(matches!(actions.last(), Some(Action::AskRetry { .. })));
+    machine.handle(Event::RetryGranted { not_before: NOW }, NOW);
+    let placed = Event::Placed(Placement::Whole(target("second", 2)));
+    let (attempt, ..) = dispatched(&machine.handle(placed, NOW));
+    assert_eq!(machine.last_event(), Some(3));
+    let event = |id| Event::Forwarded {
+        attempt: attempt.clone(),
+        part: OpaquePart::Event { id },
+    };
+    assert_eq!(machine.handle(event(3), NOW), Vec::new(), "the caller has it");
+    assert_eq!(machine.handle(event(4), NOW).len(), 1);
+}
+
+#[test]
+fn no_more_engines_run_a_request_than_its_route_allows() {
+    let mut machine = machine(RepeatRule::Resumable, 2);
+    machine.handle(Event::Admitted, NOW);
+    for engine in ["first", "second"] {
+        let placed = Event::Placed(Placement::Whole(target(engine, 1)));
+        let (attempt, ..) = dispatched(&machine.handle(placed, NOW));
+        machine.handle(
+            Event::Opened {
+                attempt: attempt.clone(),
+            },
+            NOW,
+        );
+        let actions = machine.handle(Event::Disconnected { attempt }, NOW);
+        if engine == "first" {
+            assert!(matches!(actions.last(), Some(Action::AskRetry { .. })));
+            machine.handle(Event::RetryGranted { not_before: NOW }, NOW);
+        } else {
+            assert!(matches!(finished(&actions), Outcome::Unknown(_)));
+        }
+    }
+}
+
+#[test]
+fn a_caller_that_leaves_stops_its_engine() {
+    let mut machine = machine(RepeatRule::Never, 1);
+    machine.handle(Event::Admitted, NOW);
+    let placed = Event::Placed(Placement::Whole(target("engine", 1)));
+    dispatched(&machine.handle(placed, NOW));
+    let actions = machine.handle(Event::CallerGone, NOW);
+    let cancel = Action::Cancel {
+        engine: EngineId::new("engine"),
+    };
+    assert_eq!(actions, vec![cancel, Action::Detach]);
+}
--- a/crates/node/src/course/routing.rs
+++ b/crates/node/src/course/routing.rs
@@ -13,8 +13,8 @@
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
 
-/// Most placements tried for one request, refusals among them.
-const PLACEMENTS: u32 = 5;
+/// Most placements tried for one request, refusals among them; a split request takes two.
+const PLACEMENTS: u32 = 8;
 
 /// The specification of an opaque request.
 pub(super) fn specification(
