--- a/crates/core/src/forwarding/config.rs
+++ b/crates/core/src/forwarding/config.rs
@@ -27,6 +27,8 @@
     pub cache_tokens: u64,
     /// Time that an engine keeps a KV cache that waits to be handed over.
     pub transfer_lifetime: Duration,
+    /// Seconds that moving the KV cache of one token between two engines takes; absent where they can't.
+    pub move_seconds: Option<f64>,
     /// Time that a change of role takes an engine out of service.
     pub role_change: Duration,
 }
--- a/crates/core/src/routing/pool/beliefs.rs
+++ b/crates/core/src/routing/pool/beliefs.rs
@@ -1,5 +1,7 @@
 //! What other nodes say of their work, and how fast engines read prompts.
 
+use super::query::PrefixBlock;
+use crate::membership::subject::SubjectHandle;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -22,6 +24,15 @@
     pub memory_tokens: u32,
 }
 
+/// Shared prefixes that an engine has come to hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PrefixNews {
+    /// The engine.
+    pub engine: SubjectHandle,
+    /// The prefixes, shortest first.
+    pub prefixes: Vec<PrefixBlock>,
+}
+
 /// Share of an observation in the running mean.
 const OBSERVATION_SHARE: f64 = 0.2;
 
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -1,22 +1,29 @@
 //! The router: what is known of the engines in, one choice out.
 
-use super::beliefs::{PeerWork, SpeedEstimate};
+use super::beliefs::{PeerWork, PrefixNews, SpeedEstimate};
 use super::cost::{CostContext, shared_prefixes};
 use super::engine::{EngineStage, EngineState, PoolEngine, SentWork, ToldLoad};
 use super::query::{PoolQuery, PrefixBlock};
 use super::weights::PoolWeights;
 use crate::engine::EngineRefusalReason;
-use crate::forwarding::{ForwardingConfig, PoolId};
+use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
 use crate::identity::{EngineId, NodeId};
 use crate::membership::rendezvous;
 use crate::membership::subject::SubjectHandle;
 use crate::time::MonotonicTime;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Memory assumed of an engine whose pool does not tell, in tokens.
 const ASSUMED_CACHE_TOKENS: u64 = 400_000;
 
+/// Fewest tokens that are fetched from another engine rather than read.
+const LEAST_FETCH: u32 = 64;
+
+/// Most news of prefixes that wait to be told to other nodes.
+const MOST_NEWS: usize = 64;
+
 /// Share of an observation in an engine's slowness.
 const SLOWNESS_SHARE: f64 = 0.3;
 
@@ -29,7 +36,8 @@
     weights: PoolWeights,
     engines: BTreeMap<EngineId, EngineState>,
     speeds: BTreeMap<PoolId, SpeedEstimate>,
-    cache_tokens: BTreeMap<PoolId, u64>,
+    traits: BTreeMap<PoolId, ModelTraits>,
+    news: Vec<PrefixNews>,
     tickets: u64,
 }
 
@@ -70,7 +78,8 @@
             weights,
             engines: BTreeMap::new(),
             speeds: BTreeMap::new(),
-            cache_tokens: BTreeMap::new(),
+            traits: BTreeMap::new(),
+            news: Vec::new(),
             tickets: 0,
         }
     }
@@ -79,7 +88,7 @@
     pub fn on_config(&mut self, config: &ForwardingConfig) {
         for pool in &config.pools {
             if let Some(model) = &pool.model {
-                self.cache_tokens.insert(pool.id.clone(), model.cache_tokens);
+                self.traits.insert(pool.id.clone(), model.clone());
             }
         }
     }
@@ -89,8 +98,8 @@
         match self.engines.get_mut(&engine.id) {
             Some(state) => state.update(engine),
             None => {
-                let tokens = self.cache_tokens.get(&engine.pool);
-                let tokens = tokens.copied().unwrap_or(ASSUMED_CACHE_TOKENS);
+                let traits = self.traits.get(&engine.pool);
+                let tokens = traits.map_or(ASSUMED_CACHE_TOKENS, |traits| traits.cache_tokens);
                 self.engines
                     .insert(engine.id.clone(), EngineState::new(engine, tokens));
             }
@@ -146,7 +155,7 @@
 
     /// Chooses where a request goes; nothing that leaves, is left alone for a while or lacks the model is chosen.
     pub fn choose(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> PoolRoute {
-        let context = self.context(query.pool, now);
+        let context = self.context(query, now);
         if query.prompt.is_none() {
             return cheapest(self.candidates(query, EngineStage::Whole, now), |state| {
                 context.output(state, query.zone)
@@ -156,7 +165,7 @@
             });
         }
         let split = self.choose_split(query, &context);
-        let whole = self.choose_reading_decode(query, &context, split.is_none());
+        let whole = self.choose_reading_decode(query, &context);
         match (split, whole) {
             (Some((split_cost, _, _)), Some((cost, state))) if cost < split_cost => {
                 PoolRoute::Whole(state.engine.clone())
@@ -177,7 +186,7 @@
         source: &EngineId,
         now: MonotonicTime,
     ) -> Option<PoolEngine> {
-        let context = self.context(query.pool, now);
+        let context = self.context(query, now);
         let zone = self
             .engines
             .get(source)
@@ -190,9 +199,9 @@
 
     /// Seconds until a prompt sent now would have been read, at the best engine; absent where none reads prompts.
     pub fn prompt_delay(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<Duration> {
-        let context = self.context(query.pool, now);
+        let context = self.context(query, now);
         let (_, state) = self.choose_prefill(query, &context)?;
-        let tokens = state.work(now).prompt_tokens_ahead(query.rank) + context.unheld(state, query);
+        let tokens = state.work(now).prompt_tokens_ahead(query.rank) + context.reading(state, query).computed;
         Some(Duration::from_secs_f64(state.slowness * tokens / context.speed))
     }
 
@@ -203,11 +212,11 @@
         query: &PoolQuery<'_>,
         now: MonotonicTime,
     ) -> PoolTicket {
-        let context = self.context(query.pool, now);
+        let context = self.context(query, now);
         let unheld = self
             .engines
             .get(engine)
-            .map_or(0.0, |state| context.unheld(state, query));
+            .map_or(0.0, |state| context.reading(state, query).computed);
         let memory = query.prompt.map_or(0, |prompt| prompt.tokens);
         self.sent(engine, query.rank, unheld, f64::from(memory), now)
     }
@@ -220,9 +229,9 @@
         reads: bool,
         now: MonotonicTime,
     ) -> PoolTicket {
-        let context = self.context(query.pool, now);
+        let context = self.context(query, now);
         let unheld = match self.engines.get(engine) {
-            Some(state) if reads => context.unheld(state, query),
+            Some(state) if reads => context.reading(state, query).computed,
             _ => 0.0,
         };
         let memory = query
@@ -237,7 +246,7 @@
             return;
         };
         state.health.succeeded();
-        state.prefixes.note_read(prefixes, now);
+        note_held(state, prefixes, &mut self.news, now);
         if let Some(work) = state.sent.remove(&ticket.number)
             && work.alone
         {
@@ -253,10 +262,36 @@
     /// Notes that parts of a prompt came to be held by an engine that fetched them.
     pub fn on_prefixes_held(&mut self, engine: &EngineId, prefixes: &[PrefixBlock], now: MonotonicTime) {
         if let Some(state) = self.engines.get_mut(engine) {
-            state.prefixes.note_read(prefixes, now);
+            note_held(state, prefixes, &mut self.news, now);
+        }
+    }
+
+    /// Takes another node's news of shared prefixes that engines hold.
+    pub fn on_peer_news(&mut self, news: &[PrefixNews], now: MonotonicTime) {
+        for one in news {
+            let state = self.engines.values_mut().find(|state| state.handle == one.engine);
+            if let Some(state) = state {
+                state.prefixes.note_read(&one.prefixes, now);
+            }
         }
     }
 
+    /// News of shared prefixes since the last call, for other nodes.
+    pub fn take_news(&mut self) -> Vec<PrefixNews> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Notes that an engine that reads a prompt and runs its output has come to the output.
+    pub fn on_output_begun(&mut self, ticket: &PoolTicket, prefixes: &[PrefixBlock], now: MonotonicTime) {
+        let Some(state) = self.engines.get_mut(&ticket.engine) else {
+            return;
+        };
+        if let Some(work) = state.sent.get_mut(&ticket.number) {
+            work.prompt_tokens = 0.0;
+        }
+        note_held(state, prefixes, &mut self.news, now);
+    }
+
     /// Notes that a dispatch ended well.
     pub fn on_answered(&mut self, ticket: &PoolTicket) {
         if let Some(state) = self.engines.get_mut(&ticket.engine) {
@@ -313,18 +348,47 @@
         }
     }
 
-    fn context(&self, pool: &PoolId, now: MonotonicTime) -> CostContext<'_> {
+    fn context(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> CostContext<'_> {
         let assumed = self.weights.assumed_prompt_tokens_per_second;
+        let speed = self.speeds.get(query.pool);
+        let traits = self.traits.get(query.pool);
         CostContext {
             weights: &self.weights,
-            speed: self
-                .speeds
-                .get(pool)
-                .map_or(assumed, SpeedEstimate::tokens_per_second),
+            speed: speed.map_or(assumed, SpeedEstimate::tokens_per_second),
+            move_seconds: traits.and_then(|traits| traits.move_seconds),
+            most_held: self.best_holder(query, now).map_or(0, |(tokens, _)| tokens),
             now,
         }
     }
 
+    /// The engine that holds most of a prompt's beginning.
+    fn best_holder(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<(u32, &EngineState)> {
+        let holders = self.engines.values().filter(|state| {
+            state.engine.pool == *query.pool
+                && state.engine.stage != EngineStage::Whole
+                && state.takes_work(now)
+        });
+        holders
+            .map(|state| (state.prefixes.held_tokens(query.prefixes), state))
+            .filter(|(tokens, _)| *tokens > 0)
+            .max_by_key(|(tokens, state)| (*tokens, state.engine.zone == *query.zone))
+    }
+
+    /// From where an engine that reads a prompt fetches what it does not hold; absent where nobody holds more.
+    pub fn fetch_source(
+        &self,
+        engine: &EngineId,
+        query: &PoolQuery<'_>,
+        now: MonotonicTime,
+    ) -> Option<SocketAddr> {
+        let context = self.context(query, now);
+        context.move_seconds?;
+        let held = self.engines.get(engine)?.prefixes.held_tokens(query.prefixes);
+        let (tokens, holder) = self.best_holder(query, now)?;
+        let worth_it = tokens >= held + LEAST_FETCH && holder.engine.id != *engine;
+        worth_it.then_some(holder.engine.address)
+    }
+
     fn candidates<'a>(
         &'a self,
         query: &'a PoolQuery<'_>,
@@ -350,7 +414,7 @@
         let (prompt_cost, prefill) = self.choose_prefill(query, context)?;
         let decodes = self.candidates(query, EngineStage::Decode, context.now);
         let (cost, decode) = cheapest(decodes, |state| context.output(state, &prefill.engine.zone))?;
-        Some((prompt_cost + cost, prefill, decode))
+        Some((prompt_cost + cost + context.hand_over(query), prefill, decode))
     }
 
     fn choose_prefill<'a>(
@@ -368,19 +432,14 @@
         )
     }
 
-    /// An engine that runs outputs and reads this prompt itself: any where no engine reads prompts, else only for
-    /// small prompts.
+    /// An engine that runs outputs and reads this prompt itself.
     fn choose_reading_decode<'a>(
         &'a self,
         query: &'a PoolQuery<'_>,
         context: &CostContext<'_>,
-        any: bool,
     ) -> Option<(f64, &'a EngineState)> {
-        let most = f64::from(self.weights.decode_reading_tokens);
-        let reading = self
-            .candidates(query, EngineStage::Decode, context.now)
-            .filter(|state| any || context.unheld(state, query) <= most);
-        cheapest(reading, |state| context.both(state, query))
+        let decodes = self.candidates(query, EngineStage::Decode, context.now);
+        cheapest(decodes, |state| context.both(state, query))
     }
 
     /// The engine at which the shared part of a prompt is kept, by rendezvous hashing over those that read prompts.
@@ -401,6 +460,22 @@
     }
 }
 
+fn note_held(
+    state: &mut EngineState,
+    prefixes: &[PrefixBlock],
+    news: &mut Vec<PrefixNews>,
+    now: MonotonicTime,
+) {
+    state.prefixes.note_read(prefixes, now);
+    let shared = shared_prefixes(prefixes);
+    if !shared.is_empty() && news.len() < MOST_NEWS {
+        news.push(PrefixNews {
+            engine: state.handle,
+            prefixes: shared.to_vec(),
+        });
+    }
+}
+
 fn holds(engine: &PoolEngine, model: &str) -> bool {
     engine.models.iter().any(|held| held == model)
 }
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -4,16 +4,22 @@
 //! this node and every other that told of its own:
 //!
 //! ```text
-//! prompt at e  = slowness * (w.wait * prompt tokens ahead at e / speed + w.compute * tokens not held at e / speed)
-//!              + w.reread * shared tokens not held at e / speed       (unless e is the home of the shared part)
-//!              + w.other_zone_seconds                                 (where e is not in this node's zone)
+//! held at e    = tokens of the prompt that e is believed to hold, from its beginning
+//! fetched to e = tokens that another engine holds beyond e, where the pool can fetch them
+//! computed at e = tokens of the prompt that are neither held nor fetched
+//! fetch to e   = w.fetch * fetched to e * seconds to move a token
+//!
+//! prompt at e  = slowness * (w.wait * prompt tokens ahead at e + w.compute * computed at e) / speed + fetch to e
+//!              + w.away_seconds                     (unless e is the home of a part that nobody is known to hold)
+//!              + w.other_zone_seconds               (where e is not in this node's zone)
 //!
 //! load of e    = w.places_seconds * (taken / places)^2 + w.memory_seconds * (tokens taken / tokens)^2
 //!              + w.overflow_seconds * requests beyond the places
 //! output at e  = slowness * load of e + w.other_zone_seconds | w.transfer_zone_seconds   (apart from the prompt's engine)
+//! hand-over    = w.handover_seconds + w.transfer * tokens of the prompt * seconds to move a token
 //!
-//! both at e    = output at e + tokens not held at e / (speed * w.decode_reading_pace)
-//!                                    * (1 + w.decode_reading_stall * requests at e)
+//! both at e    = output at e + fetch to e + slowness * (prompt tokens ahead at e + computed at e)
+//!                / (speed * w.decode_reading_pace) * (1 + w.decode_reading_stall * requests at e)
 //! ```
 
 use super::engine::EngineState;
@@ -29,18 +35,52 @@
     pub weights: &'a PoolWeights,
     /// Prompt tokens that an engine reads in a second.
     pub speed: f64,
+    /// Seconds that moving the KV cache of one token takes; absent where engines can't fetch from one another.
+    pub move_seconds: Option<f64>,
+    /// Most tokens of the prompt that any engine holds.
+    pub most_held: u32,
     /// Now.
     pub now: MonotonicTime,
 }
 
+/// How an engine comes by a prompt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReadingWork {
+    /// Tokens that it reads.
+    pub computed: f64,
+    /// Tokens that it fetches from another engine.
+    pub fetched: f64,
+}
+
 impl CostContext<'_> {
+    /// How an engine would come by the prompt.
+    pub fn reading(&self, state: &EngineState, query: &PoolQuery<'_>) -> ReadingWork {
+        let tokens = query.prompt.map_or(0, |prompt| prompt.tokens);
+        let held = state.prefixes.held_tokens(query.prefixes);
+        let reachable = match self.move_seconds {
+            Some(_) => held.max(self.most_held),
+            None => held,
+        };
+        ReadingWork {
+            computed: f64::from(tokens.saturating_sub(reachable)),
+            fetched: f64::from(reachable - held),
+        }
+    }
+
     /// Cost of reading the prompt at an engine.
     pub fn prompt(&self, state: &EngineState, query: &PoolQuery<'_>, is_home: bool) -> f64 {
-        let work = state.work(self.now);
-        let wait = work.prompt_tokens_ahead(query.rank) / self.speed;
-        let compute = self.unheld(state, query) / self.speed;
-        let delay = state.slowness * (self.weights.wait * wait + self.weights.compute * compute);
-        delay + self.reread(state, query, is_home) + self.apart(&state.engine.zone, query.zone)
+        let reading = self.reading(state, query);
+        let ahead = state.work(self.now).prompt_tokens_ahead(query.rank);
+        let tokens = self.weights.wait * ahead + self.weights.compute * reading.computed;
+        let away = if is_home || self.most_held > 0 {
+            0.0
+        } else {
+            self.weights.away_seconds
+        };
+        state.slowness * tokens / self.speed
+            + self.fetch(reading)
+            + away
+            + self.apart(&state.engine.zone, query.zone)
     }
 
     /// Cost of running the output at an engine, or the whole of a request that no model serves.
@@ -53,28 +93,25 @@
         state.slowness * self.load(state) + transfer
     }
 
-    /// Cost of reading the prompt and running the output at an engine that runs outputs.
-    pub fn both(&self, state: &EngineState, query: &PoolQuery<'_>) -> f64 {
-        let reading = self.unheld(state, query) / (self.speed * self.weights.decode_reading_pace);
-        let requests = state.work(self.now).requests;
-        let disturbance = 1.0 + self.weights.decode_reading_stall * requests;
-        self.output(state, query.zone) + reading * disturbance
+    /// Cost of handing the KV cache of a prompt from the engine that read it to the one that runs the output.
+    pub fn hand_over(&self, query: &PoolQuery<'_>) -> f64 {
+        let tokens = f64::from(query.prompt.map_or(0, |prompt| prompt.tokens));
+        let moving = self.move_seconds.unwrap_or_default();
+        self.weights.handover_seconds + self.weights.transfer * tokens * moving
     }
 
-    /// Prompt tokens that an engine does not hold.
-    pub fn unheld(&self, state: &EngineState, query: &PoolQuery<'_>) -> f64 {
-        let tokens = query.prompt.map_or(0, |prompt| prompt.tokens);
-        f64::from(tokens.saturating_sub(state.prefixes.held_tokens(query.prefixes)))
+    /// Cost of reading the prompt and running the output at an engine that runs outputs.
+    pub fn both(&self, state: &EngineState, query: &PoolQuery<'_>) -> f64 {
+        let reading = self.reading(state, query);
+        let work = state.work(self.now);
+        let tokens = work.prompt_tokens_ahead(query.rank) + reading.computed;
+        let seconds = state.slowness * tokens / (self.speed * self.weights.decode_reading_pace);
+        let disturbance = 1.0 + self.weights.decode_reading_stall * work.requests;
+        self.output(state, query.zone) + self.fetch(reading) + seconds * disturbance
     }
 
-    fn reread(&self, state: &EngineState, query: &PoolQuery<'_>, is_home: bool) -> f64 {
-        let shared = shared_prefixes(query.prefixes);
-        let shared_tokens: u32 = shared.iter().map(|block| block.tokens).sum();
-        let unheld = shared_tokens - state.prefixes.held_tokens(shared);
-        if is_home {
-            return 0.0;
-        }
-        self.weights.reread * f64::from(unheld) / self.speed
+    fn fetch(&self, reading: ReadingWork) -> f64 {
+        self.weights.fetch * reading.fetched * self.move_seconds.unwrap_or_default()
     }
 
     fn load(&self, state: &EngineState) -> f64 {
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -15,7 +15,7 @@
 mod query;
 mod weights;
 
-pub use beliefs::{PeerWork, RANKS, SpeedEstimate, rank_of};
+pub use beliefs::{PeerWork, PrefixNews, RANKS, SpeedEstimate, rank_of};
 pub use choice::{PoolRoute, PoolRouter, PoolTicket};
 pub use engine::{EngineStage, EngineState, PoolEngine, ToldLoad, WorkAtEngine};
 pub use prefix::PrefixBelief;
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -3,6 +3,7 @@
 use crate::forwarding::PoolId;
 use crate::identity::{EngineId, ZoneId};
 use crate::membership::subject::mix;
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// One part of a prompt as the caller declares it; the same name stands for the same tokens.
@@ -28,7 +29,7 @@
 }
 
 /// A prefix of a prompt: every part up to one, with the tokens that this part adds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrefixBlock {
     /// Hash of the model and every part up to and including this one.
     pub hash: u64,
--- a/crates/core/src/routing/pool/weights.rs
+++ b/crates/core/src/routing/pool/weights.rs
@@ -11,8 +11,15 @@
     pub wait: f64,
     /// Worth of a second of reading the part of the prompt that the engine does not hold.
     pub compute: f64,
-    /// Additional worth of a second of reading a shared part away from its home: it will be read again and again.
-    pub reread: f64,
+    /// Worth of a second of fetching a held part from another engine.
+    pub fetch: f64,
+    /// Cost of reading a shared part that nobody holds away from its home, in seconds, so that nodes which meet it at
+    /// the same time read it once.
+    pub away_seconds: f64,
+    /// Worth of a second of moving a prompt's KV cache to the engine that runs the output.
+    pub transfer: f64,
+    /// Time that a hand-over takes beside the move, in seconds.
+    pub handover_seconds: f64,
     /// Cost of leaving this node's zone, in seconds.
     pub other_zone_seconds: f64,
     /// Cost of handing a KV cache to another zone, in seconds.
@@ -27,9 +34,7 @@
     pub assumed_prompt_tokens_per_second: f64,
     /// Pace at which an engine that runs outputs reads a prompt itself, relative to one that reads prompts.
     pub decode_reading_pace: f64,
-    /// Longest prompt part, in tokens not held, that an engine that runs outputs may read itself.
-    pub decode_reading_tokens: u32,
-    /// Cost of disturbing the outputs beside it, for each second of reading and each request there, in seconds.
+    /// Part by which a second of reading there costs more for each request that runs its output beside it.
     pub decode_reading_stall: f64,
 }
 
@@ -38,7 +43,10 @@
         Self {
             wait: 1.0,
             compute: 1.0,
-            reread: 5.0,
+            fetch: 3.0,
+            away_seconds: 0.03,
+            transfer: 3.0,
+            handover_seconds: 0.015,
             other_zone_seconds: 0.010,
             transfer_zone_seconds: 0.010,
             places_seconds: 0.5,
@@ -46,8 +54,7 @@
             overflow_seconds: 0.2,
             assumed_prompt_tokens_per_second: 40_000.0,
             decode_reading_pace: 0.5,
-            decode_reading_tokens: 0,
-            decode_reading_stall: 0.2,
+            decode_reading_stall: 0.1,
         }
     }
 }
@@ -58,7 +65,10 @@
         let weights = [
             ("routing.wait", self.wait, 0.0),
             ("routing.compute", self.compute, 0.0),
-            ("routing.reread", self.reread, 0.0),
+            ("routing.fetch", self.fetch, 0.0),
+            ("routing.away_seconds", self.away_seconds, 0.0),
+            ("routing.transfer", self.transfer, 0.0),
+            ("routing.handover_seconds", self.handover_seconds, 0.0),
             ("routing.other_zone_seconds", self.other_zone_seconds, 0.0),
             ("routing.transfer_zone_seconds", self.transfer_zone_seconds, 0.0),
             ("routing.places_seconds", self.places_seconds, 0.0),
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -228,12 +228,20 @@
             sent_at: now,
             silent_from: patience.map(|patience| now + patience),
             all_sent: false,
+            has_events: false,
         };
         self.context.peers.note_change();
+        let fetch_from = match purpose {
+            Purpose::Output => None,
+            Purpose::Prompt | Purpose::Whole => {
+                lock(&self.context.router).fetch_source(&target.engine, &self.query(&[], now), now)
+            }
+        };
         exchange.link.begin(&EngineCall {
             call: self.call,
             engine: &target.engine,
             stage,
+            fetch_from,
             time_left: left,
             urgency: self.route.priority.min(9),
             last_event: self.machine.last_event().or(self.call.last_event),
@@ -243,6 +251,7 @@
             request = self.call.request.as_str(),
             engine = target.engine.as_str(),
             purpose = purpose.name(),
+            fetch_from:? = fetch_from,
             left_millis = left.as_millis() as u64;
             "dispatched"
         );
@@ -359,6 +368,10 @@
             EngineReading::Event { id, bytes } => {
                 let patience = patience::next_event(self.route);
                 let exchange = self.exchange.as_mut()?;
+                if !std::mem::replace(&mut exchange.has_events, true) {
+                    lock(&self.context.router).on_output_begun(&exchange.ticket, &self.prefixes, now);
+                    self.context.peers.note_change();
+                }
                 exchange.heard(now, patience);
                 self.event_bytes = bytes;
                 Some(Event::Forwarded {
@@ -419,9 +432,6 @@
         let mut router = lock(&self.context.router);
         router.on_answered(&exchange.ticket);
         self.context.peers.note_change();
-        if exchange.purpose != Purpose::Prompt && part != OpaquePart::Failure {
-            router.on_prefixes_held(&exchange.engine, &self.prefixes, now);
-        }
         drop(router);
         self.context.links.give_back(&exchange.engine, exchange.link, now);
         Event::Forwarded {
--- a/crates/node/src/course/exchange.rs
+++ b/crates/node/src/course/exchange.rs
@@ -40,6 +40,8 @@
     /// Instant from which the engine counts as silent; absent: never.
     pub(super) silent_from: Option<MonotonicTime>,
     pub(super) all_sent: bool,
+    /// Whether an event of the answer came.
+    pub(super) has_events: bool,
 }
 
 impl Exchange {
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -4,13 +4,16 @@
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::routing::pool::PeerWork;
+use shelfjunction_core::routing::pool::{PeerWork, PrefixNews};
 
 /// Longest datagram, in bytes; stays below the smallest usual frame.
 pub(super) const MOST_BYTES: usize = 1_400;
 
 /// Engines in one message; each takes about 20 bytes.
-pub(super) const MOST_ENGINES: usize = 48;
+pub(super) const MOST_ENGINES: usize = 32;
+
+/// News in one message; each takes about 30 bytes.
+pub(super) const MOST_NEWS: usize = 16;
 
 /// A node's word of its work.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,6 +26,8 @@
     pub(super) number: u64,
     /// Work at engines; none where an engine is not named.
     pub(super) work: Vec<(SubjectHandle, PeerWork)>,
+    /// Shared prefixes that engines have come to hold since the last message.
+    pub(super) news: Vec<PrefixNews>,
 }
 
 const CODEC: Configuration = standard();
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -1,10 +1,10 @@
 //! Tells other nodes of this node's work.
 
 use super::Peers;
-use super::message::{MOST_ENGINES, WorkMessage};
+use super::message::{MOST_ENGINES, MOST_NEWS, WorkMessage};
 use crate::context::Context;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::routing::pool::PeerWork;
+use shelfjunction_core::routing::pool::{PeerWork, PrefixNews};
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::PoisonError;
@@ -26,13 +26,16 @@
     let mut told = Vec::new();
     loop {
         context.peers.wait_for_change();
-        let work = lock(&context.router).own_work();
+        let (work, news) = {
+            let mut router = lock(&context.router);
+            (router.own_work(), router.take_news())
+        };
         let peers = context.peers.addresses(context.now());
-        if work.is_empty() && told.is_empty() && number > 0 && !is_due(number) {
+        if work.is_empty() && news.is_empty() && told.is_empty() && number > 0 && !is_due(number) {
             number += 1;
         } else {
             number += 1;
-            send(context, socket, &peers, start, number, &work);
+            send(context, socket, &peers, start, number, &work, news);
         }
         told = work;
         context.stop.wait(pause(peers.len()));
@@ -52,12 +55,14 @@
     start: u64,
     number: u64,
     work: &[(SubjectHandle, PeerWork)],
+    news: Vec<PrefixNews>,
 ) {
     let message = WorkMessage {
         node: context.config.node.clone(),
         start,
         number,
         work: work.iter().take(MOST_ENGINES).copied().collect(),
+        news: news.into_iter().take(MOST_NEWS).collect(),
     };
     let Some(bytes) = message.encode() else {
         return;
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -146,6 +146,8 @@
     pub engine: &'a EngineId,
     /// Part to do.
     pub stage: CallStage,
+    /// Engine from which the prompt's held part is fetched first.
+    pub fetch_from: Option<SocketAddr>,
     /// Time left.
     pub time_left: Duration,
     /// Rank among the engine's requests; zero goes first.
