--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -2,7 +2,7 @@
 
 use super::beliefs::{PeerWork, PrefixNews, SpeedEstimate};
 use super::cost::{CostContext, shared_prefixes};
-use super::engine::{EngineStage, EngineState, PoolEngine, SentWork, ToldLoad};
+use super::engine::{EngineStage, EngineState, FORGET_AFTER, Gone, PoolEngine, SentWork, ToldLoad};
 use super::query::{PoolQuery, PrefixBlock};
 use super::weights::PoolWeights;
 use crate::engine::EngineRefusalReason;
@@ -106,9 +106,14 @@
         }
     }
 
-    /// Forgets an engine.
-    pub fn on_engine_gone(&mut self, engine: &EngineId) {
-        self.engines.remove(engine);
+    /// Notes that the platform lists an engine no longer; `doubtful` where the store was in trouble just before, so
+    /// that the engine may live and only its entry have lapsed.
+    pub fn on_engine_gone(&mut self, engine: &EngineId, doubtful: bool, now: MonotonicTime) {
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.gone = Some(Gone { since: now, doubtful });
+        }
+        self.engines
+            .retain(|_, state| state.gone.is_none_or(|gone| now.since(gone.since) < FORGET_AFTER));
     }
 
     /// Takes another node's word of its work at engines.
@@ -451,7 +456,7 @@
         let homes = self.engines.values().filter(|state| {
             state.engine.pool == *query.pool
                 && state.engine.stage == EngineStage::Prefill
-                && !state.engine.leaving
+                && state.stays()
                 && !query.excluded.contains(&state.engine.id)
         });
         homes
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -116,6 +116,26 @@
     }
 }
 
+/// An engine that the platform lists no longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Gone {
+    pub(super) since: MonotonicTime,
+    /// The store was in trouble, so the engine may only have failed to renew its entry.
+    pub(super) doubtful: bool,
+}
+
+/// Time for which an engine whose disappearance is in doubt is still used; it renews its entry sooner if it lives.
+const DOUBT: Duration = Duration::from_millis(1_600);
+
+/// Time after which an engine that is gone is forgotten; one that comes back sooner keeps what is known of it.
+pub(super) const FORGET_AFTER: Duration = Duration::from_secs(6);
+
+impl Gone {
+    fn is_doubtful_at(self, now: MonotonicTime) -> bool {
+        self.doubtful && now.since(self.since) < DOUBT
+    }
+}
+
 /// One engine as the router sees it.
 #[derive(Clone, Debug)]
 pub struct EngineState {
@@ -125,6 +145,8 @@
     pub handle: SubjectHandle,
     /// Prompt parts that it is believed to hold.
     pub prefixes: PrefixBelief,
+    /// Present where the platform lists the engine no longer.
+    pub(super) gone: Option<Gone>,
     pub(super) health: Health,
     pub(super) sent: BTreeMap<u64, SentWork>,
     pub(super) told: Option<(ToldLoad, MonotonicTime)>,
@@ -145,6 +167,7 @@
             handle: SubjectHandle::of_text("engine", engine.id.as_str()),
             engine,
             prefixes: PrefixBelief::new(cache_tokens),
+            gone: None,
             health: Health::default(),
             sent: BTreeMap::new(),
             told: None,
@@ -155,6 +178,7 @@
 
     /// Takes a new listing of the same start of the engine.
     pub(super) fn update(&mut self, engine: PoolEngine) {
+        self.gone = None;
         self.engine = engine;
     }
 
@@ -183,6 +207,13 @@
 
     /// Whether new work may go there now.
     pub(super) fn takes_work(&self, now: MonotonicTime) -> bool {
-        !self.engine.leaving && !self.health.is_paused(now)
+        !self.engine.leaving
+            && self.gone.is_none_or(|gone| gone.is_doubtful_at(now))
+            && !self.health.is_paused(now)
+    }
+
+    /// Whether the engine is neither gone nor about to leave.
+    pub(super) fn stays(&self) -> bool {
+        !self.engine.leaving && self.gone.is_none()
     }
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -71,7 +71,7 @@
     }
 
     pub fn watch() -> u64 {
-        4_000
+        3_000
     }
 
     pub fn connections() -> usize {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -5,11 +5,12 @@
 use crate::peers::Peers;
 use crate::ports::EngineProtocol;
 use crate::releasing::Releases;
+use crate::watch::StoreTrouble;
 use shelfjunction_core::forwarding::{
     Adoption, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation,
 };
 use shelfjunction_core::retry::window::WindowBudget;
-use shelfjunction_core::routing::pool::PoolRouter;
+use shelfjunction_core::routing::pool::{EngineListing, ListChange, PoolEngine, PoolRouter};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::clock::MonotonicClock;
 use shelfjunction_threads::{StopSignal, lock};
@@ -27,6 +28,8 @@
     pub(crate) peers: Peers,
     pub(crate) state: Arc<NodeState>,
     pub(crate) stop: Arc<StopSignal>,
+    pub(crate) store_trouble: StoreTrouble,
+    pub(crate) listing: Mutex<EngineListing>,
     in_force: Mutex<ConfigInForce>,
     rotation: Mutex<ShareRotation>,
     budgets: Mutex<BTreeMap<PoolId, WindowBudget>>,
@@ -95,6 +98,8 @@
             peers: Peers::default(),
             state: Arc::new(NodeState::default()),
             stop: Arc::new(StopSignal::default()),
+            store_trouble: StoreTrouble::default(),
+            listing: Mutex::new(EngineListing::default()),
             in_force: Mutex::new(ConfigInForce::default()),
             rotation: Mutex::new(ShareRotation::default()),
             budgets: Mutex::new(BTreeMap::new()),
@@ -112,7 +117,7 @@
     }
 
     /// Offers a configuration from the store or a peer.
-    pub(crate) fn offer(&self, offered: ForwardingConfig) -> Adoption {
+    pub(crate) fn offer(&self, offered: ForwardingConfig, source: &str) -> Adoption {
         let version = offered.version;
         let adoption = lock(&self.in_force).offer(offered, self.now());
         match &adoption {
@@ -122,7 +127,7 @@
                     lock(&self.rotation).retain(&config.routes);
                 }
                 self.state.configured.store(true, Ordering::Relaxed);
-                log::info!(version, before:? = before; "configuration_taken");
+                log::info!(version, before:? = before, source; "configuration_taken");
             }
             Adoption::NotNewer => log::debug!(version; "configuration_not_newer"),
             Adoption::Refused(faults) => {
@@ -134,6 +139,41 @@
         adoption
     }
 
+    /// Takes changes of the list of engines from the store or a peer, which `source` names.
+    pub(crate) fn take_list_changes(&self, changes: Vec<ListChange>, source: &str) {
+        let now = self.now();
+        for change in changes {
+            match change {
+                ListChange::Listed(engine) => self.engine_listed(engine, source),
+                ListChange::Gone(engine) => {
+                    let doubtful = self.store_trouble.was_recent(now);
+                    log::info!(engine = engine.as_str(), doubtful, source; "engine_gone");
+                    lock(&self.router).on_engine_gone(&engine, doubtful, now);
+                    self.links.forget(&engine);
+                }
+            }
+        }
+        self.state.note_listed();
+    }
+
+    fn engine_listed(&self, engine: PoolEngine, source: &str) {
+        log::info!(
+            engine = engine.id.as_str(),
+            pool:% = engine.pool,
+            address:% = engine.address,
+            zone = engine.zone.as_str(),
+            stage:? = engine.stage,
+            leaving = engine.leaving,
+            sequence = engine.order_sequence,
+            source;
+            "engine_listed"
+        );
+        if engine.leaving {
+            self.links.forget(&engine.id);
+        }
+        lock(&self.router).on_engine(engine);
+    }
+
     /// The pool that takes the next request of a route.
     pub(crate) fn next_pool(&self, route: &RouteRule) -> Option<PoolId> {
         lock(&self.rotation).next(route)
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -57,6 +57,7 @@
         let listener = TcpListener::bind(config.listen).map_err(StartError::Listen)?;
         let socket = UdpSocket::bind(config.peer_listen).map_err(StartError::Listen)?;
         let socket = Arc::new(socket);
+        let peer_listener = TcpListener::bind(config.peer_listen).map_err(StartError::Listen)?;
         let context = Arc::new(Context::new(config, adapters.engines));
         let open = Arc::new(OpenConnections::default());
         let store = adapters.store;
@@ -81,6 +82,14 @@
             let context = Arc::clone(&context);
             move || peers::tell(&context, &socket)
         })?;
+        spawn("peers-serve", {
+            let context = Arc::clone(&context);
+            move || peers::serve_snapshots(&context, &peer_listener)
+        })?;
+        spawn("peers-catch-up", {
+            let context = Arc::clone(&context);
+            move || peers::catch_up(&context)
+        })?;
         spawn("release", {
             let context = Arc::clone(&context);
             move || releasing::run(&context)
--- /dev/null
+++ b/crates/node/src/peers/catching_up.rs
@@ -0,0 +1,130 @@
+//! A node that the store does not answer takes the configuration and the list of engines from a peer.
+//!
+//! Messages tell the versions that their sender has. A node that lacks a version for longer than its own question to
+//! the store would take connects to the sender, which answers with a snapshot of both.
+
+use super::message::WorkMessage;
+use super::{Behind, Peers};
+use crate::context::Context;
+use bincode::config::{Configuration, standard};
+use serde::{Deserialize, Serialize};
+use shelfjunction_core::forwarding::ForwardingConfig;
+use shelfjunction_core::routing::pool::ListSnapshot;
+use shelfjunction_threads::lock;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::PoisonError;
+use std::time::Duration;
+
+/// Time that the store has to tell this node itself, before a peer is asked.
+const STORE_FIRST: Duration = Duration::from_millis(250);
+
+/// Longest wait for a peer to take a connection, and for each of its bytes.
+const PEER_WAIT: Duration = Duration::from_millis(500);
+
+/// Longest snapshot, in bytes.
+const MOST_BYTES: u64 = 8 * 1024 * 1024;
+
+const CODEC: Configuration = standard();
+
+/// What a peer hands over.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Snapshot {
+    config: Option<ForwardingConfig>,
+    list: ListSnapshot,
+}
+
+impl Peers {
+    /// Compares the versions that a peer has with this node's.
+    pub(super) fn note_versions(&self, context: &Context, message: &WorkMessage, peer: SocketAddr) {
+        let behind = Behind {
+            peer,
+            config_version: message.config_version,
+            list_version: message.list_version,
+        };
+        if lacks(context, &behind) {
+            *lock(&self.behind) = Some(behind);
+            self.fell_behind.notify_one();
+        }
+    }
+
+    fn next_behind(&self) -> Behind {
+        let mut behind = lock(&self.behind);
+        loop {
+            if let Some(found) = behind.take() {
+                return found;
+            }
+            behind = self
+                .fell_behind
+                .wait(behind)
+                .unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+}
+
+fn lacks(context: &Context, behind: &Behind) -> bool {
+    let config_version = context.forwarding().map_or(0, |config| config.version);
+    config_version < behind.config_version || lock(&context.listing).reflected() < behind.list_version
+}
+
+/// Takes from peers what this node lacks, as long as the process runs.
+pub(crate) fn catch_up(context: &Context) {
+    loop {
+        let behind = context.peers.next_behind();
+        context.stop.wait(STORE_FIRST);
+        if !lacks(context, &behind) {
+            continue;
+        }
+        match fetch(behind.peer) {
+            Some(snapshot) => take(context, snapshot, behind.peer),
+            None => log::info!(peer:% = behind.peer; "peer_snapshot_failed"),
+        }
+    }
+}
+
+fn take(context: &Context, snapshot: Snapshot, peer: SocketAddr) {
+    let source = format!("peer {peer}");
+    if let Some(config) = snapshot.config {
+        context.offer(config, &source);
+    }
+    let changes = lock(&context.listing).replace(&snapshot.list);
+    if !changes.is_empty() {
+        context.take_list_changes(changes, &source);
+    }
+}
+
+fn fetch(peer: SocketAddr) -> Option<Snapshot> {
+    let stream = TcpStream::connect_timeout(&peer, PEER_WAIT).ok()?;
+    stream.set_read_timeout(Some(PEER_WAIT)).ok()?;
+    let mut bytes = Vec::new();
+    stream.take(MOST_BYTES).read_to_end(&mut bytes).ok()?;
+    let (snapshot, used) = bincode::serde::decode_from_slice(&bytes, CODEC).ok()?;
+    (used == bytes.len()).then_some(snapshot)
+}
+
+/// Hands snapshots to peers as long as the process runs.
+pub(crate) fn serve(context: &Context, listener: &TcpListener) {
+    loop {
+        match listener.accept() {
+            Ok((stream, peer)) => {
+                if hand_over(context, stream).is_none() {
+                    log::debug!(peer:% = peer; "peer_snapshot_not_sent");
+                }
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "peer_accept_failed");
+                context.stop.wait(PEER_WAIT);
+            }
+        }
+    }
+}
+
+fn hand_over(context: &Context, mut stream: TcpStream) -> Option<()> {
+    let snapshot = Snapshot {
+        config: context.forwarding().map(|config| config.as_ref().clone()),
+        list: lock(&context.listing).snapshot(),
+    };
+    let bytes = bincode::serde::encode_to_vec(&snapshot, CODEC).ok()?;
+    stream.set_write_timeout(Some(PEER_WAIT)).ok()?;
+    stream.write_all(&bytes).ok()
+}
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -56,6 +56,7 @@
         peer.known_at = now;
         peer.last_message = Some(position);
     }
+    context.peers.note_versions(context, &message, from);
     let mut router = lock(&context.router);
     router.on_peer_work(&message.node, &message.work, now);
     router.on_peer_news(&message.news, now);
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -24,6 +24,10 @@
     pub(super) start: u64,
     /// Number of the message since that start.
     pub(super) number: u64,
+    /// Version of the configuration that the sender has; zero for none.
+    pub(super) config_version: u64,
+    /// Version of the store at which the list of engines that the sender has last changed.
+    pub(super) list_version: u64,
     /// Work at engines; none where an engine is not named.
     pub(super) work: Vec<(SubjectHandle, PeerWork)>,
     /// Shared prefixes that engines have come to hold since the last message.
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -3,11 +3,13 @@
 //! Each message says everything that its sender has under way, so a lost one is made good by the next. The store's
 //! list of nodes only says whom to tell first; whoever is heard is told too.
 
+mod catching_up;
 mod directory;
 mod hearing;
 mod message;
 mod telling;
 
+pub(crate) use catching_up::{catch_up, serve as serve_snapshots};
 pub(crate) use directory::follow as follow_directory;
 pub(crate) use hearing::hear;
 pub(crate) use telling::tell;
@@ -39,6 +41,16 @@
     known: Mutex<Known>,
     changed: Mutex<bool>,
     change: Condvar,
+    behind: Mutex<Option<Behind>>,
+    fell_behind: Condvar,
+}
+
+/// A peer that knows something newer.
+#[derive(Clone, Copy, Debug)]
+struct Behind {
+    peer: SocketAddr,
+    config_version: u64,
+    list_version: u64,
 }
 
 #[derive(Debug, Default)]
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -61,6 +61,8 @@
         node: context.config.node.clone(),
         start,
         number,
+        config_version: context.forwarding().map_or(0, |config| config.version),
+        list_version: lock(&context.listing).changed(),
         work: work.iter().take(MOST_ENGINES).copied().collect(),
         news: news.into_iter().take(MOST_NEWS).collect(),
     };
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -3,7 +3,7 @@
 use shelfjunction_core::engine::{EngineRefusal, KvTransfer};
 use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig};
 use shelfjunction_core::identity::{EngineId, NodeId, RequestId};
-use shelfjunction_core::routing::pool::{PoolEngine, PromptShape, ToldLoad};
+use shelfjunction_core::routing::pool::{ListChange, PromptShape, ToldLoad};
 use shelfjunction_core::table::PlatformError;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -236,15 +236,13 @@
     pub fault: String,
 }
 
-/// One change of the list of engines.
+/// One row of the list of engines that has changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum EngineChange {
-    /// An engine is listed so.
-    Listed(PoolEngine),
-    /// An engine is listed no longer.
-    Gone(EngineId),
-    /// A row can't be read.
-    Unreadable(UnreadableRow),
+pub struct EngineRow {
+    /// Version of the store at which it changed.
+    pub version: StoreVersion,
+    /// The change; the engine's name and the fault where the row can't be read.
+    pub change: Result<ListChange, UnreadableRow>,
 }
 
 /// Version of the store up to which changes were seen.
@@ -285,11 +283,10 @@
     ) -> Result<Changes<OfferedConfig>, WatchError>;
 
     /// Every engine that is listed.
-    fn engines(&self) -> Result<Changes<EngineChange>, PlatformError>;
+    fn engines(&self) -> Result<Changes<EngineRow>, PlatformError>;
 
     /// Waits for changes of the list since `after`, at most so long.
-    fn watch_engines(&self, after: StoreVersion, wait: Duration)
-    -> Result<Changes<EngineChange>, WatchError>;
+    fn watch_engines(&self, after: StoreVersion, wait: Duration) -> Result<Changes<EngineRow>, WatchError>;
 }
 
 /// One node as it enters itself into the store.
--- a/crates/node/src/watch/configuration.rs
+++ b/crates/node/src/watch/configuration.rs
@@ -1,10 +1,13 @@
 //! Follows the configuration.
 
-use super::backoff::StoreContact;
+use super::contact::StoreContact;
 use crate::context::Context;
 use crate::ports::{Changes, FleetStore, OfferedConfig, StoreVersion, WatchError};
 use std::time::Duration;
 
+/// Where these changes come from, for the log.
+const SOURCE: &str = "store";
+
 /// Pause while the store holds no configuration yet.
 const NONE_YET: Duration = Duration::from_millis(200);
 
@@ -14,7 +17,7 @@
     let mut seen: Option<StoreVersion> = None;
     loop {
         let changes = match seen {
-            Some(after) => store.watch_configuration(after, context.config.watch()),
+            Some(after) => store.watch_configuration(after, contact.wait(context)),
             None => store.configuration().map_err(WatchError::Failed),
         };
         match changes {
@@ -39,7 +42,7 @@
     for offered in changes.changes {
         match offered {
             Ok(config) => {
-                context.offer(config);
+                context.offer(config, SOURCE);
             }
             Err(unreadable) => {
                 log::warn!(row = unreadable.row.as_str(), fault = unreadable.fault.as_str(); "row_unreadable");
--- a/crates/node/src/watch/engines.rs
+++ b/crates/node/src/watch/engines.rs
@@ -1,12 +1,14 @@
 //! Follows the list of engines.
 
-use super::backoff::StoreContact;
+use super::contact::StoreContact;
 use crate::context::Context;
-use crate::ports::{EngineChange, FleetStore, StoreVersion, WatchError};
+use crate::ports::{Changes, EngineRow, FleetStore, StoreVersion, WatchError};
 use shelfjunction_core::identity::EngineId;
-use shelfjunction_core::routing::pool::PoolEngine;
+use shelfjunction_core::routing::pool::{ListChange, ListSnapshot, PoolEngine};
 use shelfjunction_threads::lock;
-use std::collections::BTreeSet;
+
+/// Where these changes come from, for the log.
+const SOURCE: &str = "store";
 
 /// Follows the list as long as the process runs.
 pub(crate) fn run(context: &Context, store: &dyn FleetStore) {
@@ -14,21 +16,19 @@
     let mut seen: Option<StoreVersion> = None;
     loop {
         let changes = match seen {
-            Some(after) => store.watch_engines(after, context.config.watch()),
+            Some(after) => store.watch_engines(after, contact.wait(context)),
             None => store.engines().map_err(WatchError::Failed),
         };
         match changes {
             Ok(changes) => {
                 contact.answered();
-                if seen.is_none() {
-                    forget_unlisted(context, &changes.changes);
-                }
+                let whole = seen.is_none();
                 seen = Some(changes.version);
-                changes
-                    .changes
-                    .into_iter()
-                    .for_each(|change| take(context, change));
-                context.state.note_listed();
+                if whole {
+                    take_whole(context, changes);
+                } else {
+                    take_changes(context, changes);
+                }
             }
             Err(WatchError::HistoryGone) => {
                 log::info!(table = "engines"; "history_gone");
@@ -39,61 +39,51 @@
     }
 }
 
-fn take(context: &Context, change: EngineChange) {
-    match change {
-        EngineChange::Listed(engine) => note_listed(context, engine),
-        EngineChange::Gone(engine) => forget(context, &engine),
-        EngineChange::Unreadable(row) => {
-            log::warn!(row = row.row.as_str(), fault = row.fault.as_str(); "row_unreadable");
-        }
-    }
+fn take_changes(context: &Context, changes: Changes<EngineRow>) {
+    let read = changes.changes.into_iter().filter_map(|row| {
+        let version = row.version.0;
+        readable(row).map(|change| (version, change))
+    });
+    let read = read.collect();
+    let taken = lock(&context.listing).apply(read, changes.version.0);
+    context.take_list_changes(taken, SOURCE);
 }
 
-fn note_listed(context: &Context, engine: PoolEngine) {
-    let mut router = lock(&context.router);
-    let changed = router
-        .engine(&engine.id)
-        .is_none_or(|known| known.engine != engine);
-    if changed {
-        log::info!(
-            engine = engine.id.as_str(),
-            pool:% = engine.pool,
-            address:% = engine.address,
-            zone = engine.zone.as_str(),
-            stage:? = engine.stage,
-            leaving = engine.leaving,
-            sequence = engine.order_sequence;
-            "engine_listed"
-        );
-    }
-    let (id, leaving) = (engine.id.clone(), engine.leaving);
-    router.on_engine(engine);
-    drop(router);
-    if leaving {
-        context.links.forget(&id);
+fn take_whole(context: &Context, changes: Changes<EngineRow>) {
+    let mut engines = Vec::new();
+    for row in changes.changes {
+        // A row that can't be read leaves its engine as it was known.
+        let kept = row
+            .change
+            .as_ref()
+            .err()
+            .and_then(|unreadable| known(context, &unreadable.row));
+        match readable(row) {
+            Some(ListChange::Listed(engine)) => engines.push(engine),
+            _ => engines.extend(kept),
+        }
     }
+    let snapshot = ListSnapshot {
+        version: changes.version.0,
+        engines,
+    };
+    let taken = lock(&context.listing).replace(&snapshot);
+    context.take_list_changes(taken, SOURCE);
 }
 
-fn forget(context: &Context, engine: &EngineId) {
-    log::info!(engine = engine.as_str(); "engine_gone");
-    lock(&context.router).on_engine_gone(engine);
-    context.links.forget(engine);
+fn known(context: &Context, engine: &str) -> Option<PoolEngine> {
+    let id = EngineId::new(engine);
+    lock(&context.router)
+        .engine(&id)
+        .map(|state| state.engine.clone())
 }
 
-/// After the whole list was read anew, what it lacks is gone.
-fn forget_unlisted(context: &Context, changes: &[EngineChange]) {
-    let listed: BTreeSet<&EngineId> = changes
-        .iter()
-        .filter_map(|change| match change {
-            EngineChange::Listed(engine) => Some(&engine.id),
-            _ => None,
-        })
-        .collect();
-    let known: Vec<EngineId> = {
-        let router = lock(&context.router);
-        router.engines().map(|state| state.engine.id.clone()).collect()
-    };
-    for engine in known.iter().filter(|engine| !listed.contains(engine)) {
-        forget(context, engine);
+fn readable(row: EngineRow) -> Option<ListChange> {
+    match row.change {
+        Ok(change) => Some(change),
+        Err(unreadable) => {
+            log::warn!(row = unreadable.row.as_str(), fault = unreadable.fault.as_str(); "row_unreadable");
+            None
+        }
     }
 }
--- a/crates/node/src/watch/mod.rs
+++ b/crates/node/src/watch/mod.rs
@@ -1,8 +1,9 @@
 //! Follows the store: the configuration and the list of engines, a thread each.
 
-mod backoff;
 mod configuration;
+mod contact;
 mod engines;
 
 pub(crate) use configuration::run as configuration;
+pub(crate) use contact::StoreTrouble;
 pub(crate) use engines::run as engines;
