Give engines stages by demand under one lease; learn after a start what engines hold

Cause: prompts waited at four prefill engines (p90 0.85 s) while decode engines held ten of 64 places; after all nodes lost power every shared part was read anew. Ruled out: more reading at decode engines (outputs beside it wait 50 ms to 2 s).

--- a/crates/cli/src/node/forwarder.rs
+++ b/crates/cli/src/node/forwarder.rs
@@ -44,7 +44,8 @@
         callers: Arc::new(PlatformCallers),
         engines: Arc::new(PlatformEngines),
         store: store.clone(),
-        directory: store,
+        directory: store.clone(),
+        table: store,
     };
     let (node, zone, listen, ready_listen) = (
         config.node.clone(),
--- a/crates/core/src/roles/mod.rs
+++ b/crates/core/src/roles/mod.rs
@@ -6,6 +6,7 @@
 pub mod goodput;
 pub mod input;
 pub mod planner;
+pub mod pool;
 pub mod profile;
 
 pub use input::{EngineState, PlannerHold, PlannerInput, RoleChange, RoleCounts};
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -2,6 +2,7 @@
 
 use super::beliefs::{PeerWork, PrefixNews, SpeedEstimate};
 use super::cost::{CostContext, shared_prefixes};
+use super::demand::PromptDemand;
 use super::engine::{EngineStage, EngineState, FORGET_AFTER, Gone, PoolEngine, SentWork, ToldLoad};
 use super::query::{PoolQuery, PrefixBlock};
 use super::weights::PoolWeights;
@@ -10,6 +11,7 @@
 use crate::identity::{EngineId, NodeId};
 use crate::membership::rendezvous;
 use crate::membership::subject::SubjectHandle;
+use crate::roles::pool::{PoolDemand, PoolEngineView};
 use crate::time::MonotonicTime;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -21,6 +23,9 @@
 /// Fewest tokens that are fetched from another engine rather than read.
 const LEAST_FETCH: u32 = 64;
 
+/// Blocks in one piece of news, so that it fits into a datagram.
+const BLOCKS_IN_NEWS: usize = 16;
+
 /// Most news of prefixes that wait to be told to other nodes.
 const MOST_NEWS: usize = 64;
 
@@ -38,6 +43,7 @@
     speeds: BTreeMap<PoolId, SpeedEstimate>,
     traits: BTreeMap<PoolId, ModelTraits>,
     news: Vec<PrefixNews>,
+    demand: PromptDemand,
     tickets: u64,
 }
 
@@ -80,6 +86,7 @@
             speeds: BTreeMap::new(),
             traits: BTreeMap::new(),
             news: Vec::new(),
+            demand: PromptDemand::default(),
             tickets: 0,
         }
     }
@@ -141,6 +148,83 @@
             .collect()
     }
 
+    /// Notes that engines have been ordered to change their stage, here or by another node.
+    pub fn on_ordered(&mut self, orders: &[(SubjectHandle, EngineStage)], now: MonotonicTime) {
+        for state in self.engines.values_mut() {
+            let order = orders.iter().find(|(handle, _)| *handle == state.handle);
+            if let Some((_, stage)) = order
+                && state.engine.stage != *stage
+                && state.ordered.is_none_or(|(known, _)| known != *stage)
+            {
+                state.ordered = Some((*stage, now));
+            }
+        }
+    }
+
+    /// Notes that this node has ordered an engine to change its stage.
+    pub fn note_order(&mut self, engine: &EngineId, stage: EngineStage, now: MonotonicTime) {
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.ordered = Some((stage, now));
+        }
+    }
+
+    /// Notes that an engine is not about to change its stage after all.
+    pub fn forget_order(&mut self, engine: &EngineId) {
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.ordered = None;
+        }
+    }
+
+    /// Changes of stage that are under way.
+    pub fn orders_under_way(&self, now: MonotonicTime) -> Vec<(SubjectHandle, EngineStage)> {
+        self.engines
+            .values()
+            .filter_map(|state| Some((state.handle, state.ordered_stage(now)?)))
+            .collect()
+    }
+
+    /// Pools whose engines run models.
+    pub fn model_pools(&self) -> Vec<PoolId> {
+        self.traits.keys().cloned().collect()
+    }
+
+    /// What the planner of roles is told of a pool, with the demand that every node told of.
+    pub fn role_input(&self, pool: &PoolId, now: MonotonicTime) -> (Vec<PoolEngineView>, PoolDemand) {
+        let engines = self
+            .engines
+            .values()
+            .filter(|state| state.engine.pool == *pool && state.stays());
+        let views = engines.map(|state| {
+            let work = state.work(now);
+            PoolEngineView {
+                engine: state.engine.id.clone(),
+                zone: state.engine.zone.clone(),
+                stage: state.ordered_stage(now).unwrap_or(state.engine.stage),
+                requests: work.requests,
+                memory_tokens: work.memory_tokens,
+                places: f64::from(state.engine.places),
+                capacity_tokens: state.prefixes.capacity_tokens(),
+            }
+        });
+        let assumed = self.weights.assumed_prompt_tokens_per_second;
+        let speed = self.speeds.get(pool);
+        let demand = PoolDemand {
+            prompt_tokens_per_second: self.demand.prompt_tokens_per_second(now),
+            engine_tokens_per_second: speed.map_or(assumed, SpeedEstimate::tokens_per_second),
+        };
+        (views.collect(), demand)
+    }
+
+    /// This node's own demand, as it is told to other nodes.
+    pub fn own_demand(&self, now: MonotonicTime) -> u32 {
+        self.demand.own(now) as u32
+    }
+
+    /// Takes another node's word of its demand.
+    pub fn on_peer_demand(&mut self, peer: &NodeId, tokens_per_second: u32, now: MonotonicTime) {
+        self.demand.on_peer(peer, tokens_per_second, now);
+    }
+
     /// Takes the load that an engine told in an answer.
     pub fn on_told(&mut self, engine: &EngineId, told: ToldLoad, now: MonotonicTime) {
         if let Some(state) = self.engines.get_mut(engine) {
@@ -281,9 +365,37 @@
         }
     }
 
+    /// Takes what an engine says that it holds, and tells other nodes.
+    pub fn on_held_list(&mut self, engine: &EngineId, held: &[PrefixBlock], now: MonotonicTime) {
+        let Some(state) = self.engines.get_mut(engine) else {
+            return;
+        };
+        state.prefixes.note_read(held, now);
+        let news = held.chunks(BLOCKS_IN_NEWS).map(|prefixes| PrefixNews {
+            engine: state.handle,
+            prefixes: prefixes.to_vec(),
+        });
+        self.news.extend(news);
+    }
+
+    /// Everything that engines are believed to hold, for a node that has just started.
+    pub fn held(&self) -> Vec<PrefixNews> {
+        self.engines
+            .values()
+            .filter(|state| !state.prefixes.is_empty())
+            .map(|state| PrefixNews {
+                engine: state.handle,
+                prefixes: state.prefixes.blocks(),
+            })
+            .collect()
+    }
+
     /// News of shared prefixes since the last call, for other nodes.
-    pub fn take_news(&mut self) -> Vec<PrefixNews> {
-        std::mem::take(&mut self.news)
+    ///
+    /// At most `most` of them; the rest follows at the next call.
+    pub fn take_news(&mut self, most: usize) -> Vec<PrefixNews> {
+        let rest = self.news.split_off(most.min(self.news.len()));
+        std::mem::replace(&mut self.news, rest)
     }
 
     /// Notes that an engine that reads a prompt and runs its output has come to the output.
@@ -337,6 +449,7 @@
         now: MonotonicTime,
     ) -> PoolTicket {
         self.tickets += 1;
+        self.demand.on_sent(prompt_tokens, now);
         if let Some(state) = self.engines.get_mut(engine) {
             let work = SentWork {
                 rank,
@@ -371,7 +484,7 @@
         let holders = self.engines.values().filter(|state| {
             state.engine.pool == *query.pool
                 && state.engine.stage != EngineStage::Whole
-                && state.takes_work(now)
+                && state.can_be_fetched_from(now)
         });
         holders
             .map(|state| (state.prefixes.held_tokens(query.prefixes), state))
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -15,11 +15,12 @@
 //!
 //! load of e    = w.places_seconds * (taken / places)^2 + w.memory_seconds * (tokens taken / tokens)^2
 //!              + w.overflow_seconds * requests beyond the places
-//! output at e  = slowness * load of e + w.other_zone_seconds | w.transfer_zone_seconds   (apart from the prompt's engine)
+//! held up at e = w.held_up * prompt tokens at e / (speed * w.decode_reading_pace)   (outputs wait while it reads)
+//! output at e  = slowness * (load of e + held up at e) + w.transfer_zone_seconds     (apart from the prompt's engine)
 //! hand-over    = w.handover_seconds + w.transfer * tokens of the prompt * seconds to move a token
 //!
 //! both at e    = output at e + fetch to e + slowness * (prompt tokens ahead at e + computed at e)
-//!                / (speed * w.decode_reading_pace) * (1 + w.decode_reading_stall * requests at e)
+//!                / (speed * w.decode_reading_pace) * (1 + w.decode_reading_stall * (1 + requests at e))
 //! ```
 
 use super::engine::EngineState;
@@ -90,7 +91,9 @@
         } else {
             self.weights.transfer_zone_seconds
         };
-        state.slowness * self.load(state) + transfer
+        let prompts = state.work(self.now).all_prompt_tokens();
+        let held_up = self.weights.held_up * prompts / (self.speed * self.weights.decode_reading_pace);
+        state.slowness * (self.load(state) + held_up) + transfer
     }
 
     /// Cost of handing the KV cache of a prompt from the engine that read it to the one that runs the output.
@@ -106,8 +109,8 @@
         let work = state.work(self.now);
         let tokens = work.prompt_tokens_ahead(query.rank) + reading.computed;
         let seconds = state.slowness * tokens / (self.speed * self.weights.decode_reading_pace);
-        let disturbance = 1.0 + self.weights.decode_reading_stall * work.requests;
-        self.output(state, query.zone) + self.fetch(reading) + seconds * disturbance
+        let disturbance = 1.0 + self.weights.decode_reading_stall * (1.0 + work.requests);
+        state.slowness * self.load(state) + self.fetch(reading) + seconds * disturbance
     }
 
     fn fetch(&self, reading: ReadingWork) -> f64 {
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -42,8 +42,6 @@
     pub stage: EngineStage,
     /// Models that it holds.
     pub models: Vec<String>,
-    /// Orders that it has taken since its start, where it tells.
-    pub order_sequence: u64,
     /// Time for which it is still slow after its start.
     pub warming: Duration,
 }
@@ -124,6 +122,9 @@
     pub(super) doubtful: bool,
 }
 
+/// Longest time that a change of stage is waited for; an order may be carried out seconds after it was given.
+const ORDER_TAKES: Duration = Duration::from_secs(15);
+
 /// Time for which an engine whose disappearance is in doubt is still used; it renews its entry sooner if it lives.
 const DOUBT: Duration = Duration::from_millis(1_600);
 
@@ -145,6 +146,8 @@
     pub handle: SubjectHandle,
     /// Prompt parts that it is believed to hold.
     pub prefixes: PrefixBelief,
+    /// The stage that it has been ordered to take, and since when, until it is listed so.
+    pub(super) ordered: Option<(EngineStage, MonotonicTime)>,
     /// Present where the platform lists the engine no longer.
     pub(super) gone: Option<Gone>,
     pub(super) health: Health,
@@ -167,6 +170,7 @@
             handle: SubjectHandle::of_text("engine", engine.id.as_str()),
             engine,
             prefixes: PrefixBelief::new(cache_tokens),
+            ordered: None,
             gone: None,
             health: Health::default(),
             sent: BTreeMap::new(),
@@ -179,6 +183,9 @@
     /// Takes a new listing of the same start of the engine.
     pub(super) fn update(&mut self, engine: PoolEngine) {
         self.gone = None;
+        if self.ordered.is_some_and(|(stage, _)| stage == engine.stage) {
+            self.ordered = None;
+        }
         self.engine = engine;
     }
 
@@ -208,10 +215,22 @@
     /// Whether new work may go there now.
     pub(super) fn takes_work(&self, now: MonotonicTime) -> bool {
         !self.engine.leaving
+            && self.ordered_stage(now).is_none()
             && self.gone.is_none_or(|gone| gone.is_doubtful_at(now))
             && !self.health.is_paused(now)
     }
 
+    /// The stage that it changes to, if it does.
+    pub fn ordered_stage(&self, now: MonotonicTime) -> Option<EngineStage> {
+        let (stage, since) = self.ordered?;
+        (now.since(since) < ORDER_TAKES).then_some(stage)
+    }
+
+    /// Whether another engine may fetch from it: it answers, even if it is about to leave.
+    pub(super) fn can_be_fetched_from(&self, now: MonotonicTime) -> bool {
+        self.gone.is_none() && !self.health.is_paused(now)
+    }
+
     /// Whether the engine is neither gone nor about to leave.
     pub(super) fn stays(&self) -> bool {
         !self.engine.leaving && self.gone.is_none()
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -10,6 +10,7 @@
 mod beliefs;
 mod choice;
 pub mod cost;
+mod demand;
 mod engine;
 mod listing;
 mod prefix;
--- a/crates/core/src/routing/pool/prefix.rs
+++ b/crates/core/src/routing/pool/prefix.rs
@@ -65,6 +65,20 @@
         self.capacity as f64
     }
 
+    /// Everything that is believed to be held, least recently used first.
+    pub fn blocks(&self) -> Vec<PrefixBlock> {
+        self.by_use
+            .values()
+            .filter_map(|hash| {
+                let held = self.held.get(hash)?;
+                Some(PrefixBlock {
+                    hash: *hash,
+                    tokens: held.tokens,
+                })
+            })
+            .collect()
+    }
+
     /// Forgets everything.
     pub fn clear(&mut self) {
         self.tokens = 0;
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -28,31 +28,35 @@
     pub output_tokens: u32,
 }
 
-/// A prefix of a prompt: every part up to one, with the tokens that this part adds.
+/// One part of a prompt as engines keep it: it counts as held only where every part before it is held too.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrefixBlock {
-    /// Hash of the model and every part up to and including this one.
+    /// Hash of the model's and the part's name.
     pub hash: u64,
-    /// Tokens of this part.
+    /// Tokens.
     pub tokens: u32,
 }
 
+impl PrefixBlock {
+    /// The block of one part for one model.
+    pub fn of(model: &str, part: &PromptPart) -> Self {
+        Self {
+            hash: mix(model_hash(model) ^ part.name),
+            tokens: part.tokens,
+        }
+    }
+}
+
+fn model_hash(model: &str) -> u64 {
+    model.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)))
+}
+
 impl PromptShape {
-    /// The prompt's prefixes, shortest first.
+    /// The prompt's blocks in order.
     pub fn prefixes(&self) -> Vec<PrefixBlock> {
-        let mut hash = self
-            .model
-            .bytes()
-            .fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
         self.parts
             .iter()
-            .map(|part| {
-                hash = mix(hash ^ part.name ^ (u64::from(part.tokens) << 40));
-                PrefixBlock {
-                    hash,
-                    tokens: part.tokens,
-                }
-            })
+            .map(|part| PrefixBlock::of(&self.model, part))
             .collect()
     }
 }
--- a/crates/core/src/routing/pool/weights.rs
+++ b/crates/core/src/routing/pool/weights.rs
@@ -34,6 +34,8 @@
     pub assumed_prompt_tokens_per_second: f64,
     /// Pace at which an engine that runs outputs reads a prompt itself, relative to one that reads prompts.
     pub decode_reading_pace: f64,
+    /// Worth of a second for which outputs wait at an engine because it reads prompts.
+    pub held_up: f64,
     /// Part by which a second of reading there costs more for each request that runs its output beside it.
     pub decode_reading_stall: f64,
 }
@@ -54,6 +56,7 @@
             overflow_seconds: 0.2,
             assumed_prompt_tokens_per_second: 40_000.0,
             decode_reading_pace: 0.5,
+            held_up: 1.0,
             decode_reading_stall: 0.1,
         }
     }
@@ -80,6 +83,7 @@
                 1.0,
             ),
             ("routing.decode_reading_pace", self.decode_reading_pace, 0.001),
+            ("routing.held_up", self.held_up, 0.0),
             ("routing.decode_reading_stall", self.decode_reading_stall, 0.0),
         ];
         weights
--- /dev/null
+++ b/crates/node/src/asking.rs
@@ -0,0 +1,57 @@
+//! One short question to an engine, aside from any request.
+
+use crate::context::Context;
+use crate::ports::{EngineLink, EngineReading};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use shelfjunction_core::forwarding::patience;
+use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::time::MonotonicTime;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Asks an engine and waits for its answer; the error names what went wrong.
+pub(crate) fn ask(
+    context: &Context,
+    engine: &EngineId,
+    address: SocketAddr,
+    wait: Duration,
+    question: impl FnOnce(&mut dyn EngineLink),
+) -> Result<EngineReading, &'static str> {
+    let taken = context
+        .links
+        .take(engine, address, patience::CONNECT, context.now());
+    let mut link = taken.map_err(|_| "not_connected")?;
+    question(link.as_mut());
+    let reading = read_answer(context, link.as_mut(), context.now() + wait)?;
+    context.links.give_back(engine, link, context.now());
+    Ok(reading)
+}
+
+fn read_answer(
+    context: &Context,
+    link: &mut dyn EngineLink,
+    until: MonotonicTime,
+) -> Result<EngineReading, &'static str> {
+    loop {
+        let all_sent = link.push().map_err(|_| "write_failed")?;
+        match link.read() {
+            EngineReading::Pending => {}
+            EngineReading::Broken(cause) => return Err(cause),
+            reading => return Ok(reading),
+        }
+        let left = until.since(context.now());
+        if left.is_zero() {
+            return Err("silent");
+        }
+        let mut flags = PollFlags::IN;
+        if !all_sent {
+            flags |= PollFlags::OUT;
+        }
+        let timeout = Timespec::try_from(left).unwrap_or_default();
+        // A failed wait shows in the next read.
+        let _ = poll(
+            &mut [PollFd::from_borrowed_fd(link.descriptor(), flags)],
+            Some(&timeout),
+        );
+    }
+}
--- /dev/null
+++ b/crates/node/src/commanding/ordering.rs
@@ -0,0 +1,143 @@
+//! One order at a time: plan, ask the engine for its report, order, wait until it is listed so.
+
+use crate::asking;
+use crate::context::Context;
+use crate::ports::{EngineReading, EngineReport, OrderVerdict, StageOrder};
+use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::lease::Authority;
+use shelfjunction_core::roles::pool::{StageChange, plan};
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest wait for an engine's answer.
+const ANSWER_WAIT: Duration = Duration::from_millis(400);
+
+/// Part of the lease that must be left when an order is sent, so that it arrives within.
+const LEASE_LEFT: Duration = Duration::from_millis(1_000);
+
+/// Time after which an order whose answer was lost is looked at again.
+const SETTLE_AFTER: Duration = Duration::from_millis(1_500);
+
+/// An order whose answer was lost.
+struct InDoubt {
+    change: StageChange,
+    since: MonotonicTime,
+}
+
+/// Orders of this node.
+#[derive(Default)]
+pub(super) struct Ordering {
+    next_at: MonotonicTime,
+    in_doubt: Option<InDoubt>,
+}
+
+impl Ordering {
+    /// Gives the next order if one is worth it.
+    pub(super) fn step(&mut self, context: &Context, authority: Authority) {
+        let now = context.now();
+        if now + LEASE_LEFT > authority.not_after {
+            return;
+        }
+        if let Some(doubt) = self.in_doubt.take() {
+            if now.since(doubt.since) < SETTLE_AFTER {
+                self.in_doubt = Some(doubt);
+            } else {
+                self.order(context, authority, doubt.change);
+            }
+            return;
+        }
+        if now < self.next_at || !lock(&context.router).orders_under_way(now).is_empty() {
+            return;
+        }
+        if let Some(change) = wanted(context, now) {
+            self.next_at = now + Duration::from_millis(context.config.roles.settle_millis);
+            self.order(context, authority, change);
+        }
+    }
+
+    fn order(&mut self, context: &Context, authority: Authority, change: StageChange) {
+        let Some(address) = address_of(context, &change.engine) else {
+            return;
+        };
+        let Some(report) = report(context, &change.engine, address) else {
+            log::info!(engine = change.engine.as_str(), cause = "no_report"; "order_not_given");
+            return;
+        };
+        if report.changing || report.stage == change.to {
+            lock(&context.router).note_order(&change.engine, change.to, context.now());
+            return;
+        }
+        if context.now() + LEASE_LEFT > authority.not_after {
+            return;
+        }
+        self.send(context, authority, change, address, report);
+    }
+
+    fn send(
+        &mut self,
+        context: &Context,
+        authority: Authority,
+        change: StageChange,
+        address: SocketAddr,
+        report: EngineReport,
+    ) {
+        let order = StageOrder {
+            engine: change.engine.clone(),
+            stage: change.to,
+            holder: context.config.node.clone(),
+            token: authority.token,
+            expected: report.sequence,
+        };
+        lock(&context.router).note_order(&change.engine, change.to, context.now());
+        context.peers.note_change();
+        let answer = asking::ask(context, &change.engine, address, ANSWER_WAIT, |link| {
+            link.begin_order(&order)
+        });
+        log::info!(
+            engine = change.engine.as_str(),
+            stage:? = change.to,
+            token:% = authority.token,
+            expected = report.sequence,
+            prefill_load = change.prefill_load,
+            decode_load = change.decode_load,
+            answer:? = answer;
+            "stage_ordered"
+        );
+        match answer {
+            Ok(EngineReading::Ordered(OrderVerdict::Begun | OrderVerdict::AlreadySo)) => {}
+            Ok(_) => lock(&context.router).forget_order(&change.engine),
+            Err(_) => {
+                self.in_doubt = Some(InDoubt {
+                    change,
+                    since: context.now(),
+                });
+            }
+        }
+    }
+}
+
+fn wanted(context: &Context, now: MonotonicTime) -> Option<StageChange> {
+    let policy = &context.config.roles;
+    if !policy.enabled {
+        return None;
+    }
+    let router = lock(&context.router);
+    router.model_pools().iter().find_map(|pool| {
+        let (engines, demand) = router.role_input(pool, now);
+        plan(&engines, demand, policy)
+    })
+}
+
+fn address_of(context: &Context, engine: &EngineId) -> Option<SocketAddr> {
+    let router = lock(&context.router);
+    router.engine(engine).map(|state| state.engine.address)
+}
+
+fn report(context: &Context, engine: &EngineId, address: SocketAddr) -> Option<EngineReport> {
+    match asking::ask(context, engine, address, ANSWER_WAIT, |link| link.begin_report()) {
+        Ok(EngineReading::Report(report)) => Some(report),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/node/src/commanding/tenure.rs
@@ -0,0 +1,80 @@
+//! The lease, kept through the store's tables.
+
+use crate::context::Context;
+use shelfjunction_core::identity::ZoneId;
+use shelfjunction_core::lease::{Authority, LeaseEffect, LeaseEvent, LeaseKeeper, TableAnswer, TableCall};
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_platform::services::TableService;
+use std::time::Duration;
+
+/// Name under which the one lease over all zones' engines is kept.
+const LEASE_SCOPE: &str = "fleet";
+
+/// Time after a taking before the first order: machines that take turns faster would be two masters of one engine.
+const FIRST_ORDER_AFTER: Duration = Duration::from_millis(3_500);
+
+/// This node's part in the lease.
+pub(super) struct Tenure {
+    keeper: LeaseKeeper,
+    order_from: MonotonicTime,
+}
+
+impl Tenure {
+    pub(super) fn new(context: &Context) -> Self {
+        let keeper = LeaseKeeper::new(
+            context.config.lease,
+            context.config.node.clone(),
+            ZoneId::new(LEASE_SCOPE),
+            rand::random(),
+        );
+        Self {
+            keeper,
+            order_from: MonotonicTime::default(),
+        }
+    }
+
+    /// The right to order now, after the calls that are due; absent without a lease or too soon after its taking.
+    pub(super) fn authority(&mut self, context: &Context, table: &dyn TableService) -> Option<Authority> {
+        let effects = self.keeper.handle(LeaseEvent::Tick, context.now());
+        self.carry_out(context, table, effects);
+        let now = context.now();
+        self.keeper.authority(now).filter(|_| now >= self.order_from)
+    }
+
+    fn carry_out(&mut self, context: &Context, table: &dyn TableService, effects: Vec<LeaseEffect>) {
+        let mut pending = effects;
+        while !pending.is_empty() {
+            let mut next = Vec::new();
+            for effect in pending {
+                match effect {
+                    LeaseEffect::Call { call, request } => {
+                        let answer = make_call(table, &request);
+                        next.extend(
+                            self.keeper
+                                .handle(LeaseEvent::Answer { call, answer }, context.now()),
+                        );
+                    }
+                    LeaseEffect::Gained(authority) => self.gained(context, authority),
+                    LeaseEffect::Lost(token) => log::info!(token:% = token; "lease_lost"),
+                }
+            }
+            pending = next;
+        }
+    }
+
+    /// The first token of all has no holder before it.
+    fn gained(&mut self, context: &Context, authority: Authority) {
+        let is_first = authority.token.0 <= 1;
+        let now = context.now();
+        self.order_from = if is_first { now } else { now + FIRST_ORDER_AFTER };
+        log::info!(token:% = authority.token, first = is_first; "lease_gained");
+    }
+}
+
+fn make_call(table: &dyn TableService, call: &TableCall) -> TableAnswer {
+    match call {
+        TableCall::Read(key) => table.read(key).into(),
+        TableCall::Scan(prefix) => table.scan(prefix).into(),
+        TableCall::Transact(transaction) => table.transact(transaction).into(),
+    }
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -2,7 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::identity::{NodeId, ZoneId};
+use shelfjunction_core::lease::LeaseTimings;
 use shelfjunction_core::retry::window::WindowBudgetSettings;
+use shelfjunction_core::roles::pool::PoolRolePolicy;
 use shelfjunction_core::routing::pool::PoolWeights;
 use shelfjunction_core::setting::FieldError;
 use std::net::SocketAddr;
@@ -23,6 +25,9 @@
     pub peer_listen: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Whether the whole system starts for the first time, so that engines hold nothing yet.
+    #[serde(default)]
+    pub first_start: bool,
     /// Repeats allowed for each request.
     #[serde(default = "defaults::retry_ratio")]
     pub retry_ratio: f64,
@@ -44,6 +49,12 @@
     /// Most callers' connections at once.
     #[serde(default = "defaults::connections")]
     pub connections: usize,
+    /// Times of the lease over the engines.
+    #[serde(default)]
+    pub lease: LeaseTimings,
+    /// When engines change their stage.
+    #[serde(default)]
+    pub roles: PoolRolePolicy,
     /// Weights of the choice of engines.
     #[serde(default)]
     pub routing: PoolWeights,
@@ -86,6 +97,8 @@
     /// Every wrong setting.
     pub fn validate(&self) -> Vec<FieldError> {
         let mut errors = self.routing.validate();
+        errors.extend(self.roles.validate());
+        errors.extend(self.lease.validate());
         let fractions = [
             ("node.retry_ratio", self.retry_ratio),
             ("node.retry_slack", self.retry_slack),
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -164,7 +164,6 @@
             zone = engine.zone.as_str(),
             stage:? = engine.stage,
             leaving = engine.leaving,
-            sequence = engine.order_sequence,
             source;
             "engine_listed"
         );
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -410,6 +410,9 @@
                 drop(router);
                 Some(self.refused(exchange, refusal, now))
             }
+            EngineReading::Held(_) | EngineReading::Report(_) | EngineReading::Ordered(_) => {
+                Some(self.broken("answer_not_asked_for"))
+            }
             EngineReading::Broken(cause) => Some(self.broken(cause)),
         }
     }
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -1,13 +1,16 @@
 //! Starts the threads of the process and stops them in order.
 
 use crate::accepting;
+use crate::commanding;
 use crate::config::NodeConfig;
 use crate::connections::OpenConnections;
 use crate::context::{Context, NodeState};
 use crate::peers;
 use crate::ports::{CallerProtocol, EngineProtocol, FleetStore, NodeDirectory};
+use crate::recovering;
 use crate::releasing;
 use crate::watch;
+use shelfjunction_platform::services::TableService;
 use std::io;
 use std::net::{TcpListener, UdpSocket};
 use std::sync::Arc;
@@ -24,6 +27,8 @@
     pub store: Arc<dyn FleetStore>,
     /// The nodes that the store lists.
     pub directory: Arc<dyn NodeDirectory>,
+    /// The store's tables, for the lease.
+    pub table: Arc<dyn TableService>,
 }
 
 /// Why the process could not start.
@@ -90,6 +95,15 @@
             let context = Arc::clone(&context);
             move || peers::catch_up(&context)
         })?;
+        spawn("command", {
+            let context = Arc::clone(&context);
+            let table = adapters.table;
+            move || commanding::run(&context, table.as_ref())
+        })?;
+        spawn("recover", {
+            let context = Arc::clone(&context);
+            move || recovering::run(&context)
+        })?;
         spawn("release", {
             let context = Arc::clone(&context);
             move || releasing::run(&context)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,8 @@
 #![forbid(unsafe_code)]
 
 mod accepting;
+mod asking;
+mod commanding;
 mod config;
 mod connections;
 mod context;
@@ -15,6 +17,7 @@
 mod links;
 mod peers;
 pub mod ports;
+mod recovering;
 mod releasing;
 mod watch;
 
--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -9,7 +9,7 @@
 use bincode::config::{Configuration, standard};
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::forwarding::ForwardingConfig;
-use shelfjunction_core::routing::pool::ListSnapshot;
+use shelfjunction_core::routing::pool::{ListSnapshot, PrefixNews};
 use shelfjunction_threads::lock;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -22,6 +22,9 @@
 /// Longest wait for a peer to take a connection, and for each of its bytes.
 const PEER_WAIT: Duration = Duration::from_millis(500);
 
+/// Peers that a node asks after its start.
+const PEERS_ASKED: usize = 3;
+
 /// Longest snapshot, in bytes.
 const MOST_BYTES: u64 = 8 * 1024 * 1024;
 
@@ -32,6 +35,8 @@
 struct Snapshot {
     config: Option<ForwardingConfig>,
     list: ListSnapshot,
+    /// What engines are believed to hold.
+    held: Vec<PrefixNews>,
 }
 
 impl Peers {
@@ -91,6 +96,22 @@
     if !changes.is_empty() {
         context.take_list_changes(changes, &source);
     }
+    lock(&context.router).on_peer_news(&snapshot.held, context.now());
+}
+
+/// Takes everything from the first of some peers that knows what engines hold.
+pub(crate) fn take_from_any(context: &Context) {
+    let peers = context.peers.addresses(context.now());
+    for peer in peers.into_iter().take(PEERS_ASKED) {
+        if let Some(snapshot) = fetch(peer) {
+            let knows = !snapshot.held.is_empty();
+            take(context, snapshot, peer);
+            if knows {
+                log::info!(peer:% = peer; "beliefs_taken");
+                return;
+            }
+        }
+    }
 }
 
 fn fetch(peer: SocketAddr) -> Option<Snapshot> {
@@ -123,6 +144,7 @@
     let snapshot = Snapshot {
         config: context.forwarding().map(|config| config.as_ref().clone()),
         list: lock(&context.listing).snapshot(),
+        held: lock(&context.router).held(),
     };
     let bytes = bincode::serde::encode_to_vec(&snapshot, CODEC).ok()?;
     stream.set_write_timeout(Some(PEER_WAIT)).ok()?;
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::routing::pool::{PeerWork, PrefixNews};
+use shelfjunction_core::routing::pool::{EngineStage, PeerWork, PrefixNews};
 
 /// Longest datagram, in bytes; stays below the smallest usual frame.
 pub(super) const MOST_BYTES: usize = 1_400;
@@ -12,8 +12,8 @@
 /// Engines in one message; each takes about 20 bytes.
 pub(super) const MOST_ENGINES: usize = 32;
 
-/// News in one message; each takes about 30 bytes.
-pub(super) const MOST_NEWS: usize = 16;
+/// News in one message; each takes about 30 bytes, seldom 200.
+pub(super) const MOST_NEWS: usize = 8;
 
 /// A node's word of its work.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,6 +30,10 @@
     pub(super) list_version: u64,
     /// Work at engines; none where an engine is not named.
     pub(super) work: Vec<(SubjectHandle, PeerWork)>,
+    /// Prompt tokens that the sender's requests had to have read in a second.
+    pub(super) prompt_tokens_per_second: u32,
+    /// Engines that have been ordered to change their stage.
+    pub(super) orders: Vec<(SubjectHandle, EngineStage)>,
     /// Shared prefixes that engines have come to hold since the last message.
     pub(super) news: Vec<PrefixNews>,
 }
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -9,7 +9,7 @@
 mod message;
 mod telling;
 
-pub(crate) use catching_up::{catch_up, serve as serve_snapshots};
+pub(crate) use catching_up::{catch_up, serve as serve_snapshots, take_from_any};
 pub(crate) use directory::follow as follow_directory;
 pub(crate) use hearing::hear;
 pub(crate) use telling::tell;
@@ -25,6 +25,9 @@
 /// Time after which a node that is neither listed nor heard is forgotten.
 const SILENT_PEER_LIFETIME: Duration = Duration::from_secs(20);
 
+/// Silence after which a node no longer counts as alive.
+const HEARD_LATELY: Duration = Duration::from_millis(3_500);
+
 /// What is known of one other node.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -66,6 +69,21 @@
         known.listed.then(|| known.peers.len() as u32 + 1)
     }
 
+    /// Names of the other nodes that said something a short time ago.
+    pub(crate) fn heard_lately(&self, now: MonotonicTime) -> Vec<NodeId> {
+        let known = lock(&self.known);
+        let heard = known
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.last_message.is_some() && now.since(peer.known_at) < HEARD_LATELY);
+        heard.map(|(node, _)| node.clone()).collect()
+    }
+
+    /// Names of the other nodes.
+    pub(crate) fn names(&self) -> Vec<NodeId> {
+        lock(&self.known).peers.keys().cloned().collect()
+    }
+
     /// Notes that this node's work has changed.
     pub(crate) fn note_change(&self) {
         *lock(&self.changed) = true;
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -3,8 +3,6 @@
 use super::Peers;
 use super::message::{MOST_ENGINES, MOST_NEWS, WorkMessage};
 use crate::context::Context;
-use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::routing::pool::{PeerWork, PrefixNews};
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::PoisonError;
@@ -16,6 +14,9 @@
 /// Time after which the work is told again though it has not changed.
 const TELL_AGAIN: Duration = Duration::from_millis(700);
 
+/// An idle node tells of itself once in so many rounds.
+const IDLE_ROUNDS: u32 = 3;
+
 /// Datagrams that a node sends in a second; with more peers it tells of changes less often.
 const DATAGRAMS_PER_SECOND: u32 = 200;
 
@@ -23,49 +24,46 @@
 pub(crate) fn tell(context: &Context, socket: &UdpSocket) {
     let start = rand::random();
     let mut number = 0;
-    let mut told = Vec::new();
+    let mut idle_rounds = 0;
     loop {
         context.peers.wait_for_change();
-        let (work, news) = {
-            let mut router = lock(&context.router);
-            (router.own_work(), router.take_news())
-        };
         let peers = context.peers.addresses(context.now());
-        if work.is_empty() && news.is_empty() && told.is_empty() && number > 0 && !is_due(number) {
-            number += 1;
-        } else {
-            number += 1;
-            send(context, socket, &peers, start, number, &work, news);
+        let message = compose(context, start, number);
+        idle_rounds = if is_idle(&message) { idle_rounds + 1 } else { 0 };
+        // The first idle message says that the work has ended; later ones only keep the node known.
+        if idle_rounds % IDLE_ROUNDS <= 1 {
+            send(socket, &peers, &message);
         }
-        told = work;
+        number += 1;
         context.stop.wait(pause(peers.len()));
     }
 }
 
-/// An idle node says so now and then, so that it stays known.
-fn is_due(number: u64) -> bool {
-    const IDLE_ROUNDS: u64 = 4;
-    number.is_multiple_of(IDLE_ROUNDS)
+fn is_idle(message: &WorkMessage) -> bool {
+    message.work.is_empty() && message.news.is_empty() && message.orders.is_empty()
 }
 
-fn send(
-    context: &Context,
-    socket: &UdpSocket,
-    peers: &[SocketAddr],
-    start: u64,
-    number: u64,
-    work: &[(SubjectHandle, PeerWork)],
-    news: Vec<PrefixNews>,
-) {
-    let message = WorkMessage {
+fn compose(context: &Context, start: u64, number: u64) -> WorkMessage {
+    let now = context.now();
+    let config_version = context.forwarding().map_or(0, |config| config.version);
+    let list_version = lock(&context.listing).changed();
+    let mut router = lock(&context.router);
+    let mut work = router.own_work();
+    work.truncate(MOST_ENGINES);
+    WorkMessage {
         node: context.config.node.clone(),
         start,
         number,
-        config_version: context.forwarding().map_or(0, |config| config.version),
-        list_version: lock(&context.listing).changed(),
-        work: work.iter().take(MOST_ENGINES).copied().collect(),
-        news: news.into_iter().take(MOST_NEWS).collect(),
-    };
+        config_version,
+        list_version,
+        work,
+        prompt_tokens_per_second: router.own_demand(now),
+        orders: router.orders_under_way(now),
+        news: router.take_news(MOST_NEWS),
+    }
+}
+
+fn send(socket: &UdpSocket, peers: &[SocketAddr], message: &WorkMessage) {
     let Some(bytes) = message.encode() else {
         return;
     };
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -2,8 +2,8 @@
 
 use shelfjunction_core::engine::{EngineRefusal, KvTransfer};
 use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig};
-use shelfjunction_core::identity::{EngineId, NodeId, RequestId};
-use shelfjunction_core::routing::pool::{ListChange, PromptShape, ToldLoad};
+use shelfjunction_core::identity::{EngineId, FencingToken, NodeId, RequestId};
+use shelfjunction_core::routing::pool::{EngineStage, ListChange, PromptPart, PromptShape, ToldLoad};
 use shelfjunction_core::table::PlatformError;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -158,6 +158,56 @@
     pub events: bool,
 }
 
+/// An order to change an engine's stage.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StageOrder {
+    /// The engine.
+    pub engine: EngineId,
+    /// Stage to take.
+    pub stage: EngineStage,
+    /// The machine that orders.
+    pub holder: NodeId,
+    /// Its authority.
+    pub token: FencingToken,
+    /// Orders that the engine has taken; another number means that this order is out of date.
+    pub expected: u64,
+}
+
+/// What an engine answered to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderVerdict {
+    /// It is being carried out.
+    Begun,
+    /// It holds already.
+    AlreadySo,
+    /// Another order is under way, or the expected number does not match; nothing was done.
+    OutOfDate,
+    /// A higher token was seen; nothing was done.
+    Fenced,
+    /// The engine can't carry it out; nothing was done.
+    Rejected,
+}
+
+/// What an engine says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Its stage.
+    pub stage: EngineStage,
+    /// Whether an order is being carried out.
+    pub changing: bool,
+    /// Orders that it has taken since its start.
+    pub sequence: u64,
+}
+
+/// A prompt part that an engine holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldPart {
+    /// Model that read it.
+    pub model: String,
+    /// The part.
+    pub part: PromptPart,
+}
+
 /// What an engine's connection has to say.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EngineReading {
@@ -186,6 +236,12 @@
         /// Name of the KV cache at that engine.
         handle: String,
     },
+    /// The engine's report of itself.
+    Report(EngineReport),
+    /// The engine's answer to an order.
+    Ordered(OrderVerdict),
+    /// Prompt parts that the engine holds.
+    Held(Vec<HeldPart>),
     /// The engine refused before running anything.
     Refused {
         /// Its words.
@@ -208,6 +264,15 @@
     /// Begins to free a KV cache.
     fn begin_release(&mut self, handle: &str);
 
+    /// Begins to ask which prompt parts the engine holds.
+    fn begin_list(&mut self);
+
+    /// Begins to ask for the engine's own report.
+    fn begin_report(&mut self);
+
+    /// Begins to order the engine to change its stage.
+    fn begin_order(&mut self, order: &StageOrder);
+
     /// Writes what the socket takes; true when everything has left.
     fn push(&mut self) -> io::Result<bool>;
 
--- /dev/null
+++ b/crates/node/src/recovering.rs
@@ -0,0 +1,112 @@
+//! After a start, finds out what engines hold: from a peer that knows, or else from the engines themselves.
+//!
+//! Without it the first requests after all nodes were killed would have every shared part read anew.
+
+use crate::asking;
+use crate::context::Context;
+use crate::peers;
+use crate::ports::{EngineReading, HeldPart};
+use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::membership::rendezvous;
+use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::routing::pool::{EngineStage, PrefixBlock};
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Pause between two looks at whether configuration, engines and nodes are known.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// Longest wait for them.
+const KNOWN_WITHIN: Duration = Duration::from_secs(20);
+
+/// Time that a node with a higher rank gets to ask an engine and to tell of it.
+const TIME_PER_RANK: Duration = Duration::from_millis(250);
+
+/// Longest wait for an engine's list.
+const LIST_WAIT: Duration = Duration::from_millis(500);
+
+/// Runs once after the start.
+pub(crate) fn run(context: &Context) {
+    if context.config.first_start || !wait_until_known(context) {
+        return;
+    }
+    peers::take_from_any(context);
+    let begun = context.now();
+    let mut due: Vec<(MonotonicTime, EngineId, SocketAddr)> = engines(context)
+        .into_iter()
+        .map(|(engine, address)| (begun + delay(context, &engine), engine, address))
+        .collect();
+    due.sort();
+    for (at, engine, address) in due {
+        context.stop.wait(at.since(context.now()));
+        if !is_known(context, &engine) {
+            ask(context, &engine, address);
+        }
+    }
+}
+
+fn wait_until_known(context: &Context) -> bool {
+    let until = context.now() + KNOWN_WITHIN;
+    while context.now() < until {
+        if context.state.is_ready() && context.peers.nodes().is_some() {
+            return true;
+        }
+        if context.stop.wait(LOOK_EVERY) {
+            return false;
+        }
+    }
+    false
+}
+
+fn engines(context: &Context) -> Vec<(EngineId, SocketAddr)> {
+    let router = lock(&context.router);
+    let with_memory = router
+        .engines()
+        .filter(|state| state.engine.stage != EngineStage::Whole);
+    with_memory
+        .map(|state| (state.engine.id.clone(), state.engine.address))
+        .collect()
+}
+
+/// Nodes ask an engine one after the other, the first by rendezvous hashing, until one has told the rest.
+fn delay(context: &Context, engine: &EngineId) -> Duration {
+    let handle = |name: &str| SubjectHandle::of_text("node", name);
+    let own = handle(context.config.node.as_str());
+    let mut nodes: Vec<SubjectHandle> = context
+        .peers
+        .names()
+        .iter()
+        .map(|node| handle(node.as_str()))
+        .collect();
+    nodes.push(own);
+    let task = SubjectHandle::of_text("engine", engine.as_str());
+    let rank = rendezvous::rank(task, own, &nodes, nodes.len()).unwrap_or(nodes.len());
+    TIME_PER_RANK * u32::try_from(rank).unwrap_or(u32::MAX)
+}
+
+fn is_known(context: &Context, engine: &EngineId) -> bool {
+    let router = lock(&context.router);
+    router
+        .engine(engine)
+        .is_none_or(|state| !state.prefixes.is_empty())
+}
+
+fn ask(context: &Context, engine: &EngineId, address: SocketAddr) {
+    let answer = asking::ask(context, engine, address, LIST_WAIT, |link| link.begin_list());
+    match answer {
+        Ok(EngineReading::Held(parts)) => {
+            let blocks: Vec<PrefixBlock> = parts.iter().map(block).collect();
+            log::info!(engine = engine.as_str(), parts = blocks.len(); "held_parts_listed");
+            lock(&context.router).on_held_list(engine, &blocks, context.now());
+            context.peers.note_change();
+        }
+        Ok(_) => log::info!(engine = engine.as_str(), cause = "refused"; "held_parts_not_listed"),
+        Err(cause) => log::info!(engine = engine.as_str(), cause; "held_parts_not_listed"),
+    }
+}
+
+fn block(held: &HeldPart) -> PrefixBlock {
+    PrefixBlock::of(&held.model, &held.part)
+}
--- a/crates/node/src/releasing.rs
+++ b/crates/node/src/releasing.rs
@@ -1,10 +1,9 @@
 //! Frees KV caches that nobody will fetch, aside from the requests that left them.
 
+use crate::asking;
 use crate::context::Context;
-use crate::ports::EngineReading;
-use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use crate::ports::EngineLink;
 use shelfjunction_core::engine::KvTransfer;
-use shelfjunction_core::forwarding::patience;
 use shelfjunction_threads::lock;
 use std::collections::VecDeque;
 use std::sync::{Condvar, Mutex, PoisonError};
@@ -64,40 +63,9 @@
     let Some(engine) = holder else {
         return "engine_gone";
     };
-    let Ok(mut link) = context
-        .links
-        .take(&engine, transfer.source, patience::CONNECT, context.now())
-    else {
-        return "not_connected";
-    };
-    link.begin_release(&transfer.handle);
-    let until = context.now() + ANSWER_WAIT;
-    loop {
-        let all_sent = match link.push() {
-            Ok(all_sent) => all_sent,
-            Err(_) => return "broken",
-        };
-        match link.read() {
-            EngineReading::Whole { .. } => {
-                context.links.give_back(&engine, link, context.now());
-                return "freed";
-            }
-            EngineReading::Broken(_) | EngineReading::Refused { .. } => return "broken",
-            _ => {}
-        }
-        let left = until.since(context.now());
-        if left.is_zero() {
-            return "silent";
-        }
-        let mut flags = PollFlags::IN;
-        if !all_sent {
-            flags |= PollFlags::OUT;
-        }
-        let timeout = Timespec::try_from(left).unwrap_or_default();
-        // A failed wait shows in the next read.
-        let _ = poll(
-            &mut [PollFd::from_borrowed_fd(link.descriptor(), flags)],
-            Some(&timeout),
-        );
+    let question = |link: &mut dyn EngineLink| link.begin_release(&transfer.handle);
+    match asking::ask(context, &engine, transfer.source, ANSWER_WAIT, question) {
+        Ok(_) => "freed",
+        Err(cause) => cause,
     }
 }
