Log each decision through a bounded queue, tell metrics, and explain a request from its logs

One line for each routing, dispatch (with its cost, the runner-up and the age of what decided), answer, refusal, retry and end; shelfjunction explain merges them with what the nodes believed.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -37,6 +37,7 @@
         "status" => operator::run_status(rest),
         "engines" => operator::run_engines(rest),
         "usage" => operator::run_usage(rest),
+        "explain" => operator::explain::run(rest),
         "requests" => operator::run_requests(rest),
         "--help" | "-h" | "help" => {
             print!("{}", usage::PROGRAM);
--- a/crates/cli/src/node/forwarder.rs
+++ b/crates/cli/src/node/forwarder.rs
@@ -6,6 +6,7 @@
 use crate::settings::{NodeSettings, ProgramSettings};
 use shelfjunction_adapter::{PlatformCallers, PlatformEngines, PlatformStore, serve_readiness};
 use shelfjunction_core::setting::FieldError;
+use shelfjunction_logging::LogLosses;
 use shelfjunction_node::{Adapters, NodeConfig, NodeHandle};
 use std::path::Path;
 use std::sync::Arc;
@@ -34,6 +35,7 @@
 /// Runs the process until SIGTERM or SIGINT, then until its last request has ended.
 pub fn run(
     settings: NodeSettings<NodeConfig>,
+    losses: Arc<LogLosses>,
     reload: impl Fn() -> Result<NodeSettings<NodeConfig>, CommandError>,
 ) -> Result<(), CommandError> {
     let mut signals = NodeSignals::register()?;
@@ -53,7 +55,7 @@
         config.listen,
         config.ready_listen,
     );
-    let handle = NodeHandle::start(config, adapters).map_err(|cause| start_error("node", cause))?;
+    let handle = NodeHandle::start(config, adapters, losses).map_err(|cause| start_error("node", cause))?;
     let _readiness =
         serve_readiness(ready_listen, handle.state()).map_err(|cause| start_error("node", cause))?;
     log::info!(
--- a/crates/cli/src/node/mod.rs
+++ b/crates/cli/src/node/mod.rs
@@ -30,10 +30,14 @@
 
 /// Runs `shelfjunction node`.
 pub fn run_node(arguments: &[String]) -> Result<(), CommandError> {
-    match prepare(usage::NODE, arguments)? {
-        Some(settings) => forwarder::run(settings, || load(usage::NODE, arguments)),
-        None => Ok(()),
-    }
+    let Some(settings) = checked(usage::NODE, arguments)? else {
+        return Ok(());
+    };
+    // Tests run several programs in one process; the first one's logger serves all.
+    let losses = logging::install_queued(settings.log_level).unwrap_or_default();
+    let result = forwarder::run(settings, losses, || load(usage::NODE, arguments));
+    logging::flush();
+    result
 }
 
 /// Variable that names the settings file where no option does.
@@ -47,10 +51,23 @@
     }
 }
 
-/// Reads the command line and the settings; absent when there is nothing to run.
+/// Reads the command line and the settings, and installs the logger; absent when there is nothing to run.
 fn prepare<T: ProgramSettings>(
     brief: &'static str,
     arguments: &[String],
+) -> Result<Option<NodeSettings<T>>, CommandError> {
+    let loaded = checked::<T>(brief, arguments)?;
+    if let Some(settings) = &loaded {
+        // Tests run several programs in one process; the first one's logger serves all.
+        let _ = logging::install(settings.log_level);
+    }
+    Ok(loaded)
+}
+
+/// Reads the command line and the settings; absent when there is nothing to run.
+fn checked<T: ProgramSettings>(
+    brief: &'static str,
+    arguments: &[String],
 ) -> Result<Option<NodeSettings<T>>, CommandError> {
     let line = command_line(brief);
     let values = match line.parse(arguments)? {
@@ -62,8 +79,6 @@
         println!("settings are in order");
         return Ok(None);
     }
-    // Tests run several programs in one process; the first one's logger serves all.
-    let _ = logging::install(loaded.log_level);
     Ok(Some(loaded))
 }
 
--- a/crates/cli/src/operator/files.rs
+++ b/crates/cli/src/operator/files.rs
@@ -86,7 +86,8 @@
     write().map_err(|cause| CommandError::Failed(format!("{} can't be written: {cause}", path.display())))
 }
 
-fn read_text(field: &str, path: &Path) -> Result<String, CommandError> {
+/// Reads a text; `field` names it in the error.
+pub fn read_text(field: &str, path: &Path) -> Result<String, CommandError> {
     fs::read_to_string(path)
         .map_err(|cause| fault(field, path, &format!("a file that can be read ({cause})")))
 }
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -101,6 +101,11 @@
         self.get(name).map(parse).transpose()
     }
 
+    /// The arguments that stand free.
+    pub fn arguments(&self) -> &[String] {
+        &self.matches.free
+    }
+
     /// The one argument that stands free.
     pub fn one_argument(&self, what: &str) -> Result<String, CommandError> {
         match self.matches.free.as_slice() {
--- a/crates/cli/src/usage.rs
+++ b/crates/cli/src/usage.rs
@@ -22,6 +22,7 @@
   engines                  engines with role, load and order state
   usage                    use by tenant
   requests show ID         one request
+  explain ID FILE...       the course of a request out of the nodes' logs
   requests cancel ID       end one request
 
 Options:
@@ -62,6 +63,15 @@
 Example:
   shelfjunction node --settings examples/node.toml --check";
 
+/// `explain`.
+pub const EXPLAIN: &str = "\
+Usage: shelfjunction explain REQUEST FILE...
+
+Prints what the logs in the files say of a request, in the order of time: what its nodes knew before, and its course.
+
+Example:
+  shelfjunction explain 9c41d07be2a35f68 node-1.log node-2.log";
+
 /// `bundle`.
 pub const BUNDLE: &str = "\
 Usage: shelfjunction bundle validate|keygen|propose|sign|rollout|rollback|history|show [OPTIONS]
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -63,6 +63,23 @@
     Nowhere,
 }
 
+/// What decided for an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Explanation {
+    /// Its cost, in seconds.
+    pub cost: f64,
+    /// The cheapest of the others and its cost.
+    pub runner_up: Option<(EngineId, f64)>,
+    /// Prompt tokens believed to be read there first.
+    pub prompt_tokens_ahead: u64,
+    /// Requests believed to be there.
+    pub requests: u32,
+    /// Prompt tokens that it is believed to hold.
+    pub held_tokens: u32,
+    /// Age of the oldest word of another node that counts.
+    pub oldest_word: Duration,
+}
+
 /// Receipt of one dispatch, to be handed back when it ends.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PoolTicket {
@@ -286,6 +303,48 @@
         .map(|(_, state)| state.engine.clone())
     }
 
+    /// Engines that take work now.
+    pub fn taking_work(&self, now: MonotonicTime) -> usize {
+        self.engines
+            .values()
+            .filter(|state| state.takes_work(now))
+            .count()
+    }
+
+    /// What decided for an engine, for the log; `stage` is the part that it was chosen for.
+    pub fn explain(
+        &self,
+        engine: &EngineId,
+        stage: EngineStage,
+        reads: bool,
+        query: &PoolQuery<'_>,
+        now: MonotonicTime,
+    ) -> Explanation {
+        let context = self.context(query, now);
+        let home = self.home(query);
+        let cost = |state: &EngineState| match (stage, reads) {
+            (EngineStage::Prefill, _) => {
+                context.prompt(state, query, home.as_ref() == Some(&state.engine.id))
+            }
+            (EngineStage::Decode, true) => context.both(state, query),
+            _ => context.output(state, query.zone),
+        };
+        let others = self
+            .candidates(query, stage, now)
+            .filter(|state| state.engine.id != *engine);
+        let runner_up = cheapest(others, cost).map(|(cost, state)| (state.engine.id.clone(), cost));
+        let chosen = self.engines.get(engine);
+        let work = chosen.map(|state| state.work(now)).unwrap_or_default();
+        Explanation {
+            cost: chosen.map_or(0.0, cost),
+            runner_up,
+            prompt_tokens_ahead: work.prompt_tokens_ahead(query.rank) as u64,
+            requests: work.requests as u32,
+            held_tokens: chosen.map_or(0, |state| state.prefixes.held_tokens(query.prefixes)),
+            oldest_word: chosen.map_or(Duration::ZERO, |state| state.oldest_word(now)),
+        }
+    }
+
     /// Seconds until a prompt sent now would have been read, at the best engine; absent where none reads prompts.
     pub fn prompt_delay(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<Duration> {
         let context = self.context(query, now);
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -212,6 +212,14 @@
         sum
     }
 
+    /// Age of the oldest word of another node that still counts.
+    pub fn oldest_word(&self, now: MonotonicTime) -> Duration {
+        let ages = self.peers.values().map(|(_, at)| now.since(*at));
+        ages.filter(|age| *age < PEER_WORD_LIFETIME)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Whether new work may go there now.
     pub(super) fn takes_work(&self, now: MonotonicTime) -> bool {
         !self.engine.leaving
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -9,14 +9,17 @@
 //! gives `event=request_finished level=info time=… module=… request=r-1 zone=sthlm-a generation=7`.
 
 mod layout;
+mod queue;
 
 pub use layout::EventLayout;
+pub use queue::{LogLosses, QueuedLines};
 
 use logforth::append::Stderr;
 use logforth::bridge::log::LogBridge;
 use logforth::record::{Level, LevelFilter};
 use std::fmt;
 use std::str::FromStr;
+use std::sync::Arc;
 
 /// Least severe level that is written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -47,6 +50,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AlreadyInstalled;
 
+/// Why no queue of lines could be installed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InstallError {
+    /// A logger was installed before.
+    AlreadyInstalled,
+    /// The thread that writes could not be started.
+    NoThread,
+}
+
 impl FromStr for LogLevel {
     type Err = UnknownLevel;
 
@@ -103,6 +115,19 @@
     install_to(level, Stderr::default().with_layout(EventLayout))
 }
 
+/// Writes events to standard output from now on, through a bounded queue; call once for each process.
+pub fn install_queued(level: LogLevel) -> Result<Arc<LogLosses>, InstallError> {
+    let lines = QueuedLines::start(std::io::stdout()).map_err(|_| InstallError::NoThread)?;
+    let losses = lines.losses();
+    install_to(level, lines).map_err(|_| InstallError::AlreadyInstalled)?;
+    Ok(losses)
+}
+
+/// Writes what waits in the queue, for the end of the program.
+pub fn flush() {
+    log::logger().flush();
+}
+
 /// Writes events to the given target from now on; call once for each process.
 pub fn install_to(level: LogLevel, target: impl logforth::Append) -> Result<(), AlreadyInstalled> {
     let logger = logforth::core::builder()
--- a/crates/node/src/commanding/ordering.rs
+++ b/crates/node/src/commanding/ordering.rs
@@ -105,6 +105,11 @@
             answer:? = answer;
             "stage_ordered"
         );
+        context.metrics.order_given(match &answer {
+            Ok(EngineReading::Ordered(OrderVerdict::Begun | OrderVerdict::AlreadySo)) => "taken",
+            Ok(_) => "refused",
+            Err(_) => "unanswered",
+        });
         match answer {
             Ok(EngineReading::Ordered(OrderVerdict::Begun | OrderVerdict::AlreadySo)) => {}
             Ok(_) => lock(&context.router).forget_order(&change.engine),
--- a/crates/node/src/commanding/tenure.rs
+++ b/crates/node/src/commanding/tenure.rs
@@ -55,7 +55,10 @@
                         );
                     }
                     LeaseEffect::Gained(authority) => self.gained(context, authority),
-                    LeaseEffect::Lost(token) => log::info!(token:% = token; "lease_lost"),
+                    LeaseEffect::Lost(token) => {
+                        context.metrics.lease_held.set(0);
+                        log::info!(token:% = token; "lease_lost");
+                    }
                 }
             }
             pending = next;
@@ -64,6 +67,7 @@
 
     /// The first token of all has no holder before it.
     fn gained(&mut self, context: &Context, authority: Authority) {
+        context.metrics.lease_held.set(1);
         let is_first = authority.token.0 <= 1;
         let now = context.now();
         self.order_from = if is_first { now } else { now + FIRST_ORDER_AFTER };
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -21,6 +21,9 @@
     pub listen: SocketAddr,
     /// Address that tells whether this machine takes callers.
     pub ready_listen: SocketAddr,
+    /// Address that tells metrics; none are told without it.
+    #[serde(default)]
+    pub metrics_listen: Option<SocketAddr>,
     /// Address for the words of other nodes.
     pub peer_listen: SocketAddr,
     /// Address of the platform's store.
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -2,6 +2,7 @@
 
 use crate::config::NodeConfig;
 use crate::links::Links;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::ports::EngineProtocol;
 use crate::releasing::Releases;
@@ -17,6 +18,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// Shared state of one process.
 pub(crate) struct Context {
@@ -26,6 +28,7 @@
     pub(crate) links: Links,
     pub(crate) releases: Releases,
     pub(crate) peers: Peers,
+    pub(crate) metrics: Metrics,
     pub(crate) state: Arc<NodeState>,
     pub(crate) stop: Arc<StopSignal>,
     pub(crate) store_trouble: StoreTrouble,
@@ -96,6 +99,7 @@
             links: Links::new(engines),
             releases: Releases::default(),
             peers: Peers::default(),
+            metrics: Metrics::new(),
             state: Arc::new(NodeState::default()),
             stop: Arc::new(StopSignal::default()),
             store_trouble: StoreTrouble::default(),
@@ -188,7 +192,24 @@
     pub(crate) fn take_repeat(&self, pool: &PoolId) -> bool {
         let now = self.now();
         let nodes = self.peers.nodes().unwrap_or(self.config.nodes);
-        self.with_budget(pool, |budget| budget.take(nodes, now))
+        let granted = self.with_budget(pool, |budget| budget.take(nodes, now));
+        self.metrics.retry_asked(granted);
+        granted
+    }
+
+    /// Repeats left in the tightest of the pools' budgets.
+    pub(crate) fn repeats_left(&self) -> f64 {
+        let nodes = self.peers.nodes().unwrap_or(self.config.nodes);
+        let budgets = lock(&self.budgets);
+        let left = budgets.values().map(|budget| budget.left(nodes));
+        left.min_by(f64::total_cmp).unwrap_or_default()
+    }
+
+    /// Version of the configuration in force, and for how long it has been.
+    pub(crate) fn config_age(&self) -> Option<(u64, Duration)> {
+        let in_force = lock(&self.in_force);
+        let version = in_force.current()?.version;
+        Some((version, self.now().since(in_force.since())))
     }
 
     fn with_budget<T>(&self, pool: &PoolId, work: impl FnOnce(&mut WindowBudget) -> T) -> T {
--- a/crates/node/src/course/answering.rs
+++ b/crates/node/src/course/answering.rs
@@ -2,7 +2,7 @@
 
 use super::driver::{Driver, End};
 use crate::ports::{CallerGone, OwnAnswer};
-use shelfjunction_core::outcome::{Failure, Outcome, Refusal};
+use shelfjunction_core::outcome::{Failure, Outcome, Refusal, RefusalReason};
 use shelfjunction_core::request::event::OpaquePart;
 use std::time::Duration;
 
@@ -31,6 +31,10 @@
             self.events_open = true;
         }
         let now = self.context.now();
+        match self.last_event_at.replace(now) {
+            None => self.context.metrics.first_event(now.since(self.arrived)),
+            Some(last) => self.context.metrics.next_event(now.since(last)),
+        }
         self.first_event_at.get_or_insert(now);
         self.events_delivered += 1;
         self.caller.event(&self.event_bytes)
@@ -87,14 +91,18 @@
 
     fn log_end(&self, end: &End) {
         let now = self.context.now();
-        let outcome = match end {
-            End::CallerGone => "caller_gone".to_owned(),
-            End::Finished(outcome) => format!("{outcome:?}"),
+        let (outcome, cause) = match end {
+            End::CallerGone => ("caller_gone", "caller_gone"),
+            End::Finished(outcome) => (outcome_name(outcome), cause_name(outcome)),
         };
+        self.context
+            .metrics
+            .request_ended(outcome, cause, now.since(self.arrived));
         log::info!(
             request = self.call.request.as_str(),
             route:% = self.route.id,
-            outcome = outcome.as_str(),
+            outcome,
+            cause,
             took_millis = now.since(self.arrived).as_millis() as u64,
             first_event_millis:? = self.first_event_at.map(|at| at.since(self.arrived).as_millis() as u64),
             events = self.events_delivered;
@@ -106,3 +114,40 @@
 fn retry_after(refusal: &Refusal) -> Duration {
     refusal.retry_after.unwrap_or(RETRY_AFTER)
 }
+
+fn outcome_name(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Completed => "completed",
+        Outcome::NotRun(_) => "not_run",
+        Outcome::Failed(_) => "failed",
+        Outcome::Unknown(_) => "unknown",
+    }
+}
+
+fn cause_name(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Completed => "none",
+        Outcome::NotRun(refusal) => refusal_name(refusal.reason),
+        Outcome::Failed(failure) | Outcome::Unknown(failure) => failure_name(*failure),
+    }
+}
+
+fn refusal_name(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::DeadlineUnreachable => "deadline_unreachable",
+        RefusalReason::Overloaded => "overloaded",
+        RefusalReason::EnginesRefused => "engines_refused",
+        RefusalReason::InvalidRequest => "invalid_request",
+        _ => "other",
+    }
+}
+
+fn failure_name(failure: Failure) -> &'static str {
+    match failure {
+        Failure::ConnectionLost => "connection_lost",
+        Failure::EngineError => "engine_error",
+        Failure::DeadlinePassed => "deadline_passed",
+        Failure::ClaimUnsettled => "end_unknown",
+        _ => "other",
+    }
+}
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -12,10 +12,13 @@
 use shelfjunction_core::request::event::{Action, Event, ForwardAction, OpaquePart};
 use shelfjunction_core::request::machine::RequestMachine;
 use shelfjunction_core::request::specification::{Placement, Target};
-use shelfjunction_core::routing::pool::{PoolQuery, PoolTicket, PrefixBlock, PromptShape, rank_of};
+use shelfjunction_core::routing::pool::{
+    EngineStage, Explanation, PoolQuery, PoolTicket, PrefixBlock, PromptShape, rank_of,
+};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// When to come back after no engine could be chosen.
@@ -55,6 +58,7 @@
     pub(super) caller_gone: bool,
     pub(super) events_delivered: u32,
     pub(super) first_event_at: Option<MonotonicTime>,
+    pub(super) last_event_at: Option<MonotonicTime>,
     prompt: Option<&'a PromptShape>,
     prefixes: Vec<PrefixBlock>,
     pending: VecDeque<Action>,
@@ -97,6 +101,7 @@
             caller_gone: false,
             events_delivered: 0,
             first_event_at: None,
+            last_event_at: None,
             prefixes: prompt.map(PromptShape::prefixes).unwrap_or_default(),
             prompt,
             pending: VecDeque::new(),
@@ -186,7 +191,7 @@
     fn ask_retry(&mut self, tried: u32) {
         let free = std::mem::take(&mut self.last_not_sent);
         let granted = free || self.context.take_repeat(self.pool);
-        log::debug!(request = self.call.request.as_str(), tried, granted, free; "retry_asked");
+        log::info!(request = self.call.request.as_str(), tried, granted, free, repeats_left = self.context.repeats_left(); "retry_asked");
         let event = if granted {
             Event::RetryGranted {
                 not_before: self.context.now(),
@@ -199,7 +204,10 @@
 
     fn cancel(&mut self, engine: &EngineId) {
         if let Some(exchange) = self.exchange.take_if(|exchange| exchange.engine == *engine) {
-            log::debug!(request = self.call.request.as_str(), engine = engine.as_str(); "dispatch_cancelled");
+            log::info!(request = self.call.request.as_str(), engine = engine.as_str(); "dispatch_cancelled");
+            self.context
+                .metrics
+                .dispatch_ended(exchange.purpose.name(), "cancelled");
             lock(&self.context.router).on_abandoned(&exchange.ticket);
         }
     }
@@ -211,6 +219,7 @@
             (Phase::Whole, Some(import)) => (CallStage::Output(import.clone()), Purpose::Output),
             (Phase::Whole, None) => (CallStage::Whole, Purpose::Whole),
         };
+        let why = self.explain(&target.engine, purpose, now);
         let (ticket, patience) = self.note_sent(&target.engine, purpose, now);
         let left = routing::left(self.deadline, now);
         let wait = patience::CONNECT.min(left);
@@ -247,15 +256,43 @@
             last_event: self.machine.last_event().or(self.call.last_event),
             events: self.route.events,
         });
-        log::debug!(
+        self.log_dispatch(&exchange, &why, fetch_from, left);
+        self.exchange = Some(exchange);
+    }
+
+    /// What speaks for an engine, before the request is counted there.
+    fn explain(&self, engine: &EngineId, purpose: Purpose, now: MonotonicTime) -> Explanation {
+        let (stage, reads) = match (purpose, self.prompt) {
+            (Purpose::Prompt, _) => (EngineStage::Prefill, true),
+            (Purpose::Output, _) => (EngineStage::Decode, false),
+            (Purpose::Whole, Some(_)) => (EngineStage::Decode, true),
+            (Purpose::Whole, None) => (EngineStage::Whole, false),
+        };
+        lock(&self.context.router).explain(engine, stage, reads, &self.query(&[], now), now)
+    }
+
+    fn log_dispatch(
+        &self,
+        exchange: &Exchange,
+        why: &Explanation,
+        fetch_from: Option<SocketAddr>,
+        left: Duration,
+    ) {
+        log::info!(
             request = self.call.request.as_str(),
-            engine = target.engine.as_str(),
-            purpose = purpose.name(),
+            engine = exchange.engine.as_str(),
+            purpose = exchange.purpose.name(),
+            left_millis = left.as_millis() as u64,
+            cost_millis = millis(why.cost),
+            runner_up = why.runner_up.as_ref().map_or("none", |(engine, _)| engine.as_str()),
+            runner_up_cost_millis = why.runner_up.as_ref().map_or(0, |(_, cost)| millis(*cost)),
+            prompt_tokens_ahead = why.prompt_tokens_ahead,
+            requests_there = why.requests,
+            held_tokens = why.held_tokens,
             fetch_from:? = fetch_from,
-            left_millis = left.as_millis() as u64;
+            word_age_millis = why.oldest_word.as_millis() as u64;
             "dispatched"
         );
-        self.exchange = Some(exchange);
     }
 
     fn note_sent(
@@ -432,6 +469,9 @@
         let Some(exchange) = self.exchange.take() else {
             return Event::DeadlineReached;
         };
+        self.context
+            .metrics
+            .dispatch_ended(exchange.purpose.name(), "answered");
         let mut router = lock(&self.context.router);
         router.on_answered(&exchange.ticket);
         self.context.peers.note_change();
@@ -447,7 +487,11 @@
         let exchange = self.exchange.take()?;
         lock(&self.context.router).on_prompt_read(&exchange.ticket, &self.prefixes, now);
         self.context.peers.note_change();
-        log::debug!(
+        self.context.metrics.prompt_read(now.since(exchange.sent_at));
+        self.context
+            .metrics
+            .dispatch_ended(Purpose::Prompt.name(), "answered");
+        log::info!(
             request = self.call.request.as_str(),
             engine = exchange.engine.as_str(),
             took_millis = now.since(exchange.sent_at).as_millis() as u64;
@@ -471,6 +515,9 @@
             reason:? = refusal.reason;
             "engine_refused"
         );
+        self.context
+            .metrics
+            .dispatch_ended(exchange.purpose.name(), "refused");
         self.context.links.give_back(&exchange.engine, exchange.link, now);
         Event::Refused {
             attempt: exchange.attempt,
@@ -492,6 +539,9 @@
             after_millis = self.context.now().since(exchange.sent_at).as_millis() as u64;
             "dispatch_broken"
         );
+        self.context
+            .metrics
+            .dispatch_ended(exchange.purpose.name(), "broken");
         lock(&self.context.router).on_broken(&exchange.ticket, self.context.now());
         if exchange.head.is_some() {
             Event::Disconnected {
@@ -516,3 +566,8 @@
         self.exchange.as_ref()?.head.as_ref()
     }
 }
+
+/// Seconds as whole milliseconds, for the log.
+fn millis(seconds: f64) -> u64 {
+    (seconds * 1_000.0) as u64
+}
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -38,11 +38,13 @@
         return caller.say(&call.request, OwnAnswer::NoRoute, keep).is_ok() && keep;
     };
     context.count_request(&pool);
-    log::debug!(
+    log::info!(
         request = call.request.as_str(),
         route:% = route.id,
         pool:% = pool,
-        version = config.version;
+        version = config.version,
+        prompt_tokens = call.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
+        left_millis:? = call.time_left.map(|left| left.as_millis() as u64);
         "request_routed"
     );
     Driver::new(context, caller, call, route, &pool, keep).run()
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -9,7 +9,10 @@
 use crate::ports::{CallerProtocol, EngineProtocol, FleetStore, NodeDirectory};
 use crate::recovering;
 use crate::releasing;
+use crate::telling;
 use crate::watch;
+use shelfjunction_http::HttpServer;
+use shelfjunction_logging::LogLosses;
 use shelfjunction_platform::services::TableService;
 use std::io;
 use std::net::{TcpListener, UdpSocket};
@@ -44,6 +47,7 @@
 pub struct NodeHandle {
     context: Arc<Context>,
     open: Arc<OpenConnections>,
+    _metrics: Option<HttpServer>,
 }
 
 /// Time after the signal to stop for which resting connections stay open: whoever sends callers here has noticed by
@@ -58,13 +62,18 @@
 
 impl NodeHandle {
     /// Starts the process.
-    pub fn start(config: NodeConfig, adapters: Adapters) -> Result<Self, StartError> {
+    pub fn start(config: NodeConfig, adapters: Adapters, losses: Arc<LogLosses>) -> Result<Self, StartError> {
         let listener = TcpListener::bind(config.listen).map_err(StartError::Listen)?;
         let socket = UdpSocket::bind(config.peer_listen).map_err(StartError::Listen)?;
         let socket = Arc::new(socket);
         let peer_listener = TcpListener::bind(config.peer_listen).map_err(StartError::Listen)?;
         let context = Arc::new(Context::new(config, adapters.engines));
         let open = Arc::new(OpenConnections::default());
+        let metrics_listen = context.config.metrics_listen;
+        let metrics = metrics_listen
+            .map(|address| telling::serve(address, Arc::clone(&context), Arc::clone(&open), losses))
+            .transpose()
+            .map_err(StartError::Listen)?;
         let store = adapters.store;
         spawn("watch-configuration", {
             let (context, store) = (Arc::clone(&context), Arc::clone(&store));
@@ -113,7 +122,11 @@
             let callers = adapters.callers;
             move || accepting::run(&listener, &context, &callers, &open)
         })?;
-        Ok(Self { context, open })
+        Ok(Self {
+            context,
+            open,
+            _metrics: metrics,
+        })
     }
 
     /// What others may ask about the process.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,10 +15,12 @@
 mod course;
 mod handle;
 mod links;
+mod metrics;
 mod peers;
 pub mod ports;
 mod recovering;
 mod releasing;
+mod telling;
 mod watch;
 
 pub use config::NodeConfig;
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,232 @@
+//! Counts, gauges and delays of the process in the OpenMetrics text; labels take few values, and none names a caller.
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use std::fmt;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+const PREFIX: &str = "shelfjunction_node";
+
+/// Upper bounds of the delay histograms, in seconds.
+const DELAY_BOUNDS: [f64; 12] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
+
+/// Labels of requests that ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    outcome: &'static str,
+    cause: &'static str,
+}
+
+/// Labels of dispatches to engines that ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DispatchLabels {
+    purpose: &'static str,
+    end: &'static str,
+}
+
+/// One label that says what became of something.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResultLabel {
+    result: &'static str,
+}
+
+/// Everything that is measured.
+pub(crate) struct Metrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    dispatches: Family<DispatchLabels, Counter>,
+    retries: Family<ResultLabel, Counter>,
+    store_calls: Family<ResultLabel, Counter>,
+    orders: Family<ResultLabel, Counter>,
+    whole_answer: Histogram,
+    first_event: Histogram,
+    between_events: Histogram,
+    prompt_reading: Histogram,
+    /// Requests under way.
+    pub(crate) in_flight: Gauge,
+    /// Callers' connections.
+    pub(crate) connections: Gauge,
+    /// Repeats left in the tightest budget.
+    pub(crate) repeats_left: Gauge<f64, AtomicU64>,
+    /// Version of the configuration in force.
+    pub(crate) config_version: Gauge,
+    /// Seconds since that version came into force here.
+    pub(crate) config_age: Gauge,
+    /// Version of the store that the list of engines reflects.
+    pub(crate) list_version: Gauge,
+    /// Engines that take work.
+    pub(crate) engines: Gauge,
+    /// Other nodes that were heard a short time ago.
+    pub(crate) peers: Gauge,
+    /// Whether this node holds the lease over the engines.
+    pub(crate) lease_held: Gauge,
+    /// Log lines dropped or folded.
+    pub(crate) log_lines_not_written: Gauge,
+}
+
+impl Metrics {
+    /// Registers everything at zero.
+    pub(crate) fn new() -> Self {
+        let delays = || Histogram::new(DELAY_BOUNDS);
+        let mut metrics = Self {
+            registry: Registry::with_prefix(PREFIX),
+            requests: Family::default(),
+            dispatches: Family::default(),
+            retries: Family::default(),
+            store_calls: Family::default(),
+            orders: Family::default(),
+            whole_answer: delays(),
+            first_event: delays(),
+            between_events: delays(),
+            prompt_reading: delays(),
+            in_flight: Gauge::default(),
+            connections: Gauge::default(),
+            repeats_left: Gauge::default(),
+            config_version: Gauge::default(),
+            config_age: Gauge::default(),
+            list_version: Gauge::default(),
+            engines: Gauge::default(),
+            peers: Gauge::default(),
+            lease_held: Gauge::default(),
+            log_lines_not_written: Gauge::default(),
+        };
+        metrics.register_counters();
+        metrics.register_delays();
+        metrics.register_gauges();
+        metrics
+    }
+
+    /// The text that a scraper reads.
+    pub(crate) fn render(&self) -> Result<String, fmt::Error> {
+        let mut rendered = String::new();
+        text::encode(&mut rendered, &self.registry)?;
+        Ok(rendered)
+    }
+
+    pub(crate) fn request_ended(&self, outcome: &'static str, cause: &'static str, took: Duration) {
+        self.requests
+            .get_or_create(&RequestLabels { outcome, cause })
+            .inc();
+        self.whole_answer.observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn dispatch_ended(&self, purpose: &'static str, end: &'static str) {
+        self.dispatches
+            .get_or_create(&DispatchLabels { purpose, end })
+            .inc();
+    }
+
+    pub(crate) fn retry_asked(&self, granted: bool) {
+        let result = if granted { "granted" } else { "denied" };
+        self.retries.get_or_create(&ResultLabel { result }).inc();
+    }
+
+    pub(crate) fn store_called(&self, answered: bool) {
+        let result = if answered { "answered" } else { "failed" };
+        self.store_calls.get_or_create(&ResultLabel { result }).inc();
+    }
+
+    pub(crate) fn order_given(&self, result: &'static str) {
+        self.orders.get_or_create(&ResultLabel { result }).inc();
+    }
+
+    pub(crate) fn first_event(&self, delay: Duration) {
+        self.first_event.observe(delay.as_secs_f64());
+    }
+
+    pub(crate) fn next_event(&self, pause: Duration) {
+        self.between_events.observe(pause.as_secs_f64());
+    }
+
+    pub(crate) fn prompt_read(&self, took: Duration) {
+        self.prompt_reading.observe(took.as_secs_f64());
+    }
+
+    fn register_counters(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests that ended", self.requests.clone());
+        registry.register(
+            "dispatches",
+            "Dispatches to engines that ended",
+            self.dispatches.clone(),
+        );
+        registry.register("retries", "Repeats that were asked for", self.retries.clone());
+        registry.register(
+            "store_calls",
+            "Questions to the platform's store",
+            self.store_calls.clone(),
+        );
+        registry.register("orders", "Orders given to engines", self.orders.clone());
+    }
+
+    fn register_delays(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "answer_seconds",
+            "Time from a call to its end",
+            self.whole_answer.clone(),
+        );
+        registry.register(
+            "first_event_seconds",
+            "Time from a call to its first event",
+            self.first_event.clone(),
+        );
+        registry.register(
+            "between_events_seconds",
+            "Pause between two events of an answer",
+            self.between_events.clone(),
+        );
+        registry.register(
+            "prompt_seconds",
+            "Time that reading a prompt took, with its wait",
+            self.prompt_reading.clone(),
+        );
+    }
+
+    fn register_gauges(&mut self) {
+        let gauges = [
+            ("in_flight", "Requests under way", &self.in_flight),
+            ("connections", "Callers' connections", &self.connections),
+            (
+                "config_version",
+                "Version of the configuration in force",
+                &self.config_version,
+            ),
+            (
+                "config_age_seconds",
+                "Time since it came into force here",
+                &self.config_age,
+            ),
+            (
+                "list_version",
+                "Version of the store that the list of engines reflects",
+                &self.list_version,
+            ),
+            ("engines", "Engines that take work", &self.engines),
+            ("peers", "Other nodes heard a short time ago", &self.peers),
+            (
+                "lease_held",
+                "Whether this node may order engines",
+                &self.lease_held,
+            ),
+            (
+                "log_lines_not_written",
+                "Log lines dropped or folded",
+                &self.log_lines_not_written,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            self.registry.register(name, help, gauge.clone());
+        }
+        self.registry.register(
+            "repeats_left",
+            "Repeats left in the tightest budget",
+            self.repeats_left.clone(),
+        );
+    }
+}
--- /dev/null
+++ b/crates/node/src/telling.rs
@@ -0,0 +1,86 @@
+//! Tells the process's metrics over HTTP.
+
+use crate::connections::OpenConnections;
+use crate::context::Context;
+use shelfjunction_http::{
+    Answer, Answered, Handler, HttpLimits, HttpRequest, HttpServer, ReadError, Responder,
+};
+use shelfjunction_logging::LogLosses;
+use shelfjunction_threads::lock;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Most connections at once.
+const CONNECTIONS: usize = 8;
+
+const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+struct MetricsPage {
+    context: Arc<Context>,
+    open: Arc<OpenConnections>,
+    losses: Arc<LogLosses>,
+}
+
+/// Answers on an address as long as the server lives.
+pub(crate) fn serve(
+    address: SocketAddr,
+    context: Arc<Context>,
+    open: Arc<OpenConnections>,
+    losses: Arc<LogLosses>,
+) -> io::Result<HttpServer> {
+    let limits = HttpLimits {
+        connections: CONNECTIONS,
+        ..HttpLimits::default()
+    };
+    let page = MetricsPage {
+        context,
+        open,
+        losses,
+    };
+    HttpServer::start(address, limits, Arc::new(page))
+}
+
+impl Handler for MetricsPage {
+    fn handle(&self, request: HttpRequest, responder: Responder<'_>) -> Answered {
+        if request.path != METRICS_PATH {
+            return responder.answer(&Answer::new(404, "text/plain", Vec::new()));
+        }
+        self.take_gauges();
+        match self.context.metrics.render() {
+            Ok(text) => responder.answer(&Answer::new(200, CONTENT_TYPE, text)),
+            Err(_) => responder.answer(&Answer::new(500, "text/plain", Vec::new())),
+        }
+    }
+
+    fn refusal(&self, error: ReadError) -> Option<Answer> {
+        error
+            .status()
+            .map(|status| Answer::new(status, "text/plain", Vec::new()))
+    }
+}
+
+impl MetricsPage {
+    fn take_gauges(&self) {
+        let context = &self.context;
+        let metrics = &context.metrics;
+        let now = context.now();
+        metrics.in_flight.set(context.state.requests_under_way() as i64);
+        metrics.connections.set(self.open.count() as i64);
+        metrics.repeats_left.set(context.repeats_left());
+        if let Some((version, age)) = context.config_age() {
+            metrics.config_version.set(version as i64);
+            metrics.config_age.set(age.as_secs() as i64);
+        }
+        metrics
+            .list_version
+            .set(lock(&context.listing).reflected() as i64);
+        metrics.engines.set(lock(&context.router).taking_work(now) as i64);
+        metrics.peers.set(context.peers.heard_lately(now).len() as i64);
+        let not_written = self.losses.dropped() + self.losses.folded();
+        metrics.log_lines_not_written.set(not_written as i64);
+    }
+}
--- a/crates/node/src/watch/configuration.rs
+++ b/crates/node/src/watch/configuration.rs
@@ -22,7 +22,7 @@
         };
         match changes {
             Ok(changes) => {
-                contact.answered();
+                contact.answered(context);
                 seen = Some(changes.version);
                 take(context, changes);
                 if context.forwarding().is_none() && context.stop.wait(NONE_YET) {
--- a/crates/node/src/watch/contact.rs
+++ b/crates/node/src/watch/contact.rs
@@ -57,7 +57,8 @@
         context.config.watch().mul_f64(part)
     }
 
-    pub(super) fn answered(&mut self) {
+    pub(super) fn answered(&mut self, context: &Context) {
+        context.metrics.store_called(true);
         if self.failures > 0 {
             log::info!(table = self.table, failures = self.failures; "store_regained");
             self.failures = 0;
@@ -69,6 +70,7 @@
         if self.failures == 0 {
             log::warn!(table = self.table, cause:? = cause; "store_lost");
         }
+        context.metrics.store_called(false);
         context.store_trouble.note(context.now());
         self.failures += 1;
         let doublings = self.failures.saturating_sub(1).min(4);
--- a/crates/node/src/watch/engines.rs
+++ b/crates/node/src/watch/engines.rs
@@ -21,7 +21,7 @@
         };
         match changes {
             Ok(changes) => {
-                contact.answered();
+                contact.answered(context);
                 let whole = seen.is_none();
                 seen = Some(changes.version);
                 if whole {
