Stand-ins of the users' platform and the whole path over its wire; ask an engine that is left alone where there is no other

Found by the new test: after both engines of a route broke one answer each, the next request was refused for half a second with both engines free.

--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -259,8 +259,22 @@
         self.engines.get(engine)
     }
 
-    /// Chooses where a request goes; nothing that leaves, is left alone for a while or lacks the model is chosen.
+    /// Chooses where a request goes; nothing that leaves or lacks the model is chosen, and an engine that is left
+    /// alone for a while only where there is no other.
     pub fn choose(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> PoolRoute {
+        match self.choose_among(query, now) {
+            PoolRoute::Nowhere if !query.paused_too => {
+                let query = PoolQuery {
+                    paused_too: true,
+                    ..query.clone()
+                };
+                self.choose_among(&query, now)
+            }
+            route => route,
+        }
+    }
+
+    fn choose_among(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> PoolRoute {
         let context = self.context(query, now);
         if query.prompt.is_none() {
             return cheapest(self.candidates(query, EngineStage::Whole, now), |state| {
@@ -291,6 +305,20 @@
         query: &PoolQuery<'_>,
         source: &EngineId,
         now: MonotonicTime,
+    ) -> Option<PoolEngine> {
+        let paused_too = PoolQuery {
+            paused_too: true,
+            ..query.clone()
+        };
+        self.choose_output_among(query, source, now)
+            .or_else(|| self.choose_output_among(&paused_too, source, now))
+    }
+
+    fn choose_output_among(
+        &self,
+        query: &PoolQuery<'_>,
+        source: &EngineId,
+        now: MonotonicTime,
     ) -> Option<PoolEngine> {
         let context = self.context(query, now);
         let zone = self
@@ -307,7 +335,7 @@
     pub fn taking_work(&self, now: MonotonicTime) -> usize {
         self.engines
             .values()
-            .filter(|state| state.takes_work(now))
+            .filter(|state| state.takes_work(now, false))
             .count()
     }
 
@@ -575,7 +603,7 @@
         self.engines.values().filter(move |state| {
             state.engine.pool == *query.pool
                 && state.engine.stage == stage
-                && state.takes_work(now)
+                && state.takes_work(now, query.paused_too)
                 && !query.excluded.contains(&state.engine.id)
                 && query
                     .prompt
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -220,12 +220,12 @@
             .unwrap_or_default()
     }
 
-    /// Whether new work may go there now.
-    pub(super) fn takes_work(&self, now: MonotonicTime) -> bool {
+    /// Whether new work may go there now; one that is left alone for a while takes some only where `paused_too`.
+    pub(super) fn takes_work(&self, now: MonotonicTime, paused_too: bool) -> bool {
         !self.engine.leaving
             && self.ordered_stage(now).is_none()
             && self.gone.is_none_or(|gone| gone.is_doubtful_at(now))
-            && !self.health.is_paused(now)
+            && (paused_too || !self.health.is_paused(now))
     }
 
     /// The stage that it changes to, if it does.
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -74,6 +74,8 @@
     pub zone: &'a ZoneId,
     /// Engines that failed this request before.
     pub excluded: &'a [EngineId],
+    /// Whether engines that are left alone for a while may be chosen.
+    pub paused_too: bool,
     /// Rank among requests, from [`super::rank_of`].
     pub rank: usize,
     /// Time left.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod scale;
 pub mod simulate;
 pub mod soak;
+pub mod users_platform;
--- /dev/null
+++ b/crates/lab/src/users_platform/engine.rs
@@ -0,0 +1,305 @@
+//! An engine: reads prompts for others, runs outputs as series of events, takes orders, and misbehaves when told to.
+
+use serde::Deserialize;
+use shelfjunction_http::{
+    Answer, AnswerHeader, Answered, Handler, HttpLimits, HttpRequest, HttpServer, ReadError, Responder,
+};
+use std::collections::{BTreeSet, VecDeque};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+const JSON: &str = "application/json";
+const EVENTS: &str = "text/event-stream";
+
+/// What an engine is.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Name of this start.
+    pub id: String,
+    /// `prefill`, `decode`, or none where it runs no model.
+    pub stage: Option<&'static str>,
+    /// Events of each answer.
+    pub events: u64,
+}
+
+/// How an engine treats the next request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineFault {
+    /// Refuses it before running it.
+    Refuse,
+    /// Runs it and answers 500.
+    Fail,
+    /// Runs it and breaks the connection without an answer.
+    LoseAnswer,
+    /// Runs it and breaks the connection after some events.
+    CutAfter(u64),
+    /// Runs it and answers without its signature.
+    Unsigned,
+}
+
+/// One run of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunRecord {
+    /// The request.
+    pub request: String,
+    /// Event behind which it went on.
+    pub after_event: u64,
+    /// Where its KV cache was fetched; absent where the engine read the prompt itself.
+    pub source: Option<String>,
+    /// The engine from which held parts were to be fetched.
+    pub fetched_from: Option<String>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    stage: Option<&'static str>,
+    faults: VecDeque<EngineFault>,
+    runs: Vec<RunRecord>,
+    prompts: Vec<RunRecord>,
+    handles: BTreeSet<String>,
+    next_handle: u64,
+    sequence: u64,
+    fence: u64,
+}
+
+/// A running engine on loopback.
+pub struct ModelEngine {
+    server: HttpServer,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Order {
+    operation: String,
+    stage: String,
+    holder: String,
+    fencing_token: u64,
+    expected: Option<u64>,
+}
+
+impl ModelEngine {
+    /// Starts an engine on a free port.
+    pub fn start(settings: EngineSettings) -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(State {
+            stage: settings.stage,
+            ..State::default()
+        }));
+        let handler = Arc::new(EngineHandler {
+            settings,
+            state: Arc::clone(&state),
+        });
+        let address = (Ipv4Addr::LOCALHOST, 0).into();
+        let server = HttpServer::start(address, HttpLimits::default(), handler)?;
+        Ok(Self { server, state })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Treats the next request so; several are used up one after the other.
+    pub fn next_request(&self, fault: EngineFault) {
+        lock(&self.state).faults.push_back(fault);
+    }
+
+    /// Requests that it ran.
+    pub fn runs(&self) -> Vec<RunRecord> {
+        lock(&self.state).runs.clone()
+    }
+
+    /// Prompts that it read for other engines.
+    pub fn prompts(&self) -> Vec<RunRecord> {
+        lock(&self.state).prompts.clone()
+    }
+
+    /// KV caches that wait to be fetched.
+    pub fn handles(&self) -> usize {
+        lock(&self.state).handles.len()
+    }
+
+    /// Its present stage.
+    pub fn stage(&self) -> Option<&'static str> {
+        lock(&self.state).stage
+    }
+}
+
+struct EngineHandler {
+    settings: EngineSettings,
+    state: Arc<Mutex<State>>,
+}
+
+impl Handler for EngineHandler {
+    fn handle(&self, request: HttpRequest, responder: Responder<'_>) -> Answered {
+        match request.path.as_str() {
+            "/shelfjunction/report" => return responder.answer(&self.report()),
+            "/shelfjunction/order" => return responder.answer(&self.order(&request.body)),
+            "/shelfjunction/kv-list" => {
+                return responder.answer(&Answer::new(200, JSON, r#"{"epoch":1,"held":[]}"#));
+            }
+            path => {
+                if let Some(handle) = path.strip_prefix("/shelfjunction/kv-handle/") {
+                    lock(&self.state).handles.remove(handle);
+                    return responder.answer(&Answer::new(200, JSON, "{}"));
+                }
+            }
+        }
+        self.serve(&request, responder)
+    }
+
+    fn refusal(&self, error: ReadError) -> Option<Answer> {
+        error.status().map(|status| Answer::new(status, JSON, "{}"))
+    }
+}
+
+impl EngineHandler {
+    fn serve(&self, request: &HttpRequest, responder: Responder<'_>) -> Answered {
+        let expected = request.header("Expected-Instance");
+        let reads_prompt = request.header("Stage") == Some("prefill");
+        let wrong_stage = reads_prompt != (lock(&self.state).stage == Some("prefill"));
+        if expected.is_some_and(|id| id != self.settings.id) || wrong_stage {
+            return responder.answer(&self.answer(request, 421, ""));
+        }
+        let fault = lock(&self.state).faults.pop_front();
+        if fault == Some(EngineFault::Refuse) {
+            let refusal = self.answer(request, 503, "").with_header("Not-Executed", "1");
+            return responder.answer(&refusal);
+        }
+        let record = record(request);
+        if reads_prompt {
+            return responder.answer(&self.read_prompt(request, record));
+        }
+        lock(&self.state).runs.push(record.clone());
+        match fault {
+            Some(EngineFault::LoseAnswer) => Answered::broken(),
+            Some(EngineFault::Fail) => responder.answer(&self.signed(request, 500, "failed")),
+            Some(EngineFault::Unsigned) => responder.answer(&self.answer(request, 200, "who said this?")),
+            _ if self.settings.stage.is_some() => self.stream(request, &record, fault, responder),
+            _ => responder.answer(&self.signed(request, 200, "the answer")),
+        }
+    }
+
+    fn read_prompt(&self, request: &HttpRequest, record: RunRecord) -> Answer {
+        let mut state = lock(&self.state);
+        state.prompts.push(record);
+        state.next_handle += 1;
+        let handle = format!("handle{}", state.next_handle);
+        state.handles.insert(handle.clone());
+        let body = format!(r#"{{"prefillHandle":"{handle}","tokens":1,"version":1}}"#);
+        self.answer(request, 200, &body)
+    }
+
+    fn stream(
+        &self,
+        request: &HttpRequest,
+        record: &RunRecord,
+        fault: Option<EngineFault>,
+        responder: Responder<'_>,
+    ) -> Answered {
+        let headers = self.headers(request, true);
+        let Ok(mut writer) = responder.stream(200, EVENTS, &headers) else {
+            return Answered::broken();
+        };
+        let mut sent = 0;
+        for id in record.after_event + 1..=self.settings.events {
+            if fault == Some(EngineFault::CutAfter(sent)) {
+                // Part of an event, as engines leave it when they crash.
+                let _ = writer.write(format!("id: {id}\nda").as_bytes());
+                return writer.abort();
+            }
+            if writer
+                .write(format!("id: {id}\ndata: {id}\n\n").as_bytes())
+                .is_err()
+            {
+                return writer.abort();
+            }
+            sent += 1;
+        }
+        writer.finish()
+    }
+
+    fn report(&self) -> Answer {
+        let state = lock(&self.state);
+        let stage = state.stage.unwrap_or("decode");
+        let body = format!(
+            r#"{{"stage":"{stage}","utilization":false,"sequence":{}}}"#,
+            state.sequence
+        );
+        Answer::new(200, JSON, body)
+    }
+
+    fn order(&self, body: &[u8]) -> Answer {
+        let Ok(order) = serde_json::from_slice::<Order>(body) else {
+            return Answer::new(400, JSON, "{}");
+        };
+        let mut state = lock(&self.state);
+        let status = if order.operation != "stage" || order.holder.is_empty() {
+            400
+        } else if order.fencing_token < state.fence {
+            412
+        } else if order.expected.is_some_and(|expected| expected != state.sequence) {
+            409
+        } else {
+            state.fence = order.fencing_token;
+            state.sequence += 1;
+            state.stage = Some(if order.stage == "prefill" {
+                "prefill"
+            } else {
+                "decode"
+            });
+            202
+        };
+        Answer::new(status, JSON, "{}")
+    }
+
+    fn answer(&self, request: &HttpRequest, status: u16, body: &str) -> Answer {
+        let answer = Answer::new(status, JSON, body);
+        self.headers(request, false)
+            .into_iter()
+            .fold(answer, |answer, header| {
+                answer.with_header(header.name, header.value)
+            })
+    }
+
+    fn signed(&self, request: &HttpRequest, status: u16, body: &str) -> Answer {
+        self.answer(request, status, body)
+            .with_header("Response-Signature", format!("signed-by-{}", self.settings.id))
+    }
+
+    fn headers(&self, request: &HttpRequest, signed: bool) -> Vec<AnswerHeader> {
+        let header = |name, value: &str| AnswerHeader {
+            name,
+            value: value.to_owned(),
+        };
+        let mut headers = vec![
+            header("Request-Id", request.header("Request-Id").unwrap_or_default()),
+            header("Instance-Id", &self.settings.id),
+            header("Server-Load", "1,0,8"),
+        ];
+        if signed {
+            headers.push(header(
+                "Response-Signature",
+                &format!("signed-by-{}", self.settings.id),
+            ));
+        }
+        headers
+    }
+}
+
+fn record(request: &HttpRequest) -> RunRecord {
+    RunRecord {
+        request: request.header("Request-Id").unwrap_or_default().to_owned(),
+        after_event: request
+            .header("Last-Event-Id")
+            .and_then(|id| id.parse().ok())
+            .unwrap_or(0),
+        source: request.header("Kv-Source").map(str::to_owned),
+        fetched_from: request.header("Kv-Fetch").map(str::to_owned),
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -183,6 +183,7 @@
             prefixes: &self.prefixes,
             zone: &self.context.config.zone,
             excluded,
+            paused_too: false,
             rank: rank_of(self.route.priority),
             remaining: routing::left(self.deadline, now),
         }
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -15,7 +15,7 @@
 use shelfjunction_logging::LogLosses;
 use shelfjunction_platform::services::TableService;
 use std::io;
-use std::net::{TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -47,6 +47,7 @@
 pub struct NodeHandle {
     context: Arc<Context>,
     open: Arc<OpenConnections>,
+    address: SocketAddr,
     _metrics: Option<HttpServer>,
 }
 
@@ -64,9 +65,14 @@
     /// Starts the process.
     pub fn start(config: NodeConfig, adapters: Adapters, losses: Arc<LogLosses>) -> Result<Self, StartError> {
         let listener = TcpListener::bind(config.listen).map_err(StartError::Listen)?;
-        let socket = UdpSocket::bind(config.peer_listen).map_err(StartError::Listen)?;
-        let socket = Arc::new(socket);
+        let address = listener.local_addr().map_err(StartError::Listen)?;
         let peer_listener = TcpListener::bind(config.peer_listen).map_err(StartError::Listen)?;
+        let peer_listen = peer_listener.local_addr().map_err(StartError::Listen)?;
+        let socket = Arc::new(UdpSocket::bind(peer_listen).map_err(StartError::Listen)?);
+        let config = NodeConfig {
+            peer_listen,
+            ..config
+        };
         let context = Arc::new(Context::new(config, adapters.engines));
         let open = Arc::new(OpenConnections::default());
         let metrics_listen = context.config.metrics_listen;
@@ -125,10 +131,16 @@
         Ok(Self {
             context,
             open,
+            address,
             _metrics: metrics,
         })
     }
 
+    /// Where callers are served.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// What others may ask about the process.
     pub fn state(&self) -> Arc<NodeState> {
         Arc::clone(&self.context.state)
