--- /dev/null
+++ b/crates/core/tests/forwarding.rs
@@ -0,0 +1,240 @@
+//! Routes, versions, shares, the list of engines, roles and the budget for repeats of forwarded requests.
+
+use proptest::prelude::*;
+use shelfjunction_core::forwarding::{
+    Adoption, CallerLimits, ConfigInForce, ForwardingConfig, PoolConfig, PoolId, PoolShare, RepeatRule,
+    RouteId, RouteRule, ShareRotation,
+};
+use shelfjunction_core::identity::{EngineId, ZoneId};
+use shelfjunction_core::retry::window::{WindowBudget, WindowBudgetSettings};
+use shelfjunction_core::roles::pool::{PoolDemand, PoolEngineView, PoolRolePolicy, plan};
+use shelfjunction_core::routing::pool::{EngineListing, EngineStage, ListChange, ListSnapshot, PoolEngine};
+use shelfjunction_core::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const NOW: MonotonicTime = MonotonicTime::from_millis(1_000);
+
+fn route(name: &str, path: &str, shares: &[(&str, u32)]) -> RouteRule {
+    RouteRule {
+        id: RouteId(name.to_owned()),
+        host: "svc.example".to_owned(),
+        path_prefix: path.to_owned(),
+        shares: shares
+            .iter()
+            .map(|(pool, weight)| PoolShare {
+                pool: PoolId((*pool).to_owned()),
+                weight: *weight,
+            })
+            .collect(),
+        repeat: RepeatRule::Never,
+        events: false,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(100),
+        event_gap: None,
+        priority: 0,
+        maximum_runs: 1,
+    }
+}
+
+fn config(version: u64, routes: Vec<RouteRule>) -> ForwardingConfig {
+    let pool = |name: &str| PoolConfig {
+        id: PoolId(name.to_owned()),
+        connection_limit: 10,
+        model: None,
+    };
+    ForwardingConfig {
+        version,
+        routes,
+        pools: vec![pool("a"), pool("b")],
+        limits: CallerLimits::default(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_takes_a_request() {
+    let config = config(
+        1,
+        vec![
+            route("short", "/x/", &[("a", 1)]),
+            route("long", "/x/y/", &[("a", 1)]),
+        ],
+    );
+    let name = |host: &str, path: &str| config.route(host, path).map(|route| route.id.0.as_str());
+    assert_eq!(name("svc.example", "/x/y/z"), Some("long"));
+    assert_eq!(name("SVC.example", "/x/z"), Some("short"));
+    assert_eq!(name("svc.example", "/x"), None);
+    assert_eq!(name("other.example", "/x/z"), None);
+}
+
+#[test]
+fn a_configuration_only_ever_moves_to_a_higher_version() {
+    let mut in_force = ConfigInForce::default();
+    let good = |version| config(version, vec![route("r", "/x/", &[("a", 1)])]);
+    assert_eq!(in_force.offer(good(4), NOW), Adoption::Adopted { before: None });
+    assert_eq!(in_force.offer(good(4), NOW), Adoption::NotNewer);
+    assert_eq!(in_force.offer(good(3), NOW), Adoption::NotNewer);
+    let faulty = config(
+        5,
+        vec![route("r", "x", &[("nobody", 0)]), route("r", "/x/", &[("a", 1)])],
+    );
+    let Adoption::Refused(faults) = in_force.offer(faulty, NOW) else {
+        panic!("taken");
+    };
+    let fields: Vec<&str> = faults.iter().map(|fault| fault.field.as_str()).collect();
+    assert_eq!(
+        fields,
+        [
+            "routes.r.path_prefix",
+            "routes.r.shares",
+            "routes.r.shares.pool",
+            "routes.r.name"
+        ]
+    );
+    assert_eq!(in_force.current().unwrap().version, 4);
+    assert_eq!(
+        in_force.offer(good(9), NOW),
+        Adoption::Adopted { before: Some(4) }
+    );
+}
+
+proptest! {
+    #[test]
+    fn shares_are_kept_within_one_request(weights in prop::collection::vec(1u32..100, 1..5), requests in 1u32..500) {
+        let names: Vec<String> = (0..weights.len()).map(|number| format!("pool-{number}")).collect();
+        let shares: Vec<(&str, u32)> = names.iter().map(String::as_str).zip(weights.iter().copied()).collect();
+        let route = route("r", "/x/", &shares);
+        let mut rotation = ShareRotation::default();
+        let mut counts: BTreeMap<PoolId, u32> = BTreeMap::new();
+        for _ in 0..requests {
+            *counts.entry(rotation.next(&route).unwrap()).or_default() += 1;
+        }
+        let total: u32 = weights.iter().sum();
+        for share in &route.shares {
+            let due = f64::from(requests) * f64::from(share.weight) / f64::from(total);
+            let got = f64::from(counts.get(&share.pool).copied().unwrap_or(0));
+            prop_assert!((got - due).abs() <= weights.len() as f64, "{got} of {due}");
+        }
+    }
+
+    /// Whatever each node does, all of them together stay within the budget of every window.
+    #[test]
+    fn nodes_together_keep_the_budget_of_every_window(
+        steps in prop::collection::vec((0usize..5, any::<bool>(), 0u64..400), 1..400),
+    ) {
+        const NODES: u32 = 5;
+        let settings = WindowBudgetSettings { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
+        let mut budgets = vec![WindowBudget::new(settings); NODES as usize];
+        let mut now = NOW;
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        for (node, is_request, pause) in steps {
+            now = now + Duration::from_millis(pause);
+            if is_request {
+                budgets[node].on_request(now);
+                requests.push(now);
+            } else if budgets[node].take(NODES, now) {
+                repeats.push(now);
+            }
+            let within = |times: &[MonotonicTime]| {
+                times.iter().filter(|at| now.since(**at) <= settings.window).count() as f64
+            };
+            prop_assert!(within(&repeats) <= settings.ratio * within(&requests) + settings.slack);
+        }
+    }
+}
+
+fn engine(id: &str, leaving: bool) -> PoolEngine {
+    PoolEngine {
+        id: EngineId::new(id),
+        pool: PoolId("a".to_owned()),
+        address: ([127, 0, 0, 1], 80).into(),
+        zone: ZoneId::new("zone"),
+        places: 8,
+        leaving,
+        stage: EngineStage::Whole,
+        models: Vec::new(),
+        warming: Duration::ZERO,
+    }
+}
+
+#[test]
+fn an_older_word_never_undoes_a_newer_one() {
+    let mut listing = EngineListing::default();
+    let listed = |id, leaving| ListChange::Listed(engine(id, leaving));
+    assert_eq!(
+        listing
+            .apply(vec![(3, listed("one", false)), (5, listed("two", false))], 6)
+            .len(),
+        2
+    );
+    let from_peer = ListSnapshot {
+        version: 12,
+        engines: vec![engine("one", true)],
+    };
+    let changes = listing.replace(&from_peer);
+    assert_eq!(
+        changes,
+        vec![ListChange::Gone(EngineId::new("two")), listed("one", true)]
+    );
+    // The store's own feed catches up: what it tells of versions up to 12 is reflected already.
+    let late = vec![
+        (8, listed("one", false)),
+        (9, listed("two", true)),
+        (13, listed("three", false)),
+    ];
+    assert_eq!(listing.apply(late, 13), vec![listed("three", false)]);
+    let stale_read = ListSnapshot {
+        version: 10,
+        engines: Vec::new(),
+    };
+    assert!(listing.replace(&stale_read).is_empty());
+    assert!(listing.lists(&EngineId::new("one")) && !listing.lists(&EngineId::new("two")));
+    assert_eq!((listing.changed(), listing.reflected()), (13, 13));
+}
+
+fn views(prefill: usize, decode: usize, requests: f64) -> Vec<PoolEngineView> {
+    let view = |number: usize, stage| PoolEngineView {
+        engine: EngineId::new(format!("{stage:?}-{number}")),
+        zone: ZoneId::new(format!("zone-{}", number % 3)),
+        stage,
+        requests,
+        memory_tokens: 0.0,
+        places: 64.0,
+        capacity_tokens: 400_000.0,
+    };
+    let prefill = (0..prefill).map(|number| view(number, EngineStage::Prefill));
+    let decode = (0..decode).map(|number| view(number, EngineStage::Decode));
+    prefill.chain(decode).collect()
+}
+
+fn demand(tokens: f64) -> PoolDemand {
+    PoolDemand {
+        prompt_tokens_per_second: Some(tokens),
+        engine_tokens_per_second: 10_000.0,
+    }
+}
+
+#[test]
+fn roles_change_only_under_pressure_that_the_other_stage_can_bear() {
+    let policy = PoolRolePolicy::default();
+    let stage = |prefill, decode, requests, tokens| {
+        plan(&views(prefill, decode, requests), demand(tokens), &policy).map(|change| change.to)
+    };
+    assert_eq!(stage(4, 5, 5.0, 10_000.0), None, "no pressure");
+    assert_eq!(stage(4, 5, 5.0, 30_000.0), Some(EngineStage::Prefill));
+    assert_eq!(stage(4, 5, 30.0, 30_000.0), None, "the decode engines are needed");
+    assert_eq!(stage(7, 2, 5.0, 90_000.0), None, "two decode engines stay");
+    assert_eq!(stage(6, 3, 40.0, 5_000.0), Some(EngineStage::Decode));
+    assert_eq!(
+        stage(6, 3, 40.0, 40_000.0),
+        None,
+        "the prefill engines are needed"
+    );
+    let before_any = PoolDemand {
+        prompt_tokens_per_second: None,
+        engine_tokens_per_second: 10_000.0,
+    };
+    assert!(plan(&views(4, 5, 0.0), before_any, &policy).is_some());
+    assert!(plan(&views(5, 4, 0.0), before_any, &policy).is_none());
+}
--- /dev/null
+++ b/crates/core/tests/pool_router.rs
@@ -0,0 +1,317 @@
+//! Choices of the pool router: who reads a prompt, who runs its output, and what is never chosen.
+
+use shelfjunction_core::engine::EngineRefusalReason;
+use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig, ModelTraits, PoolConfig, PoolId};
+use shelfjunction_core::identity::{EngineId, NodeId, ZoneId};
+use shelfjunction_core::routing::pool::{
+    EngineStage, PeerWork, PoolEngine, PoolQuery, PoolRoute, PoolRouter, PoolWeights, PrefixBlock,
+    PromptPart, PromptShape,
+};
+use shelfjunction_core::time::MonotonicTime;
+use std::time::Duration;
+
+const NOW: MonotonicTime = MonotonicTime::from_millis(10_000);
+
+fn pool() -> PoolId {
+    PoolId("pool".to_owned())
+}
+
+fn engine(id: &str, stage: EngineStage) -> PoolEngine {
+    PoolEngine {
+        id: EngineId::new(id),
+        pool: pool(),
+        address: ([127, 0, 0, 1], 1_000 + id.bytes().map(u16::from).sum::<u16>()).into(),
+        zone: ZoneId::new("zone-a"),
+        places: 64,
+        leaving: false,
+        stage,
+        models: vec!["m".to_owned()],
+        warming: Duration::ZERO,
+    }
+}
+
+fn router(engines: &[PoolEngine]) -> PoolRouter {
+    let mut router = PoolRouter::new(PoolWeights {
+        decode_reading_pace: 0.001,
+        ..PoolWeights::default()
+    });
+    let model = ModelTraits {
+        places: 64,
+        cache_tokens: 400_000,
+        transfer_lifetime: Duration::from_secs(5),
+        move_seconds: Some(4e-7),
+        role_change: Duration::from_secs(2),
+    };
+    router.on_config(&ForwardingConfig {
+        version: 1,
+        routes: Vec::new(),
+        pools: vec![PoolConfig {
+            id: pool(),
+            connection_limit: 100,
+            model: Some(model),
+        }],
+        limits: CallerLimits::default(),
+    });
+    engines
+        .iter()
+        .cloned()
+        .for_each(|engine| router.on_engine(engine));
+    router
+}
+
+fn split_pool() -> Vec<PoolEngine> {
+    let prefill = ["p1", "p2", "p3"].map(|id| engine(id, EngineStage::Prefill));
+    let decode = ["d1", "d2", "d3"].map(|id| engine(id, EngineStage::Decode));
+    prefill.into_iter().chain(decode).collect()
+}
+
+fn prompt(shared: u64) -> PromptShape {
+    PromptShape {
+        model: "m".to_owned(),
+        parts: vec![
+            PromptPart {
+                name: shared,
+                tokens: 13_000,
+            },
+            PromptPart {
+                name: 77,
+                tokens: 3_000,
+            },
+        ],
+        tokens: 16_000,
+        output_tokens: 100,
+    }
+}
+
+struct Asked {
+    pool: PoolId,
+    zone: ZoneId,
+    prompt: PromptShape,
+    prefixes: Vec<PrefixBlock>,
+    excluded: Vec<EngineId>,
+}
+
+impl Asked {
+    fn new(shared: u64) -> Self {
+        let prompt = prompt(shared);
+        Self {
+            pool: pool(),
+            zone: ZoneId::new("zone-a"),
+            prefixes: prompt.prefixes(),
+            prompt,
+            excluded: Vec::new(),
+        }
+    }
+
+    /// The same shared part with another own one.
+    fn with_own_part(mut self, name: u64) -> Self {
+        self.prompt.parts[1].name = name;
+        self.prefixes = self.prompt.prefixes();
+        self
+    }
+
+    fn query(&self) -> PoolQuery<'_> {
+        PoolQuery {
+            pool: &self.pool,
+            prompt: Some(&self.prompt),
+            prefixes: &self.prefixes,
+            zone: &self.zone,
+            excluded: &self.excluded,
+            paused_too: false,
+            rank: 1,
+            remaining: Duration::from_secs(5),
+        }
+    }
+}
+
+fn split(route: PoolRoute) -> (String, String) {
+    match route {
+        PoolRoute::Split { prefill, decode } => (prefill.id.0, decode.id.0),
+        other => panic!("not split: {other:?}"),
+    }
+}
+
+#[test]
+fn nodes_that_never_spoke_send_a_new_shared_part_to_the_same_engine() {
+    let (one, other) = (router(&split_pool()), router(&split_pool()));
+    let mut homes = std::collections::BTreeSet::new();
+    for shared in 0..40 {
+        let asked = Asked::new(shared);
+        let home = split(one.choose(&asked.query(), NOW)).0;
+        assert_eq!(home, split(other.choose(&asked.query(), NOW)).0);
+        homes.insert(home);
+    }
+    assert_eq!(homes.len(), 3, "and spread the parts over all of them");
+}
+
+#[test]
+fn a_queue_sends_a_prompt_elsewhere_and_its_held_part_is_fetched() {
+    let mut router = router(&split_pool());
+    let asked = Asked::new(1);
+    let home = EngineId(split(router.choose(&asked.query(), NOW)).0);
+    let ticket = router.on_prompt_sent(&home, &asked.query(), NOW);
+    router.on_prompt_read(&ticket, &asked.prefixes, NOW + Duration::from_millis(400));
+    let later = NOW + Duration::from_millis(500);
+    assert_eq!(
+        router.fetch_source(&home, &asked.query(), later),
+        None,
+        "it holds the part itself"
+    );
+    let asked = asked.with_own_part(78);
+    let work = PeerWork {
+        prompt_tokens: [0, 200_000, 0, 0],
+        requests: 10,
+        memory_tokens: 0,
+    };
+    let handle = router.engine(&home).unwrap().handle;
+    router.on_peer_work(&NodeId::new("other"), &[(handle, work)], later);
+    let elsewhere = EngineId(split(router.choose(&asked.query(), later)).0);
+    assert_ne!(elsewhere, home);
+    let source = router.engine(&home).unwrap().engine.address;
+    assert_eq!(
+        router.fetch_source(&elsewhere, &asked.query(), later),
+        Some(source)
+    );
+    router.on_peer_work(&NodeId::new("other"), &[], later);
+    let again = EngineId(split(router.choose(&asked.query(), later)).0);
+    assert_eq!(
+        router.engine(&again).unwrap().work(later).requests,
+        0.0,
+        "the other node's work has ended"
+    );
+}
+
+#[test]
+fn urgent_prompts_do_not_wait_for_lesser_ones() {
+    let mut router = router(&split_pool());
+    let asked = Asked::new(1);
+    let home = EngineId(split(router.choose(&asked.query(), NOW)).0);
+    let handle = router.engine(&home).unwrap().handle;
+    let work = PeerWork {
+        prompt_tokens: [0, 0, 0, 500_000],
+        requests: 10,
+        memory_tokens: 0,
+    };
+    router.on_peer_work(&NodeId::new("other"), &[(handle, work)], NOW);
+    assert_eq!(split(router.choose(&asked.query(), NOW)).0, home.0);
+}
+
+#[test]
+fn what_leaves_is_gone_changes_or_lacks_the_model_is_never_chosen() {
+    let mut engines = split_pool();
+    engines[0].leaving = true;
+    engines[1].models = vec!["other".to_owned()];
+    engines[3].leaving = true;
+    let mut router = router(&engines);
+    router.on_engine_gone(&EngineId::new("d2"), false, NOW);
+    for shared in 0..20 {
+        let asked = Asked::new(shared);
+        assert_eq!(
+            split(router.choose(&asked.query(), NOW)),
+            ("p3".to_owned(), "d3".to_owned())
+        );
+    }
+    router.note_order(&EngineId::new("p3"), EngineStage::Decode, NOW);
+    let route = router.choose(&Asked::new(1).query(), NOW);
+    assert!(
+        matches!(route, PoolRoute::Whole(engine) if engine.id.0 == "d3"),
+        "nobody else reads prompts"
+    );
+    router.on_engine_gone(&EngineId::new("d3"), false, NOW);
+    assert_eq!(router.choose(&Asked::new(1).query(), NOW), PoolRoute::Nowhere);
+}
+
+#[test]
+fn an_engine_that_vanishes_while_the_store_is_in_trouble_is_used_a_moment_longer() {
+    let mut router = router(&[
+        engine("p1", EngineStage::Prefill),
+        engine("d1", EngineStage::Decode),
+    ]);
+    for id in ["p1", "d1"] {
+        router.on_engine_gone(&EngineId::new(id), true, NOW);
+    }
+    let asked = Asked::new(1);
+    assert!(matches!(
+        router.choose(&asked.query(), NOW),
+        PoolRoute::Split { .. }
+    ));
+    let later = NOW + Duration::from_secs(2);
+    assert_eq!(router.choose(&asked.query(), later), PoolRoute::Nowhere);
+    router.on_engine(engine("p1", EngineStage::Prefill));
+    router.on_engine(engine("d1", EngineStage::Decode));
+    assert!(matches!(
+        router.choose(&asked.query(), later),
+        PoolRoute::Split { .. }
+    ));
+}
+
+#[test]
+fn an_engine_that_broke_is_left_alone_unless_there_is_no_other() {
+    let mut router = router(&[
+        engine("p1", EngineStage::Prefill),
+        engine("d1", EngineStage::Decode),
+        engine("d2", EngineStage::Decode),
+    ]);
+    let asked = Asked::new(1);
+    let ticket = router.on_output_sent(&EngineId::new("d1"), &asked.query(), false, NOW);
+    router.on_broken(&ticket, NOW);
+    assert_eq!(split(router.choose(&asked.query(), NOW)).1, "d2");
+    let ticket = router.on_output_sent(&EngineId::new("d2"), &asked.query(), false, NOW);
+    router.on_refused(&ticket, EngineRefusalReason::QueueFull, NOW);
+    assert!(matches!(
+        router.choose(&asked.query(), NOW),
+        PoolRoute::Split { .. }
+    ));
+}
+
+#[test]
+fn what_an_engine_holds_is_told_to_other_nodes() {
+    let (mut one, mut other) = (router(&split_pool()), router(&split_pool()));
+    let asked = Asked::new(5);
+    let ticket = one.on_prompt_sent(&EngineId::new("p2"), &asked.query(), NOW);
+    one.on_prompt_read(&ticket, &asked.prefixes, NOW);
+    let news = one.take_news(8);
+    assert!(one.take_news(8).is_empty());
+    other.on_peer_news(&news, NOW);
+    let source = other.engine(&EngineId::new("p2")).unwrap().engine.address;
+    assert_eq!(
+        other.fetch_source(&EngineId::new("p1"), &asked.query(), NOW),
+        Some(source)
+    );
+    let mut started = router(&split_pool());
+    started.on_peer_news(&other.held(), NOW);
+    assert_eq!(
+        started.fetch_source(&EngineId::new("p1"), &asked.query(), NOW),
+        Some(source)
+    );
+}
+
+#[test]
+fn what_is_believed_to_be_held_never_outgrows_the_engine() {
+    let mut router = router(&split_pool());
+    for shared in 0..2_000 {
+        let asked = Asked::new(shared);
+        router.on_held_list(
+            &EngineId::new("p1"),
+            &asked.prefixes,
+            NOW + Duration::from_millis(shared),
+        );
+    }
+    let state = router.engine(&EngineId::new("p1")).unwrap();
+    let tokens: u64 = state
+        .prefixes
+        .blocks()
+        .iter()
+        .map(|block| u64::from(block.tokens))
+        .sum();
+    assert!(tokens as f64 <= state.prefixes.capacity_tokens());
+    assert!(
+        state.prefixes.held_tokens(&Asked::new(1_999).prefixes) > 0,
+        "the newest stays"
+    );
+    assert_eq!(
+        state.prefixes.held_tokens(&Asked::new(0).prefixes[..1]),
+        0,
+        "the oldest went"
+    );
+}
