Wait longer for an engine that has answered others since

Cause: while two prefill engines were dark, prompts at the others passed their patience in the queue, were given up and read again elsewhere, which lengthened every queue.

--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -245,6 +245,7 @@
     /// Takes the load that an engine told in an answer.
     pub fn on_told(&mut self, engine: &EngineId, told: ToldLoad, now: MonotonicTime) {
         if let Some(state) = self.engines.get_mut(engine) {
+            state.heard(now);
             state.told = Some((told, now));
         }
     }
@@ -447,6 +448,7 @@
         for one in news {
             let state = self.engines.values_mut().find(|state| state.handle == one.engine);
             if let Some(state) = state {
+                state.heard(now);
                 state.prefixes.note_read(&one.prefixes, now);
             }
         }
@@ -515,6 +517,7 @@
     pub fn on_refused(&mut self, ticket: &PoolTicket, reason: EngineRefusalReason, now: MonotonicTime) {
         if let Some(state) = self.engines.get_mut(&ticket.engine) {
             state.sent.remove(&ticket.number);
+            state.heard(now);
             state.health.refused(reason, now);
         }
     }
@@ -671,6 +674,7 @@
     news: &mut Vec<PrefixNews>,
     now: MonotonicTime,
 ) {
+    state.heard(now);
     state.prefixes.note_read(prefixes, now);
     let shared = shared_prefixes(prefixes);
     if !shared.is_empty() && news.len() < MOST_NEWS {
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -146,6 +146,8 @@
     pub handle: SubjectHandle,
     /// Prompt parts that it is believed to hold.
     pub prefixes: PrefixBelief,
+    /// When it was last known to answer, to this node or another.
+    pub(super) heard_at: Option<MonotonicTime>,
     /// The stage that it has been ordered to take, and since when, until it is listed so.
     pub(super) ordered: Option<(EngineStage, MonotonicTime)>,
     /// Present where the platform lists the engine no longer.
@@ -170,6 +172,7 @@
             handle: SubjectHandle::of_text("engine", engine.id.as_str()),
             engine,
             prefixes: PrefixBelief::new(cache_tokens),
+            heard_at: None,
             ordered: None,
             gone: None,
             health: Health::default(),
@@ -212,6 +215,16 @@
         sum
     }
 
+    /// Whether the engine has answered anybody since an instant.
+    pub fn was_heard_since(&self, instant: MonotonicTime) -> bool {
+        self.heard_at.is_some_and(|at| at > instant)
+    }
+
+    /// Notes that the engine answers.
+    pub(super) fn heard(&mut self, now: MonotonicTime) {
+        self.heard_at = Some(now);
+    }
+
     /// Age of the oldest word of another node that still counts.
     pub fn oldest_word(&self, now: MonotonicTime) -> Duration {
         let ages = self.peers.values().map(|(_, at)| now.since(*at));
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -236,6 +236,7 @@
             link,
             head: None,
             sent_at: now,
+            asked_at: now,
             silent_from: patience.map(|patience| now + patience),
             all_sent: false,
             has_events: false,
@@ -393,11 +394,33 @@
         let now = self.context.now();
         let silent = exchange.silent_from.is_some_and(|silent| now >= silent);
         if silent && now < self.deadline {
-            return self.push_and_read().or_else(|| Some(self.broken("silent")));
+            return self.push_and_read().or_else(|| self.silent(now));
         }
         None
     }
 
+    /// The engine's time to answer is over. One that has answered others meanwhile is only busy: asking another
+    /// engine would have the prompt read twice.
+    fn silent(&mut self, now: MonotonicTime) -> Option<Event> {
+        let exchange = self.exchange.as_mut()?;
+        let lives = lock(&self.context.router)
+            .engine(&exchange.engine)
+            .is_some_and(|state| state.was_heard_since(exchange.asked_at));
+        if !lives {
+            return Some(self.broken("silent"));
+        }
+        let waited = now.since(exchange.asked_at);
+        exchange.asked_at = now;
+        exchange.silent_from = Some(now + waited);
+        log::info!(
+            request = self.call.request.as_str(),
+            engine = exchange.engine.as_str(),
+            waited_millis = waited.as_millis() as u64;
+            "waits_longer"
+        );
+        None
+    }
+
     fn on_reading(&mut self, reading: EngineReading) -> Option<Event> {
         let now = self.context.now();
         match reading {
--- a/crates/node/src/course/exchange.rs
+++ b/crates/node/src/course/exchange.rs
@@ -37,6 +37,8 @@
     /// Head of the answer, once it came.
     pub(super) head: Option<AnswerHead>,
     pub(super) sent_at: MonotonicTime,
+    /// Since when the present wait for a word lasts.
+    pub(super) asked_at: MonotonicTime,
     /// Instant from which the engine counts as silent; absent: never.
     pub(super) silent_from: Option<MonotonicTime>,
     pub(super) all_sent: bool,
@@ -47,6 +49,7 @@
 impl Exchange {
     /// Starts the patience anew.
     pub(super) fn heard(&mut self, now: MonotonicTime, patience: Option<Duration>) {
+        self.asked_at = now;
         self.silent_from = patience.map(|patience| now + patience);
     }
 }
