--- a/crates/core/src/roles/pool.rs
+++ b/crates/core/src/roles/pool.rs
@@ -9,7 +9,8 @@
 //! load of prefill = prompt tokens read in a second / (prefill engines * tokens that one reads in a second)
 //! load of decode  = max(requests / places, tokens / memory), each over the decode engines
 //! more prefill    if load of prefill > prefill_high and load of decode with one fewer < decode_high
-//! more decode     if load of decode > decode_high and load of prefill with one fewer < prefill_low
+//! more decode     if load of decode > decode_high and load of prefill with one fewer < prefill_low,
+//!                 or if fewer than the least number of decode engines are left, as after a loss
 //! ```
 //!
 //! Before any demand was seen, as at the first start, the policy's share decides.
@@ -31,8 +32,8 @@
     pub prefill_low: f64,
     /// Load of the decode engines above which another is wanted, and which they may not exceed with one fewer.
     pub decode_high: f64,
-    /// Fewest decode engines.
-    pub least_decode: u32,
+    /// Smallest part of the engines that run outputs; two of them stay in any case, so that one may fail.
+    pub least_decode_share: f64,
     /// Part of the engines that read prompts before any demand was seen.
     pub first_prefill_share: f64,
     /// Least time between two changes, in milliseconds.
@@ -44,9 +45,9 @@
         Self {
             enabled: true,
             prefill_high: 0.55,
-            prefill_low: 0.25,
+            prefill_low: 0.5,
             decode_high: 0.5,
-            least_decode: 2,
+            least_decode_share: 0.2,
             first_prefill_share: 0.6,
             settle_millis: 4_000,
         }
@@ -61,6 +62,7 @@
             ("roles.prefill_low", self.prefill_low),
             ("roles.decode_high", self.decode_high),
             ("roles.first_prefill_share", self.first_prefill_share),
+            ("roles.least_decode_share", self.least_decode_share),
         ];
         shares
             .into_iter()
@@ -74,6 +76,17 @@
     }
 }
 
+/// Decode engines that stay whatever the share says, where there are that many engines.
+const LEAST_DECODE: usize = 2;
+
+impl PoolRolePolicy {
+    /// Fewest decode engines among so many.
+    fn least_decode(&self, engines: usize) -> usize {
+        let share = (self.least_decode_share * engines as f64).ceil() as usize;
+        share.max(LEAST_DECODE).min(engines.saturating_sub(1))
+    }
+}
+
 /// One engine of the pool.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PoolEngineView {
@@ -130,8 +143,9 @@
         prefill_load,
         decode_load,
     };
-    let may_lose_decode = decode.len() > policy.least_decode as usize
-        && load_of(&decode, decode.len() - 1) < policy.decode_high;
+    let least_decode = policy.least_decode(engines.len());
+    let may_lose_decode =
+        decode.len() > least_decode && load_of(&decode, decode.len() - 1) < policy.decode_high;
     let wants_prefill = match demand.prompt_tokens_per_second {
         None => (prefill_count + 1.0) / engines.len() as f64 <= policy.first_prefill_share,
         Some(_) => prefill_load > policy.prefill_high,
@@ -141,7 +155,8 @@
     }
     let fewer = (prefill_count - 1.0).max(0.5);
     let may_lose_prefill = prefill.len() > 1 && prefill_load * prefill_count / fewer < policy.prefill_low;
-    if decode_load > policy.decode_high && may_lose_prefill {
+    let lacks_decode = decode.len() < least_decode && prefill.len() > 1;
+    if lacks_decode || (decode_load > policy.decode_high && may_lose_prefill) {
         return pick(&prefill).map(|engine| change(engine, EngineStage::Decode));
     }
     None
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -224,7 +224,22 @@
     assert_eq!(stage(4, 5, 5.0, 10_000.0), None, "no pressure");
     assert_eq!(stage(4, 5, 5.0, 30_000.0), Some(EngineStage::Prefill));
     assert_eq!(stage(4, 5, 30.0, 30_000.0), None, "the decode engines are needed");
-    assert_eq!(stage(7, 2, 5.0, 90_000.0), None, "two decode engines stay");
+    assert_eq!(
+        stage(6, 3, 5.0, 90_000.0),
+        None,
+        "three of nine decode engines stay"
+    );
+    assert_eq!(
+        stage(7, 2, 5.0, 90_000.0),
+        Some(EngineStage::Decode),
+        "one was lost"
+    );
+    assert_eq!(
+        stage(2, 1, 5.0, 90_000.0),
+        Some(EngineStage::Decode),
+        "two stay, so that one may fail"
+    );
+    assert_eq!(stage(1, 1, 60.0, 0.0), None, "somebody reads prompts");
     assert_eq!(stage(6, 3, 40.0, 5_000.0), Some(EngineStage::Decode));
     assert_eq!(
         stage(6, 3, 40.0, 40_000.0),
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -120,6 +120,11 @@
         lock(&self.state).handles.len()
     }
 
+    /// Orders that it has taken.
+    pub fn orders(&self) -> u64 {
+        lock(&self.state).sequence
+    }
+
     /// Its present stage.
     pub fn stage(&self) -> Option<&'static str> {
         lock(&self.state).stage
--- a/crates/node/src/commanding/ordering.rs
+++ b/crates/node/src/commanding/ordering.rs
@@ -17,6 +17,9 @@
 /// Part of the lease that must be left when an order is sent, so that it arrives within.
 const LEASE_LEFT: Duration = Duration::from_millis(1_000);
 
+/// Time for which the list of engines must not have changed before an order.
+const LIST_SETTLES: Duration = Duration::from_millis(1_200);
+
 /// Time after which an order whose answer was lost is looked at again.
 const SETTLE_AFTER: Duration = Duration::from_millis(1_500);
 
@@ -48,6 +51,10 @@
             }
             return;
         }
+        // While engines come and go, what is missing may be about to come.
+        if context.list_unchanged_for() < LIST_SETTLES {
+            return;
+        }
         if now < self.next_at || !lock(&context.router).orders_under_way(now).is_empty() {
             return;
         }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -36,6 +36,7 @@
     in_force: Mutex<ConfigInForce>,
     rotation: Mutex<ShareRotation>,
     budgets: Mutex<BTreeMap<PoolId, WindowBudget>>,
+    list_changed_at: Mutex<MonotonicTime>,
 }
 
 /// What others may ask about the process.
@@ -107,6 +108,7 @@
             in_force: Mutex::new(ConfigInForce::default()),
             rotation: Mutex::new(ShareRotation::default()),
             budgets: Mutex::new(BTreeMap::new()),
+            list_changed_at: Mutex::new(MonotonicTime::default()),
             config,
         }
     }
@@ -146,6 +148,9 @@
     /// Takes changes of the list of engines from the store or a peer, which `source` names.
     pub(crate) fn take_list_changes(&self, changes: Vec<ListChange>, source: &str) {
         let now = self.now();
+        if !changes.is_empty() {
+            *lock(&self.list_changed_at) = now;
+        }
         for change in changes {
             match change {
                 ListChange::Listed(engine) => self.engine_listed(engine, source),
@@ -160,6 +165,11 @@
         self.state.note_listed();
     }
 
+    /// Time since the list of engines last changed.
+    pub(crate) fn list_unchanged_for(&self) -> Duration {
+        self.now().since(*lock(&self.list_changed_at))
+    }
+
     fn engine_listed(&self, engine: PoolEngine, source: &str) {
         log::info!(
             engine = engine.id.as_str(),
