--- a/crates/core/src/routing/pool/beliefs.rs
+++ b/crates/core/src/routing/pool/beliefs.rs
@@ -22,6 +22,8 @@
     pub requests: u32,
     /// Tokens of KV cache that the requests hold or will hold.
     pub memory_tokens: u32,
+    /// Tokens of KV cache that are on their way there.
+    pub moving_tokens: u32,
 }
 
 /// Shared prefixes that an engine has come to hold.
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -1,7 +1,7 @@
 //! The router: what is known of the engines in, one choice out.
 
 use super::beliefs::{PeerWork, PrefixNews, SpeedEstimate};
-use super::cost::{CostContext, shared_prefixes};
+use super::cost::{CostContext, ReadingWork, shared_prefixes};
 use super::demand::PromptDemand;
 use super::engine::{EngineStage, EngineState, FORGET_AFTER, Gone, PoolEngine, SentWork, ToldLoad};
 use super::query::{PoolQuery, PrefixBlock};
@@ -80,6 +80,15 @@
     pub oldest_word: Duration,
 }
 
+/// How an engine that answers comes by the prompt's KV cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OutputWay {
+    /// It reads the prompt itself.
+    Reads,
+    /// It fetches what another engine has read.
+    Fetches,
+}
+
 /// Receipt of one dispatch, to be handed back when it ends.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PoolTicket {
@@ -389,32 +398,37 @@
         query: &PoolQuery<'_>,
         now: MonotonicTime,
     ) -> PoolTicket {
-        let context = self.context(query, now);
-        let unheld = self
-            .engines
-            .get(engine)
-            .map_or(0.0, |state| context.reading(state, query).computed);
+        let reading = self.reading_at(engine, query, now);
         let memory = query.prompt.map_or(0, |prompt| prompt.tokens);
-        self.sent(engine, query.rank, unheld, f64::from(memory), now)
+        self.sent(engine, query.rank, reading, f64::from(memory), now)
     }
 
-    /// Notes that a request is sent to an engine that answers it; `reads` tells whether it reads the prompt too.
+    /// Notes that a request is sent to an engine that answers it.
     pub fn on_output_sent(
         &mut self,
         engine: &EngineId,
         query: &PoolQuery<'_>,
-        reads: bool,
+        way: OutputWay,
         now: MonotonicTime,
     ) -> PoolTicket {
-        let context = self.context(query, now);
-        let unheld = match self.engines.get(engine) {
-            Some(state) if reads => context.reading(state, query).computed,
-            _ => 0.0,
+        let prompt_tokens = query.prompt.map_or(0, |prompt| prompt.tokens);
+        let reading = match way {
+            OutputWay::Reads => self.reading_at(engine, query, now),
+            OutputWay::Fetches => ReadingWork {
+                computed: 0.0,
+                fetched: f64::from(prompt_tokens),
+            },
         };
         let memory = query
             .prompt
             .map_or(0, |prompt| prompt.tokens + prompt.output_tokens);
-        self.sent(engine, query.rank, unheld, f64::from(memory), now)
+        self.sent(engine, query.rank, reading, f64::from(memory), now)
+    }
+
+    fn reading_at(&self, engine: &EngineId, query: &PoolQuery<'_>, now: MonotonicTime) -> ReadingWork {
+        let context = self.context(query, now);
+        let state = self.engines.get(engine);
+        state.map_or(ReadingWork::default(), |state| context.reading(state, query))
     }
 
     /// Notes that an engine has read a prompt, whose parts it holds from now on.
@@ -494,6 +508,7 @@
         };
         if let Some(work) = state.sent.get_mut(&ticket.number) {
             work.prompt_tokens = 0.0;
+            work.moving_tokens = 0.0;
         }
         note_held(state, prefixes, &mut self.news, now);
     }
@@ -534,17 +549,18 @@
         &mut self,
         engine: &EngineId,
         rank: usize,
-        prompt_tokens: f64,
+        reading: ReadingWork,
         memory_tokens: f64,
         now: MonotonicTime,
     ) -> PoolTicket {
         self.tickets += 1;
-        self.demand.on_sent(prompt_tokens, now);
+        self.demand.on_sent(reading.computed, now);
         if let Some(state) = self.engines.get_mut(engine) {
             let work = SentWork {
                 rank,
-                prompt_tokens,
+                prompt_tokens: reading.computed,
                 memory_tokens,
+                moving_tokens: reading.fetched,
                 sent_at: now,
                 alone: state.work(now).requests < 0.5,
             };
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -7,7 +7,8 @@
 //! held at e    = tokens of the prompt that e is believed to hold, from its beginning
 //! fetched to e = tokens that another engine holds beyond e, where the pool can fetch them
 //! computed at e = tokens of the prompt that are neither held nor fetched
-//! fetch to e   = w.fetch * fetched to e * seconds to move a token
+//! arriving at e = w.arriving * tokens of KV cache on their way to e * seconds to move a token
+//! fetch to e   = w.fetch * fetched to e * seconds to move a token + arriving at e   (where anything is fetched)
 //!
 //! prompt at e  = slowness * (w.wait * prompt tokens ahead at e + w.compute * computed at e) / speed + fetch to e
 //!              + w.away_seconds                     (unless e is the home of a part that nobody is known to hold)
@@ -16,7 +17,8 @@
 //! load of e    = w.places_seconds * (taken / places)^2 + w.memory_seconds * (tokens taken / tokens)^2
 //!              + w.overflow_seconds * requests beyond the places
 //! held up at e = w.held_up * prompt tokens at e / (speed * w.decode_reading_pace)   (outputs wait while it reads)
-//! output at e  = slowness * (load of e + held up at e) + w.transfer_zone_seconds     (apart from the prompt's engine)
+//! output at e  = slowness * (load of e + held up at e) + arriving at e
+//!              + w.transfer_zone_seconds                          (apart from the prompt's engine)
 //! hand-over    = w.handover_seconds + w.transfer * tokens of the prompt * seconds to move a token
 //!
 //! both at e    = output at e + fetch to e + slowness * (prompt tokens ahead at e + computed at e)
@@ -45,7 +47,7 @@
 }
 
 /// How an engine comes by a prompt.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ReadingWork {
     /// Tokens that it reads.
     pub computed: f64,
@@ -79,7 +81,7 @@
             self.weights.away_seconds
         };
         state.slowness * tokens / self.speed
-            + self.fetch(reading)
+            + self.fetch(state, reading)
             + away
             + self.apart(&state.engine.zone, query.zone)
     }
@@ -93,7 +95,7 @@
         };
         let prompts = state.work(self.now).all_prompt_tokens();
         let held_up = self.weights.held_up * prompts / (self.speed * self.weights.decode_reading_pace);
-        state.slowness * (self.load(state) + held_up) + transfer
+        state.slowness * (self.load(state) + held_up) + self.arriving(state) + transfer
     }
 
     /// Cost of handing the KV cache of a prompt from the engine that read it to the one that runs the output.
@@ -110,11 +112,20 @@
         let tokens = work.prompt_tokens_ahead(query.rank) + reading.computed;
         let seconds = state.slowness * tokens / (self.speed * self.weights.decode_reading_pace);
         let disturbance = 1.0 + self.weights.decode_reading_stall * (1.0 + work.requests);
-        state.slowness * self.load(state) + self.fetch(reading) + seconds * disturbance
+        state.slowness * self.load(state) + self.fetch(state, reading) + seconds * disturbance
     }
 
-    fn fetch(&self, reading: ReadingWork) -> f64 {
-        self.weights.fetch * reading.fetched * self.move_seconds.unwrap_or_default()
+    fn fetch(&self, state: &EngineState, reading: ReadingWork) -> f64 {
+        if reading.fetched == 0.0 {
+            return 0.0;
+        }
+        self.weights.fetch * reading.fetched * self.move_seconds.unwrap_or_default() + self.arriving(state)
+    }
+
+    /// An engine takes one KV cache after the other over its link.
+    fn arriving(&self, state: &EngineState) -> f64 {
+        let tokens = state.work(self.now).moving_tokens;
+        self.weights.arriving * tokens * self.move_seconds.unwrap_or_default()
     }
 
     fn load(&self, state: &EngineState) -> f64 {
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -63,6 +63,7 @@
     pub(super) rank: usize,
     pub(super) prompt_tokens: f64,
     pub(super) memory_tokens: f64,
+    pub(super) moving_tokens: f64,
     pub(super) sent_at: MonotonicTime,
     /// Whether nothing else was known to wait there when it was sent.
     pub(super) alone: bool,
@@ -77,6 +78,8 @@
     pub requests: f64,
     /// Tokens of KV cache that the requests hold or will hold.
     pub memory_tokens: f64,
+    /// Tokens of KV cache that are on their way there; an engine takes one cache at a time.
+    pub moving_tokens: f64,
 }
 
 impl WorkAtEngine {
@@ -96,12 +99,14 @@
         }
         self.requests += f64::from(work.requests);
         self.memory_tokens += f64::from(work.memory_tokens);
+        self.moving_tokens += f64::from(work.moving_tokens);
     }
 
     fn add_sent(&mut self, work: &SentWork) {
         self.prompt_tokens[work.rank] += work.prompt_tokens;
         self.requests += 1.0;
         self.memory_tokens += work.memory_tokens;
+        self.moving_tokens += work.moving_tokens;
     }
 
     /// As it is told to other nodes.
@@ -110,6 +115,7 @@
             prompt_tokens: self.prompt_tokens.map(|tokens| tokens as u32),
             requests: self.requests as u32,
             memory_tokens: self.memory_tokens as u32,
+            moving_tokens: self.moving_tokens as u32,
         }
     }
 }
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -18,7 +18,7 @@
 mod weights;
 
 pub use beliefs::{PeerWork, PrefixNews, RANKS, SpeedEstimate, rank_of};
-pub use choice::{Explanation, PoolRoute, PoolRouter, PoolTicket};
+pub use choice::{Explanation, OutputWay, PoolRoute, PoolRouter, PoolTicket};
 pub use engine::{EngineStage, EngineState, PoolEngine, ToldLoad, WorkAtEngine};
 pub use listing::{EngineListing, ListChange, ListSnapshot};
 pub use prefix::PrefixBelief;
--- a/crates/core/src/routing/pool/weights.rs
+++ b/crates/core/src/routing/pool/weights.rs
@@ -13,6 +13,8 @@
     pub compute: f64,
     /// Worth of a second of fetching a held part from another engine.
     pub fetch: f64,
+    /// Worth of a second for which other KV caches arrive first.
+    pub arriving: f64,
     /// Cost of reading a shared part that nobody holds away from its home, in seconds, so that nodes which meet it at
     /// the same time read it once.
     pub away_seconds: f64,
@@ -46,6 +48,7 @@
             wait: 1.0,
             compute: 1.0,
             fetch: 3.0,
+            arriving: 1.0,
             away_seconds: 0.03,
             transfer: 3.0,
             handover_seconds: 0.015,
@@ -69,6 +72,7 @@
             ("routing.wait", self.wait, 0.0),
             ("routing.compute", self.compute, 0.0),
             ("routing.fetch", self.fetch, 0.0),
+            ("routing.arriving", self.arriving, 0.0),
             ("routing.away_seconds", self.away_seconds, 0.0),
             ("routing.transfer", self.transfer, 0.0),
             ("routing.handover_seconds", self.handover_seconds, 0.0),
--- a/crates/core/tests/pool_router.rs
+++ b/crates/core/tests/pool_router.rs
@@ -4,7 +4,7 @@
 use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig, ModelTraits, PoolConfig, PoolId};
 use shelfjunction_core::identity::{EngineId, NodeId, ZoneId};
 use shelfjunction_core::routing::pool::{
-    EngineStage, PeerWork, PoolEngine, PoolQuery, PoolRoute, PoolRouter, PoolWeights, PrefixBlock,
+    EngineStage, OutputWay, PeerWork, PoolEngine, PoolQuery, PoolRoute, PoolRouter, PoolWeights, PrefixBlock,
     PromptPart, PromptShape,
 };
 use shelfjunction_core::time::MonotonicTime;
@@ -162,6 +162,7 @@
         prompt_tokens: [0, 200_000, 0, 0],
         requests: 10,
         memory_tokens: 0,
+        moving_tokens: 0,
     };
     let handle = router.engine(&home).unwrap().handle;
     router.on_peer_work(&NodeId::new("other"), &[(handle, work)], later);
@@ -191,6 +192,7 @@
         prompt_tokens: [0, 0, 0, 500_000],
         requests: 10,
         memory_tokens: 0,
+        moving_tokens: 0,
     };
     router.on_peer_work(&NodeId::new("other"), &[(handle, work)], NOW);
     assert_eq!(split(router.choose(&asked.query(), NOW)).0, home.0);
@@ -253,10 +255,10 @@
         engine("d2", EngineStage::Decode),
     ]);
     let asked = Asked::new(1);
-    let ticket = router.on_output_sent(&EngineId::new("d1"), &asked.query(), false, NOW);
+    let ticket = router.on_output_sent(&EngineId::new("d1"), &asked.query(), OutputWay::Fetches, NOW);
     router.on_broken(&ticket, NOW);
     assert_eq!(split(router.choose(&asked.query(), NOW)).1, "d2");
-    let ticket = router.on_output_sent(&EngineId::new("d2"), &asked.query(), false, NOW);
+    let ticket = router.on_output_sent(&EngineId::new("d2"), &asked.query(), OutputWay::Fetches, NOW);
     router.on_refused(&ticket, EngineRefusalReason::QueueFull, NOW);
     assert!(matches!(
         router.choose(&asked.query(), NOW),
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -1,5 +1,6 @@
 //! The loop that drives one opaque request's machine in its caller's thread.
 
+use super::arrivals::ArrivalAccount;
 use super::exchange::{Exchange, Purpose};
 use super::routing;
 use crate::context::Context;
@@ -13,7 +14,7 @@
 use shelfjunction_core::request::machine::RequestMachine;
 use shelfjunction_core::request::specification::{Placement, Target};
 use shelfjunction_core::routing::pool::{
-    EngineStage, Explanation, PoolQuery, PoolTicket, PrefixBlock, PromptShape, rank_of,
+    EngineStage, Explanation, OutputWay, PoolQuery, PoolTicket, PrefixBlock, PromptShape, rank_of,
 };
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -63,6 +64,8 @@
     prefixes: Vec<PrefixBlock>,
     pending: VecDeque<Action>,
     exchange: Option<Exchange>,
+    /// Arrivals at engines so far, and the repeats that were granted for them.
+    arrivals: ArrivalAccount,
     /// The last dispatch never left, so trying again costs no engine anything.
     last_not_sent: bool,
     watch_caller: bool,
@@ -106,6 +109,7 @@
             prompt,
             pending: VecDeque::new(),
             exchange: None,
+            arrivals: ArrivalAccount::default(),
             last_not_sent: false,
             watch_caller: true,
         }
@@ -193,6 +197,7 @@
         let free = std::mem::take(&mut self.last_not_sent);
         let granted = free || self.context.take_repeat(self.pool);
         log::info!(request = self.call.request.as_str(), tried, granted, free, repeats_left = self.context.repeats_left(); "retry_asked");
+        self.arrivals.note_grant(granted && !free);
         let event = if granted {
             Event::RetryGranted {
                 not_before: self.context.now(),
@@ -220,6 +225,12 @@
             (Phase::Whole, Some(import)) => (CallStage::Output(import.clone()), Purpose::Output),
             (Phase::Whole, None) => (CallStage::Whole, Purpose::Whole),
         };
+        if self.arrivals.lacks_grant(purpose) && !self.context.take_repeat(self.pool) {
+            log::info!(request = self.call.request.as_str(), purpose = purpose.name(); "repeat_denied");
+            return self.take(Event::NotSent {
+                attempt: call.attempt.clone(),
+            });
+        }
         let why = self.explain(&target.engine, purpose, now);
         let (ticket, patience) = self.note_sent(&target.engine, purpose, now);
         let left = routing::left(self.deadline, now);
@@ -228,6 +239,7 @@
             Ok(link) => link,
             Err(error) => return self.not_connected(&ticket, &call.attempt, &error),
         };
+        self.arrivals.note_sent(purpose);
         let mut exchange = Exchange {
             attempt: call.attempt.clone(),
             engine: target.engine.clone(),
@@ -312,8 +324,12 @@
                 (router.on_prompt_sent(engine, &query, now), Some(patience))
             }
             Purpose::Output | Purpose::Whole => {
-                let reads = purpose == Purpose::Whole;
-                let ticket = router.on_output_sent(engine, &query, reads, now);
+                let way = if purpose == Purpose::Whole {
+                    OutputWay::Reads
+                } else {
+                    OutputWay::Fetches
+                };
+                let ticket = router.on_output_sent(engine, &query, way, now);
                 (ticket, patience::first_answer(self.route))
             }
         }
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -1,6 +1,7 @@
 //! Serves one call: its route, its request machine, and the thread's waits between caller and engine.
 
 mod answering;
+mod arrivals;
 mod driver;
 mod exchange;
 mod routing;
