--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -8,6 +8,7 @@
 pub mod patience;
 mod route;
 mod share;
+pub mod stopping;
 
 pub use config::{CallerLimits, ForwardingConfig, ModelTraits, PoolConfig, PoolId};
 pub use in_force::{Adoption, ConfigInForce};
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -44,6 +44,7 @@
     traits: BTreeMap<PoolId, ModelTraits>,
     news: Vec<PrefixNews>,
     demand: PromptDemand,
+    nodes_per_word: f64,
     tickets: u64,
 }
 
@@ -113,6 +114,7 @@
             traits: BTreeMap::new(),
             news: Vec::new(),
             demand: PromptDemand::default(),
+            nodes_per_word: 1.0,
             tickets: 0,
         }
     }
@@ -133,8 +135,9 @@
             None => {
                 let traits = self.traits.get(&engine.pool);
                 let tokens = traits.map_or(ASSUMED_CACHE_TOKENS, |traits| traits.cache_tokens);
-                self.engines
-                    .insert(engine.id.clone(), EngineState::new(engine, tokens));
+                let mut state = EngineState::new(engine, tokens);
+                state.nodes_per_word = self.nodes_per_word;
+                self.engines.insert(state.engine.id.clone(), state);
             }
         }
     }
@@ -165,6 +168,14 @@
         }
     }
 
+    /// Sets for how many nodes one other node's word stands, where only some of them are heard.
+    pub fn set_nodes_per_word(&mut self, nodes: f64) {
+        self.nodes_per_word = nodes.max(1.0);
+        for state in self.engines.values_mut() {
+            state.nodes_per_word = self.nodes_per_word;
+        }
+    }
+
     /// This node's own work, as it is told to other nodes; engines without any are left out.
     pub fn own_work(&self) -> Vec<(SubjectHandle, PeerWork)> {
         self.engines
@@ -235,7 +246,7 @@
         let assumed = self.weights.assumed_prompt_tokens_per_second;
         let speed = self.speeds.get(pool);
         let demand = PoolDemand {
-            prompt_tokens_per_second: self.demand.prompt_tokens_per_second(now),
+            prompt_tokens_per_second: self.demand.prompt_tokens_per_second(self.nodes_per_word, now),
             engine_tokens_per_second: speed.map_or(assumed, SpeedEstimate::tokens_per_second),
         };
         (views.collect(), demand)
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -102,6 +102,15 @@
         self.moving_tokens += f64::from(work.moving_tokens);
     }
 
+    fn add_scaled(&mut self, other: &WorkAtEngine, factor: f64) {
+        for (sum, tokens) in self.prompt_tokens.iter_mut().zip(other.prompt_tokens) {
+            *sum += factor * tokens;
+        }
+        self.requests += factor * other.requests;
+        self.memory_tokens += factor * other.memory_tokens;
+        self.moving_tokens += factor * other.moving_tokens;
+    }
+
     fn add_sent(&mut self, work: &SentWork) {
         self.prompt_tokens[work.rank] += work.prompt_tokens;
         self.requests += 1.0;
@@ -162,6 +171,8 @@
     pub(super) sent: BTreeMap<u64, SentWork>,
     pub(super) told: Option<(ToldLoad, MonotonicTime)>,
     pub(super) peers: BTreeMap<NodeId, (PeerWork, MonotonicTime)>,
+    /// Nodes for which one other node's word stands: one, but more in fleets too large for all to be heard.
+    pub(super) nodes_per_word: f64,
     /// Factor by which it answers slower than expected; one when it does not.
     pub(super) slowness: f64,
 }
@@ -185,6 +196,7 @@
             sent: BTreeMap::new(),
             told: None,
             peers: BTreeMap::new(),
+            nodes_per_word: 1.0,
             slowness: 1.0,
         }
     }
@@ -207,12 +219,14 @@
 
     /// Work of every node, as far as it is known.
     pub fn work(&self, now: MonotonicTime) -> WorkAtEngine {
-        let mut sum = self.own_work();
+        let mut others = WorkAtEngine::default();
         for (work, at) in self.peers.values() {
             if now.since(*at) < PEER_WORD_LIFETIME {
-                sum.add_peer(work);
+                others.add_peer(work);
             }
         }
+        let mut sum = self.own_work();
+        sum.add_scaled(&others, self.nodes_per_word);
         if let Some((told, at)) = self.told
             && now.since(at) < TOLD_LIFETIME
         {
--- a/crates/core/tests/opaque_requests.rs
+++ b/crates/core/tests/opaque_requests.rs
@@ -1,5 +1,7 @@
 //! Courses of opaque requests: when each may be sent again, and what may truthfully be said of it.
 
+#![allow(clippy::unwrap_used)]
+
 use shelfjunction_core::bundle::content::ModelKind;
 use shelfjunction_core::engine::{AnswerPart, EngineRefusal, EngineRefusalReason, KvTransfer, Phase};
 use shelfjunction_core::forwarding::RepeatRule;
--- a/crates/core/tests/pool_router.rs
+++ b/crates/core/tests/pool_router.rs
@@ -1,5 +1,7 @@
 //! Choices of the pool router: who reads a prompt, who runs its output, and what is never chosen.
 
+#![allow(clippy::unwrap_used)]
+
 use shelfjunction_core::engine::EngineRefusalReason;
 use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig, ModelTraits, PoolConfig, PoolId};
 use shelfjunction_core::identity::{EngineId, NodeId, ZoneId};
@@ -317,3 +319,23 @@
         "the oldest went"
     );
 }
+
+#[test]
+fn in_a_large_fleet_the_word_of_a_few_stands_for_all() {
+    let mut router = router(&split_pool());
+    let engine = EngineId::new("p1");
+    let handle = router.engine(&engine).unwrap().handle;
+    let work = PeerWork {
+        prompt_tokens: [100, 0, 0, 0],
+        requests: 2,
+        memory_tokens: 50,
+        moving_tokens: 10,
+    };
+    router.set_nodes_per_word(25.0);
+    router.on_peer_work(&NodeId::new("other"), &[(handle, work)], NOW);
+    let estimated = router.engine(&engine).unwrap().work(NOW);
+    assert_eq!(
+        (estimated.requests, estimated.all_prompt_tokens()),
+        (50.0, 2_500.0)
+    );
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -93,6 +93,9 @@
     }
 }
 
+/// Time before the end by force at which the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(500);
+
 /// Bounds of the times that are set in seconds.
 const SECONDS: std::ops::RangeInclusive<f64> = 0.1..=3_600.0;
 
@@ -145,6 +148,11 @@
         Duration::from_secs_f64(self.grace_seconds)
     }
 
+    /// Time from the signal to stop until the process ends by itself, whatever is under way.
+    pub fn end_after_stop(&self) -> Duration {
+        self.grace().saturating_sub(END_MARGIN)
+    }
+
     /// Longest time that one question for changes waits at the store.
     pub fn watch(&self) -> Duration {
         Duration::from_millis(self.watch_millis)
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -8,7 +8,7 @@
 use crate::releasing::Releases;
 use crate::watch::StoreTrouble;
 use shelfjunction_core::forwarding::{
-    Adoption, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation,
+    Adoption, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation, stopping,
 };
 use shelfjunction_core::retry::window::WindowBudget;
 use shelfjunction_core::routing::pool::{EngineListing, ListChange, PoolEngine, PoolRouter};
@@ -43,6 +43,7 @@
 #[derive(Debug, Default)]
 pub struct NodeState {
     stopping: AtomicBool,
+    stop_began: Mutex<Option<MonotonicTime>>,
     closing: AtomicBool,
     configured: AtomicBool,
     listed: AtomicBool,
@@ -60,7 +61,8 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    pub(crate) fn begin_stop(&self) {
+    pub(crate) fn begin_stop(&self, now: MonotonicTime) {
+        *lock(&self.stop_began) = Some(now);
         self.stopping.store(true, Ordering::Relaxed);
     }
 
@@ -165,6 +167,13 @@
         self.state.note_listed();
     }
 
+    /// Whether a call that may last so long is still taken.
+    pub(crate) fn takes_call(&self, longest: Duration) -> bool {
+        let began = *lock(&self.state.stop_began);
+        let end = self.config.end_after_stop();
+        began.is_none_or(|began| stopping::takes(self.now().since(began), end, longest))
+    }
+
     /// Time since the list of engines last changed.
     pub(crate) fn list_unchanged_for(&self) -> Duration {
         self.now().since(*lock(&self.list_changed_at))
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -15,6 +15,9 @@
 /// When to come back to a node that knows no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// When to come back to another node than one that stops.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// Serves a call to its end; true where the caller's connection may carry another.
 pub(crate) fn run(context: &Context, caller: &mut dyn CallerConnection, call: &Call) -> bool {
     let keep = call.keep_alive && !context.state.is_stopping();
@@ -35,6 +38,16 @@
         );
         return caller.say(&call.request, OwnAnswer::NoRoute, keep).is_ok() && keep;
     };
+    let longest = call
+        .time_left
+        .map_or(route.timeout, |left| left.min(route.timeout));
+    if !context.takes_call(longest) {
+        log::info!(request = call.request.as_str(), longest_millis = longest.as_millis() as u64; "refused_stopping");
+        let answer = OwnAnswer::NotRun {
+            retry_after: STOPPING_RETRY_AFTER,
+        };
+        return caller.say(&call.request, answer, false).is_ok() && keep;
+    }
     let Some(pool) = context.next_pool(route) else {
         return caller.say(&call.request, OwnAnswer::NoRoute, keep).is_ok() && keep;
     };
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -55,9 +55,6 @@
 /// then, and callers that hold a connection have had an answer that closes it.
 const RESTING_STAYS: Duration = Duration::from_millis(3_500);
 
-/// Time before the end by force at which the process ends by itself.
-const END_MARGIN: Duration = Duration::from_millis(500);
-
 /// Time between two looks at whether everything has ended.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
@@ -149,9 +146,9 @@
     /// Takes no new callers and returns when every request has ended, or just before the end by force.
     pub fn stop(&self) {
         let begun = self.context.now();
-        self.context.state.begin_stop();
+        self.context.state.begin_stop(begun);
         let grace = self.context.config.grace();
-        let end = begun + grace.saturating_sub(END_MARGIN);
+        let end = begun + self.context.config.end_after_stop();
         let resting_until = begun + RESTING_STAYS.min(grace / 2);
         let mut closed = false;
         loop {
--- a/crates/node/src/peers/directory.rs
+++ b/crates/node/src/peers/directory.rs
@@ -47,14 +47,16 @@
         .filter(|entry| entry.node != context.config.node);
     for entry in others {
         let address = entry.address;
-        known.peers.entry(entry.node).or_insert_with_key(|node| {
+        let peer = known.peers.entry(entry.node).or_insert_with_key(|node| {
             log::info!(peer = node.as_str(), address:% = address; "peer_listed");
             Peer {
                 address,
                 known_at: now,
+                listed_at: now,
                 last_message: None,
             }
         });
+        peer.listed_at = now;
     }
     known.listed = true;
 }
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -43,6 +43,7 @@
                 Peer {
                     address: from,
                     known_at: now,
+                    listed_at: now,
                     last_message: None,
                 }
             });
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -15,6 +15,8 @@
 pub(crate) use telling::tell;
 
 use shelfjunction_core::identity::NodeId;
+use shelfjunction_core::membership::rendezvous;
+use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
@@ -23,7 +25,10 @@
 use std::time::Duration;
 
 /// Time after which a node that is neither listed nor heard is forgotten.
-const SILENT_PEER_LIFETIME: Duration = Duration::from_secs(20);
+const SILENT_PEER_LIFETIME: Duration = Duration::from_secs(40);
+
+/// Nodes that one node tells of its work.
+const MOST_TOLD: usize = 12;
 
 /// Silence after which a node no longer counts as alive.
 const HEARD_LATELY: Duration = Duration::from_millis(3_500);
@@ -32,8 +37,10 @@
 #[derive(Clone, Debug)]
 struct Peer {
     address: SocketAddr,
-    /// When it was last listed or heard.
+    /// When it was last heard; when it was first listed where it never was.
     known_at: MonotonicTime,
+    /// When the store listed it last.
+    listed_at: MonotonicTime,
     /// Start and number of the last message heard.
     last_message: Option<(u64, u64)>,
 }
@@ -90,11 +97,46 @@
         self.change.notify_one();
     }
 
+    /// Addresses of every other node.
     fn addresses(&self, now: MonotonicTime) -> Vec<SocketAddr> {
         let mut known = lock(&self.known);
         known
             .peers
-            .retain(|_, peer| now.since(peer.known_at) < SILENT_PEER_LIFETIME);
+            .retain(|_, peer| now.since(peer.known_at.max(peer.listed_at)) < SILENT_PEER_LIFETIME);
         known.peers.values().map(|peer| peer.address).collect()
     }
+
+    /// Addresses of the nodes that this one tells of its work: all of a small fleet, of a large one as many as
+    /// [`MOST_TOLD`], the same each time, so that a node's messages do not grow with the fleet.
+    fn told(&self, own: &NodeId, now: MonotonicTime) -> Vec<SocketAddr> {
+        let all = self.addresses(now);
+        if all.len() <= MOST_TOLD {
+            return all;
+        }
+        let task = SubjectHandle::of_text("teller", own.as_str());
+        let known = lock(&self.known);
+        let handle = |node: &NodeId| SubjectHandle::of_text("node", node.as_str());
+        let mut peers: Vec<_> = known
+            .peers
+            .iter()
+            .map(|(node, peer)| (rendezvous::weight(task, handle(node)), peer.address))
+            .collect();
+        peers.sort_unstable();
+        peers
+            .iter()
+            .rev()
+            .take(MOST_TOLD)
+            .map(|(_, address)| *address)
+            .collect()
+    }
+
+    /// Nodes for which the word of each that is heard stands.
+    fn nodes_per_word(&self, now: MonotonicTime) -> f64 {
+        let heard = self.heard_lately(now).len();
+        let others = lock(&self.known).peers.len();
+        if others <= MOST_TOLD || heard == 0 {
+            return 1.0;
+        }
+        others as f64 / heard as f64
+    }
 }
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -18,7 +18,7 @@
 const IDLE_ROUNDS: u32 = 3;
 
 /// Datagrams that a node sends in a second; with more peers it tells of changes less often.
-const DATAGRAMS_PER_SECOND: u32 = 200;
+const DATAGRAMS_PER_SECOND: u32 = 120;
 
 /// Tells other nodes as long as the process runs.
 pub(crate) fn tell(context: &Context, socket: &UdpSocket) {
@@ -27,7 +27,10 @@
     let mut idle_rounds = 0;
     loop {
         context.peers.wait_for_change();
-        let peers = context.peers.addresses(context.now());
+        let now = context.now();
+        let peers = context.peers.told(&context.config.node, now);
+        let nodes_per_word = context.peers.nodes_per_word(now);
+        lock(&context.router).set_nodes_per_word(nodes_per_word);
         let message = compose(context, start, number);
         idle_rounds = if is_idle(&message) { idle_rounds + 1 } else { 0 };
         // The first idle message says that the work has ended; later ones only keep the node known.
