--- a/crates/core/src/roles/pool.rs
+++ b/crates/core/src/roles/pool.rs
@@ -8,7 +8,7 @@
 //! ```text
 //! load of prefill = prompt tokens read in a second / (prefill engines * tokens that one reads in a second)
 //! load of decode  = max(requests / places, tokens / memory), each over the decode engines
-//! more prefill    if load of prefill > prefill_high and load of decode with one fewer < decode_high
+//! more prefill    if load of prefill > prefill_high and load of decode with one fewer < decode_low
 //! more decode     if load of decode > decode_high and load of prefill with one fewer < prefill_low,
 //!                 or if fewer than the least number of decode engines are left, as after a loss
 //! ```
@@ -30,8 +30,10 @@
     pub prefill_high: f64,
     /// Load of the prefill engines, with one fewer, below which one may go.
     pub prefill_low: f64,
-    /// Load of the decode engines above which another is wanted, and which they may not exceed with one fewer.
+    /// Load of the decode engines above which another is wanted.
     pub decode_high: f64,
+    /// Load of the decode engines, with one fewer, below which one may go.
+    pub decode_low: f64,
     /// Smallest part of the engines that run outputs; two of them stay in any case, so that one may fail.
     pub least_decode_share: f64,
     /// Part of the engines that read prompts before any demand was seen.
@@ -47,7 +49,8 @@
             prefill_high: 0.55,
             prefill_low: 0.5,
             decode_high: 0.5,
-            least_decode_share: 0.2,
+            decode_low: 0.3,
+            least_decode_share: 0.3,
             first_prefill_share: 0.6,
             settle_millis: 4_000,
         }
@@ -61,6 +64,7 @@
             ("roles.prefill_high", self.prefill_high),
             ("roles.prefill_low", self.prefill_low),
             ("roles.decode_high", self.decode_high),
+            ("roles.decode_low", self.decode_low),
             ("roles.first_prefill_share", self.first_prefill_share),
             ("roles.least_decode_share", self.least_decode_share),
         ];
@@ -145,7 +149,7 @@
     };
     let least_decode = policy.least_decode(engines.len());
     let may_lose_decode =
-        decode.len() > least_decode && load_of(&decode, decode.len() - 1) < policy.decode_high;
+        decode.len() > least_decode && load_of(&decode, decode.len() - 1) < policy.decode_low;
     let wants_prefill = match demand.prompt_tokens_per_second {
         None => (prefill_count + 1.0) / engines.len() as f64 <= policy.first_prefill_share,
         Some(_) => prefill_load > policy.prefill_high,
--- a/crates/core/src/routing/pool/beliefs.rs
+++ b/crates/core/src/routing/pool/beliefs.rs
@@ -33,6 +33,8 @@
     pub engine: SubjectHandle,
     /// The prefixes, shortest first.
     pub prefixes: Vec<PrefixBlock>,
+    /// Whether the engine has just answered, so that it lives.
+    pub just_answered: bool,
 }
 
 /// Share of an observation in the running mean.
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -473,7 +473,9 @@
         for one in news {
             let state = self.engines.values_mut().find(|state| state.handle == one.engine);
             if let Some(state) = state {
-                state.heard(now);
+                if one.just_answered {
+                    state.heard(now);
+                }
                 state.prefixes.note_read(&one.prefixes, now);
             }
         }
@@ -488,6 +490,7 @@
         let news = held.chunks(BLOCKS_IN_NEWS).map(|prefixes| PrefixNews {
             engine: state.handle,
             prefixes: prefixes.to_vec(),
+            just_answered: false,
         });
         self.news.extend(news);
     }
@@ -500,6 +503,7 @@
             .map(|state| PrefixNews {
                 engine: state.handle,
                 prefixes: state.prefixes.blocks(),
+                just_answered: false,
             })
             .collect()
     }
@@ -708,6 +712,7 @@
         news.push(PrefixNews {
             engine: state.handle,
             prefixes: shared.to_vec(),
+            just_answered: true,
         });
     }
 }
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -180,6 +180,9 @@
 /// Age from which another node's word no longer counts.
 const PEER_WORD_LIFETIME: Duration = Duration::from_millis(1_500);
 
+/// Silence towards everybody from which an engine no longer counts as busy but alive.
+const ALIVE: Duration = Duration::from_millis(1_200);
+
 /// Age from which a told load no longer counts.
 const TOLD_LIFETIME: Duration = Duration::from_millis(400);
 
@@ -235,9 +238,9 @@
         sum
     }
 
-    /// Whether the engine has answered anybody since an instant.
-    pub fn was_heard_since(&self, instant: MonotonicTime) -> bool {
-        self.heard_at.is_some_and(|at| at > instant)
+    /// Whether the engine has answered anybody a moment ago; a busy one does, a dead one does not.
+    pub fn answers(&self, now: MonotonicTime) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) < ALIVE)
     }
 
     /// Notes that the engine answers.
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -415,13 +415,13 @@
         None
     }
 
-    /// The engine's time to answer is over. One that has answered others meanwhile is only busy: asking another
+    /// The engine's time to answer is over. One that answers others is only busy: asking another
     /// engine would have the prompt read twice.
     fn silent(&mut self, now: MonotonicTime) -> Option<Event> {
         let exchange = self.exchange.as_mut()?;
         let lives = lock(&self.context.router)
             .engine(&exchange.engine)
-            .is_some_and(|state| state.was_heard_since(exchange.asked_at));
+            .is_some_and(|state| state.answers(now));
         if !lives {
             return Some(self.broken("silent"));
         }
@@ -509,6 +509,14 @@
         let Some(exchange) = self.exchange.take() else {
             return Event::DeadlineReached;
         };
+        log::info!(
+            request = self.call.request.as_str(),
+            engine = exchange.engine.as_str(),
+            purpose = exchange.purpose.name(),
+            part:? = part,
+            after_millis = now.since(exchange.sent_at).as_millis() as u64;
+            "dispatch_answered"
+        );
         self.context
             .metrics
             .dispatch_ended(exchange.purpose.name(), "answered");
