--- /dev/null
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -0,0 +1,220 @@
+//! The fate of what was sent: work under way, speeds, health and what engines come to hold.
+
+use super::beliefs::{PrefixNews, SpeedEstimate};
+use super::cost::{ReadingWork, shared_prefixes};
+use super::engine::{EngineState, SentWork};
+use super::query::{PoolQuery, PrefixBlock};
+use super::router::PoolRouter;
+use super::weights::PoolWeights;
+use crate::engine::EngineRefusalReason;
+use crate::forwarding::PoolId;
+use crate::identity::EngineId;
+use crate::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Most news of prefixes that wait to be told to other nodes.
+const MOST_NEWS: usize = 64;
+
+/// Share of an observation in an engine's slowness.
+const SLOWNESS_SHARE: f64 = 0.3;
+
+/// Bounds of an engine's slowness.
+const SLOWNESS_BOUNDS: (f64, f64) = (1.0, 20.0);
+
+/// How an engine that answers comes by the prompt's KV cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OutputWay {
+    /// It reads the prompt itself.
+    Reads,
+    /// It fetches what another engine has read.
+    Fetches,
+}
+
+/// Receipt of one dispatch, to be handed back when it ends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolTicket {
+    engine: EngineId,
+    number: u64,
+}
+
+impl PoolTicket {
+    /// The engine it was sent to.
+    pub fn engine(&self) -> &EngineId {
+        &self.engine
+    }
+}
+
+impl PoolRouter {
+    /// Notes that a prompt is sent to an engine that reads it.
+    pub fn on_prompt_sent(
+        &mut self,
+        engine: &EngineId,
+        query: &PoolQuery<'_>,
+        now: MonotonicTime,
+    ) -> PoolTicket {
+        let reading = self.reading_at(engine, query, now);
+        let memory = query.prompt.map_or(0, |prompt| prompt.tokens);
+        self.sent(engine, query.rank, reading, f64::from(memory), now)
+    }
+
+    /// Notes that a request is sent to an engine that answers it.
+    pub fn on_output_sent(
+        &mut self,
+        engine: &EngineId,
+        query: &PoolQuery<'_>,
+        way: OutputWay,
+        now: MonotonicTime,
+    ) -> PoolTicket {
+        let prompt_tokens = query.prompt.map_or(0, |prompt| prompt.tokens);
+        let reading = match way {
+            OutputWay::Reads => self.reading_at(engine, query, now),
+            OutputWay::Fetches => ReadingWork {
+                computed: 0.0,
+                fetched: f64::from(prompt_tokens),
+            },
+        };
+        let memory = query
+            .prompt
+            .map_or(0, |prompt| prompt.tokens + prompt.output_tokens);
+        self.sent(engine, query.rank, reading, f64::from(memory), now)
+    }
+
+    fn reading_at(&self, engine: &EngineId, query: &PoolQuery<'_>, now: MonotonicTime) -> ReadingWork {
+        let context = self.context(query, now);
+        let state = self.engines.get(engine);
+        state.map_or(ReadingWork::default(), |state| context.reading(state, query))
+    }
+
+    /// Notes that an engine has read a prompt, whose parts it holds from now on.
+    pub fn on_prompt_read(&mut self, ticket: &PoolTicket, prefixes: &[PrefixBlock], now: MonotonicTime) {
+        let Some(state) = self.engines.get_mut(&ticket.engine) else {
+            return;
+        };
+        state.health.succeeded();
+        note_held(state, prefixes, &mut self.news, now);
+        if let Some(work) = state.sent.remove(&ticket.number)
+            && work.alone
+        {
+            let took = now.since(work.sent_at);
+            let pool = state.engine.pool.clone();
+            let speed = speed_of(&mut self.speeds, &pool, &self.weights);
+            let expected = work.prompt_tokens / speed.tokens_per_second();
+            observe_slowness(state, took, expected);
+            speed.observe(work.prompt_tokens, took);
+        }
+    }
+
+    /// Notes that parts of a prompt came to be held by an engine that fetched them.
+    pub fn on_prefixes_held(&mut self, engine: &EngineId, prefixes: &[PrefixBlock], now: MonotonicTime) {
+        if let Some(state) = self.engines.get_mut(engine) {
+            note_held(state, prefixes, &mut self.news, now);
+        }
+    }
+
+    /// Notes that an engine that reads a prompt and runs its output has come to the output.
+    pub fn on_output_begun(&mut self, ticket: &PoolTicket, prefixes: &[PrefixBlock], now: MonotonicTime) {
+        let Some(state) = self.engines.get_mut(&ticket.engine) else {
+            return;
+        };
+        if let Some(work) = state.sent.get_mut(&ticket.number) {
+            work.prompt_tokens = 0.0;
+            work.moving_tokens = 0.0;
+        }
+        note_held(state, prefixes, &mut self.news, now);
+    }
+
+    /// Notes that a dispatch ended well.
+    pub fn on_answered(&mut self, ticket: &PoolTicket) {
+        if let Some(state) = self.engines.get_mut(&ticket.engine) {
+            state.sent.remove(&ticket.number);
+            state.health.succeeded();
+        }
+    }
+
+    /// Notes that a dispatch ended for a cause that is not the engine's.
+    pub fn on_abandoned(&mut self, ticket: &PoolTicket) {
+        if let Some(state) = self.engines.get_mut(&ticket.engine) {
+            state.sent.remove(&ticket.number);
+        }
+    }
+
+    /// Notes that an engine refused a dispatch before running it.
+    pub fn on_refused(&mut self, ticket: &PoolTicket, reason: EngineRefusalReason, now: MonotonicTime) {
+        if let Some(state) = self.engines.get_mut(&ticket.engine) {
+            state.sent.remove(&ticket.number);
+            state.heard(now);
+            state.health.refused(reason, now);
+        }
+    }
+
+    /// Notes that a connection to an engine broke, stayed silent or could not be made.
+    pub fn on_broken(&mut self, ticket: &PoolTicket, now: MonotonicTime) {
+        if let Some(state) = self.engines.get_mut(&ticket.engine) {
+            state.sent.remove(&ticket.number);
+            state.health.broke(now);
+        }
+    }
+
+    fn sent(
+        &mut self,
+        engine: &EngineId,
+        rank: usize,
+        reading: ReadingWork,
+        memory_tokens: f64,
+        now: MonotonicTime,
+    ) -> PoolTicket {
+        self.tickets += 1;
+        self.demand.on_sent(reading.computed, now);
+        if let Some(state) = self.engines.get_mut(engine) {
+            let work = SentWork {
+                rank,
+                prompt_tokens: reading.computed,
+                memory_tokens,
+                moving_tokens: reading.fetched,
+                sent_at: now,
+                alone: state.work(now).requests < 0.5,
+            };
+            state.sent.insert(self.tickets, work);
+        }
+        PoolTicket {
+            engine: engine.clone(),
+            number: self.tickets,
+        }
+    }
+}
+
+fn note_held(
+    state: &mut EngineState,
+    prefixes: &[PrefixBlock],
+    news: &mut Vec<PrefixNews>,
+    now: MonotonicTime,
+) {
+    state.heard(now);
+    state.prefixes.note_read(prefixes, now);
+    let shared = shared_prefixes(prefixes);
+    if !shared.is_empty() && news.len() < MOST_NEWS {
+        news.push(PrefixNews {
+            engine: state.handle,
+            prefixes: shared.to_vec(),
+            just_answered: true,
+        });
+    }
+}
+
+fn speed_of<'a>(
+    speeds: &'a mut BTreeMap<PoolId, SpeedEstimate>,
+    pool: &PoolId,
+    weights: &PoolWeights,
+) -> &'a mut SpeedEstimate {
+    speeds
+        .entry(pool.clone())
+        .or_insert(SpeedEstimate::assumed(weights.assumed_prompt_tokens_per_second))
+}
+
+fn observe_slowness(state: &mut EngineState, took: Duration, expected: f64) {
+    const FLOOR_SECONDS: f64 = 0.1;
+    let factor = (took.as_secs_f64() + FLOOR_SECONDS) / (expected + FLOOR_SECONDS);
+    let (least, most) = SLOWNESS_BOUNDS;
+    state.slowness = (state.slowness + SLOWNESS_SHARE * (factor - state.slowness)).clamp(least, most);
+}
--- /dev/null
+++ b/crates/core/src/routing/pool/neighbours.rs
@@ -0,0 +1,169 @@
+//! What nodes tell each other: their work, demand, orders, and what engines hold.
+
+use super::beliefs::{PeerWork, PrefixNews, SpeedEstimate};
+use super::engine::EngineStage;
+use super::query::PrefixBlock;
+use super::router::PoolRouter;
+use crate::forwarding::PoolId;
+use crate::identity::{EngineId, NodeId};
+use crate::membership::subject::SubjectHandle;
+use crate::roles::pool::{PoolDemand, PoolEngineView};
+use crate::time::MonotonicTime;
+
+/// Blocks in one piece of news, so that it fits into a datagram.
+const BLOCKS_IN_NEWS: usize = 16;
+
+impl PoolRouter {
+    /// Takes another node's word of its work at engines.
+    ///
+    /// `works` replaces everything that the node said before.
+    pub fn on_peer_work(&mut self, peer: &NodeId, works: &[(SubjectHandle, PeerWork)], now: MonotonicTime) {
+        for state in self.engines.values_mut() {
+            match works.iter().find(|(handle, _)| *handle == state.handle) {
+                Some((_, work)) => {
+                    state.peers.insert(peer.clone(), (*work, now));
+                }
+                None => {
+                    state.peers.remove(peer);
+                }
+            }
+        }
+    }
+
+    /// Sets for how many nodes one other node's word stands, where only some of them are heard.
+    pub fn set_nodes_per_word(&mut self, nodes: f64) {
+        self.nodes_per_word = nodes.max(1.0);
+        for state in self.engines.values_mut() {
+            state.nodes_per_word = self.nodes_per_word;
+        }
+    }
+
+    /// This node's own work, as it is told to other nodes; engines without any are left out.
+    pub fn own_work(&self) -> Vec<(SubjectHandle, PeerWork)> {
+        self.engines
+            .values()
+            .filter(|state| !state.sent.is_empty())
+            .map(|state| (state.handle, state.own_work().told_to_peers()))
+            .collect()
+    }
+
+    /// Notes that engines have been ordered to change their stage, here or by another node.
+    pub fn on_ordered(&mut self, orders: &[(SubjectHandle, EngineStage)], now: MonotonicTime) {
+        for state in self.engines.values_mut() {
+            let order = orders.iter().find(|(handle, _)| *handle == state.handle);
+            if let Some((_, stage)) = order
+                && state.engine.stage != *stage
+                && state.ordered.is_none_or(|(known, _)| known != *stage)
+            {
+                state.ordered = Some((*stage, now));
+            }
+        }
+    }
+
+    /// Notes that this node has ordered an engine to change its stage.
+    pub fn note_order(&mut self, engine: &EngineId, stage: EngineStage, now: MonotonicTime) {
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.ordered = Some((stage, now));
+        }
+    }
+
+    /// Notes that an engine is not about to change its stage after all.
+    pub fn forget_order(&mut self, engine: &EngineId) {
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.ordered = None;
+        }
+    }
+
+    /// Changes of stage that are under way.
+    pub fn orders_under_way(&self, now: MonotonicTime) -> Vec<(SubjectHandle, EngineStage)> {
+        self.engines
+            .values()
+            .filter_map(|state| Some((state.handle, state.ordered_stage(now)?)))
+            .collect()
+    }
+
+    /// What the planner of roles is told of a pool, with the demand that every node told of.
+    pub fn role_input(&self, pool: &PoolId, now: MonotonicTime) -> (Vec<PoolEngineView>, PoolDemand) {
+        let engines = self
+            .engines
+            .values()
+            .filter(|state| state.engine.pool == *pool && state.stays());
+        let views = engines.map(|state| {
+            let work = state.work(now);
+            PoolEngineView {
+                engine: state.engine.id.clone(),
+                zone: state.engine.zone.clone(),
+                stage: state.ordered_stage(now).unwrap_or(state.engine.stage),
+                requests: work.requests,
+                memory_tokens: work.memory_tokens,
+                places: f64::from(state.engine.places),
+                capacity_tokens: state.prefixes.capacity_tokens(),
+            }
+        });
+        let assumed = self.weights.assumed_prompt_tokens_per_second;
+        let speed = self.speeds.get(pool);
+        let demand = PoolDemand {
+            prompt_tokens_per_second: self.demand.prompt_tokens_per_second(self.nodes_per_word, now),
+            engine_tokens_per_second: speed.map_or(assumed, SpeedEstimate::tokens_per_second),
+        };
+        (views.collect(), demand)
+    }
+
+    /// This node's own demand, as it is told to other nodes.
+    pub fn own_demand(&self, now: MonotonicTime) -> u32 {
+        self.demand.own(now) as u32
+    }
+
+    /// Takes another node's word of its demand.
+    pub fn on_peer_demand(&mut self, peer: &NodeId, tokens_per_second: u32, now: MonotonicTime) {
+        self.demand.on_peer(peer, tokens_per_second, now);
+    }
+
+    /// Takes another node's news of shared prefixes that engines hold.
+    pub fn on_peer_news(&mut self, news: &[PrefixNews], now: MonotonicTime) {
+        for one in news {
+            let state = self.engines.values_mut().find(|state| state.handle == one.engine);
+            if let Some(state) = state {
+                if one.just_answered {
+                    state.heard(now);
+                }
+                state.prefixes.note_read(&one.prefixes, now);
+            }
+        }
+    }
+
+    /// Takes what an engine says that it holds, and tells other nodes.
+    pub fn on_held_list(&mut self, engine: &EngineId, held: &[PrefixBlock], now: MonotonicTime) {
+        let Some(state) = self.engines.get_mut(engine) else {
+            return;
+        };
+        state.prefixes.note_read(held, now);
+        let news = held.chunks(BLOCKS_IN_NEWS).map(|prefixes| PrefixNews {
+            engine: state.handle,
+            prefixes: prefixes.to_vec(),
+            just_answered: false,
+        });
+        self.news.extend(news);
+    }
+
+    /// Everything that engines are believed to hold, for a node that has just started.
+    pub fn held(&self) -> Vec<PrefixNews> {
+        self.engines
+            .values()
+            .filter(|state| !state.prefixes.is_empty())
+            .map(|state| PrefixNews {
+                engine: state.handle,
+                prefixes: state.prefixes.blocks(),
+                just_answered: false,
+            })
+            .collect()
+    }
+
+    /// News of shared prefixes since the last call, for other nodes.
+    ///
+    /// At most `most` of them; the rest follows at the next call.
+    pub fn take_news(&mut self, most: usize) -> Vec<PrefixNews> {
+        let rest = self.news.split_off(most.min(self.news.len()));
+        std::mem::replace(&mut self.news, rest)
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/pool/router.rs
@@ -0,0 +1,106 @@
+//! The router and what it knows of each engine.
+
+use super::beliefs::{PrefixNews, SpeedEstimate};
+use super::demand::PromptDemand;
+use super::engine::{EngineState, FORGET_AFTER, Gone, PoolEngine, ToldLoad};
+use super::weights::PoolWeights;
+use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
+use crate::identity::EngineId;
+use crate::time::MonotonicTime;
+use std::collections::BTreeMap;
+
+/// Memory assumed of an engine whose pool does not tell, in tokens.
+const ASSUMED_CACHE_TOKENS: u64 = 400_000;
+
+/// Chooses engines for forwarded requests; holds no socket, thread or clock.
+#[derive(Clone, Debug)]
+pub struct PoolRouter {
+    pub(super) weights: PoolWeights,
+    pub(super) engines: BTreeMap<EngineId, EngineState>,
+    pub(super) speeds: BTreeMap<PoolId, SpeedEstimate>,
+    pub(super) traits: BTreeMap<PoolId, ModelTraits>,
+    pub(super) news: Vec<PrefixNews>,
+    pub(super) demand: PromptDemand,
+    pub(super) nodes_per_word: f64,
+    pub(super) tickets: u64,
+}
+
+impl PoolRouter {
+    /// A router that knows no engine yet.
+    pub fn new(weights: PoolWeights) -> Self {
+        Self {
+            weights,
+            engines: BTreeMap::new(),
+            speeds: BTreeMap::new(),
+            traits: BTreeMap::new(),
+            news: Vec::new(),
+            demand: PromptDemand::default(),
+            nodes_per_word: 1.0,
+            tickets: 0,
+        }
+    }
+
+    /// Takes what a configuration tells of the pools.
+    pub fn on_config(&mut self, config: &ForwardingConfig) {
+        for pool in &config.pools {
+            if let Some(model) = &pool.model {
+                self.traits.insert(pool.id.clone(), model.clone());
+            }
+        }
+    }
+
+    /// Takes the listing of one engine.
+    pub fn on_engine(&mut self, engine: PoolEngine) {
+        match self.engines.get_mut(&engine.id) {
+            Some(state) => state.update(engine),
+            None => {
+                let traits = self.traits.get(&engine.pool);
+                let tokens = traits.map_or(ASSUMED_CACHE_TOKENS, |traits| traits.cache_tokens);
+                let mut state = EngineState::new(engine, tokens);
+                state.nodes_per_word = self.nodes_per_word;
+                self.engines.insert(state.engine.id.clone(), state);
+            }
+        }
+    }
+
+    /// Notes that the platform lists an engine no longer; `doubtful` where the store was in trouble just before, so
+    /// that the engine may live and only its entry have lapsed.
+    pub fn on_engine_gone(&mut self, engine: &EngineId, doubtful: bool, now: MonotonicTime) {
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.gone = Some(Gone { since: now, doubtful });
+        }
+        self.engines
+            .retain(|_, state| state.gone.is_none_or(|gone| now.since(gone.since) < FORGET_AFTER));
+    }
+
+    /// Takes the load that an engine told in an answer.
+    pub fn on_told(&mut self, engine: &EngineId, told: ToldLoad, now: MonotonicTime) {
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.heard(now);
+            state.told = Some((told, now));
+        }
+    }
+
+    /// All engines known, by name.
+    pub fn engines(&self) -> impl Iterator<Item = &EngineState> {
+        self.engines.values()
+    }
+
+    /// One engine.
+    pub fn engine(&self, engine: &EngineId) -> Option<&EngineState> {
+        self.engines.get(engine)
+    }
+
+    /// Engines that take work now.
+    pub fn taking_work(&self, now: MonotonicTime) -> usize {
+        self.engines
+            .values()
+            .filter(|state| state.takes_work(now, false))
+            .count()
+    }
+
+    /// Pools whose engines run models.
+    pub fn model_pools(&self) -> Vec<PoolId> {
+        self.traits.keys().cloned().collect()
+    }
+}
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -226,7 +226,7 @@
     assert_eq!(stage(4, 5, 5.0, 10_000.0), None, "no pressure");
     assert_eq!(stage(4, 5, 5.0, 30_000.0), Some(EngineStage::Prefill));
     assert_eq!(stage(4, 5, 30.0, 30_000.0), None, "the decode engines are needed");
-    assert_eq!(stage(7, 2, 5.0, 90_000.0), None, "two decode engines stay");
+    assert_eq!(stage(6, 3, 5.0, 90_000.0), None, "three of nine stay");
     assert_eq!(
         stage(7, 2, 5.0, 90_000.0),
         Some(EngineStage::Decode),
--- /dev/null
+++ b/crates/node/src/course/dispatching.rs
@@ -0,0 +1,154 @@
+//! Hands the request to an engine.
+
+use super::driver::Driver;
+use super::exchange::{Exchange, Purpose};
+use super::routing;
+use crate::ports::{CallStage, EngineCall};
+use shelfjunction_core::engine::{EngineCall as MachineCall, Phase};
+use shelfjunction_core::forwarding::patience;
+use shelfjunction_core::identity::{AttemptId, EngineId};
+use shelfjunction_core::request::event::Event;
+use shelfjunction_core::request::specification::Target;
+use shelfjunction_core::routing::pool::{EngineStage, Explanation, OutputWay, PoolTicket};
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+impl Driver<'_> {
+    pub(super) fn dispatch(&mut self, target: &Target, call: &MachineCall) {
+        let now = self.context.now();
+        let (stage, purpose) = match (&call.phase, &call.import) {
+            (Phase::PrefillOnly, _) => (CallStage::Prompt, Purpose::Prompt),
+            (Phase::Whole, Some(import)) => (CallStage::Output(import.clone()), Purpose::Output),
+            (Phase::Whole, None) => (CallStage::Whole, Purpose::Whole),
+        };
+        if self.arrivals.lacks_grant(purpose) && !self.context.take_repeat(self.pool) {
+            log::info!(request = self.call.request.as_str(), purpose = purpose.name(); "repeat_denied");
+            return self.take(Event::NotSent {
+                attempt: call.attempt.clone(),
+            });
+        }
+        let why = self.explain(&target.engine, purpose, now);
+        let (ticket, patience) = self.note_sent(&target.engine, purpose, now);
+        let left = routing::left(self.deadline, now);
+        let wait = patience::CONNECT.min(left);
+        let link = match self.context.links.take(&target.engine, target.address, wait, now) {
+            Ok(link) => link,
+            Err(error) => return self.not_connected(&ticket, &call.attempt, &error),
+        };
+        self.arrivals.note_sent(purpose);
+        let mut exchange = Exchange {
+            attempt: call.attempt.clone(),
+            engine: target.engine.clone(),
+            ticket,
+            purpose,
+            link,
+            head: None,
+            sent_at: now,
+            asked_at: now,
+            silent_from: patience.map(|patience| now + patience),
+            all_sent: false,
+            has_events: false,
+        };
+        self.context.peers.note_change();
+        let fetch_from = match purpose {
+            Purpose::Output => None,
+            Purpose::Prompt | Purpose::Whole => {
+                lock(&self.context.router).fetch_source(&target.engine, &self.query(&[], now), now)
+            }
+        };
+        exchange.link.begin(&EngineCall {
+            call: self.call,
+            engine: &target.engine,
+            stage,
+            fetch_from,
+            time_left: left,
+            urgency: self.route.priority.min(9),
+            last_event: self.machine.last_event().or(self.call.last_event),
+            events: self.route.events,
+        });
+        self.log_dispatch(&exchange, &why, fetch_from, left);
+        self.exchange = Some(exchange);
+    }
+
+    /// What speaks for an engine, before the request is counted there.
+    fn explain(&self, engine: &EngineId, purpose: Purpose, now: MonotonicTime) -> Explanation {
+        let (stage, reads) = match (purpose, self.prompt) {
+            (Purpose::Prompt, _) => (EngineStage::Prefill, true),
+            (Purpose::Output, _) => (EngineStage::Decode, false),
+            (Purpose::Whole, Some(_)) => (EngineStage::Decode, true),
+            (Purpose::Whole, None) => (EngineStage::Whole, false),
+        };
+        lock(&self.context.router).explain(engine, stage, reads, &self.query(&[], now), now)
+    }
+
+    fn log_dispatch(
+        &self,
+        exchange: &Exchange,
+        why: &Explanation,
+        fetch_from: Option<SocketAddr>,
+        left: Duration,
+    ) {
+        log::info!(
+            request = self.call.request.as_str(),
+            engine = exchange.engine.as_str(),
+            purpose = exchange.purpose.name(),
+            left_millis = left.as_millis() as u64,
+            cost_millis = millis(why.cost),
+            runner_up = why.runner_up.as_ref().map_or("none", |(engine, _)| engine.as_str()),
+            runner_up_cost_millis = why.runner_up.as_ref().map_or(0, |(_, cost)| millis(*cost)),
+            prompt_tokens_ahead = why.prompt_tokens_ahead,
+            requests_there = why.requests,
+            held_tokens = why.held_tokens,
+            fetch_from:? = fetch_from,
+            word_age_millis = why.oldest_word.as_millis() as u64;
+            "dispatched"
+        );
+    }
+
+    fn note_sent(
+        &self,
+        engine: &EngineId,
+        purpose: Purpose,
+        now: MonotonicTime,
+    ) -> (PoolTicket, Option<Duration>) {
+        let query = self.query(&[], now);
+        let mut router = lock(&self.context.router);
+        match purpose {
+            Purpose::Prompt => {
+                let expected = router.prompt_delay(&query, now).unwrap_or_default();
+                let patience = patience::prompt(self.route, expected);
+                (router.on_prompt_sent(engine, &query, now), Some(patience))
+            }
+            Purpose::Output | Purpose::Whole => {
+                let way = if purpose == Purpose::Whole {
+                    OutputWay::Reads
+                } else {
+                    OutputWay::Fetches
+                };
+                let ticket = router.on_output_sent(engine, &query, way, now);
+                (ticket, patience::first_answer(self.route))
+            }
+        }
+    }
+
+    fn not_connected(&mut self, ticket: &PoolTicket, attempt: &AttemptId, error: &std::io::Error) {
+        log::info!(
+            request = self.call.request.as_str(),
+            engine = ticket.engine().as_str(),
+            error:% = error;
+            "not_connected"
+        );
+        lock(&self.context.router).on_broken(ticket, self.context.now());
+        self.last_not_sent = true;
+        self.take(Event::NotSent {
+            attempt: attempt.clone(),
+        });
+    }
+}
+
+/// Seconds as whole milliseconds, for the log.
+fn millis(seconds: f64) -> u64 {
+    (seconds * 1_000.0) as u64
+}
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -1,25 +1,21 @@
 //! The loop that drives one opaque request's machine in its caller's thread.
 
 use super::arrivals::ArrivalAccount;
-use super::exchange::{Exchange, Purpose};
+use super::exchange::Exchange;
 use super::routing;
 use crate::context::Context;
-use crate::ports::{AnswerHead, Call, CallStage, CallerConnection, EngineCall, EngineReading};
+use crate::ports::{AnswerHead, Call, CallerConnection, EngineReading};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use shelfjunction_core::engine::{AnswerPart, EngineCall as MachineCall, EngineRefusal, Phase};
-use shelfjunction_core::forwarding::{PoolId, RouteRule, patience};
-use shelfjunction_core::identity::{AttemptId, EngineId};
+use shelfjunction_core::forwarding::{PoolId, RouteRule};
+use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::outcome::{Outcome, Refusal, RefusalReason};
-use shelfjunction_core::request::event::{Action, Event, ForwardAction, OpaquePart};
+use shelfjunction_core::request::event::{Action, Event, ForwardAction};
 use shelfjunction_core::request::machine::RequestMachine;
-use shelfjunction_core::request::specification::{Placement, Target};
-use shelfjunction_core::routing::pool::{
-    EngineStage, Explanation, OutputWay, PoolQuery, PoolTicket, PrefixBlock, PromptShape, rank_of,
-};
+use shelfjunction_core::request::specification::Placement;
+use shelfjunction_core::routing::pool::{PoolQuery, PrefixBlock, PromptShape, rank_of};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// When to come back after no engine could be chosen.
@@ -60,15 +56,15 @@
     pub(super) events_delivered: u32,
     pub(super) first_event_at: Option<MonotonicTime>,
     pub(super) last_event_at: Option<MonotonicTime>,
-    prompt: Option<&'a PromptShape>,
-    prefixes: Vec<PrefixBlock>,
-    pending: VecDeque<Action>,
-    exchange: Option<Exchange>,
+    pub(super) prompt: Option<&'a PromptShape>,
+    pub(super) prefixes: Vec<PrefixBlock>,
+    pub(super) pending: VecDeque<Action>,
+    pub(super) exchange: Option<Exchange>,
     /// Arrivals at engines so far, and the repeats that were granted for them.
-    arrivals: ArrivalAccount,
+    pub(super) arrivals: ArrivalAccount,
     /// The last dispatch never left, so trying again costs no engine anything.
-    last_not_sent: bool,
-    watch_caller: bool,
+    pub(super) last_not_sent: bool,
+    pub(super) watch_caller: bool,
 }
 
 impl<'a> Driver<'a> {
@@ -133,7 +129,7 @@
         }
     }
 
-    fn take(&mut self, event: Event) {
+    pub(super) fn take(&mut self, event: Event) {
         let actions = self.machine.handle(event, self.context.now());
         self.pending.extend(actions);
     }
@@ -180,7 +176,7 @@
         self.take(event);
     }
 
-    fn query<'q>(&'q self, excluded: &'q [EngineId], now: MonotonicTime) -> PoolQuery<'q> {
+    pub(super) fn query<'q>(&'q self, excluded: &'q [EngineId], now: MonotonicTime) -> PoolQuery<'q> {
         PoolQuery {
             pool: self.pool,
             prompt: self.prompt,
@@ -218,137 +214,6 @@
         }
     }
 
-    fn dispatch(&mut self, target: &Target, call: &MachineCall) {
-        let now = self.context.now();
-        let (stage, purpose) = match (&call.phase, &call.import) {
-            (Phase::PrefillOnly, _) => (CallStage::Prompt, Purpose::Prompt),
-            (Phase::Whole, Some(import)) => (CallStage::Output(import.clone()), Purpose::Output),
-            (Phase::Whole, None) => (CallStage::Whole, Purpose::Whole),
-        };
-        if self.arrivals.lacks_grant(purpose) && !self.context.take_repeat(self.pool) {
-            log::info!(request = self.call.request.as_str(), purpose = purpose.name(); "repeat_denied");
-            return self.take(Event::NotSent {
-                attempt: call.attempt.clone(),
-            });
-        }
-        let why = self.explain(&target.engine, purpose, now);
-        let (ticket, patience) = self.note_sent(&target.engine, purpose, now);
-        let left = routing::left(self.deadline, now);
-        let wait = patience::CONNECT.min(left);
-        let link = match self.context.links.take(&target.engine, target.address, wait, now) {
-            Ok(link) => link,
-            Err(error) => return self.not_connected(&ticket, &call.attempt, &error),
-        };
-        self.arrivals.note_sent(purpose);
-        let mut exchange = Exchange {
-            attempt: call.attempt.clone(),
-            engine: target.engine.clone(),
-            ticket,
-            purpose,
-            link,
-            head: None,
-            sent_at: now,
-            asked_at: now,
-            silent_from: patience.map(|patience| now + patience),
-            all_sent: false,
-            has_events: false,
-        };
-        self.context.peers.note_change();
-        let fetch_from = match purpose {
-            Purpose::Output => None,
-            Purpose::Prompt | Purpose::Whole => {
-                lock(&self.context.router).fetch_source(&target.engine, &self.query(&[], now), now)
-            }
-        };
-        exchange.link.begin(&EngineCall {
-            call: self.call,
-            engine: &target.engine,
-            stage,
-            fetch_from,
-            time_left: left,
-            urgency: self.route.priority.min(9),
-            last_event: self.machine.last_event().or(self.call.last_event),
-            events: self.route.events,
-        });
-        self.log_dispatch(&exchange, &why, fetch_from, left);
-        self.exchange = Some(exchange);
-    }
-
-    /// What speaks for an engine, before the request is counted there.
-    fn explain(&self, engine: &EngineId, purpose: Purpose, now: MonotonicTime) -> Explanation {
-        let (stage, reads) = match (purpose, self.prompt) {
-            (Purpose::Prompt, _) => (EngineStage::Prefill, true),
-            (Purpose::Output, _) => (EngineStage::Decode, false),
-            (Purpose::Whole, Some(_)) => (EngineStage::Decode, true),
-            (Purpose::Whole, None) => (EngineStage::Whole, false),
-        };
-        lock(&self.context.router).explain(engine, stage, reads, &self.query(&[], now), now)
-    }
-
-    fn log_dispatch(
-        &self,
-        exchange: &Exchange,
-        why: &Explanation,
-        fetch_from: Option<SocketAddr>,
-        left: Duration,
-    ) {
-        log::info!(
-            request = self.call.request.as_str(),
-            engine = exchange.engine.as_str(),
-            purpose = exchange.purpose.name(),
-            left_millis = left.as_millis() as u64,
-            cost_millis = millis(why.cost),
-            runner_up = why.runner_up.as_ref().map_or("none", |(engine, _)| engine.as_str()),
-            runner_up_cost_millis = why.runner_up.as_ref().map_or(0, |(_, cost)| millis(*cost)),
-            prompt_tokens_ahead = why.prompt_tokens_ahead,
-            requests_there = why.requests,
-            held_tokens = why.held_tokens,
-            fetch_from:? = fetch_from,
-            word_age_millis = why.oldest_word.as_millis() as u64;
-            "dispatched"
-        );
-    }
-
-    fn note_sent(
-        &self,
-        engine: &EngineId,
-        purpose: Purpose,
-        now: MonotonicTime,
-    ) -> (PoolTicket, Option<Duration>) {
-        let query = self.query(&[], now);
-        let mut router = lock(&self.context.router);
-        match purpose {
-            Purpose::Prompt => {
-                let expected = router.prompt_delay(&query, now).unwrap_or_default();
-                let patience = patience::prompt(self.route, expected);
-                (router.on_prompt_sent(engine, &query, now), Some(patience))
-            }
-            Purpose::Output | Purpose::Whole => {
-                let way = if purpose == Purpose::Whole {
-                    OutputWay::Reads
-                } else {
-                    OutputWay::Fetches
-                };
-                let ticket = router.on_output_sent(engine, &query, way, now);
-                (ticket, patience::first_answer(self.route))
-            }
-        }
-    }
-
-    fn not_connected(&mut self, ticket: &PoolTicket, attempt: &AttemptId, error: &std::io::Error) {
-        log::info!(
-            request = self.call.request.as_str(),
-            engine = ticket.engine().as_str(),
-            error:% = error;
-            "not_connected"
-        );
-        lock(&self.context.router).on_broken(ticket, self.context.now());
-        self.last_not_sent = true;
-        self.take(Event::NotSent {
-            attempt: attempt.clone(),
-        });
-    }
-
     /// Waits until the engine has something to say, the caller leaves or a time is over.
     fn wait(&mut self) -> Option<Event> {
         let now = self.context.now();
@@ -436,186 +301,4 @@
         );
         None
     }
-
-    fn on_reading(&mut self, reading: EngineReading) -> Option<Event> {
-        let now = self.context.now();
-        match reading {
-            EngineReading::Pending => None,
-            EngineReading::Opened(head) => self.opened(head, now),
-            EngineReading::Event { id, bytes } => {
-                let patience = patience::next_event(self.route);
-                let exchange = self.exchange.as_mut()?;
-                if !std::mem::replace(&mut exchange.has_events, true) {
-                    lock(&self.context.router).on_output_begun(&exchange.ticket, &self.prefixes, now);
-                    self.context.peers.note_change();
-                }
-                exchange.heard(now, patience);
-                self.event_bytes = bytes;
-                Some(Event::Forwarded {
-                    attempt: exchange.attempt.clone(),
-                    part: OpaquePart::Event { id },
-                })
-            }
-            EngineReading::Ended => {
-                if !self.events_open {
-                    let head = self.exchange.as_mut()?.head.take()?;
-                    self.whole = Some(WholeAnswer {
-                        head,
-                        body: Vec::new(),
-                    });
-                }
-                Some(self.answered(OpaquePart::Ended, now))
-            }
-            EngineReading::Whole { body, success } => {
-                let head = self.exchange.as_mut()?.head.take()?;
-                self.whole = Some(WholeAnswer { head, body });
-                let part = if success {
-                    OpaquePart::Whole
-                } else {
-                    OpaquePart::Failure
-                };
-                Some(self.answered(part, now))
-            }
-            EngineReading::PromptRead { handle } => self.prompt_read(handle, now),
-            EngineReading::Refused { refusal, told } => {
-                let exchange = self.exchange.take()?;
-                let mut router = lock(&self.context.router);
-                if let Some(told) = told {
-                    router.on_told(&exchange.engine, told, now);
-                }
-                router.on_refused(&exchange.ticket, refusal.reason, now);
-                drop(router);
-                Some(self.refused(exchange, refusal, now))
-            }
-            EngineReading::Held(_) | EngineReading::Report(_) | EngineReading::Ordered(_) => {
-                Some(self.broken("answer_not_asked_for"))
-            }
-            EngineReading::Broken(cause) => Some(self.broken(cause)),
-        }
-    }
-
-    fn opened(&mut self, head: AnswerHead, now: MonotonicTime) -> Option<Event> {
-        let exchange = self.exchange.as_mut()?;
-        if let Some(told) = head.told {
-            lock(&self.context.router).on_told(&exchange.engine, told, now);
-        }
-        exchange.head = Some(head);
-        Some(Event::Opened {
-            attempt: exchange.attempt.clone(),
-        })
-    }
-
-    fn answered(&mut self, part: OpaquePart, now: MonotonicTime) -> Event {
-        let Some(exchange) = self.exchange.take() else {
-            return Event::DeadlineReached;
-        };
-        log::info!(
-            request = self.call.request.as_str(),
-            engine = exchange.engine.as_str(),
-            purpose = exchange.purpose.name(),
-            part:? = part,
-            after_millis = now.since(exchange.sent_at).as_millis() as u64;
-            "dispatch_answered"
-        );
-        self.context
-            .metrics
-            .dispatch_ended(exchange.purpose.name(), "answered");
-        let mut router = lock(&self.context.router);
-        router.on_answered(&exchange.ticket);
-        self.context.peers.note_change();
-        drop(router);
-        self.context.links.give_back(&exchange.engine, exchange.link, now);
-        Event::Forwarded {
-            attempt: exchange.attempt,
-            part,
-        }
-    }
-
-    fn prompt_read(&mut self, handle: String, now: MonotonicTime) -> Option<Event> {
-        let exchange = self.exchange.take()?;
-        lock(&self.context.router).on_prompt_read(&exchange.ticket, &self.prefixes, now);
-        self.context.peers.note_change();
-        self.context.metrics.prompt_read(now.since(exchange.sent_at));
-        self.context
-            .metrics
-            .dispatch_ended(Purpose::Prompt.name(), "answered");
-        log::info!(
-            request = self.call.request.as_str(),
-            engine = exchange.engine.as_str(),
-            took_millis = now.since(exchange.sent_at).as_millis() as u64;
-            "prompt_read"
-        );
-        self.context.links.give_back(&exchange.engine, exchange.link, now);
-        Some(Event::Part {
-            attempt: exchange.attempt,
-            part: AnswerPart::Prefilled {
-                request: self.machine.specification().request.clone(),
-                handle,
-            },
-        })
-    }
-
-    fn refused(&mut self, exchange: Exchange, refusal: EngineRefusal, now: MonotonicTime) -> Event {
-        log::info!(
-            request = self.call.request.as_str(),
-            engine = exchange.engine.as_str(),
-            purpose = exchange.purpose.name(),
-            reason:? = refusal.reason;
-            "engine_refused"
-        );
-        self.context
-            .metrics
-            .dispatch_ended(exchange.purpose.name(), "refused");
-        self.context.links.give_back(&exchange.engine, exchange.link, now);
-        Event::Refused {
-            attempt: exchange.attempt,
-            refusal,
-        }
-    }
-
-    /// The connection broke, or its engine was silent too long: whether the engine runs the request is unknown.
-    fn broken(&mut self, cause: &'static str) -> Event {
-        let Some(exchange) = self.exchange.take() else {
-            return Event::DeadlineReached;
-        };
-        log::info!(
-            request = self.call.request.as_str(),
-            engine = exchange.engine.as_str(),
-            purpose = exchange.purpose.name(),
-            cause,
-            opened = exchange.head.is_some(),
-            after_millis = self.context.now().since(exchange.sent_at).as_millis() as u64;
-            "dispatch_broken"
-        );
-        self.context
-            .metrics
-            .dispatch_ended(exchange.purpose.name(), "broken");
-        lock(&self.context.router).on_broken(&exchange.ticket, self.context.now());
-        if exchange.head.is_some() {
-            Event::Disconnected {
-                attempt: exchange.attempt,
-            }
-        } else {
-            Event::Ambiguous {
-                attempt: exchange.attempt,
-            }
-        }
-    }
-
-    /// Gives up what is still under way when the course ends.
-    pub(super) fn drop_exchange(&mut self) {
-        if let Some(exchange) = self.exchange.take() {
-            lock(&self.context.router).on_abandoned(&exchange.ticket);
-        }
-    }
-
-    /// Head of the answer that is coming in.
-    pub(super) fn current_head(&self) -> Option<&AnswerHead> {
-        self.exchange.as_ref()?.head.as_ref()
-    }
-}
-
-/// Seconds as whole milliseconds, for the log.
-fn millis(seconds: f64) -> u64 {
-    (seconds * 1_000.0) as u64
 }
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -2,8 +2,10 @@
 
 mod answering;
 mod arrivals;
+mod dispatching;
 mod driver;
 mod exchange;
+mod reading;
 mod routing;
 
 use crate::context::Context;
--- /dev/null
+++ b/crates/node/src/course/reading.rs
@@ -0,0 +1,189 @@
+//! Takes what an engine's connection says.
+
+use super::driver::{Driver, WholeAnswer};
+use super::exchange::{Exchange, Purpose};
+use crate::ports::{AnswerHead, EngineReading};
+use shelfjunction_core::engine::{AnswerPart, EngineRefusal};
+use shelfjunction_core::forwarding::patience;
+use shelfjunction_core::request::event::{Event, OpaquePart};
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
+
+impl Driver<'_> {
+    pub(super) fn on_reading(&mut self, reading: EngineReading) -> Option<Event> {
+        let now = self.context.now();
+        match reading {
+            EngineReading::Pending => None,
+            EngineReading::Opened(head) => self.opened(head, now),
+            EngineReading::Event { id, bytes } => {
+                let patience = patience::next_event(self.route);
+                let exchange = self.exchange.as_mut()?;
+                if !std::mem::replace(&mut exchange.has_events, true) {
+                    lock(&self.context.router).on_output_begun(&exchange.ticket, &self.prefixes, now);
+                    self.context.peers.note_change();
+                }
+                exchange.heard(now, patience);
+                self.event_bytes = bytes;
+                Some(Event::Forwarded {
+                    attempt: exchange.attempt.clone(),
+                    part: OpaquePart::Event { id },
+                })
+            }
+            EngineReading::Ended => {
+                if !self.events_open {
+                    let head = self.exchange.as_mut()?.head.take()?;
+                    self.whole = Some(WholeAnswer {
+                        head,
+                        body: Vec::new(),
+                    });
+                }
+                Some(self.answered(OpaquePart::Ended, now))
+            }
+            EngineReading::Whole { body, success } => {
+                let head = self.exchange.as_mut()?.head.take()?;
+                self.whole = Some(WholeAnswer { head, body });
+                let part = if success {
+                    OpaquePart::Whole
+                } else {
+                    OpaquePart::Failure
+                };
+                Some(self.answered(part, now))
+            }
+            EngineReading::PromptRead { handle } => self.prompt_read(handle, now),
+            EngineReading::Refused { refusal, told } => {
+                let exchange = self.exchange.take()?;
+                let mut router = lock(&self.context.router);
+                if let Some(told) = told {
+                    router.on_told(&exchange.engine, told, now);
+                }
+                router.on_refused(&exchange.ticket, refusal.reason, now);
+                drop(router);
+                Some(self.refused(exchange, refusal, now))
+            }
+            EngineReading::Held(_) | EngineReading::Report(_) | EngineReading::Ordered(_) => {
+                Some(self.broken("answer_not_asked_for"))
+            }
+            EngineReading::Broken(cause) => Some(self.broken(cause)),
+        }
+    }
+
+    fn opened(&mut self, head: AnswerHead, now: MonotonicTime) -> Option<Event> {
+        let exchange = self.exchange.as_mut()?;
+        if let Some(told) = head.told {
+            lock(&self.context.router).on_told(&exchange.engine, told, now);
+        }
+        exchange.head = Some(head);
+        Some(Event::Opened {
+            attempt: exchange.attempt.clone(),
+        })
+    }
+
+    fn answered(&mut self, part: OpaquePart, now: MonotonicTime) -> Event {
+        let Some(exchange) = self.exchange.take() else {
+            return Event::DeadlineReached;
+        };
+        log::info!(
+            request = self.call.request.as_str(),
+            engine = exchange.engine.as_str(),
+            purpose = exchange.purpose.name(),
+            part:? = part,
+            after_millis = now.since(exchange.sent_at).as_millis() as u64;
+            "dispatch_answered"
+        );
+        self.context
+            .metrics
+            .dispatch_ended(exchange.purpose.name(), "answered");
+        let mut router = lock(&self.context.router);
+        router.on_answered(&exchange.ticket);
+        self.context.peers.note_change();
+        drop(router);
+        self.context.links.give_back(&exchange.engine, exchange.link, now);
+        Event::Forwarded {
+            attempt: exchange.attempt,
+            part,
+        }
+    }
+
+    fn prompt_read(&mut self, handle: String, now: MonotonicTime) -> Option<Event> {
+        let exchange = self.exchange.take()?;
+        lock(&self.context.router).on_prompt_read(&exchange.ticket, &self.prefixes, now);
+        self.context.peers.note_change();
+        self.context.metrics.prompt_read(now.since(exchange.sent_at));
+        self.context
+            .metrics
+            .dispatch_ended(Purpose::Prompt.name(), "answered");
+        log::info!(
+            request = self.call.request.as_str(),
+            engine = exchange.engine.as_str(),
+            took_millis = now.since(exchange.sent_at).as_millis() as u64;
+            "prompt_read"
+        );
+        self.context.links.give_back(&exchange.engine, exchange.link, now);
+        Some(Event::Part {
+            attempt: exchange.attempt,
+            part: AnswerPart::Prefilled {
+                request: self.machine.specification().request.clone(),
+                handle,
+            },
+        })
+    }
+
+    fn refused(&mut self, exchange: Exchange, refusal: EngineRefusal, now: MonotonicTime) -> Event {
+        log::info!(
+            request = self.call.request.as_str(),
+            engine = exchange.engine.as_str(),
+            purpose = exchange.purpose.name(),
+            reason:? = refusal.reason;
+            "engine_refused"
+        );
+        self.context
+            .metrics
+            .dispatch_ended(exchange.purpose.name(), "refused");
+        self.context.links.give_back(&exchange.engine, exchange.link, now);
+        Event::Refused {
+            attempt: exchange.attempt,
+            refusal,
+        }
+    }
+
+    /// The connection broke, or its engine was silent too long: whether the engine runs the request is unknown.
+    pub(super) fn broken(&mut self, cause: &'static str) -> Event {
+        let Some(exchange) = self.exchange.take() else {
+            return Event::DeadlineReached;
+        };
+        log::info!(
+            request = self.call.request.as_str(),
+            engine = exchange.engine.as_str(),
+            purpose = exchange.purpose.name(),
+            cause,
+            opened = exchange.head.is_some(),
+            after_millis = self.context.now().since(exchange.sent_at).as_millis() as u64;
+            "dispatch_broken"
+        );
+        self.context
+            .metrics
+            .dispatch_ended(exchange.purpose.name(), "broken");
+        lock(&self.context.router).on_broken(&exchange.ticket, self.context.now());
+        if exchange.head.is_some() {
+            Event::Disconnected {
+                attempt: exchange.attempt,
+            }
+        } else {
+            Event::Ambiguous {
+                attempt: exchange.attempt,
+            }
+        }
+    }
+
+    /// Gives up what is still under way when the course ends.
+    pub(super) fn drop_exchange(&mut self) {
+        if let Some(exchange) = self.exchange.take() {
+            lock(&self.context.router).on_abandoned(&exchange.ticket);
+        }
+    }
+
+    /// Head of the answer that is coming in.
+    pub(super) fn current_head(&self) -> Option<&AnswerHead> {
+        self.exchange.as_ref()?.head.as_ref()
+    }
+}
