--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -8,6 +8,7 @@
     RouteId, RouteRule, ShareRotation, stopping,
 };
 use shelfjunction_core::identity::{EngineId, ZoneId};
+use shelfjunction_core::retry::arrivals::{Arrival, ArrivalAccount};
 use shelfjunction_core::retry::window::{WindowBudget, WindowBudgetSettings};
 use shelfjunction_core::roles::pool::{PoolDemand, PoolEngineView, PoolRolePolicy, plan};
 use shelfjunction_core::routing::pool::{EngineListing, EngineStage, ListChange, ListSnapshot, PoolEngine};
@@ -262,3 +263,25 @@
     assert!(takes(3.2, 1.0) && takes(6.0, 1.0), "it will be over in time");
     assert!(!takes(6.6, 1.0));
 }
+
+/// Found on a deployment with slow links: a prompt read anew was followed by an output that nobody had asked for.
+#[test]
+fn every_arrival_beyond_the_first_of_its_kind_needs_a_grant() {
+    let mut account = ArrivalAccount::default();
+    for (arrival, lacks) in [
+        (Arrival::Prompt, false),
+        (Arrival::Answer, false),
+        (Arrival::Answer, true),
+    ] {
+        assert_eq!(account.lacks_grant(arrival), lacks);
+        account.note_sent(arrival);
+    }
+    account.note_grant();
+    // The second output was refused too, and a retry granted: the prompt is read anew, and its output comes on top.
+    account.note_grant();
+    assert!(!account.lacks_grant(Arrival::Prompt));
+    account.note_sent(Arrival::Prompt);
+    assert!(account.lacks_grant(Arrival::Answer));
+    account.note_grant();
+    assert!(!account.lacks_grant(Arrival::Answer));
+}
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -23,11 +23,14 @@
             (Phase::Whole, Some(import)) => (CallStage::Output(import.clone()), Purpose::Output),
             (Phase::Whole, None) => (CallStage::Whole, Purpose::Whole),
         };
-        if self.arrivals.lacks_grant(purpose) && !self.context.take_repeat(self.pool) {
-            log::info!(request = self.call.request.as_str(), purpose = purpose.name(); "repeat_denied");
-            return self.take(Event::NotSent {
-                attempt: call.attempt.clone(),
-            });
+        if self.arrivals.lacks_grant(purpose.arrival()) {
+            if !self.context.take_repeat(self.pool) {
+                log::info!(request = self.call.request.as_str(), purpose = purpose.name(); "repeat_denied");
+                return self.take(Event::NotSent {
+                    attempt: call.attempt.clone(),
+                });
+            }
+            self.arrivals.note_grant();
         }
         let why = self.explain(&target.engine, purpose, now);
         let (ticket, patience) = self.note_sent(&target.engine, purpose, now);
@@ -37,7 +40,7 @@
             Ok(link) => link,
             Err(error) => return self.not_connected(&ticket, &call.attempt, &error),
         };
-        self.arrivals.note_sent(purpose);
+        self.arrivals.note_sent(purpose.arrival());
         let mut exchange = Exchange {
             attempt: call.attempt.clone(),
             engine: target.engine.clone(),
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -1,6 +1,5 @@
 //! The loop that drives one opaque request's machine in its caller's thread.
 
-use super::arrivals::ArrivalAccount;
 use super::exchange::Exchange;
 use super::routing;
 use crate::context::Context;
@@ -12,6 +11,7 @@
 use shelfjunction_core::request::event::{Action, Event, ForwardAction};
 use shelfjunction_core::request::machine::RequestMachine;
 use shelfjunction_core::request::specification::Placement;
+use shelfjunction_core::retry::arrivals::ArrivalAccount;
 use shelfjunction_core::routing::pool::{PoolQuery, PrefixBlock, PromptShape, rank_of};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -193,7 +193,9 @@
         let free = std::mem::take(&mut self.last_not_sent);
         let granted = free || self.context.take_repeat(self.pool);
         log::info!(request = self.call.request.as_str(), tried, granted, free, repeats_left = self.context.repeats_left(); "retry_asked");
-        self.arrivals.note_grant(granted && !free);
+        if granted && !free {
+            self.arrivals.note_grant();
+        }
         let event = if granted {
             Event::RetryGranted {
                 not_before: self.context.now(),
--- a/crates/node/src/course/exchange.rs
+++ b/crates/node/src/course/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::ports::{AnswerHead, EngineLink};
 use shelfjunction_core::identity::{AttemptId, EngineId};
+use shelfjunction_core::retry::arrivals::Arrival;
 use shelfjunction_core::routing::pool::PoolTicket;
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
@@ -18,6 +19,14 @@
 }
 
 impl Purpose {
+    /// How the budget for repeats counts it.
+    pub(super) fn arrival(self) -> Arrival {
+        match self {
+            Self::Prompt => Arrival::Prompt,
+            Self::Output | Self::Whole => Arrival::Answer,
+        }
+    }
+
     pub(super) fn name(self) -> &'static str {
         match self {
             Self::Prompt => "prompt",
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -1,7 +1,6 @@
 //! Serves one call: its route, its request machine, and the thread's waits between caller and engine.
 
 mod answering;
-mod arrivals;
 mod dispatching;
 mod driver;
 mod exchange;
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -48,7 +48,7 @@
     context: Arc<Context>,
     open: Arc<OpenConnections>,
     address: SocketAddr,
-    _metrics: Option<HttpServer>,
+    metrics: Option<HttpServer>,
 }
 
 /// Time after the signal to stop for which resting connections stay open: whoever sends callers here has noticed by
@@ -129,7 +129,7 @@
             context,
             open,
             address,
-            _metrics: metrics,
+            metrics,
         })
     }
 
@@ -138,6 +138,11 @@
         self.address
     }
 
+    /// Where metrics are told, if they are.
+    pub fn metrics_address(&self) -> Option<SocketAddr> {
+        self.metrics.as_ref().map(HttpServer::address)
+    }
+
     /// What others may ask about the process.
     pub fn state(&self) -> Arc<NodeState> {
         Arc::clone(&self.context.state)
