Tell the whole fleet of work: 96 other nodes, 600 datagrams a second

Change: up to 96 others are told, at most 600 datagrams a second; a message touches only engines that it or the message before it names; an idle node tells of itself every second round, so that one lost datagram does not hide it.

--- a/crates/core/src/routing/pool/neighbours.rs
+++ b/crates/core/src/routing/pool/neighbours.rs
@@ -18,14 +18,20 @@
     ///
     /// `works` replaces everything that the node said before.
     pub fn on_peer_work(&mut self, peer: &NodeId, works: &[(SubjectHandle, PeerWork)], now: MonotonicTime) {
-        for state in self.engines.values_mut() {
-            match works.iter().find(|(handle, _)| *handle == state.handle) {
-                Some((_, work)) => {
-                    state.peers.insert(peer.clone(), (*work, now));
-                }
-                None => {
-                    state.peers.remove(peer);
-                }
+        let before = self.named_by.remove(peer).unwrap_or_default();
+        if !works.is_empty() {
+            let named = works.iter().map(|(handle, _)| *handle).collect();
+            self.named_by.insert(peer.clone(), named);
+        }
+        for handle in before {
+            let named_again = works.iter().any(|(named, _)| *named == handle);
+            if !named_again && let Some(state) = self.state_of(handle) {
+                state.peers.remove(peer);
+            }
+        }
+        for (handle, work) in works {
+            if let Some(state) = self.state_of(*handle) {
+                state.peers.insert(peer.clone(), (*work, now));
             }
         }
     }
@@ -122,8 +128,7 @@
     /// Takes another node's news of shared prefixes that engines hold.
     pub fn on_peer_news(&mut self, news: &[PrefixNews], now: MonotonicTime) {
         for one in news {
-            let state = self.engines.values_mut().find(|state| state.handle == one.engine);
-            if let Some(state) = state {
+            if let Some(state) = self.state_of(one.engine) {
                 if one.just_answered {
                     state.heard(now);
                 }
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -5,9 +5,10 @@
 use super::engine::{EngineState, FORGET_AFTER, Gone, PoolEngine, ToldLoad};
 use super::weights::PoolWeights;
 use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
-use crate::identity::EngineId;
+use crate::identity::{EngineId, NodeId};
+use crate::membership::subject::SubjectHandle;
 use crate::time::MonotonicTime;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// Memory assumed of an engine whose pool does not tell, in tokens.
 const ASSUMED_CACHE_TOKENS: u64 = 400_000;
@@ -17,6 +18,9 @@
 pub struct PoolRouter {
     pub(super) weights: PoolWeights,
     pub(super) engines: BTreeMap<EngineId, EngineState>,
+    pub(super) engine_of: HashMap<SubjectHandle, EngineId>,
+    /// Engines at which each other node last told of work.
+    pub(super) named_by: BTreeMap<NodeId, Vec<SubjectHandle>>,
     pub(super) speeds: BTreeMap<PoolId, SpeedEstimate>,
     pub(super) traits: BTreeMap<PoolId, ModelTraits>,
     pub(super) news: Vec<PrefixNews>,
@@ -31,6 +35,8 @@
         Self {
             weights,
             engines: BTreeMap::new(),
+            engine_of: HashMap::new(),
+            named_by: BTreeMap::new(),
             speeds: BTreeMap::new(),
             traits: BTreeMap::new(),
             news: Vec::new(),
@@ -58,6 +64,7 @@
                 let tokens = traits.map_or(ASSUMED_CACHE_TOKENS, |traits| traits.cache_tokens);
                 let mut state = EngineState::new(engine, tokens);
                 state.nodes_per_word = self.nodes_per_word;
+                self.engine_of.insert(state.handle, state.engine.id.clone());
                 self.engines.insert(state.engine.id.clone(), state);
             }
         }
@@ -71,6 +78,13 @@
         }
         self.engines
             .retain(|_, state| state.gone.is_none_or(|gone| now.since(gone.since) < FORGET_AFTER));
+        let engines = &self.engines;
+        self.engine_of.retain(|_, engine| engines.contains_key(engine));
+    }
+
+    /// The engine with a handle.
+    pub(super) fn state_of(&mut self, handle: SubjectHandle) -> Option<&mut EngineState> {
+        self.engines.get_mut(self.engine_of.get(&handle)?)
     }
 
     /// Takes the load that an engine told in an answer.
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -28,7 +28,7 @@
 const SILENT_PEER_LIFETIME: Duration = Duration::from_secs(40);
 
 /// Nodes that one node tells of its work.
-const MOST_TOLD: usize = 12;
+const MOST_TOLD: usize = 96;
 
 /// Silence after which a node no longer counts as alive.
 const HEARD_LATELY: Duration = Duration::from_millis(3_500);
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -15,10 +15,10 @@
 const TELL_AGAIN: Duration = Duration::from_millis(700);
 
 /// An idle node tells of itself once in so many rounds.
-const IDLE_ROUNDS: u32 = 3;
+const IDLE_ROUNDS: u32 = 2;
 
 /// Datagrams that a node sends in a second; with more peers it tells of changes less often.
-const DATAGRAMS_PER_SECOND: u32 = 120;
+const DATAGRAMS_PER_SECOND: u32 = 600;
 
 /// Tells other nodes as long as the process runs.
 pub(crate) fn tell(context: &Context, socket: &UdpSocket) {
