Let two nodes watch the store for all; the others ask when nobody confirms what they know

Change: core::watching decides who asks. Messages tell, for each table, the version and how long ago the store confirmed it; watchers also tell the changes of the list themselves.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod table;
 pub mod tenancy;
 pub mod time;
+pub mod watching;
--- a/crates/core/src/routing/pool/listing.rs
+++ b/crates/core/src/routing/pool/listing.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 
 /// One change of the list.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListChange {
     /// An engine is listed so.
     Listed(PoolEngine),
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -17,6 +17,7 @@
 mod neighbours;
 mod prefix;
 mod query;
+mod recent;
 mod router;
 mod weights;
 
@@ -27,5 +28,6 @@
 pub use listing::{EngineListing, ListChange, ListSnapshot};
 pub use prefix::PrefixBelief;
 pub use query::{PoolQuery, PrefixBlock, PromptPart, PromptShape};
+pub use recent::{ListNews, RecentChanges};
 pub use router::PoolRouter;
 pub use weights::PoolWeights;
--- /dev/null
+++ b/crates/core/src/routing/pool/recent.rs
@@ -0,0 +1,81 @@
+//! The newest changes of the list of engines, as one node tells them to others.
+//!
+//! Only a node that has a change from the store tells it, for a short time: its messages reach the whole fleet, and
+//! one that misses all of them asks the store.
+
+use super::listing::{EngineListing, ListChange};
+use crate::time::MonotonicTime;
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Time for which a change is told.
+const TOLD_FOR: Duration = Duration::from_millis(700);
+
+/// Changes of the list between two versions of the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListNews {
+    /// A node that reflects less than this version lacks more than these changes.
+    pub base: u64,
+    /// The changes in order, each with its version.
+    pub changes: Vec<(u64, ListChange)>,
+}
+
+impl ListNews {
+    /// Takes the changes into a list that reflects everything before them; returns those that are new.
+    pub fn apply_to(self, listing: &mut EngineListing) -> Vec<ListChange> {
+        match self.changes.last().map(|(version, _)| *version) {
+            Some(last) if listing.reflected() >= self.base => listing.apply(self.changes, last),
+            _ => Vec::new(),
+        }
+    }
+}
+
+/// The newest changes that the store told this node.
+#[derive(Clone, Debug, Default)]
+pub struct RecentChanges {
+    base: u64,
+    changes: VecDeque<(MonotonicTime, u64, ListChange)>,
+}
+
+impl RecentChanges {
+    /// Notes changes that followed directly on what this node had, up to version `base`.
+    pub fn note(&mut self, base: u64, changes: &[(u64, ListChange)], now: MonotonicTime) {
+        if self.changes.is_empty() {
+            self.base = base;
+        }
+        for (version, change) in changes {
+            self.changes.push_back((now, *version, change.clone()));
+        }
+    }
+
+    /// Forgets everything: the list has become one that these changes do not lead to.
+    pub fn reset(&mut self) {
+        self.changes.clear();
+    }
+
+    /// What is told to others now: the newest changes, at most so many.
+    pub fn told(&mut self, most: usize, now: MonotonicTime) -> ListNews {
+        let is_old = |at: MonotonicTime| now.since(at) >= TOLD_FOR;
+        while self.changes.front().is_some_and(|(at, _, _)| is_old(*at)) {
+            self.drop_first();
+        }
+        while self.changes.len() > most {
+            self.drop_first();
+        }
+        ListNews {
+            base: self.base,
+            changes: self
+                .changes
+                .iter()
+                .map(|(_, version, change)| (*version, change.clone()))
+                .collect(),
+        }
+    }
+
+    fn drop_first(&mut self) {
+        if let Some((_, version, _)) = self.changes.pop_front() {
+            self.base = version;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/watching/shared.rs
@@ -0,0 +1,184 @@
+//! One node's part in watching one table.
+
+use crate::setting::FieldError;
+use crate::time::MonotonicTime;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Settings of the shared watch of a table.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct SharedWatchSettings {
+    /// Nodes that ask the store; two, so that the loss of one goes unnoticed.
+    pub watchers: usize,
+    /// Time within which a change must be in force everywhere, in milliseconds.
+    pub bound_millis: u64,
+}
+
+impl Default for SharedWatchSettings {
+    fn default() -> Self {
+        Self {
+            watchers: 2,
+            bound_millis: 2_000,
+        }
+    }
+}
+
+/// Part of the bound after which a node that nobody has confirmed anything to asks the store itself. What is left of
+/// the bound is for the question and for a first answer that is lost.
+const FRESH_PART: f64 = 0.6;
+
+/// Part of the fresh time for which a watcher's question waits at the store.
+const WAIT_PART: f64 = 0.5;
+
+/// Time in which a change that a node has heard of reaches it with the messages of others, before it asks the store.
+const HEAR_FIRST: Duration = Duration::from_millis(120);
+
+/// Least time between two questions for something newer that the store does not give.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+
+impl SharedWatchSettings {
+    /// Every wrong setting; `section` is the name of the settings' table.
+    pub fn validate(&self, section: &str) -> Vec<FieldError> {
+        let least = [
+            ("watchers", self.watchers as u64, 1),
+            ("bound_millis", self.bound_millis, 100),
+        ];
+        least
+            .into_iter()
+            .filter(|(_, value, least)| value < least)
+            .map(|(field, value, least)| FieldError {
+                field: format!("{section}.{field}"),
+                value: value.to_string(),
+                allowed: format!("{least} or more"),
+            })
+            .collect()
+    }
+
+    /// Age of the last confirmation up to which a node need not ask.
+    pub fn fresh(&self) -> Duration {
+        Duration::from_millis(self.bound_millis).mul_f64(FRESH_PART)
+    }
+
+    /// Time for which a watcher's question waits at the store.
+    pub fn wait(&self) -> Duration {
+        self.fresh().mul_f64(WAIT_PART)
+    }
+}
+
+/// What a node says of a table to others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableWord {
+    /// Version of the last change that the node has; zero for none.
+    pub version: u64,
+    /// Version of the store up to which that is the last change.
+    pub store_version: u64,
+    /// Milliseconds since the store confirmed that there is nothing newer; absent where it never did.
+    pub age_millis: Option<u32>,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchStep {
+    /// Ask the store for changes; the question may wait there so long.
+    Ask(Duration),
+    /// Do nothing for so long, or until something newer is heard of.
+    Rest(Duration),
+}
+
+/// One node's part in watching one table.
+#[derive(Clone, Copy, Debug)]
+pub struct SharedWatch {
+    settings: SharedWatchSettings,
+    store_version: u64,
+    confirmed_at: Option<MonotonicTime>,
+    answered_at: Option<MonotonicTime>,
+    lacking_since: Option<MonotonicTime>,
+}
+
+impl SharedWatch {
+    /// Nothing is confirmed yet.
+    pub fn new(settings: SharedWatchSettings) -> Self {
+        Self {
+            settings,
+            store_version: 0,
+            confirmed_at: None,
+            answered_at: None,
+            lacking_since: None,
+        }
+    }
+
+    /// Notes that the store answered a question up to a version of its own, with changes or without.
+    pub fn on_store_answer(&mut self, store_version: u64, now: MonotonicTime) {
+        self.store_version = self.store_version.max(store_version);
+        self.confirmed_at = Some(now);
+        self.answered_at = Some(now);
+        self.lacking_since = None;
+    }
+
+    /// Takes another node's word, where this node has everything up to `own_version`.
+    pub fn on_word(&mut self, word: TableWord, own_version: u64, now: MonotonicTime) {
+        if word.version > own_version {
+            self.lacking_since.get_or_insert(now);
+            return;
+        }
+        self.store_version = self.store_version.max(word.store_version);
+        let age = word.age_millis.map(|age| Duration::from_millis(age.into()));
+        let confirmed = age.and_then(|age| now.earlier(age));
+        self.confirmed_at = self.confirmed_at.max(confirmed);
+    }
+
+    /// Notes that what was lacking has come from another node.
+    pub fn on_caught_up(&mut self) {
+        self.lacking_since = None;
+    }
+
+    /// What this node says to others, where it has everything up to `version`.
+    pub fn word(&self, version: u64, now: MonotonicTime) -> TableWord {
+        let age = self.confirmed_at.map(|at| now.since(at).as_millis());
+        TableWord {
+            version,
+            store_version: self.store_version,
+            age_millis: age.and_then(|age| u32::try_from(age).ok()),
+        }
+    }
+
+    /// Version of the store from which the next question goes on; zero where everything must be read.
+    pub fn store_version(&self) -> u64 {
+        self.store_version
+    }
+
+    /// Forgets up to which version of the store changes are known, so that everything is read anew.
+    pub fn on_history_gone(&mut self) {
+        self.store_version = 0;
+    }
+
+    /// Time since the store confirmed what this node has, to it or to others.
+    pub fn age(&self, now: MonotonicTime) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.since(at))
+    }
+
+    /// What to do next.
+    pub fn next(&self, is_watcher: bool, now: MonotonicTime) -> WatchStep {
+        if is_watcher {
+            return WatchStep::Ask(self.settings.wait());
+        }
+        let fresh_until = self.confirmed_at.map(|at| at + self.settings.fresh());
+        let due = match (fresh_until, self.lacking_due()) {
+            (Some(fresh), Some(lacking)) => fresh.min(lacking),
+            (Some(fresh), None) => fresh,
+            (None, _) => now,
+        };
+        if due <= now {
+            WatchStep::Ask(Duration::ZERO)
+        } else {
+            WatchStep::Rest(due.since(now))
+        }
+    }
+
+    fn lacking_due(&self) -> Option<MonotonicTime> {
+        let heard = self.lacking_since? + HEAR_FIRST;
+        let again = self.answered_at.map(|at| at + ASK_AGAIN);
+        Some(again.map_or(heard, |again| heard.max(again)))
+    }
+}
--- /dev/null
+++ b/crates/core/tests/shared_watch.rs
@@ -0,0 +1,174 @@
+//! Who asks the store about a table, and when, in virtual time.
+
+use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_core::watching::{SharedWatch, SharedWatchSettings, TableWord, WatchStep, is_watcher};
+use std::time::Duration;
+
+const SETTINGS: SharedWatchSettings = SharedWatchSettings {
+    watchers: 2,
+    bound_millis: 2_000,
+};
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn word(version: u64, age_millis: u32) -> TableWord {
+    TableWord {
+        version,
+        store_version: version * 10,
+        age_millis: Some(age_millis),
+    }
+}
+
+fn nodes(count: usize) -> Vec<SubjectHandle> {
+    (0..count)
+        .map(|number| SubjectHandle::of_text("node", &format!("node-{number}")))
+        .collect()
+}
+
+#[test]
+fn a_node_that_nobody_confirmed_anything_to_asks_at_once() {
+    let watch = SharedWatch::new(SETTINGS);
+    assert_eq!(watch.next(false, at(0)), WatchStep::Ask(Duration::ZERO));
+}
+
+#[test]
+fn a_watchers_question_waits_at_the_store() {
+    let watch = SharedWatch::new(SETTINGS);
+    assert_eq!(
+        watch.next(true, at(0)),
+        WatchStep::Ask(Duration::from_millis(600))
+    );
+}
+
+#[test]
+fn others_rest_while_words_are_fresh_and_ask_within_the_bound_when_they_stop() {
+    let mut watch = SharedWatch::new(SETTINGS);
+    watch.on_store_answer(70, at(1_000));
+    watch.on_word(word(7, 300), 7, at(2_000));
+    assert_eq!(watch.age(at(2_000)), Some(Duration::from_millis(300)));
+    let WatchStep::Rest(rest) = watch.next(false, at(2_000)) else {
+        panic!("fresh, and yet it asks");
+    };
+    assert!(
+        Duration::from_millis(300) + rest < Duration::from_millis(SETTINGS.bound_millis),
+        "it asks within the bound: {rest:?}"
+    );
+    assert_eq!(
+        watch.next(false, at(2_000) + rest),
+        WatchStep::Ask(Duration::ZERO)
+    );
+}
+
+#[test]
+fn an_older_word_never_makes_a_node_less_fresh() {
+    let mut watch = SharedWatch::new(SETTINGS);
+    watch.on_word(word(7, 0), 7, at(2_000));
+    watch.on_word(word(7, 900), 7, at(2_010));
+    watch.on_word(
+        TableWord {
+            version: 3,
+            store_version: 30,
+            age_millis: None,
+        },
+        7,
+        at(2_020),
+    );
+    assert_eq!(watch.age(at(2_020)), Some(Duration::from_millis(20)));
+}
+
+#[test]
+fn a_word_of_something_newer_confirms_nothing_and_leads_to_a_question() {
+    let mut watch = SharedWatch::new(SETTINGS);
+    watch.on_store_answer(70, at(1_000));
+    watch.on_word(word(8, 0), 7, at(2_000));
+    assert_eq!(
+        watch.age(at(2_000)),
+        Some(Duration::from_millis(1_000)),
+        "not confirmed"
+    );
+    let WatchStep::Rest(rest) = watch.next(false, at(2_000)) else {
+        panic!("others' messages come first");
+    };
+    assert!(rest <= Duration::from_millis(120), "{rest:?}");
+    assert_eq!(
+        watch.next(false, at(2_000) + rest),
+        WatchStep::Ask(Duration::ZERO)
+    );
+}
+
+#[test]
+fn what_came_from_another_node_need_not_be_asked_for() {
+    let mut watch = SharedWatch::new(SETTINGS);
+    watch.on_store_answer(70, at(1_900));
+    watch.on_word(word(8, 0), 7, at(2_000));
+    watch.on_caught_up();
+    watch.on_word(word(8, 0), 8, at(2_050));
+    let step = watch.next(false, at(2_130));
+    assert!(matches!(step, WatchStep::Rest(_)), "{step:?}");
+}
+
+#[test]
+fn a_version_that_the_store_does_not_give_is_not_asked_for_without_end() {
+    let mut watch = SharedWatch::new(SETTINGS);
+    watch.on_store_answer(70, at(2_000));
+    watch.on_word(word(8, 0), 7, at(2_001));
+    let mut now = at(2_001);
+    let mut questions = 0;
+    while now < at(4_001) {
+        match watch.next(false, now) {
+            WatchStep::Ask(_) => {
+                questions += 1;
+                watch.on_store_answer(70, now);
+                watch.on_word(word(8, 0), 7, now);
+            }
+            WatchStep::Rest(rest) => now = now + rest.max(Duration::from_millis(1)),
+        }
+    }
+    assert!(questions <= 4, "{questions} questions in two seconds");
+}
+
+#[test]
+fn as_many_nodes_watch_as_are_wanted_and_a_lost_one_is_replaced() {
+    let all = nodes(60);
+    let watchers = |alive: &[SubjectHandle]| -> Vec<SubjectHandle> {
+        let is_one = |own: &SubjectHandle| {
+            let others: Vec<_> = alive.iter().filter(|node| *node != own).copied().collect();
+            is_watcher("engines", *own, true, &others, SETTINGS.watchers)
+        };
+        alive.iter().filter(|own| is_one(own)).copied().collect()
+    };
+    let first = watchers(&all);
+    assert_eq!(first.len(), 2);
+    let left: Vec<_> = all.into_iter().filter(|node| *node != first[0]).collect();
+    let second = watchers(&left);
+    assert_eq!(second.len(), 2);
+    assert!(second.contains(&first[1]), "the other one stays");
+}
+
+#[test]
+fn a_node_that_the_store_does_not_answer_is_no_watcher() {
+    let [own, other] = [nodes(2)[0], nodes(2)[1]];
+    assert!(!is_watcher("engines", own, false, &[other], 2));
+    assert!(is_watcher("engines", own, true, &[], 2));
+}
+
+#[test]
+fn a_question_goes_on_from_the_newest_version_of_the_store_that_is_accounted_for() {
+    let mut watch = SharedWatch::new(SETTINGS);
+    watch.on_store_answer(70, at(1_000));
+    watch.on_word(word(7, 0), 7, at(1_100));
+    assert_eq!(watch.store_version(), 70);
+    let quiet_since = TableWord {
+        store_version: 95,
+        ..word(7, 0)
+    };
+    watch.on_word(quiet_since, 7, at(1_200));
+    assert_eq!(watch.store_version(), 95, "nothing changed up to there");
+    watch.on_word(word(11, 0), 7, at(1_300));
+    assert_eq!(watch.store_version(), 95, "what is lacking is not skipped");
+    watch.on_history_gone();
+    assert_eq!(watch.store_version(), 0);
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -7,6 +7,7 @@
 use shelfjunction_core::roles::pool::PoolRolePolicy;
 use shelfjunction_core::routing::pool::PoolWeights;
 use shelfjunction_core::setting::FieldError;
+use shelfjunction_core::watching::SharedWatchSettings;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -46,9 +47,12 @@
     /// Time from the signal to stop until the process is ended by force.
     #[serde(default = "defaults::grace")]
     pub grace_seconds: f64,
-    /// Longest time that one question for changes waits at the store.
-    #[serde(default = "defaults::watch")]
-    pub watch_millis: u64,
+    /// How the nodes share the watching of the configuration.
+    #[serde(default)]
+    pub config_watch: SharedWatchSettings,
+    /// How the nodes share the watching of the list of engines.
+    #[serde(default)]
+    pub list_watch: SharedWatchSettings,
     /// Most callers' connections at once.
     #[serde(default = "defaults::connections")]
     pub connections: usize,
@@ -84,10 +88,6 @@
         8.0
     }
 
-    pub fn watch() -> u64 {
-        3_000
-    }
-
     pub fn connections() -> usize {
         1_500
     }
@@ -105,6 +105,8 @@
         let mut errors = self.routing.validate();
         errors.extend(self.roles.validate());
         errors.extend(self.lease.validate());
+        errors.extend(self.config_watch.validate("config_watch"));
+        errors.extend(self.list_watch.validate("list_watch"));
         let fractions = [
             ("node.retry_ratio", self.retry_ratio),
             ("node.retry_slack", self.retry_slack),
@@ -123,7 +125,6 @@
         }
         let least = [
             ("node.nodes", u64::from(self.nodes), 1),
-            ("node.watch_millis", self.watch_millis, 1),
             ("node.connections", self.connections as u64, 1),
         ];
         for (field, value, least) in least {
@@ -152,11 +153,6 @@
     pub fn end_after_stop(&self) -> Duration {
         self.grace().saturating_sub(END_MARGIN)
     }
-
-    /// Longest time that one question for changes waits at the store.
-    pub fn watch(&self) -> Duration {
-        Duration::from_millis(self.watch_millis)
-    }
 }
 
 fn fault(field: &str, value: String, allowed: &str) -> FieldError {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -6,12 +6,12 @@
 use crate::peers::Peers;
 use crate::ports::EngineProtocol;
 use crate::releasing::Releases;
-use crate::watch::StoreTrouble;
+use crate::watch::{StoreTrouble, TableWatch};
 use shelfjunction_core::forwarding::{
     Adoption, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation, stopping,
 };
 use shelfjunction_core::retry::window::WindowBudget;
-use shelfjunction_core::routing::pool::{EngineListing, ListChange, PoolEngine, PoolRouter};
+use shelfjunction_core::routing::pool::{EngineListing, ListChange, PoolEngine, PoolRouter, RecentChanges};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::clock::MonotonicClock;
 use shelfjunction_threads::{StopSignal, lock};
@@ -32,7 +32,11 @@
     pub(crate) state: Arc<NodeState>,
     pub(crate) stop: Arc<StopSignal>,
     pub(crate) store_trouble: StoreTrouble,
+    pub(crate) config_watch: TableWatch,
+    pub(crate) list_watch: TableWatch,
     pub(crate) listing: Mutex<EngineListing>,
+    /// Changes of the list that the store has told this node; locked after `listing`.
+    pub(crate) recent_changes: Mutex<RecentChanges>,
     in_force: Mutex<ConfigInForce>,
     rotation: Mutex<ShareRotation>,
     budgets: Mutex<BTreeMap<PoolId, WindowBudget>>,
@@ -106,7 +110,10 @@
             state: Arc::new(NodeState::default()),
             stop: Arc::new(StopSignal::default()),
             store_trouble: StoreTrouble::default(),
+            config_watch: TableWatch::new("configuration", config.config_watch),
+            list_watch: TableWatch::new("engines", config.list_watch),
             listing: Mutex::new(EngineListing::default()),
+            recent_changes: Mutex::new(RecentChanges::default()),
             in_force: Mutex::new(ConfigInForce::default()),
             rotation: Mutex::new(ShareRotation::default()),
             budgets: Mutex::new(BTreeMap::new()),
--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -3,7 +3,6 @@
 //! Messages tell the versions that their sender has. A node that lacks a version for longer than its own question to
 //! the store would take connects to the sender, which answers with a snapshot of both.
 
-use super::message::WorkMessage;
 use super::{Behind, Peers};
 use crate::context::Context;
 use bincode::config::{Configuration, standard};
@@ -17,7 +16,7 @@
 use std::time::Duration;
 
 /// Time that the store has to tell this node itself, before a peer is asked.
-const STORE_FIRST: Duration = Duration::from_millis(250);
+const STORE_FIRST: Duration = Duration::from_millis(500);
 
 /// Longest wait for a peer to take a connection, and for each of its bytes.
 const PEER_WAIT: Duration = Duration::from_millis(500);
@@ -34,21 +33,48 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Snapshot {
     config: Option<ForwardingConfig>,
-    list: ListSnapshot,
+    list: Option<ListSnapshot>,
     /// What engines are believed to hold.
     held: Vec<PrefixNews>,
 }
 
+/// What a node asks a peer for; one byte, a bit each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Wanted {
+    config: bool,
+    list: bool,
+    held: bool,
+}
+
+impl Wanted {
+    const ALL: Self = Self {
+        config: true,
+        list: true,
+        held: true,
+    };
+
+    fn any(self) -> bool {
+        self.config || self.list || self.held
+    }
+
+    fn to_byte(self) -> u8 {
+        u8::from(self.config) | u8::from(self.list) << 1 | u8::from(self.held) << 2
+    }
+
+    fn of_byte(byte: u8) -> Self {
+        Self {
+            config: byte & 1 != 0,
+            list: byte & 2 != 0,
+            held: byte & 4 != 0,
+        }
+    }
+}
+
 impl Peers {
     /// Compares the versions that a peer has with this node's.
-    pub(super) fn note_versions(&self, context: &Context, message: &WorkMessage, peer: SocketAddr) {
-        let behind = Behind {
-            peer,
-            config_version: message.config_version,
-            list_version: message.list_version,
-        };
-        if lacks(context, &behind) {
-            *lock(&self.behind) = Some(behind);
+    pub(super) fn note_versions(&self, context: &Context, versions: Behind) {
+        if lacks(context, &versions).any() {
+            *lock(&self.behind) = Some(versions);
             self.fell_behind.notify_one();
         }
     }
@@ -67,9 +93,13 @@
     }
 }
 
-fn lacks(context: &Context, behind: &Behind) -> bool {
+fn lacks(context: &Context, behind: &Behind) -> Wanted {
     let config_version = context.forwarding().map_or(0, |config| config.version);
-    config_version < behind.config_version || lock(&context.listing).reflected() < behind.list_version
+    Wanted {
+        config: config_version < behind.config_version,
+        list: lock(&context.listing).reflected() < behind.list_version,
+        held: false,
+    }
 }
 
 /// Takes from peers what this node lacks, as long as the process runs.
@@ -77,10 +107,11 @@
     loop {
         let behind = context.peers.next_behind();
         context.stop.wait(STORE_FIRST);
-        if !lacks(context, &behind) {
+        let wanted = lacks(context, &behind);
+        if !wanted.any() {
             continue;
         }
-        match fetch(behind.peer) {
+        match fetch(behind.peer, wanted) {
             Some(snapshot) => take(context, snapshot, behind.peer),
             None => log::info!(peer:% = behind.peer; "peer_snapshot_failed"),
         }
@@ -92,18 +123,32 @@
     if let Some(config) = snapshot.config {
         context.offer(config, &source);
     }
-    let changes = lock(&context.listing).replace(&snapshot.list);
-    if !changes.is_empty() {
-        context.take_list_changes(changes, &source);
+    if let Some(list) = snapshot.list {
+        take_list(context, &list, &source);
     }
     lock(&context.router).on_peer_news(&snapshot.held, context.now());
 }
 
+fn take_list(context: &Context, list: &ListSnapshot, source: &str) {
+    let changes = {
+        let mut listing = lock(&context.listing);
+        let changes = listing.replace(list);
+        if !changes.is_empty() {
+            lock(&context.recent_changes).reset();
+        }
+        changes
+    };
+    context.list_watch.on_caught_up();
+    if !changes.is_empty() {
+        context.take_list_changes(changes, source);
+    }
+}
+
 /// Takes everything from the first of some peers that knows what engines hold.
 pub(crate) fn take_from_any(context: &Context) {
     let peers = context.peers.addresses(context.now());
     for peer in peers.into_iter().take(PEERS_ASKED) {
-        if let Some(snapshot) = fetch(peer) {
+        if let Some(snapshot) = fetch(peer, Wanted::ALL) {
             let knows = !snapshot.held.is_empty();
             take(context, snapshot, peer);
             if knows {
@@ -114,9 +159,10 @@
     }
 }
 
-fn fetch(peer: SocketAddr) -> Option<Snapshot> {
-    let stream = TcpStream::connect_timeout(&peer, PEER_WAIT).ok()?;
+fn fetch(peer: SocketAddr, wanted: Wanted) -> Option<Snapshot> {
+    let mut stream = TcpStream::connect_timeout(&peer, PEER_WAIT).ok()?;
     stream.set_read_timeout(Some(PEER_WAIT)).ok()?;
+    stream.write_all(&[wanted.to_byte()]).ok()?;
     let mut bytes = Vec::new();
     stream.take(MOST_BYTES).read_to_end(&mut bytes).ok()?;
     let (snapshot, used) = bincode::serde::decode_from_slice(&bytes, CODEC).ok()?;
@@ -141,10 +187,19 @@
 }
 
 fn hand_over(context: &Context, mut stream: TcpStream) -> Option<()> {
+    stream.set_read_timeout(Some(PEER_WAIT)).ok()?;
+    let mut byte = [0];
+    stream.read_exact(&mut byte).ok()?;
+    let wanted = Wanted::of_byte(byte[0]);
+    let config = context.forwarding().filter(|_| wanted.config);
     let snapshot = Snapshot {
-        config: context.forwarding().map(|config| config.as_ref().clone()),
-        list: lock(&context.listing).snapshot(),
-        held: lock(&context.router).held(),
+        config: config.map(|config| config.as_ref().clone()),
+        list: wanted.list.then(|| lock(&context.listing).snapshot()),
+        held: if wanted.held {
+            lock(&context.router).held()
+        } else {
+            Vec::new()
+        },
     };
     let bytes = bincode::serde::encode_to_vec(&snapshot, CODEC).ok()?;
     stream.set_write_timeout(Some(PEER_WAIT)).ok()?;
--- a/crates/node/src/peers/directory.rs
+++ b/crates/node/src/peers/directory.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Time between two readings; nodes that come in between are heard.
-const READ_EVERY: Duration = Duration::from_secs(15);
+const READ_EVERY: Duration = Duration::from_secs(60);
 
 /// Pause after the store gave no answer.
 const PAUSE: Duration = Duration::from_millis(1_000);
@@ -49,12 +49,7 @@
         let address = entry.address;
         let peer = known.peers.entry(entry.node).or_insert_with_key(|node| {
             log::info!(peer = node.as_str(), address:% = address; "peer_listed");
-            Peer {
-                address,
-                known_at: now,
-                listed_at: now,
-                last_message: None,
-            }
+            Peer::new(node, address, now)
         });
         peer.listed_at = now;
     }
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -1,8 +1,9 @@
 //! Takes the words of other nodes.
 
-use super::Peer;
 use super::message::{MOST_BYTES, WorkMessage};
+use super::{Behind, Peer};
 use crate::context::Context;
+use shelfjunction_core::routing::pool::ListNews;
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
@@ -40,12 +41,7 @@
             .entry(message.node.clone())
             .or_insert_with_key(|node| {
                 log::info!(peer = node.as_str(), address:% = from; "peer_heard");
-                Peer {
-                    address: from,
-                    known_at: now,
-                    listed_at: now,
-                    last_message: None,
-                }
+                Peer::new(node, from, now)
             });
         if peer
             .last_message
@@ -56,11 +52,37 @@
         peer.address = from;
         peer.known_at = now;
         peer.last_message = Some(position);
+        peer.store_answers = message.store_answers;
     }
-    context.peers.note_versions(context, &message, from);
+    take_list_news(context, message.list_news, from);
+    let config_version = context.forwarding().map_or(0, |config| config.version);
+    context.config_watch.on_word(message.config, config_version, now);
+    let list_version = lock(&context.listing).reflected();
+    context.list_watch.on_word(message.list, list_version, now);
+    let versions = Behind {
+        peer: from,
+        config_version: message.config.version,
+        list_version: message.list.version,
+    };
+    context.peers.note_versions(context, versions);
     let mut router = lock(&context.router);
     router.on_peer_work(&message.node, &message.work, now);
     router.on_peer_news(&message.news, now);
     router.on_peer_demand(&message.node, message.prompt_tokens_per_second, now);
     router.on_ordered(&message.orders, now);
 }
+
+fn take_list_news(context: &Context, news: ListNews, from: SocketAddr) {
+    let taken = {
+        let mut listing = lock(&context.listing);
+        let taken = news.apply_to(&mut listing);
+        if !taken.is_empty() {
+            lock(&context.recent_changes).reset();
+        }
+        taken
+    };
+    if !taken.is_empty() {
+        context.list_watch.on_caught_up();
+        context.take_list_changes(taken, &format!("peer {from}"));
+    }
+}
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::routing::pool::{EngineStage, PeerWork, PrefixNews};
+use shelfjunction_core::routing::pool::{EngineStage, ListNews, PeerWork, PrefixNews};
+use shelfjunction_core::watching::TableWord;
 
 /// Longest datagram, in bytes; stays below the smallest usual frame.
 pub(super) const MOST_BYTES: usize = 1_400;
@@ -12,6 +13,9 @@
 /// Engines in one message; each takes about 20 bytes.
 pub(super) const MOST_ENGINES: usize = 32;
 
+/// Changes of the list of engines in one message; each takes about 100 bytes.
+pub(super) const MOST_CHANGES: usize = 6;
+
 /// News in one message; each takes about 30 bytes, seldom 200.
 pub(super) const MOST_NEWS: usize = 8;
 
@@ -24,10 +28,14 @@
     pub(super) start: u64,
     /// Number of the message since that start.
     pub(super) number: u64,
-    /// Version of the configuration that the sender has; zero for none.
-    pub(super) config_version: u64,
-    /// Version of the store at which the list of engines that the sender has last changed.
-    pub(super) list_version: u64,
+    /// Whether the store answers the sender.
+    pub(super) store_answers: bool,
+    /// The configuration that the sender has.
+    pub(super) config: TableWord,
+    /// The list of engines that the sender has, by the store's version at its last change.
+    pub(super) list: TableWord,
+    /// Changes of that list that the store has just told the sender.
+    pub(super) list_news: ListNews,
     /// Work at engines; none where an engine is not named.
     pub(super) work: Vec<(SubjectHandle, PeerWork)>,
     /// Prompt tokens that the sender's requests had to have read in a second.
@@ -41,8 +49,15 @@
 const CODEC: Configuration = standard();
 
 impl WorkMessage {
-    pub(super) fn encode(&self) -> Option<Vec<u8>> {
-        bincode::serde::encode_to_vec(self, CODEC).ok()
+    /// The datagram; without changes of the list where it would be too long with them, since whoever misses them asks
+    /// the store.
+    pub(super) fn encode(mut self) -> Option<Vec<u8>> {
+        let bytes = bincode::serde::encode_to_vec(&self, CODEC).ok()?;
+        if bytes.len() <= MOST_BYTES || self.list_news.changes.is_empty() {
+            return Some(bytes);
+        }
+        self.list_news = ListNews::default();
+        bincode::serde::encode_to_vec(&self, CODEC).ok()
     }
 
     /// Reads a datagram; absent when it is none of these.
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -43,18 +43,45 @@
     listed_at: MonotonicTime,
     /// Start and number of the last message heard.
     last_message: Option<(u64, u64)>,
+    /// Whether the store answered it when it spoke last.
+    store_answers: bool,
+    handle: SubjectHandle,
+}
+
+impl Peer {
+    fn new(node: &NodeId, address: SocketAddr, now: MonotonicTime) -> Self {
+        Self {
+            address,
+            known_at: now,
+            listed_at: now,
+            last_message: None,
+            store_answers: false,
+            handle: SubjectHandle::of_text("node", node.as_str()),
+        }
+    }
+
+    fn heard_lately(&self, now: MonotonicTime) -> bool {
+        self.last_message.is_some() && now.since(self.known_at) < HEARD_LATELY
+    }
 }
 
 /// The other nodes.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     known: Mutex<Known>,
-    changed: Mutex<bool>,
+    pending: Mutex<Pending>,
     change: Condvar,
     behind: Mutex<Option<Behind>>,
     fell_behind: Condvar,
 }
 
+/// What there is to tell.
+#[derive(Debug, Default)]
+struct Pending {
+    changed: bool,
+    confirmed: bool,
+}
+
 /// A peer that knows something newer.
 #[derive(Clone, Copy, Debug)]
 struct Behind {
@@ -79,13 +106,20 @@
     /// Names of the other nodes that said something a short time ago.
     pub(crate) fn heard_lately(&self, now: MonotonicTime) -> Vec<NodeId> {
         let known = lock(&self.known);
-        let heard = known
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.last_message.is_some() && now.since(peer.known_at) < HEARD_LATELY);
+        let heard = known.peers.iter().filter(|(_, peer)| peer.heard_lately(now));
         heard.map(|(node, _)| node.clone()).collect()
     }
 
+    /// The other nodes that said a short time ago that the store answers them.
+    pub(crate) fn in_contact_with_store(&self, now: MonotonicTime) -> Vec<SubjectHandle> {
+        let known = lock(&self.known);
+        let heard = known.peers.values().filter(|peer| peer.heard_lately(now));
+        heard
+            .filter(|peer| peer.store_answers)
+            .map(|peer| peer.handle)
+            .collect()
+    }
+
     /// Names of the other nodes.
     pub(crate) fn names(&self) -> Vec<NodeId> {
         lock(&self.known).peers.keys().cloned().collect()
@@ -93,7 +127,15 @@
 
     /// Notes that this node's work has changed.
     pub(crate) fn note_change(&self) {
-        *lock(&self.changed) = true;
+        lock(&self.pending).changed = true;
+        self.change.notify_one();
+    }
+
+    /// Notes that the store has confirmed what this node knows, which is told even by an idle node.
+    pub(crate) fn note_confirmed(&self) {
+        let mut pending = lock(&self.pending);
+        pending.changed = true;
+        pending.confirmed = true;
         self.change.notify_one();
     }
 
@@ -115,11 +157,10 @@
         }
         let task = SubjectHandle::of_text("teller", own.as_str());
         let known = lock(&self.known);
-        let handle = |node: &NodeId| SubjectHandle::of_text("node", node.as_str());
         let mut peers: Vec<_> = known
             .peers
-            .iter()
-            .map(|(node, peer)| (rendezvous::weight(task, handle(node)), peer.address))
+            .values()
+            .map(|peer| (rendezvous::weight(task, peer.handle), peer.address))
             .collect();
         peers.sort_unstable();
         peers
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -1,7 +1,7 @@
 //! Tells other nodes of this node's work.
 
 use super::Peers;
-use super::message::{MOST_ENGINES, MOST_NEWS, WorkMessage};
+use super::message::{MOST_CHANGES, MOST_ENGINES, MOST_NEWS, WorkMessage};
 use crate::context::Context;
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
@@ -26,16 +26,17 @@
     let mut number = 0;
     let mut idle_rounds = 0;
     loop {
-        context.peers.wait_for_change();
+        let confirmed = context.peers.wait_for_change();
         let now = context.now();
         let peers = context.peers.told(&context.config.node, now);
         let nodes_per_word = context.peers.nodes_per_word(now);
         lock(&context.router).set_nodes_per_word(nodes_per_word);
         let message = compose(context, start, number);
-        idle_rounds = if is_idle(&message) { idle_rounds + 1 } else { 0 };
+        let is_idle = is_idle(&message) && !confirmed;
+        idle_rounds = if is_idle { idle_rounds + 1 } else { 0 };
         // The first idle message says that the work has ended; later ones only keep the node known.
         if idle_rounds % IDLE_ROUNDS <= 1 {
-            send(socket, &peers, &message);
+            send(socket, &peers, message);
         }
         number += 1;
         context.stop.wait(pause(peers.len()));
@@ -43,13 +44,17 @@
 }
 
 fn is_idle(message: &WorkMessage) -> bool {
-    message.work.is_empty() && message.news.is_empty() && message.orders.is_empty()
+    message.work.is_empty()
+        && message.news.is_empty()
+        && message.orders.is_empty()
+        && message.list_news.changes.is_empty()
 }
 
 fn compose(context: &Context, start: u64, number: u64) -> WorkMessage {
     let now = context.now();
     let config_version = context.forwarding().map_or(0, |config| config.version);
     let list_version = lock(&context.listing).changed();
+    let list_news = lock(&context.recent_changes).told(MOST_CHANGES, now);
     let mut router = lock(&context.router);
     let mut work = router.own_work();
     work.truncate(MOST_ENGINES);
@@ -57,8 +62,10 @@
         node: context.config.node.clone(),
         start,
         number,
-        config_version,
-        list_version,
+        store_answers: context.config_watch.in_contact() && context.list_watch.in_contact(),
+        config: context.config_watch.word(config_version, now),
+        list: context.list_watch.word(list_version, now),
+        list_news,
         work,
         prompt_tokens_per_second: router.own_demand(now),
         orders: router.orders_under_way(now),
@@ -66,7 +73,7 @@
     }
 }
 
-fn send(socket: &UdpSocket, peers: &[SocketAddr], message: &WorkMessage) {
+fn send(socket: &UdpSocket, peers: &[SocketAddr], message: WorkMessage) {
     let Some(bytes) = message.encode() else {
         return;
     };
@@ -83,12 +90,13 @@
 }
 
 impl Peers {
-    fn wait_for_change(&self) {
-        let changed = lock(&self.changed);
+    /// Waits until there is something to tell, or until it is time to tell again; whether something was confirmed.
+    fn wait_for_change(&self) -> bool {
+        let pending = lock(&self.pending);
         let wait = self
             .change
-            .wait_timeout_while(changed, TELL_AGAIN, |changed| !*changed);
-        let (mut changed, _) = wait.unwrap_or_else(PoisonError::into_inner);
-        *changed = false;
+            .wait_timeout_while(pending, TELL_AGAIN, |pending| !pending.changed);
+        let (mut pending, _) = wait.unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *pending).confirmed
     }
 }
--- a/crates/node/src/watch/configuration.rs
+++ b/crates/node/src/watch/configuration.rs
@@ -13,25 +13,26 @@
 
 /// Follows the configuration as long as the process runs.
 pub(crate) fn run(context: &Context, store: &dyn FleetStore) {
-    let mut contact = StoreContact::new("configuration");
-    let mut seen: Option<StoreVersion> = None;
+    let table = &context.config_watch;
+    let mut contact = StoreContact::new(table);
     loop {
-        let changes = match seen {
-            Some(after) => store.watch_configuration(after, contact.wait(context)),
-            None => store.configuration().map_err(WatchError::Failed),
+        let wait = table.wait_for_question(context);
+        let changes = match table.store_version() {
+            0 => store.configuration().map_err(WatchError::Failed),
+            after => store.watch_configuration(StoreVersion(after), wait),
         };
         match changes {
             Ok(changes) => {
-                contact.answered(context);
-                seen = Some(changes.version);
+                let version = changes.version.0;
                 take(context, changes);
+                contact.answered(context, version);
                 if context.forwarding().is_none() && context.stop.wait(NONE_YET) {
                     return;
                 }
             }
             Err(WatchError::HistoryGone) => {
                 log::info!(table = "configuration"; "history_gone");
-                seen = None;
+                table.on_history_gone();
             }
             Err(WatchError::Failed(cause)) => contact.failed(context, &cause),
         }
--- a/crates/node/src/watch/contact.rs
+++ b/crates/node/src/watch/contact.rs
@@ -1,5 +1,6 @@
-//! Contact with the store: how long a question waits, pauses after failures, and whether there was trouble lately.
+//! Contact with the store: pauses after failures, and whether there was trouble lately.
 
+use super::table::TableWatch;
 use crate::context::Context;
 use rand::Rng;
 use shelfjunction_core::time::MonotonicTime;
@@ -10,12 +11,14 @@
 /// First pause after a failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
-/// Longest pause; a change must be in force within seconds after the store is back.
+/// Longest pause of a node in a small fleet; a change must be in force within seconds after the store is back.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
-/// Part of the longest wait below which no question waits. Waits are drawn at random, since a change answers the
-/// questions of all nodes at once: with equal waits a store that falls silent would hold all of them back equally long.
-const SHORTEST_PART: f64 = 0.3;
+/// Nodes from which pauses grow with the fleet, since the first node that the store answers again tells the others.
+const SMALL_FLEET: u32 = 16;
+
+/// Most by which they grow.
+const MOST_GROWTH: u32 = 4;
 
 /// Time after a failure for which an engine's disappearance may be the store's fault.
 const RECENT: Duration = Duration::from_secs(5);
@@ -38,29 +41,23 @@
 }
 
 /// One table's questions to the store.
-pub(super) struct StoreContact {
-    table: &'static str,
+pub(super) struct StoreContact<'a> {
+    table: &'a TableWatch,
     failures: u32,
 }
 
-impl StoreContact {
-    pub(super) fn new(table: &'static str) -> Self {
+impl<'a> StoreContact<'a> {
+    pub(super) fn new(table: &'a TableWatch) -> Self {
         Self { table, failures: 0 }
     }
 
-    /// Time for which the next question waits for changes; none while the store is in trouble.
-    pub(super) fn wait(&self, context: &Context) -> Duration {
-        if self.failures > 0 {
-            return Duration::ZERO;
-        }
-        let part = rand::rng().random_range(SHORTEST_PART..1.0);
-        context.config.watch().mul_f64(part)
-    }
-
-    pub(super) fn answered(&mut self, context: &Context) {
+    /// Notes an answer that reaches up to a version of the store; a watcher's is told to the others.
+    pub(super) fn answered(&mut self, context: &Context, store_version: u64) {
         context.metrics.store_called(true);
+        self.table.on_store_answer(store_version, context.now());
+        context.peers.note_confirmed();
         if self.failures > 0 {
-            log::info!(table = self.table, failures = self.failures; "store_regained");
+            log::info!(table = self.table.name(), failures = self.failures; "store_regained");
             self.failures = 0;
         }
     }
@@ -68,15 +65,21 @@
     /// Notes a failure and pauses.
     pub(super) fn failed(&mut self, context: &Context, cause: &impl std::fmt::Debug) {
         if self.failures == 0 {
-            log::warn!(table = self.table, cause:? = cause; "store_lost");
+            log::warn!(table = self.table.name(), cause:? = cause; "store_lost");
         }
         context.metrics.store_called(false);
         context.store_trouble.note(context.now());
+        self.table.on_store_silent();
         self.failures += 1;
-        let doublings = self.failures.saturating_sub(1).min(4);
-        let pause = (FIRST_PAUSE * (1 << doublings)).min(LONGEST_PAUSE);
+        let doublings = self.failures.saturating_sub(1).min(5);
+        let pause = (FIRST_PAUSE * (1 << doublings)).min(longest_pause(context));
         context
             .stop
             .wait(pause.mul_f64(rand::rng().random_range(0.7..1.3)));
     }
 }
+
+fn longest_pause(context: &Context) -> Duration {
+    let nodes = context.peers.nodes().unwrap_or(1);
+    LONGEST_PAUSE * (nodes / SMALL_FLEET).clamp(1, MOST_GROWTH)
+}
--- a/crates/node/src/watch/engines.rs
+++ b/crates/node/src/watch/engines.rs
@@ -12,40 +12,51 @@
 
 /// Follows the list as long as the process runs.
 pub(crate) fn run(context: &Context, store: &dyn FleetStore) {
-    let mut contact = StoreContact::new("engines");
-    let mut seen: Option<StoreVersion> = None;
+    let table = &context.list_watch;
+    let mut contact = StoreContact::new(table);
     loop {
-        let changes = match seen {
-            Some(after) => store.watch_engines(after, contact.wait(context)),
-            None => store.engines().map_err(WatchError::Failed),
+        let wait = table.wait_for_question(context);
+        let after = table.store_version();
+        let changes = match after {
+            0 => store.engines().map_err(WatchError::Failed),
+            after => store.watch_engines(StoreVersion(after), wait),
         };
         match changes {
             Ok(changes) => {
-                contact.answered(context);
-                let whole = seen.is_none();
-                seen = Some(changes.version);
-                if whole {
+                let version = changes.version.0;
+                if after == 0 {
                     take_whole(context, changes);
                 } else {
-                    take_changes(context, changes);
+                    take_changes(context, after, changes);
                 }
+                contact.answered(context, version);
             }
             Err(WatchError::HistoryGone) => {
                 log::info!(table = "engines"; "history_gone");
-                seen = None;
+                table.on_history_gone();
             }
             Err(WatchError::Failed(cause)) => contact.failed(context, &cause),
         }
     }
 }
 
-fn take_changes(context: &Context, changes: Changes<EngineRow>) {
+fn take_changes(context: &Context, after: u64, changes: Changes<EngineRow>) {
     let read = changes.changes.into_iter().filter_map(|row| {
         let version = row.version.0;
         readable(row).map(|change| (version, change))
     });
-    let read = read.collect();
-    let taken = lock(&context.listing).apply(read, changes.version.0);
+    let read: Vec<(u64, ListChange)> = read.collect();
+    let taken = {
+        let mut listing = lock(&context.listing);
+        let mut recent = lock(&context.recent_changes);
+        if listing.reflected() <= after {
+            recent.note(after, &read, context.now());
+        } else {
+            // Another node was faster; what it told is not told again.
+            recent.reset();
+        }
+        listing.apply(read, changes.version.0)
+    };
     context.take_list_changes(taken, SOURCE);
 }
 
@@ -67,7 +78,11 @@
         version: changes.version.0,
         engines,
     };
-    let taken = lock(&context.listing).replace(&snapshot);
+    let taken = {
+        let mut listing = lock(&context.listing);
+        lock(&context.recent_changes).reset();
+        listing.replace(&snapshot)
+    };
     context.take_list_changes(taken, SOURCE);
 }
 
--- a/crates/node/src/watch/mod.rs
+++ b/crates/node/src/watch/mod.rs
@@ -3,7 +3,9 @@
 mod configuration;
 mod contact;
 mod engines;
+mod table;
 
 pub(crate) use configuration::run as configuration;
 pub(crate) use contact::StoreTrouble;
 pub(crate) use engines::run as engines;
+pub(crate) use table::TableWatch;
--- /dev/null
+++ b/crates/node/src/watch/table.rs
@@ -0,0 +1,116 @@
+//! One table of the store, as the threads of the process share what is known of it.
+
+use crate::context::Context;
+use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_core::watching::{SharedWatch, SharedWatchSettings, TableWord, WatchStep, is_watcher};
+use shelfjunction_threads::lock;
+use std::sync::{Condvar, Mutex, PoisonError};
+use std::time::Duration;
+
+/// What is known of one table, and whether the store answers questions about it.
+#[derive(Debug)]
+pub(crate) struct TableWatch {
+    name: &'static str,
+    settings: SharedWatchSettings,
+    state: Mutex<State>,
+    heard: Condvar,
+}
+
+#[derive(Debug)]
+struct State {
+    watch: SharedWatch,
+    /// Whether the last question was answered; true until one was not.
+    in_contact: bool,
+    was_watcher: bool,
+}
+
+impl TableWatch {
+    pub(crate) fn new(name: &'static str, settings: SharedWatchSettings) -> Self {
+        Self {
+            name,
+            settings,
+            state: Mutex::new(State {
+                watch: SharedWatch::new(settings),
+                in_contact: true,
+                was_watcher: false,
+            }),
+            heard: Condvar::new(),
+        }
+    }
+
+    pub(super) fn name(&self) -> &'static str {
+        self.name
+    }
+
+    /// Notes an answer of the store.
+    pub(super) fn on_store_answer(&self, store_version: u64, now: MonotonicTime) {
+        let mut state = lock(&self.state);
+        state.in_contact = true;
+        state.watch.on_store_answer(store_version, now);
+    }
+
+    /// Notes that the store gave no answer.
+    pub(super) fn on_store_silent(&self) {
+        lock(&self.state).in_contact = false;
+    }
+
+    /// Notes that the store has forgotten the history that the next question would go on from.
+    pub(super) fn on_history_gone(&self) {
+        lock(&self.state).watch.on_history_gone();
+    }
+
+    /// Takes another node's word, where this node has everything up to `own_version`.
+    pub(crate) fn on_word(&self, word: TableWord, own_version: u64, now: MonotonicTime) {
+        lock(&self.state).watch.on_word(word, own_version, now);
+        if word.version > own_version {
+            self.heard.notify_one();
+        }
+    }
+
+    /// Notes that what was lacking has come from another node.
+    pub(crate) fn on_caught_up(&self) {
+        lock(&self.state).watch.on_caught_up();
+    }
+
+    /// What this node says to others, where it has everything up to `version`.
+    pub(crate) fn word(&self, version: u64, now: MonotonicTime) -> TableWord {
+        lock(&self.state).watch.word(version, now)
+    }
+
+    /// Whether the store answers questions about the table.
+    pub(crate) fn in_contact(&self) -> bool {
+        lock(&self.state).in_contact
+    }
+
+    /// Version of the store from which the next question goes on; zero where everything must be read.
+    pub(super) fn store_version(&self) -> u64 {
+        lock(&self.state).watch.store_version()
+    }
+
+    /// Rests until a question is due; the time for which it may wait at the store.
+    pub(super) fn wait_for_question(&self, context: &Context) -> Duration {
+        loop {
+            let now = context.now();
+            let others = context.peers.in_contact_with_store(now);
+            let mut state = lock(&self.state);
+            let watches = is_watcher(
+                self.name,
+                SubjectHandle::of_text("node", context.config.node.as_str()),
+                state.in_contact,
+                &others,
+                self.settings.watchers,
+            );
+            if watches != std::mem::replace(&mut state.was_watcher, watches) {
+                log::info!(table = self.name, watches, nodes_in_contact = others.len(), age_millis:? = state.watch.age(now).map(|age| age.as_millis() as u64); "watch_changed");
+            }
+            match state.watch.next(watches, now) {
+                WatchStep::Ask(wait) => return wait,
+                WatchStep::Rest(rest) => {
+                    let waited = self.heard.wait_timeout(state, rest);
+                    drop(waited.unwrap_or_else(PoisonError::into_inner));
+                }
+            }
+        }
+    }
+}
