Spread requests over engines that cost the same

Change: a number drawn for the request adds up to 10 ms to an engine's cost, the same for all choices of the request.

--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -187,6 +187,7 @@
             speed: speed.map_or(assumed, SpeedEstimate::tokens_per_second),
             move_seconds: traits.and_then(|traits| traits.move_seconds),
             most_held: self.best_holder(query, now).map_or(0, |(tokens, _)| tokens),
+            draw: query.draw,
             now,
         }
     }
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -24,11 +24,15 @@
 //! both at e    = output at e + fetch to e + slowness * (prompt tokens ahead at e + computed at e)
 //!                / (speed * w.decode_reading_pace) * (1 + w.decode_reading_stall * (1 + requests at e))
 //! ```
+//!
+//! To the cost of a prompt, of an output and of both, `w.spread_seconds` times a fraction drawn for the request and the
+//! engine is added.
 
 use super::engine::EngineState;
 use super::query::{PoolQuery, PrefixBlock};
 use super::weights::PoolWeights;
 use crate::identity::ZoneId;
+use crate::membership::subject::mix;
 use crate::time::MonotonicTime;
 
 /// What the cost of one request depends on beside the engine.
@@ -42,6 +46,8 @@
     pub move_seconds: Option<f64>,
     /// Most tokens of the prompt that any engine holds.
     pub most_held: u32,
+    /// Number drawn for the request.
+    pub draw: u64,
     /// Now.
     pub now: MonotonicTime,
 }
@@ -84,6 +90,7 @@
             + self.fetch(state, reading)
             + away
             + self.apart(&state.engine.zone, query.zone)
+            + self.spread(state)
     }
 
     /// Cost of running the output at an engine, or the whole of a request that no model serves.
@@ -95,7 +102,7 @@
         };
         let prompts = state.work(self.now).all_prompt_tokens();
         let held_up = self.weights.held_up * prompts / (self.speed * self.weights.decode_reading_pace);
-        state.slowness * (self.load(state) + held_up) + self.arriving(state) + transfer
+        state.slowness * (self.load(state) + held_up) + self.arriving(state) + transfer + self.spread(state)
     }
 
     /// Cost of handing the KV cache of a prompt from the engine that read it to the one that runs the output.
@@ -112,7 +119,15 @@
         let tokens = work.prompt_tokens_ahead(query.rank) + reading.computed;
         let seconds = state.slowness * tokens / (self.speed * self.weights.decode_reading_pace);
         let disturbance = 1.0 + self.weights.decode_reading_stall * (1.0 + work.requests);
-        state.slowness * self.load(state) + self.fetch(state, reading) + seconds * disturbance
+        state.slowness * self.load(state)
+            + self.fetch(state, reading)
+            + seconds * disturbance
+            + self.spread(state)
+    }
+
+    fn spread(&self, state: &EngineState) -> f64 {
+        let drawn = mix(self.draw ^ state.handle.number());
+        self.weights.spread_seconds * (drawn as f64 / u64::MAX as f64)
     }
 
     fn fetch(&self, state: &EngineState, reading: ReadingWork) -> f64 {
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -80,4 +80,6 @@
     pub rank: usize,
     /// Time left.
     pub remaining: Duration,
+    /// Number drawn for the request; spreads requests that different nodes choose for at the same moment.
+    pub draw: u64,
 }
--- a/crates/core/src/routing/pool/weights.rs
+++ b/crates/core/src/routing/pool/weights.rs
@@ -32,6 +32,9 @@
     pub memory_seconds: f64,
     /// Cost of each request beyond an engine's places, in seconds.
     pub overflow_seconds: f64,
+    /// Most by which the cost of an engine differs by chance from one request to the next, in seconds, so that nodes which
+    /// choose before they have heard of each other do not all choose the same of several equal engines.
+    pub spread_seconds: f64,
     /// Speed of reading prompts that is assumed until one was seen, in tokens per second.
     pub assumed_prompt_tokens_per_second: f64,
     /// Pace at which an engine that runs outputs reads a prompt itself, relative to one that reads prompts.
@@ -57,6 +60,7 @@
             places_seconds: 0.5,
             memory_seconds: 0.5,
             overflow_seconds: 0.2,
+            spread_seconds: 0.010,
             assumed_prompt_tokens_per_second: 40_000.0,
             decode_reading_pace: 0.5,
             held_up: 1.0,
@@ -81,6 +85,7 @@
             ("routing.places_seconds", self.places_seconds, 0.0),
             ("routing.memory_seconds", self.memory_seconds, 0.0),
             ("routing.overflow_seconds", self.overflow_seconds, 0.0),
+            ("routing.spread_seconds", self.spread_seconds, 0.0),
             (
                 "routing.assumed_prompt_tokens_per_second",
                 self.assumed_prompt_tokens_per_second,
--- a/crates/core/tests/pool_router.rs
+++ b/crates/core/tests/pool_router.rs
@@ -120,6 +120,7 @@
             zone: &self.zone,
             excluded: &self.excluded,
             paused_too: false,
+            draw: 0,
             rank: 1,
             remaining: Duration::from_secs(5),
         }
@@ -339,3 +340,41 @@
         (50.0, 2_500.0)
     );
 }
+
+#[test]
+fn nodes_that_choose_at_the_same_moment_do_not_all_choose_one_of_several_equal_engines() {
+    let equal: Vec<PoolEngine> = (0..12)
+        .map(|number| engine(&format!("p{number}"), EngineStage::Prefill))
+        .chain([engine("d1", EngineStage::Decode)])
+        .collect();
+    let router = router(&equal);
+    let chosen = |shared: u64, draw: u64| {
+        let asked = Asked::new(shared);
+        let query = PoolQuery {
+            prefixes: &[],
+            draw,
+            ..asked.query()
+        };
+        split(router.choose(&query, NOW)).0
+    };
+    let distinct: std::collections::BTreeSet<String> = (0..100).map(|draw| chosen(1, draw)).collect();
+    assert!(distinct.len() >= 10, "{distinct:?}");
+    assert_eq!(chosen(1, 5), chosen(1, 5), "the same draw, the same choice");
+}
+
+#[test]
+fn the_draw_never_outweighs_a_queue() {
+    let mut router = router(&split_pool());
+    let asked = Asked::new(1);
+    for id in ["p1", "p2"] {
+        router.on_prompt_sent(&EngineId::new(id), &asked.query(), NOW);
+    }
+    for draw in 0..100 {
+        let query = PoolQuery {
+            prefixes: &[],
+            draw,
+            ..asked.query()
+        };
+        assert_eq!(split(router.choose(&query, NOW)).0, "p3");
+    }
+}
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -65,6 +65,8 @@
     /// The last dispatch never left, so trying again costs no engine anything.
     pub(super) last_not_sent: bool,
     pub(super) watch_caller: bool,
+    /// Drawn once, so that every choice for the request sees the same costs.
+    draw: u64,
 }
 
 impl<'a> Driver<'a> {
@@ -108,6 +110,7 @@
             arrivals: ArrivalAccount::default(),
             last_not_sent: false,
             watch_caller: true,
+            draw: rand::random(),
         }
     }
 
@@ -184,6 +187,7 @@
             zone: &self.context.config.zone,
             excluded,
             paused_too: false,
+            draw: self.draw,
             rank: rank_of(self.route.priority),
             remaining: routing::left(self.deadline, now),
         }
