Change the stage of several engines in a round where the pool is large

Ruled out: a shorter pause alone (an order takes 2.3 to 3.6 s, and the next plan needs its effect). Change: a round makes one change for each fifteen engines, each decided as if those before it had been made; a pool of nine still changes one engine at a time. Test: forwarding.rs::a_large_pool_changes_several_engines_in_a_round_and_stops_where_the_pressure_ends.

--- a/crates/core/src/roles/pool.rs
+++ b/crates/core/src/roles/pool.rs
@@ -13,6 +13,8 @@
 //!                 or if fewer than the least number of decode engines are left, as after a loss
 //! ```
 //!
+//! Large pools make several such changes in one round, since a burst does not wait until they have been made one by one.
+//!
 //! Before any demand was seen, as at the first start, the policy's share decides.
 
 use crate::identity::{EngineId, ZoneId};
@@ -38,8 +40,10 @@
     pub least_decode_share: f64,
     /// Part of the engines that read prompts before any demand was seen.
     pub first_prefill_share: f64,
-    /// Least time between two changes, in milliseconds.
+    /// Least time between two rounds of changes, in milliseconds.
     pub settle_millis: u64,
+    /// Engines for each of which one may change in a round; one changes in any case.
+    pub engines_per_change: usize,
 }
 
 impl Default for PoolRolePolicy {
@@ -53,6 +57,7 @@
             least_decode_share: 0.3,
             first_prefill_share: 0.6,
             settle_millis: 4_000,
+            engines_per_change: 15,
         }
     }
 }
@@ -68,7 +73,7 @@
             ("roles.first_prefill_share", self.first_prefill_share),
             ("roles.least_decode_share", self.least_decode_share),
         ];
-        shares
+        let mut errors: Vec<FieldError> = shares
             .into_iter()
             .filter(|(_, value)| !(0.0..=1.0).contains(value))
             .map(|(field, value)| FieldError {
@@ -76,7 +81,15 @@
                 value: value.to_string(),
                 allowed: "0 to 1".to_owned(),
             })
-            .collect()
+            .collect();
+        if self.engines_per_change == 0 {
+            errors.push(FieldError {
+                field: "roles.engines_per_change".to_owned(),
+                value: "0".to_owned(),
+                allowed: "1 or more".to_owned(),
+            });
+        }
+        errors
     }
 }
 
@@ -132,6 +145,29 @@
     pub decode_load: f64,
 }
 
+/// The changes to make in one round: each is decided as if those before it had been made.
+pub fn plan_round(
+    engines: &[PoolEngineView],
+    demand: PoolDemand,
+    policy: &PoolRolePolicy,
+) -> Vec<StageChange> {
+    let most = (engines.len() / policy.engines_per_change.max(1)).max(1);
+    let mut engines = engines.to_vec();
+    let mut changes: Vec<StageChange> = Vec::new();
+    while changes.len() < most {
+        let Some(change) = plan(&engines, demand, policy) else {
+            break;
+        };
+        if changes.first().is_some_and(|first| first.to != change.to) {
+            break;
+        }
+        let changed = engines.iter_mut().find(|view| view.engine == change.engine);
+        changed.into_iter().for_each(|view| view.stage = change.to);
+        changes.push(change);
+    }
+    changes
+}
+
 /// The change to make now, if any.
 pub fn plan(engines: &[PoolEngineView], demand: PoolDemand, policy: &PoolRolePolicy) -> Option<StageChange> {
     let prefill = of_stage(engines, EngineStage::Prefill);
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -10,10 +10,11 @@
 use shelfjunction_core::identity::{EngineId, ZoneId};
 use shelfjunction_core::retry::arrivals::{Arrival, ArrivalAccount};
 use shelfjunction_core::retry::window::{WindowBudget, WindowBudgetSettings};
-use shelfjunction_core::roles::pool::{PoolDemand, PoolEngineView, PoolRolePolicy, plan};
+use shelfjunction_core::roles::pool::{PoolDemand, PoolEngineView, PoolRolePolicy, plan, plan_round};
 use shelfjunction_core::routing::pool::{EngineListing, EngineStage, ListChange, ListSnapshot, PoolEngine};
 use shelfjunction_core::time::MonotonicTime;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 const NOW: MonotonicTime = MonotonicTime::from_millis(1_000);
@@ -253,6 +254,24 @@
     assert!(plan(&views(5, 4, 0.0), before_any, &policy).is_none());
 }
 
+#[test]
+fn a_large_pool_changes_several_engines_in_a_round_and_stops_where_the_pressure_ends() {
+    let policy = PoolRolePolicy::default();
+    let round = |prefill, decode, tokens| plan_round(&views(prefill, decode, 5.0), demand(tokens), &policy);
+    assert_eq!(
+        round(4, 5, 90_000.0).len(),
+        1,
+        "a small pool changes one at a time"
+    );
+    let changes = round(36, 54, 400_000.0);
+    assert_eq!(changes.len(), 6, "one for each fifteen engines");
+    let engines: BTreeSet<_> = changes.iter().map(|change| &change.engine).collect();
+    assert_eq!(engines.len(), 6, "no engine twice");
+    assert!(changes.iter().all(|change| change.to == EngineStage::Prefill));
+    assert_eq!(round(36, 54, 202_000.0).len(), 1, "one is enough");
+    assert_eq!(round(61, 29, 900_000.0).len(), 2, "three of ten stay at decode");
+}
+
 /// Found on a deployment with slow links: a call taken 3.2 s after the signal ran for 4.3 s and was cut off.
 #[test]
 fn a_process_that_stops_takes_no_call_that_it_may_have_to_cut_off() {
--- a/crates/node/src/commanding/ordering.rs
+++ b/crates/node/src/commanding/ordering.rs
@@ -1,11 +1,11 @@
-//! One order at a time: plan, ask the engine for its report, order, wait until it is listed so.
+//! One round of orders at a time: plan, ask each engine for its report, order, wait until all are listed so.
 
 use crate::asking;
 use crate::context::Context;
 use crate::ports::{EngineReading, EngineReport, OrderVerdict, StageOrder};
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::lease::Authority;
-use shelfjunction_core::roles::pool::{StageChange, plan};
+use shelfjunction_core::roles::pool::{StageChange, plan_round};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::net::SocketAddr;
@@ -33,7 +33,7 @@
 #[derive(Default)]
 pub(super) struct Ordering {
     next_at: MonotonicTime,
-    in_doubt: Option<InDoubt>,
+    in_doubt: Vec<InDoubt>,
 }
 
 impl Ordering {
@@ -43,13 +43,8 @@
         if now + LEASE_LEFT > authority.not_after {
             return;
         }
-        if let Some(doubt) = self.in_doubt.take() {
-            if now.since(doubt.since) < SETTLE_AFTER {
-                self.in_doubt = Some(doubt);
-            } else {
-                self.order(context, authority, doubt.change);
-            }
-            return;
+        if !self.in_doubt.is_empty() {
+            return self.settle(context, authority, now);
         }
         // While engines come and go, what is missing may be about to come.
         if context.list_unchanged_for() < LIST_SETTLES {
@@ -58,12 +53,26 @@
         if now < self.next_at || !lock(&context.router).orders_under_way(now).is_empty() {
             return;
         }
-        if let Some(change) = wanted(context, now) {
+        let changes = wanted(context, now);
+        if !changes.is_empty() {
             self.next_at = now + Duration::from_millis(context.config.roles.settle_millis);
+        }
+        for change in changes {
             self.order(context, authority, change);
         }
     }
 
+    /// Looks again at the orders whose answers were lost.
+    fn settle(&mut self, context: &Context, authority: Authority, now: MonotonicTime) {
+        for doubt in std::mem::take(&mut self.in_doubt) {
+            if now.since(doubt.since) < SETTLE_AFTER {
+                self.in_doubt.push(doubt);
+            } else {
+                self.order(context, authority, doubt.change);
+            }
+        }
+    }
+
     fn order(&mut self, context: &Context, authority: Authority, change: StageChange) {
         let Some(address) = address_of(context, &change.engine) else {
             return;
@@ -121,7 +130,7 @@
             Ok(EngineReading::Ordered(OrderVerdict::Begun | OrderVerdict::AlreadySo)) => {}
             Ok(_) => lock(&context.router).forget_order(&change.engine),
             Err(_) => {
-                self.in_doubt = Some(InDoubt {
+                self.in_doubt.push(InDoubt {
                     change,
                     since: context.now(),
                 });
@@ -130,16 +139,21 @@
     }
 }
 
-fn wanted(context: &Context, now: MonotonicTime) -> Option<StageChange> {
+fn wanted(context: &Context, now: MonotonicTime) -> Vec<StageChange> {
     let policy = &context.config.roles;
     if !policy.enabled {
-        return None;
+        return Vec::new();
     }
     let router = lock(&context.router);
-    router.model_pools().iter().find_map(|pool| {
+    let pools = router.model_pools();
+    let changes = pools.iter().map(|pool| {
         let (engines, demand) = router.role_input(pool, now);
-        plan(&engines, demand, policy)
-    })
+        plan_round(&engines, demand, policy)
+    });
+    changes
+        .into_iter()
+        .find(|changes| !changes.is_empty())
+        .unwrap_or_default()
 }
 
 fn address_of(context: &Context, engine: &EngineId) -> Option<SocketAddr> {
