Believe that requests' own parts push shared ones out; fetch from whoever used a part last

Change: news carry the own part too; of several holders the one that used the part last is fetched from.

--- a/crates/core/src/routing/pool/beliefs.rs
+++ b/crates/core/src/routing/pool/beliefs.rs
@@ -26,7 +26,7 @@
     pub moving_tokens: u32,
 }
 
-/// Shared prefixes that an engine has come to hold.
+/// Prefixes that an engine has come to hold.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrefixNews {
     /// The engine.
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -192,7 +192,8 @@
         }
     }
 
-    /// The engine that holds most of a prompt's beginning.
+    /// The engine that holds most of a prompt's beginning, and of several the one that used it last: engines drop what
+    /// was not used for long, and nobody tells.
     fn best_holder(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<(u32, &EngineState)> {
         let holders = self.engines.values().filter(|state| {
             state.engine.pool == *query.pool
@@ -202,7 +203,7 @@
         holders
             .map(|state| (state.prefixes.held_tokens(query.prefixes), state))
             .filter(|(tokens, _)| *tokens > 0)
-            .max_by_key(|(tokens, state)| (*tokens, state.engine.zone == *query.zone))
+            .max_by_key(|(tokens, state)| (*tokens, state.prefixes.last_use(query.prefixes)))
     }
 
     fn candidates<'a>(
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -192,11 +192,11 @@
 ) {
     state.heard(now);
     state.prefixes.note_read(prefixes, now);
-    let shared = shared_prefixes(prefixes);
-    if !shared.is_empty() && news.len() < MOST_NEWS {
+    // A request's own part is told too: no other request needs it, but it takes the place of parts that others do.
+    if !shared_prefixes(prefixes).is_empty() && news.len() < MOST_NEWS {
         news.push(PrefixNews {
             engine: state.handle,
-            prefixes: shared.to_vec(),
+            prefixes: prefixes.to_vec(),
             just_answered: true,
         });
     }
--- a/crates/core/src/routing/pool/prefix.rs
+++ b/crates/core/src/routing/pool/prefix.rs
@@ -60,6 +60,12 @@
             .sum()
     }
 
+    /// When the longest held prefix of the prompt was last used; absent where nothing is held.
+    pub fn last_use(&self, prefixes: &[PrefixBlock]) -> Option<MonotonicTime> {
+        let held = prefixes.iter().map_while(|block| self.held.get(&block.hash));
+        held.last().map(|held| held.used.0)
+    }
+
     /// Tokens that fit beside running requests.
     pub fn capacity_tokens(&self) -> f64 {
         self.capacity as f64
--- a/crates/core/tests/pool_router.rs
+++ b/crates/core/tests/pool_router.rs
@@ -378,3 +378,42 @@
         assert_eq!(split(router.choose(&query, NOW)).0, "p3");
     }
 }
+
+/// Found on the grown deployments: a tenth of the prompt tokens were shared parts read again, at engines that other
+/// nodes took for holders long after requests' own parts had pushed those parts out.
+#[test]
+fn requests_own_parts_push_shared_ones_out_of_other_nodes_beliefs_too() {
+    let mut teller = router(&split_pool());
+    let mut hearer = router(&split_pool());
+    let shared = Asked::new(1);
+    let engine = EngineId::new("p1");
+    let mut read = |asked: &Asked, at: MonotonicTime| {
+        let ticket = teller.on_prompt_sent(&engine, &asked.query(), at);
+        teller.on_prompt_read(&ticket, &asked.prefixes, at);
+        hearer.on_peer_news(&teller.take_news(64), at);
+        let state = hearer.engine(&engine).unwrap();
+        state.prefixes.held_tokens(&shared.prefixes[..1])
+    };
+    assert_eq!(read(&shared, NOW), 13_000);
+    let mut last = 0;
+    for number in 0..200 {
+        let asked = Asked::new(2).with_own_part(1_000 + number);
+        last = read(&asked, NOW + Duration::from_millis(number));
+    }
+    assert_eq!(
+        last, 0,
+        "200 own parts of 3,000 tokens are more than the memory of 400,000"
+    );
+}
+
+#[test]
+fn a_held_part_is_fetched_from_the_engine_that_used_it_last() {
+    let mut router = router(&split_pool());
+    let asked = Asked::new(1);
+    for (id, millis) in [("p3", 0), ("p1", 10), ("p2", 20), ("p1", 30)] {
+        let at = NOW + Duration::from_millis(millis);
+        router.on_prefixes_held(&EngineId::new(id), &asked.prefixes[..1], at);
+    }
+    let source = router.fetch_source(&EngineId::new("d1"), &asked.query(), NOW + Duration::from_secs(1));
+    assert_eq!(source, Some(engine("p1", EngineStage::Prefill).address));
+}
