Soak nodes as processes under faults from outside, judged by what callers and engines see

shelfjunction-lab fault-soak starts the real program as processes before stand-ins of store and engines, with a relay on each link to them; a seed draws silence (both ways, one way), delay and resets of links, kills, pauses and stops of nodes one and all, a store that refuses, throttles, loses answers or forgets its history, engines that fail or are replaced, and changes of the configuration. After the last fault every node must serve every route as the newest configuration says. Judged: runs twice, refusals of what has run, runs nobody asked for, answers that are not the request's own, events out of order, orders of two machines under one authority, recovery, exits. Relay grows silence, one-way silence, delay and reset for it. Not covered: the time of day, datagrams between nodes. Tests: lab/tests/fault_soak.rs shows each judgement finding its breach, and the relay's faults.

--- /dev/null
+++ b/crates/lab/src/command/fault_soak.rs
@@ -0,0 +1,80 @@
+//! `shelfjunction-lab fault-soak`: nodes as processes under faults from outside.
+
+use super::{Command, CommandError, Options};
+use crate::fault_soak::{self, FaultSoakConfig};
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// The command.
+pub const COMMAND: Command = Command {
+    name: "fault-soak",
+    summary: "Runs nodes as processes under faults of links, processes and the store, and judges the promises.",
+    example: "shelfjunction-lab fault-soak --program target/release/shelfjunction --seconds 30 --seed 1 --runs 4",
+    declare,
+    run,
+};
+
+/// Seconds of faults unless given.
+const DEFAULT_SECONDS: f64 = 30.0;
+
+/// Longest run, in seconds: an hour.
+const MAXIMUM_SECONDS: f64 = 3_600.0;
+
+/// Most nodes.
+const MAXIMUM_NODES: usize = 20;
+
+fn declare(options: &mut getopts::Options) {
+    options.optopt("", "program", "the program `shelfjunction`", "FILE");
+    options.optopt("", "nodes", "nodes (3)", "NUMBER");
+    options.optopt("", "callers", "callers at once (12)", "NUMBER");
+    options.optopt("", "seconds", "length of each run (30)", "SECONDS");
+    options.optopt("", "seed", "seed of the first run; drawn unless given", "NUMBER");
+    options.optopt("", "runs", "runs, each with the next seed (1)", "NUMBER");
+    options.optopt(
+        "",
+        "logs",
+        "where settings and logs go, a directory for each seed",
+        "DIRECTORY",
+    );
+}
+
+fn run(options: &Options) -> Result<(), CommandError> {
+    let seconds = options.value_or("seconds", DEFAULT_SECONDS)?;
+    if !(seconds > 0.0 && seconds <= MAXIMUM_SECONDS) {
+        let message = format!("--seconds {seconds}: allowed is above 0, at most {MAXIMUM_SECONDS}");
+        return Err(CommandError::Usage(message));
+    }
+    let nodes = options.value_or("nodes", 3)?;
+    if !(1..=MAXIMUM_NODES).contains(&nodes) {
+        let message = format!("--nodes {nodes}: allowed is 1 to {MAXIMUM_NODES}");
+        return Err(CommandError::Usage(message));
+    }
+    let program: PathBuf = options.value_or("program", PathBuf::from("target/release/shelfjunction"))?;
+    let logs: PathBuf = options.value_or("logs", std::env::temp_dir().join("shelfjunction-fault-soak"))?;
+    let first: u64 = options.value_or("seed", u64::from(rand::random::<u32>()))?;
+    let runs: u64 = options.value_or("runs", 1)?;
+    let mut broken = Vec::new();
+    for seed in first..first + runs {
+        let config = FaultSoakConfig {
+            program: program.clone(),
+            nodes,
+            callers: options.value_or("callers", 12)?,
+            length: Duration::from_secs_f64(seconds),
+            seed,
+            directory: logs.join(seed.to_string()),
+        };
+        let report =
+            fault_soak::run(&config).map_err(|error| CommandError::failed("the deployment", error))?;
+        print!("{report}");
+        if !report.holds() {
+            broken.push(seed);
+        }
+    }
+    if broken.is_empty() {
+        return Ok(());
+    }
+    Err(CommandError::Failed(format!(
+        "a promise was broken with seed {broken:?}; logs are in {}",
+        logs.display()
+    )))
+}
--- a/crates/lab/src/command/mod.rs
+++ b/crates/lab/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod calibrate;
 mod demo;
 mod engine;
+mod fault_soak;
 mod footprint;
 mod load;
 mod options;
@@ -46,6 +47,7 @@
     &replay::COMMAND,
     &simulate::COMMAND,
     &soak::COMMAND,
+    &fault_soak::COMMAND,
     &scale::COMMAND,
     &footprint::COMMAND,
 ];
--- /dev/null
+++ b/crates/lab/src/fault_soak/callers.rs
@@ -0,0 +1,112 @@
+//! Callers that send requests to any node and note what they see.
+
+use super::deployment::Deployment;
+use super::record::{CallKind, SeenAnswer, SeenCall};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use ureq::Agent;
+use ureq::http::Response;
+
+/// Time that a caller waits, as it tells the node.
+const DEADLINE: Duration = Duration::from_millis(4_000);
+
+/// Time after which a caller gives up whatever the node does.
+const GIVES_UP: Duration = Duration::from_millis(6_500);
+
+/// Pauses between two requests of a caller, in milliseconds.
+const PAUSE_MILLIS: std::ops::Range<u64> = 20..150;
+
+/// One caller.
+pub struct Caller {
+    number: u64,
+    random: ChaCha8Rng,
+    agent: Agent,
+    sent: u64,
+}
+
+impl Caller {
+    /// A caller with draws of its own.
+    pub fn new(seed: u64, number: u64) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .proxy(None)
+            .timeout_global(Some(GIVES_UP))
+            .build();
+        Self {
+            number,
+            random: ChaCha8Rng::seed_from_u64(seed.wrapping_add(number + 1)),
+            agent: Agent::new_with_config(config),
+            sent: 0,
+        }
+    }
+
+    /// Sends requests until told to stop; what it saw.
+    pub fn run(mut self, deployment: &Deployment, begun: Instant, stop: &AtomicBool) -> Vec<SeenCall> {
+        let mut seen = Vec::new();
+        while !stop.load(Ordering::Relaxed) {
+            let node = self.random.random_range(0..deployment.targets().nodes);
+            let kind = CallKind::ALL[self.random.random_range(0..CallKind::ALL.len())];
+            seen.push(self.call(deployment.address(node), node, kind, begun));
+            std::thread::sleep(Duration::from_millis(self.random.random_range(PAUSE_MILLIS)));
+        }
+        seen
+    }
+
+    /// Sends one request and waits for what comes.
+    pub fn call(&mut self, address: SocketAddr, node: usize, kind: CallKind, begun: Instant) -> SeenCall {
+        self.sent += 1;
+        let request = format!("caller{}-{}", self.number, self.sent);
+        let sent_at = begun.elapsed();
+        let answer = self.ask(address, &request, kind);
+        SeenCall {
+            request,
+            kind,
+            node,
+            sent_at,
+            took: begun.elapsed().saturating_sub(sent_at),
+            answer,
+        }
+    }
+
+    fn ask(&mut self, address: SocketAddr, request: &str, kind: CallKind) -> Option<SeenAnswer> {
+        let shared = self.random.random_range(0..20);
+        let asked = self
+            .agent
+            .post(format!("http://{address}{}", kind.path()))
+            .header("Host", "svc.example")
+            .header("Request-Id", request)
+            .header("Deadline-Remaining", DEADLINE.as_millis().to_string());
+        let asked = if kind.has_events() {
+            asked
+                .header("Model", "m")
+                .header("Token-Counts", "1000,10")
+                .header("Prompt-Prefix", format!("a{shared}:800,b{}:200", self.sent))
+        } else {
+            asked
+        };
+        asked.send("body").ok().map(read)
+    }
+}
+
+fn read(mut answer: Response<ureq::Body>) -> SeenAnswer {
+    let header = |name: &str| {
+        let value = answer.headers().get(name)?;
+        value.to_str().ok().map(str::to_owned)
+    };
+    let (request, signature) = (header("Request-Id"), header("Response-Signature"));
+    let status = answer.status().as_u16();
+    let mut body = Vec::new();
+    let whole = answer.body_mut().as_reader().read_to_end(&mut body).is_ok();
+    SeenAnswer {
+        status,
+        request,
+        signature,
+        body: String::from_utf8_lossy(&body).into_owned(),
+        whole,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -0,0 +1,231 @@
+//! Nodes of the users' platform as processes on one machine, under faults from outside, with the promises to callers
+//! judged from what callers and engines see.
+//!
+//! The same seed gives the same faults and the same draws of the callers; what processes make of them depends on the
+//! machine's timing, so a failed run keeps its logs.
+
+mod callers;
+mod deployment;
+pub mod oracle;
+mod process;
+pub mod record;
+pub mod schedule;
+mod striking;
+
+use callers::Caller;
+use deployment::{Deployment, EVENTS};
+use oracle::{Violation, judge};
+use record::{CallKind, SeenCall};
+use std::fmt;
+use std::io;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Time within which everything must work again after the last fault.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// Time for which runs that come late are waited for.
+const LATE_RUNS: Duration = Duration::from_secs(2);
+
+/// Pause between two probes.
+const PROBE_EVERY: Duration = Duration::from_millis(200);
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct FaultSoakConfig {
+    /// The program of the nodes.
+    pub program: PathBuf,
+    /// Nodes.
+    pub nodes: usize,
+    /// Callers at once.
+    pub callers: u64,
+    /// Time for which faults strike.
+    pub length: Duration,
+    /// Seed of faults and callers.
+    pub seed: u64,
+    /// Where settings and logs go.
+    pub directory: PathBuf,
+}
+
+/// What came of a run.
+#[derive(Clone, Debug)]
+pub struct FaultSoakReport {
+    /// The seed.
+    pub seed: u64,
+    /// Faults that struck.
+    pub faults: usize,
+    /// Requests sent.
+    pub sent: usize,
+    /// Requests with a whole success.
+    pub succeeded: usize,
+    /// Requests refused as not run.
+    pub not_run: usize,
+    /// Requests with any other answer.
+    pub other_answers: usize,
+    /// Requests that got no answer.
+    pub unanswered: usize,
+    /// Nodes that ended by themselves.
+    pub exits: u32,
+    /// Promises that did not hold.
+    pub violations: Vec<Violation>,
+}
+
+impl FaultSoakReport {
+    /// Whether every promise held.
+    pub fn holds(&self) -> bool {
+        self.violations.is_empty() && self.exits == 0
+    }
+}
+
+impl fmt::Display for FaultSoakReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "seed {}: {} faults; {} requests: {} succeeded, {} not run, {} other answers, {} unanswered; {} exits; {}",
+            self.seed,
+            self.faults,
+            self.sent,
+            self.succeeded,
+            self.not_run,
+            self.other_answers,
+            self.unanswered,
+            self.exits,
+            if self.holds() {
+                "every promise held"
+            } else {
+                "BROKEN"
+            }
+        )?;
+        for violation in &self.violations {
+            writeln!(formatter, "  {violation:?}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Runs once.
+pub fn run(config: &FaultSoakConfig) -> io::Result<FaultSoakReport> {
+    std::fs::create_dir_all(&config.directory)?;
+    let deployment = Deployment::start(&config.program, config.nodes, &config.directory)?;
+    let mut violations = wait_until_served(&deployment, config.seed);
+    let schedule = schedule::draw(config.seed, config.length, deployment.targets());
+    let begun = Instant::now();
+    let calls = disturb(&deployment, config, &schedule, begun);
+    deployment.heal();
+    let recovered = wait_until_served(&deployment, config.seed + 1);
+    violations.extend(recovered);
+    thread::sleep(LATE_RUNS);
+    let exits = deployment.restart_ended();
+    violations.extend(judge(&calls, &deployment.records(), EVENTS));
+    Ok(report(config.seed, schedule.len(), &calls, exits, violations))
+}
+
+fn disturb(
+    deployment: &Deployment,
+    config: &FaultSoakConfig,
+    schedule: &[schedule::ScheduledFault],
+    begun: Instant,
+) -> Vec<SeenCall> {
+    let stop = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..config.callers)
+            .map(|number| {
+                let caller = Caller::new(config.seed, number);
+                scope.spawn(|| caller.run(deployment, begun, &stop))
+            })
+            .collect();
+        striking::strike(deployment, schedule, begun);
+        stop.store(true, Ordering::Relaxed);
+        let seen = callers.into_iter().filter_map(|caller| caller.join().ok());
+        seen.flatten().collect()
+    })
+}
+
+/// Waits until every node serves every kind as the newest configuration says; those that do not in time.
+fn wait_until_served(deployment: &Deployment, seed: u64) -> Vec<Violation> {
+    let until = Instant::now() + RECOVERY;
+    let probes = thread::scope(|scope| {
+        let nodes: Vec<_> = (0..deployment.targets().nodes)
+            .map(|node| scope.spawn(move || probe_until_served(deployment, seed, node, until)))
+            .collect();
+        nodes
+            .into_iter()
+            .map(|probe| {
+                probe
+                    .join()
+                    .unwrap_or_else(|_| Some("the probe failed".to_owned()))
+            })
+            .collect::<Vec<_>>()
+    });
+    let failed = (0..).zip(probes);
+    failed
+        .filter_map(|(node, fault)| Some(Violation::NotRecovered(node, fault?)))
+        .collect()
+}
+
+fn probe_until_served(deployment: &Deployment, seed: u64, node: usize, until: Instant) -> Option<String> {
+    let mut caller = Caller::new(seed, PROBES + seed * 100 + node as u64);
+    loop {
+        let fault = probe(deployment, &mut caller, node);
+        if fault.is_none() || Instant::now() >= until {
+            return fault;
+        }
+        deployment.list_stages();
+        thread::sleep(PROBE_EVERY);
+    }
+}
+
+/// Numbers from which probing callers are counted.
+const PROBES: u64 = 1_000_000;
+
+/// Asks a node for each kind once; what was wrong.
+fn probe(deployment: &Deployment, caller: &mut Caller, node: usize) -> Option<String> {
+    CallKind::ALL.into_iter().find_map(|kind| {
+        let seen = caller.call(deployment.address(node), node, kind, Instant::now());
+        let status = seen.answer.as_ref().map(|answer| answer.status);
+        if status != Some(200) {
+            return Some(format!("{kind:?}: status {status:?}"));
+        }
+        let pool = deployment.pool_that_ran(&seen.request);
+        let wanted = deployment.configured_pool();
+        let misplaced = !kind.has_events() && pool != Some(wanted);
+        misplaced.then(|| format!("{kind:?}: ran at {pool:?}, configured is {wanted}"))
+    })
+}
+
+fn report(
+    seed: u64,
+    faults: usize,
+    calls: &[SeenCall],
+    exits: u32,
+    mut violations: Vec<Violation>,
+) -> FaultSoakReport {
+    // Probes are sent by callers of their own and are judged where they are made.
+    violations.retain(|violation| !matches!(violation, Violation::Unasked(request) if is_probe(request)));
+    let answered = |wanted: fn(u16) -> bool| {
+        let statuses = calls.iter().filter_map(|call| call.answer.as_ref());
+        statuses.filter(|answer| wanted(answer.status)).count()
+    };
+    let succeeded = answered(|status| status == 200);
+    let not_run = answered(|status| matches!(status, 429 | 503));
+    let unanswered = calls.iter().filter(|call| call.answer.is_none()).count();
+    FaultSoakReport {
+        seed,
+        faults,
+        sent: calls.len(),
+        succeeded,
+        not_run,
+        other_answers: calls.len() - succeeded - not_run - unanswered,
+        unanswered,
+        exits,
+        violations,
+    }
+}
+
+fn is_probe(request: &str) -> bool {
+    let number = request.trim_start_matches("caller").split('-').next();
+    let number: Option<u64> = number.and_then(|number| number.parse().ok());
+    number.is_some_and(|number| number >= PROBES)
+}
--- /dev/null
+++ b/crates/lab/src/fault_soak/oracle.rs
@@ -0,0 +1,117 @@
+//! Judges what callers saw against what engines ran.
+
+use super::record::{SeenAnswer, SeenCall};
+use crate::users_platform::{OrderRecord, RunRecord};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Statuses that promise that the request has not run and never will.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// A promise that did not hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Violation {
+    /// A request that may not be repeated ran so often.
+    RanTwice(String, usize),
+    /// A request that was said not to have run had run.
+    RefusedButRan(String, u16),
+    /// A request ran that nobody sent.
+    Unasked(String),
+    /// A success names another request, lacks its signature or is not the engine's whole body.
+    NotItsAnswer(String, SeenAnswer),
+    /// The events of an answer, as far as they came, have a gap, repeat or go backwards.
+    EventsOutOfOrder(String, String),
+    /// Two machines gave orders under one authority.
+    SharedAuthority(u64, BTreeSet<String>),
+    /// After everything had healed a node did not serve, or not as the newest configuration says.
+    NotRecovered(usize, String),
+    /// A planned stop, alone, left a request that an engine had begun without its whole answer.
+    CutOff(String),
+}
+
+/// What engines did, over all their starts.
+#[derive(Clone, Debug, Default)]
+pub struct EngineRecords {
+    /// Runs, without those that only read a prompt.
+    pub runs: Vec<RunRecord>,
+    /// Orders taken.
+    pub orders: Vec<OrderRecord>,
+}
+
+/// Every promise about requests and orders that did not hold.
+pub fn judge(calls: &[SeenCall], engines: &EngineRecords, events: u64) -> Vec<Violation> {
+    let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
+    for run in &engines.runs {
+        *runs.entry(run.request.as_str()).or_default() += 1;
+    }
+    let mut violations: Vec<Violation> = calls
+        .iter()
+        .flat_map(|call| {
+            judge_call(
+                call,
+                runs.get(call.request.as_str()).copied().unwrap_or(0),
+                events,
+            )
+        })
+        .collect();
+    let sent: BTreeSet<&str> = calls.iter().map(|call| call.request.as_str()).collect();
+    let unasked = runs.keys().filter(|request| !sent.contains(*request));
+    violations.extend(unasked.map(|request| Violation::Unasked((*request).to_owned())));
+    violations.extend(judge_orders(&engines.orders));
+    violations
+}
+
+fn judge_call(call: &SeenCall, runs: usize, events: u64) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    let request = || call.request.clone();
+    if !call.kind.may_repeat() && runs > 1 {
+        violations.push(Violation::RanTwice(request(), runs));
+    }
+    let Some(answer) = &call.answer else {
+        return violations;
+    };
+    if NOT_RUN.contains(&answer.status) && !call.kind.may_repeat() && runs > 0 {
+        violations.push(Violation::RefusedButRan(request(), answer.status));
+    }
+    let succeeded = (200..300).contains(&answer.status);
+    if succeeded && answer.whole && !is_its_answer(call, answer, events) {
+        violations.push(Violation::NotItsAnswer(request(), answer.clone()));
+    }
+    if succeeded && call.kind.has_events() && !is_in_order(&answer.body, events) {
+        violations.push(Violation::EventsOutOfOrder(request(), answer.body.clone()));
+    }
+    violations
+}
+
+fn is_its_answer(call: &SeenCall, answer: &SeenAnswer, events: u64) -> bool {
+    let body_is_whole = if call.kind.has_events() {
+        answer.body == series(events)
+    } else {
+        answer.body == "the answer"
+    };
+    answer.request.as_deref() == Some(call.request.as_str()) && answer.signature.is_some() && body_is_whole
+}
+
+/// Whether a body is a beginning of the series.
+fn is_in_order(body: &str, events: u64) -> bool {
+    series(events).starts_with(body)
+}
+
+fn series(events: u64) -> String {
+    (1..=events)
+        .map(|id| format!("id: {id}\ndata: {id}\n\n"))
+        .collect()
+}
+
+fn judge_orders(orders: &[OrderRecord]) -> Vec<Violation> {
+    let mut holders: BTreeMap<u64, BTreeSet<String>> = BTreeMap::new();
+    for order in orders {
+        holders
+            .entry(order.token)
+            .or_default()
+            .insert(order.holder.clone());
+    }
+    let shared = holders.into_iter().filter(|(_, holders)| holders.len() > 1);
+    shared
+        .map(|(token, holders)| Violation::SharedAuthority(token, holders))
+        .collect()
+}
--- /dev/null
+++ b/crates/lab/src/fault_soak/schedule.rs
@@ -0,0 +1,133 @@
+//! Which faults come when, drawn from a seed.
+
+use crate::relay::LinkFault;
+use crate::users_platform::{EngineFault, StoreMode};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A node's link to the store.
+    StoreLink(usize, LinkFault),
+    /// Every node's link to an engine.
+    EngineLink(usize, LinkFault),
+    /// The connections on a node's link to the store are closed.
+    ResetStoreLink(usize),
+    /// The connections on the link to an engine are closed.
+    ResetEngineLink(usize),
+    /// How the store answers one node.
+    StoreForOne(usize, StoreMode),
+    /// How the store answers everybody.
+    StoreForAll(StoreMode),
+    /// The store forgets its history.
+    ForgetHistory,
+    /// A node is killed and started again.
+    Kill(usize),
+    /// Every node is killed and started again.
+    KillAll,
+    /// A node stands still: its clocks go on without it.
+    Pause(usize),
+    /// A node is told to stop and started again.
+    Stop(usize),
+    /// How an engine treats its next requests.
+    Engine(usize, EngineFault),
+    /// An engine is replaced: it says that it leaves, leaves, and another start comes at the same place.
+    Replace(usize),
+    /// The operator moves a route to another pool.
+    Reconfigure,
+}
+
+/// One fault and when it strikes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ScheduledFault {
+    /// Time from the start of the callers.
+    pub at: Duration,
+    /// How long it lasts, where it lasts.
+    pub lasts: Duration,
+    /// What goes wrong.
+    pub fault: Fault,
+}
+
+/// Number of nodes and engines that faults may strike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Targets {
+    /// Nodes.
+    pub nodes: usize,
+    /// Engines.
+    pub engines: usize,
+}
+
+/// Pauses between two faults, in milliseconds.
+const PAUSE_MILLIS: std::ops::Range<u64> = 300..1_500;
+
+/// Lengths of faults, in milliseconds.
+const LENGTH_MILLIS: std::ops::Range<u64> = 300..3_500;
+
+/// Delays of slow links, in milliseconds.
+const DELAY_MILLIS: std::ops::Range<u64> = 5..120;
+
+/// Draws the faults of a run; the same seed gives the same faults.
+pub fn draw(seed: u64, length: Duration, targets: Targets) -> Vec<ScheduledFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut schedule = Vec::new();
+    let mut at = Duration::from_millis(random.random_range(PAUSE_MILLIS));
+    while at < length {
+        schedule.push(ScheduledFault {
+            at,
+            lasts: Duration::from_millis(random.random_range(LENGTH_MILLIS)),
+            fault: draw_fault(&mut random, targets),
+        });
+        at += Duration::from_millis(random.random_range(PAUSE_MILLIS));
+    }
+    schedule
+}
+
+fn draw_fault(random: &mut ChaCha8Rng, targets: Targets) -> Fault {
+    let node = random.random_range(0..targets.nodes);
+    let engine = random.random_range(0..targets.engines);
+    match random.random_range(0..100) {
+        0..10 => Fault::StoreLink(node, draw_link_fault(random)),
+        10..25 => Fault::EngineLink(engine, draw_link_fault(random)),
+        25..29 => Fault::ResetStoreLink(node),
+        29..36 => Fault::ResetEngineLink(engine),
+        36..41 => Fault::StoreForOne(node, draw_store_mode(random)),
+        41..46 => Fault::StoreForAll(draw_store_mode(random)),
+        46..49 => Fault::ForgetHistory,
+        49..57 => Fault::Kill(node),
+        57..59 => Fault::KillAll,
+        59..66 => Fault::Pause(node),
+        66..74 => Fault::Stop(node),
+        74..88 => Fault::Engine(engine, draw_engine_fault(random)),
+        88..94 => Fault::Replace(engine),
+        _ => Fault::Reconfigure,
+    }
+}
+
+fn draw_link_fault(random: &mut ChaCha8Rng) -> LinkFault {
+    match random.random_range(0..5) {
+        0 => LinkFault::Silent,
+        1 => LinkFault::SilentTowardsTarget,
+        2 => LinkFault::SilentFromTarget,
+        _ => LinkFault::Delayed(Duration::from_millis(random.random_range(DELAY_MILLIS))),
+    }
+}
+
+fn draw_store_mode(random: &mut ChaCha8Rng) -> StoreMode {
+    match random.random_range(0..3) {
+        0 => StoreMode::Throttling,
+        1 => StoreMode::Down,
+        _ => StoreMode::LosingAnswers,
+    }
+}
+
+fn draw_engine_fault(random: &mut ChaCha8Rng) -> EngineFault {
+    match random.random_range(0..5) {
+        0 => EngineFault::Refuse,
+        1 => EngineFault::Fail,
+        2 => EngineFault::LoseAnswer,
+        3 => EngineFault::Unsigned,
+        _ => EngineFault::CutAfter(random.random_range(0..4)),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fault_soak/striking.rs
@@ -0,0 +1,101 @@
+//! Makes the faults of a schedule happen, each in its time, and takes them back.
+
+use super::deployment::Deployment;
+use super::schedule::{Fault, ScheduledFault};
+use crate::relay::LinkFault;
+use crate::users_platform::StoreMode;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Requests in a row that an engine fault strikes.
+const STRUCK_REQUESTS: usize = 5;
+
+/// Pause between two looks at nodes that ended by themselves and at engines' stages.
+const TEND_EVERY: Duration = Duration::from_millis(100);
+
+/// Carries out a schedule; returns when all of it has been taken back.
+pub fn strike(deployment: &Deployment, schedule: &[ScheduledFault], begun: Instant) {
+    thread::scope(|scope| {
+        for scheduled in schedule {
+            tend_until(deployment, begun + scheduled.at);
+            scope.spawn(move || strike_one(deployment, scheduled));
+        }
+    });
+}
+
+fn tend_until(deployment: &Deployment, until: Instant) {
+    while Instant::now() < until {
+        deployment.restart_ended();
+        deployment.list_stages();
+        thread::sleep(TEND_EVERY.min(until.saturating_duration_since(Instant::now())));
+    }
+}
+
+fn strike_one(deployment: &Deployment, scheduled: &ScheduledFault) {
+    let nodes = deployment.targets().nodes;
+    let wait = || thread::sleep(scheduled.lasts);
+    match scheduled.fault {
+        Fault::StoreLink(node, fault) => {
+            deployment.store_link(node).set_fault(fault);
+            wait();
+            deployment.store_link(node).set_fault(LinkFault::None);
+        }
+        Fault::EngineLink(engine, fault) => {
+            let link = deployment.engine_link(engine);
+            link.set_fault(fault);
+            wait();
+            link.set_fault(LinkFault::None);
+        }
+        Fault::ResetStoreLink(node) => deployment.store_link(node).reset(),
+        Fault::ResetEngineLink(engine) => deployment.engine_link(engine).reset(),
+        Fault::StoreForOne(node, mode) => {
+            deployment.set_store_mode(node, mode);
+            wait();
+            deployment.set_store_mode(node, StoreMode::Serving);
+        }
+        Fault::StoreForAll(mode) => {
+            (0..nodes).for_each(|node| deployment.set_store_mode(node, mode));
+            wait();
+            (0..nodes).for_each(|node| deployment.set_store_mode(node, StoreMode::Serving));
+        }
+        Fault::ForgetHistory => deployment.forget_history(),
+        Fault::Kill(node) => {
+            deployment.kill(node);
+            wait();
+            restart(deployment, node);
+        }
+        Fault::KillAll => {
+            (0..nodes).for_each(|node| deployment.kill(node));
+            wait();
+            (0..nodes).for_each(|node| restart(deployment, node));
+        }
+        Fault::Pause(node) => {
+            deployment.pause(node, true);
+            wait();
+            deployment.pause(node, false);
+        }
+        Fault::Stop(node) => {
+            deployment.stop(node);
+            restart(deployment, node);
+        }
+        Fault::Engine(engine, fault) => {
+            (0..STRUCK_REQUESTS).for_each(|_| deployment.next_request(engine, fault));
+        }
+        Fault::Replace(engine) => {
+            deployment.drain(engine);
+            wait();
+            if let Err(error) = deployment.replace(engine) {
+                log::error!(engine, error:% = error; "engine_not_replaced");
+            }
+        }
+        Fault::Reconfigure => {
+            deployment.reconfigure();
+        }
+    }
+}
+
+fn restart(deployment: &Deployment, node: usize) {
+    if let Err(error) = deployment.start_node(node) {
+        log::error!(node, error:% = error; "node_not_started");
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod command;
 pub mod demo;
 pub mod engine;
+pub mod fault_soak;
 pub mod footprint;
 pub mod load;
 pub mod platform;
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -1,12 +1,14 @@
-//! A TCP relay whose link can be cut and mended at run time, in the manner of a network between two zones.
+//! A TCP relay whose link can be cut, silenced, delayed and mended at run time, in the manner of a network between two
+//! zones.
 //!
-//! A cut drops the connections that pass and holds new ones without an answer, as a partition does: nobody is
-//! told. Mending lets held connections go on.
+//! A cut drops the connections that pass and holds new ones without an answer; a silent link keeps its connections and
+//! holds their bytes, as a partition does: nobody is told. Mending lets everything that is held go on.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
+use std::time::Duration;
 
 /// Bytes copied at once.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -25,9 +27,43 @@
     changed: Condvar,
 }
 
+/// What is wrong with a link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LinkFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Bytes of both directions are held, and so are new connections.
+    Silent,
+    /// Bytes towards the target are held.
+    SilentTowardsTarget,
+    /// Bytes from the target are held.
+    SilentFromTarget,
+    /// Every piece is passed on so much later.
+    Delayed(Duration),
+}
+
+/// Way in which bytes pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Direction {
+    TowardsTarget,
+    FromTarget,
+}
+
+impl LinkFault {
+    fn holds(self, direction: Direction) -> bool {
+        match self {
+            Self::None | Self::Delayed(_) => false,
+            Self::Silent => true,
+            Self::SilentTowardsTarget => direction == Direction::TowardsTarget,
+            Self::SilentFromTarget => direction == Direction::FromTarget,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct LinkState {
-    cut: bool,
+    fault: LinkFault,
     stopped: bool,
     open: Vec<TcpStream>,
 }
@@ -57,14 +93,26 @@
     /// Cuts the link: bytes under way are dropped and new connections are held.
     pub fn cut(&self) {
         let mut state = self.link.state();
-        state.cut = true;
+        state.fault = LinkFault::Silent;
         close_all(&mut state);
+        drop(state);
+        self.link.changed.notify_all();
+    }
+
+    /// Closes the connections that pass; new ones are taken as before.
+    pub fn reset(&self) {
+        close_all(&mut self.link.state());
+    }
+
+    /// Makes something wrong with the link, in place of what was.
+    pub fn set_fault(&self, fault: LinkFault) {
+        self.link.state().fault = fault;
+        self.link.changed.notify_all();
     }
 
     /// Mends the link.
     pub fn mend(&self) {
-        self.link.state().cut = false;
-        self.link.changed.notify_all();
+        self.set_fault(LinkFault::None);
     }
 
     /// Closes every connection and takes no more.
@@ -86,16 +134,26 @@
 
     /// Waits until the link is whole; false when the relay has stopped.
     fn wait_until_whole(&self) -> bool {
-        let waiting = |state: &mut LinkState| state.cut && !state.stopped;
+        let waiting = |state: &mut LinkState| state.fault == LinkFault::Silent && !state.stopped;
         let state = self.changed.wait_while(self.state(), waiting);
         !state.unwrap_or_else(PoisonError::into_inner).stopped
     }
 
+    /// Waits until bytes may pass in a direction.
+    fn wait_to_pass(&self, direction: Direction) {
+        let waiting = |state: &mut LinkState| state.fault.holds(direction) && !state.stopped;
+        let state = self.changed.wait_while(self.state(), waiting);
+        let fault = state.unwrap_or_else(PoisonError::into_inner).fault;
+        if let LinkFault::Delayed(delay) = fault {
+            thread::sleep(delay);
+        }
+    }
+
     /// Remembers both ends of a connection so that a cut can close them; false when the link is cut meanwhile.
     fn remember(&self, near: &TcpStream, far: &TcpStream) -> std::io::Result<bool> {
         let ends = [near.try_clone()?, far.try_clone()?];
         let mut state = self.state();
-        if state.cut || state.stopped {
+        if state.fault == LinkFault::Silent || state.stopped {
             return Ok(false);
         }
         state.open.extend(ends);
@@ -136,14 +194,15 @@
         return;
     }
     thread::scope(|scope| {
-        scope.spawn(|| copy(&near, &far));
-        copy(&far, &near);
+        scope.spawn(|| copy(&near, &far, link, Direction::TowardsTarget));
+        copy(&far, &near, link, Direction::FromTarget);
     });
 }
 
-fn copy(mut from: &TcpStream, mut to: &TcpStream) {
+fn copy(mut from: &TcpStream, mut to: &TcpStream, link: &Link, direction: Direction) {
     let mut buffer = [0; BUFFER_BYTES];
     while let Ok(read) = from.read(&mut buffer) {
+        link.wait_to_pass(direction);
         if read == 0 || to.write_all(&buffer[..read]).is_err() {
             break;
         }
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -38,6 +38,15 @@
     Unsigned,
 }
 
+/// One order that an engine took.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OrderRecord {
+    /// Authority under which it was given.
+    pub token: u64,
+    /// Who gave it.
+    pub holder: String,
+}
+
 /// One run of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunRecord {
@@ -61,6 +70,7 @@
     next_handle: u64,
     sequence: u64,
     fence: u64,
+    orders: Vec<OrderRecord>,
 }
 
 /// A running engine on loopback.
@@ -125,6 +135,11 @@
         lock(&self.state).sequence
     }
 
+    /// Orders that it has taken, each with its authority.
+    pub fn order_records(&self) -> Vec<OrderRecord> {
+        lock(&self.state).orders.clone()
+    }
+
     /// Its present stage.
     pub fn stage(&self) -> Option<&'static str> {
         lock(&self.state).stage
@@ -246,6 +261,10 @@
             409
         } else {
             state.fence = order.fencing_token;
+            state.orders.push(OrderRecord {
+                token: order.fencing_token,
+                holder: order.holder,
+            });
             state.sequence += 1;
             state.stage = Some(if order.stage == "prefill" {
                 "prefill"
--- a/crates/lab/src/users_platform/mod.rs
+++ b/crates/lab/src/users_platform/mod.rs
@@ -4,5 +4,5 @@
 mod engine;
 mod store;
 
-pub use engine::{EngineFault, EngineSettings, ModelEngine, RunRecord};
+pub use engine::{EngineFault, EngineSettings, ModelEngine, OrderRecord, RunRecord};
 pub use store::{StandInStore, StoreMode};
--- /dev/null
+++ b/crates/lab/tests/fault_soak.rs
@@ -0,0 +1,223 @@
+//! The fault soak's schedule and its judgement: each promise is shown to be found broken.
+
+#![allow(clippy::unwrap_used)]
+
+use shelfjunction_lab::fault_soak::oracle::{EngineRecords, Violation, judge};
+use shelfjunction_lab::fault_soak::record::{CallKind, SeenAnswer, SeenCall};
+use shelfjunction_lab::fault_soak::schedule::{Fault, Targets, draw};
+use shelfjunction_lab::relay::{LinkFault, Relay};
+use shelfjunction_lab::users_platform::{OrderRecord, RunRecord};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
+use std::time::Duration;
+
+const EVENTS: u64 = 3;
+
+const WHOLE: &str = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n";
+
+fn call(kind: CallKind, answer: Option<SeenAnswer>) -> SeenCall {
+    SeenCall {
+        request: "mine".to_owned(),
+        kind,
+        node: 0,
+        sent_at: Duration::ZERO,
+        took: Duration::ZERO,
+        answer,
+    }
+}
+
+fn success(body: &str) -> SeenAnswer {
+    SeenAnswer {
+        status: 200,
+        request: Some("mine".to_owned()),
+        signature: Some("signed".to_owned()),
+        body: body.to_owned(),
+        whole: true,
+    }
+}
+
+fn ran(request: &str, times: usize) -> EngineRecords {
+    let run = RunRecord {
+        request: request.to_owned(),
+        after_event: 0,
+        source: None,
+        fetched_from: None,
+    };
+    EngineRecords {
+        runs: vec![run; times],
+        orders: Vec::new(),
+    }
+}
+
+#[test]
+fn nothing_is_found_where_every_promise_holds() {
+    let calls = [
+        call(CallKind::Once, Some(success(WHOLE))),
+        call(CallKind::Application, Some(success("the answer"))),
+        call(CallKind::Look, None),
+    ];
+    assert_eq!(judge(&calls[..1], &ran("mine", 1), EVENTS), Vec::new());
+    assert_eq!(judge(&calls[1..2], &ran("mine", 1), EVENTS), Vec::new());
+    assert_eq!(judge(&calls[2..], &ran("mine", 3), EVENTS), Vec::new());
+    let refused = SeenAnswer {
+        status: 503,
+        ..success("")
+    };
+    let refused = call(CallKind::Application, Some(refused));
+    assert_eq!(judge(&[refused], &EngineRecords::default(), EVENTS), Vec::new());
+}
+
+#[test]
+fn a_second_run_is_found_where_one_is_allowed() {
+    for (kind, twice) in [
+        (CallKind::Once, true),
+        (CallKind::Application, true),
+        (CallKind::Again, false),
+    ] {
+        let found = judge(&[call(kind, None)], &ran("mine", 2), EVENTS);
+        assert_eq!(!found.is_empty(), twice, "{kind:?}: {found:?}");
+    }
+}
+
+#[test]
+fn a_refusal_of_what_has_run_is_found() {
+    for status in [408, 421, 429, 503] {
+        let refused = SeenAnswer {
+            status,
+            ..success("")
+        };
+        let found = judge(&[call(CallKind::Once, Some(refused))], &ran("mine", 1), EVENTS);
+        assert_eq!(found, [Violation::RefusedButRan("mine".to_owned(), status)]);
+    }
+}
+
+#[test]
+fn answers_that_are_not_the_requests_own_are_found() {
+    let broken = [
+        SeenAnswer {
+            request: Some("other".to_owned()),
+            ..success(WHOLE)
+        },
+        SeenAnswer {
+            signature: None,
+            ..success(WHOLE)
+        },
+        success("id: 1\ndata: 1\n\n"),
+    ];
+    for answer in broken {
+        let found = judge(
+            &[call(CallKind::Again, Some(answer.clone()))],
+            &ran("mine", 1),
+            EVENTS,
+        );
+        assert_eq!(found, [Violation::NotItsAnswer("mine".to_owned(), answer)]);
+    }
+}
+
+#[test]
+fn events_with_a_gap_or_twice_are_found_even_where_the_answer_broke_off() {
+    for body in [
+        "id: 1\ndata: 1\n\nid: 3\ndata: 3\n\n",
+        "id: 1\ndata: 1\n\nid: 1\ndata: 1\n\n",
+        "id: 2\ndata: 2\n\n",
+    ] {
+        let answer = SeenAnswer {
+            whole: false,
+            ..success(body)
+        };
+        let found = judge(&[call(CallKind::Again, Some(answer))], &ran("mine", 2), EVENTS);
+        assert_eq!(
+            found,
+            [Violation::EventsOutOfOrder("mine".to_owned(), body.to_owned())]
+        );
+    }
+}
+
+#[test]
+fn a_run_that_nobody_asked_for_and_a_shared_authority_are_found() {
+    let order = |holder: &str| OrderRecord {
+        token: 4,
+        holder: holder.to_owned(),
+    };
+    let records = EngineRecords {
+        orders: vec![order("node-1"), order("node-1"), order("node-2")],
+        ..ran("stray", 1)
+    };
+    let found = judge(&[], &records, EVENTS);
+    assert!(matches!(&found[0], Violation::Unasked(request) if request == "stray"));
+    assert!(matches!(&found[1], Violation::SharedAuthority(4, holders) if holders.len() == 2));
+}
+
+#[test]
+fn a_seed_gives_the_same_faults_and_every_kind_comes() {
+    let targets = Targets { nodes: 3, engines: 9 };
+    let length = Duration::from_secs(600);
+    let drawn = draw(7, length, targets);
+    assert_eq!(drawn, draw(7, length, targets));
+    assert_ne!(drawn, draw(8, length, targets));
+    let kinds: std::collections::HashSet<_> = drawn
+        .iter()
+        .map(|scheduled| std::mem::discriminant(&scheduled.fault))
+        .collect();
+    assert_eq!(kinds.len(), 14);
+    assert!(drawn.iter().any(|scheduled| scheduled.fault == Fault::KillAll));
+    assert!(drawn.iter().all(|scheduled| scheduled.at < length));
+}
+
+/// A relay before a server that echoes; returns the relay and a connection through it.
+fn echo() -> (Relay, TcpStream) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let target = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut byte = [0];
+        while stream.read(&mut byte).unwrap_or(0) == 1 {
+            let _ = stream.write_all(&byte);
+        }
+    });
+    let relay = Relay::start((Ipv4Addr::LOCALHOST, 0).into(), target).unwrap();
+    let stream = TcpStream::connect(relay.address()).unwrap();
+    (relay, stream)
+}
+
+/// Time in which a byte that is not held comes back; a machine that takes longer still finds nothing wrong.
+const LONG_FOR_LOOPBACK: Duration = Duration::from_millis(100);
+
+fn exchange(stream: &mut TcpStream, byte: u8) -> u8 {
+    stream.write_all(&[byte]).unwrap();
+    let mut answer = [0];
+    stream.read_exact(&mut answer).unwrap();
+    answer[0]
+}
+
+#[test]
+fn a_silent_link_holds_bytes_of_its_direction_until_it_is_mended() {
+    for fault in [
+        LinkFault::Silent,
+        LinkFault::SilentTowardsTarget,
+        LinkFault::SilentFromTarget,
+    ] {
+        let (relay, mut stream) = echo();
+        assert_eq!(exchange(&mut stream, 1), 1);
+        relay.set_fault(fault);
+        stream.write_all(&[2]).unwrap();
+        stream.set_read_timeout(Some(LONG_FOR_LOOPBACK)).unwrap();
+        let mut byte = [0];
+        let held = stream.read(&mut byte);
+        assert!(held.is_err(), "{fault:?}: {held:?}");
+        stream.set_read_timeout(None).unwrap();
+        relay.mend();
+        stream.read_exact(&mut byte).unwrap();
+        assert_eq!(byte, [2], "{fault:?}: nothing is lost");
+    }
+}
+
+#[test]
+fn a_reset_closes_what_passes_and_a_delay_passes_everything() {
+    let (relay, mut stream) = echo();
+    relay.set_fault(LinkFault::Delayed(Duration::from_millis(2)));
+    assert_eq!(exchange(&mut stream, 1), 1);
+    relay.reset();
+    let mut byte = [0];
+    assert!(matches!(stream.read(&mut byte), Ok(0) | Err(_)));
+}
