Tell changes of the list from the version of the change before them

Change: they follow on the last change of the list. Tests: list_news.rs::a_quiet_time_at_the_store_makes_nobody_lack_anything (with the mend; the old base of 5,000 refuses a node at 10), changes_behind_those_that_another_node_told_are_not_told.

--- a/crates/core/src/routing/pool/recent.rs
+++ b/crates/core/src/routing/pool/recent.rs
@@ -39,10 +39,23 @@
 }
 
 impl RecentChanges {
-    /// Notes changes that followed directly on what this node had, up to version `base`.
-    pub fn note(&mut self, base: u64, changes: &[(u64, ListChange)], now: MonotonicTime) {
+    /// Notes changes that the store told after version `after`, before they are taken into `listing`.
+    ///
+    /// The store counts every write, so a node may lack nothing though it reflects a much lower version: what counts is
+    /// the version of the last change of the list.
+    pub fn note(
+        &mut self,
+        listing: &EngineListing,
+        after: u64,
+        changes: &[(u64, ListChange)],
+        now: MonotonicTime,
+    ) {
+        if listing.reflected() > after {
+            // Another node was faster; what it told is not told again, and these may not follow on what was.
+            return self.reset();
+        }
         if self.changes.is_empty() {
-            self.base = base;
+            self.base = listing.changed();
         }
         for (version, change) in changes {
             self.changes.push_back((now, *version, change.clone()));
--- a/crates/node/src/watch/engines.rs
+++ b/crates/node/src/watch/engines.rs
@@ -48,13 +48,7 @@
     let read: Vec<(u64, ListChange)> = read.collect();
     let taken = {
         let mut listing = lock(&context.listing);
-        let mut recent = lock(&context.recent_changes);
-        if listing.reflected() <= after {
-            recent.note(after, &read, context.now());
-        } else {
-            // Another node was faster; what it told is not told again.
-            recent.reset();
-        }
+        lock(&context.recent_changes).note(&listing, after, &read, context.now());
         listing.apply(read, changes.version.0)
     };
     context.take_list_changes(taken, SOURCE);
