Tell new prompts at once and gather what can wait

Cause: a node told of new work after 100 ms and more in a fleet of 60, in which time some fifteen prompts are sent. Change: the sending of a prompt is told at once, as far as the allowance of 600 datagrams a second reaches; ends of work and news of held parts are gathered for 120 ms.

--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -54,7 +54,7 @@
             all_sent: false,
             has_events: false,
         };
-        self.context.peers.note_change();
+        self.note_dispatched(purpose);
         let fetch_from = match purpose {
             Purpose::Output => None,
             Purpose::Prompt | Purpose::Whole => {
@@ -75,6 +75,14 @@
         self.exchange = Some(exchange);
     }
 
+    /// The reading of a prompt fills an engine for longest, so others hear of it at once.
+    fn note_dispatched(&self, purpose: Purpose) {
+        match purpose {
+            Purpose::Prompt => self.context.peers.note_new_work(),
+            Purpose::Output | Purpose::Whole => self.context.peers.note_change(),
+        }
+    }
+
     /// What speaks for an engine, before the request is counted there.
     fn explain(&self, engine: &EngineId, purpose: Purpose, now: MonotonicTime) -> Explanation {
         let (stage, reads) = match (purpose, self.prompt) {
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -79,6 +79,8 @@
 #[derive(Debug, Default)]
 struct Pending {
     changed: bool,
+    /// Whether others must hear of it before they choose engines.
+    urgent: bool,
     confirmed: bool,
 }
 
@@ -125,7 +127,15 @@
         lock(&self.known).peers.keys().cloned().collect()
     }
 
-    /// Notes that this node's work has changed.
+    /// Notes that this node has handed new work to an engine, which others would otherwise choose as well.
+    pub(crate) fn note_new_work(&self) {
+        let mut pending = lock(&self.pending);
+        pending.changed = true;
+        pending.urgent = true;
+        self.change.notify_one();
+    }
+
+    /// Notes that this node's work or beliefs have changed.
     pub(crate) fn note_change(&self) {
         lock(&self.pending).changed = true;
         self.change.notify_one();
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -3,13 +3,17 @@
 use super::Peers;
 use super::message::{MOST_CHANGES, MOST_ENGINES, MOST_NEWS, WorkMessage};
 use crate::context::Context;
+use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::PoisonError;
 use std::time::Duration;
 
-/// Least time between two messages to everybody, so that a busy node gathers changes.
-const LEAST_PAUSE: Duration = Duration::from_millis(40);
+/// Least time between two messages to everybody.
+const LEAST_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time for which changes that can wait are gathered: work that ended, and what engines came to hold.
+const GATHER: Duration = Duration::from_millis(120);
 
 /// Time after which the work is told again though it has not changed.
 const TELL_AGAIN: Duration = Duration::from_millis(700);
@@ -20,11 +24,15 @@
 /// Datagrams that a node sends in a second; with more peers it tells of changes less often.
 const DATAGRAMS_PER_SECOND: u32 = 600;
 
+/// Messages to everybody that may follow on each other at [`LEAST_PAUSE`] after a quiet time.
+const MOST_SAVED: u32 = 4;
+
 /// Tells other nodes as long as the process runs.
 pub(crate) fn tell(context: &Context, socket: &UdpSocket) {
     let start = rand::random();
     let mut number = 0;
     let mut idle_rounds = 0;
+    let mut allowance = Allowance::new(context.now());
     loop {
         let confirmed = context.peers.wait_for_change();
         let now = context.now();
@@ -39,7 +47,33 @@
             send(socket, &peers, message);
         }
         number += 1;
-        context.stop.wait(pause(peers.len()));
+        context.stop.wait(allowance.spend(peers.len(), now));
+    }
+}
+
+/// Messages that may be sent, so that many peers do not cost more datagrams: a token bucket.
+struct Allowance {
+    saved: Duration,
+    at: MonotonicTime,
+}
+
+impl Allowance {
+    fn new(now: MonotonicTime) -> Self {
+        Self {
+            saved: Duration::ZERO,
+            at: now,
+        }
+    }
+
+    /// Spends a message to so many peers; the time until the next one may be sent.
+    fn spend(&mut self, peers: usize, now: MonotonicTime) -> Duration {
+        let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+        let price = Duration::from_secs(1).saturating_mul(peers) / DATAGRAMS_PER_SECOND;
+        self.saved = (self.saved + now.since(self.at)).min(price * MOST_SAVED);
+        self.at = now;
+        let owed = price.saturating_sub(self.saved);
+        self.saved = self.saved.saturating_sub(price);
+        owed.max(LEAST_PAUSE)
     }
 }
 
@@ -83,20 +117,25 @@
     }
 }
 
-/// Time until the next message, so that many peers do not cost more datagrams.
-fn pause(peers: usize) -> Duration {
-    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-    LEAST_PAUSE.max(Duration::from_secs(1).saturating_mul(peers) / DATAGRAMS_PER_SECOND)
-}
-
 impl Peers {
     /// Waits until there is something to tell, or until it is time to tell again; whether something was confirmed.
+    ///
+    /// New work at an engine is told at once; other changes are gathered for a while.
     fn wait_for_change(&self) -> bool {
-        let pending = lock(&self.pending);
-        let wait = self
+        let quiet = lock(&self.pending);
+        let waited = self
+            .change
+            .wait_timeout_while(quiet, TELL_AGAIN, |pending| !pending.changed);
+        let (pending, timeout) = waited.unwrap_or_else(PoisonError::into_inner);
+        let gather = if timeout.timed_out() {
+            Duration::ZERO
+        } else {
+            GATHER
+        };
+        let gathered = self
             .change
-            .wait_timeout_while(pending, TELL_AGAIN, |pending| !pending.changed);
-        let (mut pending, _) = wait.unwrap_or_else(PoisonError::into_inner);
+            .wait_timeout_while(pending, gather, |pending| !pending.urgent);
+        let (mut pending, _) = gathered.unwrap_or_else(PoisonError::into_inner);
         std::mem::take(&mut *pending).confirmed
     }
 }
