Never claim more than was known when telling versions; read everything after a question in vain

Its log was not kept; the cause below follows from the code and fits, but was not seen at work there. The busiest node also used 50 in 100 of a core, so lateness by load is not ruled out. Cause: a node read the version that it had and then, in a second step, up to where the store had confirmed it. A change taken in between made it claim that the older version was the last one up to the newer's place in the store. Whoever believed it went on asking from behind the change and never got it. Change: the bound is read first and the version after it. A question that does not bring what others have is followed by reading everything. In fleets of more than 97 nodes a node tells 24 others (150 datagrams a second), but everybody where the store has confirmed something or changed.

--- a/crates/core/src/watching/shared.rs
+++ b/crates/core/src/watching/shared.rs
@@ -77,6 +77,13 @@
     pub age_millis: Option<u32>,
 }
 
+impl TableWord {
+    /// The word of a node that has everything up to a version.
+    pub fn of_version(self, version: u64) -> Self {
+        Self { version, ..self }
+    }
+}
+
 /// What to do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WatchStep {
@@ -93,7 +100,16 @@
     store_version: u64,
     confirmed_at: Option<MonotonicTime>,
     answered_at: Option<MonotonicTime>,
-    lacking_since: Option<MonotonicTime>,
+    lacking: Option<Lacking>,
+    /// Newest version that a question was asked for and that its answer did not bring, as far as others' words tell.
+    asked_for: u64,
+}
+
+/// Something newer that another node has.
+#[derive(Clone, Copy, Debug)]
+struct Lacking {
+    since: MonotonicTime,
+    version: u64,
 }
 
 impl SharedWatch {
@@ -104,7 +120,8 @@
             store_version: 0,
             confirmed_at: None,
             answered_at: None,
-            lacking_since: None,
+            lacking: None,
+            asked_for: 0,
         }
     }
 
@@ -113,14 +130,13 @@
         self.store_version = self.store_version.max(store_version);
         self.confirmed_at = Some(now);
         self.answered_at = Some(now);
-        self.lacking_since = None;
+        self.asked_for = self.lacking.take().map_or(0, |lacking| lacking.version);
     }
 
     /// Takes another node's word, where this node has everything up to `own_version`.
     pub fn on_word(&mut self, word: TableWord, own_version: u64, now: MonotonicTime) {
         if word.version > own_version {
-            self.lacking_since.get_or_insert(now);
-            return;
+            return self.lacks(word.version, now);
         }
         self.store_version = self.store_version.max(word.store_version);
         let age = word.age_millis.map(|age| Duration::from_millis(age.into()));
@@ -128,16 +144,28 @@
         self.confirmed_at = self.confirmed_at.max(confirmed);
     }
 
+    /// A version that a question has been asked for in vain means that changes were missed: everything is read anew.
+    fn lacks(&mut self, version: u64, now: MonotonicTime) {
+        if self.asked_for >= version {
+            self.store_version = 0;
+        }
+        let lacking = self.lacking.get_or_insert(Lacking { since: now, version });
+        lacking.version = lacking.version.max(version);
+    }
+
     /// Notes that what was lacking has come from another node.
     pub fn on_caught_up(&mut self) {
-        self.lacking_since = None;
+        self.lacking = None;
     }
 
-    /// What this node says to others, where it has everything up to `version`.
-    pub fn word(&self, version: u64, now: MonotonicTime) -> TableWord {
+    /// What this node says to others, but for the version that it has.
+    ///
+    /// The version must be read after this: read before it, a change in between would make the node claim that the
+    /// older version is the last one up to a version of the store that has the newer, and others would miss it.
+    pub fn word(&self, now: MonotonicTime) -> TableWord {
         let age = self.confirmed_at.map(|at| now.since(at).as_millis());
         TableWord {
-            version,
+            version: 0,
             store_version: self.store_version,
             age_millis: age.and_then(|age| u32::try_from(age).ok()),
         }
@@ -177,7 +205,7 @@
     }
 
     fn lacking_due(&self) -> Option<MonotonicTime> {
-        let heard = self.lacking_since? + HEAR_FIRST;
+        let heard = self.lacking?.since + HEAR_FIRST;
         let again = self.answered_at.map(|at| at + ASK_AGAIN);
         Some(again.map_or(heard, |again| heard.max(again)))
     }
--- a/crates/core/tests/shared_watch.rs
+++ b/crates/core/tests/shared_watch.rs
@@ -172,3 +172,44 @@
     watch.on_history_gone();
     assert_eq!(watch.store_version(), 0);
 }
+
+/// Found on a sweep at 300 machines: one node went on with an older configuration four seconds after the newer one.
+#[test]
+fn a_question_in_vain_is_followed_by_reading_everything() {
+    let mut watch = SharedWatch::new(SETTINGS);
+    watch.on_store_answer(70, at(1_000));
+    watch.on_word(word(8, 0), 7, at(1_100));
+    assert_eq!(watch.store_version(), 70, "at first the changes are asked for");
+    watch.on_store_answer(85, at(1_300));
+    watch.on_word(word(8, 0), 7, at(1_400));
+    assert_eq!(
+        watch.store_version(),
+        0,
+        "others still have what the answer did not bring"
+    );
+    let WatchStep::Rest(rest) = watch.next(false, at(1_400)) else {
+        panic!("not at once again");
+    };
+    assert_eq!(
+        watch.next(false, at(1_400) + rest),
+        WatchStep::Ask(Duration::ZERO)
+    );
+}
+
+#[test]
+fn a_word_claims_nothing_for_a_version_that_came_after_it_was_begun() {
+    let mut teller = SharedWatch::new(SETTINGS);
+    teller.on_store_answer(70, at(1_000));
+    let begun = teller.word(at(1_050));
+    teller.on_store_answer(90, at(1_060));
+    let told = begun.of_version(8);
+    assert_eq!(
+        (told.store_version, told.version),
+        (70, 8),
+        "the newer version, the older bound"
+    );
+    let mut hearer = SharedWatch::new(SETTINGS);
+    hearer.on_store_answer(60, at(900));
+    hearer.on_word(told, 8, at(1_100));
+    assert_eq!(hearer.store_version(), 70);
+}
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -27,9 +27,12 @@
 /// Time after which a node that is neither listed nor heard is forgotten.
 const SILENT_PEER_LIFETIME: Duration = Duration::from_secs(40);
 
-/// Nodes that one node tells of its work.
+/// Most other nodes that are all told of a node's work.
 const MOST_TOLD: usize = 96;
 
+/// Nodes that are told in a larger fleet: what a node hears must not grow with it.
+const TOLD_IN_LARGE_FLEET: usize = 24;
+
 /// Silence after which a node no longer counts as alive.
 const HEARD_LATELY: Duration = Duration::from_millis(3_500);
 
@@ -158,8 +161,13 @@
         known.peers.values().map(|peer| peer.address).collect()
     }
 
-    /// Addresses of the nodes that this one tells of its work: all of a small fleet, of a large one as many as
-    /// [`MOST_TOLD`], the same each time, so that a node's messages do not grow with the fleet.
+    /// Whether the fleet is small enough for each node to tell all others.
+    fn tells_all(&self) -> bool {
+        lock(&self.known).peers.len() <= MOST_TOLD
+    }
+
+    /// Addresses of the nodes that this one tells of its work: all of a small fleet, of a large one
+    /// [`TOLD_IN_LARGE_FLEET`], the same each time, so that a node's messages do not grow with the fleet.
     fn told(&self, own: &NodeId, now: MonotonicTime) -> Vec<SocketAddr> {
         let all = self.addresses(now);
         if all.len() <= MOST_TOLD {
@@ -176,7 +184,7 @@
         peers
             .iter()
             .rev()
-            .take(MOST_TOLD)
+            .take(TOLD_IN_LARGE_FLEET)
             .map(|(_, address)| *address)
             .collect()
     }
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -21,9 +21,12 @@
 /// An idle node tells of itself once in so many rounds.
 const IDLE_ROUNDS: u32 = 2;
 
-/// Datagrams that a node sends in a second; with more peers it tells of changes less often.
+/// Datagrams that a node sends in a second where it tells all others; with more peers it tells of changes less often.
 const DATAGRAMS_PER_SECOND: u32 = 600;
 
+/// Datagrams that it sends in a second in a fleet too large for that.
+const LARGE_FLEET_DATAGRAMS: u32 = 150;
+
 /// Messages to everybody that may follow on each other at [`LEAST_PAUSE`] after a quiet time.
 const MOST_SAVED: u32 = 4;
 
@@ -36,7 +39,16 @@
     loop {
         let confirmed = context.peers.wait_for_change();
         let now = context.now();
-        let peers = context.peers.told(&context.config.node, now);
+        let peers = if confirmed {
+            context.peers.addresses(now)
+        } else {
+            context.peers.told(&context.config.node, now)
+        };
+        let rate = if context.peers.tells_all() {
+            DATAGRAMS_PER_SECOND
+        } else {
+            LARGE_FLEET_DATAGRAMS
+        };
         let nodes_per_word = context.peers.nodes_per_word(now);
         lock(&context.router).set_nodes_per_word(nodes_per_word);
         let message = compose(context, start, number);
@@ -47,7 +59,7 @@
             send(socket, &peers, message);
         }
         number += 1;
-        context.stop.wait(allowance.spend(peers.len(), now));
+        context.stop.wait(allowance.spend(peers.len(), rate, now));
     }
 }
 
@@ -66,9 +78,9 @@
     }
 
     /// Spends a message to so many peers; the time until the next one may be sent.
-    fn spend(&mut self, peers: usize, now: MonotonicTime) -> Duration {
+    fn spend(&mut self, peers: usize, rate: u32, now: MonotonicTime) -> Duration {
         let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-        let price = Duration::from_secs(1).saturating_mul(peers) / DATAGRAMS_PER_SECOND;
+        let price = Duration::from_secs(1).saturating_mul(peers) / rate;
         self.saved = (self.saved + now.since(self.at)).min(price * MOST_SAVED);
         self.at = now;
         let owed = price.saturating_sub(self.saved);
@@ -86,8 +98,8 @@
 
 fn compose(context: &Context, start: u64, number: u64) -> WorkMessage {
     let now = context.now();
-    let config_version = context.forwarding().map_or(0, |config| config.version);
-    let list_version = lock(&context.listing).changed();
+    let config_version = || context.forwarding().map_or(0, |config| config.version);
+    let list_version = || lock(&context.listing).changed();
     let list_news = lock(&context.recent_changes).told(MOST_CHANGES, now);
     let mut router = lock(&context.router);
     let mut work = router.own_work();
@@ -97,8 +109,8 @@
         start,
         number,
         store_answers: context.config_watch.in_contact() && context.list_watch.in_contact(),
-        config: context.config_watch.word(config_version, now),
-        list: context.list_watch.word(list_version, now),
+        config: context.config_watch.word(now, config_version),
+        list: context.list_watch.word(now, list_version),
         list_news,
         work,
         prompt_tokens_per_second: router.own_demand(now),
--- a/crates/node/src/watch/table.rs
+++ b/crates/node/src/watch/table.rs
@@ -73,9 +73,11 @@
         lock(&self.state).watch.on_caught_up();
     }
 
-    /// What this node says to others, where it has everything up to `version`.
-    pub(crate) fn word(&self, version: u64, now: MonotonicTime) -> TableWord {
-        lock(&self.state).watch.word(version, now)
+    /// What this node says to others; the version that it has is read by `version` only after the rest, so that the
+    /// word never claims more than what was known.
+    pub(crate) fn word(&self, now: MonotonicTime, version: impl FnOnce() -> u64) -> TableWord {
+        let word = lock(&self.state).watch.word(now);
+        word.of_version(version())
     }
 
     /// Whether the store answers questions about the table.
