Look at a sample of a large pool's engines

Change: above 128 engines a choice looks at some 96, drawn for each request; where these hold no way to serve it, at all. Test: pool_router.rs::of_a_large_pool_a_sample_is_looked_at_...

--- a/crates/core/tests/pool_router.rs
+++ b/crates/core/tests/pool_router.rs
@@ -120,6 +120,7 @@
             zone: &self.zone,
             excluded: &self.excluded,
             paused_too: false,
+            every_engine: false,
             draw: 0,
             rank: 1,
             remaining: Duration::from_secs(5),
@@ -417,3 +418,34 @@
     let source = router.fetch_source(&EngineId::new("d1"), &asked.query(), NOW + Duration::from_secs(1));
     assert_eq!(source, Some(engine("p1", EngineStage::Prefill).address));
 }
+
+#[test]
+fn of_a_large_pool_a_sample_is_looked_at_and_all_of_it_where_the_sample_has_none() {
+    let pool: Vec<PoolEngine> = (0..1_000)
+        .map(|number| engine(&format!("p{number}"), EngineStage::Prefill))
+        .chain((0..1_000).map(|number| engine(&format!("d{number}"), EngineStage::Decode)))
+        .collect();
+    let router = router(&pool);
+    let asked = Asked::new(1);
+    let chosen = |draw: u64, excluded: &[EngineId]| {
+        let query = PoolQuery {
+            draw,
+            excluded,
+            prefixes: &[],
+            ..asked.query()
+        };
+        split(router.choose(&query, NOW)).0
+    };
+    let distinct: std::collections::BTreeSet<String> = (0..200).map(|draw| chosen(draw, &[])).collect();
+    assert!(
+        distinct.len() > 100,
+        "requests spread over the pool: {}",
+        distinct.len()
+    );
+    let all_but_one: Vec<EngineId> = (1..1_000)
+        .map(|number| EngineId::new(format!("p{number}")))
+        .collect();
+    for draw in 0..20 {
+        assert_eq!(chosen(draw, &all_but_one), "p0", "found wherever it is");
+    }
+}
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -187,6 +187,7 @@
             zone: &self.context.config.zone,
             excluded,
             paused_too: false,
+            every_engine: false,
             draw: self.draw,
             rank: rank_of(self.route.priority),
             remaining: routing::left(self.deadline, now),
