--- a/crates/lab/src/fault_soak/deployment.rs
+++ b/crates/lab/src/fault_soak/deployment.rs
@@ -1,47 +1,24 @@
 //! Nodes as processes, before stand-ins of the store and the engines, with a relay on every link between them.
 
+use super::operator::{base64, configuration_text};
 use super::oracle::EngineRecords;
-use super::process::{Launch, NodeProcess};
+use super::places::{EnginePlace, GRACE, NodePlace};
+use super::process::NodeProcess;
 use super::schedule::Targets;
 use crate::relay::Relay;
-use crate::users_platform::{EngineSettings, ModelEngine, StandInStore, StoreMode};
+use crate::users_platform::{StandInStore, StoreMode};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 /// Events of each answer.
 pub const EVENTS: u64 = 5;
 
-/// Time from the signal to stop until a node is killed; its settings say the same.
-const GRACE: Duration = Duration::from_secs(8);
-
 /// Pools of the short calls; the operator moves the route between them.
 pub const APPLICATION_POOLS: [&str; 2] = ["pool-one", "pool-two"];
 
-const MODEL_POOL: &str = "pool-model";
-
-/// One place at which engines listen, one start after the other.
-struct EnginePlace {
-    pool: &'static str,
-    stage: Option<&'static str>,
-    relay: Relay,
-    now: ModelEngine,
-    id: String,
-    ended: EngineRecords,
-    starts: u32,
-}
-
-/// One node and the door through which it reaches the store.
-struct NodePlace {
-    launch: Launch,
-    process: Option<NodeProcess>,
-    store_door: StandInStore,
-    store_link: Relay,
-    listen: SocketAddr,
-    exits: u32,
-}
+pub(super) const MODEL_POOL: &str = "pool-model";
 
 /// The deployment.
 pub struct Deployment {
@@ -272,131 +249,6 @@
     }
 }
 
-impl EngineRecords {
-    fn add(&mut self, other: &Self) {
-        self.runs.extend(other.runs.iter().cloned());
-        self.orders.extend(other.orders.iter().cloned());
-    }
-}
-
-impl EnginePlace {
-    fn start(number: usize, pool: &'static str, stage: Option<&'static str>) -> io::Result<Self> {
-        let id = format!("engine-{number}-1");
-        let now = start_engine(&id, stage)?;
-        let relay = Relay::start((Ipv4Addr::LOCALHOST, 0).into(), now.address())?;
-        Ok(Self {
-            pool,
-            stage,
-            relay,
-            now,
-            id,
-            ended: EngineRecords::default(),
-            starts: 1,
-        })
-    }
-
-    fn start_again(&mut self, number: usize) -> io::Result<()> {
-        let records = self.records();
-        self.ended.add(&records);
-        self.starts += 1;
-        self.id = format!("engine-{number}-{}", self.starts);
-        self.stage = self.now.stage();
-        self.now = start_engine(&self.id, self.stage)?;
-        self.relay.stop();
-        self.relay = Relay::start((Ipv4Addr::LOCALHOST, 0).into(), self.now.address())?;
-        Ok(())
-    }
-
-    fn records(&self) -> EngineRecords {
-        EngineRecords {
-            runs: self.now.runs(),
-            orders: self.now.order_records(),
-        }
-    }
-
-    /// Whether the stage is another than the one noted before.
-    fn note_stage(&mut self) -> bool {
-        let stage = self.now.stage();
-        std::mem::replace(&mut self.stage, stage) != stage
-    }
-}
-
-fn start_engine(id: &str, stage: Option<&'static str>) -> io::Result<ModelEngine> {
-    ModelEngine::start(EngineSettings {
-        id: id.to_owned(),
-        stage,
-        events: EVENTS,
-    })
-}
-
-impl NodePlace {
-    fn prepare(number: usize, store: &StandInStore, program: &Path, directory: &Path) -> io::Result<Self> {
-        let store_door = store.another_door()?;
-        let store_link = Relay::start((Ipv4Addr::LOCALHOST, 0).into(), store_door.address())?;
-        let [listen, ready, peers] = free_addresses()?;
-        let settings = directory.join(format!("node-{number}.toml"));
-        let text = format!(
-            "log_level = 'info'\n\n[node]\nnode = 'node-{number}'\nzone = 'zone-a'\nlisten = '{listen}'\nready_listen = '{ready}'\npeer_listen = '{peers}'\nstore = '{}'\nfirst_start = false\ngrace_seconds = {}\n",
-            store_link.address(),
-            GRACE.as_secs_f64()
-        );
-        std::fs::write(&settings, text)?;
-        Ok(Self {
-            launch: Launch {
-                program: PathBuf::from(program),
-                settings,
-                log: directory.join(format!("node-{number}.log")),
-            },
-            process: None,
-            store_door,
-            store_link,
-            listen,
-            exits: 0,
-        })
-    }
-}
-
-/// Addresses on which nothing listens now.
-fn free_addresses() -> io::Result<[SocketAddr; 3]> {
-    let bind = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
-    let held = [bind()?, bind()?, bind()?];
-    Ok([
-        held[0].local_addr()?,
-        held[1].local_addr()?,
-        held[2].local_addr()?,
-    ])
-}
-
-fn configuration_text(version: u64, application: &str) -> String {
-    let route = |name: &str, kind: &str, pool: &str, resumable: bool| {
-        format!(
-            r#"{{"name":"{name}","host":"svc.example","pathPrefix":"/{name}/","kind":"{kind}","timeoutMs":5000,"targetLatencyMs":600,"priority":1,"service":"{pool}","maxAttempts":2,"resumable":{resumable},"gapTargetMs":300}}"#
-        )
-    };
-    let routes = [
-        route("once", "streaming", MODEL_POOL, false),
-        route("again", "streaming", MODEL_POOL, true),
-        route("app", "non_idempotent", application, false),
-        route("look", "idempotent", application, false),
-    ];
-    let plain = |pool: &str| {
-        format!(
-            r#"{{"name":"{pool}","healthPath":"/health","connectionLimit":50,"protocol":"h1","tls":false}}"#
-        )
-    };
-    format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{MODEL_POOL}","healthPath":"/health","connectionLimit":50,"protocol":"h1","tls":false,"engine":{{"slots":8,"kvTokens":100000,"kvBytes":18432,"linkMbps":370000.0,"moves":true,"backups":true,"stride":8,"most":12,"handleTtlS":5.0,"stageSwitchS":2.3,"pinMs":4000.0,"holdMs":2000.0,"models":[{{"name":"m"}}]}}}},{},{}],"limits":{{"maxHeaderBytes":4096,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
-        routes.join(","),
-        plain(APPLICATION_POOLS[0]),
-        plain(APPLICATION_POOLS[1]),
-    )
-}
-
-fn base64(text: &str) -> String {
-    use base64::Engine as _;
-    base64::engine::general_purpose::STANDARD.encode(text)
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -6,7 +6,9 @@
 
 mod callers;
 mod deployment;
+mod operator;
 pub mod oracle;
+mod places;
 mod process;
 pub mod record;
 pub mod schedule;
--- /dev/null
+++ b/crates/lab/src/fault_soak/operator.rs
@@ -0,0 +1,35 @@
+//! What the operator writes into the store.
+
+use super::deployment::{APPLICATION_POOLS, MODEL_POOL};
+
+/// A configuration with a route of each kind; the short calls go to `application`.
+pub(super) fn configuration_text(version: u64, application: &str) -> String {
+    let route = |name: &str, kind: &str, pool: &str, resumable: bool| {
+        format!(
+            r#"{{"name":"{name}","host":"svc.example","pathPrefix":"/{name}/","kind":"{kind}","timeoutMs":5000,"targetLatencyMs":600,"priority":1,"service":"{pool}","maxAttempts":2,"resumable":{resumable},"gapTargetMs":300}}"#
+        )
+    };
+    let routes = [
+        route("once", "streaming", MODEL_POOL, false),
+        route("again", "streaming", MODEL_POOL, true),
+        route("app", "non_idempotent", application, false),
+        route("look", "idempotent", application, false),
+    ];
+    let plain = |pool: &str| {
+        format!(
+            r#"{{"name":"{pool}","healthPath":"/health","connectionLimit":50,"protocol":"h1","tls":false}}"#
+        )
+    };
+    format!(
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{MODEL_POOL}","healthPath":"/health","connectionLimit":50,"protocol":"h1","tls":false,"engine":{{"slots":8,"kvTokens":100000,"kvBytes":18432,"linkMbps":370000.0,"moves":true,"backups":true,"stride":8,"most":12,"handleTtlS":5.0,"stageSwitchS":2.3,"pinMs":4000.0,"holdMs":2000.0,"models":[{{"name":"m"}}]}}}},{},{}],"limits":{{"maxHeaderBytes":4096,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
+        routes.join(","),
+        plain(APPLICATION_POOLS[0]),
+        plain(APPLICATION_POOLS[1]),
+    )
+}
+
+/// As the store keeps values.
+pub(super) fn base64(text: &str) -> String {
+    use base64::Engine as _;
+    base64::engine::general_purpose::STANDARD.encode(text)
+}
--- /dev/null
+++ b/crates/lab/src/fault_soak/places.rs
@@ -0,0 +1,135 @@
+//! The places of engines and nodes: what stays while one start of them follows on another.
+
+use super::deployment::EVENTS;
+use super::oracle::EngineRecords;
+use super::process::{Launch, NodeProcess};
+use crate::relay::Relay;
+use crate::users_platform::{EngineSettings, ModelEngine, StandInStore};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Time from the signal to stop until a node is killed; its settings say the same.
+pub(super) const GRACE: Duration = Duration::from_secs(8);
+
+/// One place at which engines listen, one start after the other.
+pub(super) struct EnginePlace {
+    pub(super) pool: &'static str,
+    pub(super) stage: Option<&'static str>,
+    pub(super) relay: Relay,
+    pub(super) now: ModelEngine,
+    pub(super) id: String,
+    pub(super) ended: EngineRecords,
+    pub(super) starts: u32,
+}
+
+/// One node and the door through which it reaches the store.
+pub(super) struct NodePlace {
+    pub(super) launch: Launch,
+    pub(super) process: Option<NodeProcess>,
+    pub(super) store_door: StandInStore,
+    pub(super) store_link: Relay,
+    pub(super) listen: SocketAddr,
+    pub(super) exits: u32,
+}
+
+impl EngineRecords {
+    pub(super) fn add(&mut self, other: &Self) {
+        self.runs.extend(other.runs.iter().cloned());
+        self.orders.extend(other.orders.iter().cloned());
+    }
+}
+
+impl EnginePlace {
+    pub(super) fn start(number: usize, pool: &'static str, stage: Option<&'static str>) -> io::Result<Self> {
+        let id = format!("engine-{number}-1");
+        let now = start_engine(&id, stage)?;
+        let relay = Relay::start((Ipv4Addr::LOCALHOST, 0).into(), now.address())?;
+        Ok(Self {
+            pool,
+            stage,
+            relay,
+            now,
+            id,
+            ended: EngineRecords::default(),
+            starts: 1,
+        })
+    }
+
+    pub(super) fn start_again(&mut self, number: usize) -> io::Result<()> {
+        let records = self.records();
+        self.ended.add(&records);
+        self.starts += 1;
+        self.id = format!("engine-{number}-{}", self.starts);
+        self.stage = self.now.stage();
+        self.now = start_engine(&self.id, self.stage)?;
+        self.relay.stop();
+        self.relay = Relay::start((Ipv4Addr::LOCALHOST, 0).into(), self.now.address())?;
+        Ok(())
+    }
+
+    pub(super) fn records(&self) -> EngineRecords {
+        EngineRecords {
+            runs: self.now.runs(),
+            orders: self.now.order_records(),
+        }
+    }
+
+    /// Whether the stage is another than the one noted before.
+    pub(super) fn note_stage(&mut self) -> bool {
+        let stage = self.now.stage();
+        std::mem::replace(&mut self.stage, stage) != stage
+    }
+}
+
+fn start_engine(id: &str, stage: Option<&'static str>) -> io::Result<ModelEngine> {
+    ModelEngine::start(EngineSettings {
+        id: id.to_owned(),
+        stage,
+        events: EVENTS,
+    })
+}
+
+impl NodePlace {
+    pub(super) fn prepare(
+        number: usize,
+        store: &StandInStore,
+        program: &Path,
+        directory: &Path,
+    ) -> io::Result<Self> {
+        let store_door = store.another_door()?;
+        let store_link = Relay::start((Ipv4Addr::LOCALHOST, 0).into(), store_door.address())?;
+        let [listen, ready, peers] = free_addresses()?;
+        let settings = directory.join(format!("node-{number}.toml"));
+        let text = format!(
+            "log_level = 'info'\n\n[node]\nnode = 'node-{number}'\nzone = 'zone-a'\nlisten = '{listen}'\nready_listen = '{ready}'\npeer_listen = '{peers}'\nstore = '{}'\nfirst_start = false\ngrace_seconds = {}\n",
+            store_link.address(),
+            GRACE.as_secs_f64()
+        );
+        std::fs::write(&settings, text)?;
+        Ok(Self {
+            launch: Launch {
+                program: PathBuf::from(program),
+                settings,
+                log: directory.join(format!("node-{number}.log")),
+            },
+            process: None,
+            store_door,
+            store_link,
+            listen,
+            exits: 0,
+        })
+    }
+}
+
+/// Addresses on which nothing listens now.
+fn free_addresses() -> io::Result<[SocketAddr; 3]> {
+    let bind = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    let held = [bind()?, bind()?, bind()?];
+    Ok([
+        held[0].local_addr()?,
+        held[1].local_addr()?,
+        held[2].local_addr()?,
+    ])
+}
