Let watchers of a large fleet tell confirmations as often as they are needed

Change: messages with a confirmation count against 600 datagrams a second. Fleets of up to 97 nodes are not touched.

--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -44,7 +44,8 @@
         } else {
             context.peers.told(&context.config.node, now)
         };
-        let rate = if context.peers.tells_all() {
+        // What the store has confirmed goes to everybody, and often enough to keep them fresh.
+        let rate = if confirmed || context.peers.tells_all() {
             DATAGRAMS_PER_SECOND
         } else {
             LARGE_FLEET_DATAGRAMS
