Start no node of the fault soak while the one before it is still stopping

Cause, from their logs: 'the node could not start: address in use' while the process before it still served; a fault that starts nodes again struck one that another fault had told to stop, and whose process had left its place. Change: a place remembers that its process is stopping; only whoever stopped it starts the next.

--- a/crates/lab/src/fault_soak/deployment.rs
+++ b/crates/lab/src/fault_soak/deployment.rs
@@ -157,17 +157,24 @@
 
     /// Tells a node to stop and waits for its end; whether it ended in time by itself.
     pub fn stop(&self, node: usize) -> bool {
-        let process = lock(&self.nodes[node]).process.take();
-        process.is_none_or(|mut process| {
-            process.resume();
-            process.stop(GRACE)
-        })
+        let process = {
+            let mut place = lock(&self.nodes[node]);
+            place.stopping |= place.process.is_some();
+            place.process.take()
+        };
+        let Some(mut process) = process else {
+            return true;
+        };
+        process.resume();
+        let ended = process.stop(GRACE);
+        lock(&self.nodes[node]).stopping = false;
+        ended
     }
 
-    /// Starts a node that does not run.
+    /// Starts a node that does not run; one that is about to end is started by whoever stopped it.
     pub fn start_node(&self, node: usize) -> io::Result<()> {
         let mut place = lock(&self.nodes[node]);
-        if place.process.is_none() {
+        if place.process.is_none() && !place.stopping {
             place.process = Some(NodeProcess::start(&place.launch)?);
         }
         Ok(())
--- a/crates/lab/src/fault_soak/places.rs
+++ b/crates/lab/src/fault_soak/places.rs
@@ -28,6 +28,8 @@
 pub(super) struct NodePlace {
     pub(super) launch: Launch,
     pub(super) process: Option<NodeProcess>,
+    /// Whether a process that was told to stop has not ended yet and still holds the addresses.
+    pub(super) stopping: bool,
     pub(super) store_door: StandInStore,
     pub(super) store_link: Relay,
     pub(super) listen: SocketAddr,
@@ -115,6 +117,7 @@
                 log: directory.join(format!("node-{number}.log")),
             },
             process: None,
+            stopping: false,
             store_door,
             store_link,
             listen,
