Learn reading speeds as a line by stage, and count only outputs as decode load

Cause: SpeedEstimate took a fixed 20 ms off readings of 10 to 30 ms and believed twice the true speed; requests that wait for reading at engines that run outputs counted as decode load, so the planner took prefill engines away before bursts.

--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -1,6 +1,5 @@
 //! Which engines a request goes to, and why.
 
-use super::beliefs::SpeedEstimate;
 use super::cost::{CostContext, shared_prefixes};
 use super::engine::{EngineStage, EngineState, PoolEngine};
 use super::query::PoolQuery;
@@ -156,7 +155,8 @@
         let context = self.context(query, now);
         let (_, state) = self.choose_prefill(query, &context)?;
         let tokens = state.work(now).prompt_tokens_ahead(query.rank) + context.reading(state, query).computed;
-        Some(Duration::from_secs_f64(state.slowness * tokens / context.speed))
+        let seconds = state.slowness * context.speeds.prefill.seconds(tokens);
+        Some(Duration::from_secs_f64(seconds))
     }
 
     /// From where an engine that reads a prompt fetches what it does not hold; absent where nobody holds more.
@@ -175,12 +175,10 @@
     }
 
     pub(super) fn context(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> CostContext<'_> {
-        let assumed = self.weights.assumed_prompt_tokens_per_second;
-        let speed = self.speeds.get(query.pool);
         let traits = self.traits.get(query.pool);
         CostContext {
             weights: &self.weights,
-            speed: speed.map_or(assumed, SpeedEstimate::tokens_per_second),
+            speeds: self.speeds(query.pool),
             move_seconds: traits.and_then(|traits| traits.move_seconds),
             most_held: self.best_holder(query, now).map_or(0, |(tokens, _)| tokens),
             draw: query.draw,
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -1,7 +1,8 @@
 //! The cost of a choice, in seconds; the lowest is taken.
 //!
-//! With `w` the [`PoolWeights`], `speed` the prompt tokens read in a second, and the work at an engine counted over
-//! this node and every other that told of its own:
+//! With `w` the [`PoolWeights`], `read` and `read here` the learned times of a reading at an engine that reads prompts
+//! and at one that runs outputs ([`PoolSpeeds`]: a fixed part and a part for each token), and the work at an engine
+//! counted over this node and every other that told of its own:
 //!
 //! ```text
 //! held at e    = tokens of the prompt that e is believed to hold, from its beginning
@@ -10,19 +11,19 @@
 //! arriving at e = w.arriving * tokens of KV cache on their way to e * seconds to move a token
 //! fetch to e   = w.fetch * fetched to e * seconds to move a token + arriving at e   (where anything is fetched)
 //!
-//! prompt at e  = slowness * (w.wait * prompt tokens ahead at e + w.compute * computed at e) / speed + fetch to e
+//! prompt at e  = slowness * read(w.wait * prompt tokens ahead at e + w.compute * computed at e) + fetch to e
 //!              + w.away_seconds                     (unless e is the home of a part that nobody is known to hold)
 //!              + w.other_zone_seconds               (where e is not in this node's zone)
 //!
 //! load of e    = w.places_seconds * (taken / places)^2 + w.memory_seconds * (tokens taken / tokens)^2
 //!              + w.overflow_seconds * requests beyond the places
-//! held up at e = w.held_up * prompt tokens at e / (speed * w.decode_reading_pace)   (outputs wait while it reads)
+//! held up at e = w.held_up * read here(prompt tokens at e)           (outputs wait while it reads; none: nothing)
 //! output at e  = slowness * (load of e + held up at e) + arriving at e
 //!              + w.transfer_zone_seconds                          (apart from the prompt's engine)
 //! hand-over    = w.handover_seconds + w.transfer * tokens of the prompt * seconds to move a token
 //!
-//! both at e    = output at e + fetch to e + slowness * (prompt tokens ahead at e + computed at e)
-//!                / (speed * w.decode_reading_pace) * (1 + w.decode_reading_stall * (1 + requests at e))
+//! both at e    = output at e + fetch to e + slowness * read here(prompt tokens ahead at e + computed at e)
+//!                * (1 + w.decode_reading_stall * (1 + outputs at e))
 //! ```
 //!
 //! To the cost of a prompt, of an output and of both, `w.spread_seconds` times a fraction drawn for the request and the
@@ -30,6 +31,7 @@
 
 use super::engine::EngineState;
 use super::query::{PoolQuery, PrefixBlock};
+use super::speed::PoolSpeeds;
 use super::weights::PoolWeights;
 use crate::identity::ZoneId;
 use crate::membership::subject::mix;
@@ -40,8 +42,8 @@
 pub struct CostContext<'a> {
     /// Weights.
     pub weights: &'a PoolWeights,
-    /// Prompt tokens that an engine reads in a second.
-    pub speed: f64,
+    /// What engines were seen to take.
+    pub speeds: PoolSpeeds,
     /// Seconds that moving the KV cache of one token takes; absent where engines can't fetch from one another.
     pub move_seconds: Option<f64>,
     /// Most tokens of the prompt that any engine holds.
@@ -86,7 +88,7 @@
         } else {
             self.weights.away_seconds
         };
-        state.slowness * tokens / self.speed
+        state.slowness * self.speeds.prefill.seconds(tokens)
             + self.fetch(state, reading)
             + away
             + self.apart(&state.engine.zone, query.zone)
@@ -101,7 +103,11 @@
             self.weights.transfer_zone_seconds
         };
         let prompts = state.work(self.now).all_prompt_tokens();
-        let held_up = self.weights.held_up * prompts / (self.speed * self.weights.decode_reading_pace);
+        let held_up = if prompts > 0.0 {
+            self.weights.held_up * self.speeds.decode.seconds(prompts)
+        } else {
+            0.0
+        };
         state.slowness * (self.load(state) + held_up) + self.arriving(state) + transfer + self.spread(state)
     }
 
@@ -117,8 +123,8 @@
         let reading = self.reading(state, query);
         let work = state.work(self.now);
         let tokens = work.prompt_tokens_ahead(query.rank) + reading.computed;
-        let seconds = state.slowness * tokens / (self.speed * self.weights.decode_reading_pace);
-        let disturbance = 1.0 + self.weights.decode_reading_stall * (1.0 + work.requests);
+        let seconds = state.slowness * self.speeds.decode.seconds(tokens);
+        let disturbance = 1.0 + self.weights.decode_reading_stall * (1.0 + work.outputs);
         state.slowness * self.load(state)
             + self.fetch(state, reading)
             + seconds * disturbance
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -1,16 +1,14 @@
 //! The fate of what was sent: work under way, speeds, health and what engines come to hold.
 
-use super::beliefs::{PrefixNews, SpeedEstimate};
+use super::beliefs::PrefixNews;
 use super::cost::{ReadingWork, shared_prefixes};
 use super::engine::{EngineState, SentWork};
 use super::query::{PoolQuery, PrefixBlock};
 use super::router::PoolRouter;
-use super::weights::PoolWeights;
+use super::speed::{PoolSpeeds, ReadingSpeed};
 use crate::engine::EngineRefusalReason;
-use crate::forwarding::PoolId;
 use crate::identity::EngineId;
 use crate::time::MonotonicTime;
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Most news of prefixes that wait to be told to other nodes.
@@ -93,15 +91,9 @@
         };
         state.health.succeeded();
         note_held(state, prefixes, &mut self.news, now);
-        if let Some(work) = state.sent.remove(&ticket.number)
-            && work.alone
-        {
-            let took = now.since(work.sent_at);
-            let pool = state.engine.pool.clone();
-            let speed = speed_of(&mut self.speeds, &pool, &self.weights);
-            let expected = work.prompt_tokens / speed.tokens_per_second();
-            observe_slowness(state, took, expected);
-            speed.observe(work.prompt_tokens, took);
+        let work = state.sent.remove(&ticket.number);
+        if let Some(work) = work {
+            self.observe_reading(&ticket.engine, &work, |speeds| &mut speeds.prefill, now);
         }
     }
 
@@ -117,11 +109,16 @@
         let Some(state) = self.engines.get_mut(&ticket.engine) else {
             return;
         };
-        if let Some(work) = state.sent.get_mut(&ticket.number) {
-            work.prompt_tokens = 0.0;
-            work.moving_tokens = 0.0;
-        }
         note_held(state, prefixes, &mut self.news, now);
+        let Some(work) = state.sent.get_mut(&ticket.number) else {
+            return;
+        };
+        let before = *work;
+        work.prompt_tokens = 0.0;
+        work.moving_tokens = 0.0;
+        if before.prompt_tokens > 0.0 {
+            self.observe_reading(&ticket.engine, &before, |speeds| &mut speeds.decode, now);
+        }
     }
 
     /// Notes that a dispatch ended well.
@@ -156,6 +153,27 @@
         }
     }
 
+    /// Learns from a reading that is done: the pool's speed, and how much slower than it the engine is.
+    fn observe_reading(
+        &mut self,
+        engine: &EngineId,
+        work: &SentWork,
+        line: fn(&mut PoolSpeeds) -> &mut ReadingSpeed,
+        now: MonotonicTime,
+    ) {
+        let assumed = self.assumed_speeds();
+        let Some(state) = self.engines.get_mut(engine) else {
+            return;
+        };
+        let took = now.since(work.sent_at);
+        let pool = state.engine.pool.clone();
+        let speed = line(self.speeds.entry(pool).or_insert(assumed));
+        let expected = speed.seconds(work.until_read);
+        // A slow engine tells how slow it is, not how slow the pool is.
+        speed.observe(work.until_read, took.div_f64(state.slowness));
+        observe_slowness(state, took, expected);
+    }
+
     fn sent(
         &mut self,
         engine: &EngineId,
@@ -173,7 +191,7 @@
                 memory_tokens,
                 moving_tokens: reading.fetched,
                 sent_at: now,
-                alone: state.work(now).requests < 0.5,
+                until_read: state.work(now).prompt_tokens_ahead(rank) + reading.computed,
             };
             state.sent.insert(self.tickets, work);
         }
@@ -202,16 +220,7 @@
     }
 }
 
-fn speed_of<'a>(
-    speeds: &'a mut BTreeMap<PoolId, SpeedEstimate>,
-    pool: &PoolId,
-    weights: &PoolWeights,
-) -> &'a mut SpeedEstimate {
-    speeds
-        .entry(pool.clone())
-        .or_insert(SpeedEstimate::assumed(weights.assumed_prompt_tokens_per_second))
-}
-
+/// Takes how long a reading took beside what the engine's pool leads to expect.
 fn observe_slowness(state: &mut EngineState, took: Duration, expected: f64) {
     const FLOOR_SECONDS: f64 = 0.1;
     let factor = (took.as_secs_f64() + FLOOR_SECONDS) / (expected + FLOOR_SECONDS);
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -65,8 +65,8 @@
     pub(super) memory_tokens: f64,
     pub(super) moving_tokens: f64,
     pub(super) sent_at: MonotonicTime,
-    /// Whether nothing else was known to wait there when it was sent.
-    pub(super) alone: bool,
+    /// Prompt tokens that were to be read there until this prompt was read, its own among them.
+    pub(super) until_read: f64,
 }
 
 /// Work at an engine, from everybody.
@@ -80,6 +80,10 @@
     pub memory_tokens: f64,
     /// Tokens of KV cache that are on their way there; an engine takes one cache at a time.
     pub moving_tokens: f64,
+    /// Requests of which no prompt is left to read.
+    pub outputs: f64,
+    /// Tokens of KV cache of those requests.
+    pub output_tokens: f64,
 }
 
 impl WorkAtEngine {
@@ -100,6 +104,8 @@
         self.requests += f64::from(work.requests);
         self.memory_tokens += f64::from(work.memory_tokens);
         self.moving_tokens += f64::from(work.moving_tokens);
+        self.outputs += f64::from(work.outputs);
+        self.output_tokens += f64::from(work.output_tokens);
     }
 
     fn add_scaled(&mut self, other: &WorkAtEngine, factor: f64) {
@@ -109,6 +115,8 @@
         self.requests += factor * other.requests;
         self.memory_tokens += factor * other.memory_tokens;
         self.moving_tokens += factor * other.moving_tokens;
+        self.outputs += factor * other.outputs;
+        self.output_tokens += factor * other.output_tokens;
     }
 
     fn add_sent(&mut self, work: &SentWork) {
@@ -116,6 +124,10 @@
         self.requests += 1.0;
         self.memory_tokens += work.memory_tokens;
         self.moving_tokens += work.moving_tokens;
+        if work.prompt_tokens == 0.0 {
+            self.outputs += 1.0;
+            self.output_tokens += work.memory_tokens;
+        }
     }
 
     /// As it is told to other nodes.
@@ -125,6 +137,8 @@
             requests: self.requests as u32,
             memory_tokens: self.memory_tokens as u32,
             moving_tokens: self.moving_tokens as u32,
+            outputs: self.outputs as u32,
+            output_tokens: self.output_tokens as u32,
         }
     }
 }
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -19,9 +19,10 @@
 mod query;
 mod recent;
 mod router;
+mod speed;
 mod weights;
 
-pub use beliefs::{PeerWork, PrefixNews, RANKS, SpeedEstimate, rank_of};
+pub use beliefs::{PeerWork, PrefixNews, RANKS, rank_of};
 pub use choice::{Explanation, PoolRoute};
 pub use dispatches::{OutputWay, PoolTicket};
 pub use engine::{EngineStage, EngineState, PoolEngine, ToldLoad, WorkAtEngine};
@@ -30,4 +31,5 @@
 pub use query::{PoolQuery, PrefixBlock, PromptPart, PromptShape};
 pub use recent::{ListNews, RecentChanges};
 pub use router::PoolRouter;
+pub use speed::{PoolSpeeds, ReadingSpeed};
 pub use weights::PoolWeights;
--- a/crates/core/src/routing/pool/neighbours.rs
+++ b/crates/core/src/routing/pool/neighbours.rs
@@ -1,6 +1,6 @@
 //! What nodes tell each other: their work, demand, orders, and what engines hold.
 
-use super::beliefs::{PeerWork, PrefixNews, SpeedEstimate};
+use super::beliefs::{PeerWork, PrefixNews};
 use super::engine::EngineStage;
 use super::query::PrefixBlock;
 use super::router::PoolRouter;
@@ -100,17 +100,15 @@
                 engine: state.engine.id.clone(),
                 zone: state.engine.zone.clone(),
                 stage: state.ordered_stage(now).unwrap_or(state.engine.stage),
-                requests: work.requests,
-                memory_tokens: work.memory_tokens,
+                requests: work.outputs,
+                memory_tokens: work.output_tokens,
                 places: f64::from(state.engine.places),
                 capacity_tokens: state.prefixes.capacity_tokens(),
             }
         });
-        let assumed = self.weights.assumed_prompt_tokens_per_second;
-        let speed = self.speeds.get(pool);
         let demand = PoolDemand {
             prompt_tokens_per_second: self.demand.prompt_tokens_per_second(self.nodes_per_word, now),
-            engine_tokens_per_second: speed.map_or(assumed, SpeedEstimate::tokens_per_second),
+            engine_tokens_per_second: self.speeds(pool).prefill.tokens_per_second(),
         };
         (views.collect(), demand)
     }
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -1,8 +1,9 @@
 //! The router and what it knows of each engine.
 
-use super::beliefs::{PrefixNews, SpeedEstimate};
+use super::beliefs::PrefixNews;
 use super::demand::PromptDemand;
 use super::engine::{EngineState, FORGET_AFTER, Gone, PoolEngine, ToldLoad};
+use super::speed::PoolSpeeds;
 use super::weights::PoolWeights;
 use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
 use crate::identity::{EngineId, NodeId};
@@ -21,7 +22,7 @@
     pub(super) engine_of: HashMap<SubjectHandle, EngineId>,
     /// Engines at which each other node last told of work.
     pub(super) named_by: BTreeMap<NodeId, Vec<SubjectHandle>>,
-    pub(super) speeds: BTreeMap<PoolId, SpeedEstimate>,
+    pub(super) speeds: BTreeMap<PoolId, PoolSpeeds>,
     pub(super) traits: BTreeMap<PoolId, ModelTraits>,
     pub(super) news: Vec<PrefixNews>,
     pub(super) demand: PromptDemand,
@@ -82,6 +83,21 @@
         self.engine_of.retain(|_, engine| engines.contains_key(engine));
     }
 
+    /// What a pool's engines were seen to take; the assumption where none was seen yet.
+    pub fn speeds(&self, pool: &PoolId) -> PoolSpeeds {
+        self.speeds
+            .get(pool)
+            .copied()
+            .unwrap_or_else(|| self.assumed_speeds())
+    }
+
+    pub(super) fn assumed_speeds(&self) -> PoolSpeeds {
+        PoolSpeeds::assumed(
+            self.weights.assumed_prompt_tokens_per_second,
+            self.weights.decode_reading_pace,
+        )
+    }
+
     /// The engine with a handle.
     pub(super) fn state_of(&mut self, handle: SubjectHandle) -> Option<&mut EngineState> {
         self.engines.get_mut(self.engine_of.get(&handle)?)
