Admit requests by the expected first event: in time, late behind the rest, or refused at once

Hypothesis: bursts of afford-verdict fill every queue, so all are late; with learned reading times a node can tell who can still be in time.

--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -6,11 +6,13 @@
 mod config;
 mod in_force;
 pub mod patience;
+mod returning;
 mod route;
 mod share;
 pub mod stopping;
 
 pub use config::{CallerLimits, ForwardingConfig, ModelTraits, PoolConfig, PoolId};
 pub use in_force::{Adoption, ConfigInForce};
+pub use returning::CallerWaits;
 pub use route::{PoolShare, RepeatRule, RouteId, RouteRule};
 pub use share::ShareRotation;
--- /dev/null
+++ b/crates/core/src/routing/pool/admission.rs
@@ -0,0 +1,172 @@
+//! Whether a request is taken, and in which order of urgency.
+//!
+//! With the times of [`super::speed`] learned from what was seen, and the work at engines counted over every node:
+//!
+//! ```text
+//! expected = time until the first event at the engines that the router would choose now
+//! in time  if expected * error <= target - allowance      error: what readings took over what was expected, at the
+//!                                                         quantile of [`ExpectationError`]
+//! late     otherwise, if the first event is expected before the caller stops waiting: behind all that can be in time
+//! refused  otherwise, at once, with the time until there should be room
+//! ```
+//!
+//! A caller that has come back after a refusal is not refused again: it goes the late way.
+
+use super::choice::PoolRoute;
+use super::query::PoolQuery;
+use super::router::PoolRouter;
+use crate::setting::FieldError;
+use crate::time::MonotonicTime;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Settings of the admission.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PoolAdmission {
+    /// Whether requests are looked at before they are taken; otherwise each is taken as it comes.
+    pub enabled: bool,
+    /// Whether a request that can't be in time may be served late, behind those that can.
+    pub late: bool,
+    /// Part of the target that the way to the caller and back takes, in milliseconds.
+    pub allowance_millis: u64,
+    /// Part of the time left within which the first event of a late request must be expected.
+    pub late_share: f64,
+    /// Shortest time after which a refused caller is asked to come back, in milliseconds.
+    pub least_return_millis: u64,
+    /// Longest time after which a refused caller is asked to come back, in milliseconds.
+    pub most_return_millis: u64,
+}
+
+impl Default for PoolAdmission {
+    fn default() -> Self {
+        Self {
+            enabled: true,
+            late: true,
+            allowance_millis: 10,
+            late_share: 0.8,
+            least_return_millis: 150,
+            most_return_millis: 2_000,
+        }
+    }
+}
+
+impl PoolAdmission {
+    /// Every wrong setting.
+    pub fn validate(&self) -> Vec<FieldError> {
+        let mut errors = Vec::new();
+        if !(0.0..=1.0).contains(&self.late_share) {
+            errors.push(FieldError {
+                field: "admission.late_share".to_owned(),
+                value: self.late_share.to_string(),
+                allowed: "0 to 1".to_owned(),
+            });
+        }
+        if self.most_return_millis < self.least_return_millis {
+            errors.push(FieldError {
+                field: "admission.most_return_millis".to_owned(),
+                value: self.most_return_millis.to_string(),
+                allowed: "at least admission.least_return_millis".to_owned(),
+            });
+        }
+        errors
+    }
+}
+
+/// What of a request decides beside the engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Time within which the first event is worth most.
+    pub target: Duration,
+    /// Time that the caller still waits.
+    pub left: Duration,
+    /// Whether the caller has come back after a refusal.
+    pub returned: bool,
+}
+
+/// What is done with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It is served in its rank.
+    InTime,
+    /// It is served behind everything that can be in time.
+    Late,
+    /// It is refused.
+    Refused {
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+/// A decision with what it was made from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdmissionDecision {
+    /// The decision.
+    pub admission: Admission,
+    /// Where the request goes now; nowhere when it is refused.
+    pub route: PoolRoute,
+    /// Expected time until the first event; zero where nothing is known of it.
+    pub expected: Duration,
+    /// Factor by which expectations are exceeded.
+    pub error: f64,
+}
+
+/// Rank below every route's, for what can't be in time.
+pub const LATE_RANK: usize = super::beliefs::RANKS - 1;
+
+impl PoolRouter {
+    /// Chooses where a request goes and decides whether it is taken.
+    pub fn admit(
+        &self,
+        query: &PoolQuery<'_>,
+        timing: Timing,
+        settings: &PoolAdmission,
+        now: MonotonicTime,
+    ) -> AdmissionDecision {
+        let (route, expected) = self.choose_expecting(query, now);
+        let speeds = self.speeds(query.pool);
+        let error = speeds.error.factor();
+        let decision = |admission, route, expected: f64| AdmissionDecision {
+            admission,
+            route,
+            expected: Duration::from_secs_f64(expected),
+            error,
+        };
+        let Some(expected) = expected.filter(|_| settings.enabled) else {
+            return decision(Admission::InTime, route, 0.0);
+        };
+        let allowance = Duration::from_millis(settings.allowance_millis);
+        let allowed = timing.target.saturating_sub(allowance).as_secs_f64();
+        if expected * error <= allowed {
+            return decision(Admission::InTime, route, expected);
+        }
+        if settings.late {
+            let late_query = PoolQuery {
+                rank: LATE_RANK,
+                ..query.clone()
+            };
+            let (late_route, late_expected) = self.choose_expecting(&late_query, now);
+            let late_expected = late_expected.unwrap_or(expected);
+            let most = timing.left.as_secs_f64() * settings.late_share;
+            if timing.returned || late_expected <= most {
+                return decision(Admission::Late, late_route, late_expected);
+            }
+        } else if timing.returned {
+            return decision(Admission::InTime, route, expected);
+        }
+        let spread = 1.0 + (query.draw >> 11) as f64 / (1u64 << 53) as f64;
+        let excess = (expected * error - allowed) * spread;
+        let retry_after = Duration::from_secs_f64(excess).clamp(
+            Duration::from_millis(settings.least_return_millis),
+            Duration::from_millis(settings.most_return_millis),
+        );
+        decision(Admission::Refused { retry_after }, PoolRoute::Nowhere, expected)
+    }
+
+    /// Takes how long the first event of a request that was to be in time took beside what was expected.
+    pub fn on_first_event(&mut self, query: &PoolQuery<'_>, expected: Duration, took: Duration) {
+        let assumed = self.assumed_speeds();
+        let speeds = self.speeds.entry(query.pool.clone()).or_insert(assumed);
+        speeds.error.observe(expected, took);
+    }
+}
--- a/crates/core/src/routing/pool/beliefs.rs
+++ b/crates/core/src/routing/pool/beliefs.rs
@@ -4,12 +4,13 @@
 use crate::membership::subject::SubjectHandle;
 use serde::{Deserialize, Serialize};
 
-/// Ranks that are told apart in the work at an engine; all lesser ones count as the last.
+/// Ranks that are told apart in the work at an engine; the last is for what can't be in time.
 pub const RANKS: usize = 4;
 
-/// The rank under which a request's work is counted; zero goes first.
+/// The rank under which the work of a request that can be in time is counted; zero goes first, all lesser ones count as
+/// the last of them.
 pub fn rank_of(priority: u8) -> usize {
-    usize::from(priority).min(RANKS - 1)
+    usize::from(priority).min(RANKS - 2)
 }
 
 /// Work of another node at one engine.
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -1,5 +1,6 @@
 //! The fate of what was sent: work under way, speeds, health and what engines come to hold.
 
+use super::admission::LATE_RANK;
 use super::beliefs::PrefixNews;
 use super::cost::{ReadingWork, shared_prefixes};
 use super::engine::{EngineState, SentWork};
@@ -53,7 +54,7 @@
     ) -> PoolTicket {
         let reading = self.reading_at(engine, query, now);
         let memory = query.prompt.map_or(0, |prompt| prompt.tokens);
-        self.sent(engine, query.rank, reading, f64::from(memory), now)
+        self.sent(engine, query.rank, reading, f64::from(memory), None, now)
     }
 
     /// Notes that a request is sent to an engine that answers it.
@@ -75,7 +76,7 @@
         let memory = query
             .prompt
             .map_or(0, |prompt| prompt.tokens + prompt.output_tokens);
-        self.sent(engine, query.rank, reading, f64::from(memory), now)
+        self.sent(engine, query.rank, reading, f64::from(memory), Some(way), now)
     }
 
     fn reading_at(&self, engine: &EngineId, query: &PoolQuery<'_>, now: MonotonicTime) -> ReadingWork {
@@ -118,6 +119,11 @@
         work.moving_tokens = 0.0;
         if before.prompt_tokens > 0.0 {
             self.observe_reading(&ticket.engine, &before, |speeds| &mut speeds.decode, now);
+        } else if before.way == Some(OutputWay::Fetches) {
+            let pool = state.engine.pool.clone();
+            let assumed = self.assumed_speeds();
+            let speeds = self.speeds.entry(pool).or_insert(assumed);
+            speeds.observe_hand_over(now.since(before.sent_at));
         }
     }
 
@@ -167,7 +173,13 @@
         };
         let took = now.since(work.sent_at);
         let pool = state.engine.pool.clone();
-        let speed = line(self.speeds.entry(pool).or_insert(assumed));
+        let speeds = self.speeds.entry(pool).or_insert(assumed);
+        if work.rank == LATE_RANK {
+            // What waits behind everything else tells nothing of the engine.
+            speeds.late.observe(work.until_read, took);
+            return;
+        }
+        let speed = line(speeds);
         let expected = speed.seconds(work.until_read);
         // A slow engine tells how slow it is, not how slow the pool is.
         speed.observe(work.until_read, took.div_f64(state.slowness));
@@ -180,6 +192,7 @@
         rank: usize,
         reading: ReadingWork,
         memory_tokens: f64,
+        way: Option<OutputWay>,
         now: MonotonicTime,
     ) -> PoolTicket {
         self.tickets += 1;
@@ -191,6 +204,7 @@
                 memory_tokens,
                 moving_tokens: reading.fetched,
                 sent_at: now,
+                way,
                 until_read: state.work(now).prompt_tokens_ahead(rank) + reading.computed,
             };
             state.sent.insert(self.tickets, work);
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -1,6 +1,7 @@
 //! What is known of one engine of a pool.
 
 use super::beliefs::{PeerWork, RANKS};
+use super::dispatches::OutputWay;
 use super::prefix::PrefixBelief;
 use crate::forwarding::PoolId;
 use crate::identity::{EngineId, NodeId, ZoneId};
@@ -65,6 +66,8 @@
     pub(super) memory_tokens: f64,
     pub(super) moving_tokens: f64,
     pub(super) sent_at: MonotonicTime,
+    /// How the engine comes by the KV cache of an output; absent where it only reads.
+    pub(super) way: Option<OutputWay>,
     /// Prompt tokens that were to be read there until this prompt was read, its own among them.
     pub(super) until_read: f64,
 }
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! [`cost`] documents the formula.
 
+mod admission;
 mod beliefs;
 mod choice;
 pub mod cost;
@@ -22,6 +23,7 @@
 mod speed;
 mod weights;
 
+pub use admission::{Admission, AdmissionDecision, LATE_RANK, PoolAdmission, Timing};
 pub use beliefs::{PeerWork, PrefixNews, RANKS, rank_of};
 pub use choice::{Explanation, PoolRoute};
 pub use dispatches::{OutputWay, PoolTicket};
@@ -31,5 +33,5 @@
 pub use query::{PoolQuery, PrefixBlock, PromptPart, PromptShape};
 pub use recent::{ListNews, RecentChanges};
 pub use router::PoolRouter;
-pub use speed::{PoolSpeeds, ReadingSpeed};
+pub use speed::{ExpectationError, PoolSpeeds, ReadingSpeed};
 pub use weights::PoolWeights;
--- a/crates/core/src/routing/pool/speed.rs
+++ b/crates/core/src/routing/pool/speed.rs
@@ -106,6 +106,61 @@
     }
 }
 
+/// Part of the requests that shall keep what was expected of them.
+const KEPT_PROMISES: f64 = 0.9;
+
+/// Step by which the factor follows what is seen.
+const ERROR_STEP: f64 = 0.02;
+
+/// Factor that is assumed at the start.
+const ASSUMED_ERROR: f64 = 1.3;
+
+/// Bounds of the factor.
+const ERROR_BOUNDS: (f64, f64) = (1.0, 4.0);
+
+/// Added to what was expected and to what was seen before they are compared, in seconds, so that a short time that was
+/// a little longer does not count as a large error.
+const ERROR_FLOOR_SECONDS: f64 = 0.020;
+
+/// The factor by which first events exceed what was expected of them, at a quantile, followed step by step.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExpectationError {
+    factor: f64,
+}
+
+impl Default for ExpectationError {
+    fn default() -> Self {
+        Self {
+            factor: ASSUMED_ERROR,
+        }
+    }
+}
+
+impl ExpectationError {
+    /// The factor.
+    pub fn factor(&self) -> f64 {
+        self.factor
+    }
+
+    /// Takes one first event.
+    pub fn observe(&mut self, expected: Duration, took: Duration) {
+        let ratio = (took.as_secs_f64() + ERROR_FLOOR_SECONDS) / (expected.as_secs_f64() + ERROR_FLOOR_SECONDS);
+        let step = if ratio > self.factor {
+            KEPT_PROMISES
+        } else {
+            KEPT_PROMISES - 1.0
+        };
+        let (least, most) = ERROR_BOUNDS;
+        self.factor = (self.factor + ERROR_STEP * step).clamp(least, most);
+    }
+}
+
+/// Share of a new observation in the running mean of hand-overs.
+const HAND_OVER_SHARE: f64 = 0.1;
+
+/// Hand-over that is assumed at the start, in seconds.
+const ASSUMED_HAND_OVER_SECONDS: f64 = 0.020;
+
 /// What a pool's engines were seen to take, by what they do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolSpeeds {
@@ -113,6 +168,12 @@
     pub prefill: ReadingSpeed,
     /// Reading at an engine that runs outputs, until the first event.
     pub decode: ReadingSpeed,
+    /// Reading behind everything that can be in time, until it was done.
+    pub late: ReadingSpeed,
+    /// From the dispatch of an output whose prompt another engine has read to its first event, in seconds.
+    pub hand_over_seconds: f64,
+    /// By how much first events exceed what was expected.
+    pub error: ExpectationError,
 }
 
 impl PoolSpeeds {
@@ -122,6 +183,16 @@
         Self {
             prefill: ReadingSpeed::assumed(tokens_per_second),
             decode: ReadingSpeed::assumed(tokens_per_second * decode_pace),
+            late: ReadingSpeed::assumed(tokens_per_second * decode_pace),
+            hand_over_seconds: ASSUMED_HAND_OVER_SECONDS,
+            error: ExpectationError::default(),
         }
     }
+
+    /// Takes how long a hand-over took.
+    pub fn observe_hand_over(&mut self, took: Duration) {
+        let most = self.hand_over_seconds * LARGEST_FACTOR;
+        let seconds = took.as_secs_f64().min(most);
+        self.hand_over_seconds += HAND_OVER_SHARE * (seconds - self.hand_over_seconds);
+    }
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -5,7 +5,7 @@
 use shelfjunction_core::lease::LeaseTimings;
 use shelfjunction_core::retry::window::WindowBudgetSettings;
 use shelfjunction_core::roles::pool::PoolRolePolicy;
-use shelfjunction_core::routing::pool::PoolWeights;
+use shelfjunction_core::routing::pool::{PoolAdmission, PoolWeights};
 use shelfjunction_core::setting::FieldError;
 use shelfjunction_core::watching::SharedWatchSettings;
 use std::net::SocketAddr;
@@ -65,6 +65,9 @@
     /// Weights of the choice of engines.
     #[serde(default)]
     pub routing: PoolWeights,
+    /// Which requests are taken, and in which order of urgency.
+    #[serde(default)]
+    pub admission: PoolAdmission,
 }
 
 mod defaults {
@@ -103,6 +106,7 @@
     /// Every wrong setting.
     pub fn validate(&self) -> Vec<FieldError> {
         let mut errors = self.routing.validate();
+        errors.extend(self.admission.validate());
         errors.extend(self.roles.validate());
         errors.extend(self.lease.validate());
         errors.extend(self.config_watch.validate("config_watch"));
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -4,11 +4,11 @@
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::ports::EngineProtocol;
+use crate::ports::{Call, EngineProtocol};
 use crate::releasing::Releases;
 use crate::watch::{StoreTrouble, TableWatch};
 use shelfjunction_core::forwarding::{
-    Adoption, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation, stopping,
+    Adoption, CallerWaits, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation, stopping,
 };
 use shelfjunction_core::retry::window::WindowBudget;
 use shelfjunction_core::routing::pool::{EngineListing, ListChange, PoolEngine, PoolRouter, RecentChanges};
@@ -40,6 +40,7 @@
     in_force: Mutex<ConfigInForce>,
     rotation: Mutex<ShareRotation>,
     budgets: Mutex<BTreeMap<PoolId, WindowBudget>>,
+    waits: Mutex<CallerWaits>,
     list_changed_at: Mutex<MonotonicTime>,
 }
 
@@ -117,6 +118,7 @@
             in_force: Mutex::new(ConfigInForce::default()),
             rotation: Mutex::new(ShareRotation::default()),
             budgets: Mutex::new(BTreeMap::new()),
+            waits: Mutex::new(CallerWaits::default()),
             list_changed_at: Mutex::new(MonotonicTime::default()),
             config,
         }
@@ -208,6 +210,13 @@
         lock(&self.rotation).next(route)
     }
 
+    /// Whether a caller has much less time left than others on the route have at first, so that this is not its first
+    /// attempt.
+    pub(crate) fn has_returned(&self, call: &Call, route: &RouteRule) -> bool {
+        call.time_left
+            .is_some_and(|left| lock(&self.waits).has_returned(&route.id, left))
+    }
+
     /// Counts a request for a pool.
     pub(crate) fn count_request(&self, pool: &PoolId) {
         let now = self.now();
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -67,7 +67,7 @@
             stage,
             fetch_from,
             time_left: left,
-            urgency: self.route.priority.min(9),
+            urgency: self.urgency(),
             last_event: self.machine.last_event().or(self.call.last_event),
             events: self.route.events,
         });
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -1,5 +1,6 @@
 //! The loop that drives one opaque request's machine in its caller's thread.
 
+use super::admitting::Promise;
 use super::exchange::Exchange;
 use super::routing;
 use crate::context::Context;
@@ -12,7 +13,7 @@
 use shelfjunction_core::request::machine::RequestMachine;
 use shelfjunction_core::request::specification::Placement;
 use shelfjunction_core::retry::arrivals::ArrivalAccount;
-use shelfjunction_core::routing::pool::{PoolQuery, PrefixBlock, PromptShape, rank_of};
+use shelfjunction_core::routing::pool::{PoolQuery, PrefixBlock, PromptShape};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::collections::VecDeque;
@@ -65,6 +66,14 @@
     /// The last dispatch never left, so trying again costs no engine anything.
     pub(super) last_not_sent: bool,
     pub(super) watch_caller: bool,
+    /// Whether engines were chosen before.
+    admitted: bool,
+    /// Whether the caller has come back after a refusal.
+    pub(super) returned: bool,
+    /// Whether the request goes behind everything that can be in time.
+    pub(super) late: bool,
+    /// What was expected, until the first event came.
+    pub(super) promise: Option<Promise>,
     /// Drawn once, so that every choice for the request sees the same costs.
     draw: u64,
 }
@@ -110,6 +119,10 @@
             arrivals: ArrivalAccount::default(),
             last_not_sent: false,
             watch_caller: true,
+            admitted: false,
+            returned: context.has_returned(call, route),
+            late: false,
+            promise: None,
             draw: rand::random(),
         }
     }
@@ -158,6 +171,9 @@
 
     fn choose(&mut self, excluded: &[EngineId]) {
         let now = self.context.now();
+        if !std::mem::replace(&mut self.admitted, true) {
+            return self.admit(now);
+        }
         let route = lock(&self.context.router).choose(&self.query(excluded, now), now);
         self.placed(routing::placement(route));
     }
@@ -168,7 +184,7 @@
         self.placed(engine.map(|engine| Placement::Whole(routing::target(&engine))));
     }
 
-    fn placed(&mut self, placement: Option<Placement>) {
+    pub(super) fn placed(&mut self, placement: Option<Placement>) {
         let event = match placement {
             Some(placement) => Event::Placed(placement),
             None => Event::Nowhere(Refusal {
@@ -189,7 +205,7 @@
             paused_too: false,
             every_engine: false,
             draw: self.draw,
-            rank: rank_of(self.route.priority),
+            rank: self.rank(),
             remaining: routing::left(self.deadline, now),
         }
     }
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -1,5 +1,6 @@
 //! Serves one call: its route, its request machine, and the thread's waits between caller and engine.
 
+mod admitting;
 mod answering;
 mod dispatching;
 mod driver;
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -16,6 +16,7 @@
             EngineReading::Pending => None,
             EngineReading::Opened(head) => self.opened(head, now),
             EngineReading::Event { id, bytes } => {
+                self.judge_promise(now);
                 let patience = patience::next_event(self.route);
                 let exchange = self.exchange.as_mut()?;
                 if !std::mem::replace(&mut exchange.has_events, true) {
