--- a/crates/core/src/roles/pool.rs
+++ b/crates/core/src/roles/pool.rs
@@ -1,26 +1,28 @@
-//! Which engine of a split pool should change its stage now, from what forwarding nodes know.
+//! Which engines of a split pool should change their stage now, from what forwarding nodes know.
 //!
 //! The planner of [`super::planner`] predicts goodput from load reports in tokens. Here reports are dear, so the
-//! demand is what nodes themselves forwarded: prompt tokens that had to be read in a second, and the requests and
-//! tokens of KV cache that run their output. A change takes an engine out of service for seconds and empties nothing,
-//! so it is made only under pressure on one stage while the other has room:
+//! demand is what nodes themselves were asked for: prompt tokens that had to be read in a second, and the requests and
+//! tokens of KV cache that run their output. A change takes an engine out of service for seconds and bursts are often
+//! shorter than that, so the planner does not follow them: it stands ready for the highest load of a while.
 //!
 //! ```text
-//! load of prefill = prompt tokens read in a second / (prefill engines * tokens that one reads in a second)
-//! load of decode  = max(requests / places, tokens / memory), each over the decode engines
-//! more prefill    if load of prefill > prefill_high and load of decode with one fewer < decode_low
-//! more decode     if load of decode > decode_high and load of prefill with one fewer < prefill_low,
-//!                 or if fewer than the least number of decode engines are left, as after a loss
+//! reading = highest of late: prompt tokens to read in a second / tokens that one prefill engine reads in a second
+//! outputs = highest of late: max(requests / places, tokens / memory) of the outputs, in engines
+//! wanted prefill engines = reading / prefill_full
+//! wanted decode engines  = outputs / decode_full, and never fewer than the least number
+//! where both can be had:   decode engines between wanted decode and all - wanted prefill are left as they are
+//! where they can't:        all engines are divided in the proportion of the two
 //! ```
 //!
-//! Large pools make several such changes in one round, since a burst does not wait until they have been made one by one.
-//!
-//! Before any demand was seen, as at the first start, the policy's share decides.
+//! "Highest of late" fades over the hold time. Before any demand was seen, as at the first start, the policy's share
+//! decides.
 
 use crate::identity::{EngineId, ZoneId};
 use crate::routing::pool::EngineStage;
 use crate::setting::FieldError;
+use crate::time::MonotonicTime;
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// Settings of the planner.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -28,14 +30,12 @@
 pub struct PoolRolePolicy {
     /// Whether engines are given roles at all.
     pub enabled: bool,
-    /// Load of the prefill engines above which another is wanted.
-    pub prefill_high: f64,
-    /// Load of the prefill engines, with one fewer, below which one may go.
-    pub prefill_low: f64,
-    /// Load of the decode engines above which another is wanted.
-    pub decode_high: f64,
-    /// Load of the decode engines, with one fewer, below which one may go.
-    pub decode_low: f64,
+    /// Load of the prefill engines up to which prompts are read without waiting long.
+    pub prefill_full: f64,
+    /// Load of the decode engines up to which outputs run without waiting.
+    pub decode_full: f64,
+    /// Time in which the highest load of late fades by two thirds, in milliseconds.
+    pub hold_millis: u64,
     /// Smallest part of the engines that run outputs; two of them stay in any case, so that one may fail.
     pub least_decode_share: f64,
     /// Part of the engines that read prompts before any demand was seen.
@@ -50,14 +50,13 @@
     fn default() -> Self {
         Self {
             enabled: true,
-            prefill_high: 0.55,
-            prefill_low: 0.5,
-            decode_high: 0.5,
-            decode_low: 0.3,
-            least_decode_share: 0.3,
-            first_prefill_share: 0.6,
+            prefill_full: 0.6,
+            decode_full: 0.85,
+            hold_millis: 15_000,
+            least_decode_share: 0.25,
+            first_prefill_share: 0.75,
             settle_millis: 4_000,
-            engines_per_change: 15,
+            engines_per_change: 6,
         }
     }
 }
@@ -66,10 +65,8 @@
     /// Every wrong setting.
     pub fn validate(&self) -> Vec<FieldError> {
         let shares = [
-            ("roles.prefill_high", self.prefill_high),
-            ("roles.prefill_low", self.prefill_low),
-            ("roles.decode_high", self.decode_high),
-            ("roles.decode_low", self.decode_low),
+            ("roles.prefill_full", self.prefill_full),
+            ("roles.decode_full", self.decode_full),
             ("roles.first_prefill_share", self.first_prefill_share),
             ("roles.least_decode_share", self.least_decode_share),
         ];
@@ -82,6 +79,18 @@
                 allowed: "0 to 1".to_owned(),
             })
             .collect();
+        for (field, value) in [
+            ("roles.prefill_full", self.prefill_full),
+            ("roles.decode_full", self.decode_full),
+        ] {
+            if value == 0.0 {
+                errors.push(FieldError {
+                    field: field.to_owned(),
+                    value: value.to_string(),
+                    allowed: "above 0".to_owned(),
+                });
+            }
+        }
         if self.engines_per_change == 0 {
             errors.push(FieldError {
                 field: "roles.engines_per_change".to_owned(),
@@ -113,9 +122,9 @@
     pub zone: ZoneId,
     /// Its stage, or the one it changes to.
     pub stage: EngineStage,
-    /// Requests that run or wait there.
+    /// Outputs that run or wait there.
     pub requests: f64,
-    /// Tokens of KV cache of those requests.
+    /// Tokens of KV cache of those outputs.
     pub memory_tokens: f64,
     /// Requests that it runs at once.
     pub places: f64,
@@ -132,6 +141,36 @@
     pub engine_tokens_per_second: f64,
 }
 
+/// Highest loads of late, in engines.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PeakLoads {
+    /// Engines that reading prompts would keep busy; absent before any demand was seen.
+    pub reading: Option<f64>,
+    /// Engines that outputs would fill.
+    pub outputs: f64,
+    seen_at: MonotonicTime,
+}
+
+impl PeakLoads {
+    /// Takes the loads of now.
+    pub fn observe(
+        &mut self,
+        engines: &[PoolEngineView],
+        demand: PoolDemand,
+        policy: &PoolRolePolicy,
+        now: MonotonicTime,
+    ) {
+        let hold = Duration::from_millis(policy.hold_millis.max(1));
+        let kept = (-now.since(self.seen_at).as_secs_f64() / hold.as_secs_f64()).exp();
+        self.seen_at = now;
+        self.outputs = (self.outputs * kept).max(outputs_of(engines));
+        if let Some(tokens) = demand.prompt_tokens_per_second {
+            let reading = tokens / demand.engine_tokens_per_second;
+            self.reading = Some((self.reading.unwrap_or_default() * kept).max(reading));
+        }
+    }
+}
+
 /// One change of stage.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StageChange {
@@ -139,23 +178,21 @@
     pub engine: EngineId,
     /// Stage to take.
     pub to: EngineStage,
-    /// Load of the prefill engines that decided.
-    pub prefill_load: f64,
-    /// Load of the decode engines that decided.
-    pub decode_load: f64,
+    /// The loads that decided.
+    pub loads: PeakLoads,
 }
 
 /// The changes to make in one round: each is decided as if those before it had been made.
 pub fn plan_round(
     engines: &[PoolEngineView],
-    demand: PoolDemand,
+    loads: PeakLoads,
     policy: &PoolRolePolicy,
 ) -> Vec<StageChange> {
     let most = (engines.len() / policy.engines_per_change.max(1)).max(1);
     let mut engines = engines.to_vec();
     let mut changes: Vec<StageChange> = Vec::new();
     while changes.len() < most {
-        let Some(change) = plan(&engines, demand, policy) else {
+        let Some(change) = plan(&engines, loads, policy) else {
             break;
         };
         if changes.first().is_some_and(|first| first.to != change.to) {
@@ -168,54 +205,58 @@
     changes
 }
 
+/// Difference from the wanted number of engines, in engines, that is not worth a change.
+const TOLERANCE: f64 = 0.5;
+
 /// The change to make now, if any.
-pub fn plan(engines: &[PoolEngineView], demand: PoolDemand, policy: &PoolRolePolicy) -> Option<StageChange> {
+pub fn plan(engines: &[PoolEngineView], loads: PeakLoads, policy: &PoolRolePolicy) -> Option<StageChange> {
     let prefill = of_stage(engines, EngineStage::Prefill);
     let decode = of_stage(engines, EngineStage::Decode);
-    let prefill_count = prefill.len() as f64;
-    let prefill_load = demand.prompt_tokens_per_second.map_or(0.0, |tokens| {
-        tokens / (prefill_count.max(0.5) * demand.engine_tokens_per_second)
-    });
-    let decode_load = load_of(&decode, decode.len());
+    let least_decode = policy.least_decode(engines.len());
+    let (fewest, most) = wanted_decode(engines.len(), loads, policy);
+    let count = decode.len() as f64;
     let change = |engine: &PoolEngineView, to| StageChange {
         engine: engine.engine.clone(),
         to,
-        prefill_load,
-        decode_load,
-    };
-    let least_decode = policy.least_decode(engines.len());
-    let may_lose_decode =
-        decode.len() > least_decode && load_of(&decode, decode.len() - 1) < policy.decode_low;
-    let wants_prefill = match demand.prompt_tokens_per_second {
-        None => (prefill_count + 1.0) / engines.len() as f64 <= policy.first_prefill_share,
-        Some(_) => prefill_load > policy.prefill_high,
+        loads,
     };
-    if wants_prefill && may_lose_decode {
+    if count > most + TOLERANCE && decode.len() > least_decode {
         return pick(&decode).map(|engine| change(engine, EngineStage::Prefill));
     }
-    let fewer = (prefill_count - 1.0).max(0.5);
-    let may_lose_prefill = prefill.len() > 1 && prefill_load * prefill_count / fewer < policy.prefill_low;
-    let lacks_decode = decode.len() < least_decode && prefill.len() > 1;
-    if lacks_decode || (decode_load > policy.decode_high && may_lose_prefill) {
+    let lacks_decode = count < fewest - TOLERANCE || decode.len() < least_decode;
+    if lacks_decode && prefill.len() > 1 {
         return pick(&prefill).map(|engine| change(engine, EngineStage::Decode));
     }
     None
 }
 
+/// Fewest and most decode engines that are wanted among so many.
+fn wanted_decode(engines: usize, loads: PeakLoads, policy: &PoolRolePolicy) -> (f64, f64) {
+    let all = engines as f64;
+    let Some(reading) = loads.reading else {
+        let decode = all - (all * policy.first_prefill_share).floor();
+        return (0.0, decode);
+    };
+    let prefill = reading / policy.prefill_full;
+    let decode = loads.outputs / policy.decode_full;
+    if prefill + decode <= all {
+        return (decode, all - prefill);
+    }
+    let shared = all * decode / (prefill + decode);
+    (shared, shared)
+}
+
 fn of_stage(engines: &[PoolEngineView], stage: EngineStage) -> Vec<&PoolEngineView> {
     engines.iter().filter(|engine| engine.stage == stage).collect()
 }
 
-/// Load of the work at some engines if `count` of them carried it.
-fn load_of(engines: &[&PoolEngineView], count: usize) -> f64 {
-    if engines.is_empty() || count == 0 {
-        return f64::INFINITY;
-    }
-    let part = count as f64 / engines.len() as f64;
-    let sum = |value: fn(&PoolEngineView) -> f64| engines.iter().map(|engine| value(engine)).sum::<f64>();
-    let places = sum(|engine| engine.places).max(1.0) * part;
-    let memory = sum(|engine| engine.capacity_tokens).max(1.0) * part;
-    (sum(|engine| engine.requests) / places).max(sum(|engine| engine.memory_tokens) / memory)
+/// Engines that the outputs would fill; all outputs run at decode engines.
+fn outputs_of(engines: &[PoolEngineView]) -> f64 {
+    let decode = of_stage(engines, EngineStage::Decode);
+    let filled = |engine: &PoolEngineView| {
+        (engine.requests / engine.places.max(1.0)).max(engine.memory_tokens / engine.capacity_tokens.max(1.0))
+    };
+    decode.into_iter().map(filled).sum()
 }
 
 /// The engine that changes: of the zone with most of its stage, the one with least to do.
--- a/crates/node/src/commanding/ordering.rs
+++ b/crates/node/src/commanding/ordering.rs
@@ -5,9 +5,11 @@
 use crate::ports::{EngineReading, EngineReport, OrderVerdict, StageOrder};
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::lease::Authority;
-use shelfjunction_core::roles::pool::{StageChange, plan_round};
+use shelfjunction_core::forwarding::PoolId;
+use shelfjunction_core::roles::pool::{PeakLoads, StageChange, plan_round};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -34,12 +36,14 @@
 pub(super) struct Ordering {
     next_at: MonotonicTime,
     in_doubt: Vec<InDoubt>,
+    peaks: BTreeMap<PoolId, PeakLoads>,
 }
 
 impl Ordering {
     /// Gives the next order if one is worth it.
     pub(super) fn step(&mut self, context: &Context, authority: Authority) {
         let now = context.now();
+        self.observe(context, now);
         if now + LEASE_LEFT > authority.not_after {
             return;
         }
@@ -53,7 +57,7 @@
         if now < self.next_at || !lock(&context.router).orders_under_way(now).is_empty() {
             return;
         }
-        let changes = wanted(context, now);
+        let changes = self.wanted(context, now);
         if !changes.is_empty() {
             self.next_at = now + Duration::from_millis(context.config.roles.settle_millis);
         }
@@ -62,6 +66,32 @@
         }
     }
 
+    /// Keeps the highest loads of late.
+    fn observe(&mut self, context: &Context, now: MonotonicTime) {
+        let router = lock(&context.router);
+        for pool in router.model_pools() {
+            let (engines, demand) = router.role_input(&pool, now);
+            let peaks = self.peaks.entry(pool).or_default();
+            peaks.observe(&engines, demand, &context.config.roles, now);
+        }
+    }
+
+    fn wanted(&self, context: &Context, now: MonotonicTime) -> Vec<StageChange> {
+        let policy = &context.config.roles;
+        if !policy.enabled {
+            return Vec::new();
+        }
+        let router = lock(&context.router);
+        let changes = self.peaks.iter().map(|(pool, peaks)| {
+            let (engines, _) = router.role_input(pool, now);
+            plan_round(&engines, *peaks, policy)
+        });
+        changes
+            .into_iter()
+            .find(|changes| !changes.is_empty())
+            .unwrap_or_default()
+    }
+
     /// Looks again at the orders whose answers were lost.
     fn settle(&mut self, context: &Context, authority: Authority, now: MonotonicTime) {
         for doubt in std::mem::take(&mut self.in_doubt) {
@@ -116,8 +146,8 @@
             stage:? = change.to,
             token:% = authority.token,
             expected = report.sequence,
-            prefill_load = change.prefill_load,
-            decode_load = change.decode_load,
+            reading_engines = change.loads.reading.unwrap_or_default(),
+            output_engines = change.loads.outputs,
             answer:? = answer;
             "stage_ordered"
         );
@@ -139,23 +169,6 @@
     }
 }
 
-fn wanted(context: &Context, now: MonotonicTime) -> Vec<StageChange> {
-    let policy = &context.config.roles;
-    if !policy.enabled {
-        return Vec::new();
-    }
-    let router = lock(&context.router);
-    let pools = router.model_pools();
-    let changes = pools.iter().map(|pool| {
-        let (engines, demand) = router.role_input(pool, now);
-        plan_round(&engines, demand, policy)
-    });
-    changes
-        .into_iter()
-        .find(|changes| !changes.is_empty())
-        .unwrap_or_default()
-}
-
 fn address_of(context: &Context, engine: &EngineId) -> Option<SocketAddr> {
     let router = lock(&context.router);
     router.engine(engine).map(|state| state.engine.address)
--- a/crates/node/src/course/admitting.rs
+++ b/crates/node/src/course/admitting.rs
@@ -44,6 +44,7 @@
             }
             Admission::Late => self.late = true,
             Admission::Refused { retry_after } => {
+                lock(&self.context.router).on_not_admitted(&self.query(&[], now), now);
                 return self.take(Event::Nowhere(Refusal {
                     reason: RefusalReason::Overloaded,
                     retry_after: Some(retry_after),
