--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -4,7 +4,7 @@
 use super::beliefs::PrefixNews;
 use super::cost::{ReadingWork, shared_prefixes};
 use super::engine::{EngineState, SentWork};
-use super::query::{PoolQuery, PrefixBlock};
+use super::query::{PoolQuery, PrefixBlock, PromptShape};
 use super::router::PoolRouter;
 use super::speed::{PoolSpeeds, ReadingSpeed};
 use crate::engine::EngineRefusalReason;
@@ -73,9 +73,7 @@
                 fetched: f64::from(prompt_tokens),
             },
         };
-        let memory = query
-            .prompt
-            .map_or(0, |prompt| prompt.tokens + prompt.output_tokens);
+        let memory = query.prompt.map_or(0, PromptShape::memory_tokens);
         self.sent(engine, query.rank, reading, f64::from(memory), Some(way), now)
     }
 
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -26,6 +26,8 @@
     pub tokens: u32,
     /// Most output tokens.
     pub output_tokens: u32,
+    /// The caller's estimate of the output tokens, where it gives one.
+    pub output_estimate: Option<u32>,
 }
 
 /// One part of a prompt as engines keep it: it counts as held only where every part before it is held too.
@@ -52,6 +54,12 @@
 }
 
 impl PromptShape {
+    /// Tokens of KV cache that the request is expected to hold at its end.
+    pub fn memory_tokens(&self) -> u32 {
+        let output = self.output_estimate.unwrap_or(self.output_tokens);
+        self.tokens.saturating_add(output.min(self.output_tokens))
+    }
+
     /// The prompt's blocks in order.
     pub fn prefixes(&self) -> Vec<PrefixBlock> {
         self.parts
--- a/crates/core/tests/pool_router.rs
+++ b/crates/core/tests/pool_router.rs
@@ -82,6 +82,7 @@
         ],
         tokens: 16_000,
         output_tokens: 100,
+        output_estimate: None,
     }
 }
 
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -60,6 +60,8 @@
         pool:% = pool,
         version = config.version,
         prompt_tokens = call.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
+        output_tokens = call.prompt.as_ref().map_or(0, |prompt| prompt.output_tokens),
+        output_estimate:? = call.prompt.as_ref().and_then(|prompt| prompt.output_estimate),
         left_millis:? = call.time_left.map(|left| left.as_millis() as u64);
         "request_routed"
     );
