--- a/crates/core/src/routing/pool/speed.rs
+++ b/crates/core/src/routing/pool/speed.rs
@@ -98,25 +98,24 @@
         } else {
             self.seconds_per_token = (mean_seconds - self.fixed_seconds) / mean_tokens;
         }
-        let most = mean_seconds / mean_tokens;
-        self.seconds_per_token = self
-            .seconds_per_token
-            .clamp(LEAST_SECONDS_PER_TOKEN.min(most), most);
-        self.fixed_seconds = mean_seconds - mean_tokens * self.seconds_per_token;
+        let most = (mean_seconds / mean_tokens).max(LEAST_SECONDS_PER_TOKEN);
+        self.seconds_per_token = self.seconds_per_token.clamp(LEAST_SECONDS_PER_TOKEN, most);
+        // Where the line passes through nothing, rounding may leave less than that.
+        self.fixed_seconds = (mean_seconds - mean_tokens * self.seconds_per_token).max(0.0);
     }
 }
 
 /// Part of the requests that shall keep what was expected of them.
-const KEPT_PROMISES: f64 = 0.9;
+const KEPT_PROMISES: f64 = 0.6;
 
 /// Step by which the factor follows what is seen.
 const ERROR_STEP: f64 = 0.02;
 
 /// Factor that is assumed at the start.
-const ASSUMED_ERROR: f64 = 1.3;
+const ASSUMED_ERROR: f64 = 1.0;
 
 /// Bounds of the factor.
-const ERROR_BOUNDS: (f64, f64) = (1.0, 4.0);
+const ERROR_BOUNDS: (f64, f64) = (0.5, 4.0);
 
 /// Added to what was expected and to what was seen before they are compared, in seconds, so that a short time that was
 /// a little longer does not count as a large error.
