--- a/crates/core/src/routing/pool/admission.rs
+++ b/crates/core/src/routing/pool/admission.rs
@@ -4,12 +4,15 @@
 //!
 //! ```text
 //! expected = time until the first event at the engines that the router would choose now
-//! in time  if expected * error <= target - allowance      error: what readings took over what was expected, at the
-//!                                                         quantile of [`ExpectationError`]
+//! in time  if expected * error <= target - allowance
 //! late     otherwise, if the first event is expected before the caller stops waiting: behind all that can be in time
 //! refused  otherwise, at once, with the time until there should be room
 //! ```
 //!
+//! `error` is what first events took over what was expected of them, at a quantile that rises with the share of the
+//! requests turned away of late: while nearly all can be in time, one is turned away only if it is all but sure to be
+//! late; when a queue stands at the limit, everything that is taken to the limit is late by half.
+//!
 //! A caller that has come back after a refusal is not refused again: it goes the late way.
 
 use super::choice::PoolRoute;
@@ -32,6 +35,9 @@
     pub allowance_millis: u64,
     /// Part of the time left within which the first event of a late request must be expected.
     pub late_share: f64,
+    /// Share of the requests turned away of late from which a request is turned away unless it is likely to be in time;
+    /// with fewer, only if it is likely to be late.
+    pub full_care_share: f64,
     /// Shortest time after which a refused caller is asked to come back, in milliseconds.
     pub least_return_millis: u64,
     /// Longest time after which a refused caller is asked to come back, in milliseconds.
@@ -45,6 +51,7 @@
             late: true,
             allowance_millis: 10,
             late_share: 0.8,
+            full_care_share: 0.25,
             least_return_millis: 150,
             most_return_millis: 2_000,
         }
@@ -55,6 +62,13 @@
     /// Every wrong setting.
     pub fn validate(&self) -> Vec<FieldError> {
         let mut errors = Vec::new();
+        if !(self.full_care_share > 0.0 && self.full_care_share <= 1.0) {
+            errors.push(FieldError {
+                field: "admission.full_care_share".to_owned(),
+                value: self.full_care_share.to_string(),
+                allowed: "above 0, at most 1".to_owned(),
+            });
+        }
         if !(0.0..=1.0).contains(&self.late_share) {
             errors.push(FieldError {
                 field: "admission.late_share".to_owned(),
@@ -109,6 +123,8 @@
     pub expected: Duration,
     /// Factor by which expectations are exceeded.
     pub error: f64,
+    /// Share of the requests that were turned away of late: served behind others or refused.
+    pub turned_away: f64,
 }
 
 /// Rank below every route's, for what can't be in time.
@@ -125,12 +141,14 @@
     ) -> AdmissionDecision {
         let (route, expected) = self.choose_expecting(query, now);
         let speeds = self.speeds(query.pool);
-        let error = speeds.error.factor();
+        let care = speeds.turned_away.share() / settings.full_care_share;
+        let error = speeds.error.factor(care);
         let decision = |admission, route, expected: f64| AdmissionDecision {
             admission,
             route,
             expected: Duration::from_secs_f64(expected),
             error,
+            turned_away: speeds.turned_away.share(),
         };
         let Some(expected) = expected.filter(|_| settings.enabled) else {
             return decision(Admission::InTime, route, 0.0);
@@ -163,6 +181,19 @@
         decision(Admission::Refused { retry_after }, PoolRoute::Nowhere, expected)
     }
 
+    /// Takes a decision that was carried out.
+    pub fn on_admission(&mut self, query: &PoolQuery<'_>, admission: Admission, now: MonotonicTime) {
+        let assumed = self.assumed_speeds();
+        let speeds = self.speeds.entry(query.pool.clone()).or_insert(assumed);
+        speeds.turned_away.observe(admission != Admission::InTime);
+        if matches!(admission, Admission::Refused { .. }) {
+            // What it would have had to have read is wanted all the same.
+            let tokens = query.prompt.map_or(0, |prompt| prompt.tokens);
+            let held = self.context(query, now).most_held.min(tokens);
+            self.demand.on_sent(f64::from(tokens - held), now);
+        }
+    }
+
     /// Takes how long the first event of a request that was to be in time took beside what was expected.
     pub fn on_first_event(&mut self, query: &PoolQuery<'_>, expected: Duration, took: Duration) {
         let assumed = self.assumed_speeds();
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -77,13 +77,6 @@
         self.sent(engine, query.rank, reading, f64::from(memory), Some(way), now)
     }
 
-    /// Notes that a request was refused: what it would have had to have read is wanted all the same.
-    pub fn on_not_admitted(&mut self, query: &PoolQuery<'_>, now: MonotonicTime) {
-        let tokens = query.prompt.map_or(0, |prompt| prompt.tokens);
-        let held = self.context(query, now).most_held.min(tokens);
-        self.demand.on_sent(f64::from(tokens - held), now);
-    }
-
     fn reading_at(&self, engine: &EngineId, query: &PoolQuery<'_>, now: MonotonicTime) -> ReadingWork {
         let context = self.context(query, now);
         let state = self.engines.get(engine);
--- a/crates/core/src/routing/pool/speed.rs
+++ b/crates/core/src/routing/pool/speed.rs
@@ -105,52 +105,95 @@
     }
 }
 
-/// Part of the requests that shall keep what was expected of them.
-const KEPT_PROMISES: f64 = 0.6;
-
-/// Step by which the factor follows what is seen.
+/// Step by which a factor follows what is seen.
 const ERROR_STEP: f64 = 0.02;
 
-/// Factor that is assumed at the start.
-const ASSUMED_ERROR: f64 = 1.0;
-
-/// Bounds of the factor.
-const ERROR_BOUNDS: (f64, f64) = (0.5, 4.0);
+/// Bounds of a factor.
+const ERROR_BOUNDS: (f64, f64) = (0.3, 4.0);
 
 /// Added to what was expected and to what was seen before they are compared, in seconds, so that a short time that was
 /// a little longer does not count as a large error.
 const ERROR_FLOOR_SECONDS: f64 = 0.020;
 
-/// The factor by which first events exceed what was expected of them, at a quantile, followed step by step.
+/// Part of the first events that come within the expected time by the hopeful factor.
+const HOPEFUL: f64 = 0.2;
+
+/// Part of the first events that come within the expected time by the careful factor.
+const CAREFUL: f64 = 0.65;
+
+/// A factor below which a given part of what is seen lies, followed step by step.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ExpectationError {
+struct Quantile {
+    part: f64,
     factor: f64,
 }
 
+impl Quantile {
+    fn new(part: f64) -> Self {
+        Self { part, factor: 1.0 }
+    }
+
+    fn observe(&mut self, ratio: f64) {
+        let step = if ratio > self.factor {
+            self.part
+        } else {
+            self.part - 1.0
+        };
+        let (least, most) = ERROR_BOUNDS;
+        self.factor = (self.factor + ERROR_STEP * step).clamp(least, most);
+    }
+}
+
+/// The factor by which first events exceed what was expected of them, at two quantiles.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExpectationError {
+    hopeful: Quantile,
+    careful: Quantile,
+}
+
 impl Default for ExpectationError {
     fn default() -> Self {
         Self {
-            factor: ASSUMED_ERROR,
+            hopeful: Quantile::new(HOPEFUL),
+            careful: Quantile::new(CAREFUL),
         }
     }
 }
 
 impl ExpectationError {
-    /// The factor.
-    pub fn factor(&self) -> f64 {
-        self.factor
+    /// The factor that decides, from the hopeful one at a care of zero to the careful one at one.
+    pub fn factor(&self, care: f64) -> f64 {
+        let careful = self.careful.factor.max(self.hopeful.factor);
+        self.hopeful.factor + care.clamp(0.0, 1.0) * (careful - self.hopeful.factor)
     }
 
     /// Takes one first event.
     pub fn observe(&mut self, expected: Duration, took: Duration) {
         let ratio = (took.as_secs_f64() + ERROR_FLOOR_SECONDS) / (expected.as_secs_f64() + ERROR_FLOOR_SECONDS);
-        let step = if ratio > self.factor {
-            KEPT_PROMISES
-        } else {
-            KEPT_PROMISES - 1.0
-        };
-        let (least, most) = ERROR_BOUNDS;
-        self.factor = (self.factor + ERROR_STEP * step).clamp(least, most);
+        self.hopeful.observe(ratio);
+        self.careful.observe(ratio);
+    }
+}
+
+/// Weight of one request in the share of those turned away.
+const TURNED_AWAY_STEP: f64 = 0.05;
+
+/// Share of the requests that were turned away of late.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TurnedAway {
+    share: f64,
+}
+
+impl TurnedAway {
+    /// The share.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
+    /// Takes one request.
+    pub fn observe(&mut self, turned_away: bool) {
+        let value = if turned_away { 1.0 } else { 0.0 };
+        self.share += TURNED_AWAY_STEP * (value - self.share);
     }
 }
 
@@ -173,6 +216,8 @@
     pub hand_over_seconds: f64,
     /// By how much first events exceed what was expected.
     pub error: ExpectationError,
+    /// How many requests could not be in time.
+    pub turned_away: TurnedAway,
 }
 
 impl PoolSpeeds {
@@ -185,6 +230,7 @@
             late: ReadingSpeed::assumed(tokens_per_second * decode_pace),
             hand_over_seconds: ASSUMED_HAND_OVER_SECONDS,
             error: ExpectationError::default(),
+            turned_away: TurnedAway::default(),
         }
     }
 
--- a/crates/node/src/course/admitting.rs
+++ b/crates/node/src/course/admitting.rs
@@ -35,6 +35,9 @@
         let settings = &self.context.config.admission;
         let decision = lock(&self.context.router).admit(&self.query(&[], now), timing, settings, now);
         self.log_admission(&decision, timing);
+        if !decision.expected.is_zero() {
+            lock(&self.context.router).on_admission(&self.query(&[], now), decision.admission, now);
+        }
         match decision.admission {
             Admission::InTime => {
                 self.promise = (!decision.expected.is_zero()).then_some(Promise {
@@ -44,7 +47,6 @@
             }
             Admission::Late => self.late = true,
             Admission::Refused { retry_after } => {
-                lock(&self.context.router).on_not_admitted(&self.query(&[], now), now);
                 return self.take(Event::Nowhere(Refusal {
                     reason: RefusalReason::Overloaded,
                     retry_after: Some(retry_after),
@@ -89,6 +91,7 @@
             admission:? = decision.admission,
             expected_millis = decision.expected.as_millis() as u64,
             error_percent = (decision.error * 100.0) as u64,
+            turned_away_percent = (decision.turned_away * 100.0) as u64,
             target_millis = timing.target.as_millis() as u64,
             left_millis = timing.left.as_millis() as u64,
             returned = timing.returned;
