--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -23,7 +23,10 @@
 //! hand-over    = w.handover_seconds + w.transfer * tokens of the prompt * seconds to move a token
 //!
 //! both at e    = output at e + fetch to e + slowness * read here(prompt tokens ahead at e + computed at e)
-//!                * (1 + w.decode_reading_stall * (1 + outputs at e))
+//!                * (1 + (w.decode_reading_stall + w.decode_reading_harm * harm) * (1 + outputs at e))
+//!
+//! harm         = 0 to 1: how near the pauses between events come to the longest harmless one where prompts are read
+//!                beside an output, as seen ([`super::speed::ReadingPauses`])
 //! ```
 //!
 //! To the cost of a prompt, of an output and of both, `w.spread_seconds` times a fraction drawn for the request and the
@@ -124,7 +127,9 @@
         let work = state.work(self.now);
         let tokens = work.prompt_tokens_ahead(query.rank) + reading.computed;
         let seconds = state.slowness * self.speeds.decode.seconds(tokens);
-        let disturbance = 1.0 + self.weights.decode_reading_stall * (1.0 + work.outputs);
+        let harm = self.speeds.pauses.harm();
+        let stall = self.weights.decode_reading_stall + self.weights.decode_reading_harm * harm;
+        let disturbance = 1.0 + stall * (1.0 + work.outputs);
         state.slowness * self.load(state)
             + self.fetch(state, reading)
             + seconds * disturbance
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -125,6 +125,18 @@
         }
     }
 
+    /// Takes a pause between two events of an output, as part of the longest that is harmless.
+    pub fn on_pause(&mut self, ticket: &PoolTicket, part: f64, now: MonotonicTime) {
+        let assumed = self.assumed_speeds();
+        let Some(state) = self.engines.get(&ticket.engine) else {
+            return;
+        };
+        if state.work(now).all_prompt_tokens() > 0.0 {
+            let speeds = self.speeds.entry(state.engine.pool.clone()).or_insert(assumed);
+            speeds.pauses.observe(part);
+        }
+    }
+
     /// Notes that a dispatch ended well.
     pub fn on_answered(&mut self, ticket: &PoolTicket) {
         if let Some(state) = self.engines.get_mut(&ticket.engine) {
--- a/crates/core/src/routing/pool/speed.rs
+++ b/crates/core/src/routing/pool/speed.rs
@@ -175,6 +175,45 @@
     }
 }
 
+/// Quantile of the pauses between events that is followed.
+const PAUSE_QUANTILE: f64 = 0.8;
+
+/// Part of the longest harmless pause that is assumed at the start.
+const ASSUMED_PAUSE: f64 = 0.5;
+
+/// Part of the longest harmless pause up to which an output has room to spare.
+const CALM_PAUSE: f64 = 0.4;
+
+/// Part of the longest harmless pause from which outputs come late.
+const FULL_PAUSE: f64 = 0.9;
+
+/// How near the pauses between an output's events come to the longest that is harmless, at engines that read prompts
+/// beside it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReadingPauses {
+    part: Quantile,
+}
+
+impl Default for ReadingPauses {
+    fn default() -> Self {
+        let mut part = Quantile::new(PAUSE_QUANTILE);
+        part.factor = ASSUMED_PAUSE;
+        Self { part }
+    }
+}
+
+impl ReadingPauses {
+    /// Takes one pause, as part of the longest harmless one.
+    pub fn observe(&mut self, part: f64) {
+        self.part.observe(part);
+    }
+
+    /// From zero, where outputs have room to spare, to one, where they come late.
+    pub fn harm(&self) -> f64 {
+        ((self.part.factor - CALM_PAUSE) / (FULL_PAUSE - CALM_PAUSE)).clamp(0.0, 1.0)
+    }
+}
+
 /// Weight of one request in the share of those turned away.
 const TURNED_AWAY_STEP: f64 = 0.05;
 
@@ -216,6 +255,8 @@
     pub hand_over_seconds: f64,
     /// By how much first events exceed what was expected.
     pub error: ExpectationError,
+    /// What outputs suffer from reading beside them.
+    pub pauses: ReadingPauses,
     /// How many requests could not be in time.
     pub turned_away: TurnedAway,
 }
@@ -230,6 +271,7 @@
             late: ReadingSpeed::assumed(tokens_per_second * decode_pace),
             hand_over_seconds: ASSUMED_HAND_OVER_SECONDS,
             error: ExpectationError::default(),
+            pauses: ReadingPauses::default(),
             turned_away: TurnedAway::default(),
         }
     }
--- a/crates/core/src/routing/pool/weights.rs
+++ b/crates/core/src/routing/pool/weights.rs
@@ -43,6 +43,8 @@
     pub held_up: f64,
     /// Part by which a second of reading there costs more for each request that runs its output beside it.
     pub decode_reading_stall: f64,
+    /// The same, on top, where reading was seen to make the outputs beside it late.
+    pub decode_reading_harm: f64,
 }
 
 impl Default for PoolWeights {
@@ -65,6 +67,7 @@
             decode_reading_pace: 0.5,
             held_up: 1.0,
             decode_reading_stall: 0.1,
+            decode_reading_harm: 0.8,
         }
     }
 }
@@ -94,6 +97,7 @@
             ("routing.decode_reading_pace", self.decode_reading_pace, 0.001),
             ("routing.held_up", self.held_up, 0.0),
             ("routing.decode_reading_stall", self.decode_reading_stall, 0.0),
+            ("routing.decode_reading_harm", self.decode_reading_harm, 0.0),
         ];
         weights
             .into_iter()
--- a/crates/node/src/course/answering.rs
+++ b/crates/node/src/course/answering.rs
@@ -4,8 +4,13 @@
 use crate::ports::{CallerGone, OwnAnswer};
 use shelfjunction_core::outcome::{Failure, Outcome, Refusal, RefusalReason};
 use shelfjunction_core::request::event::OpaquePart;
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
 use std::time::Duration;
 
+/// One pause between events in so many is told to the router; they resemble each other.
+const PAUSES_TOLD: u32 = 4;
+
 /// When to come back where the refusal does not say.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -33,13 +38,27 @@
         let now = self.context.now();
         match self.last_event_at.replace(now) {
             None => self.context.metrics.first_event(now.since(self.arrived)),
-            Some(last) => self.context.metrics.next_event(now.since(last)),
+            Some(last) => {
+                self.context.metrics.next_event(now.since(last));
+                self.observe_pause(now.since(last), now);
+            }
         }
         self.first_event_at.get_or_insert(now);
         self.events_delivered += 1;
         self.caller.event(&self.event_bytes)
     }
 
+    /// Tells the router of some of the pauses between events.
+    fn observe_pause(&self, pause: Duration, now: MonotonicTime) {
+        if !self.events_delivered.is_multiple_of(PAUSES_TOLD) {
+            return;
+        }
+        if let (Some(exchange), Some(harmless)) = (&self.exchange, self.route.event_gap) {
+            let part = pause.as_secs_f64() / harmless.as_secs_f64().max(f64::MIN_POSITIVE);
+            lock(&self.context.router).on_pause(&exchange.ticket, part, now);
+        }
+    }
+
     fn deliver_end(&mut self) -> Result<(), CallerGone> {
         if self.events_open {
             return self.caller.end_events();
