--- a/crates/core/src/roles/pool.rs
+++ b/crates/core/src/roles/pool.rs
@@ -11,7 +11,7 @@
 //! wanted prefill engines = reading / prefill_full
 //! wanted decode engines  = outputs / decode_full, and never fewer than the least number
 //! where both can be had:   decode engines between wanted decode and all - wanted prefill are left as they are
-//! where they can't:        all engines are divided in the proportion of the two
+//! where they can't:        decode engines as wanted, in the proportion of the two where reading alone takes the rest
 //! ```
 //!
 //! "Highest of late" fades over the hold time. Before any demand was seen, as at the first start, the policy's share
@@ -135,7 +135,7 @@
 /// Demand on the pool, from every node.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PoolDemand {
-    /// Prompt tokens that had to be read in a second; absent before any was seen.
+    /// Prompt tokens that had to be read in a second; absent before enough was seen.
     pub prompt_tokens_per_second: Option<f64>,
     /// Prompt tokens that one engine reads in a second.
     pub engine_tokens_per_second: f64,
@@ -242,7 +242,8 @@
     if prefill + decode <= all {
         return (decode, all - prefill);
     }
-    let shared = all * decode / (prefill + decode);
+    // Where not both can be had, nobody has room to spare for reading without a wait.
+    let shared = all * decode / (reading + decode).max(all);
     (shared, shared)
 }
 
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -77,6 +77,10 @@
             Some(state.slowness * line.seconds(tokens))
         };
         let speeds = &context.speeds;
+        let place_wait = |engine: &PoolEngine| {
+            let state = self.engines.get(&engine.id);
+            speeds.place_wait(state.is_some_and(|state| state.has_place(now)))
+        };
         let line = |usual| {
             if query.rank == LATE_RANK {
                 &speeds.late
@@ -85,10 +89,11 @@
             }
         };
         let expected = match &route {
-            PoolRoute::Split { prefill, .. } => {
-                until_read(prefill, line(&speeds.prefill)).map(|read| read + speeds.hand_over_seconds)
+            PoolRoute::Split { prefill, decode } => until_read(prefill, line(&speeds.prefill))
+                .map(|read| read + speeds.hand_over_seconds + place_wait(decode)),
+            PoolRoute::Whole(engine) if query.prompt.is_some() => {
+                until_read(engine, line(&speeds.decode)).map(|read| read + place_wait(engine))
             }
-            PoolRoute::Whole(engine) if query.prompt.is_some() => until_read(engine, line(&speeds.decode)),
             PoolRoute::Whole(_) | PoolRoute::Nowhere => None,
         };
         (route, expected)
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -121,7 +121,9 @@
             let pool = state.engine.pool.clone();
             let assumed = self.assumed_speeds();
             let speeds = self.speeds.entry(pool).or_insert(assumed);
-            speeds.observe_hand_over(now.since(before.sent_at));
+            if before.rank != LATE_RANK {
+                speeds.observe_hand_over(now.since(before.sent_at), before.had_place);
+            }
         }
     }
 
@@ -191,9 +193,11 @@
         }
         let speed = line(speeds);
         let expected = speed.seconds(work.until_read);
-        // A slow engine tells how slow it is, not how slow the pool is.
-        speed.observe(work.until_read, took.div_f64(state.slowness));
-        observe_slowness(state, took, expected);
+        // Who waited for a place, or met a slow engine, tells nothing of the pool's speed.
+        if work.way.is_none() || work.had_place {
+            speed.observe(work.until_read, took.div_f64(state.slowness));
+            observe_slowness(state, took, expected);
+        }
     }
 
     fn sent(
@@ -215,6 +219,7 @@
                 moving_tokens: reading.fetched,
                 sent_at: now,
                 way,
+                had_place: state.has_place(now),
                 until_read: state.work(now).prompt_tokens_ahead(rank) + reading.computed,
             };
             state.sent.insert(self.tickets, work);
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -68,6 +68,8 @@
     pub(super) sent_at: MonotonicTime,
     /// How the engine comes by the KV cache of an output; absent where it only reads.
     pub(super) way: Option<OutputWay>,
+    /// Whether a place was free when it was sent.
+    pub(super) had_place: bool,
     /// Prompt tokens that were to be read there until this prompt was read, its own among them.
     pub(super) until_read: f64,
 }
@@ -255,6 +257,11 @@
         sum
     }
 
+    /// Whether one more request would find a place now.
+    pub(super) fn has_place(&self, now: MonotonicTime) -> bool {
+        self.work(now).requests + 1.0 <= f64::from(self.engine.places.max(1))
+    }
+
     /// Whether the engine has answered anybody a moment ago; a busy one does, a dead one does not.
     pub fn answers(&self, now: MonotonicTime) -> bool {
         self.heard_at.is_some_and(|at| now.since(at) < ALIVE)
--- a/crates/core/src/routing/pool/neighbours.rs
+++ b/crates/core/src/routing/pool/neighbours.rs
@@ -106,9 +106,11 @@
                 capacity_tokens: state.prefixes.capacity_tokens(),
             }
         });
+        let speed = self.speeds(pool).prefill;
+        let demand = self.demand.prompt_tokens_per_second(self.nodes_per_word, now);
         let demand = PoolDemand {
-            prompt_tokens_per_second: self.demand.prompt_tokens_per_second(self.nodes_per_word, now),
-            engine_tokens_per_second: self.speeds(pool).prefill.tokens_per_second(),
+            prompt_tokens_per_second: demand.filter(|_| speed.is_learned()),
+            engine_tokens_per_second: speed.tokens_per_second(),
         };
         (views.collect(), demand)
     }
--- a/crates/core/src/routing/pool/speed.rs
+++ b/crates/core/src/routing/pool/speed.rs
@@ -15,6 +15,9 @@
 /// Spread of the readings' tokens, as part of their mean, below which they don't tell the fixed part from the rest.
 const LEAST_SPREAD: f64 = 0.25;
 
+/// Readings from which the line is theirs.
+const LEARNED_READINGS: u32 = 20;
+
 /// Fixed part of a reading that is assumed at the start, in seconds.
 const ASSUMED_FIXED_SECONDS: f64 = 0.010;
 
@@ -38,6 +41,7 @@
     seconds: f64,
     tokens_squared: f64,
     tokens_seconds: f64,
+    readings: u32,
 }
 
 impl ReadingSpeed {
@@ -53,9 +57,15 @@
             seconds: ASSUMED_WEIGHT * seconds,
             tokens_squared: ASSUMED_WEIGHT * ASSUMED_TOKENS * ASSUMED_TOKENS,
             tokens_seconds: ASSUMED_WEIGHT * ASSUMED_TOKENS * seconds,
+            readings: 0,
         }
     }
 
+    /// Whether enough readings were seen for the line to be theirs and not the assumption's.
+    pub fn is_learned(&self) -> bool {
+        self.readings >= LEARNED_READINGS
+    }
+
     /// Tokens that are read in a second while there is always something to read.
     pub fn tokens_per_second(&self) -> f64 {
         1.0 / self.seconds_per_token
@@ -77,6 +87,7 @@
         let seconds = took
             .as_secs_f64()
             .clamp(expected / LARGEST_FACTOR, expected * LARGEST_FACTOR);
+        self.readings = self.readings.saturating_add(1);
         self.weight = self.weight * KEPT + 1.0;
         self.tokens = self.tokens * KEPT + tokens;
         self.seconds = self.seconds * KEPT + seconds;
@@ -242,6 +253,18 @@
 /// Hand-over that is assumed at the start, in seconds.
 const ASSUMED_HAND_OVER_SECONDS: f64 = 0.020;
 
+/// Least value that the running means are limited from, in seconds.
+const LEAST_FOLLOWED_SECONDS: f64 = 0.010;
+
+/// Moves a running mean towards an observation that counts for no more than a bounded factor of it.
+fn follow(mean: &mut f64, observed: f64) {
+    let most = mean.max(LEAST_FOLLOWED_SECONDS) * LARGEST_FACTOR;
+    *mean += HAND_OVER_SHARE * (observed.min(most) - *mean);
+}
+
+/// Wait for a place at a full engine that is assumed at the start, in seconds.
+const ASSUMED_PLACE_WAIT_SECONDS: f64 = 0.100;
+
 /// What a pool's engines were seen to take, by what they do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolSpeeds {
@@ -251,8 +274,11 @@
     pub decode: ReadingSpeed,
     /// Reading behind everything that can be in time, until it was done.
     pub late: ReadingSpeed,
-    /// From the dispatch of an output whose prompt another engine has read to its first event, in seconds.
+    /// From the dispatch of an output whose prompt another engine has read to its first event, in seconds, where a
+    /// place was free.
     pub hand_over_seconds: f64,
+    /// The same on top where none was free.
+    pub place_wait_seconds: f64,
     /// By how much first events exceed what was expected.
     pub error: ExpectationError,
     /// What outputs suffer from reading beside them.
@@ -270,16 +296,25 @@
             decode: ReadingSpeed::assumed(tokens_per_second * decode_pace),
             late: ReadingSpeed::assumed(tokens_per_second * decode_pace),
             hand_over_seconds: ASSUMED_HAND_OVER_SECONDS,
+            place_wait_seconds: ASSUMED_PLACE_WAIT_SECONDS,
             error: ExpectationError::default(),
             pauses: ReadingPauses::default(),
             turned_away: TurnedAway::default(),
         }
     }
 
-    /// Takes how long a hand-over took.
-    pub fn observe_hand_over(&mut self, took: Duration) {
-        let most = self.hand_over_seconds * LARGEST_FACTOR;
-        let seconds = took.as_secs_f64().min(most);
-        self.hand_over_seconds += HAND_OVER_SHARE * (seconds - self.hand_over_seconds);
+    /// Takes how long a hand-over took, and whether a place was free for it.
+    pub fn observe_hand_over(&mut self, took: Duration, had_place: bool) {
+        if had_place {
+            follow(&mut self.hand_over_seconds, took.as_secs_f64());
+        } else {
+            let wait = (took.as_secs_f64() - self.hand_over_seconds).max(0.0);
+            follow(&mut self.place_wait_seconds, wait);
+        }
+    }
+
+    /// Seconds that an output waits before it begins, at an engine with or without a free place.
+    pub fn place_wait(&self, has_place: bool) -> f64 {
+        if has_place { 0.0 } else { self.place_wait_seconds }
     }
 }
