--- a/crates/core/src/roles/pool.rs
+++ b/crates/core/src/roles/pool.rs
@@ -183,11 +183,7 @@
 }
 
 /// The changes to make in one round: each is decided as if those before it had been made.
-pub fn plan_round(
-    engines: &[PoolEngineView],
-    loads: PeakLoads,
-    policy: &PoolRolePolicy,
-) -> Vec<StageChange> {
+pub fn plan_round(engines: &[PoolEngineView], loads: PeakLoads, policy: &PoolRolePolicy) -> Vec<StageChange> {
     let most = (engines.len() / policy.engines_per_change.max(1)).max(1);
     let mut engines = engines.to_vec();
     let mut changes: Vec<StageChange> = Vec::new();
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -33,5 +33,5 @@
 pub use query::{PoolQuery, PrefixBlock, PromptPart, PromptShape};
 pub use recent::{ListNews, RecentChanges};
 pub use router::PoolRouter;
-pub use speed::{ExpectationError, PoolSpeeds, ReadingSpeed};
+pub use speed::{ExpectationError, PoolSpeeds, ReadingPauses, ReadingSpeed, TurnedAway};
 pub use weights::PoolWeights;
--- a/crates/core/src/routing/pool/speed.rs
+++ b/crates/core/src/routing/pool/speed.rs
@@ -180,7 +180,8 @@
 
     /// Takes one first event.
     pub fn observe(&mut self, expected: Duration, took: Duration) {
-        let ratio = (took.as_secs_f64() + ERROR_FLOOR_SECONDS) / (expected.as_secs_f64() + ERROR_FLOOR_SECONDS);
+        let ratio =
+            (took.as_secs_f64() + ERROR_FLOOR_SECONDS) / (expected.as_secs_f64() + ERROR_FLOOR_SECONDS);
         self.hopeful.observe(ratio);
         self.careful.observe(ratio);
     }
@@ -265,6 +266,9 @@
 /// Wait for a place at a full engine that is assumed at the start, in seconds.
 const ASSUMED_PLACE_WAIT_SECONDS: f64 = 0.100;
 
+/// Part of the speed that is assumed to be left for what goes behind everything else.
+const ASSUMED_LATE_PACE: f64 = 0.5;
+
 /// What a pool's engines were seen to take, by what they do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolSpeeds {
@@ -294,7 +298,7 @@
         Self {
             prefill: ReadingSpeed::assumed(tokens_per_second),
             decode: ReadingSpeed::assumed(tokens_per_second * decode_pace),
-            late: ReadingSpeed::assumed(tokens_per_second * decode_pace),
+            late: ReadingSpeed::assumed(tokens_per_second * ASSUMED_LATE_PACE),
             hand_over_seconds: ASSUMED_HAND_OVER_SECONDS,
             place_wait_seconds: ASSUMED_PLACE_WAIT_SECONDS,
             error: ExpectationError::default(),
--- a/crates/core/tests/pool_router.rs
+++ b/crates/core/tests/pool_router.rs
@@ -168,6 +168,8 @@
         requests: 10,
         memory_tokens: 0,
         moving_tokens: 0,
+        outputs: 0,
+        output_tokens: 0,
     };
     let handle = router.engine(&home).unwrap().handle;
     router.on_peer_work(&NodeId::new("other"), &[(handle, work)], later);
@@ -198,6 +200,8 @@
         requests: 10,
         memory_tokens: 0,
         moving_tokens: 0,
+        outputs: 0,
+        output_tokens: 0,
     };
     router.on_peer_work(&NodeId::new("other"), &[(handle, work)], NOW);
     assert_eq!(split(router.choose(&asked.query(), NOW)).0, home.0);
@@ -333,6 +337,8 @@
         requests: 2,
         memory_tokens: 50,
         moving_tokens: 10,
+        outputs: 0,
+        output_tokens: 0,
     };
     router.set_nodes_per_word(25.0);
     router.on_peer_work(&NodeId::new("other"), &[(handle, work)], NOW);
--- a/crates/node/src/commanding/ordering.rs
+++ b/crates/node/src/commanding/ordering.rs
@@ -3,9 +3,9 @@
 use crate::asking;
 use crate::context::Context;
 use crate::ports::{EngineReading, EngineReport, OrderVerdict, StageOrder};
+use shelfjunction_core::forwarding::PoolId;
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::lease::Authority;
-use shelfjunction_core::forwarding::PoolId;
 use shelfjunction_core::roles::pool::{PeakLoads, StageChange, plan_round};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -54,7 +54,8 @@
         if context.list_unchanged_for() < LIST_SETTLES {
             return;
         }
-        if now < self.next_at || !lock(&context.router).orders_under_way(now).is_empty() {
+        // An engine may finish long outputs first; the plan counts those on their way with the stage that they take.
+        if now < self.next_at {
             return;
         }
         let changes = self.wanted(context, now);
