--- a/crates/core/src/routing/pool/admission.rs
+++ b/crates/core/src/routing/pool/admission.rs
@@ -1,6 +1,6 @@
 //! Whether a request is taken, and in which order of urgency.
 //!
-//! With the times of [`super::speed`] learned from what was seen, and the work at engines counted over every node:
+//! With the times of [`super::pool_speeds`] learned from what was seen, and the work at engines counted over every node:
 //!
 //! ```text
 //! expected = time until the first event at the engines that the router would choose now
@@ -16,8 +16,10 @@
 //! A caller that has come back after a refusal is not refused again: it goes the late way.
 
 use super::choice::PoolRoute;
+use super::engine::PoolEngine;
 use super::query::PoolQuery;
 use super::router::PoolRouter;
+use super::speed::ReadingSpeed;
 use crate::setting::FieldError;
 use crate::time::MonotonicTime;
 use serde::{Deserialize, Serialize};
@@ -181,6 +183,39 @@
         decision(Admission::Refused { retry_after }, PoolRoute::Nowhere, expected)
     }
 
+    /// Like [`Self::choose`], with the seconds until the first event; absent where no prompt is read.
+    fn choose_expecting(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> (PoolRoute, Option<f64>) {
+        let route = self.choose(query, now);
+        let context = self.context(query, now);
+        let until_read = |engine: &PoolEngine, line: &ReadingSpeed| {
+            let state = self.engines.get(&engine.id)?;
+            let ahead = state.work(now).prompt_tokens_ahead(query.rank);
+            let tokens = ahead + context.reading(state, query).computed;
+            Some(state.slowness * line.seconds(tokens))
+        };
+        let speeds = &context.speeds;
+        let place_wait = |engine: &PoolEngine| {
+            let state = self.engines.get(&engine.id);
+            speeds.place_wait(state.is_some_and(|state| state.has_place(now)))
+        };
+        let line = |usual| {
+            if query.rank == LATE_RANK {
+                &speeds.late
+            } else {
+                usual
+            }
+        };
+        let expected = match &route {
+            PoolRoute::Split { prefill, decode } => until_read(prefill, line(&speeds.prefill))
+                .map(|read| read + speeds.hand_over_seconds + place_wait(decode)),
+            PoolRoute::Whole(engine) if query.prompt.is_some() => {
+                until_read(engine, line(&speeds.decode)).map(|read| read + place_wait(engine))
+            }
+            PoolRoute::Whole(_) | PoolRoute::Nowhere => None,
+        };
+        (route, expected)
+    }
+
     /// Takes a decision that was carried out.
     pub fn on_admission(&mut self, query: &PoolQuery<'_>, admission: Admission, now: MonotonicTime) {
         let assumed = self.assumed_speeds();
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -1,11 +1,9 @@
 //! Which engines a request goes to, and why.
 
-use super::admission::LATE_RANK;
 use super::cost::{CostContext, shared_prefixes};
 use super::engine::{EngineStage, EngineState, PoolEngine};
 use super::query::PoolQuery;
 use super::router::PoolRouter;
-use super::speed::ReadingSpeed;
 use crate::identity::EngineId;
 use crate::membership::rendezvous;
 use crate::membership::subject::{SubjectHandle, mix};
@@ -62,43 +60,6 @@
         PoolRoute::Nowhere
     }
 
-    /// Like [`Self::choose`], with the seconds until the first event; absent where no prompt is read.
-    pub(super) fn choose_expecting(
-        &self,
-        query: &PoolQuery<'_>,
-        now: MonotonicTime,
-    ) -> (PoolRoute, Option<f64>) {
-        let route = self.choose(query, now);
-        let context = self.context(query, now);
-        let until_read = |engine: &PoolEngine, line: &ReadingSpeed| {
-            let state = self.engines.get(&engine.id)?;
-            let ahead = state.work(now).prompt_tokens_ahead(query.rank);
-            let tokens = ahead + context.reading(state, query).computed;
-            Some(state.slowness * line.seconds(tokens))
-        };
-        let speeds = &context.speeds;
-        let place_wait = |engine: &PoolEngine| {
-            let state = self.engines.get(&engine.id);
-            speeds.place_wait(state.is_some_and(|state| state.has_place(now)))
-        };
-        let line = |usual| {
-            if query.rank == LATE_RANK {
-                &speeds.late
-            } else {
-                usual
-            }
-        };
-        let expected = match &route {
-            PoolRoute::Split { prefill, decode } => until_read(prefill, line(&speeds.prefill))
-                .map(|read| read + speeds.hand_over_seconds + place_wait(decode)),
-            PoolRoute::Whole(engine) if query.prompt.is_some() => {
-                until_read(engine, line(&speeds.decode)).map(|read| read + place_wait(engine))
-            }
-            PoolRoute::Whole(_) | PoolRoute::Nowhere => None,
-        };
-        (route, expected)
-    }
-
     fn choose_among(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> PoolRoute {
         let context = self.context(query, now);
         if query.prompt.is_none() {
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -26,15 +26,15 @@
 //!                * (1 + (w.decode_reading_stall + w.decode_reading_harm * harm) * (1 + outputs at e))
 //!
 //! harm         = 0 to 1: how near the pauses between events come to the longest harmless one where prompts are read
-//!                beside an output, as seen ([`super::speed::ReadingPauses`])
+//!                beside an output, as seen ([`super::expectation::ReadingPauses`])
 //! ```
 //!
 //! To the cost of a prompt, of an output and of both, `w.spread_seconds` times a fraction drawn for the request and the
 //! engine is added.
 
 use super::engine::EngineState;
+use super::pool_speeds::PoolSpeeds;
 use super::query::{PoolQuery, PrefixBlock};
-use super::speed::PoolSpeeds;
 use super::weights::PoolWeights;
 use crate::identity::ZoneId;
 use crate::membership::subject::mix;
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -3,7 +3,7 @@
 use super::beliefs::PrefixNews;
 use super::demand::PromptDemand;
 use super::engine::{EngineState, FORGET_AFTER, Gone, PoolEngine, ToldLoad};
-use super::speed::PoolSpeeds;
+use super::pool_speeds::PoolSpeeds;
 use super::weights::PoolWeights;
 use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
 use crate::identity::{EngineId, NodeId};
