--- a/crates/core/src/forwarding/returning.rs
+++ b/crates/core/src/forwarding/returning.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 /// Part of a first attempt's time below which an attempt is not the first.
-const LESS_THAN: f64 = 0.95;
+const FIRST_ATTEMPT_SHARE: f64 = 0.95;
 
 /// Part by which the longest time seen shrinks with each attempt, so that callers which wait less than they did before
 /// are not taken for returned ones for long.
@@ -25,6 +25,6 @@
     pub fn has_returned(&mut self, route: &RouteId, left: Duration) -> bool {
         let longest = self.longest.entry(route.clone()).or_default();
         *longest = longest.mul_f64(1.0 - SHRINK).max(left);
-        left < longest.mul_f64(LESS_THAN)
+        left < longest.mul_f64(FIRST_ATTEMPT_SHARE)
     }
 }
--- a/crates/node/src/course/admitting.rs
+++ b/crates/node/src/course/admitting.rs
@@ -4,16 +4,16 @@
 use super::routing;
 use shelfjunction_core::outcome::{Refusal, RefusalReason};
 use shelfjunction_core::request::event::Event;
-use shelfjunction_core::routing::pool::{Admission, AdmissionDecision, LATE_RANK, Timing};
+use shelfjunction_core::routing::pool::{Admission, AdmissionDecision, LATE_RANK, Timing, rank_of};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::time::Duration;
 
-/// Urgency, at engines, of what can't be in time; what can be has its route's priority, which is lower.
+/// Rank at engines of what can't be in time, behind every other; engines know ranks from 0, served first, to 9.
 const LATE_URGENCY: u8 = 9;
 
-/// Most urgent of the urgencies that are left to what can be in time.
-const LEAST_URGENCY_IN_TIME: u8 = 8;
+/// The last rank at engines of what can be in time.
+const LAST_URGENCY_IN_TIME: u8 = 8;
 
 /// What was expected of a request that was taken to be in time.
 #[derive(Clone, Copy, Debug)]
@@ -56,12 +56,12 @@
         self.placed(routing::placement(decision.route));
     }
 
-    /// Rank of the request's work.
+    /// Rank under which the request's work is counted and told to other nodes.
     pub(super) fn rank(&self) -> usize {
         if self.late {
             LATE_RANK
         } else {
-            shelfjunction_core::routing::pool::rank_of(self.route.priority)
+            rank_of(self.route.priority)
         }
     }
 
@@ -70,7 +70,7 @@
         if self.late {
             LATE_URGENCY
         } else {
-            self.route.priority.min(LEAST_URGENCY_IN_TIME)
+            self.route.priority.min(LAST_URGENCY_IN_TIME)
         }
     }
 
