Look at every engine of a pool: a drawn sample missed the holder of a part

Cause: above 128 engines a choice looked at 96 of them, drawn anew for each request, so that the engine that holds a shared part was not looked at for two of five requests on 165 engines, and the part was read again elsewhere.

--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -6,7 +6,7 @@
 use super::router::PoolRouter;
 use crate::identity::EngineId;
 use crate::membership::rendezvous;
-use crate::membership::subject::{SubjectHandle, mix};
+use crate::membership::subject::SubjectHandle;
 use crate::time::MonotonicTime;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -80,8 +80,6 @@
                 prefill: prefill.engine.clone(),
                 decode: decode.engine.clone(),
             },
-            // A sample without an engine that reads prompts says nothing of the rest.
-            (None, Some(_)) if !query.every_engine => PoolRoute::Nowhere,
             (None, Some((_, state))) => PoolRoute::Whole(state.engine.clone()),
             (None, None) => PoolRoute::Nowhere,
         }
@@ -206,10 +204,8 @@
         stage: EngineStage,
         now: MonotonicTime,
     ) -> impl Iterator<Item = &'a EngineState> {
-        let sample = Sample::of(query, self.engines.len());
         self.engines.values().filter(move |state| {
             state.engine.stage == stage
-                && sample.holds(state)
                 && state.engine.pool == *query.pool
                 && state.takes_work(now, query.paused_too)
                 && !query.excluded.contains(&state.engine.id)
@@ -273,50 +269,13 @@
     }
 }
 
-/// The query itself, then with every engine, then with those that are left alone for a while.
-fn widened<'a>(query: &PoolQuery<'a>) -> [PoolQuery<'a>; 3] {
-    let every_engine = PoolQuery {
-        every_engine: true,
-        ..query.clone()
-    };
+/// The query itself, then with engines that are left alone for a while.
+fn widened<'a>(query: &PoolQuery<'a>) -> [PoolQuery<'a>; 2] {
     let paused_too = PoolQuery {
         paused_too: true,
-        ..every_engine.clone()
+        ..query.clone()
     };
-    [query.clone(), every_engine, paused_too]
-}
-
-/// Engines up to which every one is looked at.
-const SMALL_FLEET: usize = 128;
-
-/// Engines that are looked at in a larger fleet, on average: enough that one of them is nearly idle where any is, and
-/// few enough that a choice costs the same however large the fleet.
-const SAMPLED: usize = 96;
-
-/// The engines of a large fleet that are looked at for one request, drawn anew for each.
-#[derive(Clone, Copy, Debug)]
-struct Sample {
-    draw: u64,
-    below: u64,
-}
-
-impl Sample {
-    fn of(query: &PoolQuery<'_>, engines: usize) -> Self {
-        let all = query.every_engine || engines <= SMALL_FLEET;
-        let below = if all {
-            u64::MAX
-        } else {
-            u64::MAX / engines as u64 * SAMPLED as u64
-        };
-        Self {
-            draw: query.draw,
-            below,
-        }
-    }
-
-    fn holds(self, state: &EngineState) -> bool {
-        self.below == u64::MAX || mix(self.draw.rotate_left(32) ^ state.handle.number()) < self.below
-    }
+    [query.clone(), paused_too]
 }
 
 fn holds(engine: &PoolEngine, model: &str) -> bool {
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -84,8 +84,6 @@
     pub excluded: &'a [EngineId],
     /// Whether engines that are left alone for a while may be chosen.
     pub paused_too: bool,
-    /// Whether every engine of a large pool is looked at, and not just a sample.
-    pub every_engine: bool,
     /// Rank among requests, from [`super::rank_of`].
     pub rank: usize,
     /// Time left.
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -203,7 +203,6 @@
             zone: &self.context.config.zone,
             excluded,
             paused_too: false,
-            every_engine: false,
             draw: self.draw,
             rank: self.rank(),
             remaining: routing::left(self.deadline, now),
