--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod orders;
 pub mod outcome;
+pub mod placing;
 pub mod request;
 pub mod residency;
 pub mod retry;
--- /dev/null
+++ b/crates/core/src/placing/desk.rs
@@ -0,0 +1,362 @@
+//! What a placer keeps of the requests that it has placed.
+//!
+//! Each answer counts the dispatch that it names in the [`PoolRouter`] at once, and the node that asked tells how the
+//! dispatch went on. Datagrams may be lost, late or doubled: a doubled question gets the same answer again, a new
+//! question about a request ends what was counted for it before, and what nobody speaks of any more is forgotten when
+//! the request's time is over.
+
+use super::question::{
+    AdmissionVerdict, Answer, ChosenEngine, Fate, FateReport, PlacedRequest, Placement, Question, RequestKey,
+    Wanted,
+};
+use crate::identity::EngineId;
+use crate::membership::subject::SubjectHandle;
+use crate::routing::pool::{
+    Admission, LATE_RANK, OutputWay, PoolAdmission, PoolEngine, PoolQuery, PoolRoute, PoolRouter, PoolTicket,
+    PrefixBlock, Timing,
+};
+use crate::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time after a request's end for which it is kept, for a report that is late.
+const KEPT_AFTER_END: Duration = Duration::from_millis(500);
+
+/// Most requests that are kept; about ten seconds of the busiest placer of the target size.
+const MOST_KEPT: usize = 20_000;
+
+/// Time between two looks for requests whose time is over.
+const SWEEP_EVERY: Duration = Duration::from_millis(500);
+
+/// Part of a pause that one unit of a report stands for.
+const PAUSE_UNIT: f64 = 0.01;
+
+/// What is counted for a request now.
+#[derive(Clone, Debug)]
+enum Counted {
+    Prompt(PoolTicket),
+    Output(PoolTicket),
+    Nothing,
+}
+
+/// What was expected of a request that is to be in time.
+#[derive(Clone, Copy, Debug)]
+struct Promise {
+    made_at: MonotonicTime,
+    expected: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Kept {
+    request: PlacedRequest,
+    prefixes: Vec<PrefixBlock>,
+    counted: Counted,
+    promise: Option<Promise>,
+    last_answer: Answer,
+    until: MonotonicTime,
+}
+
+/// The requests that a placer has placed; holds no socket, thread or clock.
+#[derive(Clone, Debug, Default)]
+pub struct Desk {
+    kept: BTreeMap<RequestKey, Kept>,
+    swept_at: MonotonicTime,
+}
+
+impl Desk {
+    /// Answers a question and counts the dispatch that the answer names; no answer where too many requests are kept.
+    pub fn answer(
+        &mut self,
+        router: &mut PoolRouter,
+        question: &Question,
+        settings: &PoolAdmission,
+        now: MonotonicTime,
+    ) -> Option<Answer> {
+        self.sweep(router, now);
+        let before = self.kept.remove(&question.key);
+        if let Some(before) = before {
+            if before.last_answer.step >= question.step {
+                let answer = before.last_answer;
+                self.kept.insert(question.key, before);
+                return (answer.step == question.step).then_some(answer);
+            }
+            return Some(self.answer_next(router, before, question, settings, now));
+        }
+        if self.kept.len() >= MOST_KEPT {
+            return None;
+        }
+        let fresh = Kept {
+            request: question.request.clone(),
+            prefixes: question.request.prompt.prefixes(),
+            counted: Counted::Nothing,
+            promise: None,
+            last_answer: Answer {
+                key: question.key,
+                step: 0,
+                verdict: None,
+                placement: Placement::Nowhere,
+            },
+            until: now,
+        };
+        Some(self.answer_next(router, fresh, question, settings, now))
+    }
+
+    fn answer_next(
+        &mut self,
+        router: &mut PoolRouter,
+        mut kept: Kept,
+        question: &Question,
+        settings: &PoolAdmission,
+        now: MonotonicTime,
+    ) -> Answer {
+        kept.request = question.request.clone();
+        kept.until = now + question.request.left + KEPT_AFTER_END;
+        kept.close(router, &question.wanted, now);
+        let (verdict, placement) = match &question.wanted {
+            Wanted::Admission(timing) => {
+                let (verdict, placement) = kept.admit(router, question.key, *timing, settings, now);
+                (Some(verdict), placement)
+            }
+            Wanted::Engines { excluded } => (None, kept.choose(router, question.key, excluded, now)),
+            Wanted::Output { source, excluded } => {
+                let placement = kept.choose_output(router, question.key, *source, excluded, now);
+                (None, placement)
+            }
+        };
+        kept.last_answer = Answer {
+            key: question.key,
+            step: question.step,
+            verdict,
+            placement,
+        };
+        let answer = kept.last_answer;
+        self.kept.insert(question.key, kept);
+        answer
+    }
+
+    /// Takes what became of a dispatch; reports about anything else than the last answer are passed over.
+    pub fn on_fate(&mut self, router: &mut PoolRouter, report: &FateReport, now: MonotonicTime) {
+        let Some(kept) = self.kept.get_mut(&report.key) else {
+            return;
+        };
+        if kept.last_answer.step != report.step {
+            return;
+        }
+        let ended = kept.on_fate(router, &report.fate, now);
+        if ended {
+            self.kept.remove(&report.key);
+        }
+    }
+
+    /// Requests that are kept.
+    pub fn len(&self) -> usize {
+        self.kept.len()
+    }
+
+    /// Whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.kept.is_empty()
+    }
+
+    /// Forgets requests whose time is over.
+    pub fn sweep(&mut self, router: &mut PoolRouter, now: MonotonicTime) {
+        if now.since(self.swept_at) < SWEEP_EVERY {
+            return;
+        }
+        self.swept_at = now;
+        self.kept.retain(|_, kept| {
+            let stays = kept.until > now;
+            if !stays {
+                kept.abandon(router);
+            }
+            stays
+        });
+    }
+}
+
+impl Kept {
+    /// Ends what was counted before a further question, which says how that went.
+    fn close(&mut self, router: &mut PoolRouter, wanted: &Wanted, now: MonotonicTime) {
+        match (std::mem::replace(&mut self.counted, Counted::Nothing), wanted) {
+            (Counted::Prompt(ticket), Wanted::Output { .. }) => {
+                router.on_prompt_read(&ticket, &self.prefixes, now);
+            }
+            (Counted::Prompt(ticket) | Counted::Output(ticket), _) => router.on_abandoned(&ticket),
+            (Counted::Nothing, _) => {}
+        }
+    }
+
+    fn abandon(&mut self, router: &mut PoolRouter) {
+        if let Counted::Prompt(ticket) | Counted::Output(ticket) =
+            std::mem::replace(&mut self.counted, Counted::Nothing)
+        {
+            router.on_abandoned(&ticket);
+        }
+    }
+
+    fn admit(
+        &mut self,
+        router: &mut PoolRouter,
+        key: RequestKey,
+        timing: Timing,
+        settings: &PoolAdmission,
+        now: MonotonicTime,
+    ) -> (AdmissionVerdict, Placement) {
+        let decision = router.admit(&self.query(key, &[]), timing, settings, now);
+        if !decision.expected.is_zero() {
+            router.on_admission(&self.query(key, &[]), decision.admission, now);
+        }
+        let in_time = decision.admission == Admission::InTime && !decision.expected.is_zero();
+        self.promise = in_time.then_some(Promise {
+            made_at: now,
+            expected: decision.expected,
+        });
+        if decision.admission == Admission::Late {
+            self.request.rank = LATE_RANK as u8;
+        }
+        let verdict = AdmissionVerdict {
+            admission: decision.admission,
+            expected: decision.expected,
+            error: decision.error as f32,
+            turned_away: decision.turned_away as f32,
+        };
+        (verdict, self.place(router, key, decision.route, now))
+    }
+
+    fn choose(
+        &mut self,
+        router: &mut PoolRouter,
+        key: RequestKey,
+        excluded: &[SubjectHandle],
+        now: MonotonicTime,
+    ) -> Placement {
+        let excluded = router.engines_of(excluded);
+        let route = router.choose(&self.query(key, &excluded), now);
+        self.place(router, key, route, now)
+    }
+
+    fn place(
+        &mut self,
+        router: &mut PoolRouter,
+        key: RequestKey,
+        route: PoolRoute,
+        now: MonotonicTime,
+    ) -> Placement {
+        match route {
+            PoolRoute::Whole(engine) => {
+                let chosen = self.chosen(router, key, &engine, now);
+                let ticket = router.on_output_sent(&engine.id, &self.query(key, &[]), OutputWay::Reads, now);
+                self.counted = Counted::Output(ticket);
+                Placement::One(chosen)
+            }
+            PoolRoute::Split { prefill, decode } => {
+                let chosen = self.chosen(router, key, &prefill, now);
+                let query = self.query(key, &[]);
+                let expected = router.reading_delay(&prefill.id, &query, now).unwrap_or_default();
+                let ticket = router.on_prompt_sent(&prefill.id, &query, now);
+                self.counted = Counted::Prompt(ticket);
+                Placement::Split {
+                    prefill: chosen,
+                    decode: router.handle_of(&decode.id),
+                    expected,
+                }
+            }
+            PoolRoute::Nowhere => Placement::Nowhere,
+        }
+    }
+
+    fn choose_output(
+        &mut self,
+        router: &mut PoolRouter,
+        key: RequestKey,
+        source: SubjectHandle,
+        excluded: &[SubjectHandle],
+        now: MonotonicTime,
+    ) -> Placement {
+        let excluded = router.engines_of(excluded);
+        let Some(source) = router.engine_named(source) else {
+            return Placement::Nowhere;
+        };
+        let Some(engine) = router.choose_output(&self.query(key, &excluded), &source, now) else {
+            return Placement::Nowhere;
+        };
+        let mut chosen = self.chosen(router, key, &engine, now);
+        chosen.fetch_from = None;
+        let ticket = router.on_output_sent(&engine.id, &self.query(key, &[]), OutputWay::Fetches, now);
+        self.counted = Counted::Output(ticket);
+        Placement::One(chosen)
+    }
+
+    /// What speaks for an engine before the request is counted there.
+    fn chosen(
+        &self,
+        router: &PoolRouter,
+        key: RequestKey,
+        engine: &PoolEngine,
+        now: MonotonicTime,
+    ) -> ChosenEngine {
+        let query = self.query(key, &[]);
+        let beliefs = router.beliefs(&engine.id, &query, now);
+        ChosenEngine {
+            engine: router.handle_of(&engine.id),
+            fetch_from: router.fetch_source(&engine.id, &query, now),
+            prompt_tokens_ahead: beliefs.prompt_tokens_ahead,
+            requests: beliefs.requests,
+            held_tokens: beliefs.held_tokens,
+            oldest_word: beliefs.oldest_word,
+        }
+    }
+
+    fn query<'q>(&'q self, key: RequestKey, excluded: &'q [EngineId]) -> PoolQuery<'q> {
+        PoolQuery {
+            pool: &self.request.pool,
+            prompt: Some(&self.request.prompt),
+            prefixes: &self.prefixes,
+            zone: &self.request.zone,
+            excluded,
+            paused_too: false,
+            rank: usize::from(self.request.rank),
+            remaining: self.request.left,
+            draw: key.number,
+        }
+    }
+
+    /// Takes what became of the dispatch; true where nothing is counted any more.
+    fn on_fate(&mut self, router: &mut PoolRouter, fate: &Fate, now: MonotonicTime) -> bool {
+        let ticket = match &self.counted {
+            Counted::Prompt(ticket) | Counted::Output(ticket) => ticket.clone(),
+            Counted::Nothing => return true,
+        };
+        match fate {
+            Fate::Begun { told } => {
+                router.on_output_begun(&ticket, &self.prefixes, now);
+                if let Some(told) = told {
+                    router.on_told(ticket.engine(), *told, now);
+                }
+                if let Some(promise) = self.promise.take() {
+                    let took = now.since(promise.made_at);
+                    let key = self.last_answer.key;
+                    router.on_first_event(&self.query(key, &[]), promise.expected, took);
+                }
+                return false;
+            }
+            Fate::Answered { pauses } => {
+                for pause in pauses {
+                    router.on_pause(&ticket, f64::from(*pause) * PAUSE_UNIT, now);
+                }
+                router.on_answered(&ticket);
+            }
+            Fate::Refused { reason, told } => {
+                if let Some(told) = told {
+                    router.on_told(ticket.engine(), *told, now);
+                }
+                router.on_refused(&ticket, *reason, now);
+            }
+            Fate::Broken => router.on_broken(&ticket, now),
+            Fate::Abandoned => router.on_abandoned(&ticket),
+        }
+        self.counted = Counted::Nothing;
+        // Whoever was refused or let down asks again: the last answer must not be given for a new question.
+        matches!(fate, Fate::Answered { .. } | Fate::Abandoned)
+    }
+}
--- /dev/null
+++ b/crates/core/src/placing/question.rs
@@ -0,0 +1,164 @@
+//! What a node asks a placer, and what it tells it afterwards.
+
+use crate::engine::EngineRefusalReason;
+use crate::forwarding::PoolId;
+use crate::identity::ZoneId;
+use crate::membership::subject::SubjectHandle;
+use crate::routing::pool::{Admission, PromptShape, Timing, ToldLoad};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Names one request at a placer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestKey {
+    /// The node that asks.
+    pub node: SubjectHandle,
+    /// Number that the node has drawn for the request.
+    pub number: u64,
+}
+
+/// A request as a placer has to know it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacedRequest {
+    /// Pool that serves it.
+    pub pool: PoolId,
+    /// Its prompt.
+    pub prompt: PromptShape,
+    /// Zone of the node that asks.
+    pub zone: ZoneId,
+    /// Rank among requests, from [`crate::routing::pool::rank_of`] or [`crate::routing::pool::LATE_RANK`].
+    pub rank: u8,
+    /// Time left.
+    pub left: Duration,
+}
+
+/// What a node wants of a placer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Wanted {
+    /// Whether the request is taken, and its engines.
+    Admission(Timing),
+    /// Engines anew, without those that failed it.
+    Engines {
+        /// Engines that failed the request.
+        excluded: Vec<SubjectHandle>,
+    },
+    /// The engine that runs the output of the prompt, which has been read.
+    Output {
+        /// The engine that has read the prompt.
+        source: SubjectHandle,
+        /// Engines that failed the request.
+        excluded: Vec<SubjectHandle>,
+    },
+}
+
+/// A question about one request; the same one may arrive twice.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// The request.
+    pub key: RequestKey,
+    /// Number of the question among those about the request.
+    pub step: u32,
+    /// The request itself, since any placer may be asked at any time.
+    pub request: PlacedRequest,
+    /// What is wanted.
+    pub wanted: Wanted,
+}
+
+/// An engine that a placer chose, and what spoke for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChosenEngine {
+    /// The engine.
+    pub engine: SubjectHandle,
+    /// From where it fetches what it does not hold of the prompt.
+    pub fetch_from: Option<SocketAddr>,
+    /// Prompt tokens that are read there first.
+    pub prompt_tokens_ahead: u64,
+    /// Requests that are there.
+    pub requests: u32,
+    /// Prompt tokens that it holds.
+    pub held_tokens: u32,
+    /// Age of the oldest word of another placer that counted.
+    pub oldest_word: Duration,
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Placement {
+    /// One engine serves what is left of it.
+    One(ChosenEngine),
+    /// One engine reads the prompt; who runs the output is asked when it was read.
+    Split {
+        /// Reads the prompt.
+        prefill: ChosenEngine,
+        /// Would run the output if it were chosen now.
+        decode: SubjectHandle,
+        /// Time until the prompt should have been read.
+        expected: Duration,
+    },
+    /// No engine can take it now.
+    Nowhere,
+}
+
+/// How a request was admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AdmissionVerdict {
+    /// What is done with it.
+    pub admission: Admission,
+    /// Expected time until the first event; zero where nothing is known of it.
+    pub expected: Duration,
+    /// Factor by which expectations are exceeded.
+    pub error: f32,
+    /// Share of the requests that were turned away of late.
+    pub turned_away: f32,
+}
+
+/// A placer's answer to the question with the same key and step.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The request.
+    pub key: RequestKey,
+    /// The question.
+    pub step: u32,
+    /// Present where admission was wanted.
+    pub verdict: Option<AdmissionVerdict>,
+    /// Where the request goes.
+    pub placement: Placement,
+}
+
+/// What became of a dispatch that a placer has counted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fate {
+    /// The first event has come.
+    Begun {
+        /// Load that the engine told.
+        told: Option<ToldLoad>,
+    },
+    /// It has ended well.
+    Answered {
+        /// Some of the pauses between events, in hundredths of the longest harmless one.
+        pauses: Vec<u16>,
+    },
+    /// The engine refused it before running it.
+    Refused {
+        /// Why.
+        reason: EngineRefusalReason,
+        /// Load that the engine told.
+        told: Option<ToldLoad>,
+    },
+    /// The connection broke, stayed silent or could not be made.
+    Broken,
+    /// It ended for a cause that is not the engine's, or nobody waits for the placer's answer any more.
+    Abandoned,
+}
+
+/// Tells a placer what became of what it answered to a question.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FateReport {
+    /// The request.
+    pub key: RequestKey,
+    /// The question whose answer it is about.
+    pub step: u32,
+    /// What became of it.
+    pub fate: Fate,
+}
--- a/crates/core/src/routing/pool/admission.rs
+++ b/crates/core/src/routing/pool/admission.rs
@@ -90,7 +90,7 @@
 }
 
 /// What of a request decides beside the engines.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Timing {
     /// Time within which the first event is worth most.
     pub target: Duration,
@@ -101,7 +101,7 @@
 }
 
 /// What is done with a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Admission {
     /// It is served in its rank.
     InTime,
--- a/crates/core/src/routing/pool/beliefs.rs
+++ b/crates/core/src/routing/pool/beliefs.rs
@@ -30,6 +30,31 @@
     pub output_tokens: u32,
 }
 
+/// The engines that one message about work is about: of `of` equal parts the one numbered `index`.
+///
+/// What a message says of its slice replaces what its sender said of it before, so that a lost message is made good by
+/// the next one about the same engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct WorkSlice {
+    /// Number of the part, from zero.
+    pub index: u16,
+    /// Parts.
+    pub of: u16,
+}
+
+impl WorkSlice {
+    /// All engines.
+    pub const ALL: Self = Self { index: 0, of: 1 };
+
+    /// No engine.
+    pub const NOTHING: Self = Self { index: 0, of: 0 };
+
+    /// Whether the slice is about an engine.
+    pub fn includes(self, engine: SubjectHandle) -> bool {
+        self.of > 0 && engine.number() % u64::from(self.of) == u64::from(self.index)
+    }
+}
+
 /// Prefixes that an engine has come to hold.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrefixNews {
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -37,6 +37,13 @@
     pub cost: f64,
     /// The cheapest of the others and its cost.
     pub runner_up: Option<(EngineId, f64)>,
+    /// What is believed of the engine.
+    pub beliefs: EngineBeliefs,
+}
+
+/// What is believed of one engine in respect of one request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineBeliefs {
     /// Prompt tokens believed to be read there first.
     pub prompt_tokens_ahead: u64,
     /// Requests believed to be there.
@@ -136,22 +143,36 @@
             .candidates(query, stage, now)
             .filter(|state| state.engine.id != *engine);
         let runner_up = cheapest(others, cost).map(|(cost, state)| (state.engine.id.clone(), cost));
-        let chosen = self.engines.get(engine);
-        let work = chosen.map(|state| state.work(now)).unwrap_or_default();
         Explanation {
-            cost: chosen.map_or(0.0, cost),
+            cost: self.engines.get(engine).map_or(0.0, cost),
             runner_up,
+            beliefs: self.beliefs(engine, query, now),
+        }
+    }
+
+    /// What is believed of an engine; nothing where it is not known.
+    pub fn beliefs(&self, engine: &EngineId, query: &PoolQuery<'_>, now: MonotonicTime) -> EngineBeliefs {
+        let Some(state) = self.engines.get(engine) else {
+            return EngineBeliefs::default();
+        };
+        let work = state.work(now);
+        EngineBeliefs {
             prompt_tokens_ahead: work.prompt_tokens_ahead(query.rank) as u64,
             requests: work.requests as u32,
-            held_tokens: chosen.map_or(0, |state| state.prefixes.held_tokens(query.prefixes)),
-            oldest_word: chosen.map_or(Duration::ZERO, |state| state.oldest_word(now)),
+            held_tokens: state.prefixes.held_tokens(query.prefixes),
+            oldest_word: state.oldest_word(now),
         }
     }
 
-    /// Seconds until a prompt sent now would have been read, at the best engine; absent where none reads prompts.
-    pub fn prompt_delay(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<Duration> {
+    /// Time until a prompt sent now to an engine would have been read there; absent where the engine is not known.
+    pub fn reading_delay(
+        &self,
+        engine: &EngineId,
+        query: &PoolQuery<'_>,
+        now: MonotonicTime,
+    ) -> Option<Duration> {
         let context = self.context(query, now);
-        let (_, state) = self.choose_prefill(query, &context)?;
+        let state = self.engines.get(engine)?;
         let tokens = state.work(now).prompt_tokens_ahead(query.rank) + context.reading(state, query).computed;
         let seconds = state.slowness * context.speeds.prefill.seconds(tokens);
         Some(Duration::from_secs_f64(seconds))
--- a/crates/core/src/routing/pool/demand.rs
+++ b/crates/core/src/routing/pool/demand.rs
@@ -45,15 +45,14 @@
         self.decayed(now) / TIME_CONSTANT.as_secs_f64()
     }
 
-    /// Every node's demand, in tokens per second, where one other node's word stands for so many; absent before any was
-    /// seen.
-    pub fn prompt_tokens_per_second(&self, nodes_per_word: f64, now: MonotonicTime) -> Option<f64> {
+    /// Every node's demand, in tokens per second; absent before any was seen.
+    pub fn prompt_tokens_per_second(&self, now: MonotonicTime) -> Option<f64> {
         self.first_at?;
         let fresh = self
             .peers
             .values()
             .filter(|(_, at)| now.since(*at) < PEER_LIFETIME);
-        Some(self.own(now) + nodes_per_word * fresh.map(|(tokens, _)| tokens).sum::<f64>())
+        Some(self.own(now) + fresh.map(|(tokens, _)| tokens).sum::<f64>())
     }
 
     fn decayed(&self, now: MonotonicTime) -> f64 {
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -48,7 +48,7 @@
 }
 
 /// Load that an engine told in an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldLoad {
     /// Requests that run.
     pub running: u32,
@@ -113,17 +113,6 @@
         self.output_tokens += f64::from(work.output_tokens);
     }
 
-    fn add_scaled(&mut self, other: &WorkAtEngine, factor: f64) {
-        for (sum, tokens) in self.prompt_tokens.iter_mut().zip(other.prompt_tokens) {
-            *sum += factor * tokens;
-        }
-        self.requests += factor * other.requests;
-        self.memory_tokens += factor * other.memory_tokens;
-        self.moving_tokens += factor * other.moving_tokens;
-        self.outputs += factor * other.outputs;
-        self.output_tokens += factor * other.output_tokens;
-    }
-
     fn add_sent(&mut self, work: &SentWork) {
         self.prompt_tokens[work.rank] += work.prompt_tokens;
         self.requests += 1.0;
@@ -190,8 +179,6 @@
     pub(super) sent: BTreeMap<u64, SentWork>,
     pub(super) told: Option<(ToldLoad, MonotonicTime)>,
     pub(super) peers: BTreeMap<NodeId, (PeerWork, MonotonicTime)>,
-    /// Nodes for which one other node's word stands: one, but more in fleets too large for all to be heard.
-    pub(super) nodes_per_word: f64,
     /// Factor by which it answers slower than expected; one when it does not.
     pub(super) slowness: f64,
 }
@@ -218,7 +205,6 @@
             sent: BTreeMap::new(),
             told: None,
             peers: BTreeMap::new(),
-            nodes_per_word: 1.0,
             slowness: 1.0,
         }
     }
@@ -241,14 +227,12 @@
 
     /// Work of every node, as far as it is known.
     pub fn work(&self, now: MonotonicTime) -> WorkAtEngine {
-        let mut others = WorkAtEngine::default();
+        let mut sum = self.own_work();
         for (work, at) in self.peers.values() {
             if now.since(*at) < PEER_WORD_LIFETIME {
-                others.add_peer(work);
+                sum.add_peer(work);
             }
         }
-        let mut sum = self.own_work();
-        sum.add_scaled(&others, self.nodes_per_word);
         if let Some((told, at)) = self.told
             && now.since(at) < TOLD_LIFETIME
         {
@@ -300,7 +284,7 @@
     }
 
     /// Whether the engine is neither gone nor about to leave.
-    pub(super) fn stays(&self) -> bool {
+    pub fn stays(&self) -> bool {
         !self.engine.leaving && self.gone.is_none()
     }
 }
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -26,8 +26,9 @@
 mod weights;
 
 pub use admission::{Admission, AdmissionDecision, LATE_RANK, PoolAdmission, Timing};
-pub use beliefs::{PeerWork, PrefixNews, RANKS, rank_of};
-pub use choice::{Explanation, PoolRoute};
+pub use beliefs::{PeerWork, PrefixNews, RANKS, WorkSlice, rank_of};
+pub use choice::{EngineBeliefs, Explanation, PoolRoute};
+pub use cost::shared_prefixes;
 pub use dispatches::{OutputWay, PoolTicket};
 pub use engine::{EngineStage, EngineState, PoolEngine, ToldLoad, WorkAtEngine};
 pub use expectation::{ExpectationError, ReadingPauses, TurnedAway};
--- a/crates/core/src/routing/pool/neighbours.rs
+++ b/crates/core/src/routing/pool/neighbours.rs
@@ -1,6 +1,6 @@
 //! What nodes tell each other: their work, demand, orders, and what engines hold.
 
-use super::beliefs::{PeerWork, PrefixNews};
+use super::beliefs::{PeerWork, PrefixNews, WorkSlice};
 use super::engine::EngineStage;
 use super::query::PrefixBlock;
 use super::router::PoolRouter;
@@ -14,18 +14,25 @@
 const BLOCKS_IN_NEWS: usize = 16;
 
 impl PoolRouter {
-    /// Takes another node's word of its work at engines.
+    /// Takes another node's word of its work at a slice of the engines.
     ///
-    /// `works` replaces everything that the node said before.
-    pub fn on_peer_work(&mut self, peer: &NodeId, works: &[(SubjectHandle, PeerWork)], now: MonotonicTime) {
-        let before = self.named_by.remove(peer).unwrap_or_default();
-        if !works.is_empty() {
-            let named = works.iter().map(|(handle, _)| *handle).collect();
-            self.named_by.insert(peer.clone(), named);
-        }
-        for handle in before {
-            let named_again = works.iter().any(|(named, _)| *named == handle);
-            if !named_again && let Some(state) = self.state_of(handle) {
+    /// `works` replaces everything that the node said of them before.
+    pub fn on_peer_work(
+        &mut self,
+        peer: &NodeId,
+        slice: WorkSlice,
+        works: &[(SubjectHandle, PeerWork)],
+        now: MonotonicTime,
+    ) {
+        let named: Vec<SubjectHandle> = works.iter().map(|(handle, _)| *handle).collect();
+        let before = self.named_by.entry(peer.clone()).or_default();
+        let (dropped, kept): (Vec<_>, Vec<_>) = before
+            .iter()
+            .filter(|handle| !named.contains(handle))
+            .partition(|handle| slice.includes(**handle));
+        *before = kept.into_iter().chain(named).collect();
+        for handle in dropped {
+            if let Some(state) = self.state_of(handle) {
                 state.peers.remove(peer);
             }
         }
@@ -36,14 +43,6 @@
         }
     }
 
-    /// Sets for how many nodes one other node's word stands, where only some of them are heard.
-    pub fn set_nodes_per_word(&mut self, nodes: f64) {
-        self.nodes_per_word = nodes.max(1.0);
-        for state in self.engines.values_mut() {
-            state.nodes_per_word = self.nodes_per_word;
-        }
-    }
-
     /// This node's own work, as it is told to other nodes; engines without any are left out.
     pub fn own_work(&self) -> Vec<(SubjectHandle, PeerWork)> {
         self.engines
@@ -107,7 +106,7 @@
             }
         });
         let speed = self.speeds(pool).prefill;
-        let demand = self.demand.prompt_tokens_per_second(self.nodes_per_word, now);
+        let demand = self.demand.prompt_tokens_per_second(now);
         let demand = PoolDemand {
             prompt_tokens_per_second: demand.filter(|_| speed.is_learned()),
             engine_tokens_per_second: speed.tokens_per_second(),
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// One part of a prompt as the caller declares it; the same name stands for the same tokens.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptPart {
     /// Number of the part's name.
     pub name: u64,
@@ -16,7 +16,7 @@
 }
 
 /// A declared prompt.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptShape {
     /// Model that reads it.
     pub model: String,
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -26,7 +26,6 @@
     pub(super) traits: BTreeMap<PoolId, ModelTraits>,
     pub(super) news: Vec<PrefixNews>,
     pub(super) demand: PromptDemand,
-    pub(super) nodes_per_word: f64,
     pub(super) tickets: u64,
 }
 
@@ -42,7 +41,6 @@
             traits: BTreeMap::new(),
             news: Vec::new(),
             demand: PromptDemand::default(),
-            nodes_per_word: 1.0,
             tickets: 0,
         }
     }
@@ -63,8 +61,7 @@
             None => {
                 let traits = self.traits.get(&engine.pool);
                 let tokens = traits.map_or(ASSUMED_CACHE_TOKENS, |traits| traits.cache_tokens);
-                let mut state = EngineState::new(engine, tokens);
-                state.nodes_per_word = self.nodes_per_word;
+                let state = EngineState::new(engine, tokens);
                 self.engine_of.insert(state.handle, state.engine.id.clone());
                 self.engines.insert(state.engine.id.clone(), state);
             }
@@ -103,6 +100,27 @@
         self.engines.get_mut(self.engine_of.get(&handle)?)
     }
 
+    /// The short name of an engine, the same at every node.
+    pub fn handle_of(&self, engine: &EngineId) -> SubjectHandle {
+        self.engines.get(engine).map_or_else(
+            || SubjectHandle::of_text("engine", engine.as_str()),
+            |state| state.handle,
+        )
+    }
+
+    /// The engine with a short name; absent where it is not known.
+    pub fn engine_named(&self, handle: SubjectHandle) -> Option<EngineId> {
+        self.engine_of.get(&handle).cloned()
+    }
+
+    /// The known ones of some engines.
+    pub fn engines_of(&self, handles: &[SubjectHandle]) -> Vec<EngineId> {
+        handles
+            .iter()
+            .filter_map(|handle| self.engine_named(*handle))
+            .collect()
+    }
+
     /// Takes the load that an engine told in an answer.
     pub fn on_told(&mut self, engine: &EngineId, told: ToldLoad, now: MonotonicTime) {
         if let Some(state) = self.engines.get_mut(engine) {
--- /dev/null
+++ b/crates/core/tests/placing.rs
@@ -0,0 +1,426 @@
+//! Placers: who they are, and what they keep under lost, late and doubled datagrams.
+
+#![allow(clippy::unwrap_used)]
+
+use proptest::prelude::*;
+use shelfjunction_core::engine::EngineRefusalReason;
+use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig, ModelTraits, PoolConfig, PoolId};
+use shelfjunction_core::identity::{EngineId, ZoneId};
+use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::placing::config::PlacingSettings;
+use shelfjunction_core::placing::desk::Desk;
+use shelfjunction_core::placing::panel::{Candidate, Panel};
+use shelfjunction_core::placing::question::{
+    Answer, Fate, FateReport, PlacedRequest, Placement, Question, RequestKey, Wanted,
+};
+use shelfjunction_core::routing::pool::{
+    Admission, EngineStage, PoolAdmission, PoolEngine, PoolRouter, PoolWeights, PromptPart, PromptShape,
+    Timing,
+};
+use shelfjunction_core::time::MonotonicTime;
+use std::time::Duration;
+
+const NOW: MonotonicTime = MonotonicTime::from_millis(10_000);
+
+fn after(millis: u64) -> MonotonicTime {
+    NOW + Duration::from_millis(millis)
+}
+
+fn node(number: u32) -> SubjectHandle {
+    SubjectHandle::of_text("node", &format!("node-{number}"))
+}
+
+fn candidates(numbers: impl Iterator<Item = u32>, processor_thousandths: u32) -> Vec<Candidate> {
+    numbers
+        .map(|number| Candidate {
+            node: node(number),
+            processor_thousandths,
+        })
+        .collect()
+}
+
+mod panel {
+    use super::*;
+
+    #[test]
+    fn nodes_that_see_the_same_fleet_in_another_order_name_the_same_placers() {
+        let fleet = candidates(0..295, 120);
+        let mut turned = fleet.clone();
+        turned.reverse();
+        assert_eq!(Panel::of(&fleet, 8), Panel::of(&turned, 8));
+        assert_eq!(Panel::of(&fleet, 8).placers().len(), 8);
+    }
+
+    #[test]
+    fn nodes_with_more_processor_come_first() {
+        let small = candidates(0..280, 120);
+        let large = candidates(280..295, 500);
+        let fleet: Vec<Candidate> = small.iter().chain(&large).copied().collect();
+        let panel = Panel::of(&fleet, 8);
+        assert!(large.iter().filter(|one| panel.includes(one.node)).count() == 8);
+        let without_large = Panel::of(&small, 8);
+        assert_eq!(
+            without_large.placers().len(),
+            8,
+            "any node will do where no large one lives"
+        );
+    }
+
+    #[test]
+    fn the_loss_of_a_placer_moves_only_what_it_had() {
+        let fleet = candidates(0..60, 250);
+        let panel = Panel::of(&fleet, 8);
+        let lost = panel.placers()[0];
+        let left: Vec<Candidate> = fleet.iter().copied().filter(|one| one.node != lost).collect();
+        let smaller = Panel::of(&left, 8);
+        let kept = panel
+            .placers()
+            .iter()
+            .filter(|one| smaller.includes(**one))
+            .count();
+        assert_eq!(kept, 7);
+        let nobody = |_| false;
+        let newcomer = *smaller
+            .placers()
+            .iter()
+            .find(|one| !panel.includes(**one))
+            .unwrap();
+        for subject in (0..2_000_u64).map(|number| number.wrapping_mul(0x9E37_79B9_7F4A_7C15)) {
+            let before = panel.placers_of(subject, nobody, 1)[0];
+            let now = smaller.placers_of(subject, nobody, 1)[0];
+            assert!(now == before || before == lost || now == newcomer);
+        }
+    }
+
+    #[test]
+    fn a_silent_placer_is_passed_over_for_the_second_choice() {
+        let panel = Panel::of(&candidates(0..60, 250), 8);
+        for subject in (1..100_u64).map(|number| number << 40) {
+            let [first, second] = panel.placers_of(subject, |_| false, 2)[..] else {
+                panic!("two placers");
+            };
+            assert_eq!(panel.placers_of(subject, |placer| placer == first, 1), [second]);
+        }
+        assert!(
+            panel.placers_of(7, |_| true, 2).is_empty(),
+            "nobody is left to ask"
+        );
+    }
+
+    #[test]
+    fn subjects_spread_over_the_placers() {
+        let panel = Panel::of(&candidates(0..295, 120), 8);
+        let mut counts = std::collections::BTreeMap::new();
+        for subject in (0..8_000_u64).map(|number| number.wrapping_mul(0x9E37_79B9_7F4A_7C15)) {
+            *counts
+                .entry(panel.placers_of(subject, |_| false, 1)[0])
+                .or_insert(0) += 1;
+        }
+        assert!(
+            counts.values().all(|count| (800..1_200).contains(count)),
+            "{counts:?}"
+        );
+    }
+
+    #[test]
+    fn wrong_settings_are_named() {
+        let settings = PlacingSettings {
+            placers: 0,
+            alone_up_to: 0,
+            answer_wait_millis: 0,
+        };
+        let fields: Vec<String> = settings.validate().into_iter().map(|error| error.field).collect();
+        let expected = [
+            "placing.placers",
+            "placing.alone_up_to",
+            "placing.answer_wait_millis",
+        ];
+        assert_eq!(fields, expected);
+        assert!(PlacingSettings::default().validate().is_empty());
+    }
+}
+
+fn pool() -> PoolId {
+    PoolId("pool".to_owned())
+}
+
+fn engine(id: &str, stage: EngineStage) -> PoolEngine {
+    PoolEngine {
+        id: EngineId::new(id),
+        pool: pool(),
+        address: ([127, 0, 0, 1], 1_000 + id.bytes().map(u16::from).sum::<u16>()).into(),
+        zone: ZoneId::new("zone-a"),
+        places: 64,
+        leaving: false,
+        stage,
+        models: vec!["m".to_owned()],
+        warming: Duration::ZERO,
+    }
+}
+
+fn router() -> PoolRouter {
+    let mut router = PoolRouter::new(PoolWeights {
+        decode_reading_pace: 0.001,
+        ..PoolWeights::default()
+    });
+    let model = ModelTraits {
+        places: 64,
+        cache_tokens: 400_000,
+        transfer_lifetime: Duration::from_secs(5),
+        move_seconds: None,
+        role_change: Duration::from_secs(2),
+    };
+    router.on_config(&ForwardingConfig {
+        version: 1,
+        routes: Vec::new(),
+        pools: vec![PoolConfig {
+            id: pool(),
+            connection_limit: 100,
+            model: Some(model),
+        }],
+        limits: CallerLimits::default(),
+    });
+    for (id, stage) in [
+        ("p1", EngineStage::Prefill),
+        ("p2", EngineStage::Prefill),
+        ("d1", EngineStage::Decode),
+        ("d2", EngineStage::Decode),
+    ] {
+        router.on_engine(engine(id, stage));
+    }
+    router
+}
+
+fn question(number: u64, step: u32, wanted: Wanted) -> Question {
+    let part = |name, tokens| PromptPart { name, tokens };
+    Question {
+        key: RequestKey {
+            node: node(1),
+            number,
+        },
+        step,
+        request: PlacedRequest {
+            pool: pool(),
+            prompt: PromptShape {
+                model: "m".to_owned(),
+                parts: vec![part(5, 6_000), part(1_000 + number, 1_000)],
+                tokens: 7_000,
+                output_tokens: 100,
+                output_estimate: None,
+            },
+            zone: ZoneId::new("zone-a"),
+            rank: 1,
+            left: Duration::from_secs(4),
+        },
+        wanted,
+    }
+}
+
+fn admission(number: u64) -> Question {
+    let timing = Timing {
+        target: Duration::from_secs(1),
+        left: Duration::from_secs(4),
+        returned: false,
+    };
+    question(number, 1, Wanted::Admission(timing))
+}
+
+fn output(number: u64, source: SubjectHandle) -> Question {
+    let excluded = Vec::new();
+    question(number, 2, Wanted::Output { source, excluded })
+}
+
+struct Placer {
+    desk: Desk,
+    router: PoolRouter,
+}
+
+impl Placer {
+    fn new() -> Self {
+        Self {
+            desk: Desk::default(),
+            router: router(),
+        }
+    }
+
+    fn ask(&mut self, question: &Question, now: MonotonicTime) -> Answer {
+        let settings = PoolAdmission::default();
+        self.desk
+            .answer(&mut self.router, question, &settings, now)
+            .unwrap()
+    }
+
+    fn tell(&mut self, question: &Question, fate: Fate, now: MonotonicTime) {
+        let report = FateReport {
+            key: question.key,
+            step: question.step,
+            fate,
+        };
+        self.desk.on_fate(&mut self.router, &report, now);
+    }
+
+    fn requests(&self) -> u32 {
+        self.router
+            .engines()
+            .map(|state| state.own_work().requests as u32)
+            .sum()
+    }
+}
+
+fn reader(answer: &Answer) -> SubjectHandle {
+    match answer.placement {
+        Placement::Split { prefill, .. } => prefill.engine,
+        other => panic!("not split: {other:?}"),
+    }
+}
+
+#[test]
+fn a_request_is_counted_from_the_answer_to_its_end() {
+    let mut placer = Placer::new();
+    let first = admission(1);
+    let answer = placer.ask(&first, NOW);
+    assert_eq!(answer.verdict.unwrap().admission, Admission::InTime);
+    assert_eq!(placer.requests(), 1);
+    let second = output(1, reader(&answer));
+    let answer = placer.ask(&second, after(200));
+    assert!(matches!(answer.placement, Placement::One(_)));
+    assert_eq!(placer.requests(), 1, "the prompt is read, the output counts now");
+    placer.tell(&second, Fate::Begun { told: None }, after(230));
+    let end = Fate::Answered { pauses: vec![20, 30] };
+    placer.tell(&second, end, after(300));
+    assert_eq!((placer.requests(), placer.desk.len()), (0, 0));
+}
+
+#[test]
+fn the_next_request_with_a_part_goes_where_the_part_was_read() {
+    let mut placer = Placer::new();
+    let answer = placer.ask(&admission(1), NOW);
+    let holder = reader(&answer);
+    placer.ask(&output(1, holder), after(200));
+    for number in 2..20 {
+        let answer = placer.ask(&admission(number), after(1_000 + 400 * number));
+        assert_eq!(reader(&answer), holder, "request {number}: {answer:?}");
+        let done = output(number, holder);
+        // As long as 1,000 tokens should take.
+        placer.ask(&done, after(1_035 + 400 * number));
+        placer.tell(&done, Fate::Abandoned, after(1_300 + 400 * number));
+    }
+}
+
+#[test]
+fn a_doubled_question_gets_the_same_answer_and_counts_once() {
+    let mut placer = Placer::new();
+    let first = placer.ask(&admission(1), NOW);
+    let again = placer.ask(&admission(1), after(3));
+    assert_eq!(first, again);
+    assert_eq!(placer.requests(), 1);
+}
+
+#[test]
+fn an_older_question_that_arrives_late_is_not_answered() {
+    let mut placer = Placer::new();
+    let answer = placer.ask(&admission(1), NOW);
+    placer.ask(&output(1, reader(&answer)), after(200));
+    let settings = PoolAdmission::default();
+    let late = placer
+        .desk
+        .answer(&mut placer.router, &admission(1), &settings, after(210));
+    assert_eq!(late, None);
+    assert_eq!(placer.requests(), 1);
+}
+
+#[test]
+fn a_report_about_an_earlier_answer_changes_nothing() {
+    let mut placer = Placer::new();
+    let first = admission(1);
+    let answer = placer.ask(&first, NOW);
+    placer.ask(&output(1, reader(&answer)), after(200));
+    placer.tell(&first, Fate::Broken, after(210));
+    assert_eq!(placer.requests(), 1, "the output is under way");
+}
+
+#[test]
+fn a_refused_dispatch_is_placed_anew_elsewhere() {
+    let mut placer = Placer::new();
+    let first = admission(1);
+    let refuser = reader(&placer.ask(&first, NOW));
+    let reason = EngineRefusalReason::QueueFull;
+    placer.tell(&first, Fate::Refused { reason, told: None }, after(5));
+    assert_eq!(placer.requests(), 0);
+    let excluded = vec![refuser];
+    let answer = placer.ask(&question(1, 2, Wanted::Engines { excluded }), after(6));
+    assert_ne!(reader(&answer), refuser);
+    assert_eq!(placer.requests(), 1);
+}
+
+#[test]
+fn a_lost_report_of_a_refusal_is_made_good_by_the_next_question() {
+    let mut placer = Placer::new();
+    let refuser = reader(&placer.ask(&admission(1), NOW));
+    let excluded = vec![refuser];
+    placer.ask(&question(1, 2, Wanted::Engines { excluded }), after(6));
+    assert_eq!(placer.requests(), 1);
+}
+
+#[test]
+fn what_nobody_speaks_of_any_more_is_forgotten_after_the_requests_time() {
+    let mut placer = Placer::new();
+    placer.ask(&admission(1), NOW);
+    placer.desk.sweep(&mut placer.router, after(4_400));
+    assert_eq!(placer.requests(), 1);
+    placer.desk.sweep(&mut placer.router, after(5_100));
+    assert_eq!((placer.requests(), placer.desk.len()), (0, 0));
+}
+
+#[test]
+fn a_placer_that_has_just_started_places_outputs_whose_prompts_another_placed() {
+    let mut before = Placer::new();
+    let source = reader(&before.ask(&admission(1), NOW));
+    let mut started = Placer::new();
+    let answer = started.ask(&output(1, source), after(300));
+    assert!(matches!(answer.placement, Placement::One(_)), "{answer:?}");
+    assert_eq!(started.requests(), 1);
+}
+
+/// What happens to a datagram on its way.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    Arrives,
+    Doubled,
+    Lost,
+}
+
+fn way() -> impl Strategy<Value = Way> {
+    prop_oneof![6 => Just(Way::Arrives), 1 => Just(Way::Doubled), 1 => Just(Way::Lost)]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever is lost or doubled, no request counts twice, and none is counted when its time is over.
+    #[test]
+    fn nothing_is_counted_twice_or_for_ever(ways in proptest::collection::vec((way(), way(), way()), 1..40)) {
+        let mut placer = Placer::new();
+        let settings = PoolAdmission::default();
+        let times = |way| match way { Way::Arrives => 1, Way::Doubled => 2, Way::Lost => 0 };
+        for (number, (asked, read, ended)) in ways.iter().enumerate() {
+            let number = number as u64;
+            let at = after(number * 10);
+            let source = placer.router.handle_of(&EngineId::new("p1"));
+            for _ in 0..times(*asked) {
+                placer.desk.answer(&mut placer.router, &admission(number), &settings, at);
+            }
+            for _ in 0..times(*read) {
+                placer.desk.answer(&mut placer.router, &output(number, source), &settings, at);
+            }
+            for _ in 0..times(*ended) {
+                placer.tell(&output(number, source), Fate::Answered { pauses: Vec::new() }, at);
+            }
+            prop_assert!(placer.requests() as u64 <= number + 1);
+            prop_assert!(placer.requests() as usize <= placer.desk.len());
+        }
+        placer.desk.sweep(&mut placer.router, after(60_000));
+        prop_assert_eq!(placer.requests(), 0);
+        prop_assert!(placer.desk.is_empty());
+    }
+}
--- a/crates/node/src/commanding/mod.rs
+++ b/crates/node/src/commanding/mod.rs
@@ -35,12 +35,16 @@
     }
 }
 
-/// Whether this node is the one that should hold the lease, among those that are heard.
+/// Whether this node is the one that should hold the lease, among those that are heard and know the work at engines.
 fn is_candidate(context: &Context) -> bool {
+    let now = context.now();
+    if !context.peers.is_placer(now) {
+        return false;
+    }
     let handle = |name: &str| SubjectHandle::of_text("node", name);
     let task = SubjectHandle::of_text("task", TASK);
     let own = rendezvous::weight(task, handle(context.config.node.as_str()));
-    let others = context.peers.heard_lately(context.now());
+    let others = context.peers.heard_on_duty(now);
     others
         .iter()
         .all(|node| rendezvous::weight(task, handle(node.as_str())) < own)
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::identity::{NodeId, ZoneId};
 use shelfjunction_core::lease::LeaseTimings;
+use shelfjunction_core::placing::config::PlacingSettings;
 use shelfjunction_core::retry::window::WindowBudgetSettings;
 use shelfjunction_core::roles::pool::PoolRolePolicy;
 use shelfjunction_core::routing::pool::{PoolAdmission, PoolWeights};
@@ -27,6 +28,9 @@
     pub metrics_listen: Option<SocketAddr>,
     /// Address for the words of other nodes.
     pub peer_listen: SocketAddr,
+    /// Part of a processor core that this process may use; of a large fleet the nodes with most choose engines for all.
+    #[serde(default = "defaults::processor_share")]
+    pub processor_share: f64,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Whether the whole system starts for the first time, so that engines hold nothing yet.
@@ -68,9 +72,16 @@
     /// Which requests are taken, and in which order of urgency.
     #[serde(default)]
     pub admission: PoolAdmission,
+    /// Which nodes choose engines for which requests.
+    #[serde(default)]
+    pub placing: PlacingSettings,
 }
 
 mod defaults {
+    pub fn processor_share() -> f64 {
+        1.0
+    }
+
     pub fn retry_ratio() -> f64 {
         0.2
     }
@@ -107,11 +118,13 @@
     pub fn validate(&self) -> Vec<FieldError> {
         let mut errors = self.routing.validate();
         errors.extend(self.admission.validate());
+        errors.extend(self.placing.validate());
         errors.extend(self.roles.validate());
         errors.extend(self.lease.validate());
         errors.extend(self.config_watch.validate("config_watch"));
         errors.extend(self.list_watch.validate("list_watch"));
         let fractions = [
+            ("node.processor_share", self.processor_share),
             ("node.retry_ratio", self.retry_ratio),
             ("node.retry_slack", self.retry_slack),
         ];
@@ -148,6 +161,11 @@
         }
     }
 
+    /// Thousandths of a processor core that this process may use.
+    pub fn processor_thousandths(&self) -> u32 {
+        (self.processor_share * 1_000.0) as u32
+    }
+
     /// Time from the signal to stop until the process is ended by force.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_seconds)
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -4,18 +4,21 @@
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::placing::Placements;
 use crate::ports::{Call, EngineProtocol};
 use crate::releasing::Releases;
 use crate::watch::{StoreTrouble, TableWatch};
 use shelfjunction_core::forwarding::{
     Adoption, CallerWaits, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation, stopping,
 };
+use shelfjunction_core::placing::desk::Desk;
 use shelfjunction_core::retry::window::WindowBudget;
 use shelfjunction_core::routing::pool::{EngineListing, ListChange, PoolEngine, PoolRouter, RecentChanges};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::clock::MonotonicClock;
 use shelfjunction_threads::{StopSignal, lock};
 use std::collections::BTreeMap;
+use std::net::UdpSocket;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -28,6 +31,10 @@
     pub(crate) links: Links,
     pub(crate) releases: Releases,
     pub(crate) peers: Peers,
+    /// Questions of this node to placers.
+    pub(crate) placements: Placements,
+    /// What this node has placed for others; locked before `router`.
+    pub(crate) desk: Mutex<Desk>,
     pub(crate) metrics: Metrics,
     pub(crate) state: Arc<NodeState>,
     pub(crate) stop: Arc<StopSignal>,
@@ -99,14 +106,16 @@
 }
 
 impl Context {
-    pub(crate) fn new(config: NodeConfig, engines: Arc<dyn EngineProtocol>) -> Self {
+    pub(crate) fn new(config: NodeConfig, engines: Arc<dyn EngineProtocol>, socket: Arc<UdpSocket>) -> Self {
         let router = PoolRouter::new(config.routing.clone());
         Self {
             clock: MonotonicClock::start(),
             router: Mutex::new(router),
             links: Links::new(engines),
             releases: Releases::default(),
-            peers: Peers::default(),
+            peers: Peers::new(&config, socket),
+            placements: Placements::default(),
+            desk: Mutex::default(),
             metrics: Metrics::new(),
             state: Arc::new(NodeState::default()),
             stop: Arc::new(StopSignal::default()),
--- a/crates/node/src/course/admitting.rs
+++ b/crates/node/src/course/admitting.rs
@@ -2,7 +2,9 @@
 
 use super::driver::Driver;
 use super::routing;
+use crate::placing::PlacedAt;
 use shelfjunction_core::outcome::{Refusal, RefusalReason};
+use shelfjunction_core::placing::question::{AdmissionVerdict, Answer, Wanted};
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::routing::pool::{Admission, AdmissionDecision, LATE_RANK, Timing, rank_of};
 use shelfjunction_core::time::MonotonicTime;
@@ -32,9 +34,15 @@
             left: routing::left(self.deadline, now),
             returned: self.returned,
         };
+        if let Some((answer, at)) = self.ask(|| Wanted::Admission(timing))
+            && let Some(verdict) = answer.verdict
+        {
+            self.log_admission(Judged::of(&verdict), timing);
+            return self.follow(verdict.admission, &answer, at);
+        }
         let settings = &self.context.config.admission;
         let decision = lock(&self.context.router).admit(&self.query(&[], now), timing, settings, now);
-        self.log_admission(&decision, timing);
+        self.log_admission(Judged::by(&decision), timing);
         if !decision.expected.is_zero() {
             lock(&self.context.router).on_admission(&self.query(&[], now), decision.admission, now);
         }
@@ -46,16 +54,34 @@
                 });
             }
             Admission::Late => self.late = true,
-            Admission::Refused { retry_after } => {
-                return self.take(Event::Nowhere(Refusal {
-                    reason: RefusalReason::Overloaded,
-                    retry_after: Some(retry_after),
-                }));
-            }
+            Admission::Refused { retry_after } => return self.refuse(retry_after),
         }
         self.placed(routing::placement(decision.route));
     }
 
+    /// Does what a placer has decided.
+    fn follow(&mut self, admission: Admission, answer: &Answer, at: PlacedAt) {
+        match admission {
+            Admission::InTime => {}
+            Admission::Late => self.late = true,
+            Admission::Refused { retry_after } => return self.refuse(retry_after),
+        }
+        let placement = self.adopt(answer, at);
+        if placement.is_some() {
+            return self.placed(placement);
+        }
+        let now = self.context.now();
+        let route = lock(&self.context.router).choose(&self.query(&[], now), now);
+        self.placed(routing::placement(route));
+    }
+
+    fn refuse(&mut self, retry_after: Duration) {
+        self.take(Event::Nowhere(Refusal {
+            reason: RefusalReason::Overloaded,
+            retry_after: Some(retry_after),
+        }));
+    }
+
     /// Rank under which the request's work is counted and told to other nodes.
     pub(super) fn rank(&self) -> usize {
         if self.late {
@@ -82,16 +108,16 @@
         }
     }
 
-    fn log_admission(&self, decision: &AdmissionDecision, timing: Timing) {
-        if decision.expected.is_zero() {
+    fn log_admission(&self, judged: Judged, timing: Timing) {
+        if judged.expected.is_zero() {
             return;
         }
         log::info!(
             request = self.call.request.as_str(),
-            admission:? = decision.admission,
-            expected_millis = decision.expected.as_millis() as u64,
-            error_percent = (decision.error * 100.0) as u64,
-            turned_away_percent = (decision.turned_away * 100.0) as u64,
+            admission:? = judged.admission,
+            expected_millis = judged.expected.as_millis() as u64,
+            error_percent = (judged.error * 100.0) as u64,
+            turned_away_percent = (judged.turned_away * 100.0) as u64,
             target_millis = timing.target.as_millis() as u64,
             left_millis = timing.left.as_millis() as u64,
             returned = timing.returned;
@@ -99,3 +125,31 @@
         );
     }
 }
+
+/// How a request was judged, here or by a placer.
+struct Judged {
+    admission: Admission,
+    expected: Duration,
+    error: f64,
+    turned_away: f64,
+}
+
+impl Judged {
+    fn by(decision: &AdmissionDecision) -> Self {
+        Self {
+            admission: decision.admission,
+            expected: decision.expected,
+            error: decision.error,
+            turned_away: decision.turned_away,
+        }
+    }
+
+    fn of(verdict: &AdmissionVerdict) -> Self {
+        Self {
+            admission: verdict.admission,
+            expected: verdict.expected,
+            error: f64::from(verdict.error),
+            turned_away: f64::from(verdict.turned_away),
+        }
+    }
+}
--- a/crates/node/src/course/answering.rs
+++ b/crates/node/src/course/answering.rs
@@ -5,7 +5,6 @@
 use shelfjunction_core::outcome::{Failure, Outcome, Refusal, RefusalReason};
 use shelfjunction_core::request::event::OpaquePart;
 use shelfjunction_core::time::MonotonicTime;
-use shelfjunction_threads::lock;
 use std::time::Duration;
 
 /// One pause between events in so many is told to the router; they resemble each other.
@@ -49,13 +48,13 @@
     }
 
     /// Tells the router of some of the pauses between events.
-    fn observe_pause(&self, pause: Duration, now: MonotonicTime) {
+    fn observe_pause(&mut self, pause: Duration, now: MonotonicTime) {
         if !self.events_delivered.is_multiple_of(PAUSES_TOLD) {
             return;
         }
-        if let (Some(exchange), Some(harmless)) = (&self.exchange, self.route.event_gap) {
+        if let (Some(exchange), Some(harmless)) = (&mut self.exchange, self.route.event_gap) {
             let part = pause.as_secs_f64() / harmless.as_secs_f64().max(f64::MIN_POSITIVE);
-            lock(&self.context.router).on_pause(&exchange.ticket, part, now);
+            exchange.account.note_pause(self.context, part, now);
         }
     }
 
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -1,5 +1,6 @@
 //! Hands the request to an engine.
 
+use super::accounting::{Account, PlacedChoice};
 use super::driver::Driver;
 use super::exchange::{Exchange, Purpose};
 use super::routing;
@@ -7,9 +8,10 @@
 use shelfjunction_core::engine::{EngineCall as MachineCall, Phase};
 use shelfjunction_core::forwarding::patience;
 use shelfjunction_core::identity::{AttemptId, EngineId};
+use shelfjunction_core::placing::question::ChosenEngine;
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::request::specification::Target;
-use shelfjunction_core::routing::pool::{EngineStage, Explanation, OutputWay, PoolTicket};
+use shelfjunction_core::routing::pool::{EngineBeliefs, EngineStage, Explanation, OutputWay};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::net::SocketAddr;
@@ -32,19 +34,20 @@
             }
             self.arrivals.note_grant();
         }
-        let why = self.explain(&target.engine, purpose, now);
-        let (ticket, patience) = self.note_sent(&target.engine, purpose, now);
+        let choice = self.choice.take().filter(|choice| choice.engine == target.engine);
+        let why = self.why(choice.as_ref(), &target.engine, purpose, now);
+        let (account, patience) = self.note_sent(choice.as_ref(), &target.engine, purpose, now);
         let left = routing::left(self.deadline, now);
         let wait = patience::CONNECT.min(left);
         let link = match self.context.links.take(&target.engine, target.address, wait, now) {
             Ok(link) => link,
-            Err(error) => return self.not_connected(&ticket, &call.attempt, &error),
+            Err(error) => return self.not_connected(&account, &call.attempt, &error),
         };
         self.arrivals.note_sent(purpose.arrival());
         let mut exchange = Exchange {
             attempt: call.attempt.clone(),
             engine: target.engine.clone(),
-            ticket,
+            account,
             purpose,
             link,
             head: None,
@@ -54,10 +57,13 @@
             all_sent: false,
             has_events: false,
         };
-        self.note_dispatched(purpose);
-        let fetch_from = match purpose {
-            Purpose::Output => None,
-            Purpose::Prompt | Purpose::Whole => {
+        if choice.is_none() {
+            self.note_dispatched(purpose);
+        }
+        let fetch_from = match (&choice, purpose) {
+            (Some(choice), _) => choice.chosen.fetch_from,
+            (None, Purpose::Output) => None,
+            (None, Purpose::Prompt | Purpose::Whole) => {
                 lock(&self.context.router).fetch_source(&target.engine, &self.query(&[], now), now)
             }
         };
@@ -84,7 +90,16 @@
     }
 
     /// What speaks for an engine, before the request is counted there.
-    fn explain(&self, engine: &EngineId, purpose: Purpose, now: MonotonicTime) -> Explanation {
+    fn why(
+        &self,
+        choice: Option<&PlacedChoice>,
+        engine: &EngineId,
+        purpose: Purpose,
+        now: MonotonicTime,
+    ) -> Explanation {
+        if let Some(choice) = choice {
+            return explanation_of(&choice.chosen);
+        }
         let (stage, reads) = match (purpose, self.prompt) {
             (Purpose::Prompt, _) => (EngineStage::Prefill, true),
             (Purpose::Output, _) => (EngineStage::Decode, false),
@@ -109,28 +124,33 @@
             cost_millis = millis(why.cost),
             runner_up = why.runner_up.as_ref().map_or("none", |(engine, _)| engine.as_str()),
             runner_up_cost_millis = why.runner_up.as_ref().map_or(0, |(_, cost)| millis(*cost)),
-            prompt_tokens_ahead = why.prompt_tokens_ahead,
-            requests_there = why.requests,
-            held_tokens = why.held_tokens,
+            prompt_tokens_ahead = why.beliefs.prompt_tokens_ahead,
+            requests_there = why.beliefs.requests,
+            held_tokens = why.beliefs.held_tokens,
             fetch_from:? = fetch_from,
-            word_age_millis = why.oldest_word.as_millis() as u64;
+            word_age_millis = why.beliefs.oldest_word.as_millis() as u64;
             "dispatched"
         );
     }
 
     fn note_sent(
         &self,
+        choice: Option<&PlacedChoice>,
         engine: &EngineId,
         purpose: Purpose,
         now: MonotonicTime,
-    ) -> (PoolTicket, Option<Duration>) {
+    ) -> (Account, Option<Duration>) {
+        if let Some(choice) = choice {
+            return self.counted_by_placer(choice, purpose);
+        }
         let query = self.query(&[], now);
         let mut router = lock(&self.context.router);
         match purpose {
             Purpose::Prompt => {
-                let expected = router.prompt_delay(&query, now).unwrap_or_default();
+                let expected = router.reading_delay(engine, &query, now).unwrap_or_default();
                 let patience = patience::prompt(self.route, expected);
-                (router.on_prompt_sent(engine, &query, now), Some(patience))
+                let ticket = router.on_prompt_sent(engine, &query, now);
+                (Account::Own(ticket), Some(patience))
             }
             Purpose::Output | Purpose::Whole => {
                 let way = if purpose == Purpose::Whole {
@@ -139,19 +159,32 @@
                     OutputWay::Fetches
                 };
                 let ticket = router.on_output_sent(engine, &query, way, now);
-                (ticket, patience::first_answer(self.route))
+                (Account::Own(ticket), patience::first_answer(self.route))
             }
         }
     }
 
-    fn not_connected(&mut self, ticket: &PoolTicket, attempt: &AttemptId, error: &std::io::Error) {
+    fn counted_by_placer(&self, choice: &PlacedChoice, purpose: Purpose) -> (Account, Option<Duration>) {
+        let account = Account::Placer {
+            at: choice.at,
+            engine: choice.engine.clone(),
+            pauses: Vec::new(),
+        };
+        let patience = match purpose {
+            Purpose::Prompt => Some(patience::prompt(self.route, choice.expected)),
+            Purpose::Output | Purpose::Whole => patience::first_answer(self.route),
+        };
+        (account, patience)
+    }
+
+    fn not_connected(&mut self, account: &Account, attempt: &AttemptId, error: &std::io::Error) {
         log::info!(
             request = self.call.request.as_str(),
-            engine = ticket.engine().as_str(),
+            engine = account.engine().as_str(),
             error:% = error;
             "not_connected"
         );
-        lock(&self.context.router).on_broken(ticket, self.context.now());
+        self.count_broken(account);
         self.last_not_sent = true;
         self.take(Event::NotSent {
             attempt: attempt.clone(),
@@ -163,3 +196,17 @@
 fn millis(seconds: f64) -> u64 {
     (seconds * 1_000.0) as u64
 }
+
+/// What a placer said for an engine, as this node explains its own choices; costs stay with the placer.
+fn explanation_of(chosen: &ChosenEngine) -> Explanation {
+    Explanation {
+        cost: 0.0,
+        runner_up: None,
+        beliefs: EngineBeliefs {
+            prompt_tokens_ahead: chosen.prompt_tokens_ahead,
+            requests: chosen.requests,
+            held_tokens: chosen.held_tokens,
+            oldest_word: chosen.oldest_word,
+        },
+    }
+}
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -1,5 +1,6 @@
 //! The loop that drives one opaque request's machine in its caller's thread.
 
+use super::accounting::PlacedChoice;
 use super::admitting::Promise;
 use super::exchange::Exchange;
 use super::routing;
@@ -8,6 +9,7 @@
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use shelfjunction_core::forwarding::{PoolId, RouteRule};
 use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::outcome::{Outcome, Refusal, RefusalReason};
 use shelfjunction_core::request::event::{Action, Event, ForwardAction};
 use shelfjunction_core::request::machine::RequestMachine;
@@ -74,8 +76,14 @@
     pub(super) late: bool,
     /// What was expected, until the first event came.
     pub(super) promise: Option<Promise>,
-    /// Drawn once, so that every choice for the request sees the same costs.
-    draw: u64,
+    /// Drawn once, so that every choice for the request sees the same costs; names the request at placers too.
+    pub(super) draw: u64,
+    /// Number of the last question to a placer.
+    pub(super) step: u32,
+    /// The placer that answered last.
+    pub(super) placer: Option<SubjectHandle>,
+    /// An engine that a placer has chosen and counted, until the request is sent there.
+    pub(super) choice: Option<PlacedChoice>,
 }
 
 impl<'a> Driver<'a> {
@@ -124,6 +132,9 @@
             late: false,
             promise: None,
             draw: rand::random(),
+            step: 0,
+            placer: None,
+            choice: None,
         }
     }
 
@@ -174,14 +185,7 @@
         if !std::mem::replace(&mut self.admitted, true) {
             return self.admit(now);
         }
-        let route = lock(&self.context.router).choose(&self.query(excluded, now), now);
-        self.placed(routing::placement(route));
-    }
-
-    fn choose_output(&mut self, source: &EngineId, excluded: &[EngineId]) {
-        let now = self.context.now();
-        let engine = lock(&self.context.router).choose_output(&self.query(excluded, now), source, now);
-        self.placed(engine.map(|engine| Placement::Whole(routing::target(&engine))));
+        self.choose_anew(excluded, now);
     }
 
     pub(super) fn placed(&mut self, placement: Option<Placement>) {
@@ -232,7 +236,7 @@
             self.context
                 .metrics
                 .dispatch_ended(exchange.purpose.name(), "cancelled");
-            lock(&self.context.router).on_abandoned(&exchange.ticket);
+            self.count_abandoned(&exchange.account);
         }
     }
 
@@ -306,9 +310,7 @@
     /// engine would have the prompt read twice.
     fn silent(&mut self, now: MonotonicTime) -> Option<Event> {
         let exchange = self.exchange.as_mut()?;
-        let lives = lock(&self.context.router)
-            .engine(&exchange.engine)
-            .is_some_and(|state| state.answers(now));
+        let lives = lives(self.context, exchange, now);
         if !lives {
             return Some(self.broken("silent"));
         }
@@ -324,3 +326,16 @@
         None
     }
 }
+
+/// Whether an engine has answered anybody a moment ago, as far as this node or the placer that chose it knows.
+fn lives(context: &Context, exchange: &Exchange, now: MonotonicTime) -> bool {
+    let told = exchange.account.placer().and_then(|at| {
+        let engine = SubjectHandle::of_text("engine", exchange.engine.as_str());
+        context.placements.ask_liveness(context, engine, at.address)
+    });
+    told.unwrap_or_else(|| {
+        lock(&context.router)
+            .engine(&exchange.engine)
+            .is_some_and(|state| state.answers(now))
+    })
+}
--- a/crates/node/src/course/exchange.rs
+++ b/crates/node/src/course/exchange.rs
@@ -1,9 +1,9 @@
 //! One dispatch under way: its connection, and what of its answer has come.
 
+use super::accounting::Account;
 use crate::ports::{AnswerHead, EngineLink};
 use shelfjunction_core::identity::{AttemptId, EngineId};
 use shelfjunction_core::retry::arrivals::Arrival;
-use shelfjunction_core::routing::pool::PoolTicket;
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
 
@@ -40,7 +40,7 @@
 pub(super) struct Exchange {
     pub(super) attempt: AttemptId,
     pub(super) engine: EngineId,
-    pub(super) ticket: PoolTicket,
+    pub(super) account: Account,
     pub(super) purpose: Purpose,
     pub(super) link: Box<dyn EngineLink>,
     /// Head of the answer, once it came.
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -1,10 +1,12 @@
 //! Serves one call: its route, its request machine, and the thread's waits between caller and engine.
 
+mod accounting;
 mod admitting;
 mod answering;
 mod dispatching;
 mod driver;
 mod exchange;
+mod placing;
 mod reading;
 mod routing;
 
--- /dev/null
+++ b/crates/node/src/course/placing.rs
@@ -0,0 +1,168 @@
+//! Chooses the engines of a request: at its placer, or in this node's own router where this node places it itself or no
+//! placer answers.
+
+use super::accounting::PlacedChoice;
+use super::driver::Driver;
+use super::routing;
+use crate::placing::{self, Asked, PlacedAt};
+use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::placing::question::{
+    Answer, ChosenEngine, Fate, PlacedRequest, Placement as Placed, Question, RequestKey, Wanted,
+};
+use shelfjunction_core::request::specification::Placement;
+use shelfjunction_core::routing::pool::{PoolEngine, shared_prefixes};
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
+use std::time::Duration;
+
+impl Driver<'_> {
+    /// Chooses engines anew, without those that failed the request.
+    pub(super) fn choose_anew(&mut self, excluded: &[EngineId], now: MonotonicTime) {
+        let wanted = || Wanted::Engines {
+            excluded: handles(excluded),
+        };
+        let placement = self.ask(wanted).and_then(|(answer, at)| self.adopt(&answer, at));
+        if placement.is_some() {
+            return self.placed(placement);
+        }
+        let route = lock(&self.context.router).choose(&self.query(excluded, now), now);
+        self.placed(routing::placement(route));
+    }
+
+    /// Chooses the engine that runs the output of the prompt that `source` has read.
+    pub(super) fn choose_output(&mut self, source: &EngineId, excluded: &[EngineId]) {
+        let wanted = || Wanted::Output {
+            source: SubjectHandle::of_text("engine", source.as_str()),
+            excluded: handles(excluded),
+        };
+        let placement = self.ask(wanted).and_then(|(answer, at)| self.adopt(&answer, at));
+        if placement.is_some() {
+            return self.placed(placement);
+        }
+        let now = self.context.now();
+        let engine = lock(&self.context.router).choose_output(&self.query(excluded, now), source, now);
+        self.placed(engine.map(|engine| Placement::Whole(routing::target(&engine))));
+    }
+
+    /// Asks the request's placer; absent where this node chooses by itself.
+    pub(super) fn ask(&mut self, wanted: impl FnOnce() -> Wanted) -> Option<(Box<Answer>, PlacedAt)> {
+        let prompt = self.prompt?;
+        self.step += 1;
+        let now = self.context.now();
+        let question = Question {
+            key: RequestKey {
+                node: self.context.peers.own_handle(),
+                number: self.draw,
+            },
+            step: self.step,
+            request: PlacedRequest {
+                pool: self.pool.clone(),
+                prompt: prompt.clone(),
+                zone: self.context.config.zone.clone(),
+                rank: self.rank() as u8,
+                left: routing::left(self.deadline, now),
+            },
+            wanted: wanted(),
+        };
+        let placements = &self.context.placements;
+        let asked = placements.ask(self.context, &question, self.subject(), self.placer);
+        self.log_asked(&asked);
+        match asked {
+            Asked::Answered { answer, at, .. } => {
+                self.placer = Some(at.placer);
+                Some((answer, at))
+            }
+            Asked::Own | Asked::Nobody { .. } => None,
+        }
+    }
+
+    /// What names the request's placer: its last shared part, so that everything about that part passes one node.
+    fn subject(&self) -> u64 {
+        let shared = shared_prefixes(&self.prefixes);
+        let block = shared.last().or(self.prefixes.last());
+        block.map_or(self.draw, |block| block.hash)
+    }
+
+    /// Takes the engines that a placer chose; absent where there is none, or one that this node knows to be gone.
+    pub(super) fn adopt(&mut self, answer: &Answer, at: PlacedAt) -> Option<Placement> {
+        match &answer.placement {
+            Placed::Nowhere => None,
+            Placed::One(chosen) => {
+                let engine = self.resolved(chosen.engine, &at)?;
+                self.note_choice(&engine, *chosen, Duration::ZERO, at);
+                Some(Placement::Whole(routing::target(&engine)))
+            }
+            Placed::Split {
+                prefill,
+                decode,
+                expected,
+            } => {
+                let reads = self.resolved(prefill.engine, &at)?;
+                let runs = self.resolved(*decode, &at)?;
+                self.note_choice(&reads, *prefill, *expected, at);
+                Some(Placement::Split {
+                    prefill: routing::target(&reads),
+                    decode: routing::target(&runs),
+                })
+            }
+        }
+    }
+
+    fn note_choice(&mut self, engine: &PoolEngine, chosen: ChosenEngine, expected: Duration, at: PlacedAt) {
+        self.choice = Some(PlacedChoice {
+            engine: engine.id.clone(),
+            chosen,
+            expected,
+            at,
+        });
+    }
+
+    /// The engine that a placer named, unless this node knows that it is leaving or does not know it.
+    fn resolved(&self, engine: SubjectHandle, at: &PlacedAt) -> Option<PoolEngine> {
+        let known = {
+            let router = lock(&self.context.router);
+            let id = router.engine_named(engine);
+            id.and_then(|id| {
+                router
+                    .engine(&id)
+                    .filter(|state| state.stays())
+                    .map(|state| state.engine.clone())
+            })
+        };
+        if known.is_none() {
+            log::info!(request = self.call.request.as_str(), placer:% = at.address; "placed_engine_not_known");
+            placing::tell(self.context, at, Fate::Abandoned);
+        }
+        known
+    }
+
+    fn log_asked(&self, asked: &Asked) {
+        match asked {
+            Asked::Own => self.context.metrics.placement("own"),
+            Asked::Answered { at, round_trip, .. } => {
+                self.context.metrics.placement("answered");
+                self.context.metrics.placement_took(*round_trip);
+                log::info!(
+                    request = self.call.request.as_str(),
+                    placer:% = at.address,
+                    number = at.key.number,
+                    step = at.step,
+                    round_trip_micros = round_trip.as_micros() as u64;
+                    "placed"
+                );
+            }
+            Asked::Nobody { asked } => {
+                self.context.metrics.placement("alone");
+                log::info!(request = self.call.request.as_str(), number = self.draw, asked; "placed_alone");
+            }
+        }
+    }
+}
+
+fn handles(engines: &[EngineId]) -> Vec<SubjectHandle> {
+    engines
+        .iter()
+        .map(|engine| SubjectHandle::of_text("engine", engine.as_str()))
+        .collect()
+}
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -19,11 +19,11 @@
                 self.judge_promise(now);
                 let patience = patience::next_event(self.route);
                 let exchange = self.exchange.as_mut()?;
+                exchange.heard(now, patience);
                 if !std::mem::replace(&mut exchange.has_events, true) {
-                    lock(&self.context.router).on_output_begun(&exchange.ticket, &self.prefixes, now);
-                    self.context.peers.note_change();
+                    self.note_begun(now);
                 }
-                exchange.heard(now, patience);
+                let exchange = self.exchange.as_ref()?;
                 self.event_bytes = bytes;
                 Some(Event::Forwarded {
                     attempt: exchange.attempt.clone(),
@@ -53,12 +53,7 @@
             EngineReading::PromptRead { handle } => self.prompt_read(handle, now),
             EngineReading::Refused { refusal, told } => {
                 let exchange = self.exchange.take()?;
-                let mut router = lock(&self.context.router);
-                if let Some(told) = told {
-                    router.on_told(&exchange.engine, told, now);
-                }
-                router.on_refused(&exchange.ticket, refusal.reason, now);
-                drop(router);
+                self.count_refused(&exchange.account, refusal.reason, told, now);
                 Some(self.refused(exchange, refusal, now))
             }
             EngineReading::Held(_) | EngineReading::Report(_) | EngineReading::Ordered(_) => {
@@ -79,6 +74,13 @@
         })
     }
 
+    fn note_begun(&self, now: MonotonicTime) {
+        if let Some(exchange) = &self.exchange {
+            let told = exchange.head.as_ref().and_then(|head| head.told);
+            self.count_begun(&exchange.account, told, now);
+        }
+    }
+
     fn answered(&mut self, part: OpaquePart, now: MonotonicTime) -> Event {
         let Some(exchange) = self.exchange.take() else {
             return Event::DeadlineReached;
@@ -94,10 +96,7 @@
         self.context
             .metrics
             .dispatch_ended(exchange.purpose.name(), "answered");
-        let mut router = lock(&self.context.router);
-        router.on_answered(&exchange.ticket);
-        self.context.peers.note_change();
-        drop(router);
+        self.count_answered(exchange.account);
         self.context.links.give_back(&exchange.engine, exchange.link, now);
         Event::Forwarded {
             attempt: exchange.attempt,
@@ -107,8 +106,7 @@
 
     fn prompt_read(&mut self, handle: String, now: MonotonicTime) -> Option<Event> {
         let exchange = self.exchange.take()?;
-        lock(&self.context.router).on_prompt_read(&exchange.ticket, &self.prefixes, now);
-        self.context.peers.note_change();
+        self.count_prompt_read(&exchange.account, now);
         self.context.metrics.prompt_read(now.since(exchange.sent_at));
         self.context
             .metrics
@@ -164,7 +162,7 @@
         self.context
             .metrics
             .dispatch_ended(exchange.purpose.name(), "broken");
-        lock(&self.context.router).on_broken(&exchange.ticket, self.context.now());
+        self.count_broken(&exchange.account);
         if exchange.head.is_some() {
             Event::Disconnected {
                 attempt: exchange.attempt,
@@ -179,7 +177,7 @@
     /// Gives up what is still under way when the course ends.
     pub(super) fn drop_exchange(&mut self) {
         if let Some(exchange) = self.exchange.take() {
-            lock(&self.context.router).on_abandoned(&exchange.ticket);
+            self.count_abandoned(&exchange.account);
         }
     }
 
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -70,7 +70,7 @@
             peer_listen,
             ..config
         };
-        let context = Arc::new(Context::new(config, adapters.engines));
+        let context = Arc::new(Context::new(config, adapters.engines, Arc::clone(&socket)));
         let open = Arc::new(OpenConnections::default());
         let metrics_listen = context.config.metrics_listen;
         let metrics = metrics_listen
@@ -97,7 +97,7 @@
         })?;
         spawn("peers-tell", {
             let context = Arc::clone(&context);
-            move || peers::tell(&context, &socket)
+            move || peers::tell(&context)
         })?;
         spawn("peers-serve", {
             let context = Arc::clone(&context);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod links;
 mod metrics;
 mod peers;
+mod placing;
 pub mod ports;
 mod recovering;
 mod releasing;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -15,6 +15,9 @@
 /// Upper bounds of the delay histograms, in seconds.
 const DELAY_BOUNDS: [f64; 12] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
 
+/// Upper bounds of the histogram of round trips to placers, in seconds.
+const ROUND_TRIP_BOUNDS: [f64; 8] = [0.001, 0.002, 0.003, 0.005, 0.01, 0.02, 0.04, 0.1];
+
 /// Labels of requests that ended.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RequestLabels {
@@ -43,10 +46,12 @@
     retries: Family<ResultLabel, Counter>,
     store_calls: Family<ResultLabel, Counter>,
     orders: Family<ResultLabel, Counter>,
+    placements: Family<ResultLabel, Counter>,
     whole_answer: Histogram,
     first_event: Histogram,
     between_events: Histogram,
     prompt_reading: Histogram,
+    placement_round_trip: Histogram,
     /// Requests under way.
     pub(crate) in_flight: Gauge,
     /// Callers' connections.
@@ -80,10 +85,12 @@
             retries: Family::default(),
             store_calls: Family::default(),
             orders: Family::default(),
+            placements: Family::default(),
             whole_answer: delays(),
             first_event: delays(),
             between_events: delays(),
             prompt_reading: delays(),
+            placement_round_trip: Histogram::new(ROUND_TRIP_BOUNDS),
             in_flight: Gauge::default(),
             connections: Gauge::default(),
             repeats_left: Gauge::default(),
@@ -131,6 +138,14 @@
         self.store_calls.get_or_create(&ResultLabel { result }).inc();
     }
 
+    pub(crate) fn placement(&self, result: &'static str) {
+        self.placements.get_or_create(&ResultLabel { result }).inc();
+    }
+
+    pub(crate) fn placement_took(&self, took: Duration) {
+        self.placement_round_trip.observe(took.as_secs_f64());
+    }
+
     pub(crate) fn order_given(&self, result: &'static str) {
         self.orders.get_or_create(&ResultLabel { result }).inc();
     }
@@ -161,6 +176,16 @@
             "Questions to the platform's store",
             self.store_calls.clone(),
         );
+        registry.register(
+            "placements",
+            "Choices of engines: given to others, answered by a placer, own, timed out, made alone",
+            self.placements.clone(),
+        );
+        registry.register(
+            "placement_round_trip_seconds",
+            "Time from a question to a placer to its answer",
+            self.placement_round_trip.clone(),
+        );
         registry.register("orders", "Orders given to engines", self.orders.clone());
     }
 
--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -146,7 +146,7 @@
 
 /// Takes everything from the first of some peers that knows what engines hold.
 pub(crate) fn take_from_any(context: &Context) {
-    let peers = context.peers.addresses(context.now());
+    let peers = context.peers.told(context.now());
     for peer in peers.into_iter().take(PEERS_ASKED) {
         if let Some(snapshot) = fetch(peer, Wanted::ALL) {
             let knows = !snapshot.held.is_empty();
--- a/crates/node/src/peers/directory.rs
+++ b/crates/node/src/peers/directory.rs
@@ -17,6 +17,7 @@
     let own = NodeEntry {
         node: context.config.node.clone(),
         address: context.config.peer_listen,
+        processor_thousandths: context.config.processor_thousandths(),
     };
     let mut entered = false;
     loop {
@@ -52,6 +53,7 @@
             Peer::new(node, address, now)
         });
         peer.listed_at = now;
+        peer.processor_thousandths = entry.processor_thousandths;
     }
     known.listed = true;
 }
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -1,8 +1,9 @@
 //! Takes the words of other nodes.
 
-use super::message::{MOST_BYTES, WorkMessage};
+use super::message::{Datagram, MOST_RECEIVED, WorkMessage};
 use super::{Behind, Peer};
 use crate::context::Context;
+use crate::placing;
 use shelfjunction_core::routing::pool::ListNews;
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
@@ -13,11 +14,18 @@
 
 /// Hears other nodes as long as the process runs.
 pub(crate) fn hear(context: &Context, socket: &UdpSocket) {
-    let mut bytes = [0; MOST_BYTES];
+    let mut bytes = [0; MOST_RECEIVED];
     loop {
         match socket.recv_from(&mut bytes) {
-            Ok((length, from)) => match WorkMessage::decode(&bytes[..length]) {
-                Some(message) => take(context, message, from),
+            Ok((length, from)) => match Datagram::decode(&bytes[..length]) {
+                Some(Datagram::Work(message)) => take(context, *message, from),
+                Some(Datagram::Question(question)) => placing::answer(context, &question, from),
+                Some(Datagram::Answer(answer)) => context.placements.on_answer(*answer),
+                Some(Datagram::Fate(report)) => placing::take_fate(context, &report),
+                Some(Datagram::LivenessQuestion(question)) => {
+                    placing::answer_liveness(context, question, from);
+                }
+                Some(Datagram::LivenessAnswer(answer)) => context.placements.on_liveness(answer),
                 None => log::debug!(from:% = from, length; "datagram_unreadable"),
             },
             Err(error) => {
@@ -53,6 +61,8 @@
         peer.known_at = now;
         peer.last_message = Some(position);
         peer.store_answers = message.store_answers;
+        peer.places = message.places;
+        peer.processor_thousandths = message.processor_thousandths;
     }
     take_list_news(context, message.list_news, from);
     let config_version = context.forwarding().map_or(0, |config| config.version);
@@ -66,7 +76,7 @@
     };
     context.peers.note_versions(context, versions);
     let mut router = lock(&context.router);
-    router.on_peer_work(&message.node, &message.work, now);
+    router.on_peer_work(&message.node, message.slice, &message.work, now);
     router.on_peer_news(&message.news, now);
     router.on_peer_demand(&message.node, message.prompt_tokens_per_second, now);
     router.on_ordered(&message.orders, now);
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -1,15 +1,19 @@
-//! The datagram between nodes.
+//! The datagrams between nodes.
 
 use bincode::config::{Configuration, standard};
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::routing::pool::{EngineStage, ListNews, PeerWork, PrefixNews};
+use shelfjunction_core::placing::question::{Answer, FateReport, Question};
+use shelfjunction_core::routing::pool::{EngineStage, ListNews, PeerWork, PrefixNews, WorkSlice};
 use shelfjunction_core::watching::TableWord;
 
 /// Longest datagram, in bytes; stays below the smallest usual frame.
 pub(super) const MOST_BYTES: usize = 1_400;
 
+/// Longest datagram that is taken, in bytes: a question about a prompt of many parts is longer than the rest.
+pub(super) const MOST_RECEIVED: usize = 16 * 1_024;
+
 /// Engines in one message; each takes about 20 bytes.
 pub(super) const MOST_ENGINES: usize = 32;
 
@@ -21,13 +25,17 @@
 
 /// A node's word of its work.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct WorkMessage {
+pub(crate) struct WorkMessage {
     /// The sender.
     pub(super) node: NodeId,
     /// Start of the sender's process; a later start has a higher number as far as clocks allow.
     pub(super) start: u64,
     /// Number of the message since that start.
     pub(super) number: u64,
+    /// Whether the sender holds itself for a placer.
+    pub(super) places: bool,
+    /// Thousandths of a processor core that the sender may use.
+    pub(super) processor_thousandths: u32,
     /// Whether the store answers the sender.
     pub(super) store_answers: bool,
     /// The configuration that the sender has.
@@ -36,7 +44,9 @@
     pub(super) list: TableWord,
     /// Changes of that list that the store has just told the sender.
     pub(super) list_news: ListNews,
-    /// Work at engines; none where an engine is not named.
+    /// Engines that `work` is about.
+    pub(super) slice: WorkSlice,
+    /// Work at engines; none where an engine of the slice is not named.
     pub(super) work: Vec<(SubjectHandle, PeerWork)>,
     /// Prompt tokens that the sender's requests had to have read in a second.
     pub(super) prompt_tokens_per_second: u32,
@@ -46,23 +56,60 @@
     pub(super) news: Vec<PrefixNews>,
 }
 
+/// Asks a placer whether an engine has answered anybody a moment ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LivenessQuestion {
+    /// Number that the sender has drawn for the question.
+    pub(crate) number: u64,
+    /// The engine.
+    pub(crate) engine: SubjectHandle,
+}
+
+/// A placer's answer to a [`LivenessQuestion`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LivenessAnswer {
+    /// Number of the question.
+    pub(crate) number: u64,
+    /// Whether the engine answers.
+    pub(crate) answers: bool,
+}
+
+/// One datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Datagram {
+    /// A node's word of its work.
+    Work(Box<WorkMessage>),
+    /// Asks a placer about a request.
+    Question(Box<Question>),
+    /// A placer's answer.
+    Answer(Box<Answer>),
+    /// Tells a placer what became of a request.
+    Fate(FateReport),
+    /// Asks a placer about an engine.
+    LivenessQuestion(LivenessQuestion),
+    /// A placer's answer to that.
+    LivenessAnswer(LivenessAnswer),
+}
+
 const CODEC: Configuration = standard();
 
-impl WorkMessage {
-    /// The datagram; without changes of the list where it would be too long with them, since whoever misses them asks
-    /// the store.
-    pub(super) fn encode(mut self) -> Option<Vec<u8>> {
+impl Datagram {
+    /// The bytes; a word without changes of the list where it would be too long with them, since whoever misses them
+    /// asks the store.
+    pub(crate) fn encode(mut self) -> Option<Vec<u8>> {
         let bytes = bincode::serde::encode_to_vec(&self, CODEC).ok()?;
-        if bytes.len() <= MOST_BYTES || self.list_news.changes.is_empty() {
-            return Some(bytes);
+        match &mut self {
+            Self::Work(message) if bytes.len() > MOST_BYTES && !message.list_news.changes.is_empty() => {
+                message.list_news = ListNews::default();
+                bincode::serde::encode_to_vec(&self, CODEC).ok()
+            }
+            _ => Some(bytes),
         }
-        self.list_news = ListNews::default();
-        bincode::serde::encode_to_vec(&self, CODEC).ok()
     }
 
     /// Reads a datagram; absent when it is none of these.
     pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
-        let (message, used) = bincode::serde::decode_from_slice(bytes, CODEC).ok()?;
-        (used == bytes.len()).then_some(message)
+        let (datagram, used) = bincode::serde::decode_from_slice(bytes, CODEC).ok()?;
+        (used == bytes.len()).then_some(datagram)
     }
 }
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -2,36 +2,41 @@
 //!
 //! Each message says everything that its sender has under way, so a lost one is made good by the next. The store's
 //! list of nodes only says whom to tell first; whoever is heard is told too.
+//!
+//! In a small fleet each node tells all others. In a large one only the placers ([`shelfjunction_core::placing`]) tell
+//! each other of work; they tell everybody else that they live, and what the store has confirmed.
 
 mod catching_up;
 mod directory;
 mod hearing;
 mod message;
+mod placers;
 mod telling;
 
 pub(crate) use catching_up::{catch_up, serve as serve_snapshots, take_from_any};
 pub(crate) use directory::follow as follow_directory;
 pub(crate) use hearing::hear;
+pub(crate) use message::{Datagram, LivenessAnswer, LivenessQuestion};
+pub(crate) use placers::Placing;
 pub(crate) use telling::tell;
 
+use crate::config::NodeConfig;
 use shelfjunction_core::identity::NodeId;
-use shelfjunction_core::membership::rendezvous;
 use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::placing::config::PlacingSettings;
+use shelfjunction_core::placing::panel::Candidate;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::{Condvar, Mutex};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
 /// Time after which a node that is neither listed nor heard is forgotten.
 const SILENT_PEER_LIFETIME: Duration = Duration::from_secs(40);
 
-/// Most other nodes that are all told of a node's work.
-const MOST_TOLD: usize = 96;
-
-/// Nodes that are told in a larger fleet: what a node hears must not grow with it.
-const TOLD_IN_LARGE_FLEET: usize = 24;
+/// Silence after which a placer no longer counts as alive; it speaks at least three times in between.
+const PLACER_SILENCE: Duration = Duration::from_millis(1_800);
 
 /// Silence after which a node no longer counts as alive.
 const HEARD_LATELY: Duration = Duration::from_millis(3_500);
@@ -48,6 +53,10 @@
     last_message: Option<(u64, u64)>,
     /// Whether the store answered it when it spoke last.
     store_answers: bool,
+    /// Whether it held itself for a placer when it spoke last.
+    places: bool,
+    /// Thousandths of a processor core that it may use.
+    processor_thousandths: u32,
     handle: SubjectHandle,
 }
 
@@ -59,6 +68,8 @@
             listed_at: now,
             last_message: None,
             store_answers: false,
+            places: false,
+            processor_thousandths: 0,
             handle: SubjectHandle::of_text("node", node.as_str()),
         }
     }
@@ -66,11 +77,27 @@
     fn heard_lately(&self, now: MonotonicTime) -> bool {
         self.last_message.is_some() && now.since(self.known_at) < HEARD_LATELY
     }
+
+    /// Whether it may be a placer: one that says so, or one that has had no time yet to say anything.
+    fn may_place(&self, now: MonotonicTime) -> bool {
+        let is_fresh = now.since(self.known_at) < PLACER_SILENCE;
+        is_fresh && (self.places || self.last_message.is_none())
+    }
+
+    fn candidate(&self) -> Candidate {
+        Candidate {
+            node: self.handle,
+            processor_thousandths: self.processor_thousandths,
+        }
+    }
 }
 
 /// The other nodes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Peers {
+    socket: Arc<UdpSocket>,
+    own: Candidate,
+    placing: PlacingSettings,
     known: Mutex<Known>,
     pending: Mutex<Pending>,
     change: Condvar,
@@ -102,6 +129,22 @@
 }
 
 impl Peers {
+    pub(crate) fn new(config: &NodeConfig, socket: Arc<UdpSocket>) -> Self {
+        Self {
+            socket,
+            own: Candidate {
+                node: SubjectHandle::of_text("node", config.node.as_str()),
+                processor_thousandths: config.processor_thousandths(),
+            },
+            placing: config.placing,
+            known: Mutex::default(),
+            pending: Mutex::default(),
+            change: Condvar::new(),
+            behind: Mutex::default(),
+            fell_behind: Condvar::new(),
+        }
+    }
+
     /// Nodes in all, this one included; absent until the list was read.
     pub(crate) fn nodes(&self) -> Option<u32> {
         let known = lock(&self.known);
@@ -115,21 +158,18 @@
         heard.map(|(node, _)| node.clone()).collect()
     }
 
-    /// The other nodes that said a short time ago that the store answers them.
+    /// The other nodes on duty that said a short time ago that the store answers them.
     pub(crate) fn in_contact_with_store(&self, now: MonotonicTime) -> Vec<SubjectHandle> {
+        let placing = self.placing(now);
         let known = lock(&self.known);
         let heard = known.peers.values().filter(|peer| peer.heard_lately(now));
+        let heard = heard.filter(|peer| placing.shares_duty(peer.handle));
         heard
             .filter(|peer| peer.store_answers)
             .map(|peer| peer.handle)
             .collect()
     }
 
-    /// Names of the other nodes.
-    pub(crate) fn names(&self) -> Vec<NodeId> {
-        lock(&self.known).peers.keys().cloned().collect()
-    }
-
     /// Notes that this node has handed new work to an engine, which others would otherwise choose as well.
     pub(crate) fn note_new_work(&self) {
         let mut pending = lock(&self.pending);
@@ -161,41 +201,8 @@
         known.peers.values().map(|peer| peer.address).collect()
     }
 
-    /// Whether the fleet is small enough for each node to tell all others.
-    fn tells_all(&self) -> bool {
-        lock(&self.known).peers.len() <= MOST_TOLD
-    }
-
-    /// Addresses of the nodes that this one tells of its work: all of a small fleet, of a large one
-    /// [`TOLD_IN_LARGE_FLEET`], the same each time, so that a node's messages do not grow with the fleet.
-    fn told(&self, own: &NodeId, now: MonotonicTime) -> Vec<SocketAddr> {
-        let all = self.addresses(now);
-        if all.len() <= MOST_TOLD {
-            return all;
-        }
-        let task = SubjectHandle::of_text("teller", own.as_str());
-        let known = lock(&self.known);
-        let mut peers: Vec<_> = known
-            .peers
-            .values()
-            .map(|peer| (rendezvous::weight(task, peer.handle), peer.address))
-            .collect();
-        peers.sort_unstable();
-        peers
-            .iter()
-            .rev()
-            .take(TOLD_IN_LARGE_FLEET)
-            .map(|(_, address)| *address)
-            .collect()
-    }
-
-    /// Nodes for which the word of each that is heard stands.
-    fn nodes_per_word(&self, now: MonotonicTime) -> f64 {
-        let heard = self.heard_lately(now).len();
-        let others = lock(&self.known).peers.len();
-        if others <= MOST_TOLD || heard == 0 {
-            return 1.0;
-        }
-        others as f64 / heard as f64
+    /// Sends a datagram; one that can't leave is as good as lost on the way.
+    pub(crate) fn send(&self, bytes: &[u8], to: SocketAddr) {
+        let _ = self.socket.send_to(bytes, to);
     }
 }
--- /dev/null
+++ b/crates/node/src/peers/placers.rs
@@ -0,0 +1,101 @@
+//! Which nodes choose engines, as this node sees it now.
+
+use super::{Peer, Peers};
+use shelfjunction_core::identity::NodeId;
+use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::placing::panel::{Candidate, Panel};
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
+use std::net::SocketAddr;
+
+/// Who chooses engines in this fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Placing {
+    /// Each node for itself.
+    Each,
+    /// Some for all.
+    Panel(Panel),
+}
+
+impl Placing {
+    /// Whether a node takes part in what a few nodes do for all: placing, watching the store, ordering.
+    pub(super) fn shares_duty(&self, node: SubjectHandle) -> bool {
+        match self {
+            Self::Each => true,
+            Self::Panel(panel) => panel.includes(node),
+        }
+    }
+}
+
+impl Peers {
+    /// Who chooses engines now.
+    pub(crate) fn placing(&self, now: MonotonicTime) -> Placing {
+        let known = lock(&self.known);
+        if known.peers.len() < self.placing.alone_up_to {
+            return Placing::Each;
+        }
+        let others = known.peers.values().filter(|peer| peer.may_place(now));
+        let mut alive: Vec<Candidate> = others.map(Peer::candidate).collect();
+        alive.push(self.own);
+        Placing::Panel(Panel::of(&alive, self.placing.placers))
+    }
+
+    /// Whether this node chooses engines for others, or each node for itself.
+    pub(crate) fn is_placer(&self, now: MonotonicTime) -> bool {
+        match self.placing(now) {
+            Placing::Each => true,
+            Placing::Panel(panel) => panel.includes(self.own.node),
+        }
+    }
+
+    /// This node's short name.
+    pub(crate) fn own_handle(&self) -> SubjectHandle {
+        self.own.node
+    }
+
+    /// Thousandths of a processor core that this node may use.
+    pub(super) fn own_processor(&self) -> u32 {
+        self.own.processor_thousandths
+    }
+
+    /// Where the node with a short name hears others.
+    pub(crate) fn address_of(&self, node: SubjectHandle) -> Option<SocketAddr> {
+        let known = lock(&self.known);
+        let mut peers = known.peers.values();
+        peers.find(|peer| peer.handle == node).map(|peer| peer.address)
+    }
+
+    /// Addresses of the nodes that are told of work: the other placers in a large fleet, or everybody in a small one.
+    pub(super) fn told(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+        match self.placing(now) {
+            Placing::Each => self.addresses(now),
+            Placing::Panel(panel) => self.addresses_among(&panel),
+        }
+    }
+
+    fn addresses_among(&self, panel: &Panel) -> Vec<SocketAddr> {
+        let known = lock(&self.known);
+        let placers = known.peers.values().filter(|peer| panel.includes(peer.handle));
+        placers.map(|peer| peer.address).collect()
+    }
+
+    /// Names of the other nodes on duty: the placers of a large fleet, everybody in a small one.
+    pub(crate) fn on_duty(&self, now: MonotonicTime) -> Vec<NodeId> {
+        let placing = self.placing(now);
+        let known = lock(&self.known);
+        let on_duty = known
+            .peers
+            .iter()
+            .filter(|(_, peer)| placing.shares_duty(peer.handle));
+        on_duty.map(|(node, _)| node.clone()).collect()
+    }
+
+    /// Names of the other nodes on duty that said something a short time ago.
+    pub(crate) fn heard_on_duty(&self, now: MonotonicTime) -> Vec<NodeId> {
+        let placing = self.placing(now);
+        let known = lock(&self.known);
+        let heard = known.peers.iter().filter(|(_, peer)| peer.heard_lately(now));
+        let on_duty = heard.filter(|(_, peer)| placing.shares_duty(peer.handle));
+        on_duty.map(|(node, _)| node.clone()).collect()
+    }
+}
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -1,11 +1,15 @@
 //! Tells other nodes of this node's work.
 
 use super::Peers;
-use super::message::{MOST_CHANGES, MOST_ENGINES, MOST_NEWS, WorkMessage};
+use super::message::{Datagram, MOST_CHANGES, MOST_ENGINES, MOST_NEWS, WorkMessage};
+use super::placers::Placing;
 use crate::context::Context;
+use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::routing::pool::{PeerWork, WorkSlice};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
-use std::net::{SocketAddr, UdpSocket};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -18,49 +22,207 @@
 /// Time after which the work is told again though it has not changed.
 const TELL_AGAIN: Duration = Duration::from_millis(700);
 
+/// Time after which a placer tells everybody that it lives; several fit into the silence that it may keep.
+const PLACER_TELLS_AGAIN: Duration = Duration::from_millis(500);
+
+/// Time after which a node of a large fleet that is no placer tells the placers of itself, so that they know whom to
+/// tell; a new one is told by the first of them whom it asks.
+const OTHERS_TELL_AGAIN: Duration = Duration::from_secs(5);
+
+/// Least time between two messages of a placer to the whole of a large fleet.
+const LEAST_PAUSE_TO_ALL: Duration = Duration::from_millis(200);
+
 /// An idle node tells of itself once in so many rounds.
 const IDLE_ROUNDS: u32 = 2;
 
-/// Datagrams that a node sends in a second where it tells all others; with more peers it tells of changes less often.
+/// Datagrams about work that a node sends in a second; with more peers it tells of changes less often.
 const DATAGRAMS_PER_SECOND: u32 = 600;
 
-/// Datagrams that it sends in a second in a fleet too large for that.
-const LARGE_FLEET_DATAGRAMS: u32 = 150;
-
 /// Messages to everybody that may follow on each other at [`LEAST_PAUSE`] after a quiet time.
 const MOST_SAVED: u32 = 4;
 
+/// Engines in one slice on average; fewer than fit, since the slices differ in size.
+const ENGINES_PER_SLICE: usize = 20;
+
+/// Time after which a slice is told again though it has not changed.
+const SLICE_AGAIN: Duration = Duration::from_millis(400);
+
 /// Tells other nodes as long as the process runs.
-pub(crate) fn tell(context: &Context, socket: &UdpSocket) {
-    let start = rand::random();
-    let mut number = 0;
-    let mut idle_rounds = 0;
-    let mut allowance = Allowance::new(context.now());
+pub(crate) fn tell(context: &Context) {
+    let mut teller = Teller::new(context);
     loop {
-        let confirmed = context.peers.wait_for_change();
-        let now = context.now();
-        let peers = if confirmed {
-            context.peers.addresses(now)
+        let confirmed = context.peers.wait_for_change(teller.tells_again);
+        let pause = teller.round(confirmed);
+        context.stop.wait(pause);
+    }
+}
+
+/// What was told, and when.
+struct Teller<'a> {
+    context: &'a Context,
+    start: u64,
+    number: u64,
+    idle_rounds: u32,
+    allowance: Allowance,
+    tells_again: Duration,
+    told_all_at: Option<MonotonicTime>,
+    /// Whether there is something confirmed that not everybody has been told.
+    owes_all: bool,
+    told_slices: BTreeMap<WorkSlice, (Vec<(SubjectHandle, PeerWork)>, MonotonicTime)>,
+}
+
+impl<'a> Teller<'a> {
+    fn new(context: &'a Context) -> Self {
+        Self {
+            context,
+            start: rand::random(),
+            number: 0,
+            idle_rounds: 0,
+            allowance: Allowance::new(context.now()),
+            tells_again: TELL_AGAIN,
+            told_all_at: None,
+            owes_all: false,
+            told_slices: BTreeMap::new(),
+        }
+    }
+
+    /// Tells what there is to tell; the time until the next message may be sent.
+    fn round(&mut self, confirmed: bool) -> Duration {
+        let now = self.context.now();
+        let own = self.context.peers.own_handle();
+        self.owes_all |= confirmed;
+        match self.context.peers.placing(now) {
+            Placing::Each => {
+                self.tells_again = TELL_AGAIN;
+                self.owes_all = false;
+                self.tell_of_work(confirmed, true, now)
+            }
+            Placing::Panel(panel) if panel.includes(own) => {
+                self.tells_again = PLACER_TELLS_AGAIN;
+                let pause = self.tell_of_work(false, true, now);
+                self.tell_all(now);
+                pause
+            }
+            Placing::Panel(_) => {
+                self.tells_again = OTHERS_TELL_AGAIN;
+                self.owes_all = false;
+                self.tell_placers(confirmed, now)
+            }
+        }
+    }
+
+    /// Tells of the work at engines, in as many slices as it takes.
+    fn tell_of_work(&mut self, confirmed: bool, places: bool, now: MonotonicTime) -> Duration {
+        let peers = self.context.peers.told(now);
+        let work = lock(&self.context.router).own_work();
+        let slices = work.len().div_ceil(ENGINES_PER_SLICE).max(1) as u16;
+        let mut sent = 0;
+        for index in 0..slices {
+            let slice = WorkSlice { index, of: slices };
+            let works: Vec<_> = work
+                .iter()
+                .copied()
+                .filter(|(handle, _)| slice.includes(*handle))
+                .take(MOST_ENGINES)
+                .collect();
+            if index > 0 && !self.is_due(slice, &works, now) {
+                continue;
+            }
+            let mut message = self.compose(places, now);
+            message.slice = slice;
+            message.work = works.clone();
+            message.news = lock(&self.context.router).take_news(MOST_NEWS);
+            self.told_slices.insert(slice, (works, now));
+            if self.speaks(&message, confirmed) {
+                self.send(&peers, message);
+                sent += peers.len();
+            }
+        }
+        self.told_slices.retain(|slice, _| slice.of == slices);
+        self.allowance.spend(sent.max(peers.len()), now)
+    }
+
+    /// Whether a slice has changed, or was last told a while ago.
+    fn is_due(&self, slice: WorkSlice, works: &[(SubjectHandle, PeerWork)], now: MonotonicTime) -> bool {
+        self.told_slices
+            .get(&slice)
+            .is_none_or(|(told, at)| told != works || now.since(*at) >= SLICE_AGAIN)
+    }
+
+    /// The first idle message says that the work has ended; later ones only keep the node known.
+    fn speaks(&mut self, message: &WorkMessage, confirmed: bool) -> bool {
+        let is_idle = is_idle(message) && !confirmed;
+        self.idle_rounds = if is_idle { self.idle_rounds + 1 } else { 0 };
+        self.idle_rounds % IDLE_ROUNDS <= 1
+    }
+
+    /// Tells the whole of a large fleet that this placer lives, and what the store has confirmed.
+    fn tell_all(&mut self, now: MonotonicTime) {
+        let due_after = if self.owes_all {
+            LEAST_PAUSE_TO_ALL
         } else {
-            context.peers.told(&context.config.node, now)
+            PLACER_TELLS_AGAIN
         };
-        // What the store has confirmed goes to everybody, and often enough to keep them fresh.
-        let rate = if confirmed || context.peers.tells_all() {
-            DATAGRAMS_PER_SECOND
-        } else {
-            LARGE_FLEET_DATAGRAMS
+        if self.told_all_at.is_some_and(|at| now.since(at) < due_after) {
+            return;
+        }
+        self.told_all_at = Some(now);
+        self.owes_all = false;
+        let mut message = self.compose(true, now);
+        message.slice = WorkSlice::NOTHING;
+        let peers = self.context.peers.addresses(now);
+        self.send(&peers, message);
+    }
+
+    /// Tells the placers that this node lives, and what the store has confirmed.
+    fn tell_placers(&mut self, confirmed: bool, now: MonotonicTime) -> Duration {
+        let is_due = self
+            .told_all_at
+            .is_none_or(|at| now.since(at) >= OTHERS_TELL_AGAIN);
+        if !confirmed && !is_due {
+            return LEAST_PAUSE;
+        }
+        self.told_all_at = Some(now);
+        let mut message = self.compose(false, now);
+        message.slice = WorkSlice::NOTHING;
+        let peers = self.context.peers.told(now);
+        self.send(&peers, message);
+        self.allowance.spend(peers.len(), now)
+    }
+
+    fn compose(&self, places: bool, now: MonotonicTime) -> WorkMessage {
+        let context = self.context;
+        let config_version = || context.forwarding().map_or(0, |config| config.version);
+        let list_version = || lock(&context.listing).changed();
+        let list_news = lock(&context.recent_changes).told(MOST_CHANGES, now);
+        let router = lock(&context.router);
+        WorkMessage {
+            node: context.config.node.clone(),
+            start: self.start,
+            number: 0,
+            places,
+            processor_thousandths: context.peers.own_processor(),
+            store_answers: context.config_watch.in_contact() && context.list_watch.in_contact(),
+            config: context.config_watch.word(now, config_version),
+            list: context.list_watch.word(now, list_version),
+            list_news,
+            slice: WorkSlice::ALL,
+            work: Vec::new(),
+            prompt_tokens_per_second: router.own_demand(now),
+            orders: router.orders_under_way(now),
+            news: Vec::new(),
+        }
+    }
+
+    fn send(&mut self, peers: &[SocketAddr], mut message: WorkMessage) {
+        message.number = self.number;
+        self.number += 1;
+        let Some(bytes) = Datagram::Work(Box::new(message)).encode() else {
+            return;
         };
-        let nodes_per_word = context.peers.nodes_per_word(now);
-        lock(&context.router).set_nodes_per_word(nodes_per_word);
-        let message = compose(context, start, number);
-        let is_idle = is_idle(&message) && !confirmed;
-        idle_rounds = if is_idle { idle_rounds + 1 } else { 0 };
-        // The first idle message says that the work has ended; later ones only keep the node known.
-        if idle_rounds % IDLE_ROUNDS <= 1 {
-            send(socket, &peers, message);
+        for peer in peers {
+            self.context.peers.send(&bytes, *peer);
         }
-        number += 1;
-        context.stop.wait(allowance.spend(peers.len(), rate, now));
     }
 }
 
@@ -78,10 +240,10 @@
         }
     }
 
-    /// Spends a message to so many peers; the time until the next one may be sent.
-    fn spend(&mut self, peers: usize, rate: u32, now: MonotonicTime) -> Duration {
-        let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-        let price = Duration::from_secs(1).saturating_mul(peers) / rate;
+    /// Spends so many datagrams; the time until the next ones may be sent.
+    fn spend(&mut self, datagrams: usize, now: MonotonicTime) -> Duration {
+        let datagrams = u32::try_from(datagrams).unwrap_or(u32::MAX);
+        let price = Duration::from_secs(1).saturating_mul(datagrams) / DATAGRAMS_PER_SECOND;
         self.saved = (self.saved + now.since(self.at)).min(price * MOST_SAVED);
         self.at = now;
         let owed = price.saturating_sub(self.saved);
@@ -97,48 +259,15 @@
         && message.list_news.changes.is_empty()
 }
 
-fn compose(context: &Context, start: u64, number: u64) -> WorkMessage {
-    let now = context.now();
-    let config_version = || context.forwarding().map_or(0, |config| config.version);
-    let list_version = || lock(&context.listing).changed();
-    let list_news = lock(&context.recent_changes).told(MOST_CHANGES, now);
-    let mut router = lock(&context.router);
-    let mut work = router.own_work();
-    work.truncate(MOST_ENGINES);
-    WorkMessage {
-        node: context.config.node.clone(),
-        start,
-        number,
-        store_answers: context.config_watch.in_contact() && context.list_watch.in_contact(),
-        config: context.config_watch.word(now, config_version),
-        list: context.list_watch.word(now, list_version),
-        list_news,
-        work,
-        prompt_tokens_per_second: router.own_demand(now),
-        orders: router.orders_under_way(now),
-        news: router.take_news(MOST_NEWS),
-    }
-}
-
-fn send(socket: &UdpSocket, peers: &[SocketAddr], message: WorkMessage) {
-    let Some(bytes) = message.encode() else {
-        return;
-    };
-    for peer in peers {
-        // A datagram that can't leave is as good as lost; the next one says the same.
-        let _ = socket.send_to(&bytes, peer);
-    }
-}
-
 impl Peers {
     /// Waits until there is something to tell, or until it is time to tell again; whether something was confirmed.
     ///
     /// New work at an engine is told at once; other changes are gathered for a while.
-    fn wait_for_change(&self) -> bool {
+    fn wait_for_change(&self, tells_again: Duration) -> bool {
         let quiet = lock(&self.pending);
         let waited = self
             .change
-            .wait_timeout_while(quiet, TELL_AGAIN, |pending| !pending.changed);
+            .wait_timeout_while(quiet, tells_again, |pending| !pending.changed);
         let (pending, timeout) = waited.unwrap_or_else(PoisonError::into_inner);
         let gather = if timeout.timed_out() {
             Duration::ZERO
--- /dev/null
+++ b/crates/node/src/placing/mod.rs
@@ -0,0 +1,7 @@
+//! Asks placers for engines, and answers as one ([`shelfjunction_core::placing`]).
+
+mod answering;
+mod asking;
+
+pub(crate) use answering::{answer, answer_liveness, take_fate};
+pub(crate) use asking::{Asked, PlacedAt, Placements, tell};
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -361,6 +361,8 @@
     pub node: NodeId,
     /// Where it hears other nodes.
     pub address: SocketAddr,
+    /// Thousandths of a processor core that it may use.
+    pub processor_thousandths: u32,
 }
 
 /// The platform's store, as far as it tells nodes of each other.
--- a/crates/node/src/recovering.rs
+++ b/crates/node/src/recovering.rs
@@ -1,6 +1,7 @@
 //! After a start, finds out what engines hold: from a peer that knows, or else from the engines themselves.
 //!
-//! Without it the first requests after all nodes were killed would have every shared part read anew.
+//! Without it the first requests after all nodes were killed would have every shared part read anew. In a large fleet
+//! only placers need to know; a node that becomes one later asks the others then.
 
 use crate::asking;
 use crate::context::Context;
@@ -27,11 +28,31 @@
 /// Longest wait for an engine's list.
 const LIST_WAIT: Duration = Duration::from_millis(500);
 
-/// Runs once after the start.
+/// Time between two looks at whether this node has become a placer.
+const LOOK_FOR_DUTY_EVERY: Duration = Duration::from_millis(500);
+
+/// Runs after the start, and again whenever this node becomes a placer.
 pub(crate) fn run(context: &Context) {
-    if context.config.first_start || !wait_until_known(context) {
-        return;
+    let mut knows = false;
+    if wait_until_known(context) && context.peers.is_placer(context.now()) {
+        knows = true;
+        if !context.config.first_start {
+            recover(context);
+        }
     }
+    while !context.stop.wait(LOOK_FOR_DUTY_EVERY) {
+        let places = context.peers.is_placer(context.now());
+        if places != knows {
+            log::info!(places; "placer_changed");
+        }
+        if places && !knows {
+            peers::take_from_any(context);
+        }
+        knows = places;
+    }
+}
+
+fn recover(context: &Context) {
     peers::take_from_any(context);
     let begun = context.now();
     let mut due: Vec<(MonotonicTime, EngineId, SocketAddr)> = engines(context)
@@ -76,7 +97,7 @@
     let own = handle(context.config.node.as_str());
     let mut nodes: Vec<SubjectHandle> = context
         .peers
-        .names()
+        .on_duty(context.now())
         .iter()
         .map(|node| handle(node.as_str()))
         .collect();
--- a/crates/node/src/watch/table.rs
+++ b/crates/node/src/watch/table.rs
@@ -1,7 +1,6 @@
 //! One table of the store, as the threads of the process share what is known of it.
 
 use crate::context::Context;
-use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_core::watching::{SharedWatch, SharedWatchSettings, TableWord, WatchStep, is_watcher};
 use shelfjunction_threads::lock;
@@ -95,11 +94,12 @@
         loop {
             let now = context.now();
             let others = context.peers.in_contact_with_store(now);
+            let on_duty = context.peers.is_placer(now);
             let mut state = lock(&self.state);
             let watches = is_watcher(
                 self.name,
-                SubjectHandle::of_text("node", context.config.node.as_str()),
-                state.in_contact,
+                context.peers.own_handle(),
+                state.in_contact && on_duty,
                 &others,
                 self.settings.watchers,
             );
