--- a/crates/core/src/watching/mod.rs
+++ b/crates/core/src/watching/mod.rs
@@ -9,5 +9,5 @@
 mod shared;
 mod watchers;
 
-pub use shared::{SharedWatch, SharedWatchSettings, TableWord, WatchStep};
+pub use shared::{SharedWatch, SharedWatchSettings, TableWord, WatchRole, WatchStep};
 pub use watchers::is_watcher;
--- a/crates/core/src/watching/shared.rs
+++ b/crates/core/src/watching/shared.rs
@@ -34,6 +34,10 @@
 /// Time in which a change that a node has heard of reaches it with the messages of others, before it asks the store.
 const HEAR_FIRST: Duration = Duration::from_millis(120);
 
+/// Part of the bound for which a node that is not on duty leaves a change to the messages and snapshots of others: what
+/// is left is enough for a question and a first answer that is lost.
+const HEAR_FIRST_PART: f64 = 0.25;
+
 /// Least time between two questions for something newer that the store does not give.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
 
@@ -84,6 +88,18 @@
     }
 }
 
+/// A node's part in watching a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchRole {
+    /// It always has a question at the store.
+    Watches,
+    /// It asks where messages do not bring a change at once.
+    Asks,
+    /// It asks where neither messages nor snapshots of others bring a change: in a large fleet the questions of all
+    /// would cost the store more than they are worth.
+    AsksLast,
+}
+
 /// What to do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WatchStep {
@@ -187,12 +203,12 @@
     }
 
     /// What to do next.
-    pub fn next(&self, is_watcher: bool, now: MonotonicTime) -> WatchStep {
-        if is_watcher {
+    pub fn next(&self, role: WatchRole, now: MonotonicTime) -> WatchStep {
+        if role == WatchRole::Watches {
             return WatchStep::Ask(self.settings.wait());
         }
         let fresh_until = self.confirmed_at.map(|at| at + self.settings.fresh());
-        let due = match (fresh_until, self.lacking_due()) {
+        let due = match (fresh_until, self.lacking_due(role)) {
             (Some(fresh), Some(lacking)) => fresh.min(lacking),
             (Some(fresh), None) => fresh,
             (None, _) => now,
@@ -204,8 +220,12 @@
         }
     }
 
-    fn lacking_due(&self) -> Option<MonotonicTime> {
-        let heard = self.lacking?.since + HEAR_FIRST;
+    fn lacking_due(&self, role: WatchRole) -> Option<MonotonicTime> {
+        let hear_first = match role {
+            WatchRole::Watches | WatchRole::Asks => HEAR_FIRST,
+            WatchRole::AsksLast => Duration::from_millis(self.settings.bound_millis).mul_f64(HEAR_FIRST_PART),
+        };
+        let heard = self.lacking?.since + hear_first;
         let again = self.answered_at.map(|at| at + ASK_AGAIN);
         Some(again.map_or(heard, |again| heard.max(again)))
     }
--- a/crates/core/tests/shared_watch.rs
+++ b/crates/core/tests/shared_watch.rs
@@ -2,7 +2,9 @@
 
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::time::MonotonicTime;
-use shelfjunction_core::watching::{SharedWatch, SharedWatchSettings, TableWord, WatchStep, is_watcher};
+use shelfjunction_core::watching::{
+    SharedWatch, SharedWatchSettings, TableWord, WatchRole, WatchStep, is_watcher,
+};
 use std::time::Duration;
 
 const SETTINGS: SharedWatchSettings = SharedWatchSettings {
@@ -31,14 +33,14 @@
 #[test]
 fn a_node_that_nobody_confirmed_anything_to_asks_at_once() {
     let watch = SharedWatch::new(SETTINGS);
-    assert_eq!(watch.next(false, at(0)), WatchStep::Ask(Duration::ZERO));
+    assert_eq!(watch.next(WatchRole::Asks, at(0)), WatchStep::Ask(Duration::ZERO));
 }
 
 #[test]
 fn a_watchers_question_waits_at_the_store() {
     let watch = SharedWatch::new(SETTINGS);
     assert_eq!(
-        watch.next(true, at(0)),
+        watch.next(WatchRole::Watches, at(0)),
         WatchStep::Ask(Duration::from_millis(600))
     );
 }
@@ -49,7 +51,7 @@
     watch.on_store_answer(70, at(1_000));
     watch.on_word(word(7, 300), 7, at(2_000));
     assert_eq!(watch.age(at(2_000)), Some(Duration::from_millis(300)));
-    let WatchStep::Rest(rest) = watch.next(false, at(2_000)) else {
+    let WatchStep::Rest(rest) = watch.next(WatchRole::Asks, at(2_000)) else {
         panic!("fresh, and yet it asks");
     };
     assert!(
@@ -57,7 +59,7 @@
         "it asks within the bound: {rest:?}"
     );
     assert_eq!(
-        watch.next(false, at(2_000) + rest),
+        watch.next(WatchRole::Asks, at(2_000) + rest),
         WatchStep::Ask(Duration::ZERO)
     );
 }
@@ -89,12 +91,12 @@
         Some(Duration::from_millis(1_000)),
         "not confirmed"
     );
-    let WatchStep::Rest(rest) = watch.next(false, at(2_000)) else {
+    let WatchStep::Rest(rest) = watch.next(WatchRole::Asks, at(2_000)) else {
         panic!("others' messages come first");
     };
     assert!(rest <= Duration::from_millis(120), "{rest:?}");
     assert_eq!(
-        watch.next(false, at(2_000) + rest),
+        watch.next(WatchRole::Asks, at(2_000) + rest),
         WatchStep::Ask(Duration::ZERO)
     );
 }
@@ -106,7 +108,7 @@
     watch.on_word(word(8, 0), 7, at(2_000));
     watch.on_caught_up();
     watch.on_word(word(8, 0), 8, at(2_050));
-    let step = watch.next(false, at(2_130));
+    let step = watch.next(WatchRole::Asks, at(2_130));
     assert!(matches!(step, WatchStep::Rest(_)), "{step:?}");
 }
 
@@ -118,7 +120,7 @@
     let mut now = at(2_001);
     let mut questions = 0;
     while now < at(4_001) {
-        match watch.next(false, now) {
+        match watch.next(WatchRole::Asks, now) {
             WatchStep::Ask(_) => {
                 questions += 1;
                 watch.on_store_answer(70, now);
@@ -187,11 +189,11 @@
         0,
         "others still have what the answer did not bring"
     );
-    let WatchStep::Rest(rest) = watch.next(false, at(1_400)) else {
+    let WatchStep::Rest(rest) = watch.next(WatchRole::Asks, at(1_400)) else {
         panic!("not at once again");
     };
     assert_eq!(
-        watch.next(false, at(1_400) + rest),
+        watch.next(WatchRole::Asks, at(1_400) + rest),
         WatchStep::Ask(Duration::ZERO)
     );
 }
@@ -213,3 +215,21 @@
     hearer.on_word(told, 8, at(1_100));
     assert_eq!(hearer.store_version(), 70);
 }
+
+#[test]
+fn a_node_off_duty_leaves_a_change_to_others_for_a_quarter_of_the_bound() {
+    let mut watch = SharedWatch::new(SETTINGS);
+    watch.on_store_answer(70, at(1_000));
+    watch.on_word(word(8, 0), 7, at(1_100));
+    let due = |role| match watch.next(role, at(1_100)) {
+        WatchStep::Rest(rest) => rest,
+        WatchStep::Ask(_) => Duration::ZERO,
+    };
+    assert_eq!(due(WatchRole::AsksLast), Duration::from_millis(500));
+    assert!(due(WatchRole::Asks) < due(WatchRole::AsksLast));
+    watch.on_caught_up();
+    assert!(matches!(
+        watch.next(WatchRole::AsksLast, at(1_700)),
+        WatchStep::Rest(_)
+    ));
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -36,6 +36,10 @@
     /// Whether the whole system starts for the first time, so that engines hold nothing yet.
     #[serde(default)]
     pub first_start: bool,
+    /// Time over which nodes that start together for the first time enter themselves into the store's list: the store
+    /// takes some 200 writes a second of one part, and refuses what would wait longer than a second.
+    #[serde(default = "defaults::entering_spread_millis")]
+    pub entering_spread_millis: u64,
     /// Repeats allowed for each request.
     #[serde(default = "defaults::retry_ratio")]
     pub retry_ratio: f64,
@@ -82,6 +86,10 @@
         1.0
     }
 
+    pub fn entering_spread_millis() -> u64 {
+        1_500
+    }
+
     pub fn retry_ratio() -> f64 {
         0.2
     }
@@ -152,6 +160,15 @@
         errors
     }
 
+    /// Time over which this node may wait before it enters itself into the store's list.
+    pub fn entering_spread(&self) -> Duration {
+        if self.first_start {
+            Duration::from_millis(self.entering_spread_millis)
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// The budget for repeats.
     pub fn retry_budget(&self) -> WindowBudgetSettings {
         WindowBudgetSettings {
--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -3,9 +3,10 @@
 //! Messages tell the versions that their sender has. A node that lacks a version for longer than its own question to
 //! the store would take connects to the sender, which answers with a snapshot of both.
 
-use super::{Behind, Peers};
+use super::{Behind, Duty, Peers};
 use crate::context::Context;
 use bincode::config::{Configuration, standard};
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::forwarding::ForwardingConfig;
 use shelfjunction_core::routing::pool::{ListSnapshot, PrefixNews};
@@ -18,6 +19,10 @@
 /// Time that the store has to tell this node itself, before a peer is asked.
 const STORE_FIRST: Duration = Duration::from_millis(500);
 
+/// Time within which a node that is not on duty asks a peer, before it asks the store: long enough for the messages
+/// that follow, and spread so that not all ask at once.
+const PEER_FIRST_MILLIS: std::ops::Range<u64> = 150..500;
+
 /// Longest wait for a peer to take a connection, and for each of its bytes.
 const PEER_WAIT: Duration = Duration::from_millis(500);
 
@@ -106,7 +111,7 @@
 pub(crate) fn catch_up(context: &Context) {
     loop {
         let behind = context.peers.next_behind();
-        context.stop.wait(STORE_FIRST);
+        context.stop.wait(time_for_others(context));
         let wanted = lacks(context, &behind);
         if !wanted.any() {
             continue;
@@ -118,6 +123,14 @@
     }
 }
 
+/// Time that others have to tell this node before it asks a peer.
+fn time_for_others(context: &Context) -> Duration {
+    match context.peers.duty(context.now()) {
+        Duty::Off => Duration::from_millis(rand::rng().random_range(PEER_FIRST_MILLIS)),
+        Duty::On | Duty::NotKnown => STORE_FIRST,
+    }
+}
+
 fn take(context: &Context, snapshot: Snapshot, peer: SocketAddr) {
     let source = format!("peer {peer}");
     if let Some(config) = snapshot.config {
--- a/crates/node/src/peers/directory.rs
+++ b/crates/node/src/peers/directory.rs
@@ -10,36 +10,75 @@
 const READ_EVERY: Duration = Duration::from_secs(60);
 
 /// Pause after the store gave no answer.
-const PAUSE: Duration = Duration::from_millis(1_000);
+const PAUSE: Duration = Duration::from_millis(700);
+
+/// Part of the time over which nodes that all start at once enter themselves, after which they read the list.
+const READ_AFTER: f64 = 1.2;
 
 /// Follows the list as long as the process runs.
 pub(crate) fn follow(context: &Context, directory: &dyn NodeDirectory) {
-    let own = NodeEntry {
-        node: context.config.node.clone(),
-        address: context.config.peer_listen,
-        processor_thousandths: context.config.processor_thousandths(),
-    };
+    let begun = context.now();
+    let spread = context.config.entering_spread();
     let mut entered = false;
+    let mut read_at = begun + spread.mul_f64(READ_AFTER);
+    if context.stop.wait(random_part(spread)) {
+        return;
+    }
     loop {
         if !entered {
-            entered = directory.enter(&own).is_ok();
+            entered = enter(context, directory);
         }
-        let read = directory.nodes();
-        let pause = if entered && read.is_ok() {
-            READ_EVERY
+        let now = context.now();
+        if now >= read_at {
+            read_at = now + read(context, directory);
+        }
+        let next_at = if entered {
+            read_at
         } else {
-            PAUSE
+            read_at.min(now + pause())
         };
-        match read {
-            Ok(entries) => note_listed(context, entries),
-            Err(error) => log::info!(error:? = error; "nodes_not_read"),
-        }
-        if context.stop.wait(pause) {
+        if context.stop.wait(next_at.since(context.now())) {
             return;
         }
     }
 }
 
+fn enter(context: &Context, directory: &dyn NodeDirectory) -> bool {
+    let own = NodeEntry {
+        node: context.config.node.clone(),
+        address: context.config.peer_listen,
+        processor_thousandths: context.config.processor_thousandths(),
+    };
+    let outcome = directory.enter(&own);
+    if let Err(error) = &outcome {
+        log::info!(error:? = error; "node_not_entered");
+    }
+    outcome.is_ok()
+}
+
+/// Reads the list; the time until it is read again.
+fn read(context: &Context, directory: &dyn NodeDirectory) -> Duration {
+    match directory.nodes() {
+        Ok(entries) => {
+            note_listed(context, entries);
+            READ_EVERY
+        }
+        Err(error) => {
+            log::info!(error:? = error; "nodes_not_read");
+            pause()
+        }
+    }
+}
+
+/// The pause after a failure, not the same for all, since many fail together.
+fn pause() -> Duration {
+    PAUSE + random_part(PAUSE)
+}
+
+fn random_part(whole: Duration) -> Duration {
+    whole.mul_f64(rand::random::<f64>())
+}
+
 fn note_listed(context: &Context, entries: Vec<NodeEntry>) {
     let now = context.now();
     let mut known = lock(&context.peers.known);
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -44,6 +44,7 @@
     let position = (message.start, message.number);
     {
         let mut known = lock(&context.peers.known);
+        known.told_nodes = known.told_nodes.max(message.nodes);
         let peer = known
             .peers
             .entry(message.node.clone())
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -17,9 +17,12 @@
 /// Engines in one message; each takes about 20 bytes.
 pub(super) const MOST_ENGINES: usize = 32;
 
-/// Changes of the list of engines in one message; each takes about 100 bytes.
+/// Changes of the list of engines in one message about work; each takes about 100 bytes.
 pub(super) const MOST_CHANGES: usize = 6;
 
+/// The same in a message that says nothing of work.
+pub(super) const MOST_CHANGES_ALONE: usize = 11;
+
 /// News in one message; each takes about 30 bytes, seldom 200.
 pub(super) const MOST_NEWS: usize = 8;
 
@@ -32,6 +35,8 @@
     pub(super) start: u64,
     /// Number of the message since that start.
     pub(super) number: u64,
+    /// Nodes that the sender knows of, itself included.
+    pub(super) nodes: u32,
     /// Whether the sender holds itself for a placer.
     pub(super) places: bool,
     /// Thousandths of a processor core that the sender may use.
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -17,7 +17,7 @@
 pub(crate) use directory::follow as follow_directory;
 pub(crate) use hearing::hear;
 pub(crate) use message::{Datagram, LivenessAnswer, LivenessQuestion};
-pub(crate) use placers::Placing;
+pub(crate) use placers::{Duty, Placing};
 pub(crate) use telling::tell;
 
 use crate::config::NodeConfig;
@@ -126,6 +126,15 @@
 struct Known {
     peers: BTreeMap<NodeId, Peer>,
     listed: bool,
+    /// Most nodes that another has told of: one that started early may have read a short list.
+    told_nodes: u32,
+}
+
+impl Known {
+    /// Nodes in all, this one included.
+    fn nodes(&self) -> u32 {
+        (self.peers.len() as u32 + 1).max(self.told_nodes)
+    }
 }
 
 impl Peers {
@@ -148,7 +157,7 @@
     /// Nodes in all, this one included; absent until the list was read.
     pub(crate) fn nodes(&self) -> Option<u32> {
         let known = lock(&self.known);
-        known.listed.then(|| known.peers.len() as u32 + 1)
+        known.listed.then(|| known.nodes())
     }
 
     /// Names of the other nodes that said something a short time ago.
--- a/crates/node/src/peers/placers.rs
+++ b/crates/node/src/peers/placers.rs
@@ -17,6 +17,17 @@
     Panel(Panel),
 }
 
+/// Whether this node takes part in what a few nodes of a large fleet do for all, and every node of a small one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Duty {
+    /// It does.
+    On,
+    /// Others do.
+    Off,
+    /// The store has not listed the nodes yet.
+    NotKnown,
+}
+
 impl Placing {
     /// Whether a node takes part in what a few nodes do for all: placing, watching the store, ordering.
     pub(super) fn shares_duty(&self, node: SubjectHandle) -> bool {
@@ -31,7 +42,7 @@
     /// Who chooses engines now.
     pub(crate) fn placing(&self, now: MonotonicTime) -> Placing {
         let known = lock(&self.known);
-        if known.peers.len() < self.placing.alone_up_to {
+        if known.nodes() as usize <= self.placing.alone_up_to {
             return Placing::Each;
         }
         let others = known.peers.values().filter(|peer| peer.may_place(now));
@@ -48,6 +59,14 @@
         }
     }
 
+    /// Whether this node takes part in what is done for all.
+    pub(crate) fn duty(&self, now: MonotonicTime) -> Duty {
+        if !lock(&self.known).listed {
+            return Duty::NotKnown;
+        }
+        if self.is_placer(now) { Duty::On } else { Duty::Off }
+    }
+
     /// This node's short name.
     pub(crate) fn own_handle(&self) -> SubjectHandle {
         self.own.node
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -1,7 +1,7 @@
 //! Tells other nodes of this node's work.
 
 use super::Peers;
-use super::message::{Datagram, MOST_CHANGES, MOST_ENGINES, MOST_NEWS, WorkMessage};
+use super::message::{Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_NEWS, WorkMessage};
 use super::placers::Placing;
 use crate::context::Context;
 use shelfjunction_core::membership::subject::SubjectHandle;
@@ -128,8 +128,7 @@
             if index > 0 && !self.is_due(slice, &works, now) {
                 continue;
             }
-            let mut message = self.compose(places, now);
-            message.slice = slice;
+            let mut message = self.compose(slice, places, now);
             message.work = works.clone();
             message.news = lock(&self.context.router).take_news(MOST_NEWS);
             self.told_slices.insert(slice, (works, now));
@@ -168,8 +167,7 @@
         }
         self.told_all_at = Some(now);
         self.owes_all = false;
-        let mut message = self.compose(true, now);
-        message.slice = WorkSlice::NOTHING;
+        let message = self.compose(WorkSlice::NOTHING, true, now);
         let peers = self.context.peers.addresses(now);
         self.send(&peers, message);
     }
@@ -183,30 +181,35 @@
             return LEAST_PAUSE;
         }
         self.told_all_at = Some(now);
-        let mut message = self.compose(false, now);
-        message.slice = WorkSlice::NOTHING;
+        let message = self.compose(WorkSlice::NOTHING, false, now);
         let peers = self.context.peers.told(now);
         self.send(&peers, message);
         self.allowance.spend(peers.len(), now)
     }
 
-    fn compose(&self, places: bool, now: MonotonicTime) -> WorkMessage {
+    fn compose(&self, slice: WorkSlice, places: bool, now: MonotonicTime) -> WorkMessage {
         let context = self.context;
         let config_version = || context.forwarding().map_or(0, |config| config.version);
         let list_version = || lock(&context.listing).changed();
-        let list_news = lock(&context.recent_changes).told(MOST_CHANGES, now);
+        let most_changes = if slice == WorkSlice::NOTHING {
+            MOST_CHANGES_ALONE
+        } else {
+            MOST_CHANGES
+        };
+        let list_news = lock(&context.recent_changes).told(most_changes, now);
         let router = lock(&context.router);
         WorkMessage {
             node: context.config.node.clone(),
             start: self.start,
             number: 0,
+            nodes: context.peers.nodes().unwrap_or(1),
             places,
             processor_thousandths: context.peers.own_processor(),
             store_answers: context.config_watch.in_contact() && context.list_watch.in_contact(),
             config: context.config_watch.word(now, config_version),
             list: context.list_watch.word(now, list_version),
             list_news,
-            slice: WorkSlice::ALL,
+            slice,
             work: Vec::new(),
             prompt_tokens_per_second: router.own_demand(now),
             orders: router.orders_under_way(now),
--- a/crates/node/src/watch/table.rs
+++ b/crates/node/src/watch/table.rs
@@ -1,8 +1,11 @@
 //! One table of the store, as the threads of the process share what is known of it.
 
 use crate::context::Context;
+use crate::peers::Duty;
 use shelfjunction_core::time::MonotonicTime;
-use shelfjunction_core::watching::{SharedWatch, SharedWatchSettings, TableWord, WatchStep, is_watcher};
+use shelfjunction_core::watching::{
+    SharedWatch, SharedWatchSettings, TableWord, WatchRole, WatchStep, is_watcher,
+};
 use shelfjunction_threads::lock;
 use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::Duration;
@@ -94,19 +97,24 @@
         loop {
             let now = context.now();
             let others = context.peers.in_contact_with_store(now);
-            let on_duty = context.peers.is_placer(now);
+            let duty = context.peers.duty(now);
             let mut state = lock(&self.state);
             let watches = is_watcher(
                 self.name,
                 context.peers.own_handle(),
-                state.in_contact && on_duty,
+                state.in_contact && duty == Duty::On,
                 &others,
                 self.settings.watchers,
             );
             if watches != std::mem::replace(&mut state.was_watcher, watches) {
                 log::info!(table = self.name, watches, nodes_in_contact = others.len(), age_millis:? = state.watch.age(now).map(|age| age.as_millis() as u64); "watch_changed");
             }
-            match state.watch.next(watches, now) {
+            let role = match (watches, duty) {
+                (true, _) => WatchRole::Watches,
+                (false, Duty::Off) => WatchRole::AsksLast,
+                (false, Duty::On | Duty::NotKnown) => WatchRole::Asks,
+            };
+            match state.watch.next(role, now) {
                 WatchStep::Ask(wait) => return wait,
                 WatchStep::Rest(rest) => {
                     let waited = self.heard.wait_timeout(state, rest);
