--- a/crates/cli/src/operator/explain.rs
+++ b/crates/cli/src/operator/explain.rs
@@ -2,7 +2,8 @@
 //!
 //! Lines are `key=value` pairs as the programs write them; what stands before `event=` on a line, such as the name of
 //! a machine put there by whoever gathered the logs, is kept as the line's source. Beside the request's own lines the
-//! command prints what its nodes believed when they decided: the configuration and each engine that they chose.
+//! command prints what its nodes believed when they decided: the configuration and each engine that they chose. Where
+//! another node chose the engines, its decisions are found by the number under which the request was asked for.
 
 use super::files;
 use crate::exit::CommandError;
@@ -19,8 +20,12 @@
     "held_parts_listed",
 ];
 
+/// A choice of engines for another node's request.
+const PLACEMENT_EVENT: &str = "placement_given";
+
 /// Events that change what a node believes of its dependencies.
-const NODE_EVENTS: [&str; 7] = [
+const NODE_EVENTS: [&str; 8] = [
+    "placer_changed",
     "configuration_taken",
     "store_lost",
     "store_regained",
@@ -109,6 +114,7 @@
     let Some(last) = own.iter().map(|line| line.time()).max() else {
         return Vec::new();
     };
+    let own = with_placements(own, lines);
     let nodes = own.iter().map(|line| line.source.as_str()).collect();
     let engines = own
         .iter()
@@ -147,6 +153,19 @@
     known.chain(happened).collect()
 }
 
+/// The lines of a request with the decisions of the nodes that chose its engines.
+fn with_placements<'a>(own: Vec<&'a LogLine>, lines: &'a [LogLine]) -> Vec<&'a LogLine> {
+    let numbers: BTreeSet<&str> = own
+        .iter()
+        .map(|line| line.field("number"))
+        .filter(|number| !number.is_empty())
+        .collect();
+    let given = lines
+        .iter()
+        .filter(|line| line.event() == PLACEMENT_EVENT && numbers.contains(line.field("number")));
+    own.into_iter().chain(given).collect()
+}
+
 /// Events that replace each other as the latest word on one thing.
 fn belief_kind(event: &str) -> &str {
     match event {
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -208,3 +208,34 @@
     --token-file = nowhere: allowed is a file that can be read (No such file or directory (os error 2))
     "#);
 }
+
+#[test]
+fn a_request_is_explained_with_the_choice_that_another_node_made_for_it() {
+    let place = directory("explain");
+    let log = "\
+node-1 event=placer_changed time=2026-12-02T10:00:00.0Z places=false
+node-1 event=request_routed time=2026-12-02T10:00:01.0Z request=r1 pool=p
+node-2 event=placement_given time=2026-12-02T10:00:01.1Z number=77 step=1 way=split
+node-2 event=placement_given time=2026-12-02T10:00:01.1Z number=78 step=1 way=one
+node-1 event=placed time=2026-12-02T10:00:01.2Z request=r1 placer=10.0.0.2:7000 number=77 step=1
+node-1 event=request_ended time=2026-12-02T10:00:01.3Z request=r1 outcome=completed
+node-1 event=request_ended time=2026-12-02T10:00:01.3Z request=r2 outcome=completed
+";
+    fs::write(place.join("nodes.log"), log).unwrap();
+    let ran = run_in(&place, &["explain", "r1", "nodes.log"]);
+    assert_eq!(ran.code, 0, "{}", ran.error);
+    let events: Vec<String> = ran
+        .out
+        .lines()
+        .map(|line| line.split_whitespace().take(3).collect::<Vec<_>>().join(" "))
+        .collect();
+    let expected = [
+        "known node-1 event=placer_changed",
+        "course node-1 event=request_routed",
+        "course node-2 event=placement_given",
+        "course node-1 event=placed",
+        "course node-1 event=request_ended",
+    ];
+    assert_eq!(events, expected);
+    assert!(!ran.out.contains("number=78"), "another request's choice");
+}
--- a/crates/node/src/placing/answering.rs
+++ b/crates/node/src/placing/answering.rs
@@ -4,7 +4,7 @@
 
 use crate::context::Context;
 use crate::peers::{Datagram, LivenessAnswer, LivenessQuestion};
-use shelfjunction_core::placing::question::{FateReport, Placement, Question};
+use shelfjunction_core::placing::question::{Answer, FateReport, Placement, Question, Wanted};
 use shelfjunction_threads::lock;
 use std::net::SocketAddr;
 
@@ -24,6 +24,7 @@
         return log::debug!(from:% = from, number = question.key.number; "placement_not_answered");
     };
     context.metrics.placement("given");
+    log_given(question, &answer, from);
     match answer.placement {
         Placement::Split { .. } => context.peers.note_new_work(),
         Placement::One(_) => context.peers.note_change(),
@@ -34,6 +35,32 @@
     }
 }
 
+fn log_given(question: &Question, answer: &Answer, from: SocketAddr) {
+    let wanted = match &question.wanted {
+        Wanted::Admission(_) => "admission",
+        Wanted::Engines { .. } => "engines",
+        Wanted::Output { .. } => "output",
+    };
+    let (way, chosen) = match &answer.placement {
+        Placement::One(chosen) => ("one", Some(chosen)),
+        Placement::Split { prefill, .. } => ("split", Some(prefill)),
+        Placement::Nowhere => ("nowhere", None),
+    };
+    log::info!(
+        number = answer.key.number,
+        step = answer.step,
+        from:% = from,
+        wanted,
+        way,
+        admission:? = answer.verdict.map(|verdict| verdict.admission),
+        prompt_tokens_ahead = chosen.map_or(0, |chosen| chosen.prompt_tokens_ahead),
+        requests_there = chosen.map_or(0, |chosen| chosen.requests),
+        held_tokens = chosen.map_or(0, |chosen| chosen.held_tokens),
+        word_age_millis = chosen.map_or(0, |chosen| chosen.oldest_word.as_millis() as u64);
+        "placement_given"
+    );
+}
+
 /// Takes what became of a dispatch.
 pub(crate) fn take_fate(context: &Context, report: &FateReport) {
     let mut desk = lock(&context.desk);
