--- a/crates/core/src/placing/desk.rs
+++ b/crates/core/src/placing/placement_table.rs
@@ -6,8 +6,8 @@
 //! the request's time is over.
 
 use super::question::{
-    AdmissionVerdict, Answer, ChosenEngine, Fate, FateReport, PlacedRequest, Placement, Question, RequestKey,
-    Wanted,
+    AdmissionVerdict, Answer, ChosenEngine, PlacedRequest, Placement, Progress, ProgressReport, Question,
+    RequestKey, Wanted,
 };
 use crate::identity::EngineId;
 use crate::membership::subject::SubjectHandle;
@@ -58,12 +58,12 @@
 
 /// The requests that a placer has placed; holds no socket, thread or clock.
 #[derive(Clone, Debug, Default)]
-pub struct Desk {
+pub struct PlacementTable {
     kept: BTreeMap<RequestKey, Kept>,
     swept_at: MonotonicTime,
 }
 
-impl Desk {
+impl PlacementTable {
     /// Answers a question and counts the dispatch that the answer names; no answer where too many requests are kept.
     pub fn answer(
         &mut self,
@@ -135,14 +135,14 @@
     }
 
     /// Takes what became of a dispatch; reports about anything else than the last answer are passed over.
-    pub fn on_fate(&mut self, router: &mut PoolRouter, report: &FateReport, now: MonotonicTime) {
+    pub fn on_progress(&mut self, router: &mut PoolRouter, report: &ProgressReport, now: MonotonicTime) {
         let Some(kept) = self.kept.get_mut(&report.key) else {
             return;
         };
         if kept.last_answer.step != report.step {
             return;
         }
-        let ended = kept.on_fate(router, &report.fate, now);
+        let ended = kept.on_progress(router, &report.progress, now);
         if ended {
             self.kept.remove(&report.key);
         }
@@ -322,13 +322,13 @@
     }
 
     /// Takes what became of the dispatch; true where nothing is counted any more.
-    fn on_fate(&mut self, router: &mut PoolRouter, fate: &Fate, now: MonotonicTime) -> bool {
+    fn on_progress(&mut self, router: &mut PoolRouter, progress: &Progress, now: MonotonicTime) -> bool {
         let ticket = match &self.counted {
             Counted::Prompt(ticket) | Counted::Output(ticket) => ticket.clone(),
             Counted::Nothing => return true,
         };
-        match fate {
-            Fate::Begun { told } => {
+        match progress {
+            Progress::Begun { told } => {
                 router.on_output_begun(&ticket, &self.prefixes, now);
                 if let Some(told) = told {
                     router.on_told(ticket.engine(), *told, now);
@@ -340,23 +340,23 @@
                 }
                 return false;
             }
-            Fate::Answered { pauses } => {
+            Progress::Answered { pauses } => {
                 for pause in pauses {
                     router.on_pause(&ticket, f64::from(*pause) * PAUSE_UNIT, now);
                 }
                 router.on_answered(&ticket);
             }
-            Fate::Refused { reason, told } => {
+            Progress::Refused { reason, told } => {
                 if let Some(told) = told {
                     router.on_told(ticket.engine(), *told, now);
                 }
                 router.on_refused(&ticket, *reason, now);
             }
-            Fate::Broken => router.on_broken(&ticket, now),
-            Fate::Abandoned => router.on_abandoned(&ticket),
+            Progress::Broken => router.on_broken(&ticket, now),
+            Progress::Abandoned => router.on_abandoned(&ticket),
         }
         self.counted = Counted::Nothing;
         // Whoever was refused or let down asks again: the last answer must not be given for a new question.
-        matches!(fate, Fate::Answered { .. } | Fate::Abandoned)
+        matches!(progress, Progress::Answered { .. } | Progress::Abandoned)
     }
 }
--- a/crates/core/src/placing/panel.rs
+++ b/crates/core/src/placing/placer_set.rs
@@ -17,11 +17,11 @@
 
 /// The placers, in no order that matters.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Panel {
+pub struct PlacerSet {
     placers: Vec<SubjectHandle>,
 }
 
-impl Panel {
+impl PlacerSet {
     /// The `count` first of the candidates that are alive: by processor, then by rendezvous hashing.
     pub fn of(alive: &[Candidate], count: usize) -> Self {
         let task = SubjectHandle::of_text("task", TASK);
--- a/crates/core/src/placing/question.rs
+++ b/crates/core/src/placing/question.rs
@@ -128,7 +128,7 @@
 
 /// What became of a dispatch that a placer has counted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Fate {
+pub enum Progress {
     /// The first event has come.
     Begun {
         /// Load that the engine told.
@@ -154,11 +154,11 @@
 
 /// Tells a placer what became of what it answered to a question.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FateReport {
+pub struct ProgressReport {
     /// The request.
     pub key: RequestKey,
     /// The question whose answer it is about.
     pub step: u32,
     /// What became of it.
-    pub fate: Fate,
+    pub progress: Progress,
 }
--- a/crates/core/tests/placing.rs
+++ b/crates/core/tests/placing.rs
@@ -8,10 +8,10 @@
 use shelfjunction_core::identity::{EngineId, ZoneId};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::placing::config::PlacingSettings;
-use shelfjunction_core::placing::desk::Desk;
-use shelfjunction_core::placing::panel::{Candidate, Panel};
+use shelfjunction_core::placing::placement_table::PlacementTable;
+use shelfjunction_core::placing::placer_set::{Candidate, PlacerSet};
 use shelfjunction_core::placing::question::{
-    Answer, Fate, FateReport, PlacedRequest, Placement, Question, RequestKey, Wanted,
+    Answer, PlacedRequest, Placement, Progress, ProgressReport, Question, RequestKey, Wanted,
 };
 use shelfjunction_core::routing::pool::{
     Admission, EngineStage, PoolAdmission, PoolEngine, PoolRouter, PoolWeights, PromptPart, PromptShape,
@@ -39,7 +39,7 @@
         .collect()
 }
 
-mod panel {
+mod placers {
     use super::*;
 
     #[test]
@@ -47,8 +47,8 @@
         let fleet = candidates(0..295, 120);
         let mut turned = fleet.clone();
         turned.reverse();
-        assert_eq!(Panel::of(&fleet, 8), Panel::of(&turned, 8));
-        assert_eq!(Panel::of(&fleet, 8).placers().len(), 8);
+        assert_eq!(PlacerSet::of(&fleet, 8), PlacerSet::of(&turned, 8));
+        assert_eq!(PlacerSet::of(&fleet, 8).placers().len(), 8);
     }
 
     #[test]
@@ -56,9 +56,9 @@
         let small = candidates(0..280, 120);
         let large = candidates(280..295, 500);
         let fleet: Vec<Candidate> = small.iter().chain(&large).copied().collect();
-        let panel = Panel::of(&fleet, 8);
-        assert!(large.iter().filter(|one| panel.includes(one.node)).count() == 8);
-        let without_large = Panel::of(&small, 8);
+        let placers = PlacerSet::of(&fleet, 8);
+        assert!(large.iter().filter(|one| placers.includes(one.node)).count() == 8);
+        let without_large = PlacerSet::of(&small, 8);
         assert_eq!(
             without_large.placers().len(),
             8,
@@ -69,11 +69,11 @@
     #[test]
     fn the_loss_of_a_placer_moves_only_what_it_had() {
         let fleet = candidates(0..60, 250);
-        let panel = Panel::of(&fleet, 8);
-        let lost = panel.placers()[0];
+        let placers = PlacerSet::of(&fleet, 8);
+        let lost = placers.placers()[0];
         let left: Vec<Candidate> = fleet.iter().copied().filter(|one| one.node != lost).collect();
-        let smaller = Panel::of(&left, 8);
-        let kept = panel
+        let smaller = PlacerSet::of(&left, 8);
+        let kept = placers
             .placers()
             .iter()
             .filter(|one| smaller.includes(**one))
@@ -83,10 +83,10 @@
         let newcomer = *smaller
             .placers()
             .iter()
-            .find(|one| !panel.includes(**one))
+            .find(|one| !placers.includes(**one))
             .unwrap();
         for subject in (0..2_000_u64).map(|number| number.wrapping_mul(0x9E37_79B9_7F4A_7C15)) {
-            let before = panel.placers_of(subject, nobody, 1)[0];
+            let before = placers.placers_of(subject, nobody, 1)[0];
             let now = smaller.placers_of(subject, nobody, 1)[0];
             assert!(now == before || before == lost || now == newcomer);
         }
@@ -94,26 +94,26 @@
 
     #[test]
     fn a_silent_placer_is_passed_over_for_the_second_choice() {
-        let panel = Panel::of(&candidates(0..60, 250), 8);
+        let placers = PlacerSet::of(&candidates(0..60, 250), 8);
         for subject in (1..100_u64).map(|number| number << 40) {
-            let [first, second] = panel.placers_of(subject, |_| false, 2)[..] else {
+            let [first, second] = placers.placers_of(subject, |_| false, 2)[..] else {
                 panic!("two placers");
             };
-            assert_eq!(panel.placers_of(subject, |placer| placer == first, 1), [second]);
+            assert_eq!(placers.placers_of(subject, |placer| placer == first, 1), [second]);
         }
         assert!(
-            panel.placers_of(7, |_| true, 2).is_empty(),
+            placers.placers_of(7, |_| true, 2).is_empty(),
             "nobody is left to ask"
         );
     }
 
     #[test]
     fn subjects_spread_over_the_placers() {
-        let panel = Panel::of(&candidates(0..295, 120), 8);
+        let placers = PlacerSet::of(&candidates(0..295, 120), 8);
         let mut counts = std::collections::BTreeMap::new();
         for subject in (0..8_000_u64).map(|number| number.wrapping_mul(0x9E37_79B9_7F4A_7C15)) {
             *counts
-                .entry(panel.placers_of(subject, |_| false, 1)[0])
+                .entry(placers.placers_of(subject, |_| false, 1)[0])
                 .or_insert(0) += 1;
         }
         assert!(
@@ -231,32 +231,32 @@
 }
 
 struct Placer {
-    desk: Desk,
+    table: PlacementTable,
     router: PoolRouter,
 }
 
 impl Placer {
     fn new() -> Self {
         Self {
-            desk: Desk::default(),
+            table: PlacementTable::default(),
             router: router(),
         }
     }
 
     fn ask(&mut self, question: &Question, now: MonotonicTime) -> Answer {
         let settings = PoolAdmission::default();
-        self.desk
+        self.table
             .answer(&mut self.router, question, &settings, now)
             .unwrap()
     }
 
-    fn tell(&mut self, question: &Question, fate: Fate, now: MonotonicTime) {
-        let report = FateReport {
+    fn tell(&mut self, question: &Question, progress: Progress, now: MonotonicTime) {
+        let report = ProgressReport {
             key: question.key,
             step: question.step,
-            fate,
+            progress,
         };
-        self.desk.on_fate(&mut self.router, &report, now);
+        self.table.on_progress(&mut self.router, &report, now);
     }
 
     fn requests(&self) -> u32 {
@@ -285,10 +285,10 @@
     let answer = placer.ask(&second, after(200));
     assert!(matches!(answer.placement, Placement::One(_)));
     assert_eq!(placer.requests(), 1, "the prompt is read, the output counts now");
-    placer.tell(&second, Fate::Begun { told: None }, after(230));
-    let end = Fate::Answered { pauses: vec![20, 30] };
+    placer.tell(&second, Progress::Begun { told: None }, after(230));
+    let end = Progress::Answered { pauses: vec![20, 30] };
     placer.tell(&second, end, after(300));
-    assert_eq!((placer.requests(), placer.desk.len()), (0, 0));
+    assert_eq!((placer.requests(), placer.table.len()), (0, 0));
 }
 
 #[test]
@@ -303,7 +303,7 @@
         let done = output(number, holder);
         // As long as 1,000 tokens should take.
         placer.ask(&done, after(1_035 + 400 * number));
-        placer.tell(&done, Fate::Abandoned, after(1_300 + 400 * number));
+        placer.tell(&done, Progress::Abandoned, after(1_300 + 400 * number));
     }
 }
 
@@ -323,7 +323,7 @@
     placer.ask(&output(1, reader(&answer)), after(200));
     let settings = PoolAdmission::default();
     let late = placer
-        .desk
+        .table
         .answer(&mut placer.router, &admission(1), &settings, after(210));
     assert_eq!(late, None);
     assert_eq!(placer.requests(), 1);
@@ -335,7 +335,7 @@
     let first = admission(1);
     let answer = placer.ask(&first, NOW);
     placer.ask(&output(1, reader(&answer)), after(200));
-    placer.tell(&first, Fate::Broken, after(210));
+    placer.tell(&first, Progress::Broken, after(210));
     assert_eq!(placer.requests(), 1, "the output is under way");
 }
 
@@ -345,7 +345,7 @@
     let first = admission(1);
     let refuser = reader(&placer.ask(&first, NOW));
     let reason = EngineRefusalReason::QueueFull;
-    placer.tell(&first, Fate::Refused { reason, told: None }, after(5));
+    placer.tell(&first, Progress::Refused { reason, told: None }, after(5));
     assert_eq!(placer.requests(), 0);
     let excluded = vec![refuser];
     let answer = placer.ask(&question(1, 2, Wanted::Engines { excluded }), after(6));
@@ -366,10 +366,10 @@
 fn what_nobody_speaks_of_any_more_is_forgotten_after_the_requests_time() {
     let mut placer = Placer::new();
     placer.ask(&admission(1), NOW);
-    placer.desk.sweep(&mut placer.router, after(4_400));
+    placer.table.sweep(&mut placer.router, after(4_400));
     assert_eq!(placer.requests(), 1);
-    placer.desk.sweep(&mut placer.router, after(5_100));
-    assert_eq!((placer.requests(), placer.desk.len()), (0, 0));
+    placer.table.sweep(&mut placer.router, after(5_100));
+    assert_eq!((placer.requests(), placer.table.len()), (0, 0));
 }
 
 #[test]
@@ -408,19 +408,19 @@
             let at = after(number * 10);
             let source = placer.router.handle_of(&EngineId::new("p1"));
             for _ in 0..times(*asked) {
-                placer.desk.answer(&mut placer.router, &admission(number), &settings, at);
+                placer.table.answer(&mut placer.router, &admission(number), &settings, at);
             }
             for _ in 0..times(*read) {
-                placer.desk.answer(&mut placer.router, &output(number, source), &settings, at);
+                placer.table.answer(&mut placer.router, &output(number, source), &settings, at);
             }
             for _ in 0..times(*ended) {
-                placer.tell(&output(number, source), Fate::Answered { pauses: Vec::new() }, at);
+                placer.tell(&output(number, source), Progress::Answered { pauses: Vec::new() }, at);
             }
             prop_assert!(placer.requests() as u64 <= number + 1);
-            prop_assert!(placer.requests() as usize <= placer.desk.len());
+            prop_assert!(placer.requests() as usize <= placer.table.len());
         }
-        placer.desk.sweep(&mut placer.router, after(60_000));
+        placer.table.sweep(&mut placer.router, after(60_000));
         prop_assert_eq!(placer.requests(), 0);
-        prop_assert!(placer.desk.is_empty());
+        prop_assert!(placer.table.is_empty());
     }
 }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -11,7 +11,7 @@
 use shelfjunction_core::forwarding::{
     Adoption, CallerWaits, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation, stopping,
 };
-use shelfjunction_core::placing::desk::Desk;
+use shelfjunction_core::placing::placement_table::PlacementTable;
 use shelfjunction_core::retry::window::WindowBudget;
 use shelfjunction_core::routing::pool::{EngineListing, ListChange, PoolEngine, PoolRouter, RecentChanges};
 use shelfjunction_core::time::MonotonicTime;
@@ -34,7 +34,7 @@
     /// Questions of this node to placers.
     pub(crate) placements: Placements,
     /// What this node has placed for others; locked before `router`.
-    pub(crate) desk: Mutex<Desk>,
+    pub(crate) placement_table: Mutex<PlacementTable>,
     pub(crate) metrics: Metrics,
     pub(crate) state: Arc<NodeState>,
     pub(crate) stop: Arc<StopSignal>,
@@ -115,7 +115,7 @@
             releases: Releases::default(),
             peers: Peers::new(&config, socket),
             placements: Placements::default(),
-            desk: Mutex::default(),
+            placement_table: Mutex::default(),
             metrics: Metrics::new(),
             state: Arc::new(NodeState::default()),
             stop: Arc::new(StopSignal::default()),
--- a/crates/node/src/course/accounting.rs
+++ b/crates/node/src/course/accounting.rs
@@ -6,7 +6,7 @@
 use crate::placing::{self, PlacedAt};
 use shelfjunction_core::engine::EngineRefusalReason;
 use shelfjunction_core::identity::EngineId;
-use shelfjunction_core::placing::question::{ChosenEngine, Fate};
+use shelfjunction_core::placing::question::{ChosenEngine, Progress};
 use shelfjunction_core::routing::pool::{PoolTicket, ToldLoad};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -92,7 +92,7 @@
                 lock(&self.context.router).on_output_begun(ticket, &self.prefixes, now);
                 self.context.peers.note_change();
             }
-            Account::Placer { at, .. } => placing::tell(self.context, at, Fate::Begun { told }),
+            Account::Placer { at, .. } => placing::tell(self.context, at, Progress::Begun { told }),
         }
     }
 
@@ -104,7 +104,7 @@
                 self.context.peers.note_change();
             }
             Account::Placer { at, pauses, .. } => {
-                placing::tell(self.context, &at, Fate::Answered { pauses });
+                placing::tell(self.context, &at, Progress::Answered { pauses });
             }
         }
     }
@@ -125,7 +125,7 @@
                 }
                 router.on_refused(ticket, reason, now);
             }
-            Account::Placer { at, .. } => placing::tell(self.context, at, Fate::Refused { reason, told }),
+            Account::Placer { at, .. } => placing::tell(self.context, at, Progress::Refused { reason, told }),
         }
     }
 
@@ -133,7 +133,7 @@
     pub(super) fn count_broken(&self, account: &Account) {
         match account {
             Account::Own(ticket) => lock(&self.context.router).on_broken(ticket, self.context.now()),
-            Account::Placer { at, .. } => placing::tell(self.context, at, Fate::Broken),
+            Account::Placer { at, .. } => placing::tell(self.context, at, Progress::Broken),
         }
     }
 
@@ -141,7 +141,7 @@
     pub(super) fn count_abandoned(&self, account: &Account) {
         match account {
             Account::Own(ticket) => lock(&self.context.router).on_abandoned(ticket),
-            Account::Placer { at, .. } => placing::tell(self.context, at, Fate::Abandoned),
+            Account::Placer { at, .. } => placing::tell(self.context, at, Progress::Abandoned),
         }
     }
 }
--- a/crates/node/src/course/placing.rs
+++ b/crates/node/src/course/placing.rs
@@ -8,7 +8,7 @@
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::placing::question::{
-    Answer, ChosenEngine, Fate, PlacedRequest, Placement as Placed, Question, RequestKey, Wanted,
+    Answer, ChosenEngine, PlacedRequest, Placement as Placed, Progress, Question, RequestKey, Wanted,
 };
 use shelfjunction_core::request::specification::Placement;
 use shelfjunction_core::routing::pool::{PoolEngine, shared_prefixes};
@@ -132,7 +132,7 @@
         };
         if known.is_none() {
             log::info!(request = self.call.request.as_str(), placer:% = at.address; "placed_engine_not_known");
-            placing::tell(self.context, at, Fate::Abandoned);
+            placing::tell(self.context, at, Progress::Abandoned);
         }
         known
     }
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -21,7 +21,7 @@
                 Some(Datagram::Work(message)) => take(context, *message, from),
                 Some(Datagram::Question(question)) => placing::answer(context, &question, from),
                 Some(Datagram::Answer(answer)) => context.placements.on_answer(*answer),
-                Some(Datagram::Fate(report)) => placing::take_fate(context, &report),
+                Some(Datagram::Progress(report)) => placing::take_progress(context, &report),
                 Some(Datagram::LivenessQuestion(question)) => {
                     placing::answer_liveness(context, question, from);
                 }
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::placing::question::{Answer, FateReport, Question};
+use shelfjunction_core::placing::question::{Answer, ProgressReport, Question};
 use shelfjunction_core::routing::pool::{EngineStage, ListNews, PeerWork, PrefixNews, WorkSlice};
 use shelfjunction_core::watching::TableWord;
 
@@ -89,7 +89,7 @@
     /// A placer's answer.
     Answer(Box<Answer>),
     /// Tells a placer what became of a request.
-    Fate(FateReport),
+    Progress(ProgressReport),
     /// Asks a placer about an engine.
     LivenessQuestion(LivenessQuestion),
     /// A placer's answer to that.
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -24,7 +24,7 @@
 use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::placing::config::PlacingSettings;
-use shelfjunction_core::placing::panel::Candidate;
+use shelfjunction_core::placing::placer_set::Candidate;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
--- a/crates/node/src/peers/placers.rs
+++ b/crates/node/src/peers/placers.rs
@@ -3,7 +3,7 @@
 use super::{Peer, Peers};
 use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::placing::panel::{Candidate, Panel};
+use shelfjunction_core::placing::placer_set::{Candidate, PlacerSet};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::net::SocketAddr;
@@ -14,7 +14,7 @@
     /// Each node for itself.
     Each,
     /// Some for all.
-    Panel(Panel),
+    Placers(PlacerSet),
 }
 
 /// Whether this node takes part in what a few nodes of a large fleet do for all, and every node of a small one.
@@ -33,7 +33,7 @@
     pub(super) fn shares_duty(&self, node: SubjectHandle) -> bool {
         match self {
             Self::Each => true,
-            Self::Panel(panel) => panel.includes(node),
+            Self::Placers(placers) => placers.includes(node),
         }
     }
 }
@@ -48,14 +48,14 @@
         let others = known.peers.values().filter(|peer| peer.may_place(now));
         let mut alive: Vec<Candidate> = others.map(Peer::candidate).collect();
         alive.push(self.own);
-        Placing::Panel(Panel::of(&alive, self.placing.placers))
+        Placing::Placers(PlacerSet::of(&alive, self.placing.placers))
     }
 
     /// Whether this node chooses engines for others, or each node for itself.
     pub(crate) fn is_placer(&self, now: MonotonicTime) -> bool {
         match self.placing(now) {
             Placing::Each => true,
-            Placing::Panel(panel) => panel.includes(self.own.node),
+            Placing::Placers(placers) => placers.includes(self.own.node),
         }
     }
 
@@ -88,13 +88,13 @@
     pub(super) fn told(&self, now: MonotonicTime) -> Vec<SocketAddr> {
         match self.placing(now) {
             Placing::Each => self.addresses(now),
-            Placing::Panel(panel) => self.addresses_among(&panel),
+            Placing::Placers(placers) => self.addresses_among(&placers),
         }
     }
 
-    fn addresses_among(&self, panel: &Panel) -> Vec<SocketAddr> {
+    fn addresses_among(&self, placers: &PlacerSet) -> Vec<SocketAddr> {
         let known = lock(&self.known);
-        let placers = known.peers.values().filter(|peer| panel.includes(peer.handle));
+        let placers = known.peers.values().filter(|peer| placers.includes(peer.handle));
         placers.map(|peer| peer.address).collect()
     }
 
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -97,13 +97,13 @@
                 self.owes_all = false;
                 self.tell_of_work(confirmed, true, now)
             }
-            Placing::Panel(panel) if panel.includes(own) => {
+            Placing::Placers(placers) if placers.includes(own) => {
                 self.tells_again = PLACER_TELLS_AGAIN;
                 let pause = self.tell_of_work(false, true, now);
                 self.tell_all(now);
                 pause
             }
-            Placing::Panel(_) => {
+            Placing::Placers(_) => {
                 self.tells_again = OTHERS_TELL_AGAIN;
                 self.owes_all = false;
                 self.tell_placers(confirmed, now)
--- a/crates/node/src/placing/answering.rs
+++ b/crates/node/src/placing/answering.rs
@@ -4,7 +4,7 @@
 
 use crate::context::Context;
 use crate::peers::{Datagram, LivenessAnswer, LivenessQuestion};
-use shelfjunction_core::placing::question::{Answer, FateReport, Placement, Question, Wanted};
+use shelfjunction_core::placing::question::{Answer, Placement, ProgressReport, Question, Wanted};
 use shelfjunction_threads::lock;
 use std::net::SocketAddr;
 
@@ -16,9 +16,9 @@
     }
     let now = context.now();
     let answer = {
-        let mut desk = lock(&context.desk);
+        let mut table = lock(&context.placement_table);
         let mut router = lock(&context.router);
-        desk.answer(&mut router, question, &context.config.admission, now)
+        table.answer(&mut router, question, &context.config.admission, now)
     };
     let Some(answer) = answer else {
         return log::debug!(from:% = from, number = question.key.number; "placement_not_answered");
@@ -62,10 +62,10 @@
 }
 
 /// Takes what became of a dispatch.
-pub(crate) fn take_fate(context: &Context, report: &FateReport) {
-    let mut desk = lock(&context.desk);
+pub(crate) fn take_progress(context: &Context, report: &ProgressReport) {
+    let mut table = lock(&context.placement_table);
     let mut router = lock(&context.router);
-    desk.on_fate(&mut router, report, context.now());
+    table.on_progress(&mut router, report, context.now());
     drop(router);
     context.peers.note_change();
 }
--- a/crates/node/src/placing/asking.rs
+++ b/crates/node/src/placing/asking.rs
@@ -3,7 +3,7 @@
 use crate::context::Context;
 use crate::peers::{Datagram, LivenessAnswer, LivenessQuestion, Placing};
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::placing::question::{Answer, Fate, FateReport, Question, RequestKey};
+use shelfjunction_core::placing::question::{Answer, Progress, ProgressReport, Question, RequestKey};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
@@ -93,11 +93,11 @@
         first: Option<SubjectHandle>,
     ) -> Asked {
         let now = context.now();
-        let Placing::Panel(panel) = context.peers.placing(now) else {
+        let Placing::Placers(placers) = context.peers.placing(now) else {
             return Asked::Own;
         };
         let silent = |placer: SubjectHandle| self.is_passed_over(placer, now);
-        let mut placers = panel.placers_of(subject, silent, PLACERS_ASKED);
+        let mut placers = placers.placers_of(subject, silent, PLACERS_ASKED);
         if let Some(first) = first.filter(|first| !silent(*first)) {
             placers.retain(|placer| *placer != first);
             placers.insert(0, first);
@@ -131,7 +131,7 @@
             context.metrics.placement("timed_out");
             log::info!(placer:% = address, number = question.key.number; "placer_silent");
             self.pass_over(placer, context.now());
-            tell(context, &at, Fate::Abandoned);
+            tell(context, &at, Progress::Abandoned);
         }
         Asked::Nobody { asked }
     }
@@ -191,13 +191,13 @@
 }
 
 /// Tells a placer what became of its answer.
-pub(crate) fn tell(context: &Context, at: &PlacedAt, fate: Fate) {
-    let report = FateReport {
+pub(crate) fn tell(context: &Context, at: &PlacedAt, progress: Progress) {
+    let report = ProgressReport {
         key: at.key,
         step: at.step,
-        fate,
+        progress,
     };
-    if let Some(bytes) = Datagram::Fate(report).encode() {
+    if let Some(bytes) = Datagram::Progress(report).encode() {
         context.peers.send(&bytes, at.address);
     }
 }
--- a/crates/node/src/placing/mod.rs
+++ b/crates/node/src/placing/mod.rs
@@ -3,5 +3,5 @@
 mod answering;
 mod asking;
 
-pub(crate) use answering::{answer, answer_liveness, take_fate};
+pub(crate) use answering::{answer, answer_liveness, take_progress};
 pub(crate) use asking::{Asked, PlacedAt, Placements, tell};
