--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -135,6 +135,7 @@
     let source = format!("peer {peer}");
     if let Some(config) = snapshot.config {
         context.offer(config, &source);
+        context.config_watch.on_caught_up();
     }
     if let Some(list) = snapshot.list {
         take_list(context, &list, &source);
--- a/crates/node/src/watch/contact.rs
+++ b/crates/node/src/watch/contact.rs
@@ -2,6 +2,7 @@
 
 use super::table::TableWatch;
 use crate::context::Context;
+use crate::peers::Duty;
 use rand::Rng;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -11,6 +12,10 @@
 /// First pause after a failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
+/// First pause after a failure of a node of a large fleet that is not on duty: those on duty tell it when the store is
+/// back.
+const FIRST_PAUSE_OFF_DUTY: Duration = Duration::from_millis(800);
+
 /// Longest pause of a node in a small fleet; a change must be in force within seconds after the store is back.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
@@ -72,7 +77,11 @@
         self.table.on_store_silent();
         self.failures += 1;
         let doublings = self.failures.saturating_sub(1).min(5);
-        let pause = (FIRST_PAUSE * (1 << doublings)).min(longest_pause(context));
+        let first = match context.peers.duty(context.now()) {
+            Duty::Off => FIRST_PAUSE_OFF_DUTY,
+            Duty::On | Duty::NotKnown => FIRST_PAUSE,
+        };
+        let pause = (first * (1 << doublings)).min(longest_pause(context));
         context
             .stop
             .wait(pause.mul_f64(rand::rng().random_range(0.7..1.3)));
