--- a/crates/core/src/watching/shared.rs
+++ b/crates/core/src/watching/shared.rs
@@ -95,6 +95,9 @@
     Watches,
     /// It asks where messages do not bring a change at once.
     Asks,
+    /// It is one of the few that watch for all, and the store did not answer its last question: it asks again until the
+    /// store does, however fresh the words of others keep it.
+    Regains,
     /// It asks where neither messages nor snapshots of others bring a change: in a large fleet the questions of all
     /// would cost the store more than they are worth.
     AsksLast,
@@ -204,8 +207,10 @@
 
     /// What to do next.
     pub fn next(&self, role: WatchRole, now: MonotonicTime) -> WatchStep {
-        if role == WatchRole::Watches {
-            return WatchStep::Ask(self.settings.wait());
+        match role {
+            WatchRole::Watches => return WatchStep::Ask(self.settings.wait()),
+            WatchRole::Regains => return WatchStep::Ask(Duration::ZERO),
+            WatchRole::Asks | WatchRole::AsksLast => {}
         }
         let fresh_until = self.confirmed_at.map(|at| at + self.settings.fresh());
         let due = match (fresh_until, self.lacking_due(role)) {
@@ -222,7 +227,7 @@
 
     fn lacking_due(&self, role: WatchRole) -> Option<MonotonicTime> {
         let hear_first = match role {
-            WatchRole::Watches | WatchRole::Asks => HEAR_FIRST,
+            WatchRole::Watches | WatchRole::Regains | WatchRole::Asks => HEAR_FIRST,
             WatchRole::AsksLast => Duration::from_millis(self.settings.bound_millis).mul_f64(HEAR_FIRST_PART),
         };
         let heard = self.lacking?.since + hear_first;
--- a/crates/core/tests/shared_watch.rs
+++ b/crates/core/tests/shared_watch.rs
@@ -233,3 +233,20 @@
         WatchStep::Rest(_)
     ));
 }
+
+/// Found on kadriks-riga-large: after the store had been down, the nodes off duty kept the placers fresh, no placer asked
+/// the store again, and so nobody watched: a change reached all nodes three seconds late.
+#[test]
+fn a_node_on_duty_asks_again_until_the_store_answers_however_fresh_others_keep_it() {
+    let mut watch = SharedWatch::new(SETTINGS);
+    watch.on_store_answer(70, at(1_000));
+    watch.on_word(word(7, 0), 7, at(5_000));
+    assert_eq!(
+        watch.next(WatchRole::Regains, at(5_000)),
+        WatchStep::Ask(Duration::ZERO)
+    );
+    assert!(matches!(
+        watch.next(WatchRole::AsksLast, at(5_000)),
+        WatchStep::Rest(_)
+    ));
+}
--- a/crates/node/src/commanding/mod.rs
+++ b/crates/node/src/commanding/mod.rs
@@ -8,6 +8,7 @@
 mod tenure;
 
 use crate::context::Context;
+use crate::peers::Duty;
 use ordering::Ordering;
 use shelfjunction_core::membership::rendezvous;
 use shelfjunction_core::membership::subject::SubjectHandle;
@@ -35,16 +36,17 @@
     }
 }
 
-/// Whether this node is the one that should hold the lease, among those that are heard and know the work at engines.
+/// Whether this node is the one that should hold the lease, among those that live and know the work at engines.
 fn is_candidate(context: &Context) -> bool {
     let now = context.now();
-    if !context.peers.is_placer(now) {
+    // Before the nodes are listed each would take itself for the only one, and they would take the lease from each other.
+    if matches!(context.peers.duty(now), Duty::Off | Duty::NotKnown) {
         return false;
     }
     let handle = |name: &str| SubjectHandle::of_text("node", name);
     let task = SubjectHandle::of_text("task", TASK);
     let own = rendezvous::weight(task, handle(context.config.node.as_str()));
-    let others = context.peers.heard_on_duty(now);
+    let others = context.peers.alive_on_duty(now);
     others
         .iter()
         .all(|node| rendezvous::weight(task, handle(node.as_str())) < own)
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -87,7 +87,7 @@
     }
 
     pub fn entering_spread_millis() -> u64 {
-        1_500
+        1_000
     }
 
     pub fn retry_ratio() -> f64 {
--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -127,7 +127,7 @@
 fn time_for_others(context: &Context) -> Duration {
     match context.peers.duty(context.now()) {
         Duty::Off => Duration::from_millis(rand::rng().random_range(PEER_FIRST_MILLIS)),
-        Duty::On | Duty::NotKnown => STORE_FIRST,
+        Duty::Placer | Duty::Shared | Duty::NotKnown => STORE_FIRST,
     }
 }
 
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -78,6 +78,11 @@
         self.last_message.is_some() && now.since(self.known_at) < HEARD_LATELY
     }
 
+    /// Whether it has spoken lately, or has only just become known.
+    fn is_alive(&self, now: MonotonicTime) -> bool {
+        now.since(self.known_at) < HEARD_LATELY
+    }
+
     /// Whether it may be a placer: one that says so, or one that has had no time yet to say anything.
     fn may_place(&self, now: MonotonicTime) -> bool {
         let is_fresh = now.since(self.known_at) < PLACER_SILENCE;
--- a/crates/node/src/peers/placers.rs
+++ b/crates/node/src/peers/placers.rs
@@ -20,8 +20,10 @@
 /// Whether this node takes part in what a few nodes of a large fleet do for all, and every node of a small one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Duty {
-    /// It does.
-    On,
+    /// Every node does.
+    Shared,
+    /// It is one of the few that do.
+    Placer,
     /// Others do.
     Off,
     /// The store has not listed the nodes yet.
@@ -64,7 +66,11 @@
         if !lock(&self.known).listed {
             return Duty::NotKnown;
         }
-        if self.is_placer(now) { Duty::On } else { Duty::Off }
+        match self.placing(now) {
+            Placing::Each => Duty::Shared,
+            Placing::Placers(placers) if placers.includes(self.own.node) => Duty::Placer,
+            Placing::Placers(_) => Duty::Off,
+        }
     }
 
     /// This node's short name.
@@ -109,12 +115,13 @@
         on_duty.map(|(node, _)| node.clone()).collect()
     }
 
-    /// Names of the other nodes on duty that said something a short time ago.
-    pub(crate) fn heard_on_duty(&self, now: MonotonicTime) -> Vec<NodeId> {
+    /// Names of the other nodes on duty that are taken for alive: they said something a short time ago, or have only
+    /// just been listed and have had no time to.
+    pub(crate) fn alive_on_duty(&self, now: MonotonicTime) -> Vec<NodeId> {
         let placing = self.placing(now);
         let known = lock(&self.known);
-        let heard = known.peers.iter().filter(|(_, peer)| peer.heard_lately(now));
-        let on_duty = heard.filter(|(_, peer)| placing.shares_duty(peer.handle));
+        let alive = known.peers.iter().filter(|(_, peer)| peer.is_alive(now));
+        let on_duty = alive.filter(|(_, peer)| placing.shares_duty(peer.handle));
         on_duty.map(|(node, _)| node.clone()).collect()
     }
 }
--- a/crates/node/src/watch/contact.rs
+++ b/crates/node/src/watch/contact.rs
@@ -79,7 +79,7 @@
         let doublings = self.failures.saturating_sub(1).min(5);
         let first = match context.peers.duty(context.now()) {
             Duty::Off => FIRST_PAUSE_OFF_DUTY,
-            Duty::On | Duty::NotKnown => FIRST_PAUSE,
+            Duty::Placer | Duty::Shared | Duty::NotKnown => FIRST_PAUSE,
         };
         let pause = (first * (1 << doublings)).min(longest_pause(context));
         context
--- a/crates/node/src/watch/table.rs
+++ b/crates/node/src/watch/table.rs
@@ -102,7 +102,7 @@
             let watches = is_watcher(
                 self.name,
                 context.peers.own_handle(),
-                state.in_contact && duty == Duty::On,
+                state.in_contact && matches!(duty, Duty::Shared | Duty::Placer),
                 &others,
                 self.settings.watchers,
             );
@@ -112,7 +112,8 @@
             let role = match (watches, duty) {
                 (true, _) => WatchRole::Watches,
                 (false, Duty::Off) => WatchRole::AsksLast,
-                (false, Duty::On | Duty::NotKnown) => WatchRole::Asks,
+                (false, Duty::Placer) if !state.in_contact => WatchRole::Regains,
+                (false, Duty::Placer | Duty::Shared | Duty::NotKnown) => WatchRole::Asks,
             };
             match state.watch.next(role, now) {
                 WatchStep::Ask(wait) => return wait,
