--- a/crates/core/tests/placing.rs
+++ b/crates/core/tests/placing.rs
@@ -2,9 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod pool_support;
+
+use pool_support::{engine_with, pool, router_with};
 use proptest::prelude::*;
 use shelfjunction_core::engine::EngineRefusalReason;
-use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig, ModelTraits, PoolConfig, PoolId};
 use shelfjunction_core::identity::{EngineId, ZoneId};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::placing::config::PlacingSettings;
@@ -14,8 +16,7 @@
     Answer, PlacedRequest, Placement, Progress, ProgressReport, Question, RequestKey, Wanted,
 };
 use shelfjunction_core::routing::pool::{
-    Admission, EngineStage, PoolAdmission, PoolEngine, PoolRouter, PoolWeights, PromptPart, PromptShape,
-    Timing,
+    Admission, EngineStage, PoolAdmission, PoolRouter, PoolWeights, PromptPart, PromptShape, Timing,
 };
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
@@ -140,55 +141,19 @@
     }
 }
 
-fn pool() -> PoolId {
-    PoolId("pool".to_owned())
-}
-
-fn engine(id: &str, stage: EngineStage) -> PoolEngine {
-    PoolEngine {
-        id: EngineId::new(id),
-        pool: pool(),
-        address: ([127, 0, 0, 1], 1_000 + id.bytes().map(u16::from).sum::<u16>()).into(),
-        zone: ZoneId::new("zone-a"),
-        places: 64,
-        leaving: false,
-        stage,
-        models: vec!["m".to_owned()],
-        warming: Duration::ZERO,
-    }
-}
-
 fn router() -> PoolRouter {
-    let mut router = PoolRouter::new(PoolWeights {
+    let weights = PoolWeights {
         decode_reading_pace: 0.001,
         ..PoolWeights::default()
-    });
-    let model = ModelTraits {
-        places: 64,
-        cache_tokens: 400_000,
-        transfer_lifetime: Duration::from_secs(5),
-        move_seconds: None,
-        role_change: Duration::from_secs(2),
     };
-    router.on_config(&ForwardingConfig {
-        version: 1,
-        routes: Vec::new(),
-        pools: vec![PoolConfig {
-            id: pool(),
-            connection_limit: 100,
-            model: Some(model),
-        }],
-        limits: CallerLimits::default(),
-    });
-    for (id, stage) in [
+    let engines = [
         ("p1", EngineStage::Prefill),
         ("p2", EngineStage::Prefill),
         ("d1", EngineStage::Decode),
         ("d2", EngineStage::Decode),
-    ] {
-        router.on_engine(engine(id, stage));
-    }
-    router
+    ];
+    let engines = engines.map(|(id, stage)| engine_with(id, stage, 64));
+    router_with(weights, 64, None, &engines)
 }
 
 fn question(number: u64, step: u32, wanted: Wanted) -> Question {
--- a/crates/core/tests/pool_admission.rs
+++ b/crates/core/tests/pool_admission.rs
@@ -2,15 +2,16 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod pool_support;
+
+use pool_support::{engine_with, pool, router_with};
 use proptest::prelude::*;
-use shelfjunction_core::forwarding::{
-    CallerLimits, CallerWaits, ForwardingConfig, ModelTraits, PoolConfig, PoolId, RouteId,
-};
+use shelfjunction_core::forwarding::{CallerWaits, PoolId, RouteId};
 use shelfjunction_core::identity::{EngineId, NodeId, ZoneId};
 use shelfjunction_core::routing::pool::{
     Admission, AdmissionDecision, EngineStage, ExpectationError, LATE_RANK, OutputWay, PeerWork,
-    PoolAdmission, PoolEngine, PoolQuery, PoolRoute, PoolRouter, PoolSpeeds, PoolWeights, PrefixBlock,
-    PromptPart, PromptShape, ReadingSpeed, Timing, TurnedAway, WorkSlice,
+    PoolAdmission, PoolQuery, PoolRoute, PoolRouter, PoolSpeeds, PoolWeights, PrefixBlock, PromptPart,
+    PromptShape, ReadingSpeed, Timing, TurnedAway, WorkSlice,
 };
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
@@ -20,50 +21,15 @@
 /// Tokens that the engines of these tests are assumed to read in a second.
 const SPEED: f64 = 100_000.0;
 
-fn pool() -> PoolId {
-    PoolId("pool".to_owned())
-}
-
-fn engine(id: &str, stage: EngineStage) -> PoolEngine {
-    PoolEngine {
-        id: EngineId::new(id),
-        pool: pool(),
-        address: ([127, 0, 0, 1], 1_000 + id.bytes().map(u16::from).sum::<u16>()).into(),
-        zone: ZoneId::new("zone-a"),
-        places: 4,
-        leaving: false,
-        stage,
-        models: vec!["m".to_owned()],
-        warming: Duration::ZERO,
-    }
-}
-
 fn router() -> PoolRouter {
-    let mut router = PoolRouter::new(PoolWeights {
+    let weights = PoolWeights {
         assumed_prompt_tokens_per_second: SPEED,
         decode_reading_pace: 0.001,
         ..PoolWeights::default()
-    });
-    router.on_config(&ForwardingConfig {
-        version: 1,
-        routes: Vec::new(),
-        pools: vec![PoolConfig {
-            id: pool(),
-            connection_limit: 100,
-            model: Some(ModelTraits {
-                places: 4,
-                cache_tokens: 400_000,
-                transfer_lifetime: Duration::from_secs(5),
-                move_seconds: Some(1e-7),
-                role_change: Duration::from_secs(2),
-            }),
-        }],
-        limits: CallerLimits::default(),
-    });
-    for (id, stage) in [("p1", EngineStage::Prefill), ("d1", EngineStage::Decode)] {
-        router.on_engine(engine(id, stage));
-    }
-    router
+    };
+    let engines = [("p1", EngineStage::Prefill), ("d1", EngineStage::Decode)]
+        .map(|(id, stage)| engine_with(id, stage, 4));
+    router_with(weights, 4, Some(1e-7), &engines)
 }
 
 struct Asked {
--- a/crates/core/tests/pool_router.rs
+++ b/crates/core/tests/pool_router.rs
@@ -2,8 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod pool_support;
+
+use pool_support::{engine_with, pool, router_with};
 use shelfjunction_core::engine::EngineRefusalReason;
-use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig, ModelTraits, PoolConfig, PoolId};
+use shelfjunction_core::forwarding::PoolId;
 use shelfjunction_core::identity::{EngineId, NodeId, ZoneId};
 use shelfjunction_core::routing::pool::{
     EngineStage, OutputWay, PeerWork, PoolEngine, PoolQuery, PoolRoute, PoolRouter, PoolWeights, PrefixBlock,
@@ -14,51 +17,16 @@
 
 const NOW: MonotonicTime = MonotonicTime::from_millis(10_000);
 
-fn pool() -> PoolId {
-    PoolId("pool".to_owned())
-}
-
 fn engine(id: &str, stage: EngineStage) -> PoolEngine {
-    PoolEngine {
-        id: EngineId::new(id),
-        pool: pool(),
-        address: ([127, 0, 0, 1], 1_000 + id.bytes().map(u16::from).sum::<u16>()).into(),
-        zone: ZoneId::new("zone-a"),
-        places: 64,
-        leaving: false,
-        stage,
-        models: vec!["m".to_owned()],
-        warming: Duration::ZERO,
-    }
+    engine_with(id, stage, 64)
 }
 
 fn router(engines: &[PoolEngine]) -> PoolRouter {
-    let mut router = PoolRouter::new(PoolWeights {
+    let weights = PoolWeights {
         decode_reading_pace: 0.001,
         ..PoolWeights::default()
-    });
-    let model = ModelTraits {
-        places: 64,
-        cache_tokens: 400_000,
-        transfer_lifetime: Duration::from_secs(5),
-        move_seconds: Some(4e-7),
-        role_change: Duration::from_secs(2),
     };
-    router.on_config(&ForwardingConfig {
-        version: 1,
-        routes: Vec::new(),
-        pools: vec![PoolConfig {
-            id: pool(),
-            connection_limit: 100,
-            model: Some(model),
-        }],
-        limits: CallerLimits::default(),
-    });
-    engines
-        .iter()
-        .cloned()
-        .for_each(|engine| router.on_engine(engine));
-    router
+    router_with(weights, 64, Some(4e-7), engines)
 }
 
 fn split_pool() -> Vec<PoolEngine> {
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -95,11 +95,11 @@
             Placing::Each => {
                 self.tells_again = TELL_AGAIN;
                 self.owes_all = false;
-                self.tell_of_work(confirmed, true, now)
+                self.tell_of_work(confirmed, now)
             }
             Placing::Placers(placers) if placers.includes(own) => {
                 self.tells_again = PLACER_TELLS_AGAIN;
-                let pause = self.tell_of_work(false, true, now);
+                let pause = self.tell_of_work(false, now);
                 self.tell_all(now);
                 pause
             }
@@ -112,7 +112,7 @@
     }
 
     /// Tells of the work at engines, in as many slices as it takes.
-    fn tell_of_work(&mut self, confirmed: bool, places: bool, now: MonotonicTime) -> Duration {
+    fn tell_of_work(&mut self, confirmed: bool, now: MonotonicTime) -> Duration {
         let peers = self.context.peers.told(now);
         let work = lock(&self.context.router).own_work();
         let slices = work.len().div_ceil(ENGINES_PER_SLICE).max(1) as u16;
@@ -128,7 +128,7 @@
             if index > 0 && !self.is_due(slice, &works, now) {
                 continue;
             }
-            let mut message = self.compose(slice, places, now);
+            let mut message = self.compose(slice, true, now);
             message.work = works.clone();
             message.news = lock(&self.context.router).take_news(MOST_NEWS);
             self.told_slices.insert(slice, (works, now));
