Serve callers by API key: engines see the tenant, never the key; unknown or withdrawn keys get 401

The configuration now holds the digests of keys, searched in constant time by the same code as the gateway's; a tenant's priority stands in place of its route's.

--- a/crates/core/src/forwarding/config.rs
+++ b/crates/core/src/forwarding/config.rs
@@ -2,6 +2,7 @@
 
 use super::route::RouteRule;
 use crate::setting::FieldError;
+use crate::tenancy::ApiTenants;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::fmt;
@@ -79,6 +80,8 @@
     pub pools: Vec<PoolConfig>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// Tenants; absent where callers need no key.
+    pub tenants: Option<ApiTenants>,
 }
 
 impl ForwardingConfig {
@@ -99,7 +102,7 @@
     pub fn validate(&self) -> Vec<FieldError> {
         let known: BTreeSet<&PoolId> = self.pools.iter().map(|pool| &pool.id).collect();
         let mut names = BTreeSet::new();
-        let mut errors = Vec::new();
+        let mut errors = self.tenants.as_ref().map_or_else(Vec::new, ApiTenants::validate);
         for route in &self.routes {
             let field = |name: &str| format!("routes.{}.{name}", route.id);
             if !names.insert(&route.id) {
--- a/crates/core/src/forwarding/route.rs
+++ b/crates/core/src/forwarding/route.rs
@@ -61,6 +61,8 @@
     pub priority: u8,
     /// Most engines on which one request is run.
     pub maximum_runs: u32,
+    /// Whether callers without a tenant's key are served.
+    pub anonymous: bool,
 }
 
 impl RouteRule {
--- a/crates/core/src/tenancy/directory.rs
+++ b/crates/core/src/tenancy/directory.rs
@@ -1,13 +1,13 @@
 //! From a bearer token to a tenant or an operator, in a time that does not depend on which one it is.
 
 use super::TenantBucket;
+use super::key_table::position_of;
 use crate::bundle::BundleInForce;
 use crate::bundle::content::{OperatorAction, OperatorRule, TenantRule};
 use crate::bundle::digest::Digest;
 use crate::bundle::manifest::tenant_bucket;
 use crate::identity::{Generation, TenantId};
 use std::sync::Arc;
-use subtle::{Choice, ConditionallySelectable, ConstantTimeEq};
 
 /// The tenants of the bundle in force.
 #[derive(Clone, Debug)]
@@ -36,7 +36,7 @@
             .buckets
             .iter()
             .flat_map(|bucket| bucket.token_digests().iter().copied());
-        let position = find_constant_time(&Digest::of(token.as_bytes()), digests)?;
+        let position = position_of(token, digests)?;
         self.buckets
             .iter()
             .flat_map(|bucket| bucket.rules())
@@ -79,7 +79,7 @@
     /// The operator with this bearer token.
     pub fn authenticate(&self, token: &str) -> Option<&OperatorRule> {
         let digests = self.token_digests.iter().copied();
-        let position = find_constant_time(&Digest::of(token.as_bytes()), digests)?;
+        let position = position_of(token, digests)?;
         self.operators.get(position)
     }
 }
@@ -93,15 +93,3 @@
 pub fn sees(rule: &OperatorRule, tenant: &TenantId) -> bool {
     rule.tenants.contains(tenant)
 }
-
-/// Position of the matching digest; always looks at every one.
-fn find_constant_time(wanted: &Digest, digests: impl Iterator<Item = Digest>) -> Option<usize> {
-    let mut position = 0_u64;
-    let mut found = Choice::from(0);
-    for (index, digest) in digests.enumerate() {
-        let matches = wanted.0.ct_eq(&digest.0);
-        position.conditional_assign(&(index as u64), matches);
-        found |= matches;
-    }
-    bool::from(found).then_some(position as usize)
-}
--- a/crates/core/src/tenancy/mod.rs
+++ b/crates/core/src/tenancy/mod.rs
@@ -1,9 +1,12 @@
 //! Who a caller is and what keeps tenants apart.
 
+mod access;
 mod bucket;
 mod directory;
+mod key_table;
 mod salt;
 
+pub use access::{AccessRefusal, ApiKey, ApiTenant, ApiTenants};
 pub use bucket::TenantBucket;
 pub use directory::{OperatorDirectory, TenantDirectory, may, sees};
 pub use salt::CacheSecret;
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -40,6 +40,7 @@
         event_gap: None,
         priority: 0,
         maximum_runs: 1,
+        anonymous: false,
     }
 }
 
@@ -54,6 +55,7 @@
         routes,
         pools: vec![pool("a"), pool("b")],
         limits: CallerLimits::default(),
+        tenants: None,
     }
 }
 
--- a/crates/core/tests/pool_support/mod.rs
+++ b/crates/core/tests/pool_support/mod.rs
@@ -50,6 +50,7 @@
             model: Some(model),
         }],
         limits: CallerLimits::default(),
+        tenants: None,
     });
     engines
         .iter()
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -58,6 +58,10 @@
     pub source: Option<String>,
     /// The engine from which held parts were to be fetched.
     pub fetched_from: Option<String>,
+    /// The tenant that the system named.
+    pub tenant: Option<String>,
+    /// The caller's API key, which no engine may see.
+    pub key: Option<String>,
 }
 
 #[derive(Debug, Default)]
@@ -319,6 +323,8 @@
             .unwrap_or(0),
         source: request.header("Kv-Source").map(str::to_owned),
         fetched_from: request.header("Kv-Fetch").map(str::to_owned),
+        tenant: request.header("Tenant").map(str::to_owned),
+        key: request.header("Key").map(str::to_owned),
     }
 }
 
--- a/crates/node/src/course/admitting.rs
+++ b/crates/node/src/course/admitting.rs
@@ -87,7 +87,7 @@
         if self.late {
             LATE_RANK
         } else {
-            rank_of(self.route.priority)
+            rank_of(self.access.priority)
         }
     }
 
@@ -96,7 +96,7 @@
         if self.late {
             LATE_URGENCY
         } else {
-            self.route.priority.min(LAST_URGENCY_IN_TIME)
+            self.access.priority.min(LAST_URGENCY_IN_TIME)
         }
     }
 
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -70,6 +70,7 @@
         exchange.link.begin(&EngineCall {
             call: self.call,
             engine: &target.engine,
+            tenant: self.access.tenant.as_ref(),
             stage,
             fetch_from,
             time_left: left,
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -1,5 +1,6 @@
 //! The loop that drives one opaque request's machine in its caller's thread.
 
+use super::access::Access;
 use super::accounting::PlacedChoice;
 use super::admitting::Promise;
 use super::exchange::Exchange;
@@ -44,6 +45,7 @@
     pub(super) caller: &'a mut dyn CallerConnection,
     pub(super) call: &'a Call,
     pub(super) route: &'a RouteRule,
+    pub(super) access: Access,
     pub(super) pool: &'a PoolId,
     pub(super) keep: bool,
     pub(super) machine: RequestMachine,
@@ -92,11 +94,12 @@
         caller: &'a mut dyn CallerConnection,
         call: &'a Call,
         route: &'a RouteRule,
+        access: Access,
         pool: &'a PoolId,
         keep: bool,
     ) -> Self {
         let deadline = routing::deadline(context, call, route);
-        let specification = routing::specification(call, route, pool, deadline);
+        let specification = routing::specification(call, route, &access, pool, deadline);
         let machine = RequestMachine::new(specification, routing::limits(route))
             .after_event(super::caller_position(route, call));
         let prompt = call
@@ -108,6 +111,7 @@
             caller,
             call,
             route,
+            access,
             pool,
             keep,
             machine,
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -1,5 +1,6 @@
 //! Serves one call: its route, its request machine, and the thread's waits between caller and engine.
 
+mod access;
 mod accounting;
 mod admitting;
 mod answering;
@@ -12,6 +13,7 @@
 
 use crate::context::Context;
 use crate::ports::{Call, CallerConnection, OwnAnswer};
+use access::Access;
 use driver::Driver;
 use shelfjunction_core::forwarding::{PoolId, RepeatRule, RouteRule};
 use std::time::Duration;
@@ -42,6 +44,20 @@
         );
         return caller.say(&call.request, OwnAnswer::NoRoute, keep).is_ok() && keep;
     };
+    let access = match Access::of(&config, route, call) {
+        Ok(access) => access,
+        Err(refusal) => {
+            log::info!(
+                request = call.request.as_str(),
+                route:% = route.id,
+                cause = refusal.name(),
+                version = config.version;
+                "refused_no_access"
+            );
+            context.metrics.access_refused(refusal.name());
+            return caller.say(&call.request, OwnAnswer::NoAccess, keep).is_ok() && keep;
+        }
+    };
     let longest = call
         .time_left
         .map_or(route.timeout, |left| left.min(route.timeout));
@@ -61,13 +77,15 @@
         route:% = route.id,
         pool:% = pool,
         version = config.version,
+        tenant = access.tenant_name(),
+        priority = access.priority,
         prompt_tokens = call.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
         output_tokens = call.prompt.as_ref().map_or(0, |prompt| prompt.output_tokens),
         output_estimate:? = call.prompt.as_ref().and_then(|prompt| prompt.output_estimate),
         left_millis:? = call.time_left.map(|left| left.as_millis() as u64);
         "request_routed"
     );
-    Driver::new(context, caller, call, route, &pool, keep).run()
+    Driver::new(context, caller, call, route, access, &pool, keep).run()
 }
 
 /// Whether a route's requests name prompts for the pool's engines.
--- a/crates/node/src/course/routing.rs
+++ b/crates/node/src/course/routing.rs
@@ -1,5 +1,6 @@
 //! The request as the router and the machine see it.
 
+use super::access::Access;
 use crate::context::Context;
 use crate::ports::Call;
 use shelfjunction_core::bundle::content::ModelKind;
@@ -20,6 +21,7 @@
 pub(super) fn specification(
     call: &Call,
     route: &RouteRule,
+    access: &Access,
     pool: &PoolId,
     deadline: MonotonicTime,
 ) -> RequestSpecification {
@@ -27,7 +29,7 @@
     RequestSpecification {
         form: RequestForm::Opaque(route.repeat),
         request: call.request.clone(),
-        tenant: TenantId::new(""),
+        tenant: access.tenant.clone().unwrap_or_else(|| TenantId::new("")),
         model: ModelId::new(pool.0.clone()),
         adapter: None,
         kind: if is_model {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -43,6 +43,7 @@
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     dispatches: Family<DispatchLabels, Counter>,
+    access_refusals: Family<ResultLabel, Counter>,
     retries: Family<ResultLabel, Counter>,
     store_calls: Family<ResultLabel, Counter>,
     orders: Family<ResultLabel, Counter>,
@@ -82,6 +83,7 @@
             registry: Registry::with_prefix(PREFIX),
             requests: Family::default(),
             dispatches: Family::default(),
+            access_refusals: Family::default(),
             retries: Family::default(),
             store_calls: Family::default(),
             orders: Family::default(),
@@ -128,6 +130,10 @@
             .inc();
     }
 
+    pub(crate) fn access_refused(&self, result: &'static str) {
+        self.access_refusals.get_or_create(&ResultLabel { result }).inc();
+    }
+
     pub(crate) fn retry_asked(&self, granted: bool) {
         let result = if granted { "granted" } else { "denied" };
         self.retries.get_or_create(&ResultLabel { result }).inc();
@@ -170,6 +176,11 @@
             "Dispatches to engines that ended",
             self.dispatches.clone(),
         );
+        registry.register(
+            "access_refusals",
+            "Requests that brought no key or one that no tenant has",
+            self.access_refusals.clone(),
+        );
         registry.register("retries", "Repeats that were asked for", self.retries.clone());
         registry.register(
             "store_calls",
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -2,9 +2,10 @@
 
 use shelfjunction_core::engine::{EngineRefusal, KvTransfer};
 use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig};
-use shelfjunction_core::identity::{EngineId, FencingToken, NodeId, RequestId};
+use shelfjunction_core::identity::{EngineId, FencingToken, NodeId, RequestId, TenantId};
 use shelfjunction_core::routing::pool::{EngineStage, ListChange, PromptPart, PromptShape, ToldLoad};
 use shelfjunction_core::table::PlatformError;
+use shelfjunction_core::tenancy::ApiKey;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::BorrowedFd;
@@ -24,6 +25,8 @@
 pub struct Call {
     /// The caller's name for it.
     pub request: RequestId,
+    /// The caller's API key; stands in no other field.
+    pub key: Option<ApiKey>,
     /// Method.
     pub method: String,
     /// Path with its query, as the caller wrote it.
@@ -83,6 +86,8 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// No tenant has its key; it has not run.
+    NoAccess,
     /// No route takes it.
     NoRoute,
     /// It is malformed.
@@ -144,6 +149,8 @@
     pub call: &'a Call,
     /// The engine that is meant.
     pub engine: &'a EngineId,
+    /// The tenant whose request it is.
+    pub tenant: Option<&'a TenantId>,
     /// Part to do.
     pub stage: CallStage,
     /// Engine from which the prompt's held part is fetched first.
