Report the usage of tenants: counted by nodes, recorded in the store, sent by the lease's holder

Each node counts requests that begin, by window of true time, which is the middle of the clocks it hears, and tells counters that only rise to the placers every 0.4 s; the holder of the lease sums them when every node heard has told all, or after 6 of 10 s; figures lie in the store, written on the condition that none were there, before they are sent. The holder keeps the lease while the store answers it, others stand back while one says that it holds; a stop releases it; it lasts 4.5 s (6 before). Ruled out: counting at the answer only (off by 637 of 2,182 requests a window for want of plain requests). What a killed node has counted within 0.4 s and not told is lost.

--- a/crates/cli/src/node/forwarder.rs
+++ b/crates/cli/src/node/forwarder.rs
@@ -4,9 +4,10 @@
 use super::start_error;
 use crate::exit::CommandError;
 use crate::settings::{NodeSettings, ProgramSettings};
-use shelfjunction_adapter::{PlatformCallers, PlatformEngines, PlatformStore, serve_readiness};
+use shelfjunction_adapter::{PlatformApi, PlatformCallers, PlatformEngines, PlatformStore, serve_readiness};
 use shelfjunction_core::setting::FieldError;
 use shelfjunction_logging::LogLosses;
+use shelfjunction_node::ports::PlatformDuties;
 use shelfjunction_node::{Adapters, NodeConfig, NodeHandle};
 use std::path::Path;
 use std::sync::Arc;
@@ -48,6 +49,7 @@
         store: store.clone(),
         directory: store.clone(),
         table: store,
+        duties: duties(&config),
     };
     let (node, zone, listen, ready_listen) = (
         config.node.clone(),
@@ -79,6 +81,12 @@
     Ok(())
 }
 
+/// The platform's interface for duties, where the settings name one.
+fn duties(config: &NodeConfig) -> Option<Arc<dyn PlatformDuties>> {
+    let settings = config.duties.as_ref()?;
+    Some(Arc::new(PlatformApi::new(settings.address)))
+}
+
 /// Takes the log level of new settings; what else has changed takes a restart. Faulty settings change nothing.
 fn take_settings(loaded: Result<NodeSettings<NodeConfig>, CommandError>, running: &NodeConfig) {
     match loaded {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ledger;
 pub mod machine;
 pub mod membership;
+pub mod metering;
 pub mod orders;
 pub mod outcome;
 pub mod placing;
--- /dev/null
+++ b/crates/core/src/metering/reporter.rs
@@ -0,0 +1,251 @@
+//! Which report is recorded or sent next, by the holder of the lease; without I/O.
+//!
+//! A report is sent only after its figures lie in the store, written on the condition that none were there. Whoever
+//! holds the lease later reads them and sends the very same, so that no window ever gets two different reports.
+
+use super::config::MeteringSettings;
+use super::record::{Records, Served, recording};
+use super::tally::{TenantCounts, UsageTally};
+use super::{UnixTime, WindowNumber};
+use crate::identity::FencingToken;
+use crate::table::{PlatformError, Transaction, TransactionOutcome};
+use crate::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Pause after a call that failed; some thirty fit into the time in which a report is due.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Time after a window's end at which its report is given up; late figures are of use to whoever bills, but the rows
+/// must not pile up behind a report that the platform never takes.
+const GIVEN_UP_AFTER: Duration = Duration::from_secs(600);
+
+/// Windows for which a report is still made though nobody had the duty when they ended.
+const MADE_UP_FOR: u64 = 20;
+
+/// Records that one transaction clears at most; the store takes 100 entries at once.
+const CLEARED_AT_ONCE: usize = 8;
+
+/// What is to be done next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Read the rows of reports.
+    Load,
+    /// Make the transaction that records a window.
+    Record {
+        /// The window.
+        window: WindowNumber,
+        /// Its figures.
+        counts: TenantCounts,
+        /// The transaction.
+        transaction: Transaction,
+        /// Whether every node has told all.
+        whole: bool,
+    },
+    /// Send a report.
+    Send {
+        /// The window.
+        window: WindowNumber,
+        /// Its figures.
+        counts: TenantCounts,
+    },
+    /// Nothing; a report that the platform never took was given up.
+    GivenUp(WindowNumber),
+}
+
+/// What became of a report that was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendOutcome {
+    /// The platform has it.
+    Accepted,
+    /// A higher token was seen: somebody else has the duty.
+    Fenced,
+    /// The platform understood it and won't take it.
+    Rejected,
+    /// It may or may not have it.
+    Unknown,
+}
+
+#[derive(Clone, Debug)]
+enum Phase {
+    Recorded(TenantCounts),
+    Confirmed,
+}
+
+/// Reports of one process.
+#[derive(Clone, Debug)]
+pub struct UsageReporter {
+    settings: MeteringSettings,
+    token: Option<FencingToken>,
+    fenced: Option<FencingToken>,
+    loaded: bool,
+    windows: BTreeMap<WindowNumber, Phase>,
+    confirmed_through: Option<WindowNumber>,
+    served: Vec<Served>,
+    next_call_at: MonotonicTime,
+}
+
+impl UsageReporter {
+    /// A reporter that has made no report.
+    pub fn new(settings: MeteringSettings) -> Self {
+        Self {
+            settings,
+            token: None,
+            fenced: None,
+            loaded: false,
+            windows: BTreeMap::new(),
+            confirmed_through: None,
+            served: Vec::new(),
+            next_call_at: MonotonicTime::default(),
+        }
+    }
+
+    /// The next step under a token, at true time `unix`; none while there is nothing to do or it is too soon.
+    pub fn next(
+        &mut self,
+        token: FencingToken,
+        tally: &UsageTally,
+        unix: UnixTime,
+        now: MonotonicTime,
+    ) -> Option<Step> {
+        if self.fenced.is_some_and(|fenced| token <= fenced) || now < self.next_call_at {
+            return None;
+        }
+        if self.token != Some(token) {
+            self.token = Some(token);
+            self.loaded = false;
+        }
+        if !self.loaded {
+            return Some(Step::Load);
+        }
+        self.record_due(tally, unix).or_else(|| self.send_due(unix))
+    }
+
+    /// Takes what the rows of reports say.
+    pub fn on_loaded(&mut self, records: Result<Records, PlatformError>, now: MonotonicTime) {
+        let Ok(records) = records else {
+            self.next_call_at = now + RETRY_AFTER;
+            return;
+        };
+        self.loaded = true;
+        self.windows.clear();
+        self.served.clear();
+        self.confirmed_through = records.confirmed_through;
+        for (window, counts) in records.reports {
+            if records.confirmed_through.is_some_and(|through| window <= through) {
+                self.served.push(Served::of(window, &counts));
+            } else {
+                self.windows.insert(window, Phase::Recorded(counts));
+            }
+        }
+    }
+
+    /// Takes the outcome of a recording. Whatever is not plainly made is read again: the answer may have been lost, or
+    /// somebody else may have been first.
+    pub fn on_recorded(
+        &mut self,
+        window: WindowNumber,
+        counts: TenantCounts,
+        outcome: &Result<TransactionOutcome, PlatformError>,
+        now: MonotonicTime,
+    ) {
+        match outcome {
+            Ok(TransactionOutcome::Committed { .. }) => {
+                self.windows.insert(window, Phase::Recorded(counts));
+                let cleared = self.served.len().min(CLEARED_AT_ONCE);
+                self.served.drain(..cleared);
+            }
+            Ok(TransactionOutcome::Conflict { .. }) => self.loaded = false,
+            Err(_) => {
+                self.loaded = false;
+                self.next_call_at = now + RETRY_AFTER;
+            }
+        }
+    }
+
+    /// Takes the outcome of a sending.
+    pub fn on_sent(&mut self, window: WindowNumber, outcome: SendOutcome, now: MonotonicTime) {
+        match outcome {
+            SendOutcome::Accepted => self.confirm(window),
+            // Somebody else has the duty, and reads the same row.
+            SendOutcome::Fenced => self.fenced = self.token,
+            SendOutcome::Rejected | SendOutcome::Unknown => self.next_call_at = now + RETRY_AFTER,
+        }
+    }
+
+    /// Windows that were recorded and not confirmed.
+    pub fn unconfirmed(&self) -> usize {
+        let unconfirmed = self.windows.values();
+        unconfirmed
+            .filter(|phase| matches!(phase, Phase::Recorded(_)))
+            .count()
+    }
+
+    /// Every window up to this one was confirmed or given up.
+    pub fn confirmed_through(&self) -> Option<WindowNumber> {
+        self.confirmed_through
+    }
+
+    fn confirm(&mut self, window: WindowNumber) {
+        if let Some(phase) = self.windows.get_mut(&window) {
+            if let Phase::Recorded(counts) = phase {
+                self.served.push(Served::of(window, counts));
+            }
+            *phase = Phase::Confirmed;
+        }
+        while let Some(first) = self.windows.first_entry() {
+            if !matches!(first.get(), Phase::Confirmed) {
+                return;
+            }
+            let (window, _) = first.remove_entry();
+            self.confirmed_through = self.confirmed_through.max(Some(window));
+        }
+    }
+
+    /// The oldest window that has ended and is not recorded, once its counts are whole or have been waited for.
+    fn record_due(&self, tally: &UsageTally, unix: UnixTime) -> Option<Step> {
+        let length = self.settings.window();
+        let present = WindowNumber::of(unix, length);
+        let first = self.first_to_record(tally, present)?;
+        let mut unrecorded = (first.0..present.0).map(WindowNumber);
+        let window = unrecorded.find(|window| !self.windows.contains_key(window))?;
+        let whole = tally.nodes() > 0 && tally.is_whole(window);
+        let waited = unix.since(window.end(length));
+        if !whole && waited < self.settings.patience() {
+            return None;
+        }
+        let counts = tally.counts(window);
+        let cleared = &self.served[..self.served.len().min(CLEARED_AT_ONCE)];
+        Some(Step::Record {
+            window,
+            transaction: recording(window, &counts, self.confirmed_through, cleared),
+            counts,
+            whole,
+        })
+    }
+
+    /// Reports follow on the last confirmed one; the very first is for the first window that counted anything.
+    fn first_to_record(&self, tally: &UsageTally, present: WindowNumber) -> Option<WindowNumber> {
+        let oldest = WindowNumber(present.0.saturating_sub(MADE_UP_FOR));
+        let known = self
+            .confirmed_through
+            .map(|through| WindowNumber(through.0 + 1))
+            .or_else(|| self.windows.keys().next().copied());
+        known
+            .or_else(|| tally.first_counted())
+            .map(|first| first.max(oldest))
+    }
+
+    fn send_due(&mut self, unix: UnixTime) -> Option<Step> {
+        let recorded = self.windows.iter().find_map(|(window, phase)| match phase {
+            Phase::Recorded(counts) => Some((*window, counts.clone())),
+            Phase::Confirmed => None,
+        });
+        let (window, counts) = recorded?;
+        if unix.since(window.end(self.settings.window())) < GIVEN_UP_AFTER {
+            return Some(Step::Send { window, counts });
+        }
+        self.confirm(window);
+        Some(Step::GivenUp(window))
+    }
+}
--- a/crates/lab/src/users_platform/mod.rs
+++ b/crates/lab/src/users_platform/mod.rs
@@ -1,8 +1,10 @@
-//! Small stand-ins of the users' platform, on its published wire: the store with conditions and a feed, and engines
-//! that read prompts, run outputs and take orders.
+//! Small stand-ins of the users' platform, on its published wire: the store with conditions and a feed, engines that
+//! read prompts, run outputs and take orders, and the interface that takes usage reports and orders of engines.
 
 mod engine;
+mod interface;
 mod store;
 
 pub use engine::{EngineFault, EngineSettings, ModelEngine, OrderRecord, RunRecord};
+pub use interface::{InterfaceMode, ScaleOrder, StandInInterface, UsageReport};
 pub use store::{StandInStore, StoreMode};
--- a/crates/node/src/commanding/mod.rs
+++ b/crates/node/src/commanding/mod.rs
@@ -27,27 +27,40 @@
     let mut tenure = Tenure::new(context);
     let mut ordering = Ordering::default();
     while !context.stop.wait(LOOK_EVERY) {
-        if context.state.is_stopping() || !context.state.is_ready() || !is_candidate(context) {
+        if context.state.is_stopping() {
+            // A successor need not wait for the lease to lapse.
+            tenure.release(context, table);
             continue;
         }
-        if let Some(authority) = tenure.authority(context, table) {
+        if !context.state.is_ready() || !is_candidate(context) {
+            continue;
+        }
+        tenure.tick(context, table);
+        if let Some(authority) = tenure.orders_with(context.now()) {
             ordering.step(context, authority);
         }
     }
 }
 
-/// Whether this node is the one that should hold the lease, among those that live and know the work at engines.
+/// Whether this node should hold the lease: it does already, or nobody does and it comes first among those that live,
+/// know the work at engines and are answered by the store. A holder stays one, since each change of it costs the time
+/// for which a lease has to lapse.
 fn is_candidate(context: &Context) -> bool {
     let now = context.now();
+    if context.authority(now).is_some() {
+        return true;
+    }
     // Before the nodes are listed each would take itself for the only one, and they would take the lease from each other.
     if matches!(context.peers.duty(now), Duty::Off | Duty::NotKnown) {
         return false;
     }
-    let handle = |name: &str| SubjectHandle::of_text("node", name);
+    if !context.in_contact_with_store() || context.peers.another_holds_lease(now) {
+        return false;
+    }
     let task = SubjectHandle::of_text("task", TASK);
-    let own = rendezvous::weight(task, handle(context.config.node.as_str()));
-    let others = context.peers.alive_on_duty(now);
+    let own = rendezvous::weight(task, context.peers.own_handle());
+    let others = context.peers.lease_candidates(now);
     others
-        .iter()
-        .all(|node| rendezvous::weight(task, handle(node.as_str())) < own)
+        .into_iter()
+        .all(|node| rendezvous::weight(task, node) < own)
 }
--- a/crates/node/src/commanding/tenure.rs
+++ b/crates/node/src/commanding/tenure.rs
@@ -17,6 +17,8 @@
 pub(super) struct Tenure {
     keeper: LeaseKeeper,
     order_from: MonotonicTime,
+    stopping: bool,
+    held_once: bool,
 }
 
 impl Tenure {
@@ -30,17 +32,38 @@
         Self {
             keeper,
             order_from: MonotonicTime::default(),
+            stopping: false,
+            held_once: false,
         }
     }
 
-    /// The right to order now, after the calls that are due; absent without a lease or too soon after its taking.
-    pub(super) fn authority(&mut self, context: &Context, table: &dyn TableService) -> Option<Authority> {
+    /// Makes the calls that are due, and tells the other threads whether this node holds the lease.
+    pub(super) fn tick(&mut self, context: &Context, table: &dyn TableService) {
         let effects = self.keeper.handle(LeaseEvent::Tick, context.now());
         self.carry_out(context, table, effects);
-        let now = context.now();
+        context.set_authority(self.keeper.authority(context.now()));
+    }
+
+    /// The right to order engines now; absent without a lease or too soon after its taking.
+    pub(super) fn orders_with(&self, now: MonotonicTime) -> Option<Authority> {
         self.keeper.authority(now).filter(|_| now >= self.order_from)
     }
 
+    /// Gives the lease up for good; repeated until the store has confirmed it.
+    pub(super) fn release(&mut self, context: &Context, table: &dyn TableService) {
+        context.set_authority(None);
+        if !self.held_once || self.keeper.is_released() {
+            return;
+        }
+        let event = if std::mem::replace(&mut self.stopping, true) {
+            LeaseEvent::Tick
+        } else {
+            LeaseEvent::Release
+        };
+        let effects = self.keeper.handle(event, context.now());
+        self.carry_out(context, table, effects);
+    }
+
     fn carry_out(&mut self, context: &Context, table: &dyn TableService, effects: Vec<LeaseEffect>) {
         let mut pending = effects;
         while !pending.is_empty() {
@@ -68,6 +91,7 @@
     /// The first token of all has no holder before it.
     fn gained(&mut self, context: &Context, authority: Authority) {
         context.metrics.lease_held.set(1);
+        self.held_once = true;
         let is_first = authority.token.0 <= 1;
         let now = context.now();
         self.order_from = if is_first { now } else { now + FIRST_ORDER_AFTER };
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::identity::{NodeId, ZoneId};
 use shelfjunction_core::lease::LeaseTimings;
+use shelfjunction_core::metering::config::MeteringSettings;
 use shelfjunction_core::placing::config::PlacingSettings;
 use shelfjunction_core::retry::window::WindowBudgetSettings;
 use shelfjunction_core::roles::pool::PoolRolePolicy;
@@ -64,8 +65,8 @@
     /// Most callers' connections at once.
     #[serde(default = "defaults::connections")]
     pub connections: usize,
-    /// Times of the lease over the engines.
-    #[serde(default)]
+    /// Times of the lease over orders and duties.
+    #[serde(default = "defaults::lease")]
     pub lease: LeaseTimings,
     /// When engines change their stage.
     #[serde(default)]
@@ -79,9 +80,48 @@
     /// Which nodes choose engines for which requests.
     #[serde(default)]
     pub placing: PlacingSettings,
+    /// How usage of tenants is counted; not at all without it.
+    #[serde(default)]
+    pub metering: Option<MeteringSettings>,
+    /// The platform's own interface, where one node at a time has duties; none without it.
+    #[serde(default)]
+    pub duties: Option<DutySettings>,
+}
+
+/// Settings of the duties that one node at a time has towards the platform.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DutySettings {
+    /// Address of the platform's interface.
+    pub address: SocketAddr,
+    /// What is to be done there; words that this version doesn't know are left to others.
+    pub tasks: Vec<String>,
+}
+
+/// Task: report the usage of tenants.
+pub const USAGE_REPORTING: &str = "usage_reporting";
+
+impl DutySettings {
+    /// Whether a task is to be done.
+    pub fn has(&self, task: &str) -> bool {
+        self.tasks.iter().any(|one| one == task)
+    }
 }
 
 mod defaults {
+    use shelfjunction_core::lease::LeaseTimings;
+
+    /// A window's usage is due ten seconds after its end: a successor of a holder that was cut off has 3.5 s to notice
+    /// and 4.5 s to wait for the lease to lapse.
+    pub fn lease() -> LeaseTimings {
+        LeaseTimings {
+            duration_millis: 4_500,
+            margin_millis: 1_000,
+            renew_every_millis: 1_000,
+            ..LeaseTimings::default()
+        }
+    }
+
     pub fn processor_share() -> f64 {
         1.0
     }
@@ -131,6 +171,7 @@
         errors.extend(self.lease.validate());
         errors.extend(self.config_watch.validate("config_watch"));
         errors.extend(self.list_watch.validate("list_watch"));
+        errors.extend(self.metering.iter().flat_map(MeteringSettings::validate));
         let fractions = [
             ("node.processor_share", self.processor_share),
             ("node.retry_ratio", self.retry_ratio),
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -2,6 +2,7 @@
 
 use crate::config::NodeConfig;
 use crate::links::Links;
+use crate::metering::Metering;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::placing::Placements;
@@ -11,6 +12,8 @@
 use shelfjunction_core::forwarding::{
     Adoption, CallerWaits, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation, stopping,
 };
+use shelfjunction_core::lease::Authority;
+use shelfjunction_core::metering::clock::FleetClock;
 use shelfjunction_core::placing::placement_table::PlacementTable;
 use shelfjunction_core::retry::window::WindowBudget;
 use shelfjunction_core::routing::pool::{EngineListing, ListChange, PoolEngine, PoolRouter, RecentChanges};
@@ -44,6 +47,13 @@
     pub(crate) listing: Mutex<EngineListing>,
     /// Changes of the list that the store has told this node; locked after `listing`.
     pub(crate) recent_changes: Mutex<RecentChanges>,
+    /// Random number of this start of the process.
+    pub(crate) start: u64,
+    /// True time, as the nodes' clocks tell it.
+    pub(crate) fleet_clock: Mutex<FleetClock>,
+    /// Usage of tenants; absent where it is not counted.
+    pub(crate) metering: Option<Metering>,
+    authority: Mutex<Option<Authority>>,
     in_force: Mutex<ConfigInForce>,
     rotation: Mutex<ShareRotation>,
     budgets: Mutex<BTreeMap<PoolId, WindowBudget>>,
@@ -124,6 +134,10 @@
             list_watch: TableWatch::new("engines", config.list_watch),
             listing: Mutex::new(EngineListing::default()),
             recent_changes: Mutex::new(RecentChanges::default()),
+            start: rand::random(),
+            fleet_clock: Mutex::default(),
+            metering: config.metering.map(Metering::new),
+            authority: Mutex::default(),
             in_force: Mutex::new(ConfigInForce::default()),
             rotation: Mutex::new(ShareRotation::default()),
             budgets: Mutex::new(BTreeMap::new()),
@@ -137,6 +151,20 @@
         self.clock.now()
     }
 
+    /// The right to order engines and to call the platform; absent without the lease.
+    pub(crate) fn authority(&self, now: MonotonicTime) -> Option<Authority> {
+        lock(&self.authority).filter(|authority| now < authority.not_after)
+    }
+
+    pub(crate) fn set_authority(&self, authority: Option<Authority>) {
+        *lock(&self.authority) = authority;
+    }
+
+    /// Whether the store answers this node.
+    pub(crate) fn in_contact_with_store(&self) -> bool {
+        self.config_watch.in_contact() && self.list_watch.in_contact()
+    }
+
     /// The configuration in force.
     pub(crate) fn forwarding(&self) -> Option<Arc<ForwardingConfig>> {
         lock(&self.in_force).current().cloned()
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -2,6 +2,7 @@
 
 use super::driver::{Driver, WholeAnswer};
 use super::exchange::{Exchange, Purpose};
+use crate::metering;
 use crate::ports::{AnswerHead, EngineReading};
 use shelfjunction_core::engine::{AnswerPart, EngineRefusal};
 use shelfjunction_core::forwarding::patience;
@@ -21,6 +22,7 @@
                 let exchange = self.exchange.as_mut()?;
                 exchange.heard(now, patience);
                 if !std::mem::replace(&mut exchange.has_events, true) {
+                    self.count_usage(now);
                     self.note_begun(now);
                 }
                 let exchange = self.exchange.as_ref()?;
@@ -41,6 +43,7 @@
                 Some(self.answered(OpaquePart::Ended, now))
             }
             EngineReading::Whole { body, success } => {
+                self.count_whole_run();
                 let head = self.exchange.as_mut()?.head.take()?;
                 self.whole = Some(WholeAnswer { head, body });
                 let part = if success {
@@ -74,6 +77,24 @@
         })
     }
 
+    /// Counts the request for its tenant, as one that has begun to run.
+    fn count_usage(&self, now: MonotonicTime) {
+        if let Some(tenant) = &self.access.tenant {
+            metering::count(self.context, tenant, now);
+        }
+    }
+
+    /// Counts a run without events, which began when the engine had the request. One that broke has run, as far as
+    /// anybody can tell, if all of it was sent.
+    fn count_whole_run(&self) {
+        let Some(exchange) = &self.exchange else {
+            return;
+        };
+        if !self.route.events && exchange.all_sent {
+            self.count_usage(exchange.sent_at);
+        }
+    }
+
     fn note_begun(&self, now: MonotonicTime) {
         if let Some(exchange) = &self.exchange {
             let told = exchange.head.as_ref().and_then(|head| head.told);
@@ -147,6 +168,7 @@
 
     /// The connection broke, or its engine was silent too long: whether the engine runs the request is unknown.
     pub(super) fn broken(&mut self, cause: &'static str) -> Event {
+        self.count_whole_run();
         let Some(exchange) = self.exchange.take() else {
             return Event::DeadlineReached;
         };
--- /dev/null
+++ b/crates/node/src/duties/mod.rs
@@ -0,0 +1,55 @@
+//! What the node that holds the lease does for all at the platform's own interface.
+
+mod usage;
+
+use crate::context::Context;
+use crate::ports::{DutyHolder, PlatformDuties};
+use shelfjunction_core::lease::Authority;
+use shelfjunction_platform::services::TableService;
+use std::time::Duration;
+use usage::UsageDuty;
+
+/// Time between two looks of the holder.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+
+/// Time between two looks of a node that does not hold the lease.
+const IDLE_LOOK_EVERY: Duration = Duration::from_millis(1_000);
+
+/// Part of the lease that must be left when a call is begun, so that it arrives within.
+const LEASE_LEFT: Duration = Duration::from_millis(500);
+
+/// Does the duties as long as the process runs.
+pub(crate) fn run(context: &Context, table: &dyn TableService, platform: &dyn PlatformDuties) {
+    let mut usage = UsageDuty::new(context);
+    loop {
+        let authority = authority(context);
+        let pause = if authority.is_some() {
+            LOOK_EVERY
+        } else {
+            IDLE_LOOK_EVERY
+        };
+        if let Some(authority) = authority
+            && let Some(usage) = &mut usage
+        {
+            usage.step(context, authority, table, platform);
+        }
+        if context.stop.wait(pause) {
+            return;
+        }
+    }
+}
+
+/// The right to call, if enough of it is left.
+fn authority(context: &Context) -> Option<Authority> {
+    let now = context.now();
+    context
+        .authority(now)
+        .filter(|authority| now + LEASE_LEFT <= authority.not_after)
+}
+
+fn holder(context: &Context, authority: Authority) -> DutyHolder {
+    DutyHolder {
+        node: context.config.node.clone(),
+        token: authority.token,
+    }
+}
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -5,8 +5,10 @@
 use crate::config::NodeConfig;
 use crate::connections::OpenConnections;
 use crate::context::{Context, NodeState};
+use crate::duties;
+use crate::metering;
 use crate::peers;
-use crate::ports::{CallerProtocol, EngineProtocol, FleetStore, NodeDirectory};
+use crate::ports::{CallerProtocol, EngineProtocol, FleetStore, NodeDirectory, PlatformDuties};
 use crate::recovering;
 use crate::releasing;
 use crate::telling;
@@ -30,8 +32,10 @@
     pub store: Arc<dyn FleetStore>,
     /// The nodes that the store lists.
     pub directory: Arc<dyn NodeDirectory>,
-    /// The store's tables, for the lease.
+    /// The store's tables, for the lease and for reports.
     pub table: Arc<dyn TableService>,
+    /// The platform's interface for duties, where there are any.
+    pub duties: Option<Arc<dyn PlatformDuties>>,
 }
 
 /// Why the process could not start.
@@ -109,9 +113,22 @@
         })?;
         spawn("command", {
             let context = Arc::clone(&context);
-            let table = adapters.table;
+            let table = Arc::clone(&adapters.table);
             move || commanding::run(&context, table.as_ref())
         })?;
+        if context.metering.is_some() {
+            spawn("usage-tell", {
+                let context = Arc::clone(&context);
+                move || metering::tell(&context)
+            })?;
+        }
+        if let Some(platform) = adapters.duties {
+            spawn("duties", {
+                let context = Arc::clone(&context);
+                let table = adapters.table;
+                move || duties::run(&context, table.as_ref(), platform.as_ref())
+            })?;
+        }
         spawn("recover", {
             let context = Arc::clone(&context);
             move || recovering::run(&context)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,8 +13,10 @@
 mod connections;
 mod context;
 mod course;
+mod duties;
 mod handle;
 mod links;
+mod metering;
 mod metrics;
 mod peers;
 mod placing;
@@ -24,6 +26,6 @@
 mod telling;
 mod watch;
 
-pub use config::NodeConfig;
+pub use config::{DutySettings, NodeConfig, USAGE_REPORTING};
 pub use context::NodeState;
 pub use handle::{Adapters, NodeHandle, StartError};
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -47,6 +47,7 @@
     retries: Family<ResultLabel, Counter>,
     store_calls: Family<ResultLabel, Counter>,
     orders: Family<ResultLabel, Counter>,
+    usage_reports: Family<ResultLabel, Counter>,
     placements: Family<ResultLabel, Counter>,
     whole_answer: Histogram,
     first_event: Histogram,
@@ -87,6 +88,7 @@
             retries: Family::default(),
             store_calls: Family::default(),
             orders: Family::default(),
+            usage_reports: Family::default(),
             placements: Family::default(),
             whole_answer: delays(),
             first_event: delays(),
@@ -156,6 +158,10 @@
         self.orders.get_or_create(&ResultLabel { result }).inc();
     }
 
+    pub(crate) fn usage_reported(&self, result: &'static str) {
+        self.usage_reports.get_or_create(&ResultLabel { result }).inc();
+    }
+
     pub(crate) fn first_event(&self, delay: Duration) {
         self.first_event.observe(delay.as_secs_f64());
     }
@@ -198,6 +204,11 @@
             self.placement_round_trip.clone(),
         );
         registry.register("orders", "Orders given to engines", self.orders.clone());
+        registry.register(
+            "usage_reports",
+            "Usage reports sent to the platform",
+            self.usage_reports.clone(),
+        );
     }
 
     fn register_delays(&mut self) {
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -3,7 +3,9 @@
 use super::message::{Datagram, MOST_RECEIVED, WorkMessage};
 use super::{Behind, Peer};
 use crate::context::Context;
+use crate::metering;
 use crate::placing;
+use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::routing::pool::ListNews;
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
@@ -26,6 +28,7 @@
                     placing::answer_liveness(context, question, from);
                 }
                 Some(Datagram::LivenessAnswer(answer)) => context.placements.on_liveness(answer),
+                Some(Datagram::Usage(message)) => metering::take(context, &message),
                 None => log::debug!(from:% = from, length; "datagram_unreadable"),
             },
             Err(error) => {
@@ -62,9 +65,12 @@
         peer.known_at = now;
         peer.last_message = Some(position);
         peer.store_answers = message.store_answers;
+        peer.holds_lease = message.holds_lease;
         peer.places = message.places;
         peer.processor_thousandths = message.processor_thousandths;
     }
+    let handle = SubjectHandle::of_text("node", message.node.as_str());
+    lock(&context.fleet_clock).observe(handle, message.unix, now);
     take_list_news(context, message.list_news, from);
     let config_version = context.forwarding().map_or(0, |config| config.version);
     context.config_watch.on_word(message.config, config_version, now);
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::metering::UnixTime;
+use shelfjunction_core::metering::counter::UsageWord;
 use shelfjunction_core::placing::question::{Answer, ProgressReport, Question};
 use shelfjunction_core::routing::pool::{EngineStage, ListNews, PeerWork, PrefixNews, WorkSlice};
 use shelfjunction_core::watching::TableWord;
@@ -43,6 +45,10 @@
     pub(super) processor_thousandths: u32,
     /// Whether the store answers the sender.
     pub(super) store_answers: bool,
+    /// Whether the sender holds the lease over orders and duties.
+    pub(super) holds_lease: bool,
+    /// The sender's time of day.
+    pub(super) unix: UnixTime,
     /// The configuration that the sender has.
     pub(super) config: TableWord,
     /// The list of engines that the sender has, by the store's version at its last change.
@@ -79,6 +85,17 @@
     pub(crate) answers: bool,
 }
 
+/// A node's counts of one window, or some of them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct UsageMessage {
+    /// The sender.
+    pub(crate) node: NodeId,
+    /// Start of the sender's process.
+    pub(crate) start: u64,
+    /// The counts.
+    pub(crate) word: UsageWord,
+}
+
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Datagram {
@@ -94,6 +111,8 @@
     LivenessQuestion(LivenessQuestion),
     /// A placer's answer to that.
     LivenessAnswer(LivenessAnswer),
+    /// What a node has counted for tenants.
+    Usage(Box<UsageMessage>),
 }
 
 const CODEC: Configuration = standard();
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -16,7 +16,7 @@
 pub(crate) use catching_up::{catch_up, serve as serve_snapshots, take_from_any};
 pub(crate) use directory::follow as follow_directory;
 pub(crate) use hearing::hear;
-pub(crate) use message::{Datagram, LivenessAnswer, LivenessQuestion};
+pub(crate) use message::{Datagram, LivenessAnswer, LivenessQuestion, UsageMessage};
 pub(crate) use placers::{Duty, Placing};
 pub(crate) use telling::tell;
 
@@ -53,6 +53,8 @@
     last_message: Option<(u64, u64)>,
     /// Whether the store answered it when it spoke last.
     store_answers: bool,
+    /// Whether it held the lease when it spoke last.
+    holds_lease: bool,
     /// Whether it held itself for a placer when it spoke last.
     places: bool,
     /// Thousandths of a processor core that it may use.
@@ -68,6 +70,7 @@
             listed_at: now,
             last_message: None,
             store_answers: false,
+            holds_lease: false,
             places: false,
             processor_thousandths: 0,
             handle: SubjectHandle::of_text("node", node.as_str()),
@@ -83,6 +86,10 @@
         now.since(self.known_at) < HEARD_LATELY
     }
 
+    fn spoke_just_now(&self, now: MonotonicTime) -> bool {
+        self.last_message.is_some() && now.since(self.known_at) < PLACER_SILENCE
+    }
+
     /// Whether it may be a placer: one that says so, or one that has had no time yet to say anything.
     fn may_place(&self, now: MonotonicTime) -> bool {
         let is_fresh = now.since(self.known_at) < PLACER_SILENCE;
--- a/crates/node/src/peers/placers.rs
+++ b/crates/node/src/peers/placers.rs
@@ -91,7 +91,7 @@
     }
 
     /// Addresses of the nodes that are told of work: the other placers in a large fleet, or everybody in a small one.
-    pub(super) fn told(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+    pub(crate) fn told(&self, now: MonotonicTime) -> Vec<SocketAddr> {
         match self.placing(now) {
             Placing::Each => self.addresses(now),
             Placing::Placers(placers) => self.addresses_among(&placers),
@@ -115,13 +115,23 @@
         on_duty.map(|(node, _)| node.clone()).collect()
     }
 
-    /// Names of the other nodes on duty that are taken for alive: they said something a short time ago, or have only
-    /// just been listed and have had no time to.
-    pub(crate) fn alive_on_duty(&self, now: MonotonicTime) -> Vec<NodeId> {
+    /// The other nodes on duty that may take the lease: they said a short time ago that the store answers them, or have
+    /// only just been listed and have had no time to say anything.
+    pub(crate) fn lease_candidates(&self, now: MonotonicTime) -> Vec<SubjectHandle> {
         let placing = self.placing(now);
         let known = lock(&self.known);
-        let alive = known.peers.iter().filter(|(_, peer)| peer.is_alive(now));
-        let on_duty = alive.filter(|(_, peer)| placing.shares_duty(peer.handle));
-        on_duty.map(|(node, _)| node.clone()).collect()
+        let alive = known.peers.values().filter(|peer| peer.is_alive(now));
+        let on_duty = alive.filter(|peer| placing.shares_duty(peer.handle));
+        on_duty
+            .filter(|peer| peer.store_answers || peer.last_message.is_none())
+            .map(|peer| peer.handle)
+            .collect()
+    }
+
+    /// Whether another node said a moment ago that it holds the lease.
+    pub(crate) fn another_holds_lease(&self, now: MonotonicTime) -> bool {
+        let known = lock(&self.known);
+        let mut fresh = known.peers.values().filter(|peer| peer.spoke_just_now(now));
+        fresh.any(|peer| peer.holds_lease)
     }
 }
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -75,7 +75,7 @@
     fn new(context: &'a Context) -> Self {
         Self {
             context,
-            start: rand::random(),
+            start: context.start,
             number: 0,
             idle_rounds: 0,
             allowance: Allowance::new(context.now()),
@@ -205,7 +205,9 @@
             nodes: context.peers.nodes().unwrap_or(1),
             places,
             processor_thousandths: context.peers.own_processor(),
-            store_answers: context.config_watch.in_contact() && context.list_watch.in_contact(),
+            store_answers: context.in_contact_with_store(),
+            holds_lease: context.authority(now).is_some(),
+            unix: crate::metering::time_of_day(),
             config: context.config_watch.word(now, config_version),
             list: context.list_watch.word(now, list_version),
             list_news,
