--- a/crates/core/tests/metering.rs
+++ b/crates/core/tests/metering.rs
@@ -402,7 +402,7 @@
             words.extend(counter.words(at(16_000), true, 2).into_iter().map(|word| (node, word)));
         }
         let mut tally = UsageTally::new(LENGTH);
-        let mut take = |tally: &mut UsageTally, position: usize| {
+        let take = |tally: &mut UsageTally, position: usize| {
             let (node, word) = &words[position];
             tally.take(&incarnation(names[*node], 7), word, at(16_000));
         };
--- a/crates/lab/tests/fault_soak.rs
+++ b/crates/lab/tests/fault_soak.rs
@@ -42,6 +42,8 @@
         after_event: 0,
         source: None,
         fetched_from: None,
+        tenant: None,
+        key: None,
     };
     EngineRecords {
         runs: vec![run; times],
