Report usage sooner, wait for nodes that live only, and renew the lease between orders

A node is waited for while it is heard; one that ends says so; a round's orders are given one at a time.

--- a/crates/core/src/metering/counter.rs
+++ b/crates/core/src/metering/counter.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 /// Time after a window's end at which a node holds its counts for whole. That a request without events has begun shows
-/// only in its answer, which seldom takes longer.
-const SETTLES: Duration = Duration::from_millis(1_000);
+/// only in its answer, which seldom takes longer; what shows later still is told as well, and is summed unless the
+/// report has been made.
+const SETTLES: Duration = Duration::from_millis(400);
 
 /// Time after a window's end for which a node tells its counts again, so that whoever gathers anew hears them too.
 const TELLS_FOR: Duration = Duration::from_secs(20);
@@ -67,6 +68,15 @@
 
     /// What there is to tell now, a word for each window and so many tenants; `again` tells the old once more.
     pub fn words(&mut self, now: UnixTime, again: bool, most_tenants: usize) -> Vec<UsageWord> {
+        self.words_of(now, again, false, most_tenants)
+    }
+
+    /// Everything, as the last words of a process that counts no more.
+    pub fn last_words(&mut self, now: UnixTime, most_tenants: usize) -> Vec<UsageWord> {
+        self.words_of(now, true, true, most_tenants)
+    }
+
+    fn words_of(&mut self, now: UnixTime, again: bool, last: bool, most_tenants: usize) -> Vec<UsageWord> {
         let present = WindowNumber::of(now, self.length);
         let first = *self.began_in.get_or_insert(present);
         let length = self.length;
@@ -80,7 +90,7 @@
         });
         let mut words = Vec::new();
         for (number, window) in &mut self.windows {
-            let ended = now >= number.end(length).later(SETTLES);
+            let ended = last || now >= number.end(length).later(SETTLES);
             let is_new = window.told_total != Some(window.total) || (ended && !window.told_end);
             if is_new || (again && ended) {
                 window.told_total = Some(window.total);
--- a/crates/core/src/metering/reporter.rs
+++ b/crates/core/src/metering/reporter.rs
@@ -209,7 +209,7 @@
         let first = self.first_to_record(tally, present)?;
         let mut unrecorded = (first.0..present.0).map(WindowNumber);
         let window = unrecorded.find(|window| !self.windows.contains_key(window))?;
-        let whole = tally.nodes() > 0 && tally.is_whole(window);
+        let whole = tally.nodes() > 0 && tally.is_whole(window, unix);
         let waited = unix.since(window.end(length));
         if !whole && waited < self.settings.patience() {
             return None;
--- a/crates/core/src/metering/tally.rs
+++ b/crates/core/src/metering/tally.rs
@@ -9,6 +9,10 @@
 /// Windows that are remembered, counted back from the newest; their reports are made or given up by then.
 const REMEMBERED: u64 = 24;
 
+/// Silence after which a node is not waited for. It tells its counts at least once in two seconds while it lives; one
+/// that is cut off serves nothing, and had told all but its last moments.
+const SILENT_AFTER: Duration = Duration::from_millis(3_000);
+
 /// Requests that began in a window, by tenant.
 pub type TenantCounts = BTreeMap<TenantId, u64>;
 
@@ -90,17 +94,17 @@
         self.heard.retain(|_, heard| heard.at >= horizon);
     }
 
-    /// Whether every node that was heard since the window's begin has told all of it.
-    pub fn is_whole(&self, window: WindowNumber) -> bool {
-        self.missing(window).is_empty()
+    /// Whether every node that is heard has told all of a window.
+    pub fn is_whole(&self, window: WindowNumber, now: UnixTime) -> bool {
+        self.missing(window, now).is_empty()
     }
 
-    /// Nodes that were heard since the window's begin and have not told all of it. A process that began later has
-    /// nothing to tell, and what its predecessor did not tell is lost.
-    pub fn missing(&self, window: WindowNumber) -> Vec<&NodeId> {
-        let begin = window.begin(self.length);
-        let heard = self.heard.iter().filter(|(_, heard)| heard.at >= begin);
+    /// Nodes that are heard and have not told all of a window. A process that began later has nothing to tell, and what
+    /// its predecessor did not tell is lost.
+    pub fn missing(&self, window: WindowNumber, now: UnixTime) -> Vec<&NodeId> {
+        let heard = self.heard.iter();
         heard
+            .filter(|(_, heard)| now.since(heard.at) < SILENT_AFTER)
             .filter(|(_, heard)| heard.began_in <= window)
             .filter(|(node, _)| !self.has_told_all(window, node))
             .map(|(node, _)| node)
--- a/crates/node/src/commanding/mod.rs
+++ b/crates/node/src/commanding/mod.rs
@@ -26,22 +26,33 @@
 pub(crate) fn run(context: &Context, table: &dyn TableService) {
     let mut tenure = Tenure::new(context);
     let mut ordering = Ordering::default();
-    while !context.stop.wait(LOOK_EVERY) {
+    while !context.stop.wait(pause(&ordering)) {
         if context.state.is_stopping() {
             // A successor need not wait for the lease to lapse.
             tenure.release(context, table);
             continue;
         }
         if !context.state.is_ready() || !is_candidate(context) {
+            ordering.give_up_round();
             continue;
         }
         tenure.tick(context, table);
-        if let Some(authority) = tenure.orders_with(context.now()) {
-            ordering.step(context, authority);
+        match tenure.orders_with(context.now()) {
+            Some(authority) => ordering.step(context, authority),
+            None => ordering.give_up_round(),
         }
     }
 }
 
+/// The next order of a round follows at once.
+fn pause(ordering: &Ordering) -> Duration {
+    if ordering.has_more() {
+        Duration::ZERO
+    } else {
+        LOOK_EVERY
+    }
+}
+
 /// Whether this node should hold the lease: it does already, or nobody does and it comes first among those that live,
 /// know the work at engines and are answered by the store. A holder stays one, since each change of it costs the time
 /// for which a lease has to lapse.
--- a/crates/node/src/commanding/ordering.rs
+++ b/crates/node/src/commanding/ordering.rs
@@ -9,7 +9,7 @@
 use shelfjunction_core::roles::pool::{PeakLoads, StageChange, plan_round};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -35,18 +35,34 @@
 #[derive(Default)]
 pub(super) struct Ordering {
     next_at: MonotonicTime,
+    /// Changes of the present round that are not ordered yet.
+    round: VecDeque<StageChange>,
     in_doubt: Vec<InDoubt>,
     peaks: BTreeMap<PoolId, PeakLoads>,
 }
 
 impl Ordering {
-    /// Gives the next order if one is worth it.
+    /// Whether there is another order to give at once.
+    pub(super) fn has_more(&self) -> bool {
+        !self.round.is_empty()
+    }
+
+    /// Forgets the orders of the round that are not given: another holder plans anew.
+    pub(super) fn give_up_round(&mut self) {
+        self.round.clear();
+    }
+
+    /// Gives the next order if one is worth it. A single one, since an engine may take long to answer and the lease has
+    /// to be renewed in between.
     pub(super) fn step(&mut self, context: &Context, authority: Authority) {
         let now = context.now();
         self.observe(context, now);
         if now + LEASE_LEFT > authority.not_after {
             return;
         }
+        if let Some(change) = self.round.pop_front() {
+            return self.order(context, authority, change);
+        }
         if !self.in_doubt.is_empty() {
             return self.settle(context, authority, now);
         }
@@ -62,9 +78,7 @@
         if !changes.is_empty() {
             self.next_at = now + Duration::from_millis(context.config.roles.settle_millis);
         }
-        for change in changes {
-            self.order(context, authority, change);
-        }
+        self.round = changes.into();
     }
 
     /// Keeps the highest loads of late.
--- a/crates/node/src/duties/mod.rs
+++ b/crates/node/src/duties/mod.rs
@@ -3,6 +3,7 @@
 mod usage;
 
 use crate::context::Context;
+use crate::peers::Duty;
 use crate::ports::{DutyHolder, PlatformDuties};
 use shelfjunction_core::lease::Authority;
 use shelfjunction_platform::services::TableService;
@@ -12,8 +13,11 @@
 /// Time between two looks of the holder.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 
-/// Time between two looks of a node that does not hold the lease.
-const IDLE_LOOK_EVERY: Duration = Duration::from_millis(1_000);
+/// Time between two looks of a node that may take the lease.
+const IDLE_LOOK_EVERY: Duration = Duration::from_millis(300);
+
+/// Time between two looks of a node that leaves such things to others.
+const OFF_LOOK_EVERY: Duration = Duration::from_millis(1_000);
 
 /// Part of the lease that must be left when a call is begun, so that it arrives within.
 const LEASE_LEFT: Duration = Duration::from_millis(500);
@@ -23,10 +27,10 @@
     let mut usage = UsageDuty::new(context);
     loop {
         let authority = authority(context);
-        let pause = if authority.is_some() {
-            LOOK_EVERY
-        } else {
-            IDLE_LOOK_EVERY
+        let pause = match context.peers.duty(context.now()) {
+            _ if authority.is_some() => LOOK_EVERY,
+            Duty::Placer | Duty::Shared => IDLE_LOOK_EVERY,
+            Duty::Off | Duty::NotKnown => OFF_LOOK_EVERY,
         };
         if let Some(authority) = authority
             && let Some(usage) = &mut usage
--- a/crates/node/src/duties/usage.rs
+++ b/crates/node/src/duties/usage.rs
@@ -54,7 +54,7 @@
                     whole,
                 } => {
                     let outcome = table.transact(&transaction);
-                    log_recorded(metering, window, &counts, whole, &outcome);
+                    log_recorded(context, metering, window, &counts, whole, &outcome);
                     self.reporter.on_recorded(window, counts, &outcome, context.now());
                 }
                 Step::Send { window, counts } => self.send(context, held, platform, window, &counts),
@@ -116,13 +116,16 @@
 }
 
 fn log_recorded(
+    context: &Context,
     metering: &Metering,
     window: WindowNumber,
     counts: &TenantCounts,
     whole: bool,
     outcome: &Result<TransactionOutcome, PlatformError>,
 ) {
-    let missing = lock(&metering.tally).missing(window).len();
+    let missing = lock(&metering.tally)
+        .missing(window, metering::unix(context))
+        .len();
     let outcome = match outcome {
         Ok(TransactionOutcome::Committed { .. }) => "recorded".to_owned(),
         Ok(TransactionOutcome::Conflict { .. }) => "was_recorded".to_owned(),
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -167,6 +167,11 @@
 
     /// Takes no new callers and returns when every request has ended, or just before the end by force.
     pub fn stop(&self) {
+        self.end_requests();
+        metering::tell_last(&self.context);
+    }
+
+    fn end_requests(&self) {
         let begun = self.context.now();
         self.context.state.begin_stop(begun);
         let grace = self.context.config.grace();
--- a/crates/node/src/metering/mod.rs
+++ b/crates/node/src/metering/mod.rs
@@ -2,7 +2,7 @@
 
 mod telling;
 
-pub(crate) use telling::tell;
+pub(crate) use telling::{tell, tell_last};
 
 use crate::context::Context;
 use crate::peers::UsageMessage;
--- a/crates/node/src/metering/telling.rs
+++ b/crates/node/src/metering/telling.rs
@@ -3,7 +3,8 @@
 use super::unix;
 use crate::context::Context;
 use crate::peers::{Datagram, UsageMessage};
-use shelfjunction_core::metering::counter::UsageWord;
+use shelfjunction_core::metering::UnixTime;
+use shelfjunction_core::metering::counter::{UsageCounter, UsageWord};
 use shelfjunction_threads::lock;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 const TELLS_EVERY: Duration = Duration::from_millis(400);
 
 /// Tellings after which counts of windows that have ended are told again.
-const AGAIN_EVERY: u32 = 5;
+const AGAIN_EVERY: u32 = 3;
 
 /// Tenants in one datagram; a name takes some ten bytes, seldom sixty.
 const TENANTS_PER_WORD: usize = 60;
@@ -21,17 +22,23 @@
     let mut round = 0;
     while !context.stop.wait(TELLS_EVERY) {
         round += 1;
-        tell_once(context, round % AGAIN_EVERY == 0);
+        let again = round % AGAIN_EVERY == 0;
+        tell_words(context, |counter, now| {
+            counter.words(now, again, TENANTS_PER_WORD)
+        });
     }
-    // What was counted last must not be lost with the process.
-    tell_once(context, true);
 }
 
-fn tell_once(context: &Context, again: bool) {
+/// Tells everything, when no request is left: what was counted last must not be lost with the process.
+pub(crate) fn tell_last(context: &Context) {
+    tell_words(context, |counter, now| counter.last_words(now, TENANTS_PER_WORD));
+}
+
+fn tell_words(context: &Context, words: impl FnOnce(&mut UsageCounter, UnixTime) -> Vec<UsageWord>) {
     let Some(metering) = &context.metering else {
         return;
     };
-    let words = lock(&metering.counter).words(unix(context), again, TENANTS_PER_WORD);
+    let words = words(&mut lock(&metering.counter), unix(context));
     if words.is_empty() {
         return;
     }
