--- a/crates/core/src/forwarding/config.rs
+++ b/crates/core/src/forwarding/config.rs
@@ -1,6 +1,7 @@
 //! A whole configuration of forwarded requests, with its checks.
 
 use super::route::RouteRule;
+use crate::autoscaling::PoolScaling;
 use crate::setting::FieldError;
 use crate::tenancy::ApiTenants;
 use serde::{Deserialize, Serialize};
@@ -43,6 +44,8 @@
     pub connection_limit: u32,
     /// Present where the engines run models.
     pub model: Option<ModelTraits>,
+    /// Present where the platform starts and stops engines at a price.
+    pub scaling: Option<PoolScaling>,
 }
 
 /// Bounds on what a caller may send and how long it may take.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! simulator. Each module holds one kind of decision; effects are returned as values for a caller to carry out.
 
 pub mod admission;
+pub mod autoscaling;
 pub mod bundle;
 pub mod demand;
 pub mod drain;
--- a/crates/core/src/roles/pool.rs
+++ b/crates/core/src/roles/pool.rs
@@ -106,6 +106,11 @@
 const LEAST_DECODE: usize = 2;
 
 impl PoolRolePolicy {
+    /// Time in which the highest load of late fades by two thirds.
+    pub fn hold(&self) -> Duration {
+        Duration::from_millis(self.hold_millis)
+    }
+
     /// Fewest decode engines among so many.
     fn least_decode(&self, engines: usize) -> usize {
         let share = (self.least_decode_share * engines as f64).ceil() as usize;
@@ -120,6 +125,8 @@
     pub engine: EngineId,
     /// Its zone.
     pub zone: ZoneId,
+    /// Whether the platform may take it back.
+    pub spot: bool,
     /// Its stage, or the one it changes to.
     pub stage: EngineStage,
     /// Outputs that run or wait there.
@@ -152,15 +159,26 @@
 }
 
 impl PeakLoads {
-    /// Takes the loads of now.
+    /// Expects a load before any is seen.
+    pub fn expect(&mut self, reading: f64, now: MonotonicTime) {
+        self.seen_at = now;
+        self.reading = Some(self.reading.unwrap_or_default().max(reading));
+    }
+
+    /// Engines that reading and outputs together keep busy; absent before any demand was seen or expected.
+    pub fn engines(&self) -> Option<f64> {
+        self.reading.map(|reading| reading + self.outputs)
+    }
+
+    /// Takes the loads of now; higher ones of before fade by two thirds over the hold time.
     pub fn observe(
         &mut self,
         engines: &[PoolEngineView],
         demand: PoolDemand,
-        policy: &PoolRolePolicy,
+        hold: Duration,
         now: MonotonicTime,
     ) {
-        let hold = Duration::from_millis(policy.hold_millis.max(1));
+        let hold = hold.max(Duration::from_millis(1));
         let kept = (-now.since(self.seen_at).as_secs_f64() / hold.as_secs_f64()).exp();
         self.seen_at = now;
         self.outputs = (self.outputs * kept).max(outputs_of(engines));
@@ -184,7 +202,12 @@
 
 /// The changes to make in one round: each is decided as if those before it had been made.
 pub fn plan_round(engines: &[PoolEngineView], loads: PeakLoads, policy: &PoolRolePolicy) -> Vec<StageChange> {
-    let most = (engines.len() / policy.engines_per_change.max(1)).max(1);
+    // While nobody waits for answers, all may change at once.
+    let engines_per_change = match loads.reading {
+        Some(_) => policy.engines_per_change.max(1),
+        None => 1,
+    };
+    let most = (engines.len() / engines_per_change).max(1);
     let mut engines = engines.to_vec();
     let mut changes: Vec<StageChange> = Vec::new();
     while changes.len() < most {
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -45,6 +45,8 @@
     pub models: Vec<String>,
     /// Time for which it is still slow after its start.
     pub warming: Duration,
+    /// Whether the platform may take it back.
+    pub spot: bool,
 }
 
 /// Load that an engine told in an answer.
@@ -283,6 +285,11 @@
         self.gone.is_none() && !self.health.is_paused(now)
     }
 
+    /// Whether the engine is listed and about to leave.
+    pub fn is_about_to_leave(&self) -> bool {
+        self.engine.leaving && self.gone.is_none()
+    }
+
     /// Whether the engine is neither gone nor about to leave.
     pub fn stays(&self) -> bool {
         !self.engine.leaving && self.gone.is_none()
--- a/crates/core/src/routing/pool/neighbours.rs
+++ b/crates/core/src/routing/pool/neighbours.rs
@@ -98,6 +98,7 @@
             PoolEngineView {
                 engine: state.engine.id.clone(),
                 zone: state.engine.zone.clone(),
+                spot: state.engine.spot,
                 stage: state.ordered_stage(now).unwrap_or(state.engine.stage),
                 requests: work.outputs,
                 memory_tokens: work.output_tokens,
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -49,6 +49,7 @@
         id: PoolId(name.to_owned()),
         connection_limit: 10,
         model: None,
+        scaling: None,
     };
     ForwardingConfig {
         version,
@@ -163,6 +164,7 @@
         stage: EngineStage::Whole,
         models: Vec::new(),
         warming: Duration::ZERO,
+        spot: false,
     }
 }
 
@@ -205,6 +207,7 @@
     let view = |number: usize, stage| PoolEngineView {
         engine: EngineId::new(format!("{stage:?}-{number}")),
         zone: ZoneId::new(format!("zone-{}", number % 3)),
+        spot: false,
         stage,
         requests,
         memory_tokens: 0.0,
@@ -225,7 +228,7 @@
 
 fn loads(engines: &[PoolEngineView], tokens: Option<f64>) -> PeakLoads {
     let mut loads = PeakLoads::default();
-    loads.observe(engines, demand(tokens), &PoolRolePolicy::default(), NOW);
+    loads.observe(engines, demand(tokens), PoolRolePolicy::default().hold(), NOW);
     loads
 }
 
@@ -269,18 +272,18 @@
 fn the_highest_load_of_late_fades_and_is_not_followed_down_at_once() {
     let policy = PoolRolePolicy::default();
     let mut loads = PeakLoads::default();
-    loads.observe(&views(4, 5, 64.0), demand(Some(30_000.0)), &policy, NOW);
+    loads.observe(&views(4, 5, 64.0), demand(Some(30_000.0)), policy.hold(), NOW);
     assert_eq!((loads.reading, loads.outputs), (Some(3.0), 5.0));
     let soon = NOW + Duration::from_secs(3);
-    loads.observe(&views(4, 5, 0.0), demand(Some(0.0)), &policy, soon);
+    loads.observe(&views(4, 5, 0.0), demand(Some(0.0)), policy.hold(), soon);
     assert!(
         loads.outputs > 4.0 && loads.reading > Some(2.4),
         "a burst may come again"
     );
     let later = NOW + Duration::from_secs(60);
-    loads.observe(&views(4, 5, 0.0), demand(Some(0.0)), &policy, later);
+    loads.observe(&views(4, 5, 0.0), demand(Some(0.0)), policy.hold(), later);
     assert!(loads.outputs < 0.1 && loads.reading < Some(0.1));
-    loads.observe(&views(4, 5, 0.0), demand(None), &policy, later);
+    loads.observe(&views(4, 5, 0.0), demand(None), policy.hold(), later);
     assert!(loads.reading.is_some(), "what was seen once is not forgotten");
 }
 
--- a/crates/core/tests/list_news.rs
+++ b/crates/core/tests/list_news.rs
@@ -23,6 +23,7 @@
         stage: EngineStage::Whole,
         models: Vec::new(),
         warming: Duration::ZERO,
+        spot: false,
     })
 }
 
--- a/crates/core/tests/pool_support/mod.rs
+++ b/crates/core/tests/pool_support/mod.rs
@@ -23,6 +23,7 @@
         stage,
         models: vec!["m".to_owned()],
         warming: Duration::ZERO,
+        spot: false,
     }
 }
 
@@ -48,6 +49,7 @@
             id: pool(),
             connection_limit: 100,
             model: Some(model),
+            scaling: None,
         }],
         limits: CallerLimits::default(),
         tenants: None,
--- a/crates/node/src/commanding/ordering.rs
+++ b/crates/node/src/commanding/ordering.rs
@@ -87,7 +87,7 @@
         for pool in router.model_pools() {
             let (engines, demand) = router.role_input(&pool, now);
             let peaks = self.peaks.entry(pool).or_default();
-            peaks.observe(&engines, demand, &context.config.roles, now);
+            peaks.observe(&engines, demand, context.config.roles.hold(), now);
         }
     }
 
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,7 @@
 //! Settings of the process.
 
 use serde::{Deserialize, Serialize};
+use shelfjunction_core::autoscaling::config::AutoscalingPolicy;
 use shelfjunction_core::identity::{NodeId, ZoneId};
 use shelfjunction_core::lease::LeaseTimings;
 use shelfjunction_core::metering::config::MeteringSettings;
@@ -86,6 +87,9 @@
     /// The platform's own interface, where one node at a time has duties; none without it.
     #[serde(default)]
     pub duties: Option<DutySettings>,
+    /// How much room is bought where engines are paid by the second.
+    #[serde(default)]
+    pub autoscaling: AutoscalingPolicy,
 }
 
 /// Settings of the duties that one node at a time has towards the platform.
@@ -98,6 +102,9 @@
     pub tasks: Vec<String>,
 }
 
+/// Task: order engines that are paid by the second.
+pub const AUTOSCALING: &str = "autoscaling";
+
 /// Task: report the usage of tenants.
 pub const USAGE_REPORTING: &str = "usage_reporting";
 
@@ -171,6 +178,7 @@
         errors.extend(self.lease.validate());
         errors.extend(self.config_watch.validate("config_watch"));
         errors.extend(self.list_watch.validate("list_watch"));
+        errors.extend(self.autoscaling.validate());
         errors.extend(self.metering.iter().flat_map(MeteringSettings::validate));
         let fractions = [
             ("node.processor_share", self.processor_share),
--- a/crates/node/src/duties/mod.rs
+++ b/crates/node/src/duties/mod.rs
@@ -1,10 +1,12 @@
 //! What the node that holds the lease does for all at the platform's own interface.
 
+mod scaling;
 mod usage;
 
 use crate::context::Context;
 use crate::peers::Duty;
 use crate::ports::{DutyHolder, PlatformDuties};
+use scaling::ScalingDuty;
 use shelfjunction_core::lease::Authority;
 use shelfjunction_platform::services::TableService;
 use std::time::Duration;
@@ -25,6 +27,7 @@
 /// Does the duties as long as the process runs.
 pub(crate) fn run(context: &Context, table: &dyn TableService, platform: &dyn PlatformDuties) {
     let mut usage = UsageDuty::new(context);
+    let mut scaling = ScalingDuty::new(context);
     loop {
         let authority = authority(context);
         let pause = match context.peers.duty(context.now()) {
@@ -32,10 +35,16 @@
             Duty::Placer | Duty::Shared => IDLE_LOOK_EVERY,
             Duty::Off | Duty::NotKnown => OFF_LOOK_EVERY,
         };
-        if let Some(authority) = authority
-            && let Some(usage) = &mut usage
-        {
-            usage.step(context, authority, table, platform);
+        if let Some(scaling) = &mut scaling {
+            scaling.observe(context);
+        }
+        if let Some(authority) = authority {
+            if let Some(usage) = &mut usage {
+                usage.step(context, authority, table, platform);
+            }
+            if let Some(scaling) = &mut scaling {
+                scaling.step(context, authority, platform);
+            }
         }
         if context.stop.wait(pause) {
             return;
--- /dev/null
+++ b/crates/node/src/duties/scaling.rs
@@ -0,0 +1,225 @@
+//! Orders engines that are paid by the second.
+
+use super::{authority, holder};
+use crate::config::AUTOSCALING;
+use crate::context::Context;
+use crate::ports::{DutyAnswer, PlatformDuties};
+use shelfjunction_core::autoscaling::ordering::{OrderOutcome, ScaleOrders};
+use shelfjunction_core::autoscaling::planner::{ScalingInput, plan};
+use shelfjunction_core::autoscaling::{PoolScaling, ScaleOrder, ZoneEngines};
+use shelfjunction_core::forwarding::PoolId;
+use shelfjunction_core::lease::Authority;
+use shelfjunction_core::roles::pool::PeakLoads;
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time from the first engine that was seen until the list shows all that the operators began with: engines enter
+/// themselves one by one, each about once in a heartbeat of a second or so.
+const LIST_FILLS: Duration = Duration::from_millis(3_600);
+
+/// Most engines that were seen while the list filled.
+#[derive(Clone, Copy, Debug)]
+struct BeganWith {
+    engines: u32,
+    /// Whether any demand was seen since.
+    has_demand: bool,
+    first_seen_at: MonotonicTime,
+}
+
+impl BeganWith {
+    fn is_known(&self, now: MonotonicTime) -> bool {
+        now.since(self.first_seen_at) >= LIST_FILLS
+    }
+}
+
+/// Scaling as this node sees it.
+pub(super) struct ScalingDuty {
+    orders: ScaleOrders,
+    peaks: BTreeMap<PoolId, PeakLoads>,
+    /// Engines that the operators began with, by pool.
+    began_with: BTreeMap<PoolId, BeganWith>,
+    logged: BTreeMap<PoolId, Vec<ZoneEngines>>,
+}
+
+impl ScalingDuty {
+    /// The duty; absent where no engines are ordered.
+    pub(super) fn new(context: &Context) -> Option<Self> {
+        let duties = context.config.duties.as_ref()?;
+        let has_duty = duties.has(AUTOSCALING) && context.config.autoscaling.enabled;
+        has_duty.then(|| Self {
+            orders: ScaleOrders::default(),
+            peaks: BTreeMap::new(),
+            began_with: BTreeMap::new(),
+            logged: BTreeMap::new(),
+        })
+    }
+
+    /// Looks at the demand and at what runs, also while another node holds the lease.
+    pub(super) fn observe(&mut self, context: &Context) {
+        let now = context.now();
+        for (pool, _) in scaled_pools(context) {
+            let router = lock(&context.router);
+            let (engines, demand) = router.role_input(&pool, now);
+            let on_demand = engines.iter().filter(|engine| !engine.spot).count();
+            let peaks = self.peaks.entry(pool.clone()).or_default();
+            peaks.observe(&engines, demand, context.config.autoscaling.hold(), now);
+            if context.config.first_start && !engines.is_empty() {
+                let began = self.began_with.entry(pool).or_insert(BeganWith {
+                    engines: 0,
+                    has_demand: false,
+                    first_seen_at: now,
+                });
+                began.has_demand |= demand.prompt_tokens_per_second.is_some();
+                if !began.is_known(now) {
+                    began.engines = began.engines.max(on_demand as u32);
+                    let assumed = context.config.autoscaling.assumed_utilisation;
+                    peaks.expect(f64::from(began.engines) * assumed, now);
+                }
+            }
+        }
+    }
+
+    /// Gives the orders that are due.
+    pub(super) fn step(&mut self, context: &Context, held: Authority, platform: &dyn PlatformDuties) {
+        self.orders.begin(held.token);
+        for (pool, scaling) in scaled_pools(context) {
+            while let Some(held) = authority(context)
+                && let Some(order) = self.next(context, &pool, &scaling)
+            {
+                self.give(context, held, platform, &order);
+            }
+        }
+    }
+
+    fn next(&mut self, context: &Context, pool: &PoolId, scaling: &PoolScaling) -> Option<ScaleOrder> {
+        let now = context.now();
+        let running = self.look_at_zones(context, pool, now);
+        if running.is_empty() {
+            return None;
+        }
+        let peaks = self.peaks.get(pool).copied().unwrap_or_default();
+        let began = self.began_with.get(pool).copied();
+        let without_spot = self.orders.without_spot(pool, now);
+        let input = ScalingInput {
+            scaling,
+            running: &running,
+            load: peaks.engines()?,
+            without_spot: &without_spot,
+            idle: began.is_some_and(|began| began.is_known(now) && !began.has_demand),
+        };
+        let wanted = plan(&input, &context.config.autoscaling);
+        if self.logged.get(pool) != Some(&wanted) {
+            log_plan(pool, &wanted, &running, input.load, without_spot.len());
+            self.logged.insert(pool.clone(), wanted.clone());
+        }
+        let order = self.orders.next(pool, scaling, &wanted, &running, now)?;
+        // While the list fills, what looks like too many engines may be those of a zone that has listed more than others.
+        let is_filling = began.is_some_and(|began| !began.is_known(now));
+        let runs = running.iter().find(|zone| zone.zone == order.subject.zone);
+        let runs = runs.map_or(0, |zone| zone.of(order.subject.kind));
+        (!is_filling || order.count > runs).then_some(order)
+    }
+
+    /// Engines that stay, by zone; notes zones that take their spot engines back.
+    fn look_at_zones(&mut self, context: &Context, pool: &PoolId, now: MonotonicTime) -> Vec<ZoneEngines> {
+        let mut zones: BTreeMap<_, ZoneEngines> = BTreeMap::new();
+        let mut leaving: BTreeMap<_, u32> = BTreeMap::new();
+        let router = lock(&context.router);
+        for state in router.engines().filter(|state| state.engine.pool == *pool) {
+            let engine = &state.engine;
+            if state.is_about_to_leave() {
+                *leaving.entry(engine.zone.clone()).or_default() += u32::from(engine.spot);
+            }
+            if !state.stays() {
+                continue;
+            }
+            let zone = zones.entry(engine.zone.clone()).or_insert_with(|| ZoneEngines {
+                zone: engine.zone.clone(),
+                on_demand: 0,
+                spot: 0,
+            });
+            if engine.spot {
+                zone.spot += 1;
+            } else {
+                zone.on_demand += 1;
+            }
+        }
+        for (zone, leaving) in leaving {
+            let stays = zones.get(&zone).map_or(0, |zone| zone.spot);
+            if leaving > stays {
+                self.orders.note_reclaimed(pool, &zone, now);
+            }
+        }
+        zones.into_values().collect()
+    }
+
+    fn give(
+        &mut self,
+        context: &Context,
+        held: Authority,
+        platform: &dyn PlatformDuties,
+        order: &ScaleOrder,
+    ) {
+        let answer = platform.order_engines(&holder(context, held), order);
+        let outcome = outcome_of(&answer);
+        log::info!(
+            pool:% = order.subject.pool,
+            zone = order.subject.zone.as_str(),
+            kind:? = order.subject.kind,
+            count = order.count,
+            token:% = held.token,
+            answer:? = answer;
+            "engines_ordered"
+        );
+        context.metrics.engines_ordered(name_of(outcome));
+        self.orders.on_answer(order, outcome, context.now());
+    }
+}
+
+/// Pools whose engines the platform starts and stops at a price.
+fn scaled_pools(context: &Context) -> Vec<(PoolId, PoolScaling)> {
+    let Some(config) = context.forwarding() else {
+        return Vec::new();
+    };
+    let scaled = config.pools.iter().filter(|pool| pool.model.is_some());
+    scaled
+        .filter_map(|pool| Some((pool.id.clone(), pool.scaling.clone()?)))
+        .collect()
+}
+
+fn log_plan(pool: &PoolId, wanted: &[ZoneEngines], running: &[ZoneEngines], load: f64, without_spot: usize) {
+    let shown = |zones: &[ZoneEngines]| {
+        let zones = zones
+            .iter()
+            .map(|zone| format!("{}:{}+{}", zone.zone, zone.on_demand, zone.spot));
+        zones.collect::<Vec<_>>().join(",")
+    };
+    log::info!(
+        pool:% = pool,
+        load,
+        wanted = shown(wanted).as_str(),
+        running = shown(running).as_str(),
+        zones_without_spot = without_spot;
+        "engines_planned"
+    );
+}
+
+fn outcome_of(answer: &DutyAnswer) -> OrderOutcome {
+    match answer {
+        DutyAnswer::Taken => OrderOutcome::Taken,
+        DutyAnswer::Conflict => OrderOutcome::Conflict,
+        DutyAnswer::Throttled | DutyAnswer::Rejected(_) => OrderOutcome::NotTaken,
+        DutyAnswer::Unanswered(_) => OrderOutcome::Unknown,
+    }
+}
+
+fn name_of(outcome: OrderOutcome) -> &'static str {
+    match outcome {
+        OrderOutcome::Taken => "taken",
+        OrderOutcome::Conflict => "conflict",
+        OrderOutcome::NotTaken => "not_taken",
+        OrderOutcome::Unknown => "unknown",
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,6 @@
 mod telling;
 mod watch;
 
-pub use config::{DutySettings, NodeConfig, USAGE_REPORTING};
+pub use config::{AUTOSCALING, DutySettings, NodeConfig, USAGE_REPORTING};
 pub use context::NodeState;
 pub use handle::{Adapters, NodeHandle, StartError};
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -48,6 +48,7 @@
     store_calls: Family<ResultLabel, Counter>,
     orders: Family<ResultLabel, Counter>,
     usage_reports: Family<ResultLabel, Counter>,
+    engine_orders: Family<ResultLabel, Counter>,
     placements: Family<ResultLabel, Counter>,
     whole_answer: Histogram,
     first_event: Histogram,
@@ -89,6 +90,7 @@
             store_calls: Family::default(),
             orders: Family::default(),
             usage_reports: Family::default(),
+            engine_orders: Family::default(),
             placements: Family::default(),
             whole_answer: delays(),
             first_event: delays(),
@@ -162,6 +164,10 @@
         self.usage_reports.get_or_create(&ResultLabel { result }).inc();
     }
 
+    pub(crate) fn engines_ordered(&self, result: &'static str) {
+        self.engine_orders.get_or_create(&ResultLabel { result }).inc();
+    }
+
     pub(crate) fn first_event(&self, delay: Duration) {
         self.first_event.observe(delay.as_secs_f64());
     }
@@ -204,6 +210,11 @@
             self.placement_round_trip.clone(),
         );
         registry.register("orders", "Orders given to engines", self.orders.clone());
+        registry.register(
+            "engine_orders",
+            "Orders of how many engines should run",
+            self.engine_orders.clone(),
+        );
         registry.register(
             "usage_reports",
             "Usage reports sent to the platform",
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -1,5 +1,6 @@
 //! What the process needs from an adapter that speaks to callers, engines and the platform's store.
 
+use shelfjunction_core::autoscaling::ScaleOrder;
 use shelfjunction_core::engine::{EngineRefusal, KvTransfer};
 use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig};
 use shelfjunction_core::identity::{EngineId, FencingToken, NodeId, RequestId, TenantId};
@@ -391,6 +392,9 @@
 pub trait PlatformDuties: Send + Sync {
     /// Reports the requests that began in a window.
     fn report_usage(&self, holder: &DutyHolder, window: WindowNumber, counts: &TenantCounts) -> DutyAnswer;
+
+    /// Orders how many engines of a kind should run in a zone.
+    fn order_engines(&self, holder: &DutyHolder, order: &ScaleOrder) -> DutyAnswer;
 }
 
 /// One node as it enters itself into the store.
