--- a/crates/core/src/autoscaling/config.rs
+++ b/crates/core/src/autoscaling/config.rs
@@ -14,6 +14,8 @@
     pub on_demand_utilisation: f64,
     /// The same for what is left of spot engines when a zone has lost all of its own.
     pub utilisation_after_loss: f64,
+    /// The same when all zones but one have, while on-demand engines start.
+    pub utilisation_in_one_zone: f64,
     /// Time in which the highest load of late fades by two thirds, in milliseconds: long against waves of demand, since
     /// engines that start are empty and slow for a while.
     pub hold_millis: u64,
@@ -27,6 +29,7 @@
             enabled: true,
             on_demand_utilisation: 0.65,
             utilisation_after_loss: 0.55,
+            utilisation_in_one_zone: 0.85,
             hold_millis: 300_000,
             assumed_utilisation: 0.55,
         }
@@ -44,6 +47,10 @@
         let shares = [
             ("autoscaling.on_demand_utilisation", self.on_demand_utilisation),
             ("autoscaling.utilisation_after_loss", self.utilisation_after_loss),
+            (
+                "autoscaling.utilisation_in_one_zone",
+                self.utilisation_in_one_zone,
+            ),
             ("autoscaling.assumed_utilisation", self.assumed_utilisation),
         ];
         let wrong = shares
--- a/crates/core/src/autoscaling/ordering.rs
+++ b/crates/core/src/autoscaling/ordering.rs
@@ -25,6 +25,13 @@
 /// Part of what was said by which a higher wish is not worth an order.
 const MORE_BY: f64 = 0.05;
 
+/// Spot engines of a zone that leave at once without having been sent away, from which on all of them are taken for lost:
+/// fewer may be about to be replaced.
+const RECLAIMED_FROM: u32 = 4;
+
+/// Time after an order for fewer engines within which those that leave do so because of it.
+const LEAVING_TAKES: Duration = Duration::from_secs(12);
+
 /// What became of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderOutcome {
@@ -52,6 +59,8 @@
     fenced: Option<FencingToken>,
     said: BTreeMap<ScaleSubject, Said>,
     without_spot: BTreeMap<(PoolId, ZoneId), MonotonicTime>,
+    /// When fewer engines were last ordered.
+    fewer_at: BTreeMap<ScaleSubject, MonotonicTime>,
 }
 
 impl ScaleOrders {
@@ -75,8 +84,24 @@
             .collect()
     }
 
-    /// Notes that a zone takes spot engines back.
-    pub fn note_reclaimed(&mut self, pool: &PoolId, zone: &ZoneId, now: MonotonicTime) {
+    /// Notes that so many spot engines of a zone are about to leave; true where the platform takes them back, and all of
+    /// the zone's will go.
+    pub fn note_leaving(&mut self, pool: &PoolId, zone: &ZoneId, leaving: u32, now: MonotonicTime) -> bool {
+        let subject = ScaleSubject {
+            pool: pool.clone(),
+            zone: zone.clone(),
+            kind: EngineKind::Spot,
+        };
+        let sent_away = self.fewer_at.get(&subject);
+        let is_own_doing = sent_away.is_some_and(|at| now.since(*at) < LEAVING_TAKES);
+        if is_own_doing || leaving < RECLAIMED_FROM {
+            return false;
+        }
+        self.note_without_spot(pool, zone, now);
+        true
+    }
+
+    fn note_without_spot(&mut self, pool: &PoolId, zone: &ZoneId, now: MonotonicTime) {
         self.without_spot.insert((pool.clone(), zone.clone()), now);
     }
 
@@ -126,6 +151,10 @@
 
     /// Takes what became of an order.
     pub fn on_answer(&mut self, order: &ScaleOrder, outcome: OrderOutcome, now: MonotonicTime) {
+        let before = self.said.get(&order.subject).map(|said| said.count);
+        if before.is_some_and(|before| order.count < before) {
+            self.fewer_at.insert(order.subject.clone(), now);
+        }
         let said = Said {
             count: order.count,
             at: now,
@@ -135,7 +164,7 @@
         let subject = &order.subject;
         match (outcome, subject.kind) {
             (OrderOutcome::Conflict, EngineKind::Spot) => {
-                self.note_reclaimed(&subject.pool, &subject.zone, now);
+                self.note_without_spot(&subject.pool, &subject.zone, now);
             }
             // On-demand engines are always to be had: somebody else has the duty.
             (OrderOutcome::Conflict, EngineKind::OnDemand) => self.fenced = Some(self.token),
--- a/crates/core/src/autoscaling/planner.rs
+++ b/crates/core/src/autoscaling/planner.rs
@@ -3,8 +3,9 @@
 //! ```text
 //! load              = engines that the highest demand of late keeps busy
 //! the first load    = engines that the operators began with x assumed_utilisation; it fades like any other
-//! wanted spot       = load / utilisation_after_loss x zones / (zones - 1), spread evenly over the zones that have spot
-//!                     engines to give; none where that costs more than load / on_demand_utilisation at the full price
+//! wanted spot       = what carries the load at utilisation_after_loss when one zone has lost its own, or at
+//!                     utilisation_in_one_zone when all but one have, whichever is more; spread evenly over the zones
+//!                     that have some to give; none where that costs more than load / on_demand_utilisation at full price
 //! needed at least   = load / on_demand_utilisation
 //! wanted on demand  = needed at least - spot engines that run, spread over the zones, the cheapest first; none where
 //!                     that is less than TOLERATED of what is needed
@@ -68,11 +69,14 @@
     zones
 }
 
-/// Spot engines that carry a load even when one zone has just lost its own. Where there is one zone only, twice what the
-/// load needs.
+/// Spot engines that carry a load even when zones have just lost their own. Where there is one zone only, twice what the
+/// load needs at least.
 fn wanted_spot(load: f64, zones: usize, policy: &AutoscalingPolicy) -> u32 {
-    let left = (zones as f64 - 1.0) / zones as f64;
-    (load / policy.utilisation_after_loss / left.max(0.5)).ceil() as u32
+    let zones = zones as f64;
+    let left_by_one = ((zones - 1.0) / zones).max(0.5);
+    let one_lost = load / policy.utilisation_after_loss / left_by_one;
+    let one_left = load / policy.utilisation_in_one_zone * zones;
+    one_lost.max(one_left).ceil() as u32
 }
 
 fn empty(zone: &ZoneId) -> ZoneEngines {
--- a/crates/core/src/roles/pool.rs
+++ b/crates/core/src/roles/pool.rs
@@ -155,6 +155,8 @@
     pub reading: Option<f64>,
     /// Engines that outputs would fill.
     pub outputs: f64,
+    /// Whether any demand was seen, and not only expected.
+    pub is_seen: bool,
     seen_at: MonotonicTime,
 }
 
@@ -165,6 +167,18 @@
         self.reading = Some(self.reading.unwrap_or_default().max(reading));
     }
 
+    /// Takes a load that was worked out elsewhere.
+    pub fn observe_load(&mut self, load: f64, hold: Duration, now: MonotonicTime) {
+        let kept = self.kept(hold, now);
+        self.reading = Some((self.reading.unwrap_or_default() * kept).max(load));
+    }
+
+    /// Part of the loads before that still counts.
+    fn kept(&mut self, hold: Duration, now: MonotonicTime) -> f64 {
+        let since = now.since(std::mem::replace(&mut self.seen_at, now));
+        (-since.as_secs_f64() / hold.max(Duration::from_millis(1)).as_secs_f64()).exp()
+    }
+
     /// Engines that reading and outputs together keep busy; absent before any demand was seen or expected.
     pub fn engines(&self) -> Option<f64> {
         self.reading.map(|reading| reading + self.outputs)
@@ -178,17 +192,49 @@
         hold: Duration,
         now: MonotonicTime,
     ) {
-        let hold = hold.max(Duration::from_millis(1));
-        let kept = (-now.since(self.seen_at).as_secs_f64() / hold.as_secs_f64()).exp();
-        self.seen_at = now;
+        let kept = self.kept(hold, now);
         self.outputs = (self.outputs * kept).max(outputs_of(engines));
         if let Some(tokens) = demand.prompt_tokens_per_second {
+            self.is_seen = true;
             let reading = tokens / demand.engine_tokens_per_second;
             self.reading = Some((self.reading.unwrap_or_default() * kept).max(reading));
         }
     }
 }
 
+/// Time in which a change of the load shows by two thirds: a spike of a second or two is over before engines start.
+const SMOOTHED_OVER: Duration = Duration::from_secs(5);
+
+/// A load without its spikes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SmoothLoad {
+    value: f64,
+    seen_at: Option<MonotonicTime>,
+}
+
+impl SmoothLoad {
+    /// Takes the load of this moment.
+    pub fn observe(&mut self, load: f64, now: MonotonicTime) {
+        let since = self
+            .seen_at
+            .replace(now)
+            .map_or(Duration::ZERO, |at| now.since(at));
+        let kept = (-since.as_secs_f64() / SMOOTHED_OVER.as_secs_f64()).exp();
+        self.value = self.value * kept + load * (1.0 - kept);
+    }
+
+    /// The load of the last seconds.
+    pub fn value(&self) -> f64 {
+        self.value
+    }
+}
+
+/// Load that the demand of this moment would put on engines; absent before any demand was seen.
+pub fn load_now(engines: &[PoolEngineView], demand: PoolDemand) -> Option<f64> {
+    let reading = demand.prompt_tokens_per_second? / demand.engine_tokens_per_second;
+    Some(reading + outputs_of(engines))
+}
+
 /// One change of stage.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StageChange {
@@ -203,11 +249,11 @@
 /// The changes to make in one round: each is decided as if those before it had been made.
 pub fn plan_round(engines: &[PoolEngineView], loads: PeakLoads, policy: &PoolRolePolicy) -> Vec<StageChange> {
     // While nobody waits for answers, all may change at once.
-    let engines_per_change = match loads.reading {
-        Some(_) => policy.engines_per_change.max(1),
-        None => 1,
+    let most = if loads.is_seen {
+        (engines.len() / policy.engines_per_change.max(1)).max(1)
+    } else {
+        engines.len()
     };
-    let most = (engines.len() / engines_per_change).max(1);
     let mut engines = engines.to_vec();
     let mut changes: Vec<StageChange> = Vec::new();
     while changes.len() < most {
--- a/crates/node/src/commanding/ordering.rs
+++ b/crates/node/src/commanding/ordering.rs
@@ -86,7 +86,11 @@
         let router = lock(&context.router);
         for pool in router.model_pools() {
             let (engines, demand) = router.role_input(&pool, now);
+            let expected = lock(&context.expected_loads).get(&pool).copied();
             let peaks = self.peaks.entry(pool).or_default();
+            if let Some(expected) = expected.filter(|_| !peaks.is_seen) {
+                peaks.expect(expected, now);
+            }
             peaks.observe(&engines, demand, context.config.roles.hold(), now);
         }
     }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -53,6 +53,8 @@
     pub(crate) fleet_clock: Mutex<FleetClock>,
     /// Usage of tenants; absent where it is not counted.
     pub(crate) metering: Option<Metering>,
+    /// Loads that the operators expect, in engines, until demand is seen.
+    pub(crate) expected_loads: Mutex<BTreeMap<PoolId, f64>>,
     authority: Mutex<Option<Authority>>,
     in_force: Mutex<ConfigInForce>,
     rotation: Mutex<ShareRotation>,
@@ -137,6 +139,7 @@
             start: rand::random(),
             fleet_clock: Mutex::default(),
             metering: config.metering.map(Metering::new),
+            expected_loads: Mutex::default(),
             authority: Mutex::default(),
             in_force: Mutex::new(ConfigInForce::default()),
             rotation: Mutex::new(ShareRotation::default()),
--- a/crates/node/src/duties/scaling.rs
+++ b/crates/node/src/duties/scaling.rs
@@ -9,7 +9,7 @@
 use shelfjunction_core::autoscaling::{PoolScaling, ScaleOrder, ZoneEngines};
 use shelfjunction_core::forwarding::PoolId;
 use shelfjunction_core::lease::Authority;
-use shelfjunction_core::roles::pool::PeakLoads;
+use shelfjunction_core::roles::pool::{PeakLoads, PoolEngineView, SmoothLoad, load_now};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
@@ -37,6 +37,7 @@
 /// Scaling as this node sees it.
 pub(super) struct ScalingDuty {
     orders: ScaleOrders,
+    smooth: BTreeMap<PoolId, SmoothLoad>,
     peaks: BTreeMap<PoolId, PeakLoads>,
     /// Engines that the operators began with, by pool.
     began_with: BTreeMap<PoolId, BeganWith>,
@@ -50,6 +51,7 @@
         let has_duty = duties.has(AUTOSCALING) && context.config.autoscaling.enabled;
         has_duty.then(|| Self {
             orders: ScaleOrders::default(),
+            smooth: BTreeMap::new(),
             peaks: BTreeMap::new(),
             began_with: BTreeMap::new(),
             logged: BTreeMap::new(),
@@ -60,27 +62,46 @@
     pub(super) fn observe(&mut self, context: &Context) {
         let now = context.now();
         for (pool, _) in scaled_pools(context) {
-            let router = lock(&context.router);
-            let (engines, demand) = router.role_input(&pool, now);
-            let on_demand = engines.iter().filter(|engine| !engine.spot).count();
-            let peaks = self.peaks.entry(pool.clone()).or_default();
-            peaks.observe(&engines, demand, context.config.autoscaling.hold(), now);
+            let (engines, demand) = lock(&context.router).role_input(&pool, now);
+            let load = load_now(&engines, demand);
+            if let Some(load) = load {
+                let smooth = self.smooth.entry(pool.clone()).or_default();
+                smooth.observe(load, now);
+                let hold = context.config.autoscaling.hold();
+                let peaks = self.peaks.entry(pool.clone()).or_default();
+                peaks.observe_load(smooth.value(), hold, now);
+            }
             if context.config.first_start && !engines.is_empty() {
-                let began = self.began_with.entry(pool).or_insert(BeganWith {
-                    engines: 0,
-                    has_demand: false,
-                    first_seen_at: now,
-                });
-                began.has_demand |= demand.prompt_tokens_per_second.is_some();
-                if !began.is_known(now) {
-                    began.engines = began.engines.max(on_demand as u32);
-                    let assumed = context.config.autoscaling.assumed_utilisation;
-                    peaks.expect(f64::from(began.engines) * assumed, now);
-                }
+                self.look_at_begin(context, pool, &engines, load.is_some(), now);
             }
         }
     }
 
+    /// Until the list has filled, the operators' own number of engines tells what demand they expect.
+    fn look_at_begin(
+        &mut self,
+        context: &Context,
+        pool: PoolId,
+        engines: &[PoolEngineView],
+        has_demand: bool,
+        now: MonotonicTime,
+    ) {
+        let began = self.began_with.entry(pool.clone()).or_insert(BeganWith {
+            engines: 0,
+            has_demand: false,
+            first_seen_at: now,
+        });
+        began.has_demand |= has_demand;
+        if began.is_known(now) {
+            return;
+        }
+        let on_demand = engines.iter().filter(|engine| !engine.spot).count();
+        began.engines = began.engines.max(on_demand as u32);
+        let expected = f64::from(began.engines) * context.config.autoscaling.assumed_utilisation;
+        self.peaks.entry(pool.clone()).or_default().expect(expected, now);
+        lock(&context.expected_loads).insert(pool, expected);
+    }
+
     /// Gives the orders that are due.
     pub(super) fn step(&mut self, context: &Context, held: Authority, platform: &dyn PlatformDuties) {
         self.orders.begin(held.token);
@@ -147,9 +168,10 @@
             }
         }
         for (zone, leaving) in leaving {
-            let stays = zones.get(&zone).map_or(0, |zone| zone.spot);
-            if leaving > stays {
-                self.orders.note_reclaimed(pool, &zone, now);
+            if self.orders.note_leaving(pool, &zone, leaving, now)
+                && let Some(running) = zones.get_mut(&zone)
+            {
+                running.spot = 0;
             }
         }
         zones.into_values().collect()
--- a/crates/node/src/watch/engines.rs
+++ b/crates/node/src/watch/engines.rs
@@ -6,10 +6,15 @@
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::routing::pool::{ListChange, ListSnapshot, PoolEngine};
 use shelfjunction_threads::lock;
+use std::time::Duration;
 
 /// Where these changes come from, for the log.
 const SOURCE: &str = "store";
 
+/// Time for which changes gather at the store before the next question, so that engines which come and go one by one do
+/// not cost a call each.
+const GATHER: Duration = Duration::from_millis(150);
+
 /// Follows the list as long as the process runs.
 pub(crate) fn run(context: &Context, store: &dyn FleetStore) {
     let table = &context.list_watch;
@@ -24,12 +29,16 @@
         match changes {
             Ok(changes) => {
                 let version = changes.version.0;
+                let has_changed = !changes.changes.is_empty();
                 if after == 0 {
                     take_whole(context, changes);
                 } else {
                     take_changes(context, after, changes);
                 }
                 contact.answered(context, version);
+                if has_changed {
+                    context.stop.wait(GATHER);
+                }
             }
             Err(WatchError::HistoryGone) => {
                 log::info!(table = "engines"; "history_gone");
