A process that starts among others takes what runs for what is needed; nothing is ordered away while the list fills; shared parts are kept in two zones where spot engines hold them

A zone that loses its spot engines loses what they keep: the output of a prompt whose shared part no other zone keeps runs in another zone, at 20 ms of cost.

--- a/crates/core/src/autoscaling/ordering.rs
+++ b/crates/core/src/autoscaling/ordering.rs
@@ -174,7 +174,8 @@
 
     fn is_due(&self, order: &ScaleOrder, runs: u32, scaling: &PoolScaling, now: MonotonicTime) -> bool {
         let Some(said) = self.said.get(&order.subject) else {
-            return order.count != runs;
+            let part = if order.count > runs { MORE_BY } else { FEWER_BY };
+            return differs(runs, order.count, part);
         };
         let since = now.since(said.at);
         if since < SAID_EVERY {
--- a/crates/core/src/autoscaling/planner.rs
+++ b/crates/core/src/autoscaling/planner.rs
@@ -65,18 +65,27 @@
     let lacking = least.saturating_sub(spot);
     let tolerated = (f64::from(least) * TOLERATED) as u32;
     let on_demand = if lacking > tolerated { lacking } else { 0 };
-    add_on_demand(&mut zones, on_demand, input.scaling);
+    add_on_demand(&mut zones, on_demand, input);
     zones
 }
 
-/// Spot engines that carry a load even when zones have just lost their own. Where there is one zone only, twice what the
-/// load needs at least.
+/// The load that would have had these engines started.
+pub fn carried(on_demand: usize, spot: usize, zones: usize, policy: &AutoscalingPolicy) -> f64 {
+    spot as f64 / spot_per_load(zones, policy) + on_demand as f64 * policy.on_demand_utilisation
+}
+
 fn wanted_spot(load: f64, zones: usize, policy: &AutoscalingPolicy) -> u32 {
-    let zones = zones as f64;
+    (load * spot_per_load(zones, policy)).ceil() as u32
+}
+
+/// Spot engines for each engine that the load keeps busy, so that they carry it even when zones have just lost their own.
+/// Where there is one zone only, what is left when half of them are lost is reckoned with.
+fn spot_per_load(zones: usize, policy: &AutoscalingPolicy) -> f64 {
+    let zones = zones.max(1) as f64;
     let left_by_one = ((zones - 1.0) / zones).max(0.5);
-    let one_lost = load / policy.utilisation_after_loss / left_by_one;
-    let one_left = load / policy.utilisation_in_one_zone * zones;
-    one_lost.max(one_left).ceil() as u32
+    let one_lost = 1.0 / policy.utilisation_after_loss / left_by_one;
+    let one_left = zones / policy.utilisation_in_one_zone;
+    one_lost.max(one_left)
 }
 
 fn empty(zone: &ZoneId) -> ZoneEngines {
@@ -122,8 +131,10 @@
     input.running.iter().find(|running| running.zone == *zone)
 }
 
-/// Adds on-demand engines evenly over the zones, of equal ones in the cheapest, within the bounds of each zone.
-fn add_on_demand(zones: &mut [ZoneEngines], count: u32, scaling: &PoolScaling) {
+/// Adds on-demand engines evenly over the zones, of equal ones in the cheapest, within the bounds of each zone beside the
+/// spot engines that may be counted on.
+fn add_on_demand(zones: &mut [ZoneEngines], count: u32, input: &ScalingInput<'_>) {
+    let scaling = input.scaling;
     let price = |zone: &ZoneId| {
         let found = scaling.zone_prices.iter().find(|one| one.zone == *zone);
         found.map_or(f64::INFINITY, |one| one.price)
@@ -133,7 +144,9 @@
     }
     let placed: u32 = zones.iter().map(|zone| zone.on_demand).sum();
     for _ in placed..count {
-        let open = zones.iter_mut().filter(|zone| zone.total() < scaling.maximum);
+        let has_room =
+            |zone: &&mut ZoneEngines| zone.on_demand + spot_to_count(zone, input) < scaling.maximum;
+        let open = zones.iter_mut().filter(has_room);
         let next = open.min_by(|left, right| {
             let by_count = left.on_demand.cmp(&right.on_demand);
             by_count.then(price(&left.zone).total_cmp(&price(&right.zone)))
--- a/crates/core/src/lease/keeper.rs
+++ b/crates/core/src/lease/keeper.rs
@@ -55,6 +55,7 @@
     next_call_at: MonotonicTime,
     stopping: bool,
     released: bool,
+    took_released: bool,
 }
 
 impl LeaseKeeper {
@@ -75,6 +76,7 @@
             next_call_at: MonotonicTime::default(),
             stopping: false,
             released: false,
+            took_released: false,
         }
     }
 
@@ -95,6 +97,11 @@
         Some((&observed.row.holder, observed.row.token))
     }
 
+    /// Whether the last taking followed a release, so that no time has passed for which a lease must lapse.
+    pub fn took_released(&self) -> bool {
+        self.took_released
+    }
+
     /// Whether a release has been settled, or there was nothing to release.
     pub fn is_released(&self) -> bool {
         self.released
@@ -234,12 +241,17 @@
             .observed
             .as_ref()
             .is_none_or(|previous| previous.row.token < token);
+        let was_released = self
+            .observed
+            .as_ref()
+            .is_some_and(|previous| previous.row.released);
         self.released = observed.row.released;
         self.unsettled.clear();
         self.observed = Some(observed);
         if let Some(held) = &mut self.held {
             held.counted_from = sent_at;
         } else if taken && !self.stopping {
+            self.took_released = was_released;
             self.held = Some(Held {
                 token,
                 epoch_version: version,
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -1,10 +1,10 @@
 //! Which engines a request goes to, and why.
 
-use super::cost::{CostContext, shared_prefixes};
+use super::cost::{CostContext, OutputSource, shared_prefixes};
 use super::engine::{EngineStage, EngineState, PoolEngine};
 use super::query::PoolQuery;
 use super::router::PoolRouter;
-use crate::identity::EngineId;
+use crate::identity::{EngineId, ZoneId};
 use crate::membership::rendezvous;
 use crate::membership::subject::SubjectHandle;
 use crate::time::MonotonicTime;
@@ -71,7 +71,7 @@
         let context = self.context(query, now);
         if query.prompt.is_none() {
             return cheapest(self.candidates(query, EngineStage::Whole, now), |state| {
-                context.output(state, query.zone)
+                context.output(state, OutputSource::in_zone(query.zone))
             })
             .map_or(PoolRoute::Nowhere, |(_, state)| {
                 PoolRoute::Whole(state.engine.clone())
@@ -111,12 +111,14 @@
         now: MonotonicTime,
     ) -> Option<PoolEngine> {
         let context = self.context(query, now);
-        let zone = self
+        let source = self
             .engines
             .get(source)
-            .map_or(query.zone, |state| &state.engine.zone);
+            .map_or(OutputSource::in_zone(query.zone), |state| {
+                self.output_source(state, query, now)
+            });
         cheapest(self.candidates(query, EngineStage::Decode, now), |state| {
-            context.output(state, zone)
+            context.output(state, source)
         })
         .map(|(_, state)| state.engine.clone())
     }
@@ -137,7 +139,7 @@
                 context.prompt(state, query, home.as_ref() == Some(&state.engine.id))
             }
             (EngineStage::Decode, true) => context.both(state, query),
-            _ => context.output(state, query.zone),
+            _ => context.output(state, OutputSource::in_zone(query.zone)),
         };
         let others = self
             .candidates(query, stage, now)
@@ -243,7 +245,8 @@
     ) -> Option<(f64, &'a EngineState, &'a EngineState)> {
         let (prompt_cost, prefill) = self.choose_prefill(query, context)?;
         let decodes = self.candidates(query, EngineStage::Decode, context.now);
-        let (cost, decode) = cheapest(decodes, |state| context.output(state, &prefill.engine.zone))?;
+        let source = self.output_source(prefill, query, context.now);
+        let (cost, decode) = cheapest(decodes, |state| context.output(state, source))?;
         Some((prompt_cost + cost + context.hand_over(query), prefill, decode))
     }
 
@@ -262,6 +265,33 @@
         )
     }
 
+    /// Where the output of a prompt that an engine reads comes from.
+    fn output_source<'a>(
+        &self,
+        reads: &'a EngineState,
+        query: &PoolQuery<'_>,
+        now: MonotonicTime,
+    ) -> OutputSource<'a> {
+        let zone = &reads.engine.zone;
+        OutputSource {
+            zone,
+            keeps_alone: reads.engine.spot && self.keeps_alone(zone, query, now),
+        }
+    }
+
+    /// Whether no zone but this one keeps the shared part of a prompt.
+    fn keeps_alone(&self, zone: &ZoneId, query: &PoolQuery<'_>, now: MonotonicTime) -> bool {
+        let shared = shared_prefixes(query.prefixes);
+        let tokens: u32 = shared.iter().map(|block| block.tokens).sum();
+        let elsewhere = self.engines.values().filter(|state| {
+            state.engine.zone != *zone && state.engine.pool == *query.pool && state.can_be_fetched_from(now)
+        });
+        tokens > 0
+            && elsewhere
+                .into_iter()
+                .all(|state| state.prefixes.held_tokens(shared) < tokens)
+    }
+
     /// An engine that runs outputs and reads this prompt itself.
     fn choose_reading_decode<'a>(
         &'a self,
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -19,7 +19,8 @@
 //!              + w.overflow_seconds * requests beyond the places
 //! held up at e = w.held_up * read here(prompt tokens at e)           (outputs wait while it reads; none: nothing)
 //! output at e  = slowness * (load of e + held up at e) + arriving at e
-//!              + w.transfer_zone_seconds                          (apart from the prompt's engine)
+//!              + w.transfer_zone_seconds                          (in another zone than the prompt's engine)
+//!                or w.lone_zone_seconds          (in its zone, where that alone keeps the shared part and may lose it)
 //! hand-over    = w.handover_seconds + w.transfer * tokens of the prompt * seconds to move a token
 //!
 //! both at e    = output at e + fetch to e + slowness * read here(prompt tokens ahead at e + computed at e)
@@ -57,6 +58,26 @@
     pub now: MonotonicTime,
 }
 
+/// Where an output comes from.
+#[derive(Clone, Copy, Debug)]
+pub struct OutputSource<'a> {
+    /// Zone of the engine that reads the prompt.
+    pub zone: &'a ZoneId,
+    /// Whether that zone alone keeps the shared part of the prompt, and may lose all of its engines at once. The engine
+    /// that runs the output keeps it too.
+    pub keeps_alone: bool,
+}
+
+impl<'a> OutputSource<'a> {
+    /// A zone of which nothing else matters.
+    pub fn in_zone(zone: &'a ZoneId) -> Self {
+        Self {
+            zone,
+            keeps_alone: false,
+        }
+    }
+}
+
 /// How an engine comes by a prompt.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ReadingWork {
@@ -99,11 +120,11 @@
     }
 
     /// Cost of running the output at an engine, or the whole of a request that no model serves.
-    pub fn output(&self, state: &EngineState, source: &ZoneId) -> f64 {
-        let transfer = if state.engine.zone == *source {
-            0.0
-        } else {
-            self.weights.transfer_zone_seconds
+    pub fn output(&self, state: &EngineState, source: OutputSource<'_>) -> f64 {
+        let transfer = match (state.engine.zone == *source.zone, source.keeps_alone) {
+            (true, true) => self.weights.lone_zone_seconds,
+            (true, false) | (false, true) => 0.0,
+            (false, false) => self.weights.transfer_zone_seconds,
         };
         let prompts = state.work(self.now).all_prompt_tokens();
         let held_up = if prompts > 0.0 {
--- a/crates/core/src/routing/pool/weights.rs
+++ b/crates/core/src/routing/pool/weights.rs
@@ -26,6 +26,8 @@
     pub other_zone_seconds: f64,
     /// Cost of handing a KV cache to another zone, in seconds.
     pub transfer_zone_seconds: f64,
+    /// Cost of leaving a shared part in one zone only, where spot engines hold it and may all be taken away, in seconds.
+    pub lone_zone_seconds: f64,
     /// Worth of the part of an engine's places that is taken, in seconds.
     pub places_seconds: f64,
     /// Worth of the part of an engine's memory that is taken, in seconds.
@@ -59,6 +61,7 @@
             handover_seconds: 0.015,
             other_zone_seconds: 0.010,
             transfer_zone_seconds: 0.010,
+            lone_zone_seconds: 0.020,
             places_seconds: 0.5,
             memory_seconds: 0.5,
             overflow_seconds: 0.2,
@@ -85,6 +88,7 @@
             ("routing.handover_seconds", self.handover_seconds, 0.0),
             ("routing.other_zone_seconds", self.other_zone_seconds, 0.0),
             ("routing.transfer_zone_seconds", self.transfer_zone_seconds, 0.0),
+            ("routing.lone_zone_seconds", self.lone_zone_seconds, 0.0),
             ("routing.places_seconds", self.places_seconds, 0.0),
             ("routing.memory_seconds", self.memory_seconds, 0.0),
             ("routing.overflow_seconds", self.overflow_seconds, 0.0),
--- a/crates/node/src/commanding/tenure.rs
+++ b/crates/node/src/commanding/tenure.rs
@@ -10,13 +10,15 @@
 /// Name under which the one lease over all zones' engines is kept.
 const LEASE_SCOPE: &str = "fleet";
 
-/// Time after a taking before the first order: machines that take turns faster would be two masters of one engine.
+/// Time after a taking before the first order, and after a taking of a lease that was given up before the first call to
+/// the platform: machines that take turns faster would be two masters of one engine.
 const FIRST_ORDER_AFTER: Duration = Duration::from_millis(3_500);
 
 /// This node's part in the lease.
 pub(super) struct Tenure {
     keeper: LeaseKeeper,
     order_from: MonotonicTime,
+    duties_from: MonotonicTime,
     stopping: bool,
     held_once: bool,
 }
@@ -32,6 +34,7 @@
         Self {
             keeper,
             order_from: MonotonicTime::default(),
+            duties_from: MonotonicTime::default(),
             stopping: false,
             held_once: false,
         }
@@ -41,7 +44,7 @@
     pub(super) fn tick(&mut self, context: &Context, table: &dyn TableService) {
         let effects = self.keeper.handle(LeaseEvent::Tick, context.now());
         self.carry_out(context, table, effects);
-        context.set_authority(self.keeper.authority(context.now()));
+        context.set_authority(self.keeper.authority(context.now()), self.duties_from);
     }
 
     /// The right to order engines now; absent without a lease or too soon after its taking.
@@ -51,7 +54,7 @@
 
     /// Gives the lease up for good; repeated until the store has confirmed it.
     pub(super) fn release(&mut self, context: &Context, table: &dyn TableService) {
-        context.set_authority(None);
+        context.set_authority(None, self.duties_from);
         if !self.held_once || self.keeper.is_released() {
             return;
         }
@@ -95,7 +98,10 @@
         let is_first = authority.token.0 <= 1;
         let now = context.now();
         self.order_from = if is_first { now } else { now + FIRST_ORDER_AFTER };
-        log::info!(token:% = authority.token, first = is_first; "lease_gained");
+        let released = self.keeper.took_released();
+        // A lease that has lapsed has kept its last holder from calling for as long.
+        self.duties_from = if released { now + FIRST_ORDER_AFTER } else { now };
+        log::info!(token:% = authority.token, first = is_first, released; "lease_gained");
     }
 }
 
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -56,6 +56,7 @@
     /// Loads that the operators expect, in engines, until demand is seen.
     pub(crate) expected_loads: Mutex<BTreeMap<PoolId, f64>>,
     authority: Mutex<Option<Authority>>,
+    duties_from: Mutex<MonotonicTime>,
     in_force: Mutex<ConfigInForce>,
     rotation: Mutex<ShareRotation>,
     budgets: Mutex<BTreeMap<PoolId, WindowBudget>>,
@@ -141,6 +142,7 @@
             metering: config.metering.map(Metering::new),
             expected_loads: Mutex::default(),
             authority: Mutex::default(),
+            duties_from: Mutex::default(),
             in_force: Mutex::new(ConfigInForce::default()),
             rotation: Mutex::new(ShareRotation::default()),
             budgets: Mutex::new(BTreeMap::new()),
@@ -154,12 +156,18 @@
         self.clock.now()
     }
 
-    /// The right to order engines and to call the platform; absent without the lease.
+    /// What the lease allows, while this node holds it.
     pub(crate) fn authority(&self, now: MonotonicTime) -> Option<Authority> {
         lock(&self.authority).filter(|authority| now < authority.not_after)
     }
 
-    pub(crate) fn set_authority(&self, authority: Option<Authority>) {
+    /// The right to call the platform; absent without the lease, or too soon after another gave it up.
+    pub(crate) fn duty_authority(&self, now: MonotonicTime) -> Option<Authority> {
+        self.authority(now).filter(|_| now >= *lock(&self.duties_from))
+    }
+
+    pub(crate) fn set_authority(&self, authority: Option<Authority>, duties_from: MonotonicTime) {
+        *lock(&self.duties_from) = duties_from;
         *lock(&self.authority) = authority;
     }
 
--- a/crates/node/src/duties/mod.rs
+++ b/crates/node/src/duties/mod.rs
@@ -56,7 +56,7 @@
 fn authority(context: &Context) -> Option<Authority> {
     let now = context.now();
     context
-        .authority(now)
+        .duty_authority(now)
         .filter(|authority| now + LEASE_LEFT <= authority.not_after)
 }
 
--- a/crates/node/src/duties/scaling.rs
+++ b/crates/node/src/duties/scaling.rs
@@ -5,14 +5,14 @@
 use crate::context::Context;
 use crate::ports::{DutyAnswer, PlatformDuties};
 use shelfjunction_core::autoscaling::ordering::{OrderOutcome, ScaleOrders};
-use shelfjunction_core::autoscaling::planner::{ScalingInput, plan};
-use shelfjunction_core::autoscaling::{PoolScaling, ScaleOrder, ZoneEngines};
+use shelfjunction_core::autoscaling::planner::{ScalingInput, carried, plan};
+use shelfjunction_core::autoscaling::{EngineKind, PoolScaling, ScaleOrder, ZoneEngines};
 use shelfjunction_core::forwarding::PoolId;
 use shelfjunction_core::lease::Authority;
 use shelfjunction_core::roles::pool::{PeakLoads, PoolEngineView, SmoothLoad, load_now};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Time from the first engine that was seen until the list shows all that the operators began with: engines enter
@@ -39,6 +39,8 @@
     orders: ScaleOrders,
     smooth: BTreeMap<PoolId, SmoothLoad>,
     peaks: BTreeMap<PoolId, PeakLoads>,
+    /// Pools whose load was expected from what ran.
+    expects: BTreeSet<PoolId>,
     /// Engines that the operators began with, by pool.
     began_with: BTreeMap<PoolId, BeganWith>,
     logged: BTreeMap<PoolId, Vec<ZoneEngines>>,
@@ -53,6 +55,7 @@
             orders: ScaleOrders::default(),
             smooth: BTreeMap::new(),
             peaks: BTreeMap::new(),
+            expects: BTreeSet::new(),
             began_with: BTreeMap::new(),
             logged: BTreeMap::new(),
         })
@@ -61,7 +64,7 @@
     /// Looks at the demand and at what runs, also while another node holds the lease.
     pub(super) fn observe(&mut self, context: &Context) {
         let now = context.now();
-        for (pool, _) in scaled_pools(context) {
+        for (pool, scaling) in scaled_pools(context) {
             let (engines, demand) = lock(&context.router).role_input(&pool, now);
             let load = load_now(&engines, demand);
             if let Some(load) = load {
@@ -71,12 +74,35 @@
                 let peaks = self.peaks.entry(pool.clone()).or_default();
                 peaks.observe_load(smooth.value(), hold, now);
             }
-            if context.config.first_start && !engines.is_empty() {
+            if engines.is_empty() {
+                continue;
+            }
+            if context.config.first_start {
                 self.look_at_begin(context, pool, &engines, load.is_some(), now);
+            } else if !self.expects.contains(&pool) {
+                self.expect_what_runs(context, pool, &scaling, &engines, now);
             }
         }
     }
 
+    /// A process that starts among others takes what runs for what is needed: it has seen no demand itself.
+    fn expect_what_runs(
+        &mut self,
+        context: &Context,
+        pool: PoolId,
+        scaling: &PoolScaling,
+        engines: &[PoolEngineView],
+        now: MonotonicTime,
+    ) {
+        let spot = engines.iter().filter(|engine| engine.spot).count();
+        let on_demand = engines.len() - spot;
+        let zones = scaling.zone_prices.len();
+        let load = carried(on_demand, spot, zones, &context.config.autoscaling);
+        log::info!(pool:% = pool, on_demand, spot, load; "load_expected");
+        self.peaks.entry(pool.clone()).or_default().expect(load, now);
+        self.expects.insert(pool);
+    }
+
     /// Until the list has filled, the operators' own number of engines tells what demand they expect.
     fn look_at_begin(
         &mut self,
@@ -136,11 +162,9 @@
             self.logged.insert(pool.clone(), wanted.clone());
         }
         let order = self.orders.next(pool, scaling, &wanted, &running, now)?;
-        // While the list fills, what looks like too many engines may be those of a zone that has listed more than others.
+        // While the list fills, nobody knows how many of the operators' own engines run in a zone.
         let is_filling = began.is_some_and(|began| !began.is_known(now));
-        let runs = running.iter().find(|zone| zone.zone == order.subject.zone);
-        let runs = runs.map_or(0, |zone| zone.of(order.subject.kind));
-        (!is_filling || order.count > runs).then_some(order)
+        (!is_filling || order.subject.kind == EngineKind::Spot).then_some(order)
     }
 
     /// Engines that stay, by zone; notes zones that take their spot engines back.
