--- a/crates/core/src/autoscaling/ordering.rs
+++ b/crates/core/src/autoscaling/ordering.rs
@@ -25,9 +25,12 @@
 /// Part of what was said by which a higher wish is not worth an order.
 const MORE_BY: f64 = 0.05;
 
-/// Spot engines of a zone that leave at once without having been sent away, from which on all of them are taken for lost:
-/// fewer may be about to be replaced.
-const RECLAIMED_FROM: u32 = 4;
+/// Part of a zone's spot engines that leave at once without having been sent away, from which on all of them are taken for
+/// lost: fewer may be replaced one after the other.
+const RECLAIMED_PART: f64 = 0.25;
+
+/// Fewest of them; of a handful, one that is replaced is a large part.
+const RECLAIMED_FROM: u32 = 3;
 
 /// Time after an order for fewer engines within which those that leave do so because of it.
 const LEAVING_TAKES: Duration = Duration::from_secs(12);
@@ -52,6 +55,22 @@
     taken: bool,
 }
 
+/// Spot engines of a zone, as the list shows them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LeavingEngines {
+    /// About to leave.
+    pub leaving: u32,
+    /// Staying.
+    pub staying: u32,
+}
+
+impl LeavingEngines {
+    fn are_taken_back(self) -> bool {
+        let all = f64::from(self.leaving + self.staying);
+        self.leaving >= RECLAIMED_FROM && f64::from(self.leaving) >= all * RECLAIMED_PART
+    }
+}
+
 /// Orders of one holder of the lease.
 #[derive(Clone, Debug, Default)]
 pub struct ScaleOrders {
@@ -86,7 +105,13 @@
 
     /// Notes that so many spot engines of a zone are about to leave; true where the platform takes them back, and all of
     /// the zone's will go.
-    pub fn note_leaving(&mut self, pool: &PoolId, zone: &ZoneId, leaving: u32, now: MonotonicTime) -> bool {
+    pub fn note_leaving(
+        &mut self,
+        pool: &PoolId,
+        zone: &ZoneId,
+        leaving: LeavingEngines,
+        now: MonotonicTime,
+    ) -> bool {
         let subject = ScaleSubject {
             pool: pool.clone(),
             zone: zone.clone(),
@@ -94,7 +119,7 @@
         };
         let sent_away = self.fewer_at.get(&subject);
         let is_own_doing = sent_away.is_some_and(|at| now.since(*at) < LEAVING_TAKES);
-        if is_own_doing || leaving < RECLAIMED_FROM {
+        if is_own_doing || !leaving.are_taken_back() {
             return false;
         }
         self.note_without_spot(pool, zone, now);
--- a/crates/core/tests/autoscaling.rs
+++ b/crates/core/tests/autoscaling.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use shelfjunction_core::autoscaling::config::AutoscalingPolicy;
-use shelfjunction_core::autoscaling::ordering::{OrderOutcome, ScaleOrders};
+use shelfjunction_core::autoscaling::ordering::{LeavingEngines, OrderOutcome, ScaleOrders};
 use shelfjunction_core::autoscaling::planner::{ScalingInput, plan};
 use shelfjunction_core::autoscaling::{EngineKind, PoolScaling, ScaleOrder, ZoneEngines, ZonePrice};
 use shelfjunction_core::forwarding::PoolId;
@@ -51,6 +51,10 @@
     ZONES.into_iter().zip(counts).map(one).collect()
 }
 
+fn leaving(leaving: u32, staying: u32) -> LeavingEngines {
+    LeavingEngines { leaving, staying }
+}
+
 fn wanted(
     scaling: &PoolScaling,
     running: &[ZoneEngines],
@@ -221,7 +225,7 @@
     let (mut platform, mut orders) = begin([(0, 91), (0, 91), (0, 90)]);
     play(&mut platform, &mut orders, |_| 77.0, 0..2_000);
     platform.dry.insert(zone("b"));
-    assert!(orders.note_leaving(&pool(), &zone("b"), 91, at(2_000)));
+    assert!(orders.note_leaving(&pool(), &zone("b"), leaving(30, 61), at(2_000)));
     platform.running[1].spot = 0;
     play(&mut platform, &mut orders, |_| 77.0, 2_000..11_000);
     assert_eq!(platform.running[1].spot, 0);
@@ -237,7 +241,7 @@
 fn engines_that_were_sent_away_are_not_taken_for_a_zone_that_takes_them_back() {
     let (_, mut orders) = begin([(0, 91), (0, 91), (0, 90)]);
     assert!(
-        !orders.note_leaving(&pool(), &zone("a"), 3, at(0)),
+        !orders.note_leaving(&pool(), &zone("a"), leaving(10, 81), at(0)),
         "a few may be replaced"
     );
     let order = |count| ScaleOrder {
@@ -250,8 +254,8 @@
     };
     orders.on_answer(&order(91), OrderOutcome::Taken, at(0));
     orders.on_answer(&order(60), OrderOutcome::Taken, at(20_000));
-    assert!(!orders.note_leaving(&pool(), &zone("a"), 31, at(21_000)));
-    assert!(orders.note_leaving(&pool(), &zone("a"), 31, at(40_000)));
+    assert!(!orders.note_leaving(&pool(), &zone("a"), leaving(31, 60), at(21_000)));
+    assert!(orders.note_leaving(&pool(), &zone("a"), leaving(31, 60), at(40_000)));
 }
 
 #[test]
--- a/crates/node/src/duties/scaling.rs
+++ b/crates/node/src/duties/scaling.rs
@@ -4,7 +4,7 @@
 use crate::config::AUTOSCALING;
 use crate::context::Context;
 use crate::ports::{DutyAnswer, PlatformDuties};
-use shelfjunction_core::autoscaling::ordering::{OrderOutcome, ScaleOrders};
+use shelfjunction_core::autoscaling::ordering::{LeavingEngines, OrderOutcome, ScaleOrders};
 use shelfjunction_core::autoscaling::planner::{ScalingInput, carried, plan};
 use shelfjunction_core::autoscaling::{EngineKind, PoolScaling, ScaleOrder, ZoneEngines};
 use shelfjunction_core::forwarding::PoolId;
@@ -192,7 +192,9 @@
             }
         }
         for (zone, leaving) in leaving {
-            if self.orders.note_leaving(pool, &zone, leaving, now)
+            let staying = zones.get(&zone).map_or(0, |zone| zone.spot);
+            let engines = LeavingEngines { leaving, staying };
+            if self.orders.note_leaving(pool, &zone, engines, now)
                 && let Some(running) = zones.get_mut(&zone)
             {
                 running.spot = 0;
