--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -37,6 +37,7 @@
         "status" => operator::run_status(rest),
         "engines" => operator::run_engines(rest),
         "usage" => operator::run_usage(rest),
+        "duties" => operator::duties::run(rest),
         "explain" => operator::explain::run(rest),
         "requests" => operator::run_requests(rest),
         "--help" | "-h" | "help" => {
--- a/crates/cli/src/operator/mod.rs
+++ b/crates/cli/src/operator/mod.rs
@@ -2,6 +2,7 @@
 
 mod bundle;
 mod client;
+pub mod duties;
 pub mod explain;
 mod files;
 mod keygen;
--- a/crates/cli/src/usage.rs
+++ b/crates/cli/src/usage.rs
@@ -23,6 +23,7 @@
   usage                    use by tenant
   requests show ID         one request
   explain ID FILE...       the course of a request out of the nodes' logs
+  duties                   usage reports and the plan of engines, as a node sees them
   requests cancel ID       end one request
 
 Options:
@@ -72,6 +73,16 @@
 Example:
   shelfjunction explain 9c41d07be2a35f68 node-1.log node-2.log";
 
+/// `duties`.
+pub const DUTIES: &str = "\
+Usage: shelfjunction duties --node IP:PORT [--json]
+
+Prints what a node on the users' platform knows of the duties that one node at a time has: whether it holds the lease, the
+usage of the last windows with the nodes that have not told all, and how many engines are wanted and run in each zone.
+
+Example:
+  shelfjunction duties --node 10.1.0.38:7395";
+
 /// `bundle`.
 pub const BUNDLE: &str = "\
 Usage: shelfjunction bundle validate|keygen|propose|sign|rollout|rollback|history|show [OPTIONS]
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -7,7 +7,8 @@
 use std::os::unix::fs::PermissionsExt;
 use support::{directory, examples, run_in};
 
-const COMMANDS: [&[&str]; 15] = [
+const COMMANDS: [&[&str]; 16] = [
+    &["duties"],
     &["gateway"],
     &["controller"],
     &["bundle", "validate"],
--- a/crates/lab/src/users_platform/interface.rs
+++ b/crates/lab/src/users_platform/interface.rs
@@ -57,6 +57,7 @@
     reports: Vec<UsageReport>,
     orders: Vec<ScaleOrder>,
     refused: u64,
+    turned_down: u64,
 }
 
 /// The running interface on loopback.
@@ -102,6 +103,11 @@
         lock(&self.state).orders.clone()
     }
 
+    /// Orders of spot engines that met none to be had.
+    pub fn turned_down(&self) -> u64 {
+        lock(&self.state).turned_down
+    }
+
     /// Calls refused for a lower fence than one seen.
     pub fn refused(&self) -> u64 {
         lock(&self.state).refused
@@ -146,7 +152,10 @@
                 Err(_) => 400,
             },
             "/scale" => match serde_json::from_slice::<ScaleOrder>(&request.body) {
-                Ok(order) if order.spot && self.mode == InterfaceMode::NoSpot => 409,
+                Ok(order) if order.spot && self.mode == InterfaceMode::NoSpot => {
+                    self.turned_down += 1;
+                    409
+                }
                 Ok(order) => {
                     let subject = format!("{}/{}", order.service, order.zone);
                     self.guarded(&subject, fence, |state| state.orders.push(order))
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -1,6 +1,7 @@
 //! What the threads of the process share.
 
 use crate::config::NodeConfig;
+use crate::duties::DutyNotes;
 use crate::links::Links;
 use crate::metering::Metering;
 use crate::metrics::Metrics;
@@ -55,6 +56,8 @@
     pub(crate) metering: Option<Metering>,
     /// Loads that the operators expect, in engines, until demand is seen.
     pub(crate) expected_loads: Mutex<BTreeMap<PoolId, f64>>,
+    /// What the duties' thread leaves for those who ask.
+    pub(crate) duty_notes: Mutex<DutyNotes>,
     authority: Mutex<Option<Authority>>,
     duties_from: Mutex<MonotonicTime>,
     in_force: Mutex<ConfigInForce>,
@@ -141,6 +144,7 @@
             fleet_clock: Mutex::default(),
             metering: config.metering.map(Metering::new),
             expected_loads: Mutex::default(),
+            duty_notes: Mutex::default(),
             authority: Mutex::default(),
             duties_from: Mutex::default(),
             in_force: Mutex::new(ConfigInForce::default()),
--- a/crates/node/src/duties/mod.rs
+++ b/crates/node/src/duties/mod.rs
@@ -2,6 +2,9 @@
 
 mod scaling;
 mod usage;
+mod view;
+
+pub(crate) use view::{DutyNotes, view};
 
 use crate::context::Context;
 use crate::peers::Duty;
--- a/crates/node/src/duties/scaling.rs
+++ b/crates/node/src/duties/scaling.rs
@@ -157,6 +157,7 @@
             idle: began.is_some_and(|began| began.is_known(now) && !began.has_demand),
         };
         let wanted = plan(&input, &context.config.autoscaling);
+        lock(&context.duty_notes).note_plan(pool, input.load, &wanted, &running, &without_spot);
         if self.logged.get(pool) != Some(&wanted) {
             log_plan(pool, &wanted, &running, input.load, without_spot.len());
             self.logged.insert(pool.clone(), wanted.clone());
--- a/crates/node/src/duties/usage.rs
+++ b/crates/node/src/duties/usage.rs
@@ -60,6 +60,7 @@
                 Step::Send { window, counts } => self.send(context, held, platform, window, &counts),
                 Step::GivenUp(window) => log::error!(window:% = window; "usage_report_given_up"),
             }
+            lock(&context.duty_notes).note_reports(&self.reporter);
             match authority(context) {
                 Some(authority) => held = authority,
                 None => return,
--- a/crates/node/src/telling.rs
+++ b/crates/node/src/telling.rs
@@ -1,11 +1,13 @@
-//! Tells the process's metrics over HTTP.
+//! Tells the process's metrics and duties over HTTP.
 
 use crate::connections::OpenConnections;
 use crate::context::Context;
+use crate::duties;
 use shelfjunction_http::{
     Answer, Answered, Handler, HttpLimits, HttpRequest, HttpServer, ReadError, Responder,
 };
 use shelfjunction_logging::LogLosses;
+use shelfjunction_protocol::duties::DUTIES_PATH;
 use shelfjunction_threads::lock;
 use std::io;
 use std::net::SocketAddr;
@@ -46,6 +48,9 @@
 
 impl Handler for MetricsPage {
     fn handle(&self, request: HttpRequest, responder: Responder<'_>) -> Answered {
+        if request.path == DUTIES_PATH {
+            return responder.answer(&duties_answer(&self.context));
+        }
         if request.path != METRICS_PATH {
             return responder.answer(&Answer::new(404, "text/plain", Vec::new()));
         }
@@ -63,6 +68,16 @@
     }
 }
 
+fn duties_answer(context: &Context) -> Answer {
+    match serde_json::to_vec(&duties::view(context)) {
+        Ok(body) => Answer::new(200, "application/json", body),
+        Err(error) => {
+            log::warn!(error:% = error; "duties_not_told");
+            Answer::new(500, "text/plain", Vec::new())
+        }
+    }
+}
+
 impl MetricsPage {
     fn take_gauges(&self) {
         let context = &self.context;
