--- a/crates/core/src/autoscaling/mod.rs
+++ b/crates/core/src/autoscaling/mod.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod ordering;
 pub mod planner;
+pub mod reclaim;
 
 use crate::forwarding::PoolId;
 use crate::identity::ZoneId;
--- a/crates/core/src/autoscaling/ordering.rs
+++ b/crates/core/src/autoscaling/ordering.rs
@@ -1,5 +1,6 @@
 //! Which order is said next, from what is wanted and what the platform's list shows.
 
+use super::reclaim::LeavingEngines;
 use super::{EngineKind, PoolScaling, ScaleOrder, ScaleSubject, ZoneEngines};
 use crate::forwarding::PoolId;
 use crate::identity::{FencingToken, ZoneId};
@@ -25,13 +26,6 @@
 /// Part of what was said by which a higher wish is not worth an order.
 const MORE_BY: f64 = 0.05;
 
-/// Part of a zone's spot engines that leave at once without having been sent away, from which on all of them are taken for
-/// lost: fewer may be replaced one after the other.
-const RECLAIMED_PART: f64 = 0.25;
-
-/// Fewest of them; of a handful, one that is replaced is a large part.
-const RECLAIMED_FROM: u32 = 3;
-
 /// Time after an order for fewer engines within which those that leave do so because of it.
 const LEAVING_TAKES: Duration = Duration::from_secs(12);
 
@@ -55,22 +49,6 @@
     taken: bool,
 }
 
-/// Spot engines of a zone, as the list shows them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LeavingEngines {
-    /// About to leave.
-    pub leaving: u32,
-    /// Staying.
-    pub staying: u32,
-}
-
-impl LeavingEngines {
-    fn are_taken_back(self) -> bool {
-        let all = f64::from(self.leaving + self.staying);
-        self.leaving >= RECLAIMED_FROM && f64::from(self.leaving) >= all * RECLAIMED_PART
-    }
-}
-
 /// Orders of one holder of the lease.
 #[derive(Clone, Debug, Default)]
 pub struct ScaleOrders {
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -177,6 +177,8 @@
     pub(super) ordered: Option<(EngineStage, MonotonicTime)>,
     /// Present where the platform lists the engine no longer.
     pub(super) gone: Option<Gone>,
+    /// When its zone was last seen to take spot engines back while this one was listed as staying.
+    pub(super) taken_back_at: Option<MonotonicTime>,
     pub(super) health: Health,
     pub(super) sent: BTreeMap<u64, SentWork>,
     pub(super) told: Option<(ToldLoad, MonotonicTime)>,
@@ -203,6 +205,7 @@
             heard_at: None,
             ordered: None,
             gone: None,
+            taken_back_at: None,
             health: Health::default(),
             sent: BTreeMap::new(),
             told: None,
@@ -271,7 +274,7 @@
         !self.engine.leaving
             && self.ordered_stage(now).is_none()
             && self.gone.is_none_or(|gone| gone.is_doubtful_at(now))
-            && (paused_too || !self.health.is_paused(now))
+            && (paused_too || !(self.health.is_paused(now) || self.is_taken_back(now)))
     }
 
     /// The stage that it changes to, if it does.
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -21,6 +21,7 @@
 mod prefix;
 mod query;
 mod recent;
+mod reclaims;
 mod router;
 mod speed;
 mod weights;
--- a/crates/core/tests/autoscaling.rs
+++ b/crates/core/tests/autoscaling.rs
@@ -4,8 +4,9 @@
 
 use proptest::prelude::*;
 use shelfjunction_core::autoscaling::config::AutoscalingPolicy;
-use shelfjunction_core::autoscaling::ordering::{LeavingEngines, OrderOutcome, ScaleOrders};
+use shelfjunction_core::autoscaling::ordering::{OrderOutcome, ScaleOrders};
 use shelfjunction_core::autoscaling::planner::{ScalingInput, plan};
+use shelfjunction_core::autoscaling::reclaim::LeavingEngines;
 use shelfjunction_core::autoscaling::{EngineKind, PoolScaling, ScaleOrder, ZoneEngines, ZonePrice};
 use shelfjunction_core::forwarding::PoolId;
 use shelfjunction_core::identity::{FencingToken, ZoneId};
--- a/crates/core/tests/pool_router.rs
+++ b/crates/core/tests/pool_router.rs
@@ -467,3 +467,27 @@
         assert_eq!(split(router.choose(&query, NOW)).0, "p42", "draw {draw}");
     }
 }
+
+#[test]
+fn spot_engines_are_left_alone_while_their_zone_takes_others_back() {
+    let spot = |id: &str, zone: &str, leaving: bool| PoolEngine {
+        zone: ZoneId::new(zone),
+        spot: true,
+        leaving,
+        ..engine(id, EngineStage::Whole)
+    };
+    let listed: Vec<PoolEngine> = (0..6)
+        .map(|number| spot(&format!("a{number}"), "zone-a", false))
+        .chain([spot("b0", "zone-b", false)])
+        .collect();
+    let mut router = router_with(PoolWeights::default(), 8, None, &listed);
+    assert!(!router.note_reclaims(NOW));
+    router.on_engine(spot("a0", "zone-a", true));
+    assert!(!router.note_reclaims(NOW), "one may be replaced");
+    router.on_engine(spot("a1", "zone-a", true));
+    router.on_engine(spot("a2", "zone-a", true));
+    assert!(router.note_reclaims(NOW));
+    assert_eq!(router.taking_work(NOW), 1, "the one of the other zone");
+    let later = NOW + Duration::from_secs(4);
+    assert_eq!(router.taking_work(later), 4, "those that stay after all");
+}
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -225,6 +225,9 @@
                 }
             }
         }
+        if lock(&self.router).note_reclaims(now) {
+            log::info!(source; "spot_engines_taken_back");
+        }
         self.state.note_listed();
     }
 
