--- a/crates/lab/src/fault_soak/callers.rs
+++ b/crates/lab/src/fault_soak/callers.rs
@@ -1,6 +1,7 @@
 //! Callers that send requests to any node and note what they see.
 
 use super::deployment::Deployment;
+use super::operator::tenant_of;
 use super::record::{CallKind, SeenAnswer, SeenCall};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -80,6 +81,7 @@
             .post(format!("http://{address}{}", kind.path()))
             .header("Host", "svc.example")
             .header("Request-Id", request)
+            .header("Key", tenant_of(request).key)
             .header("Deadline-Remaining", DEADLINE.as_millis().to_string());
         let asked = if kind.has_events() {
             asked
--- a/crates/lab/src/fault_soak/deployment.rs
+++ b/crates/lab/src/fault_soak/deployment.rs
@@ -6,7 +6,7 @@
 use super::process::NodeProcess;
 use super::schedule::Targets;
 use crate::relay::Relay;
-use crate::users_platform::{StandInStore, StoreMode};
+use crate::users_platform::{StandInInterface, StandInStore, StoreMode, UsageReport};
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -23,6 +23,7 @@
 /// The deployment.
 pub struct Deployment {
     store: StandInStore,
+    interface: StandInInterface,
     nodes: Vec<Mutex<NodePlace>>,
     engines: Vec<Mutex<EnginePlace>>,
     configuration: Mutex<Configuration>,
@@ -38,6 +39,7 @@
     /// Starts stand-ins, relays and nodes; logs and settings go to `directory`.
     pub fn start(program: &Path, nodes: usize, directory: &Path) -> io::Result<Self> {
         let store = StandInStore::start()?;
+        let interface = StandInInterface::start()?;
         let stages = [
             Some("prefill"),
             Some("prefill"),
@@ -56,10 +58,11 @@
             .map(|(number, (pool, stage))| EnginePlace::start(number, pool, stage).map(Mutex::new))
             .collect();
         let places: io::Result<Vec<_>> = (0..nodes)
-            .map(|number| NodePlace::prepare(number, &store, program, directory).map(Mutex::new))
+            .map(|number| NodePlace::prepare(number, &store, &interface, program, directory).map(Mutex::new))
             .collect();
         let deployment = Self {
             store,
+            interface,
             nodes: places?,
             engines: engines?,
             configuration: Mutex::new(Configuration { version: 0, pool: 0 }),
@@ -218,6 +221,11 @@
         all
     }
 
+    /// Usage reports that the platform took.
+    pub fn usage_reports(&self) -> Vec<UsageReport> {
+        self.interface.reports()
+    }
+
     /// Which pool's engine ran a request, if any did.
     pub fn pool_that_ran(&self, request: &str) -> Option<&'static str> {
         self.engines.iter().find_map(|engine| {
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -16,7 +16,7 @@
 
 use callers::Caller;
 use deployment::{Deployment, EVENTS};
-use oracle::{Violation, judge};
+use oracle::{Violation, judge, judge_reports};
 use record::{CallKind, SeenCall};
 use std::fmt;
 use std::io;
@@ -121,6 +121,7 @@
     thread::sleep(LATE_RUNS);
     let exits = deployment.restart_ended();
     violations.extend(judge(&calls, &deployment.records(), EVENTS));
+    violations.extend(judge_reports(&deployment.usage_reports()));
     Ok(report(config.seed, schedule.len(), &calls, exits, violations))
 }
 
--- a/crates/lab/src/fault_soak/operator.rs
+++ b/crates/lab/src/fault_soak/operator.rs
@@ -2,6 +2,31 @@
 
 use super::deployment::{APPLICATION_POOLS, MODEL_POOL};
 
+/// The tenants, each with its API key.
+pub(super) const TENANTS: [Tenant; 2] = [
+    Tenant {
+        name: "chain-a",
+        key: "key-of-a",
+    },
+    Tenant {
+        name: "chain-b",
+        key: "key-of-b",
+    },
+];
+
+/// One tenant.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Tenant {
+    pub(super) name: &'static str,
+    pub(super) key: &'static str,
+}
+
+/// The tenant whose request it is, by the request's name.
+pub(super) fn tenant_of(request: &str) -> Tenant {
+    let last = request.bytes().last().unwrap_or_default();
+    TENANTS[usize::from(last) % TENANTS.len()]
+}
+
 /// A configuration with a route of each kind; the short calls go to `application`.
 pub(super) fn configuration_text(version: u64, application: &str) -> String {
     let route = |name: &str, kind: &str, pool: &str, resumable: bool| {
@@ -21,10 +46,13 @@
         )
     };
     format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{MODEL_POOL}","healthPath":"/health","connectionLimit":50,"protocol":"h1","tls":false,"engine":{{"slots":8,"kvTokens":100000,"kvBytes":18432,"linkMbps":370000.0,"moves":true,"backups":true,"stride":8,"most":12,"handleTtlS":5.0,"stageSwitchS":2.3,"pinMs":4000.0,"holdMs":2000.0,"models":[{{"name":"m"}}]}}}},{},{}],"limits":{{"maxHeaderBytes":4096,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{MODEL_POOL}","healthPath":"/health","connectionLimit":50,"protocol":"h1","tls":false,"engine":{{"slots":8,"kvTokens":100000,"kvBytes":18432,"linkMbps":370000.0,"moves":true,"backups":true,"stride":8,"most":12,"handleTtlS":5.0,"stageSwitchS":2.3,"pinMs":4000.0,"holdMs":2000.0,"models":[{{"name":"m"}}]}}}},{},{}],"limits":{{"maxHeaderBytes":4096,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{}]}}"#,
         routes.join(","),
         plain(APPLICATION_POOLS[0]),
         plain(APPLICATION_POOLS[1]),
+        TENANTS
+            .map(|tenant| format!(r#"{{"name":"{}","apiKeys":["{}"]}}"#, tenant.name, tenant.key))
+            .join(","),
     )
 }
 
--- a/crates/lab/src/fault_soak/oracle.rs
+++ b/crates/lab/src/fault_soak/oracle.rs
@@ -1,7 +1,8 @@
 //! Judges what callers saw against what engines ran.
 
+use super::operator::tenant_of;
 use super::record::{SeenAnswer, SeenCall};
-use crate::users_platform::{OrderRecord, RunRecord};
+use crate::users_platform::{OrderRecord, RunRecord, UsageReport};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Statuses that promise that the request has not run and never will.
@@ -24,6 +25,10 @@
     SharedAuthority(u64, BTreeSet<String>),
     /// After everything had healed a node did not serve, or not as the newest configuration says.
     NotRecovered(usize, String),
+    /// An engine was told another tenant than the one whose key the caller sent, or the key itself.
+    WrongTenant(String, Option<String>),
+    /// The platform got two different usage reports for one window.
+    TwoReports(u64),
     /// A planned stop, alone, left a request that an engine had begun without its whole answer.
     CutOff(String),
 }
@@ -57,9 +62,27 @@
     let unasked = runs.keys().filter(|request| !sent.contains(*request));
     violations.extend(unasked.map(|request| Violation::Unasked((*request).to_owned())));
     violations.extend(judge_orders(&engines.orders));
+    violations.extend(engines.runs.iter().filter_map(judge_tenant));
     violations
 }
 
+fn judge_tenant(run: &RunRecord) -> Option<Violation> {
+    let is_right = run.tenant.as_deref() == Some(tenant_of(&run.request).name) && run.key.is_none();
+    (!is_right).then(|| Violation::WrongTenant(run.request.clone(), run.tenant.clone()))
+}
+
+/// Windows with two different usage reports; an exact repeat is none.
+pub fn judge_reports(reports: &[UsageReport]) -> Vec<Violation> {
+    let mut first: BTreeMap<u64, &UsageReport> = BTreeMap::new();
+    let mut twice = BTreeSet::new();
+    for report in reports {
+        if *first.entry(report.window).or_insert(report) != report {
+            twice.insert(report.window);
+        }
+    }
+    twice.into_iter().map(Violation::TwoReports).collect()
+}
+
 fn judge_call(call: &SeenCall, runs: usize, events: u64) -> Vec<Violation> {
     let mut violations = Vec::new();
     let request = || call.request.clone();
--- a/crates/lab/src/fault_soak/places.rs
+++ b/crates/lab/src/fault_soak/places.rs
@@ -4,7 +4,7 @@
 use super::oracle::EngineRecords;
 use super::process::{Launch, NodeProcess};
 use crate::relay::Relay;
-use crate::users_platform::{EngineSettings, ModelEngine, StandInStore};
+use crate::users_platform::{EngineSettings, ModelEngine, StandInInterface, StandInStore};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -97,6 +97,7 @@
     pub(super) fn prepare(
         number: usize,
         store: &StandInStore,
+        interface: &StandInInterface,
         program: &Path,
         directory: &Path,
     ) -> io::Result<Self> {
@@ -105,9 +106,10 @@
         let [listen, ready, peers] = free_addresses()?;
         let settings = directory.join(format!("node-{number}.toml"));
         let text = format!(
-            "log_level = 'info'\n\n[node]\nnode = 'node-{number}'\nzone = 'zone-a'\nlisten = '{listen}'\nready_listen = '{ready}'\npeer_listen = '{peers}'\nstore = '{}'\nfirst_start = false\ngrace_seconds = {}\n",
+            "log_level = 'info'\n\n[node]\nnode = 'node-{number}'\nzone = 'zone-a'\nlisten = '{listen}'\nready_listen = '{ready}'\npeer_listen = '{peers}'\nstore = '{}'\nfirst_start = false\ngrace_seconds = {}\n\n[node.metering]\nwindow_seconds = 1\ndue_after_seconds = 10\n\n[node.duties]\naddress = '{}'\ntasks = ['usage_reporting']\n",
             store_link.address(),
-            GRACE.as_secs_f64()
+            GRACE.as_secs_f64(),
+            interface.address()
         );
         std::fs::write(&settings, text)?;
         Ok(Self {
--- a/crates/lab/tests/fault_soak.rs
+++ b/crates/lab/tests/fault_soak.rs
@@ -2,11 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
-use shelfjunction_lab::fault_soak::oracle::{EngineRecords, Violation, judge};
+use shelfjunction_lab::fault_soak::oracle::{EngineRecords, Violation, judge, judge_reports};
 use shelfjunction_lab::fault_soak::record::{CallKind, SeenAnswer, SeenCall};
 use shelfjunction_lab::fault_soak::schedule::{Fault, Targets, draw};
 use shelfjunction_lab::relay::{LinkFault, Relay};
-use shelfjunction_lab::users_platform::{OrderRecord, RunRecord};
+use shelfjunction_lab::users_platform::{OrderRecord, RunRecord, UsageReport};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::time::Duration;
@@ -42,7 +42,8 @@
         after_event: 0,
         source: None,
         fetched_from: None,
-        tenant: None,
+        // The tenant of a request whose name ends so.
+        tenant: Some("chain-b".to_owned()),
         key: None,
     };
     EngineRecords {
@@ -81,6 +82,34 @@
     }
 }
 
+#[test]
+fn a_wrong_tenant_and_a_key_that_is_shown_are_found() {
+    let mut records = ran("mine", 1);
+    records.runs[0].tenant = Some("chain-a".to_owned());
+    let found = judge(&[call(CallKind::Once, None)], &records, EVENTS);
+    assert_eq!(
+        found,
+        [Violation::WrongTenant(
+            "mine".to_owned(),
+            Some("chain-a".to_owned())
+        )]
+    );
+    let mut records = ran("mine", 1);
+    records.runs[0].key = Some("key-of-b".to_owned());
+    assert_eq!(judge(&[call(CallKind::Once, None)], &records, EVENTS).len(), 1);
+}
+
+#[test]
+fn two_reports_of_a_window_are_found_and_a_repeat_is_none() {
+    let report = |window, count| UsageReport {
+        window,
+        counts: [("chain-a".to_owned(), count)].into(),
+    };
+    assert!(judge_reports(&[report(1, 5), report(2, 5), report(1, 5)]).is_empty());
+    let found = judge_reports(&[report(1, 5), report(1, 6)]);
+    assert_eq!(found, [Violation::TwoReports(1)]);
+}
+
 #[test]
 fn a_refusal_of_what_has_run_is_found() {
     for status in [408, 421, 429, 503] {
