--- a/bench/variants.py
+++ b/bench/variants.py
@@ -45,6 +45,14 @@
     "outputs-five-times": longer_outputs,
 }
 
+# Only where engines are paid by the second.
+PAID_VARIANTS = {
+    "start-up-12s": fixed("boot_s", 12.0),
+    "spot-price-0.6": fixed("spot_price", 0.6),
+    "no-spot": lambda text: re.sub(r"spot_price = [0-9.]+, ", "", text),
+    "bound-of-50-a-zone": lambda text: re.sub(r"max = 94, boot_s", "max = 50, boot_s", text),
+}
+
 
 def play(bench, site, day, seed, report):
     """Plays one day; the report, or nothing where there is none."""
@@ -65,7 +73,8 @@
     shutil.copy(source.parent / "wire.json", folder / "wire.json")
     text = source.read_text()
     broken = False
-    for name, change in VARIANTS.items():
+    variants = {**PAID_VARIANTS, **VARIANTS} if "spot_price" in text else VARIANTS
+    for name, change in variants.items():
         site = folder / f"{name}.toml"
         site.write_text(change(text))
         for day in days.split(","):
