--- a/crates/core/src/metering/reporter.rs
+++ b/crates/core/src/metering/reporter.rs
@@ -69,7 +69,8 @@
 #[derive(Clone, Debug)]
 enum Phase {
     Recorded(TenantCounts),
-    Confirmed,
+    /// Its rows may go once every window before it is confirmed too.
+    Confirmed(Served),
 }
 
 /// Reports of one process.
@@ -187,18 +188,18 @@
     }
 
     fn confirm(&mut self, window: WindowNumber) {
-        if let Some(phase) = self.windows.get_mut(&window) {
-            if let Phase::Recorded(counts) = phase {
-                self.served.push(Served::of(window, counts));
-            }
-            *phase = Phase::Confirmed;
+        if let Some(phase) = self.windows.get_mut(&window)
+            && let Phase::Recorded(counts) = phase
+        {
+            *phase = Phase::Confirmed(Served::of(window, counts));
         }
-        while let Some(first) = self.windows.first_entry() {
-            if !matches!(first.get(), Phase::Confirmed) {
-                return;
-            }
-            let (window, _) = first.remove_entry();
-            self.confirmed_through = self.confirmed_through.max(Some(window));
+        // A row that goes before its window is known to be confirmed would be made anew, with other figures.
+        while let Some(first) = self.windows.first_entry()
+            && let Phase::Confirmed(served) = *first.get()
+        {
+            first.remove();
+            self.served.push(served);
+            self.confirmed_through = self.confirmed_through.max(Some(served.window));
         }
     }
 
@@ -239,7 +240,7 @@
     fn send_due(&mut self, unix: UnixTime) -> Option<Step> {
         let recorded = self.windows.iter().find_map(|(window, phase)| match phase {
             Phase::Recorded(counts) => Some((*window, counts.clone())),
-            Phase::Confirmed => None,
+            Phase::Confirmed(_) => None,
         });
         let (window, counts) = recorded?;
         if unix.since(window.end(self.settings.window())) < GIVEN_UP_AFTER {
