--- a/crates/core/src/roles/pool.rs
+++ b/crates/core/src/roles/pool.rs
@@ -248,11 +248,12 @@
 
 /// The changes to make in one round: each is decided as if those before it had been made.
 pub fn plan_round(engines: &[PoolEngineView], loads: PeakLoads, policy: &PoolRolePolicy) -> Vec<StageChange> {
-    // While nobody waits for answers, all may change at once.
-    let most = if loads.is_seen {
-        (engines.len() / policy.engines_per_change.max(1)).max(1)
-    } else {
+    // While nobody waits for answers, all that an expected load asks for may change at once. Without one the share of a
+    // policy decides, which is no reason for hurry: the demand may be another.
+    let most = if !loads.is_seen && loads.reading.is_some() {
         engines.len()
+    } else {
+        (engines.len() / policy.engines_per_change.max(1)).max(1)
     };
     let mut engines = engines.to_vec();
     let mut changes: Vec<StageChange> = Vec::new();
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -340,3 +340,15 @@
     account.note_grant();
     assert!(!account.lacks_grant(Arrival::Answer));
 }
+
+#[test]
+fn before_demand_is_seen_all_change_at_once_only_for_a_load_that_is_expected() {
+    let policy = PoolRolePolicy::default();
+    let engines = views(10, 50, 0.0);
+    let unknown = plan_round(&engines, PeakLoads::default(), &policy);
+    assert_eq!(unknown.len(), 10, "a sixth of the engines");
+    let mut expected = PeakLoads::default();
+    expected.expect(18.0, NOW);
+    let changes = plan_round(&engines, expected, &policy);
+    assert_eq!(changes.len(), 20, "18 engines' load at 0.6 takes 30");
+}
