--- a/crates/lab/src/cluster/readiness.rs
+++ b/crates/lab/src/cluster/readiness.rs
@@ -26,26 +26,30 @@
     pub last: CallResult,
 }
 
-/// Waits until every gateway serves the model and the application.
+/// Waits until every gateway serves the model to each tenant and the application to the first. A gateway may know the
+/// engines of one zone before those of another, in which alone a tenant's data may be.
 pub fn wait_until_ready(layout: &ClusterLayout, limit: Duration) -> Result<(), NotReady> {
     let end = Instant::now() + limit;
+    let tenants = layout.deployment.tenants();
     for node in &layout.nodes {
-        for model in [&layout.deployment.model, &layout.deployment.application] {
-            wait_for_gateway(layout, node.gateway, model, end)?;
+        for tenant in &tenants {
+            wait_for_gateway(tenant, node.gateway, &layout.deployment.model, end)?;
+        }
+        if let Some(tenant) = tenants.first() {
+            wait_for_gateway(tenant, node.gateway, &layout.deployment.application, end)?;
         }
     }
     Ok(())
 }
 
 fn wait_for_gateway(
-    layout: &ClusterLayout,
+    tenant: &TenantId,
     gateway: SocketAddr,
     model: &ModelId,
     end: Instant,
 ) -> Result<(), NotReady> {
     let client = CallerClient::new(PART_TIMEOUT);
-    let tenant = layout.deployment.tenants().into_iter().next();
-    let token = Deployment::tenant_token(&tenant.unwrap_or_else(|| TenantId::new("nobody")));
+    let token = Deployment::tenant_token(tenant);
     for number in 0.. {
         let last = match client.complete(gateway, &token, &trial(gateway, model, number)) {
             Ok(answer) => answer.read_to_end().1,
