--- a/crates/lab/src/cluster/readiness.rs
+++ b/crates/lab/src/cluster/readiness.rs
@@ -26,17 +26,28 @@
     pub last: CallResult,
 }
 
-/// Waits until every gateway serves the model to each tenant and the application to the first. A gateway may know the
-/// engines of one zone before those of another, in which alone a tenant's data may be.
+/// Waits until every gateway serves the model and the application to the first tenant.
 pub fn wait_until_ready(layout: &ClusterLayout, limit: Duration) -> Result<(), NotReady> {
     let end = Instant::now() + limit;
     let tenants = layout.deployment.tenants();
+    let Some(tenant) = tenants.first() else {
+        return Ok(());
+    };
     for node in &layout.nodes {
-        for tenant in &tenants {
-            wait_for_gateway(tenant, node.gateway, &layout.deployment.model, end)?;
+        for model in [&layout.deployment.model, &layout.deployment.application] {
+            wait_for_gateway(tenant, node.gateway, model, end)?;
         }
-        if let Some(tenant) = tenants.first() {
-            wait_for_gateway(tenant, node.gateway, &layout.deployment.application, end)?;
+    }
+    Ok(())
+}
+
+/// Waits until every gateway serves the model to each tenant. A gateway may know the engines of one zone seconds before
+/// those of another, in which alone a tenant's data may be.
+pub fn wait_until_each_tenant_is_served(layout: &ClusterLayout, limit: Duration) -> Result<(), NotReady> {
+    let end = Instant::now() + limit;
+    for node in &layout.nodes {
+        for tenant in layout.deployment.tenants() {
+            wait_for_gateway(&tenant, node.gateway, &layout.deployment.model, end)?;
         }
     }
     Ok(())
--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::cluster::deployment::Deployment;
 use crate::cluster::layout::{ClusterLayout, ZoneSize};
-use crate::cluster::readiness::{NotReady, wait_until_ready};
+use crate::cluster::readiness::{NotReady, wait_until_each_tenant_is_served, wait_until_ready};
 use crate::cluster::running::{Cluster, ClusterError};
 use std::fmt;
 use std::io;
@@ -45,6 +45,7 @@
     print_layout(&layout);
     let cluster = Cluster::start(layout).map_err(DemoError::Start)?;
     wait_until_ready(cluster.layout(), READY_LIMIT).map_err(DemoError::NotReady)?;
+    wait_until_each_tenant_is_served(cluster.layout(), READY_LIMIT).map_err(DemoError::NotReady)?;
     println!(
         "every gateway serves after {:.1} s\n",
         start.elapsed().as_secs_f64()
