--- a/crates/core/src/retry/arrivals.rs
+++ b/crates/core/src/retry/arrivals.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Dispatches that left.
+    pub fn sent(&self) -> u32 {
+        self.prompts + self.answers
+    }
+
     /// Whether one more dispatch would arrive without a grant.
     pub fn lacks_grant(&self, arrival: Arrival) -> bool {
         let mut after = *self;
--- a/crates/core/src/retry/window.rs
+++ b/crates/core/src/retry/window.rs
@@ -21,6 +21,17 @@
 /// Part of its budget that a node uses, since arrivals at an engine bunch together on the way.
 const SAFE_PART: f64 = 0.8;
 
+/// What a budget stands at.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetAccount {
+    /// Requests counted within the window.
+    pub requests: usize,
+    /// Repeats granted within the window.
+    pub repeats: usize,
+    /// Repeats left now.
+    pub left: f64,
+}
+
 /// One node's part of the budget for one pool.
 #[derive(Clone, Debug)]
 pub struct WindowBudget {
@@ -62,6 +73,15 @@
         SAFE_PART * (slack + earned) - self.repeats.len() as f64
     }
 
+    /// What the budget stands at, as of the last count.
+    pub fn account(&self, nodes: u32) -> BudgetAccount {
+        BudgetAccount {
+            requests: self.requests.len(),
+            repeats: self.repeats.len(),
+            left: self.left(nodes),
+        }
+    }
+
     fn forget(&mut self, now: MonotonicTime) {
         let window = self.settings.window;
         for times in [&mut self.requests, &mut self.repeats] {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -16,7 +16,7 @@
 use shelfjunction_core::lease::Authority;
 use shelfjunction_core::metering::clock::FleetClock;
 use shelfjunction_core::placing::placement_table::PlacementTable;
-use shelfjunction_core::retry::window::WindowBudget;
+use shelfjunction_core::retry::window::{BudgetAccount, WindowBudget};
 use shelfjunction_core::routing::pool::{EngineListing, ListChange, PoolEngine, PoolRouter, RecentChanges};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::clock::MonotonicClock;
@@ -67,6 +67,19 @@
     list_changed_at: Mutex<MonotonicTime>,
 }
 
+/// Whether a repeat was granted, and what spoke for it.
+pub(crate) struct RepeatDecision {
+    pub(crate) granted: bool,
+    /// The pool's budget at this node, after the decision.
+    pub(crate) account: BudgetAccount,
+    /// Nodes that the slack was divided by.
+    pub(crate) nodes: u32,
+    /// Whether that number was learned, from the store's list of nodes or a peer.
+    pub(crate) nodes_known: bool,
+    /// Time since this process started.
+    pub(crate) up_for: Duration,
+}
+
 /// What others may ask about the process.
 #[derive(Debug, Default)]
 pub struct NodeState {
@@ -278,13 +291,23 @@
         self.with_budget(pool, |budget| budget.on_request(now));
     }
 
-    /// Takes one repeat from a pool's budget.
-    pub(crate) fn take_repeat(&self, pool: &PoolId) -> bool {
+    /// Asks a pool's budget for one repeat.
+    pub(crate) fn take_repeat(&self, pool: &PoolId) -> RepeatDecision {
         let now = self.now();
-        let nodes = self.peers.nodes().unwrap_or(self.config.nodes);
-        let granted = self.with_budget(pool, |budget| budget.take(nodes, now));
+        let known = self.peers.nodes();
+        let nodes = known.unwrap_or(self.config.nodes);
+        let (granted, account) = self.with_budget(pool, |budget| {
+            let granted = budget.take(nodes, now);
+            (granted, budget.account(nodes))
+        });
         self.metrics.retry_asked(granted);
-        granted
+        RepeatDecision {
+            granted,
+            account,
+            nodes,
+            nodes_known: known.is_some(),
+            up_for: now.since(MonotonicTime::default()),
+        }
     }
 
     /// Repeats left in the tightest of the pools' budgets.
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -25,14 +25,11 @@
             (Phase::Whole, Some(import)) => (CallStage::Output(import.clone()), Purpose::Output),
             (Phase::Whole, None) => (CallStage::Whole, Purpose::Whole),
         };
-        if self.arrivals.lacks_grant(purpose.arrival()) {
-            if !self.context.take_repeat(self.pool) {
-                log::info!(request = self.call.request.as_str(), purpose = purpose.name(); "repeat_denied");
-                return self.take(Event::NotSent {
-                    attempt: call.attempt.clone(),
-                });
-            }
-            self.arrivals.note_grant();
+        if self.arrivals.lacks_grant(purpose.arrival()) && !self.take_repeat(self.arrivals.sent()) {
+            log::info!(request = self.call.request.as_str(), purpose = purpose.name(); "repeat_denied");
+            return self.take(Event::NotSent {
+                attempt: call.attempt.clone(),
+            });
         }
         let choice = self.choice.take().filter(|choice| choice.engine == target.engine);
         let why = self.why(choice.as_ref(), &target.engine, purpose, now);
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -219,11 +219,12 @@
 
     fn ask_retry(&mut self, tried: u32) {
         let free = std::mem::take(&mut self.last_not_sent);
-        let granted = free || self.context.take_repeat(self.pool);
-        log::info!(request = self.call.request.as_str(), tried, granted, free, repeats_left = self.context.repeats_left(); "retry_asked");
-        if granted && !free {
-            self.arrivals.note_grant();
-        }
+        let granted = if free {
+            log::info!(request = self.call.request.as_str(), tried, granted = true, free; "retry_asked");
+            true
+        } else {
+            self.take_repeat(tried)
+        };
         let event = if granted {
             Event::RetryGranted {
                 not_before: self.context.now(),
@@ -234,6 +235,29 @@
         self.take(event);
     }
 
+    /// Asks the budget for an arrival beyond those that are free; true where it is granted.
+    pub(super) fn take_repeat(&mut self, tried: u32) -> bool {
+        let decision = self.context.take_repeat(self.pool);
+        log::info!(
+            request = self.call.request.as_str(),
+            tried,
+            granted = decision.granted,
+            free = false,
+            pool:% = self.pool,
+            repeats_left = decision.account.left,
+            requests = decision.account.requests,
+            repeats = decision.account.repeats,
+            nodes = decision.nodes,
+            nodes_known = decision.nodes_known,
+            up_millis = decision.up_for.as_millis() as u64;
+            "retry_asked"
+        );
+        if decision.granted {
+            self.arrivals.note_grant();
+        }
+        decision.granted
+    }
+
     fn cancel(&mut self, engine: &EngineId) {
         if let Some(exchange) = self.exchange.take_if(|exchange| exchange.engine == *engine) {
             log::info!(request = self.call.request.as_str(), engine = engine.as_str(); "dispatch_cancelled");
