Processes that are gone count in the budgets for repeats: nodes tell what they granted, and all use less for what nobody can vouch for

Cause: a budget held in one process's memory and divided by a number that a starting process does not have. A process that starts again earned and granted anew what its predecessor had granted within the window (1,937 of 4,646 grants of the worst window by processes younger than it), with the slack divided by a default of eight until the list of nodes was read (346 of them). Ruled out: arrivals without a grant (4,644 arrivals beyond the first, 4,646 grants). Change: core::retry::sharing and census. Every node tells what it granted before it grants much more; what processes that are gone granted is subtracted from what all use; what nobody can vouch for counts as all spent; no slack without the list of nodes. The setting node.nodes goes. The number of nodes told by others no longer only grows. Nodes of a large fleet tell the placers of themselves each 2 s instead of 5 s, so that those who are gone are missed in time. The soak's oracle judges the budget from what engines saw.

--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -3,4 +3,6 @@
 pub mod arrivals;
 pub mod backoff;
 pub mod budget;
+pub mod census;
+pub mod sharing;
 pub mod window;
--- a/crates/core/src/retry/window.rs
+++ b/crates/core/src/retry/window.rs
@@ -1,8 +1,11 @@
 //! A budget for repeats that holds in every sliding window, shared by nodes without a message.
 //!
 //! Over all nodes, a pool may receive `ratio` times its requests and `slack` repeats more within any window. Each node
-//! keeps to the same ratio of its own requests and to its part of the slack, so the sum holds whatever the others do.
+//! keeps to a part of the same ratio of its own requests and of its share of the slack, so that the sum holds whatever
+//! the others do. What part that is, [`super::sharing`] says: a process that starts has nothing left of what its
+//! predecessor was allowed.
 
+use super::sharing::BudgetShare;
 use crate::time::MonotonicTime;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -18,9 +21,6 @@
     pub window: Duration,
 }
 
-/// Part of its budget that a node uses, since arrivals at an engine bunch together on the way.
-const SAFE_PART: f64 = 0.8;
-
 /// What a budget stands at.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetAccount {
@@ -56,32 +56,39 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one repeat where `nodes` share the slack; false where the budget is spent.
-    pub fn take(&mut self, nodes: u32, now: MonotonicTime) -> bool {
+    /// Takes one repeat of this node's share; false where it is spent.
+    pub fn take(&mut self, share: &BudgetShare, now: MonotonicTime) -> bool {
         self.forget(now);
-        if self.left(nodes) < 1.0 {
+        if self.left(share) < 1.0 {
             return false;
         }
         self.repeats.push_back(now);
         true
     }
 
-    /// Repeats left now.
-    pub fn left(&self, nodes: u32) -> f64 {
-        let slack = self.settings.slack / f64::from(nodes.max(1));
+    /// Repeats left of this node's share, as of the last count; below zero where the share has become smaller since.
+    pub fn left(&self, share: &BudgetShare) -> f64 {
+        let slack = self.settings.slack * share.slack_part(self.settings.window);
         let earned = self.settings.ratio * self.requests.len() as f64;
-        SAFE_PART * (slack + earned) - self.repeats.len() as f64
+        slack + share.usable_part() * earned - self.repeats.len() as f64
     }
 
     /// What the budget stands at, as of the last count.
-    pub fn account(&self, nodes: u32) -> BudgetAccount {
+    pub fn account(&self, share: &BudgetShare) -> BudgetAccount {
         BudgetAccount {
             requests: self.requests.len(),
             repeats: self.repeats.len(),
-            left: self.left(nodes),
+            left: self.left(share),
         }
     }
 
+    /// What was granted within the window, at most, in hundredths of this node's whole part.
+    pub fn granted_hundredths(&mut self, share: &BudgetShare, now: MonotonicTime) -> u32 {
+        self.forget(now);
+        let earned = self.settings.ratio * self.requests.len() as f64;
+        share.told_hundredths(self.repeats.len(), self.settings.slack, earned)
+    }
+
     fn forget(&mut self, now: MonotonicTime) {
         let window = self.settings.window;
         for times in [&mut self.requests, &mut self.repeats] {
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -9,6 +9,7 @@
 };
 use shelfjunction_core::identity::{EngineId, ZoneId};
 use shelfjunction_core::retry::arrivals::{Arrival, ArrivalAccount};
+use shelfjunction_core::retry::sharing::{BudgetShare, Sharers};
 use shelfjunction_core::retry::window::{WindowBudget, WindowBudgetSettings};
 use shelfjunction_core::roles::pool::{
     PeakLoads, PoolDemand, PoolEngineView, PoolRolePolicy, plan, plan_round,
@@ -134,6 +135,8 @@
         const NODES: u32 = 5;
         let settings = WindowBudgetSettings { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
         let mut budgets = vec![WindowBudget::new(settings); NODES as usize];
+        let sharers = Sharers { nodes: NODES, present: NODES, forgotten_hundredths: 0 };
+        let share = BudgetShare { sharers: Some(sharers), settled_for: settings.window };
         let mut now = NOW;
         let mut requests = Vec::new();
         let mut repeats = Vec::new();
@@ -142,7 +145,7 @@
             if is_request {
                 budgets[node].on_request(now);
                 requests.push(now);
-            } else if budgets[node].take(NODES, now) {
+            } else if budgets[node].take(&share, now) {
                 repeats.push(now);
             }
             let within = |times: &[MonotonicTime]| {
--- a/crates/core/tests/retry_sharing.rs
+++ b/crates/core/tests/retry_sharing.rs
@@ -10,8 +10,11 @@
 
 #![allow(clippy::unwrap_used)]
 
-use shelfjunction_core::retry::window::{WindowBudget, WindowBudgetSettings};
-use shelfjunction_core::time::MonotonicTime;
+mod retry_world;
+
+use proptest::prelude::*;
+use retry_world::Fleet;
+use shelfjunction_core::retry::window::WindowBudgetSettings;
 use std::time::Duration;
 
 const SETTINGS: WindowBudgetSettings = WindowBudgetSettings {
@@ -20,72 +23,167 @@
     window: Duration::from_secs(10),
 };
 
-/// What a judge outside counts: requests of callers, and repeats that reached engines.
-#[derive(Default)]
-struct Seen {
-    requests: Vec<MonotonicTime>,
-    repeats: Vec<MonotonicTime>,
+/// Part of the budget that a settled node may use among settled ones.
+const WHOLE_PART: f64 = 0.8;
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+#[test]
+fn kills_of_all_leave_the_budget_of_every_window_kept() {
+    const NODES: usize = 66;
+    let mut fleet = Fleet::new(NODES, SETTINGS, 1);
+    fleet.pass(seconds(14), 2, false);
+    fleet.pass(seconds(5), 2, true);
+    for _ in 0..4 {
+        fleet.kill(0..NODES, Duration::from_millis(500), true);
+        fleet.pass(seconds(5), 2, true);
+    }
+    assert_eq!(fleet.seen.breach(&SETTINGS), None);
+}
+
+/// The load of the dead comes to the rest, who earn from it a second time.
+#[test]
+fn half_of_the_nodes_gone_for_long_leave_the_budget_kept() {
+    for (nodes, first) in [(8, 0), (66, 0), (66, 33)] {
+        let mut fleet = Fleet::new(nodes, SETTINGS, 2);
+        fleet.pass(seconds(14), 2, false);
+        fleet.pass(seconds(1), 2, true);
+        fleet.kill(first..first + nodes / 2, seconds(20), true);
+        fleet.pass(seconds(30), 2, true);
+        let breach = fleet.seen.breach(&SETTINGS);
+        assert_eq!(breach, None, "{nodes} nodes, {first} and those behind it gone");
+    }
 }
 
-impl Seen {
-    /// Panics where a window has more repeats than its requests, those of the window before or those of the one between
-    /// allow.
-    fn judge(&self) {
-        for (first, begin) in self.repeats.iter().enumerate() {
-            let end = *begin + SETTINGS.window;
-            let repeats = self.repeats[first..].iter().filter(|at| **at < end).count();
-            let counted = |back: Duration| {
-                let from = begin.since(MonotonicTime::default()).saturating_sub(back);
-                let from = MonotonicTime::default() + from;
-                let to = from + SETTINGS.window;
-                self.requests
-                    .iter()
-                    .filter(|at| **at >= from && **at < to)
-                    .count()
-            };
-            let half = SETTINGS.window / 2;
-            let requests = [Duration::ZERO, half, SETTINGS.window].map(counted);
-            let requests = requests.into_iter().max().unwrap_or_default();
-            let allowed = SETTINGS.ratio * requests as f64 + SETTINGS.slack;
-            assert!(
-                repeats as f64 <= allowed,
-                "{repeats} repeats from {begin:?} on, {allowed} allowed for {requests} requests"
-            );
+#[test]
+fn a_rolling_restart_of_all_leaves_the_budget_kept() {
+    for nodes in [3, 8, 66] {
+        let mut fleet = Fleet::new(nodes, SETTINGS, 3);
+        fleet.pass(seconds(14), 2, false);
+        let at_once = nodes.div_ceil(20);
+        for first in (0..nodes).step_by(at_once) {
+            fleet.kill(first..(first + at_once).min(nodes), seconds(1), true);
+            fleet.pass(Duration::from_millis(800), 2, true);
         }
+        fleet.pass(seconds(12), 2, true);
+        assert_eq!(fleet.seen.breach(&SETTINGS), None, "{nodes} nodes");
     }
 }
 
+/// One that starts while the others go on uses as much as they do, as soon as it has heard one of them.
 #[test]
-fn kills_of_all_leave_the_budget_of_every_window_kept() {
-    const NODES: usize = 66;
-    const BELIEVED_AT_FIRST: u32 = 8;
-    let start = MonotonicTime::from_millis(20_000);
-    let refusing_from = start + Duration::from_secs(4);
-    let kills = [9, 14, 19, 24].map(|second| start + Duration::from_secs(second));
-    let down = Duration::from_millis(500);
-    let list_read_after = Duration::from_millis(300);
-    let mut budgets = vec![WindowBudget::new(SETTINGS); NODES];
-    let mut last_start = MonotonicTime::default();
-    let mut seen = Seen::default();
-    for tick in 0..30_000_u64 {
-        let now = start + Duration::from_millis(tick);
-        if kills.contains(&now) {
-            budgets = vec![WindowBudget::new(SETTINGS); NODES];
-            last_start = now + down;
+fn a_single_kill_takes_nothing_from_anybody() {
+    for nodes in [7, 8, 66, 300] {
+        let mut fleet = Fleet::new(nodes, SETTINGS, 4);
+        fleet.pass(seconds(14), 1, false);
+        fleet.kill([nodes - 1], Duration::from_millis(500), true);
+        fleet.pass(Duration::from_millis(1_300), 1, false);
+        for number in 0..nodes {
+            let part = fleet.share(number).usable_part();
+            assert_eq!(part, WHOLE_PART, "node {number} of {nodes}");
         }
-        for request in 0..2 {
-            seen.requests.push(now);
-            if now < last_start {
-                continue;
-            }
-            let budget = &mut budgets[(tick as usize * 2 + request) % NODES];
-            budget.on_request(now);
-            let knows = now.since(last_start) >= list_read_after;
-            let nodes = if knows { NODES as u32 } else { BELIEVED_AT_FIRST };
-            if now >= refusing_from && budget.take(nodes, now) {
-                seen.repeats.push(now);
+    }
+}
+
+/// While little is granted there is little to forget.
+#[test]
+fn half_of_the_nodes_killed_in_calm_take_nothing_from_anybody() {
+    for nodes in [8, 66] {
+        let mut fleet = Fleet::new(nodes, SETTINGS, 7);
+        fleet.pass(seconds(14), 1, false);
+        fleet.kill(nodes / 2..nodes, Duration::from_millis(500), true);
+        fleet.pass(Duration::from_millis(1_300), 1, false);
+        for number in 0..nodes {
+            let part = fleet.share(number).usable_part();
+            assert_eq!(part, WHOLE_PART, "node {number} of {nodes}");
+        }
+    }
+}
+
+/// After the window all is as before.
+#[test]
+fn a_window_after_a_kill_of_all_everybody_uses_the_whole_part_again() {
+    let mut fleet = Fleet::new(66, SETTINGS, 5);
+    fleet.pass(seconds(14), 1, false);
+    fleet.kill(0..66, seconds(1), true);
+    fleet.pass(seconds(2), 1, false);
+    assert!(fleet.share(40).usable_part() < 0.2);
+    fleet.pass(seconds(11), 1, false);
+    assert_eq!(fleet.share(40).usable_part(), WHOLE_PART);
+}
+
+/// Without the list of nodes nobody knows his part of the slack.
+#[test]
+fn a_node_that_knows_nobody_takes_no_slack() {
+    let mut fleet = Fleet::new(66, SETTINGS, 6);
+    fleet.kill(0..66, Duration::ZERO, false);
+    fleet.pass(seconds(12), 1, false);
+    assert_eq!(fleet.share(0).slack_part(SETTINGS.window), 0.0);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Pass {
+        millis: u64,
+        refuse: bool,
+    },
+    Kill {
+        first: usize,
+        count: usize,
+        down_millis: u64,
+        list_readable: bool,
+    },
+    Freeze {
+        first: usize,
+        count: usize,
+        millis: u64,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (100u64..6_000, any::<bool>()).prop_map(|(millis, refuse)| Step::Pass { millis, refuse }),
+        3 => (0usize..66, 1usize..67, 100u64..3_000, any::<bool>()).prop_map(
+            |(first, count, down_millis, list_readable)| Step::Kill { first, count, down_millis, list_readable }
+        ),
+        1 => (0usize..66, 1usize..10, 500u64..8_000)
+            .prop_map(|(first, count, millis)| Step::Freeze { first, count, millis }),
+    ]
+}
+
+fn some_nodes(first: usize, count: usize, nodes: usize) -> impl Iterator<Item = usize> {
+    (0..count.min(nodes)).map(move |offset| (first + offset) % nodes)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
+    /// Whatever is killed, frozen and started again, as often as it may be, the budget of every window is kept.
+    #[test]
+    fn kills_and_freezes_at_any_moment_leave_the_budget_kept(
+        nodes in prop::sample::select(vec![1usize, 3, 8, 66]),
+        slack in prop::sample::select(vec![0.0, 20.0, 448.0, 5_000.0]),
+        words_lost in prop::sample::select(vec![0.0, 0.2]),
+        seed in any::<u64>(),
+        steps in prop::collection::vec(step(), 3..14),
+    ) {
+        let settings = WindowBudgetSettings { slack, ..SETTINGS };
+        let mut fleet = Fleet::new(nodes, settings, seed);
+        fleet.words_lost = words_lost;
+        fleet.pass(seconds(11), 1, false);
+        for step in steps {
+            match step {
+                Step::Pass { millis, refuse } => fleet.pass(Duration::from_millis(millis), 1, refuse),
+                Step::Kill { first, count, down_millis, list_readable } => {
+                    let down = Duration::from_millis(down_millis);
+                    fleet.kill(some_nodes(first, count, nodes), down, list_readable);
+                }
+                Step::Freeze { first, count, millis } => {
+                    fleet.freeze(some_nodes(first, count, nodes), Duration::from_millis(millis));
+                }
             }
         }
+        prop_assert_eq!(fleet.seen.breach(&settings), None);
     }
-    seen.judge();
 }
--- a/crates/lab/src/command/fault_soak.rs
+++ b/crates/lab/src/command/fault_soak.rs
@@ -21,13 +21,22 @@
 const MAXIMUM_SECONDS: f64 = 3_600.0;
 
 /// Most nodes.
-const MAXIMUM_NODES: usize = 20;
+const MAXIMUM_NODES: usize = 200;
+
+/// Seconds within which everything must work again unless given: the promise to the users.
+const DEFAULT_RECOVERY_SECONDS: f64 = 12.0;
 
 fn declare(options: &mut getopts::Options) {
     options.optopt("", "program", "the program `shelfjunction`", "FILE");
     options.optopt("", "nodes", "nodes (3)", "NUMBER");
     options.optopt("", "callers", "callers at once (12)", "NUMBER");
     options.optopt("", "seconds", "length of each run (30)", "SECONDS");
+    options.optopt(
+        "",
+        "recovery-seconds",
+        "time within which all must serve again (12)",
+        "SECONDS",
+    );
     options.optopt("", "seed", "seed of the first run; drawn unless given", "NUMBER");
     options.optopt("", "runs", "runs, each with the next seed (1)", "NUMBER");
     options.optopt(
@@ -44,6 +53,11 @@
         let message = format!("--seconds {seconds}: allowed is above 0, at most {MAXIMUM_SECONDS}");
         return Err(CommandError::Usage(message));
     }
+    let recovery = options.value_or("recovery-seconds", DEFAULT_RECOVERY_SECONDS)?;
+    if !(recovery > 0.0 && recovery <= MAXIMUM_SECONDS) {
+        let message = format!("--recovery-seconds {recovery}: allowed is above 0, at most {MAXIMUM_SECONDS}");
+        return Err(CommandError::Usage(message));
+    }
     let nodes = options.value_or("nodes", 3)?;
     if !(1..=MAXIMUM_NODES).contains(&nodes) {
         let message = format!("--nodes {nodes}: allowed is 1 to {MAXIMUM_NODES}");
@@ -60,6 +74,7 @@
             nodes,
             callers: options.value_or("callers", 12)?,
             length: Duration::from_secs_f64(seconds),
+            recovery: Duration::from_secs_f64(recovery),
             seed,
             directory: logs.join(seed.to_string()),
         };
--- a/crates/lab/src/fault_soak/deployment.rs
+++ b/crates/lab/src/fault_soak/deployment.rs
@@ -126,6 +126,20 @@
         lock(&self.engines[engine]).now.next_request(fault);
     }
 
+    /// Makes every engine refuse most requests, or no longer do so.
+    pub fn refuse_most(&self, refuses: bool) {
+        for engine in &self.engines {
+            lock(engine).now.refuse_most(refuses);
+        }
+    }
+
+    /// Tells a node that its settings have changed, if it runs.
+    pub fn reload(&self, node: usize) {
+        if let Some(process) = &lock(&self.nodes[node]).process {
+            process.reload();
+        }
+    }
+
     /// Says that an engine is about to leave.
     pub fn drain(&self, engine: usize) {
         self.list(engine, "draining");
@@ -206,7 +220,9 @@
             place.store_door.set_mode(StoreMode::Serving);
         }
         for engine in &self.engines {
-            lock(engine).relay.mend();
+            let place = lock(engine);
+            place.relay.mend();
+            place.now.refuse_most(false);
         }
     }
 
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -11,13 +11,16 @@
 mod places;
 mod process;
 pub mod record;
+pub mod repeats;
 pub mod schedule;
 mod striking;
 
 use callers::Caller;
-use deployment::{Deployment, EVENTS};
-use oracle::{Violation, judge, judge_reports};
+use deployment::{Deployment, EVENTS, MODEL_POOL};
+use oracle::{EngineRecords, Violation, judge, judge_reports};
+use places::REPEAT_BUDGET;
 use record::{CallKind, SeenCall};
+use repeats::{SeenArrival, judge_repeats};
 use std::fmt;
 use std::io;
 use std::path::PathBuf;
@@ -25,9 +28,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Time within which everything must work again after the last fault.
-const RECOVERY: Duration = Duration::from_secs(12);
-
 /// Time for which runs that come late are waited for.
 const LATE_RUNS: Duration = Duration::from_secs(2);
 
@@ -45,6 +45,8 @@
     pub callers: u64,
     /// Time for which faults strike.
     pub length: Duration,
+    /// Time within which everything must work again after the last fault.
+    pub recovery: Duration,
     /// Seed of faults and callers.
     pub seed: u64,
     /// Where settings and logs go.
@@ -111,20 +113,38 @@
 pub fn run(config: &FaultSoakConfig) -> io::Result<FaultSoakReport> {
     std::fs::create_dir_all(&config.directory)?;
     let deployment = Deployment::start(&config.program, config.nodes, &config.directory)?;
-    let mut violations = wait_until_served(&deployment, config.seed);
+    let mut violations = wait_until_served(&deployment, config.seed, config.recovery);
     let schedule = schedule::draw(config.seed, config.length, deployment.targets());
     let begun = Instant::now();
     let calls = disturb(&deployment, config, &schedule, begun);
     deployment.heal();
-    let recovered = wait_until_served(&deployment, config.seed + 1);
+    let recovered = wait_until_served(&deployment, config.seed + 1, config.recovery);
     violations.extend(recovered);
     thread::sleep(LATE_RUNS);
     let exits = deployment.restart_ended();
-    violations.extend(judge(&calls, &deployment.records(), EVENTS));
+    let records = deployment.records();
+    violations.extend(judge(&calls, &records, EVENTS));
+    let arrivals = seen_arrivals(&records, begun);
+    violations.extend(judge_repeats(&calls, &arrivals, MODEL_POOL, &REPEAT_BUDGET));
     violations.extend(judge_reports(&deployment.usage_reports()));
     Ok(report(config.seed, schedule.len(), &calls, exits, violations))
 }
 
+/// What reached engines of what the callers sent; probes are judged where they are made.
+fn seen_arrivals(records: &EngineRecords, begun: Instant) -> Vec<SeenArrival> {
+    let arrivals = records.arrivals.iter();
+    let of_callers = arrivals.filter(|(_, arrival)| !is_probe(&arrival.request));
+    of_callers
+        .map(|(pool, arrival)| SeenArrival {
+            pool,
+            request: arrival.request.clone(),
+            reads_prompt: arrival.reads_prompt,
+            refused: arrival.refused,
+            at: arrival.at.saturating_duration_since(begun),
+        })
+        .collect()
+}
+
 fn disturb(
     deployment: &Deployment,
     config: &FaultSoakConfig,
@@ -147,8 +167,8 @@
 }
 
 /// Waits until every node serves every kind as the newest configuration says; those that do not in time.
-fn wait_until_served(deployment: &Deployment, seed: u64) -> Vec<Violation> {
-    let until = Instant::now() + RECOVERY;
+fn wait_until_served(deployment: &Deployment, seed: u64, recovery: Duration) -> Vec<Violation> {
+    let until = Instant::now() + recovery;
     let probes = thread::scope(|scope| {
         let nodes: Vec<_> = (0..deployment.targets().nodes)
             .map(|node| scope.spawn(move || probe_until_served(deployment, seed, node, until)))
--- a/crates/lab/src/fault_soak/oracle.rs
+++ b/crates/lab/src/fault_soak/oracle.rs
@@ -2,7 +2,7 @@
 
 use super::operator::tenant_of;
 use super::record::{SeenAnswer, SeenCall};
-use crate::users_platform::{OrderRecord, RunRecord, UsageReport};
+use crate::users_platform::{ArrivalRecord, OrderRecord, RunRecord, UsageReport};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Statuses that promise that the request has not run and never will.
@@ -29,6 +29,17 @@
     WrongTenant(String, Option<String>),
     /// The platform got two different usage reports for one window.
     TwoReports(u64),
+    /// A pool's engines received more repeats within a window than its budget allows.
+    TooManyRepeats {
+        /// The pool.
+        pool: String,
+        /// Begin of the window, from the start of the callers.
+        from_millis: u64,
+        /// Arrivals beyond the first of each request.
+        repeats: usize,
+        /// Arrivals beyond the first that the budget allows.
+        allowed: usize,
+    },
     /// A planned stop, alone, left a request that an engine had begun without its whole answer.
     CutOff(String),
 }
@@ -40,6 +51,8 @@
     pub runs: Vec<RunRecord>,
     /// Orders taken.
     pub orders: Vec<OrderRecord>,
+    /// What reached engines, with the pool of each.
+    pub arrivals: Vec<(&'static str, ArrivalRecord)>,
 }
 
 /// Every promise about requests and orders that did not hold.
--- a/crates/lab/src/fault_soak/places.rs
+++ b/crates/lab/src/fault_soak/places.rs
@@ -3,8 +3,9 @@
 use super::deployment::EVENTS;
 use super::oracle::EngineRecords;
 use super::process::{Launch, NodeProcess};
+use super::repeats::RepeatBudget;
 use crate::relay::Relay;
-use crate::users_platform::{EngineSettings, ModelEngine, StandInInterface, StandInStore};
+use crate::users_platform::{ArrivalRecord, EngineSettings, ModelEngine, StandInInterface, StandInStore};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -13,6 +14,13 @@
 /// Time from the signal to stop until a node is killed; its settings say the same.
 pub(super) const GRACE: Duration = Duration::from_secs(8);
 
+/// The budget for repeats: small beside what callers send, so that a run comes to its bounds many times.
+pub(super) const REPEAT_BUDGET: RepeatBudget = RepeatBudget {
+    ratio: 0.2,
+    slack: 20.0,
+    window: Duration::from_secs(5),
+};
+
 /// One place at which engines listen, one start after the other.
 pub(super) struct EnginePlace {
     pub(super) pool: &'static str,
@@ -40,6 +48,7 @@
     pub(super) fn add(&mut self, other: &Self) {
         self.runs.extend(other.runs.iter().cloned());
         self.orders.extend(other.orders.iter().cloned());
+        self.arrivals.extend(other.arrivals.iter().cloned());
     }
 }
 
@@ -75,9 +84,15 @@
         EngineRecords {
             runs: self.now.runs(),
             orders: self.now.order_records(),
+            arrivals: self.arrivals(),
         }
     }
 
+    fn arrivals(&self) -> Vec<(&'static str, ArrivalRecord)> {
+        let arrivals = self.now.arrivals().into_iter();
+        arrivals.map(|arrival| (self.pool, arrival)).collect()
+    }
+
     /// Whether the stage is another than the one noted before.
     pub(super) fn note_stage(&mut self) -> bool {
         let stage = self.now.stage();
@@ -106,9 +121,12 @@
         let [listen, ready, peers] = free_addresses()?;
         let settings = directory.join(format!("node-{number}.toml"));
         let text = format!(
-            "log_level = 'info'\n\n[node]\nnode = 'node-{number}'\nzone = 'zone-a'\nlisten = '{listen}'\nready_listen = '{ready}'\npeer_listen = '{peers}'\nstore = '{}'\nfirst_start = false\ngrace_seconds = {}\n\n[node.metering]\nwindow_seconds = 1\ndue_after_seconds = 10\n\n[node.duties]\naddress = '{}'\ntasks = ['usage_reporting']\n",
+            "log_level = 'info'\n\n[node]\nnode = 'node-{number}'\nzone = 'zone-a'\nlisten = '{listen}'\nready_listen = '{ready}'\npeer_listen = '{peers}'\nstore = '{}'\nfirst_start = false\ngrace_seconds = {}\nretry_ratio = {}\nretry_slack = {}\nretry_window_seconds = {}\n\n[node.metering]\nwindow_seconds = 1\ndue_after_seconds = 10\n\n[node.duties]\naddress = '{}'\ntasks = ['usage_reporting']\n",
             store_link.address(),
             GRACE.as_secs_f64(),
+            REPEAT_BUDGET.ratio,
+            REPEAT_BUDGET.slack,
+            REPEAT_BUDGET.window.as_secs_f64(),
             interface.address()
         );
         std::fs::write(&settings, text)?;
--- a/crates/lab/src/fault_soak/process.rs
+++ b/crates/lab/src/fault_soak/process.rs
@@ -59,6 +59,11 @@
         self.signal(Signal::CONT);
     }
 
+    /// Tells it that its settings have changed.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Tells it to stop and waits for its end; kills it after `grace`. Whether it ended by itself.
     pub fn stop(&mut self, grace: Duration) -> bool {
         self.signal(Signal::TERM);
--- a/crates/lab/src/fault_soak/schedule.rs
+++ b/crates/lab/src/fault_soak/schedule.rs
@@ -37,6 +37,22 @@
     Replace(usize),
     /// The operator moves a route to another pool.
     Reconfigure,
+    /// Every engine refuses most requests.
+    EnginesRefuse,
+    /// Every node is killed and started again, several times in a row.
+    KillAllInSeries,
+    /// Every engine refuses most requests, and meanwhile every node is killed and started again, several times in a row.
+    KillAllWhileEnginesRefuse,
+    /// Every node is told to stop and started again, one after the other and before the last has ended.
+    StopInSeries,
+    /// The operator moves a route several times in a row.
+    ReconfigureInSeries,
+    /// A node is told that its settings have changed, and soon after to stop.
+    ReloadAndStop(usize),
+    /// The connections on the link to an engine go silent for good; new ones pass.
+    SilenceEngineLink(usize),
+    /// The connections on a node's link to the store go silent for good; new ones pass.
+    SilenceStoreLink(usize),
 }
 
 /// One fault and when it strikes.
@@ -87,7 +103,7 @@
 fn draw_fault(random: &mut ChaCha8Rng, targets: Targets) -> Fault {
     let node = random.random_range(0..targets.nodes);
     let engine = random.random_range(0..targets.engines);
-    match random.random_range(0..100) {
+    match random.random_range(0..140) {
         0..10 => Fault::StoreLink(node, draw_link_fault(random)),
         10..25 => Fault::EngineLink(engine, draw_link_fault(random)),
         25..29 => Fault::ResetStoreLink(node),
@@ -101,7 +117,15 @@
         66..74 => Fault::Stop(node),
         74..88 => Fault::Engine(engine, draw_engine_fault(random)),
         88..94 => Fault::Replace(engine),
-        _ => Fault::Reconfigure,
+        94..100 => Fault::Reconfigure,
+        100..112 => Fault::EnginesRefuse,
+        112..116 => Fault::KillAllInSeries,
+        116..120 => Fault::StopInSeries,
+        120..122 => Fault::ReconfigureInSeries,
+        122..126 => Fault::ReloadAndStop(node),
+        126..130 => Fault::SilenceEngineLink(engine),
+        130..134 => Fault::SilenceStoreLink(node),
+        _ => Fault::KillAllWhileEnginesRefuse,
     }
 }
 
--- a/crates/lab/src/fault_soak/striking.rs
+++ b/crates/lab/src/fault_soak/striking.rs
@@ -10,6 +10,9 @@
 /// Requests in a row that an engine fault strikes.
 const STRUCK_REQUESTS: usize = 5;
 
+/// Times that something is done in a series.
+const SERIES: u32 = 4;
+
 /// Pause between two looks at nodes that ended by themselves and at engines' stages.
 const TEND_EVERY: Duration = Duration::from_millis(100);
 
@@ -91,9 +94,59 @@
         Fault::Reconfigure => {
             deployment.reconfigure();
         }
+        Fault::EnginesRefuse => {
+            deployment.refuse_most(true);
+            wait();
+            deployment.refuse_most(false);
+        }
+        Fault::KillAllInSeries => in_series(scheduled.lasts, || kill_all(deployment)),
+        Fault::KillAllWhileEnginesRefuse => {
+            deployment.refuse_most(true);
+            wait();
+            in_series(scheduled.lasts, || kill_all(deployment));
+            deployment.refuse_most(false);
+        }
+        Fault::StopInSeries => stop_in_series(deployment, scheduled.lasts),
+        Fault::ReconfigureInSeries => in_series(scheduled.lasts, || {
+            deployment.reconfigure();
+        }),
+        Fault::ReloadAndStop(node) => {
+            deployment.reload(node);
+            deployment.stop(node);
+            restart(deployment, node);
+        }
+        Fault::SilenceEngineLink(engine) => deployment.engine_link(engine).silence_open(),
+        Fault::SilenceStoreLink(node) => deployment.store_link(node).silence_open(),
     }
 }
 
+/// Does the same several times over a span.
+fn in_series(span: Duration, act: impl Fn()) {
+    for _ in 0..SERIES {
+        act();
+        thread::sleep(span / SERIES);
+    }
+}
+
+fn kill_all(deployment: &Deployment) {
+    let nodes = deployment.targets().nodes;
+    (0..nodes).for_each(|node| deployment.kill(node));
+    (0..nodes).for_each(|node| restart(deployment, node));
+}
+
+fn stop_in_series(deployment: &Deployment, span: Duration) {
+    let nodes = deployment.targets().nodes;
+    thread::scope(|scope| {
+        for node in 0..nodes {
+            scope.spawn(move || {
+                deployment.stop(node);
+                restart(deployment, node);
+            });
+            thread::sleep(span / nodes as u32);
+        }
+    });
+}
+
 fn restart(deployment: &Deployment, node: usize) {
     if let Err(error) = deployment.start_node(node) {
         log::error!(node, error:% = error; "node_not_started");
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -2,7 +2,8 @@
 //! zones.
 //!
 //! A cut drops the connections that pass and holds new ones without an answer; a silent link keeps its connections and
-//! holds their bytes, as a partition does: nobody is told. Mending lets everything that is held go on.
+//! holds their bytes, as a partition does: nobody is told. Mending lets everything that is held go on. Single connections
+//! may go silent for good, while new ones pass.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -66,6 +67,10 @@
     fault: LinkFault,
     stopped: bool,
     open: Vec<TcpStream>,
+    /// Connections taken so far.
+    taken: u64,
+    /// Connections with a lower number pass nothing any more.
+    silent_below: u64,
 }
 
 impl Relay {
@@ -104,6 +109,12 @@
         close_all(&mut self.link.state());
     }
 
+    /// Makes the connections that pass now silent for good, without closing them; new ones are taken as before.
+    pub fn silence_open(&self) {
+        let mut state = self.link.state();
+        state.silent_below = state.taken;
+    }
+
     /// Makes something wrong with the link, in place of what was.
     pub fn set_fault(&self, fault: LinkFault) {
         self.link.state().fault = fault;
@@ -139,9 +150,12 @@
         !state.unwrap_or_else(PoisonError::into_inner).stopped
     }
 
-    /// Waits until bytes may pass in a direction.
-    fn wait_to_pass(&self, direction: Direction) {
-        let waiting = |state: &mut LinkState| state.fault.holds(direction) && !state.stopped;
+    /// Waits until bytes of a connection may pass in a direction.
+    fn wait_to_pass(&self, connection: u64, direction: Direction) {
+        let waiting = |state: &mut LinkState| {
+            let is_silent = connection < state.silent_below;
+            (is_silent || state.fault.holds(direction)) && !state.stopped
+        };
         let state = self.changed.wait_while(self.state(), waiting);
         let fault = state.unwrap_or_else(PoisonError::into_inner).fault;
         if let LinkFault::Delayed(delay) = fault {
@@ -149,15 +163,17 @@
         }
     }
 
-    /// Remembers both ends of a connection so that a cut can close them; false when the link is cut meanwhile.
-    fn remember(&self, near: &TcpStream, far: &TcpStream) -> std::io::Result<bool> {
+    /// Remembers both ends of a connection so that a cut can close them; its number, or nothing when the link is cut
+    /// meanwhile.
+    fn remember(&self, near: &TcpStream, far: &TcpStream) -> std::io::Result<Option<u64>> {
         let ends = [near.try_clone()?, far.try_clone()?];
         let mut state = self.state();
         if state.fault == LinkFault::Silent || state.stopped {
-            return Ok(false);
+            return Ok(None);
         }
         state.open.extend(ends);
-        Ok(true)
+        state.taken += 1;
+        Ok(Some(state.taken - 1))
     }
 }
 
@@ -190,19 +206,19 @@
     // Tokens are small writes; without this the relay would hold them back.
     let _ = near.set_nodelay(true);
     let _ = far.set_nodelay(true);
-    if !link.remember(&near, &far).unwrap_or(false) {
+    let Ok(Some(connection)) = link.remember(&near, &far) else {
         return;
-    }
+    };
     thread::scope(|scope| {
-        scope.spawn(|| copy(&near, &far, link, Direction::TowardsTarget));
-        copy(&far, &near, link, Direction::FromTarget);
+        scope.spawn(|| copy(&near, &far, link, connection, Direction::TowardsTarget));
+        copy(&far, &near, link, connection, Direction::FromTarget);
     });
 }
 
-fn copy(mut from: &TcpStream, mut to: &TcpStream, link: &Link, direction: Direction) {
+fn copy(mut from: &TcpStream, mut to: &TcpStream, link: &Link, connection: u64, direction: Direction) {
     let mut buffer = [0; BUFFER_BYTES];
     while let Ok(read) = from.read(&mut buffer) {
-        link.wait_to_pass(direction);
+        link.wait_to_pass(connection, direction);
         if read == 0 || to.write_all(&buffer[..read]).is_err() {
             break;
         }
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 const JSON: &str = "application/json";
 const EVENTS: &str = "text/event-stream";
@@ -66,10 +67,26 @@
     pub urgency: Option<u8>,
 }
 
+/// A request as it reached an engine, whatever became of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ArrivalRecord {
+    /// The request.
+    pub request: String,
+    /// Whether only its prompt was to be read.
+    pub reads_prompt: bool,
+    /// Whether the engine turned it away.
+    pub refused: bool,
+    /// When it came.
+    pub at: Instant,
+}
+
 #[derive(Debug, Default)]
 struct State {
     stage: Option<&'static str>,
     faults: VecDeque<EngineFault>,
+    refuses_most: bool,
+    refusals_drawn: u64,
+    arrivals: Vec<ArrivalRecord>,
     runs: Vec<RunRecord>,
     prompts: Vec<RunRecord>,
     handles: BTreeSet<String>,
@@ -79,6 +96,18 @@
     orders: Vec<OrderRecord>,
 }
 
+impl State {
+    fn next_fault(&mut self) -> Option<EngineFault> {
+        if self.refuses_most {
+            self.refusals_drawn += 1;
+            if self.refusals_drawn % 5 < 3 {
+                return Some(EngineFault::Refuse);
+            }
+        }
+        self.faults.pop_front()
+    }
+}
+
 /// A running engine on loopback.
 pub struct ModelEngine {
     server: HttpServer,
@@ -121,6 +150,16 @@
         lock(&self.state).faults.push_back(fault);
     }
 
+    /// Refuses three of five requests before running them, or no longer does.
+    pub fn refuse_most(&self, refuses: bool) {
+        lock(&self.state).refuses_most = refuses;
+    }
+
+    /// Requests that reached it.
+    pub fn arrivals(&self) -> Vec<ArrivalRecord> {
+        lock(&self.state).arrivals.clone()
+    }
+
     /// Requests that it ran.
     pub fn runs(&self) -> Vec<RunRecord> {
         lock(&self.state).runs.clone()
@@ -185,10 +224,22 @@
         let expected = request.header("Expected-Instance");
         let reads_prompt = request.header("Stage") == Some("prefill");
         let wrong_stage = reads_prompt != (lock(&self.state).stage == Some("prefill"));
-        if expected.is_some_and(|id| id != self.settings.id) || wrong_stage {
+        let is_misdirected = expected.is_some_and(|id| id != self.settings.id) || wrong_stage;
+        let fault = if is_misdirected {
+            None
+        } else {
+            lock(&self.state).next_fault()
+        };
+        let refused = is_misdirected || fault == Some(EngineFault::Refuse);
+        lock(&self.state).arrivals.push(ArrivalRecord {
+            request: request.header("Request-Id").unwrap_or_default().to_owned(),
+            reads_prompt,
+            refused,
+            at: Instant::now(),
+        });
+        if is_misdirected {
             return responder.answer(&self.answer(request, 421, ""));
         }
-        let fault = lock(&self.state).faults.pop_front();
         if fault == Some(EngineFault::Refuse) {
             let refusal = self.answer(request, 503, "").with_header("Not-Executed", "1");
             return responder.answer(&refusal);
--- a/crates/lab/src/users_platform/mod.rs
+++ b/crates/lab/src/users_platform/mod.rs
@@ -5,6 +5,6 @@
 mod interface;
 mod store;
 
-pub use engine::{EngineFault, EngineSettings, ModelEngine, OrderRecord, RunRecord};
+pub use engine::{ArrivalRecord, EngineFault, EngineSettings, ModelEngine, OrderRecord, RunRecord};
 pub use interface::{InterfaceMode, ScaleOrder, StandInInterface, UsageReport};
 pub use store::{StandInStore, StoreMode};
--- a/crates/lab/tests/fault_soak.rs
+++ b/crates/lab/tests/fault_soak.rs
@@ -4,6 +4,7 @@
 
 use shelfjunction_lab::fault_soak::oracle::{EngineRecords, Violation, judge, judge_reports};
 use shelfjunction_lab::fault_soak::record::{CallKind, SeenAnswer, SeenCall};
+use shelfjunction_lab::fault_soak::repeats::{RepeatBudget, SeenArrival, judge_repeats};
 use shelfjunction_lab::fault_soak::schedule::{Fault, Targets, draw};
 use shelfjunction_lab::relay::{LinkFault, Relay};
 use shelfjunction_lab::users_platform::{OrderRecord, RunRecord, UsageReport};
@@ -49,7 +50,7 @@
     };
     EngineRecords {
         runs: vec![run; times],
-        orders: Vec::new(),
+        ..EngineRecords::default()
     }
 }
 
@@ -191,7 +192,7 @@
         .iter()
         .map(|scheduled| std::mem::discriminant(&scheduled.fault))
         .collect();
-    assert_eq!(kinds.len(), 14);
+    assert_eq!(kinds.len(), 22);
     assert!(drawn.iter().any(|scheduled| scheduled.fault == Fault::KillAll));
     assert!(drawn.iter().all(|scheduled| scheduled.at < length));
 }
@@ -253,3 +254,78 @@
     let mut byte = [0];
     assert!(matches!(stream.read(&mut byte), Ok(0) | Err(_)));
 }
+
+#[test]
+fn connections_that_went_silent_pass_nothing_while_new_ones_do() {
+    let (relay, mut stream) = echo();
+    assert_eq!(exchange(&mut stream, 1), 1);
+    relay.silence_open();
+    stream.write_all(&[2]).unwrap();
+    stream.set_read_timeout(Some(LONG_FOR_LOOPBACK)).unwrap();
+    relay.mend();
+    assert!(stream.read(&mut [0]).is_err(), "silent for good, and open");
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let other = Relay::start((Ipv4Addr::LOCALHOST, 0).into(), listener.local_addr().unwrap()).unwrap();
+    other.silence_open();
+    let mut near = TcpStream::connect(other.address()).unwrap();
+    let (mut far, _) = listener.accept().unwrap();
+    near.write_all(&[3]).unwrap();
+    let mut byte = [0];
+    far.read_exact(&mut byte).unwrap();
+    assert_eq!(byte, [3], "one that is taken afterwards passes");
+}
+
+const BUDGET: RepeatBudget = RepeatBudget {
+    ratio: 0.2,
+    slack: 3.0,
+    window: Duration::from_secs(10),
+};
+
+fn arrival(request: &str, at_millis: u64) -> SeenArrival {
+    SeenArrival {
+        pool: "pool-model",
+        request: request.to_owned(),
+        reads_prompt: false,
+        refused: true,
+        at: Duration::from_millis(at_millis),
+    }
+}
+
+#[test]
+fn repeats_beyond_the_budget_of_a_window_are_found() {
+    let calls = [call(CallKind::Again, None)];
+    let four: Vec<SeenArrival> = (0..4).map(|number| arrival("mine", number)).collect();
+    let judged = |arrivals: &[SeenArrival]| judge_repeats(&calls, arrivals, "pool-model", &BUDGET);
+    assert_eq!(judged(&four), [], "three beyond the first are the slack");
+    let five: Vec<SeenArrival> = (0..5).map(|number| arrival("mine", number)).collect();
+    let broken = Violation::TooManyRepeats {
+        pool: "pool-model".to_owned(),
+        from_millis: 1,
+        repeats: 4,
+        allowed: 3,
+    };
+    assert_eq!(judged(&five), [broken]);
+    let apart: Vec<SeenArrival> = (0..9).map(|number| arrival("mine", number * 4_000)).collect();
+    assert_eq!(judged(&apart), [], "no window holds more than three");
+}
+
+#[test]
+fn the_first_prompt_that_an_engine_takes_is_no_repeat() {
+    let calls = [call(CallKind::Again, None)];
+    let prompt = |at, refused| SeenArrival {
+        reads_prompt: true,
+        refused,
+        ..arrival("mine", at)
+    };
+    let budget = RepeatBudget { slack: 0.0, ..BUDGET };
+    let judged = |arrivals: &[SeenArrival]| judge_repeats(&calls, arrivals, "pool-model", &budget).len();
+    assert_eq!(judged(&[prompt(0, false), arrival("mine", 1)]), 0);
+    assert_eq!(
+        judged(&[prompt(0, true), prompt(1, false), arrival("mine", 2)]),
+        1
+    );
+    assert_eq!(
+        judged(&[prompt(0, false), prompt(1, false), arrival("mine", 2)]),
+        1
+    );
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -35,7 +35,8 @@
     pub processor_share: f64,
     /// Address of the platform's store.
     pub store: SocketAddr,
-    /// Whether the whole system starts for the first time, so that engines hold nothing yet.
+    /// Whether the whole system starts for the first time, so that engines hold nothing yet and no repeats were granted.
+    /// Has to be false whenever a process is started again.
     #[serde(default)]
     pub first_start: bool,
     /// Time over which nodes that start together for the first time enter themselves into the store's list: the store
@@ -51,9 +52,6 @@
     /// Length of the window.
     #[serde(default = "defaults::retry_window")]
     pub retry_window_seconds: f64,
-    /// Nodes that share the slack, until the store's list of nodes was read.
-    #[serde(default = "defaults::nodes")]
-    pub nodes: u32,
     /// Time from the signal to stop until the process is ended by force.
     #[serde(default = "defaults::grace")]
     pub grace_seconds: f64,
@@ -149,10 +147,6 @@
         10.0
     }
 
-    pub fn nodes() -> u32 {
-        8
-    }
-
     pub fn grace() -> f64 {
         8.0
     }
@@ -197,14 +191,8 @@
         for (field, value) in times.into_iter().filter(|(_, value)| !SECONDS.contains(value)) {
             errors.push(fault(field, value.to_string(), "0.1 to 3600 seconds"));
         }
-        let least = [
-            ("node.nodes", u64::from(self.nodes), 1),
-            ("node.connections", self.connections as u64, 1),
-        ];
-        for (field, value, least) in least {
-            if value < least {
-                errors.push(fault(field, value.to_string(), &format!("{least} or more")));
-            }
+        if self.connections == 0 {
+            errors.push(fault("node.connections", "0".to_owned(), "1 or more"));
         }
         errors
     }
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -247,9 +247,11 @@
             repeats_left = decision.account.left,
             requests = decision.account.requests,
             repeats = decision.account.repeats,
-            nodes = decision.nodes,
-            nodes_known = decision.nodes_known,
-            up_millis = decision.up_for.as_millis() as u64;
+            usable_part = decision.share.usable_part(),
+            nodes = decision.share.sharers.map_or(0, |sharers| sharers.nodes),
+            nodes_present = decision.share.sharers.map_or(0, |sharers| sharers.present),
+            forgotten_hundredths = decision.share.sharers.map_or(0, |sharers| sharers.forgotten_hundredths),
+            settled_millis = decision.share.settled_for.as_millis() as u64;
             "retry_asked"
         );
         if decision.granted {
--- a/crates/node/src/peers/directory.rs
+++ b/crates/node/src/peers/directory.rs
@@ -95,4 +95,5 @@
         peer.processor_thousandths = entry.processor_thousandths;
     }
     known.listed = true;
+    context.state.note_nodes_listed();
 }
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -47,7 +47,6 @@
     let position = (message.start, message.number);
     {
         let mut known = lock(&context.peers.known);
-        known.told_nodes = known.told_nodes.max(message.nodes);
         let peer = known
             .peers
             .entry(message.node.clone())
@@ -67,7 +66,8 @@
         peer.store_answers = message.store_answers;
         peer.holds_lease = message.holds_lease;
         peer.places = message.places;
-        peer.processor_thousandths = message.processor_thousandths;
+        peer.told_nodes = message.nodes;
+        peer.sharing.hear(message.start, message.sharing, now);
     }
     let handle = SubjectHandle::of_text("node", message.node.as_str());
     lock(&context.fleet_clock).observe(handle, message.unix, now);
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -7,6 +7,7 @@
 use shelfjunction_core::metering::UnixTime;
 use shelfjunction_core::metering::counter::UsageWord;
 use shelfjunction_core::placing::question::{Answer, ProgressReport, Question};
+use shelfjunction_core::retry::census::SharingWord;
 use shelfjunction_core::routing::pool::{EngineStage, ListNews, PeerWork, PrefixNews, WorkSlice};
 use shelfjunction_core::watching::TableWord;
 
@@ -37,8 +38,10 @@
     pub(super) start: u64,
     /// Number of the message since that start.
     pub(super) number: u64,
-    /// Nodes that the sender knows of, itself included.
+    /// Nodes that the sender itself has listed or heard, itself included.
     pub(super) nodes: u32,
+    /// What the sender tells of the budgets for repeats.
+    pub(super) sharing: SharingWord,
     /// Whether the sender holds itself for a placer.
     pub(super) places: bool,
     /// Thousandths of a processor core that the sender may use.
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -11,6 +11,7 @@
 mod hearing;
 mod message;
 mod placers;
+mod sharing;
 mod telling;
 
 pub(crate) use catching_up::{catch_up, serve as serve_snapshots, take_from_any};
@@ -25,6 +26,7 @@
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::placing::config::PlacingSettings;
 use shelfjunction_core::placing::placer_set::Candidate;
+use shelfjunction_core::retry::census::KnownPeer;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
@@ -59,6 +61,10 @@
     places: bool,
     /// Thousandths of a processor core that it may use.
     processor_thousandths: u32,
+    /// Nodes that it knew itself when it spoke last: one that started early may have read a short list.
+    told_nodes: u32,
+    /// What it told of the budgets for repeats.
+    sharing: KnownPeer,
     handle: SubjectHandle,
 }
 
@@ -73,6 +79,8 @@
             holds_lease: false,
             places: false,
             processor_thousandths: 0,
+            told_nodes: 0,
+            sharing: KnownPeer::listed(now),
             handle: SubjectHandle::of_text("node", node.as_str()),
         }
     }
@@ -110,6 +118,8 @@
     socket: Arc<UdpSocket>,
     own: Candidate,
     placing: PlacingSettings,
+    /// Length of the window of budgets for repeats.
+    budget_window: Duration,
     known: Mutex<Known>,
     pending: Mutex<Pending>,
     change: Condvar,
@@ -123,6 +133,7 @@
     changed: bool,
     /// Whether others must hear of it before they choose engines.
     urgent: bool,
+    /// Whether an idle node tells it as well.
     confirmed: bool,
 }
 
@@ -138,14 +149,21 @@
 struct Known {
     peers: BTreeMap<NodeId, Peer>,
     listed: bool,
-    /// Most nodes that another has told of: one that started early may have read a short list.
-    told_nodes: u32,
+    /// Since when this node has heard everybody; absent while others do.
+    hears_all_since: Option<MonotonicTime>,
 }
 
 impl Known {
-    /// Nodes in all, this one included.
+    /// Nodes in all, this one included: what others have told counts as long as they are known, so that the number
+    /// falls again after nodes are gone for good.
     fn nodes(&self) -> u32 {
-        (self.peers.len() as u32 + 1).max(self.told_nodes)
+        let told = self.peers.values().map(|peer| peer.told_nodes).max();
+        self.nodes_known_itself().max(told.unwrap_or(0))
+    }
+
+    /// Nodes that this one has listed or heard, itself included.
+    fn nodes_known_itself(&self) -> u32 {
+        self.peers.len() as u32 + 1
     }
 }
 
@@ -158,6 +176,7 @@
                 processor_thousandths: config.processor_thousandths(),
             },
             placing: config.placing,
+            budget_window: config.retry_budget().window,
             known: Mutex::default(),
             pending: Mutex::default(),
             change: Condvar::new(),
@@ -172,6 +191,11 @@
         known.listed.then(|| known.nodes())
     }
 
+    /// Nodes that this one has listed or heard, itself included.
+    pub(crate) fn nodes_known_itself(&self) -> u32 {
+        lock(&self.known).nodes_known_itself()
+    }
+
     /// Names of the other nodes that said something a short time ago.
     pub(crate) fn heard_lately(&self, now: MonotonicTime) -> Vec<NodeId> {
         let known = lock(&self.known);
@@ -205,6 +229,15 @@
         self.change.notify_one();
     }
 
+    /// Notes that this node has granted more repeats than it told, which others must know if it is killed.
+    pub(crate) fn note_granted(&self) {
+        let mut pending = lock(&self.pending);
+        pending.changed = true;
+        pending.urgent = true;
+        pending.confirmed = true;
+        self.change.notify_one();
+    }
+
     /// Notes that the store has confirmed what this node knows, which is told even by an idle node.
     pub(crate) fn note_confirmed(&self) {
         let mut pending = lock(&self.pending);
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -26,8 +26,8 @@
 const PLACER_TELLS_AGAIN: Duration = Duration::from_millis(500);
 
 /// Time after which a node of a large fleet that is no placer tells the placers of itself, so that they know whom to
-/// tell; a new one is told by the first of them whom it asks.
-const OTHERS_TELL_AGAIN: Duration = Duration::from_secs(5);
+/// tell, and notice soon that one is gone whose callers' requests come to others, who earn repeats from them.
+const OTHERS_TELL_AGAIN: Duration = Duration::from_secs(2);
 
 /// Least time between two messages of a placer to the whole of a large fleet.
 const LEAST_PAUSE_TO_ALL: Duration = Duration::from_millis(200);
@@ -202,7 +202,8 @@
             node: context.config.node.clone(),
             start: self.start,
             number: 0,
-            nodes: context.peers.nodes().unwrap_or(1),
+            nodes: context.peers.nodes_known_itself(),
+            sharing: context.sharing_word(now),
             places,
             processor_thousandths: context.peers.own_processor(),
             store_answers: context.in_contact_with_store(),
