--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -36,6 +36,9 @@
         let (account, patience) = self.note_sent(choice.as_ref(), &target.engine, purpose, now);
         let left = routing::left(self.deadline, now);
         let wait = patience::CONNECT.min(left);
+        if std::mem::take(&mut self.distrusts_resting) {
+            self.context.links.forget(&target.engine);
+        }
         let link = match self.context.links.take(&target.engine, target.address, wait, now) {
             Ok(link) => link,
             Err(error) => return self.not_connected(&account, &call.attempt, &error),
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -69,6 +69,8 @@
     pub(super) arrivals: ArrivalAccount,
     /// The last dispatch never left, so trying again costs no engine anything.
     pub(super) last_not_sent: bool,
+    /// A connection went silent, so the next dispatch takes a new one.
+    pub(super) distrusts_resting: bool,
     pub(super) watch_caller: bool,
     /// Whether engines were chosen before.
     admitted: bool,
@@ -130,6 +132,7 @@
             exchange: None,
             arrivals: ArrivalAccount::default(),
             last_not_sent: false,
+            distrusts_resting: false,
             watch_caller: true,
             admitted: false,
             returned: context.has_returned(call, route),
@@ -342,6 +345,10 @@
         let exchange = self.exchange.as_mut()?;
         let lives = lives(self.context, exchange, now);
         if !lives {
+            // Whatever made this connection silent may have struck those that rest as well, here and at the engine that is
+            // asked next, and each would cost a caller this patience; a new one is open within a few milliseconds.
+            self.context.links.forget(&exchange.engine);
+            self.distrusts_resting = true;
             return Some(self.broken("silent"));
         }
         let waited = now.since(exchange.asked_at);
