--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -358,7 +358,7 @@
     }
 
     /// This node's part of the budgets for repeats.
-    fn budget_share(&self, now: MonotonicTime) -> BudgetShare {
+    pub(crate) fn budget_share(&self, now: MonotonicTime) -> BudgetShare {
         BudgetShare {
             sharers: self.peers.sharers(self.settles_in(now), now),
             settled_for: self.settled_for(now),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -61,6 +61,7 @@
     pub(crate) connections: Gauge,
     /// Repeats left in the tightest budget.
     pub(crate) repeats_left: Gauge<f64, AtomicU64>,
+    pub(crate) repeats_usable_part: Gauge<f64, AtomicU64>,
     /// Version of the configuration in force.
     pub(crate) config_version: Gauge,
     /// Seconds since that version came into force here.
@@ -100,6 +101,7 @@
             in_flight: Gauge::default(),
             connections: Gauge::default(),
             repeats_left: Gauge::default(),
+            repeats_usable_part: Gauge::default(),
             config_version: Gauge::default(),
             config_age: Gauge::default(),
             list_version: Gauge::default(),
@@ -286,5 +288,10 @@
             "Repeats left in the tightest budget",
             self.repeats_left.clone(),
         );
+        self.registry.register(
+            "repeats_usable_part",
+            "Part of its share of the budgets that this node may use",
+            self.repeats_usable_part.clone(),
+        );
     }
 }
--- a/crates/node/src/telling.rs
+++ b/crates/node/src/telling.rs
@@ -86,6 +86,8 @@
         metrics.in_flight.set(context.state.requests_under_way() as i64);
         metrics.connections.set(self.open.count() as i64);
         metrics.repeats_left.set(context.repeats_left());
+        let usable_part = context.budget_share(now).usable_part();
+        metrics.repeats_usable_part.set(usable_part);
         if let Some((version, age)) = context.config_age() {
             metrics.config_version.set(version as i64);
             metrics.config_age.set(age.as_secs() as i64);
