--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -9,6 +9,7 @@
 use crate::placing::Placements;
 use crate::ports::{Call, EngineProtocol};
 use crate::releasing::Releases;
+use crate::repeats::Repeats;
 use crate::watch::{StoreTrouble, TableWatch};
 use shelfjunction_core::forwarding::{
     Adoption, CallerWaits, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation, stopping,
@@ -16,16 +17,13 @@
 use shelfjunction_core::lease::Authority;
 use shelfjunction_core::metering::clock::FleetClock;
 use shelfjunction_core::placing::placement_table::PlacementTable;
-use shelfjunction_core::retry::census::SharingWord;
-use shelfjunction_core::retry::sharing::BudgetShare;
-use shelfjunction_core::retry::window::{BudgetAccount, WindowBudget};
 use shelfjunction_core::routing::pool::{EngineListing, ListChange, PoolEngine, PoolRouter, RecentChanges};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::clock::MonotonicClock;
 use shelfjunction_threads::{StopSignal, lock};
 use std::collections::BTreeMap;
 use std::net::UdpSocket;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -64,22 +62,11 @@
     duties_from: Mutex<MonotonicTime>,
     in_force: Mutex<ConfigInForce>,
     rotation: Mutex<ShareRotation>,
-    budgets: Mutex<BTreeMap<PoolId, WindowBudget>>,
-    /// What the others were told to have been granted, in hundredths of this node's whole part.
-    told_hundredths: AtomicU32,
+    pub(crate) repeats: Repeats,
     waits: Mutex<CallerWaits>,
     list_changed_at: Mutex<MonotonicTime>,
 }
 
-/// Whether a repeat was granted, and what spoke for it.
-pub(crate) struct RepeatDecision {
-    pub(crate) granted: bool,
-    /// The pool's budget at this node, after the decision.
-    pub(crate) account: BudgetAccount,
-    /// This node's part of it.
-    pub(crate) share: BudgetShare,
-}
-
 /// What others may ask about the process.
 #[derive(Debug, Default)]
 pub struct NodeState {
@@ -173,8 +160,7 @@
             duties_from: Mutex::default(),
             in_force: Mutex::new(ConfigInForce::default()),
             rotation: Mutex::new(ShareRotation::default()),
-            budgets: Mutex::new(BTreeMap::new()),
-            told_hundredths: AtomicU32::new(0),
+            repeats: Repeats::new(&config),
             waits: Mutex::new(CallerWaits::default()),
             list_changed_at: Mutex::new(MonotonicTime::default()),
             config,
@@ -297,96 +283,10 @@
             .is_some_and(|left| lock(&self.waits).has_returned(&route.id, left))
     }
 
-    /// Counts a request for a pool.
-    pub(crate) fn count_request(&self, pool: &PoolId) {
-        let now = self.now();
-        self.with_budget(pool, |budget| budget.on_request(now));
-    }
-
-    /// Asks a pool's budget for one repeat.
-    pub(crate) fn take_repeat(&self, pool: &PoolId) -> RepeatDecision {
-        let now = self.now();
-        let share = self.budget_share(now);
-        let (granted, account) = self.with_budget(pool, |budget| {
-            let granted = budget.take(&share, now);
-            (granted, budget.account(&share))
-        });
-        self.metrics.retry_asked(granted);
-        if self.granted_hundredths(&share, now) > self.told_hundredths.load(Ordering::Relaxed) {
-            self.peers.note_granted();
-        }
-        RepeatDecision {
-            granted,
-            account,
-            share,
-        }
-    }
-
-    /// Repeats left in the tightest of the pools' budgets.
-    pub(crate) fn repeats_left(&self) -> f64 {
-        let share = self.budget_share(self.now());
-        let budgets = lock(&self.budgets);
-        let left = budgets.values().map(|budget| budget.left(&share));
-        left.min_by(f64::total_cmp).unwrap_or_default()
-    }
-
-    /// What this node tells others of its budgets for repeats; they go by it if it is killed.
-    pub(crate) fn sharing_word(&self, now: MonotonicTime) -> SharingWord {
-        let granted_hundredths = self.granted_hundredths(&self.budget_share(now), now);
-        self.told_hundredths.store(granted_hundredths, Ordering::Relaxed);
-        let settles_in = self.settles_in(now);
-        SharingWord {
-            settles_in_millis: u32::try_from(settles_in.as_millis()).unwrap_or(u32::MAX),
-            granted_hundredths,
-            sharers: self.peers.sharers_heard(settles_in, now),
-        }
-    }
-
-    /// What was granted of the budget of which most was, in hundredths of this node's whole part.
-    fn granted_hundredths(&self, share: &BudgetShare, now: MonotonicTime) -> u32 {
-        let mut budgets = lock(&self.budgets);
-        let granted = budgets
-            .values_mut()
-            .map(|budget| budget.granted_hundredths(share, now));
-        granted.max().unwrap_or(0)
-    }
-
-    /// Time until this process knows all that was granted in its name within a window.
-    fn settles_in(&self, now: MonotonicTime) -> Duration {
-        let window = self.config.retry_budget().window;
-        window.saturating_sub(self.settled_for(now))
-    }
-
-    /// This node's part of the budgets for repeats.
-    pub(crate) fn budget_share(&self, now: MonotonicTime) -> BudgetShare {
-        BudgetShare {
-            sharers: self.peers.sharers(self.settles_in(now), now),
-            settled_for: self.settled_for(now),
-        }
-    }
-
-    /// For how long this process knows what was granted in its name. Before the first start of all nothing was.
-    fn settled_for(&self, now: MonotonicTime) -> Duration {
-        let up_for = now.since(MonotonicTime::default());
-        if self.config.first_start {
-            up_for.max(self.config.retry_budget().window)
-        } else {
-            up_for
-        }
-    }
-
     /// Version of the configuration in force, and for how long it has been.
     pub(crate) fn config_age(&self) -> Option<(u64, Duration)> {
         let in_force = lock(&self.in_force);
         let version = in_force.current()?.version;
         Some((version, self.now().since(in_force.since())))
     }
-
-    fn with_budget<T>(&self, pool: &PoolId, work: impl FnOnce(&mut WindowBudget) -> T) -> T {
-        let mut budgets = lock(&self.budgets);
-        let budget = budgets
-            .entry(pool.clone())
-            .or_insert_with(|| WindowBudget::new(self.config.retry_budget()));
-        work(budget)
-    }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod ports;
 mod recovering;
 mod releasing;
+mod repeats;
 mod telling;
 mod watch;
 
