Names that nobody uses are taken off the list of nodes

Nobody removed the row of a machine that was replaced at another address, so the slack was divided by ever more, and a fleet of a few nodes with many former names took the ways of a large one. The holder of the lease removes who was silent for ten minutes to one that hears all; a node that misses its own name enters again. Both are settings (node.directory).

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -55,6 +55,9 @@
     /// Time from the signal to stop until the process is ended by force.
     #[serde(default = "defaults::grace")]
     pub grace_seconds: f64,
+    /// How the store's list of nodes is kept.
+    #[serde(default)]
+    pub directory: DirectorySettings,
     /// How the nodes share the watching of the configuration.
     #[serde(default)]
     pub config_watch: SharedWatchSettings,
@@ -90,6 +93,38 @@
     pub autoscaling: AutoscalingPolicy,
 }
 
+/// How the store's list of nodes is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct DirectorySettings {
+    /// Time between two readings of the list; nodes that come in between are heard.
+    pub read_every_seconds: f64,
+    /// Silence after which the holder of the lease takes a node off the list. A node that lives and can't be heard for so
+    /// long enters itself again when it reads the list without its name.
+    pub forget_after_seconds: f64,
+}
+
+impl Default for DirectorySettings {
+    fn default() -> Self {
+        Self {
+            read_every_seconds: 60.0,
+            forget_after_seconds: 600.0,
+        }
+    }
+}
+
+impl DirectorySettings {
+    /// Time between two readings of the list.
+    pub fn read_every(&self) -> Duration {
+        Duration::from_secs_f64(self.read_every_seconds)
+    }
+
+    /// Silence after which a node is taken off the list.
+    pub fn forget_after(&self) -> Duration {
+        Duration::from_secs_f64(self.forget_after_seconds)
+    }
+}
+
 /// Settings of the duties that one node at a time has towards the platform.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -187,6 +222,14 @@
         let times = [
             ("node.retry_window_seconds", self.retry_window_seconds),
             ("node.grace_seconds", self.grace_seconds),
+            (
+                "node.directory.read_every_seconds",
+                self.directory.read_every_seconds,
+            ),
+            (
+                "node.directory.forget_after_seconds",
+                self.directory.forget_after_seconds,
+            ),
         ];
         for (field, value) in times.into_iter().filter(|(_, value)| !SECONDS.contains(value)) {
             errors.push(fault(field, value.to_string(), "0.1 to 3600 seconds"));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,6 @@
 mod telling;
 mod watch;
 
-pub use config::{AUTOSCALING, DutySettings, NodeConfig, USAGE_REPORTING};
+pub use config::{AUTOSCALING, DirectorySettings, DutySettings, NodeConfig, USAGE_REPORTING};
 pub use context::NodeState;
 pub use handle::{Adapters, NodeHandle, StartError};
--- a/crates/node/src/peers/directory.rs
+++ b/crates/node/src/peers/directory.rs
@@ -3,12 +3,10 @@
 use super::Peer;
 use crate::context::Context;
 use crate::ports::{NodeDirectory, NodeEntry};
+use shelfjunction_core::identity::NodeId;
 use shelfjunction_threads::lock;
 use std::time::Duration;
 
-/// Time between two readings; nodes that come in between are heard.
-const READ_EVERY: Duration = Duration::from_secs(60);
-
 /// Pause after the store gave no answer.
 const PAUSE: Duration = Duration::from_millis(700);
 
@@ -30,7 +28,9 @@
         }
         let now = context.now();
         if now >= read_at {
-            read_at = now + read(context, directory);
+            let reading = read(context, directory);
+            entered = entered && reading.has_own_name;
+            read_at = now + reading.next_after;
         }
         let next_at = if entered {
             read_at
@@ -56,20 +56,54 @@
     outcome.is_ok()
 }
 
-/// Reads the list; the time until it is read again.
-fn read(context: &Context, directory: &dyn NodeDirectory) -> Duration {
+/// What came of a reading.
+struct Reading {
+    next_after: Duration,
+    /// Whether this node is on the list, as far as is known.
+    has_own_name: bool,
+}
+
+fn read(context: &Context, directory: &dyn NodeDirectory) -> Reading {
     match directory.nodes() {
         Ok(entries) => {
+            let has_own_name = entries.iter().any(|entry| entry.node == context.config.node);
             note_listed(context, entries);
-            READ_EVERY
+            remove_silent(context, directory);
+            Reading {
+                next_after: context.config.directory.read_every(),
+                has_own_name,
+            }
         }
         Err(error) => {
             log::info!(error:? = error; "nodes_not_read");
-            pause()
+            Reading {
+                next_after: pause(),
+                has_own_name: true,
+            }
         }
     }
 }
 
+/// Takes names off the list that nobody has used for long, so that what nodes share by their number is not divided by
+/// those that are gone for good. One node does it for all.
+fn remove_silent(context: &Context, directory: &dyn NodeDirectory) {
+    let now = context.now();
+    if context.authority(now).is_none() {
+        return;
+    }
+    let silent = context
+        .peers
+        .silent_for(context.config.directory.forget_after(), now);
+    if silent.is_empty() {
+        return;
+    }
+    let names: Vec<&str> = silent.iter().map(NodeId::as_str).collect();
+    match directory.remove(&silent) {
+        Ok(()) => log::info!(nodes = names.join(","); "nodes_removed"),
+        Err(error) => log::info!(nodes = names.join(","), error:? = error; "nodes_not_removed"),
+    }
+}
+
 /// The pause after a failure, not the same for all, since many fail together.
 fn pause() -> Duration {
     PAUSE + random_part(PAUSE)
--- a/crates/node/src/peers/sharing.rs
+++ b/crates/node/src/peers/sharing.rs
@@ -1,6 +1,7 @@
 //! The nodes that share the budgets for repeats, as this node and others have heard them.
 
 use super::{HEARD_LATELY, Known, Peers, Placing};
+use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::retry::census::{self, KnownPeer, OwnWord, Silences};
 use shelfjunction_core::retry::sharing::Sharers;
 use shelfjunction_core::time::MonotonicTime;
@@ -11,6 +12,9 @@
 /// may be lost.
 const SILENCE_IN_LARGE_FLEET: Duration = Duration::from_millis(4_500);
 
+/// Names taken off the list at once; the store takes a hundred rows in a call.
+const MOST_REMOVED: usize = 50;
+
 impl Known {
     fn known_peers(&self) -> Vec<KnownPeer> {
         self.peers.values().map(|peer| peer.sharing.clone()).collect()
@@ -47,6 +51,19 @@
         census::believed(known.own_word(settles_in), &known.known_peers(), &silences, now)
     }
 
+    /// Some of the nodes that have said nothing for so long to this one, which would have heard them.
+    pub(super) fn silent_for(&self, silence: Duration, now: MonotonicTime) -> Vec<NodeId> {
+        let known = lock(&self.known);
+        let Some(hears_all_since) = known.hears_all_since else {
+            return Vec::new();
+        };
+        let silent = known
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.since(peer.known_at.max(hears_all_since)) >= silence);
+        silent.map(|(node, _)| node.clone()).take(MOST_REMOVED).collect()
+    }
+
     fn silences(&self, placing: &Placing) -> Silences {
         let alive = match placing {
             Placing::Each => HEARD_LATELY,
--- a/crates/node/src/ports/mod.rs
+++ b/crates/node/src/ports/mod.rs
@@ -381,6 +381,9 @@
     /// Enters a node, in place of what it entered before.
     fn enter(&self, entry: &NodeEntry) -> Result<(), PlatformError>;
 
-    /// Every node that has entered itself and not left.
+    /// Takes nodes off the list.
+    fn remove(&self, nodes: &[NodeId]) -> Result<(), PlatformError>;
+
+    /// Every node that has entered itself and was not taken off.
     fn nodes(&self) -> Result<Vec<NodeEntry>, PlatformError>;
 }
