--- a/crates/core/src/retry/census.rs
+++ b/crates/core/src/retry/census.rs
@@ -123,13 +123,13 @@
 }
 
 /// The nodes as this one has heard them itself; absent while it does not know how many there are.
-pub fn heard(own: OwnWord, peers: &[KnownPeer], silences: &Silences, now: MonotonicTime) -> Option<Sharers> {
+pub fn heard(own: OwnWord, peers: &[&KnownPeer], silences: &Silences, now: MonotonicTime) -> Option<Sharers> {
     let nodes = own.nodes?;
     let is_gone = |peer: &KnownPeer| {
         own.hears_all_since
             .is_some_and(|since| peer.is_gone(since, silences, now))
     };
-    let present: Vec<&KnownPeer> = peers.iter().filter(|peer| !is_gone(peer)).collect();
+    let present: Vec<&KnownPeer> = peers.iter().copied().filter(|peer| !is_gone(peer)).collect();
     let gone = (peers.len() - present.len()) as u32;
     let hears_long = own
         .hears_all_since
@@ -150,7 +150,7 @@
 /// node takes it for one that granted its whole part and was killed, so the calmest word knows most.
 pub fn believed(
     own: OwnWord,
-    peers: &[KnownPeer],
+    peers: &[&KnownPeer],
     silences: &Silences,
     now: MonotonicTime,
 ) -> Option<Sharers> {
--- a/crates/core/tests/retry_world/mod.rs
+++ b/crates/core/tests/retry_world/mod.rs
@@ -241,7 +241,7 @@
         SharingWord {
             settles_in_millis: self.settings.window.saturating_sub(settled_for).as_millis() as u32,
             granted_hundredths: node.told_hundredths,
-            sharers: census::heard(own, &peers, &silences, self.now),
+            sharers: census::heard(own, &references(&peers), &silences, self.now),
         }
     }
 
@@ -280,7 +280,7 @@
     pub fn share(&self, number: usize) -> BudgetShare {
         let sharers: Option<Sharers> = census::believed(
             self.own_word(number),
-            &self.peers_of(number),
+            &references(&self.peers_of(number)),
             &self.silences(),
             self.now,
         );
@@ -290,3 +290,7 @@
         }
     }
 }
+
+fn references(peers: &[KnownPeer]) -> Vec<&KnownPeer> {
+    peers.iter().collect()
+}
--- a/crates/node/src/peers/sharing.rs
+++ b/crates/node/src/peers/sharing.rs
@@ -16,8 +16,8 @@
 const MOST_REMOVED: usize = 50;
 
 impl Known {
-    fn known_peers(&self) -> Vec<KnownPeer> {
-        self.peers.values().map(|peer| peer.sharing.clone()).collect()
+    fn known_peers(&self) -> Vec<&KnownPeer> {
+        self.peers.values().map(|peer| &peer.sharing).collect()
     }
 
     fn own_word(&self, settles_in: Duration) -> OwnWord {
