--- a/crates/lab/src/fault_soak/places.rs
+++ b/crates/lab/src/fault_soak/places.rs
@@ -6,6 +6,7 @@
 use super::repeats::RepeatBudget;
 use crate::relay::Relay;
 use crate::users_platform::{ArrivalRecord, EngineSettings, ModelEngine, StandInInterface, StandInStore};
+use rand::Rng;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -146,13 +147,26 @@
     }
 }
 
+/// Ports that the system gives to nobody who asks for any free one: a node is started again at the same addresses, and
+/// meanwhile any other process of the machine could be given one of them.
+const OWN_PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+/// Ports that are tried before there are taken to be none.
+const TRIED_PORTS: usize = 1_000;
+
 /// Addresses on which nothing listens now.
 fn free_addresses() -> io::Result<[SocketAddr; 3]> {
-    let bind = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
-    let held = [bind()?, bind()?, bind()?];
+    let held = [free_port()?, free_port()?, free_port()?];
     Ok([
         held[0].local_addr()?,
         held[1].local_addr()?,
         held[2].local_addr()?,
     ])
 }
+
+fn free_port() -> io::Result<TcpListener> {
+    let mut ports = (0..TRIED_PORTS).map(|_| rand::rng().random_range(OWN_PORTS));
+    ports
+        .find_map(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).ok())
+        .ok_or_else(|| io::Error::from(io::ErrorKind::AddrInUse))
+}
