--- a/crates/lab/src/fault_soak/places.rs
+++ b/crates/lab/src/fault_soak/places.rs
@@ -10,6 +10,8 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 /// Time from the signal to stop until a node is killed; its settings say the same.
@@ -154,19 +156,23 @@
 /// Ports that are tried before there are taken to be none.
 const TRIED_PORTS: usize = 1_000;
 
-/// Addresses on which nothing listens now.
+/// Offset of the port that is tried next; each is given to one node only, since it is free again until the node starts.
+fn next_offset() -> &'static AtomicU16 {
+    static NEXT: OnceLock<AtomicU16> = OnceLock::new();
+    NEXT.get_or_init(|| AtomicU16::new(rand::rng().random_range(0..OWN_PORTS.len() as u16)))
+}
+
+/// Addresses on which nothing listens now, and that no other node was given.
 fn free_addresses() -> io::Result<[SocketAddr; 3]> {
-    let held = [free_port()?, free_port()?, free_port()?];
-    Ok([
-        held[0].local_addr()?,
-        held[1].local_addr()?,
-        held[2].local_addr()?,
-    ])
+    Ok([free_address()?, free_address()?, free_address()?])
 }
 
-fn free_port() -> io::Result<TcpListener> {
-    let mut ports = (0..TRIED_PORTS).map(|_| rand::rng().random_range(OWN_PORTS));
+fn free_address() -> io::Result<SocketAddr> {
+    let count = OWN_PORTS.len() as u16;
+    let mut ports =
+        (0..TRIED_PORTS).map(|_| OWN_PORTS.start + next_offset().fetch_add(1, Ordering::Relaxed) % count);
     ports
         .find_map(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).ok())
-        .ok_or_else(|| io::Error::from(io::ErrorKind::AddrInUse))
+        .ok_or_else(|| io::Error::from(io::ErrorKind::AddrInUse))?
+        .local_addr()
 }
