--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod orders;
 pub mod outcome;
 pub mod placing;
+pub mod quarantine;
 pub mod request;
 pub mod residency;
 pub mod retry;
--- /dev/null
+++ b/crates/core/src/quarantine/fingerprint.rs
@@ -0,0 +1,58 @@
+//! What makes two requests the same request, whoever names them and wherever they arrive.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::fmt;
+
+/// Bytes of a fingerprint. Nobody can make one request look like another's, and a word between nodes stays short.
+const FINGERPRINT_BYTES: usize = 16;
+
+/// What a request asks for, as its caller wrote it.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestContent<'a> {
+    /// The tenant that asks; absent where callers need no key. No tenant's requests are taken for another's.
+    pub tenant: Option<&'a str>,
+    /// Host that the caller names.
+    pub host: &'a str,
+    /// Method.
+    pub method: &'a str,
+    /// Path with its query.
+    pub target: &'a str,
+    /// Body, whole.
+    pub body: &'a [u8],
+}
+
+/// First bytes of the SHA-256 of what a request asks for; the same at every node and at each attempt of its caller.
+///
+/// Headers are left out: attempts of one request differ in them, as in the name of the attempt and the time left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub [u8; FINGERPRINT_BYTES]);
+
+impl Fingerprint {
+    /// The fingerprint of a request. Each field is preceded by its length, so that no two lists of fields read alike.
+    pub fn of(content: &RequestContent<'_>) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update([u8::from(content.tenant.is_some())]);
+        let texts = [
+            content.tenant.unwrap_or_default(),
+            content.host,
+            content.method,
+            content.target,
+        ];
+        let fields = texts.map(str::as_bytes).into_iter().chain([content.body]);
+        for field in fields {
+            hasher.update((field.len() as u64).to_be_bytes());
+            hasher.update(field);
+        }
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        bytes.copy_from_slice(&hasher.finalize()[..FINGERPRINT_BYTES]);
+        Self(bytes)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&hex::encode(self.0))
+    }
+}
--- /dev/null
+++ b/crates/node/src/course/crash_evidence.rs
@@ -0,0 +1,80 @@
+//! Whether an engine has ended whose connection broke: one that has lost an answer, reset a connection or sent what can't be
+//! read still takes connections, one that has ended refuses them.
+
+use super::driver::Driver;
+use super::exchange::Exchange;
+use super::routing;
+use shelfjunction_core::identity::EngineId;
+use shelfjunction_threads::lock;
+use std::io::ErrorKind;
+use std::time::Duration;
+
+/// Longest wait for a connection that only shows whether its engine lives. An engine that has ended refuses within a
+/// round trip, 3 ms between zones; the request waits for it.
+const LOOK: Duration = Duration::from_millis(60);
+
+/// Why a connection broke that says nothing of its engine's end: connecting would only wait as long again.
+const SILENT: &str = "silent";
+
+/// What became of an engine whose connection broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EngineFate {
+    /// It takes connections.
+    Lives,
+    /// It refuses them, and nobody had said that it was about to leave.
+    Crashed,
+    /// It refuses them, as was to be expected of one that leaves.
+    Left,
+    /// Nothing was learned.
+    Unknown,
+}
+
+impl EngineFate {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Lives => "lives",
+            Self::Crashed => "crashed",
+            Self::Left => "left",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl Driver<'_> {
+    /// Learns what became of the engine of a dispatch that broke.
+    pub(super) fn look_at_engine(&mut self, exchange: &Exchange, cause: &'static str) {
+        if cause == SILENT {
+            return;
+        }
+        let fate = self.fate(&exchange.engine);
+        log::info!(
+            request = self.call.request.as_str(),
+            fingerprint:% = self.fingerprint,
+            engine = exchange.engine.as_str(),
+            purpose = exchange.purpose.name(),
+            fate = fate.name();
+            "engine_looked_at"
+        );
+    }
+
+    fn fate(&self, engine: &EngineId) -> EngineFate {
+        let state = lock(&self.context.router)
+            .engine(engine)
+            .map(|state| (state.engine.address, state.stays()));
+        let Some((address, stays)) = state else {
+            return EngineFate::Unknown;
+        };
+        let now = self.context.now();
+        let wait = LOOK.min(routing::left(self.deadline, now));
+        // A connection that rests may not have noticed the end yet, so a new one is made.
+        match self.context.links.connect(address, wait) {
+            Ok(link) => {
+                self.context.links.give_back(engine, link, now);
+                EngineFate::Lives
+            }
+            Err(error) if error.kind() != ErrorKind::ConnectionRefused => EngineFate::Unknown,
+            Err(_) if stays => EngineFate::Crashed,
+            Err(_) => EngineFate::Left,
+        }
+    }
+}
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -12,6 +12,7 @@
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::outcome::{Outcome, Refusal, RefusalReason};
+use shelfjunction_core::quarantine::Fingerprint;
 use shelfjunction_core::request::event::{Action, Event, ForwardAction};
 use shelfjunction_core::request::machine::RequestMachine;
 use shelfjunction_core::request::specification::Placement;
@@ -39,11 +40,23 @@
     pub(super) body: Vec<u8>,
 }
 
+/// A call whose route, caller and pool are known.
+pub(super) struct RoutedCall<'a> {
+    pub(super) call: &'a Call,
+    /// What makes it the same request as others that come.
+    pub(super) fingerprint: Fingerprint,
+    pub(super) route: &'a RouteRule,
+    pub(super) access: Access,
+    pub(super) pool: &'a PoolId,
+}
+
 /// One request under way.
 pub(super) struct Driver<'a> {
     pub(super) context: &'a Context,
     pub(super) caller: &'a mut dyn CallerConnection,
     pub(super) call: &'a Call,
+    /// What makes it the same request as others that come.
+    pub(super) fingerprint: Fingerprint,
     pub(super) route: &'a RouteRule,
     pub(super) access: Access,
     pub(super) pool: &'a PoolId,
@@ -94,12 +107,16 @@
     pub(super) fn new(
         context: &'a Context,
         caller: &'a mut dyn CallerConnection,
-        call: &'a Call,
-        route: &'a RouteRule,
-        access: Access,
-        pool: &'a PoolId,
+        routed: RoutedCall<'a>,
         keep: bool,
     ) -> Self {
+        let RoutedCall {
+            call,
+            fingerprint,
+            route,
+            access,
+            pool,
+        } = routed;
         let deadline = routing::deadline(context, call, route);
         let specification = routing::specification(call, route, &access, pool, deadline);
         let machine = RequestMachine::new(specification, routing::limits(route))
@@ -112,6 +129,7 @@
             context,
             caller,
             call,
+            fingerprint,
             route,
             access,
             pool,
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -4,6 +4,7 @@
 mod accounting;
 mod admitting;
 mod answering;
+mod crash_evidence;
 mod dispatching;
 mod driver;
 mod exchange;
@@ -14,8 +15,10 @@
 use crate::context::Context;
 use crate::ports::{Call, CallerConnection, OwnAnswer};
 use access::Access;
-use driver::Driver;
+use driver::{Driver, RoutedCall};
 use shelfjunction_core::forwarding::{PoolId, RepeatRule, RouteRule};
+use shelfjunction_core::identity::TenantId;
+use shelfjunction_core::quarantine::{Fingerprint, RequestContent};
 use std::time::Duration;
 
 /// When to come back to a node that knows no configuration yet.
@@ -72,8 +75,10 @@
         return caller.say(&call.request, OwnAnswer::NoRoute, keep).is_ok() && keep;
     };
     context.count_request(&pool);
+    let fingerprint = fingerprint(call, &access);
     log::info!(
         request = call.request.as_str(),
+        fingerprint:% = fingerprint,
         route:% = route.id,
         pool:% = pool,
         version = config.version,
@@ -86,7 +91,25 @@
         left_millis:? = call.time_left.map(|left| left.as_millis() as u64);
         "request_routed"
     );
-    Driver::new(context, caller, call, route, access, &pool, keep).run()
+    let routed = RoutedCall {
+        call,
+        fingerprint,
+        route,
+        access,
+        pool: &pool,
+    };
+    Driver::new(context, caller, routed, keep).run()
+}
+
+/// What makes the call the same request as another.
+fn fingerprint(call: &Call, access: &Access) -> Fingerprint {
+    Fingerprint::of(&RequestContent {
+        tenant: access.tenant.as_ref().map(TenantId::as_str),
+        host: &call.host,
+        method: &call.method,
+        target: &call.target,
+        body: &call.body,
+    })
 }
 
 /// Whether a route's requests name prompts for the pool's engines.
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -185,6 +185,7 @@
             .metrics
             .dispatch_ended(exchange.purpose.name(), "broken");
         self.count_broken(&exchange.account);
+        self.look_at_engine(&exchange, cause);
         if exchange.head.is_some() {
             Event::Disconnected {
                 attempt: exchange.attempt,
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -46,6 +46,11 @@
                 return Ok(resting.link);
             }
         }
+        self.connect(address, wait)
+    }
+
+    /// A new connection.
+    pub(crate) fn connect(&self, address: SocketAddr, wait: Duration) -> io::Result<Box<dyn EngineLink>> {
         self.protocol.connect(address, wait)
     }
 
