--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -66,6 +66,8 @@
 struct LinkState {
     fault: LinkFault,
     stopped: bool,
+    /// Whether the address is still listened on.
+    listening: bool,
     open: Vec<TcpStream>,
     /// Connections taken so far.
     taken: u64,
@@ -80,13 +82,19 @@
         let address = listener.local_addr()?;
         let link = Arc::new(Link {
             target,
-            state: Mutex::default(),
+            state: Mutex::new(LinkState {
+                listening: true,
+                ..LinkState::default()
+            }),
             changed: Condvar::new(),
         });
         let of_thread = Arc::clone(&link);
-        thread::Builder::new()
-            .name("relay".to_owned())
-            .spawn(move || accept(&listener, &of_thread))?;
+        thread::Builder::new().name("relay".to_owned()).spawn(move || {
+            accept(&listener, &of_thread);
+            drop(listener);
+            of_thread.state().listening = false;
+            of_thread.changed.notify_all();
+        })?;
         Ok(Self { address, link })
     }
 
@@ -126,15 +134,15 @@
         self.set_fault(LinkFault::None);
     }
 
-    /// Closes every connection and takes no more.
+    /// Takes no more connections and closes every one, in this order: whoever sees one end finds the address refused.
     pub fn stop(&self) {
-        let mut state = self.link.state();
-        state.stopped = true;
-        close_all(&mut state);
-        drop(state);
+        self.link.state().stopped = true;
         self.link.changed.notify_all();
         // Wakes the thread that accepts; if nobody listens any more there is nothing to wake.
         let _ = TcpStream::connect(self.address);
+        let listening = |state: &mut LinkState| state.listening;
+        let state = self.link.changed.wait_while(self.link.state(), listening);
+        close_all(&mut state.unwrap_or_else(PoisonError::into_inner));
     }
 }
 
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -3,11 +3,12 @@
 use serde::Deserialize;
 use shelfjunction_http::{
     Answer, AnswerHeader, Answered, Handler, HttpLimits, HttpRequest, HttpServer, ReadError, Responder,
+    StreamWriter,
 };
 use std::collections::{BTreeSet, VecDeque};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Instant;
 
 const JSON: &str = "application/json";
@@ -39,6 +40,18 @@
     Unsigned,
 }
 
+/// Body of a request that crashes the engine that begins to run it, where the engine has a [`CrashSwitch`]; reading its
+/// prompt does no harm.
+pub const CRASHING_BODY: &str = "crashes whoever runs it";
+
+/// Whether a request's body crashes engines; what stands behind the words tells several such requests apart.
+pub fn crashes_engines(body: &[u8]) -> bool {
+    body.starts_with(CRASHING_BODY.as_bytes())
+}
+
+/// Ends an engine for whoever reaches it: closes its connections and refuses new ones.
+pub type CrashSwitch = Box<dyn Fn() + Send + Sync>;
+
 /// One order that an engine took.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct OrderRecord {
@@ -65,6 +78,8 @@
     pub key: Option<String>,
     /// Rank among the engine's requests.
     pub urgency: Option<u8>,
+    /// Whether the engine crashed over it.
+    pub crashed: bool,
 }
 
 /// A request as it reached an engine, whatever became of it.
@@ -112,6 +127,7 @@
 pub struct ModelEngine {
     server: HttpServer,
     state: Arc<Mutex<State>>,
+    crash_switch: Arc<OnceLock<CrashSwitch>>,
 }
 
 #[derive(Deserialize)]
@@ -131,13 +147,19 @@
             stage: settings.stage,
             ..State::default()
         }));
+        let crash_switch = Arc::new(OnceLock::new());
         let handler = Arc::new(EngineHandler {
             settings,
             state: Arc::clone(&state),
+            crash_switch: Arc::clone(&crash_switch),
         });
         let address = (Ipv4Addr::LOCALHOST, 0).into();
         let server = HttpServer::start(address, HttpLimits::default(), handler)?;
-        Ok(Self { server, state })
+        Ok(Self {
+            server,
+            state,
+            crash_switch,
+        })
     }
 
     /// Where it listens.
@@ -155,6 +177,16 @@
         lock(&self.state).refuses_most = refuses;
     }
 
+    /// Makes it crash, by what is given, over requests with [`CRASHING_BODY`]; only the first call counts.
+    pub fn crash_by(&self, switch: CrashSwitch) {
+        let _ = self.crash_switch.set(switch);
+    }
+
+    /// Whether it has crashed.
+    pub fn has_crashed(&self) -> bool {
+        lock(&self.state).runs.iter().any(|run| run.crashed)
+    }
+
     /// Requests that reached it.
     pub fn arrivals(&self) -> Vec<ArrivalRecord> {
         lock(&self.state).arrivals.clone()
@@ -194,6 +226,7 @@
 struct EngineHandler {
     settings: EngineSettings,
     state: Arc<Mutex<State>>,
+    crash_switch: Arc<OnceLock<CrashSwitch>>,
 }
 
 impl Handler for EngineHandler {
@@ -248,7 +281,14 @@
         if reads_prompt {
             return responder.answer(&self.read_prompt(request, record));
         }
-        lock(&self.state).runs.push(record.clone());
+        let crash = self.crash_switch.get().filter(|_| crashes_engines(&request.body));
+        lock(&self.state).runs.push(RunRecord {
+            crashed: crash.is_some(),
+            ..record.clone()
+        });
+        if let Some(crash) = crash {
+            return self.crash(request, crash, responder);
+        }
         match fault {
             Some(EngineFault::LoseAnswer) => Answered::broken(),
             Some(EngineFault::Fail) => responder.answer(&self.signed(request, 500, "failed")),
@@ -258,6 +298,13 @@
         }
     }
 
+    /// Ends after the head of the answer has left.
+    fn crash(&self, request: &HttpRequest, crash: &CrashSwitch, responder: Responder<'_>) -> Answered {
+        let writer = responder.stream(200, EVENTS, &self.headers(request, true));
+        crash();
+        writer.map_or_else(|_| Answered::broken(), StreamWriter::abort)
+    }
+
     fn read_prompt(&self, request: &HttpRequest, record: RunRecord) -> Answer {
         let mut state = lock(&self.state);
         state.prompts.push(record);
@@ -381,6 +428,7 @@
         urgency: request
             .header("Request-Urgency")
             .and_then(|rank| rank.parse().ok()),
+        crashed: false,
     }
 }
 
--- a/crates/lab/src/users_platform/mod.rs
+++ b/crates/lab/src/users_platform/mod.rs
@@ -5,6 +5,9 @@
 mod interface;
 mod store;
 
-pub use engine::{ArrivalRecord, EngineFault, EngineSettings, ModelEngine, OrderRecord, RunRecord};
+pub use engine::{
+    ArrivalRecord, CRASHING_BODY, CrashSwitch, EngineFault, EngineSettings, ModelEngine, OrderRecord,
+    RunRecord, crashes_engines,
+};
 pub use interface::{InterfaceMode, ScaleOrder, StandInInterface, UsageReport};
 pub use store::{StandInStore, StoreMode};
--- a/crates/lab/tests/fault_soak.rs
+++ b/crates/lab/tests/fault_soak.rs
@@ -47,6 +47,7 @@
         tenant: Some("chain-b".to_owned()),
         key: None,
         urgency: None,
+        crashed: false,
     };
     EngineRecords {
         runs: vec![run; times],
