--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -56,6 +56,8 @@
     Stopping,
     /// Every engine that was asked refused before running.
     EnginesRefused,
+    /// Too many engines crashed while the same request was under way there.
+    Quarantined,
     /// The caller cancelled before any engine was asked.
     Cancelled,
 }
--- a/crates/core/src/quarantine/fingerprint.rs
+++ b/crates/core/src/quarantine/fingerprint.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt;
+use std::str::FromStr;
 
 /// Bytes of a fingerprint. Nobody can make one request look like another's, and a word between nodes stays short.
 const FINGERPRINT_BYTES: usize = 16;
@@ -51,6 +52,31 @@
     }
 }
 
+/// A text that is no fingerprint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NoFingerprint(String);
+
+impl fmt::Display for NoFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "fingerprint = {}: allowed are {} hexadecimal digits",
+            self.0,
+            FINGERPRINT_BYTES * 2
+        )
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = NoFingerprint;
+
+    fn from_str(text: &str) -> Result<Self, NoFingerprint> {
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        hex::decode_to_slice(text, &mut bytes).map_err(|_| NoFingerprint(text.to_owned()))?;
+        Ok(Self(bytes))
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(&hex::encode(self.0))
--- /dev/null
+++ b/crates/core/src/quarantine/register.rs
@@ -0,0 +1,311 @@
+//! The requests under which engines crashed, as one node knows them.
+
+use super::config::QuarantineSettings;
+use super::suspect::Suspect;
+use super::word::SuspectWord;
+use super::{Asked, Fingerprint};
+use crate::membership::subject::SubjectHandle;
+use crate::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time for which others are told of a change again and again: most of the time that they have to learn of it, so that
+/// words which are lost, three in ten, are made good many times over.
+const NEWS_FOR: Duration = Duration::from_millis(2_500);
+
+/// What may be done with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It runs as any other.
+    Free {
+        /// Engines that crashed under it.
+        crashes: usize,
+    },
+    /// It runs alone: one more crash and it is refused.
+    Suspected {
+        /// Engines that crashed under it.
+        crashes: usize,
+    },
+    /// It is refused.
+    Quarantined {
+        /// Engines that crashed under it.
+        crashes: usize,
+        /// Time until it may run again.
+        remaining: Duration,
+    },
+}
+
+impl Standing {
+    /// Engines that crashed under the request.
+    pub fn crashes(self) -> usize {
+        match self {
+            Self::Free { crashes } | Self::Suspected { crashes } | Self::Quarantined { crashes, .. } => {
+                crashes
+            }
+        }
+    }
+
+    /// A word for logs and pages.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Free { .. } => "free",
+            Self::Suspected { .. } => "suspected",
+            Self::Quarantined { .. } => "quarantined",
+        }
+    }
+}
+
+/// Which requests others are told of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// Those that have changed lately and of which this node has seen a crash itself.
+    SeenHere,
+    /// Those that have changed lately: of the ones that run as any other only what this node has seen itself.
+    News,
+    /// Those that have changed lately, but for the ones that run as any other.
+    RestrictedNews,
+    /// All that don't run as any other.
+    Restricted,
+}
+
+/// How many requests stand how.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests that run alone.
+    pub suspected: usize,
+    /// Requests that are refused.
+    pub quarantined: usize,
+}
+
+/// One request, for operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// What was asked.
+    pub asked: Asked,
+    /// How it stands.
+    pub standing: Standing,
+    /// Time until nothing of it counts any more.
+    pub counts_for: Duration,
+    /// Times that this node has refused it.
+    pub refused: u64,
+}
+
+/// The requests that one node knows; pure, and merged with what others know by [`Self::take`].
+#[derive(Clone, Debug)]
+pub struct Quarantine {
+    settings: QuarantineSettings,
+    suspects: BTreeMap<Fingerprint, Suspect>,
+}
+
+impl Quarantine {
+    /// Nothing known.
+    pub fn new(settings: QuarantineSettings) -> Self {
+        Self {
+            settings,
+            suspects: BTreeMap::new(),
+        }
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// What may be done with a request.
+    pub fn standing(&self, fingerprint: &Fingerprint, now: MonotonicTime) -> Standing {
+        self.suspects
+            .get(fingerprint)
+            .map_or(Standing::Free { crashes: 0 }, |suspect| {
+                self.standing_of(suspect, now)
+            })
+    }
+
+    fn standing_of(&self, suspect: &Suspect, now: MonotonicTime) -> Standing {
+        let crashes = suspect.crashes(now);
+        if crashes >= self.settings.crashes {
+            let remaining = suspect.time_until_fewer_than(self.settings.crashes, now);
+            return Standing::Quarantined { crashes, remaining };
+        }
+        if crashes > 0 && crashes + 1 == self.settings.crashes {
+            return Standing::Suspected { crashes };
+        }
+        Standing::Free { crashes }
+    }
+
+    /// This node saw an engine crash while the request was under way there; the new standing, or nothing where that was
+    /// known.
+    pub fn note_crash(
+        &mut self,
+        fingerprint: Fingerprint,
+        asked: &Asked,
+        engine: SubjectHandle,
+        now: MonotonicTime,
+    ) -> Option<Standing> {
+        if !self.settings.enabled {
+            return None;
+        }
+        let counts_until = now + self.settings.lasts();
+        let suspect = self.entry(fingerprint, asked, now);
+        if !suspect.add(engine, counts_until) {
+            return None;
+        }
+        suspect.seen_here = true;
+        suspect.news_until = now + NEWS_FOR;
+        Some(self.standing(&fingerprint, now))
+    }
+
+    /// An engine answered the request and lives, or an operator lifts it: nothing counts against it any more. Whether
+    /// something did.
+    pub fn forgive(&mut self, fingerprint: &Fingerprint, now: MonotonicTime) -> bool {
+        let through = now + self.settings.lasts();
+        let Some(suspect) = self.suspects.get_mut(fingerprint) else {
+            return false;
+        };
+        let forgiven = suspect.forgive(through, now);
+        if forgiven {
+            suspect.news_until = now + NEWS_FOR;
+        }
+        forgiven
+    }
+
+    /// Takes another node's word; the new standing where it has changed something.
+    pub fn take(&mut self, word: &SuspectWord, now: MonotonicTime) -> Option<Standing> {
+        if !self.settings.enabled
+            || (word.crashes.is_empty() && !self.suspects.contains_key(&word.fingerprint))
+        {
+            return None;
+        }
+        let longest = self.settings.lasts();
+        let ends = |time: Duration| now + time.min(longest);
+        let suspect = self.entry(word.fingerprint, &word.asked, now);
+        // A time of zero says that nothing was forgiven.
+        let mut changed = !word.forgiven_for.is_zero() && suspect.forgive(ends(word.forgiven_for), now);
+        for crash in &word.crashes {
+            changed |= suspect.add(crash.engine, ends(crash.counts_for));
+        }
+        if changed {
+            suspect.news_until = now + NEWS_FOR;
+        }
+        changed.then(|| self.standing(&word.fingerprint, now))
+    }
+
+    fn entry(&mut self, fingerprint: Fingerprint, asked: &Asked, now: MonotonicTime) -> &mut Suspect {
+        self.forget(now);
+        if !self.suspects.contains_key(&fingerprint) {
+            self.make_room(now);
+        }
+        self.suspects
+            .entry(fingerprint)
+            .or_insert_with(|| Suspect::new(asked.clone()))
+    }
+
+    /// Forgets the request with the fewest and oldest crashes where there are too many.
+    fn make_room(&mut self, now: MonotonicTime) {
+        if self.suspects.len() < self.settings.most_requests {
+            return;
+        }
+        let least = self
+            .suspects
+            .iter()
+            .min_by_key(|(_, suspect)| (suspect.crashes(now), suspect.counts_until()));
+        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.suspects.remove(&fingerprint);
+        }
+    }
+
+    /// Forgets what no longer counts.
+    pub fn forget(&mut self, now: MonotonicTime) {
+        self.suspects.retain(|_, suspect| !suspect.is_over(now));
+    }
+
+    /// Whether others are to be told of something now.
+    pub fn has_news(&self, now: MonotonicTime) -> bool {
+        self.suspects.values().any(|suspect| suspect.news_until > now)
+    }
+
+    /// Words for others.
+    pub fn words(&self, told: Told, now: MonotonicTime) -> Vec<SuspectWord> {
+        self.suspects
+            .iter()
+            .filter(|(_, suspect)| self.is_told(suspect, told, now))
+            .map(|(fingerprint, suspect)| suspect.word(*fingerprint, now))
+            .collect()
+    }
+
+    fn is_told(&self, suspect: &Suspect, told: Told, now: MonotonicTime) -> bool {
+        let is_news = suspect.news_until > now;
+        let runs_freely = matches!(self.standing_of(suspect, now), Standing::Free { crashes } if crashes > 0);
+        match told {
+            Told::SeenHere => is_news && suspect.seen_here,
+            Told::News => is_news && (suspect.seen_here || !runs_freely),
+            Told::RestrictedNews => is_news && !runs_freely,
+            Told::Restricted => !matches!(self.standing_of(suspect, now), Standing::Free { .. }),
+        }
+    }
+
+    /// Words for the store of what it does not know yet: requests with one more crash to go, so that a fleet that is
+    /// started again as a whole does not begin at none; the nodes that saw a crash write.
+    pub fn to_keep(&self, now: MonotonicTime) -> Vec<SuspectWord> {
+        self.suspects
+            .iter()
+            .filter(|(_, suspect)| suspect.seen_here && suspect.crashes(now) > suspect.kept)
+            .filter(|(_, suspect)| !matches!(self.standing_of(suspect, now), Standing::Free { .. }))
+            .map(|(fingerprint, suspect)| suspect.word(*fingerprint, now))
+            .collect()
+    }
+
+    /// Requests that the store still knows though nothing counts against them any more.
+    pub fn to_drop(&self, now: MonotonicTime) -> Vec<Fingerprint> {
+        self.suspects
+            .iter()
+            .filter(|(_, suspect)| suspect.kept > 0 && suspect.crashes(now) == 0)
+            .map(|(fingerprint, _)| *fingerprint)
+            .collect()
+    }
+
+    /// The store was told of so many crashes of a request.
+    pub fn note_kept(&mut self, fingerprint: &Fingerprint, crashes: usize) {
+        if let Some(suspect) = self.suspects.get_mut(fingerprint) {
+            suspect.kept = crashes;
+        }
+    }
+
+    /// This node refuses the request.
+    pub fn note_refused(&mut self, fingerprint: &Fingerprint) {
+        if let Some(suspect) = self.suspects.get_mut(fingerprint) {
+            suspect.refused += 1;
+        }
+    }
+
+    /// How many requests stand how.
+    pub fn counts(&self, now: MonotonicTime) -> Counts {
+        let mut counts = Counts::default();
+        for suspect in self.suspects.values() {
+            match self.standing_of(suspect, now) {
+                Standing::Free { .. } => {}
+                Standing::Suspected { .. } => counts.suspected += 1,
+                Standing::Quarantined { .. } => counts.quarantined += 1,
+            }
+        }
+        counts
+    }
+
+    /// Every request against which something counts, for operators.
+    pub fn entries(&self, now: MonotonicTime) -> Vec<Entry> {
+        let counting = self
+            .suspects
+            .iter()
+            .filter(|(_, suspect)| suspect.crashes(now) > 0);
+        counting
+            .map(|(fingerprint, suspect)| Entry {
+                fingerprint: *fingerprint,
+                asked: suspect.asked.clone(),
+                standing: self.standing_of(suspect, now),
+                counts_for: suspect.counts_until().since(now),
+                refused: suspect.refused,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/quarantine/row.rs
@@ -0,0 +1,67 @@
+//! What the store keeps of a request under which engines crashed, past the end of every process.
+
+use super::word::{CrashWord, SuspectWord};
+use super::{Asked, Fingerprint};
+use crate::membership::subject::SubjectHandle;
+use crate::metering::UnixTime;
+use crate::table::RowKey;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Beginning of the rows' keys.
+pub const ROW_PREFIX: &str = "quarantine/";
+
+/// A request in the store. Times are true times, since the clocks of processes are not compared.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectRow {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// What was asked.
+    pub asked: Asked,
+    /// Engines that crashed, and until when each counts.
+    pub crashes: Vec<CrashRow>,
+}
+
+/// One crash in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashRow {
+    /// The start of the engine.
+    pub engine: SubjectHandle,
+    /// Until when it counts.
+    pub counts_until: UnixTime,
+}
+
+impl SuspectRow {
+    /// Key of a request's row.
+    pub fn key(fingerprint: &Fingerprint) -> RowKey {
+        RowKey(format!("{ROW_PREFIX}{fingerprint}"))
+    }
+
+    /// The row of a word that is said now.
+    pub fn of(word: &SuspectWord, now: UnixTime) -> Self {
+        let crashes = word.crashes.iter().map(|crash| CrashRow {
+            engine: crash.engine,
+            counts_until: UnixTime(now.0.saturating_add(crash.counts_for.as_micros() as u64)),
+        });
+        Self {
+            fingerprint: word.fingerprint,
+            asked: word.asked.clone(),
+            crashes: crashes.collect(),
+        }
+    }
+
+    /// The word that a row says now.
+    pub fn word(&self, now: UnixTime) -> SuspectWord {
+        let counting = self.crashes.iter().filter(|crash| crash.counts_until > now);
+        let crashes = counting.map(|crash| CrashWord {
+            engine: crash.engine,
+            counts_for: Duration::from_micros(crash.counts_until.0 - now.0),
+        });
+        SuspectWord {
+            fingerprint: self.fingerprint,
+            asked: self.asked.clone(),
+            crashes: crashes.collect(),
+            forgiven_for: Duration::ZERO,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/quarantine/suspect.rs
@@ -0,0 +1,123 @@
+//! What is remembered of one request under which engines crashed.
+//!
+//! Times are kept as the instants at which something stops to count, since those lie ahead: what happened may lie before the
+//! start of this process's clock.
+
+use super::config::MOST_CRASHES;
+use super::word::{CrashWord, SuspectWord};
+use super::{Asked, Fingerprint};
+use crate::membership::subject::SubjectHandle;
+use crate::time::MonotonicTime;
+use std::time::Duration;
+
+/// One engine that crashed while the request was under way there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Crash {
+    /// The start of the engine.
+    engine: SubjectHandle,
+    /// Until when it counts.
+    counts_until: MonotonicTime,
+}
+
+/// One request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Suspect {
+    pub(super) asked: Asked,
+    /// Different engines, in the order in which they stop to count.
+    crashes: Vec<Crash>,
+    /// Crashes that stop to count by then were forgiven, since an engine answered the request after them.
+    forgiven_through: MonotonicTime,
+    /// Whether one of the crashes was seen by this node.
+    pub(super) seen_here: bool,
+    /// Crashes that the store was told of.
+    pub(super) kept: usize,
+    /// Until when others are told again and again.
+    pub(super) news_until: MonotonicTime,
+    /// Times that this node has refused it.
+    pub(super) refused: u64,
+}
+
+impl Suspect {
+    pub(super) fn new(asked: Asked) -> Self {
+        Self {
+            asked,
+            crashes: Vec::new(),
+            forgiven_through: MonotonicTime::default(),
+            seen_here: false,
+            kept: 0,
+            news_until: MonotonicTime::default(),
+            refused: 0,
+        }
+    }
+
+    fn counting(&self, now: MonotonicTime) -> impl Iterator<Item = &Crash> {
+        let after = self.forgiven_through.max(now);
+        self.crashes
+            .iter()
+            .filter(move |crash| crash.counts_until > after)
+    }
+
+    /// Crashes that count against it.
+    pub(super) fn crashes(&self, now: MonotonicTime) -> usize {
+        self.counting(now).count()
+    }
+
+    /// Time until fewer than `most` crashes count; zero where fewer do.
+    pub(super) fn time_until_fewer_than(&self, most: usize, now: MonotonicTime) -> Duration {
+        let too_many = (self.crashes(now) + 1).saturating_sub(most);
+        let last = too_many
+            .checked_sub(1)
+            .and_then(|position| self.counting(now).nth(position));
+        last.map_or(Duration::ZERO, |crash| crash.counts_until.since(now))
+    }
+
+    /// Adds a crash; whether it was not known.
+    pub(super) fn add(&mut self, engine: SubjectHandle, counts_until: MonotonicTime) -> bool {
+        let known = self.crashes.iter().any(|crash| crash.engine == engine);
+        if known || counts_until <= self.forgiven_through {
+            return false;
+        }
+        self.crashes.push(Crash { engine, counts_until });
+        self.crashes.sort_by_key(|crash| crash.counts_until);
+        if self.crashes.len() > MOST_CRASHES {
+            self.crashes.remove(0);
+        }
+        true
+    }
+
+    /// Forgives what stops to count by then; whether something that counted is forgiven.
+    pub(super) fn forgive(&mut self, through: MonotonicTime, now: MonotonicTime) -> bool {
+        let before = self.crashes(now);
+        self.forgiven_through = self.forgiven_through.max(through);
+        self.crashes
+            .retain(|crash| crash.counts_until > self.forgiven_through);
+        self.crashes(now) < before
+    }
+
+    /// Whether there is nothing more to remember.
+    pub(super) fn is_over(&self, now: MonotonicTime) -> bool {
+        self.forgiven_through <= now && self.crashes(now) == 0
+    }
+
+    /// When the last of it stops to count.
+    pub(super) fn counts_until(&self) -> MonotonicTime {
+        let last = self.crashes.last().map(|crash| crash.counts_until);
+        last.unwrap_or_default().max(self.forgiven_through)
+    }
+
+    /// All that is known of it, as others are told.
+    pub(super) fn word(&self, fingerprint: Fingerprint, now: MonotonicTime) -> SuspectWord {
+        SuspectWord {
+            fingerprint,
+            asked: self.asked.clone(),
+            crashes: self
+                .counting(now)
+                .map(|crash| CrashWord {
+                    engine: crash.engine,
+                    counts_for: crash.counts_until.since(now),
+                })
+                .collect(),
+            forgiven_for: self.forgiven_through.since(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/quarantine/trial.rs
@@ -0,0 +1,57 @@
+//! One suspect at a time: where two run beside each other at one pool, a crash does not tell which of them caused it, and
+//! copies of one could take several engines at once.
+//!
+//! A node that wants to let a suspect run tells all others, waits for the time that a word takes, and goes on unless it has
+//! heard of another. No promise rests on it: where a word is lost two may run, which costs precision.
+
+use super::word::{TrialId, TrialWord};
+use crate::forwarding::PoolId;
+use crate::time::MonotonicTime;
+use std::collections::BTreeMap;
+
+/// Trials under way or about to begin, as far as a node knows.
+#[derive(Clone, Debug, Default)]
+pub struct TrialBoard {
+    trials: BTreeMap<(PoolId, TrialId), MonotonicTime>,
+}
+
+impl TrialBoard {
+    /// Enters a trial of this node; false where another is known, and nothing is entered.
+    pub fn claim(&mut self, pool: &PoolId, trial: TrialId, until: MonotonicTime, now: MonotonicTime) -> bool {
+        self.forget(now);
+        if self.least(pool).is_some() {
+            return false;
+        }
+        self.trials.insert((pool.clone(), trial), until);
+        true
+    }
+
+    /// Whether a trial that this node has entered goes before all others that it has heard of since.
+    pub fn stands(&mut self, pool: &PoolId, trial: TrialId, now: MonotonicTime) -> bool {
+        self.forget(now);
+        self.least(pool) == Some(trial)
+    }
+
+    /// Takes a trial off.
+    pub fn end(&mut self, pool: &PoolId, trial: TrialId) {
+        self.trials.remove(&(pool.clone(), trial));
+    }
+
+    /// Takes another node's word.
+    pub fn take(&mut self, word: &TrialWord, now: MonotonicTime) {
+        if word.lasts_for.is_zero() {
+            return self.end(&word.pool, word.trial);
+        }
+        self.trials
+            .insert((word.pool.clone(), word.trial), now + word.lasts_for);
+    }
+
+    fn least(&self, pool: &PoolId) -> Option<TrialId> {
+        let mut trials = self.trials.keys().filter(|(of, _)| of == pool);
+        trials.next().map(|(_, trial)| *trial)
+    }
+
+    fn forget(&mut self, now: MonotonicTime) {
+        self.trials.retain(|_, until| *until > now);
+    }
+}
--- /dev/null
+++ b/crates/core/src/quarantine/word.rs
@@ -0,0 +1,50 @@
+//! What nodes tell each other of requests under which engines crashed.
+
+use super::{Asked, Fingerprint};
+use crate::forwarding::PoolId;
+use crate::membership::subject::SubjectHandle;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// One crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashWord {
+    /// The start of the engine that crashed.
+    pub engine: SubjectHandle,
+    /// Time for which it still counts.
+    pub counts_for: Duration,
+}
+
+/// All that a node knows of one request. Words may be lost, doubled or late: whoever hears one takes the union of the
+/// engines, so that none is counted twice.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectWord {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// What was asked, for operators.
+    pub asked: Asked,
+    /// Crashes that count.
+    pub crashes: Vec<CrashWord>,
+    /// Crashes that count for no longer than this were forgiven.
+    pub forgiven_for: Duration,
+}
+
+/// A node lets a suspect run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialWord {
+    /// Pool at whose engines it runs.
+    pub pool: PoolId,
+    /// The trial.
+    pub trial: TrialId,
+    /// Time after which it is over in any case; zero: it is.
+    pub lasts_for: Duration,
+}
+
+/// Names a trial. Of two that begin at once the lesser one goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TrialId {
+    /// Number that the node has drawn.
+    pub number: u64,
+    /// The node.
+    pub node: SubjectHandle,
+}
--- a/crates/core/src/request/event.rs
+++ b/crates/core/src/request/event.rs
@@ -8,6 +8,7 @@
 use crate::outcome::{Outcome, Refusal};
 use crate::table::{PlatformError, RowKey, RowVersion};
 use crate::time::MonotonicTime;
+use std::time::Duration;
 
 /// A piece of an opaque answer; its bytes stay with the driver.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,6 +70,13 @@
         /// The dispatch.
         attempt: AttemptId,
     },
+    /// Answer to [`Action::Dispatch`]: the send was not begun, since too many engines crashed under the same request.
+    DispatchWithheld {
+        /// The dispatch.
+        attempt: AttemptId,
+        /// When to come back.
+        retry_after: Duration,
+    },
     /// Answer to [`Action::Dispatch`] or [`Action::Resume`]: the engine took it and parts follow.
     Opened {
         /// The dispatch.
--- a/crates/core/src/request/reading.rs
+++ b/crates/core/src/request/reading.rs
@@ -92,6 +92,9 @@
             }
             Event::NotSent { attempt } if &attempt == current => self.prefill_failed(prefill.engine),
             Event::DispatchTooLate { attempt } if &attempt == current => self.on_too_late(),
+            Event::DispatchWithheld { attempt, retry_after } if &attempt == current => {
+                self.on_withheld(retry_after)
+            }
             Event::Ambiguous { attempt } | Event::Disconnected { attempt } if &attempt == current => {
                 self.evidence.prompt_handed_over();
                 let mut actions = vec![Action::Cancel {
@@ -152,6 +155,9 @@
                 ReadingKind::Resume => self.reading_failed(engine, now),
             },
             Event::DispatchTooLate { attempt } if &attempt == current => self.on_too_late(),
+            Event::DispatchWithheld { attempt, retry_after } if &attempt == current => {
+                self.on_withheld(retry_after)
+            }
             Event::Ambiguous { attempt } if &attempt == current => {
                 self.evidence.handed_over();
                 self.reading_failed(engine, now)
@@ -229,6 +235,16 @@
         )
     }
 
+    fn on_withheld(&mut self, retry_after: Duration) -> Vec<Action> {
+        self.give_up(
+            Refusal {
+                reason: RefusalReason::Quarantined,
+                retry_after: Some(retry_after),
+            },
+            Failure::EngineError,
+        )
+    }
+
     pub(super) fn give_up_as_refused(&mut self) -> Vec<Action> {
         let refusal = self.last_refusal.take().unwrap_or(Refusal {
             reason: RefusalReason::EnginesRefused,
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -2,7 +2,7 @@
 
 use super::beliefs::PrefixNews;
 use super::demand::PromptDemand;
-use super::engine::{EngineState, FORGET_AFTER, Gone, PoolEngine, ToldLoad};
+use super::engine::{EngineStage, EngineState, FORGET_AFTER, Gone, PoolEngine, ToldLoad};
 use super::pool_speeds::PoolSpeeds;
 use super::weights::PoolWeights;
 use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
@@ -147,6 +147,15 @@
             .count()
     }
 
+    /// Engines of a pool that may run outputs now, those left alone for a while among them.
+    pub fn runners(&self, pool: &PoolId, now: MonotonicTime) -> usize {
+        let engines = self.engines.values();
+        engines
+            .filter(|state| state.engine.pool == *pool && state.engine.stage != EngineStage::Prefill)
+            .filter(|state| state.takes_work(now, true))
+            .count()
+    }
+
     /// Pools whose engines run models.
     pub fn model_pools(&self) -> Vec<PoolId> {
         self.traits.keys().cloned().collect()
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -158,7 +158,8 @@
         | RefusalReason::LedgerUnavailable
         | RefusalReason::Isolated
         | RefusalReason::Stopping
-        | RefusalReason::EnginesRefused => 503,
+        | RefusalReason::EnginesRefused
+        | RefusalReason::Quarantined => 503,
     }
 }
 
@@ -197,6 +198,7 @@
         RefusalReason::Isolated => "This node can't know whether its rules are current.",
         RefusalReason::Stopping => "This node is stopping.",
         RefusalReason::EnginesRefused => "Every engine that was asked refused before running.",
+        RefusalReason::Quarantined => "Engines crashed while they ran this request.",
         RefusalReason::Cancelled => "The request was cancelled before it ran.",
     }
 }
--- a/crates/node/src/commanding/mod.rs
+++ b/crates/node/src/commanding/mod.rs
@@ -1,4 +1,5 @@
-//! Gives engines their stages, on one node at a time.
+//! Gives engines their stages, on one node at a time; the thread that writes to the store also keeps there, on every node, what
+//! must outlast all processes.
 //!
 //! Of the nodes that are heard, rendezvous hashing names one candidate; only it asks the store for the lease, so that
 //! the others cost the store nothing. While it holds the lease it plans, and sends one order at a time. Whoever takes
@@ -9,6 +10,7 @@
 
 use crate::context::Context;
 use crate::peers::Duty;
+use crate::quarantine::Keeper;
 use ordering::Ordering;
 use shelfjunction_core::membership::rendezvous;
 use shelfjunction_core::membership::subject::SubjectHandle;
@@ -26,7 +28,9 @@
 pub(crate) fn run(context: &Context, table: &dyn TableService) {
     let mut tenure = Tenure::new(context);
     let mut ordering = Ordering::default();
+    let mut keeper = Keeper::new(context);
     while !context.stop.wait(pause(&ordering)) {
+        keeper.step(context, table);
         if context.state.is_stopping() {
             // A successor need not wait for the lease to lapse.
             tenure.release(context, table);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -6,6 +6,7 @@
 use shelfjunction_core::lease::LeaseTimings;
 use shelfjunction_core::metering::config::MeteringSettings;
 use shelfjunction_core::placing::config::PlacingSettings;
+use shelfjunction_core::quarantine::config::QuarantineSettings;
 use shelfjunction_core::retry::window::WindowBudgetSettings;
 use shelfjunction_core::roles::pool::PoolRolePolicy;
 use shelfjunction_core::routing::pool::{PoolAdmission, PoolWeights};
@@ -82,6 +83,9 @@
     /// Which nodes choose engines for which requests.
     #[serde(default)]
     pub placing: PlacingSettings,
+    /// When requests are refused that crash engines.
+    #[serde(default)]
+    pub quarantine: QuarantineSettings,
     /// How usage of tenants is counted; not at all without it.
     #[serde(default)]
     pub metering: Option<MeteringSettings>,
@@ -203,6 +207,7 @@
         let mut errors = self.routing.validate();
         errors.extend(self.admission.validate());
         errors.extend(self.placing.validate());
+        errors.extend(self.quarantine.validate());
         errors.extend(self.roles.validate());
         errors.extend(self.lease.validate());
         errors.extend(self.config_watch.validate("config_watch"));
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -8,6 +8,7 @@
 use crate::peers::Peers;
 use crate::placing::Placements;
 use crate::ports::{Call, EngineProtocol};
+use crate::quarantine::Suspects;
 use crate::releasing::Releases;
 use crate::repeats::Repeats;
 use crate::watch::{StoreTrouble, TableWatch};
@@ -48,6 +49,8 @@
     pub(crate) listing: Mutex<EngineListing>,
     /// Changes of the list that the store has told this node; locked after `listing`.
     pub(crate) recent_changes: Mutex<RecentChanges>,
+    /// Requests under which engines crashed.
+    pub(crate) suspects: Suspects,
     /// Random number of this start of the process.
     pub(crate) start: u64,
     /// True time, as the nodes' clocks tell it.
@@ -151,6 +154,7 @@
             list_watch: TableWatch::new("engines", config.list_watch),
             listing: Mutex::new(EngineListing::default()),
             recent_changes: Mutex::new(RecentChanges::default()),
+            suspects: Suspects::new(&config),
             start: rand::random(),
             fleet_clock: Mutex::default(),
             metering: config.metering.map(Metering::new),
--- a/crates/node/src/course/answering.rs
+++ b/crates/node/src/course/answering.rs
@@ -156,6 +156,7 @@
         RefusalReason::Overloaded => "overloaded",
         RefusalReason::EnginesRefused => "engines_refused",
         RefusalReason::InvalidRequest => "invalid_request",
+        RefusalReason::Quarantined => "quarantined",
         _ => "other",
     }
 }
--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -55,6 +55,10 @@
             fate = fate.name();
             "engine_looked_at"
         );
+        // An engine that had not been sent all of a request could not begin to run it.
+        if fate == EngineFate::Crashed && exchange.all_sent {
+            self.charge_crash(&exchange.engine);
+        }
     }
 
     fn fate(&self, engine: &EngineId) -> EngineFate {
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -25,6 +25,12 @@
             (Phase::Whole, Some(import)) => (CallStage::Output(import.clone()), Purpose::Output),
             (Phase::Whole, None) => (CallStage::Whole, Purpose::Whole),
         };
+        if let Some(withheld) = self.withheld() {
+            return self.take(Event::DispatchWithheld {
+                attempt: call.attempt.clone(),
+                retry_after: withheld.retry_after,
+            });
+        }
         if self.arrivals.lacks_grant(purpose.arrival()) && !self.take_repeat(self.arrivals.sent()) {
             log::info!(request = self.call.request.as_str(), purpose = purpose.name(); "repeat_denied");
             return self.take(Event::NotSent {
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -7,6 +7,7 @@
 use super::routing;
 use crate::context::Context;
 use crate::ports::{AnswerHead, Call, CallerConnection, EngineReading};
+use crate::quarantine::Trial;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use shelfjunction_core::forwarding::{PoolId, RouteRule};
 use shelfjunction_core::identity::EngineId;
@@ -48,6 +49,9 @@
     pub(super) route: &'a RouteRule,
     pub(super) access: Access,
     pub(super) pool: &'a PoolId,
+    pub(super) deadline: MonotonicTime,
+    /// Present where engines crashed under the request, so that it runs alone.
+    pub(super) trial: Option<Trial<'a>>,
 }
 
 /// One request under way.
@@ -101,6 +105,8 @@
     pub(super) placer: Option<SubjectHandle>,
     /// An engine that a placer has chosen and counted, until the request is sent there.
     pub(super) choice: Option<PlacedChoice>,
+    /// Present where engines crashed under the request, so that it runs alone; others may when it is dropped.
+    pub(super) trial: Option<Trial<'a>>,
 }
 
 impl<'a> Driver<'a> {
@@ -116,8 +122,9 @@
             route,
             access,
             pool,
+            deadline,
+            trial,
         } = routed;
-        let deadline = routing::deadline(context, call, route);
         let specification = routing::specification(call, route, &access, pool, deadline);
         let machine = RequestMachine::new(specification, routing::limits(route))
             .after_event(super::caller_position(route, call));
@@ -160,6 +167,7 @@
             step: 0,
             placer: None,
             choice: None,
+            trial,
         }
     }
 
@@ -239,6 +247,9 @@
     }
 
     fn ask_retry(&mut self, tried: u32) {
+        if self.is_withheld_from_repeats() {
+            return self.take(Event::RetryDenied);
+        }
         let free = std::mem::take(&mut self.last_not_sent);
         let granted = if free {
             log::info!(request = self.call.request.as_str(), tried, granted = true, free; "retry_asked");
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -11,9 +11,11 @@
 mod placing;
 mod reading;
 mod routing;
+mod suspicion;
 
 use crate::context::Context;
 use crate::ports::{Call, CallerConnection, OwnAnswer};
+use crate::quarantine::{self, Pass};
 use access::Access;
 use driver::{Driver, RoutedCall};
 use shelfjunction_core::forwarding::{PoolId, RepeatRule, RouteRule};
@@ -74,8 +76,17 @@
     let Some(pool) = context.next_pool(route) else {
         return caller.say(&call.request, OwnAnswer::NoRoute, keep).is_ok() && keep;
     };
-    context.count_request(&pool);
     let fingerprint = fingerprint(call, &access);
+    let deadline = routing::deadline(context, call, route);
+    let trial = match quarantine::pass(context, &fingerprint, &pool, deadline) {
+        Pass::Free => None,
+        Pass::Trial(trial) => Some(trial),
+        Pass::Withheld(withheld) => {
+            let answer = suspicion::refuse(context, call, &fingerprint, route, &withheld);
+            return caller.say(&call.request, answer, keep).is_ok() && keep;
+        }
+    };
+    context.count_request(&pool);
     log::info!(
         request = call.request.as_str(),
         fingerprint:% = fingerprint,
@@ -97,6 +108,8 @@
         route,
         access,
         pool: &pool,
+        deadline,
+        trial,
     };
     Driver::new(context, caller, routed, keep).run()
 }
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -4,6 +4,7 @@
 use super::exchange::{Exchange, Purpose};
 use crate::metering;
 use crate::ports::{AnswerHead, EngineReading};
+use crate::quarantine;
 use shelfjunction_core::engine::{AnswerPart, EngineRefusal};
 use shelfjunction_core::forwarding::patience;
 use shelfjunction_core::request::event::{Event, OpaquePart};
@@ -118,6 +119,7 @@
             .metrics
             .dispatch_ended(exchange.purpose.name(), "answered");
         self.count_answered(exchange.account);
+        quarantine::forgive(self.context, &self.fingerprint);
         self.context.links.give_back(&exchange.engine, exchange.link, now);
         Event::Forwarded {
             attempt: exchange.attempt,
--- /dev/null
+++ b/crates/node/src/course/suspicion.rs
@@ -0,0 +1,74 @@
+//! A request under which engines crashed: it is charged with them, and withheld from others.
+
+use super::driver::Driver;
+use crate::context::Context;
+use crate::ports::{Call, OwnAnswer};
+use crate::quarantine::{self, Withheld};
+use shelfjunction_core::forwarding::RouteRule;
+use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::quarantine::{Asked, Fingerprint};
+
+/// Notes that a call is refused before anything of it ran; what its caller is told.
+pub(super) fn refuse(
+    context: &Context,
+    call: &Call,
+    fingerprint: &Fingerprint,
+    route: &RouteRule,
+    withheld: &Withheld,
+) -> OwnAnswer {
+    log::info!(
+        request = call.request.as_str(),
+        fingerprint:% = fingerprint,
+        route:% = route.id,
+        cause = withheld.cause,
+        crashes = withheld.crashes,
+        retry_after_millis = withheld.retry_after.as_millis() as u64;
+        "refused_suspect"
+    );
+    context.metrics.quarantine.withheld(withheld.cause);
+    OwnAnswer::NotRun {
+        retry_after: withheld.retry_after,
+    }
+}
+
+impl Driver<'_> {
+    /// Charges the request with the crash of an engine at which it was under way.
+    pub(super) fn charge_crash(&self, engine: &EngineId) {
+        let asked = Asked {
+            route: self.route.id.clone(),
+            pool: self.pool.clone(),
+            tenant: self.access.tenant.clone(),
+        };
+        let charged = quarantine::charge(self.context, self.fingerprint, &asked, engine);
+        if let Some(standing) = charged {
+            log::info!(
+                request = self.call.request.as_str(),
+                fingerprint:% = self.fingerprint,
+                engine = engine.as_str(),
+                crashes = standing.crashes(),
+                standing = standing.name(),
+                on_trial = self.trial.is_some();
+                "crash_charged"
+            );
+        }
+    }
+
+    /// Why the request is not handed to an engine, where it isn't.
+    pub(super) fn withheld(&self) -> Option<Withheld> {
+        let withheld = self.context.withheld(&self.fingerprint, self.trial.is_some())?;
+        log::info!(
+            request = self.call.request.as_str(),
+            fingerprint:% = self.fingerprint,
+            cause = withheld.cause,
+            crashes = withheld.crashes;
+            "dispatch_withheld"
+        );
+        self.context.metrics.quarantine.withheld(withheld.cause);
+        Some(withheld)
+    }
+
+    /// Whether the request is not repeated, whatever its budget: an engine crashed that ran it alone, or enough others have.
+    pub(super) fn is_withheld_from_repeats(&self) -> bool {
+        self.withheld().is_some()
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod peers;
 mod placing;
 pub mod ports;
+mod quarantine;
 mod recovering;
 mod releasing;
 mod repeats;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counts, gauges and delays of the process in the OpenMetrics text; labels take few values, and none names a caller.
 
+use crate::quarantine::QuarantineMetrics;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -49,6 +50,8 @@
     orders: Family<ResultLabel, Counter>,
     usage_reports: Family<ResultLabel, Counter>,
     engine_orders: Family<ResultLabel, Counter>,
+    /// Requests under which engines crashed.
+    pub(crate) quarantine: QuarantineMetrics,
     placements: Family<ResultLabel, Counter>,
     whole_answer: Histogram,
     first_event: Histogram,
@@ -92,6 +95,7 @@
             orders: Family::default(),
             usage_reports: Family::default(),
             engine_orders: Family::default(),
+            quarantine: QuarantineMetrics::default(),
             placements: Family::default(),
             whole_answer: delays(),
             first_event: delays(),
@@ -113,6 +117,7 @@
         metrics.register_counters();
         metrics.register_delays();
         metrics.register_gauges();
+        metrics.quarantine.register(&mut metrics.registry);
         metrics
     }
 
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -5,6 +5,7 @@
 use crate::context::Context;
 use crate::metering;
 use crate::placing;
+use crate::quarantine;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::routing::pool::ListNews;
 use shelfjunction_threads::lock;
@@ -29,6 +30,8 @@
                 }
                 Some(Datagram::LivenessAnswer(answer)) => context.placements.on_liveness(answer),
                 Some(Datagram::Usage(message)) => metering::take(context, &message),
+                Some(Datagram::Suspects(words)) => quarantine::take(context, &words, from),
+                Some(Datagram::Trial(word)) => quarantine::take_trial(context, &word),
                 None => log::debug!(from:% = from, length; "datagram_unreadable"),
             },
             Err(error) => {
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -7,6 +7,7 @@
 use shelfjunction_core::metering::UnixTime;
 use shelfjunction_core::metering::counter::UsageWord;
 use shelfjunction_core::placing::question::{Answer, ProgressReport, Question};
+use shelfjunction_core::quarantine::word::{SuspectWord, TrialWord};
 use shelfjunction_core::retry::census::SharingWord;
 use shelfjunction_core::routing::pool::{EngineStage, ListNews, PeerWork, PrefixNews, WorkSlice};
 use shelfjunction_core::watching::TableWord;
@@ -29,6 +30,9 @@
 /// News in one message; each takes about 30 bytes, seldom 200.
 pub(super) const MOST_NEWS: usize = 8;
 
+/// Requests under which engines crashed in one message; each takes about 80 bytes.
+pub(crate) const MOST_SUSPECTS: usize = 12;
+
 /// A node's word of its work.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct WorkMessage {
@@ -116,6 +120,10 @@
     LivenessAnswer(LivenessAnswer),
     /// What a node has counted for tenants.
     Usage(Box<UsageMessage>),
+    /// Requests under which engines crashed.
+    Suspects(Vec<SuspectWord>),
+    /// A suspect begins to run, or has ended.
+    Trial(Box<TrialWord>),
 }
 
 const CODEC: Configuration = standard();
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -17,7 +17,7 @@
 pub(crate) use catching_up::{catch_up, serve as serve_snapshots, take_from_any};
 pub(crate) use directory::follow as follow_directory;
 pub(crate) use hearing::hear;
-pub(crate) use message::{Datagram, LivenessAnswer, LivenessQuestion, UsageMessage};
+pub(crate) use message::{Datagram, LivenessAnswer, LivenessQuestion, MOST_SUSPECTS, UsageMessage};
 pub(crate) use placers::{Duty, Placing};
 pub(crate) use telling::tell;
 
@@ -217,10 +217,7 @@
 
     /// Notes that this node has handed new work to an engine, which others would otherwise choose as well.
     pub(crate) fn note_new_work(&self) {
-        let mut pending = lock(&self.pending);
-        pending.changed = true;
-        pending.urgent = true;
-        self.change.notify_one();
+        self.note_urgent();
     }
 
     /// Notes that this node's work or beliefs have changed.
@@ -238,6 +235,14 @@
         self.change.notify_one();
     }
 
+    /// Notes that this node has learned something that others must know before they hand out the next request.
+    pub(crate) fn note_urgent(&self) {
+        let mut pending = lock(&self.pending);
+        pending.changed = true;
+        pending.urgent = true;
+        self.change.notify_one();
+    }
+
     /// Notes that the store has confirmed what this node knows, which is told even by an idle node.
     pub(crate) fn note_confirmed(&self) {
         let mut pending = lock(&self.pending);
@@ -247,7 +252,7 @@
     }
 
     /// Addresses of every other node.
-    fn addresses(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+    pub(crate) fn addresses(&self, now: MonotonicTime) -> Vec<SocketAddr> {
         let mut known = lock(&self.known);
         known
             .peers
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -4,6 +4,7 @@
 use super::message::{Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_NEWS, WorkMessage};
 use super::placers::Placing;
 use crate::context::Context;
+use crate::quarantine;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::routing::pool::{PeerWork, WorkSlice};
 use shelfjunction_core::time::MonotonicTime;
@@ -53,6 +54,8 @@
     loop {
         let confirmed = context.peers.wait_for_change(teller.tells_again);
         let pause = teller.round(confirmed);
+        let tells_again = quarantine::tell(context);
+        teller.tells_again = teller.tells_again.min(tells_again);
         context.stop.wait(pause);
     }
 }
--- /dev/null
+++ b/crates/node/src/quarantine/keeping.rs
@@ -0,0 +1,128 @@
+//! Keeps in the store what must outlast all processes, and reads it when a process starts.
+
+use crate::context::Context;
+use crate::metering;
+use shelfjunction_core::quarantine::Fingerprint;
+use shelfjunction_core::quarantine::row::{ROW_PREFIX, SuspectRow};
+use shelfjunction_core::quarantine::word::SuspectWord;
+use shelfjunction_core::table::{PlatformError, Row, RowKey, Transaction, Write};
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_platform::services::TableService;
+use shelfjunction_threads::lock;
+use std::time::Duration;
+
+/// Pause after the store gave no answer, doubled at most by chance, since many nodes fail together.
+const PAUSE: Duration = Duration::from_millis(700);
+
+/// Keeps the store's rows and the register alike.
+pub(crate) struct Keeper {
+    /// Whether the rows were read, or none can be there.
+    has_read: bool,
+    not_before: MonotonicTime,
+}
+
+impl Keeper {
+    pub(crate) fn new(context: &Context) -> Self {
+        Self {
+            has_read: context.config.first_start || !context.config.quarantine.enabled,
+            not_before: MonotonicTime::default(),
+        }
+    }
+
+    /// Does what there is to do; seldom anything.
+    pub(crate) fn step(&mut self, context: &Context, table: &dyn TableService) {
+        let now = context.now();
+        let nothing_new = self.has_read && context.suspects.remembers_nothing();
+        if nothing_new || now < self.not_before {
+            return;
+        }
+        if let Err(error) = self.try_step(context, table) {
+            log::info!(error:? = error, has_read = self.has_read; "quarantine_not_kept");
+            self.not_before = now + PAUSE + PAUSE.mul_f64(rand::random::<f64>());
+        }
+    }
+
+    fn try_step(&mut self, context: &Context, table: &dyn TableService) -> Result<(), PlatformError> {
+        if !self.has_read {
+            read(context, table)?;
+            self.has_read = true;
+        }
+        let now = context.now();
+        let (to_keep, to_drop) = {
+            let register = lock(&context.suspects.register);
+            (register.to_keep(now), register.to_drop(now))
+        };
+        to_keep.iter().try_for_each(|word| keep(context, table, word))?;
+        to_drop
+            .iter()
+            .try_for_each(|fingerprint| drop_row(context, table, fingerprint))
+    }
+}
+
+fn keep(context: &Context, table: &dyn TableService, word: &SuspectWord) -> Result<(), PlatformError> {
+    let row = SuspectRow::of(word, metering::unix(context));
+    let value = serde_json::to_string(&row).map_err(|error| PlatformError::Malformed(error.to_string()))?;
+    write(table, vec![(SuspectRow::key(&word.fingerprint), Some(value))])?;
+    let crashes = word.crashes.len();
+    lock(&context.suspects.register).note_kept(&word.fingerprint, crashes);
+    log::info!(fingerprint:% = word.fingerprint, crashes; "suspect_kept");
+    Ok(())
+}
+
+fn drop_row(
+    context: &Context,
+    table: &dyn TableService,
+    fingerprint: &Fingerprint,
+) -> Result<(), PlatformError> {
+    write(table, vec![(SuspectRow::key(fingerprint), None)])?;
+    lock(&context.suspects.register).note_kept(fingerprint, 0);
+    log::info!(fingerprint:% = fingerprint; "suspect_dropped");
+    Ok(())
+}
+
+fn write(table: &dyn TableService, rows: Vec<(RowKey, Option<String>)>) -> Result<(), PlatformError> {
+    let writes = rows.into_iter().map(|(key, value)| Write { key, value });
+    let transaction = Transaction {
+        checks: Vec::new(),
+        writes: writes.collect(),
+    };
+    // Without a check there is nothing that could be in conflict.
+    table.transact(&transaction).map(|_| ())
+}
+
+/// Reads every row, and takes those off that count no longer.
+fn read(context: &Context, table: &dyn TableService) -> Result<(), PlatformError> {
+    let rows = table.scan(ROW_PREFIX)?;
+    let mut over = Vec::new();
+    let mut taken = 0;
+    for row in &rows {
+        match readable(row) {
+            Some(suspect) if take(context, &suspect) => taken += 1,
+            _ => over.push((row.key.clone(), None)),
+        }
+    }
+    log::info!(taken, over = over.len(); "quarantine_read");
+    if over.is_empty() {
+        return Ok(());
+    }
+    write(table, over)
+}
+
+fn readable(row: &Row) -> Option<SuspectRow> {
+    let read = serde_json::from_str(&row.value);
+    if let Err(error) = &read {
+        log::warn!(row = row.key.0.as_str(), fault:% = error; "row_unreadable");
+    }
+    read.ok()
+}
+
+/// Takes a row; false where nothing of it counts any more.
+fn take(context: &Context, row: &SuspectRow) -> bool {
+    let word = row.word(metering::unix(context));
+    let now = context.now();
+    context.suspects.with_register(|register| {
+        register.take(&word, now);
+        register.note_kept(&word.fingerprint, word.crashes.len());
+    });
+    !word.crashes.is_empty()
+}
--- /dev/null
+++ b/crates/node/src/quarantine/mod.rs
@@ -0,0 +1,103 @@
+//! Requests under which engines crashed: what this node has seen and heard of them, and what it lets run.
+
+mod admitting;
+mod keeping;
+mod metrics;
+mod telling;
+mod view;
+
+pub(crate) use admitting::{Pass, Trial, Withheld, pass};
+pub(crate) use keeping::Keeper;
+pub(crate) use metrics::QuarantineMetrics;
+pub(crate) use telling::{take, take_trial, tell};
+pub(crate) use view::{lift, view};
+
+use crate::config::NodeConfig;
+use crate::context::Context;
+use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::quarantine::config::QuarantineSettings;
+use shelfjunction_core::quarantine::{Asked, Counts, Fingerprint, Quarantine, Standing, TrialBoard};
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use telling::Pace;
+
+/// What a node knows of such requests.
+pub(crate) struct Suspects {
+    settings: QuarantineSettings,
+    register: Mutex<Quarantine>,
+    trials: Mutex<TrialBoard>,
+    /// Whether anything is remembered. Nearly always nothing is, and no request need wait for the register.
+    remembers: AtomicBool,
+    pace: Mutex<Pace>,
+}
+
+impl Suspects {
+    pub(crate) fn new(config: &NodeConfig) -> Self {
+        Self {
+            settings: config.quarantine,
+            register: Mutex::new(Quarantine::new(config.quarantine)),
+            trials: Mutex::default(),
+            remembers: AtomicBool::new(false),
+            pace: Mutex::default(),
+        }
+    }
+
+    /// Works on the register, and notes whether anything is left in it.
+    fn with_register<T>(&self, work: impl FnOnce(&mut Quarantine) -> T) -> T {
+        let mut register = lock(&self.register);
+        let result = work(&mut register);
+        self.remembers.store(!register.is_empty(), Ordering::Release);
+        result
+    }
+
+    fn remembers_nothing(&self) -> bool {
+        !self.remembers.load(Ordering::Acquire)
+    }
+
+    /// How many requests stand how.
+    pub(crate) fn counts(&self, now: MonotonicTime) -> Counts {
+        lock(&self.register).counts(now)
+    }
+
+    /// How a request stands.
+    pub(crate) fn standing(&self, fingerprint: &Fingerprint, now: MonotonicTime) -> Standing {
+        if self.remembers_nothing() {
+            return Standing::Free { crashes: 0 };
+        }
+        lock(&self.register).standing(fingerprint, now)
+    }
+}
+
+/// Charges a request with the crash of an engine at which it was under way; absent where that was known.
+pub(crate) fn charge(
+    context: &Context,
+    fingerprint: Fingerprint,
+    asked: &Asked,
+    engine: &EngineId,
+) -> Option<Standing> {
+    let now = context.now();
+    let handle = SubjectHandle::of_text("engine", engine.as_str());
+    let suspects = &context.suspects;
+    let standing = suspects.with_register(|register| register.note_crash(fingerprint, asked, handle, now))?;
+    context.metrics.quarantine.crash_charged();
+    lock(&suspects.pace).note_fresh();
+    context.peers.note_urgent();
+    Some(standing)
+}
+
+/// Forgives a request what counted against it, since an engine has answered it and lives.
+pub(crate) fn forgive(context: &Context, fingerprint: &Fingerprint) {
+    let suspects = &context.suspects;
+    if suspects.remembers_nothing() {
+        return;
+    }
+    let now = context.now();
+    if suspects.with_register(|register| register.forgive(fingerprint, now)) {
+        log::info!(fingerprint:% = fingerprint, cause = "answered"; "suspicion_ended");
+        lock(&suspects.pace).note_fresh();
+        context.peers.note_urgent();
+    }
+}
--- a/crates/node/src/telling.rs
+++ b/crates/node/src/telling.rs
@@ -3,11 +3,15 @@
 use crate::connections::OpenConnections;
 use crate::context::Context;
 use crate::duties;
+use crate::quarantine;
+use serde::Serialize;
+use shelfjunction_core::quarantine::Fingerprint;
 use shelfjunction_http::{
     Answer, Answered, Handler, HttpLimits, HttpRequest, HttpServer, ReadError, Responder,
 };
 use shelfjunction_logging::LogLosses;
 use shelfjunction_protocol::duties::DUTIES_PATH;
+use shelfjunction_protocol::quarantine::QUARANTINE_PATH;
 use shelfjunction_threads::lock;
 use std::io;
 use std::net::SocketAddr;
@@ -49,7 +53,10 @@
 impl Handler for MetricsPage {
     fn handle(&self, request: HttpRequest, responder: Responder<'_>) -> Answered {
         if request.path == DUTIES_PATH {
-            return responder.answer(&duties_answer(&self.context));
+            return responder.answer(&json_answer(&duties::view(&self.context)));
+        }
+        if let Some(rest) = request.path.strip_prefix(QUARANTINE_PATH) {
+            return responder.answer(&self.quarantine_answer(&request.method, rest));
         }
         if request.path != METRICS_PATH {
             return responder.answer(&Answer::new(404, "text/plain", Vec::new()));
@@ -68,23 +75,42 @@
     }
 }
 
-fn duties_answer(context: &Context) -> Answer {
-    match serde_json::to_vec(&duties::view(context)) {
+fn json_answer(view: &impl Serialize) -> Answer {
+    match serde_json::to_vec(view) {
         Ok(body) => Answer::new(200, "application/json", body),
         Err(error) => {
-            log::warn!(error:% = error; "duties_not_told");
+            log::warn!(error:% = error; "view_not_told");
             Answer::new(500, "text/plain", Vec::new())
         }
     }
 }
 
 impl MetricsPage {
+    /// Tells of the requests under which engines crashed, or lifts one's quarantine.
+    fn quarantine_answer(&self, method: &str, rest: &str) -> Answer {
+        let fingerprint = rest.strip_prefix('/').map(str::parse::<Fingerprint>);
+        match (method, fingerprint) {
+            ("GET", None) if rest.is_empty() => json_answer(&quarantine::view(&self.context)),
+            ("DELETE", Some(Ok(fingerprint))) => {
+                let status = if quarantine::lift(&self.context, &fingerprint) {
+                    200
+                } else {
+                    404
+                };
+                Answer::new(status, "text/plain", Vec::new())
+            }
+            ("DELETE", Some(Err(error))) => Answer::new(400, "text/plain", error.to_string()),
+            _ => Answer::new(404, "text/plain", Vec::new()),
+        }
+    }
+
     fn take_gauges(&self) {
         let context = &self.context;
         let metrics = &context.metrics;
         let now = context.now();
         metrics.in_flight.set(context.state.requests_under_way() as i64);
         metrics.connections.set(self.open.count() as i64);
+        metrics.quarantine.note_counts(context.suspects.counts(now));
         metrics.repeats_left.set(context.repeats_left());
         let usable_part = context.budget_share(now).usable_part();
         metrics.repeats_usable_part.set(usable_part);
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod frame;
 pub mod operator;
 pub mod peer;
+pub mod quarantine;
