Every wait and age is read from CLOCK_BOOTTIME: a suspension counts as time that has passed

Cause: std's Instant is CLOCK_MONOTONIC, which stands still while the machine is suspended, so that leases, budgets' windows and what was heard of others looked as fresh afterwards as before. A lint forbids Instant::now in the product; waits in poll are at most 500 ms long, since the kernel counts them on the other clock; a suspension is logged (machine_was_suspended). Not run: no machine here can be suspended; what ages do when time jumps ahead is what the tests in virtual time play.

--- a/crates/controller/tests/bundle_distribution.rs
+++ b/crates/controller/tests/bundle_distribution.rs
@@ -1,5 +1,8 @@
 //! A bundle reaches every zone, so does the one after it, whatever a peer names that nobody has, and a controller
 //! that starts while the platform is down takes the bundle from its peers and is vouched for by another zone.
+
+// Waits of tests and the lab, on machines that are not suspended.
+#![allow(clippy::disallowed_methods)]
 #![allow(clippy::unwrap_used)]
 
 mod support;
--- a/crates/controller/tests/takeover.rs
+++ b/crates/controller/tests/takeover.rs
@@ -1,5 +1,8 @@
 //! A holder that freezes with an order in its hands is followed by another, whose fences reach every engine before
 //! its first change; what the first sends when it wakes has no effect. A planned stop hands the lease on at once.
+
+// Waits of tests and the lab, on machines that are not suspended.
+#![allow(clippy::disallowed_methods)]
 #![allow(clippy::unwrap_used)]
 
 mod support;
--- a/crates/controller/tests/version_roll.rs
+++ b/crates/controller/tests/version_roll.rs
@@ -1,6 +1,9 @@
 //! A bundle with a new version of the weights is rolled out engine by engine: each is drained, loaded and put back
 //! before the next, an application is left alone, and a leaving engine is drained and nothing else. An engine that
 //! restarts empty is fenced again and led back to the same weights.
+
+// Waits of tests and the lab, on machines that are not suspended.
+#![allow(clippy::disallowed_methods)]
 #![allow(clippy::unwrap_used)]
 
 mod support;
--- a/crates/core/benches/bundle_cost.rs
+++ b/crates/core/benches/bundle_cost.rs
@@ -3,6 +3,9 @@
 //! `cargo bench -p shelfjunction-core --bench bundle_cost` prints the memory of one bundle, one table over the number of tenants and one over
 //! the size of a bucket at 4,800 tenants. Times are the best of several runs of one thread; no test asserts them.
 
+// Waits of tests and the lab, on machines that are not suspended.
+#![allow(clippy::disallowed_methods)]
+
 use shelfjunction_core::bundle::content::{
     Bundle, ModelGrant, ModelKind, ModelRule, OperatorAction, OperatorRule, TenantRule, ZoneRule,
 };
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -4,7 +4,8 @@
 use std::ops::{Add, Sub};
 use std::time::Duration;
 
-/// Microseconds on one process's own monotonic clock; never compared between processes.
+/// Microseconds on one process's own clock, which only rises and goes on while the machine is suspended; never compared between
+/// processes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct MonotonicTime(pub u64);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A gateway with a stand-in platform, a controller that tells a fixed fleet, and engines that follow a script.
 
+// Waits of tests and the lab, on machines that are not suspended.
+#![allow(clippy::disallowed_methods)]
 #![allow(dead_code)]
 
 mod controller;
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -4,9 +4,10 @@
 use crate::reader::{ReadError, RequestReader};
 use crate::response::Responder;
 use crate::server::Handler;
+use shelfjunction_threads::BootInstant;
 use std::io::Read;
 use std::net::{Shutdown, TcpStream};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Longest time and most bytes read from a caller that was refused while it still sends, so that it can read why.
 const LINGER_TIME: Duration = Duration::from_millis(500);
@@ -52,14 +53,14 @@
 
 /// Closing a socket that holds unread bytes resets it, and the answer with it; so some are read first.
 fn linger(stream: &mut TcpStream) {
-    let until = Instant::now() + LINGER_TIME;
+    let until = BootInstant::now() + LINGER_TIME;
     let mut bytes = [0; 4_096];
     let mut total = 0;
     if stream.shutdown(Shutdown::Write).is_err() {
         return;
     }
     while total < LINGER_BYTES {
-        let left = until.saturating_duration_since(Instant::now());
+        let left = until.since(BootInstant::now());
         if left.is_zero() || stream.set_read_timeout(Some(left)).is_err() {
             return;
         }
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -2,9 +2,10 @@
 
 use crate::limits::{HttpLimits, MAXIMUM_HEADERS};
 use crate::request::{HttpHeader, HttpRequest};
+use shelfjunction_threads::BootInstant;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::TcpStream;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Bytes asked of the socket at once.
 const READ_BYTES: usize = 8 * 1024;
@@ -102,10 +103,10 @@
         stream: &mut TcpStream,
         stopping: &dyn Fn() -> bool,
     ) -> Result<(), ReadError> {
-        let until = Instant::now() + self.limits.idle_time();
+        let until = BootInstant::now() + self.limits.idle_time();
         loop {
             let stops = stopping();
-            let left = until.saturating_duration_since(Instant::now());
+            let left = until.since(BootInstant::now());
             if left.is_zero() {
                 return Err(ReadError::Closed);
             }
@@ -123,7 +124,7 @@
     }
 
     fn read_head(&mut self, stream: &mut TcpStream) -> Result<Head, ReadError> {
-        let until = Instant::now() + self.limits.head_time();
+        let until = BootInstant::now() + self.limits.head_time();
         loop {
             if let Some(head) = parse_head(&self.buffer, &self.limits)? {
                 return Ok(head);
@@ -136,7 +137,7 @@
     }
 
     fn read_body(&mut self, stream: &mut TcpStream, length: usize) -> Result<Vec<u8>, ReadError> {
-        let until = Instant::now() + self.limits.body_time();
+        let until = BootInstant::now() + self.limits.body_time();
         while self.buffer.len() < length {
             self.fill_until(stream, until)?;
         }
@@ -144,8 +145,8 @@
         Ok(std::mem::replace(&mut self.buffer, rest))
     }
 
-    fn fill_until(&mut self, stream: &mut TcpStream, until: Instant) -> Result<(), ReadError> {
-        let left = until.saturating_duration_since(Instant::now());
+    fn fill_until(&mut self, stream: &mut TcpStream, until: BootInstant) -> Result<(), ReadError> {
+        let left = until.since(BootInstant::now());
         if left.is_zero() {
             return Err(ReadError::TooSlow);
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,8 @@
 //! Stand-ins, load and experiment tools.
 
+// Waits of tests and the lab, on machines that are not suspended.
+#![allow(clippy::disallowed_methods)]
+
 pub mod calibrate;
 pub mod caller;
 pub mod cluster;
--- a/crates/logging/src/queue.rs
+++ b/crates/logging/src/queue.rs
@@ -7,13 +7,14 @@
 use crate::EventLayout;
 use logforth::record::Record;
 use logforth::{Append, Diagnostic, Error, Layout};
+use shelfjunction_threads::BootInstant;
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Lines that may wait.
 const CAPACITY: usize = 4_096;
@@ -51,7 +52,7 @@
 
 #[derive(Debug)]
 struct EventCount {
-    span_began: Instant,
+    span_began: BootInstant,
     lines: u64,
     folded: u64,
 }
@@ -98,13 +99,13 @@
     fn folds(&self, event: &str) -> bool {
         let crowded = self.waiting.load(Ordering::Relaxed) > CAPACITY / 2;
         let mut events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
-        let now = Instant::now();
+        let now = BootInstant::now();
         let count = events.entry(event.to_owned()).or_insert(EventCount {
             span_began: now,
             lines: 0,
             folded: 0,
         });
-        if now.duration_since(count.span_began) >= SPAN {
+        if now.since(count.span_began) >= SPAN {
             *count = EventCount {
                 span_began: now,
                 lines: 0,
@@ -138,8 +139,8 @@
     }
 
     fn flush(&self) -> Result<(), Error> {
-        let until = Instant::now() + FLUSH_WAIT;
-        while self.waiting.load(Ordering::Relaxed) > 0 && Instant::now() < until {
+        let until = BootInstant::now() + FLUSH_WAIT;
+        while self.waiting.load(Ordering::Relaxed) > 0 && BootInstant::now() < until {
             thread::sleep(Duration::from_millis(5));
         }
         Ok(())
--- a/crates/node/src/commanding/mod.rs
+++ b/crates/node/src/commanding/mod.rs
@@ -15,12 +15,16 @@
 use shelfjunction_core::membership::rendezvous;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_platform::services::TableService;
+use shelfjunction_threads::SuspensionWatch;
 use std::time::Duration;
 use tenure::Tenure;
 
 /// Time between two looks.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
+/// Shorter suspensions are not told: no time that nodes hold each other to is as short.
+const LEAST_SUSPENSION: Duration = Duration::from_millis(100);
+
 /// What the candidate is chosen for.
 const TASK: &str = "stage-orders";
 
@@ -29,7 +33,9 @@
     let mut tenure = Tenure::new(context);
     let mut ordering = Ordering::default();
     let mut keeper = Keeper::new(context);
+    let mut suspension = SuspensionWatch::start();
     while !context.stop.wait(pause(&ordering)) {
+        note_suspension(suspension.look());
         keeper.step(context, table);
         if context.state.is_stopping() {
             // A successor need not wait for the lease to lapse.
@@ -48,6 +54,13 @@
     }
 }
 
+/// Says so where the machine was suspended lately.
+fn note_suspension(lately: Duration) {
+    if lately >= LEAST_SUSPENSION {
+        log::warn!(suspended_millis = lately.as_millis() as u64; "machine_was_suspended");
+    }
+}
+
 /// The next order of a round follows at once.
 fn pause(ordering: &Ordering) -> Duration {
     if ordering.has_more() {
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -27,6 +27,10 @@
 /// When to come back after no engine could be chosen.
 const NOWHERE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Longest wait in the kernel, whose clock stands still while the machine is suspended: a request whose time ran out meanwhile
+/// is ended no later than this after it goes on.
+const LONGEST_POLL: Duration = Duration::from_millis(500);
+
 /// How a course ended.
 pub(super) enum End {
     /// With an outcome.
@@ -337,7 +341,7 @@
         let until = exchange
             .silent_from
             .map_or(self.deadline, |silent| silent.min(self.deadline));
-        let timeout = Timespec::try_from(until.since(now)).unwrap_or_default();
+        let timeout = Timespec::try_from(until.since(now).min(LONGEST_POLL)).unwrap_or_default();
         let mut engine_flags = PollFlags::IN;
         if !exchange.all_sent {
             engine_flags |= PollFlags::OUT;
--- a/crates/threads/src/lib.rs
+++ b/crates/threads/src/lib.rs
@@ -1,7 +1,9 @@
-//! What every threaded part shares: a signal that ends waiting threads, and a lock that outlives a panic.
+//! What every threaded part shares: the clock, a signal that ends waiting threads, and a lock that outlives a panic.
 
+mod boot_clock;
 mod stop;
 
+pub use boot_clock::{BootInstant, SuspensionWatch};
 pub use stop::StopSignal;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/threads/src/stop.rs
+++ b/crates/threads/src/stop.rs
@@ -1,8 +1,8 @@
 //! A signal that ends every waiting thread at once.
 
-use crate::lock;
+use crate::{BootInstant, lock};
 use std::sync::{Condvar, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Set once; threads wait on it in place of sleeping.
 #[derive(Debug, Default)]
@@ -25,10 +25,10 @@
 
     /// Waits until the signal is set or the time has passed; true when it is set.
     pub fn wait(&self, timeout: Duration) -> bool {
-        let deadline = Instant::now() + timeout;
+        let deadline = BootInstant::now() + timeout;
         let mut set = lock(&self.set);
         while !*set {
-            let left = deadline.saturating_duration_since(Instant::now());
+            let left = deadline.since(BootInstant::now());
             if left.is_zero() {
                 return false;
             }
--- a/tests/fuzzing/runner.rs
+++ b/tests/fuzzing/runner.rs
@@ -1,5 +1,8 @@
 //! Runs a state machine until it fails or its cases are used up.
 
+// Waits of tests and the lab, on machines that are not suspended.
+#![allow(clippy::disallowed_methods)]
+
 use super::with_seed;
 use proptest::test_runner::{Config, TestError, TestRunner};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
--- a/tests/process/harness/program.rs
+++ b/tests/process/harness/program.rs
@@ -1,5 +1,8 @@
 //! One program under test: started, watched through its lines, signalled and ended by its own identifier.
 
+// Waits of tests and the lab, on machines that are not suspended.
+#![allow(clippy::disallowed_methods)]
+
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
