--- a/crates/cli/src/operator/duties.rs
+++ b/crates/cli/src/operator/duties.rs
@@ -1,19 +1,11 @@
 //! `shelfjunction duties`: what a node knows of usage reports and of the plan of engines.
 
+use super::node_page::{NodePages, Page};
 use super::table;
 use crate::exit::CommandError;
 use crate::options::{CommandLine, Parsed};
 use crate::usage;
 use shelfjunction_protocol::duties::{DUTIES_PATH, DutiesView, PlanView, UsageView};
-use std::net::SocketAddr;
-use std::time::Duration;
-
-/// Longest wait for the whole answer.
-const CALL_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Longest answer that is read, in bytes.
-const MOST_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
-
 /// Runs `shelfjunction duties`.
 pub fn run(arguments: &[String]) -> Result<(), CommandError> {
     let line = CommandLine::new(usage::DUTIES)
@@ -24,35 +16,15 @@
         Parsed::Values(values) => values,
     };
     values.no_arguments()?;
-    let node = values.require("node")?;
-    let address: SocketAddr = node
-        .parse()
-        .map_err(|_| values.usage(&format!("--node {node}: allowed is IP:PORT")))?;
-    let body = fetch(address)?;
-    let view: DutiesView = serde_json::from_slice(&body)
-        .map_err(|error| CommandError::Failed(format!("{address} told no duties: {error}")))?;
+    let page: Page<DutiesView> = NodePages::of(&values)?.read(DUTIES_PATH)?;
     if values.has("json") {
-        println!("{}", String::from_utf8_lossy(&body));
+        println!("{}", page.text);
     } else {
-        print!("{}", render(&view));
+        print!("{}", render(&page.view));
     }
     Ok(())
 }
 
-fn fetch(address: SocketAddr) -> Result<Vec<u8>, CommandError> {
-    let failed = |error: ureq::Error| CommandError::Failed(format!("{address} did not answer: {error}"));
-    let mut answer = ureq::get(format!("http://{address}{DUTIES_PATH}"))
-        .config()
-        .timeout_global(Some(CALL_TIMEOUT))
-        .proxy(None)
-        .max_redirects(0)
-        .build()
-        .call()
-        .map_err(failed)?;
-    let body = answer.body_mut().with_config().limit(MOST_ANSWER_BYTES);
-    body.read_to_vec().map_err(failed)
-}
-
 /// The text that is printed.
 pub fn render(view: &DutiesView) -> String {
     let lease = match view.token {
--- a/crates/cli/src/operator/explain.rs
+++ b/crates/cli/src/operator/explain.rs
@@ -20,6 +20,16 @@
     "held_parts_listed",
 ];
 
+/// Events that say what became of engines, and of other attempts, under what a request asks for.
+const FINGERPRINT_EVENTS: [&str; 6] = [
+    "crash_charged",
+    "suspect_heard",
+    "suspicion_ended",
+    "refused_suspect",
+    "suspect_kept",
+    "dispatch_withheld",
+];
+
 /// A choice of engines for another node's request.
 const PLACEMENT_EVENT: &str = "placement_given";
 
@@ -115,6 +125,7 @@
         return Vec::new();
     };
     let own = with_placements(own, lines);
+    let others = of_same_content(&own, lines);
     let nodes = own.iter().map(|line| line.source.as_str()).collect();
     let engines = own
         .iter()
@@ -141,6 +152,7 @@
     }
     let mut course: Vec<&LogLine> = own;
     course.extend(during);
+    course.extend(others);
     course.sort_by(|left, right| left.time().cmp(right.time()));
     let mut before: Vec<&LogLine> = beliefs.into_values().collect();
     before.sort_by(|left, right| left.time().cmp(right.time()));
@@ -166,6 +178,24 @@
     own.into_iter().chain(given).collect()
 }
 
+/// What engines did under other attempts of the same content, at any node.
+fn of_same_content<'a>(own: &[&LogLine], lines: &'a [LogLine]) -> Vec<&'a LogLine> {
+    let values = |name: &str| -> BTreeSet<String> {
+        let values = own.iter().map(|line| line.field(name));
+        values
+            .filter(|value| !value.is_empty())
+            .map(str::to_owned)
+            .collect()
+    };
+    let (fingerprints, names) = (values("fingerprint"), values("request"));
+    let others = lines.iter().filter(|line| {
+        FINGERPRINT_EVENTS.contains(&line.event())
+            && fingerprints.contains(line.field("fingerprint"))
+            && !names.contains(line.field("request"))
+    });
+    others.collect()
+}
+
 /// Events that replace each other as the latest word on one thing.
 fn belief_kind(event: &str) -> &str {
     match event {
--- /dev/null
+++ b/crates/cli/src/operator/quarantine.rs
@@ -0,0 +1,78 @@
+//! `shelfjunction quarantine`: requests under which engines crashed, as a node knows them.
+
+use super::node_page::{NodePages, Page};
+use super::table;
+use crate::exit::CommandError;
+use crate::options::{CommandLine, Parsed};
+use crate::usage;
+use shelfjunction_core::quarantine::Fingerprint;
+use shelfjunction_protocol::quarantine::{QUARANTINE_PATH, QuarantineView, SuspectView};
+
+/// Runs `shelfjunction quarantine`.
+pub fn run(arguments: &[String]) -> Result<(), CommandError> {
+    let line = CommandLine::new(usage::QUARANTINE)
+        .value("node", "metrics address of a node", "IP:PORT")
+        .value("lift", "let a request run again", "FINGERPRINT")
+        .flag("json", "print JSON");
+    let values = match line.parse(arguments)? {
+        Parsed::HelpShown => return Ok(()),
+        Parsed::Values(values) => values,
+    };
+    values.no_arguments()?;
+    let node = NodePages::of(&values)?;
+    if let Some(text) = values.get("lift") {
+        let fingerprint: Fingerprint = text
+            .parse()
+            .map_err(|error| values.usage(&format!("--lift: {error}")))?;
+        return lift(&node, &fingerprint);
+    }
+    let page: Page<QuarantineView> = node.read(QUARANTINE_PATH)?;
+    if values.has("json") {
+        println!("{}", page.text);
+    } else {
+        print!("{}", render(&page.view));
+    }
+    Ok(())
+}
+
+fn lift(node: &NodePages, fingerprint: &Fingerprint) -> Result<(), CommandError> {
+    if !node.delete(&format!("{QUARANTINE_PATH}/{fingerprint}"))? {
+        return Err(CommandError::Failed(format!(
+            "nothing counts against request {fingerprint}"
+        )));
+    }
+    println!("lifted {fingerprint}");
+    Ok(())
+}
+
+/// The text that is printed.
+pub fn render(view: &QuarantineView) -> String {
+    if view.requests.is_empty() {
+        return format!("node {}: no engine crashed under a request\n", view.node);
+    }
+    let headings = [
+        "fingerprint",
+        "standing",
+        "crashes",
+        "route",
+        "pool",
+        "tenant",
+        "counts for s",
+        "refused here",
+    ];
+    let rows: Vec<Vec<String>> = view.requests.iter().map(row).collect();
+    format!("node {}\n{}", view.node, table::render(&headings, &rows))
+}
+
+fn row(request: &SuspectView) -> Vec<String> {
+    vec![
+        request.fingerprint.clone(),
+        request.standing.clone(),
+        request.crashes.to_string(),
+        request.route.clone(),
+        request.pool.clone(),
+        request.tenant.clone().unwrap_or_else(|| "none".to_owned()),
+        request.counts_for_seconds.to_string(),
+        request.refused.to_string(),
+    ]
+}
--- a/crates/cli/src/usage.rs
+++ b/crates/cli/src/usage.rs
@@ -24,6 +24,7 @@
   requests show ID         one request
   explain ID FILE...       the course of a request out of the nodes' logs
   duties                   usage reports and the plan of engines, as a node sees them
+  quarantine               requests that crashed engines, and how to lift their quarantine
   requests cancel ID       end one request
 
 Options:
@@ -68,11 +69,23 @@
 pub const EXPLAIN: &str = "\
 Usage: shelfjunction explain REQUEST FILE...
 
-Prints what the logs in the files say of a request, in the order of time: what its nodes knew before, and its course.
+Prints what the logs in the files say of a request, in the order of time: what its nodes knew before, its course, and the engines that
+crashed under other attempts of the same content.
 
 Example:
   shelfjunction explain 9c41d07be2a35f68 node-1.log node-2.log";
 
+/// `quarantine`.
+pub const QUARANTINE: &str = "\
+Usage: shelfjunction quarantine --node IP:PORT [--json | --lift FINGERPRINT]
+
+Prints the requests under which engines crashed, as a node on the users' platform knows them: those that run alone and those that
+are refused, by the digest of what they ask for. --lift lets one run again, at every node.
+
+Example:
+  shelfjunction quarantine --node 10.1.0.38:7395
+  shelfjunction quarantine --node 10.1.0.38:7395 --lift 5c1e07a291bd3f06e4402b7d9c41d07b";
+
 /// `duties`.
 pub const DUTIES: &str = "\
 Usage: shelfjunction duties --node IP:PORT [--json]
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -240,3 +240,30 @@
     assert_eq!(events, expected);
     assert!(!ran.out.contains("number=78"), "another request's choice");
 }
+
+#[test]
+fn a_request_is_explained_with_the_engines_that_crashed_under_other_attempts() {
+    let place = directory("explain-crashes");
+    let log = "\
+node-2 event=crash_charged time=2026-12-02T09:59:00.0Z request=r0 fingerprint=ab12 engine=e1 crashes=1
+node-3 event=crash_charged time=2026-12-02T09:59:01.0Z request=r9 fingerprint=ffff engine=e1 crashes=1
+node-1 event=suspect_heard time=2026-12-02T09:59:02.0Z fingerprint=ab12 crashes=3
+node-1 event=request_routed time=2026-12-02T10:00:01.0Z request=r1 fingerprint=ab12 pool=p
+node-1 event=refused_suspect time=2026-12-02T10:00:01.1Z request=r1 fingerprint=ab12 crashes=3
+";
+    fs::write(place.join("nodes.log"), log).unwrap();
+    let ran = run_in(&place, &["explain", "r1", "nodes.log"]);
+    assert_eq!(ran.code, 0, "{}", ran.error);
+    let events: Vec<String> = ran
+        .out
+        .lines()
+        .map(|line| line.split_whitespace().take(3).collect::<Vec<_>>().join(" "))
+        .collect();
+    let expected = [
+        "course node-2 event=crash_charged",
+        "course node-1 event=suspect_heard",
+        "course node-1 event=request_routed",
+        "course node-1 event=refused_suspect",
+    ];
+    assert_eq!(events, expected);
+}
--- a/crates/lab/src/users_platform/store.rs
+++ b/crates/lab/src/users_platform/store.rs
@@ -238,11 +238,13 @@
         let state = self.shared.lock();
         let table = request.query_value("table").unwrap_or_default();
         let from = decoded(request.query_value("source").unwrap_or_default());
+        let until = request.query_value("targetVersion").map(decoded);
         let limit: usize = number(request.query_value("limit")).unwrap_or(500) as usize;
         let matching = state
             .rows
             .iter()
-            .filter(|((in_table, key), _)| in_table == table && *key >= from);
+            .filter(|((in_table, key), _)| in_table == table && *key >= from)
+            .filter(|((_, key), _)| until.as_ref().is_none_or(|until| key < until));
         let mut rows: Vec<WireRow> = matching
             .take(limit + 1)
             .map(|(name, stored)| wire_row(name, Some(&stored.value), stored.version))
