--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -4,11 +4,13 @@
 //! come to any node. Each engine that crashes while it is under way there counts against it, once, whoever saw it
 //! ([`Quarantine`]). With the last but one it becomes a suspect, which runs alone and never on a pool's last engine
 //! ([`TrialBoard`]); with the last it is refused, at every node. One whole answer of an engine that lives clears it: those that
-//! only ran beside the cause get one soon, the cause never does.
+//! only ran beside the cause get one soon, the cause never does. What was answered a short time ago is
+//! not charged at all ([`RecentlyAnswered`]).
 //!
 //! Nodes tell each other what they know; the store keeps what has one crash to go, so that a fleet that is killed as a whole
 //! does not begin anew.
 
+mod answered;
 pub mod config;
 mod fingerprint;
 mod register;
@@ -18,6 +20,7 @@
 mod trial;
 pub mod word;
 
+pub use answered::RecentlyAnswered;
 pub use fingerprint::{Fingerprint, NoFingerprint, RequestContent};
 pub use register::{Counts, Entry, Quarantine, Standing, Told};
 pub use trial::TrialBoard;
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -12,7 +12,9 @@
 use shelfjunction_core::quarantine::config::QuarantineSettings;
 use shelfjunction_core::quarantine::row::SuspectRow;
 use shelfjunction_core::quarantine::word::{TrialId, TrialWord};
-use shelfjunction_core::quarantine::{Fingerprint, Quarantine, RequestContent, Standing, Told, TrialBoard};
+use shelfjunction_core::quarantine::{
+    Fingerprint, Quarantine, RecentlyAnswered, RequestContent, Standing, Told, TrialBoard,
+};
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
 
@@ -148,6 +150,23 @@
     assert_eq!(register.standing(&CRASHING, at(2)).crashes(), 3);
 }
 
+/// Many callers ask the same: each crash of whatever cause would otherwise count against all of them.
+#[test]
+fn an_answer_vouches_for_what_is_asked_alike_for_a_minute() {
+    let mut answered = RecentlyAnswered::default();
+    assert!(!answered.vouches_for(&CRASHING, at(1)));
+    answered.note(CRASHING, at(1));
+    assert!(answered.vouches_for(&CRASHING, at(60)));
+    assert!(!answered.vouches_for(&CRASHING, at(61)));
+    answered.note(CRASHING, at(100));
+    for number in 0..4_096_u32 {
+        let mut name = [0; 16];
+        name[..4].copy_from_slice(&number.to_be_bytes());
+        answered.note(Fingerprint(name), at(100));
+    }
+    assert!(!answered.vouches_for(&CRASHING, at(100)), "memory is bounded");
+}
+
 #[test]
 fn switched_off_it_remembers_nothing() {
     let mut register = Quarantine::new(QuarantineSettings {
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -119,7 +119,10 @@
             .metrics
             .dispatch_ended(exchange.purpose.name(), "answered");
         self.count_answered(exchange.account);
-        quarantine::forgive(self.context, &self.fingerprint);
+        // A failure that an engine reports may come before it has begun to run the request.
+        if part != OpaquePart::Failure {
+            quarantine::note_answered(self.context, &self.fingerprint);
+        }
         self.context.links.give_back(&exchange.engine, exchange.link, now);
         Event::Forwarded {
             attempt: exchange.attempt,
--- a/crates/node/src/quarantine/mod.rs
+++ b/crates/node/src/quarantine/mod.rs
@@ -18,7 +18,9 @@
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::quarantine::config::QuarantineSettings;
 use shelfjunction_core::quarantine::telling::Pace;
-use shelfjunction_core::quarantine::{Asked, Counts, Fingerprint, Quarantine, Standing, TrialBoard};
+use shelfjunction_core::quarantine::{
+    Asked, Counts, Fingerprint, Quarantine, RecentlyAnswered, Standing, TrialBoard,
+};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::sync::Mutex;
@@ -29,6 +31,7 @@
     settings: QuarantineSettings,
     register: Mutex<Quarantine>,
     trials: Mutex<TrialBoard>,
+    answered: Mutex<RecentlyAnswered>,
     /// Whether anything is remembered. Nearly always nothing is, and no request need wait for the register.
     remembers: AtomicBool,
     pace: Mutex<Pace>,
@@ -40,6 +43,7 @@
             settings: config.quarantine,
             register: Mutex::new(Quarantine::new(config.quarantine)),
             trials: Mutex::default(),
+            answered: Mutex::default(),
             remembers: AtomicBool::new(false),
             pace: Mutex::default(),
         }
@@ -71,7 +75,8 @@
     }
 }
 
-/// Charges a request with the crash of an engine at which it was under way; absent where that was known.
+/// Charges a request with the crash of an engine at which it was under way; absent where that was known, or where an engine has
+/// answered the same a short time ago.
 pub(crate) fn charge(
     context: &Context,
     fingerprint: Fingerprint,
@@ -81,6 +86,9 @@
     let now = context.now();
     let handle = SubjectHandle::of_text("engine", engine.as_str());
     let suspects = &context.suspects;
+    if lock(&suspects.answered).vouches_for(&fingerprint, now) {
+        return None;
+    }
     let standing = suspects.with_register(|register| register.note_crash(fingerprint, asked, handle, now))?;
     context.metrics.quarantine.crash_charged();
     lock(&suspects.pace).note_fresh();
@@ -88,9 +96,10 @@
     Some(standing)
 }
 
-/// Forgives a request what counted against it, since an engine has answered it and lives.
-pub(crate) fn forgive(context: &Context, fingerprint: &Fingerprint) {
+/// An engine has answered a request with success, and lives: nothing counts against it.
+pub(crate) fn note_answered(context: &Context, fingerprint: &Fingerprint) {
     let suspects = &context.suspects;
+    lock(&suspects.answered).note(*fingerprint, context.now());
     if suspects.remembers_nothing() {
         return;
     }
