--- a/crates/lab/src/command/fault_soak.rs
+++ b/crates/lab/src/command/fault_soak.rs
@@ -1,6 +1,7 @@
 //! `shelfjunction-lab fault-soak`: nodes as processes under faults from outside.
 
 use super::{Command, CommandError, Options};
+use crate::fault_soak::schedule::Pace;
 use crate::fault_soak::{self, FaultSoakConfig};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -30,6 +31,12 @@
     options.optopt("", "program", "the program `shelfjunction`", "FILE");
     options.optopt("", "nodes", "nodes (3)", "NUMBER");
     options.optopt("", "callers", "callers at once (12)", "NUMBER");
+    options.optopt(
+        "",
+        "crashers",
+        "callers besides whose request crashes engines (2)",
+        "NUMBER",
+    );
     options.optopt("", "seconds", "length of each run (30)", "SECONDS");
     options.optopt(
         "",
@@ -37,6 +44,7 @@
         "time within which all must serve again (12)",
         "SECONDS",
     );
+    options.optflag("", "calm", "faults eight times further apart");
     options.optopt("", "seed", "seed of the first run; drawn unless given", "NUMBER");
     options.optopt("", "runs", "runs, each with the next seed (1)", "NUMBER");
     options.optopt(
@@ -73,6 +81,12 @@
             program: program.clone(),
             nodes,
             callers: options.value_or("callers", 12)?,
+            crashers: options.value_or("crashers", 2)?,
+            pace: if options.flag("calm") {
+                Pace::Calm
+            } else {
+                Pace::Dense
+            },
             length: Duration::from_secs_f64(seconds),
             recovery: Duration::from_secs_f64(recovery),
             seed,
--- a/crates/lab/src/fault_soak/callers.rs
+++ b/crates/lab/src/fault_soak/callers.rs
@@ -62,8 +62,33 @@
     pub fn call(&mut self, address: SocketAddr, node: usize, kind: CallKind, begun: Instant) -> SeenCall {
         self.sent += 1;
         let request = format!("caller{}-{}", self.number, self.sent);
+        self.call_at(address, node, request, kind, "body", begun)
+    }
+
+    /// Sends a request of a given name and body to a node and waits for what comes.
+    pub fn call_named(
+        &mut self,
+        deployment: &Deployment,
+        node: usize,
+        request: String,
+        kind: CallKind,
+        body: &str,
+        begun: Instant,
+    ) -> SeenCall {
+        self.call_at(deployment.address(node), node, request, kind, body, begun)
+    }
+
+    fn call_at(
+        &mut self,
+        address: SocketAddr,
+        node: usize,
+        request: String,
+        kind: CallKind,
+        body: &str,
+        begun: Instant,
+    ) -> SeenCall {
         let sent_at = begun.elapsed();
-        let answer = self.ask(address, &request, kind);
+        let answer = self.ask(address, &request, kind, body);
         SeenCall {
             request,
             kind,
@@ -74,7 +99,7 @@
         }
     }
 
-    fn ask(&mut self, address: SocketAddr, request: &str, kind: CallKind) -> Option<SeenAnswer> {
+    fn ask(&mut self, address: SocketAddr, request: &str, kind: CallKind, body: &str) -> Option<SeenAnswer> {
         let shared = self.random.random_range(0..20);
         let asked = self
             .agent
@@ -91,7 +116,7 @@
         } else {
             asked
         };
-        asked.send("body").ok().map(read)
+        asked.send(body).ok().map(read)
     }
 }
 
--- a/crates/lab/src/fault_soak/deployment.rs
+++ b/crates/lab/src/fault_soak/deployment.rs
@@ -1,5 +1,6 @@
 //! Nodes as processes, before stand-ins of the store and the engines, with a relay on every link between them.
 
+use super::disturbances::Disturbances;
 use super::operator::{base64, configuration_text};
 use super::oracle::EngineRecords;
 use super::places::{EnginePlace, GRACE, NodePlace};
@@ -11,10 +12,14 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 /// Events of each answer.
 pub const EVENTS: u64 = 5;
 
+/// Time after which an engine that has crashed is back.
+const BACK_AFTER: Duration = Duration::from_millis(2_500);
+
 /// Pools of the short calls; the operator moves the route between them.
 pub const APPLICATION_POOLS: [&str; 2] = ["pool-one", "pool-two"];
 
@@ -27,6 +32,8 @@
     nodes: Vec<Mutex<NodePlace>>,
     engines: Vec<Mutex<EnginePlace>>,
     configuration: Mutex<Configuration>,
+    /// Which nodes were struck when.
+    pub(super) disturbances: Disturbances,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -66,6 +73,7 @@
             nodes: places?,
             engines: engines?,
             configuration: Mutex::new(Configuration { version: 0, pool: 0 }),
+            disturbances: Disturbances::default(),
         };
         deployment.reconfigure();
         for engine in 0..deployment.engines.len() {
@@ -155,6 +163,18 @@
         Ok(())
     }
 
+    /// Starts engines again that crashed a while ago, under other names.
+    pub fn revive_crashed(&self) {
+        for number in 0..self.engines.len() {
+            if !lock(&self.engines[number]).comes_back(BACK_AFTER) {
+                continue;
+            }
+            if let Err(error) = self.replace(number) {
+                log::error!(engine = number, error:% = error; "engine_not_started");
+            }
+        }
+    }
+
     /// Kills a node, if it runs.
     pub fn kill(&self, node: usize) {
         if let Some(mut process) = lock(&self.nodes[node]).process.take() {
--- /dev/null
+++ b/crates/lab/src/fault_soak/disturbances.rs
@@ -0,0 +1,61 @@
+//! Which nodes were struck when, since a promise with a time bound holds only for nodes in touch.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+/// Nodes that a fault strikes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Struck {
+    /// One.
+    Node(usize),
+    /// All: each of them, or the store for all.
+    All,
+    /// None.
+    Nobody,
+}
+
+/// One fault on its nodes; absent end: it goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Disturbance {
+    struck: Struck,
+    from: Duration,
+    until: Option<Duration>,
+}
+
+/// Faults so far, in time from the start of the callers.
+#[derive(Debug, Default)]
+pub struct Disturbances {
+    all: Mutex<Vec<Disturbance>>,
+}
+
+impl Disturbances {
+    /// Notes that a fault begins; its place.
+    pub fn begin(&self, struck: Struck, at: Duration) -> usize {
+        let mut all = self.all.lock().unwrap_or_else(PoisonError::into_inner);
+        all.push(Disturbance {
+            struck,
+            from: at,
+            until: None,
+        });
+        all.len() - 1
+    }
+
+    /// Notes that it is over.
+    pub fn end(&self, place: usize, at: Duration) {
+        let mut all = self.all.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(disturbance) = all.get_mut(place) {
+            disturbance.until = Some(at);
+        }
+    }
+
+    /// Whether a node was struck by nothing for so long before an instant.
+    pub fn in_touch(&self, node: usize, at: Duration, contact: Duration) -> bool {
+        let all = self.all.lock().unwrap_or_else(PoisonError::into_inner);
+        let since = at.saturating_sub(contact);
+        !all.iter().any(|disturbance| {
+            let strikes =
+                matches!(disturbance.struck, Struck::All) || disturbance.struck == Struck::Node(node);
+            strikes && disturbance.from <= at && disturbance.until.is_none_or(|until| until >= since)
+        })
+    }
+}
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -5,7 +5,10 @@
 //! machine's timing, so a failed run keeps its logs.
 
 mod callers;
+mod crashers;
+pub mod crashes;
 mod deployment;
+pub mod disturbances;
 mod operator;
 pub mod oracle;
 mod places;
@@ -16,11 +19,15 @@
 mod striking;
 
 use callers::Caller;
+use crashers::Crasher;
+use crashes::{CrashCount, CrashingArrival};
 use deployment::{Deployment, EVENTS, MODEL_POOL};
 use oracle::{EngineRecords, Violation, judge, judge_reports};
 use places::REPEAT_BUDGET;
 use record::{CallKind, SeenCall};
 use repeats::{SeenArrival, judge_repeats};
+use schedule::Pace;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::io;
 use std::path::PathBuf;
@@ -43,6 +50,10 @@
     pub nodes: usize,
     /// Callers at once.
     pub callers: u64,
+    /// Callers besides whose request crashes the engines that run it.
+    pub crashers: u64,
+    /// How close faults follow on each other.
+    pub pace: Pace,
     /// Time for which faults strike.
     pub length: Duration,
     /// Time within which everything must work again after the last fault.
@@ -72,6 +83,8 @@
     pub unanswered: usize,
     /// Nodes that ended by themselves.
     pub exits: u32,
+    /// Engines that crashed under each crashing request, and arrivals of it later than is allowed.
+    pub crashes: Vec<CrashCount>,
     /// Promises that did not hold.
     pub violations: Vec<Violation>,
 }
@@ -87,7 +100,8 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             formatter,
-            "seed {}: {} faults; {} requests: {} succeeded, {} not run, {} other answers, {} unanswered; {} exits; {}",
+            "seed {}: {} faults; {} requests: {} succeeded, {} not run, {} other answers, {} unanswered; {} exits; engines ended \
+             under crashing requests {:?}, sent on late {:?}; {}",
             self.seed,
             self.faults,
             self.sent,
@@ -96,6 +110,8 @@
             self.other_answers,
             self.unanswered,
             self.exits,
+            self.crashes.iter().map(|count| count.ended).collect::<Vec<_>>(),
+            self.crashes.iter().map(|count| count.late).collect::<Vec<_>>(),
             if self.holds() {
                 "every promise held"
             } else {
@@ -114,7 +130,7 @@
     std::fs::create_dir_all(&config.directory)?;
     let deployment = Deployment::start(&config.program, config.nodes, &config.directory)?;
     let mut violations = wait_until_served(&deployment, config.seed, config.recovery);
-    let schedule = schedule::draw(config.seed, config.length, deployment.targets());
+    let schedule = schedule::draw(config.seed, config.length, deployment.targets(), config.pace);
     let begun = Instant::now();
     let calls = disturb(&deployment, config, &schedule, begun);
     deployment.heal();
@@ -127,7 +143,14 @@
     let arrivals = seen_arrivals(&records, begun);
     violations.extend(judge_repeats(&calls, &arrivals, MODEL_POOL, &REPEAT_BUDGET));
     violations.extend(judge_reports(&deployment.usage_reports()));
-    Ok(report(config.seed, schedule.len(), &calls, exits, violations))
+    let crashing = crashing_arrivals(&records, begun);
+    let crashes = crashes::count(&calls, &crashing, &deployment.disturbances);
+    violations.extend(crashes::judge(&crashes));
+    let crashes = crashes.into_values().collect();
+    Ok(FaultSoakReport {
+        crashes,
+        ..report(config.seed, schedule.len(), &calls, exits, violations)
+    })
 }
 
 /// What reached engines of what the callers sent; probes are judged where they are made.
@@ -145,6 +168,27 @@
         .collect()
 }
 
+/// What reached engines of the requests that crash them.
+fn crashing_arrivals(records: &EngineRecords, begun: Instant) -> Vec<CrashingArrival> {
+    let crashed: BTreeSet<&str> = records
+        .runs
+        .iter()
+        .filter(|run| run.crashed)
+        .map(|run| run.request.as_str())
+        .collect();
+    let arrivals = records.arrivals.iter().map(|(_, arrival)| arrival);
+    let crashing = arrivals.filter_map(|arrival| Some((arrival, arrival.crashing.clone()?)));
+    crashing
+        .map(|(arrival, content)| CrashingArrival {
+            content,
+            request: arrival.request.clone(),
+            engine: arrival.engine.clone(),
+            crashed: !arrival.reads_prompt && !arrival.refused && crashed.contains(arrival.request.as_str()),
+            at: arrival.at.saturating_duration_since(begun),
+        })
+        .collect()
+}
+
 fn disturb(
     deployment: &Deployment,
     config: &FaultSoakConfig,
@@ -159,9 +203,16 @@
                 scope.spawn(|| caller.run(deployment, begun, &stop))
             })
             .collect();
+        let crashers: Vec<_> = (0..config.crashers)
+            .map(|number| {
+                let crasher = Crasher::new(config.seed, number);
+                scope.spawn(|| crasher.run(deployment, begun, &stop))
+            })
+            .collect();
         striking::strike(deployment, schedule, begun);
         stop.store(true, Ordering::Relaxed);
-        let seen = callers.into_iter().filter_map(|caller| caller.join().ok());
+        let all = callers.into_iter().chain(crashers);
+        let seen = all.filter_map(|caller| caller.join().ok());
         seen.flatten().collect()
     })
 }
@@ -196,6 +247,7 @@
             return fault;
         }
         deployment.list_stages();
+        deployment.revive_crashed();
         thread::sleep(PROBE_EVERY);
     }
 }
@@ -243,6 +295,7 @@
         other_answers: calls.len() - succeeded - not_run - unanswered,
         unanswered,
         exits,
+        crashes: Vec::new(),
         violations,
     }
 }
--- a/crates/lab/src/fault_soak/oracle.rs
+++ b/crates/lab/src/fault_soak/oracle.rs
@@ -40,6 +40,15 @@
         /// Arrivals beyond the first that the budget allows.
         allowed: usize,
     },
+    /// A request under which engines crashed was sent on by nodes that had had the time to know.
+    SentOnAfterCrashes {
+        /// What it asked for.
+        content: String,
+        /// Engines that crashed under it.
+        ended: usize,
+        /// Arrivals later than the time to know after the third crash.
+        late: usize,
+    },
     /// A planned stop, alone, left a request that an engine had begun without its whole answer.
     CutOff(String),
 }
--- a/crates/lab/src/fault_soak/places.rs
+++ b/crates/lab/src/fault_soak/places.rs
@@ -12,7 +12,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time from the signal to stop until a node is killed; its settings say the same.
 pub(super) const GRACE: Duration = Duration::from_secs(8);
@@ -33,6 +33,8 @@
     pub(super) id: String,
     pub(super) ended: EngineRecords,
     pub(super) starts: u32,
+    /// When it was first seen to have crashed.
+    pub(super) crashed_at: Option<Instant>,
 }
 
 /// One node and the door through which it reaches the store.
@@ -59,7 +61,7 @@
     pub(super) fn start(number: usize, pool: &'static str, stage: Option<&'static str>) -> io::Result<Self> {
         let id = format!("engine-{number}-1");
         let now = start_engine(&id, stage)?;
-        let relay = Relay::start((Ipv4Addr::LOCALHOST, 0).into(), now.address())?;
+        let relay = relay_before(&now)?;
         Ok(Self {
             pool,
             stage,
@@ -68,6 +70,7 @@
             id,
             ended: EngineRecords::default(),
             starts: 1,
+            crashed_at: None,
         })
     }
 
@@ -79,10 +82,19 @@
         self.stage = self.now.stage();
         self.now = start_engine(&self.id, self.stage)?;
         self.relay.stop();
-        self.relay = Relay::start((Ipv4Addr::LOCALHOST, 0).into(), self.now.address())?;
+        self.relay = relay_before(&self.now)?;
+        self.crashed_at = None;
         Ok(())
     }
 
+    /// Whether it crashed so long ago that it comes back.
+    pub(super) fn comes_back(&mut self, after: Duration) -> bool {
+        if !self.now.has_crashed() {
+            return false;
+        }
+        self.crashed_at.get_or_insert_with(Instant::now).elapsed() >= after
+    }
+
     pub(super) fn records(&self) -> EngineRecords {
         EngineRecords {
             runs: self.now.runs(),
@@ -103,6 +115,14 @@
     }
 }
 
+/// The link to an engine, whose end is the engine's end to all who reach it.
+fn relay_before(engine: &ModelEngine) -> io::Result<Relay> {
+    let relay = Relay::start((Ipv4Addr::LOCALHOST, 0).into(), engine.address())?;
+    let of_engine = relay.clone();
+    engine.crash_by(Box::new(move || of_engine.stop()));
+    Ok(relay)
+}
+
 fn start_engine(id: &str, stage: Option<&'static str>) -> io::Result<ModelEngine> {
     ModelEngine::start(EngineSettings {
         id: id.to_owned(),
--- a/crates/lab/src/fault_soak/schedule.rs
+++ b/crates/lab/src/fault_soak/schedule.rs
@@ -1,5 +1,6 @@
 //! Which faults come when, drawn from a seed.
 
+use super::disturbances::Struck;
 use crate::relay::LinkFault;
 use crate::users_platform::{EngineFault, StoreMode};
 use rand::{Rng, SeedableRng};
@@ -55,6 +56,36 @@
     SilenceStoreLink(usize),
 }
 
+impl Fault {
+    /// Nodes that it strikes: their processes, their path to the store, or the store itself.
+    pub fn struck(self) -> Struck {
+        match self {
+            Self::StoreLink(node, _)
+            | Self::ResetStoreLink(node)
+            | Self::SilenceStoreLink(node)
+            | Self::StoreForOne(node, _)
+            | Self::Kill(node)
+            | Self::Pause(node)
+            | Self::Stop(node)
+            | Self::ReloadAndStop(node) => Struck::Node(node),
+            Self::StoreForAll(_)
+            | Self::ForgetHistory
+            | Self::KillAll
+            | Self::KillAllInSeries
+            | Self::KillAllWhileEnginesRefuse
+            | Self::StopInSeries => Struck::All,
+            Self::EngineLink(..)
+            | Self::ResetEngineLink(_)
+            | Self::SilenceEngineLink(_)
+            | Self::Engine(..)
+            | Self::Replace(_)
+            | Self::Reconfigure
+            | Self::ReconfigureInSeries
+            | Self::EnginesRefuse => Struck::Nobody,
+        }
+    }
+}
+
 /// One fault and when it strikes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ScheduledFault {
@@ -84,18 +115,40 @@
 /// Delays of slow links, in milliseconds.
 const DELAY_MILLIS: std::ops::Range<u64> = 5..120;
 
+/// How close faults follow on each other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Pace {
+    /// Several strike at once.
+    #[default]
+    Dense,
+    /// So far apart that nodes are in touch for most of the time: what has to hold within a time after a fault is judged.
+    Calm,
+}
+
+impl Pace {
+    fn stretched(self, pause: Duration) -> Duration {
+        match self {
+            Self::Dense => pause,
+            Self::Calm => pause * CALM_PAUSES,
+        }
+    }
+}
+
+/// Pauses between calm faults in those between dense ones.
+const CALM_PAUSES: u32 = 8;
+
 /// Draws the faults of a run; the same seed gives the same faults.
-pub fn draw(seed: u64, length: Duration, targets: Targets) -> Vec<ScheduledFault> {
+pub fn draw(seed: u64, length: Duration, targets: Targets, pace: Pace) -> Vec<ScheduledFault> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut schedule = Vec::new();
-    let mut at = Duration::from_millis(random.random_range(PAUSE_MILLIS));
+    let mut at = pace.stretched(Duration::from_millis(random.random_range(PAUSE_MILLIS)));
     while at < length {
         schedule.push(ScheduledFault {
             at,
             lasts: Duration::from_millis(random.random_range(LENGTH_MILLIS)),
             fault: draw_fault(&mut random, targets),
         });
-        at += Duration::from_millis(random.random_range(PAUSE_MILLIS));
+        at += pace.stretched(Duration::from_millis(random.random_range(PAUSE_MILLIS)));
     }
     schedule
 }
--- a/crates/lab/src/fault_soak/striking.rs
+++ b/crates/lab/src/fault_soak/striking.rs
@@ -21,7 +21,12 @@
     thread::scope(|scope| {
         for scheduled in schedule {
             tend_until(deployment, begun + scheduled.at);
-            scope.spawn(move || strike_one(deployment, scheduled));
+            scope.spawn(move || {
+                let struck = scheduled.fault.struck();
+                let place = deployment.disturbances.begin(struck, begun.elapsed());
+                strike_one(deployment, scheduled);
+                deployment.disturbances.end(place, begun.elapsed());
+            });
         }
     });
 }
@@ -30,6 +35,7 @@
     while Instant::now() < until {
         deployment.restart_ended();
         deployment.list_stages();
+        deployment.revive_crashed();
         thread::sleep(TEND_EVERY.min(until.saturating_duration_since(Instant::now())));
     }
 }
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -91,6 +91,10 @@
     pub reads_prompt: bool,
     /// Whether the engine turned it away.
     pub refused: bool,
+    /// What it asks for, where that crashes engines.
+    pub crashing: Option<String>,
+    /// The start of the engine.
+    pub engine: String,
     /// When it came.
     pub at: Instant,
 }
@@ -268,6 +272,9 @@
             request: request.header("Request-Id").unwrap_or_default().to_owned(),
             reads_prompt,
             refused,
+            crashing: crashes_engines(&request.body)
+                .then(|| String::from_utf8_lossy(&request.body).into_owned()),
+            engine: self.settings.id.clone(),
             at: Instant::now(),
         });
         if is_misdirected {
--- a/crates/lab/tests/fault_soak.rs
+++ b/crates/lab/tests/fault_soak.rs
@@ -2,10 +2,12 @@
 
 #![allow(clippy::unwrap_used)]
 
+use shelfjunction_lab::fault_soak::crashes::{CONTACT, CrashingArrival, count, judge as judge_crashes};
+use shelfjunction_lab::fault_soak::disturbances::{Disturbances, Struck};
 use shelfjunction_lab::fault_soak::oracle::{EngineRecords, Violation, judge, judge_reports};
 use shelfjunction_lab::fault_soak::record::{CallKind, SeenAnswer, SeenCall};
 use shelfjunction_lab::fault_soak::repeats::{RepeatBudget, SeenArrival, judge_repeats};
-use shelfjunction_lab::fault_soak::schedule::{Fault, Targets, draw};
+use shelfjunction_lab::fault_soak::schedule::{Fault, Pace, Targets, draw};
 use shelfjunction_lab::relay::{LinkFault, Relay};
 use shelfjunction_lab::users_platform::{OrderRecord, RunRecord, UsageReport};
 use std::io::{Read, Write};
@@ -186,9 +188,9 @@
 fn a_seed_gives_the_same_faults_and_every_kind_comes() {
     let targets = Targets { nodes: 3, engines: 9 };
     let length = Duration::from_secs(600);
-    let drawn = draw(7, length, targets);
-    assert_eq!(drawn, draw(7, length, targets));
-    assert_ne!(drawn, draw(8, length, targets));
+    let drawn = draw(7, length, targets, Pace::Dense);
+    assert_eq!(drawn, draw(7, length, targets, Pace::Dense));
+    assert_ne!(drawn, draw(8, length, targets, Pace::Dense));
     let kinds: std::collections::HashSet<_> = drawn
         .iter()
         .map(|scheduled| std::mem::discriminant(&scheduled.fault))
@@ -330,3 +332,62 @@
         1
     );
 }
+
+/// An arrival of a crashing request at an engine, so many seconds after the start.
+fn crashing(engine: &str, crashed: bool, seconds: u64) -> CrashingArrival {
+    CrashingArrival {
+        content: "crashes".to_owned(),
+        request: "mine".to_owned(),
+        engine: engine.to_owned(),
+        crashed,
+        at: Duration::from_secs(seconds),
+    }
+}
+
+/// Three engines end, and four arrivals follow ten seconds later.
+fn sent_on() -> Vec<CrashingArrival> {
+    let ended = ["a", "b", "c"].map(|engine| crashing(engine, true, 1));
+    let later = ["d", "d", "e", "e"].map(|engine| crashing(engine, engine == "e", 11));
+    ended.into_iter().chain(later).collect()
+}
+
+#[test]
+fn a_request_that_is_sent_on_after_three_engines_have_crashed_is_found() {
+    let calls = [call(CallKind::Again, None)];
+    let counts = count(&calls, &sent_on(), &Disturbances::default());
+    let expected = Violation::SentOnAfterCrashes {
+        content: "crashes".to_owned(),
+        ended: 4,
+        late: 4,
+    };
+    assert_eq!(judge_crashes(&counts), [expected]);
+    let allowed: Vec<_> = sent_on().into_iter().skip(1).collect();
+    let counts = count(&calls, &allowed, &Disturbances::default());
+    assert_eq!(judge_crashes(&counts), [], "two engines had ended before");
+    let in_time = sent_on().into_iter().map(|arrival| CrashingArrival {
+        at: arrival.at.min(Duration::from_secs(1) + CONTACT),
+        ..arrival
+    });
+    let counts = count(&calls, &in_time.collect::<Vec<_>>(), &Disturbances::default());
+    assert_eq!(judge_crashes(&counts), [], "nodes could not know yet");
+}
+
+#[test]
+fn what_nodes_out_of_touch_sent_on_does_not_count() {
+    let calls = [call(CallKind::Again, None)];
+    for (struck, until, counts_then) in [
+        (Struck::Node(0), Some(9), 0),
+        (Struck::All, None, 0),
+        (Struck::Node(0), Some(7), 4),
+        (Struck::Node(1), Some(9), 4),
+        (Struck::Nobody, None, 4),
+    ] {
+        let disturbances = Disturbances::default();
+        let place = disturbances.begin(struck, Duration::from_secs(6));
+        if let Some(until) = until {
+            disturbances.end(place, Duration::from_secs(until));
+        }
+        let counts = count(&calls, &sent_on(), &disturbances);
+        assert_eq!(counts["crashes"].late, counts_then, "{struck:?} until {until:?}");
+    }
+}
--- a/crates/node/src/commanding/mod.rs
+++ b/crates/node/src/commanding/mod.rs
@@ -33,6 +33,8 @@
     let mut tenure = Tenure::new(context);
     let mut ordering = Ordering::default();
     let mut keeper = Keeper::new(context);
+    // Before this node takes its first request, if the store answers.
+    keeper.step(context, table);
     let mut suspension = SuspensionWatch::start();
     while !context.stop.wait(pause(&ordering)) {
         note_suspension(suspension.look());
