--- a/crates/cli/src/operator/node_page.rs
+++ b/crates/cli/src/operator/node_page.rs
@@ -5,8 +5,9 @@
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
-use ureq::Body;
 use ureq::http::Response;
+use ureq::typestate::WithoutBody;
+use ureq::{Body, RequestBuilder};
 
 /// Longest wait for the whole answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -39,14 +40,7 @@
 
     /// Reads a page.
     pub fn read<T: DeserializeOwned>(&self, path: &str) -> Result<Page<T>, CommandError> {
-        let asked = ureq::get(self.url(path))
-            .config()
-            .timeout_global(Some(CALL_TIMEOUT))
-            .proxy(None)
-            .max_redirects(0)
-            .build()
-            .call();
-        let text = self.text_of(asked)?;
+        let text = self.text_of(bounded(ureq::get(self.url(path))).call())?;
         let view = serde_json::from_str(&text)
             .map_err(|error| CommandError::Failed(format!("{} told no {path}: {error}", self.address)))?;
         Ok(Page { text, view })
@@ -54,14 +48,7 @@
 
     /// Deletes what a path names; false where there is nothing.
     pub fn delete(&self, path: &str) -> Result<bool, CommandError> {
-        let asked = ureq::delete(self.url(path))
-            .config()
-            .timeout_global(Some(CALL_TIMEOUT))
-            .proxy(None)
-            .max_redirects(0)
-            .build()
-            .call();
-        match asked {
+        match bounded(ureq::delete(self.url(path))).call() {
             Err(ureq::Error::StatusCode(404)) => Ok(false),
             asked => self.text_of(asked).map(|_| true),
         }
@@ -79,3 +66,12 @@
         body.read_to_string().map_err(failed)
     }
 }
+
+/// A call that ends in time, goes to the node itself and follows nothing.
+fn bounded(call: RequestBuilder<WithoutBody>) -> RequestBuilder<WithoutBody> {
+    call.config()
+        .timeout_global(Some(CALL_TIMEOUT))
+        .proxy(None)
+        .max_redirects(0)
+        .build()
+}
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -210,6 +210,14 @@
     "#);
 }
 
+/// What stands first on each line: how it is meant, its source and its event.
+fn explained_events(text: &str) -> Vec<String> {
+    let lines = text.lines();
+    lines
+        .map(|line| line.split_whitespace().take(3).collect::<Vec<_>>().join(" "))
+        .collect()
+}
+
 #[test]
 fn a_request_is_explained_with_the_choice_that_another_node_made_for_it() {
     let place = directory("explain");
@@ -225,11 +233,7 @@
     fs::write(place.join("nodes.log"), log).unwrap();
     let ran = run_in(&place, &["explain", "r1", "nodes.log"]);
     assert_eq!(ran.code, 0, "{}", ran.error);
-    let events: Vec<String> = ran
-        .out
-        .lines()
-        .map(|line| line.split_whitespace().take(3).collect::<Vec<_>>().join(" "))
-        .collect();
+    let events = explained_events(&ran.out);
     let expected = [
         "known node-1 event=placer_changed",
         "course node-1 event=request_routed",
@@ -254,11 +258,7 @@
     fs::write(place.join("nodes.log"), log).unwrap();
     let ran = run_in(&place, &["explain", "r1", "nodes.log"]);
     assert_eq!(ran.code, 0, "{}", ran.error);
-    let events: Vec<String> = ran
-        .out
-        .lines()
-        .map(|line| line.split_whitespace().take(3).collect::<Vec<_>>().join(" "))
-        .collect();
+    let events = explained_events(&ran.out);
     let expected = [
         "course node-2 event=crash_charged",
         "course node-1 event=suspect_heard",
--- a/crates/lab/src/fault_soak/callers.rs
+++ b/crates/lab/src/fault_soak/callers.rs
@@ -21,6 +21,16 @@
 /// Pauses between two requests of a caller, in milliseconds.
 const PAUSE_MILLIS: std::ops::Range<u64> = 20..150;
 
+/// What is sent.
+pub struct Content<'a> {
+    /// Name of the request.
+    pub request: String,
+    /// Its kind.
+    pub kind: CallKind,
+    /// Its body.
+    pub body: &'a str,
+}
+
 /// One caller.
 pub struct Caller {
     number: u64,
@@ -62,31 +72,23 @@
     pub fn call(&mut self, address: SocketAddr, node: usize, kind: CallKind, begun: Instant) -> SeenCall {
         self.sent += 1;
         let request = format!("caller{}-{}", self.number, self.sent);
-        self.call_at(address, node, request, kind, "body", begun)
-    }
-
-    /// Sends a request of a given name and body to a node and waits for what comes.
-    pub fn call_named(
-        &mut self,
-        deployment: &Deployment,
-        node: usize,
-        request: String,
-        kind: CallKind,
-        body: &str,
-        begun: Instant,
-    ) -> SeenCall {
-        self.call_at(deployment.address(node), node, request, kind, body, begun)
+        let content = Content {
+            request,
+            kind,
+            body: "body",
+        };
+        self.send(address, node, content, begun)
     }
 
-    fn call_at(
+    /// Sends what is given to a node and waits for what comes.
+    pub fn send(
         &mut self,
         address: SocketAddr,
         node: usize,
-        request: String,
-        kind: CallKind,
-        body: &str,
+        content: Content<'_>,
         begun: Instant,
     ) -> SeenCall {
+        let Content { request, kind, body } = content;
         let sent_at = begun.elapsed();
         let answer = self.ask(address, &request, kind, body);
         SeenCall {
--- a/crates/lab/src/fault_soak/crashers.rs
+++ b/crates/lab/src/fault_soak/crashers.rs
@@ -1,6 +1,6 @@
 //! Callers whose request crashes the engine that runs it, and who send it again and again, to any node.
 
-use super::callers::Caller;
+use super::callers::{Caller, Content};
 use super::deployment::Deployment;
 use super::record::{CallKind, SeenCall};
 use crate::users_platform::CRASHING_BODY;
@@ -79,8 +79,12 @@
                     // The last letter names the tenant, which is the same each time.
                     let request = format!("crasher{}-{}-{}", self.number, self.sent, self.number);
                     let mut caller = Caller::new(self.sent, CRASHERS + self.number);
-                    let (body, kind) = (body.as_str(), self.kind);
-                    scope.spawn(move || caller.call_named(deployment, *node, request, kind, body, begun))
+                    let content = Content {
+                        request,
+                        kind: self.kind,
+                        body: &body,
+                    };
+                    scope.spawn(move || caller.send(deployment.address(*node), *node, content, begun))
                 })
                 .collect();
             let seen = calls.into_iter().filter_map(|call| call.join().ok());
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -1,5 +1,6 @@
 //! An engine: reads prompts for others, runs outputs as series of events, takes orders, and misbehaves when told to.
 
+use super::engine_records::{ArrivalRecord, OrderRecord, RunRecord};
 use serde::Deserialize;
 use shelfjunction_http::{
     Answer, AnswerHeader, Answered, Handler, HttpLimits, HttpRequest, HttpServer, ReadError, Responder,
@@ -54,53 +55,6 @@
 /// Ends an engine for whoever reaches it: closes its connections and refuses new ones.
 pub type CrashSwitch = Box<dyn Fn() + Send + Sync>;
 
-/// One order that an engine took.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct OrderRecord {
-    /// Authority under which it was given.
-    pub token: u64,
-    /// Who gave it.
-    pub holder: String,
-}
-
-/// One run of a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RunRecord {
-    /// The request.
-    pub request: String,
-    /// Event behind which it went on.
-    pub after_event: u64,
-    /// Where its KV cache was fetched; absent where the engine read the prompt itself.
-    pub source: Option<String>,
-    /// The engine from which held parts were to be fetched.
-    pub fetched_from: Option<String>,
-    /// The tenant that the system named.
-    pub tenant: Option<String>,
-    /// The caller's API key, which no engine may see.
-    pub key: Option<String>,
-    /// Rank among the engine's requests.
-    pub urgency: Option<u8>,
-    /// Whether the engine crashed over it.
-    pub crashed: bool,
-}
-
-/// A request as it reached an engine, whatever became of it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ArrivalRecord {
-    /// The request.
-    pub request: String,
-    /// Whether only its prompt was to be read.
-    pub reads_prompt: bool,
-    /// Whether the engine turned it away.
-    pub refused: bool,
-    /// What it asks for, where that crashes engines.
-    pub crashing: Option<String>,
-    /// The start of the engine.
-    pub engine: String,
-    /// When it came.
-    pub at: Instant,
-}
-
 #[derive(Debug, Default)]
 struct State {
     stage: Option<&'static str>,
--- a/crates/lab/src/users_platform/mod.rs
+++ b/crates/lab/src/users_platform/mod.rs
@@ -2,12 +2,11 @@
 //! read prompts, run outputs and take orders, and the interface that takes usage reports and orders of engines.
 
 mod engine;
+mod engine_records;
 mod interface;
 mod store;
 
-pub use engine::{
-    ArrivalRecord, CRASHING_BODY, CrashSwitch, EngineFault, EngineSettings, ModelEngine, OrderRecord,
-    RunRecord, crashes_engines,
-};
+pub use engine::{CRASHING_BODY, CrashSwitch, EngineFault, EngineSettings, ModelEngine, crashes_engines};
+pub use engine_records::{ArrivalRecord, OrderRecord, RunRecord};
 pub use interface::{InterfaceMode, ScaleOrder, StandInInterface, UsageReport};
 pub use store::{StandInStore, StoreMode};
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -12,6 +12,7 @@
 mod reading;
 mod routing;
 mod suspicion;
+mod waiting;
 
 use crate::context::Context;
 use crate::ports::{Call, CallerConnection, OwnAnswer};
--- /dev/null
+++ b/crates/node/src/course/waiting.rs
@@ -0,0 +1,122 @@
+//! The waits of a course: for its engine, its caller, and the times that end it.
+
+use super::crash_evidence::SILENT;
+use super::driver::Driver;
+use super::exchange::Exchange;
+use crate::context::Context;
+use crate::ports::EngineReading;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::request::event::Event;
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
+use std::time::Duration;
+
+/// Longest wait in the kernel, whose clock stands still while the machine is suspended: a request whose time ran out meanwhile
+/// is ended no later than this after it goes on.
+const LONGEST_POLL: Duration = Duration::from_millis(500);
+
+impl Driver<'_> {
+    /// Waits until the engine has something to say, the caller leaves or a time is over.
+    pub(super) fn wait(&mut self) -> Option<Event> {
+        let now = self.context.now();
+        if now >= self.deadline {
+            return Some(Event::DeadlineReached);
+        }
+        if self.caller_gone {
+            return Some(Event::CallerGone);
+        }
+        if let Some(event) = self.push_and_read() {
+            return Some(event);
+        }
+        self.exchange.as_ref()?;
+        self.poll(now)
+    }
+
+    fn push_and_read(&mut self) -> Option<Event> {
+        let exchange = self.exchange.as_mut()?;
+        if !exchange.all_sent {
+            match exchange.link.push() {
+                Ok(all_sent) => exchange.all_sent = all_sent,
+                Err(_) => return Some(self.broken("write_failed")),
+            }
+        }
+        match exchange.link.read() {
+            EngineReading::Pending => None,
+            reading => self.on_reading(reading),
+        }
+    }
+
+    fn poll(&mut self, now: MonotonicTime) -> Option<Event> {
+        let exchange = self.exchange.as_ref()?;
+        let until = exchange
+            .silent_from
+            .map_or(self.deadline, |silent| silent.min(self.deadline));
+        let timeout = Timespec::try_from(until.since(now).min(LONGEST_POLL)).unwrap_or_default();
+        let mut engine_flags = PollFlags::IN;
+        if !exchange.all_sent {
+            engine_flags |= PollFlags::OUT;
+        }
+        let caller_readable = {
+            let mut waits = vec![PollFd::from_borrowed_fd(exchange.link.descriptor(), engine_flags)];
+            if self.watch_caller {
+                waits.push(PollFd::from_borrowed_fd(self.caller.descriptor(), PollFlags::IN));
+            }
+            // An interrupted wait is begun again by the next round.
+            let _ = poll(&mut waits, Some(&timeout));
+            waits.get(1).is_some_and(|wait| !wait.revents().is_empty())
+        };
+        if caller_readable {
+            if !self.context.state.is_closing() && self.caller.is_gone() {
+                self.caller_gone = true;
+                return Some(Event::CallerGone);
+            }
+            // The caller has sent its next call already, or this side has stopped reading: only writing will show
+            // whether it left.
+            self.watch_caller = false;
+        }
+        let now = self.context.now();
+        let silent = exchange.silent_from.is_some_and(|silent| now >= silent);
+        if silent && now < self.deadline {
+            return self.push_and_read().or_else(|| self.silent(now));
+        }
+        None
+    }
+
+    /// The engine's time to answer is over. One that answers others is only busy: asking another
+    /// engine would have the prompt read twice.
+    fn silent(&mut self, now: MonotonicTime) -> Option<Event> {
+        let exchange = self.exchange.as_mut()?;
+        let lives = lives(self.context, exchange, now);
+        if !lives {
+            // Whatever made this connection silent may have struck those that rest as well, here and at the engine that is
+            // asked next, and each would cost a caller this patience; a new one is open within a few milliseconds.
+            self.context.links.forget(&exchange.engine);
+            self.distrusts_resting = true;
+            return Some(self.broken(SILENT));
+        }
+        let waited = now.since(exchange.asked_at);
+        exchange.asked_at = now;
+        exchange.silent_from = Some(now + waited);
+        log::info!(
+            request = self.call.request.as_str(),
+            engine = exchange.engine.as_str(),
+            waited_millis = waited.as_millis() as u64;
+            "waits_longer"
+        );
+        None
+    }
+}
+
+/// Whether an engine has answered anybody a moment ago, as far as this node or the placer that chose it knows.
+fn lives(context: &Context, exchange: &Exchange, now: MonotonicTime) -> bool {
+    let told = exchange.account.placer().and_then(|at| {
+        let engine = SubjectHandle::of_text("engine", exchange.engine.as_str());
+        context.placements.ask_liveness(context, engine, at.address)
+    });
+    told.unwrap_or_else(|| {
+        lock(&context.router)
+            .engine(&exchange.engine)
+            .is_some_and(|state| state.answers(now))
+    })
+}
