--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -46,7 +46,7 @@
     pub(super) fingerprint: Fingerprint,
     pub(super) route: &'a RouteRule,
     pub(super) access: Access,
-    pub(super) pool: &'a PoolId,
+    pub(super) pool: PoolId,
     pub(super) deadline: MonotonicTime,
     /// Present where engines crashed under the request, so that it runs alone.
     pub(super) trial: Option<Trial<'a>>,
@@ -61,7 +61,7 @@
     pub(super) fingerprint: Fingerprint,
     pub(super) route: &'a RouteRule,
     pub(super) access: Access,
-    pub(super) pool: &'a PoolId,
+    pub(super) pool: PoolId,
     pub(super) keep: bool,
     pub(super) machine: RequestMachine,
     pub(super) deadline: MonotonicTime,
@@ -123,13 +123,13 @@
             deadline,
             trial,
         } = routed;
-        let specification = routing::specification(call, route, &access, pool, deadline);
+        let specification = routing::specification(call, route, &access, &pool, deadline);
         let machine = RequestMachine::new(specification, routing::limits(route))
             .after_event(super::caller_position(route, call));
         let prompt = call
             .prompt
             .as_ref()
-            .filter(|_| super::runs_model(context, pool, call));
+            .filter(|_| super::runs_model(context, &pool, call));
         Self {
             context,
             caller,
@@ -232,7 +232,7 @@
 
     pub(super) fn query<'q>(&'q self, excluded: &'q [EngineId], now: MonotonicTime) -> PoolQuery<'q> {
         PoolQuery {
-            pool: self.pool,
+            pool: &self.pool,
             prompt: self.prompt,
             prefixes: &self.prefixes,
             zone: &self.context.config.zone,
@@ -267,7 +267,7 @@
 
     /// Asks the budget for an arrival beyond those that are free; true where it is granted.
     pub(super) fn take_repeat(&mut self, tried: u32) -> bool {
-        let decision = self.context.take_repeat(self.pool);
+        let decision = self.context.take_repeat(&self.pool);
         log::info!(
             request = self.call.request.as_str(),
             tried,
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -19,7 +19,7 @@
 use crate::quarantine::{self, Pass};
 use access::Access;
 use driver::{Driver, RoutedCall};
-use shelfjunction_core::forwarding::{PoolId, RepeatRule, RouteRule};
+use shelfjunction_core::forwarding::{ForwardingConfig, PoolId, RepeatRule, RouteRule};
 use shelfjunction_core::identity::TenantId;
 use shelfjunction_core::quarantine::{Fingerprint, RequestContent};
 use std::time::Duration;
@@ -40,6 +40,37 @@
         };
         return caller.say(&call.request, answer, keep).is_ok() && keep;
     };
+    match route_call(context, &config, call) {
+        Ok(routed) => Driver::new(context, caller, routed, keep).run(),
+        Err(refusal) => {
+            let keeps = keep && !refusal.closes;
+            caller.say(&call.request, refusal.answer, keeps).is_ok() && keep
+        }
+    }
+}
+
+/// Why a call is not served.
+struct CallRefusal {
+    answer: OwnAnswer,
+    /// Whether its connection is closed, so that the caller's next call comes to another node.
+    closes: bool,
+}
+
+impl From<OwnAnswer> for CallRefusal {
+    fn from(answer: OwnAnswer) -> Self {
+        Self {
+            answer,
+            closes: false,
+        }
+    }
+}
+
+/// Finds out where a call goes, for whom, and whether it may.
+fn route_call<'a>(
+    context: &'a Context,
+    config: &'a ForwardingConfig,
+    call: &'a Call,
+) -> Result<RoutedCall<'a>, CallRefusal> {
     let Some(route) = config.route(&call.host, call.path()) else {
         log::info!(
             request = call.request.as_str(),
@@ -48,71 +79,87 @@
             version = config.version;
             "refused_no_route"
         );
-        return caller.say(&call.request, OwnAnswer::NoRoute, keep).is_ok() && keep;
-    };
-    let access = match Access::of(&config, route, call) {
-        Ok(access) => access,
-        Err(refusal) => {
-            log::info!(
-                request = call.request.as_str(),
-                route:% = route.id,
-                cause = refusal.name(),
-                version = config.version;
-                "refused_no_access"
-            );
-            context.metrics.access_refused(refusal.name());
-            return caller.say(&call.request, OwnAnswer::NoAccess, keep).is_ok() && keep;
-        }
-    };
-    let longest = call
-        .time_left
-        .map_or(route.timeout, |left| left.min(route.timeout));
-    if !context.takes_call(longest) {
-        log::info!(request = call.request.as_str(), longest_millis = longest.as_millis() as u64; "refused_stopping");
-        let answer = OwnAnswer::NotRun {
-            retry_after: STOPPING_RETRY_AFTER,
-        };
-        return caller.say(&call.request, answer, false).is_ok() && keep;
-    }
-    let Some(pool) = context.next_pool(route) else {
-        return caller.say(&call.request, OwnAnswer::NoRoute, keep).is_ok() && keep;
+        return Err(OwnAnswer::NoRoute.into());
     };
+    let access = admitted(context, config, route, call)?;
+    refuse_when_stopping(context, route, call)?;
+    let pool = context.next_pool(route).ok_or(OwnAnswer::NoRoute)?;
     let fingerprint = fingerprint(call, &access);
     let deadline = routing::deadline(context, call, route);
     let trial = match quarantine::pass(context, &fingerprint, &pool, deadline) {
         Pass::Free => None,
         Pass::Trial(trial) => Some(trial),
         Pass::Withheld(withheld) => {
-            let answer = suspicion::refuse(context, call, &fingerprint, route, &withheld);
-            return caller.say(&call.request, answer, keep).is_ok() && keep;
+            return Err(suspicion::refuse(context, call, &fingerprint, route, &withheld).into());
         }
     };
     context.count_request(&pool);
-    log::info!(
-        request = call.request.as_str(),
-        fingerprint:% = fingerprint,
-        route:% = route.id,
-        pool:% = pool,
-        version = config.version,
-        tenant = access.tenant_name(),
-        priority = access.priority,
-        urgency = access.urgency,
-        prompt_tokens = call.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
-        output_tokens = call.prompt.as_ref().map_or(0, |prompt| prompt.output_tokens),
-        output_estimate:? = call.prompt.as_ref().and_then(|prompt| prompt.output_estimate),
-        left_millis:? = call.time_left.map(|left| left.as_millis() as u64);
-        "request_routed"
-    );
     let routed = RoutedCall {
         call,
         fingerprint,
         route,
         access,
-        pool: &pool,
+        pool,
         deadline,
         trial,
     };
-    Driver::new(context, caller, routed, keep).run()
+    log_routed(&routed, config.version);
+    Ok(routed)
+}
+
+fn admitted(
+    context: &Context,
+    config: &ForwardingConfig,
+    route: &RouteRule,
+    call: &Call,
+) -> Result<Access, CallRefusal> {
+    Access::of(config, route, call).map_err(|refusal| {
+        log::info!(
+            request = call.request.as_str(),
+            route:% = route.id,
+            cause = refusal.name(),
+            version = config.version;
+            "refused_no_access"
+        );
+        context.metrics.access_refused(refusal.name());
+        OwnAnswer::NoAccess.into()
+    })
+}
+
+fn refuse_when_stopping(context: &Context, route: &RouteRule, call: &Call) -> Result<(), CallRefusal> {
+    let longest = call
+        .time_left
+        .map_or(route.timeout, |left| left.min(route.timeout));
+    if context.takes_call(longest) {
+        return Ok(());
+    }
+    log::info!(request = call.request.as_str(), longest_millis = longest.as_millis() as u64; "refused_stopping");
+    Err(CallRefusal {
+        answer: OwnAnswer::NotRun {
+            retry_after: STOPPING_RETRY_AFTER,
+        },
+        closes: true,
+    })
+}
+
+fn log_routed(routed: &RoutedCall<'_>, version: u64) {
+    let call = routed.call;
+    let prompt = call.prompt.as_ref();
+    log::info!(
+        request = call.request.as_str(),
+        fingerprint:% = routed.fingerprint,
+        route:% = routed.route.id,
+        pool:% = routed.pool,
+        version,
+        tenant = routed.access.tenant_name(),
+        priority = routed.access.priority,
+        urgency = routed.access.urgency,
+        prompt_tokens = prompt.map_or(0, |prompt| prompt.tokens),
+        output_tokens = prompt.map_or(0, |prompt| prompt.output_tokens),
+        output_estimate:? = prompt.and_then(|prompt| prompt.output_estimate),
+        left_millis:? = call.time_left.map(|left| left.as_millis() as u64);
+        "request_routed"
+    );
 }
 
 /// What makes the call the same request as another.
