--- a/crates/lab/src/fault_soak/places.rs
+++ b/crates/lab/src/fault_soak/places.rs
@@ -10,8 +10,8 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Time from the signal to stop until a node is killed; its settings say the same.
@@ -173,26 +173,63 @@
 /// meanwhile any other process of the machine could be given one of them.
 const OWN_PORTS: std::ops::Range<u16> = 12_000..32_000;
 
-/// Ports that are tried before there are taken to be none.
-const TRIED_PORTS: usize = 1_000;
+/// Ports of one process. Another soak on the machine has a block of its own: where two shared ports, the nodes of one heard those
+/// of the other and took them for peers.
+const BLOCK: u16 = 1_000;
+
+/// A block of ports that belongs to this process for as long as it lives.
+struct PortBlock {
+    /// Listens on the block's first port, which keeps other processes out of it.
+    _claim: TcpListener,
+    start: u16,
+    /// Offset of the port that is tried next; each is given to one node only, since it is free again until the node starts.
+    next: AtomicU16,
+}
+
+impl PortBlock {
+    /// The first block, from one drawn at random on, that no other process has.
+    fn claim() -> io::Result<Self> {
+        let blocks = OWN_PORTS.len() as u16 / BLOCK;
+        let first = rand::rng().random_range(0..blocks);
+        let mut starts = (0..blocks).map(|step| OWN_PORTS.start + (first + step) % blocks * BLOCK);
+        let claimed = starts.find_map(|start| {
+            let claim = TcpListener::bind((Ipv4Addr::LOCALHOST, start)).ok()?;
+            Some((claim, start))
+        });
+        let (claim, start) = claimed.ok_or_else(|| io::Error::from(io::ErrorKind::AddrInUse))?;
+        Ok(Self {
+            _claim: claim,
+            start,
+            next: AtomicU16::new(0),
+        })
+    }
 
-/// Offset of the port that is tried next; each is given to one node only, since it is free again until the node starts.
-fn next_offset() -> &'static AtomicU16 {
-    static NEXT: OnceLock<AtomicU16> = OnceLock::new();
-    NEXT.get_or_init(|| AtomicU16::new(rand::rng().random_range(0..OWN_PORTS.len() as u16)))
+    /// An address on which nothing listens now, and that no other node of this process was given lately.
+    fn free_address(&self) -> io::Result<SocketAddr> {
+        let ports = (0..BLOCK).map(|_| {
+            let offset = self.next.fetch_add(1, Ordering::Relaxed) % (BLOCK - 1);
+            self.start + 1 + offset
+        });
+        let mut free = ports.filter_map(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).ok());
+        let listener = free
+            .next()
+            .ok_or_else(|| io::Error::from(io::ErrorKind::AddrInUse))?;
+        listener.local_addr()
+    }
 }
 
 /// Addresses on which nothing listens now, and that no other node was given.
 fn free_addresses() -> io::Result<[SocketAddr; 3]> {
-    Ok([free_address()?, free_address()?, free_address()?])
-}
-
-fn free_address() -> io::Result<SocketAddr> {
-    let count = OWN_PORTS.len() as u16;
-    let mut ports =
-        (0..TRIED_PORTS).map(|_| OWN_PORTS.start + next_offset().fetch_add(1, Ordering::Relaxed) % count);
-    ports
-        .find_map(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).ok())
-        .ok_or_else(|| io::Error::from(io::ErrorKind::AddrInUse))?
-        .local_addr()
+    static BLOCK_OF_PROCESS: Mutex<Option<PortBlock>> = Mutex::new(None);
+    let mut claimed = BLOCK_OF_PROCESS.lock().unwrap_or_else(PoisonError::into_inner);
+    let block = match claimed.take() {
+        Some(block) => block,
+        None => PortBlock::claim()?,
+    };
+    let block = claimed.insert(block);
+    Ok([
+        block.free_address()?,
+        block.free_address()?,
+        block.free_address()?,
+    ])
 }
