Interfaces for the parts to come: an engine is its name and its start; terms of a request; the fourth figure of a told load

EngineId holds the name and the start of an engine. Everything that is believed of an engine is keyed by it or by its handle, so a later start under the same name begins with nothing; for engines whose start isn't told nothing changes (start 0, the handle of the name alone). RequestTerms (tenant, longest pause, single try) go with every question to a placer, ToldLoad has the work time that engines tell, and costs ask EngineState::work_factor.

--- a/crates/core/src/identity.rs
+++ b/crates/core/src/identity.rs
@@ -1,6 +1,6 @@
 //! Names of the things the system decides about, each with a type of its own.
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt;
 
 macro_rules! text_identifier {
@@ -34,10 +34,6 @@
     /// One machine that runs a gateway and a controller.
     NodeId
 );
-text_identifier!(
-    /// One engine: a back end that runs models, or an application that acts on calls.
-    EngineId
-);
 text_identifier!(
     /// One zone: machines that fail or are cut off together.
     ZoneId
@@ -79,6 +75,78 @@
     OperatorId
 );
 
+/// When an engine was started, as the platform numbers it: a later start of the engine of the same name has a higher
+/// number. Zero where the platform doesn't tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct EngineStart(pub u64);
+
+impl fmt::Display for EngineStart {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
+/// One start of one engine: a back end that runs models, or an application that acts on calls.
+///
+/// An engine that starts again may keep its name. It holds and knows nothing of before, so whatever is believed of an
+/// engine is believed of one start of it. In texts for people, such as JSON and logs, the name stands alone.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EngineId {
+    name: String,
+    start: EngineStart,
+}
+
+impl EngineId {
+    /// An engine whose start the platform doesn't tell.
+    pub fn new(name: impl Into<String>) -> Self {
+        Self::started(name, EngineStart::default())
+    }
+
+    /// One start of an engine.
+    pub fn started(name: impl Into<String>, start: EngineStart) -> Self {
+        Self {
+            name: name.into(),
+            start,
+        }
+    }
+
+    /// The engine's name, which its later starts may share.
+    pub fn as_str(&self) -> &str {
+        &self.name
+    }
+
+    /// The start.
+    pub fn start(&self) -> EngineStart {
+        self.start
+    }
+}
+
+impl fmt::Display for EngineId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.name)
+    }
+}
+
+impl Serialize for EngineId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.serialize_str(&self.name);
+        }
+        (&self.name, self.start).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for EngineId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            return String::deserialize(deserializer).map(Self::new);
+        }
+        let (name, start) = <(String, EngineStart)>::deserialize(deserializer)?;
+        Ok(Self { name, start })
+    }
+}
+
 /// Proof of authority over the engines of a zone; a higher one supersedes every lower one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/core/src/membership/subject.rs
+++ b/crates/core/src/membership/subject.rs
@@ -1,6 +1,7 @@
 //! Short names of subjects on the wire.
 
 use super::record::RecordKey;
+use crate::identity::{EngineId, EngineStart};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
@@ -17,7 +18,15 @@
     pub fn of(key: &RecordKey) -> Self {
         match key {
             RecordKey::Node(node) => Self::of_text("node", node.as_str()),
-            RecordKey::Engine(engine) => Self::of_text("engine", engine.as_str()),
+            RecordKey::Engine(engine) => Self::of_engine(engine),
+        }
+    }
+
+    /// The handle of one start of an engine.
+    pub fn of_engine(engine: &EngineId) -> Self {
+        match engine.start() {
+            EngineStart(0) => Self::of_text("engine", engine.as_str()),
+            start => Self::of_text("engine", &format!("{}\0{start}", engine.as_str())),
         }
     }
 
--- a/crates/core/src/placing/placement_table.rs
+++ b/crates/core/src/placing/placement_table.rs
@@ -315,6 +315,7 @@
             zone: &self.request.zone,
             excluded,
             paused_too: false,
+            terms: self.request.terms,
             rank: usize::from(self.request.rank),
             remaining: self.request.left,
             draw: key.number,
--- a/crates/core/src/placing/question.rs
+++ b/crates/core/src/placing/question.rs
@@ -4,7 +4,7 @@
 use crate::forwarding::PoolId;
 use crate::identity::ZoneId;
 use crate::membership::subject::SubjectHandle;
-use crate::routing::pool::{Admission, PromptShape, Timing, ToldLoad};
+use crate::routing::pool::{Admission, PromptShape, RequestTerms, Timing, ToldLoad};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,6 +27,8 @@
     pub prompt: PromptShape,
     /// Zone of the node that asks.
     pub zone: ZoneId,
+    /// What it is owed.
+    pub terms: RequestTerms,
     /// Rank among requests, from [`crate::routing::pool::rank_of`] or [`crate::routing::pool::LATE_RANK`].
     pub rank: u8,
     /// Time left.
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -112,7 +112,7 @@
         } else {
             self.weights.away_seconds
         };
-        state.slowness * self.speeds.prefill.seconds(tokens)
+        state.work_factor(self.now) * self.speeds.prefill.seconds(tokens)
             + self.fetch(state, reading)
             + away
             + self.apart(&state.engine.zone, query.zone)
@@ -132,7 +132,10 @@
         } else {
             0.0
         };
-        state.slowness * (self.load(state) + held_up) + self.arriving(state) + transfer + self.spread(state)
+        state.work_factor(self.now) * (self.load(state) + held_up)
+            + self.arriving(state)
+            + transfer
+            + self.spread(state)
     }
 
     /// Cost of handing the KV cache of a prompt from the engine that read it to the one that runs the output.
@@ -147,11 +150,11 @@
         let reading = self.reading(state, query);
         let work = state.work(self.now);
         let tokens = work.prompt_tokens_ahead(query.rank) + reading.computed;
-        let seconds = state.slowness * self.speeds.decode.seconds(tokens);
+        let seconds = state.work_factor(self.now) * self.speeds.decode.seconds(tokens);
         let harm = self.speeds.pauses.harm();
         let stall = self.weights.decode_reading_stall + self.weights.decode_reading_harm * harm;
         let disturbance = 1.0 + stall * (1.0 + work.outputs);
-        state.slowness * self.load(state)
+        state.work_factor(self.now) * self.load(state)
             + self.fetch(state, reading)
             + seconds * disturbance
             + self.spread(state)
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -58,6 +58,9 @@
     pub waiting: u32,
     /// Requests that it can run at once.
     pub places: u32,
+    /// How long work takes on its machine at this moment, in hundredths of what is usual there; absent where it doesn't
+    /// tell. Engines share their machines with others, so this changes many times a second.
+    pub work_time_percent: Option<u32>,
 }
 
 /// Work that this node handed to an engine and that has not ended.
@@ -199,7 +202,7 @@
 impl EngineState {
     pub(super) fn new(engine: PoolEngine, cache_tokens: u64) -> Self {
         Self {
-            handle: SubjectHandle::of_text("engine", engine.id.as_str()),
+            handle: SubjectHandle::of_engine(&engine.id),
             engine,
             prefixes: PrefixBelief::new(cache_tokens),
             heard_at: None,
@@ -246,6 +249,11 @@
         sum
     }
 
+    /// Factor by which work takes longer here than at a usual engine of its pool, as far as is known now.
+    pub fn work_factor(&self, _now: MonotonicTime) -> f64 {
+        self.slowness
+    }
+
     /// Whether one more request would find a place now.
     pub(super) fn has_place(&self, now: MonotonicTime) -> bool {
         self.work(now).requests + 1.0 <= f64::from(self.engine.places.max(1))
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -36,7 +36,7 @@
 pub use listing::{EngineListing, ListChange, ListSnapshot};
 pub use pool_speeds::PoolSpeeds;
 pub use prefix::PrefixBelief;
-pub use query::{PoolQuery, PrefixBlock, PromptPart, PromptShape};
+pub use query::{PoolQuery, PrefixBlock, PromptPart, PromptShape, RequestTerms};
 pub use recent::{ListNews, RecentChanges};
 pub use router::PoolRouter;
 pub use speed::ReadingSpeed;
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -2,7 +2,7 @@
 
 use crate::forwarding::PoolId;
 use crate::identity::{EngineId, ZoneId};
-use crate::membership::subject::mix;
+use crate::membership::subject::{SubjectHandle, mix};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -69,6 +69,17 @@
     }
 }
 
+/// What a request is owed beside its answer, as far as it decides where it goes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestTerms {
+    /// The tenant whose request it is; absent where callers need no key.
+    pub tenant: Option<SubjectHandle>,
+    /// Longest pause between two events of its answer that is harmless; absent where the route names none.
+    pub longest_pause: Option<Duration>,
+    /// Whether it may run on one engine only: one that ends under it can't be made good.
+    pub single_try: bool,
+}
+
 /// One request that needs an engine.
 #[derive(Clone, Debug)]
 pub struct PoolQuery<'a> {
@@ -84,6 +95,8 @@
     pub excluded: &'a [EngineId],
     /// Whether engines that are left alone for a while may be chosen.
     pub paused_too: bool,
+    /// What it is owed.
+    pub terms: RequestTerms,
     /// Rank among requests, from [`super::rank_of`].
     pub rank: usize,
     /// Time left.
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -102,10 +102,9 @@
 
     /// The short name of an engine, the same at every node.
     pub fn handle_of(&self, engine: &EngineId) -> SubjectHandle {
-        self.engines.get(engine).map_or_else(
-            || SubjectHandle::of_text("engine", engine.as_str()),
-            |state| state.handle,
-        )
+        self.engines
+            .get(engine)
+            .map_or_else(|| SubjectHandle::of_engine(engine), |state| state.handle)
     }
 
     /// The engine with a short name; absent where it is not known.
--- a/crates/core/tests/membership_world/mod.rs
+++ b/crates/core/tests/membership_world/mod.rs
@@ -311,7 +311,7 @@
             state: MachineState::Live,
         });
         let engines = self.engines.iter().enumerate().map(|(number, engine)| Machine {
-            name: engine_id(number).0,
+            name: engine_id(number).to_string(),
             zone: zone_name(engine.zone),
             region: region_name(engine.zone),
             service: MachineService::ModelEngine {
--- a/crates/core/tests/placing.rs
+++ b/crates/core/tests/placing.rs
@@ -16,7 +16,8 @@
     Answer, PlacedRequest, Placement, Progress, ProgressReport, Question, RequestKey, Wanted,
 };
 use shelfjunction_core::routing::pool::{
-    Admission, EngineStage, PoolAdmission, PoolRouter, PoolWeights, PromptPart, PromptShape, Timing,
+    Admission, EngineStage, PoolAdmission, PoolRouter, PoolWeights, PromptPart, PromptShape, RequestTerms,
+    Timing,
 };
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
@@ -165,6 +166,7 @@
         },
         step,
         request: PlacedRequest {
+            terms: RequestTerms::default(),
             pool: pool(),
             prompt: PromptShape {
                 model: "m".to_owned(),
--- a/crates/core/tests/pool_admission.rs
+++ b/crates/core/tests/pool_admission.rs
@@ -11,7 +11,7 @@
 use shelfjunction_core::routing::pool::{
     Admission, AdmissionDecision, EngineStage, ExpectationError, LATE_RANK, OutputWay, PeerWork,
     PoolAdmission, PoolQuery, PoolRoute, PoolRouter, PoolSpeeds, PoolWeights, PrefixBlock, PromptPart,
-    PromptShape, ReadingSpeed, Timing, TurnedAway, WorkSlice,
+    PromptShape, ReadingSpeed, RequestTerms, Timing, TurnedAway, WorkSlice,
 };
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
@@ -64,6 +64,7 @@
             zone: &self.zone,
             excluded: &[],
             paused_too: false,
+            terms: RequestTerms::default(),
             draw: 1,
             rank: 0,
             remaining: Duration::from_secs(5),
--- a/crates/core/tests/pool_router.rs
+++ b/crates/core/tests/pool_router.rs
@@ -10,7 +10,7 @@
 use shelfjunction_core::identity::{EngineId, NodeId, ZoneId};
 use shelfjunction_core::routing::pool::{
     EngineStage, OutputWay, PeerWork, PoolEngine, PoolQuery, PoolRoute, PoolRouter, PoolWeights, PrefixBlock,
-    PromptPart, PromptShape, WorkSlice,
+    PromptPart, PromptShape, RequestTerms, WorkSlice,
 };
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
@@ -89,6 +89,7 @@
             zone: &self.zone,
             excluded: &self.excluded,
             paused_too: false,
+            terms: RequestTerms::default(),
             draw: 0,
             rank: 1,
             remaining: Duration::from_secs(5),
@@ -98,7 +99,7 @@
 
 fn split(route: PoolRoute) -> (String, String) {
     match route {
-        PoolRoute::Split { prefill, decode } => (prefill.id.0, decode.id.0),
+        PoolRoute::Split { prefill, decode } => (prefill.id.to_string(), decode.id.to_string()),
         other => panic!("not split: {other:?}"),
     }
 }
@@ -120,7 +121,7 @@
 fn a_queue_sends_a_prompt_elsewhere_and_its_held_part_is_fetched() {
     let mut router = router(&split_pool());
     let asked = Asked::new(1);
-    let home = EngineId(split(router.choose(&asked.query(), NOW)).0);
+    let home = EngineId::new(split(router.choose(&asked.query(), NOW)).0);
     let ticket = router.on_prompt_sent(&home, &asked.query(), NOW);
     router.on_prompt_read(&ticket, &asked.prefixes, NOW + Duration::from_millis(400));
     let later = NOW + Duration::from_millis(500);
@@ -140,7 +141,7 @@
     };
     let handle = router.engine(&home).unwrap().handle;
     router.on_peer_work(&NodeId::new("other"), WorkSlice::ALL, &[(handle, work)], later);
-    let elsewhere = EngineId(split(router.choose(&asked.query(), later)).0);
+    let elsewhere = EngineId::new(split(router.choose(&asked.query(), later)).0);
     assert_ne!(elsewhere, home);
     let source = router.engine(&home).unwrap().engine.address;
     assert_eq!(
@@ -148,7 +149,7 @@
         Some(source)
     );
     router.on_peer_work(&NodeId::new("other"), WorkSlice::ALL, &[], later);
-    let again = EngineId(split(router.choose(&asked.query(), later)).0);
+    let again = EngineId::new(split(router.choose(&asked.query(), later)).0);
     assert_eq!(
         router.engine(&again).unwrap().work(later).requests,
         0.0,
@@ -160,7 +161,7 @@
 fn urgent_prompts_do_not_wait_for_lesser_ones() {
     let mut router = router(&split_pool());
     let asked = Asked::new(1);
-    let home = EngineId(split(router.choose(&asked.query(), NOW)).0);
+    let home = EngineId::new(split(router.choose(&asked.query(), NOW)).0);
     let handle = router.engine(&home).unwrap().handle;
     let work = PeerWork {
         prompt_tokens: [0, 0, 0, 500_000],
@@ -171,7 +172,7 @@
         output_tokens: 0,
     };
     router.on_peer_work(&NodeId::new("other"), WorkSlice::ALL, &[(handle, work)], NOW);
-    assert_eq!(split(router.choose(&asked.query(), NOW)).0, home.0);
+    assert_eq!(split(router.choose(&asked.query(), NOW)).0, home.as_str());
 }
 
 #[test]
@@ -192,7 +193,7 @@
     router.note_order(&EngineId::new("p3"), EngineStage::Decode, NOW);
     let route = router.choose(&Asked::new(1).query(), NOW);
     assert!(
-        matches!(route, PoolRoute::Whole(engine) if engine.id.0 == "d3"),
+        matches!(route, PoolRoute::Whole(engine) if engine.id.as_str() == "d3"),
         "nobody else reads prompts"
     );
     router.on_engine_gone(&EngineId::new("d3"), false, NOW);
--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -123,7 +123,7 @@
 
     /// Lists an engine as leaving.
     pub fn mark_leaving(&mut self, engine: usize) {
-        let name = &self.plan.engines[engine].engine.0;
+        let name = self.plan.engines[engine].engine.as_str();
         for machine in self.machines.iter_mut().filter(|machine| machine.name == *name) {
             machine.state = MachineState::Leaving;
         }
--- a/crates/lab/src/scale/plan.rs
+++ b/crates/lab/src/scale/plan.rs
@@ -109,7 +109,7 @@
     /// Its entry in the platform's list.
     pub fn machine(&self, state: MachineState) -> Machine {
         Machine {
-            name: self.engine.0.clone(),
+            name: self.engine.to_string(),
             zone: zone_id(self.zone),
             region: region_id(self.zone),
             service: MachineService::ModelEngine {
--- a/crates/node/src/course/admitting.rs
+++ b/crates/node/src/course/admitting.rs
@@ -3,10 +3,14 @@
 use super::driver::Driver;
 use super::routing;
 use crate::placing::PlacedAt;
+use shelfjunction_core::forwarding::RepeatRule;
+use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::outcome::{Refusal, RefusalReason};
 use shelfjunction_core::placing::question::{AdmissionVerdict, Answer, Wanted};
 use shelfjunction_core::request::event::Event;
-use shelfjunction_core::routing::pool::{Admission, AdmissionDecision, LATE_RANK, Timing, rank_of};
+use shelfjunction_core::routing::pool::{
+    Admission, AdmissionDecision, LATE_RANK, RequestTerms, Timing, rank_of,
+};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::time::Duration;
@@ -79,6 +83,16 @@
         }));
     }
 
+    /// What the request is owed beside its answer.
+    pub(super) fn terms(&self) -> RequestTerms {
+        let tenant = self.access.tenant.as_ref();
+        RequestTerms {
+            tenant: tenant.map(|tenant| SubjectHandle::of_text("tenant", tenant.as_str())),
+            longest_pause: self.route.event_gap,
+            single_try: self.route.repeat == RepeatRule::Never || self.route.maximum_runs <= 1,
+        }
+    }
+
     /// Rank under which the request's work is counted and told to other nodes.
     pub(super) fn rank(&self) -> usize {
         if self.late {
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -238,6 +238,7 @@
             zone: &self.context.config.zone,
             excluded,
             paused_too: false,
+            terms: self.terms(),
             draw: self.draw,
             rank: self.rank(),
             remaining: routing::left(self.deadline, now),
--- a/crates/node/src/course/placing.rs
+++ b/crates/node/src/course/placing.rs
@@ -33,7 +33,7 @@
     /// Chooses the engine that runs the output of the prompt that `source` has read.
     pub(super) fn choose_output(&mut self, source: &EngineId, excluded: &[EngineId]) {
         let wanted = || Wanted::Output {
-            source: SubjectHandle::of_text("engine", source.as_str()),
+            source: SubjectHandle::of_engine(source),
             excluded: handles(excluded),
         };
         let placement = self.ask(wanted).and_then(|(answer, at)| self.adopt(&answer, at));
@@ -60,6 +60,7 @@
                 pool: self.pool.clone(),
                 prompt: prompt.clone(),
                 zone: self.context.config.zone.clone(),
+                terms: self.terms(),
                 rank: self.rank() as u8,
                 left: routing::left(self.deadline, now),
             },
@@ -161,8 +162,5 @@
 }
 
 fn handles(engines: &[EngineId]) -> Vec<SubjectHandle> {
-    engines
-        .iter()
-        .map(|engine| SubjectHandle::of_text("engine", engine.as_str()))
-        .collect()
+    engines.iter().map(SubjectHandle::of_engine).collect()
 }
--- a/crates/node/src/course/waiting.rs
+++ b/crates/node/src/course/waiting.rs
@@ -111,7 +111,7 @@
 /// Whether an engine has answered anybody a moment ago, as far as this node or the placer that chose it knows.
 fn lives(context: &Context, exchange: &Exchange, now: MonotonicTime) -> bool {
     let told = exchange.account.placer().and_then(|at| {
-        let engine = SubjectHandle::of_text("engine", exchange.engine.as_str());
+        let engine = SubjectHandle::of_engine(&exchange.engine);
         context.placements.ask_liveness(context, engine, at.address)
     });
     told.unwrap_or_else(|| {
--- a/crates/node/src/quarantine/mod.rs
+++ b/crates/node/src/quarantine/mod.rs
@@ -84,7 +84,7 @@
     engine: &EngineId,
 ) -> Option<Standing> {
     let now = context.now();
-    let handle = SubjectHandle::of_text("engine", engine.as_str());
+    let handle = SubjectHandle::of_engine(engine);
     let suspects = &context.suspects;
     if lock(&suspects.answered).vouches_for(&fingerprint, now) {
         return None;
--- a/crates/node/src/recovering.rs
+++ b/crates/node/src/recovering.rs
@@ -102,7 +102,7 @@
         .map(|node| handle(node.as_str()))
         .collect();
     nodes.push(own);
-    let task = SubjectHandle::of_text("engine", engine.as_str());
+    let task = SubjectHandle::of_engine(engine);
     let rank = rendezvous::rank(task, own, &nodes, nodes.len()).unwrap_or(nodes.len());
     TIME_PER_RANK * u32::try_from(rank).unwrap_or(u32::MAX)
 }
--- a/tests/world/controller.rs
+++ b/tests/world/controller.rs
@@ -173,7 +173,7 @@
                 let row = transaction.writes.first().and_then(|write| {
                     let engine = write.key.0.rsplit('/').next()?.to_owned();
                     let row: EngineRow = serde_json::from_str(write.value.as_deref()?).ok()?;
-                    Some(row.to_order(&EngineId(engine)))
+                    Some(row.to_order(&EngineId::new(engine)))
                 });
                 let not_after = local + Duration::from_secs(1);
                 let early = row.map(|order| CommanderEffect::SendOrder { order, not_after });
--- a/tests/world/fleet.rs
+++ b/tests/world/fleet.rs
@@ -119,7 +119,7 @@
 
     fn fill_zone(&mut self, zone: usize, size: ZonePlan) {
         for number in 0..size.engines + size.applications {
-            let engine = EngineId(format!("engine-{zone}-{number}"));
+            let engine = EngineId::new(format!("engine-{zone}-{number}"));
             let index = u16::try_from(self.engines.len()).unwrap_or(u16::MAX);
             let application = number >= size.engines;
             self.engines
