Operators cordon engines and zones of a pool, and see what each engine is and why it is left alone

Engines and cordons are told on the metrics address and printed by 'cordons' and 'pool-engines'. Behaves as before where there is no cordon.

Ruled out: rows of their own for each cordon, words without the store, a hard exclusion (docs/design/cordons.md).

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -38,6 +38,8 @@
         "engines" => operator::run_engines(rest),
         "usage" => operator::run_usage(rest),
         "duties" => operator::duties::run(rest),
+        "cordons" => operator::cordons::run(rest),
+        "pool-engines" => operator::pool_engines::run(rest),
         "quarantine" => operator::quarantine::run(rest),
         "explain" => operator::explain::run(rest),
         "requests" => operator::run_requests(rest),
--- a/crates/cli/src/operator/mod.rs
+++ b/crates/cli/src/operator/mod.rs
@@ -2,11 +2,13 @@
 
 mod bundle;
 mod client;
+pub mod cordons;
 pub mod duties;
 pub mod explain;
 mod files;
 mod keygen;
 mod node_page;
+pub mod pool_engines;
 mod print;
 mod print_fleet;
 pub mod quarantine;
--- a/crates/cli/src/operator/node_page.rs
+++ b/crates/cli/src/operator/node_page.rs
@@ -5,8 +5,7 @@
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
-use ureq::http::Response;
-use ureq::typestate::WithoutBody;
+use ureq::http::{Response, StatusCode};
 use ureq::{Body, RequestBuilder};
 
 /// Longest wait for the whole answer.
@@ -40,17 +39,23 @@
 
     /// Reads a page.
     pub fn read<T: DeserializeOwned>(&self, path: &str) -> Result<Page<T>, CommandError> {
-        let text = self.text_of(bounded(ureq::get(self.url(path))).call())?;
-        let view = serde_json::from_str(&text)
-            .map_err(|error| CommandError::Failed(format!("{} told no {path}: {error}", self.address)))?;
+        let text = self.answer_of(path, bounded(ureq::get(self.url(path))).call())?;
+        let view = self.view_of(path, &text)?;
         Ok(Page { text, view })
     }
 
+    /// Posts JSON to a path; what the node then tells there.
+    pub fn post<T: DeserializeOwned>(&self, path: &str, body: &str) -> Result<T, CommandError> {
+        let call = bounded(ureq::post(self.url(path))).content_type("application/json");
+        let text = self.answer_of(path, call.send(body))?;
+        self.view_of(path, &text)
+    }
+
     /// Deletes what a path names; false where there is nothing.
     pub fn delete(&self, path: &str) -> Result<bool, CommandError> {
         match bounded(ureq::delete(self.url(path))).call() {
-            Err(ureq::Error::StatusCode(404)) => Ok(false),
-            asked => self.text_of(asked).map(|_| true),
+            Ok(answer) if answer.status() == StatusCode::NOT_FOUND => Ok(false),
+            asked => self.answer_of(path, asked).map(|_| true),
         }
     }
 
@@ -58,20 +63,37 @@
         format!("http://{}{path}", self.address)
     }
 
-    fn text_of(&self, asked: Result<Response<Body>, ureq::Error>) -> Result<String, CommandError> {
+    fn view_of<T: DeserializeOwned>(&self, path: &str, text: &str) -> Result<T, CommandError> {
+        serde_json::from_str(text)
+            .map_err(|error| CommandError::Failed(format!("{} told no {path}: {error}", self.address)))
+    }
+
+    /// The text of an answer; that of a refusal is its reason.
+    fn answer_of(
+        &self,
+        path: &str,
+        asked: Result<Response<Body>, ureq::Error>,
+    ) -> Result<String, CommandError> {
         let failed =
             |error: ureq::Error| CommandError::Failed(format!("{} did not answer: {error}", self.address));
         let mut answer = asked.map_err(failed)?;
+        let status = answer.status();
         let body = answer.body_mut().with_config().limit(MOST_ANSWER_BYTES);
-        body.read_to_string().map_err(failed)
+        let text = body.read_to_string().map_err(failed)?;
+        if status.is_success() {
+            return Ok(text);
+        }
+        let reason = format!("{} refused {path} with {status}: {text}", self.address);
+        Err(CommandError::Failed(reason))
     }
 }
 
-/// A call that ends in time, goes to the node itself and follows nothing.
-fn bounded(call: RequestBuilder<WithoutBody>) -> RequestBuilder<WithoutBody> {
+/// A call that ends in time, goes to the node itself and follows nothing; a refusal is an answer, whose text tells why.
+fn bounded<Any>(call: RequestBuilder<Any>) -> RequestBuilder<Any> {
     call.config()
         .timeout_global(Some(CALL_TIMEOUT))
         .proxy(None)
         .max_redirects(0)
+        .http_status_as_error(false)
         .build()
 }
--- a/crates/cli/src/usage.rs
+++ b/crates/cli/src/usage.rs
@@ -25,6 +25,8 @@
   explain ID FILE...       the course of a request out of the nodes' logs
   duties                   usage reports and the plan of engines, as a node sees them
   quarantine               requests that crashed engines, and how to lift their quarantine
+  cordons                  engines that operators have left alone, and how to change that
+  pool-engines             engines as a node on the users' platform knows them
   requests cancel ID       end one request
 
 Options:
@@ -86,6 +88,31 @@
   shelfjunction quarantine --node 10.1.0.38:7395
   shelfjunction quarantine --node 10.1.0.38:7395 --lift 5c1e07a291bd3f06e4402b7d9c41d07b";
 
+/// `cordons`.
+pub const CORDONS: &str = "\
+Usage: shelfjunction cordons --node IP:PORT [--json]
+       shelfjunction cordons --node IP:PORT --cordon TARGET --by NAME --seconds N [--force]
+       shelfjunction cordons --node IP:PORT --lift TARGET
+
+Prints the engines that operators have the nodes on the users' platform leave alone, adds a cordon or lifts one, at every node.
+TARGET is engine/NAME or zone/POOL/ZONE. A cordon lifts itself after its time; what runs at an engine goes on. Where no other
+engine can take a request a cordoned one does, unless --force was given, which is also needed to leave alone more than half of
+a pool's engines.
+
+Example:
+  shelfjunction cordons --node 10.1.0.38:7395 --cordon engine/i-7f3a91c2 --by alice --seconds 600
+  shelfjunction cordons --node 10.1.0.38:7395 --lift engine/i-7f3a91c2";
+
+/// `pool-engines`.
+pub const POOL_ENGINES: &str = "\
+Usage: shelfjunction pool-engines --node IP:PORT [--json]
+
+Prints what a node on the users' platform knows of each engine: its start, what work takes there against a usual engine of its
+pool, what is believed to be there, and why it gets no new work, if so.
+
+Example:
+  shelfjunction pool-engines --node 10.1.0.38:7395";
+
 /// `duties`.
 pub const DUTIES: &str = "\
 Usage: shelfjunction duties --node IP:PORT [--json]
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -7,7 +7,9 @@
 use std::os::unix::fs::PermissionsExt;
 use support::{directory, examples, run_in};
 
-const COMMANDS: [&[&str]; 16] = [
+const COMMANDS: [&[&str]; 18] = [
+    &["cordons"],
+    &["pool-engines"],
     &["duties"],
     &["gateway"],
     &["controller"],
--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -80,6 +80,11 @@
         now < self.paused_until
     }
 
+    /// Time for which it is still left alone; absent where it isn't.
+    pub fn paused_for(&self, now: MonotonicTime) -> Option<Duration> {
+        self.is_paused(now).then(|| self.paused_until.since(now))
+    }
+
     fn pause(&mut self, first: Duration, now: MonotonicTime) {
         let doublings = self.consecutive_troubles.min(MOST_DOUBLINGS);
         let pause = first.saturating_mul(1 << doublings).min(LONGEST_PAUSE);
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -133,7 +133,7 @@
         now: MonotonicTime,
     ) -> Explanation {
         let context = self.context(query, now);
-        let home = self.home(query);
+        let home = self.home(query, now);
         let cost = |state: &EngineState| match (stage, reads) {
             (EngineStage::Prefill, _) => {
                 context.prompt(state, query, home.as_ref() == Some(&state.engine.id))
@@ -255,7 +255,7 @@
         query: &'a PoolQuery<'_>,
         context: &CostContext<'_>,
     ) -> Option<(f64, &'a EngineState)> {
-        let home = self.home(query);
+        let home = self.home(query, context.now);
         cheapest(
             self.candidates(query, EngineStage::Prefill, context.now),
             |state| {
@@ -303,7 +303,7 @@
     }
 
     /// The engine at which the shared part of a prompt is kept, by rendezvous hashing over those that read prompts.
-    pub(super) fn home(&self, query: &PoolQuery<'_>) -> Option<EngineId> {
+    pub(super) fn home(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<EngineId> {
         let shared = shared_prefixes(query.prefixes);
         let last = shared.last().or(query.prefixes.last())?;
         let task = SubjectHandle::of_number(last.hash);
@@ -312,6 +312,7 @@
             state.engine.pool == *query.pool
                 && state.engine.stage == EngineStage::Prefill
                 && state.stays()
+                && state.cordon_allows(now, false)
                 && !query.excluded.contains(&state.engine.id)
         });
         homes
--- /dev/null
+++ b/crates/core/src/routing/pool/cordoned.rs
@@ -0,0 +1,132 @@
+//! Engines that operators have cordoned, and why an engine is left alone.
+
+use super::engine::{EngineStage, EngineState};
+use super::router::PoolRouter;
+use crate::cordon::{CordonTarget, EngineStanding};
+use crate::identity::EngineId;
+use crate::time::MonotonicTime;
+use std::time::Duration;
+
+/// A cordon on this process's clock.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CordonInForce {
+    /// What is left alone.
+    pub target: CordonTarget,
+    /// Until when.
+    pub until: MonotonicTime,
+    /// Whether the engines are left alone even where no other can take a request.
+    pub forced: bool,
+}
+
+/// How a cordon bears on one engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct EngineCordon {
+    pub(super) until: MonotonicTime,
+    pub(super) forced: bool,
+}
+
+/// Why an engine gets no new work, the first cause that holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeftAlone {
+    /// The platform lists it no longer.
+    Gone,
+    /// It is about to leave.
+    Leaving,
+    /// It has been ordered to take another stage.
+    Changing(EngineStage),
+    /// An operator has cordoned it, for so long still.
+    Cordoned {
+        /// Time until it lifts itself.
+        remaining: Duration,
+        /// Whether it gets nothing even where no other can take a request.
+        forced: bool,
+    },
+    /// Its zone was seen to take spot engines back a moment ago.
+    TakenBack,
+    /// It broke or refused work, for so long still.
+    Paused {
+        /// Time until it is tried again.
+        remaining: Duration,
+    },
+}
+
+impl EngineState {
+    pub(super) fn cordon_in_force(&self, now: MonotonicTime) -> Option<EngineCordon> {
+        self.cordon.filter(|cordon| cordon.until > now)
+    }
+
+    /// Whether a cordon lets work come here, where no other engine can take it if `for_want_of_others`.
+    pub(super) fn cordon_allows(&self, now: MonotonicTime, for_want_of_others: bool) -> bool {
+        self.cordon_in_force(now)
+            .is_none_or(|cordon| for_want_of_others && !cordon.forced)
+    }
+
+    /// Why it gets no new work; absent where it does.
+    pub fn left_alone(&self, now: MonotonicTime) -> Option<LeftAlone> {
+        if self.gone.is_some() {
+            return Some(LeftAlone::Gone);
+        }
+        if self.engine.leaving {
+            return Some(LeftAlone::Leaving);
+        }
+        if let Some(stage) = self.ordered_stage(now) {
+            return Some(LeftAlone::Changing(stage));
+        }
+        if let Some(cordon) = self.cordon_in_force(now) {
+            return Some(LeftAlone::Cordoned {
+                remaining: cordon.until.since(now),
+                forced: cordon.forced,
+            });
+        }
+        if self.is_taken_back(now) {
+            return Some(LeftAlone::TakenBack);
+        }
+        self.health
+            .paused_for(now)
+            .map(|remaining| LeftAlone::Paused { remaining })
+    }
+}
+
+impl PoolRouter {
+    /// Takes all cordons that are in force, in place of those before.
+    pub fn on_cordons(&mut self, cordons: Vec<CordonInForce>) {
+        self.cordons = cordons;
+        for state in self.engines.values_mut() {
+            state.cordon = strictest(&self.cordons, state);
+        }
+    }
+
+    /// Looks whether a cordon covers an engine that was listed just now.
+    pub(super) fn note_cordon(&mut self, engine: &EngineId) {
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.cordon = strictest(&self.cordons, state);
+        }
+    }
+
+    /// Every engine that is listed and stays.
+    pub fn standings(&self) -> Vec<EngineStanding> {
+        let staying = self.engines.values().filter(|state| state.stays());
+        staying
+            .map(|state| EngineStanding {
+                engine: state.engine.id.clone(),
+                pool: state.engine.pool.clone(),
+                zone: state.engine.zone.clone(),
+                stage: state.engine.stage,
+            })
+            .collect()
+    }
+}
+
+/// Of the cordons that cover an engine, a forced one, and else the one that lasts longest.
+fn strictest(cordons: &[CordonInForce], state: &EngineState) -> Option<EngineCordon> {
+    let engine = &state.engine;
+    let covering = cordons
+        .iter()
+        .filter(|cordon| cordon.target.covers(&engine.id, &engine.pool, &engine.zone));
+    covering
+        .map(|cordon| EngineCordon {
+            until: cordon.until,
+            forced: cordon.forced,
+        })
+        .max_by_key(|cordon| (cordon.forced, cordon.until))
+}
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -1,6 +1,7 @@
 //! What is known of one engine of a pool.
 
 use super::beliefs::{PeerWork, RANKS};
+use super::cordoned::EngineCordon;
 use super::dispatches::OutputWay;
 use super::prefix::PrefixBelief;
 use crate::forwarding::PoolId;
@@ -182,6 +183,8 @@
     pub(super) gone: Option<Gone>,
     /// When its zone was last seen to take spot engines back while this one was listed as staying.
     pub(super) taken_back_at: Option<MonotonicTime>,
+    /// The cordon that covers it, if any.
+    pub(super) cordon: Option<EngineCordon>,
     pub(super) health: Health,
     pub(super) sent: BTreeMap<u64, SentWork>,
     pub(super) told: Option<(ToldLoad, MonotonicTime)>,
@@ -209,6 +212,7 @@
             ordered: None,
             gone: None,
             taken_back_at: None,
+            cordon: None,
             health: Health::default(),
             sent: BTreeMap::new(),
             told: None,
@@ -254,6 +258,12 @@
         self.slowness
     }
 
+    /// Requests that waited here when it last told; absent where that no longer counts.
+    pub fn told_waiting(&self, now: MonotonicTime) -> Option<u32> {
+        let (told, at) = self.told?;
+        (now.since(at) < TOLD_LIFETIME).then_some(told.waiting)
+    }
+
     /// Whether one more request would find a place now.
     pub(super) fn has_place(&self, now: MonotonicTime) -> bool {
         self.work(now).requests + 1.0 <= f64::from(self.engine.places.max(1))
@@ -282,6 +292,7 @@
         !self.engine.leaving
             && self.ordered_stage(now).is_none()
             && self.gone.is_none_or(|gone| gone.is_doubtful_at(now))
+            && self.cordon_allows(now, paused_too)
             && (paused_too || !(self.health.is_paused(now) || self.is_taken_back(now)))
     }
 
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -10,6 +10,7 @@
 mod admission;
 mod beliefs;
 mod choice;
+mod cordoned;
 pub mod cost;
 mod demand;
 mod dispatches;
@@ -29,6 +30,7 @@
 pub use admission::{Admission, AdmissionDecision, LATE_RANK, PoolAdmission, Timing};
 pub use beliefs::{PeerWork, PrefixNews, RANKS, WorkSlice, rank_of};
 pub use choice::{EngineBeliefs, Explanation, PoolRoute};
+pub use cordoned::{CordonInForce, LeftAlone};
 pub use cost::shared_prefixes;
 pub use dispatches::{OutputWay, PoolTicket};
 pub use engine::{EngineStage, EngineState, PoolEngine, ToldLoad, WorkAtEngine};
--- a/crates/core/src/routing/pool/neighbours.rs
+++ b/crates/core/src/routing/pool/neighbours.rs
@@ -92,7 +92,7 @@
         let engines = self
             .engines
             .values()
-            .filter(|state| state.engine.pool == *pool && state.stays());
+            .filter(|state| state.engine.pool == *pool && state.stays() && state.cordon_allows(now, false));
         let views = engines.map(|state| {
             let work = state.work(now);
             PoolEngineView {
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -1,6 +1,7 @@
 //! The router and what it knows of each engine.
 
 use super::beliefs::PrefixNews;
+use super::cordoned::CordonInForce;
 use super::demand::PromptDemand;
 use super::engine::{EngineStage, EngineState, FORGET_AFTER, Gone, PoolEngine, ToldLoad};
 use super::pool_speeds::PoolSpeeds;
@@ -27,6 +28,8 @@
     pub(super) news: Vec<PrefixNews>,
     pub(super) demand: PromptDemand,
     pub(super) tickets: u64,
+    /// Cordons in force.
+    pub(super) cordons: Vec<CordonInForce>,
 }
 
 impl PoolRouter {
@@ -42,6 +45,7 @@
             news: Vec::new(),
             demand: PromptDemand::default(),
             tickets: 0,
+            cordons: Vec::new(),
         }
     }
 
@@ -56,6 +60,7 @@
 
     /// Takes the listing of one engine.
     pub fn on_engine(&mut self, engine: PoolEngine) {
+        let id = engine.id.clone();
         match self.engines.get_mut(&engine.id) {
             Some(state) => state.update(engine),
             None => {
@@ -66,6 +71,7 @@
                 self.engines.insert(state.engine.id.clone(), state);
             }
         }
+        self.note_cordon(&id);
     }
 
     /// Notes that the platform lists an engine no longer; `doubtful` where the store was in trouble just before, so
--- a/crates/node/src/commanding/mod.rs
+++ b/crates/node/src/commanding/mod.rs
@@ -9,6 +9,7 @@
 mod tenure;
 
 use crate::context::Context;
+use crate::cordons;
 use crate::peers::Duty;
 use crate::quarantine::Keeper;
 use ordering::Ordering;
@@ -33,12 +34,14 @@
     let mut tenure = Tenure::new(context);
     let mut ordering = Ordering::default();
     let mut keeper = Keeper::new(context);
+    let mut cordons = cordons::Reader::new(context);
     // Before this node takes its first request, if the store answers.
     keeper.step(context, table);
     let mut suspension = SuspensionWatch::start();
     while !context.stop.wait(pause(&ordering)) {
         note_suspension(suspension.look());
         keeper.step(context, table);
+        cordons.step(context, table);
         if context.state.is_stopping() {
             // A successor need not wait for the lease to lapse.
             tenure.release(context, table);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::autoscaling::config::AutoscalingPolicy;
+use shelfjunction_core::cordon::CordonSettings;
 use shelfjunction_core::identity::{NodeId, ZoneId};
 use shelfjunction_core::lease::LeaseTimings;
 use shelfjunction_core::metering::config::MeteringSettings;
@@ -83,6 +84,9 @@
     /// Which nodes choose engines for which requests.
     #[serde(default)]
     pub placing: PlacingSettings,
+    /// What operators may have left alone.
+    #[serde(default)]
+    pub cordons: CordonSettings,
     /// When requests are refused that crash engines.
     #[serde(default)]
     pub quarantine: QuarantineSettings,
@@ -207,6 +211,7 @@
         let mut errors = self.routing.validate();
         errors.extend(self.admission.validate());
         errors.extend(self.placing.validate());
+        errors.extend(self.cordons.validate());
         errors.extend(self.quarantine.validate());
         errors.extend(self.roles.validate());
         errors.extend(self.lease.validate());
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -12,6 +12,7 @@
 use crate::releasing::Releases;
 use crate::repeats::Repeats;
 use crate::watch::{StoreTrouble, TableWatch};
+use shelfjunction_core::cordon::CordonSet;
 use shelfjunction_core::forwarding::{
     Adoption, CallerWaits, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation, stopping,
 };
@@ -49,6 +50,8 @@
     pub(crate) listing: Mutex<EngineListing>,
     /// Changes of the list that the store has told this node; locked after `listing`.
     pub(crate) recent_changes: Mutex<RecentChanges>,
+    /// Engines that operators leave alone.
+    pub(crate) cordons: Mutex<CordonSet>,
     /// Requests under which engines crashed.
     pub(crate) suspects: Suspects,
     /// Random number of this start of the process.
@@ -154,6 +157,7 @@
             list_watch: TableWatch::new("engines", config.list_watch),
             listing: Mutex::new(EngineListing::default()),
             recent_changes: Mutex::new(RecentChanges::default()),
+            cordons: Mutex::default(),
             suspects: Suspects::new(&config),
             start: rand::random(),
             fleet_clock: Mutex::default(),
--- /dev/null
+++ b/crates/node/src/cordons/mod.rs
@@ -0,0 +1,61 @@
+//! Cordons of operators at this node: kept in the store, told to other nodes, in force in the router.
+
+mod changing;
+mod reading;
+mod view;
+
+pub(crate) use changing::{ChangeError, change};
+pub(crate) use reading::Reader;
+pub(crate) use view::{engines_view, view};
+
+use crate::context::Context;
+use crate::metering;
+use shelfjunction_core::cordon::{Cordon, CordonSet};
+use shelfjunction_core::metering::UnixTime;
+use shelfjunction_core::routing::pool::CordonInForce;
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
+
+/// Takes a set from the store or a peer, which `source` names; whether it was newer than what this node had.
+pub(crate) fn take(context: &Context, set: CordonSet, source: &str) -> bool {
+    let (taken, in_force) = {
+        let mut known = lock(&context.cordons);
+        let taken = known.take(set);
+        (taken, known.clone())
+    };
+    if !taken {
+        return false;
+    }
+    let (now, unix) = (context.now(), metering::unix(context));
+    let cordons: Vec<CordonInForce> = in_force
+        .in_force(unix)
+        .map(|cordon| on_own_clock(cordon, now, unix))
+        .collect();
+    log::info!(version = in_force.version, cordons = cordons.len(), source; "cordons_taken");
+    for cordon in &in_force.cordons {
+        log::info!(
+            version = in_force.version,
+            target:% = cordon.target,
+            by = cordon.by.as_str(),
+            forced = cordon.forced,
+            seconds_left = cordon.until.since(unix).as_secs();
+            "cordon_stands"
+        );
+    }
+    lock(&context.router).on_cordons(cordons);
+    context.peers.note_confirmed();
+    true
+}
+
+/// The version that this node has.
+pub(crate) fn version(context: &Context) -> u64 {
+    lock(&context.cordons).version
+}
+
+fn on_own_clock(cordon: &Cordon, now: MonotonicTime, unix: UnixTime) -> CordonInForce {
+    CordonInForce {
+        target: cordon.target.clone(),
+        until: now + cordon.until.since(unix),
+        forced: cordon.forced,
+    }
+}
--- /dev/null
+++ b/crates/node/src/cordons/view.rs
@@ -0,0 +1,86 @@
+//! What operators see of cordons and engines.
+
+use crate::context::Context;
+use crate::metering;
+use shelfjunction_core::routing::pool::{EngineStage, EngineState, LeftAlone};
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_protocol::cordons::{CordonView, CordonsView, EngineView, EnginesView};
+use shelfjunction_threads::lock;
+use std::time::Duration;
+
+/// The cordons in force, and who else has them.
+pub(crate) fn view(context: &Context) -> CordonsView {
+    let unix = metering::unix(context);
+    let set = lock(&context.cordons).clone();
+    let told = context.peers.told_cordons(context.now());
+    let cordons = set.in_force(unix).map(|cordon| CordonView {
+        target: cordon.target.to_string(),
+        by: cordon.by.clone(),
+        since_seconds: unix.since(cordon.since).as_secs(),
+        left_seconds: cordon.until.since(unix).as_secs(),
+        forced: cordon.forced,
+    });
+    CordonsView {
+        node: context.config.node.as_str().to_owned(),
+        version: set.version,
+        nodes_heard: told.len(),
+        nodes_alike: told.iter().filter(|version| **version == set.version).count(),
+        cordons: cordons.collect(),
+    }
+}
+
+/// Every engine that this node knows.
+pub(crate) fn engines_view(context: &Context) -> EnginesView {
+    let now = context.now();
+    let router = lock(&context.router);
+    EnginesView {
+        node: context.config.node.as_str().to_owned(),
+        engines: router.engines().map(|state| engine_view(state, now)).collect(),
+    }
+}
+
+fn engine_view(state: &EngineState, now: MonotonicTime) -> EngineView {
+    let work = state.work(now);
+    let alone = state.left_alone(now);
+    EngineView {
+        engine: state.engine.id.as_str().to_owned(),
+        start: state.engine.id.start().0,
+        pool: state.engine.pool.to_string(),
+        zone: state.engine.zone.as_str().to_owned(),
+        stage: stage_name(state.engine.stage).to_owned(),
+        work_factor: state.work_factor(now),
+        requests: work.requests as u64,
+        outputs: work.outputs as u64,
+        waiting: state.told_waiting(now),
+        prompt_tokens: work.all_prompt_tokens() as u64,
+        left_alone: alone.map(|alone| cause_name(alone).to_owned()),
+        left_alone_seconds: alone.and_then(remaining).map(|time| time.as_secs_f64()),
+    }
+}
+
+fn stage_name(stage: EngineStage) -> &'static str {
+    match stage {
+        EngineStage::Whole => "whole",
+        EngineStage::Prefill => "prefill",
+        EngineStage::Decode => "decode",
+    }
+}
+
+fn cause_name(alone: LeftAlone) -> &'static str {
+    match alone {
+        LeftAlone::Gone => "gone",
+        LeftAlone::Leaving => "leaving",
+        LeftAlone::Changing(_) => "changing stage",
+        LeftAlone::Cordoned { forced: true, .. } => "cordoned by force",
+        LeftAlone::Cordoned { forced: false, .. } => "cordoned",
+        LeftAlone::TakenBack => "zone taken back",
+        LeftAlone::Paused { .. } => "paused",
+    }
+}
+
+fn remaining(alone: LeftAlone) -> Option<Duration> {
+    match alone {
+        LeftAlone::Cordoned { remaining, .. } | LeftAlone::Paused { remaining } => Some(remaining),
+        LeftAlone::Gone | LeftAlone::Leaving | LeftAlone::Changing(_) | LeftAlone::TakenBack => None,
+    }
+}
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -78,7 +78,10 @@
         let open = Arc::new(OpenConnections::default());
         let metrics_listen = context.config.metrics_listen;
         let metrics = metrics_listen
-            .map(|address| telling::serve(address, Arc::clone(&context), Arc::clone(&open), losses))
+            .map(|address| {
+                let table = Arc::clone(&adapters.table);
+                telling::serve(address, Arc::clone(&context), table, Arc::clone(&open), losses)
+            })
             .transpose()
             .map_err(StartError::Listen)?;
         let store = adapters.store;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod config;
 mod connections;
 mod context;
+mod cordons;
 mod course;
 mod duties;
 mod handle;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -75,6 +75,7 @@
     pub(crate) engines: Gauge,
     /// Other nodes that were heard a short time ago.
     pub(crate) peers: Gauge,
+    pub(crate) cordons: Gauge,
     /// Whether this node holds the lease over the engines.
     pub(crate) lease_held: Gauge,
     /// Log lines dropped or folded.
@@ -111,6 +112,7 @@
             list_version: Gauge::default(),
             engines: Gauge::default(),
             peers: Gauge::default(),
+            cordons: Gauge::default(),
             lease_held: Gauge::default(),
             log_lines_not_written: Gauge::default(),
         };
@@ -274,6 +276,7 @@
             ),
             ("engines", "Engines that take work", &self.engines),
             ("peers", "Other nodes heard a short time ago", &self.peers),
+            ("cordons", "Cordons of operators in force", &self.cordons),
             (
                 "lease_held",
                 "Whether this node may order engines",
--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -5,9 +5,11 @@
 
 use super::{Behind, Duty, Peers};
 use crate::context::Context;
+use crate::cordons;
 use bincode::config::{Configuration, standard};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
+use shelfjunction_core::cordon::CordonSet;
 use shelfjunction_core::forwarding::ForwardingConfig;
 use shelfjunction_core::routing::pool::{ListSnapshot, PrefixNews};
 use shelfjunction_threads::lock;
@@ -39,6 +41,7 @@
 struct Snapshot {
     config: Option<ForwardingConfig>,
     list: Option<ListSnapshot>,
+    cordons: Option<CordonSet>,
     /// What engines are believed to hold.
     held: Vec<PrefixNews>,
 }
@@ -49,6 +52,7 @@
     config: bool,
     list: bool,
     held: bool,
+    cordons: bool,
 }
 
 impl Wanted {
@@ -56,14 +60,18 @@
         config: true,
         list: true,
         held: true,
+        cordons: true,
     };
 
     fn any(self) -> bool {
-        self.config || self.list || self.held
+        self.config || self.list || self.held || self.cordons
     }
 
     fn to_byte(self) -> u8 {
-        u8::from(self.config) | u8::from(self.list) << 1 | u8::from(self.held) << 2
+        u8::from(self.config)
+            | u8::from(self.list) << 1
+            | u8::from(self.held) << 2
+            | u8::from(self.cordons) << 3
     }
 
     fn of_byte(byte: u8) -> Self {
@@ -71,6 +79,7 @@
             config: byte & 1 != 0,
             list: byte & 2 != 0,
             held: byte & 4 != 0,
+            cordons: byte & 8 != 0,
         }
     }
 }
@@ -104,6 +113,7 @@
         config: config_version < behind.config_version,
         list: lock(&context.listing).reflected() < behind.list_version,
         held: false,
+        cordons: cordons::version(context) < behind.cordons,
     }
 }
 
@@ -140,6 +150,9 @@
     if let Some(list) = snapshot.list {
         take_list(context, &list, &source);
     }
+    if let Some(set) = snapshot.cordons {
+        cordons::take(context, set, &source);
+    }
     lock(&context.router).on_peer_news(&snapshot.held, context.now());
 }
 
@@ -208,6 +221,7 @@
     let config = context.forwarding().filter(|_| wanted.config);
     let snapshot = Snapshot {
         config: config.map(|config| config.as_ref().clone()),
+        cordons: wanted.cordons.then(|| lock(&context.cordons).clone()),
         list: wanted.list.then(|| lock(&context.listing).snapshot()),
         held: if wanted.held {
             lock(&context.router).held()
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -70,6 +70,7 @@
         peer.holds_lease = message.holds_lease;
         peer.places = message.places;
         peer.told_nodes = message.nodes;
+        peer.cordons = message.cordons;
         peer.sharing.hear(message.start, message.sharing, now);
     }
     let handle = SubjectHandle::of_text("node", message.node.as_str());
@@ -83,6 +84,7 @@
         peer: from,
         config_version: message.config.version,
         list_version: message.list.version,
+        cordons: message.cordons,
     };
     context.peers.note_versions(context, versions);
     let mut router = lock(&context.router);
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -60,6 +60,8 @@
     pub(super) config: TableWord,
     /// The list of engines that the sender has, by the store's version at its last change.
     pub(super) list: TableWord,
+    /// Version of the operators' cordons that the sender has.
+    pub(super) cordons: u64,
     /// Changes of that list that the store has just told the sender.
     pub(super) list_news: ListNews,
     /// Engines that `work` is about.
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -63,6 +63,8 @@
     processor_thousandths: u32,
     /// Nodes that it knew itself when it spoke last: one that started early may have read a short list.
     told_nodes: u32,
+    /// Version of the operators' cordons that it has.
+    cordons: u64,
     /// What it told of the budgets for repeats.
     sharing: KnownPeer,
     handle: SubjectHandle,
@@ -80,6 +82,7 @@
             places: false,
             processor_thousandths: 0,
             told_nodes: 0,
+            cordons: 0,
             sharing: KnownPeer::listed(now),
             handle: SubjectHandle::of_text("node", node.as_str()),
         }
@@ -143,6 +146,7 @@
     peer: SocketAddr,
     config_version: u64,
     list_version: u64,
+    cordons: u64,
 }
 
 #[derive(Debug, Default)]
@@ -203,6 +207,13 @@
         heard.map(|(node, _)| node.clone()).collect()
     }
 
+    /// The versions of the operators' cordons that other nodes told a short time ago.
+    pub(crate) fn told_cordons(&self, now: MonotonicTime) -> Vec<u64> {
+        let known = lock(&self.known);
+        let heard = known.peers.values().filter(|peer| peer.heard_lately(now));
+        heard.map(|peer| peer.cordons).collect()
+    }
+
     /// The other nodes on duty that said a short time ago that the store answers them.
     pub(crate) fn in_contact_with_store(&self, now: MonotonicTime) -> Vec<SubjectHandle> {
         let placing = self.placing(now);
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -4,6 +4,7 @@
 use super::message::{Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_NEWS, WorkMessage};
 use super::placers::Placing;
 use crate::context::Context;
+use crate::cordons;
 use crate::quarantine;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::routing::pool::{PeerWork, WorkSlice};
@@ -199,6 +200,7 @@
         } else {
             MOST_CHANGES
         };
+        let cordons = cordons::version(context);
         let list_news = lock(&context.recent_changes).told(most_changes, now);
         let router = lock(&context.router);
         WorkMessage {
@@ -214,6 +216,7 @@
             unix: crate::metering::time_of_day(),
             config: context.config_watch.word(now, config_version),
             list: context.list_watch.word(now, list_version),
+            cordons,
             list_news,
             slice,
             work: Vec::new(),
--- a/crates/node/src/telling.rs
+++ b/crates/node/src/telling.rs
@@ -2,20 +2,25 @@
 
 use crate::connections::OpenConnections;
 use crate::context::Context;
+use crate::cordons::{self, ChangeError};
 use crate::duties;
 use crate::quarantine;
 use serde::Serialize;
+use shelfjunction_core::cordon::{CordonChange, CordonRefusal, CordonTarget, NewCordon};
 use shelfjunction_core::quarantine::Fingerprint;
 use shelfjunction_http::{
     Answer, Answered, Handler, HttpLimits, HttpRequest, HttpServer, ReadError, Responder,
 };
 use shelfjunction_logging::LogLosses;
+use shelfjunction_platform::services::TableService;
+use shelfjunction_protocol::cordons::{CORDONS_PATH, CordonRequest, ENGINES_PATH};
 use shelfjunction_protocol::duties::DUTIES_PATH;
 use shelfjunction_protocol::quarantine::QUARANTINE_PATH;
 use shelfjunction_threads::lock;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -27,6 +32,7 @@
 
 struct MetricsPage {
     context: Arc<Context>,
+    table: Arc<dyn TableService>,
     open: Arc<OpenConnections>,
     losses: Arc<LogLosses>,
 }
@@ -35,6 +41,7 @@
 pub(crate) fn serve(
     address: SocketAddr,
     context: Arc<Context>,
+    table: Arc<dyn TableService>,
     open: Arc<OpenConnections>,
     losses: Arc<LogLosses>,
 ) -> io::Result<HttpServer> {
@@ -44,6 +51,7 @@
     };
     let page = MetricsPage {
         context,
+        table,
         open,
         losses,
     };
@@ -55,6 +63,12 @@
         if request.path == DUTIES_PATH {
             return responder.answer(&json_answer(&duties::view(&self.context)));
         }
+        if request.path == ENGINES_PATH {
+            return responder.answer(&json_answer(&cordons::engines_view(&self.context)));
+        }
+        if let Some(rest) = request.path.strip_prefix(CORDONS_PATH) {
+            return responder.answer(&self.cordons_answer(&request, rest));
+        }
         if let Some(rest) = request.path.strip_prefix(QUARANTINE_PATH) {
             return responder.answer(&self.quarantine_answer(&request.method, rest));
         }
@@ -75,6 +89,24 @@
     }
 }
 
+fn text_answer(status: u16, text: String) -> Answer {
+    Answer::new(status, "text/plain", text.into_bytes())
+}
+
+fn read_cordon(body: &[u8]) -> Result<NewCordon, String> {
+    let asked: CordonRequest = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    if asked.by.trim().is_empty() {
+        return Err("by: allowed is a name".to_owned());
+    }
+    let target = asked.target.parse::<CordonTarget>();
+    Ok(NewCordon {
+        target: target.map_err(|error| error.to_string())?,
+        by: asked.by,
+        lasts: Duration::from_secs(asked.seconds),
+        forced: asked.force,
+    })
+}
+
 fn json_answer(view: &impl Serialize) -> Answer {
     match serde_json::to_vec(view) {
         Ok(body) => Answer::new(200, "application/json", body),
@@ -104,6 +136,32 @@
         }
     }
 
+    /// Tells of cordons, adds one, or lifts one.
+    fn cordons_answer(&self, request: &HttpRequest, rest: &str) -> Answer {
+        let target = rest.strip_prefix('/').map(str::parse::<CordonTarget>);
+        match (request.method.as_str(), target) {
+            ("GET", None) if rest.is_empty() => json_answer(&cordons::view(&self.context)),
+            ("POST", None) if rest.is_empty() => match read_cordon(&request.body) {
+                Ok(asked) => self.change_cordons(&CordonChange::Cordon(asked)),
+                Err(fault) => text_answer(400, fault),
+            },
+            ("DELETE", Some(Ok(target))) => self.change_cordons(&CordonChange::Uncordon(target)),
+            ("DELETE", Some(Err(fault))) => text_answer(400, fault.to_string()),
+            _ => text_answer(404, String::new()),
+        }
+    }
+
+    fn change_cordons(&self, change: &CordonChange) -> Answer {
+        match cordons::change(&self.context, self.table.as_ref(), change) {
+            Ok(_) => json_answer(&cordons::view(&self.context)),
+            Err(ChangeError::Refused(refusal @ CordonRefusal::NotCordoned(_))) => {
+                text_answer(404, refusal.to_string())
+            }
+            Err(ChangeError::Refused(refusal)) => text_answer(409, refusal.to_string()),
+            Err(ChangeError::NotKept(fault)) => text_answer(503, fault),
+        }
+    }
+
     fn take_gauges(&self) {
         let context = &self.context;
         let metrics = &context.metrics;
@@ -122,6 +180,7 @@
             .list_version
             .set(lock(&context.listing).reflected() as i64);
         metrics.engines.set(lock(&context.router).taking_work(now) as i64);
+        metrics.cordons.set(cordons::view(context).cordons.len() as i64);
         metrics.peers.set(context.peers.heard_lately(now).len() as i64);
         let not_written = self.losses.dropped() + self.losses.folded();
         metrics.log_lines_not_written.set(not_written as i64);
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,6 +1,7 @@
 //! Typed messages: JSON bodies for callers and operators, bincode for the system's own processes.
 
 pub mod caller;
+pub mod cordons;
 pub mod duties;
 pub mod frame;
 pub mod operator;
