A caller that reads slowly holds neither its engine nor memory beyond a bound

Cause: one thread copied from engine to caller with a blocking write of up to 5 s; the engine's answer stayed unread meanwhile, and nothing bounded what a node kept. Ruled out: no bound, dropping the oldest answer (docs/design/slow-readers.md). Not measured: resident memory at full load.

--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -4,6 +4,7 @@
 //! system may do with it (repeat it, resume it, split it between engines) stands in its [`RouteRule`].
 
 mod config;
+mod delivery;
 mod in_force;
 pub mod patience;
 mod returning;
@@ -12,6 +13,7 @@
 pub mod stopping;
 
 pub use config::{CallerLimits, ForwardingConfig, ModelTraits, PoolConfig, PoolId};
+pub use delivery::{Delivery, DeliverySettings};
 pub use in_force::{Adoption, ConfigInForce};
 pub use returning::CallerWaits;
 pub use route::{PoolShare, RepeatRule, RouteId, RouteRule};
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::autoscaling::config::AutoscalingPolicy;
 use shelfjunction_core::cordon::CordonSettings;
+use shelfjunction_core::forwarding::DeliverySettings;
 use shelfjunction_core::identity::{NodeId, ZoneId};
 use shelfjunction_core::lease::LeaseTimings;
 use shelfjunction_core::metering::config::MeteringSettings;
@@ -84,6 +85,9 @@
     /// Which nodes choose engines for which requests.
     #[serde(default)]
     pub placing: PlacingSettings,
+    /// What is kept for callers that read slowly.
+    #[serde(default)]
+    pub delivery: DeliverySettings,
     /// What operators may have left alone.
     #[serde(default)]
     pub cordons: CordonSettings,
@@ -211,6 +215,7 @@
         let mut errors = self.routing.validate();
         errors.extend(self.admission.validate());
         errors.extend(self.placing.validate());
+        errors.extend(self.delivery.validate());
         errors.extend(self.cordons.validate());
         errors.extend(self.quarantine.validate());
         errors.extend(self.roles.validate());
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -1,6 +1,7 @@
 //! What the threads of the process share.
 
 use crate::config::NodeConfig;
+use crate::course::KeptForCallers;
 use crate::duties::DutyNotes;
 use crate::links::Links;
 use crate::metering::Metering;
@@ -69,6 +70,8 @@
     in_force: Mutex<ConfigInForce>,
     rotation: Mutex<ShareRotation>,
     pub(crate) repeats: Repeats,
+    /// Bytes kept for callers that read slowly.
+    pub(crate) kept_for_callers: KeptForCallers,
     waits: Mutex<CallerWaits>,
     list_changed_at: Mutex<MonotonicTime>,
 }
@@ -169,6 +172,7 @@
             in_force: Mutex::new(ConfigInForce::default()),
             rotation: Mutex::new(ShareRotation::default()),
             repeats: Repeats::new(&config),
+            kept_for_callers: KeptForCallers::default(),
             waits: Mutex::new(CallerWaits::default()),
             list_changed_at: Mutex::new(MonotonicTime::default()),
             config,
--- a/crates/node/src/course/answering.rs
+++ b/crates/node/src/course/answering.rs
@@ -68,14 +68,25 @@
     /// Ends the course; true where the caller's connection may carry another call.
     pub(super) fn end(mut self, end: End) -> bool {
         self.drop_exchange();
-        let reusable = match &end {
+        let answered = match &end {
             End::CallerGone => false,
             End::Finished(outcome) => self.answer(outcome) && !self.caller_gone,
         };
+        let reusable = self.delivered() && answered;
         self.log_end(&end);
         reusable && self.keep
     }
 
+    /// Waits until the caller has taken all that was handed over; false where it left or was let go.
+    fn delivered(&mut self) -> bool {
+        if self.caller_gone {
+            return false;
+        }
+        let taken = self.undelivered.finish(self.caller, &self.call.request);
+        self.caller_gone = taken.is_err();
+        taken.is_ok()
+    }
+
     fn answer(&mut self, outcome: &Outcome) -> bool {
         if self.events_open {
             // A series that ends early must not look complete: its connection is closed.
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -3,6 +3,7 @@
 use super::access::Access;
 use super::accounting::PlacedChoice;
 use super::admitting::Promise;
+use super::delivering::Undelivered;
 use super::exchange::Exchange;
 use super::routing;
 use crate::context::Context;
@@ -73,6 +74,8 @@
     /// Whether the head of a series of events has gone to the caller.
     pub(super) events_open: bool,
     pub(super) caller_gone: bool,
+    /// What the caller has not taken yet.
+    pub(super) undelivered: Undelivered<'a>,
     pub(super) events_delivered: u32,
     pub(super) first_event_at: Option<MonotonicTime>,
     pub(super) last_event_at: Option<MonotonicTime>,
@@ -146,6 +149,7 @@
             whole: None,
             events_open: false,
             caller_gone: false,
+            undelivered: Undelivered::new(context),
             events_delivered: 0,
             first_event_at: None,
             last_event_at: None,
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -5,6 +5,7 @@
 mod admitting;
 mod answering;
 mod crash_evidence;
+mod delivering;
 mod dispatching;
 mod driver;
 mod exchange;
@@ -18,6 +19,8 @@
 use crate::ports::{Call, CallerConnection, OwnAnswer};
 use crate::quarantine::{self, Pass};
 use access::Access;
+pub(crate) use delivering::KeptForCallers;
+use delivering::Undelivered;
 use driver::{Driver, RoutedCall};
 use shelfjunction_core::forwarding::{ForwardingConfig, PoolId, RepeatRule, RouteRule};
 use shelfjunction_core::identity::TenantId;
@@ -38,17 +41,30 @@
         let answer = OwnAnswer::NotRun {
             retry_after: UNCONFIGURED_RETRY_AFTER,
         };
-        return caller.say(&call.request, answer, keep).is_ok() && keep;
+        return say_whole(context, caller, call, answer, keep) && keep;
     };
     match route_call(context, &config, call) {
         Ok(routed) => Driver::new(context, caller, routed, keep).run(),
         Err(refusal) => {
             let keeps = keep && !refusal.closes;
-            caller.say(&call.request, refusal.answer, keeps).is_ok() && keep
+            say_whole(context, caller, call, refusal.answer, keeps) && keep
         }
     }
 }
 
+/// Says something in the system's own words; true where the caller has taken all of it.
+fn say_whole(
+    context: &Context,
+    caller: &mut dyn CallerConnection,
+    call: &Call,
+    answer: OwnAnswer,
+    keep: bool,
+) -> bool {
+    let said = caller.say(&call.request, answer, keep);
+    let taken = said.and_then(|()| Undelivered::new(context).finish(caller, &call.request));
+    taken.is_ok()
+}
+
 /// Why a call is not served.
 struct CallRefusal {
     answer: OwnAnswer,
--- a/crates/node/src/course/waiting.rs
+++ b/crates/node/src/course/waiting.rs
@@ -6,6 +6,7 @@
 use crate::context::Context;
 use crate::ports::EngineReading;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use shelfjunction_core::forwarding::{Delivery, patience};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::time::MonotonicTime;
@@ -26,14 +27,35 @@
         if self.caller_gone {
             return Some(Event::CallerGone);
         }
-        if let Some(event) = self.push_and_read() {
+        let reads_on = match self.hand_on() {
+            Delivery::LetGo => return Some(Event::CallerGone),
+            delivery => delivery == Delivery::ReadOn,
+        };
+        if let Some(event) = self.push_and_read(reads_on) {
             return Some(event);
         }
         self.exchange.as_ref()?;
-        self.poll(now)
+        self.poll(now, reads_on)
     }
 
-    fn push_and_read(&mut self) -> Option<Event> {
+    /// Hands on what the caller takes now, and looks whether it takes enough.
+    fn hand_on(&mut self) -> Delivery {
+        if self.caller.undelivered() == 0 && !self.undelivered.any() {
+            return Delivery::ReadOn;
+        }
+        let left = self.caller.deliver().is_err();
+        let delivery = self.undelivered.look(self.caller);
+        if !left && delivery == Delivery::LetGo {
+            self.undelivered.let_go(&self.call.request);
+        }
+        self.caller_gone = left || delivery == Delivery::LetGo;
+        if self.caller_gone {
+            return Delivery::LetGo;
+        }
+        delivery
+    }
+
+    fn push_and_read(&mut self, reads_on: bool) -> Option<Event> {
         let exchange = self.exchange.as_mut()?;
         if !exchange.all_sent {
             match exchange.link.push() {
@@ -41,30 +63,51 @@
                 Err(_) => return Some(self.broken("write_failed")),
             }
         }
+        if !reads_on {
+            // What the engine has to say waits for the caller, so its silence means nothing.
+            let now = self.context.now();
+            let patience = patience::next_event(self.route);
+            exchange.heard(now, patience);
+            return None;
+        }
         match exchange.link.read() {
             EngineReading::Pending => None,
             reading => self.on_reading(reading),
         }
     }
 
-    fn poll(&mut self, now: MonotonicTime) -> Option<Event> {
+    fn poll(&mut self, now: MonotonicTime, reads_on: bool) -> Option<Event> {
         let exchange = self.exchange.as_ref()?;
         let until = exchange
             .silent_from
             .map_or(self.deadline, |silent| silent.min(self.deadline));
         let timeout = Timespec::try_from(until.since(now).min(LONGEST_POLL)).unwrap_or_default();
-        let mut engine_flags = PollFlags::IN;
+        let mut engine_flags = if reads_on {
+            PollFlags::IN
+        } else {
+            PollFlags::empty()
+        };
         if !exchange.all_sent {
             engine_flags |= PollFlags::OUT;
         }
         let caller_readable = {
             let mut waits = vec![PollFd::from_borrowed_fd(exchange.link.descriptor(), engine_flags)];
+            let mut caller_flags = PollFlags::empty();
             if self.watch_caller {
-                waits.push(PollFd::from_borrowed_fd(self.caller.descriptor(), PollFlags::IN));
+                caller_flags |= PollFlags::IN;
+            }
+            if self.undelivered.any() {
+                caller_flags |= PollFlags::OUT;
+            }
+            if !caller_flags.is_empty() {
+                waits.push(PollFd::from_borrowed_fd(self.caller.descriptor(), caller_flags));
             }
             // An interrupted wait is begun again by the next round.
             let _ = poll(&mut waits, Some(&timeout));
-            waits.get(1).is_some_and(|wait| !wait.revents().is_empty())
+            let takes_more = PollFlags::OUT;
+            waits
+                .get(1)
+                .is_some_and(|wait| !wait.revents().difference(takes_more).is_empty())
         };
         if caller_readable {
             if !self.context.state.is_closing() && self.caller.is_gone() {
@@ -78,7 +121,7 @@
         let now = self.context.now();
         let silent = exchange.silent_from.is_some_and(|silent| now >= silent);
         if silent && now < self.deadline {
-            return self.push_and_read().or_else(|| self.silent(now));
+            return self.push_and_read(reads_on).or_else(|| self.silent(now));
         }
         None
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -76,6 +76,8 @@
     /// Other nodes that were heard a short time ago.
     pub(crate) peers: Gauge,
     pub(crate) cordons: Gauge,
+    pub(crate) kept_for_callers: Gauge,
+    callers_let_go: Counter,
     /// Whether this node holds the lease over the engines.
     pub(crate) lease_held: Gauge,
     /// Log lines dropped or folded.
@@ -113,6 +115,8 @@
             engines: Gauge::default(),
             peers: Gauge::default(),
             cordons: Gauge::default(),
+            kept_for_callers: Gauge::default(),
+            callers_let_go: Counter::default(),
             lease_held: Gauge::default(),
             log_lines_not_written: Gauge::default(),
         };
@@ -157,6 +161,10 @@
         self.store_calls.get_or_create(&ResultLabel { result }).inc();
     }
 
+    pub(crate) fn caller_let_go(&self) {
+        self.callers_let_go.inc();
+    }
+
     pub(crate) fn placement(&self, result: &'static str) {
         self.placements.get_or_create(&ResultLabel { result }).inc();
     }
@@ -219,6 +227,11 @@
             self.placement_round_trip.clone(),
         );
         registry.register("orders", "Orders given to engines", self.orders.clone());
+        registry.register(
+            "callers_let_go",
+            "Callers whose connection was closed since they took nothing of their answer",
+            self.callers_let_go.clone(),
+        );
         registry.register(
             "engine_orders",
             "Orders of how many engines should run",
@@ -277,6 +290,11 @@
             ("engines", "Engines that take work", &self.engines),
             ("peers", "Other nodes heard a short time ago", &self.peers),
             ("cordons", "Cordons of operators in force", &self.cordons),
+            (
+                "kept_for_callers_bytes",
+                "Bytes of answers kept for callers that read slowly",
+                &self.kept_for_callers,
+            ),
             (
                 "lease_held",
                 "Whether this node may order engines",
--- a/crates/node/src/ports/mod.rs
+++ b/crates/node/src/ports/mod.rs
@@ -113,7 +113,13 @@
     /// Whether the caller has closed; asked when the descriptor is readable.
     fn is_gone(&mut self) -> bool;
 
-    /// Hands over an engine's whole answer.
+    /// Bytes that were handed over here and that the caller's connection has not taken yet.
+    fn undelivered(&self) -> usize;
+
+    /// Hands on what the connection takes now, without waiting.
+    fn deliver(&mut self) -> Result<(), CallerGone>;
+
+    /// Hands over an engine's whole answer; like all that follow it doesn't wait for the caller to take it.
     fn answer(&mut self, head: &AnswerHead, body: &[u8], keep: bool) -> Result<(), CallerGone>;
 
     /// Says something in the system's own words.
--- a/crates/node/src/telling.rs
+++ b/crates/node/src/telling.rs
@@ -180,6 +180,9 @@
             .list_version
             .set(lock(&context.listing).reflected() as i64);
         metrics.engines.set(lock(&context.router).taking_work(now) as i64);
+        metrics
+            .kept_for_callers
+            .set(context.kept_for_callers.bytes() as i64);
         metrics.cordons.set(cordons::view(context).cordons.len() as i64);
         metrics.peers.set(context.peers.heard_lately(now).len() as i64);
         let not_written = self.losses.dropped() + self.losses.folded();
