Engines that start again under their identifier begin with nothing; entries that can't be read name no engine

The list keeps one start of each identifier, the latest: a row with a later start is Gone of the earlier one and Listed of the later, a late row or end of an earlier start changes nothing whatever its version, also after the later start has ended. The earlier start takes no work at once, though its end was in doubt; nothing is fetched from it, no order and no free of a KV cache meant for it reaches the later start, and its connections don't rest. A request whose connection broke at an engine that has been started again since, unannounced, is charged with a crash.

--- a/crates/core/src/request/event.rs
+++ b/crates/core/src/request/event.rs
@@ -39,7 +39,12 @@
     /// Hand a piece of the answer to the caller.
     Deliver(OpaquePart),
     /// Nobody will fetch this KV cache any more; best effort.
-    FreeTransfer(KvTransfer),
+    FreeTransfer {
+        /// Start of the engine that holds it.
+        source: EngineId,
+        /// The KV cache.
+        transfer: KvTransfer,
+    },
 }
 
 /// Something that happened to a request.
@@ -53,6 +58,8 @@
     Placed(Placement),
     /// Answer to [`Action::Choose`]: no engine may serve the request now.
     Nowhere(Refusal),
+    /// Answer to [`ForwardAction::ChooseOutput`]: the engine that held the KV cache has ended, or started again.
+    TransferLost,
     /// Answer to [`Action::Claim`]: the row is written.
     ClaimCommitted {
         /// Version of the row.
--- a/crates/core/src/request/forwarding.rs
+++ b/crates/core/src/request/forwarding.rs
@@ -86,7 +86,11 @@
     pub(super) fn free_transfer_before_the_end(&mut self, actions: &mut Vec<Action>) {
         if let Some(held) = self.transfer.take() {
             let end = actions.len().saturating_sub(1);
-            actions.insert(end, Action::Forward(ForwardAction::FreeTransfer(held.transfer)));
+            let free = ForwardAction::FreeTransfer {
+                source: held.source,
+                transfer: held.transfer,
+            };
+            actions.insert(end, Action::Forward(free));
         }
     }
 }
--- a/crates/core/src/request/machine.rs
+++ b/crates/core/src/request/machine.rs
@@ -281,6 +281,10 @@
                 self.give_up(refusal, Failure::EngineError)
             }
             Event::Placed(placement) => self.on_placed(placement, now),
+            Event::TransferLost => {
+                self.transfer = None;
+                self.ask_retry()
+            }
             _ => Vec::new(),
         }
     }
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -180,6 +180,8 @@
     pub(super) ordered: Option<(EngineStage, MonotonicTime)>,
     /// Present where the platform lists the engine no longer.
     pub(super) gone: Option<Gone>,
+    /// Whether a later start of the engine is known, so that this one has ended for certain.
+    pub(super) replaced: bool,
     /// When its zone was last seen to take spot engines back while this one was listed as staying.
     pub(super) taken_back_at: Option<MonotonicTime>,
     pub(super) health: Health,
@@ -208,6 +210,7 @@
             heard_at: None,
             ordered: None,
             gone: None,
+            replaced: false,
             taken_back_at: None,
             health: Health::default(),
             sent: BTreeMap::new(),
@@ -279,7 +282,8 @@
 
     /// Whether new work may go there now; one that is left alone for a while takes some only where `paused_too`.
     pub(super) fn takes_work(&self, now: MonotonicTime, paused_too: bool) -> bool {
-        !self.engine.leaving
+        !self.replaced
+            && !self.engine.leaving
             && self.ordered_stage(now).is_none()
             && self.gone.is_none_or(|gone| gone.is_doubtful_at(now))
             && (paused_too || !(self.health.is_paused(now) || self.is_taken_back(now)))
@@ -293,16 +297,31 @@
 
     /// Whether another engine may fetch from it: it answers, even if it is about to leave.
     pub(super) fn can_be_fetched_from(&self, now: MonotonicTime) -> bool {
-        self.gone.is_none() && !self.health.is_paused(now)
+        self.is_listed() && !self.health.is_paused(now)
     }
 
     /// Whether the engine is listed and about to leave.
     pub fn is_about_to_leave(&self) -> bool {
-        self.engine.leaving && self.gone.is_none()
+        self.engine.leaving && self.is_listed()
     }
 
     /// Whether the engine is neither gone nor about to leave.
     pub fn stays(&self) -> bool {
-        !self.engine.leaving && self.gone.is_none()
+        !self.engine.leaving && self.is_listed()
+    }
+
+    /// Whether the platform lists this start of the engine.
+    pub fn is_listed(&self) -> bool {
+        self.gone.is_none() && !self.replaced
+    }
+
+    /// Whether a later start of the engine is known, which would take what is meant for this one.
+    pub fn has_later_start(&self) -> bool {
+        self.replaced
+    }
+
+    /// Whether a later start of the engine came, and this one had not said that it was about to leave.
+    pub fn was_replaced_unannounced(&self) -> bool {
+        self.replaced && !self.engine.leaving
     }
 }
--- a/crates/core/src/routing/pool/listing.rs
+++ b/crates/core/src/routing/pool/listing.rs
@@ -2,26 +2,34 @@
 //!
 //! A node hears of changes from the store and, where the store does not answer it, from other nodes. Both number them
 //! by the store's version, so the older word of one never undoes the newer word of the other.
+//!
+//! An engine that starts again may keep its name, so the list holds one start of each name: the latest that was ever
+//! listed. What is said of an earlier one changes nothing, whatever version it bears, since the store may carry out the
+//! write of an engine seconds after that engine has ended.
 
+use super::ended_starts::EndedStarts;
 use super::engine::PoolEngine;
-use crate::identity::EngineId;
+use crate::identity::{EngineId, EngineStart};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// One change of the list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListChange {
     /// An engine is listed so.
     Listed(PoolEngine),
-    /// An engine is listed no longer.
+    /// An engine is listed no longer. Without a start, as the store tells it, whichever start is listed.
     Gone(EngineId),
+    /// The entry of this name can't be read, so that it names no engine to use.
+    Unreadable(EngineId),
 }
 
 impl ListChange {
-    fn engine(&self) -> &EngineId {
+    /// Name of the engine.
+    pub fn name(&self) -> &str {
         match self {
-            Self::Listed(engine) => &engine.id,
-            Self::Gone(engine) => engine,
+            Self::Listed(engine) => engine.id.as_str(),
+            Self::Gone(engine) | Self::Unreadable(engine) => engine.as_str(),
         }
     }
 }
@@ -33,12 +41,18 @@
     pub version: u64,
     /// Engines.
     pub engines: Vec<PoolEngine>,
+    /// Names of the entries that can't be read.
+    pub unreadable: Vec<String>,
 }
 
 /// The list as this node knows it.
 #[derive(Clone, Debug, Default)]
 pub struct EngineListing {
-    engines: BTreeMap<EngineId, PoolEngine>,
+    /// The start that is listed of each name.
+    engines: BTreeMap<String, PoolEngine>,
+    /// Names of the entries that can't be read.
+    unreadable: BTreeSet<String>,
+    ended: EndedStarts,
     /// Everything up to this version is reflected.
     reflected: u64,
     /// Version of the last change.
@@ -46,16 +60,20 @@
 }
 
 impl EngineListing {
-    /// Takes changes in order, each with its version, up to `reflected`; returns those that are new.
-    pub fn apply(&mut self, changes: Vec<(u64, ListChange)>, reflected: u64) -> Vec<ListChange> {
+    /// Takes changes, each with its version, up to `reflected`; returns those that are new, in the order of versions.
+    pub fn apply(&mut self, mut changes: Vec<(u64, ListChange)>, reflected: u64) -> Vec<ListChange> {
         let before = self.reflected;
+        changes.sort_by_key(|(version, _)| *version);
         let mut taken = Vec::new();
         for (version, change) in changes {
-            if version <= before || !self.take(&change) {
+            if version <= before {
                 continue;
             }
-            self.changed = self.changed.max(version);
-            taken.push(change);
+            let new = self.take(change);
+            if !new.is_empty() {
+                self.changed = self.changed.max(version);
+            }
+            taken.extend(new);
         }
         self.reflected = self.reflected.max(reflected);
         taken
@@ -66,14 +84,11 @@
         if snapshot.version < self.reflected {
             return Vec::new();
         }
-        let gone = self
-            .engines
-            .keys()
-            .filter(|known| snapshot.engines.iter().all(|engine| engine.id != **known));
-        let gone: Vec<ListChange> = gone.cloned().map(ListChange::Gone).collect();
-        let listed = snapshot.engines.iter().cloned().map(ListChange::Listed);
-        let changes: Vec<ListChange> = gone.into_iter().chain(listed).collect();
-        let taken: Vec<ListChange> = changes.into_iter().filter(|change| self.take(change)).collect();
+        let taken: Vec<ListChange> = self
+            .changes_to(snapshot)
+            .into_iter()
+            .flat_map(|change| self.take(change))
+            .collect();
         if !taken.is_empty() {
             self.changed = snapshot.version;
         }
@@ -81,11 +96,29 @@
         taken
     }
 
+    fn changes_to(&self, snapshot: &ListSnapshot) -> Vec<ListChange> {
+        let named: BTreeSet<&str> = snapshot
+            .engines
+            .iter()
+            .map(|engine| engine.id.as_str())
+            .chain(snapshot.unreadable.iter().map(String::as_str))
+            .collect();
+        let listed = self.engines.keys().chain(&self.unreadable);
+        let gone = listed
+            .filter(|name| !named.contains(name.as_str()))
+            .map(|name| ListChange::Gone(EngineId::new(name.as_str())));
+        let unreadable = snapshot.unreadable.iter();
+        let unreadable = unreadable.map(|name| ListChange::Unreadable(EngineId::new(name.as_str())));
+        let listed = snapshot.engines.iter().cloned().map(ListChange::Listed);
+        gone.chain(unreadable).chain(listed).collect()
+    }
+
     /// The whole list, for another node.
     pub fn snapshot(&self) -> ListSnapshot {
         ListSnapshot {
             version: self.reflected,
             engines: self.engines.values().cloned().collect(),
+            unreadable: self.unreadable.iter().cloned().collect(),
         }
     }
 
@@ -99,18 +132,71 @@
         self.changed
     }
 
-    /// Whether an engine is listed.
+    /// Whether this start of an engine is listed.
     pub fn lists(&self, engine: &EngineId) -> bool {
-        self.engines.contains_key(engine)
+        self.engines
+            .get(engine.as_str())
+            .is_some_and(|listed| listed.id == *engine)
+    }
+
+    /// The latest start that was ever told of a name; zero where none was.
+    pub fn latest_start(&self, name: &str) -> EngineStart {
+        let listed = self.engines.get(name).map(|engine| engine.id.start());
+        listed.unwrap_or_default().max(self.ended.latest(name))
     }
 
-    /// Takes one change; false where it changes nothing.
-    fn take(&mut self, change: &ListChange) -> bool {
+    /// Takes one change; what it amounts to, which is nothing where it changes nothing.
+    fn take(&mut self, change: ListChange) -> Vec<ListChange> {
         match change {
-            ListChange::Listed(engine) => {
-                self.engines.insert(engine.id.clone(), engine.clone()).as_ref() != Some(engine)
+            ListChange::Listed(engine) => self.take_listed(engine),
+            ListChange::Gone(engine) => self.take_gone(&engine),
+            ListChange::Unreadable(entry) => self.take_unreadable(entry),
+        }
+    }
+
+    fn take_listed(&mut self, engine: PoolEngine) -> Vec<ListChange> {
+        let name = engine.id.as_str();
+        if engine.id.start() < self.latest_start(name) {
+            return Vec::new();
+        }
+        self.unreadable.remove(name);
+        self.ended.forget(name);
+        let before = self.engines.insert(name.to_owned(), engine.clone());
+        match before {
+            Some(before) if before == engine => Vec::new(),
+            Some(before) if before.id != engine.id => {
+                vec![ListChange::Gone(before.id), ListChange::Listed(engine)]
             }
-            ListChange::Gone(_) => self.engines.remove(change.engine()).is_some(),
+            _ => vec![ListChange::Listed(engine)],
+        }
+    }
+
+    fn take_gone(&mut self, engine: &EngineId) -> Vec<ListChange> {
+        let name = engine.as_str();
+        let tells_start = engine.start() != EngineStart::default();
+        if tells_start && engine.start() < self.latest_start(name) {
+            return Vec::new();
+        }
+        self.unreadable.remove(name);
+        self.ended.note(engine);
+        self.end(name).map(ListChange::Gone).into_iter().collect()
+    }
+
+    fn take_unreadable(&mut self, entry: EngineId) -> Vec<ListChange> {
+        let is_new = self.unreadable.insert(entry.as_str().to_owned());
+        let listed = self.end(entry.as_str());
+        match listed {
+            Some(listed) => vec![ListChange::Unreadable(listed)],
+            // One that is gone may still be in use for a while where the store was in trouble.
+            None if is_new => vec![ListChange::Unreadable(entry)],
+            None => Vec::new(),
         }
     }
+
+    /// Takes whichever start is listed of a name off the list.
+    fn end(&mut self, name: &str) -> Option<EngineId> {
+        let listed = self.engines.remove(name)?;
+        self.ended.note(&listed.id);
+        Some(listed.id)
+    }
 }
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -13,6 +13,7 @@
 pub mod cost;
 mod demand;
 mod dispatches;
+mod ended_starts;
 mod engine;
 mod expectation;
 mod listing;
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -6,7 +6,7 @@
 use super::pool_speeds::PoolSpeeds;
 use super::weights::PoolWeights;
 use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
-use crate::identity::{EngineId, NodeId};
+use crate::identity::{EngineId, EngineStart, NodeId};
 use crate::membership::subject::SubjectHandle;
 use crate::time::MonotonicTime;
 use std::collections::{BTreeMap, HashMap};
@@ -54,8 +54,12 @@
         }
     }
 
-    /// Takes the listing of one engine.
+    /// Takes the listing of one engine; an earlier start of it has ended.
     pub fn on_engine(&mut self, engine: PoolEngine) {
+        let start = engine.id.start();
+        for state in self.starts_of(engine.id.as_str()) {
+            state.replaced |= state.engine.id.start() < start;
+        }
         match self.engines.get_mut(&engine.id) {
             Some(state) => state.update(engine),
             None => {
@@ -80,6 +84,27 @@
         self.engine_of.retain(|_, engine| engines.contains_key(engine));
     }
 
+    /// Notes that the entry of this name can't be read: no start of it is used any more, in doubt or not. Returns those
+    /// that were known.
+    pub fn on_entry_unreadable(&mut self, name: &str, now: MonotonicTime) -> Vec<EngineId> {
+        let starts = self.starts_of(name).map(|state| {
+            let since = state.gone.map_or(now, |gone| gone.since);
+            state.gone = Some(Gone {
+                since,
+                doubtful: false,
+            });
+            state.engine.id.clone()
+        });
+        starts.collect()
+    }
+
+    /// Every start of a name that is known.
+    fn starts_of(&mut self, name: &str) -> impl Iterator<Item = &mut EngineState> {
+        let first = EngineId::new(name);
+        let last = EngineId::started(name, EngineStart(u64::MAX));
+        self.engines.range_mut(first..=last).map(|(_, state)| state)
+    }
+
     /// What a pool's engines were seen to take; the assumption where none was seen yet.
     pub fn speeds(&self, pool: &PoolId) -> PoolSpeeds {
         self.speeds
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -184,6 +184,7 @@
     let from_peer = ListSnapshot {
         version: 12,
         engines: vec![engine("one", true)],
+        unreadable: Vec::new(),
     };
     let changes = listing.replace(&from_peer);
     assert_eq!(
@@ -200,6 +201,7 @@
     let stale_read = ListSnapshot {
         version: 10,
         engines: Vec::new(),
+        unreadable: Vec::new(),
     };
     assert!(listing.replace(&stale_read).is_empty());
     assert!(listing.lists(&EngineId::new("one")) && !listing.lists(&EngineId::new("two")));
--- a/crates/core/tests/list_news.rs
+++ b/crates/core/tests/list_news.rs
@@ -35,6 +35,7 @@
     listing.replace(&ListSnapshot {
         version,
         engines: vec![first],
+        unreadable: Vec::new(),
     });
     listing
 }
--- a/crates/core/tests/opaque_requests.rs
+++ b/crates/core/tests/opaque_requests.rs
@@ -5,7 +5,7 @@
 use shelfjunction_core::bundle::content::ModelKind;
 use shelfjunction_core::engine::{AnswerPart, EngineRefusal, EngineRefusalReason, KvTransfer, Phase};
 use shelfjunction_core::forwarding::RepeatRule;
-use shelfjunction_core::identity::{AttemptId, EngineId, ModelId, RequestId, TenantId};
+use shelfjunction_core::identity::{AttemptId, EngineId, EngineStart, ModelId, RequestId, TenantId};
 use shelfjunction_core::outcome::{Failure, Outcome};
 use shelfjunction_core::request::event::{Action, Event, ForwardAction, OpaquePart};
 use shelfjunction_core::request::machine::RequestMachine;
@@ -82,7 +82,7 @@
 fn frees_transfer(actions: &[Action]) -> bool {
     actions
         .iter()
-        .any(|action| matches!(action, Action::Forward(ForwardAction::FreeTransfer(_))))
+        .any(|action| matches!(action, Action::Forward(ForwardAction::FreeTransfer { .. })))
 }
 
 /// Begins a split request and reads its prompt; returns what the machine asks for then.
@@ -146,6 +146,45 @@
     );
 }
 
+/// An engine that has started again may hold the cache of another request under the same handle.
+#[test]
+fn a_cache_whose_engine_has_started_again_is_neither_fetched_nor_freed_and_the_prompt_is_read_anew() {
+    let mut machine = machine(RepeatRule::Never, 1);
+    read_prompt(&mut machine);
+    assert!(matches!(
+        machine.handle(Event::TransferLost, NOW)[..],
+        [Action::AskRetry { .. }]
+    ));
+    let actions = machine.handle(Event::RetryGranted { not_before: NOW }, NOW);
+    assert!(matches!(actions[..], [Action::Choose { .. }]), "{actions:?}");
+    let (_, _, phase, import) = dispatched(&machine.handle(Event::Placed(split()), NOW));
+    assert_eq!((phase, import), (Phase::PrefillOnly, None));
+    assert!(!frees_transfer(&machine.handle(Event::CallerGone, NOW)));
+}
+
+#[test]
+fn a_cache_is_freed_at_the_start_of_the_engine_that_holds_it() {
+    let mut machine = machine(RepeatRule::Never, 1);
+    let mut placed = split();
+    let started = EngineId::started("prefill", EngineStart(7));
+    if let Placement::Split { prefill, .. } = &mut placed {
+        prefill.engine = started.clone();
+    }
+    machine.handle(Event::Admitted, NOW);
+    let (attempt, ..) = dispatched(&machine.handle(Event::Placed(placed), NOW));
+    let part = AnswerPart::Prefilled {
+        request: RequestId::new("request"),
+        handle: "handle".to_owned(),
+    };
+    machine.handle(Event::Part { attempt, part }, NOW);
+    let actions = machine.handle(Event::DeadlineReached, NOW);
+    let source = actions.iter().find_map(|action| match action {
+        Action::Forward(ForwardAction::FreeTransfer { source, .. }) => Some(source.clone()),
+        _ => None,
+    });
+    assert_eq!(source, Some(started));
+}
+
 #[test]
 fn a_prompt_that_was_only_read_has_not_run_and_its_cache_is_freed() {
     let mut machine = machine(RepeatRule::Never, 1);
--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -23,7 +23,7 @@
     let mut link = taken.map_err(|_| "not_connected")?;
     question(link.as_mut());
     let reading = read_answer(context, link.as_mut(), context.now() + wait)?;
-    context.links.give_back(engine, link, context.now());
+    context.rest_link(engine, link, context.now());
     Ok(reading)
 }
 
--- a/crates/node/src/commanding/ordering.rs
+++ b/crates/node/src/commanding/ordering.rs
@@ -188,9 +188,13 @@
     }
 }
 
+/// Where an engine is ordered; absent where only a later start of it would take the order.
 fn address_of(context: &Context, engine: &EngineId) -> Option<SocketAddr> {
     let router = lock(&context.router);
-    router.engine(engine).map(|state| state.engine.address)
+    router
+        .engine(engine)
+        .filter(|state| !state.has_later_start())
+        .map(|state| state.engine.address)
 }
 
 fn report(context: &Context, engine: &EngineId, address: SocketAddr) -> Option<EngineReport> {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -7,7 +7,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::placing::Placements;
-use crate::ports::{Call, EngineProtocol};
+use crate::ports::{Call, EngineLink, EngineProtocol};
 use crate::quarantine::Suspects;
 use crate::releasing::Releases;
 use crate::repeats::Repeats;
@@ -15,10 +15,13 @@
 use shelfjunction_core::forwarding::{
     Adoption, CallerWaits, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation, stopping,
 };
+use shelfjunction_core::identity::{EngineId, EngineStart};
 use shelfjunction_core::lease::Authority;
 use shelfjunction_core::metering::clock::FleetClock;
 use shelfjunction_core::placing::placement_table::PlacementTable;
-use shelfjunction_core::routing::pool::{EngineListing, ListChange, PoolEngine, PoolRouter, RecentChanges};
+use shelfjunction_core::routing::pool::{
+    EngineListing, EngineState, ListChange, PoolEngine, PoolRouter, RecentChanges,
+};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::clock::MonotonicClock;
 use shelfjunction_threads::{StopSignal, lock};
@@ -232,9 +235,14 @@
         for change in changes {
             match change {
                 ListChange::Listed(engine) => self.engine_listed(engine, source),
+                ListChange::Unreadable(entry) => {
+                    log::info!(engine = entry.as_str(), source; "engine_unusable");
+                    let starts = lock(&self.router).on_entry_unreadable(entry.as_str(), now);
+                    starts.iter().for_each(|start| self.links.forget(start));
+                }
                 ListChange::Gone(engine) => {
                     let doubtful = self.store_trouble.was_recent(now);
-                    log::info!(engine = engine.as_str(), doubtful, source; "engine_gone");
+                    log::info!(engine = engine.as_str(), start:% = engine.start(), doubtful, source; "engine_gone");
                     lock(&self.router).on_engine_gone(&engine, doubtful, now);
                     self.links.forget(&engine);
                 }
@@ -246,6 +254,24 @@
         self.state.note_listed();
     }
 
+    /// Lets a connection rest if it can be used again: not one to a start of an engine that is listed no longer.
+    pub(crate) fn rest_link(&self, engine: &EngineId, link: Box<dyn EngineLink>, now: MonotonicTime) {
+        if self.knows_so(engine, EngineState::is_listed) {
+            self.links.give_back(engine, link, now);
+        }
+    }
+
+    /// Whether what is meant for this start of an engine would not reach a later start instead.
+    pub(crate) fn may_be_reached(&self, engine: &EngineId) -> bool {
+        self.knows_so(engine, |state| !state.has_later_start())
+    }
+
+    /// Whether something holds of a start of an engine; taken to hold where the platform doesn't tell starts, since names
+    /// don't come back there.
+    fn knows_so(&self, engine: &EngineId, holds: fn(&EngineState) -> bool) -> bool {
+        engine.start() == EngineStart::default() || lock(&self.router).engine(engine).is_some_and(holds)
+    }
+
     /// Whether a call that may last so long is still taken.
     pub(crate) fn takes_call(&self, longest: Duration) -> bool {
         let began = *lock(&self.state.stop_began);
@@ -261,6 +287,7 @@
     fn engine_listed(&self, engine: PoolEngine, source: &str) {
         log::info!(
             engine = engine.id.as_str(),
+            start:% = engine.id.start(),
             pool:% = engine.pool,
             address:% = engine.address,
             zone = engine.zone.as_str(),
--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -21,7 +21,7 @@
 enum EngineFate {
     /// It takes connections.
     Lives,
-    /// It refuses them, and nobody had said that it was about to leave.
+    /// It refuses them, or the engine has started again since, and nobody had said that it was about to leave.
     Crashed,
     /// It refuses them, as was to be expected of one that leaves.
     Left,
@@ -62,18 +62,25 @@
     }
 
     fn fate(&self, engine: &EngineId) -> EngineFate {
-        let state = lock(&self.context.router)
-            .engine(engine)
-            .map(|state| (state.engine.address, state.stays()));
-        let Some((address, stays)) = state else {
+        let state = lock(&self.context.router).engine(engine).map(|state| {
+            (
+                state.engine.address,
+                state.stays(),
+                state.was_replaced_unannounced(),
+            )
+        });
+        let Some((address, stays, replaced)) = state else {
             return EngineFate::Unknown;
         };
+        if replaced {
+            return EngineFate::Crashed;
+        }
         let now = self.context.now();
         let wait = LOOK.min(routing::left(self.deadline, now));
         // A connection that rests may not have noticed the end yet, so a new one is made.
         match self.context.links.connect(address, wait) {
             Ok(link) => {
-                self.context.links.give_back(engine, link, now);
+                self.context.rest_link(engine, link, now);
                 EngineFate::Lives
             }
             Err(error) if error.kind() != ErrorKind::ConnectionRefused => EngineFate::Unknown,
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -199,7 +199,9 @@
                 self.choose_output(&source, &excluded);
             }
             Action::Forward(ForwardAction::Deliver(part)) => self.deliver(part),
-            Action::Forward(ForwardAction::FreeTransfer(transfer)) => self.context.releases.add(transfer),
+            Action::Forward(ForwardAction::FreeTransfer { source, transfer }) => {
+                self.context.releases.add(source, transfer);
+            }
             Action::Dispatch { target, call, .. } => self.dispatch(&target, &call),
             Action::AskRetry { tried } => self.ask_retry(tried),
             Action::Cancel { engine } => self.cancel(&engine),
--- a/crates/node/src/course/placing.rs
+++ b/crates/node/src/course/placing.rs
@@ -10,6 +10,7 @@
 use shelfjunction_core::placing::question::{
     Answer, ChosenEngine, PlacedRequest, Placement as Placed, Progress, Question, RequestKey, Wanted,
 };
+use shelfjunction_core::request::event::Event;
 use shelfjunction_core::request::specification::Placement;
 use shelfjunction_core::routing::pool::{PoolEngine, shared_prefixes};
 use shelfjunction_core::time::MonotonicTime;
@@ -32,6 +33,11 @@
 
     /// Chooses the engine that runs the output of the prompt that `source` has read.
     pub(super) fn choose_output(&mut self, source: &EngineId, excluded: &[EngineId]) {
+        // A later start may hold a KV cache of another request under the same handle.
+        if !self.context.may_be_reached(source) {
+            log::info!(request = self.call.request.as_str(), engine = source.as_str(); "transfer_lost");
+            return self.take(Event::TransferLost);
+        }
         let wanted = || Wanted::Output {
             source: SubjectHandle::of_engine(source),
             excluded: handles(excluded),
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -144,7 +144,7 @@
         if part != OpaquePart::Failure {
             quarantine::note_answered(self.context, &self.fingerprint);
         }
-        self.context.links.give_back(&exchange.engine, exchange.link, now);
+        self.context.rest_link(&exchange.engine, exchange.link, now);
         Event::Forwarded {
             attempt: exchange.attempt,
             part,
@@ -164,7 +164,7 @@
             took_millis = now.since(exchange.sent_at).as_millis() as u64;
             "prompt_read"
         );
-        self.context.links.give_back(&exchange.engine, exchange.link, now);
+        self.context.rest_link(&exchange.engine, exchange.link, now);
         Some(Event::Part {
             attempt: exchange.attempt,
             part: AnswerPart::Prefilled {
@@ -185,7 +185,7 @@
         self.context
             .metrics
             .dispatch_ended(exchange.purpose.name(), "refused");
-        self.context.links.give_back(&exchange.engine, exchange.link, now);
+        self.context.rest_link(&exchange.engine, exchange.link, now);
         Event::Refused {
             attempt: exchange.attempt,
             refusal,
--- a/crates/node/src/watch/engines.rs
+++ b/crates/node/src/watch/engines.rs
@@ -1,10 +1,13 @@
 //! Follows the list of engines.
+//!
+//! An entry that can't be read names no engine to use: what stood there before may have ended, and another start or
+//! service may have its address.
 
 use super::contact::StoreContact;
+use super::row_faults::RowFaults;
 use crate::context::Context;
 use crate::ports::{Changes, EngineRow, FleetStore, StoreVersion, WatchError};
-use shelfjunction_core::identity::EngineId;
-use shelfjunction_core::routing::pool::{ListChange, ListSnapshot, PoolEngine};
+use shelfjunction_core::routing::pool::{EngineListing, ListChange, ListSnapshot};
 use shelfjunction_threads::lock;
 use std::time::Duration;
 
@@ -19,6 +22,7 @@
 pub(crate) fn run(context: &Context, store: &dyn FleetStore) {
     let table = &context.list_watch;
     let mut contact = StoreContact::new(table);
+    let mut faults = RowFaults::default();
     loop {
         let wait = table.wait_for_question(context);
         let after = table.store_version();
@@ -31,9 +35,9 @@
                 let version = changes.version.0;
                 let has_changed = !changes.changes.is_empty();
                 if after == 0 {
-                    take_whole(context, changes);
+                    take_whole(context, &mut faults, changes);
                 } else {
-                    take_changes(context, after, changes);
+                    take_changes(context, &mut faults, after, changes);
                 }
                 contact.answered(context, version);
                 if has_changed {
@@ -49,59 +53,41 @@
     }
 }
 
-fn take_changes(context: &Context, after: u64, changes: Changes<EngineRow>) {
-    let read = changes.changes.into_iter().filter_map(|row| {
-        let version = row.version.0;
-        readable(row).map(|change| (version, change))
-    });
-    let read: Vec<(u64, ListChange)> = read.collect();
+fn take_changes(context: &Context, faults: &mut RowFaults, after: u64, changes: Changes<EngineRow>) {
     let taken = {
         let mut listing = lock(&context.listing);
+        let rows = changes.changes.into_iter();
+        let read: Vec<(u64, ListChange)> = rows
+            .map(|row| (row.version.0, faults.change_of(row, &listing)))
+            .collect();
         lock(&context.recent_changes).note(&listing, after, &read, context.now());
         listing.apply(read, changes.version.0)
     };
     context.take_list_changes(taken, SOURCE);
 }
 
-fn take_whole(context: &Context, changes: Changes<EngineRow>) {
-    let mut engines = Vec::new();
-    for row in changes.changes {
-        // A row that can't be read leaves its engine as it was known.
-        let kept = row
-            .change
-            .as_ref()
-            .err()
-            .and_then(|unreadable| known(context, &unreadable.row));
-        match readable(row) {
-            Some(ListChange::Listed(engine)) => engines.push(engine),
-            _ => engines.extend(kept),
-        }
-    }
-    let snapshot = ListSnapshot {
-        version: changes.version.0,
-        engines,
-    };
+fn take_whole(context: &Context, faults: &mut RowFaults, changes: Changes<EngineRow>) {
     let taken = {
         let mut listing = lock(&context.listing);
+        let snapshot = snapshot(faults, &listing, changes);
+        faults.retain(&snapshot.unreadable);
         lock(&context.recent_changes).reset();
         listing.replace(&snapshot)
     };
     context.take_list_changes(taken, SOURCE);
 }
 
-fn known(context: &Context, engine: &str) -> Option<PoolEngine> {
-    let id = EngineId::new(engine);
-    lock(&context.router)
-        .engine(&id)
-        .map(|state| state.engine.clone())
-}
-
-fn readable(row: EngineRow) -> Option<ListChange> {
-    match row.change {
-        Ok(change) => Some(change),
-        Err(unreadable) => {
-            log::warn!(row = unreadable.row.as_str(), fault = unreadable.fault.as_str(); "row_unreadable");
-            None
+fn snapshot(faults: &mut RowFaults, listing: &EngineListing, changes: Changes<EngineRow>) -> ListSnapshot {
+    let mut snapshot = ListSnapshot {
+        version: changes.version.0,
+        ..ListSnapshot::default()
+    };
+    for row in changes.changes {
+        match faults.change_of(row, listing) {
+            ListChange::Listed(engine) => snapshot.engines.push(engine),
+            ListChange::Unreadable(entry) => snapshot.unreadable.push(entry.as_str().to_owned()),
+            ListChange::Gone(_) => {}
         }
     }
+    snapshot
 }
--- a/crates/node/src/watch/mod.rs
+++ b/crates/node/src/watch/mod.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod contact;
 mod engines;
+mod row_faults;
 mod table;
 
 pub(crate) use configuration::run as configuration;
