Fault soak: engines that come back under their identifier, and entries that can't be read

Stand-in engines tell `born` and are recorded by start. Two new faults: an engine ends without a word and starts again under its identifier at its address; an engine's entry is spoilt, in seven ways, for longer than nodes in touch may take to know. Every other crashed engine comes back under its identifier. The oracle finds a request that was sent, by a node in touch that could know, to an engine under a spoilt entry; crashes are counted by start, so that the third at one engine has to end the request.

--- a/crates/lab/src/fault_soak/deployment.rs
+++ b/crates/lab/src/fault_soak/deployment.rs
@@ -6,6 +6,7 @@
 use super::places::{EnginePlace, GRACE, NodePlace};
 use super::process::NodeProcess;
 use super::schedule::Targets;
+use super::spoilt::{Spoilt, SpoiltSpan};
 use crate::relay::Relay;
 use crate::users_platform::{StandInInterface, StandInStore, StoreMode, UsageReport};
 use std::io;
@@ -156,6 +157,7 @@
     /// Ends an engine that is about to leave and starts another at its place.
     pub fn replace(&self, engine: usize) -> io::Result<()> {
         let mut place = lock(&self.engines[engine]);
+        place.mend_entry();
         self.store.remove("servers", &place.id);
         place.start_again(engine)?;
         drop(place);
@@ -163,13 +165,47 @@
         Ok(())
     }
 
-    /// Starts engines again that crashed a while ago, under other names.
+    /// Ends an engine without a word and starts it again under its identifier, at its address.
+    pub fn come_back(&self, engine: usize) -> io::Result<()> {
+        lock(&self.engines[engine]).come_back()?;
+        self.list(engine, "ready");
+        Ok(())
+    }
+
+    /// Spoils an engine's entry until it is written anew.
+    pub fn spoil(&self, engine: usize, spoilt: Spoilt) {
+        let mut place = lock(&self.engines[engine]);
+        place.spoil(spoilt);
+        let entry = spoilt.entry(&row(&place, "ready"));
+        self.store.put("servers", &place.id, &entry);
+    }
+
+    /// Writes an entry anew that is spoilt.
+    pub fn mend_entry(&self, engine: usize) {
+        if lock(&self.engines[engine]).spoilt.is_some() {
+            self.list(engine, "ready");
+        }
+    }
+
+    /// Times for which entries were spoilt.
+    pub fn spoilt_spans(&self) -> Vec<SpoiltSpan> {
+        let places = self.engines.iter();
+        places
+            .flat_map(|place| lock(place).spoilt_spans.clone())
+            .collect()
+    }
+
+    /// Starts engines again that crashed a while ago: every other one under another identifier, the rest under their own.
     pub fn revive_crashed(&self) {
         for number in 0..self.engines.len() {
             if !lock(&self.engines[number]).comes_back(BACK_AFTER) {
                 continue;
             }
-            if let Err(error) = self.replace(number) {
+            let started = match number % 2 {
+                0 => self.replace(number),
+                _ => self.come_back(number),
+            };
+            if let Err(error) = started {
                 log::error!(engine = number, error:% = error; "engine_not_started");
             }
         }
@@ -277,16 +313,9 @@
     }
 
     fn list(&self, engine: usize, state: &str) {
-        let place = lock(&self.engines[engine]);
-        let stage = place.now.stage().map_or(String::new(), |stage| {
-            format!(r#","stage":"{stage}","models":[{{"name":"m","version":1,"adapters":[]}}]"#)
-        });
-        let row = format!(
-            r#"{{"service":"{}","address":"{}","zone":"zone-a","version":"v1","slots":8,"state":"{state}","coldRemainingMs":0{stage},"sequence":4}}"#,
-            place.pool,
-            place.relay.address()
-        );
-        self.store.put("servers", &place.id, &base64(&row));
+        let mut place = lock(&self.engines[engine]);
+        place.mend_entry();
+        self.store.put("servers", &place.id, &base64(&row(&place, state)));
     }
 
     /// Lists the stages that engines have taken by order, as they do themselves.
@@ -300,6 +329,19 @@
     }
 }
 
+/// An engine's entry, before it is encoded.
+fn row(place: &EnginePlace, state: &str) -> String {
+    let stage = place.now.stage().map_or(String::new(), |stage| {
+        format!(r#","stage":"{stage}","models":[{{"name":"m","version":1,"adapters":[]}}]"#)
+    });
+    format!(
+        r#"{{"service":"{}","address":"{}","zone":"zone-a","version":"v1","slots":8,"state":"{state}","coldRemainingMs":0{stage},"born":{},"sequence":4}}"#,
+        place.pool,
+        place.relay.address(),
+        place.born
+    )
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -16,6 +16,7 @@
 pub mod record;
 pub mod repeats;
 pub mod schedule;
+pub mod spoilt;
 mod striking;
 
 use callers::Caller;
@@ -27,6 +28,7 @@
 use record::{CallKind, SeenCall};
 use repeats::{SeenArrival, judge_repeats};
 use schedule::Pace;
+use spoilt::{EngineArrival, SpoiltSpan};
 use std::collections::BTreeSet;
 use std::fmt;
 use std::io;
@@ -143,6 +145,7 @@
     let arrivals = seen_arrivals(&records, begun);
     violations.extend(judge_repeats(&calls, &arrivals, MODEL_POOL, &REPEAT_BUDGET));
     violations.extend(judge_reports(&deployment.usage_reports()));
+    violations.extend(judge_spoilt(&deployment, &records, &calls, begun));
     let crashing = crashing_arrivals(&records, begun);
     let crashes = crashes::count(&calls, &crashing, &deployment.disturbances);
     violations.extend(crashes::judge(&crashes));
@@ -168,6 +171,34 @@
         .collect()
 }
 
+/// Requests that were sent on under entries that could not be read.
+fn judge_spoilt(
+    deployment: &Deployment,
+    records: &EngineRecords,
+    calls: &[SeenCall],
+    begun: Instant,
+) -> Vec<Violation> {
+    let arrivals: Vec<EngineArrival> = records
+        .arrivals
+        .iter()
+        .map(|(_, arrival)| EngineArrival {
+            request: arrival.request.clone(),
+            engine: arrival.engine.clone(),
+            at: arrival.at.saturating_duration_since(begun),
+        })
+        .collect();
+    let spans: Vec<_> = deployment
+        .spoilt_spans()
+        .into_iter()
+        .map(|span| SpoiltSpan {
+            engine: span.engine,
+            from: span.from.saturating_duration_since(begun),
+            until: span.until.saturating_duration_since(begun),
+        })
+        .collect();
+    spoilt::judge(&spans, &arrivals, calls, &deployment.disturbances)
+}
+
 /// What reached engines of the requests that crash them.
 fn crashing_arrivals(records: &EngineRecords, begun: Instant) -> Vec<CrashingArrival> {
     let crashed: BTreeSet<&str> = records
--- a/crates/lab/src/fault_soak/oracle.rs
+++ b/crates/lab/src/fault_soak/oracle.rs
@@ -49,6 +49,15 @@
         /// Arrivals later than the time to know after the third crash.
         late: usize,
     },
+    /// A request reached an engine whose entry could not be read, from a node that had had the time to know.
+    SentUnderSpoiltEntry {
+        /// The request.
+        request: String,
+        /// The start of the engine.
+        engine: String,
+        /// Time from the spoiling until the caller sent it.
+        after_millis: u64,
+    },
     /// A planned stop, alone, left a request that an engine had begun without its whole answer.
     CutOff(String),
 }
--- a/crates/lab/src/fault_soak/places.rs
+++ b/crates/lab/src/fault_soak/places.rs
@@ -4,6 +4,7 @@
 use super::oracle::EngineRecords;
 use super::process::{Launch, NodeProcess};
 use super::repeats::RepeatBudget;
+use super::spoilt::{Spoilt, SpoiltSpan};
 use crate::relay::Relay;
 use crate::users_platform::{ArrivalRecord, EngineSettings, ModelEngine, StandInInterface, StandInStore};
 use rand::Rng;
@@ -31,6 +32,12 @@
     pub(super) relay: Relay,
     pub(super) now: ModelEngine,
     pub(super) id: String,
+    /// Number of this start, which its row tells.
+    pub(super) born: u64,
+    /// How its entry in the store is spoilt now, and since when.
+    pub(super) spoilt: Option<(Spoilt, Instant)>,
+    /// Times for which entries of this place's engines were spoilt.
+    pub(super) spoilt_spans: Vec<SpoiltSpan>,
     pub(super) ended: EngineRecords,
     pub(super) starts: u32,
     /// When it was first seen to have crashed.
@@ -60,33 +67,65 @@
 impl EnginePlace {
     pub(super) fn start(number: usize, pool: &'static str, stage: Option<&'static str>) -> io::Result<Self> {
         let id = format!("engine-{number}-1");
-        let now = start_engine(&id, stage)?;
-        let relay = relay_before(&now)?;
+        let now = start_engine(&id, 1, stage)?;
+        let relay = relay_before(&now, free())?;
         Ok(Self {
             pool,
             stage,
             relay,
             now,
             id,
+            born: 1,
+            spoilt: None,
+            spoilt_spans: Vec::new(),
             ended: EngineRecords::default(),
             starts: 1,
             crashed_at: None,
         })
     }
 
+    /// Starts another engine at the place.
     pub(super) fn start_again(&mut self, number: usize) -> io::Result<()> {
+        let id = format!("engine-{number}-{}", self.starts + 1);
+        self.start_as(id, free())
+    }
+
+    /// Starts the engine again under its identifier and at its address.
+    pub(super) fn come_back(&mut self) -> io::Result<()> {
+        self.start_as(self.id.clone(), self.relay.address())
+    }
+
+    fn start_as(&mut self, id: String, address: SocketAddr) -> io::Result<()> {
         let records = self.records();
         self.ended.add(&records);
         self.starts += 1;
-        self.id = format!("engine-{number}-{}", self.starts);
+        self.born += 1;
         self.stage = self.now.stage();
-        self.now = start_engine(&self.id, self.stage)?;
+        self.now = start_engine(&id, self.born, self.stage)?;
         self.relay.stop();
-        self.relay = relay_before(&self.now)?;
+        self.relay = relay_before(&self.now, address)?;
+        self.id = id;
         self.crashed_at = None;
         Ok(())
     }
 
+    /// Notes that its entry is spoilt from now on.
+    pub(super) fn spoil(&mut self, spoilt: Spoilt) {
+        self.mend_entry();
+        self.spoilt = Some((spoilt, Instant::now()));
+    }
+
+    /// Notes that its entry is about to be written anew, or removed.
+    pub(super) fn mend_entry(&mut self) {
+        if let Some((_, from)) = self.spoilt.take() {
+            self.spoilt_spans.push(SpoiltSpan {
+                engine: self.now.start_name(),
+                from,
+                until: Instant::now(),
+            });
+        }
+    }
+
     /// Whether it crashed so long ago that it comes back.
     pub(super) fn comes_back(&mut self, after: Duration) -> bool {
         if !self.now.has_crashed() {
@@ -116,16 +155,22 @@
 }
 
 /// The link to an engine, whose end is the engine's end to all who reach it.
-fn relay_before(engine: &ModelEngine) -> io::Result<Relay> {
-    let relay = Relay::start((Ipv4Addr::LOCALHOST, 0).into(), engine.address())?;
+fn relay_before(engine: &ModelEngine, address: SocketAddr) -> io::Result<Relay> {
+    let relay = Relay::start(address, engine.address())?;
     let of_engine = relay.clone();
     engine.crash_by(Box::new(move || of_engine.stop()));
     Ok(relay)
 }
 
-fn start_engine(id: &str, stage: Option<&'static str>) -> io::Result<ModelEngine> {
+/// Any free address.
+fn free() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+fn start_engine(id: &str, born: u64, stage: Option<&'static str>) -> io::Result<ModelEngine> {
     ModelEngine::start(EngineSettings {
         id: id.to_owned(),
+        born,
         stage,
         events: EVENTS,
     })
--- a/crates/lab/src/fault_soak/schedule.rs
+++ b/crates/lab/src/fault_soak/schedule.rs
@@ -1,6 +1,7 @@
 //! Which faults come when, drawn from a seed.
 
 use super::disturbances::Struck;
+use super::spoilt::Spoilt;
 use crate::relay::LinkFault;
 use crate::users_platform::{EngineFault, StoreMode};
 use rand::{Rng, SeedableRng};
@@ -36,6 +37,10 @@
     Engine(usize, EngineFault),
     /// An engine is replaced: it says that it leaves, leaves, and another start comes at the same place.
     Replace(usize),
+    /// An engine ends without a word and starts again under its identifier, at its address.
+    ComeBack(usize),
+    /// An engine's entry in the store can't be read for a while.
+    SpoilEntry(usize, Spoilt),
     /// The operator moves a route to another pool.
     Reconfigure,
     /// Every engine refuses most requests.
@@ -79,6 +84,8 @@
             | Self::SilenceEngineLink(_)
             | Self::Engine(..)
             | Self::Replace(_)
+            | Self::ComeBack(_)
+            | Self::SpoilEntry(..)
             | Self::Reconfigure
             | Self::ReconfigureInSeries
             | Self::EnginesRefuse => Struck::Nobody,
@@ -156,7 +163,7 @@
 fn draw_fault(random: &mut ChaCha8Rng, targets: Targets) -> Fault {
     let node = random.random_range(0..targets.nodes);
     let engine = random.random_range(0..targets.engines);
-    match random.random_range(0..140) {
+    match random.random_range(0..155) {
         0..10 => Fault::StoreLink(node, draw_link_fault(random)),
         10..25 => Fault::EngineLink(engine, draw_link_fault(random)),
         25..29 => Fault::ResetStoreLink(node),
@@ -178,7 +185,9 @@
         122..126 => Fault::ReloadAndStop(node),
         126..130 => Fault::SilenceEngineLink(engine),
         130..134 => Fault::SilenceStoreLink(node),
-        _ => Fault::KillAllWhileEnginesRefuse,
+        134..140 => Fault::KillAllWhileEnginesRefuse,
+        140..147 => Fault::ComeBack(engine),
+        _ => Fault::SpoilEntry(engine, Spoilt::ALL[random.random_range(0..Spoilt::ALL.len())]),
     }
 }
 
--- a/crates/lab/src/fault_soak/striking.rs
+++ b/crates/lab/src/fault_soak/striking.rs
@@ -1,5 +1,6 @@
 //! Makes the faults of a schedule happen, each in its time, and takes them back.
 
+use super::crashes::CONTACT;
 use super::deployment::Deployment;
 use super::schedule::{Fault, ScheduledFault};
 use crate::relay::LinkFault;
@@ -97,6 +98,18 @@
                 log::error!(engine, error:% = error; "engine_not_replaced");
             }
         }
+        Fault::ComeBack(engine) => {
+            if let Err(error) = deployment.come_back(engine) {
+                log::error!(engine, error:% = error; "engine_not_started");
+            }
+        }
+        Fault::SpoilEntry(engine, spoilt) => {
+            deployment.spoil(engine, spoilt);
+            // Longer than nodes in touch may take to know.
+            thread::sleep(CONTACT);
+            wait();
+            deployment.mend_entry(engine);
+        }
         Fault::Reconfigure => {
             deployment.reconfigure();
         }
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -1,6 +1,7 @@
 //! An engine: reads prompts for others, runs outputs as series of events, takes orders, and misbehaves when told to.
 
 use super::engine_records::{ArrivalRecord, OrderRecord, RunRecord};
+use super::engine_settings::{EngineFault, EngineSettings};
 use serde::Deserialize;
 use shelfjunction_http::{
     Answer, AnswerHeader, Answered, Handler, HttpLimits, HttpRequest, HttpServer, ReadError, Responder,
@@ -10,39 +11,11 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 const JSON: &str = "application/json";
 const EVENTS: &str = "text/event-stream";
 
-/// What an engine is.
-#[derive(Clone, Debug)]
-pub struct EngineSettings {
-    /// Name of this start.
-    pub id: String,
-    /// `prefill`, `decode`, or none where it runs no model.
-    pub stage: Option<&'static str>,
-    /// Events of each answer.
-    pub events: u64,
-}
-
-/// How an engine treats the next request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EngineFault {
-    /// Refuses it before running it.
-    Refuse,
-    /// Runs it and answers 500.
-    Fail,
-    /// Runs it and breaks the connection without an answer.
-    LoseAnswer,
-    /// Runs it for so long and breaks the connection without an answer.
-    LoseAnswerAfter(Duration),
-    /// Runs it and breaks the connection after some events.
-    CutAfter(u64),
-    /// Runs it and answers without its signature.
-    Unsigned,
-}
-
 /// Body of a request that crashes the engine that begins to run it, where the engine has a [`CrashSwitch`]; reading its
 /// prompt does no harm.
 pub const CRASHING_BODY: &str = "crashes whoever runs it";
@@ -86,6 +59,7 @@
 /// A running engine on loopback.
 pub struct ModelEngine {
     server: HttpServer,
+    start_name: String,
     state: Arc<Mutex<State>>,
     crash_switch: Arc<OnceLock<CrashSwitch>>,
 }
@@ -108,6 +82,7 @@
             ..State::default()
         }));
         let crash_switch = Arc::new(OnceLock::new());
+        let start_name = settings.start();
         let handler = Arc::new(EngineHandler {
             settings,
             state: Arc::clone(&state),
@@ -117,6 +92,7 @@
         let server = HttpServer::start(address, HttpLimits::default(), handler)?;
         Ok(Self {
             server,
+            start_name,
             state,
             crash_switch,
         })
@@ -127,6 +103,11 @@
         self.server.address()
     }
 
+    /// What names this start in records.
+    pub fn start_name(&self) -> String {
+        self.start_name.clone()
+    }
+
     /// Treats the next request so; several are used up one after the other.
     pub fn next_request(&self, fault: EngineFault) {
         lock(&self.state).faults.push_back(fault);
@@ -230,7 +211,7 @@
             refused,
             crashing: crashes_engines(&request.body)
                 .then(|| String::from_utf8_lossy(&request.body).into_owned()),
-            engine: self.settings.id.clone(),
+            engine: self.settings.start(),
             at: Instant::now(),
         });
         if is_misdirected {
--- a/crates/lab/src/users_platform/mod.rs
+++ b/crates/lab/src/users_platform/mod.rs
@@ -3,10 +3,12 @@
 
 mod engine;
 mod engine_records;
+mod engine_settings;
 mod interface;
 mod store;
 
-pub use engine::{CRASHING_BODY, CrashSwitch, EngineFault, EngineSettings, ModelEngine, crashes_engines};
+pub use engine::{CRASHING_BODY, CrashSwitch, ModelEngine, crashes_engines};
 pub use engine_records::{ArrivalRecord, OrderRecord, RunRecord};
+pub use engine_settings::{EngineFault, EngineSettings};
 pub use interface::{InterfaceMode, ScaleOrder, StandInInterface, UsageReport};
 pub use store::{StandInStore, StoreMode};
--- a/crates/lab/tests/fault_soak.rs
+++ b/crates/lab/tests/fault_soak.rs
@@ -8,6 +8,7 @@
 use shelfjunction_lab::fault_soak::record::{CallKind, SeenAnswer, SeenCall};
 use shelfjunction_lab::fault_soak::repeats::{RepeatBudget, SeenArrival, judge_repeats};
 use shelfjunction_lab::fault_soak::schedule::{Fault, Pace, Targets, draw};
+use shelfjunction_lab::fault_soak::spoilt::{EngineArrival, Spoilt, SpoiltSpan, judge as judge_spoilt};
 use shelfjunction_lab::relay::{LinkFault, Relay};
 use shelfjunction_lab::users_platform::{OrderRecord, RunRecord, UsageReport};
 use std::io::{Read, Write};
@@ -195,7 +196,7 @@
         .iter()
         .map(|scheduled| std::mem::discriminant(&scheduled.fault))
         .collect();
-    assert_eq!(kinds.len(), 22);
+    assert_eq!(kinds.len(), 24);
     assert!(drawn.iter().any(|scheduled| scheduled.fault == Fault::KillAll));
     assert!(drawn.iter().all(|scheduled| scheduled.at < length));
 }
@@ -391,3 +392,57 @@
         assert_eq!(counts["crashes"].late, counts_then, "{struck:?} until {until:?}");
     }
 }
+
+#[test]
+fn a_request_that_is_sent_under_a_spoilt_entry_by_a_node_that_could_know_is_found() {
+    let span = SpoiltSpan {
+        engine: "engine@2".to_owned(),
+        from: Duration::from_secs(10),
+        until: Duration::from_secs(20),
+    };
+    let found = |sent_at: u64, at: u64, engine: &str, struck: Struck| {
+        let calls = [SeenCall {
+            sent_at: Duration::from_secs(sent_at),
+            ..call(CallKind::Again, None)
+        }];
+        let arrivals = [EngineArrival {
+            request: "mine".to_owned(),
+            engine: engine.to_owned(),
+            at: Duration::from_secs(at),
+        }];
+        let disturbances = Disturbances::default();
+        disturbances.begin(struck, Duration::from_secs(12));
+        judge_spoilt(std::slice::from_ref(&span), &arrivals, &calls, &disturbances)
+    };
+    let expected = Violation::SentUnderSpoiltEntry {
+        request: "mine".to_owned(),
+        engine: "engine@2".to_owned(),
+        after_millis: 5_000,
+    };
+    assert_eq!(found(15, 16, "engine@2", Struck::Nobody), [expected]);
+    for (sent_at, at, engine, struck, why) in [
+        (12, 13, "engine@2", Struck::Nobody, "the node could not know yet"),
+        (
+            12,
+            16,
+            "engine@2",
+            Struck::Nobody,
+            "a link held what was sent before",
+        ),
+        (15, 21, "engine@2", Struck::Nobody, "it was listed again"),
+        (15, 16, "engine@1", Struck::Nobody, "another start"),
+        (15, 16, "engine@2", Struck::Node(0), "the node was out of touch"),
+    ] {
+        assert_eq!(found(sent_at, at, engine, struck), [], "{why}");
+    }
+}
+
+#[test]
+fn each_way_to_spoil_an_entry_changes_it() {
+    let row =
+        r#"{"service":"p","address":"127.0.0.1:80","zone":"zone-a","slots":8,"state":"ready","born":3}"#;
+    let entries: std::collections::BTreeSet<_> = Spoilt::ALL.iter().map(|spoilt| spoilt.entry(row)).collect();
+    let sound = Spoilt::CutOff.entry(&format!("{row} "));
+    assert_eq!(entries.len(), Spoilt::ALL.len());
+    assert!(!entries.contains(&sound));
+}
