--- a/crates/core/src/routing/pool/cordoned.rs
+++ b/crates/core/src/routing/pool/cordoned.rs
@@ -63,7 +63,7 @@
 
     /// Why it gets no new work; absent where it does.
     pub fn left_alone(&self, now: MonotonicTime) -> Option<LeftAlone> {
-        if self.gone.is_some() {
+        if !self.is_listed() {
             return Some(LeftAlone::Gone);
         }
         if self.engine.leaving {
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -14,6 +14,7 @@
 pub mod cost;
 mod demand;
 mod dispatches;
+mod ended_starts;
 mod engine;
 mod expectation;
 mod listing;
