explain: a stream that paused for too long is shown with its engine and what ran beside it

A late stream's lines named engines but not the pause that made it late. The last lines now say which engine, how long the pause was, what was allowed and what its node or placer believed to run beside it. Test: command_line.

--- a/crates/cli/src/operator/explain.rs
+++ b/crates/cli/src/operator/explain.rs
@@ -3,9 +3,10 @@
 //! Lines are `key=value` pairs as the programs write them; what stands before `event=` on a line, such as the name of
 //! a machine put there by whoever gathered the logs, is kept as the line's source. Beside the request's own lines the
 //! command prints what its nodes believed when they decided: the configuration and each engine that they chose. Where
-//! another node chose the engines, its decisions are found by the number under which the request was asked for.
+//! another node chose the engines, its decisions are found by the number under which the request was asked for. Last come
+//! the pauses by which a stream was late.
 
-use super::files;
+use super::{explain_pauses, files};
 use crate::exit::CommandError;
 use crate::options::{CommandLine, Parsed};
 use crate::usage;
@@ -30,8 +31,8 @@
     "dispatch_withheld",
 ];
 
-/// A choice of engines for another node's request.
-const PLACEMENT_EVENT: &str = "placement_given";
+/// What a placer says of another node's request: the engines that it chose, and what ran beside an output that paused.
+const PLACEMENT_EVENTS: [&str; 2] = ["placement_given", "pause_believed"];
 
 /// Events that change what a node believes of its dependencies.
 const NODE_EVENTS: [&str; 8] = [
@@ -48,7 +49,7 @@
 /// One line of a log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LogLine {
-    source: String,
+    pub(super) source: String,
     fields: BTreeMap<String, String>,
     text: String,
 }
@@ -66,11 +67,11 @@
         })
     }
 
-    fn field(&self, name: &str) -> &str {
+    pub(super) fn field(&self, name: &str) -> &str {
         self.fields.get(name).map_or("", String::as_str)
     }
 
-    fn event(&self) -> &str {
+    pub(super) fn event(&self) -> &str {
         self.field("event")
     }
 
@@ -162,7 +163,7 @@
     let happened = course
         .iter()
         .map(|line| format!("course  {} {}", line.source, line.text));
-    known.chain(happened).collect()
+    known.chain(happened).chain(explain_pauses::of(&course)).collect()
 }
 
 /// The lines of a request with the decisions of the nodes that chose its engines.
@@ -174,7 +175,7 @@
         .collect();
     let given = lines
         .iter()
-        .filter(|line| line.event() == PLACEMENT_EVENT && numbers.contains(line.field("number")));
+        .filter(|line| PLACEMENT_EVENTS.contains(&line.event()) && numbers.contains(line.field("number")));
     own.into_iter().chain(given).collect()
 }
 
--- a/crates/cli/src/operator/mod.rs
+++ b/crates/cli/src/operator/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 pub mod duties;
 pub mod explain;
+mod explain_pauses;
 mod files;
 mod keygen;
 mod node_page;
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -245,6 +245,34 @@
     assert!(!ran.out.contains("number=78"), "another request's choice");
 }
 
+#[test]
+fn a_stream_that_paused_for_too_long_is_explained_by_its_engine_and_what_ran_beside_it() {
+    let place = directory("explain-pauses");
+    let log = "\
+node-1 event=placed time=2026-12-02T10:00:01.1Z request=r1 placer=10.0.0.2:7000 number=77 step=1
+node-1 event=paused_too_long time=2026-12-02T10:00:01.3Z request=r1 engine=e4 pause_millis=320 allowed_millis=200 \
+outputs_beside=None told_work_time_percent=Some(250)
+node-2 event=pause_believed time=2026-12-02T10:00:01.4Z number=77 step=1 engine=e4 pause_percent=160 outputs_beside=7 \
+prompt_tokens_beside=4100 moving_tokens_beside=0 work_factor_percent=130
+node-2 event=pause_believed time=2026-12-02T10:00:01.4Z number=78 step=1 engine=e4 pause_percent=160 outputs_beside=9
+node-3 event=paused_too_long time=2026-12-02T10:00:01.3Z request=r2 engine=e5 pause_millis=210 allowed_millis=200 \
+outputs_beside=Some(2) prompt_tokens_beside=Some(0) moving_tokens_beside=Some(0) work_factor_percent=Some(400)
+";
+    fs::write(place.join("nodes.log"), log).unwrap();
+    let late = |request: &str| {
+        let ran = run_in(&place, &["explain", request, "nodes.log"]);
+        assert_eq!(ran.code, 0, "{}", ran.error);
+        let lines = ran.out.lines().filter(|line| line.starts_with("late"));
+        lines.map(str::to_owned).collect::<Vec<_>>()
+    };
+    let placed = "late    node-1 by a pause of 320 ms (allowed: 200) at engine e4; beside it: 7 outputs, 4100 prompt tokens to \
+                  read, 0 tokens of KV cache on their way, 130 % of the usual time for work; its machine told: 250 %";
+    assert_eq!(late("r1"), [placed]);
+    let own = "late    node-3 by a pause of 210 ms (allowed: 200) at engine e5; beside it: 2 outputs, 0 prompt tokens to \
+               read, 0 tokens of KV cache on their way, 400 % of the usual time for work; its machine told: nothing";
+    assert_eq!(late("r2"), [own]);
+}
+
 #[test]
 fn a_request_is_explained_with_the_engines_that_crashed_under_other_attempts() {
     let place = directory("explain-crashes");
