What an engine had to read of late counts as read beside its streams

Cause: a stream lasts longer than a reading; 72 in 100 of the readings beside paused streams were sent while they ran, so what is to be read at the moment of a choice says little of a stream's whole time.

--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -81,7 +81,10 @@
     }
 
     fn choose_among(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> PoolRoute {
-        let context = self.context(query, now);
+        let context = CostContext {
+            wait_apart: self.wait_apart(query, now),
+            ..self.context(query, now)
+        };
         if query.prompt.is_none() {
             return cheapest(self.candidates(query, EngineStage::Whole, now), |state| {
                 context.output(state, OutputSource::in_zone(query.zone), query)
@@ -145,7 +148,10 @@
         query: &PoolQuery<'_>,
         now: MonotonicTime,
     ) -> Explanation {
-        let context = self.context(query, now);
+        let context = CostContext {
+            wait_apart: self.wait_apart(query, now),
+            ..self.context(query, now)
+        };
         let home = self.home(query);
         let cost = |state: &EngineState| match (stage, reads) {
             (EngineStage::Prefill, _) => {
@@ -229,7 +235,7 @@
             speeds: self.speeds(query.pool),
             move_seconds: traits.and_then(|traits| traits.move_seconds),
             most_held: self.best_holder(query, now).map_or(0, |(tokens, _)| tokens),
-            wait_apart: self.wait_apart(query, now),
+            wait_apart: None,
             draw: query.draw,
             now,
         }
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -57,7 +57,7 @@
     /// Most tokens of the prompt that any engine holds.
     pub most_held: u32,
     /// Shortest time until an engine that reads prompts would begin with this one, in seconds; absent where there is
-    /// none, or pauses are not foreseen.
+    /// none, or nothing is chosen by it.
     pub wait_apart: Option<f64>,
     /// Number drawn for the request.
     pub draw: u64,
@@ -179,6 +179,7 @@
             event_seconds: self.speeds.pace.seconds(),
             reading: self.speeds.decode,
             work_factor: state.work_factor(self.now),
+            read_lately: state.read_lately.tokens(self.now),
         };
         let (computed, beside) = match reads {
             Some(computed) => (computed, work.prompt_tokens_behind(query.rank)),
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -237,6 +237,9 @@
                 longest_pause: query.terms.longest_pause.filter(|_| way.is_some()),
             };
             state.sent.insert(self.tickets, work);
+            state
+                .read_lately
+                .observe(state.work(now).all_prompt_tokens(), now);
         }
         PoolTicket {
             engine: engine.clone(),
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -2,6 +2,7 @@
 
 use super::beliefs::{PeerWork, RANKS};
 use super::dispatches::OutputWay;
+use super::pauses::RecentReading;
 use super::prefix::PrefixBelief;
 use crate::forwarding::PoolId;
 use crate::identity::{EngineId, NodeId, ZoneId};
@@ -210,6 +211,8 @@
     pub(super) peers: BTreeMap<NodeId, (PeerWork, MonotonicTime)>,
     /// Factor by which it answers slower than expected; one when it does not.
     pub(super) slowness: f64,
+    /// Prompt tokens that it had to read at once of late.
+    pub(super) read_lately: RecentReading,
 }
 
 /// Age from which another node's word no longer counts.
@@ -236,6 +239,7 @@
             told: None,
             peers: BTreeMap::new(),
             slowness: 1.0,
+            read_lately: RecentReading::default(),
         }
     }
 
--- a/crates/core/src/routing/pool/neighbours.rs
+++ b/crates/core/src/routing/pool/neighbours.rs
@@ -39,6 +39,9 @@
         for (handle, work) in works {
             if let Some(state) = self.state_of(*handle) {
                 state.peers.insert(peer.clone(), (*work, now));
+                state
+                    .read_lately
+                    .observe(state.work(now).all_prompt_tokens(), now);
             }
         }
     }
--- a/crates/core/src/routing/pool/pauses.rs
+++ b/crates/core/src/routing/pool/pauses.rs
@@ -14,7 +14,9 @@
 //! cost           = w.pause_seconds * (made late at e + own lateness)
 //! ```
 //!
-//! `t` are prompt tokens to read at the engine, `event` is the time between events that was seen where nothing was
+//! `t` are prompt tokens to read at the engine, but no fewer than it had to read at once of late, which fades in half a
+//! second: a stream lasts longer than a reading, so what matters to it is who reads by and by. So readings come together
+//! at few engines, and new streams keep away from these. `event` is the time between events that was seen where nothing was
 //! read. Streams are the outputs that have kept to their bound so far; the shortest bound of any of them counts.
 //!
 //! The share grows steeply where a pause nears the bound and ends at one, so a request always finds a place: where every
@@ -29,6 +31,7 @@
 
 use super::engine::WorkAtEngine;
 use super::speed::{LARGEST_FACTOR, ReadingSpeed};
+use crate::time::MonotonicTime;
 use std::time::Duration;
 
 /// Share of a new observation in the time between events.
@@ -60,6 +63,36 @@
     }
 }
 
+/// Time in which what was read of late fades to a third; a stream of some ten events lasts about as long.
+const RECENT: Duration = Duration::from_millis(500);
+
+/// Most prompt tokens that an engine had to read at once of late: what is read there by and by.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RecentReading {
+    tokens: f64,
+    at: Option<MonotonicTime>,
+}
+
+impl RecentReading {
+    /// The tokens, as far as they have not faded.
+    pub fn tokens(&self, now: MonotonicTime) -> f64 {
+        let Some(at) = self.at else {
+            return 0.0;
+        };
+        self.tokens * (-now.since(at).as_secs_f64() / RECENT.as_secs_f64()).exp()
+    }
+
+    /// Takes what is to be read now.
+    pub fn observe(&mut self, tokens: f64, now: MonotonicTime) {
+        if tokens >= self.tokens(now) {
+            *self = Self {
+                tokens,
+                at: Some(now),
+            };
+        }
+    }
+}
+
 /// What decides the pauses at one engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PauseForecast {
@@ -69,13 +102,16 @@
     pub reading: ReadingSpeed,
     /// Factor by which work takes longer at the engine.
     pub work_factor: f64,
+    /// Prompt tokens that it had to read at once of late.
+    pub read_lately: f64,
 }
 
 impl PauseForecast {
-    /// Longest pause while so many prompt tokens are read, in seconds.
+    /// Longest pause to expect where so many prompt tokens are to be read now, in seconds.
     pub fn pause(&self, prompt_tokens: f64) -> f64 {
-        let reading = if prompt_tokens > 0.0 {
-            self.reading.seconds(prompt_tokens)
+        let tokens = prompt_tokens.max(self.read_lately);
+        let reading = if tokens > 0.0 {
+            self.reading.seconds(tokens)
         } else {
             0.0
         };
--- a/crates/core/tests/pauses_world/mod.rs
+++ b/crates/core/tests/pauses_world/mod.rs
@@ -24,6 +24,12 @@
 const READING_ENGINE_TOKENS_PER_MICRO: f64 = 0.060;
 const HAND_OVER_MICROS: u64 = 8_000;
 const TELLING_MICROS: u64 = 100_000;
+/// Time for which an engine's machine stays busy or free.
+const BUSY_MICROS: u64 = 600_000;
+/// Factor by which work takes longer at an engine whose machine is busy with others' work.
+const BUSY_FACTOR: f64 = 2.5;
+const SWING: f64 = 0.5;
+const SWING_SECONDS: f64 = 10.0;
 /// One pause in so many is told to the router, as nodes do.
 const PAUSES_TOLD: u32 = 4;
 
@@ -31,9 +37,13 @@
 #[derive(Clone, Debug)]
 pub struct Setup {
     pub nodes: usize,
-    pub reading_engines: usize,
-    /// Factor by which work takes longer at each engine that runs outputs.
+    /// Factor by which work takes longer at each engine that reads prompts.
+    pub reading_engines: Vec<f64>,
+    /// The same at each engine that runs outputs.
     pub output_engines: Vec<f64>,
+    /// Part of the time for which an engine's machine is busy with others' work.
+    pub busy_share: f64,
+    /// Mean over the run; the rate swings by half around it.
     pub requests_per_second: f64,
     pub seconds: u64,
     pub bound: Option<Duration>,
@@ -86,6 +96,7 @@
 #[derive(Clone, Debug, Default)]
 struct Engine {
     factor: f64,
+    busy: bool,
     reads_only: bool,
     working: bool,
     /// Prompts to read, with the tokens that are left.
@@ -99,6 +110,7 @@
     HandedOver(usize, usize),
     StepDone(usize),
     Told,
+    MachinesChange,
 }
 
 struct World {
@@ -119,6 +131,7 @@
     let mut world = World::new(setup);
     world.at(0, Happening::Arrival);
     world.at(0, Happening::Told);
+    world.at(0, Happening::MachinesChange);
     while let Some(Reverse((at, _, happening))) = world.queue.pop() {
         world.now = at;
         world.take(happening);
@@ -128,19 +141,17 @@
 
 impl World {
     fn new(setup: Setup) -> Self {
-        let reading = (0..setup.reading_engines)
+        let reading = (0..setup.reading_engines.len())
             .map(|index| engine_with(&format!("p{index}"), EngineStage::Prefill, 64));
         let outputs = (0..setup.output_engines.len())
             .map(|index| engine_with(&format!("d{index}"), EngineStage::Decode, 64));
         let listed: Vec<_> = reading.chain(outputs).collect();
-        let mut engines = vec![
-            Engine {
-                factor: 1.0,
-                reads_only: true,
-                ..Engine::default()
-            };
-            setup.reading_engines
-        ];
+        let reading = setup.reading_engines.iter().map(|factor| Engine {
+            factor: *factor,
+            reads_only: true,
+            ..Engine::default()
+        });
+        let mut engines: Vec<Engine> = reading.collect();
         engines.extend(setup.output_engines.iter().map(|factor| Engine {
             factor: *factor,
             ..Engine::default()
@@ -177,6 +188,7 @@
             }
             Happening::StepDone(engine) => self.step_done(engine),
             Happening::Told => self.tell(),
+            Happening::MachinesChange => self.machines_change(),
         }
     }
 
@@ -198,6 +210,21 @@
         }
     }
 
+    fn machines_change(&mut self) {
+        for engine in &mut self.engines {
+            engine.busy = self.random.random::<f64>() < self.setup.busy_share;
+        }
+        if self.now < self.ends_at() {
+            self.at(self.now + BUSY_MICROS, Happening::MachinesChange);
+        }
+    }
+
+    /// Requests a second now.
+    fn rate(&self) -> f64 {
+        let turn = self.now as f64 / 1e6 / SWING_SECONDS * std::f64::consts::TAU;
+        self.setup.requests_per_second * (1.0 + SWING * turn.sin())
+    }
+
     /// Prompts of three sizes, as callers mix short ones that wait little with long ones.
     fn arrive(&mut self) {
         let (tokens, events) = match self.random.random_range(0..10_u32) {
@@ -229,7 +256,7 @@
         };
         self.requests.push(request);
         self.place(self.requests.len() - 1);
-        let mean = 1_000_000.0 / self.setup.requests_per_second;
+        let mean = 1_000_000.0 / self.rate();
         let gap = -mean * (1.0 - self.random.random::<f64>()).ln();
         let next = self.now + gap as u64;
         if next < self.ends_at() {
@@ -311,7 +338,8 @@
                 STEP_MICROS,
             )
         };
-        let took = engine.factor * (step + tokens / speed);
+        let busy = if engine.busy { BUSY_FACTOR } else { 1.0 };
+        let took = engine.factor * busy * (step + tokens / speed);
         if let Some((_, left)) = engine.prompts.front_mut() {
             *left -= tokens;
         }
--- a/crates/core/tests/pool_pauses.rs
+++ b/crates/core/tests/pool_pauses.rs
@@ -8,7 +8,7 @@
 use pauses_world::{Setup, Streams, play};
 use pool_support::{engine_with, pool, router_with};
 use shelfjunction_core::identity::{EngineId, NodeId, ZoneId};
-use shelfjunction_core::routing::pool::pauses::{EventPace, PauseForecast, share_late};
+use shelfjunction_core::routing::pool::pauses::{EventPace, PauseForecast, RecentReading, share_late};
 use shelfjunction_core::routing::pool::{
     EngineStage, PeerWork, PoolQuery, PoolRoute, PoolRouter, PoolWeights, PromptPart, PromptShape,
     ReadingSpeed, RequestTerms, WorkAtEngine, WorkSlice,
@@ -35,6 +35,7 @@
             event_seconds: 0.050,
             reading: ReadingSpeed::assumed(30_000.0),
             work_factor,
+            read_lately: 0.0,
         }
     }
 
@@ -46,6 +47,24 @@
         assert!((forecast(4.0).pause(0.0) - 0.200).abs() < 1e-9);
     }
 
+    #[test]
+    fn what_was_read_of_late_still_counts_and_fades() {
+        let mut lately = RecentReading::default();
+        assert!(lately.tokens(NOW) == 0.0);
+        lately.observe(9_000.0, NOW);
+        lately.observe(1_000.0, NOW + Duration::from_millis(100));
+        let after = |millis| lately.tokens(NOW + Duration::from_millis(millis));
+        assert!(after(100) > 7_000.0, "a lesser reading does not hide it");
+        assert!(after(3_000) < 50.0);
+        let reader = PauseForecast {
+            read_lately: after(100),
+            ..forecast(1.0)
+        };
+        let none = WorkAtEngine::default();
+        assert!(reader.own_lateness(none.all_prompt_tokens(), Some(BOUND)) > 0.8);
+        assert!(forecast(1.0).own_lateness(none.all_prompt_tokens(), Some(BOUND)) < 0.01);
+    }
+
     #[test]
     fn the_share_late_grows_steeply_towards_the_bound_and_ends_at_one() {
         assert!(share_late(0.100, BOUND) < 0.07);
@@ -201,7 +220,8 @@
     fn setup(weights: PoolWeights, bound: Option<Duration>, seed: u64) -> Setup {
         Setup {
             nodes: 6,
-            reading_engines: 5,
+            reading_engines: vec![1.0; 5],
+            busy_share: 0.0,
             output_engines: vec![1.0, 1.0, 1.0, 1.0, 1.5, 1.5, 2.0, 2.0, 3.0, 4.0],
             requests_per_second: 75.0,
             seconds: 20,
@@ -252,7 +272,7 @@
     #[test]
     fn where_nothing_can_be_read_apart_in_time_little_is_lost_by_trying() {
         let [before, after] = both(|setup| Setup {
-            reading_engines: 4,
+            reading_engines: vec![1.0; 4],
             requests_per_second: 90.0,
             ..setup
         });
