--- a/crates/core/tests/pauses_world/mod.rs
+++ b/crates/core/tests/pauses_world/mod.rs
@@ -4,17 +4,22 @@
 //! Every engine works in steps. A step of one that runs outputs takes a fixed time, and a piece of a prompt on top
 //! where one is to be read; after a number of steps each output gives an event. All of it times the engine's factor.
 
+mod parts;
+
+pub use parts::{Setup, Streams};
+
 use super::pool_support::{engine_with, pool, router_with};
+use parts::{Engine, Request};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use shelfjunction_core::identity::{EngineId, NodeId, ZoneId};
 use shelfjunction_core::routing::pool::{
-    EngineStage, OutputWay, PoolQuery, PoolRoute, PoolRouter, PoolTicket, PoolWeights, PromptPart,
-    PromptShape, RequestTerms, WorkSlice,
+    EngineStage, OutputWay, PoolQuery, PoolRoute, PoolRouter, PromptPart, PromptShape, RequestTerms,
+    WorkSlice,
 };
 use shelfjunction_core::time::MonotonicTime;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::BinaryHeap;
 use std::time::Duration;
 
 const STEP_MICROS: f64 = 3_400.0;
@@ -33,77 +38,6 @@
 /// One pause in so many is told to the router, as nodes do.
 const PAUSES_TOLD: u32 = 4;
 
-/// What a run is made of.
-#[derive(Clone, Debug)]
-pub struct Setup {
-    pub nodes: usize,
-    /// Factor by which work takes longer at each engine that reads prompts.
-    pub reading_engines: Vec<f64>,
-    /// The same at each engine that runs outputs.
-    pub output_engines: Vec<f64>,
-    /// Part of the time for which an engine's machine is busy with others' work.
-    pub busy_share: f64,
-    /// Mean over the run; the rate swings by half around it.
-    pub requests_per_second: f64,
-    pub seconds: u64,
-    pub bound: Option<Duration>,
-    pub first_event_within: Duration,
-    pub weights: PoolWeights,
-    pub seed: u64,
-}
-
-/// How the streams of a run went.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Streams {
-    pub ended: u32,
-    pub late_by_pause: u32,
-    pub late_by_first_event: u32,
-    pub late_by_either: u32,
-    pub nowhere: u32,
-    /// Choices, in order; the same for runs that are served alike.
-    pub choices: Vec<String>,
-}
-
-impl Streams {
-    pub fn share_late_by_pause(&self) -> f64 {
-        f64::from(self.late_by_pause) / f64::from(self.ended.max(1))
-    }
-
-    pub fn share_late(&self) -> f64 {
-        f64::from(self.late_by_either) / f64::from(self.ended.max(1))
-    }
-
-    pub fn share_late_by_first_event(&self) -> f64 {
-        f64::from(self.late_by_first_event) / f64::from(self.ended.max(1))
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Request {
-    node: usize,
-    prompt: PromptShape,
-    arrived: u64,
-    ticket: Option<PoolTicket>,
-    prefill: Option<EngineId>,
-    events_left: u32,
-    steps: u32,
-    events: u32,
-    last_event: Option<u64>,
-    first_late: bool,
-    pause_late: bool,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Engine {
-    factor: f64,
-    busy: bool,
-    reads_only: bool,
-    working: bool,
-    /// Prompts to read, with the tokens that are left.
-    prompts: VecDeque<(usize, f64)>,
-    outputs: Vec<usize>,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Happening {
     Arrival,
