--- a/crates/core/tests/pool_pauses.rs
+++ b/crates/core/tests/pool_pauses.rs
@@ -10,7 +10,7 @@
 use shelfjunction_core::identity::{EngineId, NodeId, ZoneId};
 use shelfjunction_core::routing::pool::pauses::{EventPace, PauseForecast, RecentReading, share_late};
 use shelfjunction_core::routing::pool::{
-    EngineStage, PeerWork, PoolQuery, PoolRoute, PoolRouter, PoolWeights, PromptPart, PromptShape,
+    EngineStage, OutputWay, PeerWork, PoolQuery, PoolRoute, PoolRouter, PoolWeights, PromptPart, PromptShape,
     ReadingSpeed, RequestTerms, WorkAtEngine, WorkSlice,
 };
 use shelfjunction_core::time::MonotonicTime;
@@ -119,7 +119,7 @@
         let work = PeerWork {
             requests: 6,
             outputs: 6,
-            streams: 6,
+            streams: if bound_millis > 0 { 6 } else { 0 },
             shortest_bound_millis: bound_millis,
             ..PeerWork::default()
         };
@@ -128,6 +128,10 @@
     }
 
     fn route(router: &PoolRouter, tokens: u32, longest_pause: Option<Duration>) -> PoolRoute {
+        asked(tokens, longest_pause, |query| router.choose(query, NOW))
+    }
+
+    fn asked<T>(tokens: u32, longest_pause: Option<Duration>, ask: impl FnOnce(&PoolQuery<'_>) -> T) -> T {
         let prompt = PromptShape {
             model: "m".to_owned(),
             parts: vec![PromptPart { name: 1, tokens }],
@@ -150,7 +154,29 @@
             rank: 1,
             remaining: Duration::from_secs(5),
         };
-        router.choose(&query, NOW)
+        ask(&query)
+    }
+
+    #[test]
+    fn nodes_tell_how_many_streams_keep_their_pace_and_the_shortest_bound() {
+        let mut one = beside_streams(foreseeing(), 0);
+        let mut other = one.clone();
+        let engine = EngineId::new("d1");
+        let mut send = |bound_millis| {
+            let bound = Some(Duration::from_millis(bound_millis));
+            asked(0, bound, |query| {
+                one.on_output_sent(&engine, query, OutputWay::Fetches, NOW)
+            })
+        };
+        let (_, strict) = (send(300), send(200));
+        let mut heard = |one: &PoolRouter| {
+            other.on_peer_work(&NodeId::new("one"), WorkSlice::ALL, &one.own_work(), NOW);
+            let work = other.engine(&engine).unwrap().work(NOW);
+            (work.streams, work.shortest_bound)
+        };
+        assert_eq!(heard(&one), (2.0, Some(Duration::from_millis(200))));
+        one.on_paused_too_long(&strict);
+        assert_eq!(heard(&one), (1.0, Some(Duration::from_millis(300))));
     }
 
     #[test]
