--- a/crates/cli/src/operator/mod.rs
+++ b/crates/cli/src/operator/mod.rs
@@ -5,6 +5,7 @@
 pub mod cordons;
 pub mod duties;
 pub mod explain;
+mod explain_pauses;
 mod files;
 mod keygen;
 mod node_page;
