Paths between zones: suspected when engines beyond fall silent and none answers

Load: a zone cut off by silent loss. Nothing kept what the silent engines had in common.

PoolRouter keeps paths between zones, and of each zone to all others: three engines silent towards others without an answer since, two zones for the latter, suspect it; it is neither chosen nor fetched over, but for a trial after 0.5, 1, then each 2 s, never by a request that may run once only; the first answer lets load return from a tenth within a second. Progress tells silence from a break.

--- a/crates/core/src/placing/placement_table.rs
+++ b/crates/core/src/placing/placement_table.rs
@@ -354,6 +354,7 @@
                 router.on_refused(&ticket, *reason, now);
             }
             Progress::Broken => router.on_broken(&ticket, now),
+            Progress::Silent => router.on_silent(&ticket, now),
             Progress::Abandoned => router.on_abandoned(&ticket),
         }
         self.counted = Counted::Nothing;
--- a/crates/core/src/placing/question.rs
+++ b/crates/core/src/placing/question.rs
@@ -148,10 +148,12 @@
         /// Load that the engine told.
         told: Option<ToldLoad>,
     },
-    /// The connection broke, stayed silent or could not be made.
+    /// The connection broke or was refused.
     Broken,
     /// It ended for a cause that is not the engine's, or nobody waits for the placer's answer any more.
     Abandoned,
+    /// The engine said nothing for too long, or no connection could be made in time.
+    Silent,
 }
 
 /// Tells a placer what became of what it answered to a question.
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -117,7 +117,7 @@
             .map_or(OutputSource::in_zone(query.zone), |state| {
                 self.output_source(state, query, now)
             });
-        cheapest(self.candidates(query, EngineStage::Decode, now), |state| {
+        cheapest(self.output_candidates(query, source.zone, now), |state| {
             context.output(state, source)
         })
         .map(|(_, state)| state.engine.clone())
@@ -180,7 +180,8 @@
         Some(Duration::from_secs_f64(seconds))
     }
 
-    /// From where an engine that reads a prompt fetches what it does not hold; absent where nobody holds more.
+    /// From where an engine that reads a prompt fetches what it does not hold; absent where nobody holds more, or only
+    /// beyond a suspected path.
     pub fn fetch_source(
         &self,
         engine: &EngineId,
@@ -189,9 +190,12 @@
     ) -> Option<SocketAddr> {
         let context = self.context(query, now);
         context.move_seconds?;
-        let held = self.engines.get(engine)?.prefixes.held_tokens(query.prefixes);
+        let reader = self.engines.get(engine)?;
+        let held = reader.prefixes.held_tokens(query.prefixes);
         let (tokens, holder) = self.best_holder(query, now)?;
-        let worth_it = tokens >= held + LEAST_FETCH && holder.engine.id != *engine;
+        let worth_it = tokens >= held + LEAST_FETCH
+            && holder.engine.id != *engine
+            && self.paths.moves(&reader.engine.zone, &holder.engine.zone);
         worth_it.then_some(holder.engine.address)
     }
 
@@ -214,6 +218,7 @@
             state.engine.pool == *query.pool
                 && state.engine.stage != EngineStage::Whole
                 && state.can_be_fetched_from(now)
+                && self.paths.moves(query.zone, &state.engine.zone)
         });
         holders
             .map(|state| (state.prefixes.held_tokens(query.prefixes), state))
@@ -231,6 +236,7 @@
             state.engine.stage == stage
                 && state.engine.pool == *query.pool
                 && state.takes_work(now, query.paused_too)
+                && self.reaches(query, &state.engine.zone, now)
                 && !query.excluded.contains(&state.engine.id)
                 && query
                     .prompt
@@ -238,14 +244,31 @@
         })
     }
 
+    /// Whether the request may go to a zone; anywhere where nothing else is left.
+    fn reaches(&self, query: &PoolQuery<'_>, zone: &ZoneId, now: MonotonicTime) -> bool {
+        let may_be_trial = !query.terms.single_try;
+        query.paused_too || self.paths.admits(query.zone, zone, query.draw, may_be_trial, now)
+    }
+
+    /// Engines that may run the output of a prompt that is read in a zone.
+    fn output_candidates<'a>(
+        &'a self,
+        query: &'a PoolQuery<'_>,
+        source: &'a ZoneId,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = &'a EngineState> {
+        self.candidates(query, EngineStage::Decode, now)
+            .filter(move |state| query.paused_too || self.paths.moves(source, &state.engine.zone))
+    }
+
     fn choose_split<'a>(
         &'a self,
         query: &'a PoolQuery<'_>,
         context: &CostContext<'_>,
     ) -> Option<(f64, &'a EngineState, &'a EngineState)> {
         let (prompt_cost, prefill) = self.choose_prefill(query, context)?;
-        let decodes = self.candidates(query, EngineStage::Decode, context.now);
         let source = self.output_source(prefill, query, context.now);
+        let decodes = self.output_candidates(query, source.zone, context.now);
         let (cost, decode) = cheapest(decodes, |state| context.output(state, source))?;
         Some((prompt_cost + cost + context.hand_over(query), prefill, decode))
     }
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -9,7 +9,7 @@
 use super::router::PoolRouter;
 use super::speed::ReadingSpeed;
 use crate::engine::EngineRefusalReason;
-use crate::identity::EngineId;
+use crate::identity::{EngineId, ZoneId};
 use crate::time::MonotonicTime;
 use std::time::Duration;
 
@@ -35,6 +35,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PoolTicket {
     engine: EngineId,
+    /// Zone of the node that sent it.
+    from: ZoneId,
     number: u64,
 }
 
@@ -55,7 +57,7 @@
     ) -> PoolTicket {
         let reading = self.reading_at(engine, query, now);
         let memory = query.prompt.map_or(0, |prompt| prompt.tokens);
-        self.sent(engine, query.rank, reading, f64::from(memory), None, now)
+        self.sent(engine, query, reading, f64::from(memory), None, now)
     }
 
     /// Notes that a request is sent to an engine that answers it.
@@ -75,7 +77,7 @@
             },
         };
         let memory = query.prompt.map_or(0, PromptShape::memory_tokens);
-        self.sent(engine, query.rank, reading, f64::from(memory), Some(way), now)
+        self.sent(engine, query, reading, f64::from(memory), Some(way), now)
     }
 
     fn reading_at(&self, engine: &EngineId, query: &PoolQuery<'_>, now: MonotonicTime) -> ReadingWork {
@@ -91,6 +93,7 @@
         };
         state.health.succeeded();
         note_held(state, prefixes, &mut self.news, now);
+        self.paths.note_answer(&ticket.from, &state.engine.zone, now);
         let work = state.sent.remove(&ticket.number);
         if let Some(work) = work {
             self.observe_reading(&ticket.engine, &work, |speeds| &mut speeds.prefill, now);
@@ -110,6 +113,7 @@
             return;
         };
         note_held(state, prefixes, &mut self.news, now);
+        self.paths.note_answer(&ticket.from, &state.engine.zone, now);
         let Some(work) = state.sent.get_mut(&ticket.number) else {
             return;
         };
@@ -143,8 +147,13 @@
     /// Notes that a dispatch ended well.
     pub fn on_answered(&mut self, ticket: &PoolTicket) {
         if let Some(state) = self.engines.get_mut(&ticket.engine) {
-            state.sent.remove(&ticket.number);
+            let work = state.sent.remove(&ticket.number);
             state.health.succeeded();
+            // Its answer came after it was sent; when, only a series of events has told before.
+            if let Some(work) = work {
+                self.paths
+                    .note_answer(&ticket.from, &state.engine.zone, work.sent_at);
+            }
         }
     }
 
@@ -161,10 +170,27 @@
             state.sent.remove(&ticket.number);
             state.heard(now);
             state.health.refused(reason, now);
+            self.paths.note_answer(&ticket.from, &state.engine.zone, now);
         }
     }
 
-    /// Notes that a connection to an engine broke, stayed silent or could not be made.
+    /// Notes that an engine said nothing for too long, or that no connection to it could be made in time.
+    pub fn on_silent(&mut self, ticket: &PoolTicket, now: MonotonicTime) {
+        let Some(state) = self.engines.get_mut(&ticket.engine) else {
+            return;
+        };
+        state.health.broke(now);
+        let Some(work) = state.sent.remove(&ticket.number) else {
+            return;
+        };
+        let (zone, handle) = (state.engine.zone.clone(), state.handle);
+        let in_zone = self.engines.values().filter(|state| state.engine.zone == zone);
+        let engines = in_zone.count();
+        self.paths
+            .note_silent(&ticket.from, &zone, handle, engines, work.sent_at, now);
+    }
+
+    /// Notes that a connection to an engine broke or was refused.
     pub fn on_broken(&mut self, ticket: &PoolTicket, now: MonotonicTime) {
         if let Some(state) = self.engines.get_mut(&ticket.engine) {
             state.sent.remove(&ticket.number);
@@ -204,13 +230,14 @@
     fn sent(
         &mut self,
         engine: &EngineId,
-        rank: usize,
+        query: &PoolQuery<'_>,
         reading: ReadingWork,
         memory_tokens: f64,
         way: Option<OutputWay>,
         now: MonotonicTime,
     ) -> PoolTicket {
         self.tickets += 1;
+        let rank = query.rank;
         self.demand.on_sent(reading.computed, now);
         if let Some(state) = self.engines.get_mut(engine) {
             let work = SentWork {
@@ -224,9 +251,11 @@
                 until_read: state.work(now).prompt_tokens_ahead(rank) + reading.computed,
             };
             state.sent.insert(self.tickets, work);
+            self.paths.note_sent(query.zone, &state.engine.zone, now);
         }
         PoolTicket {
             engine: engine.clone(),
+            from: query.zone.clone(),
             number: self.tickets,
         }
     }
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -4,6 +4,7 @@
 use super::cordoned::CordonInForce;
 use super::demand::PromptDemand;
 use super::engine::{EngineStage, EngineState, FORGET_AFTER, Gone, PoolEngine, ToldLoad};
+use super::paths::{PathChange, Paths};
 use super::pool_speeds::PoolSpeeds;
 use super::weights::PoolWeights;
 use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
@@ -26,6 +27,8 @@
     pub(super) speeds: BTreeMap<PoolId, PoolSpeeds>,
     pub(super) traits: BTreeMap<PoolId, ModelTraits>,
     pub(super) news: Vec<PrefixNews>,
+    /// Whether what is sent from one zone reaches engines in another.
+    pub(super) paths: Paths,
     pub(super) demand: PromptDemand,
     pub(super) tickets: u64,
     /// Cordons in force.
@@ -43,6 +46,7 @@
             speeds: BTreeMap::new(),
             traits: BTreeMap::new(),
             news: Vec::new(),
+            paths: Paths::default(),
             demand: PromptDemand::default(),
             tickets: 0,
             cordons: Vec::new(),
@@ -159,6 +163,11 @@
         }
     }
 
+    /// Changes of what is believed of the paths between zones since the last call.
+    pub fn take_path_changes(&mut self) -> Vec<PathChange> {
+        self.paths.take_changes()
+    }
+
     /// All engines known, by name.
     pub fn engines(&self) -> impl Iterator<Item = &EngineState> {
         self.engines.values()
--- /dev/null
+++ b/crates/node/src/beliefs.rs
@@ -0,0 +1,21 @@
+//! Tells what changes in the beliefs about paths between zones: a line in the log and a metric for each change.
+
+use crate::context::Context;
+use shelfjunction_threads::lock;
+
+/// Tells the changes since the last call; to be called after whatever may have changed a belief.
+pub(crate) fn tell_changes(context: &Context) {
+    let changes = lock(&context.router).take_path_changes();
+    for change in changes {
+        let belief = change.belief.name();
+        context.metrics.path_changed(belief);
+        log::info!(
+            one = change.one.as_str(),
+            other = change.other.as_ref().map_or("all", |zone| zone.as_str()),
+            belief,
+            silent_engines = change.silent_engines,
+            after_millis = change.after.as_millis() as u64;
+            "path_belief_changed"
+        );
+    }
+}
--- a/crates/node/src/course/accounting.rs
+++ b/crates/node/src/course/accounting.rs
@@ -2,6 +2,7 @@
 //! the engine.
 
 use super::driver::Driver;
+use crate::beliefs;
 use crate::context::Context;
 use crate::placing::{self, PlacedAt};
 use shelfjunction_core::engine::EngineRefusalReason;
@@ -90,6 +91,7 @@
         match account {
             Account::Own(ticket) => {
                 lock(&self.context.router).on_output_begun(ticket, &self.prefixes, now);
+                beliefs::tell_changes(self.context);
                 self.context.peers.note_change();
             }
             Account::Placer { at, .. } => placing::tell(self.context, at, Progress::Begun { told }),
@@ -101,6 +103,7 @@
         match account {
             Account::Own(ticket) => {
                 lock(&self.context.router).on_answered(&ticket);
+                beliefs::tell_changes(self.context);
                 self.context.peers.note_change();
             }
             Account::Placer { at, pauses, .. } => {
@@ -129,7 +132,7 @@
         }
     }
 
-    /// The connection broke, stayed silent or could not be made.
+    /// The connection broke or was refused.
     pub(super) fn count_broken(&self, account: &Account) {
         match account {
             Account::Own(ticket) => lock(&self.context.router).on_broken(ticket, self.context.now()),
@@ -137,6 +140,17 @@
         }
     }
 
+    /// The engine said nothing for too long, or no connection could be made in time.
+    pub(super) fn count_silent(&self, account: &Account) {
+        match account {
+            Account::Own(ticket) => {
+                lock(&self.context.router).on_silent(ticket, self.context.now());
+                beliefs::tell_changes(self.context);
+            }
+            Account::Placer { at, .. } => placing::tell(self.context, at, Progress::Silent),
+        }
+    }
+
     /// The dispatch has ended for a cause that is not the engine's.
     pub(super) fn count_abandoned(&self, account: &Account) {
         match account {
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -14,6 +14,7 @@
 use shelfjunction_core::routing::pool::{EngineBeliefs, EngineStage, Explanation, OutputWay};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -191,7 +192,11 @@
             error:% = error;
             "not_connected"
         );
-        self.count_broken(account);
+        if error.kind() == ErrorKind::TimedOut {
+            self.count_silent(account);
+        } else {
+            self.count_broken(account);
+        }
         self.last_not_sent = true;
         self.take(Event::NotSent {
             attempt: attempt.clone(),
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -211,7 +211,11 @@
         self.context
             .metrics
             .dispatch_ended(exchange.purpose.name(), "broken");
-        self.count_broken(&exchange.account);
+        if cause == SILENT {
+            self.count_silent(&exchange.account);
+        } else {
+            self.count_broken(&exchange.account);
+        }
         self.look_at_engine(&exchange, cause);
         if exchange.head.is_some() {
             Event::Disconnected {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod accepting;
 mod asking;
+mod beliefs;
 mod commanding;
 mod config;
 mod connections;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -53,6 +53,7 @@
     /// Requests under which engines crashed.
     pub(crate) quarantine: QuarantineMetrics,
     placements: Family<ResultLabel, Counter>,
+    path_beliefs: Family<ResultLabel, Counter>,
     whole_answer: Histogram,
     first_event: Histogram,
     between_events: Histogram,
@@ -100,6 +101,7 @@
             engine_orders: Family::default(),
             quarantine: QuarantineMetrics::default(),
             placements: Family::default(),
+            path_beliefs: Family::default(),
             whole_answer: delays(),
             first_event: delays(),
             between_events: delays(),
@@ -169,6 +171,12 @@
         self.placements.get_or_create(&ResultLabel { result }).inc();
     }
 
+    pub(crate) fn path_changed(&self, belief: &'static str) {
+        self.path_beliefs
+            .get_or_create(&ResultLabel { result: belief })
+            .inc();
+    }
+
     pub(crate) fn placement_took(&self, took: Duration) {
         self.placement_round_trip.observe(took.as_secs_f64());
     }
@@ -221,6 +229,11 @@
             "Choices of engines: given to others, answered by a placer, own, timed out, made alone",
             self.placements.clone(),
         );
+        registry.register(
+            "path_beliefs",
+            "Changes of belief about paths between zones: suspected, returns, trusted",
+            self.path_beliefs.clone(),
+        );
         registry.register(
             "placement_round_trip_seconds",
             "Time from a question to a placer to its answer",
--- a/crates/node/src/placing/answering.rs
+++ b/crates/node/src/placing/answering.rs
@@ -2,6 +2,7 @@
 //!
 //! Whoever is asked answers, whether it holds itself for a placer or not: the node that asked may know better.
 
+use crate::beliefs;
 use crate::context::Context;
 use crate::peers::{Datagram, LivenessAnswer, LivenessQuestion};
 use shelfjunction_core::placing::question::{Answer, Placement, ProgressReport, Question, Wanted};
@@ -67,6 +68,8 @@
     let mut router = lock(&context.router);
     table.on_progress(&mut router, report, context.now());
     drop(router);
+    drop(table);
+    beliefs::tell_changes(context);
     context.peers.note_change();
 }
 
