Placers tell each other of engines that fell silent; load returns step by step

Load: dark engines and zones that are cut off, seen by eight placers of which each has an eighth of the requests. A placer's messages carry up to eight words of 20 bytes about engines that were silent; others leave an engine alone that nobody has heard since (large fleets only), and count the words for the paths of a zone where their own answers have stayed away for twelve usual gaps. A pause for silence doubles up to 2 s and ends everywhere with the first answer to anybody; load returns from a tenth to all within a second, so one request and not a burst meets what is still dark. Several requests that had waited for the same silence used to double the pause several times.

Ruled out: words for single paths (answers are too few on each to contradict them); eight gaps instead of twelve (suspected two paths of 32 in five seconds of a fifth of the engines dark, none cut off).

--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -1,5 +1,6 @@
 //! How far an engine's answers fall behind what it reports of itself, and whether it is left alone for a while.
 
+use super::returning::Returning;
 use crate::engine::EngineRefusalReason;
 use crate::time::MonotonicTime;
 use std::time::Duration;
@@ -20,6 +21,9 @@
 const STATE_PAUSE: Duration = Duration::from_millis(1_000);
 /// Longest pause.
 const LONGEST_PAUSE: Duration = Duration::from_secs(15);
+/// Longest pause after the engine said nothing for too long. A machine that was cut off or dark is back without a word, so
+/// one request of the fleet tries it so often.
+const LONGEST_SILENT_PAUSE: Duration = Duration::from_secs(2);
 /// Largest number of doublings of a pause.
 const MOST_DOUBLINGS: u32 = 5;
 
@@ -30,6 +34,8 @@
     updated_at: MonotonicTime,
     consecutive_troubles: u32,
     paused_until: MonotonicTime,
+    /// How load returns after the pause, where the engine is paused because it said nothing.
+    returning: Option<Returning>,
 }
 
 impl Health {
@@ -56,6 +62,31 @@
         self.pause(BROKEN_PAUSE, now);
     }
 
+    /// The engine said nothing for too long, to this node or another: after a pause load returns step by step.
+    pub fn silent(&mut self, now: MonotonicTime) {
+        if self.is_paused(now) {
+            return;
+        }
+        self.pause(BROKEN_PAUSE, now);
+        self.paused_until = self.paused_until.min(now + LONGEST_SILENT_PAUSE);
+        self.returning = Some(Returning::begin(self.paused_until));
+    }
+
+    /// The engine has answered another node: if it was left alone because it said nothing, load returns now.
+    pub fn answered_elsewhere(&mut self, now: MonotonicTime) {
+        if self.returning.is_some() && self.is_paused(now) {
+            self.consecutive_troubles = 0;
+            self.paused_until = now;
+            self.returning = Some(Returning::begin(now));
+        }
+    }
+
+    /// Whether a request may go there as far as silence is concerned, by a number drawn for both.
+    pub fn admits(&self, drawn: u64, now: MonotonicTime) -> bool {
+        self.returning
+            .is_none_or(|returning| returning.admits(drawn, now))
+    }
+
     /// The engine refused to run something.
     pub fn refused(&mut self, reason: EngineRefusalReason, now: MonotonicTime) {
         match reason {
@@ -63,7 +94,10 @@
             EngineRefusalReason::Draining
             | EngineRefusalReason::Changing
             | EngineRefusalReason::NotLoaded
-            | EngineRefusalReason::WrongRole => self.paused_until = now + STATE_PAUSE,
+            | EngineRefusalReason::WrongRole => {
+                self.paused_until = now + STATE_PAUSE;
+                self.returning = None;
+            }
             EngineRefusalReason::TransferGone
             | EngineRefusalReason::UnknownRequest
             | EngineRefusalReason::Malformed => {}
@@ -90,6 +124,7 @@
         let pause = first.saturating_mul(1 << doublings).min(LONGEST_PAUSE);
         self.consecutive_troubles = self.consecutive_troubles.saturating_add(1);
         self.paused_until = now + pause;
+        self.returning = None;
     }
 
     fn log_slowness_at(&self, now: MonotonicTime) -> f64 {
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -9,6 +9,7 @@
 pub mod pool;
 pub mod prefix;
 pub mod query;
+pub mod returning;
 pub mod router;
 pub mod view;
 pub mod weights;
--- a/crates/core/src/routing/pool/beliefs.rs
+++ b/crates/core/src/routing/pool/beliefs.rs
@@ -1,6 +1,7 @@
 //! What other nodes say of their work.
 
 use super::query::PrefixBlock;
+use crate::identity::ZoneId;
 use crate::membership::subject::SubjectHandle;
 use serde::{Deserialize, Serialize};
 
@@ -65,3 +66,14 @@
     /// Whether the engine has just answered, so that it lives.
     pub just_answered: bool,
 }
+
+/// An engine that said nothing for too long to a node, as a placer tells others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SilenceWord {
+    /// The engine.
+    pub engine: SubjectHandle,
+    /// Zone of the node.
+    pub from: ZoneId,
+    /// Milliseconds since the node's request was sent there.
+    pub sent_before_millis: u32,
+}
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -236,6 +236,7 @@
             state.engine.stage == stage
                 && state.engine.pool == *query.pool
                 && state.takes_work(now, query.paused_too)
+                && (query.paused_too || state.health.admits(query.draw ^ state.handle.number(), now))
                 && self.reaches(query, &state.engine.zone, now)
                 && !query.excluded.contains(&state.engine.id)
                 && query
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -45,6 +45,14 @@
     pub fn engine(&self) -> &EngineId {
         &self.engine
     }
+
+    pub(super) fn from(&self) -> &ZoneId {
+        &self.from
+    }
+
+    pub(super) fn number(&self) -> u64 {
+        self.number
+    }
 }
 
 impl PoolRouter {
@@ -174,22 +182,6 @@
         }
     }
 
-    /// Notes that an engine said nothing for too long, or that no connection to it could be made in time.
-    pub fn on_silent(&mut self, ticket: &PoolTicket, now: MonotonicTime) {
-        let Some(state) = self.engines.get_mut(&ticket.engine) else {
-            return;
-        };
-        state.health.broke(now);
-        let Some(work) = state.sent.remove(&ticket.number) else {
-            return;
-        };
-        let (zone, handle) = (state.engine.zone.clone(), state.handle);
-        let in_zone = self.engines.values().filter(|state| state.engine.zone == zone);
-        let engines = in_zone.count();
-        self.paths
-            .note_silent(&ticket.from, &zone, handle, engines, work.sent_at, now);
-    }
-
     /// Notes that a connection to an engine broke or was refused.
     pub fn on_broken(&mut self, ticket: &PoolTicket, now: MonotonicTime) {
         if let Some(state) = self.engines.get_mut(&ticket.engine) {
--- a/crates/core/src/routing/pool/neighbours.rs
+++ b/crates/core/src/routing/pool/neighbours.rs
@@ -131,6 +131,7 @@
             if let Some(state) = self.state_of(one.engine) {
                 if one.just_answered {
                     state.heard(now);
+                    state.health.answered_elsewhere(now);
                 }
                 state.prefixes.note_read(&one.prefixes, now);
             }
--- a/crates/core/src/routing/pool/paths.rs
+++ b/crates/core/src/routing/pool/paths.rs
@@ -13,9 +13,9 @@
 //! together. Where a zone is cut off from everybody, the evidence of all others is gathered three times as fast as on any
 //! one path; where only two zones are, answers from the rest keep the trust in the other paths.
 
-use super::returning::Returning;
 use crate::identity::ZoneId;
 use crate::membership::subject::SubjectHandle;
+use crate::routing::returning::Returning;
 use crate::time::MonotonicTime;
 use std::time::Duration;
 
@@ -29,6 +29,17 @@
 /// that have nothing to do with each other.
 const WITHIN: Duration = Duration::from_millis(2_000);
 
+/// Mean gaps between answers after which their absence is no chance. Where answers come independently of each other one
+/// gap in 160,000 is as long; 8 means, one in 3,000, suspected two paths of 32 within five seconds in which every fifth
+/// engine was dark and none was cut off.
+const QUIET_GAPS: f64 = 12.0;
+
+/// Share of a new gap in the mean of gaps.
+const GAP_SHARE: f64 = 0.1;
+
+/// Longest gap that is taken for one: an outage says nothing of the usual time between answers.
+const LONGEST_GAP: Duration = Duration::from_millis(500);
+
 /// First time between two trials of a suspected path. A trial costs its caller the patience for a connection, 250 ms.
 const FIRST_TRIAL_AFTER: Duration = Duration::from_millis(500);
 
@@ -97,6 +108,24 @@
     at: MonotonicTime,
 }
 
+impl Silence {
+    fn new(
+        from: &ZoneId,
+        to: &ZoneId,
+        engine: SubjectHandle,
+        sent_at: MonotonicTime,
+        at: MonotonicTime,
+    ) -> Self {
+        Self {
+            engine,
+            from: from.clone(),
+            to: to.clone(),
+            sent_at,
+            at,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Path {
     one: ZoneId,
@@ -104,6 +133,8 @@
     other: Option<ZoneId>,
     /// When the last answer came over it, at the earliest.
     answered_at: MonotonicTime,
+    /// Mean time between two answers, in seconds; absent until there were two.
+    mean_gap: Option<f64>,
     /// Engines that fell silent since then.
     silent: Vec<Silence>,
     state: State,
@@ -131,19 +162,33 @@
         now: MonotonicTime,
     ) {
         self.learn(from, to);
-        let silence = Silence {
-            engine,
-            from: from.clone(),
-            to: to.clone(),
-            sent_at,
-            at: now,
-        };
+        let silence = Silence::new(from, to, engine, sent_at, now);
         let paths = self.paths.iter_mut().filter(|path| path.concerns(from, to));
         let changes = paths.filter_map(|path| path.on_silent(&silence, engines, now));
         self.changes.extend(changes);
         self.changes.truncate(MOST_CHANGES);
     }
 
+    /// The same from another placer's word. Answers are not told, so it counts only for the paths of a zone to all
+    /// others, over which this placer sees most answers of its own, and only where those have stopped.
+    pub fn note_told_silent(
+        &mut self,
+        from: &ZoneId,
+        to: &ZoneId,
+        engine: SubjectHandle,
+        engines: usize,
+        sent_at: MonotonicTime,
+        now: MonotonicTime,
+    ) {
+        self.learn(from, to);
+        let silence = Silence::new(from, to, engine, sent_at, now);
+        let paths = self.paths.iter_mut().filter(|path| path.concerns(from, to));
+        let to_all = paths.filter(|path| path.other.is_none() && path.has_gone_quiet(now));
+        let changes = to_all.filter_map(|path| path.on_silent(&silence, engines, now));
+        self.changes.extend(changes);
+        self.changes.truncate(MOST_CHANGES);
+    }
+
     /// Notes that an answer has come from zone `to` for a request from zone `from`, at `now` or later.
     pub fn note_answer(&mut self, from: &ZoneId, to: &ZoneId, now: MonotonicTime) {
         self.learn(from, to);
@@ -209,6 +254,7 @@
             one: one.clone(),
             other: other.cloned(),
             answered_at: MonotonicTime::default(),
+            mean_gap: None,
             silent: Vec::new(),
             state: State::Trusted,
         }
@@ -275,6 +321,7 @@
     }
 
     fn on_answer(&mut self, now: MonotonicTime) -> Option<PathChange> {
+        self.observe_gap(now);
         self.answered_at = self.answered_at.max(now);
         let change = match self.state {
             State::Suspected { since, .. } if now > since => {
@@ -292,6 +339,21 @@
         change
     }
 
+    fn observe_gap(&mut self, now: MonotonicTime) {
+        if self.answered_at == MonotonicTime::default() {
+            return;
+        }
+        let gap = now.since(self.answered_at).min(LONGEST_GAP).as_secs_f64();
+        let mean = self.mean_gap.unwrap_or(gap);
+        self.mean_gap = Some(mean + GAP_SHARE * (gap - mean));
+    }
+
+    /// Whether answers have stayed away for so long that it is no chance.
+    fn has_gone_quiet(&self, now: MonotonicTime) -> bool {
+        let quiet = now.since(self.answered_at).as_secs_f64();
+        self.mean_gap.is_some_and(|mean| quiet >= mean * QUIET_GAPS)
+    }
+
     fn on_sent(&mut self, now: MonotonicTime) {
         if let State::Suspected {
             next_trial_at,
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -4,8 +4,9 @@
 use super::cordoned::CordonInForce;
 use super::demand::PromptDemand;
 use super::engine::{EngineStage, EngineState, FORGET_AFTER, Gone, PoolEngine, ToldLoad};
-use super::paths::{PathChange, Paths};
+use super::paths::Paths;
 use super::pool_speeds::PoolSpeeds;
+use super::silences::UntoldSilence;
 use super::weights::PoolWeights;
 use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
 use crate::identity::{EngineId, EngineStart, NodeId};
@@ -29,6 +30,7 @@
     pub(super) news: Vec<PrefixNews>,
     /// Whether what is sent from one zone reaches engines in another.
     pub(super) paths: Paths,
+    pub(super) untold_silences: Vec<UntoldSilence>,
     pub(super) demand: PromptDemand,
     pub(super) tickets: u64,
     /// Cordons in force.
@@ -47,6 +49,7 @@
             traits: BTreeMap::new(),
             news: Vec::new(),
             paths: Paths::default(),
+            untold_silences: Vec::new(),
             demand: PromptDemand::default(),
             tickets: 0,
             cordons: Vec::new(),
@@ -163,11 +166,6 @@
         }
     }
 
-    /// Changes of what is believed of the paths between zones since the last call.
-    pub fn take_path_changes(&mut self) -> Vec<PathChange> {
-        self.paths.take_changes()
-    }
-
     /// All engines known, by name.
     pub fn engines(&self) -> impl Iterator<Item = &EngineState> {
         self.engines.values()
--- /dev/null
+++ b/crates/core/src/routing/pool/silences.rs
@@ -0,0 +1,103 @@
+//! Engines that fell silent: what this node's requests show, and what other placers tell of theirs.
+//!
+//! One placer of a large fleet sees an eighth of the requests. Until each had learned of every silent engine and path by
+//! itself, eight times as many requests waited for them.
+
+use super::beliefs::SilenceWord;
+use super::dispatches::PoolTicket;
+use super::paths::PathChange;
+use super::router::PoolRouter;
+use crate::identity::ZoneId;
+use crate::membership::subject::SubjectHandle;
+use crate::time::MonotonicTime;
+use std::time::Duration;
+
+/// Most silences that wait to be told; more within one round of messages tell nothing new.
+const MOST_UNTOLD: usize = 16;
+
+/// A silence that has not been told yet.
+#[derive(Clone, Debug)]
+pub(super) struct UntoldSilence {
+    engine: SubjectHandle,
+    from: ZoneId,
+    sent_at: MonotonicTime,
+}
+
+impl PoolRouter {
+    /// Notes that an engine said nothing for too long, or that no connection to it could be made in time.
+    pub fn on_silent(&mut self, ticket: &PoolTicket, now: MonotonicTime) {
+        let Some(state) = self.engines.get_mut(ticket.engine()) else {
+            return;
+        };
+        state.health.silent(now);
+        let Some(work) = state.sent.remove(&ticket.number()) else {
+            return;
+        };
+        let (zone, engine) = (state.engine.zone.clone(), state.handle);
+        let from = ticket.from();
+        if self.untold_silences.len() < MOST_UNTOLD && self.paths.moves(from, &zone) {
+            self.untold_silences.push(UntoldSilence {
+                engine,
+                from: from.clone(),
+                sent_at: work.sent_at,
+            });
+        }
+        let engines = self.engines_in(&zone);
+        self.paths
+            .note_silent(from, &zone, engine, engines, work.sent_at, now);
+    }
+
+    /// Takes another placer's word of engines that fell silent. What nobody has heard since the request was sent is left
+    /// alone for a moment where `leaves_alone`, unless the path to it is what is suspected.
+    pub fn on_peer_silences(&mut self, words: &[SilenceWord], leaves_alone: bool, now: MonotonicTime) {
+        for word in words {
+            let sent_before = Duration::from_millis(word.sent_before_millis.into());
+            let sent_at = now.earlier(sent_before).unwrap_or_default();
+            let Some(state) = self.state_of(word.engine) else {
+                continue;
+            };
+            let zone = state.engine.zone.clone();
+            let is_heard = state.heard_at.is_some_and(|at| at > sent_at);
+            let engines = self.engines_in(&zone);
+            self.paths
+                .note_told_silent(&word.from, &zone, word.engine, engines, sent_at, now);
+            let path_works = self.paths.moves(&word.from, &zone);
+            if let Some(state) = self.state_of(word.engine)
+                && leaves_alone
+                && path_works
+                && !is_heard
+            {
+                state.health.silent(now);
+            }
+        }
+    }
+
+    /// Silences since the last call, for other placers; at most `most`, the rest follows at the next call.
+    pub fn take_silences(&mut self, most: usize, now: MonotonicTime) -> Vec<SilenceWord> {
+        let rest = self
+            .untold_silences
+            .split_off(most.min(self.untold_silences.len()));
+        let told = std::mem::replace(&mut self.untold_silences, rest);
+        let words = told.into_iter().map(|silence| SilenceWord {
+            engine: silence.engine,
+            from: silence.from,
+            sent_before_millis: u32::try_from(now.since(silence.sent_at).as_millis()).unwrap_or(u32::MAX),
+        });
+        words.collect()
+    }
+
+    /// Whether there are silences to tell.
+    pub fn has_untold_silences(&self) -> bool {
+        !self.untold_silences.is_empty()
+    }
+
+    /// Changes of what is believed of the paths between zones since the last call.
+    pub fn take_path_changes(&mut self) -> Vec<PathChange> {
+        self.paths.take_changes()
+    }
+
+    fn engines_in(&self, zone: &ZoneId) -> usize {
+        let engines = self.engines.values();
+        engines.filter(|state| state.engine.zone == *zone).count()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/engine_troubles.rs
@@ -0,0 +1,201 @@
+//! What is believed of an engine that broke or fell silent: the pause, the return of load, and the risk for requests that
+//! may run on one engine only.
+
+#![allow(clippy::unwrap_used)]
+
+mod pool_support;
+
+use pool_support::{engine_with, pool, router_with};
+use shelfjunction_core::engine::EngineRefusalReason;
+use shelfjunction_core::forwarding::PoolId;
+use shelfjunction_core::identity::{EngineId, ZoneId};
+use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::routing::health::Health;
+use shelfjunction_core::routing::pool::{
+    EngineStage, OutputWay, PoolEngine, PoolQuery, PoolRoute, PoolRouter, PoolWeights, PrefixBlock,
+    PrefixNews, PromptPart, PromptShape, RequestTerms, SilenceWord,
+};
+use shelfjunction_core::time::MonotonicTime;
+use std::time::Duration;
+
+const NOW: MonotonicTime = MonotonicTime::from_millis(10_000);
+
+fn after(millis: u64) -> MonotonicTime {
+    NOW + Duration::from_millis(millis)
+}
+
+struct Asked {
+    pool: PoolId,
+    prompt: PromptShape,
+    prefixes: Vec<PrefixBlock>,
+    zone: ZoneId,
+    single_try: bool,
+}
+
+impl Asked {
+    fn new(single_try: bool) -> Self {
+        let prompt = PromptShape {
+            model: "m".to_owned(),
+            parts: vec![PromptPart { name: 1, tokens: 400 }],
+            tokens: 400,
+            output_tokens: 100,
+            output_estimate: None,
+        };
+        Self {
+            pool: pool(),
+            prefixes: prompt.prefixes(),
+            prompt,
+            zone: ZoneId::new("zone-a"),
+            single_try,
+        }
+    }
+
+    fn query(&self, draw: u64) -> PoolQuery<'_> {
+        PoolQuery {
+            pool: &self.pool,
+            prompt: Some(&self.prompt),
+            prefixes: &self.prefixes,
+            zone: &self.zone,
+            excluded: &[],
+            paused_too: false,
+            terms: RequestTerms {
+                single_try: self.single_try,
+                ..RequestTerms::default()
+            },
+            rank: 0,
+            remaining: Duration::from_secs(5),
+            draw,
+        }
+    }
+}
+
+fn engine(id: &str) -> PoolEngine {
+    engine_with(id, EngineStage::Decode, 8)
+}
+
+fn router(engines: &[PoolEngine]) -> PoolRouter {
+    router_with(PoolWeights::default(), 8, Some(1e-6), engines)
+}
+
+/// Requests of a thousand that go to an engine.
+fn to(router: &PoolRouter, asked: &Asked, id: &str, now: MonotonicTime) -> usize {
+    let chosen = (0..1_000).filter(|draw| match router.choose(&asked.query(*draw), now) {
+        PoolRoute::Whole(engine) => engine.id.as_str() == id,
+        route => panic!("{route:?}"),
+    });
+    chosen.count()
+}
+
+fn fall_silent(router: &mut PoolRouter, id: &str, now: MonotonicTime) {
+    let asked = Asked::new(false);
+    let ticket = router.on_output_sent(&EngineId::new(id), &asked.query(0), OutputWay::Reads, now);
+    router.on_silent(&ticket, now);
+}
+
+fn answer(router: &mut PoolRouter, id: &str, now: MonotonicTime) {
+    let asked = Asked::new(false);
+    let ticket = router.on_output_sent(&EngineId::new(id), &asked.query(0), OutputWay::Reads, now);
+    router.on_output_begun(&ticket, &asked.prefixes, now);
+    router.on_answered(&ticket);
+}
+
+mod silence {
+    use super::*;
+
+    #[test]
+    fn load_returns_step_by_step_to_an_engine_that_was_silent() {
+        let mut router = router(&[engine("d1"), engine("d2")]);
+        fall_silent(&mut router, "d1", NOW);
+        let asked = Asked::new(false);
+        let shares: Vec<usize> = [400, 500, 1_000, 1_500]
+            .map(|millis| to(&router, &asked, "d1", after(millis)))
+            .to_vec();
+        assert_eq!(shares[0], 0, "left alone");
+        assert!((10..150).contains(&shares[1]), "{shares:?}");
+        assert!(shares[1] < shares[2] && shares[2] < shares[3], "{shares:?}");
+        assert!((400..600).contains(&shares[3]), "as before: {shares:?}");
+    }
+
+    #[test]
+    fn pauses_grow_with_each_trial_in_vain_up_to_two_seconds() {
+        let mut health = Health::default();
+        let mut now = NOW;
+        let mut pauses = Vec::new();
+        for _ in 0..5 {
+            health.silent(now);
+            // Whoever else waited for it says so a moment later: nothing new.
+            health.silent(now + Duration::from_millis(50));
+            let begun = now;
+            while health.is_paused(now) {
+                now = now + Duration::from_millis(50);
+            }
+            pauses.push(now.since(begun).as_millis());
+        }
+        assert_eq!(pauses, [500, 1_000, 2_000, 2_000, 2_000]);
+    }
+
+    #[test]
+    fn an_answer_to_another_node_ends_a_pause_for_silence_but_no_other() {
+        let mut silent = Health::default();
+        silent.silent(NOW);
+        silent.answered_elsewhere(after(100));
+        assert!(!silent.is_paused(after(100)));
+        let mut full = Health::default();
+        full.refused(EngineRefusalReason::QueueFull, NOW);
+        full.answered_elsewhere(after(50));
+        assert!(full.is_paused(after(50)));
+        let mut broken = Health::default();
+        broken.broke(NOW);
+        broken.answered_elsewhere(after(50));
+        assert!(broken.is_paused(after(50)));
+    }
+
+    fn word(engine: &str, sent_before_millis: u32) -> SilenceWord {
+        SilenceWord {
+            engine: SubjectHandle::of_engine(&EngineId::new(engine)),
+            from: ZoneId::new("zone-a"),
+            sent_before_millis,
+        }
+    }
+
+    #[test]
+    fn an_engine_that_was_silent_to_another_placer_is_left_alone_unless_somebody_has_heard_it_since() {
+        let mut router = router(&[engine("d1"), engine("d2")]);
+        let asked = Asked::new(false);
+        answer(&mut router, "d1", after(100));
+        router.on_peer_silences(&[word("d1", 250)], true, after(300));
+        assert!(to(&router, &asked, "d1", after(310)) > 0, "it has answered since");
+        router.on_peer_silences(&[word("d1", 250)], false, after(700));
+        assert!(
+            to(&router, &asked, "d1", after(710)) > 0,
+            "small fleets judge for themselves"
+        );
+        router.on_peer_silences(&[word("d1", 250)], true, after(700));
+        assert_eq!(to(&router, &asked, "d1", after(710)), 0);
+        let news = PrefixNews {
+            engine: SubjectHandle::of_engine(&EngineId::new("d1")),
+            prefixes: Vec::new(),
+            just_answered: true,
+        };
+        router.on_peer_news(&[news], after(720));
+        assert!(to(&router, &asked, "d1", after(730)) > 0);
+    }
+
+    #[test]
+    fn each_silence_is_told_once_with_its_age() {
+        let mut router = router(&[engine("d1"), engine("d2")]);
+        let asked = Asked::new(false);
+        let id = EngineId::new("d1");
+        let ticket = router.on_output_sent(&id, &asked.query(0), OutputWay::Reads, NOW);
+        router.on_silent(&ticket, after(250));
+        assert_eq!(router.take_silences(8, after(270)), [word("d1", 270)]);
+        assert!(router.take_silences(8, after(270)).is_empty());
+    }
+
+    #[test]
+    fn a_word_of_an_engine_that_is_not_known_changes_nothing() {
+        let mut router = router(&[engine("d1")]);
+        router.on_peer_silences(&[word("d9", 250)], true, NOW);
+        assert!(router.take_path_changes().is_empty());
+    }
+}
--- a/crates/core/tests/path_world/mod.rs
+++ b/crates/core/tests/path_world/mod.rs
@@ -22,6 +22,9 @@
 /// Time until an engine has answered, in milliseconds.
 const ANSWER_MILLIS: u64 = 40;
 
+/// Time until other placers have a word, in milliseconds: up to 20 until it leaves and 2 on the way.
+const WORD_MILLIS: u64 = 22;
+
 /// Engines that one request may try.
 const MOST_TRIES: u32 = 4;
 
@@ -70,6 +73,8 @@
     Ask,
     Silent,
     Answered,
+    /// Placers hear what others told.
+    Hear,
 }
 
 /// The fleet.
@@ -79,6 +84,8 @@
     placers: Vec<Placer>,
     /// Whether placers are told that an engine was silent, or only that its connection broke.
     pub tells_silence: bool,
+    /// Whether placers tell each other of it.
+    pub shares_silence: bool,
 }
 
 impl Fleet {
@@ -98,6 +105,7 @@
         Self {
             nodes,
             tells_silence: true,
+            shares_silence: true,
             placers: (0..placers).map(placer).collect(),
             engines: engines
                 .iter()
@@ -125,6 +133,13 @@
             events.push(Reverse((request.outcome.asked_at, index, Step::Ask)));
         }
         while let Some(Reverse((at, index, step))) = events.pop() {
+            if step == Step::Hear {
+                self.hear(at, outage);
+                continue;
+            }
+            if step == Step::Silent && self.shares_silence {
+                events.push(Reverse((at + WORD_MILLIS, index, Step::Hear)));
+            }
             if let Some((next_at, next)) = self.advance(&mut requests[index], step, at, outage) {
                 events.push(Reverse((next_at, index, next)));
             }
@@ -183,6 +198,7 @@
                 self.report(request, Progress::Answered { pauses: Vec::new() }, at);
                 None
             }
+            Step::Hear => None,
         }
     }
 
@@ -224,6 +240,22 @@
         }
     }
 
+    /// Hands what each placer has to tell to those that it reaches.
+    fn hear(&mut self, at: u64, outage: &Outage) {
+        let now = MonotonicTime::from_millis(at);
+        for teller in 0..self.placers.len() {
+            let words = self.placers[teller].router.take_silences(usize::MAX, now);
+            let from = ZoneId::new(ZONES[teller % ZONES.len()]);
+            for (hearer, placer) in self.placers.iter_mut().enumerate() {
+                let to = ZoneId::new(ZONES[hearer % ZONES.len()]);
+                if hearer != teller && outage.reaches(&from, &to, 1, at) {
+                    placer.router.on_peer_silences(&words, true, now);
+                    placer.path_changes += placer.router.take_path_changes().len();
+                }
+            }
+        }
+    }
+
     fn report(&mut self, request: &Request, progress: Progress, at: u64) {
         let placer = &mut self.placers[request.placer];
         let report = ProgressReport {
--- a/crates/node/src/beliefs.rs
+++ b/crates/node/src/beliefs.rs
@@ -3,9 +3,16 @@
 use crate::context::Context;
 use shelfjunction_threads::lock;
 
-/// Tells the changes since the last call; to be called after whatever may have changed a belief.
+/// Tells the changes since the last call; to be called after whatever may have changed a belief. Other nodes that choose
+/// engines hear at once of those that fell silent.
 pub(crate) fn tell_changes(context: &Context) {
-    let changes = lock(&context.router).take_path_changes();
+    let (changes, has_silences) = {
+        let mut router = lock(&context.router);
+        (router.take_path_changes(), router.has_untold_silences())
+    };
+    if has_silences {
+        context.peers.note_urgent();
+    }
     for change in changes {
         let belief = change.belief.name();
         context.metrics.path_changed(belief);
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -1,7 +1,9 @@
 //! Takes the words of other nodes.
 
 use super::message::{Datagram, MOST_RECEIVED, WorkMessage};
+use super::placers::Placing;
 use super::{Behind, Peer};
+use crate::beliefs;
 use crate::context::Context;
 use crate::metering;
 use crate::placing;
@@ -87,11 +89,17 @@
         cordons: message.cordons,
     };
     context.peers.note_versions(context, versions);
+    let in_large_fleet = !message.silences.is_empty() && context.peers.placing(now) != Placing::Each;
     let mut router = lock(&context.router);
     router.on_peer_work(&message.node, message.slice, &message.work, now);
     router.on_peer_news(&message.news, now);
     router.on_peer_demand(&message.node, message.prompt_tokens_per_second, now);
     router.on_ordered(&message.orders, now);
+    router.on_peer_silences(&message.silences, in_large_fleet, now);
+    drop(router);
+    if !message.silences.is_empty() {
+        beliefs::tell_changes(context);
+    }
 }
 
 fn take_list_news(context: &Context, news: ListNews, from: SocketAddr) {
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -9,7 +9,9 @@
 use shelfjunction_core::placing::question::{Answer, ProgressReport, Question};
 use shelfjunction_core::quarantine::word::{SuspectWord, TrialWord};
 use shelfjunction_core::retry::census::SharingWord;
-use shelfjunction_core::routing::pool::{EngineStage, ListNews, PeerWork, PrefixNews, WorkSlice};
+use shelfjunction_core::routing::pool::{
+    EngineStage, ListNews, PeerWork, PrefixNews, SilenceWord, WorkSlice,
+};
 use shelfjunction_core::watching::TableWord;
 
 /// Longest datagram, in bytes; stays below the smallest usual frame.
@@ -30,6 +32,9 @@
 /// News in one message; each takes about 30 bytes, seldom 200.
 pub(super) const MOST_NEWS: usize = 8;
 
+/// Silent engines in one message; each takes about 20 bytes. Three are enough for a path to be suspected.
+pub(super) const MOST_SILENCES: usize = 8;
+
 /// Requests under which engines crashed in one message; each takes about 80 bytes.
 pub(crate) const MOST_SUSPECTS: usize = 12;
 
@@ -74,6 +79,8 @@
     pub(super) orders: Vec<(SubjectHandle, EngineStage)>,
     /// Shared prefixes that engines have come to hold since the last message.
     pub(super) news: Vec<PrefixNews>,
+    /// Engines that fell silent towards nodes that the sender chooses for, since the last message.
+    pub(super) silences: Vec<SilenceWord>,
 }
 
 /// Asks a placer whether an engine has answered anybody a moment ago.
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -1,7 +1,9 @@
 //! Tells other nodes of this node's work.
 
 use super::Peers;
-use super::message::{Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_NEWS, WorkMessage};
+use super::message::{
+    Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_NEWS, MOST_SILENCES, WorkMessage,
+};
 use super::placers::Placing;
 use crate::context::Context;
 use crate::cordons;
@@ -109,6 +111,8 @@
             }
             Placing::Placers(_) => {
                 self.tells_again = OTHERS_TELL_AGAIN;
+                // The placers learn of silent engines from the requests that they placed.
+                lock(&self.context.router).take_silences(usize::MAX, now);
                 self.owes_all = false;
                 self.tell_placers(confirmed, now)
             }
@@ -134,7 +138,11 @@
             }
             let mut message = self.compose(slice, true, now);
             message.work = works.clone();
-            message.news = lock(&self.context.router).take_news(MOST_NEWS);
+            {
+                let mut router = lock(&self.context.router);
+                message.news = router.take_news(MOST_NEWS);
+                message.silences = router.take_silences(MOST_SILENCES, now);
+            }
             self.told_slices.insert(slice, (works, now));
             if self.speaks(&message, confirmed) {
                 self.send(&peers, message);
@@ -223,6 +231,7 @@
             prompt_tokens_per_second: router.own_demand(now),
             orders: router.orders_under_way(now),
             news: Vec::new(),
+            silences: Vec::new(),
         }
     }
 
@@ -267,6 +276,7 @@
 fn is_idle(message: &WorkMessage) -> bool {
     message.work.is_empty()
         && message.news.is_empty()
+        && message.silences.is_empty()
         && message.orders.is_empty()
         && message.list_news.changes.is_empty()
 }
