--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -206,6 +206,7 @@
             speeds: self.speeds(query.pool),
             move_seconds: traits.and_then(|traits| traits.move_seconds),
             most_held: self.best_holder(query, now).map_or(0, |(tokens, _)| tokens),
+            single_try: query.terms.single_try,
             draw: query.draw,
             now,
         }
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -28,10 +28,13 @@
 //!
 //! harm         = 0 to 1: how near the pauses between events come to the longest harmless one where prompts are read
 //!                beside an output, as seen ([`super::expectation::ReadingPauses`])
+//!
+//! risk of e    = 0 to 1: how likely e ends under a request, from what broke there of late ([`super::EngineState::risk`])
 //! ```
 //!
-//! To the cost of a prompt, of an output and of both, `w.spread_seconds` times a fraction drawn for the request and the
-//! engine is added.
+//! To the cost of an output and of both, `w.single_try_seconds * risk of e` is added where the request may run on one
+//! engine only. To the cost of a prompt, of an output and of both, `w.spread_seconds` times a fraction drawn for the
+//! request and the engine is added.
 
 use super::engine::EngineState;
 use super::pool_speeds::PoolSpeeds;
@@ -52,6 +55,8 @@
     pub move_seconds: Option<f64>,
     /// Most tokens of the prompt that any engine holds.
     pub most_held: u32,
+    /// Whether the request may run on one engine only.
+    pub single_try: bool,
     /// Number drawn for the request.
     pub draw: u64,
     /// Now.
@@ -135,6 +140,7 @@
         state.work_factor(self.now) * (self.load(state) + held_up)
             + self.arriving(state)
             + transfer
+            + self.risk(state)
             + self.spread(state)
     }
 
@@ -157,9 +163,18 @@
         state.work_factor(self.now) * self.load(state)
             + self.fetch(state, reading)
             + seconds * disturbance
+            + self.risk(state)
             + self.spread(state)
     }
 
+    fn risk(&self, state: &EngineState) -> f64 {
+        if self.single_try {
+            self.weights.single_try_seconds * state.risk(self.now)
+        } else {
+            0.0
+        }
+    }
+
     fn spread(&self, state: &EngineState) -> f64 {
         let drawn = mix(self.draw ^ state.handle.number());
         self.weights.spread_seconds * (drawn as f64 / u64::MAX as f64)
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -100,6 +100,7 @@
             return;
         };
         state.health.succeeded();
+        state.breaks.answered();
         note_held(state, prefixes, &mut self.news, now);
         self.paths.note_answer(&ticket.from, &state.engine.zone, now);
         let work = state.sent.remove(&ticket.number);
@@ -157,6 +158,7 @@
         if let Some(state) = self.engines.get_mut(&ticket.engine) {
             let work = state.sent.remove(&ticket.number);
             state.health.succeeded();
+            state.breaks.answered();
             // Its answer came after it was sent; when, only a series of events has told before.
             if let Some(work) = work {
                 self.paths
@@ -187,6 +189,7 @@
         if let Some(state) = self.engines.get_mut(&ticket.engine) {
             state.sent.remove(&ticket.number);
             state.health.broke(now);
+            state.breaks.broke(now);
         }
     }
 
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -4,6 +4,7 @@
 use super::cordoned::EngineCordon;
 use super::dispatches::OutputWay;
 use super::prefix::PrefixBelief;
+use super::risk::BreakShare;
 use crate::forwarding::PoolId;
 use crate::identity::{EngineId, NodeId, ZoneId};
 use crate::membership::subject::SubjectHandle;
@@ -188,6 +189,7 @@
     /// The cordon that covers it, if any.
     pub(super) cordon: Option<EngineCordon>,
     pub(super) health: Health,
+    pub(super) breaks: BreakShare,
     pub(super) sent: BTreeMap<u64, SentWork>,
     pub(super) told: Option<(ToldLoad, MonotonicTime)>,
     pub(super) peers: BTreeMap<NodeId, (PeerWork, MonotonicTime)>,
@@ -217,6 +219,7 @@
             taken_back_at: None,
             cordon: None,
             health: Health::default(),
+            breaks: BreakShare::default(),
             sent: BTreeMap::new(),
             told: None,
             peers: BTreeMap::new(),
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -25,6 +25,7 @@
 mod query;
 mod recent;
 mod reclaims;
+mod risk;
 mod router;
 mod silences;
 mod speed;
--- /dev/null
+++ b/crates/core/src/routing/pool/risk.rs
@@ -0,0 +1,71 @@
+//! How likely an engine ends under a request, for requests that may run on one engine only.
+//!
+//! What breaks once tends to break again: a process that loses answers, a host in trouble, a network card that resets
+//! connections. For what may be repeated the pause after a break is enough; what may not is lost with its engine.
+
+use super::engine::EngineState;
+use crate::time::MonotonicTime;
+use std::time::Duration;
+
+/// Share of a break in the share of dispatches that broke: two in a row make it more likely than not.
+const BREAK_SHARE: f64 = 0.3;
+
+/// Share of an answer in it: as many answers as an engine gives in a second outweigh one break.
+const ANSWER_SHARE: f64 = 0.1;
+
+/// Time after which half of a share is forgotten, so that an engine that nobody uses for it is tried again.
+const HALF_LIFE: Duration = Duration::from_secs(10);
+
+/// Risk of a spot engine whose zone takes spot engines back, though it is not listed as leaving: the platform has taken
+/// some of a zone's and may take the rest.
+const TAKEN_BACK_RISK: f64 = 0.2;
+
+/// Time for which it is one.
+const TAKEN_BACK_FOR: Duration = Duration::from_secs(10);
+
+/// Risk of an engine that has answered nobody since it was listed.
+const UNTRIED_RISK: f64 = 0.05;
+
+/// Share of an engine's dispatches that broke of late.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct BreakShare {
+    share: f64,
+    broke_at: MonotonicTime,
+}
+
+impl BreakShare {
+    /// A connection broke or fell silent.
+    pub fn broke(&mut self, now: MonotonicTime) {
+        let share = self.at(now);
+        self.share = share + BREAK_SHARE * (1.0 - share);
+        self.broke_at = now;
+    }
+
+    /// A dispatch was answered.
+    pub fn answered(&mut self) {
+        self.share -= ANSWER_SHARE * self.share;
+    }
+
+    /// The share, from zero to one.
+    pub fn at(&self, now: MonotonicTime) -> f64 {
+        let age = now.since(self.broke_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.share * 0.5_f64.powf(age)
+    }
+}
+
+impl EngineState {
+    /// How likely the engine ends under a request, from zero to one.
+    pub fn risk(&self, now: MonotonicTime) -> f64 {
+        let taken_back = self
+            .taken_back_at
+            .is_some_and(|at| now.since(at) < TAKEN_BACK_FOR);
+        let listed = if taken_back && self.engine.spot {
+            TAKEN_BACK_RISK
+        } else if self.heard_at.is_none() {
+            UNTRIED_RISK
+        } else {
+            0.0
+        };
+        self.breaks.at(now).max(listed)
+    }
+}
--- a/crates/core/src/routing/pool/silences.rs
+++ b/crates/core/src/routing/pool/silences.rs
@@ -30,6 +30,7 @@
             return;
         };
         state.health.silent(now);
+        state.breaks.broke(now);
         let Some(work) = state.sent.remove(&ticket.number()) else {
             return;
         };
--- a/crates/core/src/routing/pool/weights.rs
+++ b/crates/core/src/routing/pool/weights.rs
@@ -34,6 +34,8 @@
     pub memory_seconds: f64,
     /// Cost of each request beyond an engine's places, in seconds.
     pub overflow_seconds: f64,
+    /// Wait that is as bad as losing a request that may run on one engine only, in seconds.
+    pub single_try_seconds: f64,
     /// Most by which the cost of an engine differs by chance from one request to the next, in seconds, so that nodes which
     /// choose before they have heard of each other do not all choose the same of several equal engines.
     pub spread_seconds: f64,
@@ -65,6 +67,7 @@
             places_seconds: 0.5,
             memory_seconds: 0.5,
             overflow_seconds: 0.2,
+            single_try_seconds: 1.0,
             spread_seconds: 0.010,
             assumed_prompt_tokens_per_second: 40_000.0,
             decode_reading_pace: 0.5,
@@ -92,6 +95,7 @@
             ("routing.places_seconds", self.places_seconds, 0.0),
             ("routing.memory_seconds", self.memory_seconds, 0.0),
             ("routing.overflow_seconds", self.overflow_seconds, 0.0),
+            ("routing.single_try_seconds", self.single_try_seconds, 0.0),
             ("routing.spread_seconds", self.spread_seconds, 0.0),
             (
                 "routing.assumed_prompt_tokens_per_second",
--- a/crates/core/tests/engine_troubles.rs
+++ b/crates/core/tests/engine_troubles.rs
@@ -199,3 +199,99 @@
         assert!(router.take_path_changes().is_empty());
     }
 }
+
+mod risk {
+    use super::*;
+
+    /// Two engines, of which the first broke so often of late and has answered once since.
+    fn broken_once() -> PoolRouter {
+        let mut router = router(&[engine("d1"), engine("d2")]);
+        let asked = Asked::new(false);
+        for id in ["d1", "d2"] {
+            answer(&mut router, id, NOW);
+        }
+        let id = EngineId::new("d1");
+        let ticket = router.on_output_sent(&id, &asked.query(0), OutputWay::Reads, NOW);
+        router.on_broken(&ticket, NOW);
+        answer(&mut router, "d1", after(600));
+        router
+    }
+
+    #[test]
+    fn what_may_run_once_only_avoids_an_engine_that_broke_and_the_rest_does_not() {
+        let router = broken_once();
+        let now = after(700);
+        assert_eq!(to(&router, &Asked::new(true), "d1", now), 0);
+        assert!((300..700).contains(&to(&router, &Asked::new(false), "d1", now)));
+    }
+
+    #[test]
+    fn it_still_goes_there_where_the_others_are_full() {
+        let mut router = broken_once();
+        let asked = Asked::new(true);
+        for _ in 0..16 {
+            router.on_output_sent(
+                &EngineId::new("d2"),
+                &asked.query(0),
+                OutputWay::Fetches,
+                after(650),
+            );
+        }
+        assert_eq!(to(&router, &asked, "d1", after(700)), 1_000);
+    }
+
+    #[test]
+    fn a_break_is_forgotten_with_time_and_sooner_with_answers() {
+        let risk = |router: &PoolRouter, millis| {
+            let state = router.engine(&EngineId::new("d1")).unwrap();
+            state.risk(after(millis))
+        };
+        let mut router = broken_once();
+        let first = risk(&router, 700);
+        assert!((0.2..0.3).contains(&first), "{first}");
+        assert!(risk(&router, 60_000) < 0.01);
+        for _ in 0..30 {
+            answer(&mut router, "d1", after(700));
+        }
+        assert!(risk(&router, 700) < 0.02);
+    }
+
+    #[test]
+    fn a_spot_engine_is_a_risk_for_a_while_after_its_zone_took_others_back() {
+        let spot = |id: &str| PoolEngine {
+            spot: true,
+            ..engine(id)
+        };
+        let ids = ["s1", "s2", "s3", "s4", "s5"];
+        let mut engines: Vec<PoolEngine> = ids.iter().map(|id| spot(id)).collect();
+        engines.push(engine("d1"));
+        let mut router = router(&engines);
+        for engine in &engines {
+            answer(&mut router, engine.id.as_str(), NOW);
+        }
+        for id in ["s1", "s2", "s4", "s5"] {
+            router.on_engine(PoolEngine {
+                leaving: true,
+                ..spot(id)
+            });
+        }
+        assert!(router.note_reclaims(NOW));
+        let now = after(5_000);
+        assert_eq!(to(&router, &Asked::new(true), "s3", now), 0);
+        assert!(to(&router, &Asked::new(false), "s3", now) > 300);
+        assert!(to(&router, &Asked::new(true), "s3", after(15_000)) > 300);
+    }
+
+    #[test]
+    fn the_weight_must_be_a_finite_number() {
+        for value in [-0.1, f64::NAN, f64::INFINITY] {
+            let weights = PoolWeights {
+                single_try_seconds: value,
+                ..PoolWeights::default()
+            };
+            let errors = weights.validate();
+            assert_eq!(errors.len(), 1);
+            assert_eq!(errors[0].field, "routing.single_try_seconds");
+        }
+    }
+}
