--- a/crates/core/src/routing/pool/risk.rs
+++ b/crates/core/src/routing/pool/risk.rs
@@ -23,9 +23,6 @@
 /// Time for which it is one.
 const TAKEN_BACK_FOR: Duration = Duration::from_secs(10);
 
-/// Risk of an engine that has answered nobody since it was listed.
-const UNTRIED_RISK: f64 = 0.05;
-
 /// Share of an engine's dispatches that broke of late.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct BreakShare {
@@ -61,8 +58,6 @@
             .is_some_and(|at| now.since(at) < TAKEN_BACK_FOR);
         let listed = if taken_back && self.engine.spot {
             TAKEN_BACK_RISK
-        } else if self.heard_at.is_none() {
-            UNTRIED_RISK
         } else {
             0.0
         };
