--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -62,23 +62,28 @@
         self.pause(BROKEN_PAUSE, now);
     }
 
-    /// The engine said nothing for too long, to this node or another: after a pause load returns step by step.
-    pub fn silent(&mut self, now: MonotonicTime) {
+    /// The engine said nothing for too long, to this node or another: after a pause load returns step by step. The pause
+    /// that begins, if one does.
+    pub fn silent(&mut self, now: MonotonicTime) -> Option<Duration> {
         if self.is_paused(now) {
-            return;
+            return None;
         }
         self.pause(BROKEN_PAUSE, now);
         self.paused_until = self.paused_until.min(now + LONGEST_SILENT_PAUSE);
         self.returning = Some(Returning::begin(self.paused_until));
+        Some(self.paused_until.since(now))
     }
 
-    /// The engine has answered another node: if it was left alone because it said nothing, load returns now.
-    pub fn answered_elsewhere(&mut self, now: MonotonicTime) {
-        if self.returning.is_some() && self.is_paused(now) {
+    /// The engine has answered another node: if it was left alone because it said nothing, load returns now. True where
+    /// that was so.
+    pub fn answered_elsewhere(&mut self, now: MonotonicTime) -> bool {
+        let returns = self.returning.is_some() && self.is_paused(now);
+        if returns {
             self.consecutive_troubles = 0;
             self.paused_until = now;
             self.returning = Some(Returning::begin(now));
         }
+        returns
     }
 
     /// Whether a request may go there as far as silence is concerned, by a number drawn for both.
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -46,5 +46,6 @@
 pub use query::{PoolQuery, PrefixBlock, PromptPart, PromptShape, RequestTerms};
 pub use recent::{ListNews, RecentChanges};
 pub use router::PoolRouter;
+pub use silences::EngineChange;
 pub use speed::ReadingSpeed;
 pub use weights::PoolWeights;
--- a/crates/core/src/routing/pool/neighbours.rs
+++ b/crates/core/src/routing/pool/neighbours.rs
@@ -131,9 +131,13 @@
             if let Some(state) = self.state_of(one.engine) {
                 if one.just_answered {
                     state.heard(now);
-                    state.health.answered_elsewhere(now);
                 }
+                let returns = one.just_answered && state.health.answered_elsewhere(now);
                 state.prefixes.note_read(&one.prefixes, now);
+                let engine = returns.then(|| state.engine.id.clone());
+                if let Some(engine) = engine {
+                    self.note_engine_change(engine, None, true);
+                }
             }
         }
     }
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -6,7 +6,7 @@
 use super::engine::{EngineStage, EngineState, FORGET_AFTER, Gone, PoolEngine, ToldLoad};
 use super::paths::Paths;
 use super::pool_speeds::PoolSpeeds;
-use super::silences::UntoldSilence;
+use super::silences::{EngineChange, UntoldSilence};
 use super::weights::PoolWeights;
 use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
 use crate::identity::{EngineId, EngineStart, NodeId};
@@ -31,6 +31,7 @@
     /// Whether what is sent from one zone reaches engines in another.
     pub(super) paths: Paths,
     pub(super) untold_silences: Vec<UntoldSilence>,
+    pub(super) engine_changes: Vec<EngineChange>,
     pub(super) demand: PromptDemand,
     pub(super) tickets: u64,
     /// Cordons in force.
@@ -50,6 +51,7 @@
             news: Vec::new(),
             paths: Paths::default(),
             untold_silences: Vec::new(),
+            engine_changes: Vec::new(),
             demand: PromptDemand::default(),
             tickets: 0,
             cordons: Vec::new(),
--- a/crates/core/src/routing/pool/silences.rs
+++ b/crates/core/src/routing/pool/silences.rs
@@ -7,7 +7,7 @@
 use super::dispatches::PoolTicket;
 use super::paths::PathChange;
 use super::router::PoolRouter;
-use crate::identity::ZoneId;
+use crate::identity::{EngineId, ZoneId};
 use crate::membership::subject::SubjectHandle;
 use crate::time::MonotonicTime;
 use std::time::Duration;
@@ -23,19 +23,36 @@
     sent_at: MonotonicTime,
 }
 
+/// An engine that is left alone because it said nothing, or that is used again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineChange {
+    /// The engine.
+    pub engine: EngineId,
+    /// For how long it is left alone; absent where load returns because it has answered somebody.
+    pub pause: Option<Duration>,
+    /// Whether another node told.
+    pub told: bool,
+}
+
+/// Most changes that wait to be taken.
+const MOST_CHANGES: usize = 64;
+
 impl PoolRouter {
     /// Notes that an engine said nothing for too long, or that no connection to it could be made in time.
     pub fn on_silent(&mut self, ticket: &PoolTicket, now: MonotonicTime) {
         let Some(state) = self.engines.get_mut(ticket.engine()) else {
             return;
         };
-        state.health.silent(now);
+        let pause = state.health.silent(now);
         state.breaks.broke(now);
         let Some(work) = state.sent.remove(&ticket.number()) else {
             return;
         };
         let (zone, engine) = (state.engine.zone.clone(), state.handle);
         let from = ticket.from();
+        if pause.is_some() {
+            self.note_engine_change(ticket.engine().clone(), pause, false);
+        }
         if self.untold_silences.len() < MOST_UNTOLD && self.paths.moves(from, &zone) {
             self.untold_silences.push(UntoldSilence {
                 engine,
@@ -68,7 +85,11 @@
                 && path_works
                 && !is_heard
             {
-                state.health.silent(now);
+                let pause = state.health.silent(now);
+                let engine = state.engine.id.clone();
+                if pause.is_some() {
+                    self.note_engine_change(engine, pause, true);
+                }
             }
         }
     }
@@ -97,6 +118,17 @@
         self.paths.take_changes()
     }
 
+    /// Engines that were left alone or are used again since the last call.
+    pub fn take_engine_changes(&mut self) -> Vec<EngineChange> {
+        std::mem::take(&mut self.engine_changes)
+    }
+
+    pub(super) fn note_engine_change(&mut self, engine: EngineId, pause: Option<Duration>, told: bool) {
+        if self.engine_changes.len() < MOST_CHANGES {
+            self.engine_changes.push(EngineChange { engine, pause, told });
+        }
+    }
+
     fn engines_in(&self, zone: &ZoneId) -> usize {
         let engines = self.engines.values();
         engines.filter(|state| state.engine.zone == *zone).count()
--- a/crates/core/tests/engine_troubles.rs
+++ b/crates/core/tests/engine_troubles.rs
@@ -179,6 +179,9 @@
         };
         router.on_peer_news(&[news], after(720));
         assert!(to(&router, &asked, "d1", after(730)) > 0);
+        let changes = router.take_engine_changes();
+        let pauses: Vec<_> = changes.iter().map(|change| (change.pause, change.told)).collect();
+        assert_eq!(pauses, [(Some(Duration::from_millis(500)), true), (None, true)]);
     }
 
     #[test]
--- a/crates/node/src/beliefs.rs
+++ b/crates/node/src/beliefs.rs
@@ -1,15 +1,19 @@
-//! Tells what changes in the beliefs about paths between zones: a line in the log and a metric for each change.
+//! Tells what changes in the beliefs about paths between zones and about engines that say nothing: a line in the log and
+//! a metric for each change.
 
 use crate::context::Context;
+use shelfjunction_core::routing::pool::EngineChange;
 use shelfjunction_threads::lock;
 
 /// Tells the changes since the last call; to be called after whatever may have changed a belief. Other nodes that choose
 /// engines hear at once of those that fell silent.
 pub(crate) fn tell_changes(context: &Context) {
-    let (changes, has_silences) = {
+    let (changes, engines, has_silences) = {
         let mut router = lock(&context.router);
-        (router.take_path_changes(), router.has_untold_silences())
+        let engines = router.take_engine_changes();
+        (router.take_path_changes(), engines, router.has_untold_silences())
     };
+    engines.iter().for_each(|change| tell_engine(context, change));
     if has_silences {
         context.peers.note_urgent();
     }
@@ -26,3 +30,17 @@
         );
     }
 }
+
+fn tell_engine(context: &Context, change: &EngineChange) {
+    let (engine, told) = (change.engine.as_str(), change.told);
+    match change.pause {
+        Some(pause) => {
+            context.metrics.engine_silence("left_alone");
+            log::info!(engine, pause_millis = pause.as_millis() as u64, told; "engine_left_alone");
+        }
+        None => {
+            context.metrics.engine_silence("returns");
+            log::info!(engine, told; "engine_returns");
+        }
+    }
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -54,6 +54,7 @@
     pub(crate) quarantine: QuarantineMetrics,
     placements: Family<ResultLabel, Counter>,
     path_beliefs: Family<ResultLabel, Counter>,
+    engine_silences: Family<ResultLabel, Counter>,
     whole_answer: Histogram,
     first_event: Histogram,
     between_events: Histogram,
@@ -102,6 +103,7 @@
             quarantine: QuarantineMetrics::default(),
             placements: Family::default(),
             path_beliefs: Family::default(),
+            engine_silences: Family::default(),
             whole_answer: delays(),
             first_event: delays(),
             between_events: delays(),
@@ -177,6 +179,10 @@
             .inc();
     }
 
+    pub(crate) fn engine_silence(&self, result: &'static str) {
+        self.engine_silences.get_or_create(&ResultLabel { result }).inc();
+    }
+
     pub(crate) fn placement_took(&self, took: Duration) {
         self.placement_round_trip.observe(took.as_secs_f64());
     }
@@ -234,6 +240,11 @@
             "Changes of belief about paths between zones: suspected, returns, trusted",
             self.path_beliefs.clone(),
         );
+        registry.register(
+            "engine_silences",
+            "Engines left alone because they said nothing, and those whose load returns since they answered somebody",
+            self.engine_silences.clone(),
+        );
         registry.register(
             "placement_round_trip_seconds",
             "Time from a question to a placer to its answer",
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -97,7 +97,7 @@
     router.on_ordered(&message.orders, now);
     router.on_peer_silences(&message.silences, in_large_fleet, now);
     drop(router);
-    if !message.silences.is_empty() {
+    if !message.silences.is_empty() || !message.news.is_empty() {
         beliefs::tell_changes(context);
     }
 }
