--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -9,7 +9,7 @@
 use super::router::PoolRouter;
 use super::speed::ReadingSpeed;
 use crate::engine::EngineRefusalReason;
-use crate::identity::EngineId;
+use crate::identity::{EngineId, ZoneId};
 use crate::time::MonotonicTime;
 use std::time::Duration;
 
@@ -35,6 +35,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PoolTicket {
     engine: EngineId,
+    /// Zone of the node that sent it.
+    from: ZoneId,
     number: u64,
 }
 
@@ -43,6 +45,14 @@
     pub fn engine(&self) -> &EngineId {
         &self.engine
     }
+
+    pub(super) fn from(&self) -> &ZoneId {
+        &self.from
+    }
+
+    pub(super) fn number(&self) -> u64 {
+        self.number
+    }
 }
 
 impl PoolRouter {
@@ -90,7 +100,9 @@
             return;
         };
         state.health.succeeded();
+        state.breaks.answered();
         note_held(state, prefixes, &mut self.news, now);
+        self.paths.note_answer(&ticket.from, &state.engine.zone, now);
         let work = state.sent.remove(&ticket.number);
         if let Some(work) = work {
             self.observe_reading(&ticket.engine, &work, |speeds| &mut speeds.prefill, now);
@@ -110,6 +122,7 @@
             return;
         };
         note_held(state, prefixes, &mut self.news, now);
+        self.paths.note_answer(&ticket.from, &state.engine.zone, now);
         let Some(work) = state.sent.get_mut(&ticket.number) else {
             return;
         };
@@ -154,8 +167,14 @@
     /// Notes that a dispatch ended well.
     pub fn on_answered(&mut self, ticket: &PoolTicket) {
         if let Some(state) = self.engines.get_mut(&ticket.engine) {
-            state.sent.remove(&ticket.number);
+            let work = state.sent.remove(&ticket.number);
             state.health.succeeded();
+            state.breaks.answered();
+            // Its answer came after it was sent; when, only a series of events has told before.
+            if let Some(work) = work {
+                self.paths
+                    .note_answer(&ticket.from, &state.engine.zone, work.sent_at);
+            }
         }
     }
 
@@ -172,14 +191,16 @@
             state.sent.remove(&ticket.number);
             state.heard(now);
             state.health.refused(reason, now);
+            self.paths.note_answer(&ticket.from, &state.engine.zone, now);
         }
     }
 
-    /// Notes that a connection to an engine broke, stayed silent or could not be made.
+    /// Notes that a connection to an engine broke or was refused.
     pub fn on_broken(&mut self, ticket: &PoolTicket, now: MonotonicTime) {
         if let Some(state) = self.engines.get_mut(&ticket.engine) {
             state.sent.remove(&ticket.number);
             state.health.broke(now);
+            state.breaks.broke(now);
         }
     }
 
@@ -240,9 +261,11 @@
             state
                 .read_lately
                 .observe(state.work(now).all_prompt_tokens(), now);
+            self.paths.note_sent(query.zone, &state.engine.zone, now);
         }
         PoolTicket {
             engine: engine.clone(),
+            from: query.zone.clone(),
             number: self.tickets,
         }
     }
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -4,7 +4,9 @@
 use super::cordoned::CordonInForce;
 use super::demand::PromptDemand;
 use super::engine::{EngineStage, EngineState, FORGET_AFTER, Gone, PoolEngine, ToldLoad};
+use super::paths::Paths;
 use super::pool_speeds::PoolSpeeds;
+use super::silences::{EngineChange, UntoldSilence};
 use super::weights::PoolWeights;
 use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
 use crate::identity::{EngineId, EngineStart, NodeId};
@@ -26,6 +28,10 @@
     pub(super) speeds: BTreeMap<PoolId, PoolSpeeds>,
     pub(super) traits: BTreeMap<PoolId, ModelTraits>,
     pub(super) news: Vec<PrefixNews>,
+    /// Whether what is sent from one zone reaches engines in another.
+    pub(super) paths: Paths,
+    pub(super) untold_silences: Vec<UntoldSilence>,
+    pub(super) engine_changes: Vec<EngineChange>,
     pub(super) demand: PromptDemand,
     pub(super) tickets: u64,
     /// Cordons in force.
@@ -43,6 +49,9 @@
             speeds: BTreeMap::new(),
             traits: BTreeMap::new(),
             news: Vec::new(),
+            paths: Paths::default(),
+            untold_silences: Vec::new(),
+            engine_changes: Vec::new(),
             demand: PromptDemand::default(),
             tickets: 0,
             cordons: Vec::new(),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -60,6 +60,8 @@
     /// Requests under which engines crashed.
     pub(crate) quarantine: QuarantineMetrics,
     placements: Family<ResultLabel, Counter>,
+    path_beliefs: Family<ResultLabel, Counter>,
+    engine_silences: Family<ResultLabel, Counter>,
     whole_answer: Histogram,
     first_event: Histogram,
     between_events: Histogram,
@@ -108,6 +110,8 @@
             engine_orders: Family::default(),
             quarantine: QuarantineMetrics::default(),
             placements: Family::default(),
+            path_beliefs: Family::default(),
+            engine_silences: Family::default(),
             whole_answer: delays(),
             first_event: delays(),
             between_events: delays(),
@@ -181,6 +185,16 @@
         self.placements.get_or_create(&ResultLabel { result }).inc();
     }
 
+    pub(crate) fn path_changed(&self, belief: &'static str) {
+        self.path_beliefs
+            .get_or_create(&ResultLabel { result: belief })
+            .inc();
+    }
+
+    pub(crate) fn engine_silence(&self, result: &'static str) {
+        self.engine_silences.get_or_create(&ResultLabel { result }).inc();
+    }
+
     pub(crate) fn placement_took(&self, took: Duration) {
         self.placement_round_trip.observe(took.as_secs_f64());
     }
@@ -238,6 +252,16 @@
             "Choices of engines: given to others, answered by a placer, own, timed out, made alone",
             self.placements.clone(),
         );
+        registry.register(
+            "path_beliefs",
+            "Changes of belief about paths between zones: suspected, returns, trusted",
+            self.path_beliefs.clone(),
+        );
+        registry.register(
+            "engine_silences",
+            "Engines left alone because they said nothing, and those whose load returns since they answered somebody",
+            self.engine_silences.clone(),
+        );
         registry.register(
             "placement_round_trip_seconds",
             "Time from a question to a placer to its answer",
