--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -62,6 +62,7 @@
     placements: Family<ResultLabel, Counter>,
     path_beliefs: Family<ResultLabel, Counter>,
     engine_silences: Family<ResultLabel, Counter>,
+    admissions: Family<ResultLabel, Counter>,
     whole_answer: Histogram,
     first_event: Histogram,
     between_events: Histogram,
@@ -112,6 +113,7 @@
             placements: Family::default(),
             path_beliefs: Family::default(),
             engine_silences: Family::default(),
+            admissions: Family::default(),
             whole_answer: delays(),
             first_event: delays(),
             between_events: delays(),
@@ -195,6 +197,10 @@
         self.engine_silences.get_or_create(&ResultLabel { result }).inc();
     }
 
+    pub(crate) fn admission(&self, result: &'static str) {
+        self.admissions.get_or_create(&ResultLabel { result }).inc();
+    }
+
     pub(crate) fn placement_took(&self, took: Duration) {
         self.placement_round_trip.observe(took.as_secs_f64());
     }
@@ -262,6 +268,11 @@
             "Engines left alone because they said nothing, and those whose load returns since they answered somebody",
             self.engine_silences.clone(),
         );
+        registry.register(
+            "admissions",
+            "Decisions whether requests are taken, and whether a share was exceeded",
+            self.admissions.clone(),
+        );
         registry.register(
             "placement_round_trip_seconds",
             "Time from a question to a placer to its answer",
