Lasting speed of engines and how their machines stand, told apart and shared among placers

An engine's work factor was learned from readings alone, never below one, with a floor that hid most of it, each node by itself; the told fourth figure was read and not used. Now the lasting speed (readings and outputs, divided by the momentary figure) and the momentary figure (told, fading to what is usual with a persistence learned for the pool) decide where engines tell the figure; others are served as before. Placers tell each other of figures that surprise and, in turn, of lasting speeds.

--- a/crates/core/src/placing/placement_table.rs
+++ b/crates/core/src/placing/placement_table.rs
@@ -118,7 +118,7 @@
                 (Some(verdict), placement)
             }
             Wanted::Engines { excluded } => (None, kept.choose(router, question.key, excluded, now)),
-            Wanted::Output { source, excluded } => {
+            Wanted::Output { source, excluded, .. } => {
                 let placement = kept.choose_output(router, question.key, *source, excluded, now);
                 (None, placement)
             }
@@ -178,7 +178,10 @@
     /// Ends what was counted before a further question, which says how that went.
     fn close(&mut self, router: &mut PoolRouter, wanted: &Wanted, now: MonotonicTime) {
         match (std::mem::replace(&mut self.counted, Counted::Nothing), wanted) {
-            (Counted::Prompt(ticket), Wanted::Output { .. }) => {
+            (Counted::Prompt(ticket), Wanted::Output { told, .. }) => {
+                if let Some(told) = told {
+                    router.on_told(ticket.engine(), *told, now);
+                }
                 router.on_prompt_read(&ticket, &self.prefixes, now);
             }
             (Counted::Prompt(ticket) | Counted::Output(ticket), _) => router.on_abandoned(&ticket),
@@ -304,6 +307,8 @@
             requests: beliefs.requests,
             held_tokens: beliefs.held_tokens,
             oldest_word: beliefs.oldest_word,
+            work_factor_percent: beliefs.work_factor_percent,
+            figure_age: beliefs.figure_age,
         }
     }
 
@@ -330,10 +335,10 @@
         };
         match progress {
             Progress::Begun { told } => {
-                router.on_output_begun(&ticket, &self.prefixes, now);
                 if let Some(told) = told {
                     router.on_told(ticket.engine(), *told, now);
                 }
+                router.on_output_begun(&ticket, &self.prefixes, now);
                 if let Some(promise) = self.promise.take() {
                     let took = now.since(promise.made_at);
                     let key = self.last_answer.key;
@@ -345,6 +350,7 @@
                 for pause in pauses {
                     router.on_pause(&ticket, f64::from(*pause) * PAUSE_UNIT, now);
                 }
+                router.on_output_ended(&ticket, now);
                 router.on_answered(&ticket);
             }
             Progress::Refused { reason, told } => {
--- a/crates/core/src/placing/question.rs
+++ b/crates/core/src/placing/question.rs
@@ -49,6 +49,8 @@
     Output {
         /// The engine that has read the prompt.
         source: SubjectHandle,
+        /// Load that it told when it had read the prompt.
+        told: Option<ToldLoad>,
         /// Engines that failed the request.
         excluded: Vec<SubjectHandle>,
     },
@@ -82,6 +84,10 @@
     pub held_tokens: u32,
     /// Age of the oldest word of another placer that counted.
     pub oldest_word: Duration,
+    /// How much longer work takes there now, in hundredths of what is usual in its pool.
+    pub work_factor_percent: u16,
+    /// Age of the momentary figure in that; absent where none counts.
+    pub figure_age: Option<Duration>,
 }
 
 /// Where a request goes.
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -52,6 +52,10 @@
     pub held_tokens: u32,
     /// Age of the oldest word of another node that counts.
     pub oldest_word: Duration,
+    /// How much longer work takes there now, in hundredths of what is usual in its pool.
+    pub work_factor_percent: u16,
+    /// Age of the momentary figure in that; absent where none counts.
+    pub figure_age: Option<Duration>,
 }
 
 impl PoolRouter {
@@ -163,6 +167,8 @@
             requests: work.requests as u32,
             held_tokens: state.prefixes.held_tokens(query.prefixes),
             oldest_word: state.oldest_word(now),
+            work_factor_percent: (state.work_factor(now) * 100.0) as u16,
+            figure_age: state.pace().figure_age(now),
         }
     }
 
@@ -202,6 +208,7 @@
             speeds: self.speeds(query.pool),
             move_seconds: traits.and_then(|traits| traits.move_seconds),
             most_held: self.best_holder(query, now).map_or(0, |(tokens, _)| tokens),
+            output_seconds: self.output_seconds(query),
             draw: query.draw,
             now,
         }
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -18,14 +18,16 @@
 //! load of e    = w.places_seconds * (taken / places)^2 + w.memory_seconds * (tokens taken / tokens)^2
 //!              + w.overflow_seconds * requests beyond the places
 //! held up at e = w.held_up * read here(prompt tokens at e)           (outputs wait while it reads; none: nothing)
-//! output at e  = slowness * (load of e + held up at e) + arriving at e
+//! output time  = w.output_time * output tokens * learned time of a token at a usual engine   (where paces decide)
+//! output at e  = slowness * (load of e + held up at e + output time) + arriving at e
 //!              + w.transfer_zone_seconds                          (in another zone than the prompt's engine)
 //!                or w.lone_zone_seconds          (in its zone, where that alone keeps the shared part and may lose it)
 //! hand-over    = w.handover_seconds + w.transfer * tokens of the prompt * seconds to move a token
 //!
-//! both at e    = output at e + fetch to e + slowness * read here(prompt tokens ahead at e + computed at e)
+//! both at e    = slowness * (load of e + output time) + fetch to e + slowness * read here(prompt tokens ahead at e + computed at e)
 //!                * (1 + (w.decode_reading_stall + w.decode_reading_harm * harm) * (1 + outputs at e))
 //!
+//! slowness     = how much longer work takes at e now ([`EngineState::work_factor`])
 //! harm         = 0 to 1: how near the pauses between events come to the longest harmless one where prompts are read
 //!                beside an output, as seen ([`super::expectation::ReadingPauses`])
 //! ```
@@ -52,6 +54,8 @@
     pub move_seconds: Option<f64>,
     /// Most tokens of the prompt that any engine holds.
     pub most_held: u32,
+    /// Seconds that the output takes at a usual engine; zero where engines aren't told apart by their pace.
+    pub output_seconds: f64,
     /// Number drawn for the request.
     pub draw: u64,
     /// Now.
@@ -132,7 +136,7 @@
         } else {
             0.0
         };
-        state.work_factor(self.now) * (self.load(state) + held_up)
+        state.work_factor(self.now) * (self.load(state) + held_up + self.output_time())
             + self.arriving(state)
             + transfer
             + self.spread(state)
@@ -154,12 +158,17 @@
         let harm = self.speeds.pauses.harm();
         let stall = self.weights.decode_reading_stall + self.weights.decode_reading_harm * harm;
         let disturbance = 1.0 + stall * (1.0 + work.outputs);
-        state.work_factor(self.now) * self.load(state)
+        state.work_factor(self.now) * (self.load(state) + self.output_time())
             + self.fetch(state, reading)
             + seconds * disturbance
             + self.spread(state)
     }
 
+    /// Worth of the time that the output itself takes: without it an idle engine costs nothing, however slow it is.
+    fn output_time(&self) -> f64 {
+        self.weights.output_time * self.output_seconds
+    }
+
     fn spread(&self, state: &EngineState) -> f64 {
         let drawn = mix(self.draw ^ state.handle.number());
         self.weights.spread_seconds * (drawn as f64 / u64::MAX as f64)
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -55,7 +55,7 @@
     ) -> PoolTicket {
         let reading = self.reading_at(engine, query, now);
         let memory = query.prompt.map_or(0, |prompt| prompt.tokens);
-        self.sent(engine, query.rank, reading, f64::from(memory), None, now)
+        self.sent(engine, query, reading, f64::from(memory), None, now)
     }
 
     /// Notes that a request is sent to an engine that answers it.
@@ -75,7 +75,7 @@
             },
         };
         let memory = query.prompt.map_or(0, PromptShape::memory_tokens);
-        self.sent(engine, query.rank, reading, f64::from(memory), Some(way), now)
+        self.sent(engine, query, reading, f64::from(memory), Some(way), now)
     }
 
     fn reading_at(&self, engine: &EngineId, query: &PoolQuery<'_>, now: MonotonicTime) -> ReadingWork {
@@ -116,6 +116,8 @@
         let before = *work;
         work.prompt_tokens = 0.0;
         work.moving_tokens = 0.0;
+        work.begun_at = Some(now);
+        work.momentary = state.pace.momentary_factor(now);
         if before.prompt_tokens > 0.0 {
             self.observe_reading(&ticket.engine, &before, |speeds| &mut speeds.decode, now);
         } else if before.way == Some(OutputWay::Fetches) {
@@ -140,6 +142,14 @@
         }
     }
 
+    /// Learns from an output whose last event has come.
+    pub fn on_output_ended(&mut self, ticket: &PoolTicket, now: MonotonicTime) {
+        let state = self.engines.get(&ticket.engine);
+        if let Some(work) = state.and_then(|state| state.sent.get(&ticket.number)).copied() {
+            self.observe_output(&ticket.engine, &work, now);
+        }
+    }
+
     /// Notes that a dispatch ended well.
     pub fn on_answered(&mut self, ticket: &PoolTicket) {
         if let Some(state) = self.engines.get_mut(&ticket.engine) {
@@ -196,21 +206,29 @@
         let expected = speed.seconds(work.until_read);
         // Who waited for a place, or met a slow engine, tells nothing of the pool's speed.
         if work.way.is_none() || work.had_place {
-            speed.observe(work.until_read, took.div_f64(state.slowness));
-            observe_slowness(state, took, expected);
+            if state.pace.in_use {
+                let momentary = (work.momentary + state.pace.momentary_factor(now)) / 2.0;
+                let factor = momentary * state.pace.lasting.factor();
+                speed.observe(work.until_read, took.div_f64(factor));
+                self.observe_pace(engine, expected, took.as_secs_f64(), momentary, now);
+            } else {
+                speed.observe(work.until_read, took.div_f64(state.slowness));
+                observe_slowness(state, took, expected);
+            }
         }
     }
 
     fn sent(
         &mut self,
         engine: &EngineId,
-        rank: usize,
+        query: &PoolQuery<'_>,
         reading: ReadingWork,
         memory_tokens: f64,
         way: Option<OutputWay>,
         now: MonotonicTime,
     ) -> PoolTicket {
         self.tickets += 1;
+        let rank = query.rank;
         self.demand.on_sent(reading.computed, now);
         if let Some(state) = self.engines.get_mut(engine) {
             let work = SentWork {
@@ -222,6 +240,9 @@
                 way,
                 had_place: state.has_place(now),
                 until_read: state.work(now).prompt_tokens_ahead(rank) + reading.computed,
+                output_tokens: query.prompt.map_or(0, PromptShape::expected_output_tokens),
+                begun_at: None,
+                momentary: state.pace.momentary_factor(now),
             };
             state.sent.insert(self.tickets, work);
         }
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -2,6 +2,7 @@
 
 use super::beliefs::{PeerWork, RANKS};
 use super::dispatches::OutputWay;
+use super::pace::EnginePace;
 use super::prefix::PrefixBelief;
 use crate::forwarding::PoolId;
 use crate::identity::{EngineId, NodeId, ZoneId};
@@ -50,7 +51,7 @@
 }
 
 /// Load that an engine told in an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldLoad {
     /// Requests that run.
     pub running: u32,
@@ -77,6 +78,12 @@
     pub(super) had_place: bool,
     /// Prompt tokens that were to be read there until this prompt was read, its own among them.
     pub(super) until_read: f64,
+    /// Tokens that its output is expected to have.
+    pub(super) output_tokens: u32,
+    /// When its first event came.
+    pub(super) begun_at: Option<MonotonicTime>,
+    /// Momentary factor of its engine when it was sent, or when its output began.
+    pub(super) momentary: f64,
 }
 
 /// Work at an engine, from everybody.
@@ -186,8 +193,10 @@
     pub(super) sent: BTreeMap<u64, SentWork>,
     pub(super) told: Option<(ToldLoad, MonotonicTime)>,
     pub(super) peers: BTreeMap<NodeId, (PeerWork, MonotonicTime)>,
-    /// Factor by which it answers slower than expected; one when it does not.
+    /// Factor by which it answers slower than expected; one when it does not. Decides where `pace` is not in use.
     pub(super) slowness: f64,
+    /// Its lasting speed and how its machine stands.
+    pub(super) pace: EnginePace,
 }
 
 /// Age from which another node's word no longer counts.
@@ -214,6 +223,7 @@
             told: None,
             peers: BTreeMap::new(),
             slowness: 1.0,
+            pace: EnginePace::default(),
         }
     }
 
@@ -250,8 +260,17 @@
     }
 
     /// Factor by which work takes longer here than at a usual engine of its pool, as far as is known now.
-    pub fn work_factor(&self, _now: MonotonicTime) -> f64 {
-        self.slowness
+    pub fn work_factor(&self, now: MonotonicTime) -> f64 {
+        if self.pace.in_use() {
+            self.pace.factor(now)
+        } else {
+            self.slowness
+        }
+    }
+
+    /// Its lasting speed and how its machine stands.
+    pub fn pace(&self) -> &EnginePace {
+        &self.pace
     }
 
     /// Whether one more request would find a place now.
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -17,6 +17,7 @@
 mod expectation;
 mod listing;
 mod neighbours;
+mod pace;
 mod pool_speeds;
 mod prefix;
 mod query;
@@ -34,6 +35,10 @@
 pub use engine::{EngineStage, EngineState, PoolEngine, ToldLoad, WorkAtEngine};
 pub use expectation::{ExpectationError, ReadingPauses, TurnedAway};
 pub use listing::{EngineListing, ListChange, ListSnapshot};
+pub use pace::{
+    EnginePace, EnginePaceUse, FigurePersistence, LastingPace, LastingWord, MomentaryPace, PaceChange,
+    PaceSpread, PaceWords, PoolPace, ToldFigure,
+};
 pub use pool_speeds::PoolSpeeds;
 pub use prefix::PrefixBelief;
 pub use query::{PoolQuery, PrefixBlock, PromptPart, PromptShape, RequestTerms};
--- /dev/null
+++ b/crates/core/src/routing/pool/pace/pool_pace.rs
@@ -0,0 +1,104 @@
+//! What the paces of a pool's engines have in common.
+
+use super::momentary::{FadingMean, FigureTraits};
+use super::persistence::{ASSUMED_SECONDS, FigurePersistence};
+use std::time::Duration;
+
+/// Share of its weight that a figure keeps in the pool's usual one when the next comes.
+const USUAL_KEPT: f64 = 0.995;
+
+/// Weight of the assumption that machines stand as usual.
+const ASSUMED_WEIGHT: f64 = 10.0;
+
+/// Change of the traits, as a factor, from which the pool's engines are judged by the new ones.
+const NOTABLE: f64 = 1.02;
+
+/// Share of an observation in the time of an output's token.
+const OUTPUT_SHARE: f64 = 0.05;
+
+/// Outputs from which the time of a token counts as learned.
+const LEARNED_OUTPUTS: u32 = 20;
+
+/// Most by which one output counts as longer or shorter than expected.
+const LARGEST_FACTOR: f64 = 2.5;
+
+/// What the paces of a pool's engines have in common.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PoolPace {
+    /// Whether an engine of the pool has told a figure.
+    pub(super) told: bool,
+    persistence: FigurePersistence,
+    usual: FadingMean,
+    traits: FigureTraits,
+    token_seconds: f64,
+    outputs: u32,
+}
+
+impl Default for PoolPace {
+    fn default() -> Self {
+        Self {
+            told: false,
+            persistence: FigurePersistence::default(),
+            usual: FadingMean::default(),
+            traits: FigureTraits::default(),
+            token_seconds: 0.0,
+            outputs: 0,
+        }
+    }
+}
+
+impl Default for FigureTraits {
+    fn default() -> Self {
+        Self {
+            persistence_seconds: ASSUMED_SECONDS,
+            usual: 1.0,
+        }
+    }
+}
+
+impl PoolPace {
+    /// How figures behave in the pool.
+    pub fn traits(&self) -> FigureTraits {
+        self.traits
+    }
+
+    /// Seconds that a token of an output takes at a usual engine; absent until enough outputs were seen.
+    pub fn token_seconds(&self) -> Option<f64> {
+        (self.outputs >= LEARNED_OUTPUTS).then_some(self.token_seconds)
+    }
+
+    /// Takes a figure that an engine told, with the one before it and the time between them, and the engine's usual one;
+    /// whether the traits have changed notably.
+    pub(super) fn observe(&mut self, figure: f64, before: Option<(f64, Duration)>, usual: f64) -> bool {
+        self.told = true;
+        self.usual.add(USUAL_KEPT, figure);
+        if let Some((first, gap)) = before {
+            self.persistence.observe(first - usual, figure - usual, gap);
+        }
+        let traits = FigureTraits {
+            persistence_seconds: self.persistence.seconds(),
+            usual: self.usual.with(1.0, ASSUMED_WEIGHT),
+        };
+        let differs = |old: f64, new: f64| !(old / NOTABLE..=old * NOTABLE).contains(&new);
+        let changed = differs(self.traits.persistence_seconds, traits.persistence_seconds)
+            || differs(self.traits.usual, traits.usual);
+        if changed {
+            self.traits = traits;
+        }
+        changed
+    }
+
+    /// Takes the seconds that a token of an output took, free of its engine's own factor.
+    pub(super) fn observe_output(&mut self, token_seconds: f64) {
+        self.outputs = self.outputs.saturating_add(1);
+        if self.outputs == 1 {
+            self.token_seconds = token_seconds;
+            return;
+        }
+        let bounded = token_seconds.clamp(
+            self.token_seconds / LARGEST_FACTOR,
+            self.token_seconds * LARGEST_FACTOR,
+        );
+        self.token_seconds += OUTPUT_SHARE * (bounded - self.token_seconds);
+    }
+}
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -56,8 +56,13 @@
 impl PromptShape {
     /// Tokens of KV cache that the request is expected to hold at its end.
     pub fn memory_tokens(&self) -> u32 {
+        self.tokens.saturating_add(self.expected_output_tokens())
+    }
+
+    /// Output tokens that are expected.
+    pub fn expected_output_tokens(&self) -> u32 {
         let output = self.output_estimate.unwrap_or(self.output_tokens);
-        self.tokens.saturating_add(output.min(self.output_tokens))
+        output.min(self.output_tokens)
     }
 
     /// The prompt's blocks in order.
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -3,6 +3,7 @@
 use super::beliefs::PrefixNews;
 use super::demand::PromptDemand;
 use super::engine::{EngineStage, EngineState, FORGET_AFTER, Gone, PoolEngine, ToldLoad};
+use super::pace::{PaceChange, PoolPace};
 use super::pool_speeds::PoolSpeeds;
 use super::weights::PoolWeights;
 use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
@@ -23,8 +24,15 @@
     /// Engines at which each other node last told of work.
     pub(super) named_by: BTreeMap<NodeId, Vec<SubjectHandle>>,
     pub(super) speeds: BTreeMap<PoolId, PoolSpeeds>,
+    pub(super) paces: BTreeMap<PoolId, PoolPace>,
     pub(super) traits: BTreeMap<PoolId, ModelTraits>,
     pub(super) news: Vec<PrefixNews>,
+    /// Engines whose momentary figure others are to be told.
+    pub(super) untold: Vec<SubjectHandle>,
+    /// The last engine whose lasting speed others were told.
+    pub(super) lasting_told_to: Option<EngineId>,
+    /// Changes of lasting speeds that are to be reported.
+    pub(super) pace_changes: Vec<PaceChange>,
     pub(super) demand: PromptDemand,
     pub(super) tickets: u64,
 }
@@ -38,8 +46,12 @@
             engine_of: HashMap::new(),
             named_by: BTreeMap::new(),
             speeds: BTreeMap::new(),
+            paces: BTreeMap::new(),
             traits: BTreeMap::new(),
             news: Vec::new(),
+            untold: Vec::new(),
+            lasting_told_to: None,
+            pace_changes: Vec::new(),
             demand: PromptDemand::default(),
             tickets: 0,
         }
@@ -61,7 +73,8 @@
             None => {
                 let traits = self.traits.get(&engine.pool);
                 let tokens = traits.map_or(ASSUMED_CACHE_TOKENS, |traits| traits.cache_tokens);
-                let state = EngineState::new(engine, tokens);
+                let mut state = EngineState::new(engine, tokens);
+                self.begin_pace(&mut state);
                 self.engine_of.insert(state.handle, state.engine.id.clone());
                 self.engines.insert(state.engine.id.clone(), state);
             }
@@ -126,6 +139,7 @@
             state.heard(now);
             state.told = Some((told, now));
         }
+        self.on_figure(engine, &told, now);
     }
 
     /// All engines known, by name.
--- a/crates/core/src/routing/pool/weights.rs
+++ b/crates/core/src/routing/pool/weights.rs
@@ -1,5 +1,6 @@
 //! Settings of the pool router's cost.
 
+use super::pace::EnginePaceUse;
 use crate::setting::FieldError;
 use serde::{Deserialize, Serialize};
 
@@ -47,6 +48,11 @@
     pub decode_reading_stall: f64,
     /// The same, on top, where reading was seen to make the outputs beside it late.
     pub decode_reading_harm: f64,
+    /// Worth of a second that the output itself takes, where `engine_pace` decides: of two idle engines the quicker one
+    /// costs less.
+    pub output_time: f64,
+    /// For which engines a lasting speed and a momentary figure are told apart.
+    pub engine_pace: EnginePaceUse,
 }
 
 impl Default for PoolWeights {
@@ -71,6 +77,8 @@
             held_up: 1.0,
             decode_reading_stall: 0.1,
             decode_reading_harm: 0.8,
+            output_time: 0.05,
+            engine_pace: EnginePaceUse::WhereTold,
         }
     }
 }
@@ -102,6 +110,7 @@
             ("routing.held_up", self.held_up, 0.0),
             ("routing.decode_reading_stall", self.decode_reading_stall, 0.0),
             ("routing.decode_reading_harm", self.decode_reading_harm, 0.0),
+            ("routing.output_time", self.output_time, 0.0),
         ];
         weights
             .into_iter()
--- /dev/null
+++ b/crates/core/tests/engine_pace.rs
@@ -0,0 +1,362 @@
+//! What is believed of one engine's pace: its lasting speed, and how its machine stands.
+
+#![allow(clippy::unwrap_used)]
+
+mod pool_support;
+
+use pool_support::{engine_with, pool, router_with};
+use shelfjunction_core::identity::{EngineId, ZoneId};
+use shelfjunction_core::routing::pool::{
+    EnginePaceUse, EngineStage, FigurePersistence, LastingPace, LastingWord, OutputWay, PaceWords, PoolQuery,
+    PoolRoute, PoolRouter, PoolWeights, PrefixBlock, PromptPart, PromptShape, RequestTerms, ToldFigure,
+    ToldLoad,
+};
+use shelfjunction_core::time::MonotonicTime;
+use std::time::Duration;
+
+const NOW: MonotonicTime = MonotonicTime::from_millis(100_000);
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn router(pace_use: EnginePaceUse) -> PoolRouter {
+    let weights = PoolWeights {
+        engine_pace: pace_use,
+        decode_reading_pace: 0.001,
+        spread_seconds: 0.0,
+        ..PoolWeights::default()
+    };
+    let engines = [
+        engine_with("d1", EngineStage::Decode, 64),
+        engine_with("d2", EngineStage::Decode, 64),
+        engine_with("p1", EngineStage::Prefill, 64),
+    ];
+    router_with(weights, 64, None, &engines)
+}
+
+fn told(percent: Option<u32>) -> ToldLoad {
+    ToldLoad {
+        running: 1,
+        waiting: 0,
+        places: 64,
+        work_time_percent: percent,
+    }
+}
+
+fn factor(router: &PoolRouter, engine: &str, now: MonotonicTime) -> f64 {
+    router.engine(&EngineId::new(engine)).unwrap().work_factor(now)
+}
+
+fn prompt() -> PromptShape {
+    PromptShape {
+        model: "m".to_owned(),
+        parts: vec![PromptPart {
+            name: 1,
+            tokens: 3_000,
+        }],
+        tokens: 3_000,
+        output_tokens: 100,
+        output_estimate: None,
+    }
+}
+
+/// Reads a prompt at an engine, which takes so long.
+fn read(router: &mut PoolRouter, engine: &str, took: Duration, at: MonotonicTime) {
+    let (pool, zone, prompt) = (pool(), ZoneId::new("zone-a"), prompt());
+    let query = query(&pool, &zone, &prompt, &[]);
+    let ticket = router.on_prompt_sent(&EngineId::new(engine), &query, at);
+    router.on_prompt_read(&ticket, &[], at + took);
+}
+
+/// Runs an output at an engine, which takes so long.
+fn run(router: &mut PoolRouter, engine: &str, took: Duration, at: MonotonicTime) {
+    let (pool, zone, prompt) = (pool(), ZoneId::new("zone-a"), prompt());
+    let query = query(&pool, &zone, &prompt, &[]);
+    let ticket = router.on_output_sent(&EngineId::new(engine), &query, OutputWay::Fetches, at);
+    let begun = at + millis(10);
+    router.on_output_begun(&ticket, &[], begun);
+    router.on_output_ended(&ticket, begun + took);
+    router.on_answered(&ticket);
+}
+
+fn query<'q>(
+    pool: &'q shelfjunction_core::forwarding::PoolId,
+    zone: &'q ZoneId,
+    prompt: &'q PromptShape,
+    prefixes: &'q [PrefixBlock],
+) -> PoolQuery<'q> {
+    PoolQuery {
+        pool,
+        prompt: Some(prompt),
+        prefixes,
+        zone,
+        excluded: &[],
+        paused_too: false,
+        terms: RequestTerms::default(),
+        rank: 0,
+        remaining: Duration::from_secs(5),
+        draw: 7,
+    }
+}
+
+#[test]
+fn a_told_figure_counts_at_once_and_fades_to_the_usual_one() {
+    let mut router = router(EnginePaceUse::WhereTold);
+    let engine = EngineId::new("d1");
+    router.on_told(&engine, told(Some(250)), NOW);
+    let at_once = factor(&router, "d1", NOW);
+    let later = factor(&router, "d1", NOW + millis(300));
+    let too_old = factor(&router, "d1", NOW + millis(5_000));
+    assert!((at_once - 2.5).abs() < 1e-9, "{at_once}");
+    assert!(later < at_once && later > too_old, "{later}");
+    let state = router.engine(&engine).unwrap();
+    let usual = state.pace().momentary_factor(NOW + Duration::from_secs(60));
+    assert_eq!(too_old, usual);
+    assert_eq!(state.pace().figure_age(NOW + millis(300)), Some(millis(300)));
+    assert_eq!(state.pace().figure_age(NOW + millis(5_000)), None);
+}
+
+#[test]
+fn an_engine_that_always_tells_a_high_figure_is_usually_so() {
+    let mut router = router(EnginePaceUse::WhereTold);
+    for second in 0..100 {
+        let now = NOW + Duration::from_secs(second);
+        router.on_told(&EngineId::new("d1"), told(Some(200)), now);
+        router.on_told(&EngineId::new("d2"), told(Some(100)), now);
+    }
+    let late = NOW + Duration::from_secs(200);
+    assert!(factor(&router, "d1", late) > 1.7);
+    assert!(factor(&router, "d2", late) < 1.2);
+}
+
+#[test]
+fn nonsense_is_no_figure() {
+    for percent in [0, 9, 5_001, u32::MAX] {
+        let mut router = router(EnginePaceUse::WhereTold);
+        router.on_told(&EngineId::new("d1"), told(Some(percent)), NOW);
+        assert!(!router.engine(&EngineId::new("d1")).unwrap().pace().in_use());
+        assert_eq!(factor(&router, "d1", NOW), 1.0);
+        let words = PaceWords {
+            figures: vec![ToldFigure {
+                engine: router.handle_of(&EngineId::new("d1")),
+                percent: u16::try_from(percent).unwrap_or(u16::MAX),
+                age_millis: 0,
+            }],
+            lasting: Vec::new(),
+        };
+        router.on_pace_words(&words, NOW);
+        router.on_told(&EngineId::new("d2"), told(Some(100)), NOW);
+        assert_eq!(factor(&router, "d1", NOW), 1.0);
+    }
+}
+
+#[test]
+fn engines_that_tell_three_figures_are_judged_as_before() {
+    let mut untold = router(EnginePaceUse::WhereTold);
+    let mut off = router(EnginePaceUse::Off);
+    for router in [&mut untold, &mut off] {
+        for second in 0..30 {
+            let now = NOW + Duration::from_secs(second);
+            router.on_told(&EngineId::new("d1"), told(None), now);
+            read(router, "p1", millis(90 + 13 * (second % 5)), now);
+            run(router, "d1", millis(400), now);
+        }
+    }
+    let now = NOW + Duration::from_secs(40);
+    for engine in ["d1", "d2", "p1"] {
+        assert_eq!(factor(&untold, engine, now), factor(&off, engine, now));
+    }
+    assert_eq!(untold.speeds(&pool()), off.speeds(&pool()));
+    assert_eq!(untold.take_pace_words(8, 8, now), PaceWords::default());
+    assert_eq!(untold.pace_spread(now), None);
+}
+
+#[test]
+fn a_quicker_engine_is_known_as_such_and_does_not_speed_up_its_pool() {
+    let mut router = router(EnginePaceUse::WhereTold);
+    for round in 0..200 {
+        let now = NOW + millis(1_000 * round);
+        router.on_told(&EngineId::new("d1"), told(Some(100)), now);
+        run(&mut router, "d1", millis(300), now);
+        run(&mut router, "d2", millis(600), now);
+    }
+    let now = NOW + Duration::from_secs(300);
+    let (quick, slow) = (factor(&router, "d1", now), factor(&router, "d2", now));
+    assert!(quick < 0.85 && slow > 1.15, "{quick} {slow}");
+    assert!((slow / quick - 2.0).abs() < 0.25, "{quick} {slow}");
+    let changes = router.take_pace_changes();
+    assert!(!changes.is_empty() && changes.len() < 6, "{changes:?}");
+    assert!(router.take_pace_changes().is_empty());
+}
+
+#[test]
+fn what_a_machine_takes_for_a_moment_does_not_count_as_lasting() {
+    let mut router = router(EnginePaceUse::WhereTold);
+    for round in 0..200 {
+        let now = NOW + millis(2_000 * round);
+        // Machines are slow by turns, and tell so; both engines are alike.
+        for (engine, slow) in [("d1", round % 3 == 0), ("d2", round % 3 == 1)] {
+            let percent = if slow { 300 } else { 100 };
+            let took = if slow { 1_200 } else { 400 };
+            router.on_told(&EngineId::new(engine), told(Some(percent)), now);
+            let (pool, zone, prompt) = (pool(), ZoneId::new("zone-a"), prompt());
+            let query = query(&pool, &zone, &prompt, &[]);
+            let ticket = router.on_output_sent(&EngineId::new(engine), &query, OutputWay::Fetches, now);
+            router.on_output_begun(&ticket, &[], now);
+            router.on_told(&EngineId::new(engine), told(Some(percent)), now + millis(took));
+            router.on_output_ended(&ticket, now + millis(took));
+            router.on_answered(&ticket);
+        }
+    }
+    for engine in ["d1", "d2"] {
+        let lasting = router
+            .engine(&EngineId::new(engine))
+            .unwrap()
+            .pace()
+            .lasting
+            .factor();
+        assert!((0.85..1.18).contains(&lasting), "{lasting}");
+    }
+}
+
+#[test]
+fn an_engine_that_changes_for_good_is_learned_anew() {
+    let mut lasting = LastingPace::default();
+    for _ in 0..100 {
+        lasting.observe(1.0, 1.0);
+    }
+    for _ in 0..8 {
+        lasting.observe(3.0, 1.0);
+    }
+    assert!(lasting.factor() > 2.0, "{}", lasting.factor());
+    for nonsense in [0.0, -1.0, f64::NAN, f64::INFINITY] {
+        let before = lasting;
+        lasting.observe(nonsense, 1.0);
+        assert_eq!(lasting, before);
+    }
+}
+
+#[test]
+fn one_outlier_moves_the_lasting_speed_little() {
+    let mut lasting = LastingPace::default();
+    for _ in 0..50 {
+        lasting.observe(1.0, 1.0);
+    }
+    lasting.observe(20.0, 1.0);
+    assert!(lasting.factor() < 1.1, "{}", lasting.factor());
+}
+
+#[test]
+fn a_new_placer_takes_over_lasting_speeds_and_momentary_figures() {
+    let mut old = router(EnginePaceUse::WhereTold);
+    for round in 0..60 {
+        let now = NOW + millis(1_000 * round);
+        old.on_told(&EngineId::new("d1"), told(Some(100)), now);
+        run(&mut old, "d1", millis(300), now);
+        run(&mut old, "d2", millis(900), now);
+    }
+    let now = NOW + Duration::from_secs(70);
+    let mut new = router(EnginePaceUse::WhereTold);
+    new.on_told(&EngineId::new("p1"), told(Some(100)), now);
+    // One engine at a time; the first word is lost.
+    let told_engines: Vec<_> = (0..4)
+        .map(|_| old.take_pace_words(8, 1, now))
+        .inspect(|words| assert!(words.lasting.len() <= 1))
+        .collect();
+    for words in &told_engines[1..] {
+        new.on_pace_words(words, now);
+    }
+    let ratio = factor(&new, "d2", now) / factor(&new, "d1", now);
+    let known = factor(&old, "d2", now) / factor(&old, "d1", now);
+    assert!(ratio > 2.0 && ratio < known * 1.2, "{ratio} {known}");
+    // A figure that surprises is told once, with its age, and one that doesn't is not.
+    old.on_told(&EngineId::new("d1"), told(Some(250)), now);
+    old.on_told(&EngineId::new("d2"), told(Some(100)), now);
+    let words = old.take_pace_words(8, 0, now + millis(50));
+    let handle = old.handle_of(&EngineId::new("d1"));
+    assert_eq!(
+        words.figures,
+        vec![ToldFigure {
+            engine: handle,
+            percent: 250,
+            age_millis: 50
+        }]
+    );
+    assert!(old.take_pace_words(8, 0, now).figures.is_empty());
+    let before = factor(&new, "d1", now + millis(60));
+    new.on_pace_words(&words, now + millis(60));
+    assert!(factor(&new, "d1", now + millis(60)) > 1.8 * before);
+    // An older word does not undo a newer one.
+    let older = PaceWords {
+        figures: vec![ToldFigure {
+            engine: handle,
+            percent: 100,
+            age_millis: 500,
+        }],
+        lasting: vec![LastingWord {
+            engine: handle,
+            thousandths: 0,
+            weight: 0,
+        }],
+    };
+    let known = factor(&new, "d1", now + millis(60));
+    new.on_pace_words(&older, now + millis(60));
+    assert_eq!(factor(&new, "d1", now + millis(60)), known);
+}
+
+#[test]
+fn of_two_idle_engines_the_quicker_one_runs_the_output() {
+    let choice = |percents: [u32; 2]| {
+        let mut router = router(EnginePaceUse::WhereTold);
+        for round in 0..40 {
+            let now = NOW + millis(1_000 * round);
+            router.on_told(&EngineId::new("d1"), told(Some(100)), now);
+            run(&mut router, "d1", millis(400), now);
+            run(&mut router, "d2", millis(400), now);
+        }
+        let now = NOW + Duration::from_secs(60);
+        router.on_told(&EngineId::new("d1"), told(Some(percents[0])), now);
+        router.on_told(&EngineId::new("d2"), told(Some(percents[1])), now);
+        let (pool, zone, prompt) = (pool(), ZoneId::new("zone-a"), prompt());
+        let query = query(&pool, &zone, &prompt, &[]);
+        match router.choose(&query, now) {
+            PoolRoute::Split { decode, .. } => decode.id,
+            route => panic!("{route:?}"),
+        }
+    };
+    assert_eq!(choice([250, 100]), EngineId::new("d2"));
+    assert_eq!(choice([100, 250]), EngineId::new("d1"));
+}
+
+#[test]
+fn the_persistence_is_learned_from_how_soon_figures_change() {
+    for (millis_between, holds) in [(100, 0.1), (600, 0.6), (3_000, 3.0)] {
+        let mut persistence = FigurePersistence::default();
+        for round in 0..400_u64 {
+            // The second figure still holds with the probability that the persistence gives.
+            let gap = Duration::from_millis(millis_between * (1 + round % 3) / 2);
+            let kept = (-gap.as_secs_f64() / holds).exp();
+            let still = (round * 37 % 100) as f64 / 100.0 < kept;
+            persistence.observe(1.5, if still { 1.5 } else { 0.0 }, gap);
+        }
+        let learned = persistence.seconds();
+        assert!((holds / 1.5..holds * 1.5).contains(&learned), "{learned} {holds}");
+    }
+}
+
+#[test]
+fn engines_that_tell_none_are_judged_by_what_is_seen_where_the_settings_ask() {
+    let mut router = router(EnginePaceUse::Always);
+    for round in 0..60 {
+        let now = NOW + millis(1_000 * round);
+        run(&mut router, "d1", millis(400), now);
+        run(&mut router, "d2", millis(400), now);
+    }
+    let now = NOW + Duration::from_secs(60);
+    run(&mut router, "d1", millis(1_600), now);
+    let ended = now + millis(1_610);
+    assert!(factor(&router, "d1", ended) > 1.6);
+    assert!(factor(&router, "d2", ended) < 1.3);
+    assert!(factor(&router, "d1", ended + Duration::from_secs(10)) < 1.4);
+}
--- a/crates/core/tests/placing.rs
+++ b/crates/core/tests/placing.rs
@@ -194,7 +194,15 @@
 
 fn output(number: u64, source: SubjectHandle) -> Question {
     let excluded = Vec::new();
-    question(number, 2, Wanted::Output { source, excluded })
+    question(
+        number,
+        2,
+        Wanted::Output {
+            source,
+            told: None,
+            excluded,
+        },
+    )
 }
 
 struct Placer {
--- a/crates/node/src/course/accounting.rs
+++ b/crates/node/src/course/accounting.rs
@@ -97,10 +97,13 @@
     }
 
     /// The dispatch has ended well.
-    pub(super) fn count_answered(&self, account: Account) {
+    pub(super) fn count_answered(&self, account: Account, now: MonotonicTime) {
         match account {
             Account::Own(ticket) => {
-                lock(&self.context.router).on_answered(&ticket);
+                let mut router = lock(&self.context.router);
+                router.on_output_ended(&ticket, now);
+                router.on_answered(&ticket);
+                drop(router);
                 self.context.peers.note_change();
             }
             Account::Placer { at, pauses, .. } => {
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -135,7 +135,9 @@
             requests_there = why.beliefs.requests,
             held_tokens = why.beliefs.held_tokens,
             fetch_from:? = fetch_from,
-            word_age_millis = why.beliefs.oldest_word.as_millis() as u64;
+            word_age_millis = why.beliefs.oldest_word.as_millis() as u64,
+            work_factor_percent = why.beliefs.work_factor_percent,
+            figure_age_millis:? = why.beliefs.figure_age.map(|age| age.as_millis() as u64);
             "dispatched"
         );
     }
@@ -214,6 +216,8 @@
             requests: chosen.requests,
             held_tokens: chosen.held_tokens,
             oldest_word: chosen.oldest_word,
+            work_factor_percent: chosen.work_factor_percent,
+            figure_age: chosen.figure_age,
         },
     }
 }
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -17,7 +17,7 @@
 use shelfjunction_core::request::machine::RequestMachine;
 use shelfjunction_core::request::specification::Placement;
 use shelfjunction_core::retry::arrivals::ArrivalAccount;
-use shelfjunction_core::routing::pool::{PoolQuery, PrefixBlock, PromptShape};
+use shelfjunction_core::routing::pool::{PoolQuery, PrefixBlock, PromptShape, ToldLoad};
 use shelfjunction_core::time::MonotonicTime;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -84,6 +84,8 @@
     pub(super) arrivals: ArrivalAccount,
     /// The last dispatch never left, so trying again costs no engine anything.
     pub(super) last_not_sent: bool,
+    /// Load that the engine told which has just read the prompt.
+    pub(super) prompt_told: Option<ToldLoad>,
     /// A connection went silent, so the next dispatch takes a new one.
     pub(super) distrusts_resting: bool,
     pub(super) watch_caller: bool,
@@ -155,6 +157,7 @@
             exchange: None,
             arrivals: ArrivalAccount::default(),
             last_not_sent: false,
+            prompt_told: None,
             distrusts_resting: false,
             watch_caller: true,
             admitted: false,
--- a/crates/node/src/course/placing.rs
+++ b/crates/node/src/course/placing.rs
@@ -32,8 +32,10 @@
 
     /// Chooses the engine that runs the output of the prompt that `source` has read.
     pub(super) fn choose_output(&mut self, source: &EngineId, excluded: &[EngineId]) {
+        let told = self.prompt_told.take();
         let wanted = || Wanted::Output {
             source: SubjectHandle::of_engine(source),
+            told,
             excluded: handles(excluded),
         };
         let placement = self.ask(wanted).and_then(|(answer, at)| self.adopt(&answer, at));
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -9,6 +9,7 @@
 use shelfjunction_core::engine::{AnswerPart, EngineRefusal};
 use shelfjunction_core::forwarding::patience;
 use shelfjunction_core::request::event::{Event, OpaquePart};
+use shelfjunction_core::routing::pool::ToldLoad;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::time::Duration;
@@ -61,7 +62,7 @@
                 };
                 Some(self.answered(part, now))
             }
-            EngineReading::PromptRead { handle } => self.prompt_read(handle, now),
+            EngineReading::PromptRead { handle, told } => self.prompt_read(handle, told, now),
             EngineReading::Refused { refusal, told } => {
                 let exchange = self.exchange.take()?;
                 self.count_refused(&exchange.account, refusal.reason, told, now);
@@ -139,7 +140,7 @@
         self.context
             .metrics
             .dispatch_ended(exchange.purpose.name(), "answered");
-        self.count_answered(exchange.account);
+        self.count_answered(exchange.account, now);
         // A failure that an engine reports may come before it has begun to run the request.
         if part != OpaquePart::Failure {
             quarantine::note_answered(self.context, &self.fingerprint);
@@ -151,8 +152,12 @@
         }
     }
 
-    fn prompt_read(&mut self, handle: String, now: MonotonicTime) -> Option<Event> {
+    fn prompt_read(&mut self, handle: String, told: Option<ToldLoad>, now: MonotonicTime) -> Option<Event> {
         let exchange = self.exchange.take()?;
+        if let Some(told) = told {
+            lock(&self.context.router).on_told(&exchange.engine, told, now);
+        }
+        self.prompt_told = told;
         self.count_prompt_read(&exchange.account, now);
         self.context.metrics.prompt_read(now.since(exchange.sent_at));
         self.context
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod links;
 mod metering;
 mod metrics;
+mod pace_metrics;
 mod peers;
 mod placing;
 pub mod ports;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counts, gauges and delays of the process in the OpenMetrics text; labels take few values, and none names a caller.
 
+use crate::pace_metrics::PaceMetrics;
 use crate::quarantine::QuarantineMetrics;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
@@ -52,6 +53,8 @@
     engine_orders: Family<ResultLabel, Counter>,
     /// Requests under which engines crashed.
     pub(crate) quarantine: QuarantineMetrics,
+    /// Paces of engines.
+    pub(crate) pace: PaceMetrics,
     placements: Family<ResultLabel, Counter>,
     whole_answer: Histogram,
     first_event: Histogram,
@@ -96,6 +99,7 @@
             usage_reports: Family::default(),
             engine_orders: Family::default(),
             quarantine: QuarantineMetrics::default(),
+            pace: PaceMetrics::default(),
             placements: Family::default(),
             whole_answer: delays(),
             first_event: delays(),
@@ -118,6 +122,7 @@
         metrics.register_delays();
         metrics.register_gauges();
         metrics.quarantine.register(&mut metrics.registry);
+        metrics.pace.register(&mut metrics.registry);
         metrics
     }
 
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -88,6 +88,7 @@
     let mut router = lock(&context.router);
     router.on_peer_work(&message.node, message.slice, &message.work, now);
     router.on_peer_news(&message.news, now);
+    router.on_pace_words(&message.paces, now);
     router.on_peer_demand(&message.node, message.prompt_tokens_per_second, now);
     router.on_ordered(&message.orders, now);
 }
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -9,7 +9,7 @@
 use shelfjunction_core::placing::question::{Answer, ProgressReport, Question};
 use shelfjunction_core::quarantine::word::{SuspectWord, TrialWord};
 use shelfjunction_core::retry::census::SharingWord;
-use shelfjunction_core::routing::pool::{EngineStage, ListNews, PeerWork, PrefixNews, WorkSlice};
+use shelfjunction_core::routing::pool::{EngineStage, ListNews, PaceWords, PeerWork, PrefixNews, WorkSlice};
 use shelfjunction_core::watching::TableWord;
 
 /// Longest datagram, in bytes; stays below the smallest usual frame.
@@ -30,6 +30,12 @@
 /// News in one message; each takes about 30 bytes, seldom 200.
 pub(super) const MOST_NEWS: usize = 8;
 
+/// Momentary figures of engines in one message; each takes about 15 bytes.
+pub(super) const MOST_FIGURES: usize = 8;
+
+/// Lasting speeds of engines in one message; each takes about 13 bytes.
+pub(super) const MOST_LASTING: usize = 4;
+
 /// Requests under which engines crashed in one message; each takes about 80 bytes.
 pub(crate) const MOST_SUSPECTS: usize = 12;
 
@@ -72,6 +78,8 @@
     pub(super) orders: Vec<(SubjectHandle, EngineStage)>,
     /// Shared prefixes that engines have come to hold since the last message.
     pub(super) news: Vec<PrefixNews>,
+    /// Paces of engines.
+    pub(super) paces: PaceWords,
 }
 
 /// Asks a placer whether an engine has answered anybody a moment ago.
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -1,12 +1,15 @@
 //! Tells other nodes of this node's work.
 
 use super::Peers;
-use super::message::{Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_NEWS, WorkMessage};
+use super::message::{
+    Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_FIGURES, MOST_LASTING, MOST_NEWS,
+    WorkMessage,
+};
 use super::placers::Placing;
 use crate::context::Context;
 use crate::quarantine;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::routing::pool::{PeerWork, WorkSlice};
+use shelfjunction_core::routing::pool::{PaceWords, PeerWork, WorkSlice};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
@@ -45,6 +48,10 @@
 /// Engines in one slice on average; fewer than fit, since the slices differ in size.
 const ENGINES_PER_SLICE: usize = 20;
 
+/// Time between two messages that tell of some engines' lasting speeds: those of a hundred engines pass in five seconds,
+/// and take 260 bytes a second to each placer.
+const LASTING_AGAIN: Duration = Duration::from_millis(200);
+
 /// Time after which a slice is told again though it has not changed.
 const SLICE_AGAIN: Duration = Duration::from_millis(400);
 
@@ -54,12 +61,27 @@
     loop {
         let confirmed = context.peers.wait_for_change(teller.tells_again);
         let pause = teller.round(confirmed);
+        log_pace_changes(context);
         let tells_again = quarantine::tell(context);
         teller.tells_again = teller.tells_again.min(tells_again);
         context.stop.wait(pause);
     }
 }
 
+/// One line for each engine whose lasting speed is believed to have changed; the router gathers a bounded number.
+fn log_pace_changes(context: &Context) {
+    let changes = lock(&context.router).take_pace_changes();
+    for change in changes {
+        log::info!(
+            engine = change.engine.as_str(),
+            before_percent = (change.before * 100.0) as u64,
+            after_percent = (change.after * 100.0) as u64,
+            observations = change.weight as u64;
+            "engine_pace_changed"
+        );
+    }
+}
+
 /// What was told, and when.
 struct Teller<'a> {
     context: &'a Context,
@@ -72,6 +94,7 @@
     /// Whether there is something confirmed that not everybody has been told.
     owes_all: bool,
     told_slices: BTreeMap<WorkSlice, (Vec<(SubjectHandle, PeerWork)>, MonotonicTime)>,
+    lasting_told_at: Option<MonotonicTime>,
 }
 
 impl<'a> Teller<'a> {
@@ -86,6 +109,7 @@
             told_all_at: None,
             owes_all: false,
             told_slices: BTreeMap::new(),
+            lasting_told_at: None,
         }
     }
 
@@ -134,6 +158,7 @@
             let mut message = self.compose(slice, true, now);
             message.work = works.clone();
             message.news = lock(&self.context.router).take_news(MOST_NEWS);
+            message.paces = self.pace_words(now);
             self.told_slices.insert(slice, (works, now));
             if self.speaks(&message, confirmed) {
                 self.send(&peers, message);
@@ -144,6 +169,19 @@
         self.allowance.spend(sent.max(peers.len()), now)
     }
 
+    /// What is told of engines' paces: figures in every message, lasting speeds seldom.
+    fn pace_words(&mut self, now: MonotonicTime) -> PaceWords {
+        let mut router = lock(&self.context.router);
+        let is_due = self
+            .lasting_told_at
+            .is_none_or(|at| now.since(at) >= LASTING_AGAIN);
+        let most_lasting = if is_due { MOST_LASTING } else { 0 };
+        if is_due {
+            self.lasting_told_at = Some(now);
+        }
+        router.take_pace_words(MOST_FIGURES, most_lasting, now)
+    }
+
     /// Whether a slice has changed, or was last told a while ago.
     fn is_due(&self, slice: WorkSlice, works: &[(SubjectHandle, PeerWork)], now: MonotonicTime) -> bool {
         self.told_slices
@@ -220,6 +258,7 @@
             prompt_tokens_per_second: router.own_demand(now),
             orders: router.orders_under_way(now),
             news: Vec::new(),
+            paces: PaceWords::default(),
         }
     }
 
@@ -264,6 +303,7 @@
 fn is_idle(message: &WorkMessage) -> bool {
     message.work.is_empty()
         && message.news.is_empty()
+        && message.paces.is_quiet()
         && message.orders.is_empty()
         && message.list_news.changes.is_empty()
 }
--- a/crates/node/src/ports/mod.rs
+++ b/crates/node/src/ports/mod.rs
@@ -246,6 +246,8 @@
     PromptRead {
         /// Name of the KV cache at that engine.
         handle: String,
+        /// Load that it told.
+        told: Option<ToldLoad>,
     },
     /// The engine's report of itself.
     Report(EngineReport),
--- a/crates/node/src/telling.rs
+++ b/crates/node/src/telling.rs
@@ -121,7 +121,12 @@
         metrics
             .list_version
             .set(lock(&context.listing).reflected() as i64);
-        metrics.engines.set(lock(&context.router).taking_work(now) as i64);
+        let router = lock(&context.router);
+        metrics.engines.set(router.taking_work(now) as i64);
+        if let Some(spread) = router.pace_spread(now) {
+            metrics.pace.note(&spread);
+        }
+        drop(router);
         metrics.peers.set(context.peers.heard_lately(now).len() as i64);
         let not_written = self.losses.dropped() + self.losses.folded();
         metrics.log_lines_not_written.set(not_written as i64);
