--- a/crates/core/src/routing/pool/pace/word.rs
+++ b/crates/core/src/routing/pool/pace/word.rs
@@ -35,6 +35,11 @@
 }
 
 impl PaceWords {
+    /// Whether there is nothing in it.
+    pub fn is_empty(&self) -> bool {
+        self.figures.is_empty() && self.lasting.is_empty()
+    }
+
     /// Whether there is nothing in it that has to be told soon.
     pub fn is_quiet(&self) -> bool {
         self.figures.is_empty()
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -138,12 +138,16 @@
 
 impl Datagram {
     /// The bytes; a word without changes of the list where it would be too long with them, since whoever misses them
-    /// asks the store.
+    /// asks the store, and without paces where that isn't enough, since they are told again.
     pub(crate) fn encode(mut self) -> Option<Vec<u8>> {
         let bytes = bincode::serde::encode_to_vec(&self, CODEC).ok()?;
         match &mut self {
             Self::Work(message) if bytes.len() > MOST_BYTES && !message.list_news.changes.is_empty() => {
                 message.list_news = ListNews::default();
+                self.encode()
+            }
+            Self::Work(message) if bytes.len() > MOST_BYTES && !message.paces.is_empty() => {
+                message.paces = PaceWords::default();
                 bincode::serde::encode_to_vec(&self, CODEC).ok()
             }
             _ => Some(bytes),
