--- a/crates/core/src/placing/placement_table.rs
+++ b/crates/core/src/placing/placement_table.rs
@@ -125,7 +125,7 @@
                 (Some(verdict), placement)
             }
             Wanted::Engines { excluded } => (None, kept.choose(router, question.key, excluded, now)),
-            Wanted::Output { source, excluded } => {
+            Wanted::Output { source, excluded, .. } => {
                 let placement = kept.choose_output(router, question.key, *source, excluded, now);
                 (None, placement)
             }
@@ -193,8 +193,11 @@
     /// Ends what was counted before a further question, which says how that went.
     fn close(&mut self, router: &mut PoolRouter, wanted: &Wanted, now: MonotonicTime) {
         match (std::mem::replace(&mut self.counted, Counted::Nothing), wanted) {
-            (Counted::Prompt(ticket), Wanted::Output { .. }) => {
+            (Counted::Prompt(ticket), Wanted::Output { told, .. }) => {
                 self.charge = None;
+                if let Some(told) = told {
+                    router.on_told(ticket.engine(), *told, now);
+                }
                 router.on_prompt_read(&ticket, &self.prefixes, now);
             }
             (Counted::Prompt(ticket) | Counted::Output(ticket), _) => router.on_abandoned(&ticket),
@@ -333,6 +336,8 @@
             requests: beliefs.requests,
             held_tokens: beliefs.held_tokens,
             oldest_word: beliefs.oldest_word,
+            work_factor_percent: beliefs.work_factor_percent,
+            figure_age: beliefs.figure_age,
         }
     }
 
@@ -360,10 +365,10 @@
         match progress {
             Progress::Begun { told } => {
                 self.charge = None;
-                router.on_output_begun(&ticket, &self.prefixes, now);
                 if let Some(told) = told {
                     router.on_told(ticket.engine(), *told, now);
                 }
+                router.on_output_begun(&ticket, &self.prefixes, now);
                 if let Some(promise) = self.promise.take() {
                     let took = now.since(promise.made_at);
                     let key = self.last_answer.key;
@@ -385,6 +390,7 @@
                 for pause in pauses {
                     router.on_pause(&ticket, f64::from(*pause) * PAUSE_UNIT, now);
                 }
+                router.on_output_ended(&ticket, now);
                 router.on_answered(&ticket);
             }
             Progress::Refused { reason, told } => {
--- a/crates/core/src/routing/pool/admission.rs
+++ b/crates/core/src/routing/pool/admission.rs
@@ -198,7 +198,7 @@
         let Some(expected) = expected.filter(|_| settings.enabled) else {
             return decision;
         };
-        let output = query.prompt.map_or(0, PromptShape::expected_output);
+        let output = query.prompt.map_or(0, PromptShape::expected_output_tokens);
         decision.expected = Duration::from_secs_f64(expected.seconds);
         decision.tokens = expected.tokens + f64::from(output);
         let allowance = Duration::from_millis(settings.allowance_millis);
@@ -277,8 +277,8 @@
             let state = self.engines.get(&engine.id)?;
             let ahead = state.work(now).prompt_tokens_ahead(query.rank);
             let tokens = context.reading(state, query).computed;
-            let seconds = state.work_factor(now) * line.seconds(ahead + tokens);
-            let alone = state.work_factor(now) * line.seconds(tokens);
+            let seconds = state.reading_seconds(line, ahead + tokens, now);
+            let alone = state.reading_seconds(line, tokens, now);
             Some(Expected {
                 seconds,
                 queue: seconds - alone,
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -52,6 +52,10 @@
     pub held_tokens: u32,
     /// Age of the oldest word of another node that counts.
     pub oldest_word: Duration,
+    /// How much longer work takes there now, in hundredths of what is usual in its pool.
+    pub work_factor_percent: u16,
+    /// Age of the momentary figure in that; absent where none counts.
+    pub figure_age: Option<Duration>,
 }
 
 /// What is believed to run beside an output at an engine.
@@ -182,6 +186,8 @@
             requests: work.requests as u32,
             held_tokens: state.prefixes.held_tokens(query.prefixes),
             oldest_word: state.oldest_word(now),
+            work_factor_percent: (state.work_factor(now) * 100.0) as u16,
+            figure_age: state.pace().figure_age(now),
         }
     }
 
@@ -209,7 +215,7 @@
         let context = self.context(query, now);
         let state = self.engines.get(engine)?;
         let tokens = state.work(now).prompt_tokens_ahead(query.rank) + context.reading(state, query).computed;
-        let seconds = state.work_factor(now) * context.speeds.prefill.seconds(tokens);
+        let seconds = state.reading_seconds(&context.speeds.prefill, tokens, now);
         Some(Duration::from_secs_f64(seconds))
     }
 
@@ -241,6 +247,7 @@
             most_held: self.best_holder(query, now).map_or(0, |(tokens, _)| tokens),
             wait_apart: None,
             single_try: query.terms.single_try,
+            output_seconds: self.output_seconds(query),
             draw: query.draw,
             now,
         }
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -4,6 +4,7 @@
 use super::beliefs::PrefixNews;
 use super::cost::{ReadingWork, shared_prefixes};
 use super::engine::{EngineState, SentWork};
+use super::pace::{ObservedWork, PaceObservation};
 use super::pool_speeds::PoolSpeeds;
 use super::query::{PoolQuery, PrefixBlock, PromptShape};
 use super::router::PoolRouter;
@@ -129,6 +130,8 @@
         let before = *work;
         work.prompt_tokens = 0.0;
         work.moving_tokens = 0.0;
+        work.begun_at = Some(now);
+        work.momentary = state.pace.momentary_factor(now);
         if before.prompt_tokens > 0.0 {
             self.observe_reading(&ticket.engine, &before, |speeds| &mut speeds.decode, now);
         } else if before.way == Some(OutputWay::Fetches) {
@@ -164,6 +167,14 @@
         }
     }
 
+    /// Learns from an output whose last event has come.
+    pub fn on_output_ended(&mut self, ticket: &PoolTicket, now: MonotonicTime) {
+        let state = self.engines.get(&ticket.engine);
+        if let Some(work) = state.and_then(|state| state.sent.get(&ticket.number)).copied() {
+            self.observe_output(&ticket.engine, &work, now);
+        }
+    }
+
     /// Notes that a dispatch ended well.
     pub fn on_answered(&mut self, ticket: &PoolTicket) {
         if let Some(state) = self.engines.get_mut(&ticket.engine) {
@@ -228,8 +239,27 @@
         let expected = speed.seconds(work.until_read);
         // Who waited for a place, or met a slow engine, tells nothing of the pool's speed.
         if work.way.is_none() || work.had_place {
-            speed.observe(work.until_read, took.div_f64(state.slowness));
-            observe_slowness(state, took, expected);
+            if state.pace.in_use {
+                let momentary = (work.momentary + state.pace.momentary_factor(now)) / 2.0;
+                let factor = momentary * state.pace.lasting.factor();
+                let fixed = speed.fixed_seconds();
+                speed.observe(work.until_read * factor, took);
+                let kind = if work.way.is_none() {
+                    ObservedWork::Prompt
+                } else {
+                    ObservedWork::PromptBesideOutputs
+                };
+                let seen = PaceObservation {
+                    kind,
+                    expected: expected - fixed,
+                    took: (took.as_secs_f64() - fixed).max(0.0),
+                    momentary,
+                };
+                self.observe_pace(engine, seen, now);
+            } else {
+                speed.observe(work.until_read, took.div_f64(state.slowness));
+                observe_slowness(state, took, expected);
+            }
         }
     }
 
@@ -256,6 +286,9 @@
                 had_place: state.has_place(now),
                 until_read: state.work(now).prompt_tokens_ahead(rank) + reading.computed,
                 longest_pause: query.terms.longest_pause.filter(|_| way.is_some()),
+                output_tokens: query.prompt.map_or(0, PromptShape::expected_output_tokens),
+                begun_at: None,
+                momentary: state.pace.momentary_factor(now),
             };
             state.sent.insert(self.tickets, work);
             state
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -3,9 +3,11 @@
 use super::beliefs::{PeerWork, RANKS};
 use super::cordoned::EngineCordon;
 use super::dispatches::OutputWay;
+use super::pace::EnginePace;
 use super::pauses::RecentReading;
 use super::prefix::PrefixBelief;
 use super::risk::BreakShare;
+use super::speed::ReadingSpeed;
 use crate::forwarding::PoolId;
 use crate::identity::{EngineId, NodeId, ZoneId};
 use crate::membership::subject::SubjectHandle;
@@ -53,7 +55,7 @@
 }
 
 /// Load that an engine told in an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldLoad {
     /// Requests that run.
     pub running: u32,
@@ -82,6 +84,12 @@
     pub(super) until_read: f64,
     /// Longest harmless pause between its events; absent where none is named, nothing is run, or one was longer.
     pub(super) longest_pause: Option<Duration>,
+    /// Tokens that its output is expected to have.
+    pub(super) output_tokens: u32,
+    /// When its first event came.
+    pub(super) begun_at: Option<MonotonicTime>,
+    /// Momentary factor of its engine when it was sent, or when its output began.
+    pub(super) momentary: f64,
 }
 
 /// Work at an engine, from everybody.
@@ -216,10 +224,12 @@
     pub(super) sent: BTreeMap<u64, SentWork>,
     pub(super) told: Option<(ToldLoad, MonotonicTime)>,
     pub(super) peers: BTreeMap<NodeId, (PeerWork, MonotonicTime)>,
-    /// Factor by which it answers slower than expected; one when it does not.
+    /// Factor by which it answers slower than expected; one when it does not. Decides where `pace` is not in use.
     pub(super) slowness: f64,
     /// Prompt tokens that it had to read at once of late.
     pub(super) read_lately: RecentReading,
+    /// Its lasting speed and how its machine stands.
+    pub(super) pace: EnginePace,
 }
 
 /// Age from which another node's word no longer counts.
@@ -250,6 +260,7 @@
             peers: BTreeMap::new(),
             slowness: 1.0,
             read_lately: RecentReading::default(),
+            pace: EnginePace::default(),
         }
     }
 
@@ -286,8 +297,30 @@
     }
 
     /// Factor by which work takes longer here than at a usual engine of its pool, as far as is known now.
-    pub fn work_factor(&self, _now: MonotonicTime) -> f64 {
-        self.slowness
+    pub fn work_factor(&self, now: MonotonicTime) -> f64 {
+        if self.pace.in_use() {
+            self.pace.factor(now)
+        } else {
+            self.slowness
+        }
+    }
+
+    /// Seconds until so many prompt tokens are read here, by a line learned over the pool.
+    ///
+    /// Where the pace decides, it stretches the tokens alone: the fixed part is mostly the wait for work that nobody had
+    /// told of yet, which does not grow at a slow engine. Stretched with the rest, it made queues at quick engines look
+    /// better than idle engines: of 1,386 prompts on a recorded day 650 met an idle engine, 929 of 1,434 without paces.
+    pub fn reading_seconds(&self, line: &ReadingSpeed, tokens: f64, now: MonotonicTime) -> f64 {
+        if self.pace.in_use() {
+            line.seconds(tokens * self.pace.factor(now))
+        } else {
+            self.slowness * line.seconds(tokens)
+        }
+    }
+
+    /// Its lasting speed and how its machine stands.
+    pub fn pace(&self) -> &EnginePace {
+        &self.pace
     }
 
     /// Requests that waited here when it last told; absent where that no longer counts.
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -19,6 +19,7 @@
 mod expectation;
 mod listing;
 mod neighbours;
+mod pace;
 mod paths;
 pub mod pauses;
 mod pool_speeds;
@@ -41,6 +42,10 @@
 pub use engine::{EngineStage, EngineState, PoolEngine, ToldLoad, WorkAtEngine};
 pub use expectation::{ExpectationError, ReadingPauses, TurnedAway};
 pub use listing::{EngineListing, ListChange, ListSnapshot};
+pub use pace::{
+    EnginePace, EnginePaceUse, FigurePersistence, LastingPace, LastingWord, MomentaryPace, PaceChange,
+    PaceSpread, PaceWords, PoolPace, ToldFigure,
+};
 pub use paths::{PathBelief, PathChange, Paths};
 pub use pool_speeds::PoolSpeeds;
 pub use prefix::PrefixBelief;
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -4,6 +4,7 @@
 use super::cordoned::CordonInForce;
 use super::demand::PromptDemand;
 use super::engine::{EngineStage, EngineState, FORGET_AFTER, Gone, PoolEngine, ToldLoad};
+use super::pace::{PaceChange, PoolPace};
 use super::paths::Paths;
 use super::pool_speeds::PoolSpeeds;
 use super::silences::{EngineChange, UntoldSilence};
@@ -27,12 +28,19 @@
     /// Engines at which each other node last told of work.
     pub(super) named_by: BTreeMap<NodeId, Vec<SubjectHandle>>,
     pub(super) speeds: BTreeMap<PoolId, PoolSpeeds>,
+    pub(super) paces: BTreeMap<PoolId, PoolPace>,
     pub(super) traits: BTreeMap<PoolId, ModelTraits>,
     pub(super) news: Vec<PrefixNews>,
     /// Whether what is sent from one zone reaches engines in another.
     pub(super) paths: Paths,
     pub(super) untold_silences: Vec<UntoldSilence>,
     pub(super) engine_changes: Vec<EngineChange>,
+    /// Engines whose momentary figure others are to be told.
+    pub(super) untold: Vec<SubjectHandle>,
+    /// The last engine whose lasting speed others were told.
+    pub(super) lasting_told_to: Option<EngineId>,
+    /// Changes of lasting speeds that are to be reported.
+    pub(super) pace_changes: Vec<PaceChange>,
     pub(super) demand: PromptDemand,
     pub(super) tickets: u64,
     /// Cordons in force.
@@ -49,11 +57,15 @@
             engine_of: HashMap::new(),
             named_by: BTreeMap::new(),
             speeds: BTreeMap::new(),
+            paces: BTreeMap::new(),
             traits: BTreeMap::new(),
             news: Vec::new(),
             paths: Paths::default(),
             untold_silences: Vec::new(),
             engine_changes: Vec::new(),
+            untold: Vec::new(),
+            lasting_told_to: None,
+            pace_changes: Vec::new(),
             demand: PromptDemand::default(),
             tickets: 0,
             cordons: Vec::new(),
@@ -82,7 +94,8 @@
             None => {
                 let traits = self.traits.get(&engine.pool);
                 let tokens = traits.map_or(ASSUMED_CACHE_TOKENS, |traits| traits.cache_tokens);
-                let state = EngineState::new(engine, tokens);
+                let mut state = EngineState::new(engine, tokens);
+                self.begin_pace(&mut state);
                 self.engine_of.insert(state.handle, state.engine.id.clone());
                 self.engines.insert(state.engine.id.clone(), state);
             }
@@ -165,10 +178,14 @@
 
     /// Takes the load that an engine told in an answer.
     pub fn on_told(&mut self, engine: &EngineId, told: ToldLoad, now: MonotonicTime) {
-        if let Some(state) = self.engines.get_mut(engine) {
-            state.heard(now);
-            state.told = Some((told, now));
-        }
+        let state = self.engines.get_mut(engine);
+        // What an earlier start told says nothing of the engine as it is, nor of its pool's machines now.
+        let Some(state) = state.filter(|state| !state.has_later_start()) else {
+            return;
+        };
+        state.heard(now);
+        state.told = Some((told, now));
+        self.on_figure(engine, &told, now);
     }
 
     /// All engines known, by name.
--- a/crates/core/src/routing/pool/weights.rs
+++ b/crates/core/src/routing/pool/weights.rs
@@ -1,5 +1,6 @@
 //! Settings of the pool router's cost.
 
+use super::pace::EnginePaceUse;
 use crate::setting::FieldError;
 use serde::{Deserialize, Serialize};
 
@@ -52,6 +53,11 @@
     /// Cost of one stream that is sure to pause for longer than its route allows, in seconds: what a caller that
     /// waits for the next event loses by an answer that comes too late. Zero: pauses are not foreseen.
     pub pause_seconds: f64,
+    /// Worth of a second that the output itself takes, where `engine_pace` decides: of two idle engines the quicker one
+    /// costs less.
+    pub output_time: f64,
+    /// For which engines a lasting speed and a momentary figure are told apart.
+    pub engine_pace: EnginePaceUse,
 }
 
 impl Default for PoolWeights {
@@ -78,6 +84,8 @@
             decode_reading_stall: 0.1,
             decode_reading_harm: 0.8,
             pause_seconds: 0.0,
+            output_time: 0.05,
+            engine_pace: EnginePaceUse::WhereTold,
         }
     }
 }
@@ -111,6 +119,7 @@
             ("routing.decode_reading_stall", self.decode_reading_stall, 0.0),
             ("routing.decode_reading_harm", self.decode_reading_harm, 0.0),
             ("routing.pause_seconds", self.pause_seconds, 0.0),
+            ("routing.output_time", self.output_time, 0.0),
         ];
         weights
             .into_iter()
--- a/crates/core/tests/sharing_charges.rs
+++ b/crates/core/tests/sharing_charges.rs
@@ -66,6 +66,7 @@
         panic!("not split: {answer:?}");
     };
     let wanted = Wanted::Output {
+        told: None,
         source: prefill.engine,
         excluded: Vec::new(),
     };
--- a/crates/core/tests/sharing_world/mod.rs
+++ b/crates/core/tests/sharing_world/mod.rs
@@ -335,6 +335,7 @@
         let question = Question {
             step: 2,
             wanted: Wanted::Output {
+                told: None,
                 source: engine,
                 excluded: Vec::new(),
             },
--- a/crates/node/src/course/placing.rs
+++ b/crates/node/src/course/placing.rs
@@ -38,8 +38,10 @@
             log::info!(request = self.call.request.as_str(), engine = source.as_str(); "transfer_lost");
             return self.take(Event::TransferLost);
         }
+        let told = self.prompt_told.take();
         let wanted = || Wanted::Output {
             source: SubjectHandle::of_engine(source),
+            told,
             excluded: handles(excluded),
         };
         let placement = self.ask(wanted).and_then(|(answer, at)| self.adopt(&answer, at));
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counts, gauges and delays of the process in the OpenMetrics text; labels take few values, and none names a caller.
 
+use crate::pace_metrics::PaceMetrics;
 use crate::quarantine::QuarantineMetrics;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
@@ -59,6 +60,8 @@
     engine_orders: Family<ResultLabel, Counter>,
     /// Requests under which engines crashed.
     pub(crate) quarantine: QuarantineMetrics,
+    /// Paces of engines.
+    pub(crate) pace: PaceMetrics,
     placements: Family<ResultLabel, Counter>,
     path_beliefs: Family<ResultLabel, Counter>,
     engine_silences: Family<ResultLabel, Counter>,
@@ -110,6 +113,7 @@
             usage_reports: Family::default(),
             engine_orders: Family::default(),
             quarantine: QuarantineMetrics::default(),
+            pace: PaceMetrics::default(),
             placements: Family::default(),
             path_beliefs: Family::default(),
             engine_silences: Family::default(),
@@ -138,6 +142,7 @@
         metrics.register_delays();
         metrics.register_gauges();
         metrics.quarantine.register(&mut metrics.registry);
+        metrics.pace.register(&mut metrics.registry);
         metrics
     }
 
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -10,7 +10,7 @@
 use shelfjunction_core::quarantine::word::{SuspectWord, TrialWord};
 use shelfjunction_core::retry::census::SharingWord;
 use shelfjunction_core::routing::pool::{
-    EngineStage, ListNews, PeerWork, PrefixNews, SilenceWord, WorkSlice,
+    EngineStage, ListNews, PaceWords, PeerWork, PrefixNews, SilenceWord, WorkSlice,
 };
 use shelfjunction_core::sharing::UseWord;
 use shelfjunction_core::watching::TableWord;
@@ -36,6 +36,12 @@
 /// Silent engines in one message; each takes about 20 bytes. Three are enough for a path to be suspected.
 pub(super) const MOST_SILENCES: usize = 8;
 
+/// Momentary figures of engines in one message; each takes about 15 bytes.
+pub(super) const MOST_FIGURES: usize = 8;
+
+/// Lasting speeds of engines in one message; each takes about 13 bytes.
+pub(super) const MOST_LASTING: usize = 4;
+
 /// Requests under which engines crashed in one message; each takes about 80 bytes.
 pub(crate) const MOST_SUSPECTS: usize = 12;
 
@@ -82,6 +88,8 @@
     pub(super) news: Vec<PrefixNews>,
     /// Engines that fell silent towards nodes that the sender chooses for, since the last message.
     pub(super) silences: Vec<SilenceWord>,
+    /// Paces of engines.
+    pub(super) paces: PaceWords,
 }
 
 /// Asks a placer whether an engine has answered anybody a moment ago.
@@ -142,12 +150,16 @@
 
 impl Datagram {
     /// The bytes; a word without changes of the list where it would be too long with them, since whoever misses them
-    /// asks the store.
+    /// asks the store, and without paces where that isn't enough, since they are told again.
     pub(crate) fn encode(mut self) -> Option<Vec<u8>> {
         let bytes = bincode::serde::encode_to_vec(&self, CODEC).ok()?;
         match &mut self {
             Self::Work(message) if bytes.len() > MOST_BYTES && !message.list_news.changes.is_empty() => {
                 message.list_news = ListNews::default();
+                self.encode()
+            }
+            Self::Work(message) if bytes.len() > MOST_BYTES && !message.paces.is_empty() => {
+                message.paces = PaceWords::default();
                 bincode::serde::encode_to_vec(&self, CODEC).ok()
             }
             _ => Some(bytes),
