--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -54,19 +54,6 @@
     pub oldest_word: Duration,
 }
 
-/// What is believed to run beside an output at an engine.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct WorkBeside {
-    /// Outputs, that one among them.
-    pub outputs: u32,
-    /// Prompt tokens to read.
-    pub prompt_tokens: u64,
-    /// Tokens of KV cache that are on their way there.
-    pub moving_tokens: u64,
-    /// How long work takes there, in hundredths of what is usual in the pool.
-    pub work_factor_percent: u32,
-}
-
 impl PoolRouter {
     /// Chooses where a request goes; nothing that leaves or lacks the model is chosen, and an engine that is left
     /// alone for a while only where there is no other.
@@ -185,20 +172,6 @@
         }
     }
 
-    /// What is believed to run at an engine, for the log of a pause; nothing where the engine is not known.
-    pub fn beside(&self, engine: &EngineId, now: MonotonicTime) -> WorkBeside {
-        let Some(state) = self.engines.get(engine) else {
-            return WorkBeside::default();
-        };
-        let work = state.work(now);
-        WorkBeside {
-            outputs: work.outputs as u32,
-            prompt_tokens: work.all_prompt_tokens() as u64,
-            moving_tokens: work.moving_tokens as u64,
-            work_factor_percent: (state.work_factor(now) * 100.0) as u32,
-        }
-    }
-
     /// Time until a prompt sent now to an engine would have been read there; absent where the engine is not known.
     pub fn reading_delay(
         &self,
@@ -241,20 +214,6 @@
         }
     }
 
-    /// Shortest time until an engine that reads prompts would begin with a prompt.
-    fn wait_apart(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<f64> {
-        if self.weights.pause_seconds == 0.0 || query.prompt.is_none() {
-            return None;
-        }
-        let per_second = self.speeds(query.pool).prefill.tokens_per_second();
-        self.candidates(query, EngineStage::Prefill, now)
-            .map(|state| {
-                let ahead = state.work(now).prompt_tokens_ahead(query.rank);
-                state.work_factor(now) * ahead / per_second
-            })
-            .min_by(f64::total_cmp)
-    }
-
     /// The engine that holds most of a prompt's beginning, and of several the one that used it last: engines drop what
     /// was not used for long, and nobody tells.
     fn best_holder(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<(u32, &EngineState)> {
@@ -269,7 +228,7 @@
             .max_by_key(|(tokens, state)| (*tokens, state.prefixes.last_use(query.prefixes)))
     }
 
-    fn candidates<'a>(
+    pub(super) fn candidates<'a>(
         &'a self,
         query: &'a PoolQuery<'_>,
         stage: EngineStage,
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -9,6 +9,7 @@
 
 mod admission;
 mod beliefs;
+mod beside;
 mod choice;
 mod cordoned;
 pub mod cost;
@@ -31,7 +32,8 @@
 
 pub use admission::{Admission, AdmissionDecision, LATE_RANK, PoolAdmission, Timing};
 pub use beliefs::{PeerWork, PrefixNews, RANKS, WorkSlice, rank_of};
-pub use choice::{EngineBeliefs, Explanation, PoolRoute, WorkBeside};
+pub use beside::WorkBeside;
+pub use choice::{EngineBeliefs, Explanation, PoolRoute};
 pub use cordoned::{CordonInForce, LeftAlone};
 pub use cost::shared_prefixes;
 pub use dispatches::{OutputWay, PoolTicket};
