--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -9,6 +9,7 @@
 
 mod admission;
 mod beliefs;
+mod beside;
 mod choice;
 mod cordoned;
 pub mod cost;
@@ -35,7 +36,8 @@
 
 pub use admission::{Admission, AdmissionDecision, LATE_RANK, PoolAdmission, Timing};
 pub use beliefs::{PeerWork, PrefixNews, RANKS, SilenceWord, WorkSlice, rank_of};
-pub use choice::{EngineBeliefs, Explanation, PoolRoute, WorkBeside};
+pub use beside::WorkBeside;
+pub use choice::{EngineBeliefs, Explanation, PoolRoute};
 pub use cordoned::{CordonInForce, LeftAlone};
 pub use cost::shared_prefixes;
 pub use dispatches::{OutputWay, PoolTicket};
