--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod routing;
 pub mod service_class;
 pub mod setting;
+pub mod sharing;
 pub mod table;
 pub mod tenancy;
 pub mod time;
--- a/crates/core/src/placing/placement_table.rs
+++ b/crates/core/src/placing/placement_table.rs
@@ -15,6 +15,7 @@
     Admission, LATE_RANK, OutputWay, PoolAdmission, PoolEngine, PoolQuery, PoolRoute, PoolRouter, PoolTicket,
     PrefixBlock, Timing,
 };
+use crate::sharing::Charge;
 use crate::time::MonotonicTime;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -44,6 +45,9 @@
 struct Promise {
     made_at: MonotonicTime,
     expected: Duration,
+    target: Duration,
+    /// Time over which outcomes fade; absent where kinds are not compared.
+    kinds_window: Option<Duration>,
 }
 
 #[derive(Clone, Debug)]
@@ -52,6 +56,8 @@
     prefixes: Vec<PrefixBlock>,
     counted: Counted,
     promise: Option<Promise>,
+    /// What its tenant was charged, as long as nobody has shown that the answer was followed.
+    charge: Option<Charge>,
     last_answer: Answer,
     until: MonotonicTime,
 }
@@ -90,6 +96,7 @@
             prefixes: question.request.prompt.prefixes(),
             counted: Counted::Nothing,
             promise: None,
+            charge: None,
             last_answer: Answer {
                 key: question.key,
                 step: 0,
@@ -175,7 +182,7 @@
         self.kept.retain(|_, kept| {
             let stays = kept.until > now;
             if !stays {
-                kept.abandon(router);
+                kept.abandon(router, now);
             }
             stays
         });
@@ -187,6 +194,7 @@
     fn close(&mut self, router: &mut PoolRouter, wanted: &Wanted, now: MonotonicTime) {
         match (std::mem::replace(&mut self.counted, Counted::Nothing), wanted) {
             (Counted::Prompt(ticket), Wanted::Output { .. }) => {
+                self.charge = None;
                 router.on_prompt_read(&ticket, &self.prefixes, now);
             }
             (Counted::Prompt(ticket) | Counted::Output(ticket), _) => router.on_abandoned(&ticket),
@@ -194,7 +202,8 @@
         }
     }
 
-    fn abandon(&mut self, router: &mut PoolRouter) {
+    fn abandon(&mut self, router: &mut PoolRouter, now: MonotonicTime) {
+        self.take_back_charge(router, now);
         if let Counted::Prompt(ticket) | Counted::Output(ticket) =
             std::mem::replace(&mut self.counted, Counted::Nothing)
         {
@@ -202,6 +211,13 @@
         }
     }
 
+    /// Takes back what an answer that nobody followed has charged: the node has asked another placer, or its caller left.
+    fn take_back_charge(&mut self, router: &mut PoolRouter, now: MonotonicTime) {
+        if let Some(charge) = self.charge.take() {
+            router.sharing_mut().take_back(&self.request.pool, charge, now);
+        }
+    }
+
     fn admit(
         &mut self,
         router: &mut PoolRouter,
@@ -212,12 +228,16 @@
     ) -> (AdmissionVerdict, Placement) {
         let decision = router.admit(&self.query(key, &[]), timing, settings, now);
         if !decision.expected.is_zero() {
-            router.on_admission(&self.query(key, &[]), decision.admission, now);
+            self.take_back_charge(router, now);
+            let query = self.query(key, &[]);
+            self.charge = router.on_admission(&query, &decision, timing, settings, now);
         }
         let in_time = decision.admission == Admission::InTime && !decision.expected.is_zero();
         self.promise = in_time.then_some(Promise {
             made_at: now,
             expected: decision.expected,
+            target: timing.target,
+            kinds_window: settings.sharing.kinds.then(|| settings.sharing.window()),
         });
         if decision.admission == Admission::Late {
             self.request.rank = LATE_RANK as u8;
@@ -227,6 +247,7 @@
             expected: decision.expected,
             error: decision.error as f32,
             turned_away: decision.turned_away as f32,
+            standing: decision.standing,
         };
         (verdict, self.place(router, key, decision.route, now))
     }
@@ -338,6 +359,7 @@
         };
         match progress {
             Progress::Begun { told } => {
+                self.charge = None;
                 router.on_output_begun(&ticket, &self.prefixes, now);
                 if let Some(told) = told {
                     router.on_told(ticket.engine(), *told, now);
@@ -346,6 +368,12 @@
                     let took = now.since(promise.made_at);
                     let key = self.last_answer.key;
                     router.on_first_event(&self.query(key, &[]), promise.expected, took);
+                    if let Some(window) = promise.kinds_window {
+                        let kind = usize::from(self.request.terms.kind_rank);
+                        let in_time = took <= promise.target;
+                        let sharing = router.sharing_mut();
+                        sharing.on_outcome(&self.request.pool, kind, in_time, window, now);
+                    }
                 }
                 return false;
             }
@@ -366,7 +394,10 @@
                 router.on_refused(&ticket, *reason, now);
             }
             Progress::Broken => router.on_broken(&ticket, now),
-            Progress::Abandoned => router.on_abandoned(&ticket),
+            Progress::Abandoned => {
+                self.take_back_charge(router, now);
+                router.on_abandoned(&ticket);
+            }
         }
         self.counted = Counted::Nothing;
         // Whoever was refused or let down asks again: the last answer must not be given for a new question.
--- a/crates/core/src/placing/question.rs
+++ b/crates/core/src/placing/question.rs
@@ -5,6 +5,7 @@
 use crate::identity::ZoneId;
 use crate::membership::subject::SubjectHandle;
 use crate::routing::pool::{Admission, PromptShape, RequestTerms, Timing, ToldLoad};
+use crate::sharing::Standing;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -113,6 +114,8 @@
     pub error: f32,
     /// Share of the requests that were turned away of late.
     pub turned_away: f32,
+    /// How its tenant and its kind stand.
+    pub standing: Standing,
 }
 
 /// A placer's answer to the question with the same key and step.
--- a/crates/core/src/routing/pool/admission.rs
+++ b/crates/core/src/routing/pool/admission.rs
@@ -13,14 +13,18 @@
 //! requests turned away of late: while nearly all can be in time, one is turned away only if it is all but sure to be
 //! late; when a queue stands at the limit, everything that is taken to the limit is late by half.
 //!
+//! Where callers compete for the pool ([`crate::sharing`]), the part of `expected` that is a queue counts for more than
+//! it is for a tenant or a kind that had more than its share, so that it is turned away while others still find room.
+//!
 //! A caller that has come back after a refusal is not refused again: it goes the late way.
 
 use super::choice::PoolRoute;
 use super::engine::PoolEngine;
-use super::query::PoolQuery;
+use super::query::{PoolQuery, PromptShape};
 use super::router::PoolRouter;
 use super::speed::ReadingSpeed;
 use crate::setting::FieldError;
+use crate::sharing::{Charge, SharingSettings, Standing, TenantRequest};
 use crate::time::MonotonicTime;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -44,6 +48,8 @@
     pub least_return_millis: u64,
     /// Longest time after which a refused caller is asked to come back, in milliseconds.
     pub most_return_millis: u64,
+    /// How tenants and kinds share a pool that has no room for all.
+    pub sharing: SharingSettings,
 }
 
 impl Default for PoolAdmission {
@@ -56,6 +62,7 @@
             full_care_share: 0.25,
             least_return_millis: 150,
             most_return_millis: 2_000,
+            sharing: SharingSettings::default(),
         }
     }
 }
@@ -63,7 +70,7 @@
 impl PoolAdmission {
     /// Every wrong setting.
     pub fn validate(&self) -> Vec<FieldError> {
-        let mut errors = Vec::new();
+        let mut errors = self.sharing.validate();
         if !(self.full_care_share > 0.0 && self.full_care_share <= 1.0) {
             errors.push(FieldError {
                 field: "admission.full_care_share".to_owned(),
@@ -127,6 +134,25 @@
     pub error: f64,
     /// Share of the requests that were turned away of late: served behind others or refused.
     pub turned_away: f64,
+    /// Whether it can't be in time by what was expected, whoever asks.
+    pub cannot_be_in_time: bool,
+    /// The queue that it met, as part of the longest with which it could be in time; absent where none would do.
+    pub queue_part: Option<f64>,
+    /// Tokens that it takes to read and to write.
+    pub tokens: f64,
+    /// How its tenant and its kind stand.
+    pub standing: Standing,
+}
+
+/// Expected time until a first event, in seconds.
+#[derive(Clone, Copy, Debug)]
+struct Expected {
+    /// In all.
+    seconds: f64,
+    /// The part for which the request waits for others.
+    queue: f64,
+    /// Tokens of its own that are to be read.
+    tokens: f64,
 }
 
 /// Rank below every route's, for what can't be in time.
@@ -144,89 +170,169 @@
         let (route, expected) = self.choose_expecting(query, now);
         let speeds = self.speeds(query.pool);
         let care = speeds.turned_away.share() / settings.full_care_share;
-        let error = speeds.error.factor(care);
-        let decision = |admission, route, expected: f64| AdmissionDecision {
-            admission,
+        let mut decision = AdmissionDecision {
+            admission: Admission::InTime,
             route,
-            expected: Duration::from_secs_f64(expected),
-            error,
+            expected: Duration::ZERO,
+            error: speeds.error.factor(care),
             turned_away: speeds.turned_away.share(),
+            cannot_be_in_time: false,
+            queue_part: None,
+            tokens: 0.0,
+            standing: Standing::default(),
         };
         let Some(expected) = expected.filter(|_| settings.enabled) else {
-            return decision(Admission::InTime, route, 0.0);
+            return decision;
         };
+        let output = query.prompt.map_or(0, PromptShape::expected_output);
+        decision.expected = Duration::from_secs_f64(expected.seconds);
+        decision.tokens = expected.tokens + f64::from(output);
         let allowance = Duration::from_millis(settings.allowance_millis);
         let allowed = timing.target.saturating_sub(allowance).as_secs_f64();
-        if expected * error <= allowed {
-            return decision(Admission::InTime, route, expected);
+        let bearable = allowed - (expected.seconds - expected.queue) * decision.error;
+        decision.queue_part = (bearable > 0.0).then(|| expected.queue * decision.error / bearable);
+        decision.cannot_be_in_time = expected.seconds * decision.error > allowed;
+        decision.standing = self.standing(query, settings, now);
+        let longer = f64::from(decision.standing.shortened) - 1.0;
+        let counted = (expected.seconds + expected.queue * longer) * decision.error;
+        if counted > allowed {
+            self.turn_away(&mut decision, counted - allowed, query, timing, settings, now);
+        }
+        decision
+    }
+
+    fn standing(&self, query: &PoolQuery<'_>, settings: &PoolAdmission, now: MonotonicTime) -> Standing {
+        let kind = usize::from(query.terms.kind_rank);
+        self.sharing
+            .standing(query.pool, query.terms.tenant, kind, &settings.sharing, now)
+    }
+
+    /// Decides what becomes of a request that is not taken to be in time.
+    fn turn_away(
+        &self,
+        decision: &mut AdmissionDecision,
+        excess: f64,
+        query: &PoolQuery<'_>,
+        timing: Timing,
+        settings: &PoolAdmission,
+        now: MonotonicTime,
+    ) {
+        if timing.returned && !settings.late {
+            return;
         }
-        if settings.late {
+        // Where it could not be in time without a queue either, no time to come back is any better.
+        let may_refuse = settings.sharing.refuses && decision.queue_part.is_some();
+        let refuses_now = may_refuse && decision.standing.is_beyond() && !timing.returned;
+        if settings.late && !refuses_now {
             let late_query = PoolQuery {
                 rank: LATE_RANK,
                 ..query.clone()
             };
             let (late_route, late_expected) = self.choose_expecting(&late_query, now);
-            let late_expected = late_expected.unwrap_or(expected);
+            let expected = decision.expected.as_secs_f64();
+            let late_expected = late_expected.map_or(expected, |late| late.seconds);
             let most = timing.left.as_secs_f64() * settings.late_share;
             if timing.returned || late_expected <= most {
-                return decision(Admission::Late, late_route, late_expected);
+                decision.admission = Admission::Late;
+                decision.route = late_route;
+                decision.expected = Duration::from_secs_f64(late_expected);
+                return;
             }
-        } else if timing.returned {
-            return decision(Admission::InTime, route, expected);
         }
         let spread = 1.0 + (query.draw >> 11) as f64 / (1u64 << 53) as f64;
-        let excess = (expected * error - allowed) * spread;
-        let retry_after = Duration::from_secs_f64(excess).clamp(
+        let until_room = excess.max(decision.standing.seconds_beyond(&settings.sharing));
+        let retry_after = Duration::from_secs_f64(until_room * spread).clamp(
             Duration::from_millis(settings.least_return_millis),
             Duration::from_millis(settings.most_return_millis),
         );
-        decision(Admission::Refused { retry_after }, PoolRoute::Nowhere, expected)
+        decision.admission = Admission::Refused { retry_after };
+        decision.route = PoolRoute::Nowhere;
     }
 
-    /// Like [`Self::choose`], with the seconds until the first event; absent where no prompt is read.
-    fn choose_expecting(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> (PoolRoute, Option<f64>) {
+    /// Like [`Self::choose`], with the time until the first event; absent where no prompt is read.
+    fn choose_expecting(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> (PoolRoute, Option<Expected>) {
         let route = self.choose(query, now);
         let context = self.context(query, now);
-        let until_read = |engine: &PoolEngine, line: &ReadingSpeed| {
-            let state = self.engines.get(&engine.id)?;
-            let ahead = state.work(now).prompt_tokens_ahead(query.rank);
-            let tokens = ahead + context.reading(state, query).computed;
-            Some(state.work_factor(now) * line.seconds(tokens))
-        };
         let speeds = &context.speeds;
-        let place_wait = |engine: &PoolEngine| {
-            let state = self.engines.get(&engine.id);
-            speeds.place_wait(state.is_some_and(|state| state.has_place(now)))
-        };
-        let line = |usual| {
-            if query.rank == LATE_RANK {
+        let until_read = |engine: &PoolEngine, usual: &ReadingSpeed| {
+            let line = if query.rank == LATE_RANK {
                 &speeds.late
             } else {
                 usual
+            };
+            let state = self.engines.get(&engine.id)?;
+            let ahead = state.work(now).prompt_tokens_ahead(query.rank);
+            let tokens = context.reading(state, query).computed;
+            let seconds = state.work_factor(now) * line.seconds(ahead + tokens);
+            let alone = state.work_factor(now) * line.seconds(tokens);
+            Some(Expected {
+                seconds,
+                queue: seconds - alone,
+                tokens,
+            })
+        };
+        let with_place = |expected: Expected, engine: &PoolEngine, hand_over: f64| {
+            let state = self.engines.get(&engine.id);
+            let place_wait = speeds.place_wait(state.is_some_and(|state| state.has_place(now)));
+            Expected {
+                seconds: expected.seconds + hand_over + place_wait,
+                queue: expected.queue + place_wait,
+                ..expected
             }
         };
         let expected = match &route {
-            PoolRoute::Split { prefill, decode } => until_read(prefill, line(&speeds.prefill))
-                .map(|read| read + speeds.hand_over_seconds + place_wait(decode)),
+            PoolRoute::Split { prefill, decode } => until_read(prefill, &speeds.prefill)
+                .map(|read| with_place(read, decode, speeds.hand_over_seconds)),
             PoolRoute::Whole(engine) if query.prompt.is_some() => {
-                until_read(engine, line(&speeds.decode)).map(|read| read + place_wait(engine))
+                until_read(engine, &speeds.decode).map(|read| with_place(read, engine, 0.0))
             }
             PoolRoute::Whole(_) | PoolRoute::Nowhere => None,
         };
         (route, expected)
     }
 
-    /// Takes a decision that was carried out.
-    pub fn on_admission(&mut self, query: &PoolQuery<'_>, admission: Admission, now: MonotonicTime) {
+    /// Takes a decision that was carried out; the charge of the request's tenant, where it has one.
+    pub fn on_admission(
+        &mut self,
+        query: &PoolQuery<'_>,
+        decision: &AdmissionDecision,
+        timing: Timing,
+        settings: &PoolAdmission,
+        now: MonotonicTime,
+    ) -> Option<Charge> {
         let assumed = self.assumed_speeds();
         let speeds = self.speeds.entry(query.pool.clone()).or_insert(assumed);
-        speeds.turned_away.observe(admission != Admission::InTime);
-        if matches!(admission, Admission::Refused { .. }) {
+        let is_turned_away = decision.admission != Admission::InTime;
+        speeds
+            .turned_away
+            .observe(is_turned_away && decision.cannot_be_in_time);
+        if matches!(decision.admission, Admission::Refused { .. }) {
             // What it would have had to have read is wanted all the same.
             let tokens = query.prompt.map_or(0, |prompt| prompt.tokens);
             let held = self.context(query, now).most_held.min(tokens);
             self.demand.on_sent(f64::from(tokens - held), now);
         }
+        let sharing = &settings.sharing;
+        let tenant = query.terms.tenant.filter(|_| sharing.tenants);
+        if tenant.is_none() && !sharing.kinds {
+            return None;
+        }
+        if let Some(part) = decision.queue_part {
+            self.sharing.on_queue(query.pool, part, sharing, now);
+        }
+        let is_admitted = decision.admission == Admission::InTime;
+        if sharing.kinds && !is_admitted && !timing.returned {
+            let kind = usize::from(query.terms.kind_rank);
+            self.sharing
+                .on_outcome(query.pool, kind, false, sharing.window(), now);
+        }
+        let request = TenantRequest {
+            tenant: tenant?,
+            tokens: decision.tokens,
+            is_admitted,
+            came_back: timing.returned,
+        };
+        Some(self.sharing.on_request(query.pool, request, sharing, now))
     }
 
     /// Takes how long the first event of a request that was to be in time took beside what was expected.
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -56,8 +56,13 @@
 impl PromptShape {
     /// Tokens of KV cache that the request is expected to hold at its end.
     pub fn memory_tokens(&self) -> u32 {
+        self.tokens.saturating_add(self.expected_output())
+    }
+
+    /// Output tokens that are expected.
+    pub fn expected_output(&self) -> u32 {
         let output = self.output_estimate.unwrap_or(self.output_tokens);
-        self.tokens.saturating_add(output.min(self.output_tokens))
+        output.min(self.output_tokens)
     }
 
     /// The prompt's blocks in order.
@@ -78,6 +83,8 @@
     pub longest_pause: Option<Duration>,
     /// Whether it may run on one engine only: one that ends under it can't be made good.
     pub single_try: bool,
+    /// Rank of its kind among the routes of its pool; zero is the most urgent.
+    pub kind_rank: u8,
 }
 
 /// One request that needs an engine.
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -9,6 +9,7 @@
 use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
 use crate::identity::{EngineId, EngineStart, NodeId};
 use crate::membership::subject::SubjectHandle;
+use crate::sharing::UseLedger;
 use crate::time::MonotonicTime;
 use std::collections::{BTreeMap, HashMap};
 
@@ -30,6 +31,7 @@
     pub(super) tickets: u64,
     /// Cordons in force.
     pub(super) cordons: Vec<CordonInForce>,
+    pub(super) sharing: UseLedger,
 }
 
 impl PoolRouter {
@@ -46,6 +48,7 @@
             demand: PromptDemand::default(),
             tickets: 0,
             cordons: Vec::new(),
+            sharing: UseLedger::default(),
         }
     }
 
@@ -186,6 +189,16 @@
             .count()
     }
 
+    /// The use of the pools by tenants and kinds.
+    pub fn sharing(&self) -> &UseLedger {
+        &self.sharing
+    }
+
+    /// The same, to be told what was used.
+    pub fn sharing_mut(&mut self) -> &mut UseLedger {
+        &mut self.sharing
+    }
+
     /// Pools whose engines run models.
     pub fn model_pools(&self) -> Vec<PoolId> {
         self.traits.keys().cloned().collect()
--- /dev/null
+++ b/crates/core/tests/sharing_charges.rs
@@ -0,0 +1,179 @@
+//! What placers charge tenants when questions are doubled, asked of another placer, or given up.
+
+#![allow(clippy::unwrap_used)]
+
+mod pool_support;
+mod sharing_world;
+
+use pool_support::pool;
+use sharing_world::Placer;
+use shelfjunction_core::identity::ZoneId;
+use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::placing::question::{
+    Answer, PlacedRequest, Placement, Progress, ProgressReport, Question, RequestKey, Wanted,
+};
+use shelfjunction_core::routing::pool::{PoolAdmission, PromptPart, PromptShape, RequestTerms, Timing};
+use shelfjunction_core::sharing::UseWord;
+use shelfjunction_core::time::MonotonicTime;
+use std::time::Duration;
+
+const NOW: MonotonicTime = MonotonicTime::from_millis(50_000);
+
+fn tenant() -> SubjectHandle {
+    SubjectHandle::of_text("tenant", "one")
+}
+
+fn question(number: u64, step: u32, wanted: Wanted) -> Question {
+    let tokens = 1_000;
+    Question {
+        key: RequestKey {
+            node: SubjectHandle::of_text("node", "asks"),
+            number,
+        },
+        step,
+        request: PlacedRequest {
+            pool: pool(),
+            prompt: PromptShape {
+                model: "m".to_owned(),
+                parts: vec![PromptPart { name: number, tokens }],
+                tokens,
+                output_tokens: 100,
+                output_estimate: None,
+            },
+            zone: ZoneId::new("zone-a"),
+            terms: RequestTerms {
+                tenant: Some(tenant()),
+                ..RequestTerms::default()
+            },
+            rank: 1,
+            left: Duration::from_secs(4),
+        },
+        wanted,
+    }
+}
+
+fn admission(number: u64) -> Question {
+    let timing = Timing {
+        target: Duration::from_secs(1),
+        left: Duration::from_secs(4),
+        returned: false,
+    };
+    question(number, 1, Wanted::Admission(timing))
+}
+
+fn output(number: u64, answer: &Answer) -> Question {
+    let Placement::Split { prefill, .. } = answer.placement else {
+        panic!("not split: {answer:?}");
+    };
+    let wanted = Wanted::Output {
+        source: prefill.engine,
+        excluded: Vec::new(),
+    };
+    question(number, 2, wanted)
+}
+
+fn ask(placer: &mut Placer, question: &Question, now: MonotonicTime) -> Answer {
+    let settings = PoolAdmission::default();
+    placer
+        .table
+        .answer(&mut placer.router, question, &settings, now)
+        .unwrap()
+}
+
+fn tell(placer: &mut Placer, question: &Question, progress: Progress, now: MonotonicTime) {
+    let report = ProgressReport {
+        key: question.key,
+        step: question.step,
+        progress,
+    };
+    placer.table.on_progress(&mut placer.router, &report, now);
+}
+
+/// Tokens charged at a placer, over all that it knows of, at the moment of the tests.
+fn charged(placer: &Placer) -> u64 {
+    let sharing = PoolAdmission::default().sharing;
+    let used = placer.router.sharing().used(&pool(), tenant(), &sharing, NOW);
+    used.round() as u64
+}
+
+#[test]
+fn a_request_is_charged_what_it_takes_to_read_and_to_write() {
+    let mut placer = Placer::new(1, 2);
+    ask(&mut placer, &admission(1), NOW);
+    assert_eq!(charged(&placer), 1_100);
+}
+
+#[test]
+fn a_doubled_question_is_charged_once() {
+    let mut placer = Placer::new(1, 2);
+    ask(&mut placer, &admission(1), NOW);
+    ask(&mut placer, &admission(1), NOW);
+    assert_eq!(charged(&placer), 1_100);
+}
+
+#[test]
+fn a_question_asked_again_of_another_placer_is_charged_by_the_one_whose_answer_is_followed() {
+    let (mut first, mut second) = (Placer::new(1, 2), Placer::new(2, 2));
+    let asked = admission(1);
+    ask(&mut first, &asked, NOW);
+    let answer = ask(&mut second, &asked, NOW);
+    // The first answer came too late for the node, which says so.
+    tell(&mut first, &asked, Progress::Abandoned, NOW);
+    ask(&mut second, &output(1, &answer), NOW);
+    assert_eq!((charged(&first), charged(&second)), (0, 1_100));
+    let sharing = PoolAdmission::default().sharing;
+    let word = |placer: &mut Placer, number| UseWord {
+        node: placer.handle,
+        start: 1,
+        number,
+        told_at: NOW,
+        pools: placer.router.sharing_mut().own_word(&sharing, NOW),
+    };
+    let word = word(&mut second, 1);
+    for _ in 0..2 {
+        first.router.sharing_mut().on_word(&word, &sharing, NOW);
+    }
+    assert_eq!(charged(&first), 1_100, "over both placers as well");
+}
+
+#[test]
+fn an_answer_of_which_nothing_was_heard_any_more_is_not_charged_in_the_end() {
+    let mut placer = Placer::new(1, 2);
+    ask(&mut placer, &admission(1), NOW);
+    let over = NOW + Duration::from_secs(5);
+    placer.table.sweep(&mut placer.router, over);
+    let sharing = PoolAdmission::default().sharing;
+    let used = placer.router.sharing().used(&pool(), tenant(), &sharing, over);
+    assert!(used < 1e-6, "{used}");
+}
+
+#[test]
+fn what_was_read_stays_charged_when_the_caller_leaves() {
+    let mut placer = Placer::new(1, 2);
+    let answer = ask(&mut placer, &admission(1), NOW);
+    let next = output(1, &answer);
+    ask(&mut placer, &next, NOW);
+    tell(&mut placer, &next, Progress::Abandoned, NOW);
+    assert_eq!(charged(&placer), 1_100);
+}
+
+#[test]
+fn a_request_that_is_placed_anew_after_a_failure_is_charged_once() {
+    let mut placer = Placer::new(1, 3);
+    let first = admission(1);
+    ask(&mut placer, &first, NOW);
+    tell(&mut placer, &first, Progress::Broken, NOW);
+    let again = question(1, 2, Wanted::Engines { excluded: Vec::new() });
+    ask(&mut placer, &again, NOW);
+    assert_eq!(charged(&placer), 1_100);
+}
+
+#[test]
+fn without_tenants_nothing_is_charged_or_told() {
+    let mut placer = Placer::new(1, 2);
+    let mut asked = admission(1);
+    asked.request.terms.tenant = None;
+    ask(&mut placer, &asked, NOW);
+    let sharing = PoolAdmission::default().sharing;
+    assert!(placer.router.sharing_mut().own_word(&sharing, NOW).is_empty());
+}
--- a/crates/node/src/course/admitting.rs
+++ b/crates/node/src/course/admitting.rs
@@ -11,6 +11,7 @@
 use shelfjunction_core::routing::pool::{
     Admission, AdmissionDecision, LATE_RANK, RequestTerms, Timing, rank_of,
 };
+use shelfjunction_core::sharing::Standing;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::time::Duration;
@@ -25,6 +26,8 @@
     pub(super) made_at: MonotonicTime,
     /// Expected time until its first event.
     pub(super) expected: Duration,
+    /// Time within which it is worth most.
+    target: Duration,
 }
 
 impl Driver<'_> {
@@ -45,13 +48,15 @@
         let decision = lock(&self.context.router).admit(&self.query(&[], now), timing, settings, now);
         self.log_admission(Judged::by(&decision), timing);
         if !decision.expected.is_zero() {
-            lock(&self.context.router).on_admission(&self.query(&[], now), decision.admission, now);
+            let query = self.query(&[], now);
+            lock(&self.context.router).on_admission(&query, &decision, timing, settings, now);
         }
         match decision.admission {
             Admission::InTime => {
                 self.promise = (!decision.expected.is_zero()).then_some(Promise {
                     made_at: now,
                     expected: decision.expected,
+                    target: timing.target,
                 });
             }
             Admission::Late => self.late = true,
@@ -90,6 +95,7 @@
             tenant: tenant.map(|tenant| SubjectHandle::of_text("tenant", tenant.as_str())),
             longest_pause: self.route.event_gap,
             single_try: self.route.repeat == RepeatRule::Never || self.route.maximum_runs <= 1,
+            kind_rank: self.route.priority,
         }
     }
 
@@ -115,7 +121,16 @@
     pub(super) fn judge_promise(&mut self, now: MonotonicTime) {
         if let Some(promise) = self.promise.take() {
             let took = now.since(promise.made_at);
-            lock(&self.context.router).on_first_event(&self.query(&[], now), promise.expected, took);
+            let mut router = lock(&self.context.router);
+            router.on_first_event(&self.query(&[], now), promise.expected, took);
+            let sharing = &self.context.config.admission.sharing;
+            if sharing.kinds {
+                let (kind, in_time) = (usize::from(self.route.priority), took <= promise.target);
+                let window = sharing.window();
+                router
+                    .sharing_mut()
+                    .on_outcome(&self.pool, kind, in_time, window, now);
+            }
         }
     }
 
@@ -123,6 +138,7 @@
         if judged.expected.is_zero() {
             return;
         }
+        self.context.metrics.admission(judged.result());
         log::info!(
             request = self.call.request.as_str(),
             admission:? = judged.admission,
@@ -131,7 +147,13 @@
             turned_away_percent = (judged.turned_away * 100.0) as u64,
             target_millis = timing.target.as_millis() as u64,
             left_millis = timing.left.as_millis() as u64,
-            returned = timing.returned;
+            returned = timing.returned,
+            tenant = self.access.tenant_name(),
+            contended = judged.standing.contended,
+            tenant_tokens = judged.standing.tenant_use,
+            tenant_share_tokens = judged.standing.tenant_share,
+            kind_lead_percent = judged.standing.kind_lead,
+            shortened_percent = (judged.standing.shortened * 100.0) as u64;
             "admission_decided"
         );
     }
@@ -143,15 +165,29 @@
     expected: Duration,
     error: f64,
     turned_away: f64,
+    standing: Standing,
 }
 
 impl Judged {
+    /// Name of the outcome for metrics.
+    fn result(&self) -> &'static str {
+        let is_kept_short = self.standing.shortened > 1.0;
+        match (self.admission, is_kept_short) {
+            (Admission::InTime, _) => "in_time",
+            (Admission::Late, false) => "late",
+            (Admission::Late, true) => "late_beyond_share",
+            (Admission::Refused { .. }, false) => "refused",
+            (Admission::Refused { .. }, true) => "refused_beyond_share",
+        }
+    }
+
     fn by(decision: &AdmissionDecision) -> Self {
         Self {
             admission: decision.admission,
             expected: decision.expected,
             error: decision.error,
             turned_away: decision.turned_away,
+            standing: decision.standing,
         }
     }
 
@@ -161,6 +197,7 @@
             expected: verdict.expected,
             error: f64::from(verdict.error),
             turned_away: f64::from(verdict.turned_away),
+            standing: verdict.standing,
         }
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -60,6 +60,7 @@
     /// Requests under which engines crashed.
     pub(crate) quarantine: QuarantineMetrics,
     placements: Family<ResultLabel, Counter>,
+    admissions: Family<ResultLabel, Counter>,
     whole_answer: Histogram,
     first_event: Histogram,
     between_events: Histogram,
@@ -108,6 +109,7 @@
             engine_orders: Family::default(),
             quarantine: QuarantineMetrics::default(),
             placements: Family::default(),
+            admissions: Family::default(),
             whole_answer: delays(),
             first_event: delays(),
             between_events: delays(),
@@ -181,6 +183,10 @@
         self.placements.get_or_create(&ResultLabel { result }).inc();
     }
 
+    pub(crate) fn admission(&self, result: &'static str) {
+        self.admissions.get_or_create(&ResultLabel { result }).inc();
+    }
+
     pub(crate) fn placement_took(&self, took: Duration) {
         self.placement_round_trip.observe(took.as_secs_f64());
     }
@@ -238,6 +244,11 @@
             "Choices of engines: given to others, answered by a placer, own, timed out, made alone",
             self.placements.clone(),
         );
+        registry.register(
+            "admissions",
+            "Decisions whether requests are taken, and whether a share was exceeded",
+            self.admissions.clone(),
+        );
         registry.register(
             "placement_round_trip_seconds",
             "Time from a question to a placer to its answer",
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -8,6 +8,7 @@
 use crate::quarantine;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::routing::pool::ListNews;
+use shelfjunction_core::sharing::UseWord;
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
@@ -32,6 +33,7 @@
                 Some(Datagram::Usage(message)) => metering::take(context, &message),
                 Some(Datagram::Suspects(words)) => quarantine::take(context, &words, from),
                 Some(Datagram::Trial(word)) => quarantine::take_trial(context, &word),
+                Some(Datagram::Use(word)) => take_use(context, &word),
                 None => log::debug!(from:% = from, length; "datagram_unreadable"),
             },
             Err(error) => {
@@ -94,6 +96,18 @@
     router.on_ordered(&message.orders, now);
 }
 
+fn take_use(context: &Context, word: &UseWord) {
+    if word.node == context.peers.own_handle() {
+        return;
+    }
+    let settings = &context.config.admission.sharing;
+    let now = context.now();
+    let mut router = lock(&context.router);
+    if !router.sharing_mut().on_word(word, settings, now) {
+        log::debug!(number = word.number; "use_word_passed_over");
+    }
+}
+
 fn take_list_news(context: &Context, news: ListNews, from: SocketAddr) {
     let taken = {
         let mut listing = lock(&context.listing);
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -10,6 +10,7 @@
 use shelfjunction_core::quarantine::word::{SuspectWord, TrialWord};
 use shelfjunction_core::retry::census::SharingWord;
 use shelfjunction_core::routing::pool::{EngineStage, ListNews, PeerWork, PrefixNews, WorkSlice};
+use shelfjunction_core::sharing::UseWord;
 use shelfjunction_core::watching::TableWord;
 
 /// Longest datagram, in bytes; stays below the smallest usual frame.
@@ -126,6 +127,8 @@
     Suspects(Vec<SuspectWord>),
     /// A suspect begins to run, or has ended.
     Trial(Box<TrialWord>),
+    /// What a node admitted for tenants and kinds.
+    Use(Box<UseWord>),
 }
 
 const CODEC: Configuration = standard();
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -13,6 +13,7 @@
 mod placers;
 mod sharing;
 mod telling;
+mod use_words;
 
 pub(crate) use catching_up::{catch_up, serve as serve_snapshots, take_from_any};
 pub(crate) use directory::follow as follow_directory;
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -3,6 +3,7 @@
 use super::Peers;
 use super::message::{Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_NEWS, WorkMessage};
 use super::placers::Placing;
+use super::use_words::UseTeller;
 use crate::context::Context;
 use crate::cordons;
 use crate::quarantine;
@@ -55,6 +56,7 @@
     loop {
         let confirmed = context.peers.wait_for_change(teller.tells_again);
         let pause = teller.round(confirmed);
+        teller.use_teller.tell(context, context.now());
         let tells_again = quarantine::tell(context);
         teller.tells_again = teller.tells_again.min(tells_again);
         context.stop.wait(pause);
@@ -69,6 +71,7 @@
     idle_rounds: u32,
     allowance: Allowance,
     tells_again: Duration,
+    use_teller: UseTeller,
     told_all_at: Option<MonotonicTime>,
     /// Whether there is something confirmed that not everybody has been told.
     owes_all: bool,
@@ -84,6 +87,7 @@
             idle_rounds: 0,
             allowance: Allowance::new(context.now()),
             tells_again: TELL_AGAIN,
+            use_teller: UseTeller::default(),
             told_all_at: None,
             owes_all: false,
             told_slices: BTreeMap::new(),
