--- a/crates/core/src/sharing/ledger.rs
+++ b/crates/core/src/sharing/ledger.rs
@@ -155,10 +155,11 @@
 
     /// Takes the word of another node. False where it is older than one that was heard, or older than what counts.
     pub fn on_word(&mut self, word: &UseWord, settings: &SharingSettings, now: MonotonicTime) -> bool {
-        let Some(age) = self.age_of(word, now) else {
+        let lifetime = settings.window() * WORD_LIFETIME_WINDOWS;
+        let Some(age) = self.age_of(word, lifetime, now) else {
             return false;
         };
-        if age > settings.window() * WORD_LIFETIME_WINDOWS {
+        if age > lifetime {
             return false;
         }
         let at = now - age;
@@ -171,11 +172,14 @@
         true
     }
 
-    /// By how much longer a word was under way than the fastest of its sender; absent where a later one was heard.
-    fn age_of(&mut self, word: &UseWord, now: MonotonicTime) -> Option<Duration> {
+    /// By how much longer a word was under way than the fastest of its sender; absent where a later one was heard. A sender
+    /// that was silent for so long that nothing of it counts may begin anew, with an earlier start as well: its clock may
+    /// have been set back.
+    fn age_of(&mut self, word: &UseWord, lifetime: Duration, now: MonotonicTime) -> Option<Duration> {
         let ahead = i128::from(now.0) - i128::from(word.told_at.0);
         let before = self.senders.get(&word.node).copied();
         if let Some(before) = before
+            && (word.start == before.start || now.since(before.heard_at) < lifetime)
             && (word.start, word.number) <= (before.start, before.number)
         {
             return None;
--- a/crates/core/tests/sharing.rs
+++ b/crates/core/tests/sharing.rs
@@ -228,6 +228,11 @@
         !hearer.hear(&placer.word(3_100), 3_100),
         "a word of the earlier start counts no more"
     );
+    placer.charge(tenant(1), 300.0, true, 13_000);
+    assert!(
+        hearer.hear(&placer.word(13_000), 13_000),
+        "after a long silence a start may be lower, as after a clock was set back"
+    );
 }
 
 #[test]
