--- a/crates/core/src/placing/mod.rs
+++ b/crates/core/src/placing/mod.rs
@@ -13,4 +13,5 @@
 pub mod config;
 pub mod placement_table;
 pub mod placer_set;
+mod promise;
 pub mod question;
--- a/crates/core/src/placing/placement_table.rs
+++ b/crates/core/src/placing/placement_table.rs
@@ -5,6 +5,7 @@
 //! question about a request ends what was counted for it before, and what nobody speaks of any more is forgotten when
 //! the request's time is over.
 
+use super::promise::Promise;
 use super::question::{
     AdmissionVerdict, Answer, ChosenEngine, PlacedRequest, Placement, Progress, ProgressReport, Question,
     RequestKey, Wanted,
@@ -40,16 +41,6 @@
     Nothing,
 }
 
-/// What was expected of a request that is to be in time.
-#[derive(Clone, Copy, Debug)]
-struct Promise {
-    made_at: MonotonicTime,
-    expected: Duration,
-    target: Duration,
-    /// Time over which outcomes fade; absent where kinds are not compared.
-    kinds_window: Option<Duration>,
-}
-
 #[derive(Clone, Debug)]
 struct Kept {
     request: PlacedRequest,
@@ -365,15 +356,8 @@
                     router.on_told(ticket.engine(), *told, now);
                 }
                 if let Some(promise) = self.promise.take() {
-                    let took = now.since(promise.made_at);
                     let key = self.last_answer.key;
-                    router.on_first_event(&self.query(key, &[]), promise.expected, took);
-                    if let Some(window) = promise.kinds_window {
-                        let kind = usize::from(self.request.terms.kind_rank);
-                        let in_time = took <= promise.target;
-                        let sharing = router.sharing_mut();
-                        sharing.on_outcome(&self.request.pool, kind, in_time, window, now);
-                    }
+                    promise.judge(router, &self.query(key, &[]), now);
                 }
                 return false;
             }
