--- a/crates/cli/src/operator/mod.rs
+++ b/crates/cli/src/operator/mod.rs
@@ -2,11 +2,14 @@
 
 mod bundle;
 mod client;
+pub mod cordons;
 pub mod duties;
 pub mod explain;
+mod explain_pauses;
 mod files;
 mod keygen;
 mod node_page;
+pub mod pool_engines;
 mod print;
 mod print_fleet;
 pub mod quarantine;
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -137,9 +137,20 @@
         let Some(state) = self.engines.get(&ticket.engine) else {
             return;
         };
+        let speeds = self.speeds.entry(state.engine.pool.clone()).or_insert(assumed);
         if state.work(now).all_prompt_tokens() > 0.0 {
-            let speeds = self.speeds.entry(state.engine.pool.clone()).or_insert(assumed);
             speeds.pauses.observe(part);
+        } else if let Some(bound) = state.sent.get(&ticket.number).and_then(|work| work.longest_pause) {
+            let seconds = part * bound.as_secs_f64();
+            speeds.pace.observe(seconds / state.work_factor(now));
+        }
+    }
+
+    /// Notes that an output paused for longer than is harmless: it is late, and no other pause makes it later.
+    pub fn on_paused_too_long(&mut self, ticket: &PoolTicket) {
+        let state = self.engines.get_mut(&ticket.engine);
+        if let Some(work) = state.and_then(|state| state.sent.get_mut(&ticket.number)) {
+            work.longest_pause = None;
         }
     }
 
@@ -256,8 +267,12 @@
                 output_tokens: query.prompt.map_or(0, PromptShape::expected_output_tokens),
                 begun_at: None,
                 momentary: state.pace.momentary_factor(now),
+                longest_pause: query.terms.longest_pause.filter(|_| way.is_some()),
             };
             state.sent.insert(self.tickets, work);
+            state
+                .read_lately
+                .observe(state.work(now).all_prompt_tokens(), now);
         }
         PoolTicket {
             engine: engine.clone(),
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -1,8 +1,10 @@
 //! What is known of one engine of a pool.
 
 use super::beliefs::{PeerWork, RANKS};
+use super::cordoned::EngineCordon;
 use super::dispatches::OutputWay;
 use super::pace::EnginePace;
+use super::pauses::RecentReading;
 use super::prefix::PrefixBelief;
 use super::speed::ReadingSpeed;
 use crate::forwarding::PoolId;
@@ -85,6 +87,8 @@
     pub(super) begun_at: Option<MonotonicTime>,
     /// Momentary factor of its engine when it was sent, or when its output began.
     pub(super) momentary: f64,
+    /// Longest harmless pause between its events; absent where none is named, nothing is run, or one was longer.
+    pub(super) longest_pause: Option<Duration>,
 }
 
 /// Work at an engine, from everybody.
@@ -102,6 +106,10 @@
     pub outputs: f64,
     /// Tokens of KV cache of those requests.
     pub output_tokens: f64,
+    /// Those of them whose route names the longest harmless pause, and that have kept to it so far.
+    pub streams: f64,
+    /// Shortest of the longest harmless pauses of those streams; absent where there is none.
+    pub shortest_bound: Option<Duration>,
 }
 
 impl WorkAtEngine {
@@ -110,6 +118,11 @@
         self.prompt_tokens[..=rank.min(RANKS - 1)].iter().sum()
     }
 
+    /// Prompt tokens that are read after those of a request of a rank that comes now.
+    pub fn prompt_tokens_behind(&self, rank: usize) -> f64 {
+        self.prompt_tokens[rank.min(RANKS - 1) + 1..].iter().sum()
+    }
+
     /// Prompt tokens of every rank.
     pub fn all_prompt_tokens(&self) -> f64 {
         self.prompt_tokens.iter().sum()
@@ -124,6 +137,13 @@
         self.moving_tokens += f64::from(work.moving_tokens);
         self.outputs += f64::from(work.outputs);
         self.output_tokens += f64::from(work.output_tokens);
+        let millis = u64::from(work.shortest_bound_millis);
+        self.streams += f64::from(work.streams);
+        self.add_bound((millis > 0).then_some(Duration::from_millis(millis)));
+    }
+
+    fn add_bound(&mut self, bound: Option<Duration>) {
+        self.shortest_bound = [self.shortest_bound, bound].into_iter().flatten().min();
     }
 
     fn add_sent(&mut self, work: &SentWork) {
@@ -134,6 +154,8 @@
         if work.prompt_tokens == 0.0 {
             self.outputs += 1.0;
             self.output_tokens += work.memory_tokens;
+            self.streams += if work.longest_pause.is_some() { 1.0 } else { 0.0 };
+            self.add_bound(work.longest_pause);
         }
     }
 
@@ -146,6 +168,8 @@
             moving_tokens: self.moving_tokens as u32,
             outputs: self.outputs as u32,
             output_tokens: self.output_tokens as u32,
+            streams: self.streams as u32,
+            shortest_bound_millis: self.shortest_bound.map_or(0, |bound| bound.as_millis() as u32),
         }
     }
 }
@@ -188,8 +212,12 @@
     pub(super) ordered: Option<(EngineStage, MonotonicTime)>,
     /// Present where the platform lists the engine no longer.
     pub(super) gone: Option<Gone>,
+    /// Whether a later start of the engine is known, so that this one has ended for certain.
+    pub(super) replaced: bool,
     /// When its zone was last seen to take spot engines back while this one was listed as staying.
     pub(super) taken_back_at: Option<MonotonicTime>,
+    /// The cordon that covers it, if any.
+    pub(super) cordon: Option<EngineCordon>,
     pub(super) health: Health,
     pub(super) sent: BTreeMap<u64, SentWork>,
     pub(super) told: Option<(ToldLoad, MonotonicTime)>,
@@ -198,6 +226,8 @@
     pub(super) slowness: f64,
     /// Its lasting speed and how its machine stands.
     pub(super) pace: EnginePace,
+    /// Prompt tokens that it had to read at once of late.
+    pub(super) read_lately: RecentReading,
 }
 
 /// Age from which another node's word no longer counts.
@@ -218,13 +248,16 @@
             heard_at: None,
             ordered: None,
             gone: None,
+            replaced: false,
             taken_back_at: None,
+            cordon: None,
             health: Health::default(),
             sent: BTreeMap::new(),
             told: None,
             peers: BTreeMap::new(),
             slowness: 1.0,
             pace: EnginePace::default(),
+            read_lately: RecentReading::default(),
         }
     }
 
@@ -287,6 +320,12 @@
         &self.pace
     }
 
+    /// Requests that waited here when it last told; absent where that no longer counts.
+    pub fn told_waiting(&self, now: MonotonicTime) -> Option<u32> {
+        let (told, at) = self.told?;
+        (now.since(at) < TOLD_LIFETIME).then_some(told.waiting)
+    }
+
     /// Whether one more request would find a place now.
     pub(super) fn has_place(&self, now: MonotonicTime) -> bool {
         self.work(now).requests + 1.0 <= f64::from(self.engine.places.max(1))
@@ -312,9 +351,11 @@
 
     /// Whether new work may go there now; one that is left alone for a while takes some only where `paused_too`.
     pub(super) fn takes_work(&self, now: MonotonicTime, paused_too: bool) -> bool {
-        !self.engine.leaving
+        !self.replaced
+            && !self.engine.leaving
             && self.ordered_stage(now).is_none()
             && self.gone.is_none_or(|gone| gone.is_doubtful_at(now))
+            && self.cordon_allows(now, paused_too)
             && (paused_too || !(self.health.is_paused(now) || self.is_taken_back(now)))
     }
 
@@ -326,16 +367,31 @@
 
     /// Whether another engine may fetch from it: it answers, even if it is about to leave.
     pub(super) fn can_be_fetched_from(&self, now: MonotonicTime) -> bool {
-        self.gone.is_none() && !self.health.is_paused(now)
+        self.is_listed() && !self.health.is_paused(now)
     }
 
     /// Whether the engine is listed and about to leave.
     pub fn is_about_to_leave(&self) -> bool {
-        self.engine.leaving && self.gone.is_none()
+        self.engine.leaving && self.is_listed()
     }
 
     /// Whether the engine is neither gone nor about to leave.
     pub fn stays(&self) -> bool {
-        !self.engine.leaving && self.gone.is_none()
+        !self.engine.leaving && self.is_listed()
+    }
+
+    /// Whether the platform lists this start of the engine.
+    pub fn is_listed(&self) -> bool {
+        self.gone.is_none() && !self.replaced
+    }
+
+    /// Whether a later start of the engine is known, which would take what is meant for this one.
+    pub fn has_later_start(&self) -> bool {
+        self.replaced
+    }
+
+    /// Whether a later start of the engine came, and this one had not said that it was about to leave.
+    pub fn was_replaced_unannounced(&self) -> bool {
+        self.replaced && !self.engine.leaving
     }
 }
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -10,14 +10,17 @@
 mod admission;
 mod beliefs;
 mod choice;
+mod cordoned;
 pub mod cost;
 mod demand;
 mod dispatches;
+mod ended_starts;
 mod engine;
 mod expectation;
 mod listing;
 mod neighbours;
 mod pace;
+pub mod pauses;
 mod pool_speeds;
 mod prefix;
 mod query;
@@ -29,7 +32,8 @@
 
 pub use admission::{Admission, AdmissionDecision, LATE_RANK, PoolAdmission, Timing};
 pub use beliefs::{PeerWork, PrefixNews, RANKS, WorkSlice, rank_of};
-pub use choice::{EngineBeliefs, Explanation, PoolRoute};
+pub use choice::{EngineBeliefs, Explanation, PoolRoute, WorkBeside};
+pub use cordoned::{CordonInForce, LeftAlone};
 pub use cost::shared_prefixes;
 pub use dispatches::{OutputWay, PoolTicket};
 pub use engine::{EngineStage, EngineState, PoolEngine, ToldLoad, WorkAtEngine};
--- a/crates/core/src/routing/pool/neighbours.rs
+++ b/crates/core/src/routing/pool/neighbours.rs
@@ -39,6 +39,9 @@
         for (handle, work) in works {
             if let Some(state) = self.state_of(*handle) {
                 state.peers.insert(peer.clone(), (*work, now));
+                state
+                    .read_lately
+                    .observe(state.work(now).all_prompt_tokens(), now);
             }
         }
     }
@@ -92,7 +95,7 @@
         let engines = self
             .engines
             .values()
-            .filter(|state| state.engine.pool == *pool && state.stays());
+            .filter(|state| state.engine.pool == *pool && state.stays() && state.cordon_allows(now, false));
         let views = engines.map(|state| {
             let work = state.work(now);
             PoolEngineView {
--- a/crates/core/src/routing/pool/pace/router.rs
+++ b/crates/core/src/routing/pool/pace/router.rs
@@ -78,7 +78,8 @@
         let (Some(figure), true) = (told_figure(told), self.weights.engine_pace != EnginePaceUse::Off) else {
             return;
         };
-        let Some(state) = self.engines.get_mut(engine) else {
+        // A late word of an engine that is gone says nothing of those that stay, its own later start among them.
+        let Some(state) = self.engines.get_mut(engine).filter(|state| state.stays()) else {
             return;
         };
         let pool_pace = self.paces.entry(state.engine.pool.clone()).or_default();
--- a/crates/core/src/routing/pool/weights.rs
+++ b/crates/core/src/routing/pool/weights.rs
@@ -53,6 +53,9 @@
     pub output_time: f64,
     /// For which engines a lasting speed and a momentary figure are told apart.
     pub engine_pace: EnginePaceUse,
+    /// Cost of one stream that is sure to pause for longer than its route allows, in seconds: what a caller that
+    /// waits for the next event loses by an answer that comes too late. Zero: pauses are not foreseen.
+    pub pause_seconds: f64,
 }
 
 impl Default for PoolWeights {
@@ -79,6 +82,7 @@
             decode_reading_harm: 0.8,
             output_time: 0.05,
             engine_pace: EnginePaceUse::WhereTold,
+            pause_seconds: 0.0,
         }
     }
 }
@@ -111,6 +115,7 @@
             ("routing.decode_reading_stall", self.decode_reading_stall, 0.0),
             ("routing.decode_reading_harm", self.decode_reading_harm, 0.0),
             ("routing.output_time", self.output_time, 0.0),
+            ("routing.pause_seconds", self.pause_seconds, 0.0),
         ];
         weights
             .into_iter()
--- a/crates/node/src/course/answering.rs
+++ b/crates/node/src/course/answering.rs
@@ -38,8 +38,10 @@
         match self.last_event_at.replace(now) {
             None => self.context.metrics.first_event(now.since(self.arrived)),
             Some(last) => {
-                self.context.metrics.next_event(now.since(last));
-                self.observe_pause(now.since(last), now);
+                let pause = now.since(last);
+                self.context.metrics.next_event(pause);
+                self.observe_pause(pause, now);
+                self.judge_pause(pause, now);
             }
         }
         self.first_event_at.get_or_insert(now);
@@ -68,14 +70,25 @@
     /// Ends the course; true where the caller's connection may carry another call.
     pub(super) fn end(mut self, end: End) -> bool {
         self.drop_exchange();
-        let reusable = match &end {
+        let answered = match &end {
             End::CallerGone => false,
             End::Finished(outcome) => self.answer(outcome) && !self.caller_gone,
         };
+        let reusable = self.delivered() && answered;
         self.log_end(&end);
         reusable && self.keep
     }
 
+    /// Waits until the caller has taken all that was handed over; false where it left or was let go.
+    fn delivered(&mut self) -> bool {
+        if self.caller_gone {
+            return false;
+        }
+        let taken = self.undelivered.finish(self.caller, &self.call.request);
+        self.caller_gone = taken.is_err();
+        taken.is_ok()
+    }
+
     fn answer(&mut self, outcome: &Outcome) -> bool {
         if self.events_open {
             // A series that ends early must not look complete: its connection is closed.
@@ -113,9 +126,12 @@
             End::CallerGone => ("caller_gone", "caller_gone"),
             End::Finished(outcome) => (outcome_name(outcome), cause_name(outcome)),
         };
-        self.context
-            .metrics
-            .request_ended(outcome, cause, now.since(self.arrived));
+        let late = self.lateness();
+        let metrics = &self.context.metrics;
+        metrics.request_ended(outcome, cause, now.since(self.arrived));
+        if self.events_open {
+            metrics.stream_ended(late.name());
+        }
         log::info!(
             request = self.call.request.as_str(),
             route:% = self.route.id,
@@ -123,7 +139,9 @@
             cause,
             took_millis = now.since(self.arrived).as_millis() as u64,
             first_event_millis:? = self.first_event_at.map(|at| at.since(self.arrived).as_millis() as u64),
-            events = self.events_delivered;
+            events = self.events_delivered,
+            longest_pause_millis = self.pauses.longest.as_millis() as u64,
+            late = late.name();
             "request_ended"
         );
     }
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -3,7 +3,9 @@
 use super::access::Access;
 use super::accounting::PlacedChoice;
 use super::admitting::Promise;
+use super::delivering::Undelivered;
 use super::exchange::Exchange;
+use super::pauses::StreamPauses;
 use super::routing;
 use crate::context::Context;
 use crate::ports::{AnswerHead, Call, CallerConnection};
@@ -73,9 +75,12 @@
     /// Whether the head of a series of events has gone to the caller.
     pub(super) events_open: bool,
     pub(super) caller_gone: bool,
+    /// What the caller has not taken yet.
+    pub(super) undelivered: Undelivered<'a>,
     pub(super) events_delivered: u32,
     pub(super) first_event_at: Option<MonotonicTime>,
     pub(super) last_event_at: Option<MonotonicTime>,
+    pub(super) pauses: StreamPauses,
     pub(super) prompt: Option<&'a PromptShape>,
     pub(super) prefixes: Vec<PrefixBlock>,
     pub(super) pending: VecDeque<Action>,
@@ -148,9 +153,11 @@
             whole: None,
             events_open: false,
             caller_gone: false,
+            undelivered: Undelivered::new(context),
             events_delivered: 0,
             first_event_at: None,
             last_event_at: None,
+            pauses: StreamPauses::default(),
             prefixes: prompt.map(PromptShape::prefixes).unwrap_or_default(),
             prompt,
             pending: VecDeque::new(),
@@ -202,7 +209,9 @@
                 self.choose_output(&source, &excluded);
             }
             Action::Forward(ForwardAction::Deliver(part)) => self.deliver(part),
-            Action::Forward(ForwardAction::FreeTransfer(transfer)) => self.context.releases.add(transfer),
+            Action::Forward(ForwardAction::FreeTransfer { source, transfer }) => {
+                self.context.releases.add(source, transfer);
+            }
             Action::Dispatch { target, call, .. } => self.dispatch(&target, &call),
             Action::AskRetry { tried } => self.ask_retry(tried),
             Action::Cancel { engine } => self.cancel(&engine),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -40,10 +40,17 @@
     result: &'static str,
 }
 
+/// One label that says by what a stream came late.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LateLabel {
+    late: &'static str,
+}
+
 /// Everything that is measured.
 pub(crate) struct Metrics {
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
+    streams: Family<LateLabel, Counter>,
     dispatches: Family<DispatchLabels, Counter>,
     access_refusals: Family<ResultLabel, Counter>,
     retries: Family<ResultLabel, Counter>,
@@ -78,6 +85,9 @@
     pub(crate) engines: Gauge,
     /// Other nodes that were heard a short time ago.
     pub(crate) peers: Gauge,
+    pub(crate) cordons: Gauge,
+    pub(crate) kept_for_callers: Gauge,
+    callers_let_go: Counter,
     /// Whether this node holds the lease over the engines.
     pub(crate) lease_held: Gauge,
     /// Log lines dropped or folded.
@@ -91,6 +101,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix(PREFIX),
             requests: Family::default(),
+            streams: Family::default(),
             dispatches: Family::default(),
             access_refusals: Family::default(),
             retries: Family::default(),
@@ -115,6 +126,9 @@
             list_version: Gauge::default(),
             engines: Gauge::default(),
             peers: Gauge::default(),
+            cordons: Gauge::default(),
+            kept_for_callers: Gauge::default(),
+            callers_let_go: Counter::default(),
             lease_held: Gauge::default(),
             log_lines_not_written: Gauge::default(),
         };
@@ -140,6 +154,10 @@
         self.whole_answer.observe(took.as_secs_f64());
     }
 
+    pub(crate) fn stream_ended(&self, late: &'static str) {
+        self.streams.get_or_create(&LateLabel { late }).inc();
+    }
+
     pub(crate) fn dispatch_ended(&self, purpose: &'static str, end: &'static str) {
         self.dispatches
             .get_or_create(&DispatchLabels { purpose, end })
@@ -160,6 +178,10 @@
         self.store_calls.get_or_create(&ResultLabel { result }).inc();
     }
 
+    pub(crate) fn caller_let_go(&self) {
+        self.callers_let_go.inc();
+    }
+
     pub(crate) fn placement(&self, result: &'static str) {
         self.placements.get_or_create(&ResultLabel { result }).inc();
     }
@@ -195,6 +217,11 @@
     fn register_counters(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Requests that ended", self.requests.clone());
+        registry.register(
+            "streams",
+            "Streams that ended, by what came late: no, first_event, pause, first_event_and_pause",
+            self.streams.clone(),
+        );
         registry.register(
             "dispatches",
             "Dispatches to engines that ended",
@@ -222,6 +249,11 @@
             self.placement_round_trip.clone(),
         );
         registry.register("orders", "Orders given to engines", self.orders.clone());
+        registry.register(
+            "callers_let_go",
+            "Callers whose connection was closed since they took nothing of their answer",
+            self.callers_let_go.clone(),
+        );
         registry.register(
             "engine_orders",
             "Orders of how many engines should run",
@@ -279,6 +311,12 @@
             ),
             ("engines", "Engines that take work", &self.engines),
             ("peers", "Other nodes heard a short time ago", &self.peers),
+            ("cordons", "Cordons of operators in force", &self.cordons),
+            (
+                "kept_for_callers_bytes",
+                "Bytes of answers kept for callers that read slowly",
+                &self.kept_for_callers,
+            ),
             (
                 "lease_held",
                 "Whether this node may order engines",
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -7,6 +7,7 @@
 };
 use super::placers::Placing;
 use crate::context::Context;
+use crate::cordons;
 use crate::quarantine;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::routing::pool::{PaceWords, PeerWork, WorkSlice};
@@ -237,6 +238,7 @@
         } else {
             MOST_CHANGES
         };
+        let cordons = cordons::version(context);
         let list_news = lock(&context.recent_changes).told(most_changes, now);
         let router = lock(&context.router);
         WorkMessage {
@@ -252,6 +254,7 @@
             unix: crate::metering::time_of_day(),
             config: context.config_watch.word(now, config_version),
             list: context.list_watch.word(now, list_version),
+            cordons,
             list_news,
             slice,
             work: Vec::new(),
