--- a/crates/core/src/placing/question.rs
+++ b/crates/core/src/placing/question.rs
@@ -5,6 +5,7 @@
 use crate::identity::ZoneId;
 use crate::membership::subject::SubjectHandle;
 use crate::routing::pool::{Admission, PromptShape, RequestTerms, Timing, ToldLoad};
+use crate::sharing::Standing;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -119,6 +120,8 @@
     pub error: f32,
     /// Share of the requests that were turned away of late.
     pub turned_away: f32,
+    /// How its tenant and its kind stand.
+    pub standing: Standing,
 }
 
 /// A placer's answer to the question with the same key and step.
@@ -154,7 +157,7 @@
         /// Load that the engine told.
         told: Option<ToldLoad>,
     },
-    /// The connection broke, stayed silent or could not be made.
+    /// The connection broke or was refused.
     Broken,
     /// An output paused for longer than is harmless; it goes on.
     Paused {
@@ -163,6 +166,8 @@
     },
     /// It ended for a cause that is not the engine's, or nobody waits for the placer's answer any more.
     Abandoned,
+    /// The engine said nothing for too long, or no connection could be made in time.
+    Silent,
 }
 
 /// Tells a placer what became of what it answered to a question.
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -58,19 +58,6 @@
     pub figure_age: Option<Duration>,
 }
 
-/// What is believed to run beside an output at an engine.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct WorkBeside {
-    /// Outputs, that one among them.
-    pub outputs: u32,
-    /// Prompt tokens to read.
-    pub prompt_tokens: u64,
-    /// Tokens of KV cache that are on their way there.
-    pub moving_tokens: u64,
-    /// How long work takes there, in hundredths of what is usual in the pool.
-    pub work_factor_percent: u32,
-}
-
 impl PoolRouter {
     /// Chooses where a request goes; nothing that leaves or lacks the model is chosen, and an engine that is left
     /// alone for a while only where there is no other.
@@ -137,7 +124,7 @@
             .map_or(OutputSource::in_zone(query.zone), |state| {
                 self.output_source(state, query, now)
             });
-        cheapest(self.candidates(query, EngineStage::Decode, now), |state| {
+        cheapest(self.output_candidates(query, source.zone, now), |state| {
             context.output(state, source, query)
         })
         .map(|(_, state)| state.engine.clone())
@@ -191,20 +178,6 @@
         }
     }
 
-    /// What is believed to run at an engine, for the log of a pause; nothing where the engine is not known.
-    pub fn beside(&self, engine: &EngineId, now: MonotonicTime) -> WorkBeside {
-        let Some(state) = self.engines.get(engine) else {
-            return WorkBeside::default();
-        };
-        let work = state.work(now);
-        WorkBeside {
-            outputs: work.outputs as u32,
-            prompt_tokens: work.all_prompt_tokens() as u64,
-            moving_tokens: work.moving_tokens as u64,
-            work_factor_percent: (state.work_factor(now) * 100.0) as u32,
-        }
-    }
-
     /// Time until a prompt sent now to an engine would have been read there; absent where the engine is not known.
     pub fn reading_delay(
         &self,
@@ -219,7 +192,8 @@
         Some(Duration::from_secs_f64(seconds))
     }
 
-    /// From where an engine that reads a prompt fetches what it does not hold; absent where nobody holds more.
+    /// From where an engine that reads a prompt fetches what it does not hold; absent where nobody holds more, or only
+    /// beyond a suspected path.
     pub fn fetch_source(
         &self,
         engine: &EngineId,
@@ -228,9 +202,12 @@
     ) -> Option<SocketAddr> {
         let context = self.context(query, now);
         context.move_seconds?;
-        let held = self.engines.get(engine)?.prefixes.held_tokens(query.prefixes);
+        let reader = self.engines.get(engine)?;
+        let held = reader.prefixes.held_tokens(query.prefixes);
         let (tokens, holder) = self.best_holder(query, now)?;
-        let worth_it = tokens >= held + LEAST_FETCH && holder.engine.id != *engine;
+        let worth_it = tokens >= held + LEAST_FETCH
+            && holder.engine.id != *engine
+            && self.paths.moves(&reader.engine.zone, &holder.engine.zone);
         worth_it.then_some(holder.engine.address)
     }
 
@@ -241,27 +218,14 @@
             speeds: self.speeds(query.pool),
             move_seconds: traits.and_then(|traits| traits.move_seconds),
             most_held: self.best_holder(query, now).map_or(0, |(tokens, _)| tokens),
-            output_seconds: self.output_seconds(query),
             wait_apart: None,
+            single_try: query.terms.single_try,
+            output_seconds: self.output_seconds(query),
             draw: query.draw,
             now,
         }
     }
 
-    /// Shortest time until an engine that reads prompts would begin with a prompt.
-    fn wait_apart(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<f64> {
-        if self.weights.pause_seconds == 0.0 || query.prompt.is_none() {
-            return None;
-        }
-        let per_second = self.speeds(query.pool).prefill.tokens_per_second();
-        self.candidates(query, EngineStage::Prefill, now)
-            .map(|state| {
-                let ahead = state.work(now).prompt_tokens_ahead(query.rank);
-                state.work_factor(now) * ahead / per_second
-            })
-            .min_by(f64::total_cmp)
-    }
-
     /// The engine that holds most of a prompt's beginning, and of several the one that used it last: engines drop what
     /// was not used for long, and nobody tells.
     fn best_holder(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<(u32, &EngineState)> {
@@ -269,6 +233,7 @@
             state.engine.pool == *query.pool
                 && state.engine.stage != EngineStage::Whole
                 && state.can_be_fetched_from(now)
+                && self.paths.moves(query.zone, &state.engine.zone)
         });
         holders
             .map(|state| (state.prefixes.held_tokens(query.prefixes), state))
@@ -276,7 +241,7 @@
             .max_by_key(|(tokens, state)| (*tokens, state.prefixes.last_use(query.prefixes)))
     }
 
-    fn candidates<'a>(
+    pub(super) fn candidates<'a>(
         &'a self,
         query: &'a PoolQuery<'_>,
         stage: EngineStage,
@@ -286,6 +251,8 @@
             state.engine.stage == stage
                 && state.engine.pool == *query.pool
                 && state.takes_work(now, query.paused_too)
+                && (query.paused_too || state.health.admits(query.draw ^ state.handle.number(), now))
+                && self.reaches(query, &state.engine.zone, now)
                 && !query.excluded.contains(&state.engine.id)
                 && query
                     .prompt
@@ -293,14 +260,31 @@
         })
     }
 
+    /// Whether the request may go to a zone; anywhere where nothing else is left.
+    fn reaches(&self, query: &PoolQuery<'_>, zone: &ZoneId, now: MonotonicTime) -> bool {
+        let may_be_trial = !query.terms.single_try;
+        query.paused_too || self.paths.admits(query.zone, zone, query.draw, may_be_trial, now)
+    }
+
+    /// Engines that may run the output of a prompt that is read in a zone.
+    fn output_candidates<'a>(
+        &'a self,
+        query: &'a PoolQuery<'_>,
+        source: &'a ZoneId,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = &'a EngineState> {
+        self.candidates(query, EngineStage::Decode, now)
+            .filter(move |state| query.paused_too || self.paths.moves(source, &state.engine.zone))
+    }
+
     fn choose_split<'a>(
         &'a self,
         query: &'a PoolQuery<'_>,
         context: &CostContext<'_>,
     ) -> Option<(f64, &'a EngineState, &'a EngineState)> {
         let (prompt_cost, prefill) = self.choose_prefill(query, context)?;
-        let decodes = self.candidates(query, EngineStage::Decode, context.now);
         let source = self.output_source(prefill, query, context.now);
+        let decodes = self.output_candidates(query, source.zone, context.now);
         let (cost, decode) = cheapest(decodes, |state| context.output(state, source, query))?;
         Some((prompt_cost + cost + context.hand_over(query), prefill, decode))
     }
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -31,13 +31,16 @@
 //!                tokens of a reading alone, not its fixed part ([`EngineState::reading_seconds`])
 //! harm         = 0 to 1: how near the pauses between events come to the longest harmless one where prompts are read
 //!                beside an output, as seen ([`super::expectation::ReadingPauses`])
+//!
+//! risk of e    = 0 to 1: how likely e ends under a request, from what broke there of late ([`super::EngineState::risk`])
 //! ```
 //!
 //! Where `w.pause_seconds` is above zero, the pauses that a choice brings to streams are added to `output` and `both`:
 //! [`super::pauses`] has that part of the formula.
 //!
-//! To the cost of a prompt, of an output and of both, `w.spread_seconds` times a fraction drawn for the request and the
-//! engine is added.
+//! To the cost of an output and of both, `w.single_try_seconds * risk of e` is added where the request may run on one
+//! engine only. To the cost of a prompt, of an output and of both, `w.spread_seconds` times a fraction drawn for the
+//! request and the engine is added.
 
 use super::engine::EngineState;
 use super::pauses::PauseForecast;
@@ -59,11 +62,13 @@
     pub move_seconds: Option<f64>,
     /// Most tokens of the prompt that any engine holds.
     pub most_held: u32,
-    /// Seconds that the output takes at a usual engine; zero where engines aren't told apart by their pace.
-    pub output_seconds: f64,
     /// Shortest time until an engine that reads prompts would begin with this one, in seconds; absent where there is
     /// none, or nothing is chosen by it.
     pub wait_apart: Option<f64>,
+    /// Whether the request may run on one engine only.
+    pub single_try: bool,
+    /// Seconds that the output takes at a usual engine; zero where engines aren't told apart by their pace.
+    pub output_seconds: f64,
     /// Number drawn for the request.
     pub draw: u64,
     /// Now.
@@ -149,6 +154,7 @@
             + self.arriving(state)
             + transfer
             + self.pauses(state, query, None)
+            + self.risk(state)
             + self.spread(state)
     }
 
@@ -172,14 +178,10 @@
             + self.fetch(state, reading)
             + seconds * disturbance
             + self.pauses(state, query, Some(reading.computed))
+            + self.risk(state)
             + self.spread(state)
     }
 
-    /// Worth of the time that the output itself takes: without it an idle engine costs nothing, however slow it is.
-    fn output_time(&self) -> f64 {
-        self.weights.output_time * self.output_seconds
-    }
-
     /// Cost of the pauses that an output brings, where the engine reads so many tokens of its prompt itself.
     fn pauses(&self, state: &EngineState, query: &PoolQuery<'_>, reads: Option<f64>) -> f64 {
         if self.weights.pause_seconds == 0.0 {
@@ -201,6 +203,19 @@
         self.weights.pause_seconds * late
     }
 
+    fn risk(&self, state: &EngineState) -> f64 {
+        if self.single_try {
+            self.weights.single_try_seconds * state.risk(self.now)
+        } else {
+            0.0
+        }
+    }
+
+    /// Worth of the time that the output itself takes: without it an idle engine costs nothing, however slow it is.
+    fn output_time(&self) -> f64 {
+        self.weights.output_time * self.output_seconds
+    }
+
     fn spread(&self, state: &EngineState) -> f64 {
         let drawn = mix(self.draw ^ state.handle.number());
         self.weights.spread_seconds * (drawn as f64 / u64::MAX as f64)
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -10,7 +10,7 @@
 use super::router::PoolRouter;
 use super::speed::ReadingSpeed;
 use crate::engine::EngineRefusalReason;
-use crate::identity::EngineId;
+use crate::identity::{EngineId, ZoneId};
 use crate::time::MonotonicTime;
 use std::time::Duration;
 
@@ -36,6 +36,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PoolTicket {
     engine: EngineId,
+    /// Zone of the node that sent it.
+    from: ZoneId,
     number: u64,
 }
 
@@ -44,6 +46,14 @@
     pub fn engine(&self) -> &EngineId {
         &self.engine
     }
+
+    pub(super) fn from(&self) -> &ZoneId {
+        &self.from
+    }
+
+    pub(super) fn number(&self) -> u64 {
+        self.number
+    }
 }
 
 impl PoolRouter {
@@ -91,7 +101,9 @@
             return;
         };
         state.health.succeeded();
+        state.breaks.answered();
         note_held(state, prefixes, &mut self.news, now);
+        self.paths.note_answer(&ticket.from, &state.engine.zone, now);
         let work = state.sent.remove(&ticket.number);
         if let Some(work) = work {
             self.observe_reading(&ticket.engine, &work, |speeds| &mut speeds.prefill, now);
@@ -111,6 +123,7 @@
             return;
         };
         note_held(state, prefixes, &mut self.news, now);
+        self.paths.note_answer(&ticket.from, &state.engine.zone, now);
         let Some(work) = state.sent.get_mut(&ticket.number) else {
             return;
         };
@@ -165,8 +178,14 @@
     /// Notes that a dispatch ended well.
     pub fn on_answered(&mut self, ticket: &PoolTicket) {
         if let Some(state) = self.engines.get_mut(&ticket.engine) {
-            state.sent.remove(&ticket.number);
+            let work = state.sent.remove(&ticket.number);
             state.health.succeeded();
+            state.breaks.answered();
+            // Its answer came after it was sent; when, only a series of events has told before.
+            if let Some(work) = work {
+                self.paths
+                    .note_answer(&ticket.from, &state.engine.zone, work.sent_at);
+            }
         }
     }
 
@@ -183,14 +202,16 @@
             state.sent.remove(&ticket.number);
             state.heard(now);
             state.health.refused(reason, now);
+            self.paths.note_answer(&ticket.from, &state.engine.zone, now);
         }
     }
 
-    /// Notes that a connection to an engine broke, stayed silent or could not be made.
+    /// Notes that a connection to an engine broke or was refused.
     pub fn on_broken(&mut self, ticket: &PoolTicket, now: MonotonicTime) {
         if let Some(state) = self.engines.get_mut(&ticket.engine) {
             state.sent.remove(&ticket.number);
             state.health.broke(now);
+            state.breaks.broke(now);
         }
     }
 
@@ -264,18 +285,20 @@
                 way,
                 had_place: state.has_place(now),
                 until_read: state.work(now).prompt_tokens_ahead(rank) + reading.computed,
+                longest_pause: query.terms.longest_pause.filter(|_| way.is_some()),
                 output_tokens: query.prompt.map_or(0, PromptShape::expected_output_tokens),
                 begun_at: None,
                 momentary: state.pace.momentary_factor(now),
-                longest_pause: query.terms.longest_pause.filter(|_| way.is_some()),
             };
             state.sent.insert(self.tickets, work);
             state
                 .read_lately
                 .observe(state.work(now).all_prompt_tokens(), now);
+            self.paths.note_sent(query.zone, &state.engine.zone, now);
         }
         PoolTicket {
             engine: engine.clone(),
+            from: query.zone.clone(),
             number: self.tickets,
         }
     }
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -6,6 +6,7 @@
 use super::pace::EnginePace;
 use super::pauses::RecentReading;
 use super::prefix::PrefixBelief;
+use super::risk::BreakShare;
 use super::speed::ReadingSpeed;
 use crate::forwarding::PoolId;
 use crate::identity::{EngineId, NodeId, ZoneId};
@@ -81,14 +82,14 @@
     pub(super) had_place: bool,
     /// Prompt tokens that were to be read there until this prompt was read, its own among them.
     pub(super) until_read: f64,
+    /// Longest harmless pause between its events; absent where none is named, nothing is run, or one was longer.
+    pub(super) longest_pause: Option<Duration>,
     /// Tokens that its output is expected to have.
     pub(super) output_tokens: u32,
     /// When its first event came.
     pub(super) begun_at: Option<MonotonicTime>,
     /// Momentary factor of its engine when it was sent, or when its output began.
     pub(super) momentary: f64,
-    /// Longest harmless pause between its events; absent where none is named, nothing is run, or one was longer.
-    pub(super) longest_pause: Option<Duration>,
 }
 
 /// Work at an engine, from everybody.
@@ -219,15 +220,16 @@
     /// The cordon that covers it, if any.
     pub(super) cordon: Option<EngineCordon>,
     pub(super) health: Health,
+    pub(super) breaks: BreakShare,
     pub(super) sent: BTreeMap<u64, SentWork>,
     pub(super) told: Option<(ToldLoad, MonotonicTime)>,
     pub(super) peers: BTreeMap<NodeId, (PeerWork, MonotonicTime)>,
     /// Factor by which it answers slower than expected; one when it does not. Decides where `pace` is not in use.
     pub(super) slowness: f64,
-    /// Its lasting speed and how its machine stands.
-    pub(super) pace: EnginePace,
     /// Prompt tokens that it had to read at once of late.
     pub(super) read_lately: RecentReading,
+    /// Its lasting speed and how its machine stands.
+    pub(super) pace: EnginePace,
 }
 
 /// Age from which another node's word no longer counts.
@@ -252,12 +254,13 @@
             taken_back_at: None,
             cordon: None,
             health: Health::default(),
+            breaks: BreakShare::default(),
             sent: BTreeMap::new(),
             told: None,
             peers: BTreeMap::new(),
             slowness: 1.0,
-            pace: EnginePace::default(),
             read_lately: RecentReading::default(),
+            pace: EnginePace::default(),
         }
     }
 
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -9,6 +9,7 @@
 
 mod admission;
 mod beliefs;
+mod beside;
 mod choice;
 mod cordoned;
 pub mod cost;
@@ -20,19 +21,23 @@
 mod listing;
 mod neighbours;
 mod pace;
+mod paths;
 pub mod pauses;
 mod pool_speeds;
 mod prefix;
 mod query;
 mod recent;
 mod reclaims;
+mod risk;
 mod router;
+mod silences;
 mod speed;
 mod weights;
 
 pub use admission::{Admission, AdmissionDecision, LATE_RANK, PoolAdmission, Timing};
-pub use beliefs::{PeerWork, PrefixNews, RANKS, WorkSlice, rank_of};
-pub use choice::{EngineBeliefs, Explanation, PoolRoute, WorkBeside};
+pub use beliefs::{PeerWork, PrefixNews, RANKS, SilenceWord, WorkSlice, rank_of};
+pub use beside::WorkBeside;
+pub use choice::{EngineBeliefs, Explanation, PoolRoute};
 pub use cordoned::{CordonInForce, LeftAlone};
 pub use cost::shared_prefixes;
 pub use dispatches::{OutputWay, PoolTicket};
@@ -43,10 +48,12 @@
     EnginePace, EnginePaceUse, FigurePersistence, LastingPace, LastingWord, MomentaryPace, PaceChange,
     PaceSpread, PaceWords, PoolPace, ToldFigure,
 };
+pub use paths::{PathBelief, PathChange, Paths};
 pub use pool_speeds::PoolSpeeds;
 pub use prefix::PrefixBelief;
 pub use query::{PoolQuery, PrefixBlock, PromptPart, PromptShape, RequestTerms};
 pub use recent::{ListNews, RecentChanges};
 pub use router::PoolRouter;
+pub use silences::EngineChange;
 pub use speed::ReadingSpeed;
 pub use weights::PoolWeights;
--- a/crates/core/src/routing/pool/neighbours.rs
+++ b/crates/core/src/routing/pool/neighbours.rs
@@ -135,7 +135,12 @@
                 if one.just_answered {
                     state.heard(now);
                 }
+                let returns = one.just_answered && state.health.answered_elsewhere(now);
                 state.prefixes.note_read(&one.prefixes, now);
+                let engine = returns.then(|| state.engine.id.clone());
+                if let Some(engine) = engine {
+                    self.note_engine_change(engine, None, true);
+                }
             }
         }
     }
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -83,6 +83,8 @@
     pub longest_pause: Option<Duration>,
     /// Whether it may run on one engine only: one that ends under it can't be made good.
     pub single_try: bool,
+    /// Rank of its kind among the routes of its pool; zero is the most urgent.
+    pub kind_rank: u8,
 }
 
 /// One request that needs an engine.
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -5,11 +5,14 @@
 use super::demand::PromptDemand;
 use super::engine::{EngineStage, EngineState, FORGET_AFTER, Gone, PoolEngine, ToldLoad};
 use super::pace::{PaceChange, PoolPace};
+use super::paths::Paths;
 use super::pool_speeds::PoolSpeeds;
+use super::silences::{EngineChange, UntoldSilence};
 use super::weights::PoolWeights;
 use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
 use crate::identity::{EngineId, EngineStart, NodeId};
 use crate::membership::subject::SubjectHandle;
+use crate::sharing::UseLedger;
 use crate::time::MonotonicTime;
 use std::collections::{BTreeMap, HashMap};
 
@@ -28,6 +31,10 @@
     pub(super) paces: BTreeMap<PoolId, PoolPace>,
     pub(super) traits: BTreeMap<PoolId, ModelTraits>,
     pub(super) news: Vec<PrefixNews>,
+    /// Whether what is sent from one zone reaches engines in another.
+    pub(super) paths: Paths,
+    pub(super) untold_silences: Vec<UntoldSilence>,
+    pub(super) engine_changes: Vec<EngineChange>,
     /// Engines whose momentary figure others are to be told.
     pub(super) untold: Vec<SubjectHandle>,
     /// The last engine whose lasting speed others were told.
@@ -38,6 +45,7 @@
     pub(super) tickets: u64,
     /// Cordons in force.
     pub(super) cordons: Vec<CordonInForce>,
+    pub(super) sharing: UseLedger,
 }
 
 impl PoolRouter {
@@ -52,12 +60,16 @@
             paces: BTreeMap::new(),
             traits: BTreeMap::new(),
             news: Vec::new(),
+            paths: Paths::default(),
+            untold_silences: Vec::new(),
+            engine_changes: Vec::new(),
             untold: Vec::new(),
             lasting_told_to: None,
             pace_changes: Vec::new(),
             demand: PromptDemand::default(),
             tickets: 0,
             cordons: Vec::new(),
+            sharing: UseLedger::default(),
         }
     }
 
@@ -166,10 +178,13 @@
 
     /// Takes the load that an engine told in an answer.
     pub fn on_told(&mut self, engine: &EngineId, told: ToldLoad, now: MonotonicTime) {
-        if let Some(state) = self.engines.get_mut(engine) {
-            state.heard(now);
-            state.told = Some((told, now));
-        }
+        let state = self.engines.get_mut(engine);
+        // What an earlier start told says nothing of the engine as it is, nor of its pool's machines now.
+        let Some(state) = state.filter(|state| !state.has_later_start()) else {
+            return;
+        };
+        state.heard(now);
+        state.told = Some((told, now));
         self.on_figure(engine, &told, now);
     }
 
@@ -200,6 +215,16 @@
             .count()
     }
 
+    /// The use of the pools by tenants and kinds.
+    pub fn sharing(&self) -> &UseLedger {
+        &self.sharing
+    }
+
+    /// The same, to be told what was used.
+    pub fn sharing_mut(&mut self) -> &mut UseLedger {
+        &mut self.sharing
+    }
+
     /// Pools whose engines run models.
     pub fn model_pools(&self) -> Vec<PoolId> {
         self.traits.keys().cloned().collect()
--- a/crates/core/src/routing/pool/weights.rs
+++ b/crates/core/src/routing/pool/weights.rs
@@ -35,6 +35,8 @@
     pub memory_seconds: f64,
     /// Cost of each request beyond an engine's places, in seconds.
     pub overflow_seconds: f64,
+    /// Wait that is as bad as losing a request that may run on one engine only, in seconds.
+    pub single_try_seconds: f64,
     /// Most by which the cost of an engine differs by chance from one request to the next, in seconds, so that nodes which
     /// choose before they have heard of each other do not all choose the same of several equal engines.
     pub spread_seconds: f64,
@@ -48,14 +50,14 @@
     pub decode_reading_stall: f64,
     /// The same, on top, where reading was seen to make the outputs beside it late.
     pub decode_reading_harm: f64,
+    /// Cost of one stream that is sure to pause for longer than its route allows, in seconds: what a caller that
+    /// waits for the next event loses by an answer that comes too late. Zero: pauses are not foreseen.
+    pub pause_seconds: f64,
     /// Worth of a second that the output itself takes, where `engine_pace` decides: of two idle engines the quicker one
     /// costs less.
     pub output_time: f64,
     /// For which engines a lasting speed and a momentary figure are told apart.
     pub engine_pace: EnginePaceUse,
-    /// Cost of one stream that is sure to pause for longer than its route allows, in seconds: what a caller that
-    /// waits for the next event loses by an answer that comes too late. Zero: pauses are not foreseen.
-    pub pause_seconds: f64,
 }
 
 impl Default for PoolWeights {
@@ -74,15 +76,16 @@
             places_seconds: 0.5,
             memory_seconds: 0.5,
             overflow_seconds: 0.2,
+            single_try_seconds: 1.0,
             spread_seconds: 0.010,
             assumed_prompt_tokens_per_second: 40_000.0,
             decode_reading_pace: 0.5,
             held_up: 1.0,
             decode_reading_stall: 0.1,
             decode_reading_harm: 0.8,
+            pause_seconds: 0.0,
             output_time: 0.05,
             engine_pace: EnginePaceUse::WhereTold,
-            pause_seconds: 0.0,
         }
     }
 }
@@ -104,6 +107,7 @@
             ("routing.places_seconds", self.places_seconds, 0.0),
             ("routing.memory_seconds", self.memory_seconds, 0.0),
             ("routing.overflow_seconds", self.overflow_seconds, 0.0),
+            ("routing.single_try_seconds", self.single_try_seconds, 0.0),
             ("routing.spread_seconds", self.spread_seconds, 0.0),
             (
                 "routing.assumed_prompt_tokens_per_second",
@@ -114,8 +118,8 @@
             ("routing.held_up", self.held_up, 0.0),
             ("routing.decode_reading_stall", self.decode_reading_stall, 0.0),
             ("routing.decode_reading_harm", self.decode_reading_harm, 0.0),
-            ("routing.output_time", self.output_time, 0.0),
             ("routing.pause_seconds", self.pause_seconds, 0.0),
+            ("routing.output_time", self.output_time, 0.0),
         ];
         weights
             .into_iter()
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -63,6 +63,9 @@
     /// Paces of engines.
     pub(crate) pace: PaceMetrics,
     placements: Family<ResultLabel, Counter>,
+    path_beliefs: Family<ResultLabel, Counter>,
+    engine_silences: Family<ResultLabel, Counter>,
+    admissions: Family<ResultLabel, Counter>,
     whole_answer: Histogram,
     first_event: Histogram,
     between_events: Histogram,
@@ -112,6 +115,9 @@
             quarantine: QuarantineMetrics::default(),
             pace: PaceMetrics::default(),
             placements: Family::default(),
+            path_beliefs: Family::default(),
+            engine_silences: Family::default(),
+            admissions: Family::default(),
             whole_answer: delays(),
             first_event: delays(),
             between_events: delays(),
@@ -186,6 +192,20 @@
         self.placements.get_or_create(&ResultLabel { result }).inc();
     }
 
+    pub(crate) fn path_changed(&self, belief: &'static str) {
+        self.path_beliefs
+            .get_or_create(&ResultLabel { result: belief })
+            .inc();
+    }
+
+    pub(crate) fn engine_silence(&self, result: &'static str) {
+        self.engine_silences.get_or_create(&ResultLabel { result }).inc();
+    }
+
+    pub(crate) fn admission(&self, result: &'static str) {
+        self.admissions.get_or_create(&ResultLabel { result }).inc();
+    }
+
     pub(crate) fn placement_took(&self, took: Duration) {
         self.placement_round_trip.observe(took.as_secs_f64());
     }
@@ -243,6 +263,21 @@
             "Choices of engines: given to others, answered by a placer, own, timed out, made alone",
             self.placements.clone(),
         );
+        registry.register(
+            "path_beliefs",
+            "Changes of belief about paths between zones: suspected, returns, trusted",
+            self.path_beliefs.clone(),
+        );
+        registry.register(
+            "engine_silences",
+            "Engines left alone because they said nothing, and those whose load returns since they answered somebody",
+            self.engine_silences.clone(),
+        );
+        registry.register(
+            "admissions",
+            "Decisions whether requests are taken, and whether a share was exceeded",
+            self.admissions.clone(),
+        );
         registry.register(
             "placement_round_trip_seconds",
             "Time from a question to a placer to its answer",
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -1,13 +1,16 @@
 //! Takes the words of other nodes.
 
 use super::message::{Datagram, MOST_RECEIVED, WorkMessage};
+use super::placers::Placing;
 use super::{Behind, Peer};
+use crate::beliefs;
 use crate::context::Context;
 use crate::metering;
 use crate::placing;
 use crate::quarantine;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::routing::pool::ListNews;
+use shelfjunction_core::sharing::UseWord;
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
@@ -32,6 +35,7 @@
                 Some(Datagram::Usage(message)) => metering::take(context, &message),
                 Some(Datagram::Suspects(words)) => quarantine::take(context, &words, from),
                 Some(Datagram::Trial(word)) => quarantine::take_trial(context, &word),
+                Some(Datagram::Use(word)) => take_use(context, &word),
                 None => log::debug!(from:% = from, length; "datagram_unreadable"),
             },
             Err(error) => {
@@ -87,12 +91,30 @@
         cordons: message.cordons,
     };
     context.peers.note_versions(context, versions);
+    let in_large_fleet = !message.silences.is_empty() && context.peers.placing(now) != Placing::Each;
     let mut router = lock(&context.router);
     router.on_peer_work(&message.node, message.slice, &message.work, now);
     router.on_peer_news(&message.news, now);
     router.on_pace_words(&message.paces, now);
     router.on_peer_demand(&message.node, message.prompt_tokens_per_second, now);
     router.on_ordered(&message.orders, now);
+    router.on_peer_silences(&message.silences, in_large_fleet, now);
+    drop(router);
+    if !message.silences.is_empty() || !message.news.is_empty() {
+        beliefs::tell_changes(context);
+    }
+}
+
+fn take_use(context: &Context, word: &UseWord) {
+    if word.node == context.peers.own_handle() {
+        return;
+    }
+    let settings = &context.config.admission.sharing;
+    let now = context.now();
+    let mut router = lock(&context.router);
+    if !router.sharing_mut().on_word(word, settings, now) {
+        log::debug!(number = word.number; "use_word_passed_over");
+    }
 }
 
 fn take_list_news(context: &Context, news: ListNews, from: SocketAddr) {
--- a/crates/node/src/peers/message.rs
+++ b/crates/node/src/peers/message.rs
@@ -9,7 +9,10 @@
 use shelfjunction_core::placing::question::{Answer, ProgressReport, Question};
 use shelfjunction_core::quarantine::word::{SuspectWord, TrialWord};
 use shelfjunction_core::retry::census::SharingWord;
-use shelfjunction_core::routing::pool::{EngineStage, ListNews, PaceWords, PeerWork, PrefixNews, WorkSlice};
+use shelfjunction_core::routing::pool::{
+    EngineStage, ListNews, PaceWords, PeerWork, PrefixNews, SilenceWord, WorkSlice,
+};
+use shelfjunction_core::sharing::UseWord;
 use shelfjunction_core::watching::TableWord;
 
 /// Longest datagram, in bytes; stays below the smallest usual frame.
@@ -30,6 +33,9 @@
 /// News in one message; each takes about 30 bytes, seldom 200.
 pub(super) const MOST_NEWS: usize = 8;
 
+/// Silent engines in one message; each takes about 20 bytes. Three are enough for a path to be suspected.
+pub(super) const MOST_SILENCES: usize = 8;
+
 /// Momentary figures of engines in one message; each takes about 15 bytes.
 pub(super) const MOST_FIGURES: usize = 8;
 
@@ -80,6 +86,8 @@
     pub(super) orders: Vec<(SubjectHandle, EngineStage)>,
     /// Shared prefixes that engines have come to hold since the last message.
     pub(super) news: Vec<PrefixNews>,
+    /// Engines that fell silent towards nodes that the sender chooses for, since the last message.
+    pub(super) silences: Vec<SilenceWord>,
     /// Paces of engines.
     pub(super) paces: PaceWords,
 }
@@ -134,6 +142,8 @@
     Suspects(Vec<SuspectWord>),
     /// A suspect begins to run, or has ended.
     Trial(Box<TrialWord>),
+    /// What a node admitted for tenants and kinds.
+    Use(Box<UseWord>),
 }
 
 const CODEC: Configuration = standard();
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -3,9 +3,10 @@
 use super::Peers;
 use super::message::{
     Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_FIGURES, MOST_LASTING, MOST_NEWS,
-    WorkMessage,
+    MOST_SILENCES, WorkMessage,
 };
 use super::placers::Placing;
+use super::use_words::UseTeller;
 use crate::context::Context;
 use crate::cordons;
 use crate::quarantine;
@@ -62,6 +63,7 @@
     loop {
         let confirmed = context.peers.wait_for_change(teller.tells_again);
         let pause = teller.round(confirmed);
+        teller.use_teller.tell(context, context.now());
         log_pace_changes(context);
         let tells_again = quarantine::tell(context);
         teller.tells_again = teller.tells_again.min(tells_again);
@@ -91,6 +93,7 @@
     idle_rounds: u32,
     allowance: Allowance,
     tells_again: Duration,
+    use_teller: UseTeller,
     told_all_at: Option<MonotonicTime>,
     /// Whether there is something confirmed that not everybody has been told.
     owes_all: bool,
@@ -107,6 +110,7 @@
             idle_rounds: 0,
             allowance: Allowance::new(context.now()),
             tells_again: TELL_AGAIN,
+            use_teller: UseTeller::default(),
             told_all_at: None,
             owes_all: false,
             told_slices: BTreeMap::new(),
@@ -133,6 +137,8 @@
             }
             Placing::Placers(_) => {
                 self.tells_again = OTHERS_TELL_AGAIN;
+                // The placers learn of silent engines from the requests that they placed.
+                lock(&self.context.router).take_silences(usize::MAX, now);
                 self.owes_all = false;
                 self.tell_placers(confirmed, now)
             }
@@ -158,7 +164,11 @@
             }
             let mut message = self.compose(slice, true, now);
             message.work = works.clone();
-            message.news = lock(&self.context.router).take_news(MOST_NEWS);
+            {
+                let mut router = lock(&self.context.router);
+                message.news = router.take_news(MOST_NEWS);
+                message.silences = router.take_silences(MOST_SILENCES, now);
+            }
             message.paces = self.pace_words(now);
             self.told_slices.insert(slice, (works, now));
             if self.speaks(&message, confirmed) {
@@ -261,6 +271,7 @@
             prompt_tokens_per_second: router.own_demand(now),
             orders: router.orders_under_way(now),
             news: Vec::new(),
+            silences: Vec::new(),
             paces: PaceWords::default(),
         }
     }
@@ -306,6 +317,7 @@
 fn is_idle(message: &WorkMessage) -> bool {
     message.work.is_empty()
         && message.news.is_empty()
+        && message.silences.is_empty()
         && message.paces.is_quiet()
         && message.orders.is_empty()
         && message.list_news.changes.is_empty()
