--- a/crates/core/src/routing/pool/pace/pool_pace.rs
+++ b/crates/core/src/routing/pool/pace/pool_pace.rs
@@ -10,6 +10,10 @@
 /// Weight of the assumption that machines stand as usual.
 const ASSUMED_WEIGHT: f64 = 10.0;
 
+/// Most that one figure counts for in the pool's usual one, as a multiple of it: one extreme figure says little of the
+/// other machines.
+const MOST_IN_USUAL: f64 = 4.0;
+
 /// Change of the traits, as a factor, from which the pool's engines are judged by the new ones.
 const NOTABLE: f64 = 1.02;
 
@@ -104,7 +108,8 @@
     /// whether the traits have changed notably.
     pub(super) fn observe(&mut self, figure: f64, before: Option<(f64, Duration)>, usual: f64) -> bool {
         self.told = true;
-        self.usual.add(USUAL_KEPT, figure);
+        let usual_now = self.usual.with(1.0, ASSUMED_WEIGHT);
+        self.usual.add(USUAL_KEPT, figure.min(usual_now * MOST_IN_USUAL));
         if let Some((first, gap)) = before {
             self.persistence.observe(first - usual, figure - usual, gap);
         }
