--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -54,6 +54,19 @@
     pub oldest_word: Duration,
 }
 
+/// What is believed to run beside an output at an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkBeside {
+    /// Outputs, that one among them.
+    pub outputs: u32,
+    /// Prompt tokens to read.
+    pub prompt_tokens: u64,
+    /// Tokens of KV cache that are on their way there.
+    pub moving_tokens: u64,
+    /// How long work takes there, in hundredths of what is usual in the pool.
+    pub work_factor_percent: u32,
+}
+
 impl PoolRouter {
     /// Chooses where a request goes; nothing that leaves or lacks the model is chosen, and an engine that is left
     /// alone for a while only where there is no other.
@@ -68,10 +81,13 @@
     }
 
     fn choose_among(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> PoolRoute {
-        let context = self.context(query, now);
+        let context = CostContext {
+            wait_apart: self.wait_apart(query, now),
+            ..self.context(query, now)
+        };
         if query.prompt.is_none() {
             return cheapest(self.candidates(query, EngineStage::Whole, now), |state| {
-                context.output(state, OutputSource::in_zone(query.zone))
+                context.output(state, OutputSource::in_zone(query.zone), query)
             })
             .map_or(PoolRoute::Nowhere, |(_, state)| {
                 PoolRoute::Whole(state.engine.clone())
@@ -118,7 +134,7 @@
                 self.output_source(state, query, now)
             });
         cheapest(self.output_candidates(query, source.zone, now), |state| {
-            context.output(state, source)
+            context.output(state, source, query)
         })
         .map(|(_, state)| state.engine.clone())
     }
@@ -132,14 +148,17 @@
         query: &PoolQuery<'_>,
         now: MonotonicTime,
     ) -> Explanation {
-        let context = self.context(query, now);
+        let context = CostContext {
+            wait_apart: self.wait_apart(query, now),
+            ..self.context(query, now)
+        };
         let home = self.home(query, now);
         let cost = |state: &EngineState| match (stage, reads) {
             (EngineStage::Prefill, _) => {
                 context.prompt(state, query, home.as_ref() == Some(&state.engine.id))
             }
             (EngineStage::Decode, true) => context.both(state, query),
-            _ => context.output(state, OutputSource::in_zone(query.zone)),
+            _ => context.output(state, OutputSource::in_zone(query.zone), query),
         };
         let others = self
             .candidates(query, stage, now)
@@ -166,6 +185,20 @@
         }
     }
 
+    /// What is believed to run at an engine, for the log of a pause; nothing where the engine is not known.
+    pub fn beside(&self, engine: &EngineId, now: MonotonicTime) -> WorkBeside {
+        let Some(state) = self.engines.get(engine) else {
+            return WorkBeside::default();
+        };
+        let work = state.work(now);
+        WorkBeside {
+            outputs: work.outputs as u32,
+            prompt_tokens: work.all_prompt_tokens() as u64,
+            moving_tokens: work.moving_tokens as u64,
+            work_factor_percent: (state.work_factor(now) * 100.0) as u32,
+        }
+    }
+
     /// Time until a prompt sent now to an engine would have been read there; absent where the engine is not known.
     pub fn reading_delay(
         &self,
@@ -206,12 +239,26 @@
             speeds: self.speeds(query.pool),
             move_seconds: traits.and_then(|traits| traits.move_seconds),
             most_held: self.best_holder(query, now).map_or(0, |(tokens, _)| tokens),
-            single_try: query.terms.single_try,
+            wait_apart: None,
             draw: query.draw,
             now,
         }
     }
 
+    /// Shortest time until an engine that reads prompts would begin with a prompt.
+    fn wait_apart(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<f64> {
+        if self.weights.pause_seconds == 0.0 || query.prompt.is_none() {
+            return None;
+        }
+        let per_second = self.speeds(query.pool).prefill.tokens_per_second();
+        self.candidates(query, EngineStage::Prefill, now)
+            .map(|state| {
+                let ahead = state.work(now).prompt_tokens_ahead(query.rank);
+                state.work_factor(now) * ahead / per_second
+            })
+            .min_by(f64::total_cmp)
+    }
+
     /// The engine that holds most of a prompt's beginning, and of several the one that used it last: engines drop what
     /// was not used for long, and nobody tells.
     fn best_holder(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<(u32, &EngineState)> {
@@ -227,7 +274,7 @@
             .max_by_key(|(tokens, state)| (*tokens, state.prefixes.last_use(query.prefixes)))
     }
 
-    fn candidates<'a>(
+    pub(super) fn candidates<'a>(
         &'a self,
         query: &'a PoolQuery<'_>,
         stage: EngineStage,
@@ -246,23 +293,6 @@
         })
     }
 
-    /// Whether the request may go to a zone; anywhere where nothing else is left.
-    fn reaches(&self, query: &PoolQuery<'_>, zone: &ZoneId, now: MonotonicTime) -> bool {
-        let may_be_trial = !query.terms.single_try;
-        query.paused_too || self.paths.admits(query.zone, zone, query.draw, may_be_trial, now)
-    }
-
-    /// Engines that may run the output of a prompt that is read in a zone.
-    fn output_candidates<'a>(
-        &'a self,
-        query: &'a PoolQuery<'_>,
-        source: &'a ZoneId,
-        now: MonotonicTime,
-    ) -> impl Iterator<Item = &'a EngineState> {
-        self.candidates(query, EngineStage::Decode, now)
-            .filter(move |state| query.paused_too || self.paths.moves(source, &state.engine.zone))
-    }
-
     fn choose_split<'a>(
         &'a self,
         query: &'a PoolQuery<'_>,
@@ -271,7 +301,7 @@
         let (prompt_cost, prefill) = self.choose_prefill(query, context)?;
         let source = self.output_source(prefill, query, context.now);
         let decodes = self.output_candidates(query, source.zone, context.now);
-        let (cost, decode) = cheapest(decodes, |state| context.output(state, source))?;
+        let (cost, decode) = cheapest(decodes, |state| context.output(state, source, query))?;
         Some((prompt_cost + cost + context.hand_over(query), prefill, decode))
     }
 
--- /dev/null
+++ b/crates/core/src/routing/pool/reach.rs
@@ -0,0 +1,26 @@
+//! Which engines a request reaches over the paths between zones.
+
+use super::engine::{EngineStage, EngineState};
+use super::query::PoolQuery;
+use super::router::PoolRouter;
+use crate::identity::ZoneId;
+use crate::time::MonotonicTime;
+
+impl PoolRouter {
+    /// Whether the request may go to a zone; anywhere where nothing else is left.
+    pub(super) fn reaches(&self, query: &PoolQuery<'_>, zone: &ZoneId, now: MonotonicTime) -> bool {
+        let may_be_trial = !query.terms.single_try;
+        query.paused_too || self.paths.admits(query.zone, zone, query.draw, may_be_trial, now)
+    }
+
+    /// Engines that may run the output of a prompt that is read in a zone.
+    pub(super) fn output_candidates<'a>(
+        &'a self,
+        query: &'a PoolQuery<'_>,
+        source: &'a ZoneId,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = &'a EngineState> {
+        self.candidates(query, EngineStage::Decode, now)
+            .filter(move |state| query.paused_too || self.paths.moves(source, &state.engine.zone))
+    }
+}
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -9,6 +9,7 @@
 mod dispatching;
 mod driver;
 mod exchange;
+mod pauses;
 mod placing;
 mod reading;
 mod routing;
