--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -219,7 +219,6 @@
             move_seconds: traits.and_then(|traits| traits.move_seconds),
             most_held: self.best_holder(query, now).map_or(0, |(tokens, _)| tokens),
             wait_apart: None,
-            single_try: query.terms.single_try,
             output_seconds: self.output_seconds(query),
             draw: query.draw,
             now,
@@ -260,23 +259,6 @@
         })
     }
 
-    /// Whether the request may go to a zone; anywhere where nothing else is left.
-    fn reaches(&self, query: &PoolQuery<'_>, zone: &ZoneId, now: MonotonicTime) -> bool {
-        let may_be_trial = !query.terms.single_try;
-        query.paused_too || self.paths.admits(query.zone, zone, query.draw, may_be_trial, now)
-    }
-
-    /// Engines that may run the output of a prompt that is read in a zone.
-    fn output_candidates<'a>(
-        &'a self,
-        query: &'a PoolQuery<'_>,
-        source: &'a ZoneId,
-        now: MonotonicTime,
-    ) -> impl Iterator<Item = &'a EngineState> {
-        self.candidates(query, EngineStage::Decode, now)
-            .filter(move |state| query.paused_too || self.paths.moves(source, &state.engine.zone))
-    }
-
     fn choose_split<'a>(
         &'a self,
         query: &'a PoolQuery<'_>,
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -65,8 +65,6 @@
     /// Shortest time until an engine that reads prompts would begin with this one, in seconds; absent where there is
     /// none, or nothing is chosen by it.
     pub wait_apart: Option<f64>,
-    /// Whether the request may run on one engine only.
-    pub single_try: bool,
     /// Seconds that the output takes at a usual engine; zero where engines aren't told apart by their pace.
     pub output_seconds: f64,
     /// Number drawn for the request.
@@ -153,8 +151,8 @@
             + held_up
             + self.arriving(state)
             + transfer
+            + self.risk(state, query)
             + self.pauses(state, query, None)
-            + self.risk(state)
             + self.spread(state)
     }
 
@@ -177,8 +175,8 @@
         state.work_factor(self.now) * (self.load(state) + self.output_time())
             + self.fetch(state, reading)
             + seconds * disturbance
+            + self.risk(state, query)
             + self.pauses(state, query, Some(reading.computed))
-            + self.risk(state)
             + self.spread(state)
     }
 
@@ -203,8 +201,9 @@
         self.weights.pause_seconds * late
     }
 
-    fn risk(&self, state: &EngineState) -> f64 {
-        if self.single_try {
+    /// Cost of the risk that the engine ends under a request that may run on no other.
+    fn risk(&self, state: &EngineState, query: &PoolQuery<'_>) -> f64 {
+        if query.terms.single_try {
             self.weights.single_try_seconds * state.risk(self.now)
         } else {
             0.0
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -26,6 +26,7 @@
 mod pool_speeds;
 mod prefix;
 mod query;
+mod reach;
 mod recent;
 mod reclaims;
 mod risk;
