--- a/crates/core/src/routing/pool/cordoned.rs
+++ b/crates/core/src/routing/pool/cordoned.rs
@@ -18,11 +18,13 @@
     pub forced: bool,
 }
 
-/// How a cordon bears on one engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// How the cordons that cover one engine bear on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct EngineCordon {
+    /// End of the last of them.
     pub(super) until: MonotonicTime,
-    pub(super) forced: bool,
+    /// End of the last forced one.
+    pub(super) forced_until: MonotonicTime,
 }
 
 /// Why an engine gets no new work, the first cause that holds.
@@ -51,14 +53,14 @@
 }
 
 impl EngineState {
-    pub(super) fn cordon_in_force(&self, now: MonotonicTime) -> Option<EngineCordon> {
-        self.cordon.filter(|cordon| cordon.until > now)
+    fn is_cordoned_by_force(&self, now: MonotonicTime) -> bool {
+        self.cordon.forced_until > now
     }
 
     /// Whether a cordon lets work come here, where no other engine can take it if `for_want_of_others`.
     pub(super) fn cordon_allows(&self, now: MonotonicTime, for_want_of_others: bool) -> bool {
-        self.cordon_in_force(now)
-            .is_none_or(|cordon| for_want_of_others && !cordon.forced)
+        let is_free = self.cordon.until <= now;
+        is_free || (for_want_of_others && !self.is_cordoned_by_force(now))
     }
 
     /// Why it gets no new work; absent where it does.
@@ -72,10 +74,10 @@
         if let Some(stage) = self.ordered_stage(now) {
             return Some(LeftAlone::Changing(stage));
         }
-        if let Some(cordon) = self.cordon_in_force(now) {
+        if self.cordon.until > now {
             return Some(LeftAlone::Cordoned {
-                remaining: cordon.until.since(now),
-                forced: cordon.forced,
+                remaining: self.cordon.until.since(now),
+                forced: self.is_cordoned_by_force(now),
             });
         }
         if self.is_taken_back(now) {
@@ -92,14 +94,14 @@
     pub fn on_cordons(&mut self, cordons: Vec<CordonInForce>) {
         self.cordons = cordons;
         for state in self.engines.values_mut() {
-            state.cordon = strictest(&self.cordons, state);
+            state.cordon = of_all(&self.cordons, state);
         }
     }
 
     /// Looks whether a cordon covers an engine that was listed just now.
     pub(super) fn note_cordon(&mut self, engine: &EngineId) {
         if let Some(state) = self.engines.get_mut(engine) {
-            state.cordon = strictest(&self.cordons, state);
+            state.cordon = of_all(&self.cordons, state);
         }
     }
 
@@ -117,16 +119,18 @@
     }
 }
 
-/// Of the cordons that cover an engine, a forced one, and else the one that lasts longest.
-fn strictest(cordons: &[CordonInForce], state: &EngineState) -> Option<EngineCordon> {
+/// All cordons that cover an engine, taken together.
+fn of_all(cordons: &[CordonInForce], state: &EngineState) -> EngineCordon {
     let engine = &state.engine;
     let covering = cordons
         .iter()
         .filter(|cordon| cordon.target.covers(&engine.id, &engine.pool, &engine.zone));
-    covering
-        .map(|cordon| EngineCordon {
-            until: cordon.until,
-            forced: cordon.forced,
-        })
-        .max_by_key(|cordon| (cordon.forced, cordon.until))
+    let mut sum = EngineCordon::default();
+    for cordon in covering {
+        sum.until = sum.until.max(cordon.until);
+        if cordon.forced {
+            sum.forced_until = sum.forced_until.max(cordon.until);
+        }
+    }
+    sum
 }
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -42,7 +42,7 @@
 //! engine only. To the cost of a prompt, of an output and of both, `w.spread_seconds` times a fraction drawn for the
 //! request and the engine is added.
 
-use super::engine::EngineState;
+use super::engine::{EngineState, WorkAtEngine};
 use super::pauses::PauseForecast;
 use super::pool_speeds::PoolSpeeds;
 use super::query::{PoolQuery, PrefixBlock};
@@ -120,7 +120,8 @@
     /// Cost of reading the prompt at an engine.
     pub fn prompt(&self, state: &EngineState, query: &PoolQuery<'_>, is_home: bool) -> f64 {
         let reading = self.reading(state, query);
-        let ahead = state.work(self.now).prompt_tokens_ahead(query.rank);
+        let work = state.work(self.now);
+        let ahead = work.prompt_tokens_ahead(query.rank);
         let tokens = self.weights.wait * ahead + self.weights.compute * reading.computed;
         let away = if is_home || self.most_held > 0 {
             0.0
@@ -128,7 +129,7 @@
             self.weights.away_seconds
         };
         state.reading_seconds(&self.speeds.prefill, tokens, self.now)
-            + self.fetch(state, reading)
+            + self.fetch(&work, reading)
             + away
             + self.apart(&state.engine.zone, query.zone)
             + self.spread(state)
@@ -141,18 +142,19 @@
             (true, false) | (false, true) => 0.0,
             (false, false) => self.weights.transfer_zone_seconds,
         };
-        let prompts = state.work(self.now).all_prompt_tokens();
+        let work = state.work(self.now);
+        let prompts = work.all_prompt_tokens();
         let held_up = if prompts > 0.0 {
             self.weights.held_up * state.reading_seconds(&self.speeds.decode, prompts, self.now)
         } else {
             0.0
         };
-        state.work_factor(self.now) * (self.load(state) + self.output_time())
+        state.work_factor(self.now) * (self.load(state, &work) + self.output_time())
             + held_up
-            + self.arriving(state)
+            + self.arriving(&work)
             + transfer
             + self.risk(state, query)
-            + self.pauses(state, query, None)
+            + self.pauses(state, &work, query, None)
             + self.spread(state)
     }
 
@@ -172,20 +174,25 @@
         let harm = self.speeds.pauses.harm();
         let stall = self.weights.decode_reading_stall + self.weights.decode_reading_harm * harm;
         let disturbance = 1.0 + stall * (1.0 + work.outputs);
-        state.work_factor(self.now) * (self.load(state) + self.output_time())
-            + self.fetch(state, reading)
+        state.work_factor(self.now) * (self.load(state, &work) + self.output_time())
+            + self.fetch(&work, reading)
             + seconds * disturbance
             + self.risk(state, query)
-            + self.pauses(state, query, Some(reading.computed))
+            + self.pauses(state, &work, query, Some(reading.computed))
             + self.spread(state)
     }
 
     /// Cost of the pauses that an output brings, where the engine reads so many tokens of its prompt itself.
-    fn pauses(&self, state: &EngineState, query: &PoolQuery<'_>, reads: Option<f64>) -> f64 {
+    fn pauses(
+        &self,
+        state: &EngineState,
+        work: &WorkAtEngine,
+        query: &PoolQuery<'_>,
+        reads: Option<f64>,
+    ) -> f64 {
         if self.weights.pause_seconds == 0.0 {
             return 0.0;
         }
-        let work = state.work(self.now);
         let forecast = PauseForecast {
             event_seconds: self.speeds.pace.seconds(),
             reading: self.speeds.decode,
@@ -196,7 +203,7 @@
             Some(computed) => (computed, work.prompt_tokens_behind(query.rank)),
             None => (0.0, work.all_prompt_tokens()),
         };
-        let made_late = forecast.streams_made_late(&work, computed, self.wait_apart);
+        let made_late = forecast.streams_made_late(work, computed, self.wait_apart);
         let late = made_late + forecast.own_lateness(beside, query.terms.longest_pause);
         self.weights.pause_seconds * late
     }
@@ -220,21 +227,19 @@
         self.weights.spread_seconds * (drawn as f64 / u64::MAX as f64)
     }
 
-    fn fetch(&self, state: &EngineState, reading: ReadingWork) -> f64 {
+    fn fetch(&self, work: &WorkAtEngine, reading: ReadingWork) -> f64 {
         if reading.fetched == 0.0 {
             return 0.0;
         }
-        self.weights.fetch * reading.fetched * self.move_seconds.unwrap_or_default() + self.arriving(state)
+        self.weights.fetch * reading.fetched * self.move_seconds.unwrap_or_default() + self.arriving(work)
     }
 
     /// An engine takes one KV cache after the other over its link.
-    fn arriving(&self, state: &EngineState) -> f64 {
-        let tokens = state.work(self.now).moving_tokens;
-        self.weights.arriving * tokens * self.move_seconds.unwrap_or_default()
+    fn arriving(&self, work: &WorkAtEngine) -> f64 {
+        self.weights.arriving * work.moving_tokens * self.move_seconds.unwrap_or_default()
     }
 
-    fn load(&self, state: &EngineState) -> f64 {
-        let work = state.work(self.now);
+    fn load(&self, state: &EngineState, work: &WorkAtEngine) -> f64 {
         let places = f64::from(state.engine.places.max(1));
         let taken = (work.requests + 1.0) / places;
         let memory = work.memory_tokens / state.prefixes.capacity_tokens().max(1.0);
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -217,8 +217,8 @@
     pub(super) replaced: bool,
     /// When its zone was last seen to take spot engines back while this one was listed as staying.
     pub(super) taken_back_at: Option<MonotonicTime>,
-    /// The cordon that covers it, if any.
-    pub(super) cordon: Option<EngineCordon>,
+    /// How operators' cordons bear on it.
+    pub(super) cordon: EngineCordon,
     pub(super) health: Health,
     pub(super) breaks: BreakShare,
     pub(super) sent: BTreeMap<u64, SentWork>,
@@ -252,7 +252,7 @@
             gone: None,
             replaced: false,
             taken_back_at: None,
-            cordon: None,
+            cordon: EngineCordon::default(),
             health: Health::default(),
             breaks: BreakShare::default(),
             sent: BTreeMap::new(),
--- a/crates/core/src/routing/pool/paths.rs
+++ b/crates/core/src/routing/pool/paths.rs
@@ -29,7 +29,8 @@
 /// that have nothing to do with each other.
 const WITHIN: Duration = Duration::from_millis(2_000);
 
-/// Mean gaps between answers after which their absence is no chance. Where answers come independently of each other one
+/// Mean gaps between answers after which their absence is no chance. An answer whose time is known only as later than its
+/// sending counts as a gap of zero, so the mean is about half of the true one. Where answers come independently of each other one
 /// gap in 160,000 is as long; 8 means, one in 3,000, suspected two paths of 32 within five seconds in which every fifth
 /// engine was dark and none was cut off.
 const QUIET_GAPS: f64 = 12.0;
--- a/crates/core/tests/cordons.rs
+++ b/crates/core/tests/cordons.rs
@@ -211,3 +211,23 @@
     assert_eq!(fields, ["cordons.least_share_left", "cordons.longest_seconds"]);
     assert!(CordonSettings::default().validate().is_empty());
 }
+
+#[test]
+fn of_two_cordons_on_an_engine_each_holds_for_its_own_time() {
+    let mut router = router();
+    let (soon, late) = (NOW + MINUTE, NOW + MINUTE * 10);
+    let all = "zone/pool/zone-a".replace("pool", &pool().0);
+    router.on_cordons(vec![
+        in_force(&all, soon, true),
+        in_force("engine/e1", late, false),
+    ]);
+    assert_eq!(chosen(&router, 1, NOW), None, "the forced one holds");
+    for draw in 0..200 {
+        assert_ne!(
+            chosen(&router, draw, soon).as_deref(),
+            Some("e1"),
+            "the longer one still holds"
+        );
+    }
+    assert!((0..200).any(|draw| chosen(&router, draw, late).as_deref() == Some("e1")));
+}
--- a/crates/node/src/cordons/changing.rs
+++ b/crates/node/src/cordons/changing.rs
@@ -58,7 +58,9 @@
 }
 
 fn wanted(context: &Context, kept: Option<&Kept>, asked: &CordonChange) -> Result<CordonSet, ChangeError> {
-    let before = kept.map(|kept| kept.set.clone()).unwrap_or_default();
+    let mut before = kept.map(|kept| kept.set.clone()).unwrap_or_default();
+    // Should the row be lost or older than what nodes know, they would take no lower version.
+    before.version = before.version.max(super::version(context));
     let engines = lock(&context.router).standings();
     let settings = &context.config.cordons;
     before
--- a/crates/node/src/cordons/mod.rs
+++ b/crates/node/src/cordons/mod.rs
@@ -18,14 +18,12 @@
 
 /// Takes a set from the store or a peer, which `source` names; whether it was newer than what this node had.
 pub(crate) fn take(context: &Context, set: CordonSet, source: &str) -> bool {
-    let (taken, in_force) = {
-        let mut known = lock(&context.cordons);
-        let taken = known.take(set);
-        (taken, known.clone())
-    };
-    if !taken {
+    // Held until the router has them: of two sets that come at once the newer one must reach it last.
+    let mut known = lock(&context.cordons);
+    if !known.take(set) {
         return false;
     }
+    let in_force = known.clone();
     let (now, unix) = (context.now(), metering::unix(context));
     let cordons: Vec<CordonInForce> = in_force
         .in_force(unix)
@@ -43,6 +41,7 @@
         );
     }
     lock(&context.router).on_cordons(cordons);
+    drop(known);
     context.peers.note_confirmed();
     true
 }
--- a/crates/node/src/course/answering.rs
+++ b/crates/node/src/course/answering.rs
@@ -70,13 +70,16 @@
     /// Ends the course; true where the caller's connection may carry another call.
     pub(super) fn end(mut self, end: End) -> bool {
         self.drop_exchange();
+        // Others may run beside what has ended, however slowly its caller reads.
+        self.trial = None;
+        let ended_at = self.context.now();
         let answered = match &end {
             End::CallerGone => false,
             End::Finished(outcome) => self.answer(outcome) && !self.caller_gone,
         };
-        let reusable = self.delivered() && answered;
-        self.log_end(&end);
-        reusable && self.keep
+        let taken = self.delivered();
+        self.log_end(&end, taken, ended_at);
+        taken && answered && self.keep
     }
 
     /// Waits until the caller has taken all that was handed over; false where it left or was let go.
@@ -120,8 +123,7 @@
         self.caller.say(&self.call.request, answer, self.keep).is_ok()
     }
 
-    fn log_end(&self, end: &End) {
-        let now = self.context.now();
+    fn log_end(&self, end: &End, taken: bool, now: MonotonicTime) {
         let (outcome, cause) = match end {
             End::CallerGone => ("caller_gone", "caller_gone"),
             End::Finished(outcome) => (outcome_name(outcome), cause_name(outcome)),
@@ -140,6 +142,7 @@
             took_millis = now.since(self.arrived).as_millis() as u64,
             first_event_millis:? = self.first_event_at.map(|at| at.since(self.arrived).as_millis() as u64),
             events = self.events_delivered,
+            taken,
             longest_pause_millis = self.pauses.longest.as_millis() as u64,
             late = late.name();
             "request_ended"
--- a/crates/node/src/course/waiting.rs
+++ b/crates/node/src/course/waiting.rs
@@ -68,6 +68,8 @@
             let now = self.context.now();
             let patience = patience::next_event(self.route);
             exchange.heard(now, patience);
+            // Nor is the pause until its next event the engine's.
+            self.last_event_at = self.last_event_at.map(|_| now);
             return None;
         }
         match exchange.link.read() {
@@ -82,16 +84,20 @@
             .silent_from
             .map_or(self.deadline, |silent| silent.min(self.deadline));
         let timeout = Timespec::try_from(until.since(now).min(LONGEST_POLL)).unwrap_or_default();
-        let mut engine_flags = if reads_on {
-            PollFlags::IN
-        } else {
-            PollFlags::empty()
-        };
+        let mut engine_flags = PollFlags::empty();
+        if reads_on {
+            engine_flags |= PollFlags::IN;
+        }
         if !exchange.all_sent {
             engine_flags |= PollFlags::OUT;
         }
         let caller_readable = {
-            let mut waits = vec![PollFd::from_borrowed_fd(exchange.link.descriptor(), engine_flags)];
+            let mut waits = Vec::with_capacity(2);
+            // A connection that was reset is reported whatever is asked, again and again until it is read.
+            if !engine_flags.is_empty() {
+                waits.push(PollFd::from_borrowed_fd(exchange.link.descriptor(), engine_flags));
+            }
+            let first_of_caller = waits.len();
             let mut caller_flags = PollFlags::empty();
             if self.watch_caller {
                 caller_flags |= PollFlags::IN;
@@ -106,7 +112,7 @@
             let _ = poll(&mut waits, Some(&timeout));
             let takes_more = PollFlags::OUT;
             waits
-                .get(1)
+                .get(first_of_caller)
                 .is_some_and(|wait| !wait.revents().difference(takes_more).is_empty())
         };
         if caller_readable {
