--- a/crates/core/src/cordon/least_left.rs
+++ b/crates/core/src/cordon/least_left.rs
@@ -99,7 +99,7 @@
             let share = (alike.len() as f64 * settings.least_share_left).ceil() as usize;
             let least = share.max(1);
             (left < least).then(|| CordonRefusal::TooFewLeft {
-                pool: format!("{} ({:?})", touched.pool, touched.stage),
+                pool: format!("{} ({})", touched.pool, touched.stage.name()),
                 left,
                 least,
             })
--- a/crates/core/src/placing/placement_table.rs
+++ b/crates/core/src/placing/placement_table.rs
@@ -339,7 +339,7 @@
             prefixes: &self.prefixes,
             zone: &self.request.zone,
             excluded,
-            paused_too: false,
+            last_resort: false,
             terms: self.request.terms,
             rank: usize::from(self.request.rank),
             remaining: self.request.left,
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -249,8 +249,8 @@
         self.engines.values().filter(move |state| {
             state.engine.stage == stage
                 && state.engine.pool == *query.pool
-                && state.takes_work(now, query.paused_too)
-                && (query.paused_too || state.health.admits(query.draw ^ state.handle.number(), now))
+                && state.takes_work(now, query.last_resort)
+                && (query.last_resort || state.health.admits(query.draw ^ state.handle.number(), now))
                 && self.reaches(query, &state.engine.zone, now)
                 && !query.excluded.contains(&state.engine.id)
                 && query
@@ -344,11 +344,11 @@
 
 /// The query itself, then with engines that are left alone for a while.
 fn widened<'a>(query: &PoolQuery<'a>) -> [PoolQuery<'a>; 2] {
-    let paused_too = PoolQuery {
-        paused_too: true,
+    let last_resort = PoolQuery {
+        last_resort: true,
         ..query.clone()
     };
-    [query.clone(), paused_too]
+    [query.clone(), last_resort]
 }
 
 fn holds(engine: &PoolEngine, model: &str) -> bool {
--- a/crates/core/src/routing/pool/cordoned.rs
+++ b/crates/core/src/routing/pool/cordoned.rs
@@ -30,7 +30,7 @@
 /// Why an engine gets no new work, the first cause that holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeftAlone {
-    /// The platform lists it no longer.
+    /// The platform lists it no longer, and there is no doubt that it has ended.
     Gone,
     /// It is about to leave.
     Leaving,
@@ -57,15 +57,15 @@
         self.cordon.forced_until > now
     }
 
-    /// Whether a cordon lets work come here, where no other engine can take it if `for_want_of_others`.
-    pub(super) fn cordon_allows(&self, now: MonotonicTime, for_want_of_others: bool) -> bool {
+    /// Whether a cordon lets work come here, where no other engine can take it if `last_resort`.
+    pub(super) fn cordon_allows(&self, now: MonotonicTime, last_resort: bool) -> bool {
         let is_free = self.cordon.until <= now;
-        is_free || (for_want_of_others && !self.is_cordoned_by_force(now))
+        is_free || (last_resort && !self.is_cordoned_by_force(now))
     }
 
     /// Why it gets no new work; absent where it does.
     pub fn left_alone(&self, now: MonotonicTime) -> Option<LeftAlone> {
-        if !self.is_listed() {
+        if self.has_ended(now) {
             return Some(LeftAlone::Gone);
         }
         if self.engine.leaving {
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -11,7 +11,7 @@
 //! arriving at e = w.arriving * tokens of KV cache on their way to e * seconds to move a token
 //! fetch to e   = w.fetch * fetched to e * seconds to move a token + arriving at e   (where anything is fetched)
 //!
-//! prompt at e  = slowness * read(w.wait * prompt tokens ahead at e + w.compute * computed at e) + fetch to e
+//! prompt at e  = factor * read(w.wait * prompt tokens ahead at e + w.compute * computed at e) + fetch to e
 //!              + w.away_seconds                     (unless e is the home of a part that nobody is known to hold)
 //!              + w.other_zone_seconds               (where e is not in this node's zone)
 //!
@@ -19,15 +19,15 @@
 //!              + w.overflow_seconds * requests beyond the places
 //! held up at e = w.held_up * read here(prompt tokens at e)           (outputs wait while it reads; none: nothing)
 //! output time  = w.output_time * output tokens * learned time of a token at a usual engine   (where paces decide)
-//! output at e  = slowness * (load of e + held up at e + output time) + arriving at e
+//! output at e  = factor * (load of e + held up at e + output time) + arriving at e
 //!              + w.transfer_zone_seconds                          (in another zone than the prompt's engine)
 //!                or w.lone_zone_seconds          (in its zone, where that alone keeps the shared part and may lose it)
 //! hand-over    = w.handover_seconds + w.transfer * tokens of the prompt * seconds to move a token
 //!
-//! both at e    = slowness * (load of e + output time) + fetch to e + slowness * read here(prompt tokens ahead at e + computed at e)
+//! both at e    = factor * (load of e + output time) + fetch to e + factor * read here(prompt tokens ahead at e + computed at e)
 //!                * (1 + (w.decode_reading_stall + w.decode_reading_harm * harm) * (1 + outputs at e))
 //!
-//! slowness     = how much longer work takes at e now ([`EngineState::work_factor`]); where paces decide it stretches the
+//! factor       = how much longer work takes at e now ([`EngineState::work_factor`]); where paces decide it stretches the
 //!                tokens of a reading alone, not its fixed part ([`EngineState::reading_seconds`])
 //! harm         = 0 to 1: how near the pauses between events come to the longest harmless one where prompts are read
 //!                beside an output, as seen ([`super::expectation::ReadingPauses`])
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -192,6 +192,17 @@
 /// Time after which an engine that is gone is forgotten; one that comes back sooner keeps what is known of it.
 pub(super) const FORGET_AFTER: Duration = Duration::from_secs(6);
 
+impl EngineStage {
+    /// Name for logs and pages.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Prefill => "prefill",
+            Self::Decode => "decode",
+        }
+    }
+}
+
 impl Gone {
     fn is_doubtful_at(self, now: MonotonicTime) -> bool {
         self.doubtful && now.since(self.since) < DOUBT
@@ -352,14 +363,18 @@
             .unwrap_or_default()
     }
 
-    /// Whether new work may go there now; one that is left alone for a while takes some only where `paused_too`.
-    pub(super) fn takes_work(&self, now: MonotonicTime, paused_too: bool) -> bool {
-        !self.replaced
+    /// Whether new work may go there now; one that is left alone for a while takes some only where `last_resort`.
+    pub(super) fn takes_work(&self, now: MonotonicTime, last_resort: bool) -> bool {
+        !self.has_ended(now)
             && !self.engine.leaving
             && self.ordered_stage(now).is_none()
-            && self.gone.is_none_or(|gone| gone.is_doubtful_at(now))
-            && self.cordon_allows(now, paused_too)
-            && (paused_too || !(self.health.is_paused(now) || self.is_taken_back(now)))
+            && self.cordon_allows(now, last_resort)
+            && (last_resort || !(self.health.is_paused(now) || self.is_taken_back(now)))
+    }
+
+    /// Whether this start of the engine is over, beyond the doubt that its entry may only have lapsed.
+    pub(super) fn has_ended(&self, now: MonotonicTime) -> bool {
+        self.replaced || self.gone.is_some_and(|gone| !gone.is_doubtful_at(now))
     }
 
     /// The stage that it changes to, if it does.
--- a/crates/core/src/routing/pool/pace/router.rs
+++ b/crates/core/src/routing/pool/pace/router.rs
@@ -93,8 +93,8 @@
         pace.momentary.told(figure, now);
         let differs = figure.max(believed) / figure.min(believed) >= WORTH_TELLING;
         let handle = state.handle;
-        if differs && self.untold.len() < MOST_WAITING && !self.untold.contains(&handle) {
-            self.untold.push(handle);
+        if differs && self.untold_figures.len() < MOST_WAITING && !self.untold_figures.contains(&handle) {
+            self.untold_figures.push(handle);
         }
         if changed || !state.pace.in_use {
             let pool = state.engine.pool.clone();
@@ -230,8 +230,10 @@
         most_lasting: usize,
         now: MonotonicTime,
     ) -> PaceWords {
-        let rest = self.untold.split_off(most_figures.min(self.untold.len()));
-        let told = std::mem::replace(&mut self.untold, rest);
+        let rest = self
+            .untold_figures
+            .split_off(most_figures.min(self.untold_figures.len()));
+        let told = std::mem::replace(&mut self.untold_figures, rest);
         let figures = told.into_iter().filter_map(|handle| {
             let (figure, at) = self.state_of(handle)?.pace.momentary.latest()?;
             Some(ToldFigure {
@@ -247,7 +249,7 @@
     }
 
     fn next_lasting(&mut self, most: usize) -> Vec<LastingWord> {
-        let last = self.lasting_told_to.clone();
+        let last = self.lasting_cursor.clone();
         let is_next = |engine: &EngineId| last.as_ref().is_none_or(|last| engine > last);
         let following = self.engines.iter().filter(|(engine, _)| is_next(engine));
         let told = following.filter_map(|(engine, state)| {
@@ -261,7 +263,7 @@
         });
         let told: Vec<_> = told.take(most).collect();
         // At the end of the list it begins anew at the next call.
-        self.lasting_told_to = (told.len() == most)
+        self.lasting_cursor = (told.len() == most)
             .then(|| told.last().map(|(engine, _)| engine.clone()))
             .flatten();
         told.into_iter().map(|(_, word)| word).collect()
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -100,8 +100,9 @@
     pub zone: &'a ZoneId,
     /// Engines that failed this request before.
     pub excluded: &'a [EngineId],
-    /// Whether engines that are left alone for a while may be chosen.
-    pub paused_too: bool,
+    /// Whether nothing else is left, so that engines may be chosen that are left alone for a while: paused, cordoned without
+    /// force, beyond a suspected path, or with load that returns step by step.
+    pub last_resort: bool,
     /// What it is owed.
     pub terms: RequestTerms,
     /// Rank among requests, from [`super::rank_of`].
--- a/crates/core/src/routing/pool/reach.rs
+++ b/crates/core/src/routing/pool/reach.rs
@@ -10,7 +10,7 @@
     /// Whether the request may go to a zone; anywhere where nothing else is left.
     pub(super) fn reaches(&self, query: &PoolQuery<'_>, zone: &ZoneId, now: MonotonicTime) -> bool {
         let may_be_trial = !query.terms.single_try;
-        query.paused_too || self.paths.admits(query.zone, zone, query.draw, may_be_trial, now)
+        query.last_resort || self.paths.admits(query.zone, zone, query.draw, may_be_trial, now)
     }
 
     /// Engines that may run the output of a prompt that is read in a zone.
@@ -21,6 +21,6 @@
         now: MonotonicTime,
     ) -> impl Iterator<Item = &'a EngineState> {
         self.candidates(query, EngineStage::Decode, now)
-            .filter(move |state| query.paused_too || self.paths.moves(source, &state.engine.zone))
+            .filter(move |state| query.last_resort || self.paths.moves(source, &state.engine.zone))
     }
 }
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -36,9 +36,9 @@
     pub(super) untold_silences: Vec<UntoldSilence>,
     pub(super) engine_changes: Vec<EngineChange>,
     /// Engines whose momentary figure others are to be told.
-    pub(super) untold: Vec<SubjectHandle>,
+    pub(super) untold_figures: Vec<SubjectHandle>,
     /// The last engine whose lasting speed others were told.
-    pub(super) lasting_told_to: Option<EngineId>,
+    pub(super) lasting_cursor: Option<EngineId>,
     /// Changes of lasting speeds that are to be reported.
     pub(super) pace_changes: Vec<PaceChange>,
     pub(super) demand: PromptDemand,
@@ -63,8 +63,8 @@
             paths: Paths::default(),
             untold_silences: Vec::new(),
             engine_changes: Vec::new(),
-            untold: Vec::new(),
-            lasting_told_to: None,
+            untold_figures: Vec::new(),
+            lasting_cursor: None,
             pace_changes: Vec::new(),
             demand: PromptDemand::default(),
             tickets: 0,
--- a/crates/core/src/routing/pool/silences.rs
+++ b/crates/core/src/routing/pool/silences.rs
@@ -43,11 +43,11 @@
         let Some(state) = self.engines.get_mut(ticket.engine()) else {
             return;
         };
-        let pause = state.health.silent(now);
-        state.breaks.broke(now);
         let Some(work) = state.sent.remove(&ticket.number()) else {
             return;
         };
+        let pause = state.health.silent(now);
+        state.breaks.broke(now);
         let (zone, engine) = (state.engine.zone.clone(), state.handle);
         let from = ticket.from();
         if pause.is_some() {
--- a/crates/core/tests/cordons.rs
+++ b/crates/core/tests/cordons.rs
@@ -55,7 +55,7 @@
         prefixes: &[],
         zone: &zone,
         excluded: &[],
-        paused_too: false,
+        last_resort: false,
         terms: RequestTerms::default(),
         rank: 1,
         remaining: Duration::from_secs(5),
--- a/crates/core/tests/engine_pace.rs
+++ b/crates/core/tests/engine_pace.rs
@@ -92,7 +92,7 @@
         prefixes,
         zone,
         excluded: &[],
-        paused_too: false,
+        last_resort: false,
         terms: RequestTerms::default(),
         rank: 0,
         remaining: Duration::from_secs(5),
--- a/crates/core/tests/engine_troubles.rs
+++ b/crates/core/tests/engine_troubles.rs
@@ -57,7 +57,7 @@
             prefixes: &self.prefixes,
             zone: &self.zone,
             excluded: &[],
-            paused_too: false,
+            last_resort: false,
             terms: RequestTerms {
                 single_try: self.single_try,
                 ..RequestTerms::default()
--- a/crates/core/tests/pace_world/mod.rs
+++ b/crates/core/tests/pace_world/mod.rs
@@ -356,7 +356,7 @@
             prefixes: &self.prefixes,
             zone,
             excluded: &[],
-            paused_too: false,
+            last_resort: false,
             terms: RequestTerms::default(),
             rank: 0,
             remaining: Duration::from_secs(5),
--- a/crates/core/tests/paths.rs
+++ b/crates/core/tests/paths.rs
@@ -337,7 +337,7 @@
                 prefixes: &self.prefixes,
                 zone: &self.zone,
                 excluded: &[],
-                paused_too: false,
+                last_resort: false,
                 terms: RequestTerms::default(),
                 rank: 0,
                 remaining: Duration::from_secs(5),
--- a/crates/core/tests/pauses_world/mod.rs
+++ b/crates/core/tests/pauses_world/mod.rs
@@ -217,7 +217,7 @@
             prefixes: &prefixes,
             zone: &ZoneId::new("zone-a"),
             excluded: &[],
-            paused_too: false,
+            last_resort: false,
             terms: RequestTerms {
                 longest_pause: self.setup.bound,
                 ..RequestTerms::default()
--- a/crates/core/tests/pool_admission.rs
+++ b/crates/core/tests/pool_admission.rs
@@ -63,7 +63,7 @@
             prefixes: &self.prefixes,
             zone: &self.zone,
             excluded: &[],
-            paused_too: false,
+            last_resort: false,
             terms: RequestTerms::default(),
             draw: 1,
             rank: 0,
--- a/crates/core/tests/pool_pauses.rs
+++ b/crates/core/tests/pool_pauses.rs
@@ -145,7 +145,7 @@
             prefixes: &prompt.prefixes(),
             zone: &ZoneId::new("zone-a"),
             excluded: &[],
-            paused_too: false,
+            last_resort: false,
             terms: RequestTerms {
                 longest_pause,
                 ..RequestTerms::default()
--- a/crates/core/tests/pool_router.rs
+++ b/crates/core/tests/pool_router.rs
@@ -88,7 +88,7 @@
             prefixes: &self.prefixes,
             zone: &self.zone,
             excluded: &self.excluded,
-            paused_too: false,
+            last_resort: false,
             terms: RequestTerms::default(),
             draw: 0,
             rank: 1,
--- a/crates/core/tests/sharing_placers.rs
+++ b/crates/core/tests/sharing_placers.rs
@@ -353,7 +353,7 @@
         prefixes: &prompt.prefixes(),
         zone: &ZoneId::new("zone-a"),
         excluded: &[],
-        paused_too: false,
+        last_resort: false,
         terms: RequestTerms {
             tenant: Some(SubjectHandle::of_text("tenant", tenant)),
             ..RequestTerms::default()
--- a/crates/node/src/cordons/mod.rs
+++ b/crates/node/src/cordons/mod.rs
@@ -23,16 +23,16 @@
     if !known.take(set) {
         return false;
     }
-    let in_force = known.clone();
+    let kept = known.clone();
     let (now, unix) = (context.now(), metering::unix(context));
-    let cordons: Vec<CordonInForce> = in_force
+    let cordons: Vec<CordonInForce> = kept
         .in_force(unix)
         .map(|cordon| on_own_clock(cordon, now, unix))
         .collect();
-    log::info!(version = in_force.version, cordons = cordons.len(), source; "cordons_taken");
-    for cordon in &in_force.cordons {
+    log::info!(version = kept.version, cordons = cordons.len(), source; "cordons_taken");
+    for cordon in kept.in_force(unix) {
         log::info!(
-            version = in_force.version,
+            version = kept.version,
             target:% = cordon.target,
             by = cordon.by.as_str(),
             forced = cordon.forced,
--- a/crates/node/src/cordons/view.rs
+++ b/crates/node/src/cordons/view.rs
@@ -2,7 +2,7 @@
 
 use crate::context::Context;
 use crate::metering;
-use shelfjunction_core::routing::pool::{EngineStage, EngineState, LeftAlone};
+use shelfjunction_core::routing::pool::{EngineState, LeftAlone};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_protocol::cordons::{CordonView, CordonsView, EngineView, EnginesView};
 use shelfjunction_threads::lock;
@@ -47,7 +47,7 @@
         start: state.engine.id.start().0,
         pool: state.engine.pool.to_string(),
         zone: state.engine.zone.as_str().to_owned(),
-        stage: stage_name(state.engine.stage).to_owned(),
+        stage: state.engine.stage.name().to_owned(),
         work_factor: state.work_factor(now),
         requests: work.requests as u64,
         outputs: work.outputs as u64,
@@ -58,14 +58,6 @@
     }
 }
 
-fn stage_name(stage: EngineStage) -> &'static str {
-    match stage {
-        EngineStage::Whole => "whole",
-        EngineStage::Prefill => "prefill",
-        EngineStage::Decode => "decode",
-    }
-}
-
 fn cause_name(alone: LeftAlone) -> &'static str {
     match alone {
         LeftAlone::Gone => "gone",
--- a/crates/node/src/course/accounting.rs
+++ b/crates/node/src/course/accounting.rs
@@ -2,7 +2,7 @@
 //! the engine.
 
 use super::driver::Driver;
-use crate::beliefs;
+use crate::belief_log;
 use crate::context::Context;
 use crate::placing::{self, PlacedAt};
 use shelfjunction_core::engine::EngineRefusalReason;
@@ -91,7 +91,7 @@
         match account {
             Account::Own(ticket) => {
                 lock(&self.context.router).on_output_begun(ticket, &self.prefixes, now);
-                beliefs::tell_changes(self.context);
+                belief_log::tell_changes(self.context);
                 self.context.peers.note_change();
             }
             Account::Placer { at, .. } => placing::tell(self.context, at, Progress::Begun { told }),
@@ -106,7 +106,7 @@
                 router.on_output_ended(&ticket, now);
                 router.on_answered(&ticket);
                 drop(router);
-                beliefs::tell_changes(self.context);
+                belief_log::tell_changes(self.context);
                 self.context.peers.note_change();
             }
             Account::Placer { at, pauses, .. } => {
@@ -148,7 +148,7 @@
         match account {
             Account::Own(ticket) => {
                 lock(&self.context.router).on_silent(ticket, self.context.now());
-                beliefs::tell_changes(self.context);
+                belief_log::tell_changes(self.context);
             }
             Account::Placer { at, .. } => placing::tell(self.context, at, Progress::Silent),
         }
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -249,7 +249,7 @@
             prefixes: &self.prefixes,
             zone: &self.context.config.zone,
             excluded,
-            paused_too: false,
+            last_resort: false,
             terms: self.terms(),
             draw: self.draw,
             rank: self.rank(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,7 +8,7 @@
 
 mod accepting;
 mod asking;
-mod beliefs;
+mod belief_log;
 mod commanding;
 mod config;
 mod connections;
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -3,7 +3,7 @@
 use super::message::{Datagram, MOST_RECEIVED, WorkMessage};
 use super::placers::Placing;
 use super::{Behind, Peer};
-use crate::beliefs;
+use crate::belief_log;
 use crate::context::Context;
 use crate::metering;
 use crate::placing;
@@ -101,7 +101,7 @@
     router.on_peer_silences(&message.silences, in_large_fleet, now);
     drop(router);
     if !message.silences.is_empty() || !message.news.is_empty() {
-        beliefs::tell_changes(context);
+        belief_log::tell_changes(context);
     }
 }
 
--- a/crates/node/src/placing/answering.rs
+++ b/crates/node/src/placing/answering.rs
@@ -2,7 +2,7 @@
 //!
 //! Whoever is asked answers, whether it holds itself for a placer or not: the node that asked may know better.
 
-use crate::beliefs;
+use crate::belief_log;
 use crate::context::Context;
 use crate::peers::{Datagram, LivenessAnswer, LivenessQuestion};
 use shelfjunction_core::placing::question::{Answer, Placement, Progress, ProgressReport, Question, Wanted};
@@ -72,7 +72,7 @@
     table.on_progress(&mut router, report, context.now());
     drop(router);
     drop(table);
-    beliefs::tell_changes(context);
+    belief_log::tell_changes(context);
     context.peers.note_change();
 }
 
