Fault soak: callers that read late, and engines whose pace changes

Nothing in the soak left an answer unread, no engine told the fourth figure of Server-Load. Callers now read nothing of 5 MB for 1 to 3 s; what they get is judged like every answer, and where no fault struck from 2 s before until the end it may not break off, and the others must get whole answers. A fault makes an engine's work take 2 to 4 times as long in three spells, and tells it. Count of fault kinds in the schedule's test: 24 to 25, since there is one more.

--- a/crates/lab/src/command/fault_soak.rs
+++ b/crates/lab/src/command/fault_soak.rs
@@ -37,6 +37,7 @@
         "callers besides whose request crashes engines (2)",
         "NUMBER",
     );
+    options.optopt("", "late-readers", "callers besides that read late (2)", "NUMBER");
     options.optopt("", "seconds", "length of each run (30)", "SECONDS");
     options.optopt(
         "",
@@ -82,6 +83,7 @@
             nodes,
             callers: options.value_or("callers", 12)?,
             crashers: options.value_or("crashers", 2)?,
+            late_readers: options.value_or("late-readers", 2)?,
             pace: if options.flag("calm") {
                 Pace::Calm
             } else {
--- a/crates/lab/src/fault_soak/callers.rs
+++ b/crates/lab/src/fault_soak/callers.rs
@@ -16,7 +16,7 @@
 const DEADLINE: Duration = Duration::from_millis(4_000);
 
 /// Time after which a caller gives up whatever the node does.
-const GIVES_UP: Duration = Duration::from_millis(6_500);
+pub(super) const GIVES_UP: Duration = Duration::from_millis(6_500);
 
 /// Pauses between two requests of a caller, in milliseconds.
 const PAUSE_MILLIS: std::ops::Range<u64> = 20..150;
@@ -29,6 +29,8 @@
     pub kind: CallKind,
     /// Its body.
     pub body: &'a str,
+    /// Time for which nothing is read once the answer's head has come.
+    pub reads_after: Duration,
 }
 
 /// One caller.
@@ -76,6 +78,7 @@
             request,
             kind,
             body: "body",
+            reads_after: Duration::ZERO,
         };
         self.send(address, node, content, begun)
     }
@@ -88,12 +91,11 @@
         content: Content<'_>,
         begun: Instant,
     ) -> SeenCall {
-        let Content { request, kind, body } = content;
         let sent_at = begun.elapsed();
-        let answer = self.ask(address, &request, kind, body);
+        let answer = self.ask(address, &content);
         SeenCall {
-            request,
-            kind,
+            request: content.request,
+            kind: content.kind,
             node,
             sent_at,
             took: begun.elapsed().saturating_sub(sent_at),
@@ -101,7 +103,8 @@
         }
     }
 
-    fn ask(&mut self, address: SocketAddr, request: &str, kind: CallKind, body: &str) -> Option<SeenAnswer> {
+    fn ask(&mut self, address: SocketAddr, content: &Content<'_>) -> Option<SeenAnswer> {
+        let (request, kind) = (content.request.as_str(), content.kind);
         let shared = self.random.random_range(0..20);
         let asked = self
             .agent
@@ -118,7 +121,9 @@
         } else {
             asked
         };
-        asked.send(body).ok().map(read)
+        let answer = asked.send(content.body).ok()?;
+        std::thread::sleep(content.reads_after);
+        Some(read(answer))
     }
 }
 
--- a/crates/lab/src/fault_soak/crashers.rs
+++ b/crates/lab/src/fault_soak/crashers.rs
@@ -83,6 +83,7 @@
                         request,
                         kind: self.kind,
                         body: &body,
+                        reads_after: Duration::ZERO,
                     };
                     scope.spawn(move || caller.send(deployment.address(*node), *node, content, begun))
                 })
--- a/crates/lab/src/fault_soak/deployment.rs
+++ b/crates/lab/src/fault_soak/deployment.rs
@@ -142,6 +142,11 @@
         }
     }
 
+    /// Makes work at an engine take so long from now on, in percent of the usual.
+    pub fn set_pace(&self, engine: usize, percent: u32) {
+        lock(&self.engines[engine]).now.set_pace(percent);
+    }
+
     /// Tells a node that its settings have changed, if it runs.
     pub fn reload(&self, node: usize) {
         if let Some(process) = &lock(&self.nodes[node]).process {
--- a/crates/lab/src/fault_soak/disturbances.rs
+++ b/crates/lab/src/fault_soak/disturbances.rs
@@ -48,6 +48,14 @@
         }
     }
 
+    /// Whether no fault of any kind struck, or lasted, between two instants.
+    pub fn none_between(&self, from: Duration, until: Duration) -> bool {
+        let all = self.all.lock().unwrap_or_else(PoisonError::into_inner);
+        !all.iter().any(|disturbance| {
+            disturbance.from <= until && disturbance.until.is_none_or(|ended| ended >= from)
+        })
+    }
+
     /// Whether a node was struck by nothing for so long before an instant.
     pub fn in_touch(&self, node: usize, at: Duration, contact: Duration) -> bool {
         let all = self.all.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -9,6 +9,7 @@
 pub mod crashes;
 mod deployment;
 pub mod disturbances;
+pub mod late_readers;
 mod operator;
 pub mod oracle;
 mod places;
@@ -23,6 +24,7 @@
 use crashers::Crasher;
 use crashes::{CrashCount, CrashingArrival};
 use deployment::{Deployment, EVENTS, MODEL_POOL};
+use late_readers::{LateReader, Quiet, QuietCount, is_late_reader};
 use oracle::{EngineRecords, Violation, judge, judge_reports};
 use places::REPEAT_BUDGET;
 use record::{CallKind, SeenCall};
@@ -54,6 +56,8 @@
     pub callers: u64,
     /// Callers besides whose request crashes the engines that run it.
     pub crashers: u64,
+    /// Callers besides that read nothing of a long answer for some seconds.
+    pub late_readers: u64,
     /// How close faults follow on each other.
     pub pace: Pace,
     /// Time for which faults strike.
@@ -87,6 +91,8 @@
     pub exits: u32,
     /// Engines that crashed under each crashing request, and arrivals of it later than is allowed.
     pub crashes: Vec<CrashCount>,
+    /// Requests of callers that read late, and of the others, that were sent where nothing else was wrong.
+    pub quiet: QuietCount,
     /// Promises that did not hold.
     pub violations: Vec<Violation>,
 }
@@ -102,7 +108,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             formatter,
-            "seed {}: {} faults; {} requests: {} succeeded, {} not run, {} other answers, {} unanswered; {} exits; engines ended \
+            "seed {}: {} faults; {} requests: {} succeeded, {} not run, {} other answers, {} unanswered; {} exits; {}; engines ended \
              under crashing requests {:?}, sent on late {:?}; {}",
             self.seed,
             self.faults,
@@ -112,6 +118,7 @@
             self.other_answers,
             self.unanswered,
             self.exits,
+            self.quiet,
             self.crashes.iter().map(|count| count.ended).collect::<Vec<_>>(),
             self.crashes.iter().map(|count| count.late).collect::<Vec<_>>(),
             if self.holds() {
@@ -141,7 +148,8 @@
     thread::sleep(LATE_RUNS);
     let exits = deployment.restart_ended();
     let records = deployment.records();
-    violations.extend(judge(&calls, &records, EVENTS));
+    let (quiet, of_calls) = judge_calls(&deployment, &records, &calls, begun);
+    violations.extend(of_calls);
     let arrivals = seen_arrivals(&records, begun);
     violations.extend(judge_repeats(&calls, &arrivals, MODEL_POOL, &REPEAT_BUDGET));
     violations.extend(judge_reports(&deployment.usage_reports()));
@@ -152,10 +160,38 @@
     let crashes = crashes.into_values().collect();
     Ok(FaultSoakReport {
         crashes,
+        quiet,
         ..report(config.seed, schedule.len(), &calls, exits, violations)
     })
 }
 
+/// Promises about requests and orders that did not hold, to callers that read late and to the others.
+fn judge_calls(
+    deployment: &Deployment,
+    records: &EngineRecords,
+    calls: &[SeenCall],
+    begun: Instant,
+) -> (QuietCount, Vec<Violation>) {
+    let (late, others): (Vec<_>, Vec<_>) = calls
+        .iter()
+        .cloned()
+        .partition(|call| is_late_reader(&call.request));
+    let (of_late, of_others) = late_readers::apart(records);
+    let arrivals = crashing_arrivals(records, begun).into_iter();
+    let crashes: Vec<Duration> = arrivals
+        .filter(|arrival| arrival.crashed)
+        .map(|arrival| arrival.at)
+        .collect();
+    let quiet = Quiet {
+        disturbances: &deployment.disturbances,
+        crashes: &crashes,
+    };
+    let mut violations = judge(&others, &of_others, EVENTS);
+    violations.extend(late_readers::judge(&late, &of_late, &quiet));
+    violations.extend(late_readers::judge_others(&others, &quiet));
+    (quiet.count(&late, &others), violations)
+}
+
 /// What reached engines of what the callers sent; probes are judged where they are made.
 fn seen_arrivals(records: &EngineRecords, begun: Instant) -> Vec<SeenArrival> {
     let arrivals = records.arrivals.iter();
@@ -240,9 +276,15 @@
                 scope.spawn(|| crasher.run(deployment, begun, &stop))
             })
             .collect();
+        let late_readers: Vec<_> = (0..config.late_readers)
+            .map(|number| {
+                let reader = LateReader::new(config.seed, number);
+                scope.spawn(|| reader.run(deployment, begun, &stop))
+            })
+            .collect();
         striking::strike(deployment, schedule, begun);
         stop.store(true, Ordering::Relaxed);
-        let all = callers.into_iter().chain(crashers);
+        let all = callers.into_iter().chain(crashers).chain(late_readers);
         let seen = all.filter_map(|caller| caller.join().ok());
         seen.flatten().collect()
     })
@@ -327,6 +369,7 @@
         unanswered,
         exits,
         crashes: Vec::new(),
+        quiet: QuietCount::default(),
         violations,
     }
 }
--- a/crates/lab/src/fault_soak/oracle.rs
+++ b/crates/lab/src/fault_soak/oracle.rs
@@ -58,6 +58,10 @@
         /// Time from the spoiling until the caller sent it.
         after_millis: u64,
     },
+    /// The answer of a caller that read late broke off although nothing else was wrong.
+    CutForLateReader(String),
+    /// A request got no whole answer although nothing was wrong but that callers beside it read late.
+    UnservedBesideLateReaders(String),
     /// A planned stop, alone, left a request that an engine had begun without its whole answer.
     CutOff(String),
 }
--- a/crates/lab/src/fault_soak/schedule.rs
+++ b/crates/lab/src/fault_soak/schedule.rs
@@ -41,6 +41,8 @@
     ComeBack(usize),
     /// An engine's entry in the store can't be read for a while.
     SpoilEntry(usize, Spoilt),
+    /// Work at an engine takes so many percent of the usual time for some hundred milliseconds, several times in a row.
+    PaceChanges(usize, u32),
     /// The operator moves a route to another pool.
     Reconfigure,
     /// Every engine refuses most requests.
@@ -86,6 +88,7 @@
             | Self::Replace(_)
             | Self::ComeBack(_)
             | Self::SpoilEntry(..)
+            | Self::PaceChanges(..)
             | Self::Reconfigure
             | Self::ReconfigureInSeries
             | Self::EnginesRefuse => Struck::Nobody,
@@ -122,6 +125,9 @@
 /// Delays of slow links, in milliseconds.
 const DELAY_MILLIS: std::ops::Range<u64> = 5..120;
 
+/// How long work takes at an engine whose machine others use as well, in percent of the usual.
+const PACE_PERCENT: std::ops::RangeInclusive<u32> = 200..=400;
+
 /// How close faults follow on each other.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Pace {
@@ -163,7 +169,7 @@
 fn draw_fault(random: &mut ChaCha8Rng, targets: Targets) -> Fault {
     let node = random.random_range(0..targets.nodes);
     let engine = random.random_range(0..targets.engines);
-    match random.random_range(0..155) {
+    match random.random_range(0..162) {
         0..10 => Fault::StoreLink(node, draw_link_fault(random)),
         10..25 => Fault::EngineLink(engine, draw_link_fault(random)),
         25..29 => Fault::ResetStoreLink(node),
@@ -187,7 +193,8 @@
         130..134 => Fault::SilenceStoreLink(node),
         134..140 => Fault::KillAllWhileEnginesRefuse,
         140..147 => Fault::ComeBack(engine),
-        _ => Fault::SpoilEntry(engine, Spoilt::ALL[random.random_range(0..Spoilt::ALL.len())]),
+        147..155 => Fault::SpoilEntry(engine, Spoilt::ALL[random.random_range(0..Spoilt::ALL.len())]),
+        _ => Fault::PaceChanges(engine, random.random_range(PACE_PERCENT)),
     }
 }
 
--- a/crates/lab/src/fault_soak/striking.rs
+++ b/crates/lab/src/fault_soak/striking.rs
@@ -4,7 +4,7 @@
 use super::deployment::Deployment;
 use super::schedule::{Fault, ScheduledFault};
 use crate::relay::LinkFault;
-use crate::users_platform::StoreMode;
+use crate::users_platform::{StoreMode, USUAL_PACE_PERCENT};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -110,6 +110,7 @@
             wait();
             deployment.mend_entry(engine);
         }
+        Fault::PaceChanges(engine, percent) => change_pace(deployment, engine, percent, scheduled.lasts),
         Fault::Reconfigure => {
             deployment.reconfigure();
         }
@@ -139,6 +140,17 @@
     }
 }
 
+/// Changes an engine's pace and back, several times over a span.
+fn change_pace(deployment: &Deployment, engine: usize, percent: u32, span: Duration) {
+    let half = span / (2 * SERIES);
+    for _ in 0..SERIES {
+        deployment.set_pace(engine, percent);
+        thread::sleep(half);
+        deployment.set_pace(engine, USUAL_PACE_PERCENT);
+        thread::sleep(half);
+    }
+}
+
 /// Does the same several times over a span. Between two kills a node has about the time to serve again.
 fn in_series(span: Duration, act: impl Fn()) {
     for _ in 0..SERIES {
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -2,6 +2,7 @@
 
 use super::engine_records::{ArrivalRecord, OrderRecord, RunRecord};
 use super::engine_settings::{EngineFault, EngineSettings};
+use super::engine_work::{MachinePace, answer_events, event, wants_long_answer};
 use serde::Deserialize;
 use shelfjunction_http::{
     Answer, AnswerHeader, Answered, Handler, HttpLimits, HttpRequest, HttpServer, ReadError, Responder,
@@ -61,6 +62,7 @@
     server: HttpServer,
     start_name: String,
     state: Arc<Mutex<State>>,
+    pace: Arc<MachinePace>,
     crash_switch: Arc<OnceLock<CrashSwitch>>,
 }
 
@@ -81,11 +83,13 @@
             stage: settings.stage,
             ..State::default()
         }));
+        let pace = Arc::new(MachinePace::default());
         let crash_switch = Arc::new(OnceLock::new());
         let start_name = settings.start();
         let handler = Arc::new(EngineHandler {
             settings,
             state: Arc::clone(&state),
+            pace: Arc::clone(&pace),
             crash_switch: Arc::clone(&crash_switch),
         });
         let address = (Ipv4Addr::LOCALHOST, 0).into();
@@ -94,6 +98,7 @@
             server,
             start_name,
             state,
+            pace,
             crash_switch,
         })
     }
@@ -118,6 +123,11 @@
         lock(&self.state).refuses_most = refuses;
     }
 
+    /// Makes its work take so long from now on, in percent of the usual.
+    pub fn set_pace(&self, percent: u32) {
+        self.pace.set(percent);
+    }
+
     /// Makes it crash, by what is given, over requests with [`CRASHING_BODY`]; only the first call counts.
     pub fn crash_by(&self, switch: CrashSwitch) {
         let _ = self.crash_switch.set(switch);
@@ -167,6 +177,7 @@
 struct EngineHandler {
     settings: EngineSettings,
     state: Arc<Mutex<State>>,
+    pace: Arc<MachinePace>,
     crash_switch: Arc<OnceLock<CrashSwitch>>,
 }
 
@@ -242,7 +253,10 @@
             Some(EngineFault::Fail) => responder.answer(&self.signed(request, 500, "failed")),
             Some(EngineFault::Unsigned) => responder.answer(&self.answer(request, 200, "who said this?")),
             _ if self.settings.stage.is_some() => self.stream(request, &record, fault, responder),
-            _ => responder.answer(&self.signed(request, 200, "the answer")),
+            _ => {
+                std::thread::sleep(self.pace.added_time());
+                responder.answer(&self.signed(request, 200, "the answer"))
+            }
         }
     }
 
@@ -274,16 +288,16 @@
         let Ok(mut writer) = responder.stream(200, EVENTS, &headers) else {
             return Answered::broken();
         };
-        for (sent, id) in (0..).zip(record.after_event + 1..=self.settings.events) {
+        let is_long = wants_long_answer(&request.body);
+        let events = answer_events(is_long, self.settings.events);
+        for (sent, id) in (0..).zip(record.after_event + 1..=events) {
             if fault == Some(EngineFault::CutAfter(sent)) {
                 // Part of an event, as engines leave it when they crash.
                 let _ = writer.write(format!("id: {id}\nda").as_bytes());
                 return writer.abort();
             }
-            if writer
-                .write(format!("id: {id}\ndata: {id}\n\n").as_bytes())
-                .is_err()
-            {
+            std::thread::sleep(self.pace.added_time());
+            if writer.write(event(id, is_long).as_bytes()).is_err() {
                 return writer.abort();
             }
         }
@@ -350,7 +364,7 @@
         let mut headers = vec![
             header("Request-Id", request.header("Request-Id").unwrap_or_default()),
             header("Instance-Id", &self.settings.id),
-            header("Server-Load", "1,0,8"),
+            header("Server-Load", &format!("1,0,8,{}", self.pace.percent())),
         ];
         if signed {
             headers.push(header(
--- /dev/null
+++ b/crates/lab/src/users_platform/engine_work.rs
@@ -0,0 +1,91 @@
+//! How long an engine's answers are, and how long its work takes on a machine that others use as well.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+/// Body of a request whose answer is longer than the buffers between an engine and a caller hold.
+pub const LONG_ANSWER_BODY: &str = "wants a long answer";
+
+/// Events of a long answer.
+pub const LONG_ANSWER_EVENTS: u64 = 80;
+
+/// Bytes with which each event of a long answer is filled up; together 5 MB, while the kernel's buffers of a connection on
+/// loopback take 3 MB at most when nobody reads.
+pub const FILLING_BYTES: usize = 65_000;
+
+/// What work takes on a machine that does nothing else.
+pub const USUAL_PACE_PERCENT: u32 = 100;
+
+/// Work of one event or one short answer, of which only what others on the machine add is waited for.
+const WORK: Duration = Duration::from_millis(10);
+
+/// Whether a request's body asks for a long answer.
+pub fn wants_long_answer(body: &[u8]) -> bool {
+    body == LONG_ANSWER_BODY.as_bytes()
+}
+
+/// Events of an answer, where others have so many as is usual.
+pub fn answer_events(is_long: bool, usual: u64) -> u64 {
+    if is_long { LONG_ANSWER_EVENTS } else { usual }
+}
+
+/// One event of an answer.
+pub fn event(id: u64, is_long: bool) -> String {
+    if is_long {
+        format!("id: {id}\ndata: {id}{}\n\n", "x".repeat(FILLING_BYTES))
+    } else {
+        format!("id: {id}\ndata: {id}\n\n")
+    }
+}
+
+/// A long answer's body with the filling of each event taken out. An event that is not at its end may have less of it; filling
+/// of any other length stays and shows.
+pub fn without_filling(body: &str) -> String {
+    let filling = "x".repeat(FILLING_BYTES);
+    body.split_inclusive("\n\n")
+        .map(|event| match event.strip_suffix("\n\n") {
+            Some(whole) => format!("{}\n\n", whole.strip_suffix(&filling).unwrap_or(whole)),
+            None => begun_without_filling(event),
+        })
+        .collect()
+}
+
+/// An event that broke off, without what came of its filling.
+fn begun_without_filling(event: &str) -> String {
+    let (text, end) = match event.strip_suffix('\n') {
+        Some(text) => (text, "\n"),
+        None => (event, ""),
+    };
+    let bare = text.trim_end_matches('x');
+    let filling = text.len() - bare.len();
+    let is_a_beginning = filling == FILLING_BYTES || (end.is_empty() && filling < FILLING_BYTES);
+    let kept = if is_a_beginning { bare } else { text };
+    format!("{kept}{end}")
+}
+
+/// How long work takes on an engine's machine now, in percent of the usual.
+#[derive(Debug)]
+pub struct MachinePace(AtomicU32);
+
+impl Default for MachinePace {
+    fn default() -> Self {
+        Self(AtomicU32::new(USUAL_PACE_PERCENT))
+    }
+}
+
+impl MachinePace {
+    /// Changes it.
+    pub fn set(&self, percent: u32) {
+        self.0.store(percent, Ordering::Relaxed);
+    }
+
+    /// What `Server-Load` tells as its fourth figure.
+    pub fn percent(&self) -> u32 {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Time that one piece of work takes beyond the usual.
+    pub fn added_time(&self) -> Duration {
+        WORK * self.percent().saturating_sub(USUAL_PACE_PERCENT) / USUAL_PACE_PERCENT
+    }
+}
--- a/crates/lab/src/users_platform/mod.rs
+++ b/crates/lab/src/users_platform/mod.rs
@@ -4,11 +4,16 @@
 mod engine;
 mod engine_records;
 mod engine_settings;
+mod engine_work;
 mod interface;
 mod store;
 
 pub use engine::{CRASHING_BODY, CrashSwitch, ModelEngine, crashes_engines};
 pub use engine_records::{ArrivalRecord, OrderRecord, RunRecord};
 pub use engine_settings::{EngineFault, EngineSettings};
+pub use engine_work::{
+    FILLING_BYTES, LONG_ANSWER_BODY, LONG_ANSWER_EVENTS, MachinePace, USUAL_PACE_PERCENT, event,
+    wants_long_answer, without_filling,
+};
 pub use interface::{InterfaceMode, ScaleOrder, StandInInterface, UsageReport};
 pub use store::{StandInStore, StoreMode};
--- a/crates/lab/tests/fault_soak.rs
+++ b/crates/lab/tests/fault_soak.rs
@@ -4,13 +4,16 @@
 
 use shelfjunction_lab::fault_soak::crashes::{CONTACT, CrashingArrival, count, judge as judge_crashes};
 use shelfjunction_lab::fault_soak::disturbances::{Disturbances, Struck};
+use shelfjunction_lab::fault_soak::late_readers::{Quiet, judge as judge_late, judge_others};
 use shelfjunction_lab::fault_soak::oracle::{EngineRecords, Violation, judge, judge_reports};
 use shelfjunction_lab::fault_soak::record::{CallKind, SeenAnswer, SeenCall};
 use shelfjunction_lab::fault_soak::repeats::{RepeatBudget, SeenArrival, judge_repeats};
 use shelfjunction_lab::fault_soak::schedule::{Fault, Pace, Targets, draw};
 use shelfjunction_lab::fault_soak::spoilt::{EngineArrival, Spoilt, SpoiltSpan, judge as judge_spoilt};
 use shelfjunction_lab::relay::{LinkFault, Relay};
-use shelfjunction_lab::users_platform::{OrderRecord, RunRecord, UsageReport};
+use shelfjunction_lab::users_platform::{
+    LONG_ANSWER_EVENTS, MachinePace, OrderRecord, RunRecord, UsageReport, event, without_filling,
+};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::time::Duration;
@@ -196,7 +199,7 @@
         .iter()
         .map(|scheduled| std::mem::discriminant(&scheduled.fault))
         .collect();
-    assert_eq!(kinds.len(), 24);
+    assert_eq!(kinds.len(), 25);
     assert!(drawn.iter().any(|scheduled| scheduled.fault == Fault::KillAll));
     assert!(drawn.iter().all(|scheduled| scheduled.at < length));
 }
@@ -446,3 +449,174 @@
     assert_eq!(entries.len(), Spoilt::ALL.len());
     assert!(!entries.contains(&sound));
 }
+
+/// A request that took from second 10 to 13.
+fn late_call(answer: Option<SeenAnswer>) -> SeenCall {
+    SeenCall {
+        request: "late-reader0-1".to_owned(),
+        sent_at: Duration::from_secs(10),
+        took: Duration::from_secs(3),
+        ..call(CallKind::Again, answer)
+    }
+}
+
+/// Times at which no engine crashed.
+fn quiet(disturbances: &Disturbances) -> Quiet<'_> {
+    Quiet {
+        disturbances,
+        crashes: &[],
+    }
+}
+
+/// An answer that came with so many events of a long one, as it stands without its filling.
+fn long_answer(events: u64, whole: bool) -> SeenAnswer {
+    let body: String = (1..=events).map(|id| event(id, true)).collect();
+    SeenAnswer {
+        request: Some("late-reader0-1".to_owned()),
+        whole,
+        ..success(&without_filling(&body))
+    }
+}
+
+#[test]
+fn an_answer_that_breaks_off_for_a_caller_that_reads_late_is_found_where_nothing_else_was_wrong() {
+    let records = ran("late-reader0-1", 1);
+    let found = |events, whole, disturbances: &Disturbances, crashes: &[Duration]| {
+        let call = late_call(Some(long_answer(events, whole)));
+        judge_late(
+            &[call],
+            &records,
+            &Quiet {
+                disturbances,
+                crashes,
+            },
+        )
+    };
+    let nothing = Disturbances::default();
+    assert_eq!(found(LONG_ANSWER_EVENTS, true, &nothing, &[]), []);
+    let cut = Violation::CutForLateReader("late-reader0-1".to_owned());
+    assert_eq!(found(7, false, &nothing, &[]), std::slice::from_ref(&cut));
+    let shorter = found(7, true, &nothing, &[]);
+    assert!(
+        matches!(&shorter[..], [Violation::NotItsAnswer(..)]),
+        "{shorter:?}"
+    );
+    for (seconds, excused) in [(7, false), (8, true), (13, true), (14, false)] {
+        let at = Duration::from_secs(seconds);
+        let struck = Disturbances::default();
+        struck.end(struck.begin(Struck::Nobody, at), at);
+        assert_eq!(
+            found(7, false, &struck, &[]).is_empty(),
+            excused,
+            "struck at {seconds} s"
+        );
+        assert_eq!(
+            found(7, false, &nothing, &[at]).is_empty(),
+            excused,
+            "a crash at {seconds} s"
+        );
+    }
+}
+
+#[test]
+fn an_event_of_a_long_answer_may_break_off_anywhere() {
+    let whole = event(1, true);
+    let begun = event(2, true);
+    for end in [
+        0,
+        3,
+        7,
+        12,
+        13,
+        500,
+        begun.len() - 3,
+        begun.len() - 2,
+        begun.len() - 1,
+    ] {
+        let answer = SeenAnswer {
+            body: without_filling(&format!("{whole}{}", &begun[..end])),
+            ..long_answer(0, false)
+        };
+        let struck = Disturbances::default();
+        struck.begin(Struck::All, Duration::from_secs(9));
+        let call = late_call(Some(answer));
+        assert_eq!(
+            judge_late(&[call], &ran("late-reader0-1", 1), &quiet(&struck)),
+            [],
+            "after {end} bytes"
+        );
+    }
+    let too_much = format!("{}x", begun.trim_end());
+    assert!(
+        without_filling(&too_much).len() > 500,
+        "more filling than an event has shows"
+    );
+}
+
+#[test]
+fn events_that_come_twice_or_with_other_filling_are_found_for_a_caller_that_reads_late() {
+    let [one, two] = [event(1, true), event(2, true)];
+    for body in [
+        format!("{one}{one}"),
+        format!("{one}x{two}"),
+        two.replacen("xx", "x", 1),
+    ] {
+        let answer = SeenAnswer {
+            body: without_filling(&body),
+            ..long_answer(0, false)
+        };
+        let call = late_call(Some(answer));
+        // Something struck, so that only the order of events is at issue.
+        let struck = Disturbances::default();
+        struck.begin(Struck::All, Duration::from_secs(9));
+        let found = judge_late(&[call], &ran("late-reader0-1", 1), &quiet(&struck));
+        assert!(
+            matches!(&found[..], [Violation::EventsOutOfOrder(..)]),
+            "{}",
+            found.len()
+        );
+    }
+}
+
+#[test]
+fn a_request_that_is_not_served_beside_late_readers_is_found_where_nothing_else_was_wrong() {
+    let broken_off = SeenAnswer {
+        whole: false,
+        ..success("id: 1\n")
+    };
+    for answer in [None, Some(broken_off)] {
+        let calls = [SeenCall {
+            request: "mine".to_owned(),
+            ..late_call(answer)
+        }];
+        let expected = Violation::UnservedBesideLateReaders("mine".to_owned());
+        assert_eq!(judge_others(&calls, &quiet(&Disturbances::default())), [expected]);
+        let struck = Disturbances::default();
+        struck.begin(Struck::Nobody, Duration::from_secs(12));
+        assert_eq!(judge_others(&calls, &quiet(&struck)), []);
+    }
+    let served = [late_call(Some(success(WHOLE)))];
+    assert_eq!(judge_others(&served, &quiet(&Disturbances::default())), []);
+}
+
+#[test]
+fn an_engine_tells_the_pace_of_its_machine_and_is_as_slow_as_it_tells() {
+    let pace = MachinePace::default();
+    assert_eq!((pace.percent(), pace.added_time()), (100, Duration::ZERO));
+    pace.set(300);
+    assert_eq!(pace.percent(), 300);
+    assert_eq!(
+        pace.added_time(),
+        Duration::from_millis(20),
+        "twice the usual time more"
+    );
+}
+
+#[test]
+fn the_seed_of_the_calm_run_draws_what_that_run_is_for() {
+    let targets = Targets { nodes: 4, engines: 9 };
+    let drawn = draw(1008, Duration::from_secs(30), targets, Pace::Calm);
+    let has = |wanted: fn(&Fault) -> bool| drawn.iter().any(|scheduled| wanted(&scheduled.fault));
+    assert!(has(|fault| matches!(fault, Fault::SpoilEntry(..))), "{drawn:?}");
+    assert!(has(|fault| matches!(fault, Fault::PaceChanges(..))), "{drawn:?}");
+}
