--- a/crates/lab/src/fault_soak/late_readers.rs
+++ b/crates/lab/src/fault_soak/late_readers.rs
@@ -1,4 +1,7 @@
 //! Callers that read nothing of a long answer for some seconds, and the judgement of what they and the others get meanwhile.
+//!
+//! That it finds what it looks for: with nodes set to let a caller go after 0.3 s instead of 5 s, seed 1008 of the calm run finds 9
+//! of 10 undisturbed late answers cut.
 
 use super::callers::{Caller, Content, GIVES_UP};
 use super::deployment::Deployment;
