--- a/crates/core/src/placing/placer_set.rs
+++ b/crates/core/src/placing/placer_set.rs
@@ -2,6 +2,7 @@
 
 use crate::membership::rendezvous;
 use crate::membership::subject::SubjectHandle;
+use std::time::Duration;
 
 /// What the placers are chosen for.
 const TASK: &str = "placing";
@@ -15,6 +16,70 @@
     pub processor_thousandths: u32,
 }
 
+impl Candidate {
+    /// Where the node ranks; the greatest comes first.
+    fn rank(&self) -> (u32, u64, SubjectHandle) {
+        let weight = rendezvous::weight(SubjectHandle::of_text("task", TASK), self.node);
+        (self.processor_thousandths, weight, self.node)
+    }
+}
+
+/// What is known of another node that may place requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It said a short time ago that it places.
+    Places,
+    /// It is listed, and nothing speaks against it.
+    Listed,
+    /// It placed and has fallen silent.
+    Silent,
+}
+
+/// Time that each node which comes before gets to take a vacant place and to be heard: it looks several times a second and
+/// tells everybody at once.
+const TURN: Duration = Duration::from_millis(400);
+
+/// Nodes that come first for places, as a multiple of the places: they know every other node, so that they can tell whose
+/// turn it is. The others leave the places to them.
+const IN_LINE: usize = 3;
+
+/// Whether a node that has read only some of the list is one of those that have to know all of it: it may be among the
+/// first `places` or take over from them. Whoever is among the first of all is among the first of any part.
+pub fn is_in_line(own: Candidate, some: &[Candidate], places: usize) -> bool {
+    let own = own.rank();
+    let before = some.iter().filter(|other| other.rank() > own).count();
+    before < places * IN_LINE
+}
+
+/// Whether a node that knows all others places requests itself.
+///
+/// It does where it ranks among the first of those that place. A place that is vacant goes to the node that comes next,
+/// and only after a turn for each to the ones behind it: were the loss of one a reason for all to step in, each of n nodes
+/// would tell all others so, n squared messages at once.
+pub fn places_itself(
+    own: Candidate,
+    others: impl Iterator<Item = (Candidate, Presence)>,
+    places: usize,
+    vacant_for: Duration,
+) -> bool {
+    let own = own.rank();
+    let (mut placing, mut placing_before, mut waiting_before) = (0, 0, 0);
+    for (other, presence) in others {
+        let comes_before = usize::from(other.rank() > own);
+        match presence {
+            Presence::Places => {
+                placing += 1;
+                placing_before += comes_before;
+            }
+            Presence::Listed => waiting_before += comes_before,
+            Presence::Silent => {}
+        }
+    }
+    let vacant = places.saturating_sub(placing);
+    let turns = (vacant_for.as_millis() / TURN.as_millis()) as usize;
+    placing_before < places && (vacant == 0 || waiting_before < vacant + turns)
+}
+
 /// The placers, in no order that matters.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PlacerSet {
@@ -24,14 +89,7 @@
 impl PlacerSet {
     /// The `count` first of the candidates that are alive: by processor, then by rendezvous hashing.
     pub fn of(alive: &[Candidate], count: usize) -> Self {
-        let task = SubjectHandle::of_text("task", TASK);
-        let mut ranked: Vec<_> = alive
-            .iter()
-            .map(|candidate| {
-                let weight = rendezvous::weight(task, candidate.node);
-                (candidate.processor_thousandths, weight, candidate.node)
-            })
-            .collect();
+        let mut ranked: Vec<_> = alive.iter().map(Candidate::rank).collect();
         ranked.sort_unstable_by(|left, right| right.cmp(left));
         ranked.truncate(count);
         Self {
--- a/crates/core/src/routing/pool/cordoned.rs
+++ b/crates/core/src/routing/pool/cordoned.rs
@@ -108,12 +108,13 @@
     /// Every engine that is listed and stays.
     pub fn standings(&self) -> Vec<EngineStanding> {
         let staying = self.engines.values().filter(|state| state.stays());
+        let staying = staying.map(|state| &state.engine).chain(self.reserve());
         staying
-            .map(|state| EngineStanding {
-                engine: state.engine.id.clone(),
-                pool: state.engine.pool.clone(),
-                zone: state.engine.zone.clone(),
-                stage: state.engine.stage,
+            .map(|engine| EngineStanding {
+                engine: engine.id.clone(),
+                pool: engine.pool.clone(),
+                zone: engine.zone.clone(),
+                stage: engine.stage,
             })
             .collect()
     }
--- a/crates/core/src/routing/pool/listing.rs
+++ b/crates/core/src/routing/pool/listing.rs
@@ -57,6 +57,8 @@
     reflected: u64,
     /// Version of the last change.
     changed: u64,
+    /// Whether only the engines in use of another node are known.
+    partial: bool,
 }
 
 impl EngineListing {
@@ -66,7 +68,7 @@
         changes.sort_by_key(|(version, _)| *version);
         let mut taken = Vec::new();
         for (version, change) in changes {
-            if version <= before {
+            if version <= before || (self.partial && self.is_new(&change)) {
                 continue;
             }
             let new = self.take(change);
@@ -93,9 +95,68 @@
             self.changed = snapshot.version;
         }
         self.reflected = snapshot.version;
+        self.partial = false;
         taken
     }
 
+    /// Takes the engines in use of another node, if they are newer than what is known. Where the whole list is known they
+    /// say nothing that it doesn't.
+    pub fn replace_in_use(&mut self, snapshot: &ListSnapshot) -> Vec<ListChange> {
+        if !self.partial && self.reflected > 0 {
+            return Vec::new();
+        }
+        self.partial = true;
+        if snapshot.version < self.reflected {
+            return self.add_unknown(snapshot);
+        }
+        self.reflected = snapshot.version;
+        let mut taken = self.drop_unnamed(snapshot);
+        let engines = snapshot.engines.iter().cloned();
+        taken.extend(engines.flat_map(|engine| self.take_listed(engine)));
+        if !taken.is_empty() {
+            self.changed = snapshot.version;
+        }
+        taken
+    }
+
+    /// Drops the engines that another node has no longer in use. They may live, so their starts don't count as ended.
+    fn drop_unnamed(&mut self, snapshot: &ListSnapshot) -> Vec<ListChange> {
+        let named: BTreeSet<&str> = snapshot.engines.iter().map(|engine| engine.id.as_str()).collect();
+        let (kept, dropped) = std::mem::take(&mut self.engines)
+            .into_iter()
+            .partition(|(name, _)| named.contains(name.as_str()));
+        self.engines = kept;
+        let dropped: BTreeMap<String, PoolEngine> = dropped;
+        dropped
+            .into_values()
+            .map(|engine| ListChange::Gone(engine.id))
+            .collect()
+    }
+
+    /// Adds the engines of an older list that this one has never named.
+    fn add_unknown(&mut self, snapshot: &ListSnapshot) -> Vec<ListChange> {
+        let engines = snapshot.engines.iter();
+        let unknown = engines.filter(|engine| {
+            let name = engine.id.as_str();
+            !self.engines.contains_key(name) && !self.unreadable.contains(name) && !self.ended.knows(name)
+        });
+        let unknown: Vec<PoolEngine> = unknown.cloned().collect();
+        unknown
+            .into_iter()
+            .flat_map(|engine| self.take_listed(engine))
+            .collect()
+    }
+
+    /// Whether only the engines in use of another node are known.
+    pub fn is_partial(&self) -> bool {
+        self.partial
+    }
+
+    /// Whether a change lists an engine of which nothing is known.
+    fn is_new(&self, change: &ListChange) -> bool {
+        matches!(change, ListChange::Listed(engine) if !self.engines.contains_key(engine.id.as_str()))
+    }
+
     fn changes_to(&self, snapshot: &ListSnapshot) -> Vec<ListChange> {
         let named: BTreeSet<&str> = snapshot
             .engines
@@ -122,6 +183,15 @@
         }
     }
 
+    /// Some of the engines, for another node, as of the version that is reflected.
+    pub fn snapshot_of(&self, engines: Vec<PoolEngine>) -> ListSnapshot {
+        ListSnapshot {
+            version: self.reflected,
+            engines,
+            unreadable: Vec::new(),
+        }
+    }
+
     /// Version up to which everything is reflected.
     pub fn reflected(&self) -> u64 {
         self.reflected
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -34,6 +34,7 @@
 mod silences;
 mod speed;
 mod weights;
+mod working_set;
 
 pub use admission::{Admission, AdmissionDecision, LATE_RANK, PoolAdmission, Timing};
 pub use beliefs::{PeerWork, PrefixNews, RANKS, SilenceWord, WorkSlice, rank_of};
@@ -58,3 +59,4 @@
 pub use silences::EngineChange;
 pub use speed::ReadingSpeed;
 pub use weights::PoolWeights;
+pub use working_set::{WorkingSetChange, WorkingSetSettings};
--- a/crates/core/src/routing/pool/neighbours.rs
+++ b/crates/core/src/routing/pool/neighbours.rs
@@ -37,6 +37,8 @@
             }
         }
         for (handle, work) in works {
+            // An engine that another node uses is one that this node's next request may meet there.
+            self.bring_in(*handle);
             if let Some(state) = self.state_of(*handle) {
                 state.peers.insert(peer.clone(), (*work, now));
                 state
@@ -57,9 +59,8 @@
 
     /// Notes that engines have been ordered to change their stage, here or by another node.
     pub fn on_ordered(&mut self, orders: &[(SubjectHandle, EngineStage)], now: MonotonicTime) {
-        for state in self.engines.values_mut() {
-            let order = orders.iter().find(|(handle, _)| *handle == state.handle);
-            if let Some((_, stage)) = order
+        for (handle, stage) in orders {
+            if let Some(state) = self.state_of(*handle)
                 && state.engine.stage != *stage
                 && state.ordered.is_none_or(|(known, _)| known != *stage)
             {
--- a/crates/core/src/routing/pool/prefix.rs
+++ b/crates/core/src/routing/pool/prefix.rs
@@ -66,6 +66,11 @@
         held.last().map(|held| held.used.0)
     }
 
+    /// When anything that is held was last used; absent where nothing is.
+    pub fn latest_use(&self) -> Option<MonotonicTime> {
+        self.by_use.last_key_value().map(|((at, _), _)| *at)
+    }
+
     /// Tokens that fit beside running requests.
     pub fn capacity_tokens(&self) -> f64 {
         self.capacity as f64
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -9,6 +9,7 @@
 use super::pool_speeds::PoolSpeeds;
 use super::silences::{EngineChange, UntoldSilence};
 use super::weights::PoolWeights;
+use super::working_set::WorkingSet;
 use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
 use crate::identity::{EngineId, EngineStart, NodeId};
 use crate::membership::subject::SubjectHandle;
@@ -46,6 +47,8 @@
     /// Cordons in force.
     pub(super) cordons: Vec<CordonInForce>,
     pub(super) sharing: UseLedger,
+    /// Which of the listed engines are in use.
+    pub(super) working_set: WorkingSet,
 }
 
 impl PoolRouter {
@@ -70,11 +73,14 @@
             tickets: 0,
             cordons: Vec::new(),
             sharing: UseLedger::default(),
+            working_set: WorkingSet::default(),
         }
     }
 
     /// Takes what a configuration tells of the pools.
     pub fn on_config(&mut self, config: &ForwardingConfig) {
+        let paid = config.pools.iter().filter(|pool| pool.scaling.is_some());
+        self.working_set.paid = paid.map(|pool| pool.id.clone()).collect();
         for pool in &config.pools {
             if let Some(model) = &pool.model {
                 self.traits.insert(pool.id.clone(), model.clone());
@@ -82,22 +88,18 @@
         }
     }
 
-    /// Takes the listing of one engine; an earlier start of it has ended.
-    pub fn on_engine(&mut self, engine: PoolEngine) {
+    /// Takes an engine into use, or its new listing where it is in use.
+    pub(super) fn put_engine(&mut self, engine: PoolEngine) {
         let id = engine.id.clone();
-        let start = engine.id.start();
-        for state in self.starts_of(engine.id.as_str()) {
-            state.replaced |= state.engine.id.start() < start;
-        }
-        match self.engines.get_mut(&engine.id) {
+        match self.engines.get_mut(&id) {
             Some(state) => state.update(engine),
             None => {
                 let traits = self.traits.get(&engine.pool);
                 let tokens = traits.map_or(ASSUMED_CACHE_TOKENS, |traits| traits.cache_tokens);
                 let mut state = EngineState::new(engine, tokens);
                 self.begin_pace(&mut state);
-                self.engine_of.insert(state.handle, state.engine.id.clone());
-                self.engines.insert(state.engine.id.clone(), state);
+                self.engine_of.insert(state.handle, id.clone());
+                self.engines.insert(id.clone(), state);
             }
         }
         self.note_cordon(&id);
@@ -113,12 +115,13 @@
             .retain(|_, state| state.gone.is_none_or(|gone| now.since(gone.since) < FORGET_AFTER));
         let engines = &self.engines;
         self.engine_of.retain(|_, engine| engines.contains_key(engine));
+        self.end_use(engine);
     }
 
-    /// Notes that the entry of this name can't be read: no start of it is used any more, in doubt or not. Returns those
+    /// Notes that an engine's entry can't be read: no start of its name is used any more, in doubt or not. Returns those
     /// that were known.
-    pub fn on_entry_unreadable(&mut self, name: &str, now: MonotonicTime) -> Vec<EngineId> {
-        let starts = self.starts_of(name).map(|state| {
+    pub fn on_entry_unreadable(&mut self, entry: &EngineId, now: MonotonicTime) -> Vec<EngineId> {
+        let starts = self.starts_of(entry.as_str()).map(|state| {
             let since = state.gone.map_or(now, |gone| gone.since);
             state.gone = Some(Gone {
                 since,
@@ -126,11 +129,13 @@
             });
             state.engine.id.clone()
         });
-        starts.collect()
+        let starts: Vec<EngineId> = starts.collect();
+        starts.iter().chain([entry]).for_each(|start| self.end_use(start));
+        starts
     }
 
     /// Every start of a name that is known.
-    fn starts_of(&mut self, name: &str) -> impl Iterator<Item = &mut EngineState> {
+    pub(super) fn starts_of(&mut self, name: &str) -> impl Iterator<Item = &mut EngineState> {
         let first = EngineId::new(name);
         let last = EngineId::started(name, EngineStart(u64::MAX));
         self.engines.range_mut(first..=last).map(|(_, state)| state)
--- a/crates/core/src/routing/pool/weights.rs
+++ b/crates/core/src/routing/pool/weights.rs
@@ -1,6 +1,7 @@
 //! Settings of the pool router's cost.
 
 use super::pace::EnginePaceUse;
+use super::working_set::WorkingSetSettings;
 use crate::setting::FieldError;
 use serde::{Deserialize, Serialize};
 
@@ -58,6 +59,8 @@
     pub output_time: f64,
     /// For which engines a lasting speed and a momentary figure are told apart.
     pub engine_pace: EnginePaceUse,
+    /// How many engines of a large pool are in use.
+    pub working_set: WorkingSetSettings,
 }
 
 impl Default for PoolWeights {
@@ -86,6 +89,7 @@
             pause_seconds: 0.0,
             output_time: 0.05,
             engine_pace: EnginePaceUse::WhereTold,
+            working_set: WorkingSetSettings::default(),
         }
     }
 }
@@ -121,14 +125,14 @@
             ("routing.pause_seconds", self.pause_seconds, 0.0),
             ("routing.output_time", self.output_time, 0.0),
         ];
-        weights
+        let wrong = weights
             .into_iter()
             .filter(|(_, value, least)| !(value.is_finite() && value >= least))
             .map(|(field, value, least)| FieldError {
                 field: field.to_owned(),
                 value: value.to_string(),
                 allowed: format!("a finite number, {least} or more"),
-            })
-            .collect()
+            });
+        wrong.chain(self.working_set.validate()).collect()
     }
 }
--- a/crates/core/src/watching/shared.rs
+++ b/crates/core/src/watching/shared.rs
@@ -38,6 +38,10 @@
 /// is left is enough for a question and a first answer that is lost.
 const HEAR_FIRST_PART: f64 = 0.25;
 
+/// Time after the start within which a node knows the others, if the store answers: nodes that start together for the first
+/// time enter themselves within a second.
+const NODES_KNOWN_WITHIN: Duration = Duration::from_millis(1_500);
+
 /// Least time between two questions for something newer that the store does not give.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
 
@@ -101,6 +105,10 @@
     /// It asks where neither messages nor snapshots of others bring a change: in a large fleet the questions of all
     /// would cost the store more than they are worth.
     AsksLast,
+    /// It needs the table only while it hears none of those that watch it, and asks only then.
+    Relies,
+    /// It does not know the other nodes yet, so that it can't tell what is its to do; it asks if it does not learn so soon.
+    AwaitsNodes,
 }
 
 /// What to do next.
@@ -122,6 +130,8 @@
     lacking: Option<Lacking>,
     /// Newest version that a question was asked for and that its answer did not bring, as far as others' words tell.
     asked_for: u64,
+    /// When another node's word was last heard.
+    heard_at: MonotonicTime,
 }
 
 /// Something newer that another node has.
@@ -141,6 +151,7 @@
             answered_at: None,
             lacking: None,
             asked_for: 0,
+            heard_at: MonotonicTime::default(),
         }
     }
 
@@ -154,6 +165,7 @@
 
     /// Takes another node's word, where this node has everything up to `own_version`.
     pub fn on_word(&mut self, word: TableWord, own_version: u64, now: MonotonicTime) {
+        self.heard_at = self.heard_at.max(now);
         if word.version > own_version {
             return self.lacks(word.version, now);
         }
@@ -177,6 +189,13 @@
         self.lacking = None;
     }
 
+    /// Forgets what is confirmed, so that everything is read anew at once.
+    pub fn read_anew(&mut self) {
+        self.on_history_gone();
+        self.confirmed_at = None;
+        self.heard_at = MonotonicTime::default();
+    }
+
     /// What this node says to others, but for the version that it has.
     ///
     /// The version must be read after this: read before it, a change in between would make the node claim that the
@@ -205,18 +224,24 @@
         self.confirmed_at.map(|at| now.since(at))
     }
 
-    /// What to do next.
+    /// What to do next; time is counted from the start of the process.
     pub fn next(&self, role: WatchRole, now: MonotonicTime) -> WatchStep {
-        match role {
+        let start = MonotonicTime::default();
+        // Until something was confirmed, a node asks at once, or waits for those that watch to be heard after its start.
+        let first_due = match role {
             WatchRole::Watches => return WatchStep::Ask(self.settings.wait()),
             WatchRole::Regains => return WatchStep::Ask(Duration::ZERO),
-            WatchRole::Asks | WatchRole::AsksLast => {}
-        }
-        let fresh_until = self.confirmed_at.map(|at| at + self.settings.fresh());
-        let due = match (fresh_until, self.lacking_due(role)) {
-            (Some(fresh), Some(lacking)) => fresh.min(lacking),
-            (Some(fresh), None) => fresh,
-            (None, _) => now,
+            WatchRole::Asks => now,
+            WatchRole::AsksLast => start + self.settings.fresh(),
+            WatchRole::AwaitsNodes => start + NODES_KNOWN_WITHIN,
+            WatchRole::Relies => self.heard_at + self.settings.fresh(),
+        };
+        let due = if role == WatchRole::Relies {
+            first_due
+        } else {
+            let fresh_until = self.confirmed_at.map(|at| at + self.settings.fresh());
+            let due = fresh_until.unwrap_or(first_due);
+            self.lacking_due(role).map_or(due, |lacking| lacking.min(due))
         };
         if due <= now {
             WatchStep::Ask(Duration::ZERO)
@@ -227,8 +252,10 @@
 
     fn lacking_due(&self, role: WatchRole) -> Option<MonotonicTime> {
         let hear_first = match role {
-            WatchRole::Watches | WatchRole::Regains | WatchRole::Asks => HEAR_FIRST,
-            WatchRole::AsksLast => Duration::from_millis(self.settings.bound_millis).mul_f64(HEAR_FIRST_PART),
+            WatchRole::Watches | WatchRole::Regains | WatchRole::Asks | WatchRole::AwaitsNodes => HEAR_FIRST,
+            WatchRole::AsksLast | WatchRole::Relies => {
+                Duration::from_millis(self.settings.bound_millis).mul_f64(HEAR_FIRST_PART)
+            }
         };
         let heard = self.lacking?.since + hear_first;
         let again = self.answered_at.map(|at| at + ASK_AGAIN);
--- a/crates/node/src/commanding/ordering.rs
+++ b/crates/node/src/commanding/ordering.rs
@@ -83,7 +83,8 @@
 
     /// Keeps the highest loads of late.
     fn observe(&mut self, context: &Context, now: MonotonicTime) {
-        let router = lock(&context.router);
+        let mut router = lock(&context.router);
+        router.keep_working_set(now);
         for pool in router.model_pools() {
             let (engines, demand) = router.role_input(&pool, now);
             let expected = lock(&context.expected_loads).get(&pool).copied();
@@ -103,7 +104,10 @@
         let router = lock(&context.router);
         let changes = self.peaks.iter().map(|(pool, peaks)| {
             let (engines, _) = router.role_input(pool, now);
-            plan_round(&engines, *peaks, policy)
+            let mut changes = plan_round(&engines, *peaks, policy);
+            // Engines that are what is wanted already come into use instead; an order takes one out of service.
+            changes.retain(|change| !router.has_reserve(pool, change.to));
+            changes
         });
         changes
             .into_iter()
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -25,6 +25,7 @@
     EngineListing, EngineState, ListChange, PoolEngine, PoolRouter, RecentChanges,
 };
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_core::watching::WatchRole;
 use shelfjunction_platform::clock::MonotonicClock;
 use shelfjunction_threads::{StopSignal, lock};
 use std::collections::BTreeMap;
@@ -159,8 +160,8 @@
             state: Arc::new(NodeState::default()),
             stop: Arc::new(StopSignal::default()),
             store_trouble: StoreTrouble::default(),
-            config_watch: TableWatch::new("configuration", config.config_watch),
-            list_watch: TableWatch::new("engines", config.list_watch),
+            config_watch: TableWatch::new("configuration", config.config_watch, WatchRole::AsksLast),
+            list_watch: TableWatch::new("engines", config.list_watch, WatchRole::Relies),
             listing: Mutex::new(EngineListing::default()),
             recent_changes: Mutex::new(RecentChanges::default()),
             cordons: Mutex::default(),
@@ -240,22 +241,30 @@
         if !changes.is_empty() {
             *lock(&self.list_changed_at) = now;
         }
+        let listed = changes.len();
+        let mut reserved = 0;
         for change in changes {
             match change {
-                ListChange::Listed(engine) => self.engine_listed(engine, source),
+                ListChange::Listed(engine) => reserved += usize::from(!self.engine_listed(engine, source)),
                 ListChange::Unreadable(entry) => {
                     log::info!(engine = entry.as_str(), source; "engine_unusable");
-                    let starts = lock(&self.router).on_entry_unreadable(entry.as_str(), now);
+                    let starts = lock(&self.router).on_entry_unreadable(&entry, now);
                     starts.iter().for_each(|start| self.links.forget(start));
                 }
                 ListChange::Gone(engine) => {
                     let doubtful = self.store_trouble.was_recent(now);
-                    log::info!(engine = engine.as_str(), start:% = engine.start(), doubtful, source; "engine_gone");
+                    if self.is_in_use(&engine) {
+                        log::info!(engine = engine.as_str(), start:% = engine.start(), doubtful, source; "engine_gone");
+                        self.links.forget(&engine);
+                    }
                     lock(&self.router).on_engine_gone(&engine, doubtful, now);
-                    self.links.forget(&engine);
                 }
             }
         }
+        // Of a reserve of thousands each engine is not worth a line.
+        if reserved > 0 {
+            log::info!(changes = listed, reserved, source; "engines_reserved");
+        }
         if lock(&self.router).note_reclaims(now) {
             log::info!(source; "spot_engines_taken_back");
         }
@@ -292,22 +301,32 @@
         self.now().since(*lock(&self.list_changed_at))
     }
 
-    fn engine_listed(&self, engine: PoolEngine, source: &str) {
-        log::info!(
-            engine = engine.id.as_str(),
-            start:% = engine.id.start(),
-            pool:% = engine.pool,
-            address:% = engine.address,
-            zone = engine.zone.as_str(),
-            stage:? = engine.stage,
-            leaving = engine.leaving,
-            source;
-            "engine_listed"
-        );
+    /// Takes an engine's listing; whether requests may go there.
+    fn engine_listed(&self, engine: PoolEngine, source: &str) -> bool {
         if engine.leaving {
             self.links.forget(&engine.id);
         }
-        lock(&self.router).on_engine(engine);
+        lock(&self.router).on_engine(engine.clone());
+        let in_use = self.is_in_use(&engine.id);
+        if in_use {
+            log::info!(
+                engine = engine.id.as_str(),
+                start:% = engine.id.start(),
+                pool:% = engine.pool,
+                address:% = engine.address,
+                zone = engine.zone.as_str(),
+                stage:? = engine.stage,
+                leaving = engine.leaving,
+                source;
+                "engine_listed"
+            );
+        }
+        in_use
+    }
+
+    /// Whether an engine is one of those that requests may go to.
+    fn is_in_use(&self, engine: &EngineId) -> bool {
+        lock(&self.router).engine(engine).is_some()
     }
 
     /// The pool that takes the next request of a route.
--- a/crates/node/src/course/admitting.rs
+++ b/crates/node/src/course/admitting.rs
@@ -45,7 +45,7 @@
             return self.follow(verdict.admission, &answer, at);
         }
         let settings = &self.context.config.admission;
-        let decision = lock(&self.context.router).admit(&self.query(&[], now), timing, settings, now);
+        let decision = lock(&self.context.router).admit_growing(&self.query(&[], now), timing, settings, now);
         self.log_admission(Judged::by(&decision), timing);
         if !decision.expected.is_zero() {
             let query = self.query(&[], now);
@@ -77,7 +77,7 @@
             return self.placed(placement);
         }
         let now = self.context.now();
-        let route = lock(&self.context.router).choose(&self.query(&[], now), now);
+        let route = lock(&self.context.router).choose_growing(&self.query(&[], now), now);
         self.placed(routing::placement(route));
     }
 
--- a/crates/node/src/course/placing.rs
+++ b/crates/node/src/course/placing.rs
@@ -4,6 +4,7 @@
 use super::accounting::PlacedChoice;
 use super::driver::Driver;
 use super::routing;
+use crate::peers;
 use crate::placing::{self, Asked, PlacedAt};
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::membership::subject::SubjectHandle;
@@ -27,7 +28,7 @@
         if placement.is_some() {
             return self.placed(placement);
         }
-        let route = lock(&self.context.router).choose(&self.query(excluded, now), now);
+        let route = lock(&self.context.router).choose_growing(&self.query(excluded, now), now);
         self.placed(routing::placement(route));
     }
 
@@ -49,7 +50,8 @@
             return self.placed(placement);
         }
         let now = self.context.now();
-        let engine = lock(&self.context.router).choose_output(&self.query(excluded, now), source, now);
+        let query = self.query(excluded, now);
+        let engine = lock(&self.context.router).choose_output_growing(&query, source, now);
         self.placed(engine.map(|engine| Placement::Whole(routing::target(&engine))));
     }
 
@@ -129,16 +131,12 @@
 
     /// The engine that a placer named, unless this node knows that it is leaving or does not know it.
     fn resolved(&self, engine: SubjectHandle, at: &PlacedAt) -> Option<PoolEngine> {
-        let known = {
-            let router = lock(&self.context.router);
-            let id = router.engine_named(engine);
-            id.and_then(|id| {
-                router
-                    .engine(&id)
-                    .filter(|state| state.stays())
-                    .map(|state| state.engine.clone())
-            })
-        };
+        let mut known = self.listed(engine);
+        // This node may know only the engines that were in use when it last asked.
+        if known.is_none() && lock(&self.context.listing).is_partial() {
+            peers::take_engines_in_use(self.context, at.address);
+            known = self.listed(engine);
+        }
         if known.is_none() {
             log::info!(request = self.call.request.as_str(), placer:% = at.address; "placed_engine_not_known");
             placing::tell(self.context, at, Progress::Abandoned);
@@ -146,6 +144,13 @@
         known
     }
 
+    fn listed(&self, engine: SubjectHandle) -> Option<PoolEngine> {
+        let mut router = lock(&self.context.router);
+        let engine = router.bring_in(engine)?;
+        let state = router.engine(&engine).filter(|state| state.stays());
+        state.map(|state| state.engine.clone())
+    }
+
     fn log_asked(&self, asked: &Asked) {
         match asked {
             Asked::Own => self.context.metrics.placement("own"),
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -106,10 +106,13 @@
             let context = Arc::clone(&context);
             move || peers::tell(&context)
         })?;
-        spawn("peers-serve", {
-            let context = Arc::clone(&context);
-            move || peers::serve_snapshots(&context, &peer_listener)
-        })?;
+        let peer_listener = Arc::new(peer_listener);
+        for _ in 0..peers::SNAPSHOT_SERVERS {
+            spawn("peers-serve", {
+                let (context, listener) = (Arc::clone(&context), Arc::clone(&peer_listener));
+                move || peers::serve_snapshots(&context, &listener)
+            })?;
+        }
         spawn("peers-catch-up", {
             let context = Arc::clone(&context);
             move || peers::catch_up(&context)
--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -6,12 +6,10 @@
 use super::{Behind, Duty, Peers};
 use crate::context::Context;
 use crate::cordons;
-use bincode::config::{Configuration, standard};
 use rand::Rng;
-use serde::{Deserialize, Serialize};
-use shelfjunction_core::cordon::CordonSet;
-use shelfjunction_core::forwarding::ForwardingConfig;
-use shelfjunction_core::routing::pool::{ListSnapshot, PrefixNews};
+use shelfjunction_core::routing::pool::ListSnapshot;
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_protocol::node_snapshot::{Snapshot, Wanted};
 use shelfjunction_threads::lock;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -25,6 +23,10 @@
 /// that follow, and spread so that not all ask at once.
 const PEER_FIRST_MILLIS: std::ops::Range<u64> = 150..500;
 
+/// Least time between two questions for the engines in use: who chooses engines for all names others at once, and a node
+/// that chooses by itself for a while meets at worst engines that refuse it.
+const LIST_AGAIN: Duration = Duration::from_millis(2_500);
+
 /// Longest wait for a peer to take a connection, and for each of its bytes.
 const PEER_WAIT: Duration = Duration::from_millis(500);
 
@@ -34,55 +36,9 @@
 /// Longest snapshot, in bytes.
 const MOST_BYTES: u64 = 8 * 1024 * 1024;
 
-const CODEC: Configuration = standard();
-
-/// What a peer hands over.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-struct Snapshot {
-    config: Option<ForwardingConfig>,
-    list: Option<ListSnapshot>,
-    cordons: Option<CordonSet>,
-    /// What engines are believed to hold.
-    held: Vec<PrefixNews>,
-}
-
-/// What a node asks a peer for; one byte, a bit each.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Wanted {
-    config: bool,
-    list: bool,
-    held: bool,
-    cordons: bool,
-}
-
-impl Wanted {
-    const ALL: Self = Self {
-        config: true,
-        list: true,
-        held: true,
-        cordons: true,
-    };
-
-    fn any(self) -> bool {
-        self.config || self.list || self.held || self.cordons
-    }
-
-    fn to_byte(self) -> u8 {
-        u8::from(self.config)
-            | u8::from(self.list) << 1
-            | u8::from(self.held) << 2
-            | u8::from(self.cordons) << 3
-    }
-
-    fn of_byte(byte: u8) -> Self {
-        Self {
-            config: byte & 1 != 0,
-            list: byte & 2 != 0,
-            held: byte & 4 != 0,
-            cordons: byte & 8 != 0,
-        }
-    }
-}
+/// Threads that hand over snapshots: after a loss of all nodes a hundred ask one at the same moment, each at the end of a
+/// slow link.
+pub(crate) const SERVERS: usize = 6;
 
 impl Peers {
     /// Compares the versions that a peer has with this node's.
@@ -112,20 +68,28 @@
     Wanted {
         config: config_version < behind.config_version,
         list: lock(&context.listing).reflected() < behind.list_version,
-        held: false,
         cordons: cordons::version(context) < behind.cordons,
+        sections: true,
+        in_use_suffice: context.peers.duty(context.now()) == Duty::Off,
+        ..Wanted::default()
     }
 }
 
 /// Takes from peers what this node lacks, as long as the process runs.
 pub(crate) fn catch_up(context: &Context) {
+    let mut list_asked_at: Option<MonotonicTime> = None;
     loop {
         let behind = context.peers.next_behind();
         context.stop.wait(time_for_others(context));
-        let wanted = lacks(context, &behind);
+        let mut wanted = lacks(context, &behind);
+        let asked_lately = list_asked_at.is_some_and(|at| context.now().since(at) < LIST_AGAIN);
+        wanted.list &= !(wanted.in_use_suffice && asked_lately && context.state.is_ready());
         if !wanted.any() {
             continue;
         }
+        if wanted.list {
+            list_asked_at = Some(context.now());
+        }
         match fetch(behind.peer, wanted) {
             Some(snapshot) => take(context, snapshot, behind.peer),
             None => log::info!(peer:% = behind.peer; "peer_snapshot_failed"),
@@ -135,6 +99,9 @@
 
 /// Time that others have to tell this node before it asks a peer.
 fn time_for_others(context: &Context) -> Duration {
+    if !context.state.is_ready() {
+        return Duration::ZERO;
+    }
     match context.peers.duty(context.now()) {
         Duty::Off => Duration::from_millis(rand::rng().random_range(PEER_FIRST_MILLIS)),
         Duty::Placer | Duty::Shared | Duty::NotKnown => STORE_FIRST,
@@ -148,7 +115,7 @@
         context.config_watch.on_caught_up();
     }
     if let Some(list) = snapshot.list {
-        take_list(context, &list, &source);
+        take_list(context, &list, snapshot.list_is_partial, &source);
     }
     if let Some(set) = snapshot.cordons {
         cordons::take(context, set, &source);
@@ -156,10 +123,14 @@
     lock(&context.router).on_peer_news(&snapshot.held, context.now());
 }
 
-fn take_list(context: &Context, list: &ListSnapshot, source: &str) {
+fn take_list(context: &Context, list: &ListSnapshot, is_partial: bool, source: &str) {
     let changes = {
         let mut listing = lock(&context.listing);
-        let changes = listing.replace(list);
+        let changes = if is_partial {
+            listing.replace_in_use(list)
+        } else {
+            listing.replace(list)
+        };
         if !changes.is_empty() {
             lock(&context.recent_changes).reset();
         }
@@ -171,7 +142,7 @@
     }
 }
 
-/// Takes everything from the first of some peers that knows what engines hold.
+/// Takes everything from the first of some peers that knows the whole list of engines.
 pub(crate) fn take_from_any(context: &Context) {
     let peers = context.peers.told(context.now());
     for peer in peers.into_iter().take(PEERS_ASKED) {
@@ -186,14 +157,29 @@
     }
 }
 
+/// Takes the engines in use of a placer that named one which this node does not know.
+pub(crate) fn take_engines_in_use(context: &Context, placer: SocketAddr) {
+    let wanted = Wanted {
+        list: true,
+        sections: true,
+        in_use_suffice: true,
+        ..Wanted::default()
+    };
+    match fetch(placer, wanted) {
+        Some(snapshot) => take(context, snapshot, placer),
+        None => log::info!(peer:% = placer; "peer_snapshot_failed"),
+    }
+}
+
 fn fetch(peer: SocketAddr, wanted: Wanted) -> Option<Snapshot> {
     let mut stream = TcpStream::connect_timeout(&peer, PEER_WAIT).ok()?;
     stream.set_read_timeout(Some(PEER_WAIT)).ok()?;
     stream.write_all(&[wanted.to_byte()]).ok()?;
     let mut bytes = Vec::new();
     stream.take(MOST_BYTES).read_to_end(&mut bytes).ok()?;
-    let (snapshot, used) = bincode::serde::decode_from_slice(&bytes, CODEC).ok()?;
-    (used == bytes.len()).then_some(snapshot)
+    Snapshot::decode(&bytes)
+        .inspect_err(|error| log::info!(peer:% = peer, error:% = error; "peer_snapshot_unreadable"))
+        .ok()
 }
 
 /// Hands snapshots to peers as long as the process runs.
@@ -218,18 +204,35 @@
     let mut byte = [0];
     stream.read_exact(&mut byte).ok()?;
     let wanted = Wanted::of_byte(byte[0]);
+    let bytes = snapshot(context, wanted).encode(wanted).ok()?;
+    stream.set_write_timeout(Some(PEER_WAIT)).ok()?;
+    stream.write_all(&bytes).ok()
+}
+
+fn snapshot(context: &Context, wanted: Wanted) -> Snapshot {
     let config = context.forwarding().filter(|_| wanted.config);
-    let snapshot = Snapshot {
+    let listing = lock(&context.listing);
+    let is_partial = wanted.in_use_suffice || listing.is_partial();
+    // Who asks for the whole list has no use for a part of it.
+    let tells_list = wanted.list && (wanted.in_use_suffice || !listing.is_partial());
+    let list = tells_list.then(|| {
+        if is_partial {
+            let engines = lock(&context.router).in_use();
+            listing.snapshot_of(engines)
+        } else {
+            listing.snapshot()
+        }
+    });
+    drop(listing);
+    Snapshot {
         config: config.map(|config| config.as_ref().clone()),
         cordons: wanted.cordons.then(|| lock(&context.cordons).clone()),
-        list: wanted.list.then(|| lock(&context.listing).snapshot()),
+        list_is_partial: list.is_some() && is_partial,
+        list,
         held: if wanted.held {
             lock(&context.router).held()
         } else {
             Vec::new()
         },
-    };
-    let bytes = bincode::serde::encode_to_vec(&snapshot, CODEC).ok()?;
-    stream.set_write_timeout(Some(PEER_WAIT)).ok()?;
-    stream.write_all(&bytes).ok()
+    }
 }
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -1,6 +1,5 @@
 //! Takes the words of other nodes.
 
-use super::message::{Datagram, MOST_RECEIVED, WorkMessage};
 use super::placers::Placing;
 use super::{Behind, Peer};
 use crate::belief_log;
@@ -11,6 +10,7 @@
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::routing::pool::ListNews;
 use shelfjunction_core::sharing::UseWord;
+use shelfjunction_protocol::node_words::{Datagram, MOST_RECEIVED, WorkMessage};
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -9,24 +9,27 @@
 mod catching_up;
 mod directory;
 mod hearing;
-mod message;
 mod placers;
 mod sharing;
 mod telling;
 mod use_words;
 
-pub(crate) use catching_up::{catch_up, serve as serve_snapshots, take_from_any};
+pub(crate) use catching_up::{
+    SERVERS as SNAPSHOT_SERVERS, catch_up, serve as serve_snapshots, take_engines_in_use, take_from_any,
+};
 pub(crate) use directory::follow as follow_directory;
 pub(crate) use hearing::hear;
-pub(crate) use message::{Datagram, LivenessAnswer, LivenessQuestion, MOST_SUSPECTS, UsageMessage};
 pub(crate) use placers::{Duty, Placing};
+pub(crate) use shelfjunction_protocol::node_words::{
+    Datagram, LivenessAnswer, LivenessQuestion, MOST_SUSPECTS, UsageMessage,
+};
 pub(crate) use telling::tell;
 
 use crate::config::NodeConfig;
 use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::placing::config::PlacingSettings;
-use shelfjunction_core::placing::placer_set::Candidate;
+use shelfjunction_core::placing::placer_set::{Candidate, Presence};
 use shelfjunction_core::retry::census::KnownPeer;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -102,10 +105,27 @@
         self.last_message.is_some() && now.since(self.known_at) < PLACER_SILENCE
     }
 
-    /// Whether it may be a placer: one that says so, or one that has had no time yet to say anything.
-    fn may_place(&self, now: MonotonicTime) -> bool {
+    /// Whether it may be a placer: one that says so, or, where all nodes are known, one that has had no time yet to say
+    /// anything.
+    fn may_place(&self, all_known: bool, now: MonotonicTime) -> bool {
         let is_fresh = now.since(self.known_at) < PLACER_SILENCE;
-        is_fresh && (self.places || self.last_message.is_none())
+        is_fresh && (self.places || (all_known && self.last_message.is_none()))
+    }
+
+    /// Whether it said a short time ago that it places.
+    fn places_now(&self, now: MonotonicTime) -> bool {
+        self.places && self.spoke_just_now(now)
+    }
+
+    /// What speaks for and against it as one that may place.
+    fn presence(&self, now: MonotonicTime) -> Presence {
+        if self.places_now(now) {
+            Presence::Places
+        } else if self.places {
+            Presence::Silent
+        } else {
+            Presence::Listed
+        }
     }
 
     fn candidate(&self) -> Candidate {
@@ -125,6 +145,8 @@
     /// Length of the window of budgets for repeats.
     budget_window: Duration,
     known: Mutex<Known>,
+    /// Who places, as of the last look; locked before `known`.
+    looked: Mutex<Option<(MonotonicTime, Placing)>>,
     pending: Mutex<Pending>,
     change: Condvar,
     behind: Mutex<Option<Behind>>,
@@ -154,6 +176,10 @@
 struct Known {
     peers: BTreeMap<NodeId, Peer>,
     listed: bool,
+    /// Whether the whole list was read: a node that comes far behind in the line of placers reads a part of it.
+    is_complete: bool,
+    /// Since when fewer nodes place than should.
+    vacant_since: Option<MonotonicTime>,
     /// Since when this node has heard everybody; absent while others do.
     hears_all_since: Option<MonotonicTime>,
 }
@@ -170,6 +196,11 @@
     fn nodes_known_itself(&self) -> u32 {
         self.peers.len() as u32 + 1
     }
+
+    /// Whether it is known how many nodes there are: from the list, or from one that has read more of it.
+    fn knows_number(&self) -> bool {
+        self.listed && (self.is_complete || self.nodes() > self.nodes_known_itself())
+    }
 }
 
 impl Peers {
@@ -183,6 +214,7 @@
             placing: config.placing,
             budget_window: config.retry_budget().window,
             known: Mutex::default(),
+            looked: Mutex::default(),
             pending: Mutex::default(),
             change: Condvar::new(),
             behind: Mutex::default(),
@@ -193,7 +225,7 @@
     /// Nodes in all, this one included; absent until the list was read.
     pub(crate) fn nodes(&self) -> Option<u32> {
         let known = lock(&self.known);
-        known.listed.then(|| known.nodes())
+        known.knows_number().then(|| known.nodes())
     }
 
     /// Nodes that this one has listed or heard, itself included.
--- a/crates/node/src/peers/placers.rs
+++ b/crates/node/src/peers/placers.rs
@@ -1,12 +1,17 @@
 //! Which nodes choose engines, as this node sees it now.
 
-use super::{Peer, Peers};
+use super::{Known, Peer, Peers};
+use crate::ports::NodeEntry;
 use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::placing::placer_set::{Candidate, PlacerSet};
+use shelfjunction_core::placing::placer_set::{self, Candidate, PlacerSet};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time for which a look at who places holds: placers speak every few hundred milliseconds.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
 /// Who chooses engines in this fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,18 +46,71 @@
 }
 
 impl Peers {
-    /// Who chooses engines now.
+    /// Who chooses engines now, as of a moment ago: in a large fleet it takes a look at each node.
     pub(crate) fn placing(&self, now: MonotonicTime) -> Placing {
-        let known = lock(&self.known);
+        let mut looked = lock(&self.looked);
+        if let Some((at, placing)) = looked.as_ref()
+            && now.since(*at) < LOOK_AGAIN
+        {
+            return placing.clone();
+        }
+        let placing = self.look_who_places(now);
+        *looked = Some((now, placing.clone()));
+        placing
+    }
+
+    fn look_who_places(&self, now: MonotonicTime) -> Placing {
+        let mut known = lock(&self.known);
         if known.nodes() as usize <= self.placing.alone_up_to {
             return Placing::Each;
         }
-        let others = known.peers.values().filter(|peer| peer.may_place(now));
+        let is_complete = known.is_complete;
+        let others = known
+            .peers
+            .values()
+            .filter(|peer| peer.may_place(is_complete, now));
         let mut alive: Vec<Candidate> = others.map(Peer::candidate).collect();
-        alive.push(self.own);
+        if self.places_itself(&mut known, now) {
+            alive.push(self.own);
+        }
         Placing::Placers(PlacerSet::of(&alive, self.placing.placers))
     }
 
+    /// Whether this node takes one of the places; one that has not read the whole list leaves them to others.
+    fn places_itself(&self, known: &mut Known, now: MonotonicTime) -> bool {
+        if !known.is_complete {
+            return false;
+        }
+        let placing = known.peers.values().filter(|peer| peer.places_now(now));
+        if placing.count() >= self.placing.placers {
+            known.vacant_since = None;
+        } else {
+            known.vacant_since.get_or_insert(now);
+        }
+        let vacant_for = known
+            .vacant_since
+            .map_or(Duration::ZERO, |since| now.since(since));
+        let others = known
+            .peers
+            .values()
+            .map(|peer| (peer.candidate(), peer.presence(now)));
+        placer_set::places_itself(self.own, others, self.placing.placers, vacant_for)
+    }
+
+    /// Whether no placer was heard for a while, so that this node has to look for others itself.
+    pub(super) fn hears_no_placer(&self, now: MonotonicTime) -> bool {
+        let known = lock(&self.known);
+        known.nodes() as usize > self.placing.alone_up_to
+            && !known.peers.values().any(|peer| peer.heard_lately(now))
+    }
+
+    /// Whether this node has to know all others, of which some are known.
+    pub(super) fn is_in_line(&self, some: &[NodeEntry]) -> bool {
+        let others = some.iter().map(NodeEntry::candidate);
+        let others: Vec<Candidate> = others.filter(|other| other.node != self.own.node).collect();
+        placer_set::is_in_line(self.own, &others, self.placing.placers)
+    }
+
     /// Whether this node chooses engines for others, or each node for itself.
     pub(crate) fn is_placer(&self, now: MonotonicTime) -> bool {
         match self.placing(now) {
--- a/crates/node/src/peers/sharing.rs
+++ b/crates/node/src/peers/sharing.rs
@@ -22,7 +22,7 @@
 
     fn own_word(&self, settles_in: Duration) -> OwnWord {
         OwnWord {
-            nodes: self.listed.then(|| self.nodes()),
+            nodes: self.knows_number().then(|| self.nodes()),
             hears_all_since: self.hears_all_since,
             is_settled: settles_in.is_zero(),
         }
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -1,10 +1,6 @@
 //! Tells other nodes of this node's work.
 
 use super::Peers;
-use super::message::{
-    Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_FIGURES, MOST_LASTING, MOST_NEWS,
-    MOST_SILENCES, WorkMessage,
-};
 use super::placers::Placing;
 use super::use_words::UseTeller;
 use crate::context::Context;
@@ -13,6 +9,10 @@
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::routing::pool::{PaceWords, PeerWork, WorkSlice};
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_protocol::node_words::{
+    Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_FIGURES, MOST_LASTING, MOST_NEWS,
+    MOST_SILENCES, WorkMessage,
+};
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -65,6 +65,7 @@
         let pause = teller.round(confirmed);
         teller.use_teller.tell(context, context.now());
         log_pace_changes(context);
+        log_working_set(context);
         let tells_again = quarantine::tell(context);
         teller.tells_again = teller.tells_again.min(tells_again);
         context.stop.wait(pause);
@@ -85,6 +86,22 @@
     }
 }
 
+/// One line for each group of engines of which more or fewer are in use; the router gathers a bounded number.
+fn log_working_set(context: &Context) {
+    let changes = lock(&context.router).take_working_set_changes();
+    for change in changes {
+        log::info!(
+            pool:% = change.pool,
+            zone = change.zone.as_str(),
+            stage = change.stage.name(),
+            in_use = change.in_use,
+            reserve = change.reserve,
+            wanted = change.wanted;
+            "working_set_changed"
+        );
+    }
+}
+
 /// What was told, and when.
 struct Teller<'a> {
     context: &'a Context,
--- a/crates/node/src/peers/use_words.rs
+++ b/crates/node/src/peers/use_words.rs
@@ -1,9 +1,9 @@
 //! Tells the other nodes that admit requests what this one admitted for tenants and kinds.
 
-use super::message::Datagram;
 use crate::context::Context;
 use shelfjunction_core::sharing::UseWord;
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_protocol::node_words::Datagram;
 use shelfjunction_threads::lock;
 use std::time::Duration;
 
--- a/crates/node/src/ports/mod.rs
+++ b/crates/node/src/ports/mod.rs
@@ -7,6 +7,8 @@
 use shelfjunction_core::engine::{EngineRefusal, KvTransfer};
 use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig};
 use shelfjunction_core::identity::{EngineId, FencingToken, NodeId, RequestId, TenantId};
+use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::placing::placer_set::Candidate;
 use shelfjunction_core::routing::pool::{EngineStage, ListChange, PromptPart, PromptShape, ToldLoad};
 use shelfjunction_core::table::PlatformError;
 use shelfjunction_core::tenancy::ApiKey;
@@ -384,6 +386,25 @@
     pub processor_thousandths: u32,
 }
 
+impl NodeEntry {
+    /// The node as one that may place requests.
+    pub fn candidate(&self) -> Candidate {
+        Candidate {
+            node: SubjectHandle::of_text("node", self.node.as_str()),
+            processor_thousandths: self.processor_thousandths,
+        }
+    }
+}
+
+/// Some of the nodes that have entered themselves.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct NodePage {
+    /// The nodes, by name.
+    pub entries: Vec<NodeEntry>,
+    /// Whether more nodes follow.
+    pub more: bool,
+}
+
 /// The platform's store, as far as it tells nodes of each other.
 pub trait NodeDirectory: Send + Sync {
     /// Enters a node, in place of what it entered before.
@@ -394,4 +415,7 @@
 
     /// Every node that has entered itself and was not taken off.
     fn nodes(&self) -> Result<Vec<NodeEntry>, PlatformError>;
+
+    /// The first of them by name, at most so many, from a name on.
+    fn nodes_from(&self, first: &str, most: u16) -> Result<NodePage, PlatformError>;
 }
--- a/crates/node/src/recovering.rs
+++ b/crates/node/src/recovering.rs
@@ -13,7 +13,10 @@
 use shelfjunction_core::routing::pool::{EngineStage, PrefixBlock};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::thread;
 use std::time::Duration;
 
 /// Pause between two looks at whether configuration, engines and nodes are known.
@@ -28,6 +31,10 @@
 /// Longest wait for an engine's list.
 const LIST_WAIT: Duration = Duration::from_millis(500);
 
+/// Engines that are asked at once. A placer asks some 40 first, and one may take 500 ms: in turn they would take longer
+/// than callers wait.
+const ASKED_AT_ONCE: usize = 8;
+
 /// Time between two looks at whether this node has become a placer.
 const LOOK_FOR_DUTY_EVERY: Duration = Duration::from_millis(500);
 
@@ -46,12 +53,20 @@
             log::info!(places; "placer_changed");
         }
         if places && !knows {
-            peers::take_from_any(context);
+            become_placer(context);
         }
         knows = places;
     }
 }
 
+/// Learns what a placer has to know, and a node off duty does not: every engine, and what those in use hold.
+fn become_placer(context: &Context) {
+    peers::take_from_any(context);
+    if lock(&context.listing).is_partial() {
+        context.list_watch.read_anew();
+    }
+}
+
 fn recover(context: &Context) {
     peers::take_from_any(context);
     let begun = context.now();
@@ -60,7 +75,20 @@
         .map(|(engine, address)| (begun + delay(context, &engine), engine, address))
         .collect();
     due.sort();
-    for (at, engine, address) in due {
+    let next = Mutex::new(VecDeque::from(due));
+    thread::scope(|scope| {
+        for _ in 0..ASKED_AT_ONCE {
+            scope.spawn(|| ask_due(context, &next));
+        }
+    });
+}
+
+/// Asks engines, each when it is due, until none is left.
+fn ask_due(context: &Context, due: &Mutex<VecDeque<(MonotonicTime, EngineId, SocketAddr)>>) {
+    loop {
+        let Some((at, engine, address)) = lock(due).pop_front() else {
+            return;
+        };
         context.stop.wait(at.since(context.now()));
         if !is_known(context, &engine) {
             ask(context, &engine, address);
--- a/crates/node/src/watch/engines.rs
+++ b/crates/node/src/watch/engines.rs
@@ -25,7 +25,9 @@
     let mut faults = RowFaults::default();
     loop {
         let wait = table.wait_for_question(context);
-        let after = table.store_version();
+        // What follows on a part of the list says nothing of the rest.
+        let is_partial = lock(&context.listing).is_partial();
+        let after = if is_partial { 0 } else { table.store_version() };
         let changes = match after {
             0 => store.engines().map_err(WatchError::Failed),
             after => store.watch_engines(StoreVersion(after), wait),
--- a/crates/node/src/watch/table.rs
+++ b/crates/node/src/watch/table.rs
@@ -15,6 +15,8 @@
 pub(crate) struct TableWatch {
     name: &'static str,
     settings: SharedWatchSettings,
+    /// What a node of a large fleet does that is not on duty.
+    off_duty: WatchRole,
     state: Mutex<State>,
     heard: Condvar,
 }
@@ -28,10 +30,12 @@
 }
 
 impl TableWatch {
-    pub(crate) fn new(name: &'static str, settings: SharedWatchSettings) -> Self {
+    /// The table of a name; `off_duty` is what a node of a large fleet does that is not on duty.
+    pub(crate) fn new(name: &'static str, settings: SharedWatchSettings, off_duty: WatchRole) -> Self {
         Self {
             name,
             settings,
+            off_duty,
             state: Mutex::new(State {
                 watch: SharedWatch::new(settings),
                 in_contact: true,
@@ -70,6 +74,18 @@
         }
     }
 
+    /// Has the whole table read anew.
+    pub(crate) fn read_anew(&self) {
+        lock(&self.state).watch.read_anew();
+        self.heard.notify_one();
+    }
+
+    /// Looks again at what is this node's to do: the other nodes have become known.
+    pub(crate) fn look_again(&self) {
+        drop(lock(&self.state));
+        self.heard.notify_one();
+    }
+
     /// Notes that what was lacking has come from another node.
     pub(crate) fn on_caught_up(&self) {
         lock(&self.state).watch.on_caught_up();
@@ -111,9 +127,10 @@
             }
             let role = match (watches, duty) {
                 (true, _) => WatchRole::Watches,
-                (false, Duty::Off) => WatchRole::AsksLast,
+                (false, Duty::Off) => self.off_duty,
+                (false, Duty::NotKnown) => WatchRole::AwaitsNodes,
                 (false, Duty::Placer) if !state.in_contact => WatchRole::Regains,
-                (false, Duty::Placer | Duty::Shared | Duty::NotKnown) => WatchRole::Asks,
+                (false, Duty::Placer | Duty::Shared) => WatchRole::Asks,
             };
             match state.watch.next(role, now) {
                 WatchStep::Ask(wait) => return wait,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod cordons;
 pub mod duties;
 pub mod frame;
+pub mod node_snapshot;
+pub mod node_words;
 pub mod operator;
 pub mod peer;
 pub mod quarantine;
--- a/crates/node/src/peers/message.rs
+++ b/crates/protocol/src/node_words.rs
@@ -1,4 +1,8 @@
-//! The datagrams between nodes.
+//! The datagrams between nodes, in format 1.
+//!
+//! A datagram is the bincode of one [`Datagram`]; its first byte is the number of the variant. Builds that run side by side
+//! during an upgrade have no other words for each other, so none of these types may change: what a later format says
+//! begins with a byte that is no number of a variant here, and is sent to those only that understand it.
 
 use bincode::config::{Configuration, standard};
 use serde::{Deserialize, Serialize};
@@ -16,114 +20,114 @@
 use shelfjunction_core::watching::TableWord;
 
 /// Longest datagram, in bytes; stays below the smallest usual frame.
-pub(super) const MOST_BYTES: usize = 1_400;
+pub const MOST_BYTES: usize = 1_400;
 
 /// Longest datagram that is taken, in bytes: a question about a prompt of many parts is longer than the rest.
-pub(super) const MOST_RECEIVED: usize = 16 * 1_024;
+pub const MOST_RECEIVED: usize = 16 * 1_024;
 
 /// Engines in one message; each takes about 20 bytes.
-pub(super) const MOST_ENGINES: usize = 32;
+pub const MOST_ENGINES: usize = 32;
 
 /// Changes of the list of engines in one message about work; each takes about 100 bytes.
-pub(super) const MOST_CHANGES: usize = 6;
+pub const MOST_CHANGES: usize = 6;
 
 /// The same in a message that says nothing of work.
-pub(super) const MOST_CHANGES_ALONE: usize = 11;
+pub const MOST_CHANGES_ALONE: usize = 11;
 
 /// News in one message; each takes about 30 bytes, seldom 200.
-pub(super) const MOST_NEWS: usize = 8;
+pub const MOST_NEWS: usize = 8;
 
 /// Silent engines in one message; each takes about 20 bytes. Three are enough for a path to be suspected.
-pub(super) const MOST_SILENCES: usize = 8;
+pub const MOST_SILENCES: usize = 8;
 
 /// Momentary figures of engines in one message; each takes about 15 bytes.
-pub(super) const MOST_FIGURES: usize = 8;
+pub const MOST_FIGURES: usize = 8;
 
 /// Lasting speeds of engines in one message; each takes about 13 bytes.
-pub(super) const MOST_LASTING: usize = 4;
+pub const MOST_LASTING: usize = 4;
 
 /// Requests under which engines crashed in one message; each takes about 80 bytes.
-pub(crate) const MOST_SUSPECTS: usize = 12;
+pub const MOST_SUSPECTS: usize = 12;
 
 /// A node's word of its work.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct WorkMessage {
+pub struct WorkMessage {
     /// The sender.
-    pub(super) node: NodeId,
+    pub node: NodeId,
     /// Start of the sender's process; a later start has a higher number as far as clocks allow.
-    pub(super) start: u64,
+    pub start: u64,
     /// Number of the message since that start.
-    pub(super) number: u64,
+    pub number: u64,
     /// Nodes that the sender itself has listed or heard, itself included.
-    pub(super) nodes: u32,
+    pub nodes: u32,
     /// What the sender tells of the budgets for repeats.
-    pub(super) sharing: SharingWord,
+    pub sharing: SharingWord,
     /// Whether the sender holds itself for a placer.
-    pub(super) places: bool,
+    pub places: bool,
     /// Thousandths of a processor core that the sender may use.
-    pub(super) processor_thousandths: u32,
+    pub processor_thousandths: u32,
     /// Whether the store answers the sender.
-    pub(super) store_answers: bool,
+    pub store_answers: bool,
     /// Whether the sender holds the lease over orders and duties.
-    pub(super) holds_lease: bool,
+    pub holds_lease: bool,
     /// The sender's time of day.
-    pub(super) unix: UnixTime,
+    pub unix: UnixTime,
     /// The configuration that the sender has.
-    pub(super) config: TableWord,
+    pub config: TableWord,
     /// The list of engines that the sender has, by the store's version at its last change.
-    pub(super) list: TableWord,
+    pub list: TableWord,
     /// Version of the operators' cordons that the sender has.
-    pub(super) cordons: u64,
+    pub cordons: u64,
     /// Changes of that list that the store has just told the sender.
-    pub(super) list_news: ListNews,
+    pub list_news: ListNews,
     /// Engines that `work` is about.
-    pub(super) slice: WorkSlice,
+    pub slice: WorkSlice,
     /// Work at engines; none where an engine of the slice is not named.
-    pub(super) work: Vec<(SubjectHandle, PeerWork)>,
+    pub work: Vec<(SubjectHandle, PeerWork)>,
     /// Prompt tokens that the sender's requests had to have read in a second.
-    pub(super) prompt_tokens_per_second: u32,
+    pub prompt_tokens_per_second: u32,
     /// Engines that have been ordered to change their stage.
-    pub(super) orders: Vec<(SubjectHandle, EngineStage)>,
+    pub orders: Vec<(SubjectHandle, EngineStage)>,
     /// Shared prefixes that engines have come to hold since the last message.
-    pub(super) news: Vec<PrefixNews>,
+    pub news: Vec<PrefixNews>,
     /// Engines that fell silent towards nodes that the sender chooses for, since the last message.
-    pub(super) silences: Vec<SilenceWord>,
+    pub silences: Vec<SilenceWord>,
     /// Paces of engines.
-    pub(super) paces: PaceWords,
+    pub paces: PaceWords,
 }
 
 /// Asks a placer whether an engine has answered anybody a moment ago.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct LivenessQuestion {
+pub struct LivenessQuestion {
     /// Number that the sender has drawn for the question.
-    pub(crate) number: u64,
+    pub number: u64,
     /// The engine.
-    pub(crate) engine: SubjectHandle,
+    pub engine: SubjectHandle,
 }
 
 /// A placer's answer to a [`LivenessQuestion`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct LivenessAnswer {
+pub struct LivenessAnswer {
     /// Number of the question.
-    pub(crate) number: u64,
+    pub number: u64,
     /// Whether the engine answers.
-    pub(crate) answers: bool,
+    pub answers: bool,
 }
 
 /// A node's counts of one window, or some of them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct UsageMessage {
+pub struct UsageMessage {
     /// The sender.
-    pub(crate) node: NodeId,
+    pub node: NodeId,
     /// Start of the sender's process.
-    pub(crate) start: u64,
+    pub start: u64,
     /// The counts.
-    pub(crate) word: UsageWord,
+    pub word: UsageWord,
 }
 
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) enum Datagram {
+pub enum Datagram {
     /// A node's word of its work.
     Work(Box<WorkMessage>),
     /// Asks a placer about a request.
@@ -151,7 +155,7 @@
 impl Datagram {
     /// The bytes; a word without changes of the list where it would be too long with them, since whoever misses them
     /// asks the store, and without paces where that isn't enough, since they are told again.
-    pub(crate) fn encode(mut self) -> Option<Vec<u8>> {
+    pub fn encode(mut self) -> Option<Vec<u8>> {
         let bytes = bincode::serde::encode_to_vec(&self, CODEC).ok()?;
         match &mut self {
             Self::Work(message) if bytes.len() > MOST_BYTES && !message.list_news.changes.is_empty() => {
@@ -167,7 +171,7 @@
     }
 
     /// Reads a datagram; absent when it is none of these.
-    pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
         let (datagram, used) = bincode::serde::decode_from_slice(bytes, CODEC).ok()?;
         (used == bytes.len()).then_some(datagram)
     }
