Resting connections to an engine are divided among the nodes

Now a node keeps its share of the pool's limit; where an engine takes fewer than there are nodes, which nodes keep one follows from both names. Connections of engines that are used no more are closed when their time is over.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod autoscaling;
 pub mod bundle;
+pub mod connections;
 pub mod cordon;
 pub mod demand;
 pub mod drain;
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -13,6 +13,7 @@
 use crate::releasing::Releases;
 use crate::repeats::Repeats;
 use crate::watch::{StoreTrouble, TableWatch};
+use shelfjunction_core::connections;
 use shelfjunction_core::cordon::CordonSet;
 use shelfjunction_core::forwarding::{
     Adoption, CallerWaits, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation, stopping,
@@ -274,10 +275,27 @@
     /// Lets a connection rest if it can be used again: not one to a start of an engine that is listed no longer.
     pub(crate) fn rest_link(&self, engine: &EngineId, link: Box<dyn EngineLink>, now: MonotonicTime) {
         if self.knows_so(engine, EngineState::is_listed) {
-            self.links.give_back(engine, link, now);
+            self.links
+                .give_back(engine, link, self.resting_allowed(engine), now);
         }
     }
 
+    /// Connections to an engine that may rest here: this node's share of what the engine takes.
+    fn resting_allowed(&self, engine: &EngineId) -> usize {
+        let (handle, pool) = {
+            let router = lock(&self.router);
+            let pool = router.engine(engine).map(|state| state.engine.pool.clone());
+            (router.handle_of(engine), pool)
+        };
+        let config = self.forwarding();
+        let pool = pool.and_then(|pool| config.as_ref()?.pool(&pool).map(|pool| pool.connection_limit));
+        let nodes = self.peers.nodes().unwrap_or(1);
+        // What is not configured yet is not worth a connection.
+        pool.map_or(0, |limit| {
+            connections::resting_allowed(limit, nodes, self.peers.own_handle(), handle)
+        })
+    }
+
     /// Whether what is meant for this start of an engine would not reach a later start instead.
     pub(crate) fn may_be_reached(&self, engine: &EngineId) -> bool {
         self.knows_so(engine, |state| !state.has_later_start())
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -10,8 +10,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// Most connections that rest for one engine.
-const RESTING_PER_ENGINE: usize = 24;
+/// Most connections that rest at this node; callers and what is under way need the other descriptors.
+const MOST_RESTING: usize = 1_000;
+
+/// Time between two looks for connections that engines are about to close.
+const SWEEP_EVERY: Duration = Duration::from_secs(5);
 
 struct RestingLink {
     link: Box<dyn EngineLink>,
@@ -22,14 +25,38 @@
 /// another never meets a connection of the first.
 pub(crate) struct Links {
     protocol: Arc<dyn EngineProtocol>,
-    resting: Mutex<BTreeMap<EngineId, Vec<RestingLink>>>,
+    resting: Mutex<Resting>,
+}
+
+#[derive(Default)]
+struct Resting {
+    links: BTreeMap<EngineId, Vec<RestingLink>>,
+    swept_at: MonotonicTime,
+}
+
+impl Resting {
+    fn count(&self) -> usize {
+        self.links.values().map(Vec::len).sum()
+    }
+
+    /// Closes what has rested too long: an engine that is used no more would keep its connections for ever.
+    fn sweep(&mut self, now: MonotonicTime) {
+        if now.since(self.swept_at) < SWEEP_EVERY {
+            return;
+        }
+        self.swept_at = now;
+        self.links.retain(|_, links| {
+            links.retain(|resting| resting.until > now);
+            !links.is_empty()
+        });
+    }
 }
 
 impl Links {
     pub(crate) fn new(protocol: Arc<dyn EngineProtocol>) -> Self {
         Self {
             protocol,
-            resting: Mutex::new(BTreeMap::new()),
+            resting: Mutex::default(),
         }
     }
 
@@ -54,14 +81,24 @@
         self.protocol.connect(address, wait)
     }
 
-    /// Lets a connection rest if it can be used again.
-    pub(crate) fn give_back(&self, engine: &EngineId, link: Box<dyn EngineLink>, now: MonotonicTime) {
+    /// Lets a connection rest if it can be used again and no more than `most` rest for the engine.
+    pub(crate) fn give_back(
+        &self,
+        engine: &EngineId,
+        link: Box<dyn EngineLink>,
+        most: usize,
+        now: MonotonicTime,
+    ) {
         let Some(rest) = link.rest() else {
             return;
         };
         let mut resting = lock(&self.resting);
-        let links = resting.entry(engine.clone()).or_default();
-        if links.len() < RESTING_PER_ENGINE {
+        resting.sweep(now);
+        if resting.count() >= MOST_RESTING {
+            return;
+        }
+        let links = resting.links.entry(engine.clone()).or_default();
+        if links.len() < most {
             links.push(RestingLink {
                 link,
                 until: now + rest,
@@ -71,10 +108,10 @@
 
     /// Closes the resting connections of an engine.
     pub(crate) fn forget(&self, engine: &EngineId) {
-        lock(&self.resting).remove(engine);
+        lock(&self.resting).links.remove(engine);
     }
 
     fn pop(&self, engine: &EngineId) -> Option<RestingLink> {
-        lock(&self.resting).get_mut(engine)?.pop()
+        lock(&self.resting).links.get_mut(engine)?.pop()
     }
 }
