--- a/crates/core/src/routing/pool/listing.rs
+++ b/crates/core/src/routing/pool/listing.rs
@@ -99,10 +99,10 @@
         taken
     }
 
-    /// Takes the engines in use of another node, if they are newer than what is known. Where the whole list is known they
-    /// say nothing that it doesn't.
+    /// Takes the engines in use of another node. Where the whole list is known and not older, they say nothing that it
+    /// doesn't; an older one is given up, since nobody keeps it for a node that takes these.
     pub fn replace_in_use(&mut self, snapshot: &ListSnapshot) -> Vec<ListChange> {
-        if !self.partial && self.reflected > 0 {
+        if !self.partial && self.reflected >= snapshot.version {
             return Vec::new();
         }
         self.partial = true;
--- a/crates/node/src/course/placing.rs
+++ b/crates/node/src/course/placing.rs
@@ -4,7 +4,7 @@
 use super::accounting::PlacedChoice;
 use super::driver::Driver;
 use super::routing;
-use crate::peers;
+use crate::peers::{self, Duty};
 use crate::placing::{self, Asked, PlacedAt};
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::membership::subject::SubjectHandle;
@@ -132,8 +132,8 @@
     /// The engine that a placer named, unless this node knows that it is leaving or does not know it.
     fn resolved(&self, engine: SubjectHandle, at: &PlacedAt) -> Option<PoolEngine> {
         let mut known = self.listed(engine);
-        // This node may know only the engines that were in use when it last asked.
-        if known.is_none() && lock(&self.context.listing).is_partial() {
+        // A node off duty knows the engines that were in use when it last asked.
+        if known.is_none() && self.context.peers.duty(self.context.now()) == Duty::Off {
             peers::take_engines_in_use(self.context, at.address);
             known = self.listed(engine);
         }
--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -23,9 +23,9 @@
 /// that follow, and spread so that not all ask at once.
 const PEER_FIRST_MILLIS: std::ops::Range<u64> = 150..500;
 
-/// Least time between two questions for the engines in use: who chooses engines for all names others at once, and a node
-/// that chooses by itself for a while meets at worst engines that refuse it.
-const LIST_AGAIN: Duration = Duration::from_millis(2_500);
+/// Least time between two questions for the engines in use, as a part of the time within which a change of the list must
+/// be in force: what is left is enough for a word and a snapshot, should the node have to choose by itself.
+const LIST_AGAIN_PART: f64 = 0.4;
 
 /// Longest wait for a peer to take a connection, and for each of its bytes.
 const PEER_WAIT: Duration = Duration::from_millis(500);
@@ -78,11 +78,13 @@
 /// Takes from peers what this node lacks, as long as the process runs.
 pub(crate) fn catch_up(context: &Context) {
     let mut list_asked_at: Option<MonotonicTime> = None;
+    let list_bound = Duration::from_millis(context.config.list_watch.bound_millis);
+    let list_again = list_bound.mul_f64(LIST_AGAIN_PART);
     loop {
         let behind = context.peers.next_behind();
         context.stop.wait(time_for_others(context));
         let mut wanted = lacks(context, &behind);
-        let asked_lately = list_asked_at.is_some_and(|at| context.now().since(at) < LIST_AGAIN);
+        let asked_lately = list_asked_at.is_some_and(|at| context.now().since(at) < list_again);
         wanted.list &= !(wanted.in_use_suffice && asked_lately && context.state.is_ready());
         if !wanted.any() {
             continue;
