--- a/crates/lab/src/command/mod.rs
+++ b/crates/lab/src/command/mod.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod engine;
 mod fault_soak;
+mod fleet;
 mod footprint;
 mod load;
 mod options;
@@ -49,6 +50,7 @@
     &soak::COMMAND,
     &fault_soak::COMMAND,
     &scale::COMMAND,
+    &fleet::COMMAND,
     &footprint::COMMAND,
 ];
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod demo;
 pub mod engine;
 pub mod fault_soak;
+pub mod fleet;
 pub mod footprint;
 pub mod load;
 pub mod platform;
