Far placers tell a node seldom

Cause: each placer told every node twice a second, and five times while it had something confirmed, which a watcher always has: some 16 to 28 datagrams a second to each of 985 nodes. Now two placers are near a node and tell it twice a second, the others once in four seconds; what is new in the configuration or the cordons goes to all at once. A build that does not say that it takes sparse words gets every word as before.

--- a/crates/core/src/placing/placer_set.rs
+++ b/crates/core/src/placing/placer_set.rs
@@ -1,7 +1,7 @@
 //! Who the placers are, as one node sees it.
 
 use crate::membership::rendezvous;
-use crate::membership::subject::SubjectHandle;
+use crate::membership::subject::{SubjectHandle, mix};
 use std::time::Duration;
 
 /// What the placers are chosen for.
@@ -43,6 +43,9 @@
 /// turn it is. The others leave the places to them.
 const IN_LINE: usize = 3;
 
+/// Placers that tell a node often; two, so that the loss of one goes unnoticed until another takes its place.
+const NEAR_PLACERS: usize = 2;
+
 /// Whether a node that has read only some of the list is one of those that have to know all of it: it may be among the
 /// first `places` or take over from them. Whoever is among the first of all is among the first of any part.
 pub fn is_in_line(own: Candidate, some: &[Candidate], places: usize) -> bool {
@@ -102,6 +105,17 @@
         &self.placers
     }
 
+    /// The nodes that come first for so many places, and those that take over from them.
+    pub fn line(alive: &[Candidate], places: usize) -> Self {
+        Self::of(alive, places * IN_LINE)
+    }
+
+    /// Whether a placer is one of the few that tell a node often.
+    pub fn is_near(&self, placer: SubjectHandle, node: SubjectHandle) -> bool {
+        let near = self.placers_of(mix(node.number()), |_| false, NEAR_PLACERS);
+        near.contains(&placer)
+    }
+
     /// Whether a node is one of them.
     pub fn includes(&self, node: SubjectHandle) -> bool {
         self.placers.contains(&node)
--- a/crates/core/src/routing/pool/beliefs.rs
+++ b/crates/core/src/routing/pool/beliefs.rs
@@ -35,6 +35,9 @@
     pub shortest_bound_millis: u32,
 }
 
+/// What the number of a slice without engines says.
+const TAKES_SPARSE_WORDS: u16 = 1;
+
 /// The engines that one message about work is about: of `of` equal parts the one numbered `index`.
 ///
 /// What a message says of its slice replaces what its sender said of it before, so that a lost message is made good by
@@ -51,8 +54,22 @@
     /// All engines.
     pub const ALL: Self = Self { index: 0, of: 1 };
 
-    /// No engine.
-    pub const NOTHING: Self = Self { index: 0, of: 0 };
+    /// No engine. The number of the part, which means nothing here, says that the sender takes sparse words from far
+    /// placers: builds that don't know it pass it over.
+    pub const NOTHING: Self = Self {
+        index: TAKES_SPARSE_WORDS,
+        of: 0,
+    };
+
+    /// Whether the slice is about no engine.
+    pub fn is_nothing(self) -> bool {
+        self.of == 0
+    }
+
+    /// Whether the sender takes sparse words from far placers.
+    pub fn takes_sparse_words(self) -> bool {
+        self.of == 0 && self.index >= TAKES_SPARSE_WORDS
+    }
 
     /// Whether the slice is about an engine.
     pub fn includes(self, engine: SubjectHandle) -> bool {
--- a/crates/node/src/peers/directory.rs
+++ b/crates/node/src/peers/directory.rs
@@ -216,6 +216,7 @@
 
 fn note_listed(context: &Context, entries: Vec<NodeEntry>, is_complete: bool) {
     let now = context.now();
+    let in_line = context.peers.is_in_line(&entries);
     let mut known = lock(&context.peers.known);
     let others = entries
         .into_iter()
@@ -231,6 +232,7 @@
     }
     known.listed = true;
     known.is_complete = is_complete;
+    known.in_line = is_complete && in_line;
     drop(known);
     context.state.note_nodes_listed();
     context.config_watch.look_again();
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -69,10 +69,12 @@
         }
         peer.address = from;
         peer.known_at = now;
-        peer.last_message = Some(position);
         peer.store_answers = message.store_answers;
         peer.holds_lease = message.holds_lease;
         peer.places = message.places;
+        peer.takes_sparse_words = message.slice.takes_sparse_words()
+            || (peer.takes_sparse_words && peer.last_message.is_some_and(|last| last.0 == message.start));
+        peer.last_message = Some(position);
         peer.told_nodes = message.nodes;
         peer.cordons = message.cordons;
         peer.sharing.hear(message.start, message.sharing, now);
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -44,6 +44,9 @@
 /// Silence after which a placer no longer counts as alive; it speaks at least three times in between.
 const PLACER_SILENCE: Duration = Duration::from_millis(1_800);
 
+/// The same towards a node that far placers tell seldom: one that is asked and gives no answer is passed over meanwhile.
+const FAR_PLACER_SILENCE: Duration = Duration::from_secs(9);
+
 /// Silence after which a node no longer counts as alive.
 const HEARD_LATELY: Duration = Duration::from_millis(3_500);
 
@@ -63,6 +66,8 @@
     holds_lease: bool,
     /// Whether it held itself for a placer when it spoke last.
     places: bool,
+    /// Whether far placers may tell it seldom.
+    takes_sparse_words: bool,
     /// Thousandths of a processor core that it may use.
     processor_thousandths: u32,
     /// Nodes that it knew itself when it spoke last: one that started early may have read a short list.
@@ -84,6 +89,7 @@
             store_answers: false,
             holds_lease: false,
             places: false,
+            takes_sparse_words: false,
             processor_thousandths: 0,
             told_nodes: 0,
             cordons: 0,
@@ -107,8 +113,8 @@
 
     /// Whether it may be a placer: one that says so, or, where all nodes are known, one that has had no time yet to say
     /// anything.
-    fn may_place(&self, all_known: bool, now: MonotonicTime) -> bool {
-        let is_fresh = now.since(self.known_at) < PLACER_SILENCE;
+    fn may_place(&self, all_known: bool, silence: Duration, now: MonotonicTime) -> bool {
+        let is_fresh = now.since(self.known_at) < silence;
         is_fresh && (self.places || (all_known && self.last_message.is_none()))
     }
 
@@ -178,6 +184,8 @@
     listed: bool,
     /// Whether the whole list was read: a node that comes far behind in the line of placers reads a part of it.
     is_complete: bool,
+    /// Whether this node is one of those that come first for a place.
+    in_line: bool,
     /// Since when fewer nodes place than should.
     vacant_since: Option<MonotonicTime>,
     /// Since when this node has heard everybody; absent while others do.
@@ -197,6 +205,15 @@
         self.peers.len() as u32 + 1
     }
 
+    /// Silence after which a placer no longer counts as alive here.
+    fn placer_silence(&self) -> Duration {
+        if self.in_line {
+            PLACER_SILENCE
+        } else {
+            FAR_PLACER_SILENCE
+        }
+    }
+
     /// Whether it is known how many nodes there are: from the list, or from one that has read more of it.
     fn knows_number(&self) -> bool {
         self.listed && (self.is_complete || self.nodes() > self.nodes_known_itself())
--- a/crates/node/src/peers/placers.rs
+++ b/crates/node/src/peers/placers.rs
@@ -65,10 +65,9 @@
             return Placing::Each;
         }
         let is_complete = known.is_complete;
-        let others = known
-            .peers
-            .values()
-            .filter(|peer| peer.may_place(is_complete, now));
+        let silence = known.placer_silence();
+        let others = known.peers.values();
+        let others = others.filter(|peer| peer.may_place(is_complete, silence, now));
         let mut alive: Vec<Candidate> = others.map(Peer::candidate).collect();
         if self.places_itself(&mut known, now) {
             alive.push(self.own);
@@ -76,9 +75,11 @@
         Placing::Placers(PlacerSet::of(&alive, self.placing.placers))
     }
 
-    /// Whether this node takes one of the places; one that has not read the whole list leaves them to others.
+    /// Whether this node takes one of the places; one that comes far behind in the line leaves them to others as long as
+    /// it hears any.
     fn places_itself(&self, known: &mut Known, now: MonotonicTime) -> bool {
-        if !known.is_complete {
+        let hears_any = known.peers.values().any(|peer| peer.heard_lately(now));
+        if !known.is_complete || (!known.in_line && hears_any) {
             return false;
         }
         let placing = known.peers.values().filter(|peer| peer.places_now(now));
@@ -104,6 +105,24 @@
             && !known.peers.values().any(|peer| peer.heard_lately(now))
     }
 
+    /// Addresses of the nodes that this placer tells often: those in line for a place, those to which it is near, and
+    /// those whose build takes no sparse words.
+    pub(super) fn told_often(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+        let Placing::Placers(placers) = self.placing(now) else {
+            return self.addresses(now);
+        };
+        let known = lock(&self.known);
+        let mut candidates: Vec<Candidate> = known.peers.values().map(Peer::candidate).collect();
+        candidates.push(self.own);
+        let line = PlacerSet::line(&candidates, self.placing.placers);
+        let often = known.peers.values().filter(|peer| {
+            !peer.takes_sparse_words
+                || line.includes(peer.handle)
+                || placers.is_near(self.own.node, peer.handle)
+        });
+        often.map(|peer| peer.address).collect()
+    }
+
     /// Whether this node has to know all others, of which some are known.
     pub(super) fn is_in_line(&self, some: &[NodeEntry]) -> bool {
         let others = some.iter().map(NodeEntry::candidate);
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -31,6 +31,9 @@
 /// Time after which a placer tells everybody that it lives; several fit into the silence that it may keep.
 const PLACER_TELLS_AGAIN: Duration = Duration::from_millis(500);
 
+/// A node to which a placer is far hears it once in so many rounds.
+const FAR_ROUNDS: u32 = 8;
+
 /// Time after which a node of a large fleet that is no placer tells the placers of itself, so that they know whom to
 /// tell, and notice soon that one is gone whose callers' requests come to others, who earn repeats from them.
 const OTHERS_TELL_AGAIN: Duration = Duration::from_secs(2);
@@ -112,8 +115,10 @@
     tells_again: Duration,
     use_teller: UseTeller,
     told_all_at: Option<MonotonicTime>,
-    /// Whether there is something confirmed that not everybody has been told.
-    owes_all: bool,
+    /// Versions of the configuration and the cordons that everybody was told.
+    told_versions: (u64, u64),
+    /// Rounds in which a placer told others that it lives.
+    rounds_to_all: u32,
     told_slices: BTreeMap<WorkSlice, (Vec<(SubjectHandle, PeerWork)>, MonotonicTime)>,
     lasting_told_at: Option<MonotonicTime>,
 }
@@ -129,7 +134,8 @@
             tells_again: TELL_AGAIN,
             use_teller: UseTeller::default(),
             told_all_at: None,
-            owes_all: false,
+            told_versions: (0, 0),
+            rounds_to_all: 0,
             told_slices: BTreeMap::new(),
             lasting_told_at: None,
         }
@@ -139,11 +145,9 @@
     fn round(&mut self, confirmed: bool) -> Duration {
         let now = self.context.now();
         let own = self.context.peers.own_handle();
-        self.owes_all |= confirmed;
         match self.context.peers.placing(now) {
             Placing::Each => {
                 self.tells_again = TELL_AGAIN;
-                self.owes_all = false;
                 self.tell_of_work(confirmed, now)
             }
             Placing::Placers(placers) if placers.includes(own) => {
@@ -156,7 +160,6 @@
                 self.tells_again = OTHERS_TELL_AGAIN;
                 // The placers learn of silent engines from the requests that they placed.
                 lock(&self.context.router).take_silences(usize::MAX, now);
-                self.owes_all = false;
                 self.tell_placers(confirmed, now)
             }
         }
@@ -224,9 +227,12 @@
         self.idle_rounds % IDLE_ROUNDS <= 1
     }
 
-    /// Tells the whole of a large fleet that this placer lives, and what the store has confirmed.
+    /// Tells the nodes of a large fleet that this placer lives: all of them at once what is new, otherwise those near it
+    /// often and the others seldom, so that a node hears as much however many placers there are.
     fn tell_all(&mut self, now: MonotonicTime) {
-        let due_after = if self.owes_all {
+        let versions = self.versions();
+        let is_news = self.told_versions != versions;
+        let due_after = if is_news {
             LEAST_PAUSE_TO_ALL
         } else {
             PLACER_TELLS_AGAIN
@@ -235,12 +241,23 @@
             return;
         }
         self.told_all_at = Some(now);
-        self.owes_all = false;
+        self.told_versions = versions;
+        self.rounds_to_all += 1;
         let message = self.compose(WorkSlice::NOTHING, true, now);
-        let peers = self.context.peers.addresses(now);
+        let peers = if is_news || self.rounds_to_all.is_multiple_of(FAR_ROUNDS) {
+            self.context.peers.addresses(now)
+        } else {
+            self.context.peers.told_often(now)
+        };
         self.send(&peers, message);
     }
 
+    /// What every node has to hear of at once: the versions of the configuration and of the operators' cordons.
+    fn versions(&self) -> (u64, u64) {
+        let config = self.context.forwarding().map_or(0, |config| config.version);
+        (config, cordons::version(self.context))
+    }
+
     /// Tells the placers that this node lives, and what the store has confirmed.
     fn tell_placers(&mut self, confirmed: bool, now: MonotonicTime) -> Duration {
         let is_due = self
@@ -260,7 +277,7 @@
         let context = self.context;
         let config_version = || context.forwarding().map_or(0, |config| config.version);
         let list_version = || lock(&context.listing).changed();
-        let most_changes = if slice == WorkSlice::NOTHING {
+        let most_changes = if slice.is_nothing() {
             MOST_CHANGES_ALONE
         } else {
             MOST_CHANGES
