--- a/crates/core/tests/shared_watch.rs
+++ b/crates/core/tests/shared_watch.rs
@@ -250,3 +250,53 @@
         WatchStep::Rest(_)
     ));
 }
+
+#[test]
+fn a_node_that_relies_on_others_asks_only_when_it_hears_none_of_them() {
+    let mut watch = SharedWatch::new(SETTINGS);
+    for second in 1..20 {
+        // Each word tells of something newer that this node never takes.
+        watch.on_word(word(second, 900), 0, at(second * 1_000));
+        let step = watch.next(WatchRole::Relies, at(second * 1_000 + 900));
+        assert!(matches!(step, WatchStep::Rest(_)), "second {second}: {step:?}");
+    }
+    let silent = at(19_000) + SETTINGS.fresh();
+    assert_eq!(
+        watch.next(WatchRole::Relies, silent),
+        WatchStep::Ask(Duration::ZERO)
+    );
+}
+
+#[test]
+fn after_its_start_a_node_off_duty_waits_to_hear_those_that_watch() {
+    let watch = SharedWatch::new(SETTINGS);
+    for role in [WatchRole::AsksLast, WatchRole::Relies] {
+        assert_eq!(watch.next(role, at(0)), WatchStep::Rest(SETTINGS.fresh()));
+        assert_eq!(watch.next(role, at(1_200)), WatchStep::Ask(Duration::ZERO));
+    }
+}
+
+#[test]
+fn a_node_that_does_not_know_the_others_asks_after_a_while() {
+    let watch = SharedWatch::new(SETTINGS);
+    assert!(matches!(
+        watch.next(WatchRole::AwaitsNodes, at(1_400)),
+        WatchStep::Rest(_)
+    ));
+    assert_eq!(
+        watch.next(WatchRole::AwaitsNodes, at(1_500)),
+        WatchStep::Ask(Duration::ZERO)
+    );
+}
+
+#[test]
+fn what_is_to_be_read_anew_is_asked_for_at_once() {
+    let mut watch = SharedWatch::new(SETTINGS);
+    watch.on_store_answer(70, at(1_000));
+    watch.read_anew();
+    assert_eq!(watch.store_version(), 0);
+    assert_eq!(
+        watch.next(WatchRole::Asks, at(1_001)),
+        WatchStep::Ask(Duration::ZERO)
+    );
+}
--- a/crates/lab/src/command/fault_soak.rs
+++ b/crates/lab/src/command/fault_soak.rs
@@ -29,6 +29,12 @@
 
 fn declare(options: &mut getopts::Options) {
     options.optopt("", "program", "the program `shelfjunction`", "FILE");
+    options.optopt(
+        "",
+        "other-build",
+        "another build, which nodes run first; they are upgraded in turn and go back again",
+        "FILE",
+    );
     options.optopt("", "nodes", "nodes (3)", "NUMBER");
     options.optopt("", "callers", "callers at once (12)", "NUMBER");
     options.optopt(
@@ -80,6 +86,7 @@
     for seed in first..first + runs {
         let config = FaultSoakConfig {
             program: program.clone(),
+            other_build: options.value("other-build")?,
             nodes,
             callers: options.value_or("callers", 12)?,
             crashers: options.value_or("crashers", 2)?,
--- a/crates/lab/src/fault_soak/deployment.rs
+++ b/crates/lab/src/fault_soak/deployment.rs
@@ -249,6 +249,11 @@
         ended
     }
 
+    /// Has a node run another program from its next start on.
+    pub fn set_program(&self, node: usize, program: &Path) {
+        lock(&self.nodes[node]).launch.program = program.to_path_buf();
+    }
+
     /// Starts a node that does not run; one that is about to end is started by whoever stopped it.
     pub fn start_node(&self, node: usize) -> io::Result<()> {
         let mut place = lock(&self.nodes[node]);
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -19,6 +19,7 @@
 pub mod schedule;
 pub mod spoilt;
 mod striking;
+mod upgrading;
 
 use callers::Caller;
 use crashers::Crasher;
@@ -50,6 +51,8 @@
 pub struct FaultSoakConfig {
     /// The program of the nodes.
     pub program: PathBuf,
+    /// Another build, which all nodes run at first: they are upgraded to `program` in turn and go back again.
+    pub other_build: Option<PathBuf>,
     /// Nodes.
     pub nodes: usize,
     /// Callers at once.
@@ -137,7 +140,8 @@
 /// Runs once.
 pub fn run(config: &FaultSoakConfig) -> io::Result<FaultSoakReport> {
     std::fs::create_dir_all(&config.directory)?;
-    let deployment = Deployment::start(&config.program, config.nodes, &config.directory)?;
+    let first = config.other_build.as_ref().unwrap_or(&config.program);
+    let deployment = Deployment::start(first, config.nodes, &config.directory)?;
     let mut violations = wait_until_served(&deployment, config.seed, config.recovery);
     let schedule = schedule::draw(config.seed, config.length, deployment.targets(), config.pace);
     let begun = Instant::now();
@@ -282,7 +286,17 @@
                 scope.spawn(|| reader.run(deployment, begun, &stop))
             })
             .collect();
+        let upgrade = config.other_build.as_ref().map(|other| {
+            scope.spawn(|| {
+                upgrading::upgrade_and_go_back(deployment, other, &config.program, begun, config.length)
+            })
+        });
         striking::strike(deployment, schedule, begun);
+        if let Some(upgrade) = upgrade
+            && upgrade.join().is_err()
+        {
+            log::error!("upgrade_not_ended");
+        }
         stop.store(true, Ordering::Relaxed);
         let all = callers.into_iter().chain(crashers).chain(late_readers);
         let seen = all.filter_map(|caller| caller.join().ok());
--- a/crates/node/src/commanding/mod.rs
+++ b/crates/node/src/commanding/mod.rs
@@ -23,6 +23,10 @@
 /// Time between two looks.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
+/// The same of a node of a large fleet that is not on duty, which has nothing to order: a thousand that each look four times
+/// a second wake their machines for nothing.
+const LOOK_EVERY_OFF_DUTY: Duration = Duration::from_secs(1);
+
 /// Shorter suspensions are not told: no time that nodes hold each other to is as short.
 const LEAST_SUSPENSION: Duration = Duration::from_millis(100);
 
@@ -38,7 +42,7 @@
     // Before this node takes its first request, if the store answers.
     keeper.step(context, table);
     let mut suspension = SuspensionWatch::start();
-    while !context.stop.wait(pause(&ordering)) {
+    while !context.stop.wait(pause(context, &ordering)) {
         note_suspension(suspension.look());
         keeper.step(context, table);
         cordons.step(context, table);
@@ -67,9 +71,11 @@
 }
 
 /// The next order of a round follows at once.
-fn pause(ordering: &Ordering) -> Duration {
+fn pause(context: &Context, ordering: &Ordering) -> Duration {
     if ordering.has_more() {
         Duration::ZERO
+    } else if context.peers.duty(context.now()) == Duty::Off {
+        LOOK_EVERY_OFF_DUTY
     } else {
         LOOK_EVERY
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -86,6 +86,7 @@
     pub(crate) list_version: Gauge,
     /// Engines that take work.
     pub(crate) engines: Gauge,
+    pub(crate) engines_reserved: Gauge,
     /// Other nodes that were heard a short time ago.
     pub(crate) peers: Gauge,
     pub(crate) cordons: Gauge,
@@ -131,6 +132,7 @@
             config_age: Gauge::default(),
             list_version: Gauge::default(),
             engines: Gauge::default(),
+            engines_reserved: Gauge::default(),
             peers: Gauge::default(),
             cordons: Gauge::default(),
             kept_for_callers: Gauge::default(),
@@ -344,7 +346,12 @@
                 "Version of the store that the list of engines reflects",
                 &self.list_version,
             ),
-            ("engines", "Engines that take work", &self.engines),
+            ("engines", "Engines in use that take work", &self.engines),
+            (
+                "engines_reserved",
+                "Engines that are listed and not in use",
+                &self.engines_reserved,
+            ),
             ("peers", "Other nodes heard a short time ago", &self.peers),
             ("cordons", "Cordons of operators in force", &self.cordons),
             (
--- a/crates/node/src/telling.rs
+++ b/crates/node/src/telling.rs
@@ -185,6 +185,7 @@
         metrics.cordons.set(cordons::view(context).cordons.len() as i64);
         let router = lock(&context.router);
         metrics.engines.set(router.taking_work(now) as i64);
+        metrics.engines_reserved.set(router.reserve().count() as i64);
         if let Some(spread) = router.pace_spread(now) {
             metrics.pace.note(&spread);
         }
