--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -65,10 +65,12 @@
 
 fn lacks(context: &Context, behind: &Behind) -> Wanted {
     let config_version = context.forwarding().map_or(0, |config| config.version);
+    let reflected = lock(&context.listing).reflected();
+    let cordons = cordons::version(context);
     Wanted {
         config: config_version < behind.config_version,
-        list: lock(&context.listing).reflected() < behind.list_version,
-        cordons: cordons::version(context) < behind.cordons,
+        list: reflected < behind.list_version,
+        cordons: cordons < behind.cordons,
         sections: true,
         in_use_suffice: context.peers.duty(context.now()) == Duty::Off,
         ..Wanted::default()
@@ -213,23 +215,11 @@
 
 fn snapshot(context: &Context, wanted: Wanted) -> Snapshot {
     let config = context.forwarding().filter(|_| wanted.config);
-    let listing = lock(&context.listing);
-    let is_partial = wanted.in_use_suffice || listing.is_partial();
-    // Who asks for the whole list has no use for a part of it.
-    let tells_list = wanted.list && (wanted.in_use_suffice || !listing.is_partial());
-    let list = tells_list.then(|| {
-        if is_partial {
-            let engines = lock(&context.router).in_use();
-            listing.snapshot_of(engines)
-        } else {
-            listing.snapshot()
-        }
-    });
-    drop(listing);
+    let list = wanted.list.then(|| list(context, wanted)).flatten();
     Snapshot {
         config: config.map(|config| config.as_ref().clone()),
         cordons: wanted.cordons.then(|| lock(&context.cordons).clone()),
-        list_is_partial: list.is_some() && is_partial,
+        list_is_partial: list.is_some() && wanted.in_use_suffice,
         list,
         held: if wanted.held {
             lock(&context.router).held()
@@ -238,3 +228,15 @@
         },
     }
 }
+
+/// The list as it is wanted; who asks for the whole of it has no use for a part.
+fn list(context: &Context, wanted: Wanted) -> Option<ListSnapshot> {
+    // Words are composed with the router locked before the list: neither is held here while the other is taken.
+    let in_use = wanted.in_use_suffice.then(|| lock(&context.router).in_use());
+    let listing = lock(&context.listing);
+    match in_use {
+        Some(engines) => Some(listing.snapshot_of(engines)),
+        None if listing.is_partial() => None,
+        None => Some(listing.snapshot()),
+    }
+}
