Engines in use are told as the list has them

A node that asked between the two took the version without the change, and did not ask again for it: it might have sent a request to an engine that was leaving.

--- a/crates/core/src/routing/pool/listing.rs
+++ b/crates/core/src/routing/pool/listing.rs
@@ -183,11 +183,15 @@
         }
     }
 
-    /// Some of the engines, for another node, as of the version that is reflected.
-    pub fn snapshot_of(&self, engines: Vec<PoolEngine>) -> ListSnapshot {
+    /// Some of the engines, for another node. They are told as this list has them, so that whoever takes them lacks nothing
+    /// up to its version: who named them may not have taken the last change yet.
+    pub fn snapshot_of(&self, named: &[PoolEngine]) -> ListSnapshot {
+        let listed = named
+            .iter()
+            .filter_map(|engine| self.engines.get(engine.id.as_str()));
         ListSnapshot {
             version: self.reflected,
-            engines,
+            engines: listed.cloned().collect(),
             unreadable: Vec::new(),
         }
     }
--- a/crates/core/tests/engines_in_use.rs
+++ b/crates/core/tests/engines_in_use.rs
@@ -100,3 +100,12 @@
     assert!(!listing.is_partial());
     assert_eq!(names(&listing), ["a", "b"]);
 }
+
+#[test]
+fn engines_in_use_are_told_as_the_list_has_them_now() {
+    let mut listing = EngineListing::default();
+    listing.replace(&snapshot(10, vec![engine("a"), engine("b")]));
+    let in_use = [engine("a"), engine("b")];
+    listing.apply(vec![(11, ListChange::Listed(leaving("a"))), (12, gone("b"))], 12);
+    assert_eq!(listing.snapshot_of(&in_use), snapshot(12, vec![leaving("a")]));
+}
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -93,7 +93,7 @@
         engines,
         engines_in_use: router.engines().count(),
         whole_list_bytes: bytes_of(listing.snapshot(), false)?,
-        list_bytes: bytes_of(listing.snapshot_of(router.in_use()), true)?,
+        list_bytes: bytes_of(listing.snapshot_of(&router.in_use()), true)?,
         pages_read: pages_read(&fleet),
         placing_after_loss: placing_after_loss(&fleet, &placers),
         heard: words.heard,
--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -235,7 +235,7 @@
     let in_use = wanted.in_use_suffice.then(|| lock(&context.router).in_use());
     let listing = lock(&context.listing);
     match in_use {
-        Some(engines) => Some(listing.snapshot_of(engines)),
+        Some(engines) => Some(listing.snapshot_of(&engines)),
         None if listing.is_partial() => None,
         None => Some(listing.snapshot()),
     }
