A node that stops does not take its own end of reading for a caller that left

The stop says that it closes before it ends the reading, so asked in the other order the two can't be mixed up. No test reaches between the two questions.

--- a/crates/node/src/course/waiting.rs
+++ b/crates/node/src/course/waiting.rs
@@ -116,7 +116,9 @@
                 .is_some_and(|wait| !wait.revents().difference(takes_more).is_empty())
         };
         if caller_readable {
-            if !self.context.state.is_closing() && self.caller.is_gone() {
+            // A stop says that it closes before it ends the reading from callers: asked in the other order, a connection that
+            // was closed from here between the two questions would look like a caller that left.
+            if self.caller.is_gone() && !self.context.state.is_closing() {
                 self.caller_gone = true;
                 return Some(Event::CallerGone);
             }
