Observability: what engines say in their answers of draining and backoff is read, logged and counted

The adapter reads Server-Leaving from every answer and Retry-After from every 503, also from answers to questions aside and from those that are judged broken; both are logged and counted. No choice of engines looks at them. The stand-in engine can announce a drain in all its answers and refuse with a backoff.

answered_limit() of a connection becomes take_signals(), which also covers the rate limit; the wire test of the limit checks the same through it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod demand;
 pub mod drain;
 pub mod engine;
+pub mod engine_signals;
 pub mod forwarding;
 pub mod identity;
 pub mod lease;
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -32,6 +32,7 @@
 mod reclaims;
 mod risk;
 mod router;
+mod signals;
 mod silences;
 mod speed;
 mod weights;
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -11,6 +11,7 @@
 use super::silences::{EngineChange, UntoldSilence};
 use super::weights::PoolWeights;
 use super::working_set::WorkingSet;
+use crate::engine_signals::SignalRegister;
 use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
 use crate::identity::{EngineId, EngineStart, NodeId};
 use crate::membership::subject::SubjectHandle;
@@ -50,6 +51,8 @@
     /// Cordons in force.
     pub(super) cordons: Vec<CordonInForce>,
     pub(super) sharing: UseLedger,
+    /// What engines said of themselves in their answers.
+    pub(super) signals: SignalRegister,
     /// Which of the listed engines are in use.
     pub(super) working_set: WorkingSet,
 }
@@ -77,6 +80,7 @@
             tickets: 0,
             cordons: Vec::new(),
             sharing: UseLedger::default(),
+            signals: SignalRegister::default(),
             working_set: WorkingSet::default(),
         }
     }
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -1,6 +1,6 @@
 //! An engine: reads prompts for others, runs outputs as series of events, takes orders, and misbehaves when told to.
 
-use super::engine_records::{ArrivalRecord, LimitRecord, OrderRecord, RunRecord};
+use super::engine_records::{ArrivalRecord, BackoffRecord, DrainRecord, LimitRecord, OrderRecord, RunRecord};
 use super::engine_settings::{EngineFault, EngineSettings};
 use super::engine_state::State;
 use super::engine_work::{MachinePace, answer_events, event, wants_long_answer};
@@ -12,7 +12,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 const JSON: &str = "application/json";
 const EVENTS: &str = "text/event-stream";
@@ -110,6 +110,30 @@
         }));
     }
 
+    /// Says in all its answers from now on that it drains.
+    pub fn announce_draining(&self) {
+        lock(&self.state).draining_since.get_or_insert_with(Instant::now);
+    }
+
+    /// Refuses every request from now on and asks for so long without requests each time, or no longer does.
+    pub fn ask_backoff(&self, backoff: Option<Duration>) {
+        lock(&self.state).backoff = backoff;
+    }
+
+    /// When it began to say that it drains.
+    pub fn drain_record(&self) -> Option<DrainRecord> {
+        let from = lock(&self.state).draining_since?;
+        Some(DrainRecord {
+            engine: self.start_name.clone(),
+            from,
+        })
+    }
+
+    /// Refusals that asked for a time without requests.
+    pub fn backoff_records(&self) -> Vec<BackoffRecord> {
+        lock(&self.state).backoffs.clone()
+    }
+
     /// Makes its work take so long from now on, in percent of the usual.
     pub fn set_pace(&self, percent: u32) {
         self.pace.set(percent);
@@ -176,15 +200,16 @@
 impl Handler for EngineHandler {
     fn handle(&self, request: HttpRequest, responder: Responder<'_>) -> Answered {
         match request.path.as_str() {
-            "/shelfjunction/report" => return responder.answer(&self.report()),
-            "/shelfjunction/order" => return responder.answer(&self.order(&request.body)),
+            "/shelfjunction/report" => return responder.answer(&self.aside(self.report())),
+            "/shelfjunction/order" => return responder.answer(&self.aside(self.order(&request.body))),
             "/shelfjunction/kv-list" => {
-                return responder.answer(&Answer::new(200, JSON, r#"{"epoch":1,"held":[]}"#));
+                let list = Answer::new(200, JSON, r#"{"epoch":1,"held":[]}"#);
+                return responder.answer(&self.aside(list));
             }
             path => {
                 if let Some(handle) = path.strip_prefix("/shelfjunction/kv-handle/") {
                     lock(&self.state).handles.remove(handle);
-                    return responder.answer(&Answer::new(200, JSON, "{}"));
+                    return responder.answer(&self.aside(Answer::new(200, JSON, "{}")));
                 }
             }
         }
@@ -207,7 +232,8 @@
         } else {
             lock(&self.state).next_fault()
         };
-        let refused = is_misdirected || fault == Some(EngineFault::Refuse);
+        let backoff = lock(&self.state).backoff.filter(|_| !is_misdirected);
+        let refused = is_misdirected || backoff.is_some() || fault == Some(EngineFault::Refuse);
         lock(&self.state).arrivals.push(ArrivalRecord {
             request: request.header("Request-Id").unwrap_or_default().to_owned(),
             reads_prompt,
@@ -224,6 +250,9 @@
             let refusal = self.answer(request, 503, "").with_header("Not-Executed", "1");
             return responder.answer(&refusal);
         }
+        if let Some(backoff) = backoff {
+            return responder.answer(&self.refuse_with_backoff(request, backoff));
+        }
         let record = record(request);
         if reads_prompt {
             return responder.answer(&self.read_prompt(request, record));
@@ -252,6 +281,26 @@
         }
     }
 
+    fn refuse_with_backoff(&self, request: &HttpRequest, backoff: Duration) -> Answer {
+        lock(&self.state).backoffs.push(BackoffRecord {
+            engine: self.settings.start(),
+            request: request.header("Request-Id").unwrap_or_default().to_owned(),
+            at: Instant::now(),
+            backoff,
+        });
+        self.answer(request, 503, "")
+            .with_header("Not-Executed", "1")
+            .with_header("Retry-After", backoff.as_secs_f64().to_string())
+    }
+
+    /// An answer to a question aside from requests.
+    fn aside(&self, answer: Answer) -> Answer {
+        if lock(&self.state).draining_since.is_some() {
+            return answer.with_header("Server-Leaving", "1");
+        }
+        answer
+    }
+
     /// Ends after the head of the answer has left.
     fn crash(&self, request: &HttpRequest, crash: &CrashSwitch, responder: Responder<'_>) -> Answered {
         let writer = responder.stream(200, EVENTS, &self.headers(request, true));
@@ -362,6 +411,9 @@
         if let Some(limit) = lock(&self.state).limit() {
             headers.push(header("Server-Limit", &limit.to_string()));
         }
+        if lock(&self.state).draining_since.is_some() {
+            headers.push(header("Server-Leaving", "1"));
+        }
         if signed {
             headers.push(header(
                 "Response-Signature",
--- a/crates/lab/src/users_platform/engine_records.rs
+++ b/crates/lab/src/users_platform/engine_records.rs
@@ -1,6 +1,6 @@
 //! What an engine remembers of what reached it.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// One order that an engine took.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -24,6 +24,28 @@
     pub until: Option<Instant>,
 }
 
+/// When one start of an engine began to say in its answers that it drains.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DrainRecord {
+    /// The start of the engine.
+    pub engine: String,
+    /// When it began.
+    pub from: Instant,
+}
+
+/// One refusal that asked for a time without requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackoffRecord {
+    /// The start of the engine.
+    pub engine: String,
+    /// The request that was refused.
+    pub request: String,
+    /// When it was refused.
+    pub at: Instant,
+    /// The time that was asked for.
+    pub backoff: Duration,
+}
+
 /// One run of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunRecord {
--- a/crates/lab/src/users_platform/engine_state.rs
+++ b/crates/lab/src/users_platform/engine_state.rs
@@ -1,8 +1,9 @@
 //! What a stand-in engine is told, and remembers.
 
-use super::engine_records::{ArrivalRecord, LimitRecord, OrderRecord, RunRecord};
+use super::engine_records::{ArrivalRecord, BackoffRecord, LimitRecord, OrderRecord, RunRecord};
 use super::engine_settings::EngineFault;
 use std::collections::{BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
 
 #[derive(Debug, Default)]
 pub(super) struct State {
@@ -11,6 +12,11 @@
     pub(super) refuses_most: bool,
     pub(super) refusals_drawn: u64,
     pub(super) limits: Vec<LimitRecord>,
+    /// When it began to say that it drains.
+    pub(super) draining_since: Option<Instant>,
+    /// Time without requests that each refusal asks for, while it refuses everything.
+    pub(super) backoff: Option<Duration>,
+    pub(super) backoffs: Vec<BackoffRecord>,
     pub(super) arrivals: Vec<ArrivalRecord>,
     pub(super) runs: Vec<RunRecord>,
     pub(super) prompts: Vec<RunRecord>,
--- a/crates/lab/src/users_platform/mod.rs
+++ b/crates/lab/src/users_platform/mod.rs
@@ -10,7 +10,7 @@
 mod store;
 
 pub use engine::{CRASHING_BODY, CrashSwitch, ModelEngine, crashes_engines};
-pub use engine_records::{ArrivalRecord, LimitRecord, OrderRecord, RunRecord};
+pub use engine_records::{ArrivalRecord, BackoffRecord, DrainRecord, LimitRecord, OrderRecord, RunRecord};
 pub use engine_settings::{EngineFault, EngineSettings};
 pub use engine_work::{
     FILLING_BYTES, LONG_ANSWER_BODY, LONG_ANSWER_EVENTS, MachinePace, USUAL_PACE_PERCENT, event,
--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -1,12 +1,11 @@
 //! One short question to an engine, aside from any request.
 
 use crate::context::Context;
+use crate::engine_signals;
 use crate::ports::{EngineLink, EngineReading};
-use crate::rate_limits;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use shelfjunction_core::forwarding::patience;
 use shelfjunction_core::identity::EngineId;
-use shelfjunction_core::rate_limit::AnsweredLimit;
 use shelfjunction_core::time::MonotonicTime;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -25,20 +24,15 @@
     let mut link = taken.map_err(|_| "not_connected")?;
     question(link.as_mut());
     let sent_at = context.now();
-    let reading = read_answer(context, link.as_mut(), sent_at + wait)?;
-    take_limit(context, engine, link.as_ref(), sent_at);
+    let reading = read_answer(context, link.as_mut(), sent_at + wait);
+    if let Some(signals) = link.take_signals() {
+        engine_signals::on_question_answered(context, engine, &signals, sent_at);
+    }
+    let reading = reading?;
     context.rest_link(engine, link, context.now());
     Ok(reading)
 }
 
-/// Takes a limit that the answer names. That it names none is no statement: engines may name theirs in answers to requests only.
-fn take_limit(context: &Context, engine: &EngineId, link: &dyn EngineLink, sent_at: MonotonicTime) {
-    let said = link.answered_limit();
-    if said != AnsweredLimit::Absent {
-        rate_limits::take_answered(context, engine, &said, sent_at, context.now());
-    }
-}
-
 fn read_answer(
     context: &Context,
     link: &mut dyn EngineLink,
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -3,10 +3,10 @@
 use super::crash_evidence::SILENT;
 use super::driver::{Driver, WholeAnswer};
 use super::exchange::{Exchange, Purpose};
+use crate::engine_signals;
 use crate::metering;
 use crate::ports::{AnswerHead, EngineReading};
 use crate::quarantine;
-use crate::rate_limits;
 use shelfjunction_core::engine::{AnswerPart, EngineRefusal};
 use shelfjunction_core::forwarding::patience;
 use shelfjunction_core::request::event::{Event, OpaquePart};
@@ -23,9 +23,6 @@
 impl Driver<'_> {
     pub(super) fn on_reading(&mut self, reading: EngineReading) -> Option<Event> {
         let now = self.context.now();
-        if reading.follows_head() {
-            self.note_limit(now);
-        }
         match reading {
             EngineReading::Pending => None,
             EngineReading::Opened(head) => self.opened(head, now),
@@ -90,12 +87,16 @@
         })
     }
 
-    /// Takes what the head of the answer says of its engine's rate limit.
-    fn note_limit(&self, now: MonotonicTime) {
-        if let Some(exchange) = &self.exchange {
-            let said = exchange.link.answered_limit();
-            rate_limits::take_answered(self.context, &exchange.engine, &said, exchange.sent_at, now);
+    /// Reads from the engine's connection, and takes what the head of an answer says of its engine before anything is done
+    /// about the answer itself, whatever that is worth.
+    pub(super) fn read_engine(&mut self) -> Option<EngineReading> {
+        let exchange = self.exchange.as_mut()?;
+        let reading = exchange.link.read();
+        if let Some(signals) = exchange.link.take_signals() {
+            let (engine, sent_at) = (&exchange.engine, exchange.sent_at);
+            engine_signals::on_request_answered(self.context, engine, &signals, sent_at);
         }
+        Some(reading)
     }
 
     /// Counts the request for its tenant, as one that has begun to run.
--- a/crates/node/src/course/waiting.rs
+++ b/crates/node/src/course/waiting.rs
@@ -72,7 +72,7 @@
             self.last_event_at = self.last_event_at.map(|_| now);
             return None;
         }
-        match exchange.link.read() {
+        match self.read_engine()? {
             EngineReading::Pending => None,
             reading => self.on_reading(reading),
         }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counts, gauges and delays of the process in the OpenMetrics text; labels take few values, and none names a caller.
 
+use crate::engine_signals::SignalMetrics;
 use crate::pace_metrics::PaceMetrics;
 use crate::quarantine::QuarantineMetrics;
 use crate::rate_limits::RateLimitMetrics;
@@ -63,6 +64,8 @@
     pub(crate) quarantine: QuarantineMetrics,
     /// Rate limits of engines.
     pub(crate) rate_limits: RateLimitMetrics,
+    /// What engines said of themselves in their answers.
+    pub(crate) signals: SignalMetrics,
     /// Paces of engines.
     pub(crate) pace: PaceMetrics,
     placements: Family<ResultLabel, Counter>,
@@ -118,6 +121,7 @@
             engine_orders: Family::default(),
             quarantine: QuarantineMetrics::default(),
             rate_limits: RateLimitMetrics::default(),
+            signals: SignalMetrics::default(),
             pace: PaceMetrics::default(),
             placements: Family::default(),
             path_beliefs: Family::default(),
@@ -150,6 +154,7 @@
         metrics.quarantine.register(&mut metrics.registry);
         metrics.pace.register(&mut metrics.registry);
         metrics.rate_limits.register(&mut metrics.registry);
+        metrics.signals.register(&mut metrics.registry);
         metrics
     }
 
--- a/crates/node/src/ports/engines.rs
+++ b/crates/node/src/ports/engines.rs
@@ -2,8 +2,8 @@
 
 use super::{Call, HeaderLine};
 use shelfjunction_core::engine::{EngineRefusal, KvTransfer};
+use shelfjunction_core::engine_signals::EngineSignals;
 use shelfjunction_core::identity::{EngineId, FencingToken, NodeId, TenantId};
-use shelfjunction_core::rate_limit::AnsweredLimit;
 use shelfjunction_core::routing::pool::{EngineStage, PromptPart, ToldLoad};
 use std::io;
 use std::net::SocketAddr;
@@ -152,16 +152,6 @@
     Broken(&'static str),
 }
 
-impl EngineReading {
-    /// Whether it is the first reading after the head of an answer to a request.
-    pub fn follows_head(&self) -> bool {
-        matches!(
-            self,
-            Self::Opened(_) | Self::PromptRead { .. } | Self::Refused { .. }
-        )
-    }
-}
-
 /// One connection to an engine; carries one request at a time.
 pub trait EngineLink: Send {
     /// Descriptor to wait on.
@@ -188,8 +178,8 @@
     /// Reads what there is, without waiting.
     fn read(&mut self) -> EngineReading;
 
-    /// What the head of the last answer says of the engine's rate limit.
-    fn answered_limit(&self) -> AnsweredLimit;
+    /// What the heads of answers said of the engine since the last call; absent where none came.
+    fn take_signals(&mut self) -> Option<EngineSignals>;
 
     /// Time for which the connection may rest before the next request; absent where it can't be used again.
     fn rest(&self) -> Option<Duration>;
