Fix: an engine that announces a drain in its answers gets no further request

What callers saw: 504 for requests that were sent to an engine twelve seconds after its answers had said that it leaves, while the store was away and its list still named the engine as ready (DRAIN).

Cause: only the store's list said who leaves; the answers' own statement had no reader. Class: a source that is slower outranks the one that knows first.

The router now keeps what an engine said of itself apart from the list, by start of the engine, and a listing, however new, revokes nothing of it. The engine takes no work, another one takes its place in the working set, planners count it as gone, and the one place where requests leave a node looks once more, before and after the wait for a slot, so that what a placer chose earlier does not pass either.

--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -58,6 +58,7 @@
 pub use query::{PoolQuery, PrefixBlock, PromptPart, PromptShape, RequestTerms};
 pub use recent::{ListNews, RecentChanges};
 pub use router::PoolRouter;
+pub use signals::NotAccepting;
 pub use silences::EngineChange;
 pub use speed::ReadingSpeed;
 pub use weights::PoolWeights;
--- a/crates/core/src/routing/pool/working_set/members.rs
+++ b/crates/core/src/routing/pool/working_set/members.rs
@@ -14,13 +14,17 @@
 
 impl PoolRouter {
     /// Takes the listing of one engine; an earlier start of it has ended.
-    pub fn on_engine(&mut self, engine: PoolEngine) {
+    ///
+    /// What the engine said of itself outranks how it is listed: an entry may be written late, or read from a node that is
+    /// behind.
+    pub fn on_engine(&mut self, mut engine: PoolEngine) {
         let start = engine.id.start();
         for state in self.starts_of(engine.id.as_str()) {
             state.replaced |= state.engine.id.start() < start;
         }
         let settings = self.weights.working_set;
         let handle = SubjectHandle::of_engine(&engine.id);
+        engine.leaving |= self.signals.is_draining(handle);
         let before = self.working_set.leave(handle);
         let is_known = self.engines.contains_key(&engine.id);
         let whole = self.working_set.is_whole(&engine.pool, &settings);
@@ -40,7 +44,12 @@
 
     /// An engine that is listed no longer is replaced.
     pub(in crate::routing::pool) fn end_use(&mut self, engine: &EngineId) {
-        if let Some(number) = self.working_set.leave(SubjectHandle::of_engine(engine)) {
+        self.withdraw(SubjectHandle::of_engine(engine));
+    }
+
+    /// Takes an engine out of its group and brings another one into use.
+    pub(in crate::routing::pool) fn withdraw(&mut self, engine: SubjectHandle) {
+        if let Some(number) = self.working_set.leave(engine) {
             self.refill(number);
         }
     }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -270,10 +270,15 @@
         if reserved > 0 {
             log::info!(changes = listed, reserved, source; "engines_reserved");
         }
-        if lock(&self.router).note_reclaims(now) {
+        self.note_reclaims(source);
+        self.state.note_listed();
+    }
+
+    /// Looks whether a zone takes its spot engines back, after engines began to drain.
+    pub(crate) fn note_reclaims(&self, source: &str) {
+        if lock(&self.router).note_reclaims(self.now()) {
             log::info!(source; "spot_engines_taken_back");
         }
-        self.state.note_listed();
     }
 
     /// Lets a connection rest if it can be used again: not one to a start of an engine that is listed no longer.
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -38,7 +38,7 @@
             });
         }
         let choice = self.choice.take().filter(|choice| choice.engine == target.engine);
-        if let Some(event) = self.take_slot(choice.as_ref(), &target.engine, &call.attempt, purpose) {
+        if let Some(event) = self.pass_gate(choice.as_ref(), &target.engine, &call.attempt, purpose) {
             return self.take(event);
         }
         let now = self.context.now();
--- a/crates/node/src/course/slots.rs
+++ b/crates/node/src/course/slots.rs
@@ -1,4 +1,4 @@
-//! A request's slot at an engine that names a rate limit.
+//! The gate through which every request to an engine leaves: what the engine said of itself, and its rate limit.
 
 use super::accounting::PlacedChoice;
 use super::driver::Driver;
@@ -23,10 +23,44 @@
 const MOST_RETURN: Duration = Duration::from_secs(10);
 
 impl Driver<'_> {
-    /// Takes a slot for a dispatch and waits for it; what becomes of the dispatch instead where it is not sent. Every request to
-    /// an engine passes here, whoever chose the engine and however often the request was sent before: a limit that held for
-    /// some ways to an engine only would not hold.
-    pub(super) fn take_slot(
+    /// What becomes of a dispatch instead where its engine takes nothing now; takes a slot for it, and waits for that, where the
+    /// engine names a rate limit. Every request to an engine passes here, whoever chose the engine and however often the request
+    /// was sent before: what held for some ways to an engine only would not hold.
+    pub(super) fn pass_gate(
+        &mut self,
+        choice: Option<&PlacedChoice>,
+        engine: &EngineId,
+        attempt: &AttemptId,
+        purpose: Purpose,
+    ) -> Option<Event> {
+        let instead = self
+            .not_accepted(engine, attempt, purpose)
+            .or_else(|| self.take_slot(choice, engine, attempt, purpose))
+            // The engine may have said more while the request waited for its slot.
+            .or_else(|| self.not_accepted(engine, attempt, purpose));
+        if let Some(choice) = choice.filter(|_| instead.is_some()) {
+            placing::tell(self.context, &choice.at, Progress::Abandoned);
+        }
+        instead
+    }
+
+    fn not_accepted(&mut self, engine: &EngineId, attempt: &AttemptId, purpose: Purpose) -> Option<Event> {
+        let cause = lock(&self.context.router).not_accepting(engine)?;
+        log::info!(
+            request = self.call.request.as_str(),
+            engine = engine.as_str(),
+            purpose = purpose.name(),
+            cause = cause.name();
+            "dispatch_held_back"
+        );
+        self.context.metrics.signals.held_back(cause.name());
+        self.last_not_sent = true;
+        Some(Event::NotSent {
+            attempt: attempt.clone(),
+        })
+    }
+
+    fn take_slot(
         &mut self,
         choice: Option<&PlacedChoice>,
         engine: &EngineId,
@@ -54,7 +88,6 @@
             }
         };
         if let Some(choice) = choice.filter(|_| instead.is_some()) {
-            placing::tell(self.context, &choice.at, Progress::Abandoned);
             // It chose the engine without asking for a slot, and knows now when there is one.
             rate_limits::tell_placer(self.context, engine, choice.at.address);
         }
--- a/crates/node/src/engine_signals/metrics.rs
+++ b/crates/node/src/engine_signals/metrics.rs
@@ -10,11 +10,17 @@
     source: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
+}
+
 /// Counts of what engines said of themselves.
 #[derive(Default)]
 pub(crate) struct SignalMetrics {
     draining: Family<SourceLabel, Counter>,
     backoffs: Counter,
+    held_back: Family<CauseLabel, Counter>,
 }
 
 impl SignalMetrics {
@@ -29,6 +35,11 @@
             "Refusals that asked this node for a time without requests",
             self.backoffs.clone(),
         );
+        registry.register(
+            "dispatches_held_back",
+            "Dispatches that did not leave because of what their engine said of itself after it was chosen",
+            self.held_back.clone(),
+        );
     }
 
     /// Counts an engine that is newly known to drain.
@@ -36,6 +47,11 @@
         self.draining.get_or_create(&SourceLabel { source }).inc();
     }
 
+    /// Counts a dispatch that did not leave.
+    pub(crate) fn held_back(&self, cause: &'static str) {
+        self.held_back.get_or_create(&CauseLabel { cause }).inc();
+    }
+
     /// Counts a refusal that asked for a time without requests.
     pub(crate) fn backoff_asked(&self) {
         self.backoffs.inc();
--- a/crates/node/src/engine_signals/mod.rs
+++ b/crates/node/src/engine_signals/mod.rs
@@ -8,6 +8,7 @@
 use crate::rate_limits;
 use shelfjunction_core::engine_signals::{AnsweredBackoff, EngineSignals};
 use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::rate_limit::AnsweredLimit;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -52,7 +53,11 @@
 }
 
 fn on_draining(context: &Context, engine: &EngineId) {
-    if lock(&context.router).on_draining_announced(engine) {
+    let handle = SubjectHandle::of_engine(engine);
+    let is_new = lock(&context.router).on_draining(handle);
+    if is_new {
+        context.links.forget(engine);
+        context.note_reclaims("answer");
         context.metrics.signals.draining_announced("answer");
         log::info!(engine = engine.as_str(), start:% = engine.start(), source = "answer"; "engine_draining");
     }
