Fix: an engine that refuses with a time gets nothing from the refused node until that time is over

Cause: the adapter replaced the time by a constant zero, so a refusal paused an engine for 100 ms, and that pause gives way where nothing else is left. Class: an engine's statement without a reader; beside it, a bound that only the choice of engines kept, so that placers and last resorts passed it by.

The backoff is kept by start of the engine beside the announced drains: the longest of several counts, no later answer or listing shortens it, and it outlasts what the router forgets of an engine. It binds what this node sends (choice, last resorts, the gate of dispatches, questions aside), not what it chooses for others; placers are told which engines to leave out. Where no engine is left the caller is refused at once with the time until every stage has one again; then load returns step by step, and nodes refused together spread by a tenth.

--- a/crates/core/src/engine_signals/register.rs
+++ b/crates/core/src/engine_signals/register.rs
@@ -56,9 +56,9 @@
         *until
     }
 
-    /// When an engine's backoff ends; absent where none is in force.
-    pub fn backoff_end(&self, engine: SubjectHandle, now: MonotonicTime) -> Option<MonotonicTime> {
-        self.backoffs.get(&engine).copied().filter(|until| *until > now)
+    /// When an engine's backoff ends, or has ended a short time ago; absent where it asked for none.
+    pub fn backoff_end(&self, engine: SubjectHandle) -> Option<MonotonicTime> {
+        self.backoffs.get(&engine).copied()
     }
 
     /// Engines that are backed off from now.
--- a/crates/core/src/placing/placement_table.rs
+++ b/crates/core/src/placing/placement_table.rs
@@ -348,6 +348,7 @@
 
     fn query<'q>(&'q self, key: RequestKey, excluded: &'q [EngineId]) -> PoolQuery<'q> {
         PoolQuery {
+            from_this_node: false,
             pool: &self.request.pool,
             prompt: Some(&self.request.prompt),
             prefixes: &self.prefixes,
--- a/crates/core/src/request/machine.rs
+++ b/crates/core/src/request/machine.rs
@@ -277,7 +277,13 @@
                 self.choose(now)
             }
             Event::Nowhere(refusal) => {
-                let refusal = self.last_refusal.take().unwrap_or(refusal);
+                let refusal = match self.last_refusal.take() {
+                    Some(last) => Refusal {
+                        retry_after: last.retry_after.max(refusal.retry_after),
+                        ..last
+                    },
+                    None => refusal,
+                };
                 self.give_up(refusal, Failure::EngineError)
             }
             Event::Placed(placement) => self.on_placed(placement, now),
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -251,6 +251,7 @@
                 && state.engine.pool == *query.pool
                 && state.takes_work(now, query.last_resort)
                 && state.has_slot(query.slot_patience, now)
+                && state.backoff_admits(query, now)
                 && (query.last_resort || state.health.admits(query.draw ^ state.handle.number(), now))
                 && self.reaches(query, &state.engine.zone, now)
                 && !query.excluded.contains(&state.engine.id)
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -231,6 +231,8 @@
     pub(super) taken_back_at: Option<MonotonicTime>,
     /// How operators' cordons bear on it.
     pub(super) cordon: EngineCordon,
+    /// End of the last backoff that it asked this node for; load returns to it step by step from then on.
+    pub(super) backoff_end: Option<MonotonicTime>,
     pub(super) health: Health,
     pub(super) breaks: BreakShare,
     pub(super) sent: BTreeMap<u64, SentWork>,
@@ -267,6 +269,7 @@
             replaced: false,
             taken_back_at: None,
             cordon: EngineCordon::default(),
+            backoff_end: None,
             health: Health::default(),
             breaks: BreakShare::default(),
             sent: BTreeMap::new(),
--- a/crates/core/src/routing/pool/limits.rs
+++ b/crates/core/src/routing/pool/limits.rs
@@ -1,7 +1,6 @@
 //! The rate limits that engines name, and what they leave of an engine.
 
 use super::engine::{EngineStage, EngineState};
-use super::query::PoolQuery;
 use super::router::PoolRouter;
 use crate::forwarding::PoolId;
 use crate::identity::EngineId;
@@ -116,17 +115,6 @@
         told.filter_map(|state| state.limit_word(now)).collect()
     }
 
-    /// Time until an engine of a query's pool has a slot that would take the request but for its limit; absent where there is
-    /// none.
-    pub fn next_slot(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> Option<Duration> {
-        let limited = self.limited().filter(|state| {
-            state.engine.pool == *query.pool
-                && state.takes_work(now, true)
-                && !state.has_slot(query.slot_patience, now)
-        });
-        limited.map(|state| state.slot_wait(now)).min()
-    }
-
     /// Counts a request that is sent to an engine.
     pub(super) fn count_sent(&mut self, pool: &PoolId, stage: EngineStage, now: MonotonicTime) {
         let key = (pool.clone(), stage);
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -98,6 +98,9 @@
     pub prefixes: &'a [PrefixBlock],
     /// Zone of this node.
     pub zone: &'a ZoneId,
+    /// Whether this node sends it, so that it does not go to engines that asked this node to back off. Another node, for which
+    /// this one only chooses, leaves out those that asked it.
+    pub from_this_node: bool,
     /// Engines that failed this request before.
     pub excluded: &'a [EngineId],
     /// Whether nothing else is left, so that engines may be chosen that are left alone for a while: paused, cordoned without
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -105,6 +105,7 @@
                 let traits = self.traits.get(&engine.pool);
                 let tokens = traits.map_or(ASSUMED_CACHE_TOKENS, |traits| traits.cache_tokens);
                 let mut state = EngineState::new(engine, tokens);
+                state.backoff_end = self.signals.backoff_end(state.handle);
                 self.begin_pace(&mut state);
                 self.engine_of.insert(state.handle, id.clone());
                 self.engines.insert(id.clone(), state);
--- a/crates/core/src/routing/pool/working_set/growing.rs
+++ b/crates/core/src/routing/pool/working_set/growing.rs
@@ -95,7 +95,11 @@
 
     fn has_idle(&self, number: usize, now: MonotonicTime) -> bool {
         let mut states = self.states_of_group(number);
-        states
-            .any(|state| state.takes_work(now, false) && state.is_idle(now) && state.slot_wait(now).is_zero())
+        states.any(|state| {
+            state.takes_work(now, false)
+                && state.is_idle(now)
+                && state.slot_wait(now).is_zero()
+                && state.backoff_left(now).is_zero()
+        })
     }
 }
--- a/crates/core/src/routing/pool/working_set/load.rs
+++ b/crates/core/src/routing/pool/working_set/load.rs
@@ -74,7 +74,9 @@
         let mut load = GroupLoad::default();
         for state in self.states_of_group(number) {
             load.busy += state.busy(&line, now);
-            let takes_all = state.takes_work(now, false) && state.rate_limit().is_none();
+            let takes_all = state.takes_work(now, false)
+                && state.rate_limit().is_none()
+                && state.backoff_left(now).is_zero();
             load.unusable += usize::from(!takes_all);
         }
         load
--- a/crates/core/tests/cordons.rs
+++ b/crates/core/tests/cordons.rs
@@ -50,6 +50,7 @@
 fn chosen(router: &PoolRouter, draw: u64, now: MonotonicTime) -> Option<String> {
     let (pool, zone) = (pool(), ZoneId::new("zone-a"));
     let query = PoolQuery {
+        from_this_node: true,
         pool: &pool,
         prompt: None,
         prefixes: &[],
--- a/crates/core/tests/engine_pace.rs
+++ b/crates/core/tests/engine_pace.rs
@@ -87,6 +87,7 @@
     prefixes: &'q [PrefixBlock],
 ) -> PoolQuery<'q> {
     PoolQuery {
+        from_this_node: true,
         pool,
         prompt: Some(prompt),
         prefixes,
--- a/crates/core/tests/engine_signals.rs
+++ b/crates/core/tests/engine_signals.rs
@@ -2,12 +2,14 @@
 
 mod pool_support;
 
-use pool_support::{engine_with, router_with};
+use pool_support::{engine_with, pool, router_with};
 use proptest::prelude::*;
-use shelfjunction_core::identity::{EngineId, EngineStart};
+use shelfjunction_core::forwarding::PoolId;
+use shelfjunction_core::identity::{EngineId, EngineStart, ZoneId};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::routing::pool::{
-    EngineStage, NotAccepting, PoolEngine, PoolRouter, PoolWeights, WorkingSetSettings,
+    EngineStage, NotAccepting, PoolEngine, PoolQuery, PoolRoute, PoolRouter, PoolWeights, RequestTerms,
+    ToldLoad, WorkingSetSettings,
 };
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
@@ -93,7 +95,7 @@
             router.keep_working_set(now);
             prop_assert_eq!(router.taking_work(now), 0);
             prop_assert_eq!(router.reserve().count(), 0);
-            prop_assert_eq!(router.not_accepting(&drains.id), Some(NotAccepting::Draining));
+            prop_assert_eq!(router.not_accepting(&drains.id, now), Some(NotAccepting::Draining));
         }
     }
 }
@@ -105,8 +107,8 @@
     router.on_draining(handle(&first));
     router.on_engine(second.clone());
     assert_eq!(router.taking_work(NOW), 1);
-    assert_eq!(router.not_accepting(&second.id), None);
-    assert_eq!(router.not_accepting(&first.id), Some(NotAccepting::Draining));
+    assert_eq!(router.not_accepting(&second.id, NOW), None);
+    assert_eq!(router.not_accepting(&first.id, NOW), Some(NotAccepting::Draining));
 }
 
 #[test]
@@ -127,3 +129,101 @@
     assert_eq!(taking, 1);
     assert_eq!(router.reserve().count(), 0);
 }
+
+struct Asked {
+    pool: PoolId,
+    zone: ZoneId,
+}
+
+impl Asked {
+    fn new() -> Self {
+        Self {
+            pool: pool(),
+            zone: ZoneId::new("zone-a"),
+        }
+    }
+
+    fn query(&self, from_this_node: bool, draw: u64) -> PoolQuery<'_> {
+        PoolQuery {
+            pool: &self.pool,
+            prompt: None,
+            prefixes: &[],
+            zone: &self.zone,
+            from_this_node,
+            excluded: &[],
+            last_resort: false,
+            terms: RequestTerms::default(),
+            draw,
+            rank: 1,
+            remaining: Duration::from_secs(5),
+            slot_patience: Duration::ZERO,
+        }
+    }
+}
+
+/// How many of a hundred requests go to an engine.
+fn part_to(router: &PoolRouter, name: &str, from_this_node: bool, now: MonotonicTime) -> usize {
+    let asked = Asked::new();
+    let routes = (0..100).map(|draw| router.choose(&asked.query(from_this_node, draw), now));
+    let there = |route: &PoolRoute| matches!(route, PoolRoute::Whole(engine) if engine.id.as_str() == name);
+    routes.filter(there).count()
+}
+
+const BACKOFF: Duration = Duration::from_secs(3);
+
+#[test]
+fn a_backoff_binds_the_node_that_was_refused_and_not_those_for_which_it_chooses() {
+    let only = engine("only", 0);
+    let mut router = router(std::slice::from_ref(&only));
+    router.on_backoff_asked(&only.id, BACKOFF, NOW);
+    assert_eq!(part_to(&router, "only", true, NOW), 0, "also as a last resort");
+    assert_eq!(part_to(&router, "only", false, NOW), 100);
+    assert_eq!(
+        router.not_accepting(&only.id, NOW),
+        Some(NotAccepting::BackedOff { remaining: BACKOFF })
+    );
+    let asked = Asked::new();
+    assert_eq!(router.next_acceptance(&asked.query(true, 0), NOW), Some(BACKOFF));
+}
+
+#[test]
+fn the_longest_of_several_backoffs_counts_and_no_answer_or_listing_shortens_it() {
+    let only = engine("only", 0);
+    let mut router = router(std::slice::from_ref(&only));
+    router.on_backoff_asked(&only.id, BACKOFF, NOW);
+    router.on_backoff_asked(&only.id, BACKOFF / 10, NOW);
+    router.on_told(&only.id, ToldLoad::default(), NOW);
+    router.on_engine(only.clone());
+    let before_end = NOW + BACKOFF - Duration::from_millis(1);
+    assert_eq!(part_to(&router, "only", true, before_end), 0);
+    assert_eq!(part_to(&router, "only", true, NOW + BACKOFF), 100, "the only one");
+}
+
+#[test]
+fn a_backoff_outlasts_what_the_router_forgets_of_an_engine() {
+    let only = engine("only", 0);
+    let mut router = router(std::slice::from_ref(&only));
+    router.on_backoff_asked(&only.id, Duration::from_secs(30), NOW);
+    router.on_engine_gone(&only.id, false, NOW);
+    let later = NOW + Duration::from_secs(10);
+    router.on_engine_gone(&EngineId::new("another"), false, later);
+    assert!(router.engine(&only.id).is_none(), "forgotten");
+    router.on_engine(only.clone());
+    assert_eq!(part_to(&router, "only", true, later), 0);
+}
+
+#[test]
+fn load_returns_step_by_step_when_a_backoff_is_over() {
+    let (backed_off, other) = (engine("backed-off", 0), engine("other", 0));
+    let mut router = router(&[backed_off.clone(), other]);
+    let usual = part_to(&router, "backed-off", true, NOW);
+    assert!(usual > 0, "it is the cheaper one");
+    router.on_backoff_asked(&backed_off.id, BACKOFF, NOW);
+    let end = NOW + BACKOFF;
+    let at_first = part_to(&router, "backed-off", true, end);
+    assert!(at_first > 0 && at_first < usual / 2, "{at_first} of {usual}");
+    assert_eq!(
+        part_to(&router, "backed-off", true, end + Duration::from_secs(2)),
+        usual
+    );
+}
--- a/crates/core/tests/engine_troubles.rs
+++ b/crates/core/tests/engine_troubles.rs
@@ -52,6 +52,7 @@
 
     fn query(&self, draw: u64) -> PoolQuery<'_> {
         PoolQuery {
+            from_this_node: true,
             pool: &self.pool,
             prompt: Some(&self.prompt),
             prefixes: &self.prefixes,
--- a/crates/core/tests/pace_world/mod.rs
+++ b/crates/core/tests/pace_world/mod.rs
@@ -351,6 +351,7 @@
         zone: &'q ZoneId,
     ) -> PoolQuery<'q> {
         PoolQuery {
+            from_this_node: true,
             pool,
             prompt: Some(&self.prompt),
             prefixes: &self.prefixes,
--- a/crates/core/tests/paths.rs
+++ b/crates/core/tests/paths.rs
@@ -332,6 +332,7 @@
 
         fn query(&self) -> PoolQuery<'_> {
             PoolQuery {
+                from_this_node: true,
                 pool: &self.pool,
                 prompt: Some(&self.prompt),
                 prefixes: &self.prefixes,
--- a/crates/core/tests/pauses_world/mod.rs
+++ b/crates/core/tests/pauses_world/mod.rs
@@ -212,6 +212,7 @@
         let asked = &self.requests[request];
         let prefixes = asked.prompt.prefixes();
         let query = PoolQuery {
+            from_this_node: true,
             pool: &pool(),
             prompt: Some(&asked.prompt),
             prefixes: &prefixes,
--- a/crates/core/tests/pool_admission.rs
+++ b/crates/core/tests/pool_admission.rs
@@ -58,6 +58,7 @@
 
     fn query(&self) -> PoolQuery<'_> {
         PoolQuery {
+            from_this_node: true,
             pool: &self.pool,
             prompt: Some(&self.prompt),
             prefixes: &self.prefixes,
--- a/crates/core/tests/pool_pauses.rs
+++ b/crates/core/tests/pool_pauses.rs
@@ -140,6 +140,7 @@
             output_estimate: None,
         };
         let query = PoolQuery {
+            from_this_node: true,
             pool: &pool(),
             prompt: Some(&prompt),
             prefixes: &prompt.prefixes(),
--- a/crates/core/tests/rate_limit_choice.rs
+++ b/crates/core/tests/rate_limit_choice.rs
@@ -38,6 +38,7 @@
 
     fn query(&self, patience: u64) -> PoolQuery<'_> {
         PoolQuery {
+            from_this_node: true,
             pool: &self.pool,
             prompt: None,
             prefixes: &[],
@@ -85,7 +86,7 @@
     no_slot_for(&mut router, "b", 400);
     assert_eq!(choose(&router, 500), Some("a".to_owned()), "the shorter wait");
     assert_eq!(choose(&router, 100), None, "also where nothing else is left");
-    let wait = router.next_slot(&asked.query(100), NOW);
+    let wait = router.next_acceptance(&asked.query(100), NOW);
     assert_eq!(
         wait,
         Some(Duration::from_millis(200)),
--- a/crates/core/tests/sharing_placers.rs
+++ b/crates/core/tests/sharing_placers.rs
@@ -348,6 +348,7 @@
         ..PromptShape::default()
     };
     let query = PoolQuery {
+        from_this_node: true,
         pool: &pool(),
         prompt: Some(&prompt),
         prefixes: &prompt.prefixes(),
--- a/crates/lab/src/fleet/traffic.rs
+++ b/crates/lab/src/fleet/traffic.rs
@@ -96,6 +96,7 @@
             ZoneId::new(ZONES[number as usize % ZONES.len()]),
         );
         let query = PoolQuery {
+            from_this_node: true,
             pool: &pool,
             prompt: Some(&prompt),
             prefixes: &prefixes,
--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -6,11 +6,14 @@
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use shelfjunction_core::forwarding::patience;
 use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_threads::lock;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Asks an engine and waits for its answer; the error names what went wrong.
+/// Asks an engine and waits for its answer; the error names what went wrong. An engine that asked this node to back off is not
+/// asked: it wants no requests of any kind.
 pub(crate) fn ask(
     context: &Context,
     engine: &EngineId,
@@ -18,6 +21,13 @@
     wait: Duration,
     question: impl FnOnce(&mut dyn EngineLink),
 ) -> Result<EngineReading, &'static str> {
+    let handle = SubjectHandle::of_engine(engine);
+    if lock(&context.router)
+        .backoff_remaining(handle, context.now())
+        .is_some()
+    {
+        return Err("backed_off");
+    }
     let taken = context
         .links
         .take(engine, address, patience::CONNECT, context.now());
--- a/crates/node/src/course/admitting.rs
+++ b/crates/node/src/course/admitting.rs
@@ -6,7 +6,7 @@
 use shelfjunction_core::forwarding::RepeatRule;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::outcome::{Refusal, RefusalReason};
-use shelfjunction_core::placing::question::{AdmissionVerdict, Answer, Wanted};
+use shelfjunction_core::placing::question::{AdmissionVerdict, Answer, Placement as Placed, Wanted};
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::routing::pool::{
     Admission, AdmissionDecision, LATE_RANK, RequestTerms, Timing, rank_of,
@@ -79,6 +79,10 @@
             return self.placed(placement);
         }
         let now = self.context.now();
+        if answer.placement != Placed::Nowhere {
+            // The placer did not know what this node knows of the engine, and chooses again without it.
+            return self.choose_anew(&[], now);
+        }
         let route = lock(&self.context.router).choose_growing(&self.query(&[], now), now);
         self.placed(routing::placement(route));
     }
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -242,7 +242,7 @@
             Some(placement) => Event::Placed(placement),
             None => Event::Nowhere(Refusal {
                 reason: RefusalReason::EnginesRefused,
-                retry_after: Some(self.return_for_slot().unwrap_or(NOWHERE_RETRY_AFTER)),
+                retry_after: Some(self.return_when_accepted().unwrap_or(NOWHERE_RETRY_AFTER)),
             }),
         };
         self.take(event);
@@ -250,6 +250,7 @@
 
     pub(super) fn query<'q>(&'q self, excluded: &'q [EngineId], now: MonotonicTime) -> PoolQuery<'q> {
         PoolQuery {
+            from_this_node: true,
             pool: &self.pool,
             prompt: self.prompt,
             prefixes: &self.prefixes,
--- a/crates/node/src/course/placing.rs
+++ b/crates/node/src/course/placing.rs
@@ -18,11 +18,15 @@
 use shelfjunction_threads::lock;
 use std::time::Duration;
 
+/// Most engines that are named to a placer because they asked this node to back off; a question fits into one datagram.
+const MOST_BACKED_OFF_NAMED: usize = 40;
+
 impl Driver<'_> {
     /// Chooses engines anew, without those that failed the request.
     pub(super) fn choose_anew(&mut self, excluded: &[EngineId], now: MonotonicTime) {
+        let excluded_here = self.excluded_here(excluded, now);
         let wanted = || Wanted::Engines {
-            excluded: handles(excluded),
+            excluded: excluded_here,
         };
         let placement = self.ask(wanted).and_then(|(answer, at)| self.adopt(&answer, at));
         if placement.is_some() {
@@ -40,10 +44,11 @@
             return self.take(Event::TransferLost);
         }
         let told = self.prompt_told.take();
+        let excluded_here = self.excluded_here(excluded, self.context.now());
         let wanted = || Wanted::Output {
             source: SubjectHandle::of_engine(source),
             told,
-            excluded: handles(excluded),
+            excluded: excluded_here,
         };
         let placement = self.ask(wanted).and_then(|(answer, at)| self.adopt(&answer, at));
         if placement.is_some() {
@@ -100,7 +105,7 @@
         match &answer.placement {
             Placed::Nowhere => None,
             Placed::One(chosen) => {
-                let engine = self.resolved(chosen.engine, &at)?;
+                let engine = self.accepting(chosen.engine, &at)?;
                 self.note_choice(&engine, *chosen, Duration::ZERO, at);
                 Some(Placement::Whole(routing::target(&engine)))
             }
@@ -109,7 +114,7 @@
                 decode,
                 expected,
             } => {
-                let reads = self.resolved(prefill.engine, &at)?;
+                let reads = self.accepting(prefill.engine, &at)?;
                 let runs = self.resolved(*decode, &at)?;
                 self.note_choice(&reads, *prefill, *expected, at);
                 Some(Placement::Split {
@@ -129,6 +134,31 @@
         });
     }
 
+    /// Engines that a placer leaves out for this request: those that failed it, and those that asked this node to back off.
+    fn excluded_here(&self, failed: &[EngineId], now: MonotonicTime) -> Vec<SubjectHandle> {
+        let mut excluded: Vec<SubjectHandle> = failed.iter().map(SubjectHandle::of_engine).collect();
+        excluded.extend(lock(&self.context.router).backed_off(MOST_BACKED_OFF_NAMED, now));
+        excluded
+    }
+
+    /// The engine that a placer named, unless this node must not send there.
+    fn accepting(&self, engine: SubjectHandle, at: &PlacedAt) -> Option<PoolEngine> {
+        let engine = self.resolved(engine, at)?;
+        let cause = lock(&self.context.router).not_accepting(&engine.id, self.context.now());
+        let Some(cause) = cause else {
+            return Some(engine);
+        };
+        log::info!(
+            request = self.call.request.as_str(),
+            engine = engine.id.as_str(),
+            placer:% = at.address,
+            cause = cause.name();
+            "placed_engine_not_accepting"
+        );
+        placing::tell(self.context, at, Progress::Abandoned);
+        None
+    }
+
     /// The engine that a placer named, unless this node knows that it is leaving or does not know it.
     fn resolved(&self, engine: SubjectHandle, at: &PlacedAt) -> Option<PoolEngine> {
         let mut known = self.listed(engine);
@@ -173,7 +203,3 @@
         }
     }
 }
-
-fn handles(engines: &[EngineId]) -> Vec<SubjectHandle> {
-    engines.iter().map(SubjectHandle::of_engine).collect()
-}
--- a/crates/node/src/course/slots.rs
+++ b/crates/node/src/course/slots.rs
@@ -45,12 +45,13 @@
     }
 
     fn not_accepted(&mut self, engine: &EngineId, attempt: &AttemptId, purpose: Purpose) -> Option<Event> {
-        let cause = lock(&self.context.router).not_accepting(engine)?;
+        let cause = lock(&self.context.router).not_accepting(engine, self.context.now())?;
         log::info!(
             request = self.call.request.as_str(),
             engine = engine.as_str(),
             purpose = purpose.name(),
-            cause = cause.name();
+            cause = cause.name(),
+            remaining_millis:? = cause.remaining().map(|remaining| remaining.as_millis() as u64);
             "dispatch_held_back"
         );
         self.context.metrics.signals.held_back(cause.name());
@@ -149,11 +150,17 @@
         }
     }
 
-    /// When a caller should come back for whom there is no engine, if that is for their limits: when a slot is free, spread
-    /// so that not all of them come at once.
-    pub(super) fn return_for_slot(&self) -> Option<Duration> {
+    /// When a caller should come back for whom there is no engine, if that is for what engines said of themselves: when one
+    /// accepts requests again, spread so that not all callers come at once.
+    pub(super) fn return_when_accepted(&self) -> Option<Duration> {
         let now = self.context.now();
-        let next = lock(&self.context.router).next_slot(&self.query(&[], now), now)?;
+        let next = lock(&self.context.router).next_acceptance(&self.query(&[], now), now)?;
+        log::info!(
+            request = self.call.request.as_str(),
+            accepted_in_millis = next.as_millis() as u64;
+            "no_engine_accepts"
+        );
+        self.context.metrics.signals.held_back("no_engine_accepts");
         let spread = 1.0 + self.draw as f64 / u64::MAX as f64;
         Some(next.mul_f64(spread).clamp(LEAST_RETURN, MOST_RETURN))
     }
--- a/crates/node/src/engine_signals/mod.rs
+++ b/crates/node/src/engine_signals/mod.rs
@@ -14,6 +14,9 @@
 use shelfjunction_threads::lock;
 use std::time::Duration;
 
+/// Largest part by which a backoff is lengthened at random, so that nodes that were refused together don't return together.
+const BACKOFF_SPREAD: f64 = 0.1;
+
 /// Takes what the answer to a request sent at `sent_at` says of its engine.
 pub(crate) fn on_request_answered(
     context: &Context,
@@ -65,7 +68,8 @@
 
 fn on_backoff(context: &Context, engine: &EngineId, backoff: Duration) {
     let now = context.now();
-    let until = lock(&context.router).on_backoff_asked(engine, backoff, now);
+    let spread = 1.0 + BACKOFF_SPREAD * rand::random::<f64>();
+    let until = lock(&context.router).on_backoff_asked(engine, backoff.mul_f64(spread), now);
     context.metrics.signals.backoff_asked();
     log::info!(
         engine = engine.as_str(),
