Fix: an output that an overloaded engine refuses no longer costs the prompt

A refusal that asks for a backoff says that the engine is full; and only a refusal that may mean that the cache is gone counts against it.

--- a/crates/core/src/request/forwarding.rs
+++ b/crates/core/src/request/forwarding.rs
@@ -2,7 +2,7 @@
 
 use super::event::{Action, ForwardAction, OpaquePart};
 use super::machine::{RequestMachine, State};
-use crate::engine::KvTransfer;
+use crate::engine::{EngineRefusalReason, KvTransfer};
 use crate::identity::EngineId;
 use crate::outcome::Outcome;
 use crate::time::MonotonicTime;
@@ -64,9 +64,10 @@
         self.choose(MonotonicTime::default())
     }
 
-    /// Counts a refusal of the output; after the last one the prompt is read anew.
-    pub(super) fn note_output_refused(&mut self) {
-        if let Some(held) = &mut self.transfer {
+    /// Counts a refusal of the output that may mean that the KV cache is gone; after the last one the prompt is read anew.
+    pub(super) fn note_output_refused(&mut self, reason: EngineRefusalReason) {
+        let held = self.transfer.as_mut();
+        if let Some(held) = held.filter(|_| reason == EngineRefusalReason::TransferGone) {
             held.refusals += 1;
             if held.refusals >= OUTPUT_REFUSALS {
                 self.transfer = None;
--- a/crates/core/src/request/reading.rs
+++ b/crates/core/src/request/reading.rs
@@ -142,7 +142,7 @@
             }
             Event::Refused { attempt, refusal } if &attempt == current => match kind {
                 ReadingKind::Dispatch => {
-                    self.note_output_refused();
+                    self.note_output_refused(refusal.reason);
                     self.on_refused_before_running(engine, &refusal)
                 }
                 ReadingKind::Resume => self.reading_failed(engine, now),
--- a/crates/core/tests/opaque_requests.rs
+++ b/crates/core/tests/opaque_requests.rs
@@ -282,3 +282,23 @@
     };
     assert_eq!(actions, vec![cancel, Action::Detach]);
 }
+
+#[test]
+fn outputs_that_overloaded_engines_refuse_do_not_cost_the_prompt() {
+    let mut machine = machine(RepeatRule::Never, 1);
+    read_prompt(&mut machine);
+    for number in 2..=4 {
+        let placed = Event::Placed(Placement::Whole(target(&format!("decode-{number}"), number)));
+        let (attempt, ..) = dispatched(&machine.handle(placed, NOW));
+        let refused = Event::Refused {
+            attempt,
+            refusal: refusal(EngineRefusalReason::QueueFull),
+        };
+        machine.handle(refused, NOW);
+        let actions = machine.handle(Event::RetryGranted { not_before: NOW }, NOW);
+        assert!(
+            matches!(actions[..], [Action::Forward(ForwardAction::ChooseOutput { .. })]),
+            "{actions:?}"
+        );
+    }
+}
