Fix: a list that is behind no longer revives engines that a node knew to be gone

Cause: such a node kept nothing of an engine that it dropped, and took from an older list whatever it did not know. Same class as the announced drains: a source that is behind overrules fresher knowledge.

Of an older list only engines are taken whose entries are known not to have changed since; from a build that tells no changes nothing older is taken.

--- a/crates/core/src/routing/pool/ended_starts.rs
+++ b/crates/core/src/routing/pool/ended_starts.rs
@@ -41,11 +41,6 @@
         }
     }
 
-    /// Whether a start of a name was noted.
-    pub(super) fn knows(&self, name: &str) -> bool {
-        self.starts.contains_key(name)
-    }
-
     /// The latest start that was noted of a name; zero where none was.
     pub(super) fn latest(&self, name: &str) -> EngineStart {
         self.starts.get(name).copied().unwrap_or_default()
--- a/crates/core/src/routing/pool/listing.rs
+++ b/crates/core/src/routing/pool/listing.rs
@@ -9,6 +9,7 @@
 
 use super::ended_starts::EndedStarts;
 use super::engine::PoolEngine;
+use super::list_changes::KnownChanges;
 use crate::identity::{EngineId, EngineStart};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -57,6 +58,8 @@
     reflected: u64,
     /// Version of the last change.
     changed: u64,
+    /// When entries last changed, those of engines that are not known here among them.
+    known_changes: KnownChanges,
     /// Whether only the engines in use of another node are known.
     partial: bool,
 }
@@ -68,7 +71,11 @@
         changes.sort_by_key(|(version, _)| *version);
         let mut taken = Vec::new();
         for (version, change) in changes {
-            if version <= before || (self.partial && self.is_new(&change)) {
+            if version <= before {
+                continue;
+            }
+            self.known_changes.note(change.name(), version);
+            if self.partial && self.is_new(&change) {
                 continue;
             }
             let new = self.take(change);
@@ -86,6 +93,7 @@
         if snapshot.version < self.reflected {
             return Vec::new();
         }
+        let knew_all = self.reflected > 0 && !self.partial;
         let taken: Vec<ListChange> = self
             .changes_to(snapshot)
             .into_iter()
@@ -94,14 +102,22 @@
         if !taken.is_empty() {
             self.changed = snapshot.version;
         }
+        if knew_all {
+            let names = taken.iter().map(ListChange::name);
+            names.for_each(|name| self.known_changes.note(name, snapshot.version));
+        } else {
+            self.known_changes = KnownChanges::none_before(snapshot.version);
+        }
         self.reflected = snapshot.version;
         self.partial = false;
         taken
     }
 
     /// Takes the engines in use of another node. Where the whole list is known and not older, they say nothing that it
-    /// doesn't; an older one is given up, since nobody keeps it for a node that takes these.
-    pub fn replace_in_use(&mut self, snapshot: &ListSnapshot) -> Vec<ListChange> {
+    /// doesn't; an older one is given up, since nobody keeps it for a node that takes these. `changes` is what the other node
+    /// knows of changes up to the version of the snapshot; of an older one only those engines are taken whose entries are known
+    /// not to have changed since.
+    pub fn replace_in_use(&mut self, snapshot: &ListSnapshot, changes: &KnownChanges) -> Vec<ListChange> {
         if !self.partial && self.reflected >= snapshot.version {
             return Vec::new();
         }
@@ -109,6 +125,7 @@
         if snapshot.version < self.reflected {
             return self.add_unknown(snapshot);
         }
+        self.known_changes.extend(changes, self.reflected);
         self.reflected = snapshot.version;
         let mut taken = self.drop_unnamed(snapshot);
         let engines = snapshot.engines.iter().cloned();
@@ -133,12 +150,12 @@
             .collect()
     }
 
-    /// Adds the engines of an older list that this one has never named.
+    /// Adds the engines of an older list that are not known here, and whose entries have not changed since.
     fn add_unknown(&mut self, snapshot: &ListSnapshot) -> Vec<ListChange> {
         let engines = snapshot.engines.iter();
         let unknown = engines.filter(|engine| {
             let name = engine.id.as_str();
-            !self.engines.contains_key(name) && !self.unreadable.contains(name) && !self.ended.knows(name)
+            !self.engines.contains_key(name) && self.known_changes.is_unchanged_since(name, snapshot.version)
         });
         let unknown: Vec<PoolEngine> = unknown.cloned().collect();
         unknown
@@ -196,6 +213,11 @@
         }
     }
 
+    /// What is known of the last changes of entries, for another node: of at most so many.
+    pub fn known_changes(&self, most: usize) -> KnownChanges {
+        self.known_changes.latest(most)
+    }
+
     /// Version up to which everything is reflected.
     pub fn reflected(&self) -> u64 {
         self.reflected
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -19,6 +19,7 @@
 mod engine;
 mod expectation;
 mod limits;
+mod list_changes;
 mod listing;
 mod neighbours;
 mod pace;
@@ -47,6 +48,7 @@
 pub use dispatches::{OutputWay, PoolTicket};
 pub use engine::{EngineStage, EngineState, PoolEngine, ToldLoad, WorkAtEngine};
 pub use expectation::{ExpectationError, ReadingPauses, TurnedAway};
+pub use list_changes::KnownChanges;
 pub use listing::{EngineListing, ListChange, ListSnapshot};
 pub use pace::{
     EnginePace, EnginePaceUse, FigurePersistence, LastingPace, LastingWord, MomentaryPace, PaceChange,
--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -7,7 +7,7 @@
 use crate::context::Context;
 use crate::cordons;
 use rand::Rng;
-use shelfjunction_core::routing::pool::ListSnapshot;
+use shelfjunction_core::routing::pool::{KnownChanges, ListSnapshot};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_protocol::node_snapshot::{Snapshot, Wanted};
 use shelfjunction_threads::lock;
@@ -36,6 +36,9 @@
 /// Longest snapshot, in bytes.
 const MOST_BYTES: u64 = 8 * 1024 * 1024;
 
+/// Entries whose last changes are handed over with the engines in use, ten bytes each.
+const MOST_CHANGES: usize = 256;
+
 /// Threads that hand over snapshots: after a loss of all nodes a hundred ask one at the same moment, each at the end of a
 /// slow link.
 pub(crate) const SERVERS: usize = 6;
@@ -119,7 +122,8 @@
         context.config_watch.on_caught_up();
     }
     if let Some(list) = snapshot.list {
-        take_list(context, &list, snapshot.list_is_partial, &source);
+        let changes = snapshot.list_changes;
+        take_list(context, &list, snapshot.list_is_partial, changes, &source);
     }
     if let Some(set) = snapshot.cordons {
         cordons::take(context, set, &source);
@@ -127,11 +131,18 @@
     lock(&context.router).on_peer_news(&snapshot.held, context.now());
 }
 
-fn take_list(context: &Context, list: &ListSnapshot, is_partial: bool, source: &str) {
+fn take_list(
+    context: &Context,
+    list: &ListSnapshot,
+    is_partial: bool,
+    known_changes: Option<KnownChanges>,
+    source: &str,
+) {
     let changes = {
         let mut listing = lock(&context.listing);
         let changes = if is_partial {
-            listing.replace_in_use(list)
+            let known = known_changes.unwrap_or_else(|| KnownChanges::none_before(list.version));
+            listing.replace_in_use(list, &known)
         } else {
             listing.replace(list)
         };
@@ -216,11 +227,13 @@
 fn snapshot(context: &Context, wanted: Wanted) -> Snapshot {
     let config = context.forwarding().filter(|_| wanted.config);
     let list = wanted.list.then(|| list(context, wanted)).flatten();
+    let (list, list_changes) = list.unzip();
     Snapshot {
         config: config.map(|config| config.as_ref().clone()),
         cordons: wanted.cordons.then(|| lock(&context.cordons).clone()),
         list_is_partial: list.is_some() && wanted.in_use_suffice,
         list,
+        list_changes: list_changes.flatten(),
         held: if wanted.held {
             lock(&context.router).held()
         } else {
@@ -229,14 +242,17 @@
     }
 }
 
-/// The list as it is wanted; who asks for the whole of it has no use for a part.
-fn list(context: &Context, wanted: Wanted) -> Option<ListSnapshot> {
+/// The list as it is wanted, a part of it with what is known of changes; who asks for the whole of it has no use for a part.
+fn list(context: &Context, wanted: Wanted) -> Option<(ListSnapshot, Option<KnownChanges>)> {
     // Words are composed with the router locked before the list: neither is held here while the other is taken.
     let in_use = wanted.in_use_suffice.then(|| lock(&context.router).in_use());
     let listing = lock(&context.listing);
     match in_use {
-        Some(engines) => Some(listing.snapshot_of(&engines)),
+        Some(engines) => Some((
+            listing.snapshot_of(&engines),
+            Some(listing.known_changes(MOST_CHANGES)),
+        )),
         None if listing.is_partial() => None,
-        None => Some(listing.snapshot()),
+        None => Some((listing.snapshot(), None)),
     }
 }
--- a/crates/protocol/src/node_snapshot.rs
+++ b/crates/protocol/src/node_snapshot.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::cordon::CordonSet;
 use shelfjunction_core::forwarding::ForwardingConfig;
-use shelfjunction_core::routing::pool::{ListSnapshot, PrefixNews};
+use shelfjunction_core::routing::pool::{KnownChanges, ListSnapshot, PrefixNews};
 use std::fmt;
 
 const CODEC: Configuration = standard();
@@ -31,6 +31,8 @@
 const HELD: u16 = 4;
 /// The list names only engines in use; without content.
 const LIST_IN_USE: u16 = 5;
+/// What the sender knows of the last changes of entries, up to the version of the list.
+const LIST_CHANGES: u16 = 6;
 
 /// Bytes before a section's content.
 const SECTION_HEAD: usize = 6;
@@ -105,6 +107,8 @@
     pub list: Option<ListSnapshot>,
     /// Whether the list names only the engines in use.
     pub list_is_partial: bool,
+    /// What is known of the last changes of its entries; absent from builds that don't tell, and with a whole list.
+    pub list_changes: Option<KnownChanges>,
     /// The operators' cordons.
     pub cordons: Option<CordonSet>,
     /// What engines are believed to hold.
@@ -170,6 +174,9 @@
         if self.list_is_partial {
             push_section(&mut bytes, LIST_IN_USE, &[]);
         }
+        if let Some(changes) = &self.list_changes {
+            push_section(&mut bytes, LIST_CHANGES, &encode("list_changes", changes)?);
+        }
         Ok(bytes)
     }
 
@@ -184,6 +191,7 @@
                     config: first.config,
                     list: first.list,
                     list_is_partial: false,
+                    list_changes: None,
                     cordons: first.cordons,
                     held: first.held,
                 })
@@ -202,6 +210,7 @@
                 CORDONS => snapshot.cordons = Some(decode("cordons", content)?),
                 HELD => snapshot.held = decode("held", content)?,
                 LIST_IN_USE => snapshot.list_is_partial = true,
+                LIST_CHANGES => snapshot.list_changes = Some(decode("list_changes", content)?),
                 // A later build says more.
                 _ => {}
             }
--- a/crates/protocol/tests/node_formats.rs
+++ b/crates/protocol/tests/node_formats.rs
@@ -9,7 +9,8 @@
 use shelfjunction_core::identity::{EngineId, EngineStart, NodeId, ZoneId};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::routing::pool::{
-    EngineStage, ListChange, ListNews, ListSnapshot, PeerWork, PoolEngine, PrefixBlock, PrefixNews, WorkSlice,
+    EngineStage, KnownChanges, ListChange, ListNews, ListSnapshot, PeerWork, PoolEngine, PrefixBlock,
+    PrefixNews, WorkSlice,
 };
 use shelfjunction_protocol::node_snapshot::{Snapshot, SnapshotError, Wanted};
 use shelfjunction_protocol::node_words::Datagram;
@@ -48,6 +49,7 @@
             unreadable: vec!["x".to_owned()],
         }),
         list_is_partial: false,
+        list_changes: None,
         cordons: Some(CordonSet::default()),
         held: vec![PrefixNews {
             engine: SubjectHandle::of_engine(&engine().id),
@@ -146,8 +148,11 @@
 
 #[test]
 fn an_answer_in_sections_says_the_same_and_that_a_list_is_partial() {
+    let mut changes = KnownChanges::none_before(290);
+    changes.note("engine", 295);
     let partial = Snapshot {
         list_is_partial: true,
+        list_changes: Some(changes),
         ..snapshot()
     };
     for said in [snapshot(), partial, Snapshot::default()] {
