The router takes changes of the list in the order in which the list took them

One lock now spans both steps; there is one way to change the list. No test reaches the race; the tests of lists and nodes pass.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -55,6 +55,8 @@
     pub(crate) config_watch: TableWatch,
     pub(crate) list_watch: TableWatch,
     pub(crate) listing: Mutex<EngineListing>,
+    /// Held from a change of the list until the router has it too; locked before `listing`.
+    list_updates: Mutex<()>,
     /// Changes of the list that the store has told this node; locked after `listing`.
     pub(crate) recent_changes: Mutex<RecentChanges>,
     /// Engines that operators leave alone.
@@ -167,6 +169,7 @@
             config_watch: TableWatch::new("configuration", config.config_watch, WatchRole::AsksLast),
             list_watch: TableWatch::new("engines", config.list_watch, WatchRole::Relies),
             listing: Mutex::new(EngineListing::default()),
+            list_updates: Mutex::default(),
             recent_changes: Mutex::new(RecentChanges::default()),
             cordons: Mutex::default(),
             suspects: Suspects::new(&config),
@@ -240,12 +243,25 @@
         adoption
     }
 
-    /// Takes changes of the list of engines from the store or a peer, which `source` names.
-    pub(crate) fn take_list_changes(&self, changes: Vec<ListChange>, source: &str) {
-        let now = self.now();
-        if !changes.is_empty() {
-            *lock(&self.list_changed_at) = now;
+    /// Updates the list of engines from the store or a peer, which `source` names; whether anything has changed. Several
+    /// threads do, and the router must have the changes in the order in which the list took them.
+    pub(crate) fn update_list(
+        &self,
+        source: &str,
+        update: impl FnOnce(&mut EngineListing) -> Vec<ListChange>,
+    ) -> bool {
+        let _in_order = lock(&self.list_updates);
+        let changes = update(&mut lock(&self.listing));
+        let has_changed = !changes.is_empty();
+        if has_changed {
+            self.apply_list_changes(changes, source);
         }
+        has_changed
+    }
+
+    fn apply_list_changes(&self, changes: Vec<ListChange>, source: &str) {
+        let now = self.now();
+        *lock(&self.list_changed_at) = now;
         let listed = changes.len();
         let mut reserved = 0;
         for change in changes {
--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -138,8 +138,7 @@
     known_changes: Option<KnownChanges>,
     source: &str,
 ) {
-    let changes = {
-        let mut listing = lock(&context.listing);
+    context.update_list(source, |listing| {
         let changes = if is_partial {
             let known = known_changes.unwrap_or_else(|| KnownChanges::none_before(list.version));
             listing.replace_in_use(list, &known)
@@ -150,11 +149,8 @@
             lock(&context.recent_changes).reset();
         }
         changes
-    };
+    });
     context.list_watch.on_caught_up();
-    if !changes.is_empty() {
-        context.take_list_changes(changes, source);
-    }
 }
 
 /// Takes everything from the first of some peers that knows the whole list of engines.
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -134,16 +134,14 @@
 }
 
 fn take_list_news(context: &Context, news: ListNews, from: SocketAddr) {
-    let taken = {
-        let mut listing = lock(&context.listing);
-        let taken = news.apply_to(&mut listing);
+    let has_changed = context.update_list(&format!("peer {from}"), |listing| {
+        let taken = news.apply_to(listing);
         if !taken.is_empty() {
             lock(&context.recent_changes).reset();
         }
         taken
-    };
-    if !taken.is_empty() {
+    });
+    if has_changed {
         context.list_watch.on_caught_up();
-        context.take_list_changes(taken, &format!("peer {from}"));
     }
 }
--- a/crates/node/src/watch/engines.rs
+++ b/crates/node/src/watch/engines.rs
@@ -56,27 +56,25 @@
 }
 
 fn take_changes(context: &Context, faults: &mut RowFaults, after: u64, changes: Changes<EngineRow>) {
-    let taken = {
-        let mut listing = lock(&context.listing);
+    context.update_list(SOURCE, |listing| {
         let rows = changes.changes.into_iter();
         let read: Vec<(u64, ListChange)> = rows
-            .map(|row| (row.version.0, faults.change_of(row, &listing)))
+            .map(|row| (row.version.0, faults.change_of(row, listing)))
             .collect();
-        lock(&context.recent_changes).note(&listing, after, &read, context.now());
+        lock(&context.recent_changes).note(listing, after, &read, context.now());
         listing.apply(read, changes.version.0)
-    };
-    context.take_list_changes(taken, SOURCE);
+    });
+    context.state.note_listed();
 }
 
 fn take_whole(context: &Context, faults: &mut RowFaults, changes: Changes<EngineRow>) {
-    let taken = {
-        let mut listing = lock(&context.listing);
-        let snapshot = snapshot(faults, &listing, changes);
+    context.update_list(SOURCE, |listing| {
+        let snapshot = snapshot(faults, listing, changes);
         faults.retain(&snapshot.unreadable);
         lock(&context.recent_changes).reset();
         listing.replace(&snapshot)
-    };
-    context.take_list_changes(taken, SOURCE);
+    });
+    context.state.note_listed();
 }
 
 fn snapshot(faults: &mut RowFaults, listing: &EngineListing, changes: Changes<EngineRow>) -> ListSnapshot {
