Fault soak: engines announce drains and ask for backoffs; both are judged at each engine's door

Judged, for each pair of node and engine: nothing that a caller sends to a node after that node has passed on the announcement, or read the refusal, reaches the engine; and nobody is refused for want of engines while every pool has others.

The check now leaves out refusals of engines whose link was struck, and of drains it takes the answer's signature as the evidence.

--- a/crates/lab/src/fault_soak/deployment.rs
+++ b/crates/lab/src/fault_soak/deployment.rs
@@ -35,6 +35,10 @@
     configuration: Mutex<Configuration>,
     /// Which nodes were struck when.
     pub(super) disturbances: Disturbances,
+    /// Which nodes were started anew or stood still when.
+    pub(super) restarts: Disturbances,
+    /// Links to which engines were struck when.
+    pub(super) engine_links: Disturbances,
     /// Which nodes ran another build when, which may not know what is judged.
     pub(super) on_other_build: Disturbances,
 }
@@ -77,6 +81,8 @@
             engines: engines?,
             configuration: Mutex::new(Configuration { version: 0, pool: 0 }),
             disturbances: Disturbances::default(),
+            restarts: Disturbances::default(),
+            engine_links: Disturbances::default(),
             on_other_build: Disturbances::default(),
         };
         deployment.reconfigure();
@@ -150,6 +156,16 @@
         lock(&self.engines[engine]).now.name_limit(requests_per_second);
     }
 
+    /// An engine says in all its answers that it drains.
+    pub fn announce_draining(&self, engine: usize) {
+        lock(&self.engines[engine]).now.announce_draining();
+    }
+
+    /// An engine refuses everything and asks for so long without requests each time, or no longer does.
+    pub fn ask_backoff(&self, engine: usize, backoff: Option<Duration>) {
+        lock(&self.engines[engine]).now.ask_backoff(backoff);
+    }
+
     /// Makes work at an engine take so long from now on, in percent of the usual.
     pub fn set_pace(&self, engine: usize, percent: u32) {
         lock(&self.engines[engine]).now.set_pace(percent);
@@ -167,6 +183,13 @@
         self.list(engine, "draining");
     }
 
+    /// Removes an engine's entry while it goes on.
+    pub fn unlist(&self, engine: usize) {
+        let mut place = lock(&self.engines[engine]);
+        place.mend_entry();
+        self.store.remove("servers", &place.id);
+    }
+
     /// Ends an engine that is about to leave and starts another at its place.
     pub fn replace(&self, engine: usize) -> io::Result<()> {
         let mut place = lock(&self.engines[engine]);
@@ -298,6 +321,7 @@
             place.relay.mend();
             place.now.refuse_most(false);
             place.now.name_limit(None);
+            place.now.ask_backoff(None);
         }
     }
 
--- a/crates/lab/src/fault_soak/oracle.rs
+++ b/crates/lab/src/fault_soak/oracle.rs
@@ -2,7 +2,9 @@
 
 use super::operator::tenant_of;
 use super::record::{SeenAnswer, SeenCall};
-use crate::users_platform::{ArrivalRecord, LimitRecord, OrderRecord, RunRecord, UsageReport};
+use crate::users_platform::{
+    ArrivalRecord, BackoffRecord, DrainRecord, LimitRecord, OrderRecord, RunRecord, UsageReport,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Statuses that promise that the request has not run and never will.
@@ -51,6 +53,26 @@
         /// Requests that are allowed.
         allowed: usize,
     },
+    /// A request reached an engine from a node that had passed on an answer in which the engine announced its drain.
+    SentToDrainingEngine {
+        /// The request.
+        request: String,
+        /// The start of the engine.
+        engine: String,
+        /// Time since the node passed on that answer.
+        after_millis: u64,
+    },
+    /// A request reached an engine from a node that it had asked to back off.
+    SentWithinBackoff {
+        /// The request.
+        request: String,
+        /// The start of the engine.
+        engine: String,
+        /// Time until the end of the backoff.
+        left_millis: u64,
+    },
+    /// A request was refused although nothing was wrong and every pool had engines that took work.
+    RefusedWithEnginesFree(String),
     /// A request under which engines crashed was sent on by nodes that had had the time to know.
     SentOnAfterCrashes {
         /// What it asked for.
@@ -88,6 +110,10 @@
     pub arrivals: Vec<(&'static str, ArrivalRecord)>,
     /// Times for which they named rate limits.
     pub limits: Vec<LimitRecord>,
+    /// Drains that they announced in their answers.
+    pub drains: Vec<DrainRecord>,
+    /// Refusals that asked for a time without requests.
+    pub backoffs: Vec<BackoffRecord>,
 }
 
 /// Every promise about requests and orders that did not hold.
--- a/crates/lab/src/fault_soak/places.rs
+++ b/crates/lab/src/fault_soak/places.rs
@@ -62,6 +62,8 @@
         self.orders.extend(other.orders.iter().cloned());
         self.arrivals.extend(other.arrivals.iter().cloned());
         self.limits.extend(other.limits.iter().cloned());
+        self.drains.extend(other.drains.iter().cloned());
+        self.backoffs.extend(other.backoffs.iter().cloned());
     }
 }
 
@@ -141,6 +143,8 @@
             orders: self.now.order_records(),
             arrivals: self.arrivals(),
             limits: self.now.limit_records(),
+            drains: self.now.drain_record().into_iter().collect(),
+            backoffs: self.now.backoff_records(),
         }
     }
 
--- a/crates/lab/src/fault_soak/schedule.rs
+++ b/crates/lab/src/fault_soak/schedule.rs
@@ -47,6 +47,12 @@
     NameLimit(usize, u32),
     /// Every engine names the same rate limit.
     NameLimitsOfAll(u32),
+    /// An engine announces in its answers that it drains, while its entry says that it is ready, and ends.
+    AnnounceDrain(usize, DrainEnd),
+    /// An engine refuses everything and asks for so many milliseconds without requests each time.
+    AskBackoff(usize, u64),
+    /// Every engine does.
+    AskBackoffOfAll(u64),
     /// The operator moves a route to another pool.
     Reconfigure,
     /// Every engine refuses most requests.
@@ -70,7 +76,35 @@
 impl Fault {
     /// Whether every promise holds meanwhile as if nothing had struck: requests may be refused, as at any time.
     pub fn excuses_nothing(self) -> bool {
-        matches!(self, Self::NameLimit(..) | Self::NameLimitsOfAll(_))
+        matches!(
+            self,
+            Self::NameLimit(..) | Self::NameLimitsOfAll(_) | Self::AskBackoff(..) | Self::AskBackoffOfAll(_)
+        )
+    }
+
+    /// The engine whose link it strikes.
+    pub fn struck_engine_link(self) -> Option<usize> {
+        match self {
+            Self::EngineLink(engine, _) | Self::ResetEngineLink(engine) | Self::SilenceEngineLink(engine) => {
+                Some(engine)
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether nodes are started anew or stand still.
+    pub fn restarts(self) -> bool {
+        matches!(
+            self,
+            Self::Kill(_)
+                | Self::KillAll
+                | Self::KillAllInSeries
+                | Self::KillAllWhileEnginesRefuse
+                | Self::Pause(_)
+                | Self::Stop(_)
+                | Self::StopInSeries
+                | Self::ReloadAndStop(_)
+        )
     }
 
     /// Nodes that it strikes: their processes, their path to the store, or the store itself.
@@ -100,6 +134,9 @@
             | Self::PaceChanges(..)
             | Self::NameLimit(..)
             | Self::NameLimitsOfAll(_)
+            | Self::AnnounceDrain(..)
+            | Self::AskBackoff(..)
+            | Self::AskBackoffOfAll(_)
             | Self::Reconfigure
             | Self::ReconfigureInSeries
             | Self::EnginesRefuse => Struck::Nobody,
@@ -107,6 +144,17 @@
     }
 }
 
+/// How an engine ends that announced its drain in its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DrainEnd {
+    /// Its entry says at last that it drains, and another engine comes.
+    ListedLateAndReplaced,
+    /// Its entry goes while it still answers, and another engine comes.
+    NeverListedAndReplaced,
+    /// Its entry never says so, and it starts again under its identifier.
+    ComesBack,
+}
+
 /// One fault and when it strikes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ScheduledFault {
@@ -151,6 +199,21 @@
 /// Number of the stream of draws for limits.
 const LIMITS_STREAM: u64 = 1;
 
+/// Number of the stream of draws for what engines say of themselves.
+const SIGNALS_STREAM: u64 = 2;
+
+/// Pauses between two of them, in milliseconds.
+const SIGNAL_PAUSE_MILLIS: std::ops::Range<u64> = 800..2_500;
+
+/// Times for which engines drain before they end, or refuse, in milliseconds.
+const SIGNAL_LENGTH_MILLIS: std::ops::Range<u64> = 1_000..4_000;
+
+/// Backoffs that one engine asks for, in milliseconds.
+const BACKOFF_MILLIS: std::ops::Range<u64> = 200..30_000;
+
+/// Backoffs that all engines ask for at once, in milliseconds.
+const BACKOFF_OF_ALL_MILLIS: std::ops::Range<u64> = 200..4_000;
+
 /// How close faults follow on each other.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Pace {
@@ -187,6 +250,7 @@
         at += pace.stretched(Duration::from_millis(random.random_range(PAUSE_MILLIS)));
     }
     schedule.extend(draw_limits(seed, length, targets, pace));
+    schedule.extend(draw_signals(seed, length, targets, pace));
     schedule.sort_by_key(|scheduled| scheduled.at);
     schedule
 }
@@ -215,6 +279,34 @@
     schedule
 }
 
+/// Draws what engines say of themselves, from a stream of its own, for the same reason.
+fn draw_signals(seed: u64, length: Duration, targets: Targets, pace: Pace) -> Vec<ScheduledFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(SIGNALS_STREAM);
+    let mut schedule = Vec::new();
+    let mut at = pace.stretched(Duration::from_millis(random.random_range(SIGNAL_PAUSE_MILLIS)));
+    while at < length {
+        schedule.push(ScheduledFault {
+            at,
+            lasts: Duration::from_millis(random.random_range(SIGNAL_LENGTH_MILLIS)),
+            fault: draw_signal(&mut random, targets),
+        });
+        at += pace.stretched(Duration::from_millis(random.random_range(SIGNAL_PAUSE_MILLIS)));
+    }
+    schedule
+}
+
+fn draw_signal(random: &mut ChaCha8Rng, targets: Targets) -> Fault {
+    let engine = random.random_range(0..targets.engines);
+    match random.random_range(0..10) {
+        0..2 => Fault::AnnounceDrain(engine, DrainEnd::ListedLateAndReplaced),
+        2..4 => Fault::AnnounceDrain(engine, DrainEnd::NeverListedAndReplaced),
+        4..5 => Fault::AnnounceDrain(engine, DrainEnd::ComesBack),
+        5..9 => Fault::AskBackoff(engine, random.random_range(BACKOFF_MILLIS)),
+        _ => Fault::AskBackoffOfAll(random.random_range(BACKOFF_OF_ALL_MILLIS)),
+    }
+}
+
 fn draw_fault(random: &mut ChaCha8Rng, targets: Targets) -> Fault {
     let node = random.random_range(0..targets.nodes);
     let engine = random.random_range(0..targets.engines);
--- a/crates/lab/src/fault_soak/striking.rs
+++ b/crates/lab/src/fault_soak/striking.rs
@@ -2,7 +2,8 @@
 
 use super::crashes::CONTACT;
 use super::deployment::Deployment;
-use super::schedule::{Fault, ScheduledFault};
+use super::disturbances::Struck;
+use super::schedule::{DrainEnd, Fault, ScheduledFault};
 use crate::relay::LinkFault;
 use crate::users_platform::{StoreMode, USUAL_PACE_PERCENT};
 use std::thread;
@@ -28,8 +29,23 @@
                 }
                 let struck = scheduled.fault.struck();
                 let place = deployment.disturbances.begin(struck, begun.elapsed());
+                let restart = scheduled
+                    .fault
+                    .restarts()
+                    .then(|| deployment.restarts.begin(struck, begun.elapsed()));
+                let link = scheduled.fault.struck_engine_link().map(|engine| {
+                    deployment
+                        .engine_links
+                        .begin(Struck::Node(engine), begun.elapsed())
+                });
                 strike_one(deployment, scheduled);
                 deployment.disturbances.end(place, begun.elapsed());
+                if let Some(restart) = restart {
+                    deployment.restarts.end(restart, begun.elapsed());
+                }
+                if let Some(link) = link {
+                    deployment.engine_links.end(link, begun.elapsed());
+                }
             });
         }
     });
@@ -128,6 +144,25 @@
             wait();
             engines.for_each(|engine| deployment.name_limit(engine, None));
         }
+        Fault::AnnounceDrain(engine, end) => {
+            deployment.announce_draining(engine);
+            wait();
+            end_drain(deployment, engine, end, scheduled.lasts);
+        }
+        Fault::AskBackoff(engine, millis) => {
+            deployment.ask_backoff(engine, Some(Duration::from_millis(millis)));
+            wait();
+            deployment.ask_backoff(engine, None);
+        }
+        Fault::AskBackoffOfAll(millis) => {
+            let engines = 0..deployment.targets().engines;
+            let backoff = Some(Duration::from_millis(millis));
+            engines
+                .clone()
+                .for_each(|engine| deployment.ask_backoff(engine, backoff));
+            wait();
+            engines.for_each(|engine| deployment.ask_backoff(engine, None));
+        }
         Fault::Reconfigure => {
             deployment.reconfigure();
         }
@@ -157,6 +192,24 @@
     }
 }
 
+/// Ends an engine that announced its drain.
+fn end_drain(deployment: &Deployment, engine: usize, end: DrainEnd, lasts: Duration) {
+    if end == DrainEnd::ListedLateAndReplaced {
+        deployment.drain(engine);
+    }
+    if end == DrainEnd::NeverListedAndReplaced {
+        deployment.unlist(engine);
+    }
+    thread::sleep(lasts / 2);
+    let ended = match end {
+        DrainEnd::ComesBack => deployment.come_back(engine),
+        DrainEnd::ListedLateAndReplaced | DrainEnd::NeverListedAndReplaced => deployment.replace(engine),
+    };
+    if let Err(error) = ended {
+        log::error!(engine, error:% = error; "engine_not_replaced");
+    }
+}
+
 /// Changes an engine's pace and back, several times over a span.
 fn change_pace(deployment: &Deployment, engine: usize, percent: u32, span: Duration) {
     let half = span / (2 * SERIES);
