Nodes tell each other of engines that drain, and placers of engines that turn nodes away

A backoff binds one node, but tells others that the engine has less room: they leave it alone as after a refusal of their own. Datagrams of a format of their own, which older builds drop as unreadable.

--- a/crates/core/src/routing/pool/signals.rs
+++ b/crates/core/src/routing/pool/signals.rs
@@ -3,6 +3,7 @@
 use super::engine::{EngineStage, EngineState};
 use super::query::PoolQuery;
 use super::router::PoolRouter;
+use crate::engine::EngineRefusalReason;
 use crate::identity::EngineId;
 use crate::membership::subject::SubjectHandle;
 use crate::routing::returning::Returning;
@@ -69,6 +70,18 @@
         true
     }
 
+    /// Notes that an engine has refused another node for want of room.
+    pub fn on_refused_elsewhere(
+        &mut self,
+        engine: SubjectHandle,
+        reason: EngineRefusalReason,
+        now: MonotonicTime,
+    ) {
+        if let Some(state) = self.state_of(engine) {
+            state.health.refused(reason, now);
+        }
+    }
+
     /// Notes that an engine wants no requests from this node for a time; the end of its backoff.
     pub fn on_backoff_asked(
         &mut self,
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -3,6 +3,7 @@
 use crate::config::NodeConfig;
 use crate::course::KeptForCallers;
 use crate::duties::DutyNotes;
+use crate::engine_signals::Announcements;
 use crate::links::Links;
 use crate::metering::Metering;
 use crate::metrics::Metrics;
@@ -78,6 +79,8 @@
     in_force: Mutex<ConfigInForce>,
     rotation: Mutex<ShareRotation>,
     pub(crate) repeats: Repeats,
+    /// Drains of engines that this node announces to others.
+    pub(crate) announcements: Announcements,
     /// Rate limits of engines, and the slots that this node keeps.
     pub(crate) rate_limits: RateLimits,
     /// Bytes kept for callers that read slowly.
@@ -183,6 +186,7 @@
             in_force: Mutex::new(ConfigInForce::default()),
             rotation: Mutex::new(ShareRotation::default()),
             repeats: Repeats::new(&config),
+            announcements: Announcements::default(),
             rate_limits: RateLimits::default(),
             kept_for_callers: KeptForCallers::default(),
             waits: Mutex::new(CallerWaits::default()),
--- a/crates/node/src/engine_signals/mod.rs
+++ b/crates/node/src/engine_signals/mod.rs
@@ -1,8 +1,10 @@
 //! What engines say of themselves in the heads of their answers ([`shelfjunction_core::engine_signals`]).
 
 mod metrics;
+mod sending;
 
 pub(crate) use metrics::SignalMetrics;
+pub(crate) use sending::{AnnouncementSender, Announcements, on_message};
 
 use crate::context::Context;
 use crate::rate_limits;
@@ -44,7 +46,10 @@
 
 fn on_answered(context: &Context, engine: &EngineId, signals: &EngineSignals) {
     if signals.draining {
-        on_draining(context, engine);
+        let handle = SubjectHandle::of_engine(engine);
+        if on_draining(context, handle, "answer") {
+            context.announcements.add(context, handle);
+        }
     }
     match &signals.backoff {
         AnsweredBackoff::Absent => {}
@@ -55,21 +60,44 @@
     }
 }
 
-fn on_draining(context: &Context, engine: &EngineId) {
-    let handle = SubjectHandle::of_engine(engine);
-    let is_new = lock(&context.router).on_draining(handle);
-    if is_new {
-        context.links.forget(engine);
-        context.note_reclaims("answer");
-        context.metrics.signals.draining_announced("answer");
-        log::info!(engine = engine.as_str(), start:% = engine.start(), source = "answer"; "engine_draining");
+/// Notes that an engine drains; whether that is new.
+fn on_draining(context: &Context, engine: SubjectHandle, source: &'static str) -> bool {
+    let (is_new, known) = {
+        let mut router = lock(&context.router);
+        (router.on_draining(engine), router.engine_named(engine))
+    };
+    if !is_new {
+        return false;
     }
+    if let Some(known) = &known {
+        context.links.forget(known);
+    }
+    context.note_reclaims(source);
+    context.metrics.signals.draining_announced(source);
+    log::info!(
+        engine = known.as_ref().map_or("not in use", |known| known.as_str()),
+        start:? = known.as_ref().map(|known| known.start().0),
+        source;
+        "engine_draining"
+    );
+    true
 }
 
 fn on_backoff(context: &Context, engine: &EngineId, backoff: Duration) {
     let now = context.now();
     let spread = 1.0 + BACKOFF_SPREAD * rand::random::<f64>();
-    let until = lock(&context.router).on_backoff_asked(engine, backoff.mul_f64(spread), now);
+    let handle = SubjectHandle::of_engine(engine);
+    let (is_new, until) = {
+        let mut router = lock(&context.router);
+        let is_new = router.backoff_remaining(handle, now).is_none();
+        (
+            is_new,
+            router.on_backoff_asked(engine, backoff.mul_f64(spread), now),
+        )
+    };
+    if is_new {
+        sending::send_overloaded(context, handle);
+    }
     context.metrics.signals.backoff_asked();
     log::info!(
         engine = engine.as_str(),
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/hearing.rs
@@ -4,6 +4,7 @@
 use super::{Behind, Peer};
 use crate::belief_log;
 use crate::context::Context;
+use crate::engine_signals;
 use crate::metering;
 use crate::placing;
 use crate::quarantine;
@@ -13,6 +14,7 @@
 use shelfjunction_core::sharing::UseWord;
 use shelfjunction_protocol::node_words::{Datagram, MOST_RECEIVED, WorkMessage};
 use shelfjunction_protocol::rate_words::RateDatagram;
+use shelfjunction_protocol::signal_messages::SignalDatagram;
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
@@ -38,10 +40,7 @@
                 Some(Datagram::Suspects(words)) => quarantine::take(context, &words, from),
                 Some(Datagram::Trial(word)) => quarantine::take_trial(context, &word),
                 Some(Datagram::Use(word)) => take_use(context, &word),
-                None => match RateDatagram::decode(&bytes[..length]) {
-                    Some(datagram) => take_rate_datagram(context, datagram, from),
-                    None => log::debug!(from:% = from, length; "datagram_unreadable"),
-                },
+                None => take_later_format(context, &bytes[..length], from),
             },
             Err(error) => {
                 log::debug!(error:% = error; "peer_socket_failed");
@@ -51,6 +50,17 @@
     }
 }
 
+/// Takes a datagram of a format that not every build knows.
+fn take_later_format(context: &Context, bytes: &[u8], from: SocketAddr) {
+    if let Some(datagram) = RateDatagram::decode(bytes) {
+        return take_rate_datagram(context, datagram, from);
+    }
+    match SignalDatagram::decode(bytes) {
+        Some(message) => engine_signals::on_message(context, &message, from),
+        None => log::debug!(from:% = from, length = bytes.len(); "datagram_unreadable"),
+    }
+}
+
 fn take_rate_datagram(context: &Context, datagram: RateDatagram, from: SocketAddr) {
     match datagram {
         RateDatagram::Limits(message) => rate_limits::take_message(context, &message, from),
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/telling.rs
@@ -5,6 +5,7 @@
 use super::use_words::UseTeller;
 use crate::context::Context;
 use crate::cordons;
+use crate::engine_signals::AnnouncementSender;
 use crate::quarantine;
 use crate::rate_limits;
 use shelfjunction_core::membership::subject::SubjectHandle;
@@ -70,7 +71,9 @@
         teller.use_teller.tell(context, context.now());
         log_pace_changes(context);
         log_working_set(context);
-        let tells_again = quarantine::tell(context).min(teller.limit_teller.tell(context));
+        let tells_again = quarantine::tell(context)
+            .min(teller.limit_teller.tell(context))
+            .min(teller.announcement_sender.send(context));
         teller.tells_again = teller.tells_again.min(tells_again);
         context.stop.wait(pause);
     }
@@ -116,6 +119,7 @@
     tells_again: Duration,
     use_teller: UseTeller,
     limit_teller: rate_limits::Teller,
+    announcement_sender: AnnouncementSender,
     told_all_at: Option<MonotonicTime>,
     /// Versions of the configuration and the cordons that everybody was told.
     told_versions: (u64, u64),
@@ -136,6 +140,7 @@
             tells_again: TELL_AGAIN,
             use_teller: UseTeller::default(),
             limit_teller: rate_limits::Teller::default(),
+            announcement_sender: AnnouncementSender::default(),
             told_all_at: None,
             told_versions: (0, 0),
             rounds_to_all: 0,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod peer;
 pub mod quarantine;
 pub mod rate_words;
+pub mod signal_messages;
