--- a/crates/core/src/engine_signals/mod.rs
+++ b/crates/core/src/engine_signals/mod.rs
@@ -16,6 +16,8 @@
     pub draining: bool,
     /// Whether it wants no requests from this node for a time.
     pub backoff: AnsweredBackoff,
+    /// Name of a field that the adapter neither reads nor passes on knowingly: it may say something that nobody acts on.
+    pub unknown_field: Option<String>,
 }
 
 /// What a refusal says of the time for which its engine wants no requests from the node that it refused.
@@ -38,5 +40,6 @@
         if later.backoff != AnsweredBackoff::Absent {
             self.backoff = later.backoff;
         }
+        self.unknown_field = later.unknown_field.or(self.unknown_field.take());
     }
 }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -31,7 +31,7 @@
 use shelfjunction_core::watching::WatchRole;
 use shelfjunction_platform::clock::MonotonicClock;
 use shelfjunction_threads::{StopSignal, lock};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::UdpSocket;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -79,6 +79,8 @@
     in_force: Mutex<ConfigInForce>,
     rotation: Mutex<ShareRotation>,
     pub(crate) repeats: Repeats,
+    /// Fields of engines' answers that nothing reads, as far as they were logged.
+    pub(crate) unknown_fields: Mutex<BTreeSet<String>>,
     /// Drains of engines that this node announces to others.
     pub(crate) announcements: Announcements,
     /// Rate limits of engines, and the slots that this node keeps.
@@ -186,6 +188,7 @@
             in_force: Mutex::new(ConfigInForce::default()),
             rotation: Mutex::new(ShareRotation::default()),
             repeats: Repeats::new(&config),
+            unknown_fields: Mutex::default(),
             announcements: Announcements::default(),
             rate_limits: RateLimits::default(),
             kept_for_callers: KeptForCallers::default(),
--- a/crates/node/src/engine_signals/mod.rs
+++ b/crates/node/src/engine_signals/mod.rs
@@ -44,7 +44,21 @@
     }
 }
 
+/// Names of unknown fields that are logged, once each.
+const MOST_UNKNOWN_FIELDS: usize = 32;
+
+/// Logs a field of an answer that nothing reads.
+fn on_unknown_field(context: &Context, engine: &EngineId, field: &str) {
+    let mut logged = lock(&context.unknown_fields);
+    if logged.len() < MOST_UNKNOWN_FIELDS && logged.insert(field.to_ascii_lowercase()) {
+        log::warn!(engine = engine.as_str(), field; "engine_field_unknown");
+    }
+}
+
 fn on_answered(context: &Context, engine: &EngineId, signals: &EngineSignals) {
+    if let Some(field) = &signals.unknown_field {
+        on_unknown_field(context, engine, field);
+    }
     if signals.draining {
         let handle = SubjectHandle::of_engine(engine);
         if on_draining(context, handle, "answer") {
