--- a/crates/core/src/forwarding/patience.rs
+++ b/crates/core/src/forwarding/max_wait.rs
@@ -9,7 +9,7 @@
 /// only after a second, by when another engine is the better choice.
 pub const CONNECT: Duration = Duration::from_millis(250);
 
-/// Least patience with any attempt, so that a busy moment of an engine is not taken for silence.
+/// Shortest wait for any attempt, so that a busy moment of an engine is not taken for silence.
 const LEAST: Duration = Duration::from_millis(400);
 
 /// Patience in multiples of the target latency.
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -6,7 +6,7 @@
 mod config;
 mod delivery;
 mod in_force;
-pub mod patience;
+pub mod max_wait;
 mod returning;
 mod route;
 mod share;
--- a/crates/core/src/placing/placement_table.rs
+++ b/crates/core/src/placing/placement_table.rs
@@ -12,7 +12,7 @@
 };
 use crate::identity::EngineId;
 use crate::membership::subject::SubjectHandle;
-use crate::rate_limit::patience::Waiting;
+use crate::rate_limit::max_wait::Waiting;
 use crate::routing::pool::{
     Admission, LATE_RANK, OutputWay, PoolAdmission, PoolEngine, PoolQuery, PoolRoute, PoolRouter, PoolTicket,
     PrefixBlock, Timing,
@@ -336,14 +336,14 @@
 
     /// How long the request waits at an engine that names a rate limit. The node that asks takes the slot, and knows better
     /// what it has put into the request.
-    fn slot_patience(&self) -> Duration {
+    fn slot_max_wait(&self) -> Duration {
         let waiting = Waiting {
             rank: usize::from(self.request.rank),
             left: self.request.left,
             is_invested: false,
             beyond_share: 1.0,
         };
-        waiting.patience()
+        waiting.max_wait()
     }
 
     fn query<'q>(&'q self, key: RequestKey, excluded: &'q [EngineId]) -> PoolQuery<'q> {
@@ -358,7 +358,7 @@
             terms: self.request.terms,
             rank: usize::from(self.request.rank),
             remaining: self.request.left,
-            slot_patience: self.slot_patience(),
+            slot_max_wait: self.slot_max_wait(),
             draw: key.number,
         }
     }
--- a/crates/core/src/rate_limit/belief.rs
+++ b/crates/core/src/rate_limit/belief.rs
@@ -16,7 +16,7 @@
     Unreadable(String),
 }
 
-/// What an answer or a word has changed.
+/// What an answer or a notice has changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitChange {
     /// Nothing that others have to know.
@@ -30,7 +30,7 @@
 /// Time for which others are told that a limit has ended.
 const ENDED_TOLD: Duration = Duration::from_secs(10);
 
-/// Longest wait for a slot that is believed without asking again: the limit, or the part of it that the keeper has, may be
+/// Longest wait for a slot that is believed without asking again: the limit, or the part of it that the owner has, may be
 /// another by then.
 const BELIEVED_FOR: Duration = Duration::from_secs(5);
 
@@ -79,8 +79,8 @@
         }
     }
 
-    /// Takes another node's word of what held at an instant.
-    pub fn on_word(&mut self, limit: Option<RateLimit>, as_of: MonotonicTime) -> LimitChange {
+    /// Takes another node's notice of what held at an instant.
+    pub fn on_notice(&mut self, limit: Option<RateLimit>, as_of: MonotonicTime) -> LimitChange {
         self.take(limit, as_of)
     }
 
--- a/crates/core/src/rate_limit/patience.rs
+++ b/crates/core/src/rate_limit/max_wait.rs
@@ -1,6 +1,6 @@
 //! How long a request waits for its slot at an engine that names a limit.
 //!
-//! Who waits longer finds a slot where others no longer do, so patience is what keeps the order among requests: one that
+//! Who waits longer finds a slot where others no longer do, so the longest wait is what keeps the order among requests: one that
 //! came back after a refusal goes before the others, and more urgent kinds before lesser ones.
 
 use std::time::Duration;
@@ -29,13 +29,13 @@
 
 impl Waiting {
     /// The longest wait.
-    pub fn patience(&self) -> Duration {
+    pub fn max_wait(&self) -> Duration {
         let part = if self.is_invested {
             RETURNED_PART
         } else {
             FIRST_PART / (1 + self.rank) as f64
         };
-        let patience = self.left.mul_f64(part / self.beyond_share.max(1.0));
-        patience.min(LONGEST)
+        let max_wait = self.left.mul_f64(part / self.beyond_share.max(1.0));
+        max_wait.min(LONGEST)
     }
 }
--- a/crates/core/src/rate_limit/word.rs
+++ b/crates/core/src/rate_limit/message.rs
@@ -4,9 +4,9 @@
 use crate::membership::subject::SubjectHandle;
 use serde::{Deserialize, Serialize};
 
-/// A node's word of one engine's limit.
+/// A node's notice of one engine's limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LimitWord {
+pub struct LimitNotice {
     /// The start of the engine.
     pub engine: SubjectHandle,
     /// The limit; absent where it has ended.
@@ -17,15 +17,15 @@
     pub slot_wait_millis: u32,
 }
 
-/// Asks the keeper of an engine for a slot.
+/// Asks the owner of an engine for a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlotQuestion {
     /// Number that the sender has drawn for the question.
     pub number: u64,
     /// What the sender knows of the engine's limit.
-    pub word: LimitWord,
+    pub notice: LimitNotice,
     /// Longest wait for the slot, in milliseconds.
-    pub patience_millis: u32,
+    pub max_wait_millis: u32,
 }
 
 /// What is answered to a [`SlotQuestion`].
@@ -49,7 +49,7 @@
     /// Another node keeps the engine's slots.
     NotKept {
         /// The one that does, as far as the sender knows.
-        keeper: SubjectHandle,
+        owner: SubjectHandle,
     },
 }
 
--- a/crates/core/src/rate_limit/mod.rs
+++ b/crates/core/src/rate_limit/mod.rs
@@ -1,28 +1,28 @@
 //! The requests a second that an engine in need takes from all nodes together.
 //!
 //! Every node sends to every engine, and none sees what the others send, so a limit can't be kept by each node for itself.
-//! One node keeps the slots of an engine: the first by rendezvous hashing of those that speak of limits ([`keeper`]). Whoever
+//! One node keeps the slots of an engine: the first by rendezvous hashing of those that speak of limits ([`slot_owner`]). Whoever
 //! wants to send a request there asks it for a slot, and sends when the slot has come or goes elsewhere:
 //!
 //! ```text
-//! rate of the keeper = limit * part
+//! rate of the owner = limit * part
 //! part               = 1          where it hears FULL_FROM of all nodes or more
 //!                    = heard/all  otherwise
 //! slot               = the next free one, spaced by 1 / rate; an idle engine has up to SAVED slots besides
-//! granted            if the slot comes within the request's patience, denied with the time until it otherwise
+//! granted            if the slot comes within the longest wait of the request, denied with the time until it otherwise
 //! ```
 //!
-//! Nodes that can't hear each other choose different keepers, of which each hears the fewer the more there are, so that the sum
-//! stays near the limit however the fleet is split: a node that hears nobody has its own part without a word.
+//! Nodes that can't hear each other choose different owners, of which each hears the fewer the more there are, so that the sum
+//! stays near the limit however the fleet is split: a node that hears nobody has its own part without a message.
 
 mod belief;
-pub mod keeper;
 mod limit;
-pub mod patience;
+pub mod max_wait;
+mod message;
+pub mod slot_owner;
 mod slots;
-mod word;
 
 pub use belief::{AnsweredLimit, LimitBelief, LimitChange};
 pub use limit::RateLimit;
+pub use message::{LimitNotice, SlotAnswer, SlotOutcome, SlotQuestion};
 pub use slots::{Slot, SlotSchedule};
-pub use word::{LimitWord, SlotAnswer, SlotOutcome, SlotQuestion};
--- a/crates/core/src/rate_limit/keeper.rs
+++ b/crates/core/src/rate_limit/slot_owner.rs
@@ -1,4 +1,4 @@
-//! Who keeps the slots of an engine, and what a keeper knows of the engines that it keeps.
+//! Who keeps the slots of an engine, and what a owner knows of the engines that it keeps.
 
 use super::limit::RateLimit;
 use super::slots::{Slot, SlotSchedule};
@@ -8,22 +8,22 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Part of all nodes from which on a keeper that hears so many has the whole limit. Others that hear each other and not it are
+/// Part of all nodes from which on a owner that hears so many has the whole limit. Others that hear each other and not it are
 /// fewer, and have at most the rest besides: together less than half as much again as the engine named.
 const FULL_FROM: f64 = 0.65;
 
 /// Time after which the slots of an engine that nobody asked for are forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
-/// Time after which a keeper is asked again that does not know how many nodes there are.
+/// Time after which a owner is asked again that does not know how many nodes there are.
 const NO_PART: Duration = Duration::from_millis(500);
 
-/// The keeper of an engine's slots, of those that may be; absent where there is none.
-pub fn keeper_of(engine: SubjectHandle, candidates: &[SubjectHandle]) -> Option<SubjectHandle> {
+/// The owner of an engine's slots, of those that may be; absent where there is none.
+pub fn owner_of(engine: SubjectHandle, candidates: &[SubjectHandle]) -> Option<SubjectHandle> {
     rendezvous::choose(engine, candidates, 1).pop()
 }
 
-/// The part of a limit that a keeper has which hears so many of all nodes, itself included, that keep to limits as well.
+/// The part of a limit that a owner has which hears so many of all nodes, itself included, that keep to limits as well.
 pub fn part_of(heard: u32, nodes: u32) -> f64 {
     let part = (f64::from(heard) / f64::from(nodes.max(1))).min(1.0);
     if part >= FULL_FROM { 1.0 } else { part }
@@ -31,11 +31,11 @@
 
 /// The slots that one node keeps.
 #[derive(Clone, Debug, Default)]
-pub struct SlotKeeper {
+pub struct SlotOwner {
     schedules: BTreeMap<SubjectHandle, (SlotSchedule, MonotonicTime)>,
 }
 
-impl SlotKeeper {
+impl SlotOwner {
     /// Asks for a slot at an engine, from the part of its limit that `own`, this node, has. There is none while it has no part.
     pub fn take(
         &mut self,
@@ -43,7 +43,7 @@
         engine: SubjectHandle,
         limit: RateLimit,
         part: f64,
-        patience: Duration,
+        max_wait: Duration,
         now: MonotonicTime,
     ) -> Slot {
         self.schedules
@@ -57,7 +57,7 @@
             .entry(engine)
             .or_insert_with(|| (SlotSchedule::begin(rate, phase(own, engine), now), now));
         *asked_at = now;
-        schedule.take(rate, part >= 1.0, patience, now)
+        schedule.take(rate, part >= 1.0, max_wait, now)
     }
 
     /// Engines whose slots were asked for of late.
@@ -66,7 +66,7 @@
     }
 }
 
-/// Where in an interval a keeper's slots fall, as a fraction.
+/// Where in an interval a owner's slots fall, as a fraction.
 fn phase(own: SubjectHandle, engine: SubjectHandle) -> f64 {
     mix(own.number() ^ mix(engine.number())) as f64 / u64::MAX as f64
 }
--- a/crates/core/src/routing/pool/limits.rs
+++ b/crates/core/src/routing/pool/limits.rs
@@ -5,11 +5,11 @@
 use crate::forwarding::PoolId;
 use crate::identity::EngineId;
 use crate::membership::subject::SubjectHandle;
-use crate::rate_limit::{AnsweredLimit, LimitChange, LimitWord, RateLimit};
+use crate::rate_limit::{AnsweredLimit, LimitChange, LimitNotice, RateLimit};
 use crate::time::MonotonicTime;
 use std::time::Duration;
 
-/// Time for which a node goes on telling of a limit that an answer to it has named.
+/// Time for which a node goes on sending of a limit that an answer to it has named.
 const TOLD_AFTER_ANSWER: Duration = Duration::from_secs(2);
 
 /// Time in which a change of the rate of requests shows by two thirds.
@@ -48,14 +48,14 @@
         self.limit.slot_wait(now)
     }
 
-    pub(super) fn has_slot(&self, patience: Duration, now: MonotonicTime) -> bool {
-        self.slot_wait(now) <= patience
+    pub(super) fn has_slot(&self, max_wait: Duration, now: MonotonicTime) -> bool {
+        self.slot_wait(now) <= max_wait
     }
 
     /// Its limit as other nodes are told; absent where there is nothing to tell.
-    pub fn limit_word(&self, now: MonotonicTime) -> Option<LimitWord> {
+    pub fn limit_notice(&self, now: MonotonicTime) -> Option<LimitNotice> {
         let (limit, age) = self.limit.told(now)?;
-        Some(LimitWord {
+        Some(LimitNotice {
             engine: self.handle,
             limit,
             age_millis: millis(age),
@@ -79,12 +79,12 @@
         })
     }
 
-    /// Takes another node's word of a limit; the engine, where the word has changed what is believed of it.
-    pub fn on_limit_word(&mut self, word: &LimitWord, now: MonotonicTime) -> Option<&EngineState> {
-        let state = self.state_of(word.engine)?;
-        let age = Duration::from_millis(u64::from(word.age_millis));
-        let change = state.limit.on_word(word.limit, now - age);
-        let wait = Duration::from_millis(u64::from(word.slot_wait_millis));
+    /// Takes another node's notice of a limit; the engine, where the notice has changed what is believed of it.
+    pub fn on_limit_notice(&mut self, notice: &LimitNotice, now: MonotonicTime) -> Option<&EngineState> {
+        let state = self.state_of(notice.engine)?;
+        let age = Duration::from_millis(u64::from(notice.age_millis));
+        let change = state.limit.on_notice(notice.limit, now - age);
+        let wait = Duration::from_millis(u64::from(notice.slot_wait_millis));
         if wait > state.slot_wait(now) {
             state.limit.note_slot(wait, now);
         }
@@ -106,13 +106,13 @@
     }
 
     /// What other nodes are told of limits; of those that an answer to this node named, or of all.
-    pub fn limit_words(&self, named_here: bool, now: MonotonicTime) -> Vec<LimitWord> {
+    pub fn limit_notices(&self, named_here: bool, now: MonotonicTime) -> Vec<LimitNotice> {
         let told = self
             .engines
             .values()
             .filter(|state| state.is_listed())
             .filter(|state| !named_here || state.limit.is_named_here(TOLD_AFTER_ANSWER, now));
-        told.filter_map(|state| state.limit_word(now)).collect()
+        told.filter_map(|state| state.limit_notice(now)).collect()
     }
 
     /// Counts a request that is sent to an engine.
--- a/crates/core/src/routing/pool/paths.rs
+++ b/crates/core/src/routing/pool/paths.rs
@@ -41,7 +41,7 @@
 /// Longest gap that is taken for one: an outage says nothing of the usual time between answers.
 const LONGEST_GAP: Duration = Duration::from_millis(500);
 
-/// First time between two trials of a suspected path. A trial costs its caller the patience for a connection, 250 ms.
+/// First time between two trials of a suspected path. A trial costs its caller the longest wait for a connection, 250 ms.
 const FIRST_TRIAL_AFTER: Duration = Duration::from_millis(500);
 
 /// Longest time between two trials: a path that works again is found out no later.
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -112,8 +112,8 @@
     pub rank: usize,
     /// Time left.
     pub remaining: Duration,
-    /// Longest wait for a slot at an engine that names a rate limit, from [`crate::rate_limit::patience`].
-    pub slot_patience: Duration,
+    /// Longest wait for a slot at an engine that names a rate limit, from [`crate::rate_limit::max_wait`].
+    pub slot_max_wait: Duration,
     /// Number drawn for the request; spreads requests that different nodes choose for at the same moment.
     pub draw: u64,
 }
--- a/crates/core/src/routing/pool/signals.rs
+++ b/crates/core/src/routing/pool/signals.rs
@@ -127,7 +127,7 @@
         });
         let waits = engines.map(|state| {
             let slot = state.slot_wait(now);
-            let slot = if slot <= query.slot_patience {
+            let slot = if slot <= query.slot_max_wait {
                 Duration::ZERO
             } else {
                 slot
--- a/crates/core/tests/cordons.rs
+++ b/crates/core/tests/cordons.rs
@@ -60,7 +60,7 @@
         terms: RequestTerms::default(),
         rank: 1,
         remaining: Duration::from_secs(5),
-        slot_patience: Duration::ZERO,
+        slot_max_wait: Duration::ZERO,
         draw,
     };
     match router.choose(&query, now) {
--- a/crates/core/tests/engine_pace.rs
+++ b/crates/core/tests/engine_pace.rs
@@ -97,7 +97,7 @@
         terms: RequestTerms::default(),
         rank: 0,
         remaining: Duration::from_secs(5),
-        slot_patience: Duration::ZERO,
+        slot_max_wait: Duration::ZERO,
         draw: 7,
     }
 }
--- a/crates/core/tests/engine_signals.rs
+++ b/crates/core/tests/engine_signals.rs
@@ -156,7 +156,7 @@
             draw,
             rank: 1,
             remaining: Duration::from_secs(5),
-            slot_patience: Duration::ZERO,
+            slot_max_wait: Duration::ZERO,
         }
     }
 }
--- a/crates/core/tests/engine_troubles.rs
+++ b/crates/core/tests/engine_troubles.rs
@@ -65,7 +65,7 @@
             },
             rank: 0,
             remaining: Duration::from_secs(5),
-            slot_patience: Duration::ZERO,
+            slot_max_wait: Duration::ZERO,
             draw,
         }
     }
--- a/crates/core/tests/pace_world/mod.rs
+++ b/crates/core/tests/pace_world/mod.rs
@@ -361,7 +361,7 @@
             terms: RequestTerms::default(),
             rank: 0,
             remaining: Duration::from_secs(5),
-            slot_patience: Duration::ZERO,
+            slot_max_wait: Duration::ZERO,
             draw: self.draw,
         }
     }
--- a/crates/core/tests/path_world/mod.rs
+++ b/crates/core/tests/path_world/mod.rs
@@ -2,7 +2,7 @@
 //! engines in four zones of which some can't be reached for a while.
 
 use crate::pool_support::{engine_with, pool, router_with};
-use shelfjunction_core::forwarding::patience;
+use shelfjunction_core::forwarding::max_wait;
 use shelfjunction_core::identity::ZoneId;
 use shelfjunction_core::membership::subject::{SubjectHandle, mix};
 use shelfjunction_core::placing::placement_table::PlacementTable;
@@ -236,7 +236,7 @@
         if outage.reaches(&request.outcome.from, &engine.zone, *number, at) {
             Some((at + ANSWER_MILLIS, Step::Answered))
         } else {
-            Some((at + patience::CONNECT.as_millis() as u64, Step::Silent))
+            Some((at + max_wait::CONNECT.as_millis() as u64, Step::Silent))
         }
     }
 
--- a/crates/core/tests/paths.rs
+++ b/crates/core/tests/paths.rs
@@ -342,7 +342,7 @@
                 terms: RequestTerms::default(),
                 rank: 0,
                 remaining: Duration::from_secs(5),
-                slot_patience: Duration::ZERO,
+                slot_max_wait: Duration::ZERO,
                 draw: 1,
             }
         }
--- a/crates/core/tests/pauses_world/mod.rs
+++ b/crates/core/tests/pauses_world/mod.rs
@@ -226,7 +226,7 @@
             draw: (request as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15),
             rank: 1,
             remaining: Duration::from_secs(5),
-            slot_patience: Duration::ZERO,
+            slot_max_wait: Duration::ZERO,
         };
         ask(&mut self.routers[asked.node], &query, now)
     }
--- a/crates/core/tests/pool_admission.rs
+++ b/crates/core/tests/pool_admission.rs
@@ -69,7 +69,7 @@
             draw: 1,
             rank: 0,
             remaining: Duration::from_secs(5),
-            slot_patience: Duration::ZERO,
+            slot_max_wait: Duration::ZERO,
         }
     }
 }
--- a/crates/core/tests/pool_pauses.rs
+++ b/crates/core/tests/pool_pauses.rs
@@ -154,7 +154,7 @@
             draw: 0,
             rank: 1,
             remaining: Duration::from_secs(5),
-            slot_patience: Duration::ZERO,
+            slot_max_wait: Duration::ZERO,
         };
         ask(&query)
     }
--- a/crates/core/tests/rate_limit_belief.rs
+++ b/crates/core/tests/rate_limit_belief.rs
@@ -58,11 +58,11 @@
 #[test]
 fn of_two_words_the_later_statement_holds_in_whatever_order_they_come() {
     let mut belief = LimitBelief::default();
-    assert_eq!(belief.on_word(RateLimit::of(2.0), at(100)), LimitChange::Limit);
-    assert_eq!(belief.on_word(None, at(90)), LimitChange::Nothing);
-    assert_eq!(belief.on_word(RateLimit::of(9.0), at(90)), LimitChange::Nothing);
+    assert_eq!(belief.on_notice(RateLimit::of(2.0), at(100)), LimitChange::Limit);
+    assert_eq!(belief.on_notice(None, at(90)), LimitChange::Nothing);
+    assert_eq!(belief.on_notice(RateLimit::of(9.0), at(90)), LimitChange::Nothing);
     assert_eq!(belief.limit(), RateLimit::of(2.0));
-    assert_eq!(belief.on_word(None, at(110)), LimitChange::Limit);
+    assert_eq!(belief.on_notice(None, at(110)), LimitChange::Limit);
     assert_eq!(belief.told(at(5_000)), Some((None, Duration::from_millis(4_890))));
     assert_eq!(
         belief.told(at(60_000)),
@@ -74,9 +74,9 @@
 #[test]
 fn a_wait_for_a_slot_is_not_believed_for_long_nor_under_another_limit() {
     let mut belief = LimitBelief::default();
-    belief.on_word(RateLimit::of(0.1), at(100));
+    belief.on_notice(RateLimit::of(0.1), at(100));
     belief.note_slot(Duration::MAX, at(200));
     assert_eq!(belief.slot_wait(at(200)), Duration::from_secs(5));
-    belief.on_word(RateLimit::of(4.0), at(300));
+    belief.on_notice(RateLimit::of(4.0), at(300));
     assert_eq!(belief.slot_wait(at(300)), Duration::ZERO);
 }
--- a/crates/core/tests/rate_limit_choice.rs
+++ b/crates/core/tests/rate_limit_choice.rs
@@ -8,7 +8,7 @@
 use shelfjunction_core::forwarding::PoolId;
 use shelfjunction_core::identity::{EngineId, EngineStart, ZoneId};
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::rate_limit::{AnsweredLimit, LimitChange, LimitWord, RateLimit};
+use shelfjunction_core::rate_limit::{AnsweredLimit, LimitChange, LimitNotice, RateLimit};
 use shelfjunction_core::routing::pool::{
     EngineStage, OutputWay, PoolEngine, PoolQuery, PoolRoute, PoolRouter, PoolWeights, RequestTerms,
 };
@@ -36,7 +36,7 @@
         }
     }
 
-    fn query(&self, patience: u64) -> PoolQuery<'_> {
+    fn query(&self, max_wait: u64) -> PoolQuery<'_> {
         PoolQuery {
             from_this_node: true,
             pool: &self.pool,
@@ -48,7 +48,7 @@
             terms: RequestTerms::default(),
             rank: 1,
             remaining: Duration::from_secs(3),
-            slot_patience: Duration::from_millis(patience),
+            slot_max_wait: Duration::from_millis(max_wait),
             draw: 0,
         }
     }
@@ -81,7 +81,7 @@
         name_limit(&mut router, engine, 2.0);
     }
     no_slot_for(&mut router, "a", 200);
-    let choose = |router: &PoolRouter, patience| chosen(router.choose(&asked.query(patience), NOW));
+    let choose = |router: &PoolRouter, max_wait| chosen(router.choose(&asked.query(max_wait), NOW));
     assert_eq!(choose(&router, 500), Some("b".to_owned()), "b has a slot now");
     no_slot_for(&mut router, "b", 400);
     assert_eq!(choose(&router, 500), Some("a".to_owned()), "the shorter wait");
@@ -118,29 +118,29 @@
     name_limit(&mut one, "a", 1.7);
     no_slot_for(&mut one, "a", 300);
     let later = NOW + Duration::from_millis(100);
-    let words = one.limit_words(false, later);
+    let notices = one.limit_notices(false, later);
     assert_eq!(
-        (words.len(), words[0].age_millis, words[0].slot_wait_millis),
+        (notices.len(), notices[0].age_millis, notices[0].slot_wait_millis),
         (1, 100, 200)
     );
-    assert!(other.on_limit_word(&words[0], later).is_some());
-    assert!(other.on_limit_word(&words[0], later).is_none(), "nothing new");
+    assert!(other.on_limit_notice(&notices[0], later).is_some());
+    assert!(other.on_limit_notice(&notices[0], later).is_none(), "nothing new");
     let limited = other.limited().next().unwrap();
     assert_eq!(limited.rate_limit(), RateLimit::of(1.7));
     assert_eq!(limited.slot_wait(later), Duration::from_millis(200));
     assert!(
-        other.limit_words(true, later).is_empty(),
+        other.limit_notices(true, later).is_empty(),
         "no answer to it has named the limit"
     );
-    let ended = LimitWord {
+    let ended = LimitNotice {
         limit: None,
         age_millis: 0,
-        ..words[0]
+        ..notices[0]
     };
-    assert!(other.on_limit_word(&ended, later).is_some());
+    assert!(other.on_limit_notice(&ended, later).is_some());
     assert!(
-        other.on_limit_word(&words[0], later).is_none(),
-        "the older word comes late"
+        other.on_limit_notice(&notices[0], later).is_none(),
+        "the older notice comes late"
     );
     assert_eq!(other.limited().count(), 0);
 }
--- a/crates/core/tests/rate_limit_slots.rs
+++ b/crates/core/tests/rate_limit_slots.rs
@@ -1,13 +1,13 @@
 //! The slots of an engine that names a limit, over fleets of 1 to 300 nodes in virtual time: what reaches the engine in any four
-//! seconds, and how much of what it named it gets, while keepers are lost, the fleet is split, and all processes are killed.
+//! seconds, and how much of what it named it gets, while owners are lost, the fleet is split, and all processes are killed.
 
 #![allow(clippy::unwrap_used)]
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::rate_limit::keeper::{SlotKeeper, keeper_of, part_of};
-use shelfjunction_core::rate_limit::patience::Waiting;
+use shelfjunction_core::rate_limit::max_wait::Waiting;
+use shelfjunction_core::rate_limit::slot_owner::{SlotOwner, owner_of, part_of};
 use shelfjunction_core::rate_limit::{LimitBelief, RateLimit, Slot};
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
@@ -25,7 +25,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Trouble {
     Nothing,
-    /// The keeper is killed, and another takes the slots over.
+    /// The owner is killed, and another takes the slots over.
     KeeperLost,
     /// The fleet is split into two sides, of which the first has so many in a hundred nodes.
     Split(u32),
@@ -43,9 +43,9 @@
 
 struct Node {
     handle: SubjectHandle,
-    keeper: SlotKeeper,
+    owner: SlotOwner,
     belief: LimitBelief,
-    /// When it notices that the keeper is gone.
+    /// When it sees that the owner is gone.
     notices_at: u64,
     alive: bool,
 }
@@ -73,10 +73,10 @@
         let limit = RateLimit::of(limit).unwrap();
         let nodes = (0..nodes).map(|number| {
             let mut belief = LimitBelief::default();
-            belief.on_word(Some(limit), at(0));
+            belief.on_notice(Some(limit), at(0));
             Node {
                 handle: SubjectHandle::of_text("node", &format!("node-{number}-{seed}")),
-                keeper: SlotKeeper::default(),
+                owner: SlotOwner::default(),
                 belief,
                 notices_at: STRUCK_MILLIS + random.random_range(NOTICED_MILLIS),
                 alive: true,
@@ -94,15 +94,15 @@
     fn strike(&mut self) {
         match self.trouble {
             Trouble::KeeperLost if self.nodes.len() > 1 => {
-                let keeper = self.keeper_seen_by(0, 0);
-                self.nodes[keeper].alive = false;
+                let owner = self.keeper_seen_by(0, 0);
+                self.nodes[owner].alive = false;
             }
             Trouble::AllKilled => {
                 let limit = self.limit;
                 for node in &mut self.nodes {
-                    node.keeper = SlotKeeper::default();
+                    node.owner = SlotOwner::default();
                     node.belief = LimitBelief::default();
-                    node.belief.on_word(Some(limit), at(STRUCK_MILLIS));
+                    node.belief.on_notice(Some(limit), at(STRUCK_MILLIS));
                 }
             }
             _ => {}
@@ -137,8 +137,8 @@
             .filter(|other| self.hears(one, *other, millis))
             .map(|other| self.nodes[other].handle)
             .collect();
-        let keeper = keeper_of(self.engine, &candidates).unwrap();
-        self.nodes.iter().position(|node| node.handle == keeper).unwrap()
+        let owner = owner_of(self.engine, &candidates).unwrap();
+        self.nodes.iter().position(|node| node.handle == owner).unwrap()
     }
 
     /// A request that comes to a node; when it arrives at the engine, if it goes there.
@@ -149,25 +149,25 @@
             is_invested: self.random.random_range(0..4) == 0,
             beyond_share: 1.0,
         };
-        let patience = waiting.patience();
-        if self.nodes[from].belief.slot_wait(at(millis)) > patience {
+        let max_wait = waiting.max_wait();
+        if self.nodes[from].belief.slot_wait(at(millis)) > max_wait {
             return None;
         }
-        let keeper = self.keeper_seen_by(from, millis);
+        let owner = self.keeper_seen_by(from, millis);
         let asked_at = millis + self.random.random_range(WAY_MILLIS);
-        let keeps = self.keeper_seen_by(keeper, asked_at) == keeper;
-        if !self.reaches(from, keeper, millis) || !keeps {
+        let keeps = self.keeper_seen_by(owner, asked_at) == owner;
+        if !self.reaches(from, owner, millis) || !keeps {
             let silent = Duration::from_millis(500);
             self.nodes[from].belief.note_slot(silent, at(millis));
             return None;
         }
-        let heard = (0..self.nodes.len()).filter(|other| self.hears(keeper, *other, asked_at));
+        let heard = (0..self.nodes.len()).filter(|other| self.hears(owner, *other, asked_at));
         let part = part_of(heard.count() as u32, self.nodes.len() as u32);
-        let own = self.nodes[keeper].handle;
+        let own = self.nodes[owner].handle;
         let (engine, limit) = (self.engine, self.limit);
-        let slot = self.nodes[keeper]
-            .keeper
-            .take(own, engine, limit, part, patience, at(asked_at));
+        let slot = self.nodes[owner]
+            .owner
+            .take(own, engine, limit, part, max_wait, at(asked_at));
         match slot {
             Slot::After(wait) => {
                 let way = self.random.random_range(WAY_MILLIS) + self.random.random_range(WAY_MILLIS);
@@ -317,17 +317,17 @@
 fn a_keeper_that_knew_no_nodes_or_a_lower_limit_gives_out_slots_as_soon_as_it_has_its_part() {
     let (own, engine) = (SubjectHandle::of_number(1), SubjectHandle::of_number(2));
     let limit = |rate| RateLimit::of(rate).unwrap();
-    let patience = Duration::from_secs(1);
-    let mut keeper = SlotKeeper::default();
-    let none = keeper.take(own, engine, limit(2.0), 0.0, patience, at(0));
+    let max_wait = Duration::from_secs(1);
+    let mut owner = SlotOwner::default();
+    let none = owner.take(own, engine, limit(2.0), 0.0, max_wait, at(0));
     assert!(
-        matches!(none, Slot::NotInTime(wait) if wait < patience),
+        matches!(none, Slot::NotInTime(wait) if wait < max_wait),
         "{none:?}"
     );
-    let isolated = keeper.take(own, engine, limit(0.1), 0.001, patience, at(10));
+    let isolated = owner.take(own, engine, limit(0.1), 0.001, max_wait, at(10));
     assert!(matches!(isolated, Slot::NotInTime(_)), "{isolated:?}");
     // Half a second between two slots, and up to a second for those who wait for theirs.
-    let whole = keeper.take(own, engine, limit(2.0), 1.0, Duration::from_secs(3), at(20));
+    let whole = owner.take(own, engine, limit(2.0), 1.0, Duration::from_secs(3), at(20));
     assert!(
         matches!(whole, Slot::After(wait) if wait <= Duration::from_millis(1_500)),
         "{whole:?}"
@@ -342,12 +342,12 @@
         is_invested,
         beyond_share: 1.0,
     };
-    let returned = waiting(2, true).patience();
-    let [urgent, usual, lesser] = [0, 1, 2].map(|rank| waiting(rank, false).patience());
+    let returned = waiting(2, true).max_wait();
+    let [urgent, usual, lesser] = [0, 1, 2].map(|rank| waiting(rank, false).max_wait());
     assert!(returned > urgent && urgent > usual && usual > lesser);
     let beyond = Waiting {
         beyond_share: 2.0,
         ..waiting(1, false)
     };
-    assert_eq!(beyond.patience(), usual / 2);
+    assert_eq!(beyond.max_wait(), usual / 2);
 }
--- a/crates/core/tests/sharing_placers.rs
+++ b/crates/core/tests/sharing_placers.rs
@@ -361,7 +361,7 @@
         },
         rank: 0,
         remaining: Duration::from_secs(4),
-        slot_patience: Duration::ZERO,
+        slot_max_wait: Duration::ZERO,
         draw: 1,
     };
     let timing = Timing {
--- a/crates/core/tests/working_set.rs
+++ b/crates/core/tests/working_set.rs
@@ -92,7 +92,7 @@
             terms: RequestTerms::default(),
             rank: 0,
             remaining: Duration::from_secs(5),
-            slot_patience: Duration::ZERO,
+            slot_max_wait: Duration::ZERO,
             draw: self.draw,
         }
     }
--- a/crates/lab/src/fleet/traffic.rs
+++ b/crates/lab/src/fleet/traffic.rs
@@ -106,7 +106,7 @@
             terms: RequestTerms::default(),
             rank: 0,
             remaining: Duration::from_secs(6),
-            slot_patience: Duration::ZERO,
+            slot_max_wait: Duration::ZERO,
             draw: shelfjunction_core::membership::subject::mix(number),
         };
         let timing = Timing {
--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -4,7 +4,7 @@
 use crate::engine_signals;
 use crate::ports::{EngineLink, EngineReading};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use shelfjunction_core::forwarding::patience;
+use shelfjunction_core::forwarding::max_wait;
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::time::MonotonicTime;
@@ -30,7 +30,7 @@
     }
     let taken = context
         .links
-        .take(engine, address, patience::CONNECT, context.now());
+        .take(engine, address, max_wait::CONNECT, context.now());
     let mut link = taken.map_err(|_| "not_connected")?;
     question(link.as_mut());
     let sent_at = context.now();
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -6,7 +6,7 @@
 use super::routing;
 use crate::ports::{CallStage, EngineCall};
 use shelfjunction_core::engine::{EngineCall as MachineCall, Phase};
-use shelfjunction_core::forwarding::patience;
+use shelfjunction_core::forwarding::max_wait;
 use shelfjunction_core::identity::{AttemptId, EngineId};
 use shelfjunction_core::placing::question::ChosenEngine;
 use shelfjunction_core::request::event::Event;
@@ -43,9 +43,9 @@
         }
         let now = self.context.now();
         let why = self.why(choice.as_ref(), &target.engine, purpose, now);
-        let (account, patience) = self.note_sent(choice.as_ref(), &target.engine, purpose, now);
+        let (account, max_wait) = self.note_sent(choice.as_ref(), &target.engine, purpose, now);
         let left = routing::left(self.deadline, now);
-        let wait = patience::CONNECT.min(left);
+        let wait = max_wait::CONNECT.min(left);
         if std::mem::take(&mut self.distrusts_resting) {
             self.context.links.forget(&target.engine);
         }
@@ -63,7 +63,7 @@
             head: None,
             sent_at: now,
             asked_at: now,
-            silent_from: patience.map(|patience| now + patience),
+            silent_from: max_wait.map(|max_wait| now + max_wait),
             all_sent: false,
             has_events: false,
         };
@@ -161,9 +161,9 @@
         match purpose {
             Purpose::Prompt => {
                 let expected = router.reading_delay(engine, &query, now).unwrap_or_default();
-                let patience = patience::prompt(self.route, expected);
+                let max_wait = max_wait::prompt(self.route, expected);
                 let ticket = router.on_prompt_sent(engine, &query, now);
-                (Account::Own(ticket), Some(patience))
+                (Account::Own(ticket), Some(max_wait))
             }
             Purpose::Output | Purpose::Whole => {
                 let way = if purpose == Purpose::Whole {
@@ -172,7 +172,7 @@
                     OutputWay::Fetches
                 };
                 let ticket = router.on_output_sent(engine, &query, way, now);
-                (Account::Own(ticket), patience::first_answer(self.route))
+                (Account::Own(ticket), max_wait::first_answer(self.route))
             }
         }
     }
@@ -183,11 +183,11 @@
             engine: choice.engine.clone(),
             pauses: Vec::new(),
         };
-        let patience = match purpose {
-            Purpose::Prompt => Some(patience::prompt(self.route, choice.expected)),
-            Purpose::Output | Purpose::Whole => patience::first_answer(self.route),
+        let max_wait = match purpose {
+            Purpose::Prompt => Some(max_wait::prompt(self.route, choice.expected)),
+            Purpose::Output | Purpose::Whole => max_wait::first_answer(self.route),
         };
-        (account, patience)
+        (account, max_wait)
     }
 
     fn not_connected(&mut self, account: &Account, attempt: &AttemptId, error: &std::io::Error) {
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -261,7 +261,7 @@
             draw: self.draw,
             rank: self.rank(),
             remaining: routing::left(self.deadline, now),
-            slot_patience: self.slot_patience(now),
+            slot_max_wait: self.slot_max_wait(now),
         }
     }
 
--- a/crates/node/src/course/exchange.rs
+++ b/crates/node/src/course/exchange.rs
@@ -56,9 +56,9 @@
 }
 
 impl Exchange {
-    /// Starts the patience anew.
-    pub(super) fn heard(&mut self, now: MonotonicTime, patience: Option<Duration>) {
+    /// Starts the wait anew.
+    pub(super) fn heard(&mut self, now: MonotonicTime, max_wait: Option<Duration>) {
         self.asked_at = now;
-        self.silent_from = patience.map(|patience| now + patience);
+        self.silent_from = max_wait.map(|max_wait| now + max_wait);
     }
 }
--- a/crates/node/src/course/slots.rs
+++ b/crates/node/src/course/gate.rs
@@ -10,7 +10,7 @@
 use shelfjunction_core::identity::{AttemptId, EngineId};
 use shelfjunction_core::placing::question::Progress;
 use shelfjunction_core::rate_limit::Slot;
-use shelfjunction_core::rate_limit::patience::Waiting;
+use shelfjunction_core::rate_limit::max_wait::Waiting;
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -68,14 +68,14 @@
         attempt: &AttemptId,
         purpose: Purpose,
     ) -> Option<Event> {
-        let patience = self.patience_of(purpose, self.context.now());
-        let (limit, slot) = rate_limits::take_slot(self.context, engine, patience)?;
+        let max_wait = self.max_wait_of(purpose, self.context.now());
+        let (limit, slot) = rate_limits::take_slot(self.context, engine, max_wait)?;
         log::info!(
             request = self.call.request.as_str(),
             engine = engine.as_str(),
             purpose = purpose.name(),
             rate_limit:% = limit,
-            patience_millis = patience.as_millis() as u64,
+            max_wait_millis = max_wait.as_millis() as u64,
             slot:? = slot;
             "slot_asked"
         );
@@ -90,30 +90,30 @@
         };
         if let Some(choice) = choice.filter(|_| instead.is_some()) {
             // It chose the engine without asking for a slot, and knows now when there is one.
-            rate_limits::tell_placer(self.context, engine, choice.at.address);
+            rate_limits::notify_placer(self.context, engine, choice.at.address);
         }
         instead
     }
 
     /// Longest wait for a slot; `purpose` is what the engine is for, where it is known.
-    fn patience_of(&self, purpose: Purpose, now: MonotonicTime) -> Duration {
+    fn max_wait_of(&self, purpose: Purpose, now: MonotonicTime) -> Duration {
         let waiting = Waiting {
             rank: self.rank(),
             left: routing::left(self.deadline, now),
             is_invested: self.returned || purpose == Purpose::Output,
             beyond_share: self.beyond_share,
         };
-        waiting.patience()
+        waiting.max_wait()
     }
 
     /// The same before an engine is chosen.
-    pub(super) fn slot_patience(&self, now: MonotonicTime) -> Duration {
+    pub(super) fn slot_max_wait(&self, now: MonotonicTime) -> Duration {
         let purpose = if self.prompt_is_read {
             Purpose::Output
         } else {
             Purpose::Whole
         };
-        self.patience_of(purpose, now)
+        self.max_wait_of(purpose, now)
     }
 
     /// Waits for a slot; what ends the wait before it comes.
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -9,11 +9,11 @@
 mod dispatching;
 mod driver;
 mod exchange;
+mod gate;
 mod pauses;
 mod placing;
 mod reading;
 mod routing;
-mod slots;
 mod suspicion;
 mod waiting;
 
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -8,7 +8,7 @@
 use crate::ports::{AnswerHead, EngineReading};
 use crate::quarantine;
 use shelfjunction_core::engine::{AnswerPart, EngineRefusal};
-use shelfjunction_core::forwarding::patience;
+use shelfjunction_core::forwarding::max_wait;
 use shelfjunction_core::request::event::{Event, OpaquePart};
 use shelfjunction_core::routing::pool::ToldLoad;
 use shelfjunction_core::time::MonotonicTime;
@@ -28,9 +28,9 @@
             EngineReading::Opened(head) => self.opened(head, now),
             EngineReading::Event { id, bytes } => {
                 self.judge_promise(now);
-                let patience = patience::next_event(self.route);
+                let max_wait = max_wait::next_event(self.route);
                 let exchange = self.exchange.as_mut()?;
-                exchange.heard(now, patience);
+                exchange.heard(now, max_wait);
                 if !std::mem::replace(&mut exchange.has_events, true) {
                     self.count_usage(now);
                     self.note_begun(now);
--- a/crates/node/src/course/waiting.rs
+++ b/crates/node/src/course/waiting.rs
@@ -6,7 +6,7 @@
 use crate::context::Context;
 use crate::ports::EngineReading;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use shelfjunction_core::forwarding::{Delivery, patience};
+use shelfjunction_core::forwarding::{Delivery, max_wait};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::time::MonotonicTime;
@@ -66,8 +66,8 @@
         if !reads_on {
             // What the engine has to say waits for the caller, so its silence means nothing.
             let now = self.context.now();
-            let patience = patience::next_event(self.route);
-            exchange.heard(now, patience);
+            let max_wait = max_wait::next_event(self.route);
+            exchange.heard(now, max_wait);
             // Nor is the pause until its next event the engine's.
             self.last_event_at = self.last_event_at.map(|_| now);
             return None;
@@ -141,7 +141,7 @@
         let lives = lives(self.context, exchange, now);
         if !lives {
             // Whatever made this connection silent may have struck those that rest as well, here and at the engine that is
-            // asked next, and each would cost a caller this patience; a new one is open within a few milliseconds.
+            // asked next, and each would cost a caller this wait; a new one is open within a few milliseconds.
             self.context.links.forget(&exchange.engine);
             self.distrusts_resting = true;
             return Some(self.broken(SILENT));
--- a/crates/node/src/engine_signals/sending.rs
+++ b/crates/node/src/engine_signals/sending.rs
@@ -99,7 +99,7 @@
             if is_new {
                 context.peers.addresses(now)
             } else {
-                context.peers.told_often(now)
+                context.peers.notified_often(now)
             }
         }
         Placing::Placers(_) => context.peers.told(now),
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -7,11 +7,11 @@
 use crate::context::{Context, NodeState};
 use crate::duties;
 use crate::metering;
+use crate::operator_page;
 use crate::peers;
 use crate::ports::{CallerProtocol, EngineProtocol, FleetStore, NodeDirectory, PlatformDuties};
 use crate::recovering;
 use crate::releasing;
-use crate::telling;
 use crate::watch;
 use shelfjunction_http::HttpServer;
 use shelfjunction_logging::LogLosses;
@@ -80,7 +80,7 @@
         let metrics = metrics_listen
             .map(|address| {
                 let table = Arc::clone(&adapters.table);
-                telling::serve(address, Arc::clone(&context), table, Arc::clone(&open), losses)
+                operator_page::serve(address, Arc::clone(&context), table, Arc::clone(&open), losses)
             })
             .transpose()
             .map_err(StartError::Listen)?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod links;
 mod metering;
 mod metrics;
+mod operator_page;
 mod pace_metrics;
 mod peers;
 mod placing;
@@ -30,7 +31,6 @@
 mod recovering;
 mod releasing;
 mod repeats;
-mod telling;
 mod watch;
 
 pub use config::{AUTOSCALING, DirectorySettings, DutySettings, NodeConfig, USAGE_REPORTING};
--- a/crates/node/src/peers/limit_speakers.rs
+++ b/crates/node/src/peers/limit_speakers.rs
@@ -3,7 +3,7 @@
 use super::{Peer, Peers, Placing};
 use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::rate_limit::keeper::part_of;
+use shelfjunction_core::rate_limit::slot_owner::part_of;
 use shelfjunction_core::routing::pool::WorkSlice;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -48,13 +48,13 @@
 
 impl Peers {
     /// Notes that a node speaks of limits, and whether it keeps slots; true where that was not known of this start of it.
-    pub(crate) fn note_speaks_of_limits(&self, node: &NodeId, start: u64, keeps_slots: bool) -> bool {
+    pub(crate) fn note_speaks_of_limits(&self, node: &NodeId, start: u64, owns_slots: bool) -> bool {
         let mut known = lock(&self.known);
         let Some(peer) = known.peers.get_mut(node) else {
             return false;
         };
         let is_new = !peer.limits.speaks(start);
-        peer.limits.hear(start, !keeps_slots);
+        peer.limits.hear(start, !owns_slots);
         is_new
     }
 
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -8,23 +8,23 @@
 
 mod catching_up;
 mod directory;
-mod hearing;
 mod limit_speakers;
 mod placers;
+mod receiving;
+mod sending;
 mod sharing;
-mod telling;
 mod use_words;
 
 pub(crate) use catching_up::{
     SERVERS as SNAPSHOT_SERVERS, catch_up, serve as serve_snapshots, take_engines_in_use, take_from_any,
 };
 pub(crate) use directory::follow as follow_directory;
-pub(crate) use hearing::hear;
 pub(crate) use placers::{Duty, Placing};
+pub(crate) use receiving::hear;
+pub(crate) use sending::tell;
 pub(crate) use shelfjunction_protocol::node_words::{
     Datagram, LivenessAnswer, LivenessQuestion, MOST_SUSPECTS, UsageMessage,
 };
-pub(crate) use telling::tell;
 
 use crate::config::NodeConfig;
 use limit_speakers::LimitSpeaker;
--- a/crates/node/src/peers/placers.rs
+++ b/crates/node/src/peers/placers.rs
@@ -107,7 +107,7 @@
 
     /// Addresses of the nodes that this placer tells often: those in line for a place, those to which it is near, and
     /// those whose build takes no sparse words.
-    pub(crate) fn told_often(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+    pub(crate) fn notified_often(&self, now: MonotonicTime) -> Vec<SocketAddr> {
         let Placing::Placers(placers) = self.placing(now) else {
             return self.addresses(now);
         };
--- a/crates/node/src/peers/hearing.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -13,7 +13,7 @@
 use shelfjunction_core::routing::pool::ListNews;
 use shelfjunction_core::sharing::UseWord;
 use shelfjunction_protocol::node_words::{Datagram, MOST_RECEIVED, WorkMessage};
-use shelfjunction_protocol::rate_words::RateDatagram;
+use shelfjunction_protocol::rate_messages::RateDatagram;
 use shelfjunction_protocol::signal_messages::SignalDatagram;
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
@@ -63,7 +63,7 @@
 
 fn take_rate_datagram(context: &Context, datagram: RateDatagram, from: SocketAddr) {
     match datagram {
-        RateDatagram::Limits(message) => rate_limits::take_message(context, &message, from),
+        RateDatagram::Limits(message) => rate_limits::receive_message(context, &message, from),
         RateDatagram::Question(question) => rate_limits::answer_question(context, &question, from),
         RateDatagram::Answer(answer) => context.rate_limits.on_answer(answer),
     }
--- a/crates/node/src/peers/telling.rs
+++ b/crates/node/src/peers/sending.rs
@@ -72,7 +72,7 @@
         log_pace_changes(context);
         log_working_set(context);
         let tells_again = quarantine::tell(context)
-            .min(teller.limit_teller.tell(context))
+            .min(teller.limit_sender.tell(context))
             .min(teller.announcement_sender.send(context));
         teller.tells_again = teller.tells_again.min(tells_again);
         context.stop.wait(pause);
@@ -118,7 +118,7 @@
     allowance: Allowance,
     tells_again: Duration,
     use_teller: UseTeller,
-    limit_teller: rate_limits::Teller,
+    limit_sender: rate_limits::LimitSender,
     announcement_sender: AnnouncementSender,
     told_all_at: Option<MonotonicTime>,
     /// Versions of the configuration and the cordons that everybody was told.
@@ -139,7 +139,7 @@
             allowance: Allowance::new(context.now()),
             tells_again: TELL_AGAIN,
             use_teller: UseTeller::default(),
-            limit_teller: rate_limits::Teller::default(),
+            limit_sender: rate_limits::LimitSender::default(),
             announcement_sender: AnnouncementSender::default(),
             told_all_at: None,
             told_versions: (0, 0),
@@ -255,7 +255,7 @@
         let peers = if is_news || self.rounds_to_all.is_multiple_of(FAR_ROUNDS) {
             self.context.peers.addresses(now)
         } else {
-            self.context.peers.told_often(now)
+            self.context.peers.notified_often(now)
         };
         self.send(&peers, message);
     }
--- a/crates/node/src/rate_limits/asking.rs
+++ b/crates/node/src/rate_limits/asking.rs
@@ -1,21 +1,21 @@
-//! Takes a slot at an engine that names a rate limit, from the node that keeps them, and answers as such a keeper.
+//! Takes a slot at an engine that names a rate limit, from the node that keeps them, and answers as such a owner.
 
-use super::telling;
+use super::sending;
 use crate::context::Context;
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::rate_limit::keeper::keeper_of;
-use shelfjunction_core::rate_limit::{LimitWord, RateLimit, Slot, SlotAnswer, SlotOutcome, SlotQuestion};
+use shelfjunction_core::rate_limit::slot_owner::owner_of;
+use shelfjunction_core::rate_limit::{LimitNotice, RateLimit, Slot, SlotAnswer, SlotOutcome, SlotQuestion};
 use shelfjunction_core::routing::pool::EngineState;
 use shelfjunction_core::time::MonotonicTime;
-use shelfjunction_protocol::rate_words::RateDatagram;
+use shelfjunction_protocol::rate_messages::RateDatagram;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
-/// Time for which an engine is passed over whose keeper gave no answer: others may get its slots meanwhile, or another node
+/// Time for which an engine is passed over whose owner gave no answer: others may get its slots meanwhile, or another node
 /// takes them over.
 const SILENT_KEEPER: Duration = Duration::from_millis(500);
 
@@ -38,11 +38,11 @@
         }
     }
 
-    /// Asks a keeper and waits for its answer.
-    fn ask(&self, context: &Context, question: &SlotQuestion, keeper: SocketAddr) -> Option<SlotOutcome> {
+    /// Asks a owner and waits for its answer.
+    fn ask(&self, context: &Context, question: &SlotQuestion, owner: SocketAddr) -> Option<SlotOutcome> {
         let bytes = RateDatagram::Question(*question).encode()?;
         lock(&self.waiting).insert(question.number, None);
-        context.peers.send(&bytes, keeper);
+        context.peers.send(&bytes, owner);
         let longest = context.config.placing.answer_wait();
         let waits = |waiting: &mut BTreeMap<u64, Option<SlotOutcome>>| {
             waiting.get(&question.number).is_some_and(Option::is_none)
@@ -59,29 +59,29 @@
 pub(crate) fn take_slot(
     context: &Context,
     engine: &EngineId,
-    patience: Duration,
+    max_wait: Duration,
 ) -> Option<(RateLimit, Slot)> {
     let now = context.now();
-    let word = lock(&context.router).engine(engine)?.limit_word(now)?;
-    let limit = word.limit?;
-    let outcome = ask_keepers(context, word, limit, patience);
+    let notice = lock(&context.router).engine(engine)?.limit_notice(now)?;
+    let limit = notice.limit?;
+    let outcome = ask_keepers(context, notice, limit, max_wait);
     context.metrics.rate_limits.slot(result_of(outcome.as_ref()));
     let taken = match outcome {
         Some(SlotOutcome::Granted { wait_millis }) => Slot::After(millis(wait_millis)),
         Some(SlotOutcome::Denied { wait_millis }) => Slot::NotInTime(millis(wait_millis)),
         Some(SlotOutcome::NotLimited { age_millis }) => {
-            let ended = LimitWord {
+            let ended = LimitNotice {
                 limit: None,
                 age_millis,
-                ..word
+                ..notice
             };
-            telling::take_words(context, &[ended], "keeper");
+            sending::receive_notices(context, &[ended], "owner");
             return None;
         }
         Some(SlotOutcome::NotKept { .. }) | None => Slot::NotInTime(SILENT_KEEPER),
     };
     if let Slot::NotInTime(wait) = taken {
-        lock(&context.router).note_slot(word.engine, wait, context.now());
+        lock(&context.router).note_slot(notice.engine, wait, context.now());
     }
     Some((limit, taken))
 }
@@ -95,31 +95,31 @@
     }
 }
 
-/// Asks the keeper of an engine's slots, and the one that it names where it isn't.
+/// Asks the owner of an engine's slots, and the one that it names where it isn't.
 fn ask_keepers(
     context: &Context,
-    word: LimitWord,
+    notice: LimitNotice,
     limit: RateLimit,
-    patience: Duration,
+    max_wait: Duration,
 ) -> Option<SlotOutcome> {
     let own = context.peers.own_handle();
-    let mut keeper = keeper(context, word.engine, context.now());
+    let mut owner = owner(context, notice.engine, context.now());
     for _ in 0..KEEPERS_ASKED {
-        if keeper == own {
-            return Some(give(context, word.engine, limit, patience, context.now()));
+        if owner == own {
+            return Some(give(context, notice.engine, limit, max_wait, context.now()));
         }
         let question = SlotQuestion {
             number: rand::random(),
-            word,
-            patience_millis: patience.as_millis() as u32,
+            notice,
+            max_wait_millis: max_wait.as_millis() as u32,
         };
-        let address = context.peers.address_of(keeper)?;
+        let address = context.peers.address_of(owner)?;
         let outcome = context.rate_limits.questions.ask(context, &question, address);
         match outcome {
-            Some(SlotOutcome::NotKept { keeper: other }) => keeper = other,
+            Some(SlotOutcome::NotKept { owner: other }) => owner = other,
             Some(_) => return outcome,
             None => {
-                log::info!(keeper:% = address; "slot_keeper_silent");
+                log::info!(owner:% = address; "slot_owner_silent");
                 return None;
             }
         }
@@ -128,9 +128,9 @@
 }
 
 /// The node that keeps an engine's slots, as this one sees it.
-fn keeper(context: &Context, engine: SubjectHandle, now: MonotonicTime) -> SubjectHandle {
+fn owner(context: &Context, engine: SubjectHandle, now: MonotonicTime) -> SubjectHandle {
     let candidates = context.peers.slot_keepers(!context.state.is_stopping(), now);
-    keeper_of(engine, &candidates).unwrap_or(context.peers.own_handle())
+    owner_of(engine, &candidates).unwrap_or(context.peers.own_handle())
 }
 
 /// Gives out a slot that this node keeps.
@@ -138,18 +138,18 @@
     context: &Context,
     engine: SubjectHandle,
     limit: RateLimit,
-    patience: Duration,
+    max_wait: Duration,
     now: MonotonicTime,
 ) -> SlotOutcome {
     let part = context.peers.part_of_limits(now);
     let own = context.peers.own_handle();
-    let slot = lock(&context.rate_limits.keeper).take(own, engine, limit, part, patience, now);
+    let slot = lock(&context.rate_limits.owner).take(own, engine, limit, part, max_wait, now);
     match slot {
         Slot::After(wait) => SlotOutcome::Granted {
             wait_millis: wait.as_millis() as u32,
         },
         Slot::NotInTime(wait) => {
-            // Others learn from this node's words that they need not ask.
+            // Others learn from this node's notices that they need not ask.
             lock(&context.router).note_slot(engine, wait, now);
             SlotOutcome::Denied {
                 wait_millis: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
@@ -158,18 +158,18 @@
     }
 }
 
-/// Answers another node's question. Only a node that takes itself for the keeper gives out slots: two that both do would give
+/// Answers another node's question. Only a node that takes itself for the owner gives out slots: two that both do would give
 /// out the limit twice.
 pub(crate) fn answer_question(context: &Context, question: &SlotQuestion, from: SocketAddr) {
     let now = context.now();
-    telling::take_words(context, &[question.word], "question");
-    let keeper = keeper(context, question.word.engine, now);
-    let patience = millis(question.patience_millis);
-    let outcome = if keeper != context.peers.own_handle() {
-        SlotOutcome::NotKept { keeper }
+    sending::receive_notices(context, &[question.notice], "question");
+    let owner = owner(context, question.notice.engine, now);
+    let max_wait = millis(question.max_wait_millis);
+    let outcome = if owner != context.peers.own_handle() {
+        SlotOutcome::NotKept { owner }
     } else {
-        match believed(context, question.word, now) {
-            Ok(limit) => give(context, question.word.engine, limit, patience, now),
+        match believed(context, question.notice, now) {
+            Ok(limit) => give(context, question.notice.engine, limit, max_wait, now),
             Err(age_millis) => SlotOutcome::NotLimited { age_millis },
         }
     };
@@ -185,13 +185,13 @@
 
 /// The limit of an engine that a question is about, as this node believes it or, where it does not use the engine, as the
 /// question has it; the age of its end where there is none any more.
-fn believed(context: &Context, asked: LimitWord, now: MonotonicTime) -> Result<RateLimit, u32> {
+fn believed(context: &Context, asked: LimitNotice, now: MonotonicTime) -> Result<RateLimit, u32> {
     let router = lock(&context.router);
     let state = router.engine_named(asked.engine);
     let state = state.as_ref().and_then(|engine| router.engine(engine));
-    let word = state.and_then(|state: &EngineState| state.limit_word(now));
-    let word = word.unwrap_or(asked);
-    word.limit.ok_or(word.age_millis)
+    let notice = state.and_then(|state: &EngineState| state.limit_notice(now));
+    let notice = notice.unwrap_or(asked);
+    notice.limit.ok_or(notice.age_millis)
 }
 
 fn millis(millis: u32) -> Duration {
--- a/crates/node/src/rate_limits/metrics.rs
+++ b/crates/node/src/rate_limits/metrics.rs
@@ -25,7 +25,7 @@
     pub(crate) fn register(&self, registry: &mut Registry) {
         registry.register(
             "engine_slots",
-            "Slots at engines with a rate limit: granted, denied, or no answer of their keeper",
+            "Slots at engines with a rate limit: granted, denied, or no answer of their owner",
             self.slots.clone(),
         );
         registry.register(
--- a/crates/node/src/rate_limits/mod.rs
+++ b/crates/node/src/rate_limits/mod.rs
@@ -3,15 +3,15 @@
 
 mod asking;
 mod metrics;
-mod telling;
+mod sending;
 
 pub(crate) use asking::{SlotQuestions, answer_question, take_slot};
 pub(crate) use metrics::RateLimitMetrics;
-pub(crate) use telling::{Teller, take_message, tell_placer};
+pub(crate) use sending::{LimitSender, notify_placer, receive_message};
 
 use crate::context::Context;
 use shelfjunction_core::identity::EngineId;
-use shelfjunction_core::rate_limit::keeper::SlotKeeper;
+use shelfjunction_core::rate_limit::slot_owner::SlotOwner;
 use shelfjunction_core::rate_limit::{AnsweredLimit, LimitChange, RateLimit, SlotAnswer};
 use shelfjunction_core::routing::pool::EngineState;
 use shelfjunction_core::time::MonotonicTime;
@@ -23,7 +23,7 @@
 #[derive(Default)]
 pub(crate) struct RateLimits {
     /// The slots that this node keeps.
-    keeper: Mutex<SlotKeeper>,
+    owner: Mutex<SlotOwner>,
     questions: SlotQuestions,
     /// Whether others are to be told at once.
     has_news: AtomicBool,
@@ -32,7 +32,7 @@
 impl RateLimits {
     /// Engines of which this node gave out slots of late.
     pub(crate) fn kept(&self) -> usize {
-        lock(&self.keeper).engines()
+        lock(&self.owner).engines()
     }
 
     /// Takes the answer to a question of this node.
--- a/crates/node/src/rate_limits/telling.rs
+++ b/crates/node/src/rate_limits/sending.rs
@@ -8,9 +8,9 @@
 use crate::context::Context;
 use crate::peers::Placing;
 use shelfjunction_core::identity::EngineId;
-use shelfjunction_core::rate_limit::LimitWord;
+use shelfjunction_core::rate_limit::LimitNotice;
 use shelfjunction_core::time::MonotonicTime;
-use shelfjunction_protocol::rate_words::{LimitMessage, MOST_WORDS, RateDatagram};
+use shelfjunction_protocol::rate_messages::{LimitMessage, MOST_NOTICES, RateDatagram};
 use shelfjunction_threads::lock;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -30,7 +30,7 @@
 
 /// When others were told last.
 #[derive(Default)]
-pub(crate) struct Teller {
+pub(crate) struct LimitSender {
     /// The last look at whether there is something to tell.
     looked_at: Option<MonotonicTime>,
     rounds: u32,
@@ -38,7 +38,7 @@
     told: usize,
 }
 
-impl Teller {
+impl LimitSender {
     /// Tells others what there is to tell; the time after which there may be more.
     pub(crate) fn tell(&mut self, context: &Context) -> Duration {
         let now = context.now();
@@ -52,13 +52,13 @@
         }
         self.looked_at = Some(now);
         let (to, named_here) = self.audience(context, is_news, now);
-        let words = lock(&context.router).limit_words(named_here, now);
+        let notices = lock(&context.router).limit_notices(named_here, now);
         // A node off duty that has nothing to add says nothing: a thousand would do so at the same moment.
-        if words.is_empty() && (named_here || !is_news) {
+        if notices.is_empty() && (named_here || !is_news) {
             return Duration::MAX;
         }
         self.rounds += 1;
-        for part in self.due(&words) {
+        for part in self.due(&notices) {
             send(context, part, &to);
         }
         AGAIN
@@ -73,7 +73,7 @@
                 let to = if is_for_all {
                     context.peers.addresses(now)
                 } else {
-                    context.peers.told_often(now)
+                    context.peers.notified_often(now)
                 };
                 (to, false)
             }
@@ -81,12 +81,12 @@
         }
     }
 
-    /// The words of this round: all, or in turn as many as fit.
-    fn due<'w>(&mut self, words: &'w [LimitWord]) -> Vec<&'w [LimitWord]> {
-        let parts: Vec<&[LimitWord]> = words.chunks(MOST_WORDS).collect();
+    /// The notices of this round: all, or in turn as many as fit.
+    fn due<'w>(&mut self, notices: &'w [LimitNotice]) -> Vec<&'w [LimitNotice]> {
+        let parts: Vec<&[LimitNotice]> = notices.chunks(MOST_NOTICES).collect();
         if parts.len() <= MOST_MESSAGES {
-            // Without words the message says that this node speaks of limits.
-            return if parts.is_empty() { vec![words] } else { parts };
+            // Without notices the message says that this node speaks of limits.
+            return if parts.is_empty() { vec![notices] } else { parts };
         }
         let first = self.told % parts.len();
         self.told = first + MOST_MESSAGES;
@@ -99,12 +99,12 @@
     }
 }
 
-fn send(context: &Context, words: &[LimitWord], to: &[SocketAddr]) {
+fn send(context: &Context, notices: &[LimitNotice], to: &[SocketAddr]) {
     let message = LimitMessage {
         node: context.config.node.clone(),
         start: context.start,
-        keeps_slots: !context.state.is_stopping(),
-        words: words.to_vec(),
+        owns_slots: !context.state.is_stopping(),
+        notices: notices.to_vec(),
     };
     if let Some(bytes) = RateDatagram::Limits(Box::new(message)).encode() {
         to.iter().for_each(|peer| context.peers.send(&bytes, *peer));
@@ -112,39 +112,39 @@
 }
 
 /// Tells a placer what is known of an engine's limit, and when it has a slot.
-pub(crate) fn tell_placer(context: &Context, engine: &EngineId, placer: SocketAddr) {
+pub(crate) fn notify_placer(context: &Context, engine: &EngineId, placer: SocketAddr) {
     let now = context.now();
-    let word = lock(&context.router)
+    let notice = lock(&context.router)
         .engine(engine)
-        .and_then(|state| state.limit_word(now));
-    send(context, word.as_slice(), &[placer]);
+        .and_then(|state| state.limit_notice(now));
+    send(context, notice.as_slice(), &[placer]);
 }
 
 /// Takes another node's message. One that was not known to speak of limits may have started a moment ago, and is told at once what
 /// stands, and that this node speaks of limits too.
-pub(crate) fn take_message(context: &Context, message: &LimitMessage, from: SocketAddr) {
+pub(crate) fn receive_message(context: &Context, message: &LimitMessage, from: SocketAddr) {
     if message.node == context.config.node {
         return;
     }
     let is_new = context
         .peers
-        .note_speaks_of_limits(&message.node, message.start, message.keeps_slots);
-    take_words(context, &message.words, "peer");
+        .note_speaks_of_limits(&message.node, message.start, message.owns_slots);
+    receive_notices(context, &message.notices, "peer");
     if is_new {
-        let words = lock(&context.router).limit_words(false, context.now());
-        let parts = words.chunks(MOST_WORDS).take(MOST_MESSAGES);
+        let notices = lock(&context.router).limit_notices(false, context.now());
+        let parts = notices.chunks(MOST_NOTICES).take(MOST_MESSAGES);
         parts.for_each(|part| send(context, part, &[from]));
     }
 }
 
-/// Takes words of other nodes.
-pub(super) fn take_words(context: &Context, words: &[LimitWord], source: &str) {
+/// Takes notices of other nodes.
+pub(super) fn receive_notices(context: &Context, notices: &[LimitNotice], source: &str) {
     let now = context.now();
     let mut is_news = false;
-    for word in words {
+    for notice in notices {
         let mut router = lock(&context.router);
-        if let Some(state) = router.on_limit_word(word, now) {
-            log_limit(&state.engine.id, word.limit, source);
+        if let Some(state) = router.on_limit_notice(notice, now) {
+            log_limit(&state.engine.id, notice.limit, source);
             is_news = true;
         }
     }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -9,5 +9,5 @@
 pub mod operator;
 pub mod peer;
 pub mod quarantine;
-pub mod rate_words;
+pub mod rate_messages;
 pub mod signal_messages;
--- a/crates/protocol/src/rate_words.rs
+++ b/crates/protocol/src/rate_messages.rs
@@ -8,27 +8,27 @@
 use bincode::config::{Configuration, standard};
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::identity::NodeId;
-use shelfjunction_core::rate_limit::{LimitWord, SlotAnswer, SlotQuestion};
+use shelfjunction_core::rate_limit::{LimitNotice, SlotAnswer, SlotQuestion};
 
 const CODEC: Configuration = standard();
 
 /// First byte of such a datagram.
 const FORMAT: u8 = 64;
 
-/// Words in one message; each takes at most 25 bytes.
-pub const MOST_WORDS: usize = 40;
+/// Notices in one message; each takes at most 25 bytes.
+pub const MOST_NOTICES: usize = 40;
 
-/// A node's words of limits, or that it speaks of limits where there are none.
+/// A node's notices of limits, or that it speaks of limits where there are none.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitMessage {
     /// The sender.
     pub node: NodeId,
-    /// Start of the sender's process, as it tells it in other words.
+    /// Start of the sender's process, as it tells it in other messages.
     pub start: u64,
     /// Whether the sender keeps slots: one that is about to stop leaves them to others.
-    pub keeps_slots: bool,
+    pub owns_slots: bool,
     /// The limits.
-    pub words: Vec<LimitWord>,
+    pub notices: Vec<LimitNotice>,
 }
 
 /// One datagram.
@@ -36,9 +36,9 @@
 pub enum RateDatagram {
     /// What a node knows of limits.
     Limits(Box<LimitMessage>),
-    /// Asks an engine's keeper for a slot.
+    /// Asks an engine's owner for a slot.
     Question(SlotQuestion),
-    /// A keeper's answer.
+    /// A owner's answer.
     Answer(SlotAnswer),
 }
 
--- a/crates/protocol/tests/rate_words.rs
+++ b/crates/protocol/tests/rate_messages.rs
@@ -1,16 +1,16 @@
-//! Words about rate limits beside builds that don't know them.
+//! Notices about rate limits beside builds that don't know them.
 
 #![allow(clippy::unwrap_used)]
 
 use proptest::prelude::*;
 use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::rate_limit::{LimitWord, RateLimit, SlotAnswer, SlotOutcome, SlotQuestion};
+use shelfjunction_core::rate_limit::{LimitNotice, RateLimit, SlotAnswer, SlotOutcome, SlotQuestion};
 use shelfjunction_protocol::node_words::{Datagram, MOST_BYTES};
-use shelfjunction_protocol::rate_words::{LimitMessage, MOST_WORDS, RateDatagram};
+use shelfjunction_protocol::rate_messages::{LimitMessage, MOST_NOTICES, RateDatagram};
 
-fn word(number: u64) -> LimitWord {
-    LimitWord {
+fn notice(number: u64) -> LimitNotice {
+    LimitNotice {
         engine: SubjectHandle::of_number(number),
         limit: RateLimit::of(1.7),
         age_millis: u32::MAX,
@@ -22,15 +22,15 @@
     let message = LimitMessage {
         node: NodeId::new("frontend-of-a-long-name-in-some-zone-1000"),
         start: u64::MAX,
-        keeps_slots: true,
-        words: (0..MOST_WORDS as u64)
-            .map(|number| word(u64::MAX - number))
+        owns_slots: true,
+        notices: (0..MOST_NOTICES as u64)
+            .map(|number| notice(u64::MAX - number))
             .collect(),
     };
     let question = SlotQuestion {
         number: 9,
-        word: word(3),
-        patience_millis: 300,
+        notice: notice(3),
+        max_wait_millis: 300,
     };
     let answer = SlotAnswer {
         number: 9,
--- a/crates/protocol/tests/signal_messages.rs
+++ b/crates/protocol/tests/signal_messages.rs
@@ -4,7 +4,7 @@
 
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_protocol::node_words::{Datagram, MOST_BYTES};
-use shelfjunction_protocol::rate_words::RateDatagram;
+use shelfjunction_protocol::rate_messages::RateDatagram;
 use shelfjunction_protocol::signal_messages::{MOST_ENGINES, SignalDatagram};
 
 #[test]
