Fix: a stopped node takes no connection in the moment before its process ends

Cause: the stop returned when it saw no open connection, and the thread that accepts went on until the process was gone. That nothing is open and that nothing more is taken is now one step, under the lock that enters connections; what comes later is closed unread, and its caller goes elsewhere. connection_refused names the cause.

--- a/crates/node/src/accepting.rs
+++ b/crates/node/src/accepting.rs
@@ -40,9 +40,12 @@
     protocol: &Arc<dyn CallerProtocol>,
     open: &Arc<OpenConnections>,
 ) {
-    let Some(entry) = open.enter(&stream, context.config.connections) else {
-        log::warn!(most = context.config.connections; "connection_refused");
-        return;
+    let entry = match open.enter(&stream, context.config.connections) {
+        Ok(entry) => entry,
+        Err(cause) => {
+            log::warn!(cause = cause.name(), most = context.config.connections; "connection_refused");
+            return;
+        }
     };
     let context = Arc::clone(context);
     let protocol = Arc::clone(protocol);
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -21,9 +21,33 @@
 struct Inner {
     next: u64,
     closing: bool,
+    /// Whether the process is about to end, so that no connection is taken any more.
+    ended: bool,
     open: BTreeMap<u64, OpenConnection>,
 }
 
+/// Why a connection is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NotEntered {
+    /// As many are open as may be.
+    TooMany,
+    /// The process is about to end.
+    Ended,
+    /// Its socket can't be shared.
+    SocketFault,
+}
+
+impl NotEntered {
+    /// Name for the log.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::TooMany => "too_many",
+            Self::Ended => "stopped",
+            Self::SocketFault => "socket_fault",
+        }
+    }
+}
+
 /// One connection's entry; it leaves when this is dropped.
 pub(crate) struct Entry {
     number: u64,
@@ -31,17 +55,20 @@
 }
 
 impl OpenConnections {
-    /// Enters a connection; absent where there are too many or its socket can't be shared.
-    pub(crate) fn enter(self: &Arc<Self>, stream: &TcpStream, most: usize) -> Option<Entry> {
-        let stream = stream.try_clone().ok()?;
+    /// Enters a connection.
+    pub(crate) fn enter(self: &Arc<Self>, stream: &TcpStream, most: usize) -> Result<Entry, NotEntered> {
+        let stream = stream.try_clone().map_err(|_| NotEntered::SocketFault)?;
         let mut inner = lock(&self.inner);
+        if inner.ended {
+            return Err(NotEntered::Ended);
+        }
         if inner.open.len() >= most {
-            return None;
+            return Err(NotEntered::TooMany);
         }
         inner.next += 1;
         let number = inner.next;
         inner.open.insert(number, OpenConnection { stream, rests: false });
-        Some(Entry {
+        Ok(Entry {
             number,
             connections: Arc::clone(self),
         })
@@ -52,6 +79,19 @@
         lock(&self.inner).open.len()
     }
 
+    /// Takes no connection any more if none is open; whether that is so. A connection that comes between this and the end of the
+    /// process is closed unread, and its caller goes elsewhere.
+    pub(crate) fn end_if_none(&self) -> bool {
+        let mut inner = lock(&self.inner);
+        inner.ended |= inner.open.is_empty();
+        inner.ended
+    }
+
+    /// Takes no connection any more.
+    pub(crate) fn end(&self) {
+        lock(&self.inner).ended = true;
+    }
+
     /// Closes the connections that rest, and each other one as soon as it rests.
     pub(crate) fn close_resting(&self) {
         let mut inner = lock(&self.inner);
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -187,14 +187,14 @@
         loop {
             let now = self.context.now();
             if now >= end {
-                return;
+                return self.open.end();
             }
             if now >= resting_until {
                 if !closed {
                     self.context.state.begin_closing();
                     self.open.close_resting();
                     closed = true;
-                } else if self.open.count() == 0 {
+                } else if self.open.end_if_none() {
                     return;
                 }
             }
