--- a/crates/core/src/rate_limit/mod.rs
+++ b/crates/core/src/rate_limit/mod.rs
@@ -1,7 +1,7 @@
 //! The requests a second that an engine in need takes from all nodes together.
 //!
 //! Every node sends to every engine, and none sees what the others send, so a limit can't be kept by each node for itself.
-//! One node keeps the slots of an engine: the first by rendezvous hashing of those that speak of limits ([`slot_owner`]). Whoever
+//! One node owns the slots of an engine: the first by rendezvous hashing of those that know limits ([`slot_owner`]). A node that
 //! wants to send a request there asks it for a slot, and sends when the slot has come or goes elsewhere:
 //!
 //! ```text
@@ -12,8 +12,8 @@
 //! granted            if the slot comes within the longest wait of the request, denied with the time until it otherwise
 //! ```
 //!
-//! Nodes that can't hear each other choose different owners, of which each hears the fewer the more there are, so that the sum
-//! stays near the limit however the fleet is split: a node that hears nobody has its own part without a message.
+//! Nodes that can't reach each other choose different owners, of which each reaches the fewer the more there are, so that the sum
+//! stays near the limit however the fleet is split: a node that reaches nobody has its own part without a message.
 
 mod belief;
 mod limit;
--- a/crates/core/src/rate_limit/slot_owner.rs
+++ b/crates/core/src/rate_limit/slot_owner.rs
@@ -1,4 +1,4 @@
-//! Who keeps the slots of an engine, and what a owner knows of the engines that it keeps.
+//! Who owns the slots of an engine, and what an owner knows of the engines whose slots it owns.
 
 use super::limit::RateLimit;
 use super::slots::{Slot, SlotSchedule};
@@ -8,14 +8,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Part of all nodes from which on a owner that hears so many has the whole limit. Others that hear each other and not it are
+/// Part of all nodes from which on an owner that reaches so many has the whole limit. Others that reach each other and not it are
 /// fewer, and have at most the rest besides: together less than half as much again as the engine named.
 const FULL_FROM: f64 = 0.65;
 
 /// Time after which the slots of an engine that nobody asked for are forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
-/// Time after which a owner is asked again that does not know how many nodes there are.
+/// Time after which an owner is asked again that does not know how many nodes there are.
 const NO_PART: Duration = Duration::from_millis(500);
 
 /// The owner of an engine's slots, of those that may be; absent where there is none.
@@ -23,7 +23,7 @@
     rendezvous::choose(engine, candidates, 1).pop()
 }
 
-/// The part of a limit that a owner has which hears so many of all nodes, itself included, that keep to limits as well.
+/// The part of a limit that an owner has which reaches so many of all nodes, itself included, that keep to limits as well.
 pub fn part_of(heard: u32, nodes: u32) -> f64 {
     let part = (f64::from(heard) / f64::from(nodes.max(1))).min(1.0);
     if part >= FULL_FROM { 1.0 } else { part }
@@ -66,7 +66,7 @@
     }
 }
 
-/// Where in an interval a owner's slots fall, as a fraction.
+/// Where in an interval an owner's slots fall, as a fraction.
 fn phase(own: SubjectHandle, engine: SubjectHandle) -> f64 {
     mix(own.number() ^ mix(engine.number())) as f64 / u64::MAX as f64
 }
--- a/crates/core/src/rate_limit/slots.rs
+++ b/crates/core/src/rate_limit/slots.rs
@@ -24,7 +24,7 @@
 
 impl SlotSchedule {
     /// Nothing is saved up: whoever kept the slots before may have given out one a moment ago. `phase` is a fraction of the
-    /// first interval, so that the slots of owners that don't hear each other don't fall together.
+    /// first interval, so that the slots of owners that don't reach each other don't fall together.
     pub fn begin(rate: f64, phase: f64, now: MonotonicTime) -> Self {
         Self {
             next: now + interval(rate).mul_f64(phase),
@@ -50,7 +50,7 @@
         if whole {
             self.next = self.next.max(now - interval.saturating_mul(SAVED));
         } else if self.next < now {
-            // The phase stays, or idle owners that don't hear each other would all have a slot at once.
+            // The phase stays, or idle owners that don't reach each other would all have a slot at once.
             let passed = now.since(self.next).as_secs_f64() / interval.as_secs_f64();
             self.next = self.next + interval.mul_f64(passed.ceil());
         }
--- a/crates/core/src/routing/pool/limits.rs
+++ b/crates/core/src/routing/pool/limits.rs
@@ -107,12 +107,12 @@
 
     /// What other nodes are told of limits; of those that an answer to this node named, or of all.
     pub fn limit_notices(&self, named_here: bool, now: MonotonicTime) -> Vec<LimitNotice> {
-        let told = self
+        let named = self
             .engines
             .values()
             .filter(|state| state.is_listed())
             .filter(|state| !named_here || state.limit.is_named_here(TOLD_AFTER_ANSWER, now));
-        told.filter_map(|state| state.limit_notice(now)).collect()
+        named.filter_map(|state| state.limit_notice(now)).collect()
     }
 
     /// Counts a request that is sent to an engine.
--- a/crates/node/src/rate_limits/asking.rs
+++ b/crates/node/src/rate_limits/asking.rs
@@ -1,4 +1,4 @@
-//! Takes a slot at an engine that names a rate limit, from the node that keeps them, and answers as such a owner.
+//! Takes a slot at an engine that names a rate limit, from the node that keeps them, and answers as such an owner.
 
 use super::sending;
 use crate::context::Context;
@@ -38,7 +38,7 @@
         }
     }
 
-    /// Asks a owner and waits for its answer.
+    /// Asks an owner and waits for its answer.
     fn ask(&self, context: &Context, question: &SlotQuestion, owner: SocketAddr) -> Option<SlotOutcome> {
         let bytes = RateDatagram::Question(*question).encode()?;
         lock(&self.waiting).insert(question.number, None);
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod cordons;
+mod datagram_format;
 pub mod duties;
 pub mod frame;
 pub mod node_snapshot;
--- a/crates/protocol/src/signal_messages.rs
+++ b/crates/protocol/src/signal_messages.rs
@@ -3,13 +3,10 @@
 //! Builds without them take datagrams of other first bytes only, and drop these as unreadable. Behind the first byte stands
 //! the bincode of one [`SignalDatagram`]. Released variants never change; what is new gets a variant of its own.
 
-use super::node_words::MOST_BYTES;
-use bincode::config::{Configuration, standard};
+use super::datagram_format;
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::membership::subject::SubjectHandle;
 
-const CODEC: Configuration = standard();
-
 /// First byte of such a datagram.
 const FORMAT: u8 = 65;
 
@@ -28,15 +25,11 @@
 impl SignalDatagram {
     /// The bytes; absent where they would be too long.
     pub fn encode(&self) -> Option<Vec<u8>> {
-        let mut bytes = vec![FORMAT];
-        bytes.extend(bincode::serde::encode_to_vec(self, CODEC).ok()?);
-        (bytes.len() <= MOST_BYTES).then_some(bytes)
+        datagram_format::encode(FORMAT, self)
     }
 
     /// Reads a datagram; absent when it is none of these.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        let content = bytes.strip_prefix(&[FORMAT])?;
-        let (datagram, used) = bincode::serde::decode_from_slice(content, CODEC).ok()?;
-        (used == content.len()).then_some(datagram)
+        datagram_format::decode(FORMAT, bytes)
     }
 }
