--- a/crates/core/src/engine_signals/mod.rs
+++ b/crates/core/src/engine_signals/mod.rs
@@ -2,7 +2,7 @@
 
 mod register;
 
-pub use register::SignalRegister;
+pub use register::{LONGEST_BACKOFF, SignalRegister};
 
 use crate::rate_limit::AnsweredLimit;
 use std::time::Duration;
--- a/crates/node/src/course/gate.rs
+++ b/crates/node/src/course/gate.rs
@@ -7,6 +7,7 @@
 use crate::placing;
 use crate::rate_limits;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use shelfjunction_core::engine_signals::LONGEST_BACKOFF;
 use shelfjunction_core::identity::{AttemptId, EngineId};
 use shelfjunction_core::placing::question::Progress;
 use shelfjunction_core::rate_limit::Slot;
@@ -16,11 +17,14 @@
 use shelfjunction_threads::lock;
 use std::time::Duration;
 
-/// Shortest time after which a caller is asked to come back whom engines' limits left no room.
+/// Shortest time after which a caller is asked to come back for whom no engine accepts requests.
 const LEAST_RETURN: Duration = Duration::from_millis(100);
 
-/// The longest.
-const MOST_RETURN: Duration = Duration::from_secs(10);
+/// The longest: that of the longest backoff.
+const MOST_RETURN: Duration = LONGEST_BACKOFF;
+
+/// Largest part by which that time is lengthened, so that not all callers come at once.
+const RETURN_SPREAD: f64 = 1.0;
 
 impl Driver<'_> {
     /// What becomes of a dispatch instead where its engine takes nothing now; takes a slot for it, and waits for that, where the
@@ -161,7 +165,7 @@
             "no_engine_accepts"
         );
         self.context.metrics.signals.held_back("no_engine_accepts");
-        let spread = 1.0 + self.draw as f64 / u64::MAX as f64;
+        let spread = 1.0 + RETURN_SPREAD * self.draw as f64 / u64::MAX as f64;
         Some(next.mul_f64(spread).clamp(LEAST_RETURN, MOST_RETURN))
     }
 }
--- a/crates/node/src/engine_signals/sending.rs
+++ b/crates/node/src/engine_signals/sending.rs
@@ -39,7 +39,8 @@
 }
 
 impl Announcements {
-    /// Adds an engine that drains.
+    /// Adds an engine that drains. More than fit into one message are not announced: nodes learn of them from their own
+    /// answers.
     pub(super) fn add(&self, context: &Context, engine: SubjectHandle) {
         let mut pending = lock(&self.pending);
         if pending.drains.len() < MOST_ENGINES {
