--- a/crates/node/src/course/gate.rs
+++ b/crates/node/src/course/gate.rs
@@ -23,8 +23,9 @@
 /// The longest: that of the longest backoff.
 const MOST_RETURN: Duration = LONGEST_BACKOFF;
 
-/// Largest part by which that time is lengthened, so that not all callers come at once.
-const RETURN_SPREAD: f64 = 1.0;
+/// Longest time by which that is lengthened at random, so that not all callers come at once: that in which load returns to an
+/// engine. A shorter wait is doubled at most.
+const RETURN_SPREAD: Duration = Duration::from_secs(1);
 
 impl Driver<'_> {
     /// What becomes of a dispatch instead where its engine takes nothing now; takes a slot for it, and waits for that, where the
@@ -165,7 +166,9 @@
             "no_engine_accepts"
         );
         self.context.metrics.signals.held_back("no_engine_accepts");
-        let spread = 1.0 + RETURN_SPREAD * self.draw as f64 / u64::MAX as f64;
-        Some(next.mul_f64(spread).clamp(LEAST_RETURN, MOST_RETURN))
+        let spread = next
+            .min(RETURN_SPREAD)
+            .mul_f64(self.draw as f64 / u64::MAX as f64);
+        Some((next + spread).clamp(LEAST_RETURN, MOST_RETURN))
     }
 }
