--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -1,20 +1,20 @@
 //! An engine: reads prompts for others, runs outputs as series of events, takes orders, and misbehaves when told to.
 
+use super::engine_answers::record;
 use super::engine_records::{ArrivalRecord, BackoffRecord, DrainRecord, LimitRecord, OrderRecord, RunRecord};
 use super::engine_settings::{EngineFault, EngineSettings};
 use super::engine_state::State;
 use super::engine_work::{MachinePace, answer_events, event, wants_long_answer};
 use serde::Deserialize;
 use shelfjunction_http::{
-    Answer, AnswerHeader, Answered, Handler, HttpLimits, HttpRequest, HttpServer, ReadError, Responder,
-    StreamWriter,
+    Answer, Answered, Handler, HttpLimits, HttpRequest, HttpServer, ReadError, Responder, StreamWriter,
 };
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
-const JSON: &str = "application/json";
+pub(super) const JSON: &str = "application/json";
 const EVENTS: &str = "text/event-stream";
 
 /// Body of a request that crashes the engine that begins to run it, where the engine has a [`CrashSwitch`]; reading its
@@ -190,10 +190,10 @@
     }
 }
 
-struct EngineHandler {
-    settings: EngineSettings,
-    state: Arc<Mutex<State>>,
-    pace: Arc<MachinePace>,
+pub(super) struct EngineHandler {
+    pub(super) settings: EngineSettings,
+    pub(super) state: Arc<Mutex<State>>,
+    pub(super) pace: Arc<MachinePace>,
     crash_switch: Arc<OnceLock<CrashSwitch>>,
 }
 
@@ -281,26 +281,6 @@
         }
     }
 
-    fn refuse_with_backoff(&self, request: &HttpRequest, backoff: Duration) -> Answer {
-        lock(&self.state).backoffs.push(BackoffRecord {
-            engine: self.settings.start(),
-            request: request.header("Request-Id").unwrap_or_default().to_owned(),
-            at: Instant::now(),
-            backoff,
-        });
-        self.answer(request, 503, "")
-            .with_header("Not-Executed", "1")
-            .with_header("Retry-After", backoff.as_secs_f64().to_string())
-    }
-
-    /// An answer to a question aside from requests.
-    fn aside(&self, answer: Answer) -> Answer {
-        if lock(&self.state).draining_since.is_some() {
-            return answer.with_header("Server-Leaving", "1");
-        }
-        answer
-    }
-
     /// Ends after the head of the answer has left.
     fn crash(&self, request: &HttpRequest, crash: &CrashSwitch, responder: Responder<'_>) -> Answered {
         let writer = responder.stream(200, EVENTS, &self.headers(request, true));
@@ -383,65 +363,8 @@
         };
         Answer::new(status, JSON, "{}")
     }
-
-    fn answer(&self, request: &HttpRequest, status: u16, body: &str) -> Answer {
-        let answer = Answer::new(status, JSON, body);
-        self.headers(request, false)
-            .into_iter()
-            .fold(answer, |answer, header| {
-                answer.with_header(header.name, header.value)
-            })
-    }
-
-    fn signed(&self, request: &HttpRequest, status: u16, body: &str) -> Answer {
-        self.answer(request, status, body)
-            .with_header("Response-Signature", format!("signed-by-{}", self.settings.id))
-    }
-
-    fn headers(&self, request: &HttpRequest, signed: bool) -> Vec<AnswerHeader> {
-        let header = |name, value: &str| AnswerHeader {
-            name,
-            value: value.to_owned(),
-        };
-        let mut headers = vec![
-            header("Request-Id", request.header("Request-Id").unwrap_or_default()),
-            header("Instance-Id", &self.settings.id),
-            header("Server-Load", &format!("1,0,8,{}", self.pace.percent())),
-        ];
-        if let Some(limit) = lock(&self.state).limit() {
-            headers.push(header("Server-Limit", &limit.to_string()));
-        }
-        if lock(&self.state).draining_since.is_some() {
-            headers.push(header("Server-Leaving", "1"));
-        }
-        if signed {
-            headers.push(header(
-                "Response-Signature",
-                &format!("signed-by-{}", self.settings.id),
-            ));
-        }
-        headers
-    }
-}
-
-fn record(request: &HttpRequest) -> RunRecord {
-    RunRecord {
-        request: request.header("Request-Id").unwrap_or_default().to_owned(),
-        after_event: request
-            .header("Last-Event-Id")
-            .and_then(|id| id.parse().ok())
-            .unwrap_or(0),
-        source: request.header("Kv-Source").map(str::to_owned),
-        fetched_from: request.header("Kv-Fetch").map(str::to_owned),
-        tenant: request.header("Tenant").map(str::to_owned),
-        key: request.header("Key").map(str::to_owned),
-        urgency: request
-            .header("Request-Urgency")
-            .and_then(|rank| rank.parse().ok()),
-        crashed: false,
-    }
 }
 
-fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+pub(super) fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/lab/src/users_platform/mod.rs
+++ b/crates/lab/src/users_platform/mod.rs
@@ -2,6 +2,7 @@
 //! read prompts, run outputs and take orders, and the interface that takes usage reports and orders of engines.
 
 mod engine;
+mod engine_answers;
 mod engine_records;
 mod engine_settings;
 mod engine_state;
