Fault soak: engines that crashed are not free, and a limit binds no node before anybody passed it on

The users' rule counts nodes from half a second after they have passed on such an answer; the check is still stricter, since it counts all nodes from half a second after the first has.

--- a/crates/lab/src/fault_soak/deployment.rs
+++ b/crates/lab/src/fault_soak/deployment.rs
@@ -19,7 +19,7 @@
 pub const EVENTS: u64 = 5;
 
 /// Time after which an engine that has crashed is back.
-const BACK_AFTER: Duration = Duration::from_millis(2_500);
+pub(super) const BACK_AFTER: Duration = Duration::from_millis(2_500);
 
 /// Pools of the short calls; the operator moves the route between them.
 pub const APPLICATION_POOLS: [&str; 2] = ["pool-one", "pool-two"];
--- a/crates/lab/src/fault_soak/judging.rs
+++ b/crates/lab/src/fault_soak/judging.rs
@@ -31,7 +31,10 @@
     let mut violations = engine_signals::judge_drains(records, calls, &excuses, begun);
     violations.extend(engine_signals::judge_backoffs(records, calls, &excuses, begun));
     let is_quiet = |call: &SeenCall| quiet.covers(call);
-    violations.extend(engine_signals::judge_refusals(records, calls, is_quiet, begun));
+    let crashing = crashing_arrivals(records, begun);
+    violations.extend(engine_signals::judge_refusals(
+        records, calls, &crashing, is_quiet, begun,
+    ));
     violations
 }
 
--- a/crates/lab/src/fault_soak/rate_limits.rs
+++ b/crates/lab/src/fault_soak/rate_limits.rs
@@ -41,8 +41,11 @@
     }
 }
 
-/// The limits of which a window held more than is allowed, from the contact time after they were named, of nodes that nothing
-/// had struck and that did not run another build.
+/// Time from which on a limit binds all nodes after one of them has passed on an answer that names it.
+const TOLD_WITHIN: Duration = Duration::from_millis(500);
+
+/// The limits of which a window held more than is allowed, of nodes that nothing had struck and that did not run another build:
+/// from the contact time after they were named, and not before a node could know.
 pub fn judge(
     spans: &[LimitSpan],
     arrivals: &[EngineArrival],
@@ -61,12 +64,22 @@
                 && on_other_build.in_touch(*node, arrival.at, CONTACT)
         })
     };
+    let answered_at: BTreeMap<&str, Duration> = calls
+        .iter()
+        .filter(|call| call.answer.as_ref().is_some_and(|answer| answer.whole))
+        .map(|call| (call.request.as_str(), call.sent_at + call.took))
+        .collect();
     spans
         .iter()
         .filter_map(|span| {
+            let named = arrivals
+                .iter()
+                .filter(|arrival| arrival.engine == span.engine && arrival.at >= span.from);
+            let passed_on = named.filter_map(|arrival| answered_at.get(arrival.request.as_str()));
+            let binds_from = (*passed_on.min()? + TOLD_WITHIN).max(span.from + CONTACT);
             let there = arrivals.iter().filter(|arrival| {
                 arrival.engine == span.engine
-                    && arrival.at >= span.from + CONTACT
+                    && arrival.at >= binds_from
                     && span.until.is_none_or(|until| arrival.at < until)
             });
             let mut times: Vec<Duration> = there.filter(counts).map(|arrival| arrival.at).collect();
