--- a/crates/lab/src/fault_soak/crashers.rs
+++ b/crates/lab/src/fault_soak/crashers.rs
@@ -10,6 +10,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// How their requests' names begin.
+const PREFIX: &str = "crasher";
+
+/// Whether a request is one of theirs.
+pub(super) fn is_crasher(request: &str) -> bool {
+    request.starts_with(PREFIX)
+}
+
 /// Pauses between two sendings of a request, in milliseconds.
 const PAUSE_MILLIS: std::ops::Range<u64> = 100..900;
 
@@ -77,7 +85,7 @@
                 .map(|node| {
                     self.sent += 1;
                     // The last letter names the tenant, which is the same each time.
-                    let request = format!("crasher{}-{}-{}", self.number, self.sent, self.number);
+                    let request = format!("{PREFIX}{}-{}-{}", self.number, self.sent, self.number);
                     let mut caller = Caller::new(self.sent, CRASHERS + self.number);
                     let content = Content {
                         request,
--- a/crates/lab/src/fault_soak/judging.rs
+++ b/crates/lab/src/fault_soak/judging.rs
@@ -1,5 +1,6 @@
 //! Puts together what callers and engines saw, and has it judged.
 
+use super::crashers::is_crasher;
 use super::crashes::CrashingArrival;
 use super::deployment::{Deployment, EVENTS};
 use super::late_readers::{self, Quiet, QuietCount, is_late_reader};
@@ -30,7 +31,8 @@
     };
     let mut violations = engine_signals::judge_drains(records, calls, &excuses, begun);
     violations.extend(engine_signals::judge_backoffs(records, calls, &excuses, begun));
-    let is_quiet = |call: &SeenCall| quiet.covers(call);
+    // What crashes engines is refused for that, whatever is free.
+    let is_quiet = |call: &SeenCall| quiet.covers(call) && !is_crasher(&call.request);
     let crashing = crashing_arrivals(records, begun);
     violations.extend(engine_signals::judge_refusals(
         records, calls, &crashing, is_quiet, begun,
