--- a/crates/core/src/routing/pool/list_changes.rs
+++ b/crates/core/src/routing/pool/list_changes.rs
@@ -1,8 +1,8 @@
 //! When each entry of the platform's list of engines last changed, as far back as is known.
 //!
 //! A node that knows only the engines in use of others may be handed a list that is older than what it reflects. An engine
-//! that it doesn't know may have been put out of use there, or may have left since: only the version of the entry's last
-//! change tells.
+//! that it doesn't know may have been put out of use there, or may have left since; the version of the entry's last change
+//! decides which.
 
 use crate::membership::subject::SubjectHandle;
 use serde::{Deserialize, Serialize};
--- a/crates/core/src/routing/pool/signals.rs
+++ b/crates/core/src/routing/pool/signals.rs
@@ -10,7 +10,7 @@
 use crate::time::MonotonicTime;
 use std::time::Duration;
 
-/// Why no request is sent to an engine, whoever chose it.
+/// Why no request is sent to an engine, also where another node chose it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotAccepting {
     /// It drains, by its own answers or by the list.
--- a/crates/node/src/course/exchange.rs
+++ b/crates/node/src/course/exchange.rs
@@ -57,7 +57,7 @@
 
 impl Exchange {
     /// Starts the wait anew.
-    pub(super) fn heard(&mut self, now: MonotonicTime, max_wait: Option<Duration>) {
+    pub(super) fn restart_wait(&mut self, now: MonotonicTime, max_wait: Option<Duration>) {
         self.asked_at = now;
         self.silent_from = max_wait.map(|max_wait| now + max_wait);
     }
--- a/crates/node/src/course/gate.rs
+++ b/crates/node/src/course/gate.rs
@@ -17,7 +17,7 @@
 use shelfjunction_threads::lock;
 use std::time::Duration;
 
-/// Shortest time after which a caller is asked to come back for whom no engine accepts requests.
+/// Shortest time after which a caller is asked to come back where no engine accepts requests.
 const LEAST_RETURN: Duration = Duration::from_millis(100);
 
 /// The longest: that of the longest backoff.
@@ -29,8 +29,8 @@
 
 impl Driver<'_> {
     /// What becomes of a dispatch instead where its engine takes nothing now; takes a slot for it, and waits for that, where the
-    /// engine names a rate limit. Every request to an engine passes here, whoever chose the engine and however often the request
-    /// was sent before: what held for some ways to an engine only would not hold.
+    /// engine names a rate limit. Every request to an engine passes here, also one that a placer chose or that was sent before:
+    /// what held for some ways to an engine only would not hold.
     pub(super) fn pass_gate(
         &mut self,
         choice: Option<&PlacedChoice>,
@@ -155,8 +155,8 @@
         }
     }
 
-    /// When a caller should come back for whom there is no engine, if that is for what engines said of themselves: when one
-    /// accepts requests again, spread so that not all callers come at once.
+    /// When a caller should come back where what engines said of themselves left none for its request: when one accepts requests
+    /// again, spread so that not all callers come at once.
     pub(super) fn return_when_accepted(&self) -> Option<Duration> {
         let now = self.context.now();
         let next = lock(&self.context.router).next_acceptance(&self.query(&[], now), now)?;
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -30,7 +30,7 @@
                 self.judge_promise(now);
                 let max_wait = max_wait::next_event(self.route);
                 let exchange = self.exchange.as_mut()?;
-                exchange.heard(now, max_wait);
+                exchange.restart_wait(now, max_wait);
                 if !std::mem::replace(&mut exchange.has_events, true) {
                     self.count_usage(now);
                     self.note_begun(now);
--- a/crates/node/src/course/waiting.rs
+++ b/crates/node/src/course/waiting.rs
@@ -67,7 +67,7 @@
             // What the engine has to say waits for the caller, so its silence means nothing.
             let now = self.context.now();
             let max_wait = max_wait::next_event(self.route);
-            exchange.heard(now, max_wait);
+            exchange.restart_wait(now, max_wait);
             // Nor is the pause until its next event the engine's.
             self.last_event_at = self.last_event_at.map(|_| now);
             return None;
