--- a/crates/node/src/engine_signals/sending.rs
+++ b/crates/node/src/engine_signals/sending.rs
@@ -1,7 +1,7 @@
 //! Passes on to other nodes that engines drain, or are overloaded.
 //!
-//! A node that reads an announced drain from an answer tells all other nodes at once, in a large fleet the placers, which
-//! tell all. The announcement is repeated for a while, for messages that were lost and nodes that start; who misses all of them
+//! A node that reads an announced drain from an answer notifies all other nodes at once, in a large fleet the placers, which
+//! notify all. The announcement is repeated for a while, for messages that were lost and nodes that start; a node that misses all of them
 //! learns it from the first answer that it gets itself.
 
 use super::on_draining;
@@ -92,7 +92,7 @@
     }
 }
 
-/// Everybody in a small fleet, and what is new of a placer; placers repeat to the nodes near them, the others tell the placers.
+/// Everybody in a small fleet, and what is new of a placer; placers repeat to the nodes near them, the others notify the placers.
 fn audience(context: &Context, is_new: bool, now: MonotonicTime) -> Vec<SocketAddr> {
     match context.peers.placing(now) {
         Placing::Each => context.peers.addresses(now),
@@ -116,7 +116,7 @@
     }
 }
 
-/// Tells those who choose engines that one has turned this node away for a time.
+/// Notifies the nodes that choose engines that one has turned this node away for a time.
 pub(super) fn send_overloaded(context: &Context, engine: SubjectHandle) {
     let to = context.peers.told(context.now());
     send(context, &SignalDatagram::Overloaded(engine), &to);
