--- a/crates/core/src/quarantine/answered.rs
+++ b/crates/core/src/quarantine/answered.rs
@@ -11,10 +11,10 @@
 
 /// Time for which an answer vouches for a request. What begins to crash engines after a change of their software is charged after
 /// so long.
-const VOUCHES_FOR: Duration = Duration::from_secs(60);
+const VOUCHING_PERIOD: Duration = Duration::from_secs(60);
 
 /// Most requests that are remembered, of some 60 bytes each; the one that was answered longest ago gives way.
-const MOST_REQUESTS: NonZeroUsize = NonZeroUsize::new(4_096).unwrap();
+const MAX_REQUESTS: NonZeroUsize = NonZeroUsize::new(4_096).unwrap();
 
 /// Requests that engines have answered with success.
 #[derive(Clone, Debug)]
@@ -25,7 +25,7 @@
 impl Default for RecentlyAnswered {
     fn default() -> Self {
         Self {
-            answered_at: LruCache::new(MOST_REQUESTS),
+            answered_at: LruCache::new(MAX_REQUESTS),
         }
     }
 }
@@ -39,6 +39,6 @@
     /// Whether one has a short time ago.
     pub fn vouches_for(&self, fingerprint: &Fingerprint, now: MonotonicTime) -> bool {
         let answered_at = self.answered_at.peek(fingerprint);
-        answered_at.is_some_and(|at| now.since(*at) < VOUCHES_FOR)
+        answered_at.is_some_and(|at| now.since(*at) < VOUCHING_PERIOD)
     }
 }
--- a/crates/core/src/quarantine/config.rs
+++ b/crates/core/src/quarantine/config.rs
@@ -37,7 +37,7 @@
 const LASTS_SECONDS: std::ops::RangeInclusive<f64> = 1.0..=86_400.0;
 
 /// Most crashes that are kept of one request; a word between nodes names each.
-pub const MOST_CRASHES: usize = 16;
+pub const MAX_CRASHES: usize = 16;
 
 impl QuarantineSettings {
     /// Every wrong setting.
@@ -54,9 +54,9 @@
         };
         check(
             "crashes",
-            (1..=MOST_CRASHES).contains(&self.crashes),
+            (1..=MAX_CRASHES).contains(&self.crashes),
             self.crashes.to_string(),
-            format!("1 to {MOST_CRASHES}"),
+            format!("1 to {MAX_CRASHES}"),
         );
         check(
             "lasts_seconds",
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -13,16 +13,16 @@
 mod answered;
 pub mod config;
 mod fingerprint;
+pub mod notification;
 mod register;
+pub mod report;
 pub mod row;
 mod suspect;
-pub mod telling;
 mod trial;
-pub mod word;
 
 pub use answered::RecentlyAnswered;
 pub use fingerprint::{Fingerprint, NoFingerprint, RequestContent};
-pub use register::{Counts, Entry, Quarantine, Standing, Told};
+pub use register::{Counts, Entry, Quarantine, Selection, Standing};
 pub use trial::TrialBoard;
 
 use crate::forwarding::{PoolId, RouteId};
--- a/crates/core/src/quarantine/register.rs
+++ b/crates/core/src/quarantine/register.rs
@@ -1,17 +1,17 @@
 //! The requests under which engines crashed, as one node knows them.
 
 use super::config::QuarantineSettings;
+use super::report::SuspectReport;
 use super::suspect::Suspect;
-use super::word::SuspectWord;
 use super::{Asked, Fingerprint};
 use crate::membership::subject::SubjectHandle;
 use crate::time::MonotonicTime;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Time for which others are told of a change again and again: most of the time that they have to learn of it, so that
-/// words which are lost, three in ten, are made good many times over.
-const NEWS_FOR: Duration = Duration::from_millis(2_500);
+/// Time for which a change is reported repeatedly: most of the time within which other nodes have to know of it, so that lost
+/// datagrams are made up for.
+const NOTIFICATION_PERIOD: Duration = Duration::from_millis(2_500);
 
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,7 +45,7 @@
         }
     }
 
-    /// A word for logs and pages.
+    /// Name for logs and pages.
     pub fn name(self) -> &'static str {
         match self {
             Self::Free { .. } => "free",
@@ -55,15 +55,15 @@
     }
 }
 
-/// Which requests others are told of.
+/// Requests that a notification covers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Told {
+pub enum Selection {
     /// Those that have changed lately and of which this node has seen a crash itself.
     SeenHere,
     /// Those that have changed lately: of the ones that run as any other only what this node has seen itself.
-    News,
+    Changes,
     /// Those that have changed lately, but for the ones that run as any other.
-    RestrictedNews,
+    RestrictedChanges,
     /// All that don't run as any other.
     Restricted,
 }
@@ -92,7 +92,7 @@
     pub refused: u64,
 }
 
-/// The requests that one node knows; pure, and merged with what others know by [`Self::take`].
+/// The requests that one node knows; pure, and merged with what others know by [`Self::merge`].
 #[derive(Clone, Debug)]
 pub struct Quarantine {
     settings: QuarantineSettings,
@@ -152,43 +152,43 @@
             return None;
         }
         suspect.seen_here = true;
-        suspect.news_until = now + NEWS_FOR;
+        suspect.notify_until = now + NOTIFICATION_PERIOD;
         Some(self.standing(&fingerprint, now))
     }
 
     /// An engine answered the request and lives, or an operator lifts it: nothing counts against it any more. Whether
     /// something did.
-    pub fn forgive(&mut self, fingerprint: &Fingerprint, now: MonotonicTime) -> bool {
+    pub fn clear(&mut self, fingerprint: &Fingerprint, now: MonotonicTime) -> bool {
         let through = now + self.settings.lasts();
         let Some(suspect) = self.suspects.get_mut(fingerprint) else {
             return false;
         };
-        let forgiven = suspect.forgive(through, now);
+        let forgiven = suspect.clear(through, now);
         if forgiven {
-            suspect.news_until = now + NEWS_FOR;
+            suspect.notify_until = now + NOTIFICATION_PERIOD;
         }
         forgiven
     }
 
-    /// Takes another node's word; the new standing where it has changed something.
-    pub fn take(&mut self, word: &SuspectWord, now: MonotonicTime) -> Option<Standing> {
+    /// Merges another node's report; the new standing if it has changed something.
+    pub fn merge(&mut self, report: &SuspectReport, now: MonotonicTime) -> Option<Standing> {
         if !self.settings.enabled
-            || (word.crashes.is_empty() && !self.suspects.contains_key(&word.fingerprint))
+            || (report.crashes.is_empty() && !self.suspects.contains_key(&report.fingerprint))
         {
             return None;
         }
         let longest = self.settings.lasts();
         let ends = |time: Duration| now + time.min(longest);
-        let suspect = self.entry(word.fingerprint, &word.asked, now);
+        let suspect = self.entry(report.fingerprint, &report.asked, now);
         // A time of zero says that nothing was forgiven.
-        let mut changed = !word.forgiven_for.is_zero() && suspect.forgive(ends(word.forgiven_for), now);
-        for crash in &word.crashes {
+        let mut changed = !report.cleared_for.is_zero() && suspect.clear(ends(report.cleared_for), now);
+        for crash in &report.crashes {
             changed |= suspect.add(crash.engine, ends(crash.counts_for));
         }
         if changed {
-            suspect.news_until = now + NEWS_FOR;
+            suspect.notify_until = now + NOTIFICATION_PERIOD;
         }
-        changed.then(|| self.standing(&word.fingerprint, now))
+        changed.then(|| self.standing(&report.fingerprint, now))
     }
 
     fn entry(&mut self, fingerprint: Fingerprint, asked: &Asked, now: MonotonicTime) -> &mut Suspect {
@@ -220,44 +220,44 @@
         self.suspects.retain(|_, suspect| !suspect.is_over(now));
     }
 
-    /// Whether others are to be told of something now.
-    pub fn has_news(&self, now: MonotonicTime) -> bool {
-        self.suspects.values().any(|suspect| suspect.news_until > now)
+    /// Whether there are changes to report.
+    pub fn has_changes(&self, now: MonotonicTime) -> bool {
+        self.suspects.values().any(|suspect| suspect.notify_until > now)
     }
 
     /// Words for others.
-    pub fn words(&self, told: Told, now: MonotonicTime) -> Vec<SuspectWord> {
+    pub fn reports(&self, selection: Selection, now: MonotonicTime) -> Vec<SuspectReport> {
         self.suspects
             .iter()
-            .filter(|(_, suspect)| self.is_told(suspect, told, now))
-            .map(|(fingerprint, suspect)| suspect.word(*fingerprint, now))
+            .filter(|(_, suspect)| self.is_selected(suspect, selection, now))
+            .map(|(fingerprint, suspect)| suspect.report(*fingerprint, now))
             .collect()
     }
 
-    fn is_told(&self, suspect: &Suspect, told: Told, now: MonotonicTime) -> bool {
-        let is_news = suspect.news_until > now;
+    fn is_selected(&self, suspect: &Suspect, selection: Selection, now: MonotonicTime) -> bool {
+        let has_changed = suspect.notify_until > now;
         let runs_freely = matches!(self.standing_of(suspect, now), Standing::Free { crashes } if crashes > 0);
-        match told {
-            Told::SeenHere => is_news && suspect.seen_here,
-            Told::News => is_news && (suspect.seen_here || !runs_freely),
-            Told::RestrictedNews => is_news && !runs_freely,
-            Told::Restricted => !matches!(self.standing_of(suspect, now), Standing::Free { .. }),
+        match selection {
+            Selection::SeenHere => has_changed && suspect.seen_here,
+            Selection::Changes => has_changed && (suspect.seen_here || !runs_freely),
+            Selection::RestrictedChanges => has_changed && !runs_freely,
+            Selection::Restricted => !matches!(self.standing_of(suspect, now), Standing::Free { .. }),
         }
     }
 
     /// Words for the store of what it does not know yet: requests with one more crash to go, so that a fleet that is
     /// started again as a whole does not begin at none; the nodes that saw a crash write.
-    pub fn to_keep(&self, now: MonotonicTime) -> Vec<SuspectWord> {
+    pub fn not_stored(&self, now: MonotonicTime) -> Vec<SuspectReport> {
         self.suspects
             .iter()
             .filter(|(_, suspect)| suspect.seen_here && suspect.crashes(now) > suspect.kept)
             .filter(|(_, suspect)| !matches!(self.standing_of(suspect, now), Standing::Free { .. }))
-            .map(|(fingerprint, suspect)| suspect.word(*fingerprint, now))
+            .map(|(fingerprint, suspect)| suspect.report(*fingerprint, now))
             .collect()
     }
 
     /// Requests that the store still knows though nothing counts against them any more.
-    pub fn to_drop(&self, now: MonotonicTime) -> Vec<Fingerprint> {
+    pub fn stored_in_vain(&self, now: MonotonicTime) -> Vec<Fingerprint> {
         self.suspects
             .iter()
             .filter(|(_, suspect)| suspect.kept > 0 && suspect.crashes(now) == 0)
@@ -266,7 +266,7 @@
     }
 
     /// The store was told of so many crashes of a request.
-    pub fn note_kept(&mut self, fingerprint: &Fingerprint, crashes: usize) {
+    pub fn note_stored(&mut self, fingerprint: &Fingerprint, crashes: usize) {
         if let Some(suspect) = self.suspects.get_mut(fingerprint) {
             suspect.kept = crashes;
         }
--- a/crates/core/src/quarantine/word.rs
+++ b/crates/core/src/quarantine/report.rs
@@ -8,7 +8,7 @@
 
 /// One crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashWord {
+pub struct CrashReport {
     /// The start of the engine that crashed.
     pub engine: SubjectHandle,
     /// Time for which it still counts.
@@ -18,20 +18,20 @@
 /// All that a node knows of one request. Words may be lost, doubled or late: whoever hears one takes the union of the
 /// engines, so that none is counted twice.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectWord {
+pub struct SuspectReport {
     /// The request.
     pub fingerprint: Fingerprint,
     /// What was asked, for operators.
     pub asked: Asked,
     /// Crashes that count.
-    pub crashes: Vec<CrashWord>,
-    /// Crashes that count for no longer than this were forgiven.
-    pub forgiven_for: Duration,
+    pub crashes: Vec<CrashReport>,
+    /// Crashes that count for no longer than this are cleared; zero if none are.
+    pub cleared_for: Duration,
 }
 
 /// A node lets a suspect run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TrialWord {
+pub struct TrialReport {
     /// Pool at whose engines it runs.
     pub pool: PoolId,
     /// The trial.
--- a/crates/core/src/quarantine/row.rs
+++ b/crates/core/src/quarantine/row.rs
@@ -1,6 +1,6 @@
 //! What the store keeps of a request under which engines crashed, past the end of every process.
 
-use super::word::{CrashWord, SuspectWord};
+use super::report::{CrashReport, SuspectReport};
 use super::{Asked, Fingerprint};
 use crate::membership::subject::SubjectHandle;
 use crate::metering::UnixTime;
@@ -38,30 +38,30 @@
     }
 
     /// The row of a word that is said now.
-    pub fn of(word: &SuspectWord, now: UnixTime) -> Self {
-        let crashes = word.crashes.iter().map(|crash| CrashRow {
+    pub fn of(report: &SuspectReport, now: UnixTime) -> Self {
+        let crashes = report.crashes.iter().map(|crash| CrashRow {
             engine: crash.engine,
             counts_until: UnixTime(now.0.saturating_add(crash.counts_for.as_micros() as u64)),
         });
         Self {
-            fingerprint: word.fingerprint,
-            asked: word.asked.clone(),
+            fingerprint: report.fingerprint,
+            asked: report.asked.clone(),
             crashes: crashes.collect(),
         }
     }
 
     /// The word that a row says now.
-    pub fn word(&self, now: UnixTime) -> SuspectWord {
+    pub fn report(&self, now: UnixTime) -> SuspectReport {
         let counting = self.crashes.iter().filter(|crash| crash.counts_until > now);
-        let crashes = counting.map(|crash| CrashWord {
+        let crashes = counting.map(|crash| CrashReport {
             engine: crash.engine,
             counts_for: Duration::from_micros(crash.counts_until.0 - now.0),
         });
-        SuspectWord {
+        SuspectReport {
             fingerprint: self.fingerprint,
             asked: self.asked.clone(),
             crashes: crashes.collect(),
-            forgiven_for: Duration::ZERO,
+            cleared_for: Duration::ZERO,
         }
     }
 }
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -3,8 +3,8 @@
 //! Times are kept as the instants at which something stops to count, since those lie ahead: what happened may lie before the
 //! start of this process's clock.
 
-use super::config::MOST_CRASHES;
-use super::word::{CrashWord, SuspectWord};
+use super::config::MAX_CRASHES;
+use super::report::{CrashReport, SuspectReport};
 use super::{Asked, Fingerprint};
 use crate::membership::subject::SubjectHandle;
 use crate::time::MonotonicTime;
@@ -26,13 +26,13 @@
     /// Different engines, in the order in which they stop to count.
     crashes: Vec<Crash>,
     /// Crashes that stop to count by then were forgiven, since an engine answered the request after them.
-    forgiven_through: MonotonicTime,
+    cleared_through: MonotonicTime,
     /// Whether one of the crashes was seen by this node.
     pub(super) seen_here: bool,
     /// Crashes that the store was told of.
     pub(super) kept: usize,
     /// Until when others are told again and again.
-    pub(super) news_until: MonotonicTime,
+    pub(super) notify_until: MonotonicTime,
     /// Times that this node has refused it.
     pub(super) refused: u64,
 }
@@ -42,16 +42,16 @@
         Self {
             asked,
             crashes: Vec::new(),
-            forgiven_through: MonotonicTime::default(),
+            cleared_through: MonotonicTime::default(),
             seen_here: false,
             kept: 0,
-            news_until: MonotonicTime::default(),
+            notify_until: MonotonicTime::default(),
             refused: 0,
         }
     }
 
     fn counting(&self, now: MonotonicTime) -> impl Iterator<Item = &Crash> {
-        let after = self.forgiven_through.max(now);
+        let after = self.cleared_through.max(now);
         self.crashes
             .iter()
             .filter(move |crash| crash.counts_until > after)
@@ -74,50 +74,50 @@
     /// Adds a crash; whether it was not known.
     pub(super) fn add(&mut self, engine: SubjectHandle, counts_until: MonotonicTime) -> bool {
         let known = self.crashes.iter().any(|crash| crash.engine == engine);
-        if known || counts_until <= self.forgiven_through {
+        if known || counts_until <= self.cleared_through {
             return false;
         }
         self.crashes.push(Crash { engine, counts_until });
         self.crashes.sort_by_key(|crash| crash.counts_until);
-        if self.crashes.len() > MOST_CRASHES {
+        if self.crashes.len() > MAX_CRASHES {
             self.crashes.remove(0);
         }
         true
     }
 
     /// Forgives what stops to count by then; whether something that counted is forgiven.
-    pub(super) fn forgive(&mut self, through: MonotonicTime, now: MonotonicTime) -> bool {
+    pub(super) fn clear(&mut self, through: MonotonicTime, now: MonotonicTime) -> bool {
         let before = self.crashes(now);
-        self.forgiven_through = self.forgiven_through.max(through);
+        self.cleared_through = self.cleared_through.max(through);
         self.crashes
-            .retain(|crash| crash.counts_until > self.forgiven_through);
+            .retain(|crash| crash.counts_until > self.cleared_through);
         self.crashes(now) < before
     }
 
     /// Whether there is nothing more to remember.
     pub(super) fn is_over(&self, now: MonotonicTime) -> bool {
-        self.forgiven_through <= now && self.crashes(now) == 0
+        self.cleared_through <= now && self.crashes(now) == 0
     }
 
     /// When the last of it stops to count.
     pub(super) fn counts_until(&self) -> MonotonicTime {
         let last = self.crashes.last().map(|crash| crash.counts_until);
-        last.unwrap_or_default().max(self.forgiven_through)
+        last.unwrap_or_default().max(self.cleared_through)
     }
 
     /// All that is known of it, as others are told.
-    pub(super) fn word(&self, fingerprint: Fingerprint, now: MonotonicTime) -> SuspectWord {
-        SuspectWord {
+    pub(super) fn report(&self, fingerprint: Fingerprint, now: MonotonicTime) -> SuspectReport {
+        SuspectReport {
             fingerprint,
             asked: self.asked.clone(),
             crashes: self
                 .counting(now)
-                .map(|crash| CrashWord {
+                .map(|crash| CrashReport {
                     engine: crash.engine,
                     counts_for: crash.counts_until.since(now),
                 })
                 .collect(),
-            forgiven_for: self.forgiven_through.since(now),
+            cleared_for: self.cleared_through.since(now),
         }
     }
 }
--- a/crates/core/src/quarantine/trial.rs
+++ b/crates/core/src/quarantine/trial.rs
@@ -4,7 +4,7 @@
 //! A node that wants to let a suspect run tells all others, waits for the time that a word takes, and goes on unless it has
 //! heard of another. No promise rests on it: where a word is lost two may run, which costs precision.
 
-use super::word::{TrialId, TrialWord};
+use super::report::{TrialId, TrialReport};
 use crate::forwarding::PoolId;
 use crate::time::MonotonicTime;
 use std::collections::BTreeMap;
@@ -37,13 +37,13 @@
         self.trials.remove(&(pool.clone(), trial));
     }
 
-    /// Takes another node's word.
-    pub fn take(&mut self, word: &TrialWord, now: MonotonicTime) {
-        if word.lasts_for.is_zero() {
-            return self.end(&word.pool, word.trial);
+    /// Takes another node's report.
+    pub fn merge(&mut self, report: &TrialReport, now: MonotonicTime) {
+        if report.lasts_for.is_zero() {
+            return self.end(&report.pool, report.trial);
         }
         self.trials
-            .insert((word.pool.clone(), word.trial), now + word.lasts_for);
+            .insert((report.pool.clone(), report.trial), now + report.lasts_for);
     }
 
     fn least(&self, pool: &PoolId) -> Option<TrialId> {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -10,10 +10,10 @@
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::metering::UnixTime;
 use shelfjunction_core::quarantine::config::QuarantineSettings;
+use shelfjunction_core::quarantine::report::{TrialId, TrialReport};
 use shelfjunction_core::quarantine::row::SuspectRow;
-use shelfjunction_core::quarantine::word::{TrialId, TrialWord};
 use shelfjunction_core::quarantine::{
-    Fingerprint, Quarantine, RecentlyAnswered, RequestContent, Standing, Told, TrialBoard,
+    Fingerprint, Quarantine, RecentlyAnswered, RequestContent, Selection, Standing, TrialBoard,
 };
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
@@ -66,15 +66,15 @@
 #[test]
 fn a_whole_answer_clears_a_request_and_late_words_do_not_charge_it_again() {
     let mut register = after_crashes(2);
-    let stale = register.words(Told::News, at(2));
-    assert!(register.forgive(&CRASHING, at(3)));
+    let stale = register.reports(Selection::Changes, at(2));
+    assert!(register.clear(&CRASHING, at(3)));
     assert_eq!(register.standing(&CRASHING, at(3)), Standing::Free { crashes: 0 });
     for word in &stale {
-        assert_eq!(register.take(word, at(3)), None, "a late word");
+        assert_eq!(register.merge(word, at(3)), None, "a late word");
     }
     let mut other = after_crashes(2);
-    for word in register.words(Told::News, at(4)) {
-        other.take(&word, at(4));
+    for word in register.reports(Selection::Changes, at(4)) {
+        other.merge(&word, at(4));
     }
     assert_eq!(other.standing(&CRASHING, at(4)), Standing::Free { crashes: 0 });
     let again = register.note_crash(CRASHING, &asked(), engine(9), at(5));
@@ -92,13 +92,16 @@
     one.note_crash(CRASHING, &asked(), engine(2), at(2));
     other.note_crash(CRASHING, &asked(), engine(2), at(2));
     other.note_crash(CRASHING, &asked(), engine(3), at(3));
-    let (of_one, of_other) = (one.words(Told::News, at(4)), other.words(Told::News, at(4)));
+    let (of_one, of_other) = (
+        one.reports(Selection::Changes, at(4)),
+        other.reports(Selection::Changes, at(4)),
+    );
     for _ in 0..2 {
         for word in &of_one {
-            other.take(word, at(4));
+            other.merge(word, at(4));
         }
         for word in &of_other {
-            one.take(word, at(4));
+            one.merge(word, at(4));
         }
     }
     assert_eq!(one.standing(&CRASHING, at(4)), other.standing(&CRASHING, at(4)));
@@ -108,9 +111,9 @@
 /// A process that starts hears of crashes that lie before the start of its clock.
 #[test]
 fn a_process_younger_than_the_crashes_counts_them_for_as_long_as_others() {
-    let told = after_crashes(3).words(Told::Restricted, at(500));
+    let told = after_crashes(3).reports(Selection::Restricted, at(500));
     let mut young = register();
-    young.take(&told[0], at(1));
+    young.merge(&told[0], at(1));
     assert_eq!(young.standing(&CRASHING, at(1)).crashes(), 3);
     assert_eq!(young.standing(&CRASHING, at(1) + seconds(99)).crashes(), 3);
     assert_eq!(young.standing(&CRASHING, at(1) + seconds(100)).crashes(), 2);
@@ -176,8 +179,8 @@
     for number in 0..5 {
         register.note_crash(CRASHING, &asked(), engine(number), at(1));
     }
-    for word in after_crashes(3).words(Told::Restricted, at(3)) {
-        register.take(&word, at(3));
+    for word in after_crashes(3).reports(Selection::Restricted, at(3)) {
+        register.merge(&word, at(3));
     }
     assert!(register.is_empty());
 }
@@ -230,16 +233,16 @@
 #[test]
 fn rows_outlast_processes_and_say_what_still_counts() {
     let register = after_crashes(3);
-    let word = register.words(Told::Restricted, at(10)).remove(0);
+    let word = register.reports(Selection::Restricted, at(10)).remove(0);
     let written = UnixTime(1_000_000_000);
     let row = SuspectRow::of(&word, written);
     let text = serde_json::to_string(&row).unwrap();
     let read: SuspectRow = serde_json::from_str(&text).unwrap();
-    assert_eq!(read.word(written), word);
+    assert_eq!(read.report(written), word);
     let later = UnixTime(written.0 + 590_500_000);
-    assert_eq!(read.word(later).crashes.len(), 2);
+    assert_eq!(read.report(later).crashes.len(), 2);
     let over = UnixTime(written.0 + 600_000_000);
-    assert!(read.word(over).crashes.is_empty());
+    assert!(read.report(over).crashes.is_empty());
 }
 
 #[test]
@@ -248,7 +251,7 @@
         number,
         node: engine(number as u32),
     };
-    let word = |number, lasts_for| TrialWord {
+    let word = |number, lasts_for| TrialReport {
         pool: pool(),
         trial: trial(number),
         lasts_for,
@@ -256,8 +259,8 @@
     let (mut one, mut other) = (TrialBoard::default(), TrialBoard::default());
     assert!(one.claim(&pool(), trial(1), at(5), at(1)));
     assert!(other.claim(&pool(), trial(2), at(5), at(1)));
-    one.take(&word(2, seconds(4)), at(1));
-    other.take(&word(1, seconds(4)), at(1));
+    one.merge(&word(2, seconds(4)), at(1));
+    other.merge(&word(1, seconds(4)), at(1));
     assert!(one.stands(&pool(), trial(1), at(1)));
     assert!(!other.stands(&pool(), trial(2), at(1)));
     assert!(!other.claim(&pool(), trial(3), at(5), at(2)), "one is under way");
--- a/crates/core/tests/quarantine_world/mod.rs
+++ b/crates/core/tests/quarantine_world/mod.rs
@@ -8,8 +8,8 @@
 use shelfjunction_core::forwarding::{PoolId, RouteId};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::quarantine::config::QuarantineSettings;
-use shelfjunction_core::quarantine::telling::{Audience, Pace, Role};
-use shelfjunction_core::quarantine::word::{SuspectWord, TrialId, TrialWord};
+use shelfjunction_core::quarantine::notification::{Audience, NotificationSchedule, Role};
+use shelfjunction_core::quarantine::report::{SuspectReport, TrialId, TrialReport};
 use shelfjunction_core::quarantine::{Asked, Fingerprint, Quarantine, Standing, TrialBoard};
 use shelfjunction_core::time::MonotonicTime;
 use std::collections::BTreeMap;
@@ -69,7 +69,7 @@
 struct Node {
     register: Quarantine,
     trials: TrialBoard,
-    pace: Pace,
+    pace: NotificationSchedule,
     /// Step from which it works again.
     works_from: u64,
     /// Steps since which it has worked without a break.
@@ -79,8 +79,8 @@
 
 #[derive(Clone)]
 enum Word {
-    Suspect(SuspectWord),
-    Trial(TrialWord),
+    Suspect(SuspectReport),
+    Trial(TrialReport),
 }
 
 /// A run of the request that ends with a crash.
@@ -105,7 +105,7 @@
     runs: Vec<Run>,
     /// Trials that wait for word of others: node, trial, step from which they go on.
     waiting: Vec<(usize, TrialId, u64)>,
-    kept: BTreeMap<Fingerprint, SuspectWord>,
+    kept: BTreeMap<Fingerprint, SuspectReport>,
     /// Engines that have crashed, and the step of the third.
     pub crashed: usize,
     pub third_at: Option<u64>,
@@ -185,9 +185,9 @@
         self.waiting.retain(|(node, ..)| *node != number);
         if self.troubles.store {
             let now = self.now();
-            let kept: Vec<SuspectWord> = self.kept.values().cloned().collect();
+            let kept: Vec<SuspectReport> = self.kept.values().cloned().collect();
             for word in &kept {
-                self.nodes[number].register.take(word, now);
+                self.nodes[number].register.merge(word, now);
             }
         }
     }
@@ -215,12 +215,12 @@
             for word in std::mem::take(&mut node.inbox) {
                 match word {
                     Word::Suspect(word) => {
-                        let changed = node.register.take(&word, now);
+                        let changed = node.register.merge(&word, now);
                         if changed.is_some_and(|standing| !matches!(standing, Standing::Free { .. })) {
-                            node.pace.note_fresh();
+                            node.pace.note_change();
                         }
                     }
-                    Word::Trial(word) => node.trials.take(&word, now),
+                    Word::Trial(word) => node.trials.merge(&word, now),
                 }
             }
         }
@@ -245,7 +245,7 @@
                     .trials
                     .claim(&pool(), trial, now + lasts_for, now)
                 {
-                    self.tell_trial(node, trial, lasts_for);
+                    self.notify_trial(node, trial, lasts_for);
                     let wait = self.settings.trial_wait().as_millis().div_ceil(STEP.as_millis());
                     self.waiting.push((node, trial, self.step + wait as u64));
                 }
@@ -267,7 +267,7 @@
 
     fn end_trial(&mut self, node: usize, trial: TrialId) {
         self.nodes[node].trials.end(&pool(), trial);
-        self.tell_trial(node, trial, Duration::ZERO);
+        self.notify_trial(node, trial, Duration::ZERO);
     }
 
     fn engines_there(&self) -> usize {
@@ -330,7 +330,7 @@
         let engine = SubjectHandle::of_text("engine", &name);
         let node = &mut self.nodes[run.node];
         node.register.note_crash(CRASHING, &asked(), engine, now);
-        node.pace.note_fresh();
+        node.pace.note_change();
         let goes_on = matches!(node.register.standing(&CRASHING, now), Standing::Free { .. });
         if goes_on && run.attempt < 2 {
             self.run(run.node, run.attempt + 1, None);
@@ -355,27 +355,27 @@
             }
             let role = self.role(number);
             let node = &mut self.nodes[number];
-            let has_news = node.register.has_news(now);
-            for telling in node.pace.due(role, has_news, now) {
-                for word in self.nodes[number].register.words(telling.told, now) {
-                    self.send(number, telling.to, &Word::Suspect(word));
+            let has_changes = node.register.has_changes(now);
+            for notification in node.pace.due(role, has_changes, now) {
+                for word in self.nodes[number].register.reports(notification.selection, now) {
+                    self.send(number, notification.to, &Word::Suspect(word));
                 }
             }
         }
     }
 
-    fn tell_trial(&mut self, node: usize, trial: TrialId, lasts_for: Duration) {
-        let word = TrialWord {
+    fn notify_trial(&mut self, node: usize, trial: TrialId, lasts_for: Duration) {
+        let word = TrialReport {
             pool: pool(),
             trial,
             lasts_for,
         };
-        self.send(node, Audience::Everybody, &Word::Trial(word));
+        self.send(node, Audience::AllNodes, &Word::Trial(word));
     }
 
     fn send(&mut self, from: usize, to: Audience, word: &Word) {
         let last = match to {
-            Audience::Everybody => self.nodes.len(),
+            Audience::AllNodes => self.nodes.len(),
             Audience::Placers => self.nodes.len().min(PLACERS),
         };
         for number in (0..last).filter(|number| *number != from) {
@@ -397,9 +397,11 @@
         let now = self.now();
         for number in 0..self.nodes.len() {
             if self.works(number) {
-                for word in self.nodes[number].register.to_keep(now) {
+                for word in self.nodes[number].register.not_stored(now) {
                     let crashes = word.crashes.len();
-                    self.nodes[number].register.note_kept(&word.fingerprint, crashes);
+                    self.nodes[number]
+                        .register
+                        .note_stored(&word.fingerprint, crashes);
                     self.kept.insert(word.fingerprint, word);
                 }
             }
@@ -412,7 +414,7 @@
         Self {
             register: Quarantine::new(settings),
             trials: TrialBoard::default(),
-            pace: Pace::default(),
+            pace: NotificationSchedule::default(),
             works_from,
             works_since: works_from,
             inbox: Vec::new(),
--- a/crates/node/src/commanding/mod.rs
+++ b/crates/node/src/commanding/mod.rs
@@ -11,7 +11,7 @@
 use crate::context::Context;
 use crate::cordons;
 use crate::peers::Duty;
-use crate::quarantine::Keeper;
+use crate::quarantine::StoreSync;
 use ordering::Ordering;
 use shelfjunction_core::membership::rendezvous;
 use shelfjunction_core::membership::subject::SubjectHandle;
@@ -37,14 +37,14 @@
 pub(crate) fn run(context: &Context, table: &dyn TableService) {
     let mut tenure = Tenure::new(context);
     let mut ordering = Ordering::default();
-    let mut keeper = Keeper::new(context);
+    let mut quarantine_rows = StoreSync::new(context);
     let mut cordons = cordons::Reader::new(context);
     // Before this node takes its first request, if the store answers.
-    keeper.step(context, table);
+    quarantine_rows.step(context, table);
     let mut suspension = SuspensionWatch::start();
     while !context.stop.wait(pause(context, &ordering)) {
         note_suspension(suspension.look());
-        keeper.step(context, table);
+        quarantine_rows.step(context, table);
         cordons.step(context, table);
         if context.state.is_stopping() {
             // A successor need not wait for the lease to lapse.
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -37,8 +37,8 @@
                 }
                 Some(Datagram::LivenessAnswer(answer)) => context.placements.on_liveness(answer),
                 Some(Datagram::Usage(message)) => metering::take(context, &message),
-                Some(Datagram::Suspects(words)) => quarantine::take(context, &words, from),
-                Some(Datagram::Trial(word)) => quarantine::take_trial(context, &word),
+                Some(Datagram::Suspects(reports)) => quarantine::merge_reports(context, &reports, from),
+                Some(Datagram::Trial(report)) => quarantine::merge_trial(context, &report),
                 Some(Datagram::Use(word)) => take_use(context, &word),
                 None => take_later_format(context, &bytes[..length], from),
             },
--- a/crates/node/src/peers/sending.rs
+++ b/crates/node/src/peers/sending.rs
@@ -71,7 +71,7 @@
         teller.use_teller.tell(context, context.now());
         log_pace_changes(context);
         log_working_set(context);
-        let tells_again = quarantine::tell(context)
+        let tells_again = quarantine::notify_peers(context)
             .min(teller.limit_sender.tell(context))
             .min(teller.announcement_sender.send(context));
         teller.tells_again = teller.tells_again.min(tells_again);
--- a/crates/node/src/quarantine/admitting.rs
+++ b/crates/node/src/quarantine/admitting.rs
@@ -1,9 +1,9 @@
 //! Which requests run: those without crashes, suspects alone, and none that is in quarantine.
 
-use super::telling;
+use super::notifying;
 use crate::context::Context;
 use shelfjunction_core::forwarding::PoolId;
-use shelfjunction_core::quarantine::word::{TrialId, TrialWord};
+use shelfjunction_core::quarantine::report::{TrialId, TrialReport};
 use shelfjunction_core::quarantine::{Fingerprint, Standing};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -14,12 +14,12 @@
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Engines of a pool that must be there for a suspect to run at one of them, so that one is left to all others.
-const LEAST_ENGINES: usize = 2;
+const MIN_ENGINES: usize = 2;
 
 /// Why a request is not handed to an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Withheld {
-    /// A word for logs and metrics.
+    /// Name for logs and metrics.
     pub(crate) cause: &'static str,
     /// Engines that crashed under it.
     pub(crate) crashes: usize,
@@ -45,20 +45,20 @@
 }
 
 impl Trial<'_> {
-    fn tell(&self, lasts_for: Duration) {
-        let word = TrialWord {
+    fn notify(&self, lasts_for: Duration) {
+        let report = TrialReport {
             pool: self.pool.clone(),
             trial: self.id,
             lasts_for,
         };
-        telling::tell_trial(self.context, word);
+        notifying::notify_trial(self.context, report);
     }
 }
 
 impl Drop for Trial<'_> {
     fn drop(&mut self) {
         lock(&self.context.suspects.trials).end(&self.pool, self.id);
-        self.tell(Duration::ZERO);
+        self.notify(Duration::ZERO);
     }
 }
 
@@ -95,7 +95,7 @@
     deadline: MonotonicTime,
 ) -> Result<Trial<'a>, (&'static str, Duration)> {
     let now = context.now();
-    if lock(&context.router).decode_engine_count(pool, now) < LEAST_ENGINES {
+    if lock(&context.router).decode_engine_count(pool, now) < MIN_ENGINES {
         return Err(("last_engine", SUSPECT_RETRY_AFTER));
     }
     let id = TrialId {
@@ -111,7 +111,7 @@
         pool: pool.clone(),
         id,
     };
-    trial.tell(deadline.since(now));
+    trial.notify(deadline.since(now));
     context.stop.wait(context.suspects.settings.trial_wait());
     let stands = lock(&context.suspects.trials).stands(pool, id, context.now());
     if stands {
--- a/crates/node/src/quarantine/mod.rs
+++ b/crates/node/src/quarantine/mod.rs
@@ -1,15 +1,15 @@
 //! Requests under which engines crashed: what this node has seen and heard of them, and what it lets run.
 
 mod admitting;
-mod keeping;
 mod metrics;
-mod telling;
+mod notifying;
+mod store_sync;
 mod view;
 
 pub(crate) use admitting::{Pass, Trial, Withheld, pass};
-pub(crate) use keeping::Keeper;
 pub(crate) use metrics::QuarantineMetrics;
-pub(crate) use telling::{take, take_trial, tell};
+pub(crate) use notifying::{merge_reports, merge_trial, notify_peers};
+pub(crate) use store_sync::StoreSync;
 pub(crate) use view::{lift, view};
 
 use crate::config::NodeConfig;
@@ -17,7 +17,7 @@
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::quarantine::config::QuarantineSettings;
-use shelfjunction_core::quarantine::telling::Pace;
+use shelfjunction_core::quarantine::notification::NotificationSchedule;
 use shelfjunction_core::quarantine::{
     Asked, Counts, Fingerprint, Quarantine, RecentlyAnswered, Standing, TrialBoard,
 };
@@ -34,7 +34,7 @@
     answered: Mutex<RecentlyAnswered>,
     /// Whether anything is remembered. Nearly always nothing is, and no request need wait for the register.
     remembers: AtomicBool,
-    pace: Mutex<Pace>,
+    schedule: Mutex<NotificationSchedule>,
 }
 
 impl Suspects {
@@ -45,7 +45,7 @@
             trials: Mutex::default(),
             answered: Mutex::default(),
             remembers: AtomicBool::new(false),
-            pace: Mutex::default(),
+            schedule: Mutex::default(),
         }
     }
 
@@ -91,7 +91,7 @@
     }
     let standing = suspects.with_register(|register| register.note_crash(fingerprint, asked, handle, now))?;
     context.metrics.quarantine.crash_charged();
-    lock(&suspects.pace).note_fresh();
+    lock(&suspects.schedule).note_change();
     context.peers.note_urgent();
     Some(standing)
 }
@@ -104,9 +104,9 @@
         return;
     }
     let now = context.now();
-    if suspects.with_register(|register| register.forgive(fingerprint, now)) {
+    if suspects.with_register(|register| register.clear(fingerprint, now)) {
         log::info!(fingerprint:% = fingerprint, cause = "answered"; "suspicion_ended");
-        lock(&suspects.pace).note_fresh();
+        lock(&suspects.schedule).note_change();
         context.peers.note_urgent();
     }
 }
--- a/crates/node/src/quarantine/keeping.rs
+++ b/crates/node/src/quarantine/store_sync.rs
@@ -3,8 +3,8 @@
 use crate::context::Context;
 use crate::metering;
 use shelfjunction_core::quarantine::Fingerprint;
+use shelfjunction_core::quarantine::report::SuspectReport;
 use shelfjunction_core::quarantine::row::{ROW_PREFIX, SuspectRow};
-use shelfjunction_core::quarantine::word::SuspectWord;
 use shelfjunction_core::table::{PlatformError, Row, RowKey, Transaction, Write};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::services::TableService;
@@ -15,13 +15,13 @@
 const PAUSE: Duration = Duration::from_millis(700);
 
 /// Keeps the store's rows and the register alike.
-pub(crate) struct Keeper {
+pub(crate) struct StoreSync {
     /// Whether the rows were read, or none can be there.
     has_read: bool,
     not_before: MonotonicTime,
 }
 
-impl Keeper {
+impl StoreSync {
     pub(crate) fn new(context: &Context) -> Self {
         Self {
             has_read: context.config.first_start || !context.config.quarantine.enabled,
@@ -48,24 +48,26 @@
             self.has_read = true;
         }
         let now = context.now();
-        let (to_keep, to_drop) = {
+        let (not_stored, stored_in_vain) = {
             let register = lock(&context.suspects.register);
-            (register.to_keep(now), register.to_drop(now))
+            (register.not_stored(now), register.stored_in_vain(now))
         };
-        to_keep.iter().try_for_each(|word| keep(context, table, word))?;
-        to_drop
+        not_stored
+            .iter()
+            .try_for_each(|report| keep(context, table, report))?;
+        stored_in_vain
             .iter()
             .try_for_each(|fingerprint| drop_row(context, table, fingerprint))
     }
 }
 
-fn keep(context: &Context, table: &dyn TableService, word: &SuspectWord) -> Result<(), PlatformError> {
-    let row = SuspectRow::of(word, metering::unix(context));
+fn keep(context: &Context, table: &dyn TableService, report: &SuspectReport) -> Result<(), PlatformError> {
+    let row = SuspectRow::of(report, metering::unix(context));
     let value = serde_json::to_string(&row).map_err(|error| PlatformError::Malformed(error.to_string()))?;
-    write(table, vec![(SuspectRow::key(&word.fingerprint), Some(value))])?;
-    let crashes = word.crashes.len();
-    lock(&context.suspects.register).note_kept(&word.fingerprint, crashes);
-    log::info!(fingerprint:% = word.fingerprint, crashes; "suspect_kept");
+    write(table, vec![(SuspectRow::key(&report.fingerprint), Some(value))])?;
+    let crashes = report.crashes.len();
+    lock(&context.suspects.register).note_stored(&report.fingerprint, crashes);
+    log::info!(fingerprint:% = report.fingerprint, crashes; "suspect_kept");
     Ok(())
 }
 
@@ -75,7 +77,7 @@
     fingerprint: &Fingerprint,
 ) -> Result<(), PlatformError> {
     write(table, vec![(SuspectRow::key(fingerprint), None)])?;
-    lock(&context.suspects.register).note_kept(fingerprint, 0);
+    lock(&context.suspects.register).note_stored(fingerprint, 0);
     log::info!(fingerprint:% = fingerprint; "suspect_dropped");
     Ok(())
 }
@@ -118,11 +120,11 @@
 
 /// Takes a row; false where nothing of it counts any more.
 fn take(context: &Context, row: &SuspectRow) -> bool {
-    let word = row.word(metering::unix(context));
+    let report = row.report(metering::unix(context));
     let now = context.now();
     context.suspects.with_register(|register| {
-        register.take(&word, now);
-        register.note_kept(&word.fingerprint, word.crashes.len());
+        register.merge(&report, now);
+        register.note_stored(&report.fingerprint, report.crashes.len());
     });
-    !word.crashes.is_empty()
+    !report.crashes.is_empty()
 }
--- a/crates/node/src/quarantine/view.rs
+++ b/crates/node/src/quarantine/view.rs
@@ -37,10 +37,10 @@
 pub(crate) fn lift(context: &Context, fingerprint: &Fingerprint) -> bool {
     let now = context.now();
     let suspects = &context.suspects;
-    let lifted = suspects.with_register(|register| register.forgive(fingerprint, now));
+    let lifted = suspects.with_register(|register| register.clear(fingerprint, now));
     if lifted {
         log::info!(fingerprint:% = fingerprint, cause = "lifted"; "suspicion_ended");
-        lock(&suspects.pace).note_fresh();
+        lock(&suspects.schedule).note_change();
         context.peers.note_urgent();
     }
     lifted
--- a/crates/protocol/src/node_words.rs
+++ b/crates/protocol/src/node_words.rs
@@ -11,7 +11,7 @@
 use shelfjunction_core::metering::UnixTime;
 use shelfjunction_core::metering::counter::UsageWord;
 use shelfjunction_core::placing::question::{PlacementAnswer, PlacementQuery, ProgressReport};
-use shelfjunction_core::quarantine::word::{SuspectWord, TrialWord};
+use shelfjunction_core::quarantine::report::{SuspectReport, TrialReport};
 use shelfjunction_core::retry::census::SharingWord;
 use shelfjunction_core::routing::pool::{
     EngineStage, ListUpdate, PaceReports, PeerLoad, PeerLoadSlice, PrefixUpdate, UnansweredRequestReport,
@@ -143,9 +143,9 @@
     /// What a node has counted for tenants.
     Usage(Box<UsageMessage>),
     /// Requests under which engines crashed.
-    Suspects(Vec<SuspectWord>),
+    Suspects(Vec<SuspectReport>),
     /// A suspect begins to run, or has ended.
-    Trial(Box<TrialWord>),
+    Trial(Box<TrialReport>),
     /// What a node admitted for tenants and kinds.
     Use(Box<UseWord>),
 }
