Run a quarantined request once more unless a trial confirmed it

Cause: a crash charges everything that ran at the engine. Three engines that crash within some 30 ms, each with the same ordinary request and a crashing one aboard, give both three charges before either was a suspect. No run on trial could follow, and only an answer could clear the request.

Change: only a crash on trial confirms. A quarantined request without one runs once more, on trial, at the one node that writes a claim into the store where there is none. An answer clears the request everywhere; a crash confirms it. Confirmations follow format-1 reports in a datagram of their own, and rows carry them, so both builds read each other.

Why it works: bystanders get the run that separates them from the cause. The cause gets one run over all nodes, whatever reports are lost and also after a kill of all, of at most three arrivals: within what is allowed after its third crash.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -2,13 +2,23 @@
 //!
 //! A request is known by a [`Fingerprint`] of what it asks for, since each attempt of its caller bears a name of its own and may
 //! come to any node. Each engine that crashes while it is under way there counts against it, once, whoever saw it
-//! ([`Quarantine`]). With the last but one it becomes a suspect, which runs alone and never on a pool's last engine
-//! ([`TrialBoard`]); with the last it is refused, at every node. One whole answer of an engine that lives clears it: those that
-//! only ran beside the cause get one soon, the cause never does. What was answered a short time ago is
-//! not charged at all ([`RecentlyAnswered`]).
+//! ([`Quarantine`]):
 //!
-//! Nodes tell each other what they know; the store keeps what has one crash to go, so that a fleet that is killed as a whole
-//! does not begin anew.
+//! ```text
+//! crashes                    standing      runs
+//! 0 to limit - 2             free          as any other
+//! limit - 1                  suspected     on trial: one suspect of a pool at a time, never on a pool's last engine ([`TrialBoard`])
+//! limit, none on trial       quarantined   once more, on trial, at the one node that claims this run in the store
+//! limit, one on trial        quarantined   not at all: confirmed
+//! ```
+//!
+//! A crash charges everything that ran at the engine, so engines that crash within the time in which nodes learn of it can
+//! quarantine a request that only ran beside the cause. Only a crash on trial tells the two apart. The claim bounds how often the
+//! cause reaches engines again, whatever nodes have heard of each other.
+//!
+//! One whole answer of an engine that lives clears a request. What was answered a short time ago is not charged at all
+//! ([`RecentlyAnswered`]). Nodes report to each other what they know; the store keeps what has one crash to go, so that a fleet
+//! that is killed as a whole does not begin anew.
 
 mod answered;
 pub mod config;
--- a/crates/core/src/quarantine/register.rs
+++ b/crates/core/src/quarantine/register.rs
@@ -1,7 +1,7 @@
 //! The requests under which engines crashed, as one node knows them.
 
 use super::config::QuarantineSettings;
-use super::report::SuspectReport;
+use super::report::{ConfirmationReport, SuspectReport};
 use super::suspect::Suspect;
 use super::{Asked, Fingerprint};
 use crate::membership::subject::SubjectHandle;
@@ -134,21 +134,75 @@
         Standing::Free { crashes }
     }
 
-    /// This node saw an engine crash while the request was under way there; the new standing, or nothing where that was
-    /// known.
+    /// Whether a run on trial has crashed an engine. A quarantined request without one may only have run beside the cause.
+    pub fn is_confirmed(&self, fingerprint: &Fingerprint, now: MonotonicTime) -> bool {
+        let suspect = self.suspects.get(fingerprint);
+        suspect.is_some_and(|suspect| suspect.is_confirmed(now))
+    }
+
+    /// Other requests that are charged with an engine's crash.
+    pub fn others_charged(&self, fingerprint: &Fingerprint, engine: SubjectHandle) -> usize {
+        let others = self.suspects.iter().filter(|(other, _)| *other != fingerprint);
+        others
+            .filter(|(_, suspect)| suspect.is_charged_with(engine))
+            .count()
+    }
+
+    /// When another node turned out to have claimed the run that confirms or clears a quarantined request.
+    pub fn claimed_elsewhere_at(&self, fingerprint: &Fingerprint) -> Option<MonotonicTime> {
+        self.suspects.get(fingerprint)?.claimed_elsewhere_at
+    }
+
+    /// Another node has claimed the run that confirms or clears a quarantined request.
+    pub fn note_claimed_elsewhere(&mut self, fingerprint: &Fingerprint, now: MonotonicTime) {
+        if let Some(suspect) = self.suspects.get_mut(fingerprint) {
+            suspect.claimed_elsewhere_at.get_or_insert(now);
+        }
+    }
+
+    /// Everything known of one request, as other nodes and the store are told; absent if nothing is.
+    pub fn report(&self, fingerprint: &Fingerprint, now: MonotonicTime) -> Option<SuspectReport> {
+        let suspect = self.suspects.get(fingerprint)?;
+        Some(suspect.report(*fingerprint, now))
+    }
+
+    /// This node saw an engine crash while the request was under way there beside others; the new standing, or nothing where
+    /// that was known.
     pub fn note_crash(
         &mut self,
         fingerprint: Fingerprint,
         asked: &Asked,
         engine: SubjectHandle,
         now: MonotonicTime,
+    ) -> Option<Standing> {
+        self.charge(fingerprint, asked, engine, false, now)
+    }
+
+    /// The same for a request that was on trial.
+    pub fn note_trial_crash(
+        &mut self,
+        fingerprint: Fingerprint,
+        asked: &Asked,
+        engine: SubjectHandle,
+        now: MonotonicTime,
+    ) -> Option<Standing> {
+        self.charge(fingerprint, asked, engine, true, now)
+    }
+
+    fn charge(
+        &mut self,
+        fingerprint: Fingerprint,
+        asked: &Asked,
+        engine: SubjectHandle,
+        is_isolated: bool,
+        now: MonotonicTime,
     ) -> Option<Standing> {
         if !self.settings.enabled {
             return None;
         }
         let counts_until = now + self.settings.lasts();
         let suspect = self.entry(fingerprint, asked, now);
-        if !suspect.add(engine, counts_until) {
+        if !suspect.add(engine, counts_until, is_isolated) {
             return None;
         }
         suspect.seen_here = true;
@@ -183,7 +237,7 @@
         // A time of zero says that nothing was forgiven.
         let mut changed = !report.cleared_for.is_zero() && suspect.clear(ends(report.cleared_for), now);
         for crash in &report.crashes {
-            changed |= suspect.add(crash.engine, ends(crash.counts_for));
+            changed |= suspect.add(crash.engine, ends(crash.counts_for), crash.is_isolated);
         }
         if changed {
             suspect.notify_until = now + NOTIFICATION_PERIOD;
@@ -191,6 +245,21 @@
         changed.then(|| self.standing(&report.fingerprint, now))
     }
 
+    /// Merges another node's confirmation; whether it has changed something.
+    pub fn merge_confirmation(&mut self, confirmation: &ConfirmationReport, now: MonotonicTime) -> bool {
+        let Some(suspect) = self.suspects.get_mut(&confirmation.fingerprint) else {
+            return false;
+        };
+        let mut changed = false;
+        for engine in &confirmation.engines {
+            changed |= suspect.confirm(*engine);
+        }
+        if changed {
+            suspect.notify_until = now + NOTIFICATION_PERIOD;
+        }
+        changed
+    }
+
     fn entry(&mut self, fingerprint: Fingerprint, asked: &Asked, now: MonotonicTime) -> &mut Suspect {
         self.forget(now);
         if !self.suspects.contains_key(&fingerprint) {
@@ -245,30 +314,32 @@
         }
     }
 
-    /// Words for the store of what it does not know yet: requests with one more crash to go, so that a fleet that is
-    /// started again as a whole does not begin at none; the nodes that saw a crash write.
+    /// Reports that the store lacks: requests with one more crash to go, so that a fleet that is started again as a whole
+    /// keeps them; written by the nodes that saw a crash.
     pub fn not_stored(&self, now: MonotonicTime) -> Vec<SuspectReport> {
-        self.suspects
-            .iter()
-            .filter(|(_, suspect)| suspect.seen_here && suspect.crashes(now) > suspect.kept)
-            .filter(|(_, suspect)| !matches!(self.standing_of(suspect, now), Standing::Free { .. }))
-            .map(|(fingerprint, suspect)| suspect.report(*fingerprint, now))
+        let restricted = self.suspects.iter().filter(|(_, suspect)| {
+            suspect.seen_here && !matches!(self.standing_of(suspect, now), Standing::Free { .. })
+        });
+        restricted
+            .map(|(fingerprint, suspect)| (suspect, suspect.report(*fingerprint, now)))
+            .filter(|(suspect, report)| report.evidence() > suspect.stored)
+            .map(|(_, report)| report)
             .collect()
     }
 
-    /// Requests that the store still knows though nothing counts against them any more.
+    /// Requests that the store still has though nothing counts against them any more.
     pub fn stored_in_vain(&self, now: MonotonicTime) -> Vec<Fingerprint> {
         self.suspects
             .iter()
-            .filter(|(_, suspect)| suspect.kept > 0 && suspect.crashes(now) == 0)
+            .filter(|(_, suspect)| suspect.stored > 0 && suspect.crashes(now) == 0)
             .map(|(fingerprint, _)| *fingerprint)
             .collect()
     }
 
-    /// The store was told of so many crashes of a request.
-    pub fn note_stored(&mut self, fingerprint: &Fingerprint, crashes: usize) {
+    /// The store has so much evidence against a request.
+    pub fn note_stored(&mut self, fingerprint: &Fingerprint, evidence: usize) {
         if let Some(suspect) = self.suspects.get_mut(fingerprint) {
-            suspect.kept = crashes;
+            suspect.stored = evidence;
         }
     }
 
--- a/crates/core/src/quarantine/report.rs
+++ b/crates/core/src/quarantine/report.rs
@@ -13,6 +13,19 @@
     pub engine: SubjectHandle,
     /// Time for which it still counts.
     pub counts_for: Duration,
+    /// Whether the request was on trial there, so that no other suspect of its pool ran. Datagrams of format 1 have no room for
+    /// it; it follows in a [`ConfirmationReport`].
+    #[serde(skip)]
+    pub is_isolated: bool,
+}
+
+/// Crashes of engines at which a request was on trial; sent after the report on the request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfirmationReport {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The starts of the engines.
+    pub engines: Vec<SubjectHandle>,
 }
 
 /// All that a node knows of one request. Words may be lost, doubled or late: whoever hears one takes the union of the
@@ -29,6 +42,27 @@
     pub cleared_for: Duration,
 }
 
+impl SuspectReport {
+    /// Crashes, those on trial counted twice: grows with all that other nodes and the store have to know.
+    pub fn evidence(&self) -> usize {
+        self.crashes.len() + self.isolated_engines().count()
+    }
+
+    /// The part that a datagram of format 1 leaves out; absent if there is none.
+    pub fn confirmation(&self) -> Option<ConfirmationReport> {
+        let engines: Vec<SubjectHandle> = self.isolated_engines().collect();
+        (!engines.is_empty()).then_some(ConfirmationReport {
+            fingerprint: self.fingerprint,
+            engines,
+        })
+    }
+
+    fn isolated_engines(&self) -> impl Iterator<Item = SubjectHandle> {
+        let isolated = self.crashes.iter().filter(|crash| crash.is_isolated);
+        isolated.map(|crash| crash.engine)
+    }
+}
+
 /// A node lets a suspect run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TrialReport {
--- a/crates/core/src/quarantine/row.rs
+++ b/crates/core/src/quarantine/row.rs
@@ -29,6 +29,9 @@
     pub engine: SubjectHandle,
     /// Until when it counts.
     pub counts_until: UnixTime,
+    /// Whether the request was on trial there.
+    #[serde(default)]
+    pub is_isolated: bool,
 }
 
 impl SuspectRow {
@@ -37,11 +40,18 @@
         RowKey(format!("{ROW_PREFIX}{fingerprint}"))
     }
 
-    /// The row of a word that is said now.
+    /// Key of the row by which one node claims the run that confirms or clears a request. It holds a [`SuspectRow`] as well, so
+    /// that whoever reads all rows learns of the crashes and removes it when they no longer count.
+    pub fn claim_key(fingerprint: &Fingerprint) -> RowKey {
+        RowKey(format!("{ROW_PREFIX}claim/{fingerprint}"))
+    }
+
+    /// The row of a report that is made now.
     pub fn of(report: &SuspectReport, now: UnixTime) -> Self {
         let crashes = report.crashes.iter().map(|crash| CrashRow {
             engine: crash.engine,
             counts_until: UnixTime(now.0.saturating_add(crash.counts_for.as_micros() as u64)),
+            is_isolated: crash.is_isolated,
         });
         Self {
             fingerprint: report.fingerprint,
@@ -50,12 +60,13 @@
         }
     }
 
-    /// The word that a row says now.
+    /// The report that a row makes now.
     pub fn report(&self, now: UnixTime) -> SuspectReport {
         let counting = self.crashes.iter().filter(|crash| crash.counts_until > now);
         let crashes = counting.map(|crash| CrashReport {
             engine: crash.engine,
             counts_for: Duration::from_micros(crash.counts_until.0 - now.0),
+            is_isolated: crash.is_isolated,
         });
         SuspectReport {
             fingerprint: self.fingerprint,
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -17,6 +17,8 @@
     engine: SubjectHandle,
     /// Until when it counts.
     counts_until: MonotonicTime,
+    /// Whether the request was on trial there.
+    is_isolated: bool,
 }
 
 /// One request.
@@ -29,8 +31,10 @@
     cleared_through: MonotonicTime,
     /// Whether one of the crashes was seen by this node.
     pub(super) seen_here: bool,
-    /// Crashes that the store was told of.
-    pub(super) kept: usize,
+    /// Evidence that the store has.
+    pub(super) stored: usize,
+    /// When another node turned out to have claimed the confirming run.
+    pub(super) claimed_elsewhere_at: Option<MonotonicTime>,
     /// Until when others are told again and again.
     pub(super) notify_until: MonotonicTime,
     /// Times that this node has refused it.
@@ -44,7 +48,8 @@
             crashes: Vec::new(),
             cleared_through: MonotonicTime::default(),
             seen_here: false,
-            kept: 0,
+            stored: 0,
+            claimed_elsewhere_at: None,
             notify_until: MonotonicTime::default(),
             refused: 0,
         }
@@ -71,13 +76,40 @@
         last.map_or(Duration::ZERO, |crash| crash.counts_until.since(now))
     }
 
-    /// Adds a crash; whether it was not known.
-    pub(super) fn add(&mut self, engine: SubjectHandle, counts_until: MonotonicTime) -> bool {
-        let known = self.crashes.iter().any(|crash| crash.engine == engine);
-        if known || counts_until <= self.cleared_through {
+    /// Whether the crash of an engine counts against it.
+    pub(super) fn is_charged_with(&self, engine: SubjectHandle) -> bool {
+        self.crashes.iter().any(|crash| crash.engine == engine)
+    }
+
+    /// Whether one of the crashes ended a trial. Only those tell the cause from what ran beside it.
+    pub(super) fn is_confirmed(&self, now: MonotonicTime) -> bool {
+        self.counting(now).any(|crash| crash.is_isolated)
+    }
+
+    /// Notes that the request was on trial at an engine that crashed; whether the crash counts and this was not known.
+    pub(super) fn confirm(&mut self, engine: SubjectHandle) -> bool {
+        let crash = self.crashes.iter_mut().find(|crash| crash.engine == engine);
+        crash.is_some_and(|crash| !std::mem::replace(&mut crash.is_isolated, true))
+    }
+
+    /// Adds a crash; whether something of it was not known.
+    pub(super) fn add(
+        &mut self,
+        engine: SubjectHandle,
+        counts_until: MonotonicTime,
+        is_isolated: bool,
+    ) -> bool {
+        if self.crashes.iter().any(|crash| crash.engine == engine) {
+            return is_isolated && self.confirm(engine);
+        }
+        if counts_until <= self.cleared_through {
             return false;
         }
-        self.crashes.push(Crash { engine, counts_until });
+        self.crashes.push(Crash {
+            engine,
+            counts_until,
+            is_isolated,
+        });
         self.crashes.sort_by_key(|crash| crash.counts_until);
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.remove(0);
@@ -115,6 +147,7 @@
                 .map(|crash| CrashReport {
                     engine: crash.engine,
                     counts_for: crash.counts_until.since(now),
+                    is_isolated: crash.is_isolated,
                 })
                 .collect(),
             cleared_for: self.cleared_through.since(now),
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -153,6 +153,50 @@
     assert_eq!(register.standing(&CRASHING, at(2)).crashes(), 3);
 }
 
+/// Guards against quarantining requests for ten minutes on the charge that they ran beside the cause of three crashes.
+#[test]
+fn bystanders_of_three_simultaneous_crashes_are_not_confirmed() {
+    const BYSTANDER: Fingerprint = Fingerprint([8; 16]);
+    let mut register = register();
+    for number in 0..3 {
+        register.note_crash(CRASHING, &asked(), engine(number), at(1));
+        register.note_crash(BYSTANDER, &asked(), engine(number), at(1));
+    }
+    for fingerprint in [CRASHING, BYSTANDER] {
+        assert_eq!(register.standing(&fingerprint, at(1)).crashes(), 3);
+        assert!(!register.is_confirmed(&fingerprint, at(1)), "nothing ran alone");
+    }
+    register.note_trial_crash(CRASHING, &asked(), engine(3), at(2));
+    assert!(register.is_confirmed(&CRASHING, at(2)));
+    assert!(register.clear(&BYSTANDER, at(2)), "its trial was answered");
+    assert_eq!(
+        register.standing(&BYSTANDER, at(2)),
+        Standing::Free { crashes: 0 }
+    );
+}
+
+/// Guards against a second confirming run at nodes and processes that have not seen the first.
+#[test]
+fn a_confirmation_reaches_other_nodes_and_outlasts_processes() {
+    let mut register = after_crashes(2);
+    register.note_trial_crash(CRASHING, &asked(), engine(2), at(2));
+    let report = register.report(&CRASHING, at(3)).unwrap();
+    let mut other = self::register();
+    let confirmation = report.confirmation().unwrap();
+    assert!(
+        !other.merge_confirmation(&confirmation, at(3)),
+        "nothing is known of it yet"
+    );
+    other.merge(&report, at(3));
+    assert!(other.is_confirmed(&CRASHING, at(3)));
+    let row = SuspectRow::of(&report, UnixTime(1_000_000_000));
+    let text = serde_json::to_string(&row).unwrap();
+    let read: SuspectRow = serde_json::from_str(&text).unwrap();
+    let mut later = self::register();
+    later.merge(&read.report(UnixTime(1_000_000_000)), at(1));
+    assert!(later.is_confirmed(&CRASHING, at(1)));
+}
+
 /// Many callers ask the same: each crash of whatever cause would otherwise count against all of them.
 #[test]
 fn an_answer_vouches_for_what_is_asked_alike_for_a_minute() {
@@ -369,6 +413,73 @@
     }
 }
 
+/// A fleet in which three engines crash at once, each with both requests aboard, as seen by two nodes each.
+fn after_shared_crashes(nodes: usize, troubles: Troubles, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(nodes, 9, troubles, seed);
+    fleet.pass(seconds(1), 0.0);
+    for engine in 0..3 {
+        fleet.run_together(engine, [engine % nodes, (engine + 1) % nodes]);
+    }
+    fleet.pass(Duration::from_millis(500), 0.0);
+    assert_eq!(fleet.crashed, 3);
+    fleet
+}
+
+/// Guards against refusing a request for ten minutes because it ran beside the cause of three simultaneous crashes.
+#[test]
+fn a_bystander_of_three_simultaneous_crashes_is_served_again_at_all_nodes() {
+    for nodes in [3, 66, 300] {
+        let mut fleet = after_shared_crashes(nodes, NO_TROUBLES, 1);
+        for round in 0..10 {
+            fleet.ask_bystander(round % nodes);
+            fleet.pass(Duration::from_millis(300), 0.0);
+        }
+        let standings = fleet.bystander_standings();
+        assert!(
+            standings.iter().all(|standing| standing.crashes() == 0),
+            "{nodes} nodes: {standings:?}"
+        );
+        assert_eq!(fleet.bystander_refused, 0, "{nodes} nodes");
+        assert_eq!(fleet.bystander_answered, 10, "{nodes} nodes");
+    }
+}
+
+/// The cause takes one engine more than where its crashes come one after the other, also when it comes long after them.
+#[test]
+fn a_cause_of_simultaneous_crashes_runs_once_more_however_late_it_comes() {
+    for nodes in [3, 66, 300] {
+        for seed in 0..5 {
+            let troubles = Troubles {
+                lost: 0.3,
+                ..NO_TROUBLES
+            };
+            let mut fleet = after_shared_crashes(nodes, troubles, seed);
+            fleet.pass(seconds(10), 0.0);
+            for _ in 0..20 {
+                fleet.ask_at_once(0..nodes.min(12));
+                fleet.pass(Duration::from_millis(700), 0.0);
+            }
+            assert_eq!(fleet.crashed, 4, "{nodes} nodes, seed {seed}");
+            assert!(fleet.late_arrivals <= LATE_ALLOWED, "{nodes} nodes, seed {seed}");
+        }
+    }
+}
+
+/// A kill of all nodes forgets neither a confirmation nor that its run was claimed.
+#[test]
+fn a_kill_of_all_gives_the_cause_no_second_run() {
+    for nodes in [3, 66, 300] {
+        let mut fleet = after_shared_crashes(nodes, NO_TROUBLES, 2);
+        fleet.pass(seconds(10), 0.0);
+        for _ in 0..3 {
+            fleet.kill_all(Duration::from_millis(800));
+            fleet.pass(seconds(10), 5.0);
+        }
+        assert_eq!(fleet.crashed, 4, "{nodes} nodes");
+        assert!(fleet.late_arrivals <= LATE_ALLOWED, "{nodes} nodes");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(48))]
 
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -30,6 +30,7 @@
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_core::watching::WatchRole;
 use shelfjunction_platform::clock::MonotonicClock;
+use shelfjunction_platform::services::TableService;
 use shelfjunction_threads::{StopSignal, lock};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::UdpSocket;
@@ -62,6 +63,8 @@
     pub(crate) recent_changes: Mutex<RecentChanges>,
     /// Engines that operators leave alone.
     pub(crate) cordons: Mutex<CordonSet>,
+    /// The store's tables.
+    pub(crate) table: Arc<dyn TableService>,
     /// Requests under which engines crashed.
     pub(crate) suspects: Suspects,
     /// Random number of this start of the process.
@@ -157,7 +160,12 @@
 }
 
 impl Context {
-    pub(crate) fn new(config: NodeConfig, engines: Arc<dyn EngineProtocol>, socket: Arc<UdpSocket>) -> Self {
+    pub(crate) fn new(
+        config: NodeConfig,
+        engines: Arc<dyn EngineProtocol>,
+        table: Arc<dyn TableService>,
+        socket: Arc<UdpSocket>,
+    ) -> Self {
         let router = PoolRouter::new(config.routing.clone());
         Self {
             clock: MonotonicClock::start(),
@@ -177,6 +185,7 @@
             list_updates: Mutex::default(),
             recent_changes: Mutex::new(RecentChanges::default()),
             cordons: Mutex::default(),
+            table,
             suspects: Suspects::new(&config),
             start: rand::random(),
             fleet_clock: Mutex::default(),
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -54,6 +54,9 @@
             Err(error) => return self.not_connected(&account, &call.attempt, &error),
         };
         self.arrivals.note_sent(purpose.arrival());
+        if let Some(trial) = &mut self.trial {
+            trial.note_sent();
+        }
         let mut exchange = Exchange {
             attempt: call.attempt.clone(),
             engine: target.engine.clone(),
--- a/crates/node/src/course/suspicion.rs
+++ b/crates/node/src/course/suspicion.rs
@@ -39,7 +39,13 @@
             pool: self.pool.clone(),
             tenant: self.access.tenant.clone(),
         };
-        let charged = quarantine::charge(self.context, self.fingerprint, &asked, engine);
+        let charged = quarantine::charge(
+            self.context,
+            self.fingerprint,
+            &asked,
+            engine,
+            self.trial.is_some(),
+        );
         if let Some(standing) = charged {
             log::info!(
                 request = self.call.request.as_str(),
@@ -47,6 +53,7 @@
                 engine = engine.as_str(),
                 crashes = standing.crashes(),
                 standing = standing.name(),
+                shared_with = self.context.suspects.others_charged(&self.fingerprint, engine),
                 on_trial = self.trial.is_some();
                 "crash_charged"
             );
@@ -55,7 +62,7 @@
 
     /// Why the request is not handed to an engine, where it isn't.
     pub(super) fn withheld(&self) -> Option<Withheld> {
-        let withheld = self.context.withheld(&self.fingerprint, self.trial.is_some())?;
+        let withheld = self.context.withheld(&self.fingerprint, self.trial.as_ref())?;
         log::info!(
             request = self.call.request.as_str(),
             fingerprint:% = self.fingerprint,
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -74,7 +74,12 @@
             peer_listen,
             ..config
         };
-        let context = Arc::new(Context::new(config, adapters.engines, Arc::clone(&socket)));
+        let context = Arc::new(Context::new(
+            config,
+            adapters.engines,
+            Arc::clone(&adapters.table),
+            Arc::clone(&socket),
+        ));
         let open = Arc::new(OpenConnections::default());
         let metrics_listen = context.config.metrics_listen;
         let metrics = metrics_listen
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -13,6 +13,7 @@
 use shelfjunction_core::routing::pool::ListUpdate;
 use shelfjunction_core::sharing::UseWord;
 use shelfjunction_protocol::node_words::{Datagram, MOST_RECEIVED, WorkMessage};
+use shelfjunction_protocol::quarantine_messages::QuarantineDatagram;
 use shelfjunction_protocol::rate_messages::RateDatagram;
 use shelfjunction_protocol::signal_messages::SignalDatagram;
 use shelfjunction_threads::lock;
@@ -55,6 +56,9 @@
     if let Some(datagram) = RateDatagram::decode(bytes) {
         return take_rate_datagram(context, datagram, from);
     }
+    if let Some(datagram) = QuarantineDatagram::decode(bytes) {
+        return quarantine::merge_confirmations(context, datagram, from);
+    }
     match SignalDatagram::decode(bytes) {
         Some(message) => engine_signals::on_message(context, &message, from),
         None => log::debug!(from:% = from, length = bytes.len(); "datagram_unreadable"),
--- a/crates/node/src/quarantine/admitting.rs
+++ b/crates/node/src/quarantine/admitting.rs
@@ -1,9 +1,9 @@
-//! Which requests run: those without crashes, suspects alone, and none that is in quarantine.
+//! Which requests run: those without crashes, suspects on trial, and quarantined ones once more unless a trial confirmed them.
 
-use super::notifying;
+use super::claiming::{self, NoClaim};
+use super::trial::{NoTrial, Trial};
 use crate::context::Context;
 use shelfjunction_core::forwarding::PoolId;
-use shelfjunction_core::quarantine::report::{TrialId, TrialReport};
 use shelfjunction_core::quarantine::{Fingerprint, Standing};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -13,8 +13,8 @@
 /// which an engine is back.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Engines of a pool that must be there for a suspect to run at one of them, so that one is left to all others.
-const MIN_ENGINES: usize = 2;
+/// Time after which a confirming run that another node has claimed has ended, or was lost with its node.
+const CONFIRMING_RUN_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Why a request is not handed to an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,28 +37,15 @@
     Withheld(Withheld),
 }
 
-/// A suspect runs; others may once this is dropped.
-pub(crate) struct Trial<'a> {
-    context: &'a Context,
-    pool: PoolId,
-    id: TrialId,
-}
-
-impl Trial<'_> {
-    fn notify(&self, lasts_for: Duration) {
-        let report = TrialReport {
-            pool: self.pool.clone(),
-            trial: self.id,
-            lasts_for,
-        };
-        notifying::notify_trial(self.context, report);
-    }
-}
+/// A cause for logs and metrics, and when to come back.
+type Refusal = (&'static str, Duration);
 
-impl Drop for Trial<'_> {
-    fn drop(&mut self) {
-        lock(&self.context.suspects.trials).end(&self.pool, self.id);
-        self.notify(Duration::ZERO);
+impl From<NoTrial> for Refusal {
+    fn from(cause: NoTrial) -> Self {
+        match cause {
+            NoTrial::LastEngine => ("last_engine", SUSPECT_RETRY_AFTER),
+            NoTrial::Another => ("another_on_trial", SUSPECT_RETRY_AFTER),
+        }
     }
 }
 
@@ -73,8 +60,12 @@
     let standing = context.suspects.standing(fingerprint, context.now());
     let decided = match standing {
         Standing::Free { .. } => return Pass::Free,
-        Standing::Suspected { .. } => try_alone(context, pool, deadline),
-        Standing::Quarantined { remaining, .. } => Err(("quarantined", remaining)),
+        Standing::Suspected { .. } => {
+            Trial::begin(context, *fingerprint, pool, deadline).map_err(Refusal::from)
+        }
+        Standing::Quarantined { remaining, .. } => {
+            begin_confirming_run(context, fingerprint, pool, deadline, remaining)
+        }
     };
     match decided {
         Ok(trial) => Pass::Trial(trial),
@@ -89,47 +80,65 @@
     }
 }
 
-fn try_alone<'a>(
+/// Begins the run that confirms or clears a quarantined request, if there may still be one.
+fn begin_confirming_run<'a>(
     context: &'a Context,
+    fingerprint: &Fingerprint,
     pool: &PoolId,
     deadline: MonotonicTime,
-) -> Result<Trial<'a>, (&'static str, Duration)> {
-    let now = context.now();
-    if lock(&context.router).decode_engine_count(pool, now) < MIN_ENGINES {
-        return Err(("last_engine", SUSPECT_RETRY_AFTER));
+    remaining: Duration,
+) -> Result<Trial<'a>, Refusal> {
+    if let Some(refusal) = quarantined(context, fingerprint, remaining) {
+        return Err(refusal);
     }
-    let id = TrialId {
-        number: rand::random(),
-        node: context.peers.own_handle(),
-    };
-    let claimed = lock(&context.suspects.trials).claim(pool, id, deadline, now);
-    if !claimed {
-        return Err(("another_on_trial", SUSPECT_RETRY_AFTER));
+    if !context.in_contact_with_store() {
+        return Err(("store_lost", SUSPECT_RETRY_AFTER));
     }
-    let trial = Trial {
-        context,
-        pool: pool.clone(),
-        id,
-    };
-    trial.notify(deadline.since(now));
-    context.stop.wait(context.suspects.settings.trial_wait());
-    let stands = lock(&context.suspects.trials).stands(pool, id, context.now());
-    if stands {
-        Ok(trial)
-    } else {
-        Err(("another_on_trial", SUSPECT_RETRY_AFTER))
+    let trial = Trial::begin(context, *fingerprint, pool, deadline)?;
+    match claiming::claim(context, fingerprint) {
+        Ok(claim) => Ok(trial.with_claim(claim)),
+        Err(NoClaim::Taken) => {
+            let now = context.now();
+            lock(&context.suspects.register).note_claimed_elsewhere(fingerprint, now);
+            Err(("awaiting_confirmation", SUSPECT_RETRY_AFTER))
+        }
+        Err(NoClaim::Unknown(error)) => {
+            log::info!(fingerprint:% = fingerprint, error:? = error; "confirming_run_not_claimed");
+            Err(("claim_unknown", SUSPECT_RETRY_AFTER))
+        }
     }
 }
 
+/// Why a quarantined request may not run even once more, as far as this node knows.
+fn quarantined(context: &Context, fingerprint: &Fingerprint, remaining: Duration) -> Option<Refusal> {
+    let now = context.now();
+    let register = lock(&context.suspects.register);
+    if register.is_confirmed(fingerprint, now) {
+        return Some(("quarantined", remaining));
+    }
+    let claimed_at = register.claimed_elsewhere_at(fingerprint)?;
+    Some(if now.since(claimed_at) < CONFIRMING_RUN_TIMEOUT {
+        ("awaiting_confirmation", SUSPECT_RETRY_AFTER)
+    } else {
+        ("quarantined", remaining)
+    })
+}
+
 impl Context {
     /// Whether a request that is under way may still be handed to an engine; what was learned since it came counts.
-    pub(crate) fn withheld(&self, fingerprint: &Fingerprint, is_trial: bool) -> Option<Withheld> {
+    pub(crate) fn withheld(&self, fingerprint: &Fingerprint, trial: Option<&Trial<'_>>) -> Option<Withheld> {
         let standing = self.suspects.standing(fingerprint, self.now());
         let (cause, retry_after) = match standing {
             Standing::Free { .. } => return None,
-            Standing::Suspected { .. } if is_trial => return None,
+            Standing::Suspected { .. } if trial.is_some() => return None,
             Standing::Suspected { .. } => ("suspected_meanwhile", SUSPECT_RETRY_AFTER),
-            Standing::Quarantined { remaining, .. } => ("quarantined", remaining),
+            Standing::Quarantined { remaining, .. } => {
+                let known = quarantined(self, fingerprint, remaining);
+                if known.is_none() && trial.is_some_and(Trial::may_confirm) {
+                    return None;
+                }
+                known.unwrap_or(("awaiting_confirmation", SUSPECT_RETRY_AFTER))
+            }
         };
         Some(Withheld {
             cause,
--- /dev/null
+++ b/crates/node/src/quarantine/claiming.rs
@@ -0,0 +1,95 @@
+//! The claim of the one run that confirms or clears a quarantined request: a row that is written only where there is none.
+//!
+//! Reports between nodes may be lost, and all processes may be killed; the bound on what such a request may do after its
+//! quarantine rests on the store alone.
+
+use super::store_sync::row_value;
+use crate::context::Context;
+use crate::metering;
+use shelfjunction_core::quarantine::Fingerprint;
+use shelfjunction_core::quarantine::row::SuspectRow;
+use shelfjunction_core::table::{
+    Check, PlatformError, Row, RowKey, RowVersion, Transaction, TransactionOutcome, Write,
+};
+use shelfjunction_threads::lock;
+
+/// A claim that this node holds.
+#[derive(Debug)]
+pub(super) struct Claim {
+    version: RowVersion,
+}
+
+/// Why this node holds no claim.
+#[derive(Debug)]
+pub(super) enum NoClaim {
+    /// Another run has it.
+    Taken,
+    /// The store gave no answer that can be relied on; the claim may have been written.
+    Unknown(PlatformError),
+}
+
+impl From<PlatformError> for NoClaim {
+    fn from(error: PlatformError) -> Self {
+        Self::Unknown(error)
+    }
+}
+
+/// Claims the run.
+pub(super) fn claim(context: &Context, fingerprint: &Fingerprint) -> Result<Claim, NoClaim> {
+    let Some(report) = lock(&context.suspects.register).report(fingerprint, context.now()) else {
+        return Err(NoClaim::Taken);
+    };
+    let key = SuspectRow::claim_key(fingerprint);
+    let value = row_value(&SuspectRow::of(&report, metering::unix(context)))?;
+    let mut outcome = write(context, &key, None, Some(value.clone()))?;
+    if let Some(version) = version_of_lapsed(context, &outcome) {
+        outcome = write(context, &key, Some(version), Some(value))?;
+    }
+    let TransactionOutcome::Committed { version } = outcome else {
+        return Err(NoClaim::Taken);
+    };
+    lock(&context.suspects.register).note_stored(fingerprint, report.evidence());
+    log::info!(fingerprint:% = fingerprint, crashes = report.crashes.len(); "confirming_run_claimed");
+    Ok(Claim { version })
+}
+
+/// Gives up the claim of a run that reached no engine.
+pub(super) fn release(context: &Context, fingerprint: &Fingerprint, claim: Claim) {
+    let released = write(
+        context,
+        &SuspectRow::claim_key(fingerprint),
+        Some(claim.version),
+        None,
+    );
+    log::info!(fingerprint:% = fingerprint, released:? = released; "confirming_run_released");
+}
+
+/// The version of a claim for crashes that count no longer.
+fn version_of_lapsed(context: &Context, outcome: &TransactionOutcome) -> Option<RowVersion> {
+    let TransactionOutcome::Conflict { found, .. } = outcome else {
+        return None;
+    };
+    let Row { version, value, .. } = found.as_ref()?;
+    let row: SuspectRow = serde_json::from_str(value).ok()?;
+    let has_lapsed = row.report(metering::unix(context)).crashes.is_empty();
+    has_lapsed.then_some(*version)
+}
+
+fn write(
+    context: &Context,
+    key: &RowKey,
+    expected: Option<RowVersion>,
+    value: Option<String>,
+) -> Result<TransactionOutcome, PlatformError> {
+    let check = Check {
+        key: key.clone(),
+        expected,
+    };
+    context.table.transact(&Transaction {
+        checks: vec![check],
+        writes: vec![Write {
+            key: key.clone(),
+            value,
+        }],
+    })
+}
--- a/crates/node/src/quarantine/mod.rs
+++ b/crates/node/src/quarantine/mod.rs
@@ -1,15 +1,18 @@
 //! Requests under which engines crashed: what this node has seen and heard of them, and what it lets run.
 
 mod admitting;
+mod claiming;
 mod metrics;
 mod notifying;
 mod store_sync;
+mod trial;
 mod view;
 
-pub(crate) use admitting::{Pass, Trial, Withheld, pass};
+pub(crate) use admitting::{Pass, Withheld, pass};
 pub(crate) use metrics::QuarantineMetrics;
-pub(crate) use notifying::{merge_reports, merge_trial, notify_peers};
+pub(crate) use notifying::{merge_confirmations, merge_reports, merge_trial, notify_peers};
 pub(crate) use store_sync::StoreSync;
+pub(crate) use trial::Trial;
 pub(crate) use view::{lift, view};
 
 use crate::config::NodeConfig;
@@ -61,6 +64,11 @@
         !self.remembers.load(Ordering::Acquire)
     }
 
+    /// Other requests that this node knows to be charged with an engine's crash.
+    pub(crate) fn others_charged(&self, fingerprint: &Fingerprint, engine: &EngineId) -> usize {
+        lock(&self.register).others_charged(fingerprint, SubjectHandle::of_engine(engine))
+    }
+
     /// How many requests stand how.
     pub(crate) fn counts(&self, now: MonotonicTime) -> Counts {
         lock(&self.register).counts(now)
@@ -82,6 +90,7 @@
     fingerprint: Fingerprint,
     asked: &Asked,
     engine: &EngineId,
+    on_trial: bool,
 ) -> Option<Standing> {
     let now = context.now();
     let handle = SubjectHandle::of_engine(engine);
@@ -89,7 +98,13 @@
     if lock(&suspects.answered).vouches_for(&fingerprint, now) {
         return None;
     }
-    let standing = suspects.with_register(|register| register.note_crash(fingerprint, asked, handle, now))?;
+    let standing = suspects.with_register(|register| {
+        if on_trial {
+            register.note_trial_crash(fingerprint, asked, handle, now)
+        } else {
+            register.note_crash(fingerprint, asked, handle, now)
+        }
+    })?;
     context.metrics.quarantine.crash_charged();
     lock(&suspects.schedule).note_change();
     context.peers.note_urgent();
--- a/crates/node/src/quarantine/notifying.rs
+++ b/crates/node/src/quarantine/notifying.rs
@@ -4,8 +4,9 @@
 use crate::peers::{Datagram, MOST_SUSPECTS, Placing};
 use shelfjunction_core::quarantine::Standing;
 use shelfjunction_core::quarantine::notification::{Audience, NotificationSchedule, Role};
-use shelfjunction_core::quarantine::report::{SuspectReport, TrialReport};
+use shelfjunction_core::quarantine::report::{ConfirmationReport, SuspectReport, TrialReport};
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_protocol::quarantine_messages::QuarantineDatagram;
 use shelfjunction_threads::lock;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -46,6 +47,14 @@
         if let Some(bytes) = Datagram::Suspects(part.to_vec()).encode() {
             to.iter().for_each(|peer| context.peers.send(&bytes, *peer));
         }
+        let confirmations: Vec<ConfirmationReport> =
+            part.iter().filter_map(SuspectReport::confirmation).collect();
+        if confirmations.is_empty() {
+            continue;
+        }
+        if let Some(bytes) = QuarantineDatagram::Confirmations(confirmations).encode() {
+            to.iter().for_each(|peer| context.peers.send(&bytes, *peer));
+        }
     }
 }
 
@@ -72,6 +81,22 @@
     }
 }
 
+/// Merges another node's confirmations.
+pub(crate) fn merge_confirmations(context: &Context, datagram: QuarantineDatagram, from: SocketAddr) {
+    let QuarantineDatagram::Confirmations(confirmations) = datagram;
+    let now = context.now();
+    for confirmation in &confirmations {
+        let merged = context
+            .suspects
+            .with_register(|register| register.merge_confirmation(confirmation, now));
+        if merged {
+            log::info!(fingerprint:% = confirmation.fingerprint, from:% = from; "confirmation_received");
+            lock(&context.suspects.schedule).note_change();
+            context.peers.note_urgent();
+        }
+    }
+}
+
 /// Notes another node's trial.
 pub(crate) fn merge_trial(context: &Context, report: &TrialReport) {
     lock(&context.suspects.trials).merge(report, context.now());
--- a/crates/node/src/quarantine/store_sync.rs
+++ b/crates/node/src/quarantine/store_sync.rs
@@ -63,20 +63,25 @@
 
 fn keep(context: &Context, table: &dyn TableService, report: &SuspectReport) -> Result<(), PlatformError> {
     let row = SuspectRow::of(report, metering::unix(context));
-    let value = serde_json::to_string(&row).map_err(|error| PlatformError::Malformed(error.to_string()))?;
+    let value = row_value(&row)?;
     write(table, vec![(SuspectRow::key(&report.fingerprint), Some(value))])?;
-    let crashes = report.crashes.len();
-    lock(&context.suspects.register).note_stored(&report.fingerprint, crashes);
-    log::info!(fingerprint:% = report.fingerprint, crashes; "suspect_kept");
+    lock(&context.suspects.register).note_stored(&report.fingerprint, report.evidence());
+    log::info!(fingerprint:% = report.fingerprint, crashes = report.crashes.len(); "suspect_kept");
     Ok(())
 }
 
+/// A row as it is stored.
+pub(super) fn row_value(row: &SuspectRow) -> Result<String, PlatformError> {
+    serde_json::to_string(row).map_err(|error| PlatformError::Malformed(error.to_string()))
+}
+
 fn drop_row(
     context: &Context,
     table: &dyn TableService,
     fingerprint: &Fingerprint,
 ) -> Result<(), PlatformError> {
-    write(table, vec![(SuspectRow::key(fingerprint), None)])?;
+    let keys = [SuspectRow::key(fingerprint), SuspectRow::claim_key(fingerprint)];
+    write(table, keys.map(|key| (key, None)).into())?;
     lock(&context.suspects.register).note_stored(fingerprint, 0);
     log::info!(fingerprint:% = fingerprint; "suspect_dropped");
     Ok(())
@@ -124,7 +129,7 @@
     let now = context.now();
     context.suspects.with_register(|register| {
         register.merge(&report, now);
-        register.note_stored(&report.fingerprint, report.crashes.len());
+        register.note_stored(&report.fingerprint, report.evidence());
     });
     !report.crashes.is_empty()
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod operator;
 pub mod peer;
 pub mod quarantine;
+pub mod quarantine_messages;
 pub mod rate_messages;
 pub mod signal_messages;
