Relay of the lab: forget a connection when it ends

Cause: a link kept a clone of both ends of each connection that ever passed until it was cut, reset or stopped, so that their sockets stayed open after both sides had closed.

Change: connections are registered by number and removed when both directions have ended; their ends are shared, not cloned. The soak now looks at its own descriptors, prints the most that were open, and reports OutOfDescriptors near the limit: then it judges nothing else.

--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -8,6 +8,7 @@
 mod crashers;
 pub mod crashes;
 mod deployment;
+pub mod descriptors;
 pub mod disturbances;
 pub mod engine_signals;
 mod judging;
@@ -28,6 +29,7 @@
 use crashers::Crasher;
 use crashes::CrashCount;
 use deployment::{Deployment, MODEL_POOL};
+use descriptors::{DescriptorUse, DescriptorWatch};
 use judging::{crashing_arrivals, engine_arrivals, judge_calls, judge_signals, judge_spoilt, seen_arrivals};
 use late_readers::{LateReader, QuietCount};
 use oracle::{Violation, judge_reports};
@@ -95,6 +97,8 @@
     pub unanswered: usize,
     /// Nodes that ended by themselves.
     pub exits: u32,
+    /// Descriptors of the soak's own process.
+    pub descriptors: DescriptorUse,
     /// Engines that crashed under each crashing request, and arrivals of it later than is allowed.
     pub crashes: Vec<CrashCount>,
     /// Requests of callers that read late, and of the others, that were sent where nothing else was wrong.
@@ -114,7 +118,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             formatter,
-            "seed {}: {} faults; {} requests: {} succeeded, {} not run, {} other answers, {} unanswered; {} exits; {}; engines ended \
+            "seed {}: {} faults; {} requests: {} succeeded, {} not run, {} other answers, {} unanswered; {} exits; at most {} descriptors; {}; engines ended \
              under crashing requests {:?}, sent on late {:?}; {}",
             self.seed,
             self.faults,
@@ -124,6 +128,7 @@
             self.other_answers,
             self.unanswered,
             self.exits,
+            self.descriptors.peak,
             self.quiet,
             self.crashes.iter().map(|count| count.ended).collect::<Vec<_>>(),
             self.crashes.iter().map(|count| count.late).collect::<Vec<_>>(),
@@ -144,6 +149,7 @@
 pub fn run(config: &FaultSoakConfig) -> io::Result<FaultSoakReport> {
     std::fs::create_dir_all(&config.directory)?;
     let first = config.other_build.as_ref().unwrap_or(&config.program);
+    let descriptors = DescriptorWatch::start()?;
     let deployment = Deployment::start(first, config.nodes, &config.directory)?;
     let mut violations = wait_until_served(&deployment, config.seed, config.recovery);
     let schedule = schedule::draw(config.seed, config.length, deployment.targets(), config.pace);
@@ -179,9 +185,14 @@
     let crashes = crashes::count(&calls, &crashing, &deployment.disturbances);
     violations.extend(crashes::judge(&crashes));
     let crashes = crashes.into_values().collect();
+    let descriptors = descriptors.seen();
+    if descriptors.is_near_limit() {
+        violations.push(Violation::OutOfDescriptors(descriptors));
+    }
     Ok(FaultSoakReport {
         crashes,
         quiet,
+        descriptors,
         ..report(config.seed, schedule.len(), &calls, exits, violations)
     })
 }
@@ -308,6 +319,7 @@
         other_answers: calls.len() - succeeded - not_run - unanswered,
         unanswered,
         exits,
+        descriptors: DescriptorUse::default(),
         crashes: Vec::new(),
         quiet: QuietCount::default(),
         violations,
--- a/crates/lab/src/fault_soak/oracle.rs
+++ b/crates/lab/src/fault_soak/oracle.rs
@@ -1,5 +1,6 @@
 //! Judges what callers saw against what engines ran.
 
+use super::descriptors::DescriptorUse;
 use super::operator::tenant_of;
 use super::record::{SeenAnswer, SeenCall};
 use crate::users_platform::{
@@ -27,6 +28,9 @@
     SharedAuthority(u64, BTreeSet<String>),
     /// After everything had healed a node did not serve, or not as the newest configuration says.
     NotRecovered(usize, String),
+    /// The soak's own process came near its limit of descriptors, so that its stand-ins may have refused connections: nothing else
+    /// that was found speaks of the nodes.
+    OutOfDescriptors(DescriptorUse),
     /// An engine was told another tenant than the one whose key the caller sent, or the key itself.
     WrongTenant(String, Option<String>),
     /// The platform got two different usage reports for one window.
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -5,6 +5,7 @@
 //! holds their bytes, as a partition does: nobody is told. Mending lets everything that is held go on. Single connections
 //! may go silent for good, while new ones pass.
 
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -68,7 +69,8 @@
     stopped: bool,
     /// Whether the address is still listened on.
     listening: bool,
-    open: Vec<TcpStream>,
+    /// Both ends of each connection that passes, by its number.
+    open: BTreeMap<u64, [Arc<TcpStream>; 2]>,
     /// Connections taken so far.
     taken: u64,
     /// Connections with a lower number pass nothing any more.
@@ -171,22 +173,27 @@
         }
     }
 
-    /// Remembers both ends of a connection so that a cut can close them; its number, or nothing when the link is cut
+    /// Registers both ends of a connection so that a cut can close them; its number, or nothing when the link is cut
     /// meanwhile.
-    fn remember(&self, near: &TcpStream, far: &TcpStream) -> std::io::Result<Option<u64>> {
-        let ends = [near.try_clone()?, far.try_clone()?];
+    fn register(&self, near: &Arc<TcpStream>, far: &Arc<TcpStream>) -> Option<u64> {
         let mut state = self.state();
         if state.fault == LinkFault::Silent || state.stopped {
-            return Ok(None);
+            return None;
         }
-        state.open.extend(ends);
+        let connection = state.taken;
         state.taken += 1;
-        Ok(Some(state.taken - 1))
+        state.open.insert(connection, [Arc::clone(near), Arc::clone(far)]);
+        Some(connection)
+    }
+
+    /// Forgets a connection that has ended; otherwise its descriptors would stay open until the link is cut.
+    fn unregister(&self, connection: u64) {
+        self.state().open.remove(&connection);
     }
 }
 
 fn close_all(state: &mut LinkState) {
-    for stream in state.open.drain(..) {
+    for stream in std::mem::take(&mut state.open).into_values().flatten() {
         // An end that is closed already stays closed.
         let _ = stream.shutdown(Shutdown::Both);
     }
@@ -214,13 +221,15 @@
     // Tokens are small writes; without this the relay would hold them back.
     let _ = near.set_nodelay(true);
     let _ = far.set_nodelay(true);
-    let Ok(Some(connection)) = link.remember(&near, &far) else {
+    let (near, far) = (Arc::new(near), Arc::new(far));
+    let Some(connection) = link.register(&near, &far) else {
         return;
     };
     thread::scope(|scope| {
         scope.spawn(|| copy(&near, &far, link, connection, Direction::TowardsTarget));
         copy(&far, &near, link, connection, Direction::FromTarget);
     });
+    link.unregister(connection);
 }
 
 fn copy(mut from: &TcpStream, mut to: &TcpStream, link: &Link, connection: u64, direction: Direction) {
