Charge tenants' rates at the owner of each tenant's bucket

Cause: no code knew of tenants' rates. The adapter passed over ratePerS, burst, unit and plainTokens of the configuration.

Change: a request of a tenant with a rate is charged at the node that owns the tenant's bucket, chosen as the owners of engines' slots are, and refused with 429 and the time at which tokens will be there where the bucket is in debt. What reaches no engine is given back. Partitions have the part of the rate that they reach, without debts; a node that takes a bucket over begins with what the rate has filled since it may own it.

--- a/crates/core/src/rate_limit/slot_owner.rs
+++ b/crates/core/src/rate_limit/slot_owner.rs
@@ -26,12 +26,13 @@
 /// Share of a rate limit that an owner may use. `reached` is the number of nodes that the owner reaches, and `nodes` the number
 /// of all nodes. Both include the owner and count only nodes that support rate limits.
 pub fn limit_share(reached: u32, nodes: u32) -> f64 {
+    quorum_share(reached, nodes, MIN_FULL_LIMIT_QUORUM)
+}
+
+/// Share of a limit that an owner may use: the whole limit if it reaches at least the fraction `quorum` of all nodes.
+pub fn quorum_share(reached: u32, nodes: u32, quorum: f64) -> f64 {
     let share = (f64::from(reached) / f64::from(nodes.max(1))).min(1.0);
-    if share >= MIN_FULL_LIMIT_QUORUM {
-        1.0
-    } else {
-        share
-    }
+    if share >= quorum { 1.0 } else { share }
 }
 
 /// Slot schedules of the engines whose slots one node owns.
--- a/crates/core/src/tenancy/access.rs
+++ b/crates/core/src/tenancy/access.rs
@@ -1,8 +1,10 @@
 //! Which tenant a forwarded request belongs to, by the API key that its caller sent.
 
 use super::key_table::position_of;
+use super::rate::TenantRate;
 use crate::bundle::digest::Digest;
 use crate::identity::TenantId;
+use crate::membership::subject::SubjectHandle;
 use crate::setting::FieldError;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,6 +41,10 @@
     pub key_digests: Vec<Digest>,
     /// Rank of its requests, in place of the route's; zero goes first.
     pub priority: Option<u8>,
+    /// Rate at which its requests may run; absent if there is no limit. Format 1 of what nodes hand to each other has no room for
+    /// it.
+    #[serde(skip)]
+    pub rate: Option<TenantRate>,
 }
 
 /// The tenants of one version of a forwarding configuration.
@@ -65,6 +71,29 @@
 }
 
 impl ApiTenants {
+    /// The rates of those tenants that have one.
+    pub fn rates(&self) -> Vec<(TenantId, TenantRate)> {
+        let rates = self
+            .0
+            .iter()
+            .filter_map(|tenant| Some((tenant.tenant.clone(), tenant.rate?)));
+        rates.collect()
+    }
+
+    /// The rate of the tenant with this handle, if it has one.
+    pub fn rate_of(&self, tenant: SubjectHandle) -> Option<TenantRate> {
+        let handle = |tenant: &ApiTenant| SubjectHandle::of_text("tenant", tenant.tenant.as_str());
+        self.0.iter().find(|other| handle(other) == tenant)?.rate
+    }
+
+    /// Sets the rates of tenants, and no rate for all others.
+    pub fn set_rates(&mut self, rates: &[(TenantId, TenantRate)]) {
+        let rates: BTreeMap<&TenantId, TenantRate> = rates.iter().map(|(name, rate)| (name, *rate)).collect();
+        for tenant in &mut self.0 {
+            tenant.rate = rates.get(&tenant.tenant).copied();
+        }
+    }
+
     /// The tenant whose request this is; none for one without a known key on a route that lets `anonymous` callers in.
     pub fn admit(&self, key: Option<&ApiKey>, anonymous: bool) -> Result<Option<&ApiTenant>, AccessRefusal> {
         let found = key.and_then(|key| self.find(key));
--- a/crates/core/src/tenancy/mod.rs
+++ b/crates/core/src/tenancy/mod.rs
@@ -4,6 +4,8 @@
 mod bucket;
 mod directory;
 mod key_table;
+pub mod rate;
+pub mod rate_owner;
 mod salt;
 
 pub use access::{AccessRefusal, ApiKey, ApiTenant, ApiTenants};
--- /dev/null
+++ b/crates/core/src/tenancy/rate_owner.rs
@@ -0,0 +1,126 @@
+//! The buckets of tenants' rates, of which one node owns each.
+//!
+//! The owner of a tenant's bucket is the first by rendezvous hashing of the nodes that own slots of engines
+//! ([`crate::rate_limit::slot_owner`]). Every node asks it before a request runs:
+//!
+//! ```text
+//! share   = 1                      if the owner reaches MIN_FULL_RATE_QUORUM of all nodes or more
+//!         = reached / all nodes    otherwise
+//! level   = min(level + rate * share * elapsed, burst * share)
+//! granted if level >= 0 (share 1), or level >= cost (share below 1); then level -= cost
+//! ```
+//!
+//! The debt lets requests run that are larger than the burst. An owner of a share has none, since the debts of many isolated nodes
+//! would add up.
+//!
+//! The owners of disjoint partitions add up to less than 1.1 of the rate. A node that takes a bucket over begins with what the
+//! rate has filled since it may own it, since the previous owner may have granted the burst.
+
+use super::rate::TenantRate;
+use crate::admission::bucket::RateBucket;
+use crate::admission::returns::ReturnSchedule;
+use crate::membership::subject::SubjectHandle;
+use crate::rate_limit::slot_owner::quorum_share;
+use crate::time::MonotonicTime;
+use rand::RngCore;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Minimum fraction of all nodes that an owner must reach to use the whole rate.
+const MIN_FULL_RATE_QUORUM: f64 = 0.9;
+
+/// Time without requests after which a bucket is removed.
+const BUCKET_RETENTION: Duration = Duration::from_secs(60);
+
+/// Time after which a caller comes back where the owner does not know the number of nodes yet.
+const NO_SHARE_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Latest time at which one of several refused callers is asked to come back, unless the rate itself needs longer.
+const MAX_RETURN: Duration = Duration::from_secs(5);
+
+/// Share of a tenant's rate that an owner may use. `reached` is the number of nodes that it reaches, and `nodes` the number of all
+/// nodes, both including itself.
+pub fn rate_share(reached: u32, nodes: u32) -> f64 {
+    quorum_share(reached, nodes, MIN_FULL_RATE_QUORUM)
+}
+
+/// Result of a charge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Charge {
+    /// The request may run.
+    Granted,
+    /// The tenant is over its rate; the caller may come back after this time.
+    Denied(Duration),
+}
+
+#[derive(Clone, Debug)]
+struct TenantBucket {
+    bucket: RateBucket,
+    returns: ReturnSchedule,
+    used_at: MonotonicTime,
+}
+
+/// The buckets that one node owns.
+#[derive(Clone, Debug, Default)]
+pub struct TenantRateOwner {
+    buckets: BTreeMap<SubjectHandle, TenantBucket>,
+    /// Nodes that may own buckets, and since when they are the same.
+    candidates: Vec<SubjectHandle>,
+    unchanged_since: MonotonicTime,
+}
+
+impl TenantRateOwner {
+    /// Notes the nodes that may own buckets, in any order.
+    pub fn note_candidates(&mut self, candidates: &[SubjectHandle], now: MonotonicTime) {
+        let mut sorted = candidates.to_vec();
+        sorted.sort_unstable();
+        if sorted != self.candidates {
+            self.candidates = sorted;
+            self.unchanged_since = now;
+        }
+    }
+
+    /// Charges a tenant with a request; `share` is the share of its rate that this node may use.
+    pub fn charge(
+        &mut self,
+        tenant: SubjectHandle,
+        rate: &TenantRate,
+        cost: u32,
+        share: f64,
+        now: MonotonicTime,
+        random: &mut dyn RngCore,
+    ) -> Charge {
+        self.buckets
+            .retain(|_, bucket| now.since(bucket.used_at) < BUCKET_RETENTION);
+        if share <= 0.0 {
+            return Charge::Denied(NO_SHARE_RETRY_INTERVAL);
+        }
+        let (per_second, burst) = (rate.per_second() * share, rate.burst() * share);
+        let filled = burst.min(per_second * now.since(self.unchanged_since).as_secs_f64());
+        let entry = self.buckets.entry(tenant).or_insert_with(|| TenantBucket {
+            bucket: RateBucket::full(filled, now),
+            returns: ReturnSchedule::default(),
+            used_at: now,
+        });
+        entry.used_at = now;
+        let required = if share < 1.0 { f64::from(cost) } else { 0.0 };
+        let charged = entry
+            .bucket
+            .charge(f64::from(cost), required, per_second, burst, now);
+        match charged {
+            Ok(()) => Charge::Granted,
+            Err(wait) => {
+                let spacing = Duration::from_secs_f64(f64::from(cost) / per_second).min(MAX_RETURN);
+                let returns = &mut entry.returns;
+                Charge::Denied(returns.hand_out(wait, spacing, MAX_RETURN, now, random))
+            }
+        }
+    }
+
+    /// Gives back what was charged for a request that reached no engine.
+    pub fn refund(&mut self, tenant: SubjectHandle, rate: &TenantRate, cost: u32) {
+        if let Some(entry) = self.buckets.get_mut(&tenant) {
+            entry.bucket.refund(f64::from(cost), rate.burst());
+        }
+    }
+}
--- a/crates/core/tests/tenant_access.rs
+++ b/crates/core/tests/tenant_access.rs
@@ -10,6 +10,7 @@
         tenant: TenantId::new(name),
         key_digests: keys.iter().map(|key| ApiKey::new(*key).digest()).collect(),
         priority: None,
+        rate: None,
     }
 }
 
--- a/crates/node/src/commanding/mod.rs
+++ b/crates/node/src/commanding/mod.rs
@@ -12,6 +12,7 @@
 use crate::cordons;
 use crate::peers::Duty;
 use crate::quarantine::StoreSync;
+use crate::tenant_rates;
 use ordering::Ordering;
 use shelfjunction_core::membership::rendezvous;
 use shelfjunction_core::membership::subject::SubjectHandle;
@@ -44,6 +45,7 @@
     let mut suspension = SuspensionWatch::start();
     while !context.stop.wait(pause(context, &ordering)) {
         note_suspension(suspension.look());
+        tenant_rates::refresh_candidates(context);
         quarantine_rows.step(context, table);
         cordons.step(context, table);
         if context.state.is_stopping() {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -14,6 +14,7 @@
 use crate::rate_limits::RateLimits;
 use crate::releasing::Releases;
 use crate::repeats::Repeats;
+use crate::tenant_rates::TenantRates;
 use crate::watch::{StoreTrouble, TableWatch};
 use shelfjunction_core::connections;
 use shelfjunction_core::cordon::CordonSet;
@@ -88,6 +89,8 @@
     pub(crate) announcements: Announcements,
     /// Rate limits of engines, and the slots that this node keeps.
     pub(crate) rate_limits: RateLimits,
+    /// Tenants' rates, and the buckets that this node owns.
+    pub(crate) tenant_rates: TenantRates,
     /// Bytes kept for callers that read slowly.
     pub(crate) kept_for_callers: KeptForCallers,
     waits: Mutex<CallerWaits>,
@@ -200,6 +203,7 @@
             unknown_fields: Mutex::default(),
             announcements: Announcements::default(),
             rate_limits: RateLimits::default(),
+            tenant_rates: TenantRates::default(),
             kept_for_callers: KeptForCallers::default(),
             waits: Mutex::new(CallerWaits::default()),
             list_changed_at: Mutex::new(MonotonicTime::default()),
--- a/crates/node/src/course/access.rs
+++ b/crates/node/src/course/access.rs
@@ -3,6 +3,7 @@
 use crate::ports::Call;
 use shelfjunction_core::forwarding::{ForwardingConfig, RouteRule};
 use shelfjunction_core::identity::TenantId;
+use shelfjunction_core::tenancy::rate::TenantRate;
 use shelfjunction_core::tenancy::{AccessRefusal, ApiTenants};
 
 /// For whom a request is served.
@@ -10,6 +11,8 @@
 pub(super) struct Access {
     /// The tenant; absent for callers that need no key.
     pub(super) tenant: Option<TenantId>,
+    /// Rate of the tenant, if it has one.
+    pub(super) rate: Option<TenantRate>,
     /// Rank under which its work is counted: the tenant's, or else the route's. Zero goes first.
     pub(super) priority: u8,
     /// Rank among the requests at an engine: by the tenant's priority, and by the route's among equal ones.
@@ -48,6 +51,7 @@
         let tenant = config.tenants.as_ref().map(admit).transpose()?.flatten();
         let priority = tenant.as_ref().and_then(|tenant| tenant.priority);
         Ok(Self {
+            rate: tenant.as_ref().and_then(|tenant| tenant.rate),
             priority: priority.unwrap_or(route.priority),
             urgency: urgency(priority, route.priority),
             tenant: tenant.map(|tenant| tenant.tenant),
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -57,6 +57,9 @@
         if let Some(trial) = &mut self.trial {
             trial.note_sent();
         }
+        if let Some(charged) = &mut self.charged {
+            charged.note_sent();
+        }
         let mut exchange = Exchange {
             attempt: call.attempt.clone(),
             engine: target.engine.clone(),
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -10,6 +10,7 @@
 use crate::context::Context;
 use crate::ports::{AnswerHead, Call, CallerConnection};
 use crate::quarantine::Trial;
+use crate::tenant_rates::ChargedRequest;
 use shelfjunction_core::forwarding::{PoolId, RouteRule};
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::membership::subject::SubjectHandle;
@@ -52,6 +53,8 @@
     pub(super) deadline: MonotonicTime,
     /// Present where engines crashed under the request, so that it runs alone.
     pub(super) trial: Option<Trial<'a>>,
+    /// Present where its tenant has a rate.
+    pub(super) charged: Option<ChargedRequest<'a>>,
 }
 
 /// One request under way.
@@ -116,6 +119,8 @@
     pub(super) choice: Option<PlacedChoice>,
     /// Present where engines crashed under the request, so that it runs alone; others may when it is dropped.
     pub(super) trial: Option<Trial<'a>>,
+    /// Present where its tenant has a rate; given back when it is dropped if no engine was reached.
+    pub(super) charged: Option<ChargedRequest<'a>>,
 }
 
 impl<'a> Driver<'a> {
@@ -133,6 +138,7 @@
             pool,
             deadline,
             trial,
+            charged,
         } = routed;
         let specification = routing::specification(call, route, &access, &pool, deadline);
         let machine = RequestMachine::new(specification, routing::limits(route))
@@ -182,6 +188,7 @@
             placer: None,
             choice: None,
             trial,
+            charged,
         }
     }
 
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -20,6 +20,7 @@
 use crate::context::Context;
 use crate::ports::{Call, CallerConnection, OwnAnswer};
 use crate::quarantine::{self, Pass};
+use crate::tenant_rates::{self, ChargeRefusal, ChargedRequest};
 use access::Access;
 pub(crate) use delivering::KeptForCallers;
 use delivering::Undelivered;
@@ -111,6 +112,7 @@
             return Err(suspicion::refuse(context, call, &fingerprint, route, &withheld).into());
         }
     };
+    let charged = charge_tenant(context, config.version, &access, call)?;
     context.count_request(&pool);
     let routed = RoutedCall {
         call,
@@ -120,6 +122,7 @@
         pool,
         deadline,
         trial,
+        charged,
     };
     log_routed(&routed, config.version);
     Ok(routed)
@@ -144,6 +147,23 @@
     })
 }
 
+/// Charges the request to its tenant's rate, where there is one; last, so that what is refused for another cause costs nothing.
+fn charge_tenant<'a>(
+    context: &'a Context,
+    config_version: u64,
+    access: &Access,
+    call: &Call,
+) -> Result<Option<ChargedRequest<'a>>, OwnAnswer> {
+    let (Some(tenant), Some(rate)) = (&access.tenant, access.rate) else {
+        return Ok(None);
+    };
+    let charged = tenant_rates::charge(context, call, tenant, rate, config_version);
+    charged.map(Some).map_err(|refusal| match refusal {
+        ChargeRefusal::OverRate { retry_after } => OwnAnswer::OverRate { retry_after },
+        ChargeRefusal::OwnerSilent { retry_after } => OwnAnswer::NotRun { retry_after },
+    })
+}
+
 fn refuse_when_stopping(context: &Context, route: &RouteRule, call: &Call) -> Result<(), CallRefusal> {
     let longest = call
         .time_left
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,6 +31,7 @@
 mod recovering;
 mod releasing;
 mod repeats;
+mod tenant_rates;
 mod watch;
 
 pub use config::{AUTOSCALING, DirectorySettings, DutySettings, NodeConfig, USAGE_REPORTING};
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,6 +4,7 @@
 use crate::pace_metrics::PaceMetrics;
 use crate::quarantine::QuarantineMetrics;
 use crate::rate_limits::RateLimitMetrics;
+use crate::tenant_rates::TenantRateMetrics;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -64,6 +65,7 @@
     pub(crate) quarantine: QuarantineMetrics,
     /// Rate limits of engines.
     pub(crate) rate_limits: RateLimitMetrics,
+    pub(crate) tenant_rates: TenantRateMetrics,
     /// What engines said of themselves in their answers.
     pub(crate) signals: SignalMetrics,
     /// Paces of engines.
@@ -121,6 +123,7 @@
             engine_orders: Family::default(),
             quarantine: QuarantineMetrics::default(),
             rate_limits: RateLimitMetrics::default(),
+            tenant_rates: TenantRateMetrics::default(),
             signals: SignalMetrics::default(),
             pace: PaceMetrics::default(),
             placements: Family::default(),
@@ -154,6 +157,7 @@
         metrics.quarantine.register(&mut metrics.registry);
         metrics.pace.register(&mut metrics.registry);
         metrics.rate_limits.register(&mut metrics.registry);
+        metrics.tenant_rates.register(&mut metrics.registry);
         metrics.signals.register(&mut metrics.registry);
         metrics
     }
--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -117,9 +117,16 @@
 
 fn take(context: &Context, snapshot: Snapshot, peer: SocketAddr) {
     let source = format!("peer {peer}");
-    if let Some(config) = snapshot.config {
-        context.offer(config, &source);
-        context.config_watch.on_caught_up();
+    match snapshot.config {
+        Some(config) if config.tenants.is_some() && !snapshot.has_tenant_rates => {
+            // An earlier build leaves tenants' rates out, so that they would not be limited; the store has them.
+            log::info!(version = config.version, source = source.as_str(); "configuration_without_tenant_rates");
+        }
+        Some(config) => {
+            context.offer(config, &source);
+            context.config_watch.on_caught_up();
+        }
+        None => {}
     }
     if let Some(list) = snapshot.list {
         let changes = snapshot.list_changes;
@@ -225,6 +232,7 @@
     let list = wanted.list.then(|| list(context, wanted)).flatten();
     let (list, list_changes) = list.unzip();
     Snapshot {
+        has_tenant_rates: config.as_ref().is_some_and(|config| config.tenants.is_some()),
         config: config.map(|config| config.as_ref().clone()),
         cordons: wanted.cordons.then(|| lock(&context.cordons).clone()),
         list_is_partial: list.is_some() && wanted.in_use_suffice,
--- a/crates/node/src/peers/limit_speakers.rs
+++ b/crates/node/src/peers/limit_speakers.rs
@@ -5,6 +5,7 @@
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::rate_limit::slot_owner::limit_share;
 use shelfjunction_core::routing::pool::PeerLoadSlice;
+use shelfjunction_core::tenancy::rate_owner::rate_share;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::time::Duration;
@@ -73,17 +74,26 @@
 
     /// The part of engines' limits that this node has where it keeps their slots; nothing while the nodes are not known.
     pub(crate) fn part_of_limits(&self, now: MonotonicTime) -> f64 {
+        self.share_of_limits(limit_share, now)
+    }
+
+    /// The part of tenants' rates that this node has where it owns their buckets; nothing while the nodes are not known.
+    pub(crate) fn part_of_tenant_rates(&self, now: MonotonicTime) -> f64 {
+        self.share_of_limits(rate_share, now)
+    }
+
+    fn share_of_limits(&self, share: fn(u32, u32) -> f64, now: MonotonicTime) -> f64 {
         let placing = self.placing(now);
         let silence = self.silence(&placing);
         let known = lock(&self.known);
         if !known.knows_number() {
             return 0.0;
         }
-        let heard = known
+        let reached = known
             .peers
             .values()
             .filter(|peer| peer.keeps_to_limits(silence, now));
-        limit_share(heard.count() as u32 + 1, known.nodes())
+        share(reached.count() as u32 + 1, known.nodes())
     }
 
     /// Silence after which a node may be gone.
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -9,6 +9,7 @@
 use crate::placing;
 use crate::quarantine;
 use crate::rate_limits;
+use crate::tenant_rates;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::routing::pool::ListUpdate;
 use shelfjunction_core::sharing::UseWord;
@@ -16,6 +17,7 @@
 use shelfjunction_protocol::quarantine_messages::QuarantineDatagram;
 use shelfjunction_protocol::rate_messages::RateDatagram;
 use shelfjunction_protocol::signal_messages::SignalDatagram;
+use shelfjunction_protocol::tenant_rate_messages::TenantRateDatagram;
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
@@ -56,6 +58,9 @@
     if let Some(datagram) = RateDatagram::decode(bytes) {
         return take_rate_datagram(context, datagram, from);
     }
+    if let Some(datagram) = TenantRateDatagram::decode(bytes) {
+        return tenant_rates::receive(context, datagram, from);
+    }
     if let Some(datagram) = QuarantineDatagram::decode(bytes) {
         return quarantine::merge_confirmations(context, datagram, from);
     }
--- a/crates/node/src/ports/mod.rs
+++ b/crates/node/src/ports/mod.rs
@@ -85,6 +85,11 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// Its tenant is over its rate; like [`Self::NotRun`].
+    OverRate {
+        /// When to come back.
+        retry_after: Duration,
+    },
     /// No tenant has its key; it has not run.
     NoAccess,
     /// No route takes it.
--- /dev/null
+++ b/crates/node/src/tenant_rates/metrics.rs
@@ -0,0 +1,39 @@
+//! Counts of charges against tenants' rates.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
+use shelfjunction_protocol::tenant_rate_messages::ChargeOutcome;
+
+/// What became of a charge.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResultLabel {
+    result: &'static str,
+}
+
+/// What is measured of tenants' rates.
+#[derive(Default)]
+pub(crate) struct TenantRateMetrics {
+    charges: Family<ResultLabel, Counter>,
+}
+
+impl TenantRateMetrics {
+    /// Registers everything at zero.
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "tenant_rate_charges",
+            "Requests of tenants with a rate that were charged at the owner of the tenant's bucket",
+            self.charges.clone(),
+        );
+    }
+
+    pub(crate) fn charged(&self, outcome: Option<&ChargeOutcome>) {
+        let result = match outcome {
+            Some(ChargeOutcome::Granted) => "granted",
+            Some(ChargeOutcome::Denied { .. }) => "denied",
+            Some(ChargeOutcome::NotOwner { .. }) | None => "no_answer",
+        };
+        self.charges.get_or_create(&ResultLabel { result }).inc();
+    }
+}
--- /dev/null
+++ b/crates/node/src/tenant_rates/mod.rs
@@ -0,0 +1,21 @@
+//! Tenants' rates over all nodes: charges a request at the owner of its tenant's bucket, and answers as such an owner
+//! ([`shelfjunction_core::tenancy::rate_owner`]).
+
+mod charging;
+mod metrics;
+mod owning;
+
+pub(crate) use charging::{ChargeQuestions, ChargeRefusal, ChargedRequest, charge};
+pub(crate) use metrics::TenantRateMetrics;
+pub(crate) use owning::{receive, refresh_candidates};
+
+use shelfjunction_core::tenancy::rate_owner::TenantRateOwner;
+use std::sync::Mutex;
+
+/// What a node knows of tenants' rates beside the configuration.
+#[derive(Default)]
+pub(crate) struct TenantRates {
+    /// The buckets that this node owns.
+    owner: Mutex<TenantRateOwner>,
+    questions: ChargeQuestions,
+}
--- /dev/null
+++ b/crates/node/src/tenant_rates/owning.rs
@@ -0,0 +1,89 @@
+//! Answers as the owner of tenants' buckets.
+
+use crate::context::Context;
+use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::rate_limit::slot_owner::owner_of;
+use shelfjunction_core::tenancy::rate::TenantRate;
+use shelfjunction_core::tenancy::rate_owner::Charge;
+use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_protocol::tenant_rate_messages::{
+    ChargeOutcome, ChargeRefund, ChargeRequest, ChargeResponse, TenantRateDatagram,
+};
+use shelfjunction_threads::lock;
+use std::net::SocketAddr;
+
+/// Takes a datagram about tenants' rates.
+pub(crate) fn receive(context: &Context, datagram: TenantRateDatagram, from: SocketAddr) {
+    match datagram {
+        TenantRateDatagram::Request(request) => answer(context, &request, from),
+        TenantRateDatagram::Response(response) => context.tenant_rates.questions.on_answer(response),
+        TenantRateDatagram::Refund(given_back) => refund(context, &given_back),
+    }
+}
+
+/// The node that owns a tenant's bucket, as this one sees it.
+pub(super) fn owner(context: &Context, tenant: SubjectHandle, now: MonotonicTime) -> SubjectHandle {
+    let candidates = context.peers.slot_keepers(!context.state.is_stopping(), now);
+    lock(&context.tenant_rates.owner).note_candidates(&candidates, now);
+    owner_of(tenant, &candidates).unwrap_or(context.peers.own_handle())
+}
+
+/// Looks at who may own buckets, so that this node knows for how long it may have owned one before its first request comes.
+pub(crate) fn refresh_candidates(context: &Context) {
+    let now = context.now();
+    let candidates = context.peers.slot_keepers(!context.state.is_stopping(), now);
+    lock(&context.tenant_rates.owner).note_candidates(&candidates, now);
+}
+
+/// Charges a bucket that this node owns.
+pub(super) fn charge(context: &Context, request: &ChargeRequest) -> ChargeOutcome {
+    let now = context.now();
+    let share = context.peers.part_of_tenant_rates(now);
+    let rate = newest_rate(context, request);
+    let charged = lock(&context.tenant_rates.owner).charge(
+        request.tenant,
+        &rate,
+        request.cost,
+        share,
+        now,
+        &mut rand::rng(),
+    );
+    match charged {
+        Charge::Granted => ChargeOutcome::Granted,
+        Charge::Denied(wait) => ChargeOutcome::Denied {
+            retry_after_millis: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        },
+    }
+}
+
+/// Gives a charge back to a bucket that this node owns.
+pub(super) fn refund(context: &Context, refund: &ChargeRefund) {
+    lock(&context.tenant_rates.owner).refund(refund.tenant, &refund.rate, refund.cost);
+}
+
+/// Only a node that takes itself for the owner charges: two that both do would grant the rate twice.
+fn answer(context: &Context, request: &ChargeRequest, from: SocketAddr) {
+    let owner = owner(context, request.tenant, context.now());
+    let outcome = if owner == context.peers.own_handle() {
+        charge(context, request)
+    } else {
+        ChargeOutcome::NotOwner { owner }
+    };
+    log::debug!(number = request.number, from:% = from, outcome:? = outcome; "tenant_rate_answered");
+    let response = ChargeResponse {
+        number: request.number,
+        outcome,
+    };
+    if let Some(bytes) = TenantRateDatagram::Response(response).encode() {
+        context.peers.send(&bytes, from);
+    }
+}
+
+/// The tenant's rate of the newer configuration: this node's or the asker's.
+fn newest_rate(context: &Context, request: &ChargeRequest) -> TenantRate {
+    let own = context
+        .forwarding()
+        .filter(|config| config.version > request.config_version);
+    own.and_then(|config| config.tenants.as_ref()?.rate_of(request.tenant))
+        .unwrap_or(request.rate)
+}
--- a/crates/protocol/src/node_snapshot.rs
+++ b/crates/protocol/src/node_snapshot.rs
@@ -17,7 +17,9 @@
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::cordon::CordonSet;
 use shelfjunction_core::forwarding::ForwardingConfig;
+use shelfjunction_core::identity::TenantId;
 use shelfjunction_core::routing::pool::{KnownChanges, ListSnapshot, PrefixUpdate};
+use shelfjunction_core::tenancy::rate::TenantRate;
 use std::fmt;
 
 const CODEC: Configuration = standard();
@@ -33,6 +35,8 @@
 const LIST_IN_USE: u16 = 5;
 /// What the sender knows of the last changes of entries, up to the version of the list.
 const LIST_CHANGES: u16 = 6;
+/// The rates of the configuration's tenants.
+const TENANT_RATES: u16 = 7;
 
 /// Bytes before a section's content.
 const SECTION_HEAD: usize = 6;
@@ -103,6 +107,8 @@
 pub struct Snapshot {
     /// The configuration in force.
     pub config: Option<ForwardingConfig>,
+    /// Whether the configuration has the rates of its tenants; not from builds that don't know them.
+    pub has_tenant_rates: bool,
     /// The list of engines.
     pub list: Option<ListSnapshot>,
     /// Whether the list names only the engines in use.
@@ -161,6 +167,13 @@
         let mut bytes = vec![SECTIONS];
         if let Some(config) = &self.config {
             push_section(&mut bytes, CONFIG, &encode("config", config)?);
+            if let Some(tenants) = &config.tenants {
+                push_section(
+                    &mut bytes,
+                    TENANT_RATES,
+                    &encode("tenant_rates", &tenants.rates())?,
+                );
+            }
         }
         if let Some(list) = &self.list {
             push_section(&mut bytes, LIST, &encode("list", list)?);
@@ -189,6 +202,7 @@
                 let first: FirstFormat = decode("snapshot", bytes)?;
                 Ok(Self {
                     config: first.config,
+                    has_tenant_rates: false,
                     list: first.list,
                     list_is_partial: false,
                     list_changes: None,
@@ -201,6 +215,7 @@
 
     fn decode_sections(mut rest: &[u8]) -> Result<Self, SnapshotError> {
         let mut snapshot = Self::default();
+        let mut rates: Option<Vec<(TenantId, TenantRate)>> = None;
         while !rest.is_empty() {
             let (number, content, after) = next_section(rest)?;
             rest = after;
@@ -210,11 +225,20 @@
                 CORDONS => snapshot.cordons = Some(decode("cordons", content)?),
                 HELD => snapshot.held = decode("held", content)?,
                 LIST_IN_USE => snapshot.list_is_partial = true,
+                TENANT_RATES => rates = Some(decode("tenant_rates", content)?),
                 LIST_CHANGES => snapshot.list_changes = Some(decode("list_changes", content)?),
                 // A later build says more.
                 _ => {}
             }
         }
+        snapshot.has_tenant_rates = rates.is_some();
+        let tenants = snapshot
+            .config
+            .as_mut()
+            .and_then(|config| config.tenants.as_mut());
+        if let (Some(tenants), Some(rates)) = (tenants, rates) {
+            tenants.set_rates(&rates);
+        }
         Ok(snapshot)
     }
 }
--- a/crates/protocol/tests/node_formats.rs
+++ b/crates/protocol/tests/node_formats.rs
@@ -5,13 +5,15 @@
 
 use proptest::prelude::*;
 use shelfjunction_core::cordon::CordonSet;
-use shelfjunction_core::forwarding::PoolId;
-use shelfjunction_core::identity::{EngineId, EngineStart, NodeId, ZoneId};
+use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig, PoolId};
+use shelfjunction_core::identity::{EngineId, EngineStart, NodeId, TenantId, ZoneId};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::routing::pool::{
     EngineStage, KnownChanges, ListChange, ListSnapshot, ListUpdate, PeerLoad, PeerLoadSlice, PoolEngine,
     PrefixBlock, PrefixUpdate,
 };
+use shelfjunction_core::tenancy::rate::{RateUnit, TenantRate};
+use shelfjunction_core::tenancy::{ApiTenant, ApiTenants};
 use shelfjunction_protocol::node_snapshot::{Snapshot, SnapshotError, Wanted};
 use shelfjunction_protocol::node_words::Datagram;
 use std::time::Duration;
@@ -43,6 +45,7 @@
 fn snapshot() -> Snapshot {
     Snapshot {
         config: None,
+        has_tenant_rates: false,
         list: Some(ListSnapshot {
             version: 300,
             engines: vec![engine()],
@@ -172,6 +175,34 @@
     }
 }
 
+/// Guards against a configuration from an earlier build under which no tenant's rate is kept.
+#[test]
+fn tenants_rates_are_handed_over_in_sections_only() {
+    let rate = TenantRate::new(RateUnit::Tokens { undeclared: 200 }, 669_938.0, 1_000.5);
+    let tenant = ApiTenant {
+        tenant: TenantId::new("chain-a"),
+        key_digests: Vec::new(),
+        priority: None,
+        rate,
+    };
+    let config = ForwardingConfig {
+        version: 4,
+        routes: Vec::new(),
+        pools: Vec::new(),
+        limits: CallerLimits::default(),
+        tenants: Some(ApiTenants(vec![tenant])),
+    };
+    let said = Snapshot {
+        config: Some(config),
+        has_tenant_rates: true,
+        ..snapshot()
+    };
+    assert_eq!(Snapshot::decode(&in_sections(said.clone())).unwrap(), said);
+    let first = Snapshot::decode(&said.encode(FIRST_FORMAT).unwrap()).unwrap();
+    assert!(!first.has_tenant_rates);
+    assert_eq!(first.config.unwrap().tenants.unwrap().rates(), []);
+}
+
 #[test]
 fn a_partial_list_is_not_told_in_a_format_that_cannot_say_so() {
     let partial = Snapshot {
