Tenants' rates: remove buckets that another node may have owned meanwhile

A node that was suspended, or lost a bucket and got it back, came back with a full burst beside what the other owner had granted. It now begins with what the rate has filled since.

--- a/crates/core/src/tenancy/rate_owner.rs
+++ b/crates/core/src/tenancy/rate_owner.rs
@@ -20,7 +20,7 @@
 use crate::admission::bucket::RateBucket;
 use crate::admission::returns::ReturnSchedule;
 use crate::membership::subject::SubjectHandle;
-use crate::rate_limit::slot_owner::quorum_share;
+use crate::rate_limit::slot_owner::{owner_of, quorum_share};
 use crate::time::MonotonicTime;
 use rand::RngCore;
 use std::collections::BTreeMap;
@@ -32,6 +32,10 @@
 /// Time without requests after which a bucket is removed.
 const BUCKET_RETENTION: Duration = Duration::from_secs(60);
 
+/// Longest time between two looks at the candidates; after a longer one this process was suspended, and another node may have
+/// taken its buckets over. Others do after 1.8 s of silence.
+const MAX_NOTE_GAP: Duration = Duration::from_millis(1_700);
+
 /// Time after which a caller comes back where the owner does not know the number of nodes yet.
 const NO_SHARE_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -67,17 +71,24 @@
     /// Nodes that may own buckets, and since when they are the same.
     candidates: Vec<SubjectHandle>,
     unchanged_since: MonotonicTime,
+    noted_at: MonotonicTime,
 }
 
 impl TenantRateOwner {
-    /// Notes the nodes that may own buckets, in any order.
-    pub fn note_candidates(&mut self, candidates: &[SubjectHandle], now: MonotonicTime) {
+    /// Notes the nodes that may own buckets, in any order; `own` is this node. Buckets that another node may have owned meanwhile are
+    /// removed.
+    pub fn note_candidates(&mut self, own: SubjectHandle, candidates: &[SubjectHandle], now: MonotonicTime) {
+        let was_suspended = now.since(self.noted_at) > MAX_NOTE_GAP;
+        self.noted_at = now;
         let mut sorted = candidates.to_vec();
         sorted.sort_unstable();
-        if sorted != self.candidates {
-            self.candidates = sorted;
-            self.unchanged_since = now;
+        if sorted == self.candidates && !was_suspended {
+            return;
         }
+        self.buckets
+            .retain(|tenant, _| !was_suspended && owner_of(*tenant, &sorted) == Some(own));
+        self.candidates = sorted;
+        self.unchanged_since = now;
     }
 
     /// Charges a tenant with a request; `share` is the share of its rate that this node may use.
--- a/crates/core/tests/tenant_rates.rs
+++ b/crates/core/tests/tenant_rates.rs
@@ -32,6 +32,9 @@
 /// Time after a failure at which nodes detect it.
 const DETECTION_DELAY_MILLIS: std::ops::Range<u64> = 1_800..3_900;
 
+/// Time between two looks of a node at who may own buckets.
+const LOOK_INTERVAL_MILLIS: u64 = 1_000;
+
 /// Time before the first request, in which buckets fill.
 const STARTED_MILLIS: u64 = 2_000;
 
@@ -105,7 +108,7 @@
         };
         let handles: Vec<SubjectHandle> = fleet.nodes.iter().map(|node| node.handle).collect();
         for node in &mut fleet.nodes {
-            node.owner.note_candidates(&handles, at(0));
+            node.owner.note_candidates(node.handle, &handles, at(0));
         }
         fleet
     }
@@ -164,13 +167,24 @@
             Fault::AllKilled => {
                 for node in &mut self.nodes {
                     node.owner = TenantRateOwner::default();
-                    node.owner.note_candidates(&[], at(FAULT_AT_MILLIS));
+                    node.owner.note_candidates(node.handle, &[], at(FAULT_AT_MILLIS));
                 }
             }
             _ => {}
         }
     }
 
+    fn look_at_candidates(&mut self, millis: u64) {
+        for number in 0..self.nodes.len() {
+            if self.is_suspended(number, millis) {
+                continue;
+            }
+            let alive = self.alive_for(number, millis);
+            let node = &mut self.nodes[number];
+            node.owner.note_candidates(node.handle, &alive, at(millis));
+        }
+    }
+
     /// A request at a node; denied where its owner is not reached.
     fn ask(&mut self, from: usize, millis: u64) {
         if self.is_suspended(from, millis) || (self.fault == Fault::OwnerLost && Some(from) == self.lost_node)
@@ -192,7 +206,7 @@
         let share = rate_share(alive.len() as u32, self.nodes.len() as u32);
         let now = at(millis);
         let node = &mut self.nodes[owner];
-        node.owner.note_candidates(&alive, now);
+        node.owner.note_candidates(node.handle, &alive, now);
         node.owner
             .charge(self.tenant, &self.rate, cost, share, now, &mut self.random)
     }
@@ -201,10 +215,16 @@
     fn play(&mut self, demand: f64) {
         let mean_tokens = f64::from(TOKENS.start + TOKENS.end) / 2.0;
         let per_milli = demand * PER_SECOND / mean_tokens / 1_000.0;
-        for millis in STARTED_MILLIS..DURATION_MILLIS {
+        for millis in 0..DURATION_MILLIS {
             if millis == FAULT_AT_MILLIS {
                 self.begin_fault();
             }
+            if millis % LOOK_INTERVAL_MILLIS == 0 {
+                self.look_at_candidates(millis);
+            }
+            if millis < STARTED_MILLIS {
+                continue;
+            }
             let count = per_milli as u32 + u32::from(self.random.random_bool(per_milli.fract()));
             for _ in 0..count {
                 let from = self.random.random_range(0..self.nodes.len());
--- a/crates/node/src/commanding/mod.rs
+++ b/crates/node/src/commanding/mod.rs
@@ -45,7 +45,7 @@
     let mut suspension = SuspensionWatch::start();
     while !context.stop.wait(pause(context, &ordering)) {
         note_suspension(suspension.look());
-        tenant_rates::refresh_candidates(context);
+        tenant_rates::refresh_candidates(context, context.now());
         quarantine_rows.step(context, table);
         cordons.step(context, table);
         if context.state.is_stopping() {
--- a/crates/node/src/tenant_rates/owning.rs
+++ b/crates/node/src/tenant_rates/owning.rs
@@ -23,16 +23,15 @@
 
 /// The node that owns a tenant's bucket, as this one sees it.
 pub(super) fn owner(context: &Context, tenant: SubjectHandle, now: MonotonicTime) -> SubjectHandle {
-    let candidates = context.peers.slot_keepers(!context.state.is_stopping(), now);
-    lock(&context.tenant_rates.owner).note_candidates(&candidates, now);
-    owner_of(tenant, &candidates).unwrap_or(context.peers.own_handle())
+    owner_of(tenant, &refresh_candidates(context, now)).unwrap_or(context.peers.own_handle())
 }
 
 /// Looks at who may own buckets, so that this node knows for how long it may have owned one before its first request comes.
-pub(crate) fn refresh_candidates(context: &Context) {
-    let now = context.now();
+pub(crate) fn refresh_candidates(context: &Context, now: MonotonicTime) -> Vec<SubjectHandle> {
     let candidates = context.peers.slot_keepers(!context.state.is_stopping(), now);
-    lock(&context.tenant_rates.owner).note_candidates(&candidates, now);
+    let own = context.peers.own_handle();
+    lock(&context.tenant_rates.owner).note_candidates(own, &candidates, now);
+    candidates
 }
 
 /// Charges a bucket that this node owns.
