Fault soak: callers of a tenant with a rate, judged in any window

--rated-callers NUMBER adds callers who ask several times a tenant's rate at all nodes; BeyondTenantRate names a window in which more was sent and ran than rate x window + burst, a tenth more and one request.

--- a/crates/lab/src/command/fault_soak.rs
+++ b/crates/lab/src/command/fault_soak.rs
@@ -44,6 +44,12 @@
         "NUMBER",
     );
     options.optopt("", "late-readers", "callers besides that read late (2)", "NUMBER");
+    options.optopt(
+        "",
+        "rated-callers",
+        "callers besides of a tenant who ask more than its rate (0)",
+        "NUMBER",
+    );
     options.optopt("", "seconds", "length of each run (30)", "SECONDS");
     options.optopt(
         "",
@@ -91,6 +97,7 @@
             callers: options.value_or("callers", 12)?,
             crashers: options.value_or("crashers", 2)?,
             late_readers: options.value_or("late-readers", 2)?,
+            rated_callers: options.value_or("rated-callers", 0)?,
             pace: if options.flag("calm") {
                 Pace::Calm
             } else {
--- a/crates/lab/src/fault_soak/judging.rs
+++ b/crates/lab/src/fault_soak/judging.rs
@@ -5,6 +5,7 @@
 use super::deployment::{Deployment, EVENTS};
 use super::late_readers::{self, Quiet, QuietCount, is_late_reader};
 use super::oracle::{EngineRecords, Violation, judge};
+use super::rated_callers::is_rated;
 use super::record::SeenCall;
 use super::repeats::SeenArrival;
 use super::spoilt::{self, EngineArrival, SpoiltSpan};
@@ -32,7 +33,9 @@
     let mut violations = engine_signals::judge_drains(records, calls, &excuses, begun);
     violations.extend(engine_signals::judge_backoffs(records, calls, &excuses, begun));
     // What crashes engines is refused for that, whatever is free.
-    let is_quiet = |call: &SeenCall| quiet.covers(call) && !is_crasher(&call.request);
+    // A tenant over its rate is refused likewise.
+    let is_quiet =
+        |call: &SeenCall| quiet.covers(call) && !is_crasher(&call.request) && !is_rated(&call.request);
     let crashing = crashing_arrivals(records, begun);
     violations.extend(engine_signals::judge_refusals(
         records, calls, &crashing, is_quiet, begun,
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -18,6 +18,7 @@
 mod places;
 mod process;
 pub mod rate_limits;
+pub mod rated_callers;
 pub mod record;
 pub mod repeats;
 pub mod schedule;
@@ -35,6 +36,7 @@
 use oracle::{Violation, judge_reports};
 use places::REPEAT_BUDGET;
 use rate_limits::LimitSpan;
+use rated_callers::RatedCaller;
 use record::{CallKind, SeenCall};
 use repeats::judge_repeats;
 use schedule::Pace;
@@ -66,6 +68,8 @@
     pub crashers: u64,
     /// Callers besides that read nothing of a long answer for some seconds.
     pub late_readers: u64,
+    /// Callers besides of a tenant with a rate, who ask more than it allows.
+    pub rated_callers: u64,
     /// How close faults follow on each other.
     pub pace: Pace,
     /// Time for which faults strike.
@@ -180,6 +184,9 @@
         &deployment.disturbances,
         &deployment.on_other_build,
     ));
+    if config.other_build.is_none() {
+        violations.extend(rated_callers::judge(&calls, &reached));
+    }
     violations.extend(judge_signals(&deployment, &records, &calls, begun));
     let crashing = crashing_arrivals(&records, begun);
     let crashes = crashes::count(&calls, &crashing, &deployment.disturbances);
@@ -223,6 +230,12 @@
                 scope.spawn(|| reader.run(deployment, begun, &stop))
             })
             .collect();
+        let rated: Vec<_> = (0..config.rated_callers)
+            .map(|number| {
+                let caller = RatedCaller::new(config.seed, number);
+                scope.spawn(|| caller.run(deployment, begun, &stop))
+            })
+            .collect();
         let upgrade = config.other_build.as_ref().map(|other| {
             scope.spawn(|| {
                 upgrading::upgrade_and_go_back(deployment, other, &config.program, begun, config.length)
@@ -235,7 +248,11 @@
             log::error!("upgrade_not_ended");
         }
         stop.store(true, Ordering::Relaxed);
-        let all = callers.into_iter().chain(crashers).chain(late_readers);
+        let all = callers
+            .into_iter()
+            .chain(crashers)
+            .chain(late_readers)
+            .chain(rated);
         let seen = all.filter_map(|caller| caller.join().ok());
         seen.flatten().collect()
     })
--- a/crates/lab/src/fault_soak/operator.rs
+++ b/crates/lab/src/fault_soak/operator.rs
@@ -1,6 +1,7 @@
 //! What the operator writes into the store.
 
 use super::deployment::{APPLICATION_POOLS, MODEL_POOL};
+use super::rated_callers::is_rated;
 
 /// The tenants, each with its API key.
 pub(super) const TENANTS: [Tenant; 2] = [
@@ -21,8 +22,30 @@
     pub(super) key: &'static str,
 }
 
+/// A tenant with a rate.
+pub(super) struct RatedTenant {
+    pub(super) tenant: Tenant,
+    /// Tokens a second.
+    pub(super) per_second: f64,
+    /// Tokens beyond the rate.
+    pub(super) burst: f64,
+}
+
+/// The tenant whose callers ask more than its rate.
+pub(super) const RATED_TENANT: RatedTenant = RatedTenant {
+    tenant: Tenant {
+        name: "chain-c",
+        key: "key-of-c",
+    },
+    per_second: 5_050.0,
+    burst: 5_050.0,
+};
+
 /// The tenant whose request it is, by the request's name.
 pub(super) fn tenant_of(request: &str) -> Tenant {
+    if is_rated(request) {
+        return RATED_TENANT.tenant;
+    }
     let last = request.bytes().last().unwrap_or_default();
     TENANTS[usize::from(last) % TENANTS.len()]
 }
@@ -50,12 +73,23 @@
         routes.join(","),
         plain(APPLICATION_POOLS[0]),
         plain(APPLICATION_POOLS[1]),
-        TENANTS
-            .map(|tenant| format!(r#"{{"name":"{}","apiKeys":["{}"]}}"#, tenant.name, tenant.key))
-            .join(","),
+        tenants_text(),
     )
 }
 
+fn tenants_text() -> String {
+    let free = TENANTS.map(|tenant| format!(r#"{{"name":"{}","apiKeys":["{}"]}}"#, tenant.name, tenant.key));
+    let RatedTenant {
+        tenant: Tenant { name, key },
+        per_second,
+        burst,
+    } = RATED_TENANT;
+    let rated = format!(
+        r#"{{"name":"{name}","apiKeys":["{key}"],"unit":"token_generation","plainTokens":200,"ratePerS":{per_second},"burst":{burst}}}"#
+    );
+    format!("{},{rated}", free.join(","))
+}
+
 /// As the store keeps values.
 pub(super) fn base64(text: &str) -> String {
     use base64::Engine as _;
--- a/crates/lab/src/fault_soak/oracle.rs
+++ b/crates/lab/src/fault_soak/oracle.rs
@@ -57,6 +57,15 @@
         /// Requests that are allowed.
         allowed: usize,
     },
+    /// A tenant had more tokens run within a window than its rate allows, over all nodes.
+    BeyondTenantRate {
+        /// Begin of the window, from the start of the callers.
+        from_millis: u64,
+        /// Tokens within it.
+        tokens: u64,
+        /// Tokens that are allowed.
+        allowed: u64,
+    },
     /// A request reached an engine from a node that had passed on an answer in which the engine announced its drain.
     SentToDrainingEngine {
         /// The request.
--- a/crates/lab/tests/fault_soak_limits.rs
+++ b/crates/lab/tests/fault_soak_limits.rs
@@ -5,6 +5,7 @@
 use shelfjunction_lab::fault_soak::disturbances::{Disturbances, Struck};
 use shelfjunction_lab::fault_soak::oracle::Violation;
 use shelfjunction_lab::fault_soak::rate_limits::{self, LimitSpan};
+use shelfjunction_lab::fault_soak::rated_callers;
 use shelfjunction_lab::fault_soak::record::{CallKind, SeenAnswer, SeenCall};
 use shelfjunction_lab::fault_soak::spoilt::EngineArrival;
 use std::time::Duration;
@@ -114,3 +115,43 @@
     assert_eq!(judged(Duration::from_millis(2_500)), []);
     assert_eq!(judged(Duration::ZERO).len(), 1, "the others knew by then");
 }
+
+#[test]
+fn more_tokens_than_a_tenants_rate_allows_are_found_in_any_window() {
+    let call = |number: u64, every_millis: u64| {
+        let at = Duration::from_millis(number * every_millis);
+        let request = format!("rated0-{number}");
+        let arrival = EngineArrival {
+            request: request.clone(),
+            engine: "engine-1@1".to_owned(),
+            at: at + Duration::from_millis(5),
+        };
+        let call = SeenCall {
+            request,
+            sent_at: at,
+            kind: CallKind::Again,
+            node: 0,
+            took: Duration::ZERO,
+            answer: None,
+        };
+        (call, arrival)
+    };
+    let judged = |every_millis: u64| {
+        let (calls, arrivals): (Vec<_>, Vec<_>) = (0..100).map(|number| call(number, every_millis)).unzip();
+        rated_callers::judge(&calls, &arrivals)
+    };
+    // Five a second are allowed, and as many besides once.
+    assert_eq!(judged(200), []);
+    let found = judged(100);
+    assert!(
+        matches!(
+            found[..],
+            [Violation::BeyondTenantRate {
+                from_millis: 0,
+                allowed: 51_005,
+                ..
+            }]
+        ),
+        "{found:?}"
+    );
+}
