Tenants' rates: deputies grant from a reserve while an owner does not answer

Cause: a node asked only the owner that it still took for alive, and whoever took over counted from the moment of the takeover.

Change: nodes that would take the bucket over are asked next. They charge the bucket if they own it by now, or a reserve of what the platform allows beyond the rate (quotaSlack, quotaWindowS in the settings). A new owner counts from when its predecessor fell silent. Silent nodes are passed over as silent placers are.

--- a/crates/core/src/rate_limit/slot_owner.rs
+++ b/crates/core/src/rate_limit/slot_owner.rs
@@ -23,6 +23,15 @@
     rendezvous::choose(engine, candidates, 1).pop()
 }
 
+/// The owner of an engine's slots, and those that take them over from it in this order; at most `count`.
+pub fn owner_and_successors(
+    engine: SubjectHandle,
+    candidates: &[SubjectHandle],
+    count: usize,
+) -> Vec<SubjectHandle> {
+    rendezvous::choose(engine, candidates, count)
+}
+
 /// Share of a rate limit that an owner may use. `reached` is the number of nodes that the owner reaches, and `nodes` the number
 /// of all nodes. Both include the owner and count only nodes that support rate limits.
 pub fn limit_share(reached: u32, nodes: u32) -> f64 {
--- a/crates/core/src/tenancy/mod.rs
+++ b/crates/core/src/tenancy/mod.rs
@@ -6,6 +6,7 @@
 mod key_table;
 pub mod rate;
 pub mod rate_owner;
+pub mod rate_reserve;
 mod salt;
 
 pub use access::{AccessRefusal, ApiKey, ApiTenant, ApiTenants};
--- a/crates/core/src/tenancy/rate_owner.rs
+++ b/crates/core/src/tenancy/rate_owner.rs
@@ -14,7 +14,8 @@
 //! would add up.
 //!
 //! The owners of disjoint partitions add up to less than 1.1 of the rate. A node that takes a bucket over begins with what the
-//! rate has filled since it may own it, since the previous owner may have granted the burst.
+//! rate has filled since no other node can have granted anything: since it owns the bucket, and before that while the previous owner
+//! was silent.
 
 use super::rate::TenantRate;
 use crate::admission::bucket::RateBucket;
@@ -23,7 +24,7 @@
 use crate::rate_limit::slot_owner::{owner_of, quorum_share};
 use crate::time::MonotonicTime;
 use rand::RngCore;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// Minimum fraction of all nodes that an owner must reach to use the whole rate.
@@ -36,6 +37,12 @@
 /// taken its buckets over. Others do after 1.8 s of silence.
 const MAX_NOTE_GAP: Duration = Duration::from_millis(1_700);
 
+/// Shortest silence after which a node is no longer a candidate.
+const OWNER_SILENCE: Duration = Duration::from_millis(1_800);
+
+/// Sets of candidates that are remembered; a loss of many nodes is noticed in several steps.
+const MAX_CANDIDATE_SETS: usize = 16;
+
 /// Time after which a caller comes back where the owner does not know the number of nodes yet.
 const NO_SHARE_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -64,13 +71,20 @@
     used_at: MonotonicTime,
 }
 
+/// Nodes that may own buckets, and since when.
+#[derive(Clone, Debug)]
+struct CandidateSet {
+    nodes: Vec<SubjectHandle>,
+    from: MonotonicTime,
+}
+
 /// The buckets that one node owns.
 #[derive(Clone, Debug, Default)]
 pub struct TenantRateOwner {
     buckets: BTreeMap<SubjectHandle, TenantBucket>,
-    /// Nodes that may own buckets, and since when they are the same.
-    candidates: Vec<SubjectHandle>,
-    unchanged_since: MonotonicTime,
+    /// The last sets of candidates, the present one last.
+    candidate_sets: VecDeque<CandidateSet>,
+    own: Option<SubjectHandle>,
     noted_at: MonotonicTime,
 }
 
@@ -80,15 +94,42 @@
     pub fn note_candidates(&mut self, own: SubjectHandle, candidates: &[SubjectHandle], now: MonotonicTime) {
         let was_suspended = now.since(self.noted_at) > MAX_NOTE_GAP;
         self.noted_at = now;
-        let mut sorted = candidates.to_vec();
-        sorted.sort_unstable();
-        if sorted == self.candidates && !was_suspended {
+        self.own = Some(own);
+        if was_suspended {
+            self.buckets.clear();
+            self.candidate_sets.clear();
+        }
+        let mut nodes = candidates.to_vec();
+        nodes.sort_unstable();
+        if self.candidate_sets.back().is_some_and(|set| set.nodes == nodes) {
             return;
         }
         self.buckets
-            .retain(|tenant, _| !was_suspended && owner_of(*tenant, &sorted) == Some(own));
-        self.candidates = sorted;
-        self.unchanged_since = now;
+            .retain(|tenant, _| owner_of(*tenant, &nodes) == Some(own));
+        self.candidate_sets.push_back(CandidateSet { nodes, from: now });
+        if self.candidate_sets.len() > MAX_CANDIDATE_SETS {
+            self.candidate_sets.pop_front();
+        }
+    }
+
+    /// Since when no other node can have granted anything of a tenant's rate, as far as this node knows: since it may own the
+    /// bucket, and before that while the previous owner had fallen silent.
+    fn ungranted_since(&self, tenant: SubjectHandle, now: MonotonicTime) -> MonotonicTime {
+        let mut sets = self.candidate_sets.iter().rev();
+        let Some(current) = sets.next() else {
+            return now;
+        };
+        let mut since = current.from;
+        for set in sets {
+            match owner_of(tenant, &set.nodes) {
+                owner if owner == self.own => since = set.from,
+                Some(owner) if !current.nodes.contains(&owner) => {
+                    return since.earlier(OWNER_SILENCE).unwrap_or_default();
+                }
+                _ => return since,
+            }
+        }
+        since
     }
 
     /// Charges a tenant with a request; `share` is the share of its rate that this node may use.
@@ -107,7 +148,8 @@
             return Charge::Denied(NO_SHARE_RETRY_INTERVAL);
         }
         let (per_second, burst) = (rate.per_second() * share, rate.burst() * share);
-        let filled = burst.min(per_second * now.since(self.unchanged_since).as_secs_f64());
+        let ungranted = now.since(self.ungranted_since(tenant, now));
+        let filled = burst.min(per_second * ungranted.as_secs_f64());
         let entry = self.buckets.entry(tenant).or_insert_with(|| TenantBucket {
             bucket: RateBucket::full(filled, now),
             returns: ReturnSchedule::default(),
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -13,6 +13,7 @@
 use shelfjunction_core::roles::pool::PoolRolePolicy;
 use shelfjunction_core::routing::pool::{PoolAdmission, PoolWeights};
 use shelfjunction_core::setting::FieldError;
+use shelfjunction_core::tenancy::rate_reserve::TenantRateSettings;
 use shelfjunction_core::watching::SharedWatchSettings;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -94,6 +95,9 @@
     /// When requests are refused that crash engines.
     #[serde(default)]
     pub quarantine: QuarantineSettings,
+    /// Tenants' rates.
+    #[serde(default)]
+    pub tenant_rates: TenantRateSettings,
     /// How usage of tenants is counted; not at all without it.
     #[serde(default)]
     pub metering: Option<MeteringSettings>,
@@ -218,6 +222,7 @@
         errors.extend(self.delivery.validate());
         errors.extend(self.cordons.validate());
         errors.extend(self.quarantine.validate());
+        errors.extend(self.tenant_rates.validate());
         errors.extend(self.roles.validate());
         errors.extend(self.lease.validate());
         errors.extend(self.config_watch.validate("config_watch"));
--- a/crates/node/src/placing/asking.rs
+++ b/crates/node/src/placing/asking.rs
@@ -184,13 +184,15 @@
         drop(waited.unwrap_or_else(PoisonError::into_inner));
     }
 
-    fn is_passed_over(&self, placer: SubjectHandle, now: MonotonicTime) -> bool {
+    /// Whether a node gave no answer a moment ago.
+    pub(crate) fn is_passed_over(&self, placer: SubjectHandle, now: MonotonicTime) -> bool {
         lock(&self.passed_over)
             .get(&placer)
             .is_some_and(|until| *until > now)
     }
 
-    fn pass_over(&self, placer: SubjectHandle, now: MonotonicTime) {
+    /// Notes that a node gave no answer.
+    pub(crate) fn pass_over(&self, placer: SubjectHandle, now: MonotonicTime) {
         let mut passed_over = lock(&self.passed_over);
         passed_over.retain(|_, until| *until > now);
         passed_over.insert(placer, now + PASSED_OVER_FOR);
--- a/crates/node/src/tenant_rates/charging.rs
+++ b/crates/node/src/tenant_rates/charging.rs
@@ -1,6 +1,6 @@
 //! Charges a request at the node that owns its tenant's bucket.
 
-use super::owning;
+use super::owning::{self, MAX_ASKED};
 use crate::context::Context;
 use crate::ports::Call;
 use shelfjunction_core::identity::TenantId;
@@ -10,14 +10,11 @@
     ChargeOutcome, ChargeRefund, ChargeRequest, ChargeResponse, TenantRateDatagram,
 };
 use shelfjunction_threads::lock;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
-/// Questions that are asked for one request: datagrams get lost, and a node may name another as the owner.
-const MAX_QUESTIONS: usize = 3;
-
 /// Time after which a caller comes back whose tenant's owner does not answer: another node owns its bucket then.
 const SILENT_OWNER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -84,19 +81,25 @@
     }
 
     /// Asks an owner and waits for its answer.
-    fn ask(&self, context: &Context, question: ChargeRequest, owner: SocketAddr) -> Option<ChargeOutcome> {
-        let bytes = TenantRateDatagram::Request(question).encode()?;
-        lock(&self.waiting).insert(question.number, None);
+    fn ask(
+        &self,
+        context: &Context,
+        number: u64,
+        datagram: TenantRateDatagram,
+        owner: SocketAddr,
+    ) -> Option<ChargeOutcome> {
+        let bytes = datagram.encode()?;
+        lock(&self.waiting).insert(number, None);
         context.peers.send(&bytes, owner);
         let timeout = context.config.placing.answer_wait();
         let waits = |waiting: &mut BTreeMap<u64, Option<ChargeOutcome>>| {
-            waiting.get(&question.number).is_some_and(Option::is_none)
+            waiting.get(&number).is_some_and(Option::is_none)
         };
         let waited = self
             .answered
             .wait_timeout_while(lock(&self.waiting), timeout, waits);
         let (mut waiting, _) = waited.unwrap_or_else(PoisonError::into_inner);
-        waiting.remove(&question.number).flatten()
+        waiting.remove(&number).flatten()
     }
 }
 
@@ -136,9 +139,11 @@
         Some(ChargeOutcome::Denied { retry_after_millis }) => ChargeRefusal::OverRate {
             retry_after: Duration::from_millis(u64::from(retry_after_millis)),
         },
-        Some(ChargeOutcome::NotOwner { .. }) | None => ChargeRefusal::OwnerSilent {
-            retry_after: SILENT_OWNER_RETRY_AFTER,
-        },
+        Some(ChargeOutcome::NotOwner { .. } | ChargeOutcome::ReserveUsedUp) | None => {
+            ChargeRefusal::OwnerSilent {
+                retry_after: SILENT_OWNER_RETRY_AFTER,
+            }
+        }
     };
     log::info!(
         request = call.request.as_str(),
@@ -152,29 +157,53 @@
     Err(refusal)
 }
 
-/// Asks the owner, and the one that it names where it isn't; who was asked last, and the answer.
+/// Asks the owner, and deputies where it does not answer; who was asked last, and the answer.
 fn ask_owner(context: &Context, request: ChargeRequest) -> (SubjectHandle, Option<ChargeOutcome>) {
-    let own = context.peers.own_handle();
-    let mut owner = owning::owner(context, request.tenant, context.now());
-    for _ in 0..MAX_QUESTIONS {
-        if owner == own {
-            return (own, Some(owning::charge(context, &request)));
+    let now = context.now();
+    let mut nodes: VecDeque<SubjectHandle> = owning::owner_and_deputies(context, request.tenant, now).into();
+    let owner = nodes[0];
+    let mut asked = owner;
+    let mut questions = 0;
+    while let Some(next) = nodes.pop_front().filter(|_| questions < MAX_ASKED) {
+        if context.placements.is_passed_over(next, now) {
+            continue;
         }
-        let Some(address) = context.peers.address_of(owner) else {
-            break;
-        };
-        let question = ChargeRequest {
-            number: rand::random(),
-            ..request
-        };
-        match context.tenant_rates.questions.ask(context, question, address) {
-            Some(ChargeOutcome::NotOwner { owner: other }) => owner = other,
-            Some(outcome) => return (owner, Some(outcome)),
-            None => {
-                log::info!(owner:% = address; "tenant_rate_owner_silent");
-                owner = owning::owner(context, request.tenant, context.now());
-            }
+        questions += 1;
+        asked = next;
+        match ask_one(context, request, next, next != owner) {
+            Some(ChargeOutcome::NotOwner { owner: other }) => nodes.push_front(other),
+            Some(outcome) => return (next, Some(outcome)),
+            None => context.placements.pass_over(next, context.now()),
         }
     }
-    (owner, None)
+    (asked, None)
+}
+
+fn ask_one(
+    context: &Context,
+    request: ChargeRequest,
+    node: SubjectHandle,
+    as_deputy: bool,
+) -> Option<ChargeOutcome> {
+    if node == context.peers.own_handle() {
+        return Some(owning::charge_as_deputy(context, &request));
+    }
+    let address = context.peers.address_of(node)?;
+    let question = ChargeRequest {
+        number: rand::random(),
+        ..request
+    };
+    let datagram = if as_deputy {
+        TenantRateDatagram::ReserveRequest(question)
+    } else {
+        TenantRateDatagram::Request(question)
+    };
+    let outcome = context
+        .tenant_rates
+        .questions
+        .ask(context, question.number, datagram, address);
+    if outcome.is_none() {
+        log::info!(node:% = address, as_deputy; "tenant_rate_owner_silent");
+    }
+    outcome
 }
--- a/crates/node/src/tenant_rates/metrics.rs
+++ b/crates/node/src/tenant_rates/metrics.rs
@@ -32,6 +32,7 @@
         let result = match outcome {
             Some(ChargeOutcome::Granted) => "granted",
             Some(ChargeOutcome::Denied { .. }) => "denied",
+            Some(ChargeOutcome::ReserveUsedUp) => "reserve_used_up",
             Some(ChargeOutcome::NotOwner { .. }) | None => "no_answer",
         };
         self.charges.get_or_create(&ResultLabel { result }).inc();
--- a/crates/node/src/tenant_rates/mod.rs
+++ b/crates/node/src/tenant_rates/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) use owning::{receive, refresh_candidates};
 
 use shelfjunction_core::tenancy::rate_owner::TenantRateOwner;
+use shelfjunction_core::tenancy::rate_reserve::TenantRateReserves;
 use std::sync::Mutex;
 
 /// What a node knows of tenants' rates beside the configuration.
@@ -17,5 +18,7 @@
 pub(crate) struct TenantRates {
     /// The buckets that this node owns.
     owner: Mutex<TenantRateOwner>,
+    /// What this node granted in place of owners that did not answer.
+    reserves: Mutex<TenantRateReserves>,
     questions: ChargeQuestions,
 }
--- a/crates/protocol/src/tenant_rate_messages.rs
+++ b/crates/protocol/src/tenant_rate_messages.rs
@@ -41,6 +41,8 @@
         /// The owner, as far as the sender knows.
         owner: SubjectHandle,
     },
+    /// The reserve for owners that do not answer is used up.
+    ReserveUsedUp,
 }
 
 /// Response to the question with the same number.
@@ -72,6 +74,8 @@
     Response(ChargeResponse),
     /// Gives a charge back.
     Refund(ChargeRefund),
+    /// Asks a node that would take the bucket over, since its owner did not answer; answered like a request.
+    ReserveRequest(ChargeRequest),
 }
 
 impl TenantRateDatagram {
