Quarantine: a claim of another node ends when its request is cleared

Found in reading the change: a request that was cleared and charged with three crashes again was refused for the rest of its time by nodes that had once lost the claim of its confirming run, without asking the store. a_claim_of_another_node_counts_only_until_the_request_is_cleared fails without the change (claimed_elsewhere_at stayed Some). core quarantine: 24 passed.

--- a/crates/core/src/quarantine/register.rs
+++ b/crates/core/src/quarantine/register.rs
@@ -217,11 +217,11 @@
         let Some(suspect) = self.suspects.get_mut(fingerprint) else {
             return false;
         };
-        let forgiven = suspect.clear(through, now);
-        if forgiven {
+        let cleared = suspect.clear(through, now);
+        if cleared {
             suspect.notify_until = now + NOTIFICATION_PERIOD;
         }
-        forgiven
+        cleared
     }
 
     /// Merges another node's report; the new standing if it has changed something.
--- a/crates/core/src/quarantine/report.rs
+++ b/crates/core/src/quarantine/report.rs
@@ -1,4 +1,4 @@
-//! What nodes tell each other of requests under which engines crashed.
+//! Reports between nodes on requests under which engines crashed.
 
 use super::{Asked, Fingerprint};
 use crate::forwarding::PoolId;
@@ -28,8 +28,8 @@
     pub engines: Vec<SubjectHandle>,
 }
 
-/// All that a node knows of one request. Words may be lost, doubled or late: whoever hears one takes the union of the
-/// engines, so that none is counted twice.
+/// All that a node knows of one request. Reports may be lost, doubled or late: the receiver takes the union of the engines, so
+/// that none is counted twice.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
     /// The request.
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -117,13 +117,17 @@
         true
     }
 
-    /// Forgives what stops to count by then; whether something that counted is forgiven.
+    /// Clears crashes that stop to count by then; whether one that counted is cleared.
     pub(super) fn clear(&mut self, through: MonotonicTime, now: MonotonicTime) -> bool {
         let before = self.crashes(now);
         self.cleared_through = self.cleared_through.max(through);
         self.crashes
             .retain(|crash| crash.counts_until > self.cleared_through);
-        self.crashes(now) < before
+        let has_cleared = self.crashes(now) < before;
+        if has_cleared {
+            self.claimed_elsewhere_at = None;
+        }
+        has_cleared
     }
 
     /// Whether there is nothing more to remember.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -175,6 +175,20 @@
     );
 }
 
+/// Guards against refusing a request for ten minutes that was cleared before, since another node had claimed its run then.
+#[test]
+fn a_claim_of_another_node_counts_only_until_the_request_is_cleared() {
+    let mut register = after_crashes(3);
+    register.note_claimed_elsewhere(&CRASHING, at(3));
+    assert_eq!(register.claimed_elsewhere_at(&CRASHING), Some(at(3)));
+    register.clear(&CRASHING, at(4));
+    for number in 10..13 {
+        register.note_crash(CRASHING, &asked(), engine(number), at(5));
+    }
+    assert_eq!(register.standing(&CRASHING, at(5)).crashes(), 3);
+    assert_eq!(register.claimed_elsewhere_at(&CRASHING), None);
+}
+
 /// Guards against a second confirming run at nodes and processes that have not seen the first.
 #[test]
 fn a_confirmation_reaches_other_nodes_and_outlasts_processes() {
