--- a/crates/core/src/admission/bucket.rs
+++ b/crates/core/src/admission/bucket.rs
@@ -36,7 +36,7 @@
         Err(Duration::from_secs_f64(missing / rate))
     }
 
-    /// Takes an amount if the bucket holds `required`, or tells when it will. Less than the amount leaves a debt.
+    /// Takes an amount if the bucket holds `required`, or returns the time until it will. Requiring less than the amount may leave a debt.
     pub fn charge(
         &mut self,
         amount: f64,
--- a/crates/core/src/quarantine/config.rs
+++ b/crates/core/src/quarantine/config.rs
@@ -16,7 +16,7 @@
     pub lasts_seconds: f64,
     /// Most requests that are remembered, of some 200 bytes each; those with the fewest and oldest crashes give way.
     pub most_requests: usize,
-    /// Time for which a node waits, before it lets a suspect run, for word of another node that lets one run, in
+    /// Time for which a node waits, before it lets a suspect run, for the report of another node that runs one, in
     /// milliseconds: several times the way between two nodes.
     pub trial_wait_millis: u64,
 }
@@ -33,10 +33,10 @@
     }
 }
 
-/// Bounds of the time for which a crash counts, in seconds: a word between nodes tells it in 32 bits of milliseconds.
+/// Bounds of the time for which a crash counts, in seconds: a report between nodes has 32 bits for it, in milliseconds.
 const LASTS_SECONDS: std::ops::RangeInclusive<f64> = 1.0..=86_400.0;
 
-/// Most crashes that are kept of one request; a word between nodes names each.
+/// Most crashes that are kept of one request; a report between nodes names each.
 pub const MAX_CRASHES: usize = 16;
 
 impl QuarantineSettings {
@@ -78,7 +78,7 @@
         Duration::from_secs_f64(self.lasts_seconds)
     }
 
-    /// Time for which a node waits for word of another trial.
+    /// Time for which a node waits for the report of another trial.
     pub fn trial_wait(&self) -> Duration {
         Duration::from_millis(self.trial_wait_millis)
     }
--- a/crates/core/src/quarantine/fingerprint.rs
+++ b/crates/core/src/quarantine/fingerprint.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-/// Bytes of a fingerprint. Nobody can make one request look like another's, and a word between nodes stays short.
+/// Bytes of a fingerprint. Nobody can make one request look like another's, and a report between nodes stays short.
 const FINGERPRINT_BYTES: usize = 16;
 
 /// What a request asks for, as its caller wrote it.
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -14,7 +14,7 @@
 //!
 //! A crash charges everything that ran at the engine, so engines that crash within the time in which nodes learn of it can
 //! quarantine a request that only ran beside the cause. Only a crash on trial tells the two apart. The claim bounds how often the
-//! cause reaches engines again, whatever nodes have heard of each other.
+//! cause reaches engines again, whatever reports were lost.
 //!
 //! One whole answer of an engine that lives clears a request. What was answered a short time ago is not charged at all
 //! ([`RecentlyAnswered`]). Nodes report to each other what they know; the store keeps what has one crash to go, so that a fleet
--- a/crates/core/src/quarantine/register.rs
+++ b/crates/core/src/quarantine/register.rs
@@ -160,7 +160,7 @@
         }
     }
 
-    /// Everything known of one request, as other nodes and the store are told; absent if nothing is.
+    /// Everything known of one request; absent if nothing is.
     pub fn report(&self, fingerprint: &Fingerprint, now: MonotonicTime) -> Option<SuspectReport> {
         let suspect = self.suspects.get(fingerprint)?;
         Some(suspect.report(*fingerprint, now))
--- a/crates/core/src/quarantine/row.rs
+++ b/crates/core/src/quarantine/row.rs
@@ -41,7 +41,7 @@
     }
 
     /// Key of the row by which one node claims the run that confirms or clears a request. It holds a [`SuspectRow`] as well, so
-    /// that whoever reads all rows learns of the crashes and removes it when they no longer count.
+    /// that a node that reads all rows merges the crashes, and removes the row when they no longer count.
     pub fn claim_key(fingerprint: &Fingerprint) -> RowKey {
         RowKey(format!("{ROW_PREFIX}claim/{fingerprint}"))
     }
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -35,7 +35,7 @@
     pub(super) stored: usize,
     /// When another node turned out to have claimed the confirming run.
     pub(super) claimed_elsewhere_at: Option<MonotonicTime>,
-    /// Until when others are told again and again.
+    /// Until when changes are reported repeatedly.
     pub(super) notify_until: MonotonicTime,
     /// Times that this node has refused it.
     pub(super) refused: u64,
@@ -81,7 +81,7 @@
         self.crashes.iter().any(|crash| crash.engine == engine)
     }
 
-    /// Whether one of the crashes ended a trial. Only those tell the cause from what ran beside it.
+    /// Whether one of the crashes ended a trial. Only those separate the cause from what ran beside it.
     pub(super) fn is_confirmed(&self, now: MonotonicTime) -> bool {
         self.counting(now).any(|crash| crash.is_isolated)
     }
@@ -141,7 +141,7 @@
         last.unwrap_or_default().max(self.cleared_through)
     }
 
-    /// All that is known of it, as others are told.
+    /// All that is known of it.
     pub(super) fn report(&self, fingerprint: Fingerprint, now: MonotonicTime) -> SuspectReport {
         SuspectReport {
             fingerprint,
--- a/crates/core/src/quarantine/trial.rs
+++ b/crates/core/src/quarantine/trial.rs
@@ -1,8 +1,8 @@
 //! One suspect at a time: where two run beside each other at one pool, a crash does not tell which of them caused it, and
 //! copies of one could take several engines at once.
 //!
-//! A node that wants to let a suspect run tells all others, waits for the time that a word takes, and goes on unless it has
-//! heard of another. No promise rests on it: where a word is lost two may run, which costs precision.
+//! A node that wants to run a suspect reports the trial to all others, waits for the time that a report takes, and goes on unless
+//! another node's trial was reported meanwhile. No promise rests on it: where a report is lost two may run, which costs precision.
 
 use super::report::{TrialId, TrialReport};
 use crate::forwarding::PoolId;
@@ -26,7 +26,7 @@
         true
     }
 
-    /// Whether a trial that this node has entered goes before all others that it has heard of since.
+    /// Whether a trial that this node has entered goes before all others that were reported since.
     pub fn stands(&mut self, pool: &PoolId, trial: TrialId, now: MonotonicTime) -> bool {
         self.forget(now);
         self.least(pool) == Some(trial)
@@ -37,7 +37,7 @@
         self.trials.remove(&(pool.clone(), trial));
     }
 
-    /// Takes another node's report.
+    /// Merges another node's report.
     pub fn merge(&mut self, report: &TrialReport, now: MonotonicTime) {
         if report.lasts_for.is_zero() {
             return self.end(&report.pool, report.trial);
--- a/crates/lab/src/fault_soak/rated_callers.rs
+++ b/crates/lab/src/fault_soak/rated_callers.rs
@@ -53,7 +53,7 @@
         }
     }
 
-    /// Sends requests with prompts until told to stop; what it saw.
+    /// Sends requests with prompts until `stop` is set; what it saw.
     pub fn run(mut self, deployment: &Deployment, begun: Instant, stop: &AtomicBool) -> Vec<SeenCall> {
         let mut seen = Vec::new();
         while !stop.load(Ordering::Relaxed) {
--- a/crates/node/src/quarantine/admitting.rs
+++ b/crates/node/src/quarantine/admitting.rs
@@ -49,8 +49,8 @@
     }
 }
 
-/// Decides whether a request may run until its deadline. Waits, for a suspect only, until word of another trial would have
-/// come.
+/// Decides whether a request may run until its deadline. Waits, for a suspect only, until another node's trial would have been
+/// reported.
 pub(crate) fn pass<'a>(
     context: &'a Context,
     fingerprint: &Fingerprint,
--- a/crates/node/src/quarantine/mod.rs
+++ b/crates/node/src/quarantine/mod.rs
@@ -1,4 +1,4 @@
-//! Requests under which engines crashed: what this node has seen and heard of them, and what it lets run.
+//! Requests under which engines crashed: what is known of them, and which run.
 
 mod admitting;
 mod claiming;
