Fault soak: start crashed engines again until the last fault has ended

Cause: engines were started again only until the last fault of the schedule had begun.

It is a defect of the soak; the product is unchanged.

--- a/crates/lab/src/fault_soak/striking.rs
+++ b/crates/lab/src/fault_soak/striking.rs
@@ -21,9 +21,10 @@
 /// Carries out a schedule; returns when all of it has been taken back.
 pub fn strike(deployment: &Deployment, schedule: &[ScheduledFault], begun: Instant) {
     thread::scope(|scope| {
+        let mut faults = Vec::new();
         for scheduled in schedule {
             tend_until(deployment, begun + scheduled.at);
-            scope.spawn(move || {
+            faults.push(scope.spawn(move || {
                 if scheduled.fault.excuses_nothing() {
                     return strike_one(deployment, scheduled);
                 }
@@ -46,20 +47,30 @@
                 if let Some(link) = link {
                     deployment.engine_links.end(link, begun.elapsed());
                 }
-            });
+            }));
+        }
+        // The last faults may outlast the schedule, and engines crash until the callers stop.
+        while faults.iter().any(|fault| !fault.is_finished()) {
+            tend(deployment);
+            thread::sleep(TEND_EVERY);
         }
     });
 }
 
 fn tend_until(deployment: &Deployment, until: Instant) {
     while Instant::now() < until {
-        deployment.restart_ended();
-        deployment.list_stages();
-        deployment.revive_crashed();
+        tend(deployment);
         thread::sleep(TEND_EVERY.min(until.saturating_duration_since(Instant::now())));
     }
 }
 
+/// Starts again what has ended by itself or crashed, and lists what has changed.
+fn tend(deployment: &Deployment) {
+    deployment.restart_ended();
+    deployment.list_stages();
+    deployment.revive_crashed();
+}
+
 fn strike_one(deployment: &Deployment, scheduled: &ScheduledFault) {
     let nodes = deployment.targets().nodes;
     let wait = || thread::sleep(scheduled.lasts);
