One copy of questions to other nodes that are answered by number

Slots of engines and charges of tenants' rates kept the same map, condition variable and wait; both use node::questions now. No behaviour changes.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,7 @@
 mod placing;
 pub mod ports;
 mod quarantine;
+mod questions;
 mod rate_limits;
 mod recovering;
 mod releasing;
--- a/crates/node/src/rate_limits/asking.rs
+++ b/crates/node/src/rate_limits/asking.rs
@@ -10,9 +10,7 @@
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_protocol::rate_messages::RateDatagram;
 use shelfjunction_threads::lock;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
 /// Time for which an engine is passed over whose owner gave no answer: others may get its slots meanwhile, or another node
@@ -22,39 +20,6 @@
 /// Keepers that are asked for one slot: the second where the first names another.
 const KEEPERS_ASKED: usize = 2;
 
-/// Questions under way.
-#[derive(Default)]
-pub(crate) struct SlotQuestions {
-    waiting: Mutex<BTreeMap<u64, Option<SlotOutcome>>>,
-    answered: Condvar,
-}
-
-impl SlotQuestions {
-    /// Takes an answer; one that nobody waits for any more is dropped.
-    pub(super) fn on_answer(&self, answer: SlotResponse) {
-        if let Some(slot) = lock(&self.waiting).get_mut(&answer.number) {
-            *slot = Some(answer.outcome);
-            self.answered.notify_all();
-        }
-    }
-
-    /// Asks an owner and waits for its answer.
-    fn ask(&self, context: &Context, question: &SlotRequest, owner: SocketAddr) -> Option<SlotOutcome> {
-        let bytes = RateDatagram::Question(*question).encode()?;
-        lock(&self.waiting).insert(question.number, None);
-        context.peers.send(&bytes, owner);
-        let longest = context.config.placing.answer_wait();
-        let waits = |waiting: &mut BTreeMap<u64, Option<SlotOutcome>>| {
-            waiting.get(&question.number).is_some_and(Option::is_none)
-        };
-        let waited = self
-            .answered
-            .wait_timeout_while(lock(&self.waiting), longest, waits);
-        let (mut waiting, _) = waited.unwrap_or_else(PoisonError::into_inner);
-        waiting.remove(&question.number).flatten()
-    }
-}
-
 /// Takes a slot at an engine; absent where it names no limit.
 pub(crate) fn take_slot(
     context: &Context,
@@ -114,7 +79,11 @@
             max_wait_millis: max_wait.as_millis() as u32,
         };
         let address = context.peers.address_of(owner)?;
-        let outcome = context.rate_limits.questions.ask(context, &question, address);
+        let bytes = RateDatagram::Question(question).encode()?;
+        let outcome = context
+            .rate_limits
+            .questions
+            .ask(context, question.number, &bytes, address);
         match outcome {
             Some(SlotOutcome::NotOwner { owner: other }) => owner = other,
             Some(_) => return outcome,
--- a/crates/node/src/rate_limits/mod.rs
+++ b/crates/node/src/rate_limits/mod.rs
@@ -5,14 +5,15 @@
 mod metrics;
 mod sending;
 
-pub(crate) use asking::{SlotQuestions, answer_question, take_slot};
+pub(crate) use asking::{answer_question, take_slot};
 pub(crate) use metrics::RateLimitMetrics;
 pub(crate) use sending::{LimitSender, notify_placer, receive_message};
 
 use crate::context::Context;
+use crate::questions::Questions;
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::rate_limit::slot_owner::SlotOwner;
-use shelfjunction_core::rate_limit::{LimitChange, RateLimit, ResponseLimit, SlotResponse};
+use shelfjunction_core::rate_limit::{LimitChange, RateLimit, ResponseLimit, SlotOutcome, SlotResponse};
 use shelfjunction_core::routing::pool::EngineState;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -24,7 +25,7 @@
 pub(crate) struct RateLimits {
     /// The slots that this node keeps.
     owner: Mutex<SlotOwner>,
-    questions: SlotQuestions,
+    questions: Questions<SlotOutcome>,
     /// Whether others are to be told at once.
     has_news: AtomicBool,
 }
@@ -37,7 +38,7 @@
 
     /// Takes the answer to a question of this node.
     pub(crate) fn on_answer(&self, answer: SlotResponse) {
-        self.questions.on_answer(answer);
+        self.questions.on_answer(answer.number, answer.outcome);
     }
 
     fn note_news(&self, context: &Context) {
--- a/crates/node/src/tenant_rates/charging.rs
+++ b/crates/node/src/tenant_rates/charging.rs
@@ -7,12 +7,9 @@
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::tenancy::rate::TenantRate;
 use shelfjunction_protocol::tenant_rate_messages::{
-    ChargeOutcome, ChargeRefund, ChargeRequest, ChargeResponse, TenantRateDatagram,
+    ChargeOutcome, ChargeRefund, ChargeRequest, TenantRateDatagram,
 };
-use shelfjunction_threads::lock;
-use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
-use std::sync::{Condvar, Mutex, PoisonError};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Time after which a caller comes back whose tenant's owner does not answer: another node owns its bucket then.
@@ -64,45 +61,6 @@
     }
 }
 
-/// Questions under way.
-#[derive(Default)]
-pub(crate) struct ChargeQuestions {
-    waiting: Mutex<BTreeMap<u64, Option<ChargeOutcome>>>,
-    answered: Condvar,
-}
-
-impl ChargeQuestions {
-    /// Takes an answer; one that nobody waits for any more is dropped.
-    pub(super) fn on_answer(&self, answer: ChargeResponse) {
-        if let Some(outcome) = lock(&self.waiting).get_mut(&answer.number) {
-            *outcome = Some(answer.outcome);
-            self.answered.notify_all();
-        }
-    }
-
-    /// Asks an owner and waits for its answer.
-    fn ask(
-        &self,
-        context: &Context,
-        number: u64,
-        datagram: TenantRateDatagram,
-        owner: SocketAddr,
-    ) -> Option<ChargeOutcome> {
-        let bytes = datagram.encode()?;
-        lock(&self.waiting).insert(number, None);
-        context.peers.send(&bytes, owner);
-        let timeout = context.config.placing.answer_wait();
-        let waits = |waiting: &mut BTreeMap<u64, Option<ChargeOutcome>>| {
-            waiting.get(&number).is_some_and(Option::is_none)
-        };
-        let waited = self
-            .answered
-            .wait_timeout_while(lock(&self.waiting), timeout, waits);
-        let (mut waiting, _) = waited.unwrap_or_else(PoisonError::into_inner);
-        waiting.remove(&number).flatten()
-    }
-}
-
 /// Charges a tenant with a request.
 pub(crate) fn charge<'a>(
     context: &'a Context,
@@ -198,10 +156,11 @@
     } else {
         TenantRateDatagram::Request(question)
     };
+    let bytes = datagram.encode()?;
     let outcome = context
         .tenant_rates
         .questions
-        .ask(context, question.number, datagram, address);
+        .ask(context, question.number, &bytes, address);
     if outcome.is_none() {
         log::info!(node:% = address, as_deputy; "tenant_rate_owner_silent");
     }
--- a/crates/node/src/tenant_rates/mod.rs
+++ b/crates/node/src/tenant_rates/mod.rs
@@ -5,12 +5,14 @@
 mod metrics;
 mod owning;
 
-pub(crate) use charging::{ChargeQuestions, ChargeRefusal, ChargedRequest, charge};
+pub(crate) use charging::{ChargeRefusal, ChargedRequest, charge};
 pub(crate) use metrics::TenantRateMetrics;
 pub(crate) use owning::{receive, refresh_candidates};
 
+use crate::questions::Questions;
 use shelfjunction_core::tenancy::rate_owner::TenantRateOwner;
 use shelfjunction_core::tenancy::rate_reserve::TenantRateReserves;
+use shelfjunction_protocol::tenant_rate_messages::ChargeOutcome;
 use std::sync::Mutex;
 
 /// What a node knows of tenants' rates beside the configuration.
@@ -20,5 +22,5 @@
     owner: Mutex<TenantRateOwner>,
     /// What this node granted in place of owners that did not answer.
     reserves: Mutex<TenantRateReserves>,
-    questions: ChargeQuestions,
+    questions: Questions<ChargeOutcome>,
 }
--- a/crates/node/src/tenant_rates/owning.rs
+++ b/crates/node/src/tenant_rates/owning.rs
@@ -19,7 +19,10 @@
 pub(crate) fn receive(context: &Context, datagram: TenantRateDatagram, from: SocketAddr) {
     match datagram {
         TenantRateDatagram::Request(request) => answer(context, &request, from),
-        TenantRateDatagram::Response(response) => context.tenant_rates.questions.on_answer(response),
+        TenantRateDatagram::Response(response) => context
+            .tenant_rates
+            .questions
+            .on_answer(response.number, response.outcome),
         TenantRateDatagram::Refund(given_back) => refund(context, &given_back),
         TenantRateDatagram::ReserveRequest(request) => {
             let outcome = charge_as_deputy(context, &request);
