Test of a refused connection: use a port that stays taken

The test bound port 0, dropped the listener and called that port. Tests of the same program that run beside it bind port 0 as well, and one of them may get the port just freed; then a listening engine takes the call, which ends as Ambiguous. The test now calls the port of an open client connection: nobody listens there and nobody can bind it. The assertion is the same.

--- a/crates/platform/tests/at_most_once.rs
+++ b/crates/platform/tests/at_most_once.rs
@@ -181,9 +181,10 @@
 
 #[test]
 fn a_refused_connection_is_not_sent() {
+    // The port of an open client connection: nobody listens there, and no test that runs beside can bind it meanwhile.
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    let connection = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let address = connection.local_addr().unwrap();
     assert_eq!(client().call(address, &call()).err().unwrap(), CallError::NotSent);
 }
 
