Regions: topology, placers and placement by region

Cause: a node knew zones and no regions, so placers, prefill engine, source of KV cache and decode engine of a request lay anywhere; a question took 27 ms and a KV cache moved at a tenth of the pace.

Change: core::topology holds zones, regions and measured round trips, from [node.topology]; it is off unless two regions are named. Each region has placers, standbys and takeover of its own (core::placing::regional); a placer chooses among the engines of its region (PoolQuery::region) and tells load, prefixes and silences within it. Requests without a prompt get a cost for distance. Nodes name their zone in the store's list and in a datagram of their own. SIGHUP takes new zones and regions.

--- a/crates/cli/src/node/forwarder.rs
+++ b/crates/cli/src/node/forwarder.rs
@@ -72,7 +72,7 @@
     let signal = loop {
         match signals.wait() {
             NodeSignal::Stop(signal) => break signal,
-            NodeSignal::Reload => take_settings(reload(), &running),
+            NodeSignal::Reload => take_settings(reload(), &running, &handle),
         }
     };
     log::info!(signal = signal, node = node.as_str(), requests = handle.state().requests_under_way(); "stopping");
@@ -87,12 +87,21 @@
     Some(Arc::new(PlatformApi::new(settings.address)))
 }
 
-/// Takes the log level of new settings; what else has changed takes a restart. Faulty settings change nothing.
-fn take_settings(loaded: Result<NodeSettings<NodeConfig>, CommandError>, running: &NodeConfig) {
+/// Takes the log level, zones and regions of new settings; what else has changed takes a restart. Faulty settings change nothing.
+fn take_settings(
+    loaded: Result<NodeSettings<NodeConfig>, CommandError>,
+    running: &NodeConfig,
+    handle: &NodeHandle,
+) {
     match loaded {
         Ok(settings) => {
             shelfjunction_logging::set_level(settings.log_level);
-            log::info!(needs_restart = settings.program != *running; "settings_reloaded");
+            handle.set_topology(&settings.program.topology);
+            let remaining = NodeConfig {
+                topology: running.topology.clone(),
+                ..settings.program
+            };
+            log::info!(needs_restart = remaining != *running; "settings_reloaded");
         }
         Err(error) => log::warn!(fault:% = error.to_string().trim_end(); "settings_refused"),
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,4 +35,5 @@
 pub mod table;
 pub mod tenancy;
 pub mod time;
+pub mod topology;
 pub mod watching;
--- a/crates/core/src/placing/mod.rs
+++ b/crates/core/src/placing/mod.rs
@@ -15,3 +15,4 @@
 pub mod placer_set;
 mod prediction;
 pub mod question;
+pub mod regional;
--- a/crates/core/src/placing/placement_table.rs
+++ b/crates/core/src/placing/placement_table.rs
@@ -9,7 +9,7 @@
     AdmissionVerdict, ChosenEngine, DispatchProgress, Placement, PlacementAnswer, PlacementKind,
     PlacementQuery, ProgressReport, RequestKey, RequestSummary,
 };
-use crate::identity::EngineId;
+use crate::identity::{EngineId, RegionId};
 use crate::membership::subject::SubjectHandle;
 use crate::rate_limit::max_wait::WaitFactors;
 use crate::routing::pool::{
@@ -44,6 +44,8 @@
 #[derive(Clone, Debug)]
 struct PlacedRequest {
     request: RequestSummary,
+    /// Region of this placer, whose engines the request may use; absent in a deployment that is not regional.
+    region: Option<RegionId>,
     prefixes: Vec<PrefixBlock>,
     dispatch: ActiveDispatch,
     prediction: Option<LatencyPrediction>,
@@ -85,6 +87,7 @@
         }
         let placed = PlacedRequest {
             request: query.request.clone(),
+            region: router.topology().own_region().cloned(),
             prefixes: query.request.prompt.prefixes(),
             dispatch: ActiveDispatch::Inactive,
             prediction: None,
@@ -369,6 +372,7 @@
             prompt: Some(&self.request.prompt),
             prefixes: &self.prefixes,
             zone: &self.request.zone,
+            region: self.region.as_ref(),
             excluded,
             last_resort: false,
             constraints: self.request.constraints,
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -219,6 +219,8 @@
         let traits = self.traits.get(query.pool);
         CostContext {
             weights: &self.weights,
+            topology: &self.topology,
+            region_round_trips: &self.region_round_trips,
             speeds: self.speeds(query.pool),
             move_seconds: traits.and_then(|traits| traits.move_seconds),
             max_held_tokens: self.best_holder(query, now).map_or(0, |(tokens, _)| tokens),
@@ -236,6 +238,7 @@
             state.engine.pool == *query.pool
                 && state.engine.stage != EngineStage::Whole
                 && state.can_be_fetched_from(now)
+                && self.is_in_query_region(query.region, state)
                 && self.paths.allows_transfer(query.zone, &state.engine.zone)
         });
         holders
@@ -257,6 +260,7 @@
                 && state.has_rate_limit_slot(query.slot_max_wait, now)
                 && state.backoff_admits(query, now)
                 && (query.last_resort || state.health.admits(query.draw ^ state.handle.number(), now))
+                && self.is_in_query_region(query.region, state)
                 && self.may_send_to_zone(query, &state.engine.zone, now)
                 && !query.excluded.contains(&state.engine.id)
                 && query
@@ -311,7 +315,10 @@
         let shared = shared_prefixes(query.prefixes);
         let tokens: u32 = shared.iter().map(|block| block.tokens).sum();
         let others = self.engines.values().filter(|state| {
-            state.engine.zone != *zone && state.engine.pool == *query.pool && state.can_be_fetched_from(now)
+            state.engine.zone != *zone
+                && state.engine.pool == *query.pool
+                && self.is_in_query_region(query.region, state)
+                && state.can_be_fetched_from(now)
         });
         tokens > 0
             && others
@@ -341,6 +348,7 @@
                 && state.engine.stage == EngineStage::Prefill
                 && state.is_active()
                 && state.cordon_allows(now, false)
+                && self.is_in_query_region(query.region, state)
                 && !query.excluded.contains(&state.engine.id)
         });
         homes
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -13,15 +13,19 @@
 //!
 //! prefill at e  = factor * prefill(w.wait * prompt tokens ahead at e + w.compute * computed at e) + fetch to e
 //!               + w.away_seconds                     (if no engine holds a prefix and e is not its home engine)
-//!               + w.other_zone_seconds               (if e is not in this node's zone)
+//!               + w.other_zone_seconds               (if e is in another zone of this node's region)
+//!                 or remote(e)                       (if e is in another region)
 //!
 //! load of e     = w.places_seconds * (slots used / slots)^2 + w.memory_seconds * (tokens used / token capacity)^2
 //!               + w.overflow_seconds * requests beyond the slots
 //! stall at e    = w.held_up * decode prefill(prompt tokens at e)     (decode waits while e prefills)
 //! decode time   = w.output_time * output tokens * learned time of a token at an average engine   (if paces are in use)
 //! decode at e   = factor * (load of e + stall at e + decode time) + incoming to e
-//!               + w.transfer_zone_seconds        (if e is not in the zone of the prefill engine)
+//!               + w.transfer_zone_seconds        (if e is in another zone of the prefill engine's region)
 //!                 or w.lone_zone_seconds         (if e is in that zone, and only its spot engines hold the shared prefix)
+//!                 or remote(e) + w.transfer * (w.region_transfer_factor - 1) * tokens of the prompt * seconds to transfer a token
+//!                                                (if e is in another region than the prefill engine)
+//! remote(e)     = w.other_region_seconds + round trip to the region of e (measured; w.assumed_region_round_trip_seconds before)
 //! handoff       = w.handover_seconds + w.transfer * tokens of the prompt * seconds to transfer a token
 //!
 //! combined at e = factor * (load of e + decode time) + fetch to e
@@ -49,15 +53,21 @@
 use super::pool_speeds::PoolSpeeds;
 use super::query::{PoolQuery, PrefixBlock};
 use super::weights::PoolWeights;
-use crate::identity::ZoneId;
+use crate::identity::{RegionId, ZoneId};
 use crate::membership::subject::mix;
 use crate::time::MonotonicTime;
+use crate::topology::{Distance, Topology};
+use std::collections::BTreeMap;
 
 /// Inputs of the cost that are the same for all engines of one request.
 #[derive(Clone, Copy, Debug)]
 pub struct CostContext<'a> {
     /// Weights of the cost terms.
     pub weights: &'a PoolWeights,
+    /// Zones and regions.
+    pub topology: &'a Topology,
+    /// Measured round trips to other regions, in seconds.
+    pub region_round_trips: &'a BTreeMap<RegionId, f64>,
     /// Learned speeds of the pool.
     pub speeds: PoolSpeeds,
     /// Seconds to transfer the KV cache of one token; absent if the pool does not support transfers.
@@ -140,10 +150,16 @@
 
     /// Cost of decode at an engine, or of a whole request in a pool without a model.
     pub fn decode_cost(&self, state: &EngineState, source: PrefillSite<'_>, query: &PoolQuery<'_>) -> f64 {
-        let transfer = match (state.engine.zone == *source.zone, source.is_sole_cache_zone) {
-            (true, true) => self.weights.lone_zone_seconds,
-            (true, false) | (false, true) => 0.0,
-            (false, false) => self.weights.transfer_zone_seconds,
+        let transfer = match (
+            self.topology.distance(&state.engine.zone, source.zone),
+            source.is_sole_cache_zone,
+        ) {
+            (Distance::SameZone, true) => self.weights.lone_zone_seconds,
+            (Distance::SameZone, false) | (Distance::SameRegion, true) => 0.0,
+            (Distance::SameRegion, false) => self.weights.transfer_zone_seconds,
+            (Distance::OtherRegion, _) => {
+                self.other_region_cost(&state.engine.zone) + self.region_transfer_cost(query)
+            }
         };
         let load = state.load(self.now);
         let prompts = load.all_prompt_tokens();
@@ -263,12 +279,28 @@
     }
 
     fn other_zone_cost(&self, zone: &ZoneId, own: &ZoneId) -> f64 {
-        if zone == own {
-            0.0
-        } else {
-            self.weights.other_zone_seconds
+        match self.topology.distance(zone, own) {
+            Distance::SameZone => 0.0,
+            Distance::SameRegion => self.weights.other_zone_seconds,
+            Distance::OtherRegion => self.other_region_cost(zone),
         }
     }
+
+    fn other_region_cost(&self, zone: &ZoneId) -> f64 {
+        let region = self.topology.region_of(zone);
+        let round_trip = region.and_then(|region| self.region_round_trips.get(region));
+        self.weights.other_region_seconds
+            + round_trip
+                .copied()
+                .unwrap_or(self.weights.assumed_region_round_trip_seconds)
+    }
+
+    /// Additional cost of transferring the KV cache of the prompt to another region, beyond [`Self::handoff_cost`].
+    fn region_transfer_cost(&self, query: &PoolQuery<'_>) -> f64 {
+        let tokens = f64::from(query.prompt.map_or(0, |prompt| prompt.tokens));
+        let slowdown = self.weights.region_transfer_factor - 1.0;
+        self.weights.transfer * slowdown * tokens * self.move_seconds.unwrap_or_default()
+    }
 }
 
 /// The blocks that other requests may share: all but the last.
--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -1,7 +1,7 @@
 //! Queries to the pool router.
 
 use crate::forwarding::PoolId;
-use crate::identity::{EngineId, ZoneId};
+use crate::identity::{EngineId, RegionId, ZoneId};
 use crate::membership::subject::{SubjectHandle, mix};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -98,6 +98,9 @@
     pub prefixes: &'a [PrefixBlock],
     /// Zone of the node that sends the request.
     pub zone: &'a ZoneId,
+    /// Region whose engines may be selected; absent if those of all regions may. Placers know the load of the engines of their
+    /// own region only.
+    pub region: Option<&'a RegionId>,
     /// Whether this node sends the request and must respect the backoff that engines requested from it. If the request
     /// belongs to a peer, the peer excludes the engines that requested backoff from it.
     pub from_this_node: bool,
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -13,11 +13,13 @@
 use super::working_set::WorkingSet;
 use crate::engine_signals::SignalRegister;
 use crate::forwarding::{ForwardingConfig, ModelTraits, PoolId};
-use crate::identity::{EngineId, EngineStart, NodeId};
+use crate::identity::{EngineId, EngineStart, NodeId, RegionId};
 use crate::membership::subject::SubjectHandle;
 use crate::sharing::UseLedger;
 use crate::time::MonotonicTime;
+use crate::topology::Topology;
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 /// KV cache capacity of an engine whose pool configures none, in tokens.
 const DEFAULT_CACHE_TOKENS: u64 = 400_000;
@@ -34,6 +36,10 @@
     pub(super) paces: BTreeMap<PoolId, PoolPace>,
     pub(super) traits: BTreeMap<PoolId, ModelTraits>,
     pub(super) prefix_updates: Vec<PrefixUpdate>,
+    /// Zones and regions.
+    pub(super) topology: Topology,
+    /// Measured round trips to other regions, in seconds.
+    pub(super) region_round_trips: BTreeMap<RegionId, f64>,
     /// State of the network paths between zones.
     pub(super) paths: Paths,
     pub(super) pending_unanswered_requests: Vec<PendingUnansweredRequest>,
@@ -69,6 +75,8 @@
             paces: BTreeMap::new(),
             traits: BTreeMap::new(),
             prefix_updates: Vec::new(),
+            topology: Topology::default(),
+            region_round_trips: BTreeMap::new(),
             paths: Paths::default(),
             pending_unanswered_requests: Vec::new(),
             availability_changes: Vec::new(),
@@ -85,6 +93,26 @@
         }
     }
 
+    /// Sets the zones and regions of the deployment. Without a call, the deployment is not regional.
+    pub fn set_topology(&mut self, topology: Topology) {
+        self.topology = topology;
+    }
+
+    /// Zones and regions of the deployment.
+    pub fn topology(&self) -> &Topology {
+        &self.topology
+    }
+
+    /// Records the mean round trip to a region, which is part of the cost of its engines.
+    pub fn on_region_round_trip(&mut self, region: &RegionId, mean: Duration) {
+        self.region_round_trips.insert(region.clone(), mean.as_secs_f64());
+    }
+
+    /// Whether the engines of a query's region include the given state.
+    pub(super) fn is_in_query_region(&self, region: Option<&RegionId>, state: &EngineState) -> bool {
+        region.is_none_or(|region| self.topology.contains(region, &state.engine.zone))
+    }
+
     /// Applies the pool settings of a configuration.
     pub fn on_config(&mut self, config: &ForwardingConfig) {
         let paid = config.pools.iter().filter(|pool| pool.scaling.is_some());
--- a/crates/core/src/routing/pool/weights.rs
+++ b/crates/core/src/routing/pool/weights.rs
@@ -28,6 +28,13 @@
     pub other_zone_seconds: f64,
     /// Cost of transferring a KV cache to another zone, in seconds.
     pub transfer_zone_seconds: f64,
+    /// Cost of an engine in another region in addition to the round trip, in seconds. It stands for the price of the bytes and keeps
+    /// requests in their region unless its engines are busy.
+    pub other_region_seconds: f64,
+    /// Round trip to another region that is assumed until one has been measured, in seconds.
+    pub assumed_region_round_trip_seconds: f64,
+    /// Time of a KV cache transfer between regions relative to one within a zone.
+    pub region_transfer_factor: f64,
     /// Cost in seconds of keeping a shared prefix only in one zone and only at spot engines, which may all be
     /// reclaimed.
     pub lone_zone_seconds: f64,
@@ -75,6 +82,9 @@
             handover_seconds: 0.015,
             other_zone_seconds: 0.010,
             transfer_zone_seconds: 0.010,
+            other_region_seconds: 0.15,
+            assumed_region_round_trip_seconds: 0.03,
+            region_transfer_factor: 10.0,
             lone_zone_seconds: 0.020,
             places_seconds: 0.5,
             memory_seconds: 0.5,
@@ -107,6 +117,13 @@
             ("routing.handover_seconds", self.handover_seconds, 0.0),
             ("routing.other_zone_seconds", self.other_zone_seconds, 0.0),
             ("routing.transfer_zone_seconds", self.transfer_zone_seconds, 0.0),
+            ("routing.other_region_seconds", self.other_region_seconds, 0.0),
+            (
+                "routing.assumed_region_round_trip_seconds",
+                self.assumed_region_round_trip_seconds,
+                0.0,
+            ),
+            ("routing.region_transfer_factor", self.region_transfer_factor, 1.0),
             ("routing.lone_zone_seconds", self.lone_zone_seconds, 0.0),
             ("routing.places_seconds", self.places_seconds, 0.0),
             ("routing.memory_seconds", self.memory_seconds, 0.0),
--- a/crates/core/tests/cordons.rs
+++ b/crates/core/tests/cordons.rs
@@ -56,6 +56,7 @@
         prompt: None,
         prefixes: &[],
         zone: &zone,
+        region: None,
         excluded: &[],
         last_resort: false,
         constraints: RequestConstraints::default(),
--- a/crates/core/tests/engine_pace.rs
+++ b/crates/core/tests/engine_pace.rs
@@ -92,6 +92,7 @@
         prompt: Some(prompt),
         prefixes,
         zone,
+        region: None,
         excluded: &[],
         last_resort: false,
         constraints: RequestConstraints::default(),
--- a/crates/core/tests/engine_signals.rs
+++ b/crates/core/tests/engine_signals.rs
@@ -149,6 +149,7 @@
             prompt: None,
             prefixes: &[],
             zone: &self.zone,
+            region: None,
             from_this_node,
             excluded: &[],
             last_resort: false,
--- a/crates/core/tests/pace_world/mod.rs
+++ b/crates/core/tests/pace_world/mod.rs
@@ -365,6 +365,7 @@
             prompt: Some(&self.prompt),
             prefixes: &self.prefixes,
             zone,
+            region: None,
             excluded: &[],
             last_resort: false,
             constraints: RequestConstraints::default(),
--- a/crates/core/tests/paths.rs
+++ b/crates/core/tests/paths.rs
@@ -364,6 +364,7 @@
                 prompt: Some(&self.prompt),
                 prefixes: &self.prefixes,
                 zone: &self.zone,
+                region: None,
                 excluded: &[],
                 last_resort: false,
                 constraints: RequestConstraints::default(),
--- a/crates/core/tests/pauses_world/mod.rs
+++ b/crates/core/tests/pauses_world/mod.rs
@@ -218,6 +218,7 @@
             prompt: Some(&request_state.prompt),
             prefixes: &prefixes,
             zone: &ZoneId::new("zone-a"),
+            region: None,
             excluded: &[],
             last_resort: false,
             constraints: RequestConstraints {
--- a/crates/core/tests/pool_pauses.rs
+++ b/crates/core/tests/pool_pauses.rs
@@ -151,6 +151,7 @@
             prompt: Some(&prompt),
             prefixes: &prompt.prefixes(),
             zone: &ZoneId::new("zone-a"),
+            region: None,
             excluded: &[],
             last_resort: false,
             constraints: RequestConstraints {
--- a/crates/core/tests/pool_router.rs
+++ b/crates/core/tests/pool_router.rs
@@ -88,6 +88,7 @@
             prompt: Some(&self.prompt),
             prefixes: &self.prefixes,
             zone: &self.zone,
+            region: None,
             excluded: &self.excluded,
             last_resort: false,
             constraints: RequestConstraints::default(),
--- a/crates/core/tests/rate_limit_choice.rs
+++ b/crates/core/tests/rate_limit_choice.rs
@@ -43,6 +43,7 @@
             prompt: None,
             prefixes: &[],
             zone: &self.zone,
+            region: None,
             excluded: &[],
             last_resort: false,
             constraints: RequestConstraints::default(),
--- a/crates/core/tests/sharing_placers.rs
+++ b/crates/core/tests/sharing_placers.rs
@@ -353,6 +353,7 @@
         prompt: Some(&prompt),
         prefixes: &prompt.prefixes(),
         zone: &ZoneId::new("zone-a"),
+        region: None,
         excluded: &[],
         last_resort: false,
         constraints: RequestConstraints {
--- a/crates/lab/src/fleet/traffic.rs
+++ b/crates/lab/src/fleet/traffic.rs
@@ -101,6 +101,7 @@
             prompt: Some(&prompt),
             prefixes: &prefixes,
             zone: &zone,
+            region: None,
             excluded: &[],
             last_resort: false,
             constraints: RequestConstraints::default(),
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -14,6 +14,7 @@
 use shelfjunction_core::routing::pool::{PoolAdmission, PoolWeights};
 use shelfjunction_core::setting::FieldError;
 use shelfjunction_core::tenancy::rate_reserve::TenantRateSettings;
+use shelfjunction_core::topology::TopologySettings;
 use shelfjunction_core::watching::SharedWatchSettings;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -86,6 +87,9 @@
     /// Which nodes choose engines for which requests.
     #[serde(default)]
     pub placing: PlacingSettings,
+    /// Zones and regions.
+    #[serde(default)]
+    pub topology: TopologySettings,
     /// What is kept for callers that read slowly.
     #[serde(default)]
     pub delivery: DeliverySettings,
@@ -219,6 +223,7 @@
         let mut errors = self.routing.validate();
         errors.extend(self.admission.validate());
         errors.extend(self.placing.validate());
+        errors.extend(self.topology.validate(&self.zone));
         errors.extend(self.delivery.validate());
         errors.extend(self.cordons.validate());
         errors.extend(self.quarantine.validate());
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -23,12 +23,14 @@
 };
 use shelfjunction_core::identity::{EngineId, EngineStart};
 use shelfjunction_core::lease::Authority;
+use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::metering::clock::FleetClock;
 use shelfjunction_core::placing::placement_table::PlacementTable;
 use shelfjunction_core::routing::pool::{
     EngineListing, EngineState, ListChange, PoolEngine, PoolRouter, RecentChanges,
 };
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_core::topology::{RoundTrips, Topology, TopologySettings};
 use shelfjunction_core::watching::WatchRole;
 use shelfjunction_platform::clock::MonotonicClock;
 use shelfjunction_platform::services::TableService;
@@ -49,6 +51,8 @@
     pub(crate) peers: Peers,
     /// Questions of this node to placers.
     pub(crate) placements: Placements,
+    /// Measured round trips to nodes of each region.
+    pub(crate) round_trips: Mutex<RoundTrips>,
     /// What this node has placed for others; locked before `router`.
     pub(crate) placement_table: Mutex<PlacementTable>,
     pub(crate) metrics: Metrics,
@@ -169,7 +173,8 @@
         table: Arc<dyn TableService>,
         socket: Arc<UdpSocket>,
     ) -> Self {
-        let router = PoolRouter::new(config.routing.clone());
+        let mut router = PoolRouter::new(config.routing.clone());
+        router.set_topology(Topology::new(&config.zone, &config.topology));
         Self {
             clock: MonotonicClock::start(),
             router: Mutex::new(router),
@@ -177,6 +182,7 @@
             releases: Releases::default(),
             peers: Peers::new(&config, socket),
             placements: Placements::default(),
+            round_trips: Mutex::default(),
             placement_table: Mutex::default(),
             metrics: Metrics::new(),
             state: Arc::new(NodeState::default()),
@@ -215,6 +221,36 @@
         self.clock.now()
     }
 
+    /// Takes the zones and regions of new settings. Settings that do not fit this node change nothing.
+    pub(crate) fn set_topology(&self, settings: &TopologySettings) {
+        let faults = settings.validate(&self.config.zone);
+        if let Some(fault) = faults.first() {
+            return log::warn!(field = fault.field.as_str(), value = fault.value.as_str(); "topology_refused");
+        }
+        let topology = Topology::new(&self.config.zone, settings);
+        if topology == *self.peers.topology() {
+            return;
+        }
+        log::info!(regions = topology.region_count(), zones = settings.zones.len(); "topology_changed");
+        lock(&self.router).set_topology(topology.clone());
+        self.peers.set_topology(topology);
+    }
+
+    /// Records the round trip of a question that a node answered.
+    pub(crate) fn note_round_trip(&self, node: SubjectHandle, round_trip: Duration) {
+        let Some(region) = self.peers.region_of(node) else {
+            return;
+        };
+        let mean = {
+            let mut round_trips = lock(&self.round_trips);
+            round_trips.on_answer(&region, round_trip);
+            round_trips.mean(&region)
+        };
+        if let Some(mean) = mean {
+            lock(&self.router).on_region_round_trip(&region, mean);
+        }
+    }
+
     /// What the lease allows, while this node holds it.
     pub(crate) fn authority(&self, now: MonotonicTime) -> Option<Authority> {
         lock(&self.authority).filter(|authority| now < authority.not_after)
--- a/crates/node/src/course/admitting.rs
+++ b/crates/node/src/course/admitting.rs
@@ -11,7 +11,7 @@
 };
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::routing::pool::{
-    Admission, AdmissionDecision, LATE_RANK, RequestConstraints, RequestTiming, rank_for_priority,
+    Admission, AdmissionDecision, LATE_RANK, PoolRoute, RequestConstraints, RequestTiming, rank_for_priority,
 };
 use shelfjunction_core::sharing::Standing;
 use shelfjunction_core::time::MonotonicTime;
@@ -66,6 +66,9 @@
             Admission::Late => self.late = true,
             Admission::Refused { retry_after } => return self.refuse(retry_after),
         }
+        if decision.route == PoolRoute::Nowhere {
+            return self.choose_alone(&[], now);
+        }
         self.placed(routing::placement(decision.route));
     }
 
@@ -85,8 +88,7 @@
             // The placer did not know what this node knows of the engine, and chooses again without it.
             return self.choose_anew(&[], now);
         }
-        let route = lock(&self.context.router).choose_or_grow(&self.query(&[], now), now);
-        self.placed(routing::placement(route));
+        self.choose_alone(&[], now);
     }
 
     fn refuse(&mut self, retry_after: Duration) {
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -8,11 +8,12 @@
 use super::pauses::StreamPauses;
 use super::routing;
 use crate::context::Context;
+use crate::peers::Placing;
 use crate::ports::{AnswerHead, Call, CallerConnection};
 use crate::quarantine::Trial;
 use crate::tenant_rates::ChargedRequest;
 use shelfjunction_core::forwarding::{PoolId, RouteRule};
-use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::identity::{EngineId, RegionId};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::outcome::{Outcome, Refusal, RefusalReason};
 use shelfjunction_core::quarantine::Fingerprint;
@@ -113,6 +114,8 @@
     pub(super) draw: u64,
     /// Number of the last question to a placer.
     pub(super) step: u32,
+    /// Region whose engines this node chooses for the request by itself; absent where it may choose those of all regions.
+    pub(super) home_region: Option<RegionId>,
     /// The placer that answered last.
     pub(super) placer: Option<SubjectHandle>,
     /// An engine that a placer has chosen and counted, until the request is sent there.
@@ -185,6 +188,7 @@
             promise: None,
             draw: rand::random(),
             step: 0,
+            home_region: home_region(context, prompt.is_some()),
             placer: None,
             choice: None,
             trial,
@@ -262,6 +266,7 @@
             prompt: self.prompt,
             prefixes: &self.prefixes,
             zone: &self.context.config.zone,
+            region: self.home_region.as_ref(),
             excluded,
             last_resort: false,
             constraints: self.constraints(),
@@ -328,3 +333,14 @@
         }
     }
 }
+
+/// The home region of a request whose engines are chosen by placers: the router of a node knows the load of engines elsewhere only in
+/// a fleet without placers.
+fn home_region(context: &Context, has_prompt: bool) -> Option<RegionId> {
+    let has_placers = context.peers.placing(context.now()) != Placing::Each;
+    let topology = context.peers.topology();
+    topology
+        .own_region()
+        .filter(|_| has_prompt && has_placers)
+        .cloned()
+}
--- a/crates/node/src/course/placing.rs
+++ b/crates/node/src/course/placing.rs
@@ -14,7 +14,7 @@
 };
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::request::specification::Placement;
-use shelfjunction_core::routing::pool::{PoolEngine, shared_prefixes};
+use shelfjunction_core::routing::pool::{PoolEngine, PoolRoute, shared_prefixes};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::time::Duration;
@@ -33,8 +33,27 @@
         if placement.is_some() {
             return self.placed(placement);
         }
-        let route = lock(&self.context.router).choose_or_grow(&self.query(excluded, now), now);
-        self.placed(routing::placement(route));
+        self.choose_alone(excluded, now);
+    }
+
+    /// Chooses engines in this node's own router: of the home region, or of any region where that has none that can take the
+    /// request.
+    pub(super) fn choose_alone(&mut self, excluded: &[EngineId], now: MonotonicTime) {
+        loop {
+            let route = lock(&self.context.router).choose_or_grow(&self.query(excluded, now), now);
+            if route != PoolRoute::Nowhere || !self.leave_home_region() {
+                return self.placed(routing::placement(route));
+            }
+        }
+    }
+
+    /// Lets this node choose engines of all regions for the request; false where it already may.
+    fn leave_home_region(&mut self) -> bool {
+        let home = self.home_region.take();
+        if let Some(region) = &home {
+            log::info!(request = self.call.request.as_str(), region = region.as_str(); "home_region_left");
+        }
+        home.is_some()
     }
 
     /// Chooses the engine that runs the output of the prompt that `source` has read.
@@ -56,9 +75,13 @@
             return self.placed(placement);
         }
         let now = self.context.now();
-        let query = self.query(excluded, now);
-        let engine = lock(&self.context.router).choose_decode_or_grow(&query, source, now);
-        self.placed(engine.map(|engine| Placement::Whole(routing::target(&engine))));
+        loop {
+            let query = self.query(excluded, now);
+            let engine = lock(&self.context.router).choose_decode_or_grow(&query, source, now);
+            if engine.is_some() || !self.leave_home_region() {
+                return self.placed(engine.map(|engine| Placement::Whole(routing::target(&engine))));
+            }
+        }
     }
 
     /// Asks the request's placer; absent where this node chooses by itself.
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -13,6 +13,7 @@
 use crate::recovering;
 use crate::releasing;
 use crate::watch;
+use shelfjunction_core::topology::TopologySettings;
 use shelfjunction_http::HttpServer;
 use shelfjunction_logging::LogLosses;
 use shelfjunction_platform::services::TableService;
@@ -171,6 +172,11 @@
         self.metrics.as_ref().map(HttpServer::address)
     }
 
+    /// Takes the zones and regions of new settings.
+    pub fn set_topology(&self, settings: &TopologySettings) {
+        self.context.set_topology(settings);
+    }
+
     /// What others may ask about the process.
     pub fn state(&self) -> Arc<NodeState> {
         Arc::clone(&self.context.state)
--- a/crates/node/src/peers/directory.rs
+++ b/crates/node/src/peers/directory.rs
@@ -2,8 +2,8 @@
 
 use super::Peer;
 use crate::context::Context;
-use crate::ports::{NodeDirectory, NodeEntry};
-use shelfjunction_core::identity::NodeId;
+use crate::ports::{NodeDirectory, NodeEntry, NodePage};
+use shelfjunction_core::identity::{NodeId, ZoneId};
 use shelfjunction_core::table::PlatformError;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -92,6 +92,7 @@
             node: config.node.clone(),
             address: config.peer_listen,
             processor_thousandths: config.processor_thousandths(),
+            zone: self.own_zone(),
         };
         let outcome = if config.first_start {
             self.directory.enter(&own)
@@ -120,6 +121,12 @@
         }
     }
 
+    /// This node's zone as others must know it; absent in a deployment that is not regional.
+    fn own_zone(&self) -> Option<ZoneId> {
+        let is_regional = self.context.peers.topology().is_regional();
+        is_regional.then(|| self.context.config.zone.clone())
+    }
+
     /// This node's entry in the list.
     fn own_entry(&self) -> Result<Option<NodeEntry>, PlatformError> {
         let own = self.context.config.node.as_str();
@@ -143,6 +150,22 @@
         }
     }
 
+    /// A part of the list that shows whether this node comes early in the line of placers. In a regional deployment it begins at
+    /// this node's own name, since names often begin with the zone, and a page without any node of the region shows nothing.
+    fn first_page(&self) -> Result<NodePage, PlatformError> {
+        if !self.context.peers.topology().is_regional() {
+            return self.directory.nodes_from("", FIRST_PAGE);
+        }
+        let own = self.context.config.node.as_str();
+        let mut page = self.directory.nodes_from(own, FIRST_PAGE)?;
+        if !page.more {
+            let first = self.directory.nodes_from("", FIRST_PAGE)?;
+            page.more = first.more;
+            page.entries.extend(first.entries);
+        }
+        Ok(page)
+    }
+
     /// Reads the first page of the list, and the rest where it is small or this node has to know all.
     fn read_page(&mut self) -> Result<(), PlatformError> {
         let context = self.context;
@@ -151,12 +174,13 @@
             self.entered = self.own_entry()?.is_some();
             return Ok(());
         }
-        let page = self.directory.nodes_from("", FIRST_PAGE)?;
-        if page.more && !self.whole && !context.peers.may_become_placer(&page.entries) {
+        let page = self.first_page()?;
+        let is_part = page.more;
+        if is_part && !self.whole && !context.peers.may_become_placer(&page.entries) {
             note_listed(context, page.entries, false);
             return Ok(());
         }
-        let entries = if page.more {
+        let entries = if is_part {
             self.directory.nodes()?
         } else {
             page.entries
@@ -229,6 +253,9 @@
         });
         peer.listed_at = now;
         peer.processor_thousandths = entry.processor_thousandths;
+        if entry.zone.is_some() {
+            peer.zone = entry.zone;
+        }
     }
     known.listed = true;
     known.is_complete = is_complete;
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -28,12 +28,13 @@
 
 use crate::config::NodeConfig;
 use limit_speakers::LimitSpeaker;
-use shelfjunction_core::identity::NodeId;
+use shelfjunction_core::identity::{NodeId, RegionId, ZoneId};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::placing::config::PlacingSettings;
 use shelfjunction_core::placing::placer_set::{Candidate, CandidateStatus};
 use shelfjunction_core::retry::census::KnownPeer;
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_core::topology::Topology;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
@@ -78,6 +79,8 @@
     told_nodes: u32,
     /// Version of the operators' cordons that it has.
     cordons: u64,
+    /// Its zone; absent until the list or the node itself has named it.
+    zone: Option<ZoneId>,
     /// What it told of the budgets for repeats.
     sharing: KnownPeer,
     handle: SubjectHandle,
@@ -98,6 +101,7 @@
             processor_thousandths: 0,
             told_nodes: 0,
             cordons: 0,
+            zone: None,
             sharing: KnownPeer::listed(now),
             handle: SubjectHandle::of_text("node", node.as_str()),
         }
@@ -139,6 +143,19 @@
         }
     }
 
+    /// Its region; absent where the zone is not known or the settings do not name it.
+    fn region<'t>(&self, topology: &'t Topology) -> Option<&'t RegionId> {
+        topology.region_of(self.zone.as_ref()?)
+    }
+
+    /// Whether it lies in this node's region; a node whose region is not known does.
+    fn is_near(&self, topology: &Topology) -> bool {
+        match (self.region(topology), topology.own_region()) {
+            (Some(region), Some(own)) => region == own,
+            _ => true,
+        }
+    }
+
     fn candidate(&self) -> Candidate {
         Candidate {
             node: self.handle,
@@ -153,6 +170,7 @@
     socket: Arc<UdpSocket>,
     own: Candidate,
     placing: PlacingSettings,
+    topology: Mutex<Arc<Topology>>,
     /// Length of the window of budgets for repeats.
     budget_window: Duration,
     known: Mutex<Known>,
@@ -234,6 +252,7 @@
                 processor_thousandths: config.processor_thousandths(),
             },
             placing: config.placing,
+            topology: Mutex::new(Arc::new(Topology::new(&config.zone, &config.topology))),
             budget_window: config.retry_budget().window,
             known: Mutex::default(),
             looked: Mutex::default(),
@@ -244,6 +263,40 @@
         }
     }
 
+    /// Zones and regions as the settings name them now.
+    pub(crate) fn topology(&self) -> Arc<Topology> {
+        Arc::clone(&lock(&self.topology))
+    }
+
+    /// Takes other zones and regions.
+    pub(crate) fn set_topology(&self, topology: Topology) {
+        *lock(&self.topology) = Arc::new(topology);
+        *lock(&self.looked) = None;
+    }
+
+    /// Region of a node; absent where it is not known.
+    pub(crate) fn region_of(&self, node: SubjectHandle) -> Option<RegionId> {
+        let topology = self.topology();
+        if !topology.is_regional() {
+            return None;
+        }
+        let known = lock(&self.known);
+        let peer = known.peers.values().find(|peer| peer.handle == node)?;
+        peer.region(&topology).cloned()
+    }
+
+    /// Notes the zone that a node has named.
+    pub(crate) fn note_zone(&self, node: &NodeId, zone: ZoneId) {
+        let mut known = lock(&self.known);
+        let Some(peer) = known.peers.get_mut(node) else {
+            return;
+        };
+        if peer.zone.as_ref() != Some(&zone) {
+            log::info!(peer = node.as_str(), zone = zone.as_str(); "peer_zone_learned");
+            peer.zone = Some(zone);
+        }
+    }
+
     /// Nodes in all, this one included; absent until the list was read.
     pub(crate) fn nodes(&self) -> Option<u32> {
         let known = lock(&self.known);
--- a/crates/node/src/peers/placers.rs
+++ b/crates/node/src/peers/placers.rs
@@ -1,11 +1,13 @@
 //! Which nodes choose engines, as this node sees it now.
 
-use super::{Known, Peer, Peers};
+use super::{FAR_PLACER_SILENCE, Known, Peer, Peers};
 use crate::ports::NodeEntry;
 use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::placing::placer_set::{self, Candidate, PlacerSet};
+use shelfjunction_core::placing::regional::RegionalPlacers;
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_core::topology::Topology;
 use shelfjunction_threads::lock;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,8 +20,8 @@
 pub(crate) enum Placing {
     /// Each node for itself.
     Each,
-    /// Some for all.
-    Placers(PlacerSet),
+    /// Some for all, in each region those of the region.
+    Placers(RegionalPlacers),
 }
 
 /// Whether this node takes part in what a few nodes of a large fleet do for all, and every node of a small one.
@@ -64,26 +66,35 @@
         if known.nodes() as usize <= self.placing.alone_up_to {
             return Placing::Each;
         }
+        let topology = self.topology();
+        let own = self.should_place(&mut known, &topology, now).then_some(self.own);
         let is_complete = known.is_complete;
         let silence = known.placer_silence();
-        let others = known.peers.values();
-        let others = others.filter(|peer| peer.may_place(is_complete, silence, now));
-        let mut alive: Vec<Candidate> = others.map(Peer::candidate).collect();
-        if self.should_place(&mut known, now) {
-            alive.push(self.own);
-        }
-        Placing::Placers(PlacerSet::select(&alive, self.placing.placers))
+        let alive = known.peers.values().filter(|peer| {
+            // Placers of other regions speak seldom.
+            let silence = if peer.is_near(&topology) {
+                silence
+            } else {
+                FAR_PLACER_SILENCE
+            };
+            peer.may_place(is_complete, silence, now)
+        });
+        let alive = alive.map(|peer| (peer.candidate(), peer.region(&topology)));
+        let alive = alive.chain(own.map(|own| (own, topology.own_region())));
+        Placing::Placers(RegionalPlacers::select(alive, &topology, &self.placing))
     }
 
-    /// Whether this node takes one of the places; one that comes far behind in the line leaves them to others as long as
-    /// it hears any.
-    fn should_place(&self, known: &mut Known, now: MonotonicTime) -> bool {
-        let hears_any = known.peers.values().any(|peer| peer.heard_lately(now));
+    /// Whether this node takes one of the places of its region; one that comes far behind in the line leaves them to others
+    /// as long as it hears any.
+    fn should_place(&self, known: &mut Known, topology: &Topology, now: MonotonicTime) -> bool {
+        let count = self.placing.placers_per_region(topology);
+        let mut near = known.peers.values().filter(|peer| peer.is_near(topology));
+        let hears_any = near.any(|peer| peer.heard_lately(now));
         if !known.is_complete || (!known.in_line && hears_any) {
             return false;
         }
-        let placing = known.peers.values().filter(|peer| peer.places_now(now));
-        if placing.count() >= self.placing.placers {
+        let near = known.peers.values().filter(|peer| peer.is_near(topology));
+        if near.filter(|peer| peer.places_now(now)).count() >= count {
             known.vacant_since = None;
         } else {
             known.vacant_since.get_or_insert(now);
@@ -91,43 +102,53 @@
         let vacant_for = known
             .vacant_since
             .map_or(Duration::ZERO, |since| now.since(since));
-        let others = known
-            .peers
-            .values()
-            .map(|peer| (peer.candidate(), peer.presence(now)));
-        placer_set::should_place(self.own, others, self.placing.placers, vacant_for)
+        let near = known.peers.values().filter(|peer| peer.is_near(topology));
+        let others = near.map(|peer| (peer.candidate(), peer.presence(now)));
+        placer_set::should_place(self.own, others, count, vacant_for)
     }
 
     /// Whether no placer was heard for a while, so that this node has to look for others itself.
     pub(super) fn hears_no_placer(&self, now: MonotonicTime) -> bool {
+        let topology = self.topology();
         let known = lock(&self.known);
-        known.nodes() as usize > self.placing.alone_up_to
-            && !known.peers.values().any(|peer| peer.heard_lately(now))
+        let mut near = known.peers.values().filter(|peer| peer.is_near(&topology));
+        known.nodes() as usize > self.placing.alone_up_to && !near.any(|peer| peer.heard_lately(now))
     }
 
-    /// Addresses of the nodes that this placer tells often: those in line for a place, those to which it is near, and
-    /// those whose build takes no sparse words.
+    /// Addresses of the nodes that this placer tells often: those of its region in line for a place, those to which it is near,
+    /// and those whose build takes no sparse words; of other regions the placers.
     pub(crate) fn notified_often(&self, now: MonotonicTime) -> Vec<SocketAddr> {
         let Placing::Placers(placers) = self.placing(now) else {
             return self.addresses(now);
         };
+        let topology = self.topology();
         let known = lock(&self.known);
-        let mut candidates: Vec<Candidate> = known.peers.values().map(Peer::candidate).collect();
+        let near = known.peers.values().filter(|peer| peer.is_near(&topology));
+        let mut candidates: Vec<Candidate> = near.map(Peer::candidate).collect();
         candidates.push(self.own);
-        let line = PlacerSet::with_standbys(&candidates, self.placing.placers);
+        let line = PlacerSet::with_standbys(&candidates, self.placing.placers_per_region(&topology));
         let often = known.peers.values().filter(|peer| {
+            if !peer.is_near(&topology) {
+                return placers.includes(peer.handle);
+            }
             !peer.accepts_sparse_reports
                 || line.includes(peer.handle)
-                || placers.is_primary_contact(self.own.node, peer.handle)
+                || placers.home().is_primary_contact(self.own.node, peer.handle)
         });
         often.map(|peer| peer.address).collect()
     }
 
     /// Whether this node has to know all others, of which some are known.
     pub(super) fn may_become_placer(&self, some: &[NodeEntry]) -> bool {
-        let others = some.iter().map(NodeEntry::candidate);
+        let topology = self.topology();
+        let own_region = topology.own_region();
+        let near = some.iter().filter(|entry| {
+            let zone = entry.zone.as_ref();
+            own_region.is_none_or(|own| zone.is_none_or(|zone| topology.contains(own, zone)))
+        });
+        let others = near.map(NodeEntry::candidate);
         let others: Vec<Candidate> = others.filter(|other| other.node != self.own.node).collect();
-        placer_set::may_become_placer(self.own, &others, self.placing.placers)
+        placer_set::may_become_placer(self.own, &others, self.placing.placers_per_region(&topology))
     }
 
     /// Whether this node chooses engines for others, or each node for itself.
@@ -167,17 +188,40 @@
         peers.find(|peer| peer.handle == node).map(|peer| peer.address)
     }
 
+    /// Addresses of the nodes that are told of the load of engines: the other placers of the region in a large fleet, or
+    /// everybody in a small one.
+    pub(crate) fn told_of_load(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+        match self.placing(now) {
+            Placing::Each => self.addresses(now),
+            Placing::Placers(placers) => self.addresses_among(|node| placers.home().includes(node)),
+        }
+    }
+
+    /// Addresses of the nodes to which this placer passes on what is new at once: those of its region, and the placers of other
+    /// regions, which pass it on there.
+    pub(crate) fn told_of_news(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+        let topology = self.topology();
+        let Placing::Placers(placers) = self.placing(now) else {
+            return self.addresses(now);
+        };
+        let known = lock(&self.known);
+        let told = known.peers.values().filter(|peer| {
+            peer.is_near(&topology) || !peer.accepts_sparse_reports || placers.includes(peer.handle)
+        });
+        told.map(|peer| peer.address).collect()
+    }
+
     /// Addresses of the nodes that are told of work: the other placers in a large fleet, or everybody in a small one.
     pub(crate) fn told(&self, now: MonotonicTime) -> Vec<SocketAddr> {
         match self.placing(now) {
             Placing::Each => self.addresses(now),
-            Placing::Placers(placers) => self.addresses_among(&placers),
+            Placing::Placers(placers) => self.addresses_among(|node| placers.includes(node)),
         }
     }
 
-    fn addresses_among(&self, placers: &PlacerSet) -> Vec<SocketAddr> {
+    fn addresses_among(&self, includes: impl Fn(SubjectHandle) -> bool) -> Vec<SocketAddr> {
         let known = lock(&self.known);
-        let placers = known.peers.values().filter(|peer| placers.includes(peer.handle));
+        let placers = known.peers.values().filter(|peer| includes(peer.handle));
         placers.map(|peer| peer.address).collect()
     }
 
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -18,6 +18,7 @@
 use shelfjunction_protocol::rate_messages::RateDatagram;
 use shelfjunction_protocol::signal_messages::SignalDatagram;
 use shelfjunction_protocol::tenant_rate_messages::TenantRateDatagram;
+use shelfjunction_protocol::topology_messages::TopologyDatagram;
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
@@ -61,6 +62,9 @@
     if let Some(datagram) = TenantRateDatagram::decode(bytes) {
         return tenant_rates::receive(context, datagram, from);
     }
+    if let Some(TopologyDatagram::Zone(announcement)) = TopologyDatagram::decode(bytes) {
+        return context.peers.note_zone(&announcement.node, announcement.zone);
+    }
     if let Some(datagram) = QuarantineDatagram::decode(bytes) {
         return quarantine::merge_confirmations(context, datagram, from);
     }
--- a/crates/node/src/peers/sending.rs
+++ b/crates/node/src/peers/sending.rs
@@ -15,6 +15,7 @@
     Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_FIGURES, MOST_LASTING, MOST_NEWS,
     MOST_SILENCES, WorkMessage,
 };
+use shelfjunction_protocol::topology_messages::{TopologyDatagram, ZoneAnnouncement};
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -175,7 +176,7 @@
 
     /// Tells of the work at engines, in as many slices as it takes.
     fn tell_of_work(&mut self, confirmed: bool, now: MonotonicTime) -> Duration {
-        let peers = self.context.peers.told(now);
+        let peers = self.context.peers.told_of_load(now);
         let work = lock(&self.context.router).own_load();
         let slices = work.len().div_ceil(ENGINES_PER_SLICE).max(1) as u16;
         let mut sent = 0;
@@ -255,12 +256,18 @@
         self.told_versions = versions;
         self.rounds_to_all += 1;
         let message = self.compose(PeerLoadSlice::EMPTY, true, now);
-        let peers = if is_news || self.rounds_to_all.is_multiple_of(FAR_ROUNDS) {
+        let is_far_round = self.rounds_to_all.is_multiple_of(FAR_ROUNDS);
+        let peers = if is_far_round {
             self.context.peers.addresses(now)
+        } else if is_news {
+            self.context.peers.told_of_news(now)
         } else {
             self.context.peers.notified_often(now)
         };
         self.send(&peers, message);
+        if is_far_round {
+            self.announce_zone(&peers);
+        }
     }
 
     /// What every node has to hear of at once: the versions of the configuration and of the operators' cordons.
@@ -281,9 +288,26 @@
         let message = self.compose(PeerLoadSlice::EMPTY, false, now);
         let peers = self.context.peers.told(now);
         self.send(&peers, message);
+        self.announce_zone(&peers);
         self.allowance.spend(peers.len(), now)
     }
 
+    /// Tells others the zone of this node: those that have only heard it have not read its entry in the store's list.
+    fn announce_zone(&self, peers: &[SocketAddr]) {
+        if !self.context.peers.topology().is_regional() {
+            return;
+        }
+        let announcement = ZoneAnnouncement {
+            node: self.context.config.node.clone(),
+            zone: self.context.config.zone.clone(),
+        };
+        if let Some(bytes) = TopologyDatagram::Zone(announcement).encode() {
+            peers
+                .iter()
+                .for_each(|peer| self.context.peers.send(&bytes, *peer));
+        }
+    }
+
     fn compose(&self, slice: PeerLoadSlice, places: bool, now: MonotonicTime) -> WorkMessage {
         let context = self.context;
         let config_version = || context.forwarding().map_or(0, |config| config.version);
--- a/crates/node/src/placing/asking.rs
+++ b/crates/node/src/placing/asking.rs
@@ -99,7 +99,7 @@
             return Asked::Own;
         };
         let silent = |placer: SubjectHandle| self.is_passed_over(placer, now);
-        let mut placers = placers.placers_for(subject, silent, PLACERS_ASKED);
+        let mut placers = placers.home().placers_for(subject, silent, PLACERS_ASKED);
         if let Some(first) = first.filter(|first| !silent(*first)) {
             placers.retain(|placer| *placer != first);
             placers.insert(0, first);
@@ -124,6 +124,7 @@
             let sent_at = context.now();
             if let Some(answer) = self.ask_one(context, question, address) {
                 let round_trip = context.now().since(sent_at);
+                context.note_round_trip(placer, round_trip);
                 return Asked::Answered {
                     answer: Box::new(answer),
                     at,
--- a/crates/node/src/ports/mod.rs
+++ b/crates/node/src/ports/mod.rs
@@ -10,7 +10,7 @@
 };
 
 use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig};
-use shelfjunction_core::identity::{NodeId, RequestId};
+use shelfjunction_core::identity::{NodeId, RequestId, ZoneId};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::placing::placer_set::Candidate;
 use shelfjunction_core::routing::pool::{ListChange, PromptShape};
@@ -212,6 +212,8 @@
     pub address: SocketAddr,
     /// Thousandths of a processor core that it may use.
     pub processor_thousandths: u32,
+    /// Its zone; absent in a deployment that is not regional, and where an earlier build entered the node.
+    pub zone: Option<ZoneId>,
 }
 
 impl NodeEntry {
--- /dev/null
+++ b/crates/protocol/src/topology_messages.rs
@@ -0,0 +1,39 @@
+//! The datagrams by which nodes of a regional deployment learn each other's zone.
+//!
+//! Released variants never change; additions get a variant of their own. Builds without this format drop the datagrams as
+//! unreadable.
+
+use super::datagram_format;
+use serde::{Deserialize, Serialize};
+use shelfjunction_core::identity::{NodeId, ZoneId};
+
+/// First byte of such a datagram.
+const FORMAT: u8 = 68;
+
+/// Zone of a node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneAnnouncement {
+    /// The sender.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: ZoneId,
+}
+
+/// One datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TopologyDatagram {
+    /// The sender's zone.
+    Zone(ZoneAnnouncement),
+}
+
+impl TopologyDatagram {
+    /// The bytes; absent if they would be too long.
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        datagram_format::encode(FORMAT, self)
+    }
+
+    /// Reads a datagram; absent if it has another format.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        datagram_format::decode(FORMAT, bytes)
+    }
+}
