Prefixes of other regions: fetch where that is cheaper than prefill

Change: placers announce a shared prefix to one placer of each other region when an engine begins to hold it; a prompt whose prefix only another region holds is fetched from there if the transfer at a tenth of the pace is expected to take less time than prefill (core::routing::pool::distant_prefixes).

--- a/crates/core/src/routing/pool/admission.rs
+++ b/crates/core/src/routing/pool/admission.rs
@@ -297,10 +297,13 @@
             };
             let state = self.engines.get(&engine.id)?;
             let ahead = self.tokens_before(&state.load(now), query.rank);
-            let prefill_tokens = context.prefill_work(state, query).computed;
+            let prefill = context.prefill_work(state, query);
+            let prefill_tokens = prefill.computed;
+            let fetch_seconds = context.distant_fetch_seconds(prefill);
             let slot_wait = state.slot_wait(now).as_secs_f64();
-            let seconds = slot_wait + state.prefill_seconds(speed, ahead + prefill_tokens, now);
-            let uncontended = state.prefill_seconds(speed, prefill_tokens, now);
+            let seconds =
+                slot_wait + fetch_seconds + state.prefill_seconds(speed, ahead + prefill_tokens, now);
+            let uncontended = fetch_seconds + state.prefill_seconds(speed, prefill_tokens, now);
             Some(FirstEventEstimate {
                 seconds,
                 queue_seconds: seconds - uncontended,
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -2,7 +2,7 @@
 
 use super::cost::{CostContext, PrefillSite, shared_prefixes};
 use super::engine::{EngineStage, EngineState, PoolEngine};
-use super::query::PoolQuery;
+use super::query::{PoolQuery, PrefixBlock};
 use super::router::PoolRouter;
 use crate::identity::{EngineId, ZoneId};
 use crate::membership::rendezvous;
@@ -206,6 +206,11 @@
         context.move_seconds?;
         let prefill_engine = self.engines.get(engine)?;
         let held = prefill_engine.prefixes.held_tokens(query.prefixes);
+        if let Some(distant) = context.distant
+            && context.prefill_work(prefill_engine, query).is_distant
+        {
+            return Some(distant.state.engine.address);
+        }
         let (tokens, holder) = self.best_holder(query, now)?;
         let is_worthwhile = tokens >= held + MIN_FETCH_TOKENS
             && holder.engine.id != *engine
@@ -217,6 +222,7 @@
 
     pub(super) fn context(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> CostContext<'_> {
         let traits = self.traits.get(query.pool);
+        let max_held_tokens = self.best_holder(query, now).map_or(0, |(tokens, _)| tokens);
         CostContext {
             weights: &self.weights,
             in_progress: self.in_progress_weight(),
@@ -224,7 +230,8 @@
             region_round_trips: &self.region_round_trips,
             speeds: self.speeds(query.pool),
             move_seconds: traits.and_then(|traits| traits.move_seconds),
-            max_held_tokens: self.best_holder(query, now).map_or(0, |(tokens, _)| tokens),
+            max_held_tokens,
+            distant: self.distant_holder(query, max_held_tokens, now),
             min_prefill_wait: None,
             decode_seconds: self.decode_seconds(query),
             draw: query.draw,
@@ -242,10 +249,7 @@
                 && self.is_in_query_region(query.region, state)
                 && self.paths.allows_transfer(query.zone, &state.engine.zone)
         });
-        holders
-            .map(|state| (state.prefixes.held_tokens(query.prefixes), state))
-            .filter(|(tokens, _)| *tokens > 0)
-            .max_by_key(|(tokens, state)| (*tokens, state.prefixes.last_use(query.prefixes)))
+        best_of(holders, query.prefixes)
     }
 
     pub(super) fn candidates<'a>(
@@ -358,6 +362,17 @@
     }
 }
 
+/// The engine that holds the longest prefix of the prompt, with the number of tokens; of several the most recent user.
+pub(super) fn best_of<'a>(
+    holders: impl Iterator<Item = &'a EngineState>,
+    prefixes: &[PrefixBlock],
+) -> Option<(u32, &'a EngineState)> {
+    holders
+        .map(|state| (state.prefixes.held_tokens(prefixes), state))
+        .filter(|(tokens, _)| *tokens > 0)
+        .max_by_key(|(tokens, state)| (*tokens, state.prefixes.last_use(prefixes)))
+}
+
 /// The query itself, then the same query with temporarily avoided engines allowed.
 fn with_fallback<'a>(query: &PoolQuery<'a>) -> [PoolQuery<'a>; 2] {
     let last_resort = PoolQuery {
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -10,6 +10,8 @@
 //! computed at e = tokens of the prompt that are neither held nor fetched
 //! incoming to e = w.arriving * KV cache tokens in transfer to e * seconds to transfer a token
 //! fetch to e    = w.fetch * fetched to e * seconds to transfer a token + incoming to e   (zero if nothing is fetched)
+//!                 or w.distant_fetch * (fetched to e * w.region_transfer_factor * seconds to transfer a token + round trip)
+//!                 + incoming to e                    (if fetched from another region, [`super::distant_prefixes`])
 //!
 //! ahead at e    = prompt tokens at e that are at least as urgent + in progress at e
 //! in progress   = w.in_progress * 0.5 * less urgent prompt tokens at e / prompts at e    (regional deployments)
@@ -51,6 +53,7 @@
 //! `w.single_try_seconds * risk of e` is added to `decode` and `combined` if the request may run on one engine only.
 //! `slot at e` and `w.spread_seconds` times a pseudo-random fraction are added to `prefill`, `decode` and `combined`.
 
+use super::distant_prefixes::DistantHolder;
 use super::engine::{EngineLoad, EngineState};
 use super::pauses::PauseForecast;
 use super::pool_speeds::PoolSpeeds;
@@ -79,6 +82,9 @@
     pub move_seconds: Option<f64>,
     /// Largest number of leading prompt tokens that any engine holds.
     pub max_held_tokens: u32,
+    /// Engine of another region from which the prefix is fetched where no engine of the region holds it; absent if prefill is
+    /// cheaper.
+    pub(super) distant: Option<DistantHolder<'a>>,
     /// Shortest wait until a prefill engine would start with the prompt, in seconds; absent if there is none or if event
     /// gaps are not part of the cost.
     pub min_prefill_wait: Option<f64>,
@@ -117,6 +123,8 @@
     pub computed: f64,
     /// Tokens to transfer from another engine.
     pub fetched: f64,
+    /// Whether they come from another region.
+    pub is_distant: bool,
 }
 
 impl CostContext<'_> {
@@ -128,9 +136,29 @@
             Some(_) => held.max(self.max_held_tokens),
             None => held,
         };
+        if let Some(distant) = self.distant.filter(|distant| distant.tokens > reachable) {
+            return PrefillWork {
+                computed: f64::from(tokens.saturating_sub(distant.tokens)),
+                fetched: f64::from(distant.tokens - held),
+                is_distant: true,
+            };
+        }
         PrefillWork {
             computed: f64::from(tokens.saturating_sub(reachable)),
             fetched: f64::from(reachable - held),
+            is_distant: false,
+        }
+    }
+
+    /// Time to fetch the part of the KV cache that another region holds, in seconds; zero if none is fetched from there.
+    pub(super) fn distant_fetch_seconds(&self, prefill: PrefillWork) -> f64 {
+        match self.distant.filter(|_| prefill.is_distant) {
+            Some(distant) => {
+                let slowdown = self.weights.region_transfer_factor;
+                prefill.fetched * slowdown * self.move_seconds.unwrap_or_default()
+                    + distant.round_trip_seconds
+            }
+            None => 0.0,
         }
     }
 
@@ -264,6 +292,10 @@
         if prefill.fetched == 0.0 {
             return 0.0;
         }
+        if prefill.is_distant {
+            return self.weights.distant_fetch * self.distant_fetch_seconds(prefill)
+                + self.incoming_transfer_cost(load);
+        }
         self.weights.fetch * prefill.fetched * self.move_seconds.unwrap_or_default()
             + self.incoming_transfer_cost(load)
     }
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -83,6 +83,7 @@
             KvCacheSource::Transfer => PrefillWork {
                 computed: 0.0,
                 fetched: f64::from(prompt_tokens),
+                is_distant: false,
             },
         };
         let memory_tokens = query.prompt.map_or(0, PromptShape::memory_tokens);
@@ -109,6 +110,10 @@
         };
         state.health.on_success();
         state.failure_rate.record_success();
+        let (handle, held_since) = (
+            state.handle,
+            state.prefixes.last_use_of_all(shared_prefixes(prefixes)),
+        );
         record_prefixes(state, prefixes, &mut self.prefix_updates, now);
         self.paths
             .record_answer(&ticket.sender_zone, &state.engine.zone, now);
@@ -116,6 +121,7 @@
         if let Some(work) = work {
             self.observe_prefill(&ticket.engine, &work, |speeds| &mut speeds.prefill, now);
         }
+        self.announce_prefix(handle, held_since, prefixes, now);
     }
 
     /// Records that an engine holds prefix blocks that it fetched from another engine.
@@ -301,6 +307,11 @@
         }
         self.demand.on_sent(prefill.computed, now);
         let in_progress = self.in_progress_weight();
+        let transfer_slowdown = if prefill.is_distant {
+            self.weights.region_transfer_factor
+        } else {
+            1.0
+        };
         if let Some(state) = self.engines.get_mut(engine) {
             let load = state.load(now);
             let before =
@@ -309,7 +320,8 @@
                 rank,
                 prompt_tokens: prefill.computed,
                 memory_tokens,
-                transfer_tokens: prefill.fetched,
+                transfer_tokens: prefill.fetched * transfer_slowdown,
+                fetches_from_other_region: prefill.is_distant,
                 sent_at: now,
                 kv_source,
                 had_free_slot: state.has_free_slot(now),
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -77,6 +77,8 @@
     pub(super) prompt_tokens: f64,
     pub(super) memory_tokens: f64,
     pub(super) transfer_tokens: f64,
+    /// Whether the engine fetches a part of the KV cache from an engine of another region.
+    pub(super) fetches_from_other_region: bool,
     pub(super) sent_at: MonotonicTime,
     /// How the engine obtains the KV cache for the output; `None` for a dispatch that only prefills.
     pub(super) kv_source: Option<KvCacheSource>,
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -14,6 +14,7 @@
 mod cordons;
 pub mod cost;
 mod dispatches;
+mod distant_prefixes;
 mod ended_starts;
 mod engine;
 mod expectation;
--- a/crates/core/src/routing/pool/prefix_cache.rs
+++ b/crates/core/src/routing/pool/prefix_cache.rs
@@ -66,6 +66,12 @@
         held.last().map(|held| held.last_use.0)
     }
 
+    /// Last use of the last of the given blocks; absent unless all are held.
+    pub fn last_use_of_all(&self, prefixes: &[PrefixBlock]) -> Option<MonotonicTime> {
+        let mut held = prefixes.iter().map(|block| self.held.get(&block.hash));
+        held.try_fold(None, |_, block| block.map(|block| Some(block.last_use.0)))?
+    }
+
     /// Most recent use of any held block; absent if none is held.
     pub fn latest_use(&self) -> Option<MonotonicTime> {
         self.by_use.last_key_value().map(|((at, _), _)| *at)
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -2,6 +2,7 @@
 
 use super::beliefs::PrefixUpdate;
 use super::cordons::ActiveCordon;
+use super::distant_prefixes::DistantPrefixes;
 use super::engine::{
     DELISTED_RETENTION, Delisted, EngineLoad, EngineStage, EngineState, PoolEngine, ReportedLoad,
 };
@@ -42,6 +43,8 @@
     pub(super) topology: Topology,
     /// Measured round trips to other regions, in seconds.
     pub(super) region_round_trips: BTreeMap<RegionId, f64>,
+    /// Prefixes that engines of other regions hold.
+    pub(super) distant_prefixes: DistantPrefixes,
     /// State of the network paths between zones.
     pub(super) paths: Paths,
     pub(super) pending_unanswered_requests: Vec<PendingUnansweredRequest>,
@@ -79,6 +82,7 @@
             prefix_updates: Vec::new(),
             topology: Topology::default(),
             region_round_trips: BTreeMap::new(),
+            distant_prefixes: DistantPrefixes::default(),
             paths: Paths::default(),
             pending_unanswered_requests: Vec::new(),
             availability_changes: Vec::new(),
--- a/crates/core/src/routing/pool/silences.rs
+++ b/crates/core/src/routing/pool/silences.rs
@@ -47,6 +47,12 @@
         let Some(work) = state.in_flight.remove(&ticket.number()) else {
             return;
         };
+        if work.fetches_from_other_region {
+            self.on_distant_fetch_unanswered(now);
+        }
+        let Some(state) = self.engines.get_mut(ticket.engine()) else {
+            return;
+        };
         let pause = state.health.on_unresponsive(now);
         state.failure_rate.record_failure(now);
         let (zone, engine) = (state.engine.zone.clone(), state.handle);
--- a/crates/core/src/routing/pool/weights.rs
+++ b/crates/core/src/routing/pool/weights.rs
@@ -18,6 +18,9 @@
     pub compute: f64,
     /// Weight of the time to fetch held blocks from another engine.
     pub fetch: f64,
+    /// Weight of the time to fetch held blocks from an engine of another region. Lower than `fetch`: the transfer also saves the price
+    /// of prefilling the prefix again, about five times that of the transfer.
+    pub distant_fetch: f64,
     /// Weight of the time for KV cache transfers that are already in progress to the engine.
     pub arriving: f64,
     /// Cost in seconds of prefilling a prefix that no engine holds at an engine other than its home, so that nodes that
@@ -80,6 +83,7 @@
             in_progress: 1.0,
             compute: 1.0,
             fetch: 3.0,
+            distant_fetch: 1.0,
             arriving: 1.0,
             away_seconds: 0.03,
             transfer: 3.0,
@@ -116,6 +120,7 @@
             ("routing.in_progress", self.in_progress, 0.0),
             ("routing.compute", self.compute, 0.0),
             ("routing.fetch", self.fetch, 0.0),
+            ("routing.distant_fetch", self.distant_fetch, 0.0),
             ("routing.arriving", self.arriving, 0.0),
             ("routing.away_seconds", self.away_seconds, 0.0),
             ("routing.transfer", self.transfer, 0.0),
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -62,8 +62,8 @@
     if let Some(datagram) = TenantRateDatagram::decode(bytes) {
         return tenant_rates::receive(context, datagram, from);
     }
-    if let Some(TopologyDatagram::Zone(announcement)) = TopologyDatagram::decode(bytes) {
-        return context.peers.note_zone(&announcement.node, announcement.zone);
+    if let Some(datagram) = TopologyDatagram::decode(bytes) {
+        return take_topology_datagram(context, datagram);
     }
     if let Some(datagram) = QuarantineDatagram::decode(bytes) {
         return quarantine::merge_confirmations(context, datagram, from);
@@ -74,6 +74,17 @@
     }
 }
 
+fn take_topology_datagram(context: &Context, datagram: TopologyDatagram) {
+    match datagram {
+        TopologyDatagram::Zone(announcement) => {
+            context.peers.note_zone(&announcement.node, announcement.zone)
+        }
+        TopologyDatagram::Prefixes(updates) => {
+            lock(&context.router).on_distant_prefixes(&updates, context.now());
+        }
+    }
+}
+
 fn take_rate_datagram(context: &Context, datagram: RateDatagram, from: SocketAddr) {
     match datagram {
         RateDatagram::Limits(message) => rate_limits::receive_message(context, &message, from),
@@ -117,6 +128,11 @@
         peer.sharing.hear(message.start, message.sharing, now);
     }
     let handle = SubjectHandle::of_text("node", message.node.as_str());
+    if message.places
+        && let Some(region) = context.peers.region_of(handle)
+    {
+        lock(&context.router).on_region_heard(&region, now);
+    }
     lock(&context.fleet_clock).observe(handle, message.unix, now);
     take_list_news(context, message.list_news, from);
     let config_version = context.forwarding().map_or(0, |config| config.version);
--- a/crates/node/src/peers/sending.rs
+++ b/crates/node/src/peers/sending.rs
@@ -9,13 +9,13 @@
 use crate::quarantine;
 use crate::rate_limits;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::routing::pool::{PaceReports, PeerLoad, PeerLoadSlice};
+use shelfjunction_core::routing::pool::{PaceReports, PeerLoad, PeerLoadSlice, PrefixUpdate};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_protocol::node_words::{
     Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_FIGURES, MOST_LASTING, MOST_NEWS,
     MOST_SILENCES, WorkMessage,
 };
-use shelfjunction_protocol::topology_messages::{TopologyDatagram, ZoneAnnouncement};
+use shelfjunction_protocol::topology_messages::{MAX_PREFIX_UPDATES, TopologyDatagram, ZoneAnnouncement};
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -163,6 +163,7 @@
                 self.tells_again = PLACER_TELLS_AGAIN;
                 let pause = self.tell_of_work(false, now);
                 self.tell_all(now);
+                self.announce_prefixes(now);
                 pause
             }
             Placing::Placers(_) => {
@@ -292,6 +293,35 @@
         self.allowance.spend(peers.len(), now)
     }
 
+    /// Announces prefixes that engines of this region hold to the placers of other regions that place such prompts.
+    fn announce_prefixes(&self, now: MonotonicTime) {
+        let updates = lock(&self.context.router).take_distant_prefixes();
+        let Placing::Placers(placers) = self.context.peers.placing(now) else {
+            return;
+        };
+        let mut by_placer: BTreeMap<SubjectHandle, Vec<PrefixUpdate>> = BTreeMap::new();
+        for update in updates {
+            let Some(last) = update.prefixes.last() else {
+                continue;
+            };
+            for region in placers.distant().values() {
+                for placer in region.placers_for(last.hash, |_| false, 1) {
+                    by_placer.entry(placer).or_default().push(update.clone());
+                }
+            }
+        }
+        for (placer, updates) in by_placer {
+            let Some(address) = self.context.peers.address_of(placer) else {
+                continue;
+            };
+            for part in updates.chunks(MAX_PREFIX_UPDATES) {
+                if let Some(bytes) = TopologyDatagram::Prefixes(part.to_vec()).encode() {
+                    self.context.peers.send(&bytes, address);
+                }
+            }
+        }
+    }
+
     /// Tells others the zone of this node: those that have only heard it have not read its entry in the store's list.
     fn announce_zone(&self, peers: &[SocketAddr]) {
         if !self.context.peers.topology().is_regional() {
--- a/crates/protocol/src/topology_messages.rs
+++ b/crates/protocol/src/topology_messages.rs
@@ -6,10 +6,14 @@
 use super::datagram_format;
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::identity::{NodeId, ZoneId};
+use shelfjunction_core::routing::pool::PrefixUpdate;
 
 /// First byte of such a datagram.
 const FORMAT: u8 = 68;
 
+/// Prefix updates in one datagram; each takes about 40 bytes, seldom 200.
+pub const MAX_PREFIX_UPDATES: usize = 6;
+
 /// Zone of a node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneAnnouncement {
@@ -24,6 +28,8 @@
 pub enum TopologyDatagram {
     /// The sender's zone.
     Zone(ZoneAnnouncement),
+    /// Shared prefixes that engines of the sender's region hold, for the placer that places such prompts in the receiver's region.
+    Prefixes(Vec<PrefixUpdate>),
 }
 
 impl TopologyDatagram {
