Recovery after a start: placers ask the engines of their own region

A placer asked all engines what they hold, eight at a time, those of other regions too, which it does not choose. Peers of the region are asked before, since others do not know what these engines hold.

--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -162,7 +162,8 @@
 
 /// Takes everything from the first of some peers that knows the whole list of engines.
 pub(crate) fn take_from_any(context: &Context) {
-    let peers = context.peers.told(context.now());
+    // Placers of other regions do not know what the engines of this one hold.
+    let peers = context.peers.told_of_load(context.now());
     for peer in peers.into_iter().take(PEERS_ASKED) {
         if let Some(snapshot) = fetch(peer, Wanted::ALL) {
             let knows = !snapshot.held.is_empty();
--- a/crates/node/src/peers/placers.rs
+++ b/crates/node/src/peers/placers.rs
@@ -236,6 +236,17 @@
         on_duty.map(|(node, _)| node.clone()).collect()
     }
 
+    /// Names of the other nodes on duty that place for this node's region; all nodes on duty in a deployment that is not regional.
+    pub(crate) fn on_duty_in_region(&self, now: MonotonicTime) -> Vec<NodeId> {
+        let placing = self.placing(now);
+        let known = lock(&self.known);
+        let on_duty = known.peers.iter().filter(|(_, peer)| match &placing {
+            Placing::Each => true,
+            Placing::Placers(placers) => placers.home().includes(peer.handle),
+        });
+        on_duty.map(|(node, _)| node.clone()).collect()
+    }
+
     /// The other nodes on duty that may take the lease: they said a short time ago that the store answers them, or have
     /// only just been listed and have had no time to say anything.
     pub(crate) fn lease_candidates(&self, now: MonotonicTime) -> Vec<SubjectHandle> {
--- a/crates/node/src/recovering.rs
+++ b/crates/node/src/recovering.rs
@@ -110,10 +110,14 @@
 }
 
 fn engines(context: &Context) -> Vec<(EngineId, SocketAddr)> {
+    let topology = context.peers.topology();
     let router = lock(&context.router);
-    let with_memory = router
-        .engines()
-        .filter(|state| state.engine.stage != EngineStage::Whole);
+    // Placers of other regions ask the engines there.
+    let with_memory = router.engines().filter(|state| {
+        let own_region = topology.own_region();
+        state.engine.stage != EngineStage::Whole
+            && own_region.is_none_or(|own| topology.contains(own, &state.engine.zone))
+    });
     with_memory
         .map(|state| (state.engine.id.clone(), state.engine.address))
         .collect()
@@ -125,7 +129,7 @@
     let own = handle(context.config.node.as_str());
     let mut nodes: Vec<SubjectHandle> = context
         .peers
-        .on_duty(context.now())
+        .on_duty_in_region(context.now())
         .iter()
         .map(|node| handle(node.as_str()))
         .collect();
