--- a/crates/node/src/peers/placers.rs
+++ b/crates/node/src/peers/placers.rs
@@ -225,17 +225,6 @@
         placers.map(|peer| peer.address).collect()
     }
 
-    /// Names of the other nodes on duty: the placers of a large fleet, everybody in a small one.
-    pub(crate) fn on_duty(&self, now: MonotonicTime) -> Vec<NodeId> {
-        let placing = self.placing(now);
-        let known = lock(&self.known);
-        let on_duty = known
-            .peers
-            .iter()
-            .filter(|(_, peer)| placing.shares_duty(peer.handle));
-        on_duty.map(|(node, _)| node.clone()).collect()
-    }
-
     /// Names of the other nodes on duty that place for this node's region; all nodes on duty in a deployment that is not regional.
     pub(crate) fn on_duty_in_region(&self, now: MonotonicTime) -> Vec<NodeId> {
         let placing = self.placing(now);
