--- a/crates/core/src/routing/pool/admission.rs
+++ b/crates/core/src/routing/pool/admission.rs
@@ -296,11 +296,14 @@
                 default_speed
             };
             let state = self.engines.get(&engine.id)?;
-            let ahead = state.load(now).prompt_tokens_ahead(query.rank);
-            let prefill_tokens = context.prefill_work(state, query).computed;
+            let ahead = self.tokens_before(&state.load(now), query.rank);
+            let prefill = context.prefill_work(state, query);
+            let prefill_tokens = prefill.computed;
+            let fetch_seconds = context.distant_fetch_seconds(prefill);
             let slot_wait = state.slot_wait(now).as_secs_f64();
-            let seconds = slot_wait + state.prefill_seconds(speed, ahead + prefill_tokens, now);
-            let uncontended = state.prefill_seconds(speed, prefill_tokens, now);
+            let seconds =
+                slot_wait + fetch_seconds + state.prefill_seconds(speed, ahead + prefill_tokens, now);
+            let uncontended = fetch_seconds + state.prefill_seconds(speed, prefill_tokens, now);
             Some(FirstEventEstimate {
                 seconds,
                 queue_seconds: seconds - uncontended,
--- a/crates/core/src/routing/pool/choice.rs
+++ b/crates/core/src/routing/pool/choice.rs
@@ -2,7 +2,7 @@
 
 use super::cost::{CostContext, PrefillSite, shared_prefixes};
 use super::engine::{EngineStage, EngineState, PoolEngine};
-use super::query::PoolQuery;
+use super::query::{PoolQuery, PrefixBlock};
 use super::router::PoolRouter;
 use crate::identity::{EngineId, ZoneId};
 use crate::membership::rendezvous;
@@ -170,7 +170,7 @@
         };
         let load = state.load(now);
         EngineEstimate {
-            prompt_tokens_ahead: load.prompt_tokens_ahead(query.rank) as u64,
+            prompt_tokens_ahead: self.tokens_before(&load, query.rank) as u64,
             requests: load.requests as u32,
             held_tokens: state.prefixes.held_tokens(query.prefixes),
             oldest_report_age: state.oldest_report_age(now),
@@ -189,7 +189,7 @@
         let context = self.context(query, now);
         let state = self.engines.get(engine)?;
         let tokens =
-            state.load(now).prompt_tokens_ahead(query.rank) + context.prefill_work(state, query).computed;
+            self.tokens_before(&state.load(now), query.rank) + context.prefill_work(state, query).computed;
         let seconds = state.prefill_seconds(&context.speeds.prefill, tokens, now);
         Some(Duration::from_secs_f64(seconds))
     }
@@ -206,6 +206,11 @@
         context.move_seconds?;
         let prefill_engine = self.engines.get(engine)?;
         let held = prefill_engine.prefixes.held_tokens(query.prefixes);
+        if let Some(distant) = context.distant
+            && context.prefill_work(prefill_engine, query).is_distant
+        {
+            return Some(distant.state.engine.address);
+        }
         let (tokens, holder) = self.best_holder(query, now)?;
         let is_worthwhile = tokens >= held + MIN_FETCH_TOKENS
             && holder.engine.id != *engine
@@ -217,11 +222,16 @@
 
     pub(super) fn context(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> CostContext<'_> {
         let traits = self.traits.get(query.pool);
+        let max_held_tokens = self.best_holder(query, now).map_or(0, |(tokens, _)| tokens);
         CostContext {
             weights: &self.weights,
+            in_progress: self.in_progress_weight(),
+            topology: &self.topology,
+            region_round_trips: &self.region_round_trips,
             speeds: self.speeds(query.pool),
             move_seconds: traits.and_then(|traits| traits.move_seconds),
-            max_held_tokens: self.best_holder(query, now).map_or(0, |(tokens, _)| tokens),
+            max_held_tokens,
+            distant: self.distant_holder(query, max_held_tokens, now),
             min_prefill_wait: None,
             decode_seconds: self.decode_seconds(query),
             draw: query.draw,
@@ -236,12 +246,10 @@
             state.engine.pool == *query.pool
                 && state.engine.stage != EngineStage::Whole
                 && state.can_be_fetched_from(now)
+                && self.is_in_query_region(query.region, state)
                 && self.paths.allows_transfer(query.zone, &state.engine.zone)
         });
-        holders
-            .map(|state| (state.prefixes.held_tokens(query.prefixes), state))
-            .filter(|(tokens, _)| *tokens > 0)
-            .max_by_key(|(tokens, state)| (*tokens, state.prefixes.last_use(query.prefixes)))
+        best_of(holders, query.prefixes)
     }
 
     pub(super) fn candidates<'a>(
@@ -257,6 +265,7 @@
                 && state.has_rate_limit_slot(query.slot_max_wait, now)
                 && state.backoff_admits(query, now)
                 && (query.last_resort || state.health.admits(query.draw ^ state.handle.number(), now))
+                && self.is_in_query_region(query.region, state)
                 && self.may_send_to_zone(query, &state.engine.zone, now)
                 && !query.excluded.contains(&state.engine.id)
                 && query
@@ -311,7 +320,10 @@
         let shared = shared_prefixes(query.prefixes);
         let tokens: u32 = shared.iter().map(|block| block.tokens).sum();
         let others = self.engines.values().filter(|state| {
-            state.engine.zone != *zone && state.engine.pool == *query.pool && state.can_be_fetched_from(now)
+            state.engine.zone != *zone
+                && state.engine.pool == *query.pool
+                && self.is_in_query_region(query.region, state)
+                && state.can_be_fetched_from(now)
         });
         tokens > 0
             && others
@@ -341,6 +353,7 @@
                 && state.engine.stage == EngineStage::Prefill
                 && state.is_active()
                 && state.cordon_allows(now, false)
+                && self.is_in_query_region(query.region, state)
                 && !query.excluded.contains(&state.engine.id)
         });
         homes
@@ -349,6 +362,17 @@
     }
 }
 
+/// The engine that holds the longest prefix of the prompt, with the number of tokens; of several the most recent user.
+pub(super) fn best_of<'a>(
+    holders: impl Iterator<Item = &'a EngineState>,
+    prefixes: &[PrefixBlock],
+) -> Option<(u32, &'a EngineState)> {
+    holders
+        .map(|state| (state.prefixes.held_tokens(prefixes), state))
+        .filter(|(tokens, _)| *tokens > 0)
+        .max_by_key(|(tokens, state)| (*tokens, state.prefixes.last_use(prefixes)))
+}
+
 /// The query itself, then the same query with temporarily avoided engines allowed.
 fn with_fallback<'a>(query: &PoolQuery<'a>) -> [PoolQuery<'a>; 2] {
     let last_resort = PoolQuery {
--- a/crates/core/src/routing/pool/cost.rs
+++ b/crates/core/src/routing/pool/cost.rs
@@ -10,22 +10,31 @@
 //! computed at e = tokens of the prompt that are neither held nor fetched
 //! incoming to e = w.arriving * KV cache tokens in transfer to e * seconds to transfer a token
 //! fetch to e    = w.fetch * fetched to e * seconds to transfer a token + incoming to e   (zero if nothing is fetched)
+//!                 or w.distant_fetch * (fetched to e * w.region_transfer_factor * seconds to transfer a token + round trip)
+//!                 + incoming to e                    (if fetched from another region, [`super::distant_prefixes`])
 //!
-//! prefill at e  = factor * prefill(w.wait * prompt tokens ahead at e + w.compute * computed at e) + fetch to e
+//! ahead at e    = prompt tokens at e that are at least as urgent + in progress at e
+//! in progress   = w.in_progress * 0.5 * less urgent prompt tokens at e / prompts at e    (regional deployments)
+//!
+//! prefill at e  = factor * prefill(w.wait * ahead at e + w.compute * computed at e) + fetch to e
 //!               + w.away_seconds                     (if no engine holds a prefix and e is not its home engine)
-//!               + w.other_zone_seconds               (if e is not in this node's zone)
+//!               + w.other_zone_seconds               (if e is in another zone of this node's region)
+//!                 or remote(e)                       (if e is in another region)
 //!
 //! load of e     = w.places_seconds * (slots used / slots)^2 + w.memory_seconds * (tokens used / token capacity)^2
 //!               + w.overflow_seconds * requests beyond the slots
 //! stall at e    = w.held_up * decode prefill(prompt tokens at e)     (decode waits while e prefills)
 //! decode time   = w.output_time * output tokens * learned time of a token at an average engine   (if paces are in use)
 //! decode at e   = factor * (load of e + stall at e + decode time) + incoming to e
-//!               + w.transfer_zone_seconds        (if e is not in the zone of the prefill engine)
+//!               + w.transfer_zone_seconds        (if e is in another zone of the prefill engine's region)
 //!                 or w.lone_zone_seconds         (if e is in that zone, and only its spot engines hold the shared prefix)
+//!                 or remote(e) + w.transfer * (w.region_transfer_factor - 1) * tokens of the prompt * seconds to transfer a token
+//!                                                (if e is in another region than the prefill engine)
+//! remote(e)     = w.other_region_seconds + round trip to the region of e (measured; w.assumed_region_round_trip_seconds before)
 //! handoff       = w.handover_seconds + w.transfer * tokens of the prompt * seconds to transfer a token
 //!
 //! combined at e = factor * (load of e + decode time) + fetch to e
-//!               + factor * decode prefill(prompt tokens ahead at e + computed at e)
+//!               + factor * decode prefill(ahead at e + computed at e)
 //!                 * (1 + (w.decode_reading_stall + w.decode_reading_harm * harm) * (1 + decoding requests at e))
 //!
 //! factor        = current execution time at e relative to the pool ([`EngineState::work_factor`]); if paces are in use
@@ -44,26 +53,38 @@
 //! `w.single_try_seconds * risk of e` is added to `decode` and `combined` if the request may run on one engine only.
 //! `slot at e` and `w.spread_seconds` times a pseudo-random fraction are added to `prefill`, `decode` and `combined`.
 
+use super::distant_prefixes::DistantHolder;
 use super::engine::{EngineLoad, EngineState};
 use super::pauses::PauseForecast;
 use super::pool_speeds::PoolSpeeds;
 use super::query::{PoolQuery, PrefixBlock};
 use super::weights::PoolWeights;
-use crate::identity::ZoneId;
+use crate::identity::{RegionId, ZoneId};
 use crate::membership::subject::mix;
 use crate::time::MonotonicTime;
+use crate::topology::{Distance, Topology};
+use std::collections::BTreeMap;
 
 /// Inputs of the cost that are the same for all engines of one request.
 #[derive(Clone, Copy, Debug)]
 pub struct CostContext<'a> {
     /// Weights of the cost terms.
     pub weights: &'a PoolWeights,
+    /// Weight of a less urgent prompt that an engine has begun.
+    pub in_progress: f64,
+    /// Zones and regions.
+    pub topology: &'a Topology,
+    /// Measured round trips to other regions, in seconds.
+    pub region_round_trips: &'a BTreeMap<RegionId, f64>,
     /// Learned speeds of the pool.
     pub speeds: PoolSpeeds,
     /// Seconds to transfer the KV cache of one token; absent if the pool does not support transfers.
     pub move_seconds: Option<f64>,
     /// Largest number of leading prompt tokens that any engine holds.
     pub max_held_tokens: u32,
+    /// Engine of another region from which the prefix is fetched where no engine of the region holds it; absent if prefill is
+    /// cheaper.
+    pub(super) distant: Option<DistantHolder<'a>>,
     /// Shortest wait until a prefill engine would start with the prompt, in seconds; absent if there is none or if event
     /// gaps are not part of the cost.
     pub min_prefill_wait: Option<f64>,
@@ -102,6 +123,8 @@
     pub computed: f64,
     /// Tokens to transfer from another engine.
     pub fetched: f64,
+    /// Whether they come from another region.
+    pub is_distant: bool,
 }
 
 impl CostContext<'_> {
@@ -113,9 +136,29 @@
             Some(_) => held.max(self.max_held_tokens),
             None => held,
         };
+        if let Some(distant) = self.distant.filter(|distant| distant.tokens > reachable) {
+            return PrefillWork {
+                computed: f64::from(tokens.saturating_sub(distant.tokens)),
+                fetched: f64::from(distant.tokens - held),
+                is_distant: true,
+            };
+        }
         PrefillWork {
             computed: f64::from(tokens.saturating_sub(reachable)),
             fetched: f64::from(reachable - held),
+            is_distant: false,
+        }
+    }
+
+    /// Time to fetch the part of the KV cache that another region holds, in seconds; zero if none is fetched from there.
+    pub(super) fn distant_fetch_seconds(&self, prefill: PrefillWork) -> f64 {
+        match self.distant.filter(|_| prefill.is_distant) {
+            Some(distant) => {
+                let slowdown = self.weights.region_transfer_factor;
+                prefill.fetched * slowdown * self.move_seconds.unwrap_or_default()
+                    + distant.round_trip_seconds
+            }
+            None => 0.0,
         }
     }
 
@@ -123,7 +166,7 @@
     pub fn prefill_cost(&self, state: &EngineState, query: &PoolQuery<'_>, is_home: bool) -> f64 {
         let prefill = self.prefill_work(state, query);
         let load = state.load(self.now);
-        let ahead = load.prompt_tokens_ahead(query.rank);
+        let ahead = self.tokens_before(&load, query.rank);
         let tokens = self.weights.wait * ahead + self.weights.compute * prefill.computed;
         let not_home = if is_home || self.max_held_tokens > 0 {
             0.0
@@ -140,10 +183,16 @@
 
     /// Cost of decode at an engine, or of a whole request in a pool without a model.
     pub fn decode_cost(&self, state: &EngineState, source: PrefillSite<'_>, query: &PoolQuery<'_>) -> f64 {
-        let transfer = match (state.engine.zone == *source.zone, source.is_sole_cache_zone) {
-            (true, true) => self.weights.lone_zone_seconds,
-            (true, false) | (false, true) => 0.0,
-            (false, false) => self.weights.transfer_zone_seconds,
+        let transfer = match (
+            self.topology.distance(&state.engine.zone, source.zone),
+            source.is_sole_cache_zone,
+        ) {
+            (Distance::SameZone, true) => self.weights.lone_zone_seconds,
+            (Distance::SameZone, false) | (Distance::SameRegion, true) => 0.0,
+            (Distance::SameRegion, false) => self.weights.transfer_zone_seconds,
+            (Distance::OtherRegion, _) => {
+                self.other_region_cost(&state.engine.zone) + self.region_transfer_cost(query)
+            }
         };
         let load = state.load(self.now);
         let prompts = load.all_prompt_tokens();
@@ -173,7 +222,7 @@
     pub fn combined_cost(&self, state: &EngineState, query: &PoolQuery<'_>) -> f64 {
         let prefill = self.prefill_work(state, query);
         let load = state.load(self.now);
-        let tokens = load.prompt_tokens_ahead(query.rank) + prefill.computed;
+        let tokens = self.tokens_before(&load, query.rank) + prefill.computed;
         let seconds = state.prefill_seconds(&self.speeds.decode, tokens, self.now);
         let harm = self.speeds.pauses.harm();
         let stall = self.weights.decode_reading_stall + self.weights.decode_reading_harm * harm;
@@ -243,6 +292,10 @@
         if prefill.fetched == 0.0 {
             return 0.0;
         }
+        if prefill.is_distant {
+            return self.weights.distant_fetch * self.distant_fetch_seconds(prefill)
+                + self.incoming_transfer_cost(load);
+        }
         self.weights.fetch * prefill.fetched * self.move_seconds.unwrap_or_default()
             + self.incoming_transfer_cost(load)
     }
@@ -262,13 +315,34 @@
             + self.weights.overflow_seconds * excess
     }
 
+    /// Prompt tokens that an engine with the given load prefills before a new request of the given rank.
+    fn tokens_before(&self, load: &EngineLoad, rank: usize) -> f64 {
+        load.prompt_tokens_ahead(rank) + self.in_progress * load.prompt_tokens_in_progress_behind(rank)
+    }
+
     fn other_zone_cost(&self, zone: &ZoneId, own: &ZoneId) -> f64 {
-        if zone == own {
-            0.0
-        } else {
-            self.weights.other_zone_seconds
+        match self.topology.distance(zone, own) {
+            Distance::SameZone => 0.0,
+            Distance::SameRegion => self.weights.other_zone_seconds,
+            Distance::OtherRegion => self.other_region_cost(zone),
         }
     }
+
+    fn other_region_cost(&self, zone: &ZoneId) -> f64 {
+        let region = self.topology.region_of(zone);
+        let round_trip = region.and_then(|region| self.region_round_trips.get(region));
+        self.weights.other_region_seconds
+            + round_trip
+                .copied()
+                .unwrap_or(self.weights.assumed_region_round_trip_seconds)
+    }
+
+    /// Additional cost of transferring the KV cache of the prompt to another region, beyond [`Self::handoff_cost`].
+    fn region_transfer_cost(&self, query: &PoolQuery<'_>) -> f64 {
+        let tokens = f64::from(query.prompt.map_or(0, |prompt| prompt.tokens));
+        let slowdown = self.weights.region_transfer_factor - 1.0;
+        self.weights.transfer * slowdown * tokens * self.move_seconds.unwrap_or_default()
+    }
 }
 
 /// The blocks that other requests may share: all but the last.
--- a/crates/core/src/routing/pool/weights.rs
+++ b/crates/core/src/routing/pool/weights.rs
@@ -11,10 +11,16 @@
 pub struct PoolWeights {
     /// Weight of the wait until prefill starts.
     pub wait: f64,
+    /// Weight of the part of a less urgent prompt that the engine has begun and finishes first. It applies in regional deployments,
+    /// where a placer chooses among the engines of one region and few are idle.
+    pub in_progress: f64,
     /// Weight of the prefill time for the part of the prompt that the engine does not hold.
     pub compute: f64,
     /// Weight of the time to fetch held blocks from another engine.
     pub fetch: f64,
+    /// Weight of the time to fetch held blocks from an engine of another region. Lower than `fetch`: the transfer also saves the price
+    /// of prefilling the prefix again, about five times that of the transfer.
+    pub distant_fetch: f64,
     /// Weight of the time for KV cache transfers that are already in progress to the engine.
     pub arriving: f64,
     /// Cost in seconds of prefilling a prefix that no engine holds at an engine other than its home, so that nodes that
@@ -28,6 +34,13 @@
     pub other_zone_seconds: f64,
     /// Cost of transferring a KV cache to another zone, in seconds.
     pub transfer_zone_seconds: f64,
+    /// Cost of an engine in another region in addition to the round trip, in seconds. It stands for the price of the bytes and keeps
+    /// requests in their region unless its engines are busy.
+    pub other_region_seconds: f64,
+    /// Round trip to another region that is assumed until one has been measured, in seconds.
+    pub assumed_region_round_trip_seconds: f64,
+    /// Time of a KV cache transfer between regions relative to one within a zone.
+    pub region_transfer_factor: f64,
     /// Cost in seconds of keeping a shared prefix only in one zone and only at spot engines, which may all be
     /// reclaimed.
     pub lone_zone_seconds: f64,
@@ -67,14 +80,19 @@
     fn default() -> Self {
         Self {
             wait: 1.0,
+            in_progress: 1.0,
             compute: 1.0,
             fetch: 3.0,
+            distant_fetch: 1.0,
             arriving: 1.0,
             away_seconds: 0.03,
             transfer: 3.0,
             handover_seconds: 0.015,
             other_zone_seconds: 0.010,
             transfer_zone_seconds: 0.010,
+            other_region_seconds: 0.15,
+            assumed_region_round_trip_seconds: 0.03,
+            region_transfer_factor: 10.0,
             lone_zone_seconds: 0.020,
             places_seconds: 0.5,
             memory_seconds: 0.5,
@@ -99,14 +117,23 @@
     pub fn validate(&self) -> Vec<FieldError> {
         let weights = [
             ("routing.wait", self.wait, 0.0),
+            ("routing.in_progress", self.in_progress, 0.0),
             ("routing.compute", self.compute, 0.0),
             ("routing.fetch", self.fetch, 0.0),
+            ("routing.distant_fetch", self.distant_fetch, 0.0),
             ("routing.arriving", self.arriving, 0.0),
             ("routing.away_seconds", self.away_seconds, 0.0),
             ("routing.transfer", self.transfer, 0.0),
             ("routing.handover_seconds", self.handover_seconds, 0.0),
             ("routing.other_zone_seconds", self.other_zone_seconds, 0.0),
             ("routing.transfer_zone_seconds", self.transfer_zone_seconds, 0.0),
+            ("routing.other_region_seconds", self.other_region_seconds, 0.0),
+            (
+                "routing.assumed_region_round_trip_seconds",
+                self.assumed_region_round_trip_seconds,
+                0.0,
+            ),
+            ("routing.region_transfer_factor", self.region_transfer_factor, 1.0),
             ("routing.lone_zone_seconds", self.lone_zone_seconds, 0.0),
             ("routing.places_seconds", self.places_seconds, 0.0),
             ("routing.memory_seconds", self.memory_seconds, 0.0),
--- a/crates/node/src/peers/sending.rs
+++ b/crates/node/src/peers/sending.rs
@@ -9,12 +9,13 @@
 use crate::quarantine;
 use crate::rate_limits;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::routing::pool::{PaceReports, PeerLoad, PeerLoadSlice};
+use shelfjunction_core::routing::pool::{PaceReports, PeerLoad, PeerLoadSlice, PrefixUpdate};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_protocol::node_words::{
     Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_FIGURES, MOST_LASTING, MOST_NEWS,
     MOST_SILENCES, WorkMessage,
 };
+use shelfjunction_protocol::topology_messages::{MAX_PREFIX_UPDATES, TopologyDatagram, ZoneAnnouncement};
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -162,6 +163,7 @@
                 self.tells_again = PLACER_TELLS_AGAIN;
                 let pause = self.tell_of_work(false, now);
                 self.tell_all(now);
+                self.announce_prefixes(now);
                 pause
             }
             Placing::Placers(_) => {
@@ -175,7 +177,7 @@
 
     /// Tells of the work at engines, in as many slices as it takes.
     fn tell_of_work(&mut self, confirmed: bool, now: MonotonicTime) -> Duration {
-        let peers = self.context.peers.told(now);
+        let peers = self.context.peers.told_of_load(now);
         let work = lock(&self.context.router).own_load();
         let slices = work.len().div_ceil(ENGINES_PER_SLICE).max(1) as u16;
         let mut sent = 0;
@@ -255,12 +257,18 @@
         self.told_versions = versions;
         self.rounds_to_all += 1;
         let message = self.compose(PeerLoadSlice::EMPTY, true, now);
-        let peers = if is_news || self.rounds_to_all.is_multiple_of(FAR_ROUNDS) {
+        let is_far_round = self.rounds_to_all.is_multiple_of(FAR_ROUNDS);
+        let peers = if is_far_round {
             self.context.peers.addresses(now)
+        } else if is_news {
+            self.context.peers.told_of_news(now)
         } else {
             self.context.peers.notified_often(now)
         };
         self.send(&peers, message);
+        if is_far_round {
+            self.announce_zone(&peers);
+        }
     }
 
     /// What every node has to hear of at once: the versions of the configuration and of the operators' cordons.
@@ -281,9 +289,55 @@
         let message = self.compose(PeerLoadSlice::EMPTY, false, now);
         let peers = self.context.peers.told(now);
         self.send(&peers, message);
+        self.announce_zone(&peers);
         self.allowance.spend(peers.len(), now)
     }
 
+    /// Announces prefixes that engines of this region hold to the placers of other regions that place such prompts.
+    fn announce_prefixes(&self, now: MonotonicTime) {
+        let updates = lock(&self.context.router).take_distant_prefixes();
+        let Placing::Placers(placers) = self.context.peers.placing(now) else {
+            return;
+        };
+        let mut by_placer: BTreeMap<SubjectHandle, Vec<PrefixUpdate>> = BTreeMap::new();
+        for update in updates {
+            let Some(last) = update.prefixes.last() else {
+                continue;
+            };
+            for region in placers.distant().values() {
+                for placer in region.placers_for(last.hash, |_| false, 1) {
+                    by_placer.entry(placer).or_default().push(update.clone());
+                }
+            }
+        }
+        for (placer, updates) in by_placer {
+            let Some(address) = self.context.peers.address_of(placer) else {
+                continue;
+            };
+            for part in updates.chunks(MAX_PREFIX_UPDATES) {
+                if let Some(bytes) = TopologyDatagram::Prefixes(part.to_vec()).encode() {
+                    self.context.peers.send(&bytes, address);
+                }
+            }
+        }
+    }
+
+    /// Tells others the zone of this node: those that have only heard it have not read its entry in the store's list.
+    fn announce_zone(&self, peers: &[SocketAddr]) {
+        if !self.context.peers.topology().is_regional() {
+            return;
+        }
+        let announcement = ZoneAnnouncement {
+            node: self.context.config.node.clone(),
+            zone: self.context.config.zone.clone(),
+        };
+        if let Some(bytes) = TopologyDatagram::Zone(announcement).encode() {
+            peers
+                .iter()
+                .for_each(|peer| self.context.peers.send(&bytes, *peer));
+        }
+    }
+
     fn compose(&self, slice: PeerLoadSlice, places: bool, now: MonotonicTime) -> WorkMessage {
         let context = self.context;
         let config_version = || context.forwarding().map_or(0, |config| config.version);
