Spillover: rules, messages and the asking and answering sides

Cause: a region with more demand or fewer engines than it can serve in time refused requests or chose engines elsewhere blindly, while other regions had room.

Change: core::spill decides which region a node asks after a late, refused or missing home verdict, with backoffs, and whether a placer accepts, from its calm and its share of the free capacity. In a regional deployment a placer no longer names engines that are avoided for now; the node asks other regions before it falls back to them. Placers probe the round trip to other regions. Settings in the section spill, metrics and log lines.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod service_class;
 pub mod setting;
 pub mod sharing;
+pub mod spill;
 pub mod table;
 pub mod tenancy;
 pub mod time;
--- a/crates/core/src/placing/placement_table.rs
+++ b/crates/core/src/placing/placement_table.rs
@@ -17,6 +17,7 @@
     PoolTicket, PrefixBlock, RequestTiming,
 };
 use crate::sharing::Charge;
+use crate::spill::accepting::RegionRoom;
 use crate::time::MonotonicTime;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -55,6 +56,19 @@
     expires_at: MonotonicTime,
 }
 
+/// A request as a placer judges it without placing it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct JudgedRequest {
+    /// Whether it would be admitted, and whether in time.
+    pub admission: Admission,
+    /// Whether engines can take it that are not avoided for now.
+    pub has_engine: bool,
+    /// Prefill time that it takes of an engine, in seconds.
+    pub prefill_seconds: f64,
+    /// Free capacity of the region for requests of its pool and model.
+    pub room: RegionRoom,
+}
+
 /// Table of the requests for which a placer has answered a query.
 #[derive(Clone, Debug, Default)]
 pub struct PlacementTable {
@@ -85,24 +99,39 @@
         if self.requests.len() >= MAX_PLACED_REQUESTS {
             return None;
         }
-        let placed = PlacedRequest {
-            request: query.request.clone(),
-            region: router.topology().own_region().cloned(),
-            prefixes: query.request.prompt.prefixes(),
-            dispatch: ActiveDispatch::Inactive,
-            prediction: None,
-            charge: None,
-            last_answer: PlacementAnswer {
-                key: query.key,
-                step: 0,
-                verdict: None,
-                placement: Placement::Nowhere,
-            },
-            expires_at: now,
-        };
+        let placed = PlacedRequest::new(router, query, now);
         Some(self.answer_next(router, placed, query, settings, now))
     }
 
+    /// Step of the last query for a request that was answered; absent if the request is not in the table.
+    pub fn answered_step(&self, key: RequestKey) -> Option<u32> {
+        self.requests.get(&key).map(|placed| placed.last_answer.step)
+    }
+
+    /// What the answer to a query for admission would be, without recording it. Engines that are avoided for now do not count.
+    pub fn judge(
+        &self,
+        router: &mut PoolRouter,
+        query: &PlacementQuery,
+        timing: RequestTiming,
+        settings: &PoolAdmission,
+        queue_limit: Duration,
+        now: MonotonicTime,
+    ) -> JudgedRequest {
+        let placed = PlacedRequest::new(router, query, now);
+        let pool_query = placed.pool_query(query.key, &[]);
+        let decision = router.admit_or_grow(&pool_query, timing, settings, now);
+        let speed = router.speeds(&query.request.pool).prefill;
+        let output = f64::from(query.request.prompt.expected_output_tokens());
+        JudgedRequest {
+            admission: decision.admission,
+            has_engine: decision.route != PoolRoute::Nowhere
+                && !router.is_last_resort(&decision.route, &pool_query, now),
+            prefill_seconds: speed.seconds((decision.tokens - output).max(0.0)),
+            room: router.region_room(&pool_query, queue_limit, now),
+        }
+    }
+
     fn answer_next(
         &mut self,
         router: &mut PoolRouter,
@@ -185,6 +214,25 @@
 }
 
 impl PlacedRequest {
+    /// A request without an answer.
+    fn new(router: &PoolRouter, query: &PlacementQuery, now: MonotonicTime) -> Self {
+        Self {
+            request: query.request.clone(),
+            region: router.topology().own_region().cloned(),
+            prefixes: query.request.prompt.prefixes(),
+            dispatch: ActiveDispatch::Inactive,
+            prediction: None,
+            charge: None,
+            last_answer: PlacementAnswer {
+                key: query.key,
+                step: 0,
+                verdict: None,
+                placement: Placement::Nowhere,
+            },
+            expires_at: now,
+        }
+    }
+
     /// Ends the current dispatch before a new query for the request is answered.
     fn end_previous_dispatch(&mut self, router: &mut PoolRouter, kind: &PlacementKind, now: MonotonicTime) {
         match (
@@ -252,7 +300,23 @@
             late_or_refused_share: decision.late_or_refused_share as f32,
             standing: decision.standing,
         };
-        (verdict, self.place(router, key, decision.route, now))
+        let route = self.without_last_resort(router, key, decision.route, &[], now);
+        (verdict, self.place(router, key, route, now))
+    }
+
+    /// In a regional deployment, a placer names no engines that are avoided for now: the node asks other regions before it falls back
+    /// to them by itself.
+    fn without_last_resort(
+        &self,
+        router: &PoolRouter,
+        key: RequestKey,
+        route: PoolRoute,
+        excluded: &[EngineId],
+        now: MonotonicTime,
+    ) -> PoolRoute {
+        let is_last_resort =
+            self.region.is_some() && router.is_last_resort(&route, &self.pool_query(key, excluded), now);
+        if is_last_resort { PoolRoute::Nowhere } else { route }
     }
 
     fn choose(
@@ -264,6 +328,7 @@
     ) -> Placement {
         let excluded = router.engines_by_handle(excluded);
         let route = router.choose_or_grow(&self.pool_query(key, &excluded), now);
+        let route = self.without_last_resort(router, key, route, &excluded, now);
         self.place(router, key, route, now)
     }
 
@@ -392,7 +457,13 @@
     ) -> bool {
         let ticket = match &self.dispatch {
             ActiveDispatch::Prefill(ticket) | ActiveDispatch::Decode(ticket) => ticket.clone(),
-            ActiveDispatch::Inactive => return true,
+            ActiveDispatch::Inactive => {
+                // Another region serves a request for which there was no engine here.
+                if self.region.is_some() && *progress == DispatchProgress::Abandoned {
+                    self.refund_charge(router, now);
+                }
+                return true;
+            }
         };
         match progress {
             DispatchProgress::Started { reported_load } => {
--- a/crates/core/src/routing/pool/admission.rs
+++ b/crates/core/src/routing/pool/admission.rs
@@ -338,6 +338,10 @@
         let default_speeds = self.default_speeds();
         let speeds = self.speeds.entry(query.pool.clone()).or_insert(default_speeds);
         let is_late_or_refused = decision.admission != Admission::InTime;
+        // A prompt that misses its target even with an empty queue, and a tenant beyond its share, say nothing of the capacity.
+        if is_late_or_refused && decision.misses_target && decision.queue_share.is_some() {
+            self.last_rejection = Some(now);
+        }
         speeds
             .rejection_rate
             .observe(is_late_or_refused && decision.misses_target);
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -31,6 +31,7 @@
 mod reachability;
 mod recent;
 mod reclaims;
+mod region_capacity;
 mod risk;
 mod router;
 mod signals;
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -40,6 +40,8 @@
     pub(super) topology: Topology,
     /// Measured round trips to other regions, in seconds.
     pub(super) region_round_trips: BTreeMap<RegionId, f64>,
+    /// When a request was last late or refused for lack of capacity.
+    pub(super) last_rejection: Option<MonotonicTime>,
     /// State of the network paths between zones.
     pub(super) paths: Paths,
     pub(super) pending_unanswered_requests: Vec<PendingUnansweredRequest>,
@@ -77,6 +79,7 @@
             prefix_updates: Vec::new(),
             topology: Topology::default(),
             region_round_trips: BTreeMap::new(),
+            last_rejection: None,
             paths: Paths::default(),
             pending_unanswered_requests: Vec::new(),
             availability_changes: Vec::new(),
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -13,6 +13,7 @@
 use shelfjunction_core::roles::pool::PoolRolePolicy;
 use shelfjunction_core::routing::pool::{PoolAdmission, PoolWeights};
 use shelfjunction_core::setting::FieldError;
+use shelfjunction_core::spill::config::SpillSettings;
 use shelfjunction_core::tenancy::rate_reserve::TenantRateSettings;
 use shelfjunction_core::topology::TopologySettings;
 use shelfjunction_core::watching::SharedWatchSettings;
@@ -90,6 +91,9 @@
     /// Zones and regions.
     #[serde(default)]
     pub topology: TopologySettings,
+    /// Which requests are handed to other regions and accepted from them.
+    #[serde(default)]
+    pub spill: SpillSettings,
     /// What is kept for callers that read slowly.
     #[serde(default)]
     pub delivery: DeliverySettings,
@@ -224,6 +228,7 @@
         errors.extend(self.admission.validate());
         errors.extend(self.placing.validate());
         errors.extend(self.topology.validate(&self.zone));
+        errors.extend(self.spill.validate());
         errors.extend(self.delivery.validate());
         errors.extend(self.cordons.validate());
         errors.extend(self.quarantine.validate());
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -14,6 +14,7 @@
 use crate::rate_limits::RateLimits;
 use crate::releasing::Releases;
 use crate::repeats::Repeats;
+use crate::spill::Spillover;
 use crate::tenant_rates::TenantRates;
 use crate::watch::{StoreTrouble, TableWatch};
 use shelfjunction_core::connections;
@@ -21,7 +22,7 @@
 use shelfjunction_core::forwarding::{
     Adoption, CallerWaits, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation, stopping,
 };
-use shelfjunction_core::identity::{EngineId, EngineStart};
+use shelfjunction_core::identity::{EngineId, EngineStart, RegionId};
 use shelfjunction_core::lease::Authority;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::metering::clock::FleetClock;
@@ -53,6 +54,8 @@
     pub(crate) placements: Placements,
     /// Measured round trips to nodes of each region.
     pub(crate) round_trips: Mutex<RoundTrips>,
+    /// Requests handed to other regions and accepted from them.
+    pub(crate) spill: Spillover,
     /// What this node has placed for others; locked before `router`.
     pub(crate) placement_table: Mutex<PlacementTable>,
     pub(crate) metrics: Metrics,
@@ -183,6 +186,7 @@
             peers: Peers::new(&config, socket),
             placements: Placements::default(),
             round_trips: Mutex::default(),
+            spill: Spillover::default(),
             placement_table: Mutex::default(),
             metrics: Metrics::new(),
             state: Arc::new(NodeState::default()),
@@ -251,6 +255,16 @@
         }
     }
 
+    /// Records a question that no node of a region answered within `waited`.
+    pub(crate) fn note_silence(&self, region: &RegionId, waited: Duration) {
+        lock(&self.round_trips).on_timeout(region, waited);
+    }
+
+    /// Time to wait for an answer from a node of another region.
+    pub(crate) fn answer_wait(&self, region: &RegionId) -> Duration {
+        lock(&self.round_trips).answer_wait(region, self.config.placing.answer_wait())
+    }
+
     /// What the lease allows, while this node holds it.
     pub(crate) fn authority(&self, now: MonotonicTime) -> Option<Authority> {
         lock(&self.authority).filter(|authority| now < authority.not_after)
--- a/crates/node/src/course/admitting.rs
+++ b/crates/node/src/course/admitting.rs
@@ -14,6 +14,7 @@
     Admission, AdmissionDecision, LATE_RANK, PoolRoute, RequestConstraints, RequestTiming, rank_for_priority,
 };
 use shelfjunction_core::sharing::Standing;
+use shelfjunction_core::spill::question::SpillReason;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::time::Duration;
@@ -35,6 +36,12 @@
 impl Driver<'_> {
     /// The first choice of engines for a request, which also decides whether it is taken.
     pub(super) fn admit(&mut self, now: MonotonicTime) {
+        if self.lacks_home_engines(now) {
+            let placement = self.spill(SpillReason::NoEngine, None);
+            if placement.is_some() {
+                return self.placed(placement);
+            }
+        }
         let timing = RequestTiming {
             target: self.route.target_latency,
             remaining: routing::left(self.deadline, now),
@@ -45,6 +52,11 @@
         {
             self.overuse_factor = f64::from(verdict.standing.shortened);
             self.log_admission(Judged::of(&verdict), timing);
+            let reason = SpillReason::of_verdict(verdict.admission, answer.placement != Placed::Nowhere);
+            let elsewhere = reason.and_then(|reason| self.spill(reason, Some(at)));
+            if elsewhere.is_some() {
+                return self.placed(elsewhere);
+            }
             return self.follow(verdict.admission, &answer, at);
         }
         let settings = &self.context.config.admission;
@@ -55,6 +67,12 @@
             let query = self.query(&[], now);
             lock(&self.context.router).on_admission(&query, &decision, timing, settings, now);
         }
+        let reason = SpillReason::of_verdict(decision.admission, decision.route != PoolRoute::Nowhere)
+            .or_else(|| self.objection_to(&decision.route, &[], now));
+        let elsewhere = reason.and_then(|reason| self.spill(reason, None));
+        if elsewhere.is_some() {
+            return self.placed(elsewhere);
+        }
         match decision.admission {
             Admission::InTime => {
                 self.promise = (!decision.expected.is_zero()).then_some(Promise {
@@ -144,7 +162,7 @@
         }
     }
 
-    fn log_admission(&self, judged: Judged, timing: RequestTiming) {
+    pub(super) fn log_admission(&self, judged: Judged, timing: RequestTiming) {
         if judged.expected.is_zero() {
             return;
         }
@@ -170,7 +188,7 @@
 }
 
 /// How a request was judged, here or by a placer.
-struct Judged {
+pub(super) struct Judged {
     admission: Admission,
     expected: Duration,
     error: f64,
@@ -201,7 +219,7 @@
         }
     }
 
-    fn of(verdict: &AdmissionVerdict) -> Self {
+    pub(super) fn of(verdict: &AdmissionVerdict) -> Self {
         Self {
             admission: verdict.admission,
             expected: verdict.expected,
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -7,8 +7,8 @@
 use super::exchange::Exchange;
 use super::pauses::StreamPauses;
 use super::routing;
+use super::spilling::{self, SpillCourse};
 use crate::context::Context;
-use crate::peers::Placing;
 use crate::ports::{AnswerHead, Call, CallerConnection};
 use crate::quarantine::Trial;
 use crate::tenant_rates::ChargedRequest;
@@ -114,8 +114,11 @@
     pub(super) draw: u64,
     /// Number of the last question to a placer.
     pub(super) step: u32,
-    /// Region whose engines this node chooses for the request by itself; absent where it may choose those of all regions.
+    /// Region whose engines this node chooses for the request by itself, which is the one that accepted it or its home; absent where
+    /// it may choose those of all regions.
     pub(super) home_region: Option<RegionId>,
+    /// What other regions said of the request.
+    pub(super) spill: SpillCourse,
     /// The placer that answered last.
     pub(super) placer: Option<SubjectHandle>,
     /// An engine that a placer has chosen and counted, until the request is sent there.
@@ -150,6 +153,8 @@
             .prompt
             .as_ref()
             .filter(|_| super::runs_model(context, &pool, call));
+        let home_region = spilling::home_region(context, prompt.is_some());
+        let spill = SpillCourse::new(context.config.spill.enabled && home_region.is_some());
         Self {
             context,
             caller,
@@ -188,7 +193,8 @@
             promise: None,
             draw: rand::random(),
             step: 0,
-            home_region: home_region(context, prompt.is_some()),
+            home_region,
+            spill,
             placer: None,
             choice: None,
             trial,
@@ -242,6 +248,7 @@
 
     fn choose(&mut self, excluded: &[EngineId]) {
         let now = self.context.now();
+        self.spill.begin_decision();
         if !std::mem::replace(&mut self.admitted, true) {
             return self.admit(now);
         }
@@ -250,11 +257,18 @@
 
     pub(super) fn placed(&mut self, placement: Option<Placement>) {
         let event = match placement {
-            Some(placement) => Event::Placed(placement),
-            None => Event::Nowhere(Refusal {
-                reason: RefusalReason::EnginesRefused,
-                retry_after: Some(self.return_when_accepted().unwrap_or(NOWHERE_RETRY_AFTER)),
-            }),
+            Some(placement) => {
+                self.count_region();
+                Event::Placed(placement)
+            }
+            None => {
+                let until_spill = self.time_until_spill().unwrap_or_default();
+                let retry_after = self.return_when_accepted();
+                Event::Nowhere(Refusal {
+                    reason: RefusalReason::EnginesRefused,
+                    retry_after: Some(retry_after.unwrap_or(NOWHERE_RETRY_AFTER.max(until_spill))),
+                })
+            }
         };
         self.take(event);
     }
@@ -333,14 +347,3 @@
         }
     }
 }
-
-/// The home region of a request whose engines are chosen by placers: the router of a node knows the load of engines elsewhere only in
-/// a fleet without placers.
-fn home_region(context: &Context, has_prompt: bool) -> Option<RegionId> {
-    let has_placers = context.peers.placing(context.now()) != Placing::Each;
-    let topology = context.peers.topology();
-    topology
-        .own_region()
-        .filter(|_| has_prompt && has_placers)
-        .cloned()
-}
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -14,6 +14,7 @@
 mod placing;
 mod reading;
 mod routing;
+mod spilling;
 mod suspicion;
 mod waiting;
 
--- a/crates/node/src/course/placing.rs
+++ b/crates/node/src/course/placing.rs
@@ -15,6 +15,7 @@
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::request::specification::Placement;
 use shelfjunction_core::routing::pool::{PoolEngine, PoolRoute, shared_prefixes};
+use shelfjunction_core::spill::question::SpillReason;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::time::Duration;
@@ -25,23 +26,52 @@
 impl Driver<'_> {
     /// Chooses engines anew, without those that failed the request.
     pub(super) fn choose_anew(&mut self, excluded: &[EngineId], now: MonotonicTime) {
-        let excluded_here = self.excluded_here(excluded, now);
-        let wanted = || PlacementKind::Retry {
-            excluded: excluded_here,
-        };
-        let placement = self.ask(wanted).and_then(|(answer, at)| self.adopt(&answer, at));
+        if self.spill.accepted_by.is_some() {
+            let (placement, at) = self.ask_anew(excluded, now);
+            if placement.is_some() {
+                return self.placed(placement);
+            }
+            self.return_home(at);
+        }
+        let (mut placement, nowhere_at) = self.ask_anew(excluded, now);
+        if nowhere_at.is_some() {
+            placement = self.spill(SpillReason::NoEngine, nowhere_at);
+        }
         if placement.is_some() {
             return self.placed(placement);
         }
         self.choose_alone(excluded, now);
     }
 
+    /// Asks the request's placer for other engines; the second value is the placer that has none.
+    fn ask_anew(
+        &mut self,
+        excluded: &[EngineId],
+        now: MonotonicTime,
+    ) -> (Option<Placement>, Option<PlacedAt>) {
+        let excluded_here = self.excluded_here(excluded, now);
+        let answered = self.ask(|| PlacementKind::Retry {
+            excluded: excluded_here,
+        });
+        let Some((answer, at)) = answered else {
+            return (None, None);
+        };
+        let nowhere_at = (answer.placement == Placed::Nowhere).then_some(at);
+        (self.adopt(&answer, at), nowhere_at)
+    }
+
     /// Chooses engines in this node's own router: of the home region, or of any region where that has none that can take the
     /// request.
     pub(super) fn choose_alone(&mut self, excluded: &[EngineId], now: MonotonicTime) {
         loop {
             let route = lock(&self.context.router).choose_or_grow(&self.query(excluded, now), now);
-            if route != PoolRoute::Nowhere || !self.leave_home_region() {
+            let objection = self.objection_to(&route, excluded, now);
+            let elsewhere = objection.and_then(|reason| self.spill(reason, None));
+            if elsewhere.is_some() {
+                return self.placed(elsewhere);
+            }
+            // A request that no other region accepts is refused; this node does not know the load there.
+            if route != PoolRoute::Nowhere || self.spill.is_allowed || !self.leave_home_region() {
                 return self.placed(routing::placement(route));
             }
         }
@@ -89,27 +119,11 @@
         &mut self,
         wanted: impl FnOnce() -> PlacementKind,
     ) -> Option<(Box<PlacementAnswer>, PlacedAt)> {
-        let prompt = self.prompt?;
-        self.step += 1;
-        let now = self.context.now();
-        let question = PlacementQuery {
-            key: RequestKey {
-                node: self.context.peers.own_handle(),
-                number: self.draw,
-            },
-            step: self.step,
-            request: RequestSummary {
-                pool: self.pool.clone(),
-                prompt: prompt.clone(),
-                zone: self.context.config.zone.clone(),
-                constraints: self.constraints(),
-                rank: self.rank() as u8,
-                remaining: routing::left(self.deadline, now),
-            },
-            kind: wanted(),
-        };
+        self.prompt?;
+        let question = self.question(wanted())?;
         let placements = &self.context.placements;
-        let asked = placements.ask(self.context, &question, self.subject(), self.placer);
+        let accepted_by = self.spill.accepted_by.as_ref();
+        let asked = placements.ask(self.context, &question, self.subject(), self.placer, accepted_by);
         self.log_asked(&asked);
         match asked {
             Asked::Answered { answer, at, .. } => {
@@ -120,8 +134,35 @@
         }
     }
 
+    /// The next question about the request; absent if it has no prompt.
+    pub(super) fn question(&mut self, kind: PlacementKind) -> Option<PlacementQuery> {
+        let request = self.summary(self.context.now())?;
+        self.step += 1;
+        Some(PlacementQuery {
+            key: RequestKey {
+                node: self.context.peers.own_handle(),
+                number: self.draw,
+            },
+            step: self.step,
+            request,
+            kind,
+        })
+    }
+
+    /// What a placer needs to know of the request; absent if it has no prompt.
+    pub(super) fn summary(&self, now: MonotonicTime) -> Option<RequestSummary> {
+        Some(RequestSummary {
+            pool: self.pool.clone(),
+            prompt: self.prompt?.clone(),
+            zone: self.context.config.zone.clone(),
+            constraints: self.constraints(),
+            rank: self.rank() as u8,
+            remaining: routing::left(self.deadline, now),
+        })
+    }
+
     /// What names the request's placer: its last shared part, so that everything about that part passes one node.
-    fn subject(&self) -> u64 {
+    pub(super) fn subject(&self) -> u64 {
         let shared = shared_prefixes(&self.prefixes);
         let block = shared.last().or(self.prefixes.last());
         block.map_or(self.draw, |block| block.hash)
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -12,6 +12,7 @@
 use crate::ports::{CallerProtocol, EngineProtocol, FleetStore, NodeDirectory, PlatformDuties};
 use crate::recovering;
 use crate::releasing;
+use crate::spill;
 use crate::watch;
 use shelfjunction_core::topology::TopologySettings;
 use shelfjunction_http::HttpServer;
@@ -149,6 +150,10 @@
             let context = Arc::clone(&context);
             move || releasing::run(&context)
         })?;
+        spawn("spill-probe", {
+            let context = Arc::clone(&context);
+            move || spill::run_probes(&context)
+        })?;
         spawn("accept", {
             let (context, open) = (Arc::clone(&context), Arc::clone(&open));
             let callers = adapters.callers;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
 mod recovering;
 mod releasing;
 mod repeats;
+mod spill;
 mod tenant_rates;
 mod watch;
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,6 +4,7 @@
 use crate::pace_metrics::PaceMetrics;
 use crate::quarantine::QuarantineMetrics;
 use crate::rate_limits::RateLimitMetrics;
+use crate::spill::SpillMetrics;
 use crate::tenant_rates::TenantRateMetrics;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
@@ -66,6 +67,8 @@
     /// Rate limits of engines.
     pub(crate) rate_limits: RateLimitMetrics,
     pub(crate) tenant_rates: TenantRateMetrics,
+    /// Requests handed to other regions and accepted from them.
+    pub(crate) spill: SpillMetrics,
     /// What engines said of themselves in their answers.
     pub(crate) signals: SignalMetrics,
     /// Paces of engines.
@@ -124,6 +127,7 @@
             quarantine: QuarantineMetrics::default(),
             rate_limits: RateLimitMetrics::default(),
             tenant_rates: TenantRateMetrics::default(),
+            spill: SpillMetrics::default(),
             signals: SignalMetrics::default(),
             pace: PaceMetrics::default(),
             placements: Family::default(),
@@ -158,6 +162,7 @@
         metrics.pace.register(&mut metrics.registry);
         metrics.rate_limits.register(&mut metrics.registry);
         metrics.tenant_rates.register(&mut metrics.registry);
+        metrics.spill.register(&mut metrics.registry);
         metrics.signals.register(&mut metrics.registry);
         metrics
     }
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -9,6 +9,7 @@
 use crate::placing;
 use crate::quarantine;
 use crate::rate_limits;
+use crate::spill;
 use crate::tenant_rates;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::routing::pool::ListUpdate;
@@ -17,6 +18,7 @@
 use shelfjunction_protocol::quarantine_messages::QuarantineDatagram;
 use shelfjunction_protocol::rate_messages::RateDatagram;
 use shelfjunction_protocol::signal_messages::SignalDatagram;
+use shelfjunction_protocol::spill_messages::SpillDatagram;
 use shelfjunction_protocol::tenant_rate_messages::TenantRateDatagram;
 use shelfjunction_protocol::topology_messages::TopologyDatagram;
 use shelfjunction_threads::lock;
@@ -65,6 +67,9 @@
     if let Some(TopologyDatagram::Zone(announcement)) = TopologyDatagram::decode(bytes) {
         return context.peers.note_zone(&announcement.node, announcement.zone);
     }
+    if let Some(datagram) = SpillDatagram::decode(bytes) {
+        return spill::receive(context, datagram, from);
+    }
     if let Some(datagram) = QuarantineDatagram::decode(bytes) {
         return quarantine::merge_confirmations(context, datagram, from);
     }
--- a/crates/node/src/placing/answering.rs
+++ b/crates/node/src/placing/answering.rs
@@ -5,6 +5,7 @@
 use crate::belief_log;
 use crate::context::Context;
 use crate::peers::{Datagram, LivenessAnswer, LivenessQuestion};
+use crate::spill;
 use shelfjunction_core::placing::question::{
     DispatchProgress, Placement, PlacementAnswer, PlacementKind, PlacementQuery, ProgressReport,
 };
@@ -27,6 +28,7 @@
         return log::debug!(from:% = from, number = question.key.number; "placement_not_answered");
     };
     context.metrics.placement("given");
+    spill::note_question(context, question);
     log_given(question, &answer, from);
     match answer.placement {
         Placement::Split { .. } => context.peers.note_new_work(),
@@ -74,6 +76,7 @@
     table.on_progress(&mut router, report, context.now());
     drop(router);
     drop(table);
+    spill::note_progress(context, report);
     belief_log::tell_changes(context);
     context.peers.note_change();
 }
--- a/crates/node/src/placing/asking.rs
+++ b/crates/node/src/placing/asking.rs
@@ -2,6 +2,7 @@
 
 use crate::context::Context;
 use crate::peers::{Datagram, LivenessAnswer, LivenessQuestion, Placing};
+use shelfjunction_core::identity::RegionId;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::placing::question::{
     DispatchProgress, PlacementAnswer, PlacementQuery, ProgressReport, RequestKey,
@@ -30,6 +31,8 @@
     pub(crate) key: RequestKey,
     /// The question.
     pub(crate) step: u32,
+    /// Time to wait for its answers.
+    pub(crate) wait: Duration,
 }
 
 /// How asking ended.
@@ -86,20 +89,33 @@
         }
     }
 
-    /// Asks the placers of `subject`, one after the other, `first` before the others.
+    /// Asks the placers of `subject`, one after the other, `first` before the others: those of a region that accepted the request,
+    /// or of the home region.
     pub(crate) fn ask(
         &self,
         context: &Context,
         question: &PlacementQuery,
         subject: u64,
         first: Option<SubjectHandle>,
+        accepted_by: Option<&RegionId>,
     ) -> Asked {
         let now = context.now();
         let Placing::Placers(placers) = context.peers.placing(now) else {
             return Asked::Own;
         };
         let silent = |placer: SubjectHandle| self.is_passed_over(placer, now);
-        let mut placers = placers.home().placers_for(subject, silent, PLACERS_ASKED);
+        let placers = match accepted_by {
+            Some(region) => placers.distant().get(region),
+            None => Some(placers.home()),
+        };
+        let Some(placers) = placers else {
+            return Asked::Nobody { asked: 0 };
+        };
+        let wait = accepted_by.map_or_else(
+            || context.config.placing.answer_wait(),
+            |region| context.answer_wait(region),
+        );
+        let mut placers = placers.placers_for(subject, silent, PLACERS_ASKED);
         if let Some(first) = first.filter(|first| !silent(*first)) {
             placers.retain(|placer| *placer != first);
             placers.insert(0, first);
@@ -120,9 +136,10 @@
                 address,
                 key: question.key,
                 step: question.step,
+                wait,
             };
             let sent_at = context.now();
-            if let Some(answer) = self.ask_one(context, question, address) {
+            if let Some(answer) = self.ask_one(context, question, &at) {
                 let round_trip = context.now().since(sent_at);
                 context.note_round_trip(placer, round_trip);
                 return Asked::Answered {
@@ -134,6 +151,9 @@
             context.metrics.placement("timed_out");
             log::info!(placer:% = address, number = question.key.number; "placer_silent");
             self.pass_over(placer, context.now());
+            if let Some(region) = accepted_by {
+                context.note_silence(region, wait);
+            }
             tell(context, &at, DispatchProgress::Abandoned);
         }
         Asked::Nobody { asked }
@@ -143,13 +163,13 @@
         &self,
         context: &Context,
         question: &PlacementQuery,
-        address: SocketAddr,
+        at: &PlacedAt,
     ) -> Option<PlacementAnswer> {
         let bytes = Datagram::Question(Box::new(question.clone())).encode()?;
         let key = (question.key, question.step);
         lock(&self.waiting).answers.insert(key, None);
-        context.peers.send(&bytes, address);
-        self.wait(context, |waiting| {
+        context.peers.send(&bytes, at.address);
+        self.wait(at.wait, |waiting| {
             waiting.answers.get(&key).is_none_or(|answer| answer.is_some())
         });
         lock(&self.waiting).answers.remove(&key).flatten()
@@ -160,7 +180,7 @@
         &self,
         context: &Context,
         engine: SubjectHandle,
-        placer: SocketAddr,
+        at: &PlacedAt,
     ) -> Option<bool> {
         let question = LivenessQuestion {
             number: rand::random(),
@@ -168,16 +188,15 @@
         };
         let bytes = Datagram::LivenessQuestion(question).encode()?;
         lock(&self.waiting).liveness.insert(question.number, None);
-        context.peers.send(&bytes, placer);
-        self.wait(context, |waiting| {
+        context.peers.send(&bytes, at.address);
+        self.wait(at.wait, |waiting| {
             let answer = waiting.liveness.get(&question.number);
             answer.is_none_or(|answer| answer.is_some())
         });
         lock(&self.waiting).liveness.remove(&question.number).flatten()
     }
 
-    fn wait(&self, context: &Context, is_answered: impl Fn(&Waiting) -> bool) {
-        let longest = context.config.placing.answer_wait();
+    fn wait(&self, longest: Duration, is_answered: impl Fn(&Waiting) -> bool) {
         let waiting = lock(&self.waiting);
         let waited = self
             .answered
--- a/crates/node/src/questions.rs
+++ b/crates/node/src/questions.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Condvar, Mutex, PoisonError};
+use std::time::Duration;
 
 /// Questions under way, each waited for by the thread that asked.
 pub(crate) struct Questions<Answer> {
@@ -37,10 +38,27 @@
         number: u64,
         question: &[u8],
         to: SocketAddr,
+    ) -> Option<Answer> {
+        self.ask_for(
+            context,
+            number,
+            question,
+            to,
+            context.config.placing.answer_wait(),
+        )
+    }
+
+    /// Sends a question and waits for its answer, at most for `timeout`.
+    pub(crate) fn ask_for(
+        &self,
+        context: &Context,
+        number: u64,
+        question: &[u8],
+        to: SocketAddr,
+        timeout: Duration,
     ) -> Option<Answer> {
         lock(&self.waiting).insert(number, None);
         context.peers.send(question, to);
-        let timeout = context.config.placing.answer_wait();
         let is_waiting =
             |waiting: &mut BTreeMap<u64, Option<Answer>>| waiting.get(&number).is_some_and(Option::is_none);
         let waited = self
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod quarantine_messages;
 pub mod rate_messages;
 pub mod signal_messages;
+pub mod spill_messages;
 pub mod tenant_rate_messages;
 pub mod topology_messages;
