--- a/crates/core/src/spill/asking.rs
+++ b/crates/core/src/spill/asking.rs
@@ -18,8 +18,12 @@
 /// The same as a divisor of the least round trip.
 const ROUND_TRIP_RESOLUTION_DIVISOR: u32 = 4;
 
-/// Failures in a row up to which the backoff doubles.
-const MAX_DOUBLINGS: u32 = 10;
+/// Maximum number of doublings of the backoff after declines. The placer names the time after which it may accept again, so a much longer
+/// one would leave free capacity unused.
+const MAX_DECLINE_DOUBLINGS: u32 = 2;
+
+/// Maximum number of doublings of the backoff after questions without an answer.
+const MAX_SILENCE_DOUBLINGS: u32 = 10;
 
 /// Another region as the asking node sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -37,6 +41,11 @@
     fn is_near_enough(&self, target_left: Duration) -> bool {
         target_left > self.round_trip.map_or(self.wait, |round_trip| round_trip * 2)
     }
+
+    /// What is left of the target when the answer comes.
+    pub fn target_after_answer(&self, target_left: Duration) -> Duration {
+        target_left.saturating_sub(self.round_trip.unwrap_or_default())
+    }
 }
 
 /// What became of a question.
@@ -53,6 +62,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Backoff {
     failures: u32,
+    failed_at: MonotonicTime,
     until: MonotonicTime,
 }
 
@@ -94,12 +104,14 @@
         Some(chosen)
     }
 
-    /// Records what became of a question. An acceptance ends the backoffs of the region.
+    /// Records what became of a question that was asked at `asked_at`. An acceptance ends the backoffs of the region. Questions that
+    /// were under way together and fail count as one failure.
     pub fn on_outcome(
         &mut self,
         region: &RegionId,
         kind: &RequestKind,
         outcome: SpillOutcome,
+        asked_at: MonotonicTime,
         settings: &SpillSettings,
         now: MonotonicTime,
     ) {
@@ -125,8 +137,15 @@
                 (backoff, settings.backoff(), settings.max_silence_backoff())
             }
         };
-        let doublings = backoff.failures.min(MAX_DOUBLINGS);
-        backoff.failures += 1;
+        if backoff.failures == 0 || asked_at > backoff.failed_at {
+            backoff.failures += 1;
+        }
+        backoff.failed_at = now;
+        let max_doublings = match outcome {
+            SpillOutcome::Silent => MAX_SILENCE_DOUBLINGS,
+            _ => MAX_DECLINE_DOUBLINGS,
+        };
+        let doublings = (backoff.failures - 1).min(max_doublings);
         backoff.until = now + first.saturating_mul(1 << doublings).min(longest);
     }
 
--- a/crates/core/src/spill/config.rs
+++ b/crates/core/src/spill/config.rs
@@ -32,10 +32,10 @@
     fn default() -> Self {
         Self {
             enabled: true,
-            share: 0.5,
+            share: 0.8,
             queue_millis: 100,
             calm_millis: 1_000,
-            backoff_millis: 250,
+            backoff_millis: 50,
             max_declined_backoff_millis: 800,
             max_silence_backoff_millis: 4_000,
             probe_millis: 2_000,
--- a/crates/core/src/spill/question.rs
+++ b/crates/core/src/spill/question.rs
@@ -95,7 +95,7 @@
 /// Asks a placer of another region whether it accepts a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SpillQuestion {
-    /// Query for admission, with what is left of the target.
+    /// Query for admission, with what is left of the target when the answer comes.
     pub query: PlacementQuery,
     /// Verdict of the home region.
     pub reason: SpillReason,
--- a/crates/core/src/spill/serving.rs
+++ b/crates/core/src/spill/serving.rs
@@ -38,8 +38,9 @@
         if let Some(decline) = self.gate.earlier_decline(key, step) {
             return Some(SpillAnswer::Declined(decline));
         }
+        let round_trip = self.round_trip_to(question);
         let timing = RequestTiming {
-            target: timing.target.saturating_sub(self.round_trip_to(question)),
+            target: timing.target.saturating_sub(round_trip),
             ..timing
         };
         let query = PlacementQuery {
@@ -51,7 +52,7 @@
             return None;
         }
         if answered != Some(step)
-            && let Err(decline) = self.decide(&query, timing, now)
+            && let Err(decline) = self.decide(&query, timing, round_trip, now)
         {
             self.gate.remember_decline(key, step, decline, now);
             return Some(SpillAnswer::Declined(decline));
@@ -79,9 +80,11 @@
         &mut self,
         query: &PlacementQuery,
         timing: RequestTiming,
+        round_trip: Duration,
         now: MonotonicTime,
     ) -> Result<(), Decline> {
-        let queue_limit = self.settings.queue_limit();
+        // An accepted prompt is under way for a round trip, in which it counts and occupies no engine.
+        let queue_limit = self.settings.queue_limit() + round_trip;
         let judged = self
             .table
             .judge(self.router, query, timing, self.admission, queue_limit, now);
--- a/crates/core/src/topology/round_trips.rs
+++ b/crates/core/src/topology/round_trips.rs
@@ -3,11 +3,12 @@
 //! ```text
 //! mean      = moving average of the round trips
 //! deviation = moving average of |round trip - mean|
-//! wait      = clamp(mean + 4 * deviation + 10 ms, configured wait, 4 * configured wait)
+//! wait      = clamp((mean + 4 * deviation + 10 ms) * 2^timeouts, configured wait, 4 * configured wait)
+//! timeouts  = questions without an answer since the last answer
 //! ```
 //!
-//! The estimator is that of TCP's retransmission timeout (RFC 6298). A question that timed out counts as a round trip of its wait, so
-//! that the wait grows on a path that became slower than it.
+//! The estimator is that of TCP's retransmission timeout (RFC 6298). Timeouts lengthen the wait, so that a path that became slower than
+//! it is measured again. They do not change the mean: after a link was cut, the distance is the same as before.
 
 use crate::identity::RegionId;
 use std::collections::BTreeMap;
@@ -29,10 +30,14 @@
 /// question is lost.
 pub const DISTANT_WAIT_FACTOR: u32 = 4;
 
+/// Timeouts in a row that lengthen the wait; more would exceed the longest wait anyway.
+const MAX_TIMEOUTS: u32 = 8;
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Estimate {
     mean_seconds: f64,
     deviation_seconds: f64,
+    timeouts: u32,
 }
 
 /// Round trips by region.
@@ -50,20 +55,24 @@
                 let error = (seconds - estimate.mean_seconds).abs();
                 estimate.deviation_seconds += DEVIATION_WEIGHT * (error - estimate.deviation_seconds);
                 estimate.mean_seconds += MEAN_WEIGHT * (seconds - estimate.mean_seconds);
+                estimate.timeouts = 0;
             }
             None => {
                 let estimate = Estimate {
                     mean_seconds: seconds,
                     deviation_seconds: seconds / 2.0,
+                    timeouts: 0,
                 };
                 self.regions.insert(region.clone(), estimate);
             }
         }
     }
 
-    /// Records a question that was not answered within `waited`.
-    pub fn on_timeout(&mut self, region: &RegionId, waited: Duration) {
-        self.on_answer(region, waited);
+    /// Records a question that was not answered in time.
+    pub fn on_timeout(&mut self, region: &RegionId) {
+        if let Some(estimate) = self.regions.get_mut(region) {
+            estimate.timeouts = (estimate.timeouts + 1).min(MAX_TIMEOUTS);
+        }
     }
 
     /// Mean round trip to a region; absent before the first question.
@@ -79,6 +88,8 @@
             return longest;
         };
         let seconds = estimate.mean_seconds + DEVIATIONS * estimate.deviation_seconds;
-        (Duration::from_secs_f64(seconds) + ANSWER_MARGIN).clamp(configured, longest)
+        let wait = Duration::from_secs_f64(seconds) + ANSWER_MARGIN;
+        wait.saturating_mul(1 << estimate.timeouts)
+            .clamp(configured, longest)
     }
 }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -255,9 +255,9 @@
         }
     }
 
-    /// Records a question that no node of a region answered within `waited`.
-    pub(crate) fn note_silence(&self, region: &RegionId, waited: Duration) {
-        lock(&self.round_trips).on_timeout(region, waited);
+    /// Records a question that a node of another region did not answer in time.
+    pub(crate) fn note_silence(&self, region: &RegionId) {
+        lock(&self.round_trips).on_timeout(region);
     }
 
     /// Time to wait for an answer from a node of another region.
--- a/crates/node/src/course/spilling.rs
+++ b/crates/node/src/course/spilling.rs
@@ -77,13 +77,7 @@
     ) -> Option<Option<Placement>> {
         let context = self.context;
         let target_left = self.target_left();
-        let timing = RequestTiming {
-            target: target_left,
-            remaining: routing::left(self.deadline, context.now()),
-            is_retry: false,
-        };
-        let question = self.question(PlacementKind::Admission(timing))?;
-        let kind = RequestKind::of(&question.request);
+        let kind = RequestKind::of(&self.summary(context.now())?);
         let subject = self.subject();
         let next = context
             .spill
@@ -92,6 +86,12 @@
             self.log_spill(reason, None, ("none_left", ""), asked.len());
             return None;
         };
+        let timing = RequestTiming {
+            target: view.target_after_answer(target_left),
+            remaining: routing::left(self.deadline, context.now()),
+            is_retry: false,
+        };
+        let question = self.question(PlacementKind::Admission(timing))?;
         asked.push(view.region.clone());
         let answered = context.spill.ask(context, &view, question, reason, subject);
         self.log_spill(reason, Some(&view.region), answered.names(), asked.len());
--- a/crates/node/src/placing/asking.rs
+++ b/crates/node/src/placing/asking.rs
@@ -152,7 +152,7 @@
             log::info!(placer:% = address, number = question.key.number; "placer_silent");
             self.pass_over(placer, context.now());
             if let Some(region) = accepted_by {
-                context.note_silence(region, wait);
+                context.note_silence(region);
             }
             tell(context, &at, DispatchProgress::Abandoned);
         }
--- a/crates/node/src/spill/asking.rs
+++ b/crates/node/src/spill/asking.rs
@@ -98,11 +98,12 @@
     ) -> AskedRegion {
         let kind = RequestKind::of(&query.request);
         context.metrics.spill.question("asked", reason.name());
+        let asked_at = context.now();
         let asked = self.ask_placer(context, view, query, reason, subject);
         let (result, decline_reason) = asked.names();
         context.metrics.spill.question(result, decline_reason);
-        let settings = &context.config.spill;
-        lock(&self.backoffs).on_outcome(&view.region, &kind, asked.outcome(), settings, context.now());
+        let (outcome, settings, now) = (asked.outcome(), &context.config.spill, context.now());
+        lock(&self.backoffs).on_outcome(&view.region, &kind, outcome, asked_at, settings, now);
         asked
     }
 
@@ -153,7 +154,7 @@
                 }
             }
             None => {
-                context.note_silence(&view.region, view.wait);
+                context.note_silence(&view.region);
                 context.placements.pass_over(placer, context.now());
                 // The placer may have accepted, and only its answer be lost.
                 placing::tell(context, &at, DispatchProgress::Abandoned);
--- a/crates/node/src/spill/probing.rs
+++ b/crates/node/src/spill/probing.rs
@@ -69,12 +69,11 @@
     }
 }
 
-/// Counts probes without an answer as round trips of the longest wait. Builds without this format never answer one.
+/// Counts probes without an answer. Builds without this format never answer one.
 fn note_unanswered(context: &Context) {
     let unanswered = std::mem::take(&mut *lock(&context.spill.probes.sent));
     for probe in unanswered.into_values() {
-        let wait = context.answer_wait(&probe.region);
-        context.note_silence(&probe.region, wait);
-        log::debug!(region = probe.region.as_str(), wait_millis = wait.as_millis() as u64; "probe_not_answered");
+        context.note_silence(&probe.region);
+        log::debug!(region = probe.region.as_str(); "probe_not_answered");
     }
 }
