Spillover: requests of other regions do not change what a placer learns of its engines

Cause: reports about an accepted request arrive up to two round trips late, so that its durations raised the learned prefill time and the error of estimates, and a connection that failed between the regions took a live engine from the region's own requests.

Change: dispatches for nodes of other regions are left out of the measurements; failures that they report of an engine that answered somebody a moment ago count as abandoned.

--- a/crates/core/src/placing/placement_table.rs
+++ b/crates/core/src/placing/placement_table.rs
@@ -47,6 +47,8 @@
     request: RequestSummary,
     /// Region of this placer, whose engines the request may use; absent in a deployment that is not regional.
     region: Option<RegionId>,
+    /// Whether the node that sends the queries is in another region, so that its reports arrive much later than the events.
+    is_distant: bool,
     prefixes: Vec<PrefixBlock>,
     dispatch: ActiveDispatch,
     prediction: Option<LatencyPrediction>,
@@ -216,9 +218,13 @@
 impl PlacedRequest {
     /// A request without an answer.
     fn new(router: &PoolRouter, query: &PlacementQuery, now: MonotonicTime) -> Self {
+        let region = router.topology().own_region().cloned();
         Self {
             request: query.request.clone(),
-            region: router.topology().own_region().cloned(),
+            is_distant: region
+                .as_ref()
+                .is_some_and(|region| !router.topology().contains(region, &query.request.zone)),
+            region,
             prefixes: query.request.prompt.prefixes(),
             dispatch: ActiveDispatch::Inactive,
             prediction: None,
@@ -284,7 +290,7 @@
             self.charge = router.on_admission(&query, &decision, timing, settings, now);
         }
         let admitted_in_time = decision.admission == Admission::InTime && !decision.expected.is_zero();
-        self.prediction = admitted_in_time.then_some(LatencyPrediction {
+        self.prediction = (admitted_in_time && !self.is_distant).then_some(LatencyPrediction {
             made_at: now,
             expected: decision.expected,
             target: timing.target,
@@ -348,7 +354,7 @@
                     KvCacheSource::Prefill,
                     now,
                 );
-                self.dispatch = ActiveDispatch::Decode(ticket);
+                self.note_dispatch(router, ActiveDispatch::Decode(ticket));
                 Placement::One(chosen)
             }
             PoolRoute::Split { prefill, decode } => {
@@ -356,7 +362,7 @@
                 let query = self.pool_query(key, &[]);
                 let expected = router.prefill_delay(&prefill.id, &query, now).unwrap_or_default();
                 let ticket = router.on_prompt_sent(&prefill.id, &query, now);
-                self.dispatch = ActiveDispatch::Prefill(ticket);
+                self.note_dispatch(router, ActiveDispatch::Prefill(ticket));
                 Placement::Split {
                     prefill: chosen,
                     decode: router.handle_of(&decode.id),
@@ -392,10 +398,19 @@
             KvCacheSource::Transfer,
             now,
         );
-        self.dispatch = ActiveDispatch::Decode(ticket);
+        self.note_dispatch(router, ActiveDispatch::Decode(ticket));
         Placement::One(chosen)
     }
 
+    fn note_dispatch(&mut self, router: &mut PoolRouter, dispatch: ActiveDispatch) {
+        if let ActiveDispatch::Prefill(ticket) | ActiveDispatch::Decode(ticket) = &dispatch
+            && self.is_distant
+        {
+            router.exclude_from_measurements(ticket);
+        }
+        self.dispatch = dispatch;
+    }
+
     /// Describes the load and cache state of an engine before the dispatch to it is recorded.
     fn describe_engine(
         &self,
@@ -465,7 +480,15 @@
                 return true;
             }
         };
+        // Nodes of this region reach the engine, so the path between the regions is at fault.
+        let is_path_fault = self.is_distant
+            && router
+                .engine(ticket.engine())
+                .is_some_and(|state| state.answered_recently(now));
         match progress {
+            DispatchProgress::ConnectionFailed | DispatchProgress::Unresponsive if is_path_fault => {
+                router.on_abandoned(&ticket);
+            }
             DispatchProgress::Started { reported_load } => {
                 self.charge = None;
                 if let Some(reported_load) = reported_load {
--- a/crates/core/src/routing/pool/dispatches.rs
+++ b/crates/core/src/routing/pool/dispatches.rs
@@ -147,7 +147,7 @@
             let pool = state.engine.pool.clone();
             let initial_speeds = self.default_speeds();
             let speeds = self.speeds.entry(pool).or_insert(initial_speeds);
-            if before.rank != LATE_RANK {
+            if before.rank != LATE_RANK && before.is_measured {
                 speeds.observe_handoff(now.since(before.sent_at), before.had_free_slot);
             }
         }
@@ -209,6 +209,14 @@
         }
     }
 
+    /// Keeps the duration of a dispatch from the learned speeds and paces, because reports about it arrive late.
+    pub fn exclude_from_measurements(&mut self, ticket: &PoolTicket) {
+        let state = self.engines.get_mut(&ticket.engine);
+        if let Some(work) = state.and_then(|state| state.in_flight.get_mut(&ticket.number)) {
+            work.is_measured = false;
+        }
+    }
+
     /// Records that a dispatch ended for a reason other than a fault of the engine.
     pub fn on_abandoned(&mut self, ticket: &PoolTicket) {
         if let Some(state) = self.engines.get_mut(&ticket.engine) {
@@ -245,7 +253,7 @@
         now: MonotonicTime,
     ) {
         let initial_speeds = self.default_speeds();
-        let Some(state) = self.engines.get_mut(engine) else {
+        let Some(state) = self.engines.get_mut(engine).filter(|_| work.is_measured) else {
             return;
         };
         let took = now.since(work.sent_at);
@@ -307,6 +315,7 @@
                 memory_tokens,
                 transfer_tokens: prefill.fetched,
                 sent_at: now,
+                is_measured: true,
                 kv_source,
                 had_free_slot: state.has_free_slot(now),
                 tokens_until_prefilled: state.load(now).prompt_tokens_ahead(rank) + prefill.computed,
--- a/crates/core/src/routing/pool/engine.rs
+++ b/crates/core/src/routing/pool/engine.rs
@@ -78,6 +78,8 @@
     pub(super) memory_tokens: f64,
     pub(super) transfer_tokens: f64,
     pub(super) sent_at: MonotonicTime,
+    /// Whether its duration is observed to learn speeds and paces; not if reports about it cross regions.
+    pub(super) is_measured: bool,
     /// How the engine obtains the KV cache for the output; `None` for a dispatch that only prefills.
     pub(super) kv_source: Option<KvCacheSource>,
     /// Whether the engine could run one more request at dispatch time.
--- a/crates/core/tests/spill.rs
+++ b/crates/core/tests/spill.rs
@@ -5,8 +5,12 @@
 mod pool_support;
 mod spill_world;
 
+use shelfjunction_core::placing::question::{DispatchProgress, Placement, ProgressReport};
+use shelfjunction_core::routing::pool::PoolAdmission;
 use shelfjunction_core::spill::config::SpillSettings;
-use spill_world::{ENGINE_RATE, Fate, Link, Load, World};
+use shelfjunction_core::time::MonotonicTime;
+use spill_world::{ENGINE_RATE, Fate, Link, Load, World, new_placer, query};
+use std::time::Duration;
 
 /// The link of deployment A: 12 ms one way.
 const LINK: Link = Link {
@@ -194,6 +198,34 @@
     assert_eq!(world.accepted_in_flight(), 0);
 }
 
+/// Guards against a fault of the link between regions that takes engines from the region's own requests, and against placers that name
+/// engines which are avoided for now.
+#[test]
+fn failures_seen_from_another_region_do_not_take_a_live_engine_out_of_use() {
+    let (mut router, mut table, _) = new_placer(
+        0,
+        2,
+        Load {
+            engines: 1,
+            rate: 0.0,
+        },
+    );
+    let now = MonotonicTime::from_millis(10_000);
+    let (target, remaining) = (Duration::from_millis(500), Duration::from_secs(3));
+    let mut place = |home, number, progress: DispatchProgress| {
+        let query = query(home, number, 1, target, remaining);
+        let answer = table.answer(&mut router, &query, &PoolAdmission::default(), now);
+        let (key, step) = (query.key, query.step);
+        table.on_progress(&mut router, &ProgressReport { key, step, progress }, now);
+        answer.unwrap().placement != Placement::Nowhere
+    };
+    assert!(place(0, 1, DispatchProgress::Started { reported_load: None }));
+    assert!(place(1, 2, DispatchProgress::ConnectionFailed));
+    assert!(place(1, 3, DispatchProgress::Unresponsive));
+    assert!(place(0, 4, DispatchProgress::ConnectionFailed));
+    assert!(!place(0, 5, DispatchProgress::Abandoned), "the engine is avoided");
+}
+
 /// Guards against settings that would stop spillover or never end a backoff.
 #[test]
 fn invalid_settings_are_reported() {
--- a/crates/core/tests/spill_world/mod.rs
+++ b/crates/core/tests/spill_world/mod.rs
@@ -82,7 +82,7 @@
     waiting: [VecDeque<usize>; 2],
 }
 
-type Placer = (PoolRouter, PlacementTable, SpillGate);
+pub type Placer = (PoolRouter, PlacementTable, SpillGate);
 
 pub struct World {
     spills: bool,
@@ -127,7 +127,15 @@
     mix(request as u64) as usize % PLACERS
 }
 
-fn new_placer(number: usize, load: Load, topology: &TopologySettings) -> Placer {
+fn topology_of(regions: usize) -> TopologySettings {
+    let zones = (0..regions).map(|number| (zone(number), region(number)));
+    TopologySettings {
+        zones: zones.collect(),
+    }
+}
+
+/// A placer of one of some regions.
+pub fn new_placer(number: usize, regions: usize, load: Load) -> Placer {
     let weights = PoolWeights {
         assumed_prompt_tokens_per_second: TOKENS_PER_SECOND,
         decode_reading_pace: 1.0,
@@ -135,18 +143,14 @@
     };
     let engines: Vec<PoolEngine> = engines(number, load.engines).collect();
     let mut router = router_with(weights, 24, None, &engines);
-    router.set_topology(Topology::new(&zone(number), topology));
+    router.set_topology(Topology::new(&zone(number), &topology_of(regions)));
     (router, PlacementTable::default(), SpillGate::default())
 }
 
 impl World {
     pub fn new(loads: &[Load], nodes: usize, spills: bool) -> Self {
-        let zones = (0..loads.len()).map(|number| (zone(number), region(number)));
-        let topology = TopologySettings {
-            zones: zones.collect(),
-        };
         let placers = loads.iter().enumerate().map(|(number, load)| {
-            let placers = (0..PLACERS).map(|_| new_placer(number, *load, &topology));
+            let placers = (0..PLACERS).map(|_| new_placer(number, loads.len(), *load));
             placers.collect()
         });
         let mut world = Self {
@@ -489,34 +493,39 @@
     }
 
     fn query(&self, request: usize, target: Duration) -> PlacementQuery {
-        let (fate, number) = (&self.fates[request], request as u64);
+        let fate = &self.fates[request];
         let remaining = Duration::from_micros((fate.at + DEADLINE_MICROS).saturating_sub(self.now));
-        let (name, tokens, is_retry) = (number, TOKENS, false);
-        PlacementQuery {
-            key: RequestKey {
-                node: SubjectHandle::of_number(fate.home as u64),
-                number,
-            },
-            step: fate.step,
-            request: RequestSummary {
-                pool: pool(),
-                prompt: PromptShape {
-                    model: "m".to_owned(),
-                    parts: vec![PromptPart { name, tokens }],
-                    tokens,
-                    output_tokens: 10,
-                    output_estimate: None,
-                },
-                zone: zone(fate.home),
-                constraints: RequestConstraints::default(),
-                rank: 1,
-                remaining,
+        query(fate.home, request as u64, fate.step, target, remaining)
+    }
+}
+
+/// Query for admission of a request of a region.
+pub fn query(home: usize, number: u64, step: u32, target: Duration, remaining: Duration) -> PlacementQuery {
+    let (name, tokens, is_retry) = (number, TOKENS, false);
+    PlacementQuery {
+        key: RequestKey {
+            node: SubjectHandle::of_number(home as u64),
+            number,
+        },
+        step,
+        request: RequestSummary {
+            pool: pool(),
+            prompt: PromptShape {
+                model: "m".to_owned(),
+                parts: vec![PromptPart { name, tokens }],
+                tokens,
+                output_tokens: 10,
+                output_estimate: None,
             },
-            kind: PlacementKind::Admission(RequestTiming {
-                target,
-                remaining,
-                is_retry,
-            }),
-        }
+            zone: zone(home),
+            constraints: RequestConstraints::default(),
+            rank: 1,
+            remaining,
+        },
+        kind: PlacementKind::Admission(RequestTiming {
+            target,
+            remaining,
+            is_retry,
+        }),
     }
 }
