--- a/crates/core/src/placing/placement_table.rs
+++ b/crates/core/src/placing/placement_table.rs
@@ -17,6 +17,7 @@
     PoolTicket, PrefixBlock, RequestTiming,
 };
 use crate::sharing::Charge;
+use crate::spill::accepting::RegionRoom;
 use crate::time::MonotonicTime;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -46,6 +47,8 @@
     request: RequestSummary,
     /// Region of this placer, whose engines the request may use; absent in a deployment that is not regional.
     region: Option<RegionId>,
+    /// Whether the node that sends the queries is in another region, so that its reports arrive much later than the events.
+    is_distant: bool,
     prefixes: Vec<PrefixBlock>,
     dispatch: ActiveDispatch,
     prediction: Option<LatencyPrediction>,
@@ -55,6 +58,19 @@
     expires_at: MonotonicTime,
 }
 
+/// A request as a placer judges it without placing it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct JudgedRequest {
+    /// Whether it would be admitted, and whether in time.
+    pub admission: Admission,
+    /// Whether engines can take it that are not avoided for now.
+    pub has_engine: bool,
+    /// Prefill time that it takes of an engine, in seconds.
+    pub prefill_seconds: f64,
+    /// Free capacity of the region for requests of its pool and model.
+    pub room: RegionRoom,
+}
+
 /// Table of the requests for which a placer has answered a query.
 #[derive(Clone, Debug, Default)]
 pub struct PlacementTable {
@@ -85,24 +101,39 @@
         if self.requests.len() >= MAX_PLACED_REQUESTS {
             return None;
         }
-        let placed = PlacedRequest {
-            request: query.request.clone(),
-            region: router.topology().own_region().cloned(),
-            prefixes: query.request.prompt.prefixes(),
-            dispatch: ActiveDispatch::Inactive,
-            prediction: None,
-            charge: None,
-            last_answer: PlacementAnswer {
-                key: query.key,
-                step: 0,
-                verdict: None,
-                placement: Placement::Nowhere,
-            },
-            expires_at: now,
-        };
+        let placed = PlacedRequest::new(router, query, now);
         Some(self.answer_next(router, placed, query, settings, now))
     }
 
+    /// Step of the last query for a request that was answered; absent if the request is not in the table.
+    pub fn answered_step(&self, key: RequestKey) -> Option<u32> {
+        self.requests.get(&key).map(|placed| placed.last_answer.step)
+    }
+
+    /// What the answer to a query for admission would be, without recording it. Engines that are avoided for now do not count.
+    pub fn judge(
+        &self,
+        router: &mut PoolRouter,
+        query: &PlacementQuery,
+        timing: RequestTiming,
+        settings: &PoolAdmission,
+        queue_limit: Duration,
+        now: MonotonicTime,
+    ) -> JudgedRequest {
+        let placed = PlacedRequest::new(router, query, now);
+        let pool_query = placed.pool_query(query.key, &[]);
+        let decision = router.admit_or_grow(&pool_query, timing, settings, now);
+        let speed = router.speeds(&query.request.pool).prefill;
+        let output = f64::from(query.request.prompt.expected_output_tokens());
+        JudgedRequest {
+            admission: decision.admission,
+            has_engine: decision.route != PoolRoute::Nowhere
+                && !router.is_last_resort(&decision.route, &pool_query, now),
+            prefill_seconds: speed.seconds((decision.tokens - output).max(0.0)),
+            room: router.region_room(&pool_query, queue_limit, now),
+        }
+    }
+
     fn answer_next(
         &mut self,
         router: &mut PoolRouter,
@@ -185,6 +216,29 @@
 }
 
 impl PlacedRequest {
+    /// A request without an answer.
+    fn new(router: &PoolRouter, query: &PlacementQuery, now: MonotonicTime) -> Self {
+        let region = router.topology().own_region().cloned();
+        Self {
+            request: query.request.clone(),
+            is_distant: region
+                .as_ref()
+                .is_some_and(|region| !router.topology().contains(region, &query.request.zone)),
+            region,
+            prefixes: query.request.prompt.prefixes(),
+            dispatch: ActiveDispatch::Inactive,
+            prediction: None,
+            charge: None,
+            last_answer: PlacementAnswer {
+                key: query.key,
+                step: 0,
+                verdict: None,
+                placement: Placement::Nowhere,
+            },
+            expires_at: now,
+        }
+    }
+
     /// Ends the current dispatch before a new query for the request is answered.
     fn end_previous_dispatch(&mut self, router: &mut PoolRouter, kind: &PlacementKind, now: MonotonicTime) {
         match (
@@ -236,7 +290,7 @@
             self.charge = router.on_admission(&query, &decision, timing, settings, now);
         }
         let admitted_in_time = decision.admission == Admission::InTime && !decision.expected.is_zero();
-        self.prediction = admitted_in_time.then_some(LatencyPrediction {
+        self.prediction = (admitted_in_time && !self.is_distant).then_some(LatencyPrediction {
             made_at: now,
             expected: decision.expected,
             target: timing.target,
@@ -252,7 +306,23 @@
             late_or_refused_share: decision.late_or_refused_share as f32,
             standing: decision.standing,
         };
-        (verdict, self.place(router, key, decision.route, now))
+        let route = self.without_last_resort(router, key, decision.route, &[], now);
+        (verdict, self.place(router, key, route, now))
+    }
+
+    /// In a regional deployment, a placer names no engines that are avoided for now: the node asks other regions before it falls back
+    /// to them by itself.
+    fn without_last_resort(
+        &self,
+        router: &PoolRouter,
+        key: RequestKey,
+        route: PoolRoute,
+        excluded: &[EngineId],
+        now: MonotonicTime,
+    ) -> PoolRoute {
+        let is_last_resort =
+            self.region.is_some() && router.is_last_resort(&route, &self.pool_query(key, excluded), now);
+        if is_last_resort { PoolRoute::Nowhere } else { route }
     }
 
     fn choose(
@@ -264,6 +334,7 @@
     ) -> Placement {
         let excluded = router.engines_by_handle(excluded);
         let route = router.choose_or_grow(&self.pool_query(key, &excluded), now);
+        let route = self.without_last_resort(router, key, route, &excluded, now);
         self.place(router, key, route, now)
     }
 
@@ -283,7 +354,7 @@
                     KvCacheSource::Prefill,
                     now,
                 );
-                self.dispatch = ActiveDispatch::Decode(ticket);
+                self.note_dispatch(router, ActiveDispatch::Decode(ticket));
                 Placement::One(chosen)
             }
             PoolRoute::Split { prefill, decode } => {
@@ -291,7 +362,7 @@
                 let query = self.pool_query(key, &[]);
                 let expected = router.prefill_delay(&prefill.id, &query, now).unwrap_or_default();
                 let ticket = router.on_prompt_sent(&prefill.id, &query, now);
-                self.dispatch = ActiveDispatch::Prefill(ticket);
+                self.note_dispatch(router, ActiveDispatch::Prefill(ticket));
                 Placement::Split {
                     prefill: chosen,
                     decode: router.handle_of(&decode.id),
@@ -327,10 +398,19 @@
             KvCacheSource::Transfer,
             now,
         );
-        self.dispatch = ActiveDispatch::Decode(ticket);
+        self.note_dispatch(router, ActiveDispatch::Decode(ticket));
         Placement::One(chosen)
     }
 
+    fn note_dispatch(&mut self, router: &mut PoolRouter, dispatch: ActiveDispatch) {
+        if let ActiveDispatch::Prefill(ticket) | ActiveDispatch::Decode(ticket) = &dispatch
+            && self.is_distant
+        {
+            router.exclude_from_measurements(ticket);
+        }
+        self.dispatch = dispatch;
+    }
+
     /// Describes the load and cache state of an engine before the dispatch to it is recorded.
     fn describe_engine(
         &self,
@@ -392,9 +472,23 @@
     ) -> bool {
         let ticket = match &self.dispatch {
             ActiveDispatch::Prefill(ticket) | ActiveDispatch::Decode(ticket) => ticket.clone(),
-            ActiveDispatch::Inactive => return true,
+            ActiveDispatch::Inactive => {
+                // Another region serves a request for which there was no engine here.
+                if self.region.is_some() && *progress == DispatchProgress::Abandoned {
+                    self.refund_charge(router, now);
+                }
+                return true;
+            }
         };
+        // Nodes of this region reach the engine, so the path between the regions is at fault.
+        let is_path_fault = self.is_distant
+            && router
+                .engine(ticket.engine())
+                .is_some_and(|state| state.answered_recently(now));
         match progress {
+            DispatchProgress::ConnectionFailed | DispatchProgress::Unresponsive if is_path_fault => {
+                router.on_abandoned(&ticket);
+            }
             DispatchProgress::Started { reported_load } => {
                 self.charge = None;
                 if let Some(reported_load) = reported_load {
--- a/crates/core/src/routing/pool/mod.rs
+++ b/crates/core/src/routing/pool/mod.rs
@@ -32,6 +32,7 @@
 mod reachability;
 mod recent;
 mod reclaims;
+mod region_capacity;
 mod risk;
 mod router;
 mod signals;
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -45,6 +45,8 @@
     pub(super) region_round_trips: BTreeMap<RegionId, f64>,
     /// Prefixes that engines of other regions hold.
     pub(super) distant_prefixes: DistantPrefixes,
+    /// When a request was last late or refused for lack of capacity.
+    pub(super) last_rejection: Option<MonotonicTime>,
     /// State of the network paths between zones.
     pub(super) paths: Paths,
     pub(super) pending_unanswered_requests: Vec<PendingUnansweredRequest>,
@@ -83,6 +85,7 @@
             topology: Topology::default(),
             region_round_trips: BTreeMap::new(),
             distant_prefixes: DistantPrefixes::default(),
+            last_rejection: None,
             paths: Paths::default(),
             pending_unanswered_requests: Vec::new(),
             availability_changes: Vec::new(),
