Plan stages of engines by region

The lease holder no longer knows the load of engines in other regions, so one plan for the whole pool mixed regions with different needs. A region without fresh reports of its usual number of placers is left unchanged.

--- a/crates/core/src/placing/placement_table.rs
+++ b/crates/core/src/placing/placement_table.rs
@@ -51,6 +51,9 @@
     prediction: Option<LatencyPrediction>,
     /// Charge to the tenant's budget that is refunded if the placement is not used; `None` once the request has started.
     charge: Option<Charge>,
+    /// Prompt tokens that the last answer counted as demand, and when; taken back if the request is served elsewhere. Recorded in
+    /// a regional deployment only.
+    counted_demand: Option<(f64, MonotonicTime)>,
     last_answer: PlacementAnswer,
     expires_at: MonotonicTime,
 }
@@ -92,6 +95,7 @@
             dispatch: ActiveDispatch::Inactive,
             prediction: None,
             charge: None,
+            counted_demand: None,
             last_answer: PlacementAnswer {
                 key: query.key,
                 step: 0,
@@ -114,6 +118,7 @@
         placed.request = query.request.clone();
         placed.expires_at = now + query.request.remaining + LATE_REPORT_GRACE;
         placed.end_previous_dispatch(router, &query.kind, now);
+        let counted_before = router.counted_demand_tokens(now);
         let (verdict, placement) = match &query.kind {
             PlacementKind::Admission(timing) => {
                 let (verdict, placement) = placed.admit(router, query.key, *timing, settings, now);
@@ -125,6 +130,10 @@
                 (None, placement)
             }
         };
+        if placed.region.is_some() {
+            let counted = router.counted_demand_tokens(now) - counted_before;
+            placed.counted_demand = Some((counted, now));
+        }
         placed.last_answer = PlacementAnswer {
             key: query.key,
             step: query.step,
@@ -390,6 +399,12 @@
         progress: &DispatchProgress,
         now: MonotonicTime,
     ) -> bool {
+        if *progress == DispatchProgress::Abandoned
+            && let Some((tokens, counted_at)) = self.counted_demand.take()
+        {
+            // Demand counts where it is served, so that each region plans its engines for what it serves.
+            router.withdraw_demand(tokens, counted_at, now);
+        }
         let ticket = match &self.dispatch {
             ActiveDispatch::Prefill(ticket) | ActiveDispatch::Decode(ticket) => ticket.clone(),
             ActiveDispatch::Inactive => return true,
--- a/crates/core/src/roles/mod.rs
+++ b/crates/core/src/roles/mod.rs
@@ -8,6 +8,8 @@
 pub mod planner;
 pub mod pool;
 pub mod profile;
+pub mod region_sums;
+pub mod regional;
 
 pub use input::{EngineState, PlannerHold, PlannerInput, RoleChange, RoleCounts};
 pub use planner::Planner;
--- a/crates/core/src/roles/pool.rs
+++ b/crates/core/src/roles/pool.rs
@@ -196,8 +196,13 @@
         hold: Duration,
         now: MonotonicTime,
     ) {
+        self.observe_measured(outputs_of(engines), demand, hold, now);
+    }
+
+    /// Takes the loads of now where `outputs` is the number of engines that outputs fill.
+    pub fn observe_measured(&mut self, outputs: f64, demand: PoolDemand, hold: Duration, now: MonotonicTime) {
         let kept = self.kept(hold, now);
-        self.outputs = (self.outputs * kept).max(outputs_of(engines));
+        self.outputs = (self.outputs * kept).max(outputs);
         if let Some(tokens) = demand.prompt_tokens_per_second {
             self.is_seen = true;
             let reading = tokens / demand.engine_tokens_per_second;
@@ -283,7 +288,7 @@
     let prefill = of_stage(engines, EngineStage::Prefill);
     let decode = of_stage(engines, EngineStage::Decode);
     let least_decode = policy.least_decode(engines.len());
-    let (fewest, most) = wanted_decode(engines.len() as f64 - lost_to_limits(engines), loads, policy);
+    let (fewest, most) = wanted_decode_range(engines, loads, policy);
     let count: f64 = decode.iter().map(|engine| engine.part).sum();
     let change = |engine: &PoolEngineView, to| StageChange {
         engine: engine.engine.clone(),
@@ -305,6 +310,15 @@
     engines.iter().map(|engine| 1.0 - engine.part).sum()
 }
 
+/// Fewest and most decode engines that are wanted among `engines`.
+pub fn wanted_decode_range(
+    engines: &[PoolEngineView],
+    loads: PeakLoads,
+    policy: &PoolRolePolicy,
+) -> (f64, f64) {
+    wanted_decode(engines.len() as f64 - lost_to_limits(engines), loads, policy)
+}
+
 /// Fewest and most decode engines that are wanted among so many.
 fn wanted_decode(all: f64, loads: PeakLoads, policy: &PoolRolePolicy) -> (f64, f64) {
     let Some(reading) = loads.reading else {
@@ -326,7 +340,7 @@
 }
 
 /// Engines that the outputs would fill; all outputs run at decode engines.
-fn outputs_of(engines: &[PoolEngineView]) -> f64 {
+pub fn outputs_of(engines: &[PoolEngineView]) -> f64 {
     let decode = of_stage(engines, EngineStage::Decode);
     let filled = |engine: &PoolEngineView| {
         (engine.requests / engine.places.max(1.0)).max(engine.memory_tokens / engine.capacity_tokens.max(1.0))
--- a/crates/core/src/routing/pool/neighbours.rs
+++ b/crates/core/src/routing/pool/neighbours.rs
@@ -1,14 +1,15 @@
 //! Exchange between peers: load, demand, stage orders and the prefix blocks that engines hold.
 
 use super::beliefs::{PeerLoad, PeerLoadSlice, PrefixUpdate};
-use super::engine::EngineStage;
+use super::engine::{EngineStage, EngineState};
 use super::query::PrefixBlock;
 use super::router::PoolRouter;
 use crate::forwarding::PoolId;
-use crate::identity::{EngineId, NodeId};
+use crate::identity::{EngineId, NodeId, RegionId};
 use crate::membership::subject::SubjectHandle;
 use crate::roles::pool::{PoolDemand, PoolEngineView};
 use crate::time::MonotonicTime;
+use std::collections::BTreeSet;
 
 /// Maximum number of prefix blocks in one update, so that an update fits into a datagram.
 const MAX_BLOCKS_PER_UPDATE: usize = 16;
@@ -93,30 +94,105 @@
 
     /// Input of the role planner for one pool: its engines, and the demand reported by all nodes.
     pub fn role_planner_input(&self, pool: &PoolId, now: MonotonicTime) -> (Vec<PoolEngineView>, PoolDemand) {
-        let engines = self.engines.values().filter(|state| {
-            state.engine.pool == *pool && state.is_active() && state.cordon_allows(now, false)
+        let views = self.planned_engines(pool, now);
+        let demand = self.demand.prompt_tokens_per_second(now);
+        (
+            views.map(|state| self.planner_view(state, now)).collect(),
+            self.planner_demand(pool, demand),
+        )
+    }
+
+    /// Input of the role planner for the engines of a pool in one region. The demand is that of this node and of the peers that
+    /// are not `elsewhere`. An engine of a zone that the settings do not name belongs to no region's plan: the plans of two
+    /// regions could order it to and fro.
+    pub fn regional_planner_input(
+        &self,
+        pool: &PoolId,
+        region: &RegionId,
+        elsewhere: &BTreeSet<NodeId>,
+        now: MonotonicTime,
+    ) -> (Vec<PoolEngineView>, PoolDemand) {
+        let views = self
+            .planned_engines(pool, now)
+            .filter(|state| self.topology.region_of(&state.engine.zone) == Some(region));
+        let is_counted = |peer: &NodeId| !elsewhere.contains(peer);
+        let demand = self.demand.prompt_tokens_per_second_of(is_counted, now);
+        (
+            views.map(|state| self.planner_view(state, now)).collect(),
+            self.planner_demand(pool, demand),
+        )
+    }
+
+    /// Listed engines of a pool in another region that are not in use here, as the role planner sees them. This node does not know
+    /// the load that decides which engines are in use there.
+    pub fn reserve_planner_views(&self, pool: &PoolId, region: &RegionId) -> Vec<PoolEngineView> {
+        let reserve = self
+            .reserve()
+            .filter(|engine| engine.pool == *pool && self.topology.region_of(&engine.zone) == Some(region));
+        let views = reserve.map(|engine| PoolEngineView {
+            engine: engine.id.clone(),
+            zone: engine.zone.clone(),
+            spot: engine.spot,
+            stage: engine.stage,
+            requests: 0.0,
+            memory_tokens: 0.0,
+            places: f64::from(engine.places),
+            capacity_tokens: 1.0,
+            part: 1.0,
         });
-        let views = engines.map(|state| {
-            let load = state.load(now);
-            PoolEngineView {
-                engine: state.engine.id.clone(),
-                zone: state.engine.zone.clone(),
-                spot: state.engine.spot,
-                stage: state.ordered_stage(now).unwrap_or(state.engine.stage),
-                requests: load.outputs,
-                memory_tokens: load.output_tokens,
-                places: f64::from(state.engine.places),
-                capacity_tokens: state.prefixes.capacity_tokens(),
-                part: self.share_within_limit(state, now),
-            }
+        views.collect()
+    }
+
+    /// Engines of a pool that were ordered to another stage than the listed one.
+    pub fn engines_changing_stage(&self, pool: &PoolId, now: MonotonicTime) -> BTreeSet<EngineId> {
+        let changing = self.engines.values().filter(|state| {
+            let ordered = state.ordered_stage(now);
+            state.engine.pool == *pool && ordered.is_some_and(|stage| stage != state.engine.stage)
         });
+        changing.map(|state| state.engine.id.clone()).collect()
+    }
+
+    fn planned_engines<'r>(
+        &'r self,
+        pool: &'r PoolId,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = &'r EngineState> {
+        self.engines.values().filter(move |state| {
+            state.engine.pool == *pool && state.is_active() && state.cordon_allows(now, false)
+        })
+    }
+
+    fn planner_view(&self, state: &EngineState, now: MonotonicTime) -> PoolEngineView {
+        let load = state.load(now);
+        PoolEngineView {
+            engine: state.engine.id.clone(),
+            zone: state.engine.zone.clone(),
+            spot: state.engine.spot,
+            stage: state.ordered_stage(now).unwrap_or(state.engine.stage),
+            requests: load.outputs,
+            memory_tokens: load.output_tokens,
+            places: f64::from(state.engine.places),
+            capacity_tokens: state.prefixes.capacity_tokens(),
+            part: self.share_within_limit(state, now),
+        }
+    }
+
+    fn planner_demand(&self, pool: &PoolId, demand: Option<f64>) -> PoolDemand {
         let speed = self.speeds(pool).prefill;
-        let demand = self.demand.prompt_tokens_per_second(now);
-        let demand = PoolDemand {
+        PoolDemand {
             prompt_tokens_per_second: demand.filter(|_| speed.is_learned()),
             engine_tokens_per_second: speed.tokens_per_second() * self.mean_relative_speed(pool),
-        };
-        (views.collect(), demand)
+        }
+    }
+
+    /// Takes back demand that this node counted for a request at `counted_at` and that another node or region serves.
+    pub fn withdraw_demand(&mut self, tokens: f64, counted_at: MonotonicTime, now: MonotonicTime) {
+        self.demand.withdraw(tokens, counted_at, now);
+    }
+
+    /// Prompt tokens that this node has counted as demand, decayed until `now`.
+    pub fn counted_demand_tokens(&self, now: MonotonicTime) -> f64 {
+        self.demand.counted_tokens(now)
     }
 
     /// Demand from this node's own requests, in prompt tokens per second.
--- a/crates/core/src/routing/pool/working_set/members.rs
+++ b/crates/core/src/routing/pool/working_set/members.rs
@@ -2,7 +2,7 @@
 
 use super::WorkingSetChange;
 use crate::forwarding::PoolId;
-use crate::identity::EngineId;
+use crate::identity::{EngineId, RegionId};
 use crate::membership::subject::SubjectHandle;
 use crate::routing::pool::engine::{EngineStage, EngineState, PoolEngine};
 use crate::routing::pool::router::PoolRouter;
@@ -99,6 +99,17 @@
         groups.any(|group| group.stage == stage && group.pool == *pool && !group.reserve.is_empty())
     }
 
+    /// The same for the reserve in one region.
+    pub fn has_reserve_in(&self, pool: &PoolId, region: &RegionId, stage: EngineStage) -> bool {
+        let mut groups = self.working_set.groups.iter();
+        groups.any(|group| {
+            group.stage == stage
+                && group.pool == *pool
+                && !group.reserve.is_empty()
+                && self.topology.region_of(&group.zone) == Some(region)
+        })
+    }
+
     /// Engines that are listed, not leaving and not in use.
     pub fn reserve(&self) -> impl Iterator<Item = &PoolEngine> {
         let groups = self.working_set.groups.iter();
--- a/crates/node/src/commanding/mod.rs
+++ b/crates/node/src/commanding/mod.rs
@@ -6,8 +6,12 @@
 //! the lease over from another machine waits a while longer before its first order.
 
 mod ordering;
+mod scopes;
+mod status;
 mod tenure;
 
+pub(crate) use status::RegionalRoleMetrics;
+
 use crate::context::Context;
 use crate::cordons;
 use crate::peers::Duty;
@@ -54,13 +58,13 @@
             continue;
         }
         if !context.state.is_ready() || !is_candidate(context) {
-            ordering.give_up_round();
+            ordering.give_up_round(context);
             continue;
         }
         tenure.tick(context, table);
         match tenure.orders_with(context.now()) {
             Some(authority) => ordering.step(context, authority),
-            None => ordering.give_up_round(),
+            None => ordering.give_up_round(context),
         }
     }
 }
--- a/crates/node/src/commanding/ordering.rs
+++ b/crates/node/src/commanding/ordering.rs
@@ -1,15 +1,16 @@
 //! One round of orders at a time: plan, ask each engine for its report, order, wait until all are listed so.
 
+use super::scopes::{region_label, scope_inputs};
+use super::status::StatusReport;
 use crate::asking;
 use crate::context::Context;
 use crate::ports::{EngineReading, EngineReport, OrderVerdict, StageOrder};
-use shelfjunction_core::forwarding::PoolId;
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::lease::Authority;
-use shelfjunction_core::roles::pool::{PeakLoads, StageChange, plan_round};
+use shelfjunction_core::roles::regional::{PlanScope, RegionalChange, RolePlanner};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -27,18 +28,18 @@
 
 /// An order whose answer was lost.
 struct InDoubt {
-    change: StageChange,
+    change: RegionalChange,
     since: MonotonicTime,
 }
 
 /// Orders of this node.
 #[derive(Default)]
 pub(super) struct Ordering {
-    next_at: MonotonicTime,
-    /// Changes of the present round that are not ordered yet.
-    round: VecDeque<StageChange>,
+    planner: RolePlanner,
+    /// Changes of the present rounds that are not ordered yet.
+    round: VecDeque<RegionalChange>,
     in_doubt: Vec<InDoubt>,
-    peaks: BTreeMap<PoolId, PeakLoads>,
+    status: StatusReport,
 }
 
 impl Ordering {
@@ -48,15 +49,20 @@
     }
 
     /// Forgets the orders of the round that are not given: another holder plans anew.
-    pub(super) fn give_up_round(&mut self) {
+    pub(super) fn give_up_round(&mut self, context: &Context) {
         self.round.clear();
+        self.status.clear(context);
     }
 
     /// Gives the next order if one is worth it. A single one, since an engine may take long to answer and the lease has
     /// to be renewed in between.
     pub(super) fn step(&mut self, context: &Context, authority: Authority) {
         let now = context.now();
-        self.observe(context, now);
+        let policy = &context.config.roles;
+        let inputs = scope_inputs(context, now);
+        self.planner.observe(&inputs, policy, now);
+        self.status
+            .report(context, &self.planner.status(&inputs, policy), now);
         if now + LEASE_LEFT > authority.not_after {
             return;
         }
@@ -70,49 +76,14 @@
         if context.list_unchanged_for() < LIST_SETTLES {
             return;
         }
-        // An engine may finish long outputs first; the plan counts those on their way with the stage that they take.
-        if now < self.next_at {
-            return;
-        }
-        let changes = self.wanted(context, now);
-        if !changes.is_empty() {
-            self.next_at = now + Duration::from_millis(context.config.roles.settle_millis);
-        }
-        self.round = changes.into();
-    }
-
-    /// Keeps the highest loads of late.
-    fn observe(&mut self, context: &Context, now: MonotonicTime) {
-        let mut router = lock(&context.router);
-        router.update_working_set(now);
-        for pool in router.model_pools() {
-            let (engines, demand) = router.role_planner_input(&pool, now);
-            let expected = lock(&context.expected_loads).get(&pool).copied();
-            let peaks = self.peaks.entry(pool).or_default();
-            if let Some(expected) = expected.filter(|_| !peaks.is_seen) {
-                peaks.expect(expected, now);
-            }
-            peaks.observe(&engines, demand, context.config.roles.hold(), now);
-        }
-    }
-
-    fn wanted(&self, context: &Context, now: MonotonicTime) -> Vec<StageChange> {
-        let policy = &context.config.roles;
-        if !policy.enabled {
-            return Vec::new();
-        }
+        // An engine may finish long outputs first; the plan counts those on their way with the stage that they take, and a
+        // region is not planned again before its settle time is over.
         let router = lock(&context.router);
-        let changes = self.peaks.iter().map(|(pool, peaks)| {
-            let (engines, _) = router.role_planner_input(pool, now);
-            let mut changes = plan_round(&engines, *peaks, policy);
-            // Engines that are what is wanted already come into use instead; an order takes one out of service.
-            changes.retain(|change| !router.has_reserve(pool, change.to));
-            changes
-        });
-        changes
-            .into_iter()
-            .find(|changes| !changes.is_empty())
-            .unwrap_or_default()
+        let has_reserve = |scope: &PlanScope, stage| match &scope.region {
+            Some(region) => router.has_reserve_in(&scope.pool, region, stage),
+            None => router.has_reserve(&scope.pool, stage),
+        };
+        self.round = self.planner.round(&inputs, policy, has_reserve, now).into();
     }
 
     /// Looks again at the orders whose answers were lost.
@@ -126,13 +97,14 @@
         }
     }
 
-    fn order(&mut self, context: &Context, authority: Authority, change: StageChange) {
+    fn order(&mut self, context: &Context, authority: Authority, regional: RegionalChange) {
+        let change = &regional.change;
         let Some(address) = address_of(context, &change.engine) else {
             return;
         };
         let Some(report) = report(context, &change.engine, address) else {
             log::info!(engine = change.engine.as_str(), cause = "no_report"; "order_not_given");
-            return;
+            return self.give_up_distant(context, &regional.scope);
         };
         if report.changing || report.stage == change.to {
             lock(&context.router).record_stage_order(&change.engine, change.to, context.now());
@@ -141,17 +113,27 @@
         if context.now() + LEASE_LEFT > authority.not_after {
             return;
         }
-        self.send(context, authority, change, address, report);
+        self.send(context, authority, regional, address, report);
+    }
+
+    /// Forgets the other orders to a region whose engine gave no answer: behind a cut link each would cost a wait, and engines of
+    /// other regions would get their orders late. The region is planned again after its settle time.
+    fn give_up_distant(&mut self, context: &Context, scope: &PlanScope) {
+        let topology = context.peers.topology();
+        if scope.region.as_ref() != topology.own_region() {
+            self.round.retain(|other| other.scope.region != scope.region);
+        }
     }
 
     fn send(
         &mut self,
         context: &Context,
         authority: Authority,
-        change: StageChange,
+        regional: RegionalChange,
         address: SocketAddr,
         report: EngineReport,
     ) {
+        let change = &regional.change;
         let order = StageOrder {
             engine: change.engine.clone(),
             stage: change.to,
@@ -166,6 +148,7 @@
         });
         log::info!(
             engine = change.engine.as_str(),
+            region = region_label(&regional.scope),
             stage:? = change.to,
             token:% = authority.token,
             expected = report.sequence,
@@ -184,7 +167,7 @@
             Ok(_) => lock(&context.router).clear_stage_order(&change.engine),
             Err(_) => {
                 self.in_doubt.push(InDoubt {
-                    change,
+                    change: regional,
                     since: context.now(),
                 });
             }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -26,6 +26,7 @@
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::metering::clock::FleetClock;
 use shelfjunction_core::placing::placement_table::PlacementTable;
+use shelfjunction_core::roles::region_sums::RegionSums;
 use shelfjunction_core::routing::pool::{
     EngineListing, EngineState, ListChange, PoolEngine, PoolRouter, RecentChanges,
 };
@@ -53,6 +54,8 @@
     pub(crate) placements: Placements,
     /// Measured round trips to nodes of each region.
     pub(crate) round_trips: Mutex<RoundTrips>,
+    /// Demand on other regions, as their placers report it.
+    pub(crate) region_sums: Mutex<RegionSums>,
     /// What this node has placed for others; locked before `router`.
     pub(crate) placement_table: Mutex<PlacementTable>,
     pub(crate) metrics: Metrics,
@@ -183,6 +186,7 @@
             peers: Peers::new(&config, socket),
             placements: Placements::default(),
             round_trips: Mutex::default(),
+            region_sums: Mutex::default(),
             placement_table: Mutex::default(),
             metrics: Metrics::new(),
             state: Arc::new(NodeState::default()),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counts, gauges and delays of the process in the OpenMetrics text; labels take few values, and none names a caller.
 
+use crate::commanding::RegionalRoleMetrics;
 use crate::engine_signals::SignalMetrics;
 use crate::pace_metrics::PaceMetrics;
 use crate::quarantine::QuarantineMetrics;
@@ -66,6 +67,8 @@
     /// Rate limits of engines.
     pub(crate) rate_limits: RateLimitMetrics,
     pub(crate) tenant_rates: TenantRateMetrics,
+    /// Plans of regions.
+    pub(crate) regional_roles: RegionalRoleMetrics,
     /// What engines said of themselves in their answers.
     pub(crate) signals: SignalMetrics,
     /// Paces of engines.
@@ -124,6 +127,7 @@
             quarantine: QuarantineMetrics::default(),
             rate_limits: RateLimitMetrics::default(),
             tenant_rates: TenantRateMetrics::default(),
+            regional_roles: RegionalRoleMetrics::default(),
             signals: SignalMetrics::default(),
             pace: PaceMetrics::default(),
             placements: Family::default(),
@@ -159,6 +163,7 @@
         metrics.rate_limits.register(&mut metrics.registry);
         metrics.tenant_rates.register(&mut metrics.registry);
         metrics.signals.register(&mut metrics.registry);
+        metrics.regional_roles.register(&mut metrics.registry);
         metrics
     }
 
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -11,6 +11,7 @@
 mod limit_speakers;
 mod placers;
 mod receiving;
+mod region_sums;
 mod sending;
 mod sharing;
 mod use_words;
--- a/crates/node/src/peers/placers.rs
+++ b/crates/node/src/peers/placers.rs
@@ -2,13 +2,14 @@
 
 use super::{FAR_PLACER_SILENCE, Known, Peer, Peers};
 use crate::ports::NodeEntry;
-use shelfjunction_core::identity::NodeId;
+use shelfjunction_core::identity::{NodeId, RegionId};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::placing::placer_set::{self, Candidate, PlacerSet};
 use shelfjunction_core::placing::regional::RegionalPlacers;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_core::topology::Topology;
 use shelfjunction_threads::lock;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -219,6 +220,53 @@
         }
     }
 
+    /// Nodes of other regions; those whose region is not known lie in every region and are not among them.
+    pub(crate) fn nodes_elsewhere(&self, region: &RegionId) -> BTreeSet<NodeId> {
+        let topology = self.topology();
+        let known = lock(&self.known);
+        let elsewhere = known
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.region(&topology).is_some_and(|other| other != region));
+        elsewhere.map(|(node, _)| node.clone()).collect()
+    }
+
+    /// Number of nodes of a region that report its demand while all of them live.
+    pub(crate) fn usual_reporters(&self, region: &RegionId) -> usize {
+        let topology = self.topology();
+        let known = lock(&self.known);
+        let nodes = known
+            .peers
+            .values()
+            .filter(|peer| peer.region(&topology) == Some(region));
+        nodes
+            .count()
+            .min(self.placing.placers_per_region(&topology))
+            .max(1)
+    }
+
+    /// Addresses of the nodes of other regions that are told the demand on this one: the lease holder, or all on duty while it is
+    /// not heard.
+    pub(crate) fn told_of_demand(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+        let topology = self.topology();
+        let placing = self.placing(now);
+        let known = lock(&self.known);
+        let mut holders = known
+            .peers
+            .values()
+            .filter(|peer| peer.holds_lease && peer.spoke_just_now(now))
+            .peekable();
+        if holders.peek().is_some() {
+            let distant = holders.filter(|peer| !peer.is_near(&topology));
+            return distant.map(|peer| peer.address).collect();
+        }
+        let on_duty = known
+            .peers
+            .values()
+            .filter(|peer| placing.shares_duty(peer.handle) && !peer.is_near(&topology));
+        on_duty.map(|peer| peer.address).collect()
+    }
+
     fn addresses_among(&self, includes: impl Fn(SubjectHandle) -> bool) -> Vec<SocketAddr> {
         let known = lock(&self.known);
         let placers = known.peers.values().filter(|peer| includes(peer.handle));
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -1,6 +1,7 @@
 //! Takes the words of other nodes.
 
 use super::placers::Placing;
+use super::region_sums;
 use super::{Behind, Peer};
 use crate::belief_log;
 use crate::context::Context;
@@ -62,8 +63,8 @@
     if let Some(datagram) = TenantRateDatagram::decode(bytes) {
         return tenant_rates::receive(context, datagram, from);
     }
-    if let Some(TopologyDatagram::Zone(announcement)) = TopologyDatagram::decode(bytes) {
-        return context.peers.note_zone(&announcement.node, announcement.zone);
+    if let Some(datagram) = TopologyDatagram::decode(bytes) {
+        return take_topology_datagram(context, datagram, from);
     }
     if let Some(datagram) = QuarantineDatagram::decode(bytes) {
         return quarantine::merge_confirmations(context, datagram, from);
@@ -74,6 +75,15 @@
     }
 }
 
+fn take_topology_datagram(context: &Context, datagram: TopologyDatagram, from: SocketAddr) {
+    match datagram {
+        TopologyDatagram::Zone(announcement) => {
+            context.peers.note_zone(&announcement.node, announcement.zone);
+        }
+        TopologyDatagram::Sums(report) => region_sums::take(context, *report, from),
+    }
+}
+
 fn take_rate_datagram(context: &Context, datagram: RateDatagram, from: SocketAddr) {
     match datagram {
         RateDatagram::Limits(message) => rate_limits::receive_message(context, &message, from),
--- a/crates/node/src/peers/sending.rs
+++ b/crates/node/src/peers/sending.rs
@@ -2,6 +2,7 @@
 
 use super::Peers;
 use super::placers::Placing;
+use super::region_sums::SumSender;
 use super::use_words::UseTeller;
 use crate::context::Context;
 use crate::cordons;
@@ -74,7 +75,8 @@
         log_working_set(context);
         let tells_again = quarantine::notify_peers(context)
             .min(teller.limit_sender.tell(context))
-            .min(teller.announcement_sender.send(context));
+            .min(teller.announcement_sender.send(context))
+            .min(teller.sum_sender.send(context));
         teller.tells_again = teller.tells_again.min(tells_again);
         context.stop.wait(pause);
     }
@@ -121,6 +123,7 @@
     use_teller: UseTeller,
     limit_sender: rate_limits::LimitSender,
     announcement_sender: AnnouncementSender,
+    sum_sender: SumSender,
     told_all_at: Option<MonotonicTime>,
     /// Versions of the configuration and the cordons that everybody was told.
     told_versions: (u64, u64),
@@ -142,6 +145,7 @@
             use_teller: UseTeller::default(),
             limit_sender: rate_limits::LimitSender::default(),
             announcement_sender: AnnouncementSender::default(),
+            sum_sender: SumSender::default(),
             told_all_at: None,
             told_versions: (0, 0),
             rounds_to_all: 0,
--- a/crates/protocol/src/topology_messages.rs
+++ b/crates/protocol/src/topology_messages.rs
@@ -1,4 +1,4 @@
-//! The datagrams by which nodes of a regional deployment learn each other's zone.
+//! The datagrams by which nodes of a regional deployment learn each other's zone and the demand on each other's region.
 //!
 //! Released variants never change; additions get a variant of their own. Builds without this format drop the datagrams as
 //! unreadable.
@@ -6,6 +6,7 @@
 use super::datagram_format;
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::identity::{NodeId, ZoneId};
+use shelfjunction_core::roles::region_sums::SumReport;
 
 /// First byte of such a datagram.
 const FORMAT: u8 = 68;
@@ -24,6 +25,8 @@
 pub enum TopologyDatagram {
     /// The sender's zone.
     Zone(ZoneAnnouncement),
+    /// Demand on the sender's region.
+    Sums(Box<SumReport>),
 }
 
 impl TopologyDatagram {
