Owners of engines' request slots by region, waits by distance

Slots of a limited engine belonged to any placer of the fleet, so each request to it paid a round trip between regions, and questions to distant nodes timed out after the wait for near ones. The owner is now a node of the engine's region. The share of a limit weighs nodes of the region by the quorum.

--- a/crates/core/src/rate_limit/mod.rs
+++ b/crates/core/src/rate_limit/mod.rs
@@ -21,6 +21,7 @@
 mod limit;
 pub mod max_wait;
 mod message;
+pub mod regional_owner;
 pub mod slot_owner;
 mod slots;
 
--- a/crates/core/src/rate_limit/slot_owner.rs
+++ b/crates/core/src/rate_limit/slot_owner.rs
@@ -10,7 +10,7 @@
 
 /// Minimum fraction of all nodes that an owner must reach to use the whole limit. The owners of other partitions then share at
 /// most the rest of the nodes, so the total stays below 1.5 times the limit.
-const MIN_FULL_LIMIT_QUORUM: f64 = 0.65;
+pub(super) const MIN_FULL_LIMIT_QUORUM: f64 = 0.65;
 
 /// Time without slot requests after which the schedule of an engine is removed.
 const SCHEDULE_RETENTION: Duration = Duration::from_secs(60);
--- a/crates/core/src/routing/pool/working_set/members.rs
+++ b/crates/core/src/routing/pool/working_set/members.rs
@@ -2,7 +2,7 @@
 
 use super::WorkingSetChange;
 use crate::forwarding::PoolId;
-use crate::identity::{EngineId, RegionId};
+use crate::identity::{EngineId, RegionId, ZoneId};
 use crate::membership::subject::SubjectHandle;
 use crate::routing::pool::engine::{EngineStage, EngineState, PoolEngine};
 use crate::routing::pool::router::PoolRouter;
@@ -116,6 +116,16 @@
         groups.flat_map(|group| group.reserve.values())
     }
 
+    /// Zone of a listed engine, also of one that is not in use; absent if it is unknown.
+    pub fn zone_of(&self, handle: SubjectHandle) -> Option<&ZoneId> {
+        let used = self.engine_ids.get(&handle).and_then(|id| self.engines.get(id));
+        if let Some(state) = used {
+            return Some(&state.engine.zone);
+        }
+        let group = self.working_set.group_of.get(&handle)?;
+        Some(&self.working_set.groups[*group].zone)
+    }
+
     /// List entries of the engines in use that are still listed.
     pub fn in_use(&self) -> Vec<PoolEngine> {
         let listed = self.engines.values().filter(|state| state.is_listed());
--- a/crates/core/src/topology/mod.rs
+++ b/crates/core/src/topology/mod.rs
@@ -11,6 +11,7 @@
 pub use round_trips::{DISTANT_WAIT_FACTOR, RoundTrips};
 
 use crate::identity::{RegionId, ZoneId};
+use crate::membership::subject::{SubjectHandle, mix};
 use crate::setting::FieldError;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -66,6 +67,7 @@
     own_region: Option<RegionId>,
     zones: BTreeMap<ZoneId, RegionId>,
     regions: BTreeSet<RegionId>,
+    digest: u64,
 }
 
 impl Topology {
@@ -75,9 +77,15 @@
             own_region: settings.zones.get(own_zone).cloned(),
             zones: settings.zones.clone(),
             regions: settings.zones.values().cloned().collect(),
+            digest: digest_of(&settings.zones),
         }
     }
 
+    /// Digest of the mapping of zones to regions. Two nodes with the same digest place every zone in the same region.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Whether the deployment spans two regions or more and the node knows its own.
     pub fn is_regional(&self) -> bool {
         self.regions.len() > 1 && self.own_region.is_some()
@@ -119,3 +127,11 @@
         }
     }
 }
+
+fn digest_of(zones: &BTreeMap<ZoneId, RegionId>) -> u64 {
+    zones.iter().fold(0, |digest, (zone, region)| {
+        let zone = SubjectHandle::of_text("zone", zone.as_str()).number();
+        let region = SubjectHandle::of_text("region", region.as_str()).number();
+        mix(mix(digest ^ zone) ^ region)
+    })
+}
--- a/crates/core/src/topology/round_trips.rs
+++ b/crates/core/src/topology/round_trips.rs
@@ -72,6 +72,23 @@
         Some(Duration::from_secs_f64(estimate.mean_seconds))
     }
 
+    /// Time within which nodes of all `regions` have heard of something: the longest wait among them.
+    pub fn longest_wait<'r>(
+        &self,
+        regions: impl Iterator<Item = &'r RegionId>,
+        configured: Duration,
+    ) -> Duration {
+        let waits = regions.map(|region| self.answer_wait(region, configured));
+        waits.max().unwrap_or(configured)
+    }
+
+    /// Time to wait for an answer from a node whose region may not be known; then it is the longest, as before the first question.
+    pub fn answer_wait_of(&self, region: Option<&RegionId>, configured: Duration) -> Duration {
+        region.map_or(configured * DISTANT_WAIT_FACTOR, |region| {
+            self.answer_wait(region, configured)
+        })
+    }
+
     /// Time to wait for an answer from a region. Before the first question it is the longest, since the distance is not known.
     pub fn answer_wait(&self, region: &RegionId, configured: Duration) -> Duration {
         let longest = configured * DISTANT_WAIT_FACTOR;
--- a/crates/core/tests/placing.rs
+++ b/crates/core/tests/placing.rs
@@ -7,7 +7,7 @@
 use pool_support::{engine_with, pool, router_with};
 use proptest::prelude::*;
 use shelfjunction_core::engine::EngineRefusalReason;
-use shelfjunction_core::identity::{EngineId, ZoneId};
+use shelfjunction_core::identity::{EngineId, RegionId, ZoneId};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::placing::config::PlacingSettings;
 use shelfjunction_core::placing::placement_table::PlacementTable;
@@ -21,6 +21,7 @@
     RequestConstraints, RequestTiming,
 };
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_core::topology::{Topology, TopologySettings};
 use std::time::Duration;
 
 const NOW: MonotonicTime = MonotonicTime::from_millis(10_000);
@@ -449,3 +450,28 @@
     );
     assert_eq!((placer.requests(), placer.streams()), (0, 0));
 }
+
+/// Guards against demand that counts in two regions if a request is placed at home and then served by another region.
+#[test]
+fn demand_of_an_unused_placement_is_withdrawn_in_a_regional_deployment() {
+    let demand_after = |zones: &[(&str, &str)]| {
+        let mut placer = Placer::new();
+        let zones = zones
+            .iter()
+            .map(|(zone, region)| (ZoneId::new(*zone), RegionId::new(*region)));
+        let settings = TopologySettings {
+            zones: zones.collect(),
+        };
+        let own = ZoneId::new("zone-a");
+        placer.router.set_topology(Topology::new(&own, &settings));
+        let query = admission_query(1);
+        placer.ask(&query, NOW);
+        let before = placer.router.own_demand(after(10));
+        placer.report_progress(&query, DispatchProgress::Abandoned, after(10));
+        (before, placer.router.own_demand(after(10)))
+    };
+    let (placed, unused) = demand_after(&[("zone-a", "north"), ("zone-b", "south")]);
+    assert!(placed > 3_000 && unused == 0, "{placed}, then {unused}");
+    let (placed, unused) = demand_after(&[]);
+    assert_eq!(placed, unused, "as before in a deployment that is not regional");
+}
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -238,6 +238,8 @@
         log::info!(regions = topology.region_count(), zones = settings.zones.len(); "topology_changed");
         lock(&self.router).set_topology(topology.clone());
         self.peers.set_topology(topology);
+        // Others must know at once by which regions this node chooses owners of request slots.
+        self.rate_limits.note_news(self);
     }
 
     /// Records the round trip of a question that a node answered.
@@ -255,6 +257,36 @@
         }
     }
 
+    /// Records how a question to a node ended: the round trip of its answer, or the time for which none came.
+    pub(crate) fn note_question(&self, node: SubjectHandle, is_answered: bool, took: Duration) {
+        if is_answered {
+            return self.note_round_trip(node, took);
+        }
+        if let Some(region) = self.peers.region_of(node) {
+            lock(&self.round_trips).on_timeout(&region, took);
+        }
+    }
+
+    /// Time to wait for a node's answer to a question: that of its region, or the configured one in a deployment that is not
+    /// regional.
+    pub(crate) fn answer_wait(&self, node: SubjectHandle) -> Duration {
+        let configured = self.config.placing.answer_wait();
+        if !self.peers.topology().is_regional() {
+            return configured;
+        }
+        let region = self.peers.region_of(node);
+        lock(&self.round_trips).answer_wait_of(region.as_ref(), configured)
+    }
+
+    /// Time within which nodes of all regions have heard of something that `configured` allows for within one region.
+    pub(crate) fn wait_for_all_regions(&self, configured: Duration) -> Duration {
+        let topology = self.peers.topology();
+        let distant = topology
+            .regions()
+            .filter(|region| topology.own_region() != Some(region));
+        lock(&self.round_trips).longest_wait(distant, configured)
+    }
+
     /// What the lease allows, while this node holds it.
     pub(crate) fn authority(&self, now: MonotonicTime) -> Option<Authority> {
         lock(&self.authority).filter(|authority| now < authority.not_after)
--- a/crates/node/src/course/waiting.rs
+++ b/crates/node/src/course/waiting.rs
@@ -163,7 +163,7 @@
 fn lives(context: &Context, exchange: &Exchange, now: MonotonicTime) -> bool {
     let told = exchange.account.placer().and_then(|at| {
         let engine = SubjectHandle::of_engine(&exchange.engine);
-        context.placements.ask_liveness(context, engine, at.address)
+        context.placements.ask_liveness(context, engine, at)
     });
     told.unwrap_or_else(|| {
         lock(&context.router)
--- a/crates/node/src/peers/limit_speakers.rs
+++ b/crates/node/src/peers/limit_speakers.rs
@@ -1,13 +1,15 @@
 //! The nodes that keep to engines' rate limits, as this one has heard them: those that may keep slots, and how many there are.
 
 use super::{Peer, Peers, Placing};
-use shelfjunction_core::identity::NodeId;
+use shelfjunction_core::identity::{NodeId, RegionId};
 use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::rate_limit::regional_owner::{OwnerCandidate, Reach, candidates_for};
 use shelfjunction_core::rate_limit::slot_owner::limit_share;
 use shelfjunction_core::routing::pool::PeerLoadSlice;
 use shelfjunction_core::tenancy::rate_owner::rate_share;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// What another node said of rate limits; older builds know nothing of them.
@@ -72,9 +74,65 @@
         others.chain(own.then_some(self.own.node)).collect()
     }
 
-    /// The part of engines' limits that this node has where it keeps their slots; nothing while the nodes are not known.
-    pub(crate) fn part_of_limits(&self, now: MonotonicTime) -> f64 {
-        self.share_of_limits(limit_share, now)
+    /// The nodes that may own the slots of an engine: those of its region if there are any.
+    pub(crate) fn slot_owners(
+        &self,
+        region: Option<&RegionId>,
+        own_keeps: bool,
+        now: MonotonicTime,
+    ) -> Vec<SubjectHandle> {
+        let keepers = self.slot_keepers(own_keeps, now);
+        if region.is_none() {
+            return keepers;
+        }
+        let topology = self.topology();
+        let known = lock(&self.known);
+        let regions: BTreeMap<SubjectHandle, &RegionId> = known
+            .peers
+            .values()
+            .filter_map(|peer| Some((peer.handle, peer.owner_region(&topology)?)))
+            .chain(topology.own_region().map(|region| (self.own.node, region)))
+            .collect();
+        let candidates: Vec<OwnerCandidate> = keepers
+            .into_iter()
+            .map(|node| OwnerCandidate {
+                node,
+                region: regions.get(&node).copied().cloned(),
+            })
+            .collect();
+        candidates_for(region, &candidates)
+    }
+
+    /// The part of an engine's limit that this node has where it keeps its slots; nothing while the nodes are not known.
+    pub(crate) fn part_of_limits(&self, region: Option<&RegionId>, now: MonotonicTime) -> f64 {
+        match region {
+            Some(region) => self.regional_part_of_limits(region, now),
+            None => self.share_of_limits(limit_share, now),
+        }
+    }
+
+    fn regional_part_of_limits(&self, region: &RegionId, now: MonotonicTime) -> f64 {
+        let topology = self.topology();
+        let placing = self.placing(now);
+        let silence = self.silence(&placing);
+        let known = lock(&self.known);
+        if !known.knows_number() {
+            return 0.0;
+        }
+        let mut reach = Reach::default();
+        reach.add(topology.own_region(), region, true);
+        for peer in known.peers.values() {
+            let is_reached = peer.keeps_to_limits(silence, now);
+            // Of a node that is not reached only its entry in the list is known.
+            let of_peer = if is_reached {
+                peer.owner_region(&topology)
+            } else {
+                peer.region(&topology)
+            };
+            reach.add(of_peer, region, is_reached);
+        }
+        reach.unknown.nodes += known.nodes() - known.nodes_known_itself();
+        reach.limit_share()
     }
 
     /// The part of tenants' rates that this node has where it owns their buckets; nothing while the nodes are not known.
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -22,7 +22,7 @@
 pub(crate) use directory::follow as follow_directory;
 pub(crate) use placers::{Duty, Placing};
 pub(crate) use receiving::hear;
-pub(crate) use sending::tell;
+pub(crate) use sending::{announce_topology, tell};
 pub(crate) use shelfjunction_protocol::node_words::{
     Datagram, LivenessAnswer, LivenessQuestion, MOST_SUSPECTS, UsageMessage,
 };
@@ -36,9 +36,11 @@
 use shelfjunction_core::retry::census::KnownPeer;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_core::topology::Topology;
+use shelfjunction_protocol::topology_messages::TopologyAnnouncement;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
@@ -54,6 +56,14 @@
 /// Silence after which a node no longer counts as alive.
 const HEARD_LATELY: Duration = Duration::from_millis(3_500);
 
+/// What a node announced of its topology.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct AnnouncedTopology {
+    start: u64,
+    digest: u64,
+    zone: ZoneId,
+}
+
 /// What is known of one other node.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -82,6 +92,8 @@
     cordons: u64,
     /// Its zone; absent until the list or the node itself has named it.
     zone: Option<ZoneId>,
+    /// What it announced of its topology.
+    topology: Option<AnnouncedTopology>,
     /// What it told of the budgets for repeats.
     sharing: KnownPeer,
     handle: SubjectHandle,
@@ -103,6 +115,7 @@
             told_nodes: 0,
             cordons: 0,
             zone: None,
+            topology: None,
             sharing: KnownPeer::listed(now),
             handle: SubjectHandle::of_text("node", node.as_str()),
         }
@@ -149,6 +162,15 @@
         topology.region_of(self.zone.as_ref()?)
     }
 
+    /// The region in which it owns request slots; absent unless its present start has announced the topology of this node, since
+    /// it may choose owners in another way.
+    fn owner_region<'t>(&self, topology: &'t Topology) -> Option<&'t RegionId> {
+        let announced = self.topology.as_ref()?;
+        let start = self.last_message.map(|(start, _)| start);
+        let agrees = start == Some(announced.start) && announced.digest == topology.digest();
+        topology.region_of(&announced.zone).filter(|_| agrees)
+    }
+
     /// Whether it lies in this node's region; a node whose region is not known does.
     fn is_near(&self, topology: &Topology) -> bool {
         match (self.region(topology), topology.own_region()) {
@@ -157,6 +179,13 @@
         }
     }
 
+    fn set_zone(&mut self, node: &NodeId, zone: ZoneId) {
+        if self.zone.as_ref() != Some(&zone) {
+            log::info!(peer = node.as_str(), zone = zone.as_str(); "peer_zone_learned");
+            self.zone = Some(zone);
+        }
+    }
+
     fn candidate(&self) -> Candidate {
         Candidate {
             node: self.handle,
@@ -172,6 +201,8 @@
     own: Candidate,
     placing: PlacingSettings,
     topology: Mutex<Arc<Topology>>,
+    /// Whether the deployment is or was regional in the lifetime of the process: others must hear that it is not any more.
+    was_regional: AtomicBool,
     /// Length of the window of budgets for repeats.
     budget_window: Duration,
     known: Mutex<Known>,
@@ -246,14 +277,16 @@
 
 impl Peers {
     pub(crate) fn new(config: &NodeConfig, socket: Arc<UdpSocket>) -> Self {
+        let topology = Topology::new(&config.zone, &config.topology);
         Self {
             socket,
+            was_regional: AtomicBool::new(topology.is_regional()),
             own: Candidate {
                 node: SubjectHandle::of_text("node", config.node.as_str()),
                 processor_thousandths: config.processor_thousandths(),
             },
             placing: config.placing,
-            topology: Mutex::new(Arc::new(Topology::new(&config.zone, &config.topology))),
+            topology: Mutex::new(Arc::new(topology)),
             budget_window: config.retry_budget().window,
             known: Mutex::default(),
             looked: Mutex::default(),
@@ -271,10 +304,17 @@
 
     /// Takes other zones and regions.
     pub(crate) fn set_topology(&self, topology: Topology) {
+        self.was_regional
+            .fetch_or(topology.is_regional(), Ordering::Relaxed);
         *lock(&self.topology) = Arc::new(topology);
         *lock(&self.looked) = None;
     }
 
+    /// Whether this node announces its topology.
+    fn announces_topology(&self) -> bool {
+        self.was_regional.load(Ordering::Relaxed)
+    }
+
     /// Region of a node; absent where it is not known.
     pub(crate) fn region_of(&self, node: SubjectHandle) -> Option<RegionId> {
         let topology = self.topology();
@@ -288,13 +328,20 @@
 
     /// Notes the zone that a node has named.
     pub(crate) fn note_zone(&self, node: &NodeId, zone: ZoneId) {
-        let mut known = lock(&self.known);
-        let Some(peer) = known.peers.get_mut(node) else {
-            return;
-        };
-        if peer.zone.as_ref() != Some(&zone) {
-            log::info!(peer = node.as_str(), zone = zone.as_str(); "peer_zone_learned");
-            peer.zone = Some(zone);
+        if let Some(peer) = lock(&self.known).peers.get_mut(node) {
+            peer.set_zone(node, zone);
+        }
+    }
+
+    /// Notes the topology that a node has announced.
+    pub(crate) fn note_topology(&self, announced: TopologyAnnouncement) {
+        if let Some(peer) = lock(&self.known).peers.get_mut(&announced.node) {
+            peer.set_zone(&announced.node, announced.zone.clone());
+            peer.topology = Some(AnnouncedTopology {
+                start: announced.start,
+                digest: announced.digest,
+                zone: announced.zone,
+            });
         }
     }
 
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -81,6 +81,7 @@
             context.peers.note_zone(&announcement.node, announcement.zone);
         }
         TopologyDatagram::Sums(report) => region_sums::take(context, *report, from),
+        TopologyDatagram::Topology(announcement) => context.peers.note_topology(announcement),
     }
 }
 
--- a/crates/node/src/peers/sending.rs
+++ b/crates/node/src/peers/sending.rs
@@ -16,7 +16,7 @@
     Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_FIGURES, MOST_LASTING, MOST_NEWS,
     MOST_SILENCES, WorkMessage,
 };
-use shelfjunction_protocol::topology_messages::{TopologyDatagram, ZoneAnnouncement};
+use shelfjunction_protocol::topology_messages::{TopologyAnnouncement, TopologyDatagram};
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -270,7 +270,7 @@
         };
         self.send(&peers, message);
         if is_far_round {
-            self.announce_zone(&peers);
+            announce_topology(self.context, &peers);
         }
     }
 
@@ -292,26 +292,10 @@
         let message = self.compose(PeerLoadSlice::EMPTY, false, now);
         let peers = self.context.peers.told(now);
         self.send(&peers, message);
-        self.announce_zone(&peers);
+        announce_topology(self.context, &peers);
         self.allowance.spend(peers.len(), now)
     }
 
-    /// Tells others the zone of this node: those that have only heard it have not read its entry in the store's list.
-    fn announce_zone(&self, peers: &[SocketAddr]) {
-        if !self.context.peers.topology().is_regional() {
-            return;
-        }
-        let announcement = ZoneAnnouncement {
-            node: self.context.config.node.clone(),
-            zone: self.context.config.zone.clone(),
-        };
-        if let Some(bytes) = TopologyDatagram::Zone(announcement).encode() {
-            peers
-                .iter()
-                .for_each(|peer| self.context.peers.send(&bytes, *peer));
-        }
-    }
-
     fn compose(&self, slice: PeerLoadSlice, places: bool, now: MonotonicTime) -> WorkMessage {
         let context = self.context;
         let config_version = || context.forwarding().map_or(0, |config| config.version);
@@ -361,6 +345,23 @@
     }
 }
 
+/// Tells others the zone of this node and the digest of its topology: those that have only heard it have not read its entry in
+/// the store's list.
+pub(crate) fn announce_topology(context: &Context, peers: &[SocketAddr]) {
+    if !context.peers.announces_topology() {
+        return;
+    }
+    let announcement = TopologyAnnouncement {
+        node: context.config.node.clone(),
+        start: context.start,
+        zone: context.config.zone.clone(),
+        digest: context.peers.topology().digest(),
+    };
+    if let Some(bytes) = TopologyDatagram::Topology(announcement).encode() {
+        peers.iter().for_each(|peer| context.peers.send(&bytes, *peer));
+    }
+}
+
 /// Messages that may be sent, so that many peers do not cost more datagrams: a token bucket.
 struct Allowance {
     saved: Duration,
--- a/crates/node/src/placing/asking.rs
+++ b/crates/node/src/placing/asking.rs
@@ -149,7 +149,7 @@
         let key = (question.key, question.step);
         lock(&self.waiting).answers.insert(key, None);
         context.peers.send(&bytes, address);
-        self.wait(context, |waiting| {
+        self.wait(context.config.placing.answer_wait(), |waiting| {
             waiting.answers.get(&key).is_none_or(|answer| answer.is_some())
         });
         lock(&self.waiting).answers.remove(&key).flatten()
@@ -160,7 +160,7 @@
         &self,
         context: &Context,
         engine: SubjectHandle,
-        placer: SocketAddr,
+        at: &PlacedAt,
     ) -> Option<bool> {
         let question = LivenessQuestion {
             number: rand::random(),
@@ -168,16 +168,18 @@
         };
         let bytes = Datagram::LivenessQuestion(question).encode()?;
         lock(&self.waiting).liveness.insert(question.number, None);
-        context.peers.send(&bytes, placer);
-        self.wait(context, |waiting| {
+        let sent_at = context.now();
+        context.peers.send(&bytes, at.address);
+        self.wait(context.answer_wait(at.placer), |waiting| {
             let answer = waiting.liveness.get(&question.number);
             answer.is_none_or(|answer| answer.is_some())
         });
-        lock(&self.waiting).liveness.remove(&question.number).flatten()
+        let answer = lock(&self.waiting).liveness.remove(&question.number).flatten();
+        context.note_question(at.placer, answer.is_some(), context.now().since(sent_at));
+        answer
     }
 
-    fn wait(&self, context: &Context, is_answered: impl Fn(&Waiting) -> bool) {
-        let longest = context.config.placing.answer_wait();
+    fn wait(&self, longest: Duration, is_answered: impl Fn(&Waiting) -> bool) {
         let waiting = lock(&self.waiting);
         let waited = self
             .answered
--- a/crates/node/src/quarantine/trial.rs
+++ b/crates/node/src/quarantine/trial.rs
@@ -66,7 +66,8 @@
             arrivals: 0,
         };
         trial.notify(deadline.since(now));
-        context.stop.wait(context.suspects.settings.trial_wait());
+        let trial_wait = context.suspects.settings.trial_wait();
+        context.stop.wait(context.wait_for_all_regions(trial_wait));
         let stands = lock(&context.suspects.trials).stands(pool, id, context.now());
         if stands { Ok(trial) } else { Err(NoTrial::Another) }
     }
--- a/crates/node/src/questions.rs
+++ b/crates/node/src/questions.rs
@@ -1,6 +1,7 @@
 //! Questions to other nodes by datagram, each answered under the number that it was sent with.
 
 use crate::context::Context;
+use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -30,23 +31,28 @@
         }
     }
 
-    /// Sends a question and waits for its answer, as long as for a placer's.
+    /// Sends a question to a node and waits for its answer, as long as an answer from the node's region may take.
     pub(crate) fn ask(
         &self,
         context: &Context,
         number: u64,
         question: &[u8],
+        node: SubjectHandle,
         to: SocketAddr,
     ) -> Option<Answer> {
         lock(&self.waiting).insert(number, None);
+        let sent_at = context.now();
         context.peers.send(question, to);
-        let timeout = context.config.placing.answer_wait();
+        let timeout = context.answer_wait(node);
         let is_waiting =
             |waiting: &mut BTreeMap<u64, Option<Answer>>| waiting.get(&number).is_some_and(Option::is_none);
         let waited = self
             .answered
             .wait_timeout_while(lock(&self.waiting), timeout, is_waiting);
         let (mut waiting, _) = waited.unwrap_or_else(PoisonError::into_inner);
-        waiting.remove(&number).flatten()
+        let answer = waiting.remove(&number).flatten();
+        drop(waiting);
+        context.note_question(node, answer.is_some(), context.now().since(sent_at));
+        answer
     }
 }
--- a/crates/node/src/rate_limits/asking.rs
+++ b/crates/node/src/rate_limits/asking.rs
@@ -2,7 +2,7 @@
 
 use super::sending;
 use crate::context::Context;
-use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::identity::{EngineId, RegionId};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::rate_limit::slot_owner::owner_of;
 use shelfjunction_core::rate_limit::{LimitNotice, RateLimit, Slot, SlotOutcome, SlotRequest, SlotResponse};
@@ -83,7 +83,7 @@
         let outcome = context
             .rate_limits
             .questions
-            .ask(context, question.number, &bytes, address);
+            .ask(context, question.number, &bytes, owner, address);
         match outcome {
             Some(SlotOutcome::NotOwner { owner: other }) => owner = other,
             Some(_) => return outcome,
@@ -98,10 +98,22 @@
 
 /// The node that keeps an engine's slots, as this one sees it.
 fn owner(context: &Context, engine: SubjectHandle, now: MonotonicTime) -> SubjectHandle {
-    let candidates = context.peers.slot_keepers(!context.state.is_stopping(), now);
+    let region = region_of(context, engine);
+    let owns = !context.state.is_stopping();
+    let candidates = context.peers.slot_owners(region.as_ref(), owns, now);
     owner_of(engine, &candidates).unwrap_or(context.peers.own_handle())
 }
 
+/// Region of an engine; absent in a deployment that is not regional, and where its zone is unknown or not named.
+fn region_of(context: &Context, engine: SubjectHandle) -> Option<RegionId> {
+    let topology = context.peers.topology();
+    if !topology.is_regional() {
+        return None;
+    }
+    let router = lock(&context.router);
+    topology.region_of(router.zone_of(engine)?).cloned()
+}
+
 /// Gives out a slot that this node keeps.
 fn give(
     context: &Context,
@@ -110,7 +122,8 @@
     max_wait: Duration,
     now: MonotonicTime,
 ) -> SlotOutcome {
-    let part = context.peers.part_of_limits(now);
+    let region = region_of(context, engine);
+    let part = context.peers.part_of_limits(region.as_ref(), now);
     let own = context.peers.own_handle();
     let slot = lock(&context.rate_limits.owner).reserve(own, engine, limit, part, max_wait, now);
     match slot {
--- a/crates/node/src/rate_limits/mod.rs
+++ b/crates/node/src/rate_limits/mod.rs
@@ -41,7 +41,8 @@
         self.questions.on_answer(answer.number, answer.outcome);
     }
 
-    fn note_news(&self, context: &Context) {
+    /// Notes that others are to be told at once.
+    pub(crate) fn note_news(&self, context: &Context) {
         self.has_news.store(true, Ordering::Release);
         context.peers.note_urgent();
     }
--- a/crates/node/src/rate_limits/sending.rs
+++ b/crates/node/src/rate_limits/sending.rs
@@ -6,7 +6,7 @@
 
 use super::log_limit;
 use crate::context::Context;
-use crate::peers::Placing;
+use crate::peers::{Placing, announce_topology};
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::rate_limit::LimitNotice;
 use shelfjunction_core::time::MonotonicTime;
@@ -109,6 +109,8 @@
     if let Some(bytes) = RateDatagram::Limits(Box::new(message)).encode() {
         to.iter().for_each(|peer| context.peers.send(&bytes, *peer));
     }
+    // Who may own slots has to be known to belong to a region, or it counts as an owner in each.
+    announce_topology(context, to);
 }
 
 /// Tells a placer what is known of an engine's limit, and when it has a slot.
--- a/crates/node/src/tenant_rates/charging.rs
+++ b/crates/node/src/tenant_rates/charging.rs
@@ -160,7 +160,7 @@
     let outcome = context
         .tenant_rates
         .questions
-        .ask(context, question.number, &bytes, address);
+        .ask(context, question.number, &bytes, node, address);
     if outcome.is_none() {
         log::info!(node:% = address, as_deputy; "tenant_rate_owner_silent");
     }
--- a/crates/protocol/src/topology_messages.rs
+++ b/crates/protocol/src/topology_messages.rs
@@ -20,6 +20,19 @@
     pub zone: ZoneId,
 }
 
+/// Zone of a node, and a digest of its mapping of zones to regions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TopologyAnnouncement {
+    /// The sender.
+    pub node: NodeId,
+    /// Random number of its start.
+    pub start: u64,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Digest of the regions of all zones in its settings.
+    pub digest: u64,
+}
+
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TopologyDatagram {
@@ -27,6 +40,8 @@
     Zone(ZoneAnnouncement),
     /// Demand on the sender's region.
     Sums(Box<SumReport>),
+    /// The sender's zone, as others must know it before they choose owners of request slots by region.
+    Topology(TopologyAnnouncement),
 }
 
 impl TopologyDatagram {
