Find placers of the region after a start without memory

Three faults in how nodes of a regional deployment learn of each other. The two pages of the list of nodes overlap, and entries counted twice ranked a standby lower than the whole list does, so that it did not read it. A placer announced its zone only to far nodes each 4 s, and a node that had not read the list took placers of other regions for its own until then; nodes of a small fleet never announced it. Settings that make a deployment regional at run time did not reach the list.

--- a/crates/core/src/placing/mod.rs
+++ b/crates/core/src/placing/mod.rs
@@ -11,6 +11,7 @@
 //! are still served: engines accept requests from any node, and a node without an answer chooses engines itself.
 
 pub mod config;
+pub mod list_parts;
 pub mod placement_table;
 pub mod placer_set;
 mod prediction;
--- a/crates/core/tests/placer_line.rs
+++ b/crates/core/tests/placer_line.rs
@@ -1,6 +1,7 @@
 //! Replacement of lost placers: as many nodes as needed take over, and only those that rank next.
 
 use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::placing::list_parts::join_parts;
 use shelfjunction_core::placing::placer_set::{
     Candidate, CandidateStatus, PlacerSet, may_become_placer, should_place,
 };
@@ -107,3 +108,40 @@
         whole_list_readers.len()
     );
 }
+
+/// Guards against a standby of a small fleet that does not read the whole list, since its pages overlap and entries count twice,
+/// and against a list that counts as cut off though both pages together are all of it.
+#[test]
+fn overlapping_parts_of_the_list_rank_a_node_as_the_whole_list_does() {
+    for size in [1, 40, 75, 127, 300] {
+        let list: Vec<(String, Candidate)> = (0..size)
+            .map(|number| {
+                let name = format!("node-{number:04}");
+                let candidate = Candidate {
+                    node: SubjectHandle::of_text("node", &name),
+                    processor_thousandths: 120,
+                };
+                (name, candidate)
+            })
+            .collect();
+        for own in 0..size {
+            let to_end = &list[own..];
+            if to_end.len() > 64 {
+                continue;
+            }
+            let start = &list[..size.min(64)];
+            let (known, is_whole) = join_parts(to_end.to_vec(), start.to_vec(), size > 64, |(name, _)| name);
+            let mut names: Vec<&String> = known.iter().map(|(name, _)| name).collect();
+            names.dedup();
+            assert_eq!(names.len(), known.len(), "{size} nodes, node {own}");
+            assert!(!is_whole || known.len() == size, "{size} nodes, node {own}");
+            assert!(is_whole || own >= 64, "{size} nodes, node {own}");
+            let others = |nodes: &[(String, Candidate)]| -> Vec<Candidate> {
+                let others = nodes.iter().filter(|(name, _)| *name != list[own].0);
+                others.map(|(_, candidate)| *candidate).collect()
+            };
+            let in_whole = may_become_placer(list[own].1, &others(&list), 3);
+            assert!(!in_whole || may_become_placer(list[own].1, &others(&known), 3));
+        }
+    }
+}
--- a/crates/lab/src/users_platform/store.rs
+++ b/crates/lab/src/users_platform/store.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -92,6 +93,8 @@
     server: HttpServer,
     shared: Arc<Shared>,
     mode: Arc<Mutex<StoreMode>>,
+    /// Calls to this door while it did not serve.
+    failed: Arc<AtomicU64>,
 }
 
 impl StandInStore {
@@ -107,13 +110,20 @@
 
     fn open(shared: Arc<Shared>) -> io::Result<Self> {
         let mode = Arc::new(Mutex::new(StoreMode::default()));
+        let failed = Arc::new(AtomicU64::new(0));
         let handler = Arc::new(StoreHandler {
             shared: Arc::clone(&shared),
             mode: Arc::clone(&mode),
+            failed: Arc::clone(&failed),
         });
         let address = (Ipv4Addr::LOCALHOST, 0).into();
         let server = HttpServer::start(address, HttpLimits::default(), handler)?;
-        Ok(Self { server, shared, mode })
+        Ok(Self {
+            server,
+            shared,
+            mode,
+            failed,
+        })
     }
 
     /// Where it listens.
@@ -155,6 +165,11 @@
         self.shared.changed.notify_all();
     }
 
+    /// Calls to this door so far while it did not serve.
+    pub fn failed_calls(&self) -> u64 {
+        self.failed.load(Ordering::SeqCst)
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> u64 {
         self.shared.lock().calls
@@ -198,12 +213,16 @@
 struct StoreHandler {
     shared: Arc<Shared>,
     mode: Arc<Mutex<StoreMode>>,
+    failed: Arc<AtomicU64>,
 }
 
 impl Handler for StoreHandler {
     fn handle(&self, request: HttpRequest, responder: Responder<'_>) -> Answered {
         self.shared.lock().calls += 1;
         let mode = self.mode();
+        if mode != StoreMode::Serving {
+            self.failed.fetch_add(1, Ordering::SeqCst);
+        }
         match mode {
             StoreMode::Throttling => return responder.answer(&Answer::new(429, JSON, "{}")),
             StoreMode::Down => return responder.answer(&Answer::new(503, JSON, "{}")),
--- a/crates/node/src/peers/directory.rs
+++ b/crates/node/src/peers/directory.rs
@@ -4,6 +4,7 @@
 use crate::context::Context;
 use crate::ports::{NodeDirectory, NodeEntry, NodePage};
 use shelfjunction_core::identity::{NodeId, ZoneId};
+use shelfjunction_core::placing::list_parts::join_parts;
 use shelfjunction_core::table::PlatformError;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -36,7 +37,7 @@
         return;
     }
     loop {
-        if !follower.entered {
+        if !follower.is_entered() {
             follower.enter();
         }
         if context.now() >= follower.read_at {
@@ -55,6 +56,8 @@
     context: &'a Context,
     directory: &'a dyn NodeDirectory,
     entered: bool,
+    /// Zone of the entry.
+    entered_zone: Option<ZoneId>,
     failures: u32,
     read_at: MonotonicTime,
     /// Whether the whole list is to be read, however far behind this node comes.
@@ -67,6 +70,7 @@
             context,
             directory,
             entered: false,
+            entered_zone: None,
             failures: 0,
             read_at: context.now() + context.config.entering_spread().mul_f64(READ_AFTER),
             whole: false,
@@ -77,7 +81,7 @@
     fn next_at(&self) -> MonotonicTime {
         let now = self.context.now();
         let mut next = self.read_at;
-        if !self.entered {
+        if !self.is_entered() {
             next = next.min(now + self.pause());
         }
         if self.knows_some() {
@@ -86,6 +90,11 @@
         next
     }
 
+    /// Whether the entry in the list is right. Settings that make a deployment regional give the node a zone there.
+    fn is_entered(&self) -> bool {
+        self.entered && self.entered_zone == self.own_zone()
+    }
+
     fn enter(&mut self) {
         let config = &self.context.config;
         let own = NodeEntry {
@@ -94,7 +103,9 @@
             processor_thousandths: config.processor_thousandths(),
             zone: self.own_zone(),
         };
-        let outcome = if config.first_start {
+        let is_first = config.first_start && self.entered_zone.is_none();
+        self.entered_zone.clone_from(&own.zone);
+        let outcome = if is_first {
             self.directory.enter(&own)
         } else {
             self.enter_again(&own)
@@ -157,13 +168,19 @@
             return self.directory.nodes_from("", FIRST_PAGE);
         }
         let own = self.context.config.node.as_str();
-        let mut page = self.directory.nodes_from(own, FIRST_PAGE)?;
-        if !page.more {
-            let first = self.directory.nodes_from("", FIRST_PAGE)?;
-            page.more = first.more;
-            page.entries.extend(first.entries);
+        let from_own = self.directory.nodes_from(own, FIRST_PAGE)?;
+        if from_own.more {
+            return Ok(from_own);
         }
-        Ok(page)
+        let from_start = self.directory.nodes_from("", FIRST_PAGE)?;
+        let (entries, is_whole) =
+            join_parts(from_own.entries, from_start.entries, from_start.more, |entry| {
+                entry.node.as_str()
+            });
+        Ok(NodePage {
+            entries,
+            more: !is_whole,
+        })
     }
 
     /// Reads the first page of the list, and the rest where it is small or this node has to know all.
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -179,11 +179,14 @@
         }
     }
 
-    fn set_zone(&mut self, node: &NodeId, zone: ZoneId) {
-        if self.zone.as_ref() != Some(&zone) {
-            log::info!(peer = node.as_str(), zone = zone.as_str(); "peer_zone_learned");
-            self.zone = Some(zone);
+    /// Takes its zone; whether that was not known.
+    fn set_zone(&mut self, node: &NodeId, zone: ZoneId) -> bool {
+        if self.zone.as_ref() == Some(&zone) {
+            return false;
         }
+        log::info!(peer = node.as_str(), zone = zone.as_str(); "peer_zone_learned");
+        self.zone = Some(zone);
+        true
     }
 
     fn candidate(&self) -> Candidate {
@@ -328,20 +331,32 @@
 
     /// Notes the zone that a node has named.
     pub(crate) fn note_zone(&self, node: &NodeId, zone: ZoneId) {
-        if let Some(peer) = lock(&self.known).peers.get_mut(node) {
-            peer.set_zone(node, zone);
-        }
+        self.note_peer(node, |peer| peer.set_zone(node, zone));
     }
 
     /// Notes the topology that a node has announced.
     pub(crate) fn note_topology(&self, announced: TopologyAnnouncement) {
-        if let Some(peer) = lock(&self.known).peers.get_mut(&announced.node) {
-            peer.set_zone(&announced.node, announced.zone.clone());
+        let TopologyAnnouncement {
+            node,
+            start,
+            zone,
+            digest,
+        } = announced;
+        self.note_peer(&node, |peer| {
             peer.topology = Some(AnnouncedTopology {
-                start: announced.start,
-                digest: announced.digest,
-                zone: announced.zone,
+                start,
+                digest,
+                zone: zone.clone(),
             });
+            peer.set_zone(&node, zone)
+        });
+    }
+
+    /// Notes something of a known node. Who places is looked at again if `note` says that its zone has changed.
+    fn note_peer(&self, node: &NodeId, note: impl FnOnce(&mut Peer) -> bool) {
+        let has_changed = lock(&self.known).peers.get_mut(node).is_some_and(note);
+        if has_changed {
+            *lock(&self.looked) = None;
         }
     }
 
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -2,6 +2,7 @@
 
 use super::placers::Placing;
 use super::region_sums;
+use super::sending::announce_topology;
 use super::{Behind, Peer};
 use crate::belief_log;
 use crate::context::Context;
@@ -99,6 +100,7 @@
         return;
     }
     let position = (message.start, message.number);
+    let is_new_start;
     {
         let mut known = lock(&context.peers.known);
         let peer = known
@@ -114,6 +116,7 @@
         {
             return;
         }
+        is_new_start = peer.last_message.is_none_or(|last| last.0 != position.0);
         peer.address = from;
         peer.known_at = now;
         peer.store_answers = message.store_answers;
@@ -127,6 +130,10 @@
         peer.cordons = message.cordons;
         peer.sharing.hear(message.start, message.sharing, now);
     }
+    if is_new_start {
+        // It has forgotten this node's zone, and would take this node for one of its region until the next announcement.
+        announce_topology(context, &[from]);
+    }
     let handle = SubjectHandle::of_text("node", message.node.as_str());
     lock(&context.fleet_clock).observe(handle, message.unix, now);
     take_list_news(context, message.list_news, from);
--- a/crates/node/src/peers/sending.rs
+++ b/crates/node/src/peers/sending.rs
@@ -61,6 +61,9 @@
 /// and take 260 bytes a second to each placer.
 const LASTING_AGAIN: Duration = Duration::from_millis(200);
 
+/// Time after which the topology is announced again, a little less than the time between two messages to far nodes.
+const ANNOUNCE_AGAIN: Duration = Duration::from_millis(3_500);
+
 /// Time after which a slice is told again though it has not changed.
 const SLICE_AGAIN: Duration = Duration::from_millis(400);
 
@@ -131,6 +134,10 @@
     rounds_to_all: u32,
     told_slices: BTreeMap<PeerLoadSlice, (Vec<(SubjectHandle, PeerLoad)>, MonotonicTime)>,
     lasting_told_at: Option<MonotonicTime>,
+    /// When the topology was last announced to each address.
+    announced: BTreeMap<SocketAddr, MonotonicTime>,
+    /// Digest that was announced.
+    announced_digest: u64,
 }
 
 impl<'a> Teller<'a> {
@@ -151,6 +158,8 @@
             rounds_to_all: 0,
             told_slices: BTreeMap::new(),
             lasting_told_at: None,
+            announced: BTreeMap::new(),
+            announced_digest: 0,
         }
     }
 
@@ -213,6 +222,7 @@
             }
         }
         self.told_slices.retain(|slice, _| slice.slice_count == slices);
+        self.announce(&peers, now);
         self.allowance.spend(sent.max(peers.len()), now)
     }
 
@@ -269,9 +279,24 @@
             self.context.peers.notified_often(now)
         };
         self.send(&peers, message);
-        if is_far_round {
-            announce_topology(self.context, &peers);
+        self.announce(&peers, now);
+    }
+
+    /// Announces the topology to those of the peers that have not heard it lately. A node that hears of a placer and not of its
+    /// zone takes it for one of its own region.
+    fn announce(&mut self, peers: &[SocketAddr], now: MonotonicTime) {
+        let digest = self.context.peers.topology().digest();
+        if std::mem::replace(&mut self.announced_digest, digest) != digest {
+            self.announced.clear();
         }
+        self.announced.retain(|_, at| now.since(*at) < ANNOUNCE_AGAIN);
+        let due: Vec<SocketAddr> = peers
+            .iter()
+            .copied()
+            .filter(|peer| !self.announced.contains_key(peer))
+            .collect();
+        self.announced.extend(due.iter().map(|peer| (*peer, now)));
+        announce_topology(self.context, &due);
     }
 
     /// What every node has to hear of at once: the versions of the configuration and of the operators' cordons.
@@ -292,7 +317,7 @@
         let message = self.compose(PeerLoadSlice::EMPTY, false, now);
         let peers = self.context.peers.told(now);
         self.send(&peers, message);
-        announce_topology(self.context, &peers);
+        self.announce(&peers, now);
         self.allowance.spend(peers.len(), now)
     }
 
