--- a/crates/core/tests/topology.rs
+++ b/crates/core/tests/topology.rs
@@ -98,8 +98,7 @@
         round_trips.on_answer(&region, Duration::from_millis(5));
     }
     for _ in 0..50 {
-        let wait = round_trips.answer_wait(&region, CONFIGURED_WAIT);
-        round_trips.on_timeout(&region, wait);
+        round_trips.on_timeout(&region);
     }
     let longest = CONFIGURED_WAIT * DISTANT_WAIT_FACTOR;
     assert_eq!(round_trips.answer_wait(&region, CONFIGURED_WAIT), longest);
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -27,6 +27,7 @@
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::metering::clock::FleetClock;
 use shelfjunction_core::placing::placement_table::PlacementTable;
+use shelfjunction_core::roles::region_sums::RegionSums;
 use shelfjunction_core::routing::pool::{
     EngineListing, EngineState, ListChange, PoolEngine, PoolRouter, RecentChanges,
 };
@@ -56,6 +57,8 @@
     pub(crate) round_trips: Mutex<RoundTrips>,
     /// Requests handed to other regions and accepted from them.
     pub(crate) spill: Spillover,
+    /// Demand on other regions, as their placers report it.
+    pub(crate) region_sums: Mutex<RegionSums>,
     /// What this node has placed for others; locked before `router`.
     pub(crate) placement_table: Mutex<PlacementTable>,
     pub(crate) metrics: Metrics,
@@ -187,6 +190,7 @@
             placements: Placements::default(),
             round_trips: Mutex::default(),
             spill: Spillover::default(),
+            region_sums: Mutex::default(),
             placement_table: Mutex::default(),
             metrics: Metrics::new(),
             state: Arc::new(NodeState::default()),
@@ -238,6 +242,8 @@
         log::info!(regions = topology.region_count(), zones = settings.zones.len(); "topology_changed");
         lock(&self.router).set_topology(topology.clone());
         self.peers.set_topology(topology);
+        // Others must know at once by which regions this node chooses owners of request slots.
+        self.rate_limits.note_news(self);
     }
 
     /// Records the round trip of a question that a node answered.
@@ -260,11 +266,41 @@
         lock(&self.round_trips).on_timeout(region);
     }
 
-    /// Time to wait for an answer from a node of another region.
-    pub(crate) fn answer_wait(&self, region: &RegionId) -> Duration {
+    /// Time to wait for an answer from a placer of another region.
+    pub(crate) fn region_answer_wait(&self, region: &RegionId) -> Duration {
         lock(&self.round_trips).answer_wait(region, self.config.placing.answer_wait())
     }
 
+    /// Records how a question to a node ended: the round trip of its answer, or the time for which none came.
+    pub(crate) fn note_question(&self, node: SubjectHandle, is_answered: bool, took: Duration) {
+        if is_answered {
+            return self.note_round_trip(node, took);
+        }
+        if let Some(region) = self.peers.region_of(node) {
+            self.note_silence(&region);
+        }
+    }
+
+    /// Time to wait for a node's answer to a question: that of its region, or the configured one in a deployment that is not
+    /// regional.
+    pub(crate) fn answer_wait(&self, node: SubjectHandle) -> Duration {
+        let configured = self.config.placing.answer_wait();
+        if !self.peers.topology().is_regional() {
+            return configured;
+        }
+        let region = self.peers.region_of(node);
+        lock(&self.round_trips).answer_wait_of(region.as_ref(), configured)
+    }
+
+    /// Time within which nodes of all regions have heard of something that `configured` allows for within one region.
+    pub(crate) fn wait_for_all_regions(&self, configured: Duration) -> Duration {
+        let topology = self.peers.topology();
+        let distant = topology
+            .regions()
+            .filter(|region| topology.own_region() != Some(region));
+        lock(&self.round_trips).longest_wait(distant, configured)
+    }
+
     /// What the lease allows, while this node holds it.
     pub(crate) fn authority(&self, now: MonotonicTime) -> Option<Authority> {
         lock(&self.authority).filter(|authority| now < authority.not_after)
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counts, gauges and delays of the process in the OpenMetrics text; labels take few values, and none names a caller.
 
+use crate::commanding::RegionalRoleMetrics;
 use crate::engine_signals::SignalMetrics;
 use crate::pace_metrics::PaceMetrics;
 use crate::quarantine::QuarantineMetrics;
@@ -69,6 +70,8 @@
     pub(crate) tenant_rates: TenantRateMetrics,
     /// Requests handed to other regions and accepted from them.
     pub(crate) spill: SpillMetrics,
+    /// Plans of regions.
+    pub(crate) regional_roles: RegionalRoleMetrics,
     /// What engines said of themselves in their answers.
     pub(crate) signals: SignalMetrics,
     /// Paces of engines.
@@ -128,6 +131,7 @@
             rate_limits: RateLimitMetrics::default(),
             tenant_rates: TenantRateMetrics::default(),
             spill: SpillMetrics::default(),
+            regional_roles: RegionalRoleMetrics::default(),
             signals: SignalMetrics::default(),
             pace: PaceMetrics::default(),
             placements: Family::default(),
@@ -164,6 +168,7 @@
         metrics.tenant_rates.register(&mut metrics.registry);
         metrics.spill.register(&mut metrics.registry);
         metrics.signals.register(&mut metrics.registry);
+        metrics.regional_roles.register(&mut metrics.registry);
         metrics
     }
 
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -1,6 +1,8 @@
 //! Takes the words of other nodes.
 
 use super::placers::Placing;
+use super::region_sums;
+use super::sending::announce_topology;
 use super::{Behind, Peer};
 use crate::belief_log;
 use crate::context::Context;
@@ -65,7 +67,7 @@
         return tenant_rates::receive(context, datagram, from);
     }
     if let Some(datagram) = TopologyDatagram::decode(bytes) {
-        return take_topology_datagram(context, datagram);
+        return take_topology_datagram(context, datagram, from);
     }
     if let Some(datagram) = SpillDatagram::decode(bytes) {
         return spill::receive(context, datagram, from);
@@ -79,14 +81,16 @@
     }
 }
 
-fn take_topology_datagram(context: &Context, datagram: TopologyDatagram) {
+fn take_topology_datagram(context: &Context, datagram: TopologyDatagram, from: SocketAddr) {
     match datagram {
         TopologyDatagram::Zone(announcement) => {
-            context.peers.note_zone(&announcement.node, announcement.zone)
+            context.peers.note_zone(&announcement.node, announcement.zone);
         }
         TopologyDatagram::Prefixes(updates) => {
             lock(&context.router).on_distant_prefixes(&updates, context.now());
         }
+        TopologyDatagram::Sums(report) => region_sums::take(context, *report, from),
+        TopologyDatagram::Topology(announcement) => context.peers.note_topology(announcement),
     }
 }
 
@@ -104,6 +108,7 @@
         return;
     }
     let position = (message.start, message.number);
+    let is_new_start;
     {
         let mut known = lock(&context.peers.known);
         let peer = known
@@ -119,6 +124,7 @@
         {
             return;
         }
+        is_new_start = peer.last_message.is_none_or(|last| last.0 != position.0);
         peer.address = from;
         peer.known_at = now;
         peer.store_answers = message.store_answers;
@@ -132,6 +138,10 @@
         peer.cordons = message.cordons;
         peer.sharing.hear(message.start, message.sharing, now);
     }
+    if is_new_start {
+        // It has forgotten this node's zone, and would take this node for one of its region until the next announcement.
+        announce_topology(context, &[from]);
+    }
     let handle = SubjectHandle::of_text("node", message.node.as_str());
     if message.places
         && let Some(region) = context.peers.region_of(handle)
--- a/crates/node/src/peers/sending.rs
+++ b/crates/node/src/peers/sending.rs
@@ -2,6 +2,7 @@
 
 use super::Peers;
 use super::placers::Placing;
+use super::region_sums::SumSender;
 use super::use_words::UseTeller;
 use crate::context::Context;
 use crate::cordons;
@@ -15,7 +16,7 @@
     Datagram, MOST_CHANGES, MOST_CHANGES_ALONE, MOST_ENGINES, MOST_FIGURES, MOST_LASTING, MOST_NEWS,
     MOST_SILENCES, WorkMessage,
 };
-use shelfjunction_protocol::topology_messages::{MAX_PREFIX_UPDATES, TopologyDatagram, ZoneAnnouncement};
+use shelfjunction_protocol::topology_messages::{MAX_PREFIX_UPDATES, TopologyAnnouncement, TopologyDatagram};
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -60,6 +61,9 @@
 /// and take 260 bytes a second to each placer.
 const LASTING_AGAIN: Duration = Duration::from_millis(200);
 
+/// Time after which the topology is announced again, a little less than the time between two messages to far nodes.
+const ANNOUNCE_AGAIN: Duration = Duration::from_millis(3_500);
+
 /// Time after which a slice is told again though it has not changed.
 const SLICE_AGAIN: Duration = Duration::from_millis(400);
 
@@ -74,7 +78,8 @@
         log_working_set(context);
         let tells_again = quarantine::notify_peers(context)
             .min(teller.limit_sender.tell(context))
-            .min(teller.announcement_sender.send(context));
+            .min(teller.announcement_sender.send(context))
+            .min(teller.sum_sender.send(context));
         teller.tells_again = teller.tells_again.min(tells_again);
         context.stop.wait(pause);
     }
@@ -121,6 +126,7 @@
     use_teller: UseTeller,
     limit_sender: rate_limits::LimitSender,
     announcement_sender: AnnouncementSender,
+    sum_sender: SumSender,
     told_all_at: Option<MonotonicTime>,
     /// Versions of the configuration and the cordons that everybody was told.
     told_versions: (u64, u64),
@@ -128,6 +134,10 @@
     rounds_to_all: u32,
     told_slices: BTreeMap<PeerLoadSlice, (Vec<(SubjectHandle, PeerLoad)>, MonotonicTime)>,
     lasting_told_at: Option<MonotonicTime>,
+    /// When the topology was last announced to each address.
+    announced: BTreeMap<SocketAddr, MonotonicTime>,
+    /// Digest that was announced.
+    announced_digest: u64,
 }
 
 impl<'a> Teller<'a> {
@@ -142,11 +152,14 @@
             use_teller: UseTeller::default(),
             limit_sender: rate_limits::LimitSender::default(),
             announcement_sender: AnnouncementSender::default(),
+            sum_sender: SumSender::default(),
             told_all_at: None,
             told_versions: (0, 0),
             rounds_to_all: 0,
             told_slices: BTreeMap::new(),
             lasting_told_at: None,
+            announced: BTreeMap::new(),
+            announced_digest: 0,
         }
     }
 
@@ -210,6 +223,7 @@
             }
         }
         self.told_slices.retain(|slice, _| slice.slice_count == slices);
+        self.announce(&peers, now);
         self.allowance.spend(sent.max(peers.len()), now)
     }
 
@@ -266,9 +280,24 @@
             self.context.peers.notified_often(now)
         };
         self.send(&peers, message);
-        if is_far_round {
-            self.announce_zone(&peers);
+        self.announce(&peers, now);
+    }
+
+    /// Announces the topology to those of the peers that have not heard it lately. A node that hears of a placer and not of its
+    /// zone takes it for one of its own region.
+    fn announce(&mut self, peers: &[SocketAddr], now: MonotonicTime) {
+        let digest = self.context.peers.topology().digest();
+        if std::mem::replace(&mut self.announced_digest, digest) != digest {
+            self.announced.clear();
         }
+        self.announced.retain(|_, at| now.since(*at) < ANNOUNCE_AGAIN);
+        let due: Vec<SocketAddr> = peers
+            .iter()
+            .copied()
+            .filter(|peer| !self.announced.contains_key(peer))
+            .collect();
+        self.announced.extend(due.iter().map(|peer| (*peer, now)));
+        announce_topology(self.context, &due);
     }
 
     /// What every node has to hear of at once: the versions of the configuration and of the operators' cordons.
@@ -289,7 +318,7 @@
         let message = self.compose(PeerLoadSlice::EMPTY, false, now);
         let peers = self.context.peers.told(now);
         self.send(&peers, message);
-        self.announce_zone(&peers);
+        self.announce(&peers, now);
         self.allowance.spend(peers.len(), now)
     }
 
@@ -322,22 +351,6 @@
         }
     }
 
-    /// Tells others the zone of this node: those that have only heard it have not read its entry in the store's list.
-    fn announce_zone(&self, peers: &[SocketAddr]) {
-        if !self.context.peers.topology().is_regional() {
-            return;
-        }
-        let announcement = ZoneAnnouncement {
-            node: self.context.config.node.clone(),
-            zone: self.context.config.zone.clone(),
-        };
-        if let Some(bytes) = TopologyDatagram::Zone(announcement).encode() {
-            peers
-                .iter()
-                .for_each(|peer| self.context.peers.send(&bytes, *peer));
-        }
-    }
-
     fn compose(&self, slice: PeerLoadSlice, places: bool, now: MonotonicTime) -> WorkMessage {
         let context = self.context;
         let config_version = || context.forwarding().map_or(0, |config| config.version);
@@ -387,6 +400,23 @@
     }
 }
 
+/// Tells others the zone of this node and the digest of its topology: those that have only heard it have not read its entry in
+/// the store's list.
+pub(crate) fn announce_topology(context: &Context, peers: &[SocketAddr]) {
+    if !context.peers.announces_topology() {
+        return;
+    }
+    let announcement = TopologyAnnouncement {
+        node: context.config.node.clone(),
+        start: context.start,
+        zone: context.config.zone.clone(),
+        digest: context.peers.topology().digest(),
+    };
+    if let Some(bytes) = TopologyDatagram::Topology(announcement).encode() {
+        peers.iter().for_each(|peer| context.peers.send(&bytes, *peer));
+    }
+}
+
 /// Messages that may be sent, so that many peers do not cost more datagrams: a token bucket.
 struct Allowance {
     saved: Duration,
--- a/crates/node/src/placing/asking.rs
+++ b/crates/node/src/placing/asking.rs
@@ -113,7 +113,7 @@
         };
         let wait = accepted_by.map_or_else(
             || context.config.placing.answer_wait(),
-            |region| context.answer_wait(region),
+            |region| context.region_answer_wait(region),
         );
         let mut placers = placers.placers_for(subject, silent, PLACERS_ASKED);
         if let Some(first) = first.filter(|first| !silent(*first)) {
@@ -188,12 +188,15 @@
         };
         let bytes = Datagram::LivenessQuestion(question).encode()?;
         lock(&self.waiting).liveness.insert(question.number, None);
+        let sent_at = context.now();
         context.peers.send(&bytes, at.address);
         self.wait(at.wait, |waiting| {
             let answer = waiting.liveness.get(&question.number);
             answer.is_none_or(|answer| answer.is_some())
         });
-        lock(&self.waiting).liveness.remove(&question.number).flatten()
+        let answer = lock(&self.waiting).liveness.remove(&question.number).flatten();
+        context.note_question(at.placer, answer.is_some(), context.now().since(sent_at));
+        answer
     }
 
     fn wait(&self, longest: Duration, is_answered: impl Fn(&Waiting) -> bool) {
--- a/crates/node/src/questions.rs
+++ b/crates/node/src/questions.rs
@@ -1,6 +1,7 @@
 //! Questions to other nodes by datagram, each answered under the number that it was sent with.
 
 use crate::context::Context;
+use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -31,21 +32,19 @@
         }
     }
 
-    /// Sends a question and waits for its answer, as long as for a placer's.
+    /// Sends a question to a node and waits for its answer, as long as an answer from the node's region may take.
     pub(crate) fn ask(
         &self,
         context: &Context,
         number: u64,
         question: &[u8],
+        node: SubjectHandle,
         to: SocketAddr,
     ) -> Option<Answer> {
-        self.ask_for(
-            context,
-            number,
-            question,
-            to,
-            context.config.placing.answer_wait(),
-        )
+        let sent_at = context.now();
+        let answer = self.ask_for(context, number, question, to, context.answer_wait(node));
+        context.note_question(node, answer.is_some(), context.now().since(sent_at));
+        answer
     }
 
     /// Sends a question and waits for its answer, at most for `timeout`.
--- a/crates/protocol/src/topology_messages.rs
+++ b/crates/protocol/src/topology_messages.rs
@@ -1,4 +1,4 @@
-//! The datagrams by which nodes of a regional deployment learn each other's zone.
+//! The datagrams by which nodes of a regional deployment learn each other's zone and the demand on each other's region.
 //!
 //! Released variants never change; additions get a variant of their own. Builds without this format drop the datagrams as
 //! unreadable.
@@ -6,6 +6,7 @@
 use super::datagram_format;
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::identity::{NodeId, ZoneId};
+use shelfjunction_core::roles::region_sums::SumReport;
 use shelfjunction_core::routing::pool::PrefixUpdate;
 
 /// First byte of such a datagram.
@@ -23,6 +24,19 @@
     pub zone: ZoneId,
 }
 
+/// Zone of a node, and a digest of its mapping of zones to regions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TopologyAnnouncement {
+    /// The sender.
+    pub node: NodeId,
+    /// Random number of its start.
+    pub start: u64,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Digest of the regions of all zones in its settings.
+    pub digest: u64,
+}
+
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TopologyDatagram {
@@ -30,6 +44,10 @@
     Zone(ZoneAnnouncement),
     /// Shared prefixes that engines of the sender's region hold, for the placer that places such prompts in the receiver's region.
     Prefixes(Vec<PrefixUpdate>),
+    /// Demand on the sender's region.
+    Sums(Box<SumReport>),
+    /// The sender's zone, as others must know it before they choose owners of request slots by region.
+    Topology(TopologyAnnouncement),
 }
 
 impl TopologyDatagram {
