Cordons of whole regions in core and the command

Cause: an operator could leave alone an engine or a pool's engines in one zone; a region took a cordon for each pool and zone, and nothing told that the whole region was meant.

Change: target region/REGION covers the engines of all pools in the zones of a region. In the store and between nodes it has the form of a zone target that covers nothing, so earlier builds read and keep it; they use the zone cordons that are kept beside it, which are lifted with it and not shown. Too few engines left are counted over all regions. CordonSet::region_cordon tells spillover which regions are cordoned. New zones and regions at run time apply standing cordons anew.

--- a/crates/cli/src/usage.rs
+++ b/crates/cli/src/usage.rs
@@ -95,12 +95,13 @@
        shelfjunction cordons --node IP:PORT --lift TARGET
 
 Prints the engines that operators have the nodes on the users' platform leave alone, adds a cordon or lifts one, at every node.
-TARGET is engine/NAME or zone/POOL/ZONE. A cordon lifts itself after its time; what runs at an engine goes on. Where no other
-engine can take a request a cordoned one does, unless --force was given, which is also needed to leave alone more than half of
-a pool's engines.
+TARGET is engine/NAME, zone/POOL/ZONE or region/REGION. A cordon lifts itself after its time; what runs at an engine goes on.
+Where no other engine can take a request a cordoned one does, unless --force was given, which is also needed to leave alone more
+than half of a pool's engines. While a region is cordoned, its nodes offer their requests to other regions first.
 
 Example:
   shelfjunction cordons --node 10.1.0.38:7395 --cordon engine/i-7f3a91c2 --by alice --seconds 600
+  shelfjunction cordons --node 10.1.0.38:7395 --cordon region/east --by alice --seconds 3600
   shelfjunction cordons --node 10.1.0.38:7395 --lift engine/i-7f3a91c2";
 
 /// `pool-engines`.
--- a/crates/core/src/cordon/change.rs
+++ b/crates/core/src/cordon/change.rs
@@ -1,6 +1,7 @@
 //! What an operator asks for, and whether it may be done.
 
 use super::least_left::{CordonSettings, EngineStanding, first_short_pool};
+use super::regions::{is_for_region, zone_cordons};
 use super::set::{Cordon, CordonSet};
 use super::target::CordonTarget;
 use crate::metering::UnixTime;
@@ -11,6 +12,9 @@
 /// Most cordons at once: the set goes from node to node whole, and a longer list is a configuration's matter.
 const MOST_CORDONS: usize = 64;
 
+/// Most zone cordons that are kept beside region cordons for builds that know no region targets.
+const MAX_ZONE_CORDONS_FOR_REGIONS: usize = 256;
+
 /// A cordon that an operator asks for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NewCordon {
@@ -89,7 +93,10 @@
         settings: &CordonSettings,
         now: UnixTime,
     ) -> Result<Self, CordonRefusal> {
-        let mut cordons: Vec<Cordon> = self.in_force(now).cloned().collect();
+        let (mut for_regions, mut cordons): (Vec<Cordon>, Vec<Cordon>) = self
+            .in_force(now)
+            .cloned()
+            .partition(|cordon| is_for_region(cordon, &self.cordons));
         match change {
             CordonChange::Uncordon(target) => {
                 let before = cordons.len();
@@ -104,14 +111,22 @@
                 if cordons.len() >= MOST_CORDONS {
                     return Err(CordonRefusal::TooMany(cordons.len()));
                 }
-                cordons.push(cordon_of(asked, now));
+                let cordon = cordon_of(asked, now);
+                for_regions.extend(zone_cordons(&cordon, engines));
+                cordons.push(cordon);
+                let all: Vec<Cordon> = cordons.iter().chain(&for_regions).cloned().collect();
                 if !asked.forced
-                    && let Some(short) = first_short_pool(&cordons, &asked.target, engines, settings)
+                    && let Some(short) = first_short_pool(&all, &asked.target, engines, settings)
                 {
                     return Err(short);
                 }
             }
         }
+        for_regions.retain(|cordon| is_for_region(cordon, &cordons));
+        if for_regions.len() > MAX_ZONE_CORDONS_FOR_REGIONS {
+            return Err(CordonRefusal::TooMany(for_regions.len()));
+        }
+        cordons.extend(for_regions);
         Ok(Self {
             version: self.version + 1,
             cordons,
--- a/crates/core/src/cordon/least_left.rs
+++ b/crates/core/src/cordon/least_left.rs
@@ -4,7 +4,7 @@
 use super::set::Cordon;
 use super::target::CordonTarget;
 use crate::forwarding::PoolId;
-use crate::identity::{EngineId, ZoneId};
+use crate::identity::{EngineId, RegionId, ZoneId};
 use crate::routing::pool::EngineStage;
 use crate::setting::FieldError;
 use serde::{Deserialize, Serialize};
@@ -66,13 +66,15 @@
     pub pool: PoolId,
     /// Its zone.
     pub zone: ZoneId,
+    /// Its region; absent if the settings do not name its zone or the deployment is not regional.
+    pub region: Option<RegionId>,
     /// What it does.
     pub stage: EngineStage,
 }
 
 impl EngineStanding {
     pub(super) fn falls_under(&self, target: &CordonTarget) -> bool {
-        target.covers(&self.engine, &self.pool, &self.zone)
+        target.covers(&self.engine, &self.pool, &self.zone, self.region.as_ref())
     }
 
     fn is_left(&self, cordons: &[Cordon]) -> bool {
@@ -80,7 +82,7 @@
     }
 }
 
-/// The first pool and stage that a cordon would leave with too few engines.
+/// The first pool and stage that a cordon would leave with too few engines, counted over all zones and regions.
 pub(super) fn first_short_pool(
     cordons: &[Cordon],
     added: &CordonTarget,
--- a/crates/core/src/cordon/set.rs
+++ b/crates/core/src/cordon/set.rs
@@ -27,7 +27,7 @@
 pub struct CordonSet {
     /// Rises with every change.
     pub version: u64,
-    /// The cordons; at most one for a target.
+    /// The cordons; at most one of an operator for a target, and the zone cordons kept beside those of regions.
     pub cordons: Vec<Cordon>,
 }
 
--- a/crates/core/src/routing/pool/cordons.rs
+++ b/crates/core/src/routing/pool/cordons.rs
@@ -5,12 +5,13 @@
 use crate::cordon::{CordonTarget, EngineStanding};
 use crate::identity::EngineId;
 use crate::time::MonotonicTime;
+use crate::topology::Topology;
 use std::time::Duration;
 
 /// A cordon in force, with its expiry on the monotonic clock of this process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ActiveCordon {
-    /// Engine, pool or zone that the cordon covers.
+    /// Engine, pool in a zone, or region that the cordon covers.
     pub target: CordonTarget,
     /// Time at which the cordon expires.
     pub until: MonotonicTime,
@@ -93,15 +94,20 @@
     /// Replaces the active cordons.
     pub fn on_cordons(&mut self, cordons: Vec<ActiveCordon>) {
         self.cordons = cordons;
+        self.combine_all_cordons();
+    }
+
+    /// Applies the active cordons to every engine, since the cordons or the regions of zones have changed.
+    pub(super) fn combine_all_cordons(&mut self) {
         for state in self.engines.values_mut() {
-            state.cordon = combine_cordons(&self.cordons, state);
+            state.cordon = combine_cordons(&self.cordons, &self.topology, state);
         }
     }
 
     /// Applies the active cordons to a newly listed engine.
     pub(super) fn apply_cordons_to(&mut self, engine: &EngineId) {
         if let Some(state) = self.engines.get_mut(engine) {
-            state.cordon = combine_cordons(&self.cordons, state);
+            state.cordon = combine_cordons(&self.cordons, &self.topology, state);
         }
     }
 
@@ -114,6 +120,7 @@
                 engine: engine.id.clone(),
                 pool: engine.pool.clone(),
                 zone: engine.zone.clone(),
+                region: self.topology.region_of(&engine.zone).cloned(),
                 stage: engine.stage,
             })
             .collect()
@@ -121,11 +128,14 @@
 }
 
 /// Combines all cordons that cover an engine.
-fn combine_cordons(cordons: &[ActiveCordon], state: &EngineState) -> EngineCordon {
+fn combine_cordons(cordons: &[ActiveCordon], topology: &Topology, state: &EngineState) -> EngineCordon {
     let engine = &state.engine;
-    let covering = cordons
-        .iter()
-        .filter(|cordon| cordon.target.covers(&engine.id, &engine.pool, &engine.zone));
+    let region = topology.region_of(&engine.zone);
+    let covering = cordons.iter().filter(|cordon| {
+        cordon
+            .target
+            .covers(&engine.id, &engine.pool, &engine.zone, region)
+    });
     let mut combined = EngineCordon::default();
     for cordon in covering {
         combined.until = combined.until.max(cordon.until);
--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -96,6 +96,7 @@
     /// Sets the zones and regions of the deployment. Without a call, the deployment is not regional.
     pub fn set_topology(&mut self, topology: Topology) {
         self.topology = topology;
+        self.combine_all_cordons();
     }
 
     /// Zones and regions of the deployment.
--- a/crates/core/tests/cordons.rs
+++ b/crates/core/tests/cordons.rs
@@ -73,7 +73,7 @@
 
 #[test]
 fn a_text_names_an_engine_or_the_engines_of_a_pool_in_a_zone_and_nothing_else() {
-    for text in ["engine/e1", "zone/pool-m/zone-a"] {
+    for text in ["engine/e1", "zone/pool-m/zone-a", "region/east"] {
         assert_eq!(text.parse::<CordonTarget>().unwrap().to_string(), text);
     }
     for text in [
@@ -85,6 +85,8 @@
         "zone/p/",
         "pool/p",
         "engine/a/b",
+        "region/",
+        "region/a/b",
     ] {
         let fault = text.parse::<CordonTarget>().unwrap_err().to_string();
         assert!(fault.contains(&format!("{text:?}")), "{fault}");
@@ -199,9 +201,9 @@
     let target: CordonTarget = "zone/p/z".parse().unwrap();
     let engine = shelfjunction_core::identity::EngineId::new("e");
     let (pool, zone) = (PoolId("p".to_owned()), ZoneId::new("z"));
-    assert!(target.covers(&engine, &pool, &zone));
-    assert!(!target.covers(&engine, &PoolId("q".to_owned()), &zone));
-    assert!(!target.covers(&engine, &pool, &ZoneId::new("y")));
+    assert!(target.covers(&engine, &pool, &zone, None));
+    assert!(!target.covers(&engine, &PoolId("q".to_owned()), &zone, None));
+    assert!(!target.covers(&engine, &pool, &ZoneId::new("y"), None));
 }
 
 #[test]
--- a/crates/node/src/cordons/mod.rs
+++ b/crates/node/src/cordons/mod.rs
@@ -10,7 +10,8 @@
 
 use crate::context::Context;
 use crate::metering;
-use shelfjunction_core::cordon::{Cordon, CordonSet};
+use shelfjunction_core::cordon::{Cordon, CordonSet, RegionCordon};
+use shelfjunction_core::identity::RegionId;
 use shelfjunction_core::metering::UnixTime;
 use shelfjunction_core::routing::pool::ActiveCordon;
 use shelfjunction_core::time::MonotonicTime;
@@ -29,8 +30,9 @@
         .in_force(unix)
         .map(|cordon| on_own_clock(cordon, now, unix))
         .collect();
-    log::info!(version = kept.version, cordons = cordons.len(), source; "cordons_taken");
-    for cordon in kept.in_force(unix) {
+    let of_operators = kept.of_operators(unix).count();
+    log::info!(version = kept.version, cordons = of_operators, source; "cordons_taken");
+    for cordon in kept.of_operators(unix) {
         log::info!(
             version = kept.version,
             target:% = cordon.target,
@@ -51,6 +53,11 @@
     lock(&context.cordons).version
 }
 
+/// The cordon of a region; absent if the region is not cordoned.
+pub(crate) fn region_cordon(context: &Context, region: &RegionId) -> Option<RegionCordon> {
+    lock(&context.cordons).region_cordon(region, metering::unix(context))
+}
+
 fn on_own_clock(cordon: &Cordon, now: MonotonicTime, unix: UnixTime) -> ActiveCordon {
     ActiveCordon {
         target: cordon.target.clone(),
--- a/crates/node/src/cordons/view.rs
+++ b/crates/node/src/cordons/view.rs
@@ -13,7 +13,7 @@
     let unix = metering::unix(context);
     let set = lock(&context.cordons).clone();
     let told = context.peers.told_cordons(context.now());
-    let cordons = set.in_force(unix).map(|cordon| CordonView {
+    let cordons = set.of_operators(unix).map(|cordon| CordonView {
         target: cordon.target.to_string(),
         by: cordon.by.clone(),
         since_seconds: unix.since(cordon.since).as_secs(),
--- a/crates/protocol/src/cordons.rs
+++ b/crates/protocol/src/cordons.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CordonRequest {
-    /// `engine/NAME` or `zone/POOL/ZONE`.
+    /// `engine/NAME`, `zone/POOL/ZONE` or `region/REGION`.
     pub target: String,
     /// Who asks.
     pub by: String,
@@ -41,7 +41,7 @@
 /// One cordon.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CordonView {
-    /// `engine/NAME` or `zone/POOL/ZONE`.
+    /// `engine/NAME`, `zone/POOL/ZONE` or `region/REGION`.
     pub target: String,
     /// Who asked for it.
     pub by: String,
