Regions for operators: view, metrics, explain, and two log lines

Cause: a node's page and metrics knew no regions, explain told neither the region of an engine nor where a request left its home region, and nothing was logged when a zone had no region in the settings or when a node began to place for its region.

Change: GET /regions and the command regions list nodes heard, placers, engines in use by stage, measured round trip and its age, placements of this node and cordons by region; metrics region_* alike.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -40,6 +40,7 @@
         "duties" => operator::duties::run(rest),
         "cordons" => operator::cordons::run(rest),
         "pool-engines" => operator::pool_engines::run(rest),
+        "regions" => operator::regions::run(rest),
         "quarantine" => operator::quarantine::run(rest),
         "explain" => operator::explain::run(rest),
         "requests" => operator::run_requests(rest),
--- a/crates/cli/src/operator/explain.rs
+++ b/crates/cli/src/operator/explain.rs
@@ -4,9 +4,9 @@
 //! a machine put there by whoever gathered the logs, is kept as the line's source. Beside the request's own lines the
 //! command prints what its nodes believed when they decided: the configuration and each engine that they chose. Where
 //! another node chose the engines, its decisions are found by the number under which the request was asked for. Last come
-//! the pauses by which a stream was late.
+//! the regions of its engines and placers, where it left its home region, and the pauses by which a stream was late.
 
-use super::{explain_pauses, files};
+use super::{explain_pauses, explain_regions, files};
 use crate::exit::CommandError;
 use crate::options::{CommandLine, Parsed};
 use crate::usage;
@@ -35,8 +35,10 @@
 const PLACEMENT_EVENTS: [&str; 2] = ["placement_given", "pause_believed"];
 
 /// Events that change what a node believes of its dependencies.
-const NODE_EVENTS: [&str; 8] = [
+const NODE_EVENTS: [&str; 10] = [
     "placer_changed",
+    "region_placer_changed",
+    "topology_changed",
     "configuration_taken",
     "store_lost",
     "store_regained",
@@ -75,7 +77,7 @@
         self.field("event")
     }
 
-    fn time(&self) -> &str {
+    pub(super) fn time(&self) -> &str {
         self.field("time")
     }
 
@@ -163,7 +165,10 @@
     let happened = course
         .iter()
         .map(|line| format!("course  {} {}", line.source, line.text));
-    known.chain(happened).chain(explain_pauses::of(&course)).collect()
+    let closing = explain_regions::of(&course)
+        .into_iter()
+        .chain(explain_pauses::of(&course));
+    known.chain(happened).chain(closing).collect()
 }
 
 /// The lines of a request with the decisions of the nodes that chose its engines.
--- a/crates/cli/src/usage.rs
+++ b/crates/cli/src/usage.rs
@@ -27,6 +27,7 @@
   quarantine               requests that crashed engines, and how to lift their quarantine
   cordons                  engines that operators have left alone, and how to change that
   pool-engines             engines as a node on the users' platform knows them
+  regions                  regions as a node on the users' platform knows them
   requests cancel ID       end one request
 
 Options:
@@ -104,6 +105,16 @@
   shelfjunction cordons --node 10.1.0.38:7395 --cordon region/east --by alice --seconds 3600
   shelfjunction cordons --node 10.1.0.38:7395 --lift engine/i-7f3a91c2";
 
+/// `regions`.
+pub const REGIONS: &str = "\
+Usage: shelfjunction regions --node IP:PORT [--json]
+
+Prints the regions of a deployment as a node on the users' platform knows them: other nodes heard, placers, engines in use that take
+work, measured round trip and its age, requests of the node placed on engines there, and whether the region is cordoned.
+
+Example:
+  shelfjunction regions --node 10.1.0.38:7395";
+
 /// `pool-engines`.
 pub const POOL_ENGINES: &str = "\
 Usage: shelfjunction pool-engines --node IP:PORT [--json]
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -7,9 +7,10 @@
 use std::os::unix::fs::PermissionsExt;
 use support::{directory, examples, run_in};
 
-const COMMANDS: [&[&str]; 18] = [
+const COMMANDS: [&[&str]; 19] = [
     &["cordons"],
     &["pool-engines"],
+    &["regions"],
     &["duties"],
     &["gateway"],
     &["controller"],
@@ -297,3 +298,40 @@
     ];
     assert_eq!(events, expected);
 }
+
+#[test]
+fn a_request_is_explained_with_the_regions_of_its_engines_and_placers_and_where_it_left_home() {
+    let place = directory("explain-regions");
+    let log = "\
+node-1 event=region_placer_changed time=2026-12-02T09:00:00.0Z region=east places=true why=takes_over
+node-1 event=placed time=2026-12-02T10:00:01.1Z request=r1 placer=10.0.0.2:7000 region=east number=77 step=1
+node-1 event=home_region_left time=2026-12-02T10:00:01.2Z request=r1 region=east
+node-1 event=dispatched time=2026-12-02T10:00:01.3Z request=r1 engine=e4 region=west purpose=prompt
+node-1 event=dispatched time=2026-12-02T10:00:01.4Z request=r1 engine=e4 region=west purpose=prompt
+node-1 event=dispatched time=2026-12-02T10:00:01.4Z request=r2 engine=e5 region=none purpose=whole
+";
+    fs::write(place.join("nodes.log"), log).unwrap();
+    let regions = |request: &str| {
+        let ran = run_in(&place, &["explain", request, "nodes.log"]);
+        assert_eq!(ran.code, 0, "{}", ran.error);
+        let lines = ran.out.lines().filter(|line| line.starts_with("region "));
+        lines.map(str::to_owned).collect::<Vec<_>>()
+    };
+    let expected = [
+        "region  node-1 placer 10.0.0.2:7000: east",
+        "region  node-1 left its home region east at 2026-12-02T10:00:01.2Z",
+        "region  node-1 engine e4 (prompt): west",
+    ];
+    assert_eq!(regions("r1"), expected);
+    assert_eq!(
+        regions("r2"),
+        Vec::<String>::new(),
+        "a deployment without regions"
+    );
+    let ran = run_in(&place, &["explain", "r1", "nodes.log"]);
+    assert!(
+        ran.out.contains("known   node-1 event=region_placer_changed"),
+        "{}",
+        ran.out
+    );
+}
--- a/crates/cli/tests/cordons.rs
+++ b/crates/cli/tests/cordons.rs
@@ -1,7 +1,8 @@
-//! What `shelfjunction cordons` and `shelfjunction pool-engines` print.
+//! What `shelfjunction cordons`, `shelfjunction pool-engines` and `shelfjunction regions` print.
 
-use shelfjunction::operator::{cordons, pool_engines};
+use shelfjunction::operator::{cordons, pool_engines, regions};
 use shelfjunction_protocol::cordons::{CordonView, CordonsView, EngineView, EnginesView};
+use shelfjunction_protocol::regions::{RegionView, RegionsView};
 
 #[test]
 fn cordons_are_shown_with_who_asked_and_when_they_lift_themselves() {
@@ -77,3 +78,51 @@
     i-02d9e6b4  1712   render  imanta  decode  1.60        12        9        -        4096           paused, 0.4 s more
     ");
 }
+
+#[test]
+fn regions_are_shown_with_their_nodes_placers_engines_and_cordons() {
+    let east = RegionView {
+        region: "east".to_owned(),
+        nodes_known: 24,
+        nodes_heard: 23,
+        placers: vec!["node-1".to_owned(), "node-2".to_owned()],
+        is_placer: true,
+        engines: [("decode".to_owned(), 18), ("prefill".to_owned(), 12)].into(),
+        round_trip_millis: Some(1.84),
+        round_trip_age_seconds: Some(0.2),
+        placements: 4_096,
+        cordoned_seconds: None,
+        cordoned_by_force: false,
+    };
+    let west = RegionView {
+        region: "west".to_owned(),
+        placers: Vec::new(),
+        engines: Default::default(),
+        round_trip_millis: None,
+        round_trip_age_seconds: None,
+        placements: 0,
+        cordoned_seconds: Some(540),
+        cordoned_by_force: true,
+        ..east.clone()
+    };
+    let view = RegionsView {
+        node: "node-1".to_owned(),
+        home: Some("east".to_owned()),
+        regions: vec![east, west],
+        nodes_without_region: 1,
+        unnamed_zones: vec!["zone-x".to_owned()],
+    };
+    insta::assert_snapshot!(regions::render(&view), @r"
+    node node-1: home region east
+    region  nodes heard  placers          engines                round trip       placements  cordoned
+    east    23 of 24     2, this one too  18 decode, 12 prefill  1.8 ms, 0 s ago  4096        no
+    west    23 of 24     -                none                   -                0           by force, 540 s more
+    nodes without a known region: 1
+    zones that the settings do not name: zone-x
+    ");
+    let without = RegionsView {
+        node: "node-1".to_owned(),
+        ..RegionsView::default()
+    };
+    insta::assert_snapshot!(regions::render(&without), @"node node-1: the settings name no regions");
+}
--- a/crates/core/src/placing/placer_set.rs
+++ b/crates/core/src/placing/placer_set.rs
@@ -54,17 +54,53 @@
     ranked_before < placer_count * CANDIDATES_PER_PLACER
 }
 
-/// Whether a node that knows all other candidates should place requests.
+/// Why a node places requests, or does not. Its name stands in log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacingReason {
+    /// It places because of its rank.
+    Ranks,
+    /// It places because a vacancy was not filled by those before it.
+    TakesOver,
+    /// It does not place because enough active placers rank above it.
+    Outranked,
+    /// It does not place because it leaves a vacancy to those before it for a while.
+    Waits,
+    /// It does not place because it has not read the whole list of nodes.
+    ListNotRead,
+    /// It does not place because it is no candidate and hears nodes of its region.
+    NoCandidate,
+}
+
+impl PlacingReason {
+    /// Whether the node places requests.
+    pub fn places(self) -> bool {
+        matches!(self, Self::Ranks | Self::TakesOver)
+    }
+
+    /// Name in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Ranks => "ranks",
+            Self::TakesOver => "takes_over",
+            Self::Outranked => "outranked",
+            Self::Waits => "waits",
+            Self::ListNotRead => "list_not_read",
+            Self::NoCandidate => "no_candidate",
+        }
+    }
+}
+
+/// Whether a node that knows all other candidates should place requests, and why.
 ///
 /// It should if fewer than `placer_count` active placers rank above it and there is either no vacancy or it is next in rank. A
 /// lower-ranking node fills a vacancy only after one takeover interval for each candidate before it. Otherwise all n nodes
 /// would react to the loss of one placer and send n squared messages.
-pub fn should_place(
+pub fn placing_reason(
     own: Candidate,
     others: impl Iterator<Item = (Candidate, CandidateStatus)>,
     placer_count: usize,
     vacancy_age: Duration,
-) -> bool {
+) -> PlacingReason {
     let own = own.rank();
     let (mut active, mut active_before, mut listed_before) = (0, 0, 0);
     for (other, status) in others {
@@ -80,7 +116,25 @@
     }
     let vacant = placer_count.saturating_sub(active);
     let elapsed_intervals = (vacancy_age.as_millis() / TAKEOVER_INTERVAL.as_millis()) as usize;
-    active_before < placer_count && (vacant == 0 || listed_before < vacant + elapsed_intervals)
+    if active_before >= placer_count {
+        PlacingReason::Outranked
+    } else if vacant == 0 || listed_before < vacant {
+        PlacingReason::Ranks
+    } else if listed_before < vacant + elapsed_intervals {
+        PlacingReason::TakesOver
+    } else {
+        PlacingReason::Waits
+    }
+}
+
+/// Whether a node that knows all other candidates should place requests, from [`placing_reason`].
+pub fn should_place(
+    own: Candidate,
+    others: impl Iterator<Item = (Candidate, CandidateStatus)>,
+    placer_count: usize,
+    vacancy_age: Duration,
+) -> bool {
+    placing_reason(own, others, placer_count, vacancy_age).places()
 }
 
 /// The nodes that place requests. Their order has no meaning.
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -12,6 +12,7 @@
 use crate::ports::{Call, EngineLink, EngineProtocol};
 use crate::quarantine::Suspects;
 use crate::rate_limits::RateLimits;
+use crate::regions::{UnnamedZones, ZoneUser};
 use crate::releasing::Releases;
 use crate::repeats::Repeats;
 use crate::tenant_rates::TenantRates;
@@ -21,7 +22,7 @@
 use shelfjunction_core::forwarding::{
     Adoption, CallerWaits, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation, stopping,
 };
-use shelfjunction_core::identity::{EngineId, EngineStart};
+use shelfjunction_core::identity::{EngineId, EngineStart, NodeId, RegionId, ZoneId};
 use shelfjunction_core::lease::Authority;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::metering::clock::FleetClock;
@@ -53,6 +54,10 @@
     pub(crate) placements: Placements,
     /// Measured round trips to nodes of each region.
     pub(crate) round_trips: Mutex<RoundTrips>,
+    /// When a round trip to each region was last measured.
+    pub(crate) round_trips_measured_at: Mutex<BTreeMap<RegionId, MonotonicTime>>,
+    /// Zones of engines and nodes that the settings do not name.
+    pub(crate) unnamed_zones: UnnamedZones,
     /// What this node has placed for others; locked before `router`.
     pub(crate) placement_table: Mutex<PlacementTable>,
     pub(crate) metrics: Metrics,
@@ -183,6 +188,8 @@
             peers: Peers::new(&config, socket),
             placements: Placements::default(),
             round_trips: Mutex::default(),
+            round_trips_measured_at: Mutex::default(),
+            unnamed_zones: UnnamedZones::default(),
             placement_table: Mutex::default(),
             metrics: Metrics::new(),
             state: Arc::new(NodeState::default()),
@@ -234,6 +241,26 @@
         log::info!(regions = topology.region_count(), zones = settings.zones.len(); "topology_changed");
         lock(&self.router).set_topology(topology.clone());
         self.peers.set_topology(topology);
+        self.unnamed_zones.clear();
+        self.note_zones();
+    }
+
+    /// Notes the zone of another node, which the settings may not name.
+    pub(crate) fn note_node_zone(&self, node: &NodeId, zone: &ZoneId) {
+        let topology = self.peers.topology();
+        self.unnamed_zones
+            .note(&topology, zone, ZoneUser::Node, node.as_str());
+    }
+
+    /// Notes the zones of all engines in use, since the settings have changed; those of nodes follow with their next message.
+    fn note_zones(&self) {
+        let topology = self.peers.topology();
+        let router = lock(&self.router);
+        for state in router.engines() {
+            let engine = &state.engine;
+            self.unnamed_zones
+                .note(&topology, &engine.zone, ZoneUser::Engine, engine.id.as_str());
+        }
     }
 
     /// Records the round trip of a question that a node answered.
@@ -246,6 +273,7 @@
             round_trips.on_answer(&region, round_trip);
             round_trips.mean(&region)
         };
+        lock(&self.round_trips_measured_at).insert(region.clone(), self.now());
         if let Some(mean) = mean {
             lock(&self.router).on_region_round_trip(&region, mean);
         }
@@ -405,6 +433,9 @@
         if engine.leaving {
             self.links.forget(&engine.id);
         }
+        let topology = self.peers.topology();
+        self.unnamed_zones
+            .note(&topology, &engine.zone, ZoneUser::Engine, engine.id.as_str());
         lock(&self.router).on_engine_listed(engine.clone());
         let in_use = self.is_in_use(&engine.id);
         if in_use {
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -5,6 +5,7 @@
 use super::exchange::{Exchange, Purpose};
 use super::routing;
 use crate::ports::{CallStage, EngineCall};
+use crate::regions;
 use shelfjunction_core::engine::{EngineCall as MachineCall, Phase};
 use shelfjunction_core::forwarding::max_wait;
 use shelfjunction_core::identity::{AttemptId, EngineId};
@@ -133,9 +134,11 @@
         fetch_from: Option<SocketAddr>,
         left: Duration,
     ) {
+        let region = regions::of_engine(self.context, &exchange.engine);
         log::info!(
             request = self.call.request.as_str(),
             engine = exchange.engine.as_str(),
+            region = regions::name(region.as_ref()),
             purpose = exchange.purpose.name(),
             left_millis = left.as_millis() as u64,
             cost_millis = millis(why.cost),
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -11,6 +11,7 @@
 use crate::peers::Placing;
 use crate::ports::{AnswerHead, Call, CallerConnection};
 use crate::quarantine::Trial;
+use crate::regions;
 use crate::tenant_rates::ChargedRequest;
 use shelfjunction_core::forwarding::{PoolId, RouteRule};
 use shelfjunction_core::identity::{EngineId, RegionId};
@@ -249,6 +250,9 @@
     }
 
     pub(super) fn placed(&mut self, placement: Option<Placement>) {
+        if let Some(placement) = &placement {
+            regions::count_placement(self.context, placement);
+        }
         let event = match placement {
             Some(placement) => Event::Placed(placement),
             None => Event::Nowhere(Refusal {
--- a/crates/node/src/course/placing.rs
+++ b/crates/node/src/course/placing.rs
@@ -6,6 +6,7 @@
 use super::routing;
 use crate::peers::{self, Duty};
 use crate::placing::{self, Asked, PlacedAt};
+use crate::regions;
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::placing::question::{
@@ -215,9 +216,11 @@
             Asked::Answered { at, round_trip, .. } => {
                 self.context.metrics.placement("answered");
                 self.context.metrics.placement_took(*round_trip);
+                let region = self.context.peers.region_of(at.placer);
                 log::info!(
                     request = self.call.request.as_str(),
                     placer:% = at.address,
+                    region = regions::name(region.as_ref()),
                     number = at.key.number,
                     step = at.step,
                     round_trip_micros = round_trip.as_micros() as u64;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 mod questions;
 mod rate_limits;
 mod recovering;
+mod regions;
 mod releasing;
 mod repeats;
 mod tenant_rates;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,6 +4,7 @@
 use crate::pace_metrics::PaceMetrics;
 use crate::quarantine::QuarantineMetrics;
 use crate::rate_limits::RateLimitMetrics;
+use crate::regions::RegionMetrics;
 use crate::tenant_rates::TenantRateMetrics;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
@@ -68,6 +69,8 @@
     pub(crate) tenant_rates: TenantRateMetrics,
     /// What engines said of themselves in their answers.
     pub(crate) signals: SignalMetrics,
+    /// Figures by region.
+    pub(crate) regions: RegionMetrics,
     /// Paces of engines.
     pub(crate) pace: PaceMetrics,
     placements: Family<ResultLabel, Counter>,
@@ -125,6 +128,7 @@
             rate_limits: RateLimitMetrics::default(),
             tenant_rates: TenantRateMetrics::default(),
             signals: SignalMetrics::default(),
+            regions: RegionMetrics::default(),
             pace: PaceMetrics::default(),
             placements: Family::default(),
             path_beliefs: Family::default(),
@@ -155,6 +159,7 @@
         metrics.register_delays();
         metrics.register_gauges();
         metrics.quarantine.register(&mut metrics.registry);
+        metrics.regions.register(&mut metrics.registry);
         metrics.pace.register(&mut metrics.registry);
         metrics.rate_limits.register(&mut metrics.registry);
         metrics.tenant_rates.register(&mut metrics.registry);
--- a/crates/node/src/operator_page.rs
+++ b/crates/node/src/operator_page.rs
@@ -5,6 +5,7 @@
 use crate::cordons::{self, ChangeError};
 use crate::duties;
 use crate::quarantine;
+use crate::regions;
 use serde::Serialize;
 use shelfjunction_core::cordon::{CordonChange, CordonRefusal, CordonTarget, NewCordon};
 use shelfjunction_core::quarantine::Fingerprint;
@@ -16,6 +17,7 @@
 use shelfjunction_protocol::cordons::{CORDONS_PATH, CordonRequest, ENGINES_PATH};
 use shelfjunction_protocol::duties::DUTIES_PATH;
 use shelfjunction_protocol::quarantine::QUARANTINE_PATH;
+use shelfjunction_protocol::regions::REGIONS_PATH;
 use shelfjunction_threads::lock;
 use std::io;
 use std::net::SocketAddr;
@@ -66,6 +68,9 @@
         if request.path == ENGINES_PATH {
             return responder.answer(&json_answer(&cordons::engines_view(&self.context)));
         }
+        if request.path == REGIONS_PATH {
+            return responder.answer(&json_answer(&regions::view(&self.context)));
+        }
         if let Some(rest) = request.path.strip_prefix(CORDONS_PATH) {
             return responder.answer(&self.cordons_answer(&request, rest));
         }
@@ -183,6 +188,7 @@
             .kept_for_callers
             .set(context.kept_for_callers.bytes() as i64);
         metrics.cordons.set(cordons::view(context).cordons.len() as i64);
+        metrics.regions.set(&regions::view(context));
         let router = lock(&context.router);
         metrics.engines.set(router.available_engine_count(now) as i64);
         metrics.engines_reserved.set(router.reserve().count() as i64);
--- a/crates/node/src/peers/directory.rs
+++ b/crates/node/src/peers/directory.rs
@@ -246,6 +246,9 @@
         .into_iter()
         .filter(|entry| entry.node != context.config.node);
     for entry in others {
+        if let Some(zone) = &entry.zone {
+            context.note_node_zone(&entry.node, zone);
+        }
         let address = entry.address;
         let peer = known.peers.entry(entry.node).or_insert_with_key(|node| {
             log::info!(peer = node.as_str(), address:% = address; "peer_listed");
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -6,6 +6,7 @@
 //! In a small fleet each node tells all others. In a large one only the placers ([`shelfjunction_core::placing`]) tell
 //! each other of work; they tell everybody else that they live, and what the store has confirmed.
 
+mod by_region;
 mod catching_up;
 mod directory;
 mod limit_speakers;
@@ -15,6 +16,7 @@
 mod sharing;
 mod use_words;
 
+pub(crate) use by_region::NodesOfRegion;
 pub(crate) use catching_up::{
     SERVERS as SNAPSHOT_SERVERS, catch_up, serve as serve_snapshots, take_engines_in_use, take_from_any,
 };
@@ -169,6 +171,7 @@
 pub(crate) struct Peers {
     socket: Arc<UdpSocket>,
     own: Candidate,
+    own_name: NodeId,
     placing: PlacingSettings,
     topology: Mutex<Arc<Topology>>,
     /// Length of the window of budgets for repeats.
@@ -211,6 +214,8 @@
     in_line: bool,
     /// Since when fewer nodes place than should.
     vacant_since: Option<MonotonicTime>,
+    /// Region for which this node places requests; absent if it does not, or the deployment is not regional.
+    region_placed_for: Option<RegionId>,
     /// Since when this node has heard everybody; absent while others do.
     hears_all_since: Option<MonotonicTime>,
 }
@@ -251,6 +256,7 @@
                 node: SubjectHandle::of_text("node", config.node.as_str()),
                 processor_thousandths: config.processor_thousandths(),
             },
+            own_name: config.node.clone(),
             placing: config.placing,
             topology: Mutex::new(Arc::new(Topology::new(&config.zone, &config.topology))),
             budget_window: config.retry_budget().window,
--- a/crates/node/src/peers/placers.rs
+++ b/crates/node/src/peers/placers.rs
@@ -4,7 +4,7 @@
 use crate::ports::NodeEntry;
 use shelfjunction_core::identity::NodeId;
 use shelfjunction_core::membership::subject::SubjectHandle;
-use shelfjunction_core::placing::placer_set::{self, Candidate, PlacerSet};
+use shelfjunction_core::placing::placer_set::{self, Candidate, PlacerSet, PlacingReason};
 use shelfjunction_core::placing::regional::RegionalPlacers;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_core::topology::Topology;
@@ -47,6 +47,36 @@
     }
 }
 
+/// Logs when this node begins or stops to place requests for its region.
+fn log_region_placer(known: &mut Known, topology: &Topology, reason: PlacingReason, now: MonotonicTime) {
+    let Some(region) = topology.own_region() else {
+        return;
+    };
+    let before = known.region_placed_for.as_ref();
+    let has_changed = if reason.places() {
+        before != Some(region)
+    } else {
+        before.is_some()
+    };
+    if !has_changed {
+        return;
+    }
+    let near = known.peers.values().filter(|peer| peer.is_near(topology));
+    let others = near.filter(|peer| peer.places_now(now)).count();
+    let vacant_millis = known
+        .vacant_since
+        .map_or(0, |since| now.since(since).as_millis() as u64);
+    log::info!(
+        region = region.as_str(),
+        places = reason.places(),
+        why = reason.name(),
+        other_placers = others,
+        vacant_millis;
+        "region_placer_changed"
+    );
+    known.region_placed_for = reason.places().then(|| region.clone());
+}
+
 impl Peers {
     /// Who chooses engines now, as of a moment ago: in a large fleet it takes a look at each node.
     pub(crate) fn placing(&self, now: MonotonicTime) -> Placing {
@@ -67,7 +97,9 @@
             return Placing::Each;
         }
         let topology = self.topology();
-        let own = self.should_place(&mut known, &topology, now).then_some(self.own);
+        let reason = self.placing_reason(&mut known, &topology, now);
+        log_region_placer(&mut known, &topology, reason, now);
+        let own = reason.places().then_some(self.own);
         let is_complete = known.is_complete;
         let silence = known.placer_silence();
         let alive = known.peers.values().filter(|peer| {
@@ -84,14 +116,17 @@
         Placing::Placers(RegionalPlacers::select(alive, &topology, &self.placing))
     }
 
-    /// Whether this node takes one of the places of its region; one that comes far behind in the line leaves them to others
+    /// Whether this node takes one of the places of its region, and why; one that comes far behind in the line leaves them to others
     /// as long as it hears any.
-    fn should_place(&self, known: &mut Known, topology: &Topology, now: MonotonicTime) -> bool {
+    fn placing_reason(&self, known: &mut Known, topology: &Topology, now: MonotonicTime) -> PlacingReason {
         let count = self.placing.placers_per_region(topology);
         let mut near = known.peers.values().filter(|peer| peer.is_near(topology));
         let hears_any = near.any(|peer| peer.heard_lately(now));
-        if !known.is_complete || (!known.in_line && hears_any) {
-            return false;
+        if !known.is_complete {
+            return PlacingReason::ListNotRead;
+        }
+        if !known.in_line && hears_any {
+            return PlacingReason::NoCandidate;
         }
         let near = known.peers.values().filter(|peer| peer.is_near(topology));
         if near.filter(|peer| peer.places_now(now)).count() >= count {
@@ -104,7 +139,7 @@
             .map_or(Duration::ZERO, |since| now.since(since));
         let near = known.peers.values().filter(|peer| peer.is_near(topology));
         let others = near.map(|peer| (peer.candidate(), peer.presence(now)));
-        placer_set::should_place(self.own, others, count, vacant_for)
+        placer_set::placing_reason(self.own, others, count, vacant_for)
     }
 
     /// Whether no placer was heard for a while, so that this node has to look for others itself.
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -63,6 +63,7 @@
         return tenant_rates::receive(context, datagram, from);
     }
     if let Some(TopologyDatagram::Zone(announcement)) = TopologyDatagram::decode(bytes) {
+        context.note_node_zone(&announcement.node, &announcement.zone);
         return context.peers.note_zone(&announcement.node, announcement.zone);
     }
     if let Some(datagram) = QuarantineDatagram::decode(bytes) {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod quarantine;
 pub mod quarantine_messages;
 pub mod rate_messages;
+pub mod regions;
 pub mod signal_messages;
 pub mod tenant_rate_messages;
 pub mod topology_messages;
