--- a/crates/lab/src/command/fault_soak.rs
+++ b/crates/lab/src/command/fault_soak.rs
@@ -36,6 +36,12 @@
         "FILE",
     );
     options.optopt("", "nodes", "nodes (3)", "NUMBER");
+    options.optopt(
+        "",
+        "regions",
+        "regions with places in each, and faults of regions; at least as many nodes (1: none)",
+        "NUMBER",
+    );
     options.optopt("", "callers", "callers at once (12)", "NUMBER");
     options.optopt(
         "",
@@ -84,6 +90,11 @@
         let message = format!("--nodes {nodes}: allowed is 1 to {MAXIMUM_NODES}");
         return Err(CommandError::Usage(message));
     }
+    let regions = options.value_or("regions", 1)?;
+    if !(1..=nodes).contains(&regions) {
+        let message = format!("--regions {regions}: allowed is 1 to the number of nodes, {nodes}");
+        return Err(CommandError::Usage(message));
+    }
     let program: PathBuf = options.value_or("program", PathBuf::from("target/release/shelfjunction"))?;
     let logs: PathBuf = options.value_or("logs", std::env::temp_dir().join("shelfjunction-fault-soak"))?;
     let first: u64 = options.value_or("seed", u64::from(rand::random::<u32>()))?;
@@ -94,6 +105,7 @@
             program: program.clone(),
             other_build: options.value("other-build")?,
             nodes,
+            regions,
             callers: options.value_or("callers", 12)?,
             crashers: options.value_or("crashers", 2)?,
             late_readers: options.value_or("late-readers", 2)?,
--- a/crates/lab/src/fault_soak/deployment.rs
+++ b/crates/lab/src/fault_soak/deployment.rs
@@ -1,10 +1,12 @@
 //! Nodes as processes, before stand-ins of the store and the engines, with a relay on every link between them.
 
 use super::disturbances::Disturbances;
-use super::operator::{base64, configuration_text};
+use super::layout::Layout;
+use super::operator::{self, base64, configuration_text};
 use super::oracle::EngineRecords;
 use super::places::{EnginePlace, GRACE, NodePlace};
 use super::process::NodeProcess;
+use super::region_links::RegionLinks;
 use super::schedule::Targets;
 use super::spoilt::{Spoilt, SpoiltSpan};
 use crate::relay::Relay;
@@ -12,7 +14,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// Events of each answer.
@@ -21,6 +23,9 @@
 /// Time after which an engine that has crashed is back.
 pub(super) const BACK_AFTER: Duration = Duration::from_millis(2_500);
 
+/// Table of the store that lists the nodes.
+const NODES_TABLE: &str = "nodes";
+
 /// Pools of the short calls; the operator moves the route between them.
 pub const APPLICATION_POOLS: [&str; 2] = ["pool-one", "pool-two"];
 
@@ -30,6 +35,9 @@
 pub struct Deployment {
     store: StandInStore,
     interface: StandInInterface,
+    layout: Layout,
+    /// The paths between regions; absent in a soak without regions.
+    pub(super) region_links: Option<Arc<RegionLinks>>,
     nodes: Vec<Mutex<NodePlace>>,
     engines: Vec<Mutex<EnginePlace>>,
     configuration: Mutex<Configuration>,
@@ -51,33 +59,29 @@
 
 impl Deployment {
     /// Starts stand-ins, relays and nodes; logs and settings go to `directory`.
-    pub fn start(program: &Path, nodes: usize, directory: &Path) -> io::Result<Self> {
+    pub fn start(program: &Path, nodes: usize, layout: Layout, directory: &Path) -> io::Result<Self> {
         let store = StandInStore::start()?;
         let interface = StandInInterface::start()?;
-        let stages = [
-            Some("prefill"),
-            Some("prefill"),
-            Some("decode"),
-            Some("decode"),
-            Some("decode"),
-        ];
-        let models = stages.map(|stage| (MODEL_POOL, stage));
-        let applications = APPLICATION_POOLS
-            .map(|pool| [(pool, None), (pool, None)])
-            .concat();
-        let engines: io::Result<Vec<_>> = models
+        let engines = layout.engines(MODEL_POOL, &APPLICATION_POOLS);
+        let count = engines.len();
+        let engines: io::Result<Vec<_>> = engines
             .into_iter()
-            .chain(applications)
             .enumerate()
-            .map(|(number, (pool, stage))| EnginePlace::start(number, pool, stage).map(Mutex::new))
-            .collect();
-        let places: io::Result<Vec<_>> = (0..nodes)
-            .map(|number| NodePlace::prepare(number, &store, &interface, program, directory).map(Mutex::new))
+            .map(|(number, (pool, stage))| {
+                let zone = layout.zone_of_engine(number, count);
+                EnginePlace::start(number, pool, stage, zone).map(Mutex::new)
+            })
             .collect();
+        let places = (0..nodes)
+            .map(|number| NodePlace::prepare(number, layout, &store, &interface, program, directory));
+        let places: Vec<NodePlace> = places.collect::<io::Result<_>>()?;
+        let region_links = part_regions(layout, &places)?;
         let deployment = Self {
             store,
             interface,
-            nodes: places?,
+            layout,
+            region_links,
+            nodes: places.into_iter().map(Mutex::new).collect(),
             engines: engines?,
             configuration: Mutex::new(Configuration { version: 0, pool: 0 }),
             disturbances: Disturbances::default(),
@@ -100,6 +104,7 @@
         Targets {
             nodes: self.nodes.len(),
             engines: self.engines.len(),
+            regions: self.layout.regions(),
         }
     }
 
@@ -108,6 +113,32 @@
         lock(&self.nodes[node]).listen
     }
 
+    /// Nodes of a region.
+    pub(super) fn nodes_of(&self, region: usize) -> Vec<usize> {
+        let nodes = 0..self.nodes.len();
+        nodes
+            .filter(|node| self.layout.region_of_node(*node) == region)
+            .collect()
+    }
+
+    /// Engines of a region.
+    pub(super) fn engines_of(&self, region: usize) -> Vec<usize> {
+        let count = self.engines.len();
+        (0..count)
+            .filter(|engine| self.layout.region_of_engine(*engine, count) == region)
+            .collect()
+    }
+
+    /// Where a node tells operators of itself.
+    pub(super) fn metrics_address(&self, node: usize) -> Option<SocketAddr> {
+        lock(&self.nodes[node]).metrics
+    }
+
+    /// Writes a node's settings anew, without one region if it is to be left out.
+    pub(super) fn name_regions(&self, node: usize, left_out: Option<usize>) -> io::Result<()> {
+        lock(&self.nodes[node]).name_regions(self.layout, left_out)
+    }
+
     /// A node's link to the store.
     pub fn store_link(&self, node: usize) -> Relay {
         lock(&self.nodes[node]).store_link.clone()
@@ -183,6 +214,11 @@
         self.list(engine, "draining");
     }
 
+    /// Ends the link to an engine as the end of its machine does; its entry stays.
+    pub(super) fn end_engine(&self, engine: usize) {
+        lock(&self.engines[engine]).relay.stop();
+    }
+
     /// Removes an engine's entry while it goes on.
     pub fn unlist(&self, engine: usize) {
         let mut place = lock(&self.engines[engine]);
@@ -316,6 +352,9 @@
             place.store_link.mend();
             place.store_door.set_mode(StoreMode::Serving);
         }
+        if let Some(links) = &self.region_links {
+            links.mend();
+        }
         for engine in &self.engines {
             let place = lock(engine);
             place.relay.mend();
@@ -372,15 +411,33 @@
     }
 }
 
+/// The paths between the regions of nodes, which each learns from what its link to the store shows of the list.
+fn part_regions(layout: Layout, places: &[NodePlace]) -> io::Result<Option<Arc<RegionLinks>>> {
+    if !layout.is_regional() {
+        return Ok(None);
+    }
+    let nodes = places.iter().map(|place| place.peers).collect();
+    let links = Arc::new(RegionLinks::start(layout, nodes)?);
+    for (number, place) in places.iter().enumerate() {
+        let (links, region) = (Arc::downgrade(&links), layout.region_of_node(number));
+        place.store_door.show_rows_as(Box::new(move |table, value| {
+            let links = links.upgrade().filter(|_| table == NODES_TABLE)?;
+            operator::with_address(value, |address| links.address_for(region, address))
+        }));
+    }
+    Ok(Some(links))
+}
+
 /// An engine's entry, before it is encoded.
 fn row(place: &EnginePlace, state: &str) -> String {
     let stage = place.now.stage().map_or(String::new(), |stage| {
         format!(r#","stage":"{stage}","models":[{{"name":"m","version":1,"adapters":[]}}]"#)
     });
     format!(
-        r#"{{"service":"{}","address":"{}","zone":"zone-a","version":"v1","slots":8,"state":"{state}","coldRemainingMs":0{stage},"born":{},"sequence":4}}"#,
+        r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":8,"state":"{state}","coldRemainingMs":0{stage},"born":{},"sequence":4}}"#,
         place.pool,
         place.relay.address(),
+        place.zone,
         place.born
     )
 }
--- a/crates/lab/src/fault_soak/disturbances.rs
+++ b/crates/lab/src/fault_soak/disturbances.rs
@@ -1,5 +1,6 @@
 //! Which nodes were struck when, since a promise with a time bound holds only for nodes in touch.
 
+use super::layout::Layout;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -8,12 +9,30 @@
 pub enum Struck {
     /// One.
     Node(usize),
+    /// Those of a region, one of so many; nodes lie in regions as in [`super::layout::Layout`].
+    Region {
+        /// The region.
+        region: usize,
+        /// Number of regions.
+        regions: usize,
+    },
     /// All: each of them, or the store for all.
     All,
     /// None.
     Nobody,
 }
 
+impl Struck {
+    fn includes(self, node: usize) -> bool {
+        match self {
+            Self::Node(struck) => struck == node,
+            Self::Region { region, regions } => Layout::new(regions).region_of_node(node) == region,
+            Self::All => true,
+            Self::Nobody => false,
+        }
+    }
+}
+
 /// One fault on its nodes; absent end: it goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Disturbance {
@@ -61,9 +80,9 @@
         let all = self.all.lock().unwrap_or_else(PoisonError::into_inner);
         let since = at.saturating_sub(contact);
         !all.iter().any(|disturbance| {
-            let strikes =
-                matches!(disturbance.struck, Struck::All) || disturbance.struck == Struck::Node(node);
-            strikes && disturbance.from <= at && disturbance.until.is_none_or(|until| until >= since)
+            disturbance.struck.includes(node)
+                && disturbance.from <= at
+                && disturbance.until.is_none_or(|until| until >= since)
         })
     }
 }
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -13,6 +13,7 @@
 pub mod engine_signals;
 mod judging;
 pub mod late_readers;
+pub mod layout;
 mod operator;
 pub mod oracle;
 mod places;
@@ -20,10 +21,13 @@
 pub mod rate_limits;
 pub mod rated_callers;
 pub mod record;
+pub mod region_faults;
+pub mod region_links;
 pub mod repeats;
 pub mod schedule;
 pub mod spoilt;
 mod striking;
+mod striking_regions;
 mod upgrading;
 
 use callers::Caller;
@@ -33,6 +37,7 @@
 use descriptors::{DescriptorUse, DescriptorWatch};
 use judging::{crashing_arrivals, engine_arrivals, judge_calls, judge_signals, judge_spoilt, seen_arrivals};
 use late_readers::{LateReader, QuietCount};
+use layout::Layout;
 use oracle::{Violation, judge_reports};
 use places::REPEAT_BUDGET;
 use rate_limits::LimitSpan;
@@ -62,6 +67,8 @@
     pub other_build: Option<PathBuf>,
     /// Nodes.
     pub nodes: usize,
+    /// Regions; without regions if fewer than two.
+    pub regions: usize,
     /// Callers at once.
     pub callers: u64,
     /// Callers besides whose request crashes the engines that run it.
@@ -154,7 +161,12 @@
     std::fs::create_dir_all(&config.directory)?;
     let first = config.other_build.as_ref().unwrap_or(&config.program);
     let descriptors = DescriptorWatch::start()?;
-    let deployment = Deployment::start(first, config.nodes, &config.directory)?;
+    let deployment = Deployment::start(
+        first,
+        config.nodes,
+        Layout::new(config.regions),
+        &config.directory,
+    )?;
     let mut violations = wait_until_served(&deployment, config.seed, config.recovery);
     let schedule = schedule::draw(config.seed, config.length, deployment.targets(), config.pace);
     let begun = Instant::now();
--- a/crates/lab/src/fault_soak/operator.rs
+++ b/crates/lab/src/fault_soak/operator.rs
@@ -2,6 +2,9 @@
 
 use super::deployment::{APPLICATION_POOLS, MODEL_POOL};
 use super::rated_callers::is_rated;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use std::net::SocketAddr;
 
 /// The tenants, each with its API key.
 pub(super) const TENANTS: [Tenant; 2] = [
@@ -92,6 +95,13 @@
 
 /// As the store keeps values.
 pub(super) fn base64(text: &str) -> String {
-    use base64::Engine as _;
-    base64::engine::general_purpose::STANDARD.encode(text)
+    STANDARD.encode(text)
+}
+
+/// A node's row with its address replaced, in base64; absent if it has no address.
+pub(super) fn with_address(value: &str, replaced: impl Fn(SocketAddr) -> SocketAddr) -> Option<String> {
+    let row = String::from_utf8(STANDARD.decode(value).ok()?).ok()?;
+    let (address, rest) = row.split_once(' ')?;
+    let address = replaced(address.parse().ok()?);
+    Some(base64(&format!("{address} {rest}")))
 }
--- a/crates/lab/src/fault_soak/places.rs
+++ b/crates/lab/src/fault_soak/places.rs
@@ -1,6 +1,7 @@
 //! The places of engines and nodes: what stays while one start of them follows on another.
 
 use super::deployment::EVENTS;
+use super::layout::Layout;
 use super::oracle::EngineRecords;
 use super::process::{Launch, NodeProcess};
 use super::repeats::RepeatBudget;
@@ -18,6 +19,9 @@
 /// Time from the signal to stop until a node is killed; its settings say the same.
 pub(super) const GRACE: Duration = Duration::from_secs(8);
 
+/// Placers of each region of a soak with regions.
+const PLACERS_PER_REGION: usize = 2;
+
 /// The budget for repeats: small beside what callers send, so that a run comes to its bounds many times.
 pub(super) const REPEAT_BUDGET: RepeatBudget = RepeatBudget {
     ratio: 0.2,
@@ -29,6 +33,7 @@
 pub(super) struct EnginePlace {
     pub(super) pool: &'static str,
     pub(super) stage: Option<&'static str>,
+    pub(super) zone: String,
     pub(super) relay: Relay,
     pub(super) now: ModelEngine,
     pub(super) id: String,
@@ -53,6 +58,12 @@
     pub(super) store_door: StandInStore,
     pub(super) store_link: Relay,
     pub(super) listen: SocketAddr,
+    /// Where it hears other nodes.
+    pub(super) peers: SocketAddr,
+    /// Where it tells operators of itself; absent in a soak without regions.
+    pub(super) metrics: Option<SocketAddr>,
+    /// Its settings without those of zones and regions.
+    settings_text: String,
     pub(super) exits: u32,
 }
 
@@ -68,13 +79,19 @@
 }
 
 impl EnginePlace {
-    pub(super) fn start(number: usize, pool: &'static str, stage: Option<&'static str>) -> io::Result<Self> {
+    pub(super) fn start(
+        number: usize,
+        pool: &'static str,
+        stage: Option<&'static str>,
+        zone: String,
+    ) -> io::Result<Self> {
         let id = format!("engine-{number}-1");
         let now = start_engine(&id, 1, stage)?;
         let relay = relay_before(&now, free())?;
         Ok(Self {
             pool,
             stage,
+            zone,
             relay,
             now,
             id,
@@ -185,6 +202,7 @@
 impl NodePlace {
     pub(super) fn prepare(
         number: usize,
+        layout: Layout,
         store: &StandInStore,
         interface: &StandInInterface,
         program: &Path,
@@ -193,9 +211,12 @@
         let store_door = store.another_door()?;
         let store_link = Relay::start((Ipv4Addr::LOCALHOST, 0).into(), store_door.address())?;
         let [listen, ready, peers] = free_addresses()?;
+        let metrics = layout.is_regional().then(free_address).transpose()?;
+        let regional = metrics.map_or(String::new(), |metrics| regional_settings(layout, metrics));
+        let zone = layout.zone_of_node(number);
         let settings = directory.join(format!("node-{number}.toml"));
         let text = format!(
-            "log_level = 'info'\n\n[node]\nnode = 'node-{number}'\nzone = 'zone-a'\nlisten = '{listen}'\nready_listen = '{ready}'\npeer_listen = '{peers}'\nstore = '{}'\nfirst_start = false\ngrace_seconds = {}\nretry_ratio = {}\nretry_slack = {}\nretry_window_seconds = {}\n\n[node.metering]\nwindow_seconds = 1\ndue_after_seconds = 10\n\n[node.duties]\naddress = '{}'\ntasks = ['usage_reporting']\n",
+            "log_level = 'info'\n\n[node]\nnode = 'node-{number}'\nzone = '{zone}'\nlisten = '{listen}'\nready_listen = '{ready}'\npeer_listen = '{peers}'\nstore = '{}'\nfirst_start = false\ngrace_seconds = {}\nretry_ratio = {}\nretry_slack = {}\nretry_window_seconds = {}\n{regional}\n[node.metering]\nwindow_seconds = 1\ndue_after_seconds = 10\n\n[node.duties]\naddress = '{}'\ntasks = ['usage_reporting']\n",
             store_link.address(),
             GRACE.as_secs_f64(),
             REPEAT_BUDGET.ratio,
@@ -203,7 +224,7 @@
             REPEAT_BUDGET.window.as_secs_f64(),
             interface.address()
         );
-        std::fs::write(&settings, text)?;
+        std::fs::write(&settings, format!("{text}{}", layout.topology_settings(None)))?;
         Ok(Self {
             launch: Launch {
                 program: PathBuf::from(program),
@@ -215,9 +236,26 @@
             store_door,
             store_link,
             listen,
+            peers,
+            metrics,
+            settings_text: text,
             exits: 0,
         })
     }
+
+    /// Writes its settings anew, without one region if it is to be left out.
+    pub(super) fn name_regions(&self, layout: Layout, left_out: Option<usize>) -> io::Result<()> {
+        let topology = layout.topology_settings(left_out);
+        std::fs::write(&self.launch.settings, format!("{}{topology}", self.settings_text))
+    }
+}
+
+/// Settings of a node of a soak with regions: placers are used in the smallest fleet, and operators may ask it.
+fn regional_settings(layout: Layout, metrics: SocketAddr) -> String {
+    format!(
+        "metrics_listen = '{metrics}'\n\n[node.placing]\nplacers = {}\nalone_up_to = 2\n",
+        layout.regions() * PLACERS_PER_REGION
+    )
 }
 
 /// Ports that the system gives to nobody who asks for any free one: a node is started again at the same addresses, and
@@ -271,16 +309,16 @@
 
 /// Addresses on which nothing listens now, and that no other node was given.
 fn free_addresses() -> io::Result<[SocketAddr; 3]> {
+    Ok([free_address()?, free_address()?, free_address()?])
+}
+
+/// One such address.
+fn free_address() -> io::Result<SocketAddr> {
     static BLOCK_OF_PROCESS: Mutex<Option<PortBlock>> = Mutex::new(None);
     let mut claimed = BLOCK_OF_PROCESS.lock().unwrap_or_else(PoisonError::into_inner);
     let block = match claimed.take() {
         Some(block) => block,
         None => PortBlock::claim()?,
     };
-    let block = claimed.insert(block);
-    Ok([
-        block.free_address()?,
-        block.free_address()?,
-        block.free_address()?,
-    ])
+    claimed.insert(block).free_address()
 }
--- a/crates/lab/src/fault_soak/schedule.rs
+++ b/crates/lab/src/fault_soak/schedule.rs
@@ -1,6 +1,7 @@
 //! Which faults come when, drawn from a seed.
 
 use super::disturbances::Struck;
+use super::region_faults::{self, RegionFault};
 use super::spoilt::Spoilt;
 use crate::relay::LinkFault;
 use crate::users_platform::{EngineFault, StoreMode};
@@ -71,6 +72,8 @@
     SilenceEngineLink(usize),
     /// The connections on a node's link to the store go silent for good; new ones pass.
     SilenceStoreLink(usize),
+    /// A region, one of so many, or the paths between two.
+    Region(RegionFault, usize),
 }
 
 impl Fault {
@@ -94,6 +97,9 @@
 
     /// Whether nodes are started anew or stand still.
     pub fn restarts(self) -> bool {
+        if let Self::Region(fault, _) = self {
+            return fault.restarts();
+        }
         matches!(
             self,
             Self::Kill(_)
@@ -110,6 +116,7 @@
     /// Nodes that it strikes: their processes, their path to the store, or the store itself.
     pub fn struck(self) -> Struck {
         match self {
+            Self::Region(fault, regions) => fault.struck(regions),
             Self::StoreLink(node, _)
             | Self::ResetStoreLink(node)
             | Self::SilenceStoreLink(node)
@@ -166,13 +173,15 @@
     pub fault: Fault,
 }
 
-/// Number of nodes and engines that faults may strike.
+/// Number of nodes, engines and regions that faults may strike.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Targets {
     /// Nodes.
     pub nodes: usize,
     /// Engines.
     pub engines: usize,
+    /// Regions; one in a soak without regions.
+    pub regions: usize,
 }
 
 /// Pauses between two faults, in milliseconds.
@@ -225,7 +234,7 @@
 }
 
 impl Pace {
-    fn stretched(self, pause: Duration) -> Duration {
+    pub(super) fn stretched(self, pause: Duration) -> Duration {
         match self {
             Self::Dense => pause,
             Self::Calm => pause * CALM_PAUSES,
@@ -251,6 +260,7 @@
     }
     schedule.extend(draw_limits(seed, length, targets, pace));
     schedule.extend(draw_signals(seed, length, targets, pace));
+    schedule.extend(region_faults::draw(seed, length, targets, pace));
     schedule.sort_by_key(|scheduled| scheduled.at);
     schedule
 }
--- a/crates/lab/src/fault_soak/striking.rs
+++ b/crates/lab/src/fault_soak/striking.rs
@@ -3,7 +3,9 @@
 use super::crashes::CONTACT;
 use super::deployment::Deployment;
 use super::disturbances::Struck;
+use super::region_faults::RegionFault;
 use super::schedule::{DrainEnd, Fault, ScheduledFault};
+use super::striking_regions;
 use crate::relay::LinkFault;
 use crate::users_platform::{StoreMode, USUAL_PACE_PERCENT};
 use std::thread;
@@ -34,17 +36,20 @@
                     .fault
                     .restarts()
                     .then(|| deployment.restarts.begin(struck, begun.elapsed()));
-                let link = scheduled.fault.struck_engine_link().map(|engine| {
-                    deployment
-                        .engine_links
-                        .begin(Struck::Node(engine), begun.elapsed())
-                });
+                let links = struck_engine_links(deployment, scheduled.fault)
+                    .into_iter()
+                    .map(|engine| {
+                        deployment
+                            .engine_links
+                            .begin(Struck::Node(engine), begun.elapsed())
+                    });
+                let links: Vec<usize> = links.collect();
                 strike_one(deployment, scheduled);
                 deployment.disturbances.end(place, begun.elapsed());
                 if let Some(restart) = restart {
                     deployment.restarts.end(restart, begun.elapsed());
                 }
-                if let Some(link) = link {
+                for link in links {
                     deployment.engine_links.end(link, begun.elapsed());
                 }
             }));
@@ -57,6 +62,14 @@
     });
 }
 
+/// Engines whose links a fault strikes.
+fn struck_engine_links(deployment: &Deployment, fault: Fault) -> Vec<usize> {
+    if let Fault::Region(RegionFault::StopEngines(region), _) = fault {
+        return deployment.engines_of(region);
+    }
+    fault.struck_engine_link().into_iter().collect()
+}
+
 fn tend_until(deployment: &Deployment, until: Instant) {
     while Instant::now() < until {
         tend(deployment);
@@ -200,6 +213,7 @@
         }
         Fault::SilenceEngineLink(engine) => deployment.engine_link(engine).silence_open(),
         Fault::SilenceStoreLink(node) => deployment.store_link(node).silence_open(),
+        Fault::Region(fault, _) => striking_regions::strike(deployment, fault, scheduled.lasts, restart),
     }
 }
 
--- a/crates/lab/src/users_platform/store.rs
+++ b/crates/lab/src/users_platform/store.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 const JSON: &str = "application/json";
@@ -26,6 +26,9 @@
     LosingAnswers,
 }
 
+/// What a door shows of a row's value, given its table and value; absent for the value as it is.
+pub type ShownValue = Box<dyn Fn(&str, &str) -> Option<String> + Send + Sync>;
+
 /// Table and key of a row.
 type RowName = (String, String);
 
@@ -92,6 +95,7 @@
     server: HttpServer,
     shared: Arc<Shared>,
     mode: Arc<Mutex<StoreMode>>,
+    shown: Arc<OnceLock<ShownValue>>,
 }
 
 impl StandInStore {
@@ -107,13 +111,20 @@
 
     fn open(shared: Arc<Shared>) -> io::Result<Self> {
         let mode = Arc::new(Mutex::new(StoreMode::default()));
+        let shown = Arc::default();
         let handler = Arc::new(StoreHandler {
             shared: Arc::clone(&shared),
             mode: Arc::clone(&mode),
+            shown: Arc::clone(&shown),
         });
         let address = (Ipv4Addr::LOCALHOST, 0).into();
         let server = HttpServer::start(address, HttpLimits::default(), handler)?;
-        Ok(Self { server, shared, mode })
+        Ok(Self {
+            server,
+            shared,
+            mode,
+            shown,
+        })
     }
 
     /// Where it listens.
@@ -127,6 +138,12 @@
         self.shared.changed.notify_all();
     }
 
+    /// Shows rows that are read through this door with other values. Only the first call has an effect.
+    pub fn show_rows_as(&self, shown: ShownValue) {
+        // A second call leaves what the first has set.
+        let _ = self.shown.set(shown);
+    }
+
     /// Writes a row, as the operator and the engines do; `value` is base64.
     pub fn put(&self, table: &str, key: &str, value: &str) {
         self.shared.lock().write(name(table, key), Some(value.to_owned()));
@@ -198,6 +215,7 @@
 struct StoreHandler {
     shared: Arc<Shared>,
     mode: Arc<Mutex<StoreMode>>,
+    shown: Arc<OnceLock<ShownValue>>,
 }
 
 impl Handler for StoreHandler {
@@ -234,6 +252,18 @@
         *self.mode.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Rows as this door shows them.
+    fn shown(&self, mut rows: Vec<WireRow>) -> Vec<WireRow> {
+        if let Some(shown) = self.shown.get() {
+            for row in &mut rows {
+                if let Some(value) = shown(&row.table, &row.value) {
+                    row.value = value;
+                }
+            }
+        }
+        rows
+    }
+
     fn get(&self, request: &HttpRequest) -> Answer {
         let state = self.shared.lock();
         let table = request.query_value("table").unwrap_or_default();
@@ -251,7 +281,7 @@
             .collect();
         let more = rows.len() > limit;
         rows.truncate(limit);
-        rows_answer(200, rows, more, state.version)
+        rows_answer(200, self.shown(rows), more, state.version)
     }
 
     fn feed(&self, request: &HttpRequest) -> Answer {
@@ -270,7 +300,7 @@
             let rows = changed_rows(&state, table, after);
             let left = until.saturating_duration_since(Instant::now());
             if !rows.is_empty() || left.is_zero() {
-                return rows_answer(200, rows, false, state.version);
+                return rows_answer(200, self.shown(rows), false, state.version);
             }
             state = self
                 .shared
--- a/crates/lab/tests/fault_soak.rs
+++ b/crates/lab/tests/fault_soak.rs
@@ -190,7 +190,11 @@
 
 #[test]
 fn a_seed_gives_the_same_faults_and_every_kind_comes() {
-    let targets = Targets { nodes: 3, engines: 9 };
+    let targets = Targets {
+        nodes: 3,
+        engines: 9,
+        regions: 1,
+    };
     let length = Duration::from_secs(600);
     let drawn = draw(7, length, targets, Pace::Dense);
     assert_eq!(drawn, draw(7, length, targets, Pace::Dense));
@@ -614,7 +618,11 @@
 
 #[test]
 fn the_seed_of_the_calm_run_draws_what_that_run_is_for() {
-    let targets = Targets { nodes: 4, engines: 9 };
+    let targets = Targets {
+        nodes: 4,
+        engines: 9,
+        regions: 1,
+    };
     let drawn = draw(1008, Duration::from_secs(30), targets, Pace::Calm);
     let has = |wanted: fn(&Fault) -> bool| drawn.iter().any(|scheduled| wanted(&scheduled.fault));
     assert!(has(|fault| matches!(fault, Fault::SpoilEntry(..))), "{drawn:?}");
