A backoff asked for by a start that is not listed yet holds for it

Cause: an engine that started again at its address asked a node for a backoff before the node's list named the new start. The node counted it for the earlier start and sent requests to the new one as soon as that was listed.

Change: a start that is listed at its predecessor's address within 2 s after a backoff was recorded inherits it.

--- a/crates/core/src/routing/pool/router.rs
+++ b/crates/core/src/routing/pool/router.rs
@@ -134,6 +134,7 @@
                 let traits = self.traits.get(&engine.pool);
                 let tokens = traits.map_or(DEFAULT_CACHE_TOKENS, |traits| traits.cache_tokens);
                 let mut state = EngineState::new(engine, tokens);
+                self.inherit_backoff(&state);
                 state.backoff_end = self.signals.backoff_end(state.handle);
                 self.init_pace(&mut state);
                 self.engine_ids.insert(state.handle, id.clone());
@@ -143,6 +144,18 @@
         self.apply_cordons_to(&id);
     }
 
+    /// Applies the backoffs of delisted starts to a later start that may have asked for them.
+    fn inherit_backoff(&mut self, later: &EngineState) {
+        let id = &later.engine.id;
+        let earlier = self.engines.range(EngineId::new(id.as_str())..id.clone());
+        for (_, state) in earlier.filter(|(_, state)| state.engine.address == later.engine.address) {
+            if let Some(delisted) = state.delisted {
+                self.signals
+                    .inherit_backoff(state.handle, delisted.since, later.handle);
+            }
+        }
+    }
+
     /// Handles the removal of an engine from the platform's list. `doubtful` means that the store has just had
     /// problems, so the engine may be alive and only have failed to renew its entry.
     pub fn on_engine_delisted(&mut self, engine: &EngineId, doubtful: bool, now: MonotonicTime) {
--- a/crates/core/tests/engine_signals.rs
+++ b/crates/core/tests/engine_signals.rs
@@ -246,3 +246,32 @@
         before_backoff
     );
 }
+
+/// Start 2 answered while the list still named start 1, and the node counted the backoff for start 1.
+#[test]
+fn backoff_holds_for_a_start_at_the_same_address_that_is_listed_just_after_it_was_asked_for() {
+    let (first, second) = (engine("engine", 1), engine("engine", 2));
+    let listed_at = |after: u64, second: &PoolEngine| {
+        let mut router = router(std::slice::from_ref(&first));
+        router.on_backoff_requested(&first.id, Duration::from_secs(30), NOW);
+        let now = NOW + Duration::from_millis(after);
+        router.on_engine_delisted(&first.id, false, now);
+        router.on_engine_listed(second.clone());
+        router.not_accepting(&second.id, now)
+    };
+    let remaining = Duration::from_millis(29_500);
+    assert_eq!(
+        listed_at(500, &second),
+        Some(NotAccepting::BackedOff { remaining })
+    );
+    assert_eq!(listed_at(5_000, &second), None, "start 1 asked for it");
+    let elsewhere = PoolEngine {
+        address: ([127, 0, 0, 1], 9).into(),
+        ..second
+    };
+    assert_eq!(
+        listed_at(500, &elsewhere),
+        None,
+        "start 2 could not answer at that address"
+    );
+}
