--- a/crates/cli/src/usage.rs
+++ b/crates/cli/src/usage.rs
@@ -27,6 +27,7 @@
   quarantine               requests that crashed engines, and how to lift their quarantine
   cordons                  engines that operators have left alone, and how to change that
   pool-engines             engines as a node on the users' platform knows them
+  regions                  regions as a node on the users' platform knows them
   requests cancel ID       end one request
 
 Options:
@@ -95,14 +96,25 @@
        shelfjunction cordons --node IP:PORT --lift TARGET
 
 Prints the engines that operators have the nodes on the users' platform leave alone, adds a cordon or lifts one, at every node.
-TARGET is engine/NAME or zone/POOL/ZONE. A cordon lifts itself after its time; what runs at an engine goes on. Where no other
-engine can take a request a cordoned one does, unless --force was given, which is also needed to leave alone more than half of
-a pool's engines.
+TARGET is engine/NAME, zone/POOL/ZONE or region/REGION. A cordon lifts itself after its time; what runs at an engine goes on.
+Where no other engine can take a request a cordoned one does, unless --force was given, which is also needed to leave alone more
+than half of a pool's engines. While a region is cordoned, its nodes offer their requests to other regions first.
 
 Example:
   shelfjunction cordons --node 10.1.0.38:7395 --cordon engine/i-7f3a91c2 --by alice --seconds 600
+  shelfjunction cordons --node 10.1.0.38:7395 --cordon region/east --by alice --seconds 3600
   shelfjunction cordons --node 10.1.0.38:7395 --lift engine/i-7f3a91c2";
 
+/// `regions`.
+pub const REGIONS: &str = "\
+Usage: shelfjunction regions --node IP:PORT [--json]
+
+Prints the regions of a deployment as a node on the users' platform knows them: other nodes heard, placers, engines in use that take
+work, measured round trip and its age, requests of the node placed on engines there, and whether the region is cordoned.
+
+Example:
+  shelfjunction regions --node 10.1.0.38:7395";
+
 /// `pool-engines`.
 pub const POOL_ENGINES: &str = "\
 Usage: shelfjunction pool-engines --node IP:PORT [--json]
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -12,6 +12,7 @@
 use crate::ports::{Call, EngineLink, EngineProtocol};
 use crate::quarantine::Suspects;
 use crate::rate_limits::RateLimits;
+use crate::regions::{UnnamedZones, ZoneUser};
 use crate::releasing::Releases;
 use crate::repeats::Repeats;
 use crate::spill::Spillover;
@@ -22,7 +23,7 @@
 use shelfjunction_core::forwarding::{
     Adoption, CallerWaits, ConfigInForce, ForwardingConfig, PoolId, RouteRule, ShareRotation, stopping,
 };
-use shelfjunction_core::identity::{EngineId, EngineStart, RegionId};
+use shelfjunction_core::identity::{EngineId, EngineStart, NodeId, RegionId, ZoneId};
 use shelfjunction_core::lease::Authority;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::metering::clock::FleetClock;
@@ -59,6 +60,10 @@
     pub(crate) spill: Spillover,
     /// Demand on other regions, as their placers report it.
     pub(crate) region_sums: Mutex<RegionSums>,
+    /// When a round trip to each region was last measured.
+    pub(crate) round_trips_measured_at: Mutex<BTreeMap<RegionId, MonotonicTime>>,
+    /// Zones of engines and nodes that the settings do not name.
+    pub(crate) unnamed_zones: UnnamedZones,
     /// What this node has placed for others; locked before `router`.
     pub(crate) placement_table: Mutex<PlacementTable>,
     pub(crate) metrics: Metrics,
@@ -191,6 +196,8 @@
             round_trips: Mutex::default(),
             spill: Spillover::default(),
             region_sums: Mutex::default(),
+            round_trips_measured_at: Mutex::default(),
+            unnamed_zones: UnnamedZones::default(),
             placement_table: Mutex::default(),
             metrics: Metrics::new(),
             state: Arc::new(NodeState::default()),
@@ -244,6 +251,26 @@
         self.peers.set_topology(topology);
         // Others must know at once by which regions this node chooses owners of request slots.
         self.rate_limits.note_news(self);
+        self.unnamed_zones.clear();
+        self.note_zones();
+    }
+
+    /// Notes the zone of another node, which the settings may not name.
+    pub(crate) fn note_node_zone(&self, node: &NodeId, zone: &ZoneId) {
+        let topology = self.peers.topology();
+        self.unnamed_zones
+            .note(&topology, zone, ZoneUser::Node, node.as_str());
+    }
+
+    /// Notes the zones of all engines in use, since the settings have changed; those of nodes follow with their next message.
+    fn note_zones(&self) {
+        let topology = self.peers.topology();
+        let router = lock(&self.router);
+        for state in router.engines() {
+            let engine = &state.engine;
+            self.unnamed_zones
+                .note(&topology, &engine.zone, ZoneUser::Engine, engine.id.as_str());
+        }
     }
 
     /// Records the round trip of a question that a node answered.
@@ -256,6 +283,7 @@
             round_trips.on_answer(&region, round_trip);
             round_trips.mean(&region)
         };
+        lock(&self.round_trips_measured_at).insert(region.clone(), self.now());
         if let Some(mean) = mean {
             lock(&self.router).on_region_round_trip(&region, mean);
         }
@@ -455,6 +483,9 @@
         if engine.leaving {
             self.links.forget(&engine.id);
         }
+        let topology = self.peers.topology();
+        self.unnamed_zones
+            .note(&topology, &engine.zone, ZoneUser::Engine, engine.id.as_str());
         lock(&self.router).on_engine_listed(engine.clone());
         let in_use = self.is_in_use(&engine.id);
         if in_use {
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -11,6 +11,7 @@
 use crate::context::Context;
 use crate::ports::{AnswerHead, Call, CallerConnection};
 use crate::quarantine::Trial;
+use crate::regions;
 use crate::tenant_rates::ChargedRequest;
 use shelfjunction_core::forwarding::{PoolId, RouteRule};
 use shelfjunction_core::identity::{EngineId, RegionId};
@@ -256,6 +257,9 @@
     }
 
     pub(super) fn placed(&mut self, placement: Option<Placement>) {
+        if let Some(placement) = &placement {
+            regions::count_placement(self.context, placement);
+        }
         let event = match placement {
             Some(placement) => {
                 self.count_region();
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -84,13 +84,17 @@
 fn take_topology_datagram(context: &Context, datagram: TopologyDatagram, from: SocketAddr) {
     match datagram {
         TopologyDatagram::Zone(announcement) => {
+            context.note_node_zone(&announcement.node, &announcement.zone);
             context.peers.note_zone(&announcement.node, announcement.zone);
         }
         TopologyDatagram::Prefixes(updates) => {
             lock(&context.router).on_distant_prefixes(&updates, context.now());
         }
         TopologyDatagram::Sums(report) => region_sums::take(context, *report, from),
-        TopologyDatagram::Topology(announcement) => context.peers.note_topology(announcement),
+        TopologyDatagram::Topology(announcement) => {
+            context.note_node_zone(&announcement.node, &announcement.zone);
+            context.peers.note_topology(announcement);
+        }
     }
 }
 
