--- a/crates/core/src/roles/regional.rs
+++ b/crates/core/src/roles/regional.rs
@@ -94,13 +94,6 @@
         }
     }
 
-    /// Whether a round of any region is due.
-    pub fn is_due(&self, inputs: &[ScopeInput], now: MonotonicTime) -> bool {
-        inputs
-            .iter()
-            .any(|input| self.is_region_due(&input.scope.region, now))
-    }
-
     /// The changes to make now: in each region that is due, those of the first pool that needs any. `has_reserve` says whether
     /// unused engines are what is wanted already; an order would take an engine out of service for nothing.
     pub fn round(
--- a/crates/node/src/peers/directory.rs
+++ b/crates/node/src/peers/directory.rs
@@ -103,9 +103,7 @@
             processor_thousandths: config.processor_thousandths(),
             zone: self.own_zone(),
         };
-        let is_first = config.first_start && self.entered_zone.is_none();
-        self.entered_zone.clone_from(&own.zone);
-        let outcome = if is_first {
+        let outcome = if config.first_start {
             self.directory.enter(&own)
         } else {
             self.enter_again(&own)
@@ -115,6 +113,7 @@
             self.failures += 1;
         }
         self.entered = outcome.is_ok();
+        self.entered_zone = own.zone;
     }
 
     /// Enters this node unless it is listed so: after a loss of all nodes their entries are still there, and the store takes
