Plan a region once the list of its own engines has settled

Engines that come and go in one region held back the plans of all others, since the time without changes was that of the whole list. 9 tests of regional_roles and 5 of platform regions pass.

--- a/crates/core/src/roles/regional.rs
+++ b/crates/core/src/roles/regional.rs
@@ -45,8 +45,14 @@
     pub loads: Result<RegionLoads, PlanHold>,
     /// Load that the operators expect of the engines of the whole pool, in engines.
     pub expected: Option<f64>,
+    /// Digest of the list entries of the scope's engines; it changes as engines come and go.
+    pub listing: u64,
 }
 
+/// Time for which the list of a region's engines must not have changed before a change of stage: what is missing may be about to
+/// come.
+pub const LIST_SETTLE_TIME: Duration = Duration::from_millis(1_200);
+
 /// A change of stage in a region.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RegionalChange {
@@ -78,12 +84,19 @@
 pub struct RolePlanner {
     peaks: BTreeMap<PlanScope, PeakLoads>,
     next_round_at: BTreeMap<Option<RegionId>, MonotonicTime>,
+    /// Digest of each scope's list, and since when it is the same.
+    listings: BTreeMap<PlanScope, (u64, MonotonicTime)>,
 }
 
 impl RolePlanner {
     /// Takes the loads of now. Scopes without known loads keep what was seen before.
     pub fn observe(&mut self, inputs: &[ScopeInput], policy: &PoolRolePolicy, now: MonotonicTime) {
         for input in inputs {
+            let listing = self.listings.entry(input.scope.clone());
+            let (digest, since) = listing.or_insert((input.listing, now));
+            if std::mem::replace(digest, input.listing) != input.listing {
+                *since = now;
+            }
             let Ok(loads) = input.loads else { continue };
             let expected = expected_load(input, inputs);
             let peaks = self.peaks.entry(input.scope.clone()).or_default();
@@ -111,7 +124,8 @@
         for input in inputs {
             let region = &input.scope.region;
             // Other pools of a region follow in later rounds.
-            if planned.contains(region) || !self.is_region_due(region, now) || input.loads.is_err() {
+            let is_due = self.is_region_due(region, now) && self.is_region_settled(region, now);
+            if planned.contains(region) || !is_due || input.loads.is_err() {
                 continue;
             }
             let mut changes = self.changes(input, policy);
@@ -157,6 +171,12 @@
         self.next_round_at.get(region).is_none_or(|at| now >= *at)
     }
 
+    /// Whether no engines of a region have come or gone for a while. Without regions the caller looks at the whole list.
+    fn is_region_settled(&self, region: &Option<RegionId>, now: MonotonicTime) -> bool {
+        let mut of_region = self.listings.iter().filter(|(scope, _)| scope.region == *region);
+        region.is_none() || of_region.all(|(_, (_, since))| now.since(*since) >= LIST_SETTLE_TIME)
+    }
+
     fn changes(&self, input: &ScopeInput, policy: &PoolRolePolicy) -> Vec<StageChange> {
         let Some(peaks) = self.peaks.get(&input.scope) else {
             return Vec::new();
--- a/crates/core/src/routing/pool/neighbours.rs
+++ b/crates/core/src/routing/pool/neighbours.rs
@@ -6,7 +6,7 @@
 use super::router::PoolRouter;
 use crate::forwarding::PoolId;
 use crate::identity::{EngineId, NodeId, RegionId};
-use crate::membership::subject::SubjectHandle;
+use crate::membership::subject::{SubjectHandle, mix};
 use crate::roles::pool::{PoolDemand, PoolEngineView};
 use crate::time::MonotonicTime;
 use std::collections::BTreeSet;
@@ -143,6 +143,18 @@
         views.collect()
     }
 
+    /// Digest of the list entries of a pool's engines in a region, in use or not.
+    pub fn listing_digest(&self, pool: &PoolId, region: &RegionId) -> u64 {
+        let used = self.engines.values().filter(|state| state.is_active());
+        let listed = used.map(|state| &state.engine).chain(self.reserve());
+        let of_region = listed
+            .filter(|engine| engine.pool == *pool && self.topology.region_of(&engine.zone) == Some(region));
+        of_region.fold(0, |digest, engine| {
+            let handle = SubjectHandle::of_engine(&engine.id).number();
+            digest ^ mix(handle ^ mix(engine.stage as u64))
+        })
+    }
+
     /// Engines of a pool that were ordered to another stage than the listed one.
     pub fn engines_changing_stage(&self, pool: &PoolId, now: MonotonicTime) -> BTreeSet<EngineId> {
         let changing = self.engines.values().filter(|state| {
--- a/crates/core/tests/regional_roles.rs
+++ b/crates/core/tests/regional_roles.rs
@@ -118,6 +118,7 @@
         changing: BTreeSet::new(),
         loads: Ok(RegionLoads { demand, outputs }),
         expected: None,
+        listing: 0,
     }
 }
 
@@ -183,9 +184,17 @@
         changing: BTreeSet::new(),
         loads,
         expected: None,
+        listing: 0,
     }
 }
 
+/// A planner for which the list of engines has settled by 2,000 ms.
+fn settled(inputs: &[ScopeInput]) -> RolePlanner {
+    let mut planner = RolePlanner::default();
+    planner.observe(inputs, &PoolRolePolicy::default(), at(0));
+    planner
+}
+
 fn round_at(planner: &mut RolePlanner, inputs: &[ScopeInput], millis: u64) -> Vec<RegionalChange> {
     let policy = PoolRolePolicy::default();
     planner.observe(inputs, &policy, at(millis));
@@ -199,7 +208,7 @@
         input("north", stages("n", 24, 6), Ok(loads(6.0, 10.0))),
         input("south", stages("s", 6, 24), Ok(loads(10.0, 2.0))),
     ];
-    let round = round_at(&mut RolePlanner::default(), &inputs, 1_000);
+    let round = round_at(&mut settled(&inputs), &inputs, 2_000);
     let of = |name: &str| -> Vec<EngineStage> {
         let changes = round
             .iter()
@@ -217,12 +226,13 @@
 /// Guards against a region that waits for the settle time of another one, and against two rounds within its own.
 #[test]
 fn the_settle_time_is_that_of_the_region() {
-    let mut planner = RolePlanner::default();
     let calm = input("south", stages("s", 15, 15), Ok(loads(1.0, 1.0)));
     let busy = |name, zone| input(name, stages(zone, 24, 6), Ok(loads(6.0, 10.0)));
-    let first = round_at(&mut planner, &[busy("north", "n"), calm], 1_000);
+    let inputs = [busy("north", "n"), calm];
+    let mut planner = settled(&inputs);
+    let first = round_at(&mut planner, &inputs, 2_000);
     assert_eq!(first.len(), 5);
-    let second = round_at(&mut planner, &[busy("north", "n"), busy("south", "s")], 1_250);
+    let second = round_at(&mut planner, &[busy("north", "n"), busy("south", "s")], 2_250);
     assert!(
         second
             .iter()
@@ -230,15 +240,38 @@
             && second.len() == 5,
         "{second:?}"
     );
-    let settled = round_at(&mut planner, &[busy("north", "n")], 5_000);
+    let settled = round_at(&mut planner, &[busy("north", "n")], 6_000);
     assert_eq!(settled.len(), 5);
 }
 
+/// Guards against orders while engines of the region come and go, and against a region that waits for the list of another one.
+#[test]
+fn a_region_is_planned_once_its_list_has_settled() {
+    let policy = PoolRolePolicy::default();
+    let mut planner = RolePlanner::default();
+    let mut regions_ordered = |north_listing: u64, millis: u64| {
+        let mut inputs = [
+            input("north", stages("n", 24, 6), Ok(loads(6.0, 10.0))),
+            input("south", stages("s", 24, 6), Ok(loads(6.0, 10.0))),
+        ];
+        inputs[0].listing = north_listing;
+        planner.observe(&inputs, &policy, at(millis));
+        let round = planner.round(&inputs, &policy, |_, _| false, at(millis));
+        let regions = round.into_iter().filter_map(|change| change.scope.region);
+        regions.collect::<BTreeSet<RegionId>>()
+    };
+    assert!(regions_ordered(1, 0).is_empty());
+    assert_eq!(regions_ordered(2, 1_200), BTreeSet::from([region("south")]));
+    assert!(regions_ordered(2, 2_399).is_empty());
+    assert_eq!(regions_ordered(2, 2_400), BTreeSet::from([region("north")]));
+}
+
 /// Guards against orders that take the last engine in service off a stage while another one still changes to that stage.
 #[test]
 fn a_region_keeps_an_engine_in_service_at_each_stage() {
     let mut two_prefill = input("north", stages("n", 2, 4), Ok(loads(0.1, 6.0)));
-    let changed = round_at(&mut RolePlanner::default(), &[two_prefill.clone()], 1_000);
+    let inputs = [two_prefill.clone()];
+    let changed = round_at(&mut settled(&inputs), &inputs, 2_000);
     assert_eq!(changed.len(), 1);
     let other = if changed[0].change.engine.as_str() == "n-Prefill-0" {
         "n-Prefill-1"
@@ -246,7 +279,8 @@
         "n-Prefill-0"
     };
     two_prefill.changing = BTreeSet::from([EngineId::new(other)]);
-    let kept = round_at(&mut RolePlanner::default(), &[two_prefill], 1_000);
+    let inputs = [two_prefill];
+    let kept = round_at(&mut settled(&inputs), &inputs, 2_000);
     assert_eq!(kept, vec![]);
 }
 
@@ -318,8 +352,15 @@
     assert_eq!(south(&sums, 2, 1_200), Ok(loads(4.0, 2.5)));
     assert_eq!(south(&sums, 2, 4_000), Err(alone), "the first is 3 s old");
     assert_eq!(south(&sums, 2, 4_200), Err(PlanHold::Stale(MAX_REPORT_AGE)));
-    let held = input("south", stages("s", 24, 6), south(&sums, 2, 4_200));
-    assert_eq!(round_at(&mut RolePlanner::default(), &[held], 4_200), vec![]);
+    let held = [input("south", stages("s", 24, 6), south(&sums, 2, 4_200))];
+    let known = [input("south", stages("s", 24, 6), Ok(loads(6.0, 10.0)))];
+    let mut planner = settled(&known);
+    assert_eq!(round_at(&mut planner, &held, 4_200), vec![]);
+    assert_eq!(
+        round_at(&mut planner, &known, 4_200).len(),
+        5,
+        "with reports there are changes"
+    );
 }
 
 /// Guards against a load of before that replaces the present one.
--- a/crates/node/src/commanding/ordering.rs
+++ b/crates/node/src/commanding/ordering.rs
@@ -7,7 +7,7 @@
 use crate::ports::{EngineReading, EngineReport, OrderVerdict, StageOrder};
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::lease::Authority;
-use shelfjunction_core::roles::regional::{PlanScope, RegionalChange, RolePlanner};
+use shelfjunction_core::roles::regional::{LIST_SETTLE_TIME, PlanScope, RegionalChange, RolePlanner};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::collections::VecDeque;
@@ -20,9 +20,6 @@
 /// Part of the lease that must be left when an order is sent, so that it arrives within.
 const LEASE_LEFT: Duration = Duration::from_millis(1_000);
 
-/// Time for which the list of engines must not have changed before an order.
-const LIST_SETTLES: Duration = Duration::from_millis(1_200);
-
 /// Time after which an order whose answer was lost is looked at again.
 const SETTLE_AFTER: Duration = Duration::from_millis(1_500);
 
@@ -72,8 +69,9 @@
         if !self.in_doubt.is_empty() {
             return self.settle(context, authority, now);
         }
-        // While engines come and go, what is missing may be about to come.
-        if context.list_unchanged_for() < LIST_SETTLES {
+        // While engines come and go, what is missing may be about to come. The planner knows it of each region.
+        let is_regional = context.peers.topology().is_regional();
+        if !is_regional && context.list_unchanged_for() < LIST_SETTLE_TIME {
             return;
         }
         // An engine may finish long outputs first; the plan counts those on their way with the stage that they take, and a
--- a/crates/node/src/commanding/scopes.rs
+++ b/crates/node/src/commanding/scopes.rs
@@ -62,6 +62,7 @@
         changing: BTreeSet::new(),
         loads: Ok(RegionLoads { demand, outputs }),
         expected: expected.get(&pool).copied(),
+        listing: 0,
         scope: PlanScope { region: None, pool },
     }
 }
@@ -86,6 +87,7 @@
         changing: router.engines_changing_stage(pool, now),
         loads: Ok(RegionLoads { demand, outputs }),
         expected: None,
+        listing: router.listing_digest(pool, region),
     }
 }
 
