--- a/crates/protocol/tests/topology_messages.rs
+++ b/crates/protocol/tests/topology_messages.rs
@@ -7,7 +7,7 @@
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::roles::region_sums::{PoolSum, SumReport};
 use shelfjunction_protocol::node_words::Datagram;
-use shelfjunction_protocol::topology_messages::{TopologyDatagram, ZoneAnnouncement};
+use shelfjunction_protocol::topology_messages::{TopologyAnnouncement, TopologyDatagram, ZoneAnnouncement};
 
 fn zone() -> TopologyDatagram {
     TopologyDatagram::Zone(ZoneAnnouncement {
@@ -32,10 +32,19 @@
     }))
 }
 
+fn topology() -> TopologyDatagram {
+    TopologyDatagram::Topology(TopologyAnnouncement {
+        node: NodeId::new("node-1"),
+        start: u64::MAX,
+        zone: ZoneId::new("zone-a"),
+        digest: 7,
+    })
+}
+
 /// Guards against a variant that changes the bytes of those before it, and against datagrams that other formats read.
 #[test]
 fn every_datagram_comes_back_and_is_unreadable_to_builds_that_do_not_know_it() {
-    for datagram in [zone(), sums()] {
+    for datagram in [zone(), sums(), topology()] {
         let bytes = datagram.encode().unwrap();
         assert_eq!(TopologyDatagram::decode(&bytes), Some(datagram));
         assert_eq!(Datagram::decode(&bytes), None);
