Spillover: only placers of a regional deployment accept; an engine in backoff does not make a region count as without engines

Cause: a node that does not place would have accepted requests without knowing the load of engines, and a home region whose engines asked this node to back off was not asked first.

--- a/crates/core/src/routing/pool/region_capacity.rs
+++ b/crates/core/src/routing/pool/region_capacity.rs
@@ -29,13 +29,13 @@
 
     /// Whether the query's region has an engine that can run its output, one that is avoided for now included.
     pub fn has_engine_in_region(&self, query: &PoolQuery<'_>, now: MonotonicTime) -> bool {
-        let last_resort = PoolQuery {
-            last_resort: true,
-            ..query.clone()
-        };
-        self.candidates(&last_resort, EngineStage::Decode, now)
-            .next()
-            .is_some()
+        let mut engines = self.engines.values();
+        engines.any(|state| {
+            state.engine.stage == EngineStage::Decode
+                && state.engine.pool == *query.pool
+                && state.takes_work(now, true)
+                && self.is_in_query_region(query.region, state)
+        })
     }
 
     /// Free capacity of the engines of the query's region; decode engines prefill where no prefill engine takes work.
--- a/crates/core/src/spill/serving.rs
+++ b/crates/core/src/spill/serving.rs
@@ -4,7 +4,7 @@
 use super::config::SpillSettings;
 use super::question::{Decline, DeclineReason, SpillAnswer, SpillQuestion};
 use crate::placing::placement_table::PlacementTable;
-use crate::placing::question::{PlacementKind, PlacementQuery};
+use crate::placing::question::{Placement, PlacementKind, PlacementQuery};
 use crate::routing::pool::{Admission, PoolAdmission, PoolRouter, RequestTiming};
 use crate::time::MonotonicTime;
 use std::time::Duration;
@@ -57,13 +57,16 @@
             self.gate.remember_decline(key, step, decline, now);
             return Some(SpillAnswer::Declined(decline));
         }
-        let Some(answer) = self.table.answer(self.router, &query, self.admission, now) else {
+        let answer = self.table.answer(self.router, &query, self.admission, now);
+        let Some(answer) = answer.filter(|answer| answer.placement != Placement::Nowhere) else {
             // The table is full.
-            self.gate.on_ended(key, step, now);
-            return Some(SpillAnswer::Declined(Decline {
+            let decline = Decline {
                 reason: DeclineReason::NotReady,
                 backoff: self.settings.backoff(),
-            }));
+            };
+            self.gate.on_ended(key, step, now);
+            self.gate.remember_decline(key, step, decline, now);
+            return Some(SpillAnswer::Declined(decline));
         };
         Some(SpillAnswer::Accepted(Box::new(answer)))
     }
--- a/crates/node/src/course/spilling.rs
+++ b/crates/node/src/course/spilling.rs
@@ -155,9 +155,12 @@
         excluded: &[EngineId],
         now: MonotonicTime,
     ) -> Option<SpillReason> {
+        if !self.spill.is_allowed {
+            return None;
+        }
         let is_none = *route == PoolRoute::Nowhere
             || lock(&self.context.router).is_last_resort(route, &self.query(excluded, now), now);
-        (self.spill.is_allowed && is_none).then_some(SpillReason::NoEngine)
+        is_none.then_some(SpillReason::NoEngine)
     }
 
     /// Time after which another region may be asked again, for a request that no region takes.
--- a/crates/node/src/spill/answering.rs
+++ b/crates/node/src/spill/answering.rs
@@ -38,15 +38,22 @@
 fn decide(context: &Context, question: &SpillQuestion) -> Option<SpillAnswer> {
     let settings = &context.config.spill;
     let now = context.now();
-    let placers = match context.peers.placing(now) {
-        Placing::Placers(placers) if settings.enabled && context.state.is_ready() => placers,
-        _ => {
-            return Some(SpillAnswer::Declined(Decline {
-                reason: DeclineReason::NotReady,
-                backoff: settings.max_declined_backoff(),
-            }));
-        }
+    let not_ready = |backoff| {
+        Some(SpillAnswer::Declined(Decline {
+            reason: DeclineReason::NotReady,
+            backoff,
+        }))
+    };
+    let Placing::Placers(placers) = context.peers.placing(now) else {
+        return not_ready(settings.max_declined_backoff());
     };
+    if !settings.enabled || !context.peers.topology().is_regional() || !context.state.is_ready() {
+        return not_ready(settings.max_declined_backoff());
+    }
+    // A node that does not place does not know the load of engines; the asking node soon learns who does.
+    if !placers.home().includes(context.peers.own_handle()) {
+        return not_ready(settings.backoff());
+    }
     let round_trip = lock(&context.round_trips).mean(&question.region);
     let mut table = lock(&context.placement_table);
     let mut router = lock(&context.router);
--- a/crates/node/src/spill/probing.rs
+++ b/crates/node/src/spill/probing.rs
@@ -30,8 +30,8 @@
     loop {
         if answering::takes_part(context) {
             probe_regions(context);
-            answering::sweep(context);
         }
+        answering::sweep(context);
         context.stop.wait(context.config.spill.probe_interval());
     }
 }
