Usage counts outlast a kill of most nodes (core)

Cause: counts were told to the placers only. A killed node's counts were lost with them, and the successor of a killed holder of the lease, seldom an old placer, never got those that other placers had. It called a window complete once the nodes that it heard itself had told, at once after its taking. A node that started again within a window counted as having told all by the last words of its earlier process. A challenger first read the lease's row when it noticed the loss and waited for the whole lease from there.

Change: each node tells the holder and eight replicas, selected by its name, with acknowledgements in place of repetitions; replicas send a holder copies of what silent nodes told them; a digest of the holder tells every node who it is, its sums, and the version of the lease's row, from which a successor counts the lease. A new holder gathers for 2.5 s before it calls a window complete, and reports at the latest 1.2 s before the window is due. Starts of a node are waited for separately.

--- a/crates/core/src/lease/keeper.rs
+++ b/crates/core/src/lease/keeper.rs
@@ -46,6 +46,8 @@
     attempts: u64,
     calls: u64,
     observed: Option<Observed>,
+    /// Version that the holder named last, and when it was first heard.
+    heard: Option<(RowVersion, MonotonicTime)>,
     held: Option<Held>,
     /// Writes that may yet take effect, oldest first.
     unsettled: Vec<Attempt>,
@@ -69,6 +71,7 @@
             attempts: 0,
             calls: 0,
             observed: None,
+            heard: None,
             held: None,
             unsettled: Vec::new(),
             read_first: true,
@@ -126,6 +129,26 @@
         effects
     }
 
+    /// Version of the row at the last confirmed renewal; absent without the lease and while a renewal is not confirmed.
+    pub fn renewed_version(&self) -> Option<RowVersion> {
+        let observed = self.observed.as_ref()?;
+        (self.held.is_some() && self.unsettled.is_empty()).then_some(observed.version)
+    }
+
+    /// Notes that the holder said at `at` that the row had this version at its last confirmed renewal. A row that still has
+    /// it was written before, so the wait for it to lapse begins there, without a read. Makes no call.
+    pub fn note_heard(&mut self, version: RowVersion, at: MonotonicTime) {
+        if self.heard.is_none_or(|(known, _)| known < version) {
+            self.heard = Some((version, at));
+        }
+    }
+
+    /// Since when a version of the row is known.
+    fn known_since(&self, version: RowVersion, now: MonotonicTime) -> MonotonicTime {
+        let heard = self.heard.filter(|(heard, _)| *heard == version);
+        heard.map_or(now, |(_, at)| at.min(now))
+    }
+
     fn notice_lapse(&mut self, now: MonotonicTime, effects: &mut Vec<LeaseEffect>) {
         if self.held.is_some() && self.authority(now).is_none() {
             self.lose(effects);
@@ -193,7 +216,8 @@
             self.forget_row(now, effects);
             return;
         };
-        let Some(observed) = parse(&row, now) else {
+        let since = self.known_since(row.version, now);
+        let Some(observed) = parse(&row, since) else {
             // Nobody can tell whose lease this is: leave it alone and look again later.
             self.lose(effects);
             self.read_first = true;
@@ -269,11 +293,21 @@
     fn schedule_next(&mut self, now: MonotonicTime) {
         self.next_call_at = match &self.held {
             Some(held) if self.unsettled.is_empty() => held.counted_from + self.timings.renew_every(),
-            None if !self.stopping && !self.may_take(now) => now + self.timings.read_every(),
+            None if !self.stopping && !self.may_take(now) => self.next_read(now),
             _ => now,
         };
     }
 
+    /// When the row is read again; sooner where it lapses sooner.
+    fn next_read(&self, now: MonotonicTime) -> MonotonicTime {
+        let read_at = now + self.timings.read_every();
+        let lapses_at = self
+            .observed
+            .as_ref()
+            .map(|observed| observed.since + Duration::from_millis(observed.row.duration_millis));
+        lapses_at.map_or(read_at, |lapses_at| read_at.min(lapses_at.max(now)))
+    }
+
     /// Whether nobody's promise is broken by taking the lease at `now`.
     fn may_take(&self, now: MonotonicTime) -> bool {
         let Some(observed) = &self.observed else {
@@ -370,12 +404,12 @@
     }
 }
 
-fn parse(row: &Row, now: MonotonicTime) -> Option<Observed> {
+fn parse(row: &Row, since: MonotonicTime) -> Option<Observed> {
     let lease = serde_json::from_str(&row.value).ok()?;
     Some(Observed {
         version: row.version,
         row: lease,
-        since: now,
+        since,
     })
 }
 
--- a/crates/core/src/metering/config.rs
+++ b/crates/core/src/metering/config.rs
@@ -18,6 +18,10 @@
 /// that has to be asked again.
 const WAITS_FOR_NODES: f64 = 0.6;
 
+/// The same for a holder of the lease that has begun to gather a moment ago: a second is left for the store and the
+/// platform where a report is due after 10 s, since a report that comes late counts as missing.
+const WAITS_WHILE_GATHERING: f64 = 0.88;
+
 /// Shortest and longest window and time until a report is due.
 const SECONDS: std::ops::RangeInclusive<f64> = 1.0..=86_400.0;
 
@@ -47,4 +51,9 @@
     pub fn patience(&self) -> Duration {
         Duration::from_secs_f64(self.due_after_seconds * WAITS_FOR_NODES)
     }
+
+    /// Longest wait, from a window's end, of a holder that has begun to gather a moment ago.
+    pub fn gathering_patience(&self) -> Duration {
+        Duration::from_secs_f64(self.due_after_seconds * WAITS_WHILE_GATHERING)
+    }
 }
--- a/crates/core/src/metering/counter.rs
+++ b/crates/core/src/metering/counter.rs
@@ -29,6 +29,17 @@
     pub counts: Vec<(TenantId, u32)>,
 }
 
+/// How far a node has counted a window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WindowTotal {
+    /// The window.
+    pub window: WindowNumber,
+    /// Requests that began, of all tenants.
+    pub total: u32,
+    /// Whether nothing is counted for the window any more.
+    pub ended: bool,
+}
+
 #[derive(Clone, Debug, Default)]
 struct WindowCounts {
     counts: BTreeMap<TenantId, u32>,
@@ -76,18 +87,46 @@
         self.words_of(now, true, true, most_tenants)
     }
 
-    fn words_of(&mut self, now: UnixTime, again: bool, last: bool, most_tenants: usize) -> Vec<UsageWord> {
+    /// How far this node has counted each window; `last` where it counts no more.
+    pub fn totals(&mut self, now: UnixTime, last: bool) -> Vec<WindowTotal> {
+        self.refresh_windows(now);
+        let length = self.length;
+        let totals = self.windows.iter().map(|(window, counted)| WindowTotal {
+            window: *window,
+            total: counted.total,
+            ended: last || now >= window.end(length).later(SETTLES),
+        });
+        totals.collect()
+    }
+
+    /// Everything counted for a window, as words of so many tenants.
+    pub fn words_for(&self, of: WindowTotal, most_tenants: usize) -> Vec<UsageWord> {
+        let first = self.began_in.unwrap_or(of.window);
+        let counted = self.windows.get(&of.window);
+        counted.map_or_else(Vec::new, |counted| {
+            counted.words(of.window, first, of.ended, most_tenants)
+        })
+    }
+
+    /// Forgets old windows and enters recent ones; one in which nothing began has to be told too, since whoever gathers
+    /// waits for this node's word. The window in which this process began.
+    fn refresh_windows(&mut self, now: UnixTime) -> WindowNumber {
         let present = WindowNumber::of(now, self.length);
         let first = *self.began_in.get_or_insert(present);
         let length = self.length;
         self.windows
             .retain(|window, _| now.since(window.end(length)) < TELLS_FOR);
-        // A window in which nothing began has to be told too: whoever gathers waits for this node's word.
         let oldest = WindowNumber::of(now.earlier(TELLS_FOR), length);
         let recent = first.0.max(oldest.0 + 1)..=present.0;
         recent.for_each(|window| {
             self.windows.entry(WindowNumber(window)).or_default();
         });
+        first
+    }
+
+    fn words_of(&mut self, now: UnixTime, again: bool, last: bool, most_tenants: usize) -> Vec<UsageWord> {
+        let first = self.refresh_windows(now);
+        let length = self.length;
         let mut words = Vec::new();
         for (number, window) in &mut self.windows {
             let ended = last || now >= number.end(length).later(SETTLES);
--- a/crates/core/src/metering/mod.rs
+++ b/crates/core/src/metering/mod.rs
@@ -2,13 +2,15 @@
 //!
 //! Usage belongs to windows of true time, one after the other. Each node keeps counters that only rise and tells them
 //! again and again ([`counter`]); whoever hears them keeps the highest ([`tally`]), so that lost, late and doubled
-//! messages do no harm. The holder of the lease writes a window's figures down before it sends them ([`reporter`]), so
+//! messages do no harm. Each node tells the holder of the lease and a few replicas; a later holder gets the copies from
+//! these ([`replication`]). The holder of the lease writes a window's figures down before it sends them ([`reporter`]), so
 //! that a successor sends the very same ones.
 
 pub mod clock;
 pub mod config;
 pub mod counter;
 pub mod record;
+pub mod replication;
 pub mod reporter;
 pub mod tally;
 
--- a/crates/core/src/metering/reporter.rs
+++ b/crates/core/src/metering/reporter.rs
@@ -187,6 +187,15 @@
         self.confirmed_through
     }
 
+    /// The first window that has no record; absent before the records were read or anything was recorded.
+    pub fn open_from(&self) -> Option<WindowNumber> {
+        let through = self.confirmed_through.filter(|_| self.loaded);
+        let recorded = self.windows.keys().next().copied().filter(|_| self.loaded);
+        let first = through.map(|through| WindowNumber(through.0 + 1)).or(recorded)?;
+        let mut open = (first.0..).map(WindowNumber);
+        open.find(|window| !self.windows.contains_key(window))
+    }
+
     fn confirm(&mut self, window: WindowNumber) {
         if let Some(phase) = self.windows.get_mut(&window)
             && let Phase::Recorded(counts) = phase
@@ -211,8 +220,12 @@
         let mut unrecorded = (first.0..present.0).map(WindowNumber);
         let window = unrecorded.find(|window| !self.windows.contains_key(window))?;
         let whole = tally.nodes() > 0 && tally.is_whole(window, unix);
-        let waited = unix.since(window.end(length));
-        if !whole && waited < self.settings.patience() {
+        let patience = if tally.is_gathering(unix) {
+            self.settings.gathering_patience()
+        } else {
+            self.settings.patience()
+        };
+        if !whole && unix.since(window.end(length)) < patience {
             return None;
         }
         let counts = tally.counts(window);
--- a/crates/core/tests/metering.rs
+++ b/crates/core/tests/metering.rs
@@ -230,6 +230,19 @@
     assert!(tally.is_whole(FIRST, at(6_500)));
 }
 
+/// A node that was stopped and started again within a window counted as having told all of it, by the last words of its
+/// earlier process, while the later one still counted.
+#[test]
+fn a_process_that_started_again_within_the_window_is_waited_for() {
+    let mut tally = UsageTally::new(LENGTH);
+    tally.take(&incarnation("n", 1), &word(FIRST, true, &[("a", 2)]), at(1_000));
+    tally.take(&incarnation("n", 2), &word(FIRST, false, &[("a", 5)]), at(4_900));
+    assert_eq!(tally.missing(FIRST, at(5_500)), [&NodeId::new("n")]);
+    tally.take(&incarnation("n", 2), &word(FIRST, true, &[("a", 6)]), at(5_600));
+    assert!(tally.is_whole(FIRST, at(5_700)));
+    assert_eq!(tally.counts(FIRST), counts(&[("a", 8)]));
+}
+
 #[test]
 fn a_report_is_written_down_before_it_is_sent_and_confirmed_once() {
     let tally = whole_tally(1, at(6_400));
