Usage counts outlast a kill of most nodes (node, protocol)

Change: datagrams of a format of their own (first byte 72) carry counts, copies, acknowledgements and the holder's digest; earlier builds skip them. Counts go to the placers in the words of format 1 only while no digest is heard, as with a holder of an earlier build. The holder begins to gather with each taking of the lease and counts a node that it hears in any way as one that must tell. Metrics usage_windows, usage_window_nodes_missing, usage_window_nodes_gone and usage_sent_bytes; the line usage_window_incomplete.

--- a/crates/node/src/commanding/tenure.rs
+++ b/crates/node/src/commanding/tenure.rs
@@ -42,8 +42,12 @@
 
     /// Makes the calls that are due, and tells the other threads whether this node holds the lease.
     pub(super) fn tick(&mut self, context: &Context, table: &dyn TableService) {
+        if let Some((version, at)) = context.heard_lease() {
+            self.keeper.note_heard(version, at);
+        }
         let effects = self.keeper.handle(LeaseEvent::Tick, context.now());
         self.carry_out(context, table, effects);
+        context.set_lease_version(self.keeper.renewed_version());
         context.set_authority(self.keeper.authority(context.now()), self.duties_from);
     }
 
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -28,6 +28,7 @@
 use shelfjunction_core::routing::pool::{
     EngineListing, EngineState, ListChange, PoolEngine, PoolRouter, RecentChanges,
 };
+use shelfjunction_core::table::RowVersion;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_core::watching::WatchRole;
 use shelfjunction_platform::clock::MonotonicClock;
@@ -79,6 +80,10 @@
     /// What the duties' thread leaves for those who ask.
     pub(crate) duty_notes: Mutex<DutyNotes>,
     authority: Mutex<Option<Authority>>,
+    /// Version of the lease's row at this node's last confirmed renewal.
+    lease_version: Mutex<Option<RowVersion>>,
+    /// Version that the holder of the lease told last, and when it was first heard.
+    heard_lease: Mutex<Option<(RowVersion, MonotonicTime)>>,
     duties_from: Mutex<MonotonicTime>,
     in_force: Mutex<ConfigInForce>,
     rotation: Mutex<ShareRotation>,
@@ -170,6 +175,7 @@
         socket: Arc<UdpSocket>,
     ) -> Self {
         let router = PoolRouter::new(config.routing.clone());
+        let start = rand::random();
         Self {
             clock: MonotonicClock::start(),
             router: Mutex::new(router),
@@ -190,12 +196,14 @@
             cordons: Mutex::default(),
             table,
             suspects: Suspects::new(&config),
-            start: rand::random(),
+            start,
             fleet_clock: Mutex::default(),
-            metering: config.metering.map(Metering::new),
+            metering: Metering::of(&config, start),
             expected_loads: Mutex::default(),
             duty_notes: Mutex::default(),
             authority: Mutex::default(),
+            lease_version: Mutex::default(),
+            heard_lease: Mutex::default(),
             duties_from: Mutex::default(),
             in_force: Mutex::new(ConfigInForce::default()),
             rotation: Mutex::new(ShareRotation::default()),
@@ -230,6 +238,28 @@
         *lock(&self.authority) = authority;
     }
 
+    /// Version of the lease's row at this node's last renewal; absent while it is not confirmed.
+    pub(crate) fn lease_version(&self) -> Option<RowVersion> {
+        *lock(&self.lease_version)
+    }
+
+    pub(crate) fn set_lease_version(&self, version: Option<RowVersion>) {
+        *lock(&self.lease_version) = version;
+    }
+
+    /// Notes that the holder of the lease told this version of its row.
+    pub(crate) fn note_lease_heard(&self, version: RowVersion) {
+        let mut heard = lock(&self.heard_lease);
+        if heard.is_none_or(|(known, _)| known < version) {
+            *heard = Some((version, self.now()));
+        }
+    }
+
+    /// The version that the holder told last, and when it was first heard.
+    pub(crate) fn heard_lease(&self) -> Option<(RowVersion, MonotonicTime)> {
+        *lock(&self.heard_lease)
+    }
+
     /// Whether the store answers this node.
     pub(crate) fn in_contact_with_store(&self) -> bool {
         self.config_watch.in_contact() && self.list_watch.in_contact()
--- a/crates/node/src/duties/usage.rs
+++ b/crates/node/src/duties/usage.rs
@@ -5,6 +5,7 @@
 use crate::context::Context;
 use crate::metering::{self, Metering};
 use crate::ports::{DutyAnswer, PlatformDuties};
+use shelfjunction_core::identity::FencingToken;
 use shelfjunction_core::lease::Authority;
 use shelfjunction_core::metering::WindowNumber;
 use shelfjunction_core::metering::record;
@@ -17,6 +18,8 @@
 /// Reports of this node.
 pub(super) struct UsageDuty {
     reporter: UsageReporter,
+    /// The token under which this node gathers.
+    gathers_under: Option<FencingToken>,
 }
 
 impl UsageDuty {
@@ -30,6 +33,7 @@
         let metering = context.metering.as_ref().filter(|_| has_duty)?;
         Some(Self {
             reporter: UsageReporter::new(metering.settings),
+            gathers_under: None,
         })
     }
 
@@ -44,6 +48,7 @@
         let Some(metering) = &context.metering else {
             return;
         };
+        self.gather(context, metering, held);
         while let Some(step) = self.next(context, metering, held) {
             match step {
                 Step::Load => self.load(context, table),
@@ -61,6 +66,7 @@
                 Step::GivenUp(window) => log::error!(window:% = window; "usage_report_given_up"),
             }
             lock(&context.duty_notes).note_reports(&self.reporter);
+            metering.note_open_from(self.reporter.open_from());
             match authority(context) {
                 Some(authority) => held = authority,
                 None => return,
@@ -68,6 +74,21 @@
         }
     }
 
+    /// Begins to gather under a new token, and notes which nodes live.
+    fn gather(&mut self, context: &Context, metering: &Metering, held: Authority) {
+        let unix = metering::unix(context);
+        if self.gathers_under != Some(held.token) {
+            self.gathers_under = Some(held.token);
+            metering.begin_gathering(unix);
+            metering.note_open_from(None);
+        }
+        let heard = context.peers.heard_ago(context.now());
+        let mut tally = lock(&metering.tally);
+        for (node, ago) in heard {
+            tally.note_alive(&node, unix.earlier(ago));
+        }
+    }
+
     fn next(&mut self, context: &Context, metering: &Metering, held: Authority) -> Option<Step> {
         let unix = metering::unix(context);
         let tally = lock(&metering.tally);
@@ -124,9 +145,12 @@
     whole: bool,
     outcome: &Result<TransactionOutcome, PlatformError>,
 ) {
-    let missing = lock(&metering.tally)
-        .missing(window, metering::unix(context))
-        .len();
+    let (missing, gone) = {
+        let unix = metering::unix(context);
+        let tally = lock(&metering.tally);
+        (tally.missing(window, unix).len(), tally.gone(window, unix))
+    };
+    let is_recorded = matches!(outcome, Ok(TransactionOutcome::Committed { .. }));
     let outcome = match outcome {
         Ok(TransactionOutcome::Committed { .. }) => "recorded".to_owned(),
         Ok(TransactionOutcome::Conflict { .. }) => "was_recorded".to_owned(),
@@ -136,11 +160,18 @@
         window:% = window,
         whole,
         nodes_missing = missing,
+        nodes_gone = gone,
         tenants = counts.len(),
         requests = counts.values().sum::<u64>(),
         outcome = outcome.as_str();
         "usage_recorded"
     );
+    if is_recorded {
+        context.metrics.usage.recorded(whole, missing, gone);
+    }
+    if is_recorded && !whole {
+        log::warn!(window:% = window, nodes_missing = missing, nodes_gone = gone; "usage_window_incomplete");
+    }
 }
 
 fn outcome_of(answer: &DutyAnswer) -> SendOutcome {
--- a/crates/node/src/metering/mod.rs
+++ b/crates/node/src/metering/mod.rs
@@ -1,18 +1,28 @@
-//! Counts requests for their tenants, tells the counts, and gathers those of others.
+//! Counts requests for their tenants, tells the counts, and gathers those of others
+//! ([`shelfjunction_core::metering::replication`]).
 
+mod digests;
+mod metrics;
+mod receiving;
 mod telling;
 
+pub(crate) use metrics::UsageMetrics;
+pub(crate) use receiving::receive;
 pub(crate) use telling::{tell, tell_last};
 
+use crate::config::NodeConfig;
 use crate::context::Context;
 use crate::peers::UsageMessage;
 use shelfjunction_core::identity::TenantId;
-use shelfjunction_core::metering::UnixTime;
+use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::metering::config::MeteringSettings;
 use shelfjunction_core::metering::counter::UsageCounter;
+use shelfjunction_core::metering::replication::UsageReplicator;
 use shelfjunction_core::metering::tally::{Incarnation, UsageTally};
+use shelfjunction_core::metering::{UnixTime, WindowNumber};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -21,17 +31,44 @@
     /// Its settings.
     pub(crate) settings: MeteringSettings,
     counter: Mutex<UsageCounter>,
-    /// What all nodes have told, this one included.
+    /// What other nodes have told, and this one's own counts.
     pub(crate) tally: Mutex<UsageTally>,
+    replicator: Mutex<UsageReplicator>,
+    /// The first window without a record, as the holder of the lease knows.
+    open_from: Mutex<Option<WindowNumber>>,
+    /// The node that sent the last digest, and where from.
+    holder_address: Mutex<Option<(SubjectHandle, SocketAddr)>>,
+    own: Incarnation,
 }
 
 impl Metering {
-    pub(crate) fn new(settings: MeteringSettings) -> Self {
-        Self {
+    /// Metering of a start of a node's process; absent where usage is not counted.
+    pub(crate) fn of(config: &NodeConfig, start: u64) -> Option<Self> {
+        let settings = config.metering?;
+        let own = Incarnation {
+            node: config.node.clone(),
+            start,
+        };
+        let handle = SubjectHandle::of_text("node", config.node.as_str());
+        Some(Self {
             settings,
             counter: Mutex::new(UsageCounter::new(settings.window())),
             tally: Mutex::new(UsageTally::new(settings.window())),
-        }
+            replicator: Mutex::new(UsageReplicator::new(handle, own.clone())),
+            open_from: Mutex::default(),
+            holder_address: Mutex::default(),
+            own,
+        })
+    }
+
+    /// Begins to gather for all, under a lease taken just now.
+    pub(crate) fn begin_gathering(&self, unix: UnixTime) {
+        lock(&self.tally).begin_gathering(unix);
+    }
+
+    /// Notes the first window without a record.
+    pub(crate) fn note_open_from(&self, window: Option<WindowNumber>) {
+        *lock(&self.open_from) = window;
     }
 }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counts, gauges and delays of the process in the OpenMetrics text; labels take few values, and none names a caller.
 
 use crate::engine_signals::SignalMetrics;
+use crate::metering::UsageMetrics;
 use crate::pace_metrics::PaceMetrics;
 use crate::quarantine::QuarantineMetrics;
 use crate::rate_limits::RateLimitMetrics;
@@ -66,6 +67,8 @@
     /// Rate limits of engines.
     pub(crate) rate_limits: RateLimitMetrics,
     pub(crate) tenant_rates: TenantRateMetrics,
+    /// Windows of usage.
+    pub(crate) usage: UsageMetrics,
     /// What engines said of themselves in their answers.
     pub(crate) signals: SignalMetrics,
     /// Paces of engines.
@@ -124,6 +127,7 @@
             quarantine: QuarantineMetrics::default(),
             rate_limits: RateLimitMetrics::default(),
             tenant_rates: TenantRateMetrics::default(),
+            usage: UsageMetrics::default(),
             signals: SignalMetrics::default(),
             pace: PaceMetrics::default(),
             placements: Family::default(),
@@ -158,6 +162,7 @@
         metrics.pace.register(&mut metrics.registry);
         metrics.rate_limits.register(&mut metrics.registry);
         metrics.tenant_rates.register(&mut metrics.registry);
+        metrics.usage.register(&mut metrics.registry);
         metrics.signals.register(&mut metrics.registry);
         metrics
     }
--- a/crates/node/src/peers/placers.rs
+++ b/crates/node/src/peers/placers.rs
@@ -7,6 +7,7 @@
 use shelfjunction_core::placing::placer_set::{self, Candidate, PlacerSet};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -167,6 +168,22 @@
         peers.find(|peer| peer.handle == node).map(|peer| peer.address)
     }
 
+    /// Where each of the other nodes hears others, by its short name.
+    pub(crate) fn addresses_by_handle(&self) -> BTreeMap<SubjectHandle, SocketAddr> {
+        let known = lock(&self.known);
+        let peers = known.peers.values();
+        peers.map(|peer| (peer.handle, peer.address)).collect()
+    }
+
+    /// The other nodes that were ever heard, and the time since.
+    pub(crate) fn heard_ago(&self, now: MonotonicTime) -> Vec<(NodeId, Duration)> {
+        let known = lock(&self.known);
+        let heard = known.peers.iter().filter(|(_, peer)| peer.last_message.is_some());
+        heard
+            .map(|(node, peer)| (node.clone(), now.since(peer.known_at)))
+            .collect()
+    }
+
     /// Addresses of the nodes that are told of work: the other placers in a large fleet, or everybody in a small one.
     pub(crate) fn told(&self, now: MonotonicTime) -> Vec<SocketAddr> {
         match self.placing(now) {
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -18,6 +18,7 @@
 use shelfjunction_protocol::rate_messages::RateDatagram;
 use shelfjunction_protocol::signal_messages::SignalDatagram;
 use shelfjunction_protocol::tenant_rate_messages::TenantRateDatagram;
+use shelfjunction_protocol::usage_messages::UsageDatagram;
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
@@ -64,6 +65,9 @@
     if let Some(datagram) = QuarantineDatagram::decode(bytes) {
         return quarantine::merge_confirmations(context, datagram, from);
     }
+    if let Some(datagram) = UsageDatagram::decode(bytes) {
+        return metering::receive(context, datagram, from);
+    }
     match SignalDatagram::decode(bytes) {
         Some(message) => engine_signals::on_message(context, &message, from),
         None => log::debug!(from:% = from, length = bytes.len(); "datagram_unreadable"),
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod rate_messages;
 pub mod signal_messages;
 pub mod tenant_rate_messages;
+pub mod usage_messages;
