Replace replicas that do not acknowledge

Cause: the wait for an acknowledgement began again with each telling, and a busy node tells every 0.4 s, so that a killed replica, or one of an earlier build, stayed one for ever. Change: the wait counts from the last telling of an ended window. A test of it, and one that copies are awaited.

--- a/crates/core/src/metering/replication.rs
+++ b/crates/core/src/metering/replication.rs
@@ -164,6 +164,8 @@
     told: BTreeMap<WindowNumber, BTreeMap<TenantId, u32>>,
     acked: BTreeMap<WindowNumber, u32>,
     sent_at: Option<MonotonicTime>,
+    /// When it was last told of a window that has ended.
+    sent_ended_at: Option<MonotonicTime>,
     /// Tellings of ended windows since the last acknowledgement.
     unacknowledged: u8,
 }
@@ -383,7 +385,9 @@
 impl Receiver {
     /// Whether the last of several tellings should have been acknowledged by now.
     fn is_silent(&self, now: MonotonicTime) -> bool {
-        let has_waited = self.sent_at.is_some_and(|at| now.since(at) >= RESEND_INTERVAL);
+        let has_waited = self
+            .sent_ended_at
+            .is_some_and(|at| now.since(at) >= RESEND_INTERVAL);
         self.unacknowledged >= MAX_UNACKNOWLEDGED && has_waited
     }
 
@@ -430,6 +434,7 @@
         }
         if due.iter().any(|total| total.ended) {
             self.unacknowledged = self.unacknowledged.saturating_add(1);
+            self.sent_ended_at = Some(now);
         }
         if !due.is_empty() {
             self.sent_at = Some(now);
--- a/crates/core/tests/metering.rs
+++ b/crates/core/tests/metering.rs
@@ -243,6 +243,26 @@
     assert_eq!(tally.counts(FIRST), counts(&[("a", 8)]));
 }
 
+/// A holder that had lost the last datagrams of a killed node recorded its window before replicas had sent their copies.
+#[test]
+fn copies_of_what_a_gone_node_told_are_awaited() {
+    let mut tally = whole_tally(1, at(5_500));
+    tally.begin_gathering(at(0));
+    let dead = incarnation("dead", 1);
+    tally.take(&dead, &word(FIRST, false, &[("a", 1)]), at(1_000));
+    assert!(!tally.is_whole(FIRST, at(5_600)));
+    assert_eq!(
+        (
+            tally.missing(FIRST, at(5_600)).len(),
+            tally.gone(FIRST, at(5_600))
+        ),
+        (0, 1)
+    );
+    tally.take_copy(&dead, &word(FIRST, false, &[("a", 4)]), at(6_500));
+    assert!(tally.is_whole(FIRST, at(7_500)));
+    assert_eq!(tally.counts(FIRST)[&tenant("a")], 7);
+}
+
 #[test]
 fn a_report_is_written_down_before_it_is_sent_and_confirmed_once() {
     let tally = whole_tally(1, at(6_400));
--- a/crates/core/tests/usage_windows.rs
+++ b/crates/core/tests/usage_windows.rs
@@ -5,6 +5,14 @@
 
 mod usage_world;
 
+use shelfjunction_core::identity::{NodeId, TenantId};
+use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::metering::counter::UsageCounter;
+use shelfjunction_core::metering::replication::{REPLICAS, ReplicationInput, UsageAck, UsageReplicator};
+use shelfjunction_core::metering::tally::{Incarnation, UsageTally};
+use shelfjunction_core::time::MonotonicTime;
+use std::collections::BTreeSet;
+use std::time::Duration;
 use usage_world::{Outcome, Scenario, Telling, play};
 
 /// Plays a scenario and checks what holds whatever is killed; the largest error of a window.
@@ -120,3 +128,62 @@
         bytes(&earlier)
     );
 }
+
+/// Nodes that were killed, and those of builds that drop the datagrams, would remain replicas for ever and keep nothing.
+#[test]
+fn replicas_that_do_not_acknowledge_are_replaced() {
+    let handle = |number: u64| SubjectHandle::of_number(number << 40);
+    let candidates: Vec<SubjectHandle> = (1..=40).map(handle).collect();
+    let own = Incarnation {
+        node: NodeId::new("n"),
+        start: 1,
+    };
+    let mut counter = UsageCounter::new(usage_world::LENGTH);
+    let tally = UsageTally::new(usage_world::LENGTH);
+    let mut replicator = UsageReplicator::new(handle(99), own);
+    let mut told = BTreeSet::new();
+    for millis in (0..60_000).step_by(200) {
+        let unix = usage_world::START.later(Duration::from_millis(millis));
+        counter.count(&TenantId::new("a"), unix);
+        let input = ReplicationInput {
+            candidates: &candidates,
+            last: false,
+            unix,
+            now: MonotonicTime::from_millis(millis),
+        };
+        let dispatches = replicator.dispatches(&mut counter, &tally, &input);
+        let last: BTreeSet<SubjectHandle> = dispatches.iter().map(|dispatch| dispatch.to).collect();
+        assert!(last.len() <= REPLICAS, "{} receivers in a round", last.len());
+        told.extend(last);
+        // The first twenty live.
+        for dispatch in dispatches {
+            let ended = dispatch.batch.words.iter().filter(|word| word.ended);
+            let ack = UsageAck {
+                from: dispatch.to,
+                start: 1,
+                ended: ended.map(|word| (word.window, word.total)).collect(),
+            };
+            if candidates[..20].contains(&dispatch.to) && !ack.ended.is_empty() {
+                replicator.on_ack(&ack);
+            }
+        }
+    }
+    assert!(told.len() > REPLICAS, "some were replaced");
+    let now = MonotonicTime::from_millis(60_000);
+    let input = ReplicationInput {
+        candidates: &candidates,
+        last: true,
+        unix: usage_world::START.later(Duration::from_millis(60_000)),
+        now,
+    };
+    counter.count(&TenantId::new("a"), input.unix);
+    let last = replicator.dispatches(&mut counter, &tally, &input);
+    let alive = last
+        .iter()
+        .filter(|dispatch| candidates[..20].contains(&dispatch.to));
+    assert!(alive.count() >= REPLICAS - 2, "nearly all replicas live");
+    assert!(
+        !replicator.hears_holder(now),
+        "the placers are told where no digest is heard"
+    );
+}
