Digest before the records were read: name every remembered window as open

Cause: a new holder's first digest named the last four windows as open and nodes never lower that; with windows of a second, those of a takeover of five seconds were not told to it. Change: it names the last 24, as many as nodes remember.

--- a/crates/core/tests/usage_world/mod.rs
+++ b/crates/core/tests/usage_world/mod.rs
@@ -393,7 +393,7 @@
         let open_from = self
             .reporter
             .open_from()
-            .unwrap_or(WindowNumber(present.0.saturating_sub(4)));
+            .unwrap_or(WindowNumber(present.0.saturating_sub(24)));
         let sums = self.nodes[number].tally.digest_sums(open_from, unix(now));
         let mut digest = UsageDigest {
             from: self.nodes[number].handle,
--- a/crates/node/src/metering/digests.rs
+++ b/crates/node/src/metering/digests.rs
@@ -11,8 +11,9 @@
 use shelfjunction_threads::lock;
 use std::net::SocketAddr;
 
-/// Windows before the present one that are taken to have no record before the records were read.
-const WINDOWS_NOT_READ: u64 = 4;
+/// Windows before the present one that are taken to have no record before the records were read: all that nodes remember, since
+/// with windows of a second those of a takeover would be left out otherwise.
+const WINDOWS_NOT_READ: u64 = 24;
 
 /// The digests of this node.
 #[derive(Debug, Default)]
