Test of two builds side by side that count usage

Half of thirty nodes tell the placers only and drop the datagrams that they do not know, with the holder of either build.

--- a/crates/core/tests/usage_windows.rs
+++ b/crates/core/tests/usage_windows.rs
@@ -187,3 +187,18 @@
         "the placers are told where no digest is heard"
     );
 }
+
+/// During an upgrade counts would be lost between nodes that tell replicas and those that know only placers.
+#[test]
+fn two_builds_side_by_side_report_exact_figures_whichever_holds_the_lease() {
+    for remainder in [0, 1] {
+        let mut scenario = Scenario::new(30, Telling::Replicas, 3);
+        // The first holder is node 0, of the earlier build where even ones are.
+        scenario.earlier = (0..30).filter(|number| number % 2 == remainder).collect();
+        scenario.seconds = 30;
+        let outcome = play(scenario);
+        for window in outcome.due(30) {
+            assert_eq!(outcome.error(window), Some(0.0), "{window}, earlier {remainder}");
+        }
+    }
+}
--- a/crates/core/tests/usage_world/mod.rs
+++ b/crates/core/tests/usage_world/mod.rs
@@ -62,6 +62,8 @@
     /// Time after the kill at which killed nodes run again; none do where absent.
     pub restart_after: Option<u64>,
     pub seconds: u64,
+    /// Nodes of an earlier build, which tell the placers and drop what they don't know.
+    pub earlier: BTreeSet<usize>,
 }
 
 impl Scenario {
@@ -78,6 +80,7 @@
             takeover_millis: 5_500,
             restart_after: None,
             seconds: 40,
+            earlier: BTreeSet::new(),
         }
     }
 
@@ -271,7 +274,7 @@
     fn begin_holding(&mut self, from: u64) {
         self.held_from = from;
         self.reporter = UsageReporter::new(SETTINGS);
-        if self.scenario.telling == Telling::Replicas {
+        if !self.is_earlier(self.holder) {
             self.nodes[self.holder].tally.begin_gathering(unix(from));
         }
     }
@@ -298,10 +301,17 @@
     }
 
     fn tell(&mut self, number: usize, now: u64) {
-        match self.scenario.telling {
-            Telling::Placers => self.tell_placers(number, now),
-            Telling::Replicas => self.tell_replicas(number, now),
+        let is_earlier = self.is_earlier(number);
+        if !is_earlier {
+            self.tell_replicas(number, now);
         }
+        if is_earlier || !self.nodes[number].replicator.hears_holder(clock(now)) {
+            self.tell_placers(number, now);
+        }
+    }
+
+    fn is_earlier(&self, number: usize) -> bool {
+        self.scenario.telling == Telling::Placers || self.scenario.earlier.contains(&number)
     }
 
     fn tell_placers(&mut self, number: usize, now: u64) {
@@ -445,8 +455,10 @@
     }
 
     fn take(&mut self, number: usize, message: Message, now: u64) {
+        let is_earlier = self.is_earlier(number);
         let node = &mut self.nodes[number];
         match message {
+            Message::Counts(_) | Message::Ack(_) | Message::Digest(_) if is_earlier => {}
             Message::Told(from, word) => node.tally.take(&from, &word, unix(now)),
             Message::Counts(dispatch) => {
                 let from = dispatch.batch.incarnation();
