Merge branch 'part-usage' into regions

# Conflicts: # crates/node/src/context.rs # crates/node/src/metrics.rs # crates/node/src/peers/placers.rs # crates/node/src/peers/receiving.rs # crates/protocol/src/lib.rs

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::commanding::RegionalRoleMetrics;
 use crate::engine_signals::SignalMetrics;
+use crate::metering::UsageMetrics;
 use crate::pace_metrics::PaceMetrics;
 use crate::quarantine::QuarantineMetrics;
 use crate::rate_limits::RateLimitMetrics;
@@ -73,6 +74,8 @@
     pub(crate) spill: SpillMetrics,
     /// Plans of regions.
     pub(crate) regional_roles: RegionalRoleMetrics,
+    /// Windows of usage.
+    pub(crate) usage: UsageMetrics,
     /// What engines said of themselves in their answers.
     pub(crate) signals: SignalMetrics,
     /// Figures by region.
@@ -135,6 +138,7 @@
             tenant_rates: TenantRateMetrics::default(),
             spill: SpillMetrics::default(),
             regional_roles: RegionalRoleMetrics::default(),
+            usage: UsageMetrics::default(),
             signals: SignalMetrics::default(),
             regions: RegionMetrics::default(),
             pace: PaceMetrics::default(),
@@ -172,6 +176,7 @@
         metrics.rate_limits.register(&mut metrics.registry);
         metrics.tenant_rates.register(&mut metrics.registry);
         metrics.spill.register(&mut metrics.registry);
+        metrics.usage.register(&mut metrics.registry);
         metrics.signals.register(&mut metrics.registry);
         metrics.regional_roles.register(&mut metrics.registry);
         metrics
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -23,6 +23,7 @@
 use shelfjunction_protocol::spill_messages::SpillDatagram;
 use shelfjunction_protocol::tenant_rate_messages::TenantRateDatagram;
 use shelfjunction_protocol::topology_messages::TopologyDatagram;
+use shelfjunction_protocol::usage_messages::UsageDatagram;
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
@@ -75,6 +76,9 @@
     if let Some(datagram) = QuarantineDatagram::decode(bytes) {
         return quarantine::merge_confirmations(context, datagram, from);
     }
+    if let Some(datagram) = UsageDatagram::decode(bytes) {
+        return metering::receive(context, datagram, from);
+    }
     match SignalDatagram::decode(bytes) {
         Some(message) => engine_signals::on_message(context, &message, from),
         None => log::debug!(from:% = from, length = bytes.len(); "datagram_unreadable"),
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod spill_messages;
 pub mod tenant_rate_messages;
 pub mod topology_messages;
+pub mod usage_messages;
