Tenant rates: take buckets of ended nodes over at once

Cause: a silent owner was taken for alive for 1.8 to 3.9 s, deputies were limited to four, and nodes that were gone for good divided each rate until they were forgotten after 40 s. In a small fleet without rate-limited engines no node said that it may own buckets, so each node used its own part of every rate.

Change: a node that gets no answer probes the other candidates with a connection to their peer address. A refused connection shows that the process has ended: its buckets are taken over at once and it does not count among all nodes. Deputies probe before they grant and have the part of the reserve that corresponds to the candidates they reach. Nodes of a small fleet say that they may own buckets where tenants have rates.

The new test fails without the probes.

--- a/crates/core/src/forwarding/config.rs
+++ b/crates/core/src/forwarding/config.rs
@@ -101,6 +101,11 @@
         self.pools.iter().find(|pool| pool.id == *id)
     }
 
+    /// Whether any tenant has a rate over all nodes.
+    pub fn has_tenant_rates(&self) -> bool {
+        self.tenants.as_ref().is_some_and(ApiTenants::has_rates)
+    }
+
     /// Every fault; a configuration with one is not taken.
     pub fn validate(&self) -> Vec<FieldError> {
         let known: BTreeSet<&PoolId> = self.pools.iter().map(|pool| &pool.id).collect();
--- a/crates/core/src/tenancy/access.rs
+++ b/crates/core/src/tenancy/access.rs
@@ -80,6 +80,11 @@
         rates.collect()
     }
 
+    /// Whether any tenant has a rate.
+    pub fn has_rates(&self) -> bool {
+        self.0.iter().any(|tenant| tenant.rate.is_some())
+    }
+
     /// The rate of the tenant with this handle, if it has one.
     pub fn rate_of(&self, tenant: SubjectHandle) -> Option<TenantRate> {
         let handle = |tenant: &ApiTenant| SubjectHandle::of_text("tenant", tenant.tenant.as_str());
--- a/crates/core/src/tenancy/mod.rs
+++ b/crates/core/src/tenancy/mod.rs
@@ -5,8 +5,10 @@
 mod directory;
 mod key_table;
 pub mod rate;
+pub mod rate_contacts;
 pub mod rate_owner;
 pub mod rate_reserve;
+pub mod rate_succession;
 mod salt;
 
 pub use access::{AccessRefusal, ApiKey, ApiTenant, ApiTenants};
--- a/crates/core/src/tenancy/rate_owner.rs
+++ b/crates/core/src/tenancy/rate_owner.rs
@@ -13,9 +13,11 @@
 //! The debt lets requests run that are larger than the burst. An owner of a share has none, since the debts of many isolated nodes
 //! would add up.
 //!
-//! The owners of disjoint partitions add up to less than 1.1 of the rate. A node that takes a bucket over begins with what the
-//! rate has filled since no other node can have granted anything: since it owns the bucket, and before that while the previous owner
-//! was silent.
+//! The owners of disjoint partitions add up to less than 1.1 of the rate. Nodes that are known to have ended
+//! ([`super::rate_contacts`]) do not count among all nodes. A node that takes a bucket over begins with what the rate has filled since
+//! no other node can have granted anything: since it owns the bucket, and before that while the previous owner was silent. An owner
+//! that is known to have ended may have granted until then. While a bucket that was taken over settles, the new owner grants from its
+//! reserve what the bucket does not hold.
 
 use super::rate::TenantRate;
 use crate::admission::bucket::RateBucket;
@@ -43,6 +45,9 @@
 /// Sets of candidates that are remembered; a loss of many nodes is noticed in several steps.
 const MAX_CANDIDATE_SETS: usize = 16;
 
+/// Time after which a bucket that was taken over holds enough for a tenant that asks half of its rate.
+const SETTLING_PERIOD: Duration = Duration::from_secs(3);
+
 /// Time after which a caller comes back where the owner does not know the number of nodes yet.
 const NO_SHARE_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -75,9 +80,18 @@
 #[derive(Clone, Debug)]
 struct CandidateSet {
     nodes: Vec<SubjectHandle>,
+    /// Nodes that had been candidates and were known to have ended.
+    ended: Vec<SubjectHandle>,
     from: MonotonicTime,
 }
 
+/// How long a node has owned a bucket.
+struct Tenure {
+    since: MonotonicTime,
+    /// Whether another node owned it before.
+    is_taken_over: bool,
+}
+
 /// The buckets that one node owns.
 #[derive(Clone, Debug, Default)]
 pub struct TenantRateOwner {
@@ -89,9 +103,15 @@
 }
 
 impl TenantRateOwner {
-    /// Notes the nodes that may own buckets, in any order; `own` is this node. Buckets that another node may have owned meanwhile are
-    /// removed.
-    pub fn note_candidates(&mut self, own: SubjectHandle, candidates: &[SubjectHandle], now: MonotonicTime) {
+    /// Notes the nodes that may own buckets, in any order, and those that would if they had not ended; `own` is this node. Buckets
+    /// that another node may have owned meanwhile are removed.
+    pub fn note_candidates(
+        &mut self,
+        own: SubjectHandle,
+        candidates: &[SubjectHandle],
+        ended: &[SubjectHandle],
+        now: MonotonicTime,
+    ) {
         let was_suspended = now.since(self.noted_at) > MAX_NOTE_GAP;
         self.noted_at = now;
         self.own = Some(own);
@@ -106,7 +126,11 @@
         }
         self.buckets
             .retain(|tenant, _| owner_of(*tenant, &nodes) == Some(own));
-        self.candidate_sets.push_back(CandidateSet { nodes, from: now });
+        self.candidate_sets.push_back(CandidateSet {
+            nodes,
+            ended: ended.to_vec(),
+            from: now,
+        });
         if self.candidate_sets.len() > MAX_CANDIDATE_SETS {
             self.candidate_sets.pop_front();
         }
@@ -114,22 +138,40 @@
 
     /// Since when no other node can have granted anything of a tenant's rate, as far as this node knows: since it may own the
     /// bucket, and before that while the previous owner had fallen silent.
-    fn ungranted_since(&self, tenant: SubjectHandle, now: MonotonicTime) -> MonotonicTime {
+    fn tenure(&self, tenant: SubjectHandle, now: MonotonicTime) -> Tenure {
         let mut sets = self.candidate_sets.iter().rev();
         let Some(current) = sets.next() else {
-            return now;
+            return Tenure {
+                since: now,
+                is_taken_over: false,
+            };
         };
         let mut since = current.from;
+        let has_ended = |owner| self.candidate_sets.iter().any(|set| set.ended.contains(&owner));
         for set in sets {
             match owner_of(tenant, &set.nodes) {
                 owner if owner == self.own => since = set.from,
-                Some(owner) if !current.nodes.contains(&owner) => {
-                    return since.earlier(OWNER_SILENCE).unwrap_or_default();
+                None => break,
+                Some(owner) => {
+                    let was_silent = !current.nodes.contains(&owner) && !has_ended(owner);
+                    let silence = if was_silent { OWNER_SILENCE } else { Duration::ZERO };
+                    return Tenure {
+                        since: since.earlier(silence).unwrap_or_default(),
+                        is_taken_over: true,
+                    };
                 }
-                _ => return since,
             }
         }
-        since
+        Tenure {
+            since,
+            is_taken_over: false,
+        }
+    }
+
+    /// Whether a bucket was taken over from another node a short time ago, so that it may hold less than the tenant would have.
+    pub fn is_settling(&self, tenant: SubjectHandle, now: MonotonicTime) -> bool {
+        let tenure = self.tenure(tenant, now);
+        tenure.is_taken_over && now.since(tenure.since) < SETTLING_PERIOD
     }
 
     /// Charges a tenant with a request; `share` is the share of its rate that this node may use.
@@ -148,7 +190,7 @@
             return Charge::Denied(NO_SHARE_RETRY_INTERVAL);
         }
         let (per_second, burst) = (rate.per_second() * share, rate.burst() * share);
-        let ungranted = now.since(self.ungranted_since(tenant, now));
+        let ungranted = now.since(self.tenure(tenant, now).since);
         let filled = burst.min(per_second * ungranted.as_secs_f64());
         let entry = self.buckets.entry(tenant).or_insert_with(|| TenantBucket {
             bucket: RateBucket::full(filled, now),
--- a/crates/core/src/tenancy/rate_reserve.rs
+++ b/crates/core/src/tenancy/rate_reserve.rs
@@ -2,7 +2,8 @@
 //!
 //! The platform lets a tenant have some units beyond its rate in a window. A deputy grants from these while others still take the
 //! silent owner for alive; what the owner itself could have granted meanwhile is lost, so that the total stays below rate and burst
-//! in nearly all cases, and never exceeds them by more than the reserve of a deputy.
+//! in nearly all cases, and never exceeds them by more than the reserve of a deputy. A deputy that reaches only a part of the nodes
+//! has that part of the reserve ([`super::rate_contacts::RateContacts::reserve_part`]).
 
 use crate::admission::bucket::RateBucket;
 use crate::membership::subject::SubjectHandle;
@@ -72,11 +73,12 @@
 }
 
 impl TenantRateReserves {
-    /// Charges a tenant's reserve with a request; whether it had enough.
+    /// Charges a tenant's reserve with a request; whether it had enough. `part` is the part of the reserve that this node may grant.
     pub fn charge(
         &mut self,
         tenant: SubjectHandle,
         cost: u32,
+        part: f64,
         settings: &TenantRateSettings,
         now: MonotonicTime,
     ) -> bool {
@@ -87,6 +89,8 @@
             .entry(tenant)
             .or_insert_with(|| RateBucket::full(capacity, now));
         let cost = f64::from(cost);
-        bucket.charge(cost, cost, rate, capacity, now).is_ok()
+        // What the other nodes may grant stays in the bucket.
+        let withheld = capacity * (1.0 - part.clamp(0.0, 1.0));
+        bucket.charge(cost, cost + withheld, rate, capacity, now).is_ok()
     }
 }
--- a/crates/core/tests/tenant_rates.rs
+++ b/crates/core/tests/tenant_rates.rs
@@ -8,9 +8,12 @@
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::rate_limit::slot_owner::owner_and_successors;
 use shelfjunction_core::tenancy::rate::{RateUnit, TenantRate};
+use shelfjunction_core::tenancy::rate_contacts::{ProbeOutcome, RateContacts};
 use shelfjunction_core::tenancy::rate_owner::{Charge, TenantRateOwner, rate_share};
 use shelfjunction_core::tenancy::rate_reserve::{TenantRateReserves, TenantRateSettings};
+use shelfjunction_core::tenancy::rate_succession::{MAX_ASKED, RateRole, ask_order, role_of};
 use shelfjunction_core::time::MonotonicTime;
+use std::collections::BTreeMap;
 
 const FLEET_SIZES: [usize; 4] = [1, 4, 82, 300];
 
@@ -39,6 +42,9 @@
 /// Time after a failure at which nodes detect it.
 const DETECTION_DELAY_MILLIS: std::ops::Range<u64> = 1_800..3_900;
 
+/// Time for which a node is not asked again that gave no answer.
+const PASSED_OVER_MILLIS: u64 = 2_000;
+
 /// Time between two looks of a node at who may own buckets.
 const LOOK_INTERVAL_MILLIS: u64 = 1_000;
 
@@ -51,7 +57,11 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Fault {
     Nothing,
-    /// The owner is killed, and another node takes over.
+    /// The processes of the owner and of so many successors are killed.
+    Killed(usize),
+    /// The processes of every second node are killed.
+    HalfKilled,
+    /// The owner's machine is lost, so that nothing refuses connections to it.
     OwnerLost,
     /// The owner is suspended for five seconds; others take over and hand back.
     OwnerSuspended,
@@ -69,6 +79,9 @@
     handle: SubjectHandle,
     owner: TenantRateOwner,
     reserves: TenantRateReserves,
+    contacts: RateContacts,
+    /// Nodes that gave no answer, and until when they are not asked again.
+    passed_over: BTreeMap<usize, u64>,
     detects_at: u64,
     detects_return_at: u64,
 }
@@ -78,11 +91,13 @@
     tenant: SubjectHandle,
     rate: TenantRate,
     fault: Fault,
-    lost_node: Option<usize>,
+    lost: Vec<usize>,
     random: ChaCha8Rng,
     /// Time and tokens of each request that ran.
     ran: Vec<(u64, f64)>,
     denied: usize,
+    /// Most questions without an answer before one request.
+    max_silent: usize,
 }
 
 fn at(millis: u64) -> MonotonicTime {
@@ -100,6 +115,8 @@
                     handle: SubjectHandle::of_text("node", &format!("node-{number}-{seed}")),
                     owner: TenantRateOwner::default(),
                     reserves: TenantRateReserves::default(),
+                    contacts: RateContacts::default(),
+                    passed_over: BTreeMap::new(),
                     detects_at: FAULT_AT_MILLIS + detection,
                     detects_return_at: FAULT_AT_MILLIS + SUSPENSION_MILLIS + detection / 4,
                 }
@@ -110,14 +127,15 @@
             tenant: SubjectHandle::of_text("tenant", "one"),
             rate,
             fault,
-            lost_node: None,
+            lost: Vec::new(),
             random,
             ran: Vec::new(),
             denied: 0,
+            max_silent: 0,
         };
         let handles: Vec<SubjectHandle> = fleet.nodes.iter().map(|node| node.handle).collect();
         for node in &mut fleet.nodes {
-            node.owner.note_candidates(node.handle, &handles, at(0));
+            node.owner.note_candidates(node.handle, &handles, &[], at(0));
         }
         fleet
     }
@@ -133,7 +151,7 @@
         }
         match self.fault {
             Fault::Nothing | Fault::AllKilled => true,
-            Fault::OwnerLost => Some(other) != self.lost_node,
+            Fault::OwnerLost | Fault::Killed(_) | Fault::HalfKilled => !self.lost.contains(&other),
             Fault::OwnerSuspended => !self.is_suspended(other, millis),
             Fault::Split(percent) => self.side(percent, one) == self.side(percent, other),
             Fault::AllIsolated => false,
@@ -142,7 +160,11 @@
 
     fn is_suspended(&self, node: usize, millis: u64) -> bool {
         let during = FAULT_AT_MILLIS..FAULT_AT_MILLIS + SUSPENSION_MILLIS;
-        self.lost_node == Some(node) && during.contains(&millis)
+        self.fault == Fault::OwnerSuspended && self.lost.contains(&node) && during.contains(&millis)
+    }
+
+    fn is_gone(&self, node: usize) -> bool {
+        self.fault != Fault::OwnerSuspended && self.lost.contains(&node)
     }
 
     fn considers_alive(&self, one: usize, other: usize, millis: u64) -> bool {
@@ -154,91 +176,180 @@
             return true;
         }
         // Whoever was suspended has heard nobody else's silence.
-        let was_suspended = self.fault == Fault::OwnerSuspended && self.lost_node == Some(one);
+        let was_suspended = self.fault == Fault::OwnerSuspended && self.lost.contains(&one);
         was_suspended || self.reaches(one, other, FAULT_AT_MILLIS)
     }
 
-    fn alive_for(&self, one: usize, millis: u64) -> Vec<SubjectHandle> {
+    /// The nodes that have not been silent for long, as one sees it.
+    fn heard_by(&self, one: usize, millis: u64) -> Vec<SubjectHandle> {
         let numbers = (0..self.nodes.len()).filter(|other| self.considers_alive(one, *other, millis));
         numbers.map(|number| self.nodes[number].handle).collect()
     }
 
-    fn owner_known_to(&self, one: usize, millis: u64) -> usize {
-        self.owner_and_deputy(one, millis)[0]
+    /// The same without those that have ended.
+    fn alive_for(&self, one: usize, millis: u64) -> Vec<SubjectHandle> {
+        let mut nodes = self.heard_by(one, millis);
+        nodes.retain(|node| !self.has_ended(one, *node, millis));
+        nodes
+    }
+
+    fn has_ended(&self, one: usize, other: SubjectHandle, millis: u64) -> bool {
+        let heard_at = at(millis.min(FAULT_AT_MILLIS));
+        self.nodes[one].contacts.has_ended(other, heard_at)
     }
 
-    fn owner_and_deputy(&self, one: usize, millis: u64) -> Vec<usize> {
-        let nodes = owner_and_successors(self.tenant, &self.alive_for(one, millis), 2);
-        let number = |handle: SubjectHandle| self.nodes.iter().position(|node| node.handle == handle);
-        nodes.into_iter().filter_map(number).collect()
+    fn ended_for(&self, one: usize, millis: u64) -> Vec<SubjectHandle> {
+        let all = self.nodes.iter().map(|node| node.handle);
+        all.filter(|node| self.has_ended(one, *node, millis)).collect()
+    }
+
+    fn number_of(&self, handle: SubjectHandle) -> usize {
+        self.nodes.iter().position(|node| node.handle == handle).unwrap()
+    }
+
+    /// Probes others as the node does whose questions are not answered, or that is asked as a deputy.
+    fn probe(&mut self, one: usize, others: &[SubjectHandle], millis: u64) {
+        let due = self.nodes[one].contacts.begin(others, at(millis));
+        for handle in due {
+            let other = self.number_of(handle);
+            let is_refused =
+                matches!(self.fault, Fault::Killed(_) | Fault::HalfKilled) && self.is_gone(other);
+            let outcome = match self.reaches(one, other, millis) || self.is_suspended(other, millis) {
+                true => ProbeOutcome::Reached,
+                false if is_refused => ProbeOutcome::Refused,
+                false => ProbeOutcome::NoAnswer,
+            };
+            self.nodes[one].contacts.note(handle, outcome);
+        }
     }
 
     fn begin_fault(&mut self) {
-        match self.fault {
-            Fault::OwnerLost | Fault::OwnerSuspended if self.nodes.len() > 1 => {
-                self.lost_node = Some(self.owner_known_to(0, 0));
-            }
-            Fault::AllKilled => {
-                for node in &mut self.nodes {
-                    node.owner = TenantRateOwner::default();
-                    node.reserves = TenantRateReserves::default();
-                    node.owner.note_candidates(node.handle, &[], at(FAULT_AT_MILLIS));
-                }
+        let all: Vec<SubjectHandle> = self.nodes.iter().map(|node| node.handle).collect();
+        let ranked = owner_and_successors(self.tenant, &all, all.len());
+        let killed = match self.fault {
+            Fault::OwnerLost | Fault::OwnerSuspended => 1,
+            Fault::Killed(successors) => successors + 1,
+            _ => 0,
+        };
+        // One node is left to ask.
+        let killed = killed.min(all.len() - 1);
+        self.lost = ranked[..killed]
+            .iter()
+            .map(|node| self.number_of(*node))
+            .collect();
+        if self.fault == Fault::HalfKilled {
+            self.lost = (0..all.len() / 2).map(|number| 2 * number + 1).collect();
+        }
+        if self.fault == Fault::AllKilled {
+            for node in &mut self.nodes {
+                node.owner = TenantRateOwner::default();
+                node.reserves = TenantRateReserves::default();
+                node.owner
+                    .note_candidates(node.handle, &[], &[], at(FAULT_AT_MILLIS));
             }
-            _ => {}
         }
     }
 
     fn look_at_candidates(&mut self, millis: u64) {
         for number in 0..self.nodes.len() {
-            if self.is_suspended(number, millis) {
+            if self.is_suspended(number, millis) || self.is_gone(number) {
                 continue;
             }
-            let alive = self.alive_for(number, millis);
-            let node = &mut self.nodes[number];
-            node.owner.note_candidates(node.handle, &alive, at(millis));
+            if millis > FAULT_AT_MILLIS {
+                let reached = |other: &usize| self.reaches(number, *other, millis);
+                let silent = (0..self.nodes.len()).filter(|other| !reached(other));
+                let silent: Vec<SubjectHandle> = silent.map(|other| self.nodes[other].handle).collect();
+                self.probe(number, &silent, millis);
+            }
+            self.note_candidates(number, millis);
         }
     }
 
-    /// A request at a node; denied where its owner is not reached.
+    fn note_candidates(&mut self, number: usize, millis: u64) -> Vec<SubjectHandle> {
+        let alive = self.alive_for(number, millis);
+        let ended = self.ended_for(number, millis);
+        let node = &mut self.nodes[number];
+        node.owner
+            .note_candidates(node.handle, &alive, &ended, at(millis));
+        alive
+    }
+
+    /// A request at a node; denied where neither the owner nor a deputy grants it.
     fn ask(&mut self, from: usize, millis: u64) {
-        if self.is_suspended(from, millis) || (self.fault == Fault::OwnerLost && Some(from) == self.lost_node)
-        {
+        if self.is_suspended(from, millis) || self.is_gone(from) {
             return;
         }
         let cost = self.random.random_range(TOKENS);
-        let asked = self.owner_and_deputy(from, millis);
-        let first = asked
-            .iter()
-            .copied()
-            .find(|node| self.reaches(from, *node, millis));
-        let is_granted = first.is_some_and(|node| {
-            if self.owner_known_to(node, millis) == node {
-                self.charge(node, cost, millis) == Charge::Granted
-            } else {
-                node != asked[0] && self.charge_reserve(node, cost, millis)
-            }
-        });
-        if is_granted {
+        if self.is_granted(from, cost, millis) {
             self.ran.push((millis, f64::from(cost)));
         } else {
             self.denied += 1;
         }
     }
 
-    fn charge_reserve(&mut self, deputy: usize, cost: u32, millis: u64) -> bool {
+    fn is_granted(&mut self, from: usize, cost: u32, millis: u64) -> bool {
+        let heard = self.heard_by(from, millis);
+        for silent in 0..MAX_ASKED {
+            let order = ask_order(self.tenant, &heard, |node| self.has_ended(from, node, millis));
+            let next = order.into_iter().find(|asked| {
+                let until = self.nodes[from].passed_over.get(&self.number_of(asked.node));
+                until.is_none_or(|until| *until <= millis)
+            });
+            let Some(next) = next else { return false };
+            let node = self.number_of(next.node);
+            if self.reaches(from, node, millis) {
+                return self.answer(node, next.as_deputy, cost, millis);
+            }
+            self.nodes[from]
+                .passed_over
+                .insert(node, millis + PASSED_OVER_MILLIS);
+            self.max_silent = self.max_silent.max(silent + 1);
+            self.probe(from, &heard, millis);
+        }
+        false
+    }
+
+    fn answer(&mut self, node: usize, as_deputy: bool, cost: u32, millis: u64) -> bool {
+        let own = self.nodes[node].handle;
+        if as_deputy {
+            let mut heard = self.heard_by(node, millis);
+            heard.retain(|other| *other != own);
+            self.probe(node, &heard, millis);
+        }
+        let alive = self.note_candidates(node, millis);
+        match role_of(own, self.tenant, &alive) {
+            RateRole::Owner => {
+                let is_settling = self.nodes[node].owner.is_settling(self.tenant, at(millis));
+                let share = self.share(node, millis);
+                self.charge(node, cost, millis) == Charge::Granted
+                    || (is_settling && self.charge_reserve(node, cost, share, millis))
+            }
+            RateRole::Deputy { owner } if as_deputy => {
+                let others: Vec<SubjectHandle> = alive.into_iter().filter(|other| *other != own).collect();
+                let part = self.nodes[node].contacts.reserve_part(owner, &others, at(millis));
+                self.charge_reserve(node, cost, part, millis)
+            }
+            RateRole::Deputy { .. } | RateRole::Other { .. } => false,
+        }
+    }
+
+    fn charge_reserve(&mut self, deputy: usize, cost: u32, part: f64, millis: u64) -> bool {
         let reserves = &mut self.nodes[deputy].reserves;
-        reserves.charge(self.tenant, cost, &RESERVE, at(millis))
+        reserves.charge(self.tenant, cost, part, &RESERVE, at(millis))
+    }
+
+    fn share(&self, owner: usize, millis: u64) -> f64 {
+        let ended = self.ended_for(owner, millis).len();
+        let reached = self.alive_for(owner, millis).len();
+        rate_share(reached as u32, (self.nodes.len() - ended) as u32)
     }
 
     fn charge(&mut self, owner: usize, cost: u32, millis: u64) -> Charge {
-        let alive = self.alive_for(owner, millis);
-        let share = rate_share(alive.len() as u32, self.nodes.len() as u32);
-        let now = at(millis);
+        self.note_candidates(owner, millis);
+        let share = self.share(owner, millis);
         let node = &mut self.nodes[owner];
-        node.owner.note_candidates(node.handle, &alive, now);
         node.owner
-            .charge(self.tenant, &self.rate, cost, share, now, &mut self.random)
+            .charge(self.tenant, &self.rate, cost, share, at(millis), &mut self.random)
     }
 
     /// Plays requests at random nodes that ask `demand` times the rate.
@@ -300,6 +411,9 @@
 fn all_nodes_together_keep_a_tenants_rate_in_every_window_whatever_fails() {
     let faults = [
         Fault::Nothing,
+        Fault::Killed(0),
+        Fault::Killed(4),
+        Fault::HalfKilled,
         Fault::OwnerLost,
         Fault::OwnerSuspended,
         Fault::Split(50),
@@ -328,6 +442,9 @@
         for (demand, fault) in [
             (1.2, Fault::Nothing),
             (7.5, Fault::Nothing),
+            (7.5, Fault::Killed(0)),
+            (7.5, Fault::Killed(4)),
+            (7.5, Fault::HalfKilled),
             (7.5, Fault::OwnerLost),
         ] {
             let mut fleet = Fleet::new(nodes, fault, 2);
@@ -393,3 +510,26 @@
     assert_eq!(TenantRate::new(tokens, 0.0, 10.0), None, "no limit");
     assert_eq!(TenantRate::new(tokens, f64::NAN, 10.0), None);
 }
+
+/// Guards against refusals until others notice that the owner and those that would take its bucket over have been killed, and against
+/// a fleet that keeps only a part of each rate after nodes are gone for good.
+#[test]
+fn a_tenant_below_its_rate_is_not_denied_while_nodes_are_killed() {
+    for nodes in [2, 4, 82, 300] {
+        for (fault, seed) in [
+            (Fault::Killed(0), 5),
+            (Fault::Killed(4), 5),
+            (Fault::HalfKilled, 5),
+            (Fault::HalfKilled, 6),
+        ] {
+            let mut fleet = Fleet::new(nodes, fault, seed);
+            fleet.play(0.5);
+            assert_eq!(fleet.denied, 0, "{nodes} nodes, {fault:?}");
+            assert!(
+                fleet.max_silent <= 2,
+                "{nodes} nodes, {fault:?}: {}",
+                fleet.max_silent
+            );
+        }
+    }
+}
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -12,6 +12,7 @@
 use crate::ports::{CallerProtocol, EngineProtocol, FleetStore, NodeDirectory, PlatformDuties};
 use crate::recovering;
 use crate::releasing;
+use crate::tenant_rates;
 use crate::watch;
 use shelfjunction_http::HttpServer;
 use shelfjunction_logging::LogLosses;
@@ -122,6 +123,10 @@
             let context = Arc::clone(&context);
             move || peers::catch_up(&context)
         })?;
+        spawn("tenant-rates", {
+            let context = Arc::clone(&context);
+            move || tenant_rates::probe_silent_nodes(&context)
+        })?;
         spawn("command", {
             let context = Arc::clone(&context);
             let table = Arc::clone(&adapters.table);
--- a/crates/node/src/peers/limit_speakers.rs
+++ b/crates/node/src/peers/limit_speakers.rs
@@ -5,6 +5,7 @@
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::rate_limit::slot_owner::limit_share;
 use shelfjunction_core::routing::pool::PeerLoadSlice;
+use shelfjunction_core::tenancy::rate_contacts::RateContacts;
 use shelfjunction_core::tenancy::rate_owner::rate_share;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -61,6 +62,16 @@
 
     /// The nodes that may keep slots: the placers of a large fleet, everybody in a small one; this one too if `own_keeps`.
     pub(crate) fn slot_keepers(&self, own_keeps: bool, now: MonotonicTime) -> Vec<SubjectHandle> {
+        let keepers = self.slot_keepers_heard(own_keeps, now);
+        keepers.into_iter().map(|(node, _)| node).collect()
+    }
+
+    /// The same with the time at which each was heard last.
+    pub(crate) fn slot_keepers_heard(
+        &self,
+        own_keeps: bool,
+        now: MonotonicTime,
+    ) -> Vec<(SubjectHandle, MonotonicTime)> {
         let placing = self.placing(now);
         let silence = self.silence(&placing);
         let own = own_keeps && placing.shares_duty(self.own.node);
@@ -68,8 +79,23 @@
         let others = known.peers.values().filter(|peer| {
             placing.shares_duty(peer.handle) && peer.keeps_to_limits(silence, now) && !peer.limits.leaves
         });
-        let others = others.map(|peer| peer.handle);
-        others.chain(own.then_some(self.own.node)).collect()
+        let others = others.map(|peer| (peer.handle, peer.known_at));
+        others.chain(own.then_some((self.own.node, now))).collect()
+    }
+
+    /// Nodes that were not heard for half of the time after which they may be gone; none if this node does not keep slots.
+    pub(crate) fn silent_nodes(&self, now: MonotonicTime) -> Vec<SubjectHandle> {
+        let placing = self.placing(now);
+        if !placing.shares_duty(self.own.node) {
+            return Vec::new();
+        }
+        let silence = self.silence(&placing) / 2;
+        let known = lock(&self.known);
+        let silent = known
+            .peers
+            .values()
+            .filter(|peer| now.since(peer.known_at) >= silence);
+        silent.map(|peer| peer.handle).collect()
     }
 
     /// The part of engines' limits that this node has where it keeps their slots; nothing while the nodes are not known.
@@ -77,9 +103,26 @@
         self.share_of_limits(limit_share, now)
     }
 
-    /// The part of tenants' rates that this node has where it owns their buckets; nothing while the nodes are not known.
-    pub(crate) fn part_of_tenant_rates(&self, now: MonotonicTime) -> f64 {
-        self.share_of_limits(rate_share, now)
+    /// The part of tenants' rates that this node has where it owns their buckets; nothing while the nodes are not known. Nodes
+    /// that have ended do not count among all.
+    pub(crate) fn part_of_tenant_rates(&self, contacts: &RateContacts, now: MonotonicTime) -> f64 {
+        let placing = self.placing(now);
+        let silence = self.silence(&placing);
+        let known = lock(&self.known);
+        if !known.knows_number() {
+            return 0.0;
+        }
+        let (ended, present): (Vec<&Peer>, Vec<&Peer>) = known
+            .peers
+            .values()
+            .partition(|peer| contacts.has_ended(peer.handle, peer.known_at));
+        let forgotten =
+            contacts.ended_and_forgotten(|node| known.peers.values().any(|peer| peer.handle == node));
+        let told = present.iter().map(|peer| peer.told_nodes).max().unwrap_or(0);
+        let told = told.saturating_sub((ended.len() + forgotten) as u32);
+        let nodes = told.max(present.len() as u32 + 1);
+        let reached = present.iter().filter(|peer| peer.keeps_to_limits(silence, now));
+        rate_share(reached.count() as u32 + 1, nodes)
     }
 
     fn share_of_limits(&self, share: fn(u32, u32) -> f64, now: MonotonicTime) -> f64 {
--- a/crates/node/src/rate_limits/sending.rs
+++ b/crates/node/src/rate_limits/sending.rs
@@ -53,8 +53,12 @@
         self.looked_at = Some(now);
         let (to, named_here) = self.audience(context, is_news, now);
         let notices = lock(&context.router).limit_notices(named_here, now);
-        // A node off duty that has nothing to add says nothing: a thousand would do so at the same moment.
-        if notices.is_empty() && (named_here || !is_news) {
+        // A node off duty that has nothing to add says nothing: a thousand would do so at the same moment. Tenants' buckets are
+        // owned by nodes that speak of limits, so the nodes of a small fleet say that they do where tenants have rates.
+        let has_tenant_rates = context
+            .forwarding()
+            .is_some_and(|config| config.has_tenant_rates());
+        if notices.is_empty() && (named_here || !(is_news || has_tenant_rates)) {
             return Duration::MAX;
         }
         self.rounds += 1;
--- a/crates/node/src/tenant_rates/charging.rs
+++ b/crates/node/src/tenant_rates/charging.rs
@@ -1,15 +1,16 @@
 //! Charges a request at the node that owns its tenant's bucket.
 
-use super::owning::{self, MAX_ASKED};
+use super::owning;
 use crate::context::Context;
 use crate::ports::Call;
 use shelfjunction_core::identity::TenantId;
 use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::rate_limit::slot_owner::owner_of;
 use shelfjunction_core::tenancy::rate::TenantRate;
+use shelfjunction_core::tenancy::rate_succession::{Asked, MAX_ASKED, ask_order};
 use shelfjunction_protocol::tenant_rate_messages::{
     ChargeOutcome, ChargeRefund, ChargeRequest, TenantRateDatagram,
 };
-use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Time after which a caller comes back whose tenant's owner does not answer: another node owns its bucket then.
@@ -117,24 +118,58 @@
 
 /// Asks the owner, and deputies where it does not answer; who was asked last, and the answer.
 fn ask_owner(context: &Context, request: ChargeRequest) -> (SubjectHandle, Option<ChargeOutcome>) {
-    let now = context.now();
-    let mut nodes: VecDeque<SubjectHandle> = owning::owner_and_deputies(context, request.tenant, now).into();
-    let owner = nodes[0];
-    let mut asked = owner;
-    let mut questions = 0;
-    while let Some(next) = nodes.pop_front().filter(|_| questions < MAX_ASKED) {
-        if context.placements.is_passed_over(next, now) {
-            continue;
-        }
-        questions += 1;
-        asked = next;
-        match ask_one(context, request, next, next != owner) {
-            Some(ChargeOutcome::NotOwner { owner: other }) => nodes.push_front(other),
-            Some(outcome) => return (next, Some(outcome)),
-            None => context.placements.pass_over(next, context.now()),
+    let mut asked: Vec<SubjectHandle> = Vec::new();
+    let mut named_owner = None;
+    while asked.len() < MAX_ASKED {
+        let Some(next) = next_to_ask(context, request.tenant, named_owner.take(), &asked) else {
+            break;
+        };
+        asked.push(next.node);
+        match ask_one(context, request, next.node, next.as_deputy) {
+            Some(ChargeOutcome::NotOwner { owner }) => named_owner = Some(owner),
+            Some(outcome) => return (next.node, Some(outcome)),
+            None => note_silent(context, next.node),
         }
     }
-    (asked, None)
+    (asked.last().copied().unwrap_or(context.peers.own_handle()), None)
+}
+
+/// The next node to ask: the one that another named as the owner, or the next in order; none twice.
+fn next_to_ask(
+    context: &Context,
+    tenant: SubjectHandle,
+    named_owner: Option<SubjectHandle>,
+    asked: &[SubjectHandle],
+) -> Option<Asked> {
+    let now = context.now();
+    let candidates = owning::candidates(context, now);
+    if candidates.heard.is_empty() && asked.is_empty() {
+        return Some(Asked {
+            node: context.peers.own_handle(),
+            as_deputy: false,
+        });
+    }
+    let order = ask_order(tenant, &candidates.heard, |node| candidates.ended.contains(&node));
+    let owner = owner_of(tenant, &candidates.heard);
+    let named = named_owner.map(|node| Asked {
+        node,
+        as_deputy: Some(node) != owner,
+    });
+    let mut nodes = named.into_iter().chain(order);
+    nodes.find(|next| {
+        !asked.contains(&next.node)
+            && !candidates.ended.contains(&next.node)
+            && !context.placements.is_passed_over(next.node, now)
+    })
+}
+
+/// Notes that a node gave no answer, and finds out which of the others have ended, so that none of them is waited for.
+fn note_silent(context: &Context, node: SubjectHandle) {
+    context.placements.pass_over(node, context.now());
+    let own = context.peers.own_handle();
+    let mut others = owning::candidates(context, context.now()).heard;
+    others.retain(|other| *other != own);
+    context.tenant_rates.contacts.probe(context, &others);
 }
 
 fn ask_one(
--- a/crates/node/src/tenant_rates/metrics.rs
+++ b/crates/node/src/tenant_rates/metrics.rs
@@ -16,6 +16,7 @@
 #[derive(Default)]
 pub(crate) struct TenantRateMetrics {
     charges: Family<ResultLabel, Counter>,
+    ended_nodes: Counter,
 }
 
 impl TenantRateMetrics {
@@ -26,6 +27,15 @@
             "Requests of tenants with a rate that were charged at the owner of the tenant's bucket",
             self.charges.clone(),
         );
+        registry.register(
+            "tenant_rate_ended_nodes",
+            "Nodes that were found to have ended, so that their buckets are taken over at once",
+            self.ended_nodes.clone(),
+        );
+    }
+
+    pub(crate) fn node_ended(&self) {
+        self.ended_nodes.inc();
     }
 
     pub(crate) fn charged(&self, outcome: Option<&ChargeOutcome>) {
