Tenant rates: lend parts of buckets to nodes with many requests of a tenant

Cause: each request of a tenant with a rate waits for a question to the owner of its bucket, also if the tenant is far below its rate.

Change: a node that expects several requests of a tenant asks the owner for a loan along with a question, and charges further requests to the loan. The owner lends only to tenants that use at most half of their rate, at most a tenth of the burst in all, and only while it reaches all nodes. A loan is charged to the bucket at once, ends after 1.5 s and is recalled before the tenant would be refused. Loans have a datagram format of their own, which earlier builds drop. Times to come back are rounded up to whole milliseconds: a rate of 10,000,000 units gave a Retry-After of 0.

--- a/crates/core/src/tenancy/mod.rs
+++ b/crates/core/src/tenancy/mod.rs
@@ -6,6 +6,8 @@
 mod key_table;
 pub mod rate;
 pub mod rate_contacts;
+pub mod rate_lending;
+pub mod rate_loans;
 pub mod rate_owner;
 pub mod rate_reserve;
 pub mod rate_succession;
--- a/crates/core/src/tenancy/rate_owner.rs
+++ b/crates/core/src/tenancy/rate_owner.rs
@@ -20,6 +20,7 @@
 //! reserve what the bucket does not hold.
 
 use super::rate::TenantRate;
+use super::rate_lending::{Lending, LoanWish};
 use crate::admission::bucket::RateBucket;
 use crate::admission::returns::ReturnSchedule;
 use crate::membership::subject::SubjectHandle;
@@ -72,6 +73,7 @@
 #[derive(Clone, Debug)]
 struct TenantBucket {
     bucket: RateBucket,
+    lending: Lending,
     returns: ReturnSchedule,
     used_at: MonotonicTime,
 }
@@ -194,6 +196,7 @@
         let filled = burst.min(per_second * ungranted.as_secs_f64());
         let entry = self.buckets.entry(tenant).or_insert_with(|| TenantBucket {
             bucket: RateBucket::full(filled, now),
+            lending: Lending::default(),
             returns: ReturnSchedule::default(),
             used_at: now,
         });
@@ -203,7 +206,10 @@
             .bucket
             .charge(f64::from(cost), required, per_second, burst, now);
         match charged {
-            Ok(()) => Charge::Granted,
+            Ok(()) => {
+                entry.lending.note_used(f64::from(cost), now);
+                Charge::Granted
+            }
             Err(wait) => {
                 let spacing = Duration::from_secs_f64(f64::from(cost) / per_second).min(MAX_RETURN);
                 let returns = &mut entry.returns;
@@ -218,4 +224,49 @@
             entry.bucket.refund(f64::from(cost), rate.burst());
         }
     }
+
+    /// Lends a part of a bucket that was charged before; the units, none if the tenant may need them elsewhere or this node does not
+    /// reach all others.
+    pub fn lend(&mut self, wish: &LoanWish, rate: &TenantRate, reaches_all: bool, now: MonotonicTime) -> u32 {
+        let Some(entry) = self.buckets.get_mut(&wish.tenant).filter(|_| reaches_all) else {
+            return 0;
+        };
+        let (per_second, burst) = (rate.per_second(), rate.burst());
+        let Some((units, required)) = entry.lending.offer(wish, per_second, burst, now) else {
+            return 0;
+        };
+        let charged = entry
+            .bucket
+            .charge(f64::from(units), required, per_second, burst, now);
+        if charged.is_err() {
+            return 0;
+        }
+        entry.lending.note_lent(wish, units, now);
+        units
+    }
+
+    /// Ends a loan and takes back what was not used of it; false if the loan is not open.
+    pub fn take_back(
+        &mut self,
+        tenant: SubjectHandle,
+        rate: &TenantRate,
+        number: u64,
+        unused: u32,
+        now: MonotonicTime,
+    ) -> bool {
+        let Some(entry) = self.buckets.get_mut(&tenant) else {
+            return false;
+        };
+        let Some(unused) = entry.lending.end(number, unused, now) else {
+            return false;
+        };
+        entry.bucket.refund(unused, rate.burst());
+        true
+    }
+
+    /// Borrowers and numbers of a tenant's loans that are to be recalled, each once.
+    pub fn recall(&mut self, tenant: SubjectHandle, now: MonotonicTime) -> Vec<(SubjectHandle, u64)> {
+        let entry = self.buckets.get_mut(&tenant);
+        entry.map_or(Vec::new(), |entry| entry.lending.recall(now))
+    }
 }
--- a/crates/node/src/peers/limit_speakers.rs
+++ b/crates/node/src/peers/limit_speakers.rs
@@ -20,6 +20,15 @@
     leaves: bool,
 }
 
+/// The nodes among which tenants' rates are divided, this one included.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RateCensus {
+    /// Nodes that this one reaches.
+    pub(crate) reached: u32,
+    /// All nodes.
+    pub(crate) nodes: u32,
+}
+
 impl LimitSpeaker {
     /// Takes what a word of its work says.
     pub(super) fn hear_slice(&mut self, start: u64, slice: PeerLoadSlice) {
@@ -103,14 +112,20 @@
         self.share_of_limits(limit_share, now)
     }
 
-    /// The part of tenants' rates that this node has where it owns their buckets; nothing while the nodes are not known. Nodes
-    /// that have ended do not count among all.
+    /// The part of tenants' rates that this node has where it owns their buckets; nothing while the nodes are not known.
     pub(crate) fn part_of_tenant_rates(&self, contacts: &RateContacts, now: MonotonicTime) -> f64 {
+        let census = self.rate_census(contacts, now);
+        census.map_or(0.0, |census| rate_share(census.reached, census.nodes))
+    }
+
+    /// How many nodes there are and how many of them this one reaches; absent while they are not known. Nodes that have ended do
+    /// not count.
+    pub(crate) fn rate_census(&self, contacts: &RateContacts, now: MonotonicTime) -> Option<RateCensus> {
         let placing = self.placing(now);
         let silence = self.silence(&placing);
         let known = lock(&self.known);
         if !known.knows_number() {
-            return 0.0;
+            return None;
         }
         let (ended, present): (Vec<&Peer>, Vec<&Peer>) = known
             .peers
@@ -122,7 +137,10 @@
         let told = told.saturating_sub((ended.len() + forgotten) as u32);
         let nodes = told.max(present.len() as u32 + 1);
         let reached = present.iter().filter(|peer| peer.keeps_to_limits(silence, now));
-        rate_share(reached.count() as u32 + 1, nodes)
+        Some(RateCensus {
+            reached: reached.count() as u32 + 1,
+            nodes,
+        })
     }
 
     fn share_of_limits(&self, share: fn(u32, u32) -> f64, now: MonotonicTime) -> f64 {
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -17,6 +17,7 @@
 use shelfjunction_protocol::quarantine_messages::QuarantineDatagram;
 use shelfjunction_protocol::rate_messages::RateDatagram;
 use shelfjunction_protocol::signal_messages::SignalDatagram;
+use shelfjunction_protocol::tenant_loan_messages::TenantLoanDatagram;
 use shelfjunction_protocol::tenant_rate_messages::TenantRateDatagram;
 use shelfjunction_threads::lock;
 use std::net::{SocketAddr, UdpSocket};
@@ -61,6 +62,9 @@
     if let Some(datagram) = TenantRateDatagram::decode(bytes) {
         return tenant_rates::receive(context, datagram, from);
     }
+    if let Some(datagram) = TenantLoanDatagram::decode(bytes) {
+        return tenant_rates::receive_loan(context, datagram, from);
+    }
     if let Some(datagram) = QuarantineDatagram::decode(bytes) {
         return quarantine::merge_confirmations(context, datagram, from);
     }
--- a/crates/node/src/tenant_rates/charging.rs
+++ b/crates/node/src/tenant_rates/charging.rs
@@ -1,6 +1,6 @@
 //! Charges a request at the node that owns its tenant's bucket.
 
-use super::owning;
+use super::{lending, owning};
 use crate::context::Context;
 use crate::ports::Call;
 use shelfjunction_core::identity::TenantId;
@@ -31,10 +31,19 @@
     },
 }
 
+/// What a request was charged to.
+#[derive(Clone, Copy, Debug)]
+enum GrantedBy {
+    /// A bucket or reserve of this node or another.
+    Node(SubjectHandle),
+    /// The loan with this number.
+    Loan(u64),
+}
+
 /// A request that was charged; given back when it is dropped unless it has reached an engine.
 pub(crate) struct ChargedRequest<'a> {
     context: &'a Context,
-    owner: SubjectHandle,
+    granted_by: GrantedBy,
     refund: ChargeRefund,
     has_reached_engine: bool,
 }
@@ -51,11 +60,15 @@
         if self.has_reached_engine {
             return;
         }
-        if self.owner == self.context.peers.own_handle() {
+        let owner = match self.granted_by {
+            GrantedBy::Loan(number) => return lending::refund(self.context, number, &self.refund),
+            GrantedBy::Node(node) => node,
+        };
+        if owner == self.context.peers.own_handle() {
             return owning::refund(self.context, &self.refund);
         }
         let bytes = TenantRateDatagram::Refund(self.refund).encode();
-        let address = self.context.peers.address_of(self.owner);
+        let address = self.context.peers.address_of(owner);
         if let (Some(bytes), Some(address)) = (bytes, address) {
             self.context.peers.send(&bytes, address);
         }
@@ -80,21 +93,24 @@
         config_version,
         cost,
     };
-    let (owner, outcome) = ask_owner(context, request);
+    let granted = |granted_by| ChargedRequest {
+        context,
+        granted_by,
+        refund: ChargeRefund {
+            tenant: handle,
+            rate,
+            cost,
+        },
+        has_reached_engine: false,
+    };
+    if let Some(number) = lending::charge_loan(context, &request) {
+        context.metrics.tenant_rates.charged_to_loan();
+        return Ok(granted(GrantedBy::Loan(number)));
+    }
+    let (node, outcome) = ask_owner(context, request);
     context.metrics.tenant_rates.charged(outcome.as_ref());
     let refusal = match outcome {
-        Some(ChargeOutcome::Granted) => {
-            return Ok(ChargedRequest {
-                context,
-                owner,
-                refund: ChargeRefund {
-                    tenant: handle,
-                    rate,
-                    cost,
-                },
-                has_reached_engine: false,
-            });
-        }
+        Some(ChargeOutcome::Granted) => return Ok(granted(GrantedBy::Node(node))),
         Some(ChargeOutcome::Denied { retry_after_millis }) => ChargeRefusal::OverRate {
             retry_after: Duration::from_millis(u64::from(retry_after_millis)),
         },
@@ -179,7 +195,7 @@
     as_deputy: bool,
 ) -> Option<ChargeOutcome> {
     if node == context.peers.own_handle() {
-        return Some(owning::charge_as_deputy(context, &request));
+        return Some(owning::charge_own_request(context, &request));
     }
     let address = context.peers.address_of(node)?;
     let question = ChargeRequest {
@@ -189,6 +205,7 @@
     let datagram = if as_deputy {
         TenantRateDatagram::ReserveRequest(question)
     } else {
+        lending::ask_for_loan(context, &request, node);
         TenantRateDatagram::Request(question)
     };
     let bytes = datagram.encode()?;
--- a/crates/node/src/tenant_rates/contacting.rs
+++ b/crates/node/src/tenant_rates/contacting.rs
@@ -1,7 +1,7 @@
 //! Probes the nodes that may own tenants' buckets ([`shelfjunction_core::tenancy::rate_contacts`]): by a connection to the address at
 //! which they hear others, which is closed at once.
 
-use super::owning;
+use super::{lending, owning};
 use crate::context::Context;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::tenancy::rate_contacts::{ProbeOutcome, RateContacts};
@@ -27,12 +27,31 @@
 /// Questions that wait for the outcome of probes; more are answered without.
 const MAX_WAITING: usize = 1_000;
 
+/// Why a question waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum WaitsFor {
+    /// The other candidates are to be probed.
+    Probes,
+    /// Loans were recalled.
+    Loans,
+}
+
+/// A question that is answered later.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WaitingQuestion {
+    pub(super) request: ChargeRequest,
+    pub(super) from: SocketAddr,
+    pub(super) waits_for: WaitsFor,
+    /// When it is answered.
+    pub(super) at: MonotonicTime,
+}
+
 /// What is known by probing, and the questions that wait for it.
 #[derive(Default)]
 pub(crate) struct Contacts {
     probes: Mutex<Probes>,
     probed: Condvar,
-    waiting: Mutex<VecDeque<(ChargeRequest, SocketAddr)>>,
+    waiting: Mutex<VecDeque<WaitingQuestion>>,
     asked: Condvar,
 }
 
@@ -48,13 +67,13 @@
         reader(&lock(&self.probes).contacts)
     }
 
-    /// Leaves a question to be answered when the others have been probed; false if too many wait.
-    pub(super) fn answer_later(&self, request: ChargeRequest, from: SocketAddr) -> bool {
+    /// Leaves a question to be answered by the thread that probes; false if too many wait.
+    pub(super) fn answer_later(&self, question: WaitingQuestion) -> bool {
         let mut waiting = lock(&self.waiting);
         if waiting.len() >= MAX_WAITING {
             return false;
         }
-        waiting.push_back((request, from));
+        waiting.push_back(question);
         self.asked.notify_one();
         true
     }
@@ -119,13 +138,20 @@
         }
     }
 
-    /// The next question that waits; absent when none came within a time.
-    fn next_waiting(&self, longest: Duration) -> Option<(ChargeRequest, SocketAddr)> {
-        let waited = self
-            .asked
-            .wait_timeout_while(lock(&self.waiting), longest, |waiting| waiting.is_empty());
+    /// The next question that is due; absent when none became so within a time.
+    fn next_due(&self, context: &Context, longest: Duration) -> Option<WaitingQuestion> {
+        let now = context.now();
+        let mut waiting = lock(&self.waiting);
+        if let Some(position) = waiting.iter().position(|question| question.at <= now) {
+            return waiting.remove(position);
+        }
+        let first = waiting.iter().map(|question| question.at.since(now)).min();
+        let longest = first.map_or(longest, |first| first.min(longest));
+        let waited = self.asked.wait_timeout(waiting, longest);
         let (mut waiting, _) = waited.unwrap_or_else(PoisonError::into_inner);
-        waiting.pop_front()
+        let now = context.now();
+        let position = waiting.iter().position(|question| question.at <= now)?;
+        waiting.remove(position)
     }
 }
 
@@ -143,14 +169,15 @@
             look_at = context.now() + LOOK_INTERVAL;
         }
         let left = look_at.since(context.now());
-        if let Some((request, from)) = context.tenant_rates.contacts.next_waiting(left) {
-            owning::answer_as_deputy(context, &request, from);
+        if let Some(question) = context.tenant_rates.contacts.next_due(context, left) {
+            owning::answer_waiting(context, &question);
         }
     }
 }
 
-/// Probes the nodes that have fallen silent, so that a rate is not divided by those that have ended.
+/// Probes the nodes that have fallen silent, so that a rate is not divided by those that have ended, and gives back loans that end.
 fn look(context: &Context, now: MonotonicTime) {
+    lending::end_idle(context);
     let config = context.forwarding();
     if config.is_some_and(|config| config.has_tenant_rates()) {
         let silent = context.peers.silent_nodes(now);
--- a/crates/node/src/tenant_rates/owning.rs
+++ b/crates/node/src/tenant_rates/owning.rs
@@ -1,5 +1,7 @@
 //! Answers as the owner of tenants' buckets.
 
+use super::contacting::{WaitingQuestion, WaitsFor};
+use super::lending;
 use crate::context::Context;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::tenancy::rate::TenantRate;
@@ -11,6 +13,10 @@
 };
 use shelfjunction_threads::lock;
 use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time that an owner waits for recalled loans, as a part of the time that an asker waits for an answer.
+const RECALL_WAIT_PART: f64 = 0.4;
 
 /// The nodes that may own buckets, as this node sees them.
 pub(super) struct Candidates {
@@ -46,9 +52,15 @@
             let contacts = &context.tenant_rates.contacts;
             let others = other_candidates(context);
             let is_probed = contacts.read(|known| known.due(&others, context.now()).is_empty());
-            if is_probed || !contacts.answer_later(request, from) {
+            let question = WaitingQuestion {
+                request,
+                from,
+                waits_for: WaitsFor::Probes,
+                at: MonotonicTime::default(),
+            };
+            if is_probed || !contacts.answer_later(question) {
                 let outcome = charge_as_probed(context, &request);
-                respond(context, &request, outcome, from);
+                respond_or_wait(context, &request, outcome, from);
             }
         }
     }
@@ -88,8 +100,13 @@
     others
 }
 
+/// Whether this node owns a tenant's bucket.
+pub(super) fn owns(context: &Context, tenant: SubjectHandle, now: MonotonicTime) -> bool {
+    candidates(context, now).own_role(context, tenant) == RateRole::Owner
+}
+
 /// Charges a bucket that this node owns.
-pub(super) fn charge(context: &Context, request: &ChargeRequest) -> ChargeOutcome {
+fn charge(context: &Context, request: &ChargeRequest) -> ChargeOutcome {
     let now = context.now();
     let contacts = &context.tenant_rates.contacts;
     let share = contacts.read(|known| context.peers.part_of_tenant_rates(known, now));
@@ -97,7 +114,7 @@
         // A process that has just started does not know the other nodes yet.
         return charge_reserve(context, request, 1.0);
     }
-    let rate = newest_rate(context, request);
+    let rate = newest_rate(context, request.tenant, request.rate, request.config_version);
     let (charged, is_settling) = {
         let mut owner = lock(&context.tenant_rates.owner);
         let random = &mut rand::rng();
@@ -112,7 +129,8 @@
             ChargeOutcome::Granted
         }
         Charge::Denied(wait) => ChargeOutcome::Denied {
-            retry_after_millis: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            // Rounded up: a caller that comes back at once is refused again.
+            retry_after_millis: u32::try_from(wait.as_millis() + 1).unwrap_or(u32::MAX),
         },
     }
 }
@@ -122,31 +140,74 @@
     lock(&context.tenant_rates.owner).refund(refund.tenant, &refund.rate, refund.cost);
 }
 
-/// Only a node that takes itself for the owner charges: two that both do would grant the rate twice.
 fn answer(context: &Context, request: &ChargeRequest, from: SocketAddr) {
-    let role = candidates(context, context.now()).own_role(context, request.tenant);
-    let outcome = match role {
+    let outcome = charge_as_owner(context, request);
+    respond_or_wait(context, request, outcome, from);
+}
+
+/// Only a node that takes itself for the owner charges: two that both do would grant the rate twice.
+fn charge_as_owner(context: &Context, request: &ChargeRequest) -> ChargeOutcome {
+    match candidates(context, context.now()).own_role(context, request.tenant) {
         RateRole::Owner => charge(context, request),
         RateRole::Deputy { owner } | RateRole::Other { owner } => ChargeOutcome::NotOwner { owner },
-    };
-    respond(context, request, outcome, from);
+    }
 }
 
-/// Answers a question that waited for probes.
-pub(super) fn answer_as_deputy(context: &Context, request: &ChargeRequest, from: SocketAddr) {
-    let outcome = charge_as_deputy(context, request);
+/// Responds, unless the bucket may hold the request once loans that are recalled have been given back.
+fn respond_or_wait(context: &Context, request: &ChargeRequest, outcome: ChargeOutcome, from: SocketAddr) {
+    let now = context.now();
+    let is_denied = matches!(outcome, ChargeOutcome::Denied { .. });
+    if is_denied && lending::recall(context, request.tenant, now) {
+        let question = WaitingQuestion {
+            request: *request,
+            from,
+            waits_for: WaitsFor::Loans,
+            at: now + recall_wait(context),
+        };
+        if context.tenant_rates.contacts.answer_later(question) {
+            return;
+        }
+    }
     respond(context, request, outcome, from);
 }
 
-/// Probes the other candidates, then charges the bucket if this node owns it by now, or else the reserve if it would take the bucket
-/// over.
-pub(super) fn charge_as_deputy(context: &Context, request: &ChargeRequest) -> ChargeOutcome {
-    let now = context.now();
-    if candidates(context, now).own_role(context, request.tenant) != RateRole::Owner {
+/// Time within which recalled loans are given back; an asker still waits for its answer then.
+fn recall_wait(context: &Context) -> Duration {
+    context.config.placing.answer_wait().mul_f64(RECALL_WAIT_PART)
+}
+
+/// Answers a question that had to wait.
+pub(super) fn answer_waiting(context: &Context, question: &WaitingQuestion) {
+    let WaitingQuestion { request, from, .. } = question;
+    match question.waits_for {
+        WaitsFor::Probes => {
+            probe_others(context, request.tenant);
+            let outcome = charge_as_probed(context, request);
+            respond_or_wait(context, request, outcome, *from);
+        }
+        WaitsFor::Loans => respond(context, request, charge_as_owner(context, request), *from),
+    }
+}
+
+/// Charges a request of this node, as a remote one would be: the bucket if this node owns it by now, or else the reserve if it would
+/// take the bucket over.
+pub(super) fn charge_own_request(context: &Context, request: &ChargeRequest) -> ChargeOutcome {
+    probe_others(context, request.tenant);
+    let outcome = charge_as_probed(context, request);
+    let is_denied = matches!(outcome, ChargeOutcome::Denied { .. });
+    if is_denied && lending::recall(context, request.tenant, context.now()) {
+        context.stop.wait(recall_wait(context));
+        return charge_as_probed(context, request);
+    }
+    outcome
+}
+
+/// Probes the other candidates unless this node owns the bucket.
+fn probe_others(context: &Context, tenant: SubjectHandle) {
+    if !owns(context, tenant, context.now()) {
         let others = other_candidates(context);
         context.tenant_rates.contacts.probe(context, &others);
     }
-    charge_as_probed(context, request)
 }
 
 fn charge_as_probed(context: &Context, request: &ChargeRequest) -> ChargeOutcome {
@@ -189,10 +250,15 @@
 }
 
 /// The tenant's rate of the newer configuration: this node's or the asker's.
-fn newest_rate(context: &Context, request: &ChargeRequest) -> TenantRate {
+pub(super) fn newest_rate(
+    context: &Context,
+    tenant: SubjectHandle,
+    rate: TenantRate,
+    config_version: u64,
+) -> TenantRate {
     let own = context
         .forwarding()
-        .filter(|config| config.version > request.config_version);
-    own.and_then(|config| config.tenants.as_ref()?.rate_of(request.tenant))
-        .unwrap_or(request.rate)
+        .filter(|config| config.version > config_version);
+    own.and_then(|config| config.tenants.as_ref()?.rate_of(tenant))
+        .unwrap_or(rate)
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod quarantine_messages;
 pub mod rate_messages;
 pub mod signal_messages;
+pub mod tenant_loan_messages;
 pub mod tenant_rate_messages;
