Refuse what is over a tenant's rate before it competes with others

Cause: a node charged a tenant's rate after it had taken a trial of a suspected request, so that a request over the rate could hold the trial that others wait for, and was refused with 503 if it was quarantined. A gateway checked the deadline and the queue first, so that requests over a tenant's limits were refused with 503 and moved the times at which other tenants' requests are asked to come back.

Change: both charge the tenant first and give the charge back if the request is refused for another cause.

--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -81,10 +81,13 @@
         now: MonotonicTime,
         random: &mut dyn RngCore,
     ) -> Result<AdmissionTicket, Refusal> {
+        // First, so that what is over a tenant's limits takes none of the times at which others of the model come back.
+        self.charge_tenant(query, now, random)?;
         let own_wait = self.expected_wait(query);
         let service = query.estimate.map_or(Duration::ZERO, |estimate| estimate.total);
         if own_wait + service > query.deadline {
             let excess = (own_wait + service).saturating_sub(query.deadline);
+            self.give_back(query);
             return Err(self.refuse_for_model(
                 query,
                 RefusalReason::DeadlineUnreachable,
@@ -94,9 +97,9 @@
             ));
         }
         if self.queue_is_full(query) {
+            self.give_back(query);
             return Err(self.refuse_for_model(query, RefusalReason::Overloaded, own_wait, now, random));
         }
-        self.charge_tenant(query, now, random)?;
         Ok(self.let_in(query, service, now))
     }
 
@@ -184,7 +187,7 @@
         random: &mut dyn RngCore,
     ) -> Result<(), Refusal> {
         let rate = f64::from(query.limits.requests_per_second.max(1));
-        let capacity = (rate * self.config.burst_seconds).max(1.0);
+        let capacity = self.tenant_capacity(query);
         let part = self.config.part(query.class);
         let reserve = (capacity - 1.0) * (1.0 - part);
         let tokens = query_tokens(query);
@@ -218,6 +221,21 @@
         Err(refusal(RefusalReason::OverLimit, retry_after))
     }
 
+    /// Gives a tenant back what was charged for a request that is refused for another cause.
+    fn give_back(&mut self, query: &AdmissionQuery) {
+        let capacity = self.tenant_capacity(query);
+        if let Some(tenant) = self.tenants.get_mut(&query.tenant) {
+            tenant.bucket.give_back(capacity);
+            tenant.tokens_in_flight = tenant.tokens_in_flight.saturating_sub(query_tokens(query));
+        }
+    }
+
+    /// Requests that a tenant may have at once.
+    fn tenant_capacity(&self, query: &AdmissionQuery) -> f64 {
+        let rate = f64::from(query.limits.requests_per_second.max(1));
+        (rate * self.config.burst_seconds).max(1.0)
+    }
+
     fn let_in(&mut self, query: &AdmissionQuery, service: Duration, now: MonotonicTime) -> AdmissionTicket {
         self.next_ticket += 1;
         let number = TicketNumber(self.next_ticket);
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -214,3 +214,46 @@
         "two seconds of the rate may be spent at once, one request of it is spent"
     );
 }
+
+/// Guards against a tenant over its rate that pushes the times back at which other tenants are asked to come back.
+#[test]
+fn what_is_over_a_tenants_rate_takes_no_time_to_return_of_others() {
+    let mut served = Served::new();
+    let late = |tenant| AdmissionQuery {
+        deadline: Duration::from_secs(1),
+        estimate: Some(RouteEstimate {
+            first_token: Duration::from_secs(2),
+            total: Duration::from_secs(3),
+        }),
+        limits: TenantLimits {
+            requests_per_second: 1,
+            tokens_in_flight: 1_000,
+            share: 1,
+        },
+        ..query(tenant, ServiceClass::Interactive, 100)
+    };
+    let mut refuse = |query: &AdmissionQuery| {
+        let refused = served.admission.admit(query, served.now, &mut served.random);
+        refused.unwrap_err()
+    };
+    let first = refuse(&late("modest")).retry_after.unwrap();
+    let mut greedy = late("greedy");
+    greedy.limits.tokens_in_flight = 0;
+    greedy.expected_output_tokens = 10;
+    let mut running = greedy.clone();
+    running.deadline = Duration::from_secs(3_600);
+    running.estimate = None;
+    served
+        .admission
+        .admit(&running, served.now, &mut served.random)
+        .unwrap();
+    let mut refuse = |query: &AdmissionQuery| {
+        let refused = served.admission.admit(query, served.now, &mut served.random);
+        refused.unwrap_err()
+    };
+    for _ in 0..100 {
+        assert_eq!(refuse(&greedy).reason, RefusalReason::OverLimit);
+    }
+    let later = refuse(&late("modest")).retry_after.unwrap();
+    assert!(later < first * 2, "{later:?} after {first:?}");
+}
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -105,6 +105,7 @@
     let pool = context.next_pool(route).ok_or(OwnAnswer::NoRoute)?;
     let fingerprint = fingerprint(call, &access);
     let deadline = routing::deadline(context, call, route);
+    let charged = charge_tenant(context, config.version, &access, call)?;
     let trial = match quarantine::pass(context, &fingerprint, &pool, deadline) {
         Pass::Free => None,
         Pass::Trial(trial) => Some(trial),
@@ -112,7 +113,6 @@
             return Err(suspicion::refuse(context, call, &fingerprint, route, &withheld).into());
         }
     };
-    let charged = charge_tenant(context, config.version, &access, call)?;
     context.count_request(&pool);
     let routed = RoutedCall {
         call,
@@ -147,7 +147,8 @@
     })
 }
 
-/// Charges the request to its tenant's rate, where there is one; last, so that what is refused for another cause costs nothing.
+/// Charges the request to its tenant's rate, where there is one. What has no access or no route costs nothing; what is over the rate
+/// takes no trial of a suspected request and no place at an engine. A request that is withheld afterwards is given back.
 fn charge_tenant<'a>(
     context: &'a Context,
     config_version: u64,
