Bundle: optional rate of a tenant over all gateways

Cause: requests_per_second of the product's own bundle holds at each gateway alone, and tokens could not be limited over time at all.

Change: [[tenants]] has an optional rate in requests or tokens.

--- a/crates/controller/src/context.rs
+++ b/crates/controller/src/context.rs
@@ -7,6 +7,7 @@
 use crate::gossip::Gossip;
 use crate::metrics::Metrics;
 use crate::peer::server::{self, OpenConnections};
+use crate::tenant_rates::TenantRates;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::clock::MonotonicClock;
 use shelfjunction_platform::engine::EngineClient;
@@ -44,6 +45,8 @@
     pub bundle: BundleState,
     /// Demand as gateways and other controllers reported it.
     pub demand: DemandBoard,
+    /// The buckets of tenants' rates.
+    pub(crate) tenant_rates: TenantRates,
     /// The way to the thread that commands the zone, and what it last said.
     pub command: CommandLink,
     /// Counts and gauges.
--- a/crates/controller/src/handle.rs
+++ b/crates/controller/src/handle.rs
@@ -11,6 +11,7 @@
 use crate::http::{self, HealthPages};
 use crate::metrics::Metrics;
 use crate::peer::server::{self, OpenConnections};
+use crate::tenant_rates::{self, TenantRates};
 use crate::{machine_watch, membership_watch, net};
 use shelfjunction_core::identity::{FencingToken, Generation};
 use shelfjunction_core::machine::MachineService;
@@ -63,6 +64,7 @@
             services,
             gossip,
             demand: DemandBoard::default(),
+            tenant_rates: TenantRates::default(),
             command,
             metrics,
             open: OpenConnections::default(),
@@ -153,6 +155,7 @@
         self.spawn("machine-list", |context| machine_watch::run(context))?;
         self.spawn("membership", |context| membership_watch::run(context))?;
         self.spawn("demand", |context| demand::run(context))?;
+        self.spawn("tenant-rates", |context| tenant_rates::run(context))?;
         let schedule = Arc::new(EngineSchedule::default());
         let shared = Arc::clone(&schedule);
         self.spawn("engine-schedule", move |context| {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 mod net;
 pub mod peer;
+mod tenant_rates;
 
 pub use config::ControllerConfig;
 pub use context::Services;
--- a/crates/controller/src/peer/connection.rs
+++ b/crates/controller/src/peer/connection.rs
@@ -4,6 +4,7 @@
 use crate::config::millis;
 use crate::context::Context;
 use crate::demand;
+use crate::tenant_rates;
 use shelfjunction_protocol::frame::{FrameError, read_frame, write_frame};
 use shelfjunction_protocol::peer::{DemandSource, PeerRequest, PeerResponse};
 use std::net::{SocketAddr, TcpStream};
@@ -59,6 +60,13 @@
             demand::take_forwarded(context, forwarded);
             PeerResponse::Noted
         }
+        PeerRequest::ChargeTenantRate(charge) => {
+            PeerResponse::TenantRate(tenant_rates::charge(context, &charge))
+        }
+        PeerRequest::RefundTenantRate(charge) => {
+            tenant_rates::refund(context, &charge);
+            PeerResponse::Noted
+        }
     }
 }
 
--- a/crates/core/benches/bundle_cost.rs
+++ b/crates/core/benches/bundle_cost.rs
@@ -256,5 +256,6 @@
         requests_per_second: 10,
         tokens_in_flight: 100_000,
         share: 1,
+        rate: None,
     }
 }
--- a/crates/core/src/bundle/content.rs
+++ b/crates/core/src/bundle/content.rs
@@ -3,6 +3,7 @@
 use crate::engine::Role;
 use crate::identity::{AdapterId, ModelId, OperatorId, RegionId, TenantId, WeightVersion, ZoneId};
 use crate::service_class::{ClassTarget, ServiceClass};
+use crate::tenancy::rate::{RateUnit, TenantRate};
 use serde::{Deserialize, Serialize};
 
 /// Whole content of one bundle. Lists are sorted by identifier in the canonical form.
@@ -139,6 +140,43 @@
     pub tokens_in_flight: u64,
     /// Share among tenants when capacity is short; higher gets more.
     pub share: u32,
+    /// Rate over all gateways together; none without it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate: Option<TenantRateRule>,
+}
+
+/// What a tenant may have run over all gateways together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TenantRateRule {
+    /// Units per second.
+    pub units_per_second: u64,
+    /// Units that may be used at once.
+    pub burst: u64,
+    /// What is counted.
+    pub unit: TenantRateUnit,
+}
+
+/// What a tenant's rate counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TenantRateUnit {
+    /// Each call as one.
+    Requests,
+    /// The prompt tokens of each call and the most that it may generate.
+    Tokens,
+}
+
+impl TenantRateRule {
+    /// The rate as the owner of its bucket keeps it; absent if the rule is not valid.
+    pub fn rate(&self) -> Option<TenantRate> {
+        let unit = match self.unit {
+            TenantRateUnit::Requests => RateUnit::Requests,
+            // A gateway counts the tokens of every call.
+            TenantRateUnit::Tokens => RateUnit::Tokens { undeclared: 0 },
+        };
+        TenantRate::new(unit, self.units_per_second as f64, self.burst as f64)
+    }
 }
 
 /// Permission to call one model.
--- a/crates/core/src/bundle/in_force.rs
+++ b/crates/core/src/bundle/in_force.rs
@@ -1,6 +1,6 @@
 //! A checked bundle, put together from parts that successive bundles share.
 
-use super::content::{Bundle, FleetRule, ModelRule, OperatorRule, ZoneRule};
+use super::content::{Bundle, FleetRule, ModelRule, OperatorRule, TenantRule, ZoneRule};
 use super::digest::Digest;
 use super::manifest::Manifest;
 use super::signature::{SignedBundle, SigningAuthority};
@@ -121,9 +121,12 @@
 
     /// Whether the tenant exists.
     pub fn has_tenant(&self, tenant: &TenantId) -> bool {
+        self.tenant(tenant).is_some()
+    }
+
+    /// The rule of a tenant.
+    pub fn tenant(&self, tenant: &TenantId) -> Option<&TenantRule> {
         let bucket = super::manifest::tenant_bucket(tenant, self.tenants.len());
-        self.tenants
-            .get(bucket)
-            .is_some_and(|bucket| bucket.find(tenant).is_some())
+        self.tenants.get(bucket)?.find(tenant)
     }
 }
--- a/crates/core/src/bundle/validate.rs
+++ b/crates/core/src/bundle/validate.rs
@@ -15,6 +15,9 @@
 /// Shortest isolation limit, in milliseconds; below it one lost confirmation would stop a zone.
 pub const MINIMUM_ISOLATION_LIMIT_MILLIS: u64 = 1_000;
 
+/// Largest rate and burst; both are kept in thousandths of a unit.
+const MAX_RATE_UNITS: u64 = 1_000_000_000_000;
+
 /// Every fault of the bundle, in the order of its fields.
 pub fn validate(bundle: &Bundle) -> Vec<FieldError> {
     let mut faults = Faults::default();
@@ -213,6 +216,7 @@
         check_places(rule, references, faults);
         check_grants(rule, references, faults);
         check_limits(rule, faults);
+        check_rate(rule, faults);
     }
 }
 
@@ -263,6 +267,18 @@
     }
 }
 
+fn check_rate(rule: &TenantRule, faults: &mut Faults) {
+    let Some(rate) = rule.rate else { return };
+    for (field, value) in [("units_per_second", rate.units_per_second), ("burst", rate.burst)] {
+        faults.require(
+            (1..=MAX_RATE_UNITS).contains(&value),
+            &format!("tenants.{}.rate.{field}", rule.tenant),
+            value,
+            "1 to 1000000000000; leave the rate out for none",
+        );
+    }
+}
+
 /// Checks the operators. Tenants in their scope need not exist: a scope may be granted ahead.
 pub fn check_operators(operators: &[OperatorRule], faults: &mut Faults) {
     faults.check_unique("operators", operators.iter().map(|rule| rule.operator.as_str()));
--- a/crates/core/tests/bundle_support/mod.rs
+++ b/crates/core/tests/bundle_support/mod.rs
@@ -55,6 +55,7 @@
         requests_per_second: 10,
         tokens_in_flight: 10_000,
         share,
+        rate: None,
     }
 }
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -5,6 +5,7 @@
 use crate::config::{GatewayConfig, millis};
 use crate::metrics::Metrics;
 use crate::registry::Registry;
+use crate::tenant_rates::TenantRates;
 use crate::usage::UsageTable;
 use crate::watch::bundles::BundleView;
 use crate::watch::fleet_view::FleetView;
@@ -53,6 +54,7 @@
     pub(crate) claims: ClaimLedger,
     pub(crate) registry: Registry,
     pub(crate) usage: UsageTable,
+    pub(crate) tenant_rates: TenantRates,
     pub(crate) metrics: Metrics,
     /// Set when a planned stop begins: nothing new is taken.
     pub(crate) stopping: StopSignal,
@@ -79,6 +81,7 @@
             claims: ClaimLedger::new(millis(config.timings.claim_patience_millis)),
             registry: Registry::new(config.requests.streams),
             usage: UsageTable::default(),
+            tenant_rates: TenantRates::default(),
             metrics: Metrics::new(),
             stopping: StopSignal::default(),
             fleet_stream: Mutex::new(None),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod metrics;
 mod registry;
 mod serve;
+mod tenant_rates;
 mod usage;
 mod watch;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::registry::Registry;
 use shelfjunction_core::outcome::Outcome;
 use shelfjunction_core::service_class::ServiceClass;
+use shelfjunction_protocol::tenant_rate_messages::ChargeOutcome;
 use std::fmt;
 use std::time::Duration;
 
@@ -32,11 +33,18 @@
     cause: &'static str,
 }
 
+/// What became of a charge against a tenant's rate.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ResultLabel {
+    result: &'static str,
+}
+
 /// Everything that is measured.
 pub(crate) struct Metrics {
     registry: Registry,
     requests: Family<OutcomeLabels, Counter>,
     bad_input: Family<CauseLabel, Counter>,
+    tenant_rate_charges: Family<ResultLabel, Counter>,
     first_token: Histogram,
     whole_answer: Histogram,
     /// Output tokens delivered.
@@ -72,6 +80,7 @@
             registry: Registry::with_prefix(PREFIX),
             requests: Family::default(),
             bad_input: Family::default(),
+            tenant_rate_charges: Family::default(),
             first_token: Histogram::new(DELAY_BOUNDS),
             whole_answer: Histogram::new(DELAY_BOUNDS),
             tokens: Counter::default(),
@@ -115,6 +124,18 @@
         self.bad_input.get_or_create(&CauseLabel { cause }).inc();
     }
 
+    /// Counts a charge against a tenant's rate.
+    pub(crate) fn tenant_rate_charged(&self, outcome: Option<&ChargeOutcome>) {
+        let result = match outcome {
+            Some(ChargeOutcome::Granted) => "granted",
+            Some(ChargeOutcome::Denied { .. }) => "denied",
+            _ => "no_answer",
+        };
+        self.tenant_rate_charges
+            .get_or_create(&ResultLabel { result })
+            .inc();
+    }
+
     /// Notes the time to the first token.
     pub(crate) fn first_token(&self, delay: Duration) {
         self.first_token.observe(delay.as_secs_f64());
@@ -133,6 +154,11 @@
             "Input refused before it was a request",
             self.bad_input.clone(),
         );
+        self.registry.register(
+            "tenant_rate_charges",
+            "Calls of tenants with a rate over all gateways that were charged at the owner of the tenant's bucket",
+            self.tenant_rate_charges.clone(),
+        );
         self.registry.register(
             "first_token_seconds",
             "Time from arrival to the first token",
--- a/crates/gateway/src/serve/completion.rs
+++ b/crates/gateway/src/serve/completion.rs
@@ -11,6 +11,7 @@
 use crate::course::{Course, CourseEnd, drive};
 use crate::identifiers::{engine_request, new_nonce, public_id};
 use crate::registry::RunningRequest;
+use crate::tenant_rates::{self, ChargedCall};
 use crate::watch::retention::unix_seconds;
 use shelfjunction_core::admission::{AdmissionQuery, AdmissionTicket, TenantLimits};
 use shelfjunction_core::identity::RequestId;
@@ -216,8 +217,12 @@
 
     fn admit(&self, responder: &Responder<'_>) -> Result<AdmissionTicket, Refusal> {
         let context = self.context;
-        let now = context.now();
         let rule = &self.caller.tenant;
+        // First, so that what is over the tenant's rate takes no place in a queue.
+        let generation = self.caller.served.bundle.generation();
+        let tokens = (self.query.prompt_tokens, self.call.max_tokens);
+        let mut charged = tenant_rates::charge(context, rule, generation, tokens)?;
+        let now = context.now();
         let estimate = lock(&context.fleet).router.estimate(&self.query, now);
         let query = AdmissionQuery {
             tenant: rule.tenant.clone(),
@@ -237,7 +242,10 @@
         let ticket = context.with_random(|random| context.admission.admit(&query, now, random))?;
         loop {
             let refusal = match context.admission.wait(&ticket, ADMISSION_STEP) {
-                Waited::Started => return Ok(ticket),
+                Waited::Started => {
+                    charged.iter_mut().for_each(ChargedCall::note_admitted);
+                    return Ok(ticket);
+                }
                 Waited::Refused(refusal) => refusal,
                 Waited::Queued if context.now() >= self.deadline => Refusal {
                     reason: RefusalReason::DeadlineUnreachable,
--- a/crates/lab/src/cluster/tenants.rs
+++ b/crates/lab/src/cluster/tenants.rs
@@ -35,6 +35,7 @@
         requests_per_second: REQUESTS_PER_SECOND,
         tokens_in_flight: TOKENS_IN_FLIGHT,
         share: 1,
+        rate: None,
     }
 }
 
--- a/crates/lab/src/command/load.rs
+++ b/crates/lab/src/command/load.rs
@@ -7,6 +7,7 @@
 use crate::load::schedule::ScheduleError;
 use crate::load::summary::LoadSummary;
 use crate::load::{self, Progress};
+use shelfjunction_core::bundle::content::{TenantRateRule, TenantRateUnit};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -61,6 +62,18 @@
         "run this deployment (pharmacy or kadriks) in this process and compare gateways with direct calls",
         "NAME",
     );
+    options.optopt(
+        "",
+        "tenant-rate",
+        "with --embedded: rate of the calling tenant over all gateways, as its burst, too",
+        "UNITS_PER_SECOND",
+    );
+    options.optopt(
+        "",
+        "tenant-rate-unit",
+        "what that rate counts: requests or tokens (default)",
+        "UNIT",
+    );
     options.optflag("", "json", "print the figures as JSON");
     options.optopt("", "report", "write an HTML page with plots", "FILE");
 }
@@ -84,14 +97,36 @@
 }
 
 fn run_embedded(options: &Options, name: &str) -> Result<LoadSummary, CommandError> {
-    let deployment = Deployment::by_name(name)
+    let mut deployment = Deployment::by_name(name)
         .ok_or_else(|| CommandError::Usage(format!("--embedded {name}: allowed is pharmacy or kadriks")))?;
     let mut config = config_of_flags(options, name.to_owned(), PathBuf::new())?;
     apply_flags(options, &mut config)?;
+    if let Some(tenant) = deployment.bundle.tenants.first_mut() {
+        tenant.rate = tenant_rate(options)?;
+    }
     load::embedded::run_embedded(deployment, &config, print_progress)
         .map_err(|error| CommandError::failed("load", error))
 }
 
+fn tenant_rate(options: &Options) -> Result<Option<TenantRateRule>, CommandError> {
+    let units_per_second = options.value_or("tenant-rate", 0)?;
+    let unit = match options.text("tenant-rate-unit").as_deref() {
+        None | Some("tokens") => TenantRateUnit::Tokens,
+        Some("requests") => TenantRateUnit::Requests,
+        Some(other) => {
+            let allowed = "allowed is requests or tokens";
+            return Err(CommandError::Usage(format!(
+                "--tenant-rate-unit {other}: {allowed}"
+            )));
+        }
+    };
+    Ok((units_per_second > 0).then_some(TenantRateRule {
+        units_per_second,
+        burst: units_per_second,
+        unit,
+    }))
+}
+
 fn schedule_error(error: ScheduleError) -> CommandError {
     CommandError::Usage(format!("no schedule: {error:?}"))
 }
--- a/crates/lab/src/scale/bundles.rs
+++ b/crates/lab/src/scale/bundles.rs
@@ -66,5 +66,6 @@
         requests_per_second: 10,
         tokens_in_flight: 100_000,
         share: 1,
+        rate: None,
     }
 }
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -1,10 +1,12 @@
 //! Messages between the system's own processes, encoded with bincode.
 
+use super::tenant_rate_messages::ChargeOutcome;
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::demand::DemandReport;
-use shelfjunction_core::identity::{Generation, NodeId, ZoneId};
+use shelfjunction_core::identity::{Generation, NodeId, TenantId, ZoneId};
 use shelfjunction_core::membership::record::Record;
 use shelfjunction_core::membership::wire::Fact;
+use shelfjunction_core::tenancy::rate::TenantRate;
 
 /// Longest frame that is read from a peer over TCP, in bytes.
 pub const MAXIMUM_FRAME_BYTES: usize = 4 * 1024 * 1024;
@@ -32,6 +34,26 @@
     ReportDemand(DemandReport),
     /// Demand that another controller passes on towards the planner. Answered by [`PeerResponse::Noted`].
     ForwardDemand(ForwardedDemand),
+    /// A call of a tenant with a rate, charged at the owner of its bucket. Answered by [`PeerResponse::TenantRate`]; controllers of
+    /// earlier builds close the connection.
+    ChargeTenantRate(TenantRateCharge),
+    /// A charge for a call that was refused for another cause. Answered by [`PeerResponse::Noted`].
+    RefundTenantRate(TenantRateCharge),
+}
+
+/// A call of a tenant with a rate over all gateways.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TenantRateCharge {
+    /// The tenant.
+    pub tenant: TenantId,
+    /// Its rate as the sender has it.
+    pub rate: TenantRate,
+    /// Generation of the bundle that says so.
+    pub generation: Generation,
+    /// Units of the call.
+    pub cost: u32,
+    /// Whether nodes before the receiver gave no answer.
+    pub as_deputy: bool,
 }
 
 /// Where a demand was seen.
@@ -69,6 +91,8 @@
     Facts(Vec<Fact>),
     /// The request could not be served.
     Refused(String),
+    /// Whether a call may run.
+    TenantRate(ChargeOutcome),
 }
 
 /// Which bundle is in force and how long ago that was last confirmed.
--- a/tests/world/bundle_forge.rs
+++ b/tests/world/bundle_forge.rs
@@ -129,6 +129,7 @@
             requests_per_second: 10,
             tokens_in_flight: 10_000,
             share: 1,
+            rate: None,
         }],
         operators: vec![OperatorRule {
             operator: OperatorId::new("operator"),
