Controllers: probe missed nodes at the same time, test of killed controllers

A controller probed missed nodes one after the other, 20 ms for each that does not answer; with more than some 80 of them its looks would be so far apart that it takes itself for suspended and drops its buckets. It now probes eight at a time, and as a deputy only the nodes before it.

--- a/crates/controller/src/tenant_rates.rs
+++ b/crates/controller/src/tenant_rates.rs
@@ -6,6 +6,7 @@
 use crate::fleet;
 use shelfjunction_core::membership::record::{Liveness, RecordBody, RecordKey};
 use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::rate_limit::slot_owner::owner_and_successors;
 use shelfjunction_core::tenancy::rate::TenantRate;
 use shelfjunction_core::tenancy::rate_contacts::{ProbeOutcome, RateContacts};
 use shelfjunction_core::tenancy::rate_owner::{Charge, TenantRateOwner, rate_share};
@@ -17,6 +18,7 @@
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Mutex;
+use std::thread;
 use std::time::Duration;
 
 /// Time between two looks at the nodes; an owner that does not look for longer counts as suspended.
@@ -31,6 +33,9 @@
 /// Longest wait for a probed node to accept a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Probes that run at the same time: looks must not take as long as a suspension.
+const MAX_CONCURRENT_PROBES: usize = 8;
+
 /// What a controller knows of tenants' rates.
 #[derive(Default)]
 pub struct TenantRates {
@@ -120,18 +125,38 @@
 fn probe(context: &Context, nodes: &[(SubjectHandle, SocketAddr)]) {
     let handles: Vec<SubjectHandle> = nodes.iter().map(|(node, _)| *node).collect();
     let due = lock(&context.tenant_rates.contacts).begin(&handles, context.now());
-    for (node, address) in nodes.iter().filter(|(node, _)| due.contains(node)) {
-        let outcome = match TcpStream::connect_timeout(address, PROBE_TIMEOUT) {
-            Ok(_) => ProbeOutcome::Reached,
-            Err(error) if error.kind() == ErrorKind::ConnectionRefused => ProbeOutcome::Refused,
-            Err(_) => ProbeOutcome::NoAnswer,
-        };
-        if lock(&context.tenant_rates.contacts).note(*node, outcome) {
-            log::info!(node:% = address; "tenant_rate_node_ended");
-        }
+    let due: Vec<_> = nodes.iter().filter(|(node, _)| due.contains(node)).collect();
+    for part in due.chunks(MAX_CONCURRENT_PROBES) {
+        thread::scope(|scope| {
+            for (node, address) in part {
+                let probe = || probe_one(context, *node, *address);
+                if let Err(error) = thread::Builder::new().spawn_scoped(scope, probe) {
+                    log::warn!(error:% = error; "probe_thread_not_started");
+                }
+            }
+        });
     }
 }
 
+fn probe_one(context: &Context, node: SubjectHandle, address: SocketAddr) {
+    let outcome = match TcpStream::connect_timeout(&address, PROBE_TIMEOUT) {
+        Ok(_) => ProbeOutcome::Reached,
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => ProbeOutcome::Refused,
+        Err(_) => ProbeOutcome::NoAnswer,
+    };
+    if lock(&context.tenant_rates.contacts).note(node, outcome) {
+        log::info!(node:% = address; "tenant_rate_node_ended");
+    }
+}
+
+/// The candidates that come before this node for a tenant, with their peer addresses.
+fn before(own: SubjectHandle, tenant: SubjectHandle, nodes: &Nodes) -> Vec<(SubjectHandle, SocketAddr)> {
+    let ranked = owner_and_successors(tenant, &nodes.candidates, nodes.candidates.len());
+    let first: Vec<SubjectHandle> = ranked.into_iter().take_while(|node| *node != own).collect();
+    let before = nodes.others.iter().filter(|(node, _)| first.contains(node));
+    before.copied().collect()
+}
+
 /// Charges a tenant with a call if this controller owns its bucket.
 pub fn charge(context: &Context, charge: &TenantRateCharge) -> ChargeOutcome {
     let now = context.now();
@@ -140,7 +165,7 @@
     let mut nodes = recent_look(context, now);
     let mut role = role_of(own, tenant, &nodes.candidates);
     if charge.as_deputy && role != RateRole::Owner {
-        probe(context, &nodes.others);
+        probe(context, &before(own, tenant, &nodes));
         nodes = look(context, context.now());
         role = role_of(own, tenant, &nodes.candidates);
     }
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -9,4 +9,5 @@
 mod planned_stop;
 mod platform_outage;
 mod racing_operators;
+mod tenant_rate;
 mod whole_path;
