--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -13,6 +13,7 @@
 use crate::recovering;
 use crate::releasing;
 use crate::spill;
+use crate::tenant_rates;
 use crate::watch;
 use shelfjunction_core::topology::TopologySettings;
 use shelfjunction_http::HttpServer;
@@ -124,6 +125,10 @@
             let context = Arc::clone(&context);
             move || peers::catch_up(&context)
         })?;
+        spawn("tenant-rates", {
+            let context = Arc::clone(&context);
+            move || tenant_rates::probe_silent_nodes(&context)
+        })?;
         spawn("command", {
             let context = Arc::clone(&context);
             let table = Arc::clone(&adapters.table);
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -21,6 +21,7 @@
 use shelfjunction_protocol::rate_messages::RateDatagram;
 use shelfjunction_protocol::signal_messages::SignalDatagram;
 use shelfjunction_protocol::spill_messages::SpillDatagram;
+use shelfjunction_protocol::tenant_loan_messages::TenantLoanDatagram;
 use shelfjunction_protocol::tenant_rate_messages::TenantRateDatagram;
 use shelfjunction_protocol::topology_messages::TopologyDatagram;
 use shelfjunction_protocol::usage_messages::UsageDatagram;
@@ -73,6 +74,9 @@
     if let Some(datagram) = SpillDatagram::decode(bytes) {
         return spill::receive(context, datagram, from);
     }
+    if let Some(datagram) = TenantLoanDatagram::decode(bytes) {
+        return tenant_rates::receive_loan(context, datagram, from);
+    }
     if let Some(datagram) = QuarantineDatagram::decode(bytes) {
         return quarantine::merge_confirmations(context, datagram, from);
     }
--- a/crates/node/src/tenant_rates/charging.rs
+++ b/crates/node/src/tenant_rates/charging.rs
@@ -1,15 +1,16 @@
 //! Charges a request at the node that owns its tenant's bucket.
 
-use super::owning::{self, MAX_ASKED};
+use super::{lending, owning};
 use crate::context::Context;
 use crate::ports::Call;
 use shelfjunction_core::identity::TenantId;
 use shelfjunction_core::membership::subject::SubjectHandle;
+use shelfjunction_core::rate_limit::slot_owner::owner_of;
 use shelfjunction_core::tenancy::rate::TenantRate;
+use shelfjunction_core::tenancy::rate_succession::{Asked, MAX_ASKED, ask_order};
 use shelfjunction_protocol::tenant_rate_messages::{
     ChargeOutcome, ChargeRefund, ChargeRequest, TenantRateDatagram,
 };
-use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Time after which a caller comes back whose tenant's owner does not answer: another node owns its bucket then.
@@ -30,10 +31,19 @@
     },
 }
 
+/// What a request was charged to.
+#[derive(Clone, Copy, Debug)]
+enum GrantedBy {
+    /// A bucket or reserve of this node or another.
+    Node(SubjectHandle),
+    /// The loan with this number.
+    Loan(u64),
+}
+
 /// A request that was charged; given back when it is dropped unless it has reached an engine.
 pub(crate) struct ChargedRequest<'a> {
     context: &'a Context,
-    owner: SubjectHandle,
+    granted_by: GrantedBy,
     refund: ChargeRefund,
     has_reached_engine: bool,
 }
@@ -50,11 +60,15 @@
         if self.has_reached_engine {
             return;
         }
-        if self.owner == self.context.peers.own_handle() {
+        let owner = match self.granted_by {
+            GrantedBy::Loan(number) => return lending::refund(self.context, number, &self.refund),
+            GrantedBy::Node(node) => node,
+        };
+        if owner == self.context.peers.own_handle() {
             return owning::refund(self.context, &self.refund);
         }
         let bytes = TenantRateDatagram::Refund(self.refund).encode();
-        let address = self.context.peers.address_of(self.owner);
+        let address = self.context.peers.address_of(owner);
         if let (Some(bytes), Some(address)) = (bytes, address) {
             self.context.peers.send(&bytes, address);
         }
@@ -79,21 +93,24 @@
         config_version,
         cost,
     };
-    let (owner, outcome) = ask_owner(context, request);
+    let granted = |granted_by| ChargedRequest {
+        context,
+        granted_by,
+        refund: ChargeRefund {
+            tenant: handle,
+            rate,
+            cost,
+        },
+        has_reached_engine: false,
+    };
+    if let Some(number) = lending::charge_loan(context, &request) {
+        context.metrics.tenant_rates.charged_to_loan();
+        return Ok(granted(GrantedBy::Loan(number)));
+    }
+    let (node, outcome) = ask_owner(context, request);
     context.metrics.tenant_rates.charged(outcome.as_ref());
     let refusal = match outcome {
-        Some(ChargeOutcome::Granted) => {
-            return Ok(ChargedRequest {
-                context,
-                owner,
-                refund: ChargeRefund {
-                    tenant: handle,
-                    rate,
-                    cost,
-                },
-                has_reached_engine: false,
-            });
-        }
+        Some(ChargeOutcome::Granted) => return Ok(granted(GrantedBy::Node(node))),
         Some(ChargeOutcome::Denied { retry_after_millis }) => ChargeRefusal::OverRate {
             retry_after: Duration::from_millis(u64::from(retry_after_millis)),
         },
@@ -117,24 +134,58 @@
 
 /// Asks the owner, and deputies where it does not answer; who was asked last, and the answer.
 fn ask_owner(context: &Context, request: ChargeRequest) -> (SubjectHandle, Option<ChargeOutcome>) {
-    let now = context.now();
-    let mut nodes: VecDeque<SubjectHandle> = owning::owner_and_deputies(context, request.tenant, now).into();
-    let owner = nodes[0];
-    let mut asked = owner;
-    let mut questions = 0;
-    while let Some(next) = nodes.pop_front().filter(|_| questions < MAX_ASKED) {
-        if context.placements.is_passed_over(next, now) {
-            continue;
-        }
-        questions += 1;
-        asked = next;
-        match ask_one(context, request, next, next != owner) {
-            Some(ChargeOutcome::NotOwner { owner: other }) => nodes.push_front(other),
-            Some(outcome) => return (next, Some(outcome)),
-            None => context.placements.pass_over(next, context.now()),
+    let mut asked: Vec<SubjectHandle> = Vec::new();
+    let mut named_owner = None;
+    while asked.len() < MAX_ASKED {
+        let Some(next) = next_to_ask(context, request.tenant, named_owner.take(), &asked) else {
+            break;
+        };
+        asked.push(next.node);
+        match ask_one(context, request, next.node, next.as_deputy) {
+            Some(ChargeOutcome::NotOwner { owner }) => named_owner = Some(owner),
+            Some(outcome) => return (next.node, Some(outcome)),
+            None => note_silent(context, next.node),
         }
     }
-    (asked, None)
+    (asked.last().copied().unwrap_or(context.peers.own_handle()), None)
+}
+
+/// The next node to ask: the one that another named as the owner, or the next in order; none twice.
+fn next_to_ask(
+    context: &Context,
+    tenant: SubjectHandle,
+    named_owner: Option<SubjectHandle>,
+    asked: &[SubjectHandle],
+) -> Option<Asked> {
+    let now = context.now();
+    let candidates = owning::candidates(context, now);
+    if candidates.heard.is_empty() && asked.is_empty() {
+        return Some(Asked {
+            node: context.peers.own_handle(),
+            as_deputy: false,
+        });
+    }
+    let order = ask_order(tenant, &candidates.heard, |node| candidates.ended.contains(&node));
+    let owner = owner_of(tenant, &candidates.heard);
+    let named = named_owner.map(|node| Asked {
+        node,
+        as_deputy: Some(node) != owner,
+    });
+    let mut nodes = named.into_iter().chain(order);
+    nodes.find(|next| {
+        !asked.contains(&next.node)
+            && !candidates.ended.contains(&next.node)
+            && !context.placements.is_passed_over(next.node, now)
+    })
+}
+
+/// Notes that a node gave no answer, and finds out which of the others have ended, so that none of them is waited for.
+fn note_silent(context: &Context, node: SubjectHandle) {
+    context.placements.pass_over(node, context.now());
+    let own = context.peers.own_handle();
+    let mut others = owning::candidates(context, context.now()).heard;
+    others.retain(|other| *other != own);
+    context.tenant_rates.contacts.probe(context, &others);
 }
 
 fn ask_one(
@@ -144,7 +195,7 @@
     as_deputy: bool,
 ) -> Option<ChargeOutcome> {
     if node == context.peers.own_handle() {
-        return Some(owning::charge_as_deputy(context, &request));
+        return Some(owning::charge_own_request(context, &request));
     }
     let address = context.peers.address_of(node)?;
     let question = ChargeRequest {
@@ -154,6 +205,7 @@
     let datagram = if as_deputy {
         TenantRateDatagram::ReserveRequest(question)
     } else {
+        lending::ask_for_loan(context, &request, node);
         TenantRateDatagram::Request(question)
     };
     let bytes = datagram.encode()?;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod regions;
 pub mod signal_messages;
 pub mod spill_messages;
+pub mod tenant_loan_messages;
 pub mod tenant_rate_messages;
 pub mod topology_messages;
 pub mod usage_messages;
