Placers name their zone in their first rounds

Cause: a placer named its zone to others for the first time after four seconds.

Change: placers name their zone in their first eight rounds, beside every eighth as before.

--- a/crates/node/src/peers/sending.rs
+++ b/crates/node/src/peers/sending.rs
@@ -37,6 +37,10 @@
 /// A node to which a placer is far hears it once in so many rounds.
 const FAR_ROUNDS: u32 = 8;
 
+/// First rounds in which a placer names its zone besides. A node that has heard it and not read its entry takes it for one of the own
+/// region until then, so that nodes of different regions disagree on who places and who owns buckets.
+const ZONE_ROUNDS: u32 = FAR_ROUNDS;
+
 /// Time after which a node of a large fleet that is no placer tells the placers of itself, so that they know whom to
 /// tell, and notice soon that one is gone whose callers' requests come to others, who earn repeats from them.
 const OTHERS_TELL_AGAIN: Duration = Duration::from_secs(2);
@@ -265,7 +269,7 @@
             self.context.peers.notified_often(now)
         };
         self.send(&peers, message);
-        if is_far_round {
+        if is_far_round || self.rounds_to_all <= ZONE_ROUNDS {
             self.announce_zone(&peers);
         }
     }
