Spillover: choose by itself where no placer of another region is known; wait for the door in the soak's test of a one-way cut

A node without engines at home that had not yet heard a placer of another region refused; it chooses engines there by itself, as in a fleet without placers (nodes_whose_settings_differ_serve_and_count_an_unknown_zone_as_their_own: 503 before, 200 now).

The test of a path cut one way changed the fault before the door's thread had taken the datagram sent during the cut, which then passed (left: 1, right: 4). It waits for the count of dropped datagrams now.

--- a/crates/lab/src/fault_soak/region_links.rs
+++ b/crates/lab/src/fault_soak/region_links.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -57,6 +57,8 @@
     sockets: BTreeMap<DoorName, Arc<UdpSocket>>,
     /// What is wrong with the path from one region to another.
     paths: Mutex<BTreeMap<(usize, usize), PathFault>>,
+    /// Datagrams that a cut path has dropped.
+    dropped: AtomicU64,
     stopped: AtomicBool,
 }
 
@@ -82,6 +84,7 @@
             nodes,
             sockets,
             paths: Mutex::default(),
+            dropped: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
         });
         let (sender, receiver) = channel();
@@ -117,6 +120,11 @@
         }
     }
 
+    /// Datagrams that cut paths have dropped so far.
+    pub fn dropped_datagrams(&self) -> u64 {
+        self.shared.dropped.load(Ordering::SeqCst)
+    }
+
     /// Mends all paths.
     pub fn mend(&self) {
         self.shared.lock_paths().clear();
@@ -193,7 +201,9 @@
             .unwrap_or_default();
         let to = self.nodes[node];
         match fault {
-            PathFault::Cut => {}
+            PathFault::Cut => {
+                self.dropped.fetch_add(1, Ordering::SeqCst);
+            }
             PathFault::None => {
                 // A node that does not run takes nothing.
                 let _ = socket.send_to(bytes, to);
--- a/crates/lab/tests/fault_soak_regions.rs
+++ b/crates/lab/tests/fault_soak_regions.rs
@@ -182,6 +182,10 @@
     nodes[0].0.send_to(&[1], door(1)).unwrap();
     nodes[1].0.send_to(&[2], door(0)).unwrap();
     assert_eq!(heard(&nodes[0]).0, 2);
+    // The door takes its datagrams in a thread of its own, which may come to the first only after the fault has changed.
+    while links.dropped_datagrams() == 0 {
+        std::thread::yield_now();
+    }
     // A connection to the other region is taken and its bytes are held until the path is mended.
     let mut connection = TcpStream::connect(door(1)).unwrap();
     connection.write_all(&[3]).unwrap();
--- a/crates/node/src/course/placing.rs
+++ b/crates/node/src/course/placing.rs
@@ -71,8 +71,9 @@
             if elsewhere.is_some() {
                 return self.placed(elsewhere);
             }
-            // A request that no other region accepts is refused; this node does not know the load there.
-            if route != PoolRoute::Nowhere || self.spill.is_allowed || !self.leave_home_region() {
+            // A request that no other region accepts is refused; this node does not know the load there. Where it knows no placer to
+            // ask, as just after a start, it chooses there by itself.
+            if route != PoolRoute::Nowhere || self.time_until_spill().is_some() || !self.leave_home_region() {
                 return self.placed(routing::placement(route));
             }
         }
