Tenants' rates: nodes of other regions count as half while an owner does not reach every region

Cause: two regions that have lost each other may both reach a third one, whose nodes then counted for the owners in both: 1.33 of the rate with three equal regions.

Change: in a regional deployment an owner has the whole rate only if it reaches 0.9 of the nodes of every region; otherwise nodes of other regions count as half, so that the shares of all owners stay within 1.1 whichever regions lose each other.

--- a/crates/core/src/tenancy/rate_owner.rs
+++ b/crates/core/src/tenancy/rate_owner.rs
@@ -61,6 +61,37 @@
     quorum_share(reached, nodes, MIN_FULL_RATE_QUORUM)
 }
 
+/// Nodes of one region, and how many of them an owner reaches.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RegionReach {
+    /// Nodes that the owner reaches, itself included.
+    pub reached: u32,
+    /// All nodes of the region.
+    pub nodes: u32,
+}
+
+/// Share of a tenant's rate that an owner may use in a deployment of several regions.
+///
+/// Two regions may lose each other while both reach a third one, whose nodes then count for two owners. An owner that does not reach
+/// [`MIN_FULL_RATE_QUORUM`] of every region therefore counts a node of another region as half:
+///
+/// ```text
+/// share = 1                                                              if it reaches 0.9 of the nodes of every region
+///       = (reached at home + 0.5 * reached in other regions) / all nodes  otherwise
+/// ```
+///
+/// With [`rate_share`], two owners of three equal regions had 1.33 of the rate (fault soak, seed 81051).
+pub fn regional_rate_share(home: RegionReach, others: &[RegionReach]) -> f64 {
+    let is_whole =
+        |region: &RegionReach| f64::from(region.reached) >= MIN_FULL_RATE_QUORUM * f64::from(region.nodes);
+    if is_whole(&home) && others.iter().all(is_whole) {
+        return 1.0;
+    }
+    let reached: u32 = others.iter().map(|region| region.reached).sum();
+    let nodes: u32 = home.nodes + others.iter().map(|region| region.nodes).sum::<u32>();
+    (f64::from(home.reached) + 0.5 * f64::from(reached)) / f64::from(nodes.max(1))
+}
+
 /// Result of a charge.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Charge {
--- a/crates/node/src/peers/limit_speakers.rs
+++ b/crates/node/src/peers/limit_speakers.rs
@@ -7,8 +7,9 @@
 use shelfjunction_core::rate_limit::slot_owner::limit_share;
 use shelfjunction_core::routing::pool::PeerLoadSlice;
 use shelfjunction_core::tenancy::rate_contacts::RateContacts;
-use shelfjunction_core::tenancy::rate_owner::rate_share;
+use shelfjunction_core::tenancy::rate_owner::{RegionReach, rate_share, regional_rate_share};
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_core::topology::Topology;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -172,8 +173,45 @@
 
     /// The part of tenants' rates that this node has where it owns their buckets; nothing while the nodes are not known.
     pub(crate) fn part_of_tenant_rates(&self, contacts: &RateContacts, now: MonotonicTime) -> f64 {
-        let census = self.rate_census(contacts, now);
-        census.map_or(0.0, |census| rate_share(census.reached, census.nodes))
+        let Some(census) = self.rate_census(contacts, now) else {
+            return 0.0;
+        };
+        let topology = self.topology();
+        match topology.own_region() {
+            Some(home) => self.regional_part_of_tenant_rates(home, &topology, census, contacts, now),
+            None => rate_share(census.reached, census.nodes),
+        }
+    }
+
+    fn regional_part_of_tenant_rates(
+        &self,
+        home: &RegionId,
+        topology: &Topology,
+        census: RateCensus,
+        contacts: &RateContacts,
+        now: MonotonicTime,
+    ) -> f64 {
+        let silence = self.silence(&self.placing(now));
+        let known = lock(&self.known);
+        let mut regions: BTreeMap<Option<&RegionId>, RegionReach> = BTreeMap::new();
+        let present = known
+            .peers
+            .values()
+            .filter(|peer| !contacts.has_ended(peer.handle, peer.known_at));
+        for peer in present {
+            let region = regions.entry(peer.region(topology)).or_default();
+            region.nodes += 1;
+            region.reached += u32::from(peer.keeps_to_limits(silence, now));
+        }
+        let own = regions.entry(Some(home)).or_default();
+        own.nodes += 1;
+        own.reached += 1;
+        // Nodes that only others have told of; their region is not known.
+        let counted: u32 = regions.values().map(|region| region.nodes).sum();
+        regions.entry(None).or_default().nodes += census.nodes.saturating_sub(counted);
+        let own = regions.remove(&Some(home)).unwrap_or_default();
+        let others: Vec<RegionReach> = regions.into_values().collect();
+        regional_rate_share(own, &others)
     }
 
     /// How many nodes there are and how many of them this one reaches; absent while they are not known. Nodes that have ended do
