Spillover: ask a region whose distance is not measured yet

Cause: before its first measurement a region counted as far as the longest wait for an answer, four times the configured one. A probe that waited for a starting node counted as the distance.

Change: an unmeasured region is asked, with at most half of the target as the wait; a probe's answer after the longest wait counts as silence; a node chooses engines elsewhere by itself only if it knew no other region when it would have asked.

--- a/crates/core/src/spill/asking.rs
+++ b/crates/core/src/spill/asking.rs
@@ -37,9 +37,19 @@
 }
 
 impl RegionView {
-    /// Whether a request with so much of its target left can still be served there in time.
+    /// Whether a request with so much of its target left can still be served there in time. A region whose distance is not known is
+    /// asked.
     fn is_near_enough(&self, target_left: Duration) -> bool {
-        target_left > self.round_trip.map_or(self.wait, |round_trip| round_trip * 2)
+        target_left > self.round_trip.unwrap_or_default() * 2
+    }
+
+    /// Time to wait for an answer about a request with so much of its target left. Of a region whose distance is not known it is at
+    /// most half, so that the request can still be served elsewhere.
+    pub fn wait_for(&self, target_left: Duration) -> Duration {
+        match self.round_trip {
+            Some(_) => self.wait,
+            None => self.wait.min(target_left / 2),
+        }
     }
 
     /// What is left of the target when the answer comes.
@@ -99,7 +109,7 @@
             self.kinds.get_mut(&kind_key),
         ];
         for backoff in failed.into_iter().flatten() {
-            backoff.until = now + chosen.wait;
+            backoff.until = now + chosen.wait_for(target_left);
         }
         Some(chosen)
     }
--- a/crates/core/src/spill/mod.rs
+++ b/crates/core/src/spill/mod.rs
@@ -7,7 +7,7 @@
 //! placer answers from its own engines.
 //!
 //! ```text
-//! asked      if target left > 2 * round trip to the region   (the question and the dispatch; the wait for an answer before it was measured)
+//! asked      if target left > 2 * round trip to the region   (the question and the dispatch; a region that was not measured yet is asked)
 //!            and the region, for this kind of request, is in no backoff
 //! order      nearest first; regions whose round trip exceeds the least by at most max(5 ms, a quarter) are ordered by the
 //!            rendezvous hash of the request's shared prefix, so that requests with the same prefix meet the same engines
--- a/crates/node/src/course/placing.rs
+++ b/crates/node/src/course/placing.rs
@@ -73,7 +73,7 @@
             }
             // A request that no other region accepts is refused; this node does not know the load there. Where it knows no placer to
             // ask, as just after a start, it chooses there by itself.
-            if route != PoolRoute::Nowhere || self.time_until_spill().is_some() || !self.leave_home_region() {
+            if route != PoolRoute::Nowhere || self.spill.knew_regions || !self.leave_home_region() {
                 return self.placed(routing::placement(route));
             }
         }
--- a/crates/node/src/course/spilling.rs
+++ b/crates/node/src/course/spilling.rs
@@ -31,6 +31,8 @@
     /// First reason for which the home region did not serve the request in time.
     home_verdict: Option<SpillReason>,
     was_counted: bool,
+    /// Whether any other region was known when the request was to be handed over.
+    pub(super) knew_regions: bool,
 }
 
 impl SpillCourse {
@@ -79,9 +81,10 @@
         let target_left = self.target_left();
         let kind = RequestKind::of(&self.summary(context.now())?);
         let subject = self.subject();
-        let next = context
+        let (next, knows_any) = context
             .spill
             .next_region(context, asked, &kind, subject, target_left);
+        self.spill.knew_regions |= knows_any;
         let Some(view) = next else {
             self.log_spill(reason, None, ("none_left", ""), asked.len());
             return None;
--- a/crates/node/src/spill/asking.rs
+++ b/crates/node/src/spill/asking.rs
@@ -65,7 +65,7 @@
         self.questions.on_answer(number, answer);
     }
 
-    /// The region to ask next about a request; absent if none is left.
+    /// The region to ask next about a request, absent if none is left; and whether any other region is known.
     pub(crate) fn next_region(
         &self,
         context: &Context,
@@ -73,12 +73,16 @@
         kind: &RequestKind,
         subject: u64,
         target_left: Duration,
-    ) -> Option<RegionView> {
+    ) -> (Option<RegionView>, bool) {
         let now = context.now();
         let views = views(context, now);
         let mut backoffs = lock(&self.backoffs);
         let next = backoffs.next_region(&views, asked, kind, subject, target_left, now);
-        next.cloned()
+        let next = next.map(|view| RegionView {
+            wait: view.wait_for(target_left),
+            ..view.clone()
+        });
+        (next, !views.is_empty())
     }
 
     /// Time until some region may be asked about a kind of request again; absent if no other region is known.
--- a/crates/node/src/spill/probing.rs
+++ b/crates/node/src/spill/probing.rs
@@ -8,6 +8,7 @@
 use shelfjunction_core::identity::RegionId;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::time::MonotonicTime;
+use shelfjunction_core::topology::DISTANT_WAIT_FACTOR;
 use shelfjunction_protocol::spill_messages::SpillDatagram;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
@@ -64,9 +65,16 @@
 /// Takes the answer to a probe; one that was taken before is dropped.
 pub(super) fn on_reply(context: &Context, number: u64) {
     let probe = lock(&context.spill.probes.sent).remove(&number);
-    if let Some(probe) = probe {
-        context.note_round_trip(probe.placer, context.now().since(probe.sent_at));
+    let Some(probe) = probe else {
+        return;
+    };
+    let round_trip = context.now().since(probe.sent_at);
+    // A node that has just started answers what has waited for it. Such a time tells nothing of the distance, and would make the
+    // region count as too far until further probes have outweighed it.
+    if round_trip > context.config.placing.answer_wait() * DISTANT_WAIT_FACTOR {
+        return context.note_silence(&probe.region);
     }
+    context.note_round_trip(probe.placer, round_trip);
 }
 
 /// Counts probes without an answer. Builds without this format never answer one.
