--- a/crates/core/src/routing/pool/distant_prefixes.rs
+++ b/crates/core/src/routing/pool/distant_prefixes.rs
@@ -20,6 +20,7 @@
 use super::query::{PoolQuery, PrefixBlock};
 use super::router::PoolRouter;
 use crate::identity::{RegionId, ZoneId};
+use crate::membership::subject::SubjectHandle;
 use crate::time::MonotonicTime;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -83,10 +84,10 @@
         std::mem::take(&mut self.distant_prefixes.pending)
     }
 
-    /// Queues an announcement of a shared prefix that an engine holds from now on, or whose last announcement is old.
+    /// Queues an announcement of a shared prefix that an engine holds from now on, or uses again after [`ANNOUNCEMENT_INTERVAL`].
     pub(super) fn announce_prefix(
         &mut self,
-        engine: crate::membership::subject::SubjectHandle,
+        engine: SubjectHandle,
         held_since: Option<MonotonicTime>,
         prefixes: &[PrefixBlock],
         now: MonotonicTime,
@@ -131,6 +132,7 @@
             state.engine.pool == *query.pool
                 && state.can_be_fetched_from(now)
                 && self.is_fetchable_region(region, &state.engine.zone, now)
+                && self.paths.allows_transfer(query.zone, &state.engine.zone)
         });
         let (tokens, state) = best_of(holders, query.prefixes)?;
         let last_use = state.prefixes.last_use(query.prefixes)?;
@@ -155,7 +157,6 @@
         let region = self.topology.region_of(zone).filter(|region| *region != own);
         let heard = region.and_then(|region| self.distant_prefixes.heard.get(region));
         heard.is_some_and(|at| now.since(*at) < REGION_SILENCE_TIMEOUT)
-            && self.paths.allows_transfer(zone, zone)
     }
 
     /// Measured round trip to the region of a zone, in seconds, or the assumed one.
