--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod placing;
 pub mod quarantine;
 pub mod rate_limit;
+pub mod reachability;
 pub mod request;
 pub mod residency;
 pub mod retry;
--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -1,6 +1,7 @@
 //! One short question to an engine, aside from any request.
 
 use crate::context::Context;
+use crate::engine_contact;
 use crate::engine_signals;
 use crate::ports::{EngineLink, EngineReading};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
@@ -28,9 +29,7 @@
     {
         return Err("backed_off");
     }
-    let taken = context
-        .links
-        .take(engine, address, max_wait::CONNECT, context.now());
+    let taken = engine_contact::take_link(context, engine, address, max_wait::CONNECT);
     let mut link = taken.map_err(|_| "not_connected")?;
     question(link.as_mut());
     let sent_at = context.now();
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -28,6 +28,7 @@
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::metering::clock::FleetClock;
 use shelfjunction_core::placing::placement_table::PlacementTable;
+use shelfjunction_core::reachability::contact::EngineContact;
 use shelfjunction_core::roles::region_sums::RegionSums;
 use shelfjunction_core::routing::pool::{
     EngineListing, EngineState, ListChange, PoolEngine, PoolRouter, RecentChanges,
@@ -51,6 +52,8 @@
     pub(crate) clock: MonotonicClock,
     pub(crate) router: Mutex<PoolRouter>,
     pub(crate) links: Links,
+    /// Whether this node reaches any engine.
+    pub(crate) engine_contact: Mutex<EngineContact>,
     pub(crate) releases: Releases,
     pub(crate) peers: Peers,
     /// Questions of this node to placers.
@@ -196,6 +199,7 @@
             clock: MonotonicClock::start(),
             router: Mutex::new(router),
             links: Links::new(engines),
+            engine_contact: Mutex::default(),
             releases: Releases::default(),
             peers: Peers::new(&config, socket),
             placements: Placements::default(),
--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -4,6 +4,7 @@
 use super::driver::Driver;
 use super::exchange::Exchange;
 use super::routing;
+use crate::engine_contact;
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_threads::lock;
 use std::io::ErrorKind;
@@ -52,6 +53,7 @@
             fingerprint:% = self.fingerprint,
             engine = exchange.engine.as_str(),
             purpose = exchange.purpose.name(),
+            reaches_no_engine = lock(&self.context.engine_contact).is_lost(),
             fate = fate.name();
             "engine_looked_at"
         );
@@ -78,7 +80,7 @@
         let now = self.context.now();
         let wait = LOOK.min(routing::left(self.deadline, now));
         // A connection that rests may not have noticed the end yet, so a new one is made.
-        match self.context.links.connect(address, wait) {
+        match engine_contact::connect(self.context, engine, address, wait) {
             Ok(link) => {
                 self.context.rest_link(engine, link, now);
                 EngineFate::Lives
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -4,6 +4,7 @@
 use super::driver::Driver;
 use super::exchange::{Exchange, Purpose};
 use super::routing;
+use crate::engine_contact;
 use crate::ports::{CallStage, EngineCall};
 use crate::regions;
 use shelfjunction_core::engine::{EngineCall as MachineCall, Phase};
@@ -50,7 +51,7 @@
         if std::mem::take(&mut self.distrusts_resting) {
             self.context.links.forget(&target.engine);
         }
-        let link = match self.context.links.take(&target.engine, target.address, wait, now) {
+        let link = match engine_contact::take_link(self.context, &target.engine, target.address, wait) {
             Ok(link) => link,
             Err(error) => return self.not_connected(&account, &call.attempt, &error),
         };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod cordons;
 mod course;
 mod duties;
+mod engine_contact;
 mod engine_signals;
 mod handle;
 mod links;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -60,20 +60,14 @@
         }
     }
 
-    /// A connection on which nothing is under way: one that rested, or a new one.
-    pub(crate) fn take(
-        &self,
-        engine: &EngineId,
-        address: SocketAddr,
-        wait: Duration,
-        now: MonotonicTime,
-    ) -> io::Result<Box<dyn EngineLink>> {
+    /// A resting connection that can be used again.
+    pub(crate) fn take_resting(&self, engine: &EngineId, now: MonotonicTime) -> Option<Box<dyn EngineLink>> {
         while let Some(mut resting) = self.pop(engine) {
             if resting.until > now && resting.link.is_quiet() {
-                return Ok(resting.link);
+                return Some(resting.link);
             }
         }
-        self.connect(address, wait)
+        None
     }
 
     /// A new connection.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counts, gauges and delays of the process in the OpenMetrics text; labels take few values, and none names a caller.
 
 use crate::commanding::RegionalRoleMetrics;
+use crate::engine_contact::ContactMetrics;
 use crate::engine_signals::SignalMetrics;
 use crate::metering::UsageMetrics;
 use crate::pace_metrics::PaceMetrics;
@@ -76,6 +77,8 @@
     pub(crate) regional_roles: RegionalRoleMetrics,
     /// Windows of usage.
     pub(crate) usage: UsageMetrics,
+    /// Connections to engines.
+    pub(crate) contact: ContactMetrics,
     /// What engines said of themselves in their answers.
     pub(crate) signals: SignalMetrics,
     /// Figures by region.
@@ -139,6 +142,7 @@
             spill: SpillMetrics::default(),
             regional_roles: RegionalRoleMetrics::default(),
             usage: UsageMetrics::default(),
+            contact: ContactMetrics::default(),
             signals: SignalMetrics::default(),
             regions: RegionMetrics::default(),
             pace: PaceMetrics::default(),
@@ -177,6 +181,7 @@
         metrics.tenant_rates.register(&mut metrics.registry);
         metrics.spill.register(&mut metrics.registry);
         metrics.usage.register(&mut metrics.registry);
+        metrics.contact.register(&mut metrics.registry);
         metrics.signals.register(&mut metrics.registry);
         metrics.regional_roles.register(&mut metrics.registry);
         metrics
