--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -72,7 +72,8 @@
 
     /// A new connection.
     pub(crate) fn connect(&self, address: SocketAddr, wait: Duration) -> io::Result<Box<dyn EngineLink>> {
-        self.protocol.connect(address, wait)
+        let stream = self.protocol.connect(address, wait)?;
+        self.protocol.open(stream)
     }
 
     /// Lets a connection rest if it can be used again and no more than `most` rest for the engine.
--- a/crates/node/src/ports/engines.rs
+++ b/crates/node/src/ports/engines.rs
@@ -6,7 +6,7 @@
 use shelfjunction_core::identity::{EngineId, FencingToken, NodeId, TenantId};
 use shelfjunction_core::routing::pool::{EngineStage, PromptPart, ReportedLoad};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::os::fd::BorrowedFd;
 use std::time::Duration;
 
@@ -191,5 +191,8 @@
 /// Makes connections to engines.
 pub trait EngineProtocol: Send + Sync {
     /// Connects; waits no longer than the given time.
-    fn connect(&self, address: SocketAddr, wait: Duration) -> io::Result<Box<dyn EngineLink>>;
+    fn connect(&self, address: SocketAddr, wait: Duration) -> io::Result<TcpStream>;
+
+    /// Takes over a connection on which nothing was sent yet.
+    fn open(&self, stream: TcpStream) -> io::Result<Box<dyn EngineLink>>;
 }
