Reach engines through other nodes where a node's own links are lost

Cause: a request had no way to an engine but its node's own links. Each request at such a node was offered to up to eight engines in turn, none of which the node could connect to, and was refused; nothing distinguished an engine that had ended from a path that was lost.

Change: a node that cannot connect to an engine asks other nodes. If one of them reaches the engine, the connection passes through it as a tunnel of bytes, and the path counts as lost (core::reachability::reach: one engine, a zone, or all), so that the next requests use tunnels at once. The node that took the request stays in charge: deadlines, attempts, budgets, charges and answers are counted where they were before. The end of an engine's connection is a frame of its own, so an answer cut off by the loss of a relay is not taken for whole. Lost paths are probed aside from requests, and their return ends the relaying. A relay connects by itself, so no tunnel passes two relays; it bounds tunnels and bytes, and refuses while it stops. Orders to engines are never relayed. Nodes of earlier builds do not answer the question for a relay and are not chosen. While no node reaches an engine, requests are refused without further attempts.

--- a/crates/core/src/membership/subject.rs
+++ b/crates/core/src/membership/subject.rs
@@ -6,7 +6,7 @@
 use sha2::{Digest, Sha256};
 
 /// Bytes of a handle. Among 1,330 subjects two names share one in about one fleet of a million.
-const HANDLE_BYTES: usize = 5;
+pub const HANDLE_BYTES: usize = 5;
 
 /// First bytes of the SHA-256 of a subject's kind and name; the same at every node without agreement.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/core/src/reachability/mod.rs
+++ b/crates/core/src/reachability/mod.rs
@@ -1,3 +1,4 @@
-//! Whether a node reaches the engines, as distinct from whether an engine lives.
+//! Whether a node reaches the engines, as distinct from whether an engine lives, and which other node relays for it meanwhile.
 
-pub mod contact;
+pub mod reach;
+pub mod relay;
--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -1,8 +1,9 @@
 //! One short question to an engine, aside from any request.
 
 use crate::context::Context;
-use crate::engine_contact;
+use crate::engine_contact::{self, ConnectFailure};
 use crate::engine_signals;
+use crate::links::Connection;
 use crate::ports::{EngineLink, EngineReading};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use shelfjunction_core::forwarding::max_wait;
@@ -22,18 +23,41 @@
     wait: Duration,
     question: impl FnOnce(&mut dyn EngineLink),
 ) -> Result<EngineReading, &'static str> {
-    let handle = SubjectHandle::of_engine(engine);
-    if lock(&context.router)
-        .backoff_remaining(handle, context.now())
-        .is_some()
-    {
-        return Err("backed_off");
-    }
+    check_backoff(context, engine)?;
     let taken = engine_contact::take_link(context, engine, address, max_wait::CONNECT);
+    ask_over(context, engine, taken, wait, question)
+}
+
+/// The same over this node's own links alone.
+pub(crate) fn ask_directly(
+    context: &Context,
+    engine: &EngineId,
+    address: SocketAddr,
+    wait: Duration,
+    question: impl FnOnce(&mut dyn EngineLink),
+) -> Result<EngineReading, &'static str> {
+    check_backoff(context, engine)?;
+    let taken = engine_contact::take_direct_link(context, engine, address, max_wait::CONNECT);
+    ask_over(context, engine, taken, wait, question)
+}
+
+fn check_backoff(context: &Context, engine: &EngineId) -> Result<(), &'static str> {
+    let handle = SubjectHandle::of_engine(engine);
+    let left = lock(&context.router).backoff_remaining(handle, context.now());
+    left.map_or(Ok(()), |_| Err("backed_off"))
+}
+
+fn ask_over(
+    context: &Context,
+    engine: &EngineId,
+    taken: Result<Connection, ConnectFailure>,
+    wait: Duration,
+    question: impl FnOnce(&mut dyn EngineLink),
+) -> Result<EngineReading, &'static str> {
     let mut link = taken.map_err(|_| "not_connected")?;
-    question(link.as_mut());
+    question(&mut *link);
     let sent_at = context.now();
-    let reading = read_answer(context, link.as_mut(), sent_at + wait);
+    let reading = read_answer(context, &mut *link, sent_at + wait);
     if let Some(signals) = link.take_signals() {
         engine_signals::on_question_answered(context, engine, &signals, sent_at);
     }
--- a/crates/node/src/commanding/ordering.rs
+++ b/crates/node/src/commanding/ordering.rs
@@ -141,7 +141,7 @@
         };
         lock(&context.router).record_stage_order(&change.engine, change.to, context.now());
         context.peers.note_change();
-        let answer = asking::ask(context, &change.engine, address, ANSWER_WAIT, |link| {
+        let answer = asking::ask_directly(context, &change.engine, address, ANSWER_WAIT, |link| {
             link.begin_order(&order)
         });
         log::info!(
@@ -183,7 +183,7 @@
 }
 
 fn report(context: &Context, engine: &EngineId, address: SocketAddr) -> Option<EngineReport> {
-    match asking::ask(context, engine, address, ANSWER_WAIT, |link| link.begin_report()) {
+    match asking::ask_directly(context, engine, address, ANSWER_WAIT, |link| link.begin_report()) {
         Ok(EngineReading::Report(report)) => Some(report),
         _ => None,
     }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -3,16 +3,18 @@
 use crate::config::NodeConfig;
 use crate::course::KeptForCallers;
 use crate::duties::DutyNotes;
+use crate::engine_contact::Reach;
 use crate::engine_signals::Announcements;
-use crate::links::Links;
+use crate::links::{Connection, Links};
 use crate::metering::Metering;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::placing::Placements;
-use crate::ports::{Call, EngineLink, EngineProtocol};
+use crate::ports::{Call, EngineProtocol};
 use crate::quarantine::Suspects;
 use crate::rate_limits::RateLimits;
 use crate::regions::{UnnamedZones, ZoneUser};
+use crate::relay::{Relays, ServedTunnels};
 use crate::releasing::Releases;
 use crate::repeats::Repeats;
 use crate::spill::Spillover;
@@ -28,7 +30,6 @@
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::metering::clock::FleetClock;
 use shelfjunction_core::placing::placement_table::PlacementTable;
-use shelfjunction_core::reachability::contact::EngineContact;
 use shelfjunction_core::roles::region_sums::RegionSums;
 use shelfjunction_core::routing::pool::{
     EngineListing, EngineState, ListChange, PoolEngine, PoolRouter, RecentChanges,
@@ -52,8 +53,12 @@
     pub(crate) clock: MonotonicClock,
     pub(crate) router: Mutex<PoolRouter>,
     pub(crate) links: Links,
-    /// Whether this node reaches any engine.
-    pub(crate) engine_contact: Mutex<EngineContact>,
+    /// Which engines this node reaches.
+    pub(crate) engine_reach: Reach,
+    /// Nodes that relay for this one.
+    pub(crate) relays: Relays,
+    /// Tunnels that this node serves for others.
+    pub(crate) served_tunnels: ServedTunnels,
     pub(crate) releases: Releases,
     pub(crate) peers: Peers,
     /// Questions of this node to placers.
@@ -199,7 +204,9 @@
             clock: MonotonicClock::start(),
             router: Mutex::new(router),
             links: Links::new(engines),
-            engine_contact: Mutex::default(),
+            engine_reach: Reach::default(),
+            relays: Relays::default(),
+            served_tunnels: ServedTunnels::default(),
             releases: Releases::default(),
             peers: Peers::new(&config, socket),
             placements: Placements::default(),
@@ -466,7 +473,7 @@
     }
 
     /// Lets a connection rest if it can be used again: not one to a start of an engine that is listed no longer.
-    pub(crate) fn rest_link(&self, engine: &EngineId, link: Box<dyn EngineLink>, now: MonotonicTime) {
+    pub(crate) fn rest_link(&self, engine: &EngineId, link: Connection, now: MonotonicTime) {
         if self.knows_so(engine, EngineState::is_listed) {
             self.links
                 .give_back(engine, link, self.resting_allowed(engine), now);
--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -53,7 +53,7 @@
             fingerprint:% = self.fingerprint,
             engine = exchange.engine.as_str(),
             purpose = exchange.purpose.name(),
-            reaches_no_engine = lock(&self.context.engine_contact).is_lost(),
+            relayed = exchange.link.tunnel().is_some(),
             fate = fate.name();
             "engine_looked_at"
         );
@@ -85,7 +85,7 @@
                 self.context.rest_link(engine, link, now);
                 EngineFate::Lives
             }
-            Err(error) if error.kind() != ErrorKind::ConnectionRefused => EngineFate::Unknown,
+            Err(failure) if failure.error.kind() != ErrorKind::ConnectionRefused => EngineFate::Unknown,
             Err(_) if stays => EngineFate::Crashed,
             Err(_) => EngineFate::Left,
         }
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -4,12 +4,12 @@
 use super::driver::Driver;
 use super::exchange::{Exchange, Purpose};
 use super::routing;
-use crate::engine_contact;
+use crate::engine_contact::{self, ConnectFailure};
 use crate::ports::{CallStage, EngineCall};
 use crate::regions;
 use shelfjunction_core::engine::{EngineCall as MachineCall, Phase};
 use shelfjunction_core::forwarding::max_wait;
-use shelfjunction_core::identity::{AttemptId, EngineId};
+use shelfjunction_core::identity::{AttemptId, EngineId, NodeId};
 use shelfjunction_core::placing::question::ChosenEngine;
 use shelfjunction_core::request::event::Event;
 use shelfjunction_core::request::specification::Target;
@@ -55,6 +55,10 @@
             Ok(link) => link,
             Err(error) => return self.not_connected(&account, &call.attempt, &error),
         };
+        if let Some(tunnel) = link.tunnel() {
+            tunnel.note_request(&self.call.request);
+            self.context.metrics.relay.relayed_requests.inc();
+        }
         self.arrivals.note_sent(purpose.arrival());
         if let Some(trial) = &mut self.trial {
             trial.note_sent();
@@ -136,10 +140,13 @@
         left: Duration,
     ) {
         let region = regions::of_engine(self.context, &exchange.engine);
+        let tunnel = exchange.link.tunnel();
+        let relay = tunnel.map(|tunnel| self.context.peers.name_of(tunnel.relay));
         log::info!(
             request = self.call.request.as_str(),
             engine = exchange.engine.as_str(),
             region = regions::name(region.as_ref()),
+            relay = relay.as_ref().map_or("none", NodeId::as_str),
             purpose = exchange.purpose.name(),
             left_millis = left.as_millis() as u64,
             cost_millis = millis(why.cost),
@@ -200,14 +207,17 @@
         (account, max_wait)
     }
 
-    fn not_connected(&mut self, account: &Account, attempt: &AttemptId, error: &std::io::Error) {
+    fn not_connected(&mut self, account: &Account, attempt: &AttemptId, failure: &ConnectFailure) {
         log::info!(
             request = self.call.request.as_str(),
             engine = account.engine().as_str(),
-            error:% = error;
+            error:% = failure.error,
+            engine_at_fault = failure.is_engines;
             "not_connected"
         );
-        if error.kind() == ErrorKind::TimedOut {
+        if !failure.is_engines {
+            self.count_abandoned(account);
+        } else if failure.error.kind() == ErrorKind::TimedOut {
             self.count_silent(account);
         } else {
             self.count_broken(account);
--- a/crates/node/src/course/exchange.rs
+++ b/crates/node/src/course/exchange.rs
@@ -1,7 +1,8 @@
 //! One dispatch under way: its connection, and what of its answer has come.
 
 use super::accounting::Account;
-use crate::ports::{AnswerHead, EngineLink};
+use crate::links::Connection;
+use crate::ports::AnswerHead;
 use shelfjunction_core::identity::{AttemptId, EngineId};
 use shelfjunction_core::retry::arrivals::Arrival;
 use shelfjunction_core::time::MonotonicTime;
@@ -42,7 +43,7 @@
     pub(super) engine: EngineId,
     pub(super) account: Account,
     pub(super) purpose: Purpose,
-    pub(super) link: Box<dyn EngineLink>,
+    pub(super) link: Connection,
     /// Head of the answer, once it came.
     pub(super) head: Option<AnswerHead>,
     pub(super) sent_at: MonotonicTime,
--- a/crates/node/src/course/waiting.rs
+++ b/crates/node/src/course/waiting.rs
@@ -80,9 +80,8 @@
 
     fn poll(&mut self, now: MonotonicTime, reads_on: bool) -> Option<Event> {
         let exchange = self.exchange.as_ref()?;
-        let until = exchange
-            .silent_from
-            .map_or(self.deadline, |silent| silent.min(self.deadline));
+        let silent_from = silent_from(self.context, exchange);
+        let until = silent_from.map_or(self.deadline, |silent| silent.min(self.deadline));
         let timeout = Timespec::try_from(until.since(now).min(LONGEST_POLL)).unwrap_or_default();
         let mut engine_flags = PollFlags::empty();
         if reads_on {
@@ -127,7 +126,7 @@
             self.watch_caller = false;
         }
         let now = self.context.now();
-        let silent = exchange.silent_from.is_some_and(|silent| now >= silent);
+        let silent = silent_from.is_some_and(|silent| now >= silent);
         if silent && now < self.deadline {
             return self.push_and_read(reads_on).or_else(|| self.silent(now));
         }
@@ -159,8 +158,27 @@
     }
 }
 
-/// Whether an engine has answered anybody a moment ago, as far as this node or the placer that chose it knows.
+/// Instant from which an engine counts as silent: at once where this node has lost its links since it was asked.
+fn silent_from(context: &Context, exchange: &Exchange) -> Option<MonotonicTime> {
+    let silent_from = exchange.silent_from?;
+    if !is_cut_off(context, exchange) {
+        return Some(silent_from);
+    }
+    Some(silent_from.min(exchange.asked_at))
+}
+
+/// Whether no engine is reached over links of the kind that carries an exchange.
+fn is_cut_off(context: &Context, exchange: &Exchange) -> bool {
+    let since = lock(&context.engine_reach).isolated_since();
+    exchange.link.tunnel().is_none() && since.is_some_and(|since| since >= exchange.asked_at)
+}
+
+/// Whether an engine has answered anybody a moment ago, as far as this node or the placer that chose it knows; false where this
+/// node would not see its answer.
 fn lives(context: &Context, exchange: &Exchange, now: MonotonicTime) -> bool {
+    if is_cut_off(context, exchange) {
+        return false;
+    }
     let told = exchange.account.placer().and_then(|at| {
         let engine = SubjectHandle::of_engine(&exchange.engine);
         context.placements.ask_liveness(context, engine, at)
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -6,6 +6,7 @@
 use crate::connections::OpenConnections;
 use crate::context::{Context, NodeState};
 use crate::duties;
+use crate::engine_contact;
 use crate::metering;
 use crate::operator_page;
 use crate::peers;
@@ -155,6 +156,10 @@
             let context = Arc::clone(&context);
             move || releasing::run(&context)
         })?;
+        spawn("engine-probe", {
+            let context = Arc::clone(&context);
+            move || engine_contact::run_probes(&context)
+        })?;
         spawn("spill-probe", {
             let context = Arc::clone(&context);
             move || spill::run_probes(&context)
@@ -215,7 +220,7 @@
                     self.context.state.begin_closing();
                     self.open.close_resting();
                     closed = true;
-                } else if self.open.end_if_none() {
+                } else if self.context.served_tunnels.busy() == 0 && self.open.end_if_none() {
                     return;
                 }
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
 mod rate_limits;
 mod recovering;
 mod regions;
+mod relay;
 mod releasing;
 mod repeats;
 mod spill;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -1,12 +1,15 @@
 //! Connections to engines that rest between two requests.
 
-use crate::ports::{EngineLink, EngineProtocol};
+use crate::ports::{EngineLink, EngineProtocol, EngineStream};
+use crate::relay::Tunnel;
 use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::reachability::reach::Route;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
+use std::ops::{Deref, DerefMut};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -16,8 +19,60 @@
 /// Time between two looks for connections that engines are about to close.
 const SWEEP_EVERY: Duration = Duration::from_secs(5);
 
-struct RestingLink {
+/// A connection to an engine.
+pub(crate) struct Connection {
     link: Box<dyn EngineLink>,
+    /// Present where it passes through another node.
+    tunnel: Option<Tunnel>,
+}
+
+impl Connection {
+    fn direct(link: Box<dyn EngineLink>) -> Self {
+        Self { link, tunnel: None }
+    }
+
+    pub(crate) fn relayed(link: Box<dyn EngineLink>, tunnel: Tunnel) -> Self {
+        Self {
+            link,
+            tunnel: Some(tunnel),
+        }
+    }
+
+    /// The node through which it passes, if it passes through one.
+    pub(crate) fn tunnel(&self) -> Option<&Tunnel> {
+        self.tunnel.as_ref()
+    }
+
+    fn route(&self) -> Route {
+        match self.tunnel {
+            Some(_) => Route::Relayed,
+            None => Route::Direct,
+        }
+    }
+
+    /// Whether nothing came on it while it rested.
+    fn is_usable(&mut self) -> bool {
+        let has_unread = self.tunnel.as_ref().is_some_and(Tunnel::has_unread);
+        !has_unread && self.link.is_quiet()
+    }
+}
+
+impl Deref for Connection {
+    type Target = dyn EngineLink;
+
+    fn deref(&self) -> &Self::Target {
+        self.link.as_ref()
+    }
+}
+
+impl DerefMut for Connection {
+    fn deref_mut(&mut self) -> &mut Self::Target {
+        self.link.as_mut()
+    }
+}
+
+struct RestingLink {
+    connection: Connection,
     until: MonotonicTime,
 }
 
@@ -60,19 +115,34 @@
         }
     }
 
-    /// A resting connection that can be used again.
-    pub(crate) fn take_resting(&self, engine: &EngineId, now: MonotonicTime) -> Option<Box<dyn EngineLink>> {
-        while let Some(mut resting) = self.pop(engine) {
-            if resting.until > now && resting.link.is_quiet() {
-                return Some(resting.link);
+    /// A resting connection over the given route that can be used again.
+    pub(crate) fn take_resting(
+        &self,
+        engine: &EngineId,
+        route: Route,
+        now: MonotonicTime,
+    ) -> Option<Connection> {
+        while let Some(mut resting) = self.pop(engine, route) {
+            if resting.until > now && resting.connection.is_usable() {
+                return Some(resting.connection);
             }
         }
         None
     }
 
-    /// A new connection.
-    pub(crate) fn connect(&self, address: SocketAddr, wait: Duration) -> io::Result<Box<dyn EngineLink>> {
-        let stream = self.protocol.connect(address, wait)?;
+    /// A new connection over this node's own links.
+    pub(crate) fn connect(&self, address: SocketAddr, wait: Duration) -> io::Result<Connection> {
+        let stream = self.connect_stream(address, wait)?;
+        self.open(Box::new(stream)).map(Connection::direct)
+    }
+
+    /// The same, for bytes that another node speaks.
+    pub(crate) fn connect_stream(&self, address: SocketAddr, wait: Duration) -> io::Result<TcpStream> {
+        self.protocol.connect(address, wait)
+    }
+
+    /// Speaks to an engine over a connection that is open.
+    pub(crate) fn open(&self, stream: Box<dyn EngineStream>) -> io::Result<Box<dyn EngineLink>> {
         self.protocol.open(stream)
     }
 
@@ -80,11 +150,11 @@
     pub(crate) fn give_back(
         &self,
         engine: &EngineId,
-        link: Box<dyn EngineLink>,
+        connection: Connection,
         most: usize,
         now: MonotonicTime,
     ) {
-        let Some(rest) = link.rest() else {
+        let Some(rest) = connection.rest() else {
             return;
         };
         let mut resting = lock(&self.resting);
@@ -94,8 +164,11 @@
         }
         let links = resting.links.entry(engine.clone()).or_default();
         if links.len() < most {
+            if let Some(tunnel) = connection.tunnel() {
+                tunnel.note_rest();
+            }
             links.push(RestingLink {
-                link,
+                connection,
                 until: now + rest,
             });
         }
@@ -106,7 +179,21 @@
         lock(&self.resting).links.remove(engine);
     }
 
-    fn pop(&self, engine: &EngineId) -> Option<RestingLink> {
-        lock(&self.resting).links.get_mut(engine)?.pop()
+    /// Closes the resting connections over a route, of engines that `includes` names.
+    pub(crate) fn forget_route(&self, route: Route, includes: impl Fn(&EngineId) -> bool) {
+        for (engine, links) in &mut lock(&self.resting).links {
+            if includes(engine) {
+                links.retain(|resting| resting.connection.route() != route);
+            }
+        }
+    }
+
+    fn pop(&self, engine: &EngineId, route: Route) -> Option<RestingLink> {
+        let mut resting = lock(&self.resting);
+        let links = resting.links.get_mut(engine)?;
+        let last = links
+            .iter()
+            .rposition(|resting| resting.connection.route() == route)?;
+        Some(links.remove(last))
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -8,6 +8,7 @@
 use crate::quarantine::QuarantineMetrics;
 use crate::rate_limits::RateLimitMetrics;
 use crate::regions::RegionMetrics;
+use crate::relay::RelayMetrics;
 use crate::spill::SpillMetrics;
 use crate::tenant_rates::TenantRateMetrics;
 use prometheus_client::encoding::{EncodeLabelSet, text};
@@ -79,6 +80,8 @@
     pub(crate) usage: UsageMetrics,
     /// Connections to engines.
     pub(crate) contact: ContactMetrics,
+    /// Connections through other nodes.
+    pub(crate) relay: RelayMetrics,
     /// What engines said of themselves in their answers.
     pub(crate) signals: SignalMetrics,
     /// Figures by region.
@@ -143,6 +146,7 @@
             regional_roles: RegionalRoleMetrics::default(),
             usage: UsageMetrics::default(),
             contact: ContactMetrics::default(),
+            relay: RelayMetrics::default(),
             signals: SignalMetrics::default(),
             regions: RegionMetrics::default(),
             pace: PaceMetrics::default(),
@@ -182,6 +186,7 @@
         metrics.spill.register(&mut metrics.registry);
         metrics.usage.register(&mut metrics.registry);
         metrics.contact.register(&mut metrics.registry);
+        metrics.relay.register(&mut metrics.registry);
         metrics.signals.register(&mut metrics.registry);
         metrics.regional_roles.register(&mut metrics.registry);
         metrics
--- a/crates/node/src/peers/catching_up.rs
+++ b/crates/node/src/peers/catching_up.rs
@@ -6,14 +6,16 @@
 use super::{Behind, Duty, Peers};
 use crate::context::Context;
 use crate::cordons;
+use crate::relay;
 use rand::Rng;
 use shelfjunction_core::routing::pool::{KnownChanges, ListSnapshot};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_protocol::node_snapshot::{Snapshot, Wanted};
+use shelfjunction_protocol::relay_messages::TUNNEL_REQUEST;
 use shelfjunction_threads::lock;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::PoisonError;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 /// Time that the store has to tell this node itself, before a peer is asked.
@@ -201,12 +203,12 @@
         .ok()
 }
 
-/// Hands snapshots to peers as long as the process runs.
-pub(crate) fn serve(context: &Context, listener: &TcpListener) {
+/// Hands snapshots to peers, and connections that are to become tunnels to the relay, as long as the process runs.
+pub(crate) fn serve(context: &Arc<Context>, listener: &TcpListener) {
     loop {
         match listener.accept() {
             Ok((stream, peer)) => {
-                if hand_over(context, stream).is_none() {
+                if hand_over(context, stream, peer).is_none() {
                     log::debug!(peer:% = peer; "peer_snapshot_not_sent");
                 }
             }
@@ -218,10 +220,14 @@
     }
 }
 
-fn hand_over(context: &Context, mut stream: TcpStream) -> Option<()> {
+fn hand_over(context: &Arc<Context>, mut stream: TcpStream, peer: SocketAddr) -> Option<()> {
     stream.set_read_timeout(Some(PEER_WAIT)).ok()?;
     let mut byte = [0];
     stream.read_exact(&mut byte).ok()?;
+    if byte[0] == TUNNEL_REQUEST {
+        relay::serve(context, stream, peer);
+        return Some(());
+    }
     let wanted = Wanted::of_byte(byte[0]);
     let bytes = snapshot(context, wanted).encode(wanted).ok()?;
     stream.set_write_timeout(Some(PEER_WAIT)).ok()?;
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -35,6 +35,7 @@
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::placing::config::PlacingSettings;
 use shelfjunction_core::placing::placer_set::{Candidate, CandidateStatus};
+use shelfjunction_core::reachability::relay::RelayPeer;
 use shelfjunction_core::retry::census::KnownPeer;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_core::topology::Topology;
@@ -205,6 +206,7 @@
     socket: Arc<UdpSocket>,
     own: Candidate,
     own_name: NodeId,
+    own_zone: ZoneId,
     placing: PlacingSettings,
     topology: Mutex<Arc<Topology>>,
     /// Whether the deployment is or was regional in the lifetime of the process: others must hear that it is not any more.
@@ -294,6 +296,7 @@
                 processor_thousandths: config.processor_thousandths(),
             },
             own_name: config.node.clone(),
+            own_zone: config.zone.clone(),
             placing: config.placing,
             topology: Mutex::new(Arc::new(topology)),
             budget_window: config.retry_budget().window,
@@ -335,6 +338,31 @@
         peer.region(&topology).cloned()
     }
 
+    /// The other nodes that spoke a short time ago, as relays: how far they are.
+    pub(crate) fn relay_peers(&self, now: MonotonicTime) -> Vec<RelayPeer> {
+        let topology = self.topology();
+        let known = lock(&self.known);
+        let heard = known.peers.values().filter(|peer| peer.heard_lately(now));
+        let distance = |peer: &Peer| match &peer.zone {
+            Some(zone) if *zone == self.own_zone => 0,
+            _ if peer.is_near(&topology) => 1,
+            _ => 2,
+        };
+        heard
+            .map(|peer| RelayPeer {
+                node: peer.handle,
+                distance: distance(peer),
+            })
+            .collect()
+    }
+
+    /// Name of a node; empty where it is not known any more.
+    pub(crate) fn name_of(&self, node: SubjectHandle) -> NodeId {
+        let known = lock(&self.known);
+        let found = known.peers.iter().find(|(_, peer)| peer.handle == node);
+        found.map_or_else(|| NodeId::new(""), |(name, _)| name.clone())
+    }
+
     /// Notes the zone that a node has named.
     pub(crate) fn note_zone(&self, node: &NodeId, zone: ZoneId) {
         self.note_peer(node, |peer| peer.set_zone(node, zone));
--- a/crates/node/src/peers/receiving.rs
+++ b/crates/node/src/peers/receiving.rs
@@ -11,6 +11,7 @@
 use crate::placing;
 use crate::quarantine;
 use crate::rate_limits;
+use crate::relay;
 use crate::spill;
 use crate::tenant_rates;
 use shelfjunction_core::membership::subject::SubjectHandle;
@@ -19,6 +20,7 @@
 use shelfjunction_protocol::node_words::{Datagram, MOST_RECEIVED, WorkMessage};
 use shelfjunction_protocol::quarantine_messages::QuarantineDatagram;
 use shelfjunction_protocol::rate_messages::RateDatagram;
+use shelfjunction_protocol::relay_messages::RelayDatagram;
 use shelfjunction_protocol::signal_messages::SignalDatagram;
 use shelfjunction_protocol::spill_messages::SpillDatagram;
 use shelfjunction_protocol::tenant_loan_messages::TenantLoanDatagram;
@@ -74,6 +76,9 @@
     if let Some(datagram) = SpillDatagram::decode(bytes) {
         return spill::receive(context, datagram, from);
     }
+    if let Some(datagram) = RelayDatagram::decode(bytes) {
+        return relay::receive(context, datagram, from);
+    }
     if let Some(datagram) = TenantLoanDatagram::decode(bytes) {
         return tenant_rates::receive_loan(context, datagram, from);
     }
--- a/crates/node/src/ports/engines.rs
+++ b/crates/node/src/ports/engines.rs
@@ -5,9 +5,9 @@
 use shelfjunction_core::engine_signals::EngineSignals;
 use shelfjunction_core::identity::{EngineId, FencingToken, NodeId, TenantId};
 use shelfjunction_core::routing::pool::{EngineStage, PromptPart, ReportedLoad};
-use std::io;
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::os::fd::BorrowedFd;
+use std::os::fd::{AsFd, BorrowedFd};
 use std::time::Duration;
 
 /// Head of an engine's answer.
@@ -188,11 +188,16 @@
     fn is_quiet(&mut self) -> bool;
 }
 
+/// Bytes to and from an engine, over a connection of its own or through another node.
+pub trait EngineStream: Read + Write + AsFd + Send {}
+
+impl<Stream: Read + Write + AsFd + Send> EngineStream for Stream {}
+
 /// Makes connections to engines.
 pub trait EngineProtocol: Send + Sync {
-    /// Connects; waits no longer than the given time.
+    /// Connects, waiting no longer than the given time; reads and writes of the connection do not wait.
     fn connect(&self, address: SocketAddr, wait: Duration) -> io::Result<TcpStream>;
 
-    /// Takes over a connection on which nothing was sent yet.
-    fn open(&self, stream: TcpStream) -> io::Result<Box<dyn EngineLink>>;
+    /// Takes over a connection on which nothing was sent yet, and whose reads and writes do not wait.
+    fn open(&self, stream: Box<dyn EngineStream>) -> io::Result<Box<dyn EngineLink>>;
 }
--- a/crates/node/src/ports/mod.rs
+++ b/crates/node/src/ports/mod.rs
@@ -5,8 +5,8 @@
 
 pub use duties::{DutyAnswer, DutyHolder, PlatformDuties};
 pub use engines::{
-    AnswerHead, CallStage, EngineCall, EngineLink, EngineProtocol, EngineReading, EngineReport, HeldPart,
-    OrderVerdict, StageOrder,
+    AnswerHead, CallStage, EngineCall, EngineLink, EngineProtocol, EngineReading, EngineReport, EngineStream,
+    HeldPart, OrderVerdict, StageOrder,
 };
 
 use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig};
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod quarantine_messages;
 pub mod rate_messages;
 pub mod regions;
+pub mod relay_messages;
 pub mod signal_messages;
 pub mod spill_messages;
 pub mod tenant_loan_messages;
