Conclusions about engines need a node that does not doubt its own paths

Callers saw: up to 1.5 s after a cut that reset connections, nodes that were not cut off refused requests as well (503 within 8 ms): their content was suspected of crashing engines.

Cause: an engine whose connection broke and that refused a new one was taken for crashed, from the view of one node. A node that lost its own links charged each request that was under way there with the crash of its engine, and told all others; failed connections put engines into backoff at placers too.

--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -1,5 +1,5 @@
 //! Whether an engine has ended whose connection broke: one that has lost an answer, reset a connection or sent what can't be
-//! read still takes connections, one that has ended refuses them.
+//! read still takes connections, one that has ended refuses them. A refusal counts only where other engines are reached.
 
 use super::driver::Driver;
 use super::exchange::Exchange;
@@ -7,7 +7,6 @@
 use crate::engine_contact;
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_threads::lock;
-use std::io::ErrorKind;
 use std::time::Duration;
 
 /// Longest wait for a connection that only shows whether its engine lives. An engine that has ended refuses within a
@@ -19,10 +18,13 @@
 
 /// What became of an engine whose connection broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum EngineFate {
+pub(super) enum EngineFate {
     /// It takes connections.
     Lives,
-    /// It refuses them, or the engine has started again since, and nobody had said that it was about to leave.
+    /// It takes connections of another node, and none of this one.
+    Unreached,
+    /// It refuses them, from a node that reaches other engines too, or it has started again since; nobody had said that it was
+    /// about to leave.
     Crashed,
     /// It refuses them, as was to be expected of one that leaves.
     Left,
@@ -34,6 +36,7 @@
     fn name(self) -> &'static str {
         match self {
             Self::Lives => "lives",
+            Self::Unreached => "unreached",
             Self::Crashed => "crashed",
             Self::Left => "left",
             Self::Unknown => "unknown",
@@ -43,9 +46,9 @@
 
 impl Driver<'_> {
     /// Learns what became of the engine of a dispatch that broke.
-    pub(super) fn look_at_engine(&mut self, exchange: &Exchange, cause: &'static str) {
+    pub(super) fn look_at_engine(&mut self, exchange: &Exchange, cause: &'static str) -> EngineFate {
         if cause == SILENT {
-            return;
+            return EngineFate::Unknown;
         }
         let fate = self.fate(&exchange.engine);
         log::info!(
@@ -61,6 +64,12 @@
         if fate == EngineFate::Crashed && exchange.all_sent {
             self.charge_crash(&exchange.engine);
         }
+        fate
+    }
+
+    /// Whether this node has lost paths to engines, so that its view of one says little.
+    fn doubts_own_paths(&self) -> bool {
+        !lock(&self.context.engine_reach).is_complete()
     }
 
     fn fate(&self, engine: &EngineId) -> EngineFate {
@@ -82,10 +91,15 @@
         // A connection that rests may not have noticed the end yet, so a new one is made.
         match engine_contact::connect(self.context, engine, address, wait) {
             Ok(link) => {
+                let is_relayed = link.tunnel().is_some();
                 self.context.rest_link(engine, link, now);
-                EngineFate::Lives
+                if is_relayed {
+                    EngineFate::Unreached
+                } else {
+                    EngineFate::Lives
+                }
             }
-            Err(failure) if failure.error.kind() != ErrorKind::ConnectionRefused => EngineFate::Unknown,
+            Err(failure) if !failure.shows_end() || self.doubts_own_paths() => EngineFate::Unknown,
             Err(_) if stays => EngineFate::Crashed,
             Err(_) => EngineFate::Left,
         }
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -1,6 +1,6 @@
 //! Takes what an engine's connection says.
 
-use super::crash_evidence::SILENT;
+use super::crash_evidence::{EngineFate, SILENT};
 use super::driver::{Driver, WholeAnswer};
 use super::exchange::{Exchange, Purpose};
 use crate::engine_signals;
@@ -235,12 +235,18 @@
         self.context
             .metrics
             .dispatch_ended(exchange.purpose.name(), "broken");
-        if cause == SILENT {
+        if let Some(tunnel) = exchange.link.tunnel() {
+            self.context.relays.on_failed(tunnel.relay, self.context.now());
+        }
+        let fate = self.look_at_engine(&exchange, cause);
+        let is_isolated = lock(&self.context.engine_reach).is_isolated();
+        if is_isolated || fate == EngineFate::Unreached {
+            self.count_abandoned(&exchange.account);
+        } else if cause == SILENT {
             self.count_silent(&exchange.account);
         } else {
             self.count_broken(&exchange.account);
         }
-        self.look_at_engine(&exchange, cause);
         if exchange.head.is_some() {
             Event::Disconnected {
                 attempt: exchange.attempt,
--- a/crates/node/src/engine_contact/mod.rs
+++ b/crates/node/src/engine_contact/mod.rs
@@ -46,6 +46,13 @@
     pub(crate) is_engines: bool,
 }
 
+impl ConnectFailure {
+    /// Whether the engine refuses connections, as one that has ended does.
+    pub(crate) fn shows_end(&self) -> bool {
+        self.is_engines && self.error.kind() == ErrorKind::ConnectionRefused
+    }
+}
+
 /// A connection on which nothing is under way: one that rested, or a new one.
 pub(crate) fn take_link(
     context: &Context,
