A lease holder that reaches no engine leaves the lease to a node that does

Operators would see: engines keep their stages while the holder of the lease is partitioned from them: it goes on renewing, orders nothing that arrives, and stays the candidate of all others.

Cause: being heard and being answered by the store were the only conditions of a holder.

Change: a holder that another node proves to be cut off does not renew, so the lease lapses before anybody else holds it, and tells others that it takes over no duty. Where no node reaches an engine, the holder stays.

--- a/crates/node/src/commanding/mod.rs
+++ b/crates/node/src/commanding/mod.rs
@@ -21,7 +21,7 @@
 use shelfjunction_core::membership::rendezvous;
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_platform::services::TableService;
-use shelfjunction_threads::SuspensionWatch;
+use shelfjunction_threads::{SuspensionWatch, lock};
 use std::time::Duration;
 use tenure::Tenure;
 
@@ -57,7 +57,9 @@
             tenure.release(context, table);
             continue;
         }
-        if !context.state.is_ready() || !is_candidate(context) {
+        // A lease that is not renewed lapses, and a node that reaches the engines takes it.
+        let yields = lock(&context.engine_reach).should_yield();
+        if yields || !context.state.is_ready() || !is_candidate(context) {
             ordering.give_up_round(context);
             continue;
         }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -390,6 +390,11 @@
         self.config_watch.in_contact() && self.list_watch.in_contact()
     }
 
+    /// Whether this node may take over what one node does for all: the store answers it, and it reaches engines that others reach.
+    pub(crate) fn takes_duties(&self) -> bool {
+        self.in_contact_with_store() && !lock(&self.engine_reach).should_yield()
+    }
+
     /// The configuration in force.
     pub(crate) fn forwarding(&self) -> Option<Arc<ForwardingConfig>> {
         lock(&self.in_force).current().cloned()
--- a/crates/node/src/peers/sending.rs
+++ b/crates/node/src/peers/sending.rs
@@ -371,7 +371,7 @@
             sharing: context.sharing_word(now),
             places,
             processor_thousandths: context.peers.own_processor(),
-            store_answers: context.in_contact_with_store(),
+            store_answers: context.takes_duties(),
             holds_lease: context.authority(now).is_some(),
             unix: crate::metering::time_of_day(),
             config: context.config_watch.word(now, config_version),
