--- a/crates/cli/src/operator/explain.rs
+++ b/crates/cli/src/operator/explain.rs
@@ -36,11 +36,13 @@
 const PLACEMENT_EVENTS: [&str; 3] = ["placement_given", "spill_answered", "pause_believed"];
 
 /// Events that change what a node believes of its dependencies.
-const NODE_EVENTS: [&str; 10] = [
+const NODE_EVENTS: [&str; 12] = [
     "placer_changed",
     "region_placer_changed",
     "topology_changed",
     "configuration_taken",
+    "engine_contact_lost",
+    "engine_contact_restored",
     "store_lost",
     "store_regained",
     "stopping",
