A node that reaches any engine is not taken for isolated

Cause: three engines to which connecting failed, with no node to ask, isolated a node, which then refused without a further attempt until a probe got through; nodes that reached some engines were isolated again within 20 ms, by the next three that failed.

Change: without proof by another node, connecting must fail to eight engines (or all, where there are fewer) with none reached in between, and after the third the node connects to further ones at once. Proof by a peer needs three, as before.

--- a/crates/core/src/reachability/reach.rs
+++ b/crates/core/src/reachability/reach.rs
@@ -7,7 +7,7 @@
 //! path to an engine lost   this node failed to connect, another node reached it
 //! zone lost                that holds of min(2, engines there) engines of the zone, none of it was connected to since
 //! contact lost             that holds of min(3, engines) engines in min(2, zones) zones, none was connected to since; or
-//!                          connecting to as many failed within FAILURE_WINDOW, and no other node could be asked
+//!                          connecting to min(8, engines) failed within FAILURE_WINDOW, and no other node could be asked
 //! restored                 an engine there was connected to
 //! ```
 //!
@@ -25,6 +25,9 @@
 /// Minimum number of engines at which contact counts as lost; two may be affected by chance.
 const MIN_ENGINES: usize = 3;
 
+/// The same where no other node could be asked: a node that reaches any engine has to go on using it.
+const MIN_ENGINES_UNPROVEN: usize = 8;
+
 /// Minimum number of zones in which these engines lie: if only one zone is cut off, the others are still reached.
 const MIN_ZONES: usize = 2;
 
@@ -265,7 +268,7 @@
         self.unjudged
             .retain(|_, failed_at| now.since(*failed_at) <= FAILURE_WINDOW);
         let engines = self.unjudged.len();
-        if self.is_isolated() || engines < MIN_ENGINES.min(census.engines) {
+        if self.is_isolated() || engines < MIN_ENGINES_UNPROVEN.min(census.engines) {
             return Vec::new();
         }
         self.lost_all = Some(Isolation {
@@ -295,14 +298,35 @@
         }
     }
 
-    /// Engines to verify at once after the first paths were lost, at most `count`: of zones in which none was connected to since.
-    pub fn to_verify(&self, engines: &BTreeMap<EngineId, ZoneId>, count: usize) -> Vec<EngineId> {
-        let Some(first) = self.lost_paths.values().map(|path| path.failed_at).min() else {
-            return Vec::new();
-        };
+    /// Whether nothing is lost and nothing suggests it.
+    pub fn is_undoubted(&self) -> bool {
+        self.is_complete() && self.unjudged.len() < MIN_ENGINES
+    }
+
+    /// Engines to connect to at once because others failed: one of each zone in which none was connected to since the first path
+    /// was lost, and several where no other node could be asked.
+    pub fn to_verify(&self, engines: &BTreeMap<EngineId, ZoneId>, now: MonotonicTime) -> Vec<EngineId> {
         if self.is_isolated() {
             return Vec::new();
         }
+        let mut chosen = self.of_doubtful_zones(engines);
+        let recent = self.unjudged.values();
+        let failed = recent
+            .filter(|failed_at| now.since(**failed_at) <= FAILURE_WINDOW)
+            .count();
+        if failed >= MIN_ENGINES {
+            let untried = engines
+                .keys()
+                .filter(|engine| !self.unjudged.contains_key(engine));
+            chosen.extend(untried.take(MIN_ENGINES_UNPROVEN).cloned());
+        }
+        chosen
+    }
+
+    fn of_doubtful_zones(&self, engines: &BTreeMap<EngineId, ZoneId>) -> Vec<EngineId> {
+        let Some(first) = self.lost_paths.values().map(|path| path.failed_at).min() else {
+            return Vec::new();
+        };
         let mut zones: BTreeMap<&ZoneId, &EngineId> = BTreeMap::new();
         for (engine, zone) in engines {
             let is_doubtful = self.connected.get(zone).is_none_or(|at| *at < first);
@@ -310,7 +334,7 @@
                 zones.entry(zone).or_insert(engine);
             }
         }
-        zones.into_values().take(count).cloned().collect()
+        zones.into_values().take(MIN_ENGINES).cloned().collect()
     }
 
     /// Forgets engines that are listed no longer.
--- a/crates/node/src/engine_contact/mod.rs
+++ b/crates/node/src/engine_contact/mod.rs
@@ -22,11 +22,12 @@
 use std::sync::{Condvar, Mutex};
 use std::time::Duration;
 
-/// What this node reaches, and who waits for changes of it.
+/// What this node reaches.
 #[derive(Default)]
 pub(crate) struct Reach {
     state: Mutex<EngineReach>,
-    lost: Condvar,
+    /// Notified when connecting to an engine failed.
+    failed: Condvar,
 }
 
 impl std::ops::Deref for Reach {
@@ -239,6 +240,7 @@
     };
     let changes =
         lock(&context.engine_reach).on_connect_failed(engine, &zone, evidence, census, context.now());
+    context.engine_reach.failed.notify_all();
     apply(context, &changes);
 }
 
@@ -265,7 +267,6 @@
         let reach = lock(&context.engine_reach);
         context.metrics.contact.lost.set(i64::from(reach.is_isolated()));
         context.metrics.contact.lost_paths.set(reach.lost_paths() as i64);
-        context.engine_reach.lost.notify_all();
     }
 }
 
--- a/crates/node/src/engine_contact/probing.rs
+++ b/crates/node/src/engine_contact/probing.rs
@@ -19,9 +19,6 @@
 /// Time between two looks while nothing is.
 const IDLE_LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Engines that are verified at once after the first path was lost.
-const VERIFIED_AT_ONCE: usize = 3;
-
 /// Engines to which this node connects to learn whether it reaches any; the first answer suffices.
 const TRIED_FOR_CONTACT: usize = 2;
 
@@ -33,12 +30,12 @@
 /// Probes as long as the process runs.
 pub(crate) fn run(context: &Context) {
     while !context.state.is_closing() {
-        if lock(&context.engine_reach).is_complete() {
+        if lock(&context.engine_reach).is_undoubted() {
             let reach = lock(&context.engine_reach);
             let waited = context
                 .engine_reach
-                .lost
-                .wait_timeout_while(reach, IDLE_LOOK_INTERVAL, |reach| reach.is_complete());
+                .failed
+                .wait_timeout_while(reach, IDLE_LOOK_INTERVAL, |reach| reach.is_undoubted());
             drop(waited.unwrap_or_else(PoisonError::into_inner));
             continue;
         }
@@ -50,10 +47,10 @@
     }
 }
 
-/// Connects to engines of other zones after the first path was lost, so that requests need not find out.
+/// Connects to further engines after some failed, so that requests need not find out whether they are reached.
 fn verify(context: &Context, in_use: &InUse) {
     let zones = zones(in_use);
-    let doubtful = lock(&context.engine_reach).to_verify(&zones, VERIFIED_AT_ONCE);
+    let doubtful = lock(&context.engine_reach).to_verify(&zones, context.now());
     thread::scope(|scope| {
         for engine in &doubtful {
             let Some((_, address)) = in_use.get(engine) else {
