Partition soak: nodes lose their links to all engines, one after the other and overlapping

Four nodes in one process, each with links of its own, so that a cut strikes nobody else; connections are reset, hang, or live on while new ones are refused, 3.5 to 7 s long, under callers that never stop.

--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -16,6 +16,7 @@
 pub mod layout;
 mod operator;
 pub mod oracle;
+pub mod partitions;
 mod places;
 mod process;
 pub mod rate_limits;
