Reach: forget old failures, look less often, and wording

Failures that no other node could judge kept the probing thread awake until the next connection to an engine; they are forgotten after their window (failures_of_long_ago_raise_no_doubt failed to compile before, since nothing did this). Comments use the usual terms.

--- a/crates/core/src/reachability/reach.rs
+++ b/crates/core/src/reachability/reach.rs
@@ -337,8 +337,10 @@
         zones.into_values().take(MIN_ENGINES).cloned().collect()
     }
 
-    /// Forgets engines that are listed no longer.
-    pub fn retain(&mut self, is_listed: impl Fn(&EngineId) -> bool) {
+    /// Forgets engines that are listed no longer, and failures of long ago that no other node could judge.
+    pub fn retain(&mut self, is_listed: impl Fn(&EngineId) -> bool, now: MonotonicTime) {
+        self.unjudged
+            .retain(|_, failed_at| now.since(*failed_at) <= FAILURE_WINDOW);
         self.lost_paths.retain(|engine, _| is_listed(engine));
         let lost_paths = &self.lost_paths;
         self.lost_zones
--- a/crates/core/tests/engine_reach.rs
+++ b/crates/core/tests/engine_reach.rs
@@ -212,3 +212,15 @@
         assert_eq!(route(&reach, 8), Route::Direct);
     }
 }
+
+#[test]
+fn failures_of_long_ago_raise_no_doubt() {
+    let mut reach = EngineReach::default();
+    for number in 0..4 {
+        fail(&mut reach, number, PeerEvidence::None, 10);
+    }
+    assert!(!reach.is_undoubted());
+    reach.retain(|_| true, at(3_000));
+    assert!(reach.is_undoubted());
+    assert_eq!(reach.to_verify(&engines(), at(3_000)), []);
+}
--- a/crates/node/src/engine_contact/mod.rs
+++ b/crates/node/src/engine_contact/mod.rs
@@ -16,7 +16,7 @@
 };
 use shelfjunction_protocol::relay_messages::TunnelReply;
 use shelfjunction_threads::lock;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Condvar, Mutex};
@@ -232,7 +232,7 @@
 fn note_failed(context: &Context, engine: &EngineId, evidence: PeerEvidence) {
     let zone = zone_of(context, engine);
     let in_use = engines_in_use(context);
-    let zones: std::collections::BTreeSet<&ZoneId> = in_use.values().map(|(zone, _)| zone).collect();
+    let zones: BTreeSet<&ZoneId> = in_use.values().map(|(zone, _)| zone).collect();
     let census = EngineCensus {
         engines: in_use.len(),
         engines_of_zone: in_use.values().filter(|(other, _)| *other == zone).count(),
--- a/crates/node/src/engine_contact/probing.rs
+++ b/crates/node/src/engine_contact/probing.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 /// Time between two looks at whether a probe is due, while anything is lost.
-const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time between two looks while nothing is.
 const IDLE_LOOK_INTERVAL: Duration = Duration::from_secs(1);
@@ -40,7 +40,7 @@
             continue;
         }
         let in_use = engines_in_use(context);
-        lock(&context.engine_reach).retain(|engine| in_use.contains_key(engine));
+        lock(&context.engine_reach).retain(|engine| in_use.contains_key(engine), context.now());
         verify(context, &in_use);
         probe(context, &in_use);
         context.stop.wait(LOOK_INTERVAL);
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -338,17 +338,17 @@
         peer.region(&topology).cloned()
     }
 
-    /// The other nodes that spoke a short time ago, as relays: how far they are.
+    /// The other nodes that sent a message a short time ago, as possible relays, with their distance.
     pub(crate) fn relay_peers(&self, now: MonotonicTime) -> Vec<RelayPeer> {
         let topology = self.topology();
         let known = lock(&self.known);
-        let heard = known.peers.values().filter(|peer| peer.heard_lately(now));
+        let recent = known.peers.values().filter(|peer| peer.heard_lately(now));
         let distance = |peer: &Peer| match &peer.zone {
             Some(zone) if *zone == self.own_zone => 0,
             _ if peer.is_near(&topology) => 1,
             _ => 2,
         };
-        heard
+        recent
             .map(|peer| RelayPeer {
                 node: peer.handle,
                 distance: distance(peer),
--- a/crates/node/src/relay/socket.rs
+++ b/crates/node/src/relay/socket.rs
@@ -8,7 +8,7 @@
 /// Time after which a connection counts as broken on which sent bytes or probes are not acknowledged.
 const UNACKNOWLEDGED_MILLIS: u32 = 3_000;
 
-/// Silence after which the other end is probed: its machine may be gone without a word.
+/// Idle time after which the other end is probed: its machine may have failed without closing the connection.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 
 /// Time between two such probes.
--- a/crates/node/src/relay/tunnel.rs
+++ b/crates/node/src/relay/tunnel.rs
@@ -1,4 +1,4 @@
-//! The near end of a tunnel: a stream of bytes to and from an engine, and what the relay is told beside it.
+//! The near end of a tunnel: a stream of bytes to and from an engine, and control frames for the relay.
 
 use shelfjunction_core::identity::RequestId;
 use shelfjunction_core::membership::subject::SubjectHandle;
@@ -55,12 +55,12 @@
         (Self { relay, shared }, stream)
     }
 
-    /// Tells the relay which request comes next.
+    /// Notifies the relay of the request that comes next.
     pub(crate) fn note_request(&self, request: &RequestId) {
         self.note(FrameKind::Request, request.as_str().as_bytes());
     }
 
-    /// Tells the relay that no request is under way.
+    /// Notifies the relay that no request is under way.
     pub(crate) fn note_rest(&self) {
         self.note(FrameKind::Rest, &[]);
     }
