Nodes log the shared parts of prompts

The logs name the fingerprint of each request that was charged with a crash, and no two are alike; what the crashed ones share could not be seen.

request_routed and crash_charged name the parts that a prompt may share with others (all but the last), by name only, no content.

--- a/crates/core/src/routing/pool/query.rs
+++ b/crates/core/src/routing/pool/query.rs
@@ -66,6 +66,11 @@
         output.min(self.output_tokens)
     }
 
+    /// Parts that other requests may hold too: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Blocks of the prompt in order.
     pub fn prefixes(&self) -> Vec<PrefixBlock> {
         self.parts
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -202,6 +202,7 @@
         urgency = routed.access.urgency,
         prompt_tokens = prompt.map_or(0, |prompt| prompt.tokens),
         output_tokens = prompt.map_or(0, |prompt| prompt.output_tokens),
+        parts = suspicion::part_names(prompt).as_str(),
         output_estimate:? = prompt.and_then(|prompt| prompt.output_estimate),
         left_millis:? = call.time_left.map(|left| left.as_millis() as u64),
         after_event:? = call.last_event,
--- a/crates/node/src/course/suspicion.rs
+++ b/crates/node/src/course/suspicion.rs
@@ -7,6 +7,7 @@
 use shelfjunction_core::forwarding::RouteRule;
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::quarantine::{Asked, Fingerprint};
+use shelfjunction_core::routing::pool::PromptShape;
 
 /// Notes that a call is refused before anything of it ran; what its caller is told.
 pub(super) fn refuse(
@@ -53,6 +54,7 @@
                 engine = engine.as_str(),
                 crashes = standing.crashes(),
                 standing = standing.name(),
+                parts = part_names(self.call.prompt.as_ref()).as_str(),
                 shared_with = self.context.suspects.others_charged(&self.fingerprint, engine),
                 on_trial = self.trial.is_some();
                 "crash_charged"
@@ -79,3 +81,10 @@
         self.withheld().is_some()
     }
 }
+
+/// Names of the parts that a prompt may share with others, in order, as callers write them.
+pub(super) fn part_names(prompt: Option<&PromptShape>) -> String {
+    let parts = prompt.map(PromptShape::shared_parts).unwrap_or_default();
+    let names: Vec<String> = parts.iter().map(|part| format!("{:x}", part.name)).collect();
+    if names.is_empty() { "none".to_owned() } else { names.join(",") }
+}
