Tests: prompt parts that crash engines (known red)

The stand-in engine crashes over parts whose names begin with 'bad' as it begins to write an answer, before or after its head, with others aboard; reading such a part does no harm. The soak's judge counts crashes by cause, five for a part and three for a whole request as before.

--- a/crates/lab/src/fault_soak/crashes.rs
+++ b/crates/lab/src/fault_soak/crashes.rs
@@ -1,13 +1,18 @@
-//! Judges how far requests were sent on that crash engines, over all nodes and all starts of them.
+//! Judges how far requests were sent on that crash engines, alone or by a part of their prompts, over all nodes and all starts of
+//! them.
 
 use super::disturbances::Disturbances;
 use super::oracle::Violation;
 use super::record::SeenCall;
-use std::collections::{BTreeMap, BTreeSet};
+use crate::users_platform::CrashCause;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Engines that may crash under one request before it counts.
-const CRASHES: usize = 3;
+const CRASHES_OF_REQUEST: usize = 3;
+
+/// Engines that may crash under one part of prompts before it counts.
+const CRASHES_OF_PART: usize = 5;
 
 /// Time within which nodes in touch have to know of the last of them.
 pub const CONTACT: Duration = Duration::from_secs(3);
@@ -18,8 +23,8 @@
 /// A crashing request as it reached an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashingArrival {
-    /// What it asked for.
-    pub content: String,
+    /// What of it crashes engines.
+    pub cause: CrashCause,
     /// The attempt.
     pub request: String,
     /// The start of the engine.
@@ -30,41 +35,48 @@
     pub at: Duration,
 }
 
-/// What became of one crashing request.
+/// What became of one cause of crashes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashCount {
     /// Engines that crashed under it.
     pub ended: usize,
-    /// Arrivals that were sent by nodes in touch later than the contact time after the third crash.
+    /// Arrivals that were sent by nodes in touch later than the contact time after the crash from which on it counts.
     pub late: usize,
 }
 
-/// What became of each crashing request, by what it asked for.
+/// What became of each cause.
 pub fn count(
     calls: &[SeenCall],
     arrivals: &[CrashingArrival],
     disturbances: &Disturbances,
-) -> BTreeMap<String, CrashCount> {
+) -> BTreeMap<CrashCause, CrashCount> {
     let node_of: BTreeMap<&str, usize> = calls
         .iter()
         .map(|call| (call.request.as_str(), call.node))
         .collect();
-    let contents: BTreeSet<&str> = arrivals.iter().map(|arrival| arrival.content.as_str()).collect();
-    contents
+    let mut by_cause: BTreeMap<&CrashCause, Vec<&CrashingArrival>> = BTreeMap::new();
+    for arrival in arrivals {
+        by_cause.entry(&arrival.cause).or_default().push(arrival);
+    }
+    by_cause
         .into_iter()
-        .map(|content| {
-            let mut of_content: Vec<_> = arrivals
-                .iter()
-                .filter(|arrival| arrival.content == content)
-                .collect();
-            of_content.sort_by_key(|arrival| arrival.at);
-            (content.to_owned(), count_one(&of_content, &node_of, disturbances))
+        .map(|(cause, mut of_cause)| {
+            of_cause.sort_by_key(|arrival| arrival.at);
+            let allowed = match cause {
+                CrashCause::Request(_) => CRASHES_OF_REQUEST,
+                CrashCause::Part(_) => CRASHES_OF_PART,
+            };
+            (
+                cause.clone(),
+                count_one(&of_cause, allowed, &node_of, disturbances),
+            )
         })
         .collect()
 }
 
 fn count_one(
     arrivals: &[&CrashingArrival],
+    allowed: usize,
     node_of: &BTreeMap<&str, usize>,
     disturbances: &Disturbances,
 ) -> CrashCount {
@@ -74,8 +86,8 @@
     }
     let mut times: Vec<Duration> = ended.values().copied().collect();
     times.sort();
-    let late = times.get(CRASHES - 1).map_or(0, |third| {
-        let after = *third + CONTACT;
+    let late = times.get(allowed - 1).map_or(0, |last| {
+        let after = *last + CONTACT;
         let late = arrivals.iter().filter(|arrival| arrival.at > after);
         late.filter(|arrival| {
             let node = node_of.get(arrival.request.as_str());
@@ -90,12 +102,12 @@
 }
 
 /// The requests that were sent on too often.
-pub fn judge(counts: &BTreeMap<String, CrashCount>) -> Vec<Violation> {
+pub fn judge(counts: &BTreeMap<CrashCause, CrashCount>) -> Vec<Violation> {
     counts
         .iter()
         .filter(|(_, count)| count.late > LATE_ARRIVALS)
-        .map(|(content, count)| Violation::SentOnAfterCrashes {
-            content: content.clone(),
+        .map(|(cause, count)| Violation::SentOnAfterCrashes {
+            cause: cause.clone(),
             ended: count.ended,
             late: count.late,
         })
--- a/crates/lab/src/fault_soak/judging.rs
+++ b/crates/lab/src/fault_soak/judging.rs
@@ -142,8 +142,8 @@
     let arrivals = records.arrivals.iter().map(|(_, arrival)| arrival);
     let crashing = arrivals.filter_map(|arrival| Some((arrival, arrival.crashing.clone()?)));
     crashing
-        .map(|(arrival, content)| CrashingArrival {
-            content,
+        .map(|(arrival, cause)| CrashingArrival {
+            cause,
             request: arrival.request.clone(),
             engine: arrival.engine.clone(),
             crashed: !arrival.reads_prompt && !arrival.refused && crashed.contains(arrival.request.as_str()),
--- a/crates/lab/src/fault_soak/oracle.rs
+++ b/crates/lab/src/fault_soak/oracle.rs
@@ -4,7 +4,7 @@
 use super::operator::tenant_of;
 use super::record::{SeenAnswer, SeenCall};
 use crate::users_platform::{
-    ArrivalRecord, BackoffRecord, DrainRecord, LimitRecord, OrderRecord, RunRecord, UsageReport,
+    ArrivalRecord, BackoffRecord, CrashCause, DrainRecord, LimitRecord, OrderRecord, RunRecord, UsageReport,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -88,13 +88,13 @@
     },
     /// A request was refused although nothing was wrong and every pool had engines that took work.
     RefusedWithEnginesFree(String),
-    /// A request under which engines crashed was sent on by nodes that had had the time to know.
+    /// Requests under which engines crashed were sent on by nodes that had had the time to know.
     SentOnAfterCrashes {
-        /// What it asked for.
-        content: String,
-        /// Engines that crashed under it.
+        /// What of them crashes engines.
+        cause: CrashCause,
+        /// Engines that crashed under them.
         ended: usize,
-        /// Arrivals later than the time to know after the third crash.
+        /// Arrivals later than the time to know after the last crash that is allowed.
         late: usize,
     },
     /// A request reached an engine whose entry could not be read, from a node that had had the time to know.
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -1,6 +1,7 @@
 //! An engine: reads prompts for others, runs outputs as series of events, takes orders, and misbehaves when told to.
 
 use super::engine_answers::record;
+use super::engine_crashes::{CrashCause, CrashSwitch, head_comes_first};
 use super::engine_records::{ArrivalRecord, BackoffRecord, DrainRecord, LimitRecord, OrderRecord, RunRecord};
 use super::engine_settings::{EngineFault, EngineSettings};
 use super::engine_state::State;
@@ -10,7 +11,7 @@
 };
 use serde::Deserialize;
 use shelfjunction_http::{
-    Answer, Answered, Handler, HttpLimits, HttpRequest, HttpServer, ReadError, Responder, StreamWriter,
+    Answer, Answered, Handler, HttpLimits, HttpRequest, HttpServer, ReadError, Responder,
 };
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -20,18 +21,6 @@
 pub(super) const JSON: &str = "application/json";
 const EVENTS: &str = "text/event-stream";
 
-/// Body of a request that crashes the engine that begins to run it, where the engine has a [`CrashSwitch`]; reading its
-/// prompt does no harm.
-pub const CRASHING_BODY: &str = "crashes whoever runs it";
-
-/// Whether a request's body crashes engines; what stands behind the words tells several such requests apart.
-pub fn crashes_engines(body: &[u8]) -> bool {
-    body.starts_with(CRASHING_BODY.as_bytes())
-}
-
-/// Ends an engine for whoever reaches it: closes its connections and refuses new ones.
-pub type CrashSwitch = Box<dyn Fn() + Send + Sync>;
-
 /// A running engine on loopback.
 pub struct ModelEngine {
     server: HttpServer,
@@ -150,7 +139,7 @@
         self.pace.set(percent);
     }
 
-    /// Makes it crash, by what is given, over requests with [`CRASHING_BODY`]; only the first call counts.
+    /// Makes it crash, by what is given, over requests with a [`CrashCause`]; only the first call counts.
     pub fn crash_by(&self, switch: CrashSwitch) {
         let _ = self.crash_switch.set(switch);
     }
@@ -245,12 +234,12 @@
         };
         let backoff = lock(&self.state).backoff.filter(|_| !is_misdirected);
         let refused = is_misdirected || backoff.is_some() || fault == Some(EngineFault::Refuse);
+        let cause = CrashCause::of(request);
         lock(&self.state).arrivals.push(ArrivalRecord {
             request: request.header("Request-Id").unwrap_or_default().to_owned(),
             reads_prompt,
             refused,
-            crashing: crashes_engines(&request.body)
-                .then(|| String::from_utf8_lossy(&request.body).into_owned()),
+            crashing: cause.clone(),
             engine: self.settings.start(),
             at: Instant::now(),
         });
@@ -268,13 +257,13 @@
         if reads_prompt {
             return responder.answer(&self.read_prompt(request, record));
         }
-        let crash = self.crash_switch.get().filter(|_| crashes_engines(&request.body));
+        let crash = self.crash_switch.get().zip(cause);
         lock(&self.state).runs.push(RunRecord {
             crashed: crash.is_some(),
             ..record.clone()
         });
-        if let Some(crash) = crash {
-            return self.crash(request, crash, responder);
+        if let Some((switch, cause)) = crash {
+            return self.crash(request, switch, &cause, responder);
         }
         match fault {
             Some(EngineFault::LoseAnswer) => Answered::broken(),
@@ -292,11 +281,23 @@
         }
     }
 
-    /// Ends after the head of the answer has left.
-    fn crash(&self, request: &HttpRequest, crash: &CrashSwitch, responder: Responder<'_>) -> Answered {
-        let writer = responder.stream(200, EVENTS, &self.headers(request, true));
-        crash();
-        writer.map_or_else(|_| Answered::broken(), StreamWriter::abort)
+    /// Ends, before or after the head of the answer has left.
+    fn crash(
+        &self,
+        request: &HttpRequest,
+        switch: &CrashSwitch,
+        cause: &CrashCause,
+        responder: Responder<'_>,
+    ) -> Answered {
+        let has_head = matches!(cause, CrashCause::Request(_))
+            || head_comes_first(request.header("Request-Id").unwrap_or_default());
+        let writer = has_head.then(|| responder.stream(200, EVENTS, &self.headers(request, true)));
+        std::thread::sleep(cause.delay());
+        switch();
+        match writer {
+            Some(Ok(writer)) => writer.abort(),
+            _ => Answered::broken(),
+        }
     }
 
     fn read_prompt(&self, request: &HttpRequest, record: RunRecord) -> Answer {
--- a/crates/lab/src/users_platform/engine_records.rs
+++ b/crates/lab/src/users_platform/engine_records.rs
@@ -1,5 +1,6 @@
 //! What an engine remembers of what reached it.
 
+use super::engine_crashes::CrashCause;
 use std::time::{Duration, Instant};
 
 /// One order that an engine took.
@@ -80,8 +81,8 @@
     pub reads_prompt: bool,
     /// Whether the engine turned it away.
     pub refused: bool,
-    /// What it asks for, where that crashes engines.
-    pub crashing: Option<String>,
+    /// What of it crashes engines.
+    pub crashing: Option<CrashCause>,
     /// The start of the engine.
     pub engine: String,
     /// When it came.
--- a/crates/lab/src/users_platform/mod.rs
+++ b/crates/lab/src/users_platform/mod.rs
@@ -3,6 +3,7 @@
 
 mod engine;
 mod engine_answers;
+mod engine_crashes;
 mod engine_records;
 mod engine_settings;
 mod engine_state;
@@ -10,7 +11,8 @@
 mod interface;
 mod store;
 
-pub use engine::{CRASHING_BODY, CrashSwitch, ModelEngine, crashes_engines};
+pub use engine::ModelEngine;
+pub use engine_crashes::{CRASHING_BODY, CRASHING_PART, CrashCause, CrashSwitch, crashes_engines};
 pub use engine_records::{ArrivalRecord, BackoffRecord, DrainRecord, LimitRecord, OrderRecord, RunRecord};
 pub use engine_settings::{EngineFault, EngineSettings, USUAL_SOFTWARE_VERSION};
 pub use engine_work::{
--- a/crates/lab/tests/engine_signals_oracle.rs
+++ b/crates/lab/tests/engine_signals_oracle.rs
@@ -7,7 +7,7 @@
 use shelfjunction_lab::fault_soak::engine_signals::{Excuses, judge_backoffs, judge_drains, judge_refusals};
 use shelfjunction_lab::fault_soak::oracle::{EngineRecords, Violation};
 use shelfjunction_lab::fault_soak::record::{CallKind, SeenAnswer, SeenCall};
-use shelfjunction_lab::users_platform::{ArrivalRecord, BackoffRecord, DrainRecord};
+use shelfjunction_lab::users_platform::{ArrivalRecord, BackoffRecord, CrashCause, DrainRecord};
 use std::time::{Duration, Instant};
 
 const NODE: usize = 1;
@@ -187,7 +187,7 @@
     both.records.backoffs[1].engine = "another".to_owned();
     assert_eq!(judge(&both, true), []);
     let crash = CrashingArrival {
-        content: "crashing".to_owned(),
+        cause: CrashCause::Request("crashing".to_owned()),
         request: "crasher".to_owned(),
         engine: "another".to_owned(),
         crashed: true,
--- a/crates/lab/tests/fault_soak.rs
+++ b/crates/lab/tests/fault_soak.rs
@@ -12,7 +12,7 @@
 use shelfjunction_lab::fault_soak::spoilt::{EngineArrival, Spoilt, SpoiltSpan, judge as judge_spoilt};
 use shelfjunction_lab::relay::{LinkFault, Relay};
 use shelfjunction_lab::users_platform::{
-    LONG_ANSWER_EVENTS, MachinePace, OrderRecord, RunRecord, UsageReport, event, without_filling,
+    CrashCause, LONG_ANSWER_EVENTS, MachinePace, OrderRecord, RunRecord, UsageReport, event, without_filling,
 };
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, TcpListener, TcpStream};
@@ -346,7 +346,7 @@
 /// An arrival of a crashing request at an engine, so many seconds after the start.
 fn crashing(engine: &str, crashed: bool, seconds: u64) -> CrashingArrival {
     CrashingArrival {
-        content: "crashes".to_owned(),
+        cause: CrashCause::Request("crashes".to_owned()),
         request: "mine".to_owned(),
         engine: engine.to_owned(),
         crashed,
@@ -366,7 +366,7 @@
     let calls = [call(CallKind::Again, None)];
     let counts = count(&calls, &sent_on(), &Disturbances::default());
     let expected = Violation::SentOnAfterCrashes {
-        content: "crashes".to_owned(),
+        cause: CrashCause::Request("crashes".to_owned()),
         ended: 4,
         late: 4,
     };
@@ -382,6 +382,32 @@
     assert_eq!(judge_crashes(&counts), [], "nodes could not know yet");
 }
 
+#[test]
+fn a_part_that_is_sent_on_after_five_engines_have_crashed_is_found() {
+    let calls = [call(CallKind::Again, None)];
+    let part = CrashCause::Part("bad0".to_owned());
+    let of_part = |arrivals: Vec<CrashingArrival>| -> Vec<CrashingArrival> {
+        let causes = arrivals.into_iter();
+        causes
+            .map(|arrival| CrashingArrival {
+                cause: part.clone(),
+                ..arrival
+            })
+            .collect()
+    };
+    let more = ["f", "g"].map(|engine| crashing(engine, true, 1));
+    let after_five = of_part(sent_on().into_iter().chain(more).collect());
+    let counts = count(&calls, &after_five, &Disturbances::default());
+    let expected = Violation::SentOnAfterCrashes {
+        cause: part.clone(),
+        ended: 6,
+        late: 4,
+    };
+    assert_eq!(judge_crashes(&counts), [expected]);
+    let counts = count(&calls, &of_part(sent_on()), &Disturbances::default());
+    assert_eq!(judge_crashes(&counts), [], "four engines had ended before");
+}
+
 #[test]
 fn what_nodes_out_of_touch_sent_on_does_not_count() {
     let calls = [call(CallKind::Again, None)];
@@ -398,7 +424,11 @@
             disturbances.end(place, Duration::from_secs(until));
         }
         let counts = count(&calls, &sent_on(), &disturbances);
-        assert_eq!(counts["crashes"].late, counts_then, "{struck:?} until {until:?}");
+        assert_eq!(
+            counts[&CrashCause::Request("crashes".to_owned())].late,
+            counts_then,
+            "{struck:?} until {until:?}"
+        );
     }
 }
 
--- a/crates/node/src/course/suspicion.rs
+++ b/crates/node/src/course/suspicion.rs
@@ -86,5 +86,9 @@
 pub(super) fn part_names(prompt: Option<&PromptShape>) -> String {
     let parts = prompt.map(PromptShape::shared_parts).unwrap_or_default();
     let names: Vec<String> = parts.iter().map(|part| format!("{:x}", part.name)).collect();
-    if names.is_empty() { "none".to_owned() } else { names.join(",") }
+    if names.is_empty() {
+        "none".to_owned()
+    } else {
+        names.join(",")
+    }
 }
