--- a/crates/cli/src/operator/explain.rs
+++ b/crates/cli/src/operator/explain.rs
@@ -187,16 +187,19 @@
     own.into_iter().chain(given).collect()
 }
 
-/// What engines did under other attempts of the same content, at any node.
+/// What engines did under other attempts of the same content, and under other requests with the part because of which this one was
+/// withheld, at any node.
 fn of_same_content<'a>(own: &[&LogLine], lines: &'a [LogLine]) -> Vec<&'a LogLine> {
-    let values = |name: &str| -> BTreeSet<String> {
-        let values = own.iter().map(|line| line.field(name));
+    let values = |names: &[&str]| -> BTreeSet<String> {
+        // A crash is charged to each part of the prompt, of which most are not its cause.
+        let described = own.iter().filter(|line| line.event() != "crash_charged");
+        let values = described.flat_map(|line| names.iter().map(|name| line.field(name)));
         values
             .filter(|value| !value.is_empty())
             .map(str::to_owned)
             .collect()
     };
-    let (fingerprints, names) = (values("fingerprint"), values("request"));
+    let (fingerprints, names) = (values(&["fingerprint", "suspect"]), values(&["request"]));
     let others = lines.iter().filter(|line| {
         FINGERPRINT_EVENTS.contains(&line.event())
             && fingerprints.contains(line.field("fingerprint"))
--- a/crates/cli/src/operator/quarantine.rs
+++ b/crates/cli/src/operator/quarantine.rs
@@ -1,4 +1,4 @@
-//! `shelfjunction quarantine`: requests under which engines crashed, as a node knows them.
+//! `shelfjunction quarantine`: requests and parts of prompts under which engines crashed, as a node knows them.
 
 use super::node_page::{NodePages, Page};
 use super::table;
@@ -12,7 +12,11 @@
 pub fn run(arguments: &[String]) -> Result<(), CommandError> {
     let line = CommandLine::new(usage::QUARANTINE)
         .value("node", "metrics address of a node", "IP:PORT")
-        .value("lift", "let a request run again", "FINGERPRINT")
+        .value(
+            "lift",
+            "let a request, or requests with a part, run again",
+            "FINGERPRINT",
+        )
         .flag("json", "print JSON");
     let values = match line.parse(arguments)? {
         Parsed::HelpShown => return Ok(()),
@@ -38,7 +42,7 @@
 fn lift(node: &NodePages, fingerprint: &Fingerprint) -> Result<(), CommandError> {
     if !node.delete(&format!("{QUARANTINE_PATH}/{fingerprint}"))? {
         return Err(CommandError::Failed(format!(
-            "nothing counts against request {fingerprint}"
+            "nothing counts against {fingerprint}"
         )));
     }
     println!("lifted {fingerprint}");
@@ -47,11 +51,12 @@
 
 /// The text that is printed.
 pub fn render(view: &QuarantineView) -> String {
-    if view.requests.is_empty() {
+    if view.requests.is_empty() && view.parts.is_empty() {
         return format!("node {}: no engine crashed under a request\n", view.node);
     }
     let headings = [
         "fingerprint",
+        "part",
         "standing",
         "crashes",
         "route",
@@ -60,19 +65,22 @@
         "counts for s",
         "refused here",
     ];
-    let rows: Vec<Vec<String>> = view.requests.iter().map(row).collect();
+    let suspects = view.requests.iter().chain(&view.parts);
+    let rows: Vec<Vec<String>> = suspects.map(row).collect();
     format!("node {}\n{}", view.node, table::render(&headings, &rows))
 }
 
-fn row(request: &SuspectView) -> Vec<String> {
+fn row(suspect: &SuspectView) -> Vec<String> {
+    let or_none = |text: &Option<String>| text.clone().unwrap_or_else(|| "none".to_owned());
     vec![
-        request.fingerprint.clone(),
-        request.standing.clone(),
-        request.crashes.to_string(),
-        request.route.clone(),
-        request.pool.clone(),
-        request.tenant.clone().unwrap_or_else(|| "none".to_owned()),
-        request.counts_for_seconds.to_string(),
-        request.refused.to_string(),
+        suspect.fingerprint.clone(),
+        or_none(&suspect.part),
+        suspect.standing.clone(),
+        suspect.crashes.to_string(),
+        suspect.route.clone(),
+        suspect.pool.clone(),
+        or_none(&suspect.tenant),
+        suspect.counts_for_seconds.to_string(),
+        suspect.refused.to_string(),
     ]
 }
--- a/crates/core/src/quarantine/answered.rs
+++ b/crates/core/src/quarantine/answered.rs
@@ -1,7 +1,8 @@
-//! Requests that engines have answered lately: a crash beside one of them was not its doing.
+//! Requests and parts of prompts that engines have answered lately: a crash beside one of them was hardly its doing.
 //!
 //! Without it what many callers ask alike, such as one path without a body, would be charged by each of them, and after three
-//! crashes of any cause all of them would be refused.
+//! crashes of any cause all of them would be refused. A request is not charged at all for a time; a part is, since every crash
+//! needs an explanation, and its answer counts in the [attribution](super::attribution).
 
 use super::Fingerprint;
 use crate::time::MonotonicTime;
@@ -11,12 +12,12 @@
 
 /// Time for which an answer vouches for a request. What begins to crash engines after a change of their software is charged after
 /// so long.
-const VOUCHING_PERIOD: Duration = Duration::from_secs(60);
+pub(super) const VOUCHING_PERIOD: Duration = Duration::from_secs(60);
 
 /// Most requests that are remembered, of some 60 bytes each; the one that was answered longest ago gives way.
 const MAX_REQUESTS: NonZeroUsize = NonZeroUsize::new(4_096).unwrap();
 
-/// Requests that engines have answered with success.
+/// Requests and parts that engines have answered with success.
 #[derive(Clone, Debug)]
 pub struct RecentlyAnswered {
     answered_at: LruCache<Fingerprint, MonotonicTime>,
@@ -36,6 +37,11 @@
         self.answered_at.put(fingerprint, now);
     }
 
+    /// When one has last.
+    pub fn last(&self, fingerprint: &Fingerprint) -> Option<MonotonicTime> {
+        self.answered_at.peek(fingerprint).copied()
+    }
+
     /// Whether one has a short time ago.
     pub fn vouches_for(&self, fingerprint: &Fingerprint, now: MonotonicTime) -> bool {
         let answered_at = self.answered_at.peek(fingerprint);
--- /dev/null
+++ b/crates/core/src/quarantine/attribution.rs
@@ -0,0 +1,114 @@
+//! Which of the subjects aboard account for the crashes of engines.
+//!
+//! A crash charges each request that was under way at the engine and each part of its prompt, of which at most a few are causes. A
+//! charge does not count against a subject while another one that is charged with the same crash explains it better:
+//!
+//! ```text
+//! evidence(s) = crashes(s) * ([`UNANSWERED_WEIGHT`] if no answer vouches for s, else 1)
+//!
+//! b explains a crash better than a, if both are charged with it, and
+//!   b is confirmed by a trial, and a is not; or
+//!   neither is, a is a part, b is a request, and evidence(b) >= evidence(a); or
+//!   neither is, a and b are parts, and evidence(b) > evidence(a) + [`UNANSWERED_WEIGHT`]
+//! ```
+//!
+//! An answer before the trouble makes a part an unlikely cause, not an impossible one. Requests are narrower than their parts, so
+//! that copies of one request do not count against what it shares with others. The margin between parts is one crash, since a node
+//! that was killed may have taken its charges along.
+
+use super::Fingerprint;
+use super::suspect::Suspect;
+use crate::membership::subject::SubjectHandle;
+use crate::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Weight of a crash of a subject for which no answer vouches, against that of one with answers.
+const UNANSWERED_WEIGHT: usize = 3;
+
+/// The crashes of one subject that nothing else explains better.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Attribution {
+    /// When each of them stops to count, the earliest first.
+    pub(super) counting_until: Vec<MonotonicTime>,
+    /// Whether no other unanswered subject is charged with all crashes of this one, which has no answer either.
+    pub(super) is_only_explanation: bool,
+}
+
+/// What speaks for and against one subject, for comparison with others.
+struct Evidence<'a> {
+    fingerprint: &'a Fingerprint,
+    suspect: &'a Suspect,
+    weight: usize,
+    is_confirmed: bool,
+    is_answered: bool,
+}
+
+impl<'a> Evidence<'a> {
+    fn of(fingerprint: &'a Fingerprint, suspect: &'a Suspect, lasts: Duration, now: MonotonicTime) -> Self {
+        let is_answered = suspect.was_answered_before(lasts, now);
+        let weight = if is_answered { 1 } else { UNANSWERED_WEIGHT };
+        Self {
+            fingerprint,
+            suspect,
+            weight: suspect.crashes(now) * weight,
+            is_confirmed: suspect.is_confirmed(now),
+            is_answered,
+        }
+    }
+
+    /// Whether it explains crashes better than another subject that is charged with them too.
+    fn explains_better_than(&self, other: &Self) -> bool {
+        if self.is_confirmed || other.is_confirmed {
+            return !other.is_confirmed;
+        }
+        if !other.fingerprint.is_part() {
+            return false;
+        }
+        if self.fingerprint.is_part() {
+            self.weight > other.weight + UNANSWERED_WEIGHT
+        } else {
+            self.weight >= other.weight
+        }
+    }
+}
+
+/// What of a subject's crashes counts against it, beside all others that are remembered.
+pub(super) fn attribute(
+    fingerprint: &Fingerprint,
+    suspect: &Suspect,
+    all: &BTreeMap<Fingerprint, Suspect>,
+    lasts: Duration,
+    now: MonotonicTime,
+) -> Attribution {
+    let own = Evidence::of(fingerprint, suspect, lasts, now);
+    let crashes: Vec<(SubjectHandle, MonotonicTime)> = suspect.counting_engines(now).collect();
+    let others: Vec<Evidence<'_>> = all
+        .iter()
+        .filter(|(other, _)| *other != fingerprint)
+        .map(|(other, suspect)| Evidence::of(other, suspect, lasts, now))
+        .filter(|other| {
+            crashes
+                .iter()
+                .any(|(engine, _)| other.suspect.counts(*engine, now))
+        })
+        .collect();
+    let better: Vec<&Suspect> = others
+        .iter()
+        .filter(|other| other.explains_better_than(&own))
+        .map(|other| other.suspect)
+        .collect();
+    let unexplained = crashes
+        .iter()
+        .filter(|(engine, _)| !better.iter().any(|other| other.counts(*engine, now)));
+    let explains_all = |other: &Evidence<'_>| {
+        !other.is_answered
+            && crashes
+                .iter()
+                .all(|(engine, _)| other.suspect.counts(*engine, now))
+    };
+    Attribution {
+        counting_until: unexplained.map(|(_, counts_until)| *counts_until).collect(),
+        is_only_explanation: !own.is_answered && !others.iter().any(explains_all),
+    }
+}
--- a/crates/core/src/quarantine/config.rs
+++ b/crates/core/src/quarantine/config.rs
@@ -10,11 +10,14 @@
 pub struct QuarantineSettings {
     /// Whether requests that crash engines are refused at all.
     pub enabled: bool,
-    /// Engines that may crash under one request before it is refused; from the last but one on it runs alone.
+    /// Engines that may crash under one request, or one part of prompts, before it is refused; from the last but one on it runs alone.
     pub crashes: usize,
+    /// Engines that may crash under a part of prompts that engines have answered before; from the last but one on requests with it
+    /// run alone.
+    pub answered_part_crashes: usize,
     /// Time for which a crash counts against a request, in seconds. Afterwards the request may run once more, alone.
     pub lasts_seconds: f64,
-    /// Most requests that are remembered, of some 200 bytes each; those with the fewest and oldest crashes give way.
+    /// Most requests and parts that are remembered, of some 200 bytes each; those with the fewest and oldest crashes give way.
     pub most_requests: usize,
     /// Time for which a node waits, before it lets a suspect run, for the report of another node that runs one, in
     /// milliseconds: several times the way between two nodes.
@@ -26,6 +29,7 @@
         Self {
             enabled: true,
             crashes: 3,
+            answered_part_crashes: 5,
             lasts_seconds: 600.0,
             most_requests: 1_024,
             trial_wait_millis: 30,
@@ -58,6 +62,12 @@
             self.crashes.to_string(),
             format!("1 to {MAX_CRASHES}"),
         );
+        check(
+            "answered_part_crashes",
+            (self.crashes..=MAX_CRASHES).contains(&self.answered_part_crashes),
+            self.answered_part_crashes.to_string(),
+            format!("crashes to {MAX_CRASHES}"),
+        );
         check(
             "lasts_seconds",
             LASTS_SECONDS.contains(&self.lasts_seconds),
--- a/crates/core/src/quarantine/fingerprint.rs
+++ b/crates/core/src/quarantine/fingerprint.rs
@@ -1,5 +1,6 @@
-//! What makes two requests the same request, whoever names them and wherever they arrive.
+//! What names a request, or a part of prompts, that engines may crash under, whoever names it and wherever it arrives.
 
+use crate::routing::pool::PromptPart;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt;
@@ -23,7 +24,12 @@
     pub body: &'a [u8],
 }
 
-/// First bytes of the SHA-256 of what a request asks for; the same at every node and at each attempt of its caller.
+/// Begin of the fingerprint of a part. Behind it stand the first bytes of the SHA-256 of its model, and its name. The digest of one
+/// in four billion requests begins so too; such a request counts as a part that no other request holds.
+const PART_MARK: [u8; 4] = *b"part";
+
+/// First bytes of the SHA-256 of what a request asks for, or a part of prompts to a model; the same at every node and at each
+/// attempt of its caller.
 ///
 /// Headers are left out: attempts of one request differ in them, as in the name of the attempt and the time left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -50,6 +56,27 @@
         bytes.copy_from_slice(&hasher.finalize()[..FINGERPRINT_BYTES]);
         Self(bytes)
     }
+
+    /// The fingerprint of a part of prompts to a model.
+    pub fn of_part(model: &str, part: &PromptPart) -> Self {
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        bytes[..4].copy_from_slice(&PART_MARK);
+        bytes[4..8].copy_from_slice(&Sha256::digest(model)[..4]);
+        bytes[8..].copy_from_slice(&part.name.to_be_bytes());
+        Self(bytes)
+    }
+
+    /// Name of the part; absent where it names a request.
+    pub fn part_name(&self) -> Option<u64> {
+        let (mark, rest) = self.0.split_first_chunk()?;
+        let name = rest.last_chunk()?;
+        (*mark == PART_MARK).then(|| u64::from_be_bytes(*name))
+    }
+
+    /// Whether it names a part of prompts.
+    pub fn is_part(&self) -> bool {
+        self.part_name().is_some()
+    }
 }
 
 /// A text that is no fingerprint.
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -21,18 +21,21 @@
 //! that is killed as a whole does not begin anew.
 
 mod answered;
+mod attribution;
 pub mod config;
 mod fingerprint;
 pub mod notification;
 mod register;
 pub mod report;
 pub mod row;
+mod subjects;
 mod suspect;
 mod trial;
 
 pub use answered::RecentlyAnswered;
 pub use fingerprint::{Fingerprint, NoFingerprint, RequestContent};
-pub use register::{Counts, Entry, Quarantine, Selection, Standing};
+pub use register::{Counts, Entry, Quarantine, RefusalCause, Selection, Standing, TrialSubjects, Verdict};
+pub use subjects::RequestSubjects;
 pub use trial::TrialBoard;
 
 use crate::forwarding::{PoolId, RouteId};
--- a/crates/core/src/quarantine/register.rs
+++ b/crates/core/src/quarantine/register.rs
@@ -1,18 +1,29 @@
-//! The requests under which engines crashed, as one node knows them.
+//! The requests and parts of prompts under which engines crashed, as one node knows them.
 
+use super::attribution::attribute;
 use super::config::QuarantineSettings;
 use super::report::{ConfirmationReport, SuspectReport};
 use super::suspect::Suspect;
-use super::{Asked, Fingerprint};
+use super::{Asked, Fingerprint, RequestSubjects};
 use crate::membership::subject::SubjectHandle;
 use crate::time::MonotonicTime;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Time for which a change is reported repeatedly: most of the time within which other nodes have to know of it, so that lost
 /// datagrams are made up for.
 const NOTIFICATION_PERIOD: Duration = Duration::from_millis(2_500);
 
+/// Time after a crash within which an answer is awaited, before a part that was answered before it runs on trial: while other
+/// engines serve, one comes.
+const ANSWER_AWAITED: Duration = Duration::from_secs(1);
+
+/// Time after the last crash for which a part that alone explains its crashes does not run at all.
+const CONVICTION_PERIOD: Duration = Duration::from_secs(30);
+
+/// Time after a crash in which requests that hold several suspects wait for requests that hold one of them, whose runs tell more.
+const SEPARATION_PERIOD: Duration = Duration::from_secs(2);
+
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -68,16 +79,80 @@
     Restricted,
 }
 
-/// How many requests stand how.
+/// How many requests, and how many parts, stand how.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
     /// Requests that run alone.
     pub suspected: usize,
     /// Requests that are refused.
     pub quarantined: usize,
+    /// Parts of which requests run alone.
+    pub suspected_parts: usize,
+    /// Parts of which requests are refused.
+    pub quarantined_parts: usize,
 }
 
-/// One request, for operators.
+/// What may be done with a request as a whole, by the worst of what it holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It runs as any other.
+    Free,
+    /// It runs alone.
+    OnTrial(TrialSubjects),
+    /// It is refused, because of one of its subjects.
+    Refused {
+        /// The subject.
+        subject: Fingerprint,
+        /// How it stands.
+        standing: Standing,
+        /// Why.
+        cause: RefusalCause,
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+/// Why a request does not even run on trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// A trial has confirmed that the subject crashes engines.
+    Confirmed,
+    /// The subject alone explains several crashes.
+    OnlyExplanation,
+    /// It holds several suspects, and requests that hold fewer tell more.
+    SeveralSuspects,
+}
+
+impl RefusalCause {
+    /// Name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Confirmed => "quarantined",
+            Self::OnlyExplanation => "only_explanation",
+            Self::SeveralSuspects => "several_suspects",
+        }
+    }
+}
+
+/// What a run on trial is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TrialSubjects {
+    /// The subject for which it runs.
+    pub subject: Fingerprint,
+    /// How that stands.
+    pub standing: Standing,
+    /// All subjects of the request that don't run as any other. A crash tells of the subject only where it is the only one.
+    pub suspects: Vec<Fingerprint>,
+}
+
+impl TrialSubjects {
+    /// The subject that a crash of this run confirms; absent where it could be another.
+    pub fn isolated(&self) -> Option<Fingerprint> {
+        (self.suspects.len() == 1).then_some(self.subject)
+    }
+}
+
+/// One request or part, for operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
     /// The request.
@@ -113,27 +188,129 @@
         self.suspects.is_empty()
     }
 
-    /// What may be done with a request.
+    /// What may be done with a request or a part, by itself.
     pub fn standing(&self, fingerprint: &Fingerprint, now: MonotonicTime) -> Standing {
         self.suspects
             .get(fingerprint)
             .map_or(Standing::Free { crashes: 0 }, |suspect| {
-                self.standing_of(suspect, now)
+                self.standing_of(fingerprint, suspect, now)
             })
     }
 
-    fn standing_of(&self, suspect: &Suspect, now: MonotonicTime) -> Standing {
+    fn standing_of(&self, fingerprint: &Fingerprint, suspect: &Suspect, now: MonotonicTime) -> Standing {
         let crashes = suspect.crashes(now);
-        if crashes >= self.settings.crashes {
-            let remaining = suspect.time_until_fewer_than(self.settings.crashes, now);
+        if crashes + 1 < self.settings.crashes {
+            return Standing::Free { crashes };
+        }
+        let lasts = self.settings.lasts();
+        let attribution = attribute(fingerprint, suspect, &self.suspects, lasts, now);
+        let counting = &attribution.counting_until;
+        let remaining = suspect.time_until_fewer_than(self.settings.crashes, now);
+        if fingerprint.is_part() && suspect.was_answered_before(lasts, now) && !suspect.is_confirmed(now) {
+            let last_allowed = counting.get(self.settings.answered_part_crashes.saturating_sub(2));
+            let has_waited = last_allowed.is_some_and(|until| now + lasts >= *until + ANSWER_AWAITED);
+            return if has_waited {
+                Standing::Suspected { crashes }
+            } else {
+                Standing::Free { crashes }
+            };
+        }
+        if counting.len() >= self.settings.crashes {
             return Standing::Quarantined { crashes, remaining };
         }
-        if crashes > 0 && crashes + 1 == self.settings.crashes {
+        if !counting.is_empty() && counting.len() + 1 == self.settings.crashes {
             return Standing::Suspected { crashes };
         }
         Standing::Free { crashes }
     }
 
+    /// What may be done with a request, by all that it holds.
+    pub fn verdict(&self, subjects: &RequestSubjects, now: MonotonicTime) -> Verdict {
+        let standings = subjects
+            .iter()
+            .map(|subject| (*subject, self.standing(subject, now)));
+        let restricted: Vec<(Fingerprint, Standing)> = standings
+            .filter(|(_, standing)| !matches!(standing, Standing::Free { .. }))
+            .collect();
+        let refused = restricted
+            .iter()
+            .find_map(|(subject, standing)| self.refused(subject, *standing, now));
+        if let Some(refused) = refused {
+            return refused;
+        }
+        // Of several the narrowest of those that stand worst: the more widely shared ones are cleared by other requests.
+        let is_quarantined = |standing: &Standing| matches!(standing, Standing::Quarantined { .. });
+        let worst = restricted
+            .iter()
+            .max_by_key(|(_, standing)| is_quarantined(standing));
+        let Some((subject, standing)) = worst.copied() else {
+            return Verdict::Free;
+        };
+        let suspects: Vec<Fingerprint> = restricted.iter().map(|(subject, _)| *subject).collect();
+        let separation = self.separation_time(&suspects, now);
+        if !separation.is_zero() {
+            return Verdict::Refused {
+                subject,
+                standing,
+                cause: RefusalCause::SeveralSuspects,
+                retry_after: separation,
+            };
+        }
+        Verdict::OnTrial(TrialSubjects {
+            subject,
+            standing,
+            suspects,
+        })
+    }
+
+    /// Why a subject that stands so is refused without a trial.
+    fn refused(&self, subject: &Fingerprint, standing: Standing, now: MonotonicTime) -> Option<Verdict> {
+        let Standing::Quarantined { remaining, .. } = standing else {
+            return None;
+        };
+        let (cause, retry_after) = if self.is_confirmed(subject, now) {
+            (RefusalCause::Confirmed, remaining)
+        } else {
+            let conviction = self.conviction_time(subject, now);
+            (RefusalCause::OnlyExplanation, conviction)
+        };
+        (!retry_after.is_zero()).then_some(Verdict::Refused {
+            subject: *subject,
+            standing,
+            cause,
+            retry_after,
+        })
+    }
+
+    /// Time for which a part is refused without a trial because it alone explains its crashes; zero where it is not.
+    fn conviction_time(&self, fingerprint: &Fingerprint, now: MonotonicTime) -> Duration {
+        let Some(suspect) = self.suspects.get(fingerprint).filter(|_| fingerprint.is_part()) else {
+            return Duration::ZERO;
+        };
+        let lasts = self.settings.lasts();
+        let attribution = attribute(fingerprint, suspect, &self.suspects, lasts, now);
+        let last = attribution.counting_until.last();
+        last.filter(|_| attribution.is_only_explanation)
+            .map_or(Duration::ZERO, |until| {
+                (*until + CONVICTION_PERIOD).since(now + lasts)
+            })
+    }
+
+    /// Time for which a request that holds several suspects waits for requests that hold fewer.
+    fn separation_time(&self, suspects: &[Fingerprint], now: MonotonicTime) -> Duration {
+        if suspects.len() < 2 {
+            return Duration::ZERO;
+        }
+        let of_suspects = suspects.iter().filter_map(|subject| self.suspects.get(subject));
+        let last = of_suspects
+            .flat_map(|suspect| suspect.counting_engines(now))
+            .map(|(_, counts_until)| counts_until)
+            .max();
+        last.map_or(Duration::ZERO, |until| {
+            (until + SEPARATION_PERIOD).since(now + self.settings.lasts())
+        })
+    }
+
     /// Whether a run on trial has crashed an engine. A quarantined request without one may only have run beside the cause.
     pub fn is_confirmed(&self, fingerprint: &Fingerprint, now: MonotonicTime) -> bool {
         let suspect = self.suspects.get(fingerprint);
@@ -210,10 +387,73 @@
         Some(self.standing(&fingerprint, now))
     }
 
-    /// An engine answered the request and lives, or an operator lifts it: nothing counts against it any more. Whether
-    /// something did.
+    /// An engine that lives answered a request that was sent at `sent_at`: nothing counts any more against what it holds, unless a
+    /// trial has confirmed that since. Whether something was cleared.
+    pub fn note_answered(
+        &mut self,
+        fingerprint: &Fingerprint,
+        sent_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> bool {
+        let suspect = self.suspects.get(fingerprint);
+        let confirmed_until = suspect.and_then(|suspect| suspect.confirmed_until(now));
+        let was_sent_before = confirmed_until.is_some_and(|until| sent_at + self.settings.lasts() < until);
+        !was_sent_before && self.clear(fingerprint, now)
+    }
+
+    /// Engines have answered a part or a request before some of the crashes with which it is charged; whether that was not known.
+    pub fn note_answered_before(
+        &mut self,
+        fingerprint: &Fingerprint,
+        answered_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> bool {
+        let lasts = self.settings.lasts();
+        let Some(suspect) = self.suspects.get_mut(fingerprint) else {
+            return false;
+        };
+        let is_news = suspect.note_answered(answered_at + lasts);
+        if is_news {
+            suspect.notify_until = now + NOTIFICATION_PERIOD;
+        }
+        is_news
+    }
+
+    /// An operator lifts a request or a part: nothing counts against it any more, nor against parts for whose crashes it accounted.
+    /// Whether something did.
+    pub fn lift(&mut self, fingerprint: &Fingerprint, now: MonotonicTime) -> bool {
+        let Some(suspect) = self.suspects.get(fingerprint) else {
+            return false;
+        };
+        let engines: BTreeSet<SubjectHandle> =
+            suspect.counting_engines(now).map(|(engine, _)| engine).collect();
+        let is_accounted_for = |other: &Suspect| {
+            let mut crashes = other.counting_engines(now).peekable();
+            crashes.peek().is_some() && crashes.all(|(engine, _)| engines.contains(&engine))
+        };
+        let parts: Vec<Fingerprint> = self
+            .suspects
+            .iter()
+            .filter(|(other, suspect)| other.is_part() && is_accounted_for(suspect))
+            .map(|(other, _)| *other)
+            .collect();
+        for part in parts.iter().filter(|part| *part != fingerprint) {
+            self.clear(part, now);
+        }
+        self.clear(fingerprint, now)
+    }
+
+    /// Nothing counts against a request or a part any more. Whether something did.
     pub fn clear(&mut self, fingerprint: &Fingerprint, now: MonotonicTime) -> bool {
-        let through = now + self.settings.lasts();
+        self.clear_through(fingerprint, now + self.settings.lasts(), now)
+    }
+
+    fn clear_through(
+        &mut self,
+        fingerprint: &Fingerprint,
+        through: MonotonicTime,
+        now: MonotonicTime,
+    ) -> bool {
         let Some(suspect) = self.suspects.get_mut(fingerprint) else {
             return false;
         };
@@ -298,27 +538,36 @@
     pub fn reports(&self, selection: Selection, now: MonotonicTime) -> Vec<SuspectReport> {
         self.suspects
             .iter()
-            .filter(|(_, suspect)| self.is_selected(suspect, selection, now))
+            .filter(|(fingerprint, suspect)| self.is_selected(fingerprint, suspect, selection, now))
             .map(|(fingerprint, suspect)| suspect.report(*fingerprint, now))
             .collect()
     }
 
-    fn is_selected(&self, suspect: &Suspect, selection: Selection, now: MonotonicTime) -> bool {
+    fn is_selected(
+        &self,
+        fingerprint: &Fingerprint,
+        suspect: &Suspect,
+        selection: Selection,
+        now: MonotonicTime,
+    ) -> bool {
         let has_changed = suspect.notify_until > now;
-        let runs_freely = matches!(self.standing_of(suspect, now), Standing::Free { crashes } if crashes > 0);
+        let standing = self.standing_of(fingerprint, suspect, now);
+        // What was answered may stand otherwise at nodes that don't know of the answer.
+        let runs_freely =
+            matches!(standing, Standing::Free { crashes } if crashes > 0) && !suspect.was_answered();
         match selection {
             Selection::SeenHere => has_changed && suspect.seen_here,
             Selection::Changes => has_changed && (suspect.seen_here || !runs_freely),
             Selection::RestrictedChanges => has_changed && !runs_freely,
-            Selection::Restricted => !matches!(self.standing_of(suspect, now), Standing::Free { .. }),
+            Selection::Restricted => !matches!(standing, Standing::Free { .. }),
         }
     }
 
     /// Reports that the store lacks: requests with one more crash to go, so that a fleet that is started again as a whole
     /// keeps them; written by the nodes that saw a crash.
     pub fn not_stored(&self, now: MonotonicTime) -> Vec<SuspectReport> {
-        let restricted = self.suspects.iter().filter(|(_, suspect)| {
-            suspect.seen_here && !matches!(self.standing_of(suspect, now), Standing::Free { .. })
+        let restricted = self.suspects.iter().filter(|(fingerprint, suspect)| {
+            suspect.seen_here && !matches!(self.standing_of(fingerprint, suspect, now), Standing::Free { .. })
         });
         restricted
             .map(|(fingerprint, suspect)| (suspect, suspect.report(*fingerprint, now)))
@@ -353,17 +602,19 @@
     /// How many requests stand how.
     pub fn counts(&self, now: MonotonicTime) -> Counts {
         let mut counts = Counts::default();
-        for suspect in self.suspects.values() {
-            match self.standing_of(suspect, now) {
-                Standing::Free { .. } => {}
-                Standing::Suspected { .. } => counts.suspected += 1,
-                Standing::Quarantined { .. } => counts.quarantined += 1,
+        for (fingerprint, suspect) in &self.suspects {
+            match (self.standing_of(fingerprint, suspect, now), fingerprint.is_part()) {
+                (Standing::Free { .. }, _) => {}
+                (Standing::Suspected { .. }, false) => counts.suspected += 1,
+                (Standing::Suspected { .. }, true) => counts.suspected_parts += 1,
+                (Standing::Quarantined { .. }, false) => counts.quarantined += 1,
+                (Standing::Quarantined { .. }, true) => counts.quarantined_parts += 1,
             }
         }
         counts
     }
 
-    /// Every request against which something counts, for operators.
+    /// Every request and part against which something counts, for operators.
     pub fn entries(&self, now: MonotonicTime) -> Vec<Entry> {
         let counting = self
             .suspects
@@ -373,7 +624,7 @@
             .map(|(fingerprint, suspect)| Entry {
                 fingerprint: *fingerprint,
                 asked: suspect.asked.clone(),
-                standing: self.standing_of(suspect, now),
+                standing: self.standing_of(fingerprint, suspect, now),
                 counts_for: suspect.counts_until().since(now),
                 refused: suspect.refused,
             })
--- a/crates/core/src/quarantine/row.rs
+++ b/crates/core/src/quarantine/row.rs
@@ -20,6 +20,9 @@
     pub asked: Asked,
     /// Engines that crashed, and until when each counts.
     pub crashes: Vec<CrashRow>,
+    /// When the run that confirms or clears it was claimed; absent in rows that claim none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub claimed_at: Option<UnixTime>,
 }
 
 /// One crash in the store.
@@ -57,6 +60,15 @@
             fingerprint: report.fingerprint,
             asked: report.asked.clone(),
             crashes: crashes.collect(),
+            claimed_at: None,
+        }
+    }
+
+    /// The same as the claim of a run that begins now.
+    pub fn claim_of(report: &SuspectReport, now: UnixTime) -> Self {
+        Self {
+            claimed_at: Some(now),
+            ..Self::of(report, now)
         }
     }
 
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -1,8 +1,9 @@
-//! What is remembered of one request under which engines crashed.
+//! What is remembered of one request, or one part of prompts, under which engines crashed.
 //!
 //! Times are kept as the instants at which something stops to count, since those lie ahead: what happened may lie before the
 //! start of this process's clock.
 
+use super::answered::VOUCHING_PERIOD;
 use super::config::MAX_CRASHES;
 use super::report::{CrashReport, SuspectReport};
 use super::{Asked, Fingerprint};
@@ -21,7 +22,7 @@
     is_isolated: bool,
 }
 
-/// One request.
+/// One request or part.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Suspect {
     pub(super) asked: Asked,
@@ -67,6 +68,33 @@
         self.counting(now).count()
     }
 
+    /// Engines whose crashes count, and until when each does.
+    pub(super) fn counting_engines(
+        &self,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = (SubjectHandle, MonotonicTime)> {
+        self.counting(now).map(|crash| (crash.engine, crash.counts_until))
+    }
+
+    /// Whether the crash of an engine counts against it.
+    pub(super) fn counts(&self, engine: SubjectHandle, now: MonotonicTime) -> bool {
+        self.counting(now).any(|crash| crash.engine == engine)
+    }
+
+    /// Whether an engine answered it a short time before the first of the crashes that count, so long after which each does.
+    pub(super) fn was_answered_before(&self, lasts: Duration, now: MonotonicTime) -> bool {
+        let Some(first) = self.counting(now).next() else {
+            return self.was_answered();
+        };
+        let vouched_until = self.cleared_through + VOUCHING_PERIOD.min(lasts);
+        self.was_answered() && vouched_until >= first.counts_until
+    }
+
+    /// Whether an answer to it is known.
+    pub(super) fn was_answered(&self) -> bool {
+        self.cleared_through > MonotonicTime::default()
+    }
+
     /// Time until fewer than `most` crashes count; zero where fewer do.
     pub(super) fn time_until_fewer_than(&self, most: usize, now: MonotonicTime) -> Duration {
         let too_many = (self.crashes(now) + 1).saturating_sub(most);
@@ -76,14 +104,20 @@
         last.map_or(Duration::ZERO, |crash| crash.counts_until.since(now))
     }
 
-    /// Whether the crash of an engine counts against it.
+    /// Whether it is charged with the crash of an engine.
     pub(super) fn is_charged_with(&self, engine: SubjectHandle) -> bool {
         self.crashes.iter().any(|crash| crash.engine == engine)
     }
 
     /// Whether one of the crashes ended a trial. Only those separate the cause from what ran beside it.
     pub(super) fn is_confirmed(&self, now: MonotonicTime) -> bool {
-        self.counting(now).any(|crash| crash.is_isolated)
+        self.confirmed_until(now).is_some()
+    }
+
+    /// When the last crash that ended a trial stops to count; absent if there is none.
+    pub(super) fn confirmed_until(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        let isolated = self.counting(now).filter(|crash| crash.is_isolated);
+        isolated.map(|crash| crash.counts_until).last()
     }
 
     /// Notes that the request was on trial at an engine that crashed; whether the crash counts and this was not known.
@@ -130,6 +164,15 @@
         has_cleared
     }
 
+    /// Notes an answer after which only crashes count that stop to count later; whether it was not known.
+    pub(super) fn note_answered(&mut self, through: MonotonicTime) -> bool {
+        let is_news = through > self.cleared_through;
+        self.cleared_through = self.cleared_through.max(through);
+        self.crashes
+            .retain(|crash| crash.counts_until > self.cleared_through);
+        is_news
+    }
+
     /// Whether there is nothing more to remember.
     pub(super) fn is_over(&self, now: MonotonicTime) -> bool {
         self.cleared_through <= now && self.crashes(now) == 0
--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -53,7 +53,7 @@
         let fate = self.fate(&exchange.engine);
         log::info!(
             request = self.call.request.as_str(),
-            fingerprint:% = self.fingerprint,
+            fingerprint:% = self.subjects.request,
             engine = exchange.engine.as_str(),
             purpose = exchange.purpose.name(),
             relayed = exchange.link.tunnel().is_some(),
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -77,6 +77,15 @@
                 attempt: call.attempt.clone(),
             });
         }
+        // More may have been learned while the request waited for a slot and a connection.
+        if let Some(withheld) = self.withheld() {
+            self.count_abandoned(&account);
+            self.context.rest_link(&target.engine, link, self.context.now());
+            return self.take(Event::DispatchWithheld {
+                attempt: call.attempt.clone(),
+                retry_after: withheld.retry_after,
+            });
+        }
         if let Some(tunnel) = link.tunnel() {
             tunnel.note_request(&self.call.request);
             self.context.metrics.relay.relayed_requests.inc();
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -17,7 +17,7 @@
 use shelfjunction_core::identity::{EngineId, RegionId};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::outcome::{Outcome, Refusal, RefusalReason};
-use shelfjunction_core::quarantine::Fingerprint;
+use shelfjunction_core::quarantine::RequestSubjects;
 use shelfjunction_core::request::event::{Action, Event, ForwardAction};
 use shelfjunction_core::request::machine::RequestMachine;
 use shelfjunction_core::request::specification::Placement;
@@ -48,8 +48,8 @@
 /// A call whose route, caller and pool are known.
 pub(super) struct RoutedCall<'a> {
     pub(super) call: &'a Call,
-    /// What makes it the same request as others that come.
-    pub(super) fingerprint: Fingerprint,
+    /// What it may share with others that come: all of what it asks for, or parts of its prompt.
+    pub(super) subjects: RequestSubjects,
     pub(super) route: &'a RouteRule,
     pub(super) access: Access,
     pub(super) pool: PoolId,
@@ -67,8 +67,8 @@
     pub(super) context: &'a Context,
     pub(super) caller: &'a mut dyn CallerConnection,
     pub(super) call: &'a Call,
-    /// What makes it the same request as others that come.
-    pub(super) fingerprint: Fingerprint,
+    /// What it may share with others that come: all of what it asks for, or parts of its prompt.
+    pub(super) subjects: RequestSubjects,
     pub(super) route: &'a RouteRule,
     pub(super) access: Access,
     pub(super) pool: PoolId,
@@ -148,7 +148,7 @@
     ) -> Self {
         let RoutedCall {
             call,
-            fingerprint,
+            subjects,
             route,
             access,
             pool,
@@ -170,7 +170,7 @@
             context,
             caller,
             call,
-            fingerprint,
+            subjects,
             route,
             access,
             pool,
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -30,7 +30,7 @@
 use driver::{Driver, RoutedCall};
 use shelfjunction_core::forwarding::{ForwardingConfig, PoolId, RepeatRule, RouteRule};
 use shelfjunction_core::identity::{RequestId, TenantId};
-use shelfjunction_core::quarantine::{Fingerprint, RequestContent};
+use shelfjunction_core::quarantine::{Fingerprint, RequestContent, RequestSubjects};
 use std::time::Duration;
 
 /// When to come back to a node that knows no configuration yet.
@@ -105,24 +105,24 @@
     };
     let access = admitted(context, config, route, call)?;
     refuse_when_stopping(context, route, call)?;
-    let fingerprint = fingerprint(call, &access);
-    let (pool, origin) = match taking_up::taken_up(context, route, call, &access, &fingerprint)? {
+    let subjects = RequestSubjects::of(fingerprint(call, &access), call.prompt.as_ref());
+    let (pool, origin) = match taking_up::taken_up(context, route, call, &access, &subjects.request)? {
         Some(stream) => (stream.pool, Some(stream.origin)),
         None => (context.next_pool(route).ok_or(OwnAnswer::NoRoute)?, None),
     };
     let deadline = routing::deadline(context, call, route);
     let charged = charge_tenant(context, config.version, &access, call)?;
-    let trial = match quarantine::pass(context, &fingerprint, &pool, deadline) {
+    let trial = match quarantine::pass(context, &subjects, &pool, deadline) {
         Pass::Free => None,
         Pass::Trial(trial) => Some(trial),
         Pass::Withheld(withheld) => {
-            return Err(suspicion::refuse(context, call, &fingerprint, route, &withheld).into());
+            return Err(suspicion::refuse(context, call, &subjects.request, route, &withheld).into());
         }
     };
     context.count_request(&pool);
     let routed = RoutedCall {
         call,
-        fingerprint,
+        subjects,
         route,
         access,
         pool,
@@ -193,7 +193,7 @@
     let prompt = call.prompt.as_ref();
     log::info!(
         request = call.request.as_str(),
-        fingerprint:% = routed.fingerprint,
+        fingerprint:% = routed.subjects.request,
         route:% = routed.route.id,
         pool:% = routed.pool,
         version,
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -156,7 +156,7 @@
         self.count_answered(exchange.account, now);
         // A failure that an engine reports may come before it has begun to run the request.
         if part != OpaquePart::Failure {
-            quarantine::note_answered(self.context, &self.fingerprint);
+            quarantine::note_answered(self.context, &self.call.request, &self.subjects, exchange.sent_at);
         }
         self.context.rest_link(&exchange.engine, exchange.link, now);
         Event::Forwarded {
--- a/crates/node/src/course/stream_origin.rs
+++ b/crates/node/src/course/stream_origin.rs
@@ -124,7 +124,7 @@
         }
         let keys = [
             StreamKey::of(self.access.tenant.as_ref(), &self.call.request),
-            StreamKey::of_content(&self.fingerprint, self.call.prompt.as_ref()),
+            StreamKey::of_content(&self.subjects.request, self.call.prompt.as_ref()),
         ];
         let record = StreamRecord {
             pool: self.pool.clone(),
--- a/crates/node/src/course/suspicion.rs
+++ b/crates/node/src/course/suspicion.rs
@@ -3,7 +3,7 @@
 use super::driver::Driver;
 use crate::context::Context;
 use crate::ports::{Call, OwnAnswer};
-use crate::quarantine::{self, Withheld};
+use crate::quarantine::{self, Charged, Trial, Withheld};
 use shelfjunction_core::forwarding::RouteRule;
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::quarantine::{Asked, Fingerprint};
@@ -20,6 +20,8 @@
     log::info!(
         request = call.request.as_str(),
         fingerprint:% = fingerprint,
+        suspect:% = withheld.subject,
+        part = part_name(&withheld.subject).as_str(),
         route:% = route.id,
         cause = withheld.cause,
         crashes = withheld.crashes,
@@ -33,30 +35,25 @@
 }
 
 impl Driver<'_> {
-    /// Charges the request with the crash of an engine at which it was under way.
+    /// Charges the request, and the parts of its prompt, with the crash of an engine at which it was under way.
     pub(super) fn charge_crash(&self, engine: &EngineId) {
         let asked = Asked {
             route: self.route.id.clone(),
             pool: self.pool.clone(),
             tenant: self.access.tenant.clone(),
         };
-        let charged = quarantine::charge(
-            self.context,
-            self.fingerprint,
-            &asked,
-            engine,
-            self.trial.is_some(),
-        );
-        if let Some(standing) = charged {
+        let isolated = self.trial.as_ref().and_then(Trial::isolated);
+        let charged = quarantine::charge(self.context, &self.subjects, &asked, engine, isolated);
+        for Charged { subject, standing } in charged {
             log::info!(
                 request = self.call.request.as_str(),
-                fingerprint:% = self.fingerprint,
+                fingerprint:% = subject,
+                part = part_name(&subject).as_str(),
                 engine = engine.as_str(),
                 crashes = standing.crashes(),
                 standing = standing.name(),
-                parts = part_names(self.call.prompt.as_ref()).as_str(),
-                shared_with = self.context.suspects.others_charged(&self.fingerprint, engine),
-                on_trial = self.trial.is_some();
+                shared_with = self.context.suspects.others_charged(&subject, engine),
+                on_trial = isolated == Some(subject);
                 "crash_charged"
             );
         }
@@ -64,10 +61,12 @@
 
     /// Why the request is not handed to an engine, where it isn't.
     pub(super) fn withheld(&self) -> Option<Withheld> {
-        let withheld = self.context.withheld(&self.fingerprint, self.trial.as_ref())?;
+        let withheld = self.context.withheld(&self.subjects, self.trial.as_ref())?;
         log::info!(
             request = self.call.request.as_str(),
-            fingerprint:% = self.fingerprint,
+            fingerprint:% = self.subjects.request,
+            suspect:% = withheld.subject,
+            part = part_name(&withheld.subject).as_str(),
             cause = withheld.cause,
             crashes = withheld.crashes;
             "dispatch_withheld"
@@ -82,6 +81,12 @@
     }
 }
 
+/// Name of a part as callers write it; none for a request as a whole.
+fn part_name(subject: &Fingerprint) -> String {
+    let name = subject.part_name();
+    name.map_or_else(|| "none".to_owned(), |name| format!("{name:x}"))
+}
+
 /// Names of the parts that a prompt may share with others, in order, as callers write them.
 pub(super) fn part_names(prompt: Option<&PromptShape>) -> String {
     let parts = prompt.map(PromptShape::shared_parts).unwrap_or_default();
--- a/crates/node/src/quarantine/claiming.rs
+++ b/crates/node/src/quarantine/claiming.rs
@@ -1,7 +1,7 @@
 //! The claim of the one run that confirms or clears a quarantined request: a row that is written only where there is none.
 //!
 //! Reports between nodes may be lost, and all processes may be killed; the bound on what such a request may do after its
-//! quarantine rests on the store alone.
+//! quarantine rests on the store alone. A claim of a part's run lapses, since many requests wait for it.
 
 use super::store_sync::row_value;
 use crate::context::Context;
@@ -12,6 +12,10 @@
     Check, PlatformError, Row, RowKey, RowVersion, Transaction, TransactionOutcome, Write,
 };
 use shelfjunction_threads::lock;
+use std::time::Duration;
+
+/// Time after which the claim of a part's run is taken over: its node has ended, or nothing came of the run.
+pub(super) const CLAIM_LIFETIME: Duration = Duration::from_secs(30);
 
 /// A claim that this node holds.
 #[derive(Debug)]
@@ -40,9 +44,9 @@
         return Err(NoClaim::Taken);
     };
     let key = SuspectRow::claim_key(fingerprint);
-    let value = row_value(&SuspectRow::of(&report, metering::unix(context)))?;
+    let value = row_value(&SuspectRow::claim_of(&report, metering::unix(context)))?;
     let mut outcome = write(context, &key, None, Some(value.clone()))?;
-    if let Some(version) = version_of_lapsed(context, &outcome) {
+    if let Some(version) = version_of_lapsed(context, fingerprint, &outcome) {
         outcome = write(context, &key, Some(version), Some(value))?;
     }
     let TransactionOutcome::Committed { version } = outcome else {
@@ -64,14 +68,22 @@
     log::info!(fingerprint:% = fingerprint, released:? = released; "confirming_run_released");
 }
 
-/// The version of a claim for crashes that count no longer.
-fn version_of_lapsed(context: &Context, outcome: &TransactionOutcome) -> Option<RowVersion> {
+/// The version of a claim that has lapsed, or is for crashes that count no longer.
+fn version_of_lapsed(
+    context: &Context,
+    fingerprint: &Fingerprint,
+    outcome: &TransactionOutcome,
+) -> Option<RowVersion> {
     let TransactionOutcome::Conflict { found, .. } = outcome else {
         return None;
     };
     let Row { version, value, .. } = found.as_ref()?;
     let row: SuspectRow = serde_json::from_str(value).ok()?;
-    let has_lapsed = row.report(metering::unix(context)).crashes.is_empty();
+    let now = metering::unix(context);
+    let is_old = row
+        .claimed_at
+        .is_some_and(|at| now.0.saturating_sub(at.0) >= CLAIM_LIFETIME.as_micros() as u64);
+    let has_lapsed = (fingerprint.is_part() && is_old) || row.report(now).crashes.is_empty();
     has_lapsed.then_some(*version)
 }
 
--- a/crates/node/src/quarantine/metrics.rs
+++ b/crates/node/src/quarantine/metrics.rs
@@ -20,6 +20,8 @@
     withheld: Family<CauseLabel, Counter>,
     suspected: Gauge,
     quarantined: Gauge,
+    suspected_parts: Gauge,
+    quarantined_parts: Gauge,
 }
 
 impl QuarantineMetrics {
@@ -45,6 +47,16 @@
             "Requests that are refused, since engines crashed under them",
             self.quarantined.clone(),
         );
+        registry.register(
+            "suspected_parts",
+            "Parts of prompts of which requests run alone, since engines crashed under requests with them",
+            self.suspected_parts.clone(),
+        );
+        registry.register(
+            "quarantined_parts",
+            "Parts of prompts of which requests are refused, since engines crashed under requests with them",
+            self.quarantined_parts.clone(),
+        );
     }
 
     pub(crate) fn crash_charged(&self) {
@@ -58,5 +70,7 @@
     pub(crate) fn note_counts(&self, counts: Counts) {
         self.suspected.set(counts.suspected as i64);
         self.quarantined.set(counts.quarantined as i64);
+        self.suspected_parts.set(counts.suspected_parts as i64);
+        self.quarantined_parts.set(counts.quarantined_parts as i64);
     }
 }
--- a/crates/node/src/quarantine/mod.rs
+++ b/crates/node/src/quarantine/mod.rs
@@ -1,4 +1,4 @@
-//! Requests under which engines crashed: what is known of them, and which run.
+//! Requests and parts of prompts under which engines crashed: what is known of them, and which run.
 
 mod admitting;
 mod claiming;
@@ -17,12 +17,12 @@
 
 use crate::config::NodeConfig;
 use crate::context::Context;
-use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::identity::{EngineId, RequestId};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::quarantine::config::QuarantineSettings;
 use shelfjunction_core::quarantine::notification::NotificationSchedule;
 use shelfjunction_core::quarantine::{
-    Asked, Counts, Fingerprint, Quarantine, RecentlyAnswered, Standing, TrialBoard,
+    Asked, Counts, Fingerprint, Quarantine, RecentlyAnswered, RequestSubjects, Standing, TrialBoard, Verdict,
 };
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -64,7 +64,7 @@
         !self.remembers.load(Ordering::Acquire)
     }
 
-    /// Other requests that this node knows to be charged with an engine's crash.
+    /// Other requests and parts that this node knows to be charged with an engine's crash.
     pub(crate) fn others_charged(&self, fingerprint: &Fingerprint, engine: &EngineId) -> usize {
         lock(&self.register).others_charged(fingerprint, SubjectHandle::of_engine(engine))
     }
@@ -74,53 +74,89 @@
         lock(&self.register).counts(now)
     }
 
-    /// How a request stands.
-    pub(crate) fn standing(&self, fingerprint: &Fingerprint, now: MonotonicTime) -> Standing {
+    /// What may be done with a request.
+    pub(crate) fn verdict(&self, subjects: &RequestSubjects, now: MonotonicTime) -> Verdict {
         if self.remembers_nothing() {
-            return Standing::Free { crashes: 0 };
+            return Verdict::Free;
         }
-        lock(&self.register).standing(fingerprint, now)
+        lock(&self.register).verdict(subjects, now)
     }
 }
 
-/// Charges a request with the crash of an engine at which it was under way; absent where that was known, or where an engine has
-/// answered the same a short time ago.
+/// A subject that was charged with a crash.
+pub(crate) struct Charged {
+    pub(crate) subject: Fingerprint,
+    pub(crate) standing: Standing,
+}
+
+/// Charges a request and the parts of its prompt with the crash of an engine at which it was under way; those of them for which that
+/// was not known. A request that engines have answered a short time ago is not charged as a whole. `isolated` was on trial there.
 pub(crate) fn charge(
     context: &Context,
-    fingerprint: Fingerprint,
+    subjects: &RequestSubjects,
     asked: &Asked,
     engine: &EngineId,
-    on_trial: bool,
-) -> Option<Standing> {
+    isolated: Option<Fingerprint>,
+) -> Vec<Charged> {
     let now = context.now();
     let handle = SubjectHandle::of_engine(engine);
     let suspects = &context.suspects;
-    if lock(&suspects.answered).vouches_for(&fingerprint, now) {
-        return None;
+    let answered: Vec<(Fingerprint, Option<MonotonicTime>)> = {
+        let answered = lock(&suspects.answered);
+        let charged = subjects
+            .iter()
+            .filter(|subject| subject.is_part() || !answered.vouches_for(subject, now));
+        charged
+            .map(|subject| (*subject, answered.last(subject)))
+            .collect()
+    };
+    let charged: Vec<Charged> = suspects.with_register(|register| {
+        let charges = answered.into_iter().filter_map(|(subject, answered_at)| {
+            let standing = if isolated == Some(subject) {
+                register.note_trial_crash(subject, asked, handle, now)?
+            } else {
+                register.note_crash(subject, asked, handle, now)?
+            };
+            if let Some(answered_at) = answered_at.filter(|_| subject.is_part()) {
+                register.note_answered_before(&subject, answered_at, now);
+            }
+            Some(Charged { subject, standing })
+        });
+        charges.collect()
+    });
+    if !charged.is_empty() {
+        context.metrics.quarantine.crash_charged();
+        lock(&suspects.schedule).note_change();
+        context.peers.note_urgent();
     }
-    let standing = suspects.with_register(|register| {
-        if on_trial {
-            register.note_trial_crash(fingerprint, asked, handle, now)
-        } else {
-            register.note_crash(fingerprint, asked, handle, now)
-        }
-    })?;
-    context.metrics.quarantine.crash_charged();
-    lock(&suspects.schedule).note_change();
-    context.peers.note_urgent();
-    Some(standing)
+    charged
 }
 
-/// An engine has answered a request with success, and lives: nothing counts against it.
-pub(crate) fn note_answered(context: &Context, fingerprint: &Fingerprint) {
+/// An engine that lives has answered a request that was sent to it at `sent_at`: nothing of what it holds counts any more.
+pub(crate) fn note_answered(
+    context: &Context,
+    request: &RequestId,
+    subjects: &RequestSubjects,
+    sent_at: MonotonicTime,
+) {
     let suspects = &context.suspects;
-    lock(&suspects.answered).note(*fingerprint, context.now());
+    let now = context.now();
+    {
+        let mut answered = lock(&suspects.answered);
+        subjects.iter().for_each(|subject| answered.note(*subject, now));
+    }
     if suspects.remembers_nothing() {
         return;
     }
-    let now = context.now();
-    if suspects.with_register(|register| register.clear(fingerprint, now)) {
-        log::info!(fingerprint:% = fingerprint, cause = "answered"; "suspicion_ended");
+    let cleared: Vec<Fingerprint> = suspects.with_register(|register| {
+        let all = subjects.iter().copied();
+        all.filter(|subject| register.note_answered(subject, sent_at, now))
+            .collect()
+    });
+    for subject in &cleared {
+        log::info!(fingerprint:% = subject, request = request.as_str(), cause = "answered"; "suspicion_ended");
+    }
+    if !cleared.is_empty() {
         lock(&suspects.schedule).note_change();
         context.peers.note_urgent();
     }
--- a/crates/node/src/quarantine/notifying.rs
+++ b/crates/node/src/quarantine/notifying.rs
@@ -44,17 +44,29 @@
 
 fn send(context: &Context, reports: &[SuspectReport], to: &[SocketAddr]) {
     for part in reports.chunks(MOST_SUSPECTS) {
-        if let Some(bytes) = Datagram::Suspects(part.to_vec()).encode() {
-            to.iter().for_each(|peer| context.peers.send(&bytes, *peer));
-        }
-        let confirmations: Vec<ConfirmationReport> =
-            part.iter().filter_map(SuspectReport::confirmation).collect();
-        if confirmations.is_empty() {
-            continue;
-        }
-        if let Some(bytes) = QuarantineDatagram::Confirmations(confirmations).encode() {
-            to.iter().for_each(|peer| context.peers.send(&bytes, *peer));
+        send_part(context, part, to);
+    }
+}
+
+/// Sends reports in one datagram or, where they are too long for it, in several.
+fn send_part(context: &Context, reports: &[SuspectReport], to: &[SocketAddr]) {
+    let Some(bytes) = Datagram::Suspects(reports.to_vec()).encode() else {
+        if reports.len() < 2 {
+            log::error!(reports = reports.len(); "suspect_report_too_long");
+            return;
         }
+        let (first, second) = reports.split_at(reports.len() / 2);
+        send_part(context, first, to);
+        return send_part(context, second, to);
+    };
+    to.iter().for_each(|peer| context.peers.send(&bytes, *peer));
+    let confirmations: Vec<ConfirmationReport> =
+        reports.iter().filter_map(SuspectReport::confirmation).collect();
+    if confirmations.is_empty() {
+        return;
+    }
+    if let Some(bytes) = QuarantineDatagram::Confirmations(confirmations).encode() {
+        to.iter().for_each(|peer| context.peers.send(&bytes, *peer));
     }
 }
 
@@ -62,10 +74,9 @@
 pub(crate) fn merge_reports(context: &Context, reports: &[SuspectReport], from: SocketAddr) {
     let now = context.now();
     for report in reports {
-        let changed = context
-            .suspects
-            .with_register(|register| register.merge(report, now));
-        let Some(standing) = changed else { continue };
+        let Some(standing) = merge(context, report, now) else {
+            continue;
+        };
         log::info!(
             fingerprint:% = report.fingerprint,
             route:% = report.asked.route,
@@ -81,6 +92,25 @@
     }
 }
 
+/// Merges another node's report; the new standing if it has changed something. What this node knows of answers to the part goes to
+/// the others with it.
+fn merge(context: &Context, report: &SuspectReport, now: MonotonicTime) -> Option<Standing> {
+    let suspects = &context.suspects;
+    let fingerprint = &report.fingerprint;
+    let answered_at = if fingerprint.is_part() {
+        lock(&suspects.answered).last(fingerprint)
+    } else {
+        None
+    };
+    suspects.with_register(|register| {
+        register.merge(report, now)?;
+        if let Some(answered_at) = answered_at {
+            register.note_answered_before(fingerprint, answered_at, now);
+        }
+        Some(register.standing(fingerprint, now))
+    })
+}
+
 /// Merges another node's confirmations.
 pub(crate) fn merge_confirmations(context: &Context, datagram: QuarantineDatagram, from: SocketAddr) {
     let QuarantineDatagram::Confirmations(confirmations) = datagram;
--- a/crates/node/src/quarantine/trial.rs
+++ b/crates/node/src/quarantine/trial.rs
@@ -4,8 +4,8 @@
 use super::notifying;
 use crate::context::Context;
 use shelfjunction_core::forwarding::PoolId;
-use shelfjunction_core::quarantine::Fingerprint;
 use shelfjunction_core::quarantine::report::{TrialId, TrialReport};
+use shelfjunction_core::quarantine::{Fingerprint, TrialSubjects};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::time::Duration;
@@ -26,10 +26,10 @@
 /// A suspect runs; others may once this is dropped.
 pub(crate) struct Trial<'a> {
     context: &'a Context,
-    fingerprint: Fingerprint,
+    about: TrialSubjects,
     pool: PoolId,
     id: TrialId,
-    /// Present where the request is quarantined, and this run confirms or clears it.
+    /// Present where its subject is quarantined, and this run confirms or clears it.
     claim: Option<Claim>,
     /// Arrivals at engines so far.
     arrivals: u32,
@@ -42,7 +42,7 @@
     /// Begins a trial that is over at the deadline. Waits until another node's trial would have been reported.
     pub(super) fn begin(
         context: &'a Context,
-        fingerprint: Fingerprint,
+        about: TrialSubjects,
         pool: &PoolId,
         deadline: MonotonicTime,
     ) -> Result<Self, NoTrial> {
@@ -59,7 +59,7 @@
         }
         let trial = Self {
             context,
-            fingerprint,
+            about,
             pool: pool.clone(),
             id,
             claim: None,
@@ -79,11 +79,24 @@
         trial
     }
 
-    /// Whether the request may be handed to an engine though it is quarantined.
+    /// Whether the request may be handed to an engine though its subject is quarantined.
     pub(super) fn may_confirm(&self) -> bool {
         self.claim.is_some() && self.arrivals < MAX_CONFIRMING_ARRIVALS
     }
 
+    /// Whether the run is about all that is suspected of its request now.
+    pub(super) fn covers(&self, about: &TrialSubjects) -> bool {
+        about
+            .suspects
+            .iter()
+            .all(|subject| self.about.suspects.contains(subject))
+    }
+
+    /// The subject that a crash of this run confirms; absent where it could be another.
+    pub(crate) fn isolated(&self) -> Option<Fingerprint> {
+        self.about.isolated()
+    }
+
     /// Notes that the request is sent to an engine.
     pub(crate) fn note_sent(&mut self) {
         self.arrivals += 1;
@@ -104,9 +117,9 @@
         lock(&self.context.suspects.trials).end(&self.pool, self.id);
         self.notify(Duration::ZERO);
         if let Some(claim) = self.claim.take() {
-            log::info!(fingerprint:% = self.fingerprint, arrivals = self.arrivals; "confirming_run_ended");
+            log::info!(fingerprint:% = self.about.subject, arrivals = self.arrivals; "confirming_run_ended");
             if self.arrivals == 0 {
-                claiming::release(self.context, &self.fingerprint, claim);
+                claiming::release(self.context, &self.about.subject, claim);
             }
         }
     }
--- a/crates/node/src/quarantine/view.rs
+++ b/crates/node/src/quarantine/view.rs
@@ -6,18 +6,24 @@
 use shelfjunction_protocol::quarantine::{QuarantineView, SuspectView};
 use shelfjunction_threads::lock;
 
-/// Every request against which a crash counts.
+/// Every request and part against which a crash counts.
 pub(crate) fn view(context: &Context) -> QuarantineView {
     let entries = lock(&context.suspects.register).entries(context.now());
+    let (parts, requests) = entries
+        .iter()
+        .map(suspect_view)
+        .partition(|suspect| suspect.part.is_some());
     QuarantineView {
         node: context.config.node.as_str().to_owned(),
-        requests: entries.iter().map(suspect_view).collect(),
+        requests,
+        parts,
     }
 }
 
 fn suspect_view(entry: &Entry) -> SuspectView {
     SuspectView {
         fingerprint: entry.fingerprint.to_string(),
+        part: entry.fingerprint.part_name().map(|name| format!("{name:x}")),
         route: entry.asked.route.to_string(),
         pool: entry.asked.pool.to_string(),
         tenant: entry
@@ -33,11 +39,11 @@
     }
 }
 
-/// Lifts a request's quarantine, here and, as they hear of it, at all other nodes; false where nothing counted.
+/// Lifts a request's or a part's quarantine, here and, as they hear of it, at all other nodes; false where nothing counted.
 pub(crate) fn lift(context: &Context, fingerprint: &Fingerprint) -> bool {
     let now = context.now();
     let suspects = &context.suspects;
-    let lifted = suspects.with_register(|register| register.clear(fingerprint, now));
+    let lifted = suspects.with_register(|register| register.lift(fingerprint, now));
     if lifted {
         log::info!(fingerprint:% = fingerprint, cause = "lifted"; "suspicion_ended");
         lock(&suspects.schedule).note_change();
