Fault soak: requests, no two alike, that share a part which crashes engines

The soak's crashing callers sent the same body again and again; nothing crashed by a part of a prompt, and nobody judged what sound requests with the same first part got.

Now one group of callers comes by default (--part-crashers): one whose every request is another, with a part at any place but the last that crashes the engine that runs it, at any node, several at once; three whose requests share caller and the other parts, and take long enough to be aboard. Judged: arrivals at engines sent by nodes in touch later than the contact time after the fifth crash, three allowed; and the share of sound requests that begin, from twice the contact time after it while such requests still come, against the share in calm: half at least.

--- a/crates/lab/src/command/fault_soak.rs
+++ b/crates/lab/src/command/fault_soak.rs
@@ -49,6 +49,12 @@
         "callers besides whose request crashes engines (2)",
         "NUMBER",
     );
+    options.optopt(
+        "",
+        "part-crashers",
+        "callers besides whose requests share a part of their prompts that crashes engines, each beside others that share only the rest (1)",
+        "NUMBER",
+    );
     options.optopt("", "late-readers", "callers besides that read late (2)", "NUMBER");
     options.optopt(
         "",
@@ -119,6 +125,7 @@
             regions,
             callers: options.value_or("callers", 12)?,
             crashers: options.value_or("crashers", 2)?,
+            part_crashers: options.value_or("part-crashers", 1)?,
             late_readers: options.value_or("late-readers", 2)?,
             rated_callers: options.value_or("rated-callers", 0)?,
             resumers: options.value_or("resumers", 2)?,
--- a/crates/lab/src/fault_soak/callers.rs
+++ b/crates/lab/src/fault_soak/callers.rs
@@ -29,6 +29,8 @@
     pub kind: CallKind,
     /// Its body.
     pub body: &'a str,
+    /// Parts of its prompt; drawn where absent.
+    pub parts: Option<&'a str>,
     /// Time for which nothing is read once the answer's head has come.
     pub reads_after: Duration,
     /// The stream that it takes up.
@@ -90,6 +92,7 @@
             request,
             kind,
             body: "body",
+            parts: None,
             reads_after: Duration::ZERO,
             takes_up: None,
             leaves_after: None,
@@ -128,10 +131,12 @@
             .header("Key", tenant_of(request).key)
             .header("Deadline-Remaining", DEADLINE.as_millis().to_string());
         let asked = if kind.has_events() {
+            let drawn = || format!("a{shared}:800,b{}:200", self.sent);
+            let parts = content.parts.map_or_else(drawn, str::to_owned);
             asked
                 .header("Model", "m")
                 .header("Token-Counts", "1000,10")
-                .header("Prompt-Prefix", format!("a{shared}:800,b{}:200", self.sent))
+                .header("Prompt-Prefix", parts)
         } else {
             asked
         };
--- a/crates/lab/src/fault_soak/crashers.rs
+++ b/crates/lab/src/fault_soak/crashers.rs
@@ -91,6 +91,7 @@
                         request,
                         kind: self.kind,
                         body: &body,
+                        parts: None,
                         reads_after: Duration::ZERO,
                         takes_up: None,
                         leaves_after: None,
--- a/crates/lab/src/fault_soak/judging.rs
+++ b/crates/lab/src/fault_soak/judging.rs
@@ -9,6 +9,7 @@
 use super::record::SeenCall;
 use super::repeats::SeenArrival;
 use super::resumers::is_resumer;
+use super::sharers::is_part_crasher;
 use super::spoilt::{self, EngineArrival, SpoiltSpan};
 use super::{engine_signals, is_probe};
 use std::collections::BTreeSet;
@@ -38,6 +39,7 @@
     let is_quiet = |call: &SeenCall| {
         quiet.covers(call)
             && !is_crasher(&call.request)
+            && !is_part_crasher(&call.request)
             && !is_rated(&call.request)
             && !is_resumer(&call.request)
     };
@@ -49,7 +51,7 @@
 }
 
 /// When engines crashed over a request.
-fn crash_times(records: &EngineRecords, begun: Instant) -> Vec<Duration> {
+pub(super) fn crash_times(records: &EngineRecords, begun: Instant) -> Vec<Duration> {
     let arrivals = crashing_arrivals(records, begun).into_iter();
     arrivals
         .filter(|arrival| arrival.crashed)
--- a/crates/lab/src/fault_soak/late_readers.rs
+++ b/crates/lab/src/fault_soak/late_readers.rs
@@ -67,6 +67,7 @@
                 request: format!("{PREFIX}{}-{}", self.number, self.sent),
                 kind,
                 body: LONG_ANSWER_BODY,
+                parts: None,
                 reads_after,
                 takes_up: None,
                 leaves_after: None,
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -27,6 +27,7 @@
 pub mod repeats;
 pub mod resumers;
 pub mod schedule;
+pub mod sharers;
 pub mod spoilt;
 mod striking;
 mod striking_regions;
@@ -37,8 +38,10 @@
 use crashes::CrashCount;
 use deployment::{Deployment, MODEL_POOL};
 use descriptors::{DescriptorUse, DescriptorWatch};
-use judging::{crashing_arrivals, engine_arrivals, judge_calls, judge_signals, judge_spoilt, seen_arrivals};
-use late_readers::{LateReader, QuietCount};
+use judging::{
+    crash_times, crashing_arrivals, engine_arrivals, judge_calls, judge_signals, judge_spoilt, seen_arrivals,
+};
+use late_readers::{LateReader, Quiet, QuietCount};
 use layout::Layout;
 use oracle::{Violation, judge_reports};
 use places::REPEAT_BUDGET;
@@ -48,6 +51,7 @@
 use repeats::judge_repeats;
 use resumers::{Resumer, SeenStream, TakeUpCount};
 use schedule::Pace;
+use sharers::{SOUND_CALLERS, ShareCount, Sharer};
 use std::fmt;
 use std::io;
 use std::path::PathBuf;
@@ -76,6 +80,9 @@
     pub callers: u64,
     /// Callers besides whose request crashes the engines that run it.
     pub crashers: u64,
+    /// Callers besides whose requests, no two alike, share a part that crashes the engines that run them; with each of them come
+    /// others that share all parts but that.
+    pub part_crashers: u64,
     /// Callers besides that read nothing of a long answer for some seconds.
     pub late_readers: u64,
     /// Callers besides of a tenant with a rate, who ask more than it allows.
@@ -117,8 +124,10 @@
     pub exits: u32,
     /// Descriptors of the soak's own process.
     pub descriptors: DescriptorUse,
-    /// Engines that crashed under each crashing request, and arrivals of it later than is allowed.
+    /// Engines that crashed under each crashing request or part, and arrivals of it later than is allowed.
     pub crashes: Vec<CrashCount>,
+    /// Requests that share parts with those that crash engines.
+    pub shares: Vec<ShareCount>,
     /// Requests of callers that read late, and of the others, that were sent where nothing else was wrong.
     pub quiet: QuietCount,
     /// Streams that were taken up.
@@ -139,7 +148,7 @@
         writeln!(
             formatter,
             "seed {}: {} faults; {} requests: {} succeeded, {} not run, {} other answers, {} unanswered; {} exits; at most {} descriptors; {}; {}; engines ended \
-             under crashing requests {:?}, sent on late {:?}; {}",
+             under crashing requests and parts {:?}, sent on late {:?}; sound requests with their first parts: {}; {}",
             self.seed,
             self.faults,
             self.sent,
@@ -153,6 +162,11 @@
             self.take_ups,
             self.crashes.iter().map(|count| count.ended).collect::<Vec<_>>(),
             self.crashes.iter().map(|count| count.late).collect::<Vec<_>>(),
+            self.shares
+                .iter()
+                .map(ToString::to_string)
+                .collect::<Vec<_>>()
+                .join("; "),
             if self.holds() {
                 "every promise held"
             } else {
@@ -219,12 +233,20 @@
     let crashes = crashes::count(&calls, &crashing, &deployment.disturbances);
     violations.extend(crashes::judge(&crashes));
     let crashes = crashes.into_values().collect();
+    let crash_times = crash_times(&records, begun);
+    let quiet_times = Quiet {
+        disturbances: &deployment.disturbances,
+        crashes: &crash_times,
+    };
+    let shares = sharers::count(&calls, &crashing, &quiet_times);
+    violations.extend(sharers::judge(&shares));
     let descriptors = descriptors.seen();
     if descriptors.is_near_limit() {
         violations.push(Violation::OutOfDescriptors(descriptors));
     }
     Ok(FaultSoakReport {
         crashes,
+        shares: shares.into_values().collect(),
         quiet,
         take_ups: TakeUpCount::of(&streams),
         descriptors,
@@ -252,6 +274,15 @@
                 scope.spawn(|| crasher.run(deployment, begun, &stop))
             })
             .collect();
+        let groups = 0..config.part_crashers;
+        let sound = groups
+            .clone()
+            .flat_map(|group| (0..SOUND_CALLERS).map(move |number| (group, number)));
+        let sharers: Vec<_> = groups
+            .map(|group| Sharer::crashing(config.seed, group))
+            .chain(sound.map(|(group, number)| Sharer::sound(config.seed, group, number)))
+            .map(|sharer| scope.spawn(|| sharer.run(deployment, config.length, begun, &stop)))
+            .collect();
         let late_readers: Vec<_> = (0..config.late_readers)
             .map(|number| {
                 let reader = LateReader::new(config.seed, number);
@@ -285,6 +316,7 @@
         let all = callers
             .into_iter()
             .chain(crashers)
+            .chain(sharers)
             .chain(late_readers)
             .chain(rated);
         let mut calls: Vec<SeenCall> = all.filter_map(|caller| caller.join().ok()).flatten().collect();
@@ -377,6 +409,7 @@
         exits,
         descriptors: DescriptorUse::default(),
         crashes: Vec::new(),
+        shares: Vec::new(),
         quiet: QuietCount::default(),
         take_ups: TakeUpCount::default(),
         violations,
--- a/crates/lab/src/fault_soak/oracle.rs
+++ b/crates/lab/src/fault_soak/oracle.rs
@@ -3,6 +3,7 @@
 use super::descriptors::DescriptorUse;
 use super::operator::tenant_of;
 use super::record::{SeenAnswer, SeenCall};
+use super::sharers::Began;
 use crate::users_platform::{
     ArrivalRecord, BackoffRecord, CrashCause, DrainRecord, LimitRecord, OrderRecord, RunRecord, UsageReport,
 };
@@ -97,6 +98,15 @@
         /// Arrivals later than the time to know after the last crash that is allowed.
         late: usize,
     },
+    /// Sound requests that share their first part with requests that crash engines began far less often than in calm.
+    SoundRequestsWithheld {
+        /// The part that crashes engines, which they don't hold.
+        part: String,
+        /// Those sent in calm.
+        calm: Began,
+        /// Those sent later.
+        late: Began,
+    },
     /// A request reached an engine whose entry could not be read, from a node that had had the time to know.
     SentUnderSpoiltEntry {
         /// The request.
--- a/crates/lab/src/fault_soak/rated_callers.rs
+++ b/crates/lab/src/fault_soak/rated_callers.rs
@@ -62,6 +62,7 @@
                 request: format!("{PREFIX}{}-{}", self.number, seen.len()),
                 kind: CallKind::Again,
                 body: "body",
+                parts: None,
                 reads_after: Duration::ZERO,
                 takes_up: None,
                 leaves_after: None,
--- a/crates/lab/src/fault_soak/resumers.rs
+++ b/crates/lab/src/fault_soak/resumers.rs
@@ -133,6 +133,7 @@
             request: format!("{PREFIX}{}-{}-t", self.number, self.sent),
             kind: CallKind::Again,
             body,
+            parts: None,
             reads_after: Duration::ZERO,
             takes_up: stream.map(|stream| TakenUp {
                 request: stream.request.clone(),
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -6,8 +6,8 @@
 use super::engine_settings::{EngineFault, EngineSettings};
 use super::engine_state::State;
 use super::engine_work::{
-    EVENTS_BEFORE_BREAK, MachinePace, answer_events, breaks_at_first, event, names_versions, versioned_event,
-    wants_long_answer,
+    EVENTS_BEFORE_BREAK, MachinePace, answer_events, breaks_at_first, event, event_pause, names_versions,
+    versioned_event, wants_long_answer,
 };
 use serde::Deserialize;
 use shelfjunction_http::{
@@ -331,7 +331,7 @@
                 let _ = writer.write(format!("id: {id}\nda").as_bytes());
                 return writer.abort();
             }
-            std::thread::sleep(self.pace.added_time());
+            std::thread::sleep(event_pause(&request.body) + self.pace.added_time());
             let event = if names_versions(&request.body) {
                 versioned_event(id, &self.settings.software_version)
             } else {
--- a/crates/lab/src/users_platform/engine_work.rs
+++ b/crates/lab/src/users_platform/engine_work.rs
@@ -43,6 +43,21 @@
     body.ends_with(BREAKING_BODY.as_bytes())
 }
 
+/// Begin of the body of a request whose answer takes a while, so that it is aboard when its engine crashes over another one.
+pub const SLOW_ANSWER_BODY: &str = "wants a slow answer";
+
+/// Time between two events of a slow answer.
+const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(40);
+
+/// Time before each event of the answer to a request with this body, on a machine that does nothing else.
+pub fn event_pause(body: &[u8]) -> Duration {
+    if body.starts_with(SLOW_ANSWER_BODY.as_bytes()) {
+        SLOW_EVENT_PAUSE
+    } else {
+        Duration::ZERO
+    }
+}
+
 /// Whether a request's body asks for a long answer.
 pub fn wants_long_answer(body: &[u8]) -> bool {
     body == LONG_ANSWER_BODY.as_bytes()
--- a/crates/lab/src/users_platform/mod.rs
+++ b/crates/lab/src/users_platform/mod.rs
@@ -17,7 +17,7 @@
 pub use engine_settings::{EngineFault, EngineSettings, USUAL_SOFTWARE_VERSION};
 pub use engine_work::{
     BREAKING_BODY, EVENTS_BEFORE_BREAK, FILLING_BYTES, LONG_ANSWER_BODY, LONG_ANSWER_EVENTS, MachinePace,
-    USUAL_PACE_PERCENT, VERSIONED_BODY, event, wants_long_answer, without_filling,
+    SLOW_ANSWER_BODY, USUAL_PACE_PERCENT, VERSIONED_BODY, event, wants_long_answer, without_filling,
 };
 pub use interface::{InterfaceMode, ScaleOrder, StandInInterface, UsageReport};
 pub use store::{StandInStore, StoreCopy, StoreMode};
