A part that was answered before it began to crash engines is found as well

What callers would see: where a part that engines had answered begins to crash them, eight engines of three end before requests with it stop, and four requests' legs reach engines later than the contact time after the fifth crash, where three are allowed.

Causes, each by a rule that took too much for an explanation: a repeated request, which ends two engines, outweighed the answered part and accounted for both crashes each time; requests that hold several suspects waited from the last crash on, which is over before engines are back to clear the shared ones; and from the fifth crash on an answered part ran on trials that only datagrams keep apart.

Change: a request accounts for a part's crashes only where it has crashed as many engines; the wait counts from the first request that is held back; from the fifth crash on an answered part runs once more with the claim in the store, and without one only while the store is away.

--- a/crates/core/src/quarantine/attribution.rs
+++ b/crates/core/src/quarantine/attribution.rs
@@ -8,12 +8,12 @@
 //!
 //! b explains a crash better than a, if both are charged with it, and
 //!   b is confirmed by a trial, and a is not; or
-//!   neither is, a is a part, b is a request, and evidence(b) >= evidence(a); or
+//!   neither is, a is a part, b is a request, and crashes(b) >= crashes(a); or
 //!   neither is, a and b are parts, and evidence(b) > evidence(a) + [`UNANSWERED_WEIGHT`]
 //! ```
 //!
 //! An answer before the trouble makes a part an unlikely cause, not an impossible one. Requests are narrower than their parts, so
-//! that copies of one request do not count against what it shares with others. The margin between parts is one crash, since a node
+//! that copies of one request do not count against what it shares with others, unless that has crashed more engines. The margin between parts is one crash, since a node
 //! that was killed may have taken its charges along.
 
 use super::Fingerprint;
@@ -39,6 +39,7 @@
 struct Evidence<'a> {
     fingerprint: &'a Fingerprint,
     suspect: &'a Suspect,
+    crashes: usize,
     weight: usize,
     is_confirmed: bool,
     is_answered: bool,
@@ -48,10 +49,12 @@
     fn of(fingerprint: &'a Fingerprint, suspect: &'a Suspect, lasts: Duration, now: MonotonicTime) -> Self {
         let is_answered = suspect.was_answered_before(lasts, now);
         let weight = if is_answered { 1 } else { UNANSWERED_WEIGHT };
+        let crashes = suspect.crashes(now);
         Self {
             fingerprint,
             suspect,
-            weight: suspect.crashes(now) * weight,
+            crashes,
+            weight: crashes * weight,
             is_confirmed: suspect.is_confirmed(now),
             is_answered,
         }
@@ -68,7 +71,7 @@
         if self.fingerprint.is_part() {
             self.weight > other.weight + UNANSWERED_WEIGHT
         } else {
-            self.weight >= other.weight
+            self.crashes >= other.crashes
         }
     }
 }
--- a/crates/core/src/quarantine/register.rs
+++ b/crates/core/src/quarantine/register.rs
@@ -21,7 +21,8 @@
 /// Time after the last crash for which a part that alone explains its crashes does not run at all.
 const CONVICTION_PERIOD: Duration = Duration::from_secs(30);
 
-/// Time after a crash in which requests that hold several suspects wait for requests that hold one of them, whose runs tell more.
+/// Time for which requests that hold several suspects wait for requests that hold one of them, whose runs tell more, from the first
+/// that is held back since the last crash.
 const SEPARATION_PERIOD: Duration = Duration::from_secs(2);
 
 /// What may be done with a request.
@@ -207,12 +208,13 @@
         let counting = &attribution.counting_until;
         let remaining = suspect.time_until_fewer_than(self.settings.crashes, now);
         if fingerprint.is_part() && suspect.was_answered_before(lasts, now) && !suspect.is_confirmed(now) {
-            let last_allowed = counting.get(self.settings.answered_part_crashes.saturating_sub(2));
-            let has_waited = last_allowed.is_some_and(|until| now + lasts >= *until + ANSWER_AWAITED);
-            return if has_waited {
-                Standing::Suspected { crashes }
-            } else {
-                Standing::Free { crashes }
+            let most = self.settings.answered_part_crashes;
+            let last_free = counting.get(most.saturating_sub(2));
+            let has_waited = last_free.is_some_and(|until| now + lasts >= *until + ANSWER_AWAITED);
+            return match has_waited {
+                false => Standing::Free { crashes },
+                true if counting.len() < most => Standing::Suspected { crashes },
+                true => Standing::Quarantined { crashes, remaining },
             };
         }
         if counting.len() >= self.settings.crashes {
@@ -247,7 +249,7 @@
             return Verdict::Free;
         };
         let suspects: Vec<Fingerprint> = restricted.iter().map(|(subject, _)| *subject).collect();
-        let separation = self.separation_time(&suspects, now);
+        let separation = self.separation_time(&subject, &suspects, now);
         if !separation.is_zero() {
             return Verdict::Refused {
                 subject,
@@ -297,18 +299,18 @@
     }
 
     /// Time for which a request that holds several suspects waits for requests that hold fewer.
-    fn separation_time(&self, suspects: &[Fingerprint], now: MonotonicTime) -> Duration {
+    fn separation_time(
+        &self,
+        subject: &Fingerprint,
+        suspects: &[Fingerprint],
+        now: MonotonicTime,
+    ) -> Duration {
         if suspects.len() < 2 {
             return Duration::ZERO;
         }
-        let of_suspects = suspects.iter().filter_map(|subject| self.suspects.get(subject));
-        let last = of_suspects
-            .flat_map(|suspect| suspect.counting_engines(now))
-            .map(|(_, counts_until)| counts_until)
-            .max();
-        last.map_or(Duration::ZERO, |until| {
-            (until + SEPARATION_PERIOD).since(now + self.settings.lasts())
-        })
+        let suspect = self.suspects.get(subject);
+        let held_back_since = suspect.and_then(|suspect| suspect.held_back_since);
+        SEPARATION_PERIOD.saturating_sub(now.since(held_back_since.unwrap_or(now)))
     }
 
     /// Whether a run on trial has crashed an engine. A quarantined request without one may only have run beside the cause.
@@ -592,10 +594,11 @@
         }
     }
 
-    /// This node refuses the request.
-    pub fn note_refused(&mut self, fingerprint: &Fingerprint) {
+    /// This node refuses a request because of the subject.
+    pub fn note_refused(&mut self, fingerprint: &Fingerprint, now: MonotonicTime) {
         if let Some(suspect) = self.suspects.get_mut(fingerprint) {
             suspect.refused += 1;
+            suspect.held_back_since.get_or_insert(now);
         }
     }
 
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -40,6 +40,8 @@
     pub(super) notify_until: MonotonicTime,
     /// Times that this node has refused it.
     pub(super) refused: u64,
+    /// When this node refused it first after the last crash.
+    pub(super) held_back_since: Option<MonotonicTime>,
 }
 
 impl Suspect {
@@ -53,6 +55,7 @@
             claimed_elsewhere_at: None,
             notify_until: MonotonicTime::default(),
             refused: 0,
+            held_back_since: None,
         }
     }
 
@@ -139,6 +142,7 @@
         if counts_until <= self.cleared_through {
             return false;
         }
+        self.held_back_since = None;
         self.crashes.push(Crash {
             engine,
             counts_until,
--- a/crates/core/tests/part_attribution.rs
+++ b/crates/core/tests/part_attribution.rs
@@ -163,7 +163,10 @@
     let mut register = Register::new();
     under_the_cause(&mut register, 0..3);
     let of_cause = request(1, &[FIRST, CAUSE]);
-    match register.register.verdict(&of_cause, at(2_100)) {
+    assert!(register.refusal(&of_cause, at(5_000)).is_some());
+    register.register.note_refused(&part(CAUSE), at(5_000));
+    assert!(register.refusal(&of_cause, at(6_900)).is_some());
+    match register.register.verdict(&of_cause, at(7_000)) {
         Verdict::OnTrial(about) => {
             assert_eq!(about.subject, part(CAUSE), "the narrowest");
             assert_eq!(about.isolated(), None);
--- a/crates/node/src/quarantine/admitting.rs
+++ b/crates/node/src/quarantine/admitting.rs
@@ -76,7 +76,7 @@
             retry_after,
         } => (subject, standing.crashes(), (cause.name(), retry_after)),
     };
-    lock(&context.suspects.register).note_refused(&subject);
+    lock(&context.suspects.register).note_refused(&subject, context.now());
     Pass::Withheld(Withheld {
         subject,
         cause: refusal.0,
@@ -100,7 +100,12 @@
         return Err(refusal);
     }
     if !context.in_contact_with_store() {
-        return Err(("store_lost", SUSPECT_RETRY_AFTER));
+        if !subject.is_part() {
+            return Err(("store_lost", SUSPECT_RETRY_AFTER));
+        }
+        // Many requests wait for it, and a trial of each node's own ends with the first crash that is reported.
+        let trial = Trial::begin(context, about, pool, deadline)?;
+        return Ok(trial.without_claim());
     }
     let trial = Trial::begin(context, about, pool, deadline)?;
     match claiming::claim(context, &subject) {
--- a/crates/node/src/quarantine/trial.rs
+++ b/crates/node/src/quarantine/trial.rs
@@ -31,6 +31,8 @@
     id: TrialId,
     /// Present where its subject is quarantined, and this run confirms or clears it.
     claim: Option<Claim>,
+    /// Whether it confirms or clears a part without a claim, since the store is away.
+    is_without_claim: bool,
     /// Arrivals at engines so far.
     arrivals: u32,
 }
@@ -63,6 +65,7 @@
             pool: pool.clone(),
             id,
             claim: None,
+            is_without_claim: false,
             arrivals: 0,
         };
         trial.notify(deadline.since(now));
@@ -79,9 +82,16 @@
         trial
     }
 
+    /// The same where the store can't be asked for a claim.
+    pub(super) fn without_claim(self) -> Self {
+        let mut trial = self;
+        trial.is_without_claim = true;
+        trial
+    }
+
     /// Whether the request may be handed to an engine though its subject is quarantined.
     pub(super) fn may_confirm(&self) -> bool {
-        self.claim.is_some() && self.arrivals < MAX_CONFIRMING_ARRIVALS
+        (self.claim.is_some() || self.is_without_claim) && self.arrivals < MAX_CONFIRMING_ARRIVALS
     }
 
     /// Whether the run is about all that is suspected of its request now.
