An answer that ends with its connection is whole only where its engine has not crashed

A crash ends connections in the same way, so that a stream that a crash ended between two events, or before the first one, looked complete: 200 with a signature and some of the events, or none.

Change: where only the end of the connection told the end, the node looks whether the engine lives, which takes the connection that the next request needs anyway; a start that shares its name with others is confirmed by its report. Where the engine has crashed, or nothing was learned, the answer has broken off: a stream that may be resumed goes on elsewhere, and what has crashed is charged. A stream without any event has not begun. A report that ends its connection confirms a start all the same: the node connects anew.

The soak's engines send one answer in four so; its relays reset connections where they closed them in order, which no network does to a live engine's answer.

--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -68,6 +68,7 @@
     keep_alive: bool,
     chunks: bool,
     without_body: bool,
+    ends_with_connection: bool,
 }
 
 impl<'a> Responder<'a> {
@@ -77,13 +78,26 @@
             keep_alive,
             chunks,
             without_body,
+            ends_with_connection: false,
+        }
+    }
+
+    /// The same for an answer with neither a length nor chunks, which ends with its connection.
+    pub fn ending_with_connection(self) -> Self {
+        Self {
+            keep_alive: false,
+            chunks: false,
+            ends_with_connection: true,
+            ..self
         }
     }
 
     /// Writes a whole answer.
     pub fn answer(self, answer: &Answer) -> Answered {
         let mut bytes = head_bytes(answer.status, answer.content_type, &answer.headers);
-        bytes.extend(format!("Content-Length: {}\r\n", answer.body.len()).bytes());
+        if !self.ends_with_connection {
+            bytes.extend(format!("Content-Length: {}\r\n", answer.body.len()).bytes());
+        }
         bytes.extend(connection_line(self.keep_alive));
         bytes.extend(b"\r\n");
         if !self.without_body {
--- a/crates/lab/src/fault_soak/places.rs
+++ b/crates/lab/src/fault_soak/places.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::num::NonZeroU64;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Mutex, PoisonError};
@@ -191,6 +192,9 @@
     Ok(relay)
 }
 
+/// One answer of an engine in so many has neither a length nor chunks and ends with its connection.
+const UNFRAMED_ANSWERS: NonZeroU64 = NonZeroU64::new(4).unwrap();
+
 /// Software versions that serve side by side.
 const SOFTWARE_VERSIONS: [&str; 3] = ["v1", "v1.1", "v2"];
 
@@ -211,13 +215,15 @@
     stage: Option<&'static str>,
     software_version: &str,
 ) -> io::Result<ModelEngine> {
-    ModelEngine::start(EngineSettings {
+    let engine = ModelEngine::start(EngineSettings {
         id: id.to_owned(),
         born,
         stage,
         events: EVENTS,
         software_version: software_version.to_owned(),
-    })
+    })?;
+    engine.send_unframed(Some(UNFRAMED_ANSWERS));
+    Ok(engine)
 }
 
 impl NodePlace {
--- a/crates/lab/src/fault_soak/sharers.rs
+++ b/crates/lab/src/fault_soak/sharers.rs
@@ -44,6 +44,9 @@
 /// Requests that must have been sent, in calm and while engines crash, for the shares to be compared.
 const MIN_COMPARED: usize = 20;
 
+/// Time after a crash in which its engine may not be back.
+const AWAY_AFTER_CRASH: Duration = Duration::from_secs(5);
+
 /// Part of the share that begins in calm which must begin while engines crash.
 const MIN_SHARE: f64 = 0.5;
 
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -5,7 +5,8 @@
 //! holds their bytes, as a partition does: nobody is told. Mending lets everything that is held go on. Single connections
 //! may go silent for good, while new ones pass.
 
-use std::collections::BTreeMap;
+use rustix::net::sockopt::set_socket_linger;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -71,6 +72,8 @@
     listening: bool,
     /// Both ends of each connection that passes, by its number.
     open: BTreeMap<u64, [Arc<TcpStream>; 2]>,
+    /// Connections that were reset and have not ended yet.
+    reset: BTreeSet<u64>,
     /// Connections taken so far.
     taken: u64,
     /// Connections with a lower number pass nothing any more.
@@ -114,9 +117,17 @@
         self.link.changed.notify_all();
     }
 
-    /// Closes the connections that pass; new ones are taken as before.
+    /// Resets the connections that pass; new ones are taken as before.
     pub fn reset(&self) {
-        close_all(&mut self.link.state());
+        let mut state = self.link.state();
+        for (connection, ends) in std::mem::take(&mut state.open) {
+            state.reset.insert(connection);
+            for end in ends {
+                // Closing sends a reset then; the threads that pass bytes are woken, and close.
+                let _ = set_socket_linger(&*end, Some(Duration::ZERO));
+                let _ = end.shutdown(Shutdown::Read);
+            }
+        }
     }
 
     /// Makes the connections that pass now silent for good, without closing them; new ones are taken as before.
@@ -188,7 +199,13 @@
 
     /// Forgets a connection that has ended; otherwise its descriptors would stay open until the link is cut.
     fn unregister(&self, connection: u64) {
-        self.state().open.remove(&connection);
+        let mut state = self.state();
+        state.open.remove(&connection);
+        state.reset.remove(&connection);
+    }
+
+    fn is_reset(&self, connection: u64) -> bool {
+        self.state().reset.contains(&connection)
     }
 }
 
@@ -240,6 +257,9 @@
             break;
         }
     }
+    if link.is_reset(connection) {
+        return;
+    }
     // The other side may be gone first.
     let _ = to.shutdown(Shutdown::Write);
     let _ = from.shutdown(Shutdown::Read);
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -15,6 +15,7 @@
 };
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::num::NonZeroU64;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -90,6 +91,11 @@
         lock(&self.state).refuses_most = refuses;
     }
 
+    /// Sends one answer in so many with neither a length nor chunks, so that it ends with its connection; none if absent.
+    pub fn send_unframed(&self, one_in: Option<NonZeroU64>) {
+        lock(&self.state).unframed_answers = one_in;
+    }
+
     /// Names a rate limit in its answers from now on, in requests a second, or none.
     pub fn name_limit(&self, limit: Option<f64>) {
         let now = Instant::now();
@@ -199,6 +205,11 @@
 
 impl Handler for EngineHandler {
     fn handle(&self, request: HttpRequest, responder: Responder<'_>) -> Answered {
+        let responder = if lock(&self.state).next_is_unframed() {
+            responder.ending_with_connection()
+        } else {
+            responder
+        };
         match request.path.as_str() {
             "/shelfjunction/report" => return responder.answer(&self.aside(self.report())),
             "/shelfjunction/order" => return responder.answer(&self.aside(self.order(&request.body))),
@@ -331,6 +342,12 @@
                 let _ = writer.write(format!("id: {id}\nda").as_bytes());
                 return writer.abort();
             }
+            if fault == Some(EngineFault::CrashAfter(sent))
+                && let Some(crash) = self.crash_switch.get()
+            {
+                crash();
+                return writer.abort();
+            }
             std::thread::sleep(event_pause(&request.body) + self.pace.added_time());
             let event = if names_versions(&request.body) {
                 versioned_event(id, &self.settings.software_version)
--- a/crates/lab/src/users_platform/engine_settings.rs
+++ b/crates/lab/src/users_platform/engine_settings.rs
@@ -43,6 +43,8 @@
     LoseAnswerAfter(Duration),
     /// Runs it and breaks the connection after some events.
     CutAfter(u64),
+    /// Runs it and crashes after so many whole events, where it has a [`super::CrashSwitch`].
+    CrashAfter(u64),
     /// Runs it and answers without its signature.
     Unsigned,
 }
--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -80,13 +80,26 @@
     link.begin_report();
     let reading = read_answer(context, &mut **link, context.now() + wait);
     let is_start = matches!(reading, Ok(EngineReading::Report(report)) if report.start == engine.start());
-    let is_confirmed = is_start && link.rest().is_some();
+    let is_confirmed = is_start && (link.rest().is_some() || replace(context, link, engine, wait));
     if is_confirmed {
         link.note_start_confirmed();
     }
     is_confirmed
 }
 
+/// Connects anew where the answer has ended the connection; whether that succeeded.
+fn replace(context: &Context, link: &mut Connection, engine: &EngineId, wait: Duration) -> bool {
+    let address = lock(&context.router)
+        .engine(engine)
+        .map(|state| state.engine.address);
+    let connected = address.and_then(|address| engine_contact::connect(context, engine, address, wait).ok());
+    let is_connected = connected.is_some();
+    if let Some(connection) = connected {
+        *link = connection;
+    }
+    is_connected
+}
+
 fn read_answer(
     context: &Context,
     link: &mut dyn EngineLink,
--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -1,11 +1,13 @@
-//! Whether an engine has ended whose connection broke: one that has lost an answer, reset a connection or sent what can't be
+//! Whether an engine has ended whose connection broke, or ended an answer: one that has lost an answer, reset a connection or sent what can't be
 //! read still takes connections, one that has ended refuses them. A refusal counts only where other engines are reached.
 
 use super::driver::Driver;
 use super::exchange::Exchange;
 use super::routing;
+use crate::asking;
 use crate::engine_contact;
-use shelfjunction_core::identity::EngineId;
+use crate::ports::EngineReading;
+use shelfjunction_core::identity::{EngineId, EngineStart};
 use shelfjunction_threads::lock;
 use std::time::Duration;
 
@@ -67,6 +69,51 @@
         fate
     }
 
+    /// Whether an answer whose end only its connection told is whole: it isn't where its engine has crashed, whose connections end
+    /// likewise, and a series without any event has not begun.
+    pub(super) fn is_whole(&mut self, reading: &EngineReading) -> bool {
+        let Some(exchange) = &self.exchange else {
+            return false;
+        };
+        if !exchange.link.ended_by_close() {
+            return true;
+        }
+        let is_series = *reading == EngineReading::Ended;
+        if is_series && !exchange.has_events && self.machine.last_event().is_none() {
+            return false;
+        }
+        let engine = exchange.engine.clone();
+        let fate = self.fate(&engine);
+        let is_same_start = fate != EngineFate::Lives || self.is_same_start(&engine);
+        log::info!(
+            request = self.call.request.as_str(),
+            engine = engine.as_str(),
+            fate = fate.name(),
+            is_same_start;
+            "answer_ended_by_close"
+        );
+        let has_not_crashed = matches!(fate, EngineFate::Lives | EngineFate::Unreached | EngineFate::Left);
+        has_not_crashed && is_same_start
+    }
+
+    /// Whether what takes connections at an engine's address is the start that its entry names, where starts share a name.
+    fn is_same_start(&self, engine: &EngineId) -> bool {
+        if engine.start() == EngineStart::default() {
+            return true;
+        }
+        let address = lock(&self.context.router)
+            .engine(engine)
+            .map(|state| state.engine.address);
+        let wait = LOOK.min(routing::left(self.deadline, self.context.now()));
+        let link =
+            address.and_then(|address| engine_contact::take_link(self.context, engine, address, wait).ok());
+        link.is_some_and(|mut link| {
+            let is_confirmed = asking::confirms_start(self.context, &mut link, engine, wait);
+            self.context.rest_link(engine, link, self.context.now());
+            is_confirmed
+        })
+    }
+
     /// Whether this node has lost paths to engines, so that its view of one says little.
     fn doubts_own_paths(&self) -> bool {
         !lock(&self.context.engine_reach).is_complete()
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -42,6 +42,9 @@
                     part: OpaquePart::Event { id },
                 })
             }
+            EngineReading::Ended | EngineReading::Whole { .. } if !self.is_whole(&reading) => {
+                Some(self.broken("end_not_confirmed"))
+            }
             EngineReading::Ended => {
                 if !self.events_open {
                     let head = self.exchange.as_mut()?.head.take()?;
--- a/crates/node/src/ports/engines.rs
+++ b/crates/node/src/ports/engines.rs
@@ -180,6 +180,9 @@
     /// Reads what there is, without waiting.
     fn read(&mut self) -> EngineReading;
 
+    /// Whether only the end of the connection told that the last answer was at its end.
+    fn ended_by_close(&self) -> bool;
+
     /// What the heads of answers said of the engine since the last call; absent where none came.
     fn take_signals(&mut self) -> Option<EngineSignals>;
 
