What runs beside a confirmed cause is not free, and a confirmed part is tried again after a minute

And a part that many requests share, on trial while something else crashes its engine, would have been refused for ten minutes, with every request that holds it.

Cause: a confirmed subject accounted for all crashes with which it is charged, of whatever else was aboard; a trial is alone among suspects, not at its engine, so that its crash may have another cause.

Change: confirmation accounts for nothing beyond the evidence. A confirmed part is refused for a minute, then runs once more with a claim, and each further crash doubles the time.

--- a/crates/core/src/quarantine/attribution.rs
+++ b/crates/core/src/quarantine/attribution.rs
@@ -6,12 +6,13 @@
 //! ```text
 //! evidence(s) = crashes(s) * ([`UNANSWERED_WEIGHT`] if no answer vouches for s, else 1)
 //!
-//! b explains a crash better than a, if both are charged with it, and
-//!   b is confirmed by a trial, and a is not; or
-//!   neither is, a is a part, b is a request, and crashes(b) >= crashes(a); or
-//!   neither is, a and b are parts, and evidence(b) > evidence(a) + [`UNANSWERED_WEIGHT`]
+//! b explains a crash better than a, if both are charged with it, a is a part, and
+//!   b is a request, and crashes(b) >= crashes(a); or
+//!   b is a part, and evidence(b) > evidence(a) + [`UNANSWERED_WEIGHT`]
 //! ```
 //!
+//! A confirmed subject explains no more than that: two causes may have been aboard, and each run of the other costs an engine.
+//!
 //! An answer before the trouble makes a part an unlikely cause, not an impossible one. Requests are narrower than their parts, so
 //! that copies of one request do not count against what it shares with others, unless that has crashed more engines. The margin between parts is one crash, since a node
 //! that was killed may have taken its charges along.
@@ -41,7 +42,6 @@
     suspect: &'a Suspect,
     crashes: usize,
     weight: usize,
-    is_confirmed: bool,
     is_answered: bool,
 }
 
@@ -55,16 +55,12 @@
             suspect,
             crashes,
             weight: crashes * weight,
-            is_confirmed: suspect.is_confirmed(now),
             is_answered,
         }
     }
 
     /// Whether it explains crashes better than another subject that is charged with them too.
     fn explains_better_than(&self, other: &Self) -> bool {
-        if self.is_confirmed || other.is_confirmed {
-            return !other.is_confirmed;
-        }
         if !other.fingerprint.is_part() {
             return false;
         }
--- a/crates/core/src/quarantine/register.rs
+++ b/crates/core/src/quarantine/register.rs
@@ -14,6 +14,10 @@
 /// datagrams are made up for.
 const NOTIFICATION_PERIOD: Duration = Duration::from_millis(2_500);
 
+/// The same where a trial has confirmed it, doubled with each further one: what many requests share must not stay refused for what
+/// crashed beside its trial.
+const CONFIRMED_PERIOD: Duration = Duration::from_secs(60);
+
 /// Time after a crash within which an answer is awaited, before a part that was answered before it runs on trial: while other
 /// engines serve, one comes.
 const ANSWER_AWAITED: Duration = Duration::from_secs(1);
@@ -270,11 +274,12 @@
         let Standing::Quarantined { remaining, .. } = standing else {
             return None;
         };
-        let (cause, retry_after) = if self.is_confirmed(subject, now) {
-            (RefusalCause::Confirmed, remaining)
-        } else {
-            let conviction = self.conviction_time(subject, now);
-            (RefusalCause::OnlyExplanation, conviction)
+        let is_confirmed = self.is_confirmed(subject, now);
+        let (cause, retry_after) = match (is_confirmed, subject.is_part()) {
+            (true, false) => (RefusalCause::Confirmed, remaining),
+            (true, true) => (RefusalCause::Confirmed, self.conviction_time(subject, now)),
+            (false, true) => (RefusalCause::OnlyExplanation, self.conviction_time(subject, now)),
+            (false, false) => return None,
         };
         (!retry_after.is_zero()).then_some(Verdict::Refused {
             subject: *subject,
@@ -284,18 +289,24 @@
         })
     }
 
-    /// Time for which a part is refused without a trial because it alone explains its crashes; zero where it is not.
-    fn conviction_time(&self, fingerprint: &Fingerprint, now: MonotonicTime) -> Duration {
-        let Some(suspect) = self.suspects.get(fingerprint).filter(|_| fingerprint.is_part()) else {
+    /// Time for which a part is refused without a trial, because a trial has confirmed it or it alone explains its crashes; zero where
+    /// neither holds.
+    fn conviction_time(&self, part: &Fingerprint, now: MonotonicTime) -> Duration {
+        let Some(suspect) = self.suspects.get(part) else {
             return Duration::ZERO;
         };
         let lasts = self.settings.lasts();
-        let attribution = attribute(fingerprint, suspect, &self.suspects, lasts, now);
+        let confirmations = suspect.confirmations(now);
+        let attribution = attribute(part, suspect, &self.suspects, lasts, now);
+        let period = if confirmations > 0 {
+            CONFIRMED_PERIOD.saturating_mul(1 << (confirmations - 1))
+        } else if attribution.is_only_explanation {
+            CONVICTION_PERIOD
+        } else {
+            return Duration::ZERO;
+        };
         let last = attribution.counting_until.last();
-        last.filter(|_| attribution.is_only_explanation)
-            .map_or(Duration::ZERO, |until| {
-                (*until + CONVICTION_PERIOD).since(now + lasts)
-            })
+        last.map_or(Duration::ZERO, |until| (*until + period).since(now + lasts))
     }
 
     /// Time for which a request that holds several suspects waits for requests that hold fewer.
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -123,6 +123,11 @@
         isolated.map(|crash| crash.counts_until).last()
     }
 
+    /// Crashes that ended a trial.
+    pub(super) fn confirmations(&self, now: MonotonicTime) -> usize {
+        self.counting(now).filter(|crash| crash.is_isolated).count()
+    }
+
     /// Notes that the request was on trial at an engine that crashed; whether the crash counts and this was not known.
     pub(super) fn confirm(&mut self, engine: SubjectHandle) -> bool {
         let crash = self.crashes.iter_mut().find(|crash| crash.engine == engine);
--- a/crates/core/tests/part_attribution.rs
+++ b/crates/core/tests/part_attribution.rs
@@ -200,17 +200,33 @@
 }
 
 #[test]
-fn a_confirmed_part_accounts_for_what_ran_beside_it() {
+fn a_part_that_a_trial_confirmed_runs_once_more_after_a_minute_and_then_after_two() {
     let mut register = Register::new();
     under_the_cause(&mut register, 0..3);
+    register.answered_before(&[FIRST], at(0), at(30));
+    let of_cause = request(1, &[FIRST, CAUSE]);
+    let confirmed = Some((part(CAUSE), RefusalCause::Confirmed));
+    for (number, crash, until) in [(9, 1_000, 61_000), (10, 61_000, 181_000)] {
+        register
+            .register
+            .note_trial_crash(part(CAUSE), &asked(), engine(number), at(crash));
+        assert_eq!(register.refusal(&of_cause, at(until - 1)), confirmed);
+        assert_eq!(register.isolated(&of_cause, at(until)), Some(part(CAUSE)));
+    }
+}
+
+#[test]
+fn what_crashed_engines_beside_a_confirmed_part_does_not_run_freely() {
+    let mut register = Register::new();
+    under_the_cause(&mut register, 0..3);
+    let beside = request(1, &[OTHER_FIRST]);
+    for number in 0..3 {
+        register.crash(number, &[&beside], at(30));
+    }
     register
         .register
         .note_trial_crash(part(CAUSE), &asked(), engine(9), at(40));
-    assert_eq!(register.standing(FIRST, at(40)), Standing::Free { crashes: 3 });
-    assert_eq!(
-        register.refusal(&request(1, &[FIRST, CAUSE]), at(100_000)),
-        Some((part(CAUSE), RefusalCause::Confirmed))
-    );
+    assert!(!register.is_free(&beside, at(40)), "it may be a cause as well");
 }
 
 #[test]
