An answer that ends with its connection is compared with its engine's start only where that is known

What callers would see: a complete answer without a length was said to have broken off (502, or a stream closed behind its last event), where the engine had started again under its name and its entry still named the earlier start: the answer came from the later one.

Change: the start is compared only where the engine had reported it over the connection that brought the answer. start_not_reported says what an engine reported instead.

--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -80,6 +80,9 @@
     link.begin_report();
     let reading = read_answer(context, &mut **link, context.now() + wait);
     let is_start = matches!(reading, Ok(EngineReading::Report(report)) if report.start == engine.start());
+    if !is_start {
+        log::info!(engine = engine.as_str(), start:% = engine.start(), reading:? = reading; "start_not_reported");
+    }
     let is_confirmed = is_start && (link.rest().is_some() || replace(context, link, engine, wait));
     if is_confirmed {
         link.note_start_confirmed();
--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -7,7 +7,7 @@
 use crate::asking;
 use crate::engine_contact;
 use crate::ports::EngineReading;
-use shelfjunction_core::identity::{EngineId, EngineStart};
+use shelfjunction_core::identity::EngineId;
 use shelfjunction_threads::lock;
 use std::time::Duration;
 
@@ -83,8 +83,10 @@
             return false;
         }
         let engine = exchange.engine.clone();
+        // Without a report over the connection the answer may come from a later start than the listed one.
+        let knows_start = exchange.link.is_start_confirmed();
         let fate = self.fate(&engine);
-        let is_same_start = fate != EngineFate::Lives || self.is_same_start(&engine);
+        let is_same_start = fate != EngineFate::Lives || !knows_start || self.is_same_start(&engine);
         log::info!(
             request = self.call.request.as_str(),
             engine = engine.as_str(),
@@ -96,11 +98,8 @@
         has_not_crashed && is_same_start
     }
 
-    /// Whether what takes connections at an engine's address is the start that its entry names, where starts share a name.
+    /// Whether what takes connections at an engine's address is the start that its entry names.
     fn is_same_start(&self, engine: &EngineId) -> bool {
-        if engine.start() == EngineStart::default() {
-            return true;
-        }
         let address = lock(&self.context.router)
             .engine(engine)
             .map(|state| state.engine.address);
