Fault soak: most new connections come to one node, then to another

Every run of the soak now has two such times, in which nine in ten calls, each on a connection of its own, come to one node. Judged: from the contact time on, requests there are served at least three quarters as often as before any node was crowded, where nothing else struck.

Nodes of the soak have whole cores; what a node with a tenth of one does is not shown by it.

--- a/crates/lab/src/fault_soak/callers.rs
+++ b/crates/lab/src/fault_soak/callers.rs
@@ -58,16 +58,10 @@
 impl Caller {
     /// A caller with draws of its own.
     pub fn new(seed: u64, number: u64) -> Self {
-        let config = Agent::config_builder()
-            .http_status_as_error(false)
-            .max_redirects(0)
-            .proxy(None)
-            .timeout_global(Some(GIVES_UP))
-            .build();
         Self {
             number,
             random: ChaCha8Rng::seed_from_u64(seed.wrapping_add(number + 1)),
-            agent: Agent::new_with_config(config),
+            agent: new_agent(),
             sent: 0,
         }
     }
@@ -76,7 +70,13 @@
     pub fn run(mut self, deployment: &Deployment, begun: Instant, stop: &AtomicBool) -> Vec<SeenCall> {
         let mut seen = Vec::new();
         while !stop.load(Ordering::Relaxed) {
-            let node = self.random.random_range(0..deployment.targets().nodes);
+            if deployment.crowded.node().is_some() {
+                // Callers open new connections more often then.
+                self.agent = new_agent();
+            }
+            let node = deployment
+                .crowded
+                .draw(deployment.targets().nodes, &mut self.random);
             let kind = CallKind::ALL[self.random.random_range(0..CallKind::ALL.len())];
             seen.push(self.call(deployment.address(node), node, kind, begun));
             std::thread::sleep(Duration::from_millis(self.random.random_range(PAUSE_MILLIS)));
@@ -152,6 +152,17 @@
     }
 }
 
+/// Connections of their own.
+fn new_agent() -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .proxy(None)
+        .timeout_global(Some(GIVES_UP))
+        .build();
+    Agent::new_with_config(config)
+}
+
 fn read(mut answer: Response<ureq::Body>, leaves_after: Option<usize>) -> SeenAnswer {
     let header = |name: &str| {
         let value = answer.headers().get(name)?;
--- a/crates/lab/src/fault_soak/deployment.rs
+++ b/crates/lab/src/fault_soak/deployment.rs
@@ -1,5 +1,6 @@
 //! Nodes as processes, before stand-ins of the store and the engines, with a relay on every link between them.
 
+use super::crowding::Crowded;
 use super::disturbances::Disturbances;
 use super::layout::Layout;
 use super::operator::{self, base64, configuration_text};
@@ -49,6 +50,8 @@
     pub(super) engine_links: Disturbances,
     /// Which nodes ran another build when, which may not know what is judged.
     pub(super) on_other_build: Disturbances,
+    /// To which node most new connections come.
+    pub(super) crowded: Crowded,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -88,6 +91,7 @@
             restarts: Disturbances::default(),
             engine_links: Disturbances::default(),
             on_other_build: Disturbances::default(),
+            crowded: Crowded::default(),
         };
         deployment.reconfigure();
         for engine in 0..deployment.engines.len() {
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod crashers;
 pub mod crashes;
+pub mod crowding;
 mod deployment;
 pub mod descriptors;
 pub mod disturbances;
@@ -36,6 +37,7 @@
 use callers::Caller;
 use crashers::Crasher;
 use crashes::CrashCount;
+use crowding::{CrowdedCount, CrowdedSpan};
 use deployment::{Deployment, MODEL_POOL};
 use descriptors::{DescriptorUse, DescriptorWatch};
 use judging::{
@@ -128,6 +130,8 @@
     pub crashes: Vec<CrashCount>,
     /// Requests that share parts with those that crash engines.
     pub shares: Vec<ShareCount>,
+    /// Requests of callers at nodes to which most new connections came.
+    pub crowded: Vec<CrowdedCount>,
     /// Requests of callers that read late, and of the others, that were sent where nothing else was wrong.
     pub quiet: QuietCount,
     /// Streams that were taken up.
@@ -148,7 +152,7 @@
         writeln!(
             formatter,
             "seed {}: {} faults; {} requests: {} succeeded, {} not run, {} other answers, {} unanswered; {} exits; at most {} descriptors; {}; {}; engines ended \
-             under crashing requests and parts {:?}, sent on late {:?}; sound requests with their first parts: {}; {}",
+             under crashing requests and parts {:?}, sent on late {:?}; sound requests with their first parts: {}; {}; {}",
             self.seed,
             self.faults,
             self.sent,
@@ -162,11 +166,8 @@
             self.take_ups,
             self.crashes.iter().map(|count| count.ended).collect::<Vec<_>>(),
             self.crashes.iter().map(|count| count.late).collect::<Vec<_>>(),
-            self.shares
-                .iter()
-                .map(ToString::to_string)
-                .collect::<Vec<_>>()
-                .join("; "),
+            joined(&self.shares),
+            joined(&self.crowded),
             if self.holds() {
                 "every promise held"
             } else {
@@ -180,6 +181,11 @@
     }
 }
 
+fn joined(counts: &[impl ToString]) -> String {
+    let texts: Vec<String> = counts.iter().map(ToString::to_string).collect();
+    texts.join("; ")
+}
+
 /// Runs once.
 pub fn run(config: &FaultSoakConfig) -> io::Result<FaultSoakReport> {
     std::fs::create_dir_all(&config.directory)?;
@@ -198,7 +204,11 @@
         schedule.sort_by_key(|scheduled| scheduled.at);
     }
     let begun = Instant::now();
-    let (calls, streams) = disturb(&deployment, config, &schedule, begun);
+    let Seen {
+        calls,
+        streams,
+        crowded,
+    } = disturb(&deployment, config, &schedule, begun);
     deployment.heal();
     let recovered = wait_until_served(&deployment, config.seed + 1, config.recovery);
     violations.extend(recovered);
@@ -240,6 +250,8 @@
     };
     let shares = sharers::count(&calls, &crashing, &quiet_times);
     violations.extend(sharers::judge(&shares));
+    let crowded = crowding::count(&crowded, &calls, &quiet_times);
+    violations.extend(crowding::judge(&crowded));
     let descriptors = descriptors.seen();
     if descriptors.is_near_limit() {
         violations.push(Violation::OutOfDescriptors(descriptors));
@@ -247,6 +259,7 @@
     Ok(FaultSoakReport {
         crashes,
         shares: shares.into_values().collect(),
+        crowded,
         quiet,
         take_ups: TakeUpCount::of(&streams),
         descriptors,
@@ -254,12 +267,19 @@
     })
 }
 
+/// What callers saw, and what was done to where they come.
+struct Seen {
+    calls: Vec<SeenCall>,
+    streams: Vec<SeenStream>,
+    crowded: Vec<CrowdedSpan>,
+}
+
 fn disturb(
     deployment: &Deployment,
     config: &FaultSoakConfig,
     schedule: &[schedule::ScheduledFault],
     begun: Instant,
-) -> (Vec<SeenCall>, Vec<SeenStream>) {
+) -> Seen {
     let stop = AtomicBool::new(false);
     thread::scope(|scope| {
         let callers: Vec<_> = (0..config.callers)
@@ -301,6 +321,7 @@
                 scope.spawn(|| resumer.run(deployment, begun, &stop))
             })
             .collect();
+        let crowding = scope.spawn(|| crowding::run(deployment, config.seed, config.length, begun, &stop));
         let upgrade = config.other_build.as_ref().map(|other| {
             scope.spawn(|| {
                 upgrading::upgrade_and_go_back(deployment, other, &config.program, begun, config.length)
@@ -325,7 +346,11 @@
             calls.extend(record.calls);
             streams.extend(record.streams);
         }
-        (calls, streams)
+        Seen {
+            calls,
+            streams,
+            crowded: crowding.join().unwrap_or_default(),
+        }
     })
 }
 
@@ -410,6 +435,7 @@
         descriptors: DescriptorUse::default(),
         crashes: Vec::new(),
         shares: Vec::new(),
+        crowded: Vec::new(),
         quiet: QuietCount::default(),
         take_ups: TakeUpCount::default(),
         violations,
--- a/crates/lab/src/fault_soak/oracle.rs
+++ b/crates/lab/src/fault_soak/oracle.rs
@@ -1,5 +1,6 @@
 //! Judges what callers saw against what engines ran.
 
+use super::crowding::CrowdedCount;
 use super::descriptors::DescriptorUse;
 use super::operator::tenant_of;
 use super::record::{SeenAnswer, SeenCall};
@@ -107,6 +108,8 @@
         /// Those sent later.
         late: Began,
     },
+    /// Callers of the node to which most new connections came were served far less often than before.
+    UnservedAtCrowdedNode(CrowdedCount),
     /// A request reached an engine whose entry could not be read, from a node that had had the time to know.
     SentUnderSpoiltEntry {
         /// The request.
--- a/crates/lab/src/fault_soak/sharers.rs
+++ b/crates/lab/src/fault_soak/sharers.rs
@@ -279,7 +279,9 @@
         let is_before = crashes
             .first()
             .is_none_or(|first| call.sent_at + call.took < *first);
-        is_before && quiet.covers(call)
+        let away = call.sent_at.saturating_sub(AWAY_AFTER_CRASH)..=call.sent_at;
+        let has_all_engines = !quiet.crashes.iter().any(|at| away.contains(at));
+        is_before && has_all_engines && quiet.covers(call)
     };
     let is_late = |call: &&SeenCall| {
         judged.is_some_and(|(from, until)| (from..=until).contains(&call.sent_at))
