A stream without a length whose engine has left or was replaced meanwhile has broken off

What callers would get: 200 with two of five events and a proper end, where an engine that left, or started again under its name within milliseconds, ended a stream without a length between two events.

Change: only an engine that takes connections, is still listed and, where its start is known, is the same one has ended its answer in order.

--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -69,8 +69,8 @@
         fate
     }
 
-    /// Whether an answer whose end only its connection told is whole: it isn't where its engine has crashed, whose connections end
-    /// likewise, and a series without any event has not begun.
+    /// Whether an answer whose end only its connection told is whole: it isn't where its engine has crashed or left, whose
+    /// connections end likewise, and a series without any event has not begun.
     pub(super) fn is_whole(&mut self, reading: &EngineReading) -> bool {
         let Some(exchange) = &self.exchange else {
             return false;
@@ -86,7 +86,8 @@
         // Without a report over the connection the answer may come from a later start than the listed one.
         let knows_start = exchange.link.is_start_confirmed();
         let fate = self.fate(&engine);
-        let is_same_start = fate != EngineFate::Lives || !knows_start || self.is_same_start(&engine);
+        let takes_connections = matches!(fate, EngineFate::Lives | EngineFate::Unreached);
+        let is_same_start = !takes_connections || !knows_start || self.is_same_start(&engine);
         log::info!(
             request = self.call.request.as_str(),
             engine = engine.as_str(),
