Fault soak: engines that are away after a crash are not charged to crowded nodes, nor to the parts of other groups

The judge of crowded nodes took requests for undisturbed from two seconds after a crash on; engines come back after two and a half and are listed later. Both shares now leave out five seconds after a crash (the sound ones' only after crashes of other causes).

--- a/crates/lab/src/fault_soak/crowding.rs
+++ b/crates/lab/src/fault_soak/crowding.rs
@@ -161,7 +161,8 @@
     let usual = || {
         calls
             .iter()
-            .filter(|call| call.request.starts_with("caller") && quiet.covers(call))
+            .filter(|call| call.request.starts_with("caller"))
+            .filter(|call| quiet.covers(call) && quiet.has_all_engines(call))
     };
     let before = Served::of(usual().filter(|call| call.sent_at + call.took < first));
     spans
--- a/crates/lab/src/fault_soak/late_readers.rs
+++ b/crates/lab/src/fault_soak/late_readers.rs
@@ -91,7 +91,16 @@
     pub crashes: &'a [Duration],
 }
 
+/// Time after a crash in which its engine may not be back.
+const AWAY_AFTER_CRASH: Duration = Duration::from_secs(5);
+
 impl Quiet<'_> {
+    /// Whether no engine was away after a crash when a request came.
+    pub fn has_all_engines(&self, call: &SeenCall) -> bool {
+        let away = call.sent_at.saturating_sub(AWAY_AFTER_CRASH)..=call.sent_at;
+        !self.crashes.iter().any(|at| away.contains(at))
+    }
+
     /// Whether nothing struck and no engine crashed from a while before a request until its end.
     pub fn covers(&self, call: &SeenCall) -> bool {
         let from = call.sent_at.saturating_sub(SETTLED);
--- a/crates/lab/src/fault_soak/sharers.rs
+++ b/crates/lab/src/fault_soak/sharers.rs
@@ -44,9 +44,6 @@
 /// Requests that must have been sent, in calm and while engines crash, for the shares to be compared.
 const MIN_COMPARED: usize = 20;
 
-/// Time after a crash in which its engine may not be back.
-const AWAY_AFTER_CRASH: Duration = Duration::from_secs(5);
-
 /// Part of the share that begins in calm which must begin while engines crash.
 const MIN_SHARE: f64 = 0.5;
 
@@ -204,7 +201,7 @@
     /// Sent before any crash, where nothing had struck.
     pub calm: Began,
     /// Sent at nodes in touch, from twice the contact time after the crash from which on they are judged, while requests with the part
-    /// still came.
+    /// still came and no engine was away after a crash of another cause.
     pub late: Began,
 }
 
@@ -279,12 +276,21 @@
         let is_before = crashes
             .first()
             .is_none_or(|first| call.sent_at + call.took < *first);
-        let away = call.sent_at.saturating_sub(AWAY_AFTER_CRASH)..=call.sent_at;
-        let has_all_engines = !quiet.crashes.iter().any(|at| away.contains(at));
-        is_before && has_all_engines && quiet.covers(call)
+        is_before && quiet.has_all_engines(call) && quiet.covers(call)
+    };
+    let others: Vec<Duration> = quiet
+        .crashes
+        .iter()
+        .filter(|at| !crashes.contains(at))
+        .copied()
+        .collect();
+    let beside_others = Quiet {
+        disturbances: quiet.disturbances,
+        crashes: &others,
     };
     let is_late = |call: &&SeenCall| {
         judged.is_some_and(|(from, until)| (from..=until).contains(&call.sent_at))
+            && beside_others.has_all_engines(call)
             && quiet
                 .disturbances
                 .in_touch(call.node, call.sent_at + call.took, CONTACT)
