The look at an engine after an unframed answer waits for a second

A sound engine may be silent for a second. Nothing else is under way then, so the look may take as long; the look after a broken answer, for which a repeat waits, stays at 60 ms.

--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -15,6 +15,9 @@
 /// round trip, 3 ms between zones; the request waits for it.
 const LOOK: Duration = Duration::from_millis(60);
 
+/// The same after an answer that ended with its connection, where nothing else is under way: a sound engine may be silent for a second.
+const END_LOOK: Duration = Duration::from_secs(1);
+
 /// Why a connection broke that says nothing of its engine's end: connecting would only wait as long again.
 pub(super) const SILENT: &str = "silent";
 
@@ -52,7 +55,7 @@
         if cause == SILENT {
             return EngineFate::Unknown;
         }
-        let fate = self.fate(&exchange.engine);
+        let fate = self.fate(&exchange.engine, LOOK);
         log::info!(
             request = self.call.request.as_str(),
             fingerprint:% = self.subjects.request,
@@ -85,7 +88,7 @@
         let engine = exchange.engine.clone();
         // Without a report over the connection the answer may come from a later start than the listed one.
         let knows_start = exchange.link.is_start_confirmed();
-        let fate = self.fate(&engine);
+        let fate = self.fate(&engine, END_LOOK);
         let takes_connections = matches!(fate, EngineFate::Lives | EngineFate::Unreached);
         let is_same_start = !takes_connections || !knows_start || self.is_same_start(&engine);
         log::info!(
@@ -104,7 +107,7 @@
         let address = lock(&self.context.router)
             .engine(engine)
             .map(|state| state.engine.address);
-        let wait = LOOK.min(routing::left(self.deadline, self.context.now()));
+        let wait = END_LOOK.min(routing::left(self.deadline, self.context.now()));
         let link =
             address.and_then(|address| engine_contact::take_link(self.context, engine, address, wait).ok());
         link.is_some_and(|mut link| {
@@ -119,7 +122,7 @@
         !lock(&self.context.engine_reach).is_complete()
     }
 
-    fn fate(&self, engine: &EngineId) -> EngineFate {
+    fn fate(&self, engine: &EngineId, max_wait: Duration) -> EngineFate {
         let state = lock(&self.context.router).engine(engine).map(|state| {
             (
                 state.engine.address,
@@ -134,7 +137,7 @@
             return EngineFate::Crashed;
         }
         let now = self.context.now();
-        let wait = LOOK.min(routing::left(self.deadline, now));
+        let wait = max_wait.min(routing::left(self.deadline, now));
         // A connection that rests may not have noticed the end yet, so a new one is made.
         match engine_contact::connect(self.context, engine, address, wait) {
             Ok(link) => {
