--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -90,7 +90,9 @@
         let knows_start = exchange.link.is_start_confirmed();
         let fate = self.fate(&engine, END_LOOK);
         let takes_connections = matches!(fate, EngineFate::Lives | EngineFate::Unreached);
-        let is_same_start = !takes_connections || !knows_start || self.is_same_start(&engine);
+        // An engine that only another node reaches may have started again since it refused this one.
+        let compares_starts = takes_connections && (knows_start || fate == EngineFate::Unreached);
+        let is_same_start = !compares_starts || self.is_same_start(&engine);
         log::info!(
             request = self.call.request.as_str(),
             engine = engine.as_str(),
