Relay of the lab: a reset ends connections whose bytes are held

a_request_that_may_run_once_is_not_repeated_after_its_relay_failed failed since resets send a reset: 504 where 502 is right, since the threads that held the bytes never closed their ends.

--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -128,6 +128,8 @@
                 let _ = end.shutdown(Shutdown::Read);
             }
         }
+        drop(state);
+        self.link.changed.notify_all();
     }
 
     /// Makes the connections that pass now silent for good, without closing them; new ones are taken as before.
@@ -175,7 +177,8 @@
     fn wait_to_pass(&self, connection: u64, direction: Direction) {
         let waiting = |state: &mut LinkState| {
             let is_silent = connection < state.silent_below;
-            (is_silent || state.fault.holds(direction)) && !state.stopped
+            let is_held = is_silent || state.fault.holds(direction);
+            is_held && !state.stopped && !state.reset.contains(&connection)
         };
         let state = self.changed.wait_while(self.state(), waiting);
         let fault = state.unwrap_or_else(PoisonError::into_inner).fault;
@@ -253,7 +256,7 @@
     let mut buffer = [0; BUFFER_BYTES];
     while let Ok(read) = from.read(&mut buffer) {
         link.wait_to_pass(connection, direction);
-        if read == 0 || to.write_all(&buffer[..read]).is_err() {
+        if read == 0 || link.is_reset(connection) || to.write_all(&buffer[..read]).is_err() {
             break;
         }
     }
