--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -88,10 +88,12 @@
         let engine = exchange.engine.clone();
         // Without a report over the connection the answer may come from a later start than the listed one.
         let knows_start = exchange.link.is_start_confirmed();
+        let was_direct = exchange.link.tunnel().is_none();
         let fate = self.fate(&engine, END_LOOK);
         let takes_connections = matches!(fate, EngineFate::Lives | EngineFate::Unreached);
-        // An engine that only another node reaches may have started again since it refused this one.
-        let compares_starts = takes_connections && (knows_start || fate == EngineFate::Unreached);
+        // One that this node reached when it sent the request, and no longer does, may have started again.
+        let is_lost = was_direct && fate == EngineFate::Unreached;
+        let compares_starts = takes_connections && (knows_start || is_lost);
         let is_same_start = !compares_starts || self.is_same_start(&engine);
         log::info!(
             request = self.call.request.as_str(),
