Nodes report only subjects that may be restricted, and attribution looks only at what was aboard

Each report and each row weighed every remembered part against every other one, and answered parts, of which each crash charges dozens, were told to all nodes.

--- a/crates/core/src/quarantine/attribution.rs
+++ b/crates/core/src/quarantine/attribution.rs
@@ -82,15 +82,11 @@
 ) -> Attribution {
     let own = Evidence::of(fingerprint, suspect, lasts, now);
     let crashes: Vec<(SubjectHandle, MonotonicTime)> = suspect.counting_engines(now).collect();
+    let is_beside = |other: &Suspect| crashes.iter().any(|(engine, _)| other.counts(*engine, now));
     let others: Vec<Evidence<'_>> = all
         .iter()
-        .filter(|(other, _)| *other != fingerprint)
+        .filter(|(other, suspect)| *other != fingerprint && is_beside(suspect))
         .map(|(other, suspect)| Evidence::of(other, suspect, lasts, now))
-        .filter(|other| {
-            crashes
-                .iter()
-                .any(|(engine, _)| other.suspect.counts(*engine, now))
-        })
         .collect();
     let better: Vec<&Suspect> = others
         .iter()
--- a/crates/core/src/quarantine/register.rs
+++ b/crates/core/src/quarantine/register.rs
@@ -391,11 +391,13 @@
             return None;
         }
         let counts_until = now + self.settings.lasts();
+        let least_notable = self.least_notable();
         let suspect = self.entry(fingerprint, asked, now);
         if !suspect.add(engine, counts_until, is_isolated) {
             return None;
         }
         suspect.seen_here = true;
+        suspect.note_count(least_notable, now);
         suspect.notify_until = now + NOTIFICATION_PERIOD;
         Some(self.standing(&fingerprint, now))
     }
@@ -485,6 +487,7 @@
             return None;
         }
         let longest = self.settings.lasts();
+        let least_notable = self.least_notable();
         let ends = |time: Duration| now + time.min(longest);
         let suspect = self.entry(report.fingerprint, &report.asked, now);
         // A time of zero says that nothing was forgiven.
@@ -493,6 +496,7 @@
             changed |= suspect.add(crash.engine, ends(crash.counts_for), crash.is_isolated);
         }
         if changed {
+            suspect.note_count(least_notable, now);
             suspect.notify_until = now + NOTIFICATION_PERIOD;
         }
         changed.then(|| self.standing(&report.fingerprint, now))
@@ -513,6 +517,12 @@
         changed
     }
 
+    /// Crashes from which on a subject may be restricted, so that nodes which have seen none of them have to know of it, and of
+    /// answers to it.
+    fn least_notable(&self) -> usize {
+        self.settings.crashes.saturating_sub(1).max(1)
+    }
+
     fn entry(&mut self, fingerprint: Fingerprint, asked: &Asked, now: MonotonicTime) -> &mut Suspect {
         self.forget(now);
         if !self.suspects.contains_key(&fingerprint) {
@@ -564,15 +574,15 @@
         now: MonotonicTime,
     ) -> bool {
         let has_changed = suspect.notify_until > now;
-        let standing = self.standing_of(fingerprint, suspect, now);
-        // What was answered may stand otherwise at nodes that don't know of the answer.
-        let runs_freely =
-            matches!(standing, Standing::Free { crashes } if crashes > 0) && !suspect.was_answered();
+        let is_restricted = || {
+            let standing = self.standing_of(fingerprint, suspect, now);
+            !matches!(standing, Standing::Free { .. })
+        };
         match selection {
             Selection::SeenHere => has_changed && suspect.seen_here,
-            Selection::Changes => has_changed && (suspect.seen_here || !runs_freely),
-            Selection::RestrictedChanges => has_changed && !runs_freely,
-            Selection::Restricted => !matches!(standing, Standing::Free { .. }),
+            Selection::Changes => has_changed && (suspect.seen_here || suspect.was_notable),
+            Selection::RestrictedChanges => has_changed && suspect.was_notable,
+            Selection::Restricted => is_restricted(),
         }
     }
 
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -32,6 +32,8 @@
     cleared_through: MonotonicTime,
     /// Whether one of the crashes was seen by this node.
     pub(super) seen_here: bool,
+    /// Whether so many crashes counted once that it may have been restricted somewhere.
+    pub(super) was_notable: bool,
     /// Evidence that the store has.
     pub(super) stored: usize,
     /// When another node turned out to have claimed the confirming run.
@@ -51,6 +53,7 @@
             crashes: Vec::new(),
             cleared_through: MonotonicTime::default(),
             seen_here: false,
+            was_notable: false,
             stored: 0,
             claimed_elsewhere_at: None,
             notify_until: MonotonicTime::default(),
@@ -173,6 +176,11 @@
         has_cleared
     }
 
+    /// Notes how many crashes count now.
+    pub(super) fn note_count(&mut self, least_notable: usize, now: MonotonicTime) {
+        self.was_notable |= self.crashes(now) >= least_notable;
+    }
+
     /// Notes an answer after which only crashes count that stop to count later; whether it was not known.
     pub(super) fn note_answered(&mut self, through: MonotonicTime) -> bool {
         let is_news = through > self.cleared_through;
