--- a/crates/core/src/quarantine/fingerprint.rs
+++ b/crates/core/src/quarantine/fingerprint.rs
@@ -1,4 +1,4 @@
-//! What names a request, or a part of prompts, that engines may crash under, whoever names it and wherever it arrives.
+//! Names of requests and parts of prompts under which engines may crash; the same at every node.
 
 use crate::routing::pool::PromptPart;
 use serde::{Deserialize, Serialize};
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -12,6 +12,10 @@
 //! limit, one on trial        quarantined   not at all: confirmed
 //! ```
 //!
+//! Requests that are all different may share a part of their prompts that crashes engines, so that the parts are charged as well
+//! ([`RequestSubjects`]). A charge counts against a part only while nothing else aboard explains the crash better (`attribution`). A
+//! request runs by the worst of what it holds ([`Verdict`]).
+//!
 //! A crash charges everything that ran at the engine, so engines that crash within the time in which nodes learn of it can
 //! quarantine a request that only ran beside the cause. Only a crash on trial tells the two apart. The claim bounds how often the
 //! cause reaches engines again, whatever reports were lost.
@@ -31,12 +35,14 @@
 mod subjects;
 mod suspect;
 mod trial;
+mod verdict;
 
 pub use answered::RecentlyAnswered;
 pub use fingerprint::{Fingerprint, NoFingerprint, RequestContent};
-pub use register::{Counts, Entry, Quarantine, RefusalCause, Selection, Standing, TrialSubjects, Verdict};
+pub use register::{Counts, Entry, Quarantine, Selection, Standing};
 pub use subjects::RequestSubjects;
 pub use trial::TrialBoard;
+pub use verdict::{RefusalCause, TrialSubjects, Verdict};
 
 use crate::forwarding::{PoolId, RouteId};
 use crate::identity::TenantId;
--- a/crates/core/src/quarantine/register.rs
+++ b/crates/core/src/quarantine/register.rs
@@ -4,7 +4,7 @@
 use super::config::QuarantineSettings;
 use super::report::{ConfirmationReport, SuspectReport};
 use super::suspect::Suspect;
-use super::{Asked, Fingerprint, RequestSubjects};
+use super::{Asked, Fingerprint};
 use crate::membership::subject::SubjectHandle;
 use crate::time::MonotonicTime;
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,21 +14,10 @@
 /// datagrams are made up for.
 const NOTIFICATION_PERIOD: Duration = Duration::from_millis(2_500);
 
-/// The same where a trial has confirmed it, doubled with each further one: what many requests share must not stay refused for what
-/// crashed beside its trial.
-const CONFIRMED_PERIOD: Duration = Duration::from_secs(60);
-
 /// Time after a crash within which an answer is awaited, before a part that was answered before it runs on trial: while other
 /// engines serve, one comes.
 const ANSWER_AWAITED: Duration = Duration::from_secs(1);
 
-/// Time after the last crash for which a part that alone explains its crashes does not run at all.
-const CONVICTION_PERIOD: Duration = Duration::from_secs(30);
-
-/// Time for which requests that hold several suspects wait for requests that hold one of them, whose runs tell more, from the first
-/// that is held back since the last crash.
-const SEPARATION_PERIOD: Duration = Duration::from_secs(2);
-
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -97,66 +86,6 @@
     pub quarantined_parts: usize,
 }
 
-/// What may be done with a request as a whole, by the worst of what it holds.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// It runs as any other.
-    Free,
-    /// It runs alone.
-    OnTrial(TrialSubjects),
-    /// It is refused, because of one of its subjects.
-    Refused {
-        /// The subject.
-        subject: Fingerprint,
-        /// How it stands.
-        standing: Standing,
-        /// Why.
-        cause: RefusalCause,
-        /// When to come back.
-        retry_after: Duration,
-    },
-}
-
-/// Why a request does not even run on trial.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RefusalCause {
-    /// A trial has confirmed that the subject crashes engines.
-    Confirmed,
-    /// The subject alone explains several crashes.
-    OnlyExplanation,
-    /// It holds several suspects, and requests that hold fewer tell more.
-    SeveralSuspects,
-}
-
-impl RefusalCause {
-    /// Name for logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Confirmed => "quarantined",
-            Self::OnlyExplanation => "only_explanation",
-            Self::SeveralSuspects => "several_suspects",
-        }
-    }
-}
-
-/// What a run on trial is about.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TrialSubjects {
-    /// The subject for which it runs.
-    pub subject: Fingerprint,
-    /// How that stands.
-    pub standing: Standing,
-    /// All subjects of the request that don't run as any other. A crash tells of the subject only where it is the only one.
-    pub suspects: Vec<Fingerprint>,
-}
-
-impl TrialSubjects {
-    /// The subject that a crash of this run confirms; absent where it could be another.
-    pub fn isolated(&self) -> Option<Fingerprint> {
-        (self.suspects.len() == 1).then_some(self.subject)
-    }
-}
-
 /// One request or part, for operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -175,8 +104,8 @@
 /// The requests that one node knows; pure, and merged with what others know by [`Self::merge`].
 #[derive(Clone, Debug)]
 pub struct Quarantine {
-    settings: QuarantineSettings,
-    suspects: BTreeMap<Fingerprint, Suspect>,
+    pub(super) settings: QuarantineSettings,
+    pub(super) suspects: BTreeMap<Fingerprint, Suspect>,
 }
 
 impl Quarantine {
@@ -230,100 +159,6 @@
         Standing::Free { crashes }
     }
 
-    /// What may be done with a request, by all that it holds.
-    pub fn verdict(&self, subjects: &RequestSubjects, now: MonotonicTime) -> Verdict {
-        let standings = subjects
-            .iter()
-            .map(|subject| (*subject, self.standing(subject, now)));
-        let restricted: Vec<(Fingerprint, Standing)> = standings
-            .filter(|(_, standing)| !matches!(standing, Standing::Free { .. }))
-            .collect();
-        let refused = restricted
-            .iter()
-            .find_map(|(subject, standing)| self.refused(subject, *standing, now));
-        if let Some(refused) = refused {
-            return refused;
-        }
-        // Of several the narrowest of those that stand worst: the more widely shared ones are cleared by other requests.
-        let is_quarantined = |standing: &Standing| matches!(standing, Standing::Quarantined { .. });
-        let worst = restricted
-            .iter()
-            .max_by_key(|(_, standing)| is_quarantined(standing));
-        let Some((subject, standing)) = worst.copied() else {
-            return Verdict::Free;
-        };
-        let suspects: Vec<Fingerprint> = restricted.iter().map(|(subject, _)| *subject).collect();
-        let separation = self.separation_time(&subject, &suspects, now);
-        if !separation.is_zero() {
-            return Verdict::Refused {
-                subject,
-                standing,
-                cause: RefusalCause::SeveralSuspects,
-                retry_after: separation,
-            };
-        }
-        Verdict::OnTrial(TrialSubjects {
-            subject,
-            standing,
-            suspects,
-        })
-    }
-
-    /// Why a subject that stands so is refused without a trial.
-    fn refused(&self, subject: &Fingerprint, standing: Standing, now: MonotonicTime) -> Option<Verdict> {
-        let Standing::Quarantined { remaining, .. } = standing else {
-            return None;
-        };
-        let is_confirmed = self.is_confirmed(subject, now);
-        let (cause, retry_after) = match (is_confirmed, subject.is_part()) {
-            (true, false) => (RefusalCause::Confirmed, remaining),
-            (true, true) => (RefusalCause::Confirmed, self.conviction_time(subject, now)),
-            (false, true) => (RefusalCause::OnlyExplanation, self.conviction_time(subject, now)),
-            (false, false) => return None,
-        };
-        (!retry_after.is_zero()).then_some(Verdict::Refused {
-            subject: *subject,
-            standing,
-            cause,
-            retry_after,
-        })
-    }
-
-    /// Time for which a part is refused without a trial, because a trial has confirmed it or it alone explains its crashes; zero where
-    /// neither holds.
-    fn conviction_time(&self, part: &Fingerprint, now: MonotonicTime) -> Duration {
-        let Some(suspect) = self.suspects.get(part) else {
-            return Duration::ZERO;
-        };
-        let lasts = self.settings.lasts();
-        let confirmations = suspect.confirmations(now);
-        let attribution = attribute(part, suspect, &self.suspects, lasts, now);
-        let period = if confirmations > 0 {
-            CONFIRMED_PERIOD.saturating_mul(1 << (confirmations - 1))
-        } else if attribution.is_only_explanation {
-            CONVICTION_PERIOD
-        } else {
-            return Duration::ZERO;
-        };
-        let last = attribution.counting_until.last();
-        last.map_or(Duration::ZERO, |until| (*until + period).since(now + lasts))
-    }
-
-    /// Time for which a request that holds several suspects waits for requests that hold fewer.
-    fn separation_time(
-        &self,
-        subject: &Fingerprint,
-        suspects: &[Fingerprint],
-        now: MonotonicTime,
-    ) -> Duration {
-        if suspects.len() < 2 {
-            return Duration::ZERO;
-        }
-        let suspect = self.suspects.get(subject);
-        let held_back_since = suspect.and_then(|suspect| suspect.held_back_since);
-        SEPARATION_PERIOD.saturating_sub(now.since(held_back_since.unwrap_or(now)))
-    }
-
     /// Whether a run on trial has crashed an engine. A quarantined request without one may only have run beside the cause.
     pub fn is_confirmed(&self, fingerprint: &Fingerprint, now: MonotonicTime) -> bool {
         let suspect = self.suspects.get(fingerprint);
