--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -3,6 +3,7 @@
 It answers one request at a time on a connection. By the last part of the path:
 
   whole    a short answer with a length
+  medium   the same after 0.5 s of work
   long     the same after 9 s of work
   paced    an answer without a length: 20 pieces of 100 bytes, one each 100 ms, then the connection ends
   events   the same as a stream of 20 events
@@ -20,6 +21,7 @@
 PIECES = 20
 PIECE_GAP = 0.1
 LONG = 9.0
+MEDIUM = 0.5
 SHORT = 0.02
 
 
@@ -121,7 +123,7 @@
         say(f"runs {request} ({method} {path})")
         try:
             if kind not in ("paced", "events"):
-                time.sleep(LONG if kind == "long" else SHORT)
+                time.sleep({"long": LONG, "medium": MEDIUM}.get(kind, SHORT))
                 body = whole_body("whole")
                 connection.sendall(self.head("200 OK", request, length=len(body), signed=True) + body)
                 say(f"{request} ends well, {len(body)} bytes")
--- a/review/standins/small.py
+++ b/review/standins/small.py
@@ -7,6 +7,8 @@
 
 HOST = "ficu95.example"
 SERVICE = "order-api"
+# Nothing is routed to this one.
+ARCHIVE = "archive-api"
 ZONES = ["lj-hall-a", "lj-hall-b", "kranj-hall"]
 ADDRESSES = ["127.0.0.11", "127.0.0.12", "127.0.0.13"]
 
@@ -24,7 +26,10 @@
             route("orders", "/orders/", "non_idempotent"),
             route("notices", "/notices/", "streaming", resumable=False, gapTargetMs=400),
         ],
-        "services": [{"name": SERVICE, "healthPath": "/health", "connectionLimit": 100, "protocol": "h1", "tls": False}],
+        "services": [
+            {"name": name, "healthPath": "/health", "connectionLimit": 100, "protocol": "h1", "tls": False}
+            for name in (SERVICE, ARCHIVE)
+        ],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
     }
 
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -129,6 +129,14 @@
             self.changed.notify_all()
             return self.version
 
+    def touch(self, table, key, value):
+        """A heartbeat: the row and the counter change, but not the entry ("the entry has changed when more than `sequence` differs")."""
+        with self.changed:
+            self.version += 1
+            name = (table, "", key)
+            if name in self.rows:
+                self.rows[name] = (base64.b64encode(json.dumps(value).encode()).decode(), self.rows[name][1])
+
     def record(self, table, part, key, value):
         name = (table, part, key)
         if value is None:
@@ -468,7 +476,8 @@
         while self.lives.is_set():
             time.sleep(self.HEARTBEAT)
             if self.lives.is_set():
-                self.write()
+                self.row["sequence"] += 1
+                self.store.touch("servers", self.identifier, self.row)
 
     def drain(self):
         """Says that it drains; returns when the store has taken that."""
@@ -490,6 +499,14 @@
         lapse.daemon = True
         lapse.start()
 
+    def leave(self):
+        """The planned end of an engine that drains; its entry goes."""
+        self.lives.clear()
+        self.process.kill()
+        self.process.wait()
+        self.record.note(f"engine {self.identifier} ends as planned")
+        self.store.write("servers", self.identifier, None)
+
     def end(self):
         self.lives.clear()
         if self.process and self.process.poll() is None:
@@ -497,6 +514,45 @@
             self.process.wait()
 
 
+class IdleEngines:
+    """Entries of engines of a service to which nothing is routed, with heartbeats, and one process that listens for all of them."""
+
+    def __init__(self, store, record, service, zones, count):
+        self.store = store
+        port = free_ports(1)[0]
+        program = os.path.join(os.path.dirname(os.path.abspath(__file__)), "idle.py")
+        self.process = subprocess.Popen([sys.executable, program, str(port), str(count)], stdout=subprocess.PIPE, text=True)
+        if "listens" not in self.process.stdout.readline():
+            raise CannotRun("the idle engines do not listen")
+        self.rows = {}
+        for number in range(count):
+            address = f"127.1.{number // 200}.{number % 200 + 1}:{port}"
+            self.rows[f"i-{number:04d}"] = {
+                "service": service, "address": address, "zone": zones[number % len(zones)], "version": "v1", "slots": 6,
+                "state": "ready", "coldRemainingMs": 0, "sequence": 1,
+            }
+        for identifier, row in self.rows.items():
+            store.write("servers", identifier, row)
+        record.note(f"{count} engines of {service} are listed")
+        self.lives = threading.Event()
+        self.lives.set()
+        threading.Thread(target=self.beat, daemon=True).start()
+
+    def beat(self):
+        while self.lives.is_set():
+            began = time.monotonic()
+            for identifier, row in self.rows.items():
+                row["sequence"] += 1
+                self.store.touch("servers", identifier, row)
+                time.sleep(0.001)
+            time.sleep(max(0, Engine.HEARTBEAT - (time.monotonic() - began)))
+
+    def end(self):
+        self.lives.clear()
+        self.process.kill()
+        self.process.wait()
+
+
 def give_up(*_):
     raise CannotRun("it took too long or was told to stop")
 
