--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -3,10 +3,11 @@
 It answers one request at a time on a connection. By the last part of the path:
 
   whole    a short answer with a length
-  medium   the same after 0.5 s of work
   long     the same after 9 s of work
   paced    an answer without a length: 20 pieces of 100 bytes, one each 100 ms, then the connection ends
   events   the same as a stream of 20 events
+  brief    a stream of 3 events in chunks; with --spoil N, each Nth is spoilt: behind its head come bytes that are no event, as fast as
+           they are taken, for 12 s or until the connection is closed
 
 It works on as many requests at once as it has slots; others wait in its queue. The head of paced and events comes at once, with the
 engine's signature. Lines on standard output tell what arrives, what runs and how it ends.
@@ -20,8 +21,9 @@
 
 PIECES = 20
 PIECE_GAP = 0.1
+BRIEF = 3
+SPOILT_FOR = 12.0
 LONG = 9.0
-MEDIUM = 0.5
 SHORT = 0.02
 
 
@@ -54,8 +56,10 @@
 
 
 class Engine:
-    def __init__(self, identifier, slots):
+    def __init__(self, identifier, slots, spoil):
         self.identifier = identifier
+        self.spoil = spoil
+        self.briefs = 0
         self.slots = threading.Semaphore(slots)
         self.slot_count = slots
         self.running = 0
@@ -122,8 +126,10 @@
             self.running += 1
         say(f"runs {request} ({method} {path})")
         try:
+            if kind == "brief":
+                return self.run_brief(connection, request)
             if kind not in ("paced", "events"):
-                time.sleep({"long": LONG, "medium": MEDIUM}.get(kind, SHORT))
+                time.sleep(LONG if kind == "long" else SHORT)
                 body = whole_body("whole")
                 connection.sendall(self.head("200 OK", request, length=len(body), signed=True) + body)
                 say(f"{request} ends well, {len(body)} bytes")
@@ -150,13 +156,44 @@
             self.slots.release()
 
 
+    def run_brief(self, connection, request):
+        with self.lock:
+            self.briefs += 1
+            is_spoilt = self.spoil > 0 and self.briefs % self.spoil == 0
+        extra = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"
+        connection.sendall(self.head("200 OK", request, extra=extra, signed=True))
+        if is_spoilt:
+            return self.send_spoilt(connection, request)
+        for number in range(1, BRIEF + 1):
+            time.sleep(SHORT)
+            connection.sendall(b"%x\r\n%s\r\n" % (len(event(number)), event(number)))
+        connection.sendall(b"0\r\n\r\n")
+        say(f"{request} ends well")
+        return True
+
+    def send_spoilt(self, connection, request):
+        say(f"{request}: the answer is spoilt")
+        until = time.monotonic() + SPOILT_FOR
+        block = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
+        sent = 0
+        try:
+            while time.monotonic() < until:
+                connection.sendall(block)
+                sent += 0x4000
+            say(f"{request}: the spoilt answer stops after {SPOILT_FOR} s, {sent} bytes")
+        except OSError:
+            say(f"{request}: its connection was closed after {time.monotonic() - until + SPOILT_FOR:.1f} s, {sent} bytes")
+        return False
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--id", required=True)
     parser.add_argument("--slots", type=int, default=6)
+    parser.add_argument("--spoil", type=int, default=0)
     options = parser.parse_args()
-    engine = Engine(options.id, options.slots)
+    engine = Engine(options.id, options.slots, options.spoil)
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind(("127.0.0.1", options.port))
--- a/review/standins/small.py
+++ b/review/standins/small.py
@@ -7,8 +7,6 @@
 
 HOST = "ficu95.example"
 SERVICE = "order-api"
-# Nothing is routed to this one.
-ARCHIVE = "archive-api"
 ZONES = ["lj-hall-a", "lj-hall-b", "kranj-hall"]
 ADDRESSES = ["127.0.0.11", "127.0.0.12", "127.0.0.13"]
 
@@ -26,10 +24,7 @@
             route("orders", "/orders/", "non_idempotent"),
             route("notices", "/notices/", "streaming", resumable=False, gapTargetMs=400),
         ],
-        "services": [
-            {"name": name, "healthPath": "/health", "connectionLimit": 100, "protocol": "h1", "tls": False}
-            for name in (SERVICE, ARCHIVE)
-        ],
+        "services": [{"name": SERVICE, "healthPath": "/health", "connectionLimit": 100, "protocol": "h1", "tls": False}],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
     }
 
@@ -40,9 +35,9 @@
         self.store = Store()
         self.store.write("op", "config", configuration(timeout_ms))
 
-    def engine(self, identifier, zone, port=None):
+    def engine(self, identifier, zone, port=None, options=()):
         port = port or free_ports(1)[0]
-        engine = Engine(self.store, self.record, identifier, SERVICE, zone, port)
+        engine = Engine(self.store, self.record, identifier, SERVICE, zone, port, options=options)
         self.ends.append(engine)
         engine.start()
         return engine
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -38,7 +38,6 @@
         with self.lock:
             line = f"{time.monotonic() - self.began:8.3f} s  {text}"
             print(line, file=self.file, flush=True)
-            print(line, flush=True)
 
 
 def free_ports(count, addresses=("127.0.0.1",)):
@@ -68,8 +67,6 @@
         self.history = []
         self.version = 0
         self.changed = threading.Condition()
-        # Called under the lock after an answer to rows-get was composed: (table, rows, more).
-        self.after_get = None
         store = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -171,10 +168,7 @@
             )
             more = len(names) > limit
             rows = [self.row(name, *self.rows[name]) for name in names[:limit]]
-            answer = {"rows": rows, "more": more, "ver": self.version, "now_ms": self.now_ms()}
-            if self.after_get:
-                self.after_get(table, rows, more)
-            return answer
+            return {"rows": rows, "more": more, "ver": self.version, "now_ms": self.now_ms()}
 
     def feed(self, query):
         table, after = query.get("table", ""), int(query.get("after", "0"))
@@ -499,14 +493,6 @@
         lapse.daemon = True
         lapse.start()
 
-    def leave(self):
-        """The planned end of an engine that drains; its entry goes."""
-        self.lives.clear()
-        self.process.kill()
-        self.process.wait()
-        self.record.note(f"engine {self.identifier} ends as planned")
-        self.store.write("servers", self.identifier, None)
-
     def end(self):
         self.lives.clear()
         if self.process and self.process.poll() is None:
@@ -514,45 +500,6 @@
             self.process.wait()
 
 
-class IdleEngines:
-    """Entries of engines of a service to which nothing is routed, with heartbeats, and one process that listens for all of them."""
-
-    def __init__(self, store, record, service, zones, count):
-        self.store = store
-        port = free_ports(1)[0]
-        program = os.path.join(os.path.dirname(os.path.abspath(__file__)), "idle.py")
-        self.process = subprocess.Popen([sys.executable, program, str(port), str(count)], stdout=subprocess.PIPE, text=True)
-        if "listens" not in self.process.stdout.readline():
-            raise CannotRun("the idle engines do not listen")
-        self.rows = {}
-        for number in range(count):
-            address = f"127.1.{number // 200}.{number % 200 + 1}:{port}"
-            self.rows[f"i-{number:04d}"] = {
-                "service": service, "address": address, "zone": zones[number % len(zones)], "version": "v1", "slots": 6,
-                "state": "ready", "coldRemainingMs": 0, "sequence": 1,
-            }
-        for identifier, row in self.rows.items():
-            store.write("servers", identifier, row)
-        record.note(f"{count} engines of {service} are listed")
-        self.lives = threading.Event()
-        self.lives.set()
-        threading.Thread(target=self.beat, daemon=True).start()
-
-    def beat(self):
-        while self.lives.is_set():
-            began = time.monotonic()
-            for identifier, row in self.rows.items():
-                row["sequence"] += 1
-                self.store.touch("servers", identifier, row)
-                time.sleep(0.001)
-            time.sleep(max(0, Engine.HEARTBEAT - (time.monotonic() - began)))
-
-    def end(self):
-        self.lives.clear()
-        self.process.kill()
-        self.process.wait()
-
-
 def give_up(*_):
     raise CannotRun("it took too long or was told to stop")
 
