--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -273,7 +273,7 @@
 class Node:
     """One process of the system on a loopback address of its own."""
 
-    def __init__(self, folder, name, address, ports, zone, zones, store, record, bounds=None):
+    def __init__(self, folder, name, address, ports, zone, zones, store, record):
         self.name, self.address, self.record = name, address, record
         self.frontend = (address, ports[0])
         self.ready = (address, ports[1])
@@ -298,7 +298,7 @@
             "heartbeatIntervalMs": 1200,
             "bounds": {
                 "contactMs": 3000, "drainMs": 2000, "gracePeriodS": 8, "configurationMs": 2000, "retryBudgetRatio": 0.2,
-                "budgetWindowS": 10, "budgetSlack": 56, "leaseMs": 3000, "thawMs": 300, **(bounds or {}),
+                "budgetWindowS": 10, "budgetSlack": 56, "leaseMs": 3000, "thawMs": 300,
             },
             "platform": {"address": store.address},
         }
@@ -343,10 +343,6 @@
         self.record.note(f"{self.name} gets {signal.Signals(number).name}")
         self.process.send_signal(number)
 
-    def log_lines(self, *words):
-        with open(self.log_path, encoding="utf-8", errors="replace") as file:
-            return [line.rstrip() for line in file if all(word in line for word in words)]
-
     def end(self):
         if self.process and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
