--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import small
 from standins import call, play, request_bytes
 
--- a/review/standins/standins.py
+++ b/review/standins.py
@@ -19,7 +19,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlparse
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 
 
 class CannotRun(Exception):
