--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,7 @@
-"""An engine crashes within answers that have no length: is what came of them told as the whole answer?
+"""An engine ends within answers that have no length: is what came of them told as the whole answer?
 
-Two scenes, each in a deployment of its own: the engine drains before it crashes; or it is back at its address, as a new incarnation,
-before the machine that passes the answers on wakes from a freeze.
+Three scenes, each in a deployment of its own: the engine drains and ends as planned; it drains and crashes; or it crashes and is back
+at its address, as a new incarnation, before the machine that passes the answers on wakes from a freeze.
 """
 
 import os
@@ -14,6 +14,8 @@
 import small
 from standins import call, play, request_bytes
 
+DRAIN = 2.0
+
 
 class Scene:
     def __init__(self, folder, record, trouble, ends):
@@ -31,10 +33,10 @@
         self.answers[name] = (kind, call(node.frontend, request, 8))
         self.record.note(f"caller gets for {name}: {self.answers[name][1]}")
 
-    def begin(self, count, nodes):
+    def begin(self, count, nodes, asked=(("order", "/orders/", "paced"), ("notice", "/notices/", "events"))):
         for number in range(count):
             node = nodes[number % len(nodes)]
-            for name, path, kind in [("order", "/orders/", "paced"), ("notice", "/notices/", "events")]:
+            for name, path, kind in asked:
                 caller = threading.Thread(target=self.ask, args=(f"{name}{number}", path, kind, node))
                 self.callers.append(caller)
                 caller.start()
@@ -46,10 +48,20 @@
         return small.judge_bodies(self.record, self.answers, self.trouble)
 
 
+def drains_and_ends(scene):
+    leaving = scene.engines[0]
+    scene.begin(6, scene.nodes, [("order", "/orders/", "lasting")])
+    leaving.drain()
+    if scene.trouble:
+        # It serves on for drainMs and a little longer, and then ends.
+        time.sleep(DRAIN + 0.5)
+        leaving.leave()
+
+
 def drains_and_crashes(scene):
     leaving = scene.engines[0]
     scene.begin(6, scene.nodes)
-    # Planned: it serves on for drainMs and a little longer, and all answers end before that.
+    # All answers would end before drainMs is over.
     leaving.drain()
     time.sleep(0.9)
     if scene.trouble:
@@ -73,7 +85,7 @@
 
 def case(folder, record, trouble, ends):
     broken = []
-    for play_scene in (drains_and_crashes, crashes_behind_a_freeze):
+    for play_scene in (drains_and_ends, drains_and_crashes, crashes_behind_a_freeze):
         record.note(f"scene: {play_scene.__name__}")
         of_scene = []
         own_folder = os.path.join(folder, play_scene.__name__)
--- a/review/engine.py
+++ b/review/engine.py
@@ -5,6 +5,7 @@
   whole    a short answer with a length
   long     the same after 10 s of work
   paced    an answer without a length: 20 pieces of 100 bytes, one each 100 ms, then the connection ends
+  lasting  the same with 45 pieces
   events   the same as a stream of 20 events
   brief    a stream of 3 events in chunks; with --spoil N, each Nth is spoilt: behind its head come bytes that are no event, as fast as
            they are taken, for 12 s or until the connection is closed
@@ -20,6 +21,7 @@
 import time
 
 PIECES = 20
+LASTING_PIECES = 45
 PIECE_GAP = 0.1
 BRIEF = 3
 SPOILT_FOR = 12.0
@@ -39,9 +41,13 @@
     return b"id: %d\ndata: piece %d of %d\n\n" % (number, number, PIECES)
 
 
+def pieces_of(kind):
+    return LASTING_PIECES if kind == "lasting" else PIECES
+
+
 def whole_body(kind):
-    if kind == "paced":
-        return b"".join(piece(number) for number in range(1, PIECES + 1))
+    if kind in ("paced", "lasting"):
+        return b"".join(piece(number) for number in range(1, pieces_of(kind) + 1))
     if kind == "events":
         return b"".join(event(number) for number in range(1, PIECES + 1))
     return b"whole answer\n"
@@ -128,7 +134,7 @@
         try:
             if kind == "brief":
                 return self.run_brief(connection, request)
-            if kind not in ("paced", "events"):
+            if kind not in ("paced", "lasting", "events"):
                 time.sleep(LONG if kind == "long" else SHORT)
                 body = whole_body("whole")
                 connection.sendall(self.head("200 OK", request, length=len(body), signed=True) + body)
@@ -139,12 +145,12 @@
             connection.sendall(self.head("200 OK", request, extra=kind_line, signed=True))
             make = event if kind == "events" else piece
             sent = 0
-            for number in range(1, PIECES + 1):
+            for number in range(1, pieces_of(kind) + 1):
                 time.sleep(PIECE_GAP)
                 connection.sendall(make(number))
                 sent += len(make(number))
                 if number % 5 == 0:
-                    say(f"{request}: piece {number} of {PIECES} sent")
+                    say(f"{request}: piece {number} of {pieces_of(kind)} sent")
             say(f"{request} ends well, {sent} bytes")
             return False
         except OSError as error:
--- a/review/standins.py
+++ b/review/standins.py
@@ -479,6 +479,14 @@
         """Whether it has begun to work on a request."""
         return any(line.startswith(f"runs {request} ") for line in self.lines)
 
+    def leave(self):
+        """Ends as planned; the entry goes once it has left."""
+        self.lives.clear()
+        self.process.terminate()
+        self.process.wait()
+        self.store.write("servers", self.identifier, None)
+        self.record.note(f"engine {self.identifier} has ended as planned")
+
     def crash(self):
         """Ends at once and says nothing; the entry goes after three heartbeats without a write."""
         self.lives.clear()
