--- a/crates/core/src/metering/mod.rs
+++ b/crates/core/src/metering/mod.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod config;
 pub mod counter;
+pub mod figures;
 pub mod record;
 pub mod replication;
 pub mod reporter;
--- a/crates/node/src/duties/usage.rs
+++ b/crates/node/src/duties/usage.rs
@@ -8,10 +8,11 @@
 use shelfjunction_core::identity::FencingToken;
 use shelfjunction_core::lease::Authority;
 use shelfjunction_core::metering::WindowNumber;
-use shelfjunction_core::metering::record;
+use shelfjunction_core::metering::figures::FiguresDigest;
+use shelfjunction_core::metering::record::{self, Records};
 use shelfjunction_core::metering::reporter::{SendOutcome, Step, UsageReporter};
 use shelfjunction_core::metering::tally::TenantCounts;
-use shelfjunction_core::table::{PlatformError, TransactionOutcome};
+use shelfjunction_core::table::{PlatformError, Row, StorePosition, TransactionOutcome};
 use shelfjunction_platform::services::TableService;
 use shelfjunction_threads::lock;
 
@@ -51,7 +52,7 @@
         self.gather(context, metering, held);
         while let Some(step) = self.next(context, metering, held) {
             match step {
-                Step::Load => self.load(context, table),
+                Step::Load => self.load(context, held, table),
                 Step::Record {
                     window,
                     counts,
@@ -59,7 +60,8 @@
                     whole,
                 } => {
                     let outcome = table.transact(&transaction);
-                    log_recorded(context, metering, window, &counts, whole, &outcome);
+                    let token = held.token;
+                    log_recorded(context, metering, token, window, &counts, whole, &outcome);
                     self.reporter.on_recorded(window, counts, &outcome, context.now());
                 }
                 Step::Send { window, counts } => self.send(context, held, platform, window, &counts),
@@ -95,21 +97,25 @@
         self.reporter.next(held.token, &tally, unix, context.now())
     }
 
-    fn load(&mut self, context: &Context, table: &dyn TableService) {
+    fn load(&mut self, context: &Context, held: Authority, table: &dyn TableService) {
+        let known_confirmed = self.reporter.confirmed_through();
         let records = table.scan(record::PREFIX).map(|rows| {
             let (records, faults) = record::read(&rows);
+            log_records(held.token, &rows, &records);
+            if records.confirmed_through < known_confirmed {
+                log::warn!(
+                    known:? = known_confirmed.map(|window| window.0),
+                    read:? = records.confirmed_through.map(|window| window.0);
+                    "usage_confirmations_ran_back"
+                );
+            }
             for fault in faults {
                 log::warn!(fault = fault.as_str(); "usage_row_unreadable");
             }
             records
         });
-        match &records {
-            Ok(records) => log::info!(
-                reports = records.reports.len(),
-                confirmed_through:? = records.confirmed_through.map(|window| window.0);
-                "usage_records_read"
-            ),
-            Err(cause) => log::info!(cause:? = cause; "usage_records_not_read"),
+        if let Err(cause) = &records {
+            log::info!(cause:? = cause; "usage_records_not_read");
         }
         self.reporter.on_loaded(records, context.now());
     }
@@ -129,6 +135,7 @@
             token:% = held.token,
             tenants = counts.len(),
             requests = counts.values().sum::<u64>(),
+            figures:% = FiguresDigest::of(counts),
             answer:? = answer;
             "usage_reported"
         );
@@ -137,9 +144,26 @@
     }
 }
 
+/// Which windows have a record, and the newest position of the store at which one of the rows was written.
+fn log_records(token: FencingToken, rows: &[Row], records: &Records) {
+    let newest = rows.iter().map(|row| row.version.0).max().unwrap_or_default();
+    let position = StorePosition::of_number(newest);
+    log::info!(
+        token:% = token,
+        reports = records.reports.len(),
+        first:? = records.reports.keys().next().map(|window| window.0),
+        last:? = records.reports.keys().next_back().map(|window| window.0),
+        confirmed_through:? = records.confirmed_through.map(|window| window.0),
+        era = position.era,
+        version = position.version;
+        "usage_records_read"
+    );
+}
+
 fn log_recorded(
     context: &Context,
     metering: &Metering,
+    token: FencingToken,
     window: WindowNumber,
     counts: &TenantCounts,
     whole: bool,
@@ -150,7 +174,11 @@
         let tally = lock(&metering.tally);
         (tally.missing(window, unix).len(), tally.gone(window, unix))
     };
-    let is_recorded = matches!(outcome, Ok(TransactionOutcome::Committed { .. }));
+    let recorded_at = match outcome {
+        Ok(TransactionOutcome::Committed { version }) => Some(StorePosition::of_number(version.0)),
+        _ => None,
+    };
+    let is_recorded = recorded_at.is_some();
     let outcome = match outcome {
         Ok(TransactionOutcome::Committed { .. }) => "recorded".to_owned(),
         Ok(TransactionOutcome::Conflict { .. }) => "was_recorded".to_owned(),
@@ -158,11 +186,15 @@
     };
     log::info!(
         window:% = window,
+        token:% = token,
         whole,
         nodes_missing = missing,
         nodes_gone = gone,
         tenants = counts.len(),
         requests = counts.values().sum::<u64>(),
+        figures:% = FiguresDigest::of(counts),
+        era:? = recorded_at.map(|position| position.era),
+        version:? = recorded_at.map(|position| position.version),
         outcome = outcome.as_str();
         "usage_recorded"
     );
