--- a/crates/core/tests/metering.rs
+++ b/crates/core/tests/metering.rs
@@ -358,6 +358,70 @@
     );
 }
 
+#[test]
+fn a_recording_done_seconds_later_does_not_bring_back_a_window_that_was_reported_and_cleared() {
+    let second_window = WindowNumber(FIRST.0 + 1);
+    let mut store = Store::default();
+    let mut platform = Reports::default();
+    let mut reporter = UsageReporter::new(SETTINGS);
+    let mut tally = whole_tally(6, at(60_000));
+    let mut delayed = None;
+    let mut token = FencingToken(1);
+    for second in 6..60 {
+        let now = clock(second * 1_000);
+        if second == 40 {
+            store.transact(&delayed.take().expect("a recording was given up"));
+            token = FencingToken(2);
+            reporter = UsageReporter::new(SETTINGS);
+        }
+        while let Some(step) = reporter.next(token, &tally, at(second * 1_000), now) {
+            match step {
+                Step::Record {
+                    window,
+                    counts,
+                    transaction,
+                    ..
+                } if window == second_window && delayed.is_none() && second < 40 => {
+                    reporter.on_recorded(window, counts, &Err(PlatformError::AnswerLost), now);
+                    delayed = Some(transaction);
+                    let late = word(second_window, true, &[("a", 4)]);
+                    tally.take(&incarnation("late", 1), &late, at(60_000));
+                }
+                step => carry_out(step, token, &mut reporter, &mut store, &mut platform, now),
+            }
+        }
+    }
+    assert_eq!(platform.taken[&second_window], counts(&[("a", 8), ("b", 1)]));
+}
+
+/// Makes the call of a step at once and answers it.
+fn carry_out(
+    step: Step,
+    token: FencingToken,
+    reporter: &mut UsageReporter,
+    store: &mut Store,
+    platform: &mut Reports,
+    now: MonotonicTime,
+) {
+    match step {
+        Step::Load => reporter.on_loaded(Ok(store.records()), now),
+        Step::Record {
+            window,
+            counts,
+            transaction,
+            ..
+        } => {
+            let outcome = store.transact(&transaction);
+            reporter.on_recorded(window, counts, &Ok(outcome), now);
+        }
+        Step::Send { window, counts } => {
+            let outcome = platform.take(token, window, &counts);
+            reporter.on_sent(window, outcome, now);
+        }
+        Step::GivenUp(window) => panic!("gave up {window}"),
+    }
+}
+
 #[test]
 fn records_of_many_tenants_take_several_rows_and_are_read_whole_or_not_at_all() {
     let many: TenantCounts = (0..2_500)
