A usage window is recorded behind the last one, not where it has no row

A recording was conditional on the window's row not being there. Rows are removed once their window is confirmed, so the condition holds twice: a recording whose answer was lost, and which the store makes seconds later, brought a cleared window back with older figures and set the row of confirmations back, which was written without a condition. The next holder reported those figures.

Each transaction on reports now names the version of a row of progress, which has the last window recorded, the last one confirmed and the token of the writer, and changes it. Of two transactions that were made on the same reading only one takes effect, however late the other is done, and the last recorded window never falls. A holder writes its token there before its first recording, and does not begin below a higher one. Versions are given out again after a restore of the store, so the key names the era. A window with rows that can't be read counts as recorded: it was tried again without a pause before, for ever. Rows of earlier builds are read as before, and usage/confirmed is still written for them. Cost: one write for each taking of the lease.

--- a/crates/core/src/metering/record.rs
+++ b/crates/core/src/metering/record.rs
@@ -1,15 +1,28 @@
 //! Rows that keep usage reports from before they are sent until they are confirmed.
+//!
+//! ```text
+//! usage/{window}/{piece}   figures of a window, from its recording until some time after its report was confirmed
+//! usage/progress/{era}     token of the writer, last window recorded, last window confirmed
+//! usage/confirmed          last window confirmed, for builds that don't know the row of progress
+//! ```
+//!
+//! A row of figures is written and later removed, so that its absence doesn't say whether the window was recorded. The row of
+//! progress does: every transaction on reports names its version and changes it. One that the store makes after another
+//! one, however late, fails. Versions are given out again after a restore of the store, so each era has a row of its own.
 
 use super::WindowNumber;
 use super::tally::TenantCounts;
-use crate::identity::TenantId;
-use crate::table::{Check, Row, RowKey, Transaction, Write};
+use crate::identity::{FencingToken, TenantId};
+use crate::table::{Check, Row, RowKey, RowVersion, StorePosition, Transaction, Write};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Beginning of the rows' keys.
 pub const PREFIX: &str = "usage/";
 
+/// Beginning of the keys of the rows of progress; the era follows.
+const PROGRESS_PREFIX: &str = "usage/progress/";
+
 /// Key of the row that tells which reports were confirmed.
 const CONFIRMED_KEY: &str = "usage/confirmed";
 
@@ -30,6 +43,28 @@
     through: WindowNumber,
 }
 
+/// Value of the row of progress.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Token of the holder that wrote it.
+    pub token: FencingToken,
+    /// No window up to this one is recorded any more; absent before the first.
+    pub recorded_through: Option<WindowNumber>,
+    /// Every window up to this one was confirmed or given up; absent before the first.
+    pub confirmed_through: Option<WindowNumber>,
+}
+
+/// The row of progress as it was read or written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProgressRow {
+    /// Era of the store that its key names.
+    pub era: u64,
+    /// Its version.
+    pub version: RowVersion,
+    /// Its value.
+    pub progress: Progress,
+}
+
 /// What the rows say.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Records {
@@ -37,13 +72,47 @@
     pub reports: BTreeMap<WindowNumber, TenantCounts>,
     /// Every window up to this one was confirmed or given up; absent before the first.
     pub confirmed_through: Option<WindowNumber>,
+    /// The last window that has any row, or that the row of progress names; absent before the first.
+    pub recorded_through: Option<WindowNumber>,
+    /// The row of progress of the newest era; absent before the first.
+    pub progress: Option<ProgressRow>,
+    /// Era of the store when it was read; zero where it names none or has no rows.
+    pub era: u64,
 }
 
-/// The transaction that records a window unless it is recorded already, and clears rows that have served.
+/// Changes the row of progress, on the condition that it is as it was read. A row of an earlier era is replaced.
+pub fn claiming(before: Option<ProgressRow>, era: u64, progress: Progress) -> Transaction {
+    let key = progress_key(era);
+    let mut writes = vec![write(key.clone(), &progress)];
+    writes.extend(confirmed_row(progress));
+    let mut checks = vec![Check {
+        key: key.clone(),
+        expected: None,
+    }];
+    if let Some(before) = before {
+        let read = Check {
+            key: progress_key(before.era),
+            expected: Some(before.version),
+        };
+        if read.key == key {
+            checks = vec![read];
+        } else {
+            writes.push(Write {
+                key: read.key.clone(),
+                value: None,
+            });
+            checks.push(read);
+        }
+    }
+    Transaction { checks, writes }
+}
+
+/// The transaction that records a window behind those that are recorded already, and clears rows that have served.
 pub fn recording(
     window: WindowNumber,
     counts: &TenantCounts,
-    confirmed_through: Option<WindowNumber>,
+    before: ProgressRow,
+    progress: Progress,
     served: &[Served],
 ) -> Transaction {
     let tenants: Vec<(&TenantId, &u64)> = counts.iter().collect();
@@ -58,22 +127,20 @@
         };
         write(piece_key(window, index), &row)
     };
+    let claim = claiming(Some(before), before.era, progress);
     let mut writes: Vec<Write> = (0..pieces).map(piece).collect();
-    writes.extend(confirmed_through.map(|through| {
-        let key = RowKey(CONFIRMED_KEY.to_owned());
-        write(key, &ConfirmedRow { through })
-    }));
+    writes.extend(claim.writes);
     let removed = served
         .iter()
         .flat_map(|one| (0..one.pieces).map(|index| piece_key(one.window, index)));
     writes.extend(removed.map(|key| Write { key, value: None }));
-    Transaction {
-        checks: vec![Check {
-            key: piece_key(window, 0),
-            expected: None,
-        }],
-        writes,
-    }
+    let mut checks = claim.checks;
+    // Builds that don't know the row of progress may have recorded it.
+    checks.push(Check {
+        key: piece_key(window, 0),
+        expected: None,
+    });
+    Transaction { checks, writes }
 }
 
 /// A record that is needed no more.
@@ -95,19 +162,30 @@
     }
 }
 
-/// Reads the rows; the faults name rows that can't be read, which are passed over.
-pub fn read(rows: &[Row]) -> (Records, Vec<String>) {
+/// Reads the rows; the faults name rows that can't be read. Where that is the row of progress nothing is known.
+pub fn read(rows: &[Row]) -> (Option<Records>, Vec<String>) {
     let mut records = Records::default();
     let mut pieces: BTreeMap<WindowNumber, Vec<PieceRow>> = BTreeMap::new();
+    let mut windows: BTreeSet<WindowNumber> = BTreeSet::new();
+    let mut is_known = true;
     let mut faults = Vec::new();
     for row in rows {
-        let read = match window_of(&row.key) {
-            _ if row.key.0 == CONFIRMED_KEY => serde_json::from_str(&row.value).map(|row: ConfirmedRow| {
-                records.confirmed_through = Some(row.through);
-            }),
-            Some(window) => serde_json::from_str(&row.value).map(|row| {
-                pieces.entry(window).or_default().push(row);
+        records.era = records.era.max(StorePosition::era_of(row.version.0));
+        let read = match Name::of(&row.key) {
+            Some(Name::Confirmed) => serde_json::from_str(&row.value).map(|row: ConfirmedRow| {
+                records.confirmed_through = records.confirmed_through.max(Some(row.through));
             }),
+            Some(Name::Progress(era)) => {
+                let read = serde_json::from_str(&row.value);
+                is_known &= read.is_ok();
+                read.map(|progress| records.take_progress(era, row.version, progress))
+            }
+            Some(Name::Piece(window)) => {
+                windows.insert(window);
+                serde_json::from_str(&row.value).map(|row| {
+                    pieces.entry(window).or_default().push(row);
+                })
+            }
             None => continue,
         };
         if let Err(error) = read {
@@ -122,12 +200,57 @@
             faults.push(format!("{PREFIX}{window}: {} rows", rows.len()));
         }
     }
-    (records, faults)
+    records.recorded_through = records
+        .recorded_through
+        .max(records.confirmed_through)
+        .max(windows.last().copied());
+    (is_known.then_some(records), faults)
+}
+
+impl Records {
+    fn take_progress(&mut self, era: u64, version: RowVersion, progress: Progress) {
+        self.recorded_through = self.recorded_through.max(progress.recorded_through);
+        self.confirmed_through = self.confirmed_through.max(progress.confirmed_through);
+        if self.progress.is_none_or(|known| known.era < era) {
+            self.progress = Some(ProgressRow {
+                era,
+                version,
+                progress,
+            });
+        }
+    }
+}
+
+/// What a row is about.
+enum Name {
+    Confirmed,
+    Progress(u64),
+    Piece(WindowNumber),
+}
+
+impl Name {
+    fn of(key: &RowKey) -> Option<Self> {
+        if key.0 == CONFIRMED_KEY {
+            return Some(Self::Confirmed);
+        }
+        if let Some(era) = key.0.strip_prefix(PROGRESS_PREFIX) {
+            return era.parse().ok().map(Self::Progress);
+        }
+        let (window, _) = key.0.strip_prefix(PREFIX)?.split_once('/')?;
+        window
+            .parse()
+            .ok()
+            .map(|window| Self::Piece(WindowNumber(window)))
+    }
+}
+
+fn progress_key(era: u64) -> RowKey {
+    RowKey(format!("{PROGRESS_PREFIX}{era}"))
 }
 
-fn window_of(key: &RowKey) -> Option<WindowNumber> {
-    let (window, _) = key.0.strip_prefix(PREFIX)?.split_once('/')?;
-    window.parse().ok().map(WindowNumber)
+fn confirmed_row(progress: Progress) -> Option<Write> {
+    let through = progress.confirmed_through?;
+    Some(write(RowKey(CONFIRMED_KEY.to_owned()), &ConfirmedRow { through }))
 }
 
 fn piece_key(window: WindowNumber, index: usize) -> RowKey {
--- a/crates/core/src/metering/reporter.rs
+++ b/crates/core/src/metering/reporter.rs
@@ -1,14 +1,15 @@
 //! Which report is recorded or sent next, by the holder of the lease; without I/O.
 //!
-//! A report is sent only after its figures lie in the store, written on the condition that none were there. Whoever
-//! holds the lease later reads them and sends the very same, so that no window ever gets two different reports.
+//! A report is sent only after its figures lie in the store. Whoever holds the lease later reads them and sends the very
+//! same, so that no window ever gets two different reports. Windows are recorded in order, each on the condition that the row
+//! of progress is as this process last read or wrote it ([`super::record`]); a new holder first puts its token there.
 
 use super::config::MeteringSettings;
-use super::record::{Records, Served, recording};
+use super::record::{Progress, ProgressRow, Records, Served, claiming, recording};
 use super::tally::{TenantCounts, UsageTally};
 use super::{UnixTime, WindowNumber};
 use crate::identity::FencingToken;
-use crate::table::{PlatformError, Transaction, TransactionOutcome};
+use crate::table::{PlatformError, RowVersion, StorePosition, Transaction, TransactionOutcome};
 use crate::time::MonotonicTime;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -31,6 +32,8 @@
 pub enum Step {
     /// Read the rows of reports.
     Load,
+    /// Make the transaction that puts this holder's token into the row of progress.
+    Claim(Transaction),
     /// Make the transaction that records a window.
     Record {
         /// The window.
@@ -80,7 +83,13 @@
     token: Option<FencingToken>,
     fenced: Option<FencingToken>,
     loaded: bool,
+    /// Whether the row of progress has this holder's token, in the era of the store that was read.
+    claimed: bool,
+    /// Era in which the rows were read.
+    era: u64,
+    progress: Option<ProgressRow>,
     windows: BTreeMap<WindowNumber, Phase>,
+    recorded_through: Option<WindowNumber>,
     confirmed_through: Option<WindowNumber>,
     served: Vec<Served>,
     next_call_at: MonotonicTime,
@@ -94,7 +103,11 @@
             token: None,
             fenced: None,
             loaded: false,
+            claimed: false,
+            era: 0,
+            progress: None,
             windows: BTreeMap::new(),
+            recorded_through: None,
             confirmed_through: None,
             served: Vec::new(),
             next_call_at: MonotonicTime::default(),
@@ -119,18 +132,34 @@
         if !self.loaded {
             return Some(Step::Load);
         }
+        if !self.claimed {
+            return Some(Step::Claim(claiming(
+                self.progress,
+                self.era,
+                self.progress_now(),
+            )));
+        }
         self.record_due(tally, unix).or_else(|| self.send_due(unix))
     }
 
-    /// Takes what the rows of reports say.
-    pub fn on_loaded(&mut self, records: Result<Records, PlatformError>, now: MonotonicTime) {
-        let Ok(records) = records else {
+    /// Takes what the rows of reports say; absent where the row of progress can't be read.
+    pub fn on_loaded(&mut self, records: Result<Option<Records>, PlatformError>, now: MonotonicTime) {
+        let Ok(Some(records)) = records else {
             self.next_call_at = now + RETRY_AFTER;
             return;
         };
+        let written_by = records.progress.map(|row| row.progress.token);
+        if written_by > self.token {
+            self.fenced = self.token;
+            return;
+        }
         self.loaded = true;
+        self.era = records.era;
+        self.progress = records.progress;
+        self.claimed = written_by == self.token && records.progress.is_some_and(|row| row.era == records.era);
         self.windows.clear();
         self.served.clear();
+        self.recorded_through = records.recorded_through;
         self.confirmed_through = records.confirmed_through;
         for (window, counts) in records.reports {
             if records.confirmed_through.is_some_and(|through| window <= through) {
@@ -141,6 +170,12 @@
         }
     }
 
+    /// Takes the outcome of a claim.
+    pub fn on_claimed(&mut self, outcome: &Result<TransactionOutcome, PlatformError>, now: MonotonicTime) {
+        let progress = self.progress_now();
+        self.claimed = self.take_outcome(outcome, progress, now);
+    }
+
     /// Takes the outcome of a recording. Whatever is not plainly made is read again: the answer may have been lost, or
     /// somebody else may have been first.
     pub fn on_recorded(
@@ -150,17 +185,54 @@
         outcome: &Result<TransactionOutcome, PlatformError>,
         now: MonotonicTime,
     ) {
+        if self.take_outcome(outcome, self.progress_with(window), now) {
+            self.recorded_through = Some(window);
+            self.windows.insert(window, Phase::Recorded(counts));
+            let cleared = self.served.len().min(CLEARED_AT_ONCE);
+            self.served.drain(..cleared);
+        }
+    }
+
+    /// Takes the outcome of a transaction that was to leave this progress; false where it is not known to be made.
+    fn take_outcome(
+        &mut self,
+        outcome: &Result<TransactionOutcome, PlatformError>,
+        progress: Progress,
+        now: MonotonicTime,
+    ) -> bool {
         match outcome {
-            Ok(TransactionOutcome::Committed { .. }) => {
-                self.windows.insert(window, Phase::Recorded(counts));
-                let cleared = self.served.len().min(CLEARED_AT_ONCE);
-                self.served.drain(..cleared);
-            }
-            Ok(TransactionOutcome::Conflict { .. }) => self.loaded = false,
-            Err(_) => {
-                self.loaded = false;
-                self.next_call_at = now + RETRY_AFTER;
+            Ok(TransactionOutcome::Committed { version }) if self.is_of_era(*version) => {
+                self.progress = Some(ProgressRow {
+                    era: self.era,
+                    version: *version,
+                    progress,
+                });
+                return true;
             }
+            Ok(_) => {}
+            Err(_) => self.next_call_at = now + RETRY_AFTER,
+        }
+        self.loaded = false;
+        false
+    }
+
+    fn is_of_era(&self, version: RowVersion) -> bool {
+        StorePosition::era_of(version.0) == self.era
+    }
+
+    fn progress_now(&self) -> Progress {
+        Progress {
+            token: self.token.unwrap_or_default(),
+            recorded_through: self.recorded_through,
+            confirmed_through: self.confirmed_through,
+        }
+    }
+
+    /// The progress once a window is recorded.
+    fn progress_with(&self, window: WindowNumber) -> Progress {
+        Progress {
+            recorded_through: Some(window),
+            ..self.progress_now()
         }
     }
 
@@ -189,11 +261,8 @@
 
     /// The first window that has no record; absent before the records were read or anything was recorded.
     pub fn open_from(&self) -> Option<WindowNumber> {
-        let through = self.confirmed_through.filter(|_| self.loaded);
-        let recorded = self.windows.keys().next().copied().filter(|_| self.loaded);
-        let first = through.map(|through| WindowNumber(through.0 + 1)).or(recorded)?;
-        let mut open = (first.0..).map(WindowNumber);
-        open.find(|window| !self.windows.contains_key(window))
+        let through = self.recorded_through.filter(|_| self.loaded);
+        through.map(|through| WindowNumber(through.0 + 1))
     }
 
     fn confirm(&mut self, window: WindowNumber) {
@@ -216,9 +285,11 @@
     fn record_due(&self, tally: &UsageTally, unix: UnixTime) -> Option<Step> {
         let length = self.settings.window();
         let present = WindowNumber::of(unix, length);
-        let first = self.first_to_record(tally, present)?;
-        let mut unrecorded = (first.0..present.0).map(WindowNumber);
-        let window = unrecorded.find(|window| !self.windows.contains_key(window))?;
+        let window = self.next_to_record(tally, present)?;
+        let before = self.progress?;
+        if window >= present {
+            return None;
+        }
         let whole = tally.nodes() > 0 && tally.is_whole(window, unix);
         let patience = if tally.is_gathering(unix) {
             self.settings.gathering_patience()
@@ -232,21 +303,17 @@
         let cleared = &self.served[..self.served.len().min(CLEARED_AT_ONCE)];
         Some(Step::Record {
             window,
-            transaction: recording(window, &counts, self.confirmed_through, cleared),
+            transaction: recording(window, &counts, before, self.progress_with(window), cleared),
             counts,
             whole,
         })
     }
 
-    /// Reports follow on the last confirmed one; the very first is for the first window that counted anything.
-    fn first_to_record(&self, tally: &UsageTally, present: WindowNumber) -> Option<WindowNumber> {
+    /// Windows are recorded one after the other; the very first is the first that counted anything.
+    fn next_to_record(&self, tally: &UsageTally, present: WindowNumber) -> Option<WindowNumber> {
         let oldest = WindowNumber(present.0.saturating_sub(MADE_UP_FOR));
-        let known = self
-            .confirmed_through
-            .map(|through| WindowNumber(through.0 + 1))
-            .or_else(|| self.windows.keys().next().copied());
-        known
-            .or_else(|| tally.first_counted())
+        let next = self.recorded_through.map(|through| WindowNumber(through.0 + 1));
+        next.or_else(|| tally.first_counted())
             .map(|first| first.max(oldest))
     }
 
--- a/crates/core/tests/metering.rs
+++ b/crates/core/tests/metering.rs
@@ -8,7 +8,7 @@
 use shelfjunction_core::metering::clock::FleetClock;
 use shelfjunction_core::metering::config::MeteringSettings;
 use shelfjunction_core::metering::counter::{UsageCounter, UsageWord};
-use shelfjunction_core::metering::record::{self, Served};
+use shelfjunction_core::metering::record::{self, Progress, Served};
 use shelfjunction_core::metering::reporter::{SendOutcome, Step, UsageReporter};
 use shelfjunction_core::metering::tally::{Incarnation, TenantCounts, UsageTally};
 use shelfjunction_core::metering::{UnixTime, WindowNumber};
@@ -59,6 +59,22 @@
     }
 }
 
+/// Lets a reporter read the rows and claim them.
+fn begin(reporter: &mut UsageReporter, store: &mut Store, token: FencingToken, millis: u64) {
+    let tally = UsageTally::new(LENGTH);
+    assert_eq!(
+        reporter.next(token, &tally, at(millis), clock(millis)),
+        Some(Step::Load)
+    );
+    reporter.on_loaded(Ok(Some(store.records())), clock(millis));
+    let step = reporter.next(token, &tally, at(millis), clock(millis));
+    let Some(Step::Claim(transaction)) = step else {
+        panic!("{step:?}");
+    };
+    let outcome = store.transact(&transaction);
+    reporter.on_claimed(&Ok(outcome), clock(millis));
+}
+
 /// A tally in which one node has told everything of the first windows.
 fn whole_tally(windows: u64, told_at: UnixTime) -> UsageTally {
     let mut tally = UsageTally::new(LENGTH);
@@ -112,7 +128,7 @@
             .collect();
         let (records, faults) = record::read(&rows);
         assert!(faults.is_empty(), "{faults:?}");
-        records
+        records.expect("the row of progress can be read")
     }
 }
 
@@ -268,11 +284,7 @@
     let tally = whole_tally(1, at(6_400));
     let mut reporter = UsageReporter::new(SETTINGS);
     let token = FencingToken(1);
-    assert_eq!(
-        reporter.next(token, &tally, at(6_500), clock(6_500)),
-        Some(Step::Load)
-    );
-    reporter.on_loaded(Ok(record::Records::default()), clock(6_500));
+    begin(&mut reporter, &mut Store::default(), token, 6_500);
     let step = reporter.next(token, &tally, at(6_500), clock(6_500));
     let Some(Step::Record {
         window,
@@ -306,8 +318,7 @@
     tally.take(&incarnation("slow", 1), &slow, at(10_500));
     let mut reporter = UsageReporter::new(SETTINGS);
     let token = FencingToken(1);
-    reporter.next(token, &tally, at(6_500), clock(6_500));
-    reporter.on_loaded(Ok(record::Records::default()), clock(6_500));
+    begin(&mut reporter, &mut Store::default(), token, 6_500);
     assert_eq!(reporter.next(token, &tally, at(10_900), clock(10_900)), None);
     let step = reporter.next(token, &tally, at(11_100), clock(11_100));
     assert!(
@@ -347,9 +358,9 @@
     let reports = BTreeMap::from([(FIRST, counts(&[("a", 3)]))]);
     let records = record::Records {
         reports,
-        confirmed_through: None,
+        ..record::Records::default()
     };
-    reporter.on_loaded(Ok(records), clock(11_500));
+    reporter.on_loaded(Ok(Some(records)), clock(11_500));
     reporter.on_sent(FIRST, SendOutcome::Fenced, clock(11_600));
     assert_eq!(reporter.next(token, &tally, at(60_000), clock(60_000)), None);
     assert_eq!(
@@ -404,7 +415,11 @@
     now: MonotonicTime,
 ) {
     match step {
-        Step::Load => reporter.on_loaded(Ok(store.records()), now),
+        Step::Load => reporter.on_loaded(Ok(Some(store.records())), now),
+        Step::Claim(transaction) => {
+            let outcome = store.transact(&transaction);
+            reporter.on_claimed(&Ok(outcome), now);
+        }
         Step::Record {
             window,
             counts,
@@ -427,29 +442,31 @@
     let many: TenantCounts = (0..2_500)
         .map(|number| (tenant(&format!("t{number}")), number))
         .collect();
-    let transaction = record::recording(FIRST, &many, Some(WindowNumber(FIRST.0 - 1)), &[]);
-    let largest = transaction
-        .writes
-        .iter()
-        .filter_map(|write| write.value.as_ref())
-        .map(String::len);
-    assert!(largest.max().unwrap() < 40_000);
     let mut store = Store::default();
-    store.transact(&transaction);
-    let records = store.records();
+    let mut record = |window: WindowNumber, served: &[Served]| {
+        let confirmed = WindowNumber(window.0 - 1);
+        let progress = Progress {
+            token: FencingToken(1),
+            recorded_through: Some(confirmed),
+            confirmed_through: Some(confirmed),
+        };
+        if store.0.is_empty() {
+            store.transact(&record::claiming(None, 0, progress));
+        }
+        let before = store.records().progress.unwrap();
+        let transaction = record::recording(window, &many, before, progress, served);
+        let values = transaction.writes.iter().filter_map(|write| write.value.as_ref());
+        assert!(values.map(String::len).max().unwrap() < 40_000);
+        let outcome = store.transact(&transaction);
+        assert!(matches!(outcome, TransactionOutcome::Committed { .. }));
+        store.records()
+    };
+    let records = record(FIRST, &[]);
     assert_eq!(records.reports[&FIRST], many);
     assert_eq!(records.confirmed_through, Some(WindowNumber(FIRST.0 - 1)));
     let next = WindowNumber(FIRST.0 + 1);
-    store.transact(&record::recording(
-        next,
-        &many,
-        Some(FIRST),
-        &[Served::of(FIRST, &many)],
-    ));
-    assert_eq!(
-        store.records().reports.keys().copied().collect::<Vec<_>>(),
-        [next]
-    );
+    let records = record(next, &[Served::of(FIRST, &many)]);
+    assert_eq!(records.reports.keys().copied().collect::<Vec<_>>(), [next]);
     let lost = store.0.keys().nth(1).unwrap().clone();
     store.0.remove(&lost);
     let rows: Vec<Row> = store
@@ -462,7 +479,10 @@
         })
         .collect();
     let (records, faults) = record::read(&rows);
-    assert!(records.reports.is_empty() && faults.len() == 1, "{faults:?}");
+    assert!(
+        records.unwrap().reports.is_empty() && faults.len() == 1,
+        "{faults:?}"
+    );
 }
 
 #[test]
@@ -561,9 +581,13 @@
             let now = clock(millis);
             match step {
                 Step::Load => {
-                    let records = if answers { Ok(store.records()) } else { Err(PlatformError::AnswerLost) };
+                    let records = if answers { Ok(Some(store.records())) } else { Err(PlatformError::AnswerLost) };
                     reporter.on_loaded(records, now);
                 }
+                Step::Claim(transaction) => {
+                    let outcome = takes_effect.then(|| store.transact(&transaction));
+                    reporter.on_claimed(&outcome.filter(|_| answers).ok_or(PlatformError::AnswerLost), now);
+                }
                 Step::Record { window, counts, transaction, .. } => {
                     let outcome = takes_effect.then(|| store.transact(&transaction));
                     let outcome = outcome.filter(|_| answers).ok_or(PlatformError::AnswerLost);
--- a/crates/core/tests/usage_world/mod.rs
+++ b/crates/core/tests/usage_world/mod.rs
@@ -502,6 +502,10 @@
                     let records = self.records();
                     self.reporter.on_loaded(Ok(records), clock(now));
                 }
+                Step::Claim(transaction) => {
+                    let outcome = self.transact(&transaction);
+                    self.reporter.on_claimed(&Ok(outcome), clock(now));
+                }
                 Step::Record {
                     window,
                     counts,
@@ -554,7 +558,7 @@
         TransactionOutcome::Committed { version }
     }
 
-    fn records(&self) -> Records {
+    fn records(&self) -> Option<Records> {
         let row = |(key, (version, value)): (&RowKey, &(u64, String))| Row {
             key: key.clone(),
             version: RowVersion(*version),
--- a/crates/node/src/duties/usage.rs
+++ b/crates/node/src/duties/usage.rs
@@ -53,6 +53,11 @@
         while let Some(step) = self.next(context, metering, held) {
             match step {
                 Step::Load => self.load(context, held, table),
+                Step::Claim(transaction) => {
+                    let outcome = table.transact(&transaction);
+                    log::info!(token:% = held.token, outcome:? = outcome; "usage_reports_claimed");
+                    self.reporter.on_claimed(&outcome, context.now());
+                }
                 Step::Record {
                     window,
                     counts,
@@ -101,19 +106,23 @@
         let known_confirmed = self.reporter.confirmed_through();
         let records = table.scan(record::PREFIX).map(|rows| {
             let (records, faults) = record::read(&rows);
-            log_records(held.token, &rows, &records);
-            if records.confirmed_through < known_confirmed {
-                log::warn!(
-                    known:? = known_confirmed.map(|window| window.0),
-                    read:? = records.confirmed_through.map(|window| window.0);
-                    "usage_confirmations_ran_back"
-                );
-            }
             for fault in faults {
                 log::warn!(fault = fault.as_str(); "usage_row_unreadable");
             }
+            if let Some(records) = &records {
+                log_records(held.token, &rows, records);
+            }
             records
         });
+        if let Ok(Some(records)) = &records
+            && records.confirmed_through < known_confirmed
+        {
+            log::warn!(
+                known:? = known_confirmed.map(|window| window.0),
+                read:? = records.confirmed_through.map(|window| window.0);
+                "usage_confirmations_ran_back"
+            );
+        }
         if let Err(cause) = &records {
             log::info!(cause:? = cause; "usage_records_not_read");
         }
