Table service: newest era that the store has named

The lease and the usage reports must know that the store was restored even where they read no row: an absent row names no position, so its era was unknown to whoever had read nothing yet.

--- a/crates/platform/src/services.rs
+++ b/crates/platform/src/services.rs
@@ -14,6 +14,12 @@
 
     /// Applies checks and writes together or not at all.
     fn transact(&self, transaction: &Transaction) -> Result<TransactionOutcome, PlatformError>;
+
+    /// Newest era of the store that any of its answers has named, see [`StorePosition`](shelfjunction_core::table::StorePosition); zero
+    /// where it names none. It is read without a call and never falls.
+    fn era(&self) -> u64 {
+        0
+    }
 }
 
 /// The object store; contents are named by the caller, here by their SHA-256 in hexadecimal.
