Figures of a usage window that were recorded outlast a restore of the store

A restored store lacks the windows that were recorded since its copy was made. The next holder, or the same one after it had read the rows again, took the absence for proof that they had never been recorded, and recorded and reported them anew with whatever its tally said then.

What a process knows to be recorded no longer changes with what it reads: marks only rise, and windows that the rows lack are written again with the same figures before they are sent. Whoever is first to write in a new era either held the lease with the rows claimed until it saw the era, and then knows every window that was recorded; or it leaves out the windows that had ended when it first saw the era and that it did not record itself, with a row or without: a recording of before the restore that is done late on the restored rows may have made the row (found by the property test: an answer that was lost, the window recorded again with other figures, a restore, then the first call).

--- a/crates/core/src/metering/mod.rs
+++ b/crates/core/src/metering/mod.rs
@@ -12,7 +12,9 @@
 pub mod figures;
 pub mod record;
 pub mod replication;
+pub mod report_step;
 pub mod reporter;
+pub mod restores;
 pub mod tally;
 
 use serde::{Deserialize, Serialize};
--- a/crates/core/src/metering/record.rs
+++ b/crates/core/src/metering/record.rs
@@ -76,8 +76,8 @@
     pub recorded_through: Option<WindowNumber>,
     /// The row of progress of the newest era; absent before the first.
     pub progress: Option<ProgressRow>,
-    /// Era of the store when it was read; zero where it names none or has no rows.
-    pub era: u64,
+    /// Era of the store in which the rows were read; absent where there are none.
+    pub era: Option<u64>,
 }
 
 /// Changes the row of progress, on the condition that it is as it was read. A row of an earlier era is replaced.
@@ -170,7 +170,7 @@
     let mut is_known = true;
     let mut faults = Vec::new();
     for row in rows {
-        records.era = records.era.max(StorePosition::era_of(row.version.0));
+        records.era = records.era.max(Some(StorePosition::era_of(row.version.0)));
         let read = match Name::of(&row.key) {
             Some(Name::Confirmed) => serde_json::from_str(&row.value).map(|row: ConfirmedRow| {
                 records.confirmed_through = records.confirmed_through.max(Some(row.through));
--- a/crates/core/src/metering/reporter.rs
+++ b/crates/core/src/metering/reporter.rs
@@ -6,12 +6,14 @@
 
 use super::config::MeteringSettings;
 use super::record::{Progress, ProgressRow, Records, Served, claiming, recording};
+pub use super::report_step::{SendOutcome, Step};
+use super::restores::RestoreWatch;
 use super::tally::{TenantCounts, UsageTally};
 use super::{UnixTime, WindowNumber};
 use crate::identity::FencingToken;
-use crate::table::{PlatformError, RowVersion, StorePosition, Transaction, TransactionOutcome};
+use crate::table::{PlatformError, RowVersion, StorePosition, TransactionOutcome};
 use crate::time::MonotonicTime;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Pause after a call that failed; some thirty fit into the time in which a report is due.
@@ -24,53 +26,16 @@
 /// Windows for which a report is still made though nobody had the duty when they ended.
 const MADE_UP_FOR: u64 = 20;
 
+/// Largest difference expected between the true times of two nodes.
+const MAX_CLOCK_ERROR: Duration = Duration::from_secs(1);
+
 /// Records that one transaction clears at most; the store takes 100 entries at once.
 const CLEARED_AT_ONCE: usize = 8;
 
-/// What is to be done next.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Step {
-    /// Read the rows of reports.
-    Load,
-    /// Make the transaction that puts this holder's token into the row of progress.
-    Claim(Transaction),
-    /// Make the transaction that records a window.
-    Record {
-        /// The window.
-        window: WindowNumber,
-        /// Its figures.
-        counts: TenantCounts,
-        /// The transaction.
-        transaction: Transaction,
-        /// Whether every node has told all.
-        whole: bool,
-    },
-    /// Send a report.
-    Send {
-        /// The window.
-        window: WindowNumber,
-        /// Its figures.
-        counts: TenantCounts,
-    },
-    /// Nothing; a report that the platform never took was given up.
-    GivenUp(WindowNumber),
-}
-
-/// What became of a report that was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SendOutcome {
-    /// The platform has it.
-    Accepted,
-    /// A higher token was seen: somebody else has the duty.
-    Fenced,
-    /// The platform understood it and won't take it.
-    Rejected,
-    /// It may or may not have it.
-    Unknown,
-}
-
 #[derive(Clone, Debug)]
 enum Phase {
+    /// It was recorded, and a restored store lacks its rows.
+    Lost(TenantCounts),
     Recorded(TenantCounts),
     /// Its rows may go once every window before it is confirmed too.
     Confirmed(Served),
@@ -89,9 +54,12 @@
     era: u64,
     progress: Option<ProgressRow>,
     windows: BTreeMap<WindowNumber, Phase>,
+    /// Windows whose figures are known from rows alone that were read before the first claim in an era.
+    unproven: BTreeSet<WindowNumber>,
     recorded_through: Option<WindowNumber>,
     confirmed_through: Option<WindowNumber>,
     served: Vec<Served>,
+    restores: RestoreWatch,
     next_call_at: MonotonicTime,
 }
 
@@ -107,13 +75,25 @@
             era: 0,
             progress: None,
             windows: BTreeMap::new(),
+            unproven: BTreeSet::new(),
             recorded_through: None,
             confirmed_through: None,
             served: Vec::new(),
+            restores: RestoreWatch::default(),
             next_call_at: MonotonicTime::default(),
         }
     }
 
+    /// Notes the newest era that an answer of the store has named, also while another node holds the lease.
+    pub fn observe_era(&mut self, era: u64, now: MonotonicTime) {
+        self.restores.observe_era(era, now);
+    }
+
+    /// Notes that under this token nobody else can have taken the lease before `until`.
+    pub fn note_exclusive(&mut self, token: FencingToken, until: MonotonicTime) {
+        self.restores.note_exclusive(token, until);
+    }
+
     /// The next step under a token, at true time `unix`; none while there is nothing to do or it is too soon.
     pub fn next(
         &mut self,
@@ -133,18 +113,20 @@
             return Some(Step::Load);
         }
         if !self.claimed {
-            return Some(Step::Claim(claiming(
-                self.progress,
-                self.era,
-                self.progress_now(),
-            )));
+            return Some(self.claim(unix, now));
         }
-        self.record_due(tally, unix).or_else(|| self.send_due(unix))
+        self.rewrite_due()
+            .or_else(|| self.record_due(tally, unix))
+            .or_else(|| self.send_due(unix))
     }
 
     /// Takes what the rows of reports say; absent where the row of progress can't be read.
     pub fn on_loaded(&mut self, records: Result<Option<Records>, PlatformError>, now: MonotonicTime) {
-        let Ok(Some(records)) = records else {
+        let records = records.ok().flatten();
+        // What was read before a restore is of no use after it.
+        let Some(records) =
+            records.filter(|records| records.era.is_none_or(|era| era >= self.restores.era()))
+        else {
             self.next_call_at = now + RETRY_AFTER;
             return;
         };
@@ -153,27 +135,85 @@
             self.fenced = self.token;
             return;
         }
+        self.restores.observe_era(records.era.unwrap_or_default(), now);
+        let era = self.restores.era();
         self.loaded = true;
-        self.era = records.era;
+        self.era = era;
         self.progress = records.progress;
-        self.claimed = written_by == self.token && records.progress.is_some_and(|row| row.era == records.era);
-        self.windows.clear();
+        self.claimed = written_by == self.token && records.progress.is_some_and(|row| row.era == era);
+        if self.claimed {
+            self.restores.note_claimed(self.token.unwrap_or_default(), era);
+        }
+        self.take_records(records);
+    }
+
+    /// Adds what the rows say to what this process knows, which an older copy does not change.
+    fn take_records(&mut self, records: Records) {
+        let may_be_older = !self.restores.has_claimed(self.era);
         self.served.clear();
-        self.recorded_through = records.recorded_through;
-        self.confirmed_through = records.confirmed_through;
+        self.unproven.clear();
+        self.recorded_through = self.recorded_through.max(records.recorded_through);
+        self.confirmed_through = self.confirmed_through.max(records.confirmed_through);
+        let known = std::mem::take(&mut self.windows);
+        for (window, phase) in known {
+            let is_there = records.reports.contains_key(&window);
+            let phase = match phase {
+                Phase::Recorded(counts) | Phase::Lost(counts) if is_there => Phase::Recorded(counts),
+                Phase::Lost(counts) => Phase::Lost(counts),
+                Phase::Recorded(counts) if may_be_older => Phase::Lost(counts),
+                Phase::Confirmed(served) if may_be_older => Phase::Confirmed(served),
+                // Another holder has confirmed it and removed its rows.
+                Phase::Recorded(_) | Phase::Confirmed(_) => continue,
+            };
+            self.windows.insert(window, phase);
+        }
         for (window, counts) in records.reports {
-            if records.confirmed_through.is_some_and(|through| window <= through) {
+            if self.windows.contains_key(&window) {
+                continue;
+            }
+            if self.confirmed_through.is_some_and(|through| window <= through) {
                 self.served.push(Served::of(window, &counts));
             } else {
                 self.windows.insert(window, Phase::Recorded(counts));
+                self.unproven.insert(window);
             }
         }
     }
 
+    /// The claim of the rows. The first one in an era leaves out windows that may have been reported before a restore.
+    fn claim(&mut self, unix: UnixTime, now: MonotonicTime) -> Step {
+        let is_first = self.progress.is_none_or(|row| row.era < self.era);
+        let unknown_until = self.restores.unknown_until(self.era, now).filter(|_| is_first);
+        let left_out_through = unknown_until.and_then(|until| {
+            let until = unix.earlier(now.since(until)).later(MAX_CLOCK_ERROR);
+            let next = WindowNumber::of(until, self.settings.window());
+            next.0.checked_sub(1).map(WindowNumber)
+        });
+        if let Some(through) = left_out_through {
+            self.leave_out(through);
+        }
+        Step::Claim {
+            transaction: claiming(self.progress, self.era, self.progress_now()),
+            left_out_through,
+        }
+    }
+
+    /// Reports no window up to this one but those that this process recorded itself.
+    fn leave_out(&mut self, through: WindowNumber) {
+        let kept = self.unproven.split_off(&WindowNumber(through.0 + 1));
+        for window in std::mem::replace(&mut self.unproven, kept) {
+            self.confirm(window);
+        }
+        self.recorded_through = self.recorded_through.max(Some(through));
+    }
+
     /// Takes the outcome of a claim.
     pub fn on_claimed(&mut self, outcome: &Result<TransactionOutcome, PlatformError>, now: MonotonicTime) {
-        let progress = self.progress_now();
-        self.claimed = self.take_outcome(outcome, progress, now);
+        self.claimed = self.take_outcome(outcome, self.progress_now(), now);
+        if self.claimed {
+            self.restores
+                .note_claimed(self.token.unwrap_or_default(), self.era);
+        }
     }
 
     /// Takes the outcome of a recording. Whatever is not plainly made is read again: the answer may have been lost, or
@@ -186,9 +226,9 @@
         now: MonotonicTime,
     ) {
         if self.take_outcome(outcome, self.progress_with(window), now) {
-            self.recorded_through = Some(window);
+            self.recorded_through = self.recorded_through.max(Some(window));
             self.windows.insert(window, Phase::Recorded(counts));
-            let cleared = self.served.len().min(CLEARED_AT_ONCE);
+            let cleared = self.clearable().len();
             self.served.drain(..cleared);
         }
     }
@@ -228,10 +268,15 @@
         }
     }
 
+    /// Records that the next transaction clears.
+    fn clearable(&self) -> &[Served] {
+        &self.served[..self.served.len().min(CLEARED_AT_ONCE)]
+    }
+
     /// The progress once a window is recorded.
     fn progress_with(&self, window: WindowNumber) -> Progress {
         Progress {
-            recorded_through: Some(window),
+            recorded_through: self.recorded_through.max(Some(window)),
             ..self.progress_now()
         }
     }
@@ -281,6 +326,27 @@
         }
     }
 
+    /// The first window whose record a restored store lacks.
+    fn rewrite_due(&self) -> Option<Step> {
+        let before = self.progress?;
+        let (window, counts) = self.windows.iter().find_map(|(window, phase)| match phase {
+            Phase::Lost(counts) => Some((*window, counts.clone())),
+            Phase::Recorded(_) | Phase::Confirmed(_) => None,
+        })?;
+        let transaction = recording(
+            window,
+            &counts,
+            before,
+            self.progress_with(window),
+            self.clearable(),
+        );
+        Some(Step::Rewrite {
+            window,
+            counts,
+            transaction,
+        })
+    }
+
     /// The oldest window that has ended and is not recorded, once its counts are whole or have been waited for.
     fn record_due(&self, tally: &UsageTally, unix: UnixTime) -> Option<Step> {
         let length = self.settings.window();
@@ -300,10 +366,15 @@
             return None;
         }
         let counts = tally.counts(window);
-        let cleared = &self.served[..self.served.len().min(CLEARED_AT_ONCE)];
         Some(Step::Record {
             window,
-            transaction: recording(window, &counts, before, self.progress_with(window), cleared),
+            transaction: recording(
+                window,
+                &counts,
+                before,
+                self.progress_with(window),
+                self.clearable(),
+            ),
             counts,
             whole,
         })
@@ -320,7 +391,7 @@
     fn send_due(&mut self, unix: UnixTime) -> Option<Step> {
         let recorded = self.windows.iter().find_map(|(window, phase)| match phase {
             Phase::Recorded(counts) => Some((*window, counts.clone())),
-            Phase::Confirmed(_) => None,
+            Phase::Lost(_) | Phase::Confirmed(_) => None,
         });
         let (window, counts) = recorded?;
         if unix.since(window.end(self.settings.window())) < GIVEN_UP_AFTER {
--- a/crates/core/tests/metering.rs
+++ b/crates/core/tests/metering.rs
@@ -68,7 +68,7 @@
     );
     reporter.on_loaded(Ok(Some(store.records())), clock(millis));
     let step = reporter.next(token, &tally, at(millis), clock(millis));
-    let Some(Step::Claim(transaction)) = step else {
+    let Some(Step::Claim { transaction, .. }) = step else {
         panic!("{step:?}");
     };
     let outcome = store.transact(&transaction);
@@ -416,7 +416,7 @@
 ) {
     match step {
         Step::Load => reporter.on_loaded(Ok(Some(store.records())), now),
-        Step::Claim(transaction) => {
+        Step::Claim { transaction, .. } => {
             let outcome = store.transact(&transaction);
             reporter.on_claimed(&Ok(outcome), now);
         }
@@ -433,7 +433,7 @@
             let outcome = platform.take(token, window, &counts);
             reporter.on_sent(window, outcome, now);
         }
-        Step::GivenUp(window) => panic!("gave up {window}"),
+        Step::Rewrite { window, .. } | Step::GivenUp(window) => panic!("lost or gave up {window}"),
     }
 }
 
@@ -584,7 +584,7 @@
                     let records = if answers { Ok(Some(store.records())) } else { Err(PlatformError::AnswerLost) };
                     reporter.on_loaded(records, now);
                 }
-                Step::Claim(transaction) => {
+                Step::Claim { transaction, .. } => {
                     let outcome = takes_effect.then(|| store.transact(&transaction));
                     reporter.on_claimed(&outcome.filter(|_| answers).ok_or(PlatformError::AnswerLost), now);
                 }
@@ -597,7 +597,9 @@
                     let outcome = takes_effect.then(|| platform.take(token, window, &counts));
                     reporter.on_sent(window, outcome.filter(|_| answers).unwrap_or(SendOutcome::Unknown), now);
                 }
-                Step::GivenUp(window) => prop_assert!(false, "gave up {}", window),
+                Step::Rewrite { window, .. } | Step::GivenUp(window) => {
+                    prop_assert!(false, "lost or gave up {}", window);
+                }
             }
             if let Fate::Dies { .. } = fate {
                 token = FencingToken(token.0 + 1);
--- a/crates/core/tests/usage_world/mod.rs
+++ b/crates/core/tests/usage_world/mod.rs
@@ -502,7 +502,7 @@
                     let records = self.records();
                     self.reporter.on_loaded(Ok(records), clock(now));
                 }
-                Step::Claim(transaction) => {
+                Step::Claim { transaction, .. } => {
                     let outcome = self.transact(&transaction);
                     self.reporter.on_claimed(&Ok(outcome), clock(now));
                 }
@@ -519,6 +519,7 @@
                     self.reporter
                         .on_recorded(window, counts, &Ok(outcome), clock(now));
                 }
+                Step::Rewrite { window, .. } => panic!("{window} is lost without a restore"),
                 Step::Send { window, counts } => {
                     let after = unix(now).since(window.end(LENGTH)).as_millis() as u64;
                     let before = self
--- a/crates/node/src/duties/mod.rs
+++ b/crates/node/src/duties/mod.rs
@@ -2,6 +2,7 @@
 
 mod scaling;
 mod usage;
+mod usage_log;
 mod view;
 
 pub(crate) use view::{DutyNotes, view};
@@ -41,6 +42,9 @@
         if let Some(scaling) = &mut scaling {
             scaling.observe(context);
         }
+        if let Some(usage) = &mut usage {
+            usage.observe(context, table);
+        }
         if let Some(authority) = authority {
             if let Some(usage) = &mut usage {
                 usage.step(context, authority, table, platform);
--- a/crates/node/src/duties/usage.rs
+++ b/crates/node/src/duties/usage.rs
@@ -1,6 +1,6 @@
 //! Reports the usage of tenants, once for each window.
 
-use super::{authority, holder};
+use super::{authority, holder, usage_log};
 use crate::config::USAGE_REPORTING;
 use crate::context::Context;
 use crate::metering::{self, Metering};
@@ -9,12 +9,12 @@
 use shelfjunction_core::lease::Authority;
 use shelfjunction_core::metering::WindowNumber;
 use shelfjunction_core::metering::figures::FiguresDigest;
-use shelfjunction_core::metering::record::{self, Records};
+use shelfjunction_core::metering::record;
 use shelfjunction_core::metering::reporter::{SendOutcome, Step, UsageReporter};
 use shelfjunction_core::metering::tally::TenantCounts;
-use shelfjunction_core::table::{PlatformError, Row, StorePosition, TransactionOutcome};
 use shelfjunction_platform::services::TableService;
 use shelfjunction_threads::lock;
+use std::time::Duration;
 
 /// Reports of this node.
 pub(super) struct UsageDuty {
@@ -38,6 +38,11 @@
         })
     }
 
+    /// Notes restores of the store, also while another node holds the lease.
+    pub(super) fn observe(&mut self, context: &Context, table: &dyn TableService) {
+        self.reporter.observe_era(table.era(), context.now());
+    }
+
     /// Does everything that is due.
     pub(super) fn step(
         &mut self,
@@ -50,14 +55,28 @@
             return;
         };
         self.gather(context, metering, held);
+        let margin = Duration::from_millis(context.config.lease.margin_millis);
+        self.reporter.note_exclusive(held.token, held.not_after + margin);
         while let Some(step) = self.next(context, metering, held) {
             match step {
                 Step::Load => self.load(context, held, table),
-                Step::Claim(transaction) => {
+                Step::Claim {
+                    transaction,
+                    left_out_through,
+                } => {
                     let outcome = table.transact(&transaction);
-                    log::info!(token:% = held.token, outcome:? = outcome; "usage_reports_claimed");
+                    usage_log::claim(context, held.token, left_out_through, &outcome);
                     self.reporter.on_claimed(&outcome, context.now());
                 }
+                Step::Rewrite {
+                    window,
+                    counts,
+                    transaction,
+                } => {
+                    let outcome = table.transact(&transaction);
+                    usage_log::rewrite(held.token, window, &counts, &outcome);
+                    self.reporter.on_recorded(window, counts, &outcome, context.now());
+                }
                 Step::Record {
                     window,
                     counts,
@@ -66,7 +85,7 @@
                 } => {
                     let outcome = table.transact(&transaction);
                     let token = held.token;
-                    log_recorded(context, metering, token, window, &counts, whole, &outcome);
+                    usage_log::recorded(context, metering, token, window, &counts, whole, &outcome);
                     self.reporter.on_recorded(window, counts, &outcome, context.now());
                 }
                 Step::Send { window, counts } => self.send(context, held, platform, window, &counts),
@@ -110,7 +129,7 @@
                 log::warn!(fault = fault.as_str(); "usage_row_unreadable");
             }
             if let Some(records) = &records {
-                log_records(held.token, &rows, records);
+                usage_log::records(held.token, &rows, records);
             }
             records
         });
@@ -153,68 +172,6 @@
     }
 }
 
-/// Which windows have a record, and the newest position of the store at which one of the rows was written.
-fn log_records(token: FencingToken, rows: &[Row], records: &Records) {
-    let newest = rows.iter().map(|row| row.version.0).max().unwrap_or_default();
-    let position = StorePosition::of_number(newest);
-    log::info!(
-        token:% = token,
-        reports = records.reports.len(),
-        first:? = records.reports.keys().next().map(|window| window.0),
-        last:? = records.reports.keys().next_back().map(|window| window.0),
-        confirmed_through:? = records.confirmed_through.map(|window| window.0),
-        era = position.era,
-        version = position.version;
-        "usage_records_read"
-    );
-}
-
-fn log_recorded(
-    context: &Context,
-    metering: &Metering,
-    token: FencingToken,
-    window: WindowNumber,
-    counts: &TenantCounts,
-    whole: bool,
-    outcome: &Result<TransactionOutcome, PlatformError>,
-) {
-    let (missing, gone) = {
-        let unix = metering::unix(context);
-        let tally = lock(&metering.tally);
-        (tally.missing(window, unix).len(), tally.gone(window, unix))
-    };
-    let recorded_at = match outcome {
-        Ok(TransactionOutcome::Committed { version }) => Some(StorePosition::of_number(version.0)),
-        _ => None,
-    };
-    let is_recorded = recorded_at.is_some();
-    let outcome = match outcome {
-        Ok(TransactionOutcome::Committed { .. }) => "recorded".to_owned(),
-        Ok(TransactionOutcome::Conflict { .. }) => "was_recorded".to_owned(),
-        Err(cause) => format!("{cause:?}"),
-    };
-    log::info!(
-        window:% = window,
-        token:% = token,
-        whole,
-        nodes_missing = missing,
-        nodes_gone = gone,
-        tenants = counts.len(),
-        requests = counts.values().sum::<u64>(),
-        figures:% = FiguresDigest::of(counts),
-        era:? = recorded_at.map(|position| position.era),
-        version:? = recorded_at.map(|position| position.version),
-        outcome = outcome.as_str();
-        "usage_recorded"
-    );
-    if is_recorded {
-        context.metrics.usage.recorded(whole, missing, gone);
-    }
-    if is_recorded && !whole {
-        log::warn!(window:% = window, nodes_missing = missing, nodes_gone = gone; "usage_window_incomplete");
-    }
-}
-
 fn outcome_of(answer: &DutyAnswer) -> SendOutcome {
     match answer {
         DutyAnswer::Taken => SendOutcome::Accepted,
--- a/crates/node/src/metering/metrics.rs
+++ b/crates/node/src/metering/metrics.rs
@@ -23,6 +23,7 @@
     nodes_missing: Gauge,
     nodes_gone: Gauge,
     bytes: Family<BytesLabels, Counter>,
+    left_out: Counter,
 }
 
 impl UsageMetrics {
@@ -42,6 +43,11 @@
             "Processes that were gone before they told all of the window that was recorded last",
             self.nodes_gone.clone(),
         );
+        registry.register(
+            "usage_left_out",
+            "Times that usage windows were left out after a restore of the store",
+            self.left_out.clone(),
+        );
         registry.register(
             "usage_sent_bytes",
             "Bytes of datagrams about usage without headers: placers, counts, copy, ack, digest",
@@ -57,6 +63,11 @@
         self.nodes_gone.set(nodes_gone as i64);
     }
 
+    /// Counts a restore after which windows were left out.
+    pub(crate) fn left_out(&self) {
+        self.left_out.inc();
+    }
+
     /// Counts a datagram.
     pub(super) fn sent(&self, kind: &'static str, bytes: usize) {
         self.bytes
