Lease: until when a process's own renewals prove that nobody else can hold it

Whoever reports what is made once (usage windows) needs to know for which time nobody else can have held the lease. The holder's authority ends a margin earlier and is gone with the lease. LeaseKeeper::exclusive_until() is the instant at which the last confirmed renewal was sent plus the lease's duration; it stays known after the loss, and is cleared by a row that shows a taking by another process and by a release. Renewals whose answers are lost don't move it. Context::lease_exclusive_until() hands it to the other threads, and lease_lost logs what is left of it.

--- a/crates/core/src/lease/keeper.rs
+++ b/crates/core/src/lease/keeper.rs
@@ -50,6 +50,8 @@
     highest_token: FencingToken,
     /// When the row was found to be gone that was there before: its holder may still count on it.
     vanished_at: Option<MonotonicTime>,
+    /// See [`Self::exclusive_until`].
+    exclusive_until: Option<MonotonicTime>,
     /// Version that the holder named last, and when it was first heard.
     heard: Option<(RowVersion, MonotonicTime)>,
     held: Option<Held>,
@@ -77,6 +79,7 @@
             observed: None,
             highest_token: FencingToken::default(),
             vanished_at: None,
+            exclusive_until: None,
             heard: None,
             held: None,
             unsettled: Vec::new(),
@@ -100,6 +103,13 @@
         })
     }
 
+    /// Until when no other process can hold the lease: the last confirmed renewal was sent the lease's duration before. It stays known
+    /// after the lease is lost; absent without such a renewal, once another process was seen to have taken the lease, and once the lease
+    /// was given up.
+    pub fn exclusive_until(&self) -> Option<MonotonicTime> {
+        self.exclusive_until
+    }
+
     /// The holder that the row last named and its token; stale by at most the time between two reads.
     pub fn last_seen_holder(&self) -> Option<(&NodeId, FencingToken)> {
         let observed = self.observed.as_ref()?;
@@ -172,6 +182,7 @@
             return;
         }
         self.stopping = true;
+        self.exclusive_until = None;
         self.next_call_at = now;
         // Orders stop before the row says so: a successor may act as soon as the release is committed.
         self.lose(effects);
@@ -248,6 +259,7 @@
             Some(sent_at) => self.confirm(sent_at, observed, now, effects),
             None => {
                 self.lose(effects);
+                self.note_other_taking(&observed.row);
                 self.unsettled.clear();
                 self.observed = Some(observed);
                 self.schedule_next(now);
@@ -255,6 +267,13 @@
         }
     }
 
+    /// A row of a lower token than this process has had comes from an older copy and shows no taking.
+    fn note_other_taking(&mut self, row: &LeaseRow) {
+        if row.attempt.process != self.process && row.token >= self.highest_token {
+            self.exclusive_until = None;
+        }
+    }
+
     fn forget_row(&mut self, now: MonotonicTime, effects: &mut Vec<LeaseEffect>) {
         if self.observed.take().is_some() {
             self.lose(effects);
@@ -283,6 +302,9 @@
             .as_ref()
             .is_some_and(|previous| previous.row.released);
         self.released = observed.row.released;
+        if !self.stopping {
+            self.exclusive_until = Some(sent_at + Duration::from_millis(observed.row.duration_millis));
+        }
         self.unsettled.clear();
         self.observed = Some(observed);
         if let Some(held) = &mut self.held {
--- a/crates/core/tests/lease_takeover.rs
+++ b/crates/core/tests/lease_takeover.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use shelfjunction_core::identity::{NodeId, ZoneId};
 use shelfjunction_core::lease::{LeaseEffect, LeaseEvent, LeaseKeeper, LeaseTimings, TableAnswer, TableCall};
-use shelfjunction_core::table::{Row, RowKey, RowVersion, Transaction, TransactionOutcome};
+use shelfjunction_core::table::{PlatformError, Row, RowKey, RowVersion, Transaction, TransactionOutcome};
 use shelfjunction_core::time::MonotonicTime;
 use std::collections::BTreeMap;
 
@@ -172,3 +172,36 @@
     }
     assert_eq!(token(&successor, at(20_000)), Some(2));
 }
+
+/// A window of time that ended while nobody else could hold the lease can be accounted for by this process alone.
+#[test]
+fn the_time_in_which_nobody_else_can_hold_the_lease_ends_a_whole_lease_after_the_last_confirmed_renewal() {
+    let (mut store, mut holder, mut successor) = (Store::default(), keeper("a", 1), keeper("b", 2));
+    assert_eq!(holder.exclusive_until(), None);
+    handle(&mut holder, &mut store, LeaseEvent::Tick, at(0));
+    assert_eq!(holder.exclusive_until(), Some(at(4_500)));
+    handle(&mut holder, &mut store, LeaseEvent::Tick, at(1_000));
+    // Renewals whose answers are lost prove nothing.
+    for now in (2_000..10_000).step_by(250) {
+        for effect in holder.handle(LeaseEvent::Tick, at(now)) {
+            if let LeaseEffect::Call { call, .. } = effect {
+                let answer = TableAnswer::Failed(PlatformError::AnswerLost);
+                holder.handle(LeaseEvent::Answer { call, answer }, at(now));
+            }
+        }
+        assert_eq!(holder.exclusive_until(), Some(at(5_500)), "at {now}");
+        handle(&mut successor, &mut store, LeaseEvent::Tick, at(now));
+        assert!(token(&successor, at(now)).is_none() || now >= 5_500, "at {now}");
+    }
+    assert_eq!(holder.authority(at(10_000)), None);
+    handle(&mut successor, &mut store, LeaseEvent::Tick, at(10_000));
+    assert_eq!(token(&successor, at(10_000)), Some(2));
+    handle(&mut holder, &mut store, LeaseEvent::Tick, at(10_250));
+    assert_eq!(holder.exclusive_until(), None, "the successor's taking was read");
+    handle(&mut successor, &mut store, LeaseEvent::Release, at(10_500));
+    assert_eq!(
+        successor.exclusive_until(),
+        None,
+        "anybody may take what was released"
+    );
+}
--- a/crates/node/src/commanding/tenure.rs
+++ b/crates/node/src/commanding/tenure.rs
@@ -1,7 +1,7 @@
 //! The lease, kept through the store's tables.
 
 use crate::context::Context;
-use shelfjunction_core::identity::ZoneId;
+use shelfjunction_core::identity::{FencingToken, ZoneId};
 use shelfjunction_core::lease::{Authority, LeaseEffect, LeaseEvent, LeaseKeeper, TableAnswer, TableCall};
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_platform::services::TableService;
@@ -48,6 +48,7 @@
         let effects = self.keeper.handle(LeaseEvent::Tick, context.now());
         self.carry_out(context, table, effects);
         context.set_lease_version(self.keeper.renewed_version());
+        context.set_lease_exclusive_until(self.keeper.exclusive_until());
         context.set_authority(self.keeper.authority(context.now()), self.duties_from);
     }
 
@@ -68,6 +69,7 @@
             LeaseEvent::Release
         };
         let effects = self.keeper.handle(event, context.now());
+        context.set_lease_exclusive_until(self.keeper.exclusive_until());
         self.carry_out(context, table, effects);
     }
 
@@ -85,16 +87,26 @@
                         );
                     }
                     LeaseEffect::Gained(authority) => self.gained(context, authority),
-                    LeaseEffect::Lost(token) => {
-                        context.metrics.lease_held.set(0);
-                        log::info!(token:% = token; "lease_lost");
-                    }
+                    LeaseEffect::Lost(token) => self.lost(context, token),
                 }
             }
             pending = next;
         }
     }
 
+    fn lost(&self, context: &Context, token: FencingToken) {
+        context.metrics.lease_held.set(0);
+        context.set_lease_exclusive_until(self.keeper.exclusive_until());
+        let exclusive = context
+            .lease_exclusive_until()
+            .map(|until| until.since(context.now()));
+        log::info!(
+            token:% = token,
+            exclusive_millis:? = exclusive.map(|time| time.as_millis());
+            "lease_lost"
+        );
+    }
+
     /// The first token of all has no holder before it.
     fn gained(&mut self, context: &Context, authority: Authority) {
         context.metrics.lease_held.set(1);
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -106,6 +106,8 @@
     authority: Mutex<Option<Authority>>,
     /// Version of the lease's row at this node's last confirmed renewal.
     lease_version: Mutex<Option<RowVersion>>,
+    /// Until when no other node can hold the lease, as far as this node's own renewals prove it.
+    lease_exclusive_until: Mutex<Option<MonotonicTime>>,
     /// Version that the holder of the lease told last, and when it was first heard.
     heard_lease: Mutex<Option<(RowVersion, MonotonicTime)>>,
     duties_from: Mutex<MonotonicTime>,
@@ -243,6 +245,7 @@
             duty_notes: Mutex::default(),
             authority: Mutex::default(),
             lease_version: Mutex::default(),
+            lease_exclusive_until: Mutex::default(),
             heard_lease: Mutex::default(),
             duties_from: Mutex::default(),
             in_force: Mutex::new(ConfigInForce::default()),
@@ -382,6 +385,16 @@
         *lock(&self.lease_version) = version;
     }
 
+    /// Until when no other node can hold the lease, as proved by this node's last confirmed renewal; stays known after the lease is lost,
+    /// see [`LeaseKeeper::exclusive_until`](shelfjunction_core::lease::LeaseKeeper::exclusive_until).
+    pub(crate) fn lease_exclusive_until(&self) -> Option<MonotonicTime> {
+        *lock(&self.lease_exclusive_until)
+    }
+
+    pub(crate) fn set_lease_exclusive_until(&self, until: Option<MonotonicTime>) {
+        *lock(&self.lease_exclusive_until) = until;
+    }
+
     /// Notes that the holder of the lease told this version of its row.
     pub(crate) fn note_lease_heard(&self, version: RowVersion) {
         let mut heard = lock(&self.heard_lease);
