Lease: a restored row, or none, proves neither holder nor token

Cause: the lease's row, or its absence, was taken as proof. A process that started after the restore took the row's token plus one, which another had used; a row that said `released`, no row, or a process's own old row let it take the lease at once while a holder of before the restore still acted; a taking that was executed late, on a version that was given out again, counted.

Fix: tokens name the era of the store (first token of era e: e * 2^20), so a process needs no memory to be above all tokens of before. A row whose token is of an earlier era than the one it was read in proves nothing: the lease is taken a whole lease after that row, or the lack of one in an era above zero, was first seen; at once only by a process whose own renewals prove that nobody else could hold the lease at that moment (exclusive_until). A write that commits in a later era than its token's gives no lease. The row epoch/{zone}/{era} keeps the era's highest token: a process that did not know of the restore could put its older row in the place of the era's, since its condition held by chance, and the next taking gave the era's first token out again. Only those who know the era write that row, and a taking over an outdated or missing lease row checks it.

--- a/crates/core/src/lease/keeper.rs
+++ b/crates/core/src/lease/keeper.rs
@@ -2,10 +2,13 @@
 
 use super::config::LeaseTimings;
 use super::event::{LeaseEffect, LeaseEvent};
-use super::record::{AttemptName, Authority, EpochRow, LeaseRow, epoch_key, lease_key};
+use super::observed::{Observed, next_token};
+use super::record::{AttemptName, Authority, EpochRow, LeaseRow, epoch_key, era_epoch_key, lease_key};
 use super::table_call::{CallId, TableAnswer, TableCall};
 use crate::identity::{FencingToken, NodeId, ZoneId};
-use crate::table::{Check, PlatformError, Row, RowKey, RowVersion, Transaction, TransactionOutcome, Write};
+use crate::table::{
+    Check, PlatformError, Row, RowKey, RowVersion, StorePosition, Transaction, TransactionOutcome, Write,
+};
 use crate::time::MonotonicTime;
 use std::time::Duration;
 
@@ -19,15 +22,6 @@
     sent_at: MonotonicTime,
 }
 
-/// The row as last read or written.
-#[derive(Clone, Debug)]
-struct Observed {
-    version: RowVersion,
-    row: LeaseRow,
-    /// First instant at which this version was seen.
-    since: MonotonicTime,
-}
-
 #[derive(Clone, Debug)]
 struct Held {
     token: FencingToken,
@@ -48,8 +42,12 @@
     observed: Option<Observed>,
     /// Highest token that was read or written; a restored store may have a lower one.
     highest_token: FencingToken,
-    /// When the row was found to be gone that was there before: its holder may still count on it.
-    vanished_at: Option<MonotonicTime>,
+    /// Newest era of the store that is known.
+    era: u64,
+    /// Version of the row that keeps the era's highest token, as far as it had to be read.
+    era_epoch_version: Option<RowVersion>,
+    /// Since when the row is missing although somebody may count on it: it was there before, or an older copy may lack it.
+    missing_since: Option<MonotonicTime>,
     /// See [`Self::exclusive_until`].
     exclusive_until: Option<MonotonicTime>,
     /// Version that the holder named last, and when it was first heard.
@@ -78,7 +76,9 @@
             calls: 0,
             observed: None,
             highest_token: FencingToken::default(),
-            vanished_at: None,
+            era: 0,
+            era_epoch_version: None,
+            missing_since: None,
             exclusive_until: None,
             heard: None,
             held: None,
@@ -159,6 +159,20 @@
         }
     }
 
+    /// Notes the newest era that an answer of the store has named; before that answer is handled, since it may show no row, which names
+    /// no era. What was read in an earlier era is no ground for taking the lease any more. Makes no call.
+    pub fn note_era(&mut self, era: u64) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        self.era_epoch_version = None;
+        self.missing_since = None;
+        if self.held.is_none() {
+            self.read_first = true;
+        }
+    }
+
     /// Since when a version of the row is known.
     fn known_since(&self, version: RowVersion, now: MonotonicTime) -> MonotonicTime {
         let heard = self.heard.filter(|(heard, _)| *heard == version);
@@ -193,20 +207,16 @@
             TableAnswer::Row(row) => self.observe(row, now, effects),
             TableAnswer::Transacted(TransactionOutcome::Committed { version }) => {
                 if let Some(Attempt { row, sent_at }) = self.unsettled.last().cloned() {
-                    self.confirm(
-                        sent_at,
-                        Observed {
-                            version,
-                            row,
-                            since: now,
-                        },
-                        now,
-                        effects,
-                    );
+                    let since = now;
+                    self.settle(sent_at, Observed { version, row, since }, now, effects);
                 }
             }
-            TableAnswer::Transacted(TransactionOutcome::Conflict { found, .. }) => {
-                self.observe(found, now, effects);
+            TableAnswer::Transacted(TransactionOutcome::Conflict { key, found }) => {
+                if key == lease_key(&self.zone) {
+                    self.observe(found, now, effects);
+                } else {
+                    self.observe_era_epoch(found, now);
+                }
             }
             TableAnswer::Rows(_) => self.next_call_at = now + self.timings.retry_after(),
             TableAnswer::Failed(error) => self.take_failure(&error, now),
@@ -228,16 +238,18 @@
 
     /// Takes in the row as it stands: it settles attempts, shows a loss, or starts a challenger's clock.
     fn observe(&mut self, row: Option<Row>, now: MonotonicTime, effects: &mut Vec<LeaseEffect>) {
-        self.read_first = false;
         let Some(row) = row else {
+            self.read_first = false;
             self.forget_row(now, effects);
             return;
         };
+        self.note_era(StorePosition::era_of(row.version.0));
+        self.read_first = false;
         let since = self.known_since(row.version, now);
-        let observed = parse(&row, since);
+        let observed = Observed::parse(&row, since);
         if let Some(observed) = &observed {
             self.highest_token = self.highest_token.max(observed.row.token);
-            self.vanished_at = None;
+            self.missing_since = None;
         }
         let Some(observed) = observed else {
             // Nobody can tell whose lease this is: leave it alone and look again later.
@@ -256,14 +268,49 @@
             .iter()
             .find(|attempt| attempt.row.attempt == observed.row.attempt);
         match settled.map(|attempt| attempt.sent_at) {
-            Some(sent_at) => self.confirm(sent_at, observed, now, effects),
-            None => {
-                self.lose(effects);
-                self.note_other_taking(&observed.row);
-                self.unsettled.clear();
-                self.observed = Some(observed);
-                self.schedule_next(now);
-            }
+            Some(sent_at) => self.settle(sent_at, observed, now, effects),
+            None => self.follow(observed, now, effects),
+        }
+    }
+
+    /// The era has a token already that the lease's row doesn't name.
+    fn observe_era_epoch(&mut self, row: Option<Row>, now: MonotonicTime) {
+        // Nothing was written.
+        self.unsettled.pop();
+        let epoch = row
+            .as_ref()
+            .and_then(|row| serde_json::from_str::<EpochRow>(&row.value).ok());
+        self.next_call_at = now + self.timings.retry_after();
+        if let (Some(row), Some(epoch)) = (row, epoch) {
+            self.highest_token = self.highest_token.max(epoch.token);
+            self.era_epoch_version = Some(row.version);
+            self.next_call_at = now;
+        }
+    }
+
+    /// The row is not what this process wrote under the lease.
+    fn follow(&mut self, observed: Observed, now: MonotonicTime, effects: &mut Vec<LeaseEffect>) {
+        self.lose(effects);
+        self.note_other_taking(&observed.row);
+        self.unsettled.clear();
+        self.observed = Some(observed);
+        self.schedule_next(now);
+    }
+
+    /// The write sent at `sent_at` has taken effect; one that did so in a later era than its token's gives no lease.
+    fn settle(
+        &mut self,
+        sent_at: MonotonicTime,
+        observed: Observed,
+        now: MonotonicTime,
+        effects: &mut Vec<LeaseEffect>,
+    ) {
+        self.note_era(observed.era());
+        self.highest_token = self.highest_token.max(observed.row.token);
+        if observed.is_outdated() {
+            self.follow(observed, now, effects);
+        } else {
+            self.confirm(sent_at, observed, now, effects);
         }
     }
 
@@ -275,9 +322,12 @@
     }
 
     fn forget_row(&mut self, now: MonotonicTime, effects: &mut Vec<LeaseEffect>) {
-        if self.observed.take().is_some() {
+        let vanished = self.observed.take().is_some();
+        if vanished {
             self.lose(effects);
-            self.vanished_at = Some(now);
+        }
+        if vanished || self.era > 0 {
+            self.missing_since.get_or_insert(now);
         }
         self.schedule_next(now);
     }
@@ -292,7 +342,6 @@
     ) {
         let token = observed.row.token;
         let version = observed.version;
-        self.highest_token = self.highest_token.max(token);
         let taken = self
             .observed
             .as_ref()
@@ -336,21 +385,37 @@
     /// When the row is read again; sooner where it lapses sooner.
     fn next_read(&self, now: MonotonicTime) -> MonotonicTime {
         let read_at = now + self.timings.read_every();
-        let lapses_at = self
-            .observed
-            .as_ref()
-            .map(|observed| observed.since + Duration::from_millis(observed.row.duration_millis));
-        lapses_at.map_or(read_at, |lapses_at| read_at.min(lapses_at.max(now)))
+        self.lapses_at()
+            .map_or(read_at, |lapses_at| read_at.min(lapses_at.max(now)))
+    }
+
+    /// From when on nobody counts on the row as it is, or on one that is missing.
+    fn lapses_at(&self) -> Option<MonotonicTime> {
+        let duration = Duration::from_millis(self.timings.duration_millis);
+        match &self.observed {
+            Some(observed) => Some(observed.lapses_at()),
+            None => self.missing_since.map(|since| since + duration),
+        }
     }
 
     /// Whether nobody's promise is broken by taking the lease at `now`.
     fn may_take(&self, now: MonotonicTime) -> bool {
-        let Some(observed) = &self.observed else {
-            let duration = Duration::from_millis(self.timings.duration_millis);
-            return self.vanished_at.is_none_or(|at| now.since(at) >= duration);
-        };
-        let waited = now.since(observed.since) >= Duration::from_millis(observed.row.duration_millis);
-        observed.row.released || self.is_own_row() || waited
+        if self.lapses_at().is_none_or(|lapses_at| now >= lapses_at) {
+            return true;
+        }
+        match &self.observed {
+            Some(observed) if !observed.is_outdated() => observed.row.released || self.is_own_row(),
+            // Whatever it says may have changed since it was copied.
+            Some(outdated) => self.is_exclusive_at(outdated.since),
+            None => self
+                .missing_since
+                .is_some_and(|since| self.is_exclusive_at(since)),
+        }
+    }
+
+    /// Whether nobody else could hold the lease then; whoever takes it later changes the row.
+    fn is_exclusive_at(&self, instant: MonotonicTime) -> bool {
+        self.exclusive_until.is_some_and(|until| instant < until)
     }
 
     fn make_due_call(&mut self, now: MonotonicTime, effects: &mut Vec<LeaseEffect>) {
@@ -371,7 +436,9 @@
         if self.read_first {
             return Some(self.read());
         }
-        if self.stopping && !self.is_own_row() {
+        // From an outdated row nobody takes a release.
+        if self.stopping && (!self.is_own_row() || self.observed.as_ref().is_some_and(Observed::is_outdated))
+        {
             self.released = true;
             return None;
         }
@@ -397,26 +464,31 @@
             process: self.process,
             number: self.attempts,
         });
+        let observed = self.observed.as_ref();
         let mut writes = vec![encode(lease_key(&self.zone), &row)];
-        if self
-            .observed
-            .as_ref()
-            .is_none_or(|observed| observed.row.token < row.token)
-        {
-            writes.push(encode(epoch_key(&self.zone), &EpochRow { token: row.token }));
+        let mut checks = vec![Check {
+            key: lease_key(&self.zone),
+            expected: observed.map(|observed| observed.version),
+        }];
+        if observed.is_none_or(|observed| observed.row.token < row.token) {
+            let epoch = EpochRow { token: row.token };
+            writes.push(encode(epoch_key(&self.zone), &epoch));
+            if self.era > 0 {
+                let key = era_epoch_key(&self.zone, self.era);
+                // A late write may have put an older row in the place of the era's.
+                if observed.is_none_or(Observed::is_outdated) {
+                    let (key, expected) = (key.clone(), self.era_epoch_version);
+                    checks.push(Check { key, expected });
+                }
+                writes.push(encode(key, &epoch));
+            }
         }
         if self.unsettled.len() == MAXIMUM_UNSETTLED {
             // Should it take effect after all, the row is not recognised and is taken anew with a higher token.
             self.unsettled.remove(0);
         }
         self.unsettled.push(Attempt { row, sent_at: now });
-        TableCall::Transact(Transaction {
-            checks: vec![Check {
-                key: lease_key(&self.zone),
-                expected: self.observed.as_ref().map(|observed| observed.version),
-            }],
-            writes,
-        })
+        TableCall::Transact(Transaction { checks, writes })
     }
 
     /// The row that the next write leaves.
@@ -426,7 +498,7 @@
             .as_ref()
             .map_or(FencingToken(0), |observed| observed.row.token);
         let keeps_token = self.held.is_some() || self.stopping;
-        let next_token = FencingToken(last_token.max(self.highest_token).0 + 1);
+        let next_token = next_token(last_token.max(self.highest_token), self.era);
         LeaseRow {
             holder: self.node.clone(),
             token: if keeps_token { last_token } else { next_token },
@@ -437,15 +509,6 @@
     }
 }
 
-fn parse(row: &Row, since: MonotonicTime) -> Option<Observed> {
-    let lease = serde_json::from_str(&row.value).ok()?;
-    Some(Observed {
-        version: row.version,
-        row: lease,
-        since,
-    })
-}
-
 fn encode<T: serde::Serialize>(key: RowKey, value: &T) -> Write {
     Write {
         key,
--- a/crates/core/src/lease/record.rs
+++ b/crates/core/src/lease/record.rs
@@ -19,7 +19,7 @@
 pub struct LeaseRow {
     /// Who holds the lease.
     pub holder: NodeId,
-    /// Raised by one with each taking.
+    /// Raised by each taking; names the era of the store in which it was made.
     pub token: FencingToken,
     /// The attempt that wrote this value.
     pub attempt: AttemptName,
@@ -29,7 +29,7 @@
     pub released: bool,
 }
 
-/// Value of `epoch/{zone}`.
+/// Value of `epoch/{zone}` and `epoch/{zone}/{era}`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EpochRow {
     /// Token of the last taking.
@@ -56,3 +56,9 @@
 pub fn epoch_key(zone: &ZoneId) -> RowKey {
     RowKey(format!("epoch/{zone}"))
 }
+
+/// Key of the row that keeps the highest token of one era of the store. Only processes that know the era write it, so no late write of an
+/// earlier era puts an older value there.
+pub fn era_epoch_key(zone: &ZoneId, era: u64) -> RowKey {
+    RowKey(format!("epoch/{zone}/{era}"))
+}
--- a/crates/node/src/commanding/tenure.rs
+++ b/crates/node/src/commanding/tenure.rs
@@ -45,6 +45,7 @@
         if let Some((version, at)) = context.heard_lease() {
             self.keeper.note_heard(version, at);
         }
+        self.keeper.note_era(table.era());
         let effects = self.keeper.handle(LeaseEvent::Tick, context.now());
         self.carry_out(context, table, effects);
         context.set_lease_version(self.keeper.renewed_version());
@@ -81,6 +82,7 @@
                 match effect {
                     LeaseEffect::Call { call, request } => {
                         let answer = make_call(table, &request);
+                        self.keeper.note_era(table.era());
                         next.extend(
                             self.keeper
                                 .handle(LeaseEvent::Answer { call, answer }, context.now()),
