--- a/crates/core/tests/report_world/mod.rs
+++ b/crates/core/tests/report_world/mod.rs
@@ -345,6 +345,8 @@
 
     fn step(&mut self, number: usize) {
         let now = clock(self.now);
+        let era = self.processes[number].era;
+        self.processes[number].keeper.note_era(era);
         let mut effects = self.processes[number].keeper.handle(LeaseEvent::Tick, now);
         while let Some(effect) = effects.pop() {
             if let LeaseEffect::Call { call, request } = effect {
@@ -355,6 +357,8 @@
                         TableAnswer::from(self.transact(number, &transaction))
                     }
                 };
+                let era = self.processes[number].era;
+                self.processes[number].keeper.note_era(era);
                 let event = LeaseEvent::Answer { call, answer };
                 effects.extend(self.processes[number].keeper.handle(event, now));
             }
