Lease: a conflict on the token row of another era is no knowledge of this one's

A taking that meets a restore may be refused for the row of the earlier era's tokens; the version that was found there was kept as that of the new era's row, and a row that is missing was not forgotten, so that every later taking would have been refused. By reading; the order of events was not reached in a test.

The world of the tests has processes whose adapter knows of an era before the keeper does.

--- a/crates/core/tests/lease_restores.rs
+++ b/crates/core/tests/lease_restores.rs
@@ -135,6 +135,8 @@
     Stop(usize),
     /// A process is cut off from the store, or no longer.
     Cut(usize, bool),
+    /// Other threads of a process ask the store as well.
+    Learn(usize),
     /// Fates of a process's next calls.
     Calls(usize, Vec<Fate>),
 }
@@ -156,6 +158,7 @@
         2 => process.clone().prop_map(Strike::Replace),
         1 => process.clone().prop_map(Strike::Stop),
         2 => (process.clone(), any::<bool>()).prop_map(|(index, cut)| Strike::Cut(index, cut)),
+        1 => process.clone().prop_map(Strike::Learn),
         3 => (process, prop::collection::vec(fate(), 1..4)).prop_map(|(index, fates)| Strike::Calls(index, fates)),
     ]
 }
@@ -206,6 +209,7 @@
                 self.present[slot] = world.start();
             }
             Strike::Cut(slot, cut) => world.processes[self.present[slot]].cut = cut,
+            Strike::Learn(slot) => world.processes[self.present[slot]].learns = true,
             Strike::Calls(slot, fates) => world.processes[self.present[slot]].fates = fates.into(),
         }
     }
--- a/crates/core/tests/lease_world/mod.rs
+++ b/crates/core/tests/lease_world/mod.rs
@@ -104,6 +104,8 @@
     acts_from: u64,
     /// Whether it gives the lease up for good.
     pub stopping: bool,
+    /// Whether other threads of it ask the store as well, so that its adapter knows of an era before its keeper does.
+    pub learns: bool,
     /// Whether its calls don't reach the store.
     pub cut: bool,
     /// Fates of its next calls; later ones are answered at once.
@@ -141,6 +143,7 @@
             frozen_until: 0,
             acts_from: 0,
             stopping: false,
+            learns: false,
             cut: false,
             fates: VecDeque::new(),
             in_flight: None,
@@ -235,8 +238,16 @@
                 process.in_flight = waiting;
                 return;
             }
-            None if process.stopping => process.keeper.handle(LeaseEvent::Release, now),
-            None => process.keeper.handle(LeaseEvent::Tick, now),
+            None => {
+                process.keeper.note_era(process.era);
+                let stopping = process.stopping;
+                let event = if stopping {
+                    LeaseEvent::Release
+                } else {
+                    LeaseEvent::Tick
+                };
+                process.keeper.handle(event, now)
+            }
         };
         while let Some(effect) = effects.pop() {
             match effect {
@@ -258,6 +269,9 @@
     /// The answer and its era; absent where it comes later.
     fn call(&mut self, index: usize, call: CallId, request: &TableCall) -> Option<(TableAnswer, u64)> {
         let process = &mut self.processes[index];
+        if process.learns && !process.cut {
+            process.era = self.era;
+        }
         let known = process.era;
         let fate = process.fates.pop_front().unwrap_or(Fate::Answered(0));
         if process.cut || fate == Fate::Refused {
