--- a/crates/lab/src/users_platform/store.rs
+++ b/crates/lab/src/users_platform/store.rs
@@ -334,7 +334,10 @@
             .collect();
         let more = rows.len() > limit;
         rows.truncate(limit);
-        rows_answer(200, self.shown(rows), more, state.version)
+        let version = state.version;
+        // What is shown may change the store, as others do between two answers.
+        drop(state);
+        rows_answer(200, self.shown(rows), more, version)
     }
 
     fn feed(&self, request: &HttpRequest) -> Answer {
