Rows of the quarantine are written and removed by condition, and a clearing is kept

What an operator lifted, or an engine answered, could be refused again: for up to ten minutes at each node that starts later. A record of crashes that got no answer, and that the store makes seconds later, brought the row back after it was removed. The same held for a record whose answer alone was lost: the node did not count it as stored, and never removed it. A removal that was made late took off crashes that were recorded since, and the claim of a confirming run of another node, after which a second run could be claimed: "once more, at the one node that claims this run in the store" rested on the absence of that row.

Rows of crashes are now written on the condition that they are as they were read; on a conflict the node takes what is there and writes both joined. A cleared request keeps its row, without crashes and with the time until which crashes are cleared: that is a tombstone for as long as a crash counts (ten minutes), so that no late record (1 to 6 s) finds the row as it was read, and one that the store makes after the removal names only crashes that don't count. A request counts as stored from before its first record. Claims are not removed with a clearing: one of which the request's row clears every crash is taken over by its version, as a lapsed one was.

--- a/crates/core/src/quarantine/register.rs
+++ b/crates/core/src/quarantine/register.rs
@@ -434,19 +434,27 @@
             .collect()
     }
 
-    /// Requests that the store still has though nothing counts against them any more.
+    /// Requests that the store may still have though nothing counts against them any more.
     pub fn stored_in_vain(&self, now: MonotonicTime) -> Vec<Fingerprint> {
         self.suspects
             .iter()
-            .filter(|(_, suspect)| suspect.stored > 0 && suspect.crashes(now) == 0)
+            .filter(|(_, suspect)| suspect.may_be_stored && suspect.crashes(now) == 0)
             .map(|(fingerprint, _)| *fingerprint)
             .collect()
     }
 
+    /// Everything known of one request, to be stored: from now on the store may have it. Absent if nothing is known.
+    pub fn begin_storing(&mut self, fingerprint: &Fingerprint, now: MonotonicTime) -> Option<SuspectReport> {
+        let suspect = self.suspects.get_mut(fingerprint)?;
+        suspect.may_be_stored = true;
+        Some(suspect.report(*fingerprint, now))
+    }
+
     /// The store has so much evidence against a request.
     pub fn note_stored(&mut self, fingerprint: &Fingerprint, evidence: usize) {
         if let Some(suspect) = self.suspects.get_mut(fingerprint) {
             suspect.stored = evidence;
+            suspect.may_be_stored = evidence > 0;
         }
     }
 
--- a/crates/core/src/quarantine/row.rs
+++ b/crates/core/src/quarantine/row.rs
@@ -1,5 +1,10 @@
 //! What the store keeps of a request under which engines crashed, past the end of every process.
+//!
+//! Nodes write the rows on the condition that they are as they were read, and join what they know with what is there. A request that
+//! is cleared keeps its row until none of the cleared crashes would count any more: a record of them that the store makes late finds
+//! the row changed, and after its removal has nothing that counts.
 
+use super::config::MAX_CRASHES;
 use super::report::{CrashReport, SuspectReport};
 use super::{Asked, Fingerprint};
 use crate::membership::subject::SubjectHandle;
@@ -23,6 +28,9 @@
     /// When the run that confirms or clears it was claimed; absent in rows that claim none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub claimed_at: Option<UnixTime>,
+    /// Crashes that stop to count by then are cleared; absent where none are.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cleared_until: Option<UnixTime>,
 }
 
 /// One crash in the store.
@@ -51,9 +59,10 @@
 
     /// The row of a report that is made now.
     pub fn of(report: &SuspectReport, now: UnixTime) -> Self {
+        let after = |time: Duration| UnixTime(now.0.saturating_add(time.as_micros() as u64));
         let crashes = report.crashes.iter().map(|crash| CrashRow {
             engine: crash.engine,
-            counts_until: UnixTime(now.0.saturating_add(crash.counts_for.as_micros() as u64)),
+            counts_until: after(crash.counts_for),
             is_isolated: crash.is_isolated,
         });
         Self {
@@ -61,6 +70,7 @@
             asked: report.asked.clone(),
             crashes: crashes.collect(),
             claimed_at: None,
+            cleared_until: (!report.cleared_for.is_zero()).then(|| after(report.cleared_for)),
         }
     }
 
@@ -74,7 +84,7 @@
 
     /// The report that a row makes now.
     pub fn report(&self, now: UnixTime) -> SuspectReport {
-        let counting = self.crashes.iter().filter(|crash| crash.counts_until > now);
+        let counting = self.counting(now);
         let crashes = counting.map(|crash| CrashReport {
             engine: crash.engine,
             counts_for: Duration::from_micros(crash.counts_until.0 - now.0),
@@ -84,7 +94,55 @@
             fingerprint: self.fingerprint,
             asked: self.asked.clone(),
             crashes: crashes.collect(),
-            cleared_for: Duration::ZERO,
+            cleared_for: self
+                .cleared_until
+                .map_or(Duration::ZERO, |until| until.since(now)),
+        }
+    }
+
+    fn counting(&self, now: UnixTime) -> impl Iterator<Item = &CrashRow> {
+        let after = self.cleared_until.map_or(now, |until| until.max(now));
+        self.crashes
+            .iter()
+            .filter(move |crash| crash.counts_until > after)
+    }
+
+    /// This row with what another one of the same request adds.
+    pub fn joined(&self, other: &Self) -> Self {
+        let mut joined = Self {
+            cleared_until: self.cleared_until.max(other.cleared_until),
+            ..self.clone()
+        };
+        for crash in &other.crashes {
+            match joined
+                .crashes
+                .iter_mut()
+                .find(|known| known.engine == crash.engine)
+            {
+                Some(known) => known.is_isolated |= crash.is_isolated,
+                None => joined.crashes.push(*crash),
+            }
         }
+        joined.crashes = joined.counting(UnixTime(0)).copied().collect();
+        joined.crashes.sort_by_key(|crash| crash.counts_until);
+        let surplus = joined.crashes.len().saturating_sub(MAX_CRASHES);
+        joined.crashes.drain(..surplus);
+        joined
+    }
+
+    /// Whether another row of the same request clears every crash of this one.
+    pub fn is_cleared_by(&self, other: &Self) -> bool {
+        let is_cleared = |crash: &CrashRow| {
+            other
+                .cleared_until
+                .is_some_and(|until| crash.counts_until <= until)
+        };
+        self.crashes.iter().all(is_cleared)
+    }
+
+    /// Whether nothing of it counts, and nothing that it clears would count, any more.
+    pub fn is_over(&self, now: UnixTime) -> bool {
+        let cleared_until = self.cleared_until.unwrap_or_default();
+        cleared_until <= now && self.counting(now).next().is_none()
     }
 }
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -36,6 +36,8 @@
     pub(super) was_notable: bool,
     /// Evidence that the store has.
     pub(super) stored: usize,
+    /// Whether the store may have a row with crashes that count.
+    pub(super) may_be_stored: bool,
     /// When another node turned out to have claimed the confirming run.
     pub(super) claimed_elsewhere_at: Option<MonotonicTime>,
     /// Until when changes are reported repeatedly.
@@ -55,6 +57,7 @@
             seen_here: false,
             was_notable: false,
             stored: 0,
+            may_be_stored: false,
             claimed_elsewhere_at: None,
             notify_until: MonotonicTime::default(),
             refused: 0,
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -519,3 +519,44 @@
         );
     }
 }
+
+#[test]
+fn a_claim_is_for_nothing_once_every_crash_that_it_names_is_cleared() {
+    let unix = |seconds: u64| UnixTime((1_000 + seconds) * 1_000_000);
+    let mut register = after_crashes(3);
+    let row_at = |register: &Quarantine, seconds| {
+        SuspectRow::of(&register.report(&CRASHING, at(seconds)).unwrap(), unix(seconds))
+    };
+    let claim = SuspectRow::claim_of(&register.report(&CRASHING, at(3)).unwrap(), unix(3));
+    assert!(!claim.is_cleared_by(&row_at(&register, 3)));
+    register.clear(&CRASHING, at(4));
+    assert!(claim.is_cleared_by(&row_at(&register, 5)));
+    register.note_crash(CRASHING, &asked(), engine(10), at(5));
+    let newer = SuspectRow::claim_of(&register.report(&CRASHING, at(5)).unwrap(), unix(5));
+    assert!(claim.is_cleared_by(&row_at(&register, 6)));
+    assert!(!newer.is_cleared_by(&row_at(&register, 6)));
+}
+
+#[test]
+fn rows_of_one_request_are_joined_in_any_order_and_keep_what_was_cleared() {
+    let unix = UnixTime(1_000_000_000);
+    let mut cleared = after_crashes(3);
+    let crashed = SuspectRow::of(&cleared.report(&CRASHING, at(3)).unwrap(), unix);
+    cleared.clear(&CRASHING, at(3));
+    let lifted = SuspectRow::of(&cleared.report(&CRASHING, at(3)).unwrap(), unix);
+    let mut later = register();
+    later.note_trial_crash(CRASHING, &asked(), engine(9), at(4));
+    let newer = SuspectRow::of(
+        &later.report(&CRASHING, at(4)).unwrap(),
+        UnixTime(unix.0 + 1_000_000),
+    );
+    let [first, second] = [[&crashed, &lifted, &newer], [&newer, &crashed, &lifted]]
+        .map(|[first, second, third]| first.joined(second).joined(third));
+    assert_eq!(first, second);
+    let crashes = first.report(unix).crashes;
+    let named: Vec<(SubjectHandle, bool)> = crashes.iter().map(|one| (one.engine, one.is_isolated)).collect();
+    assert_eq!(named, [(engine(9), true)]);
+    assert!(!lifted.is_over(unix), "a late record of the crashes would count");
+    assert!(lifted.is_over(UnixTime(unix.0 + 600_000_000)));
+    assert!(crashed.is_over(UnixTime(unix.0 + 600_000_000)));
+}
--- a/crates/node/src/quarantine/claiming.rs
+++ b/crates/node/src/quarantine/claiming.rs
@@ -40,19 +40,18 @@
 
 /// Claims the run.
 pub(super) fn claim(context: &Context, fingerprint: &Fingerprint) -> Result<Claim, NoClaim> {
-    let Some(report) = lock(&context.suspects.register).report(fingerprint, context.now()) else {
+    let Some(report) = lock(&context.suspects.register).begin_storing(fingerprint, context.now()) else {
         return Err(NoClaim::Taken);
     };
     let key = SuspectRow::claim_key(fingerprint);
     let value = row_value(&SuspectRow::claim_of(&report, metering::unix(context)))?;
     let mut outcome = write(context, &key, None, Some(value.clone()))?;
-    if let Some(version) = version_of_lapsed(context, fingerprint, &outcome) {
+    if let Some(version) = version_of_lapsed(context, fingerprint, &outcome)? {
         outcome = write(context, &key, Some(version), Some(value))?;
     }
     let TransactionOutcome::Committed { version } = outcome else {
         return Err(NoClaim::Taken);
     };
-    lock(&context.suspects.register).note_stored(fingerprint, report.evidence());
     log::info!(fingerprint:% = fingerprint, crashes = report.crashes.len(); "confirming_run_claimed");
     Ok(Claim { version })
 }
@@ -68,23 +67,42 @@
     log::info!(fingerprint:% = fingerprint, released:? = released; "confirming_run_released");
 }
 
-/// The version of a claim that has lapsed, or is for crashes that count no longer.
+/// The version of a claim that has lapsed, or is for crashes that count no longer. Claims stay until then, so that no late removal
+/// takes off the claim of another run.
 fn version_of_lapsed(
     context: &Context,
     fingerprint: &Fingerprint,
     outcome: &TransactionOutcome,
-) -> Option<RowVersion> {
-    let TransactionOutcome::Conflict { found, .. } = outcome else {
-        return None;
+) -> Result<Option<RowVersion>, PlatformError> {
+    let TransactionOutcome::Conflict { found: Some(row), .. } = outcome else {
+        return Ok(None);
+    };
+    let Some(claim) = parse(row) else {
+        return Ok(None);
     };
-    let Row { version, value, .. } = found.as_ref()?;
-    let row: SuspectRow = serde_json::from_str(value).ok()?;
     let now = metering::unix(context);
-    let is_old = row
+    let is_old = claim
         .claimed_at
         .is_some_and(|at| now.0.saturating_sub(at.0) >= CLAIM_LIFETIME.as_micros() as u64);
-    let has_lapsed = (fingerprint.is_part() && is_old) || row.report(now).crashes.is_empty();
-    has_lapsed.then_some(*version)
+    let has_lapsed = (fingerprint.is_part() && is_old)
+        || claim.report(now).crashes.is_empty()
+        || is_cleared(context, fingerprint, &claim)?;
+    Ok(has_lapsed.then_some(row.version))
+}
+
+/// Whether the store says that every crash that a claim names is cleared.
+fn is_cleared(
+    context: &Context,
+    fingerprint: &Fingerprint,
+    claim: &SuspectRow,
+) -> Result<bool, PlatformError> {
+    let row = context.table.read(&SuspectRow::key(fingerprint))?;
+    let suspect = row.as_ref().and_then(parse);
+    Ok(suspect.is_some_and(|suspect| claim.is_cleared_by(&suspect)))
+}
+
+fn parse(row: &Row) -> Option<SuspectRow> {
+    serde_json::from_str(&row.value).ok()
 }
 
 fn write(
