Crash evidence that a restored store lacks is written again

After a restore of the store from an older copy, a loss of all nodes forgot which requests crash engines (up to three more engines end under each), or brought back what an operator had lifted: rows are written by the nodes that saw a crash, once, and nothing compared them again with what nodes know. The absence of a row, and its presence in an older copy, were both taken for what is known.

The lease's holder now reads the rows as soon as the list of engines is of a new era, beside its look every ten minutes, and writes what it knows beyond them: evidence of requests that don't run as any other, which all nodes hear of every 3 s, and clearings of crashes that a row has. Both by condition, joined with what is there. Cost: one read a restore, one or two writes for each request that differs.

Open: the claim of a confirming run that a restored store lacks is not written again; a second run may be claimed until a crash of the first is heard.

--- a/crates/core/src/quarantine/register.rs
+++ b/crates/core/src/quarantine/register.rs
@@ -443,6 +443,27 @@
             .collect()
     }
 
+    /// Requests of which a store lacks evidence, or has some though nothing counts any more, by the evidence that its rows have.
+    pub fn differing_from(
+        &self,
+        stored: &BTreeMap<Fingerprint, usize>,
+        now: MonotonicTime,
+    ) -> Vec<Fingerprint> {
+        let differs = |fingerprint: &Fingerprint, suspect: &Suspect| {
+            let stored = stored.get(fingerprint).copied().unwrap_or(0);
+            if suspect.crashes(now) == 0 {
+                return stored > 0;
+            }
+            let is_restricted = !matches!(self.standing_of(fingerprint, suspect, now), Standing::Free { .. });
+            is_restricted && suspect.report(*fingerprint, now).evidence() > stored
+        };
+        self.suspects
+            .iter()
+            .filter(|(fingerprint, suspect)| differs(fingerprint, suspect))
+            .map(|(fingerprint, _)| *fingerprint)
+            .collect()
+    }
+
     /// Everything known of one request, to be stored: from now on the store may have it. Absent if nothing is known.
     pub fn begin_storing(&mut self, fingerprint: &Fingerprint, now: MonotonicTime) -> Option<SuspectReport> {
         let suspect = self.suspects.get_mut(fingerprint)?;
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -560,3 +560,19 @@
     assert!(lifted.is_over(UnixTime(unix.0 + 600_000_000)));
     assert!(crashed.is_over(UnixTime(unix.0 + 600_000_000)));
 }
+
+#[test]
+fn a_store_differs_where_it_lacks_evidence_or_has_some_that_is_cleared() {
+    let mut register = after_crashes(3);
+    let evidence = |count| [(CRASHING, count)].into();
+    assert_eq!(register.differing_from(&evidence(2), at(3)), [CRASHING]);
+    assert_eq!(register.differing_from(&Default::default(), at(3)), [CRASHING]);
+    assert!(register.differing_from(&evidence(3), at(3)).is_empty());
+    register.clear(&CRASHING, at(4));
+    assert_eq!(register.differing_from(&evidence(3), at(5)), [CRASHING]);
+    assert!(register.differing_from(&evidence(0), at(5)).is_empty());
+    assert!(
+        after_crashes(1).differing_from(&evidence(0), at(3)).is_empty(),
+        "not restricted"
+    );
+}
--- a/crates/node/src/quarantine/store_sync.rs
+++ b/crates/node/src/quarantine/store_sync.rs
@@ -1,6 +1,7 @@
 //! Keeps in the store what must outlast all processes, and reads it when a process starts.
 //!
-//! Each row is written and removed on the condition that it is as it was read ([`SuspectRow`]).
+//! Each row is written and removed on the condition that it is as it was read ([`SuspectRow`]). The lease's holder looks at all of
+//! them now and then, and when the store was restored: it removes those that are over, and writes what an older copy lacks.
 
 use crate::context::Context;
 use crate::metering;
@@ -18,7 +19,7 @@
 /// Pause after the store gave no answer, doubled at most by chance, since many nodes fail together.
 const PAUSE: Duration = Duration::from_millis(700);
 
-/// Time between two looks of the lease's holder, which removes the rows that are over.
+/// Time between two looks of the lease's holder.
 const LOOK_INTERVAL: Duration = Duration::from_secs(600);
 
 /// Times that a row is written anew where another node has changed it meanwhile.
@@ -32,7 +33,10 @@
     /// Whether the rows were read, or none can be there.
     has_read: bool,
     not_before: MonotonicTime,
+    /// When the lease's holder looks next.
     look_at: MonotonicTime,
+    /// Era of the store at the last look.
+    era: u64,
 }
 
 impl StoreSync {
@@ -41,12 +45,14 @@
             has_read: context.config.first_start || !context.config.quarantine.enabled,
             not_before: MonotonicTime::default(),
             look_at: context.now() + LOOK_INTERVAL,
+            era: context.store_era(),
         }
     }
 
     /// Does what there is to do; seldom anything.
     pub(crate) fn step(&mut self, context: &Context, table: &dyn TableService) {
         let now = context.now();
+        self.note_era(context.store_era(), now);
         let looks = !self.has_read || self.should_look(context, now);
         if now < self.not_before || (!looks && context.suspects.remembers_nothing()) {
             return;
@@ -57,6 +63,14 @@
         }
     }
 
+    /// A restored store may lack rows, or have some that were changed since.
+    fn note_era(&mut self, era: u64, now: MonotonicTime) {
+        if era > self.era {
+            self.look_at = now;
+            self.era = era;
+        }
+    }
+
     fn should_look(&self, context: &Context, now: MonotonicTime) -> bool {
         context.config.quarantine.enabled && now >= self.look_at && context.authority(now).is_some()
     }
@@ -68,8 +82,11 @@
         looks: bool,
     ) -> Result<(), PlatformError> {
         if looks {
-            read(context, table)?;
+            let evidence = read(context, table)?;
             self.has_read = true;
+            if context.authority(context.now()).is_some() {
+                keep_differing(context, table, &evidence)?;
+            }
             self.look_at = context.now() + LOOK_INTERVAL;
         }
         let now = context.now();
@@ -84,6 +101,20 @@
     }
 }
 
+/// Writes what this node knows of requests beyond what the store's rows have.
+fn keep_differing(
+    context: &Context,
+    table: &dyn TableService,
+    evidence: &BTreeMap<Fingerprint, usize>,
+) -> Result<(), PlatformError> {
+    let differing = lock(&context.suspects.register).differing_from(evidence, context.now());
+    if !differing.is_empty() {
+        log::warn!(requests = differing.len(); "suspects_written_again");
+    }
+    let mut differing = differing.iter();
+    differing.try_for_each(|fingerprint| keep(context, table, fingerprint))
+}
+
 /// Writes what this node knows of a request, joined with what the store has.
 fn keep(context: &Context, table: &dyn TableService, fingerprint: &Fingerprint) -> Result<(), PlatformError> {
     let mut found: Option<Row> = None;
@@ -142,8 +173,8 @@
     })
 }
 
-/// Reads every row, and takes those off that are over.
-fn read(context: &Context, table: &dyn TableService) -> Result<(), PlatformError> {
+/// Reads every row, and takes those off that are over. Returns the evidence of each request.
+fn read(context: &Context, table: &dyn TableService) -> Result<BTreeMap<Fingerprint, usize>, PlatformError> {
     let rows = table.scan(ROW_PREFIX)?;
     let now = metering::unix(context);
     let mut over: Vec<&Row> = Vec::new();
@@ -161,7 +192,12 @@
     suspects.values().for_each(|suspect| take(context, suspect));
     log::info!(taken = suspects.len(), over = over.len(); "quarantine_read");
     over.chunks(MAX_REMOVED_AT_ONCE)
-        .try_for_each(|rows| remove(table, rows))
+        .try_for_each(|rows| remove(table, rows))?;
+    let evidence = |suspect: &SuspectRow| suspect.report(now).evidence();
+    Ok(suspects
+        .iter()
+        .map(|(fingerprint, suspect)| (*fingerprint, evidence(suspect)))
+        .collect())
 }
 
 /// Removes rows that are as they were read. Where one of them is not, all stay until the next look.
