An answer that ends with its connection is whole only if its engine says that it lives

Cause: is_whole took circumstances for a proof, that an engine was about to leave and that something takes connections at its address.

Now the start that answered must say so itself, after the end of the connection: the node asks for its report and names it in Expected-Instance, which every other engine declines. An Instance-Id in the answer must be its own; of starts that share a name the reported one must be the listed one, which follows what answered, so that both are the same. Whatever else comes, silence included, is an answer that broke off. An engine that ends in order right after such an answer can't be told from one that ended within it, so its answer is given up. The question goes over the connection that was made before only to see whether the engine takes any, and which rests for the next request; where that one is reset, over one that rests.

--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -25,7 +25,8 @@
 
 #[derive(Debug)]
 struct Link {
-    target: SocketAddr,
+    /// Where new connections are passed to.
+    target: Mutex<SocketAddr>,
     state: Mutex<LinkState>,
     changed: Condvar,
 }
@@ -86,7 +87,7 @@
         let listener = TcpListener::bind(listen)?;
         let address = listener.local_addr()?;
         let link = Arc::new(Link {
-            target,
+            target: Mutex::new(target),
             state: Mutex::new(LinkState {
                 listening: true,
                 ..LinkState::default()
@@ -144,6 +145,11 @@
         self.link.changed.notify_all();
     }
 
+    /// Passes new connections to another target, as an address does that something else listens at now; open ones stay.
+    pub fn retarget(&self, target: SocketAddr) {
+        *self.link.target.lock().unwrap_or_else(PoisonError::into_inner) = target;
+    }
+
     /// Mends the link.
     pub fn mend(&self) {
         self.set_fault(LinkFault::None);
@@ -235,7 +241,8 @@
     if !link.wait_until_whole() {
         return;
     }
-    let Ok(far) = TcpStream::connect(link.target) else {
+    let target = *link.target.lock().unwrap_or_else(PoisonError::into_inner);
+    let Ok(far) = TcpStream::connect(target) else {
         return;
     };
     // Tokens are small writes; without this the relay would hold them back.
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -210,6 +210,10 @@
         } else {
             responder
         };
+        let is_aside = request.path.starts_with("/shelfjunction/");
+        if is_aside && self.is_another(&request) {
+            return responder.answer(&self.aside(self.answer(&request, 421, "")));
+        }
         match request.path.as_str() {
             "/shelfjunction/report" => return responder.answer(&self.aside(self.report())),
             "/shelfjunction/order" => return responder.answer(&self.aside(self.order(&request.body))),
@@ -233,11 +237,16 @@
 }
 
 impl EngineHandler {
-    fn serve(&self, request: &HttpRequest, responder: Responder<'_>) -> Answered {
+    /// Whether a request names another engine.
+    fn is_another(&self, request: &HttpRequest) -> bool {
         let expected = request.header("Expected-Instance");
+        expected.is_some_and(|id| id != self.settings.id)
+    }
+
+    fn serve(&self, request: &HttpRequest, responder: Responder<'_>) -> Answered {
         let reads_prompt = request.header("Stage") == Some("prefill");
         let wrong_stage = reads_prompt != (lock(&self.state).stage == Some("prefill"));
-        let is_misdirected = expected.is_some_and(|id| id != self.settings.id) || wrong_stage;
+        let is_misdirected = self.is_another(request) || wrong_stage;
         let fault = if is_misdirected {
             None
         } else {
--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -90,6 +90,26 @@
     is_confirmed
 }
 
+/// Whether the given start of an engine answers at the other end of a connection, asked now; the error names what went wrong. Asked also of
+/// an engine that wants no requests: without its word a whole answer would be taken for one that broke off.
+pub(crate) fn check_identity(
+    context: &Context,
+    link: &mut Connection,
+    engine: &EngineId,
+    wait: Duration,
+) -> Result<bool, &'static str> {
+    let asked_at = context.now();
+    link.begin_identity_check(engine);
+    let reading = read_answer(context, &mut **link, asked_at + wait);
+    if let Some(signals) = link.take_signals() {
+        engine_signals::on_question_answered(context, engine, &signals, asked_at);
+    }
+    match reading? {
+        EngineReading::Identity { is_same } => Ok(is_same),
+        _ => Err("answer_not_asked_for"),
+    }
+}
+
 /// Connects anew where the answer has ended the connection; whether that succeeded.
 fn replace(context: &Context, link: &mut Connection, engine: &EngineId, wait: Duration) -> bool {
     let address = lock(&context.router)
--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -1,11 +1,13 @@
-//! Whether an engine has ended whose connection broke, or ended an answer: one that has lost an answer, reset a connection or sent what can't be
-//! read still takes connections, one that has ended refuses them. A refusal counts only where other engines are reached.
+//! Whether an engine has ended whose connection broke: one that has lost an answer, reset a connection or sent what can't be read still
+//! takes connections, one that has ended refuses them. A refusal counts only where other engines are reached. Where a connection ended an
+//! answer, only the engine's own word shows that it lives.
 
 use super::driver::Driver;
 use super::exchange::Exchange;
 use super::routing;
 use crate::asking;
 use crate::engine_contact;
+use crate::links::Connection;
 use crate::ports::EngineReading;
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_threads::lock;
@@ -15,7 +17,7 @@
 /// round trip, 3 ms between zones; the request waits for it.
 const LOOK: Duration = Duration::from_millis(60);
 
-/// The same after an answer that ended with its connection, where nothing else is under way: a sound engine may be silent for a second.
+/// Longest time in which an engine whose connection ended an answer may say that it lives; a sound engine may be silent for a second.
 const END_LOOK: Duration = Duration::from_secs(1);
 
 /// Why a connection broke that says nothing of its engine's end: connecting would only wait as long again.
@@ -49,6 +51,27 @@
     }
 }
 
+/// What a start of an engine says of itself after the end of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Presence {
+    /// It lives.
+    Confirmed,
+    /// Something else answers at its address.
+    Replaced,
+    /// It could not be asked, or did not say; the cause.
+    Unknown(&'static str),
+}
+
+impl Presence {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Confirmed => "confirmed",
+            Self::Replaced => "replaced",
+            Self::Unknown(cause) => cause,
+        }
+    }
+}
+
 impl Driver<'_> {
     /// Learns what became of the engine of a dispatch that broke.
     pub(super) fn look_at_engine(&mut self, exchange: &Exchange, cause: &'static str) -> EngineFate {
@@ -72,8 +95,8 @@
         fate
     }
 
-    /// Whether an answer whose end only its connection told is whole: it isn't where its engine has crashed or left, whose
-    /// connections end likewise, and a series without any event has not begun.
+    /// Whether an answer whose end only its connection told is whole. The connections of an engine that ends, as planned or not, close in the
+    /// same way, so the start that answered must say afterwards that it lives. A series without any event has not begun.
     pub(super) fn is_whole(&mut self, reading: &EngineReading) -> bool {
         let Some(exchange) = &self.exchange else {
             return false;
@@ -85,40 +108,53 @@
         if is_series && !exchange.has_events && self.machine.last_event().is_none() {
             return false;
         }
-        let engine = exchange.engine.clone();
-        // Without a report over the connection the answer may come from a later start than the listed one.
-        let knows_start = exchange.link.is_start_confirmed();
-        let was_direct = exchange.link.tunnel().is_none();
-        let fate = self.fate(&engine, END_LOOK);
-        let takes_connections = matches!(fate, EngineFate::Lives | EngineFate::Unreached);
-        // One that this node reached when it sent the request, and no longer does, may have started again.
-        let is_lost = was_direct && fate == EngineFate::Unreached;
-        let compares_starts = takes_connections && (knows_start || is_lost);
-        let is_same_start = !compares_starts || self.is_same_start(&engine);
+        let engine = &exchange.engine;
+        let presence = self.presence(engine);
         log::info!(
             request = self.call.request.as_str(),
             engine = engine.as_str(),
-            fate = fate.name(),
-            is_same_start;
+            start:% = engine.start(),
+            presence = presence.name();
             "answer_ended_by_close"
         );
-        let has_not_crashed = matches!(fate, EngineFate::Lives | EngineFate::Unreached | EngineFate::Left);
-        has_not_crashed && is_same_start
+        presence == Presence::Confirmed
     }
 
-    /// Whether what takes connections at an engine's address is the start that its entry names.
-    fn is_same_start(&self, engine: &EngineId) -> bool {
-        let address = lock(&self.context.router)
+    /// Asks whether a start of an engine lives. Requests name the engine that is meant, and starts that share its name follow one
+    /// another, so where the listed one lives now it is also the one that has answered before.
+    fn presence(&self, engine: &EngineId) -> Presence {
+        let listed = lock(&self.context.router)
             .engine(engine)
             .map(|state| state.engine.address);
-        let wait = END_LOOK.min(routing::left(self.deadline, self.context.now()));
-        let link =
-            address.and_then(|address| engine_contact::take_link(self.context, engine, address, wait).ok());
-        link.is_some_and(|mut link| {
-            let is_confirmed = asking::confirms_start(self.context, &mut link, engine, wait);
+        let Some(address) = listed else {
+            return Presence::Unknown("not_listed");
+        };
+        let until = self.context.now() + END_LOOK.min(routing::left(self.deadline, self.context.now()));
+        let left = || routing::left(until, self.context.now());
+        // A connection that rests may not have noticed an end yet. Where the engine takes no more connections, one may still do.
+        let connected = engine_contact::connect(self.context, engine, address, left());
+        match connected.map(|link| self.presence_over(link, engine, left())) {
+            Err(failure) if failure.shows_end() => Presence::Unknown("connection_refused"),
+            Ok(Presence::Unknown(_)) | Err(_) if !left().is_zero() => {
+                let resting = engine_contact::take_link(self.context, engine, address, left());
+                resting.map_or(Presence::Unknown("not_connected"), |link| {
+                    self.presence_over(link, engine, left())
+                })
+            }
+            asked => asked.unwrap_or(Presence::Unknown("not_connected")),
+        }
+    }
+
+    fn presence_over(&self, mut link: Connection, engine: &EngineId, wait: Duration) -> Presence {
+        let presence = match asking::check_identity(self.context, &mut link, engine, wait) {
+            Ok(true) => Presence::Confirmed,
+            Ok(false) => Presence::Replaced,
+            Err(cause) => Presence::Unknown(cause),
+        };
+        if presence == Presence::Confirmed {
             self.context.rest_link(engine, link, self.context.now());
-            is_confirmed
-        })
+        }
+        presence
     }
 
     /// Whether this node has lost paths to engines, so that its view of one says little.
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -72,9 +72,10 @@
                 self.count_refused(&exchange.account, refusal.reason, told, now);
                 Some(self.refused(exchange, refusal, now))
             }
-            EngineReading::Held(_) | EngineReading::Report(_) | EngineReading::Ordered(_) => {
-                Some(self.broken("answer_not_asked_for"))
-            }
+            EngineReading::Held(_)
+            | EngineReading::Report(_)
+            | EngineReading::Identity { .. }
+            | EngineReading::Ordered(_) => Some(self.broken("answer_not_asked_for")),
             EngineReading::Broken(cause) => Some(self.broken(cause)),
         }
     }
--- a/crates/node/src/ports/engines.rs
+++ b/crates/node/src/ports/engines.rs
@@ -139,6 +139,11 @@
     },
     /// The engine's report of itself.
     Report(EngineReport),
+    /// Whether the start of an engine that was asked for is the one that answers.
+    Identity {
+        /// True only where it says so.
+        is_same: bool,
+    },
     /// The engine's answer to an order.
     Ordered(OrderVerdict),
     /// Prompt parts that the engine holds.
@@ -171,6 +176,9 @@
     /// Begins to ask for the engine's own report.
     fn begin_report(&mut self);
 
+    /// Begins to ask whether the given start of an engine answers here, which takes no place there.
+    fn begin_identity_check(&mut self, engine: &EngineId);
+
     /// Begins to order the engine to change its stage.
     fn begin_order(&mut self, order: &StageOrder);
 
