The start that takes a request is learned on each new connection, so that whole answers of a later one are known

Starts that share a name follow one another, so the one that reports before the request and after the answer has given it. Nodes asked for the start only for streams that may be resumed; now they do so on each new connection to an engine whose row tells its start, and keep it with the connection. Only streams that may be resumed still need the listed start; other requests go to a later one as before. An engine without a report is connected to anew and used without one, and its start then has to be the listed one.

--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -7,7 +7,7 @@
 use crate::ports::{EngineLink, EngineReading};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use shelfjunction_core::forwarding::max_wait;
-use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::identity::{EngineId, EngineStart};
 use shelfjunction_core::membership::subject::SubjectHandle;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -66,28 +66,34 @@
     Ok(reading)
 }
 
-/// Whether the engine at the other end of a connection is the given start, by its report over that connection, which is asked for once.
-/// An engine that started again under its name may be listed as the start before.
-pub(crate) fn confirms_start(
+/// The start of the engine at the other end of a connection, by its report over that connection, which is asked for once; absent where it
+/// is not reported. An engine that started again under its name may be listed as the start before. The connection can be used
+/// afterwards unless no other could be had in its place.
+pub(crate) fn learn_start(
     context: &Context,
     link: &mut Connection,
     engine: &EngineId,
     wait: Duration,
-) -> bool {
-    if link.is_start_confirmed() {
-        return true;
+) -> Option<EngineStart> {
+    if let Some(start) = link.reported_start() {
+        return Some(start);
     }
     link.begin_report();
     let reading = read_answer(context, &mut **link, context.now() + wait);
-    let is_start = matches!(reading, Ok(EngineReading::Report(report)) if report.start == engine.start());
-    if !is_start {
+    let start = match &reading {
+        Ok(EngineReading::Report(report)) => Some(report.start),
+        _ => None,
+    };
+    if start != Some(engine.start()) {
         log::info!(engine = engine.as_str(), start:% = engine.start(), reading:? = reading; "start_not_reported");
     }
-    let is_confirmed = is_start && (link.rest().is_some() || replace(context, link, engine, wait));
-    if is_confirmed {
-        link.note_start_confirmed();
+    if link.rest().is_none() && !replace(context, link, engine, wait) {
+        return None;
     }
-    is_confirmed
+    if let Some(start) = start {
+        link.note_reported_start(start);
+    }
+    start
 }
 
 /// Whether the given start of an engine answers at the other end of a connection, asked now; the error names what went wrong. Asked also of
@@ -96,10 +102,11 @@
     context: &Context,
     link: &mut Connection,
     engine: &EngineId,
+    start: EngineStart,
     wait: Duration,
 ) -> Result<bool, &'static str> {
     let asked_at = context.now();
-    link.begin_identity_check(engine);
+    link.begin_identity_check(&EngineId::started(engine.as_str(), start));
     let reading = read_answer(context, &mut **link, asked_at + wait);
     if let Some(signals) = link.take_signals() {
         engine_signals::on_question_answered(context, engine, &signals, asked_at);
--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -9,7 +9,7 @@
 use crate::engine_contact;
 use crate::links::Connection;
 use crate::ports::EngineReading;
-use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::identity::{EngineId, EngineStart};
 use shelfjunction_threads::lock;
 use std::time::Duration;
 
@@ -109,20 +109,22 @@
             return false;
         }
         let engine = &exchange.engine;
-        let presence = self.presence(engine);
+        // Starts that share a name follow one another: where the one that was there before the request is there after the answer,
+        // no other has answered.
+        let start = exchange.link.reported_start().unwrap_or(engine.start());
+        let presence = self.presence(engine, start);
         log::info!(
             request = self.call.request.as_str(),
             engine = engine.as_str(),
-            start:% = engine.start(),
+            start:%,
             presence = presence.name();
             "answer_ended_by_close"
         );
         presence == Presence::Confirmed
     }
 
-    /// Asks whether a start of an engine lives. Requests name the engine that is meant, and starts that share its name follow one
-    /// another, so where the listed one lives now it is also the one that has answered before.
-    fn presence(&self, engine: &EngineId) -> Presence {
+    /// Asks whether a start of an engine lives.
+    fn presence(&self, engine: &EngineId, start: EngineStart) -> Presence {
         let listed = lock(&self.context.router)
             .engine(engine)
             .map(|state| state.engine.address);
@@ -133,25 +135,32 @@
         let left = || routing::left(until, self.context.now());
         // A connection that rests may not have noticed an end yet. Where the engine takes no more connections, one may still do.
         let connected = engine_contact::connect(self.context, engine, address, left());
-        match connected.map(|link| self.presence_over(link, engine, left())) {
+        match connected.map(|link| self.presence_over(link, engine, start, left())) {
             Err(failure) if failure.shows_end() => Presence::Unknown("connection_refused"),
             Ok(Presence::Unknown(_)) | Err(_) if !left().is_zero() => {
                 let resting = engine_contact::take_link(self.context, engine, address, left());
                 resting.map_or(Presence::Unknown("not_connected"), |link| {
-                    self.presence_over(link, engine, left())
+                    self.presence_over(link, engine, start, left())
                 })
             }
             asked => asked.unwrap_or(Presence::Unknown("not_connected")),
         }
     }
 
-    fn presence_over(&self, mut link: Connection, engine: &EngineId, wait: Duration) -> Presence {
-        let presence = match asking::check_identity(self.context, &mut link, engine, wait) {
+    fn presence_over(
+        &self,
+        mut link: Connection,
+        engine: &EngineId,
+        start: EngineStart,
+        wait: Duration,
+    ) -> Presence {
+        let presence = match asking::check_identity(self.context, &mut link, engine, start, wait) {
             Ok(true) => Presence::Confirmed,
             Ok(false) => Presence::Replaced,
             Err(cause) => Presence::Unknown(cause),
         };
         if presence == Presence::Confirmed {
+            link.note_reported_start(start);
             self.context.rest_link(engine, link, self.context.now());
         }
         presence
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -69,7 +69,7 @@
             Ok(link) => link,
             Err(error) => return self.not_connected(&account, &call.attempt, &error),
         };
-        if !self.is_start_confirmed(&mut link, &target.engine, purpose, wait) {
+        if !self.may_take_request(&mut link, &target.engine, purpose, wait) {
             log::info!(request = self.call.request.as_str(), engine = target.engine.as_str(); "start_not_confirmed");
             self.count_abandoned(&account);
             self.last_not_sent = true;
--- a/crates/node/src/course/stream_origin.rs
+++ b/crates/node/src/course/stream_origin.rs
@@ -42,19 +42,25 @@
             .is_none_or(|began| began.allows(origin.start, origin.software_version.as_ref()))
     }
 
-    /// Whether an engine is the start that its entry names, where it matters: engines may start again under their names, a start
-    /// decides about the software version of a stream that begins or is continued there, and the engine compares only the name.
-    pub(super) fn is_start_confirmed(
+    /// Learns which start of an engine a request goes to, where starts share a name: the engine compares only the name. A later start than
+    /// the listed one may take it, unless the software version of a stream that begins or is continued there must be known. False
+    /// where the request can't go there over this connection.
+    pub(super) fn may_take_request(
         &self,
         link: &mut Connection,
         engine: &EngineId,
         purpose: Purpose,
         wait: Duration,
     ) -> bool {
-        let matters = purpose != Purpose::Prompt && self.route.repeat == RepeatRule::Resumable;
-        !matters
-            || engine.start() == EngineStart::default()
-            || asking::confirms_start(self.context, link, engine, wait)
+        if purpose == Purpose::Prompt || engine.start() == EngineStart::default() {
+            return true;
+        }
+        let start = asking::learn_start(self.context, link, engine, wait);
+        if self.route.repeat == RepeatRule::Resumable {
+            start == Some(engine.start())
+        } else {
+            start.is_some() || link.rest().is_some()
+        }
     }
 
     /// Whether the request waits for an engine that may continue its stream: engines of the version are listed, and the caller has
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -2,7 +2,7 @@
 
 use crate::ports::{EngineLink, EngineProtocol, EngineStream};
 use crate::relay::Tunnel;
-use shelfjunction_core::identity::EngineId;
+use shelfjunction_core::identity::{EngineId, EngineStart};
 use shelfjunction_core::reachability::reach::Route;
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -24,8 +24,8 @@
     link: Box<dyn EngineLink>,
     /// Present where it passes through another node.
     tunnel: Option<Tunnel>,
-    /// Whether the engine has reported over it that it is the start that its entry names.
-    is_start_confirmed: bool,
+    /// The start that the engine has reported over it.
+    reported_start: Option<EngineStart>,
 }
 
 impl Connection {
@@ -33,7 +33,7 @@
         Self {
             link,
             tunnel: None,
-            is_start_confirmed: false,
+            reported_start: None,
         }
     }
 
@@ -41,7 +41,7 @@
         Self {
             link,
             tunnel: Some(tunnel),
-            is_start_confirmed: false,
+            reported_start: None,
         }
     }
 
@@ -50,14 +50,14 @@
         self.tunnel.as_ref()
     }
 
-    /// Whether the engine has reported over it that it is the start that its entry names.
-    pub(crate) fn is_start_confirmed(&self) -> bool {
-        self.is_start_confirmed
+    /// The start that the engine has reported over it, if it has.
+    pub(crate) fn reported_start(&self) -> Option<EngineStart> {
+        self.reported_start
     }
 
-    /// Notes that it has.
-    pub(crate) fn note_start_confirmed(&mut self) {
-        self.is_start_confirmed = true;
+    /// Notes what it has reported.
+    pub(crate) fn note_reported_start(&mut self, start: EngineStart) {
+        self.reported_start = Some(start);
     }
 
     fn route(&self) -> Route {
