A planned stop ends every request under way with an answer

Cause: end_requests returned at its end whatever was under way, and the process ended; the threads that serve requests had no notice.

Now the stop sets an end to every request, half a second before that of the process (a tenth of the time where that is shorter). A request that reaches it ends as with its deadline: 503 where no engine had it, which is true since nothing was sent; 502 where one may run it; a stream that has begun closes without its end. Waits of a request, for its engine, a slot of a rate limit or another choice, end by then; engines are told only the time until then, and admission judges by it. Calls after the signal are taken by that time as well. What is still open when the process ends is logged (ended_by_force).

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -82,4 +82,6 @@
     ClaimUnsettled,
     /// The request ran to its end before; its answer is no longer held.
     AnswerExpired,
+    /// The node stopped while the request was under way.
+    NodeStopped,
 }
--- a/crates/core/src/request/event.rs
+++ b/crates/core/src/request/event.rs
@@ -146,6 +146,8 @@
     RetryDenied,
     /// The deadline has come.
     DeadlineReached,
+    /// The node stops, and only the time for an answer is left.
+    NodeStopping,
     /// The caller asked to cancel.
     CallerCancelled,
     /// The caller's connection is gone.
--- a/crates/core/src/request/machine.rs
+++ b/crates/core/src/request/machine.rs
@@ -222,6 +222,7 @@
     fn advance(&mut self, event: Event, now: MonotonicTime) -> Vec<Action> {
         match event {
             Event::DeadlineReached => return self.on_deadline(),
+            Event::NodeStopping => return self.on_node_stopping(),
             Event::CallerCancelled => return self.on_cancelled(),
             Event::CallerGone => return self.on_caller_gone(),
             _ => {}
--- a/crates/core/src/request/outcome.rs
+++ b/crates/core/src/request/outcome.rs
@@ -175,6 +175,17 @@
         actions
     }
 
+    pub(super) fn on_node_stopping(&mut self) -> Vec<Action> {
+        self.note_call_on_its_way();
+        let mut actions = self.cancel_if_useless();
+        let refusal = Refusal {
+            reason: RefusalReason::Stopping,
+            retry_after: None,
+        };
+        actions.extend(self.give_up_at_once(refusal, Failure::NodeStopped));
+        actions
+    }
+
     pub(super) fn on_cancelled(&mut self) -> Vec<Action> {
         self.note_call_on_its_way();
         let mut actions = self.cancel_at_engine();
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -345,6 +345,16 @@
     assert!(!takes(3.2, 6.0));
     assert!(takes(3.2, 1.0) && takes(6.0, 1.0), "it will be over in time");
     assert!(!takes(6.6, 1.0));
+    assert!(!takes(6.2, 1.0), "its answer would leave with the process");
+}
+
+#[test]
+fn requests_are_answered_before_a_stop_ends_the_process() {
+    let answered = |end| stopping::answered_after(Duration::from_millis(end)).as_millis();
+    assert_eq!(
+        [0, 500, 2_000, 7_500, 29_500].map(answered),
+        [0, 450, 1_800, 7_000, 29_000]
+    );
 }
 
 /// Found on a deployment with slow links: a prompt read anew was followed by an output that nobody had asked for.
--- a/crates/core/tests/opaque_requests.rs
+++ b/crates/core/tests/opaque_requests.rs
@@ -6,7 +6,7 @@
 use shelfjunction_core::engine::{AnswerPart, EngineRefusal, EngineRefusalReason, KvTransfer, Phase};
 use shelfjunction_core::forwarding::RepeatRule;
 use shelfjunction_core::identity::{AttemptId, EngineId, EngineStart, ModelId, RequestId, TenantId};
-use shelfjunction_core::outcome::{Failure, Outcome};
+use shelfjunction_core::outcome::{Failure, Outcome, RefusalReason};
 use shelfjunction_core::request::event::{Action, Event, ForwardAction, OpaquePart};
 use shelfjunction_core::request::machine::RequestMachine;
 use shelfjunction_core::request::specification::{
@@ -194,6 +194,31 @@
     assert!(matches!(finish_outcome(&actions), Outcome::NotRun(_)));
 }
 
+#[test]
+fn a_stop_of_the_node_is_a_promise_only_where_no_engine_had_the_request() {
+    let mut unsent = machine(RepeatRule::Never, 1);
+    unsent.handle(Event::Admitted, NOW);
+    let outcome = finish_outcome(&unsent.handle(Event::NodeStopping, NOW));
+    assert!(matches!(outcome, Outcome::NotRun(refusal) if refusal.reason == RefusalReason::Stopping));
+    for rule in [RepeatRule::Never, RepeatRule::Always, RepeatRule::Resumable] {
+        let mut sent = machine(rule, 1);
+        sent.handle(Event::Admitted, NOW);
+        let placed = Event::Placed(Placement::Whole(target("engine", 1)));
+        first_dispatch(&sent.handle(placed, NOW));
+        let actions = sent.handle(Event::NodeStopping, NOW);
+        assert!(
+            actions
+                .iter()
+                .any(|action| matches!(action, Action::Cancel { .. }))
+        );
+        assert_eq!(
+            finish_outcome(&actions),
+            Outcome::Unknown(Failure::NodeStopped),
+            "{rule:?}"
+        );
+    }
+}
+
 #[test]
 fn non_repeatable_request_is_not_resent_after_an_ambiguous_end() {
     let mut machine = machine(RepeatRule::Never, 3);
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -176,9 +176,11 @@
         Failure::Cancelled => 409,
         Failure::AnswerExpired => 410,
         Failure::LedgerUnavailable => 503,
-        Failure::ConnectionLost | Failure::EngineError | Failure::InvalidStream | Failure::ClaimUnsettled => {
-            502
-        }
+        Failure::ConnectionLost
+        | Failure::EngineError
+        | Failure::InvalidStream
+        | Failure::ClaimUnsettled
+        | Failure::NodeStopped => 502,
     }
 }
 
@@ -213,6 +215,7 @@
         Failure::LedgerUnavailable => "The key could not be looked up after a part of the request ran.",
         Failure::ClaimUnsettled => "The request ran and its end could not be learned.",
         Failure::AnswerExpired => "The request ran to its end before; its answer is no longer held.",
+        Failure::NodeStopped => "The node stopped while the request ran.",
     }
 }
 
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -555,6 +555,15 @@
         began.is_none_or(|began| stopping::takes(self.now().since(began), end, longest))
     }
 
+    /// When requests that are under way end with an answer because the process stops; absent until it is told to.
+    pub(crate) fn requests_end_at(&self) -> Option<MonotonicTime> {
+        if !self.state.is_stopping() {
+            return None;
+        }
+        let began = *lock(&self.state.stop_began);
+        Some(began? + stopping::answered_after(self.config.end_after_stop()))
+    }
+
     /// Time since the list of engines last changed.
     pub(crate) fn list_unchanged_for(&self) -> Duration {
         self.now().since(*lock(&self.list_changed_at))
--- a/crates/node/src/course/answering.rs
+++ b/crates/node/src/course/answering.rs
@@ -1,5 +1,6 @@
 //! What goes back to the caller.
 
+use super::STOPPING_RETRY_AFTER;
 use super::driver::{Driver, End};
 use crate::ports::{CallerGone, OwnAnswer};
 use shelfjunction_core::outcome::{Failure, Outcome, Refusal, RefusalReason};
@@ -152,7 +153,11 @@
 }
 
 fn retry_after(refusal: &Refusal) -> Duration {
-    refusal.retry_after.unwrap_or(RETRY_AFTER)
+    let usual = match refusal.reason {
+        RefusalReason::Stopping => STOPPING_RETRY_AFTER,
+        _ => RETRY_AFTER,
+    };
+    refusal.retry_after.unwrap_or(usual)
 }
 
 fn outcome_name(outcome: &Outcome) -> &'static str {
@@ -179,6 +184,7 @@
         RefusalReason::EnginesRefused => "engines_refused",
         RefusalReason::InvalidRequest => "invalid_request",
         RefusalReason::Quarantined => "quarantined",
+        RefusalReason::Stopping => "stopping",
         _ => "other",
     }
 }
@@ -189,6 +195,7 @@
         Failure::EngineError => "engine_error",
         Failure::DeadlinePassed => "deadline_passed",
         Failure::ClaimUnsettled => "end_unknown",
+        Failure::NodeStopped => "node_stopped",
         _ => "other",
     }
 }
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -73,6 +73,8 @@
     pub(super) access: Access,
     pub(super) pool: PoolId,
     pub(super) keep: bool,
+    /// Whether the request's time ends because the process stops.
+    pub(super) ends_with_process: bool,
     pub(super) machine: RequestMachine,
     pub(super) deadline: MonotonicTime,
     pub(super) arrived: MonotonicTime,
@@ -175,6 +177,7 @@
             access,
             pool,
             keep,
+            ends_with_process: false,
             machine,
             deadline,
             arrived: context.now(),
@@ -218,6 +221,7 @@
 
     /// Drives the request to its end; true where the caller's connection may carry another.
     pub(super) fn run(mut self) -> bool {
+        self.heed_stop();
         self.take(Event::Admitted);
         loop {
             while let Some(action) = self.pending.pop_front() {
--- a/crates/node/src/course/gate.rs
+++ b/crates/node/src/course/gate.rs
@@ -4,6 +4,7 @@
 use super::driver::Driver;
 use super::exchange::Purpose;
 use super::routing;
+use super::waiting::LONGEST_POLL;
 use crate::placing;
 use crate::rate_limits;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
@@ -125,13 +126,14 @@
     fn wait_for_slot(&mut self, wait: Duration) -> Option<Event> {
         let until = self.context.now() + wait;
         loop {
+            self.heed_stop();
             let now = self.context.now();
-            let left = until.since(now);
+            let left = until.since(now).min(LONGEST_POLL);
             if left.is_zero() {
                 return None;
             }
             if now >= self.deadline {
-                return Some(Event::DeadlineReached);
+                return Some(self.time_over());
             }
             let flags = if self.watch_caller {
                 PollFlags::IN
@@ -151,7 +153,9 @@
             }
             self.watch_caller = false;
             // A reset shows whatever is watched; the next write says so.
-            self.context.stop.wait(until.since(self.context.now()));
+            self.context
+                .stop
+                .wait(until.since(self.context.now()).min(LONGEST_POLL));
         }
     }
 
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -15,6 +15,7 @@
 mod reading;
 mod routing;
 mod spilling;
+mod stopping;
 mod stream_origin;
 mod suspicion;
 mod taking_up;
--- a/crates/node/src/course/waiting.rs
+++ b/crates/node/src/course/waiting.rs
@@ -14,15 +14,16 @@
 use std::time::Duration;
 
 /// Longest wait in the kernel, whose clock stands still while the machine is suspended: a request whose time ran out meanwhile
-/// is ended no later than this after it goes on.
-const LONGEST_POLL: Duration = Duration::from_millis(500);
+/// is ended no later than this after it goes on, and one that waits notices as soon that the process stops.
+pub(super) const LONGEST_POLL: Duration = Duration::from_millis(500);
 
 impl Driver<'_> {
     /// Waits until the engine has something to say, the caller leaves or a time is over.
     pub(super) fn wait(&mut self) -> Option<Event> {
+        self.heed_stop();
         let now = self.context.now();
         if now >= self.deadline {
-            return Some(Event::DeadlineReached);
+            return Some(self.time_over());
         }
         if self.caller_gone {
             return Some(Event::CallerGone);
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -197,7 +197,7 @@
         Arc::clone(&self.context.state)
     }
 
-    /// Takes no new callers and returns when every request has ended, or just before the end by force.
+    /// Takes no new callers and returns when every request has ended with an answer, or just before the end by force.
     pub fn stop(&self) {
         self.end_requests();
         metering::tell_last(&self.context);
@@ -213,6 +213,12 @@
         loop {
             let now = self.context.now();
             if now >= end {
+                log::warn!(
+                    requests = self.context.state.requests_under_way(),
+                    connections = self.open.count(),
+                    tunnels = self.context.served_tunnels.busy();
+                    "ended_by_force"
+                );
                 return self.open.end();
             }
             if now >= resting_until {
