Bytes of engines without an end can't outlast a request's times

Cause: PlatformEngine::read returned only when the socket was empty or an element was whole, and the request's loop looks at its times and at the caller between two calls of it. EventSplitter kept an event of any length and searched all of it again for each 16 KB, so after some MB each engine is faster than the node. Interim heads, heads of other answers, chunk sizes and trailers without an end ran through the same loop.

Both ends of a tunnel return after a bounded number of bytes although frames have no content, and frames are taken without moving the rest each time.

The change to tunnels was made by reading; a test shows that a request over one ends, none sends frames without content.

--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -110,8 +110,10 @@
 ) -> Result<EngineReading, &'static str> {
     loop {
         let all_sent = link.push().map_err(|_| "write_failed")?;
-        match link.read() {
-            EngineReading::Pending => {}
+        let reading = link.read();
+        let reads_again = reading == EngineReading::ReadAgain;
+        match reading {
+            EngineReading::Pending | EngineReading::ReadAgain => {}
             EngineReading::Broken(cause) => return Err(cause),
             reading => return Ok(reading),
         }
@@ -119,6 +121,9 @@
         if left.is_zero() {
             return Err("silent");
         }
+        if reads_again {
+            continue;
+        }
         let mut flags = PollFlags::IN;
         if !all_sent {
             flags |= PollFlags::OUT;
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -108,6 +108,7 @@
             asked_at: now,
             silent_from: max_wait.map(|max_wait| now + max_wait),
             all_sent: false,
+            reads_again: false,
             has_events: false,
             origin,
             has_passed_events: false,
--- a/crates/node/src/course/exchange.rs
+++ b/crates/node/src/course/exchange.rs
@@ -53,6 +53,8 @@
     /// Instant from which the engine counts as silent; absent: never.
     pub(super) silent_from: Option<MonotonicTime>,
     pub(super) all_sent: bool,
+    /// Whether the engine may have sent more than was read at the last look.
+    pub(super) reads_again: bool,
     /// Whether an event of the answer came.
     pub(super) has_events: bool,
     /// Origin of a stream that begins here.
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -24,7 +24,7 @@
     pub(super) fn on_reading(&mut self, reading: EngineReading) -> Option<Event> {
         let now = self.context.now();
         match reading {
-            EngineReading::Pending => None,
+            EngineReading::Pending | EngineReading::ReadAgain => None,
             EngineReading::Opened(head) => self.opened(head, now),
             EngineReading::Event { id, bytes } => {
                 self.judge_promise(now);
--- a/crates/node/src/course/waiting.rs
+++ b/crates/node/src/course/waiting.rs
@@ -68,21 +68,26 @@
             let now = self.context.now();
             let max_wait = max_wait::next_event(self.route);
             exchange.restart_wait(now, max_wait);
+            exchange.reads_again = false;
             // Nor is the pause until its next event the engine's.
             self.last_event_at = self.last_event_at.map(|_| now);
             return None;
         }
-        match self.read_engine()? {
-            EngineReading::Pending => None,
-            reading => self.on_reading(reading),
-        }
+        let reading = self.read_engine()?;
+        self.exchange.as_mut()?.reads_again = reading == EngineReading::ReadAgain;
+        self.on_reading(reading)
     }
 
     fn poll(&mut self, now: MonotonicTime, reads_on: bool) -> Option<Event> {
         let exchange = self.exchange.as_ref()?;
         let silent_from = silent_from(self.context, exchange);
         let until = silent_from.map_or(self.deadline, |silent| silent.min(self.deadline));
-        let timeout = Timespec::try_from(until.since(now).min(LONGEST_POLL)).unwrap_or_default();
+        let max_wait = if exchange.reads_again {
+            Duration::ZERO
+        } else {
+            until.since(now).min(LONGEST_POLL)
+        };
+        let timeout = Timespec::try_from(max_wait).unwrap_or_default();
         let mut engine_flags = PollFlags::empty();
         if reads_on {
             engine_flags |= PollFlags::IN;
--- a/crates/node/src/ports/engines.rs
+++ b/crates/node/src/ports/engines.rs
@@ -112,6 +112,9 @@
 pub enum EngineReading {
     /// More bytes are needed.
     Pending,
+    /// Many bytes were taken and more may be there: to be read again without a wait, once the times that end the call have been
+    /// looked at.
+    ReadAgain,
     /// The engine took the request; an answer follows.
     Opened(AnswerHead),
     /// One event, whole.
@@ -177,7 +180,7 @@
     /// Writes what the socket takes; true when everything has left.
     fn push(&mut self) -> io::Result<bool>;
 
-    /// Reads what there is, without waiting.
+    /// Reads what there is, without waiting; returns after a bounded number of bytes, however many come.
     fn read(&mut self) -> EngineReading;
 
     /// Whether only the end of the connection told that the last answer was at its end.
--- a/crates/node/src/relay/serving.rs
+++ b/crates/node/src/relay/serving.rs
@@ -199,7 +199,8 @@
         place: &mut Place<'_>,
         from: SocketAddr,
     ) -> io::Result<bool> {
-        while self.towards_engine.len() < MAX_WAITING_BYTES {
+        let mut taken = 0;
+        while self.towards_engine.len() < MAX_WAITING_BYTES && taken < MAX_WAITING_BYTES {
             let mut bytes = [0; MAX_FRAME_BYTES];
             let Some(count) = read(&mut self.origin, &mut bytes)? else {
                 return Ok(false);
@@ -207,6 +208,7 @@
             if count == 0 {
                 return Ok(true);
             }
+            taken += count;
             self.decoder.add(&bytes[..count]);
             let malformed = |_| io::Error::from(ErrorKind::InvalidData);
             while let Some((kind, content)) = self.decoder.next_frame().map_err(malformed)? {
--- a/crates/node/src/relay/tunnel.rs
+++ b/crates/node/src/relay/tunnel.rs
@@ -118,12 +118,13 @@
 impl Read for TunnelStream {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
         let mut state = lock(&self.shared.state);
-        while state.incoming.is_empty() {
-            if state.ended {
-                return Ok(0);
-            }
+        if state.incoming.is_empty() && !state.ended {
             self.shared.receive(&mut state)?;
         }
+        if state.incoming.is_empty() && !state.ended {
+            // Frames without bytes of the engine may come without an end: the reader looks at its times first.
+            return Err(ErrorKind::WouldBlock.into());
+        }
         state.incoming.read(buffer)
     }
 }
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -180,17 +180,21 @@
 #[derive(Debug, Default)]
 pub struct FrameDecoder {
     bytes: Vec<u8>,
+    /// Bytes in front that belong to frames that were taken.
+    used: usize,
 }
 
 impl FrameDecoder {
     /// Adds bytes as they come.
     pub fn add(&mut self, bytes: &[u8]) {
+        self.bytes.drain(..std::mem::take(&mut self.used));
         self.bytes.extend_from_slice(bytes);
     }
 
     /// The next frame, once it is whole.
     pub fn next_frame(&mut self) -> Result<Option<(FrameKind, Vec<u8>)>, MalformedFrame> {
-        let Some((head, _)) = self.bytes.split_first_chunk::<FRAME_HEAD>() else {
+        let left = &self.bytes[self.used..];
+        let Some((head, _)) = left.split_first_chunk::<FRAME_HEAD>() else {
             return Ok(None);
         };
         let [kind, high, low] = *head;
@@ -199,11 +203,11 @@
         if end > FRAME_HEAD + MAX_FRAME_BYTES {
             return Err(MalformedFrame);
         }
-        if self.bytes.len() < end {
+        if left.len() < end {
             return Ok(None);
         }
-        let content = self.bytes[FRAME_HEAD..end].to_vec();
-        self.bytes.drain(..end);
+        let content = left[FRAME_HEAD..end].to_vec();
+        self.used += end;
         Ok(Some((kind, content)))
     }
 }
