Lab: a reset of the relay is done when the call returns

The product is not at fault: Relay::reset woke the threads that pass bytes and returned, and each closed its connection, which sends the reset, when it was scheduled. A request that the node sent on a resting connection in between was reset under way, and one that may run once is rightly answered 502 then. The test's premise, that connections are reset before the first request, did not hold yet.

Change: both ends are closed before the connection is forgotten, and reset returns when all are; after 5 s at most, since a thread that writes to an end that takes nothing closes later. The test expects what it did. what_is_sent_after_a_reset_finds_the_connection_reset guards the relay.

--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -16,6 +16,9 @@
 /// Bytes copied at once.
 const BUFFER_BYTES: usize = 16 * 1024;
 
+/// Longest wait for connections that are reset to be closed.
+const MAX_RESET_WAIT: Duration = Duration::from_secs(5);
+
 /// A running relay; its threads end with the process or after [`Relay::stop`].
 #[derive(Clone, Debug)]
 pub struct Relay {
@@ -117,9 +120,11 @@
         self.link.changed.notify_all();
     }
 
-    /// Resets the connections that pass; new ones are taken as before.
+    /// Resets the connections that pass, and returns once that is done: what is sent on one afterwards finds it reset. New
+    /// connections are taken as before.
     pub fn reset(&self) {
         let mut state = self.link.state();
+        let connections: Vec<u64> = state.open.keys().copied().collect();
         for (connection, ends) in std::mem::take(&mut state.open) {
             state.reset.insert(connection);
             for end in ends {
@@ -128,8 +133,16 @@
                 let _ = end.shutdown(Shutdown::Read);
             }
         }
-        drop(state);
         self.link.changed.notify_all();
+        let are_open = |state: &mut LinkState| {
+            let mut connections = connections.iter();
+            connections.any(|connection| state.reset.contains(connection))
+        };
+        // A thread that passes bytes to an end that takes none closes later; a network would not wait for it either.
+        let _ = self
+            .link
+            .changed
+            .wait_timeout_while(state, MAX_RESET_WAIT, are_open);
     }
 
     /// Makes the connections that pass now silent for good, without closing them; new ones are taken as before.
@@ -205,6 +218,7 @@
         let mut state = self.state();
         state.open.remove(&connection);
         state.reset.remove(&connection);
+        self.changed.notify_all();
     }
 
     fn is_reset(&self, connection: u64) -> bool {
@@ -249,6 +263,8 @@
         scope.spawn(|| copy(&near, &far, link, connection, Direction::TowardsTarget));
         copy(&far, &near, link, connection, Direction::FromTarget);
     });
+    // Closed before the connection is forgotten: whoever waits for a reset waits for both.
+    drop((near, far));
     link.unregister(connection);
 }
 
--- a/crates/lab/tests/fault_soak.rs
+++ b/crates/lab/tests/fault_soak.rs
@@ -268,6 +268,17 @@
     assert!(matches!(stream.read(&mut byte), Ok(0) | Err(_)));
 }
 
+#[test]
+fn what_is_sent_after_a_reset_finds_the_connection_reset() {
+    for _ in 0..200 {
+        let (relay, mut stream) = echo();
+        assert_eq!(exchange(&mut stream, 1), 1);
+        stream.set_nonblocking(true).unwrap();
+        relay.reset();
+        assert!(stream.write(&[2]).is_err());
+    }
+}
+
 #[test]
 fn connections_that_went_silent_pass_nothing_while_new_ones_do() {
     let (relay, mut stream) = echo();
