Stand-in store: transactions without an answer may be made seconds later

The platform may leave a transaction unanswered and make it 1 to 6 s later if its conditions hold by then. The stand-in made such a transaction at once or never, so no test and no soak could show what a late one does.

StoreMode::Deferring breaks the connection and puts the transaction into a queue of all doors of the store. It is made after a time drawn from a seeded generator, or when a test asks for it (make_deferred, in any order); its conditions are checked then, also against the rows of a restored store. The thread of the queue ends with the last door. The rows of the store move to a module of their own, unchanged.

--- a/crates/lab/src/users_platform/mod.rs
+++ b/crates/lab/src/users_platform/mod.rs
@@ -1,6 +1,7 @@
 //! Small stand-ins of the users' platform, on its published wire: the store with conditions and a feed, engines that
 //! read prompts, run outputs and take orders, and the interface that takes usage reports and orders of engines.
 
+mod deferral;
 mod engine;
 mod engine_answers;
 mod engine_crashes;
@@ -10,7 +11,9 @@
 mod engine_work;
 mod interface;
 mod store;
+mod store_rows;
 
+pub use deferral::{DEFERRAL_MILLIS, DeferralCount, DeferralDelay};
 pub use engine::ModelEngine;
 pub use engine_crashes::{CRASHING_BODY, CRASHING_PART, CrashCause, CrashSwitch, crashes_engines};
 pub use engine_records::{ArrivalRecord, BackoffRecord, DrainRecord, LimitRecord, OrderRecord, RunRecord};
@@ -20,4 +23,5 @@
     SLOW_ANSWER_BODY, USUAL_PACE_PERCENT, VERSIONED_BODY, event, wants_long_answer, without_filling,
 };
 pub use interface::{InterfaceMode, ScaleOrder, StandInInterface, UsageReport};
-pub use store::{StandInStore, StoreCopy, StoreMode};
+pub use store::{StandInStore, StoreMode};
+pub use store_rows::StoreCopy;
--- a/crates/lab/src/users_platform/store.rs
+++ b/crates/lab/src/users_platform/store.rs
@@ -1,18 +1,16 @@
 //! The store: rows with versions, transactions with conditions, and a feed that can forget its history.
 
-use serde::{Deserialize, Serialize};
+use super::deferral::{Deferral, DeferralCount, DeferralDelay};
+use super::store_rows::{JSON, Shared, StoreCopy, WireRow, changed_rows, name, rows_answer, wire_row};
 use shelfjunction_http::{
     Answer, Answered, Handler, HttpLimits, HttpRequest, HttpServer, ReadError, Responder,
 };
-use std::collections::BTreeMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
-const JSON: &str = "application/json";
-
 /// How the store answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreMode {
@@ -25,86 +23,20 @@
     Down,
     /// Transactions are made and not answered.
     LosingAnswers,
+    /// Transactions are not answered and made some seconds later, if their conditions hold by then.
+    Deferring,
 }
 
 /// What a door shows of a row's value, given its table and value; absent for the value as it is.
 pub type ShownValue = Box<dyn Fn(&str, &str) -> Option<String> + Send + Sync>;
 
-/// Table and key of a row.
-type RowName = (String, String);
-
-#[derive(Clone, Debug)]
-struct Stored {
-    value: String,
-    version: u64,
-}
-
-#[derive(Clone, Debug)]
-struct Change {
-    version: u64,
-    name: RowName,
-    value: Option<String>,
-}
-
-#[derive(Debug, Default)]
-struct State {
-    rows: BTreeMap<RowName, Stored>,
-    history: Vec<Change>,
-    /// Changes up to this version are forgotten.
-    forgotten: u64,
-    version: u64,
-    /// Restores from a copy so far; answers name it from the first on.
-    era: u64,
-    calls: u64,
-}
-
-/// A copy of the store, to be restored later.
-#[derive(Clone, Debug)]
-pub struct StoreCopy {
-    rows: BTreeMap<RowName, Stored>,
-    version: u64,
-}
-
-#[derive(Debug, Default)]
-struct Shared {
-    state: Mutex<State>,
-    changed: Condvar,
-}
-
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct WireRow {
-    table: String,
-    part: String,
-    private_key: String,
-    #[serde(default)]
-    value: String,
-    #[serde(default)]
-    ver: u64,
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    gone: bool,
-}
-
-#[derive(Serialize)]
-struct Rows {
-    rows: Vec<WireRow>,
-    more: bool,
-    ver: u64,
-    now_ms: u64,
-}
-
-#[derive(Deserialize)]
-struct Transaction {
-    expected: Vec<WireRow>,
-    put: Vec<WireRow>,
-    remove: Vec<WireRow>,
-}
-
 /// A running store on loopback, or another door to one; each door has a mode of its own.
 pub struct StandInStore {
     server: HttpServer,
     shared: Arc<Shared>,
     mode: Arc<Mutex<StoreMode>>,
+    /// Transactions of all doors that are made later, by their bodies.
+    deferral: Arc<Deferral<Vec<u8>>>,
     /// Calls to this door while it did not serve.
     failed: Arc<AtomicU64>,
     shown: Arc<OnceLock<ShownValue>>,
@@ -113,21 +45,29 @@
 impl StandInStore {
     /// Starts an empty store on a free port.
     pub fn start() -> io::Result<Self> {
-        Self::open(Arc::new(Shared::default()))
+        let shared = Arc::new(Shared::default());
+        let of_deferral = Arc::clone(&shared);
+        let deferral = Deferral::start(move |body: Vec<u8>| {
+            let status = of_deferral.transact(&body).status;
+            log::info!(status; "store_call_made_late");
+            status == 200
+        })?;
+        Self::open(shared, Arc::new(deferral))
     }
 
     /// Opens another door to the same rows, so that some callers may be refused while others are served.
     pub fn another_door(&self) -> io::Result<Self> {
-        Self::open(Arc::clone(&self.shared))
+        Self::open(Arc::clone(&self.shared), Arc::clone(&self.deferral))
     }
 
-    fn open(shared: Arc<Shared>) -> io::Result<Self> {
+    fn open(shared: Arc<Shared>, deferral: Arc<Deferral<Vec<u8>>>) -> io::Result<Self> {
         let mode = Arc::new(Mutex::new(StoreMode::default()));
         let failed = Arc::new(AtomicU64::new(0));
         let shown = Arc::default();
         let handler = Arc::new(StoreHandler {
             shared: Arc::clone(&shared),
             mode: Arc::clone(&mode),
+            deferral: Arc::clone(&deferral),
             failed: Arc::clone(&failed),
             shown: Arc::clone(&shown),
         });
@@ -137,6 +77,7 @@
             server,
             shared,
             mode,
+            deferral,
             failed,
             shown,
         })
@@ -153,6 +94,34 @@
         self.shared.changed.notify_all();
     }
 
+    /// Changes how it answers if it answers so now; whether it did.
+    pub fn replace_mode(&self, from: StoreMode, to: StoreMode) -> bool {
+        let mut mode = self.mode.lock().unwrap_or_else(PoisonError::into_inner);
+        let replaced = *mode == from;
+        if replaced {
+            *mode = to;
+        }
+        drop(mode);
+        self.shared.changed.notify_all();
+        replaced
+    }
+
+    /// When transactions that any door defers from now on are made.
+    pub fn set_deferral(&self, delay: &DeferralDelay) {
+        self.deferral.set_delay(delay);
+    }
+
+    /// Makes one of the transactions that were deferred, the oldest at place 0; whether its conditions held, absent where
+    /// none waits there.
+    pub fn make_deferred(&self, place: usize) -> Option<bool> {
+        self.deferral.carry_out(place)
+    }
+
+    /// Transactions of all doors that were deferred so far.
+    pub fn deferrals(&self) -> DeferralCount {
+        self.deferral.count()
+    }
+
     /// Shows rows that are read through this door with other values. Only the first call has an effect.
     pub fn show_rows_as(&self, shown: ShownValue) {
         // A second call leaves what the first has set.
@@ -219,43 +188,10 @@
     }
 }
 
-impl Shared {
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-impl State {
-    fn write(&mut self, name: RowName, value: Option<String>) {
-        self.version += 1;
-        self.record(name, value);
-    }
-
-    fn record(&mut self, name: RowName, value: Option<String>) {
-        let version = self.version;
-        match &value {
-            Some(value) => {
-                let stored = Stored {
-                    value: value.clone(),
-                    version,
-                };
-                self.rows.insert(name.clone(), stored);
-            }
-            None => {
-                self.rows.remove(&name);
-            }
-        }
-        self.history.push(Change { version, name, value });
-    }
-
-    fn version_of(&self, name: &RowName) -> u64 {
-        self.rows.get(name).map_or(0, |stored| stored.version)
-    }
-}
-
 struct StoreHandler {
     shared: Arc<Shared>,
     mode: Arc<Mutex<StoreMode>>,
+    deferral: Arc<Deferral<Vec<u8>>>,
     failed: Arc<AtomicU64>,
     shown: Arc<OnceLock<ShownValue>>,
 }
@@ -270,13 +206,17 @@
         match mode {
             StoreMode::Throttling => return responder.answer(&self.in_era(Answer::new(429, JSON, "{}"))),
             StoreMode::Down => return responder.answer(&self.in_era(Answer::new(503, JSON, "{}"))),
-            StoreMode::Serving | StoreMode::LosingAnswers => {}
+            StoreMode::Serving | StoreMode::LosingAnswers | StoreMode::Deferring => {}
         }
         let answer = match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/shelfjunction/rows-get") => self.get(&request),
             ("GET", "/shelfjunction/rows-feed") => self.feed(&request),
+            ("POST", "/shelfjunction/rows-tx") if mode == StoreMode::Deferring => {
+                self.deferral.defer(request.body);
+                return Answered::broken();
+            }
             ("POST", "/shelfjunction/rows-tx") => {
-                let answer = self.transact(&request.body);
+                let answer = self.shared.transact(&request.body);
                 if mode == StoreMode::LosingAnswers {
                     return Answered::broken();
                 }
@@ -364,81 +304,6 @@
                 .0;
         }
     }
-
-    fn transact(&self, body: &[u8]) -> Answer {
-        let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else {
-            return Answer::new(400, JSON, "{}");
-        };
-        let mut state = self.shared.lock();
-        let holds = |row: &WireRow| state.version_of(&row_name(row)) == row.ver;
-        if !transaction.expected.iter().all(holds) {
-            let rows = transaction.expected.iter().filter_map(|row| {
-                let name = row_name(row);
-                let stored = state.rows.get(&name)?;
-                Some(wire_row(&name, Some(&stored.value), stored.version))
-            });
-            return rows_answer(412, rows.collect(), false, state.version);
-        }
-        state.version += 1;
-        for row in transaction.put {
-            let value = row.value.clone();
-            state.record(row_name(&row), Some(value));
-        }
-        for row in transaction.remove {
-            state.record(row_name(&row), None);
-        }
-        let version = state.version;
-        drop(state);
-        self.shared.changed.notify_all();
-        rows_answer(200, Vec::new(), false, version)
-    }
-}
-
-/// The last change of each row of a table since a version, in order.
-fn changed_rows(state: &State, table: &str, after: u64) -> Vec<WireRow> {
-    let mut last: BTreeMap<&RowName, &Change> = BTreeMap::new();
-    for change in state
-        .history
-        .iter()
-        .filter(|change| change.version > after && change.name.0 == table)
-    {
-        last.insert(&change.name, change);
-    }
-    let mut rows: Vec<WireRow> = last
-        .into_values()
-        .map(|change| wire_row(&change.name, change.value.as_ref(), change.version))
-        .collect();
-    rows.sort_by_key(|row| row.ver);
-    rows
-}
-
-fn rows_answer(status: u16, rows: Vec<WireRow>, more: bool, version: u64) -> Answer {
-    let rows = Rows {
-        rows,
-        more,
-        ver: version,
-        now_ms: 0,
-    };
-    Answer::new(status, JSON, serde_json::to_vec(&rows).unwrap_or_default())
-}
-
-fn wire_row(name: &RowName, value: Option<&String>, version: u64) -> WireRow {
-    WireRow {
-        table: name.0.clone(),
-        part: String::new(),
-        private_key: name.1.clone(),
-        value: value.cloned().unwrap_or_default(),
-        ver: version,
-        gone: value.is_none(),
-    }
-}
-
-fn row_name(row: &WireRow) -> RowName {
-    name(&row.table, &row.private_key)
-}
-
-fn name(table: &str, key: &str) -> RowName {
-    (table.to_owned(), key.to_owned())
 }
 
 fn number(text: Option<&str>) -> Option<u64> {
