Stand-in interface: calls carried out late, unchecked fences, and a record of every call taken

The interface may leave a report or an order unanswered and carry it out seconds later, and a deployment may not check fences at all. InterfaceMode::Deferring does the first as the store's mode does, with the fence checked when the call is carried out; check_fences(false) the second. Each call that is taken is recorded with its subject, holder, fencing token and times, so that a soak can judge holders and tokens.

--- a/crates/lab/src/users_platform/interface.rs
+++ b/crates/lab/src/users_platform/interface.rs
@@ -1,5 +1,6 @@
 //! The platform's own interface: usage reports and orders of engines, with fences for each subject.
 
+use super::deferral::{Deferral, DeferralCount, DeferralDelay};
 use serde::Deserialize;
 use shelfjunction_http::{
     Answer, Answered, Handler, HttpLimits, HttpRequest, HttpServer, ReadError, Responder,
@@ -8,6 +9,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 const JSON: &str = "application/json";
 
@@ -21,6 +23,8 @@
     Throttling,
     /// Calls are carried out and not answered.
     LosingAnswers,
+    /// Calls are not answered and carried out some seconds later; their fences are checked then.
+    Deferring,
     /// Orders of spot engines conflict: there are none to be had.
     NoSpot,
 }
@@ -49,9 +53,38 @@
     pub spot: bool,
 }
 
+/// One report or order that was taken, and who gave it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DutyCall {
+    /// The duty and what it is about: `usage`, or the service and the zone of an order.
+    pub subject: String,
+    /// The node that gave it, by the name that it bears.
+    pub holder: String,
+    /// The fencing token that it bears.
+    pub token: u64,
+    /// When it arrived.
+    pub arrived_at: Instant,
+    /// When it was carried out: as it arrived, unless the interface deferred it.
+    pub done_at: Instant,
+    /// Whether the interface deferred it.
+    pub deferred: bool,
+}
+
+/// A call as it arrived.
+struct ArrivedCall {
+    path: String,
+    holder: String,
+    token: u64,
+    body: Vec<u8>,
+    arrived_at: Instant,
+    deferred: bool,
+}
+
 #[derive(Debug, Default)]
 struct State {
     mode: InterfaceMode,
+    ignores_fences: bool,
+    calls: Vec<DutyCall>,
     /// Highest fence seen, by subject.
     fences: BTreeMap<String, u64>,
     reports: Vec<UsageReport>,
@@ -64,18 +97,30 @@
 pub struct StandInInterface {
     server: HttpServer,
     state: Arc<Mutex<State>>,
+    deferral: Arc<Deferral<ArrivedCall>>,
 }
 
 impl StandInInterface {
-    /// Starts it on a free port.
+    /// Starts it on a free port. It checks fences.
     pub fn start() -> io::Result<Self> {
         let state = Arc::new(Mutex::new(State::default()));
+        let of_deferral = Arc::clone(&state);
+        let deferral = Arc::new(Deferral::start(move |call| {
+            let status = lock(&of_deferral).take(&call);
+            log::info!(status, path = call.path.as_str(), holder = call.holder.as_str(); "interface_call_made_late");
+            status == 200
+        })?);
         let handler = Arc::new(InterfaceHandler {
             state: Arc::clone(&state),
+            deferral: Arc::clone(&deferral),
         });
         let address = (Ipv4Addr::LOCALHOST, 0).into();
         let server = HttpServer::start(address, HttpLimits::default(), handler)?;
-        Ok(Self { server, state })
+        Ok(Self {
+            server,
+            state,
+            deferral,
+        })
     }
 
     /// Where it listens.
@@ -88,6 +133,42 @@
         lock(&self.state).mode = mode;
     }
 
+    /// Changes how it answers if it answers so now; whether it did.
+    pub fn replace_mode(&self, from: InterfaceMode, to: InterfaceMode) -> bool {
+        let mut state = lock(&self.state);
+        let replaced = state.mode == from;
+        if replaced {
+            state.mode = to;
+        }
+        replaced
+    }
+
+    /// Whether it refuses calls with a lower fence than one seen.
+    pub fn check_fences(&self, checks: bool) {
+        lock(&self.state).ignores_fences = !checks;
+    }
+
+    /// When calls that it defers from now on are carried out.
+    pub fn set_deferral(&self, delay: &DeferralDelay) {
+        self.deferral.set_delay(delay);
+    }
+
+    /// Carries out one of the calls that were deferred, the oldest at place 0; whether it was taken, absent where none waits
+    /// there.
+    pub fn make_deferred(&self, place: usize) -> Option<bool> {
+        self.deferral.carry_out(place)
+    }
+
+    /// Calls that were deferred so far.
+    pub fn deferrals(&self) -> DeferralCount {
+        self.deferral.count()
+    }
+
+    /// Reports and orders that were taken, in the order in which they were carried out.
+    pub fn calls(&self) -> Vec<DutyCall> {
+        lock(&self.state).calls.clone()
+    }
+
     /// Raises a subject's fence, as another holder's call does.
     pub fn raise_fence(&self, subject: &str, token: u64) {
         lock(&self.state).fences.insert(subject.to_owned(), token);
@@ -116,18 +197,25 @@
 
 struct InterfaceHandler {
     state: Arc<Mutex<State>>,
+    deferral: Arc<Deferral<ArrivedCall>>,
 }
 
 impl Handler for InterfaceHandler {
     fn handle(&self, request: HttpRequest, responder: Responder<'_>) -> Answered {
         let mut state = lock(&self.state);
-        let status = match state.mode {
-            InterfaceMode::Throttling => 429,
-            _ => state.take(&request),
+        let mode = state.mode;
+        let status = match (mode, ArrivedCall::of(request, mode)) {
+            (InterfaceMode::Throttling, _) => 429,
+            (InterfaceMode::Deferring, Some(call)) => {
+                drop(state);
+                self.deferral.defer(call);
+                return Answered::broken();
+            }
+            (_, Some(call)) => state.take(&call),
+            (_, None) => 400,
         };
-        let loses_answers = state.mode == InterfaceMode::LosingAnswers;
         drop(state);
-        if loses_answers {
+        if mode == InterfaceMode::LosingAnswers {
             return Answered::broken();
         }
         responder.answer(&Answer::new(status, JSON, "{}"))
@@ -138,27 +226,35 @@
     }
 }
 
+impl ArrivedCall {
+    /// The call of a request; absent where it does not say who gives it under which fence.
+    fn of(request: HttpRequest, mode: InterfaceMode) -> Option<Self> {
+        Some(Self {
+            holder: request.header("Duty-Holder")?.to_owned(),
+            token: request.header("Fencing-Token")?.parse().ok()?,
+            path: request.path,
+            body: request.body,
+            arrived_at: Instant::now(),
+            deferred: mode == InterfaceMode::Deferring,
+        })
+    }
+}
+
 impl State {
-    fn take(&mut self, request: &HttpRequest) -> u16 {
-        let fence = request
-            .header("Fencing-Token")
-            .and_then(|fence| fence.parse().ok());
-        let (Some(fence), Some(_)) = (fence, request.header("Duty-Holder")) else {
-            return 400;
-        };
-        match request.path.as_str() {
-            "/usage" => match serde_json::from_slice::<UsageReport>(&request.body) {
-                Ok(report) => self.guarded("usage", fence, |state| state.reports.push(report)),
+    fn take(&mut self, call: &ArrivedCall) -> u16 {
+        match call.path.as_str() {
+            "/usage" => match serde_json::from_slice::<UsageReport>(&call.body) {
+                Ok(report) => self.guarded("usage", call, |state| state.reports.push(report)),
                 Err(_) => 400,
             },
-            "/scale" => match serde_json::from_slice::<ScaleOrder>(&request.body) {
+            "/scale" => match serde_json::from_slice::<ScaleOrder>(&call.body) {
                 Ok(order) if order.spot && self.mode == InterfaceMode::NoSpot => {
                     self.turned_down += 1;
                     409
                 }
                 Ok(order) => {
                     let subject = format!("{}/{}", order.service, order.zone);
-                    self.guarded(&subject, fence, |state| state.orders.push(order))
+                    self.guarded(&subject, call, |state| state.orders.push(order))
                 }
                 Err(_) => 400,
             },
@@ -166,13 +262,21 @@
         }
     }
 
-    fn guarded(&mut self, subject: &str, fence: u64, act: impl FnOnce(&mut Self)) -> u16 {
+    fn guarded(&mut self, subject: &str, call: &ArrivedCall, act: impl FnOnce(&mut Self)) -> u16 {
         let seen = self.fences.entry(subject.to_owned()).or_default();
-        if fence < *seen {
+        if call.token < *seen && !self.ignores_fences {
             self.refused += 1;
             return 409;
         }
-        *seen = fence;
+        *seen = call.token.max(*seen);
+        self.calls.push(DutyCall {
+            subject: subject.to_owned(),
+            holder: call.holder.clone(),
+            token: call.token,
+            arrived_at: call.arrived_at,
+            done_at: Instant::now(),
+            deferred: call.deferred,
+        });
         act(self);
         200
     }
--- a/crates/lab/src/users_platform/mod.rs
+++ b/crates/lab/src/users_platform/mod.rs
@@ -22,6 +22,6 @@
     BREAKING_BODY, EVENTS_BEFORE_BREAK, FILLING_BYTES, LONG_ANSWER_BODY, LONG_ANSWER_EVENTS, MachinePace,
     SLOW_ANSWER_BODY, USUAL_PACE_PERCENT, VERSIONED_BODY, event, wants_long_answer, without_filling,
 };
-pub use interface::{InterfaceMode, ScaleOrder, StandInInterface, UsageReport};
+pub use interface::{DutyCall, InterfaceMode, ScaleOrder, StandInInterface, UsageReport};
 pub use store::{StandInStore, StoreMode};
 pub use store_rows::StoreCopy;
--- a/crates/lab/tests/users_platform.rs
+++ b/crates/lab/tests/users_platform.rs
@@ -2,7 +2,9 @@
 
 #![allow(clippy::unwrap_used)]
 
-use shelfjunction_lab::users_platform::{DeferralCount, DeferralDelay, StandInStore, StoreMode};
+use shelfjunction_lab::users_platform::{
+    DeferralCount, DeferralDelay, InterfaceMode, StandInInterface, StandInStore, StoreMode,
+};
 use std::net::SocketAddr;
 
 fn post(address: SocketAddr, path: &str, token: u64, body: &str) -> Option<u16> {
@@ -28,6 +30,11 @@
     post(store.address(), "/shelfjunction/rows-tx", 1, &body)
 }
 
+fn report(interface: &StandInInterface, token: u64, count: u64) -> Option<u16> {
+    let body = format!(r#"{{"window":7,"counts":{{"tenant":{count}}}}}"#);
+    post(interface.address(), "/usage", token, &body)
+}
+
 fn deferring_store() -> StandInStore {
     let store = StandInStore::start().unwrap();
     store.set_deferral(&DeferralDelay::OnDemand);
@@ -35,6 +42,13 @@
     store
 }
 
+fn deferring_interface() -> StandInInterface {
+    let interface = StandInInterface::start().unwrap();
+    interface.set_deferral(&DeferralDelay::OnDemand);
+    interface.set_mode(InterfaceMode::Deferring);
+    interface
+}
+
 #[test]
 fn deferred_transactions_are_made_in_any_order_under_the_conditions_of_that_time() {
     let store = deferring_store();
@@ -111,3 +125,57 @@
     drop(store);
     assert_eq!(other.deferrals().waiting(), 1, "another door keeps them");
 }
+
+#[test]
+fn the_fence_of_a_deferred_report_is_checked_when_it_is_carried_out() {
+    let interface = deferring_interface();
+    assert_eq!(report(&interface, 1, 5), None);
+    assert!(interface.reports().is_empty());
+    interface.set_mode(InterfaceMode::Serving);
+    assert_eq!(report(&interface, 2, 5), Some(200));
+    assert_eq!(interface.make_deferred(0), Some(false));
+    assert_eq!((interface.reports().len(), interface.refused()), (1, 1));
+}
+
+#[test]
+fn a_deferred_report_is_taken_where_fences_are_not_checked() {
+    let interface = deferring_interface();
+    interface.check_fences(false);
+    assert_eq!(report(&interface, 1, 5), None);
+    interface.set_mode(InterfaceMode::Serving);
+    assert_eq!(report(&interface, 2, 6), Some(200));
+    assert_eq!(interface.make_deferred(0), Some(true));
+    let counts = interface
+        .reports()
+        .iter()
+        .map(|report| report.counts["tenant"])
+        .collect::<Vec<_>>();
+    assert_eq!(counts, [6, 5]);
+    let calls = interface.calls();
+    let seen: Vec<_> = calls
+        .iter()
+        .map(|call| {
+            (
+                call.subject.as_str(),
+                call.holder.as_str(),
+                call.token,
+                call.deferred,
+            )
+        })
+        .collect();
+    assert_eq!(
+        seen,
+        [("usage", "node-2", 2, false), ("usage", "node-1", 1, true)]
+    );
+    assert!(calls[1].arrived_at < calls[0].arrived_at, "it had arrived before");
+}
+
+#[test]
+fn a_lower_fence_is_refused_where_fences_are_checked_and_calls_name_the_subject_of_an_order() {
+    let interface = StandInInterface::start().unwrap();
+    let order = r#"{"service":"s","zone":"z","desiredCount":2}"#;
+    assert_eq!(post(interface.address(), "/scale", 4, order), Some(200));
+    assert_eq!(post(interface.address(), "/scale", 3, order), Some(409));
+    assert_eq!(interface.calls().len(), 1);
+    assert_eq!(interface.calls()[0].subject, "s/z");
+}
