Fault soak: its own events are logged, and the faults of the platform are drawn in a module of their own

The logs of the nodes did not say when the store was restored or a call without an answer was carried out, so the order of events of a broken run had to be guessed. The soak writes a line when a fault strikes and ends, when the stand-in store comes back from a copy, and for each late call.

--- a/crates/lab/src/command/fault_soak.rs
+++ b/crates/lab/src/command/fault_soak.rs
@@ -3,6 +3,7 @@
 use super::{Command, CommandError, Options};
 use crate::fault_soak::schedule::Pace;
 use crate::fault_soak::{self, FaultSoakConfig};
+use shelfjunction_logging::LogLevel;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -137,6 +138,8 @@
     let logs: PathBuf = options.value_or("logs", std::env::temp_dir().join("shelfjunction-fault-soak"))?;
     let first: u64 = options.value_or("seed", u64::from(rand::random::<u32>()))?;
     let runs: u64 = options.value_or("runs", 1)?;
+    // What struck when belongs beside the logs of the nodes. A logger that is there already gets it as well.
+    let _ = shelfjunction_logging::install(LogLevel::Info);
     let mut broken = Vec::new();
     for seed in first..first + runs {
         let config = FaultSoakConfig {
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -21,6 +21,7 @@
 pub mod partitions;
 mod places;
 pub mod platform_faults;
+pub mod platform_schedule;
 mod process;
 pub mod rate_limits;
 pub mod rated_callers;
@@ -28,6 +29,7 @@
 pub mod region_faults;
 pub mod region_links;
 pub mod repeats;
+pub mod report;
 pub mod resumers;
 pub mod schedule;
 pub mod sharers;
@@ -39,32 +41,29 @@
 
 use callers::Caller;
 use crashers::Crasher;
-use crashes::CrashCount;
-use crowding::{CrowdedCount, CrowdedSpan};
+use crowding::CrowdedSpan;
 use deployment::{Deployment, MODEL_POOL};
-use descriptors::{DescriptorUse, DescriptorWatch};
+use descriptors::DescriptorWatch;
 use judging::{
     crash_times, crashing_arrivals, engine_arrivals, judge_calls, judge_signals, judge_spoilt, seen_arrivals,
 };
-use late_readers::{LateReader, Quiet, QuietCount};
+use late_readers::{LateReader, Quiet};
 use layout::Layout;
 use oracle::{Violation, judge_reports};
 use places::REPEAT_BUDGET;
-use platform_faults::Deferrals;
 use rate_limits::LimitSpan;
 use rated_callers::RatedCaller;
 use record::{CallKind, SeenCall};
 use repeats::judge_repeats;
+use report::{FaultSoakReport, report};
 use resumers::{Resumer, SeenStream, TakeUpCount};
 use schedule::Pace;
-use sharers::{SOUND_CALLERS, ShareCount, Sharer};
-use std::fmt;
+use sharers::{SOUND_CALLERS, Sharer};
 use std::io;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use usage_windows::WindowCount;
 
 /// Time for which runs that come late are waited for.
 const LATE_RUNS: Duration = Duration::from_secs(2);
@@ -114,100 +113,6 @@
     pub directory: PathBuf,
 }
 
-/// What came of a run.
-#[derive(Clone, Debug)]
-pub struct FaultSoakReport {
-    /// The seed.
-    pub seed: u64,
-    /// Faults that struck.
-    pub faults: usize,
-    /// Requests sent.
-    pub sent: usize,
-    /// Requests with a whole success.
-    pub succeeded: usize,
-    /// Requests refused as not run.
-    pub not_run: usize,
-    /// Requests with any other answer.
-    pub other_answers: usize,
-    /// Requests that got no answer.
-    pub unanswered: usize,
-    /// Nodes that ended by themselves.
-    pub exits: u32,
-    /// Descriptors of the soak's own process.
-    pub descriptors: DescriptorUse,
-    /// Engines that crashed under each crashing request or part, and arrivals of it later than is allowed.
-    pub crashes: Vec<CrashCount>,
-    /// Requests that share parts with those that crash engines.
-    pub shares: Vec<ShareCount>,
-    /// Requests of callers at nodes to which most new connections came.
-    pub crowded: Vec<CrowdedCount>,
-    /// Requests of callers that read late, and of the others, that were sent where nothing else was wrong.
-    pub quiet: QuietCount,
-    /// Streams that were taken up.
-    pub take_ups: TakeUpCount,
-    /// Usage windows that were reported, and those that were not.
-    pub windows: WindowCount,
-    /// Calls that the platform carried out late.
-    pub deferrals: Deferrals,
-    /// Whether the platform's interface checked fences.
-    pub fences_checked: bool,
-    /// Promises that did not hold.
-    pub violations: Vec<Violation>,
-}
-
-impl FaultSoakReport {
-    /// Whether every promise held.
-    pub fn holds(&self) -> bool {
-        self.violations.is_empty() && self.exits == 0
-    }
-}
-
-impl fmt::Display for FaultSoakReport {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(
-            formatter,
-            "seed {}: {} faults; {} requests: {} succeeded, {} not run, {} other answers, {} unanswered; {} exits; at most {} descriptors; {}; {}; engines ended \
-             under crashing requests and parts {:?}, sent on late {:?}; sound requests with their first parts: {}; {}; {}; {}, fences {}; {}",
-            self.seed,
-            self.faults,
-            self.sent,
-            self.succeeded,
-            self.not_run,
-            self.other_answers,
-            self.unanswered,
-            self.exits,
-            self.descriptors.peak,
-            self.quiet,
-            self.take_ups,
-            self.crashes.iter().map(|count| count.ended).collect::<Vec<_>>(),
-            self.crashes.iter().map(|count| count.late).collect::<Vec<_>>(),
-            joined(&self.shares),
-            joined(&self.crowded),
-            self.windows,
-            self.deferrals,
-            if self.fences_checked {
-                "checked"
-            } else {
-                "unchecked"
-            },
-            if self.holds() {
-                "every promise held"
-            } else {
-                "BROKEN"
-            }
-        )?;
-        for violation in &self.violations {
-            writeln!(formatter, "  {violation:?}")?;
-        }
-        Ok(())
-    }
-}
-
-fn joined(counts: &[impl ToString]) -> String {
-    let texts: Vec<String> = counts.iter().map(ToString::to_string).collect();
-    texts.join("; ")
-}
-
 /// Runs once.
 pub fn run(config: &FaultSoakConfig) -> io::Result<FaultSoakReport> {
     std::fs::create_dir_all(&config.directory)?;
@@ -222,7 +127,7 @@
     let mut violations = wait_until_served(&deployment, config.seed, config.recovery);
     let fences_checked = config
         .fences_checked
-        .unwrap_or_else(|| schedule::draw_fences_checked(config.seed));
+        .unwrap_or_else(|| platform_schedule::draw_fences_checked(config.seed));
     deployment.set_platform(config.seed, fences_checked);
     let schedule = draw_schedule(config, &deployment);
     let begun = Instant::now();
@@ -303,10 +208,14 @@
     let targets = deployment.targets();
     let mut schedule = schedule::draw(config.seed, config.length, targets, config.pace);
     if config.restores {
-        schedule.extend(schedule::draw_restores(config.seed, config.length, config.pace));
+        schedule.extend(platform_schedule::draw_restores(
+            config.seed,
+            config.length,
+            config.pace,
+        ));
     }
     if config.deferrals {
-        schedule.extend(schedule::draw_deferrals(
+        schedule.extend(platform_schedule::draw_deferrals(
             config.seed,
             config.length,
             targets,
@@ -462,44 +371,6 @@
     })
 }
 
-fn report(
-    seed: u64,
-    faults: usize,
-    calls: &[SeenCall],
-    exits: u32,
-    mut violations: Vec<Violation>,
-) -> FaultSoakReport {
-    // Probes are sent by callers of their own and are judged where they are made.
-    violations.retain(|violation| !matches!(violation, Violation::Unasked(request) if is_probe(request)));
-    let answered = |wanted: fn(u16) -> bool| {
-        let statuses = calls.iter().filter_map(|call| call.answer.as_ref());
-        statuses.filter(|answer| wanted(answer.status)).count()
-    };
-    let succeeded = answered(|status| status == 200);
-    let not_run = answered(|status| matches!(status, 429 | 503));
-    let unanswered = calls.iter().filter(|call| call.answer.is_none()).count();
-    FaultSoakReport {
-        seed,
-        faults,
-        sent: calls.len(),
-        succeeded,
-        not_run,
-        other_answers: calls.len() - succeeded - not_run - unanswered,
-        unanswered,
-        exits,
-        descriptors: DescriptorUse::default(),
-        crashes: Vec::new(),
-        shares: Vec::new(),
-        crowded: Vec::new(),
-        quiet: QuietCount::default(),
-        take_ups: TakeUpCount::default(),
-        windows: WindowCount::default(),
-        deferrals: Deferrals::default(),
-        fences_checked: true,
-        violations,
-    }
-}
-
 fn is_probe(request: &str) -> bool {
     let number = request.trim_start_matches("caller").split('-').next();
     let number: Option<u64> = number.and_then(|number| number.parse().ok());
--- a/crates/lab/src/fault_soak/schedule.rs
+++ b/crates/lab/src/fault_soak/schedule.rs
@@ -225,7 +225,7 @@
 const PAUSE_MILLIS: std::ops::Range<u64> = 300..1_500;
 
 /// Lengths of faults, in milliseconds.
-const LENGTH_MILLIS: std::ops::Range<u64> = 300..3_500;
+pub(super) const LENGTH_MILLIS: std::ops::Range<u64> = 300..3_500;
 
 /// Delays of slow links, in milliseconds.
 const DELAY_MILLIS: std::ops::Range<u64> = 5..120;
@@ -248,21 +248,6 @@
 /// Number of the stream of draws for what engines say of themselves.
 const SIGNALS_STREAM: u64 = 2;
 
-/// Number of the stream of draws for restores of the store.
-const RESTORES_STREAM: u64 = 3;
-
-/// Number of the stream of draws for calls that the platform carries out late.
-const DEFERRALS_STREAM: u64 = 4;
-
-/// Number of the stream that says whether the platform's interface checks fences.
-const FENCES_STREAM: u64 = 5;
-
-/// Pauses between two times at which calls are deferred, in milliseconds.
-const DEFERRAL_PAUSE_MILLIS: std::ops::Range<u64> = 1_000..4_000;
-
-/// Pauses between two restores, in milliseconds.
-const RESTORE_PAUSE_MILLIS: std::ops::Range<u64> = 2_000..9_000;
-
 /// Pauses between two of them, in milliseconds.
 const SIGNAL_PAUSE_MILLIS: std::ops::Range<u64> = 800..2_500;
 
@@ -358,53 +343,6 @@
     schedule
 }
 
-/// Draws restores of the store, from a stream of its own, for the same reason.
-pub fn draw_restores(seed: u64, length: Duration, pace: Pace) -> Vec<ScheduledFault> {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    random.set_stream(RESTORES_STREAM);
-    let mut schedule = Vec::new();
-    let mut at = pace.stretched(Duration::from_millis(random.random_range(RESTORE_PAUSE_MILLIS)));
-    while at < length {
-        schedule.push(ScheduledFault {
-            at,
-            lasts: Duration::from_millis(random.random_range(LENGTH_MILLIS)),
-            fault: Fault::RestoreStore,
-        });
-        at += pace.stretched(Duration::from_millis(random.random_range(RESTORE_PAUSE_MILLIS)));
-    }
-    schedule
-}
-
-/// Draws when the platform leaves calls unanswered and carries them out later, from a stream of its own, for the same reason.
-pub fn draw_deferrals(seed: u64, length: Duration, targets: Targets, pace: Pace) -> Vec<ScheduledFault> {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    random.set_stream(DEFERRALS_STREAM);
-    let mut schedule = Vec::new();
-    let mut at = pace.stretched(Duration::from_millis(random.random_range(DEFERRAL_PAUSE_MILLIS)));
-    while at < length {
-        let node = random.random_range(0..targets.nodes);
-        let fault = match random.random_range(0..5) {
-            0 => Fault::DeferTransactions(node),
-            1..3 => Fault::DeferTransactionsOfAll,
-            _ => Fault::DeferDutyCalls,
-        };
-        schedule.push(ScheduledFault {
-            at,
-            lasts: Duration::from_millis(random.random_range(LENGTH_MILLIS)),
-            fault,
-        });
-        at += pace.stretched(Duration::from_millis(random.random_range(DEFERRAL_PAUSE_MILLIS)));
-    }
-    schedule
-}
-
-/// Whether the interface of the seed's deployment checks fences: one in two does.
-pub fn draw_fences_checked(seed: u64) -> bool {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    random.set_stream(FENCES_STREAM);
-    random.random_bool(0.5)
-}
-
 fn draw_signal(random: &mut ChaCha8Rng, targets: Targets) -> Fault {
     let engine = random.random_range(0..targets.engines);
     match random.random_range(0..10) {
--- a/crates/lab/src/fault_soak/striking.rs
+++ b/crates/lab/src/fault_soak/striking.rs
@@ -86,6 +86,7 @@
 
 /// Carries out a fault and notes what of it is the platform's, and where it heals links.
 fn strike_platform(deployment: &Deployment, scheduled: &ScheduledFault, begun: Instant) {
+    log::info!(fault:? = scheduled.fault; "fault_struck");
     if scheduled.fault.disrupts_platform() {
         deployment.disrupt_platform(begun, || strike_one(deployment, scheduled, begun));
     } else {
@@ -94,6 +95,7 @@
     if scheduled.fault.heals_links() {
         deployment.heal_noted(scheduled.fault.struck(), begun, || {});
     }
+    log::info!(fault:? = scheduled.fault; "fault_ended");
 }
 
 fn strike_one(deployment: &Deployment, scheduled: &ScheduledFault, begun: Instant) {
--- a/crates/lab/src/users_platform/interface.rs
+++ b/crates/lab/src/users_platform/interface.rs
@@ -107,7 +107,7 @@
         let of_deferral = Arc::clone(&state);
         let deferral = Arc::new(Deferral::start(move |call| {
             let status = lock(&of_deferral).take(&call);
-            log::info!(status, path = call.path.as_str(), holder = call.holder.as_str(); "interface_call_made_late");
+            log::info!(status, path = call.path.as_str(), holder = call.holder.as_str(), token = call.token; "interface_call_made_late");
             status == 200
         })?);
         let handler = Arc::new(InterfaceHandler {
--- a/crates/lab/src/users_platform/store.rs
+++ b/crates/lab/src/users_platform/store.rs
@@ -173,7 +173,9 @@
         state.forgotten = copy.version;
         state.history.clear();
         state.era += 1;
+        let (era, version) = (state.era, state.version);
         drop(state);
+        log::info!(era, version; "stand_in_store_restored");
         self.shared.changed.notify_all();
     }
 
--- a/crates/lab/tests/fault_soak_authority.rs
+++ b/crates/lab/tests/fault_soak_authority.rs
@@ -5,9 +5,8 @@
 use shelfjunction_lab::fault_soak::authority::{Circumstances, SeenDutyCall, judge};
 use shelfjunction_lab::fault_soak::disturbances::{Disturbances, Struck};
 use shelfjunction_lab::fault_soak::oracle::Violation;
-use shelfjunction_lab::fault_soak::schedule::{
-    Fault, Pace, Targets, draw, draw_deferrals, draw_fences_checked, draw_restores,
-};
+use shelfjunction_lab::fault_soak::platform_schedule::{draw_deferrals, draw_fences_checked, draw_restores};
+use shelfjunction_lab::fault_soak::schedule::{Fault, Pace, Targets, draw};
 use shelfjunction_lab::fault_soak::usage_windows::{self, WindowCount};
 use shelfjunction_lab::users_platform::UsageReport;
 use std::time::Duration;
