A stopping node sends nothing into an engine's queue that may outlast the stop

Calls that came in the first 0.3 of the time after SIGTERM were taken however long they might last, waited in their engines' queues until the stop ended them, and got 502, which callers may not repeat.

A request whose time the stop cuts is now not sent to an engine whose places are taken, as far as the node knows; another engine is chosen, and where there is none it is refused with 503, which is true. What a stop keeps from being served is asked to come back at once (20 ms), since another node takes it.

Measured: a_stopping_node_refuses_what_would_wait_in_an_engines_queue got 502 without the check in the gate and holds with it.

--- a/crates/node/src/course/answering.rs
+++ b/crates/node/src/course/answering.rs
@@ -105,7 +105,7 @@
             }
             Outcome::Completed => false,
             Outcome::NotRun(refusal) => self.say(OwnAnswer::NotRun {
-                retry_after: retry_after(refusal),
+                retry_after: self.retry_after(refusal),
             }),
             Outcome::Failed(Failure::DeadlinePassed) | Outcome::Unknown(Failure::DeadlinePassed) => {
                 self.say(OwnAnswer::TimeOver)
@@ -114,6 +114,14 @@
         }
     }
 
+    /// When the caller should come back. What only a stop keeps from being served is served by another node at once.
+    fn retry_after(&self, refusal: &Refusal) -> Duration {
+        if self.ends_with_process {
+            return STOPPING_RETRY_AFTER;
+        }
+        refusal.retry_after.unwrap_or(RETRY_AFTER)
+    }
+
     fn relay_whole(&mut self) -> bool {
         let Some(whole) = self.whole.take() else {
             return false;
@@ -152,14 +160,6 @@
     }
 }
 
-fn retry_after(refusal: &Refusal) -> Duration {
-    let usual = match refusal.reason {
-        RefusalReason::Stopping => STOPPING_RETRY_AFTER,
-        _ => RETRY_AFTER,
-    };
-    refusal.retry_after.unwrap_or(usual)
-}
-
 fn outcome_name(outcome: &Outcome) -> &'static str {
     match outcome {
         Outcome::Completed => "completed",
--- a/crates/node/src/course/gate.rs
+++ b/crates/node/src/course/gate.rs
@@ -40,7 +40,8 @@
         purpose: Purpose,
     ) -> Option<Event> {
         let instead = self
-            .not_accepted(engine, attempt, purpose)
+            .withheld_from_queue(engine, attempt)
+            .or_else(|| self.not_accepted(engine, attempt, purpose))
             .or_else(|| self.take_slot(choice, engine, attempt, purpose))
             // The engine may have said more while the request waited for its slot.
             .or_else(|| self.not_accepted(engine, attempt, purpose));
