Rows that a restore or a late call left do not outlive the first claim of an era

A row that can't be read made a holder rewrite it without end and without a pause.

The first claim in an era now removes, in its own transaction, records that are left out and those whose figures differ from what this process knows; the latter are written again. Figures that were read before that claim are forgotten when the rows are read again. A rewrite replaces whatever rows the window has, each transaction that is not plainly made is followed by a pause, and an unreadable row of progress of an older era is no obstacle. At most 64 rows are removed, the newest first: a late call can only have made the newest.

--- a/crates/core/src/metering/record.rs
+++ b/crates/core/src/metering/record.rs
@@ -80,6 +80,24 @@
     pub era: Option<u64>,
 }
 
+/// Rows that the first claim in an era removes at most; the store takes 100 entries at once.
+const MAX_REMOVED_BY_CLAIM: usize = 64;
+
+/// The claim with which a holder begins in an era: it also removes records that must not be reported. Where they are too many the newest
+/// go: only the newest one can have been made after the restore.
+pub fn claiming_anew(
+    before: Option<ProgressRow>,
+    era: u64,
+    progress: Progress,
+    stray: &BTreeSet<Served>,
+) -> Transaction {
+    let mut transaction = claiming(before, era, progress);
+    let newest_first: Vec<Served> = stray.iter().rev().copied().collect();
+    let removed = removals(&newest_first).take(MAX_REMOVED_BY_CLAIM);
+    transaction.writes.extend(removed);
+    transaction
+}
+
 /// Changes the row of progress, on the condition that it is as it was read. A row of an earlier era is replaced.
 pub fn claiming(before: Option<ProgressRow>, era: u64, progress: Progress) -> Transaction {
     let key = progress_key(era);
@@ -114,6 +132,23 @@
     before: ProgressRow,
     progress: Progress,
     served: &[Served],
+) -> Transaction {
+    let mut transaction = rewriting(window, counts, before, progress, served);
+    // Builds that don't know the row of progress may have recorded it.
+    transaction.checks.push(Check {
+        key: piece_key(window, 0),
+        expected: None,
+    });
+    transaction
+}
+
+/// The same, whatever rows the window has.
+pub fn rewriting(
+    window: WindowNumber,
+    counts: &TenantCounts,
+    before: ProgressRow,
+    progress: Progress,
+    served: &[Served],
 ) -> Transaction {
     let tenants: Vec<(&TenantId, &u64)> = counts.iter().collect();
     let pieces = tenants.len().div_ceil(TENANTS_PER_ROW).max(1);
@@ -130,21 +165,22 @@
     let claim = claiming(Some(before), before.era, progress);
     let mut writes: Vec<Write> = (0..pieces).map(piece).collect();
     writes.extend(claim.writes);
-    let removed = served
+    writes.extend(removals(served));
+    Transaction {
+        checks: claim.checks,
+        writes,
+    }
+}
+
+fn removals(records: &[Served]) -> impl Iterator<Item = Write> {
+    let keys = records
         .iter()
         .flat_map(|one| (0..one.pieces).map(|index| piece_key(one.window, index)));
-    writes.extend(removed.map(|key| Write { key, value: None }));
-    let mut checks = claim.checks;
-    // Builds that don't know the row of progress may have recorded it.
-    checks.push(Check {
-        key: piece_key(window, 0),
-        expected: None,
-    });
-    Transaction { checks, writes }
+    keys.map(|key| Write { key, value: None })
 }
 
 /// A record that is needed no more.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Served {
     /// Its window.
     pub window: WindowNumber,
@@ -167,7 +203,7 @@
     let mut records = Records::default();
     let mut pieces: BTreeMap<WindowNumber, Vec<PieceRow>> = BTreeMap::new();
     let mut windows: BTreeSet<WindowNumber> = BTreeSet::new();
-    let mut is_known = true;
+    let mut unreadable_progress = None;
     let mut faults = Vec::new();
     for row in rows {
         records.era = records.era.max(Some(StorePosition::era_of(row.version.0)));
@@ -177,7 +213,9 @@
             }),
             Some(Name::Progress(era)) => {
                 let read = serde_json::from_str(&row.value);
-                is_known &= read.is_ok();
+                if read.is_err() {
+                    unreadable_progress = unreadable_progress.max(Some(era));
+                }
                 read.map(|progress| records.take_progress(era, row.version, progress))
             }
             Some(Name::Piece(window)) => {
@@ -204,6 +242,8 @@
         .recorded_through
         .max(records.confirmed_through)
         .max(windows.last().copied());
+    let newest_progress = records.progress.map(|row| row.era);
+    let is_known = unreadable_progress.is_none() || unreadable_progress < newest_progress;
     (is_known.then_some(records), faults)
 }
 
--- a/crates/core/src/metering/reporter.rs
+++ b/crates/core/src/metering/reporter.rs
@@ -5,7 +5,7 @@
 //! of progress is as this process last read or wrote it ([`super::record`]); a new holder first puts its token there.
 
 use super::config::MeteringSettings;
-use super::record::{Progress, ProgressRow, Records, Served, claiming, recording};
+use super::record::{Progress, ProgressRow, Records, Served, claiming, claiming_anew, recording, rewriting};
 pub use super::report_step::{SendOutcome, Step};
 use super::restores::RestoreWatch;
 use super::tally::{TenantCounts, UsageTally};
@@ -56,6 +56,8 @@
     windows: BTreeMap<WindowNumber, Phase>,
     /// Windows whose figures are known from rows alone that were read before the first claim in an era.
     unproven: BTreeSet<WindowNumber>,
+    /// Records that must not be reported, and that the first claim in an era removes.
+    stray: BTreeSet<Served>,
     recorded_through: Option<WindowNumber>,
     confirmed_through: Option<WindowNumber>,
     served: Vec<Served>,
@@ -76,6 +78,7 @@
             progress: None,
             windows: BTreeMap::new(),
             unproven: BTreeSet::new(),
+            stray: BTreeSet::new(),
             recorded_through: None,
             confirmed_through: None,
             served: Vec::new(),
@@ -151,12 +154,21 @@
     fn take_records(&mut self, records: Records) {
         let may_be_older = !self.restores.has_claimed(self.era);
         self.served.clear();
-        self.unproven.clear();
+        self.stray.clear();
+        for window in std::mem::take(&mut self.unproven) {
+            self.windows.remove(&window);
+        }
         self.recorded_through = self.recorded_through.max(records.recorded_through);
         self.confirmed_through = self.confirmed_through.max(records.confirmed_through);
         let known = std::mem::take(&mut self.windows);
         for (window, phase) in known {
-            let is_there = records.reports.contains_key(&window);
+            let is_there = match (&phase, records.reports.get(&window)) {
+                (Phase::Recorded(own) | Phase::Lost(own), Some(row)) if own != row => {
+                    self.stray.insert(Served::of(window, row));
+                    false
+                }
+                (_, row) => row.is_some(),
+            };
             let phase = match phase {
                 Phase::Recorded(counts) | Phase::Lost(counts) if is_there => Phase::Recorded(counts),
                 Phase::Lost(counts) => Phase::Lost(counts),
@@ -175,7 +187,9 @@
                 self.served.push(Served::of(window, &counts));
             } else {
                 self.windows.insert(window, Phase::Recorded(counts));
-                self.unproven.insert(window);
+                if may_be_older {
+                    self.unproven.insert(window);
+                }
             }
         }
     }
@@ -192,8 +206,14 @@
         if let Some(through) = left_out_through {
             self.leave_out(through);
         }
+        let progress = self.progress_now();
+        let transaction = if is_first {
+            claiming_anew(self.progress, self.era, progress, &self.stray)
+        } else {
+            claiming(self.progress, self.era, progress)
+        };
         Step::Claim {
-            transaction: claiming(self.progress, self.era, self.progress_now()),
+            transaction,
             left_out_through,
         }
     }
@@ -202,7 +222,9 @@
     fn leave_out(&mut self, through: WindowNumber) {
         let kept = self.unproven.split_off(&WindowNumber(through.0 + 1));
         for window in std::mem::replace(&mut self.unproven, kept) {
-            self.confirm(window);
+            if let Some(Phase::Recorded(counts)) = self.windows.remove(&window) {
+                self.stray.insert(Served::of(window, &counts));
+            }
         }
         self.recorded_through = self.recorded_through.max(Some(through));
     }
@@ -211,6 +233,7 @@
     pub fn on_claimed(&mut self, outcome: &Result<TransactionOutcome, PlatformError>, now: MonotonicTime) {
         self.claimed = self.take_outcome(outcome, self.progress_now(), now);
         if self.claimed {
+            self.unproven.clear();
             self.restores
                 .note_claimed(self.token.unwrap_or_default(), self.era);
         }
@@ -249,8 +272,7 @@
                 });
                 return true;
             }
-            Ok(_) => {}
-            Err(_) => self.next_call_at = now + RETRY_AFTER,
+            Ok(_) | Err(_) => self.next_call_at = now + RETRY_AFTER,
         }
         self.loaded = false;
         false
@@ -333,7 +355,7 @@
             Phase::Lost(counts) => Some((*window, counts.clone())),
             Phase::Recorded(_) | Phase::Confirmed(_) => None,
         })?;
-        let transaction = recording(
+        let transaction = rewriting(
             window,
             &counts,
             before,
