Paths: a request has one trial at most, and none follows at once after one without an answer

What a caller may see: 502 in place of an answer of an engine that is reached. A trial of a suspected path that waits for an answer (1.8 s at a target of 600 ms) lasts longer than the interval to the next one, 1 s from its sending. When it was given up, the next trial was already due: the second and last try of the same request could be a trial as well, and so could the next request.

A trial of this router that was not answered puts the next one off by 500 ms from its end, where it is not due later anyway. Reports of other placers put off nothing: several could keep each other from trying. A second trial may still be sent beside one that waits long; those are requests of different callers, each with another try.

--- a/crates/core/src/routing/pool/paths.rs
+++ b/crates/core/src/routing/pool/paths.rs
@@ -44,8 +44,8 @@
 /// distort it.
 const MAX_ANSWER_GAP: Duration = Duration::from_millis(500);
 
-/// Initial interval between trial requests over a suspected path. A trial may delay its caller by the maximum wait for
-/// a connection, 250 ms.
+/// Initial interval between trial requests over a suspected path, and minimum time between the end of one that was not answered
+/// and the next. A trial may delay its caller by the maximum wait for a connection, 250 ms, or for an answer.
 const INITIAL_TRIAL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Maximum interval between trial requests over a suspected path. Limits the time until a restored path is detected.
@@ -170,7 +170,10 @@
         self.add_missing_paths(from, to);
         let request = UnansweredRequest::new(from, to, engine, sent_at, now);
         let paths = self.paths.iter_mut().filter(|path| path.connects(from, to));
-        let changes = paths.filter_map(|path| path.on_unanswered_request(&request, engine_count, now));
+        let changes = paths.filter_map(|path| {
+            path.on_own_trial_unanswered(sent_at, now);
+            path.on_unanswered_request(&request, engine_count, now)
+        });
         self.changes.extend(changes);
         self.changes.truncate(MAX_PENDING_PATH_CHANGES);
     }
@@ -388,6 +391,17 @@
         }
     }
 
+    /// Delays the next trial: the last one may have waited longer than the interval, and the next request would wait as well.
+    fn on_own_trial_unanswered(&mut self, sent_at: MonotonicTime, now: MonotonicTime) {
+        if let Phase::Suspected {
+            since, next_trial_at, ..
+        } = &mut self.phase
+            && sent_at >= *since
+        {
+            *next_trial_at = (*next_trial_at).max(now + INITIAL_TRIAL_INTERVAL);
+        }
+    }
+
     fn change(&self, state: PathState, elapsed: Duration) -> PathChange {
         PathChange {
             zone: self.zone.clone(),
--- a/crates/core/tests/paths.rs
+++ b/crates/core/tests/paths.rs
@@ -151,6 +151,22 @@
         assert_eq!(trials, [500, 1_500, 3_500, 5_500, 7_500, 9_500]);
     }
 
+    #[test]
+    fn the_next_trial_does_not_follow_at_once_after_one_that_was_not_answered() {
+        let mut fixture = PathFixture::new();
+        fixture.suspect();
+        fixture.paths.record_request(&fixture.a, &fixture.b, after(750));
+        fixture.record_unanswered_request(1, after(750), after(2_550));
+        assert!(!fixture.admits(after(2_550)));
+        assert!(!fixture.admits(after(3_049)));
+        assert!(fixture.admits(after(3_050)));
+        fixture.record_unanswered_request(2, NOW, after(3_050));
+        assert!(
+            fixture.admits(after(3_050)),
+            "it was sent before the path was suspected"
+        );
+    }
+
     #[test]
     fn requests_that_must_not_be_repeated_are_not_used_as_trials() {
         let mut fixture = PathFixture::new();
@@ -328,8 +344,8 @@
     use crate::pool_support::{engine_with, pool, router_with};
     use shelfjunction_core::identity::EngineId;
     use shelfjunction_core::routing::pool::{
-        EngineStage, KvCacheSource, PoolEngine, PoolQuery, PoolRouter, PoolWeights, PromptPart, PromptShape,
-        RequestConstraints,
+        EngineStage, KvCacheSource, PoolEngine, PoolQuery, PoolRoute, PoolRouter, PoolWeights, PromptPart,
+        PromptShape, RequestConstraints,
     };
 
     struct TestRequest {
@@ -443,6 +459,45 @@
         assert_eq!(chosen(&router, after(900)).zone, zone("zone-a"));
     }
 
+    #[test]
+    fn a_request_whose_trial_was_not_answered_is_not_tried_over_a_suspected_path_again() {
+        let beyond = ["w-b1", "w-b2", "w-b3"].map(|id| engine_in(id, EngineStage::Whole, "zone-b"));
+        let near = engine_in("w-a", EngineStage::Whole, "zone-a");
+        let mut engines = beyond.to_vec();
+        engines.push(near.clone());
+        let mut router = router_with(PoolWeights::default(), 8, None, &engines);
+        let request = TestRequest::new();
+        let query = PoolQuery {
+            prompt: None,
+            prefixes: &[],
+            ..request.query()
+        };
+        let send = |router: &mut PoolRouter, engine: &EngineId, now| {
+            router.on_output_sent(engine, &query, KvCacheSource::Prefill, now)
+        };
+        let chosen = |router: &PoolRouter, query: &PoolQuery<'_>, now| match router.choose(query, now) {
+            PoolRoute::Whole(engine) => engine,
+            other => panic!("{other:?}"),
+        };
+        for engine in &beyond {
+            let ticket = send(&mut router, &engine.id, NOW);
+            router.on_unanswered_request(&ticket, after(250));
+        }
+        for _ in 0..8 {
+            send(&mut router, &near.id, after(900));
+        }
+        let tried = chosen(&router, &query, after(900));
+        assert_eq!(tried.zone, zone("zone-b"), "the engine in zone-a is busy");
+        let trial = send(&mut router, &tried.id, after(900));
+        router.on_unanswered_request(&trial, after(2_700));
+        // The next trial has been due since 1,900 ms.
+        let again = PoolQuery {
+            excluded: &[tried.id],
+            ..query.clone()
+        };
+        assert_eq!(chosen(&router, &again, after(2_700)).id, near.id);
+    }
+
     #[test]
     fn a_suspected_path_is_used_if_there_is_no_alternative() {
         let engines = ["d-1", "d-2", "d-3"].map(|id| engine_in(id, EngineStage::Decode, "zone-b"));
