--- a/crates/core/tests/report_world/mod.rs
+++ b/crates/core/tests/report_world/mod.rs
@@ -53,6 +53,10 @@
     CallsLate {
         millis: u64,
     },
+    /// The platform's interface is down.
+    PlatformDown {
+        millis: u64,
+    },
 }
 
 type Rows = BTreeMap<RowKey, (u64, String)>;
@@ -171,6 +175,7 @@
     late: BTreeMap<(u64, u64), Late>,
     late_calls: u64,
     calls_late_until: u64,
+    platform_down_until: u64,
 }
 
 impl World {
@@ -191,6 +196,7 @@
             late: BTreeMap::new(),
             late_calls: 0,
             calls_late_until: 0,
+            platform_down_until: 0,
         };
         for number in 0..processes {
             let process = world.start(number);
@@ -228,6 +234,7 @@
                 self.store.restore_at = Some((now + away_millis, now.saturating_sub(age_millis)));
             }
             Fault::CallsLate { millis } => self.calls_late_until = now + millis,
+            Fault::PlatformDown { millis } => self.platform_down_until = now + millis,
         }
     }
 
@@ -283,7 +290,11 @@
         {
             match entry.remove() {
                 Late::Store(transaction) if !self.is_away() => drop(self.store.transact(&transaction)),
-                Late::Store(_) => {}
+                Late::Store(transaction) => {
+                    self.late_calls += 1;
+                    let at = self.store.away_until.max(self.now) + 100;
+                    self.late.insert((at, self.late_calls), Late::Store(transaction));
+                }
                 Late::Report(window, counts) => self.platform.take(window, &counts),
             }
         }
@@ -317,6 +328,10 @@
             let found = self.read(process, &key)?;
             return Ok(TransactionOutcome::Conflict { key, found });
         }
+        if self.now < self.calls_late_until && self.random.random_bool(0.25) {
+            drop(self.store.transact(transaction));
+            return Err(PlatformError::AnswerLost);
+        }
         if !self.is_answered(|| Late::Store(transaction.clone())) {
             return Err(PlatformError::AnswerLost);
         }
@@ -407,6 +422,9 @@
                 return;
             };
             self.carry_out(number, token, step);
+            if self.now < self.calls_late_until && self.random.random_bool(0.2) {
+                return;
+            }
         }
         panic!("a holder makes calls without end");
     }
@@ -439,7 +457,8 @@
                 reporter.on_recorded(window, counts, &outcome, now);
             }
             Step::Send { window, counts } => {
-                let is_cut_off = self.now < self.processes[number].cut_off_until;
+                let is_cut_off =
+                    self.now < self.processes[number].cut_off_until.max(self.platform_down_until);
                 let report = || Late::Report(window, counts.clone());
                 let outcome = if !is_cut_off && self.is_answered(report) {
                     self.platform.take(window, &counts);
--- a/crates/core/tests/usage_restores.rs
+++ b/crates/core/tests/usage_restores.rs
@@ -113,6 +113,7 @@
         3 => (0_u64..12_000, 0_u64..4_000)
             .prop_map(|(age_millis, away_millis)| Fault::Restore { age_millis, away_millis }),
         2 => (500_u64..8_000).prop_map(|millis| Fault::CallsLate { millis }),
+        2 => (500_u64..12_000).prop_map(|millis| Fault::PlatformDown { millis }),
     ]
 }
 
@@ -138,3 +139,46 @@
         prop_assert!(world.last_reported().0 >= reported.0 + 6, "reports go on");
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn a_recording_that_is_lost_around_a_restore_and_a_kill_gives_no_second_report(
+        seed in any::<u64>(),
+        begin in 9_000_u64..17_000,
+        late in 500_u64..3_000,
+        until_restore in 0_u64..3_000,
+        (age_millis, away_millis) in (0_u64..3_000, 0_u64..1_000),
+        platform_down in prop::option::of(3_000_u64..12_000),
+        pause in prop::option::of((0_usize..3, 3_000_u64..9_000)),
+        is_killed_at_once in any::<bool>(),
+        (until_kill, kills) in (0_u64..9_000, 0_usize..3),
+    ) {
+        let mut world = World::new(3, seed);
+        world.run(begin);
+        world.strike(Fault::CallsLate { millis: late });
+        if let Some(millis) = platform_down {
+            world.strike(Fault::PlatformDown { millis });
+        }
+        world.run(begin + until_restore);
+        if let Some((process, millis)) = pause {
+            world.strike(Fault::Pause { process, millis });
+        }
+        world.strike(Fault::Restore { age_millis, away_millis });
+        if is_killed_at_once && let Some(holder) = world.holder() {
+            world.strike(Fault::Kill(holder));
+        }
+        world.run(world.now() + until_kill);
+        for _ in 0..kills {
+            if let Some(holder) = world.holder() {
+                world.strike(Fault::Kill(holder));
+            }
+            if pause.is_some() {
+                world.strike(Fault::CallsLate { millis: late });
+            }
+            world.run(world.now() + 6_000);
+        }
+        world.run(world.now() + 25_000);
+    }
+}
