--- a/crates/core/src/forwarding/stopping.rs
+++ b/crates/core/src/forwarding/stopping.rs
@@ -1,4 +1,4 @@
-//! Which calls a process that has been told to stop still takes, and until when it waits for their engines.
+//! Which calls a stopping process still takes, and until when it waits for their engines.
 //!
 //! ```text
 //! answered = end - min(end / 10, 500 ms)      (every call that is under way then ends with an answer)
--- a/crates/core/src/lease/keeper.rs
+++ b/crates/core/src/lease/keeper.rs
@@ -291,7 +291,7 @@
                 self.highest_token = self.highest_token.max(epoch.token);
                 self.era_epoch_version = Some(row.version);
             }
-            // Nobody can tell which tokens were used.
+            // Which tokens were used is not known.
             Err(_) => self.next_call_at = now + self.timings.read_every(),
         }
     }
--- a/crates/core/src/lease/keeper/calls.rs
+++ b/crates/core/src/lease/keeper/calls.rs
@@ -50,7 +50,7 @@
         }
     }
 
-    /// Whether nobody else could hold the lease then; whoever takes it later changes the row.
+    /// Whether nobody else could hold the lease then; a later taking changes the row.
     fn is_exclusive_at(&self, instant: MonotonicTime) -> bool {
         self.exclusive_until.is_some_and(|until| instant < until)
     }
--- a/crates/core/src/metering/report_step.rs
+++ b/crates/core/src/metering/report_step.rs
@@ -25,7 +25,7 @@
         counts: TenantCounts,
         /// The transaction.
         transaction: Transaction,
-        /// Whether every node has told all.
+        /// Whether every node has reported all its counts of the window.
         whole: bool,
     },
     /// Make the transaction that records a window again as it was recorded, since a restored store lacks it.
