--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -127,6 +127,8 @@
     /// Bytes kept for callers that read slowly.
     pub(crate) kept_for_callers: KeptForCallers,
     waits: Mutex<CallerWaits>,
+    /// When settings were last read again.
+    reloaded_at: Mutex<Option<MonotonicTime>>,
     list_changed_at: Mutex<MonotonicTime>,
     /// Since when engines are kept that a restored store does not have.
     unconfirmed_since: Mutex<Option<MonotonicTime>>,
@@ -258,6 +260,7 @@
             stream_origins: StreamOrigins::default(),
             kept_for_callers: KeptForCallers::default(),
             waits: Mutex::new(CallerWaits::default()),
+            reloaded_at: Mutex::default(),
             list_changed_at: Mutex::new(MonotonicTime::default()),
             unconfirmed_since: Mutex::default(),
             config,
@@ -270,6 +273,7 @@
 
     /// Takes the zones and regions of new settings. Settings that do not fit this node change nothing.
     pub(crate) fn set_topology(&self, settings: &TopologySettings) {
+        *lock(&self.reloaded_at) = Some(self.now());
         let faults = settings.validate(&self.config.zone);
         if let Some(fault) = faults.first() {
             return log::warn!(field = fault.field.as_str(), value = fault.value.as_str(); "topology_refused");
@@ -582,6 +586,18 @@
         Some(began? + stopping::answered_after(self.config.end_after_stop()))
     }
 
+    /// Time since the signal to stop; absent before it.
+    pub(crate) fn stop_age(&self) -> Option<Duration> {
+        let began = *lock(&self.state.stop_began);
+        began.map(|began| self.now().since(began))
+    }
+
+    /// Time since settings were last read again; absent where they were not.
+    pub(crate) fn reload_age(&self) -> Option<Duration> {
+        let reloaded_at = *lock(&self.reloaded_at);
+        reloaded_at.map(|at| self.now().since(at))
+    }
+
     /// Time since the list of engines last changed.
     pub(crate) fn list_unchanged_for(&self) -> Duration {
         self.now().since(*lock(&self.list_changed_at))
--- a/crates/node/src/course/answering.rs
+++ b/crates/node/src/course/answering.rs
@@ -138,6 +138,7 @@
             End::CallerGone => ("caller_gone", "caller_gone"),
             End::Finished(outcome) => (outcome_name(outcome), cause_name(outcome)),
         };
+        self.note_stream_cut(end, now);
         let late = self.lateness();
         let metrics = &self.context.metrics;
         metrics.request_ended(outcome, cause, now.since(self.arrived));
--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -23,6 +23,9 @@
 /// Why a connection broke that says nothing of its engine's end: connecting would only wait as long again.
 pub(super) const SILENT: &str = "silent";
 
+/// Why an answer counts as broken whose end only its connection told, and whose engine did not confirm that it lives.
+pub(super) const END_NOT_CONFIRMED: &str = "end_not_confirmed";
+
 /// What became of an engine whose connection broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum EngineFate {
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -8,6 +8,7 @@
 use super::pauses::StreamPauses;
 use super::routing;
 use super::spilling::{self, SpillCourse};
+use super::stream_end::BrokenDispatch;
 use crate::context::Context;
 use crate::ports::{AnswerHead, Call, CallerConnection};
 use crate::quarantine::Trial;
@@ -92,6 +93,10 @@
     pub(super) origin: Option<StreamOrigin>,
     /// Since when no engine that may continue the stream takes it.
     pub(super) without_engine_since: Option<MonotonicTime>,
+    /// The last dispatch that broke.
+    pub(super) last_broken: Option<BrokenDispatch>,
+    /// Why no engine has continued the request since then; the last cause of several.
+    pub(super) not_continued: Option<&'static str>,
     /// The last choice of engines that the machine asked for.
     last_choice: Option<Action>,
     pub(super) first_event_at: Option<MonotonicTime>,
@@ -189,6 +194,8 @@
             events_delivered: 0,
             origin,
             without_engine_since: None,
+            last_broken: None,
+            not_continued: None,
             last_choice: None,
             first_event_at: None,
             last_event_at: None,
@@ -300,6 +307,7 @@
                 Event::Placed(placement)
             }
             None => {
+                self.not_continued = Some("no_engine");
                 let until_spill = self.time_until_spill().unwrap_or_default();
                 let retry_after = self.return_when_accepted();
                 Event::Nowhere(Refusal {
@@ -343,6 +351,7 @@
 
     fn ask_retry(&mut self, tried: u32) {
         if self.is_withheld_from_repeats() {
+            self.not_continued = Some("withheld");
             return self.take(Event::RetryDenied);
         }
         let free = std::mem::take(&mut self.last_not_sent);
@@ -383,6 +392,8 @@
         );
         if decision.granted {
             self.arrivals.note_grant();
+        } else {
+            self.not_continued = Some("repeat_denied");
         }
         decision.granted
     }
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -16,6 +16,7 @@
 mod routing;
 mod spilling;
 mod stopping;
+mod stream_end;
 mod stream_origin;
 mod suspicion;
 mod taking_up;
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -1,8 +1,9 @@
 //! Takes what an engine's connection says.
 
-use super::crash_evidence::{EngineFate, SILENT};
+use super::crash_evidence::{END_NOT_CONFIRMED, EngineFate, SILENT};
 use super::driver::{Driver, WholeAnswer};
 use super::exchange::{Exchange, Purpose};
+use super::stream_end::BrokenDispatch;
 use crate::engine_signals;
 use crate::metering;
 use crate::ports::{AnswerHead, EngineReading};
@@ -43,7 +44,7 @@
                 })
             }
             EngineReading::Ended | EngineReading::Whole { .. } if !self.is_whole(&reading) => {
-                Some(self.broken("end_not_confirmed"))
+                Some(self.broken(END_NOT_CONFIRMED))
             }
             EngineReading::Ended => {
                 if !self.events_open {
@@ -227,13 +228,22 @@
         let Some(exchange) = self.exchange.take() else {
             return Event::DeadlineReached;
         };
+        let now = self.context.now();
+        let silence = now.since(exchange.asked_at);
+        self.not_continued = None;
+        self.last_broken = Some(BrokenDispatch {
+            engine: exchange.engine.clone(),
+            cause,
+            silence,
+        });
         log::info!(
             request = self.call.request.as_str(),
             engine = exchange.engine.as_str(),
             purpose = exchange.purpose.name(),
             cause,
             opened = exchange.head.is_some(),
-            after_millis = self.context.now().since(exchange.sent_at).as_millis() as u64;
+            silent_millis = silence.as_millis() as u64,
+            after_millis = now.since(exchange.sent_at).as_millis() as u64;
             "dispatch_broken"
         );
         self.context
--- a/crates/node/src/streams/metrics.rs
+++ b/crates/node/src/streams/metrics.rs
@@ -1,4 +1,4 @@
-//! Figures about streams that are continued at another engine.
+//! Figures about streams that are continued at another engine, and of those that are not.
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -17,11 +17,19 @@
     result: &'static str,
 }
 
-/// Figures about streams that are continued at another engine.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CutLabels {
+    ended_by: &'static str,
+    cause: &'static str,
+    not_continued: &'static str,
+}
+
+/// Figures about streams that are continued at another engine, and of those that are not.
 #[derive(Default)]
 pub(crate) struct StreamMetrics {
     continued: Family<VersionLabel, Counter>,
     taken_up: Family<ResultLabel, Counter>,
+    cut: Family<CutLabels, Counter>,
     /// Streams in the registry.
     pub(crate) known: Gauge,
 }
@@ -38,6 +46,11 @@
             "Streams that callers took up from an earlier answer: known_here, known_at_peer; refused as not_known, other_pool",
             self.taken_up.clone(),
         );
+        registry.register(
+            "streams_cut",
+            "Streams that had begun and were closed without their end: by caller, deadline, engine, node (its own conclusion) or stop; why the last dispatch counted as broken, and why no engine continued it",
+            self.cut.clone(),
+        );
         registry.register(
             "streams_known",
             "Streams whose origin this node knows",
@@ -50,6 +63,16 @@
         self.taken_up.get_or_create(&ResultLabel { result }).inc();
     }
 
+    /// Counts a stream that is closed without its end.
+    pub(crate) fn count_cut(&self, ended_by: &'static str, cause: &'static str, not_continued: &'static str) {
+        let labels = CutLabels {
+            ended_by,
+            cause,
+            not_continued,
+        };
+        self.cut.get_or_create(&labels).inc();
+    }
+
     /// Counts a continuation; the name of how the versions compare.
     pub(crate) fn count_continued(&self, began: &StreamOrigin, continued: &StreamOrigin) -> &'static str {
         let version = match (&began.software_version, &continued.software_version) {
