--- a/crates/core/src/request/forwarding.rs
+++ b/crates/core/src/request/forwarding.rs
@@ -83,6 +83,21 @@
         actions
     }
 
+    /// Goes back to an earlier state of the course, in which an engine has the request that was left aside while another one was
+    /// looked for. What the search has used up stays used up; what it holds is freed.
+    pub fn return_to(&mut self, earlier: Self) -> Option<Action> {
+        let search = std::mem::replace(self, earlier);
+        // The run that is returned to was counted as over.
+        self.runs = search.runs.saturating_sub(1).max(self.runs);
+        self.placements = search.placements;
+        self.attempts = search.attempts;
+        let held = search.transfer.filter(|_| self.transfer.is_none())?;
+        Some(Action::Forward(ForwardAction::FreeTransfer {
+            source: held.source,
+            transfer: held.transfer,
+        }))
+    }
+
     /// Frees a KV cache that nobody will fetch, ahead of the action that ends the course.
     pub(super) fn free_transfer_before_the_end(&mut self, actions: &mut Vec<Action>) {
         if let Some(held) = self.transfer.take() {
--- a/crates/core/tests/opaque_requests.rs
+++ b/crates/core/tests/opaque_requests.rs
@@ -334,3 +334,44 @@
         );
     }
 }
+
+#[test]
+fn runs_of_a_failed_search_stay_used_when_the_course_returns_to_a_kept_run() {
+    let whole = |name, port| Event::Placed(Placement::Whole(target(name, port)));
+    let mut machine = machine(RepeatRule::Resumable, 2);
+    machine.handle(Event::Admitted, NOW);
+    let (kept, ..) = first_dispatch(&machine.handle(whole("silent", 1), NOW));
+    let first_event = Event::Forwarded {
+        attempt: kept.clone(),
+        part: OpaquePart::Event { id: 1 },
+    };
+    machine.handle(first_event, NOW);
+    let earlier = machine.clone();
+    machine.handle(
+        Event::Disconnected {
+            attempt: kept.clone(),
+        },
+        NOW,
+    );
+    machine.handle(Event::RetryGranted { not_before: NOW }, NOW);
+    let (attempt, ..) = first_dispatch(&machine.handle(whole("broken", 2), NOW));
+    let actions = machine.handle(Event::Ambiguous { attempt }, NOW);
+    assert!(
+        matches!(finish_outcome(&actions), Outcome::Unknown(_)),
+        "two runs are used up"
+    );
+
+    assert_eq!(machine.return_to(earlier), None);
+    let second_event = Event::Forwarded {
+        attempt: kept.clone(),
+        part: OpaquePart::Event { id: 2 },
+    };
+    let actions = machine.handle(second_event, NOW);
+    let delivered = OpaquePart::Event { id: 2 };
+    assert_eq!(actions, [Action::Forward(ForwardAction::Deliver(delivered))]);
+    let actions = machine.handle(Event::Disconnected { attempt: kept }, NOW);
+    assert!(
+        matches!(finish_outcome(&actions), Outcome::Unknown(_)),
+        "no third run"
+    );
+}
--- a/crates/node/src/course/answering.rs
+++ b/crates/node/src/course/answering.rs
@@ -72,6 +72,7 @@
     /// Ends the course; true where the caller's connection may carry another call.
     pub(super) fn end(mut self, end: End) -> bool {
         self.drop_exchange();
+        self.drop_kept_run();
         // Others may run beside what has ended, however slowly its caller reads.
         self.trial = None;
         let ended_at = self.context.now();
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -86,6 +86,13 @@
                 retry_after: withheld.retry_after,
             });
         }
+        // The engine of a kept run may have gone on meanwhile.
+        let went_on = self.review_kept_run(self.context.now());
+        if self.exchange.is_some() {
+            self.count_abandoned(&account);
+            self.context.rest_link(&target.engine, link, self.context.now());
+            return went_on.map_or((), |event| self.take(event));
+        }
         if let Some(tunnel) = link.tunnel() {
             tunnel.note_request(&self.call.request);
             self.context.metrics.relay.relayed_requests.inc();
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -5,6 +5,7 @@
 use super::admitting::Promise;
 use super::delivering::Undelivered;
 use super::exchange::Exchange;
+use super::kept_run::KeptRun;
 use super::pauses::StreamPauses;
 use super::routing;
 use super::spilling::{self, SpillCourse};
@@ -106,6 +107,8 @@
     pub(super) prefixes: Vec<PrefixBlock>,
     pub(super) pending: VecDeque<Action>,
     pub(super) exchange: Option<Exchange>,
+    /// Run of a silent engine, while another engine is looked for.
+    pub(super) kept_run: Option<KeptRun>,
     /// Arrivals at engines so far, and the repeats that were granted for them.
     pub(super) arrivals: ArrivalAccount,
     /// The last dispatch never left, so trying again costs no engine anything.
@@ -204,6 +207,7 @@
             prompt,
             pending: VecDeque::new(),
             exchange: None,
+            kept_run: None,
             arrivals: ArrivalAccount::default(),
             last_not_sent: false,
             prompt_told: None,
@@ -233,6 +237,7 @@
         loop {
             while let Some(action) = self.pending.pop_front() {
                 match action {
+                    Action::Finish(outcome) if self.continue_kept_run(&outcome) => {}
                     Action::Finish(outcome) => return self.end(End::Finished(outcome)),
                     Action::Detach => return self.end(End::CallerGone),
                     action => self.carry_out(action),
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -10,6 +10,7 @@
 mod driver;
 mod exchange;
 mod gate;
+mod kept_run;
 mod pauses;
 mod placing;
 mod reading;
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -229,30 +229,48 @@
             return Event::DeadlineReached;
         };
         let now = self.context.now();
-        let silence = now.since(exchange.asked_at);
-        self.not_continued = None;
-        self.last_broken = Some(BrokenDispatch {
-            engine: exchange.engine.clone(),
-            cause,
-            silence,
-        });
+        self.note_broken(&exchange, cause, now);
         log::info!(
             request = self.call.request.as_str(),
             engine = exchange.engine.as_str(),
             purpose = exchange.purpose.name(),
             cause,
             opened = exchange.head.is_some(),
-            silent_millis = silence.as_millis() as u64,
+            silent_millis = now.since(exchange.asked_at).as_millis() as u64,
             after_millis = now.since(exchange.sent_at).as_millis() as u64;
             "dispatch_broken"
         );
+        let fate = self.look_at_engine(&exchange, cause);
+        self.count_broken_dispatch(&exchange, cause, fate);
+        if exchange.head.is_some() {
+            Event::Disconnected {
+                attempt: exchange.attempt,
+            }
+        } else {
+            Event::Ambiguous {
+                attempt: exchange.attempt,
+            }
+        }
+    }
+
+    /// Notes that a dispatch counts as broken, and for how long its engine had said nothing.
+    pub(super) fn note_broken(&mut self, exchange: &Exchange, cause: &'static str, now: MonotonicTime) {
+        self.not_continued = None;
+        self.last_broken = Some(BrokenDispatch {
+            engine: exchange.engine.clone(),
+            cause,
+            silence: now.since(exchange.asked_at),
+        });
+    }
+
+    /// Counts a broken dispatch for its relay and its engine.
+    pub(super) fn count_broken_dispatch(&self, exchange: &Exchange, cause: &'static str, fate: EngineFate) {
         self.context
             .metrics
             .dispatch_ended(exchange.purpose.name(), "broken");
         if let Some(tunnel) = exchange.link.tunnel() {
             self.context.relays.on_failed(tunnel.relay, self.context.now());
         }
-        let fate = self.look_at_engine(&exchange, cause);
         let is_isolated = lock(&self.context.engine_reach).is_isolated();
         if is_isolated || fate == EngineFate::Unreached {
             self.count_abandoned(&exchange.account);
@@ -261,15 +279,6 @@
         } else {
             self.count_broken(&exchange.account);
         }
-        if exchange.head.is_some() {
-            Event::Disconnected {
-                attempt: exchange.attempt,
-            }
-        } else {
-            Event::Ambiguous {
-                attempt: exchange.attempt,
-            }
-        }
     }
 
     /// Gives up what is still under way when the course ends.
--- a/crates/node/src/course/stream_origin.rs
+++ b/crates/node/src/course/stream_origin.rs
@@ -66,7 +66,8 @@
     /// Whether the request waits for an engine that may continue its stream: engines of the version are listed, and the caller has
     /// not waited too long. Call after a choice that found none.
     pub(super) fn waits_for_continuation(&mut self, now: MonotonicTime) -> bool {
-        if self.origin.is_none() || now + RECHOOSE_INTERVAL >= self.deadline {
+        // A kept run goes on instead.
+        if self.kept_run.is_some() || self.origin.is_none() || now + RECHOOSE_INTERVAL >= self.deadline {
             return false;
         }
         let since = *self.without_engine_since.get_or_insert(now);
--- a/crates/node/src/course/waiting.rs
+++ b/crates/node/src/course/waiting.rs
@@ -32,6 +32,9 @@
             Delivery::LetGo => return Some(Event::CallerGone),
             delivery => delivery == Delivery::ReadOn,
         };
+        if let Some(event) = self.review_kept_run(now) {
+            return Some(event);
+        }
         if let Some(event) = self.push_and_read(reads_on) {
             return Some(event);
         }
@@ -86,7 +89,8 @@
         let max_wait = if exchange.reads_again {
             Duration::ZERO
         } else {
-            until.since(now).min(LONGEST_POLL)
+            let longest = self.kept_run_wait().unwrap_or(LONGEST_POLL);
+            until.since(now).min(longest)
         };
         let timeout = Timespec::try_from(max_wait).unwrap_or_default();
         let mut engine_flags = PollFlags::empty();
@@ -97,7 +101,7 @@
             engine_flags |= PollFlags::OUT;
         }
         let caller_readable = {
-            let mut waits = Vec::with_capacity(2);
+            let mut waits = Vec::with_capacity(3);
             // A connection that was reset is reported whatever is asked, again and again until it is read.
             if !engine_flags.is_empty() {
                 waits.push(PollFd::from_borrowed_fd(exchange.link.descriptor(), engine_flags));
@@ -113,11 +117,17 @@
             if !caller_flags.is_empty() {
                 waits.push(PollFd::from_borrowed_fd(self.caller.descriptor(), caller_flags));
             }
+            let watches_caller = waits.len() > first_of_caller;
+            if let Some(kept) = &self.kept_run {
+                let descriptor = kept.exchange().link.descriptor();
+                waits.push(PollFd::from_borrowed_fd(descriptor, PollFlags::IN));
+            }
             // An interrupted wait is begun again by the next round.
             let _ = poll(&mut waits, Some(&timeout));
             let takes_more = PollFlags::OUT;
             waits
                 .get(first_of_caller)
+                .filter(|_| watches_caller)
                 .is_some_and(|wait| !wait.revents().difference(takes_more).is_empty())
         };
         if caller_readable {
@@ -149,6 +159,10 @@
             // asked next, and each would cost a caller this wait; a new one is open within a few milliseconds.
             self.context.links.forget(&exchange.engine);
             self.distrusts_resting = true;
+            // An answer that has begun can only be cut, so its run is not dropped for a search that may find nothing.
+            if self.events_open && self.kept_run.is_none() {
+                return Some(self.keep_run(now));
+            }
             return Some(self.broken(SILENT));
         }
         let waited = now.since(exchange.asked_at);
--- a/crates/node/src/streams/metrics.rs
+++ b/crates/node/src/streams/metrics.rs
@@ -30,6 +30,7 @@
     continued: Family<VersionLabel, Counter>,
     taken_up: Family<ResultLabel, Counter>,
     cut: Family<CutLabels, Counter>,
+    kept: Family<ResultLabel, Counter>,
     /// Streams in the registry.
     pub(crate) known: Gauge,
 }
@@ -51,6 +52,11 @@
             "Streams that had begun and were closed without their end: by caller, deadline, engine, node (its own conclusion) or stop; why the last dispatch counted as broken, and why no engine continued it",
             self.cut.clone(),
         );
+        registry.register(
+            "streams_kept",
+            "Runs of silent engines that were kept while another engine was looked for: taken_over, engine_went_on, not_continued; or why their connection broke",
+            self.kept.clone(),
+        );
         registry.register(
             "streams_known",
             "Streams whose origin this node knows",
@@ -73,6 +79,11 @@
         self.cut.get_or_create(&labels).inc();
     }
 
+    /// Counts how the time of a kept run ended.
+    pub(crate) fn count_kept(&self, result: &'static str) {
+        self.kept.get_or_create(&ResultLabel { result }).inc();
+    }
+
     /// Counts a continuation; the name of how the versions compare.
     pub(crate) fn count_continued(&self, began: &StreamOrigin, continued: &StreamOrigin) -> &'static str {
         let version = match (&began.software_version, &continued.software_version) {
