--- a/crates/core/src/forwarding/max_wait.rs
+++ b/crates/core/src/forwarding/max_wait.rs
@@ -21,6 +21,23 @@
 /// Patience between two events in multiples of the pause that keeps an answer in time.
 const EVENT_GAPS: u32 = 3;
 
+/// Shortest gap in a stream after which callers give it up.
+const LEAST_CALLER_GAP: Duration = Duration::from_secs(2);
+
+/// The same gap in multiples of the target latency.
+const CALLER_GAP_TARGETS: u32 = 4;
+
+/// The same gap in multiples of the pause that keeps an answer in time.
+const CALLER_GAP_EVENT_GAPS: u32 = 8;
+
+/// Gap in a stream after which its caller gives it up; until then a stream that has begun is worth waiting for.
+pub fn caller_gap(route: &RouteRule) -> Duration {
+    let gaps = route.event_gap.unwrap_or_default() * CALLER_GAP_EVENT_GAPS;
+    LEAST_CALLER_GAP
+        .max(route.target_latency * CALLER_GAP_TARGETS)
+        .max(gaps)
+}
+
 /// Patience with an engine that answers; absent: until the deadline.
 pub fn first_answer(route: &RouteRule) -> Option<Duration> {
     (route.repeat != RepeatRule::Never).then(|| (route.target_latency * TARGETS).max(LEAST))
--- a/crates/node/src/course/crash_evidence.rs
+++ b/crates/node/src/course/crash_evidence.rs
@@ -9,23 +9,31 @@
 use crate::engine_contact;
 use crate::links::Connection;
 use crate::ports::EngineReading;
+use shelfjunction_core::forwarding::max_wait;
 use shelfjunction_core::identity::{EngineId, EngineStart};
 use shelfjunction_threads::lock;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Longest wait for a connection that only shows whether its engine lives. An engine that has ended refuses within a
 /// round trip, 3 ms between zones; the request waits for it.
 const LOOK: Duration = Duration::from_millis(60);
 
-/// Longest time in which an engine whose connection ended an answer may say that it lives; a sound engine may be silent for a second.
+/// Longest wait for one answer of an engine whose connection ended an answer and that is asked whether it lives.
 const END_LOOK: Duration = Duration::from_secs(1);
 
+/// Pause before such an engine is asked again.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(50);
+
 /// Why a connection broke that says nothing of its engine's end: connecting would only wait as long again.
 pub(super) const SILENT: &str = "silent";
 
 /// Why an answer counts as broken whose end only its connection told, and whose engine did not confirm that it lives.
 pub(super) const END_NOT_CONFIRMED: &str = "end_not_confirmed";
 
+/// Why nothing could be asked of an engine that takes no connection any more.
+const CONNECTION_REFUSED: &str = "connection_refused";
+
 /// What became of an engine whose connection broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum EngineFate {
@@ -111,11 +119,11 @@
         if is_series && !exchange.has_events && self.machine.last_event().is_none() {
             return false;
         }
-        let engine = &exchange.engine;
+        let (engine, address) = (exchange.engine.clone(), exchange.address);
         // Starts that share a name follow one another: where the one that was there before the request is there after the answer,
         // no other has answered.
         let start = exchange.link.reported_start().unwrap_or(engine.start());
-        let presence = self.presence(engine, start);
+        let presence = self.await_presence(&engine, address, start);
         log::info!(
             request = self.call.request.as_str(),
             engine = engine.as_str(),
@@ -126,20 +134,35 @@
         presence == Presence::Confirmed
     }
 
+    /// Asks whether a start of an engine lives, again while it is too busy to say, for as long as the caller waits for the next event.
+    fn await_presence(&mut self, engine: &EngineId, address: SocketAddr, start: EngineStart) -> Presence {
+        let until = self.context.now() + max_wait::caller_gap(self.route);
+        loop {
+            self.heed_stop();
+            let left = routing::left(until.min(self.deadline), self.context.now());
+            let presence = self.presence(engine, address, start, left.min(END_LOOK));
+            let is_final = !matches!(presence, Presence::Unknown(cause) if cause != CONNECTION_REFUSED);
+            if is_final || left <= ASK_AGAIN_AFTER {
+                return presence;
+            }
+            self.context.stop.wait(ASK_AGAIN_AFTER);
+        }
+    }
+
     /// Asks whether a start of an engine lives.
-    fn presence(&self, engine: &EngineId, start: EngineStart) -> Presence {
-        let listed = lock(&self.context.router)
-            .engine(engine)
-            .map(|state| state.engine.address);
-        let Some(address) = listed else {
-            return Presence::Unknown("not_listed");
-        };
-        let until = self.context.now() + END_LOOK.min(routing::left(self.deadline, self.context.now()));
+    fn presence(
+        &self,
+        engine: &EngineId,
+        address: SocketAddr,
+        start: EngineStart,
+        max_wait: Duration,
+    ) -> Presence {
+        let until = self.context.now() + max_wait;
         let left = || routing::left(until, self.context.now());
         // A connection that rests may not have noticed an end yet. Where the engine takes no more connections, one may still do.
         let connected = engine_contact::connect(self.context, engine, address, left());
         match connected.map(|link| self.presence_over(link, engine, start, left())) {
-            Err(failure) if failure.shows_end() => Presence::Unknown("connection_refused"),
+            Err(failure) if failure.shows_end() => Presence::Unknown(CONNECTION_REFUSED),
             Ok(Presence::Unknown(_)) | Err(_) if !left().is_zero() => {
                 let resting = engine_contact::take_link(self.context, engine, address, left());
                 resting.map_or(Presence::Unknown("not_connected"), |link| {
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -107,6 +107,7 @@
         let mut exchange = Exchange {
             attempt: call.attempt.clone(),
             engine: target.engine.clone(),
+            address: target.address,
             account,
             purpose,
             link,
--- a/crates/node/src/course/exchange.rs
+++ b/crates/node/src/course/exchange.rs
@@ -7,6 +7,7 @@
 use shelfjunction_core::retry::arrivals::Arrival;
 use shelfjunction_core::streams::StreamOrigin;
 use shelfjunction_core::time::MonotonicTime;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// What a dispatch is for.
@@ -42,6 +43,8 @@
 pub(super) struct Exchange {
     pub(super) attempt: AttemptId,
     pub(super) engine: EngineId,
+    /// Where the engine was when the request was sent.
+    pub(super) address: SocketAddr,
     pub(super) account: Account,
     pub(super) purpose: Purpose,
     pub(super) link: Connection,
