--- a/crates/node/src/course/stream_origin.rs
+++ b/crates/node/src/course/stream_origin.rs
@@ -5,7 +5,7 @@
 use crate::asking;
 use crate::links::Connection;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use shelfjunction_core::forwarding::RepeatRule;
+use shelfjunction_core::forwarding::{RepeatRule, max_wait};
 use shelfjunction_core::identity::{EngineId, EngineStart};
 use shelfjunction_core::routing::pool::PoolEngine;
 use shelfjunction_core::streams::{LIFETIME_IN_TIMEOUTS, StreamKey, StreamOrigin, StreamRecord};
@@ -16,7 +16,7 @@
 /// Time between two choices while no engine of a stream's version takes work.
 const RECHOOSE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Longest wait for an engine of a stream's version; callers give streams up after a gap of two seconds.
+/// Longest wait for an engine of the version of a stream that a caller takes up: it may as well be refused.
 const MAX_CONTINUATION_WAIT: Duration = Duration::from_millis(1_500);
 
 impl Driver<'_> {
@@ -72,7 +72,13 @@
         }
         let since = *self.without_engine_since.get_or_insert(now);
         let has_engine = lock(&self.context.router).has_continuing_engine(&self.query(&[], now));
-        let waits = has_engine && now.since(since) < MAX_CONTINUATION_WAIT;
+        // A stream that has begun can't be refused any more, so it waits as long as its caller does.
+        let max_wait = if self.events_open {
+            max_wait::caller_gap(self.route)
+        } else {
+            MAX_CONTINUATION_WAIT
+        };
+        let waits = has_engine && now.since(since) < max_wait;
         log::info!(
             request = self.call.request.as_str(),
             began_at = self.origin.as_ref().map_or("unknown", StreamOrigin::version_name),
