--- a/crates/core/src/forwarding/stopping.rs
+++ b/crates/core/src/forwarding/stopping.rs
@@ -1,6 +1,7 @@
 //! Which calls a stopping process still takes, and until when it waits for their engines.
 //!
 //! ```text
+//! end      = grace - min(7% of grace, 500 ms)        (the process ends by itself, before it is ended by force)
 //! answered = end - min(end / 10, 500 ms)      (every call that is under way then ends with an answer)
 //! ```
 
@@ -10,6 +11,18 @@
 /// long to notice, and a call taken so early has the longest time that calls get.
 const TAKES_ALL: f64 = 0.3;
 
+/// Part of the time until the end by force by which the process ends earlier; with [`ANSWER_PART`], calls that are under way have five
+/// sixths of that time, which callers and engines count on.
+const MARGIN_PART: f64 = 0.07;
+
+/// Longest such time.
+const MAX_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time after the signal to stop at which the process ends by itself, where it is ended by force `grace` after the signal.
+pub fn ends_after(grace: Duration) -> Duration {
+    grace - grace.mul_f64(MARGIN_PART).min(MAX_MARGIN)
+}
+
 /// Part of the time until the end by force that is left for answers to calls whose engines have not answered.
 const ANSWER_PART: f64 = 0.1;
 
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -357,6 +357,15 @@
     );
 }
 
+#[test]
+fn a_stop_cuts_no_call_in_the_first_five_sixths_of_its_grace() {
+    for tenths in 1..=600 {
+        let grace = Duration::from_millis(100 * tenths);
+        let answered = stopping::answered_after(stopping::ends_after(grace));
+        assert!(answered >= grace * 5 / 6, "{grace:?}: {answered:?}");
+    }
+}
+
 /// Found on a deployment with slow links: a prompt read anew was followed by an output that nobody had asked for.
 #[test]
 fn every_arrival_beyond_the_first_of_its_kind_needs_a_grant() {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::autoscaling::config::AutoscalingPolicy;
 use shelfjunction_core::cordon::CordonSettings;
-use shelfjunction_core::forwarding::DeliverySettings;
+use shelfjunction_core::forwarding::{DeliverySettings, stopping};
 use shelfjunction_core::identity::{NodeId, ZoneId};
 use shelfjunction_core::lease::LeaseTimings;
 use shelfjunction_core::metering::config::MeteringSettings;
@@ -215,9 +215,6 @@
     }
 }
 
-/// Time before the end by force at which the process ends by itself.
-const END_MARGIN: Duration = Duration::from_millis(500);
-
 /// Bounds of the times that are set in seconds.
 const SECONDS: std::ops::RangeInclusive<f64> = 0.1..=3_600.0;
 
@@ -300,7 +297,7 @@
 
     /// Time from the signal to stop until the process ends by itself, whatever is under way.
     pub fn end_after_stop(&self) -> Duration {
-        self.grace().saturating_sub(END_MARGIN)
+        stopping::ends_after(self.grace())
     }
 }
 
