--- a/crates/lab/src/command/fault_soak.rs
+++ b/crates/lab/src/command/fault_soak.rs
@@ -69,6 +69,17 @@
         "callers besides that take up streams at other nodes (2)",
         "NUMBER",
     );
+    options.optopt(
+        "",
+        "streamers",
+        "callers besides whose streams take seconds (0)",
+        "NUMBER",
+    );
+    options.optflag(
+        "",
+        "planned-work",
+        "nothing but stops, reloads, configurations and engines replaced in order, and what they cut is judged; neither crashers nor late readers unless given",
+    );
     options.optopt("", "seconds", "length of each run (30)", "SECONDS");
     options.optopt(
         "",
@@ -140,6 +151,7 @@
     let runs: u64 = options.value_or("runs", 1)?;
     // What struck when belongs beside the logs of the nodes. A logger that is there already gets it as well.
     let _ = shelfjunction_logging::install(LogLevel::Info);
+    let planned_work = options.flag("planned-work");
     let mut broken = Vec::new();
     for seed in first..first + runs {
         let config = FaultSoakConfig {
@@ -148,9 +160,11 @@
             nodes,
             regions,
             callers: options.value_or("callers", 12)?,
-            crashers: options.value_or("crashers", 2)?,
-            part_crashers: options.value_or("part-crashers", 1)?,
-            late_readers: options.value_or("late-readers", 2)?,
+            crashers: options.value_or("crashers", if planned_work { 0 } else { 2 })?,
+            part_crashers: options.value_or("part-crashers", u64::from(!planned_work))?,
+            late_readers: options.value_or("late-readers", if planned_work { 0 } else { 2 })?,
+            streamers: options.value_or("streamers", 0)?,
+            planned_work,
             rated_callers: options.value_or("rated-callers", 0)?,
             resumers: options.value_or("resumers", 2)?,
             restores: !options.flag("no-restores"),
--- a/crates/lab/src/fault_soak/callers.rs
+++ b/crates/lab/src/fault_soak/callers.rs
@@ -13,7 +13,7 @@
 use ureq::http::Response;
 
 /// Time that a caller waits, as it tells the node.
-const DEADLINE: Duration = Duration::from_millis(4_000);
+pub(super) const DEADLINE: Duration = Duration::from_millis(4_000);
 
 /// Time after which a caller gives up whatever the node does.
 pub(super) const GIVES_UP: Duration = Duration::from_millis(6_500);
--- a/crates/lab/src/fault_soak/deployment.rs
+++ b/crates/lab/src/fault_soak/deployment.rs
@@ -6,6 +6,7 @@
 use super::operator::{self, base64, configuration_text};
 use super::oracle::EngineRecords;
 use super::places::{EnginePlace, GRACE, NodePlace};
+use super::planned_work::StopRecord;
 use super::process::NodeProcess;
 use super::region_links::RegionLinks;
 use super::schedule::Targets;
@@ -16,7 +17,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Events of each answer.
 pub const EVENTS: u64 = 5;
@@ -54,6 +55,8 @@
     pub(super) heals: Disturbances,
     /// Which nodes ran another build when, which may not know what is judged.
     pub(super) on_other_build: Disturbances,
+    /// Signals to nodes to stop.
+    stops: Mutex<Vec<(usize, Instant)>>,
     /// To which node most new connections come.
     pub(super) crowded: Crowded,
 }
@@ -97,6 +100,7 @@
             platform_faults: Disturbances::default(),
             heals: Disturbances::default(),
             on_other_build: Disturbances::default(),
+            stops: Mutex::default(),
             crowded: Crowded::default(),
         };
         deployment.reconfigure();
@@ -283,6 +287,17 @@
         Ok(())
     }
 
+    /// Starts another engine at the place of one that is about to leave and goes on with what it has; the link to that one.
+    pub fn replace_in_order(&self, engine: usize) -> io::Result<Relay> {
+        let mut place = lock(&self.engines[engine]);
+        place.mend_entry();
+        self.store.remove("servers", &place.id);
+        let leaving = place.start_beside(engine)?;
+        drop(place);
+        self.list(engine, "ready");
+        Ok(leaving)
+    }
+
     /// Ends an engine without a word and starts it again under its identifier, at its address.
     pub fn come_back(&self, engine: usize) -> io::Result<()> {
         lock(&self.engines[engine]).come_back()?;
@@ -357,11 +372,22 @@
             return true;
         };
         process.resume();
+        lock(&self.stops).push((node, Instant::now()));
         let ended = process.stop(GRACE);
         lock(&self.nodes[node]).stopping = false;
         ended
     }
 
+    /// Signals to stop, in time from the start of the callers.
+    pub fn stops(&self, begun: Instant) -> Vec<StopRecord> {
+        let stops = lock(&self.stops);
+        let records = stops.iter().map(|(node, at)| StopRecord {
+            node: *node,
+            at: at.saturating_duration_since(begun),
+        });
+        records.collect()
+    }
+
     /// Has a node run another program from its next start on.
     pub fn set_program(&self, node: usize, program: &Path) {
         lock(&self.nodes[node]).launch.program = program.to_path_buf();
@@ -418,6 +444,7 @@
             let place = lock(engine);
             all.add(&place.ended);
             all.add(&place.records());
+            place.leaving_records().for_each(|records| all.add(&records));
         }
         all
     }
--- a/crates/lab/src/fault_soak/judging.rs
+++ b/crates/lab/src/fault_soak/judging.rs
@@ -11,7 +11,9 @@
 use super::resumers::is_resumer;
 use super::sharers::is_part_crasher;
 use super::spoilt::{self, EngineArrival, SpoiltSpan};
+use super::streamers::is_streamer;
 use super::{engine_signals, is_probe};
+use crate::users_platform::LASTING_ANSWER_EVENTS;
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
@@ -70,7 +72,9 @@
         .iter()
         .cloned()
         .partition(|call| is_late_reader(&call.request));
-    let (of_late, of_others) = late_readers::apart(records);
+    let (of_late, of_others) = late_readers::apart(records, is_late_reader);
+    let (streams, others): (Vec<_>, Vec<_>) = others.into_iter().partition(|call| is_streamer(&call.request));
+    let (of_streams, of_others) = late_readers::apart(&of_others, is_streamer);
     let crashes = crash_times(records, begun);
     let quiet = Quiet {
         disturbances: &deployment.disturbances,
@@ -78,6 +82,7 @@
     };
     let mut violations = judge(&others, &of_others, EVENTS);
     violations.extend(late_readers::judge(&late, &of_late, &quiet));
+    violations.extend(judge(&streams, &of_streams, LASTING_ANSWER_EVENTS));
     // What callers got that take streams up is judged by stream.
     let others: Vec<SeenCall> = others
         .into_iter()
--- a/crates/lab/src/fault_soak/late_readers.rs
+++ b/crates/lab/src/fault_soak/late_readers.rs
@@ -146,13 +146,13 @@
     request.starts_with(PREFIX)
 }
 
-/// What engines did for late readers, and for all others; orders stay with the others.
-pub fn apart(records: &EngineRecords) -> (EngineRecords, EngineRecords) {
+/// What engines did for some callers, and for all others; orders stay with the others.
+pub fn apart(records: &EngineRecords, is_theirs: fn(&str) -> bool) -> (EngineRecords, EngineRecords) {
     let (runs, others): (Vec<_>, Vec<_>) = records
         .runs
         .iter()
         .cloned()
-        .partition(|run| is_late_reader(&run.request));
+        .partition(|run| is_theirs(&run.request));
     let of_late = EngineRecords {
         runs,
         ..EngineRecords::default()
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -20,6 +20,7 @@
 pub mod oracle;
 pub mod partitions;
 mod places;
+pub mod planned_work;
 pub mod platform_faults;
 pub mod platform_schedule;
 mod process;
@@ -34,6 +35,7 @@
 pub mod schedule;
 pub mod sharers;
 pub mod spoilt;
+pub mod streamers;
 mod striking;
 mod striking_regions;
 mod upgrading;
@@ -64,6 +66,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use streamers::Streamer;
 
 /// Time for which runs that come late are waited for.
 const LATE_RUNS: Duration = Duration::from_secs(2);
@@ -93,6 +96,10 @@
     pub late_readers: u64,
     /// Callers besides of a tenant with a rate, who ask more than it allows.
     pub rated_callers: u64,
+    /// Callers besides whose streams take seconds.
+    pub streamers: u64,
+    /// Whether nothing strikes but planned work: stops, reloads, configurations and engines that are replaced in order.
+    pub planned_work: bool,
     /// Callers besides that take up streams at other nodes.
     pub resumers: u64,
     /// Whether the store is restored from older copies.
@@ -185,6 +192,12 @@
     violations.extend(sharers::judge(&shares));
     let crowded = crowding::count(&crowded, &calls, &quiet_times);
     violations.extend(crowding::judge(&crowded));
+    let cuts = config.planned_work.then(|| {
+        let reached = arrivals.iter().map(|arrival| arrival.request.clone()).collect();
+        let (count, cut) = planned_work::judge(&calls, &reached, &deployment.stops(begun));
+        violations.extend(cut);
+        count
+    });
     let descriptors = descriptors.seen();
     if descriptors.is_near_limit() {
         violations.push(Violation::OutOfDescriptors(descriptors));
@@ -193,6 +206,7 @@
         crashes,
         shares: shares.into_values().collect(),
         crowded,
+        cuts,
         quiet,
         take_ups: TakeUpCount::of(&streams),
         windows,
@@ -206,6 +220,9 @@
 /// All that strikes in a run, in order.
 fn draw_schedule(config: &FaultSoakConfig, deployment: &Deployment) -> Vec<schedule::ScheduledFault> {
     let targets = deployment.targets();
+    if config.planned_work {
+        return planned_work::draw(config.seed, config.length, targets);
+    }
     let mut schedule = schedule::draw(config.seed, config.length, targets, config.pace);
     if config.restores {
         schedule.extend(platform_schedule::draw_restores(
@@ -285,6 +302,12 @@
                 scope.spawn(|| resumer.run(deployment, begun, &stop))
             })
             .collect();
+        let streamers: Vec<_> = (0..config.streamers)
+            .map(|number| {
+                let streamer = Streamer::new(config.seed, number);
+                scope.spawn(|| streamer.run(deployment, begun, &stop))
+            })
+            .collect();
         let crowding = scope.spawn(|| crowding::run(deployment, config.seed, config.length, begun, &stop));
         let upgrade = config.other_build.as_ref().map(|other| {
             scope.spawn(|| {
@@ -303,7 +326,8 @@
             .chain(crashers)
             .chain(sharers)
             .chain(late_readers)
-            .chain(rated);
+            .chain(rated)
+            .chain(streamers);
         let mut calls: Vec<SeenCall> = all.filter_map(|caller| caller.join().ok()).flatten().collect();
         let mut streams = Vec::new();
         for record in resumers.into_iter().filter_map(|resumer| resumer.join().ok()) {
--- a/crates/lab/src/fault_soak/oracle.rs
+++ b/crates/lab/src/fault_soak/oracle.rs
@@ -156,7 +156,7 @@
     CutForLateReader(String),
     /// A request got no whole answer although nothing was wrong but that callers beside it read late.
     UnservedBesideLateReaders(String),
-    /// A planned stop, alone, left a request that an engine had begun without its whole answer.
+    /// Planned work, alone, left a request that had reached an engine without its whole answer.
     CutOff(String),
 }
 
--- a/crates/lab/src/fault_soak/places.rs
+++ b/crates/lab/src/fault_soak/places.rs
@@ -8,7 +8,7 @@
 use super::spoilt::{Spoilt, SpoiltSpan};
 use super::usage_windows;
 use crate::relay::Relay;
-use crate::users_platform::{ArrivalRecord, EngineSettings, ModelEngine, StandInInterface, StandInStore};
+use crate::users_platform::{EngineSettings, ModelEngine, StandInInterface, StandInStore};
 use rand::Rng;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -49,6 +49,8 @@
     /// Times for which entries of this place's engines were spoilt.
     pub(super) spoilt_spans: Vec<SpoiltSpan>,
     pub(super) ended: EngineRecords,
+    /// Engines that have left the list and go on with what they have.
+    pub(super) leaving: Vec<ModelEngine>,
     pub(super) starts: u32,
     /// When it was first seen to have crashed.
     pub(super) crashed_at: Option<Instant>,
@@ -106,6 +108,7 @@
             spoilt: None,
             spoilt_spans: Vec::new(),
             ended: EngineRecords::default(),
+            leaving: Vec::new(),
             starts: 1,
             crashed_at: None,
         })
@@ -117,6 +120,24 @@
         self.start_as(id, free())
     }
 
+    /// Starts another engine at the place, while the one before goes on with what it has; the link to that one.
+    pub(super) fn start_beside(&mut self, number: usize) -> io::Result<Relay> {
+        self.starts += 1;
+        self.born += 1;
+        let id = format!("engine-{number}-{}", self.starts);
+        self.stage = self.now.stage();
+        let next = start_engine(
+            &id,
+            self.born,
+            self.stage,
+            software_version(self.number, self.starts),
+        )?;
+        let relay = relay_before(&next, free())?;
+        self.leaving.push(std::mem::replace(&mut self.now, next));
+        self.id = id;
+        Ok(std::mem::replace(&mut self.relay, relay))
+    }
+
     /// Starts the engine again under its identifier and at its address.
     pub(super) fn come_back(&mut self) -> io::Result<()> {
         self.start_as(self.id.clone(), self.relay.address())
@@ -163,19 +184,24 @@
     }
 
     pub(super) fn records(&self) -> EngineRecords {
-        EngineRecords {
-            runs: self.now.runs(),
-            orders: self.now.order_records(),
-            arrivals: self.arrivals(),
-            limits: self.now.limit_records(),
-            drains: self.now.drain_record().into_iter().collect(),
-            backoffs: self.now.backoff_records(),
-        }
+        self.records_of(&self.now)
+    }
+
+    /// What engines did that have left the list, so far.
+    pub(super) fn leaving_records(&self) -> impl Iterator<Item = EngineRecords> + '_ {
+        self.leaving.iter().map(|engine| self.records_of(engine))
     }
 
-    fn arrivals(&self) -> Vec<(&'static str, ArrivalRecord)> {
-        let arrivals = self.now.arrivals().into_iter();
-        arrivals.map(|arrival| (self.pool, arrival)).collect()
+    fn records_of(&self, engine: &ModelEngine) -> EngineRecords {
+        let arrivals = engine.arrivals().into_iter();
+        EngineRecords {
+            runs: engine.runs(),
+            orders: engine.order_records(),
+            arrivals: arrivals.map(|arrival| (self.pool, arrival)).collect(),
+            limits: engine.limit_records(),
+            drains: engine.drain_record().into_iter().collect(),
+            backoffs: engine.backoff_records(),
+        }
     }
 
     /// Whether the stage is another than the one noted before.
--- a/crates/lab/src/fault_soak/report.rs
+++ b/crates/lab/src/fault_soak/report.rs
@@ -6,6 +6,7 @@
 use super::is_probe;
 use super::late_readers::QuietCount;
 use super::oracle::Violation;
+use super::planned_work::CutCount;
 use super::platform_faults::Deferrals;
 use super::record::SeenCall;
 use super::resumers::TakeUpCount;
@@ -42,6 +43,8 @@
     pub crowded: Vec<CrowdedCount>,
     /// Requests of callers that read late, and of the others, that were sent where nothing else was wrong.
     pub quiet: QuietCount,
+    /// Requests that planned work cut; absent in a run with other faults.
+    pub cuts: Option<CutCount>,
     /// Streams that were taken up.
     pub take_ups: TakeUpCount,
     /// Usage windows that were reported, and those that were not.
@@ -95,6 +98,9 @@
                 "BROKEN"
             }
         )?;
+        if let Some(cuts) = &self.cuts {
+            writeln!(formatter, "  {cuts}")?;
+        }
         for violation in &self.violations {
             writeln!(formatter, "  {violation:?}")?;
         }
@@ -138,6 +144,7 @@
         shares: Vec::new(),
         crowded: Vec::new(),
         quiet: QuietCount::default(),
+        cuts: None,
         take_ups: TakeUpCount::default(),
         windows: WindowCount::default(),
         deferrals: Deferrals::default(),
--- a/crates/lab/src/fault_soak/schedule.rs
+++ b/crates/lab/src/fault_soak/schedule.rs
@@ -46,6 +46,8 @@
     Engine(usize, EngineFault),
     /// An engine is replaced: it says that it leaves, leaves, and another start comes at the same place.
     Replace(usize),
+    /// An engine is replaced as engines leave: it says so, goes on with what it has and ends when that is done.
+    ReplaceInOrder(usize),
     /// An engine ends without a word and starts again under its identifier, at its address.
     ComeBack(usize),
     /// An engine's entry in the store can't be read for a while.
@@ -74,6 +76,8 @@
     StopInSeries,
     /// The operator moves a route several times in a row.
     ReconfigureInSeries,
+    /// A node is told that its settings have changed.
+    Reload(usize),
     /// A node is told that its settings have changed, and soon after to stop.
     ReloadAndStop(usize),
     /// The connections on the link to an engine go silent for good; new ones pass.
@@ -158,6 +162,7 @@
             | Self::Kill(node)
             | Self::Pause(node)
             | Self::Stop(node)
+            | Self::Reload(node)
             | Self::ReloadAndStop(node) => Struck::Node(node),
             Self::StoreForAll(_)
             | Self::DeferTransactionsOfAll
@@ -173,6 +178,7 @@
             | Self::DeferDutyCalls
             | Self::Engine(..)
             | Self::Replace(_)
+            | Self::ReplaceInOrder(_)
             | Self::ComeBack(_)
             | Self::SpoilEntry(..)
             | Self::PaceChanges(..)
--- a/crates/lab/src/fault_soak/striking.rs
+++ b/crates/lab/src/fault_soak/striking.rs
@@ -179,6 +179,17 @@
                 log::error!(engine, error:% = error; "engine_not_replaced");
             }
         }
+        Fault::ReplaceInOrder(engine) => {
+            deployment.drain(engine);
+            wait();
+            match deployment.replace_in_order(engine) {
+                Ok(leaving) => {
+                    thread::sleep(LEAVES_AFTER);
+                    leaving.stop();
+                }
+                Err(error) => log::error!(engine, error:% = error; "engine_not_replaced"),
+            }
+        }
         Fault::ComeBack(engine) => {
             if let Err(error) = deployment.come_back(engine) {
                 log::error!(engine, error:% = error; "engine_not_started");
@@ -244,6 +255,7 @@
         Fault::ReconfigureInSeries => in_series(scheduled.lasts, || {
             deployment.reconfigure();
         }),
+        Fault::Reload(node) => deployment.reload(node),
         Fault::ReloadAndStop(node) => {
             deployment.reload(node);
             deployment.stop(node);
@@ -284,6 +296,9 @@
     }
 }
 
+/// Time for which an engine that has left the list goes on: longer than any request that it may have.
+const LEAVES_AFTER: Duration = Duration::from_millis(5_000);
+
 /// Time after which the operator and the engines write what a restored store has lost.
 const REWRITE_PAUSE: Duration = Duration::from_millis(700);
 
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -343,7 +343,7 @@
             return Answered::broken();
         };
         let is_long = wants_long_answer(&request.body);
-        let events = answer_events(is_long, self.settings.events);
+        let events = answer_events(&request.body, self.settings.events);
         let breaks = breaks_at_first(&request.body) && record.after_event == 0;
         for (sent, id) in (0..).zip(record.after_event + 1..=events) {
             if fault == Some(EngineFault::CutAfter(sent)) || (breaks && sent == EVENTS_BEFORE_BREAK) {
@@ -357,7 +357,8 @@
                 crash();
                 return writer.abort();
             }
-            std::thread::sleep(event_pause(&request.body) + self.pace.added_time());
+            let pause = event_pause(&request.body, id, record.after_event == 0);
+            std::thread::sleep(pause + self.pace.added_time());
             let event = if names_versions(&request.body) {
                 versioned_event(id, &self.settings.software_version)
             } else {
--- a/crates/lab/src/users_platform/engine_work.rs
+++ b/crates/lab/src/users_platform/engine_work.rs
@@ -43,15 +43,38 @@
     body.ends_with(BREAKING_BODY.as_bytes())
 }
 
+/// Begin of the body of a request whose stream takes seconds.
+pub const LASTING_ANSWER_BODY: &str = "wants a lasting answer";
+
+/// Body of a request whose stream takes seconds, and whose first engine says nothing for a while in the middle.
+pub const STALLING_ANSWER_BODY: &str = "wants a lasting answer that stalls";
+
+/// Events of a stream that takes seconds.
+pub const LASTING_ANSWER_EVENTS: u64 = 15;
+
+/// Time between two of them.
+const LASTING_EVENT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Event before which a stream stalls.
+const STALLED_EVENT: u64 = 8;
+
+/// How long it stalls: longer than nodes wait for the next event.
+const STALL: Duration = Duration::from_millis(1_400);
+
 /// Begin of the body of a request whose answer takes a while, so that it is aboard when its engine crashes over another one.
 pub const SLOW_ANSWER_BODY: &str = "wants a slow answer";
 
 /// Time between two events of a slow answer.
 const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(40);
 
-/// Time before each event of the answer to a request with this body, on a machine that does nothing else.
-pub fn event_pause(body: &[u8]) -> Duration {
-    if body.starts_with(SLOW_ANSWER_BODY.as_bytes()) {
+/// Time before an event of the answer to a request with this body, on a machine that does nothing else; `begins` is whether the stream
+/// begins at this engine.
+pub fn event_pause(body: &[u8], id: u64, begins: bool) -> Duration {
+    if begins && id == STALLED_EVENT && body == STALLING_ANSWER_BODY.as_bytes() {
+        STALL
+    } else if is_lasting(body) {
+        LASTING_EVENT_PAUSE
+    } else if body.starts_with(SLOW_ANSWER_BODY.as_bytes()) {
         SLOW_EVENT_PAUSE
     } else {
         Duration::ZERO
@@ -63,9 +86,19 @@
     body == LONG_ANSWER_BODY.as_bytes()
 }
 
-/// Events of an answer, where others have so many as is usual.
-pub fn answer_events(is_long: bool, usual: u64) -> u64 {
-    if is_long { LONG_ANSWER_EVENTS } else { usual }
+fn is_lasting(body: &[u8]) -> bool {
+    body.starts_with(LASTING_ANSWER_BODY.as_bytes())
+}
+
+/// Events of the answer to a request with this body, where others have so many as is usual.
+pub fn answer_events(body: &[u8], usual: u64) -> u64 {
+    if wants_long_answer(body) {
+        LONG_ANSWER_EVENTS
+    } else if is_lasting(body) {
+        LASTING_ANSWER_EVENTS
+    } else {
+        usual
+    }
 }
 
 /// One event of an answer.
