--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -60,8 +60,7 @@
         let now = self.context.now();
         let why = self.why(choice.as_ref(), &target.engine, purpose, now);
         let (account, max_wait) = self.note_sent(choice.as_ref(), &target.engine, purpose, now);
-        let left = routing::left(self.deadline, now);
-        let wait = max_wait::CONNECT.min(left);
+        let wait = max_wait::CONNECT.min(routing::left(self.deadline, now));
         if std::mem::take(&mut self.distrusts_resting) {
             self.context.links.forget(&target.engine);
         }
@@ -93,6 +92,12 @@
             self.context.rest_link(&target.engine, link, self.context.now());
             return went_on.map_or((), |event| self.take(event));
         }
+        if let Some(event) = self.ended_while_connecting(&call.attempt) {
+            self.count_abandoned(&account);
+            self.context.rest_link(&target.engine, link, self.context.now());
+            return self.take(event);
+        }
+        let left = routing::left(self.deadline, self.context.now());
         if let Some(tunnel) = link.tunnel() {
             tunnel.note_request(&self.call.request);
             self.context.metrics.relay.relayed_requests.inc();
@@ -146,6 +151,20 @@
         self.exchange = Some(exchange);
     }
 
+    /// What becomes of a dispatch instead whose time was over, or whose caller left, while a connection was made for it: several nodes
+    /// may have been asked for one.
+    fn ended_while_connecting(&mut self, attempt: &AttemptId) -> Option<Event> {
+        self.heed_stop();
+        if self.context.now() >= self.deadline {
+            return Some(Event::DispatchTooLate {
+                attempt: attempt.clone(),
+            });
+        }
+        let has_left = self.watch_caller && self.caller.is_gone() && !self.context.state.is_closing();
+        self.caller_gone |= has_left;
+        has_left.then_some(Event::CallerGone)
+    }
+
     /// The reading of a prompt fills an engine for longest, so others hear of it at once.
     fn note_dispatched(&self, purpose: Purpose) {
         match purpose {
