--- a/crates/lab/src/command/fault_soak.rs
+++ b/crates/lab/src/command/fault_soak.rs
@@ -80,6 +80,12 @@
         "planned-work",
         "nothing but stops, reloads, configurations and engines replaced in order, and what they cut is judged; neither crashers nor late readers unless given",
     );
+    options.optopt(
+        "",
+        "planted-grace-seconds",
+        "plants a fault: the settings of nodes tell a shorter time until the end by force than they get",
+        "SECONDS",
+    );
     options.optopt("", "seconds", "length of each run (30)", "SECONDS");
     options.optopt(
         "",
@@ -165,6 +171,9 @@
             late_readers: options.value_or("late-readers", if planned_work { 0 } else { 2 })?,
             streamers: options.value_or("streamers", 0)?,
             planned_work,
+            planted_grace: options
+                .value("planted-grace-seconds")?
+                .map(Duration::from_secs_f64),
             rated_callers: options.value_or("rated-callers", 0)?,
             resumers: options.value_or("resumers", 2)?,
             restores: !options.flag("no-restores"),
--- a/crates/lab/src/fault_soak/deployment.rs
+++ b/crates/lab/src/fault_soak/deployment.rs
@@ -68,8 +68,15 @@
 }
 
 impl Deployment {
-    /// Starts stand-ins, relays and nodes; logs and settings go to `directory`.
-    pub fn start(program: &Path, nodes: usize, layout: Layout, directory: &Path) -> io::Result<Self> {
+    /// Starts stand-ins, relays and nodes; logs and settings go to `directory`. A grace that is given stands in the nodes' settings in place
+    /// of the one that they get.
+    pub fn start(
+        program: &Path,
+        nodes: usize,
+        layout: Layout,
+        grace: Option<Duration>,
+        directory: &Path,
+    ) -> io::Result<Self> {
         let store = StandInStore::start()?;
         let interface = StandInInterface::start()?;
         let engines = layout.engines(MODEL_POOL, &APPLICATION_POOLS);
@@ -82,8 +89,9 @@
                 EnginePlace::start(number, pool, stage, zone).map(Mutex::new)
             })
             .collect();
+        let grace = grace.unwrap_or(GRACE);
         let places = (0..nodes)
-            .map(|number| NodePlace::prepare(number, layout, &store, &interface, program, directory));
+            .map(|number| NodePlace::prepare(number, layout, grace, &store, &interface, program, directory));
         let places: Vec<NodePlace> = places.collect::<io::Result<_>>()?;
         let region_links = part_regions(layout, &places)?;
         let deployment = Self {
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -100,6 +100,8 @@
     pub streamers: u64,
     /// Whether nothing strikes but planned work: stops, reloads, configurations and engines that are replaced in order.
     pub planned_work: bool,
+    /// Grace in the settings of nodes, in place of the one that they get: a fault to be found.
+    pub planted_grace: Option<Duration>,
     /// Callers besides that take up streams at other nodes.
     pub resumers: u64,
     /// Whether the store is restored from older copies.
@@ -129,6 +131,7 @@
         first,
         config.nodes,
         Layout::new(config.regions),
+        config.planted_grace,
         &config.directory,
     )?;
     let mut violations = wait_until_served(&deployment, config.seed, config.recovery);
--- a/crates/lab/src/fault_soak/places.rs
+++ b/crates/lab/src/fault_soak/places.rs
@@ -18,7 +18,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Time from the signal to stop until a node is killed; its settings say the same.
+/// Time from the signal to stop until a node is killed; its settings say the same unless a fault is planted.
 pub(super) const GRACE: Duration = Duration::from_secs(8);
 
 /// Placers of each region of a soak with regions.
@@ -257,6 +257,7 @@
     pub(super) fn prepare(
         number: usize,
         layout: Layout,
+        grace: Duration,
         store: &StandInStore,
         interface: &StandInInterface,
         program: &Path,
@@ -272,7 +273,7 @@
         let text = format!(
             "log_level = 'info'\n\n[node]\nnode = 'node-{number}'\nzone = '{zone}'\nlisten = '{listen}'\nready_listen = '{ready}'\npeer_listen = '{peers}'\nstore = '{}'\nfirst_start = false\ngrace_seconds = {}\nretry_ratio = {}\nretry_slack = {}\nretry_window_seconds = {}\n{regional}\n[node.metering]\nwindow_seconds = {}\ndue_after_seconds = {}\n\n[node.duties]\naddress = '{}'\ntasks = ['usage_reporting']\n",
             store_link.address(),
-            GRACE.as_secs_f64(),
+            grace.as_secs_f64(),
             REPEAT_BUDGET.ratio,
             REPEAT_BUDGET.slack,
             REPEAT_BUDGET.window.as_secs_f64(),
--- a/planted-faults.sh
+++ b/planted-faults.sh
@@ -3,3 +3,10 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 cargo run --quiet --locked -p shelfjunction-proofs --bin shelfjunction-proofs -- planted
+# Requests cut by a stop: nodes that believe that they are ended by force after 2 s, while they have 8 s.
+cargo build --quiet --workspace --locked
+found=$(target/debug/shelfjunction-lab fault-soak --program target/debug/shelfjunction --planned-work --planted-grace-seconds 2 \
+  --seed 7502 --runs 1 --nodes 4 --seconds 12 --callers 8 --streamers 24 --recovery-seconds 90 --logs target/planted-faults \
+  | grep --count CutOff || true)
+echo "requests cut by a stop with the planted grace: $found found"
+[ "$found" -gt 0 ]
