--- a/crates/lab/src/command/fault_soak.rs
+++ b/crates/lab/src/command/fault_soak.rs
@@ -151,6 +151,7 @@
             return Err(CommandError::Usage(message));
         }
     };
+    let planted_grace = planted_grace(options)?;
     let program: PathBuf = options.value_or("program", PathBuf::from("target/release/shelfjunction"))?;
     let logs: PathBuf = options.value_or("logs", std::env::temp_dir().join("shelfjunction-fault-soak"))?;
     let first: u64 = options.value_or("seed", u64::from(rand::random::<u32>()))?;
@@ -171,9 +172,7 @@
             late_readers: options.value_or("late-readers", if planned_work { 0 } else { 2 })?,
             streamers: options.value_or("streamers", 0)?,
             planned_work,
-            planted_grace: options
-                .value("planted-grace-seconds")?
-                .map(Duration::from_secs_f64),
+            planted_grace,
             rated_callers: options.value_or("rated-callers", 0)?,
             resumers: options.value_or("resumers", 2)?,
             restores: !options.flag("no-restores"),
@@ -204,3 +203,14 @@
         logs.display()
     )))
 }
+
+fn planted_grace(options: &Options) -> Result<Option<Duration>, CommandError> {
+    let Some(seconds) = options.value::<f64>("planted-grace-seconds")? else {
+        return Ok(None);
+    };
+    if seconds > 0.0 && seconds <= MAXIMUM_SECONDS {
+        return Ok(Some(Duration::from_secs_f64(seconds)));
+    }
+    let message = format!("--planted-grace-seconds {seconds}: allowed is above 0, at most {MAXIMUM_SECONDS}");
+    Err(CommandError::Usage(message))
+}
