--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -87,7 +87,7 @@
         }
         // The engine of a kept run may have gone on meanwhile.
         let went_on = self.review_kept_run(self.context.now());
-        if self.exchange.is_some() {
+        if went_on.is_some() || self.exchange.is_some() {
             self.count_abandoned(&account);
             self.context.rest_link(&target.engine, link, self.context.now());
             return went_on.map_or((), |event| self.take(event));
