--- a/crates/node/src/engine_contact/probing.rs
+++ b/crates/node/src/engine_contact/probing.rs
@@ -27,9 +27,10 @@
 
 type InUse = BTreeMap<EngineId, (ZoneId, SocketAddr)>;
 
-/// Probes as long as the process runs.
+/// Probes, and closes connections that can't be used again, as long as the process runs.
 pub(crate) fn run(context: &Context) {
     while !context.state.is_closing() {
+        context.links.sweep(context.now());
         if lock(&context.engine_reach).is_undoubted() {
             let reach = lock(&context.engine_reach);
             let waited = context
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -111,14 +111,15 @@
         self.links.values().map(Vec::len).sum()
     }
 
-    /// Closes what has rested too long: an engine that is used no more would keep its connections for ever.
+    /// Closes what has rested too long, and what something has come on: an engine that is used no more would keep its connections for
+    /// ever, and might send on them without an end.
     fn sweep(&mut self, now: MonotonicTime) {
         if now.since(self.swept_at) < SWEEP_EVERY {
             return;
         }
         self.swept_at = now;
         self.links.retain(|_, links| {
-            links.retain(|resting| resting.until > now);
+            links.retain_mut(|resting| resting.until > now && resting.connection.is_usable());
             !links.is_empty()
         });
     }
@@ -191,6 +192,11 @@
         }
     }
 
+    /// Closes resting connections that can't be used again, if the last look at them is some seconds ago.
+    pub(crate) fn sweep(&self, now: MonotonicTime) {
+        lock(&self.resting).sweep(now);
+    }
+
     /// Closes the resting connections of an engine.
     pub(crate) fn forget(&self, engine: &EngineId) {
         lock(&self.resting).links.remove(engine);
