--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -5,6 +5,7 @@
 
 mod config;
 mod delivery;
+mod handover;
 mod in_force;
 pub mod max_wait;
 mod returning;
@@ -14,6 +15,7 @@
 
 pub use config::{CallerLimits, ForwardingConfig, ModelTraits, PoolConfig, PoolId};
 pub use delivery::{Delivery, DeliverySettings};
+pub use handover::HandoverSettings;
 pub use in_force::{Adoption, ConfigInForce};
 pub use returning::CallerWaits;
 pub use route::{PoolShare, RepeatRule, RouteId, RouteRule};
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -4,8 +4,8 @@
 
 use proptest::prelude::*;
 use shelfjunction_core::forwarding::{
-    Adoption, CallerLimits, ConfigInForce, ForwardingConfig, PoolConfig, PoolId, PoolShare, RepeatRule,
-    RouteId, RouteRule, ShareRotation, stopping,
+    Adoption, CallerLimits, ConfigInForce, ForwardingConfig, HandoverSettings, PoolConfig, PoolId, PoolShare,
+    RepeatRule, RouteId, RouteRule, ShareRotation, stopping,
 };
 use shelfjunction_core::identity::{EngineId, ZoneId};
 use shelfjunction_core::retry::arrivals::{Arrival, ArrivalAccount};
@@ -357,6 +357,21 @@
     );
 }
 
+#[test]
+fn a_stream_is_taken_over_by_a_head_or_by_a_refusal_that_does_not_come() {
+    let settings = HandoverSettings::default();
+    let taken = |has_head, millis| settings.is_taken_over(has_head, Duration::from_millis(millis));
+    assert!(taken(true, 0));
+    assert!(!taken(false, 199));
+    assert!(taken(false, 200));
+    // Two engines must not work on one request for longer.
+    assert!(settings.refusal_wait() < Duration::from_millis(400));
+    let never = HandoverSettings {
+        refusal_wait_millis: 0,
+    };
+    assert_eq!(never.validate().len(), 1);
+}
+
 #[test]
 fn a_stop_cuts_no_call_in_the_first_five_sixths_of_its_grace() {
     for tenths in 1..=600 {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::autoscaling::config::AutoscalingPolicy;
 use shelfjunction_core::cordon::CordonSettings;
-use shelfjunction_core::forwarding::{DeliverySettings, stopping};
+use shelfjunction_core::forwarding::{DeliverySettings, HandoverSettings, stopping};
 use shelfjunction_core::identity::{NodeId, ZoneId};
 use shelfjunction_core::lease::LeaseTimings;
 use shelfjunction_core::metering::config::MeteringSettings;
@@ -97,6 +97,9 @@
     /// What is kept for callers that read slowly.
     #[serde(default)]
     pub delivery: DeliverySettings,
+    /// When a stream whose engine is silent has passed to another engine.
+    #[serde(default)]
+    pub handover: HandoverSettings,
     /// What operators may have left alone.
     #[serde(default)]
     pub cordons: CordonSettings,
@@ -227,6 +230,7 @@
         errors.extend(self.topology.validate(&self.zone));
         errors.extend(self.spill.validate());
         errors.extend(self.delivery.validate());
+        errors.extend(self.handover.validate());
         errors.extend(self.cordons.validate());
         errors.extend(self.quarantine.validate());
         errors.extend(self.tenant_rates.validate());
--- a/crates/node/src/course/kept_run.rs
+++ b/crates/node/src/course/kept_run.rs
@@ -4,6 +4,7 @@
 use super::crash_evidence::{EngineFate, SILENT};
 use super::driver::Driver;
 use super::exchange::{Exchange, Purpose};
+use super::waiting::LONGEST_POLL;
 use crate::ports::EngineReading;
 use shelfjunction_core::identity::AttemptId;
 use shelfjunction_core::outcome::Outcome;
@@ -12,10 +13,6 @@
 use shelfjunction_core::time::MonotonicTime;
 use std::time::Duration;
 
-/// Time from the sending of a request after which an engine that has not refused it runs it or has queued it. Two engines must not
-/// work on a request for more than 400 ms.
-const TAKEN_OVER_AFTER: Duration = Duration::from_millis(200);
-
 /// A run whose engine is silent.
 pub(super) struct KeptRun {
     exchange: Exchange,
@@ -90,23 +87,22 @@
         let (Some(successor), Some(kept)) = (successor, &mut self.kept_run) else {
             return false;
         };
-        if successor.head.is_some() {
-            return true;
-        }
-        match &kept.sent_elsewhere {
-            Some((attempt, sent_at)) if *attempt == successor.attempt => {
-                now.since(*sent_at) >= TAKEN_OVER_AFTER
-            }
-            _ => {
+        let is_same = |(attempt, _): &&(AttemptId, MonotonicTime)| *attempt == successor.attempt;
+        let sent_at = match kept.sent_elsewhere.as_ref().filter(is_same) {
+            Some((_, sent_at)) => *sent_at,
+            None => {
                 kept.sent_elsewhere = Some((successor.attempt.clone(), now));
-                false
+                now
             }
-        }
+        };
+        let settings = &self.context.config.handover;
+        settings.is_taken_over(successor.head.is_some(), now.since(sent_at))
     }
 
     /// Longest wait until a kept run is reviewed again.
     pub(super) fn kept_run_wait(&self) -> Option<Duration> {
-        self.kept_run.is_some().then_some(TAKEN_OVER_AFTER)
+        let wait = self.context.config.handover.refusal_wait();
+        self.kept_run.is_some().then_some(wait.min(LONGEST_POLL))
     }
 
     /// Goes back to a kept run instead of ending the stream, where there is one; whether it did.
