--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -7,6 +7,7 @@
 use shelfjunction_core::engine::{Phase, Role};
 use shelfjunction_lab::cluster::deployment::Deployment;
 use std::io::{BufRead, BufReader};
+use std::time::{Duration, Instant};
 use support::engines::{HANDLE, ScriptedEngines};
 use support::{Fleet, header, json, model_call};
 use ureq::http::Response;
@@ -132,17 +133,18 @@
     let gateway = fleet.gateway();
     fleet.post(&gateway, "norrapotek", None, &model_call("renew", false));
     let url = format!("http://{}/metrics", gateway.address());
-    let text = fleet
-        .agent
-        .get(url)
-        .call()
-        .unwrap()
-        .body_mut()
-        .read_to_string()
-        .unwrap();
     let counted =
         r#"shelfjunction_gateway_requests_total{outcome="completed",cause="",class="interactive"} 1"#;
-    assert!(text.lines().any(|line| line == counted), "{text}");
+    let until = Instant::now() + Duration::from_secs(60);
+    // A request is counted after its answer has left.
+    let text = loop {
+        let mut answer = fleet.agent.get(&url).call().unwrap();
+        let text = answer.body_mut().read_to_string().unwrap();
+        if text.lines().any(|line| line == counted) {
+            break text;
+        }
+        assert!(Instant::now() < until, "{text}");
+    };
     assert!(text.ends_with("# EOF\n"));
     assert!(!text.contains("norrapotek"));
 }
