Process tests: a frozen program stands still before the test goes on

The signal to stop is only queued when kill returns, and the platform's threads ran on until the busy machine gave them the processor. The harness waits until the system says that the process has stopped.

--- a/tests/process/harness/program.rs
+++ b/tests/process/harness/program.rs
@@ -3,7 +3,7 @@
 // Waits of tests and the lab, on machines that are not suspended.
 #![allow(clippy::disallowed_methods)]
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitOptions, kill_process, waitpid};
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -113,9 +113,13 @@
         self.lines.state().lines.join("\n")
     }
 
-    /// Sends a signal.
+    /// Sends a signal; returns from one that stops the program only when all of it stands still.
     pub fn signal(&self, signal: Signal) {
         kill_process(self.pid(), signal).unwrap();
+        if signal == Signal::STOP {
+            let (_, status) = waitpid(Some(self.pid()), WaitOptions::UNTRACED).unwrap().unwrap();
+            assert!(status.stopped(), "{status:?}");
+        }
     }
 
     /// Kills the program and waits for its end.
