A request is judged by the limits in force when it begins to come

Callers whose connection rested while the configuration raised maxBodyBytes got 413 for the first larger body they sent on it, though the new limit had been in force for as long as they liked.

Cause: the thread of a connection took the limits before it waited for the next call, and judged the call by them however long that wait was. The wait and the reading are two steps now, and the limits are looked up for each.

a_body_is_judged_by_the_limits_in_force_when_it_is_sent_though_its_connection_rested_before failed before (413 in place of 200) and holds; all 19 tests of whole_path hold.

--- a/crates/node/src/accepting.rs
+++ b/crates/node/src/accepting.rs
@@ -1,9 +1,9 @@
 //! Takes callers' connections, one thread each.
 
-use crate::connections::OpenConnections;
+use crate::connections::{Entry, OpenConnections};
 use crate::context::Context;
 use crate::course;
-use crate::ports::{CallEnd, CallerConnection, CallerProtocol};
+use crate::ports::{Call, CallEnd, CallerConnection, CallerProtocol};
 use shelfjunction_core::forwarding::CallerLimits;
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
@@ -62,13 +62,10 @@
     }
 }
 
-fn serve(connection: &mut dyn CallerConnection, context: &Arc<Context>, entry: &crate::connections::Entry) {
+fn serve(connection: &mut dyn CallerConnection, context: &Arc<Context>, entry: &Entry) {
     loop {
-        let limits = context
-            .forwarding()
-            .map_or_else(CallerLimits::default, |config| config.limits);
         entry.rests(true);
-        let call = match connection.next_call(&limits) {
+        let call = match receive(connection, context) {
             Ok(call) => call,
             Err(CallEnd::Closed) => return,
             Err(CallEnd::Refused(cause)) => {
@@ -85,3 +82,15 @@
         }
     }
 }
+
+/// Waits for the next call and reads it, under the limits in force when it begins to come.
+fn receive(connection: &mut dyn CallerConnection, context: &Context) -> Result<Call, CallEnd> {
+    connection.wait_for_call(&limits(context))?;
+    connection.read_call(&limits(context))
+}
+
+fn limits(context: &Context) -> CallerLimits {
+    context
+        .forwarding()
+        .map_or_else(CallerLimits::default, |config| config.limits)
+}
--- a/crates/node/src/ports/mod.rs
+++ b/crates/node/src/ports/mod.rs
@@ -106,8 +106,11 @@
 
 /// One caller's connection.
 pub trait CallerConnection: Send {
-    /// Waits for the next call and reads it.
-    fn next_call(&mut self, limits: &CallerLimits) -> Result<Call, CallEnd>;
+    /// Waits until the first byte of the next call has come.
+    fn wait_for_call(&mut self, limits: &CallerLimits) -> Result<(), CallEnd>;
+
+    /// Reads the call whose first byte has come.
+    fn read_call(&mut self, limits: &CallerLimits) -> Result<Call, CallEnd>;
 
     /// Descriptor that becomes readable when the caller closes or sends more.
     fn descriptor(&self) -> BorrowedFd<'_>;
