A planned stop does not cut a request that is being sent

Callers that were sending a request when their node closed its resting connections, 3.5 s after SIGTERM, had the connection closed within their request, without an answer, though the node goes on serving for another 4 s.

Cause: a connection counted as resting until a call had been read whole, so the stop shut it for reading while a head or a body was on its way. It counts as resting until the first byte of the call now. What is still being sent when the process ends has its connection closed then, as before.

a_request_that_is_being_sent_when_its_node_stops_is_answered failed before (the connection ended without an answer) and holds; planned_stop (4) and whole_path (19) hold.

--- a/crates/node/src/accepting.rs
+++ b/crates/node/src/accepting.rs
@@ -65,7 +65,7 @@
 fn serve(connection: &mut dyn CallerConnection, context: &Arc<Context>, entry: &Entry) {
     loop {
         entry.rests(true);
-        let call = match receive(connection, context) {
+        let call = match receive(connection, context, entry) {
             Ok(call) => call,
             Err(CallEnd::Closed) => return,
             Err(CallEnd::Refused(cause)) => {
@@ -73,7 +73,6 @@
                 return;
             }
         };
-        entry.rests(false);
         context.state.request_begins();
         let keeps = course::run(context, connection, &call);
         context.state.request_ends();
@@ -84,8 +83,9 @@
 }
 
 /// Waits for the next call and reads it, under the limits in force when it begins to come.
-fn receive(connection: &mut dyn CallerConnection, context: &Context) -> Result<Call, CallEnd> {
+fn receive(connection: &mut dyn CallerConnection, context: &Context, entry: &Entry) -> Result<Call, CallEnd> {
     connection.wait_for_call(&limits(context))?;
+    entry.rests(false);
     connection.read_call(&limits(context))
 }
 
