A new connection to a stopping node has time for its first request

Where fewer than half of a zone's nodes are ready, the platform sends new connections to all of them, those that stop included. From 3.5 s after SIGTERM on such a caller had its connection closed unread and unanswered if its request did not come along with it.

Cause: a connection on which no call had come yet counted as resting, so a stop that closes resting connections shut a new one for reading at once. It has half a second for its first call now, and is answered as others are: served while there is time, or refused with 503. One on which nothing comes keeps the process for no longer than that.

a_new_connection_to_a_stopping_node_is_answered_though_its_request_comes_a_moment_later failed before (the connection ended without an answer) and holds; planned_stop (5) and whole_path (19) hold.

--- a/crates/node/src/accepting.rs
+++ b/crates/node/src/accepting.rs
@@ -40,7 +40,7 @@
     protocol: &Arc<dyn CallerProtocol>,
     open: &Arc<OpenConnections>,
 ) {
-    let entry = match open.enter(&stream, context.config.connections) {
+    let entry = match open.enter(&stream, context.config.connections, context.now()) {
         Ok(entry) => entry,
         Err(cause) => {
             log::warn!(cause = cause.name(), most = context.config.connections; "connection_refused");
@@ -64,7 +64,6 @@
 
 fn serve(connection: &mut dyn CallerConnection, context: &Arc<Context>, entry: &Entry) {
     loop {
-        entry.rests(true);
         let call = match receive(connection, context, entry) {
             Ok(call) => call,
             Err(CallEnd::Closed) => return,
@@ -79,13 +78,18 @@
         if !keeps {
             return;
         }
+        entry.note_rest();
     }
 }
 
 /// Waits for the next call and reads it, under the limits in force when it begins to come.
-fn receive(connection: &mut dyn CallerConnection, context: &Context, entry: &Entry) -> Result<Call, CallEnd> {
+fn receive(
+    connection: &mut dyn CallerConnection,
+    context: &Arc<Context>,
+    entry: &Entry,
+) -> Result<Call, CallEnd> {
     connection.wait_for_call(&limits(context))?;
-    entry.rests(false);
+    entry.note_call();
     connection.read_call(&limits(context))
 }
 
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -1,14 +1,31 @@
 //! Callers' connections that are open, so that a stop can close those that rest.
 
+use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
 use std::collections::BTreeMap;
 use std::net::{Shutdown, TcpStream};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Time within which the first call on a new connection must begin once resting connections are being closed.
+const MAX_FIRST_CALL_WAIT: Duration = Duration::from_millis(500);
 
 #[derive(Debug)]
 struct OpenConnection {
     stream: TcpStream,
-    rests: bool,
+    opened_at: MonotonicTime,
+    activity: Activity,
+}
+
+/// What goes on on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Activity {
+    /// No call has come yet.
+    New,
+    /// A call is being received or served.
+    Busy,
+    /// Between two calls.
+    Rests,
 }
 
 /// The open connections.
@@ -56,7 +73,12 @@
 
 impl OpenConnections {
     /// Enters a connection.
-    pub(crate) fn enter(self: &Arc<Self>, stream: &TcpStream, most: usize) -> Result<Entry, NotEntered> {
+    pub(crate) fn enter(
+        self: &Arc<Self>,
+        stream: &TcpStream,
+        most: usize,
+        now: MonotonicTime,
+    ) -> Result<Entry, NotEntered> {
         let stream = stream.try_clone().map_err(|_| NotEntered::SocketFault)?;
         let mut inner = lock(&self.inner);
         if inner.ended {
@@ -67,7 +89,12 @@
         }
         inner.next += 1;
         let number = inner.next;
-        inner.open.insert(number, OpenConnection { stream, rests: false });
+        let connection = OpenConnection {
+            stream,
+            opened_at: now,
+            activity: Activity::New,
+        };
+        inner.open.insert(number, connection);
         Ok(Entry {
             number,
             connections: Arc::clone(self),
@@ -92,24 +119,41 @@
         lock(&self.inner).ended = true;
     }
 
-    /// Closes the connections that rest, and each other one as soon as it rests.
-    pub(crate) fn close_resting(&self) {
+    /// Closes the connections that rest, and each other one as soon as it rests. A new connection has some time for its first call,
+    /// so this is to be repeated.
+    pub(crate) fn close_resting(&self, now: MonotonicTime) {
         let mut inner = lock(&self.inner);
         inner.closing = true;
-        for connection in inner.open.values().filter(|connection| connection.rests) {
-            stop_reading(&connection.stream);
+        for connection in inner.open.values() {
+            let closes = match connection.activity {
+                Activity::New => now.since(connection.opened_at) >= MAX_FIRST_CALL_WAIT,
+                Activity::Busy => false,
+                Activity::Rests => true,
+            };
+            if closes {
+                stop_reading(&connection.stream);
+            }
         }
     }
 }
 
 impl Entry {
-    /// Tells whether the connection rests between two calls.
-    pub(crate) fn rests(&self, rests: bool) {
+    /// Notes that a call has begun to come.
+    pub(crate) fn note_call(&self) {
+        self.set_activity(Activity::Busy);
+    }
+
+    /// Notes that the connection rests between two calls.
+    pub(crate) fn note_rest(&self) {
+        self.set_activity(Activity::Rests);
+    }
+
+    fn set_activity(&self, activity: Activity) {
         let mut inner = lock(&self.connections.inner);
         let closing = inner.closing;
         if let Some(connection) = inner.open.get_mut(&self.number) {
-            connection.rests = rests;
-            if closing && rests {
+            connection.activity = activity;
+            if closing && activity == Activity::Rests {
                 stop_reading(&connection.stream);
             }
         }
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -222,11 +222,10 @@
                 return self.open.end();
             }
             if now >= resting_until {
-                if !closed {
-                    self.context.state.begin_closing();
-                    self.open.close_resting();
-                    closed = true;
-                } else if self.context.served_tunnels.busy() == 0 && self.open.end_if_none() {
+                self.context.state.begin_closing();
+                self.open.close_resting(now);
+                let closed_before = std::mem::replace(&mut closed, true);
+                if closed_before && self.context.served_tunnels.busy() == 0 && self.open.end_if_none() {
                     return;
                 }
             }
