An answer that begins after SIGTERM says that its connection closes

Callers whose request was under way when their node got SIGTERM, and was answered after it, were told to keep the connection. They sent their next request on it; from 3.5 s after SIGTERM on it was closed unread, which a caller can't tell from a request that ran.

Cause: whether the connection stays open was decided when the request came, and the stop changed that only where it cut the request's time. It is decided when the head of the answer is written now.

an_answer_that_is_given_after_the_signal_to_stop_closes_its_connection failed before (200 without Connection: close) and holds; planned_stop (6) and whole_path (19) hold.

--- a/crates/node/src/course/answering.rs
+++ b/crates/node/src/course/answering.rs
@@ -31,7 +31,8 @@
     fn deliver_event(&mut self) -> Result<(), CallerGone> {
         if !self.events_open {
             if let Some(head) = self.current_head().cloned() {
-                self.caller.open_events(&head, self.keep)?;
+                let keep = self.leaves_open();
+                self.caller.open_events(&head, keep)?;
             }
             self.events_open = true;
         }
@@ -127,11 +128,13 @@
         let Some(whole) = self.whole.take() else {
             return false;
         };
-        self.caller.answer(&whole.head, &whole.body, self.keep).is_ok()
+        let keep = self.leaves_open();
+        self.caller.answer(&whole.head, &whole.body, keep).is_ok()
     }
 
     fn say(&mut self, answer: OwnAnswer) -> bool {
-        self.caller.say(&self.call.request, answer, self.keep).is_ok()
+        let keep = self.leaves_open();
+        self.caller.say(&self.call.request, answer, keep).is_ok()
     }
 
     fn log_end(&self, end: &End, taken: bool, now: MonotonicTime) {
--- a/crates/node/src/course/stopping.rs
+++ b/crates/node/src/course/stopping.rs
@@ -16,6 +16,13 @@
         }
     }
 
+    /// Whether the answer that begins now leaves its connection open; not once the process stops, since the connection is closed while
+    /// it rests, and the caller's next call would be lost with it.
+    pub(super) fn leaves_open(&mut self) -> bool {
+        self.keep &= !self.context.state.is_stopping();
+        self.keep
+    }
+
     /// What becomes of a dispatch instead that would wait in its engine's queue, where the stop cuts the request's time: nobody knows how
     /// long that lasts, and a request that was not sent can be refused as not run, and is served elsewhere at once.
     pub(super) fn withheld_from_queue(&mut self, engine: &EngineId, attempt: &AttemptId) -> Option<Event> {
