A node that stops relays no further request, and says so

Callers of a node that reaches engines through another one had requests cut when that relay's process ended: it looked whether a request was under way on its tunnels and ended, while its threads went on passing requests on until the process was gone. The same order of events as with callers' own connections, on a path that did not have its lock. The caller got 502, which a request that may run once can't be repeated after. Tunnels at rest were closed as well while a request might be on its way, with the same result.

A relay that stops serves the request under way on each tunnel and declines every other with a frame of its own; it leaves it to the origin to close the tunnel, so that the frame is not lost with a reset. The origin knows then that the engine never had the request: it sends it over another path, at most three times, without a draw on the budget for repeats, and refuses it with 503 where there is none.

--- a/crates/core/src/retry/arrivals.rs
+++ b/crates/core/src/retry/arrivals.rs
@@ -34,6 +34,15 @@
         }
     }
 
+    /// Takes back a dispatch that was stopped on its way to the engine.
+    pub fn note_not_arrived(&mut self, arrival: Arrival) {
+        let count = match arrival {
+            Arrival::Prompt => &mut self.prompts,
+            Arrival::Answer => &mut self.answers,
+        };
+        *count = count.saturating_sub(1);
+    }
+
     /// Dispatches that left.
     pub fn sent(&self) -> u32 {
         self.prompts + self.answers
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -109,6 +109,7 @@
         if let Some(charged) = &mut self.charged {
             charged.note_sent();
         }
+        let relayed = link.tunnel().map(|_| (target.clone(), call.clone()));
         let mut exchange = Exchange {
             attempt: call.attempt.clone(),
             engine: target.engine.clone(),
@@ -116,6 +117,7 @@
             account,
             purpose,
             link,
+            relayed,
             head: None,
             sent_at: now,
             asked_at: now,
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -111,6 +111,8 @@
     pub(super) kept_run: Option<KeptRun>,
     /// Arrivals at engines so far, and the repeats that were granted for them.
     pub(super) arrivals: ArrivalAccount,
+    /// Dispatches that relays have declined since they stop.
+    pub(super) declined_by_relays: u32,
     /// The last dispatch never left, so trying again costs no engine anything.
     pub(super) last_not_sent: bool,
     /// Load that the engine told which has just read the prompt.
@@ -209,6 +211,7 @@
             exchange: None,
             kept_run: None,
             arrivals: ArrivalAccount::default(),
+            declined_by_relays: 0,
             last_not_sent: false,
             prompt_told: None,
             prompt_is_read: false,
--- a/crates/node/src/course/exchange.rs
+++ b/crates/node/src/course/exchange.rs
@@ -3,7 +3,9 @@
 use super::accounting::Account;
 use crate::links::Connection;
 use crate::ports::AnswerHead;
+use shelfjunction_core::engine::EngineCall;
 use shelfjunction_core::identity::{AttemptId, EngineId};
+use shelfjunction_core::request::specification::Target;
 use shelfjunction_core::retry::arrivals::Arrival;
 use shelfjunction_core::streams::StreamOrigin;
 use shelfjunction_core::time::MonotonicTime;
@@ -48,6 +50,8 @@
     pub(super) account: Account,
     pub(super) purpose: Purpose,
     pub(super) link: Connection,
+    /// What was sent, where it passes through another node that may decline it.
+    pub(super) relayed: Option<(Target, EngineCall)>,
     /// Head of the answer, once it came.
     pub(super) head: Option<AnswerHead>,
     pub(super) sent_at: MonotonicTime,
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -8,6 +8,7 @@
 use crate::metering;
 use crate::ports::{AnswerHead, EngineReading};
 use crate::quarantine;
+use crate::relay::Tunnel;
 use shelfjunction_core::engine::{AnswerPart, EngineRefusal};
 use shelfjunction_core::forwarding::max_wait;
 use shelfjunction_core::request::event::{Event, OpaquePart};
@@ -21,6 +22,9 @@
 /// counted nine in ten as begun.
 const RUN_BEGINS_AFTER: Duration = Duration::from_millis(5);
 
+/// Times that a request is sent again because its relay has declined it.
+const MAX_DECLINED: u32 = 3;
+
 impl Driver<'_> {
     pub(super) fn on_reading(&mut self, reading: EngineReading) -> Option<Event> {
         let now = self.context.now();
@@ -77,10 +81,52 @@
             | EngineReading::Report(_)
             | EngineReading::Identity { .. }
             | EngineReading::Ordered(_) => Some(self.broken("answer_not_asked_for")),
+            EngineReading::Broken(_) if self.is_declined_by_relay() => self.declined_by_relay(),
             EngineReading::Broken(cause) => Some(self.broken(cause)),
         }
     }
 
+    fn is_declined_by_relay(&self) -> bool {
+        self.exchange.as_ref().is_some_and(|exchange| {
+            let tunnel = exchange.link.tunnel();
+            exchange.head.is_none() && tunnel.is_some_and(Tunnel::has_declined)
+        })
+    }
+
+    /// Sends a request again over another path whose relay stops: the engine never had it.
+    fn declined_by_relay(&mut self) -> Option<Event> {
+        let exchange = self.exchange.take()?;
+        let now = self.context.now();
+        let again = exchange
+            .relayed
+            .filter(|_| self.declined_by_relays < MAX_DECLINED);
+        log::info!(
+            request = self.call.request.as_str(),
+            engine = exchange.engine.as_str(),
+            purpose = exchange.purpose.name(),
+            again = again.is_some();
+            "declined_by_relay"
+        );
+        let metrics = &self.context.metrics;
+        metrics.dispatch_ended(exchange.purpose.name(), "declined_by_relay");
+        if let Some(tunnel) = exchange.link.tunnel() {
+            self.context.relays.on_failed(tunnel.relay, now);
+        }
+        // Others that rest may pass through the same relay.
+        self.context.links.forget(&exchange.engine);
+        self.count_abandoned(&exchange.account);
+        self.arrivals.note_not_arrived(exchange.purpose.arrival());
+        self.declined_by_relays += 1;
+        let Some((target, call)) = again else {
+            self.last_not_sent = true;
+            return Some(Event::NotSent {
+                attempt: exchange.attempt,
+            });
+        };
+        self.dispatch(&target, &call);
+        None
+    }
+
     fn opened(&mut self, head: AnswerHead, now: MonotonicTime) -> Option<Event> {
         let exchange = self.exchange.as_mut()?;
         if let Some(told) = head.told {
--- a/crates/node/src/relay/serving.rs
+++ b/crates/node/src/relay/serving.rs
@@ -160,6 +160,8 @@
     towards_engine: Vec<u8>,
     towards_origin: Vec<u8>,
     engine_ended: bool,
+    /// Whether the origin was told that no further request is passed on.
+    declines: bool,
 }
 
 impl Splice {
@@ -172,6 +174,7 @@
             towards_engine: Vec::new(),
             towards_origin: Vec::new(),
             engine_ended: false,
+            declines: false,
         }
     }
 
@@ -181,17 +184,28 @@
             if self.read_origin(context, place, from)? {
                 return Ok(());
             }
+            if !place.is_busy && context.state.is_stopping() {
+                self.decline();
+            }
             self.read_engine(context)?;
             send(&mut self.engine_stream, &mut self.towards_engine)?;
             send(&mut self.origin, &mut self.towards_origin)?;
             let is_idle = !place.is_busy && self.towards_origin.is_empty();
-            if is_idle && (self.engine_ended || context.state.is_closing()) {
+            // Closing a tunnel on which a request is on its way could destroy the frame that declines it.
+            if is_idle && self.engine_ended && !self.declines {
                 return Ok(());
             }
             self.wait();
         }
     }
 
+    /// Passes on no further request, and tells the origin so.
+    fn decline(&mut self) {
+        if !std::mem::replace(&mut self.declines, true) {
+            append_frame(&mut self.towards_origin, FrameKind::Declined, &[]);
+        }
+    }
+
     /// Reads what the origin has sent; whether it has closed.
     fn read_origin(
         &mut self,
@@ -213,6 +227,8 @@
             let malformed = |_| io::Error::from(ErrorKind::InvalidData);
             while let Some((kind, content)) = self.decoder.next_frame().map_err(malformed)? {
                 match kind {
+                    FrameKind::Data | FrameKind::Request | FrameKind::Rest if self.declines => {}
+                    FrameKind::Request if context.state.is_stopping() => self.decline(),
                     FrameKind::Data => {
                         context.metrics.relay.bytes.inc_by(content.len() as u64);
                         self.towards_engine.extend(content);
@@ -223,7 +239,7 @@
                         log::info!(request = request.as_ref(), engine = self.engine.as_str(), from:% = from; "request_relayed");
                     }
                     FrameKind::Rest => place.set_busy(false),
-                    FrameKind::End => return Err(ErrorKind::InvalidData.into()),
+                    FrameKind::End | FrameKind::Declined => return Err(ErrorKind::InvalidData.into()),
                 }
             }
         }
--- a/crates/node/src/relay/tunnel.rs
+++ b/crates/node/src/relay/tunnel.rs
@@ -35,6 +35,8 @@
     incoming: VecDeque<u8>,
     /// Whether the engine has closed in order.
     ended: bool,
+    /// Whether the relay passes on no further request.
+    declined: bool,
 }
 
 /// The bytes of a tunnel, as a connection to the engine would carry them.
@@ -68,7 +70,12 @@
     /// Whether bytes came that nobody has read.
     pub(crate) fn has_unread(&self) -> bool {
         let state = lock(&self.shared.state);
-        !state.incoming.is_empty() || state.ended
+        !state.incoming.is_empty() || state.ended || state.declined
+    }
+
+    /// Whether the relay has declined the request that was sent last, so that the engine never had it.
+    pub(crate) fn has_declined(&self) -> bool {
+        lock(&self.shared.state).declined
     }
 
     fn note(&self, kind: FrameKind, content: &[u8]) {
@@ -108,9 +115,13 @@
             match kind {
                 FrameKind::Data => state.incoming.extend(content),
                 FrameKind::End => state.ended = true,
+                FrameKind::Declined => state.declined = true,
                 FrameKind::Request | FrameKind::Rest => return Err(ErrorKind::InvalidData.into()),
             }
         }
+        if state.declined {
+            return Err(ErrorKind::ConnectionAborted.into());
+        }
         Ok(())
     }
 }
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -9,7 +9,8 @@
 //! ```
 //!
 //! The end of the engine's connection is a frame of its own: a tunnel that ends without it has broken, and what came through it may
-//! not be taken for whole.
+//! not be taken for whole. A relay that stops declines further requests with a frame as well and leaves it to the origin to close the
+//! tunnel, so that the origin knows which requests the engine never had.
 
 use super::datagram_format;
 use serde::{Deserialize, Serialize};
@@ -153,10 +154,12 @@
     Request,
     /// No request is under way any more.
     Rest,
+    /// The relay stops and passes on no further request; one that was sent meanwhile has not reached the engine.
+    Declined,
 }
 
 impl FrameKind {
-    const ALL: [Self; 4] = [Self::Data, Self::End, Self::Request, Self::Rest];
+    const ALL: [Self; 5] = [Self::Data, Self::End, Self::Request, Self::Rest, Self::Declined];
 
     fn of_byte(byte: u8) -> Option<Self> {
         Self::ALL.into_iter().find(|kind| *kind as u8 == byte)
