A signal to reload does not end a node that is still starting

A node that got SIGHUP within the first milliseconds of its process, while it read its settings, was ended by it without a line of log: the platform had to start it again, and callers sent there meanwhile were refused.

Cause: signals were taken over only after settings and logger were there. They are taken over first now; a reload or a stop that comes during the start is carried out as soon as the node runs.

What comes before the program's first instruction still ends it.

--- a/crates/cli/src/node/forwarder.rs
+++ b/crates/cli/src/node/forwarder.rs
@@ -36,10 +36,10 @@
 /// Runs the process until SIGTERM or SIGINT, then until its last request has ended.
 pub fn run(
     settings: NodeSettings<NodeConfig>,
+    mut signals: NodeSignals,
     losses: Arc<LogLosses>,
     reload: impl Fn() -> Result<NodeSettings<NodeConfig>, CommandError>,
 ) -> Result<(), CommandError> {
-    let mut signals = NodeSignals::register()?;
     let config = settings.program;
     let running = config.clone();
     let store = Arc::new(PlatformStore::new(config.store));
--- a/crates/cli/src/node/mod.rs
+++ b/crates/cli/src/node/mod.rs
@@ -10,6 +10,7 @@
 use crate::settings::{self, NodeSettings, Override, ProgramSettings};
 use crate::usage;
 use shelfjunction_logging as logging;
+use signals::NodeSignals;
 use std::path::PathBuf;
 
 /// Runs `shelfjunction gateway`.
@@ -30,12 +31,14 @@
 
 /// Runs `shelfjunction node`.
 pub fn run_node(arguments: &[String]) -> Result<(), CommandError> {
+    // A signal to reload that comes during the start would end the process otherwise.
+    let signals = NodeSignals::register()?;
     let Some(settings) = checked(usage::NODE, arguments)? else {
         return Ok(());
     };
     // Tests run several programs in one process; the first one's logger serves all.
     let losses = logging::install_queued(settings.log_level).unwrap_or_default();
-    let result = forwarder::run(settings, losses, || load(usage::NODE, arguments));
+    let result = forwarder::run(settings, signals, losses, || load(usage::NODE, arguments));
     logging::flush();
     result
 }
--- a/crates/cli/tests/node_reload.rs
+++ b/crates/cli/tests/node_reload.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use std::fs;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::path::Path;
 use std::process::{Child, ChildStdout, Command, Stdio};
 use support::directory;
@@ -86,3 +86,20 @@
     let changed = node.next("topology_changed");
     assert!(changed.contains("regions=1"), "{changed}");
 }
+
+#[test]
+fn a_signal_to_reload_does_not_end_a_node_that_is_still_starting() {
+    let file = directory("node-reload-at-start").join("node.toml");
+    let made = Command::new("mkfifo").arg(&file).status();
+    assert!(made.unwrap().success());
+    let mut node = Node::start(&file);
+    // Returns once the node reads its settings.
+    let mut pipe = fs::OpenOptions::new().write(true).open(&file).unwrap();
+    node.reload();
+    pipe.write_all(settings("").as_bytes()).unwrap();
+    fs::remove_file(&file).unwrap();
+    fs::write(&file, settings("")).unwrap();
+    drop(pipe);
+    node.next("started");
+    node.next("settings_reloaded");
+}
