--- a/crates/lab/src/command/fault_soak.rs
+++ b/crates/lab/src/command/fault_soak.rs
@@ -75,6 +75,17 @@
         "callers besides whose streams take seconds (0)",
         "NUMBER",
     );
+    options.optopt(
+        "",
+        "bound-callers",
+        "callers besides that are bound to one node and use each connection until it ends (0)",
+        "NUMBER",
+    );
+    options.optflag(
+        "",
+        "silences",
+        "with --planned-work: engines that work say nothing for a second or so now and then",
+    );
     options.optflag(
         "",
         "planned-work",
@@ -171,6 +182,8 @@
             part_crashers: options.value_or("part-crashers", u64::from(!planned_work))?,
             late_readers: options.value_or("late-readers", if planned_work { 0 } else { 2 })?,
             streamers: options.value_or("streamers", 0)?,
+            bound_callers: options.value_or("bound-callers", 0)?,
+            silences: options.flag("silences"),
             planned_work,
             planted_grace,
             rated_callers: options.value_or("rated-callers", 0)?,
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -5,6 +5,7 @@
 //! machine's timing, so a failed run keeps its logs.
 
 pub mod authority;
+pub mod bound_callers;
 mod callers;
 mod crashers;
 pub mod crashes;
@@ -41,6 +42,7 @@
 mod upgrading;
 pub mod usage_windows;
 
+use bound_callers::BoundCaller;
 use callers::Caller;
 use crashers::Crasher;
 use crowding::CrowdedSpan;
@@ -98,6 +100,10 @@
     pub rated_callers: u64,
     /// Callers besides whose streams take seconds.
     pub streamers: u64,
+    /// Callers besides that are bound to one node and use each connection until it ends.
+    pub bound_callers: u64,
+    /// Whether engines that work say nothing for a second or so now and then, beside planned work.
+    pub silences: bool,
     /// Whether nothing strikes but planned work: stops, reloads, configurations and engines that are replaced in order.
     pub planned_work: bool,
     /// Grace in the settings of nodes, in place of the one that they get: a fault to be found.
@@ -224,7 +230,12 @@
 fn draw_schedule(config: &FaultSoakConfig, deployment: &Deployment) -> Vec<schedule::ScheduledFault> {
     let targets = deployment.targets();
     if config.planned_work {
-        return planned_work::draw(config.seed, config.length, targets);
+        let mut schedule = planned_work::draw(config.seed, config.length, targets);
+        if config.silences {
+            schedule.extend(planned_work::draw_silences(config.seed, config.length, targets));
+            schedule.sort_by_key(|scheduled| scheduled.at);
+        }
+        return schedule;
     }
     let mut schedule = schedule::draw(config.seed, config.length, targets, config.pace);
     if config.restores {
@@ -311,6 +322,12 @@
                 scope.spawn(|| streamer.run(deployment, begun, &stop))
             })
             .collect();
+        let bound: Vec<_> = (0..config.bound_callers)
+            .map(|number| {
+                let caller = BoundCaller::new(config.seed, number);
+                scope.spawn(|| caller.run(deployment, begun, &stop))
+            })
+            .collect();
         let crowding = scope.spawn(|| crowding::run(deployment, config.seed, config.length, begun, &stop));
         let upgrade = config.other_build.as_ref().map(|other| {
             scope.spawn(|| {
@@ -330,7 +347,8 @@
             .chain(sharers)
             .chain(late_readers)
             .chain(rated)
-            .chain(streamers);
+            .chain(streamers)
+            .chain(bound);
         let mut calls: Vec<SeenCall> = all.filter_map(|caller| caller.join().ok()).flatten().collect();
         let mut streams = Vec::new();
         for record in resumers.into_iter().filter_map(|resumer| resumer.join().ok()) {
--- a/crates/lab/src/fault_soak/planned_work.rs
+++ b/crates/lab/src/fault_soak/planned_work.rs
@@ -7,12 +7,14 @@
 //!          and it was cut in the last sixth of the grace
 //! ```
 
-use super::callers::DEADLINE;
+use super::bound_callers::{self, is_bound, is_heedless};
+use super::callers;
 use super::oracle::Violation;
 use super::places::GRACE;
 use super::record::SeenCall;
 use super::resumers::is_resumer;
 use super::schedule::{Fault, ScheduledFault, Targets};
+use crate::relay::LinkFault;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeSet;
@@ -26,6 +28,12 @@
 /// Lengths of series, and times for which engines drain before they end, in milliseconds.
 const LENGTH_MILLIS: Range<u64> = 500..3_000;
 
+/// Number of the stream of draws for silences.
+const SILENCES_STREAM: u64 = 3;
+
+/// Times for which an engine that works says nothing, and pauses between two such, in milliseconds.
+const SILENCE_MILLIS: Range<u64> = 500..1_500;
+
 /// Time after the signal to stop within which a request must have been sent whose cut in the last part of the grace is allowed.
 const SENT_AFTER_STOP: Duration = Duration::from_secs(3);
 
@@ -47,6 +55,8 @@
     pub allowed: usize,
     /// Those that were cut otherwise.
     pub cut: usize,
+    /// Requests of callers bound to a node that got no answer on a connection that was to stay open, and reached no engine.
+    pub unread: usize,
 }
 
 impl fmt::Display for CutCount {
@@ -55,10 +65,11 @@
             reached,
             allowed,
             cut,
+            unread,
         } = self;
         write!(
             formatter,
-            "of {reached} requests at engines {cut} cut by planned work, {allowed} as is allowed"
+            "of {reached} requests at engines {cut} cut by planned work, {allowed} as is allowed; {unread} unanswered on connections in use that no engine had"
         )
     }
 }
@@ -79,6 +90,25 @@
     schedule
 }
 
+/// Draws times at which engines that work say nothing for a second or so and then go on; the same seed gives the same times.
+pub fn draw_silences(seed: u64, length: Duration, targets: Targets) -> Vec<ScheduledFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(SILENCES_STREAM);
+    let mut draw_time = || Duration::from_millis(random.random_range(SILENCE_MILLIS));
+    let mut schedule = Vec::new();
+    let mut at = draw_time();
+    while at < length {
+        schedule.push((at, draw_time()));
+        at += draw_time();
+    }
+    let of_engine = |(at, lasts)| ScheduledFault {
+        at,
+        lasts,
+        fault: Fault::EngineLink(random.random_range(0..targets.engines), LinkFault::Silent),
+    };
+    schedule.into_iter().map(of_engine).collect()
+}
+
 fn draw_work(random: &mut ChaCha8Rng, targets: Targets) -> Fault {
     let node = random.random_range(0..targets.nodes);
     let engine = random.random_range(0..targets.engines);
@@ -112,6 +142,7 @@
         reached: at_engines.count(),
         allowed: allowed.len(),
         cut: cut.len(),
+        unread: calls.iter().filter(|call| is_unread(call, reached)).count(),
     };
     let cut = cut
         .into_iter()
@@ -119,11 +150,24 @@
     (count, cut.collect())
 }
 
+fn is_unread(call: &SeenCall, reached: &BTreeSet<String>) -> bool {
+    let expects_answer = is_bound(&call.request) && !is_heedless(&call.request);
+    call.answer.is_none() && expects_answer && !reached.contains(&call.request)
+}
+
+/// Time that the caller of a request waits, as it told the node.
+fn deadline(call: &SeenCall) -> Duration {
+    if is_bound(&call.request) {
+        return bound_callers::DEADLINE;
+    }
+    callers::DEADLINE
+}
+
 fn is_allowed(call: &SeenCall, stops: &[StopRecord]) -> bool {
     let ended_at = call.sent_at + call.took;
     let by_stop = stops.iter().any(|stop| {
         let last_sixth = stop.at + GRACE * 5 / 6..=stop.at + GRACE;
         stop.node == call.node && call.sent_at <= stop.at + SENT_AFTER_STOP && last_sixth.contains(&ended_at)
     });
-    by_stop || call.took >= DEADLINE
+    by_stop || call.took >= deadline(call)
 }
--- a/crates/lab/src/users_platform/engine.rs
+++ b/crates/lab/src/users_platform/engine.rs
@@ -6,8 +6,8 @@
 use super::engine_settings::{EngineFault, EngineSettings};
 use super::engine_state::State;
 use super::engine_work::{
-    EVENTS_BEFORE_BREAK, MachinePace, answer_events, breaks_at_first, event, event_pause, names_versions,
-    versioned_event, wants_long_answer,
+    EVENTS_BEFORE_BREAK, MachinePace, answer_events, answer_pause, breaks_at_first, event, event_pause,
+    names_versions, versioned_event, wants_long_answer,
 };
 use serde::Deserialize;
 use shelfjunction_http::{
@@ -295,7 +295,7 @@
             Some(EngineFault::Unsigned) => responder.answer(&self.answer(request, 200, "who said this?")),
             _ if self.settings.stage.is_some() => self.stream(request, &record, fault, responder),
             _ => {
-                std::thread::sleep(self.pace.added_time());
+                std::thread::sleep(answer_pause(&request.body) + self.pace.added_time());
                 responder.answer(&self.signed(request, 200, "the answer"))
             }
         }
--- a/crates/lab/src/users_platform/engine_work.rs
+++ b/crates/lab/src/users_platform/engine_work.rs
@@ -67,6 +67,21 @@
 /// Time between two events of a slow answer.
 const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(40);
 
+/// Body of a short call that its engine works on for a while.
+pub const WORKING_ANSWER_BODY: &str = "wants work";
+
+/// How long it works on one.
+const LONG_WORK: Duration = Duration::from_millis(50);
+
+/// Time before the answer to a short call with this body, on a machine that does nothing else.
+pub fn answer_pause(body: &[u8]) -> Duration {
+    if body == WORKING_ANSWER_BODY.as_bytes() {
+        LONG_WORK
+    } else {
+        Duration::ZERO
+    }
+}
+
 /// Time before an event of the answer to a request with this body, on a machine that does nothing else; `begins` is whether the stream
 /// begins at this engine.
 pub fn event_pause(body: &[u8], id: u64, begins: bool) -> Duration {
--- a/crates/lab/src/users_platform/mod.rs
+++ b/crates/lab/src/users_platform/mod.rs
@@ -21,7 +21,7 @@
 pub use engine_work::{
     BREAKING_BODY, EVENTS_BEFORE_BREAK, FILLING_BYTES, LASTING_ANSWER_BODY, LASTING_ANSWER_EVENTS,
     LONG_ANSWER_BODY, LONG_ANSWER_EVENTS, MachinePace, SLOW_ANSWER_BODY, STALLING_ANSWER_BODY,
-    USUAL_PACE_PERCENT, VERSIONED_BODY, event, wants_long_answer, without_filling,
+    USUAL_PACE_PERCENT, VERSIONED_BODY, WORKING_ANSWER_BODY, event, wants_long_answer, without_filling,
 };
 pub use interface::{DutyCall, InterfaceMode, ScaleOrder, StandInInterface, UsageReport};
 pub use store::{StandInStore, StoreMode};
--- a/crates/lab/tests/planned_work.rs
+++ b/crates/lab/tests/planned_work.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use shelfjunction_lab::fault_soak::oracle::Violation;
-use shelfjunction_lab::fault_soak::planned_work::{StopRecord, draw, judge};
+use shelfjunction_lab::fault_soak::planned_work::{StopRecord, draw, draw_silences, judge};
 use shelfjunction_lab::fault_soak::record::{CallKind, SeenAnswer, SeenCall};
 use shelfjunction_lab::fault_soak::schedule::Targets;
 use std::collections::BTreeSet;
@@ -84,6 +84,33 @@
     assert!(!is_cut(cut_call(0, 4_000), &[]));
 }
 
+#[test]
+fn a_request_of_a_caller_bound_to_a_node_is_judged_by_its_own_deadline() {
+    let of_bound = |ended| SeenCall {
+        request: "bound0-1".to_owned(),
+        ..cut_call(0, ended)
+    };
+    let reached = BTreeSet::from(["bound0-1".to_owned()]);
+    let cut = |ended| judge(&[of_bound(ended)], &reached, &[]).0.cut;
+    assert_eq!((cut(900), cut(1_000)), (1, 0));
+}
+
+#[test]
+fn unread_requests_are_counted_only_on_connections_that_were_to_stay_open() {
+    let unanswered = |request: &str| SeenCall {
+        request: request.to_owned(),
+        answer: None,
+        ..cut_call(0, 10)
+    };
+    let calls = [
+        unanswered("bound0-1"),
+        unanswered("bound0-2-heedless"),
+        unanswered("mine"),
+    ];
+    let (count, violations) = judge(&calls, &BTreeSet::new(), &[]);
+    assert_eq!((count.unread, violations), (1, Vec::new()));
+}
+
 #[test]
 fn the_same_seed_gives_the_same_planned_work() {
     let targets = Targets {
@@ -94,4 +121,7 @@
     let of = |seed| draw(seed, Duration::from_secs(10), targets);
     assert_eq!(of(1), of(1));
     assert_ne!(of(1), of(2));
+    let silences = |seed| draw_silences(seed, Duration::from_secs(10), targets);
+    assert_eq!(silences(1), silences(1));
+    assert_ne!(silences(1), silences(2));
 }
