--- a/crates/lab/src/fault_soak/bound_callers.rs
+++ b/crates/lab/src/fault_soak/bound_callers.rs
@@ -1,5 +1,5 @@
-//! Callers that are bound to one node and use each connection until it ends or is told to close; some use it on all the same. They
-//! connect to the same node again at once, so that some of their requests come within the milliseconds in which it ends.
+//! Callers that each send to one node and keep a connection until it ends or an answer has `Connection: close`, which some ignore. They
+//! reconnect to the same node at once, so that some requests arrive in the milliseconds in which its process ends.
 
 use super::deployment::Deployment;
 use super::operator::tenant_of;
@@ -16,13 +16,13 @@
 /// Begin of the names of their requests.
 const PREFIX: &str = "bound";
 
-/// End of the names of those that are sent on a connection although it is told to close.
+/// End of the names of requests that are sent after an answer with `Connection: close`.
 const HEEDLESS_END: &str = "-heedless";
 
 /// Numbers from which these callers are counted, so that their draws are not those of others.
 const BOUND_CALLERS: u64 = 1_200_000;
 
-/// Time that a caller waits, as it tells the node: short, so that a stopping node takes its requests for long.
+/// Deadline of their requests: short, so that a stopping node accepts them until late.
 pub(super) const DEADLINE: Duration = Duration::from_millis(1_000);
 
 /// Time after which a caller gives up whatever the node does.
@@ -34,10 +34,10 @@
 /// Pauses within a request that is sent in two pieces, in milliseconds.
 const PIECE_PAUSE_MILLIS: std::ops::Range<u64> = 1..20;
 
-/// Requests that are sent in two pieces.
+/// Part of the requests that are sent in two pieces.
 const IN_PIECES_PART: f64 = 0.3;
 
-/// Connections that are used on although they are told to close.
+/// Part of the connections that are used on after an answer with `Connection: close`.
 const HEEDLESS_PART: f64 = 0.1;
 
 /// Pause before a node that takes no connection is tried again.
@@ -60,7 +60,7 @@
         }
     }
 
-    /// Asks its node until told to stop; what it saw.
+    /// Sends requests to its node until `stop` is set; returns what it saw.
     pub fn run(mut self, deployment: &Deployment, begun: Instant, stop: &AtomicBool) -> Vec<SeenCall> {
         let node = self.number as usize % deployment.targets().nodes;
         let mut seen = Vec::new();
@@ -114,7 +114,7 @@
     }
 }
 
-/// Whether a request of theirs was sent on a connection that its node had said it closes.
+/// Whether a request of theirs was sent after an answer with `Connection: close`.
 pub fn is_heedless(request: &str) -> bool {
     request.ends_with(HEEDLESS_END)
 }
@@ -127,7 +127,7 @@
 /// A connection that speaks just enough HTTP/1.1 for answers with a length.
 struct Connection {
     reader: BufReader<TcpStream>,
-    /// Whether the node has said that it closes.
+    /// Whether an answer had `Connection: close`.
     closes: bool,
 }
 
--- a/crates/lab/src/fault_soak/planned_work.rs
+++ b/crates/lab/src/fault_soak/planned_work.rs
@@ -155,7 +155,7 @@
     call.answer.is_none() && expects_answer && !reached.contains(&call.request)
 }
 
-/// Time that the caller of a request waits, as it told the node.
+/// Deadline that a request had.
 fn deadline(call: &SeenCall) -> Duration {
     if is_bound(&call.request) {
         return bound_callers::DEADLINE;
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -119,8 +119,8 @@
         lock(&self.inner).ended = true;
     }
 
-    /// Closes the connections that rest, and each other one as soon as it rests. A new connection has some time for its first call,
-    /// so this is to be repeated.
+    /// Closes the connections that rest, and from now on each other one as soon as it rests. To be called repeatedly: a new connection
+    /// is closed once the time for its first call has passed.
     pub(crate) fn close_resting(&self, now: MonotonicTime) {
         let mut inner = lock(&self.inner);
         inner.closing = true;
--- a/crates/node/src/course/driver.rs
+++ b/crates/node/src/course/driver.rs
@@ -111,7 +111,7 @@
     pub(super) kept_run: Option<KeptRun>,
     /// Arrivals at engines so far, and the repeats that were granted for them.
     pub(super) arrivals: ArrivalAccount,
-    /// Dispatches that relays have declined since they stop.
+    /// Dispatches that stopping relays have declined.
     pub(super) declined_by_relays: u32,
     /// The last dispatch never left, so trying again costs no engine anything.
     pub(super) last_not_sent: bool,
--- a/crates/node/src/course/exchange.rs
+++ b/crates/node/src/course/exchange.rs
@@ -50,7 +50,7 @@
     pub(super) account: Account,
     pub(super) purpose: Purpose,
     pub(super) link: Connection,
-    /// What was sent, where it passes through another node that may decline it.
+    /// The dispatch, to be repeated if the relay declines it; absent over a direct link.
     pub(super) relayed: Option<(Target, EngineCall)>,
     /// Head of the answer, once it came.
     pub(super) head: Option<AnswerHead>,
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -22,7 +22,7 @@
 /// counted nine in ten as begun.
 const RUN_BEGINS_AFTER: Duration = Duration::from_millis(5);
 
-/// Times that a request is sent again because its relay has declined it.
+/// Maximum number of times that a request is sent again because a relay declined it.
 const MAX_DECLINED: u32 = 3;
 
 impl Driver<'_> {
@@ -93,7 +93,7 @@
         })
     }
 
-    /// Sends a request again over another path whose relay stops: the engine never had it.
+    /// Repeats a dispatch that its relay declined over another path; safe for every request, since the engine never received it.
     fn declined_by_relay(&mut self) -> Option<Event> {
         let exchange = self.exchange.take()?;
         let now = self.context.now();
@@ -112,7 +112,7 @@
         if let Some(tunnel) = exchange.link.tunnel() {
             self.context.relays.on_failed(tunnel.relay, now);
         }
-        // Others that rest may pass through the same relay.
+        // Other resting connections to the engine may pass through the same relay.
         self.context.links.forget(&exchange.engine);
         self.count_abandoned(&exchange.account);
         self.arrivals.note_not_arrived(exchange.purpose.arrival());
--- a/crates/node/src/course/stopping.rs
+++ b/crates/node/src/course/stopping.rs
@@ -16,8 +16,8 @@
         }
     }
 
-    /// Whether the answer that begins now leaves its connection open; not once the process stops, since the connection is closed while
-    /// it rests, and the caller's next call would be lost with it.
+    /// Whether the answer that begins now leaves its connection open. While the process stops it does not: resting connections are
+    /// closed then, and the caller's next call would be lost.
     pub(super) fn leaves_open(&mut self) -> bool {
         self.keep &= !self.context.state.is_stopping();
         self.keep
--- a/crates/node/src/relay/serving.rs
+++ b/crates/node/src/relay/serving.rs
@@ -160,7 +160,7 @@
     towards_engine: Vec<u8>,
     towards_origin: Vec<u8>,
     engine_ended: bool,
-    /// Whether the origin was told that no further request is passed on.
+    /// Whether further requests are declined, and the origin has been notified of that.
     declines: bool,
 }
 
@@ -199,7 +199,7 @@
         }
     }
 
-    /// Passes on no further request, and tells the origin so.
+    /// Declines further requests and notifies the origin.
     fn decline(&mut self) {
         if !std::mem::replace(&mut self.declines, true) {
             append_frame(&mut self.towards_origin, FrameKind::Declined, &[]);
--- a/crates/node/src/relay/tunnel.rs
+++ b/crates/node/src/relay/tunnel.rs
@@ -35,7 +35,7 @@
     incoming: VecDeque<u8>,
     /// Whether the engine has closed in order.
     ended: bool,
-    /// Whether the relay passes on no further request.
+    /// Whether the relay declines further requests.
     declined: bool,
 }
 
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -154,7 +154,7 @@
     Request,
     /// No request is under way any more.
     Rest,
-    /// The relay stops and passes on no further request; one that was sent meanwhile has not reached the engine.
+    /// The relay stops and declines further requests; one that crosses this frame has not reached the engine.
     Declined,
 }
 
