--- a/review/small_platform.py
+++ b/review/small_platform.py
@@ -214,8 +214,9 @@
 class Node:
     """One `shelfjunction node` with the settings that deploy/settings.toml gives."""
 
-    def __init__(self, name, store, folder, record, zone="zone-a"):
+    def __init__(self, name, store, folder, record, zone="zone-a", further_settings=""):
         self.name, self.store, self.folder, self.record, self.zone = name, store, folder, record, zone
+        self.further_settings = further_settings
         self.listen, self.ready, self.peer, self.metrics = (free_port() for _ in range(4))
         self.process = None
 
@@ -224,6 +225,7 @@
         with open(path, "w") as out:
             out.write(SETTINGS % dict(name=self.name, zone=self.zone, listen=self.listen, ready=self.ready, peer=self.peer,
                                       metrics=self.metrics, store=self.store, first="true" if first else "false"))
+            out.write(self.further_settings)
         log = open(os.path.join(self.folder, self.name + ".log"), "ab")
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": self.folder, "SHELFJUNCTION_CONFIG": path}
         self.process = subprocess.Popen([PROGRAM, "node"], stdout=log, stderr=log, cwd=ROOT, env=environment)
@@ -273,7 +275,7 @@
         # How the engine reads bodies: bytes a second on each connection, or None for at once.
         self.reads_per_s = lambda: None
         self.lock = threading.Lock()
-        self.received, self.runs, self.connections = [], [], 0
+        self.received, self.runs, self.run_times, self.connections = [], [], [], 0
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
         self.listener.bind(("127.0.0.1", 0))
@@ -329,6 +331,7 @@
                 rest = b""
                 with self.lock:
                     self.runs.append(request)
+                    self.run_times.append((now(), request))
                 self.record.say("engine %s runs %s" % (self.name, request))
                 time.sleep(self.work_s)
                 answer = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig.%s\r\nContent-Length: 2\r\n\r\nok" % (
