--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod autoscaling;
+pub mod buffering;
 pub mod bundle;
 pub mod connections;
 pub mod cordon;
--- a/crates/core/src/quarantine/fingerprint.rs
+++ b/crates/core/src/quarantine/fingerprint.rs
@@ -20,8 +20,8 @@
     pub method: &'a str,
     /// Path with its query.
     pub target: &'a str,
-    /// Body, whole.
-    pub body: &'a [u8],
+    /// Pieces of the body, in order.
+    pub body: &'a [&'a [u8]],
 }
 
 /// Begin of the fingerprint of a part. Behind it stand the first bytes of the SHA-256 of its model, and its name. The digest of one
@@ -47,11 +47,15 @@
             content.method,
             content.target,
         ];
-        let fields = texts.map(str::as_bytes).into_iter().chain([content.body]);
-        for field in fields {
+        for field in texts {
             hasher.update((field.len() as u64).to_be_bytes());
             hasher.update(field);
         }
+        let body_length: usize = content.body.iter().map(|piece| piece.len()).sum();
+        hasher.update((body_length as u64).to_be_bytes());
+        for piece in content.body {
+            hasher.update(piece);
+        }
         let mut bytes = [0; FINGERPRINT_BYTES];
         bytes.copy_from_slice(&hasher.finalize()[..FINGERPRINT_BYTES]);
         Self(bytes)
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -250,9 +250,14 @@
         host: "svc.example",
         method: "POST",
         target: "/x?y=1",
-        body: b"body",
+        body: &[b"body"],
     };
     let same = Fingerprint::of(&content);
+    let in_pieces = RequestContent {
+        body: &[b"bo", b"dy"],
+        ..content
+    };
+    assert_eq!(same, Fingerprint::of(&in_pieces));
     assert_eq!(same, Fingerprint::of(&content));
     assert_eq!(same.to_string().parse(), Ok(same));
     let others = [
@@ -273,12 +278,12 @@
             ..content
         },
         RequestContent {
-            body: b"bodY",
+            body: &[b"bodY"],
             ..content
         },
         RequestContent {
             target: "/x?y=1b",
-            body: b"ody",
+            body: &[b"ody"],
             ..content
         },
     ];
--- a/crates/core/tests/streams.rs
+++ b/crates/core/tests/streams.rs
@@ -128,7 +128,7 @@
         host: "h",
         method: "POST",
         target: "/",
-        body: b"",
+        body: &[],
     };
     let fingerprint = Fingerprint::of(&content);
     let prompt = |name| PromptShape {
--- a/crates/node/src/accepting.rs
+++ b/crates/node/src/accepting.rs
@@ -53,7 +53,7 @@
         .name("caller".to_owned())
         .stack_size(STACK_BYTES)
         .spawn(move || {
-            if let Ok(mut connection) = protocol.open(stream) {
+            if let Ok(mut connection) = protocol.open(Arc::new(stream), &context.buffers) {
                 serve(connection.as_mut(), &context, &entry);
             }
         });
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use shelfjunction_core::autoscaling::config::AutoscalingPolicy;
+use shelfjunction_core::buffering;
 use shelfjunction_core::cordon::CordonSettings;
 use shelfjunction_core::forwarding::{DeliverySettings, HandoverSettings, stopping};
 use shelfjunction_core::identity::{NodeId, ZoneId};
@@ -70,7 +71,13 @@
     /// How the nodes share the watching of the list of engines.
     #[serde(default)]
     pub list_watch: SharedWatchSettings,
-    /// Most callers' connections at once.
+    /// Memory of the machine, in megabytes; bounds what the process holds for others.
+    #[serde(default = "defaults::memory_megabytes")]
+    pub memory_megabytes: usize,
+    /// Descriptors that the process may open; bounds callers' connections.
+    #[serde(default = "defaults::descriptors")]
+    pub descriptors: usize,
+    /// Most callers' connections at once, where memory and descriptors allow as many.
     #[serde(default = "defaults::connections")]
     pub connections: usize,
     /// Times of the lease over orders and duties.
@@ -213,11 +220,23 @@
         8.0
     }
 
+    pub fn memory_megabytes() -> usize {
+        256
+    }
+
+    pub fn descriptors() -> usize {
+        4_096
+    }
+
     pub fn connections() -> usize {
         1_500
     }
 }
 
+/// Smallest machine that a process runs on.
+const MIN_MEMORY_MEGABYTES: usize = 48;
+const MIN_DESCRIPTORS: usize = 64;
+
 /// Bounds of the times that are set in seconds.
 const SECONDS: std::ops::RangeInclusive<f64> = 0.1..=3_600.0;
 
@@ -268,9 +287,26 @@
         if self.connections == 0 {
             errors.push(fault("node.connections", "0".to_owned(), "1 or more"));
         }
+        let machine = [
+            (
+                "node.memory_megabytes",
+                self.memory_megabytes,
+                MIN_MEMORY_MEGABYTES,
+            ),
+            ("node.descriptors", self.descriptors, MIN_DESCRIPTORS),
+        ];
+        for (field, value, least) in machine.into_iter().filter(|(_, value, least)| value < least) {
+            errors.push(fault(field, value.to_string(), &format!("{least} or more")));
+        }
         errors
     }
 
+    /// Callers' connections that may be open at once.
+    pub fn max_connections(&self) -> usize {
+        let allowed = buffering::max_connections(self.memory_megabytes, self.descriptors);
+        self.connections.min(allowed)
+    }
+
     /// Time over which this node may wait before it enters itself into the store's list.
     pub fn entering_spread(&self) -> Duration {
         if self.first_start {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -1,7 +1,6 @@
 //! What the threads of the process share.
 
 use crate::config::NodeConfig;
-use crate::course::KeptForCallers;
 use crate::duties::DutyNotes;
 use crate::engine_contact::Reach;
 use crate::engine_signals::Announcements;
@@ -21,6 +20,8 @@
 use crate::streams::StreamOrigins;
 use crate::tenant_rates::TenantRates;
 use crate::watch::{StoreTrouble, TableWatch};
+use shelfjunction_buffers::BufferAccount;
+use shelfjunction_core::buffering::BufferLimits;
 use shelfjunction_core::connections;
 use shelfjunction_core::cordon::CordonSet;
 use shelfjunction_core::forwarding::{
@@ -124,8 +125,8 @@
     pub(crate) tenant_rates: TenantRates,
     /// Streams that callers may take up again.
     pub(crate) stream_origins: StreamOrigins,
-    /// Bytes kept for callers that read slowly.
-    pub(crate) kept_for_callers: KeptForCallers,
+    /// Bytes that this process holds for others.
+    pub(crate) buffers: Arc<BufferAccount>,
     waits: Mutex<CallerWaits>,
     /// When settings were last read again.
     reloaded_at: Mutex<Option<MonotonicTime>>,
@@ -258,7 +259,7 @@
             rate_limits: RateLimits::default(),
             tenant_rates: TenantRates::default(),
             stream_origins: StreamOrigins::default(),
-            kept_for_callers: KeptForCallers::default(),
+            buffers: BufferAccount::new(BufferLimits::of_memory(config.memory_megabytes)),
             waits: Mutex::new(CallerWaits::default()),
             reloaded_at: Mutex::default(),
             list_changed_at: Mutex::new(MonotonicTime::default()),
--- a/crates/node/src/course/delivering.rs
+++ b/crates/node/src/course/delivering.rs
@@ -6,23 +6,11 @@
 use shelfjunction_core::forwarding::Delivery;
 use shelfjunction_core::identity::RequestId;
 use shelfjunction_core::time::MonotonicTime;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// Longest wait for a caller between two looks at how full the node is.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
-/// Bytes that are kept for callers of this node.
-#[derive(Debug, Default)]
-pub(crate) struct KeptForCallers(AtomicUsize);
-
-impl KeptForCallers {
-    /// The bytes.
-    pub(crate) fn bytes(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
-    }
-}
-
 /// What is kept for one caller while a call of it is served.
 pub(super) struct Undelivered<'a> {
     context: &'a Context,
@@ -53,16 +41,19 @@
             self.stalled_since = now;
         }
         self.count(kept);
+        if kept == 0 {
+            return Delivery::ReadOn;
+        }
         let settings = &self.context.config.delivery;
-        let for_all = self.context.kept_for_callers.bytes();
+        let for_all = self.context.buffers.figures().held.undelivered;
         settings.judge(kept, for_all, now.since(self.stalled_since))
     }
 
     fn count(&mut self, kept: usize) {
-        let all = &self.context.kept_for_callers.0;
-        all.fetch_add(kept, Ordering::Relaxed);
-        all.fetch_sub(self.kept, Ordering::Relaxed);
-        self.kept = kept;
+        if kept != self.kept {
+            self.context.buffers.set_undelivered(self.kept, kept);
+            self.kept = kept;
+        }
     }
 
     /// Waits until the caller has taken everything, or is let go.
@@ -92,7 +83,7 @@
         log::info!(
             request = request.as_str(),
             kept_bytes = self.kept,
-            kept_for_all_bytes = context.kept_for_callers.bytes(),
+            kept_for_all_bytes = context.buffers.figures().held.undelivered,
             stalled_millis = context.now().since(self.stalled_since).as_millis() as u64;
             "caller_let_go"
         );
--- a/crates/node/src/course/mod.rs
+++ b/crates/node/src/course/mod.rs
@@ -28,7 +28,6 @@
 use crate::quarantine::{self, Pass};
 use crate::tenant_rates::{self, ChargeRefusal, ChargedRequest};
 use access::Access;
-pub(crate) use delivering::KeptForCallers;
 use delivering::Undelivered;
 use driver::{Driver, RoutedCall};
 use shelfjunction_core::forwarding::{ForwardingConfig, PoolId, RepeatRule, RouteRule};
@@ -216,12 +215,13 @@
 
 /// What makes the call the same request as another.
 fn fingerprint(call: &Call, access: &Access) -> Fingerprint {
+    let body: Vec<&[u8]> = call.body.pieces().collect();
     Fingerprint::of(&RequestContent {
         tenant: access.tenant.as_ref().map(TenantId::as_str),
         host: &call.host,
         method: &call.method,
         target: &call.target,
-        body: &call.body,
+        body: &body,
     })
 }
 
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -224,6 +224,7 @@
             if now >= resting_until {
                 self.context.state.begin_closing();
                 self.open.close_resting(now);
+                self.context.buffers.drop_lagging();
                 let closed_before = std::mem::replace(&mut closed, true);
                 if closed_before && self.context.served_tunnels.busy() == 0 && self.open.end_if_none() {
                     return;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -120,6 +120,10 @@
     pub(crate) peers: Gauge,
     pub(crate) cordons: Gauge,
     pub(crate) kept_for_callers: Gauge,
+    pub(crate) request_bytes: Gauge,
+    pub(crate) buffer_capacity: Gauge,
+    pub(crate) requests_without_room: Gauge,
+    pub(crate) requests_dropped: Gauge,
     callers_let_go: Counter,
     /// Whether this node holds the lease over the engines.
     pub(crate) lease_held: Gauge,
@@ -175,6 +179,10 @@
             peers: Gauge::default(),
             cordons: Gauge::default(),
             kept_for_callers: Gauge::default(),
+            request_bytes: Gauge::default(),
+            buffer_capacity: Gauge::default(),
+            requests_without_room: Gauge::default(),
+            requests_dropped: Gauge::default(),
             callers_let_go: Counter::default(),
             lease_held: Gauge::default(),
             log_lines_not_written: Gauge::default(),
@@ -408,6 +416,26 @@
                 "Bytes of answers kept for callers that read slowly",
                 &self.kept_for_callers,
             ),
+            (
+                "request_bytes",
+                "Bytes reserved for bodies of requests, from the first byte until the answer has ended",
+                &self.request_bytes,
+            ),
+            (
+                "buffer_capacity_bytes",
+                "Bytes that may be held for others together",
+                &self.buffer_capacity,
+            ),
+            (
+                "requests_without_room",
+                "Requests refused since the start because the buffers were full",
+                &self.requests_without_room,
+            ),
+            (
+                "requests_dropped",
+                "Unfinished requests that gave way to others since the start",
+                &self.requests_dropped,
+            ),
             (
                 "lease_held",
                 "Whether this node may order engines",
--- a/crates/node/src/operator_page.rs
+++ b/crates/node/src/operator_page.rs
@@ -184,9 +184,14 @@
         metrics
             .list_version
             .set(lock(&context.listing).applied_version() as i64);
+        let buffers = context.buffers.figures();
+        metrics.kept_for_callers.set(buffers.held.undelivered as i64);
+        metrics.request_bytes.set(buffers.held.requests as i64);
         metrics
-            .kept_for_callers
-            .set(context.kept_for_callers.bytes() as i64);
+            .buffer_capacity
+            .set(context.buffers.limits().capacity as i64);
+        metrics.requests_without_room.set(buffers.refused as i64);
+        metrics.requests_dropped.set(buffers.dropped as i64);
         metrics.cordons.set(cordons::view(context).cordons.len() as i64);
         metrics.regions.set(&regions::view(context));
         let router = lock(&context.router);
--- a/crates/node/src/ports/mod.rs
+++ b/crates/node/src/ports/mod.rs
@@ -9,6 +9,7 @@
     HeldPart, OrderVerdict, StageOrder,
 };
 
+use shelfjunction_buffers::{BufferAccount, HeldBytes};
 use shelfjunction_core::forwarding::{CallerLimits, ForwardingConfig};
 use shelfjunction_core::identity::{NodeId, RequestId, ZoneId};
 use shelfjunction_core::membership::subject::SubjectHandle;
@@ -19,6 +20,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::BorrowedFd;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// One header that is passed on as it is.
@@ -46,7 +48,7 @@
     /// Headers that are passed on; none that belongs to a connection or is the system's to set.
     pub headers: Vec<HeaderLine>,
     /// Body, whole.
-    pub body: Vec<u8>,
+    pub body: HeldBytes,
     /// Time that the caller will wait, counted from its arrival.
     pub time_left: Option<Duration>,
     /// Declared prompt.
@@ -142,8 +144,12 @@
 
 /// Makes callers' connections out of accepted sockets.
 pub trait CallerProtocol: Send + Sync {
-    /// Takes over a socket.
-    fn open(&self, stream: TcpStream) -> io::Result<Box<dyn CallerConnection>>;
+    /// Takes over a socket, whose requests are received into the account.
+    fn open(
+        &self,
+        stream: Arc<TcpStream>,
+        account: &Arc<BufferAccount>,
+    ) -> io::Result<Box<dyn CallerConnection>>;
 }
 
 /// Something that could not be read in the store; what was known before stays.
--- a/tests/hostile_clients/main.rs
+++ b/tests/hostile_clients/main.rs
@@ -34,6 +34,7 @@
     node.check("beside the crowd");
     assert_eq!(node.ask_ordinary("beside"), 200);
     drop(connected);
+    node.wait_until_crowd_is_gone();
     assert_eq!(node.ask_ordinary("after"), 200);
     node.check("after the crowd");
 }
--- a/tests/hostile_clients/process.rs
+++ b/tests/hostile_clients/process.rs
@@ -20,11 +20,15 @@
     pub descriptors: usize,
 }
 
+/// Descriptors of engines' and the store's connections that rest behind a crowd.
+const MAX_DESCRIPTORS_LEFT: usize = 20;
+
 /// A running node, killed when it is dropped.
 pub struct NodeProcess {
     child: Child,
     address: SocketAddr,
     machine: Resources,
+    descriptors_at_rest: usize,
     _directory: TempDir,
     _alone: MutexGuard<'static, ()>,
 }
@@ -53,10 +57,11 @@
             .spawn()
             .unwrap();
         wait_for_start(&mut child);
-        let node = Self {
+        let mut node = Self {
             child,
             address,
             machine,
+            descriptors_at_rest: 0,
             _directory: directory,
             _alone: alone,
         };
@@ -64,6 +69,7 @@
         while crowd::ask(node.address, crowd::Framing::Length { piece_bytes: 1 }, 1) != 200 {
             thread::yield_now();
         }
+        node.descriptors_at_rest = node.open_descriptors();
         node
     }
 
@@ -77,6 +83,15 @@
         crowd::ask_until_taken(self.address, name)
     }
 
+    /// Waits until the process has closed the connections of a crowd that has left, or has ended.
+    pub fn wait_until_crowd_is_gone(&mut self) {
+        while self.child.try_wait().unwrap().is_none()
+            && self.open_descriptors() > self.descriptors_at_rest + MAX_DESCRIPTORS_LEFT
+        {
+            thread::yield_now();
+        }
+    }
+
     /// Panics unless the process lives within the machine's memory and descriptors.
     pub fn check(&mut self, when: &str) {
         let ended = self.child.try_wait().unwrap();
