--- a/crates/node/src/accepting.rs
+++ b/crates/node/src/accepting.rs
@@ -40,10 +40,12 @@
     protocol: &Arc<dyn CallerProtocol>,
     open: &Arc<OpenConnections>,
 ) {
-    let entry = match open.enter(&stream, context.config.connections, context.now()) {
+    let stream = Arc::new(stream);
+    let most = context.config.max_connections();
+    let entry = match open.enter(&stream, most, context.now()) {
         Ok(entry) => entry,
         Err(cause) => {
-            log::warn!(cause = cause.name(), most = context.config.connections; "connection_refused");
+            log::warn!(cause = cause.name(), most; "connection_refused");
             return;
         }
     };
@@ -53,7 +55,7 @@
         .name("caller".to_owned())
         .stack_size(STACK_BYTES)
         .spawn(move || {
-            if let Ok(mut connection) = protocol.open(Arc::new(stream), &context.buffers) {
+            if let Ok(mut connection) = protocol.open(stream, &context.buffers) {
                 serve(connection.as_mut(), &context, &entry);
             }
         });
@@ -78,7 +80,7 @@
         if !keeps {
             return;
         }
-        entry.note_rest();
+        entry.note_rest(context.now());
     }
 }
 
@@ -89,8 +91,10 @@
     entry: &Entry,
 ) -> Result<Call, CallEnd> {
     connection.wait_for_call(&limits(context))?;
-    entry.note_call();
-    connection.read_call(&limits(context))
+    entry.note_call(context.now());
+    let call = connection.read_call(&limits(context))?;
+    entry.note_whole_call(context.now());
+    Ok(call)
 }
 
 fn limits(context: &Context) -> CallerLimits {
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -1,4 +1,5 @@
-//! Callers' connections that are open, so that a stop can close those that rest.
+//! Callers' connections that are open: a stop closes those that rest, and a new one takes the place of one that waits for its request
+//! when there are too many.
 
 use shelfjunction_core::time::MonotonicTime;
 use shelfjunction_threads::lock;
@@ -12,9 +13,10 @@
 
 #[derive(Debug)]
 struct OpenConnection {
-    stream: TcpStream,
-    opened_at: MonotonicTime,
+    stream: Arc<TcpStream>,
     activity: Activity,
+    /// Since when it goes on.
+    since: MonotonicTime,
 }
 
 /// What goes on on a connection.
@@ -22,8 +24,10 @@
 enum Activity {
     /// No call has come yet.
     New,
-    /// A call is being received or served.
-    Busy,
+    /// A call is being received.
+    Receives,
+    /// A call is being served.
+    Serves,
     /// Between two calls.
     Rests,
 }
@@ -41,6 +45,28 @@
     /// Whether the process is about to end, so that no connection is taken any more.
     ended: bool,
     open: BTreeMap<u64, OpenConnection>,
+    /// Connections that were closed for newer ones.
+    replaced: u64,
+}
+
+impl Inner {
+    /// Closes the connection that has waited longest for a whole call, in favour of a new one; whether there is one.
+    fn replace_one(&mut self) -> bool {
+        let waiting = self
+            .open
+            .iter()
+            .filter(|(_, connection)| connection.activity != Activity::Serves);
+        let oldest = waiting.min_by_key(|(_, connection)| connection.since);
+        let Some(number) = oldest.map(|(number, _)| *number) else {
+            return false;
+        };
+        if let Some(connection) = self.open.remove(&number) {
+            self.replaced += 1;
+            log::info!(activity:? = connection.activity, replaced = self.replaced; "connection_replaced");
+            stop_reading(&connection.stream);
+        }
+        true
+    }
 }
 
 /// Why a connection is not taken.
@@ -50,8 +76,6 @@
     TooMany,
     /// The process is about to end.
     Ended,
-    /// Its socket can't be shared.
-    SocketFault,
 }
 
 impl NotEntered {
@@ -60,7 +84,6 @@
         match self {
             Self::TooMany => "too_many",
             Self::Ended => "stopped",
-            Self::SocketFault => "socket_fault",
         }
     }
 }
@@ -75,24 +98,23 @@
     /// Enters a connection.
     pub(crate) fn enter(
         self: &Arc<Self>,
-        stream: &TcpStream,
+        stream: &Arc<TcpStream>,
         most: usize,
         now: MonotonicTime,
     ) -> Result<Entry, NotEntered> {
-        let stream = stream.try_clone().map_err(|_| NotEntered::SocketFault)?;
         let mut inner = lock(&self.inner);
         if inner.ended {
             return Err(NotEntered::Ended);
         }
-        if inner.open.len() >= most {
+        if inner.open.len() >= most && !inner.replace_one() {
             return Err(NotEntered::TooMany);
         }
         inner.next += 1;
         let number = inner.next;
         let connection = OpenConnection {
-            stream,
-            opened_at: now,
+            stream: Arc::clone(stream),
             activity: Activity::New,
+            since: now,
         };
         inner.open.insert(number, connection);
         Ok(Entry {
@@ -126,8 +148,8 @@
         inner.closing = true;
         for connection in inner.open.values() {
             let closes = match connection.activity {
-                Activity::New => now.since(connection.opened_at) >= MAX_FIRST_CALL_WAIT,
-                Activity::Busy => false,
+                Activity::New => now.since(connection.since) >= MAX_FIRST_CALL_WAIT,
+                Activity::Receives | Activity::Serves => false,
                 Activity::Rests => true,
             };
             if closes {
@@ -139,20 +161,26 @@
 
 impl Entry {
     /// Notes that a call has begun to come.
-    pub(crate) fn note_call(&self) {
-        self.set_activity(Activity::Busy);
+    pub(crate) fn note_call(&self, now: MonotonicTime) {
+        self.set_activity(Activity::Receives, now);
+    }
+
+    /// Notes that a call is whole.
+    pub(crate) fn note_whole_call(&self, now: MonotonicTime) {
+        self.set_activity(Activity::Serves, now);
     }
 
     /// Notes that the connection rests between two calls.
-    pub(crate) fn note_rest(&self) {
-        self.set_activity(Activity::Rests);
+    pub(crate) fn note_rest(&self, now: MonotonicTime) {
+        self.set_activity(Activity::Rests, now);
     }
 
-    fn set_activity(&self, activity: Activity) {
+    fn set_activity(&self, activity: Activity, now: MonotonicTime) {
         let mut inner = lock(&self.connections.inner);
         let closing = inner.closing;
         if let Some(connection) = inner.open.get_mut(&self.number) {
             connection.activity = activity;
+            connection.since = now;
             if closing && activity == Activity::Rests {
                 stop_reading(&connection.stream);
             }
