--- a/crates/buffers/src/account.rs
+++ b/crates/buffers/src/account.rs
@@ -1,7 +1,9 @@
 //! Counts what is held and makes requests wait, or give way, when the account is full.
 
 use crate::bytes::{BLOCK_BYTES, IncomingBytes};
-use shelfjunction_core::buffering::{BufferLimits, HeldTotals, Progress, request_to_drop};
+use shelfjunction_core::buffering::{
+    BufferLimits, HeldTotals, Progress, SMALL_REQUEST_BYTES, request_to_drop,
+};
 use shelfjunction_threads::{BootInstant, lock};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -51,6 +53,8 @@
     refused: u64,
     /// Blocks that were used before; their memory is never more than was reserved at once.
     free_blocks: Vec<Vec<u8>>,
+    /// Memory of bodies in one piece that was used before, likewise.
+    free_buffers: Vec<Vec<u8>>,
 }
 
 /// A request that is being received.
@@ -248,6 +252,34 @@
         free.unwrap_or_else(|| Vec::with_capacity(BLOCK_BYTES))
     }
 
+    /// Memory for a body in one piece, in room that is reserved: the smallest that is large enough, or the largest, grown.
+    pub(crate) fn take_buffer(&self, length: usize) -> Vec<u8> {
+        let free = &mut lock(&self.state).free_buffers;
+        let position = free.partition_point(|buffer| buffer.capacity() < length);
+        let position = position.min(free.len().saturating_sub(1));
+        let mut buffer = if free.is_empty() {
+            Vec::new()
+        } else {
+            free.remove(position)
+        };
+        buffer.reserve_exact(length);
+        buffer
+    }
+
+    /// Takes the memory of a body in one piece back.
+    pub(crate) fn give_back_buffer(&self, mut buffer: Vec<u8>) {
+        if buffer.capacity() > SMALL_REQUEST_BYTES {
+            buffer.clear();
+            let free = &mut lock(&self.state).free_buffers;
+            let kept: usize = free.iter().map(Vec::capacity).sum();
+            if kept + buffer.capacity() > self.limits.large {
+                return;
+            }
+            let position = free.partition_point(|one| one.capacity() < buffer.capacity());
+            free.insert(position, buffer);
+        }
+    }
+
     /// Gives back what a request has reserved, with its blocks.
     pub(crate) fn release(&self, reserved: usize, blocks: &mut Vec<Vec<u8>>) {
         if reserved == 0 && blocks.is_empty() {
--- a/crates/buffers/src/bytes.rs
+++ b/crates/buffers/src/bytes.rs
@@ -75,6 +75,16 @@
         self.account.note_received(self.number, length)
     }
 
+    /// Notes how many bytes have come of a body that is kept elsewhere, in room that was announced here.
+    pub(crate) fn note_received(&self, received: usize) -> Result<(), Shortage> {
+        self.account.note_received(self.number, received)
+    }
+
+    /// Notes that a body that is kept elsewhere is whole.
+    pub(crate) fn note_whole(&self) {
+        self.account.finish(self.number);
+    }
+
     /// Number of bytes.
     pub fn len(&self) -> usize {
         self.storage.len()
--- a/crates/buffers/src/lib.rs
+++ b/crates/buffers/src/lib.rs
@@ -5,6 +5,8 @@
 
 mod account;
 mod bytes;
+mod pooled;
 
 pub use account::{BufferAccount, Shortage};
 pub use bytes::{HeldBytes, IncomingBytes};
+pub use pooled::PooledBytes;
--- a/crates/gateway/src/serve/handler.rs
+++ b/crates/gateway/src/serve/handler.rs
@@ -54,10 +54,12 @@
             ),
             ReadError::BodyTooLarge => ("body_too_large", "The body is too large."),
             ReadError::TooManyConnections => ("too_many_connections", "Every connection is taken."),
+            ReadError::NoRoom => ("no_room", "There is no room for the body now."),
         };
         self.context.metrics.bad_input(cause);
         log::debug!(cause = cause; "request_unread");
-        let retry = (error == ReadError::TooManyConnections).then_some(std::time::Duration::from_secs(1));
+        let may_return = matches!(error, ReadError::TooManyConnections | ReadError::NoRoom);
+        let retry = may_return.then_some(std::time::Duration::from_secs(1));
         let stated = CallerError {
             status: error.status()?,
             code: cause.to_owned(),
--- a/crates/gateway/tests/bad_input.rs
+++ b/crates/gateway/tests/bad_input.rs
@@ -23,6 +23,7 @@
     idle_millis: SILENCE_MILLIS,
     body_millis: SILENCE_MILLIS,
     write_millis: SILENCE_MILLIS,
+    memory_megabytes: 256,
 };
 
 /// Sends raw bytes and reads until the gateway closes; what it said.
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -4,9 +4,11 @@
 use crate::reader::{ReadError, RequestReader};
 use crate::response::Responder;
 use crate::server::Handler;
+use shelfjunction_buffers::BufferAccount;
 use shelfjunction_threads::BootInstant;
 use std::io::Read;
 use std::net::{Shutdown, TcpStream};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Longest time and most bytes read from a caller that was refused while it still sends, so that it can read why.
@@ -17,13 +19,14 @@
 pub(crate) fn serve(
     mut stream: TcpStream,
     limits: HttpLimits,
+    account: &Arc<BufferAccount>,
     handler: &dyn Handler,
     stopping: &dyn Fn() -> bool,
 ) {
     if stream.set_nodelay(true).is_err() || stream.set_write_timeout(Some(limits.write_time())).is_err() {
         return;
     }
-    let mut reader = RequestReader::new(limits);
+    let mut reader = RequestReader::new(limits, Arc::clone(account));
     loop {
         match reader.next(&mut stream, stopping) {
             Ok(request) => {
--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -28,6 +28,8 @@
     pub body_millis: u64,
     /// Longest time that one write to a slow reader may block, in milliseconds.
     pub write_millis: u64,
+    /// Memory of the machine, in megabytes; bounds the bodies of all requests together (`shelfjunction_core::buffering`).
+    pub memory_megabytes: usize,
 }
 
 impl Default for HttpLimits {
@@ -40,6 +42,7 @@
             idle_millis: 60_000,
             body_millis: 30_000,
             write_millis: 10_000,
+            memory_megabytes: 256,
         }
     }
 }
@@ -55,6 +58,7 @@
             ("idle_millis", self.idle_millis, 1, MAXIMUM_MILLIS),
             ("body_millis", self.body_millis, 1, MAXIMUM_MILLIS),
             ("write_millis", self.write_millis, 1, MAXIMUM_MILLIS),
+            ("memory_megabytes", self.memory_megabytes as u64, 48, 1024 * 1024),
         ];
         counts
             .into_iter()
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -2,11 +2,17 @@
 
 use crate::limits::{HttpLimits, MAXIMUM_HEADERS};
 use crate::request::{HttpHeader, HttpRequest};
+use shelfjunction_buffers::{BufferAccount, PooledBytes, Shortage};
+use shelfjunction_core::buffering::SMALL_REQUEST_BYTES;
 use shelfjunction_threads::BootInstant;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
+use std::sync::Arc;
 use std::time::Duration;
 
+/// Times that a handler holds a body: as it was read, and as it was parsed.
+const BODY_COPIES: usize = 2;
+
 /// Bytes asked of the socket at once.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -35,6 +41,8 @@
     BodyTooLarge,
     /// Every connection is taken.
     TooManyConnections,
+    /// There is no room for the body, or it gave way to others; nothing of the request has run.
+    NoRoom,
 }
 
 impl ReadError {
@@ -47,7 +55,7 @@
             ReadError::TooSlow => Some(408),
             ReadError::LengthRequired => Some(411),
             ReadError::BodyTooLarge => Some(413),
-            ReadError::TooManyConnections => Some(503),
+            ReadError::TooManyConnections | ReadError::NoRoom => Some(503),
         }
     }
 }
@@ -56,6 +64,7 @@
 pub(crate) struct RequestReader {
     buffer: Vec<u8>,
     limits: HttpLimits,
+    account: Arc<BufferAccount>,
 }
 
 struct Head {
@@ -66,10 +75,11 @@
 }
 
 impl RequestReader {
-    pub(crate) fn new(limits: HttpLimits) -> Self {
+    pub(crate) fn new(limits: HttpLimits, account: Arc<BufferAccount>) -> Self {
         Self {
             buffer: Vec::new(),
             limits,
+            account,
         }
     }
 
@@ -136,13 +146,40 @@
         }
     }
 
-    fn read_body(&mut self, stream: &mut TcpStream, length: usize) -> Result<Vec<u8>, ReadError> {
+    fn read_body(&mut self, stream: &mut TcpStream, length: usize) -> Result<PooledBytes, ReadError> {
+        if length == 0 {
+            return Ok(PooledBytes::default());
+        }
+        let mut body = self.begin_body(stream, length)?;
         let until = BootInstant::now() + self.limits.body_time();
-        while self.buffer.len() < length {
-            self.fill_until(stream, until)?;
+        loop {
+            let count = self.buffer.len().min(length - body.len());
+            body.add(&self.buffer[..count]).map_err(no_room)?;
+            self.buffer.drain(..count);
+            if body.len() == length {
+                body.finish();
+                return Ok(body);
+            }
+            self.fill_until(stream, until).map_err(|error| match error {
+                // The account has stopped the reading.
+                ReadError::Closed if body.is_dropped() => no_room(Shortage::Dropped),
+                error => error,
+            })?;
         }
-        let rest = self.buffer.split_off(length);
-        Ok(std::mem::replace(&mut self.buffer, rest))
+    }
+
+    /// Begins to receive a body; the reading of a large one ends if it has to give way to others.
+    fn begin_body(&self, stream: &TcpStream, length: usize) -> Result<PooledBytes, ReadError> {
+        let body = if length <= SMALL_REQUEST_BYTES {
+            PooledBytes::receive(&self.account, length, BODY_COPIES, || {})
+        } else {
+            let stream = stream.try_clone().map_err(|_| ReadError::NoRoom)?;
+            PooledBytes::receive(&self.account, length, BODY_COPIES, move || {
+                // A caller that has closed already can't be stopped, and need not be.
+                let _ = stream.shutdown(Shutdown::Read);
+            })
+        };
+        body.map_err(no_room)
     }
 
     fn fill_until(&mut self, stream: &mut TcpStream, until: BootInstant) -> Result<(), ReadError> {
@@ -167,6 +204,11 @@
     }
 }
 
+fn no_room(shortage: Shortage) -> ReadError {
+    log::info!(cause = shortage.name(); "request_without_room");
+    ReadError::NoRoom
+}
+
 fn timed_out(error: &io::Error) -> bool {
     matches!(
         error.kind(),
@@ -196,7 +238,7 @@
         path: path.to_owned(),
         query: query.to_owned(),
         headers: parsed.headers.iter().map(owned_header).collect(),
-        body: Vec::new(),
+        body: PooledBytes::default(),
         peer: None,
         keep_alive: false,
         is_http_1_1,
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -1,5 +1,6 @@
 //! One request as the handler sees it.
 
+use shelfjunction_buffers::PooledBytes;
 use std::net::IpAddr;
 
 /// A whole request, within the limits.
@@ -14,7 +15,7 @@
     /// Headers in the order they came.
     pub headers: Vec<HttpHeader>,
     /// Body.
-    pub body: Vec<u8>,
+    pub body: PooledBytes,
     /// Address of the caller's end of the connection; absent where the system does not tell.
     pub peer: Option<IpAddr>,
     /// Whether the connection may carry another request.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -5,6 +5,8 @@
 use crate::reader::ReadError;
 use crate::request::HttpRequest;
 use crate::response::{Answer, Answered, Responder};
+use shelfjunction_buffers::BufferAccount;
+use shelfjunction_core::buffering::BufferLimits;
 use shelfjunction_threads::lock;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream};
@@ -31,8 +33,8 @@
     fn refusal(&self, error: ReadError) -> Option<Answer>;
 }
 
-#[derive(Default)]
 struct Shared {
+    account: Arc<BufferAccount>,
     stopping: AtomicBool,
     open: Mutex<usize>,
     closed: Condvar,
@@ -50,7 +52,12 @@
     pub fn start(address: SocketAddr, limits: HttpLimits, handler: Arc<dyn Handler>) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
-        let shared = Arc::new(Shared::default());
+        let shared = Arc::new(Shared {
+            account: BufferAccount::new(BufferLimits::of_memory(limits.memory_megabytes)),
+            stopping: AtomicBool::default(),
+            open: Mutex::default(),
+            closed: Condvar::default(),
+        });
         let shared_of_thread = Arc::clone(&shared);
         let accepting = thread::Builder::new()
             .name("http-accept".to_owned())
@@ -169,7 +176,7 @@
         return;
     }
     let stopping = || connection.0.stopping.load(Ordering::SeqCst);
-    connection::serve(stream, limits, handler, &stopping);
+    connection::serve(stream, limits, &connection.0.account, handler, &stopping);
 }
 
 /// An address that listens on every interface is reached over loopback.
--- a/crates/lab/src/users_platform/interface.rs
+++ b/crates/lab/src/users_platform/interface.rs
@@ -233,7 +233,7 @@
             holder: request.header("Duty-Holder")?.to_owned(),
             token: request.header("Fencing-Token")?.parse().ok()?,
             path: request.path,
-            body: request.body,
+            body: request.body.to_vec(),
             arrived_at: Instant::now(),
             deferred: mode == InterfaceMode::Deferring,
         })
--- a/crates/lab/src/users_platform/store.rs
+++ b/crates/lab/src/users_platform/store.rs
@@ -214,7 +214,7 @@
             ("GET", "/shelfjunction/rows-get") => self.get(&request),
             ("GET", "/shelfjunction/rows-feed") => self.feed(&request),
             ("POST", "/shelfjunction/rows-tx") if mode == StoreMode::Deferring => {
-                self.deferral.defer(request.body);
+                self.deferral.defer(request.body.to_vec());
                 return Answered::broken();
             }
             ("POST", "/shelfjunction/rows-tx") => {
--- a/crates/node/src/operator_page.rs
+++ b/crates/node/src/operator_page.rs
@@ -30,6 +30,9 @@
 /// Most connections at once.
 const CONNECTIONS: usize = 8;
 
+/// Longest body of a request, in bytes: an order of an operator.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
 const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 struct MetricsPage {
@@ -49,6 +52,7 @@
 ) -> io::Result<HttpServer> {
     let limits = HttpLimits {
         connections: CONNECTIONS,
+        body_bytes: MAX_BODY_BYTES,
         ..HttpLimits::default()
     };
     let page = MetricsPage {
--- a/tests/hostile_clients/crowd.rs
+++ b/tests/hostile_clients/crowd.rs
@@ -32,7 +32,8 @@
 #[derive(Clone, Debug)]
 pub struct Crowd {
     pub clients: usize,
-    pub path: &'static str,
+    /// Method and path.
+    pub target: &'static str,
     pub framing: Framing,
     pub send: Send,
 }
@@ -60,7 +61,7 @@
         match self.send {
             Send::PartOfHead => stream.write_all(b"POST /look/x HTTP/1.1\r\nHost: svc"),
             Send::AllButEnd(bytes) => {
-                stream.write_all(head(&name, self.path, self.framing, bytes).as_bytes())?;
+                stream.write_all(head(&name, self.target, self.framing, bytes).as_bytes())?;
                 let sent = match self.framing {
                     Framing::Length { .. } => bytes - 1,
                     Framing::Chunked { .. } => bytes,
@@ -68,7 +69,7 @@
                 send_body(stream, self.framing, sent)
             }
             Send::Whole(bytes) => {
-                stream.write_all(head(&name, self.path, self.framing, bytes).as_bytes())?;
+                stream.write_all(head(&name, self.target, self.framing, bytes).as_bytes())?;
                 send_body(stream, self.framing, bytes)?;
                 end_body(stream, self.framing)
             }
@@ -84,7 +85,7 @@
     stream.set_read_timeout(Some(MAX_WAIT)).unwrap();
     stream.set_write_timeout(Some(MAX_WAIT)).unwrap();
     let sent = stream
-        .write_all(head("single", "/look/x", framing, bytes).as_bytes())
+        .write_all(head("single", "POST /look/x", framing, bytes).as_bytes())
         .and_then(|()| send_body(&mut stream, framing, bytes))
         .and_then(|()| end_body(&mut stream, framing));
     sent.map_or(0, |()| status(&mut stream))
@@ -109,18 +110,18 @@
         return 0;
     };
     stream.set_read_timeout(Some(MAX_WAIT)).unwrap();
-    let request = format!("{}body", head(name, "/look/x", framing, 4));
+    let request = format!("{}body", head(name, "POST /look/x", framing, 4));
     let sent = stream.write_all(request.as_bytes());
     sent.map_or(0, |()| status(&mut stream))
 }
 
-fn head(name: &str, path: &str, framing: Framing, bytes: usize) -> String {
+fn head(name: &str, target: &str, framing: Framing, bytes: usize) -> String {
     let length = match framing {
         Framing::Length { .. } => format!("Content-Length: {bytes}"),
         Framing::Chunked { .. } => "Transfer-Encoding: chunked".to_owned(),
     };
     format!(
-        "POST {path} HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: {name}\r\nDeadline-Remaining: 4000\r\n{length}\r\n\r\n"
+        "{target} HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: {name}\r\nDeadline-Remaining: 4000\r\n{length}\r\n\r\n"
     )
 }
 
--- a/tests/hostile_clients/main.rs
+++ b/tests/hostile_clients/main.rs
@@ -4,6 +4,10 @@
 #![allow(clippy::unwrap_used)]
 
 mod crowd;
+mod gateway;
+#[allow(dead_code)]
+#[path = "../process/harness/mod.rs"]
+mod harness;
 mod process;
 mod stand_ins;
 
@@ -42,7 +46,7 @@
 fn nearly_whole(framing: Framing) -> Crowd {
     Crowd {
         clients: CLIENTS,
-        path: "/look/x",
+        target: "POST /look/x",
         framing,
         send: Send::AllButEnd(MAX_BODY_BYTES),
     }
@@ -82,7 +86,7 @@
 fn whole_bodies_for_engines_that_do_not_read_do_not_exhaust_memory() {
     let crowd = Crowd {
         clients: CLIENTS,
-        path: "/deaf/x",
+        target: "POST /deaf/x",
         framing: Framing::Length {
             piece_bytes: MAX_BODY_BYTES,
         },
@@ -95,7 +99,7 @@
 fn bodies_that_announce_more_than_the_limit_are_refused() {
     let crowd = Crowd {
         clients: CLIENTS,
-        path: "/look/x",
+        target: "POST /look/x",
         framing: Framing::Length {
             piece_bytes: 64 * 1024,
         },
@@ -108,7 +112,7 @@
 fn chunked_bodies_that_exceed_the_limit_are_refused() {
     let crowd = Crowd {
         clients: CLIENTS,
-        path: "/look/x",
+        target: "POST /look/x",
         framing: Framing::Chunked {
             chunk_bytes: 64 * 1024,
         },
@@ -121,7 +125,7 @@
 fn connections_that_never_send_a_request_do_not_exhaust_descriptors() {
     let crowd = Crowd {
         clients: 2 * FEW_DESCRIPTORS.descriptors,
-        path: "/look/x",
+        target: "POST /look/x",
         framing: Framing::Length { piece_bytes: 1 },
         send: Send::PartOfHead,
     };
--- a/tests/hostile_clients/process.rs
+++ b/tests/hostile_clients/process.rs
@@ -34,7 +34,7 @@
 }
 
 /// Crowds run one at a time: memory is judged apart from other load.
-static ALONE: Mutex<()> = Mutex::new(());
+pub static ALONE: Mutex<()> = Mutex::new(());
 
 impl NodeProcess {
     /// Starts a node and waits until it serves.
@@ -96,7 +96,7 @@
     pub fn check(&mut self, when: &str) {
         let ended = self.child.try_wait().unwrap();
         assert!(ended.is_none(), "{when}: ended with {ended:?}");
-        let (memory, descriptors) = (self.peak_memory_bytes(), self.open_descriptors());
+        let (memory, descriptors) = (peak_memory_bytes(self.child.id()), self.open_descriptors());
         println!("{when}: at most {memory} bytes of memory, {descriptors} descriptors now");
         assert!(
             memory <= self.machine.memory_bytes,
@@ -108,23 +108,26 @@
         );
     }
 
-    /// The most memory that was resident at once.
-    fn peak_memory_bytes(&self) -> usize {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmHWM:"))
-            .unwrap();
-        line.trim().trim_end_matches(" kB").parse::<usize>().unwrap() * 1024
-    }
-
     fn open_descriptors(&self) -> usize {
-        fs::read_dir(format!("/proc/{}/fd", self.child.id()))
-            .unwrap()
-            .count()
+        open_descriptors(self.child.id())
     }
 }
 
+/// The most memory of a process that was resident at once.
+pub fn peak_memory_bytes(process: u32) -> usize {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmHWM:"))
+        .unwrap();
+    line.trim().trim_end_matches(" kB").parse::<usize>().unwrap() * 1024
+}
+
+/// Descriptors that a process has open.
+pub fn open_descriptors(process: u32) -> usize {
+    fs::read_dir(format!("/proc/{process}/fd")).unwrap().count()
+}
+
 impl Drop for NodeProcess {
     fn drop(&mut self) {
         // It may have ended by itself.
--- a/tests/process/harness/program.rs
+++ b/tests/process/harness/program.rs
@@ -147,7 +147,8 @@
         self.child.wait().unwrap()
     }
 
-    fn pid(&self) -> Pid {
+    /// Its identifier.
+    pub fn pid(&self) -> Pid {
         Pid::from_child(&self.child)
     }
 }
