--- a/crates/lab/src/command/fault_soak.rs
+++ b/crates/lab/src/command/fault_soak.rs
@@ -2,7 +2,7 @@
 
 use super::{Command, CommandError, Options};
 use crate::fault_soak::schedule::Pace;
-use crate::fault_soak::{self, FaultSoakConfig};
+use crate::fault_soak::{self, FaultSoakConfig, PlantedSettings};
 use shelfjunction_logging::LogLevel;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -97,6 +97,18 @@
         "plants a fault: the settings of nodes tell a shorter time until the end by force than they get",
         "SECONDS",
     );
+    options.optopt(
+        "",
+        "planted-memory-megabytes",
+        "plants a fault: the settings of nodes tell more memory than their machines have",
+        "NUMBER",
+    );
+    options.optopt(
+        "",
+        "crowds",
+        "senders of crowds of clients that leave requests unfinished or exceed limits (0)",
+        "NUMBER",
+    );
     options.optopt("", "seconds", "length of each run (30)", "SECONDS");
     options.optopt(
         "",
@@ -162,7 +174,10 @@
             return Err(CommandError::Usage(message));
         }
     };
-    let planted_grace = planted_grace(options)?;
+    let planted = PlantedSettings {
+        grace: planted_grace(options)?,
+        memory_megabytes: options.value("planted-memory-megabytes")?,
+    };
     let program: PathBuf = options.value_or("program", PathBuf::from("target/release/shelfjunction"))?;
     let logs: PathBuf = options.value_or("logs", std::env::temp_dir().join("shelfjunction-fault-soak"))?;
     let first: u64 = options.value_or("seed", u64::from(rand::random::<u32>()))?;
@@ -185,7 +200,8 @@
             bound_callers: options.value_or("bound-callers", 0)?,
             silences: options.flag("silences"),
             planned_work,
-            planted_grace,
+            planted,
+            crowds: options.value_or("crowds", 0)?,
             rated_callers: options.value_or("rated-callers", 0)?,
             resumers: options.value_or("resumers", 2)?,
             restores: !options.flag("no-restores"),
--- a/crates/lab/src/fault_soak/deployment.rs
+++ b/crates/lab/src/fault_soak/deployment.rs
@@ -5,7 +5,7 @@
 use super::layout::Layout;
 use super::operator::{self, base64, configuration_text};
 use super::oracle::EngineRecords;
-use super::places::{EnginePlace, GRACE, NodePlace};
+use super::places::{EnginePlace, GRACE, NodePlace, PlantedSettings};
 use super::planned_work::StopRecord;
 use super::process::NodeProcess;
 use super::region_links::RegionLinks;
@@ -16,6 +16,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -68,13 +69,13 @@
 }
 
 impl Deployment {
-    /// Starts stand-ins, relays and nodes; logs and settings go to `directory`. A grace that is given stands in the nodes' settings in place
+    /// Starts stand-ins, relays and nodes; logs and settings go to `directory`. What is planted stands in the nodes' settings in place
     /// of the one that they get.
     pub fn start(
         program: &Path,
         nodes: usize,
         layout: Layout,
-        grace: Option<Duration>,
+        planted: PlantedSettings,
         directory: &Path,
     ) -> io::Result<Self> {
         let store = StandInStore::start()?;
@@ -89,9 +90,9 @@
                 EnginePlace::start(number, pool, stage, zone).map(Mutex::new)
             })
             .collect();
-        let grace = grace.unwrap_or(GRACE);
-        let places = (0..nodes)
-            .map(|number| NodePlace::prepare(number, layout, grace, &store, &interface, program, directory));
+        let places = (0..nodes).map(|number| {
+            NodePlace::prepare(number, layout, planted, &store, &interface, program, directory)
+        });
         let places: Vec<NodePlace> = places.collect::<io::Result<_>>()?;
         let region_links = part_regions(layout, &places)?;
         let deployment = Self {
@@ -424,6 +425,16 @@
         exits
     }
 
+    /// The most memory that each node had resident, over all its processes so far, in bytes.
+    pub fn peak_memory(&self) -> Vec<u64> {
+        let peak = |place: &Mutex<NodePlace>| {
+            let place = lock(place);
+            place.process.iter().for_each(NodeProcess::note_memory);
+            place.launch.peak_memory.load(Ordering::Relaxed)
+        };
+        self.nodes.iter().map(peak).collect()
+    }
+
     /// Removes everything that is wrong but ended nodes.
     pub fn heal(&self) {
         for (number, place) in self.nodes.iter().enumerate() {
--- a/crates/lab/src/fault_soak/mod.rs
+++ b/crates/lab/src/fault_soak/mod.rs
@@ -10,6 +10,7 @@
 mod crashers;
 pub mod crashes;
 pub mod crowding;
+pub mod crowds;
 mod deployment;
 pub mod descriptors;
 pub mod disturbances;
@@ -46,6 +47,7 @@
 use callers::Caller;
 use crashers::Crasher;
 use crowding::CrowdedSpan;
+use crowds::CrowdSender;
 use deployment::{Deployment, MODEL_POOL};
 use descriptors::DescriptorWatch;
 use judging::{
@@ -54,6 +56,7 @@
 use late_readers::{LateReader, Quiet};
 use layout::Layout;
 use oracle::{Violation, judge_reports};
+pub use places::PlantedSettings;
 use places::REPEAT_BUDGET;
 use rate_limits::LimitSpan;
 use rated_callers::RatedCaller;
@@ -96,6 +99,8 @@
     pub part_crashers: u64,
     /// Callers besides that read nothing of a long answer for some seconds.
     pub late_readers: u64,
+    /// Senders of crowds of clients that leave requests unfinished or exceed limits.
+    pub crowds: u64,
     /// Callers besides of a tenant with a rate, who ask more than it allows.
     pub rated_callers: u64,
     /// Callers besides whose streams take seconds.
@@ -106,8 +111,8 @@
     pub silences: bool,
     /// Whether nothing strikes but planned work: stops, reloads, configurations and engines that are replaced in order.
     pub planned_work: bool,
-    /// Grace in the settings of nodes, in place of the one that they get: a fault to be found.
-    pub planted_grace: Option<Duration>,
+    /// Settings of nodes in place of those that they get: faults to be found.
+    pub planted: PlantedSettings,
     /// Callers besides that take up streams at other nodes.
     pub resumers: u64,
     /// Whether the store is restored from older copies.
@@ -137,7 +142,7 @@
         first,
         config.nodes,
         Layout::new(config.regions),
-        config.planted_grace,
+        config.planted,
         &config.directory,
     )?;
     let mut violations = wait_until_served(&deployment, config.seed, config.recovery);
@@ -207,6 +212,8 @@
         violations.extend(cut);
         count
     });
+    let peak_memory = deployment.peak_memory();
+    violations.extend(crowds::judge(&peak_memory));
     let descriptors = descriptors.seen();
     if descriptors.is_near_limit() {
         violations.push(Violation::OutOfDescriptors(descriptors));
@@ -222,6 +229,7 @@
         deferrals: deployment.deferrals(),
         fences_checked,
         descriptors,
+        peak_memory,
         ..report(config.seed, schedule.len(), &calls, exits, violations)
     })
 }
@@ -328,6 +336,11 @@
                 scope.spawn(|| caller.run(deployment, begun, &stop))
             })
             .collect();
+        for number in 0..config.crowds {
+            let sender = CrowdSender::new(config.seed, number);
+            let stop = &stop;
+            scope.spawn(move || sender.run(deployment, stop));
+        }
         let crowding = scope.spawn(|| crowding::run(deployment, config.seed, config.length, begun, &stop));
         let upgrade = config.other_build.as_ref().map(|other| {
             scope.spawn(|| {
--- a/crates/lab/src/fault_soak/operator.rs
+++ b/crates/lab/src/fault_soak/operator.rs
@@ -6,6 +6,9 @@
 use base64::engine::general_purpose::STANDARD;
 use std::net::SocketAddr;
 
+/// Longest body of a request, in bytes.
+pub(super) const MAX_BODY_BYTES: usize = 1024 * 1024;
+
 /// The tenants, each with its API key.
 pub(super) const TENANTS: [Tenant; 2] = [
     Tenant {
@@ -72,7 +75,7 @@
         )
     };
     format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{MODEL_POOL}","healthPath":"/health","connectionLimit":50,"protocol":"h1","tls":false,"engine":{{"slots":8,"kvTokens":100000,"kvBytes":18432,"linkMbps":370000.0,"moves":true,"backups":true,"stride":8,"most":12,"handleTtlS":5.0,"stageSwitchS":2.3,"pinMs":4000.0,"holdMs":2000.0,"models":[{{"name":"m"}}]}}}},{},{}],"limits":{{"maxHeaderBytes":4096,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{}]}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{MODEL_POOL}","healthPath":"/health","connectionLimit":50,"protocol":"h1","tls":false,"engine":{{"slots":8,"kvTokens":100000,"kvBytes":18432,"linkMbps":370000.0,"moves":true,"backups":true,"stride":8,"most":12,"handleTtlS":5.0,"stageSwitchS":2.3,"pinMs":4000.0,"holdMs":2000.0,"models":[{{"name":"m"}}]}}}},{},{}],"limits":{{"maxHeaderBytes":4096,"maxBodyBytes":{MAX_BODY_BYTES},"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{}]}}"#,
         routes.join(","),
         plain(APPLICATION_POOLS[0]),
         plain(APPLICATION_POOLS[1]),
--- a/crates/lab/src/fault_soak/oracle.rs
+++ b/crates/lab/src/fault_soak/oracle.rs
@@ -156,6 +156,13 @@
     CutForLateReader(String),
     /// A request got no whole answer although nothing was wrong but that callers beside it read late.
     UnservedBesideLateReaders(String),
+    /// A node took more memory than its machine has.
+    BeyondMachineMemory {
+        /// The node.
+        node: usize,
+        /// The most memory that was resident at once, over all its processes.
+        bytes: u64,
+    },
     /// Planned work, alone, left a request that had reached an engine without its whole answer.
     CutOff(String),
 }
--- a/crates/lab/src/fault_soak/places.rs
+++ b/crates/lab/src/fault_soak/places.rs
@@ -1,5 +1,6 @@
 //! The places of engines and nodes: what stays while one start of them follows on another.
 
+use super::crowds::MACHINE_MEGABYTES;
 use super::deployment::EVENTS;
 use super::layout::Layout;
 use super::oracle::EngineRecords;
@@ -15,12 +16,21 @@
 use std::num::NonZeroU64;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Time from the signal to stop until a node is killed; its settings say the same unless a fault is planted.
 pub(super) const GRACE: Duration = Duration::from_secs(8);
 
+/// Settings of nodes in place of those that they get: faults to be found.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlantedSettings {
+    /// Time until the end by force.
+    pub grace: Option<Duration>,
+    /// Memory of the machine.
+    pub memory_megabytes: Option<usize>,
+}
+
 /// Placers of each region of a soak with regions.
 const PLACERS_PER_REGION: usize = 2;
 
@@ -257,7 +267,7 @@
     pub(super) fn prepare(
         number: usize,
         layout: Layout,
-        grace: Duration,
+        planted: PlantedSettings,
         store: &StandInStore,
         interface: &StandInInterface,
         program: &Path,
@@ -271,9 +281,10 @@
         let zone = layout.zone_of_node(number);
         let settings = directory.join(format!("node-{number}.toml"));
         let text = format!(
-            "log_level = 'info'\n\n[node]\nnode = 'node-{number}'\nzone = '{zone}'\nlisten = '{listen}'\nready_listen = '{ready}'\npeer_listen = '{peers}'\nstore = '{}'\nfirst_start = false\ngrace_seconds = {}\nretry_ratio = {}\nretry_slack = {}\nretry_window_seconds = {}\n{regional}\n[node.metering]\nwindow_seconds = {}\ndue_after_seconds = {}\n\n[node.duties]\naddress = '{}'\ntasks = ['usage_reporting']\n",
+            "log_level = 'info'\n\n[node]\nnode = 'node-{number}'\nzone = '{zone}'\nlisten = '{listen}'\nready_listen = '{ready}'\npeer_listen = '{peers}'\nstore = '{}'\nfirst_start = false\ngrace_seconds = {}\nmemory_megabytes = {}\nretry_ratio = {}\nretry_slack = {}\nretry_window_seconds = {}\n{regional}\n[node.metering]\nwindow_seconds = {}\ndue_after_seconds = {}\n\n[node.duties]\naddress = '{}'\ntasks = ['usage_reporting']\n",
             store_link.address(),
-            grace.as_secs_f64(),
+            planted.grace.unwrap_or(GRACE).as_secs_f64(),
+            planted.memory_megabytes.unwrap_or(MACHINE_MEGABYTES),
             REPEAT_BUDGET.ratio,
             REPEAT_BUDGET.slack,
             REPEAT_BUDGET.window.as_secs_f64(),
@@ -287,6 +298,7 @@
                 program: PathBuf::from(program),
                 settings,
                 log: directory.join(format!("node-{number}.log")),
+                peak_memory: Arc::default(),
             },
             process: None,
             stopping: false,
--- a/crates/lab/src/fault_soak/process.rs
+++ b/crates/lab/src/fault_soak/process.rs
@@ -5,6 +5,8 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// Pause between two looks at whether a process has ended.
@@ -19,12 +21,15 @@
     pub settings: PathBuf,
     /// File to which every start of it writes its log.
     pub log: PathBuf,
+    /// The most memory that any start of it had resident, in bytes.
+    pub peak_memory: Arc<AtomicU64>,
 }
 
 /// A running process. Dropping it kills it and waits for its end.
 #[derive(Debug)]
 pub struct NodeProcess {
     child: Child,
+    peak_memory: Arc<AtomicU64>,
 }
 
 impl NodeProcess {
@@ -39,11 +44,15 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        Ok(Self { child })
+        Ok(Self {
+            child,
+            peak_memory: Arc::clone(&launch.peak_memory),
+        })
     }
 
     /// Kills it and waits for its end.
     pub fn kill(&mut self) {
+        self.note_memory();
         // It may have ended by itself.
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -69,6 +78,7 @@
         self.signal(Signal::TERM);
         let until = Instant::now() + grace;
         while Instant::now() < until {
+            self.note_memory();
             if matches!(self.child.try_wait(), Ok(Some(_))) {
                 return true;
             }
@@ -78,6 +88,17 @@
         false
     }
 
+    /// Notes the most memory that it had resident so far; nothing of a process that has ended.
+    pub fn note_memory(&self) {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let text = status.unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+        if let Some(kilobytes) = kilobytes {
+            self.peak_memory.fetch_max(kilobytes * 1024, Ordering::Relaxed);
+        }
+    }
+
     /// Whether it has ended without being told to.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
--- a/crates/lab/src/fault_soak/report.rs
+++ b/crates/lab/src/fault_soak/report.rs
@@ -35,6 +35,8 @@
     pub exits: u32,
     /// Descriptors of the soak's own process.
     pub descriptors: DescriptorUse,
+    /// The most memory that each node had resident, in bytes.
+    pub peak_memory: Vec<u64>,
     /// Engines that crashed under each crashing request or part, and arrivals of it later than is allowed.
     pub crashes: Vec<CrashCount>,
     /// Requests that share parts with those that crash engines.
@@ -68,7 +70,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             formatter,
-            "seed {}: {} faults; {} requests: {} succeeded, {} not run, {} other answers, {} unanswered; {} exits; at most {} descriptors; {}; {}; engines ended \
+            "seed {}: {} faults; {} requests: {} succeeded, {} not run, {} other answers, {} unanswered; {} exits; at most {} descriptors, {} bytes of memory at a node; {}; {}; engines ended \
              under crashing requests and parts {:?}, sent on late {:?}; sound requests with their first parts: {}; {}; {}; {}, fences {}; {}",
             self.seed,
             self.faults,
@@ -79,6 +81,7 @@
             self.unanswered,
             self.exits,
             self.descriptors.peak,
+            self.peak_memory.iter().max().copied().unwrap_or_default(),
             self.quiet,
             self.take_ups,
             self.crashes.iter().map(|count| count.ended).collect::<Vec<_>>(),
@@ -140,6 +143,7 @@
         unanswered,
         exits,
         descriptors: DescriptorUse::default(),
+        peak_memory: Vec::new(),
         crashes: Vec::new(),
         shares: Vec::new(),
         crowded: Vec::new(),
--- a/planted-faults.sh
+++ b/planted-faults.sh
@@ -10,3 +10,9 @@
   | grep --count CutOff || true)
 echo "requests cut by a stop with the planted grace: $found found"
 [ "$found" -gt 0 ]
+# Crowds of unfinished requests: nodes that believe that their machines have far more memory than they are judged by.
+found=$(target/debug/shelfjunction-lab fault-soak --program target/debug/shelfjunction --crowds 3 --planted-memory-megabytes 4096 \
+  --seed 84001 --runs 1 --seconds 12 --callers 8 --recovery-seconds 90 --logs target/planted-faults \
+  | grep --count BeyondMachineMemory || true)
+echo "nodes beyond their machine's memory with the planted setting: $found found"
+[ "$found" -gt 0 ]
