--- a/crates/buffers/src/account.rs
+++ b/crates/buffers/src/account.rs
@@ -152,6 +152,14 @@
         }
     }
 
+    /// Begins to hold an answer of an engine.
+    pub fn hold_answer(self: &Arc<Self>) -> HeldAnswer {
+        HeldAnswer {
+            account: Arc::clone(self),
+            held: 0,
+        }
+    }
+
     /// Notes bytes that came for a request; fails if it was dropped.
     pub(crate) fn note_received(&self, number: u64, received: usize) -> Result<(), Shortage> {
         let mut state = lock(&self.state);
@@ -296,6 +304,42 @@
     }
 }
 
+/// What an account holds of an answer that its engine has not ended.
+pub struct HeldAnswer {
+    account: Arc<BufferAccount>,
+    held: usize,
+}
+
+impl HeldAnswer {
+    /// Replaces the number of bytes.
+    pub fn set(&mut self, held: usize) {
+        if held == self.held {
+            return;
+        }
+        let mut state = lock(&self.account.state);
+        state.held.answers = state.held.answers.saturating_sub(self.held) + held;
+        drop(state);
+        let is_released = held < self.held;
+        self.held = held;
+        if is_released {
+            self.account.released.notify_all();
+        }
+    }
+
+    /// Whether more of it is to be taken.
+    pub fn reads_on(&self) -> bool {
+        self.account
+            .limits
+            .reads_on(&lock(&self.account.state).held, self.held)
+    }
+}
+
+impl Drop for HeldAnswer {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
 impl fmt::Debug for BufferAccount {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter
--- a/crates/buffers/src/lib.rs
+++ b/crates/buffers/src/lib.rs
@@ -7,6 +7,6 @@
 mod bytes;
 mod pooled;
 
-pub use account::{BufferAccount, Shortage};
+pub use account::{BufferAccount, HeldAnswer, Shortage};
 pub use bytes::{HeldBytes, IncomingBytes};
 pub use pooled::PooledBytes;
--- a/crates/core/src/buffering.rs
+++ b/crates/core/src/buffering.rs
@@ -4,6 +4,7 @@
 //! capacity    = memory of the machine * CAPACITY_PART       bytes of requests and answers, whoever they are held for
 //! large       = capacity * LARGE_PART                       a request of more than SMALL_REQUEST_BYTES finds room up to here
 //! room        if held + asked <= capacity, or <= large for a large request, or if no other request is held
+//! reads on    from an engine while held <= large, if the answer is small, or if no other answer is held
 //! lag         = max(time since bytes came, time since the request began - bytes received / MIN_PACE)
 //! gives way   the unfinished request of the longest lag, if that is MAX_LAG or more
 //! connections = min((descriptors - kept free) / 2, memory * CONNECTIONS_PART / CONNECTION_BYTES)
@@ -21,7 +22,7 @@
 /// Part of the capacity up to which large requests find room.
 const LARGE_PART: f64 = 0.75;
 
-/// Largest request that finds room beside large ones, in bytes.
+/// Largest request, and largest answer, that finds room beside large ones, in bytes.
 pub const SMALL_REQUEST_BYTES: usize = 16 * 1024;
 
 /// Pace at which an unfinished request does not lag, in bytes a second: a link of 8 Mbit/s.
@@ -60,6 +61,8 @@
 pub struct HeldTotals {
     /// Of requests, from their first byte until their last answer has ended.
     pub requests: usize,
+    /// Of answers that engines have not ended.
+    pub answers: usize,
     /// Of answers that callers have not taken.
     pub undelivered: usize,
 }
@@ -67,7 +70,7 @@
 impl HeldTotals {
     /// All of them.
     pub fn total(&self) -> usize {
-        self.requests + self.undelivered
+        self.requests + self.answers + self.undelivered
     }
 }
 
@@ -92,6 +95,12 @@
         let is_alone = held.requests <= own;
         is_alone || held.total() - own + wanted <= limit
     }
+
+    /// Whether more of an answer, of which `own` bytes are held, is taken from its engine.
+    pub fn reads_on(&self, held: &HeldTotals, own: usize) -> bool {
+        let is_alone = held.answers <= own;
+        own <= SMALL_REQUEST_BYTES || is_alone || held.total() <= self.large
+    }
 }
 
 /// How an unfinished request comes in.
--- a/crates/node/src/course/dispatching.rs
+++ b/crates/node/src/course/dispatching.rs
@@ -123,6 +123,7 @@
             asked_at: now,
             silent_from: max_wait.map(|max_wait| now + max_wait),
             all_sent: false,
+            held_answer: self.context.buffers.hold_answer(),
             reads_again: false,
             has_events: false,
             origin,
--- a/crates/node/src/course/exchange.rs
+++ b/crates/node/src/course/exchange.rs
@@ -3,6 +3,7 @@
 use super::accounting::Account;
 use crate::links::Connection;
 use crate::ports::AnswerHead;
+use shelfjunction_buffers::HeldAnswer;
 use shelfjunction_core::engine::EngineCall;
 use shelfjunction_core::identity::{AttemptId, EngineId};
 use shelfjunction_core::request::specification::Target;
@@ -60,6 +61,8 @@
     /// Instant from which the engine counts as silent; absent: never.
     pub(super) silent_from: Option<MonotonicTime>,
     pub(super) all_sent: bool,
+    /// What is held of the answer.
+    pub(super) held_answer: HeldAnswer,
     /// Whether the engine may have sent more than was read at the last look.
     pub(super) reads_again: bool,
     /// Whether an event of the answer came.
--- a/crates/node/src/course/reading.rs
+++ b/crates/node/src/course/reading.rs
@@ -143,6 +143,7 @@
     pub(super) fn read_engine(&mut self) -> Option<EngineReading> {
         let exchange = self.exchange.as_mut()?;
         let reading = exchange.link.read();
+        exchange.held_answer.set(exchange.link.answer_bytes());
         if let Some(signals) = exchange.link.take_signals() {
             let (engine, sent_at) = (&exchange.engine, exchange.sent_at);
             engine_signals::on_request_answered(self.context, engine, &signals, sent_at);
--- a/crates/node/src/course/waiting.rs
+++ b/crates/node/src/course/waiting.rs
@@ -30,7 +30,7 @@
         }
         let reads_on = match self.hand_on() {
             Delivery::LetGo => return Some(Event::CallerGone),
-            delivery => delivery == Delivery::ReadOn,
+            delivery => delivery == Delivery::ReadOn && self.has_room_for_answer(),
         };
         if let Some(event) = self.review_kept_run(now) {
             return Some(event);
@@ -42,6 +42,12 @@
         self.poll(now, reads_on)
     }
 
+    /// Whether the account allows more of the engine's answer to be read.
+    fn has_room_for_answer(&self) -> bool {
+        let exchange = self.exchange.as_ref();
+        exchange.is_none_or(|exchange| exchange.held_answer.reads_on())
+    }
+
     /// Hands on what the caller takes now, and looks whether it takes enough.
     fn hand_on(&mut self) -> Delivery {
         if self.caller.undelivered() == 0 && !self.undelivered.any() {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -121,6 +121,7 @@
     pub(crate) cordons: Gauge,
     pub(crate) kept_for_callers: Gauge,
     pub(crate) request_bytes: Gauge,
+    pub(crate) answer_bytes: Gauge,
     pub(crate) buffer_capacity: Gauge,
     pub(crate) requests_without_room: Gauge,
     pub(crate) requests_dropped: Gauge,
@@ -180,6 +181,7 @@
             cordons: Gauge::default(),
             kept_for_callers: Gauge::default(),
             request_bytes: Gauge::default(),
+            answer_bytes: Gauge::default(),
             buffer_capacity: Gauge::default(),
             requests_without_room: Gauge::default(),
             requests_dropped: Gauge::default(),
@@ -421,6 +423,11 @@
                 "Bytes reserved for bodies of requests, from the first byte until the answer has ended",
                 &self.request_bytes,
             ),
+            (
+                "answer_bytes",
+                "Bytes of answers that engines have not ended",
+                &self.answer_bytes,
+            ),
             (
                 "buffer_capacity_bytes",
                 "Bytes that may be held for others together",
--- a/crates/node/src/operator_page.rs
+++ b/crates/node/src/operator_page.rs
@@ -190,6 +190,7 @@
             .set(lock(&context.listing).applied_version() as i64);
         let buffers = context.buffers.figures();
         metrics.kept_for_callers.set(buffers.held.undelivered as i64);
+        metrics.answer_bytes.set(buffers.held.answers as i64);
         metrics.request_bytes.set(buffers.held.requests as i64);
         metrics
             .buffer_capacity
--- a/crates/node/src/ports/engines.rs
+++ b/crates/node/src/ports/engines.rs
@@ -191,6 +191,9 @@
     /// Reads what there is, without waiting; returns after a bounded number of bytes, however many come.
     fn read(&mut self) -> EngineReading;
 
+    /// Bytes of memory that the present answer takes here, as far as it was read.
+    fn answer_bytes(&self) -> usize;
+
     /// Whether only the end of the connection told that the last answer was at its end.
     fn ended_by_close(&self) -> bool;
 
--- a/tests/hostile_clients/main.rs
+++ b/tests/hostile_clients/main.rs
@@ -95,6 +95,17 @@
     judge(MACHINE, &crowd);
 }
 
+#[test]
+fn large_answers_that_do_not_end_do_not_exhaust_memory() {
+    let crowd = Crowd {
+        clients: CLIENTS,
+        target: "POST /partial/x",
+        framing: Framing::Length { piece_bytes: 4 },
+        send: Send::Whole(4),
+    };
+    judge(MACHINE, &crowd);
+}
+
 #[test]
 fn bodies_that_announce_more_than_the_limit_are_refused() {
     let crowd = Crowd {
--- a/tests/hostile_clients/stand_ins.rs
+++ b/tests/hostile_clients/stand_ins.rs
@@ -3,7 +3,8 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use shelfjunction_lab::users_platform::{EngineSettings, ModelEngine, StandInStore, USUAL_SOFTWARE_VERSION};
-use std::net::{SocketAddr, TcpListener};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 
 /// Largest body that the configuration allows, in bytes.
@@ -29,6 +30,7 @@
         store.put("op", "config", &STANDARD.encode(configuration()));
         list(&store, "app-1", engine.address(), "pool-app");
         list(&store, "deaf-1", engine_that_never_reads(), "pool-deaf");
+        list(&store, "partial-1", engine_of_partial_answers(), "pool-partial");
         Self {
             store,
             _engine: engine,
@@ -53,6 +55,38 @@
     address
 }
 
+/// An engine that holds the last byte of each answer back.
+fn engine_of_partial_answers() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            thread::spawn(move || send_partial_answer(stream.unwrap()));
+        }
+    });
+    address
+}
+
+fn send_partial_answer(stream: TcpStream) {
+    let mut reader = BufReader::new(&stream);
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if !reader.read_line(&mut head).is_ok_and(|count| count > 0) {
+            return;
+        }
+    }
+    let name = head.lines().find_map(|line| line.strip_prefix("Request-Id: "));
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Signature: s\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n{}",
+        name.unwrap_or_default(),
+        "x".repeat(MAX_BODY_BYTES - 1)
+    );
+    // The node may close at any time; held open until then.
+    if (&stream).write_all(answer.as_bytes()).is_ok() {
+        let _ = (&stream).read_to_end(&mut Vec::new());
+    }
+}
+
 fn configuration() -> String {
     let route = |name: &str, path: &str, pool: &str| {
         format!(
@@ -65,10 +99,12 @@
         )
     };
     format!(
-        r#"{{"version":1,"routes":[{},{}],"services":[{},{}],"limits":{{"maxHeaderBytes":4096,"maxBodyBytes":{MAX_BODY_BYTES},"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
+        r#"{{"version":1,"routes":[{},{},{}],"services":[{},{},{}],"limits":{{"maxHeaderBytes":4096,"maxBodyBytes":{MAX_BODY_BYTES},"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
         route("look", "/look/", "pool-app"),
         route("deaf", "/deaf/", "pool-deaf"),
+        route("partial", "/partial/", "pool-partial"),
         service("pool-app"),
         service("pool-deaf"),
+        service("pool-partial"),
     )
 }
