--- a/crates/platform/src/http_engine/mod.rs
+++ b/crates/platform/src/http_engine/mod.rs
@@ -169,16 +169,20 @@
         .build()
 }
 
-/// Only an engine that began to run a call answers 200; only a typed refusal says that it did not.
+/// Only an engine that began to run a call answers 200; only a typed refusal under an error's status says that it did not.
 fn open_stream(sent: Result<Response<Body>, ureq::Error>) -> Result<Box<dyn AnswerStream>, CallError> {
     let mut response = match sent {
         Ok(response) => response,
         Err(error) if never_connected(&error) => return Err(CallError::NotSent),
         Err(_) => return Err(CallError::Ambiguous),
     };
-    if response.status().as_u16() == 200 {
+    let status = response.status();
+    if status.as_u16() == 200 {
         return Ok(Box::new(HttpAnswerStream::new(response.into_body())));
     }
+    if !status.is_client_error() && !status.is_server_error() {
+        return Err(CallError::Ambiguous);
+    }
     let body = response.body_mut().with_config().limit(MAXIMUM_REFUSAL_BYTES);
     let Ok(bytes) = body.read_to_vec() else {
         return Err(CallError::Ambiguous);
--- a/crates/platform/tests/at_most_once.rs
+++ b/crates/platform/tests/at_most_once.rs
@@ -228,3 +228,24 @@
         "the call went to the proxy"
     );
 }
+
+#[test]
+fn an_answer_of_invalid_status_says_nothing_even_with_a_typed_refusal() {
+    fn with_status(connection: TcpStream, status: &str) {
+        let body = r#"{"reason":"draining","retry_after_millis":250}"#;
+        let length = body.len();
+        answer(
+            connection,
+            &format!("HTTP/1.1 {status} Odd\r\nContent-Length: {length}\r\n\r\n{body}"),
+        );
+    }
+    let behaviours: [Behaviour; 4] = [
+        |connection| with_status(connection, "000"),
+        |connection| with_status(connection, "099"),
+        |connection| with_status(connection, "600"),
+        |connection| with_status(connection, "999"),
+    ];
+    for behaviour in behaviours {
+        assert_eq!(call_once(behaviour), (CallError::Ambiguous, 1));
+    }
+}
