--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,6 +1,7 @@
 //! One connection: requests in, answers out, one after the other.
 
 use crate::limits::HttpLimits;
+use crate::open::Place;
 use crate::reader::{ReadError, RequestReader};
 use crate::response::Responder;
 use crate::server::Handler;
@@ -17,28 +18,31 @@
 
 /// Serves a connection until it closes, breaks a limit or the server stops.
 pub(crate) fn serve(
-    mut stream: TcpStream,
+    stream: &TcpStream,
     limits: HttpLimits,
     account: &Arc<BufferAccount>,
     handler: &dyn Handler,
-    stopping: &dyn Fn() -> bool,
+    place: &Place,
 ) {
     if stream.set_nodelay(true).is_err() || stream.set_write_timeout(Some(limits.write_time())).is_err() {
         return;
     }
+    let stopping = || place.is_stopping();
     let mut reader = RequestReader::new(limits, Arc::clone(account));
     loop {
-        match reader.next(&mut stream, stopping) {
+        match reader.next(stream, &stopping) {
             Ok(request) => {
+                place.note_request();
                 let keep_alive = request.keep_alive && !stopping();
                 let without_body = request.method == "HEAD";
-                let responder = Responder::new(&mut stream, keep_alive, request.is_http_1_1, without_body);
+                let responder = Responder::new(stream, keep_alive, request.is_http_1_1, without_body);
                 if !handler.handle(request, responder).reusable {
                     return;
                 }
+                place.note_wait();
             }
             Err(error) => {
-                refuse(&mut stream, handler, error);
+                refuse(stream, handler, error);
                 return;
             }
         }
@@ -46,7 +50,7 @@
 }
 
 /// Tells the caller why its connection is closed.
-pub(crate) fn refuse(stream: &mut TcpStream, handler: &dyn Handler, error: ReadError) {
+pub(crate) fn refuse(stream: &TcpStream, handler: &dyn Handler, error: ReadError) {
     let Some(answer) = handler.refusal(error) else {
         return;
     };
@@ -55,7 +59,7 @@
 }
 
 /// Closing a socket that holds unread bytes resets it, and the answer with it; so some are read first.
-fn linger(stream: &mut TcpStream) {
+fn linger(stream: &TcpStream) {
     let until = BootInstant::now() + LINGER_TIME;
     let mut bytes = [0; 4_096];
     let mut total = 0;
@@ -67,7 +71,7 @@
         if left.is_zero() || stream.set_read_timeout(Some(left)).is_err() {
             return;
         }
-        match stream.read(&mut bytes) {
+        match (&*stream).read(&mut bytes) {
             Ok(read) if read > 0 => total += read,
             _ => return,
         }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod connection;
 mod limits;
+mod open;
 mod reader;
 mod request;
 mod response;
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -86,7 +86,7 @@
     /// Reads the next request; `stopping` is asked while the connection is idle.
     pub(crate) fn next(
         &mut self,
-        stream: &mut TcpStream,
+        stream: &TcpStream,
         stopping: &dyn Fn() -> bool,
     ) -> Result<HttpRequest, ReadError> {
         if self.buffer.is_empty() {
@@ -98,7 +98,9 @@
         }
         self.buffer.drain(..head.length);
         if head.expects_continue && self.buffer.len() < head.body_length {
-            stream.write_all(CONTINUE_LINE).map_err(|_| ReadError::Closed)?;
+            (&*stream)
+                .write_all(CONTINUE_LINE)
+                .map_err(|_| ReadError::Closed)?;
         }
         let body = self.read_body(stream, head.body_length)?;
         Ok(HttpRequest {
@@ -110,7 +112,7 @@
 
     fn wait_for_first_byte(
         &mut self,
-        stream: &mut TcpStream,
+        stream: &TcpStream,
         stopping: &dyn Fn() -> bool,
     ) -> Result<(), ReadError> {
         let until = BootInstant::now() + self.limits.idle_time();
@@ -133,7 +135,7 @@
         }
     }
 
-    fn read_head(&mut self, stream: &mut TcpStream) -> Result<Head, ReadError> {
+    fn read_head(&mut self, stream: &TcpStream) -> Result<Head, ReadError> {
         let until = BootInstant::now() + self.limits.head_time();
         loop {
             if let Some(head) = parse_head(&self.buffer, &self.limits)? {
@@ -146,7 +148,7 @@
         }
     }
 
-    fn read_body(&mut self, stream: &mut TcpStream, length: usize) -> Result<PooledBytes, ReadError> {
+    fn read_body(&mut self, stream: &TcpStream, length: usize) -> Result<PooledBytes, ReadError> {
         if length == 0 {
             return Ok(PooledBytes::default());
         }
@@ -182,7 +184,7 @@
         body.map_err(no_room)
     }
 
-    fn fill_until(&mut self, stream: &mut TcpStream, until: BootInstant) -> Result<(), ReadError> {
+    fn fill_until(&mut self, stream: &TcpStream, until: BootInstant) -> Result<(), ReadError> {
         let left = until.since(BootInstant::now());
         if left.is_zero() {
             return Err(ReadError::TooSlow);
@@ -195,10 +197,10 @@
         }
     }
 
-    fn fill(&mut self, stream: &mut TcpStream, wait: Duration) -> io::Result<usize> {
+    fn fill(&mut self, stream: &TcpStream, wait: Duration) -> io::Result<usize> {
         stream.set_read_timeout(Some(wait))?;
         let mut bytes = [0; READ_BYTES];
-        let read = stream.read(&mut bytes)?;
+        let read = (&*stream).read(&mut bytes)?;
         self.buffer.extend_from_slice(&bytes[..read]);
         Ok(read)
     }
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -64,7 +64,7 @@
 
 /// The one way to answer a request.
 pub struct Responder<'a> {
-    stream: &'a mut TcpStream,
+    stream: &'a TcpStream,
     keep_alive: bool,
     chunks: bool,
     without_body: bool,
@@ -72,7 +72,7 @@
 }
 
 impl<'a> Responder<'a> {
-    pub(crate) fn new(stream: &'a mut TcpStream, keep_alive: bool, chunks: bool, without_body: bool) -> Self {
+    pub(crate) fn new(stream: &'a TcpStream, keep_alive: bool, chunks: bool, without_body: bool) -> Self {
         Self {
             stream,
             keep_alive,
@@ -103,7 +103,7 @@
         if !self.without_body {
             bytes.extend(&answer.body);
         }
-        let written = self.stream.write_all(&bytes);
+        let written = (&*self.stream).write_all(&bytes);
         Answered {
             reusable: written.is_ok() && self.keep_alive,
         }
@@ -123,7 +123,7 @@
         }
         bytes.extend(connection_line(keep_alive));
         bytes.extend(b"\r\n");
-        self.stream.write_all(&bytes)?;
+        (&*self.stream).write_all(&bytes)?;
         let output = if self.chunks {
             StreamOutput::Chunks(Encoder::with_flush_after_write(self.stream))
         } else {
@@ -139,8 +139,8 @@
 }
 
 enum StreamOutput<'a> {
-    Chunks(Encoder<&'a mut TcpStream>),
-    Plain(&'a mut TcpStream),
+    Chunks(Encoder<&'a TcpStream>),
+    Plain(&'a TcpStream),
 }
 
 /// Writes a stream; what is written leaves at once.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,16 +2,15 @@
 
 use crate::connection;
 use crate::limits::HttpLimits;
+use crate::open::{Entry, OpenConnections};
 use crate::reader::ReadError;
 use crate::request::HttpRequest;
 use crate::response::{Answer, Answered, Responder};
 use shelfjunction_buffers::BufferAccount;
 use shelfjunction_core::buffering::BufferLimits;
-use shelfjunction_threads::lock;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -21,9 +20,6 @@
 /// Longest wait of the connection that wakes a blocked accept.
 const WAKE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Connections beyond the limit that may be told so at once; any more are closed without a word.
-const REFUSING_THREADS: usize = 16;
-
 /// Answers requests.
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request.
@@ -35,9 +31,7 @@
 
 struct Shared {
     account: Arc<BufferAccount>,
-    stopping: AtomicBool,
-    open: Mutex<usize>,
-    closed: Condvar,
+    open: Arc<OpenConnections>,
 }
 
 /// A running server.
@@ -54,9 +48,7 @@
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             account: BufferAccount::new(BufferLimits::of_memory(limits.memory_megabytes)),
-            stopping: AtomicBool::default(),
-            open: Mutex::default(),
-            closed: Condvar::default(),
+            open: Arc::default(),
         });
         let shared_of_thread = Arc::clone(&shared);
         let accepting = thread::Builder::new()
@@ -76,48 +68,24 @@
 
     /// Connections that are open.
     pub fn connections(&self) -> usize {
-        *lock(&self.shared.open)
+        self.shared.open.count()
     }
 
     /// Accepts nothing more, lets every request under way end, and waits until all connections are closed.
     pub fn stop(&mut self) {
-        self.shared.stopping.store(true, Ordering::SeqCst);
+        self.shared.open.begin_stop();
         // When nobody accepts any more there is no thread to wake.
         let _ = TcpStream::connect_timeout(&reachable(self.address), WAKE_TIMEOUT);
         if let Some(accepting) = self.accepting.take() {
             // The accept thread returns nothing; a panic there has been printed.
             let _ = accepting.join();
         }
-        let mut open = lock(&self.shared.open);
-        while *open > 0 {
-            open = self
-                .shared
-                .closed
-                .wait(open)
-                .unwrap_or_else(PoisonError::into_inner);
-        }
-    }
-}
-
-/// Counts one open connection as long as it lives.
-struct OpenConnection(Arc<Shared>);
-
-impl OpenConnection {
-    fn new(shared: &Arc<Shared>) -> Self {
-        *lock(&shared.open) += 1;
-        Self(Arc::clone(shared))
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        *lock(&self.0.open) -= 1;
-        self.0.closed.notify_all();
+        self.shared.open.wait_until_closed();
     }
 }
 
 fn accept(listener: &TcpListener, limits: HttpLimits, handler: &Arc<dyn Handler>, shared: &Arc<Shared>) {
-    while !shared.stopping.load(Ordering::SeqCst) {
+    while !shared.open.is_stopping() {
         match listener.accept() {
             Ok((stream, _)) => begin(stream, limits, handler, shared),
             Err(error) => {
@@ -147,36 +115,35 @@
 }
 
 fn begin(stream: TcpStream, limits: HttpLimits, handler: &Arc<dyn Handler>, shared: &Arc<Shared>) {
-    let open = *lock(&shared.open);
-    if open >= limits.connections + REFUSING_THREADS {
-        return;
-    }
-    let full = open >= limits.connections;
-    let connection = OpenConnection::new(shared);
+    let stream = Arc::new(stream);
+    let (place, is_refused) = match shared.open.enter(&stream, limits.connections) {
+        Entry::Place(place) => (place, false),
+        Entry::Refusal(place) => (place, true),
+        Entry::Nothing => return,
+    };
     let handler = Arc::clone(handler);
+    let account = Arc::clone(&shared.account);
     let started = thread::Builder::new()
         .name("http-connection".to_owned())
-        .spawn(move || run(stream, limits, &*handler, &connection, full));
+        .spawn(move || {
+            if is_refused {
+                refuse(&stream, limits, &*handler);
+            } else {
+                connection::serve(&stream, limits, &account, &*handler, &place);
+            }
+            // The socket is closed before its place is free.
+            drop(stream);
+            drop(place);
+        });
     if let Err(error) = started {
         log::warn!(error:% = error; "connection_thread_failed");
     }
 }
 
-fn run(
-    mut stream: TcpStream,
-    limits: HttpLimits,
-    handler: &dyn Handler,
-    connection: &OpenConnection,
-    full: bool,
-) {
-    if full {
-        if stream.set_write_timeout(Some(limits.write_time())).is_ok() {
-            connection::refuse(&mut stream, handler, ReadError::TooManyConnections);
-        }
-        return;
+fn refuse(stream: &TcpStream, limits: HttpLimits, handler: &dyn Handler) {
+    if stream.set_write_timeout(Some(limits.write_time())).is_ok() {
+        connection::refuse(stream, handler, ReadError::TooManyConnections);
     }
-    let stopping = || connection.0.stopping.load(Ordering::SeqCst);
-    connection::serve(stream, limits, &connection.0.account, handler, &stopping);
 }
 
 /// An address that listens on every interface is reached over loopback.
