--- a/crates/buffers/src/account.rs
+++ b/crates/buffers/src/account.rs
@@ -141,8 +141,8 @@
         while self.drop_one(&mut lock(&self.state), now).is_some() {}
     }
 
-    /// Replaces the bytes of undelivered answers that one connection holds. An answer is never refused: the engine has done its work,
-    /// and whoever reads it stops reading.
+    /// Replaces the bytes of undelivered answers that one connection holds. They are counted and never refused: the engine has done
+    /// its work, and reading from it stops by other means.
     pub fn set_undelivered(&self, before: usize, now: usize) {
         let mut state = lock(&self.state);
         state.held.undelivered = state.held.undelivered.saturating_sub(before) + now;
--- a/crates/core/src/buffering.rs
+++ b/crates/core/src/buffering.rs
@@ -1,7 +1,7 @@
 //! How many bytes a process holds for others, and which request gives way when that is full.
 //!
 //! ```text
-//! capacity    = memory of the machine * CAPACITY_PART       bytes of requests and answers, whoever they are held for
+//! capacity    = memory of the machine * CAPACITY_PART       bytes of all requests and answers
 //! large       = capacity * LARGE_PART                       a request of more than SMALL_REQUEST_BYTES finds room up to here
 //! room        if held + asked <= capacity, or <= large for a large request, or if no other request is held
 //! reads on    from an engine while held <= large, if the answer is small, or if no other answer is held
--- a/crates/http/src/open.rs
+++ b/crates/http/src/open.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 
-/// Connections beyond the limit: those that are told so, and those that have been closed and have not ended yet.
+/// Connections beyond the limit: those that are refused with an answer, and those that were closed and whose threads still end.
 const MAX_BEYOND_LIMIT: usize = 16;
 
 #[derive(Debug)]
@@ -51,9 +51,9 @@
 pub(crate) enum Entry {
     /// A place.
     Place(Place),
-    /// Only the word that all are taken.
+    /// A refusal, since each place serves a request.
     Refusal(Place),
-    /// Nothing: there are too many to be told.
+    /// No answer: too many are being refused already.
     Nothing,
 }
 
--- a/crates/lab/src/command/fault_soak.rs
+++ b/crates/lab/src/command/fault_soak.rs
@@ -100,7 +100,7 @@
     options.optopt(
         "",
         "planted-memory-megabytes",
-        "plants a fault: the settings of nodes tell more memory than their machines have",
+        "plants a fault: the settings of nodes name more memory than their machines have",
         "NUMBER",
     );
     options.optopt(
--- a/crates/lab/src/fault_soak/crowds.rs
+++ b/crates/lab/src/fault_soak/crowds.rs
@@ -89,7 +89,7 @@
         }
     }
 
-    /// Sends crowds to nodes drawn anew until told to stop.
+    /// Sends crowds to nodes drawn anew until `stop` is set.
     pub fn run(mut self, deployment: &Deployment, stop: &AtomicBool) {
         while !stop.load(Ordering::Relaxed) {
             let node = self.random.random_range(0..deployment.targets().nodes);
