--- a/crates/buffers/src/account.rs
+++ b/crates/buffers/src/account.rs
@@ -249,9 +249,14 @@
         Some(unfinished.reserved)
     }
 
-    /// Ends the receiving of a request; what it has reserved stays reserved.
-    pub(crate) fn finish(&self, number: u64) {
-        lock(&self.state).unfinished.remove(&number);
+    /// Ends the receiving of a request; what it has reserved stays reserved. Fails if it was dropped: its connection is not read from
+    /// any more, so that its caller looks gone.
+    pub(crate) fn finish(&self, number: u64) -> Result<(), Shortage> {
+        let unfinished = lock(&self.state).unfinished.remove(&number);
+        match unfinished {
+            Some(unfinished) if unfinished.is_dropped => Err(Shortage::Dropped),
+            _ => Ok(()),
+        }
     }
 
     /// A block for bytes that are reserved.
--- a/crates/buffers/src/bytes.rs
+++ b/crates/buffers/src/bytes.rs
@@ -81,8 +81,8 @@
     }
 
     /// Notes that a body that is kept elsewhere is whole.
-    pub(crate) fn note_whole(&self) {
-        self.account.finish(self.number);
+    pub(crate) fn note_whole(&self) -> Result<(), Shortage> {
+        self.account.finish(self.number)
     }
 
     /// Number of bytes.
@@ -100,9 +100,10 @@
         self.account.is_dropped(self.number)
     }
 
-    /// The body, whole.
-    pub fn finish(mut self) -> HeldBytes {
-        HeldBytes(Arc::new(std::mem::take(&mut self.storage)))
+    /// The body, whole; it gives way to none from now on.
+    pub fn finish(mut self) -> Result<HeldBytes, Shortage> {
+        self.account.finish(self.number)?;
+        Ok(HeldBytes(Arc::new(std::mem::take(&mut self.storage))))
     }
 
     fn reserve(&mut self, wanted: usize) -> Result<(), Shortage> {
@@ -130,7 +131,8 @@
 
 impl Drop for IncomingBytes {
     fn drop(&mut self) {
-        self.account.finish(self.number);
+        // It may have been dropped from the account before, or have finished.
+        let _ = self.account.finish(self.number);
     }
 }
 
--- a/crates/buffers/src/pooled.rs
+++ b/crates/buffers/src/pooled.rs
@@ -50,10 +50,9 @@
     }
 
     /// Notes that it is whole, so that it gives way to none.
-    pub fn finish(&mut self) {
-        if let Some(room) = &self.room {
-            room.incoming.note_whole();
-        }
+    pub fn finish(&mut self) -> Result<(), Shortage> {
+        let room = self.room.as_ref();
+        room.map_or(Ok(()), |room| room.incoming.note_whole())
     }
 }
 
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -32,7 +32,9 @@
     loop {
         match reader.next(stream, &stopping) {
             Ok(request) => {
-                place.note_request();
+                if !place.note_request() {
+                    return refuse(stream, handler, ReadError::TooManyConnections);
+                }
                 let keep_alive = request.keep_alive && !stopping();
                 let without_body = request.method == "HEAD";
                 let responder = Responder::new(stream, keep_alive, request.is_http_1_1, without_body);
--- a/crates/http/src/open.rs
+++ b/crates/http/src/open.rs
@@ -113,9 +113,9 @@
 }
 
 impl Place {
-    /// Notes that a whole request has come.
-    pub(crate) fn note_request(&self) {
-        self.set_wait(None);
+    /// Notes that a whole request has come; false if the connection was closed for another before.
+    pub(crate) fn note_request(&self) -> bool {
+        self.set_wait(None).is_some()
     }
 
     /// Notes that the connection waits for its next request.
@@ -128,10 +128,11 @@
         self.connections.is_stopping()
     }
 
-    fn set_wait(&self, waits_since: Option<BootInstant>) {
-        if let Some(connection) = lock(&self.connections.open).connections.get_mut(&self.number) {
-            connection.waits_since = waits_since;
-        }
+    /// Since when it has waited until now.
+    fn set_wait(&self, waits_since: Option<BootInstant>) -> Option<BootInstant> {
+        let mut open = lock(&self.connections.open);
+        let connection = open.connections.get_mut(&self.number)?;
+        std::mem::replace(&mut connection.waits_since, waits_since)
     }
 }
 
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -159,7 +159,7 @@
             body.add(&self.buffer[..count]).map_err(no_room)?;
             self.buffer.drain(..count);
             if body.len() == length {
-                body.finish();
+                body.finish().map_err(no_room)?;
                 return Ok(body);
             }
             self.fill_until(stream, until).map_err(|error| match error {
--- a/crates/node/src/accepting.rs
+++ b/crates/node/src/accepting.rs
@@ -3,7 +3,7 @@
 use crate::connections::{Entry, OpenConnections};
 use crate::context::Context;
 use crate::course;
-use crate::ports::{Call, CallEnd, CallerConnection, CallerProtocol};
+use crate::ports::{Call, CallEnd, CallerConnection, CallerProtocol, OwnAnswer};
 use shelfjunction_core::forwarding::CallerLimits;
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
@@ -13,6 +13,9 @@
 /// Stack of a connection's thread, in bytes.
 const STACK_BYTES: usize = 256 * 1024;
 
+/// When to come back after a connection that was closed for another.
+const REPLACED_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// Pause after accepting failed, as when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -93,7 +96,14 @@
     connection.wait_for_call(&limits(context))?;
     entry.note_call(context.now());
     let call = connection.read_call(&limits(context))?;
-    entry.note_whole_call(context.now());
+    if !entry.note_whole_call(context.now()) {
+        // It was closed for another in the moment in which its call became whole; the caller may be gone as well.
+        let answer = OwnAnswer::NotRun {
+            retry_after: REPLACED_RETRY_AFTER,
+        };
+        let _ = connection.say(&call.request, answer, false);
+        return Err(CallEnd::Refused("connection_replaced"));
+    }
     Ok(call)
 }
 
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -165,9 +165,9 @@
         self.set_activity(Activity::Receives, now);
     }
 
-    /// Notes that a call is whole.
-    pub(crate) fn note_whole_call(&self, now: MonotonicTime) {
-        self.set_activity(Activity::Serves, now);
+    /// Notes that a call is whole, so that its connection is closed for no other; false if it was closed already.
+    pub(crate) fn note_whole_call(&self, now: MonotonicTime) -> bool {
+        self.set_activity(Activity::Serves, now)
     }
 
     /// Notes that the connection rests between two calls.
@@ -175,16 +175,19 @@
         self.set_activity(Activity::Rests, now);
     }
 
-    fn set_activity(&self, activity: Activity, now: MonotonicTime) {
+    /// Whether the connection is still entered.
+    fn set_activity(&self, activity: Activity, now: MonotonicTime) -> bool {
         let mut inner = lock(&self.connections.inner);
         let closing = inner.closing;
-        if let Some(connection) = inner.open.get_mut(&self.number) {
-            connection.activity = activity;
-            connection.since = now;
-            if closing && activity == Activity::Rests {
-                stop_reading(&connection.stream);
-            }
+        let Some(connection) = inner.open.get_mut(&self.number) else {
+            return false;
+        };
+        connection.activity = activity;
+        connection.since = now;
+        if closing && activity == Activity::Rests {
+            stop_reading(&connection.stream);
         }
+        true
     }
 }
 
