--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -58,7 +58,7 @@
             ("idle_millis", self.idle_millis, 1, MAXIMUM_MILLIS),
             ("body_millis", self.body_millis, 1, MAXIMUM_MILLIS),
             ("write_millis", self.write_millis, 1, MAXIMUM_MILLIS),
-            ("memory_megabytes", self.memory_megabytes as u64, 48, 1024 * 1024),
+            ("memory_megabytes", self.memory_megabytes as u64, 16, 1024 * 1024),
         ];
         counts
             .into_iter()
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -234,7 +234,7 @@
 }
 
 /// Smallest machine that a process runs on.
-const MIN_MEMORY_MEGABYTES: usize = 48;
+const MIN_MEMORY_MEGABYTES: usize = 16;
 const MIN_DESCRIPTORS: usize = 64;
 
 /// Bounds of the times that are set in seconds.
