--- a/crates/cli/tests/operator_commands.rs
+++ b/crates/cli/tests/operator_commands.rs
@@ -1,4 +1,6 @@
 //! The operator's commands against gateways in three zones: propose, sign, roll out, race, roll back, look.
+// Waits of tests and the lab, on machines that are not suspended.
+#![allow(clippy::disallowed_methods)]
 #![allow(clippy::unwrap_used)]
 
 mod support;
