--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -163,6 +163,11 @@
         *self.link.target.lock().unwrap_or_else(PoisonError::into_inner) = target;
     }
 
+    /// Connections that pass, or are held.
+    pub fn connections(&self) -> usize {
+        self.link.state().open.len()
+    }
+
     /// Mends the link.
     pub fn mend(&self) {
         self.set_fault(LinkFault::None);
@@ -279,6 +284,12 @@
     let mut buffer = [0; BUFFER_BYTES];
     while let Ok(read) = from.read(&mut buffer) {
         link.wait_to_pass(connection, direction);
+        if was_reset(from) {
+            // What a partition holds up is lost when its sender resets the connection.
+            let _ = set_socket_linger(to, Some(Duration::ZERO));
+            let _ = to.shutdown(Shutdown::Both);
+            return;
+        }
         if read == 0 || link.is_reset(connection) || to.write_all(&buffer[..read]).is_err() {
             break;
         }
@@ -290,3 +301,7 @@
     let _ = to.shutdown(Shutdown::Write);
     let _ = from.shutdown(Shutdown::Read);
 }
+
+fn was_reset(stream: &TcpStream) -> bool {
+    stream.take_error().is_ok_and(|error| error.is_some())
+}
--- a/crates/node/src/commanding/ordering.rs
+++ b/crates/node/src/commanding/ordering.rs
@@ -4,7 +4,7 @@
 use super::status::StatusReport;
 use crate::asking;
 use crate::context::Context;
-use crate::ports::{EngineReading, EngineReport, OrderVerdict, StageOrder};
+use crate::ports::{EngineReading, EngineReport, MIN_ORDER_TIME, OrderVerdict, StageOrder};
 use shelfjunction_core::identity::EngineId;
 use shelfjunction_core::lease::Authority;
 use shelfjunction_core::roles::regional::{LIST_SETTLE_TIME, PlanScope, RegionalChange, RolePlanner};
@@ -17,9 +17,6 @@
 /// Longest wait for an engine's answer.
 const ANSWER_WAIT: Duration = Duration::from_millis(400);
 
-/// Part of the lease that must be left when an order is sent, so that it arrives within.
-const LEASE_LEFT: Duration = Duration::from_millis(1_000);
-
 /// Time after which an order whose answer was lost is looked at again.
 const SETTLE_AFTER: Duration = Duration::from_millis(1_500);
 
@@ -60,7 +57,7 @@
         self.planner.observe(&inputs, policy, now);
         self.status
             .report(context, &self.planner.status(&inputs, policy), now);
-        if now + LEASE_LEFT > authority.not_after {
+        if now + MIN_ORDER_TIME > authority.not_after {
             return;
         }
         if let Some(change) = self.round.pop_front() {
@@ -108,7 +105,7 @@
             lock(&context.router).record_stage_order(&change.engine, change.to, context.now());
             return;
         }
-        if context.now() + LEASE_LEFT > authority.not_after {
+        if context.now() + MIN_ORDER_TIME > authority.not_after {
             return;
         }
         self.send(context, authority, regional, address, report);
--- a/crates/node/src/duties/mod.rs
+++ b/crates/node/src/duties/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::context::Context;
 use crate::peers::Duty;
-use crate::ports::{DutyHolder, PlatformDuties};
+use crate::ports::{DutyHolder, MIN_DUTY_TIME, PlatformDuties};
 use scaling::ScalingDuty;
 use shelfjunction_core::lease::Authority;
 use shelfjunction_platform::services::TableService;
@@ -25,9 +25,6 @@
 /// Time between two looks of a node that leaves such things to others.
 const OFF_LOOK_EVERY: Duration = Duration::from_millis(1_000);
 
-/// Part of the lease that must be left when a call is begun, so that it arrives within.
-const LEASE_LEFT: Duration = Duration::from_millis(500);
-
 /// Does the duties as long as the process runs.
 pub(crate) fn run(context: &Context, table: &dyn TableService, platform: &dyn PlatformDuties) {
     let mut usage = UsageDuty::new(context);
@@ -64,12 +61,13 @@
     let now = context.now();
     context
         .duty_authority(now)
-        .filter(|authority| now + LEASE_LEFT <= authority.not_after)
+        .filter(|authority| now + MIN_DUTY_TIME <= authority.not_after)
 }
 
 fn holder(context: &Context, authority: Authority) -> DutyHolder {
     DutyHolder {
         node: context.config.node.clone(),
         token: authority.token,
+        valid_for: authority.not_after.since(context.now()),
     }
 }
--- a/crates/node/src/ports/duties.rs
+++ b/crates/node/src/ports/duties.rs
@@ -4,6 +4,10 @@
 use shelfjunction_core::identity::{FencingToken, NodeId};
 use shelfjunction_core::metering::WindowNumber;
 use shelfjunction_core::metering::tally::TenantCounts;
+use std::time::Duration;
+
+/// Least time for which the authority of a call is still valid when the call is begun.
+pub const MIN_DUTY_TIME: Duration = Duration::from_millis(500);
 
 /// Who calls the platform, and with which authority.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -12,6 +16,8 @@
     pub node: NodeId,
     /// Its authority.
     pub token: FencingToken,
+    /// Time for which the authority is still valid, [`MIN_DUTY_TIME`] at least: a successor may call afterwards.
+    pub valid_for: Duration,
 }
 
 /// What became of a call to the platform's interface.
@@ -29,7 +35,8 @@
     Unanswered(String),
 }
 
-/// The platform's interface for what one node at a time does for all.
+/// The platform's interface for what one node at a time does for all. No call arrives there after the authority of its holder has
+/// ended: one that is not answered in time is aborted.
 pub trait PlatformDuties: Send + Sync {
     /// Reports the requests that began in a window.
     fn report_usage(&self, holder: &DutyHolder, window: WindowNumber, counts: &TenantCounts) -> DutyAnswer;
--- a/crates/node/src/ports/engines.rs
+++ b/crates/node/src/ports/engines.rs
@@ -70,6 +70,10 @@
     pub expected: u64,
 }
 
+/// Least time for which the authority of an order is still valid when the order is sent; one that is not acknowledged until then is
+/// aborted, so that none arrives behind an order of the holder's successor.
+pub const MIN_ORDER_TIME: Duration = Duration::from_millis(1_000);
+
 /// What an engine answered to an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderVerdict {
--- a/crates/node/src/ports/mod.rs
+++ b/crates/node/src/ports/mod.rs
@@ -3,10 +3,10 @@
 mod duties;
 mod engines;
 
-pub use duties::{DutyAnswer, DutyHolder, PlatformDuties};
+pub use duties::{DutyAnswer, DutyHolder, MIN_DUTY_TIME, PlatformDuties};
 pub use engines::{
     AnswerHead, CallStage, EngineCall, EngineLink, EngineProtocol, EngineReading, EngineReport, EngineStream,
-    HeldPart, OrderVerdict, StageOrder,
+    HeldPart, MIN_ORDER_TIME, OrderVerdict, StageOrder,
 };
 
 use shelfjunction_buffers::{BufferAccount, HeldBytes};
--- a/crates/node/src/relay/serving.rs
+++ b/crates/node/src/relay/serving.rs
@@ -4,6 +4,7 @@
 use crate::context::Context;
 use crate::engine_contact;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::net::sockopt::set_socket_linger;
 use shelfjunction_protocol::relay_messages::{
     FrameDecoder, FrameKind, MAX_FRAME_BYTES, OPENING_BYTES, TunnelOpening, TunnelReply, append_frame,
 };
@@ -124,7 +125,12 @@
             reply(context, &mut origin, TunnelReply::Connected, from)?;
             socket::prepare(&origin)?;
             stream.set_nonblocking(true)?;
-            Splice::new(origin, stream, engine).run(context, &mut place, from)
+            let mut splice = Splice::new(origin, stream, engine);
+            let ended = splice.run(context, &mut place, from);
+            if place.is_busy {
+                splice.abort_request();
+            }
+            ended
         }
         Err(failure) => reply(context, &mut origin, failure, from),
     }
@@ -179,7 +185,7 @@
     }
 
     /// Passes bytes until one end has closed.
-    fn run(mut self, context: &Context, place: &mut Place<'_>, from: SocketAddr) -> io::Result<()> {
+    fn run(&mut self, context: &Context, place: &mut Place<'_>, from: SocketAddr) -> io::Result<()> {
         loop {
             if self.read_origin(context, place, from)? {
                 return Ok(());
@@ -199,6 +205,13 @@
         }
     }
 
+    /// Has the engine's connection reset when it is closed: the origin has given its request up, which must not arrive afterwards.
+    fn abort_request(&self) {
+        if let Err(error) = set_socket_linger(&self.engine_stream, Some(Duration::ZERO)) {
+            log::debug!(engine = self.engine.as_str(), error:% = error; "relayed_request_not_aborted");
+        }
+    }
+
     /// Declines further requests and notifies the origin.
     fn decline(&mut self) {
         if !std::mem::replace(&mut self.declines, true) {
--- a/crates/platform/src/http_engine/mod.rs
+++ b/crates/platform/src/http_engine/mod.rs
@@ -4,14 +4,13 @@
 //! the environment: each of these could run a request a second time. Control calls are idempotent and may share
 //! idle connections.
 
-pub(crate) mod connector;
 mod stream;
 mod timeouts;
 
 pub use timeouts::EngineTimeouts;
 
+use crate::aborting_tcp::{AbortingConnector, never_connected};
 use crate::engine::{AnswerStream, CallError, ControlError, EngineClient, KvEventBatch};
-use connector::{TrackedConnector, never_connected};
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -61,8 +60,11 @@
     /// Builds a client; connections are opened when they are needed.
     pub fn new(timeouts: EngineTimeouts) -> Self {
         Self {
-            calls: agent(call_config(&timeouts)),
-            control: agent(control_config(&timeouts)),
+            calls: agent(call_config(&timeouts), AbortingConnector::default()),
+            control: agent(
+                control_config(&timeouts),
+                AbortingConnector::with_max_unacknowledged(timeouts.control()),
+            ),
         }
     }
 }
@@ -132,8 +134,8 @@
     format!("http://{address}/v1/calls/{name}")
 }
 
-fn agent(config: Config) -> Agent {
-    Agent::with_parts(config, TrackedConnector::default(), DefaultResolver::default())
+fn agent(config: Config, connector: AbortingConnector) -> Agent {
+    Agent::with_parts(config, connector, DefaultResolver::default())
 }
 
 /// Settings of connections that carry calls: none is used twice, so none can break while idle.
--- a/crates/platform/src/http_platform/agent.rs
+++ b/crates/platform/src/http_platform/agent.rs
@@ -2,7 +2,7 @@
 
 use super::PlatformTimeouts;
 use super::wire::ErrorBody;
-use crate::http_engine::connector::{TrackedConnector, never_connected};
+use crate::aborting_tcp::{AbortingConnector, never_connected};
 use serde::de::DeserializeOwned;
 use shelfjunction_core::table::PlatformError;
 use std::net::SocketAddr;
@@ -50,7 +50,11 @@
             .build();
         Self {
             base: format!("http://{address}"),
-            agent: Agent::with_parts(config, TrackedConnector::default(), DefaultResolver::default()),
+            agent: Agent::with_parts(
+                config,
+                AbortingConnector::with_max_unacknowledged(timeouts.call),
+                DefaultResolver::default(),
+            ),
         }
     }
 
