--- a/crates/core/src/streams/registry.rs
+++ b/crates/core/src/streams/registry.rs
@@ -1,6 +1,6 @@
 //! Origins of streams that callers may take up again.
 
-use super::StreamOrigin;
+use super::{ContentAnswer, ContentStreams, FoundStream, StreamOrigin};
 use crate::forwarding::PoolId;
 use crate::identity::{RequestId, TenantId};
 use crate::quarantine::Fingerprint;
@@ -72,7 +72,7 @@
 
 impl StreamRecord {
     /// Whether a stream with either record may be continued at the same engines.
-    fn is_equivalent(&self, other: &Self) -> bool {
+    pub fn is_equivalent(&self, other: &Self) -> bool {
         let versions = (&self.origin.software_version, &other.origin.software_version);
         let is_same_version = matches!(versions, (Some(one), Some(two)) if one == two);
         self.pool == other.pool && (is_same_version || self.origin == other.origin)
@@ -87,15 +87,37 @@
     expires_at: MonotonicTime,
 }
 
+/// A key in the order in which they were added; one that was added again stands there twice.
+#[derive(Clone, Copy, Debug)]
+struct Added {
+    key: StreamKey,
+    added_at: MonotonicTime,
+    expires_at: MonotonicTime,
+}
+
 /// Streams that began a short time ago, at this node or at others that reported them.
 #[derive(Clone, Debug, Default)]
 pub struct StreamRegistry {
     entries: BTreeMap<StreamKey, Entry>,
-    /// Keys with their times of expiry, in the order in which they were added. A key that was added again stands here twice.
-    order: VecDeque<(MonotonicTime, StreamKey)>,
+    order: VecDeque<Added>,
+    /// Since when no report was missed; absent if there were none before.
+    complete_since: Option<MonotonicTime>,
 }
 
 impl StreamRegistry {
+    /// An empty registry that has missed every report before the given time.
+    pub fn complete_since(time: MonotonicTime) -> Self {
+        Self {
+            complete_since: Some(time),
+            ..Self::default()
+        }
+    }
+
+    /// Notes that reports before the given time may have been missed.
+    pub fn note_missed_before(&mut self, time: MonotonicTime) {
+        self.complete_since = self.complete_since.max(Some(time));
+    }
+
     /// Adds a stream that has just begun and may be taken up for `lifetime`.
     pub fn add(&mut self, key: StreamKey, record: StreamRecord, lifetime: Duration, now: MonotonicTime) {
         self.remove_expired(now);
@@ -120,9 +142,15 @@
                 self.entries.insert(key, entry);
             }
         }
-        self.order.push_back((expires_at, key));
+        self.order.push_back(Added {
+            key,
+            added_at: now,
+            expires_at,
+        });
         while self.order.len() > MAX_KEYS {
-            self.remove_oldest();
+            if let Some(removed) = self.remove_oldest() {
+                self.note_missed_before(removed.added_at);
+            }
         }
     }
 
@@ -132,6 +160,29 @@
         Some((entry.record.as_ref()?, now.since(entry.began_at)))
     }
 
+    /// What is known of the streams of a content, and whether that is all.
+    pub fn streams_of_content(&self, key: StreamKey, now: MonotonicTime) -> ContentAnswer {
+        let entry = self.entries.get(&key).filter(|entry| entry.expires_at > now);
+        let streams = match entry {
+            None => ContentStreams::None,
+            Some(Entry { record: None, .. }) => ContentStreams::OfSeveral,
+            Some(Entry {
+                record: Some(record),
+                began_at,
+                ..
+            }) => ContentStreams::OfOneOrigin(FoundStream {
+                record: record.clone(),
+                age: now.since(*began_at),
+            }),
+        };
+        ContentAnswer {
+            streams,
+            complete_for: self
+                .complete_since
+                .map_or(Duration::MAX, |since| now.since(since)),
+        }
+    }
+
     /// Number of keys, expired ones included.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -144,26 +195,21 @@
 
     /// Removes expired keys in the order in which they were added; one behind a key with a longer lifetime stays until that expires.
     fn remove_expired(&mut self, now: MonotonicTime) {
-        while self
-            .order
-            .front()
-            .is_some_and(|(expires_at, _)| *expires_at <= now)
-        {
+        while self.order.front().is_some_and(|added| added.expires_at <= now) {
             self.remove_oldest();
         }
     }
 
-    fn remove_oldest(&mut self) {
-        let Some((expires_at, key)) = self.order.pop_front() else {
-            return;
-        };
+    fn remove_oldest(&mut self) -> Option<Added> {
+        let added = self.order.pop_front()?;
         // A key that was added again stays until its last entry in the order.
         if self
             .entries
-            .get(&key)
-            .is_some_and(|entry| entry.expires_at <= expires_at)
+            .get(&added.key)
+            .is_some_and(|entry| entry.expires_at <= added.expires_at)
         {
-            self.entries.remove(&key);
+            self.entries.remove(&added.key);
         }
+        Some(added)
     }
 }
--- a/crates/core/tests/streams.rs
+++ b/crates/core/tests/streams.rs
@@ -10,7 +10,8 @@
 use shelfjunction_core::quarantine::{Fingerprint, RequestContent};
 use shelfjunction_core::routing::pool::{PromptPart, PromptShape};
 use shelfjunction_core::streams::{
-    FoundStream, OriginLookup, REPLICAS, StreamKey, StreamOrigin, StreamRecord, StreamRegistry,
+    ContentAnswer, ContentLookup, ContentStreams, FoundStream, Keepers, NotFound, OriginLookup, REPLICAS,
+    StreamKey, StreamOrigin, StreamRecord, StreamRegistry,
 };
 use shelfjunction_core::time::MonotonicTime;
 use std::collections::BTreeSet;
@@ -178,6 +179,88 @@
     assert_eq!(lookup.into_found(), None);
 }
 
+fn answer(streams: ContentStreams, complete_for: Duration) -> ContentAnswer {
+    ContentAnswer {
+        streams,
+        complete_for,
+    }
+}
+
+fn one(name: &str) -> ContentStreams {
+    ContentStreams::OfOneOrigin(found(name).unwrap())
+}
+
+fn keepers(others: &[u64], includes_own: bool) -> Keepers<u64> {
+    Keepers {
+        others: others.iter().copied().collect(),
+        includes_own,
+    }
+}
+
+/// A lookup of a content at a node that began after the others' records, and knows a stream of the given version.
+fn lookup_of_late_node(version: &str) -> ContentLookup<u64> {
+    let mut lookup = ContentLookup::new([1, 2], vec![keepers(&[1, 2], true)], LIFETIME);
+    lookup.take_own(answer(one(version), LIFETIME / 2));
+    lookup
+}
+
+#[test]
+fn a_record_of_some_content_is_no_proof_where_an_earlier_one_may_be_missing() {
+    let mut lookup = lookup_of_late_node("v2");
+    lookup.on_answer(&1, answer(one("v2"), LIFETIME / 2));
+    lookup.on_answer(
+        &2,
+        answer(ContentStreams::None, LIFETIME - Duration::from_millis(1)),
+    );
+    assert_eq!(lookup.into_found(), Err(NotFound::Incomplete));
+    let mut lookup = lookup_of_late_node("v2");
+    lookup.on_answer(&2, answer(ContentStreams::None, LIFETIME));
+    assert_eq!(lookup.into_found().unwrap().record, record("v2"));
+}
+
+#[test]
+fn an_ambiguity_that_only_another_node_knows_settles_a_lookup_of_a_content() {
+    for other in [ContentStreams::OfSeveral, one("v1")] {
+        let mut lookup = lookup_of_late_node("v2");
+        assert!(!lookup.is_settled(), "one record does not settle it");
+        lookup.on_answer(&2, answer(other, Duration::MAX));
+        assert!(lookup.is_settled());
+        assert_eq!(lookup.into_found(), Err(NotFound::Ambiguous));
+    }
+}
+
+#[test]
+fn each_region_has_to_prove_that_no_record_of_some_content_is_missing() {
+    let regions = vec![keepers(&[1], true), keepers(&[2, 3], false)];
+    let mut lookup = ContentLookup::new([1, 2, 3, 4], regions, LIFETIME);
+    lookup.take_own(answer(one("v1"), Duration::MAX));
+    lookup.on_answer(&4, answer(ContentStreams::None, Duration::MAX));
+    assert_eq!(lookup.clone().into_found(), Err(NotFound::Incomplete));
+    lookup.on_answer(&3, answer(ContentStreams::None, LIFETIME));
+    assert_eq!(lookup.into_found().unwrap().record, record("v1"));
+}
+
+#[test]
+fn a_registry_that_has_dropped_a_key_is_complete_only_since_then() {
+    let at = MonotonicTime::from_millis;
+    let complete_for =
+        |registry: &StreamRegistry, now| registry.streams_of_content(key("r"), now).complete_for;
+    let mut registry = StreamRegistry::default();
+    assert_eq!(complete_for(&registry, at(1_000)), Duration::MAX);
+    for number in 0..=40_000 {
+        registry.add(
+            key(&format!("r{number}")),
+            record("v1"),
+            LIFETIME,
+            at(1_000 + number / 8),
+        );
+    }
+    assert_eq!(complete_for(&registry, at(7_000)), Duration::from_secs(6));
+    registry.note_missed_before(at(6_500));
+    registry.note_missed_before(at(6_000));
+    assert_eq!(complete_for(&registry, at(7_000)), Duration::from_millis(500));
+}
+
 /// Reports one stream from `origin` to its replicas and looks it up at `asker`; each datagram is lost where `lost` says so.
 fn looked_up(
     nodes: u64,
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -258,7 +258,7 @@
             announcements: Announcements::default(),
             rate_limits: RateLimits::default(),
             tenant_rates: TenantRates::default(),
-            stream_origins: StreamOrigins::default(),
+            stream_origins: StreamOrigins::new(config.first_start),
             buffers: BufferAccount::new(BufferLimits::of_memory(config.memory_megabytes)),
             waits: Mutex::new(CallerWaits::default()),
             reloaded_at: Mutex::default(),
--- a/crates/node/src/course/taking_up.rs
+++ b/crates/node/src/course/taking_up.rs
@@ -8,7 +8,7 @@
 use shelfjunction_core::forwarding::RouteRule;
 use shelfjunction_core::identity::RequestId;
 use shelfjunction_core::quarantine::Fingerprint;
-use shelfjunction_core::streams::{FoundStream, StreamKey, StreamRecord};
+use shelfjunction_core::streams::{FoundStream, LIFETIME_IN_TIMEOUTS, NotFound, StreamKey, StreamRecord};
 use std::time::Duration;
 
 /// When to come back with a stream that can't be continued.
@@ -19,14 +19,30 @@
 enum Refusal {
     /// No node knows where it began, or streams of two versions have its key.
     NotKnown,
+    /// Streams of several versions have its content.
+    Ambiguous,
+    /// A stream of its content is known, and another one may be missing.
+    RecordsIncomplete,
     /// Its pool is not one of the route's any more.
     OtherPool,
 }
 
+impl From<NotFound> for Refusal {
+    fn from(cause: NotFound) -> Self {
+        match cause {
+            NotFound::Unknown => Self::NotKnown,
+            NotFound::Ambiguous => Self::Ambiguous,
+            NotFound::Incomplete => Self::RecordsIncomplete,
+        }
+    }
+}
+
 impl Refusal {
     fn name(self) -> &'static str {
         match self {
             Self::NotKnown => "not_known",
+            Self::Ambiguous => "ambiguous",
+            Self::RecordsIncomplete => "records_incomplete",
             Self::OtherPool => "other_pool",
         }
     }
@@ -46,7 +62,7 @@
         return Ok(None);
     }
     let looked_up_at = context.now();
-    let found = find(context, route, key_of(call, access, fingerprint));
+    let found = find(context, route, call, access, fingerprint);
     let took = context.now().since(looked_up_at);
     log_taken_up(context, call, &found, took);
     match found {
@@ -57,18 +73,27 @@
     }
 }
 
-/// The key under which the stream is known: that of the request that began it or, if the caller does not name one, of the content,
-/// which is the same in all attempts.
-fn key_of(call: &Call, access: &Access, fingerprint: &Fingerprint) -> StreamKey {
-    match &call.resumes {
-        Some(began) => StreamKey::of(access.tenant.as_ref(), began),
-        None => StreamKey::of_content(fingerprint, call.prompt.as_ref()),
-    }
-}
-
-fn find(context: &Context, route: &RouteRule, key: StreamKey) -> Result<(FoundStream, KnownFrom), Refusal> {
-    let found = context.stream_origins.find(context, key);
-    let (found, from) = found.ok_or(Refusal::NotKnown)?;
+/// Looks the stream up by the request that began it or, if the caller does not name one, by the content, which is the same in all
+/// attempts.
+fn find(
+    context: &Context,
+    route: &RouteRule,
+    call: &Call,
+    access: &Access,
+    fingerprint: &Fingerprint,
+) -> Result<(FoundStream, KnownFrom), Refusal> {
+    let origins = &context.stream_origins;
+    let (found, from) = match &call.resumes {
+        Some(began) => {
+            let key = StreamKey::of(access.tenant.as_ref(), began);
+            origins.find(context, key).ok_or(Refusal::NotKnown)?
+        }
+        None => {
+            let key = StreamKey::of_content(fingerprint, call.prompt.as_ref());
+            let lifetime = route.timeout * LIFETIME_IN_TIMEOUTS;
+            origins.find_by_content(context, key, lifetime)?
+        }
+    };
     let is_of_route = route.shares.iter().any(|share| share.pool == found.record.pool);
     if !is_of_route {
         return Err(Refusal::OtherPool);
--- a/crates/node/src/peers/sending.rs
+++ b/crates/node/src/peers/sending.rs
@@ -73,6 +73,7 @@
     let mut teller = Teller::new(context);
     loop {
         let confirmed = context.peers.wait_for_change(teller.tells_again);
+        context.stream_origins.note_running(context.now());
         let pause = teller.round(confirmed);
         context.drop_unconfirmed_engines();
         teller.use_teller.tell(context, context.now());
--- a/crates/node/src/streams/metrics.rs
+++ b/crates/node/src/streams/metrics.rs
@@ -44,7 +44,7 @@
         );
         registry.register(
             "streams_taken_up",
-            "Streams that callers took up from an earlier answer: known_here, known_at_peer; refused as not_known, other_pool",
+            "Streams that callers took up from an earlier answer: known_here, known_at_peer; refused as not_known, ambiguous, records_incomplete, other_pool",
             self.taken_up.clone(),
         );
         registry.register(
--- a/crates/node/src/streams/receiving.rs
+++ b/crates/node/src/streams/receiving.rs
@@ -33,6 +33,17 @@
             });
             context.stream_origins.on_answer(number, found, from);
         }
+        StreamDatagram::ContentLookup { number, key } => {
+            let answer = context.stream_origins.streams_of_content(context, key).into();
+            if let Some(bytes) = (StreamDatagram::ContentAnswer { number, answer }).encode() {
+                context.peers.send(&bytes, from);
+            }
+        }
+        StreamDatagram::ContentAnswer { number, answer } => {
+            context
+                .stream_origins
+                .on_content_answer(number, answer.into(), from);
+        }
         StreamDatagram::Spill(origin, mut query) => {
             query.question.query.request.origin = Some(origin);
             spill::answer(context, &query, from);
--- a/crates/protocol/tests/stream_messages.rs
+++ b/crates/protocol/tests/stream_messages.rs
@@ -5,6 +5,7 @@
 use shelfjunction_core::forwarding::PoolId;
 use shelfjunction_core::identity::{EngineId, SoftwareVersion, ZoneId};
 use shelfjunction_core::routing::pool::{EngineStage, ListSnapshot, PoolEngine};
+use shelfjunction_core::streams::{ContentAnswer, ContentStreams, FoundStream, StreamOrigin, StreamRecord};
 use shelfjunction_protocol::node_snapshot::{Snapshot, Wanted};
 use shelfjunction_protocol::node_words::Datagram;
 use shelfjunction_protocol::relay_messages::RelayDatagram;
@@ -64,3 +65,37 @@
     };
     assert_eq!(versions(earlier_build), [None, None]);
 }
+
+#[test]
+fn what_a_node_knows_of_a_content_survives_the_way() {
+    let found = FoundStream {
+        record: StreamRecord {
+            pool: PoolId("lm".to_owned()),
+            origin: StreamOrigin::at(&EngineId::new("i-1"), Some(SoftwareVersion::new("v2"))),
+        },
+        age: Duration::from_millis(250),
+    };
+    let streams = [
+        ContentStreams::None,
+        ContentStreams::OfOneOrigin(found),
+        ContentStreams::OfSeveral,
+    ];
+    for (streams, complete_for) in streams.into_iter().zip([0, 7, u64::MAX]) {
+        let answer = ContentAnswer {
+            streams,
+            complete_for: match complete_for {
+                u64::MAX => Duration::MAX,
+                seconds => Duration::from_secs(seconds),
+            },
+        };
+        let datagram = StreamDatagram::ContentAnswer {
+            number: 9,
+            answer: answer.clone().into(),
+        };
+        let decoded = StreamDatagram::decode(&datagram.encode().unwrap());
+        let Some(StreamDatagram::ContentAnswer { answer: report, .. }) = decoded else {
+            panic!("{decoded:?}");
+        };
+        assert_eq!(ContentAnswer::from(report), answer);
+    }
+}
