--- a/crates/node/src/relay/serving.rs
+++ b/crates/node/src/relay/serving.rs
@@ -5,6 +5,7 @@
 use crate::engine_contact;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::net::sockopt::set_socket_linger;
+use shelfjunction_buffers::HeldAnswer;
 use shelfjunction_protocol::relay_messages::{
     FrameDecoder, FrameKind, MAX_FRAME_BYTES, OPENING_BYTES, TunnelOpening, TunnelReply, append_frame,
 };
@@ -125,7 +126,7 @@
             reply(context, &mut origin, TunnelReply::Connected, from)?;
             socket::prepare(&origin)?;
             stream.set_nonblocking(true)?;
-            let mut splice = Splice::new(origin, stream, engine);
+            let mut splice = Splice::new(origin, stream, engine, context.buffers.hold_answer());
             let ended = splice.run(context, &mut place, from);
             if place.is_busy {
                 splice.abort_request();
@@ -166,12 +167,14 @@
     towards_engine: Vec<u8>,
     towards_origin: Vec<u8>,
     engine_ended: bool,
+    /// What is held of both.
+    held: HeldAnswer,
     /// Whether further requests are declined, and the origin has been notified of that.
     declines: bool,
 }
 
 impl Splice {
-    fn new(origin: TcpStream, engine_stream: TcpStream, engine: String) -> Self {
+    fn new(origin: TcpStream, engine_stream: TcpStream, engine: String, held: HeldAnswer) -> Self {
         Self {
             origin,
             engine_stream,
@@ -180,6 +183,7 @@
             towards_engine: Vec::new(),
             towards_origin: Vec::new(),
             engine_ended: false,
+            held,
             declines: false,
         }
     }
@@ -194,6 +198,8 @@
                 self.decline();
             }
             self.read_engine(context)?;
+            self.held
+                .set(self.towards_engine.capacity() + self.towards_origin.capacity());
             send(&mut self.engine_stream, &mut self.towards_engine)?;
             send(&mut self.origin, &mut self.towards_origin)?;
             let is_idle = !place.is_busy && self.towards_origin.is_empty();
@@ -212,6 +218,11 @@
         }
     }
 
+    /// Whether more is read for an end for which these bytes wait; a single frame always is, so that a full account stops no tunnel.
+    fn has_room_for(&self, waiting: &[u8]) -> bool {
+        waiting.is_empty() || waiting.len() < MAX_WAITING_BYTES && self.held.reads_on()
+    }
+
     /// Declines further requests and notifies the origin.
     fn decline(&mut self) {
         if !std::mem::replace(&mut self.declines, true) {
@@ -227,7 +238,7 @@
         from: SocketAddr,
     ) -> io::Result<bool> {
         let mut taken = 0;
-        while self.towards_engine.len() < MAX_WAITING_BYTES && taken < MAX_WAITING_BYTES {
+        while self.has_room_for(&self.towards_engine) && taken < MAX_WAITING_BYTES {
             let mut bytes = [0; MAX_FRAME_BYTES];
             let Some(count) = read(&mut self.origin, &mut bytes)? else {
                 return Ok(false);
@@ -260,7 +271,7 @@
     }
 
     fn read_engine(&mut self, context: &Context) -> io::Result<()> {
-        while !self.engine_ended && self.towards_origin.len() < MAX_WAITING_BYTES {
+        while !self.engine_ended && self.has_room_for(&self.towards_origin) {
             let mut bytes = [0; MAX_FRAME_BYTES];
             let Some(count) = read(&mut self.engine_stream, &mut bytes)? else {
                 return Ok(());
@@ -286,11 +297,11 @@
             flags
         };
         let origin = flags(
-            self.towards_engine.len() < MAX_WAITING_BYTES,
+            self.has_room_for(&self.towards_engine),
             !self.towards_origin.is_empty(),
         );
         let engine = flags(
-            !self.engine_ended && self.towards_origin.len() < MAX_WAITING_BYTES,
+            !self.engine_ended && self.has_room_for(&self.towards_origin),
             !self.towards_engine.is_empty(),
         );
         let mut waits = Vec::with_capacity(2);
--- a/tests/hostile_clients/crowd.rs
+++ b/tests/hostile_clients/crowd.rs
@@ -77,6 +77,14 @@
     }
 }
 
+/// Waits until the node has answered on each connection, or has closed it.
+pub fn await_ends(connected: Vec<TcpStream>) {
+    for mut stream in connected {
+        stream.set_read_timeout(Some(MAX_WAIT)).unwrap();
+        status(&mut stream);
+    }
+}
+
 /// Sends one whole request; the status of its answer, zero if none comes.
 pub fn ask(address: SocketAddr, framing: Framing, bytes: usize) -> u16 {
     let Ok(mut stream) = TcpStream::connect(address) else {
--- a/tests/hostile_clients/main.rs
+++ b/tests/hostile_clients/main.rs
@@ -106,6 +106,38 @@
     judge(MACHINE, &crowd);
 }
 
+#[test]
+fn events_that_do_not_end_do_not_exhaust_memory() {
+    judge_until_answered("POST /endless/x");
+}
+
+#[test]
+fn large_answers_do_not_exhaust_memory_until_their_deadline() {
+    judge_until_answered("POST /partial/x");
+}
+
+#[test]
+fn refusals_that_do_not_end_do_not_exhaust_memory() {
+    judge_until_answered("POST /refusing/x");
+}
+
+/// Runs a crowd of small requests against a node, and judges the node after it has answered all of them.
+fn judge_until_answered(target: &'static str) {
+    let crowd = Crowd {
+        clients: CLIENTS,
+        target,
+        framing: Framing::Length { piece_bytes: 4 },
+        send: Send::Whole(4),
+    };
+    let platform = Platform::start();
+    let mut node = NodeProcess::start(&platform, MACHINE);
+    let connected = crowd.send(node.address());
+    assert_eq!(node.ask_ordinary("beside"), 200);
+    crowd::await_ends(connected);
+    assert_eq!(node.ask_ordinary("after"), 200);
+    node.check("after the crowd");
+}
+
 #[test]
 fn bodies_that_announce_more_than_the_limit_are_refused() {
     let crowd = Crowd {
--- a/tests/hostile_clients/stand_ins.rs
+++ b/tests/hostile_clients/stand_ins.rs
@@ -31,6 +31,13 @@
         list(&store, "app-1", engine.address(), "pool-app");
         list(&store, "deaf-1", engine_that_never_reads(), "pool-deaf");
         list(&store, "partial-1", engine_of_partial_answers(), "pool-partial");
+        list(&store, "endless-1", engine_of_endless_events(), "pool-endless");
+        list(
+            &store,
+            "refusing-1",
+            engine_of_endless_refusals(),
+            "pool-refusing",
+        );
         Self {
             store,
             _engine: engine,
@@ -55,19 +62,59 @@
     address
 }
 
+/// An answer without its end.
+#[derive(Clone)]
+struct EndlessAnswer {
+    status_line: &'static str,
+    fields: String,
+    body: String,
+    /// Whether the body is sent again and again, or just once.
+    repeats: bool,
+}
+
 /// An engine that holds the last byte of each answer back.
 fn engine_of_partial_answers() -> SocketAddr {
+    engine_of(EndlessAnswer {
+        status_line: "HTTP/1.1 200 OK",
+        fields: format!("Response-Signature: s\r\nContent-Length: {MAX_BODY_BYTES}\r\n"),
+        body: "x".repeat(MAX_BODY_BYTES - 1),
+        repeats: false,
+    })
+}
+
+/// An engine whose first event does not end, and pauses before it is longer than any event may be.
+fn engine_of_endless_events() -> SocketAddr {
+    engine_of(EndlessAnswer {
+        status_line: "HTTP/1.1 200 OK",
+        fields: "Response-Signature: s\r\n".to_owned(),
+        body: format!("data: {}", "x".repeat(MAX_BODY_BYTES - 64)),
+        repeats: false,
+    })
+}
+
+/// An engine that refuses each request and sends on.
+fn engine_of_endless_refusals() -> SocketAddr {
+    engine_of(EndlessAnswer {
+        status_line: "HTTP/1.1 503 Service Unavailable",
+        fields: "Not-Executed: 1\r\n".to_owned(),
+        body: "x".repeat(MAX_BODY_BYTES),
+        repeats: true,
+    })
+}
+
+fn engine_of(answer: EndlessAnswer) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         for stream in listener.incoming() {
-            thread::spawn(move || send_partial_answer(stream.unwrap()));
+            let answer = answer.clone();
+            thread::spawn(move || begin_answer(stream.unwrap(), &answer));
         }
     });
     address
 }
 
-fn send_partial_answer(stream: TcpStream) {
+fn begin_answer(stream: TcpStream, answer: &EndlessAnswer) {
     let mut reader = BufReader::new(&stream);
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
@@ -76,13 +123,21 @@
         }
     }
     let name = head.lines().find_map(|line| line.strip_prefix("Request-Id: "));
-    let answer = format!(
-        "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Signature: s\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n{}",
+    let head = format!(
+        "{}\r\nRequest-Id: {}\r\n{}\r\n",
+        answer.status_line,
         name.unwrap_or_default(),
-        "x".repeat(MAX_BODY_BYTES - 1)
+        answer.fields
     );
     // The node may close at any time; held open until then.
-    if (&stream).write_all(answer.as_bytes()).is_ok() {
+    let mut sent = (&stream).write_all(head.as_bytes());
+    while sent.is_ok() {
+        sent = (&stream).write_all(answer.body.as_bytes());
+        if !answer.repeats {
+            break;
+        }
+    }
+    if sent.is_ok() {
         let _ = (&stream).read_to_end(&mut Vec::new());
     }
 }
@@ -99,12 +154,16 @@
         )
     };
     format!(
-        r#"{{"version":1,"routes":[{},{},{}],"services":[{},{},{}],"limits":{{"maxHeaderBytes":4096,"maxBodyBytes":{MAX_BODY_BYTES},"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
+        r#"{{"version":1,"routes":[{},{},{},{},{}],"services":[{},{},{},{},{}],"limits":{{"maxHeaderBytes":4096,"maxBodyBytes":{MAX_BODY_BYTES},"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
         route("look", "/look/", "pool-app"),
         route("deaf", "/deaf/", "pool-deaf"),
         route("partial", "/partial/", "pool-partial"),
+        route("endless", "/endless/", "pool-endless").replace("idempotent", "streaming"),
+        route("refusing", "/refusing/", "pool-refusing"),
         service("pool-app"),
         service("pool-deaf"),
         service("pool-partial"),
+        service("pool-endless"),
+        service("pool-refusing"),
     )
 }
