--- a/crates/node/src/asking.rs
+++ b/crates/node/src/asking.rs
@@ -139,17 +139,17 @@
     loop {
         let all_sent = link.push().map_err(|_| "write_failed")?;
         let reading = link.read();
-        held_answer.set(link.answer_bytes());
-        if !held_answer.reads_on() {
-            // A question can be asked again; what is held for callers comes first.
-            return Err("no_room_for_answer");
-        }
         let reads_again = reading == EngineReading::ReadAgain;
         match reading {
             EngineReading::Pending | EngineReading::ReadAgain => {}
             EngineReading::Broken(cause) => return Err(cause),
             reading => return Ok(reading),
         }
+        held_answer.set(link.answer_bytes());
+        if !held_answer.reads_on() {
+            // A question can be asked again; what is held for callers comes first.
+            return Err("no_room_for_answer");
+        }
         let left = until.since(context.now());
         if left.is_zero() {
             return Err("silent");
