--- a/tests/hostile_clients/process.rs
+++ b/tests/hostile_clients/process.rs
@@ -5,7 +5,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -20,6 +20,9 @@
     pub descriptors: usize,
 }
 
+/// Tries to start a node.
+const MAX_STARTS: usize = 5;
+
 /// Descriptors of engines' and the store's connections that rest behind a crowd.
 const MAX_DESCRIPTORS_LEFT: usize = 20;
 
@@ -42,21 +45,13 @@
         let alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
         let directory = TempDir::new().unwrap();
         let settings = directory.path().join("node.toml");
-        let address = free_address();
-        fs::write(&settings, settings_text(platform, machine, address)).unwrap();
-        let mut child = Command::new("sh")
-            .arg("-c")
-            .arg(format!(
-                "ulimit -n {}; exec \"$0\" node --settings \"$1\"",
-                machine.descriptors
-            ))
-            .arg(program())
-            .arg(&settings)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
-        wait_for_start(&mut child);
+        // Another process may take an address that was free a moment ago.
+        let started = (0..MAX_STARTS).find_map(|_| {
+            let address = free_address();
+            fs::write(&settings, settings_text(platform, machine, address)).unwrap();
+            Some((start_program(&settings, machine)?, address))
+        });
+        let (child, address) = started.expect("the node has ended");
         let mut node = Self {
             child,
             address,
@@ -150,14 +145,31 @@
     )
 }
 
-/// Waits for the line that says so; the rest of the log is read to its end in a thread of its own.
-fn wait_for_start(child: &mut Child) {
+/// Starts a node and waits for the line that says so; absent if it has ended before. The rest of its log is read to its end in a thread of
+/// its own.
+fn start_program(settings: &Path, machine: Resources) -> Option<Child> {
+    let mut child = Command::new("sh")
+        .arg("-c")
+        .arg(format!(
+            "ulimit -n {}; exec \"$0\" node --settings \"$1\"",
+            machine.descriptors
+        ))
+        .arg(program())
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
     let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
-    let started = lines
+    let has_started = lines
         .by_ref()
         .any(|line| line.unwrap().contains("event=started "));
-    assert!(started, "the node has ended");
+    if !has_started {
+        child.wait().unwrap();
+        return None;
+    }
     thread::spawn(move || lines.for_each(drop));
+    Some(child)
 }
 
 fn program() -> PathBuf {
