--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -19,7 +19,7 @@
 /// Placers of a large fleet that receive the origin of each stream: a loss of 0.6 of all nodes takes all of them in one case of 21.
 pub const REPLICAS: usize = 6;
 
-/// Time after a node's start until every other node sends its reports there: they have read its entry, or heard it.
+/// Time after a node's start until every other node sends its reports there: they have read its entry, or received a datagram from it.
 pub const REPORTS_ARRIVE_AFTER: Duration = Duration::from_secs(2);
 
 /// Time without running after which a process may have missed reports: what came meanwhile waits in the socket, as far as it has room.
